--- /dev/null
+++ b/gradehoist/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire, and the hosting of module instances behind it."""
--- /dev/null
+++ b/gradehoist/adapter/wire.py
@@ -0,0 +1,211 @@
+"""Wire 'saffron-54c5': lines to events, orders to lines, names to small indices."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Callable
+from typing import Any
+
+from gradehoist import interface as i
+
+Fields = dict[str, str]
+ALL_TABLES = 65535
+
+EVENTS = {
+    "BOOT", "DESTROY", "VIEW", "REMINDER", "CHECK_RESULT", "WHISPER", "JOINED", "UNSUBSCRIBED", "DIGEST",
+    "OFFERED_LOAD", "ACTIVITY", "CUSTODY", "ON_RECORD", "TOOK_EFFECT",
+}
+LIST_KINDS = {
+    "SAVED": i.ListKind.SAVED, "FULL": i.ListKind.COMPLETE, "INCREMENTAL": i.ListKind.CHANGES,
+    "FAILED": i.ListKind.FAILED,
+}
+PHASES = {"Ready": i.Phase.READY, "Terminating": i.Phase.DRAINING, "Gone": i.Phase.GONE}
+OUTCOMES = {
+    "S": i.Outcome.ANSWERED, "E": i.Outcome.ERROR, "F": i.Outcome.TURNED_AWAY, "T": i.Outcome.TIMED_OUT,
+    "C": i.Outcome.UNREACHABLE, "R": i.Outcome.BROKEN,
+}
+REPEATS = {"free": i.Repeat.FREE, "guarded": i.Repeat.GUARDED, "single_shot": i.Repeat.SINGLE}
+
+
+class Names:
+    """One instance's names: what the wire calls a replica, zone, kind or class, by small index."""
+
+    def __init__(self, zones: list[str], kinds: list[str], classes: list[str], report: list[str]) -> None:
+        self.zones = {name: n for n, name in enumerate(zones)}
+        self.kinds = {name: n for n, name in enumerate(kinds)}
+        self.classes = {name: n for n, name in enumerate(classes)}
+        self.report = report
+        self.replicas: dict[str, int] = {}
+        self.addresses: list[str] = []
+
+    def replica(self, address: str) -> int:
+        if address not in self.replicas:
+            self.replicas[address] = len(self.addresses)
+            self.addresses.append(address)
+        return self.replicas[address]
+
+    def zone(self, name: str) -> int:
+        return self.zones.setdefault(name, len(self.zones))
+
+    def kind(self, name: str) -> int:
+        return self.kinds.setdefault(name, len(self.kinds))
+
+    def load(self, fields: Fields) -> i.Load | None:
+        text = fields.get("report", "")
+        if not text:
+            return None
+        row = dict(zip(self.report, (float(x) if x else None for x in text.split(",")), strict=False))
+        return i.Load(row.get("utilization"), row.get("outstanding"), row.get("recent_ms"))
+
+
+def micros(seconds: Any) -> int:
+    return round(float(seconds) * 1_000_000)
+
+
+def split(line: str) -> tuple[str, Fields]:
+    """A text field runs to the end of its line; `options` is the only one that comes in."""
+    name, _, rest = line.strip(" ").partition(" ")
+    fields: Fields = {}
+    head, mark, tail = rest.partition("options=")
+    if mark and (head == "" or head.endswith(" ")):
+        fields["options"] = tail
+        rest = head
+    for part in rest.split():
+        key, equals, value = part.partition("=")
+        if not equals:
+            raise ValueError(f"no value in {part!r}")
+        fields[key] = value
+    return name, fields
+
+
+def check_entry(fields: Fields) -> None:
+    """An entry that cannot be read is refused where it stands, so that its list stays usable."""
+    for key in ("replica", "hall", "phase"):
+        if key not in fields:
+            raise ValueError(f"an entry without {key}")
+    if fields["phase"] not in PHASES:
+        raise ValueError("an unknown phase")
+    float(fields.get("size", "1"))
+    float(fields.get("online-since", "0"))
+    int(fields.get("unit-group", "0"))
+
+
+def entry(names: Names, f: Fields) -> i.Entry:
+    return i.Entry(
+        names.replica(f["replica"]), names.zone(f["hall"]), names.kind(f.get("shape", "")),
+        int(f.get("unit-group", "0")), PHASES[f["phase"]], float(f.get("size", "1")),
+        micros(f.get("online-since", "0")),
+    )
+
+
+def start(f: Fields) -> tuple[Names, i.Start]:
+    o = json.loads(f["options"])
+    s, g, limits = o.get("specifics", {}), o.get("guarantees", {}), o.get("limits", {})
+    listed = o.get("report", {})
+    fields = list(listed.get("fields", [])) if listed.get("how", "inline") != "off" else []
+    names = Names(o.get("azs", []), o.get("kinds", []), [c["name"] for c in o["classes"]], fields)
+    local = s.get("stays-local", [])
+    classes = tuple(
+        i.TransactionClass(
+            micros(c["aim"]), micros(c["deadline"]), float(c.get("worth", 1.0)),
+            float(c.get("late-worth", 0.0)), REPEATS.get(c.get("idempotency", ""), i.Repeat.SINGLE),
+            tuple(names.zone(z) for z in c["only-zones"]) if c.get("only-zones") else None,
+            tuple(names.kind(k) for k in c["only-kinds"]) if c.get("only-kinds") else None,
+            bool(local[n]) if n < len(local) else False,
+        )
+        for n, c in enumerate(o["classes"])
+    )
+    inline = listed.get("how", "off") == "inline"
+    return names, i.Start(
+        int(f["rng-seed"]), len(names.zones), int(s.get("proxies", 1)), int(s.get("shards", 0)),
+        s.get("admission", "off") == "share", classes,
+        i.Rules(
+            micros(g.get("drain-grace", 1.0)), micros(g.get("cold", 0.0)), float(g.get("cold-share", 1.0)),
+            float(g.get("fall-multiple", 1.0)), micros(g.get("tip-after", 1.0)),
+            micros(s.get("blackhole", 5.0)), bool(g.get("gone-is-advice", False)),
+        ),
+        i.Channel(
+            float(s.get("pending-max", 1000.0)), float(s.get("push-rate", 1000.0)),
+            float(s.get("fixed-cost", 0.0)), int(s.get("pushes-allowed", 0)),
+            micros(s.get("update-window", 10.0)),
+        ),
+        i.Reports(
+            micros(s.get("period", 1.0)), inline and "utilization" in fields,
+            inline and "outstanding" in fields, bool(limits.get("probes", False)),
+            o.get("discovery", "push") == "ask",
+        ),
+    )
+
+
+def event(names: Names, name: str, f: Fields) -> i.Event:
+    make: dict[str, Callable[[], i.Event]] = {
+        "REMINDER": lambda: i.Due(int(f["ref"])),
+        "CHECK_RESULT": lambda: i.Probed(
+            names.replica(f["replica"]), OUTCOMES.get(f["reason"], i.Outcome.OTHER),
+            micros(f.get("elapsed", "0")), names.load(f),
+        ),
+        "WHISPER": lambda: i.PeerNote(
+            int(f["origin-peer"]), b"" if f["octets"] == "-" else base64.b64decode(f["octets"], validate=True)
+        ),
+        "JOINED": lambda: i.Joined(int(f["agent"]), names.zone(f["hall"]), float(f.get("size", "1"))),
+        "UNSUBSCRIBED": lambda: i.Left(int(f["agent"])),
+        "DIGEST": lambda: i.Heard(
+            names.zone(f["hall"]), names.replica(f["replica"]), int(f["number"]), int(f.get("bad", "0")),
+            micros(f.get("elapsed", "0")), micros(f.get("window", "0")), names.load(f),
+        ),
+        "OFFERED_LOAD": lambda: i.Offered(
+            int(f["agent"]), names.classes[f["cls"]], int(f["number"]), int(f.get("bad", "0")),
+            micros(f.get("window", "0")),
+        ),
+        "ACTIVITY": lambda: i.SliceOffered(
+            int(f["map-id"]), names.classes[f["cls"]], int(f["number"]), int(f.get("bad", "0")),
+            micros(f.get("window", "0")),
+        ),
+        "CUSTODY": lambda: i.SliceGiven(int(f["map-id"]), f.get("flag", "0") == "1"),
+        "ON_RECORD": lambda: i.SliceLine(
+            int(f["map-id"]), names.replica(f["replica"]), float(f.get("size", "1"))
+        ),
+        "TOOK_EFFECT": lambda: i.Applied(int(f["agent"]), int(f["rev"]), micros(f.get("elapsed", "0"))),
+    }
+    return make[name]()
+
+
+def number(value: float) -> str:
+    return format(value, ".6g")
+
+
+def only(classes: tuple[int, ...]) -> int:
+    return sum(1 << k for k in classes)
+
+
+def crash(text: str) -> str:
+    return "CRASH reason-text=" + (" ".join(text.split()) or "failed")
+
+
+def order(names: Names, o: i.Order) -> str:
+    match o:
+        case i.SetLine():
+            return f"UPSERT replica={names.addresses[o.replica]} map-id={o.table} size={number(o.weight)}"
+        case i.ClearTable():
+            return f"DROP_LINES map-id={o.table}"
+        case i.Bind():
+            return f"ATTACH_TABLE agent={o.proxy} map-id={o.table} only={only(o.classes)}"
+        case i.Withdraw():
+            return f"WITHDRAW flag={int(o.out)} replica={names.addresses[o.replica]}"
+        case i.Admit():
+            table = ALL_TABLES if o.table is None else o.table
+            mask = only(o.classes)
+            return f"ADMIT quota={number(o.share)} on-failure={o.tries} only={mask} map-id={table}"
+        case i.Mark():
+            return f"MARK rev={o.number} flag={int(o.to_all)}"
+        case i.Probe():
+            return f"ASK_LOAD replica={names.addresses[o.replica]}"
+        case i.Wake():
+            return f"WAKE_ME ref={o.token} from-now={o.delay // 1_000_000}.{o.delay % 1_000_000:06d}"
+        case i.Follow():
+            return f"FOLLOW flag={int(o.on)}"
+        case i.AskList():
+            return "SNAPSHOT"
+        case i.Say():
+            return "REMARK reason-text=" + " ".join(o.text.split())
