--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -1,16 +1,605 @@
 """All decisions of gradehoist. Call `Planner(start, now)`, then `handle(now, events)` for its orders;
-events and orders are defined in gradehoist/interface.py."""
-
+events and orders are defined in gradehoist/interface.py. Parts talk only by notes that one loop delivers."""
 from __future__ import annotations
 
-from gradehoist.interface import Event, Order, Start
+import heapq
+import zlib
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Any, NamedTuple
+
+from gradehoist import interface as i
+
+SECOND = 1_000_000
+Tables = dict[int, dict[int, float]]  # weights by set of classes, then by replica
+
+class Mail:
+    """The one loop: a note goes to a part's inbox, `run` empties the inboxes in the order of arrival."""
+    def __init__(self, seed: int, now: int) -> None:
+        self.now, self.seed, self.drawn, self.dues = now, seed, 0, 0
+        self.parts: dict[Any, Part] = {}
+        self.work: deque[Part] = deque()
+        self.due: list[tuple[int, int, Any, tuple[Any, ...]]] = []
+
+    def put(self, to: Any, *note: Any) -> None:
+        self.parts[to].inbox.append(note)
+        self.work.append(self.parts[to])
+
+    def later(self, delay: int, to: Any, *note: Any) -> None:
+        self.dues += 1
+        heapq.heappush(self.due, (self.now + delay, self.dues, to, note))
+
+    def chance(self) -> float:
+        self.drawn += 1
+        return zlib.crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32
+
+    def run(self) -> None:
+        while self.due and self.due[0][0] <= self.now:
+            _, _, to, note = heapq.heappop(self.due)
+            self.put(to, *note)
+        while self.work:
+            part = self.work.popleft()
+            kind, *rest = part.inbox.popleft()
+            getattr(part, "on_" + kind)(*rest)
+
+class Part:
+    def __init__(self, mail: Mail, name: Any) -> None:
+        self.put, self.mail, self.name = mail.put, mail, name
+        self.inbox: deque[tuple[Any, ...]] = deque()
+        mail.parts[name] = self
+
+class State(NamedTuple):
+    """What a replica tells the pool of itself."""
+    entry: i.Entry
+    sick: bool
+    weight: float
+    ramp: float
+
+    @property
+    def open(self) -> bool:
+        return self.entry.phase is i.Phase.READY and not self.sick
+
+class Replica(Part):
+    """One server: smoothed signal, PID, health, low start and ramp, drain."""
+    LOW = 0.1  # the design's start for new servers: a tenth of average
+    GAIN_P, GAIN_I = 0.5, 0.1  # the design's starting gains
+    CAP = 0.25  # the design's cap on a step, as a part of the weight
+    BAND = 0.05  # the design's dead band
+    SMOOTH = 1 / 3  # weight of the newest of about five reports: 2 / (5 + 1)
+    FEW = 4.0  # tries below which a failing share says nothing: four in a row by chance are rare
+    FAILING = 0.5  # the field's usual bar for ejection: half of the tries fail
+
+    def __init__(self, mail: Mail, index: int, period: int, cold_time: int, probes: bool) -> None:
+        super().__init__(mail, ("replica", index))
+        self.index, self.period, self.cold_time, self.probes = index, period, cold_time, probes
+        self.entry: i.Entry | None = None
+        self.fresh: i.Load | None = None
+        self.weight, self.born = 1.0, -cold_time
+        self.reset()
+
+    def reset(self) -> None:
+        self.integral = self.tries = self.bad = 0.0
+        self.busy: float | None = None
+        self.flight: float | None = None
+        self.sick, self.trials, self.fresh = False, 0, None
+
+    def tell(self) -> None:
+        part = min(1.0, max(0.0, (self.mail.now - self.born) / max(1, self.cold_time)))
+        self.ramp = self.LOW + (1 - self.LOW) * part
+        if self.entry is not None:
+            self.put("pool", "state", self.index, State(self.entry, self.sick, self.weight, self.ramp))
+
+    def on_listed(self, entry: i.Entry, weight: float) -> None:
+        old, self.entry = self.entry, entry
+        if old is None:
+            self.weight = weight
+        if old is None or entry.started > old.started:
+            # A restart that the list never showed as gone comes back cold under its old weight.
+            self.born = entry.started if entry.started > 0 else -self.cold_time
+            self.reset()
+        self.tell()
+
+    def on_heard(self, e: i.Heard) -> None:
+        self.tries += e.tries
+        self.bad += e.bad
+        self.fresh = e.load or self.fresh
+        if not self.sick and self.tries >= self.FEW and self.bad > self.FAILING * self.tries:
+            self.put("pool", "failing", self.index, self.bad / self.tries)
+
+    def on_period(self) -> None:
+        """Once a report period: one reading into the smoothed signal, old tries half forgotten."""
+        if self.fresh is not None:
+            self.busy = self.mix(self.busy, self.fresh.busy)
+            self.flight = self.mix(self.flight, self.fresh.in_flight)
+            self.put("pool", "signal", self.index, self.busy, self.flight)
+        self.fresh, self.tries, self.bad = None, self.tries / 2, self.bad / 2
+        self.tell()
+
+    def mix(self, old: float | None, new: float | None) -> float | None:
+        return new if old is None or new is None else old + self.SMOOTH * (new - old)
+
+    def on_step(self, error: float) -> None:
+        error = 0.0 if abs(error) < self.BAND else error
+        if self.ramp >= 1.0:  # below that the ramp speaks for it
+            out = self.GAIN_P * error + self.GAIN_I * (self.integral + error)
+            limit = self.CAP * self.weight
+            if abs(out) <= limit:
+                self.integral += error  # no winding up while the step is clamped
+            self.weight += max(-limit, min(limit, out))
+        self.put("pool", "stepped", self.index, self.weight)
+
+    def on_set(self, weight: float) -> None:
+        if weight in (Pool.FLOOR, Pool.CEILING):
+            self.integral = 0.0  # nor while the weight is held at its floor or ceiling
+        self.weight = weight
+
+    def on_eject(self) -> None:
+        self.sick, self.trials = True, self.trials + 1
+        self.wait()
+        self.tell()
+
+    def wait(self) -> None:
+        # Two report periods, then twice as long for each failed return: a flapping server stays out.
+        hold = max(2 * self.period, 2 * SECOND) * 2 ** min(self.trials - 1, 3)
+        self.mail.later(hold, self.name, "retry", self.trials)
+
+    def on_retry(self, trial: int) -> None:
+        if self.sick and trial == self.trials and self.entry is not None:
+            if self.probes and self.entry.phase is i.Phase.READY:
+                self.put("publisher", "order", i.Probe(self.index))
+            else:
+                self.on_back()
+
+    def on_probed(self, e: i.Probed) -> None:
+        if self.sick and e.outcome is not i.Outcome.ANSWERED:
+            self.wait()
+        elif self.sick:
+            self.on_back()
+
+    def on_back(self) -> None:
+        """Back from ejection at the low start: flapping servers restart low each return."""
+        if self.sick:
+            self.sick, self.born, self.tries, self.bad = False, max(self.born, self.mail.now), 0.0, 0.0
+            self.tell()
+
+class Pool(Part):
+    """The average, the skip rule, normalizing; the zone layer; who may be ejected."""
+    FLOOR, CEILING = 0.05, 4.0  # the design's bounds on a normalized weight
+    MISSING = 0.15  # the design's share of missing reports that skips an update
+    PANIC = 0.5  # ejections at most: the field's usual panic threshold, half of the listed
+    TASTE = 0.01  # part of a zone's traffic each other zone gets anyway, so that its reports keep coming
+
+    def __init__(self, mail: Mail, zones: int, proxies: int, classes: tuple[i.TransactionClass, ...],
+                 sets: list[tuple[int, ...]], period: int, cold_time: int, homes: list[int]) -> None:
+        super().__init__(mail, "pool")
+        self.zones, self.proxies, self.classes, self.sets = zones, proxies, classes, sets
+        self.period, self.cold_time, self.homes, self.expected = period, cold_time, homes, 0
+        self.states: dict[int, State] = {}
+        self.signals: dict[int, tuple[float | None, float | None, int]] = {}
+        self.stepping: dict[int, float] = {}
+        self.rates: dict[int, tuple[int, list[float]]] = {}
+        self.tries = self.bad = self.elapsed = 0.0
+
+    def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
+        c = self.classes[self.sets[k][0]]
+        return ((c.only_zones is None or e.zone in c.only_zones) and (not c.stays_local or e.zone == zone)
+                and (c.only_kinds is None or e.kind in c.only_kinds))
+
+    def bare(self, without: int | None = None) -> Iterable[list[int]]:
+        """The listed replicas of each zone and set that would have no open warm one left."""
+        warm_by = self.mail.now - self.cold_time
+        for k in range(len(self.sets)):
+            for zone in range(self.zones):
+                ready = [(n, s) for n, s in self.states.items()
+                         if s.entry.phase is i.Phase.READY and self.allowed(s.entry, zone, k)]
+                if not any(s.open and s.entry.started <= warm_by and n != without for n, s in ready):
+                    yield [n for n, _ in ready]
+
+    def on_state(self, index: int, state: State) -> None:
+        old = self.states.get(index)
+        self.states[index] = state
+        self.zones = max(self.zones, state.entry.zone + 1)
+        same = old is not None and (old.entry.phase, old.sick) == (state.entry.phase, state.sick)
+        if old is None or not same or state.ramp < old.ramp:
+            if not state.open:
+                # Ejection must not leave a class without an open replica once the list takes the others.
+                for n in {n for left in self.bare() for n in left if self.states[n].sick}:
+                    self.put(("replica", n), "back")
+            self.plan()
+            self.put("publisher", "job", "open" if state.open else "shut", index)
+
+    def on_failing(self, index: int, share: float) -> None:
+        """Ejects an outlier; a fault that all share is not the servers' and ejects nobody."""
+        ready = [s for s in self.states.values() if s.entry.phase is i.Phase.READY]
+        outlier = share >= 2 * self.bad / max(1.0, self.tries)
+        calm = sum(s.sick for s in ready) + 1 <= self.PANIC * len(ready)
+        if outlier and calm and not any(index in left for left in self.bare(index)):
+            self.put(("replica", index), "eject")
+
+    def on_heard(self, e: i.Heard) -> None:
+        self.tries += e.tries
+        self.bad += e.bad
+        self.elapsed += e.elapsed * (e.tries - e.bad)
+
+    def on_signal(self, index: int, busy: float | None, flight: float | None) -> None:
+        self.signals[index] = (busy, flight, self.mail.now)
+
+    def on_joined(self, e: i.Joined) -> None:
+        self.zones = max(self.zones, e.zone + 1)
+        self.rates[e.proxy] = (e.zone, [e.rate / len(self.classes)] * len(self.classes))
+
+    def on_left(self, e: i.Left) -> None:
+        self.rates.pop(e.proxy, None)
 
+    def on_offered(self, e: i.Offered) -> None:
+        if e.proxy in self.rates and e.window > 0:
+            rates = self.rates[e.proxy][1]
+            rates[e.cls] += Replica.SMOOTH * (e.number * SECOND / e.window - rates[e.cls])
+
+    def on_period(self) -> None:
+        mix = [sum(r[k] for _, r in self.rates.values()) for k in range(len(self.classes))]
+        busy = [s[0] for n, s in self.signals.items() if s[0] is not None and self.states[n].open]
+        self.put("admission", "pulse", sum(busy) / max(1, len(busy)), self.bad / max(1.0, self.tries),
+                 self.elapsed / max(1.0, self.tries - self.bad), mix)
+        self.tries, self.bad, self.elapsed = self.tries / 2, self.bad / 2, self.elapsed / 2
+        self.plan()
+
+    def on_step(self) -> None:
+        """One step of the loop; the publisher asks for it when every group holds the last weights."""
+        live = {n: s for n, s in self.states.items() if s.open}
+        known = {n: self.signals[n] for n in live if n in self.signals}
+        stale = [n for n, s in known.items() if self.mail.now - s[2] > 3 * self.period]
+        if not known or len(stale) > self.MISSING * len(known):
+            return
+        busy = {n: s[0] for n, s in known.items() if s[0] is not None}
+        flight = {n: s[1] / max(live[n].entry.size, 1e-6) for n, s in known.items() if s[1] is not None}
+        used: dict[int, float] = {}
+        for figures in (busy, flight):
+            mean = sum(figures.values()) / max(1, len(figures))
+            for n, v in figures.items():
+                used[n] = max(used.get(n, 0.0), v / mean if mean > 0 else 1.0)
+        average = sum(used.values()) / max(1, len(used))
+        self.expected, self.stepping = len(live), {}
+        for n in live:
+            self.put(("replica", n), "step", average - used[n] if n in used and n not in stale else 0.0)
+
+    def on_stepped(self, index: int, weight: float) -> None:
+        self.stepping[index] = weight
+        if len(self.stepping) == self.expected:
+            mean = sum(self.stepping.values()) / self.expected
+            for n, w in self.stepping.items():
+                w = max(self.FLOOR, min(self.CEILING, w / mean))
+                self.states[n] = self.states[n]._replace(weight=w)
+                self.put(("replica", n), "set", w)
+            self.plan()
+
+    def plan(self) -> None:
+        """The zone layer over the loop's weights: a zone's traffic stays while the zone's weights carry
+        it; the rest goes where weights have room. Keeps each server's total as the loop decided."""
+        live = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
+        zones, sets = range(self.zones), range(len(self.sets))
+        whole = sum(w for _, w in live.values())
+        if whole <= 0:
+            return
+        free = [sum(w for e, w in live.values() if e.zone == z) / whole for z in zones]
+        mine = [[sum(r[c] for y, r in self.rates.values() if y == z for c in self.sets[k]) for k in sets]
+                for z in zones]
+        total = sum(map(sum, mine)) or 1.0
+        part = min(1.0, len(self.rates) / max(1, self.proxies))
+        # Shares of all traffic: ours as heard, the other governors' taken to fill the zones evenly.
+        room = [max(0.0, free[z] - part * sum(mine[z]) / total) for z in zones]
+        fill = (1 - part) / (sum(room) or 1.0)
+        wanted: list[Tables] = [{} for _ in zones]
+
+        def strictness(k: int) -> tuple[bool, bool]:
+            c = self.classes[self.sets[k][0]]
+            return not c.stays_local, c.only_zones is None and c.only_kinds is None
+
+        for k in sorted(sets, key=strictness):
+            mix = sum(m[k] for m in mine) / total
+            stay = [0.0 for _ in zones]
+            weights = [[sum(w for e, w in live.values() if e.zone == y and self.allowed(e, z, k))
+                        for y in zones] for z in zones]
+            for z in zones:
+                asked = part * mine[z][k] / total + room[z] * fill * mix
+                if weights[z][z] > 0:
+                    kept = min(asked, max(0.0, free[z]))
+                    stay[z] = kept / asked if asked > 0 else 1.0
+                    free[z] -= kept
+            for z in zones:
+                to = {y: max(free[y], 0.02 * weights[z][y] / whole) for y in zones if weights[z][y] > 0}
+                to.pop(z, None)
+                split = {y: max(self.TASTE, (1 - stay[z]) * f / sum(to.values())) for y, f in to.items()}
+                split[z] = stay[z] if to else 1.0
+                wanted[z][k] = {n: max(1e-4, len(live) * split[e.zone] * w / weights[z][e.zone])
+                                for n, (e, w) in live.items() if self.allowed(e, z, k)}
+        for g, zone in enumerate(self.homes):
+            self.put(("group", g), "wanted", wanted[zone])
+
+class Group(Part):
+    """Some proxies of one zone and the tables they share, as last sent."""
+    MOVED = 0.05  # the design's threshold for sending a line
+
+    def __init__(self, mail: Mail, index: int, sets: list[tuple[int, ...]]) -> None:
+        super().__init__(mail, ("group", index))
+        self.index, self.sets = index, sets
+        self.wanted: Tables = {}
+        self.sent: Tables = {k: {} for k in range(len(sets))}
+        self.members: list[int] = []
+
+    def moved(self, only: int | None = None) -> list[tuple[int, int, float]]:
+        out = []
+        for k, want in self.wanted.items():
+            sent = self.sent[k]
+            both = [n for n in want if n in sent]
+            # Tables hold ratios: a line that leaves must not count as a move of all the others.
+            scale = sum(sent[n] for n in both) / sum(want[n] for n in both) if both else 1.0
+            for n in sorted(want):
+                far = n not in sent or abs(want[n] * scale - sent[n]) > self.MOVED * sent[n]
+                if n == only or (only is None and far):
+                    out.append((k, n, want[n] * scale))
+        return out
+
+    def write(self, lines: list[tuple[int, int, float]]) -> None:
+        for k, n, w in lines:
+            self.sent[k][n] = w
+        orders = [i.SetLine(self.index * len(self.sets) + k, n, w) for k, n, w in lines]
+        if orders:
+            self.put("publisher", "write", orders, list(self.members), len(orders))
+
+    def on_wanted(self, wanted: Tables) -> None:
+        self.wanted = wanted
+        if not self.members:
+            self.write(self.moved())  # nobody uses it: the lines cost nothing and stand ready for a bind
+        self.put("publisher", "differs", self.index, bool(self.members and self.moved()))
+
+    def on_turn(self, room: float) -> None:
+        lines = self.moved()
+        fit = int(room / max(1, len(self.members)))
+        self.write(lines[:fit])
+        self.put("publisher", "differs", self.index, len(lines) > fit)
+
+    def on_line(self, replica: int) -> None:
+        self.write(self.moved(replica))
+
+    def on_join(self, proxy: int) -> None:
+        self.members.append(proxy)
+        binds = [i.Bind(proxy, self.index * len(self.sets) + k, c) for k, c in enumerate(self.sets)]
+        self.put("publisher", "write", binds, [proxy], len(binds) + sum(map(len, self.sent.values())))
+
+    def on_leave(self, proxy: int) -> None:
+        self.members = [p for p in self.members if p != proxy]
+
+class Publisher(Part):
+    """Turns, pace and acknowledgements; guards go before weights and keep room of their own."""
+    HALF = 0.5  # the design's part of the queue limit for binds and lines
+    GUARDS = 0.85  # withdrawals may fill more of it, yet leave a margin for lines not counted exactly
+    OFTEN = 0.6  # part of a proxy's message limit that weights may use; the rest waits for guards
+
+    def __init__(self, mail: Mail, queue: float, head: float, limit: int, window: int, period: int,
+                 homes: list[int]) -> None:
+        super().__init__(mail, "publisher")
+        self.queue, self.head, self.limit, self.window = queue, head + 1, limit, window
+        self.period, self.homes = period, homes
+        self.orders: list[i.Order] = []
+        self.lines: dict[int, float] = {}  # what this reply writes to each proxy
+        self.unacked: dict[int, deque[tuple[int, float]]] = {}
+        self.times: dict[int, deque[int]] = {}
+        self.home: dict[int, int] = {}
+        self.binds: list[int] = []
+        self.jobs: dict[int, str] = {}
+        self.shut: set[int] = set()
+        self.differs: set[int] = set()
+        self.levels: list[i.Order] = []
+        self.turn = self.mark = self.stepped = self.level_lines = 0
+
+    def room(self, proxies: Iterable[int], part: float, lines: float) -> float:
+        """Lines left after writing so many to each; below 0 where the queue or a message limit is met."""
+        left = part * self.queue - sum(n for q in self.unacked.values() for _, n in q)
+        left -= sum(n + self.head for n in self.lines.values())
+        for p in proxies:
+            left -= self.head + lines
+            past = self.times[p]
+            while past and past[0] <= self.mail.now - self.window:
+                past.popleft()
+            if self.limit and p not in self.lines and len(past) >= int(part * self.limit * 1.1):
+                return -1.0
+        return left
+
+    def on_order(self, order: i.Order) -> None:
+        self.orders.append(order)
+
+    def on_joined(self, e: i.Joined) -> None:
+        self.unacked[e.proxy], self.times[e.proxy] = deque(), deque()
+        used = list(self.home.values())
+        near = [g for g, z in enumerate(self.homes) if z == e.zone] or [0]
+        self.home[e.proxy] = min(near, key=lambda g: (used.count(g), g))
+        self.binds.append(e.proxy)
+
+    def on_left(self, e: i.Left) -> None:
+        if e.proxy in self.home:
+            self.put(("group", self.home[e.proxy]), "leave", e.proxy)
+            self.binds = [p for p in self.binds if p != e.proxy]
+            del self.home[e.proxy], self.unacked[e.proxy], self.times[e.proxy]
+            self.lines.pop(e.proxy, None)
+
+    def on_applied(self, e: i.Applied) -> None:
+        q = self.unacked.get(e.proxy)
+        while q and any(m == e.mark for m, _ in q):
+            q.popleft()
+
+    def on_job(self, kind: str, replica: int) -> None:
+        self.jobs[replica] = kind
+
+    def on_differs(self, group: int, yes: bool) -> None:
+        (self.differs.add if yes else self.differs.discard)(group)
+
+    def on_levels(self, orders: list[i.Order]) -> None:
+        self.levels = orders
+
+    def on_write(self, orders: list[i.Order], proxies: list[int], lines: int) -> None:
+        self.orders += orders
+        for p in proxies:
+            if p in self.home:
+                self.lines[p] = self.lines.get(p, 0.0) + lines
+
+    def on_guards(self) -> None:
+        """Withdrawals first, then binds, returns and levels, each while the queue has room."""
+        everyone = list(self.home)
+        for replica in [r for r, kind in self.jobs.items() if kind == "shut"]:
+            if self.room(everyone, self.GUARDS, 1) >= 0:
+                self.shut.add(replica)
+                self.on_write([i.Withdraw(replica, True)], everyone, 1)
+                del self.jobs[replica]
+        # A proxy that joins may hold tables and withdrawals of an earlier stream: bound as soon as it fits.
+        while self.binds and self.room(self.binds[:1], self.HALF, 40 + len(self.shut)) >= 0:
+            proxy = self.binds.pop(0)
+            self.put(("group", self.home[proxy]), "join", proxy)
+            self.lines[proxy] = self.lines.get(proxy, 0.0) + len(self.shut) + self.level_lines
+        for replica in [r for r, kind in self.jobs.items() if kind == "open"]:
+            if self.room(everyone, self.HALF, 3) >= 0:
+                # The low line goes before the return: old tables still hold the replica's full weight.
+                for g in range(len(self.homes)):
+                    self.put(("group", g), "line", replica)
+                self.put("publisher", "return", replica)
+                del self.jobs[replica]
+        if self.levels and self.room(everyone, self.HALF, len(self.levels)) >= 0:
+            self.level_lines = len(self.levels)
+            self.on_write(self.levels, everyone, len(self.levels))
+            self.levels = []
+
+    def on_return(self, replica: int) -> None:
+        if replica in self.shut:
+            self.shut.discard(replica)
+            self.put("publisher", "write", [i.Withdraw(replica, False)], list(self.home), 1)
+
+    def on_tick(self) -> None:
+        ready = sorted(self.differs & set(self.home.values()))
+        if ready:
+            group = next((g for g in ready if g >= self.turn), ready[0])
+            members = [p for p, h in self.home.items() if h == group]
+            room = min(self.room(members, self.HALF, 1), self.room(members, self.OFTEN, 1))
+            self.turn = group + 1
+            if room >= 0:
+                self.put(("group", group), "turn", room + len(members))
+        elif not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
+            self.stepped = self.mail.now
+            self.put("pool", "step")
+
+    def flush(self) -> list[i.Order]:
+        if self.lines:
+            self.mark = (self.mark + 1) % 65536
+            self.orders.append(i.Mark(self.mark, False))
+            for p, lines in self.lines.items():
+                self.unacked[p].append((self.mark, lines + self.head + self.level_lines))
+                self.times[p].append(self.mail.now)
+        orders, self.orders, self.lines = self.orders, [], {}
+        return orders
+
+class Admission(Part):
+    """Under saturation lets in less of the classes with the least gain for their goal first."""
+    FULL = 0.92  # busy share at which queues outgrow the goals; servers are never all this busy by chance
+    LATE = 0.6  # mean answer time as a part of the goal: beyond it the slowest tenth is late
+    FAILS = 0.25  # failing part of all tries that only a saturated pool shows
+    DOWN, UP = 0.12, 0.04  # a step down and up a report period: down within seconds, up three times slower
+    LEAST = 0.05  # never all: what is let in keeps the reports coming
+
+    def __init__(self, mail: Mail, classes: tuple[i.TransactionClass, ...], on: bool) -> None:
+        super().__init__(mail, "admission")
+        self.classes, self.on, self.level, self.sent = classes, on, 1.0, [1.0] * len(classes)
+
+    def on_pulse(self, busy: float, failing: float, elapsed: float, mix: list[float]) -> None:
+        if not self.on or not sum(mix):
+            return
+        goal = sum(c.goal * m for c, m in zip(self.classes, mix, strict=True)) / sum(mix)
+        full = busy > self.FULL or elapsed > self.LATE * goal or failing > self.FAILS
+        self.level = max(self.LEAST, self.level - self.DOWN) if full else min(1.0, self.level + self.UP)
+        left, levels = self.level, [1.0] * len(mix)
+        for k in sorted(range(len(mix)), key=lambda k: -self.classes[k].gain / self.classes[k].goal):
+            share = mix[k] / sum(mix)
+            levels[k] = max(self.LEAST, min(1.0, left / share)) if share > 0 else 1.0
+            left = max(0.0, left - share)
+        if any(abs(a - b) > 0.05 or (a == 1.0) != (b == 1.0) for a, b in zip(levels, self.sent, strict=True)):
+            self.sent = levels
+            self.put("publisher", "levels", [i.Admit(None, (k,), v, 1) for k, v in enumerate(levels)])
 
 class Planner:
-    """Leaves the standing tables alone until the loop is in."""
+    """One instance of the module: turns events into notes, runs the loop, hands out the orders."""
+    GROUPS = 10  # the design's number of proxy groups
+    ROUTES = {i.Joined: ("joined", "pool", "publisher"), i.Left: ("left", "pool", "publisher"),
+              i.Offered: ("offered", "pool"), i.Applied: ("applied", "publisher")}
+
+    def __init__(self, start: i.Start, now: int) -> None:
+        self.mail = Mail(start.seed, now)
+        alike: dict[Any, list[int]] = {}
+        for k, c in enumerate(start.classes):
+            alike.setdefault((c.only_zones, c.only_kinds, c.stays_local), []).append(k)
+        sets = [tuple(v) for v in alike.values()]
+        count = max(self.GROUPS, start.zones)
+        homes = sorted(g % max(1, start.zones) for g in range(count))
+        self.start, self.period, ch = start, start.reports.period, start.channel
+        self.pool = Pool(self.mail, start.zones, start.proxies, start.classes, sets, self.period,
+                         start.rules.cold_time, homes)
+        for g in range(count):
+            Group(self.mail, g, sets)
+        self.publisher = Publisher(self.mail, ch.queue_limit, ch.message_head, ch.message_limit,
+                                   ch.message_window, self.period, homes)
+        Admission(self.mail, start.classes, start.admits_shares)
+        self.tick = max(self.period // count, 20_000)  # a turn each: every group once a report period
+        self.next_period, self.known, self.first = now + self.period, dict[int, i.Entry](), True
+
+    def handle(self, now: int, events: list[i.Event]) -> list[i.Order]:
+        self.mail.now = now
+        if self.start.slices:
+            return []
+        if self.first:
+            self.first = False
+            self.publisher.orders.append(i.Wake(0, int(self.tick * (0.5 + self.mail.chance()))))
+            if self.start.reports.must_ask:
+                self.publisher.orders.append(i.Follow(True))
+        for e in events:
+            if type(e) in self.ROUTES:
+                kind, *parts = self.ROUTES[type(e)]
+                for part in parts:
+                    self.mail.put(part, kind, e)
+            elif isinstance(e, i.Listed):
+                self.listed(e)
+            elif isinstance(e, i.Heard) and e.replica in self.known:
+                self.mail.put("pool", "heard", e)
+                self.mail.put(("replica", e.replica), "heard", e)
+            elif isinstance(e, i.Probed):
+                self.mail.put(("replica", e.replica), "probed", e)
+            elif isinstance(e, i.Due):
+                self.due()
+        self.mail.run()
+        self.mail.put("publisher", "guards")
+        self.mail.run()
+        return self.publisher.flush()
 
-    def __init__(self, start: Start, now: int) -> None:
-        self.start = start
+    def due(self) -> None:
+        self.publisher.orders.append(i.Wake(0, self.tick))
+        if self.mail.now >= self.next_period:
+            self.next_period = self.mail.now + self.period
+            for n in self.known:
+                self.mail.put(("replica", n), "period")
+            self.mail.put("pool", "period")
+        self.mail.put("publisher", "tick")
 
-    def handle(self, now: int, events: list[Event]) -> list[Order]:
-        return []
+    def listed(self, e: i.Listed) -> None:
+        if e.kind is i.ListKind.FAILED:
+            if self.start.reports.must_ask:
+                self.publisher.orders.append(i.Follow(True))
+            return
+        entries = {x.replica: x for x in e.entries}
+        if e.kind is not i.ListKind.CHANGES:  # what a complete list leaves out was removed
+            entries |= {n: replace(x, phase=i.Phase.GONE) for n, x in self.known.items() if n not in entries}
+        sizes = [x.size for x in {**self.known, **entries}.values() if x.phase is i.Phase.READY]
+        mean = sum(sizes) / len(sizes) if sum(sizes) > 0 else 1.0
+        for n, x in entries.items():
+            if n not in self.known:
+                Replica(self.mail, n, self.period, self.start.rules.cold_time, self.start.reports.probes)
+            if self.known.get(n) != x:
+                self.known[n] = x
+                weight = max(Pool.FLOOR, min(Pool.CEILING, x.size / mean))
+                self.mail.put(("replica", n), "listed", x, weight)
