--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -52,43 +52,50 @@
 class State(NamedTuple):
     """What a replica tells the pool of itself."""
     entry: i.Entry
-    sick: bool
+    open: bool
     weight: float
     ramp: float
-
-    @property
-    def open(self) -> bool:
-        return self.entry.phase is i.Phase.READY and not self.sick
+    busy: float | None
+    flight: float | None
+    heard: int
+    tries: float
+    bad: float
+    elapsed: float
 
 class Replica(Part):
     """One server: smoothed signal, PID, health, low start and ramp, drain."""
     LOW = 0.1  # the design's start for new servers: a tenth of average
-    GAIN_P, GAIN_I = 0.5, 0.1  # the design's starting gains
+    GAIN_P, GAIN_I = 0.12, 0.02  # a second: the lag of about 4 s bears a loop gain of half a turn at most
     CAP = 0.25  # the design's cap on a step, as a part of the weight
     BAND = 0.05  # the design's dead band
     SMOOTH = 1 / 3  # weight of the newest of about five reports: 2 / (5 + 1)
     FEW = 4.0  # tries below which a failing share says nothing: four in a row by chance are rare
     FAILING = 0.5  # the field's usual bar for ejection: half of the tries fail
 
+    entry: i.Entry | None = None
+    fresh: i.Load | None
+    busy: float | None
+    flight: float | None
+
     def __init__(self, mail: Mail, index: int, period: int, cold_time: int, probes: bool) -> None:
         super().__init__(mail, ("replica", index))
         self.index, self.period, self.cold_time, self.probes = index, period, cold_time, probes
-        self.entry: i.Entry | None = None
-        self.fresh: i.Load | None = None
         self.weight, self.born = 1.0, -cold_time
         self.reset()
 
     def reset(self) -> None:
-        self.integral = self.tries = self.bad = 0.0
-        self.busy: float | None = None
-        self.flight: float | None = None
-        self.sick, self.trials, self.fresh = False, 0, None
+        self.integral = self.tries = self.bad = self.elapsed = 0.0
+        self.busy, self.flight, self.fresh = None, None, None
+        self.sick, self.trials, self.heard = False, 0, 0
 
     def tell(self) -> None:
         part = min(1.0, max(0.0, (self.mail.now - self.born) / max(1, self.cold_time)))
         self.ramp = self.LOW + (1 - self.LOW) * part
         if self.entry is not None:
-            self.put("pool", "state", self.index, State(self.entry, self.sick, self.weight, self.ramp))
+            up = self.entry.phase is i.Phase.READY and not self.sick
+            self.put("pool", "state", self.index, State(
+                self.entry, up, self.weight, self.ramp, self.busy, self.flight, self.heard, self.tries,
+                self.bad, self.elapsed))
 
     def on_listed(self, entry: i.Entry, weight: float) -> None:
         old, self.entry = self.entry, entry
@@ -103,6 +110,7 @@
     def on_heard(self, e: i.Heard) -> None:
         self.tries += e.tries
         self.bad += e.bad
+        self.elapsed += e.elapsed * (e.tries - e.bad)
         self.fresh = e.load or self.fresh
         if not self.sick and self.tries >= self.FEW and self.bad > self.FAILING * self.tries:
             self.put("pool", "failing", self.index, self.bad / self.tries)
@@ -112,9 +120,9 @@
         if self.fresh is not None:
             self.busy = self.mix(self.busy, self.fresh.busy)
             self.flight = self.mix(self.flight, self.fresh.in_flight)
-            self.put("pool", "signal", self.index, self.busy, self.flight)
-        self.fresh, self.tries, self.bad = None, self.tries / 2, self.bad / 2
+            self.fresh, self.heard = None, self.mail.now
         self.tell()
+        self.tries, self.bad, self.elapsed = self.tries / 2, self.bad / 2, self.elapsed / 2
 
     def mix(self, old: float | None, new: float | None) -> float | None:
         return new if old is None or new is None else old + self.SMOOTH * (new - old)
@@ -122,12 +130,12 @@
     def on_step(self, error: float) -> None:
         error = 0.0 if abs(error) < self.BAND else error
         if self.ramp >= 1.0:  # below that the ramp speaks for it
-            out = self.GAIN_P * error + self.GAIN_I * (self.integral + error)
+            out = (self.GAIN_P * error + self.GAIN_I * (self.integral + error)) * self.period / SECOND
             limit = self.CAP * self.weight
             if abs(out) <= limit:
                 self.integral += error  # no winding up while the step is clamped
             self.weight += max(-limit, min(limit, out))
-        self.put("pool", "stepped", self.index, self.weight)
+        self.tell()
 
     def on_set(self, weight: float) -> None:
         if weight in (Pool.FLOOR, Pool.CEILING):
@@ -135,27 +143,22 @@
         self.weight = weight
 
     def on_eject(self) -> None:
-        self.sick, self.trials = True, self.trials + 1
-        self.wait()
-        self.tell()
-
-    def wait(self) -> None:
+        self.trials += not self.sick
+        self.sick = True
         # Two report periods, then twice as long for each failed return: a flapping server stays out.
         hold = max(2 * self.period, 2 * SECOND) * 2 ** min(self.trials - 1, 3)
         self.mail.later(hold, self.name, "retry", self.trials)
+        self.tell()
 
     def on_retry(self, trial: int) -> None:
-        if self.sick and trial == self.trials and self.entry is not None:
-            if self.probes and self.entry.phase is i.Phase.READY:
-                self.put("publisher", "order", i.Probe(self.index))
-            else:
-                self.on_back()
+        if self.sick and trial == self.trials and self.probes:
+            self.put("publisher", "write", [i.Probe(self.index)], [], 0)
+        elif trial == self.trials:
+            self.on_back()
 
     def on_probed(self, e: i.Probed) -> None:
-        if self.sick and e.outcome is not i.Outcome.ANSWERED:
-            self.wait()
-        elif self.sick:
-            self.on_back()
+        if self.sick:
+            (self.on_back if e.outcome is i.Outcome.ANSWERED else self.on_eject)()
 
     def on_back(self) -> None:
         """Back from ejection at the low start: flapping servers restart low each return."""
@@ -174,12 +177,9 @@
                  sets: list[tuple[int, ...]], period: int, cold_time: int, homes: list[int]) -> None:
         super().__init__(mail, "pool")
         self.zones, self.proxies, self.classes, self.sets = zones, proxies, classes, sets
-        self.period, self.cold_time, self.homes, self.expected = period, cold_time, homes, 0
+        self.period, self.cold_time, self.homes = period, cold_time, homes
         self.states: dict[int, State] = {}
-        self.signals: dict[int, tuple[float | None, float | None, int]] = {}
-        self.stepping: dict[int, float] = {}
         self.rates: dict[int, tuple[int, list[float]]] = {}
-        self.tries = self.bad = self.elapsed = 0.0
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
         c = self.classes[self.sets[k][0]]
@@ -200,11 +200,11 @@
         old = self.states.get(index)
         self.states[index] = state
         self.zones = max(self.zones, state.entry.zone + 1)
-        same = old is not None and (old.entry.phase, old.sick) == (state.entry.phase, state.sick)
+        same = old is not None and (old.entry.phase, old.open) == (state.entry.phase, state.open)
         if old is None or not same or state.ramp < old.ramp:
             if not state.open:
                 # Ejection must not leave a class without an open replica once the list takes the others.
-                for n in {n for left in self.bare() for n in left if self.states[n].sick}:
+                for n in sorted({n for left in self.bare() for n in left}):
                     self.put(("replica", n), "back")
             self.plan()
             self.put("publisher", "job", "open" if state.open else "shut", index)
@@ -212,19 +212,11 @@
     def on_failing(self, index: int, share: float) -> None:
         """Ejects an outlier; a fault that all share is not the servers' and ejects nobody."""
         ready = [s for s in self.states.values() if s.entry.phase is i.Phase.READY]
-        outlier = share >= 2 * self.bad / max(1.0, self.tries)
-        calm = sum(s.sick for s in ready) + 1 <= self.PANIC * len(ready)
+        outlier = share >= 2 * sum(s.bad for s in ready) / max(1.0, sum(s.tries for s in ready))
+        calm = sum(not s.open for s in ready) + 1 <= self.PANIC * len(ready)
         if outlier and calm and not any(index in left for left in self.bare(index)):
             self.put(("replica", index), "eject")
 
-    def on_heard(self, e: i.Heard) -> None:
-        self.tries += e.tries
-        self.bad += e.bad
-        self.elapsed += e.elapsed * (e.tries - e.bad)
-
-    def on_signal(self, index: int, busy: float | None, flight: float | None) -> None:
-        self.signals[index] = (busy, flight, self.mail.now)
-
     def on_joined(self, e: i.Joined) -> None:
         self.zones = max(self.zones, e.zone + 1)
         self.rates[e.proxy] = (e.zone, [e.rate / len(self.classes)] * len(self.classes))
@@ -239,40 +231,42 @@
 
     def on_period(self) -> None:
         mix = [sum(r[k] for _, r in self.rates.values()) for k in range(len(self.classes))]
-        busy = [s[0] for n, s in self.signals.items() if s[0] is not None and self.states[n].open]
-        self.put("admission", "pulse", sum(busy) / max(1, len(busy)), self.bad / max(1.0, self.tries),
-                 self.elapsed / max(1.0, self.tries - self.bad), mix)
-        self.tries, self.bad, self.elapsed = self.tries / 2, self.bad / 2, self.elapsed / 2
+        live = [s for s in self.states.values() if s.open]
+        busy = [s.busy for s in live if s.busy is not None]
+        tries, bad = sum(s.tries for s in live), sum(s.bad for s in live)
+        self.put("admission", "pulse", sum(busy) / max(1, len(busy)), bad / max(1.0, tries),
+                 sum(s.elapsed for s in live) / max(1.0, tries - bad), mix)
         self.plan()
 
     def on_step(self) -> None:
         """One step of the loop; the publisher asks for it when every group holds the last weights."""
         live = {n: s for n, s in self.states.items() if s.open}
-        known = {n: self.signals[n] for n in live if n in self.signals}
-        stale = [n for n, s in known.items() if self.mail.now - s[2] > 3 * self.period]
+        known = {n: s for n, s in live.items() if s.heard}
+        stale = [n for n, s in known.items() if self.mail.now - s.heard > 3 * self.period]
         if not known or len(stale) > self.MISSING * len(known):
             return
-        busy = {n: s[0] for n, s in known.items() if s[0] is not None}
-        flight = {n: s[1] / max(live[n].entry.size, 1e-6) for n, s in known.items() if s[1] is not None}
+        busy = {n: s.busy for n, s in known.items() if s.busy is not None}
+        flight = {n: s.flight / max(s.entry.size, 1e-6) for n, s in known.items() if s.flight is not None}
         used: dict[int, float] = {}
         for figures in (busy, flight):
             mean = sum(figures.values()) / max(1, len(figures))
             for n, v in figures.items():
                 used[n] = max(used.get(n, 0.0), v / mean if mean > 0 else 1.0)
         average = sum(used.values()) / max(1, len(used))
-        self.expected, self.stepping = len(live), {}
         for n in live:
             self.put(("replica", n), "step", average - used[n] if n in used and n not in stale else 0.0)
+        self.put("pool", "settle", True)
 
-    def on_stepped(self, index: int, weight: float) -> None:
-        self.stepping[index] = weight
-        if len(self.stepping) == self.expected:
-            mean = sum(self.stepping.values()) / self.expected
-            for n, w in self.stepping.items():
-                w = max(self.FLOOR, min(self.CEILING, w / mean))
-                self.states[n] = self.states[n]._replace(weight=w)
-                self.put(("replica", n), "set", w)
-            self.plan()
+    def on_settle(self, again: bool) -> None:
+        if again:  # behind the states that the replicas send once they have stepped
+            self.put("pool", "settle", False)
+            return
+        live = {n: s.weight for n, s in self.states.items() if s.open}
+        for n, w in live.items():
+            w = max(self.FLOOR, min(self.CEILING, w * len(live) / sum(live.values())))
+            self.states[n] = self.states[n]._replace(weight=w)
+            self.put(("replica", n), "set", w)
+        self.plan()
 
     def plan(self) -> None:
         """The zone layer over the loop's weights: a zone's traffic stays while the zone's weights carry
@@ -291,12 +285,7 @@
         room = [max(0.0, free[z] - part * sum(mine[z]) / total) for z in zones]
         fill = (1 - part) / (sum(room) or 1.0)
         wanted: list[Tables] = [{} for _ in zones]
-
-        def strictness(k: int) -> tuple[bool, bool]:
-            c = self.classes[self.sets[k][0]]
-            return not c.stays_local, c.only_zones is None and c.only_kinds is None
-
-        for k in sorted(sets, key=strictness):
+        for k in sets:
             mix = sum(m[k] for m in mine) / total
             stay = [0.0 for _ in zones]
             weights = [[sum(w for e, w in live.values() if e.zone == y and self.allowed(e, z, k))
@@ -407,9 +396,6 @@
                 return -1.0
         return left
 
-    def on_order(self, order: i.Order) -> None:
-        self.orders.append(order)
-
     def on_joined(self, e: i.Joined) -> None:
         self.unacked[e.proxy], self.times[e.proxy] = deque(), deque()
         used = list(self.home.values())
@@ -527,15 +513,16 @@
 class Planner:
     """One instance of the module: turns events into notes, runs the loop, hands out the orders."""
     GROUPS = 10  # the design's number of proxy groups
-    ROUTES = {i.Joined: ("joined", "pool", "publisher"), i.Left: ("left", "pool", "publisher"),
-              i.Offered: ("offered", "pool"), i.Applied: ("applied", "publisher")}
+    ROUTES: dict[type, tuple[str, ...]] = {i.Joined: ("pool", "publisher"), i.Left: ("pool", "publisher"),
+                                           i.Offered: ("pool",), i.Applied: ("publisher",)}
 
     def __init__(self, start: i.Start, now: int) -> None:
         self.mail = Mail(start.seed, now)
         alike: dict[Any, list[int]] = {}
         for k, c in enumerate(start.classes):
             alike.setdefault((c.only_zones, c.only_kinds, c.stays_local), []).append(k)
-        sets = [tuple(v) for v in alike.values()]
+        # The most bound classes come first: the zone layer gives them their room before the others.
+        sets = [tuple(alike[v]) for v in sorted(alike, key=lambda v: (not v[2], not v[0], not v[1]))]
         count = max(self.GROUPS, start.zones)
         homes = sorted(g % max(1, start.zones) for g in range(count))
         self.start, self.period, ch = start, start.reports.period, start.channel
@@ -547,31 +534,27 @@
                                    ch.message_window, self.period, homes)
         Admission(self.mail, start.classes, start.admits_shares)
         self.tick = max(self.period // count, 20_000)  # a turn each: every group once a report period
-        self.next_period, self.known, self.first = now + self.period, dict[int, i.Entry](), True
+        self.next_period, self.known = now + self.period, dict[int, i.Entry]()
+        self.publisher.orders.append(i.Wake(0, int(self.tick * (0.5 + self.mail.chance()))))
+        self.follow()
+
+    def follow(self) -> None:
+        if self.start.reports.must_ask:
+            self.publisher.orders.append(i.Follow(True))
 
     def handle(self, now: int, events: list[i.Event]) -> list[i.Order]:
         self.mail.now = now
-        if self.start.slices:
-            return []
-        if self.first:
-            self.first = False
-            self.publisher.orders.append(i.Wake(0, int(self.tick * (0.5 + self.mail.chance()))))
-            if self.start.reports.must_ask:
-                self.publisher.orders.append(i.Follow(True))
-        for e in events:
-            if type(e) in self.ROUTES:
-                kind, *parts = self.ROUTES[type(e)]
-                for part in parts:
-                    self.mail.put(part, kind, e)
-            elif isinstance(e, i.Listed):
+        for e in [] if self.start.slices else events:
+            if isinstance(e, i.Listed):
                 self.listed(e)
-            elif isinstance(e, i.Heard) and e.replica in self.known:
-                self.mail.put("pool", "heard", e)
-                self.mail.put(("replica", e.replica), "heard", e)
-            elif isinstance(e, i.Probed):
-                self.mail.put(("replica", e.replica), "probed", e)
             elif isinstance(e, i.Due):
                 self.due()
+            elif isinstance(e, i.Heard | i.Probed):
+                if e.replica in self.known:
+                    self.mail.put(("replica", e.replica), type(e).__name__.lower(), e)
+            else:
+                for part in self.ROUTES.get(type(e), ()):
+                    self.mail.put(part, type(e).__name__.lower(), e)
         self.mail.run()
         self.mail.put("publisher", "guards")
         self.mail.run()
@@ -581,15 +564,13 @@
         self.publisher.orders.append(i.Wake(0, self.tick))
         if self.mail.now >= self.next_period:
             self.next_period = self.mail.now + self.period
-            for n in self.known:
-                self.mail.put(("replica", n), "period")
-            self.mail.put("pool", "period")
+            for part in [*(("replica", n) for n in self.known), "pool"]:
+                self.mail.put(part, "period")
         self.mail.put("publisher", "tick")
 
     def listed(self, e: i.Listed) -> None:
         if e.kind is i.ListKind.FAILED:
-            if self.start.reports.must_ask:
-                self.publisher.orders.append(i.Follow(True))
+            self.follow()
             return
         entries = {x.replica: x for x in e.entries}
         if e.kind is not i.ListKind.CHANGES:  # what a complete list leaves out was removed
