--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -70,7 +70,7 @@
     BAND = 0.05  # the design's dead band
     SMOOTH = 1 / 3  # weight of the newest of about five reports: 2 / (5 + 1)
     FEW = 4.0  # tries below which a failing share says nothing: four in a row by chance are rare
-    FAILING = 0.5  # the field's usual bar for ejection: half of the tries fail
+    FAILING = 0.8  # impatient clients fail half the tries of a slow server that still answers; the loop eases it
 
     entry: i.Entry | None = None
     fresh: i.Load | None
@@ -122,7 +122,8 @@
             self.flight = self.mix(self.flight, self.fresh.in_flight)
             self.fresh, self.heard = None, self.mail.now
         self.tell()
-        self.tries, self.bad, self.elapsed = self.tries / 2, self.bad / 2, self.elapsed / 2
+        keep = 0.5 ** min(1.0, self.period / SECOND)  # half forgotten a period, or a second where that is longer
+        self.tries, self.bad, self.elapsed = self.tries * keep, self.bad * keep, self.elapsed * keep
 
     def mix(self, old: float | None, new: float | None) -> float | None:
         return new if old is None or new is None else old + self.SMOOTH * (new - old)
