--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -70,7 +70,7 @@
     BAND = 0.05  # the design's dead band
     SMOOTH = 1 / 3  # weight of the newest of about five reports: 2 / (5 + 1)
     FEW = 4.0  # tries below which a failing share says nothing: four in a row by chance are rare
-    FAILING = 0.8  # impatient clients fail half the tries of a slow server that still answers; the loop eases it
+    FAILING = 0.8  # impatient clients fail half the tries of a slow server that still answers
 
     entry: i.Entry | None = None
     fresh: i.Load | None
@@ -122,7 +122,7 @@
             self.flight = self.mix(self.flight, self.fresh.in_flight)
             self.fresh, self.heard = None, self.mail.now
         self.tell()
-        keep = 0.5 ** min(1.0, self.period / SECOND)  # half forgotten a period, or a second where that is longer
+        keep = 0.5 ** min(1.0, self.period / SECOND)  # half forgotten in a period, or in a second
         self.tries, self.bad, self.elapsed = self.tries * keep, self.bad * keep, self.elapsed * keep
 
     def mix(self, old: float | None, new: float | None) -> float | None:
@@ -233,10 +233,12 @@
     def on_period(self) -> None:
         mix = [sum(r[k] for _, r in self.rates.values()) for k in range(len(self.classes))]
         live = [s for s in self.states.values() if s.open]
-        busy = [s.busy for s in live if s.busy is not None]
-        tries, bad = sum(s.tries for s in live), sum(s.bad for s in live)
-        self.put("admission", "pulse", sum(busy) / max(1, len(busy)), bad / max(1.0, tries),
-                 sum(s.elapsed for s in live) / max(1.0, tries - bad), mix)
+        tried = [s for s in live if s.tries >= 1]
+        middle = [sorted(x)[len(x) // 2] if x else 0.0 for x in (
+            [s.busy for s in live if s.busy is not None], [s.bad / s.tries for s in tried],
+            [s.elapsed / (s.tries - s.bad) for s in tried if s.tries - s.bad >= 1])]
+        good = 1 - sum(s.bad for s in tried) / max(1.0, sum(s.tries for s in tried))
+        self.put("admission", "pulse", *middle, good, mix)
         self.plan()
 
     def on_step(self) -> None:
@@ -488,28 +490,34 @@
     """Under saturation lets in less of the classes with the least gain for their goal first."""
     FULL = 0.92  # busy share at which queues outgrow the goals; servers are never all this busy by chance
     LATE = 0.6  # mean answer time as a part of the goal: beyond it the slowest tenth is late
-    FAILS = 0.25  # failing part of all tries that only a saturated pool shows
-    DOWN, UP = 0.12, 0.04  # a step down and up a report period: down within seconds, up three times slower
+    FAILS = 0.25  # failing part of the tries at the median server, which no outlier can bring about
+    HOLD = 3 * SECOND  # after a cut: what it did shows in the reports about this much later
+    UP = 0.05  # a second of calm: full again within twenty, slower than any cut
     LEAST = 0.05  # never all: what is let in keeps the reports coming
 
-    def __init__(self, mail: Mail, classes: tuple[i.TransactionClass, ...], on: bool) -> None:
+    def __init__(self, mail: Mail, classes: tuple[i.TransactionClass, ...], on: bool, period: int) -> None:
         super().__init__(mail, "admission")
-        self.classes, self.on, self.level, self.sent = classes, on, 1.0, [1.0] * len(classes)
+        self.classes, self.on, self.up, self.held = classes, on, self.UP * period / SECOND, 0
+        self.level, self.sent = 1.0, [1.0] * len(classes)
 
-    def on_pulse(self, busy: float, failing: float, elapsed: float, mix: list[float]) -> None:
+    def on_pulse(self, busy: float, failing: float, elapsed: float, good: float, mix: list[float]) -> None:
         if not self.on or not sum(mix):
             return
         goal = sum(c.goal * m for c, m in zip(self.classes, mix, strict=True)) / sum(mix)
-        full = busy > self.FULL or elapsed > self.LATE * goal or failing > self.FAILS
-        self.level = max(self.LEAST, self.level - self.DOWN) if full else min(1.0, self.level + self.UP)
+        if busy > self.FULL or elapsed > self.LATE * goal or failing > self.FAILS:
+            if self.mail.now >= self.held:
+                self.held = self.mail.now + self.HOLD
+                self.level = max(self.LEAST, self.level * max(0.5, min(0.9, good)))
+        elif self.mail.now >= self.held:
+            self.level = min(1.0, self.level + self.up)
         left, levels = self.level, [1.0] * len(mix)
         for k in sorted(range(len(mix)), key=lambda k: -self.classes[k].gain / self.classes[k].goal):
             share = mix[k] / sum(mix)
             levels[k] = max(self.LEAST, min(1.0, left / share)) if share > 0 else 1.0
             left = max(0.0, left - share)
         if any(abs(a - b) > 0.05 or (a == 1.0) != (b == 1.0) for a, b in zip(levels, self.sent, strict=True)):
-            self.sent = levels
-            self.put("publisher", "levels", [i.Admit(None, (k,), v, 1) for k, v in enumerate(levels)])
+            self.sent, tries = levels, int(self.level == 1.0)  # further tries only make an overload worse
+            self.put("publisher", "levels", [i.Admit(None, (k,), v, tries) for k, v in enumerate(levels)])
 
 class Planner:
     """One instance of the module: turns events into notes, runs the loop, hands out the orders."""
@@ -533,7 +541,7 @@
             Group(self.mail, g, sets)
         self.publisher = Publisher(self.mail, ch.queue_limit, ch.message_head, ch.message_limit,
                                    ch.message_window, self.period, homes)
-        Admission(self.mail, start.classes, start.admits_shares)
+        Admission(self.mail, start.classes, start.admits_shares, self.period)
         self.tick = max(self.period // count, 20_000)  # a turn each: every group once a report period
         self.next_period, self.known = now + self.period, dict[int, i.Entry]()
         self.publisher.orders.append(i.Wake(0, int(self.tick * (0.5 + self.mail.chance()))))
