--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -172,6 +172,11 @@
     FLOOR, CEILING = 0.05, 4.0  # the design's bounds on a normalized weight
     MISSING = 0.15  # the design's share of missing reports that skips an update
     PANIC = 0.5  # ejections at most: the field's usual panic threshold, half of the listed
+    SLACK = 0.3  # how far an idle zone may run off the average before its traffic crosses
+    COOL, WARM = 0.5, 0.75  # stress up to which a zone has all of that slack, and from which it has none
+    FULL = 0.92  # busy share at which queues outgrow the goals; servers are never all this busy by chance
+    LATE = 0.6  # mean answer time as a part of the goal: beyond it the slowest tenth is late
+    FAILS = 0.25  # failing part of the tries at the median server, which no outlier can bring about
     TASTE = 0.01  # part of a zone's traffic each other zone gets anyway, so that its reports keep coming
 
     def __init__(self, mail: Mail, zones: int, proxies: int, classes: tuple[i.TransactionClass, ...],
@@ -180,6 +185,8 @@
         self.zones, self.proxies, self.classes, self.sets = zones, proxies, classes, sets
         self.period, self.cold_time, self.homes = period, cold_time, homes
         self.states: dict[int, State] = {}
+        self.slack: dict[int, float] = {}
+        self.goal = float(min(c.goal for c in classes))
         self.rates: dict[int, tuple[int, list[float]]] = {}
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
@@ -233,14 +240,24 @@
     def on_period(self) -> None:
         mix = [sum(r[k] for _, r in self.rates.values()) for k in range(len(self.classes))]
         live = [s for s in self.states.values() if s.open]
-        tried = [s for s in live if s.tries >= 1]
-        middle = [sorted(x)[len(x) // 2] if x else 0.0 for x in (
-            [s.busy for s in live if s.busy is not None], [s.bad / s.tries for s in tried],
-            [s.elapsed / (s.tries - s.bad) for s in tried if s.tries - s.bad >= 1])]
-        good = 1 - sum(s.bad for s in tried) / max(1.0, sum(s.tries for s in tried))
-        self.put("admission", "pulse", *middle, good, mix)
+        good = 1 - sum(s.bad for s in live) / max(1.0, sum(s.tries for s in live))
+        if sum(mix):
+            self.goal = sum(c.goal * m for c, m in zip(self.classes, mix, strict=True)) / sum(mix)
+        self.put("admission", "pulse", self.stress(live), good, mix)
+        for z in range(self.zones):
+            stress = self.stress([s for s in live if s.entry.zone == z])
+            self.slack[z] = self.SLACK * max(0.0, min(1.0, (self.WARM - stress) / (self.WARM - self.COOL)))
         self.plan()
 
+    def stress(self, some: list[State]) -> float:
+        """How near the middle one of some servers is to saturation (1), by the worst of three signs."""
+        tried = [s for s in some if s.tries >= 1]
+        signs = ([s.busy / self.FULL for s in some if s.busy is not None],
+                 [s.bad / s.tries / self.FAILS for s in tried],
+                 [s.elapsed / (s.tries - s.bad) / self.goal / self.LATE
+                  for s in tried if s.tries - s.bad >= 1])
+        return max(sorted(x)[len(x) // 2] if x else 0.0 for x in signs)
+
     def on_step(self) -> None:
         """One step of the loop; the publisher asks for it when every group holds the last weights."""
         live = {n: s for n, s in self.states.items() if s.open}
@@ -256,8 +273,15 @@
             for n, v in figures.items():
                 used[n] = max(used.get(n, 0.0), v / mean if mean > 0 else 1.0)
         average = sum(used.values()) / max(1, len(used))
+        # A zone within the slack of the average is left alone, and only its own servers even out.
+        goal = {}
+        for z in range(self.zones):
+            near = [u for n, u in used.items() if live[n].entry.zone == z]
+            slack = average * self.slack.get(z, 0.0)
+            goal[z] = max(average - slack, min(average + slack, sum(near) / max(1, len(near))))
         for n in live:
-            self.put(("replica", n), "step", average - used[n] if n in used and n not in stale else 0.0)
+            self.put(("replica", n), "step",
+                     goal[live[n].entry.zone] - used[n] if n in used and n not in stale else 0.0)
         self.put("pool", "settle", True)
 
     def on_settle(self, again: bool) -> None:
@@ -296,7 +320,7 @@
             for z in zones:
                 asked = part * mine[z][k] / total + room[z] * fill * mix
                 if weights[z][z] > 0:
-                    kept = min(asked, max(0.0, free[z]))
+                    kept = min(asked, max(0.0, free[z] + self.slack.get(z, 0.0) * weights[z][z] / whole))
                     stay[z] = kept / asked if asked > 0 else 1.0
                     free[z] -= kept
             for z in zones:
@@ -488,9 +512,6 @@
 
 class Admission(Part):
     """Under saturation lets in less of the classes with the least gain for their goal first."""
-    FULL = 0.92  # busy share at which queues outgrow the goals; servers are never all this busy by chance
-    LATE = 0.6  # mean answer time as a part of the goal: beyond it the slowest tenth is late
-    FAILS = 0.25  # failing part of the tries at the median server, which no outlier can bring about
     HOLD = 3 * SECOND  # after a cut: what it did shows in the reports about this much later
     UP = 0.05  # a second of calm: full again within twenty, slower than any cut
     LEAST = 0.05  # never all: what is let in keeps the reports coming
@@ -500,11 +521,10 @@
         self.classes, self.on, self.up, self.held = classes, on, self.UP * period / SECOND, 0
         self.level, self.sent = 1.0, [1.0] * len(classes)
 
-    def on_pulse(self, busy: float, failing: float, elapsed: float, good: float, mix: list[float]) -> None:
+    def on_pulse(self, stress: float, good: float, mix: list[float]) -> None:
         if not self.on or not sum(mix):
             return
-        goal = sum(c.goal * m for c, m in zip(self.classes, mix, strict=True)) / sum(mix)
-        if busy > self.FULL or elapsed > self.LATE * goal or failing > self.FAILS:
+        if stress > 1:
             if self.mail.now >= self.held:
                 self.held = self.mail.now + self.HOLD
                 self.level = max(self.LEAST, self.level * max(0.5, min(0.9, good)))
