--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -67,7 +67,7 @@
     LOW = 0.1  # the design's start for new servers: a tenth of average
     GAIN_P, GAIN_I = 0.12, 0.02  # a second: the lag of about 4 s bears a loop gain of half a turn at most
     CAP = 0.25  # the design's cap on a step, as a part of the weight
-    BAND = 0.05  # the design's dead band
+    BAND = 0.05  # the design's dead band; its edge is softened as far as the signal's readings scatter
     SMOOTH = 1 / 3  # weight of the newest of about five reports: 2 / (5 + 1)
     FEW = 4.0  # tries below which a failing share says nothing: four in a row by chance are rare
     FAILING = 0.8  # impatient clients fail half the tries of a slow server that still answers
@@ -86,7 +86,7 @@
     def reset(self) -> None:
         self.integral = self.tries = self.bad = self.elapsed = 0.0
         self.busy, self.flight, self.fresh = None, None, None
-        self.sick, self.trials, self.heard = False, 0, 0
+        self.sick, self.trials, self.heard, self.scatter = False, 0, 0, 0.5
 
     def tell(self) -> None:
         part = min(1.0, max(0.0, (self.mail.now - self.born) / max(1, self.cold_time)))
@@ -126,10 +126,15 @@
         self.tries, self.bad, self.elapsed = self.tries * keep, self.bad * keep, self.elapsed * keep
 
     def mix(self, old: float | None, new: float | None) -> float | None:
-        return new if old is None or new is None else old + self.SMOOTH * (new - old)
+        if old is None or new is None:
+            return new
+        if old > 0:  # slowly, so that a true change does not pass for scatter
+            self.scatter += 0.1 * (min(1.0, abs(new - old) / old) - self.scatter)
+        return old + self.SMOOTH * (new - old)
 
     def on_step(self, error: float) -> None:
-        error = 0.0 if abs(error) < self.BAND else error
+        # Weights must not walk with a noisy signal: an error within the readings' scatter hardly counts.
+        error *= 0.0 if abs(error) < self.BAND else error**2 / (error**2 + self.scatter**2)
         if self.ramp >= 1.0:  # below that the ramp speaks for it
             out = (self.GAIN_P * error + self.GAIN_I * (self.integral + error)) * self.period / SECOND
             limit = self.CAP * self.weight
