--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -271,7 +271,11 @@
         if not known or len(stale) > self.MISSING * len(known):
             return
         busy = {n: s.busy for n, s in known.items() if s.busy is not None}
-        flight = {n: s.flight / max(s.entry.size, 1e-6) for n, s in known.items() if s.flight is not None}
+        # Counted with the transaction about to come, or the chance counts of an idle pool look like load;
+        # by the root of the listed size, as a larger machine may have more cores or only faster ones.
+        size = sum(s.entry.size for s in known.values()) / len(known) or 1.0
+        flight = {n: 1 + s.flight / max(s.entry.size / size, 0.01) ** 0.5
+                  for n, s in known.items() if s.flight is not None}
         used: dict[int, float] = {}
         for figures in (busy, flight):
             mean = sum(figures.values()) / max(1, len(figures))
