--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -86,7 +86,7 @@
     def reset(self) -> None:
         self.integral = self.tries = self.bad = self.elapsed = 0.0
         self.busy, self.flight, self.fresh = None, None, None
-        self.sick, self.trials, self.heard, self.scatter = False, 0, 0, 0.5
+        self.sick, self.trials, self.heard, self.scatter, self.spoke = False, 0, 0, 0.5, True
 
     def tell(self) -> None:
         part = min(1.0, max(0.0, (self.mail.now - self.born) / max(1, self.cold_time)))
@@ -108,6 +108,7 @@
         self.tell()
 
     def on_heard(self, e: i.Heard) -> None:
+        self.spoke |= e.tries > e.bad
         self.tries += e.tries
         self.bad += e.bad
         self.elapsed += e.elapsed * (e.tries - e.bad)
@@ -117,6 +118,10 @@
 
     def on_period(self) -> None:
         """Once a report period: one reading into the smoothed signal, old tries half forgotten."""
+        if not self.spoke and self.tries >= self.FEW / 2 and not self.sick and self.probes:
+            # A hung server answers nothing for as long as clients wait: ask before their time-outs tell.
+            self.put("publisher", "write", [i.Probe(self.index)], [], 0)
+        self.spoke = False
         if self.fresh is not None:
             self.busy = self.mix(self.busy, self.fresh.busy)
             self.flight = self.mix(self.flight, self.fresh.in_flight)
@@ -165,6 +170,8 @@
     def on_probed(self, e: i.Probed) -> None:
         if self.sick:
             (self.on_back if e.outcome is i.Outcome.ANSWERED else self.on_eject)()
+        elif not self.spoke and e.outcome not in (i.Outcome.ANSWERED, i.Outcome.TURNED_AWAY):
+            self.put("pool", "failing", self.index, 1.0)
 
     def on_back(self) -> None:
         """Back from ejection at the low start: flapping servers restart low each return."""
