--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -4,23 +4,21 @@
 
 import heapq
 import zlib
-from collections import deque
+from collections import deque, namedtuple
 from collections.abc import Iterable
 from dataclasses import replace
-from typing import Any, NamedTuple
+from typing import Any
 
 from gradehoist import interface as i
 
 SECOND = 1_000_000
 Tables = dict[int, dict[int, float]]  # weights by set of classes, then by replica
 
-class Mail:
-    """The one loop: a note goes to a part's inbox, `run` empties the inboxes in the order of arrival."""
+class Mail:  # the one loop: a note goes to a part's inbox, `run` empties the inboxes in the order of arrival
     def __init__(self, seed: int, now: int) -> None:
         self.now, self.seed, self.drawn, self.dues = now, seed, 0, 0
-        self.parts: dict[Any, Part] = {}
-        self.work: deque[Part] = deque()
-        self.due: list[tuple[int, int, Any, tuple[Any, ...]]] = []
+        self.parts, self.work = dict[Any, Part](), deque[Part]()
+        self.due = list[tuple[int, int, Any, tuple[Any, ...]]]()
 
     def put(self, to: Any, *note: Any) -> None:
         self.parts[to].inbox.append(note)
@@ -49,21 +47,10 @@
         self.inbox: deque[tuple[Any, ...]] = deque()
         mail.parts[name] = self
 
-class State(NamedTuple):
-    """What a replica tells the pool of itself."""
-    entry: i.Entry
-    open: bool
-    weight: float
-    ramp: float
-    busy: float | None
-    flight: float | None
-    heard: int
-    tries: float
-    bad: float
-    elapsed: float
+# What a replica tells the pool of itself.
+State = namedtuple("State", "entry open weight ramp busy flight heard tries bad elapsed")
 
-class Replica(Part):
-    """One server: smoothed signal, PID, health, low start and ramp, drain."""
+class Replica(Part):  # one server: smoothed signal, PID, health, low start and ramp, drain
     LOW = 0.1  # the design's start for new servers: a tenth of average
     GAIN_P, GAIN_I = 0.12, 0.02  # a second: the lag of about 4 s bears a loop gain of half a turn at most
     CAP = 0.25  # the design's cap on a step, as a part of the weight
@@ -85,22 +72,19 @@
 
     def reset(self) -> None:
         self.integral = self.tries = self.bad = self.elapsed = 0.0
-        self.busy, self.flight, self.fresh = None, None, None
+        self.busy = self.flight = self.fresh = None
         self.sick, self.trials, self.heard, self.scatter, self.spoke = False, 0, 0, 0.5, True
 
     def tell(self) -> None:
-        part = min(1.0, max(0.0, (self.mail.now - self.born) / max(1, self.cold_time)))
-        self.ramp = self.LOW + (1 - self.LOW) * part
         if self.entry is not None:
-            up = self.entry.phase is i.Phase.READY and not self.sick
-            self.put("pool", "state", self.index, State(
-                self.entry, up, self.weight, self.ramp, self.busy, self.flight, self.heard, self.tries,
-                self.bad, self.elapsed))
+            part = min(1.0, max(0.0, (self.mail.now - self.born) / max(1, self.cold_time)))
+            self.ramp = self.LOW + (1 - self.LOW) * part
+            self.open = self.entry.phase is i.Phase.READY and not self.sick
+            self.put("pool", "state", self.index, State(*(getattr(self, f) for f in State._fields)))
 
     def on_listed(self, entry: i.Entry, weight: float) -> None:
         old, self.entry = self.entry, entry
-        if old is None:
-            self.weight = weight
+        self.weight = weight if old is None else self.weight
         if old is None or entry.started > old.started:
             # A restart that the list never showed as gone comes back cold under its old weight.
             self.born = entry.started if entry.started > 0 else -self.cold_time
@@ -109,18 +93,15 @@
 
     def on_heard(self, e: i.Heard) -> None:
         self.spoke |= e.tries > e.bad
-        self.tries += e.tries
-        self.bad += e.bad
-        self.elapsed += e.elapsed * (e.tries - e.bad)
-        self.fresh = e.load or self.fresh
+        self.tries, self.bad = self.tries + e.tries, self.bad + e.bad
+        self.elapsed, self.fresh = self.elapsed + e.elapsed * (e.tries - e.bad), e.load or self.fresh
         if not self.sick and self.tries >= self.FEW and self.bad > self.FAILING * self.tries:
             self.put("pool", "failing", self.index, self.bad / self.tries)
 
     def on_period(self) -> None:
-        """Once a report period: one reading into the smoothed signal, old tries half forgotten."""
         if not self.spoke and self.tries >= self.FEW / 2 and not self.sick and self.probes:
             # A hung server answers nothing for as long as clients wait: ask before their time-outs tell.
-            self.put("publisher", "write", [i.Probe(self.index)], [], 0)
+            self.ask()
         self.spoke = False
         if self.fresh is not None:
             self.busy = self.mix(self.busy, self.fresh.busy)
@@ -152,20 +133,20 @@
         if weight in (Pool.FLOOR, Pool.CEILING):
             self.integral = 0.0  # nor while the weight is held at its floor or ceiling
         self.weight = weight
+        self.tell()
 
     def on_eject(self) -> None:
-        self.trials += not self.sick
-        self.sick = True
+        self.sick, self.trials = True, self.trials + (not self.sick)
         # Two report periods, then twice as long for each failed return: a flapping server stays out.
         hold = max(2 * self.period, 2 * SECOND) * 2 ** min(self.trials - 1, 3)
         self.mail.later(hold, self.name, "retry", self.trials)
         self.tell()
 
     def on_retry(self, trial: int) -> None:
-        if self.sick and trial == self.trials and self.probes:
-            self.put("publisher", "write", [i.Probe(self.index)], [], 0)
-        elif trial == self.trials:
-            self.on_back()
+        if trial == self.trials:
+            self.ask() if self.sick and self.probes else self.on_back()
+
+    def ask(self) -> None: self.put("publisher", "write", [i.Probe(self.index)], [], 0)
 
     def on_probed(self, e: i.Probed) -> None:
         if self.sick:
@@ -179,8 +160,7 @@
             self.sick, self.born, self.tries, self.bad = False, max(self.born, self.mail.now), 0.0, 0.0
             self.tell()
 
-class Pool(Part):
-    """The average, the skip rule, normalizing; the zone layer; who may be ejected."""
+class Pool(Part):  # the average, the skip rule, normalizing; the zone layer; who may be ejected
     FLOOR, CEILING = 0.05, 4.0  # the design's bounds on a normalized weight
     MISSING = 0.15  # the design's share of missing reports that skips an update
     PANIC = 0.5  # ejections at most: the field's usual panic threshold, half of the listed
@@ -192,14 +172,13 @@
     TASTE = 0.01  # part of a zone's traffic each other zone gets anyway, so that its reports keep coming
 
     def __init__(self, mail: Mail, zones: int, proxies: int, classes: tuple[i.TransactionClass, ...],
-                 sets: list[tuple[int, ...]], period: int, cold_time: int, homes: list[int]) -> None:
+                 sets: list[tuple[int, ...]], period: int, cold_time: int, homes: list[int],
+                 probes: bool) -> None:
         super().__init__(mail, "pool")
-        self.zones, self.proxies, self.classes, self.sets = zones, proxies, classes, sets
-        self.period, self.cold_time, self.homes = period, cold_time, homes
-        self.states: dict[int, State] = {}
-        self.slack: dict[int, float] = {}
-        self.goal = float(min(c.goal for c in classes))
-        self.rates: dict[int, tuple[int, list[float]]] = {}
+        self.zones, self.proxies, self.classes, self.sets, self.probes = zones, proxies, classes, sets, probes
+        self.period, self.cold_time, self.homes, self.known = period, cold_time, homes, dict[int, i.Entry]()
+        self.states, self.rates = dict[int, State](), dict[int, tuple[int, list[float]]]()
+        self.slack, self.goal = dict[int, float](), float(min(c.goal for c in classes))
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
         c = self.classes[self.sets[k][0]]
@@ -216,6 +195,21 @@
                 if not any(s.open and s.entry.started <= warm_by and n != without for n, s in ready):
                     yield [n for n, _ in ready]
 
+    def on_listed(self, e: i.Listed) -> None:
+        if e.kind is i.ListKind.FAILED:
+            return self.put("publisher", "follow")
+        entries = {x.replica: x for x in e.entries}
+        if e.kind is not i.ListKind.CHANGES:  # what a complete list leaves out was removed
+            entries |= {n: replace(x, phase=i.Phase.GONE) for n, x in self.known.items() if n not in entries}
+        sizes = [x.size for x in {**self.known, **entries}.values() if x.phase is i.Phase.READY]
+        mean = sum(sizes) / max(1, len(sizes)) or 1.0
+        for n, x in entries.items():
+            if n not in self.known:
+                Replica(self.mail, n, self.period, self.cold_time, self.probes)
+            if self.known.get(n) != x:
+                self.put(("replica", n), "listed", x, max(self.FLOOR, min(self.CEILING, x.size / mean)))
+        self.known |= entries
+
     def on_state(self, index: int, state: State) -> None:
         old = self.states.get(index)
         self.states[index] = state
@@ -226,7 +220,7 @@
                 # Ejection must not leave a class without an open replica once the list takes the others.
                 for n in sorted({n for left in self.bare() for n in left}):
                     self.put(("replica", n), "back")
-            self.plan()
+            self.on_plan()
             self.put("publisher", "job", "open" if state.open else "shut", index)
 
     def on_failing(self, index: int, share: float) -> None:
@@ -241,8 +235,7 @@
         self.zones = max(self.zones, e.zone + 1)
         self.rates[e.proxy] = (e.zone, [e.rate / len(self.classes)] * len(self.classes))
 
-    def on_left(self, e: i.Left) -> None:
-        self.rates.pop(e.proxy, None)
+    def on_left(self, e: i.Left) -> None: self.rates.pop(e.proxy, None)
 
     def on_offered(self, e: i.Offered) -> None:
         if e.proxy in self.rates and e.window > 0:
@@ -250,6 +243,11 @@
             rates[e.cls] += Replica.SMOOTH * (e.number * SECOND / e.window - rates[e.cls])
 
     def on_period(self) -> None:
+        for n in self.known:
+            self.put(("replica", n), "period")
+        self.put("pool", "after", "judge")
+
+    def on_judge(self) -> None:
         mix = [sum(r[k] for _, r in self.rates.values()) for k in range(len(self.classes))]
         live = [s for s in self.states.values() if s.open]
         good = 1 - sum(s.bad for s in live) / max(1.0, sum(s.tries for s in live))
@@ -259,15 +257,13 @@
         for z in range(self.zones):
             stress = self.stress([s for s in live if s.entry.zone == z])
             self.slack[z] = self.SLACK * max(0.0, min(1.0, (self.WARM - stress) / (self.WARM - self.COOL)))
-        self.plan()
+        self.on_plan()
 
     def stress(self, some: list[State]) -> float:
         """How near the middle one of some servers is to saturation (1), by the worst of three signs."""
-        tried = [s for s in some if s.tries >= 1]
         signs = ([s.busy / self.FULL for s in some if s.busy is not None],
-                 [s.bad / s.tries / self.FAILS for s in tried],
-                 [s.elapsed / (s.tries - s.bad) / self.goal / self.LATE
-                  for s in tried if s.tries - s.bad >= 1])
+                 [s.bad / s.tries / self.FAILS for s in some if s.tries >= 1],
+                 [s.elapsed / (s.tries - s.bad) / self.goal / self.LATE for s in some if s.tries > s.bad])
         return max(sorted(x)[len(x) // 2] if x else 0.0 for x in signs)
 
     def on_step(self) -> None:
@@ -289,29 +285,24 @@
             for n, v in figures.items():
                 used[n] = max(used.get(n, 0.0), v / mean if mean > 0 else 1.0)
         average = sum(used.values()) / max(1, len(used))
-        # A zone within the slack of the average is left alone, and only its own servers even out.
-        goal = {}
-        for z in range(self.zones):
-            near = [u for n, u in used.items() if live[n].entry.zone == z]
-            slack = average * self.slack.get(z, 0.0)
-            goal[z] = max(average - slack, min(average + slack, sum(near) / max(1, len(near))))
-        for n in live:
-            self.put(("replica", n), "step",
-                     goal[live[n].entry.zone] - used[n] if n in used and n not in stale else 0.0)
-        self.put("pool", "settle", True)
-
-    def on_settle(self, again: bool) -> None:
-        if again:  # behind the states that the replicas send once they have stepped
-            self.put("pool", "settle", False)
-            return
+        for n, s in live.items():
+            # A zone within the slack of the average is left alone, and only its own servers even out.
+            near = [u for m, u in used.items() if live[m].entry.zone == s.entry.zone]
+            slack = average * self.slack.get(s.entry.zone, 0.0)
+            goal = max(average - slack, min(average + slack, sum(near) / max(1, len(near))))
+            self.put(("replica", n), "step", goal - used[n] if n in used and n not in stale else 0.0)
+        self.put("pool", "after", "settle")
+
+    def on_after(self, kind: str) -> None: self.put("pool", kind)  # behind the states the replicas send now
+
+    def on_settle(self) -> None:
         live = {n: s.weight for n, s in self.states.items() if s.open}
         for n, w in live.items():
             w = max(self.FLOOR, min(self.CEILING, w * len(live) / sum(live.values())))
-            self.states[n] = self.states[n]._replace(weight=w)
             self.put(("replica", n), "set", w)
-        self.plan()
+        self.put("pool", "after", "plan")
 
-    def plan(self) -> None:
+    def on_plan(self) -> None:
         """The zone layer over the loop's weights: a zone's traffic stays while the zone's weights carry
         it; the rest goes where weights have room. Keeps each server's total as the loop decided."""
         live = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
@@ -349,28 +340,24 @@
         for g, zone in enumerate(self.homes):
             self.put(("group", g), "wanted", wanted[zone])
 
-class Group(Part):
-    """Some proxies of one zone and the tables they share, as last sent."""
+class Group(Part):  # some proxies of one zone and the tables they share, as last sent
     MOVED = 0.05  # the design's threshold for sending a line
 
     def __init__(self, mail: Mail, index: int, sets: list[tuple[int, ...]]) -> None:
         super().__init__(mail, ("group", index))
-        self.index, self.sets = index, sets
-        self.wanted: Tables = {}
+        self.index, self.sets, self.members = index, sets, list[int]()
         self.sent: Tables = {k: {} for k in range(len(sets))}
-        self.members: list[int] = []
+        self.wanted: Tables = {}
 
     def moved(self, only: int | None = None) -> list[tuple[int, int, float]]:
         out = []
         for k, want in self.wanted.items():
-            sent = self.sent[k]
-            both = [n for n in want if n in sent]
+            sent, both = self.sent[k], [n for n in want if n in self.sent[k]]
             # Tables hold ratios: a line that leaves must not count as a move of all the others.
             scale = sum(sent[n] for n in both) / sum(want[n] for n in both) if both else 1.0
             for n in sorted(want):
-                far = n not in sent or abs(want[n] * scale - sent[n]) > self.MOVED * sent[n]
-                if n == only or (only is None and far):
-                    out.append((k, n, want[n] * scale))
+                far = abs(want[n] * scale - sent.get(n, 0.0)) > self.MOVED * sent.get(n, 0.0)
+                out += [(k, n, want[n] * scale)] * (n == only or (only is None and far))
         return out
 
     def write(self, lines: list[tuple[int, int, float]]) -> None:
@@ -392,8 +379,7 @@
         self.write(lines[:fit])
         self.put("publisher", "differs", self.index, len(lines) > fit)
 
-    def on_line(self, replica: int) -> None:
-        self.write(self.moved(replica))
+    def on_line(self, replica: int) -> None: self.write(self.moved(replica))
 
     def on_join(self, proxy: int) -> None:
         self.members.append(proxy)
@@ -410,21 +396,21 @@
     OFTEN = 0.6  # part of a proxy's message limit that weights may use; the rest waits for guards
 
     def __init__(self, mail: Mail, queue: float, head: float, limit: int, window: int, period: int,
-                 homes: list[int]) -> None:
+                 homes: list[int], must_ask: bool) -> None:
         super().__init__(mail, "publisher")
         self.queue, self.head, self.limit, self.window = queue, head + 1, limit, window
         self.period, self.homes = period, homes
-        self.orders: list[i.Order] = []
-        self.lines: dict[int, float] = {}  # what this reply writes to each proxy
-        self.unacked: dict[int, deque[tuple[int, float]]] = {}
-        self.times: dict[int, deque[int]] = {}
-        self.home: dict[int, int] = {}
-        self.binds: list[int] = []
-        self.jobs: dict[int, str] = {}
-        self.shut: set[int] = set()
-        self.differs: set[int] = set()
-        self.levels: list[i.Order] = []
+        self.orders, self.levels, self.binds = list[i.Order](), list[i.Order](), list[int]()
+        self.lines, self.home = dict[int, float](), dict[int, int]()  # lines: of this reply, by proxy
+        self.unacked, self.times = dict[int, deque[tuple[int, float]]](), dict[int, deque[int]]()
+        self.jobs, self.shut, self.differs = dict[int, str](), set[int](), set[int]()
         self.turn = self.mark = self.stepped = self.level_lines = 0
+        self.pulse, self.must_ask = max(period // len(homes), 20_000), must_ask  # a turn a group and period
+        self.next_period = mail.now + period
+        self.orders.append(i.Wake(0, int(self.pulse * (0.5 + mail.chance()))))
+        self.on_follow()
+
+    def on_follow(self) -> None: self.orders += [i.Follow(True)] * self.must_ask
 
     def room(self, proxies: Iterable[int], part: float, lines: float) -> float:
         """Lines left after writing so many to each; below 0 where the queue or a message limit is met."""
@@ -458,52 +444,50 @@
         while q and any(m == e.mark for m, _ in q):
             q.popleft()
 
-    def on_job(self, kind: str, replica: int) -> None:
-        self.jobs[replica] = kind
+    def on_job(self, kind: str, replica: int) -> None: self.jobs[replica] = kind
 
     def on_differs(self, group: int, yes: bool) -> None:
         (self.differs.add if yes else self.differs.discard)(group)
 
-    def on_levels(self, orders: list[i.Order]) -> None:
-        self.levels = orders
+    def on_levels(self, orders: list[i.Order]) -> None: self.levels = orders
 
     def on_write(self, orders: list[i.Order], proxies: list[int], lines: int) -> None:
         self.orders += orders
-        for p in proxies:
-            if p in self.home:
-                self.lines[p] = self.lines.get(p, 0.0) + lines
+        for p in [p for p in proxies if p in self.home]:
+            self.lines[p] = self.lines.get(p, 0.0) + lines
 
     def on_guards(self) -> None:
         """Withdrawals first, then binds, returns and levels, each while the queue has room."""
         everyone = list(self.home)
-        for replica in [r for r, kind in self.jobs.items() if kind == "shut"]:
-            if self.room(everyone, self.GUARDS, 1) >= 0:
+        for replica, kind in sorted(self.jobs.items(), key=lambda job: job[1] == "open"):
+            if kind == "shut" and self.room(everyone, self.GUARDS, 1) >= 0:
+                del self.jobs[replica]
                 self.shut.add(replica)
                 self.on_write([i.Withdraw(replica, True)], everyone, 1)
-                del self.jobs[replica]
+            elif kind == "open" and not self.binds and self.room(everyone, self.HALF, 3) >= 0:
+                # The low line goes before the return: old tables still hold the replica's full weight.
+                for g in range(len(self.homes)):
+                    self.put(("group", g), "line", replica)
+                self.put("publisher", self.jobs.pop(replica), replica)
         # A proxy that joins may hold tables and withdrawals of an earlier stream: bound as soon as it fits.
         while self.binds and self.room(self.binds[:1], self.HALF, 40 + len(self.shut)) >= 0:
             proxy = self.binds.pop(0)
             self.put(("group", self.home[proxy]), "join", proxy)
             self.lines[proxy] = self.lines.get(proxy, 0.0) + len(self.shut) + self.level_lines
-        for replica in [r for r, kind in self.jobs.items() if kind == "open"]:
-            if self.room(everyone, self.HALF, 3) >= 0:
-                # The low line goes before the return: old tables still hold the replica's full weight.
-                for g in range(len(self.homes)):
-                    self.put(("group", g), "line", replica)
-                self.put("publisher", "return", replica)
-                del self.jobs[replica]
         if self.levels and self.room(everyone, self.HALF, len(self.levels)) >= 0:
-            self.level_lines = len(self.levels)
-            self.on_write(self.levels, everyone, len(self.levels))
-            self.levels = []
+            self.level_lines, levels, self.levels = len(self.levels), self.levels, []
+            self.on_write(levels, everyone, len(levels))
 
-    def on_return(self, replica: int) -> None:
+    def on_open(self, replica: int) -> None:
         if replica in self.shut:
             self.shut.discard(replica)
             self.put("publisher", "write", [i.Withdraw(replica, False)], list(self.home), 1)
 
-    def on_tick(self) -> None:
+    def on_due(self, _: i.Due) -> None:
+        self.orders.append(i.Wake(0, self.pulse))
+        if self.mail.now >= self.next_period:
+            self.next_period = self.mail.now + self.period
+            self.put("pool", "period")
         ready = sorted(self.differs & set(self.home.values()))
         if ready:
             group = next((g for g in ready if g >= self.turn), ready[0])
@@ -520,9 +504,9 @@
         if self.lines:
             self.mark = (self.mark + 1) % 65536
             self.orders.append(i.Mark(self.mark, False))
-            for p, lines in self.lines.items():
-                self.unacked[p].append((self.mark, lines + self.head + self.level_lines))
-                self.times[p].append(self.mail.now)
+        for p, lines in self.lines.items():
+            self.unacked[p].append((self.mark, lines + self.head + self.level_lines))
+            self.times[p].append(self.mail.now)
         orders, self.orders, self.lines = self.orders, [], {}
         return orders
 
@@ -540,11 +524,10 @@
     def on_pulse(self, stress: float, good: float, mix: list[float]) -> None:
         if not self.on or not sum(mix):
             return
-        if stress > 1:
-            if self.mail.now >= self.held:
-                self.held = self.mail.now + self.HOLD
-                self.level = max(self.LEAST, self.level * max(0.5, min(0.9, good)))
-        elif self.mail.now >= self.held:
+        if stress > 1 and self.mail.now >= self.held:
+            self.held = self.mail.now + self.HOLD
+            self.level = max(self.LEAST, self.level * max(0.5, min(0.9, good)))
+        elif stress <= 1 and self.mail.now >= self.held:
             self.level = min(1.0, self.level + self.up)
         left, levels = self.level, [1.0] * len(mix)
         for k in sorted(range(len(mix)), key=lambda k: -self.classes[k].gain / self.classes[k].goal):
@@ -556,13 +539,14 @@
             self.put("publisher", "levels", [i.Admit(None, (k,), v, tries) for k, v in enumerate(levels)])
 
 class Planner:
-    """One instance of the module: turns events into notes, runs the loop, hands out the orders."""
+    """One instance of the module: hands events to the parts as notes, runs the loop, collects the orders."""
     GROUPS = 10  # the design's number of proxy groups
-    ROUTES: dict[type, tuple[str, ...]] = {i.Joined: ("pool", "publisher"), i.Left: ("pool", "publisher"),
-                                           i.Offered: ("pool",), i.Applied: ("publisher",)}
+    ROUTES = {"joined": ("pool", "publisher"), "left": ("pool", "publisher"), "offered": ("pool",),
+              "applied": ("publisher",), "listed": ("pool",), "due": ("publisher",)}
 
     def __init__(self, start: i.Start, now: int) -> None:
-        self.mail = Mail(start.seed, now)
+        self.mail, self.slices = Mail(start.seed, now), start.slices
+        period, ch = start.reports.period, start.channel
         alike: dict[Any, list[int]] = {}
         for k, c in enumerate(start.classes):
             alike.setdefault((c.only_zones, c.only_kinds, c.stays_local), []).append(k)
@@ -570,62 +554,22 @@
         sets = [tuple(alike[v]) for v in sorted(alike, key=lambda v: (not v[2], not v[0], not v[1]))]
         count = max(self.GROUPS, start.zones)
         homes = sorted(g % max(1, start.zones) for g in range(count))
-        self.start, self.period, ch = start, start.reports.period, start.channel
-        self.pool = Pool(self.mail, start.zones, start.proxies, start.classes, sets, self.period,
-                         start.rules.cold_time, homes)
+        Pool(self.mail, start.zones, start.proxies, start.classes, sets, period, start.rules.cold_time, homes,
+             start.reports.probes)
         for g in range(count):
             Group(self.mail, g, sets)
+        Admission(self.mail, start.classes, start.admits_shares, period)
         self.publisher = Publisher(self.mail, ch.queue_limit, ch.message_head, ch.message_limit,
-                                   ch.message_window, self.period, homes)
-        Admission(self.mail, start.classes, start.admits_shares, self.period)
-        self.tick = max(self.period // count, 20_000)  # a turn each: every group once a report period
-        self.next_period, self.known = now + self.period, dict[int, i.Entry]()
-        self.publisher.orders.append(i.Wake(0, int(self.tick * (0.5 + self.mail.chance()))))
-        self.follow()
-
-    def follow(self) -> None:
-        if self.start.reports.must_ask:
-            self.publisher.orders.append(i.Follow(True))
+                                   ch.message_window, period, homes, start.reports.must_ask)
 
     def handle(self, now: int, events: list[i.Event]) -> list[i.Order]:
         self.mail.now = now
-        for e in [] if self.start.slices else events:
-            if isinstance(e, i.Listed):
-                self.listed(e)
-            elif isinstance(e, i.Due):
-                self.due()
-            elif isinstance(e, i.Heard | i.Probed):
-                if e.replica in self.known:
-                    self.mail.put(("replica", e.replica), type(e).__name__.lower(), e)
-            else:
-                for part in self.ROUTES.get(type(e), ()):
-                    self.mail.put(part, type(e).__name__.lower(), e)
+        for e in [] if self.slices else events:
+            kind = type(e).__name__.lower()
+            for part in self.ROUTES.get(kind, (("replica", getattr(e, "replica", None)),)):
+                if part in self.mail.parts:
+                    self.mail.put(part, kind, e)
         self.mail.run()
         self.mail.put("publisher", "guards")
         self.mail.run()
         return self.publisher.flush()
-
-    def due(self) -> None:
-        self.publisher.orders.append(i.Wake(0, self.tick))
-        if self.mail.now >= self.next_period:
-            self.next_period = self.mail.now + self.period
-            for part in [*(("replica", n) for n in self.known), "pool"]:
-                self.mail.put(part, "period")
-        self.mail.put("publisher", "tick")
-
-    def listed(self, e: i.Listed) -> None:
-        if e.kind is i.ListKind.FAILED:
-            self.follow()
-            return
-        entries = {x.replica: x for x in e.entries}
-        if e.kind is not i.ListKind.CHANGES:  # what a complete list leaves out was removed
-            entries |= {n: replace(x, phase=i.Phase.GONE) for n, x in self.known.items() if n not in entries}
-        sizes = [x.size for x in {**self.known, **entries}.values() if x.phase is i.Phase.READY]
-        mean = sum(sizes) / len(sizes) if sum(sizes) > 0 else 1.0
-        for n, x in entries.items():
-            if n not in self.known:
-                Replica(self.mail, n, self.period, self.start.rules.cold_time, self.start.reports.probes)
-            if self.known.get(n) != x:
-                self.known[n] = x
-                weight = max(Pool.FLOOR, min(Pool.CEILING, x.size / mean))
-                self.mail.put(("replica", n), "listed", x, weight)
