--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -5,8 +5,8 @@
 import heapq
 import zlib
 from collections import deque, namedtuple
-from collections.abc import Iterable
 from dataclasses import replace
+from itertools import product
 from typing import Any
 
 from gradehoist import interface as i
@@ -18,7 +18,7 @@
     def __init__(self, seed: int, now: int) -> None:
         self.now, self.seed, self.drawn, self.dues = now, seed, 0, 0
         self.parts, self.work = dict[Any, Part](), deque[Part]()
-        self.due = list[tuple[int, int, Any, tuple[Any, ...]]]()
+        self.due = list[tuple[int, int, tuple[Any, ...]]]()
 
     def put(self, to: Any, *note: Any) -> None:
         self.parts[to].inbox.append(note)
@@ -26,7 +26,7 @@
 
     def later(self, delay: int, to: Any, *note: Any) -> None:
         self.dues += 1
-        heapq.heappush(self.due, (self.now + delay, self.dues, to, note))
+        heapq.heappush(self.due, (self.now + delay, self.dues, (to, *note)))
 
     def chance(self) -> float:
         self.drawn += 1
@@ -34,8 +34,7 @@
 
     def run(self) -> None:
         while self.due and self.due[0][0] <= self.now:
-            _, _, to, note = heapq.heappop(self.due)
-            self.put(to, *note)
+            self.put(*heapq.heappop(self.due)[2])
         while self.work:
             part = self.work.popleft()
             kind, *rest = part.inbox.popleft()
@@ -71,15 +70,15 @@
         self.reset()
 
     def reset(self) -> None:
-        self.integral = self.tries = self.bad = self.elapsed = 0.0
+        self.integral, self.tries, self.bad, self.elapsed = 0.0, 0.0, 0.0, 0.0
         self.busy = self.flight = self.fresh = None
         self.sick, self.trials, self.heard, self.scatter, self.spoke = False, 0, 0, 0.5, True
 
     def tell(self) -> None:
+        part = min(1.0, max(0.0, (self.mail.now - self.born) / max(1, self.cold_time)))
+        self.ramp = self.LOW + (1 - self.LOW) * part
+        self.open = self.entry is not None and self.entry.phase is i.Phase.READY and not self.sick
         if self.entry is not None:
-            part = min(1.0, max(0.0, (self.mail.now - self.born) / max(1, self.cold_time)))
-            self.ramp = self.LOW + (1 - self.LOW) * part
-            self.open = self.entry.phase is i.Phase.READY and not self.sick
             self.put("pool", "state", self.index, State(*(getattr(self, f) for f in State._fields)))
 
     def on_listed(self, entry: i.Entry, weight: float) -> None:
@@ -154,8 +153,7 @@
         elif not self.spoke and e.outcome not in (i.Outcome.ANSWERED, i.Outcome.TURNED_AWAY):
             self.put("pool", "failing", self.index, 1.0)
 
-    def on_back(self) -> None:
-        """Back from ejection at the low start: flapping servers restart low each return."""
+    def on_back(self) -> None:  # flapping servers restart low each return
         if self.sick:
             self.sick, self.born, self.tries, self.bad = False, max(self.born, self.mail.now), 0.0, 0.0
             self.tell()
@@ -185,15 +183,13 @@
         return ((c.only_zones is None or e.zone in c.only_zones) and (not c.stays_local or e.zone == zone)
                 and (c.only_kinds is None or e.kind in c.only_kinds))
 
-    def bare(self, without: int | None = None) -> Iterable[list[int]]:
-        """The listed replicas of each zone and set that would have no open warm one left."""
-        warm_by = self.mail.now - self.cold_time
-        for k in range(len(self.sets)):
-            for zone in range(self.zones):
-                ready = [(n, s) for n, s in self.states.items()
-                         if s.entry.phase is i.Phase.READY and self.allowed(s.entry, zone, k)]
-                if not any(s.open and s.entry.started <= warm_by and n != without for n, s in ready):
-                    yield [n for n, _ in ready]
+    def bare(self, without: int | None = None) -> Any:  # zones and sets with no open warm one
+        old = self.mail.now - self.cold_time
+        for k, zone in product(range(len(self.sets)), range(self.zones)):
+            ready = {n: s for n, s in self.states.items()
+                     if s.entry.phase is i.Phase.READY and self.allowed(s.entry, zone, k)}
+            if not any(s.open and s.entry.started <= old and n != without for n, s in ready.items()):
+                yield ready
 
     def on_listed(self, e: i.Listed) -> None:
         if e.kind is i.ListKind.FAILED:
@@ -223,12 +219,11 @@
             self.on_plan()
             self.put("publisher", "job", "open" if state.open else "shut", index)
 
-    def on_failing(self, index: int, share: float) -> None:
-        """Ejects an outlier; a fault that all share is not the servers' and ejects nobody."""
+    def on_failing(self, index: int, share: float) -> None:  # a fault that all share ejects nobody
         ready = [s for s in self.states.values() if s.entry.phase is i.Phase.READY]
-        outlier = share >= 2 * sum(s.bad for s in ready) / max(1.0, sum(s.tries for s in ready))
-        calm = sum(not s.open for s in ready) + 1 <= self.PANIC * len(ready)
-        if outlier and calm and not any(index in left for left in self.bare(index)):
+        usual = sum(s.bad for s in ready) / max(1.0, sum(s.tries for s in ready))
+        few = sum(not s.open for s in ready) + 1 <= self.PANIC * len(ready)
+        if few and share >= 2 * usual and not any(index in left for left in self.bare(index)):
             self.put(("replica", index), "eject")
 
     def on_joined(self, e: i.Joined) -> None:
@@ -259,15 +254,13 @@
             self.slack[z] = self.SLACK * max(0.0, min(1.0, (self.WARM - stress) / (self.WARM - self.COOL)))
         self.on_plan()
 
-    def stress(self, some: list[State]) -> float:
-        """How near the middle one of some servers is to saturation (1), by the worst of three signs."""
+    def stress(self, some: list[State]) -> float:  # 1: the middle server is saturated
         signs = ([s.busy / self.FULL for s in some if s.busy is not None],
                  [s.bad / s.tries / self.FAILS for s in some if s.tries >= 1],
                  [s.elapsed / (s.tries - s.bad) / self.goal / self.LATE for s in some if s.tries > s.bad])
         return max(sorted(x)[len(x) // 2] if x else 0.0 for x in signs)
 
-    def on_step(self) -> None:
-        """One step of the loop; the publisher asks for it when every group holds the last weights."""
+    def on_step(self) -> None:  # when every group holds the last weights
         live = {n: s for n, s in self.states.items() if s.open}
         known = {n: s for n, s in live.items() if s.heard}
         stale = [n for n, s in known.items() if self.mail.now - s.heard > 3 * self.period]
@@ -279,11 +272,10 @@
         size = sum(s.entry.size for s in known.values()) / len(known) or 1.0
         flight = {n: 1 + s.flight / max(s.entry.size / size, 0.01) ** 0.5
                   for n, s in known.items() if s.flight is not None}
-        used: dict[int, float] = {}
+        used = dict[int, float]()
         for figures in (busy, flight):
-            mean = sum(figures.values()) / max(1, len(figures))
-            for n, v in figures.items():
-                used[n] = max(used.get(n, 0.0), v / mean if mean > 0 else 1.0)
+            mean = sum(figures.values()) / max(1, len(figures)) or 1.0
+            used |= {n: max(used.get(n, 0.0), v / mean) for n, v in figures.items()}
         average = sum(used.values()) / max(1, len(used))
         for n, s in live.items():
             # A zone within the slack of the average is left alone, and only its own servers even out.
@@ -306,15 +298,13 @@
         """The zone layer over the loop's weights: a zone's traffic stays while the zone's weights carry
         it; the rest goes where weights have room. Keeps each server's total as the loop decided."""
         live = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
-        zones, sets = range(self.zones), range(len(self.sets))
-        whole = sum(w for _, w in live.values())
+        zones, sets, whole = range(self.zones), range(len(self.sets)), sum(w for _, w in live.values())
         if whole <= 0:
             return
         free = [sum(w for e, w in live.values() if e.zone == z) / whole for z in zones]
         mine = [[sum(r[c] for y, r in self.rates.values() if y == z for c in self.sets[k]) for k in sets]
                 for z in zones]
-        total = sum(map(sum, mine)) or 1.0
-        part = min(1.0, len(self.rates) / max(1, self.proxies))
+        total, part = sum(map(sum, mine)) or 1.0, min(1.0, len(self.rates) / max(1, self.proxies))
         # Shares of all traffic: ours as heard, the other governors' taken to fill the zones evenly.
         room = [max(0.0, free[z] - part * sum(mine[z]) / total) for z in zones]
         fill = (1 - part) / (sum(room) or 1.0)
@@ -328,11 +318,9 @@
                 asked = part * mine[z][k] / total + room[z] * fill * mix
                 if weights[z][z] > 0:
                     kept = min(asked, max(0.0, free[z] + self.slack.get(z, 0.0) * weights[z][z] / whole))
-                    stay[z] = kept / asked if asked > 0 else 1.0
-                    free[z] -= kept
+                    stay[z], free[z] = kept / asked if asked > 0 else 1.0, free[z] - kept
             for z in zones:
-                to = {y: max(free[y], 0.02 * weights[z][y] / whole) for y in zones if weights[z][y] > 0}
-                to.pop(z, None)
+                to = {y: max(free[y], w / whole / 50) for y, w in enumerate(weights[z]) if w and y != z}
                 split = {y: max(self.TASTE, (1 - stay[z]) * f / sum(to.values())) for y, f in to.items()}
                 split[z] = stay[z] if to else 1.0
                 wanted[z][k] = {n: max(1e-4, len(live) * split[e.zone] * w / weights[z][e.zone])
@@ -346,11 +334,10 @@
     def __init__(self, mail: Mail, index: int, sets: list[tuple[int, ...]]) -> None:
         super().__init__(mail, ("group", index))
         self.index, self.sets, self.members = index, sets, list[int]()
-        self.sent: Tables = {k: {} for k in range(len(sets))}
-        self.wanted: Tables = {}
+        self.sent, self.wanted = [Tables({k: {} for k in range(len(sets))}) for _ in range(2)]
 
     def moved(self, only: int | None = None) -> list[tuple[int, int, float]]:
-        out = []
+        out: list[tuple[int, int, float]] = []
         for k, want in self.wanted.items():
             sent, both = self.sent[k], [n for n in want if n in self.sent[k]]
             # Tables hold ratios: a line that leaves must not count as a move of all the others.
@@ -374,8 +361,7 @@
         self.put("publisher", "differs", self.index, bool(self.members and self.moved()))
 
     def on_turn(self, room: float) -> None:
-        lines = self.moved()
-        fit = int(room / max(1, len(self.members)))
+        lines, fit = self.moved(), int(room / max(1, len(self.members)))
         self.write(lines[:fit])
         self.put("publisher", "differs", self.index, len(lines) > fit)
 
@@ -389,8 +375,7 @@
     def on_leave(self, proxy: int) -> None:
         self.members = [p for p in self.members if p != proxy]
 
-class Publisher(Part):
-    """Turns, pace and acknowledgements; guards go before weights and keep room of their own."""
+class Publisher(Part):  # turns, pace, acknowledgements; guards go before weights, with room of their own
     HALF = 0.5  # the design's part of the queue limit for binds and lines
     GUARDS = 0.85  # withdrawals may fill more of it, yet leave a margin for lines not counted exactly
     OFTEN = 0.6  # part of a proxy's message limit that weights may use; the rest waits for guards
@@ -398,22 +383,20 @@
     def __init__(self, mail: Mail, queue: float, head: float, limit: int, window: int, period: int,
                  homes: list[int], must_ask: bool) -> None:
         super().__init__(mail, "publisher")
-        self.queue, self.head, self.limit, self.window = queue, head + 1, limit, window
-        self.period, self.homes = period, homes
+        self.queue, self.head, self.limit, self.window, self.period = queue, head + 1, limit, window, period
         self.orders, self.levels, self.binds = list[i.Order](), list[i.Order](), list[int]()
         self.lines, self.home = dict[int, float](), dict[int, int]()  # lines: of this reply, by proxy
         self.unacked, self.times = dict[int, deque[tuple[int, float]]](), dict[int, deque[int]]()
         self.jobs, self.shut, self.differs = dict[int, str](), set[int](), set[int]()
         self.turn = self.mark = self.stepped = self.level_lines = 0
         self.pulse, self.must_ask = max(period // len(homes), 20_000), must_ask  # a turn a group and period
-        self.next_period = mail.now + period
+        self.homes, self.next_period = homes, mail.now + period
         self.orders.append(i.Wake(0, int(self.pulse * (0.5 + mail.chance()))))
         self.on_follow()
 
     def on_follow(self) -> None: self.orders += [i.Follow(True)] * self.must_ask
 
-    def room(self, proxies: Iterable[int], part: float, lines: float) -> float:
-        """Lines left after writing so many to each; below 0 where the queue or a message limit is met."""
+    def room(self, proxies: list[int], part: float, lines: float) -> float:  # after a write
         left = part * self.queue - sum(n for q in self.unacked.values() for _, n in q)
         left -= sum(n + self.head for n in self.lines.values())
         for p in proxies:
@@ -427,8 +410,7 @@
 
     def on_joined(self, e: i.Joined) -> None:
         self.unacked[e.proxy], self.times[e.proxy] = deque(), deque()
-        used = list(self.home.values())
-        near = [g for g, z in enumerate(self.homes) if z == e.zone] or [0]
+        used, near = list(self.home.values()), [g for g, z in enumerate(self.homes) if z == e.zone] or [0]
         self.home[e.proxy] = min(near, key=lambda g: (used.count(g), g))
         self.binds.append(e.proxy)
 
@@ -456,8 +438,7 @@
         for p in [p for p in proxies if p in self.home]:
             self.lines[p] = self.lines.get(p, 0.0) + lines
 
-    def on_guards(self) -> None:
-        """Withdrawals first, then binds, returns and levels, each while the queue has room."""
+    def on_guards(self) -> None:  # withdrawals, returns, binds, levels, while the queue has room
         everyone = list(self.home)
         for replica, kind in sorted(self.jobs.items(), key=lambda job: job[1] == "open"):
             if kind == "shut" and self.room(everyone, self.GUARDS, 1) >= 0:
@@ -494,8 +475,7 @@
             members = [p for p, h in self.home.items() if h == group]
             room = min(self.room(members, self.HALF, 1), self.room(members, self.OFTEN, 1))
             self.turn = group + 1
-            if room >= 0:
-                self.put(("group", group), "turn", room + len(members))
+            self.put(("group", group), "turn", max(0.0, room + len(members) * (room >= 0)))
         elif not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
             self.stepped = self.mail.now
             self.put("pool", "step")
@@ -510,8 +490,7 @@
         orders, self.orders, self.lines = self.orders, [], {}
         return orders
 
-class Admission(Part):
-    """Under saturation lets in less of the classes with the least gain for their goal first."""
+class Admission(Part):  # saturated: less is let in, the least gain for its goal first
     HOLD = 3 * SECOND  # after a cut: what it did shows in the reports about this much later
     UP = 0.05  # a second of calm: full again within twenty, slower than any cut
     LEAST = 0.05  # never all: what is let in keeps the reports coming
@@ -538,8 +517,7 @@
             self.sent, tries = levels, int(self.level == 1.0)  # further tries only make an overload worse
             self.put("publisher", "levels", [i.Admit(None, (k,), v, tries) for k, v in enumerate(levels)])
 
-class Planner:
-    """One instance of the module: hands events to the parts as notes, runs the loop, collects the orders."""
+class Planner:  # one instance of the module: events become notes, the loop runs, orders come out
     GROUPS = 10  # the design's number of proxy groups
     ROUTES = {"joined": ("pool", "publisher"), "left": ("pool", "publisher"), "offered": ("pool",),
               "applied": ("publisher",), "listed": ("pool",), "due": ("publisher",)}
