--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -194,9 +194,9 @@
     def on_listed(self, e: i.Listed) -> None:
         if e.kind is i.ListKind.FAILED:
             return self.put("publisher", "follow")
-        entries = {x.replica: x for x in e.entries}
-        if e.kind is not i.ListKind.CHANGES:  # what a complete list leaves out was removed
-            entries |= {n: replace(x, phase=i.Phase.GONE) for n, x in self.known.items() if n not in entries}
+        # What a complete list leaves out was removed.
+        gone = {n: replace(x, phase=i.Phase.GONE) for n, x in self.known.items()}
+        entries = (gone if e.kind is not i.ListKind.CHANGES else {}) | {x.replica: x for x in e.entries}
         sizes = [x.size for x in {**self.known, **entries}.values() if x.phase is i.Phase.READY]
         mean = sum(sizes) / max(1, len(sizes)) or 1.0
         for n, x in entries.items():
@@ -305,8 +305,10 @@
         mine = [[sum(r[c] for y, r in self.rates.values() if y == z for c in self.sets[k]) for k in sets]
                 for z in zones]
         total, part = sum(map(sum, mine)) or 1.0, min(1.0, len(self.rates) / max(1, self.proxies))
-        # Shares of all traffic: ours as heard, the other governors' taken to fill the zones evenly.
-        room = [max(0.0, free[z] - part * sum(mine[z]) / total) for z in zones]
+        # Shares of all traffic: ours as heard, other governors' as if zones had alike proxies (not by weight, or
+        # a drowning zone's falling weight would never send anything away).
+        near = [y for y, _ in self.rates.values()]
+        room = [max(0.0, 1 / self.zones - near.count(z) / max(1, self.proxies)) for z in zones]
         fill = (1 - part) / (sum(room) or 1.0)
         wanted: list[Tables] = [{} for _ in zones]
         for k in sets:
@@ -472,9 +474,8 @@
         ready = sorted(self.differs & set(self.home.values()))
         if ready:
             group = next((g for g in ready if g >= self.turn), ready[0])
-            members = [p for p, h in self.home.items() if h == group]
+            members, self.turn = [p for p, h in self.home.items() if h == group], group + 1
             room = min(self.room(members, self.HALF, 1), self.room(members, self.OFTEN, 1))
-            self.turn = group + 1
             self.put(("group", group), "turn", max(0.0, room + len(members) * (room >= 0)))
         elif not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
             self.stepped = self.mail.now
