--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -70,20 +70,19 @@
         self.reset()
 
     def reset(self) -> None:
-        self.integral, self.tries, self.bad, self.elapsed = 0.0, 0.0, 0.0, 0.0
         self.busy = self.flight = self.fresh = None
         self.sick, self.trials, self.heard, self.scatter, self.spoke = False, 0, 0, 0.5, True
+        self.integral, self.tries, self.bad, self.elapsed = 0.0, 0.0, 0.0, 0.0
 
     def tell(self) -> None:
-        part = min(1.0, max(0.0, (self.mail.now - self.born) / max(1, self.cold_time)))
-        self.ramp = self.LOW + (1 - self.LOW) * part
+        age = (self.mail.now - self.born) / max(1, self.cold_time)
+        self.ramp = self.LOW + (1 - self.LOW) * min(1.0, max(0.0, age))
         self.open = self.entry is not None and self.entry.phase is i.Phase.READY and not self.sick
         if self.entry is not None:
             self.put("pool", "state", self.index, State(*(getattr(self, f) for f in State._fields)))
 
     def on_listed(self, entry: i.Entry, weight: float) -> None:
-        old, self.entry = self.entry, entry
-        self.weight = weight if old is None else self.weight
+        old, self.entry, self.weight = self.entry, entry, self.weight if self.entry else weight
         if old is None or entry.started > old.started:
             # A restart that the list never showed as gone comes back cold under its old weight.
             self.born = entry.started if entry.started > 0 else -self.cold_time
@@ -155,7 +154,7 @@
 
     def on_back(self) -> None:  # flapping servers restart low each return
         if self.sick:
-            self.sick, self.born, self.tries, self.bad = False, max(self.born, self.mail.now), 0.0, 0.0
+            self.sick, self.born, self.tries, self.bad = False, self.mail.now, 0.0, 0.0
             self.tell()
 
 class Pool(Part):  # the average, the skip rule, normalizing; the zone layer; who may be ejected
@@ -176,20 +175,18 @@
         self.zones, self.proxies, self.classes, self.sets, self.probes = zones, proxies, classes, sets, probes
         self.period, self.cold_time, self.homes, self.known = period, cold_time, homes, dict[int, i.Entry]()
         self.states, self.rates = dict[int, State](), dict[int, tuple[int, list[float]]]()
-        self.slack, self.goal = dict[int, float](), float(min(c.goal for c in classes))
+        self.slack, self.calm, self.goal = dict[int, float](), 0.3, float(min(c.goal for c in classes))
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
         c = self.classes[self.sets[k][0]]
         return ((c.only_zones is None or e.zone in c.only_zones) and (not c.stays_local or e.zone == zone)
                 and (c.only_kinds is None or e.kind in c.only_kinds))
 
-    def bare(self, without: int | None = None) -> Any:  # zones and sets with no open warm one
-        old = self.mail.now - self.cold_time
+    def choices(self, of: i.Entry) -> Any:  # per class and zone that may use it: the warm ones
         for k, zone in product(range(len(self.sets)), range(self.zones)):
-            ready = {n: s for n, s in self.states.items()
-                     if s.entry.phase is i.Phase.READY and self.allowed(s.entry, zone, k)}
-            if not any(s.open and s.entry.started <= old and n != without for n, s in ready.items()):
-                yield ready
+            if self.allowed(of, zone, k):
+                yield {n: bool(s.open) for n, s in self.states.items() if s.entry.phase is i.Phase.READY and
+                       s.entry.started <= self.mail.now - self.cold_time and self.allowed(s.entry, zone, k)}
 
     def on_listed(self, e: i.Listed) -> None:
         if e.kind is i.ListKind.FAILED:
@@ -214,16 +211,21 @@
         if old is None or not same or state.ramp < old.ramp:
             if not state.open:
                 # Ejection must not leave a class without an open replica once the list takes the others.
-                for n in sorted({n for left in self.bare() for n in left}):
-                    self.put(("replica", n), "back")
+                for ready in self.choices(state.entry):
+                    for n in [] if any(ready.values()) else ready:
+                        self.put(("replica", n), "back")
             self.on_plan()
             self.put("publisher", "job", "open" if state.open else "shut", index)
 
     def on_failing(self, index: int, share: float) -> None:  # a fault that all share ejects nobody
         ready = [s for s in self.states.values() if s.entry.phase is i.Phase.READY]
         usual = sum(s.bad for s in ready) / max(1.0, sum(s.tries for s in ready))
-        few = sum(not s.open for s in ready) + 1 <= self.PANIC * len(ready)
-        if few and share >= 2 * usual and not any(index in left for left in self.bare(index)):
+        # Half of the warm ones stay for each class, or cold servers would be pushed over in their place.
+        near = self.choices(self.states[index].entry)
+        calm = all(len(w) - sum(w.values()) + 1 <= self.PANIC * len(w) for w in near)
+        if calm and share >= 2 * usual and self.states[index].open:
+            # Noted at once (None: not yet acted on): several in one batch must not all pass as the first.
+            self.states[index] = self.states[index]._replace(open=None)
             self.put(("replica", index), "eject")
 
     def on_joined(self, e: i.Joined) -> None:
@@ -248,10 +250,12 @@
         good = 1 - sum(s.bad for s in live) / max(1.0, sum(s.tries for s in live))
         if sum(mix):
             self.goal = sum(c.goal * m for c, m in zip(self.classes, mix, strict=True)) / sum(mix)
+        if any(s.tries for s in live):
+            self.calm = max(0.3, min(1.0, 1.6 - self.stress(live)))  # a third keeps the strictest budget
         self.put("admission", "pulse", self.stress(live), good, mix)
         for z in range(self.zones):
-            stress = self.stress([s for s in live if s.entry.zone == z])
-            self.slack[z] = self.SLACK * max(0.0, min(1.0, (self.WARM - stress) / (self.WARM - self.COOL)))
+            idle = (self.WARM - self.stress([s for s in live if s.entry.zone == z])) / (self.WARM - self.COOL)
+            self.slack[z] = self.SLACK * max(0.0, min(1.0, idle))
         self.on_plan()
 
     def stress(self, some: list[State]) -> float:  # 1: the middle server is saturated
@@ -280,8 +284,8 @@
         for n, s in live.items():
             # A zone within the slack of the average is left alone, and only its own servers even out.
             near = [u for m, u in used.items() if live[m].entry.zone == s.entry.zone]
-            slack = average * self.slack.get(s.entry.zone, 0.0)
-            goal = max(average - slack, min(average + slack, sum(near) / max(1, len(near))))
+            slack, mean = average * self.slack.get(s.entry.zone, 0.0), sum(near) / max(1, len(near))
+            goal = max(average - slack, min(average + slack, mean))
             self.put(("replica", n), "step", goal - used[n] if n in used and n not in stale else 0.0)
         self.put("pool", "after", "settle")
 
@@ -294,10 +298,10 @@
             self.put(("replica", n), "set", w)
         self.put("pool", "after", "plan")
 
-    def on_plan(self) -> None:
-        """The zone layer over the loop's weights: a zone's traffic stays while the zone's weights carry
-        it; the rest goes where weights have room. Keeps each server's total as the loop decided."""
-        live = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
+    def on_plan(self) -> None:  # the zone layer: traffic stays while its zone's weights carry it
+        # Cold servers fall over when a saturated pool, or one not heard of yet, brings them their plain part.
+        live = {n: (s.entry, s.weight * s.ramp * (self.calm if s.ramp < 1 else 1))
+                for n, s in self.states.items() if s.open}
         zones, sets, whole = range(self.zones), range(len(self.sets)), sum(w for _, w in live.values())
         if whole <= 0:
             return
@@ -305,10 +309,10 @@
         mine = [[sum(r[c] for y, r in self.rates.values() if y == z for c in self.sets[k]) for k in sets]
                 for z in zones]
         total, part = sum(map(sum, mine)) or 1.0, min(1.0, len(self.rates) / max(1, self.proxies))
-        # Shares of all traffic: ours as heard, other governors' as if zones had alike proxies (not by weight, or
-        # a drowning zone's falling weight would never send anything away).
-        near = [y for y, _ in self.rates.values()]
-        room = [max(0.0, 1 / self.zones - near.count(z) / max(1, self.proxies)) for z in zones]
+        # Shares of all traffic: ours as heard, other governors' as if zones had alike proxies: by weight, a
+        # drowning zone's falling weight would never send anything away.
+        room = [max(0.0, 1 / self.zones - sum(y == z for y, _ in self.rates.values()) / max(1, self.proxies))
+                for z in zones]
         fill = (1 - part) / (sum(room) or 1.0)
         wanted: list[Tables] = [{} for _ in zones]
         for k in sets:
@@ -402,12 +406,10 @@
         left = part * self.queue - sum(n for q in self.unacked.values() for _, n in q)
         left -= sum(n + self.head for n in self.lines.values())
         for p in proxies:
-            left -= self.head + lines
-            past = self.times[p]
+            left, past = left - self.head - lines, self.times[p]
             while past and past[0] <= self.mail.now - self.window:
                 past.popleft()
-            if self.limit and p not in self.lines and len(past) >= int(part * self.limit * 1.1):
-                return -1.0
+            left -= 1e9 * (bool(self.limit) and p not in self.lines and len(past) >= part * self.limit)
         return left
 
     def on_joined(self, e: i.Joined) -> None:
@@ -424,9 +426,8 @@
             self.lines.pop(e.proxy, None)
 
     def on_applied(self, e: i.Applied) -> None:
-        q = self.unacked.get(e.proxy)
-        while q and any(m == e.mark for m, _ in q):
-            q.popleft()
+        while any(m == e.mark for m, _ in self.unacked.get(e.proxy, ())):
+            self.unacked[e.proxy].popleft()
 
     def on_job(self, kind: str, replica: int) -> None: self.jobs[replica] = kind
 
@@ -471,8 +472,7 @@
         if self.mail.now >= self.next_period:
             self.next_period = self.mail.now + self.period
             self.put("pool", "period")
-        ready = sorted(self.differs & set(self.home.values()))
-        if ready:
+        if ready := sorted(self.differs & set(self.home.values())):
             group = next((g for g in ready if g >= self.turn), ready[0])
             members, self.turn = [p for p, h in self.home.items() if h == group], group + 1
             room = min(self.room(members, self.HALF, 1), self.room(members, self.OFTEN, 1))
@@ -511,9 +511,8 @@
             self.level = min(1.0, self.level + self.up)
         left, levels = self.level, [1.0] * len(mix)
         for k in sorted(range(len(mix)), key=lambda k: -self.classes[k].gain / self.classes[k].goal):
-            share = mix[k] / sum(mix)
-            levels[k] = max(self.LEAST, min(1.0, left / share)) if share > 0 else 1.0
-            left = max(0.0, left - share)
+            share = max(1e-9, mix[k] / sum(mix))
+            levels[k], left = max(self.LEAST, min(1.0, left / share)), max(0.0, left - share)
         if any(abs(a - b) > 0.05 or (a == 1.0) != (b == 1.0) for a, b in zip(levels, self.sent, strict=True)):
             self.sent, tries = levels, int(self.level == 1.0)  # further tries only make an overload worse
             self.put("publisher", "levels", [i.Admit(None, (k,), v, tries) for k, v in enumerate(levels)])
