--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -345,7 +345,7 @@
     def moved(self, only: int | None = None) -> list[tuple[int, int, float]]:
         out: list[tuple[int, int, float]] = []
         for k, want in self.wanted.items():
-            sent, both = self.sent[k], [n for n in want if n in self.sent[k]]
+            sent, both = self.sent[k], [n for n in want if n in self.sent[k] and n != only]
             # Tables hold ratios: a line that leaves must not count as a move of all the others.
             scale = sum(sent[n] for n in both) / sum(want[n] for n in both) if both else 1.0
             for n in sorted(want):
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,194 @@
+"""The module alone: plain cases for each failure found, and seeded random runs against the rules."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import subprocess
+import sys
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gradehoist import interface as i
+from tests.world import ANY, LOCAL, SECOND, World, entry, running, start
+
+CALM = (6, 0, i.Load(0.5, 2.0))
+READY, GONE, DRAINING = i.Phase.READY, i.Phase.GONE, i.Phase.DRAINING
+
+
+def change(*entries: i.Entry) -> i.Listed:
+    return i.Listed(i.ListKind.CHANGES, entries)
+
+
+def test_a_joining_proxy_is_bound_at_once_to_filled_tables_and_only_once() -> None:
+    world = running()
+    binds = [o for o in world.log if isinstance(o, i.Bind)]
+    assert len(binds) == 4 * 3 and all(world.open(o.table) for o in binds)
+    world.run(10, {n: CALM for n in range(9)})
+    assert len([o for o in world.log if isinstance(o, i.Bind)]) == 12
+
+
+def test_weights_leave_the_busy_server_and_stay_put_on_even_load() -> None:
+    world = running()
+    before = world.share(0, 0, 0)
+    world.run(10, {n: CALM for n in range(9)})
+    assert abs(world.share(0, 0, 0) - before) < 0.05
+    world.run(15, {n: CALM for n in range(9)} | {0: (6, 0, i.Load(1.0, 12.0))})
+    assert world.share(0, 0, 0) < before / 2
+
+
+def test_too_many_missing_reports_skip_the_update() -> None:
+    world = running()
+    world.run(5, {n: CALM for n in range(9)})
+    before = {t: dict(lines) for t, lines in world.tables.items()}
+    world.run(4)  # the last reports grow stale
+    mark = len(world.log)
+    world.run(10, {0: (6, 0, i.Load(1.0, 12.0))} | {n: CALM for n in range(1, 7)})
+    moved = [o for o in world.log[mark:] if isinstance(o, i.SetLine) and o.weight < before[o.table][0] / 2]
+    assert not moved
+
+
+def test_one_order_withdraws_a_draining_server_and_a_return_starts_low_and_climbs() -> None:
+    world = running()
+    usual = world.share(0, 0, 0)
+    orders = world.step(change(entry(0, DRAINING)), wait=SECOND // 50)
+    assert [o for o in orders if isinstance(o, i.Withdraw)] == [i.Withdraw(0, True)]
+    world.run(5, {n: CALM for n in range(1, 9)})
+    orders = world.step(change(entry(0, READY, world.now)), wait=SECOND // 50)
+    order = [type(o) for o in orders if isinstance(o, i.Withdraw) or getattr(o, "replica", -1) == 0]
+    assert order[-1] is i.Withdraw and i.SetLine in order, "the low line goes before the return"
+    assert 0 < world.share(0, 0, 0) < usual / 4
+    world.run(14, {n: CALM for n in range(9)})
+    assert world.share(0, 0, 0) > usual / 2
+
+
+def test_a_restart_never_listed_as_gone_gets_its_low_weight_at_once() -> None:
+    world = running()
+    usual = world.share(0, 0, 3)
+    world.run(5, {n: CALM for n in range(9)})
+    world.step(change(entry(3, READY, world.now - SECOND)), wait=SECOND // 50)
+    assert world.share(0, 0, 3) < usual / 3
+
+
+def test_a_zone_back_cold_is_not_pushed_over_by_its_own_zone() -> None:
+    world = running(settings=start((ANY,)))
+    zone = [0, 3, 6]
+    world.step(change(*(entry(n, GONE) for n in zone)), wait=SECOND // 50)
+    world.run(5, {n: CALM for n in range(9) if n not in zone})
+    world.step(change(*(entry(n, READY, world.now) for n in zone)), wait=SECOND // 50)
+    world.run(0.5)
+    assert sum(world.share(0, 0, n) for n in zone) < 0.25  # a fifth of a third is what they can do
+
+
+def test_a_failing_server_is_ejected_and_half_of_each_class_stays() -> None:
+    world = running(settings=start(probes=False))
+    world.run(3, {n: CALM for n in range(9)})
+    world.run(4, {n: CALM for n in range(9)} | {0: (6, 6, None)})
+    assert 0 in world.shut and world.shut <= {0}
+    # Several failing in one batch must not all be ejected as the first: warm ones stay for each class.
+    world = running(settings=start(probes=False))
+    world.run(2, {n: CALM for n in range(9)})
+    world.run(3, {n: CALM for n in range(9)} | {n: (6, 6, None) for n in (0, 3, 6)})
+    assert len(world.shut) <= 1
+
+
+def test_ejection_yields_when_the_list_takes_the_others() -> None:
+    world = running(settings=start(probes=False))
+    world.run(3, {n: CALM for n in range(9)})
+    world.run(3, {n: CALM for n in range(9)} | {0: (6, 6, None)})
+    assert 0 in world.shut
+    world.step(change(entry(3, GONE), entry(6, DRAINING)), wait=SECOND // 50)
+    world.run(1)
+    assert 0 not in world.shut, "the only server of its zone's own class is let back"
+
+
+def test_a_silent_server_is_probed_and_ejected_if_the_probe_fails() -> None:
+    world = running()
+    world.run(4, {n: CALM for n in range(9)})
+    mark = len(world.log)
+    world.run(2.5, {n: CALM for n in range(9) if n != 4})
+    assert i.Probe(4) in world.log[mark:]
+    world.step(i.Probed(4, i.Outcome.TIMED_OUT, SECOND // 2, None), wait=SECOND // 50)
+    world.run(0.5)
+    assert 4 in world.shut
+
+
+def test_saturation_cuts_the_least_gain_first_and_recovers() -> None:
+    world = running()
+    world.step(*(i.Offered(p, k, 10, 0, SECOND) for p in range(4) for k in range(3)), wait=SECOND // 50)
+    world.run(4, {n: (6, 3, i.Load(1.0, 20.0)) for n in range(9)})
+    share = {o.classes[0]: o for o in world.log if isinstance(o, i.Admit)}
+    assert share[0].share < 0.7 and share[1].share == 1.0 and share[0].tries == 0
+    world.run(30, {n: CALM for n in range(9)})
+    last = {o.classes[0]: o.share for o in world.log if isinstance(o, i.Admit)}
+    assert last[0] > 0.9
+
+
+def test_other_governors_demand_does_not_follow_a_drowning_zone() -> None:
+    world = running(proxies=1, settings=start((ANY,)))  # one proxy of six, in zone 0
+    hot = {n: (6, 0, i.Load(0.98 if n % 3 == 0 else 0.4, 8.0 if n % 3 == 0 else 1.0)) for n in range(9)}
+    world.run(20, hot)
+    assert sum(world.share(0, 0, n) for n in (0, 3, 6)) < 0.8
+
+
+def test_what_waits_is_counted_by_acknowledgement_not_by_the_stated_pace() -> None:
+    world = running(settings=start(queue=400.0))
+    for n in range(60):  # nothing is acknowledged: the channel has all but stopped
+        load = i.Load(0.2 + 0.1 * (n % 8), 2.0)
+        world.step(i.Heard(0, n % 9, 6, 0, 1000, SECOND, load), i.Due(0), wait=SECOND // 10)
+    assert world.queue
+
+
+def play(data: list[tuple[int, int, int]], seed: int, queue: float = 2500.0) -> World:
+    world = World(start(seed=seed, queue=queue))
+    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(9))))
+    for what, n, x in data:
+        events: list[i.Event] = []
+        if what == 0 and n not in world.proxies:
+            events = [i.Joined(n, n % 3, 1.0 + x)]
+        elif what == 1 and n in world.proxies:
+            events = [i.Left(n)]
+        elif what == 2:
+            events = [change(entry(n, (READY, DRAINING, GONE)[x % 3], world.known[n].started))]
+        elif what == 3:
+            events = [change(entry(n, READY, world.now))]
+        elif what == 4:
+            events = [i.Listed(i.ListKind.COMPLETE, tuple(e for m, e in world.known.items() if m != n))]
+        elif what == 5:
+            events = [i.Probed(n, list(i.Outcome)[x % 7], 1000, None)]
+        world.step(*events, wait=SECOND // 100)
+        load = i.Load((n * x % 11) / 10, float(n + x))
+        heard = {m: (x, x * (m == n or x == 7), load if m % 2 else CALM[2]) for m in range(9 - n % 3)}
+        world.run(x / 4, heard)
+    world.run(3)
+    return world
+
+
+STEPS = st.lists(st.tuples(st.integers(0, 6), st.integers(0, 8), st.integers(0, 8)), max_size=25)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(STEPS, st.integers(0, 99))
+def test_random_runs_keep_the_rules_and_repeat_exactly(data: list[tuple[int, int, int]], seed: int) -> None:
+    assert play(data, seed).log == play(data, seed).log
+
+
+def test_two_processes_with_other_hash_seeds_give_the_same_orders() -> None:
+    code = ("import hashlib; from tests.test_choice import play; "
+            "steps = [(0, n, 5) for n in range(6)] + [(2, 1, 1), (3, 1, 4), (6, 2, 7)] * 3; "
+            "print(hashlib.sha256(repr(play(steps, 3).log).encode()).hexdigest())")
+    found = {subprocess.run([sys.executable, "-c", code], env=os.environ | {"PYTHONHASHSEED": s}, check=True,
+                            capture_output=True, text=True).stdout for s in ("1", "2")}
+    assert len(found) == 1 and len(found.pop().strip()) == len(hashlib.sha256().hexdigest())
+
+
+def test_only_local_servers_serve_a_local_class_even_when_the_zone_is_empty() -> None:
+    world = running(settings=replace(start((ANY, LOCAL)), seed=3))
+    world.step(change(*(entry(n, GONE) for n in (0, 3, 6))), wait=SECOND // 50)
+    world.run(3, {n: CALM for n in range(9) if n % 3})
+    assert not world.open(world.bound[0][1]) and world.open(world.bound[0][0])
+    world.step(change(*(entry(n, READY, world.now) for n in (0, 3, 6))), wait=SECOND // 50)
+    world.run(1)
+    assert world.open(world.bound[0][1])
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,150 @@
+"""A small model of what proxies hold, fed by orders, with the rules checked on it after every step."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from gradehoist import interface as i
+from gradehoist.choice import Planner
+
+SECOND = 1_000_000
+ANY = i.TransactionClass(SECOND, 2 * SECOND, 1.0, 0.1, i.Repeat.FREE, None, None, False)
+BOUND = i.TransactionClass(SECOND, 2 * SECOND, 3.0, 0.1, i.Repeat.SINGLE, (0, 1), None, False)
+LOCAL = i.TransactionClass(SECOND, 2 * SECOND, 3.0, 0.1, i.Repeat.SINGLE, None, None, True)
+
+
+def start(classes: tuple[i.TransactionClass, ...] = (ANY, BOUND, LOCAL), queue: float = 2000.0,
+          limit: int = 20, seed: int = 7, probes: bool = True) -> i.Start:
+    rules = i.Rules(2 * SECOND, 10 * SECOND, 0.2, 3.0, 3 * SECOND, 4 * SECOND, False)
+    reports = i.Reports(SECOND, True, True, probes, False)
+    channel = i.Channel(queue, queue, 4.0, limit, 10 * SECOND)
+    return i.Start(seed, 3, 6, 0, True, classes, rules, channel, reports)
+
+
+def entry(n: int, phase: i.Phase = i.Phase.READY, started: int = 0, size: float = 1.0) -> i.Entry:
+    return i.Entry(n, n % 3, 0, 0, phase, size, started)
+
+
+@dataclass
+class World:
+    settings: i.Start = field(default_factory=start)
+    now: int = 100 * SECOND
+    tables: dict[int, dict[int, float]] = field(default_factory=dict)
+    proxies: dict[int, int] = field(default_factory=dict)  # zone by proxy
+    bound: dict[int, dict[int, int]] = field(default_factory=dict)  # table by class
+    shut: set[int] = field(default_factory=set)
+    known: dict[int, i.Entry] = field(default_factory=dict)
+    queue: deque[tuple[int, int, float]] = field(default_factory=deque)  # proxy, mark, lines
+    wakes: list[int] = field(default_factory=list)
+    sent: dict[int, list[int]] = field(default_factory=dict)
+    log: list[i.Order] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.module = Planner(self.settings, self.now)
+
+    def step(self, *events: i.Event, wait: int = 0) -> list[i.Order]:
+        self.now += wait
+        for e in events:
+            if isinstance(e, i.Listed):
+                if e.kind is not i.ListKind.CHANGES:
+                    left = set(self.known) - {x.replica for x in e.entries}
+                    for n in left:
+                        self.known[n] = entry(n, i.Phase.GONE, self.known[n].started)
+                self.known |= {x.replica: x for x in e.entries}
+            elif isinstance(e, i.Joined):
+                self.proxies[e.proxy], self.bound[e.proxy], self.sent[e.proxy] = e.zone, {}, []
+            elif isinstance(e, i.Left):
+                del self.proxies[e.proxy], self.bound[e.proxy]
+                self.queue = deque(q for q in self.queue if q[0] != e.proxy)
+        orders = self.module.handle(self.now, list(events))
+        self.take(orders)
+        self.check()
+        return orders
+
+    def take(self, orders: list[i.Order]) -> None:
+        self.log += orders
+        lines: dict[int, float] = {}
+        mark = next((o.number for o in orders if isinstance(o, i.Mark)), -1)
+        for o in orders:
+            users = [p for p, by in self.bound.items() if getattr(o, "table", None) in by.values()]
+            if isinstance(o, i.SetLine):
+                assert o.weight > 0 and o.replica in self.known, "a weight of a replica never listed"
+                self.tables.setdefault(o.table, {})[o.replica] = o.weight
+            elif isinstance(o, i.Bind):
+                assert o.proxy in self.proxies and o.classes
+                self.bound[o.proxy] |= dict.fromkeys(o.classes, o.table)
+                users = [o.proxy]
+                lines[o.proxy] = lines.get(o.proxy, 0) + len(self.tables.get(o.table, {})) + len(self.shut)
+            elif isinstance(o, i.Withdraw):
+                (self.shut.add if o.out else self.shut.discard)(o.replica)
+                users = list(self.proxies)
+            elif isinstance(o, i.Admit):
+                assert 0 < o.share <= 1 and o.tries <= 1, "a further try that might run twice"
+                users = list(self.proxies)
+            elif isinstance(o, i.Wake):
+                self.wakes.append(self.now + o.delay)
+            for p in users:
+                lines[p] = lines.get(p, 0) + 1
+        for p, n in lines.items():
+            assert mark >= 0, "lines that nobody will acknowledge"
+            self.queue.append((p, mark, n + 1 + self.settings.channel.message_head))
+            self.sent[p].append(self.now)
+
+    def check(self) -> None:
+        """Queue and message caps, drains, placement, and a line to pick for every class that has a server."""
+        channel, rules = self.settings.channel, self.settings.rules
+        assert sum(n for _, _, n in self.queue) <= channel.queue_limit
+        for p, times in self.sent.items():
+            recent = [t for t in times if t > self.now - channel.message_window]
+            assert not channel.message_limit or len(recent) <= channel.message_limit, f"too often to {p}"
+        for p, zone in self.proxies.items():
+            for k, table in self.bound[p].items():
+                c = self.settings.classes[k]
+                for n in self.tables.get(table, {}):
+                    assert c.only_zones is None or self.known[n].zone in c.only_zones, "outside its zones"
+                    assert not c.stays_local or self.known[n].zone == zone, "outside its own zone"
+                warm = [n for n, x in self.known.items() if x.phase is i.Phase.READY
+                        and x.started <= self.now - rules.cold_time
+                        and (c.only_zones is None or x.zone in c.only_zones)
+                        and (not c.stays_local or x.zone == zone)]
+                if warm and not self.queue:
+                    assert self.open(table), f"class {k} of proxy {p} has nothing to pick"
+        if not self.queue and all(len(b) == len(self.settings.classes) for b in self.bound.values()):
+            for n, x in self.known.items():
+                held = any(n in self.tables.get(t, {}) for b in self.bound.values() for t in b.values())
+                assert x.phase is i.Phase.READY or not held or n in self.shut, "sent to a drained server"
+
+    def open(self, table: int) -> dict[int, float]:
+        return {n: w for n, w in self.tables.get(table, {}).items() if n not in self.shut}
+
+    def share(self, proxy: int, cls: int, replica: int) -> float:
+        lines = self.open(self.bound[proxy][cls])
+        return lines.get(replica, 0.0) / sum(lines.values())
+
+    def acks(self, most: int = 1000) -> list[i.Event]:
+        done = [self.queue.popleft() for _ in range(min(most, len(self.queue)))]
+        return [i.Applied(p, m, 1000) for p, m, _ in done if p in self.proxies]
+
+    def run(self, seconds: float, report: Mapping[int, tuple[int, int, i.Load | None]] | None = None) -> None:
+        """Time goes on: timers fire, messages are acknowledged, each second the replicas report."""
+        end, next_report = self.now + int(seconds * SECOND), self.now + SECOND
+        while self.wakes and min(self.wakes) <= end:
+            due = min(self.wakes)
+            self.wakes.remove(due)
+            events: list[i.Event] = self.acks()
+            if due >= next_report:
+                next_report += SECOND
+                events += [i.Heard(z, n, tries, bad, 200_000, SECOND, load) for z in range(3)
+                           for n, (tries, bad, load) in (report or {}).items()]
+            self.step(*events, i.Due(0), wait=due - self.now)
+        self.now = max(self.now, end)
+
+
+def running(count: int = 9, proxies: int = 4, settings: i.Start | None = None) -> World:
+    world = World(settings or start())
+    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(count))))
+    world.step(*(i.Joined(p, p % 3, 5.0) for p in range(proxies)))
+    world.run(1)
+    return world
