--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -46,8 +46,7 @@
         self.inbox: deque[tuple[Any, ...]] = deque()
         mail.parts[name] = self
 
-# What a replica tells the pool of itself.
-State = namedtuple("State", "entry open weight ramp busy flight heard tries bad elapsed")
+State = namedtuple("State", "entry open weight ramp busy flight heard tries bad elapsed")  # of a replica
 
 class Replica(Part):  # one server: smoothed signal, PID, health, low start and ramp, drain
     LOW = 0.1  # the design's start for new servers: a tenth of average
@@ -59,9 +58,7 @@
     FAILING = 0.8  # impatient clients fail half the tries of a slow server that still answers
 
     entry: i.Entry | None = None
-    fresh: i.Load | None
-    busy: float | None
-    flight: float | None
+    nothing: Any = None
 
     def __init__(self, mail: Mail, index: int, period: int, cold_time: int, probes: bool) -> None:
         super().__init__(mail, ("replica", index))
@@ -70,7 +67,7 @@
         self.reset()
 
     def reset(self) -> None:
-        self.busy = self.flight = self.fresh = None
+        self.busy = self.flight = self.fresh = self.nothing
         self.sick, self.trials, self.heard, self.scatter, self.spoke = False, 0, 0, 0.5, True
         self.integral, self.tries, self.bad, self.elapsed = 0.0, 0.0, 0.0, 0.0
 
@@ -84,9 +81,8 @@
     def on_listed(self, entry: i.Entry, weight: float) -> None:
         old, self.entry, self.weight = self.entry, entry, self.weight if self.entry else weight
         if old is None or entry.started > old.started:
-            # A restart that the list never showed as gone comes back cold under its old weight.
             self.born = entry.started if entry.started > 0 else -self.cold_time
-            self.reset()
+            self.reset()  # also a restart that was never listed as gone: cold, under its old weight
         self.tell()
 
     def on_heard(self, e: i.Heard) -> None:
@@ -98,8 +94,7 @@
 
     def on_period(self) -> None:
         if not self.spoke and self.tries >= self.FEW / 2 and not self.sick and self.probes:
-            # A hung server answers nothing for as long as clients wait: ask before their time-outs tell.
-            self.ask()
+            self.ask()  # a hung server answers nothing: ask before the clients' time-outs tell
         self.spoke = False
         if self.fresh is not None:
             self.busy = self.mix(self.busy, self.fresh.busy)
@@ -127,16 +122,14 @@
             self.weight += max(-limit, min(limit, out))
         self.tell()
 
-    def on_set(self, weight: float) -> None:
-        if weight in (Pool.FLOOR, Pool.CEILING):
-            self.integral = 0.0  # nor while the weight is held at its floor or ceiling
+    def on_set(self, weight: float) -> None:  # no winding up at the floor or ceiling either
+        self.integral *= Pool.FLOOR < weight < Pool.CEILING
         self.weight = weight
         self.tell()
 
     def on_eject(self) -> None:
         self.sick, self.trials = True, self.trials + (not self.sick)
-        # Two report periods, then twice as long for each failed return: a flapping server stays out.
-        hold = max(2 * self.period, 2 * SECOND) * 2 ** min(self.trials - 1, 3)
+        hold = max(2 * self.period, 2 * SECOND) * 2 ** min(self.trials - 1, 3)  # longer if flapping
         self.mail.later(hold, self.name, "retry", self.trials)
         self.tell()
 
@@ -163,19 +156,20 @@
     PANIC = 0.5  # ejections at most: the field's usual panic threshold, half of the listed
     SLACK = 0.3  # how far an idle zone may run off the average before its traffic crosses
     COOL, WARM = 0.5, 0.75  # stress up to which a zone has all of that slack, and from which it has none
+    JAM = 1.2  # stress from which cold servers wait: a fifth more than their like can do
     FULL = 0.92  # busy share at which queues outgrow the goals; servers are never all this busy by chance
     LATE = 0.6  # mean answer time as a part of the goal: beyond it the slowest tenth is late
     FAILS = 0.25  # failing part of the tries at the median server, which no outlier can bring about
     TASTE = 0.01  # part of a zone's traffic each other zone gets anyway, so that its reports keep coming
 
     def __init__(self, mail: Mail, zones: int, proxies: int, classes: tuple[i.TransactionClass, ...],
-                 sets: list[tuple[int, ...]], period: int, cold_time: int, homes: list[int],
-                 probes: bool) -> None:
+                 sets: list[tuple[int, ...]], period: int, cold: int, homes: list[int], probes: bool) -> None:
         super().__init__(mail, "pool")
         self.zones, self.proxies, self.classes, self.sets, self.probes = zones, proxies, classes, sets, probes
-        self.period, self.cold_time, self.homes, self.known = period, cold_time, homes, dict[int, i.Entry]()
+        self.period, self.cold_time, self.homes, self.known = period, cold, homes, dict[int, i.Entry]()
         self.states, self.rates = dict[int, State](), dict[int, tuple[int, list[float]]]()
-        self.slack, self.calm, self.goal = dict[int, float](), 0.3, float(min(c.goal for c in classes))
+        self.slack, self.held, self.calm = dict[int, float](), set[int](), 0
+        self.goal = float(min(c.goal for c in classes))
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
         c = self.classes[self.sets[k][0]]
@@ -191,11 +185,10 @@
     def on_listed(self, e: i.Listed) -> None:
         if e.kind is i.ListKind.FAILED:
             return self.put("publisher", "follow")
-        # What a complete list leaves out was removed.
         gone = {n: replace(x, phase=i.Phase.GONE) for n, x in self.known.items()}
         entries = (gone if e.kind is not i.ListKind.CHANGES else {}) | {x.replica: x for x in e.entries}
-        sizes = [x.size for x in {**self.known, **entries}.values() if x.phase is i.Phase.READY]
-        mean = sum(sizes) / max(1, len(sizes)) or 1.0
+        sizes = [x.size for x in {**self.known, **entries}.values() if x.phase is i.Phase.READY] or [1.0]
+        mean = sum(sizes) / len(sizes) or 1.0
         for n, x in entries.items():
             if n not in self.known:
                 Replica(self.mail, n, self.period, self.cold_time, self.probes)
@@ -215,21 +208,29 @@
                     for n in [] if any(ready.values()) else ready:
                         self.put(("replica", n), "back")
             self.on_plan()
-            self.put("publisher", "job", "open" if state.open else "shut", index)
+            self.put("publisher", "job", "open" if state.open and not self.jammed(index) else "shut", index)
+
+    def jammed(self, n: int) -> bool:
+        # Proxies shun servers that fail them, so in a jam a cold newcomer gets far more than its weight: it
+        # waits, withdrawn, until the pool is calm or it is warm, while each class has a warm one.
+        s, bar = self.states[n], 2 * SECOND if n in self.held else 1
+        wait = bool(s.open and s.entry.started > self.mail.now - self.cold_time and self.calm < bar and
+                    all(any(w.values()) for w in self.choices(s.entry)))
+        (self.held.add if wait else self.held.discard)(n)
+        return wait
 
     def on_failing(self, index: int, share: float) -> None:  # a fault that all share ejects nobody
         ready = [s for s in self.states.values() if s.entry.phase is i.Phase.READY]
         usual = sum(s.bad for s in ready) / max(1.0, sum(s.tries for s in ready))
         # Half of the warm ones stay for each class, or cold servers would be pushed over in their place.
-        near = self.choices(self.states[index].entry)
-        calm = all(len(w) - sum(w.values()) + 1 <= self.PANIC * len(w) for w in near)
-        if calm and share >= 2 * usual and self.states[index].open:
+        s = self.states[index]
+        calm = all(len(w) - sum(w.values()) + 1 <= self.PANIC * len(w) for w in self.choices(s.entry))
+        if calm and share >= 2 * usual and s.open:
             # Noted at once (None: not yet acted on): several in one batch must not all pass as the first.
-            self.states[index] = self.states[index]._replace(open=None)
+            self.states[index] = s._replace(open=None)
             self.put(("replica", index), "eject")
 
     def on_joined(self, e: i.Joined) -> None:
-        self.zones = max(self.zones, e.zone + 1)
         self.rates[e.proxy] = (e.zone, [e.rate / len(self.classes)] * len(self.classes))
 
     def on_left(self, e: i.Left) -> None: self.rates.pop(e.proxy, None)
@@ -250,8 +251,11 @@
         good = 1 - sum(s.bad for s in live) / max(1.0, sum(s.tries for s in live))
         if sum(mix):
             self.goal = sum(c.goal * m for c, m in zip(self.classes, mix, strict=True)) / sum(mix)
-        if any(s.tries for s in live):
-            self.calm = max(0.3, min(1.0, 1.6 - self.stress(live)))  # a third keeps the strictest budget
+        jam = self.stress(live) > self.JAM or not any(s.tries for s in live)
+        self.calm = 0 if jam else self.calm + self.period  # a fresh governor's first reports are few
+        for n, s in self.states.items():
+            if s.open and (n in self.held) != self.jammed(n):
+                self.put("publisher", "job", "shut" if n in self.held else "open", n)
         self.put("admission", "pulse", self.stress(live), good, mix)
         for z in range(self.zones):
             idle = (self.WARM - self.stress([s for s in live if s.entry.zone == z])) / (self.WARM - self.COOL)
@@ -271,8 +275,7 @@
         if not known or len(stale) > self.MISSING * len(known):
             return
         busy = {n: s.busy for n, s in known.items() if s.busy is not None}
-        # Counted with the transaction about to come, or the chance counts of an idle pool look like load;
-        # by the root of the listed size, as a larger machine may have more cores or only faster ones.
+        # One more, as chance counts of an idle pool are no load; the root, as size may be cores or speed.
         size = sum(s.entry.size for s in known.values()) / len(known) or 1.0
         flight = {n: 1 + s.flight / max(s.entry.size / size, 0.01) ** 0.5
                   for n, s in known.items() if s.flight is not None}
@@ -299,9 +302,7 @@
         self.put("pool", "after", "plan")
 
     def on_plan(self) -> None:  # the zone layer: traffic stays while its zone's weights carry it
-        # Cold servers fall over when a saturated pool, or one not heard of yet, brings them their plain part.
-        live = {n: (s.entry, s.weight * s.ramp * (self.calm if s.ramp < 1 else 1))
-                for n, s in self.states.items() if s.open}
+        live = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
         zones, sets, whole = range(self.zones), range(len(self.sets)), sum(w for _, w in live.values())
         if whole <= 0:
             return
