--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -212,12 +212,12 @@
 
     def jammed(self, n: int) -> bool:
         # Proxies shun servers that fail them, so in a jam a cold newcomer gets far more than its weight: it
-        # waits, withdrawn, until the pool is calm or it is warm, while each class has a warm one.
-        s, bar = self.states[n], 2 * SECOND if n in self.held else 1
-        wait = bool(s.open and s.entry.started > self.mail.now - self.cold_time and self.calm < bar and
-                    all(any(w.values()) for w in self.choices(s.entry)))
+        # waits, withdrawn, until the pool is calm or it is warm, while the pool has a warm one.
+        s, bar, old = self.states[n], 2 * SECOND if n in self.held else 1, self.mail.now - self.cold_time
+        wait = s.open and s.entry.started > old and self.calm < bar and any(
+            x.open and x.entry.started <= old for x in self.states.values())
         (self.held.add if wait else self.held.discard)(n)
-        return wait
+        return bool(wait)
 
     def on_failing(self, index: int, share: float) -> None:  # a fault that all share ejects nobody
         ready = [s for s in self.states.values() if s.entry.phase is i.Phase.READY]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -94,6 +94,17 @@
     assert len(world.shut) <= 1
 
 
+def test_a_cold_server_waits_withdrawn_in_a_jam_until_the_pool_is_calm() -> None:
+    world = running()
+    world.step(change(entry(0, GONE)), wait=SECOND // 50)
+    world.run(5, {n: (6, 4, i.Load(1.0, 20.0)) for n in range(1, 9)})
+    world.step(change(entry(0, READY, world.now)), wait=SECOND // 50)
+    world.run(2, {n: (6, 4, i.Load(1.0, 20.0)) for n in range(1, 9)})
+    assert 0 in world.shut
+    world.run(7, {n: CALM for n in range(1, 9)})
+    assert 0 not in world.shut
+
+
 def test_ejection_yields_when_the_list_takes_the_others() -> None:
     world = running(settings=start(probes=False))
     world.run(3, {n: CALM for n in range(9)})
