--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -493,23 +493,23 @@
         return orders
 
 class Admission(Part):  # saturated: less is let in, the least gain for its goal first
-    HOLD = 3 * SECOND  # after a cut: what it did shows in the reports about this much later
-    UP = 0.05  # a second of calm: full again within twenty, slower than any cut
+    HOLD = 2 * SECOND  # and two report periods after a cut: only then do reports show what it did
+    UP = 0.2  # a second, of what the stress is under 1: a tenth a second where servers idle half the time
     LEAST = 0.05  # never all: what is let in keeps the reports coming
 
     def __init__(self, mail: Mail, classes: tuple[i.TransactionClass, ...], on: bool, period: int) -> None:
         super().__init__(mail, "admission")
-        self.classes, self.on, self.up, self.held = classes, on, self.UP * period / SECOND, 0
+        self.classes, self.on, self.period, self.held = classes, on, period, 0
         self.level, self.sent = 1.0, [1.0] * len(classes)
 
     def on_pulse(self, stress: float, good: float, mix: list[float]) -> None:
         if not self.on or not sum(mix):
             return
         if stress > 1 and self.mail.now >= self.held:
-            self.held = self.mail.now + self.HOLD
+            self.held = self.mail.now + self.HOLD + 2 * self.period
             self.level = max(self.LEAST, self.level * max(0.5, min(0.9, good)))
         elif stress <= 1 and self.mail.now >= self.held:
-            self.level = min(1.0, self.level + self.up)
+            self.level = min(1.0, self.level + self.UP * (1 - stress) * self.period / SECOND)
         left, levels = self.level, [1.0] * len(mix)
         for k in sorted(range(len(mix)), key=lambda k: -self.classes[k].gain / self.classes[k].goal):
             share = max(1e-9, mix[k] / sum(mix))
