--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -197,11 +197,11 @@
         self.known |= entries
 
     def on_state(self, index: int, state: State) -> None:
-        old = self.states.get(index)
-        self.states[index] = state
+        old, self.states[index] = self.states.get(index), state
         self.zones = max(self.zones, state.entry.zone + 1)
-        same = old is not None and (old.entry.phase, old.open) == (state.entry.phase, state.open)
-        if old is None or not same or state.ramp < old.ramp:
+        # The start too: a server let back before the list tells of its restart is cold after all.
+        said = [(s.entry.phase, s.open, s.entry.started) for s in (old, state) if s is not None]
+        if said[:1] != said[1:]:
             if not state.open:
                 # Ejection must not leave a class without an open replica once the list takes the others.
                 for ready in self.choices(state.entry):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -105,6 +105,17 @@
     assert 0 not in world.shut
 
 
+def test_a_server_let_back_before_the_list_tells_of_its_restart_waits_in_a_jam() -> None:
+    world = running(settings=start(probes=False))
+    world.run(3, {n: CALM for n in range(9)})
+    world.run(3, {n: CALM for n in range(9)} | {0: (6, 6, None)})
+    assert 0 in world.shut
+    world.run(4, {n: (6, 4, i.Load(1.0, 20.0)) for n in range(1, 9)})
+    assert 0 not in world.shut
+    world.step(change(entry(0, READY, world.now - 3 * SECOND)), wait=SECOND // 50)
+    assert 0 in world.shut
+
+
 def test_ejection_yields_when_the_list_takes_the_others() -> None:
     world = running(settings=start(probes=False))
     world.run(3, {n: CALM for n in range(9)})
