--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -69,13 +69,13 @@
     def reset(self) -> None:
         self.busy = self.flight = self.fresh = self.nothing
         self.sick, self.trials, self.heard, self.scatter, self.spoke = False, 0, 0, 0.5, True
-        self.integral, self.tries, self.bad, self.elapsed = 0.0, 0.0, 0.0, 0.0
+        self.integral, self.tries, self.bad, self.elapsed, self.climb = 0.0, 0.0, 0.0, 0.0, self.cold_time
 
     def tell(self) -> None:
-        age = (self.mail.now - self.born) / max(1, self.cold_time)
+        age = (self.mail.now - self.born) / max(1, self.climb)
         self.ramp = self.LOW + (1 - self.LOW) * min(1.0, max(0.0, age))
         self.open = self.entry is not None and self.entry.phase is i.Phase.READY and not self.sick
-        if self.entry is not None:
+        if self.entry:
             self.put("pool", "state", self.index, State(*(getattr(self, f) for f in State._fields)))
 
     def on_listed(self, entry: i.Entry, weight: float) -> None:
@@ -148,6 +148,7 @@
     def on_back(self) -> None:  # flapping servers restart low each return
         if self.sick:
             self.sick, self.born, self.tries, self.bad = False, self.mail.now, 0.0, 0.0
+            self.climb = max(2 * self.period, self.cold_time // 4)  # warm as a rule: it climbs back sooner
             self.tell()
 
 class Pool(Part):  # the average, the skip rule, normalizing; the zone layer; who may be ejected
@@ -214,10 +215,10 @@
         # Proxies shun servers that fail them, so in a jam a cold newcomer gets far more than its weight: it
         # waits, withdrawn, until the pool is calm or it is warm, while the pool has a warm one.
         s, bar, old = self.states[n], 2 * SECOND if n in self.held else 1, self.mail.now - self.cold_time
-        wait = s.open and s.entry.started > old and self.calm < bar and any(
-            x.open and x.entry.started <= old for x in self.states.values())
-        (self.held.add if wait else self.held.discard)(n)
-        return bool(wait)
+        warm = any(x.open and x.entry.started <= old for x in self.states.values())
+        wait = bool(s.open and warm and s.entry.started > old and self.calm < bar)
+        self.held = self.held | {n} if wait else self.held - {n}
+        return wait
 
     def on_failing(self, index: int, share: float) -> None:  # a fault that all share ejects nobody
         s, ready = self.states[index], [s for s in self.states.values() if s.entry.phase is i.Phase.READY]
@@ -439,8 +440,7 @@
 
     def on_write(self, orders: list[i.Order], proxies: list[int], lines: int) -> None:
         self.orders += orders
-        for p in [p for p in proxies if p in self.home]:
-            self.lines[p] = self.lines.get(p, 0.0) + lines
+        self.lines |= {p: self.lines.get(p, 0.0) + lines for p in proxies if p in self.home}
 
     def on_guards(self) -> None:  # withdrawals, returns, binds, levels, while the queue has room
         everyone = list(self.home)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -87,6 +87,10 @@
     world.run(3, {n: CALM for n in range(9)})
     world.run(4, {n: CALM for n in range(9)} | {0: (6, 6, None)})
     assert 0 in world.shut and world.shut <= {0}
+    world.run(6, {n: CALM for n in range(9)})  # back low, then soon whole: the ejection may have been wrong
+    back = world.log.index(i.Withdraw(0, False))
+    low = [o.weight for o in world.log[:back] if isinstance(o, i.SetLine) and o.replica == o.table == 0][-1]
+    assert low < 0.2 * world.tables[0][0]
     # Several failing in one batch must not all be ejected as the first: warm ones stay for each class.
     world = running(settings=start(probes=False))
     world.run(2, {n: CALM for n in range(9)})
