--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -4,6 +4,7 @@
 
 import io
 
+from gradehoist import interface as i
 from gradehoist.adapter.host import Host
 
 OPTIONS = (
@@ -39,3 +40,37 @@
     reply = feed(host, "TICK at-time=1", *boot, "SHEET slot=2 records=0", "VIEW kind=SAVED rev=1 slot=2")
     assert reply == "ON_BEHALF governor=3\nCRASH reason-text=RuntimeError: two lines\nNEXT\n"
     assert feed(host, "TICK at-time=2", "TARGET_INSTANCE governor=3", "DESTROY") == "NEXT\n"
+
+
+def test_lists_are_resolved_in_order_and_a_restart_in_one_batch_starts_clean() -> None:
+    made: list[list[i.Event]] = []
+
+    class Spy:
+        def __init__(self) -> None:
+            made.append([])
+            self.seen = made[-1]
+
+        def handle(self, now: int, events: list[i.Event]) -> list[i.Order]:
+            self.seen += events
+            return [i.Wake(3, 1_500_000)]
+
+    errors = io.StringIO()
+    host = Host(errors, lambda start, now: Spy())
+    boot = ["TARGET_INSTANCE governor=3", f"BOOT rng-seed=1 options={OPTIONS}"]
+    item = "ITEM size=2 novel=1 phase=Ready hall=a shape=k replica="
+    view = "VIEW slot=0 rev=4 kind="
+    reply = feed(
+        host, "TICK at-time=7.000001", *boot, "SHEET slot=0 records=1", item + "10.0.0.1:1", view + "SAVED",
+        "DESTROY", *boot, "SHEET slot=0 records=1", item + "10.0.0.2:1", view + "SAVED",
+        "SHEET slot=0 records=0", view + "INCREMENTAL", "VIEW kind=FAILED rev=0 slot=9",
+        "CUSTODY map-id=4 flag=1", "ON_RECORD map-id=4 replica=10.0.0.3:1 size=1",
+        "ACTIVITY map-id=4 cls=c number=2 bad=1 window=0.5", "WHISPER origin-peer=1 octets=aGkgNw==",
+        "CUSTODY flag=1", "TOOK_EFFECT agent=1 rev=2 elapsed=0.25",
+    )
+    assert reply == "ON_BEHALF governor=3\nWAKE_ME ref=3 from-now=1.500000\nNEXT\n"
+    assert host.now == 7_000_001 and len(made) == 2 and not made[0]
+    kinds = [type(e).__name__ for e in made[1]]
+    assert kinds == ["Listed"] * 3 + ["SliceGiven", "SliceLine", "SliceOffered", "PeerNote", "Applied"]
+    assert made[1][0] == i.Listed(i.ListKind.SAVED, (i.Entry(0, 0, 0, 0, i.Phase.READY, 2.0, 0),))
+    assert made[1][1] == i.Listed(i.ListKind.CHANGES, ()) and made[1][4] == i.SliceLine(4, 1, 1.0)
+    assert errors.getvalue().count("\n") == 1 and "CUSTODY flag=1" in errors.getvalue()
