--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -111,10 +111,10 @@
             self.scatter += 0.1 * (min(1.0, abs(new - old) / old) - self.scatter)
         return old + self.SMOOTH * (new - old)
 
-    def on_step(self, error: float) -> None:
+    def on_step(self, error: float, missing: bool) -> None:
         # Weights must not walk with a noisy signal: an error within the readings' scatter hardly counts.
         error *= 0.0 if abs(error) < self.BAND else error**2 / (error**2 + self.scatter**2)
-        if self.ramp >= 1.0:  # below that the ramp speaks for it
+        if self.ramp >= 1.0 and not missing:  # below that the ramp speaks for it
             out = (self.GAIN_P * error + self.GAIN_I * (self.integral + error)) * self.period / SECOND
             limit = self.CAP * self.weight
             if abs(out) <= limit:
@@ -289,7 +289,7 @@
             near = [u for m, u in used.items() if live[m].entry.zone == s.entry.zone]
             slack, mean = average * self.slack.get(s.entry.zone, 0.0), sum(near) / max(1, len(near))
             goal, self.heat[s.entry.zone] = max(average - slack, min(average + slack, mean)), mean / average
-            self.put(("replica", n), "step", goal - used[n] if n in used and n not in stale else 0.0)
+            self.put(("replica", n), "step", goal - used[n] if n in used else 0.0, n in stale)
         self.put("pool", "after", "settle")
 
     def on_after(self, kind: str) -> None: self.put("pool", kind)  # behind the states the replicas send now
