--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -251,12 +251,12 @@
         good = 1 - sum(s.bad for s in live) / max(1.0, sum(s.tries for s in live))
         if sum(mix):
             self.goal = sum(c.goal * m for c, m in zip(self.classes, mix, strict=True)) / sum(mix)
-        jam = self.stress(live) > self.JAM or not any(s.tries for s in live)
+        jam = (stress := self.stress(live)) > self.JAM or not any(s.tries for s in live)
         self.calm = 0 if jam else self.calm + self.period  # a fresh governor's first reports are few
         for n, s in self.states.items():
             if s.open and (n in self.held) != self.jammed(n):
                 self.put("publisher", "job", "shut" if n in self.held else "open", n)
-        self.put("admission", "pulse", self.stress(live), good, mix)
+        self.put("admission", "pulse", stress, good, mix)
         for z in range(self.zones):
             idle = (self.WARM - self.stress([s for s in live if s.entry.zone == z])) / (self.WARM - self.COOL)
             self.slack[z] = self.SLACK * max(0.0, min(1.0, idle))
