Book what notes will write, bind by true table length, keep messages for drains

Cause: the channel's room was asked before the notes of the same reply had been written, a bind was booked as 40 lines whatever the table's length, and ejections used up the messages that a proxy may get, so a drain came late. Now each bind and return is booked where it is decided, the waiting lines are kept as a running sum, ejections keep to half of the message limit, proxies with most traffic are bound first, and the tables are planned once a batch.

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -5,8 +5,10 @@
 import heapq
 import zlib
 from collections import deque, namedtuple
+from collections.abc import Iterator
 from dataclasses import replace
 from itertools import product
+from statistics import fmean
 from typing import Any
 
 from gradehoist import interface as i
@@ -57,8 +59,7 @@
     FEW = 4.0  # tries below which a failing share says nothing: four in a row by chance are rare
     FAILING = 0.8  # impatient clients fail half the tries of a slow server that still answers
 
-    entry: i.Entry | None = None
-    nothing: Any = None
+    entry: Any = None
 
     def __init__(self, mail: Mail, index: int, period: int, cold_time: int, probes: bool) -> None:
         super().__init__(mail, ("replica", index))
@@ -67,15 +68,15 @@
         self.reset()
 
     def reset(self) -> None:
-        self.busy = self.flight = self.fresh = self.nothing
+        self.busy = self.flight = self.fresh = type(self).entry
         self.sick, self.trials, self.heard, self.scatter, self.spoke = False, 0, 0, 0.5, True
         self.integral, self.tries, self.bad, self.elapsed, self.climb = 0.0, 0.0, 0.0, 0.0, self.cold_time
 
     def tell(self) -> None:
         age = (self.mail.now - self.born) / max(1, self.climb)
         self.ramp = self.LOW + (1 - self.LOW) * min(1.0, max(0.0, age))
-        self.open = self.entry is not None and self.entry.phase is i.Phase.READY and not self.sick
         if self.entry:
+            self.open = self.entry.phase is i.Phase.READY and not self.sick
             self.put("pool", "state", self.index, State(*(getattr(self, f) for f in State._fields)))
 
     def on_listed(self, entry: i.Entry, weight: float) -> None:
@@ -96,13 +97,12 @@
         if not self.spoke and self.tries >= self.FEW / 2 and not self.sick and self.probes:
             self.ask()  # a hung server answers nothing: ask before the clients' time-outs tell
         self.spoke = False
-        if self.fresh is not None:
-            self.busy = self.mix(self.busy, self.fresh.busy)
-            self.flight = self.mix(self.flight, self.fresh.in_flight)
+        if new := self.fresh:
+            self.busy, self.flight = self.mix(self.busy, new.busy), self.mix(self.flight, new.in_flight)
             self.fresh, self.heard = None, self.mail.now
         self.tell()
         keep = 0.5 ** min(1.0, self.period / SECOND)  # half forgotten in a period, or in a second
-        self.tries, self.bad, self.elapsed = self.tries * keep, self.bad * keep, self.elapsed * keep
+        self.tries, self.bad, self.elapsed = (keep * x for x in (self.tries, self.bad, self.elapsed))
 
     def mix(self, old: float | None, new: float | None) -> float | None:
         if old is None or new is None:
@@ -116,10 +116,9 @@
         error *= 0.0 if abs(error) < self.BAND else error**2 / (error**2 + self.scatter**2)
         if self.ramp >= 1.0 and not missing:  # below that the ramp speaks for it
             out = (self.GAIN_P * error + self.GAIN_I * (self.integral + error)) * self.period / SECOND
-            limit = self.CAP * self.weight
-            if abs(out) <= limit:
-                self.integral += error  # no winding up while the step is clamped
-            self.weight += max(-limit, min(limit, out))
+            step = max(-self.CAP * self.weight, min(self.CAP * self.weight, out))
+            self.integral += error * (step == out)  # no winding up while the step is clamped
+            self.weight += step
         self.tell()
 
     def on_set(self, weight: float) -> None:  # no winding up at the floor or ceiling either
@@ -169,8 +168,8 @@
         self.zones, self.proxies, self.classes, self.sets, self.probes = zones, proxies, classes, sets, probes
         self.period, self.cold_time, self.homes, self.known = period, cold, homes, dict[int, i.Entry]()
         self.states, self.rates = dict[int, State](), dict[int, tuple[int, list[float]]]()
-        self.slack, self.heat, self.held, self.calm = dict[int, float](), dict[int, float](), set[int](), 0
-        self.goal = float(min(c.goal for c in classes))
+        self.slack, self.heat, self.held = dict[int, float](), dict[int, float](), set[int]()
+        self.calm, self.goal = 0, float(min(c.goal for c in classes))
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
         c = self.classes[self.sets[k][0]]
@@ -188,8 +187,8 @@
             return self.put("publisher", "follow")
         gone = {n: replace(x, phase=i.Phase.GONE) for n, x in self.known.items()}
         entries = (gone if e.kind is not i.ListKind.CHANGES else {}) | {x.replica: x for x in e.entries}
-        sizes = [x.size for x in {**self.known, **entries}.values() if x.phase is i.Phase.READY] or [1.0]
-        mean = sum(sizes) / len(sizes) or 1.0
+        sizes = [x.size for x in (self.known | entries).values() if x.phase is i.Phase.READY] or [1.0]
+        mean = fmean(sizes) or 1.0
         for n, x in entries.items():
             if n not in self.known:
                 Replica(self.mail, n, self.period, self.cold_time, self.probes)
@@ -203,29 +202,33 @@
         # The start too: a server let back before the list tells of its restart is cold after all.
         said = [(s.entry.phase, s.open, s.entry.started) for s in (old, state) if s is not None]
         if said[:1] != said[1:]:
-            if not state.open:
-                # Ejection must not leave a class without an open replica once the list takes the others.
-                for ready in self.choices(state.entry):
-                    for n in [] if any(ready.values()) else ready:
-                        self.put(("replica", n), "back")
-            self.on_plan()
-            self.put("publisher", "job", "open" if state.open and not self.jammed(index) else "shut", index)
+            # Ejection must not leave a class without an open replica once the list takes the others.
+            for ready in [] if state.open else self.choices(state.entry):
+                for n in [] if any(ready.values()) else ready:
+                    self.put(("replica", n), "back")
+            self.replan()
+            if (shut := self.jammed(index) or not state.open) or old:  # a first line comes with the tables
+                kind = "drain" if state.open or state.entry.phase is not i.Phase.READY else "eject"
+                self.put("publisher", "job", kind if shut else "open", index)
+
+    def replan(self) -> None:  # once for all that a batch brings: a first list names the whole fleet
+        if ("after", "plan") not in self.inbox:
+            self.put("pool", "after", "plan")
 
     def jammed(self, n: int) -> bool:
-        # Proxies shun servers that fail them, so in a jam a cold newcomer gets far more than its weight: it
-        # waits, withdrawn, until the pool is calm or it is warm, while the pool has a warm one.
+        # Proxies shun servers that fail them: in a jam a cold one would get far more than its weight.
         s, bar, old = self.states[n], 2 * SECOND if n in self.held else 1, self.mail.now - self.cold_time
         warm = any(x.open and x.entry.started <= old for x in self.states.values())
-        wait = bool(s.open and warm and s.entry.started > old and self.calm < bar)
+        wait = s.open and warm and s.entry.started > old and self.calm < bar
         self.held = self.held | {n} if wait else self.held - {n}
-        return wait
+        return n in self.held
 
     def on_failing(self, index: int, share: float) -> None:  # a fault that all share ejects nobody
         s, ready = self.states[index], [s for s in self.states.values() if s.entry.phase is i.Phase.READY]
         usual = sum(s.bad for s in ready) / max(1.0, sum(s.tries for s in ready))
         # Half of the warm ones stay for each class, or cold servers would be pushed over in their place.
-        few = all(len(w) - sum(w.values()) + 1 <= self.PANIC * len(w) for w in self.choices(s.entry))
-        if few and share >= 2 * usual and s.open:
+        if share >= 2 * usual and s.open and all(
+                len(w) - sum(w.values()) + 1 <= self.PANIC * len(w) for w in self.choices(s.entry)):
             # Noted at once (None: not yet acted on): several in one batch must not all pass as the first.
             self.states[index] = s._replace(open=None)
             self.put(("replica", index), "eject")
@@ -255,12 +258,12 @@
         self.calm = 0 if jam else self.calm + self.period  # a fresh governor's first reports are few
         for n, s in self.states.items():
             if s.open and (n in self.held) != self.jammed(n):
-                self.put("publisher", "job", "shut" if n in self.held else "open", n)
+                self.put("publisher", "job", "drain" if n in self.held else "open", n)
         self.put("admission", "pulse", stress, good, mix)
         for z in range(self.zones):
-            idle = (self.WARM - self.stress([s for s in live if s.entry.zone == z])) / (self.WARM - self.COOL)
-            self.slack[z] = self.SLACK * max(0.0, min(1.0, idle))
-        self.on_plan()
+            idle = self.WARM - self.stress([s for s in live if s.entry.zone == z])
+            self.slack[z] = self.SLACK * max(0.0, min(1.0, idle / (self.WARM - self.COOL)))
+        self.replan()
 
     def stress(self, some: list[State]) -> float:  # 1: the middle server is saturated
         signs = ([s.busy / self.FULL for s in some if s.busy is not None],
@@ -284,12 +287,13 @@
             mean = sum(figures.values()) / max(1, len(figures)) or 1.0
             used |= {n: max(used.get(n, 0.0), v / mean) for n, v in figures.items()}
         average = sum(used.values()) / max(1, len(used)) or 1.0
-        for n, s in live.items():
+        for z in range(self.zones):
             # A zone within the slack of the average is left alone, and only its own servers even out.
-            near = [u for m, u in used.items() if live[m].entry.zone == s.entry.zone]
-            slack, mean = average * self.slack.get(s.entry.zone, 0.0), sum(near) / max(1, len(near))
-            goal, self.heat[s.entry.zone] = max(average - slack, min(average + slack, mean)), mean / average
-            self.put(("replica", n), "step", goal - used[n] if n in used else 0.0, n in stale)
+            here = [n for n, s in live.items() if s.entry.zone == z]
+            slack, mean = average * self.slack.get(z, 0.0), fmean([used[n] for n in here if n in used] or [0])
+            goal, self.heat[z] = max(average - slack, min(average + slack, mean)), mean / average
+            for n in here:
+                self.put(("replica", n), "step", goal - used[n] if n in used else 0.0, n in stale)
         self.put("pool", "after", "settle")
 
     def on_after(self, kind: str) -> None: self.put("pool", kind)  # behind the states the replicas send now
@@ -297,9 +301,9 @@
     def on_settle(self) -> None:
         live = {n: s.weight for n, s in self.states.items() if s.open}
         for n, w in live.items():
-            w = max(self.FLOOR, min(self.CEILING, w * len(live) / sum(live.values())))
-            self.put(("replica", n), "set", w)
-        self.put("pool", "after", "plan")
+            w *= len(live) / sum(live.values())
+            self.put(("replica", n), "set", max(self.FLOOR, min(self.CEILING, w)))
+        self.replan()
 
     def on_plan(self) -> None:  # the zone layer: traffic stays while its zone's weights carry it
         live = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
@@ -342,73 +346,68 @@
 
     def __init__(self, mail: Mail, index: int, sets: list[tuple[int, ...]]) -> None:
         super().__init__(mail, ("group", index))
-        self.index, self.sets, self.members = index, sets, list[int]()
+        self.index, self.sets, self.members = index, sets, dict[int, None]()
         self.sent, self.wanted = [Tables({k: {} for k in range(len(sets))}) for _ in range(2)]
 
-    def moved(self, only: int | None = None) -> list[tuple[int, int, float]]:
-        out: list[tuple[int, int, float]] = []
+    def moved(self, only: int | None = None) -> Iterator[tuple[int, int, float]]:
         for k, want in self.wanted.items():
             sent, both = self.sent[k], [n for n in want if n in self.sent[k] and n != only]
             # Tables hold ratios: a line that leaves must not count as a move of all the others.
             scale = sum(sent[n] for n in both) / sum(want[n] for n in both) if both else 1.0
             for n in sorted(want):
                 far = abs(want[n] * scale - sent.get(n, 0.0)) > self.MOVED * sent.get(n, 0.0)
-                out += [(k, n, want[n] * scale)] * (n == only or (only is None and far))
-        return out
+                if n == only or (only is None and far):
+                    yield k, n, want[n] * scale
 
     def write(self, lines: list[tuple[int, int, float]]) -> None:
         for k, n, w in lines:
             self.sent[k][n] = w
-        orders = [i.SetLine(self.index * len(self.sets) + k, n, w) for k, n, w in lines]
-        if orders:
+        if orders := [i.SetLine(self.index * len(self.sets) + k, n, w) for k, n, w in lines]:
             self.put("publisher", "write", orders, list(self.members), len(orders))
 
     def on_wanted(self, wanted: Tables) -> None:
         self.wanted = wanted
-        self.write([] if self.members else self.moved())  # unused, lines cost nothing and stand ready
-        self.put("publisher", "differs", self.index, bool(self.members and self.moved()))
+        self.on_turn(0 if self.members else 1e9)  # unused, lines cost nothing and stand ready
 
     def on_turn(self, room: float) -> None:
-        lines, fit = self.moved(), int(room / max(1, len(self.members)))
-        self.write(lines[:fit])
-        self.put("publisher", "differs", self.index, len(lines) > fit)
+        self.write(list(self.moved())[:int(room / max(1, len(self.members)))])
+        size = len(self.sent) + sum(map(len, self.sent.values()))
+        self.put("publisher", "differs", self.index, bool(self.members) and any(self.moved()), size)
 
-    def on_line(self, replica: int) -> None: self.write(self.moved(replica))
+    def on_line(self, replica: int) -> None: self.write(list(self.moved(replica)))
 
-    def on_join(self, proxy: int) -> None:
-        self.members.append(proxy)
+    def on_join(self, proxy: int, extra: int) -> None:
+        self.members[proxy] = None
         binds = [i.Bind(proxy, self.index * len(self.sets) + k, c) for k, c in enumerate(self.sets)]
-        self.put("publisher", "write", binds, [proxy], len(binds) + sum(map(len, self.sent.values())))
+        self.put("publisher", "write", binds, [proxy], sum(1 + extra + len(t) for t in self.sent.values()))
 
-    def on_leave(self, proxy: int) -> None:
-        self.members = [p for p in self.members if p != proxy]
+    def on_leave(self, proxy: int) -> None: self.members.pop(proxy, None)
 
 class Publisher(Part):  # turns, pace, acknowledgements; guards go before weights, with room of their own
-    HALF = 0.5  # the design's part of the queue limit for binds and lines
-    GUARDS = 0.85  # withdrawals may fill more of it, yet leave a margin for lines not counted exactly
-    OFTEN = 0.6  # part of a proxy's message limit that weights may use; the rest waits for guards
+    HALF = 0.5  # the design's part of the queue limit for binds and lines; of a proxy's messages, too
+    GUARDS = 0.85  # drains may fill more, yet leave a margin for lines not counted exactly
 
     def __init__(self, mail: Mail, queue: float, head: float, limit: int, window: int, period: int,
-                 homes: list[int], must_ask: bool) -> None:
+                 homes: list[int], must_ask: bool, sets: int) -> None:
         super().__init__(mail, "publisher")
         self.queue, self.head, self.limit, self.window, self.period = queue, head + 1, limit, window, period
-        self.orders, self.levels, self.binds = list[i.Order](), list[i.Order](), list[int]()
+        self.orders, self.levels, self.binds = list[i.Order](), list[i.Order](), list[tuple[float, int]]()
         self.lines, self.home = dict[int, float](), dict[int, int]()  # lines: of this reply, by proxy
         self.unacked, self.times = dict[int, deque[tuple[int, float]]](), dict[int, deque[int]]()
         self.jobs, self.shut, self.differs = dict[int, str](), set[int](), set[int]()
         self.turn = self.mark = self.stepped = self.level_lines = 0
+        self.waiting, self.booked, self.sets, self.sizes = 0.0, 0.0, sets, [0] * len(homes)
         self.pulse, self.must_ask = max(period // len(homes), 20_000), must_ask  # a turn a group and period
         self.homes, self.next_period = homes, mail.now + period
         self.orders.append(i.Wake(0, int(self.pulse * (0.5 + mail.chance()))))
         self.on_follow()
 
     def on_follow(self) -> None: self.orders += [i.Follow(True)] * self.must_ask
-
     def room(self, proxies: list[int], part: float, lines: float) -> float:  # after a write
-        left = part * self.queue - sum(n for q in self.unacked.values() for _, n in q)
-        left -= sum(n + self.head for n in self.lines.values())
+        # What notes on their way will write is booked, or a batch's writes would each pass as the only one.
+        left = part * self.queue - self.waiting - self.booked - sum(self.lines.values())
         for p in proxies:
-            left, past = left - self.head - lines, self.times[p]
+            left, past = left - lines - self.head * (p not in self.lines), self.times[p]
             while past and past[0] <= self.mail.now - self.window:
                 past.popleft()
             left -= 1e9 * (bool(self.limit) and p not in self.lines and len(past) >= part * self.limit)
@@ -418,55 +417,57 @@
         self.unacked[e.proxy], self.times[e.proxy] = deque(), deque()
         used, near = list(self.home.values()), [g for g, z in enumerate(self.homes) if z == e.zone] or [0]
         self.home[e.proxy] = min(near, key=lambda g: (used.count(g), g))
-        self.binds.append(e.proxy)
+        heapq.heappush(self.binds, (-e.rate, e.proxy))  # those with most traffic are bound first
 
     def on_left(self, e: i.Left) -> None:
         if e.proxy in self.home:
             self.put(("group", self.home[e.proxy]), "leave", e.proxy)
-            self.binds = [p for p in self.binds if p != e.proxy]
-            del self.home[e.proxy], self.unacked[e.proxy], self.times[e.proxy]
+            self.binds = sorted(b for b in self.binds if b[1] != e.proxy)
+            self.waiting -= sum(n for _, n in self.unacked.pop(e.proxy))
+            del self.home[e.proxy], self.times[e.proxy]
             self.lines.pop(e.proxy, None)
 
     def on_applied(self, e: i.Applied) -> None:
         while any(m == e.mark for m, _ in self.unacked.get(e.proxy, ())):
-            self.unacked[e.proxy].popleft()
+            self.waiting -= self.unacked[e.proxy].popleft()[1]
 
-    def on_job(self, kind: str, replica: int) -> None: self.jobs[replica] = kind
+    def on_job(self, kind: str, replica: int) -> None: self.jobs[replica] = kind  # drain, eject or open
 
-    def on_differs(self, group: int, yes: bool) -> None:
+    def on_differs(self, group: int, yes: bool, size: int) -> None:
         (self.differs.add if yes else self.differs.discard)(group)
+        self.sizes[group] = size
 
     def on_levels(self, orders: list[i.Order]) -> None: self.levels = orders
 
     def on_write(self, orders: list[i.Order], proxies: list[int], lines: int) -> None:
         self.orders += orders
-        self.lines |= {p: self.lines.get(p, 0.0) + lines for p in proxies if p in self.home}
+        self.lines |= {p: self.lines.get(p, self.head) + lines for p in proxies if p in self.home}
 
     def on_guards(self) -> None:  # withdrawals, returns, binds, levels, while the queue has room
         everyone = list(self.home)
-        for replica, kind in sorted(self.jobs.items(), key=lambda job: job[1] == "open"):
-            if kind == "shut" and self.room(everyone, self.GUARDS, 1) >= 0:
+        for replica, kind in sorted(self.jobs.items(), key=lambda job: job[1]):
+            # Ejections keep to the half, or the messages that a drain needs are used up when it comes.
+            if kind < "open" and self.room(everyone, self.HALF if kind == "eject" else self.GUARDS, 1) >= 0:
                 del self.jobs[replica]
                 self.shut.add(replica)
                 self.on_write([i.Withdraw(replica, True)], everyone, 1)
             elif kind == "open" and not self.binds and self.room(everyone, self.HALF, 3) >= 0:
-                # The low line goes before the return: old tables still hold the replica's full weight.
+                del self.jobs[replica]
+                self.on_write([i.Withdraw(replica, False)] * (replica in self.shut), everyone, 3)
+                self.shut.discard(replica)
                 for g in range(len(self.homes)):
                     self.put(("group", g), "line", replica)
-                self.put("publisher", self.jobs.pop(replica), replica)
         # A proxy that joins may hold tables and withdrawals of an earlier stream: bound as soon as it fits.
-        while self.binds and self.room(self.binds[:1], self.HALF, 40 + len(self.shut)) >= 0:
-            proxy = self.binds.pop(0)
-            self.put(("group", self.home[proxy]), "join", proxy)
-            self.lines[proxy] = self.lines.get(proxy, 0.0) + len(self.shut) + self.level_lines
+        while self.binds:
+            proxy, extra = self.binds[0][1], len(self.shut) + self.level_lines
+            lines = self.head + self.sizes[self.home[proxy]] + self.sets * extra
+            if self.room([], self.HALF, 0) < lines and self.waiting + self.booked:
+                break  # a table of more than half the queue goes alone
+            self.booked += lines
+            self.put(("group", self.home[heapq.heappop(self.binds)[1]]), "join", proxy, extra)
         if self.levels and self.room(everyone, self.HALF, len(self.levels)) >= 0:
-            self.level_lines, levels, self.levels = len(self.levels), self.levels, []
-            self.on_write(levels, everyone, len(levels))
-
-    def on_open(self, replica: int) -> None:
-        if replica in self.shut:
-            self.shut.discard(replica)
-            self.put("publisher", "write", [i.Withdraw(replica, False)], list(self.home), 1)
+            self.on_write(self.levels, everyone, len(self.levels))
+            self.level_lines, self.levels = len(self.levels), []
 
     def on_due(self, _: i.Due) -> None:
         self.orders.append(i.Wake(0, self.pulse))
@@ -476,8 +477,7 @@
         if ready := sorted(self.differs & set(self.home.values())):
             group = next((g for g in ready if g >= self.turn), ready[0])
             members, self.turn = [p for p, h in self.home.items() if h == group], group + 1
-            room = min(self.room(members, self.HALF, 1), self.room(members, self.OFTEN, 1))
-            self.put(("group", group), "turn", max(0.0, room + len(members) * (room >= 0)))
+            self.put(("group", group), "turn", max(0.0, self.room(members, self.HALF, 0)))
         elif not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
             self.stepped = self.mail.now
             self.put("pool", "step")
@@ -486,10 +486,13 @@
         if self.lines:
             self.mark = (self.mark + 1) % 65536
             self.orders.append(i.Mark(self.mark, False))
+            self.waiting += sum(self.lines.values()) + self.level_lines * len(self.lines)
         for p, lines in self.lines.items():
-            self.unacked[p].append((self.mark, lines + self.head + self.level_lines))
+            self.unacked[p].append((self.mark, lines + self.level_lines))
             self.times[p].append(self.mail.now)
-        orders, self.orders, self.lines = self.orders, [], {}
+        # The low line goes before the return: old tables still hold the replica's full weight.
+        orders = sorted(self.orders, key=lambda o: isinstance(o, i.Withdraw) and not o.out)
+        self.orders, self.lines, self.booked = [], {}, 0.0
         return orders
 
 class Admission(Part):  # saturated: less is let in, the least gain for its goal first
@@ -503,17 +506,15 @@
         self.level, self.sent = 1.0, [1.0] * len(classes)
 
     def on_pulse(self, stress: float, good: float, mix: list[float]) -> None:
-        if not self.on or not sum(mix):
-            return
-        if stress > 1 and self.mail.now >= self.held:
+        if stress > 1 and self.on and self.mail.now >= self.held:
             self.held = self.mail.now + self.HOLD + 2 * self.period
             self.level = max(self.LEAST, self.level * max(0.5, min(0.9, good)))
-        elif stress <= 1 and self.mail.now >= self.held:
+        elif self.mail.now >= self.held:
             self.level = min(1.0, self.level + self.UP * (1 - stress) * self.period / SECOND)
         left, levels = self.level, [1.0] * len(mix)
         for k in sorted(range(len(mix)), key=lambda k: -self.classes[k].gain / self.classes[k].goal):
-            share = max(1e-9, mix[k] / sum(mix))
-            levels[k], left = max(self.LEAST, min(1.0, left / share)), max(0.0, left - share)
+            share = max(1e-9, mix[k] / max(1e-9, sum(mix)))
+            levels[k], left = max(self.LEAST, min(1.0, left / share + 1e-6)), max(0.0, left - share)
         if any(abs(a - b) > 0.05 or (a == 1.0) != (b == 1.0) for a, b in zip(levels, self.sent, strict=True)):
             self.sent, tries = levels, int(self.level == 1.0)  # further tries only make an overload worse
             self.put("publisher", "levels", [i.Admit(None, (k,), v, tries) for k, v in enumerate(levels)])
@@ -524,30 +525,28 @@
               "applied": ("publisher",), "listed": ("pool",), "due": ("publisher",)}
 
     def __init__(self, start: i.Start, now: int) -> None:
-        self.mail, self.slices = Mail(start.seed, now), start.slices
-        period, ch = start.reports.period, start.channel
+        self.mail, self.slices, rep, ch = Mail(start.seed, now), start.slices, start.reports, start.channel
         alike: dict[Any, list[int]] = {}
         for k, c in enumerate(start.classes):
             alike.setdefault((c.only_zones, c.only_kinds, c.stays_local), []).append(k)
         # The most bound classes come first: the zone layer gives them their room before the others.
         sets = [tuple(alike[v]) for v in sorted(alike, key=lambda v: (not v[2], not v[0], not v[1]))]
-        count = max(self.GROUPS, start.zones)
-        homes = sorted(g % max(1, start.zones) for g in range(count))
-        Pool(self.mail, start.zones, start.proxies, start.classes, sets, period, start.rules.cold_time, homes,
-             start.reports.probes)
-        for g in range(count):
+        homes = sorted(g % max(1, start.zones) for g in range(max(self.GROUPS, start.zones)))
+        Pool(self.mail, start.zones, start.proxies, start.classes, sets, rep.period, start.rules.cold_time,
+             homes, rep.probes)
+        for g in range(len(homes)):
             Group(self.mail, g, sets)
-        Admission(self.mail, start.classes, start.admits_shares, period)
+        Admission(self.mail, start.classes, start.admits_shares, rep.period)
         self.publisher = Publisher(self.mail, ch.queue_limit, ch.message_head, ch.message_limit,
-                                   ch.message_window, period, homes, start.reports.must_ask)
+                                   ch.message_window, rep.period, homes, rep.must_ask, len(sets))
 
     def handle(self, now: int, events: list[i.Event]) -> list[i.Order]:
         self.mail.now = now
         for e in [] if self.slices else events:
             kind = type(e).__name__.lower()
-            for part in self.ROUTES.get(kind, (("replica", getattr(e, "replica", None)),)):
-                if part in self.mail.parts:
-                    self.mail.put(part, kind, e)
+            to = self.ROUTES.get(kind, (("replica", getattr(e, "replica", None)),))
+            for part in filter(self.mail.parts.__contains__, to):
+                self.mail.put(part, kind, e)
         self.mail.run()
         self.mail.put("publisher", "guards")
         self.mail.run()
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -221,3 +221,17 @@
     world.step(change(*(entry(n, READY, world.now) for n in (0, 3, 6))), wait=SECOND // 50)
     world.run(1)
     assert world.open(world.bound[0][1])
+
+
+def test_binds_of_a_large_fleet_and_its_returns_stay_within_the_queue() -> None:
+    world = World(start(queue=1000.0))  # each table longer than what a fixed guess would book
+    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(90))))
+    world.step(*(i.Joined(p, p % 3, float(p)) for p in range(12)))
+    assert max(p for p, _, _ in world.queue) == 11, "those with most traffic are bound first"
+    world.run(6, {n: CALM for n in range(90)})
+    assert all(len(world.bound[p]) == 3 for p in range(12))
+    world.step(change(*(entry(n, GONE) for n in range(0, 30))), wait=SECOND // 50)
+    world.run(3, {n: CALM for n in range(30, 90)})
+    world.step(change(*(entry(n, READY, world.now) for n in range(0, 30))), wait=SECOND // 50)
+    world.run(4, {n: CALM for n in range(30, 90)})
+    assert not world.shut
