Take the report period as heard; write drains in batches, none twice

The period is now the median of the windows heard; a message of fewer lines than its head waits while more drains are due; a server listed gone after it drained is not withdrawn again; weights are scaled in the step itself.

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -5,7 +5,6 @@
 import heapq
 import zlib
 from collections import deque, namedtuple
-from collections.abc import Iterator
 from dataclasses import replace
 from itertools import product
 from statistics import fmean
@@ -48,7 +47,7 @@
         self.inbox: deque[tuple[Any, ...]] = deque()
         mail.parts[name] = self
 
-State = namedtuple("State", "entry open weight ramp busy flight heard tries bad elapsed")  # of a replica
+State = namedtuple("State", "entry open weight ramp busy flight heard tries bad elapsed period")
 
 class Replica(Part):  # one server: smoothed signal, PID, health, low start and ramp, drain
     LOW = 0.1  # the design's start for new servers: a tenth of average
@@ -90,6 +89,7 @@
         self.spoke |= e.tries > e.bad
         self.tries, self.bad = self.tries + e.tries, self.bad + e.bad
         self.elapsed, self.fresh = self.elapsed + e.elapsed * (e.tries - e.bad), e.load or self.fresh
+        self.period += int(self.SMOOTH * (e.window - self.period))  # over the stated where the intake is full
         if not self.sick and self.tries >= self.FEW and self.bad > self.FAILING * self.tries:
             self.put("pool", "failing", self.index, self.bad / self.tries)
 
@@ -111,7 +111,7 @@
             self.scatter += 0.1 * (min(1.0, abs(new - old) / old) - self.scatter)
         return old + self.SMOOTH * (new - old)
 
-    def on_step(self, error: float, missing: bool) -> None:
+    def on_step(self, error: float, missing: bool, scale: float) -> None:
         # Weights must not walk with a noisy signal: an error within the readings' scatter hardly counts.
         error *= 0.0 if abs(error) < self.BAND else error**2 / (error**2 + self.scatter**2)
         if self.ramp >= 1.0 and not missing:  # below that the ramp speaks for it
@@ -119,11 +119,8 @@
             step = max(-self.CAP * self.weight, min(self.CAP * self.weight, out))
             self.integral += error * (step == out)  # no winding up while the step is clamped
             self.weight += step
-        self.tell()
-
-    def on_set(self, weight: float) -> None:  # no winding up at the floor or ceiling either
-        self.integral *= Pool.FLOOR < weight < Pool.CEILING
-        self.weight = weight
+        weight, self.weight = self.weight, max(Pool.FLOOR, min(Pool.CEILING, self.weight * scale))
+        self.integral *= self.weight == weight * scale  # no winding up at the floor or ceiling either
         self.tell()
 
     def on_eject(self) -> None:
@@ -166,10 +163,10 @@
                  sets: list[tuple[int, ...]], period: int, cold: int, homes: list[int], probes: bool) -> None:
         super().__init__(mail, "pool")
         self.zones, self.proxies, self.classes, self.sets, self.probes = zones, proxies, classes, sets, probes
-        self.period, self.cold_time, self.homes, self.known = period, cold, homes, dict[int, i.Entry]()
+        self.cold_time, self.homes, self.known, self.stated = cold, homes, dict[int, i.Entry](), period
         self.states, self.rates = dict[int, State](), dict[int, tuple[int, list[float]]]()
         self.slack, self.heat, self.held = dict[int, float](), dict[int, float](), set[int]()
-        self.calm, self.goal = 0, float(min(c.goal for c in classes))
+        self.calm, self.period, self.goal = 0, period, float(min(c.goal for c in classes))
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
         c = self.classes[self.sets[k][0]]
@@ -186,15 +183,14 @@
         if e.kind is i.ListKind.FAILED:
             return self.put("publisher", "follow")
         gone = {n: replace(x, phase=i.Phase.GONE) for n, x in self.known.items()}
-        entries = (gone if e.kind is not i.ListKind.CHANGES else {}) | {x.replica: x for x in e.entries}
-        sizes = [x.size for x in (self.known | entries).values() if x.phase is i.Phase.READY] or [1.0]
-        mean = fmean(sizes) or 1.0
-        for n, x in entries.items():
+        news = (gone if e.kind is not i.ListKind.CHANGES else {}) | {x.replica: x for x in e.entries}
+        mean = fmean([x.size or 1 for x in (self.known | news).values() if x.phase is i.Phase.READY] or [1])
+        for n, x in news.items():
             if n not in self.known:
                 Replica(self.mail, n, self.period, self.cold_time, self.probes)
             if self.known.get(n) != x:
                 self.put(("replica", n), "listed", x, max(self.FLOOR, min(self.CEILING, x.size / mean)))
-        self.known |= entries
+        self.known |= news
 
     def on_state(self, index: int, state: State) -> None:
         old, self.states[index] = self.states.get(index), state
@@ -217,7 +213,7 @@
 
     def jammed(self, n: int) -> bool:
         # Proxies shun servers that fail them: in a jam a cold one would get far more than its weight.
-        s, bar, old = self.states[n], 2 * SECOND if n in self.held else 1, self.mail.now - self.cold_time
+        s, bar, old = self.states[n], 3 * SECOND if n in self.held else 1, self.mail.now - self.cold_time
         warm = any(x.open and x.entry.started <= old for x in self.states.values())
         wait = s.open and warm and s.entry.started > old and self.calm < bar
         self.held = self.held | {n} if wait else self.held - {n}
@@ -249,6 +245,9 @@
         self.put("pool", "after", "judge")
 
     def on_judge(self) -> None:
+        gaps = sorted(s.period for s in self.states.values() if s.open) or [0]
+        self.period = int(max(self.stated, gaps[len(gaps) // 2]))
+        self.put("publisher", "pace", self.period)
         mix = [sum(r[k] for _, r in self.rates.values()) for k in range(len(self.classes))]
         live = [s for s in self.states.values() if s.open]
         good = 1 - sum(s.bad for s in live) / max(1.0, sum(s.tries for s in live))
@@ -259,7 +258,7 @@
         for n, s in self.states.items():
             if s.open and (n in self.held) != self.jammed(n):
                 self.put("publisher", "job", "drain" if n in self.held else "open", n)
-        self.put("admission", "pulse", stress, good, mix)
+        self.put("admission", "pulse", stress, good, mix, self.period)
         for z in range(self.zones):
             idle = self.WARM - self.stress([s for s in live if s.entry.zone == z])
             self.slack[z] = self.SLACK * max(0.0, min(1.0, idle / (self.WARM - self.COOL)))
@@ -282,7 +281,7 @@
         size = sum(s.entry.size for s in known.values()) / len(known) or 1.0
         flight = {n: 1 + s.flight / max(s.entry.size / size, 0.01) ** 0.5
                   for n, s in known.items() if s.flight is not None}
-        used = dict[int, float]()
+        used, scale = dict[int, float](), 1 / (fmean(s.weight for s in live.values()) or 1.0)
         for figures in (busy, flight):
             mean = sum(figures.values()) / max(1, len(figures)) or 1.0
             used |= {n: max(used.get(n, 0.0), v / mean) for n, v in figures.items()}
@@ -293,18 +292,11 @@
             slack, mean = average * self.slack.get(z, 0.0), fmean([used[n] for n in here if n in used] or [0])
             goal, self.heat[z] = max(average - slack, min(average + slack, mean)), mean / average
             for n in here:
-                self.put(("replica", n), "step", goal - used[n] if n in used else 0.0, n in stale)
-        self.put("pool", "after", "settle")
+                self.put(("replica", n), "step", goal - used[n] if n in used else 0.0, n in stale, scale)
+        self.replan()
 
     def on_after(self, kind: str) -> None: self.put("pool", kind)  # behind the states the replicas send now
 
-    def on_settle(self) -> None:
-        live = {n: s.weight for n, s in self.states.items() if s.open}
-        for n, w in live.items():
-            w *= len(live) / sum(live.values())
-            self.put(("replica", n), "set", max(self.FLOOR, min(self.CEILING, w)))
-        self.replan()
-
     def on_plan(self) -> None:  # the zone layer: traffic stays while its zone's weights carry it
         live = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
         zones, sets, whole = range(self.zones), range(len(self.sets)), sum(w for _, w in live.values())
@@ -349,7 +341,7 @@
         self.index, self.sets, self.members = index, sets, dict[int, None]()
         self.sent, self.wanted = [Tables({k: {} for k in range(len(sets))}) for _ in range(2)]
 
-    def moved(self, only: int | None = None) -> Iterator[tuple[int, int, float]]:
+    def moved(self, only: int | None = None) -> Any:
         for k, want in self.wanted.items():
             sent, both = self.sent[k], [n for n in want if n in self.sent[k] and n != only]
             # Tables hold ratios: a line that leaves must not count as a move of all the others.
@@ -385,6 +377,7 @@
 
 class Publisher(Part):  # turns, pace, acknowledgements; guards go before weights, with room of their own
     HALF = 0.5  # the design's part of the queue limit for binds and lines; of a proxy's messages, too
+    TURNS = 0.4  # weights leave some of that half to levels, ejections and returns
     GUARDS = 0.85  # drains may fill more, yet leave a margin for lines not counted exactly
 
     def __init__(self, mail: Mail, queue: float, head: float, limit: int, window: int, period: int,
@@ -420,23 +413,24 @@
         heapq.heappush(self.binds, (-e.rate, e.proxy))  # those with most traffic are bound first
 
     def on_left(self, e: i.Left) -> None:
-        if e.proxy in self.home:
-            self.put(("group", self.home[e.proxy]), "leave", e.proxy)
-            self.binds = sorted(b for b in self.binds if b[1] != e.proxy)
-            self.waiting -= sum(n for _, n in self.unacked.pop(e.proxy))
-            del self.home[e.proxy], self.times[e.proxy]
-            self.lines.pop(e.proxy, None)
+        self.put(("group", self.home.pop(e.proxy)), "leave", e.proxy)
+        self.binds = sorted(b for b in self.binds if b[1] != e.proxy)
+        self.waiting -= sum(n for _, n in self.unacked.pop(e.proxy))
+        self.lines.pop(e.proxy, None)
 
     def on_applied(self, e: i.Applied) -> None:
         while any(m == e.mark for m, _ in self.unacked.get(e.proxy, ())):
             self.waiting -= self.unacked[e.proxy].popleft()[1]
 
-    def on_job(self, kind: str, replica: int) -> None: self.jobs[replica] = kind  # drain, eject or open
+    def on_job(self, kind: str, replica: int) -> None:  # drain, eject or open
+        self.jobs.pop(replica, None)
+        self.jobs |= {replica: kind} if kind == "open" or replica not in self.shut else {}
 
     def on_differs(self, group: int, yes: bool, size: int) -> None:
         (self.differs.add if yes else self.differs.discard)(group)
         self.sizes[group] = size
 
+    def on_pace(self, period: int) -> None: self.period = period
     def on_levels(self, orders: list[i.Order]) -> None: self.levels = orders
 
     def on_write(self, orders: list[i.Order], proxies: list[int], lines: int) -> None:
@@ -445,13 +439,17 @@
 
     def on_guards(self) -> None:  # withdrawals, returns, binds, levels, while the queue has room
         everyone = list(self.home)
-        for replica, kind in sorted(self.jobs.items(), key=lambda job: job[1]):
-            # Ejections keep to the half, or the messages that a drain needs are used up when it comes.
-            if kind < "open" and self.room(everyone, self.HALF if kind == "eject" else self.GUARDS, 1) >= 0:
-                del self.jobs[replica]
-                self.shut.add(replica)
-                self.on_write([i.Withdraw(replica, True)], everyone, 1)
-            elif kind == "open" and not self.binds and self.room(everyone, self.HALF, 3) >= 0:
+        # Ejections keep to the half, or they use up the messages that a drain needs once it comes. As long as
+        # there are more, a message of fewer lines than its head waits: sent one by one, drains came too late.
+        for kind, part in ("drain", self.GUARDS), ("eject", self.HALF):
+            those = [n for n, k in self.jobs.items() if k == kind]
+            if (fit := self.room(everyone, part, 0) / max(1, len(everyone))) >= min(len(those), self.head):
+                for replica in those[:int(fit)]:
+                    del self.jobs[replica]
+                    self.shut.add(replica)
+                    self.on_write([i.Withdraw(replica, True)], everyone, 1)
+        for replica in [n for n, k in self.jobs.items() if k == "open" and not self.binds]:
+            if self.room(everyone, self.HALF, 3) >= 0:
                 del self.jobs[replica]
                 self.on_write([i.Withdraw(replica, False)] * (replica in self.shut), everyone, 3)
                 self.shut.discard(replica)
@@ -477,7 +475,7 @@
         if ready := sorted(self.differs & set(self.home.values())):
             group = next((g for g in ready if g >= self.turn), ready[0])
             members, self.turn = [p for p, h in self.home.items() if h == group], group + 1
-            self.put(("group", group), "turn", max(0.0, self.room(members, self.HALF, 0)))
+            self.put(("group", group), "turn", max(0.0, self.room(members, self.TURNS, 0)))
         elif not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
             self.stepped = self.mail.now
             self.put("pool", "step")
@@ -500,17 +498,16 @@
     UP = 0.2  # a second, of what the stress is under 1: a tenth a second where servers idle half the time
     LEAST = 0.05  # never all: what is let in keeps the reports coming
 
-    def __init__(self, mail: Mail, classes: tuple[i.TransactionClass, ...], on: bool, period: int) -> None:
+    def __init__(self, mail: Mail, classes: tuple[i.TransactionClass, ...], on: bool) -> None:
         super().__init__(mail, "admission")
-        self.classes, self.on, self.period, self.held = classes, on, period, 0
-        self.level, self.sent = 1.0, [1.0] * len(classes)
+        self.classes, self.on, self.held, self.level, self.sent = classes, on, 0, 1.0, [1.0] * len(classes)
 
-    def on_pulse(self, stress: float, good: float, mix: list[float]) -> None:
+    def on_pulse(self, stress: float, good: float, mix: list[float], period: int) -> None:
         if stress > 1 and self.on and self.mail.now >= self.held:
-            self.held = self.mail.now + self.HOLD + 2 * self.period
+            self.held = self.mail.now + self.HOLD + 2 * period
             self.level = max(self.LEAST, self.level * max(0.5, min(0.9, good)))
         elif self.mail.now >= self.held:
-            self.level = min(1.0, self.level + self.UP * (1 - stress) * self.period / SECOND)
+            self.level = min(1.0, self.level + self.UP * (1 - stress) * period / SECOND)
         left, levels = self.level, [1.0] * len(mix)
         for k in sorted(range(len(mix)), key=lambda k: -self.classes[k].gain / self.classes[k].goal):
             share = max(1e-9, mix[k] / max(1e-9, sum(mix)))
@@ -536,7 +533,7 @@
              homes, rep.probes)
         for g in range(len(homes)):
             Group(self.mail, g, sets)
-        Admission(self.mail, start.classes, start.admits_shares, rep.period)
+        Admission(self.mail, start.classes, start.admits_shares)
         self.publisher = Publisher(self.mail, ch.queue_limit, ch.message_head, ch.message_limit,
                                    ch.message_window, rep.period, homes, rep.must_ask, len(sets))
 
