Calls to all proxies share rounds; half the gain, the plain dead band, load by answers

Changes: ejections, returns and levels wait for a common round; each group gets one turn a period; a restarted server is withdrawn first and no weights go while withdrawals wait; utilization counts by the part of tries answered; gains are halved (integral to a quarter), the dead band is the design's own again, and probes of silent servers are gone (two defences folded away).

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -51,9 +51,9 @@
 
 class Replica(Part):  # one server: smoothed signal, PID, health, low start and ramp, drain
     LOW = 0.1  # the design's start for new servers: a tenth of average
-    GAIN_P, GAIN_I = 0.12, 0.02  # a second: the lag of about 4 s bears a loop gain of half a turn at most
+    GAIN_P, GAIN_I = 0.06, 0.005  # a second: lags of up to 8 s bear a loop gain of half a turn at most
     CAP = 0.25  # the design's cap on a step, as a part of the weight
-    BAND = 0.05  # the design's dead band; its edge is softened as far as the signal's readings scatter
+    BAND = 0.05  # the design's dead band
     SMOOTH = 1 / 3  # weight of the newest of about five reports: 2 / (5 + 1)
     FEW = 4.0  # tries below which a failing share says nothing: four in a row by chance are rare
     FAILING = 0.8  # impatient clients fail half the tries of a slow server that still answers
@@ -68,7 +68,7 @@
 
     def reset(self) -> None:
         self.busy = self.flight = self.fresh = type(self).entry
-        self.sick, self.trials, self.heard, self.scatter, self.spoke = False, 0, 0, 0.5, True
+        self.sick, self.trials, self.heard = False, 0, 0
         self.integral, self.tries, self.bad, self.elapsed, self.climb = 0.0, 0.0, 0.0, 0.0, self.cold_time
 
     def tell(self) -> None:
@@ -86,7 +86,6 @@
         self.tell()
 
     def on_heard(self, e: i.Heard) -> None:
-        self.spoke |= e.tries > e.bad
         self.tries, self.bad = self.tries + e.tries, self.bad + e.bad
         self.elapsed, self.fresh = self.elapsed + e.elapsed * (e.tries - e.bad), e.load or self.fresh
         self.period += int(self.SMOOTH * (e.window - self.period))  # over the stated where the intake is full
@@ -94,9 +93,6 @@
             self.put("pool", "failing", self.index, self.bad / self.tries)
 
     def on_period(self) -> None:
-        if not self.spoke and self.tries >= self.FEW / 2 and not self.sick and self.probes:
-            self.ask()  # a hung server answers nothing: ask before the clients' time-outs tell
-        self.spoke = False
         if new := self.fresh:
             self.busy, self.flight = self.mix(self.busy, new.busy), self.mix(self.flight, new.in_flight)
             self.fresh, self.heard = None, self.mail.now
@@ -105,15 +101,10 @@
         self.tries, self.bad, self.elapsed = (keep * x for x in (self.tries, self.bad, self.elapsed))
 
     def mix(self, old: float | None, new: float | None) -> float | None:
-        if old is None or new is None:
-            return new
-        if old > 0:  # slowly, so that a true change does not pass for scatter
-            self.scatter += 0.1 * (min(1.0, abs(new - old) / old) - self.scatter)
-        return old + self.SMOOTH * (new - old)
+        return new if old is None or new is None else old + self.SMOOTH * (new - old)
 
     def on_step(self, error: float, missing: bool, scale: float) -> None:
-        # Weights must not walk with a noisy signal: an error within the readings' scatter hardly counts.
-        error *= 0.0 if abs(error) < self.BAND else error**2 / (error**2 + self.scatter**2)
+        error *= abs(error) >= self.BAND
         if self.ramp >= 1.0 and not missing:  # below that the ramp speaks for it
             out = (self.GAIN_P * error + self.GAIN_I * (self.integral + error)) * self.period / SECOND
             step = max(-self.CAP * self.weight, min(self.CAP * self.weight, out))
@@ -130,16 +121,14 @@
         self.tell()
 
     def on_retry(self, trial: int) -> None:
-        if trial == self.trials:
-            self.ask() if self.sick and self.probes else self.on_back()
-
-    def ask(self) -> None: self.put("publisher", "write", [i.Probe(self.index)], [], 0)
+        if trial == self.trials and self.sick and self.probes:
+            self.put("publisher", "write", [i.Probe(self.index)], [], 0)
+        elif trial == self.trials:
+            self.on_back()
 
     def on_probed(self, e: i.Probed) -> None:
         if self.sick:
             (self.on_back if e.outcome is i.Outcome.ANSWERED else self.on_eject)()
-        elif not self.spoke and e.outcome not in (i.Outcome.ANSWERED, i.Outcome.TURNED_AWAY):
-            self.put("pool", "failing", self.index, 1.0)
 
     def on_back(self) -> None:  # flapping servers restart low each return
         if self.sick:
@@ -202,20 +191,23 @@
             for ready in [] if state.open else self.choices(state.entry):
                 for n in [] if any(ready.values()) else ready:
                     self.put(("replica", n), "back")
+                    self.put("publisher", "hurry")
             self.replan()
-            if (shut := self.jammed(index) or not state.open) or old:  # a first line comes with the tables
-                kind = "drain" if state.open or state.entry.phase is not i.Phase.READY else "eject"
-                self.put("publisher", "job", kind if shut else "open", index)
+            # Many restarted at once are withdrawn first: their low lines alone would take too long.
+            again = bool(old and old.open and old.entry.started < state.entry.started)
+            kind = "drain" if self.jammed(index, again) or state.entry.phase is not i.Phase.READY else "eject"
+            if old or kind == "drain":  # a first line comes with the tables
+                self.put("publisher", "job", "open" if state.open and kind == "eject" else kind, index)
 
     def replan(self) -> None:  # once for all that a batch brings: a first list names the whole fleet
         if ("after", "plan") not in self.inbox:
             self.put("pool", "after", "plan")
 
-    def jammed(self, n: int) -> bool:
+    def jammed(self, n: int, again: bool = False) -> bool:
         # Proxies shun servers that fail them: in a jam a cold one would get far more than its weight.
         s, bar, old = self.states[n], 3 * SECOND if n in self.held else 1, self.mail.now - self.cold_time
         warm = any(x.open and x.entry.started <= old for x in self.states.values())
-        wait = s.open and warm and s.entry.started > old and self.calm < bar
+        wait = s.open and warm and s.entry.started > old and (again or self.calm < bar)
         self.held = self.held | {n} if wait else self.held - {n}
         return n in self.held
 
@@ -285,6 +277,8 @@
         for figures in (busy, flight):
             mean = sum(figures.values()) / max(1, len(figures)) or 1.0
             used |= {n: max(used.get(n, 0.0), v / mean) for n, v in figures.items()}
+        # Servers that fail tries, or report too little, look idle: load counts by what is answered.
+        used = {n: v / max(0.1, 1 - known[n].bad / max(1.0, known[n].tries)) for n, v in used.items()}
         average = sum(used.values()) / max(1, len(used)) or 1.0
         for z in range(self.zones):
             # A zone within the slack of the average is left alone, and only its own servers even out.
@@ -376,22 +370,24 @@
     def on_leave(self, proxy: int) -> None: self.members.pop(proxy, None)
 
 class Publisher(Part):  # turns, pace, acknowledgements; guards go before weights, with room of their own
-    HALF = 0.5  # the design's part of the queue limit for binds and lines; of a proxy's messages, too
+    HALF = 0.5  # the design's part of the queue limit for binds and lines
     TURNS = 0.4  # weights leave some of that half to levels, ejections and returns
+    OFTEN = 0.6  # of a proxy's messages; the rest waits for drains
+    ROUNDS = 0.3  # of a proxy's messages for what goes to all: ejections, returns and levels share them
     GUARDS = 0.85  # drains may fill more, yet leave a margin for lines not counted exactly
 
     def __init__(self, mail: Mail, queue: float, head: float, limit: int, window: int, period: int,
                  homes: list[int], must_ask: bool, sets: int) -> None:
         super().__init__(mail, "publisher")
-        self.queue, self.head, self.limit, self.window, self.period = queue, head + 1, limit, window, period
+        self.queue, self.head, self.window, self.period = queue, head + 1, window, period
         self.orders, self.levels, self.binds = list[i.Order](), list[i.Order](), list[tuple[float, int]]()
         self.lines, self.home = dict[int, float](), dict[int, int]()  # lines: of this reply, by proxy
         self.unacked, self.times = dict[int, deque[tuple[int, float]]](), dict[int, deque[int]]()
         self.jobs, self.shut, self.differs = dict[int, str](), set[int](), set[int]()
-        self.turn = self.mark = self.stepped = self.level_lines = 0
+        self.turn = self.mark = self.stepped = self.level_lines = self.round = 0
         self.waiting, self.booked, self.sets, self.sizes = 0.0, 0.0, sets, [0] * len(homes)
         self.pulse, self.must_ask = max(period // len(homes), 20_000), must_ask  # a turn a group and period
-        self.homes, self.next_period = homes, mail.now + period
+        self.limit, self.homes, self.next_period = limit or 1e9, homes, mail.now + period
         self.orders.append(i.Wake(0, int(self.pulse * (0.5 + mail.chance()))))
         self.on_follow()
 
@@ -403,7 +399,7 @@
             left, past = left - lines - self.head * (p not in self.lines), self.times[p]
             while past and past[0] <= self.mail.now - self.window:
                 past.popleft()
-            left -= 1e9 * (bool(self.limit) and p not in self.lines and len(past) >= part * self.limit)
+            left -= 1e9 * (p not in self.lines and len(past) >= max(self.OFTEN, part) * self.limit)
         return left
 
     def on_joined(self, e: i.Joined) -> None:
@@ -431,6 +427,7 @@
         self.sizes[group] = size
 
     def on_pace(self, period: int) -> None: self.period = period
+    def on_hurry(self) -> None: self.round = 0
     def on_levels(self, orders: list[i.Order]) -> None: self.levels = orders
 
     def on_write(self, orders: list[i.Order], proxies: list[int], lines: int) -> None:
@@ -438,17 +435,17 @@
         self.lines |= {p: self.lines.get(p, self.head) + lines for p in proxies if p in self.home}
 
     def on_guards(self) -> None:  # withdrawals, returns, binds, levels, while the queue has room
-        everyone = list(self.home)
+        everyone, may = list(self.home), self.mail.now >= self.round
         # Ejections keep to the half, or they use up the messages that a drain needs once it comes. As long as
         # there are more, a message of fewer lines than its head waits: sent one by one, drains came too late.
         for kind, part in ("drain", self.GUARDS), ("eject", self.HALF):
-            those = [n for n, k in self.jobs.items() if k == kind]
+            those = [n for n, k in self.jobs.items() if k == kind and (may or k == "drain")]
             if (fit := self.room(everyone, part, 0) / max(1, len(everyone))) >= min(len(those), self.head):
                 for replica in those[:int(fit)]:
                     del self.jobs[replica]
                     self.shut.add(replica)
                     self.on_write([i.Withdraw(replica, True)], everyone, 1)
-        for replica in [n for n, k in self.jobs.items() if k == "open" and not self.binds]:
+        for replica in [n for n, k in self.jobs.items() if k == "open" and may]:
             if self.room(everyone, self.HALF, 3) >= 0:
                 del self.jobs[replica]
                 self.on_write([i.Withdraw(replica, False)] * (replica in self.shut), everyone, 3)
@@ -463,20 +460,23 @@
                 break  # a table of more than half the queue goes alone
             self.booked += lines
             self.put(("group", self.home[heapq.heappop(self.binds)[1]]), "join", proxy, extra)
-        if self.levels and self.room(everyone, self.HALF, len(self.levels)) >= 0:
+        if self.levels and may and self.room(everyone, self.HALF, len(self.levels)) >= 0:
             self.on_write(self.levels, everyone, len(self.levels))
             self.level_lines, self.levels = len(self.levels), []
+        if may and len(self.lines) >= len(everyone):
+            self.round = self.mail.now + int(self.window / self.limit / self.ROUNDS)
 
     def on_due(self, _: i.Due) -> None:
         self.orders.append(i.Wake(0, self.pulse))
         if self.mail.now >= self.next_period:
-            self.next_period = self.mail.now + self.period
+            self.next_period, self.turn = self.mail.now + self.period, 0  # each group once a period
             self.put("pool", "period")
-        if ready := sorted(self.differs & set(self.home.values())):
-            group = next((g for g in ready if g >= self.turn), ready[0])
-            members, self.turn = [p for p, h in self.home.items() if h == group], group + 1
-            self.put(("group", group), "turn", max(0.0, self.room(members, self.TURNS, 0)))
-        elif not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
+        ready = sorted(self.differs & set(self.home.values()))
+        # While a withdrawal waits, any other message would count as sent knowing of the restart.
+        if (group := next((g + 1 for g in ready if g >= self.turn), 0)) and "drain" not in self.jobs.values():
+            members, self.turn = [p for p, h in self.home.items() if h == group - 1], group
+            self.put(("group", group - 1), "turn", max(0.0, self.room(members, self.TURNS, 0)))
+        elif not ready and not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
             self.stepped = self.mail.now
             self.put("pool", "step")
 
