Waiting servers are no room for their zone; returns from cold wait for binds

Told from others by the shares on the wire; the line was low against the servers that waited, not against those open. Now waiting servers do not count as room, the thin-class test alone counts them; cold servers return after the proxies that wait for tables; weights go on while binds wait, so that gone lines leave.

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -121,10 +121,8 @@
         self.tell()
 
     def on_retry(self, trial: int) -> None:
-        if trial == self.trials and self.sick and self.probes:
-            self.put("publisher", "write", [i.Probe(self.index)], [], 0)
-        elif trial == self.trials:
-            self.on_back()
+        if trial == self.trials:
+            self.put("publisher", "write", [i.Probe(self.index)], [], 0) if self.probes else self.on_back()
 
     def on_probed(self, e: i.Probed) -> None:
         if self.sick:
@@ -291,10 +289,10 @@
     def on_after(self, kind: str) -> None: self.put("pool", kind)  # behind the states the replicas send now
 
     def on_plan(self) -> None:  # the zone layer: traffic stays while its zone's weights carry it
-        live = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
-        zones, sets, whole = range(self.zones), range(len(self.sets)), sum(w for _, w in live.values())
-        if whole <= 0:
-            return
+        # Those that wait are no room yet: counted, a zone's first ones back would get what it keeps for all.
+        ready = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
+        live = {n: x for n, x in ready.items() if n not in self.held}
+        zones, sets, whole = range(self.zones), range(len(self.sets)), sum(w for _, w in live.values()) or 1.0
         # A hot zone spills at once, before its weights have fallen: clients may gather where few were known.
         free = [min(1.0, (1 + Replica.BAND + self.slack.get(z, 0.0)) / (self.heat.get(z) or 1.0)) / whole *
                 sum(w for e, w in live.values() if e.zone == z) for z in zones]
@@ -315,7 +313,8 @@
                         for y in zones] for z in zones]
             for z in zones:
                 asked = part * mine[z][k] / total + room[z] * fill * mix
-                self.thin += [(z, k)] * (asked * whole > 2 * sum(weights[z]))
+                likes = sum(w for e, w in ready.values() if self.allowed(e, z, k))
+                self.thin += [(z, k)] * (asked * whole > 2 * likes)
                 if weights[z][z] > 0:
                     kept = min(asked, max(0.0, free[z] + self.slack.get(z, 0.0) * weights[z][z] / whole))
                     stay[z], free[z] = kept / asked if asked > 0 else 1.0, free[z] - kept
@@ -443,7 +442,9 @@
                     self.shut[replica] = self.jobs.pop(replica)
                     self.on_write([i.Withdraw(replica, True)], everyone, 1)
         for replica in [n for n, k in self.jobs.items() if k == "open"]:
-            if self.room(everyone, self.HALF, 3) >= 0:
+            # While proxies wait for tables, their old ones would give a server that comes back cold too much.
+            old = self.binds and self.shut.get(replica) != "eject"
+            if not old and self.room(everyone, self.HALF, 3) >= 0:
                 del self.jobs[replica]
                 self.on_write([i.Withdraw(replica, False)] * (replica in self.shut), everyone, 3)
                 self.shut.pop(replica, None)
@@ -468,9 +469,9 @@
         if self.mail.now >= self.next_period:
             self.next_period, self.turn = self.mail.now + self.period, 0  # each group once a period
             self.put("pool", "period")
-        # Binds go first; and while a withdrawal waits, a message would count as sent knowing of the restart.
+        # While a withdrawal waits, another message would count as sent knowing of the restart.
         ready = [g for g in sorted(set(self.home.values())) if self.differs[g]]
-        if self.binds or {"drain", "gone"} & set(self.jobs.values()):
+        if {"drain", "gone"} & set(self.jobs.values()):
             return
         if group := next((g + 1 for g in ready if g >= self.turn), 0):
             members, self.turn = [p for p, h in self.home.items() if h == group - 1], group
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -260,3 +260,19 @@
         world.run(0.9)
     world.run(8)
     assert world.share(0, 0, 4) < 0.9 * world.share(0, 0, 1)
+
+
+def test_the_first_server_back_does_not_get_what_the_zone_keeps_for_all_its_waiting_ones() -> None:
+    world = running(18, settings=start((ANY,), queue=4000.0))
+    zone = range(0, 18, 3)
+    world.run(4, {n: CALM for n in range(18)})
+    world.step(change(*(entry(n, GONE) for n in zone)), wait=SECOND // 50)
+    jam = {n: (6, 3, i.Load(1.0, 20.0)) for n in range(18) if n % 3}
+    world.run(4, jam)
+    world.step(change(*(entry(n, READY, world.now) for n in zone)), wait=SECOND // 50)
+    world.run(2, jam)
+    assert set(zone) <= world.shut  # all wait
+    for _ in range(40):
+        world.run(0.2, {n: CALM for n in range(18) if n % 3})
+        assert sum(world.share(0, 0, n) for n in zone if n not in world.shut) < 0.25
+    assert not world.shut
