--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -7,7 +7,7 @@
 from collections import deque, namedtuple
 from dataclasses import replace
 from itertools import product
-from statistics import fmean
+from statistics import fmean, median
 from typing import Any
 
 from gradehoist import interface as i
@@ -104,8 +104,7 @@
         return new if old is None or new is None else old + self.SMOOTH * (new - old)
 
     def on_step(self, error: float, missing: bool, scale: float) -> None:
-        error *= abs(error) >= self.BAND
-        if self.ramp >= 1.0 and not missing:  # below that the ramp speaks for it
+        if self.ramp >= 1.0 and not missing and abs(error) >= self.BAND:  # below that the ramp speaks for it
             out = (self.GAIN_P * error + self.GAIN_I * (self.integral + error)) * self.period / SECOND
             step = max(-self.CAP * self.weight, min(self.CAP * self.weight, out))
             self.integral += error * (step == out)  # no winding up while the step is clamped
@@ -150,11 +149,11 @@
                  sets: list[tuple[int, ...]], period: int, cold: int, homes: list[int], probes: bool) -> None:
         super().__init__(mail, "pool")
         self.zones, self.proxies, self.classes, self.sets, self.probes = zones, proxies, classes, sets, probes
-        self.cold_time, self.homes, self.known = cold, homes, dict[int, i.Entry]()
-        self.stated = self.period = period
+        self.cold_time, self.homes, self.known, self.stated = cold, homes, dict[int, i.Entry](), period
+        self.period, self.goal = period, min(c.goal for c in classes)
         self.states, self.rates, self.calm = dict[int, State](), dict[int, tuple[int, list[float]]](), 0
-        self.heat, self.slack, self.held = dict[int, float](), dict[int, float](), set[int]()
-        self.thin, self.goal = list[tuple[int, int]](), min(c.goal for c in classes)
+        self.heat, self.slack = dict[int, float](), dict[int, float]()
+        self.held, self.opening, self.thin = set[int](), set[int](), list[tuple[int, int]]()
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
         c = self.classes[self.sets[k][0]]
@@ -196,6 +195,7 @@
             kind = "gone" if state.entry.phase is i.Phase.GONE else "open" if state.open else "eject"
             kind = "drain" if self.jammed(index, again) or state.entry.phase is i.Phase.DRAINING else kind
             if old or kind != "open":  # a first line comes with the tables
+                self.opening |= {index} if kind == "open" else set()
                 self.put("publisher", "job", kind, index)
 
     def replan(self) -> None:  # once for all that a batch brings: a first list names the whole fleet
@@ -236,8 +236,7 @@
         self.put("pool", "after", "judge")
 
     def on_judge(self) -> None:
-        gaps = sorted(s.period for s in self.states.values() if s.open) or [0]
-        self.period = int(max(self.stated, gaps[len(gaps) // 2]))
+        self.period = int(max(self.stated, median([s.period for s in self.states.values() if s.open] or [0])))
         self.put("publisher", "pace", self.period)
         mix = [sum(r[k] for _, r in self.rates.values()) for k in range(len(self.classes))]
         live = [s for s in self.states.values() if s.open]
@@ -246,6 +245,7 @@
         self.calm = 0 if jam else self.calm + self.period  # a fresh governor's first reports are few
         for n, s in self.states.items():
             if s.open and (n in self.held) != self.jammed(n):
+                self.opening |= {n} - self.held
                 self.put("publisher", "job", "drain" if n in self.held else "open", n)
         self.put("admission", "pulse", stress, good, mix, self.period)
         for z in range(self.zones):
@@ -288,10 +288,16 @@
 
     def on_after(self, kind: str) -> None: self.put("pool", kind)  # behind the states the replicas send now
 
+    def on_opened(self, n: int) -> None:  # low, in the message of its return: tables hold its full weight
+        self.opening.discard(n)
+        self.on_plan()
+        for g in range(len(self.homes)):
+            self.put(("group", g), "line", n)
+
     def on_plan(self) -> None:  # the zone layer: traffic stays while its zone's weights carry it
         # Those that wait are no room yet: counted, a zone's first ones back would get what it keeps for all.
         ready = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
-        live = {n: x for n, x in ready.items() if n not in self.held}
+        live = {n: x for n, x in ready.items() if n not in self.held | self.opening}
         zones, sets, whole = range(self.zones), range(len(self.sets)), sum(w for _, w in live.values()) or 1.0
         # A hot zone spills at once, before its weights have fallen: clients may gather where few were known.
         free = [min(1.0, (1 + Replica.BAND + self.slack.get(z, 0.0)) / (self.heat.get(z) or 1.0)) / whole *
@@ -441,15 +447,13 @@
                 for replica in those[:int(fit)]:
                     self.shut[replica] = self.jobs.pop(replica)
                     self.on_write([i.Withdraw(replica, True)], everyone, 1)
-        for replica in [n for n, k in self.jobs.items() if k == "open"]:
+        for n in [n for n, k in self.jobs.items() if k == "open"]:
             # While proxies wait for tables, their old ones would give a server that comes back cold too much.
-            old = self.binds and self.shut.get(replica) != "eject"
-            if not old and self.room(everyone, self.HALF, 3) >= 0:
-                del self.jobs[replica]
-                self.on_write([i.Withdraw(replica, False)] * (replica in self.shut), everyone, 3)
-                self.shut.pop(replica, None)
-                for g in range(len(self.homes)):  # in the same message, low: tables hold its full weight
-                    self.put(("group", g), "line", replica)
+            if self.room(everyone, self.HALF, 3) >= 0 and not (self.binds and self.shut.get(n) != "eject"):
+                del self.jobs[n]
+                self.on_write([i.Withdraw(n, False)] * (n in self.shut), everyone, 3)
+                self.shut.pop(n, None)
+                self.put("pool", "opened", n)
         # A proxy that joins may hold tables and withdrawals of an earlier stream: bound as soon as it fits.
         while self.binds:
             proxy, extra = self.binds[0][1], self.level_lines + sum(k != "gone" for k in self.shut.values())
@@ -471,9 +475,8 @@
             self.put("pool", "period")
         # While a withdrawal waits, another message would count as sent knowing of the restart.
         ready = [g for g in sorted(set(self.home.values())) if self.differs[g]]
-        if {"drain", "gone"} & set(self.jobs.values()):
-            return
-        if group := next((g + 1 for g in ready if g >= self.turn), 0):
+        waits = {"drain", "gone"} & set(self.jobs.values())
+        if group := next((g + 1 for g in ready if g >= self.turn and not waits), 0):
             members, self.turn = [p for p, h in self.home.items() if h == group - 1], group
             self.put(("group", group - 1), "turn", max(0.0, self.room(members, self.HALF, 0)))
         elif not ready and not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
@@ -530,8 +533,7 @@
         homes = sorted(g % max(1, start.zones) for g in range(max(self.GROUPS, start.zones)))
         Pool(self.mail, start.zones, start.proxies, start.classes, sets, rep.period, start.rules.cold_time,
              homes, rep.probes)
-        for g in range(len(homes)):
-            Group(self.mail, g, sets)
+        self.groups = [Group(self.mail, g, sets) for g in range(len(homes))]
         Admission(self.mail, start.classes, start.admits_shares)
         self.publisher = Publisher(self.mail, ch.queue_limit, ch.message_head, ch.message_limit,
                                    ch.message_window, rep.period, homes, rep.must_ask, len(sets))
