--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -53,7 +53,7 @@
     LOW = 0.1  # the design's start for new servers: a tenth of average
     GAIN_P, GAIN_I = 0.06, 0.005  # a second: lags of up to 8 s bear a loop gain of half a turn at most
     CAP = 0.25  # the design's cap on a step, as a part of the weight
-    BAND = 0.05  # the design's dead band
+    BAND = 0.05  # the design's dead band, softened by the readings' scatter: weights walked with the noise
     SMOOTH = 1 / 3  # weight of the newest of about five reports: 2 / (5 + 1)
     FEW = 4.0  # tries below which a failing share says nothing: four in a row by chance are rare
     FAILING = 0.8  # impatient clients fail half the tries of a slow server that still answers
@@ -68,7 +68,7 @@
 
     def reset(self) -> None:
         self.busy = self.flight = self.fresh = type(self).entry
-        self.sick, self.trials, self.heard = False, 0, 0
+        self.sick, self.trials, self.heard, self.scatter = False, 0, 0, 0.5
         self.integral, self.tries, self.bad, self.elapsed, self.climb = 0.0, 0.0, 0.0, 0.0, self.cold_time
 
     def tell(self) -> None:
@@ -101,10 +101,13 @@
         self.tries, self.bad, self.elapsed = (keep * x for x in (self.tries, self.bad, self.elapsed))
 
     def mix(self, old: float | None, new: float | None) -> float | None:
+        if old and new is not None:  # slowly, so that a true change does not pass for scatter
+            self.scatter += 0.1 * (min(1.0, abs(new - old) / old) - self.scatter)
         return new if old is None or new is None else old + self.SMOOTH * (new - old)
 
     def on_step(self, error: float, missing: bool, scale: float) -> None:
-        if self.ramp >= 1.0 and not missing and abs(error) >= self.BAND:  # below that the ramp speaks for it
+        error *= 0.0 if abs(error) < self.BAND else error**2 / (error**2 + self.scatter**2)
+        if self.ramp >= 1.0 and not missing:  # below that the ramp speaks for it
             out = (self.GAIN_P * error + self.GAIN_I * (self.integral + error)) * self.period / SECOND
             step = max(-self.CAP * self.weight, min(self.CAP * self.weight, out))
             self.integral += error * (step == out)  # no winding up while the step is clamped
@@ -179,10 +182,9 @@
                 self.put(("replica", n), "listed", x, max(self.FLOOR, min(self.CEILING, x.size / mean)))
         self.known |= news
 
-    def on_state(self, index: int, state: State) -> None:
+    def on_state(self, index: int, state: State) -> None:  # the start alone may change: cold, told late
         old, self.states[index] = self.states.get(index), state
         self.zones = max(self.zones, state.entry.zone + 1)
-        # The start too: a server let back before the list tells of its restart is cold after all.
         said = [(s.entry.phase, s.open, s.entry.started) for s in (old, state) if s is not None]
         if said[:1] != said[1:]:
             # Ejection must not leave a class without an open replica once the list takes the others.
@@ -216,8 +218,7 @@
         usual = sum(s.bad for s in ready) / max(1.0, sum(s.tries for s in ready))
         if share >= 2 * usual and s.open and all(
                 len(w) - sum(w.values()) + 1 <= self.PANIC * len(w) for w in self.choices(s.entry)):
-            # Noted at once (None: not yet acted on): several in one batch must not all pass as the first.
-            self.states[index] = s._replace(open=None)
+            self.states[index] = s._replace(open=None)  # at once: a batch's must not each pass as the first
             self.put(("replica", index), "eject")
 
     def on_joined(self, e: i.Joined) -> None:
@@ -226,9 +227,8 @@
     def on_left(self, e: i.Left) -> None: self.rates.pop(e.proxy, None)
 
     def on_offered(self, e: i.Offered) -> None:
-        if e.proxy in self.rates and e.window > 0:
-            rates = self.rates[e.proxy][1]
-            rates[e.cls] += Replica.SMOOTH * (e.number * SECOND / e.window - rates[e.cls])
+        if e.window > 0 and (known := self.rates.get(e.proxy)):
+            known[1][e.cls] += Replica.SMOOTH * (e.number * SECOND / e.window - known[1][e.cls])
 
     def on_period(self) -> None:
         for n in self.known:
@@ -417,7 +417,6 @@
         self.put(("group", self.home.pop(e.proxy)), "leave", e.proxy)
         self.binds = sorted(b for b in self.binds if b[1] != e.proxy)
         self.waiting -= sum(n for _, n in self.unacked.pop(e.proxy))
-        self.lines.pop(e.proxy, None)
 
     def on_applied(self, e: i.Applied) -> None:
         while any(m == e.mark for m, _ in self.unacked.get(e.proxy, ())):
