--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -153,11 +153,11 @@
 
 
 def test_what_waits_is_counted_by_acknowledgement_not_by_the_stated_pace() -> None:
-    world = running(settings=start(queue=400.0))
-    for n in range(60):  # nothing is acknowledged: the channel has all but stopped
-        load = i.Load(0.2 + 0.1 * (n % 8), 2.0)
-        world.step(i.Heard(0, n % 9, 6, 0, 1000, SECOND, load), i.Due(0), wait=SECOND // 10)
-    assert world.queue
+    world = running(12, settings=start(queue=240.0))
+    for n in range(60):  # nothing is acknowledged: the channel has all but stopped, yet servers come and go
+        told = change(entry(n % 9, (DRAINING, READY)[n // 9 % 2], world.now))
+        world.step(told, i.Due(0), wait=SECOND // 10)
+    assert sum(lines for _, _, lines in world.queue) > 0.5 * 240
 
 
 def play(data: list[tuple[int, int, int]], seed: int, queue: float = 2500.0) -> World:
