--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -446,7 +446,7 @@
                 for replica in those[:int(fit)]:
                     self.shut[replica] = self.jobs.pop(replica)
                     self.on_write([i.Withdraw(replica, True)], everyone, 1)
-        for n in [n for n, k in self.jobs.items() if k == "open"]:
+        for n in [n for n, k in self.jobs.items() if k == "open" and may]:
             # While proxies wait for tables, their old ones would give a server that comes back cold too much.
             if self.room(everyone, self.HALF, 3) >= 0 and not (self.binds and self.shut.get(n) != "eject"):
                 del self.jobs[n]
