Withdrawals in fuller batches, the first told first

A message now holds at least ten withdrawals while there are more, or goes when nothing waits, and a job keeps its place.

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -423,7 +423,8 @@
             self.waiting -= self.unacked[e.proxy].popleft()[1]
 
     def on_job(self, kind: str, replica: int) -> None:  # drain, eject or open
-        self.jobs.pop(replica, None)
+        if replica in self.shut:
+            self.jobs.pop(replica, None)  # else a job keeps its place: the first told goes first
         (self.shut if kind != "open" and replica in self.shut else self.jobs)[replica] = kind
 
     def on_differs(self, group: int, yes: bool, size: int) -> None:
@@ -439,19 +440,19 @@
     def on_guards(self) -> None:  # withdrawals, returns, binds, levels, while the queue has room
         everyone, may = list(self.home), self.mail.now >= self.round
         # Ejections keep to the half, or they use up the messages that a drain needs once it comes. As long as
-        # there are more, a message of fewer lines than its head waits: sent one by one, drains came too late.
+        # there are more, a message of fewer lines than two heads waits: sent by few, drains came too late.
         for kinds, part in (("drain", "gone"), self.GUARDS), (("eject",) * may, self.HALF):
             those = [n for n, k in self.jobs.items() if k in kinds]
-            if (fit := self.room(everyone, part, 0) / max(1, len(everyone))) >= min(len(those), self.head):
-                for replica in those[:int(fit)]:
+            fit = self.room(everyone, part, 0) / max(1, len(everyone))
+            if fit >= min(len(those), 2 * self.head) or not self.waiting:
+                for replica in those[:max(0, int(fit))]:
                     self.shut[replica] = self.jobs.pop(replica)
                     self.on_write([i.Withdraw(replica, True)], everyone, 1)
         for n in [n for n, k in self.jobs.items() if k == "open" and may]:
             # While proxies wait for tables, their old ones would give a server that comes back cold too much.
             if self.room(everyone, self.HALF, 3) >= 0 and not (self.binds and self.shut.get(n) != "eject"):
                 del self.jobs[n]
-                self.on_write([i.Withdraw(n, False)] * (n in self.shut), everyone, 3)
-                self.shut.pop(n, None)
+                self.on_write([i.Withdraw(n, False)] * (self.shut.pop(n, None) is not None), everyone, 3)
                 self.put("pool", "opened", n)
         # A proxy that joins may hold tables and withdrawals of an earlier stream: bound as soon as it fits.
         while self.binds:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from dataclasses import replace
+from itertools import pairwise
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -271,3 +272,16 @@
     world.step(change(*(entry(n, READY, world.now - 3 * SECOND) for n in zone)), wait=SECOND // 50)
     shares = [world.share(0, 0, n) for n in zone if n not in world.shut]
     assert 0 < len(shares) < 20 and max(shares) < 0.04
+
+
+def test_many_drains_go_in_few_messages_and_the_first_told_goes_first() -> None:
+    world = running(60, proxies=6, settings=start((ANY,), queue=200.0))
+    world.step(*(change(entry(n, DRAINING)) for n in range(30)), wait=SECOND // 50)
+    first = set(world.shut)
+    world.step(change(entry(29, GONE), entry(28, GONE)), wait=SECOND // 50)
+    assert first and first == set(range(len(first)))
+    world.run(3)
+    assert world.shut == set(range(30))
+    told = [n for n, o in enumerate(world.log) if isinstance(o, i.Mark)]
+    batches = [sum(isinstance(o, i.Withdraw) for o in world.log[a:b]) for a, b in pairwise(told)]
+    assert max(map(len, world.sent.values())) <= 6 and sorted(filter(None, batches))[1:2] >= [10]
