Drop repeated work in planning and withdrawals, at the same orders

Found on rereading the change: a group with members listed all its moved lines and threw them away on each plan; `Pool.jammed` copied its set and `on_plan` built a union for every server; a batch of withdrawals went through `on_write` one by one, rebuilding every proxy's count each time. Each is done once now. Tests unchanged.

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -210,7 +210,7 @@
         warm = any(x.open and x.entry.started <= old for x in self.states.values())
         again |= any(self.allowed(s.entry, z, k) for z, k in self.thin)
         wait = s.open and warm and s.entry.started > old and (again or self.calm < bar)
-        self.held = self.held | {n} if wait else self.held - {n}
+        (self.held.add if wait else self.held.discard)(n)
         return n in self.held
 
     def on_failing(self, index: int, share: float) -> None:  # a fault that all share ejects nobody
@@ -297,7 +297,7 @@
     def on_plan(self) -> None:  # the zone layer: traffic stays while its zone's weights carry it
         # Those that wait are no room yet: counted, a zone's first ones back would get what it keeps for all.
         ready = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
-        live = {n: x for n, x in ready.items() if n not in self.held | self.opening}
+        live = {n: x for n, x in ready.items() if n not in self.held and n not in self.opening}
         zones, sets, whole = range(self.zones), range(len(self.sets)), sum(w for _, w in live.values()) or 1.0
         # A hot zone spills at once, before its weights have fallen: clients may gather where few were known.
         free = [min(1.0, (1 + Replica.BAND + self.slack.get(z, 0.0)) / (self.heat.get(z) or 1.0)) / whole *
@@ -362,7 +362,8 @@
         self.on_turn(0 if self.members else 1e9)  # unused, lines cost nothing and stand ready
 
     def on_turn(self, room: float) -> None:
-        self.write(list(self.moved())[:int(room / max(1, len(self.members)))])
+        if fit := int(room / max(1, len(self.members))):
+            self.write(list(self.moved())[:fit])
         size = len(self.sent) + sum(w > 0 for t in self.sent.values() for w in t.values())
         self.put("publisher", "differs", self.index, bool(self.members) and any(self.moved()), size)
 
@@ -442,12 +443,11 @@
         # Ejections keep to the half, or they use up the messages that a drain needs once it comes. As long as
         # there are more, a message of fewer lines than two heads waits: sent by few, drains came too late.
         for kinds, part in (("drain", "gone"), self.GUARDS), (("eject",) * may, self.HALF):
-            those = [n for n, k in self.jobs.items() if k in kinds]
+            due = [n for n, k in self.jobs.items() if k in kinds]
             fit = self.room(everyone, part, 0) / max(1, len(everyone))
-            if fit >= min(len(those), 2 * self.head) or not self.waiting:
-                for replica in those[:max(0, int(fit))]:
-                    self.shut[replica] = self.jobs.pop(replica)
-                    self.on_write([i.Withdraw(replica, True)], everyone, 1)
+            if (fit >= min(len(due), 2 * self.head) or not self.waiting) and (out := due[:max(0, int(fit))]):
+                self.shut |= {n: self.jobs.pop(n) for n in out}
+                self.on_write([i.Withdraw(n, True) for n in out], everyone, len(out))
         for n in [n for n, k in self.jobs.items() if k == "open" and may]:
             # While proxies wait for tables, their old ones would give a server that comes back cold too much.
             if self.room(everyone, self.HALF, 3) >= 0 and not (self.binds and self.shut.get(n) != "eject"):
