Start the governor: HTTP parser, feed, channel, KDL settings and the module on sockets

This adds sans-I/O parsers and a feed with epochs, streams and acknowledgements, a paced channel that owes a whole picture where it must refuse, intake, roster view, the module in a process of its own, and the command line. The names that the adapter kept move to one shared place.

--- a/gradehoist/adapter/host.py
+++ b/gradehoist/adapter/host.py
@@ -13,7 +13,7 @@
 
 @dataclass
 class Instance:
-    names: wire.Names
+    names: wire.WireNames
     module: Module | None = None
     waiting: list[Event] = field(default_factory=list)
     crashed: str = ""
--- a/gradehoist/adapter/wire.py
+++ b/gradehoist/adapter/wire.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from gradehoist import interface as i
+from gradehoist.names import Names
 
 Fields = dict[str, str]
 ALL_TABLES = 65535
@@ -28,28 +29,12 @@
 REPEATS = {"free": i.Repeat.FREE, "guarded": i.Repeat.GUARDED, "single_shot": i.Repeat.SINGLE}
 
 
-class Names:
-    """One instance's names: what the wire calls a replica, zone, kind or class, by small index."""
+class WireNames(Names):
+    """One instance's names, and the columns of its load reports."""
 
     def __init__(self, zones: list[str], kinds: list[str], classes: list[str], report: list[str]) -> None:
-        self.zones = {name: n for n, name in enumerate(zones)}
-        self.kinds = {name: n for n, name in enumerate(kinds)}
-        self.classes = {name: n for n, name in enumerate(classes)}
+        super().__init__(zones, kinds, classes)
         self.report = report
-        self.replicas: dict[str, int] = {}
-        self.addresses: list[str] = []
-
-    def replica(self, address: str) -> int:
-        if address not in self.replicas:
-            self.replicas[address] = len(self.addresses)
-            self.addresses.append(address)
-        return self.replicas[address]
-
-    def zone(self, name: str) -> int:
-        return self.zones.setdefault(name, len(self.zones))
-
-    def kind(self, name: str) -> int:
-        return self.kinds.setdefault(name, len(self.kinds))
 
     def load(self, fields: Fields) -> i.Load | None:
         text = fields.get("report", "")
@@ -91,27 +76,28 @@
     int(fields.get("unit-group", "0"))
 
 
-def entry(names: Names, f: Fields) -> i.Entry:
+def entry(names: WireNames, f: Fields) -> i.Entry:
     return i.Entry(
-        names.replica(f["replica"]), names.zone(f["hall"]), names.kind(f.get("shape", "")),
+        names.replicas.number(f["replica"]), names.zones.number(f["hall"]),
+        names.kinds.number(f.get("shape", "")),
         int(f.get("unit-group", "0")), PHASES[f["phase"]], float(f.get("size", "1")),
         micros(f.get("online-since", "0")),
     )
 
 
-def start(f: Fields) -> tuple[Names, i.Start]:
+def start(f: Fields) -> tuple[WireNames, i.Start]:
     o = json.loads(f["options"])
     s, g, limits = o.get("specifics", {}), o.get("guarantees", {}), o.get("limits", {})
     listed = o.get("report", {})
     fields = list(listed.get("fields", [])) if listed.get("how", "inline") != "off" else []
-    names = Names(o.get("azs", []), o.get("kinds", []), [c["name"] for c in o["classes"]], fields)
+    names = WireNames(o.get("azs", []), o.get("kinds", []), [c["name"] for c in o["classes"]], fields)
     local = s.get("stays-local", [])
     classes = tuple(
         i.TransactionClass(
             micros(c["aim"]), micros(c["deadline"]), float(c.get("worth", 1.0)),
             float(c.get("late-worth", 0.0)), REPEATS.get(c.get("idempotency", ""), i.Repeat.SINGLE),
-            tuple(names.zone(z) for z in c["only-zones"]) if c.get("only-zones") else None,
-            tuple(names.kind(k) for k in c["only-kinds"]) if c.get("only-kinds") else None,
+            tuple(names.zones.number(z) for z in c["only-zones"]) if c.get("only-zones") else None,
+            tuple(names.kinds.number(k) for k in c["only-kinds"]) if c.get("only-kinds") else None,
             bool(local[n]) if n < len(local) else False,
         )
         for n, c in enumerate(o["classes"])
@@ -138,20 +124,21 @@
     )
 
 
-def event(names: Names, name: str, f: Fields) -> i.Event:
+def event(names: WireNames, name: str, f: Fields) -> i.Event:
     make: dict[str, Callable[[], i.Event]] = {
         "REMINDER": lambda: i.Due(int(f["ref"])),
         "CHECK_RESULT": lambda: i.Probed(
-            names.replica(f["replica"]), OUTCOMES.get(f["reason"], i.Outcome.OTHER),
+            names.replicas.number(f["replica"]), OUTCOMES.get(f["reason"], i.Outcome.OTHER),
             micros(f.get("elapsed", "0")), names.load(f),
         ),
         "WHISPER": lambda: i.PeerNote(
             int(f["origin-peer"]), b"" if f["octets"] == "-" else base64.b64decode(f["octets"], validate=True)
         ),
-        "JOINED": lambda: i.Joined(int(f["agent"]), names.zone(f["hall"]), float(f.get("size", "1"))),
+        "JOINED": lambda: i.Joined(int(f["agent"]), names.zones.number(f["hall"]), float(f.get("size", "1"))),
         "UNSUBSCRIBED": lambda: i.Left(int(f["agent"])),
         "DIGEST": lambda: i.Heard(
-            names.zone(f["hall"]), names.replica(f["replica"]), int(f["number"]), int(f.get("bad", "0")),
+            names.zones.number(f["hall"]), names.replicas.number(f["replica"]),
+            int(f["number"]), int(f.get("bad", "0")),
             micros(f.get("elapsed", "0")), micros(f.get("window", "0")), names.load(f),
         ),
         "OFFERED_LOAD": lambda: i.Offered(
@@ -164,7 +151,7 @@
         ),
         "CUSTODY": lambda: i.SliceGiven(int(f["map-id"]), f.get("flag", "0") == "1"),
         "ON_RECORD": lambda: i.SliceLine(
-            int(f["map-id"]), names.replica(f["replica"]), float(f.get("size", "1"))
+            int(f["map-id"]), names.replicas.number(f["replica"]), float(f.get("size", "1"))
         ),
         "TOOK_EFFECT": lambda: i.Applied(int(f["agent"]), int(f["rev"]), micros(f.get("elapsed", "0"))),
     }
@@ -183,16 +170,17 @@
     return "CRASH reason-text=" + (" ".join(text.split()) or "failed")
 
 
-def order(names: Names, o: i.Order) -> str:
+def order(names: WireNames, o: i.Order) -> str:
+    replicas = names.replicas.names
     match o:
         case i.SetLine():
-            return f"UPSERT replica={names.addresses[o.replica]} map-id={o.table} size={number(o.weight)}"
+            return f"UPSERT replica={replicas[o.replica]} map-id={o.table} size={number(o.weight)}"
         case i.ClearTable():
             return f"DROP_LINES map-id={o.table}"
         case i.Bind():
             return f"ATTACH_TABLE agent={o.proxy} map-id={o.table} only={only(o.classes)}"
         case i.Withdraw():
-            return f"WITHDRAW flag={int(o.out)} replica={names.addresses[o.replica]}"
+            return f"WITHDRAW flag={int(o.out)} replica={replicas[o.replica]}"
         case i.Admit():
             table = ALL_TABLES if o.table is None else o.table
             mask = only(o.classes)
@@ -200,7 +188,7 @@
         case i.Mark():
             return f"MARK rev={o.number} flag={int(o.to_all)}"
         case i.Probe():
-            return f"ASK_LOAD replica={names.addresses[o.replica]}"
+            return f"ASK_LOAD replica={replicas[o.replica]}"
         case i.Wake():
             return f"WAKE_ME ref={o.token} from-now={o.delay // 1_000_000}.{o.delay % 1_000_000:06d}"
         case i.Follow():
--- /dev/null
+++ b/gradehoist/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/gradehoist/governor/channel.py
@@ -0,0 +1,86 @@
+"""The channel: one ordered writer with a stated pace and a queue limit, free of I/O.
+
+A message leaves when its lines have been paced out. What would pass the limits is refused, and told to the
+caller, who owes that relay a whole picture; nothing is dropped in silence.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from gradehoist.protocol.feed import Message
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A message on its way to a proxy's stream; `leaves` is when its last line is out (µs)."""
+
+    proxy: int
+    stream: int
+    message: Message
+    leaves: int
+
+
+class Channel:
+    """`line_rate` in lines a second, `window` in µs; `limit` messages to one proxy within it, 0: no limit."""
+
+    def __init__(self, queue_limit: float, line_rate: float, limit: int, window: int) -> None:
+        self.queue_limit, self.line_rate, self.limit, self.window = queue_limit, line_rate, limit, window
+        self._queue = deque[Item]()
+        self._times: dict[int, deque[int]] = {}
+        self._free_at = 0
+        self.waiting = 0.0  # lines
+        self.most = 0.0
+        self.sent = 0.0
+
+    def joined(self, proxy: int) -> None:
+        """Messages are counted from the joining."""
+        self._times[proxy] = deque()
+
+    def left(self, proxy: int) -> None:
+        """What waits for a proxy that is gone is lost and costs no pace."""
+        self._times.pop(proxy, None)
+        kept = [item for item in self._queue if item.proxy != proxy]
+        if len(kept) < len(self._queue):
+            self.waiting = sum(item.message.cost for item in kept)
+            self._queue = deque(kept)
+
+    def may(self, now: int, proxy: int, cost: float) -> str:
+        """Empty, or why a message of this cost can't be taken now."""
+        times = self._times.get(proxy)
+        if times is None:
+            return "the proxy has left"
+        while times and times[0] <= now - self.window:
+            times.popleft()
+        if self.limit and len(times) >= self.limit:
+            return f"{self.limit} messages within {self.window / 1e6:g} s"
+        if self.waiting + cost > self.queue_limit:
+            return f"{self.waiting:g} of {self.queue_limit:g} lines wait"
+        return ""
+
+    def put(self, now: int, proxy: int, stream: int, message: Message) -> str:
+        """Takes the message, or says why not."""
+        if why := self.may(now, proxy, message.cost):
+            return why
+        self._free_at = max(self._free_at, now) + round(message.cost / self.line_rate * 1_000_000)
+        self._queue.append(Item(proxy, stream, message, self._free_at))
+        self._times[proxy].append(now)
+        self.waiting += message.cost
+        self.most = max(self.most, self.waiting)
+        return ""
+
+    def leave(self, now: int) -> list[Item]:
+        """Those that are out by now, in the order they were put."""
+        out: list[Item] = []
+        while self._queue and self._queue[0].leaves <= now:
+            item = self._queue.popleft()
+            self.waiting -= item.message.cost
+            self.sent += item.message.cost
+            out.append(item)
+        if not self._queue:
+            self.waiting = 0.0  # sums of floats drift
+        return out
+
+    def due(self) -> int | None:
+        return self._queue[0].leaves if self._queue else None
--- /dev/null
+++ b/gradehoist/governor/intake.py
@@ -0,0 +1,109 @@
+"""Sums on their way to the module: merged by zone and replica, let through at a limited rate, oldest first.
+
+What does not get through in its period adds up and follows with a longer window, as the module is used to.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gradehoist import interface as i
+from gradehoist.names import Names
+from gradehoist.protocol import feed
+
+SECOND = 1_000_000
+
+
+@dataclass
+class _Met:
+    since: int
+    tries: int = 0
+    bad: int = 0
+    elapsed: float = 0.0  # of all good tries, µs
+    load: i.Load | None = None
+
+
+@dataclass
+class _Came:
+    since: int
+    number: int = 0
+    unanswered: int = 0
+
+
+class Unknown(Exception):
+    """A sum names something that this governor never heard of."""
+
+
+class Intake:
+    """`rate` in lines a second, `period` in µs. `add` takes a relay's sums, `take` gives the module's."""
+
+    def __init__(self, names: Names, rate: float, period: int, now: int) -> None:
+        self._names, self._rate, self._period = names, rate, period
+        self._met: dict[tuple[int, int], _Met] = {}
+        self._came: dict[tuple[int, int], _Came] = {}
+        self._ready: dict[tuple[str, int, int], int] = {}  # since when, in the order of their first line
+        self._next, self._credit, self._at = now + period, 0.0, now
+
+    def add(self, now: int, proxy: int, zone: int, sums: feed.Sums) -> None:
+        """Raises Unknown, and then nothing of the document is taken."""
+        replicas, classes = self._names.replicas, self._names.classes
+        for row in sums.tries:
+            if row.replica not in replicas:
+                raise Unknown(f"replica {row.replica!r} stands in no list of this governor")
+            if row.bad > row.tries:
+                raise Unknown(f"replica {row.replica!r}: more bad tries than tries")
+        for came in sums.came:
+            if came.cls not in classes:
+                raise Unknown(f"class {came.cls!r} is not in the settings")
+        for row in sums.tries:
+            met = self._met.setdefault((zone, replicas[row.replica]), _Met(now))
+            met.tries, met.bad = met.tries + row.tries, met.bad + row.bad
+            met.elapsed += row.elapsed * (row.tries - row.bad)
+            if row.busy is not None or row.in_flight is not None:
+                met.load = i.Load(row.busy, row.in_flight, row.service_ms)
+        for came in sums.came:
+            known = self._came.setdefault((proxy, classes[came.cls]), _Came(now))
+            known.number, known.unanswered = known.number + came.number, known.unanswered + came.unanswered
+
+    def left(self, proxy: int) -> None:
+        for key in [k for k in self._came if k[0] == proxy]:
+            del self._came[key]
+            self._ready.pop(("came", *key), None)
+
+    def take(self, now: int) -> list[i.Event]:
+        """Lines due by now. A line's window reaches from its last delivery, a period at least."""
+        if now >= self._next:
+            while self._next <= now:
+                self._next += self._period
+            for zone_replica in self._met:
+                self._ready.setdefault(("met", *zone_replica), now)
+            for proxy_class in self._came:
+                self._ready.setdefault(("came", *proxy_class), now)
+        # A burst of a period's lines at most, so that an idle time does not add up to a flood.
+        most = max(1.0, self._rate * self._period / SECOND)
+        self._credit = min(most, self._credit + self._rate * (now - self._at) / SECOND)
+        self._at = now
+        out: list[i.Event] = []
+        for key in list(self._ready)[: int(self._credit)]:
+            due = self._ready.pop(key)
+            kind, a, b = key
+            window = self._period + now - due  # what waited covers its wait as well
+            if kind == "met":
+                met = self._met.pop((a, b))
+                good = met.tries - met.bad
+                out.append(i.Heard(a, b, met.tries, met.bad, round(met.elapsed / good) if good else 0, window,
+                                   met.load))
+            else:
+                came = self._came.pop((a, b))
+                out.append(i.Offered(a, b, came.number, came.unanswered, window))
+        self._credit -= len(out)
+        return out
+
+    def due(self) -> int:
+        if self._ready:
+            return self._at + max(1_000, round((1 - self._credit) / self._rate * SECOND))
+        return self._next
+
+    @property
+    def waiting(self) -> int:
+        return len(self._ready)
--- /dev/null
+++ b/gradehoist/governor/roster.py
@@ -0,0 +1,77 @@
+"""The roster as this governor knows it: documents in, list events for the module out. Free of I/O.
+
+Entries tell their age and a boot name, not a clock time, so neither end's clock can mislead the other; a
+start is fixed, on this governor's clock, when its boot name is first seen.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from gradehoist import interface as i
+from gradehoist.names import Names
+from gradehoist.protocol import feed
+
+PHASES = {"ready": i.Phase.READY, "draining": i.Phase.DRAINING, "gone": i.Phase.GONE}
+
+
+class Gap(Exception):
+    """Changes that do not follow on what is held: the whole list is due."""
+
+
+class RosterView:
+    """`long_past` in µs: a start that long ago, when first heard of, is told as 0."""
+
+    def __init__(self, names: Names, long_past: int) -> None:
+        self._names, self._long_past = names, long_past
+        self.life, self.version = "", 0
+        self.entries: dict[str, feed.Replica] = {}
+        self._boots: dict[str, tuple[str, int]] = {}  # by replica: boot name, start
+        self.old = True  # until the service itself has spoken
+
+    def take(self, now: int, document: feed.Roster) -> i.Listed | None:
+        """The event for the module, None where nothing is new. Raises Gap; ValueError for bad entries."""
+        for e in document.entries:
+            if e.phase not in PHASES:
+                raise ValueError(f"replica {e.replica!r}: no phase {e.phase!r}")
+            if e.zone not in self._names.zones:
+                raise ValueError(f"replica {e.replica!r}: zone {e.zone!r} is not in the settings")
+        if not document.whole:
+            if document.life != self.life or document.after != self.version:
+                raise Gap(f"changes after {document.after}, held is {self.version}")
+            if document.version == self.version:
+                return None
+        self.life, self.version, self.old = document.life, document.version, False
+        listed = {e.replica: e for e in document.entries if e.phase != "gone"}
+        gone = [e.replica for e in document.entries if e.phase == "gone"]
+        if document.whole:
+            self.entries = listed
+        else:
+            self.entries |= listed
+            for name in gone:
+                self.entries.pop(name, None)
+        kind = i.ListKind.COMPLETE if document.whole else i.ListKind.CHANGES
+        entries = [e for e in document.entries if e.phase != "gone" or not document.whole]
+        return i.Listed(kind, tuple(self._entry(now, e) for e in entries))
+
+    def saved(self, now: int, entries: tuple[feed.Replica, ...]) -> i.Listed:
+        """The list as last held, at start. Its ages are as old as the file, so starts count as long past
+        until the service tells the true ones."""
+        self.entries = {e.replica: e for e in entries if e.zone in self._names.zones and e.phase in PHASES}
+        listed = i.Listed(i.ListKind.SAVED, tuple(
+            replace(self._entry(now, e), started=0) for e in self.entries.values()))
+        self._boots.clear()
+        return listed
+
+    def _entry(self, now: int, e: feed.Replica) -> i.Entry:
+        known = self._boots.get(e.replica)
+        if known is None:
+            started = 0 if e.age >= self._long_past else max(1, now - e.age)
+        elif known[0] != e.boot:
+            # Later than the last start, also where ages were rounded: a restart must show as one.
+            started = max(1, now - e.age, known[1] + 1)
+        else:
+            started = known[1]
+        self._boots[e.replica] = (e.boot, started)
+        return i.Entry(self._names.replicas.number(e.replica), self._names.zones[e.zone],
+                       self._names.kinds.number(e.kind), e.cell, PHASES[e.phase], e.size, started)
--- /dev/null
+++ b/gradehoist/governor/service.py
@@ -0,0 +1,307 @@
+"""The governor on sockets, the core's shell: a task for the clock, the module, the roster, each poll."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import time
+import uuid
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+import msgspec
+import structlog
+
+from gradehoist import interface as i
+from gradehoist.governor.core import Core, Gap, Poll, Refused
+from gradehoist.governor.planner import PlannerFailed, PlannerProcess
+from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.net.server import Answer, Connection, Server, json, refusal
+from gradehoist.protocol import feed, http, orca
+from gradehoist.settings.fleet import Fleet, Governor
+
+SUMS: msgspec.json.Decoder[feed.Sums] = msgspec.json.Decoder(feed.Sums)
+ROSTER: msgspec.json.Decoder[feed.Roster] = msgspec.json.Decoder(feed.Roster)
+SAVED: msgspec.json.Decoder[tuple[feed.Replica, ...]] = msgspec.json.Decoder(tuple[feed.Replica, ...])
+ENCODER = msgspec.json.Encoder()
+ROSTER_WAIT = 5.0  # seconds that a roster call is held: short enough to notice a dead path
+
+
+class PollQuery(msgspec.Struct, frozen=True):
+    relay: feed.Name
+    zone: feed.Name
+    rate: feed.Weight = 0.0
+    epoch: str = ""
+    stream: feed.Count = 0
+    after: feed.Count = 0
+
+
+def now() -> int:
+    return time.monotonic_ns() // 1_000
+
+
+class Service:
+    """`run` serves until `stop` is called or the module fails; it returns the exit code."""
+
+    def __init__(self, fleet: Fleet, own: Governor) -> None:
+        self.fleet, self.own = fleet, own
+        self.core = Core(fleet, own, uuid.uuid4().hex[:12], now())
+        self.log = structlog.get_logger().bind(governor=own.name)
+        self._server = Server(self._handle, most=20_000)
+        self._waiters: dict[int, asyncio.Future[str]] = {}
+        self._kick, self._told = asyncio.Event(), asyncio.Event()
+        self._stopping = asyncio.Event()
+        self._tasks = set[asyncio.Task[None]]()
+        self._probing = asyncio.Semaphore(fleet.probes_at_once)
+        self._clients: dict[str, Client] = {}
+        self._failed = False
+        self._saved_path = own.state / "roster.json"
+        self.lag = 0.0  # worst lateness of the clock task since the last status call, seconds
+
+    async def run(self) -> int:
+        self._load()
+        self.planner = PlannerProcess(self.core.start, now())
+        self._server.listen(self.own.listen[1], self.own.listen[0], backlog=4096)
+        self.log.info("started", epoch=self.core.epoch, listen=":".join(map(str, self.own.listen)), zone=self.own.zone)
+        for task in (self._clock(), self._plan(), self._roster()):
+            self._own(task)
+        await self._stopping.wait()
+        self._server.stop()
+        for waiter in list(self._waiters.values()):
+            if not waiter.done():
+                waiter.set_result("stop")
+        await asyncio.sleep(0.05)  # the last answers leave
+        for running in list(self._tasks):
+            running.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for connection in list(self._server.connections):
+            connection.abort()
+        await self.planner.close()
+        self.log.info("stopped", reason="the module failed" if self._failed else "asked to")
+        return 1 if self._failed else 0
+
+    def stop(self) -> None:
+        self._stopping.set()
+
+    def _own(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+
+        def ended(done: asyncio.Task[None]) -> None:
+            self._tasks.discard(done)
+            if not done.cancelled() and (fault := done.exception()):
+                self.log.error("task_failed", reason=repr(fault))
+                self._failed = True
+                self._stopping.set()
+
+        task.add_done_callback(ended)
+
+    # Requests
+
+    async def _handle(self, request: http.Request, connection: Connection) -> Answer | None:
+        path = urlsplit(request.target)
+        try:
+            match request.method, path.path:
+                case "GET", "/v1/feed":
+                    pairs = dict(parse_qsl(path.query, keep_blank_values=True))
+                    query = msgspec.convert(pairs, PollQuery, strict=False)
+                    return await self._poll(Poll(**msgspec.structs.asdict(query)), connection)
+                case "POST", "/v1/sums":
+                    self.core.sums(now(), SUMS.decode(request.body))
+                    self._kick.set()
+                    return Answer(204)
+                case "GET", "/v1/status":
+                    return json(self.status())
+                case _, "/v1/feed" | "/v1/sums" | "/v1/status":
+                    return refusal(405, f"{path.path} does not take {request.method}")
+            return refusal(404, f"nothing at {path.path}")
+        except Refused as fault:
+            return refusal(fault.status, fault.reason)
+        except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError) as fault:
+            return refusal(400, f"not understood: {fault}")
+
+    async def _poll(self, poll: Poll, connection: Connection) -> Answer | None:
+        answer = self.core.poll(now(), poll)
+        proxy = self.core.names.proxies[poll.relay]
+        if (earlier := self._waiters.pop(proxy, None)) and not earlier.done():
+            earlier.set_result("superseded")
+        self._kick.set()
+        end = asyncio.get_running_loop().time() + self.fleet.hold / 1e6
+        while answer is None:
+            waiter: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+            self._waiters[proxy] = waiter
+            gone = asyncio.ensure_future(connection.gone.wait())
+            left = end - asyncio.get_running_loop().time()
+            await asyncio.wait((waiter, gone), timeout=max(0.0, left), return_when=asyncio.FIRST_COMPLETED)
+            gone.cancel()
+            if self._waiters.get(proxy) is waiter:
+                del self._waiters[proxy]
+            word = waiter.result() if waiter.done() else "gone" if connection.gone.is_set() else "time"
+            match word:
+                case "superseded":
+                    return refusal(409, "a later poll of this relay has taken over")
+                case "stop":
+                    return refusal(503, "the governor stops")
+                case "gone":
+                    self.core.left(proxy, "its connection closed", poll.stream)
+                    self._kick.set()
+                    return None
+                case "time":
+                    answer = feed.Feed(self.core.epoch, poll.stream)
+                case _:
+                    answer = self.core.poll(now(), poll)
+        return Answer(200, ENCODER.encode(answer), (("content-type", "application/json"),))
+
+    def status(self) -> dict[str, Any]:
+        """What a person or a check may want to know; `lag_ms` is the worst since the last call."""
+        core, lag, self.lag = self.core, self.lag, 0.0
+        return {
+            "governor": self.own.name, "epoch": core.epoch, "relays": len(core.streams),
+            "replicas": len(core.roster.entries), "roster_old": core.roster.old,
+            "channel": {"waiting": core.channel.waiting, "most": core.channel.most,
+                        "limit": core.channel.queue_limit, "sent": core.channel.sent},
+            "intake_waiting": core.intake.waiting,
+            "withdrawn": [core.names.replicas.names[n] for n in core.tables.out],
+            "planner_cpu": round(self.planner.cpu, 3), "planner_pid": self.planner.pid,
+            "lag_ms": round(lag * 1e3, 3),
+        }
+
+    # Tasks
+
+    async def _clock(self) -> None:
+        while True:
+            due = self.core.due()
+            wait = max(0.0, (due - now()) / 1e6)
+            if wait:
+                with contextlib.suppress(asyncio.TimeoutError):
+                    await asyncio.wait_for(self._kick.wait(), min(wait, 0.5))
+            else:
+                await asyncio.sleep(0)
+            self._kick.clear()
+            at = now()
+            self.lag = max(self.lag, (at - due) / 1e6)
+            for proxy in self.core.advance(at):
+                if (waiter := self._waiters.get(proxy)) and not waiter.done():
+                    waiter.set_result("news")
+            if self.core.waiting:
+                self._told.set()
+            self._effects()
+
+    async def _plan(self) -> None:
+        while True:
+            await self._told.wait()
+            self._told.clear()
+            events = self.core.events()
+            if not events:
+                continue
+            at = now()
+            try:
+                orders, reasons = await self.planner.handle(at, events)
+            except PlannerFailed as fault:
+                # What was published stands; nothing of a broken answer goes out. Relays redial on the end.
+                self.log.error("module_failed", reason=str(fault))
+                self._failed = True
+                self._stopping.set()
+                return
+            self.core.carry_out(now(), orders, reasons)
+            self._kick.set()
+
+    def _effects(self) -> None:
+        logs, self.core.logs = self.core.logs, []
+        for entry in logs:
+            (self.log.warning if entry.warn else self.log.info)(entry.event, **entry.fields)
+        probes, self.core.probes = self.core.probes, []
+        for replica in probes:
+            self._own(self._probe(replica))
+
+    async def _probe(self, replica: int) -> None:
+        """One probe within the deadline, the wait for its turn included."""
+        began, deadline = now(), self.fleet.probe_deadline / 1e6
+        outcome, load = i.Outcome.TIMED_OUT, None
+        name = self.core.names.replicas.names[replica]
+        entry = self.core.roster.entries.get(name)
+        address = (entry.address if entry else "") or name
+        try:
+            async with asyncio.timeout(deadline):
+                async with self._probing:
+                    if address not in self._clients:
+                        host, _, port = address.rpartition(":")
+                        self._clients[address] = Client(host, int(port))
+                    response = await self._clients[address].exchange("GET", "/healthz", timeout=deadline)
+            outcome = i.Outcome.ANSWERED if response.status == 200 else (
+                i.Outcome.TURNED_AWAY if response.status == 503 else i.Outcome.ERROR)
+            if (text := http.header(response.headers, orca.HEADER)) and (report := orca.read(text)):
+                load = i.Load(report.busy, report.in_flight, report.service_ms)
+        except (TimeoutError, TimedOut):
+            pass
+        except Unreachable:
+            outcome = i.Outcome.UNREACHABLE
+        except Broken:
+            outcome = i.Outcome.BROKEN
+        except ValueError as fault:
+            self.log.warning("bad_probe", replica=name, reason=str(fault))
+            outcome = i.Outcome.OTHER
+        self.core.probed(replica, outcome, now() - began, load)
+        self.log.info("probed", replica=name, reason=outcome.value)
+        self._told.set()
+
+    async def _roster(self) -> None:
+        client = Client(*self.fleet.roster)
+        whole, pause, down = True, 0.2, False
+        while True:
+            if not (self.core.follow or self.core.ask):
+                await asyncio.sleep(0.05)
+                continue
+            view = self.core.roster
+            after = -1 if whole or self.core.ask else view.version
+            target = (f"/v1/roster?zone={self.own.zone}&life={view.life}&after={after}"
+                      f"&wait={ROSTER_WAIT:g}&reader={self.own.name}")
+            try:
+                response = await client.exchange("GET", target, timeout=ROSTER_WAIT + 2)
+                if response.status != 200:
+                    raise ValueError(f"status {response.status}")
+                news = self.core.listed(now(), ROSTER.decode(response.body))
+                if down:
+                    self.log.info("roster_back")
+                whole, pause, down, self.core.ask = False, 0.2, False, False
+                if news:
+                    self._told.set()
+                    self._save()
+            except Gap as fault:
+                self.log.info("roster_gap", reason=str(fault))
+                whole = True
+            except (Unreachable, Broken, TimedOut, ValueError, msgspec.MsgspecError) as fault:
+                if not down:
+                    self.log.warning("roster_down", reason=str(fault))
+                if self.fleet.reports.must_ask:
+                    self.core.list_failed()
+                    self.core.follow = self.core.ask = False
+                    self._told.set()
+                down = True
+                await asyncio.sleep(pause)
+                pause = min(2.0, pause * 2)
+
+    def _save(self) -> None:
+        """The list as last held, for a start without a roster; an old file or a new one, never a part."""
+        try:
+            self._saved_path.parent.mkdir(parents=True, exist_ok=True)
+            part = self._saved_path.with_suffix(".part")
+            part.write_bytes(ENCODER.encode(tuple(self.core.roster.entries.values())))
+            os.replace(part, self._saved_path)
+        except OSError as fault:
+            self.log.warning("roster_not_saved", path=str(self._saved_path), reason=str(fault))
+
+    def _load(self) -> None:
+        entries: tuple[feed.Replica, ...] = ()
+        try:
+            entries = SAVED.decode(Path(self._saved_path).read_bytes())
+            self.log.info("roster_saved", replicas=len(entries), reason="old until the roster answers")
+        except FileNotFoundError:
+            pass
+        except (OSError, msgspec.MsgspecError) as fault:
+            self.log.warning("saved_roster_unread", path=str(self._saved_path), reason=str(fault))
+        self.core.list_saved(now(), entries)
+        self._told.set()
--- /dev/null
+++ b/gradehoist/net/client.py
@@ -0,0 +1,111 @@
+"""An HTTP client over Tornado's IOStream: kept connections to one address, a deadline for each exchange."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from datetime import timedelta
+
+from tornado import gen
+from tornado.iostream import IOStream, StreamClosedError
+
+from gradehoist.protocol import http
+
+
+class Unreachable(Exception):
+    """No connection: nothing was sent."""
+
+
+class Broken(Exception):
+    """The connection ended or the answer was no HTTP; the request may have been acted on."""
+
+
+class TimedOut(Exception):
+    """No answer by the deadline; the request may have been acted on."""
+
+
+class _Link:
+    def __init__(self, stream: IOStream, limits: http.Limits) -> None:
+        self.stream, self.parser = stream, http.Parser(http.Role.CLIENT, limits)
+        self.used = 0.0
+
+
+class Client:
+    """Connections to `host`:`port`, one exchange at a time on each; kept ones are dropped after `idle` s."""
+
+    def __init__(self, host: str, port: int, connect_timeout: float = 0.25, idle: float = 15.0,
+                 limits: http.Limits | None = None) -> None:
+        self.host, self.port = host, port
+        self._connect_timeout, self._idle, self._limits = connect_timeout, idle, limits or http.Limits()
+        self._free: list[_Link] = []
+        self._open = set[_Link]()
+
+    async def _link(self, clock: float) -> _Link:
+        while self._free:
+            link = self._free.pop()
+            if not link.stream.closed() and clock - link.used < self._idle:
+                return link
+            self._drop(link)
+        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=64 << 20)
+        try:
+            await gen.with_timeout(timedelta(seconds=self._connect_timeout),
+                                   stream.connect((self.host, self.port)),
+                                   quiet_exceptions=(StreamClosedError, OSError))
+        except (TimeoutError, StreamClosedError, OSError) as fault:
+            stream.close()
+            raise Unreachable(f"{self.host}:{self.port}: {fault or 'no connection in time'}") from None
+        stream.set_nodelay(True)
+        link = _Link(stream, self._limits)
+        self._open.add(link)
+        return link
+
+    def _drop(self, link: _Link) -> None:
+        self._open.discard(link)
+        link.stream.close()
+
+    async def exchange(self, method: str, target: str, body: bytes = b"", headers: http.Headers = (),
+                       timeout: float = 5.0) -> http.Response:
+        """Raises Unreachable, Broken or TimedOut. A cancelled exchange closes its connection."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout
+        link = await self._link(loop.time())
+        kept = False
+        try:
+            link.parser.asked(method)
+            link.stream.write(http.request(method, target, f"{self.host}:{self.port}", body, headers))
+            while True:
+                data = await gen.with_timeout(
+                    timedelta(seconds=max(0.0, end - loop.time())),
+                    link.stream.read_bytes(1 << 18, partial=True), quiet_exceptions=(StreamClosedError,))
+                for event in link.parser.receive(data):
+                    if isinstance(event, http.Response) and event.status >= 200:
+                        kept = event.keep_alive and link.parser.between
+                        return event
+        except TimeoutError:
+            raise TimedOut(f"{self.host}:{self.port}: no answer within {timeout:.3g} s") from None
+        except StreamClosedError:
+            for event in self._last(link):
+                if isinstance(event, http.Response):
+                    return event
+            raise Broken(f"{self.host}:{self.port}: closed before the answer") from None
+        except http.ProtocolError as fault:
+            raise Broken(f"{self.host}:{self.port}: {fault.reason}") from None
+        finally:
+            if kept:
+                link.used = loop.time()
+                self._free.append(link)
+            else:
+                self._drop(link)
+
+    @staticmethod
+    def _last(link: _Link) -> list[http.Event]:
+        try:
+            return link.parser.end()
+        except http.ProtocolError:
+            return []
+
+    def close(self) -> None:
+        """Ends all connections; exchanges under way raise Broken."""
+        for link in list(self._open):
+            self._drop(link)
+        self._free.clear()
--- /dev/null
+++ b/gradehoist/net/server.py
@@ -0,0 +1,148 @@
+"""An HTTP server over Tornado's IOStream: one coroutine a connection, which reads, asks, writes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from tornado import gen
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from gradehoist.protocol import http
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    status: int = 200
+    body: bytes = b""
+    headers: http.Headers = ()
+
+
+def json(document: Any, status: int = 200) -> Answer:
+    return Answer(status, msgspec.json.encode(document), (("content-type", "application/json"),))
+
+
+def refusal(status: int, reason: str) -> Answer:
+    return json({"error": reason}, status)
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """Seconds: `idle` between messages, `message` from a message's first byte to its last, `write` for the
+    peer to take an answer. A sender that is slower is told 408 and closed."""
+
+    idle: float = 30.0
+    message: float = 5.0
+    write: float = 5.0
+
+
+class Connection:
+    """What a handler may know of its peer: whether it is still there."""
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self.gone = asyncio.Event()
+        stream.set_close_callback(self.gone.set)
+
+    def abort(self) -> None:
+        """Closes with a reset, as a process does that dies."""
+        sock = self._stream.socket
+        if sock is not None and not self._stream.closed():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self._stream.close()
+
+
+Handler = Callable[[http.Request, Connection], Awaitable[Answer | None]]
+
+
+class Server(TCPServer):
+    """Hands each request to `handle`; an answer of None closes without one. Requests of one connection are
+    answered in order; at most `most` connections are open, the rest are closed at once."""
+
+    def __init__(self, handle: Handler, limits: http.Limits | None = None, patience: Patience | None = None,
+                 most: int = 20_000) -> None:
+        super().__init__()
+        self._handle, self._limits = handle, limits or http.Limits()
+        self._patience, self._most = patience or Patience(), most
+        self.connections = set[Connection]()
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        if len(self.connections) >= self._most:
+            stream.close()
+            return
+        stream.set_nodelay(True)
+        connection = Connection(stream)
+        self.connections.add(connection)
+        try:
+            await self._serve(stream, connection)
+        except (StreamClosedError, ConnectionError):
+            pass
+        finally:
+            self.connections.discard(connection)
+            stream.close()
+
+    async def _serve(self, stream: IOStream, connection: Connection) -> None:
+        parser = http.Parser(http.Role.SERVER, self._limits)
+        begun = 0.0  # when the message under way began; 0 between messages
+        clock = asyncio.get_running_loop().time
+        while True:
+            wait = self._patience.idle if not begun else max(0.0, begun + self._patience.message - clock())
+            try:
+                data = await gen.with_timeout(
+                    timedelta(seconds=wait), stream.read_bytes(65_536, partial=True),
+                    quiet_exceptions=(StreamClosedError,),
+                )
+            except TimeoutError:
+                if begun:
+                    await self._write(stream, self._refuse(408, "the request took too long to come"))
+                return
+            begun = begun or clock()
+            while True:
+                try:
+                    events = parser.receive(data)
+                except http.ProtocolError as fault:
+                    await self._write(stream, self._refuse(fault.status, fault.reason))
+                    return
+                for event in events:
+                    if isinstance(event, http.Expecting):
+                        await self._write(stream, http.response(100))
+                    elif isinstance(event, http.Request):
+                        answer = await self._handle(event, connection)
+                        if answer is None or connection.gone.is_set():
+                            return
+                        await self._write(stream, http.response(
+                            answer.status, answer.body if event.method != "HEAD" else b"", answer.headers,
+                            event.keep_alive))
+                        if not event.keep_alive:
+                            return
+                if not events:
+                    break
+                data = b""  # a fault behind complete messages shows at the next call
+                if parser.between:
+                    break
+            if parser.between:
+                begun = 0.0
+
+    async def _write(self, stream: IOStream, data: bytes) -> None:
+        try:
+            await gen.with_timeout(timedelta(seconds=self._patience.write), stream.write(data),
+                                   quiet_exceptions=(StreamClosedError,))
+        except TimeoutError:
+            raise StreamClosedError from None
+
+    @staticmethod
+    def _refuse(status: int, reason: str) -> bytes:
+        answer = refusal(status, reason)
+        return http.response(status, answer.body, answer.headers, keep_alive=False)
+
+    def shut(self) -> None:
+        """Stops listening and resets every connection, as the death of a process does."""
+        self.stop()
+        for connection in list(self.connections):
+            connection.abort()
--- /dev/null
+++ b/gradehoist/settings/fleet.py
@@ -0,0 +1,184 @@
+"""What a governor must know of its fleet and of itself: the `fleet` and `governor` nodes."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+
+from gradehoist import interface as i
+from gradehoist.names import Names
+from gradehoist.settings import reader as r
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Class:
+    """A class of transactions as the settings name it; times in µs."""
+
+    name: str
+    goal: int
+    cutoff: int
+    gain: float
+    late_gain: float
+    repeat: i.Repeat
+    only_zones: tuple[str, ...] | None
+    only_kinds: tuple[str, ...] | None
+    stays_local: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """`relays`: how many there are over all governors; `intake`: report lines a second to the module."""
+
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    classes: tuple[Class, ...]
+    relays: int
+    admission: bool
+    rules: i.Rules
+    channel: i.Channel
+    reports: i.Reports
+    intake: float
+    roster: Address
+    hold: int
+    silence: int
+    probe_deadline: int
+    probes_at_once: int
+
+
+@dataclass(frozen=True, slots=True)
+class Governor:
+    name: str
+    zone: str
+    listen: Address
+    state: Path
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    fleet: Fleet
+    governors: tuple[Governor, ...]
+
+    def governor(self, name: str) -> Governor:
+        """Raises KeyError for one that the settings do not name."""
+        for governor in self.governors:
+            if governor.name == name:
+                return governor
+        known = ", ".join(g.name for g in self.governors)
+        raise KeyError(f"no governor {name!r}; the settings name {known}")
+
+
+def read(path: str | Path) -> Settings:
+    """Raises SettingsError with every error found."""
+    reader, root = r.load(path)
+    settings = parse(root, Path(path).parent)
+    root.done()
+    reader.finish()
+    return settings
+
+
+def parse(root: r.Node, folder: Path) -> Settings:
+    """The nodes that are this module's own; the caller reports what is left over."""
+    node = root.need("fleet")
+    zones, kinds = node.need("zones"), node.child("kinds")
+    zone_names = zones.words("zone names")
+    kind_names = kinds.words("kind names") if kinds else ()
+    classes = tuple(_class(n, zone_names, kind_names) for n in node.all("class"))
+    if not classes:
+        node.fault("no class", 'add a node such as class "read" goal="1s" cutoff="2s"', "class")
+    names = [c.name for c in classes]
+    for n in node.all("class"):
+        if n.args and names.count(n.args[0]) > 1:
+            n.fault("a class named twice", "name each class once")
+    rules, channel, reports = node.need("rules"), node.need("channel"), node.need("reports")
+    probes, feed = node.child("probes"), node.child("feed")
+    fleet = Fleet(
+        zone_names, kind_names, classes,
+        node.get("relays", r.whole(1, 1_000_000)),
+        node.get("admission", r.one_of(("share", "off")), "share") == "share",
+        i.Rules(
+            rules.get("grace", r.time), rules.get("cold-time", r.time),
+            rules.get("cold-share", r.number(0, 1)),
+            rules.get("fall-multiple", r.number(1, 1000)), rules.get("fall-span", r.time),
+            rules.get("bare-limit", r.time), rules.get("gone-is-advice", r.flag, False),
+        ),
+        i.Channel(
+            channel.get("queue-limit", r.number(1, 1e9)), channel.get("line-rate", r.number(1, 1e9)),
+            channel.get("message-head", r.number(0, 1e6), 4.0),
+            channel.get("message-limit", r.whole(0, 10**6), 0),
+            channel.get("message-window", r.time, 10_000_000),
+        ),
+        i.Reports(
+            reports.get("period", r.time), reports.get("busy", r.flag, True),
+            reports.get("in-flight", r.flag, True), probes is not None,
+            reports.get("must-ask", r.flag, False),
+        ),
+        reports.get("intake", r.number(1, 1e9), 1000.0),
+        node.get("roster", r.address),
+        feed.get("hold", r.time, 2_000_000) if feed else 2_000_000,
+        feed.get("silence", r.time, 3_000_000) if feed else 3_000_000,
+        probes.get("deadline", r.time, 500_000) if probes else 500_000,
+        probes.get("at-once", r.whole(1, 10_000), 8) if probes else 8,
+    )
+    if feed and fleet.hold >= 60_000_000:
+        feed.fault("expected a time under a minute", "correct it", "hold")
+    for part in (rules, channel, reports, probes, feed):
+        if part:
+            part.done()
+    zones.done(args=len(zones.args))
+    if kinds:
+        kinds.done(args=len(kinds.args))
+    node.done()
+    governors = tuple(_governor(n, zone_names, folder) for n in root.all("governor"))
+    if not governors:
+        root.fault("no governor", 'add a node such as governor "a" listen="127.0.0.1:7101"', "governor")
+    for n in root.all("governor"):
+        if [g.name for g in governors].count(n.args[0] if n.args else "") > 1:
+            n.fault("a governor named twice", "name each governor once")
+    return Settings(fleet, governors)
+
+
+def _class(n: r.Node, zones: tuple[str, ...], kinds: tuple[str, ...]) -> Class:
+    goal, cutoff = n.get("goal", r.time), n.get("cutoff", r.time)
+    if goal and cutoff and goal > cutoff:
+        n.fault("the latency goal lies beyond the cut-off", "set goal to cutoff at most", "goal")
+    some_zones = n.get("only-zones", r.names(zones)) if "only-zones" in n.props else None
+    some_kinds = n.get("only-kinds", r.names(kinds)) if "only-kinds" in n.props else None
+    out = Class(
+        n.word("a class name"), goal, cutoff, n.get("gain", r.number(0, 1e9), 1.0),
+        n.get("late-gain", r.number(0, 1), 0.0),
+        i.Repeat(n.get("repeat", r.one_of(x.value for x in i.Repeat), "single")),
+        some_zones, some_kinds, n.get("stays-local", r.flag, False),
+    )
+    n.taken |= {"only-zones", "only-kinds"}
+    n.done(args=1)
+    return out
+
+
+def _governor(n: r.Node, zones: tuple[str, ...], folder: Path) -> Governor:
+    name = n.word("a name")
+    listen = n.get("listen", r.address)
+    open_to_all = n.get("beyond-loopback", r.flag, False)
+    if listen and not open_to_all and not ipaddress.IPv4Address(listen[0]).is_loopback:
+        n.fault("an address beyond loopback", "listen on 127.0.0.1, or say beyond-loopback=true", "listen")
+    state = n.get("state", r.text, f"var/{name}")
+    out = Governor(name, n.get("zone", r.one_of(zones)), listen, folder / state,
+                   n.get("seed", r.whole(0, 2**62), 1))
+    n.done(args=1)
+    return out
+
+
+def start(fleet: Fleet, names: Names, seed: int) -> i.Start:
+    """The module's first word: names become indices."""
+    classes = tuple(
+        i.TransactionClass(
+            c.goal, c.cutoff, c.gain, c.late_gain, c.repeat,
+            None if c.only_zones is None else tuple(names.zones.number(z) for z in c.only_zones),
+            None if c.only_kinds is None else tuple(names.kinds.number(k) for k in c.only_kinds),
+            c.stays_local)
+        for c in fleet.classes)
+    return i.Start(seed, len(fleet.zones), fleet.relays, 0, fleet.admission, classes, fleet.rules,
+                   fleet.channel, fleet.reports)
