--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -81,5 +81,37 @@
 
 
 
+@main.command()
+@click.argument("path", metavar="SCENE", type=FILE)
+@click.option("--seed", type=click.IntRange(0, 2**31), help="Plays another day of the same scene.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="The run folder.")
+@click.option("--tables", type=click.Choice(["governed", "standing", "even"]), default="governed",
+              show_default=True, help="Who decides: governors, nobody, or equal weights for all.")
+@click.option("--quiet", is_flag=True, help="No progress bar.")
+def day(path: Path, seed: int | None, out: Path | None, tables: str, quiet: bool) -> None:
+    """Plays a scene on loopback sockets and judges the rules; exit 0 only if they held."""
+    from gradehoist.cli import day as view
+
+    try:
+        good = view.play(path, seed, out, tables == "governed", tables == "even", quiet)
+    except view.Failed as fault:
+        raise Fail(str(fault)) from None
+    sys.exit(0 if good else 1)
+
+
+@main.command()
+@click.argument("folder", metavar="DIR", type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="The whole verdict for machines.")
+def audit(folder: Path, as_json: bool) -> None:
+    """Judges the rules afresh from the records of a run."""
+    from gradehoist.cli import day as view
+
+    try:
+        good = view.judge(folder, as_json)
+    except view.Failed as fault:
+        raise Fail(str(fault)) from None
+    sys.exit(0 if good else 1)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/gradehoist/day/scene.py
@@ -0,0 +1,220 @@
+"""Scenes in KDL: the fleet as a governor is told it, the stand-ins that play it, and the day's troubles.
+
+`draw` turns a scene and a seed into a plan: every chance of the script is taken here, so that the same seed
+plays the same day.
+"""
+
+from __future__ import annotations
+
+import socket
+from contextlib import ExitStack
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+from kdl.parsing import Parser
+
+from gradehoist.day import troubles
+from gradehoist.settings import fleet as f
+from gradehoist.settings import reader as r
+from gradehoist.standin import plan as p
+from gradehoist.standin.process import dice
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    zone: str
+    kind: str
+    count: int
+    cores: int
+    speed: float
+    spare: int
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    share: float
+    work: float
+    cv: float
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """`load` is the traffic as a part of what the listed replicas can do; times in µs."""
+
+    name: str
+    length: int
+    seed: int
+    settings: f.Settings
+    fleet_text: str
+    groups: tuple[Group, ...]
+    relays: tuple[tuple[str, int], ...]
+    loads: dict[str, Load]
+    load: float
+    skew: float
+    machine: dict[str, float]
+    clients: dict[str, float]
+    relay: dict[str, float]
+    roster: troubles.Notice
+    troubles: tuple[troubles.Trouble, ...]
+
+
+def read(path: Path) -> Scene:
+    """Raises SettingsError with every error found."""
+    reader, root = r.load(path)
+    node = root.need("scene")
+    name = node.word("a name")
+    length, seed = node.get("length", r.time), node.get("seed", r.whole(0, 2**31), 1)
+    node.done(args=1)
+    settings = f.parse(root, path.parent, listens=False)
+    zones, kinds = settings.fleet.zones, settings.fleet.kinds
+    groups = []
+    for n in root.all("replicas"):
+        groups.append(Group(
+            n.get("zone", r.one_of(zones)), n.get("kind", r.one_of(kinds)), n.get("count", r.whole(1, 1000)),
+            n.get("cores", r.whole(1, 256)), n.get("speed", r.number(0.01, 100)),
+            n.get("spare", r.whole(0, 1000), 0)))
+        n.done()
+    if not groups:
+        root.fault("no replicas", 'add a node such as replicas zone="…" kind="…" count=4', "replicas")
+    relays = []
+    for n in root.all("relays"):
+        relays.append((n.get("zone", r.one_of(zones)), n.get("count", r.whole(1, 5000))))
+        n.done()
+    if not relays:
+        root.fault("no relays", 'add a node such as relays zone="…" count=5', "relays")
+    traffic = root.need("traffic")
+    load, skew = traffic.get("load", r.number(0.01, 3)), traffic.get("skew", r.number(0, 3), 0.6)
+    loads = {}
+    for n in traffic.all("of"):
+        cls = n.word("a class name")
+        if cls not in [c.name for c in settings.fleet.classes]:
+            n.fault("a class that the fleet does not name", "name one of its classes")
+        loads[cls] = Load(n.get("share", r.number(0, 1)), n.get("work", r.number(0.1, 1e5)),
+                          n.get("cv", r.number(0.01, 3), 0.6))
+        n.done(args=1)
+    for c in settings.fleet.classes:
+        if c.name not in loads:
+            traffic.fault(f"no share for class {c.name}", f'add of "{c.name}" share=… work=…', "of")
+    traffic.done()
+    machine = _figures(root, "machine", {
+        "slots-per-core": 3, "queue-per-core": 12, "cold-from": 0.25, "cold": "10s", "report": "700ms",
+        "handshake": 3, "drops-waiting": False, "full-is-proof": True})
+    clients = _figures(root, "clients", {"retries": 1, "try-share": 0.8, "backoff": "100ms"})
+    relay = _figures(root, "relay", {
+        "strikes": 8, "avoid": "4s", "usual-way": 1, "try-factor": 0.8, "standing": 6, "redial-from": "200ms",
+        "redial-to": "1500ms", "sums-from": "200ms", "sums-to": "600ms"})
+    notice = _figures(root, "roster", {"notice": "1s", "silent-notice": "5s", "add": "500ms"})
+    some = tuple(troubles.parse(n, zones, kinds, tuple(g.name for g in settings.governors), length)
+                 for n in root.all("trouble"))
+    root.done()
+    reader.finish()
+    source = next(line for line in _nodes(path) if line[0] == "fleet")[1]
+    late = troubles.Notice(int(notice["notice"]), int(notice["silent-notice"]), int(notice["add"]))
+    return Scene(name, length, seed, settings, source, tuple(groups), tuple(relays), loads, load, skew,
+                 machine, clients, relay, late, some)
+
+
+def _figures(root: r.Node, name: str, usual: dict[str, float | str | bool]) -> dict[str, float]:
+    node, out = root.child(name), {}
+    for key, default in usual.items():
+        if isinstance(default, str):
+            found: float = node.get(key, r.time, r.time(default)) if node else r.time(default)
+        elif isinstance(default, bool):
+            found = node.get(key, r.flag, default) if node else default
+        else:
+            found = node.get(key, r.number(0, 1e9), float(default)) if node else default
+        out[key] = found
+    if node:
+        node.done()
+    return out
+
+
+def _nodes(path: Path) -> list[tuple[str, str]]:
+    return [(n.name, n.print()) for n in Parser().parse(path.read_text(encoding="utf-8")).nodes]
+
+
+def ports(number: int) -> list[int]:
+    """Free loopback ports, held together while they are found so that none is given twice."""
+    with ExitStack() as stack:
+        out = []
+        for _ in range(number):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(("127.0.0.1", 0))
+            out.append(sock.getsockname()[1])
+        return out
+
+
+def draw(scene: Scene, seed: int, follow: bool = True, even: bool = False) -> p.Plan:
+    """The plan of one run; `follow` and `even` as the plan says, for the days that the governor is beside."""
+    chance = dice(seed, "fleet")
+    fleet = scene.settings.fleet
+    replicas: list[p.Replica] = []
+    for g in scene.groups:
+        for n in range(g.count + g.spare):
+            number = len(replicas)
+            speed = g.speed * chance.uniform(0.85, 1.15)
+            replicas.append(p.Replica(
+                f"w{number + 1}", g.zone, g.kind, number // 4, 0, g.cores, round(speed, 4),
+                int(scene.machine["slots-per-core"] * g.cores),
+                int(scene.machine["queue-per-core"] * g.cores),
+                round(g.cores * speed * chance.uniform(0.9, 1.1), 3), scene.machine["cold-from"],
+                int(scene.machine["cold"]), n < g.count))
+    relays: list[p.Relay] = []
+    for zone, count in scene.relays:
+        for _ in range(count):
+            relays.append(p.Relay(f"r{len(relays) + 1}", zone, 0, chance.lognormvariate(0, scene.skew), ()))
+    total = sum(x.share for x in relays)
+    governors = [g for g in scene.settings.governors]
+    own = len(replicas) + len(relays) + len(governors) + 1
+    roles = (["clients", "links", "roster"] + [f"relays-{z}" for z in fleet.zones]
+             + [f"replicas-{z}" for z in fleet.zones])
+    found = ports(own + len(roles) + len(fleet.zones) * len(replicas) + len(relays) * len(governors))
+    take = iter(found)
+    replicas = [msgspec.structs.replace(x, port=next(take)) for x in replicas]
+    homes = [(g.name, g.zone, ("127.0.0.1", next(take))) for g in governors]
+    links = [p.Link(next(take), z, x.name, x.zone, ("127.0.0.1", x.port))
+             for z in fleet.zones for x in replicas]
+    ready: list[p.Relay] = []
+    for n, x in enumerate(relays):
+        # Of its own zone if there is one, else dealt in turn: the rest follow in order.
+        order = sorted(homes, key=lambda h: (h[1] != x.zone, (homes.index(h) - n) % len(homes)))
+        ways = []
+        for name, zone, to in order:
+            link = p.Link(next(take), x.zone, name, zone, to, x.name)
+            links.append(link)
+            ways.append((name, ("127.0.0.1", link.port)))
+        share = x.share / total
+        ready.append(msgspec.structs.replace(x, port=next(take), share=share, governors=tuple(ways)))
+    classes = tuple(
+        p.Class(c.name, scene.loads[c.name].share, scene.loads[c.name].work, scene.loads[c.name].cv, c.goal,
+                c.cutoff, c.gain, c.late_gain, c.repeat.value, c.only_zones, c.only_kinds, c.stays_local)
+        for c in fleet.classes)
+    shares = sum(c.share for c in classes)
+    mean = sum(c.share * c.work for c in classes) / shares
+    capacity = sum(x.cores * x.speed for x in replicas if x.listed) * 1e3 / mean
+    ru, ch = fleet.rules, fleet.channel
+    rules = p.Rules(ru.grace, ru.cold_time, ru.fall_multiple, ru.fall_span, ru.bare_limit, ru.gone_is_advice,
+                    ch.queue_limit, ch.line_rate, ch.message_head, ch.message_limit, ch.message_window)
+    plan = p.Plan(
+        scene.name, seed, scene.length, fleet.zones, classes, rules, tuple(replicas), tuple(ready),
+        tuple(homes), tuple(links), ("127.0.0.1", next(take)), {role: next(take) for role in roles}, (),
+        scene.load * capacity, (), int(scene.clients["retries"]), scene.clients["try-share"],
+        int(scene.clients["backoff"]), int(scene.relay["strikes"]), int(scene.relay["avoid"]),
+        int(scene.relay["usual-way"]), scene.relay["try-factor"], int(scene.relay["standing"]),
+        (int(scene.relay["redial-from"]), int(scene.relay["redial-to"])),
+        (int(scene.relay["sums-from"]), int(scene.relay["sums-to"])), fleet.reports.period, fleet.hold,
+        int(scene.machine["report"]), scene.machine["handshake"], bool(scene.machine["drops-waiting"]),
+        bool(scene.machine["full-is-proof"]), follow, even)
+    return msgspec.structs.replace(plan, steps=troubles.script(plan, scene.troubles, scene.roster))
+
+
+def settings_text(scene: Scene, plan: p.Plan) -> str:
+    """The settings file of the run's governors: the scene's fleet with the addresses of this run."""
+    document = Parser().parse(scene.fleet_text)
+    host, port = plan.roster
+    document.nodes[0].props["roster"] = f"{host}:{port}"
+    rows = [document.print()]
+    for own, (name, zone, (host, port)) in zip(scene.settings.governors, plan.governors, strict=True):
+        rows.append(f'governor "{name}" zone="{zone}" listen="{host}:{port}" seed={own.seed + plan.seed}\n')
+    return "\n".join(rows)
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -65,7 +65,8 @@
         self._load()
         self.planner = PlannerProcess(self.core.start, now())
         self._server.listen(self.own.listen[1], self.own.listen[0], backlog=4096)
-        self.log.info("started", epoch=self.core.epoch, listen=":".join(map(str, self.own.listen)), zone=self.own.zone)
+        host, port = self.own.listen
+        self.log.info("started", epoch=self.core.epoch, listen=f"{host}:{port}", zone=self.own.zone)
         for task in (self._clock(), self._plan(), self._roster()):
             self._own(task)
         await self._stopping.wait()
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -80,8 +80,9 @@
     return settings
 
 
-def parse(root: r.Node, folder: Path) -> Settings:
-    """The nodes that are this module's own; the caller reports what is left over."""
+def parse(root: r.Node, folder: Path, listens: bool = True) -> Settings:
+    """The nodes that are this module's own; the caller reports what is left over. Without `listens` the
+    addresses may be left out: a scene's are given out when it is played."""
     node = root.need("fleet")
     zones, kinds = node.need("zones"), node.child("kinds")
     zone_names = zones.words("zone names")
@@ -117,7 +118,7 @@
             reports.get("must-ask", r.flag, False),
         ),
         reports.get("intake", r.number(1, 1e9), 1000.0),
-        node.get("roster", r.address),
+        node.get("roster", r.address) if listens or "roster" in node.props else ("127.0.0.1", 0),
         feed.get("hold", r.time, 2_000_000) if feed else 2_000_000,
         feed.get("silence", r.time, 3_000_000) if feed else 3_000_000,
         probes.get("deadline", r.time, 500_000) if probes else 500_000,
@@ -132,7 +133,7 @@
     if kinds:
         kinds.done(args=len(kinds.args))
     node.done()
-    governors = tuple(_governor(n, zone_names, folder) for n in root.all("governor"))
+    governors = tuple(_governor(n, zone_names, folder, listens) for n in root.all("governor"))
     if not governors:
         root.fault("no governor", 'add a node such as governor "a" listen="127.0.0.1:7101"', "governor")
     for n in root.all("governor"):
@@ -158,9 +159,9 @@
     return out
 
 
-def _governor(n: r.Node, zones: tuple[str, ...], folder: Path) -> Governor:
+def _governor(n: r.Node, zones: tuple[str, ...], folder: Path, listens: bool) -> Governor:
     name = n.word("a name")
-    listen = n.get("listen", r.address)
+    listen = n.get("listen", r.address) if listens or "listen" in n.props else ("127.0.0.1", 0)
     open_to_all = n.get("beyond-loopback", r.flag, False)
     if listen and not open_to_all and not ipaddress.IPv4Address(listen[0]).is_loopback:
         n.fault("an address beyond loopback", "listen on 127.0.0.1, or say beyond-loopback=true", "listen")
--- /dev/null
+++ b/gradehoist/standin/__init__.py
@@ -0,0 +1,2 @@
+"""What a governor serves, written by this project for its own runs: replicas, relays, clients, a roster, and
+links that injure the traffic between them. They share the protocol and net packages and nothing else."""
--- /dev/null
+++ b/gradehoist/standin/clients.py
@@ -0,0 +1,98 @@
+"""Clients: transactions by chance at a stated rate, with patience and repeats of their own; role `clients`.
+
+Arrivals do not wait for answers. A repeat of a client is a transaction of its own to the relay, and the same
+one to the books: answered once, within its latency goal or not, or given up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from pathlib import Path
+from typing import Any
+
+from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.standin import plan as p
+from gradehoist.standin.process import Process, dice, now
+
+
+class Clients(Process):
+    def __init__(self, plan: p.Plan, role: str, folder: Path) -> None:
+        super().__init__(plan, role, folder)
+        self.clients = {r.name: Client("127.0.0.1", r.port) for r in plan.relays}
+        self.factor = {r.name: 1.0 for r in plan.relays}  # by relay: hot callers, zones that traffic leaves
+        self.whole = 1.0
+        self.open = 0
+
+    async def begin(self) -> None:
+        self.began = now()
+        self.task(self._arrivals())
+
+    def control(self, do: dict[str, Any]) -> None:
+        match do["do"]:
+            case "factor":
+                for name in do["relays"]:
+                    self.factor[name] = float(do["value"])
+            case "whole":
+                self.whole = float(do["value"])
+            case _:
+                raise ValueError(f"unknown order {do['do']!r}")
+
+    def _shape(self, at: int) -> float:
+        points = self.plan.shape or ((0, 1.0),)
+        if at <= points[0][0]:
+            return points[0][1]
+        for (a, x), (b, y) in zip(points, points[1:], strict=False):
+            if a <= at < b:
+                return x + (y - x) * (at - a) / (b - a)
+        return points[-1][1]
+
+    async def _arrivals(self) -> None:
+        chance = dice(self.plan.seed, "arrivals")
+        number, due = 0, 0.0
+        while True:
+            at = now() - self.began
+            if at >= self.plan.length:
+                return
+            weights = {r.name: r.share * self.factor[r.name] for r in self.plan.relays}
+            rate = self.plan.rate * self.whole * self._shape(at) * sum(weights.values())
+            due += chance.expovariate(max(rate, 1e-3))
+            if (wait := due - (now() - self.began) / 1e6) > 0:
+                await asyncio.sleep(wait)
+            relay = chance.choices(list(weights), list(weights.values()))[0]
+            cls = chance.choices(self.plan.classes, [c.share for c in self.plan.classes])[0]
+            spread = math.sqrt(math.log(1 + cls.cv**2))
+            work = cls.work * chance.lognormvariate(-spread**2 / 2, spread)
+            number += 1
+            self.task(self._one(f"c{number}", relay, cls, work))
+
+    async def _one(self, tx: str, relay: str, cls: p.Class, work: float) -> None:
+        began, sends, status = now(), 0, 0
+        self.open += 1
+        try:
+            while True:
+                left = began + cls.cutoff - now()
+                patience = min(left, int(self.plan.try_share * cls.cutoff))
+                if patience <= 0:
+                    break
+                sends += 1
+                headers = (("x-transaction", f"{tx}.{sends}"), ("x-class", cls.name),
+                           ("x-work", f"{work:.3f}"), ("x-patience", str(patience)))
+                try:
+                    response = await self.clients[relay].exchange("POST", "/", b"", headers, patience / 1e6)
+                    status = response.status
+                except Unreachable:
+                    status = -1
+                except Broken:
+                    status = -2
+                except TimedOut:
+                    status = -3
+                # What may have run is not sent again unless a second run is harmless.
+                again = status in (429, 503, -1) or (cls.repeat == "free" and status != 200)
+                if status == 200 or not again or sends > self.plan.retries:
+                    break
+                await asyncio.sleep(self.plan.backoff / 1e6)
+        finally:
+            self.open -= 1
+            self.record("transaction", tx=tx, relay=relay, cls=cls.name, began=began, status=status,
+                        sends=sends)
--- /dev/null
+++ b/gradehoist/standin/process.py
@@ -0,0 +1,110 @@
+"""What each stand-in process has: a record of what crossed its sockets, and a control port."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+import time
+import zlib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, BinaryIO
+
+import msgspec
+
+from gradehoist.net.server import Answer, Connection, Server, refusal
+from gradehoist.protocol import http
+from gradehoist.standin.plan import Plan
+
+ENCODER = msgspec.json.Encoder()
+
+
+def now() -> int:
+    """µs of the machine's monotonic clock, the same for all processes of a run."""
+    return time.monotonic_ns() // 1_000
+
+
+def dice(seed: int, *name: object) -> random.Random:
+    """A stream of chance of its own for each part of a run."""
+    return random.Random(zlib.crc32(repr((seed, *name)).encode()))
+
+
+class Record:
+    """JSON lines, each with its time `t` and event `e`; written out a few times a second."""
+
+    def __init__(self, path: Path) -> None:
+        self._file: BinaryIO = path.open("ab")
+        self._lines: list[bytes] = []
+
+    def __call__(self, event: str, **fields: Any) -> None:
+        self._lines.append(ENCODER.encode({"t": now(), "e": event, **fields}))
+
+    def flush(self) -> None:
+        if self._lines:
+            lines, self._lines = self._lines, []
+            self._file.write(b"\n".join(lines) + b"\n")
+            self._file.flush()
+
+
+class Process:
+    """Runs a role until SIGTERM: `begin` starts its parts, `control` takes the day's orders."""
+
+    def __init__(self, plan: Plan, role: str, folder: Path) -> None:
+        self.plan, self.role = plan, role
+        self.record = Record(folder / f"{role}.jsonl")
+        self.tasks = set[asyncio.Task[Any]]()
+        self._stop = asyncio.Event()
+
+    def task(self, work: Any) -> asyncio.Task[Any]:
+        task: asyncio.Task[Any] = asyncio.ensure_future(work)
+        self.tasks.add(task)
+
+        def ended(done: asyncio.Task[Any]) -> None:
+            self.tasks.discard(done)
+            if not done.cancelled() and (fault := done.exception()):
+                # A stand-in that fails makes the record useless: the run must not pass for a good one.
+                print(f"{self.role}: {fault!r}", file=sys.stderr, flush=True)
+                self.record("stand_in_failed", reason=repr(fault))
+                self._stop.set()
+
+        task.add_done_callback(ended)
+        return task
+
+    async def begin(self) -> None:
+        raise NotImplementedError
+
+    def control(self, do: dict[str, Any]) -> None:
+        """Carries out an order of the day. Raises KeyError or ValueError for one it can't."""
+        raise NotImplementedError
+
+    async def _control(self, request: http.Request, connection: Connection) -> Answer:
+        try:
+            do: dict[str, Any] = msgspec.json.decode(request.body, type=dict[str, Any])
+            if do["do"] != "ping":
+                self.control(do)
+        except (KeyError, ValueError, TypeError) as fault:
+            return refusal(400, repr(fault))
+        return Answer(204)
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        await self.begin()
+        control = Server(self._control)
+        control.listen(self.plan.controls[self.role], "127.0.0.1")
+        while not self._stop.is_set():
+            try:
+                await asyncio.wait_for(self._stop.wait(), 0.2)
+            except TimeoutError:
+                self.record.flush()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.record("ended")
+        self.record.flush()
+
+
+Make = Callable[[Plan, str, Path], Process]
--- /dev/null
+++ b/gradehoist/standin/relay.py
@@ -0,0 +1,286 @@
+"""Relays: plain proxies. They pick by weight from a governor's tables, strike replicas that fail them,
+try again as they are told, and stand on what they hold while no governor answers. Role `relays-ZONE`."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.net.server import Answer, Connection, Server
+from gradehoist.protocol import feed, http, orca
+from gradehoist.standin import plan as p
+from gradehoist.standin.process import ENCODER, Process, dice, now
+
+FEED: msgspec.json.Decoder[feed.Feed] = msgspec.json.Decoder(feed.Feed)
+LEAST_LEFT = 30_000  # µs: with less time left no further try is made
+
+
+@dataclass
+class Met:
+    tries: int = 0
+    bad: int = 0
+    elapsed: int = 0
+    report: orca.Report | None = None
+
+
+@dataclass
+class Relay:
+    process: Process
+    plan: p.Relay
+    whole: p.Plan
+    tasks: list[asyncio.Task[Any]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.chance = dice(self.whole.seed, "relay", self.plan.name)
+        self.classes = {c.name: c for c in self.whole.classes}
+        self.via = {link.target: link.port for link in self.whole.links
+                    if not link.relay and link.zone == self.plan.zone}
+        self.server: Server | None = None
+        self.clients: dict[str, Client] = {}
+        self.fresh()
+
+    def fresh(self) -> None:
+        self.holdings = feed.Holdings()
+        self.strikes: dict[str, int] = defaultdict(int)
+        self.avoid: dict[str, int] = {}
+        self.met: dict[str, Met] = defaultdict(Met)
+        self.came: dict[str, list[int]] = defaultdict(lambda: [0, 0])
+        self.epoch, self.stream, self.after, self.at_governor = "", 0, 0, 0
+        self.holdings.stand({c: self._standing(c) for c in self.classes})
+
+    def _standing(self, name: str) -> dict[str, float]:
+        """A few listed replicas by chance, of its own zone if there are three; placement limits hold."""
+        c = self.classes[name]
+        fit = [r for r in self.whole.replicas if r.listed and self._allowed(c, r)]
+        if self.whole.even:
+            return {r.name: r.size for r in fit}
+        near = [r for r in fit if r.zone == self.plan.zone]
+        pool = near if len(near) >= 3 or c.stays_local else fit
+        return {r.name: 1.0 for r in self.chance.sample(pool, min(self.whole.standing, len(pool)))}
+
+    def _allowed(self, c: p.Class, r: p.Replica) -> bool:
+        return ((c.only_zones is None or r.zone in c.only_zones)
+                and (c.only_kinds is None or r.kind in c.only_kinds)
+                and (not c.stays_local or r.zone == self.plan.zone))
+
+    def start(self) -> None:
+        self.server = Server(self.handle)
+        self.server.listen(self.plan.port, "127.0.0.1", backlog=1024)
+        standing = {c: self.holdings.lines(c) for c in self.classes}
+        self.process.record("relay_up", relay=self.plan.name, standing=standing)
+        if self.whole.follow_governors:
+            self.tasks = [self.process.task(self._feed()), self.process.task(self._sums())]
+
+    def die(self) -> None:
+        if self.server is not None:
+            self.process.record("relay_down", relay=self.plan.name)
+            self.server.shut()
+            self.server = None
+        for task in self.tasks:
+            task.cancel()
+        for client in self.clients.values():
+            client.close()
+        self.clients.clear()
+        self.fresh()
+
+    # The feed
+
+    async def _feed(self) -> None:
+        """Follows one governor; after a failure the next, with a pause by chance before it dials."""
+        limits = http.Limits(body=1 << 26)
+        while True:
+            name, (host, port) = self.plan.governors[self.at_governor % len(self.plan.governors)]
+            client = Client(host, port, limits=limits)
+            reason = ""
+            try:
+                while not reason:
+                    reason = await self._one_poll(client, name)
+            except (Unreachable, Broken, TimedOut, msgspec.MsgspecError) as fault:
+                reason = f"{type(fault).__name__}: {fault}"
+            finally:
+                client.close()
+            self.process.record("lost", relay=self.plan.name, governor=name, reason=reason)
+            self.at_governor += 1
+            await asyncio.sleep(self.chance.uniform(*self.whole.redial) / 1e6)
+
+    async def _one_poll(self, client: Client, governor: str) -> str:
+        target = (f"/v1/feed?relay={quote(self.plan.name)}&zone={quote(self.plan.zone)}"
+                  f"&rate={self.whole.rate * self.plan.share:.3f}&epoch={self.epoch}&stream={self.stream}"
+                  f"&after={self.after}")
+        response = await client.exchange("GET", target, timeout=self.whole.hold / 1e6 + 1.0)
+        if response.status != 200:
+            return f"status {response.status}"
+        answer = FEED.decode(response.body)
+        if answer.joined or (answer.epoch, answer.stream) != (self.epoch, self.stream):
+            self.epoch, self.stream, self.after = answer.epoch, answer.stream, 0
+            self.holdings.joined()
+            self.process.record("joined", relay=self.plan.name, governor=governor, epoch=self.epoch,
+                                stream=self.stream)
+        for message in answer.messages:
+            if message.seq <= self.after:
+                continue
+            self.holdings.apply(message)
+            self.after = message.seq
+            self.process.record("applied", relay=self.plan.name, governor=governor, epoch=self.epoch,
+                                stream=self.stream, bytes=len(response.body), message=message)
+        return ""
+
+    async def _sums(self) -> None:
+        while True:
+            await asyncio.sleep(self.whole.period / 1e6)
+            met, self.met = self.met, defaultdict(Met)
+            came, self.came = self.came, defaultdict(lambda: [0, 0])
+            tries = tuple(
+                feed.Try(r, m.tries, m.bad, m.elapsed // max(1, m.tries - m.bad),
+                         *(msgspec.structs.astuple(m.report) if m.report else ()))
+                for r, m in met.items())
+            if self.epoch:
+                sums = feed.Sums(self.plan.name, self.epoch, self.whole.period, tries,
+                                 tuple(feed.Came(c, n, u) for c, (n, u) in came.items()))
+                self.process.task(self._send_sums(sums))
+
+    async def _send_sums(self, sums: feed.Sums) -> None:
+        await asyncio.sleep(self.chance.uniform(*self.whole.sums_late) / 1e6)
+        name, (host, port) = self.plan.governors[self.at_governor % len(self.plan.governors)]
+        client = Client(host, port)
+        try:
+            response = await client.exchange("POST", "/v1/sums", ENCODER.encode(sums), timeout=1.0)
+            if response.status not in (204, 409, 503):
+                self.process.record("sums_refused", relay=self.plan.name, governor=name,
+                                    status=response.status, body=response.body.decode("utf-8", "replace"))
+        except (Unreachable, Broken, TimedOut):
+            pass
+        finally:
+            client.close()
+
+    # Transactions
+
+    async def handle(self, request: http.Request, connection: Connection) -> Answer | None:
+        came, cls = now(), self.classes.get(http.header(request.headers, "x-class") or "")
+        tx = http.header(request.headers, "x-transaction") or ""
+        if cls is None:
+            return Answer(400, b"no such class")
+        count = self.came[cls.name]
+        count[0] += 1
+        share, way = self.holdings.level(cls.name, self.whole.usual_way)
+        if self.chance.random() >= share:
+            self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="level")
+            return Answer(429, b"not let in")
+        patience = int(http.header(request.headers, "x-patience") or cls.cutoff)
+        work = asyncio.ensure_future(self._try(tx, cls, request, came + patience, way))
+        gone = asyncio.ensure_future(connection.gone.wait())
+        try:
+            await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            gone.cancel()
+            if not work.done():  # the client has left: its tries end with it
+                work.cancel()
+        if not work.done() or work.cancelled():
+            count[1] += 1
+            return None
+        status = work.result()
+        count[1] += status != 200
+        return Answer(status)
+
+    def _pick(self, cls: str, but: set[str]) -> str | None:
+        at, lines = now(), self.holdings.lines(cls)
+        fit = {r: w for r, w in lines.items() if r not in but and self.avoid.get(r, 0) <= at}
+        fit = fit or {r: w for r, w in lines.items() if r not in but}  # all avoided: better one of them
+        if not fit:
+            return None
+        return self.chance.choices(list(fit), list(fit.values()))[0]
+
+    async def _try(self, tx: str, cls: p.Class, request: http.Request, until: int, way: int) -> int:
+        """One transaction with the tries after it; the status to answer with, at once when given up."""
+        used: set[str] = set()
+        further = (0, 1, 1, 2)[way]
+        unproven = False
+        for number in range(1 + further):
+            replica = self._pick(cls.name, used)
+            if replica is None:
+                if not number:
+                    self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name,
+                                        reason="no line")
+                return 503
+            used.add(replica)
+            left = until - now()
+            last = number == further
+            wait = left if way < 2 or last else min(left, int(self.whole.try_factor * cls.goal))
+            ended, proof = await self._send(tx, number, cls, replica, request, wait, way, unproven)
+            if ended == 200:
+                return 200
+            unproven |= not proof
+            if last or until - now() < LEAST_LEFT or (way == 1 and not proof):
+                return 504 if ended == 504 else 502
+        return 502
+
+    async def _send(self, tx: str, number: int, cls: p.Class, replica: str, request: http.Request, wait: int,
+                    way: int, unproven: bool) -> tuple[int, bool]:
+        """Status and whether it is proven that the try never ran."""
+        client = self.clients.get(replica)
+        if client is None:
+            client = self.clients[replica] = Client("127.0.0.1", self.via[replica])
+        met, began = self.met[replica], now()
+        self.process.record("try", relay=self.plan.name, tx=tx, n=number, cls=cls.name, replica=replica,
+                            way=way, after_unproven=unproven)
+        headers = (("x-transaction", f"{tx}"), ("x-relay", self.plan.name), ("x-class", cls.name),
+                   ("x-work", http.header(request.headers, "x-work") or ""))
+        status, proof = 0, False
+        try:
+            response = await client.exchange("POST", "/work", b"", headers, timeout=max(0.001, wait / 1e6))
+            status = response.status
+            proof = status == 503 and http.header(response.headers, "x-never-ran") == "1"
+            if text := http.header(response.headers, orca.HEADER):
+                met.report = orca.read(text)
+        except Unreachable:
+            status, proof = 502, True
+        except TimedOut:
+            status = 504
+        except Broken:
+            status = 502
+        finally:
+            met.tries += 1
+            good = status == 200
+            met.bad += not good
+            met.elapsed += (now() - began) * good
+            self.strikes[replica] = 0 if good else self.strikes[replica] + 1
+            if self.whole.strikes and self.strikes[replica] >= self.whole.strikes:
+                self.strikes[replica] = 0
+                self.avoid[replica] = now() + int(self.whole.avoid * self.chance.uniform(0.8, 1.2))
+            self.process.record("tried", relay=self.plan.name, tx=tx, n=number, replica=replica,
+                                status=status)
+        return status, proof
+
+
+class Relays(Process):
+    """The relays of one zone."""
+
+    def __init__(self, plan: p.Plan, role: str, folder: Path) -> None:
+        super().__init__(plan, role, folder)
+        zone = role.removeprefix("relays-")
+        self.all = {r.name: Relay(self, r, plan) for r in plan.relays if r.zone == zone}
+
+    async def begin(self) -> None:
+        for relay in self.all.values():
+            relay.start()
+
+    def control(self, do: dict[str, Any]) -> None:
+        for name in do["relays"]:
+            relay = self.all[name]
+            match do["do"]:
+                case "die":
+                    relay.die()
+                case "start":
+                    relay.start()
+                case "aim":  # the next dial goes to this governor
+                    wanted = [g for g, _ in relay.plan.governors].index(do["governor"])
+                    relay.at_governor = wanted - 1 if do.get("next") else wanted
+                case _:
+                    raise ValueError(f"unknown order {do['do']!r}")
--- /dev/null
+++ b/gradehoist/standin/roster.py
@@ -0,0 +1,97 @@
+"""The roster service: which processes run, late. It holds calls until there is news; role `roster`."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from gradehoist.net.server import Answer, Connection, Server, json, refusal
+from gradehoist.protocol import feed, http
+from gradehoist.standin.process import Process, now
+
+KEPT = 200  # versions that a reader may be behind before it gets the whole list
+
+
+class Entry(msgspec.Struct):
+    phase: str
+    boot: int
+    started: int  # 0: long past
+    version: int
+
+
+class Roster(Process):
+    async def begin(self) -> None:
+        self.life, self.version = str(now()), 1
+        self.entries = {r.name: Entry("ready", 1, 0, 1) for r in self.plan.replicas if r.listed}
+        self.boots = {r.name: 1 for r in self.plan.replicas}
+        self.down = ""
+        self.news = asyncio.Event()
+        self.known = {r.name: r for r in self.plan.replicas}
+        self.via = {(link.zone, link.target): link.port for link in self.plan.links if not link.relay}
+        self.server = Server(self._handle)
+        self.server.listen(self.plan.roster[1], self.plan.roster[0])
+
+    def control(self, do: dict[str, Any]) -> None:
+        match do["do"]:
+            case "list":
+                self.version += 1
+                for name in do["replicas"]:
+                    old = self.entries.get(name)
+                    phase = str(do["phase"])
+                    boot, started = (old.boot, old.started) if old else (1, 0)
+                    if do.get("restarted"):
+                        boot, started = boot + 1, now() - int(str(do.get("ago", 0)))
+                    self.entries[name] = Entry(phase, boot, started, self.version)
+                self.record("changed", version=self.version, replicas=do["replicas"], phase=do["phase"])
+                self._wake()
+            case "down":
+                self.down = str(do["value"])
+                self._wake()
+            case "forget":  # a new life: versions start anew
+                self.life, self.version = str(now()), 1
+                for entry in self.entries.values():
+                    entry.version = 1
+                self._wake()
+            case _:
+                raise ValueError(f"unknown order {do['do']!r}")
+
+    def _wake(self) -> None:
+        self.news.set()
+        self.news = asyncio.Event()
+
+    async def _handle(self, request: http.Request, connection: Connection) -> Answer | None:
+        url = urlsplit(request.target)
+        if url.path != "/v1/roster":
+            return refusal(404, "only /v1/roster is here")
+        query = {k: v[-1] for k, v in parse_qs(url.query).items()}
+        after, zone = int(query.get("after", -1)), query.get("zone", "")
+        end = asyncio.get_running_loop().time() + min(10.0, float(query.get("wait", 0)))
+        while True:
+            if self.down == "silent":
+                await connection.gone.wait()
+                return None
+            if self.down:
+                return refusal(503, "down")
+            whole = after < 0 or query.get("life") != self.life or after < self.version - KEPT
+            if whole or after < self.version:
+                break
+            left = end - asyncio.get_running_loop().time()
+            if left <= 0:
+                break
+            try:
+                await asyncio.wait_for(self.news.wait(), left)
+            except TimeoutError:
+                break
+        entries = tuple(
+            feed.Replica(
+                name, self.known[name].zone, f"127.0.0.1:{self.via[zone, name]}", self.known[name].kind,
+                self.known[name].cell, e.phase, self.known[name].size, f"{name}/{e.boot}",
+                (now() - e.started) if e.started else 10**9)
+            for name, e in self.entries.items()
+            if (e.phase != "gone" if whole else e.version > after))
+        told = {e.replica: [e.phase, e.boot] for e in entries}
+        self.record("told", reader=query.get("reader", ""), whole=whole, version=self.version, entries=told)
+        return json(feed.Roster(self.life, self.version, entries, whole, max(0, after)))
