--- a/gradehoist/day/run.py
+++ b/gradehoist/day/run.py
@@ -97,6 +97,7 @@
                 await self._ready([role])
             self.began = now()
             self.record("day_begins", scene=self.plan.name, seed=self.plan.seed)
+            await self._step(Step(0, "clients", {"do": "begin"}))
             return await self._day()
         finally:
             self.record.flush()
--- a/gradehoist/governor/streams.py
+++ b/gradehoist/governor/streams.py
@@ -65,6 +65,8 @@
         if after > self.sent:
             raise OutOfOrder(f"message {after} was not sent; the last one was {self.sent}")
         if after < self.acked:
+            # Once: the same poll is asked again while it waits, and must not undo the picture it waits for.
+            self.acked = after
             self.owe("went back")
             return
         self.acked = after
--- a/gradehoist/governor/tables.py
+++ b/gradehoist/governor/tables.py
@@ -54,11 +54,10 @@
                     self.out[replica] = None
                 else:
                     self.out.pop(replica, None)
-                # A proxy that waits for its bind may hold the replica in tables that are unknown here.
-                holds = {t for t, lines in self.lines.items() if replica in lines}
-                concerned = [p for p, b in self.bound.items() if not b or holds.intersection(b.values())]
+                # To all, not to those alone whose tables name it: under a flapping list its lines leave and
+                # return between the two words, and a relay that missed the second shunned it for good.
                 name = replicas[replica]
-                return concerned, feed.Out(name) if out else feed.Back(name), 1
+                return list(self.bound), feed.Out(name) if out else feed.Back(name), 1
             case i.Admit(table, classes, share, tries):
                 names = self.names.classes.names
                 chosen = classes or tuple(range(len(names)))
--- a/gradehoist/settings/reader.py
+++ b/gradehoist/settings/reader.py
@@ -178,7 +178,10 @@
 
 def whole(least: int, most: int) -> Callable[[Any], int]:
     def read(value: Any) -> int:
-        figure = number(least, most)(value)
+        try:
+            figure = number(least, most)(value)
+        except ValueError:
+            figure = 0.5
         if figure != int(figure):
             raise ValueError(f"a whole number from {least} to {most}")
         return int(figure)
--- a/gradehoist/standin/clients.py
+++ b/gradehoist/standin/clients.py
@@ -25,11 +25,13 @@
         self.open = 0
 
     async def begin(self) -> None:
-        self.began = now()
-        self.task(self._arrivals())
+        """Arrivals wait for the day's order, so that its clock and theirs are one."""
 
     def control(self, do: dict[str, Any]) -> None:
         match do["do"]:
+            case "begin":
+                self.began = now()
+                self.task(self._arrivals())
             case "factor":
                 for name in do["relays"]:
                     self.factor[name] = float(do["value"])
