Scenes for every recorded kind of trouble; hostile senders and lost answers on sockets

Each kind of trouble that the deployments' records name is to be replayed through the real governor.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 STAMP := .venv/requirements.stamp
 
-.PHONY: day test bench check
+.PHONY: day test bench scenes
 
 day: $(STAMP)
 	$(PY) -m gradehoist day scenes/bad-day.kdl
@@ -19,3 +19,8 @@
 	test -x $(PY) || python3 -m venv .venv
 	$(PY) -m pip -q install -r requirements-dev.txt
 	touch $(STAMP)
+
+# Every recorded kind of trouble through the real governor, three days at a time; about three minutes.
+scenes: $(STAMP)
+	ls scenes/troubles/*.kdl | xargs -P 3 -I{} sh -c '$(PY) -m gradehoist day {} --quiet > /dev/null \
+	    && echo "kept   {}" || { echo "BROKEN {}"; exit 1; }'
--- a/gradehoist/day/scene.py
+++ b/gradehoist/day/scene.py
@@ -62,6 +62,11 @@
 def read(path: Path) -> Scene:
     """Raises SettingsError with every error found."""
     reader, root = r.load(path)
+    if base := root.child("base"):  # what several scenes share: fleet, governors, replicas, relays, traffic
+        shared, more = r.load(path.parent / base.word("a file beside this one"))
+        shared.errors = reader.errors
+        root.children += [n for n in more.children]
+        base.done(args=1)
     node = root.need("scene")
     name = node.word("a name")
     length, seed = node.get("length", r.time), node.get("seed", r.whole(0, 2**31), 1)
@@ -109,7 +114,8 @@
                  for n in root.all("trouble"))
     root.done()
     reader.finish()
-    source = next(line for line in _nodes(path) if line[0] == "fleet")[1]
+    files = [path, *(path.parent / n.args[0] for n in root.children if n.name == "base")]
+    source = next(text for file in files for name, text in _nodes(file) if name == "fleet")
     late = troubles.Notice(int(notice["notice"]), int(notice["silent-notice"]), int(notice["add"]))
     return Scene(name, length, seed, settings, source, tuple(groups), tuple(relays), loads, load, skew,
                  machine, clients, relay, late, some)
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -98,7 +98,7 @@
     world.run(2)
     slow = world.core.streams[world.core.names.proxies["r0"]]
     world.relays[0].dead = True
-    slow.MOST = 300.0  # type: ignore[misc]
+    slow.MOST = 300.0
     for n in range(200):
         slow.seen = world.now
         orders: list[i.Order] = [i.SetLine(g, 1, 1 + n / 100) for g in range(10)]
@@ -129,8 +129,8 @@
     world.run(1)
     core, proxy = world.core, world.core.names.proxies["r0"]
     stream = core.streams[proxy]
-    orders: list[i.Order] = [i.Admit(None, (k,), 0.5, 0) for k in (0, 1)] * 30
-    core.carry_out(world.now, [*orders, i.Mark(9, True)], {})
+    levels = [i.Admit(None, (k,), 0.5, 0) for k in (0, 1)] * 30
+    core.carry_out(world.now, [*levels, i.Mark(9, True)], {})
     assert stream.owed and any(x.event == "channel_full" for x in core.logs)
     marks = {m for _, m, _ in stream.marks}
     assert 9 in marks
@@ -222,7 +222,8 @@
     assert held.lines("a") == {"w1": 1.0} and held.lines("b") == {}
     held.apply(feed.Message(2, 1, 0, 1, (feed.Bind(0, ("a",), {"w3": 2.0}), feed.Out("w2"))))
     held.apply(feed.Message(3, 2, 0, 1, (feed.Line(0, "w4", 1.0), feed.Level(None, ("a",), 0.5, 0))))
-    assert held.lines("a") == {"w3": 2.0, "w4": 1.0} and held.lines("b") == {} and held.level("a", 1) == (0.5, 0)
+    assert held.lines("a") == {"w3": 2.0, "w4": 1.0} and held.lines("b") == {}
+    assert held.level("a", 1) == (0.5, 0)
     held.joined()  # another governor's table 0 is not this one's
     held.apply(feed.Message(1, 1, 0, 1, (feed.Bind(0, ("b",), {"w5": 1.0}),)))
     held.apply(feed.Message(2, 2, 0, 1, (feed.Line(0, "w6", 1.0),)))
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,316 @@
+"""Governor and stand-ins on sockets: hostile senders, a failing module, lost answers, a short day."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import pickle
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import psutil
+import pytest
+
+from gradehoist.day import audit, scene
+from gradehoist.day.run import Run
+from gradehoist.governor import planner as planning
+from gradehoist.governor.service import Service
+from gradehoist.net.client import Broken, Client, TimedOut
+from gradehoist.net.server import Answer, Connection, Patience, Server
+from gradehoist.protocol import feed, http
+from gradehoist.settings import fleet as f
+from gradehoist.settings import reader as r
+from gradehoist.standin import plan as p
+from gradehoist.standin.relay import Relay, Relays
+from tests.governed import TEXT, entry
+
+ROOT = Path(__file__).parent.parent
+LOCAL = "127.0.0.1"
+
+
+def run(work: Callable[[], Awaitable[None]]) -> None:
+    asyncio.run(asyncio.wait_for(work(), 60))
+
+
+class Roster:
+    """A roster in this process: says what it is told to say."""
+
+    def __init__(self) -> None:
+        (self.port,) = scene.ports(1)
+        self.version, self.entries, self.status, self.calls = 1, [entry(n) for n in range(4)], 200, 0
+        self.server = Server(self.handle)
+        self.server.listen(self.port, LOCAL)
+
+    async def handle(self, request: http.Request, connection: Connection) -> Answer:
+        self.calls += 1
+        if "after=-1" not in request.target:
+            await asyncio.sleep(0.1)
+        if self.status != 200:
+            return Answer(self.status)
+        return Answer(200, msgspec.json.encode(feed.Roster("l", self.version, tuple(self.entries), True)))
+
+
+@contextlib.asynccontextmanager
+async def governor(tmp_path: Path, patience: Patience | None = None) -> AsyncIterator[tuple[Service, Client]]:
+    roster = Roster()
+    (port,) = scene.ports(1)
+    reader = r.Reader("test")
+    text = TEXT.format(relays=4, queue=2000, rate=2000).replace(":7000", f":{roster.port}")
+    found = f.parse(reader.root(text.replace(":7101", f":{port}")), tmp_path)
+    reader.finish()
+    service = Service(found.fleet, found.governors[0])
+    if patience:
+        service._server._patience = patience
+    service.roster_stand_in = roster  # type: ignore[attr-defined]
+    running = asyncio.ensure_future(service.run())
+    client = Client(LOCAL, port)
+    for _ in range(200):
+        if not service.core.roster.old:
+            break
+        await asyncio.sleep(0.05)
+    try:
+        yield service, client
+    finally:
+        service.stop()
+        await running
+        client.close()
+        roster.server.stop()
+
+
+async def say(port: int, data: bytes, wait: float = 5.0) -> bytes:
+    """What the server answers to raw bytes until it closes, or until `wait`."""
+    reader, writer = await asyncio.open_connection(LOCAL, port)
+    writer.write(data)
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        got = b""
+        async with asyncio.timeout(wait):
+            while piece := await reader.read(65536):
+                got += piece
+    writer.close()
+    return got
+
+
+TAIL = b" HTTP/1.1\r\nhost: a\r\nconnection: close\r\n"
+
+
+def body(text: bytes) -> bytes:
+    return b"POST /v1/sums" + TAIL + b"content-length: %d\r\n\r\n" % len(text) + text
+
+
+def read(response: http.Response) -> feed.Feed:
+    answer: feed.Feed = msgspec.json.decode(response.body, type=feed.Feed)
+    return answer
+
+
+def test_hostile_senders_get_a_clear_answer_and_the_governor_goes_on(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with governor(tmp_path, Patience(idle=1.0, message=0.4, write=0.4)) as (service, client):
+            port = service.own.listen[1]
+            process = psutil.Process()
+            joined = read(await client.exchange("GET", "/v1/feed?relay=r&zone=x"))
+            prefix = b'{"relay":"r","epoch":"%s","window":1,' % joined.epoch.encode()
+            cases = [
+                (b"GET /v1/feed HTTP/1.1\r\nho", 408), (b"GET /" + TAIL + b"x: " + b"y" * 99999, 431),
+                (b"GET /" + b"y" * 9999, 414),
+                (b"POST /v1/sums" + TAIL + b"content-length: 9999999\r\n\r\n", 413),
+                (b"POST /v1/sums" + TAIL + b"content-length: 50\r\n\r\nshort", 408),
+                (body(b"\xff\xfe"), 400), (body(b'{"relay":"r"}'), 400), (body(b"[" * 5000), 400),
+                (body(prefix + b'"tries":[{"replica":"w1","tries":NaN}]}'), 400),
+                (body(prefix + b'"tries":[{"replica":"w1","tries":1,"busy":-1}]}'), 400),
+                (body(prefix + b'"tries":[{"replica":"w1","tries":1,"busy":1e999}]}'), 400),
+                (body(prefix + b'"tries":[{"replica":"w1","tries":99999999999}]}'), 400),
+                (body(prefix + b'"tries":[{"replica":"nobody","tries":1}]}'), 422),
+                (body(prefix + b'"came":[{"cls":"none","number":1}]}'), 422),
+                (body(b'{"relay":"stranger","epoch":"e","window":1}'), 409),
+                (b"GET /v1/feed?relay=&zone=x " + TAIL + b"\r\n", 400),
+                (b"GET /v1/feed?relay=q&zone=z " + TAIL + b"\r\n", 422),
+                (b"GET /v1/feed?relay=q&zone=x&rate=nan " + TAIL + b"\r\n", 400),
+                (b"DELETE /v1/feed " + TAIL + b"\r\n", 405),
+                (b"GET /other " + TAIL + b"\r\n", 404),
+            ]
+            for data, status in cases:
+                answer = await say(port, data)
+                assert answer.startswith(b"HTTP/1.1 %d " % status), (data[:80], answer[:80])
+                assert b'{"error":"' in answer
+            before = process.memory_info().rss
+            for _ in range(3):
+                await asyncio.gather(*(say(port, data) for data, _ in cases))
+            assert process.memory_info().rss - before < 30_000_000
+            sums = prefix + b'"tries":[{"replica":"w1","tries":1}]}'
+            good = await client.exchange("POST", "/v1/sums", sums)
+            assert good.status == 204
+    run(work)
+
+
+def test_one_byte_at_a_time_is_cut_off_though_it_never_pauses(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with governor(tmp_path, Patience(message=0.5)) as (service, _):
+            reader, writer = await asyncio.open_connection(LOCAL, service.own.listen[1])
+
+            async def drip() -> None:
+                with contextlib.suppress(ConnectionError):
+                    for byte in b"GET /v1/status HTTP/1.1\r\n" + b"x: 1\r\n" * 1000:
+                        writer.write(bytes([byte]))
+                        await asyncio.sleep(0.02)
+
+            task = asyncio.ensure_future(drip())
+            assert b" 408 " in await asyncio.wait_for(reader.readline(), 10)
+            task.cancel()
+            writer.close()
+    run(work)
+
+
+def test_the_later_of_two_polls_wins_and_stopping_ends_the_feeds(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with governor(tmp_path) as (service, client):
+            port = service.own.listen[1]
+            first = read(await client.exchange("GET", "/v1/feed?relay=r&zone=x"))
+            assert first.joined
+            target = f"/v1/feed?relay=r&zone=x&epoch={first.epoch}&stream={first.stream}&after="
+            after = 0
+            for _ in range(20):  # until nothing is left to read and the poll is held
+                answer = read(await client.exchange("GET", target + str(after)))
+                if not answer.messages:
+                    break
+                after = answer.messages[-1].seq
+            assert after and not answer.joined
+            held = [asyncio.ensure_future(Client(LOCAL, port).exchange("GET", target + str(after)))]
+            await asyncio.sleep(0.2)
+            held.append(asyncio.ensure_future(Client(LOCAL, port).exchange("GET", target + str(after))))
+            assert (await held[0]).status == 409
+            never = await client.exchange("GET", target + str(after + 7))
+            assert never.status == 409 and b"was not sent" in never.body
+            await asyncio.sleep(0.1)
+            assert (await held[1]).status in (200, 409)
+            last = asyncio.ensure_future(Client(LOCAL, port).exchange("GET", target + str(after)))
+            await asyncio.sleep(0.2)
+            service.stop()
+            assert (await last).status == 503
+    run(work)
+
+
+def test_without_any_list_a_relay_is_told_to_go_on_with_what_it_holds(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with governor(tmp_path) as (service, client):
+            service.core.roster.entries.clear()
+            assert (await client.exchange("GET", "/v1/feed?relay=q&zone=x")).status == 503
+        saved: list[feed.Replica] = msgspec.json.decode((service.own.state / "roster.json").read_bytes(),
+                                                        type=list[feed.Replica])
+        assert len(saved) == 4
+    run(work)
+
+
+def test_a_module_that_raises_ends_the_feeds_and_the_governor_with_1(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def fail(self: Any, now: int, events: list[Any]) -> Any:
+        if any(type(e).__name__ == "Joined" for e in events):
+            raise planning.PlannerFailed("ValueError: made up")
+        return [], {}
+
+    async def work() -> None:
+        monkeypatch.setattr(planning.PlannerProcess, "handle", fail)
+        async with governor(tmp_path) as (service, client):
+            answer = read(await client.exchange("GET", "/v1/feed?relay=r&zone=x"))
+            with contextlib.suppress(Broken, TimedOut):
+                target = f"/v1/feed?relay=r&zone=x&epoch={answer.epoch}&stream={answer.stream}&after=0"
+                ended = await client.exchange("GET", target)
+                assert ended.status == 503 and b"messages" not in ended.body
+            await asyncio.wait_for(service._stopping.wait(), 5)
+            assert service._failed
+    run(work)
+
+
+def test_the_planner_s_child_tells_a_fault_as_such_and_nothing_of_the_answer() -> None:
+    class Faulty:
+        def __init__(self, start: Any, now: int) -> None: ...
+
+        def handle(self, now: int, events: Any) -> Any:
+            raise RuntimeError("made up")
+
+    ours, theirs = socket.socketpair()
+    with ours, theirs, theirs.makefile("rwb") as pipe, ours.makefile("rwb") as end:
+        frames: list[tuple[Any, Any]] = [(None, 0), (0, [])]
+        for frame in frames:
+            data = pickle.dumps(frame)
+            end.write(planning.LENGTH.pack(len(data)) + data)
+        end.flush()
+        ours.shutdown(socket.SHUT_WR)
+        planning.serve(pipe, Faulty)  # type: ignore[arg-type]
+        (size,) = planning.LENGTH.unpack(end.read(4))
+        fault, orders, _, _ = pickle.loads(end.read(size))
+    assert fault == "RuntimeError: made up" and orders == []
+
+
+def test_an_answer_lost_after_the_work_is_not_repeated_for_what_must_never_run_twice(tmp_path: Path) -> None:
+    """The repeat order stands at the relay, the work is done, and its answer is cut off half way."""
+    plan = scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
+    done: list[str] = []
+
+    async def cut(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request = await stream.readuntil(b"\r\n\r\n")
+        done.append(request.decode().partition("x-transaction: ")[2].split("\r\n")[0])
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nhalf")
+        await writer.drain()
+        writer.close()
+
+    async def work() -> None:
+        process = Relays(plan, "relays-hall-a", tmp_path)
+        relay: Relay = next(iter(process.all.values()))
+        servers = [await asyncio.start_server(cut, LOCAL, 0) for _ in plan.replicas]
+        ports = [s.sockets[0].getsockname()[1] for s in servers]
+        relay.via = {x.name: port for x, port in zip(plan.replicas, ports, strict=True)}
+        classes: list[p.Class] = [c for c in plan.classes if c.repeat == "single"]
+        everywhere = feed.Level(None, (classes[0].name,), 1.0, 1)  # one more try, on proof alone
+        relay.holdings.apply(feed.Message(1, 1, 0, 1, (everywhere,)))
+        relay.server = Server(relay.handle)
+        relay.server.listen(relay.plan.port, LOCAL)
+        headers = (("x-transaction", "c1.1"), ("x-class", classes[0].name), ("x-work", "5"))
+        answer = await Client(LOCAL, relay.plan.port).exchange("POST", "/", b"", headers)
+        assert answer.status == 502 and done == ["c1.1"]  # its final answer at once, and one effect
+        for server in servers:  # nobody listens: proof that it never ran, so the second try is due
+            server.close()
+        answer = await Client(LOCAL, relay.plan.port).exchange("POST", "/", b"", headers)
+        assert answer.status == 502 and len(done) == 1
+        process.record.flush()
+        tries = [x for x in audit.load(tmp_path) if x["e"] == "try"]
+        assert [x["n"] for x in tries] == [0, 0, 1] and tries[1]["replica"] != tries[2]["replica"]
+        relay.die()
+    run(work)
+
+
+def test_sigterm_and_a_taken_address(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "example.kdl").read_text()
+    one, two = scene.ports(2)
+    path = tmp_path / "s.kdl"
+    path.write_text(text.replace("7101", str(one)).replace("7102", str(two)))
+    command = [sys.executable, "-m", "gradehoist", "governor", str(path), "--name", "a", "--log", "json"]
+    first = subprocess.Popen(command, stderr=subprocess.PIPE, cwd=ROOT)
+    assert first.stderr is not None
+    line = b""
+    while b'"started"' not in line:
+        line = first.stderr.readline()
+        assert line
+    second = subprocess.run(command, capture_output=True, cwd=ROOT, timeout=30)
+    assert second.returncode == 2 and b"listen" in second.stderr and b"Traceback" not in second.stderr
+    children = psutil.Process(first.pid).children()
+    first.send_signal(signal.SIGTERM)
+    assert first.wait(20) == 0 and b'"stopped"' in first.stderr.read()
+    assert children and not any(os.path.exists(f"/proc/{c.pid}") for c in children)
+
+
+def test_a_short_day_through_all_processes_keeps_the_rules(tmp_path: Path) -> None:
+    script = scene.read(ROOT / "scenes" / "short.kdl")
+    day = Run(script, scene.draw(script, 1), tmp_path)
+    assert asyncio.run(day.play())
+    _, verdict = audit.folder(tmp_path)
+    states = {rule.rule: rule.state for rule in verdict.rules}
+    assert verdict.good and set(states.values()) == {"kept"}, verdict
+    assert verdict.transactions > 200 and verdict.answered > 0.5
+    assert not [x for x in psutil.Process().children(recursive=True) if x.status() != psutil.STATUS_ZOMBIE]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -80,7 +80,10 @@
     assert CliRunner().invoke(main, ["check", example]).exit_code == 0
 
 
-@pytest.mark.parametrize("path", sorted((ROOT / "scenes").glob("**/*.kdl")), ids=lambda p: p.stem)
+SCENES = [*sorted((ROOT / "scenes").glob("*.kdl")), *sorted((ROOT / "scenes/troubles").glob("*.kdl"))]
+
+
+@pytest.mark.parametrize("path", SCENES, ids=lambda p: p.stem)
 def test_every_scene_reads_and_draws_the_same_day_for_a_seed(path: Path) -> None:
     found = scene.read(path)
     one, two = scene.draw(found, 5), scene.draw(found, 5)
