--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,233 @@
+"""`python -m bench [NAME …]`: parser, drains, size, inline, idle, bytes, shares."""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import h11
+import msgspec
+import numpy as np
+
+from bench.feeders import Feeder, Governor
+from gradehoist.day import audit, scene
+from gradehoist.day.run import Run
+from gradehoist.net.client import Client
+from gradehoist.protocol import feed, http
+
+REQUEST = (b"POST /v1/sums HTTP/1.1\r\nhost: 127.0.0.1:7101\r\nuser-agent: relay\r\naccept: */*\r\n"
+           b"content-type: application/json\r\nx-relay: r12\r\ncontent-length: 300\r\n\r\n" + b"x" * 300)
+
+
+def row(*cells: object) -> None:
+    print("| " + " | ".join(str(c) for c in cells) + " |", flush=True)
+
+
+def parser() -> None:
+    """Requests read and answered a second, h11 beside ours, in turns on the same bytes; an h11 connection
+    can't go on without an answer, so both write one."""
+    data, times = REQUEST * 50, dict[str, list[float]](ours=[], h11=[], reading=[])
+
+    def reading() -> int:
+        reader = http.Parser(http.Role.SERVER)
+        return sum(len(reader.receive(data)) for _ in range(20))
+
+    def ours() -> int:
+        reader, count = http.Parser(http.Role.SERVER), 0
+        for _ in range(20):
+            for _event in reader.receive(data):
+                http.response(204)
+                count += 1
+        return count
+
+    def theirs() -> int:
+        connection, count = h11.Connection(h11.SERVER), 0
+        for _ in range(20):
+            connection.receive_data(data)
+            while True:
+                event = connection.next_event()
+                if event is h11.NEED_DATA:
+                    break
+                if isinstance(event, h11.EndOfMessage):
+                    count += 1
+                    connection.send(h11.Response(status_code=204, headers=[]))
+                    connection.send(h11.EndOfMessage())
+                    connection.start_next_cycle()
+        return count
+
+    for _ in range(7):
+        for name, work in (("ours", ours), ("h11", theirs), ("reading", reading)):
+            began = time.perf_counter()
+            assert work() == 1000
+            times[name].append(time.perf_counter() - began)
+    mine, other, alone = (1000 / statistics.median(times[name]) for name in ("ours", "h11", "reading"))
+    row("parser", "requests a second")
+    row("ours, read and answered", round(mine))
+    row("h11, read and answered", round(other))
+    row("ratio", f"{mine / other:.1f}")
+    row("ours, read only", round(alone))
+
+
+async def _governed(relays: int, replicas: int, rate: float, queue: float, folder: str,
+                    module: str = "gradehoist", hold: str = "20s") -> tuple[Governor, list[Feeder],
+                                                                            list[asyncio.Task[None]]]:
+    governor = Governor(Path(folder), relays, replicas, rate, queue, hold=hold, module=module)
+    await governor.ready()
+    feeders = [Feeder(n, governor.port) for n in range(relays)]
+    tasks = [asyncio.ensure_future(f.follow()) for f in feeders]
+    end = time.monotonic() + 180
+    while not all(f.bound >= 2 for f in feeders):
+        if time.monotonic() > end:
+            raise RuntimeError(f"{sum(f.bound < 2 for f in feeders)} of {relays} relays are not bound")
+        await asyncio.sleep(0.1)
+    return governor, feeders, tasks
+
+
+async def _drain(relays: int, replicas: int, rate: float) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        governor, feeders, tasks = await _governed(relays, replicas, rate, rate, folder)
+        await asyncio.sleep(5)
+        governor.roster.drain()
+        end = time.monotonic() + 60
+        while not all(f.out for f in feeders) and time.monotonic() < end:
+            await asyncio.sleep(0.05)
+        waits = [1e3 * (f.out - governor.roster.told) for f in feeders if f.out]
+        row(relays, replicas, f"{rate:g}", *(f"{np.percentile(waits, q):.0f}" for q in (50, 99, 100)),
+            len(feeders) - len(waits))
+        for task in tasks:
+            task.cancel()
+        governor.close()
+
+
+def drains() -> None:
+    row("relays", "replicas", "lines a second", "p50 ms", "p99 ms", "worst ms", "never told")
+    for relays, replicas, rate in ((15, 12, 3500), (300, 118, 3500), (1000, 118, 3500), (1000, 118, 12000)):
+        asyncio.run(_drain(relays, replicas, rate))
+
+
+async def _size(relays: int, replicas: int, rate: float, module: str = "gradehoist") -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        governor, feeders, tasks = await _governed(relays, replicas, rate, rate, folder, module)
+        tasks += [asyncio.ensure_future(f.sums(replicas, 1.0)) for f in feeders]
+        await asyncio.sleep(5)
+        client, waits = Client("127.0.0.1", governor.port), []
+        (cpu, _), (planner, _), began = governor.usage(), governor.planner_usage(), time.monotonic()
+        while time.monotonic() - began < 20:
+            asked = time.perf_counter()
+            await client.exchange("GET", "/v1/status", timeout=30)
+            waits.append(1e3 * (time.perf_counter() - asked))
+            await asyncio.sleep(0.01)
+        took = time.monotonic() - began
+        (cpu2, memory), (planner2, pmemory) = governor.usage(), governor.planner_usage()
+        row(relays, replicas, module, f"{100 * (cpu2 - cpu) / took:.0f}%", f"{100 * (planner2 - planner) / took:.0f}%",
+            *(f"{np.percentile(waits, q):.1f}" for q in (50, 99, 100)), f"{memory / 1e6:.0f}", f"{pmemory / 1e6:.0f}")
+        for task in tasks:
+            task.cancel()
+        governor.close()
+
+
+HEAD = ("relays", "replicas", "program", "CPU loop", "CPU planner", "answer p50 ms", "p99 ms", "worst ms",
+        "MB loop", "MB planner")
+
+
+def size() -> None:
+    row(*HEAD)
+    for relays, replicas, rate in ((286, 118, 3500), (1000, 500, 12000)):
+        asyncio.run(_size(relays, replicas, rate))
+
+
+def inline() -> None:
+    row(*HEAD)
+    for module in ("bench.inline", "gradehoist", "bench.inline", "gradehoist"):
+        asyncio.run(_size(286, 118, 3500, module))
+
+
+async def _idle(relays: int) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        governor = Governor(Path(folder), relays, 12, 1e6, 1e6, hold="50s")
+        await governor.ready()
+        _, before = governor.usage()
+        feeders = [Feeder(n, governor.port) for n in range(relays)]
+        tasks = []
+        for n, feeder in enumerate(feeders):
+            tasks.append(asyncio.ensure_future(feeder.follow()))
+            if n % 100 == 99:
+                await asyncio.sleep(0.1)
+        while not all(f.bound >= 2 for f in feeders):
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(3)
+        _, after = governor.usage()
+        governor.roster.drain()
+        end = time.monotonic() + 60
+        while not all(f.out for f in feeders) and time.monotonic() < end:
+            await asyncio.sleep(0.02)
+        waits = [f.out - governor.roster.told for f in feeders if f.out]
+        row(relays, f"{(after - before) / relays / 1e3:.1f}", f"{np.percentile(waits, 50):.2f}", f"{max(waits):.2f}",
+            relays - len(waits))
+        for task in tasks:
+            task.cancel()
+        governor.close()
+
+
+def idle() -> None:
+    row("idle polls", "kB a connection", "change to half, s", "change to all, s", "never told")
+    asyncio.run(_idle(5000))
+
+
+def whole_size(held: feed.Holdings) -> int:
+    """Bytes of a whole picture of what a relay holds."""
+    tables: dict[tuple[int, int], list[str]] = {}
+    for cls, key in held.table.items():
+        tables.setdefault(key, []).append(cls)
+    deltas: list[feed.Delta] = [feed.Bind(k[1], tuple(c), held.tables.get(k, {})) for k, c in tables.items()]
+    deltas += [feed.Out(x) for x in held.out]
+    deltas += [feed.Level(t, (c,), s, n) for (t, c), (s, n) in held.levels.items()]
+    return len(msgspec.json.encode(feed.Message(1, 1, 10**9, 1.0, tuple(deltas), 1, True)))
+
+
+def sizes(folder: Path) -> None:
+    """Bytes of the messages of a run, and of whole pictures in their place."""
+    held: dict[str, feed.Holdings] = {}
+    deltas = whole = 0
+    for record in audit.load(folder):
+        if record["e"] == "joined":
+            held.setdefault(record["relay"], feed.Holdings()).joined()
+        elif record["e"] == "applied":
+            message = msgspec.convert(record["message"], feed.Message)
+            mine = held.setdefault(record["relay"], feed.Holdings())
+            mine.apply(message)
+            deltas += len(msgspec.json.encode(message))
+            whole += whole_size(mine)
+    row("deltas, bytes", "whole pictures, bytes", "ratio")
+    row(deltas, whole, f"{whole / deltas:.1f}")
+
+
+def shares() -> None:
+    """The bad day's answered share: governed, standing tables, equal weights; three seeds."""
+    row("seed", "governed", "standing tables", "equal weights", "rules, governed")
+    script = scene.read(Path("scenes/bad-day.kdl"))
+    for seed in (1, 2, 3):
+        cells, rules = [], ""
+        for follow, even in ((True, False), (False, False), (False, True)):
+            folder = Path("found") / f"bench-{seed}-{'governed' if follow else 'even' if even else 'standing'}"
+            asyncio.run(Run(script, scene.draw(script, seed, follow, even), folder).play())
+            verdict = audit.folder(folder)[1]
+            cells.append(f"{100 * verdict.answered:.1f}%")
+            if follow:
+                rules = " ".join(r.state for r in verdict.rules)
+                sizes(folder)
+        row(seed, *cells, rules)
+
+
+ALL: dict[str, Callable[[], None]] = {
+    "parser": parser, "drains": drains, "size": size, "inline": inline, "idle": idle, "shares": shares}
+
+if __name__ == "__main__":
+    for name in sys.argv[1:] or ALL:
+        print(f"\n## {name}\n", flush=True)
+        ALL[name]()
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -113,5 +113,15 @@
     sys.exit(0 if good else 1)
 
 
+@main.command()
+def openapi() -> None:
+    """Prints the governor's API as an OpenAPI document."""
+    import msgspec
+
+    from gradehoist.governor.openapi import document
+
+    click.echo(msgspec.json.format(msgspec.json.encode(document()), indent=1).decode())
+
+
 if __name__ == "__main__":
     main()
--- a/gradehoist/protocol/http.py
+++ b/gradehoist/protocol/http.py
@@ -14,6 +14,7 @@
 Headers = tuple[tuple[str, str], ...]
 
 _FIELDS = re.compile(rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r\n)*")
+_FIELD = re.compile(r"([^:\r]+):[ \t]*([^\r]*)\r\n")  # within what _FIELDS has let pass
 _REQUEST = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/(\d)\.(\d)")
 _STATUS = re.compile(rb"HTTP/(\d)\.(\d) (\d{3})(?: ([\t\x20-\x7e\x80-\xff]*))?")
 _CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[\t ]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
@@ -95,6 +96,8 @@
         self._state, self._need = _State.HEAD, 0
         self._body = bytearray()
         self._start: tuple[str, str, Headers, bool] = ("", "", (), True)
+        self._known: dict[str, str] = {}
+        self._twice = False
         self._methods: list[str] = []
 
     def asked(self, method: str) -> None:
@@ -222,10 +225,12 @@
             raise ProtocolError(414, f"a first line of over {self.limits.line} bytes")
         if not _FIELDS.fullmatch(block):
             raise ProtocolError(400, "a header line that is no field")
-        rows = block.decode("latin-1").split("\r\n")[:-1]
-        if len(rows) > self.limits.fields:
+        pairs = _FIELD.findall(block.decode("latin-1"))
+        if len(pairs) > self.limits.fields:
             raise ProtocolError(431, f"over {self.limits.fields} header fields")
-        headers = tuple([(k.lower(), v.strip(" \t")) for k, _, v in [r.partition(":") for r in rows]])
+        headers = tuple([(name.lower(), value.rstrip(" \t")) for name, value in pairs])
+        self._known = dict(headers)
+        self._twice = len(self._known) < len(headers)  # then fields that must stand once are counted
         if self.role is Role.SERVER:
             self._request(line, headers, events)
         else:
@@ -241,11 +246,11 @@
         if found[3] != b"1":
             raise ProtocolError(505, "another major version of HTTP than 1")
         modern = found[4] != b"0"
-        if sum(k == "host" for k, _ in headers) != 1 and modern:
+        if modern and ("host" not in self._known or self._number(headers, "host") != 1):
             raise ProtocolError(400, "not just one Host field")
         self._start = (found[1].decode(), found[2].decode(), headers, self._stays(headers, modern))
-        self._frame(headers, modern, has_body=True, to_close=False)
-        expect = header(headers, "expect")
+        self._frame(headers, modern, to_close=False)
+        expect = self._known.get("expect")
         if expect is not None and self._state is not _State.HEAD:
             if expect.lower() != "100-continue":
                 raise ProtocolError(417, "an expectation other than 100-continue")
@@ -266,28 +271,32 @@
             self._methods.pop(0)
         bare = status < 200 or status in (204, 304) or method == "HEAD"
         if not bare:
-            self._frame(headers, modern, has_body=True, to_close=True)
+            self._frame(headers, modern, to_close=True)
 
-    @staticmethod
-    def _stays(headers: Headers, modern: bool) -> bool:
+    def _number(self, headers: Headers, name: str) -> int:
+        """How often a field stands that is known to stand."""
+        return sum([key == name for key, _ in headers]) if self._twice else 1
+
+    def _stays(self, headers: Headers, modern: bool) -> bool:
+        if "connection" not in self._known:
+            return modern
         words = (header(headers, "connection") or "").lower().split(",")
         options = {word.strip() for word in words}
         return "close" not in options if modern else "keep-alive" in options
 
-    def _frame(self, headers: Headers, modern: bool, has_body: bool, to_close: bool) -> None:
-        lengths = [v for k, v in headers if k == "content-length"]
-        codings = [v for k, v in headers if k == "transfer-encoding"]
-        if codings:
-            if lengths or not modern:
+    def _frame(self, headers: Headers, modern: bool, to_close: bool) -> None:
+        length, coding = self._known.get("content-length"), self._known.get("transfer-encoding")
+        if coding is not None:
+            if length is not None or not modern:
                 raise ProtocolError(400, "a length and a transfer coding, or a coding in HTTP/1.0")
-            if [c.lower() for c in codings] != ["chunked"]:
+            if coding.lower() != "chunked" or self._number(headers, "transfer-encoding") != 1:
                 raise ProtocolError(501, "a transfer coding other than chunked")
             self._body.clear()
             self._state = _State.CHUNK_SIZE
-        elif lengths:
-            if len(lengths) > 1 or not _LENGTH.fullmatch(lengths[0]):
+        elif length is not None:
+            if not _LENGTH.fullmatch(length) or self._number(headers, "content-length") != 1:
                 raise ProtocolError(400, "a content length that is not one number")
-            self._need = int(lengths[0])
+            self._need = int(length)
             if self._need > self.limits.body:
                 raise ProtocolError(413, f"a body of over {self.limits.body} bytes")
             self._state = _State.BODY if self._need else _State.HEAD
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -21,6 +21,7 @@
 from gradehoist.day import audit, scene
 from gradehoist.day.run import Run
 from gradehoist.governor import planner as planning
+from gradehoist.governor.openapi import document
 from gradehoist.governor.service import Service
 from gradehoist.net.client import Broken, Client, TimedOut
 from gradehoist.net.server import Answer, Connection, Patience, Server
@@ -149,6 +150,28 @@
     run(work)
 
 
+def test_the_api_document_is_that_of_the_program_and_holds_on_the_server(tmp_path: Path) -> None:
+    written = msgspec.json.decode((ROOT / "docs" / "openapi.json").read_bytes())
+    assert written == msgspec.json.decode(msgspec.json.encode(document()))
+
+    async def work() -> None:
+        async with governor(tmp_path) as (_, client):
+            asked = {("/v1/feed", "get"): ["?relay=r&zone=x", "?zone=x", "?relay=r&zone=q"],
+                     ("/v1/sums", "post"): [""], ("/v1/status", "get"): [""]}
+            for path, methods in written["paths"].items():
+                for method, operation in methods.items():
+                    for tail in asked.pop((path, method)):
+                        response = await client.exchange(method.upper(), path + tail)
+                        content = operation["responses"][str(response.status)].get("content")
+                        assert bool(content) == bool(response.body)
+                        if response.status == 200 and path == "/v1/feed":
+                            read(response)  # strict: the schema is this type's
+                    refused = await client.exchange("PATCH", path)
+                    assert str(refused.status) in operation["responses"]
+            assert not asked
+    run(work)
+
+
 def test_one_byte_at_a_time_is_cut_off_though_it_never_pauses(tmp_path: Path) -> None:
     async def work() -> None:
         async with governor(tmp_path, Patience(message=0.5)) as (service, _):
