--- a/bench/feeders.py
+++ b/bench/feeders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import subprocess
 import sys
 import time
@@ -106,14 +107,13 @@
         beat = 0
         while True:
             beat += 1
-            tries = tuple(feed.Try(f"w{(self.n * 7 + k * 5) % replicas}", 3, 0, 250_000,
-                                   0.5 + 0.2 * ((k * 31 + beat * 17 + self.n) % 10) / 10, 2.0) for k in range(30))
+            tries = tuple(
+                feed.Try(f"w{(self.n * 7 + k * 5) % replicas}", 3, 0, 250_000,
+                         0.5 + 0.2 * ((k * 31 + beat * 17 + self.n) % 10) / 10, 2.0) for k in range(30))
             came = (feed.Came("rate-check", 6), feed.Came("booking-commit", 3))
             sums = feed.Sums(self.name, self.epoch, int(period * 1e6), tries, came)
-            try:
+            with contextlib.suppress(Unreachable, Broken, TimedOut):
                 await client.exchange("POST", "/v1/sums", msgspec.json.encode(sums), timeout=5)
-            except (Unreachable, Broken, TimedOut):
-                pass
             await asyncio.sleep(period)
 
 
--- a/gradehoist/governor/openapi.py
+++ b/gradehoist/governor/openapi.py
@@ -9,13 +9,12 @@
 from gradehoist.protocol import feed
 
 REFUSALS = {
-    "400": "not understood: framing, JSON or a value out of range", "404": "no such path",
+    "400": "not understood: framing, JSON or a value out of range",
     "405": "another method than the path takes", "408": "the request took too long to come",
     "409": "no such stream, a message that was never sent, or a later poll took over: join anew",
-    "413": "a body over the limit", "414": "a first line over the limit",
+    "413": "a body over the limit",
     "422": "understood, but it names a zone, replica or class that is unknown here",
-    "431": "header fields over the limit", "503": "no list of replicas yet, or the governor stops: go on with "
-    "what you hold and dial another",
+    "503": "no list of replicas yet, or the governor stops: go on with what you hold and dial another",
 }
 
 
@@ -32,7 +31,8 @@
         return {code: {"description": REFUSALS[code], "content": body} for code in codes}
 
     def query(name: str, kind: str, what: str, required: bool = False) -> dict[str, Any]:
-        return {"name": name, "in": "query", "required": required, "schema": {"type": kind}, "description": what}
+        return {"name": name, "in": "query", "required": required, "schema": {"type": kind},
+                "description": what}
 
     return {
         "openapi": "3.1.0",
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -130,11 +130,11 @@
                 (body(prefix + b'"tries":[{"replica":"nobody","tries":1}]}'), 422),
                 (body(prefix + b'"came":[{"cls":"none","number":1}]}'), 422),
                 (body(b'{"relay":"stranger","epoch":"e","window":1}'), 409),
-                (b"GET /v1/feed?relay=&zone=x " + TAIL + b"\r\n", 400),
-                (b"GET /v1/feed?relay=q&zone=z " + TAIL + b"\r\n", 422),
-                (b"GET /v1/feed?relay=q&zone=x&rate=nan " + TAIL + b"\r\n", 400),
-                (b"DELETE /v1/feed " + TAIL + b"\r\n", 405),
-                (b"GET /other " + TAIL + b"\r\n", 404),
+                (b"GET /v1/feed?relay=&zone=x" + TAIL + b"\r\n", 400),
+                (b"GET /v1/feed?relay=q&zone=z" + TAIL + b"\r\n", 422),
+                (b"GET /v1/feed?relay=q&zone=x&rate=nan" + TAIL + b"\r\n", 400),
+                (b"DELETE /v1/feed" + TAIL + b"\r\n", 405),
+                (b"GET /other" + TAIL + b"\r\n", 404),
             ]
             for data, status in cases:
                 answer = await say(port, data)
