--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -90,7 +90,8 @@
 
 async def _drain(relays: int, replicas: int, rate: float) -> None:
     with tempfile.TemporaryDirectory() as folder:
-        governor, feeders, tasks = await _governed(relays, replicas, rate, rate, folder)
+        # A site's queue holds what can't be put off twice: a withdrawal costs each relay six lines.
+        governor, feeders, tasks = await _governed(relays, replicas, rate, max(rate, 12 * relays), folder)
         await asyncio.sleep(5)
         governor.roster.drain()
         end = time.monotonic() + 60
--- a/gradehoist/day/scene.py
+++ b/gradehoist/day/scene.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+import random
 import socket
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -141,14 +142,19 @@
 
 
 def ports(number: int) -> list[int]:
-    """Free loopback ports, held together while they are found so that none is given twice."""
+    """Free loopback ports, held together while they are found so that none is given twice.
+
+    They lie under the range that systems take for outgoing connections: from there, a port that was free a
+    moment ago was another run's connection when its process came to listen."""
+    at, out = random.SystemRandom().randrange(10_000, 30_000), list[int]()
     with ExitStack() as stack:
-        out = []
-        for _ in range(number):
+        while len(out) < number:
+            at = at + 1 if at < 32_000 else 10_000
             sock = stack.enter_context(socket.socket())
-            sock.bind(("127.0.0.1", 0))
-            out.append(sock.getsockname()[1])
-        return out
+            with suppress(OSError):
+                sock.bind(("127.0.0.1", at))
+                out.append(at)
+    return out
 
 
 def draw(scene: Scene, seed: int, follow: bool = True, even: bool = False) -> p.Plan:
--- a/gradehoist/governor/channel.py
+++ b/gradehoist/governor/channel.py
@@ -11,6 +11,8 @@
 
 from gradehoist.protocol.feed import Message
 
+MEASURED = 100_000  # µs: shorter busy times say more of timers than of pace
+
 
 @dataclass(frozen=True, slots=True)
 class Item:
@@ -33,6 +35,8 @@
         self.waiting = 0.0  # lines
         self.most = 0.0
         self.sent = 0.0
+        self.pace = line_rate  # lines a second, as measured over the last busy time of a tenth of a second
+        self._busy: tuple[int, float] | None = None  # since when, lines out since
 
     def joined(self, proxy: int) -> None:
         """Messages are counted from the joining."""
@@ -63,6 +67,7 @@
         """Takes the message, or says why not."""
         if why := self.may(now, proxy, message.cost):
             return why
+        self._busy = self._busy or (now, 0.0)
         self._free_at = max(self._free_at, now) + round(message.cost / self.line_rate * 1_000_000)
         self._queue.append(Item(proxy, stream, message, self._free_at))
         self._times[proxy].append(now)
@@ -78,8 +83,17 @@
             self.waiting -= item.message.cost
             self.sent += item.message.cost
             out.append(item)
+        if out and self._busy:
+            since, lines = self._busy
+            lines += sum(item.message.cost for item in out)
+            if now - since >= MEASURED:
+                self.pace = lines * 1e6 / (now - since)
+            self._busy = (since, lines) if self._queue and now - since < MEASURED else None
+            if self._queue and self._busy is None:
+                self._busy = (now, 0.0)
         if not self._queue:
             self.waiting = 0.0  # sums of floats drift
+            self._busy = None
         return out
 
     def due(self) -> int | None:
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -23,6 +23,7 @@
 
 __all__ = ["Core", "Gap", "Log", "OutOfOrder", "Poll", "Refused", "Unknown"]
 
+SECOND = 1_000_000
 ANSWER_LINES = 4_000.0  # about what one answer brings: more than any table, less than a megabyte
 
 
@@ -70,6 +71,7 @@
         self.probes: list[int] = []
         self.logs: list[Log] = []
         self.replies = 0
+        self._looked, self._slow = now, False
         self._joins = 0
         self._events: list[i.Event] = []
         self._wakes: list[tuple[int, int]] = []
@@ -175,6 +177,8 @@
             self.left(proxy, "silent")
         for proxy in list(self._owed):
             self._picture(now, proxy)
+        if now >= self._looked + SECOND:
+            self._look(now)
         ready: set[int] = set()
         for item in self.channel.leave(now):
             stream = self.streams.get(item.proxy)
@@ -189,6 +193,21 @@
         self._events += self.intake.take(now)
         return ready
 
+    def _look(self, now: int) -> None:
+        """Tells of what is slow, once: a channel under half its stated pace, relays that do not confirm."""
+        self._looked = now
+        slow = self.channel.pace < self.channel.line_rate / 2
+        if slow != self._slow:
+            self._slow = slow
+            self.log("channel_slow" if slow else "channel_well", warn=slow,
+                     lines_a_second=round(self.channel.pace), reason=f"stated are {self.channel.line_rate:g}")
+        for stream in self.streams.values():
+            late = bool(stream.marks) and now - stream.marks[0][2] > self.fleet.rules.grace
+            if late and not stream.slow:
+                self.log("relay_slow", warn=True, relay=stream.relay,
+                         reason=f"has not confirmed an order of {(now - stream.marks[0][2]) / 1e6:.1f} s ago")
+            stream.slow = late
+
     def due(self) -> int:
         """When `advance` has something to do next."""
         times = [self.intake.due()]
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -163,7 +163,8 @@
             "governor": self.own.name, "epoch": core.epoch, "relays": len(core.streams),
             "replicas": len(core.roster.entries), "roster_old": core.roster.old,
             "channel": {"waiting": core.channel.waiting, "most": core.channel.most,
-                        "limit": core.channel.queue_limit, "sent": core.channel.sent},
+                        "limit": core.channel.queue_limit, "sent": core.channel.sent,
+                        "pace": round(core.channel.pace)},
             "intake_waiting": core.intake.waiting,
             "withdrawn": [core.names.replicas.names[n] for n in core.tables.out],
             "planner_cpu": round(self.planner.cpu, 3), "planner_pid": self.planner.pid,
@@ -177,8 +178,11 @@
             due = self.core.due()
             wait = max(0.0, (due - now()) / 1e6)
             if wait:
-                with contextlib.suppress(asyncio.TimeoutError):
-                    await asyncio.wait_for(self._kick.wait(), min(wait, 0.5))
+                # Not wait_for: before Python 3.12 it loses a cancellation that meets the event, and a busy
+                # governor then never stopped.
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(min(wait, 0.5)):
+                        await self._kick.wait()
             else:
                 await asyncio.sleep(0)
             self._kick.clear()
--- a/gradehoist/governor/streams.py
+++ b/gradehoist/governor/streams.py
@@ -34,6 +34,7 @@
     owed: str = ""
     picture: int = 0  # messages up to this one are part of a picture put after them
     seen: int = 0
+    slow: bool = False  # told in the log
     marks: deque[tuple[int, int, int]] = field(default_factory=deque)  # seq, mark, ordered at
 
     MOST = 4_000.0  # lines unread: a few tables of a large fleet; beyond, one picture is shorter
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -126,6 +126,12 @@
     )
     if feed and fleet.hold >= 60_000_000:
         feed.fault("expected a time under a minute", "correct it", "hold")
+    # With all relays on one governor a withdrawal is a message of head, line and mark to each of them and
+    # must fit beside what waits already: with a queue of half that, no drain was ever sent.
+    least = 2 * (fleet.relays or 0) * ((fleet.channel.message_head or 0) + 2)
+    if fleet.channel.queue_limit and fleet.channel.queue_limit < least:
+        channel.fault(f"{fleet.relays} relays need {least:g} lines for a drain beside other messages",
+                      f"set queue-limit={least:g} or more, or have fewer relays", "queue-limit")
     for part in (rules, channel, reports, probes, feed):
         if part:
             part.done()
--- a/gradehoist/standin/process.py
+++ b/gradehoist/standin/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import signal
 import sys
@@ -96,10 +97,10 @@
         control = Server(self._control)
         control.listen(self.plan.controls[self.role], "127.0.0.1")
         while not self._stop.is_set():
-            try:
-                await asyncio.wait_for(self._stop.wait(), 0.2)
-            except TimeoutError:
-                self.record.flush()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await self._stop.wait()
+            self.record.flush()
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/gradehoist/standin/roster.py
+++ b/gradehoist/standin/roster.py
@@ -82,7 +82,8 @@
             if left <= 0:
                 break
             try:
-                await asyncio.wait_for(self.news.wait(), left)
+                async with asyncio.timeout(left):
+                    await self.news.wait()
             except TimeoutError:
                 break
         entries = tuple(
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -123,6 +123,55 @@
     assert channel.waiting == 0 and channel.due() is None
 
 
+def test_the_channel_measures_its_own_pace() -> None:
+    channel = Channel(9_000, 1_000, 0, 10 * SECOND)
+    channel.joined(1)
+    for now in (0, 250_000, 500_000):  # out in time, then by a loop that is four times too late
+        for _ in range(10):
+            channel.put(now, 1, 1, feed.Message(1, 1, 0, 10, ()))
+        channel.leave(now + 110_000)
+    assert abs(channel.pace - 100 / 0.11) < 1
+    channel.put(SECOND, 1, 1, feed.Message(1, 1, 0, 100, ()))
+    channel.leave(SECOND + 400_000)
+    assert channel.pace == 250
+
+
+def test_a_relay_that_does_not_confirm_is_told_of_once() -> None:
+    world = World(relays=2)
+    world.dial()
+    world.run(2)
+    world.relays[0].dead = True
+    world.list(entry(3, "draining"))
+    for _ in range(4):
+        world.core.streams[world.core.names.proxies["r0"]].seen = world.now
+        world.run(1)
+    assert [x.fields["relay"] for x in world.core.logs if x.event == "relay_slow"] == ["r0"]
+
+
+def test_two_governors_that_each_know_one_half_keep_to_what_they_know() -> None:
+    """One lists half of the replicas, the other the rest; relays go over from one to the other and back."""
+    one, two = World(relays=6, replicas=8), World(relays=6, replicas=8)
+    one.replicas = {k: e for k, e in one.replicas.items() if int(k[1:]) < 4}
+    two.replicas = {k: e for k, e in two.replicas.items() if int(k[1:]) >= 4}
+    for world, epoch in ((one, "one"), (two, "two")):
+        world.begin(epoch)
+    one.dial()
+    one.run(3)
+    assert all(set(r.holdings.lines("read")) == {"w0", "w1", "w2", "w3"} for r in one.relays)
+    one.list(entry(0, "draining"))
+    one.run(2.5)
+    for a, b in zip(one.relays, two.relays, strict=True):
+        b.holdings = a.holdings  # the stream breaks; it goes on with what it holds and dials the other
+        b.holdings.joined()
+        assert "w0" not in b.holdings.lines("write") and b.holdings.lines("write")
+    two.dial()
+    two.run(3)  # bound by tables of another half; what the first withdrew is not this one's to know
+    assert all(set(r.holdings.lines("read")) == {"w4", "w5", "w6", "w7"} for r in two.relays)
+    two.list(entry(4, "gone"))
+    two.run(3)
+    assert all(set(r.holdings.lines("write")) == {"w5", "w6", "w7"} for r in two.relays)
+
+
 def test_what_the_channel_refuses_is_owed_as_a_picture_with_its_mark() -> None:
     world = World(relays=2, queue=60, rate=60)
     world.dial()
