--- a/bench/inline.py
+++ b/bench/inline.py
@@ -4,17 +4,15 @@
 
 from typing import Any
 
-from gradehoist.choice import Planner
 from gradehoist.governor import planner, service
 
 
 class Inline:
-    def __init__(self, start: Any, now: int) -> None:
-        self.module, self.cpu, self.pid = Planner(start, now), 0.0, 0
+    def __init__(self, starts: Any, now: int, slotted: bool) -> None:
+        self.modules, self.cpu, self.pid = planner.Modules(starts, now, slotted), 0.0, 0
 
-    async def handle(self, now: int, events: Any) -> Any:
-        orders = self.module.handle(now, events)
-        return orders, planner.reasons(self.module, orders)
+    async def handle(self, now: int, batches: Any) -> Any:
+        return self.modules.handle(now, batches)
 
     async def close(self) -> None: ...
 
--- a/gradehoist/cells/assign.py
+++ b/gradehoist/cells/assign.py
@@ -111,9 +111,13 @@
 
 
 def _neediest(cells: list[Cell], worker: Worker, wanted: Wanted) -> Cell:
-    """A cell short of workers first, then the one with least of this zone, then the smallest."""
-    return min(cells, key=lambda c: (not c.short(wanted), c.by_zone.get(worker.zone, 0.0), c.size,
-                                     lot(c.number, worker.name)))
+    """A cell short of workers first, then the one with fewest of this zone, then the smallest. Counted, not
+    summed: by size, the odd worker of every zone went to one cell, which became twice as large."""
+    def rank(c: Cell) -> tuple[bool, int, float, int]:
+        near = sum(w.zone == worker.zone for w in c.workers.values())
+        return not c.short(wanted), near, c.size, lot(c.number, worker.name)
+
+    return min(cells, key=rank)
 
 
 def _repair(cells: list[Cell], wanted: Wanted) -> list[str]:
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -113,6 +113,61 @@
     sys.exit(0 if good else 1)
 
 
+@main.group()
+def cells() -> None:
+    """Tenants confined to subsets of workers."""
+
+
+@cells.command("place")
+@click.argument("tenants", metavar="TENANTS.csv", type=FILE)
+@click.argument("workers", metavar="WORKERS.csv", type=FILE)
+@click.option("--cells", "number", type=click.IntRange(1, 10_000), required=True, help="Cells wanted.")
+@click.option("--out", type=FILE, required=True, help="The placement file that the settings name.")
+@click.option("--before", type=FILE, help="An earlier placement, kept as far as it can be.")
+@click.option("--least-workers", type=click.IntRange(1), default=2, show_default=True)
+@click.option("--least-zones", type=click.IntRange(1), default=1, show_default=True)
+@click.option("--spare", type=click.FloatRange(0, 0.95), default=0.2, show_default=True,
+              help="Part of each cell that is kept free.")
+@click.option("--lose-zone", is_flag=True, help="Leave room in each cell for the loss of its largest zone.")
+def place_cells(tenants: Path, workers: Path, number: int, out: Path, before: Path | None, least_workers: int,
+                least_zones: int, spare: float, lose_zone: bool) -> None:
+    """Makes a placement from tenants (tenant,demand) and workers (worker,zone,kind,size); exit 1 if something
+    asked for could not be had, with the placement written all the same."""
+    import msgspec
+
+    from gradehoist.cells.assign import Wanted
+    from gradehoist.cli import cells as view
+
+    wanted = Wanted(number, least_workers, least_zones, spare=spare, lose_zone=lose_zone)
+    try:
+        placed, faults = view.make(tenants, workers, wanted, before)
+    except view.Bad as fault:
+        raise Fail(str(fault)) from None
+    part = out.with_name(out.name + ".part")
+    try:
+        part.write_bytes(msgspec.json.format(msgspec.json.encode(placed), indent=1))
+        part.replace(out)
+    except OSError as fault:
+        raise Fail(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
+    for fault_line in faults:
+        click.echo(fault_line, err=True)
+    click.echo(f"{out}: {len(placed.cells)} cells, {len(placed.workers)} workers, "
+               f"{len(placed.named)} tenants")
+    sys.exit(1 if faults else 0)
+
+
+@cells.command("show")
+@click.argument("path", metavar="PLACEMENT", type=FILE)
+def show_cells(path: Path) -> None:
+    """Shows who lives where."""
+    from gradehoist.cli import cells as view
+
+    try:
+        view.show(view.read(path))
+    except view.Bad as fault:
+        raise Fail(str(fault)) from None
+
+
 @main.command()
 def openapi() -> None:
     """Prints the governor's API as an OpenAPI document."""
--- a/gradehoist/day/audit.py
+++ b/gradehoist/day/audit.py
@@ -8,13 +8,14 @@
 
 from bisect import bisect_right
 from collections import defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from gradehoist.cells.routes import label
 from gradehoist.protocol import feed
 from gradehoist.standin.plan import Class, Plan, Replica
 
@@ -128,6 +129,7 @@
         self.replicas: dict[str, Replica] = {r.name: r for r in plan.replicas}
         self.zone = {r.name: r.zone for r in plan.relays}
         self.classes: dict[str, Class] = {c.name: c for c in plan.classes}
+        self.labels = [(cell, label(cell, c.name), c) for cell in plan.cells or ("",) for c in plan.classes]
         self.joined: dict[str, Joined] = {}
         self.holds: dict[str, feed.Holdings] = defaultdict(feed.Holdings)
         self.told: dict[str, Told] = defaultdict(Told)
@@ -213,7 +215,7 @@
 
     def _lost(self, at: int, relay: str) -> None:
         if relay in self.joined:
-            for name in self.classes:
+            for _, name, _ in self.labels:
                 self._close(at, relay, name)
             del self.joined[relay]
 
@@ -233,11 +235,13 @@
         told = self.told[self.joined[relay].governor] if relay in self.joined else None
         if told is None:
             return
-        for name, c in self.classes.items():
+        for cell, name, c in self.labels:
             self.rules["line"].occasions += 1
-            bare = not self.holds[relay].lines(name)
+            held = self.holds[relay]
+            bare = not held.lines(name if name in held.table else c.name)
             open_one = bare and any(
-                phase == "ready" and self.allowed(c, self.replicas[x], self.zone[relay])
+                phase == "ready" and self.plan.workers.get(x, "") == cell
+                and self.allowed(c, self.replicas[x], self.zone[relay])
                 and at - self.started.get(x, -ALWAYS) >= self.plan.rules.cold_time
                 for x, (phase, _) in told.phase.items() if x in self.replicas)
             if open_one:
@@ -253,6 +257,9 @@
         placement.occasions += 1
         if not self.allowed(c, replica, self.zone[r["relay"]]):
             self.found("placement", at, r["relay"], replica.name, f"{c.name} is not open there", [r])
+        if (cell := r.get("cell")) and self.plan.workers.get(replica.name) != cell and (
+                label(cell, c.name) in self.holds[r["relay"]].table):
+            self.found("placement", at, r["relay"], replica.name, f"sent for cell {cell}", [r])
         joined = self.joined.get(r["relay"])
         if joined is None:
             return
@@ -382,7 +389,8 @@
     def price(self, m: feed.Message) -> float:
         """A message's least price, from what it brought: its head, a line each, tables by their lines."""
         return (self.plan.rules.message_head + len(m.deltas) + (m.mark is not None)
-                + sum(len(d.lines) for d in m.deltas if isinstance(d, feed.Bind)))
+                + sum(len(d.lines) for d in m.deltas if isinstance(d, feed.Bind))
+                + sum(len(d.named) for d in m.deltas if isinstance(d, feed.Route)))
 
     # The whole
 
@@ -419,18 +427,20 @@
             sum(r["e"] == "transaction" for r in self.records))
 
 
-def answered(plan: Plan, records: Iterable[Rec]) -> dict[str, tuple[float, float]]:
-    """By class: gain of what was answered within its latency goal, and gain asked for."""
-    out = {c.name: (0.0, 0.0) for c in plan.classes}
+def answered(plan: Plan, records: Iterable[Rec], key: Callable[[Rec], str] | None = None
+             ) -> dict[str, tuple[float, float]]:
+    """By class, or by `key`: gain of what was answered within its latency goal, and gain asked for."""
     classes = {c.name: c for c in plan.classes}
+    out: dict[str, tuple[float, float]] = {} if key else {name: (0.0, 0.0) for name in classes}
     for r in records:
         if r["e"] == "transaction":
             c = classes[r["cls"]]
             took = r["t"] - r["began"]
             good = c.gain if r["status"] == 200 and took <= c.goal else (
                 c.gain * c.late_gain if r["status"] == 200 and took <= c.cutoff else 0.0)
-            a, b = out[c.name]
-            out[c.name] = (a + good, b + c.gain)
+            name = key(r) if key else c.name
+            a, b = out.get(name, (0.0, 0.0))
+            out[name] = (a + good, b + c.gain)
     return out
 
 
--- a/gradehoist/day/run.py
+++ b/gradehoist/day/run.py
@@ -16,6 +16,7 @@
 from gradehoist.day import audit
 from gradehoist.day.scene import Scene, settings_text
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.settings.fleet import Placed
 from gradehoist.standin.plan import Plan, Step
 from gradehoist.standin.process import Record, now
 
@@ -77,6 +78,9 @@
             old.unlink()
         (self.folder / "plan.json").write_bytes(msgspec.json.encode(self.plan))
         (self.folder / "settings.kdl").write_text(settings_text(self.scene, self.plan), encoding="utf-8")
+        if self.plan.cells:
+            placed = Placed(self.plan.cells, self.plan.workers, self.plan.named)
+            (self.folder / "cells.json").write_bytes(msgspec.json.encode(placed))
         self.record = Record(self.folder / "day.jsonl")
         plan = str(self.folder / "plan.json")
         try:
--- a/gradehoist/day/scene.py
+++ b/gradehoist/day/scene.py
@@ -14,7 +14,9 @@
 
 import msgspec
 from kdl.parsing import Parser
+from kdl.types import Node
 
+from gradehoist.cells.assign import Placement, Tenant, Wanted, Worker, place
 from gradehoist.day import troubles
 from gradehoist.settings import fleet as f
 from gradehoist.settings import reader as r
@@ -39,6 +41,25 @@
     cv: float
 
 
+@dataclass(frozen=True, slots=True)
+class Crowd:
+    """Tenants, how unevenly they share the traffic (lognormal), and the cells they live in (0: none)."""
+
+    count: int
+    skew: float
+    cells: int
+
+
+@dataclass(frozen=True, slots=True)
+class Door:
+    """Limits at relays, as multiples of the even share of a cell and of the mean share of a tenant."""
+
+    cell: float
+    tenant: float
+    burst: float
+    held: int
+
+
 @dataclass(frozen=True, slots=True)
 class Scene:
     """`load` is the traffic as a part of what the listed replicas can do; times in µs."""
@@ -58,6 +79,8 @@
     relay: dict[str, float]
     roster: troubles.Notice
     troubles: tuple[troubles.Trouble, ...]
+    crowd: Crowd
+    limits: Door | None
 
 
 def read(path: Path) -> Scene:
@@ -103,6 +126,17 @@
         if c.name not in loads:
             traffic.fault(f"no share for class {c.name}", f'add of "{c.name}" share=… work=…', "of")
     traffic.done()
+    tenants = root.child("tenants")
+    crowd = Crowd(tenants.get("count", r.whole(1, 100_000)), tenants.get("skew", r.number(0, 3), 0.8),
+                  tenants.get("cells", r.whole(0, 1000), 0)) if tenants else Crowd(1, 0.0, 0)
+    if tenants:
+        tenants.done()
+    doors = root.child("limits")
+    limits = Door(doors.get("cell", r.number(0.1, 100), 1.5), doors.get("tenant", r.number(0.1, 100), 2.0),
+                  doors.get("burst", r.number(0.1, 60), 2.0), doors.get("held", r.whole(0, 10**6), 0)
+                  ) if doors else None
+    if doors:
+        doors.done()
     machine = _figures(root, "machine", {
         "slots-per-core": 3, "queue-per-core": 12, "cold-from": 0.25, "cold": "10s", "report": "700ms",
         "handshake": 3, "drops-waiting": False, "full-is-proof": True})
@@ -119,7 +153,7 @@
     source = next(text for file in files for name, text in _nodes(file) if name == "fleet")
     late = troubles.Notice(int(notice["notice"]), int(notice["silent-notice"]), int(notice["add"]))
     return Scene(name, length, seed, settings, source, tuple(groups), tuple(relays), loads, load, skew,
-                 machine, clients, relay, late, some)
+                 machine, clients, relay, late, some, crowd, limits)
 
 
 def _figures(root: r.Node, name: str, usual: dict[str, float | str | bool]) -> dict[str, float]:
@@ -202,22 +236,36 @@
         p.Class(c.name, scene.loads[c.name].share, scene.loads[c.name].work, scene.loads[c.name].cv, c.goal,
                 c.cutoff, c.gain, c.late_gain, c.repeat.value, c.only_zones, c.only_kinds, c.stays_local)
         for c in fleet.classes)
-    shares = sum(c.share for c in classes)
-    mean = sum(c.share * c.work for c in classes) / shares
+    mean = sum(c.share * c.work for c in classes) / sum(c.share for c in classes)
     capacity = sum(x.cores * x.speed for x in replicas if x.listed) * 1e3 / mean
     ru, ch = fleet.rules, fleet.channel
     rules = p.Rules(ru.grace, ru.cold_time, ru.fall_multiple, ru.fall_span, ru.bare_limit, ru.gone_is_advice,
                     ch.queue_limit, ch.line_rate, ch.message_head, ch.message_limit, ch.message_window)
+    rate = scene.load * capacity
+    shares = [chance.lognormvariate(0, scene.crowd.skew) for _ in range(scene.crowd.count)]
+    tenants = tuple((f"inn{n}", x / sum(shares)) for n, x in enumerate(shares))
+    cells: tuple[str, ...] = tuple(f"c{n}" for n in range(scene.crowd.cells))
+    placed = Placement({}, {})
+    if cells:
+        placed = place([Tenant(t, x * scene.load * sum(w.size for w in replicas)) for t, x in tenants],
+                       [Worker(w.name, w.zone, w.kind, w.size) for w in replicas if w.listed],
+                       Wanted(len(cells), 2, min(2, len(fleet.zones)), spare=0.0))
+    limits = p.Limits(
+        rate / max(1, len(cells)) / len(ready) * scene.limits.cell,
+        rate / len(tenants) / len(ready) * scene.limits.tenant, scene.limits.burst, scene.limits.held,
+    ) if scene.limits else None
     plan = p.Plan(
         scene.name, seed, scene.length, fleet.zones, classes, rules, tuple(replicas), tuple(ready),
         tuple(homes), tuple(links), ("127.0.0.1", next(take)), {role: next(take) for role in roles}, (),
-        scene.load * capacity, (), int(scene.clients["retries"]), scene.clients["try-share"],
+        rate, (), int(scene.clients["retries"]), scene.clients["try-share"],
         int(scene.clients["backoff"]), int(scene.relay["strikes"]), int(scene.relay["avoid"]),
         int(scene.relay["usual-way"]), scene.relay["try-factor"], int(scene.relay["standing"]),
         (int(scene.relay["redial-from"]), int(scene.relay["redial-to"])),
         (int(scene.relay["sums-from"]), int(scene.relay["sums-to"])), fleet.reports.period, fleet.hold,
         int(scene.machine["report"]), scene.machine["handshake"], bool(scene.machine["drops-waiting"]),
-        bool(scene.machine["full-is-proof"]), follow, even)
+        bool(scene.machine["full-is-proof"]), follow, tenants, cells,
+        {w: cells[c] for w, c in placed.workers.items()}, {t: cells[c] for t, c in placed.tenants.items()},
+        limits, even)
     return msgspec.structs.replace(plan, steps=troubles.script(plan, scene.troubles, scene.roster))
 
 
@@ -226,6 +274,8 @@
     document = Parser().parse(scene.fleet_text)
     host, port = plan.roster
     document.nodes[0].props["roster"] = f"{host}:{port}"
+    if plan.cells:
+        document.nodes[0].nodes.append(Node("cells", props={"placement": "cells.json"}))
     rows = [document.print()]
     for own, (name, zone, (host, port)) in zip(scene.settings.governors, plan.governors, strict=True):
         rows.append(f'governor "{name}" zone="{zone}" listen="{host}:{port}" seed={own.seed + plan.seed}\n')
--- a/gradehoist/day/troubles.py
+++ b/gradehoist/day/troubles.py
@@ -322,10 +322,17 @@
     s.listed(s.t.at + s.t.span, names, "ready")
 
 
+def flood(s: Script) -> None:
+    """One tenant of middling share asks for `size` times its share."""
+    tenant = sorted(s.plan.tenants, key=lambda t: t[1])[len(s.plan.tenants) // 2][0]
+    s.at(s.t.at, "clients", "louder", tenant=tenant, value=s.t.size)
+    s.at(s.t.at + s.t.span, "clients", "louder", tenant=tenant, value=1.0)
+
+
 SCRIPTS: dict[str, Callable[[Script], None]] = {
     f.__name__: f for f in (
         crash, vanish, slow, hang, neighbour, hot_caller, zone_loss, zone_cut, shrink, drain, origin_slow,
         counter_down, reconnect, redial, governor_kill, shift, preempt, false_reports, mass_restart,
-        one_sided, ageing, roster_down, flap)
+        one_sided, ageing, roster_down, flap, flood)
 }
 HOWS = ("any", "silent", "all", "refuse", "delay", "lose", "unlisted", "forget")
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -8,14 +8,16 @@
 
 import heapq
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from gradehoist import interface as i
+from gradehoist.cells.routes import label
 from gradehoist.governor.channel import Channel
 from gradehoist.governor.intake import Intake, Unknown
+from gradehoist.governor.parts import Batch, Part, Reply
 from gradehoist.governor.roster import Gap, RosterView
-from gradehoist.governor.streams import OutOfOrder, Stream
+from gradehoist.governor.streams import Mark, OutOfOrder, Stream
 from gradehoist.governor.tables import Tables
 from gradehoist.names import Names
 from gradehoist.protocol import feed
@@ -56,14 +58,34 @@
         self.status, self.reason = status, reason
 
 
+@dataclass
+class Told:
+    """What one proxy is told at one time, by which parts, and whose marks its answer confirms."""
+
+    deltas: list[feed.Delta] = field(default_factory=list)
+    price: float = 0.0
+    parts: dict[int, None] = field(default_factory=dict)
+    marks: list[Mark] = field(default_factory=list)
+
+
 class Core:
     def __init__(self, fleet: Fleet, own: Governor, epoch: str, now: int) -> None:
         self.fleet, self.own, self.epoch = fleet, own, epoch
-        self.names = Names(fleet.zones, fleet.kinds, [c.name for c in fleet.classes])
-        self.start = start(fleet, self.names, own.seed)
-        ch = self.start.channel
+        placed = fleet.cells
+        cells = placed.cells if placed else ("",)
+        labels = [label(cell, c.name) for cell in cells for c in fleet.classes]
+        self.names = Names(fleet.zones, fleet.kinds, labels)
+        self.parts = [Part(n, cell, len(fleet.classes), placed.of(cell) if placed else None)
+                      for n, cell in enumerate(cells)]
+        ch = fleet.channel
+        share = self._share(len(cells))
+        self.starts = [start(fleet, self.names, own.seed + n, share) for n in range(len(cells))]
+        # Parts share messages: they answer together, as often as a relay may be written to.
+        self.slot = ch.message_window // (ch.message_limit or 20) if placed else 0
         self.channel = Channel(ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window)
-        self.tables = Tables(self.names, ch.message_head)
+        route = feed.Route(cells, dict(placed.named)) if placed else None
+        self.tables = Tables(self.names, ch.message_head, route)
+        self._strays: set[str] = set()
         self.intake = Intake(self.names, fleet.intake, fleet.reports.period, now)
         self.roster = RosterView(self.names, fleet.rules.cold_time)
         self.streams: dict[int, Stream] = {}
@@ -73,10 +95,18 @@
         self.replies = 0
         self._looked, self._slow = now, False
         self._joins = 0
-        self._events: list[i.Event] = []
-        self._wakes: list[tuple[int, int]] = []
+        self._wakes: list[tuple[int, int, int]] = []
         self._owed: dict[int, None] = {}
 
+    def _share(self, parts: int) -> i.Channel:
+        """A part's own view of the channel. With several, each counts for itself alone: it gets an even part
+        of the queue, but never less than telling every relay takes, or it could tell none."""
+        ch = self.fleet.channel
+        if parts == 1:
+            return ch
+        least = 2 * self.fleet.relays * (ch.message_head + 2)
+        return replace(ch, queue_limit=max(ch.queue_limit / parts, least), message_limit=0)
+
     # What comes in
 
     def poll(self, now: int, poll: Poll) -> feed.Feed | None:
@@ -94,8 +124,8 @@
             return self._join(now, proxy, poll)
         stream.seen = now
         try:
-            for mark, at in stream.acknowledge(poll.after):
-                self._events.append(i.Applied(proxy, mark, now - at))
+            for (part, mark), at in stream.acknowledge(poll.after):
+                self.parts[part].events.append(i.Applied(proxy, mark, now - at))
         except OutOfOrder as fault:
             self.log("out_of_order", warn=True, relay=poll.relay, reason=str(fault))
             raise Refused(409, f"{fault}; join anew") from None
@@ -112,7 +142,8 @@
         self.streams[proxy] = stream
         self.channel.joined(proxy)
         self.tables.joined(proxy)
-        self._events.append(i.Joined(proxy, stream.zone, poll.rate))
+        for part in self.parts:
+            part.events.append(i.Joined(proxy, stream.zone, poll.rate / len(self.parts)))
         earlier = "an earlier epoch" if poll.epoch and poll.epoch != self.epoch else ""
         self.log("relay_joined", relay=poll.relay, zone=poll.zone, reason=earlier or "its poll",
                  stream=stream.number)
@@ -128,7 +159,8 @@
         self.tables.left(proxy)
         self.intake.left(proxy)
         self._owed.pop(proxy, None)
-        self._events.append(i.Left(proxy))
+        for part in self.parts:
+            part.events.append(i.Left(proxy))
         self.log("relay_left", relay=stream.relay, reason=reason, stream=stream.number)
 
     def sums(self, now: int, sums: feed.Sums) -> None:
@@ -148,7 +180,7 @@
         listed = self.roster.take(now, document)
         if listed is None:
             return False
-        self._events.append(listed)
+        self._tell_list(listed)
         for name in {*before, *self.roster.entries}:
             old, new = before.get(name), self.roster.entries.get(name)
             was, phase = ("absent" if e is None else e.phase for e in (old, new))
@@ -159,14 +191,34 @@
         return True
 
     def list_saved(self, now: int, entries: tuple[feed.Replica, ...]) -> None:
-        self._events.append(self.roster.saved(now, entries))
+        self._tell_list(self.roster.saved(now, entries))
+
+    def _tell_list(self, listed: i.Listed) -> None:
+        """Each part hears of its own workers; one that belongs to no cell is told of once and left alone."""
+        names = self.names.replicas.names
+        for part in self.parts:
+            entries = tuple(e for e in listed.entries if part.mine(names[e.replica]))
+            if entries or listed.kind is not i.ListKind.CHANGES:
+                part.events.append(i.Listed(listed.kind, entries))
+        for e in listed.entries:
+            name = names[e.replica]
+            if name not in self._strays and not any(part.mine(name) for part in self.parts):
+                self._strays.add(name)
+                self.log("no_cell", warn=True, replica=name, reason="the placement does not name it")
 
     def list_failed(self) -> None:
         """A call that the module asked for failed."""
-        self._events.append(i.Listed(i.ListKind.FAILED, ()))
+        for part in self.parts:
+            part.events.append(i.Listed(i.ListKind.FAILED, ()))
 
     def probed(self, replica: int, outcome: i.Outcome, elapsed: int, load: i.Load | None) -> None:
-        self._events.append(i.Probed(replica, outcome, elapsed, load))
+        self._by_worker(replica, i.Probed(replica, outcome, elapsed, load))
+
+    def _by_worker(self, replica: int, event: i.Event) -> None:
+        name = self.names.replicas.names[replica]
+        for part in self.parts:
+            if part.mine(name):
+                part.events.append(event)
 
     # Time
 
@@ -189,8 +241,14 @@
             elif stream.owed:
                 self._owed[item.proxy] = None
         while self._wakes and self._wakes[0][0] <= now:
-            self._events.append(i.Due(heapq.heappop(self._wakes)[1]))
-        self._events += self.intake.take(now)
+            _, number, token = heapq.heappop(self._wakes)
+            self.parts[number].events.append(i.Due(token))
+        for event in self.intake.take(now):
+            if isinstance(event, i.Offered):
+                part = self.parts[event.cls // self.parts[0].classes]
+                part.events.append(replace(event, cls=event.cls % part.classes))
+            elif isinstance(event, i.Heard):
+                self._by_worker(event.replica, event)
         return ready
 
     def _look(self, now: int) -> None:
@@ -219,26 +277,53 @@
 
     # The module
 
-    def events(self) -> list[i.Event]:
-        """What the module has not been told yet, in the order it came."""
-        events, self._events = self._events, []
-        return events
+    def batches(self) -> list[Batch]:
+        """What the modules have not been told yet, by part, in the order it came."""
+        out = []
+        for part in self.parts:
+            if part.events:
+                out.append((part.number, part.events))
+                part.events = []
+        return out
 
     @property
     def waiting(self) -> bool:
-        return bool(self._events)
+        return any(part.events for part in self.parts)
 
-    def carry_out(self, now: int, orders: list[i.Order], reasons: dict[int, str]) -> None:
-        """One reply: one message for each proxy concerned, in the order they are first concerned."""
+    def carry_out(self, now: int, replies: list[Reply]) -> None:
+        """What the modules ordered at one time: one message for each proxy concerned, in the order they are
+        first concerned."""
         self.replies += 1
-        told: dict[int, tuple[list[feed.Delta], list[float]]] = {}
+        told: dict[int, Told] = {}
+        for number, orders, reasons in replies:
+            self._reply(now, self.parts[number], orders, reasons, told)
+        for proxy, mine in told.items():
+            if stream := self.streams.get(proxy):
+                classes = {part.cls(k) for part in map(self.parts.__getitem__, mine.parts)
+                           for k in range(part.classes)}
+                cost = self.tables.head + self.tables.common(classes) + bool(mine.marks) + mine.price
+                self._put(now, stream, mine, cost)
+
+    def _reply(self, now: int, part: Part, orders: list[i.Order], reasons: dict[int, str],
+               told: dict[int, Told]) -> None:
+        concerned: dict[int, None] = {}
         mark: i.Mark | None = None
-        for n, order in enumerate(orders):
+
+        def tell(proxies: Iterable[int], deltas: list[feed.Delta], price: float) -> None:
+            for proxy in proxies:
+                mine = told.setdefault(proxy, Told())
+                mine.deltas.extend(deltas)
+                mine.price += price
+                mine.parts[part.number] = None
+                concerned[proxy] = None
+
+        for n, local in enumerate(orders):
+            order = part.order(local)
             match order:
                 case i.Bind(proxy, table, classes):
                     deltas, price = self.tables.bind(proxy, table, classes)
                     if deltas:
-                        self._tell(told, [proxy], deltas, price)
+                        tell([proxy], deltas, price)
                         self.log("bind", relay=self.names.proxies.names[proxy], table=table,
                                  reason=reasons.get(n, ""))
                 case i.Mark():
@@ -246,7 +331,7 @@
                 case i.Probe(replica):
                     self.probes.append(replica)
                 case i.Wake(token, delay):
-                    heapq.heappush(self._wakes, (now + delay, token))
+                    heapq.heappush(self._wakes, (now + delay, part.number, token))
                 case i.Follow(on):
                     self.follow = on
                 case i.AskList():
@@ -254,32 +339,23 @@
                 case i.Say(text):
                     self.log("module_says", reason=text)
                 case _:
-                    concerned, delta, price = self.tables.order(order)
-                    self._tell(told, concerned, [delta], price)
+                    proxies, delta, price = self.tables.order(order)
+                    tell(proxies, [delta], price)
                     self._explain(order, reasons.get(n, ""))
-        if mark is not None and mark.to_all:
-            self._tell(told, [p for p in self.streams if p not in told], [], 0.0)
-        extra = self.tables.head + self.tables.common + (mark is not None)
-        for proxy, (deltas, prices) in told.items():
-            if stream := self.streams.get(proxy):
-                self._put(now, stream, tuple(deltas), extra + sum(prices), mark)
-
-    @staticmethod
-    def _tell(told: dict[int, tuple[list[feed.Delta], list[float]]], proxies: Iterable[int],
-              deltas: list[feed.Delta], price: float) -> None:
-        for proxy in proxies:
-            have = told.setdefault(proxy, ([], []))
-            have[0].extend(deltas)
-            have[1].append(price)
-
-    def _put(self, now: int, stream: Stream, deltas: tuple[feed.Delta, ...], cost: float,
-             mark: i.Mark | None) -> None:
-        seq = stream.number_next()
         if mark is not None:
-            stream.marks.append((seq, mark.number, now))
+            if mark.to_all:
+                tell([p for p in self.streams if p not in concerned], [], 0.0)
+            for proxy in concerned:
+                told[proxy].marks.append((part.number, mark.number))
+
+    def _put(self, now: int, stream: Stream, mine: Told, cost: float) -> None:
+        seq = stream.number_next()
+        if mine.marks:
+            stream.marks.append((seq, tuple(mine.marks), now))
         if stream.owed:
             return  # the picture that is due will hold this as well
-        message = feed.Message(seq, self.replies, now, cost, deltas, mark.number if mark else None)
+        mark = mine.marks[-1][1] if mine.marks else None
+        message = feed.Message(seq, self.replies, now, cost, tuple(mine.deltas), mark)
         if why := self.channel.put(now, stream.proxy, stream.number, message):
             stream.owe(why)
             self._owed[stream.proxy] = None
--- a/gradehoist/governor/planner.py
+++ b/gradehoist/governor/planner.py
@@ -1,12 +1,14 @@
-"""The decision module in a process of its own, so that feeds and withdrawals under way never wait for a plan.
+"""The decision modules in a process of their own, so that feeds and withdrawals never wait for a plan.
 
-Frames are a length of 4 bytes and a pickle; both ends are this program. The module is used as it is; beside
-its orders the child tells why it gave them, read from the module's own state.
+Frames are a length of 4 bytes and a pickle; both ends are this program. A module is used as it is; beside
+its orders the child tells why it gave them, read from the module's own state. With several modules, one a
+cell, they are asked together once a slot; the child then runs their timers at their own times up to now.
 """
 
 from __future__ import annotations
 
 import asyncio
+import heapq
 import os
 import pickle
 import socket
@@ -20,6 +22,7 @@
 
 from gradehoist import interface as i
 from gradehoist.choice import Planner
+from gradehoist.governor.parts import Batch, Reply
 
 LENGTH = struct.Struct("!I")
 Reasons = dict[int, str]  # by the order's place in the reply
@@ -30,33 +33,34 @@
 
 
 class PlannerProcess:
-    """Owns the child. `handle` takes one batch at a time."""
+    """Owns the child. `handle` takes what is due for all parts at one time."""
 
-    def __init__(self, start: i.Start, now: int) -> None:
+    def __init__(self, starts: list[i.Start], now: int, slotted: bool) -> None:
         ours, theirs = socket.socketpair()
         self._child = subprocess.Popen(
             [sys.executable, "-m", "gradehoist.governor.planner", str(theirs.fileno())],
             pass_fds=[theirs.fileno()], stdin=subprocess.DEVNULL)
         theirs.close()
         self._stream = IOStream(ours, max_buffer_size=1 << 30)
-        self._first: Any = (start, now)
+        self._first: Any = (starts, now, slotted)
         self.cpu = 0.0  # seconds of CPU that the module has taken
 
-    async def handle(self, now: int, events: list[i.Event]) -> tuple[list[i.Order], Reasons]:
+    async def handle(self, now: int, batches: list[Batch]) -> list[Reply]:
         """Raises PlannerFailed."""
         try:
-            for frame in ([self._first] if self._first else []) + [(now, events)]:
+            for frame in ([self._first] if self._first else []) + [(now, batches)]:
                 data = pickle.dumps(frame, pickle.HIGHEST_PROTOCOL)
                 self._stream.write(LENGTH.pack(len(data)) + data)
             self._first = None
             (size,) = LENGTH.unpack(await self._stream.read_bytes(LENGTH.size))
-            fault, orders, reasons, cpu = pickle.loads(await self._stream.read_bytes(size))
+            fault, replies, cpu = pickle.loads(await self._stream.read_bytes(size))
         except StreamClosedError:
             raise PlannerFailed("the planner's process ended") from None
         if fault:
             raise PlannerFailed(fault)
         self.cpu += cpu
-        return orders, reasons
+        out: list[Reply] = replies
+        return out
 
     @property
     def pid(self) -> int:
@@ -104,9 +108,40 @@
     return "not open"
 
 
+class Modules:
+    """All modules of one governor. `slotted`: their timers are run here, at their own times."""
+
+    def __init__(self, starts: list[i.Start], now: int, slotted: bool, make: Any = None) -> None:
+        self.modules = [(make or Planner)(start, now) for start in starts]
+        self._slotted = slotted
+        self._wakes: list[tuple[int, int, int, int]] = []
+        self._count = 0
+
+    def handle(self, now: int, batches: list[Batch]) -> list[Reply]:
+        replies: list[Reply] = []
+        while self._wakes and self._wakes[0][0] <= now:
+            at, _, part, token = heapq.heappop(self._wakes)
+            self._one(at, part, [i.Due(token)], replies)
+        for part, events in batches:
+            self._one(now, part, events, replies)
+        return replies
+
+    def _one(self, at: int, part: int, events: list[i.Event], replies: list[Reply]) -> None:
+        module = self.modules[part]
+        orders: list[i.Order] = module.handle(at, events)
+        if self._slotted:
+            for order in orders:
+                if isinstance(order, i.Wake):
+                    self._count += 1
+                    heapq.heappush(self._wakes, (at + order.delay, self._count, part, order.token))
+            orders = [order for order in orders if not isinstance(order, i.Wake)]
+        if orders:
+            replies.append((part, orders, reasons(module, orders) if isinstance(module, Planner) else {}))
+
+
 def serve(pipe: BinaryIO, make: Any = Planner) -> None:
     """The child's loop: until the other end closes."""
-    module: Any = None
+    modules: Modules | None = None
 
     def read() -> Any:
         head = pipe.read(LENGTH.size)
@@ -117,20 +152,19 @@
 
     while True:
         try:
-            first, second = read()
+            frame = read()
         except (EOFError, pickle.UnpicklingError, ConnectionError):
             return
         began = time.process_time()
-        answer: tuple[str, list[i.Order], Reasons, float]
+        answer: tuple[str, list[Reply], float]
         try:
-            if module is None:
-                module = make(first, second)
+            if modules is None:
+                modules = Modules(frame[0], frame[1], frame[2], make)
                 continue
-            orders = module.handle(first, second)
-            why = reasons(module, orders) if isinstance(module, Planner) else {}
-            answer = ("", orders, why, time.process_time() - began)
-        except Exception as fault:  # whatever the module raises is told to the governor, which then stops
-            answer = (f"{type(fault).__name__}: {fault}", [], {}, 0.0)
+            replies = modules.handle(*frame)
+            answer = ("", replies, time.process_time() - began)
+        except Exception as fault:  # whatever a module raises is told to the governor, which then stops
+            answer = (f"{type(fault).__name__}: {fault}", [], 0.0)
         data = pickle.dumps(answer, pickle.HIGHEST_PROTOCOL)
         pipe.write(LENGTH.pack(len(data)) + data)
         pipe.flush()
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -63,7 +63,7 @@
 
     async def run(self) -> int:
         self._load()
-        self.planner = PlannerProcess(self.core.start, now())
+        self.planner = PlannerProcess(self.core.starts, now(), bool(self.core.slot))
         self._server.listen(self.own.listen[1], self.own.listen[0], backlog=4096)
         host, port = self.own.listen
         self.log.info("started", epoch=self.core.epoch, listen=f"{host}:{port}", zone=self.own.zone)
@@ -167,6 +167,7 @@
                         "pace": round(core.channel.pace)},
             "intake_waiting": core.intake.waiting,
             "withdrawn": [core.names.replicas.names[n] for n in core.tables.out],
+            "cells": [part.cell for part in core.parts if part.cell],
             "planner_cpu": round(self.planner.cpu, 3), "planner_pid": self.planner.pid,
             "lag_ms": round(lag * 1e3, 3),
         }
@@ -197,21 +198,24 @@
 
     async def _plan(self) -> None:
         while True:
-            await self._told.wait()
-            self._told.clear()
-            events = self.core.events()
-            if not events:
+            if self.core.slot:
+                await asyncio.sleep((self.core.slot - now() % self.core.slot) / 1e6)
+            else:
+                await self._told.wait()
+                self._told.clear()
+            batches = self.core.batches()
+            if not batches and not self.core.slot:
                 continue
             at = now()
             try:
-                orders, reasons = await self.planner.handle(at, events)
+                replies = await self.planner.handle(at, batches)
             except PlannerFailed as fault:
                 # What was published stands; nothing of a broken answer goes out. Relays redial on the end.
                 self.log.error("module_failed", reason=str(fault))
                 self._failed = True
                 self._stopping.set()
                 return
-            self.core.carry_out(now(), orders, reasons)
+            self.core.carry_out(now(), replies)
             self._kick.set()
 
     def _effects(self) -> None:
--- a/gradehoist/governor/streams.py
+++ b/gradehoist/governor/streams.py
@@ -12,6 +12,8 @@
 
 from gradehoist.protocol.feed import Message
 
+Mark = tuple[int, int]  # a part of the governor, and the number that its module gave
+
 
 class OutOfOrder(Exception):
     """A poll names a message that this stream never sent."""
@@ -35,7 +37,7 @@
     picture: int = 0  # messages up to this one are part of a picture put after them
     seen: int = 0
     slow: bool = False  # told in the log
-    marks: deque[tuple[int, int, int]] = field(default_factory=deque)  # seq, mark, ordered at
+    marks: deque[tuple[int, tuple[Mark, ...], int]] = field(default_factory=deque)  # seq, marks, ordered at
 
     MOST = 4_000.0  # lines unread: a few tables of a large fleet; beyond, one picture is shorter
 
@@ -60,7 +62,7 @@
             return False
         return True
 
-    def acknowledge(self, after: int) -> Iterator[tuple[int, int]]:
+    def acknowledge(self, after: int) -> Iterator[tuple[Mark, int]]:
         """Marks, with the time of their order, that a poll naming `after` confirms. Raises OutOfOrder for
         a message that was never sent; an older one than before means that the relay lost what it had."""
         if after > self.sent:
@@ -74,8 +76,9 @@
         while self.released and self.released[0].seq <= after:
             self.lines -= self.released.popleft().cost
         while self.marks and self.marks[0][0] <= after:
-            _, mark, at = self.marks.popleft()
-            yield mark, at
+            _, marks, at = self.marks.popleft()
+            for mark in marks:
+                yield mark, at
 
     def read(self, most: float) -> tuple[Message, ...]:
         """What to answer a poll with: released messages up to about `most` lines, at least one if any."""
--- a/gradehoist/governor/tables.py
+++ b/gradehoist/governor/tables.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from gradehoist import interface as i
 from gradehoist.names import Names
@@ -14,8 +14,8 @@
 
 
 class Tables:
-    def __init__(self, names: Names, head: float) -> None:
-        self.names, self.head = names, head
+    def __init__(self, names: Names, head: float, route: feed.Route | None = None) -> None:
+        self.names, self.head, self.route = names, head, route
         self.lines: dict[int, dict[int, float]] = {}
         self.bound: dict[int, dict[int, int]] = {}  # by proxy: class to table
         self.users: dict[int, dict[int, None]] = {}  # by table: proxies
@@ -29,10 +29,9 @@
         for table in set(self.bound.pop(proxy, {}).values()):
             self.users[table].pop(proxy, None)
 
-    @property
-    def common(self) -> int:
-        """Levels for all, which every message carries."""
-        return sum(table is None for table, _ in self.levels)
+    def common(self, classes: Collection[int] | None = None) -> int:
+        """Levels for all, which every message carries; of some classes alone, where parts share messages."""
+        return sum(t is None and (classes is None or k in classes) for t, k in self.levels)
 
     def order(self, order: i.Order) -> tuple[Iterable[int], feed.Delta, float]:
         """Brings the state forward; the proxies concerned, what each is told, and its price in lines."""
@@ -79,10 +78,13 @@
         self.users.setdefault(table, {})[proxy] = None
         deltas: list[feed.Delta] = [self._whole(table, chosen)]
         own = self._levels(lambda t: t == table)
-        price = 1 + len(self.lines.get(table, {})) + len(self.out) + len(own) + self.common
+        price = 1 + len(self.lines.get(table, {})) + len(self.out) + len(own) + self.common(chosen)
         deltas += own
         if first:  # the stream's first bind ends withdrawals and levels of earlier streams
             deltas += self._outs() + self._levels(lambda t: t is None)
+            if self.route is not None:
+                deltas.append(self.route)
+                price += 1 + len(self.route.named)
         return deltas, price
 
     def picture(self, proxy: int) -> tuple[tuple[feed.Delta, ...], float]:
@@ -92,7 +94,10 @@
             by_table.setdefault(table, []).append(cls)
         deltas: list[feed.Delta] = [self._whole(t, tuple(ks)) for t, ks in sorted(by_table.items())]
         deltas += self._outs() + self._levels(lambda t: t is None or t in by_table)
+        if self.route is not None:
+            deltas.append(self.route)
         lines = sum(len(self.lines.get(t, {})) for t in by_table)
+        lines += len(self.route.named) if self.route is not None else 0
         return tuple(deltas), self.head + len(deltas) + lines
 
     def _whole(self, table: int, classes: tuple[int, ...]) -> feed.Bind:
--- a/gradehoist/protocol/feed.py
+++ b/gradehoist/protocol/feed.py
@@ -55,7 +55,15 @@
     tries: int
 
 
-Delta = Line | Clear | Bind | Out | Back | Level
+class Route(msgspec.Struct, frozen=True, tag="route", array_like=True):
+    """Tenants live in the cell that `named` gives, else in that of their hash's even range over `cells`:
+    crc32 of the name in UTF-8, times the number of cells, over 2**32. Classes are then called CELL/CLASS."""
+
+    cells: tuple[str, ...]
+    named: dict[str, str]
+
+
+Delta = Line | Clear | Bind | Out | Back | Level | Route
 
 
 class Message(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -147,6 +155,7 @@
         self.out: set[str] = set()
         self.levels: dict[tuple[int | None, str], tuple[float, int]] = {}
         self.bound = False
+        self.route: Route | None = None
 
     def stand(self, classes: dict[str, dict[str, float]]) -> None:
         """Standing tables, until the first bind."""
@@ -190,6 +199,8 @@
                     self.out.discard(replica)
                 case Level(table, classes, share, tries):
                     self.levels |= {(table, c): (share, tries) for c in classes}
+                case Route():
+                    self.route = delta
 
     def lines(self, cls: str) -> dict[str, float]:
         """The lines that the class may pick from now, withdrawals taken out."""
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
+
 from gradehoist import interface as i
 from gradehoist.names import Names
 from gradehoist.settings import reader as r
@@ -28,6 +30,17 @@
     stays_local: bool
 
 
+class Placed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A placement file, as `gradehoist cells place` writes it: cells, workers and tenants by cell."""
+
+    cells: tuple[str, ...]
+    workers: dict[str, str]
+    named: dict[str, str] = {}
+
+    def of(self, cell: str) -> frozenset[str]:
+        return frozenset(w for w, c in self.workers.items() if c == cell)
+
+
 @dataclass(frozen=True, slots=True)
 class Fleet:
     """`relays`: how many there are over all governors; `intake`: report lines a second to the module."""
@@ -46,6 +59,7 @@
     silence: int
     probe_deadline: int
     probes_at_once: int
+    cells: Placed | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +137,7 @@
         feed.get("silence", r.time, 3_000_000) if feed else 3_000_000,
         probes.get("deadline", r.time, 500_000) if probes else 500_000,
         probes.get("at-once", r.whole(1, 10_000), 8) if probes else 8,
+        _placed(node, folder),
     )
     if feed and fleet.hold >= 60_000_000:
         feed.fault("expected a time under a minute", "correct it", "hold")
@@ -165,6 +180,28 @@
     return out
 
 
+def _placed(node: r.Node, folder: Path) -> Placed | None:
+    cells = node.child("cells")
+    if cells is None:
+        return None
+    path = folder / cells.get("placement", r.text)
+    cells.done()
+    try:
+        placed: Placed = msgspec.json.decode(path.read_bytes(), type=Placed)
+    except (OSError, msgspec.MsgspecError) as fault:
+        reason = getattr(fault, "strerror", None) or str(fault)
+        cells.fault(f"{path} is no placement: {reason}", "make one with gradehoist cells place", "placement")
+        return None
+    strange = {c for c in (*placed.workers.values(), *placed.named.values()) if c not in placed.cells}
+    empty = [c for c in placed.cells if c not in placed.workers.values()]
+    if not placed.cells or strange or empty or len(set(placed.cells)) < len(placed.cells):
+        what = f"names cells it does not list: {', '.join(sorted(strange))}" if strange else (
+            f"has cells without workers: {', '.join(empty)}" if empty else "lists no cell, or one twice")
+        cells.fault(f"{path} {what}", "make it anew with gradehoist cells place", "placement")
+        return None
+    return placed
+
+
 def _governor(n: r.Node, zones: tuple[str, ...], folder: Path, listens: bool) -> Governor:
     name = n.word("a name")
     listen = n.get("listen", r.address) if listens or "listen" in n.props else ("127.0.0.1", 0)
@@ -178,8 +215,8 @@
     return out
 
 
-def start(fleet: Fleet, names: Names, seed: int) -> i.Start:
-    """The module's first word: names become indices."""
+def start(fleet: Fleet, names: Names, seed: int, channel: i.Channel) -> i.Start:
+    """A module's first word: names become indices."""
     classes = tuple(
         i.TransactionClass(
             c.goal, c.cutoff, c.gain, c.late_gain, c.repeat,
@@ -188,4 +225,4 @@
             c.stays_local)
         for c in fleet.classes)
     return i.Start(seed, len(fleet.zones), fleet.relays, 0, fleet.admission, classes, fleet.rules,
-                   fleet.channel, fleet.reports)
+                   channel, fleet.reports)
--- a/gradehoist/standin/clients.py
+++ b/gradehoist/standin/clients.py
@@ -22,6 +22,7 @@
         self.clients = {r.name: Client("127.0.0.1", r.port) for r in plan.relays}
         self.factor = {r.name: 1.0 for r in plan.relays}  # by relay: hot callers, zones that traffic leaves
         self.whole = 1.0
+        self.louder: dict[str, float] = {}  # by tenant: how many times its share
         self.open = 0
 
     async def begin(self) -> None:
@@ -35,6 +36,8 @@
             case "factor":
                 for name in do["relays"]:
                     self.factor[name] = float(do["value"])
+            case "louder":
+                self.louder[do["tenant"]] = float(do["value"])
             case "whole":
                 self.whole = float(do["value"])
             case _:
@@ -57,7 +60,8 @@
             if at >= self.plan.length:
                 return
             weights = {r.name: r.share * self.factor[r.name] for r in self.plan.relays}
-            rate = self.plan.rate * self.whole * self._shape(at) * sum(weights.values())
+            loud = sum(s * self.louder.get(t, 1.0) for t, s in self.plan.tenants)
+            rate = self.plan.rate * self.whole * self._shape(at) * sum(weights.values()) * loud
             due += chance.expovariate(max(rate, 1e-3))
             if (wait := due - (now() - self.began) / 1e6) > 0:
                 await asyncio.sleep(wait)
@@ -65,10 +69,12 @@
             cls = chance.choices(self.plan.classes, [c.share for c in self.plan.classes])[0]
             spread = math.sqrt(math.log(1 + cls.cv**2))
             work = cls.work * chance.lognormvariate(-spread**2 / 2, spread)
+            names = [t for t, _ in self.plan.tenants]
+            tenant = chance.choices(names, [s * self.louder.get(t, 1.0) for t, s in self.plan.tenants])[0]
             number += 1
-            self.task(self._one(f"c{number}", relay, cls, work))
+            self.task(self._one(f"c{number}", relay, cls, work, tenant))
 
-    async def _one(self, tx: str, relay: str, cls: p.Class, work: float) -> None:
+    async def _one(self, tx: str, relay: str, cls: p.Class, work: float, tenant: str) -> None:
         began, sends, status = now(), 0, 0
         self.open += 1
         try:
@@ -79,7 +85,7 @@
                     break
                 sends += 1
                 headers = (("x-transaction", f"{tx}.{sends}"), ("x-class", cls.name),
-                           ("x-work", f"{work:.3f}"), ("x-patience", str(patience)))
+                           ("x-work", f"{work:.3f}"), ("x-patience", str(patience)), ("x-tenant", tenant))
                 try:
                     response = await self.clients[relay].exchange("POST", "/", b"", headers, patience / 1e6)
                     status = response.status
@@ -97,4 +103,4 @@
         finally:
             self.open -= 1
             self.record("transaction", tx=tx, relay=relay, cls=cls.name, began=began, status=status,
-                        sends=sends)
+                        sends=sends, tenant=tenant)
--- a/gradehoist/standin/plan.py
+++ b/gradehoist/standin/plan.py
@@ -83,6 +83,15 @@
     message_window: int
 
 
+class Limits(msgspec.Struct, frozen=True):
+    """At one relay, transactions a second; as `cells.limits` has them."""
+
+    cell: float
+    tenant: float
+    burst: float
+    held: int
+
+
 class Plan(msgspec.Struct, frozen=True):
     name: str
     seed: int
@@ -116,6 +125,11 @@
     drops_waiting: bool
     full_is_proof: bool
     follow_governors: bool = True  # False: relays stay on their standing tables
+    tenants: tuple[tuple[str, float], ...] = (("", 1.0),)  # names and shares of the traffic
+    cells: tuple[str, ...] = ()
+    workers: dict[str, str] = {}  # cell by replica
+    named: dict[str, str] = {}  # cell by tenant
+    limits: Limits | None = None
     even: bool = False  # True: standing tables hold every replica at the same weight
 
 
--- a/gradehoist/standin/relay.py
+++ b/gradehoist/standin/relay.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from gradehoist.cells.limits import Door, Limits
+from gradehoist.cells.routes import home, label
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server
 from gradehoist.protocol import feed, http, orca
@@ -52,6 +54,8 @@
         self.avoid: dict[str, int] = {}
         self.met: dict[str, Met] = defaultdict(Met)
         self.came: dict[str, list[int]] = defaultdict(lambda: [0, 0])
+        limits = self.whole.limits
+        self.door = Door(Limits(**msgspec.structs.asdict(limits))) if limits else None
         self.epoch, self.stream, self.after, self.at_governor = "", 0, 0, 0
         self.holdings.stand({c: self._standing(c) for c in self.classes})
 
@@ -164,17 +168,33 @@
 
     async def handle(self, request: http.Request, connection: Connection) -> Answer | None:
         came, cls = now(), self.classes.get(http.header(request.headers, "x-class") or "")
+        tenant = http.header(request.headers, "x-tenant") or ""
         tx = http.header(request.headers, "x-transaction") or ""
         if cls is None:
             return Answer(400, b"no such class")
-        count = self.came[cls.name]
+        route = self.holdings.route
+        cell = home(tenant, route.cells, route.named) if route else ""
+        name = label(cell, cls.name)
+        count = self.came[name]
         count[0] += 1
-        share, way = self.holdings.level(cls.name, self.whole.usual_way)
+        if self.door and (no := self.door.admit(came, tenant, cell)):
+            self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason=no.reason,
+                                tenant=tenant, cell=cell)
+            return Answer(429, no.reason.encode(), (("retry-after", f"{max(1, round(no.after / 1e6))}"),))
+        try:
+            return await self._let_in(tx, cls, cell, name, count, request, connection, came)
+        finally:
+            if self.door:
+                self.door.done(tenant)
+
+    async def _let_in(self, tx: str, cls: p.Class, cell: str, name: str, count: list[int],
+                      request: http.Request, connection: Connection, came: int) -> Answer | None:
+        share, way = self.holdings.level(name, self.whole.usual_way)
         if self.chance.random() >= share:
             self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="level")
             return Answer(429, b"not let in")
         patience = int(http.header(request.headers, "x-patience") or cls.cutoff)
-        work = asyncio.ensure_future(self._try(tx, cls, request, came + patience, way))
+        work = asyncio.ensure_future(self._try(tx, cls, cell, request, came + patience, way))
         gone = asyncio.ensure_future(connection.gone.wait())
         try:
             await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
@@ -189,21 +209,24 @@
         count[1] += status != 200
         return Answer(status)
 
-    def _pick(self, cls: str, but: set[str]) -> str | None:
-        at, lines = now(), self.holdings.lines(cls)
+    def _pick(self, cls: str, cell: str, but: set[str]) -> str | None:
+        name = label(cell, cls)
+        # A cell whose table has not come yet stands on what the relay began with.
+        at, lines = now(), self.holdings.lines(name if name in self.holdings.table else cls)
         fit = {r: w for r, w in lines.items() if r not in but and self.avoid.get(r, 0) <= at}
         fit = fit or {r: w for r, w in lines.items() if r not in but}  # all avoided: better one of them
         if not fit:
             return None
         return self.chance.choices(list(fit), list(fit.values()))[0]
 
-    async def _try(self, tx: str, cls: p.Class, request: http.Request, until: int, way: int) -> int:
+    async def _try(self, tx: str, cls: p.Class, cell: str, request: http.Request, until: int,
+                   way: int) -> int:
         """One transaction with the tries after it; the status to answer with, at once when given up."""
         used: set[str] = set()
         further = (0, 1, 1, 2)[way]
         unproven = False
         for number in range(1 + further):
-            replica = self._pick(cls.name, used)
+            replica = self._pick(cls.name, cell, used)
             if replica is None:
                 if not number:
                     self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name,
@@ -213,7 +236,7 @@
             left = until - now()
             last = number == further
             wait = left if way < 2 or last else min(left, int(self.whole.try_factor * cls.goal))
-            ended, proof = await self._send(tx, number, cls, replica, request, wait, way, unproven)
+            ended, proof = await self._send(tx, number, cls, cell, replica, request, wait, way, unproven)
             if ended == 200:
                 return 200
             unproven |= not proof
@@ -221,15 +244,15 @@
                 return 504 if ended == 504 else 502
         return 502
 
-    async def _send(self, tx: str, number: int, cls: p.Class, replica: str, request: http.Request, wait: int,
-                    way: int, unproven: bool) -> tuple[int, bool]:
+    async def _send(self, tx: str, number: int, cls: p.Class, cell: str, replica: str, request: http.Request,
+                    wait: int, way: int, unproven: bool) -> tuple[int, bool]:
         """Status and whether it is proven that the try never ran."""
         client = self.clients.get(replica)
         if client is None:
             client = self.clients[replica] = Client("127.0.0.1", self.via[replica])
         met, began = self.met[replica], now()
         self.process.record("try", relay=self.plan.name, tx=tx, n=number, cls=cls.name, replica=replica,
-                            way=way, after_unproven=unproven)
+                            way=way, after_unproven=unproven, cell=cell)
         headers = (("x-transaction", f"{tx}"), ("x-relay", self.plan.name), ("x-class", cls.name),
                    ("x-work", http.header(request.headers, "x-work") or ""))
         status, proof = 0, False
--- a/tests/governed.py
+++ b/tests/governed.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from gradehoist.choice import Planner
 from gradehoist.governor.core import Core, Poll, Refused
+from gradehoist.governor.planner import Modules
 from gradehoist.protocol import feed
 from gradehoist.settings import fleet as f
 from gradehoist.settings import reader as r
@@ -75,7 +75,7 @@
     def begin(self, epoch: str) -> None:
         """A governor starts, as after a kill: nothing of an earlier one is known to it."""
         self.core = Core(self.settings.fleet, self.settings.governors[0], epoch, self.now)
-        self.module = Planner(self.core.start, self.now)
+        self.modules = Modules(self.core.starts, self.now, bool(self.core.slot))
         self.calls = []
         for relay in self.relays:
             relay.polling = False
@@ -139,9 +139,10 @@
                     self._ask(relay)
                 elif relay.polling and (s := self.core.streams.get(self.core.names.proxies[relay.name])):
                     s.seen = self.now  # a held poll is renewed in time
-            if events := self.core.events():
-                orders = self.module.handle(self.now, events)
-                self.core.carry_out(self.now, orders, {})
+            if not self.core.slot or self.now % self.core.slot < 5_000:
+                batches = self.core.batches()
+                if batches or self.core.slot:
+                    self.core.carry_out(self.now, self.modules.handle(self.now, batches))
             self.check()
 
     def check(self) -> None:
@@ -152,5 +153,5 @@
         for name, since in self.told.items():
             if self.now - since > self.settings.fleet.rules.grace:
                 held = [r.name for r in self.relays if r.stream and not r.dead
-                        and any(name in r.holdings.lines(c) for c in ("read", "write"))]
+                        and any(name in r.holdings.lines(c) for c in r.holdings.table)]
                 assert not held, f"{name} still picked by {held}"
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -1,15 +1,26 @@
-"""Placement of workers and tenants in cells: balance, stability, faults said plainly."""
+"""Cells: placement and its faults, routes, limits at the door, and a governor with a module for each."""
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections import Counter
+from pathlib import Path
+from typing import Any
 
 import pytest
+from click.testing import CliRunner, Result
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from gradehoist.cells.assign import Placement, Tenant, Wanted, Worker, place
+from gradehoist.cells.limits import Door, Limits
+from gradehoist.cells.routes import home, label
+from gradehoist.cli.main import main
+from gradehoist.settings.fleet import Placed
+from gradehoist.settings.fleet import read as settings_of
+from gradehoist.settings.reader import SettingsError
+from tests.governed import SECOND, World, entry
 
 ZONES = ("x", "y", "z")
 
@@ -62,6 +73,90 @@
                                                        if less.workers[w] != first.workers[w])}
 
 
+def test_the_odd_workers_of_each_zone_do_not_gather_in_one_cell() -> None:
+    crew = [Worker(f"w{n}", ZONES[n % 3], "k", 1 + n % 5 / 100) for n in range(12)]
+    found = place([Tenant("t", 1.0)], crew, Wanted(3, 2, 2))
+    assert sorted(Counter(found.workers.values()).values()) == [4, 4, 4]
+
+
+def test_routes_are_even_and_exceptions_hold() -> None:
+    cells = tuple(f"c{n}" for n in range(8))
+    found = Counter(home(f"inn{n}", cells, {}) for n in range(8_000))
+    assert set(found) == set(cells) and max(found.values()) < 1.15 * min(found.values())
+    assert home("inn1", cells, {"inn1": "c9"}) == "c9"
+    assert label("c1", "write") == "c1/write" and label("", "write") == "write"
+
+
+def test_a_flood_is_refused_at_the_door_of_its_cell_and_what_was_lent_comes_back() -> None:
+    door, let = Door(Limits(cell=10.0, tenant=2.0, burst=2.0)), Counter[str]()
+    for tick in range(20_000):  # 20 s; the flood alone at first, then two owners at their rate
+        now = tick * 1_000
+        if tick % 5 == 0:
+            no = door.admit(now, "flood", "a")
+            let["flood", tick >= 10_000] += no is None  # type: ignore[index]
+            assert no is None or (no.after > 0 and "rate" in no.reason)
+        if tick >= 10_000 and tick % 500 == 0:
+            let["owner"] += door.admit(now, "one", "a") is None
+            let["owner"] += door.admit(now, "two", "a") is None
+        if tick % 500 == 0:
+            let["other"] += door.admit(now, "three", "b") is None
+    assert let["owner"] == 40 and let["other"] == 40  # none of theirs was refused, in its cell or another
+    assert 95 <= let["flood", False] <= 125 and 55 <= let["flood", True] <= 70  # type: ignore[index]
+
+
+def test_a_tenant_may_hold_so_many_and_made_up_names_cost_no_memory() -> None:
+    door = Door(Limits(cell=1e6, tenant=1e6, held=2))
+    assert [door.admit(0, "t", "a") is None for _ in range(3)] == [True, True, False]
+    door.done("t")
+    assert door.admit(0, "t", "a") is None
+    door = Door(Limits(cell=1e6, tenant=5.0))
+    for n in range(30_000):
+        door.admit(n * 1_000, f"made-up-{n}", "a")
+        door.done(f"made-up-{n}")
+    assert len(door._tenants) <= door.KEPT + 1 and not door.hand
+
+
+def world(cells: int, relays: int, workers: int) -> World:
+    found = World(relays=relays, replicas=workers, queue=40_000, rate=20_000)
+    names = tuple(f"c{n}" for n in range(cells))
+    placed = Placed(names, {f"w{n}": names[n // 2 % cells] for n in range(workers)}, {"big": "c1"})
+    fleet = dataclasses.replace(found.settings.fleet, cells=placed)
+    found.settings = dataclasses.replace(found.settings, fleet=fleet)
+    found.begin("cells")
+    return found
+
+
+def test_a_governor_with_twelve_cells_keeps_to_the_messages_a_relay_may_get() -> None:
+    found = world(12, 20, 48)
+    stamps: dict[str, list[int]] = {r.name: [] for r in found.relays}
+    put = found.core.channel.put
+
+    def counted(now: int, proxy: int, *rest: Any) -> str:
+        said = put(now, proxy, *rest)
+        if not said:
+            stamps[found.core.names.proxies.names[proxy]].append(now)
+        return said
+
+    found.core.channel.put = counted  # type: ignore[method-assign,assignment]
+    found.dial()
+    found.run(4)
+    labels = {label(f"c{n}", c) for n in range(12) for c in ("read", "write")}
+    for relay in found.relays:
+        assert labels <= set(relay.holdings.table)
+        assert relay.holdings.route and relay.holdings.route.named == {"big": "c1"}
+        assert set(relay.holdings.lines("c3/read")) == {"w6", "w7", "w30", "w31"}
+    found.list(entry(7, "draining"), entry(30, "gone"), entry(99))
+    found.run(3)  # the world checks the grace over the labels of every cell
+    assert all(set(r.holdings.lines("c3/write")) == {"w6", "w31"} for r in found.relays)
+    assert any(x.event == "no_cell" and x.fields["replica"] == "w99" for x in found.core.logs)
+    for n in range(30):
+        found.list(entry(n % 40 + 1, "ready" if n % 2 else "draining"))
+        found.run(0.3)
+    for times in stamps.values():
+        assert all(sum(t - 10 * SECOND < x <= t for x in times) <= 20 for t in times)
+    assert not any(x.event == "channel_full" for x in found.core.logs)
+
+
 def test_what_cannot_be_had_is_said_by_name() -> None:
     tenants, crew = fleet(12, 20)
     giant = Tenant("giant", 99.0)
@@ -85,3 +180,43 @@
     more = [Tenant(t.name, t.demand * 1.3) for t in tenants]
     faults = place(more, crew, Wanted(5, 3, 3, lose_zone=True)).faults
     assert faults and all("room for" in f for f in faults)
+
+
+def test_a_placement_is_made_kept_and_shown_from_the_command_line(tmp_path: Path) -> None:
+    tenants, workers, out = tmp_path / "t.csv", tmp_path / "w.csv", tmp_path / "p.json"
+    tenants.write_text("tenant,demand\n" + "".join(f"inn{n},0.1\n" for n in range(20)))
+    workers.write_text("worker,zone,kind,size\n" + "".join(f"w{n},{ZONES[n % 3]},k,1\n" for n in range(9)))
+
+    def run(*more: str) -> Result:
+        words = ["cells", "place", str(tenants), str(workers), "--out", str(out), *more]
+        return CliRunner().invoke(main, words)
+
+    assert run("--cells", "3").exit_code == 0
+    first = out.read_bytes()
+    assert run("--cells", "3", "--before", str(out)).exit_code == 0 and out.read_bytes() == first
+    shown = CliRunner().invoke(main, ["cells", "show", str(out)])
+    assert shown.exit_code == 0 and "c2" in shown.output and "w8" in shown.output
+    hungry = run("--cells", "3", "--least-workers", "5")
+    assert hungry.exit_code == 1 and "5 in 1 are wanted" in hungry.output
+    kept = out.read_bytes()
+    tenants.write_text("tenant,demand\ninn1,-4\n")
+    bad = run("--cells", "3")
+    assert bad.exit_code == 2 and "t.csv:2: demand" in bad.output and out.read_bytes() == kept
+    tenants.write_text("name,demand\n")
+    assert "no column tenant" in run("--cells", "3").output
+    assert CliRunner().invoke(main, ["cells", "show", str(tenants)]).exit_code == 2
+
+
+def test_settings_refuse_a_placement_that_cannot_stand(tmp_path: Path) -> None:
+    text = (Path(__file__).parent.parent / "deploy" / "example.kdl").read_text()
+    path, placed = tmp_path / "s.kdl", tmp_path / "p.json"
+    path.write_text(text.replace('    probes', '    cells placement="p.json"\n    probes'))
+    for content, said in ((b"", "is no placement"),
+                          (b'{"cells":["a"],"workers":{"w":"b"}}', "does not list: b"),
+                          (b'{"cells":["a","b"],"workers":{"w":"b"}}', "cells without workers: a")):
+        placed.write_bytes(content)
+        with pytest.raises(SettingsError) as caught:
+            settings_of(path)
+        assert said in str(caught.value) and "fleet > cells > placement" in str(caught.value)
+    placed.write_bytes(b'{"cells":["a"],"workers":{"w":"a"}}')
+    assert settings_of(path).fleet.cells == Placed(("a",), {"w": "a"}, {})
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -88,7 +88,7 @@
     assert answer is not None and answer.joined and answer.stream > old
     world.core.left(proxy, "its connection closed", old)
     assert world.core.streams[proxy].number == answer.stream
-    events = [type(e).__name__ for e in world.core.events()]
+    events = [type(e).__name__ for _, some in world.core.batches() for e in some]
     assert events[-2:] == ["Left", "Joined"]
 
 
@@ -102,7 +102,7 @@
     for n in range(200):
         slow.seen = world.now
         orders: list[i.Order] = [i.SetLine(g, 1, 1 + n / 100) for g in range(10)]
-        world.core.carry_out(world.now, orders, {})
+        world.core.carry_out(world.now, [(0, orders, {})])
         world.run(0.1)
         assert slow.lines <= 300 and len(slow.released) < 100
     assert slow.owed or slow.picture
@@ -179,10 +179,9 @@
     core, proxy = world.core, world.core.names.proxies["r0"]
     stream = core.streams[proxy]
     levels = [i.Admit(None, (k,), 0.5, 0) for k in (0, 1)] * 30
-    core.carry_out(world.now, [*levels, i.Mark(9, True)], {})
+    core.carry_out(world.now, [(0, [*levels, i.Mark(9, True)], {})])
     assert stream.owed and any(x.event == "channel_full" for x in core.logs)
-    marks = {m for _, m, _ in stream.marks}
-    assert 9 in marks
+    assert any((0, 9) in marks for _, marks, _ in stream.marks)
     world.run(6)
     assert not stream.owed and world.relays[0].pictures
     assert world.relays[0].holdings.level("read", 1) == (0.5, 0) and not stream.marks
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -232,10 +232,10 @@
 
 def test_a_module_that_raises_ends_the_feeds_and_the_governor_with_1(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    async def fail(self: Any, now: int, events: list[Any]) -> Any:
-        if any(type(e).__name__ == "Joined" for e in events):
+    async def fail(self: Any, now: int, batches: list[Any]) -> Any:
+        if any(type(e).__name__ == "Joined" for _, events in batches for e in events):
             raise planning.PlannerFailed("ValueError: made up")
-        return [], {}
+        return []
 
     async def work() -> None:
         monkeypatch.setattr(planning.PlannerProcess, "handle", fail)
@@ -259,7 +259,7 @@
 
     ours, theirs = socket.socketpair()
     with ours, theirs, theirs.makefile("rwb") as pipe, ours.makefile("rwb") as end:
-        frames: list[tuple[Any, Any]] = [(None, 0), (0, [])]
+        frames: list[tuple[Any, ...]] = [([None], 0, False), (0, [(0, [])])]
         for frame in frames:
             data = pickle.dumps(frame)
             end.write(planning.LENGTH.pack(len(data)) + data)
@@ -267,8 +267,8 @@
         ours.shutdown(socket.SHUT_WR)
         planning.serve(pipe, Faulty)  # type: ignore[arg-type]
         (size,) = planning.LENGTH.unpack(end.read(4))
-        fault, orders, _, _ = pickle.loads(end.read(size))
-    assert fault == "RuntimeError: made up" and orders == []
+        fault, replies, _ = pickle.loads(end.read(size))
+    assert fault == "RuntimeError: made up" and replies == []
 
 
 def test_an_answer_lost_after_the_work_is_not_repeated_for_what_must_never_run_twice(tmp_path: Path) -> None:
