Move tenants between cells in the running program, with fences at the workers

A hotel must move to another cell without a reservation lost or doubled. gradehoist cells move carries the move protocol over HTTP: governors keep its words before they confirm and renew the workers' leases with them, relays learn of shut and moved tenants in the slot's one message, stand-in workers enforce the fence. The audit learns a sixth rule from the workers' effects. A mover killed after the last governor's answer waited for ever if a worker was deaf; its wait now begins anew.

--- a/gradehoist/cells/moves.py
+++ b/gradehoist/cells/moves.py
@@ -108,6 +108,10 @@
         return replace(self, hand={**self.hand, tenant: left},
                        done={**self.done, tenant: self.done.get(tenant, NONE) | {key}})
 
+    def dropped(self, tenant: str, key: str) -> Fence:
+        """A write that was taken and will never run: it waited, and nobody waits for it."""
+        return replace(self, hand={**self.hand, tenant: self.hand.get(tenant, NONE) - {key}})
+
     def told(self, word: Word) -> tuple[Fence, Confirm]:
         """A word from a mover or in a heartbeat. The answer is due once the fence is kept."""
         known = self.words.get(word.tenant)
@@ -211,6 +215,9 @@
             waited = self.known >= set(governors) and 0 <= self.since <= now - wait
             if heard or waited:
                 return replace(self, step=Step.OPEN, known=NONE, shut=NONE, since=-1)
+            if self.known >= set(governors) and self.since < 0:
+                # Killed after the last governor's answer it asks nobody again: the wait begins anew here.
+                return replace(self, since=now)
         elif self.step is Step.OPEN and self.known >= set(governors):
             return replace(self, step=Step.DONE)
         return self
--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import csv
 from collections import defaultdict
 from pathlib import Path
@@ -11,7 +12,11 @@
 from rich.table import Table
 
 from gradehoist.cells.assign import Placement, Tenant, Wanted, Worker, place
-from gradehoist.settings.fleet import Placed
+from gradehoist.cells.moves import Move, Step
+from gradehoist.cells.routes import home
+from gradehoist.mover import run as mover
+from gradehoist.settings.fleet import Placed, Settings
+from gradehoist.store.keep import Held, Lock
 
 
 class Bad(Exception):
@@ -84,3 +89,49 @@
         some = ", ".join(sorted(tenants[cell])[:6]) + (", …" if len(tenants[cell]) > 6 else "")
         out.add_row(cell, ", ".join(sorted(workers[cell])), str(len(tenants[cell])), some)
     Console().print(out)
+
+
+def move(settings: Settings, store: Path, tenants: tuple[str, ...], to: str | None) -> bool:
+    """True where every move came to its end. Raises Bad."""
+    placed = settings.fleet.cells
+    if placed is None:
+        raise Bad("fleet > cells: missing; name a placement to move tenants in")
+    if tenants and not to:
+        raise Bad("no cell to move to; say --to CELL")
+    try:
+        lock = Lock(store)
+    except Held as fault:
+        raise Bad(f"{fault}; one mover at a time, wait for it or end it") from None
+    try:
+        if tenants:
+            mover.order(store, settings, tenants, to or "", lambda t: home(t, placed.cells, placed.named))
+        moves = mover.load(store)
+        undone = {m.id.removesuffix("-undo") for m in moves if m.undone}
+        due = [m for m in moves if m.step is not Step.DONE and m.id not in undone]
+        ended = asyncio.run(mover.Mover(settings, store, _say).run(due))
+    except ValueError as fault:
+        raise Bad(str(fault)) from None
+    finally:
+        lock.free()
+    return all(m.step is Step.DONE for m in ended)
+
+
+def _say(move: Move, waits: str) -> None:
+    print(f"{move.id} {move.tenant} {move.source} -> {move.target}: {move.step.value}; waits for {waits}",
+          flush=True)
+
+
+def show_moves(store: Path) -> None:
+    try:
+        moves = mover.load(store)
+    except ValueError as fault:
+        raise Bad(str(fault)) from None
+    undone = {m.id.removesuffix("-undo") for m in moves if m.undone}
+    out = Table(title=f"{len(moves)} moves", title_justify="left")
+    for head in ("move", "tenant", "from", "to", "generation", "step", ""):
+        out.add_column(head)
+    for m in moves:
+        note = m.conflict or ("undone" if m.id in undone else "confirmed by " + (
+            ", ".join(sorted(m.known | m.shut)) or "nobody yet") if m.step is not Step.DONE else "")
+        out.add_row(m.id, m.tenant, m.source, m.target, str(m.gen), m.step.value, note)
+    Console().print(out)
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -168,6 +168,54 @@
         raise Fail(str(fault)) from None
 
 
+STORE = click.option("--store", type=click.Path(file_okay=False, path_type=Path), default=Path("var/moves"),
+                     show_default=True, help="The folder of all moves' records; one for an installation.")
+
+
+@cells.command("move")
+@click.argument("path", metavar="SETTINGS", type=FILE)
+@click.argument("tenants", metavar="TENANT...", nargs=-1)
+@click.option("--to", help="The cell they move to.")
+@STORE
+def move_tenants(path: Path, tenants: tuple[str, ...], to: str | None, store: Path) -> None:
+    """Moves tenants to another cell and follows each to its end. Without tenants it goes on with what is
+    under way, as after a kill. Exit 1 where a move was stopped or undone."""
+    from gradehoist.cli import cells as view
+
+    found = settings(path)
+    try:
+        good = view.move(found, store, tenants, to)
+    except view.Bad as fault:
+        raise Fail(f"{path}: {fault}") from None
+    sys.exit(0 if good else 1)
+
+
+@cells.command("undo")
+@click.argument("id", metavar="MOVE")
+@STORE
+def undo_move(id: str, store: Path) -> None:
+    """Turns a move back; `cells move SETTINGS` carries it out, also one that runs now."""
+    from gradehoist.mover import run as mover
+
+    try:
+        back = mover.undo(store, id)
+    except ValueError as fault:
+        raise Fail(f"{store}: {fault}") from None
+    click.echo(f"{back.id}: {back.tenant} goes back to {back.target}")
+
+
+@cells.command("moves")
+@STORE
+def list_moves(store: Path) -> None:
+    """Lists all moves and where they stand."""
+    from gradehoist.cli import cells as view
+
+    try:
+        view.show_moves(store)
+    except view.Bad as fault:
+        raise Fail(str(fault)) from None
+
+
 @main.command()
 def openapi() -> None:
     """Prints the governor's API as an OpenAPI document."""
--- a/gradehoist/day/audit.py
+++ b/gradehoist/day/audit.py
@@ -25,6 +25,7 @@
 NAMES = {
     "line": "1 a line to pick for each class", "twice": "2 no effect twice",
     "drain": "3 drains kept within the grace", "cold": "4 no cold replica pushed over",
+    "moves": "6 each write once, none at a former cell",
     "queue": "5 queue and messages under their limits", "placement": "+ classes on their zones and kinds",
 }
 
@@ -151,6 +152,7 @@
         ends: dict[tuple[str, str, int], Rec] = {}
         effects: dict[str, list[Rec]] = defaultdict(list)
         away: dict[str, set[str]] = defaultdict(set)
+        fenced: dict[str, set[str]] = defaultdict(set)
         arrived: dict[str, set[str]] = defaultdict(set)
         cold: dict[tuple[str, int], list[tuple[Rec, bool]]] = defaultdict(list)
         fell: list[Rec] = []
@@ -198,6 +200,8 @@
                         cold[r["replica"], r["boot"]].append((r, self._knows(at, r["relay"], r["replica"])))
                 case "turned_away":
                     away[r["tx"]].add(r["replica"])
+                case "fenced" if r["why"] in ("moved", "no lease"):
+                    fenced[r["tx"]].add(r["replica"])
                 case "effect":
                     effects[r["tx"]].append(r)
                 case "fell":
@@ -205,7 +209,8 @@
         if self.records:
             for relay in list(self.joined):
                 self._lost(self.records[-1]["t"], relay)
-        self._twice(tries, effects, arrived, away)
+        self._moves(effects)
+        self._twice(tries, effects, arrived, away, fenced)
         self._cold(cold, fell)
         for epoch, some in messages.items():
             self._channel(epoch, some)
@@ -274,7 +279,7 @@
     # Rule 2
 
     def _twice(self, tries: dict[tuple[str, str], list[Rec]], effects: dict[str, list[Rec]],
-               arrived: dict[str, set[str]], away: dict[str, set[str]]) -> None:
+               arrived: dict[str, set[str]], away: dict[str, set[str]], fenced: dict[str, set[str]]) -> None:
         rule = self.rules["twice"]
         for (relay, tx), some in tries.items():
             c = self.classes[some[0]["cls"]]
@@ -290,12 +295,40 @@
                            effects[tx])
             for n, later in enumerate(some[1:], 1):
                 ran = {x["replica"] for x in some[:n] if x["replica"] in arrived[tx]}
-                unproven = ran - (away[tx] if self.plan.full_is_proof else set())
+                unproven = ran - fenced[tx] - (away[tx] if self.plan.full_is_proof else set())
                 if unproven:
                     rule.near, where = 1.0, ", ".join(sorted(unproven))
                     self.found("twice", later["t"], relay, later["replica"],
                                f"{tx} sent again though it may have run at {where}", some)
 
+    # Rule 6
+
+    def _moves(self, effects: dict[str, list[Rec]]) -> None:
+        """By the workers' own effects: a key once over all cells; after a later generation's first effect
+        none of an earlier one at another cell; and none that a client was told of is missing."""
+        rule = self.rules["moves"]
+        done: dict[str, list[Rec]] = defaultdict(list)
+        latest: dict[str, tuple[int, str]] = {}
+        writes = sorted((r for some in effects.values() for r in some if "tenant" in r), key=lambda r: r["t"])
+        for r in writes:
+            rule.occasions += 1
+            done[r["tx"].partition(".")[0]].append(r)
+            gen, cell = latest.get(r["tenant"], (0, ""))
+            if r["gen"] < gen and r["cell"] != cell:
+                self.found("moves", r["t"], "", r["replica"],
+                           f"{r['tenant']}: generation {r['gen']} at {r['cell']} after {gen} at {cell}", [r])
+            if r["gen"] > gen:
+                latest[r["tenant"]] = (r["gen"], r["cell"])
+        for key, some in done.items():
+            if len(some) > 1:
+                self.found("moves", some[-1]["t"], "", some[-1]["replica"], f"{key} was written twice", some)
+        if not self.plan.cells:
+            return
+        for r in self.records:
+            if (r["e"] == "transaction" and r["status"] == 200 and r["tx"] not in done
+                    and self.classes[r["cls"]].repeat == "single"):
+                self.found("moves", r["t"], r["relay"], "", f"{r['tx']} was answered and never written", [r])
+
     # Rule 4
 
     def _knows(self, at: int, relay: str, replica: str) -> bool:
--- a/gradehoist/day/run.py
+++ b/gradehoist/day/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -74,8 +75,10 @@
     async def play(self) -> bool:
         """Plays the day; False where it was stopped before its end. Raises StartFailed."""
         self.folder.mkdir(parents=True, exist_ok=True)
-        for old in self.folder.glob("*.jsonl"):
+        for old in (*self.folder.glob("*.jsonl"), *self.folder.glob("*.log")):
             old.unlink()
+        for kept in ("var", "moves"):  # what an earlier day's governors and mover kept is not this day's
+            shutil.rmtree(self.folder / kept, ignore_errors=True)
         (self.folder / "plan.json").write_bytes(msgspec.json.encode(self.plan))
         (self.folder / "settings.kdl").write_text(settings_text(self.scene, self.plan), encoding="utf-8")
         if self.plan.cells:
@@ -124,7 +127,7 @@
             if at >= end:
                 return True
             for name, process in self.processes.items():
-                if process.poll() is not None:
+                if process.poll() is not None and (name != "mover" or process.returncode):
                     raise StartFailed(f"{name} ended by itself, exit {process.returncode}; see {name}.log")
             if self.look and looking is None and at / 1e6 - looked > self.look:
                 looked = at / 1e6
@@ -149,6 +152,12 @@
             name = str(step.do["governor"])
             if not self.plan.follow_governors:
                 return
+            if step.do["do"] == "move":
+                tenants = step.do["tenants"]
+                assert isinstance(tenants, list)
+                self._start("mover", "gradehoist", "cells", "move", str(self.folder / "settings.kdl"),
+                            *tenants, "--to", str(step.do["to"]), "--store", str(self.folder / "moves"))
+                return
             if step.do["do"] == "kill":
                 self.processes[f"governor-{name}"].kill()
                 self.processes.pop(f"governor-{name}").wait()
@@ -168,7 +177,7 @@
     def _end_all(self) -> None:
         """Clients and relays first, so that nothing is sent into the end of the others."""
         def rank(name: str) -> int:
-            order = ("clients", "relays", "governor", "replicas", "roster", "links")
+            order = ("clients", "relays", "mover", "governor", "replicas", "roster", "links")
             return next((n for n, part in enumerate(order) if name.startswith(part)), 9)
         for name in sorted(self.processes, key=rank):
             process = self.processes[name]
--- a/gradehoist/day/troubles.py
+++ b/gradehoist/day/troubles.py
@@ -329,10 +329,18 @@
     s.at(s.t.at + s.t.span, "clients", "louder", tenant=tenant, value=1.0)
 
 
+def move(s: Script) -> None:
+    """`part` of the tenants of one cell are moved to the next, by the mover itself."""
+    source, target = s.plan.cells[0], s.plan.cells[1 % len(s.plan.cells)]
+    fit = sorted(t for t, c in s.plan.named.items() if c == source)
+    some = s.chance.sample(fit, max(1, round(s.t.part * len(fit))))
+    s.at(s.t.at, "day", "move", governor="", tenants=some, to=target)
+
+
 SCRIPTS: dict[str, Callable[[Script], None]] = {
     f.__name__: f for f in (
         crash, vanish, slow, hang, neighbour, hot_caller, zone_loss, zone_cut, shrink, drain, origin_slow,
         counter_down, reconnect, redial, governor_kill, shift, preempt, false_reports, mass_restart,
-        one_sided, ageing, roster_down, flap, flood)
+        one_sided, ageing, roster_down, flap, flood, move)
 }
 HOWS = ("any", "silent", "all", "refuse", "delay", "lose", "unlisted", "forget")
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -86,6 +86,7 @@
         route = feed.Route(cells, dict(placed.named)) if placed else None
         self.tables = Tables(self.names, ch.message_head, route)
         self._strays: set[str] = set()
+        self._news: list[feed.Moved] = []
         self.intake = Intake(self.names, fleet.intake, fleet.reports.period, now)
         self.roster = RosterView(self.names, fleet.rules.cold_time)
         self.streams: dict[int, Stream] = {}
@@ -295,6 +296,10 @@
         first concerned."""
         self.replies += 1
         told: dict[int, Told] = {}
+        news, self._news = self._news, []
+        if news:
+            for proxy in self.streams:
+                told[proxy] = Told(list(news), float(len(news)))
         for number, orders, reasons in replies:
             self._reply(now, self.parts[number], orders, reasons, told)
         for proxy, mine in told.items():
@@ -386,5 +391,16 @@
                 names = [self.names.classes.names[k] for k in classes] or list(self.names.classes.names)
                 self.log("level", classes=names, share=round(share, 4), tries=tries, reason=why)
 
+    def moved(self, tenant: str, cell: str, gen: int) -> None:
+        """A tenant is shut (no cell) or opened in a cell: every relay is told with the next slot's orders, so
+        that fifty moves at once are still one message."""
+        if self.tables.route is None:
+            return
+        delta = feed.Moved(tenant, cell, gen)
+        self.tables.route = feed.moved(self.tables.route, delta)
+        self._news.append(delta)
+        self.log("tenant_moved" if cell else "tenant_shut", tenant=tenant, cell=cell, generation=gen,
+                 reason="a mover's word")
+
     def log(self, event: str, *, warn: bool = False, **fields: Any) -> None:
         self.logs.append(Log(event, fields, warn))
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import gc
-import os
 import time
 import uuid
 from collections.abc import Coroutine
@@ -17,16 +16,20 @@
 import structlog
 
 from gradehoist import interface as i
+from gradehoist.cells.moves import Book, Confirm, Word
 from gradehoist.governor.core import Core, Gap, Poll, Refused
 from gradehoist.governor.planner import PlannerFailed, PlannerProcess
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server, json, refusal
 from gradehoist.protocol import feed, http, orca
 from gradehoist.settings.fleet import Fleet, Governor
+from gradehoist.store import keep
 
 SUMS: msgspec.json.Decoder[feed.Sums] = msgspec.json.Decoder(feed.Sums)
 ROSTER: msgspec.json.Decoder[feed.Roster] = msgspec.json.Decoder(feed.Roster)
 SAVED: msgspec.json.Decoder[tuple[feed.Replica, ...]] = msgspec.json.Decoder(tuple[feed.Replica, ...])
+WORD: msgspec.json.Decoder[Word] = msgspec.json.Decoder(Word)
+WORDS: msgspec.json.Decoder[list[Word]] = msgspec.json.Decoder(list[Word])
 ENCODER = msgspec.json.Encoder()
 ROSTER_WAIT = 5.0  # seconds that a roster call is held: short enough to notice a dead path
 
@@ -59,6 +62,7 @@
         self._probing = asyncio.Semaphore(fleet.probes_at_once)
         self._clients: dict[str, Client] = {}
         self._failed = False
+        self.book = Book(own.name)
         self._saved_path = own.state / "roster.json"
         self.lag = 0.0  # worst lateness of the clock task since the last status call, seconds
 
@@ -73,6 +77,8 @@
         self.log.info("started", epoch=self.core.epoch, listen=f"{host}:{port}", zone=self.own.zone)
         for task in (self._clock(), self._plan(), self._roster()):
             self._own(task)
+        if self.fleet.cells:
+            self._own(self._leases(self.fleet.cells.lease))
         await self._stopping.wait()
         self._server.stop()
         for waiter in list(self._waiters.values()):
@@ -120,7 +126,9 @@
                     return Answer(204)
                 case "GET", "/v1/status":
                     return json(self.status())
-                case _, "/v1/feed" | "/v1/sums" | "/v1/status":
+                case "POST", "/v1/cells/word" if self.fleet.cells:
+                    return json(self._word(WORD.decode(request.body)))
+                case _, "/v1/feed" | "/v1/sums" | "/v1/status" | "/v1/cells/word":
                     return refusal(405, f"{path.path} does not take {request.method}")
             return refusal(404, f"nothing at {path.path}")
         except Refused as fault:
@@ -176,8 +184,35 @@
             "lag_ms": round(lag * 1e3, 3),
         }
 
+    def _word(self, word: Word) -> Confirm:
+        """A mover's word: kept before it is confirmed."""
+        book, answer = self.book.told(word)
+        if book is not self.book:
+            keep.write(self.own.state / "cells.json", ENCODER.encode(list(book.words.values())))
+            self.book = book
+            self.core.moved(word.tenant, word.cell, word.gen)
+            self._kick.set()
+        return answer
+
     # Tasks
 
+    async def _leases(self, lease: int) -> None:
+        """Heartbeats to every worker of a cell, three in a lease, each with the whole book."""
+        while True:
+            body = ENCODER.encode((lease, self.book.heartbeat()))
+            workers = [e for e in self.core.roster.entries.values() if e.phase != "gone"]
+            for e in workers:
+                self._own(self._lease(e.address or e.replica, body))
+            await asyncio.sleep(lease / 3e6)
+
+    async def _lease(self, address: str, body: bytes) -> None:
+        client = self._clients.get(address)
+        if client is None:
+            host, _, port = address.rpartition(":")
+            client = self._clients[address] = Client(host, int(port))
+        with contextlib.suppress(Unreachable, Broken, TimedOut):
+            await client.exchange("POST", "/cell/lease", body, timeout=0.5)
+
     async def _clock(self) -> None:
         while True:
             due = self.core.due()
@@ -300,10 +335,7 @@
     def _save(self) -> None:
         """The list as last held, for a start without a roster; an old file or a new one, never a part."""
         try:
-            self._saved_path.parent.mkdir(parents=True, exist_ok=True)
-            part = self._saved_path.with_suffix(".part")
-            part.write_bytes(ENCODER.encode(tuple(self.core.roster.entries.values())))
-            os.replace(part, self._saved_path)
+            keep.write(self._saved_path, ENCODER.encode(tuple(self.core.roster.entries.values())))
         except OSError as fault:
             self.log.warning("roster_not_saved", path=str(self._saved_path), reason=str(fault))
 
@@ -317,4 +349,8 @@
         except (OSError, msgspec.MsgspecError) as fault:
             self.log.warning("saved_roster_unread", path=str(self._saved_path), reason=str(fault))
         self.core.list_saved(now(), entries)
+        with contextlib.suppress(FileNotFoundError):
+            for word in WORDS.decode((self.own.state / "cells.json").read_bytes()):
+                self.book, _ = self.book.told(word)
+                self.core.moved(word.tenant, word.cell, word.gen)
         self._told.set()
--- a/gradehoist/protocol/feed.py
+++ b/gradehoist/protocol/feed.py
@@ -61,9 +61,18 @@
 
     cells: tuple[str, ...]
     named: dict[str, str]
+    gens: dict[str, int] = {}
 
 
-Delta = Line | Clear | Bind | Out | Back | Level | Route
+class Moved(msgspec.Struct, frozen=True, tag="moved", array_like=True):
+    """A tenant's cell from this generation on; no cell: it is on its way and its writes are refused."""
+
+    tenant: str
+    cell: str
+    gen: int
+
+
+Delta = Line | Clear | Bind | Out | Back | Level | Route | Moved
 
 
 class Message(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -141,6 +150,15 @@
     after: int = 0
 
 
+def moved(route: Route, news: Moved) -> Route:
+    """The route after a move; a move of a generation that is known or past changes nothing."""
+    if news.gen < route.gens.get(news.tenant, 1) or (
+            news.gen == route.gens.get(news.tenant, 1) and not news.cell):
+        return route
+    return Route(route.cells, {**route.named, news.tenant: news.cell},
+                 {**route.gens, news.tenant: news.gen})
+
+
 class Holdings:
     """What a relay holds: tables, withdrawals and levels, brought forward message by message.
 
@@ -201,6 +219,8 @@
                     self.levels |= {(table, c): (share, tries) for c in classes}
                 case Route():
                     self.route = delta
+                case Moved() if self.route is not None:
+                    self.route = moved(self.route, delta)
 
     def lines(self, cls: str) -> dict[str, float]:
         """The lines that the class may pick from now, withdrawals taken out."""
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -31,11 +31,14 @@
 
 
 class Placed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A placement file, as `gradehoist cells place` writes it: cells, workers and tenants by cell."""
+    """A placement file, as `gradehoist cells place` writes it: cells, workers and tenants by cell. The lease
+    of workers and the time in which a write and its repeats are settled (µs) come from the settings."""
 
     cells: tuple[str, ...]
     workers: dict[str, str]
     named: dict[str, str] = {}
+    lease: int = 3_000_000
+    settle: int = 10_000_000
 
     def of(self, cell: str) -> frozenset[str]:
         return frozenset(w for w, c in self.workers.items() if c == cell)
@@ -185,6 +188,7 @@
     if cells is None:
         return None
     path = folder / cells.get("placement", r.text)
+    lease, settle = cells.get("lease", r.time, 3_000_000), cells.get("settle", r.time, 10_000_000)
     cells.done()
     try:
         placed: Placed = msgspec.json.decode(path.read_bytes(), type=Placed)
@@ -199,7 +203,7 @@
             f"has cells without workers: {', '.join(empty)}" if empty else "lists no cell, or one twice")
         cells.fault(f"{path} {what}", "make it anew with gradehoist cells place", "placement")
         return None
-    return placed
+    return msgspec.structs.replace(placed, lease=lease, settle=settle)
 
 
 def _governor(n: r.Node, zones: tuple[str, ...], folder: Path, listens: bool) -> Governor:
--- a/gradehoist/standin/relay.py
+++ b/gradehoist/standin/relay.py
@@ -174,27 +174,32 @@
             return Answer(400, b"no such class")
         route = self.holdings.route
         cell = home(tenant, route.cells, route.named) if route else ""
-        name = label(cell, cls.name)
+        gen = route.gens.get(tenant, 1) if route else 0
+        name = label(cell, cls.name) if cell or not route else label(route.cells[0], cls.name)
         count = self.came[name]
         count[0] += 1
+        if route and not cell:
+            self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="moving",
+                                tenant=tenant)
+            return Answer(503, b"moving", (("retry-after", "1"),))
         if self.door and (no := self.door.admit(came, tenant, cell)):
             self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason=no.reason,
                                 tenant=tenant, cell=cell)
             return Answer(429, no.reason.encode(), (("retry-after", f"{max(1, round(no.after / 1e6))}"),))
         try:
-            return await self._let_in(tx, cls, cell, name, count, request, connection, came)
+            return await self._let_in(tx, cls, (cell, gen), name, count, request, connection, came)
         finally:
             if self.door:
                 self.door.done(tenant)
 
-    async def _let_in(self, tx: str, cls: p.Class, cell: str, name: str, count: list[int],
+    async def _let_in(self, tx: str, cls: p.Class, at: tuple[str, int], name: str, count: list[int],
                       request: http.Request, connection: Connection, came: int) -> Answer | None:
         share, way = self.holdings.level(name, self.whole.usual_way)
         if self.chance.random() >= share:
             self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="level")
             return Answer(429, b"not let in")
         patience = int(http.header(request.headers, "x-patience") or cls.cutoff)
-        work = asyncio.ensure_future(self._try(tx, cls, cell, request, came + patience, way))
+        work = asyncio.ensure_future(self._try(tx, cls, at, request, came + patience, way))
         gone = asyncio.ensure_future(connection.gone.wait())
         try:
             await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
@@ -219,14 +224,14 @@
             return None
         return self.chance.choices(list(fit), list(fit.values()))[0]
 
-    async def _try(self, tx: str, cls: p.Class, cell: str, request: http.Request, until: int,
+    async def _try(self, tx: str, cls: p.Class, at: tuple[str, int], request: http.Request, until: int,
                    way: int) -> int:
         """One transaction with the tries after it; the status to answer with, at once when given up."""
         used: set[str] = set()
         further = (0, 1, 1, 2)[way]
         unproven = False
         for number in range(1 + further):
-            replica = self._pick(cls.name, cell, used)
+            replica = self._pick(cls.name, at[0], used)  # never another cell than the first
             if replica is None:
                 if not number:
                     self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name,
@@ -236,7 +241,7 @@
             left = until - now()
             last = number == further
             wait = left if way < 2 or last else min(left, int(self.whole.try_factor * cls.goal))
-            ended, proof = await self._send(tx, number, cls, cell, replica, request, wait, way, unproven)
+            ended, proof = await self._send(tx, number, cls, at, replica, request, wait, way, unproven)
             if ended == 200:
                 return 200
             unproven |= not proof
@@ -244,17 +249,19 @@
                 return 504 if ended == 504 else 502
         return 502
 
-    async def _send(self, tx: str, number: int, cls: p.Class, cell: str, replica: str, request: http.Request,
-                    wait: int, way: int, unproven: bool) -> tuple[int, bool]:
+    async def _send(self, tx: str, number: int, cls: p.Class, at: tuple[str, int], replica: str,
+                    request: http.Request, wait: int, way: int, unproven: bool) -> tuple[int, bool]:
         """Status and whether it is proven that the try never ran."""
         client = self.clients.get(replica)
         if client is None:
             client = self.clients[replica] = Client("127.0.0.1", self.via[replica])
         met, began = self.met[replica], now()
         self.process.record("try", relay=self.plan.name, tx=tx, n=number, cls=cls.name, replica=replica,
-                            way=way, after_unproven=unproven, cell=cell)
+                            way=way, after_unproven=unproven, cell=at[0])
         headers = (("x-transaction", f"{tx}"), ("x-relay", self.plan.name), ("x-class", cls.name),
-                   ("x-work", http.header(request.headers, "x-work") or ""))
+                   ("x-work", http.header(request.headers, "x-work") or ""),
+                   ("x-tenant", http.header(request.headers, "x-tenant") or ""),
+                   ("x-cell", at[0]), ("x-generation", f"{at[1]}"))
         status, proof = 0, False
         try:
             response = await client.exchange("POST", "/work", b"", headers, timeout=max(0.001, wait / 1e6))
--- a/gradehoist/standin/replica.py
+++ b/gradehoist/standin/replica.py
@@ -12,6 +12,9 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
+from gradehoist.cells.moves import Fence, Verdict, Word
 from gradehoist.net.server import Answer, Connection, Server, refusal
 from gradehoist.protocol import http, orca
 from gradehoist.standin import plan as p
@@ -27,6 +30,12 @@
     done: asyncio.Future[None]
     connection: Connection | None = None
     tx: str = ""
+    write: tuple[str, str, int] | None = None  # tenant, cell, generation: a write under the fence
+
+    @property
+    def key(self) -> str:
+        """A client's repeats share it."""
+        return self.tx.partition(".")[0]
 
 
 @dataclass
@@ -50,7 +59,16 @@
     served: deque[float] = field(default_factory=lambda: deque(maxlen=50))
     connections: set[Connection] = field(default_factory=set)
 
+    @property
+    def writes(self) -> set[str]:
+        return {c.name for c in self.whole.classes if c.repeat == "single"}
+
+    def __post_init__(self) -> None:
+        # What the fence keeps outlives the process, here as this object does.
+        self.fence = Fence(self.plan.name, self.whole.workers.get(self.plan.name, ""))
+
     def start(self, cold: bool) -> None:
+        self.fence = self.fence.restarted()
         self.boot += 1
         self.started = now() if cold else 0
         self.running, self.waiting = [], deque()
@@ -94,7 +112,12 @@
                 job.work -= each
             for job in [j for j in self.running if j.work <= 0]:
                 self.running.remove(job)
-                if job.tx:
+                if job.write:
+                    tenant, cell, gen = job.write
+                    self.fence = self.fence.finish(tenant, job.key)
+                    self.process.record("effect", replica=self.plan.name, tx=job.tx, tenant=tenant, cell=cell,
+                                        gen=gen)
+                elif job.tx:
                     self.process.record("effect", replica=self.plan.name, tx=job.tx)
                 if not job.done.done():
                     job.done.set_result(None)
@@ -131,6 +154,15 @@
             self.waiting.append(Job(5.0, done, connection))
             await asyncio.wait((done,), timeout=2.0)
             return Answer(200, b"", load) if done.done() else refusal(503, "too busy")
+        if request.target == "/cell/word":
+            word: Word = msgspec.json.decode(request.body, type=Word)
+            self.fence, answer = self.fence.told(word)
+            self.process.record("word", replica=name, word=word, busy=answer.busy)
+            return Answer(200, msgspec.json.encode(answer))
+        if request.target == "/cell/lease":
+            beat: tuple[int, list[Word]] = msgspec.json.decode(request.body, type=tuple[int, list[Word]])
+            self.fence = self.fence.heartbeat(at, *beat)
+            return Answer(204)
         tx = http.header(request.headers, "x-transaction") or ""
         relay = http.header(request.headers, "x-relay") or ""
         try:
@@ -151,6 +183,17 @@
             proof = (("x-never-ran", "1"),) if self.whole.full_is_proof else ()
             return Answer(503, b"", load + proof)
         job = Job(work, asyncio.get_running_loop().create_future(), connection, tx)
+        if self.whole.cells and http.header(request.headers, "x-class") in self.writes:
+            job.write = ((http.header(request.headers, "x-tenant") or ""),
+                         http.header(request.headers, "x-cell") or "",
+                         int(http.header(request.headers, "x-generation") or 0))
+            self.fence, verdict = self.fence.write(at, *job.write, job.key)
+            if verdict is not Verdict.TAKE:
+                self.process.record("fenced", replica=name, tx=tx, tenant=job.write[0], why=verdict.value)
+                if verdict is Verdict.KNOWN:
+                    return Answer(200, b"done before", load)
+                proof = (("x-never-ran", "1"),) if verdict is not Verdict.BUSY else ()
+                return Answer(503, verdict.value.encode(), load + proof)
         self.waiting.append(job)
         gone = asyncio.ensure_future(connection.gone.wait())
         try:
@@ -160,6 +203,8 @@
         if not job.done.done():  # the relay gave up: what runs goes on, what waits may be dropped
             if self.whole.drops_waiting and job in self.waiting:
                 self.waiting.remove(job)
+                if job.write:
+                    self.fence = self.fence.dropped(job.write[0], job.key)
             return None
         if job.done.cancelled():
             return None
--- /dev/null
+++ b/gradehoist/store/__init__.py
@@ -0,0 +1,1 @@
+"""Files that survive: an old state or a new one, never a part."""
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -141,6 +141,25 @@
     assert judge(*start(), *begin, *early)["cold"].state == "kept"
 
 
+def test_rule_6_by_the_workers_effects() -> None:
+    def effect(at: float, tx: str, cell: str, gen: int) -> Rec:
+        return rec(at, "effect", "replicas-hall-a", replica=W1, tx=tx, tenant="inn", cell=cell, gen=gen)
+
+    def answer(tx: str) -> Rec:
+        return rec(9, "transaction", "clients", tx=tx, relay="r1", cls="booking-commit", began=T0, status=200,
+                   sends=1, tenant="inn")
+
+    moved = [effect(1, "c1.1", "A", 1), effect(2, "c2.1", "A", 1), effect(3, "c3.1", "B", 2)]
+    over = msgspec.structs.replace(PLAN, cells=("A", "B"))
+    assert judge(*start(), *moved, answer("c3"), over=over)["moves"].state == "kept"
+    rule = judge(*start(), *moved, effect(4, "c4.1", "A", 1), over=over)["moves"]
+    assert rule.state == "broken" and "generation 1 at A after 2 at B" in rule.breaks[0].text
+    rule = judge(*start(), *moved, effect(4, "c2.2", "B", 2), over=over)["moves"]
+    assert rule.state == "broken" and "written twice" in rule.breaks[0].text
+    rule = judge(*start(), *moved, answer("c5"), over=over)["moves"]
+    assert rule.state == "broken" and "never written" in rule.breaks[0].text
+
+
 @pytest.mark.parametrize(("over", "state"), [(0, "kept"), (1, "broken")])
 def test_rule_5_by_lines_in_the_channel(over: int, state: str) -> None:
     table = {f"x{n}": 1.0 for n in range(int(RULES.queue_limit / 2 - RULES.message_head - 1))}
--- /dev/null
+++ b/tests/test_mover.py
@@ -0,0 +1,177 @@
+"""The mover over HTTP: killed after each record that it keeps, stopped, turned back, one at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from gradehoist.cells.moves import Book, Fence, Move, Step, Verdict, Word
+from gradehoist.day.scene import ports
+from gradehoist.mover import run as mover
+from gradehoist.net.server import Answer, Connection, Server, json
+from gradehoist.protocol import feed, http
+from gradehoist.settings import fleet as f
+from gradehoist.settings import reader as r
+from gradehoist.store.keep import Held, Lock, write
+from tests.governed import TEXT
+
+LOCAL = "127.0.0.1"
+CELLS = {"a1": "A", "a2": "A", "b1": "B", "b2": "B"}
+
+
+class Site:
+    """A governor's book, four workers' fences and a roster, each on a port of its own."""
+
+    def __init__(self, folder: Path, deaf: str = "") -> None:
+        found = ports(6)
+        self.at = dict(zip(("roster", "g", *CELLS), found, strict=True))
+        self.book = Book("a")
+        self.fences = {w: Fence(w, c, until=1 << 60) for w, c in CELLS.items()}
+        self.deaf = deaf
+        self.servers = []
+        for name, port in self.at.items():
+            server = Server(lambda q, c, name=name: self.handle(name, q, c))  # type: ignore[misc]
+            server.listen(port, LOCAL)
+            self.servers.append(server)
+        (folder / "p.json").write_bytes(msgspec.json.encode(f.Placed(("A", "B"), CELLS, {"inn": "A"})))
+        reader = r.Reader("test")
+        text = TEXT.format(relays=4, queue=2000, rate=2000).replace(":7000", f":{self.at['roster']}")
+        text = text.replace(":7101", f":{self.at['g']}").replace(
+            '    reports', '    cells placement="p.json" lease="50ms" settle="100ms"\n    reports')
+        self.settings = f.parse(reader.root(text), folder)
+        reader.finish()
+
+    async def handle(self, name: str, request: http.Request, connection: Connection) -> Answer | None:
+        if name == "roster":
+            entries = tuple(feed.Replica(w, "x", f"{LOCAL}:{self.at[w]}") for w in CELLS)
+            return json(feed.Roster("l", 1, entries, True))
+        if name == self.deaf:
+            return None
+        word: Word = msgspec.json.decode(request.body, type=Word)
+        if name == "g":
+            self.book, answer = self.book.told(word)
+        else:
+            self.fences[name], answer = self.fences[name].told(word)
+        return json(answer)
+
+    def takes(self, worker: str, gen: int) -> bool:
+        fence = self.fences[worker]
+        return fence.write(0, "inn", fence.cell, gen, "new")[1] is Verdict.TAKE
+
+    def close(self) -> None:
+        for server in self.servers:
+            server.shut()
+
+
+def order(site: Site, store: Path) -> list[Move]:
+    return mover.order(store, site.settings, ("inn",), "B", lambda t: "A")
+
+
+async def carry(site: Site, store: Path, said: list[str] | None = None) -> list[Move]:
+    told = [] if said is None else said
+    one = mover.Mover(site.settings, store, lambda m, waits: told.append(f"{m.step.value}: {waits}"))
+    return await asyncio.wait_for(one.run([m for m in mover.load(store) if m.step is not Step.DONE]), 20)
+
+
+@pytest.mark.parametrize("deaf", ["", "a2"])
+def test_killed_after_each_record_it_goes_on_to_the_end(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, deaf: str) -> None:
+    class Killed(Exception): ...
+
+    async def work() -> None:
+        site, lives, keep = Site(tmp_path, deaf), 0, mover.save
+        try:
+            order(site, tmp_path / "s")
+            while lives < 20:
+                lives += 1
+
+                def save(store: Path, move: Move) -> None:
+                    keep(store, move)
+                    raise Killed
+
+                monkeypatch.setattr(mover, "save", save)
+                try:
+                    ended = await carry(site, tmp_path / "s")
+                except Killed:
+                    (move,) = mover.load(tmp_path / "s")
+                    if move.step is Step.SHUT:  # not one of the new cell's may take a write yet
+                        assert not any(site.takes(w, 2) for w in ("b1", "b2"))
+                    if move.step is not Step.SHUT:
+                        assert not any(site.takes(w, 1) for w in ("a1", "a2") if w != deaf)
+                    if move.step is Step.DONE:
+                        break
+                    continue
+                assert not ended
+                break
+            assert lives >= 3 and site.book.route("inn", "A") == ("B", 2)
+            for name in ("b1", "b2"):  # a worker that missed the mover's word has it from the next heartbeat
+                site.fences[name] = site.fences[name].heartbeat(0, 1 << 60, site.book.heartbeat())
+                assert site.takes(name, 2)
+        finally:
+            site.close()
+    asyncio.run(work())
+
+
+def test_a_move_says_what_it_waits_for_and_an_undo_takes_its_place(tmp_path: Path) -> None:
+    async def work() -> None:
+        site, said, store = Site(tmp_path, deaf="g"), list[str](), tmp_path / "s"
+        # A write in hand that never ends.
+        site.fences["a2"], _ = site.fences["a2"].write(0, "inn", "A", 1, "k1")
+        try:
+            (move,) = order(site, store)
+            running = asyncio.ensure_future(carry(site, store, said))
+            for _ in range(100):
+                await asyncio.sleep(0.05)
+                if any("a2 to confirm" in s and "governors a" in s for s in said):
+                    break
+            with pytest.raises(ValueError, match="undo that first"):
+                order(site, store)
+            back = mover.undo(store, move.id)
+            (ended,) = await running
+            assert ended.step is Step.SHUT and said[-1] == "shut: undone"
+            site.deaf = ""
+            assert (await carry(site, store, said))[-1].step is Step.DONE or back.step is Step.SHUT
+        finally:
+            site.close()
+        assert site.book.route("inn", "A") == ("A", 3)
+        assert site.takes("a1", 3) and not site.takes("b1", 2) and not site.takes("a1", 1)
+        with pytest.raises(ValueError, match="no move"):
+            mover.undo(store, "nothing")
+    asyncio.run(work())
+
+
+def test_a_generation_that_another_move_holds_stops_this_one(tmp_path: Path) -> None:
+    async def work() -> None:
+        site = Site(tmp_path)
+        try:
+            site.book, _ = site.book.told(Word("inn", 2, "another"))
+            order(site, tmp_path / "s")
+            (ended,) = await carry(site, tmp_path / "s")
+            assert "another" in ended.conflict and ended.step is Step.SHUT
+            assert not any(site.takes(w, 2) for w in CELLS)
+        finally:
+            site.close()
+    asyncio.run(work())
+
+
+def test_one_writer_a_store_and_files_old_or_new(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    lock = Lock(tmp_path)
+    with pytest.raises(Held, match="in use by pid"):
+        Lock(tmp_path)
+    lock.free()
+    Lock(tmp_path).free()
+    write(tmp_path / "x", b"old")
+
+    def full(fd: int) -> None:
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr("os.fsync", full)
+    with pytest.raises(OSError):
+        write(tmp_path / "x", b"new")
+    assert (tmp_path / "x").read_bytes() == b"old"
+    (tmp_path / "000000-2.move").write_bytes(b"{")
+    with pytest.raises(ValueError, match="000000-2.move"):
+        mover.load(tmp_path)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -334,6 +334,7 @@
     assert asyncio.run(day.play())
     _, verdict = audit.folder(tmp_path)
     states = {rule.rule: rule.state for rule in verdict.rules}
+    assert states.pop("moves") == "not judged"  # a day without cells
     assert verdict.good and set(states.values()) == {"kept"}, verdict
     assert verdict.transactions > 200 and verdict.answered > 0.5
     assert not [x for x in psutil.Process().children(recursive=True) if x.status() != psutil.STATUS_ZOMBIE]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -80,7 +80,8 @@
     assert CliRunner().invoke(main, ["check", example]).exit_code == 0
 
 
-SCENES = [*sorted((ROOT / "scenes").glob("*.kdl")), *sorted((ROOT / "scenes/troubles").glob("*.kdl"))]
+SCENES = [*sorted((ROOT / "scenes").glob("*.kdl")), *sorted((ROOT / "scenes/troubles").glob("*.kdl")),
+          *sorted((ROOT / "scenes/cells").glob("*.kdl"))]
 
 
 @pytest.mark.parametrize("path", SCENES, ids=lambda p: p.stem)
