--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -145,8 +145,9 @@
 
 def inline() -> None:
     row(*HEAD)
-    for module in ("bench.inline", "gradehoist", "bench.inline", "gradehoist"):
-        asyncio.run(_size(286, 118, 3500, module))
+    for relays, replicas, rate in ((286, 118, 3500), (1000, 500, 12000)):
+        for module in ("bench.inline", "gradehoist", "bench.inline", "gradehoist"):
+            asyncio.run(_size(relays, replicas, rate, module))
 
 
 async def _idle(relays: int) -> None:
--- a/gradehoist/cli/day.py
+++ b/gradehoist/cli/day.py
@@ -40,7 +40,8 @@
     return " ".join(f"[{COLOUR['broken' if r.breaks else 'kept']}]{r.name[0]}[/]" for r in verdict.rules)
 
 
-def play(path: Path, seed: int | None, out: Path | None, follow: bool, even: bool, quiet: bool) -> bool:
+def play(path: Path, seed: int | None, out: Path | None, follow: bool, even: bool, speed: float,
+         quiet: bool) -> bool:
     """Plays and judges a scene; True where all rules held. Raises Failed."""
     console = Console(stderr=True)
     try:
@@ -48,6 +49,7 @@
     except SettingsError as fault:
         raise Failed(str(fault)) from None
     plan = scene.draw(script, script.seed if seed is None else seed, follow, even)
+    plan = scene.hurried(plan, speed)
     folder = out or Path("found") / f"{plan.name}-{plan.seed}"
     columns = (TextColumn("[bold]{task.fields[scene]}"), BarColumn(), TaskProgressColumn(),
                TimeRemainingColumn(), TextColumn("{task.fields[rules]}"), TextColumn("{task.fields[text]}"))
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -90,13 +90,15 @@
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="The run folder.")
 @click.option("--tables", type=click.Choice(["governed", "standing", "even"]), default="governed",
               show_default=True, help="Who decides: governors, nobody, or equal weights for all.")
+@click.option("--speed", type=click.FloatRange(0.1, 10), default=1.0, show_default=True,
+              help="Plays the script that much faster; goals, grace and every limit stay as they are.")
 @click.option("--quiet", is_flag=True, help="No progress bar.")
-def day(path: Path, seed: int | None, out: Path | None, tables: str, quiet: bool) -> None:
+def day(path: Path, seed: int | None, out: Path | None, tables: str, speed: float, quiet: bool) -> None:
     """Plays a scene on loopback sockets and judges the rules; exit 0 only if they held."""
     from gradehoist.cli import day as view
 
     try:
-        good = view.play(path, seed, out, tables == "governed", tables == "even", quiet)
+        good = view.play(path, seed, out, tables == "governed", tables == "even", speed, quiet)
     except view.Failed as fault:
         raise Fail(str(fault)) from None
     sys.exit(0 if good else 1)
--- a/gradehoist/day/audit.py
+++ b/gradehoist/day/audit.py
@@ -8,7 +8,7 @@
 
 from bisect import bisect_right
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -86,6 +86,20 @@
     return out
 
 
+def queue(ordered: Iterable[tuple[float, float]], line_rate: float) -> Iterator[tuple[float, float]]:
+    """A channel played again at its pace, from times of order (µs, in order) and costs in lines: after each
+    message, when its last line is out (µs) and how many lines wait."""
+    leaves = deque[tuple[float, float]]()
+    free = waiting = 0.0
+    for at, cost in ordered:
+        while leaves and leaves[0][0] <= at:
+            waiting -= leaves.popleft()[1]
+        free = max(free, at) + cost / line_rate * 1e6
+        leaves.append((free, cost))
+        waiting += cost
+        yield free, waiting
+
+
 @dataclass
 class Told:
     """What the roster told one governor: per replica the phase and boot, since when."""
@@ -376,18 +390,8 @@
             unique.setdefault((r["relay"], r["stream"], m.seq), (r, m))
         ordered = sorted(unique.values(), key=lambda x: (x[1].reply, x[0]["t"]))
         rule.occasions += len(ordered)
-        free = 0.0
-        leaves: list[tuple[float, float]] = []  # when out, cost; in order
-        ahead = 0
-        waiting = 0.0
-        for r, m in ordered:
-            cost = max(self.price(m), m.cost)
-            while ahead < len(leaves) and leaves[ahead][0] <= m.at:
-                waiting -= leaves[ahead][1]
-                ahead += 1
-            free = max(free, m.at) + cost / rules.line_rate * 1e6
-            leaves.append((free, cost))
-            waiting += cost
+        costs = [(m.at, max(self.price(m), m.cost)) for _, m in ordered]
+        for (r, m), (_, waiting) in zip(ordered, queue(costs, rules.line_rate), strict=True):
             rule.near = max(rule.near, waiting / rules.queue_limit)
             if waiting > rules.queue_limit + 1e-6:
                 self.found("queue", m.at, r["relay"], "",
--- a/gradehoist/day/report.py
+++ b/gradehoist/day/report.py
@@ -96,11 +96,10 @@
     figure, axes = plt.subplots(figsize=(9, 2.8), layout="constrained")
     names = sorted({g for g, _ in by_epoch})
     for (governor, _), some in by_epoch.items():
+        costs = [(float(m.at), m.cost) for m in sorted(some.values(), key=lambda m: m.reply)]
         moves: list[tuple[float, float]] = []
-        free = 0.0
-        for m in sorted(some.values(), key=lambda m: m.reply):
-            free = max(free, m.at) + m.cost / plan.rules.line_rate * 1e6
-            moves += [(m.at, m.cost), (free, -m.cost)]
+        for (at, cost), (out, _) in zip(costs, audit.queue(costs, plan.rules.line_rate), strict=True):
+            moves += [(at, cost), (out, -cost)]
         xs, ys, waiting = [], [], 0.0
         for at, change in sorted(moves):
             waiting += change
--- a/gradehoist/day/scene.py
+++ b/gradehoist/day/scene.py
@@ -269,6 +269,14 @@
     return msgspec.structs.replace(plan, steps=troubles.script(plan, scene.troubles, scene.roster))
 
 
+def hurried(plan: p.Plan, speed: float) -> p.Plan:
+    """The same script `speed` times as fast: its length, steps and the roster's lateness. What the fleet is
+    (goals, grace, cold times, limits) stays, so a fast day is a harder one, judged by the same rules."""
+    steps = tuple(msgspec.structs.replace(s, at=round(s.at / speed)) for s in plan.steps)
+    shape = tuple((round(at / speed), factor) for at, factor in plan.shape)
+    return msgspec.structs.replace(plan, length=round(plan.length / speed), steps=steps, shape=shape)
+
+
 def settings_text(scene: Scene, plan: p.Plan) -> str:
     """The settings file of the run's governors: the scene's fleet with the addresses of this run."""
     document = Parser().parse(scene.fleet_text)
--- a/gradehoist/governor/openapi.py
+++ b/gradehoist/governor/openapi.py
@@ -6,10 +6,12 @@
 
 import msgspec
 
+from gradehoist.cells.moves import Confirm, Word
 from gradehoist.protocol import feed
 
 REFUSALS = {
     "400": "not understood: framing, JSON or a value out of range",
+    "404": "no such path here",
     "405": "another method than the path takes", "408": "the request took too long to come",
     "409": "no such stream, a message that was never sent, or a later poll took over: join anew",
     "413": "a body over the limit",
@@ -23,8 +25,8 @@
 
 
 def document() -> dict[str, Any]:
-    (feed_ref, sums_ref, error_ref), parts = msgspec.json.schema_components(
-        (feed.Feed, feed.Sums, Error), ref_template="#/components/schemas/{name}")
+    (feed_ref, sums_ref, word_ref, confirm_ref, error_ref), parts = msgspec.json.schema_components(
+        (feed.Feed, feed.Sums, Word, Confirm, Error), ref_template="#/components/schemas/{name}")
 
     def refusals(*codes: str) -> dict[str, Any]:
         body = {"application/json": {"schema": error_ref}}
@@ -58,6 +60,13 @@
                 "requestBody": {"required": True, "content": {"application/json": {"schema": sums_ref}}},
                 "responses": {"204": {"description": "taken"}, **refusals("400", "405", "409", "413", "422")},
             }},
+            "/v1/cells/word": {"post": {
+                "summary": "A mover's word on a tenant, kept before it is confirmed; only with cells",
+                "requestBody": {"required": True, "content": {"application/json": {"schema": word_ref}}},
+                "responses": {"200": {"description": "what the governor now holds true of the tenant",
+                                      "content": {"application/json": {"schema": confirm_ref}}},
+                              **refusals("400", "404", "405", "413", "503")},
+            }},
             "/v1/status": {"get": {
                 "summary": "The governor in figures, for people and checks",
                 "responses": {"200": {"description": "an object", "content": {
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -128,6 +128,8 @@
                     return json(self.status())
                 case "POST", "/v1/cells/word" if self.fleet.cells:
                     return json(self._word(WORD.decode(request.body)))
+                case _, "/v1/cells/word" if not self.fleet.cells:
+                    return refusal(404, "this fleet has no cells")
                 case _, "/v1/feed" | "/v1/sums" | "/v1/status" | "/v1/cells/word":
                     return refusal(405, f"{path.path} does not take {request.method}")
             return refusal(404, f"nothing at {path.path}")
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -198,6 +198,14 @@
     assert not verdict.good and "failed" in verdict.why
 
 
+def test_a_hurried_day_is_the_same_script_in_less_time_under_the_same_rules() -> None:
+    plan = scene.draw(scene.read(ROOT / "scenes" / "bad-day.kdl"), 1)
+    fast = scene.hurried(plan, 4.0)
+    assert fast.length * 4 == plan.length and fast.rules == plan.rules and fast.classes == plan.classes
+    assert [(s.role, s.do) for s in fast.steps] == [(s.role, s.do) for s in plan.steps]
+    assert all(abs(4 * a.at - b.at) <= 2 for a, b in zip(fast.steps, plan.steps, strict=True))
+
+
 def test_a_record_cut_by_a_kill_is_left_out_and_a_bad_one_is_named(tmp_path: Path) -> None:
     path = tmp_path / "relays.jsonl"
     path.write_bytes(b'{"t":1,"e":"a"}\n{"t":2,"e"')
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -159,7 +159,8 @@
     async def work() -> None:
         async with governor(tmp_path) as (_, client):
             asked = {("/v1/feed", "get"): ["?relay=r&zone=x", "?zone=x", "?relay=r&zone=q"],
-                     ("/v1/sums", "post"): [""], ("/v1/status", "get"): [""]}
+                     ("/v1/sums", "post"): [""], ("/v1/status", "get"): [""],
+                     ("/v1/cells/word", "post"): [""]}
             for path, methods in written["paths"].items():
                 for method, operation in methods.items():
                     for tail in asked.pop((path, method)):
@@ -310,6 +311,74 @@
     run(work)
 
 
+def test_half_an_answer_changes_nothing_at_a_relay_whatever_byte_the_governor_died_at(tmp_path: Path) -> None:
+    """Cut at each byte and reset, as by a kill; then a governor of a new epoch answers whole."""
+    plan = scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
+    plan = msgspec.structs.replace(plan, redial=(0, 0))
+    lines = {"w1": 1.0, "w2": 2.5}
+    deltas = (feed.Bind(7, tuple(c.name for c in plan.classes), lines), feed.Out("w3"))
+    body = msgspec.json.encode(feed.Feed("first", 1, (feed.Message(1, 1, 1, 9.0, deltas, 1),)))
+    whole = http.response(200, body, (("content-type", "application/json"),))
+
+    def join(epoch: str) -> bytes:
+        return http.response(200, msgspec.json.encode(feed.Feed(epoch, 1, joined=True)))
+
+    async def one(cut: int) -> None:
+        process = Relays(plan, "relays-hall-a", tmp_path)
+        relay: Relay = next(iter(process.all.values()))
+        asked: list[str] = []
+        ended = asyncio.Event()
+        before: list[object] = []
+
+        def state() -> tuple[object, ...]:
+            held = relay.holdings
+            return dict(held.tables), dict(held.table), set(held.out), dict(held.levels), relay.after
+
+        async def dying(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await stream.readuntil(b"\r\n\r\n")
+            writer.write(join("first"))
+            await stream.readuntil(b"\r\n\r\n")
+            before.append(state())
+            writer.write(whole[:cut])
+            await writer.drain()
+            sock = writer.get_extra_info("socket")
+            await asyncio.sleep(0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            writer.close()
+
+        async def next_one(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while True:
+                    request = (await stream.readuntil(b"\r\n\r\n")).decode()
+                    asked.append(request.split(" ")[1])
+                    if len(asked) == 1:
+                        before.append(state())
+                        writer.write(join("again"))
+                    elif len(asked) == 2:
+                        writer.write(whole.replace(b"first", b"again"))
+                    else:
+                        ended.set()
+            writer.close()
+
+        servers = [await asyncio.start_server(handle, LOCAL, 0) for handle in (dying, next_one)]
+        ways = [("g", (LOCAL, s.sockets[0].getsockname()[1])) for s in servers]
+        relay.plan = msgspec.structs.replace(relay.plan, governors=tuple(ways))
+        following = asyncio.ensure_future(relay._feed())
+        await ended.wait()
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+        for server in servers:
+            server.close()
+        assert before[0] == before[1], f"cut at byte {cut}"
+        assert "epoch=first" in asked[0] and "after=0" in asked[0] and "epoch=again" in asked[1]
+        assert relay.epoch == "again" and relay.after == 1 and relay.holdings.lines("rate-check") == lines
+
+    async def work() -> None:
+        for cut in range(len(whole)):
+            await one(cut)
+    run(work)
+
+
 def test_a_word_that_cannot_be_kept_is_not_confirmed_and_a_spoilt_book_stops_the_start(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def work() -> None:
