Share a governor's channel among its cells by a ledger of what each relay is owed

Each cell's module counted the channel for itself alone, so a full channel ended in whole pictures. Now a ledger keeps what each relay is owed as states, a budget decides who goes first: drains of any cell at once and outside the slot, ordinary lines within a part of queue, grace and messages. Tenants live where their hash says while that cell is under its even part, so relays are told of exceptions alone.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m bench [NAME …]`: parser, drains, size, inline, idle, bytes, shares."""
+"""`python -m bench [NAME …]`: parser, drains, size, inline, cells, idle, shares."""
 
 from __future__ import annotations
 
@@ -150,6 +150,52 @@
             asyncio.run(_size(relays, replicas, rate, module))
 
 
+async def _cells(relays: int, replicas: int, cells: int, rate: float) -> None:
+    """One governor with so many cells: when all relays are bound, what it costs, how quick a drain is."""
+    with tempfile.TemporaryDirectory() as folder:
+        governor = Governor(Path(folder), relays, replicas, rate, max(rate, 12 * relays), cells=cells)
+        await governor.ready()
+        feeders, began = [Feeder(n, governor.port) for n in range(relays)], time.monotonic()
+        tasks = [asyncio.ensure_future(f.follow()) for f in feeders]
+        tasks += [asyncio.ensure_future(f.sums(replicas, 1.0, cells, 0.3)) for f in feeders]
+        while not all(len(f.classes) >= 2 * max(1, cells) for f in feeders):
+            if time.monotonic() > began + 240:
+                raise RuntimeError("not all relays are bound")
+            await asyncio.sleep(0.2)
+        bound = time.monotonic() - began
+        await asyncio.sleep(5)
+        (cpu, _), (planner, _), began = governor.usage(), governor.planner_usage(), time.monotonic()
+        got, messages = sum(f.got for f in feeders), sum(f.messages for f in feeders)
+        sent = (await governor.status())["channel"]["sent"]  # type: ignore[index]
+        await asyncio.sleep(20)
+        took = time.monotonic() - began
+        (cpu2, memory), (planner2, pmemory) = governor.usage(), governor.planner_usage()
+        status = await governor.status()
+        lines = (status["channel"]["sent"] - sent) / took  # type: ignore[index]
+        shares = (f"{100 * (cpu2 - cpu) / took:.0f}%", f"{100 * (planner2 - planner) / took:.0f}%")
+        row_of = (f"{(sum(f.messages for f in feeders) - messages) / took:.0f}", f"{lines:.0f}",
+                  f"{(sum(f.got for f in feeders) - got) / took / 1e3:.0f}")
+        governor.roster.drain()
+        end = time.monotonic() + 30
+        while not all(f.out for f in feeders) and time.monotonic() < end:
+            await asyncio.sleep(0.02)
+        waits = [1e3 * (f.out - governor.roster.told) for f in feeders if f.out]
+        row(relays, replicas, cells, f"{bound:.1f}", *shares, *row_of, f"{memory / 1e6:.0f}",
+            f"{pmemory / 1e6:.0f}", status["lag_ms"],
+            *(f"{np.percentile(waits, q):.0f}" for q in (50, 99, 100)), relays - len(waits))
+        for task in tasks:
+            task.cancel()
+        governor.close()
+
+
+def cells() -> None:
+    """One cell beside a hundred, the same relays and workers; the drain is of one worker of one cell."""
+    row("relays", "replicas", "cells", "all bound s", "CPU loop", "CPU planner", "messages/s", "lines/s",
+        "kB/s", "MB loop", "MB planner", "worst lag ms", "drain p50 ms", "p99 ms", "worst ms", "never told")
+    for relays, replicas, number in ((300, 120, 1), (300, 120, 40), (1000, 300, 1), (1000, 300, 100)):
+        asyncio.run(_cells(relays, replicas, number, 12000))
+
+
 async def _idle(relays: int) -> None:
     with tempfile.TemporaryDirectory() as folder:
         governor = Governor(Path(folder), relays, 12, 1e6, 1e6, hold="50s")
@@ -230,7 +276,8 @@
 
 
 ALL: dict[str, Callable[[], None]] = {
-    "parser": parser, "drains": drains, "size": size, "inline": inline, "idle": idle, "shares": shares}
+    "parser": parser, "drains": drains, "size": size, "inline": inline, "cells": cells, "idle": idle,
+    "shares": shares}
 
 if __name__ == "__main__":
     for name in sys.argv[1:] or ALL:
--- a/bench/feeders.py
+++ b/bench/feeders.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import subprocess
 import sys
 import time
@@ -16,6 +17,7 @@
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server
 from gradehoist.protocol import feed, http
+from gradehoist.settings.fleet import Placed
 
 LOCAL = "127.0.0.1"
 ZONES = ("hall-a", "hall-b", "hall-c")
@@ -29,7 +31,7 @@
     rules grace="2s" cold-time="16s" cold-share=0.18 fall-multiple=4 fall-span="3s" bare-limit="4600ms"
     channel queue-limit={queue} line-rate={rate} message-head=4 message-limit=20 message-window="10s"
     reports period="1s" intake={intake}
-    feed hold="{hold}" silence="10s"
+    feed hold="{hold}" silence="10s"{cells}
     probes deadline="500ms" at-once=8
 }}
 governor "a" zone="hall-a" listen="127.0.0.1:{port}"
@@ -75,7 +77,8 @@
         self.n, self.port = n, port
         self.name, self.zone = f"r{n}", ZONES[n % 3]
         self.epoch, self.stream, self.after, self.out, self.bound = "", 0, 0, 0.0, 0
-        self.got = 0
+        self.got = self.messages = 0
+        self.classes = set[str]()
 
     async def follow(self) -> None:
         client = Client(LOCAL, self.port, connect_timeout=10.0, limits=http.Limits(body=1 << 26))
@@ -94,14 +97,19 @@
             if b'"out","w0"' in response.body and not self.out:
                 self.out = time.monotonic()
             answer = DECODER.decode(response.body)
+            self.messages += len(answer.messages)
             if answer.joined:
                 self.epoch, self.stream, self.after = answer.epoch, answer.stream, 0
             for message in answer.messages:
                 self.after = message.seq
-                self.bound += sum(isinstance(d, feed.Bind) for d in message.deltas)
-
-    async def sums(self, replicas: int, period: float) -> None:
-        """Each period, tries at some thirty replicas, with load reports that wander a little."""
+                for delta in message.deltas:
+                    if isinstance(delta, feed.Bind):
+                        self.bound += 1
+                        self.classes.update(delta.classes)
+
+    async def sums(self, replicas: int, period: float, cells: int = 0, sway: float = 0.0) -> None:
+        """Each period, tries at some thirty replicas, with load reports that wander a little; with `sway`
+        each replica's load goes up and down by so much within a minute, at a time of its own."""
         client = Client(LOCAL, self.port)
         await asyncio.sleep(period * (self.n % 97) / 97)
         beat = 0
@@ -109,8 +117,11 @@
             beat += 1
             tries = tuple(
                 feed.Try(f"w{(self.n * 7 + k * 5) % replicas}", 3, 0, 250_000,
-                         0.5 + 0.2 * ((k * 31 + beat * 17 + self.n) % 10) / 10, 2.0) for k in range(30))
-            came = (feed.Came("rate-check", 6), feed.Came("booking-commit", 3))
+                         0.5 + 0.2 * ((k * 31 + beat * 17 + self.n) % 10) / 10
+                         + sway * math.sin((self.n * 7 + k * 5) % replicas + time.monotonic() / 9), 2.0)
+                for k in range(30))
+            cell = f"c{(self.n + beat) % cells}/" if cells else ""
+            came = (feed.Came(cell + "rate-check", 6), feed.Came(cell + "booking-commit", 3))
             sums = feed.Sums(self.name, self.epoch, int(period * 1e6), tries, came)
             with contextlib.suppress(Unreachable, Broken, TimedOut):
                 await client.exchange("POST", "/v1/sums", msgspec.json.encode(sums), timeout=5)
@@ -121,13 +132,18 @@
     """A governor's process with a roster in this one."""
 
     def __init__(self, folder: Path, relays: int, replicas: int, rate: float, queue: float, intake: int = 100,
-                 hold: str = "20s", module: str = "gradehoist") -> None:
+                 hold: str = "20s", module: str = "gradehoist", cells: int = 0) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self.port, roster = ports(2)
         self.roster = Roster(replicas, roster)
         path = folder / "settings.kdl"
+        if cells:
+            names = tuple(f"c{n}" for n in range(cells))
+            placed = Placed(names, {f"w{n}": names[n // 3 % cells] for n in range(replicas)})
+            (folder / "cells.json").write_bytes(msgspec.json.encode(placed))
         path.write_text(SETTINGS.format(relays=relays, roster=roster, queue=queue, rate=rate, intake=intake,
-                                        hold=hold, port=self.port))
+                                        hold=hold, port=self.port,
+                                        cells='\n    cells placement="cells.json"' if cells else ""))
         self.log = (folder / "governor.log").open("wb")
         self.process = subprocess.Popen([sys.executable, "-m", module, "governor", str(path), "--name", "a",
                                          "--log", "json"], stderr=self.log)
--- a/gradehoist/cells/assign.py
+++ b/gradehoist/cells/assign.py
@@ -13,6 +13,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from gradehoist.cells.routes import home
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
@@ -161,10 +163,10 @@
                           f"{max(rooms):.4g}: split it, or make fewer and larger cells")
         elif tenant.demand > most:
             faults.append(f"tenant {tenant.name} would fill over {wanted.largest:.0%} of any cell")
-        home = known.get(tenant.name, -1)
-        if 0 <= home < len(cells):
-            cells[home].tenants.append(tenant)
-            cells[home].load += tenant.demand
+        was = known.get(tenant.name, -1)
+        if 0 <= was < len(cells):
+            cells[was].tenants.append(tenant)
+            cells[was].load += tenant.demand
         else:
             leaving.append(tenant)
     for cell, room in zip(cells, rooms, strict=True):
@@ -178,9 +180,19 @@
             cell.load -= chosen.demand
             leaving.append(chosen)
     leaving.sort(key=lambda t: (-t.demand, lot(t.name), t.name))
+    # Where its hash says, while that cell is under its even part: relays need no exception for it.
+    even = sum(t.demand for t in people) / max(sum(rooms), 1e-9)
+    numbers, strayed = range(len(cells)), []
+    for tenant in leaving:
+        cell = cells[home(tenant.name, numbers, {})]
+        if tenant.name in known or cell.load + tenant.demand > even * rooms[cell.number]:
+            strayed.append(tenant)
+        else:
+            cell.tenants.append(tenant)
+            cell.load += tenant.demand
     heap = [(c.load / max(rooms[c.number], 1e-9), lot("cell", c.number), c.number) for c in cells]
     heapq.heapify(heap)
-    for tenant in leaving:
+    for tenant in strayed:
         _, tie, number = heap[0]
         cells[number].load += tenant.demand
         cells[number].tenants.append(tenant)
--- /dev/null
+++ b/gradehoist/cells/budget.py
@@ -0,0 +1,48 @@
+"""One channel shared among the cells of a governor: what a message may hold, who goes first. Free of I/O.
+
+Drains of any cell come first and may fill the queue. What is ordinary (tables, lines, returns, moves) keeps
+to a part of it, so that a drain put behind it is out well within the grace, and to a part of the messages
+that a relay may get, so that a drain is never refused for their number. Within a message the cell that has
+had least of late goes first: a cell that changes much waits for itself. Sizes in lines, times in µs.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+
+class Budget:
+    AHEAD = 0.25  # of the grace may be spent behind ordinary lines: slot, planner and poll need the rest
+    MESSAGES = 0.75  # of the messages that a relay may get; the bench's module leaves drains as much or more
+    PIECE = 8  # messages of full size in the room: fewer, and a few relays take a slot; more, and heads do
+    LEAST = 64.0  # lines that a message may always hold beyond its head: a table or two
+    FADE = 0.9  # of what a cell has had is remembered a slot later: some ten slots count
+
+    def __init__(self, cells: int, queue_limit: float, line_rate: float, message_limit: int, head: float,
+                 grace: int) -> None:
+        self.queue_limit, self.head, self.limit = queue_limit, head, message_limit
+        self.ahead = self.AHEAD * grace / 1e6 * line_rate
+        self.used = [0.0] * cells
+
+    def room(self, relays: int, waiting: float) -> float:
+        """Lines that ordinary messages may still add: a drain of one replica to all fits beside them."""
+        drain = relays * (self.head + 2)
+        return max(0.0, min(self.queue_limit - drain, self.ahead) - waiting)
+
+    def may(self, messages: int) -> bool:
+        """Whether a relay that got so many messages within the window may get an ordinary one."""
+        return not self.limit or messages < self.MESSAGES * self.limit
+
+    @property
+    def most(self) -> float:
+        """Lines that one message holds of lines and returns; tables that bind a relay are not cut."""
+        return max(self.LEAST, min(self.queue_limit, self.ahead) / self.PIECE)
+
+    def order(self, cells: Iterable[int]) -> list[int]:
+        return sorted(cells, key=lambda n: (self.used[n], n))
+
+    def spent(self, cell: int, lines: float) -> None:
+        self.used[cell] += lines
+
+    def slot(self) -> None:
+        self.used = [x * self.FADE for x in self.used]
--- a/gradehoist/cells/routes.py
+++ b/gradehoist/cells/routes.py
@@ -4,9 +4,12 @@
 
 import zlib
 from collections.abc import Mapping, Sequence
+from typing import TypeVar
 
+Cell = TypeVar("Cell")
 
-def home(tenant: str, cells: Sequence[str], exceptions: Mapping[str, str]) -> str:
+
+def home(tenant: str, cells: Sequence[Cell], exceptions: Mapping[str, Cell]) -> Cell:
     """The cell of a tenant; one that nobody has named falls into the range of its hash."""
     named = exceptions.get(tenant)
     return named if named is not None else cells[zlib.crc32(tenant.encode()) * len(cells) >> 32]
--- a/gradehoist/governor/channel.py
+++ b/gradehoist/governor/channel.py
@@ -50,14 +50,18 @@
             self.waiting = sum(item.message.cost for item in kept)
             self._queue = deque(kept)
 
+    def messages(self, now: int, proxy: int) -> int:
+        """How many a proxy was put within the window."""
+        times = self._times.get(proxy, deque())
+        while times and times[0] <= now - self.window:
+            times.popleft()
+        return len(times)
+
     def may(self, now: int, proxy: int, cost: float) -> str:
         """Empty, or why a message of this cost can't be taken now."""
-        times = self._times.get(proxy)
-        if times is None:
+        if proxy not in self._times:
             return "the proxy has left"
-        while times and times[0] <= now - self.window:
-            times.popleft()
-        if self.limit and len(times) >= self.limit:
+        if self.limit and self.messages(now, proxy) >= self.limit:
             return f"{self.limit} messages within {self.window / 1e6:g} s"
         if self.waiting + cost > self.queue_limit:
             return f"{self.waiting:g} of {self.queue_limit:g} lines wait"
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -12,9 +12,11 @@
 from typing import Any
 
 from gradehoist import interface as i
-from gradehoist.cells.routes import label
+from gradehoist.cells.budget import Budget
+from gradehoist.cells.routes import home, label
 from gradehoist.governor.channel import Channel
 from gradehoist.governor.intake import Intake, Unknown
+from gradehoist.governor.ledger import Ledger, Piece
 from gradehoist.governor.parts import Batch, Part, Reply
 from gradehoist.governor.roster import Gap, RosterView
 from gradehoist.governor.streams import Mark, OutOfOrder, Stream
@@ -60,11 +62,10 @@
 
 @dataclass
 class Told:
-    """What one proxy is told at one time, by which parts, and whose marks its answer confirms."""
+    """What one proxy is told at one time, and whose marks its answer confirms."""
 
     deltas: list[feed.Delta] = field(default_factory=list)
     price: float = 0.0
-    parts: dict[int, None] = field(default_factory=dict)
     marks: list[Mark] = field(default_factory=list)
 
 
@@ -80,13 +81,18 @@
         ch = fleet.channel
         share = self._share(len(cells))
         self.starts = [start(fleet, self.names, own.seed + n, share) for n in range(len(cells))]
-        # Parts share messages: they answer together, as often as a relay may be written to.
+        # Cells share messages: they answer together, as often as a relay may be written to.
         self.slot = ch.message_window // (ch.message_limit or 20) if placed else 0
+        self.hurry = False  # a drain or exit was listed: it does not wait for the slot
         self.channel = Channel(ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window)
-        route = feed.Route(cells, dict(placed.named)) if placed else None
+        # Relays are told of those alone that do not live where their hash says.
+        route = feed.Route(cells, {t: c for t, c in placed.named.items() if c != home(t, cells, {})}
+                           ) if placed else None
         self.tables = Tables(self.names, ch.message_head, route)
+        self.ledger = Ledger(self.tables, self.parts, Budget(
+            len(cells), ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_head, fleet.rules.grace)
+        ) if placed else None
         self._strays: set[str] = set()
-        self._news: list[feed.Moved] = []
         self.intake = Intake(self.names, fleet.intake, fleet.reports.period, now)
         self.roster = RosterView(self.names, fleet.rules.cold_time)
         self.streams: dict[int, Stream] = {}
@@ -100,13 +106,14 @@
         self._owed: dict[int, None] = {}
 
     def _share(self, parts: int) -> i.Channel:
-        """A part's own view of the channel. With several, each counts for itself alone: it gets an even part
-        of the queue, but never less than telling every relay takes, or it could tell none."""
+        """A part's own view of the channel. With several, each counts for itself alone what relays have not
+        confirmed, and heads are shared: it gets an even part of the queue, but never less than telling every
+        relay takes, or it could tell none. The ledger sees to the whole."""
         ch = self.fleet.channel
         if parts == 1:
             return ch
-        least = 2 * self.fleet.relays * (ch.message_head + 2)
-        return replace(ch, queue_limit=max(ch.queue_limit / parts, least), message_limit=0)
+        least = 4 * self.fleet.relays
+        return replace(ch, queue_limit=max(ch.queue_limit / parts, least), message_limit=0, message_head=0)
 
     # What comes in
 
@@ -143,6 +150,8 @@
         self.streams[proxy] = stream
         self.channel.joined(proxy)
         self.tables.joined(proxy)
+        if self.ledger:
+            self.ledger.joined(proxy)
         for part in self.parts:
             part.events.append(i.Joined(proxy, stream.zone, poll.rate / len(self.parts)))
         earlier = "an earlier epoch" if poll.epoch and poll.epoch != self.epoch else ""
@@ -158,6 +167,8 @@
         del self.streams[proxy]
         self.channel.left(proxy)
         self.tables.left(proxy)
+        if self.ledger:
+            self.ledger.left(proxy)
         self.intake.left(proxy)
         self._owed.pop(proxy, None)
         for part in self.parts:
@@ -186,6 +197,7 @@
             old, new = before.get(name), self.roster.entries.get(name)
             was, phase = ("absent" if e is None else e.phase for e in (old, new))
             if was != phase:
+                self.hurry |= phase != "ready"
                 self.log("replica_listed", replica=name, phase=phase, reason=f"the roster; was {was}")
             elif old and new and old.boot != new.boot:
                 self.log("replica_restarted", replica=name, reason="its boot name changed")
@@ -291,25 +303,20 @@
     def waiting(self) -> bool:
         return any(part.events for part in self.parts)
 
-    def carry_out(self, now: int, replies: list[Reply]) -> None:
+    def carry_out(self, now: int, replies: list[Reply], slot: bool = True) -> None:
         """What the modules ordered at one time: one message for each proxy concerned, in the order they are
-        first concerned."""
+        first concerned. With cells, what a slot may bring; between slots, drains and exits alone."""
         self.replies += 1
+        self.hurry = False
         told: dict[int, Told] = {}
-        news, self._news = self._news, []
-        if news:
-            for proxy in self.streams:
-                told[proxy] = Told(list(news), float(len(news)))
         for number, orders, reasons in replies:
             self._reply(now, self.parts[number], orders, reasons, told)
-        common: dict[tuple[int, ...], int] = {}  # levels that go along, by the parts that speak
+        if self.ledger:
+            self._spend(now, self.ledger, slot)
         for proxy, mine in told.items():
             if stream := self.streams.get(proxy):
-                speak = tuple(mine.parts)
-                if speak not in common:
-                    classes = {self.parts[n].cls(k) for n in speak for k in range(self.parts[n].classes)}
-                    common[speak] = self.tables.common(classes)
-                self._put(now, stream, mine, self.tables.head + common[speak] + bool(mine.marks) + mine.price)
+                self._put(now, stream, mine, self.tables.head + self.tables.common() + bool(mine.marks)
+                          + mine.price)
 
     def _reply(self, now: int, part: Part, orders: list[i.Order], reasons: dict[int, str],
                told: dict[int, Told]) -> None:
@@ -321,18 +328,11 @@
                 mine = told.setdefault(proxy, Told())
                 mine.deltas.extend(deltas)
                 mine.price += price
-                mine.parts[part.number] = None
                 concerned[proxy] = None
 
         for n, local in enumerate(orders):
-            order = part.order(local)
+            order, why = part.order(local), reasons.get(n, "")
             match order:
-                case i.Bind(proxy, table, classes):
-                    deltas, price = self.tables.bind(proxy, table, classes)
-                    if deltas:
-                        tell([proxy], deltas, price)
-                        self.log("bind", relay=self.names.proxies.names[proxy], table=table,
-                                 reason=reasons.get(n, ""))
                 case i.Mark():
                     mark = order
                 case i.Probe(replica):
@@ -345,16 +345,67 @@
                     self.ask = True
                 case i.Say(text):
                     self.log("module_says", reason=text)
+                case _ if self.ledger:
+                    self.ledger.order(part.number, order, concerned)
+                    self._explain(order, why)
+                case i.Bind(proxy, table, classes):
+                    deltas, price = self.tables.bind(proxy, table, classes)
+                    if deltas:
+                        tell([proxy], deltas, price)
+                        self._explain(order, why)
                 case _:
                     proxies, delta, price = self.tables.order(order)
                     tell(proxies, [delta], price)
-                    self._explain(order, reasons.get(n, ""))
-        if mark is not None:
+                    self._explain(order, why)
+        if mark is not None and self.ledger:
+            self.ledger.mark(part.number, mark, concerned, now)
+        elif mark is not None:
             if mark.to_all:
                 tell([p for p in self.streams if p not in concerned], [], 0.0)
             for proxy in concerned:
                 told[proxy].marks.append((part.number, mark.number))
 
+    def _spend(self, now: int, ledger: Ledger, slot: bool) -> None:
+        """What the channel takes now: drains and exits to all, then in turn what relays are owed."""
+        budget, relays, late = ledger.budget, len(self.streams), ""
+        for proxy in ledger.urgent():
+            room = budget.room(relays, self.channel.waiting)
+            late = self._send(now, proxy, ledger.piece(proxy, True, room)) or late
+        if late and slot:
+            self.log("channel_full", warn=True, relays=len(ledger.urgent()), reason=late)
+        if not slot:
+            return
+        budget.slot()
+        for proxy in ledger.owed():
+            if not budget.may(self.channel.messages(now, proxy)) or self.streams[proxy].owed:
+                continue
+            room = budget.room(relays, self.channel.waiting)
+            if room <= self.tables.head and self.channel.waiting:
+                break
+            piece = ledger.piece(proxy, False, room)
+            if piece.price > room and self.channel.waiting:
+                break  # more than fits beside others goes alone, in its turn
+            self._send(now, proxy, piece)
+
+    def _send(self, now: int, proxy: int, piece: Piece) -> str:
+        """Puts a piece; what can't be put stays owed. Empty, or why not."""
+        assert self.ledger is not None
+        stream = self.streams[proxy]
+        if stream.owed:
+            return ""  # a picture is due, which holds all of it
+        if piece.deltas or piece.marks:
+            if why := self.channel.may(now, proxy, piece.price):
+                return why
+            marks = tuple(mark for mark, _ in piece.marks)
+            seq = stream.number_next()
+            if marks:
+                stream.marks.append((seq, marks, min(at for _, at in piece.marks)))
+            message = feed.Message(seq, self.replies, now, piece.price, tuple(piece.deltas),
+                                   marks[-1][1] if marks else None)
+            self.channel.put(now, proxy, stream.number, message)
+        self.ledger.told(proxy, piece)
+        return ""
+
     def _put(self, now: int, stream: Stream, mine: Told, cost: float) -> None:
         seq = stream.number_next()
         if mine.marks:
@@ -380,12 +431,16 @@
         seq = stream.number_next()
         message = feed.Message(seq, self.replies, now, cost, deltas, None, whole=True)
         if not self.channel.put(now, proxy, stream.number, message):
+            if self.ledger and (marks := self.ledger.whole(proxy)):
+                stream.marks.append((seq, tuple(marks), now))
             self.log("picture", relay=stream.relay, lines=cost, reason=stream.owed)
             stream.owed, stream.picture = "", seq
             self._owed.pop(proxy, None)
 
     def _explain(self, order: i.Order, why: str) -> None:
         match order:
+            case i.Bind(proxy, table, _):
+                self.log("bind", relay=self.names.proxies.names[proxy], table=table, reason=why)
             case i.Withdraw(replica, out):
                 event = "withdrawn" if out else "returned"
                 self.log(event, replica=self.names.replicas.names[replica], reason=why)
@@ -394,13 +449,12 @@
                 self.log("level", classes=names, share=round(share, 4), tries=tries, reason=why)
 
     def moved(self, tenant: str, cell: str, gen: int) -> None:
-        """A tenant is shut (no cell) or opened in a cell: every relay is told with the next slot's orders, so
-        that fifty moves at once are still one message."""
-        if self.tables.route is None:
+        """A tenant is shut (no cell) or opened in a cell: every relay is owed it, so that fifty moves at once
+        are still one message."""
+        if self.tables.route is None or self.ledger is None:
             return
-        delta = feed.Moved(tenant, cell, gen)
-        self.tables.route = feed.moved(self.tables.route, delta)
-        self._news.append(delta)
+        self.tables.route = feed.moved(self.tables.route, feed.Moved(tenant, cell, gen))
+        self.ledger.moved(tenant)
         self.log("tenant_moved" if cell else "tenant_shut", tenant=tenant, cell=cell, generation=gen,
                  reason="a mover's word")
 
--- /dev/null
+++ b/gradehoist/governor/ledger.py
@@ -0,0 +1,230 @@
+"""What each relay of a governor with cells is owed. Free of I/O.
+
+Kept as states, not as a history: each cell counts its changes and remembers at which count each line, return
+and level last changed; each relay remembers the count that it has been told. However long a relay waits, it
+is owed each line once, as it is now, and a backlog needs no more memory than the tables. A cell is told to a
+relay whole or not at all, so a return never leaves before the low weight that it is meant for.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from gradehoist import interface as i
+from gradehoist.cells.budget import Budget
+from gradehoist.governor.parts import Part
+from gradehoist.governor.streams import Mark
+from gradehoist.governor.tables import Tables
+from gradehoist.protocol import feed
+
+Key = tuple[str, int | None, int]  # "back", None, replica; or "level", table, class
+
+
+@dataclass
+class Cell:
+    """`count` of changes, and when (by it) a table was cleared, a line or a loose fact last changed."""
+
+    count: int = 0
+    cleared: dict[int, int] = field(default_factory=dict)
+    lines: dict[int, dict[int, int]] = field(default_factory=dict)
+    loose: dict[Key, int] = field(default_factory=dict)  # in the order of their last change
+
+
+@dataclass
+class Account:
+    """A relay's: `told` by cell, `outs` and `news` by the ledger's own count, `seen` the count at which
+    nothing was owed; `marks` are the newest of each cell, which confirm all before."""
+
+    told: list[int]
+    outs: int = 0
+    news: int = 0
+    seen: int = -1
+    begun: bool = False
+    binds: dict[int, dict[int, None]] = field(default_factory=dict)
+    marks: dict[int, tuple[int, int]] = field(default_factory=dict)
+
+
+@dataclass
+class Piece:
+    """One message being made: `cells` that it tells whole, with what each costs."""
+
+    deltas: list[feed.Delta] = field(default_factory=list)
+    price: float = 0.0
+    cells: dict[int, float] = field(default_factory=dict)
+    marks: list[tuple[Mark, int]] = field(default_factory=list)
+
+
+class Ledger:
+    def __init__(self, tables: Tables, parts: list[Part], budget: Budget) -> None:
+        self.tables, self.parts, self.budget = tables, parts, budget
+        self.cells = [Cell() for _ in parts]
+        self.accounts: dict[int, Account] = {}  # those that waited longest first
+        self.count = 0
+        self.outs: dict[int, int] = {}
+        self.news: dict[str, int] = {}
+
+    def joined(self, proxy: int) -> None:
+        """Its holdings are of another stream: it is told nothing before it is bound, but what is shut."""
+        self.accounts[proxy] = Account([c.count for c in self.cells], 0, self.count)
+
+    def left(self, proxy: int) -> None:
+        self.accounts.pop(proxy, None)
+
+    # What is ordered
+
+    def order(self, number: int, order: i.Order, concerned: dict[int, None]) -> None:
+        """Takes an order in the governor's indices; adds the relays that it concerns."""
+        cell = self.cells[number]
+        cell.count += 1
+        self.count += 1
+        match order:
+            case i.Bind(proxy, table, classes):
+                if proxy not in self.accounts:
+                    return
+                self.tables.put_on(proxy, table, classes)
+                self.accounts[proxy].binds.setdefault(number, {})[table] = None
+                concerned[proxy] = None
+                return
+            case i.SetLine(table, replica, _):
+                cell.lines.setdefault(table, {})[replica] = cell.count
+            case i.ClearTable(table):
+                cell.cleared[table] = cell.count
+                cell.lines.pop(table, None)
+                for key in [k for k in cell.loose if k[1] == table]:
+                    del cell.loose[key]
+            case i.Withdraw(replica, True):
+                cell.loose.pop(("back", None, replica), None)
+                self.outs[replica] = self.count
+            case i.Withdraw(replica, False):
+                self.outs.pop(replica, None)
+                self._loose(cell, ("back", None, replica))
+            case i.Admit(table, classes, _, _):
+                for k in classes:
+                    self._loose(cell, ("level", table, k))
+        proxies, _, _ = self.tables.order(order)
+        concerned.update(dict.fromkeys(proxies))
+
+    @staticmethod
+    def _loose(cell: Cell, key: Key) -> None:
+        cell.loose.pop(key, None)
+        cell.loose[key] = cell.count
+
+    def mark(self, number: int, mark: i.Mark, concerned: Iterable[int], now: int) -> None:
+        self.count += 1
+        for proxy in self.accounts if mark.to_all else concerned:
+            if proxy in self.accounts:
+                self.accounts[proxy].marks[number] = (mark.number, now)
+
+    def moved(self, tenant: str) -> None:
+        self.count += 1
+        self.news[tenant] = self.count
+
+    # What is told
+
+    def urgent(self) -> list[int]:
+        """Relays that have not been told of a drain or exit, the longest waiting first."""
+        last = max(self.outs.values(), default=0)
+        return [p for p, a in self.accounts.items() if a.outs < last]
+
+    def owed(self) -> Iterator[int]:
+        """Relays that may be owed something, the longest waiting first."""
+        yield from [p for p, a in self.accounts.items() if a.seen != self.count]
+
+    def piece(self, proxy: int, urgent: bool, room: float) -> Piece:
+        """A message for a relay: drains at once, then moves, then the cells in the budget's order while
+        `room` lines last. `told` has to follow once the message is on its way."""
+        account, out = self.accounts[proxy], Piece(price=self.tables.head)
+        names = self.tables.names.replicas.names
+        for replica, count in self.outs.items():
+            if count > account.outs:
+                self._add(out, [feed.Out(names[replica])], 1)
+        route = self.tables.route
+        if account.begun and route is not None:
+            for tenant, count in self.news.items():
+                if count > account.news:
+                    cell = route.named.get(tenant, "")
+                    self._add(out, [feed.Moved(tenant, cell, route.gens.get(tenant, 1))], 1)
+        due = [n for n, cell in enumerate(self.cells)
+               if cell.count > account.told[n] or n in account.binds or n in account.marks]
+        begun = account.begun
+        for number in self.budget.order(due):
+            deltas, price = self._cell(proxy, account, number, begun)
+            mark = account.marks.get(number)
+            price += mark is not None
+            whole = number in account.binds
+            most = room if whole else min(room, self.budget.most)
+            # The first cell of an ordinary message goes even if it is large, or it would never go.
+            if deltas and out.price + price > most and (urgent or out.cells):
+                continue
+            self._add(out, deltas, price)
+            out.cells[number] = price
+            begun = begun or whole
+            if mark is not None:
+                out.marks.append(((number, mark[0]), mark[1]))
+        return out
+
+    @staticmethod
+    def _add(out: Piece, deltas: list[feed.Delta], price: float) -> None:
+        out.deltas += deltas
+        out.price += price
+
+    def _cell(self, proxy: int, account: Account, number: int, begun: bool) -> tuple[list[feed.Delta], float]:
+        """All that a relay is owed of one cell, and its price."""
+        cell, tables, since = self.cells[number], self.tables, account.told[number]
+        mine = [k for k in range(number * self.parts[0].classes, (number + 1) * self.parts[0].classes)]
+        bound = tables.bound.get(proxy, {})
+        on = {bound[k]: None for k in mine if k in bound}
+        binds = [t for t in account.binds.get(number, {}) if t in on]
+        deltas, price = list[feed.Delta](), 0.0
+        for table in binds:
+            some, cost = tables.whole(table, tuple(k for k in mine if bound.get(k) == table))
+            deltas += some
+            price += cost
+        if binds and not begun:  # the stream's first bind ends withdrawals and levels of earlier streams
+            first = tables.begin()
+            deltas += first
+            price += len(first) + (len(tables.route.named) if tables.route is not None else 0)
+        names, fresh = tables.names, len(deltas)
+        for table in on:
+            if table in binds:
+                continue
+            if cell.cleared.get(table, 0) > since:
+                deltas.append(feed.Clear(table))
+            lines = tables.lines.get(table, {})
+            deltas += [feed.Line(table, names.replicas.names[r], round(lines.get(r, 0.0), 6))
+                       for r, count in cell.lines.get(table, {}).items() if count > since]
+        for (kind, at, index), count in reversed(cell.loose.items()):
+            if count <= since:
+                break
+            if kind == "back":
+                deltas.append(feed.Back(names.replicas.names[index]))
+            elif (at is None or at in on) and (level := tables.levels.get((at, index))):
+                deltas.append(feed.Level(at, (names.classes.names[index],), *level))
+        return deltas, price + len(deltas) - fresh
+
+    def told(self, proxy: int, piece: Piece) -> None:
+        """The piece is on its way: what it holds is owed no longer, and the relay goes to the end."""
+        account = self.accounts.pop(proxy)
+        self.accounts[proxy] = account
+        account.outs = self.count
+        if account.begun:
+            account.news = self.count
+        for number, price in piece.cells.items():
+            if number in account.binds and not account.begun:
+                account.begun, account.news = True, self.count
+            self.budget.spent(number, price)
+            account.told[number] = self.cells[number].count
+            account.binds.pop(number, None)
+            account.marks.pop(number, None)
+        if not account.binds and not account.marks and all(
+                t == c.count for t, c in zip(account.told, self.cells, strict=True)):
+            account.seen = self.count
+
+    def whole(self, proxy: int) -> list[Mark]:
+        """The relay is sent a picture: nothing is owed it any more but the marks that this returns."""
+        account = self.accounts[proxy]
+        marks = [(n, mark) for n, (mark, _) in account.marks.items()]
+        now, begun = self.count, bool(self.tables.bound.get(proxy))
+        self.accounts[proxy] = Account([c.count for c in self.cells], now, now, now, begun)
+        return marks
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -56,7 +56,7 @@
         self.log = structlog.get_logger().bind(governor=own.name)
         self._server = Server(self._handle, most=20_000)
         self._waiters: dict[int, asyncio.Future[str]] = {}
-        self._kick, self._told = asyncio.Event(), asyncio.Event()
+        self._kick, self._told, self._hurry = asyncio.Event(), asyncio.Event(), asyncio.Event()
         self._stopping = asyncio.Event()
         self._tasks = set[asyncio.Task[None]]()
         self._probing = asyncio.Semaphore(fleet.probes_at_once)
@@ -247,8 +247,9 @@
 
     async def _plan(self) -> None:
         while True:
+            slot = True
             if self.core.slot:
-                await asyncio.sleep((self.core.slot - now() % self.core.slot) / 1e6)
+                slot = await self._slot(self.core.slot)
             else:
                 await self._told.wait()
                 self._told.clear()
@@ -264,9 +265,20 @@
                 self._failed = True
                 self._stopping.set()
                 return
-            self.core.carry_out(now(), replies)
+            self.core.carry_out(now(), replies, slot)
             self._kick.set()
 
+    async def _slot(self, length: int) -> bool:
+        """Until the slot ends, or (False) until a drain or exit is listed."""
+        self._hurry.clear()
+        if self.core.hurry:
+            return False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout((length - now() % length) / 1e6):
+                await self._hurry.wait()
+                return False
+        return True
+
     def _effects(self) -> None:
         logs, self.core.logs = self.core.logs, []
         for entry in logs:
@@ -324,6 +336,8 @@
                 whole, pause, down, self.core.ask = False, 0.2, False, False
                 if news:
                     self._told.set()
+                    if self.core.hurry:
+                        self._hurry.set()
                     self._save()
             except Gap as fault:
                 self.log.info("roster_gap", reason=str(fault))
--- a/gradehoist/governor/tables.py
+++ b/gradehoist/governor/tables.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 
 from gradehoist import interface as i
 from gradehoist.names import Names
@@ -29,9 +29,9 @@
         for table in set(self.bound.pop(proxy, {}).values()):
             self.users[table].pop(proxy, None)
 
-    def common(self, classes: Collection[int] | None = None) -> int:
-        """Levels for all, which every message carries; of some classes alone, where parts share messages."""
-        return sum(t is None and (classes is None or k in classes) for t, k in self.levels)
+    def common(self) -> int:
+        """Levels for all, which every message carries."""
+        return sum(t is None for t, _ in self.levels)
 
     def order(self, order: i.Order) -> tuple[Iterable[int], feed.Delta, float]:
         """Brings the state forward; the proxies concerned, what each is told, and its price in lines."""
@@ -65,10 +65,8 @@
                 return to, feed.Level(table, tuple(names[k] for k in chosen), share, tries), 1
         raise TypeError(f"no order for tables: {order!r}")
 
-    def bind(self, proxy: int, table: int, classes: tuple[int, ...]) -> tuple[list[feed.Delta], float]:
-        """A whole table with what comes with it; nothing where the proxy has left."""
-        if proxy not in self.bound:
-            return [], 0.0
+    def put_on(self, proxy: int, table: int, classes: tuple[int, ...]) -> bool:
+        """Binds a proxy; whether it is its first bind. Raises KeyError for one that has left."""
         chosen = classes or tuple(range(len(self.names.classes)))
         first = not self.bound[proxy]
         old = set(self.bound[proxy].values())
@@ -76,16 +74,28 @@
         for gone in old - set(self.bound[proxy].values()):
             self.users[gone].pop(proxy, None)
         self.users.setdefault(table, {})[proxy] = None
-        deltas: list[feed.Delta] = [self._whole(table, chosen)]
-        own = self._levels(lambda t: t == table)
-        price = 1 + len(self.lines.get(table, {})) + len(self.out) + len(own) + self.common(chosen)
-        deltas += own
+        return first
+
+    def bind(self, proxy: int, table: int, classes: tuple[int, ...]) -> tuple[list[feed.Delta], float]:
+        """A whole table with what comes with it; nothing where the proxy has left."""
+        if proxy not in self.bound:
+            return [], 0.0
+        chosen = classes or tuple(range(len(self.names.classes)))
+        first = self.put_on(proxy, table, chosen)
+        deltas, price = self.whole(table, chosen)
         if first:  # the stream's first bind ends withdrawals and levels of earlier streams
-            deltas += self._outs() + self._levels(lambda t: t is None)
-            if self.route is not None:
-                deltas.append(self.route)
-                price += 1 + len(self.route.named)
-        return deltas, price
+            deltas += self.begin()
+        return deltas, price + len(self.out) + self.common()
+
+    def whole(self, table: int, classes: tuple[int, ...]) -> tuple[list[feed.Delta], float]:
+        """A table with its own levels, and their price."""
+        deltas = [self._whole(table, classes), *self._levels(lambda t: t == table)]
+        return deltas, float(len(deltas) + len(self.lines.get(table, {})))
+
+    def begin(self) -> list[feed.Delta]:
+        """What a stream's first bind brings beside its table: withdrawals, levels for all, the route."""
+        deltas = self._outs() + self._levels(lambda t: t is None)
+        return deltas if self.route is None else [*deltas, self.route]
 
     def picture(self, proxy: int) -> tuple[tuple[feed.Delta, ...], float]:
         """All that a proxy should hold, and its price."""
--- a/tests/governed.py
+++ b/tests/governed.py
@@ -139,10 +139,11 @@
                     self._ask(relay)
                 elif relay.polling and (s := self.core.streams.get(self.core.names.proxies[relay.name])):
                     s.seen = self.now  # a held poll is renewed in time
-            if not self.core.slot or self.now % self.core.slot < 5_000:
+            slot = not self.core.slot or self.now % self.core.slot < 5_000
+            if slot or self.core.hurry:
                 batches = self.core.batches()
                 if batches or self.core.slot:
-                    self.core.carry_out(self.now, self.modules.handle(self.now, batches))
+                    self.core.carry_out(self.now, self.modules.handle(self.now, batches), slot)
             self.check()
 
     def check(self) -> None:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -73,6 +73,16 @@
                                                        if less.workers[w] != first.workers[w])}
 
 
+def test_most_tenants_live_where_their_hash_says() -> None:
+    tenants, crew = fleet(500, 10_000)
+    found = place(tenants, crew, Wanted(100, 4, 3))
+    strayed = [t for t, c in found.tenants.items() if c != home(t, range(100), {})]
+    assert len(strayed) < 800  # relays are told of these alone
+    shares = [load / sum(w.size for w in crew if found.workers[w.name] == c)
+              for c, load in loads(found, tenants).items()]
+    assert max(shares) / min(shares) < 1.05
+
+
 def test_the_odd_workers_of_each_zone_do_not_gather_in_one_cell() -> None:
     crew = [Worker(f"w{n}", ZONES[n % 3], "k", 1 + n % 5 / 100) for n in range(12)]
     found = place([Tenant("t", 1.0)], crew, Wanted(3, 2, 2))
