Introduce joining relays to the cells' modules as the channel can bind them

Told of a thousand relays at once, a hundred modules planned ten seconds a step and drains waited with them. Relays are introduced by traffic as far as the channel can bind them; slots spend while the planner thinks; a drain's batch holds only the parts that heard of the list.

--- a/bench/inline.py
+++ b/bench/inline.py
@@ -11,8 +11,8 @@
     def __init__(self, starts: Any, now: int, slotted: bool) -> None:
         self.modules, self.cpu, self.pid = planner.Modules(starts, now, slotted), 0.0, 0
 
-    async def handle(self, now: int, batches: Any) -> Any:
-        return self.modules.handle(now, batches)
+    async def handle(self, now: int, batches: Any, timers: bool = True) -> Any:
+        return self.modules.handle(now, batches, timers)
 
     async def close(self) -> None: ...
 
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -92,6 +92,7 @@
         self.ledger = Ledger(self.tables, self.parts, Budget(
             len(cells), ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_head, fleet.rules.grace)
         ) if placed else None
+        self._strange: dict[int, float] = {}  # relays that the modules have not heard of, and their rates
         self._strays: set[str] = set()
         self.intake = Intake(self.names, fleet.intake, fleet.reports.period, now)
         self.roster = RosterView(self.names, fleet.rules.cold_time)
@@ -152,13 +153,32 @@
         self.tables.joined(proxy)
         if self.ledger:
             self.ledger.joined(proxy)
-        for part in self.parts:
-            part.events.append(i.Joined(proxy, stream.zone, poll.rate / len(self.parts)))
+        if self.ledger:
+            self._strange[proxy] = poll.rate
+        else:
+            self._introduce(stream, poll.rate)
         earlier = "an earlier epoch" if poll.epoch and poll.epoch != self.epoch else ""
         self.log("relay_joined", relay=poll.relay, zone=poll.zone, reason=earlier or "its poll",
                  stream=stream.number)
         return feed.Feed(self.epoch, stream.number, joined=True)
 
+    def _introduce(self, stream: Stream, rate: float) -> None:
+        for part in self.parts:
+            part.events.append(i.Joined(stream.proxy, stream.zone, rate / len(self.parts)))
+
+    def _introductions(self, ledger: Ledger) -> None:
+        """With cells a relay that joins takes a table from each. The modules hear of no more at once than the
+        channel can bind, those with most traffic first; told of a thousand, each planned them all anew at
+        every step, ten seconds long. Until then a relay is told what is shut, and stands on what it holds."""
+        classes = len(self.names.classes)
+        lines = (len(self.roster.entries) * self.parts[0].classes + classes) or 1
+        under_way = sum(a.known and (bool(a.binds) or len(self.tables.bound[p]) < classes)
+                        for p, a in ledger.accounts.items())
+        most = max(1, int(2 * ledger.budget.room(len(self.streams), 0.0) / lines))
+        for proxy in sorted(self._strange, key=lambda p: -self._strange[p])[:max(0, most - under_way)]:
+            self._introduce(self.streams[proxy], self._strange.pop(proxy))
+            ledger.accounts[proxy].known = True
+
     def left(self, proxy: int, reason: str, number: int | None = None) -> None:
         """A stream ended; `number` keeps a late word on an earlier stream from ending a later one."""
         stream = self.streams.get(proxy)
@@ -171,8 +191,9 @@
             self.ledger.left(proxy)
         self.intake.left(proxy)
         self._owed.pop(proxy, None)
-        for part in self.parts:
-            part.events.append(i.Left(proxy))
+        if self._strange.pop(proxy, None) is None:
+            for part in self.parts:
+                part.events.append(i.Left(proxy))
         self.log("relay_left", relay=stream.relay, reason=reason, stream=stream.number)
 
     def sums(self, sums: feed.Sums) -> None:
@@ -290,11 +311,12 @@
 
     # The module
 
-    def batches(self) -> list[Batch]:
-        """What the modules have not been told yet, by part, in the order it came."""
+    def batches(self, hurry: bool = False) -> list[Batch]:
+        """What the modules have not been told yet, by part, in the order it came; in a hurry that of the
+        parts alone which have heard of a list."""
         out = []
         for part in self.parts:
-            if part.events:
+            if part.events and (not hurry or any(isinstance(e, i.Listed) for e in part.events)):
                 out.append((part.number, part.events))
                 part.events = []
         return out
@@ -303,16 +325,15 @@
     def waiting(self) -> bool:
         return any(part.events for part in self.parts)
 
-    def carry_out(self, now: int, replies: list[Reply], slot: bool = True) -> None:
+    def carry_out(self, now: int, replies: list[Reply]) -> None:
         """What the modules ordered at one time: one message for each proxy concerned, in the order they are
-        first concerned. With cells, what a slot may bring; between slots, drains and exits alone."""
+        first concerned. With cells, drains and exits alone go at once; `spend` brings the rest."""
         self.replies += 1
-        self.hurry = False
         told: dict[int, Told] = {}
         for number, orders, reasons in replies:
             self._reply(now, self.parts[number], orders, reasons, told)
         if self.ledger:
-            self._spend(now, self.ledger, slot)
+            self._drains(now, self.ledger)
         for proxy, mine in told.items():
             if stream := self.streams.get(proxy):
                 self._put(now, stream, mine, self.tables.head + self.tables.common() + bool(mine.marks)
@@ -357,24 +378,31 @@
                     proxies, delta, price = self.tables.order(order)
                     tell(proxies, [delta], price)
                     self._explain(order, why)
-        if mark is not None and self.ledger:
-            self.ledger.mark(part.number, mark, concerned, now)
+        if self.ledger:
+            self.ledger.ordered(part.number, mark, concerned, now)
         elif mark is not None:
             if mark.to_all:
                 tell([p for p in self.streams if p not in concerned], [], 0.0)
             for proxy in concerned:
                 told[proxy].marks.append((part.number, mark.number))
 
-    def _spend(self, now: int, ledger: Ledger, slot: bool) -> None:
-        """What the channel takes now: drains and exits to all, then in turn what relays are owed."""
-        budget, relays, late = ledger.budget, len(self.streams), ""
+    def _drains(self, now: int, ledger: Ledger) -> str:
+        """Drains and exits to all relays, with whatever else fits; empty, or why one could not go."""
+        late = ""
         for proxy in ledger.urgent():
-            room = budget.room(relays, self.channel.waiting)
+            room = ledger.budget.room(len(self.streams), self.channel.waiting)
             late = self._send(now, proxy, ledger.piece(proxy, True, room)) or late
-        if late and slot:
-            self.log("channel_full", warn=True, relays=len(ledger.urgent()), reason=late)
-        if not slot:
-            return
+        return late
+
+    def spend(self, now: int) -> None:
+        """A slot of a governor with cells: in turn, what relays are owed, as far as the budget goes."""
+        ledger = self.ledger
+        assert ledger is not None
+        self.replies += 1
+        if why := self._drains(now, ledger):
+            self.log("channel_full", warn=True, relays=len(ledger.urgent()), reason=why)
+        self._introductions(ledger)
+        budget, relays = ledger.budget, len(self.streams)
         budget.slot()
         for proxy in ledger.owed():
             if not budget.may(self.channel.messages(now, proxy)) or self.streams[proxy].owed:
--- a/gradehoist/governor/ledger.py
+++ b/gradehoist/governor/ledger.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from gradehoist import interface as i
@@ -33,14 +33,15 @@
 
 @dataclass
 class Account:
-    """A relay's: `told` by cell, `outs` and `news` by the ledger's own count, `seen` the count at which
-    nothing was owed; `marks` are the newest of each cell, which confirm all before."""
+    """A relay's: `told` by cell, `outs` and `news` by the ledger's own count; `due` the cells that owe it
+    something, `marks` the newest of each, which confirm all before."""
 
     told: list[int]
     outs: int = 0
     news: int = 0
-    seen: int = -1
+    due: dict[int, None] = field(default_factory=dict)
     begun: bool = False
+    known: bool = False  # to the modules
     binds: dict[int, dict[int, None]] = field(default_factory=dict)
     marks: dict[int, tuple[int, int]] = field(default_factory=dict)
 
@@ -110,11 +111,13 @@
         cell.loose.pop(key, None)
         cell.loose[key] = cell.count
 
-    def mark(self, number: int, mark: i.Mark, concerned: Iterable[int], now: int) -> None:
-        self.count += 1
-        for proxy in self.accounts if mark.to_all else concerned:
-            if proxy in self.accounts:
-                self.accounts[proxy].marks[number] = (mark.number, now)
+    def ordered(self, number: int, mark: i.Mark | None, concerned: Iterable[int], now: int) -> None:
+        """The end of one reply of a cell: whom it concerns is owed it, with its mark."""
+        for proxy in self.accounts if mark and mark.to_all else concerned:
+            if (account := self.accounts.get(proxy)) is not None:
+                account.due[number] = None
+                if mark and account.known:
+                    account.marks[number] = (mark.number, now)
 
     def moved(self, tenant: str) -> None:
         self.count += 1
@@ -127,9 +130,10 @@
         last = max(self.outs.values(), default=0)
         return [p for p, a in self.accounts.items() if a.outs < last]
 
-    def owed(self) -> Iterator[int]:
-        """Relays that may be owed something, the longest waiting first."""
-        yield from [p for p, a in self.accounts.items() if a.seen != self.count]
+    def owed(self) -> list[int]:
+        """Relays that are owed something, the longest waiting first."""
+        news = max(self.news.values(), default=0)
+        return [p for p, a in self.accounts.items() if a.due or (a.begun and a.news < news)]
 
     def piece(self, proxy: int, urgent: bool, room: float) -> Piece:
         """A message for a relay: drains at once, then moves, then the cells in the budget's order while
@@ -145,15 +149,13 @@
                 if count > account.news:
                     cell = route.named.get(tenant, "")
                     self._add(out, [feed.Moved(tenant, cell, route.gens.get(tenant, 1))], 1)
-        due = [n for n, cell in enumerate(self.cells)
-               if cell.count > account.told[n] or n in account.binds or n in account.marks]
-        begun = account.begun
-        for number in self.budget.order(due):
+        begun, usual = account.begun, min(room, self.budget.most)
+        for number in self.budget.order(account.due):
             deltas, price = self._cell(proxy, account, number, begun)
             mark = account.marks.get(number)
             price += mark is not None
             whole = number in account.binds
-            most = room if whole else min(room, self.budget.most)
+            most = room if whole else usual
             # The first cell of an ordinary message goes even if it is large, or it would never go.
             if deltas and out.price + price > most and (urgent or out.cells):
                 continue
@@ -172,7 +174,8 @@
     def _cell(self, proxy: int, account: Account, number: int, begun: bool) -> tuple[list[feed.Delta], float]:
         """All that a relay is owed of one cell, and its price."""
         cell, tables, since = self.cells[number], self.tables, account.told[number]
-        mine = [k for k in range(number * self.parts[0].classes, (number + 1) * self.parts[0].classes)]
+        size = self.parts[0].classes
+        mine = range(number * size, (number + 1) * size)
         bound = tables.bound.get(proxy, {})
         on = {bound[k]: None for k in mine if k in bound}
         binds = [t for t in account.binds.get(number, {}) if t in on]
@@ -215,16 +218,14 @@
                 account.begun, account.news = True, self.count
             self.budget.spent(number, price)
             account.told[number] = self.cells[number].count
+            account.due.pop(number, None)
             account.binds.pop(number, None)
             account.marks.pop(number, None)
-        if not account.binds and not account.marks and all(
-                t == c.count for t, c in zip(account.told, self.cells, strict=True)):
-            account.seen = self.count
 
     def whole(self, proxy: int) -> list[Mark]:
         """The relay is sent a picture: nothing is owed it any more but the marks that this returns."""
         account = self.accounts[proxy]
         marks = [(n, mark) for n, (mark, _) in account.marks.items()]
         now, begun = self.count, bool(self.tables.bound.get(proxy))
-        self.accounts[proxy] = Account([c.count for c in self.cells], now, now, now, begun)
+        self.accounts[proxy] = Account([c.count for c in self.cells], now, now, {}, begun, account.known)
         return marks
--- a/gradehoist/governor/planner.py
+++ b/gradehoist/governor/planner.py
@@ -45,10 +45,10 @@
         self._first: Any = (starts, now, slotted)
         self.cpu = 0.0  # seconds of CPU that the module has taken
 
-    async def handle(self, now: int, batches: list[Batch]) -> list[Reply]:
-        """Raises PlannerFailed."""
+    async def handle(self, now: int, batches: list[Batch], timers: bool = True) -> list[Reply]:
+        """Raises PlannerFailed. Without `timers` only what the batches say is done, not what is due."""
         try:
-            for frame in ([self._first] if self._first else []) + [(now, batches)]:
+            for frame in ([self._first] if self._first else []) + [(now, batches, timers)]:
                 data = pickle.dumps(frame, pickle.HIGHEST_PROTOCOL)
                 self._stream.write(LENGTH.pack(len(data)) + data)
             self._first = None
@@ -117,9 +117,9 @@
         self._wakes: list[tuple[int, int, int, int]] = []
         self._count = 0
 
-    def handle(self, now: int, batches: list[Batch]) -> list[Reply]:
+    def handle(self, now: int, batches: list[Batch], timers: bool = True) -> list[Reply]:
         replies: list[Reply] = []
-        while self._wakes and self._wakes[0][0] <= now:
+        while timers and self._wakes and self._wakes[0][0] <= now:
             at, _, part, token = heapq.heappop(self._wakes)
             self._one(at, part, [i.Due(token)], replies)
         for part, events in batches:
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -79,6 +79,7 @@
             self._own(task)
         if self.fleet.cells:
             self._own(self._leases(self.fleet.cells.lease))
+            self._own(self._slots(self.core.slot))
         await self._stopping.wait()
         self._server.stop()
         for waiter in list(self._waiters.values()):
@@ -247,37 +248,42 @@
 
     async def _plan(self) -> None:
         while True:
-            slot = True
+            hurry = False
             if self.core.slot:
-                slot = await self._slot(self.core.slot)
+                hurry = await self._next_slot(self.core.slot)
             else:
                 await self._told.wait()
                 self._told.clear()
-            batches = self.core.batches()
-            if not batches and not self.core.slot:
+            batches = self.core.batches(hurry)
+            if not batches and (hurry or not self.core.slot):
                 continue
             at = now()
             try:
-                replies = await self.planner.handle(at, batches)
+                replies = await self.planner.handle(at, batches, not hurry)
             except PlannerFailed as fault:
                 # What was published stands; nothing of a broken answer goes out. Relays redial on the end.
                 self.log.error("module_failed", reason=str(fault))
                 self._failed = True
                 self._stopping.set()
                 return
-            self.core.carry_out(now(), replies, slot)
+            self.core.carry_out(now(), replies)
             self._kick.set()
 
-    async def _slot(self, length: int) -> bool:
-        """Until the slot ends, or (False) until a drain or exit is listed."""
-        self._hurry.clear()
-        if self.core.hurry:
-            return False
+    async def _next_slot(self, length: int) -> bool:
+        """Until the slot ends, or (True) until a drain or exit is listed."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout((length - now() % length) / 1e6):
                 await self._hurry.wait()
-                return False
-        return True
+                self._hurry.clear()
+                return True
+        return False
+
+    async def _slots(self, length: int) -> None:
+        """What relays are owed leaves slot by slot, also while the planner thinks."""
+        while True:
+            await asyncio.sleep((length - now() % length) / 1e6)
+            self.core.spend(now())
+            self._kick.set()
 
     def _effects(self) -> None:
         logs, self.core.logs = self.core.logs, []
@@ -337,6 +343,7 @@
                 if news:
                     self._told.set()
                     if self.core.hurry:
+                        self.core.hurry = False
                         self._hurry.set()
                     self._save()
             except Gap as fault:
--- a/tests/governed.py
+++ b/tests/governed.py
@@ -140,10 +140,13 @@
                 elif relay.polling and (s := self.core.streams.get(self.core.names.proxies[relay.name])):
                     s.seen = self.now  # a held poll is renewed in time
             slot = not self.core.slot or self.now % self.core.slot < 5_000
-            if slot or self.core.hurry:
-                batches = self.core.batches()
+            hurry, self.core.hurry = self.core.hurry and not slot, False
+            if slot or hurry:
+                batches = self.core.batches(hurry)
                 if batches or self.core.slot:
-                    self.core.carry_out(self.now, self.modules.handle(self.now, batches), slot)
+                    self.core.carry_out(self.now, self.modules.handle(self.now, batches, not hurry))
+                if self.core.slot and slot:
+                    self.core.spend(self.now)
             self.check()
 
     def check(self) -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -235,7 +235,7 @@
 
 def test_a_module_that_raises_ends_the_feeds_and_the_governor_with_1(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    async def fail(self: Any, now: int, batches: list[Any]) -> Any:
+    async def fail(self: Any, now: int, batches: list[Any], timers: bool) -> Any:
         if any(type(e).__name__ == "Joined" for _, events in batches for e in events):
             raise planning.PlannerFailed("ValueError: made up")
         return []
