--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -133,12 +133,12 @@
     """Forty relays, twelve cells, a channel of 600 lines a second, all relays still being bound."""
     w = world(12, 40, 48, queue=2_000, rate=600)
     w.dial()
-    w.run(12)
+    w.run(5)
     assert any(len(r.holdings.table) < 24 for r in w.relays)  # still bound, one after the other
     w.list(entry(7, "draining"), entry(20, "draining"))
     waits = found_out(w, "w7")
     assert len(waits) == 40 and waits[-1] < 2 * SECOND
-    w.run(60)
+    w.run(9)
     assert all(len(r.holdings.table) >= 24 for r in w.relays)
     assert all(set(r.holdings.lines("c3/write")) == {"w6", "w30", "w31"} for r in w.relays)
     assert not any(r.pictures for r in w.relays) and w.most <= 2_000
