Governors give tenants' limits out to relays with the feed

The stand-in relays took admission limits from the scene. Settings now name them under cells > limits; they reach a relay with its first bind.

--- a/gradehoist/day/scene.py
+++ b/gradehoist/day/scene.py
@@ -283,7 +283,10 @@
     host, port = plan.roster
     document.nodes[0].props["roster"] = f"{host}:{port}"
     if plan.cells:
-        document.nodes[0].nodes.append(Node("cells", props={"placement": "cells.json"}))
+        cells = Node("cells", props={"placement": "cells.json"})
+        if plan.limits:
+            cells.nodes.append(Node("limits", props=msgspec.structs.asdict(plan.limits)))
+        document.nodes[0].nodes.append(cells)
     rows = [document.print()]
     for own, (name, zone, (host, port)) in zip(scene.settings.governors, plan.governors, strict=True):
         rows.append(f'governor "{name}" zone="{zone}" listen="{host}:{port}" seed={own.seed + plan.seed}\n')
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -8,7 +8,7 @@
 
 import heapq
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import astuple, dataclass, field, replace
 from typing import Any
 
 from gradehoist import interface as i
@@ -89,7 +89,8 @@
         # Relays are told of those alone that do not live where their hash says.
         route = feed.Route(cells, {t: c for t, c in placed.named.items() if c != home(t, cells, {})}
                            ) if placed else None
-        self.tables = Tables(self.names, ch.message_head, route)
+        limits = feed.Limits(*astuple(placed.limits)) if placed and placed.limits else None
+        self.tables = Tables(self.names, ch.message_head, route, limits)
         self.ledger = Ledger(self.tables, self.parts, Budget(
             len(cells), ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_head, fleet.rules.grace)
         ) if placed else None
--- a/gradehoist/governor/tables.py
+++ b/gradehoist/governor/tables.py
@@ -14,8 +14,9 @@
 
 
 class Tables:
-    def __init__(self, names: Names, head: float, route: feed.Route | None = None) -> None:
-        self.names, self.head, self.route = names, head, route
+    def __init__(self, names: Names, head: float, route: feed.Route | None = None,
+                 limits: feed.Limits | None = None) -> None:
+        self.names, self.head, self.route, self.limits = names, head, route, limits
         self.lines: dict[int, dict[int, float]] = {}
         self.bound: dict[int, dict[int, int]] = {}  # by proxy: class to table
         self.users: dict[int, dict[int, None]] = {}  # by table: proxies
@@ -93,9 +94,9 @@
         return deltas, float(len(deltas) + len(self.lines.get(table, {})))
 
     def begin(self) -> list[feed.Delta]:
-        """What a stream's first bind brings beside its table: withdrawals, levels for all, the route."""
+        """What a stream's first bind brings beside its table: withdrawals, levels for all, route, limits."""
         deltas = self._outs() + self._levels(lambda t: t is None)
-        return deltas if self.route is None else [*deltas, self.route]
+        return deltas + [d for d in (self.route, self.limits) if d is not None]
 
     def picture(self, proxy: int) -> tuple[tuple[feed.Delta, ...], float]:
         """All that a proxy should hold, and its price."""
@@ -104,8 +105,7 @@
             by_table.setdefault(table, []).append(cls)
         deltas: list[feed.Delta] = [self._whole(t, tuple(ks)) for t, ks in sorted(by_table.items())]
         deltas += self._outs() + self._levels(lambda t: t is None or t in by_table)
-        if self.route is not None:
-            deltas.append(self.route)
+        deltas += [d for d in (self.route, self.limits) if d is not None]
         lines = sum(len(self.lines.get(t, {})) for t in by_table)
         lines += len(self.route.named) if self.route is not None else 0
         return tuple(deltas), self.head + len(deltas) + lines
--- a/gradehoist/protocol/feed.py
+++ b/gradehoist/protocol/feed.py
@@ -73,7 +73,17 @@
     gen: int
 
 
-Delta = Line | Clear | Bind | Out | Back | Level | Route | Moved
+class Limits(msgspec.Struct, frozen=True, tag="limits", array_like=True):
+    """What one relay lets in: transactions a second of a cell and of a tenant, `burst` in seconds of them,
+    `held` in hand at once from one tenant (0: any number). It comes with the route."""
+
+    cell: Weight
+    tenant: Weight
+    burst: Weight
+    held: Count
+
+
+Delta = Line | Clear | Bind | Out | Back | Level | Route | Moved | Limits
 
 
 class Message(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -175,6 +185,7 @@
         self.levels: dict[tuple[int | None, str], tuple[float, int]] = {}
         self.bound = False
         self.route: Route | None = None
+        self.limits: Limits | None = None
 
     def stand(self, classes: dict[str, dict[str, float]]) -> None:
         """Standing tables, until the first bind."""
@@ -223,6 +234,8 @@
                     self.levels |= {(table, c): (share, tries) for c in classes}
                 case Route():
                     self.route = delta
+                case Limits():
+                    self.limits = delta
                 case Moved() if self.route is not None:
                     self.route = moved(self.route, delta)
 
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from gradehoist import interface as i
+from gradehoist.cells.limits import Limits
 from gradehoist.names import Names
 from gradehoist.settings import reader as r
 
@@ -32,13 +33,15 @@
 
 class Placed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A placement file, as `gradehoist cells place` writes it: cells, workers and tenants by cell. The lease
-    of workers and the time in which a write and its repeats are settled (µs) come from the settings."""
+    of workers, the time in which a write and its repeats are settled (µs) and the limits at each relay come
+    from the settings."""
 
     cells: tuple[str, ...]
     workers: dict[str, str]
     named: dict[str, str] = {}
     lease: int = 3_000_000
     settle: int = 10_000_000
+    limits: Limits | None = None
 
     def of(self, cell: str) -> frozenset[str]:
         return frozenset(w for w, c in self.workers.items() if c == cell)
@@ -189,6 +192,12 @@
         return None
     path = folder / cells.get("placement", r.text)
     lease, settle = cells.get("lease", r.time, 3_000_000), cells.get("settle", r.time, 10_000_000)
+    door = cells.child("limits")
+    limits = Limits(door.get("cell", r.number(0.001, 1e9)), door.get("tenant", r.number(0.001, 1e9)),
+                    door.get("burst", r.number(0.1, 3600), 2.0), door.get("held", r.whole(0, 10**6), 0)
+                    ) if door else None
+    if door:
+        door.done()
     cells.done()
     try:
         placed: Placed = msgspec.json.decode(path.read_bytes(), type=Placed)
@@ -203,7 +212,7 @@
             f"has cells without workers: {', '.join(empty)}" if empty else "lists no cell, or one twice")
         cells.fault(f"{path} {what}", "make it anew with gradehoist cells place", "placement")
         return None
-    return msgspec.structs.replace(placed, lease=lease, settle=settle)
+    return msgspec.structs.replace(placed, lease=lease, settle=settle, limits=limits)
 
 
 def _governor(n: r.Node, zones: tuple[str, ...], folder: Path, listens: bool) -> Governor:
--- a/gradehoist/standin/plan.py
+++ b/gradehoist/standin/plan.py
@@ -84,7 +84,7 @@
 
 
 class Limits(msgspec.Struct, frozen=True):
-    """At one relay, transactions a second; as `cells.limits` has them."""
+    """At one relay, transactions a second; the governors' settings say them to the relays."""
 
     cell: float
     tenant: float
--- a/gradehoist/standin/relay.py
+++ b/gradehoist/standin/relay.py
@@ -24,6 +24,10 @@
 LEAST_LEFT = 30_000  # µs: with less time left no further try is made
 
 
+def _limits(told: feed.Limits) -> Limits:
+    return Limits(told.cell, told.tenant, told.burst, told.held)
+
+
 @dataclass
 class Met:
     tries: int = 0
@@ -54,8 +58,7 @@
         self.avoid: dict[str, int] = {}
         self.met: dict[str, Met] = defaultdict(Met)
         self.came: dict[str, list[int]] = defaultdict(lambda: [0, 0])
-        limits = self.whole.limits
-        self.door = Door(Limits(**msgspec.structs.asdict(limits))) if limits else None
+        self.door: Door | None = None
         self.epoch, self.stream, self.after, self.at_governor = "", 0, 0, 0
         self.holdings.stand({c: self._standing(c) for c in self.classes})
 
@@ -131,6 +134,8 @@
             if message.seq <= self.after:
                 continue
             self.holdings.apply(message)
+            if (limits := self.holdings.limits) and (not self.door or self.door.limits != _limits(limits)):
+                self.door = Door(_limits(limits))
             self.after = message.seq
             self.process.record("applied", relay=self.plan.name, governor=governor, epoch=self.epoch,
                                 stream=self.stream, bytes=len(response.body), message=message)
