Stage a worker release cell by cell, and halt it on harm

A bad release must not sink every hotel. cells release runs the operator's command for each worker, waits for its new life in the roster, watches what governors hear of each cell and compares it with before and with the other cells; it halts by itself, puts back what it touched, and goes on from its record after a kill.

--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -13,7 +13,10 @@
 
 from gradehoist.cells.assign import Placement, Tenant, Wanted, Worker, place
 from gradehoist.cells.moves import Move, Step
+from gradehoist.cells.release import Release
+from gradehoist.cells.release import Step as Staged
 from gradehoist.cells.routes import home
+from gradehoist.mover import release as releasing
 from gradehoist.mover import run as mover
 from gradehoist.settings.fleet import Placed, Settings
 from gradehoist.store.keep import Held, Lock
@@ -116,6 +119,43 @@
     return all(m.step is Step.DONE for m in ended)
 
 
+def release(settings: Settings, store: Path, run: str, back: str, some: tuple[str, ...], batch: int,
+            soak: float, patience: float) -> bool:
+    """A new release, or without a command the one that was under way; True where it came to its end without
+    harm. Raises Bad."""
+    placed = settings.fleet.cells
+    if placed is None:
+        raise Bad("fleet > cells: missing; name a placement to release in")
+    if strange := [c for c in some if c not in placed.cells]:
+        raise Bad(f"no cell {', '.join(strange)}; the placement has {', '.join(placed.cells)}")
+    try:
+        lock = Lock(store, "release.lock")
+    except Held as fault:
+        raise Bad(f"{fault}; one release at a time, wait for it or end it") from None
+    try:
+        last = releasing.load(store)
+        open_one = last is not None and last.step not in (Staged.DONE, Staged.HALTED)
+        if run:
+            if last is not None and open_one:
+                raise Bad(f"release {last.id} is under way in {last.cell}; leave out --run to go on with it")
+            number = int(last.id) + 1 if last else 1
+            cells = some or placed.cells
+            workers = {c: tuple(sorted(placed.of(c))) for c in cells}
+            last = Release(f"{number:06d}", cells, workers, batch, run, back)
+        elif last is None or not open_one:
+            raise Bad("no release is under way; begin one with --run COMMAND")
+        told = asyncio.run(releasing.Runner(settings, store, soak, patience, _say_release).run(last))
+    except ValueError as fault:
+        raise Bad(str(fault)) from None
+    finally:
+        lock.free()
+    return told.step is Staged.DONE
+
+
+def _say_release(release: Release, text: str) -> None:
+    print(f"release {release.id} {release.step.value}: {text}", flush=True)
+
+
 def _say(move: Move, waits: str) -> None:
     print(f"{move.id} {move.tenant} {move.source} -> {move.target}: {move.step.value}; waits for {waits}",
           flush=True)
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -221,6 +221,31 @@
         raise Fail(str(fault)) from None
 
 
+@cells.command("release")
+@click.argument("path", metavar="SETTINGS", type=FILE)
+@click.option("--run", default="", help="The command that renews one worker, with {worker} and {cell} in it.")
+@click.option("--back", default="", help="The command that puts a worker back after a halt.")
+@click.option("--cell", "some", multiple=True, help="A cell to renew, in this order; all if none is named.")
+@click.option("--batch", type=click.IntRange(1), default=1, show_default=True, help="Workers at a time.")
+@click.option("--soak", type=click.FloatRange(0.5, 86_400), default=60.0, show_default=True,
+              help="Seconds that a renewed cell is watched, and compared with as many before.")
+@click.option("--patience", type=click.FloatRange(1, 86_400), default=120.0, show_default=True,
+              help="Seconds for a renewed worker to be listed as ready again.")
+@STORE
+def release_cells(path: Path, run: str, back: str, some: tuple[str, ...], batch: int, soak: float,
+                  patience: float, store: Path) -> None:
+    """Renews the workers of one cell after another and halts where a cell is harmed. Without --run it goes on
+    with what is under way, as after a kill. Exit 1 where it halted."""
+    from gradehoist.cli import cells as view
+
+    found = settings(path)
+    try:
+        good = view.release(found, store, run, back, some, batch, soak, patience)
+    except view.Bad as fault:
+        raise Fail(f"{path}: {fault}") from None
+    sys.exit(0 if good else 1)
+
+
 @main.command()
 def openapi() -> None:
     """Prints the governor's API as an OpenAPI document."""
--- a/gradehoist/day/run.py
+++ b/gradehoist/day/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import shlex
 import shutil
 import signal
 import subprocess
@@ -127,7 +128,8 @@
             if at >= end:
                 return True
             for name, process in self.processes.items():
-                if process.poll() is not None and (name != "mover" or process.returncode):
+                fine = {"mover": (0,), "release": (0, 1)}.get(name, ())
+                if process.poll() is not None and process.returncode not in fine:
                     raise StartFailed(f"{name} ended by itself, exit {process.returncode}; see {name}.log")
             if self.look and looking is None and at / 1e6 - looked > self.look:
                 looked = at / 1e6
@@ -158,6 +160,9 @@
                 self._start("mover", "gradehoist", "cells", "move", str(self.folder / "settings.kdl"),
                             *tenants, "--to", str(step.do["to"]), "--store", str(self.folder / "moves"))
                 return
+            if step.do["do"] == "release":
+                self._release(step.do)
+                return
             if step.do["do"] == "kill":
                 self.processes[f"governor-{name}"].kill()
                 self.processes.pop(f"governor-{name}").wait()
@@ -174,10 +179,19 @@
         if response.status != 204:
             raise StartFailed(f"{step.role} refused {step.do}: {response.body.decode(errors='replace')}")
 
+    def _release(self, do: dict[str, object]) -> None:
+        def command(fails: object, slow: object) -> str:
+            return shlex.join([sys.executable, "-m", "gradehoist.standin.deploy",
+                               str(self.folder / "plan.json"), "{worker}", str(fails), str(slow)])
+
+        self._start("release", "gradehoist", "cells", "release", str(self.folder / "settings.kdl"),
+                    "--run", command(do["fails"], do["slow"]), "--back", command(0.0, 1.0),
+                    "--soak", str(do["soak"]), "--store", str(self.folder / "moves"))
+
     def _end_all(self) -> None:
         """Clients and relays first, so that nothing is sent into the end of the others."""
         def rank(name: str) -> int:
-            order = ("clients", "relays", "mover", "governor", "replicas", "roster", "links")
+            order = ("clients", "relays", "mover", "release", "governor", "replicas", "roster", "links")
             return next((n for n, part in enumerate(order) if name.startswith(part)), 9)
         for name in sorted(self.processes, key=rank):
             process = self.processes[name]
--- a/gradehoist/day/troubles.py
+++ b/gradehoist/day/troubles.py
@@ -337,10 +337,16 @@
     s.at(s.t.at, "day", "move", governor="", tenants=some, to=target)
 
 
+def release(s: Script) -> None:
+    """A staged release, cell by cell, of a version that fails `part` of its work and takes `size` times as
+    long for the rest; put back where it halts."""
+    s.at(s.t.at, "day", "release", governor="", fails=s.t.part, slow=s.t.size, soak=s.t.extra / SECOND)
+
+
 SCRIPTS: dict[str, Callable[[Script], None]] = {
     f.__name__: f for f in (
         crash, vanish, slow, hang, neighbour, hot_caller, zone_loss, zone_cut, shrink, drain, origin_slow,
         counter_down, reconnect, redial, governor_kill, shift, preempt, false_reports, mass_restart,
-        one_sided, ageing, roster_down, flap, flood, move)
+        one_sided, ageing, roster_down, flap, flood, move, release)
 }
 HOWS = ("any", "silent", "all", "refuse", "delay", "lose", "unlisted", "forget")
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -21,6 +21,7 @@
 from gradehoist.governor.roster import Gap, RosterView
 from gradehoist.governor.streams import Mark, OutOfOrder, Stream
 from gradehoist.governor.tables import Tables
+from gradehoist.governor.tally import Tally
 from gradehoist.names import Names
 from gradehoist.protocol import feed
 from gradehoist.settings.fleet import Fleet, Governor, start
@@ -91,6 +92,7 @@
                            ) if placed else None
         limits = feed.Limits(*astuple(placed.limits)) if placed and placed.limits else None
         self.tables = Tables(self.names, ch.message_head, route, limits)
+        self.tally = Tally(cells, placed.workers) if placed else None
         self.ledger = Ledger(self.tables, self.parts, Budget(
             len(cells), ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_head, fleet.rules.grace)
         ) if placed else None
@@ -209,6 +211,8 @@
             self.intake.add(proxy, stream.zone, sums)
         except Unknown as fault:
             raise Refused(422, str(fault)) from None
+        if self.tally:
+            self.tally.add(sums)
 
     def listed(self, now: int, document: feed.Roster) -> bool:
         """Takes a roster's answer; False where nothing is new. Raises Gap, ValueError."""
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -183,7 +183,7 @@
                         "pace": round(core.channel.pace)},
             "intake_waiting": core.intake.waiting,
             "withdrawn": [core.names.replicas.names[n] for n in core.tables.out],
-            "cells": [part.cell for part in core.parts if part.cell],
+            "cells": core.tally.status(core.roster.entries) if core.tally else {},
             "planner_cpu": round(self.planner.cpu, 3), "planner_pid": self.planner.pid,
             "lag_ms": round(lag * 1e3, 3),
         }
--- a/gradehoist/standin/replica.py
+++ b/gradehoist/standin/replica.py
@@ -52,6 +52,7 @@
     taken: float = 0.0
     shown: float = 1.0
     hung: bool = False
+    fails: float = 0.0  # the share of its work that its release fails
     draining: bool = False
     arrived: deque[tuple[int, float]] = field(default_factory=deque)
     busy: float = 0.0
@@ -64,6 +65,7 @@
         return {c.name for c in self.whole.classes if c.repeat == "single"}
 
     def __post_init__(self) -> None:
+        self.chance = dice(self.whole.seed, "fails", self.plan.name)
         # What the fence keeps outlives the process, here as this object does.
         self.fence = Fence(self.plan.name, self.whole.workers.get(self.plan.name, ""))
 
@@ -74,7 +76,7 @@
         self.running, self.waiting = [], deque()
         self.arrived.clear()
         self.hung = self.draining = False
-        self.slow = 1.0
+        self.slow, self.fails = 1.0, 0.0
         self.server = Server(self.handle)
         self.server.listen(self.plan.port, "127.0.0.1", backlog=1024)
         self.process.record("up", replica=self.plan.name, boot=self.boot, cold=cold)
@@ -182,6 +184,8 @@
             self.process.record("turned_away", replica=name, tx=tx)
             proof = (("x-never-ran", "1"),) if self.whole.full_is_proof else ()
             return Answer(503, b"", load + proof)
+        if self.fails and self.chance.random() < self.fails:
+            return Answer(500, b"a bad release", load)
         job = Job(work, asyncio.get_running_loop().create_future(), connection, tx)
         if self.whole.cells and http.header(request.headers, "x-class") in self.writes:
             job.write = ((http.header(request.headers, "x-tenant") or ""),
@@ -259,6 +263,8 @@
                     replica.taken = float(do["value"])
                 case "shown":
                     replica.shown = float(do["value"])
+                case "fails":
+                    replica.fails = float(do["value"])
                 case "hang":
                     replica.hung = bool(do["value"])
                 case _:
--- a/gradehoist/store/keep.py
+++ b/gradehoist/store/keep.py
@@ -33,9 +33,9 @@
 class Lock:
     """Held from making it until `free` or the end of the process. Raises Held."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, name: str = "lock") -> None:
         folder.mkdir(parents=True, exist_ok=True)
-        self._file = (folder / "lock").open("a+")
+        self._file = (folder / name).open("a+")
         try:
             fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
--- /dev/null
+++ b/tests/test_release.py
@@ -0,0 +1,162 @@
+"""Staged releases: harm is told from a rush and from chance, and a runner that is killed goes on."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from gradehoist.cells.release import Release, Seen, Step, calm, judge
+from gradehoist.day.scene import ports
+from gradehoist.mover import release as releasing
+from gradehoist.net.server import Answer, Connection, Server, json
+from gradehoist.protocol import feed, http
+from gradehoist.settings import fleet as f
+from gradehoist.settings import reader as r
+from tests.governed import TEXT
+
+CELLS = {"A": ("a1", "a2"), "B": ("b1", "b2"), "C": ("c1", "c2")}
+LOCAL = "127.0.0.1"
+
+
+def seen(came: int, failing: float, ms: float = 200.0) -> Seen:
+    good = came - round(came * failing)
+    return Seen(came, came - good, good, round(good * ms * 1e3))
+
+
+def test_harm_is_the_cell_s_own_and_more_than_chance() -> None:
+    usual = {c: seen(400, 0.01) for c in CELLS}
+    assert "12.0% of 300 transactions of A" in judge("A", usual, {**usual, "A": seen(300, 0.12)})
+    assert not judge("A", usual, {**usual, "B": seen(300, 0.5)})
+    assert not judge("A", usual, {c: seen(300, 0.12) for c in CELLS})  # a rush over all
+    assert judge("A", usual, {**{c: seen(300, 0.12) for c in CELLS}, "A": seen(300, 0.5)})
+    assert not judge("A", usual, {**usual, "A": seen(30, 1.0)})  # too few to say
+    slow = {**usual, "A": seen(300, 0.01, 400)}
+    assert "take 400 ms, 200 before" in judge("A", usual, slow)
+    assert not judge("A", usual, {c: seen(300, 0.01, 400) for c in CELLS})
+    assert calm("A", usual, slow) and not calm("A", usual, {**usual, "C": seen(300, 0.2)})
+
+
+def test_chance_alone_halts_hardly_ever() -> None:
+    dice = random.Random(5)
+
+    def draw(came: int) -> Seen:
+        bad = sum(dice.random() < 0.03 for _ in range(came))
+        return Seen(came, bad, came - bad, (came - bad) * 200_000)
+
+    days = [({c: draw(200) for c in CELLS}, {c: draw(200) for c in CELLS}) for _ in range(400)]
+    assert sum(bool(judge("A", *day)) for day in days) <= 1
+
+
+class Site:
+    """A governor that counts, a roster whose workers have lives, and a command that renews by touching a
+    file. `bad`: the workers whose new life fails half of its cell's work."""
+
+    def __init__(self, folder: Path, bad: tuple[str, ...] = (), returns: bool = True) -> None:
+        self.folder, self.bad, self.returns = folder, bad, returns
+        roster, port = self.ports = ports(2)
+        self.looks = 0
+        self.counts = {c: {"came": 0, "unanswered": 0, "tries": 0, "bad": 0, "elapsed": 0} for c in CELLS}
+        workers = {w: c for c, ws in CELLS.items() for w in ws}
+        (folder / "p.json").write_bytes(msgspec.json.encode(f.Placed(tuple(CELLS), workers)))
+        reader = r.Reader("test")
+        text = TEXT.format(relays=4, queue=2000, rate=2000).replace(":7000", f":{roster}")
+        text = text.replace(":7101", f":{port}").replace(
+            '    reports', '    cells placement="p.json"\n    reports')
+        self.settings = f.parse(reader.root(text), folder)
+        reader.finish()
+        self.said: list[str] = []
+
+    def renewed(self) -> list[str]:
+        path = self.folder / "renewed"
+        return path.read_text().split() if path.exists() else []
+
+    async def roster(self, request: http.Request, connection: Connection) -> Answer:
+        lives = self.renewed() if self.returns else []
+        return json(feed.Roster("l", 1, tuple(
+            feed.Replica(w, "x", boot=f"{w}/{lives.count(w)}") for ws in CELLS.values() for w in ws), True))
+
+    async def status(self, request: http.Request, connection: Connection) -> Answer:
+        self.looks += 1
+        for cell, count in self.counts.items():
+            hurt = bool(set(CELLS[cell]) & set(self.bad) & set(self.renewed()))
+            count["came"] += 60
+            count["unanswered"] += 30 * hurt
+            count["tries"] += 60
+            count["elapsed"] += 60 * 200_000
+        return json({"epoch": "e", "cells": self.counts})
+
+    def tell(self, release: Release, text: str) -> None:
+        self.said.append(text)
+
+    def play(self, release: Release) -> Release:
+        async def work() -> Release:
+            servers = [Server(self.roster), Server(self.status)]
+            for server, port in zip(servers, self.ports, strict=True):
+                server.listen(port, LOCAL)
+            runner = releasing.Runner(self.settings, self.folder, 0.5, 1.0, self.tell)
+            try:
+                return await asyncio.wait_for(runner.run(release), 30)
+            finally:
+                for server in servers:
+                    server.shut()
+        return asyncio.run(work())
+
+    def release(self) -> Release:
+        command = f"/bin/sh -c 'echo {{worker}} >> {self.folder}/{{}}'"
+        return Release("000001", tuple(CELLS), CELLS, 1, command.replace("{}", "renewed", 1),
+                       command.replace("{}", "back", 1))
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(releasing, "LOOK", 0.05)
+
+
+def test_a_good_release_renews_cell_after_cell_each_worker_once(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    assert site.play(site.release()).step is Step.DONE
+    assert site.renewed() == ["a1", "a2", "b1", "b2", "c1", "c2"]
+
+
+def test_a_bad_one_halts_in_its_cell_and_what_was_touched_is_put_back(tmp_path: Path) -> None:
+    site = Site(tmp_path, bad=("b1",))
+    ended = site.play(site.release())
+    assert ended.step is Step.HALTED and "transactions of B were not answered" in ended.why
+    assert site.renewed()[:3] == ["a1", "a2", "b1"] and "c1" not in site.renewed()
+    put_back = (tmp_path / "back").read_text().split()
+    assert "b1" in put_back and set(put_back) <= {"b1", "b2"}
+    assert releasing.load(tmp_path) == ended
+
+
+def test_a_worker_that_does_not_return_and_a_command_that_fails_halt_it(tmp_path: Path) -> None:
+    site = Site(tmp_path, returns=False)
+    ended = site.play(site.release())
+    assert ended.step is Step.HALTED and ended.why == "a1 did not come back within 1 s"
+    ended = site.play(Release("000002", ("A",), CELLS, 1, "/bin/sh -c 'exit 3'"))
+    assert ended.why == "the command for a1 ended with 3"
+
+
+def test_killed_after_any_record_it_goes_on_where_it_was(tmp_path: Path) -> None:
+    whole = Site(tmp_path)
+    records: list[Release] = []
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(releasing, "save", lambda store, record: records.append(record))
+        whole.play(whole.release())
+    assert len(records) > 12
+    for n, record in enumerate(records[::4]):
+        folder = tmp_path / str(n)
+        folder.mkdir()
+        site = Site(folder)
+        (folder / "renewed").write_text("\n".join(w for c in CELLS.values() for w in c
+                                                 if w in record.touched) + "\n")
+        again: Release = msgspec.json.decode(msgspec.json.encode(record), type=Release)
+        command = f"/bin/sh -c 'echo {{worker}} >> {folder}/renewed'"
+        ended = site.play(Release(again.id, again.cells, again.workers, again.batch, command, "", again.at,
+                                  again.step, again.touched, again.renewed))
+        assert ended.step is Step.DONE and ended.renewed == {w for c in CELLS.values() for w in c}
+        assert not set(site.renewed()) - ended.renewed
+        assert all(site.renewed().count(w) == 1 for w in record.renewed)
