Drain and split cells; cells show with load, headroom and moves

cells drain shuts a cell to moves and deals its tenants to the others; a move into a draining cell is refused before any record is kept. cells split deals a cell's workers to it and a new one and leaves the hash ranges, so that no tenant changes its cell without a move. cells show asks the governors: load, room, counts, tenants leaving and coming.

--- a/gradehoist/cells/assign.py
+++ b/gradehoist/cells/assign.py
@@ -112,6 +112,17 @@
                      {t.name: c.number for c in cells for t in c.tenants}, tuple(faults))
 
 
+def halves(workers: Iterable[Worker]) -> tuple[list[Worker], list[Worker]]:
+    """Two halves of a cell's workers: zone by zone, the largest first, each to the half that has fewer of the
+    zone and then less size."""
+    out: tuple[list[Worker], list[Worker]] = ([], [])
+    for worker in sorted(workers, key=lambda w: (w.zone, -w.size, lot(w.name), w.name)):
+        best = min(out, key=lambda half: (sum(w.zone == worker.zone for w in half), len(half),
+                                          sum(w.size for w in half)))
+        best.append(worker)
+    return out
+
+
 def _neediest(cells: list[Cell], worker: Worker, wanted: Wanted) -> Cell:
     """A cell short of workers first, then the one with fewest of this zone, then the smallest. Counted, not
     summed: by size, the odd worker of every zone went to one cell, which became twice as large."""
--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -5,19 +5,20 @@
 import asyncio
 import csv
 from collections import defaultdict
+from collections.abc import Mapping
 from pathlib import Path
 
 import msgspec
 from rich.console import Console
 from rich.table import Table
 
-from gradehoist.cells.assign import Placement, Tenant, Wanted, Worker, place
+from gradehoist.cells.assign import Placement, Tenant, Wanted, Worker, halves, lot, place
 from gradehoist.cells.moves import Move, Step
 from gradehoist.cells.release import Release
 from gradehoist.cells.release import Step as Staged
-from gradehoist.cells.routes import home
 from gradehoist.mover import release as releasing
 from gradehoist.mover import run as mover
+from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.settings.fleet import Placed, Settings
 from gradehoist.store.keep import Held, Lock
 
@@ -71,6 +72,23 @@
                   {t: names[c] for t, c in sorted(found.tenants.items())}), found.faults
 
 
+def split(placed: Placed, workers: Path, cell: str, new: str) -> Placed:
+    """The placement with a cell's workers dealt to it and a new cell, which has no tenants yet. Ranges of the
+    hash stay, or tenants that nobody named would change their cell without a move. Raises Bad."""
+    if cell not in placed.cells or new in placed.cells:
+        known = ", ".join(placed.cells)
+        raise Bad(f"{cell} has to be a cell and {new} a new name; the placement has {known}")
+    crew = [Worker(r["worker"], r["zone"], r["kind"], figure(workers, n, "size", r["size"]))
+            for n, r in enumerate(rows(workers, ("worker", "zone", "kind", "size")), 2)]
+    mine = [w for w in crew if placed.workers.get(w.name) == cell]
+    if len(mine) < 2 or len(mine) < len(placed.of(cell)):
+        raise Bad(f"{workers}: names {len(mine)} of the {len(placed.of(cell))} workers of {cell}; a split "
+                  "needs all of them, and two at least")
+    _, go = halves(mine)
+    return Placed((*placed.cells, new), {**placed.workers, **{w.name: new for w in go}}, placed.named,
+                  placed.ranges or placed.cells)
+
+
 def read(path: Path) -> Placed:
     try:
         placed: Placed = msgspec.json.decode(path.read_bytes(), type=Placed)
@@ -79,35 +97,119 @@
     return placed
 
 
-def show(placed: Placed) -> None:
-    workers, tenants = defaultdict[str, list[str]](list), defaultdict[str, list[str]](list)
-    for name, cell in placed.workers.items():
-        workers[cell].append(name)
-    for name, cell in placed.named.items():
+def show(placed: Placed, store: Path | None = None, live: Live | None = None) -> None:
+    """A placement; with a store and what governors say also moves, load and headroom. Raises Bad."""
+    tenants, shut, moves = defaultdict[str, list[str]](list), tuple[str, ...](), list[Move]()
+    try:
+        if store is not None:
+            moves, shut = mover.load(store), mover.draining(store)
+    except ValueError as fault:
+        raise Bad(str(fault)) from None
+    undone = {m.id.removesuffix("-undo") for m in moves if m.undone}
+    under_way = [m for m in moves if m.step is not Step.DONE and m.id not in undone]
+    for name, cell in mover.lives(moves, placed).items():
         tenants[cell].append(name)
     out = Table(title=f"{len(placed.cells)} cells", title_justify="left")
-    for head in ("cell", "workers", "tenants named", ""):
-        out.add_column(head, justify="right" if head == "tenants named" else "left")
+    heads = ["cell", "workers", "tenants"]
+    if live is not None:
+        heads += ["ready", "load", "headroom", "came", "unanswered", "leaving", "coming"]
+    for head in (*heads, ""):
+        out.add_column(head, justify="left" if head in ("cell", "workers", "") else "right")
     for cell in placed.cells:
-        some = ", ".join(sorted(tenants[cell])[:6]) + (", …" if len(tenants[cell]) > 6 else "")
-        out.add_row(cell, ", ".join(sorted(workers[cell])), str(len(tenants[cell])), some)
+        here = sorted(tenants[cell])
+        workers = sorted(placed.of(cell))
+        cells = [cell, ", ".join(workers[:4]) + (", …" if len(workers) > 4 else ""), str(len(here))]
+        if live is not None:
+            x = live.get(cell)
+            cells += [f"{x['ready']:.0f} of {x['workers']:.0f}", f"{x['load']:.0%}", f"{x['headroom']:.0%}",
+                      f"{x['came']:.0f}", f"{x['unanswered']:.0f}"] if x else ["?"] * 5
+            cells += [str(sum(m.source == cell for m in under_way)),
+                      str(sum(m.target == cell for m in under_way))]
+        some = ", ".join(here[:4]) + (", …" if len(here) > 4 else "")
+        out.add_row(*cells, "draining" if cell in shut else some)
     Console().print(out)
 
 
-def move(settings: Settings, store: Path, tenants: tuple[str, ...], to: str | None) -> bool:
-    """True where every move came to its end. Raises Bad."""
-    placed = settings.fleet.cells
-    if placed is None:
+Live = dict[str, dict[str, float]]
+
+
+def ask(settings: Settings) -> tuple[Live, list[str]]:
+    """What governors have heard of each cell, counts added up and loads averaged; and who did not answer."""
+    async def one(name: str, host: str, port: int) -> Live | None:
+        client = Client(host, port, connect_timeout=0.5)
+        try:
+            response = await client.exchange("GET", "/v1/status", timeout=2.0)
+            found: Live = msgspec.json.decode(response.body)["cells"]
+            return found
+        except (Unreachable, Broken, TimedOut, msgspec.MsgspecError, KeyError, TypeError):
+            return None
+        finally:
+            client.close()
+
+    async def everyone() -> list[Live | None]:
+        return list(await asyncio.gather(*(one(g.name, *g.listen) for g in settings.governors)))
+
+    answers = asyncio.run(everyone())
+    silent = [g.name for g, x in zip(settings.governors, answers, strict=True) if x is None]
+    out: Live = {}
+    known = [x for x in answers if x is not None]
+    for cell in {c for x in known for c in x}:
+        some = [x[cell] for x in known if cell in x]
+        out[cell] = {key: sum(x[key] for x in some) / (1 if key in ("came", "unanswered") else len(some))
+                     for key in some[0]}
+    return out, silent
+
+
+def placement(settings: Settings) -> Placed:
+    if settings.fleet.cells is None:
         raise Bad("fleet > cells: missing; name a placement to move tenants in")
-    if tenants and not to:
-        raise Bad("no cell to move to; say --to CELL")
+    return settings.fleet.cells
+
+
+def half(settings: Settings, store: Path, cell: str) -> tuple[str, ...]:
+    """Every other tenant of a cell, as after a split. Raises Bad."""
+    try:
+        now = mover.lives(mover.load(store), placement(settings))
+    except ValueError as fault:
+        raise Bad(str(fault)) from None
+    return tuple(sorted((t for t, c in now.items() if c == cell), key=lambda t: (lot(t), t))[::2])
+
+
+def drain(settings: Settings, store: Path, cell: str, end: bool) -> bool:
+    """Shuts a cell to moves and moves its tenants away, or opens it again. Raises Bad."""
+    placed = placement(settings)
+    if cell not in placed.cells:
+        raise Bad(f"no cell {cell!r}; the placement has {', '.join(placed.cells)}")
+    try:
+        shut = mover.draining(store)
+        if end:
+            mover.drain(store, tuple(c for c in shut if c != cell))
+            return True
+        mover.drain(store, tuple(dict.fromkeys((*shut, cell))))
+        good, late = True, True
+        while good and late:  # those on their way into the cell, or out and turned back, follow once there
+            moves = mover.load(store)
+            there = mover.away(cell, moves, placed, (*shut, cell))
+            under_way = {m.tenant for m in moves if m.step is not Step.DONE}
+            late = bool(there.keys() & under_way)
+            good = move(settings, store, {t: c for t, c in there.items() if t not in under_way})
+    except ValueError as fault:
+        raise Bad(str(fault)) from None
+    if cell in (placed.ranges or placed.cells):
+        print(f"{cell} still gets tenants that nobody named, by their hash; name them in the placement")
+    return good
+
+
+def move(settings: Settings, store: Path, tenants: Mapping[str, str]) -> bool:
+    """Moves tenants to cells, with what was under way; True where every move came to its end. Raises Bad."""
+    placement(settings)
     try:
         lock = Lock(store)
     except Held as fault:
         raise Bad(f"{fault}; one mover at a time, wait for it or end it") from None
     try:
         if tenants:
-            mover.order(store, settings, tenants, to or "", lambda t: home(t, placed.cells, placed.named))
+            mover.order(store, settings, tenants)
         moves = mover.load(store)
         undone = {m.id.removesuffix("-undo") for m in moves if m.undone}
         due = [m for m in moves if m.step is not Step.DONE and m.id not in undone]
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -161,40 +161,99 @@
     sys.exit(1 if faults else 0)
 
 
+STORE = click.option("--store", type=click.Path(file_okay=False, path_type=Path), default=Path("var/moves"),
+                     show_default=True, help="The folder of all moves' records; one for an installation.")
+
+
 @cells.command("show")
-@click.argument("path", metavar="PLACEMENT", type=FILE)
-def show_cells(path: Path) -> None:
-    """Shows who lives where."""
+@click.argument("path", metavar="SETTINGS", type=FILE)
+@STORE
+def show_cells(path: Path, store: Path) -> None:
+    """Shows who lives where; of settings (.kdl) also load, headroom and moves, of a placement (.json) that
+    alone."""
     from gradehoist.cli import cells as view
 
     try:
-        view.show(view.read(path))
+        if path.suffix == ".json":
+            return view.show(view.read(path))
+        found = settings(path)
+        live, silent = view.ask(found)
+        view.show(view.placement(found), store, live)
     except view.Bad as fault:
-        raise Fail(str(fault)) from None
-
-
-STORE = click.option("--store", type=click.Path(file_okay=False, path_type=Path), default=Path("var/moves"),
-                     show_default=True, help="The folder of all moves' records; one for an installation.")
+        raise Fail(f"{path}: {fault}") from None
+    for name in silent:
+        click.echo(f"governor {name} did not answer; its part is missing above", err=True)
+    sys.exit(1 if silent else 0)
 
 
 @cells.command("move")
 @click.argument("path", metavar="SETTINGS", type=FILE)
 @click.argument("tenants", metavar="TENANT...", nargs=-1)
-@click.option("--to", help="The cell they move to.")
+@click.option("--to", default="", help="The cell they move to.")
+@click.option("--half-of", default="", help="Every other tenant of this cell, as after a split.")
 @STORE
-def move_tenants(path: Path, tenants: tuple[str, ...], to: str | None, store: Path) -> None:
+def move_tenants(path: Path, tenants: tuple[str, ...], to: str, half_of: str, store: Path) -> None:
     """Moves tenants to another cell and follows each to its end. Without tenants it goes on with what is
     under way, as after a kill. Exit 1 where a move was stopped or undone."""
     from gradehoist.cli import cells as view
 
     found = settings(path)
     try:
-        good = view.move(found, store, tenants, to)
+        if half_of:
+            tenants += view.half(found, store, half_of)
+        if tenants and not to:
+            raise view.Bad("no cell to move to; say --to CELL")
+        good = view.move(found, store, dict.fromkeys(tenants, to))
+    except view.Bad as fault:
+        raise Fail(f"{path}: {fault}") from None
+    sys.exit(0 if good else 1)
+
+
+@cells.command("drain")
+@click.argument("path", metavar="SETTINGS", type=FILE)
+@click.argument("cell", metavar="CELL")
+@click.option("--end", is_flag=True, help="Opens the cell to moves again.")
+@STORE
+def drain_cell(path: Path, cell: str, end: bool, store: Path) -> None:
+    """Moves all tenants of a cell to the others and lets none in until it is ended. Exit 1 where a move was
+    stopped or undone."""
+    from gradehoist.cli import cells as view
+
+    found = settings(path)
+    try:
+        good = view.drain(found, store, cell, end)
     except view.Bad as fault:
         raise Fail(f"{path}: {fault}") from None
     sys.exit(0 if good else 1)
 
 
+@cells.command("split")
+@click.argument("path", metavar="PLACEMENT", type=FILE)
+@click.argument("workers", metavar="WORKERS.csv", type=FILE)
+@click.argument("cell", metavar="CELL")
+@click.option("--into", "new", required=True, help="The new cell's name.")
+@click.option("--out", type=FILE, required=True, help="The new placement file.")
+def split_cell(path: Path, workers: Path, cell: str, new: str, out: Path) -> None:
+    """Deals a cell's workers to it and a new cell. Then: governors anew with the new file, one at a time; the
+    new cell's workers anew; cells move --half-of CELL --to NEW."""
+    import msgspec
+
+    from gradehoist.cli import cells as view
+    from gradehoist.store import keep
+
+    try:
+        placed = view.split(view.read(path), workers, cell, new)
+    except view.Bad as fault:
+        raise Fail(str(fault)) from None
+    try:
+        keep.write(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
+    except OSError as fault:
+        raise Fail(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
+    click.echo(f"{out}: {new} has {len(placed.of(new))} workers, {cell} keeps {len(placed.of(cell))}; next: "
+               f"governors with this file, one at a time; {', '.join(sorted(placed.of(new)))} anew; "
+               f"gradehoist cells move SETTINGS --half-of {cell} --to {new}")
+
+
 @cells.command("undo")
 @click.argument("id", metavar="MOVE")
 @STORE
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -88,8 +88,10 @@
         self.hurry = False  # a drain or exit was listed: it does not wait for the slot
         self.channel = Channel(ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window)
         # Relays are told of those alone that do not live where their hash says.
-        route = feed.Route(cells, {t: c for t, c in placed.named.items() if c != home(t, cells, {})}
-                           ) if placed else None
+        route = None
+        if placed:
+            ranges = placed.ranges or cells
+            route = feed.Route(ranges, {t: c for t, c in placed.named.items() if c != home(t, ranges, {})})
         limits = feed.Limits(*astuple(placed.limits)) if placed and placed.limits else None
         self.tables = Tables(self.names, ch.message_head, route, limits)
         self.tally = Tally(cells, placed.workers) if placed else None
--- a/gradehoist/mover/run.py
+++ b/gradehoist/mover/run.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 
 import msgspec
 
+from gradehoist.cells.assign import lot
 from gradehoist.cells.moves import Confirm, Move, Step
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.protocol import feed
-from gradehoist.settings.fleet import Settings
+from gradehoist.settings.fleet import Placed, Settings
 from gradehoist.store import keep
 
 AGAIN = 0.3  # seconds between words that were not confirmed
@@ -39,20 +40,60 @@
     keep.write(store / f"{move.id}.move", msgspec.json.encode(move))
 
 
-def order(store: Path, settings: Settings, tenants: tuple[str, ...], to: str, home: Callable[[str], str]
-          ) -> list[Move]:
-    """Makes and keeps a record for each tenant. Raises ValueError, and then none is made."""
-    placed = settings.fleet.cells
-    if placed is None or to not in placed.cells:
-        known = ", ".join(placed.cells) if placed else "none"
-        raise ValueError(f"no cell {to!r}; the placement has {known}")
+def draining(store: Path) -> tuple[str, ...]:
+    """Cells that take no tenants. Raises ValueError for a file that does not say so."""
+    path = store / "draining.json"
+    try:
+        cells: tuple[str, ...] = msgspec.json.decode(path.read_bytes(), type=tuple[str, ...])
+    except FileNotFoundError:
+        return ()
+    except msgspec.MsgspecError as fault:
+        raise ValueError(f"{path}: no list of cells: {fault}; put back a copy or remove it") from None
+    return cells
+
+
+def drain(store: Path, cells: tuple[str, ...]) -> None:
+    keep.write(store / "draining.json", msgspec.json.encode(cells))
+
+
+def lives(moves: list[Move], placed: Placed) -> dict[str, str]:
+    """Where each tenant that is named or was moved lives, or is on its way to."""
+    out = dict(placed.named)
+    for move in sorted(moves, key=lambda m: m.gen):
+        out[move.tenant] = move.target
+    return out
+
+
+def away(cell: str, moves: list[Move], placed: Placed, shut: tuple[str, ...]) -> dict[str, str]:
+    """A new cell for each tenant of one: dealt to the cell with fewest for its workers. Raises ValueError."""
+    now = lives(moves, placed)
+    others = [c for c in placed.cells if c != cell and c not in shut]
+    if not others:
+        raise ValueError(f"no other cell takes the tenants of {cell}; end the draining of one")
+    load = {c: sum(x == c for x in now.values()) / len(placed.of(c)) for c in others}
+    out = {}
+    for tenant in sorted((t for t, c in now.items() if c == cell), key=lambda t: (lot(t), t)):
+        best = min(others, key=lambda c: (load[c], c))
+        load[best] += 1 / len(placed.of(best))
+        out[tenant] = best
+    return out
+
+
+def order(store: Path, settings: Settings, tenants: Mapping[str, str]) -> list[Move]:
+    """Makes and keeps a record for each tenant, by its new cell. Raises ValueError, and then none is made."""
+    placed, shut = settings.fleet.cells, draining(store)
+    assert placed is not None
     moves = load(store)
     out = []
-    for n, tenant in enumerate(dict.fromkeys(tenants)):
+    for n, (tenant, to) in enumerate(tenants.items()):
+        if to not in placed.cells:
+            raise ValueError(f"no cell {to!r}; the placement has {', '.join(placed.cells)}")
+        if to in shut:
+            raise ValueError(f"cell {to} is draining and takes no tenants; move {tenant} elsewhere")
         last = max((m for m in moves if m.tenant == tenant), key=lambda m: m.gen, default=None)
         if last is not None and last.step is not Step.DONE:
             raise ValueError(f"tenant {tenant} is on its way by move {last.id}; undo that first")
-        source, gen = (last.target, last.gen) if last else (home(tenant), 1)
+        source, gen = (last.target, last.gen) if last else (placed.home(tenant), 1)
         if source == to:
             raise ValueError(f"tenant {tenant} lives in {to}")
         out.append(Move(f"{len(moves) + n:06d}-{gen + 1}", tenant, source, to, gen + 1))
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -10,6 +10,7 @@
 
 from gradehoist import interface as i
 from gradehoist.cells.limits import Limits
+from gradehoist.cells.routes import home
 from gradehoist.names import Names
 from gradehoist.settings import reader as r
 
@@ -32,17 +33,23 @@
 
 
 class Placed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A placement file, as `gradehoist cells place` writes it: cells, workers and tenants by cell. The lease
-    of workers, the time in which a write and its repeats are settled (µs) and the limits at each relay come
-    from the settings."""
+    """A placement file, as `gradehoist cells place` writes it: cells, workers and tenants by cell. `ranges`:
+    who has each even range of the hash, where that differs from `cells`, as a split leaves ranges as they
+    were. The lease of workers, the time in which a write and its repeats are settled (µs) and the limits at
+    each relay come from the settings."""
 
     cells: tuple[str, ...]
     workers: dict[str, str]
     named: dict[str, str] = {}
+    ranges: tuple[str, ...] = ()
     lease: int = 3_000_000
     settle: int = 10_000_000
     limits: Limits | None = None
 
+    def home(self, tenant: str) -> str:
+        """Where a tenant lives before any move."""
+        return home(tenant, self.ranges or self.cells, self.named)
+
     def of(self, cell: str) -> frozenset[str]:
         return frozenset(w for w, c in self.workers.items() if c == cell)
 
@@ -205,7 +212,8 @@
         reason = getattr(fault, "strerror", None) or str(fault)
         cells.fault(f"{path} is no placement: {reason}", "make one with gradehoist cells place", "placement")
         return None
-    strange = {c for c in (*placed.workers.values(), *placed.named.values()) if c not in placed.cells}
+    used = (*placed.workers.values(), *placed.named.values(), *placed.ranges)
+    strange = {c for c in used if c not in placed.cells}
     empty = [c for c in placed.cells if c not in placed.workers.values()]
     if not placed.cells or strange or empty or len(set(placed.cells)) < len(placed.cells):
         what = f"names cells it does not list: {', '.join(sorted(strange))}" if strange else (
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from click.testing import CliRunner, Result
 from hypothesis import given, settings
@@ -15,8 +16,10 @@
 
 from gradehoist.cells.assign import Placement, Tenant, Wanted, Worker, place
 from gradehoist.cells.limits import Door, Limits
+from gradehoist.cells.moves import Move, Step
 from gradehoist.cells.routes import home, label
 from gradehoist.cli.main import main
+from gradehoist.mover import run as mover
 from gradehoist.settings.fleet import Placed
 from gradehoist.settings.fleet import read as settings_of
 from gradehoist.settings.reader import SettingsError
@@ -230,3 +233,63 @@
         assert said in str(caught.value) and "fleet > cells > placement" in str(caught.value)
     placed.write_bytes(b'{"cells":["a"],"workers":{"w":"a"}}')
     assert settings_of(path).fleet.cells == Placed(("a",), {"w": "a"}, {})
+
+
+def test_a_cell_without_a_worker_stays_without_and_borrows_from_no_other() -> None:
+    """The border holds: with none of its own ready there is nothing to pick, and rule 1 does not run."""
+    found = world(3, 6, 12)
+    found.dial()
+    found.run(4)
+    mine = [n for n in range(12) if n // 2 % 3 == 1]
+    before = {r.name: r.holdings.lines("c0/write") for r in found.relays}
+    found.list(*(entry(n, "gone") for n in mine))
+    found.run(3)
+    for relay in found.relays:
+        assert not relay.holdings.lines("c1/read") and not relay.holdings.lines("c1/write")
+        assert set(relay.holdings.lines("c0/write")) == set(before[relay.name])
+    found.list(entry(mine[0], "ready", boot=2, age=0))
+    found.run(8)  # back cold: alone in its cell it is taken all the same, or the cell would stay bare
+    assert all(set(r.holdings.lines("c1/write")) == {f"w{mine[0]}"} for r in found.relays)
+
+
+def test_a_drained_cell_s_tenants_are_dealt_evenly_and_none_may_move_in(tmp_path: Path) -> None:
+    placed = Placed(("A", "B", "C"), {"a": "A", "b1": "B", "b2": "B", "c": "C"},
+                    {f"t{n}": "A" for n in range(9)} | {"u": "B"})
+    there = mover.away("A", [], placed, ("A",))
+    assert Counter(there.values()) == {"B": 6, "C": 3} and set(there) == {f"t{n}" for n in range(9)}
+    done = Move("0", "u", "B", "A", 2, Step.DONE)
+    assert "u" in mover.away("A", [done], placed, ("A",))
+    with pytest.raises(ValueError, match="no other cell"):
+        mover.away("A", [], placed, ("A", "B", "C"))
+    mover.drain(tmp_path, ("B",))
+    assert mover.draining(tmp_path) == ("B",)
+    fleet_of = dataclasses.replace(world(2, 2, 4).settings.fleet, cells=placed)
+    site = dataclasses.replace(world(2, 2, 4).settings, fleet=fleet_of)
+    with pytest.raises(ValueError, match="cell B is draining"):
+        mover.order(tmp_path, site, {"t1": "C", "t2": "B"})
+    assert not mover.load(tmp_path)  # none of them was begun
+    (tmp_path / "draining.json").write_bytes(b"[3]")
+    with pytest.raises(ValueError, match="draining.json"):
+        mover.draining(tmp_path)
+
+
+def test_a_split_deals_workers_and_leaves_every_tenant_where_it_is(tmp_path: Path) -> None:
+    workers, old, new = tmp_path / "w.csv", tmp_path / "p.json", tmp_path / "q.json"
+    workers.write_text("worker,zone,kind,size\n" + "".join(f"w{n},{ZONES[n % 3]},k,1\n" for n in range(12)))
+    placed = Placed(("a", "b"), {f"w{n}": "ab"[n // 6] for n in range(12)}, {"inn": "a"})
+    old.write_bytes(msgspec.json.encode(placed))
+
+    def split(cell: str, into: str) -> Result:
+        return CliRunner().invoke(main, ["cells", "split", str(old), str(workers), cell, "--into", into,
+                                         "--out", str(new)])
+
+    assert split("b", "c").exit_code == 0
+    found: Placed = msgspec.json.decode(new.read_bytes(), type=Placed)
+    assert found.cells == ("a", "b", "c") and len(found.of("b")) == len(found.of("c")) == 3
+    for cell in "bc":
+        assert {int(w[1:]) % 3 for w in found.of(cell)} == {0, 1, 2}  # each half in every zone
+    names = [f"inn{n}" for n in range(500)]
+    assert [found.home(t) for t in names] == [placed.home(t) for t in names]
+    assert split("x", "c").exit_code == 2 and split("b", "a").exit_code == 2
+    workers.write_text("worker,zone,kind,size\nw7,x,k,1\n")
+    assert "names 1 of the 6 workers of b" in split("b", "c").output
