--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m bench [NAME …]`: parser, drains, size, inline, cells, idle, shares."""
+"""`python -m bench [NAME …]`: parser, drains, size, inline, cells, places, idle, shares."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 import msgspec
 import numpy as np
 
+from bench import placements
 from bench.feeders import Feeder, Governor
 from gradehoist.day import audit, scene
 from gradehoist.day.run import Run
@@ -196,6 +197,13 @@
         asyncio.run(_cells(relays, replicas, number, 12000))
 
 
+def places() -> None:
+    row("way", "s", "tenants that lose all", "that lose some", "moved by a lost worker", "their demand",
+        "fullest worker over mean")
+    for line in placements.rows(10_000, 500):
+        row(*line)
+
+
 async def _idle(relays: int) -> None:
     with tempfile.TemporaryDirectory() as folder:
         governor = Governor(Path(folder), relays, 12, 1e6, 1e6, hold="50s")
@@ -276,8 +284,8 @@
 
 
 ALL: dict[str, Callable[[], None]] = {
-    "parser": parser, "drains": drains, "size": size, "inline": inline, "cells": cells, "idle": idle,
-    "shares": shares}
+    "parser": parser, "drains": drains, "size": size, "inline": inline, "cells": cells, "places": places,
+    "idle": idle, "shares": shares}
 
 if __name__ == "__main__":
     for name in sys.argv[1:] or ALL:
