--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -305,6 +305,61 @@
     sys.exit(0 if good else 1)
 
 
+@main.group()
+def plan() -> None:
+    """Shares for announced events, made before the rush, with the loss of each hall."""
+
+
+EVENT = click.option("--event", "name", default="", help="Which event of the file; not needed for only one.")
+
+
+@plan.command("make")
+@click.argument("path", metavar="EVENTS", type=FILE)
+@click.option("--out", type=FILE, required=True, help="The plan's file.")
+@click.option("--pairs", is_flag=True, help="Also the loss of each two halls together.")
+@EVENT
+def make_plan(path: Path, out: Path, pairs: bool, name: str) -> None:
+    """Makes and shows a plan; exit 1 where something falls short, with the plan written all the same."""
+    from gradehoist.cli import plan as view
+
+    try:
+        good = view.make(path, name, out, pairs)
+    except view.Bad as fault:
+        raise Fail(str(fault)) from None
+    sys.exit(0 if good else 1)
+
+
+@plan.command("show")
+@click.argument("path", metavar="PLAN", type=FILE)
+def show_plan(path: Path) -> None:
+    """Shows a plan by slot and hall, and what each loss leaves short."""
+    from gradehoist.cli import plan as view
+
+    try:
+        view.show(view.load(path))
+    except view.Bad as fault:
+        raise Fail(str(fault)) from None
+
+
+@plan.command("check")
+@click.argument("path", metavar="EVENTS", type=FILE)
+@click.argument("plan", metavar="PLAN", type=FILE)
+@EVENT
+def check_plan(path: Path, plan: Path, name: str) -> None:
+    """Checks every bound of a plan afresh, in exact arithmetic; exit 1 where it may not be used."""
+    from gradehoist.cli import plan as view
+
+    try:
+        faults = view.check(path, name, plan)
+    except view.Bad as fault:
+        raise Fail(str(fault)) from None
+    for line in faults:
+        click.echo(f"{plan}: {line}")
+    if not faults:
+        click.echo(f"{plan}: fits and holds")
+    sys.exit(1 if faults else 0)
+
+
 @main.command()
 def openapi() -> None:
     """Prints the governor's API as an OpenAPI document."""
--- a/gradehoist/plans/problem.py
+++ b/gradehoist/plans/problem.py
@@ -32,6 +32,10 @@
 
     name: str
     rates: Mapping[str, Fraction]
+    loads: Mapping[str, Fraction] = field(init=False, compare=False)  # worker's worth of one a second
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "loads", {c: 1 / x for c, x in self.rates.items()})
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +83,7 @@
 
     def load(self, flow: Flow) -> Fraction:
         """Workers' worth of load of one transaction a second."""
-        return 1 / self.kinds[flow.group.kind].rates[flow.cls]
+        return self.kinds[flow.group.kind].loads[flow.cls]
 
     def cost(self, flow: Flow) -> Fraction:
         if flow.origin == flow.group.zone:
--- a/gradehoist/plans/solve.py
+++ b/gradehoist/plans/solve.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from fractions import Fraction
 from math import ceil
+from typing import Any
 
 import highspy
 import numpy as np
@@ -44,6 +45,16 @@
     """The solver gave no answer to a program that has one: a fault of the program, never a plan."""
 
 
+def quiet() -> Any:
+    """A solver that says nothing and always goes the same way. The wrapper class writes a banner to standard
+    output when it is made, before any option can be set; its base does not."""
+    highs = highspy._core._Highs()
+    highs.setOptionValue("output_flag", False)
+    highs.setOptionValue("threads", 1)
+    highs.setOptionValue("random_seed", 1)
+    return highs
+
+
 def tie(flow: Flow) -> float:
     """Of plans equal in all else the one with the least sum of flow times this stands: a number from the
     names alone, so that equal plans are one and the same at every governor."""
@@ -58,18 +69,16 @@
         self.flows = problem.flows(lost)
         self.groups = sorted({f.group for f in self.flows})
         self.keys = sorted(problem.demand)
-        self.highs = highspy.Highs()  # type: ignore[no-untyped-call]
-        self.highs.setOptionValue("output_flag", False)
-        self.highs.setOptionValue("threads", 1)
-        self.highs.setOptionValue("random_seed", 1)
+        self.highs = quiet()
         for _ in self.flows:
             self.highs.addVar(0.0, INF)
+        loads = [float(problem.load(f)) for f in self.flows]
+        by_key, by_group = _by(self.flows)
         for key in self.keys:
-            mine = [n for n, f in enumerate(self.flows) if (f.cls, f.origin) == key]
+            mine = by_key.get(key, [])
             self._row(-INF, float(problem.demand[key][slot]), mine, [1.0] * len(mine))
         for g in self.groups:
-            mine = [n for n, f in enumerate(self.flows) if f.group == g]
-            self._row(-INF, float(problem.room(g)), mine, [float(problem.load(self.flows[n])) for n in mine])
+            self._row(-INF, float(problem.room(g)), by_group[g], [loads[n] for n in by_group[g]])
 
     def _row(self, low: float, high: float, columns: list[int], values: list[float]) -> None:
         self.highs.addRow(low, high, len(columns), np.array(columns, np.int32), np.array(values))
@@ -78,8 +87,7 @@
         """The least of the costs; with `keep` later aims may not lose it."""
         size = self.highs.getNumCol()
         costs = costs + [0.0] * (size - len(costs))
-        for n, cost in enumerate(costs):
-            self.highs.changeColCost(n, cost)
+        self.highs.changeColsCost(size, np.arange(size, dtype=np.int32), np.array(costs))
         self.highs.run()
         if self.highs.getModelStatus() != highspy.HighsModelStatus.kOptimal:
             raise Unsolved(f"slot {self.slot}: {self.highs.modelStatusToString(self.highs.getModelStatus())}")
@@ -107,7 +115,9 @@
     def prices(self) -> dict[Group, Fraction]:
         """Of a worker's worth of load, from the last aim."""
         dual = self.highs.getSolution().row_dual
-        return {g: max(Fraction(0), -Fraction(dual[len(self.keys) + n])) for n, g in enumerate(self.groups)}
+        first = len(self.keys)
+        return {g: max(Fraction(0), Fraction(-round(dual[first + n] * 1e9), 10**9))
+                for n, g in enumerate(self.groups)}
 
 
 def solve(problem: Problem, slot: int, lost: frozenset[str] = frozenset()) -> Answer:
@@ -125,8 +135,9 @@
         flows = _mended(problem, slot, model.values())
     if broken := proof.faults(problem, slot, lost, flows):
         raise Unsolved(f"slot {slot}: {broken[0]}")
-    short = {key: problem.demand[key][slot] - sum((x for f, x in flows.items() if (f.cls, f.origin) == key),
-                                                  Fraction(0)) for key in sorted(problem.demand)}
+    short = {key: problem.demand[key][slot] for key in sorted(problem.demand)}
+    for f, x in flows.items():
+        short[f.cls, f.origin] -= x
     return Answer(slot, lost, {f: x for f, x in flows.items() if x}, short, proof.gain(problem, flows),
                   proof.most(problem, slot, lost, prices),
                   sum((x * problem.cost(f) for f, x in flows.items()), Fraction(0)))
@@ -134,18 +145,22 @@
 
 def _mended(problem: Problem, slot: int, flows: dict[Flow, Fraction]) -> dict[Flow, Fraction]:
     """What rounding leaves over a bound is taken off the flows with least gain for their load."""
-    for key in sorted(problem.demand):
-        over = sum((x for f, x in flows.items() if (f.cls, f.origin) == key), Fraction(0)
-                   ) - problem.demand[key][slot]
-        for f in [f for f in flows if (f.cls, f.origin) == key]:
-            cut = min(flows[f], max(Fraction(0), over))
-            flows[f] -= cut
+    names = list(flows)
+    by_key, by_group = _by(names)
+    for key, some in by_key.items():
+        over = sum((flows[names[n]] for n in some), Fraction(0)) - problem.demand[key][slot]
+        for n in some:
+            if over <= 0:
+                break
+            cut = min(flows[names[n]], over)
+            flows[names[n]] -= cut
             over -= cut
-    for group in {f.group for f in flows}:
-        mine = sorted((f for f in flows if f.group == group),
-                      key=lambda f: (problem.classes[f.cls].gain / problem.load(f), f))
+    for group, some in by_group.items():
+        mine = [names[n] for n in some if flows[names[n]]]
         over = sum((flows[f] * problem.load(f) for f in mine), Fraction(0)) - problem.room(group)
-        for f in mine:
+        if over <= 0:
+            continue
+        for f in sorted(mine, key=lambda f: (problem.classes[f.cls].gain / problem.load(f), f)):
             if over <= 0:
                 break
             cut = min(flows[f], Fraction(ceil(over / problem.load(f) * GRID), GRID))
@@ -154,6 +169,16 @@
     return flows
 
 
+def _by(flows: list[Flow]) -> tuple[dict[tuple[str, str], list[int]], dict[Group, list[int]]]:
+    """Places of flows by class and origin, and by group."""
+    by_key: dict[tuple[str, str], list[int]] = {}
+    by_group: dict[Group, list[int]] = {}
+    for n, f in enumerate(flows):
+        by_key.setdefault((f.cls, f.origin), []).append(n)
+        by_group.setdefault(f.group, []).append(n)
+    return by_key, by_group
+
+
 def addition(problem: Problem, slot: int, lost: frozenset[str] = frozenset()) -> dict[Group, int] | None:
     """The fewest workers, of kinds and halls that stand, with which all demand is met; None where no number
     of them would do, as for a class whose only halls are lost."""
@@ -163,8 +188,7 @@
         wide[Group(zone, kind)] = max(1, wide.get(Group(zone, kind), 0))
     full = Problem(problem.zones, problem.kinds, problem.classes, wide, problem.demand, problem.cross,
                    problem.spare)
-    flows, highs = full.flows(lost), highspy.Highs()  # type: ignore[no-untyped-call]
-    highs.setOptionValue("output_flag", False)
+    flows, highs = full.flows(lost), quiet()
     for _ in flows:
         highs.addVar(0.0, INF)
     for n in range(len(kinds)):
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -5,12 +5,19 @@
 import itertools
 import random
 from fractions import Fraction as F
+from pathlib import Path
 
+import msgspec
 import pytest
+from click.testing import CliRunner, Result
 
+from gradehoist.cli.main import main
+from gradehoist.plans import make as making
 from gradehoist.plans import proof
 from gradehoist.plans.problem import Class, Flow, Group, Kind, Problem
+from gradehoist.plans.read import read
 from gradehoist.plans.solve import addition, solve, tie
+from gradehoist.settings.reader import SettingsError
 
 ZONES = ("a", "b", "c")
 
@@ -150,3 +157,65 @@
     assert proof.faults(p, 0, frozenset({"a"}), {Flow("read", "a", a): F(1)})
     for price in (F(0), F(1), F(7)):  # any prices bound the gain from above
         assert proof.most(p, 0, none, {a: price, b: price}) >= solve(p, 0).gain
+
+
+EVENTS = Path(__file__).parent.parent / "deploy" / "events.kdl"
+
+
+def test_a_plan_is_made_checked_and_refused_when_it_no_longer_fits(tmp_path: Path) -> None:
+    def run(*words: str) -> Result:
+        return CliRunner().invoke(main, ["plan", *words])
+
+    events, plan = tmp_path / "e.kdl", tmp_path / "p.json"
+    events.write_text(EVENTS.read_text())
+    made = run("make", str(events), "--out", str(plan))
+    assert made.exit_code == 1 and "add 2 large-4c in" in made.output  # a loss leaves too little, and says so
+    assert run("check", str(events), str(plan)).exit_code == 0 and run("show", str(plan)).exit_code == 0
+    first = plan.read_bytes()
+    found: making.Plan = msgspec.json.decode(first, type=making.Plan)
+    assert len(found.cases) == 4 * 4 and found.begins == "2027-02-05T09:00:00+09:00"
+    lines = EVENTS.read_text().splitlines(keepends=True)
+    rest = [x for x in lines if x.startswith(("workers", "cross"))]
+    events.write_text("".join([*(x for x in lines if x not in rest), *rest[::-1]]))
+    assert run("make", str(events), "--out", str(plan)).exit_code == 1 and plan.read_bytes() == first
+    events.write_text(EVENTS.read_text().replace("count=3", "count=2"))
+    assert "fleet has changed" in run("check", str(events), str(plan)).output
+    (event,) = read(EVENTS)
+    case = found.cases[0]
+    more = msgspec.structs.replace(case.served[0], rate=case.served[0].rate * 9)
+    for bad, said in (
+            (msgspec.structs.replace(found, version=2), "version 2"),
+            (msgspec.structs.replace(found, begins="2027-02-06T09:00:00+09:00"), "made for"),
+            (msgspec.structs.replace(found, cases=found.cases[1:]), "slot 0, lost none: missing"),
+            (msgspec.structs.replace(found, cases=(msgspec.structs.replace(
+                case, served=(more, *case.served[1:])), *found.cases[1:])), "served of"),
+            (msgspec.structs.replace(found, cases=(msgspec.structs.replace(
+                case, served=case.served[1:]), *found.cases[1:])), "falls short by another figure")):
+        assert any(said in x for x in making.check(bad, event)), said
+    plan.write_bytes(first[:200])
+    cut = run("check", str(EVENTS), str(plan))
+    assert cut.exit_code == 2 and "no plan" in cut.output
+
+
+def test_every_fault_of_an_events_file_has_its_line_and_clock_changes_are_refused(tmp_path: Path) -> None:
+    path = tmp_path / "e.kdl"
+
+    def faults(old: str, new: str) -> str:
+        path.write_text(EVENTS.read_text().replace(old, new))
+        with pytest.raises(SettingsError) as caught:
+            read(path)
+        return str(caught.value)
+
+    assert "e.kdl:20: event" in faults('rates="20 30 40 20"', 'rates="20 30"')
+    assert "expected rates from 0 up" in faults("rates=6", 'rates="6 x"')
+    assert "Asia/Tokyo" in faults('zone="Asia/Tokyo"', 'zone="Sapporo"')
+    assert "local time without offset" in faults("T09:00", "T09:00+09:00")
+    changed = 'begins="2027-03-28T02:30" zone="Europe/Berlin"'  # left out there that night
+    assert "clock change" in faults('begins="2027-02-05T09:00" zone="Asia/Tokyo"', changed)
+    assert "clock change" in faults('begins="2027-02-05T09:00" zone="Asia/Tokyo"',
+                                    'begins="2027-10-31T02:30" zone="Europe/Berlin"')  # there twice
+    text = EVENTS.read_text()
+    second = text[text.index('event "'):].replace("snow-festival", "late").replace("T09:00", "T11:00")
+    path.write_text(text + second)
+    with pytest.raises(SettingsError, match="snow-festival and late overlap"):
+        read(path)
