--- a/gradehoist/cells/limits.py
+++ b/gradehoist/cells/limits.py
@@ -31,12 +31,13 @@
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Per relay: a cell's and a tenant's transactions a second; `burst` in seconds of them; `held` in hand at
-    once from one tenant, 0: any number."""
+    once from one tenant and `cell_held` from a whole cell, 0: any number."""
 
     cell: float
     tenant: float
     burst: float = 2.0
     held: int = 0
+    cell_held: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +59,7 @@
         self._cells: dict[str, Bucket] = {}
         self._tenants: dict[str, Bucket] = {}
         self.hand: dict[str, int] = {}
+        self.cell_hand: dict[str, int] = {}
 
     def _bucket(self, among: dict[str, Bucket], name: str, rate: float, now: int) -> Bucket:
         found = among.get(name)
@@ -73,6 +75,8 @@
         own = self._bucket(self._tenants, tenant, self.limits.tenant, now)
         if self.limits.held and self.hand.get(tenant, 0) >= self.limits.held:
             return Refusal(f"{self.limits.held} of this tenant are in hand", own.wait(1.0))
+        if self.limits.cell_held and self.cell_hand.get(cell, 0) >= self.limits.cell_held:
+            return Refusal(f"{self.limits.cell_held} of this cell are in hand", own.wait(1.0))
         borrows = own.tokens < 1
         least = 1 + self.RESERVE * whole.burst if borrows else 1.0
         if whole.tokens < least:
@@ -81,6 +85,7 @@
         whole.tokens -= 1
         own.tokens -= not borrows
         self.hand[tenant] = self.hand.get(tenant, 0) + 1
+        self.cell_hand[cell] = self.cell_hand.get(cell, 0) + 1
         if len(self._tenants) > self.KEPT:
             self._forget(now)
         return None
@@ -91,9 +96,10 @@
             if bucket.tokens >= bucket.burst and name not in self.hand:
                 del self._tenants[name]
 
-    def done(self, tenant: str) -> None:
-        left = self.hand.get(tenant, 0) - 1
-        if left > 0:
-            self.hand[tenant] = left
-        else:
-            self.hand.pop(tenant, None)
+    def done(self, tenant: str, cell: str) -> None:
+        for among, name in ((self.hand, tenant), (self.cell_hand, cell)):
+            left = among.get(name, 0) - 1
+            if left > 0:
+                among[name] = left
+            else:
+                among.pop(name, None)
--- a/gradehoist/protocol/feed.py
+++ b/gradehoist/protocol/feed.py
@@ -75,12 +75,13 @@
 
 class Limits(msgspec.Struct, frozen=True, tag="limits", array_like=True):
     """What one relay lets in: transactions a second of a cell and of a tenant, `burst` in seconds of them,
-    `held` in hand at once from one tenant (0: any number). It comes with the route."""
+    `held` in hand at once from one tenant, `cell_held` from a cell (0: any number)."""
 
     cell: Weight
     tenant: Weight
     burst: Weight
     held: Count
+    cell_held: Count = 0
 
 
 Delta = Line | Clear | Bind | Out | Back | Level | Route | Moved | Limits
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -201,8 +201,8 @@
     lease, settle = cells.get("lease", r.time, 3_000_000), cells.get("settle", r.time, 10_000_000)
     door = cells.child("limits")
     limits = Limits(door.get("cell", r.number(0.001, 1e9)), door.get("tenant", r.number(0.001, 1e9)),
-                    door.get("burst", r.number(0.1, 3600), 2.0), door.get("held", r.whole(0, 10**6), 0)
-                    ) if door else None
+                    door.get("burst", r.number(0.1, 3600), 2.0), door.get("held", r.whole(0, 10**6), 0),
+                    door.get("cell-held", r.whole(0, 10**6), 0)) if door else None
     if door:
         door.done()
     cells.done()
--- a/gradehoist/standin/relay.py
+++ b/gradehoist/standin/relay.py
@@ -25,7 +25,7 @@
 
 
 def _limits(told: feed.Limits) -> Limits:
-    return Limits(told.cell, told.tenant, told.burst, told.held)
+    return Limits(told.cell, told.tenant, told.burst, told.held, told.cell_held)
 
 
 @dataclass
@@ -195,7 +195,7 @@
             return await self._let_in(tx, cls, (cell, gen), name, count, request, connection, came)
         finally:
             if self.door:
-                self.door.done(tenant)
+                self.door.done(tenant, cell)
 
     async def _let_in(self, tx: str, cls: p.Class, at: tuple[str, int], name: str, count: list[int],
                       request: http.Request, connection: Connection, came: int) -> Answer | None:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -120,12 +120,17 @@
 def test_a_tenant_may_hold_so_many_and_made_up_names_cost_no_memory() -> None:
     door = Door(Limits(cell=1e6, tenant=1e6, held=2))
     assert [door.admit(0, "t", "a") is None for _ in range(3)] == [True, True, False]
-    door.done("t")
+    door.done("t", "a")
     assert door.admit(0, "t", "a") is None
+    door = Door(Limits(cell=1e6, tenant=1e6, cell_held=3))
+    assert [door.admit(0, f"t{n}", "a") is None for n in range(4)] == [True, True, True, False]
+    assert door.admit(0, "t9", "b") is None  # the other cell does not feel it
+    door.done("t1", "a")
+    assert door.admit(0, "t7", "a") is None
     door = Door(Limits(cell=1e6, tenant=5.0))
     for n in range(30_000):
         door.admit(n * 1_000, f"made-up-{n}", "a")
-        door.done(f"made-up-{n}")
+        door.done(f"made-up-{n}", "a")
     assert len(door._tenants) <= door.KEPT + 1 and not door.hand
 
 
@@ -231,6 +236,16 @@
         with pytest.raises(SettingsError) as caught:
             settings_of(path)
         assert said in str(caught.value) and "fleet > cells > placement" in str(caught.value)
+    good = path.read_text()
+    placed.write_bytes(b'{"cells":["a"],"workers":{"w":"a"}}')
+    for inside, where in (("limits cell=0 tenant=1", "limits > cell"), ("limits cell=1", "limits > tenant"),
+                          ("limits cell=1 tenant=1 held=-1", "limits > held"),
+                          ("limits cell=1 tenant=1 rush=3", "limits"), ("door 3", "door")):
+        path.write_text(good.replace('"p.json"', f'"p.json" {{\n {inside}\n }}'))
+        with pytest.raises(SettingsError) as caught:
+            settings_of(path)
+        assert f"fleet > cells > {where}" in str(caught.value) and "s.kdl:" in str(caught.value)
+    path.write_text(good)
     placed.write_bytes(b'{"cells":["a"],"workers":{"w":"a"}}')
     assert settings_of(path).fleet.cells == Placed(("a",), {"w": "a"}, {})
 
