--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m bench [NAME …]`: parser, drains, size, inline, cells, places, idle, shares."""
+"""`python -m bench [NAME …]`: parser, drains, size, inline, cells, places, plans, idle, shares."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
 import numpy as np
 
 from bench import placements
+from bench import plans as planning
 from bench.feeders import Feeder, Governor
 from gradehoist.day import audit, scene
 from gradehoist.day.run import Run
@@ -204,6 +205,15 @@
         row(*line)
 
 
+def plans() -> None:
+    row("workers", "halls", "cells", "groups", "cases", "s")
+    for size in planning.SIZES:
+        row(*planning.size(*size))
+    row("load", "gain lost, solver", "gain lost, greedy", "crossing, greedy over solver")
+    for load in (0.4, 0.6, 0.8):
+        row(*planning.beside(load))
+
+
 async def _idle(relays: int) -> None:
     with tempfile.TemporaryDirectory() as folder:
         governor = Governor(Path(folder), relays, 12, 1e6, 1e6, hold="50s")
@@ -285,7 +295,7 @@
 
 ALL: dict[str, Callable[[], None]] = {
     "parser": parser, "drains": drains, "size": size, "inline": inline, "cells": cells, "places": places,
-    "idle": idle, "shares": shares}
+    "plans": plans, "idle": idle, "shares": shares}
 
 if __name__ == "__main__":
     for name in sys.argv[1:] or ALL:
