Test: a governor on a split placement serves the new cell and moves nobody by itself

The split was tested as a placement only. Relays of a governor with the new file hold the new cell's tables, every tenant stays where its hash or name put it, and one that is moved goes to the new cell.

--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -308,3 +308,29 @@
     assert split("x", "c").exit_code == 2 and split("b", "a").exit_code == 2
     workers.write_text("worker,zone,kind,size\nw7,x,k,1\n")
     assert "names 1 of the 6 workers of b" in split("b", "c").output
+
+
+def test_a_governor_started_with_a_split_placement_serves_the_new_cell_and_moves_none_by_itself() -> None:
+    found = world(2, 4, 12)
+    old = found.settings.fleet.cells
+    assert old is not None
+    names = [f"inn{n}" for n in range(200)]
+    go = sorted(old.of("c0"))[:2]
+    split = Placed(("c0", "c1", "new"), {**old.workers, **dict.fromkeys(go, "new")}, old.named, old.cells)
+    found.settings = dataclasses.replace(
+        found.settings, fleet=dataclasses.replace(found.settings.fleet, cells=split))
+    found.begin("split")
+    found.dial()
+    found.run(4)
+    for relay in found.relays:
+        route = relay.holdings.route
+        assert route is not None
+        assert [home(t, route.cells, route.named) for t in names] == [old.home(t) for t in names]
+        assert set(relay.holdings.lines("new/write")) == set(go)
+        assert set(relay.holdings.lines("c0/write")) == set(old.of("c0")) - set(go)
+    found.core.moved("inn3", "new", 2)
+    found.run(2)
+    for relay in found.relays:
+        route = relay.holdings.route
+        assert route is not None and home("inn3", route.cells, route.named) == "new"
+        assert route.gens["inn3"] == 2 and home("inn4", route.cells, route.named) == old.home("inn4")
