--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -85,6 +85,7 @@
     end = time.monotonic() + 180
     while not all(f.bound >= 2 for f in feeders):
         if time.monotonic() > end:
+            governor.close()
             raise RuntimeError(f"{sum(f.bound < 2 for f in feeders)} of {relays} relays are not bound")
         await asyncio.sleep(0.1)
     return governor, feeders, tasks
@@ -162,6 +163,7 @@
         tasks += [asyncio.ensure_future(f.sums(replicas, 1.0, cells, 0.3)) for f in feeders]
         while not all(len(f.classes) >= 2 * max(1, cells) for f in feeders):
             if time.monotonic() > began + 240:
+                governor.close()
                 raise RuntimeError("not all relays are bound")
             await asyncio.sleep(0.2)
         bound = time.monotonic() - began
