--- a/bench/placements.py
+++ b/bench/placements.py
@@ -5,19 +5,14 @@
 import random
 import statistics
 import time
-import zlib
 from collections.abc import Callable
 
-from gradehoist.cells.assign import Tenant, Wanted, Worker, place
+from gradehoist.cells.assign import Tenant, Wanted, Worker, lot, place
 
 CELLS, PER_TENANT = 100, 5  # as many workers for a tenant in each way: 500 over 100 cells
 Homes = dict[str, frozenset[str]]  # by tenant: the workers that serve it
 
 
-def lot(*names: object) -> int:
-    return zlib.crc32(repr(names).encode())
-
-
 def fleet(tenants: int, workers: int) -> tuple[list[Tenant], list[Worker]]:
     dice = random.Random(1)
     crew = [Worker(f"w{n}", f"z{n % 3}", "k", 1.0) for n in range(workers)]
--- a/gradehoist/cells/release.py
+++ b/gradehoist/cells/release.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import sqrt
 
@@ -18,6 +18,7 @@
     RENEW = "renew"
     SOAK = "soak"
     DONE = "done"
+    BACK = "putting back"
     HALTED = "halted"
 
 
@@ -49,7 +50,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """The record. `workers` by cell, in the order in which they are renewed."""
+    """The record. `workers` by cell, in the order in which they are renewed; `before` is what was usual when
+    the stage began, kept as one that was killed would take a harmed cell for the usual."""
 
     id: str
     cells: tuple[str, ...]
@@ -62,6 +64,7 @@
     touched: frozenset[str] = frozenset()  # begun; with those renewed, what a halt puts back
     renewed: frozenset[str] = frozenset()
     why: str = ""
+    before: Mapping[str, Seen] = field(default_factory=dict)
 
     @property
     def cell(self) -> str:
@@ -72,6 +75,9 @@
         left = [w for w in self.workers[self.cell] if w not in self.renewed]
         return tuple(left[: self.batch]) if self.step is Step.RENEW else ()
 
+    def staged(self, before: Mapping[str, Seen]) -> Release:
+        return replace(self, before=dict(before))
+
     def begun(self, workers: Iterable[str]) -> Release:
         return replace(self, touched=self.touched | frozenset(workers))
 
@@ -82,16 +88,19 @@
     def soaked(self) -> Release:
         if self.at + 1 == len(self.cells):
             return replace(self, step=Step.DONE)
-        return replace(self, at=self.at + 1, step=Step.RENEW)
+        return replace(self, at=self.at + 1, step=Step.RENEW, before={})
 
     def halt(self, why: str) -> Release:
-        return replace(self, step=Step.HALTED, why=why)
+        return replace(self, step=Step.BACK, why=why)
+
+    def ended(self) -> Release:
+        return replace(self, step=Step.HALTED)
 
 
 MARGIN = 0.03  # of the transactions: what a cell may lose while a worker of it is renewed
-SURE = 3.0  # standard errors: one false halt in some hundred judgements, at a judgement a second fewer
+SURE = 3.0  # standard errors, beyond the margin: at most one of the tests' 400 days without harm halts
 LEAST = 40  # transactions: under that no share is worth comparing
-SLOWER = 1.6  # times as long as before, beside the other cells: more than one worker of four being cold
+SLOWER = 1.6  # times as long as before, beside the other cells; a worker's cold start alone should not do it
 
 
 def _excess(before: Seen, now: Seen) -> float:
--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import csv
+import shlex
 from collections import defaultdict
 from collections.abc import Mapping
 from pathlib import Path
@@ -16,10 +17,11 @@
 from gradehoist.cells.moves import Move, Step
 from gradehoist.cells.release import Release
 from gradehoist.cells.release import Step as Staged
+from gradehoist.mover import ask
 from gradehoist.mover import release as releasing
 from gradehoist.mover import run as mover
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from gradehoist.settings.fleet import Placed, Settings
+from gradehoist.net.client import Client
+from gradehoist.settings.fleet import Governor, Placed, Settings
 from gradehoist.store.keep import Held, Lock
 
 
@@ -50,12 +52,16 @@
     return value
 
 
+def workers_of(path: Path) -> list[Worker]:
+    return [Worker(r["worker"], r["zone"], r["kind"], figure(path, n, "size", r["size"]))
+            for n, r in enumerate(rows(path, ("worker", "zone", "kind", "size")), 2)]
+
+
 def make(tenants: Path, workers: Path, wanted: Wanted, before: Path | None) -> tuple[Placed, tuple[str, ...]]:
     """The placement and what could not be had. Raises Bad."""
     people = [Tenant(r["tenant"], figure(tenants, n, "demand", r["demand"]))
               for n, r in enumerate(rows(tenants, ("tenant", "demand")), 2)]
-    crew = [Worker(r["worker"], r["zone"], r["kind"], figure(workers, n, "size", r["size"]))
-            for n, r in enumerate(rows(workers, ("worker", "zone", "kind", "size")), 2)]
+    crew = workers_of(workers)
     names = tuple(f"c{n}" for n in range(wanted.cells))
     old = None
     if before is not None:
@@ -78,8 +84,7 @@
     if cell not in placed.cells or new in placed.cells:
         known = ", ".join(placed.cells)
         raise Bad(f"{cell} has to be a cell and {new} a new name; the placement has {known}")
-    crew = [Worker(r["worker"], r["zone"], r["kind"], figure(workers, n, "size", r["size"]))
-            for n, r in enumerate(rows(workers, ("worker", "zone", "kind", "size")), 2)]
+    crew = workers_of(workers)
     mine = [w for w in crew if placed.workers.get(w.name) == cell]
     if len(mine) < 2 or len(mine) < len(placed.of(cell)):
         raise Bad(f"{workers}: names {len(mine)} of the {len(placed.of(cell))} workers of {cell}; a split "
@@ -105,8 +110,7 @@
             moves, shut = mover.load(store), mover.draining(store)
     except ValueError as fault:
         raise Bad(str(fault)) from None
-    undone = {m.id.removesuffix("-undo") for m in moves if m.undone}
-    under_way = [m for m in moves if m.step is not Step.DONE and m.id not in undone]
+    under_way = mover.under_way(moves)
     for name, cell in mover.lives(moves, placed).items():
         tenants[cell].append(name)
     out = Table(title=f"{len(placed.cells)} cells", title_justify="left")
@@ -133,21 +137,18 @@
 Live = dict[str, dict[str, float]]
 
 
-def ask(settings: Settings) -> tuple[Live, list[str]]:
+def figures(settings: Settings) -> tuple[Live, list[str]]:
     """What governors have heard of each cell, counts added up and loads averaged; and who did not answer."""
-    async def one(name: str, host: str, port: int) -> Live | None:
-        client = Client(host, port, connect_timeout=0.5)
+    async def one(governor: Governor) -> Live | None:
+        client = Client(*governor.listen, connect_timeout=0.5)
         try:
-            response = await client.exchange("GET", "/v1/status", timeout=2.0)
-            found: Live = msgspec.json.decode(response.body)["cells"]
-            return found
-        except (Unreachable, Broken, TimedOut, msgspec.MsgspecError, KeyError, TypeError):
-            return None
+            found = await ask.status(client)
+            return found["cells"] if found else None
         finally:
             client.close()
 
     async def everyone() -> list[Live | None]:
-        return list(await asyncio.gather(*(one(g.name, *g.listen) for g in settings.governors)))
+        return list(await asyncio.gather(*(one(g) for g in settings.governors)))
 
     answers = asyncio.run(everyone())
     silent = [g.name for g, x in zip(settings.governors, answers, strict=True) if x is None]
@@ -162,7 +163,7 @@
 
 def placement(settings: Settings) -> Placed:
     if settings.fleet.cells is None:
-        raise Bad("fleet > cells: missing; name a placement to move tenants in")
+        raise Bad("fleet > cells: missing; name a placement")
     return settings.fleet.cells
 
 
@@ -190,7 +191,7 @@
         while good and late:  # those on their way into the cell, or out and turned back, follow once there
             moves = mover.load(store)
             there = mover.away(cell, moves, placed, (*shut, cell))
-            under_way = {m.tenant for m in moves if m.step is not Step.DONE}
+            under_way = {m.tenant for m in mover.under_way(moves)}
             late = bool(there.keys() & under_way)
             good = move(settings, store, {t: c for t, c in there.items() if t not in under_way})
     except ValueError as fault:
@@ -210,9 +211,7 @@
     try:
         if tenants:
             mover.order(store, settings, tenants)
-        moves = mover.load(store)
-        undone = {m.id.removesuffix("-undo") for m in moves if m.undone}
-        due = [m for m in moves if m.step is not Step.DONE and m.id not in undone]
+        due = mover.under_way(mover.load(store))
         ended = asyncio.run(mover.Mover(settings, store, _say).run(due))
     except ValueError as fault:
         raise Bad(str(fault)) from None
@@ -225,9 +224,12 @@
             soak: float, patience: float) -> bool:
     """A new release, or without a command the one that was under way; True where it came to its end without
     harm. Raises Bad."""
-    placed = settings.fleet.cells
-    if placed is None:
-        raise Bad("fleet > cells: missing; name a placement to release in")
+    placed = placement(settings)
+    for command in (run, back):
+        try:
+            shlex.split(command)
+        except ValueError as fault:
+            raise Bad(f"{command!r} is no command: {fault}; correct its quotes") from None
     if strange := [c for c in some if c not in placed.cells]:
         raise Bad(f"no cell {', '.join(strange)}; the placement has {', '.join(placed.cells)}")
     try:
@@ -268,12 +270,12 @@
         moves = mover.load(store)
     except ValueError as fault:
         raise Bad(str(fault)) from None
-    undone = {m.id.removesuffix("-undo") for m in moves if m.undone}
+    due = {m.id for m in mover.under_way(moves)}
     out = Table(title=f"{len(moves)} moves", title_justify="left")
     for head in ("move", "tenant", "from", "to", "generation", "step", ""):
         out.add_column(head)
     for m in moves:
-        note = m.conflict or ("undone" if m.id in undone else "confirmed by " + (
-            ", ".join(sorted(m.known | m.shut)) or "nobody yet") if m.step is not Step.DONE else "")
+        note = m.conflict or ("" if m.step is Step.DONE else "undone" if m.id not in due else
+                              "confirmed by " + (", ".join(sorted(m.known | m.shut)) or "nobody yet"))
         out.add_row(m.id, m.tenant, m.source, m.target, str(m.gen), m.step.value, note)
     Console().print(out)
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -142,16 +142,15 @@
 
     from gradehoist.cells.assign import Wanted
     from gradehoist.cli import cells as view
+    from gradehoist.store import keep
 
     wanted = Wanted(number, least_workers, least_zones, spare=spare, lose_zone=lose_zone)
     try:
         placed, faults = view.make(tenants, workers, wanted, before)
     except view.Bad as fault:
         raise Fail(str(fault)) from None
-    part = out.with_name(out.name + ".part")
     try:
-        part.write_bytes(msgspec.json.format(msgspec.json.encode(placed), indent=1))
-        part.replace(out)
+        keep.write(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
     except OSError as fault:
         raise Fail(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
     for fault_line in faults:
@@ -177,7 +176,7 @@
         if path.suffix == ".json":
             return view.show(view.read(path))
         found = settings(path)
-        live, silent = view.ask(found)
+        live, silent = view.figures(found)
         view.show(view.placement(found), store, live)
     except view.Bad as fault:
         raise Fail(f"{path}: {fault}") from None
--- a/gradehoist/day/audit.py
+++ b/gradehoist/day/audit.py
@@ -388,7 +388,7 @@
         unique: dict[tuple[str, int, int], tuple[Rec, feed.Message]] = {}
         for r, m in some:
             unique.setdefault((r["relay"], r["stream"], m.seq), (r, m))
-        ordered = sorted(unique.values(), key=lambda x: (x[1].reply, x[0]["t"]))
+        ordered = sorted(unique.values(), key=lambda x: (x[1].reply, x[1].at, x[0]["t"]))
         rule.occasions += len(ordered)
         costs = [(m.at, max(self.price(m), m.cost)) for _, m in ordered]
         for (r, m), (_, waiting) in zip(ordered, queue(costs, rules.line_rate), strict=True):
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -29,7 +29,7 @@
 __all__ = ["Core", "Gap", "Log", "OutOfOrder", "Poll", "Refused", "Unknown"]
 
 SECOND = 1_000_000
-SLICE = 16  # messages made at one go: some 10 ms of whole tables of a hundred cells
+SLICE = 16  # messages made at one go: 5 ms on average while a hundred cells bind a thousand relays
 ANSWER_LINES = 4_000.0  # about what one answer brings: more than any table, less than a megabyte
 
 
@@ -160,7 +160,6 @@
         self.tables.joined(proxy)
         if self.ledger:
             self.ledger.joined(proxy)
-        if self.ledger:
             self._strange[proxy] = poll.rate
         else:
             self._introduce(stream, poll.rate)
--- a/gradehoist/governor/ledger.py
+++ b/gradehoist/governor/ledger.py
@@ -8,8 +8,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import takewhile
+from typing import TypeVar
 
 from gradehoist import interface as i
 from gradehoist.cells.budget import Budget
@@ -18,6 +20,7 @@
 from gradehoist.governor.tables import Tables
 from gradehoist.protocol import feed
 
+K = TypeVar("K")
 Key = tuple[str, int | None, int]  # "back", None, replica; or "level", table, class
 
 
@@ -56,13 +59,23 @@
     marks: list[tuple[Mark, int]] = field(default_factory=list)
 
 
+def _latest(among: dict[K, int], key: K, count: int) -> None:
+    among.pop(key, None)
+    among[key] = count
+
+
+def _since(among: dict[K, int], count: int) -> Iterator[K]:
+    """The keys that changed after `count`, the latest first, without a look at the older ones."""
+    return (key for key, _ in takewhile(lambda item: item[1] > count, reversed(among.items())))
+
+
 class Ledger:
     def __init__(self, tables: Tables, parts: list[Part], budget: Budget) -> None:
         self.tables, self.parts, self.budget = tables, parts, budget
         self.cells = [Cell() for _ in parts]
         self.accounts: dict[int, Account] = {}  # those that waited longest first
         self.count = 0
-        self.outs: dict[int, int] = {}
+        self.outs: dict[int, int] = {}  # as `news` in the order of the last change
         self.news: dict[str, int] = {}
 
     def joined(self, proxy: int) -> None:
@@ -96,21 +109,16 @@
                     del cell.loose[key]
             case i.Withdraw(replica, True):
                 cell.loose.pop(("back", None, replica), None)
-                self.outs[replica] = self.count
+                _latest(self.outs, replica, self.count)
             case i.Withdraw(replica, False):
                 self.outs.pop(replica, None)
-                self._loose(cell, ("back", None, replica))
+                _latest(cell.loose, ("back", None, replica), cell.count)
             case i.Admit(table, classes, _, _):
                 for k in classes:
-                    self._loose(cell, ("level", table, k))
+                    _latest(cell.loose, ("level", table, k), cell.count)
         proxies, _, _ = self.tables.order(order)
         concerned.update(dict.fromkeys(proxies))
 
-    @staticmethod
-    def _loose(cell: Cell, key: Key) -> None:
-        cell.loose.pop(key, None)
-        cell.loose[key] = cell.count
-
     def ordered(self, number: int, mark: i.Mark | None, concerned: Iterable[int], now: int) -> None:
         """The end of one reply of a cell: whom it concerns is owed it, with its mark."""
         for proxy in self.accounts if mark and mark.to_all else concerned:
@@ -121,18 +129,18 @@
 
     def moved(self, tenant: str) -> None:
         self.count += 1
-        self.news[tenant] = self.count
+        _latest(self.news, tenant, self.count)
 
     # What is told
 
     def urgent(self) -> list[int]:
         """Relays that have not been told of a drain or exit, the longest waiting first."""
-        last = max(self.outs.values(), default=0)
+        last = next(reversed(self.outs.values()), 0)
         return [p for p, a in self.accounts.items() if a.outs < last]
 
     def owed(self) -> list[int]:
         """Relays that are owed something, the longest waiting first."""
-        news = max(self.news.values(), default=0)
+        news = next(reversed(self.news.values()), 0)
         return [p for p, a in self.accounts.items() if a.due or (a.begun and a.news < news)]
 
     def piece(self, proxy: int, urgent: bool, room: float) -> Piece:
@@ -140,15 +148,12 @@
         `room` lines last. `told` has to follow once the message is on its way."""
         account, out = self.accounts[proxy], Piece(price=self.tables.head)
         names = self.tables.names.replicas.names
-        for replica, count in self.outs.items():
-            if count > account.outs:
-                self._add(out, [feed.Out(names[replica])], 1)
+        out.deltas += [feed.Out(names[replica]) for replica in _since(self.outs, account.outs)]
         route = self.tables.route
         if account.begun and route is not None:
-            for tenant, count in self.news.items():
-                if count > account.news:
-                    cell = route.named.get(tenant, "")
-                    self._add(out, [feed.Moved(tenant, cell, route.gens.get(tenant, 1))], 1)
+            out.deltas += [feed.Moved(tenant, route.named.get(tenant, ""), route.gens.get(tenant, 1))
+                           for tenant in _since(self.news, account.news)]
+        out.price += len(out.deltas)
         begun, usual = account.begun, min(room, self.budget.most)
         for number in self.budget.order(account.due):
             deltas, price = self._cell(proxy, account, number, begun)
@@ -159,18 +164,14 @@
             # The first cell of an ordinary message goes even if it is large, or it would never go.
             if deltas and out.price + price > most and (urgent or out.cells):
                 continue
-            self._add(out, deltas, price)
+            out.deltas += deltas
+            out.price += price
             out.cells[number] = price
             begun = begun or whole
             if mark is not None:
                 out.marks.append(((number, mark[0]), mark[1]))
         return out
 
-    @staticmethod
-    def _add(out: Piece, deltas: list[feed.Delta], price: float) -> None:
-        out.deltas += deltas
-        out.price += price
-
     def _cell(self, proxy: int, account: Account, number: int, begun: bool) -> tuple[list[feed.Delta], float]:
         """All that a relay is owed of one cell, and its price."""
         cell, tables, since = self.cells[number], self.tables, account.told[number]
@@ -197,9 +198,7 @@
             lines = tables.lines.get(table, {})
             deltas += [feed.Line(table, names.replicas.names[r], round(lines.get(r, 0.0), 6))
                        for r, count in cell.lines.get(table, {}).items() if count > since]
-        for (kind, at, index), count in reversed(cell.loose.items()):
-            if count <= since:
-                break
+        for kind, at, index in _since(cell.loose, since):
             if kind == "back":
                 deltas.append(feed.Back(names.replicas.names[index]))
             elif (at is None or at in on) and (level := tables.levels.get((at, index))):
--- a/gradehoist/governor/tally.py
+++ b/gradehoist/governor/tally.py
@@ -25,6 +25,7 @@
         self.counts = {cell: Count() for cell in cells}
         self.load: dict[str, float] = {}  # by worker: busy share as last reported
         self._workers = workers
+        self._crews = {cell: [w for w, c in workers.items() if c == cell] for cell in cells}
 
     def add(self, sums: feed.Sums) -> None:
         """Sums that were taken; workers of no cell are left out."""
@@ -45,13 +46,12 @@
         """By cell: its counts, workers that are ready, their mean load and the room left."""
         out: dict[str, dict[str, float]] = {}
         for cell, count in self.counts.items():
-            ready = [w for w, c in self._workers.items() if c == cell
-                     and (e := listed.get(w)) is not None and e.phase == "ready"]
+            ready = [w for w in self._crews[cell] if (e := listed.get(w)) is not None and e.phase == "ready"]
             loads = [self.load[w] for w in ready if w in self.load]
             load = sum(loads) / len(loads) if loads else 0.0
             out[cell] = {
                 "came": count.came, "unanswered": count.unanswered, "tries": count.tries, "bad": count.bad,
                 "elapsed": count.elapsed, "ready": len(ready),
-                "workers": sum(c == cell for c in self._workers.values()),
+                "workers": len(self._crews[cell]),
                 "load": round(load, 4), "headroom": round(max(0.0, 1 - load), 4)}
         return out
--- a/gradehoist/mover/release.py
+++ b/gradehoist/mover/release.py
@@ -5,20 +5,21 @@
 
 import asyncio
 import shlex
+import sys
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
 from gradehoist.cells.release import Release, Seen, Step, calm, judge
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from gradehoist.protocol import feed
+from gradehoist.mover import ask
+from gradehoist.net.client import Client
 from gradehoist.settings.fleet import Settings
 from gradehoist.store import keep
 
+NOT_RUN = 127  # as shells say it of a command that is not there
 LOOK = 0.5  # seconds between looks at the figures
 Window = dict[str, Seen]
 
@@ -49,24 +50,21 @@
         self.total: Window = {c: Seen() for c in cells}
 
     async def look(self) -> bool:
-        """Brings the totals up to now; False where no governor answered."""
-        answers = await asyncio.gather(*(self._ask(name) for name in self._clients))
-        return any(answers)
+        """Brings the totals up to now; False where a governor did not answer: its relays are not seen."""
+        return all(await asyncio.gather(*(self._ask(name) for name in self._clients)))
 
     async def _ask(self, name: str) -> bool:
-        try:
-            response = await self._clients[name].exchange("GET", "/v1/status", timeout=2.0)
-            status: dict[str, Any] = msgspec.json.decode(response.body)
-            now = {c: Seen(x["came"], x["unanswered"], x["tries"] - x["bad"], x["elapsed"])
-                   for c, x in status["cells"].items()}
-        except (Unreachable, Broken, TimedOut, msgspec.MsgspecError, KeyError, TypeError):
+        status = await ask.status(self._clients[name])
+        if status is None:
             return False
+        now = {c: Seen(x["came"], x["unanswered"], x["tries"] - x["bad"], x["elapsed"])
+               for c, x in status["cells"].items()}
         epoch, before = self._last.get(name, ("", now))  # what it counted before we looked is not ours
         if epoch and epoch != status["epoch"]:
             before = {c: Seen() for c in now}
         for cell, seen in now.items():
             if cell in self.total:
-                self.total[cell] = self.total[cell].plus(seen.since(before[cell]))
+                self.total[cell] = self.total[cell].plus(seen.since(before.get(cell, Seen())))
         self._last[name] = (status["epoch"], now)
         return True
 
@@ -85,18 +83,18 @@
         self.figures = Figures(settings, settings.fleet.cells.cells)
         self._roster = Client(*settings.fleet.roster, connect_timeout=0.5)
         self._past: deque[tuple[float, Window]] = deque()  # totals of late, to compare with
+        self._heard = 0.0  # when all governors last answered
 
     async def run(self, release: Release) -> Release:
-        """To its end or a halt; then, where a command is given for it, the cell's workers are put back."""
+        """To its end or a halt, which puts back what was touched where a command is given for it."""
         try:
-            await self._watch(release, self.soak)  # what was usual before
-            while release.step not in (Step.DONE, Step.HALTED):
-                before = self._window(self.soak)
-                start = dict(self.figures.total)
-                release = await self._stage(release, before, start)
-            if release.step is Step.HALTED:
-                await self._put_back(release)
-            return release
+            if release.step is not Step.BACK:
+                await self._watch(release, self.soak)  # what was usual before
+            while release.step in (Step.RENEW, Step.SOAK):
+                if not release.before:
+                    release = release.staged(self._window(self.soak))
+                release = await self._stage(release, release.before, dict(self.figures.total))
+            return await self._put_back(release) if release.step is Step.BACK else release
         finally:
             self.figures.close()
             self._roster.close()
@@ -106,7 +104,7 @@
         self.told(release, text)
         return release
 
-    async def _stage(self, release: Release, before: Window, start: Window) -> Release:
+    async def _stage(self, release: Release, before: Mapping[str, Seen], start: Window) -> Release:
         while release.step is Step.RENEW:
             some = release.due()
             release = self._keep(release.begun(some), f"{release.cell}: renews {', '.join(some)}")
@@ -124,11 +122,20 @@
         why = await self._watch(release, self.soak, before, start)
         if why:
             return self._keep(release.halt(why), f"halted: {why}")
-        while not calm(release.cell, before, self._window(self.soak)):
-            self.told(release, "other cells fail more than before: waits")
-            await self._watch(release, self.soak)
+        while why := self._waits(release, before):
+            self.told(release, f"{why}: waits")
+            if harm := await self._watch(release, self.soak, before, start):
+                return self._keep(release.halt(harm), f"halted: {harm}")
         return self._keep(release.soaked(), f"{release.cell}: no harm seen")
 
+    def _waits(self, release: Release, before: Mapping[str, Seen]) -> str:
+        """Why the next cell may not be begun yet, though no harm was seen in this one."""
+        if self._heard < time.monotonic() - self.soak:
+            return "a governor does not answer, so nobody can say"
+        if not calm(release.cell, before, self._window(self.soak)):
+            return "other cells fail more than before"
+        return ""
+
     def _window(self, seconds: float) -> Window:
         """What was met within the last seconds."""
         now, last = time.monotonic(), self.figures.total
@@ -136,13 +143,14 @@
         return {c: last[c].since(then[c]) for c in last}
 
     async def _look(self) -> None:
-        await self.figures.look()
+        heard = await self.figures.look()
         now = time.monotonic()
+        self._heard = now if heard else self._heard
         self._past.append((now, dict(self.figures.total)))
         while self._past[0][0] < now - 4 * self.soak:
             self._past.popleft()
 
-    async def _watch(self, release: Release, seconds: float, before: Window | None = None,
+    async def _watch(self, release: Release, seconds: float, before: Mapping[str, Seen] | None = None,
                      start: Window | None = None) -> str:
         """Looks for so long; why the cell is harmed, as soon as it shows."""
         end = time.monotonic() + seconds
@@ -153,13 +161,13 @@
             await asyncio.sleep(LOOK)
         return ""
 
-    def _harm(self, release: Release, before: Window, start: Window) -> str:
+    def _harm(self, release: Release, before: Mapping[str, Seen], start: Window) -> str:
         total = self.figures.total
         whole = {c: total[c].since(start[c]) for c in total}
         return judge(release.cell, before, whole) or judge(release.cell, before, self._window(self.soak))
 
     async def _back_again(self, release: Release, workers: tuple[str, ...], boots: dict[str, str],
-                          before: Window, start: Window) -> str:
+                          before: Mapping[str, Seen], start: Window) -> str:
         """Waits until the roster lists the workers as ready in a new life; why not, or the harm seen."""
         end = time.monotonic() + self.patience
         while True:
@@ -174,23 +182,23 @@
 
     async def _boots(self) -> dict[str, str]:
         """By worker that is listed as ready, the name of its life."""
-        try:
-            target = f"/v1/roster?zone={self.settings.governors[0].zone}&after=-1&reader="
-            response = await self._roster.exchange("GET", target, timeout=2.0)
-            listed: feed.Roster = msgspec.json.decode(response.body, type=feed.Roster)
-        except (Unreachable, Broken, TimedOut, msgspec.MsgspecError):
-            return {}
-        return {e.replica: e.boot for e in listed.entries if e.phase == "ready"}
+        entries = await ask.listed(self._roster, self.settings.governors[0].zone)
+        return {e.replica: e.boot for e in entries or () if e.phase == "ready"}
 
     async def _command(self, command: str, worker: str, cell: str) -> int:
         words = [w.replace("{worker}", worker).replace("{cell}", cell) for w in shlex.split(command)]
-        process = await asyncio.create_subprocess_exec(*words)
+        try:
+            process = await asyncio.create_subprocess_exec(*words)
+        except OSError as fault:
+            print(f"{words[0]}: {fault.strerror or fault}", file=sys.stderr, flush=True)
+            return NOT_RUN
         return await process.wait()
 
-    async def _put_back(self, release: Release) -> None:
-        if not release.back:
-            return
+    async def _put_back(self, release: Release) -> Release:
+        """The touched workers of the cell; a kill on the way begins with the first again."""
         for worker in release.workers[release.cell]:
-            if worker in release.touched:
+            if release.back and worker in release.touched:
                 self.told(release, f"{release.cell}: puts {worker} back")
-                await self._command(release.back, worker, release.cell)
+                if code := await self._command(release.back, worker, release.cell):
+                    self.told(release, f"{worker} was not put back: the command ended with {code}")
+        return self._keep(release.ended(), "halted for good")
--- a/gradehoist/mover/run.py
+++ b/gradehoist/mover/run.py
@@ -11,8 +11,8 @@
 
 from gradehoist.cells.assign import lot
 from gradehoist.cells.moves import Confirm, Move, Step
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from gradehoist.protocol import feed
+from gradehoist.mover import ask
+from gradehoist.net.client import Client
 from gradehoist.settings.fleet import Placed, Settings
 from gradehoist.store import keep
 
@@ -56,6 +56,12 @@
     keep.write(store / "draining.json", msgspec.json.encode(cells))
 
 
+def under_way(moves: list[Move]) -> list[Move]:
+    """Those to be carried on; one that is undone gave way to its undoing, and its record ends as it was."""
+    undone = {m.id.removesuffix("-undo") for m in moves if m.undone}
+    return [m for m in moves if m.step is not Step.DONE and m.id not in undone]
+
+
 def lives(moves: list[Move], placed: Placed) -> dict[str, str]:
     """Where each tenant that is named or was moved lives, or is on its way to."""
     out = dict(placed.named)
@@ -178,7 +184,7 @@
             if response.status == 200:
                 answer: Confirm = msgspec.json.decode(response.body, type=Confirm)
                 return answer
-        except (Unreachable, Broken, TimedOut, msgspec.MsgspecError):
+        except ask.FAULTS:
             pass
         return None
 
@@ -187,11 +193,6 @@
         client = Client(*self.settings.fleet.roster)
         zone = self.settings.governors[0].zone
         while True:
-            try:
-                target = f"/v1/roster?zone={zone}&after=-1&reader="
-                response = await client.exchange("GET", target, timeout=2.0)
-                listed: feed.Roster = msgspec.json.decode(response.body, type=feed.Roster)
-                self._addresses = {e.replica: e.address or e.replica for e in listed.entries}
-            except (Unreachable, Broken, TimedOut, msgspec.MsgspecError):
-                pass
+            if (entries := await ask.listed(client, zone)) is not None:
+                self._addresses = {e.replica: e.address or e.replica for e in entries}
             await asyncio.sleep(1.0)
--- a/gradehoist/plans/make.py
+++ b/gradehoist/plans/make.py
@@ -12,7 +12,7 @@
 from gradehoist.plans import proof
 from gradehoist.plans.problem import Flow, Group, Problem
 from gradehoist.plans.read import Event
-from gradehoist.plans.solve import GRID, addition, solve
+from gradehoist.plans.solve import GRID, PRICES, addition, solve
 
 VERSION = 1
 
@@ -30,13 +30,15 @@
 
 class Case(msgspec.Struct, frozen=True):
     """A slot with some halls lost: what is served where, what falls short (class, hall, rate as written in a
-    fraction), and the workers that would mend it by hall and kind; none where no number would."""
+    fraction), and the workers that would mend it by hall and kind; none where no number would. `prices` of
+    load by hall, kind and cell prove that nothing gains more."""
 
     slot: int
     lost: tuple[str, ...]
     served: tuple[Served, ...]
     short: tuple[tuple[str, str, str], ...] = ()
     add: tuple[tuple[str, str, int], ...] | None = ()
+    prices: tuple[tuple[str, str, str, int], ...] = ()
 
     def flows(self) -> dict[Flow, Fraction]:
         return {Flow(s.cls, s.origin, Group(s.zone, s.kind, s.cell)): Fraction(s.rate, GRID)
@@ -82,7 +84,8 @@
             served = tuple(Served(f.cls, f.origin, *f.group, int(x * GRID))
                            for f, x in sorted(answer.flows.items()))
             add = None if more is None else tuple((g.zone, g.kind, n) for g, n in sorted(more.items()))
-            cases.append(Case(slot, tuple(sorted(lost)), served, short, add))
+            prices = tuple((*g, int(x * PRICES)) for g, x in sorted(answer.prices.items()) if x)
+            cases.append(Case(slot, tuple(sorted(lost)), served, short, add, prices))
             told(len(cases), problem.slots * len(losses))
     return Plan(VERSION, event.name, event.begins.isoformat(), str(event.begins.tzinfo), event.slot,
                 mark(problem), tuple(cases))
@@ -104,6 +107,10 @@
             continue
         lost, flows = frozenset(case.lost), case.flows()
         out += [f"{name}: {x}" for x in proof.faults(event.problem, case.slot, lost, flows)]
+        prices = {Group(z, k, c): Fraction(max(0, x), PRICES) for z, k, c, x in case.prices}
+        gap = proof.most(event.problem, case.slot, lost, prices) - proof.gain(event.problem, flows)
+        if gap > proof.rounding(event.problem, lost, GRID):
+            out.append(f"{name}: gains {float(gap):.6g} less a second than it may; make it anew")
         said = {(k, o): Fraction(x) for k, o, x in case.short}
         for (k, o), demand in event.problem.demand.items():
             got = sum((x for f, x in flows.items() if (f.cls, f.origin) == (k, o)), Fraction(0))
--- a/gradehoist/plans/proof.py
+++ b/gradehoist/plans/proof.py
@@ -34,6 +34,12 @@
     return sum((rate * problem.classes[f.cls].gain for f, rate in flows.items()), Fraction(0))
 
 
+def rounding(problem: Problem, lost: frozenset[str], grid: int) -> Fraction:
+    """What rounding flows to a grid may cost: two steps of each, once rounded and once mended."""
+    dearest = max((c.gain for c in problem.classes.values()), default=Fraction(0))
+    return 2 * len(problem.flows(lost)) * dearest / grid
+
+
 def most(problem: Problem, slot: int, lost: frozenset[str], prices: Mapping[Group, Fraction]) -> Fraction:
     """No plan gains more than this, whatever the prices of load (each at least 0): by weak duality, with the
     least price of demand that they allow. The nearer the prices are to the solver's own, the nearer it is."""
--- a/gradehoist/plans/read.py
+++ b/gradehoist/plans/read.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 from fractions import Fraction
 from pathlib import Path
 from typing import Any
@@ -72,20 +72,25 @@
 def read(path: Path) -> list[Event]:
     """Raises SettingsError with every error found."""
     reader, root = r.load(path)
-    zones = root.need("zones").words("zone names")
-    root.need("zones").done(args=len(zones))
+    node = root.need("zones")
+    zones = node.words("zone names")
+    node.done(args=len(zones))
     kinds: dict[str, Kind] = {}
     classes: dict[str, Class] = {}
-    nodes = root.all("class")
+    for what in ("kind", "class", "event"):
+        seen = [n.args[0] for n in root.all(what) if n.args]
+        for n in root.all(what):
+            if n.args and seen.count(n.args[0]) > 1:
+                n.fault(f"a {what} named twice", f"name each {what} once")
     for n in root.all("kind"):
         name = n.word("a kind's name")
         of = {}
         for x in n.all("of"):
-            of[x.word("a class name")] = x.get("rate", exact(1e-6, 1e9))
+            of[x.word("a class name")] = x.get("rate", exact(1e-6, 1e9)) or Fraction(1)  # told at the end
             x.done(args=1)
         kinds[name] = Kind(name, of)
         n.done(args=1)
-    for n in nodes:
+    for n in root.all("class"):
         name = n.word("a class name")
         some_zones = n.get("only-zones", r.names(zones)) if "only-zones" in n.props else None
         some_kinds = n.get("only-kinds", r.names(kinds)) if "only-kinds" in n.props else None
@@ -101,21 +106,23 @@
     for n in root.all("workers"):
         group = Group(n.get("zone", r.one_of(zones), ""), n.get("kind", r.one_of(kinds), ""),
                       n.get("cell", r.text, ""))
-        workers[group] = workers.get(group, 0) + n.get("count", r.whole(0, 100_000))
+        workers[group] = workers.get(group, 0) + (n.get("count", r.whole(0, 100_000)) or 0)
         n.done()
     cross = {}
     for n in root.all("cross"):
         pair = (n.get("from", r.one_of(zones), ""), n.get("to", r.one_of(zones), ""))
         cross[pair] = n.get("cost", exact(0, 1e9))
         n.done()
-    spare = root.get("spare", exact(0, 0.95), Fraction(0))
-    if node := root.child("spare"):
-        spare = node.get("part", exact(0, 0.95))
-        node.done()
+    spare = Fraction(0)
+    if free := root.child("spare"):
+        spare = free.get("part", exact(0, 0.95))
+        free.done()
     events = []
     for n in root.all("event"):
         name, where, at = n.word("an event's name"), n.get("zone", zone), n.get("begins", local)
         slot, slots = n.get("slot", r.time), n.get("slots", r.whole(1, 1_000))
+        if slot is not None and slot < 1_000_000:
+            n.fault("a slot under a second", 'write such as slot="1h"', "slot")
         if at and where and not one(at, where):
             n.fault("a local time that a clock change leaves out or brings twice",
                     "choose a time an hour before or after", "begins")
@@ -138,7 +145,9 @@
         root.fault("no event", 'add a node such as event "festival" begins="2027-02-05T09:00" …', "event")
     root.done()
     reader.finish()
-    spans = sorted((e.begins, e.begins + timedelta(seconds=e.slot * e.problem.slots), e.name) for e in events)
+    # In UTC: added to a local time, hours across a clock change are the clock's and not those that pass.
+    spans = sorted((at := e.begins.astimezone(UTC), at + timedelta(seconds=e.slot * e.problem.slots), e.name)
+                   for e in events)
     for (_, end, first), (begins, _, second) in zip(spans, spans[1:], strict=False):
         if begins < end:
             raise r.SettingsError([f"{path}: events {first} and {second} overlap; write them as one event "
--- a/gradehoist/plans/solve.py
+++ b/gradehoist/plans/solve.py
@@ -21,25 +21,23 @@
 
 GRID = 10_000  # flows are whole parts of it of a transaction a second: finer than any weight can tell
 SLACK = 1e-6  # of an earlier aim that a later one may use: over the solver's tolerance, well under the grid
+PRICES = 10**9  # prices of load are whole parts of it: any price bounds, a near one nearly as well
 INF = highspy.kHighsInf
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """One slot with some halls lost. `short` by class and origin; no plan can gain more than `bound`."""
+    """One slot with some halls lost. `short` by class and origin; by `prices` of load `proof.most` bounds
+    what any plan could gain."""
 
     slot: int
     lost: frozenset[str]
     flows: Mapping[Flow, Fraction]
     short: Mapping[tuple[str, str], Fraction]
     gain: Fraction
-    bound: Fraction
+    prices: Mapping[Group, Fraction]
     crossing: Fraction
 
-    @property
-    def gap(self) -> Fraction:
-        return self.bound - self.gain
-
 
 class Unsolved(Exception):
     """The solver gave no answer to a program that has one: a fault of the program, never a plan."""
@@ -52,6 +50,7 @@
     highs.setOptionValue("output_flag", False)
     highs.setOptionValue("threads", 1)
     highs.setOptionValue("random_seed", 1)
+    highs.setOptionValue("mip_rel_gap", 0.0)  # the fewest workers, not nearly the fewest
     return highs
 
 
@@ -116,7 +115,7 @@
         """Of a worker's worth of load, from the last aim."""
         dual = self.highs.getSolution().row_dual
         first = len(self.keys)
-        return {g: max(Fraction(0), Fraction(-round(dual[first + n] * 1e9), 10**9))
+        return {g: Fraction(max(0, -round(dual[first + n] * PRICES)), PRICES)
                 for n, g in enumerate(self.groups)}
 
 
@@ -138,9 +137,9 @@
     short = {key: problem.demand[key][slot] for key in sorted(problem.demand)}
     for f, x in flows.items():
         short[f.cls, f.origin] -= x
-    return Answer(slot, lost, {f: x for f, x in flows.items() if x}, short, proof.gain(problem, flows),
-                  proof.most(problem, slot, lost, prices),
-                  sum((x * problem.cost(f) for f, x in flows.items()), Fraction(0)))
+    crossing = sum((x * problem.cost(f) for f, x in flows.items()), Fraction(0))
+    served = {f: x for f, x in flows.items() if x}
+    return Answer(slot, lost, served, short, proof.gain(problem, flows), prices, crossing)
 
 
 def _mended(problem: Problem, slot: int, flows: dict[Flow, Fraction]) -> dict[Flow, Fraction]:
--- a/tests/governed.py
+++ b/tests/governed.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import msgspec
+
 from gradehoist.governor.core import Core, Poll, Refused
 from gradehoist.governor.planner import Modules
 from gradehoist.protocol import feed
@@ -35,6 +37,20 @@
     return found
 
 
+def on_sockets(folder: Path, roster: int, port: int, placed: f.Placed | None = None, more: str = ""
+               ) -> f.Settings:
+    """Settings of one governor on loopback ports; with a placement, `more` beside its file's name."""
+    text = TEXT.format(relays=4, queue=2000, rate=2000)
+    text = text.replace(":7000", f":{roster}").replace(":7101", f":{port}")
+    if placed is not None:
+        (folder / "p.json").write_bytes(msgspec.json.encode(placed))
+        text = text.replace("    reports", f'    cells placement="p.json" {more}\n    reports')
+    reader = r.Reader("test")
+    found = f.parse(reader.root(text), folder)
+    reader.finish()
+    return found
+
+
 def entry(n: int, phase: str = "ready", boot: int = 1, age: int = 10**9) -> feed.Replica:
     return feed.Replica(f"w{n}", "xy"[n % 2], "", "k", 0, phase, 1.0, f"w{n}/{boot}", age)
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -23,7 +23,7 @@
 from gradehoist.settings.fleet import Placed
 from gradehoist.settings.fleet import read as settings_of
 from gradehoist.settings.reader import SettingsError
-from tests.governed import SECOND, World, entry
+from tests.governed import SECOND, World, entry, on_sockets
 
 ZONES = ("x", "y", "z")
 
@@ -276,10 +276,11 @@
     assert "u" in mover.away("A", [done], placed, ("A",))
     with pytest.raises(ValueError, match="no other cell"):
         mover.away("A", [], placed, ("A", "B", "C"))
+    undone = [Move("0", "t0", "A", "B", 2), Move("0-undo", "t0", "B", "A", 3, Step.DONE, undone=True)]
+    assert not mover.under_way(undone)  # taken for one on its way, it kept a drain going round for ever
     mover.drain(tmp_path, ("B",))
     assert mover.draining(tmp_path) == ("B",)
-    fleet_of = dataclasses.replace(world(2, 2, 4).settings.fleet, cells=placed)
-    site = dataclasses.replace(world(2, 2, 4).settings, fleet=fleet_of)
+    site = on_sockets(tmp_path, 7000, 7101, placed)
     with pytest.raises(ValueError, match="cell B is draining"):
         mover.order(tmp_path, site, {"t1": "C", "t2": "B"})
     assert not mover.load(tmp_path)  # none of them was begun
@@ -323,14 +324,12 @@
     found.dial()
     found.run(4)
     for relay in found.relays:
-        route = relay.holdings.route
-        assert route is not None
+        assert (route := relay.holdings.route) is not None
         assert [home(t, route.cells, route.named) for t in names] == [old.home(t) for t in names]
         assert set(relay.holdings.lines("new/write")) == set(go)
         assert set(relay.holdings.lines("c0/write")) == set(old.of("c0")) - set(go)
     found.core.moved("inn3", "new", 2)
     found.run(2)
     for relay in found.relays:
-        route = relay.holdings.route
-        assert route is not None and home("inn3", route.cells, route.named) == "new"
+        assert (route := relay.holdings.route) and home("inn3", route.cells, route.named) == "new"
         assert route.gens["inn3"] == 2 and home("inn4", route.cells, route.named) == old.home("inn4")
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -13,7 +13,7 @@
 from gradehoist.governor.tables import Tables
 from gradehoist.names import Names
 from gradehoist.protocol import feed
-from tests.governed import SECOND, Relay, World, entry
+from tests.governed import SECOND, entry
 from tests.test_cells import world
 
 CELLS, CLASSES, RELAYS = 4, 2, 3
@@ -118,17 +118,6 @@
     assert 2 in play.serve(0, False, 1e6).cells
 
 
-def found_out(w: World, name: str) -> list[int]:
-    """How long ago, µs, a withdrawal reached each relay, by running until it has."""
-    began, waits = w.now, dict[str, int]()
-    while len(waits) < len(w.relays) and w.now < began + 5 * SECOND:
-        w.run(0.02)
-        for r in w.relays:
-            if name in r.holdings.out:
-                waits.setdefault(r.name, w.now - began)
-    return sorted(waits.values())
-
-
 def test_a_drain_goes_at_once_while_every_cell_s_lines_crowd_the_channel() -> None:
     """Forty relays, twelve cells, a channel of 600 lines a second, all relays still being bound."""
     w = world(12, 40, 48, queue=2_000, rate=600)
@@ -136,24 +125,21 @@
     w.run(5)
     assert any(len(r.holdings.table) < 24 for r in w.relays)  # still bound, one after the other
     w.list(entry(7, "draining"), entry(20, "draining"))
-    waits = found_out(w, "w7")
-    assert len(waits) == 40 and waits[-1] < 2 * SECOND
+    w.run(1.9)
+    assert all({"w7", "w20"} <= r.holdings.out for r in w.relays)
     w.run(9)
     assert all(len(r.holdings.table) >= 24 for r in w.relays)
     assert all(set(r.holdings.lines("c3/write")) == {"w6", "w30", "w31"} for r in w.relays)
     assert not any(r.pictures for r in w.relays) and w.most <= 2_000
 
 
-def test_relays_with_most_traffic_are_introduced_first_and_one_that_leaves_unheard_of_is_no_event() -> None:
+def test_a_relay_the_modules_have_not_heard_of_hears_of_a_drain_and_leaves_without_an_event() -> None:
     w = world(12, 40, 48, queue=2_000, rate=300)
     w.dial()
     w.run(3)
-    strange = dict(w.core._strange)
-    assert strange and len(strange) < 40
-    gone = next(iter(strange))
+    gone, *strange = w.core._strange
     w.core.left(gone, "its connection closed")
-    assert not any(isinstance(e, i.Left) for p in w.core.parts for e in p.events)
-    quiet: list[Relay] = [r for r in w.relays if w.core.names.proxies[r.name] in strange]
-    w.list(entry(9, "draining"))  # they hear of it all the same, bound or not
+    assert strange and not any(isinstance(e, i.Left) for p in w.core.parts for e in p.events)
+    w.list(entry(9, "draining"))
     w.run(2)
-    assert all("w9" in r.holdings.out for r in quiet if w.core.names.proxies[r.name] != gone)
+    assert all("w9" in r.holdings.out for r in w.relays if w.core.names.proxies[r.name] in strange)
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -13,10 +13,9 @@
 from gradehoist.mover import run as mover
 from gradehoist.net.server import Answer, Connection, Server, json
 from gradehoist.protocol import feed, http
-from gradehoist.settings import fleet as f
-from gradehoist.settings import reader as r
+from gradehoist.settings.fleet import Placed
 from gradehoist.store.keep import Held, Lock, write
-from tests.governed import TEXT
+from tests.governed import on_sockets
 
 LOCAL = "127.0.0.1"
 CELLS = {"a1": "A", "a2": "A", "b1": "B", "b2": "B"}
@@ -36,13 +35,8 @@
             server = Server(lambda q, c, name=name: self.handle(name, q, c))  # type: ignore[misc]
             server.listen(port, LOCAL)
             self.servers.append(server)
-        (folder / "p.json").write_bytes(msgspec.json.encode(f.Placed(("A", "B"), CELLS, {"inn": "A"})))
-        reader = r.Reader("test")
-        text = TEXT.format(relays=4, queue=2000, rate=2000).replace(":7000", f":{self.at['roster']}")
-        text = text.replace(":7101", f":{self.at['g']}").replace(
-            '    reports', '    cells placement="p.json" lease="50ms" settle="100ms"\n    reports')
-        self.settings = f.parse(reader.root(text), folder)
-        reader.finish()
+        self.settings = on_sockets(folder, self.at["roster"], self.at["g"], Placed(
+            ("A", "B"), CELLS, {"inn": "A"}), 'lease="50ms" settle="100ms"')
 
     async def handle(self, name: str, request: http.Request, connection: Connection) -> Answer | None:
         if name == "roster":
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import random
+import re
 from fractions import Fraction as F
 from pathlib import Path
 
@@ -16,24 +18,25 @@
 from gradehoist.plans import proof
 from gradehoist.plans.problem import Class, Flow, Group, Kind, Problem
 from gradehoist.plans.read import read
-from gradehoist.plans.solve import addition, solve, tie
+from gradehoist.plans.solve import GRID, addition, solve, tie
 from gradehoist.settings.reader import SettingsError
 
 ZONES = ("a", "b", "c")
+EVENTS = Path(__file__).parent.parent / "deploy" / "events.kdl"
 
 
-def problem(seed: int, zones: int = 3, classes: int = 1, **more: object) -> Problem:
+def problem(seed: int, classes: int = 1) -> Problem:
     """Up to six workers in three halls; small whole figures, so that ties are many."""
     dice = random.Random(seed)
     kinds = {"k": Kind("k", {"read": F(2), "write": F(1)}), "l": Kind("l", {"read": F(3)})}
     names = ("read", "write")[:classes]
     some = {n: Class(n, F(dice.choice([1, 2, 6])),
                      dice.choice([None, None, ("a", "b")]), None, dice.random() < 0.15) for n in names}
-    workers = {Group(z, dice.choice(["k", "k", "l"])): dice.randrange(3) for z in ZONES[:zones]}
+    workers = {Group(z, dice.choice(["k", "k", "l"])): dice.randrange(3) for z in ZONES}
     origins = ZONES[:2] if classes == 1 else ZONES[:1]
     demand = {(n, z): (F(dice.choice([0, 1, 2, 4, 7])),) for n in names for z in origins}
     cross = {(o, z): F(dice.choice([1, 1, 2])) for o in ZONES for z in ZONES if o != z}
-    return Problem(ZONES[:zones], kinds, some, workers, demand, cross, dice.choice([F(0), F(1, 4)]))
+    return Problem(ZONES, kinds, some, workers, demand, cross, dice.choice([F(0), F(1, 4)]))
 
 
 def eliminated(rows: list[list[F]]) -> list[F] | None:
@@ -98,7 +101,8 @@
             assert abs(answer.crossing - rank[1]) < F(1, 100), f"seed {seed}"
             for f in {*flows, *answer.flows}:
                 assert abs(answer.flows.get(f, F(0)) - flows.get(f, F(0))) < F(1, 100), f"seed {seed}: {f}"
-            assert 0 <= answer.gap < F(1, 100)
+            gap = proof.most(p, 0, lost, answer.prices) - answer.gain
+            assert 0 <= gap <= proof.rounding(p, lost, GRID)
 
 
 def test_the_order_of_input_does_not_show() -> None:
@@ -159,9 +163,6 @@
         assert proof.most(p, 0, none, {a: price, b: price}) >= solve(p, 0).gain
 
 
-EVENTS = Path(__file__).parent.parent / "deploy" / "events.kdl"
-
-
 def test_a_plan_is_made_checked_and_refused_when_it_no_longer_fits(tmp_path: Path) -> None:
     def run(*words: str) -> Result:
         return CliRunner().invoke(main, ["plan", *words])
@@ -190,7 +191,10 @@
             (msgspec.structs.replace(found, cases=(msgspec.structs.replace(
                 case, served=(more, *case.served[1:])), *found.cases[1:])), "served of"),
             (msgspec.structs.replace(found, cases=(msgspec.structs.replace(
-                case, served=case.served[1:]), *found.cases[1:])), "falls short by another figure")):
+                case, served=case.served[1:]), *found.cases[1:])), "falls short by another figure"),
+            (msgspec.structs.replace(found, cases=(msgspec.structs.replace(case, served=(), short=tuple(
+                (*key, str(d[0])) for key, d in event.problem.demand.items())), *found.cases[1:])),
+             "less a second than it may")):  # a shortfall truly told that need not be
         assert any(said in x for x in making.check(bad, event)), said
     plan.write_bytes(first[:200])
     cut = run("check", str(EVENTS), str(plan))
@@ -215,6 +219,10 @@
     assert "clock change" in faults('begins="2027-02-05T09:00" zone="Asia/Tokyo"',
                                     'begins="2027-10-31T02:30" zone="Europe/Berlin"')  # there twice
     text = EVENTS.read_text()
+    for m in re.finditer(r'\S+=("[^"]*"|\S+)', text):  # each figure left out: never a traceback
+        path.write_text(text[:m.start()] + text[m.end():])
+        with contextlib.suppress(SettingsError):
+            read(path)
     second = text[text.index('event "'):].replace("snow-festival", "late").replace("T09:00", "T11:00")
     path.write_text(text + second)
     with pytest.raises(SettingsError, match="snow-festival and late overlap"):
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
-import msgspec
 import pytest
 
 from gradehoist.cells.release import Release, Seen, Step, calm, judge
@@ -14,9 +16,8 @@
 from gradehoist.mover import release as releasing
 from gradehoist.net.server import Answer, Connection, Server, json
 from gradehoist.protocol import feed, http
-from gradehoist.settings import fleet as f
-from gradehoist.settings import reader as r
-from tests.governed import TEXT
+from gradehoist.settings.fleet import Placed
+from tests.governed import on_sockets
 
 CELLS = {"A": ("a1", "a2"), "B": ("b1", "b2"), "C": ("c1", "c2")}
 LOCAL = "127.0.0.1"
@@ -59,17 +60,11 @@
         self.patience = 20.0 if returns else 0.5
         self.folder, self.bad, self.returns = folder, bad, returns
         roster, port = self.ports = ports(2)
-        self.looks = 0
-        self.counts = {c: {"came": 0, "unanswered": 0, "tries": 0, "bad": 0, "elapsed": 0} for c in CELLS}
+        self.counts = {c: Counter(came=0, unanswered=0, tries=0, bad=0, elapsed=0) for c in CELLS}
         workers = {w: c for c, ws in CELLS.items() for w in ws}
-        (folder / "p.json").write_bytes(msgspec.json.encode(f.Placed(tuple(CELLS), workers)))
-        reader = r.Reader("test")
-        text = TEXT.format(relays=4, queue=2000, rate=2000).replace(":7000", f":{roster}")
-        text = text.replace(":7101", f":{port}").replace(
-            '    reports', '    cells placement="p.json"\n    reports')
-        self.settings = f.parse(reader.root(text), folder)
-        reader.finish()
+        self.settings = on_sockets(folder, roster, port, Placed(tuple(CELLS), workers))
         self.said: list[str] = []
+        self.deaf: Callable[[], bool] = lambda: False
 
     def renewed(self) -> list[str]:
         path = self.folder / "renewed"
@@ -81,13 +76,11 @@
             feed.Replica(w, "x", boot=f"{w}/{lives.count(w)}") for ws in CELLS.values() for w in ws), True))
 
     async def status(self, request: http.Request, connection: Connection) -> Answer:
-        self.looks += 1
+        if self.deaf():
+            return Answer(503)
         for cell, count in self.counts.items():
             hurt = bool(set(CELLS[cell]) & set(self.bad) & set(self.renewed()))
-            count["came"] += 60
-            count["unanswered"] += 30 * hurt
-            count["tries"] += 60
-            count["elapsed"] += 60 * 200_000
+            count.update(Counter(came=60, unanswered=30 * hurt, tries=60, elapsed=60 * 200_000))
         return json({"epoch": "e", "cells": self.counts})
 
     def tell(self, release: Release, text: str) -> None:
@@ -133,12 +126,32 @@
     assert releasing.load(tmp_path) == ended
 
 
+@pytest.mark.parametrize("step", [Step.RENEW, Step.BACK])
+def test_killed_in_a_harmed_cell_it_knows_what_was_usual_and_puts_back(tmp_path: Path, step: Step) -> None:
+    """Begun again it took the harmed cell for the usual; killed while it put back it left the rest."""
+    (tmp_path / "renewed").write_text("b1\n")
+    usual = {c: Seen(600, 0, 600, 600 * 200_000) for c in CELLS}
+    site = Site(tmp_path, bad=("b1",))
+    ended = site.play(replace(site.release(), at=1, step=step, touched=frozenset({"b1"}), before=usual))
+    assert ended.step is Step.HALTED and (tmp_path / "back").read_text().split()[0] == "b1"
+    assert "c1" not in site.renewed()
+
+
+def test_while_a_governor_is_silent_no_further_cell_is_begun(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    site.deaf = lambda: "a2" in site.renewed() and not any("nobody can say" in x for x in site.said)
+    assert site.play(site.release()).step is Step.DONE
+    waited = next(n for n, x in enumerate(site.said) if "nobody can say" in x)
+    assert waited < next(n for n, x in enumerate(site.said) if "B: renews b1" in x)
+
+
 def test_a_worker_that_does_not_return_and_a_command_that_fails_halt_it(tmp_path: Path) -> None:
     site = Site(tmp_path, returns=False)
     ended = site.play(site.release())
     assert ended.step is Step.HALTED and ended.why == "a1 did not come back within 0.5 s"
-    ended = site.play(Release("000002", ("A",), CELLS, 1, "/bin/sh -c 'exit 3'"))
-    assert ended.why == "the command for a1 ended with 3"
+    for command, code in (("/bin/sh -c 'exit 3'", 3), ("/no/such/command {worker}", 127)):
+        ended = site.play(Release("000002", ("A",), CELLS, 1, command))
+        assert ended.why == f"the command for a1 ended with {code}"
 
 
 def test_killed_after_any_record_it_goes_on_where_it_was(tmp_path: Path) -> None:
@@ -154,10 +167,10 @@
         site = Site(folder)
         (folder / "renewed").write_text("\n".join(w for c in CELLS.values() for w in c
                                                  if w in record.touched) + "\n")
-        again: Release = msgspec.json.decode(msgspec.json.encode(record), type=Release)
-        command = f"/bin/sh -c 'echo {{worker}} >> {folder}/renewed'"
-        ended = site.play(Release(again.id, again.cells, again.workers, again.batch, command, "", again.at,
-                                  again.step, again.touched, again.renewed))
+        releasing.save(folder, record)
+        again = releasing.load(folder)
+        assert again == record
+        ended = site.play(replace(again, run=site.release().run, back=""))
         assert ended.step is Step.DONE and ended.renewed == {w for c in CELLS.values() for w in c}
         assert not set(site.renewed()) - ended.renewed
         assert all(site.renewed().count(w) == 1 for w in record.renewed)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -29,10 +29,9 @@
 from gradehoist.net.server import Answer, Connection, Patience, Server
 from gradehoist.protocol import feed, http
 from gradehoist.settings import fleet as f
-from gradehoist.settings import reader as r
 from gradehoist.standin import plan as p
 from gradehoist.standin.relay import Relay, Relays
-from tests.governed import TEXT, entry
+from tests.governed import entry, on_sockets
 
 ROOT = Path(__file__).parent.parent
 LOCAL = "127.0.0.1"
@@ -64,10 +63,7 @@
 async def governor(tmp_path: Path, patience: Patience | None = None) -> AsyncIterator[tuple[Service, Client]]:
     roster = Roster()
     (port,) = scene.ports(1)
-    reader = r.Reader("test")
-    text = TEXT.format(relays=4, queue=2000, rate=2000).replace(":7000", f":{roster.port}")
-    found = f.parse(reader.root(text.replace(":7101", f":{port}")), tmp_path)
-    reader.finish()
+    found = on_sockets(tmp_path, roster.port, port)
     service = Service(found.fleet, found.governors[0])
     if patience:
         service._server._patience = patience
@@ -328,11 +324,10 @@
         relay: Relay = next(iter(process.all.values()))
         asked: list[str] = []
         ended = asyncio.Event()
-        before: list[object] = []
+        before: list[str] = []
 
-        def state() -> tuple[object, ...]:
-            held = relay.holdings
-            return dict(held.tables), dict(held.table), set(held.out), dict(held.levels), relay.after
+        def state() -> str:
+            return repr((vars(relay.holdings), relay.after))
 
         async def dying(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await stream.readuntil(b"\r\n\r\n")
@@ -341,9 +336,8 @@
             before.append(state())
             writer.write(whole[:cut])
             await writer.drain()
-            sock = writer.get_extra_info("socket")
-            await asyncio.sleep(0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             writer.close()
 
         async def next_one(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
