A planner that stands still ends the governor before a drain is late

Seen: with the planner's process stopped (SIGSTOP), a drain listed by the roster never reached a relay: after the grace of 2 s it still sent there, the log and the status said nothing, and the governor lived on. And where a supervisor ends the whole group, the planner went first: 5 of 12 ends gave exit 1 and `module_failed`.

Ruled out: the roster call and the channel (the entry was logged as listed, no line waited). At fault: PlannerProcess.handle waited without a deadline; the child ignored SIGINT alone.

Now an answer owed is looked after every quarter of the grace: a child that is not runnable and used no CPU twice in a row is given up (1.5 s of a grace of 2 s), one that works after 10 s (20 s for the first answer); the feeds end and relays dial the next governor. A planner that is busy for longer than the grace still holds drains up: open.

--- a/gradehoist/governor/planner.py
+++ b/gradehoist/governor/planner.py
@@ -11,11 +11,13 @@
 import heapq
 import os
 import pickle
+import signal
 import socket
 import struct
 import subprocess
 import sys
 import time
+from pathlib import Path
 from typing import Any, BinaryIO
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -26,6 +28,8 @@
 
 LENGTH = struct.Struct("!I")
 Reasons = dict[int, str]  # by the order's place in the reply
+FIRST = 20.0  # seconds for the first answer: a loaded machine's Python start
+LONGEST = 10.0  # seconds of work for one answer: ten times what a hundred cells have needed
 
 
 class PlannerFailed(Exception):
@@ -33,9 +37,10 @@
 
 
 class PlannerProcess:
-    """Owns the child. `handle` takes what is due for all parts at one time."""
+    """Owns the child. `handle` takes what is due for all parts at one time; a child that stands still is given
+    up within three quarters of `grace` (µs), as a drain may wait behind it."""
 
-    def __init__(self, starts: list[i.Start], now: int, slotted: bool) -> None:
+    def __init__(self, starts: list[i.Start], now: int, slotted: bool, grace: int) -> None:
         ours, theirs = socket.socketpair()
         self._child = subprocess.Popen(
             [sys.executable, "-m", "gradehoist.governor.planner", str(theirs.fileno())],
@@ -44,16 +49,17 @@
         self._stream = IOStream(ours, max_buffer_size=1 << 30)
         self._first: Any = (starts, now, slotted)
         self.cpu = 0.0  # seconds of CPU that the module has taken
+        self._look = max(0.05, grace / 4e6)  # seconds between looks at a child that owes an answer
 
     async def handle(self, now: int, batches: list[Batch], timers: bool = True) -> list[Reply]:
         """Raises PlannerFailed. Without `timers` only what the batches say is done, not what is due."""
+        longest = FIRST if self._first else LONGEST
         try:
             for frame in ([self._first] if self._first else []) + [(now, batches, timers)]:
                 data = pickle.dumps(frame, pickle.HIGHEST_PROTOCOL)
                 self._stream.write(LENGTH.pack(len(data)) + data)
             self._first = None
-            (size,) = LENGTH.unpack(await self._stream.read_bytes(LENGTH.size))
-            fault, replies, cpu = pickle.loads(await self._stream.read_bytes(size))
+            fault, replies, cpu = pickle.loads(await self._answer(longest))
         except StreamClosedError:
             raise PlannerFailed("the planner's process ended") from None
         if fault:
@@ -62,6 +68,35 @@
         return [(part, [i.SetLine(*o) if type(o) is tuple else o for o in orders], why)
                 for part, orders, why in replies]
 
+    async def _answer(self, longest: float) -> bytes:
+        """A stopped planner kept drains waiting for ever, and nothing told so."""
+        reading = asyncio.ensure_future(self._read())
+        began, still, before = time.monotonic(), 0, ""
+        try:
+            while not (await asyncio.wait((reading,), timeout=self._look))[0]:
+                at = self._at_work()
+                still, before = (still + 1 if at == before else 0), at
+                waited = time.monotonic() - began
+                if still >= 2 or waited > longest:
+                    why = "stands still" if still >= 2 else "is at it"
+                    raise PlannerFailed(f"the planner's process owes an answer for {waited:.1f} s and {why}")
+            return reading.result()
+        finally:
+            reading.cancel()
+
+    async def _read(self) -> bytes:
+        (size,) = LENGTH.unpack(await self._stream.read_bytes(LENGTH.size))
+        return await self._stream.read_bytes(size)
+
+    def _at_work(self) -> str:
+        """Something that changes while the child works or waits for a core; where the system does not tell,
+        the longest time alone counts."""
+        try:
+            fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        except OSError:
+            return f"{time.monotonic()}"
+        return f"{time.monotonic()}" if fields[0] == "R" else " ".join(fields[11:13])  # state, CPU times
+
     @property
     def pid(self) -> int:
         return self._child.pid
@@ -174,9 +209,9 @@
 
 
 if __name__ == "__main__":
-    import signal
-
-    signal.signal(signal.SIGINT, signal.SIG_IGN)  # Ctrl-C reaches the whole group; the governor ends us
+    # Both reach the whole group, and a child that went first passed for a failed module; the governor ends us.
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     with socket.socket(fileno=int(sys.argv[1])) as end, end.makefile("rwb") as both:
         os.set_inheritable(end.fileno(), False)
         serve(both)  # type: ignore[arg-type]
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -72,7 +72,7 @@
         # milliseconds at a thousand relays.
         gc.set_threshold(50_000, 20, 1_000)
         self._load()
-        self.planner = PlannerProcess(self.core.starts, now(), bool(self.core.slot))
+        self.planner = PlannerProcess(self.core.starts, now(), bool(self.core.slot), self.fleet.rules.grace)
         self._server.listen(self.own.listen[1], self.own.listen[0], backlog=4096)
         host, port = self.own.listen
         self.log.info("started", epoch=self.core.epoch, listen=f"{host}:{port}", zone=self.own.zone)
--- /dev/null
+++ b/tests/test_drills.py
@@ -0,0 +1,54 @@
+"""The ten worst ways to fail, brought about on the real program; `docs/oncall.md` has a line for each."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+
+import psutil
+import pytest
+
+from gradehoist.day import scene
+from gradehoist.governor.service import Service
+from gradehoist.settings import fleet as f
+from tests.drills import GRACE, LOCAL, Governor, Relay, Roster, fleet, play, settings, until
+from tests.governed import entry
+
+
+def test_a_planner_that_hangs_ends_the_governor_before_a_drain_is_late(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path) as (roster, governor, (relay,)):
+            planner = (await governor.status())["planner_pid"]
+            os.kill(planner, signal.SIGSTOP)
+            roster.list(entry(1, "draining"))
+            assert await until(lambda: not relay.joined or not relay.sends_to("w1"), GRACE), "a late drain"
+            assert await governor.ended(3) == 1 and "planner" in governor.log.read_text()
+            assert not psutil.pid_exists(planner)
+    play(work)
+
+
+@pytest.mark.parametrize("stage", ["at work", "twice", "planner stopped", "kill"])
+def test_the_end_of_a_governor_at_each_stage(tmp_path: Path, stage: str) -> None:
+    """As a supervisor ends it: the signal goes to every process of its group, the planner's as well."""
+    async def work() -> None:
+        async with fleet(tmp_path) as (roster, governor, (relay,)):
+            planner = (await governor.status())["planner_pid"]
+            os.kill(planner, signal.SIGTERM)  # it went first, and the governor called that a failed module
+            await asyncio.sleep(0.3)
+            assert governor.process.poll() is None
+            if stage == "planner stopped":
+                os.kill(planner, signal.SIGSTOP)
+            os.killpg(governor.process.pid, signal.SIGKILL if stage == "kill" else signal.SIGTERM)
+            if stage == "twice":
+                os.killpg(governor.process.pid, signal.SIGTERM)
+            assert await governor.ended(5) == (-signal.SIGKILL if stage == "kill" else 0)
+            assert await until(lambda: not psutil.pid_exists(planner), 3), "a planner is left behind"
+            assert await until(lambda: not relay.joined, 3) and relay.sends_to("w1")  # it stands on its tables
+            again = Governor(tmp_path / "s.kdl", governor.port)
+            found = await again.up()
+            assert await until(lambda: relay.epoch == found["epoch"] and relay.holdings.bound, 5)
+            assert not [x.name for x in (tmp_path / "var" / "a").iterdir() if x.suffix == ".part"]
+            again.kill()
+    play(work)
