--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -106,9 +106,9 @@
         def ended(done: asyncio.Task[None]) -> None:
             self._tasks.discard(done)
             if not done.cancelled() and (fault := done.exception()):
-                self.log.error("task_failed", reason=repr(fault))
                 self._failed = True
                 self._stopping.set()
+                self.log.error("task_failed", reason=repr(fault))
 
         task.add_done_callback(ended)
 
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import os
+import resource
 import signal
 from pathlib import Path
 
@@ -29,6 +31,39 @@
     play(work)
 
 
+def test_a_log_that_nobody_reads_holds_up_no_drain(tmp_path: Path) -> None:
+    async def work() -> None:
+        ours, theirs = os.pipe()
+        fcntl.fcntl(theirs, fcntl.F_SETPIPE_SZ, 4096)
+        async with fleet(tmp_path, log=theirs) as (roster, governor, (relay,)):
+            os.close(theirs)
+            for n in range(40):  # lines enough to fill the pipe
+                roster.list(entry(3, ("ready", "draining")[n % 2], n // 2 + 1))
+                await asyncio.sleep(0.05)
+            roster.list(entry(1, "draining"))
+            assert await until(lambda: not relay.sends_to("w1"), GRACE), "stands still behind its log"
+            os.close(ours)  # and the reader is gone
+            roster.list(entry(2, "draining"))
+            assert await until(lambda: not relay.sends_to("w2"), GRACE), "died with its log"
+            assert governor.process.poll() is None
+            governor.process.terminate()
+            assert await governor.ended(5) == 0
+    play(work)
+
+
+def test_a_full_disk_costs_the_log_and_the_saved_list_but_no_drain(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, limits=((resource.RLIMIT_FSIZE, 1500),)) as (roster, governor, (relay,)):
+            for n in range(12):
+                roster.list(entry(3, ("ready", "draining")[n % 2], n // 2 + 1))
+                await asyncio.sleep(0.05)
+            assert governor.log.stat().st_size == 1500
+            roster.list(entry(1, "draining"))
+            assert await until(lambda: not relay.sends_to("w1"), GRACE)
+            assert governor.process.poll() is None
+    play(work)
+
+
 @pytest.mark.parametrize("stage", ["at work", "twice", "planner stopped", "kill"])
 def test_the_end_of_a_governor_at_each_stage(tmp_path: Path, stage: str) -> None:
     """As a supervisor ends it: the signal goes to every process of its group, the planner's as well."""
