A shortage of files ends no governor; a roster that holds no call is asked 20 times a second

Seen: with 40 open files allowed and 80 idle connections, the governor ended with exit 1: its roster call could not make a socket, and that error was none that the task expected. Until then Tornado's accept handler raised on each turn of the loop and filled the log. And a roster that answers each call at once was asked 2,046 times in 2 s; one that answers with changes that don't follow, as often.

Ruled out: the limit on connections (20,000, never reached). At fault: Client._link made its socket outside of what it calls Unreachable; TCPServer has no answer to EMFILE; Service._roster went on at once.

After: alive, under half a core in the shortage, drains follow once it is over; at most 50 calls in 2 s. A target that is no URL got no answer and a traceback in the log; it gets 400.

--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import gc
+import resource
 import time
 import uuid
 from collections.abc import Coroutine
@@ -33,6 +34,7 @@
 ENCODER = msgspec.json.Encoder()
 AT_ONE_GO = 8  # cells whose orders are taken in before others run
 ROSTER_WAIT = 5.0  # seconds that a roster call is held: short enough to notice a dead path
+ROSTER_PACE = 0.05  # seconds from one call to the next: small beside any grace
 
 
 class PollQuery(msgspec.Struct, frozen=True):
@@ -48,6 +50,16 @@
     return time.monotonic_ns() // 1_000
 
 
+def _connections() -> int:
+    """Those that relays may hold open: as the limit on open files allows, which is raised as far as it goes,
+    less what roster, leases, probes, planner, state and log need."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with contextlib.suppress(ValueError, OSError):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+        soft = hard
+    return max(16, min(20_000, soft * 3 // 4)) if soft != resource.RLIM_INFINITY else 20_000
+
+
 class Service:
     """`run` serves until `stop` is called or the module fails; it returns the exit code."""
 
@@ -55,7 +67,7 @@
         self.fleet, self.own = fleet, own
         self.core = Core(fleet, own, uuid.uuid4().hex[:12], now())
         self.log = structlog.get_logger().bind(governor=own.name)
-        self._server = Server(self._handle, most=20_000)
+        self._server = Server(self._handle, most=_connections())
         self._waiters: dict[int, asyncio.Future[str]] = {}
         self._kick, self._told, self._hurry = asyncio.Event(), asyncio.Event(), asyncio.Event()
         self._stopping = asyncio.Event()
@@ -115,8 +127,8 @@
     # Requests
 
     async def _handle(self, request: http.Request, connection: Connection) -> Answer | None:
-        path = urlsplit(request.target)
         try:
+            path = urlsplit(request.target)
             match request.method, path.path:
                 case "GET", "/v1/feed":
                     pairs = dict(parse_qsl(path.query, keep_blank_values=True))
@@ -137,7 +149,7 @@
             return refusal(404, f"nothing at {path.path}")
         except Refused as fault:
             return refusal(fault.status, fault.reason)
-        except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError) as fault:
+        except (msgspec.DecodeError, ValueError) as fault:
             return refusal(400, f"not understood: {fault}")
 
     async def _poll(self, poll: Poll, connection: Connection) -> Answer | None:
@@ -339,7 +351,7 @@
             if not (self.core.follow or self.core.ask):
                 await asyncio.sleep(0.05)
                 continue
-            view = self.core.roster
+            began, view = now(), self.core.roster
             after = -1 if whole or self.core.ask else view.version
             target = (f"/v1/roster?zone={self.own.zone}&life={view.life}&after={after}"
                       f"&wait={ROSTER_WAIT:g}&reader={self.own.name}")
@@ -357,8 +369,11 @@
                         self.core.hurry = False
                         self._hurry.set()
                     self._save()
+                # One that holds no call was asked a thousand times a second.
+                await asyncio.sleep(max(0.0, ROSTER_PACE - (now() - began) / 1e6))
             except Gap as fault:
                 self.log.info("roster_gap", reason=str(fault))
+                await asyncio.sleep(0.0 if not whole else pause)  # changes where the whole was asked for
                 whole = True
             except (Unreachable, Broken, TimedOut, ValueError, msgspec.MsgspecError) as fault:
                 if not down:
--- a/gradehoist/net/client.py
+++ b/gradehoist/net/client.py
@@ -46,7 +46,11 @@
             if not link.stream.closed() and clock - link.used < self._idle:
                 return link
             self._drop(link)
-        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=64 << 20)
+        try:
+            own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as fault:  # no file left: it ended the governor's roster task, and so the governor
+            raise Unreachable(f"{self.host}:{self.port}: {fault.strerror}") from None
+        stream = IOStream(own, max_buffer_size=64 << 20)
         try:
             await gen.with_timeout(timedelta(seconds=self._connect_timeout),
                                    stream.connect((self.host, self.port)),
--- a/tests/drills.py
+++ b/tests/drills.py
@@ -90,7 +90,7 @@
             self.joined, self.refused = False, f"{response.status} {response.body.decode()}"
             await asyncio.sleep(0.05)
             return
-        answer = msgspec.json.decode(response.body, type=feed.Feed)
+        answer: feed.Feed = msgspec.json.decode(response.body, type=feed.Feed)
         if (answer.epoch, answer.stream) != (self.epoch, self.stream):
             self.epoch, self.stream, self.after = answer.epoch, answer.stream, 0
             self.joins += 1
@@ -149,7 +149,8 @@
 
     async def status(self) -> dict[str, Any]:
         response = await self.client.exchange("GET", "/v1/status", timeout=2.0)
-        return msgspec.json.decode(response.body, type=dict[str, Any])
+        found: dict[str, Any] = msgspec.json.decode(response.body, type=dict[str, Any])
+        return found
 
     async def up(self) -> dict[str, Any]:
         for _ in range(400):
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -64,6 +64,25 @@
     play(work)
 
 
+def test_a_shortage_of_files_neither_ends_the_governor_nor_keeps_it_busy(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, limits=((resource.RLIMIT_NOFILE, 40),)) as (roster, governor, (relay,)):
+            held = [await asyncio.open_connection(LOCAL, governor.port) for _ in range(80)]
+            roster.server.shut()  # its call has to dial anew while there is no file left
+            process = psutil.Process(governor.process.pid)
+            before = sum(process.cpu_times()[:2])
+            await asyncio.sleep(2.0)
+            assert governor.process.poll() is None, governor.log.read_text()[-500:]
+            assert sum(process.cpu_times()[:2]) - before < 1.0, "spins"
+            for _, writer in held:
+                writer.close()
+            roster.server.listen(roster.port, LOCAL)
+            await asyncio.sleep(0.5)
+            roster.list(entry(1, "draining"))
+            assert await until(lambda: not relay.sends_to("w1"), 5.0)
+    play(work)
+
+
 @pytest.mark.parametrize("stage", ["at work", "twice", "planner stopped", "kill"])
 def test_the_end_of_a_governor_at_each_stage(tmp_path: Path, stage: str) -> None:
     """As a supervisor ends it: the signal goes to every process of its group, the planner's as well."""
@@ -87,3 +106,13 @@
             assert not [x.name for x in (tmp_path / "var" / "a").iterdir() if x.suffix == ".part"]
             again.kill()
     play(work)
+
+
+def test_a_roster_that_holds_no_call_is_not_hammered(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path) as (roster, governor, _):
+            roster.hold, roster.calls = False, 0
+            roster.wake()
+            await asyncio.sleep(2.0)
+            assert roster.calls <= 50
+    play(work)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -132,7 +132,7 @@
                 (b"GET /v1/feed?relay=q&zone=z" + TAIL + b"\r\n", 422),
                 (b"GET /v1/feed?relay=q&zone=x&rate=nan" + TAIL + b"\r\n", 400),
                 (b"DELETE /v1/feed" + TAIL + b"\r\n", 405),
-                (b"GET /other" + TAIL + b"\r\n", 404),
+                (b"GET /other" + TAIL + b"\r\n", 404), (b"GET //[x" + TAIL + b"\r\n", 400),
             ]
             for data, status in cases:
                 answer = await say(port, data)
