Roster lists: a strange entry hides no drain, an empty or older list takes nothing away

Seen: one entry of a hall that the settings do not name, or of an unknown phase, had its whole list refused, so no drain in it was heard of; relays sent to a drained replica for good (`roster_down` was all that told). A roster that came back with an empty whole list took every replica from every relay; one that came back with an older list of the same life gave a drained replica back.

Ruled out: the module (it did what it was told). At fault: RosterView.take refused lists by the entry and believed whole lists whatever their version.

Now an unknown phase counts as draining and an unknown zone is left out, each told once in `entry_strange`; an empty whole list where replicas are known, and an older version of the same life, are refused: the list held stands, and `roster_down` says why. A fleet that truly ends is told by changes, or replica by replica.

--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -216,9 +216,12 @@
             self.tally.add(sums)
 
     def listed(self, now: int, document: feed.Roster) -> bool:
-        """Takes a roster's answer; False where nothing is new. Raises Gap, ValueError."""
-        before = dict(self.roster.entries)
+        """Takes a roster's answer; False where nothing is new. Raises Gap, Unsound."""
+        before, strange = dict(self.roster.entries), dict(self.roster.strange)
         listed = self.roster.take(now, document)
+        for name, why in self.roster.strange.items():
+            if strange.get(name) != why:
+                self.log("entry_strange", warn=True, replica=name, reason=why)
         if listed is None:
             return False
         self._tell_list(listed)
--- a/gradehoist/governor/roster.py
+++ b/gradehoist/governor/roster.py
@@ -8,6 +8,8 @@
 
 from dataclasses import replace
 
+import msgspec
+
 from gradehoist import interface as i
 from gradehoist.names import Names
 from gradehoist.protocol import feed
@@ -19,6 +21,10 @@
     """Changes that do not follow on what is held: the whole list is due."""
 
 
+class Unsound(ValueError):
+    """A list that can't be true: the one held stands."""
+
+
 class RosterView:
     """`long_past` in µs: a start that long ago, when first heard of, is told as 0."""
 
@@ -28,22 +34,24 @@
         self.entries: dict[str, feed.Replica] = {}
         self._boots: dict[str, tuple[str, int]] = {}  # by replica: boot name, start
         self.old = True  # until the service itself has spoken
+        self.strange: dict[str, str] = {}  # replicas that the settings do not fit, and why
 
     def take(self, now: int, document: feed.Roster) -> i.Listed | None:
-        """The event for the module, None where nothing is new. Raises Gap; ValueError for bad entries."""
-        for e in document.entries:
-            if e.phase not in PHASES:
-                raise ValueError(f"replica {e.replica!r}: no phase {e.phase!r}")
-            if e.zone not in self._names.zones:
-                raise ValueError(f"replica {e.replica!r}: zone {e.zone!r} is not in the settings")
-        if not document.whole:
+        """The event for the module, None where nothing is new. Raises Gap, Unsound."""
+        if document.whole:
+            self._believe(document)
+        else:
             if document.life != self.life or document.after != self.version:
                 raise Gap(f"changes after {document.after}, held is {self.version}")
             if document.version == self.version:
                 return None
         self.life, self.version, self.old = document.life, document.version, False
-        listed = {e.replica: e for e in document.entries if e.phase != "gone"}
-        gone = [e.replica for e in document.entries if e.phase == "gone"]
+        if document.whole:
+            listed_now = {e.replica for e in document.entries}
+            self.strange = {name: why for name, why in self.strange.items() if name in listed_now}
+        told = [self._known(e) for e in document.entries]
+        listed = {e.replica: e for e in told if e.phase != "gone"}
+        gone = [e.replica for e in told if e.phase == "gone"]
         if document.whole:
             self.entries = listed
         else:
@@ -51,9 +59,30 @@
             for name in gone:
                 self.entries.pop(name, None)
         kind = i.ListKind.COMPLETE if document.whole else i.ListKind.CHANGES
-        entries = [e for e in document.entries if e.phase != "gone" or not document.whole]
+        entries = [e for e in told if (e.phase != "gone" or not document.whole) and e.zone in self._names.zones]
         return i.Listed(kind, tuple(self._entry(now, e) for e in entries))
 
+    def _believe(self, document: feed.Roster) -> None:
+        """A roster that lost its memory answers with nothing, a copy that is behind with what was true once:
+        the one took every replica from every relay, the other gave drained ones back."""
+        if document.life == self.life and document.version < self.version:
+            raise Unsound(f"version {document.version} after {self.version} of one life; the list held stands")
+        if not document.entries and self.entries:
+            raise Unsound(f"an empty list where {len(self.entries)} are known; the list held stands")
+
+    def _known(self, e: feed.Replica) -> feed.Replica:
+        """An entry as far as the settings know what it says; refused with its list it hid every drain in it."""
+        why = ""
+        if e.phase not in PHASES:
+            why, e = f"phase {e.phase!r} is none, taken for draining", msgspec.structs.replace(e, phase="draining")
+        if e.zone not in self._names.zones:
+            why, e = f"zone {e.zone!r} is not in the settings, left out", msgspec.structs.replace(e, phase="gone")
+        if why:
+            self.strange[e.replica] = why
+        else:
+            self.strange.pop(e.replica, None)
+        return e
+
     def saved(self, now: int, entries: tuple[feed.Replica, ...]) -> i.Listed:
         """The list as last held, at start. Its ages are as old as the file, so starts count as long past
         until the service tells the true ones."""
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -83,6 +83,41 @@
     play(work)
 
 
+def test_one_entry_that_the_settings_do_not_know_hides_no_drain(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path) as (roster, governor, (relay,)):
+            roster.put(entry(7), zone="a-new-hall")
+            roster.put(entry(8), phase="starting")
+            roster.list(entry(1, "draining"))
+            assert await until(lambda: not relay.sends_to("w1"), GRACE), governor.log.read_text()[-300:]
+            assert "a-new-hall" in governor.log.read_text()
+            assert not relay.sends_to("w8") and relay.sends_to("w0")
+    play(work)
+
+
+@pytest.mark.parametrize("how", ["empty", "older"])
+def test_a_roster_that_lost_its_memory_takes_no_replica_away_and_gives_none_back(
+        tmp_path: Path, how: str) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path) as (roster, governor, (relay,)):
+            roster.list(entry(1, "draining"))
+            assert await until(lambda: not relay.sends_to("w1"), GRACE)
+            kept = dict(roster.entries)
+            if how == "empty":
+                roster.life, roster.entries = "anew", {}
+            else:  # the same life, from a copy that is behind
+                roster.version -= 2
+                roster.put(entry(1))
+            roster.wake()
+            await asyncio.sleep(1.5)
+            assert relay.sends_to("w0") and not relay.sends_to("w1"), governor.log.read_text()[-300:]
+            assert "roster_down" in governor.log.read_text()
+            roster.version, roster.entries = roster.version + 5, kept
+            roster.list(entry(2, "draining"))
+            assert await until(lambda: not relay.sends_to("w2"), 4.0)
+    play(work)
+
+
 @pytest.mark.parametrize("stage", ["at work", "twice", "planner stopped", "kill"])
 def test_the_end_of_a_governor_at_each_stage(tmp_path: Path, stage: str) -> None:
     """As a supervisor ends it: the signal goes to every process of its group, the planner's as well."""
