End the stream of a relay that polls and confirms nothing: it held up all others

Seen: one relay that applies what it is told and never says so (a poll always after=0), with a queue limit of 150 lines and two good relays: after nine drains and returns a replica that came back was never given to anyone again, weights had stopped, and only `relay_slow` told of it.

Ruled out: a full channel (no line waited). At fault: the module counts what is not confirmed as waiting; a stream ended for silence alone, and this relay was not silent.

Now a stream whose released messages stay without any confirmation for hold, silence and grace together (7 s in the drill) ends with "confirms nothing"; its next poll joins anew. Measured from the release, as what a governor with cells owes may be minutes old when it leaves. Before: the returned replica in no table after 6 s more; after: in all.

--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -138,13 +138,15 @@
                 # Bound now, a relay would change the tables that it stands on for empty ones.
                 raise Refused(503, "no list of replicas yet; go on with what you hold")
             return self._join(now, proxy, poll)
-        stream.seen = now
+        stream.seen, acked = now, stream.acked
         try:
             for (part, mark), at in stream.acknowledge(poll.after):
                 self.parts[part].events.append(i.Applied(proxy, mark, now - at))
         except OutOfOrder as fault:
             self.log("out_of_order", warn=True, relay=poll.relay, reason=str(fault))
             raise Refused(409, f"{fault}; join anew") from None
+        if stream.acked != acked:
+            stream.quiet = now if stream.released else 0
         if stream.owed:
             self._owed[proxy] = None
         messages = stream.read(ANSWER_LINES)
@@ -280,6 +282,7 @@
                 continue
             if stream.release(item.message):
                 ready.add(item.proxy)
+                stream.quiet = now if item.message.whole or not stream.quiet else stream.quiet
             elif stream.owed:
                 self._owed[item.proxy] = None
         while self._wakes and self._wakes[0][0] <= now:
@@ -300,6 +303,10 @@
         silent = now - self.fleet.hold - self.fleet.silence
         for proxy in [p for p, s in self.streams.items() if s.seen < silent]:
             self.left(proxy, "silent")
+        # What it never confirmed counted as waiting for ever: weights and returns of all others stopped.
+        for proxy in [p for p, s in self.streams.items()
+                      if s.released and s.quiet < silent - self.fleet.rules.grace]:
+            self.left(proxy, "confirms nothing")
         slow = self.channel.pace < self.channel.line_rate / 2
         if slow != self._slow:
             self._slow = slow
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -118,6 +118,23 @@
     play(work)
 
 
+def test_a_relay_that_never_confirms_holds_up_no_other(tmp_path: Path) -> None:
+    async def work() -> None:
+        change = (("queue-limit=2000", "queue-limit=150"),)
+        async with fleet(tmp_path, 2, change) as (roster, governor, (good, _)):
+            deaf = Relay(governor.port, "deaf", deaf=True)
+            assert await until(lambda: deaf.holdings.bound, 10)
+            for n in range(16):
+                roster.list(entry(1, ("draining", "ready")[n % 2], n // 2 + 2))
+                await asyncio.sleep(0.6)
+            assert await until(lambda: good.sends_to("w1"), 6.0), "no replica returns any more"
+            roster.list(entry(2, "draining"))
+            assert await until(lambda: not good.sends_to("w2"), GRACE)
+            assert "confirms nothing" in governor.log.read_text()
+            deaf.task.cancel()
+    play(work)
+
+
 @pytest.mark.parametrize("stage", ["at work", "twice", "planner stopped", "kill"])
 def test_the_end_of_a_governor_at_each_stage(tmp_path: Path, stage: str) -> None:
     """As a supervisor ends it: the signal goes to every process of its group, the planner's as well."""
