An address that is none costs its own lease or word; connections end with their replica

Seen: one roster entry with the address 127.0.0.1:99999 ended a governor with cells (exit 1, OverflowError in its lease), and a mover with a traceback, as any address that is no host:port did. A host name would have been looked up on the loop. A mover kept asking a worker where it had first been: one that came back elsewhere never confirmed, and the move waited the whole lease and settle time. Connections to replicas that left the list were kept for good.

Ruled out: the parser of documents (an address is any text, by the format). At fault: Service._client and Mover._say took the text apart themselves and cached the client by name.

Now both read it with one function, which takes dotted addresses and ports that exist and raises ValueError; the mover looks the address up each time; a governor closes what leaves the list. Before: exit 1 within a second, a move that waits a minute; after: the governor lives, the move ends as soon as the worker is back.

--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -20,6 +20,7 @@
 from gradehoist.cells.moves import Book, Confirm, Word
 from gradehoist.governor.core import Core, Gap, Poll, Refused
 from gradehoist.governor.planner import PlannerFailed, PlannerProcess
+from gradehoist.net import client as dial
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server, json, refusal
 from gradehoist.protocol import feed, http, orca
@@ -220,7 +221,7 @@
         """Heartbeats to every worker of a cell, three in a lease, each with the whole book."""
         while True:
             body = ENCODER.encode((lease, self.book.heartbeat()))
-            workers = [e for e in self.core.roster.entries.values() if e.phase != "gone"]
+            workers = list(self.core.roster.entries.values())
             for e in workers:
                 self._own(self._lease(e.address or e.replica, body))
             await asyncio.sleep(lease / 3e6)
@@ -231,12 +232,17 @@
             await self._client(address).exchange("POST", "/cell/lease", body, timeout=0.5)
 
     def _client(self, address: str) -> Client:
-        """Raises ValueError for what is no host:port."""
+        """Raises ValueError for what is no address."""
         if address not in self._clients:
-            host, _, port = address.rpartition(":")
-            self._clients[address] = Client(host, int(port))
+            self._clients[address] = Client(*dial.address(address))
         return self._clients[address]
 
+    def _forget(self) -> None:
+        """Connections to replicas that left the list: kept, each cost a file for good."""
+        listed = {e.address or e.replica for e in self.core.roster.entries.values()}
+        for gone in [a for a in self._clients if a not in listed]:
+            self._clients.pop(gone).close()
+
     async def _clock(self) -> None:
         while True:
             due = self.core.due()
@@ -364,6 +370,7 @@
                     self.log.info("roster_back")
                 whole, pause, down, self.core.ask = False, 0.2, False, False
                 if news:
+                    self._forget()
                     self._told.set()
                     if self.core.hurry:
                         self.core.hurry = False
--- a/gradehoist/mover/run.py
+++ b/gradehoist/mover/run.py
@@ -12,7 +12,7 @@
 from gradehoist.cells.assign import lot
 from gradehoist.cells.moves import Confirm, Move, Step
 from gradehoist.mover import ask
-from gradehoist.net.client import Client
+from gradehoist.net.client import Client, address
 from gradehoist.settings.fleet import Placed, Settings
 from gradehoist.store import keep
 
@@ -172,13 +172,13 @@
     async def _say(self, to: str, move: Move) -> Confirm | None:
         """One word to a governor or worker; None where no answer came."""
         target = "/v1/cells/word" if to in self.governors else "/cell/word"
-        client = self._clients.get(to)
-        if client is None:
-            address = self._addresses.get(to, "")
-            if not address:
-                return None
-            host, _, port = address.rpartition(":")
-            client = self._clients[to] = Client(host, int(port), connect_timeout=0.5)
+        # By address: one that came back elsewhere was asked where it had been, to the end of the move.
+        where = to if to in self.governors else self._addresses.get(to, "")
+        try:
+            client = self._clients.get(where) or Client(*address(where), connect_timeout=0.5)
+        except ValueError:
+            return None
+        self._clients[where] = client
         try:
             response = await client.exchange("POST", target, msgspec.json.encode(move.word()), timeout=1.0)
             if response.status == 200:
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -9,6 +9,7 @@
 import signal
 from pathlib import Path
 
+import msgspec
 import psutil
 import pytest
 
@@ -135,6 +136,22 @@
     play(work)
 
 
+def test_an_address_that_is_none_costs_that_worker_s_lease_alone(tmp_path: Path) -> None:
+    async def work() -> None:
+        placed = f.Placed(("c0",), {f"w{n}": "c0" for n in range(4)})
+        (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
+        change = (("    reports", '    cells placement="p.json"\n    reports'),)
+        async with fleet(tmp_path, 0, change) as (roster, governor, _):
+            for n, address in enumerate(("127.0.0.1:99999", "worker.example:80", "nothing", "1.2.3.4:-1")):
+                roster.put(entry(n), address=address)
+            roster.list()
+            await asyncio.sleep(2.5)
+            assert governor.process.poll() is None, governor.log.read_text()[-300:]
+            governor.process.terminate()
+            assert await governor.ended(5) == 0
+    play(work)
+
+
 @pytest.mark.parametrize("stage", ["at work", "twice", "planner stopped", "kill"])
 def test_the_end_of_a_governor_at_each_stage(tmp_path: Path, stage: str) -> None:
     """As a supervisor ends it: the signal goes to every process of its group, the planner's as well."""
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from pathlib import Path
 
 import msgspec
@@ -29,7 +30,7 @@
         self.at = dict(zip(("roster", "g", *CELLS), found, strict=True))
         self.book = Book("a")
         self.fences = {w: Fence(w, c, until=1 << 60) for w, c in CELLS.items()}
-        self.deaf = deaf
+        self.deaf, self.moved = deaf, dict[str, str]()  # moved: addresses that the roster tells instead
         self.servers = []
         for name, port in self.at.items():
             server = Server(lambda q, c, name=name: self.handle(name, q, c))  # type: ignore[misc]
@@ -40,7 +41,7 @@
 
     async def handle(self, name: str, request: http.Request, connection: Connection) -> Answer | None:
         if name == "roster":
-            entries = tuple(feed.Replica(w, "x", f"{LOCAL}:{self.at[w]}") for w in CELLS)
+            entries = tuple(feed.Replica(w, "x", self.moved.get(w, f"{LOCAL}:{self.at[w]}")) for w in CELLS)
             return json(feed.Roster("l", 1, entries, True))
         if name == self.deaf:
             return None
@@ -169,3 +170,23 @@
     (tmp_path / "000000-2.move").write_bytes(b"{")
     with pytest.raises(ValueError, match="000000-2.move"):
         mover.load(tmp_path)
+
+
+@pytest.mark.parametrize("first", ["127.0.0.1:99999", "nowhere", "127.0.0.1:9"])
+def test_a_worker_is_asked_where_it_is_now_and_an_address_that_is_none_ends_no_mover(
+        tmp_path: Path, first: str) -> None:
+    async def work() -> None:
+        site = Site(tmp_path)
+        site.moved["a2"] = first
+        assert site.settings.fleet.cells is not None
+        long = msgspec.structs.replace(site.settings.fleet.cells, settle=60_000_000)
+        site.settings = replace(site.settings, fleet=replace(site.settings.fleet, cells=long))
+        order(site, tmp_path / "moves")
+        carried = asyncio.ensure_future(carry(site, tmp_path / "moves"))
+        await asyncio.sleep(0.7)
+        assert not carried.done()  # a2 has not confirmed, and the wait without it is a minute
+        site.moved.clear()
+        (move,) = await carried
+        assert move.step is Step.DONE and not site.takes("a2", 1)
+        site.close()
+    asyncio.run(asyncio.wait_for(work(), 30))
