Write state aside, and let one governor alone have it

Seen: with a disk whose fsync takes 6 s, a drain reached its relay 12 s after the roster told it, as the list was saved on the loop, before the planner heard of it. Two governors with one `state` folder both started and each wrote its own book of moved tenants over the other's; either, started again, would lease workers for tenants that have moved. A state folder that can't be read was told as an address in use.

Ruled out: a half written file (write and rename keep old or new). At fault: Service._save and _word called the store on the loop; nobody took the lock that movers take; one handler named every OSError as the address.

Now a thread writes, one file at a time, the newest list; a word is confirmed after its write as before. The folder is locked: a second governor ends with exit 2 and the pid of the first; where a disk takes no lock it serves with a warning.

--- a/gradehoist/cli/logs.py
+++ b/gradehoist/cli/logs.py
@@ -14,7 +14,7 @@
 
 class Sink:
     """Takes lines for a thread to write. A reader that stands still, a closed pipe or a full disk costs lines,
-    counted and told once there is room again: written by the loop, they stopped it or ended its clock."""
+    counted and told once there is room again: written by the loop they stopped it, or ended its clock."""
 
     MOST = 10_000  # lines kept for a slow reader: some minutes of a bad day, a few megabytes
     LAST = 1.0  # seconds that the end of the process waits for what is still to be written
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import signal
 import sys
 from pathlib import Path
@@ -62,7 +61,7 @@
     except KeyError as fault:
         raise Fail(f"{path}: {fault.args[0]}; give one of them with --name") from None
     from gradehoist.cli.logs import set_up
-    from gradehoist.governor.service import Service
+    from gradehoist.governor.service import Service, StateFault
 
     set_up(form)
 
@@ -75,9 +74,9 @@
 
     try:
         sys.exit(asyncio.run(serve()))
+    except StateFault as fault:
+        raise Fail(f"{path}: governor {name!r} > state: {fault}") from None
     except OSError as fault:
-        if fault.errno == errno.EIO:
-            raise Fail(f"{path}: governor {name!r} > state: {fault.strerror}") from None
         raise Fail(f"{path}: governor {name!r} > listen: {fault.strerror or fault}; "
                    "free the address or name another") from None
 
--- a/gradehoist/governor/planner.py
+++ b/gradehoist/governor/planner.py
@@ -37,8 +37,8 @@
 
 
 class PlannerProcess:
-    """Owns the child. `handle` takes what is due for all parts at one time; a child that stands still is given
-    up within three quarters of `grace` (µs), as a drain may wait behind it."""
+    """Owns the child. `handle` takes what is due for all parts at one time; a child that stands still is
+    given up within three quarters of `grace` (µs), as a drain may wait behind it."""
 
     def __init__(self, starts: list[i.Start], now: int, slotted: bool, grace: int) -> None:
         ours, theirs = socket.socketpair()
@@ -209,7 +209,7 @@
 
 
 if __name__ == "__main__":
-    # Both reach the whole group, and a child that went first passed for a failed module; the governor ends us.
+    # Both reach the whole group; a child that went first passed for a failed module. The governor ends us.
     signal.signal(signal.SIGINT, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, signal.SIG_IGN)
     with socket.socket(fileno=int(sys.argv[1])) as end, end.makefile("rwb") as both:
--- a/gradehoist/governor/roster.py
+++ b/gradehoist/governor/roster.py
@@ -59,24 +59,27 @@
             for name in gone:
                 self.entries.pop(name, None)
         kind = i.ListKind.COMPLETE if document.whole else i.ListKind.CHANGES
-        entries = [e for e in told if (e.phase != "gone" or not document.whole) and e.zone in self._names.zones]
+        entries = [e for e in told
+                   if (e.phase != "gone" or not document.whole) and e.zone in self._names.zones]
         return i.Listed(kind, tuple(self._entry(now, e) for e in entries))
 
     def _believe(self, document: feed.Roster) -> None:
         """A roster that lost its memory answers with nothing, a copy that is behind with what was true once:
         the one took every replica from every relay, the other gave drained ones back."""
         if document.life == self.life and document.version < self.version:
-            raise Unsound(f"version {document.version} after {self.version} of one life; the list held stands")
+            raise Unsound(f"version {document.version} after {self.version}, one life; the list held stands")
         if not document.entries and self.entries:
-            raise Unsound(f"an empty list where {len(self.entries)} are known; the list held stands")
+            raise Unsound(f"an empty list where {len(self.entries)} are known; that stands")
 
     def _known(self, e: feed.Replica) -> feed.Replica:
         """An entry as far as the settings know what it says; refused with its list it hid every drain in it."""
         why = ""
         if e.phase not in PHASES:
-            why, e = f"phase {e.phase!r} is none, taken for draining", msgspec.structs.replace(e, phase="draining")
+            why = f"phase {e.phase!r} is none, taken for draining"
+            e = msgspec.structs.replace(e, phase="draining")
         if e.zone not in self._names.zones:
-            why, e = f"zone {e.zone!r} is not in the settings, left out", msgspec.structs.replace(e, phase="gone")
+            why = f"zone {e.zone!r} is not in the settings, left out"
+            e = msgspec.structs.replace(e, phase="gone")
         if why:
             self.strange[e.replica] = why
         else:
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -61,8 +61,13 @@
     return max(16, min(20_000, soft * 3 // 4)) if soft != resource.RLIM_INFINITY else 20_000
 
 
+class StateFault(OSError):
+    """The state folder can't be used; the text says why, and the remedy."""
+
+
 class Service:
-    """`run` serves until `stop` is called or the module fails; it returns the exit code."""
+    """`run` serves until `stop` is called or the module fails; it returns the exit code. Raises StateFault;
+    OSError for an address that can't be had."""
 
     def __init__(self, fleet: Fleet, own: Governor) -> None:
         self.fleet, self.own = fleet, own
@@ -77,19 +82,39 @@
         self._clients: dict[str, Client] = {}
         self._failed = False
         self.book = Book(own.name)
-        self._saved_path = own.state / "roster.json"
+        self._saved_path, self._unsaved = own.state / "roster.json", asyncio.Event()
+        self._booking = asyncio.Lock()
         self.lag = 0.0  # worst lateness of the clock task since the last status call, seconds
 
     async def run(self) -> int:
         # Nearly all that lives here lives long: full collections at the usual rate stop the loop for tens of
         # milliseconds at a thousand relays.
         gc.set_threshold(50_000, 20, 1_000)
+        lock = self._lock()
+        try:
+            return await self._run()
+        finally:
+            if lock:
+                lock.free()
+
+    def _lock(self) -> keep.Lock | None:
+        """Two governors of one state would each keep a book without the other's words, and lease workers for
+        tenants that have moved. On a disk that takes no lock a governor serves all the same."""
+        try:
+            return keep.Lock(self.own.state)
+        except keep.Held as fault:
+            raise StateFault(f"{fault}; name another folder, or end that process") from None
+        except OSError as fault:
+            self.log.warning("state_not_locked", path=str(self.own.state), reason=str(fault))
+            return None
+
+    async def _run(self) -> int:
         self._load()
         self.planner = PlannerProcess(self.core.starts, now(), bool(self.core.slot), self.fleet.rules.grace)
         self._server.listen(self.own.listen[1], self.own.listen[0], backlog=4096)
         host, port = self.own.listen
         self.log.info("started", epoch=self.core.epoch, listen=f"{host}:{port}", zone=self.own.zone)
-        for task in (self._clock(), self._plan(), self._roster()):
+        for task in (self._clock(), self._plan(), self._roster(), self._save()):
             self._own(task)
         if self.fleet.cells:
             self._own(self._leases(self.fleet.cells.lease))
@@ -142,7 +167,7 @@
                 case "GET", "/v1/status":
                     return json(self.status())
                 case "POST", "/v1/cells/word" if self.fleet.cells:
-                    return json(self._word(WORD.decode(request.body)))
+                    return json(await self._word(WORD.decode(request.body)))
                 case _, "/v1/cells/word" if not self.fleet.cells:
                     return refusal(404, "this fleet has no cells")
                 case _, "/v1/feed" | "/v1/sums" | "/v1/status" | "/v1/cells/word":
@@ -201,18 +226,20 @@
             "lag_ms": round(lag * 1e3, 3),
         }
 
-    def _word(self, word: Word) -> Confirm:
+    async def _word(self, word: Word) -> Confirm:
         """A mover's word: kept before it is confirmed."""
-        book, answer = self.book.told(word)
-        if book is not self.book:
-            try:
-                keep.write(self.own.state / "cells.json", ENCODER.encode(list(book.words.values())))
-            except OSError as fault:
-                self.log.error("word_not_kept", tenant=word.tenant, reason=str(fault))
-                raise Refused(503, f"the word can't be kept: {fault.strerror or fault}") from None
-            self.book = book
-            self.core.moved(word.tenant, word.cell, word.gen)
-            self._kick.set()
+        async with self._booking:
+            book, answer = self.book.told(word)
+            if book is not self.book:
+                try:
+                    await keep.write_aside(self.own.state / "cells.json",
+                                           ENCODER.encode(list(book.words.values())))
+                except OSError as fault:
+                    self.log.error("word_not_kept", tenant=word.tenant, reason=str(fault))
+                    raise Refused(503, f"the word can't be kept: {fault.strerror or fault}") from None
+                self.book = book
+                self.core.moved(word.tenant, word.cell, word.gen)
+                self._kick.set()
         return answer
 
     # Tasks
@@ -375,7 +402,7 @@
                     if self.core.hurry:
                         self.core.hurry = False
                         self._hurry.set()
-                    self._save()
+                    self._unsaved.set()
                 # One that holds no call was asked a thousand times a second.
                 await asyncio.sleep(max(0.0, ROSTER_PACE - (now() - began) / 1e6))
             except Gap as fault:
@@ -393,12 +420,16 @@
                 await asyncio.sleep(pause)
                 pause = min(2.0, pause * 2)
 
-    def _save(self) -> None:
+    async def _save(self) -> None:
         """The list as last held, for a start without a roster; an old file or a new one, never a part."""
-        try:
-            keep.write(self._saved_path, ENCODER.encode(tuple(self.core.roster.entries.values())))
-        except OSError as fault:
-            self.log.warning("roster_not_saved", path=str(self._saved_path), reason=str(fault))
+        while True:
+            await self._unsaved.wait()
+            self._unsaved.clear()
+            try:
+                await keep.write_aside(self._saved_path,
+                                       ENCODER.encode(tuple(self.core.roster.entries.values())))
+            except OSError as fault:
+                self.log.warning("roster_not_saved", path=str(self._saved_path), reason=str(fault))
 
     def _load(self) -> None:
         entries: tuple[feed.Replica, ...] = ()
@@ -416,7 +447,11 @@
                 words = WORDS.decode(path.read_bytes())
             except msgspec.MsgspecError as fault:
                 # Started without it, this governor would lease workers for tenants that have moved away.
-                raise OSError(5, f"{path} can't be read ({fault}); put back a copy") from None
+                raise StateFault(f"{path} can't be read ({fault}); put back a copy") from None
+            except FileNotFoundError:
+                raise
+            except OSError as fault:
+                raise StateFault(f"{path} can't be read ({fault.strerror}); see to the folder") from None
             for word in words:
                 self.book, _ = self.book.told(word)
                 self.core.moved(word.tenant, word.cell, word.gen)
--- a/gradehoist/store/keep.py
+++ b/gradehoist/store/keep.py
@@ -5,8 +5,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import fcntl
 import os
+import threading
 from pathlib import Path
 
 
@@ -30,20 +33,45 @@
         os.close(folder)
 
 
+async def write_aside(path: Path, data: bytes) -> None:
+    """`write` by a thread that the process does not wait for at its end: on the loop, a slow disk held up
+    drains. The caller sees to one write of a path at a time. Raises OSError."""
+    loop = asyncio.get_running_loop()
+    done: asyncio.Future[OSError | None] = loop.create_future()
+
+    def tell(fault: OSError | None) -> None:
+        if not done.done():
+            done.set_result(fault)
+
+    def work() -> None:
+        fault: OSError | None = None
+        try:
+            write(path, data)
+        except OSError as met:
+            fault = met
+        with contextlib.suppress(RuntimeError):  # the loop has ended meanwhile
+            loop.call_soon_threadsafe(tell, fault)
+
+    threading.Thread(target=work, daemon=True).start()
+    if fault := await done:
+        raise fault
+
+
 class Lock:
-    """Held from making it until `free` or the end of the process. Raises Held."""
+    """Held from making it until `free` or the end of the process. Raises Held, OSError."""
 
     def __init__(self, folder: Path, name: str = "lock") -> None:
         folder.mkdir(parents=True, exist_ok=True)
-        self._file = (folder / name).open("a+")
+        self._file = os.open(folder / name, os.O_RDWR | os.O_CREAT, 0o644)
         try:
             fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
-            self._file.seek(0)
-            raise Held(f"{folder} is in use by pid {self._file.read().strip() or 'unknown'}") from None
-        self._file.truncate(0)
-        self._file.write(str(os.getpid()))
-        self._file.flush()
+            pid = os.read(self._file, 20).decode("ascii", "replace").strip()
+            os.close(self._file)
+            raise Held(f"{folder} is in use by pid {pid or 'unknown'}") from None
+        with contextlib.suppress(OSError):  # held all the same where a full disk does not take the pid
+            os.ftruncate(self._file, 0)
+            os.pwrite(self._file, str(os.getpid()).encode(), 0)
 
     def free(self) -> None:
-        self._file.close()
+        os.close(self._file)
--- a/tests/drills.py
+++ b/tests/drills.py
@@ -61,7 +61,8 @@
                 async with asyncio.timeout(1.0):
                     await self.news.wait()
         return Answer(200, msgspec.json.encode({
-            "life": self.life, "version": self.version, "whole": True, "entries": list(self.entries.values())}))
+            "life": self.life, "version": self.version, "whole": True,
+            "entries": list(self.entries.values())}))
 
 
 class Relay:
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -152,6 +152,56 @@
     play(work)
 
 
+def test_a_slow_disk_holds_up_no_drain(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    import time
+
+    async def work() -> None:
+        roster = Roster()
+        (port,) = scene.ports(1)
+        found = f.read(settings(tmp_path, roster.port, port))
+        service = Service(found.fleet, found.governors[0])
+        running = asyncio.ensure_future(service.run())
+        assert await until(lambda: not service.core.roster.old, 10)
+        relay = Relay(port, "r0")
+        assert await until(lambda: relay.holdings.bound, 10)
+        monkeypatch.setattr(os, "fsync", lambda _: time.sleep(3 * GRACE))
+        roster.list(entry(1, "draining"))
+        began = asyncio.get_running_loop().time()
+        await asyncio.sleep(0.1)
+        assert await until(lambda: not relay.sends_to("w1"), GRACE)
+        assert asyncio.get_running_loop().time() - began < GRACE, "waited for the disk"
+        relay.task.cancel()
+        service.stop()
+        await running
+        roster.server.shut()
+    play(work)
+
+
+def test_two_governors_never_share_one_state(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path) as (roster, governor, _):
+            (port,) = scene.ports(1)
+            path = tmp_path / "s.kdl"
+            text = path.read_text().replace(str(governor.port), str(port)).replace(
+                'governor "a"', 'governor "b"').replace("listen=", 'state="var/a" listen=')
+            path.write_text(text)
+            second = Governor(path, port, "b")
+            assert await second.ended(10) == 2
+            said = second.log.read_text()
+            assert f"pid {governor.process.pid}" in said and "state" in said and len(said.splitlines()) == 1
+            second.kill()
+    play(work)
+
+
+def test_a_state_that_cannot_be_read_is_named_as_such(tmp_path: Path) -> None:
+    (tmp_path / "var").mkdir()
+    (tmp_path / "var" / "a").write_text("a file where the folder should be")
+    one, two = scene.ports(2)
+    governor = Governor(settings(tmp_path, one, two), two)
+    assert governor.process.wait(20) == 2
+    assert "> state: " in governor.log.read_text() and "address" not in governor.log.read_text()
+
+
 @pytest.mark.parametrize("stage", ["at work", "twice", "planner stopped", "kill"])
 def test_the_end_of_a_governor_at_each_stage(tmp_path: Path, stage: str) -> None:
     """As a supervisor ends it: the signal goes to every process of its group, the planner's as well."""
@@ -168,7 +218,7 @@
                 os.killpg(governor.process.pid, signal.SIGTERM)
             assert await governor.ended(5) == (-signal.SIGKILL if stage == "kill" else 0)
             assert await until(lambda: not psutil.pid_exists(planner), 3), "a planner is left behind"
-            assert await until(lambda: not relay.joined, 3) and relay.sends_to("w1")  # it stands on its tables
+            assert await until(lambda: not relay.joined, 3) and relay.sends_to("w1")  # it stands
             again = Governor(tmp_path / "s.kdl", governor.port)
             found = await again.up()
             assert await until(lambda: relay.epoch == found["epoch"] and relay.holdings.bound, 5)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -408,6 +408,7 @@
     while b'"started"' not in line:
         line = first.stderr.readline()
         assert line
+    path.write_text(path.read_text().replace('state="var/a"', 'state="var/other"'))  # whose lock is free
     second = subprocess.run(command, capture_output=True, cwd=ROOT, timeout=30)
     assert second.returncode == 2 and b"listen" in second.stderr and b"Traceback" not in second.stderr
     children = psutil.Process(first.pid).children()
