Settings: times that would be divided by, or waited for without end, are refused

Seen: `check` called period="0s" in order, and the governor hung at its start with a full core, answering nothing; a class with goal="0s" ended it with a division by zero at the first relay; a time of 400 digits was a traceback.

Ruled out: the reader of nodes (it passes on what the readers of values raise). At fault: settings.reader.time took zero and any size for all settings.

Now period, hold, lease and message-window need 10 ms, goals, cut-offs, grace, fall-span and the deadline of probes 1 ms, and no time is over 31 days, each with its line and remedy, exit 2. Before: a hang, exit 1, a traceback.

--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -128,27 +128,27 @@
         node.get("relays", r.whole(1, 1_000_000)),
         node.get("admission", r.one_of(("share", "off")), "share") == "share",
         i.Rules(
-            rules.get("grace", r.time), rules.get("cold-time", r.time),
+            rules.get("grace", r.span("1ms")), rules.get("cold-time", r.time),
             rules.get("cold-share", r.number(0, 1)),
-            rules.get("fall-multiple", r.number(1, 1000)), rules.get("fall-span", r.time),
+            rules.get("fall-multiple", r.number(1, 1000)), rules.get("fall-span", r.span("1ms")),
             rules.get("bare-limit", r.time), rules.get("gone-is-advice", r.flag, False),
         ),
         i.Channel(
             channel.get("queue-limit", r.number(1, 1e9)), channel.get("line-rate", r.number(1, 1e9)),
             channel.get("message-head", r.number(0, 1e6), 4.0),
             channel.get("message-limit", r.whole(0, 10**6), 0),
-            channel.get("message-window", r.time, 10_000_000),
+            channel.get("message-window", r.span("10ms"), 10_000_000),
         ),
         i.Reports(
-            reports.get("period", r.time), reports.get("busy", r.flag, True),
+            reports.get("period", r.span("10ms")), reports.get("busy", r.flag, True),
             reports.get("in-flight", r.flag, True), probes is not None,
             reports.get("must-ask", r.flag, False),
         ),
         reports.get("intake", r.number(1, 1e9), 1000.0),
         node.get("roster", r.address) if listens or "roster" in node.props else ("127.0.0.1", 0),
-        feed.get("hold", r.time, 2_000_000) if feed else 2_000_000,
+        feed.get("hold", r.span("10ms"), 2_000_000) if feed else 2_000_000,
         feed.get("silence", r.time, 3_000_000) if feed else 3_000_000,
-        probes.get("deadline", r.time, 500_000) if probes else 500_000,
+        probes.get("deadline", r.span("1ms"), 500_000) if probes else 500_000,
         probes.get("at-once", r.whole(1, 10_000), 8) if probes else 8,
         _placed(node, folder),
     )
@@ -177,7 +177,7 @@
 
 
 def _class(n: r.Node, zones: tuple[str, ...], kinds: tuple[str, ...]) -> Class:
-    goal, cutoff = n.get("goal", r.time), n.get("cutoff", r.time)
+    goal, cutoff = n.get("goal", r.span("1ms")), n.get("cutoff", r.span("1ms"))
     if goal and cutoff and goal > cutoff:
         n.fault("the latency goal lies beyond the cut-off", "set goal to cutoff at most", "goal")
     some_zones = n.get("only-zones", r.names(zones)) if "only-zones" in n.props else None
@@ -198,7 +198,7 @@
     if cells is None:
         return None
     path = folder / cells.get("placement", r.text)
-    lease, settle = cells.get("lease", r.time, 3_000_000), cells.get("settle", r.time, 10_000_000)
+    lease, settle = cells.get("lease", r.span("10ms"), 3_000_000), cells.get("settle", r.time, 10_000_000)
     door = cells.child("limits")
     limits = Limits(door.get("cell", r.number(0.001, 1e9)), door.get("tenant", r.number(0.001, 1e9)),
                     door.get("burst", r.number(0.1, 3600), 2.0), door.get("held", r.whole(0, 10**6), 0),
--- a/gradehoist/settings/reader.py
+++ b/gradehoist/settings/reader.py
@@ -160,11 +160,21 @@
 
 
 def time(value: Any) -> int:
-    """Microseconds from "250ms", "2s" and the like."""
-    found = _TIME.fullmatch(value) if isinstance(value, str) else None
-    if not found:
-        raise ValueError('a time such as "250ms" or "2s"')
-    return round(float(found[1]) * _UNITS[found[2]])
+    """Microseconds from "250ms", "2s" and the like, 31 days at most."""
+    found = _TIME.fullmatch(value) if isinstance(value, str) and len(value) < 20 else None
+    figure = float(found[1]) * _UNITS[found[2]] if found else math.inf
+    if figure > 31 * 24 * _UNITS["h"]:
+        raise ValueError('a time such as "250ms" or "2s", "744h" at most')
+    return round(figure)
+
+
+def span(least: str) -> Callable[[Any], int]:
+    """A time that is divided by, or waited for in a loop."""
+    def read(value: Any) -> int:
+        if (found := time(value)) < time(least):
+            raise ValueError(f'a time of "{least}" or more')
+        return found
+    return read
 
 
 def number(least: float, most: float) -> Callable[[Any], float]:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -46,6 +46,11 @@
     ('class "booking-commit"', 'class "rate-check"', ":5: fleet > class \"rate-check\": a class named twice"),
     ('repeat="single"', 'repeat="once"', ":6: fleet > class \"booking-commit\" > repeat: expected one of"),
     ('    zones "hall-a" "hall-b"\n', "", ":2: fleet > zones: missing"),
+    ('period="1s"', 'period="0s"', ":9: fleet > reports > period: expected a time of \"10ms\" or more"),
+    ('goal="1s"', 'goal="0s"', ":5: fleet > class \"rate-check\" > goal: expected a time of \"1ms\" or more"),
+    ('message-window="10s"', 'message-window="0s"', ":8: fleet > channel > message-window: expected a time of"),
+    ('hold="2s"', 'hold="0s"', ":10: fleet > feed > hold: expected a time of"),
+    ('cold-time="16s"', f'cold-time="{"9" * 400}h"', ":7: fleet > rules > cold-time: expected a time such as"),
     ("probes deadline", "prob deadline", ":11: fleet > prob: unknown node"),
     ('zones "hall-a" "hall-b"', 'zones "hall-a" 3', ":3: fleet > zones"),
 ])
