Turn away relays beyond those that the settings name: made-up names left drains no room

Seen: settings of 4 relays, 3 of them there, and 60 polls under made-up names: 63 streams, each owed every drain, on a queue made for 4; and each name kept for good, also where the poll was refused.

Ruled out: the limit on connections, as one connection can name them all. At fault: Core.poll gave a number to any name and joined it whatever the fleet's size, though the queue limit is checked for `relays` when settings are read.

Now a poll beyond `relays` gets 503 with the reason and goes to another governor, and only a relay that joins is given a number. A relay that returns under its own name is never refused.

--- a/gradehoist/cli/logs.py
+++ b/gradehoist/cli/logs.py
@@ -13,7 +13,7 @@
 
 
 class Sink:
-    """Takes lines for a thread to write. A reader that stands still, a closed pipe or a full disk costs lines,
+    """Takes lines for a thread to write. A reader that stands still, a closed pipe, a full disk cost lines,
     counted and told once there is room again: written by the loop they stopped it, or ended its clock."""
 
     MOST = 10_000  # lines kept for a slow reader: some minutes of a bad day, a few megabytes
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -84,7 +84,7 @@
         share = self._share(len(cells))
         self.starts = [start(fleet, self.names, own.seed + n, share) for n in range(len(cells))]
         # Cells share messages: they answer together, as often as a relay may be written to.
-        self.slot = ch.message_window // (ch.message_limit or 20) if placed else 0
+        self.slot = max(10_000, ch.message_window // (ch.message_limit or 20)) if placed else 0
         self.hurry = False  # a drain or exit was listed: it does not wait for the slot
         self.channel = Channel(ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window)
         # Relays are told of those alone that do not live where their hash says.
@@ -131,13 +131,16 @@
         A poll of an earlier epoch or stream joins anew: the answer's epoch and stream tell so."""
         if poll.zone not in self.names.zones:
             raise Refused(422, f"zone {poll.zone!r} is not in the settings")
-        proxy = self.names.proxies.number(poll.relay)
+        proxy = self.names.proxies.get(poll.relay, -1)
         stream = self.streams.get(proxy)
         if stream is None or poll.epoch != self.epoch or poll.stream != stream.number:
             if not self.roster.entries:
                 # Bound now, a relay would change the tables that it stands on for empty ones.
                 raise Refused(503, "no list of replicas yet; go on with what you hold")
-            return self._join(now, proxy, poll)
+            if stream is None and len(self.streams) >= self.fleet.relays:
+                # The queue is made for so many: sixty made-up names left a drain no room in it.
+                raise Refused(503, f"all {self.fleet.relays} relays of the settings are here already")
+            return self._join(now, self.names.proxies.number(poll.relay), poll)
         stream.seen, acked = now, stream.acked
         try:
             for (part, mark), at in stream.acknowledge(poll.after):
--- a/gradehoist/governor/roster.py
+++ b/gradehoist/governor/roster.py
@@ -67,7 +67,7 @@
         """A roster that lost its memory answers with nothing, a copy that is behind with what was true once:
         the one took every replica from every relay, the other gave drained ones back."""
         if document.life == self.life and document.version < self.version:
-            raise Unsound(f"version {document.version} after {self.version}, one life; the list held stands")
+            raise Unsound(f"version {document.version} after {self.version} of one life; the held one stands")
         if not document.entries and self.entries:
             raise Unsound(f"an empty list where {len(self.entries)} are known; that stands")
 
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -235,3 +235,14 @@
             await asyncio.sleep(2.0)
             assert roster.calls <= 50
     play(work)
+
+
+def test_relays_beyond_the_settings_are_turned_away_and_the_others_served(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, 3) as (roster, governor, some):
+            for n in range(60):
+                await governor.client.exchange("GET", f"/v1/feed?relay=made-up-{n}&zone=x")
+            assert (await governor.status())["relays"] <= 4
+            roster.list(entry(1, "draining"))
+            assert await until(lambda: not any(r.sends_to("w1") for r in some), GRACE)
+    play(work)
