A relay's door forgets tenants by age: a flood of refused names was kept, and cost 10 ms each

Seen: 60,000 made-up tenants, nearly all refused: 60,000 kept for good. With 10,000 tenants whose buckets are not full yet, each further admission took 9.8 ms, as all were looked at each time; a relay then lets in a hundred a second.

Ruled out: what is in hand (given back). At fault: Door._forget ran only for those let in, and over all of them.

Now the tenant longest unseen goes when there are more than 10,000, unless it has something in hand; refused ones count.

--- a/gradehoist/cells/limits.py
+++ b/gradehoist/cells/limits.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import islice
 
 
 @dataclass
@@ -49,10 +50,11 @@
 
 
 class Door:
-    """One relay's limits. Idle tenants are forgotten, so that names made up by a flood cost no memory."""
+    """One relay's limits. The tenants longest unseen are forgotten, so that names made up by a flood cost no
+    memory."""
 
     RESERVE = 0.5  # of the cell's burst stays with owners: half serves both a rush of theirs and a borrower
-    KEPT = 10_000  # tenants remembered; a full bucket is as good as none
+    KEPT = 10_000  # tenants remembered: far more than a relay sees within the time of a burst
 
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
@@ -73,6 +75,9 @@
         """None lets it in, and `done` is due when it ends."""
         whole = self._bucket(self._cells, cell, self.limits.cell, now)
         own = self._bucket(self._tenants, tenant, self.limits.tenant, now)
+        self._tenants[tenant] = self._tenants.pop(tenant)  # seen last; refused ones count too
+        if len(self._tenants) > self.KEPT:
+            self._forget()
         if self.limits.held and self.hand.get(tenant, 0) >= self.limits.held:
             return Refusal(f"{self.limits.held} of this tenant are in hand", own.wait(1.0))
         if self.limits.cell_held and self.cell_hand.get(cell, 0) >= self.limits.cell_held:
@@ -86,15 +91,16 @@
         own.tokens -= not borrows
         self.hand[tenant] = self.hand.get(tenant, 0) + 1
         self.cell_hand[cell] = self.cell_hand.get(cell, 0) + 1
-        if len(self._tenants) > self.KEPT:
-            self._forget(now)
         return None
 
-    def _forget(self, now: int) -> None:
-        for name, bucket in list(self._tenants.items()):
-            bucket.fill(now)
-            if bucket.tokens >= bucket.burst and name not in self.hand:
-                del self._tenants[name]
+    def _forget(self) -> None:
+        """The one longest unseen, unless it has something in hand. A look at all of them for each that came
+        took milliseconds, and refused ones, never looked at, were kept for good."""
+        for name in list(islice(self._tenants, 8)):
+            bucket = self._tenants.pop(name)
+            if name not in self.hand:
+                return
+            self._tenants[name] = bucket
 
     def done(self, tenant: str, cell: str) -> None:
         for among, name in ((self.hand, tenant), (self.cell_hand, cell)):
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -132,6 +132,12 @@
         door.admit(n * 1_000, f"made-up-{n}", "a")
         door.done(f"made-up-{n}", "a")
     assert len(door._tenants) <= door.KEPT + 1 and not door.hand
+    door = Door(Limits(cell=10.0, tenant=2.0, burst=2.0))
+    assert door.admit(0, "busy", "a") is None
+    for n in range(2 * door.KEPT):  # nearly all refused, and all at once: none has a full bucket yet
+        if door.admit(0, f"refused-{n}", "a") is None:
+            door.done(f"refused-{n}", "a")
+    assert len(door._tenants) == door.KEPT and "busy" in door._tenants and door.hand == {"busy": 1}
 
 
 def world(cells: int, relays: int, workers: int, queue: int = 40_000, rate: int = 20_000) -> World:
