A release waits for the roster before a worker goes down, or halts

Seen: with the roster silent for one call as a worker was renewed and a worker that never came back, the release took the worker's old life for a new one, renewed the next beside it, and reported the stage done.

At fault: Runner._boots gave an empty list for no answer, and any life differs from none.

Now the lives before a batch are asked for until the roster answers, within the patience; else the release halts with that reason before the worker is touched. Before: two workers of one cell down; after: halted at the first.

--- a/gradehoist/mover/release.py
+++ b/gradehoist/mover/release.py
@@ -107,8 +107,10 @@
     async def _stage(self, release: Release, before: Mapping[str, Seen], start: Window) -> Release:
         while release.step is Step.RENEW:
             some = release.due()
+            if (boots := await self._lives()) is None:
+                why = f"the roster did not answer within {self.patience:g} s"
+                return self._keep(release.halt(why), f"halted: {why}")
             release = self._keep(release.begun(some), f"{release.cell}: renews {', '.join(some)}")
-            boots = await self._boots()
             for worker in some:
                 if code := await self._command(release.run, worker, release.cell):
                     why = f"the command for {worker} ended with {code}"
@@ -173,17 +175,25 @@
         while True:
             if why := await self._watch(release, LOOK, before, start):
                 return why
-            now = await self._boots()
+            now = await self._boots() or {}
             missing = [w for w in workers if now.get(w) in (None, boots.get(w))]
             if not missing:
                 return ""
             if time.monotonic() > end:
                 return f"{', '.join(missing)} did not come back within {self.patience:g} s"
 
-    async def _boots(self) -> dict[str, str]:
-        """By worker that is listed as ready, the name of its life."""
+    async def _lives(self) -> dict[str, str] | None:
+        """What the roster lists before a batch, once it answers: with nothing to compare, a worker still in
+        its old life passed for one that is back, and the next was taken down beside it."""
+        end = time.monotonic() + self.patience
+        while (found := await self._boots()) is None and time.monotonic() < end:
+            await asyncio.sleep(LOOK)
+        return found
+
+    async def _boots(self) -> dict[str, str] | None:
+        """By worker that is listed as ready, the name of its life; None where no answer came."""
         entries = await ask.listed(self._roster, self.settings.governors[0].zone)
-        return {e.replica: e.boot for e in entries or () if e.phase == "ready"}
+        return None if entries is None else {e.replica: e.boot for e in entries if e.phase == "ready"}
 
     async def _command(self, command: str, worker: str, cell: str) -> int:
         words = [w.replace("{worker}", worker).replace("{cell}", cell) for w in shlex.split(command)]
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -64,6 +64,7 @@
         workers = {w: c for c, ws in CELLS.items() for w in ws}
         self.settings = on_sockets(folder, roster, port, Placed(tuple(CELLS), workers))
         self.said: list[str] = []
+        self.silent = 0  # calls that the roster does not answer
         self.deaf: Callable[[], bool] = lambda: False
 
     def renewed(self) -> list[str]:
@@ -71,6 +72,9 @@
         return path.read_text().split() if path.exists() else []
 
     async def roster(self, request: http.Request, connection: Connection) -> Answer:
+        if self.silent > 0:
+            self.silent -= 1
+            return Answer(503)
         lives = self.renewed() if self.returns else []
         return json(feed.Roster("l", 1, tuple(
             feed.Replica(w, "x", boot=f"{w}/{lives.count(w)}") for ws in CELLS.values() for w in ws), True))
@@ -174,3 +178,13 @@
         assert ended.step is Step.DONE and ended.renewed == {w for c in CELLS.values() for w in c}
         assert not set(site.renewed()) - ended.renewed
         assert all(site.renewed().count(w) == 1 for w in record.renewed)
+
+
+@pytest.mark.parametrize(("silent", "why"), [(2, "a1 did not come back"), (999, "the roster did not answer")])
+def test_a_roster_that_is_silent_when_a_worker_goes_down_passes_for_no_return(
+        tmp_path: Path, silent: int, why: str) -> None:
+    site = Site(tmp_path, returns=False)
+    site.silent = silent
+    ended = site.play(site.release())
+    assert ended.step is Step.HALTED and why in ended.why
+    assert "a2" not in site.renewed()
