Relays: 503 only where no try can have run; a spoilt load report spoils no answer

Seen: with further tries ordered (way 2) and one line in the table, a booking-commit whose answer was lost after the work got 503 from its relay, and clients send it again after that, so the relay's own line ran out and the commit would run twice over the layers together. A replica's answer with a load report that is none broke the connection to the client, though the work was done and answered 200.

Ruled out: the governors' orders (never more than way 1). At fault: Relay._try told "no line left" like "no line", and Relay._send read reports where a ValueError went through to the server.

Now 502 where a try may have run; a bad report is left out. Before: 503, and a broken connection; after: 502, 200.

--- a/gradehoist/standin/relay.py
+++ b/gradehoist/standin/relay.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -241,7 +242,7 @@
                 if not number:
                     self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name,
                                         reason="no line")
-                return 503
+                return 502 if unproven else 503  # clients repeat after 503 what must never run twice
             used.add(replica)
             left = until - now()
             last = number == further
@@ -273,7 +274,8 @@
             status = response.status
             proof = status == 503 and http.header(response.headers, "x-never-ran") == "1"
             if text := http.header(response.headers, orca.HEADER):
-                met.report = orca.read(text)
+                with contextlib.suppress(ValueError):  # a spoilt report must not spoil the answer
+                    met.report = orca.read(text)
         except Unreachable:
             status, proof = 502, True
         except TimedOut:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -307,6 +307,35 @@
     run(work)
 
 
+def test_no_line_left_after_a_try_that_may_have_run_is_not_told_as_never_run(tmp_path: Path) -> None:
+    """Further tries are ordered and the table has one line: a 503 would have the client send it again."""
+    plan = scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
+
+    async def answer(request: http.Request, connection: Connection) -> Answer | None:
+        if (http.header(request.headers, "x-transaction") or "").startswith("cut"):
+            return None  # the work is done, the answer lost
+        return Answer(200, b"", (("endpoint-load-metrics", "TEXT cpu_utilization=much"),))
+
+    async def work() -> None:
+        relay: Relay = next(iter(Relays(plan, "relays-hall-a", tmp_path).all.values()))
+        (port,) = scene.ports(1)
+        server = Server(answer)
+        server.listen(port, LOCAL)
+        name, cls = plan.replicas[0].name, next(c.name for c in plan.classes if c.repeat == "single")
+        relay.via = {name: port}
+        relay.holdings.apply(feed.Message(1, 1, 0, 1, (feed.Bind(1, (cls,), {name: 1.0}),
+                                                       feed.Level(None, (cls,), 1.0, 2))))
+        relay.server = Server(relay.handle)
+        relay.server.listen(relay.plan.port, LOCAL)
+        client = Client(LOCAL, relay.plan.port)
+        for tx, status in ("cut.1", 502), ("whole.1", 200):  # nor does a spoilt load report spoil an answer
+            headers = (("x-transaction", tx), ("x-class", cls), ("x-work", "5"))
+            assert (await client.exchange("POST", "/", b"", headers)).status == status
+        relay.die()
+        server.shut()
+    run(work)
+
+
 def test_half_an_answer_changes_nothing_at_a_relay_whatever_byte_the_governor_died_at(tmp_path: Path) -> None:
     """Cut at each byte and reset, as by a kill; then a governor of a new epoch answers whole."""
     plan = scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
