Forget servers gone for an hour; no pause freezes the loop; a young clock makes nobody cold

One report whose window was an hour, as after a pause of the governor, made 20 minutes the period of a small pool: its loop stood still. On a machine that booted less than the cold time ago no server counted as warm, so none was ever ejected. Intake counted its periods one by one after a pause.

Ruled out: the notes and timers (bounded); weights, which stayed finite and over zero for 96 mixtures of vast, empty and failing reports on 0 to 9 servers, as did sizes of 0 and 1e9. At fault: Pool and Publisher kept every state and withdrawal ever met; Replica.on_heard took any window; Pool.choices and jammed subtracted the cold time from a clock that may be younger.

Now a withdrawal of an hour is lifted together with a line of weight 0, and state, tables and part are dropped; one that comes back meanwhile is kept.

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -57,6 +57,7 @@
     SMOOTH = 1 / 3  # weight of the newest of about five reports: 2 / (5 + 1)
     FEW = 4.0  # tries below which a failing share says nothing: four in a row by chance are rare
     FAILING = 0.8  # impatient clients fail half the tries of a slow server that still answers
+    PAUSE = 60 * SECOND  # a longer window tells of a pause of ours: one of an hour froze the loop for minutes
 
     entry: Any = None
 
@@ -88,7 +89,8 @@
     def on_heard(self, e: i.Heard) -> None:
         self.tries, self.bad = self.tries + e.tries, self.bad + e.bad
         self.elapsed, self.fresh = self.elapsed + e.elapsed * (e.tries - e.bad), e.load or self.fresh
-        self.period += int(self.SMOOTH * (e.window - self.period))  # over the stated where the intake is full
+        window = min(e.window, self.PAUSE)  # over the stated period where the intake is full
+        self.period += int(self.SMOOTH * (window - self.period))
         if not self.sick and self.tries >= self.FEW and self.bad > self.FAILING * self.tries:
             self.put("pool", "failing", self.index, self.bad / self.tries)
 
@@ -147,6 +149,7 @@
     LATE = 0.6  # mean answer time as a part of the goal: beyond it the slowest tenth is late
     FAILS = 0.25  # failing part of the tries at the median server, which no outlier can bring about
     TASTE = 0.01  # part of a zone's traffic each other zone gets anyway, so that its reports keep coming
+    FORGET = 3600 * SECOND  # long past any flapping list: 3,000 replaced servers made a step 27 times as long
 
     def __init__(self, mail: Mail, zones: int, proxies: int, classes: tuple[i.TransactionClass, ...],
                  sets: list[tuple[int, ...]], period: int, cold: int, homes: list[int], probes: bool) -> None:
@@ -157,6 +160,7 @@
         self.states, self.rates, self.calm = dict[int, State](), dict[int, tuple[int, list[float]]](), 0
         self.heat, self.slack = dict[int, float](), dict[int, float]()
         self.held, self.opening, self.thin = set[int](), set[int](), list[tuple[int, int]]()
+        self.leaving = set[int]()  # gone for good: forgotten once their withdrawal is lifted
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
         c = self.classes[self.sets[k][0]]
@@ -167,7 +171,11 @@
         for k, zone in product(range(len(self.sets)), range(self.zones)):
             if self.allowed(of, zone, k):
                 yield {n: bool(s.open) for n, s in self.states.items() if s.entry.phase is i.Phase.READY and
-                       s.entry.started <= self.mail.now - self.cold_time and self.allowed(s.entry, zone, k)}
+                       s.entry.started <= self.old and self.allowed(s.entry, zone, k)}
+
+    @property
+    def old(self) -> int:  # started by then: warm; on a machine just booted too, where long past is told as 0
+        return max(0, self.mail.now - self.cold_time)
 
     def on_listed(self, e: i.Listed) -> None:
         if e.kind is i.ListKind.FAILED:
@@ -183,6 +191,8 @@
         self.known |= news
 
     def on_state(self, index: int, state: State) -> None:  # the start alone may change: cold, told late
+        if index not in self.known:
+            return  # a last word of one just forgotten
         old, self.states[index] = self.states.get(index), state
         self.zones = max(self.zones, state.entry.zone + 1)
         said = [(s.entry.phase, s.open, s.entry.started) for s in (old, state) if s is not None]
@@ -195,6 +205,8 @@
             # Many restarted at once are withdrawn first: their low lines alone would take too long.
             again = bool(old and old.open and old.entry.started < state.entry.started)
             kind = "gone" if state.entry.phase is i.Phase.GONE else "open" if state.open else "eject"
+            (self.mail.later(self.FORGET, "pool", "forget", index) if kind == "gone" else
+             self.leaving.discard(index))
             kind = "drain" if self.jammed(index, again) or state.entry.phase is i.Phase.DRAINING else kind
             if old or kind != "open":  # a first line comes with the tables
                 self.opening |= {index} if kind == "open" else set()
@@ -206,7 +218,7 @@
 
     def jammed(self, n: int, again: bool = False) -> bool:
         # In a jam a cold one gets far more than its weight, the first of a class with few others all of it.
-        s, bar, old = self.states[n], 3 * SECOND if n in self.held else 1, self.mail.now - self.cold_time
+        s, bar, old = self.states[n], 3 * SECOND if n in self.held else 1, self.old
         warm = any(x.open and x.entry.started <= old for x in self.states.values())
         again |= any(self.allowed(s.entry, z, k) for z, k in self.thin)
         wait = s.open and warm and s.entry.started > old and (again or self.calm < bar)
@@ -214,9 +226,9 @@
         return n in self.held
 
     def on_failing(self, index: int, share: float) -> None:  # a fault that all share ejects nobody
-        s, ready = self.states[index], [s for s in self.states.values() if s.entry.phase is i.Phase.READY]
+        s, ready = self.states.get(index), [s for s in self.states.values() if s.entry.phase is i.Phase.READY]
         usual = sum(s.bad for s in ready) / max(1.0, sum(s.tries for s in ready))
-        if share >= 2 * usual and s.open and all(
+        if s and share >= 2 * usual and s.open and all(
                 len(w) - sum(w.values()) + 1 <= self.PANIC * len(w) for w in self.choices(s.entry)):
             self.states[index] = s._replace(open=None)  # at once: a batch's must not each pass as the first
             self.put(("replica", index), "eject")
@@ -293,6 +305,17 @@
         self.on_plan()
         for g in range(len(self.homes)):
             self.put(("group", g), "line", n)
+        if n in self.leaving:
+            self.leaving.discard(n)
+            del self.known[n], self.states[n], self.mail.parts["replica", n]
+            for g in range(len(self.homes)):
+                self.put(("group", g), "forget", n)
+            self.replan()
+
+    def on_forget(self, n: int) -> None:
+        if n in self.states and self.states[n].entry.phase is i.Phase.GONE:
+            self.leaving.add(n)
+            self.put("publisher", "lift", n)
 
     def on_plan(self) -> None:  # the zone layer: traffic stays while its zone's weights carry it
         # Those that wait are no room yet: counted, a zone's first ones back would get what it keeps for all.
@@ -369,6 +392,10 @@
 
     def on_line(self, replica: int) -> None: self.write(list(self.moved(replica)))
 
+    def on_forget(self, replica: int) -> None:  # behind its line of weight 0, which no table is left without
+        for table in self.sent.values():
+            table.pop(replica, None)
+
     def on_join(self, proxy: int, extra: int) -> None:
         self.members[proxy] = None
         binds = [i.Bind(proxy, self.index * len(self.sets) + k, c) for k, c in enumerate(self.sets)]
@@ -418,6 +445,7 @@
         self.put(("group", self.home.pop(e.proxy)), "leave", e.proxy)
         self.binds = sorted(b for b in self.binds if b[1] != e.proxy)
         self.waiting -= sum(n for _, n in self.unacked.pop(e.proxy))
+        self.times.pop(e.proxy)
 
     def on_applied(self, e: i.Applied) -> None:
         while any(m == e.mark for m, _ in self.unacked.get(e.proxy, ())):
@@ -428,6 +456,10 @@
             self.jobs.pop(replica, None)  # else a job keeps its place: the first told goes first
         (self.shut if kind != "open" and replica in self.shut else self.jobs)[replica] = kind
 
+    def on_lift(self, replica: int) -> None:
+        if self.shut.get(replica) == "gone":
+            self.jobs[replica] = "open"
+
     def on_differs(self, group: int, yes: bool, size: int) -> None:
         self.differs[group], self.sizes[group] = yes, size
 
--- a/gradehoist/governor/intake.py
+++ b/gradehoist/governor/intake.py
@@ -72,8 +72,7 @@
     def take(self, now: int) -> list[i.Event]:
         """Lines due by now. A line's window reaches from its last delivery, a period at least."""
         if now >= self._next:
-            while self._next <= now:
-                self._next += self._period
+            self._next += ((now - self._next) // self._period + 1) * self._period
             for zone_replica in self._met:
                 self._ready.setdefault(("met", *zone_replica), now)
             for proxy_class in self._came:
--- a/gradehoist/governor/roster.py
+++ b/gradehoist/governor/roster.py
@@ -67,12 +67,12 @@
         """A roster that lost its memory answers with nothing, a copy that is behind with what was true once:
         the one took every replica from every relay, the other gave drained ones back."""
         if document.life == self.life and document.version < self.version:
-            raise Unsound(f"version {document.version} after {self.version} of one life; the held one stands")
+            raise Unsound(f"version {document.version} after {self.version} of one life; the later stands")
         if not document.entries and self.entries:
             raise Unsound(f"an empty list where {len(self.entries)} are known; that stands")
 
     def _known(self, e: feed.Replica) -> feed.Replica:
-        """An entry as far as the settings know what it says; refused with its list it hid every drain in it."""
+        """An entry as far as the settings know what it says; refused with its list, it hid every drain."""
         why = ""
         if e.phase not in PHASES:
             why = f"phase {e.phase!r} is none, taken for draining"
