The five rules in all orders of a few events, on the real core, module and relay state

Need: rules were checked on scenes and on random runs, not on every order of a few events. Left out: cells, plans, movers, more than one trouble of the roster.

--- /dev/null
+++ b/tests/orders.py
@@ -0,0 +1,342 @@
+"""A tiny fleet under a virtual clock, on the governor's core, the module and the relays' real feed state.
+
+The checker keeps its own books: what the roster told and when, what relays hold, what they would send, what
+was put into each channel. It asks neither module nor core. `explore` plays all orders of some events.
+"""
+
+from __future__ import annotations
+
+import pickle
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from dataclasses import dataclass, field, replace
+from itertools import chain
+
+from gradehoist import interface as i
+from gradehoist.governor.channel import Channel
+from gradehoist.governor.core import Core, Poll, Refused
+from gradehoist.governor.parts import Reply
+from gradehoist.governor.planner import Modules
+from gradehoist.protocol import feed
+from tests.governed import SECOND, entry, settings
+
+TICK = 50_000
+GAP = 400_000  # between events: shorter than a period, longer than a message's way
+TAIL = 5 * SECOND  # after the last one: grace and bare limit can both run out
+QUEUE, RATE = 150.0, 500.0
+DEMAND = 0.9  # of one warm replica's capacity, from each relay
+CLASSES = ("read", "write")
+Spoil = Callable[["Site", list[i.Order]], list[i.Order]]
+
+
+class Broken(AssertionError):
+    pass
+
+
+class Watched(Channel):
+    """The real channel, with a book of its own of what was put: the limits come from the settings."""
+
+    def watch(self, most: float, rate: float, number: int, window: int) -> Watched:
+        self.told = (most, rate, number, window)
+        self.book: list[tuple[float, int, float]] = []
+        self.put_at: dict[int, list[int]] = {}
+        self.out_at = 0.0
+        return self
+
+    def joined(self, proxy: int) -> None:
+        super().joined(proxy)
+        self.put_at[proxy] = []
+
+    def left(self, proxy: int) -> None:
+        super().left(proxy)
+        self.book = [b for b in self.book if b[1] != proxy]
+
+    def put(self, now: int, proxy: int, stream: int, message: feed.Message) -> str:
+        why = super().put(now, proxy, stream, message)
+        if why:
+            return why
+        most, rate, number, window = self.told
+        lines = 4 + sum(1 + len(d.lines) if isinstance(d, feed.Bind) else 1 for d in message.deltas)
+        cost = max(message.cost, lines)
+        self.out_at = max(self.out_at, now) + cost / rate * 1e6
+        self.book = [b for b in self.book if b[0] > now] + [(self.out_at, proxy, cost)]
+        self.put_at[proxy] = [t for t in self.put_at[proxy] if t > now - window] + [now]
+        if (waits := sum(b[2] for b in self.book)) > most:
+            raise Broken(f"rule 5: {waits:g} lines wait, {most:g} may")
+        if number and len(self.put_at[proxy]) > number:
+            raise Broken(f"rule 5: {len(self.put_at[proxy])} messages to proxy {proxy} within the window")
+        return ""
+
+
+@dataclass
+class Governor:
+    core: Core
+    modules: Modules
+    phase: dict[str, tuple[str, int]] = field(default_factory=dict)  # as the roster told it, since when
+    start: dict[str, tuple[int, int]] = field(default_factory=dict)  # its start, and when that was told
+    probes: list[tuple[int, int]] = field(default_factory=list)
+
+
+@dataclass
+class Relay:
+    name: str
+    zone: str
+    at: int  # the governor that it follows
+    holdings: feed.Holdings = field(default_factory=feed.Holdings)
+    epoch: str = ""
+    stream: int = 0
+    after: int = 0
+    joined: int = -1  # since when, by its own knowledge
+    last: int = 0  # the order time of the last message applied
+    way: int = 20_000
+    deaf: bool = False
+    answer: tuple[int, feed.Feed] | None = None
+    dials: int = 0
+    bare: dict[str, int] = field(default_factory=dict)
+
+
+class Site:
+    def __init__(self, governors: int, spoil: Spoil | None = None) -> None:
+        found = settings(2, QUEUE, RATE)
+        # A short span and a long cold time: otherwise no weights could push over what so small a fleet has.
+        rules = replace(found.fleet.rules, cold_time=10 * SECOND, fall_span=SECOND)
+        self.settings = replace(found, fleet=replace(found.fleet, rules=rules))
+        self.rules, self.spoil = rules, spoil
+        self.now, self.lives, self.done = 100 * SECOND, 0, list[str]()
+        self.replicas = {f"w{n}": entry(n) for n in range(3)}
+        self.started = dict.fromkeys(self.replicas, 0)
+        self.failing: set[str] = set()
+        self.sent: dict[str, deque[tuple[int, float, bool]]] = defaultdict(deque)
+        self.governors = [self._governor() for _ in range(governors)]
+        self.relays = [Relay(f"r{n}", "xy"[n % 2], n % governors) for n in range(2)]
+        for relay in self.relays:
+            relay.holdings.stand({c: {"w0": 1.0, "w1": 1.0} for c in CLASSES})
+        self.run(3 * SECOND)
+        for relay in self.relays:
+            if not relay.holdings.bound:
+                raise Broken("not bound")
+
+    def _governor(self) -> Governor:
+        self.lives += 1
+        fleet = self.settings.fleet
+        core = Core(fleet, self.settings.governors[0], f"e{self.lives}", self.now)
+        ch = fleet.channel
+        core.channel = Watched(ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window).watch(
+            ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window)
+        made = Governor(core, Modules(core.starts, self.now, False))
+        self._tell(made)
+        return made
+
+    def _tell(self, governor: Governor) -> None:
+        """The whole list, of a life of the roster for each time: what is left out has gone."""
+        listed = tuple(feed.Replica(
+            e.replica, e.zone, "", e.kind, 0, e.phase, 1.0, e.boot,
+            self.now - self.started[e.replica] if self.started[e.replica] else 10**9)
+            for e in self.replicas.values() if e.phase != "gone")
+        self.lives += 1
+        governor.core.listed(self.now, feed.Roster(f"l{self.lives}", 1, listed, True))
+        for name, e in self.replicas.items():
+            if governor.phase.get(name, ("", 0))[0] != e.phase:
+                shut = governor.phase.get(name, ("ready", 0))
+                since = shut[1] if shut[0] != "ready" and e.phase != "ready" else self.now
+                governor.phase[name] = (e.phase, since)
+            if governor.start.get(name, (-1, 0))[0] != self.started[name]:
+                governor.start[name] = (self.started[name], self.now)
+
+    # Events
+
+    def event(self, word: str) -> None:
+        self.done.append(word)
+        what, _, name = word.partition(" ")
+        relay = next((r for r in self.relays if r.name == name), self.relays[0])
+        match what:
+            case "drain" | "gone":
+                self._list(name, "draining" if what == "drain" else "gone")
+            case "back":  # also a restart that was never seen to go
+                self.started[name] = self.now
+                self._list(name, "ready", int(self.replicas[name].boot.partition("/")[2]) + 1)
+            case "fails":
+                self.failing ^= {name}
+            case "deaf":
+                relay.deaf = not relay.deaf
+            case "late":
+                relay.way = 500_000
+            case "redial":
+                self._lost(relay)
+                relay.at = (relay.at + 1) % len(self.governors)
+            case "leaves":
+                self._lost(relay)
+                relay.dials = self.now + SECOND
+            case "restart":
+                for one in [r for r in self.relays if r.at == int(name)]:
+                    one.joined, one.answer, one.dials = -1, None, self.now + 100_000
+                self.governors[int(name)] = self._governor()
+            case "period":
+                self.run(SECOND)
+            case _:
+                raise ValueError(word)
+        self.run(GAP)
+
+    def _list(self, name: str, phase: str, boot: int = 0) -> None:
+        old = self.replicas[name]
+        number = boot or int(old.boot.partition("/")[2])
+        self.replicas[name] = entry(int(name[1:]), phase, number)
+        for governor in self.governors:
+            self._tell(governor)
+
+    def _lost(self, relay: Relay) -> None:
+        core = self.governors[relay.at].core
+        core.left(core.names.proxies.get(relay.name, -1), "its connection closed")
+        relay.joined, relay.answer, relay.dials = -1, None, self.now + 100_000
+
+    # Time
+
+    def run(self, span: int) -> None:
+        end = self.now + span
+        while self.now < end:
+            self.now += TICK
+            for relay in self.relays:
+                self._relay(relay)
+            for governor in self.governors:
+                self._govern(governor)
+            self._check()
+
+    def _relay(self, relay: Relay) -> None:
+        if relay.answer and relay.answer[0] <= self.now:
+            self._take(relay, relay.answer[1])
+            relay.answer = None
+        if relay.answer is None and relay.dials <= self.now:
+            after = 0 if relay.deaf else relay.after
+            poll = Poll(relay.name, relay.zone, 5.0, relay.epoch, relay.stream, after)
+            try:
+                answer = self.governors[relay.at].core.poll(self.now, poll)
+            except Refused:
+                relay.joined, relay.epoch, relay.dials = -1, "", self.now + 100_000
+                return
+            if answer is not None:
+                relay.answer = (self.now + relay.way, answer)
+        if self.now % SECOND < TICK and relay.joined >= 0:
+            tries = tuple(feed.Try(w, 6, 6 * (w in self.failing), 200_000, 0.5, 2.0)
+                          for w in relay.holdings.lines("read"))
+            came = tuple(feed.Came(c, 10) for c in CLASSES)
+            with suppress(Refused):
+                self.governors[relay.at].core.sums(feed.Sums(relay.name, relay.epoch, SECOND, tries, came))
+
+    def _take(self, relay: Relay, answer: feed.Feed) -> None:
+        if (answer.epoch, answer.stream) != (relay.epoch, relay.stream):
+            relay.epoch, relay.stream, relay.after, relay.joined = answer.epoch, answer.stream, 0, self.now
+            relay.holdings.joined()
+        for message in answer.messages:
+            if message.seq > relay.after:
+                relay.holdings.apply(message)
+                relay.after, relay.last = message.seq, message.at
+
+    def _govern(self, g: Governor) -> None:
+        for at, replica in [p for p in g.probes if p[0] <= self.now]:
+            name = g.core.names.replicas.names[replica]
+            good = name not in self.failing and self.replicas[name].phase == "ready"
+            g.core.probed(replica, i.Outcome.ANSWERED if good else i.Outcome.TIMED_OUT, self.now - at, None)
+            g.probes.remove((at, replica))
+        g.core.advance(self.now)
+        if batches := g.core.batches():
+            replies: list[Reply] = [(part, self.spoil(self, orders) if self.spoil else orders, why)
+                                    for part, orders, why in g.modules.handle(self.now, batches)]
+            g.core.carry_out(self.now, replies)
+        g.probes += [(self.now + 100_000, n) for n in g.core.probes]
+        g.core.probes.clear()
+        g.core.logs.clear()
+
+    # The rules, by what was told, held and sent
+
+    def warm(self, g: Governor, but: str = "") -> bool:
+        return any(phase == "ready" and n != but and g.start[n][0] <= self.now - self.rules.cold_time
+                   for n, (phase, _) in g.phase.items())
+
+    def _check(self) -> None:
+        for relay in self.relays:
+            g = self.governors[relay.at]
+            for cls in CLASSES:
+                lines = relay.holdings.lines(cls)
+                if relay.joined >= 0:
+                    self._rules_1_and_3(relay, g, cls, lines)
+                share, way = relay.holdings.level(cls, 1)
+                # The first try's answer is lost after the work: another one only where that was ordered.
+                if cls == "write" and way >= 2 and len(lines) > 1 and relay.holdings.bound:
+                    raise Broken(f"rule 2: a write of {relay.name} takes effect twice by way {way}")
+                total = sum(lines.values())
+                for name, weight in lines.items():
+                    knows = relay.joined >= 0 and self._knows(relay, g, name)
+                    work = DEMAND / len(CLASSES) * min(1.0, share) * TICK * weight / total
+                    self.sent[name].append((self.now, work, knows))
+        for name, some in self.sent.items():
+            self._rule_4(name, some)
+
+    def _rules_1_and_3(self, relay: Relay, g: Governor, cls: str, lines: dict[str, float]) -> None:
+        for name in lines:
+            phase, since = g.phase.get(name, ("ready", 0))
+            late = self.now - max(since, relay.joined)
+            if phase != "ready" and late > self.rules.grace:
+                raise Broken(f"rule 3: {relay.name} still sends to {name}, {phase} for {late / 1e6:.2f} s")
+        if lines or not self.warm(g):
+            relay.bare.pop(cls, None)
+        elif self.now - relay.bare.setdefault(cls, self.now) > self.rules.bare_limit:
+            raise Broken(f"rule 1: {relay.name} has had nothing to pick for {cls} for over the limit")
+
+    def _knows(self, relay: Relay, g: Governor, name: str) -> bool:
+        told = g.start[name][1]
+        return relay.last > told or self.now - max(told, relay.joined) > self.rules.grace
+
+    def _rule_4(self, name: str, some: deque[tuple[int, float, bool]]) -> None:
+        while some and some[0][0] <= self.now - self.rules.fall_span:
+            some.popleft()
+        age = self.now - self.started[name]
+        if not self.started[name] or age >= self.rules.cold_time or not all(
+                self.warm(g, name) for g in self.governors):
+            return  # warm, or nothing else is there to send to
+        mine = [x for x in some if x[0] > self.started[name]]
+        cold = self.rules.cold_share
+        budget = (self.rules.fall_multiple * (cold + (1 - cold) * age / self.rules.cold_time)
+                  * self.rules.fall_span)
+        work = sum(x[1] for x in mine)
+        if work > budget and sum(x[1] for x in mine if x[2]) >= work * 2 / 3:
+            raise Broken(f"rule 4: {name}, cold for {age / 1e6:.2f} s, is sent {work / budget:.2f} of what "
+                         "pushes it over")
+
+
+def explore(governors: int, events: Iterable[str], depth: int, spoil: Spoil | None = None) -> int:
+    """Plays all orders of `depth` different events and checks the rules at each step; how many orders.
+    Raises Broken with the order's steps."""
+    words, count = tuple(events), 0
+
+    def go(state: bytes, left: tuple[str, ...], depth: int) -> None:
+        nonlocal count
+        for word in left:
+            site: Site = pickle.loads(state)
+            try:
+                site.event(word)
+                if depth > 1:
+                    go(pickle.dumps(site), tuple(w for w in left if w != word), depth - 1)
+                else:
+                    site.run(TAIL)
+                    count += 1
+            except Broken as fault:
+                if "order:" in str(fault):
+                    raise
+                raise Broken(f"{fault}; order: {', '.join(site.done)}") from None
+
+    try:
+        start = pickle.dumps(Site(governors, spoil))
+    except Broken as fault:
+        raise Broken(f"{fault}; order: none yet") from None
+    go(start, words, depth)
+    return count
+
+
+def play(governors: int, *events: str, spoil: Spoil | None = None) -> Site:
+    """One order, as a plain test of what `explore` found."""
+    site = Site(governors, spoil)
+    for word in chain(events):
+        site.event(word)
+    site.run(TAIL)
+    return site
