--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -7,6 +7,7 @@
 import os
 import resource
 import signal
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -15,8 +16,12 @@
 
 from gradehoist.day import scene
 from gradehoist.governor.service import Service
+from gradehoist.net.server import Answer, Connection, Server
+from gradehoist.protocol import feed, http
 from gradehoist.settings import fleet as f
-from tests.drills import GRACE, LOCAL, Governor, Relay, Roster, fleet, play, settings, until
+from gradehoist.standin.clients import Clients
+from gradehoist.standin.relay import Relays
+from tests.drills import GRACE, LOCAL, ROOT, Governor, Relay, Roster, fleet, play, settings, until
 from tests.governed import entry
 
 
@@ -246,3 +251,54 @@
             roster.list(entry(1, "draining"))
             assert await until(lambda: not any(r.sends_to("w1") for r in some), GRACE)
     play(work)
+
+
+
+
+def test_a_governor_that_stood_still_tells_of_a_drain_within_the_grace_of_its_return(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path) as (roster, governor, (relay,)):
+            epoch = relay.epoch
+            os.kill(governor.process.pid, signal.SIGSTOP)
+            roster.list(entry(1, "draining"))
+            await asyncio.sleep(8.0)  # longer than hold and silence: every stream looks silent
+            assert relay.sends_to("w0")  # it stands on what it holds
+            os.kill(governor.process.pid, signal.SIGCONT)
+            assert await until(lambda: relay.joined and not relay.sends_to("w1"), GRACE), "told too late"
+            assert await until(lambda: relay.holdings.bound and relay.sends_to("w0"), 5)
+            assert governor.process.poll() is None and relay.epoch == epoch
+    play(work)
+
+
+# By class and by what meets a try: tries that arrive for one transaction, with two lines in the table.
+# A relay tries a second time on proof alone; clients send again what is free, or was refused with proof.
+@pytest.mark.parametrize(("repeat", "meets", "arrive"), [
+    ("free", "proof", lambda retries: 2 * (1 + retries)), ("free", "cut", lambda retries: 1 + retries),
+    ("single", "proof", lambda retries: 2), ("single", "cut", lambda retries: 1)])
+def test_retries_of_all_layers_together_are_those_of_the_table(
+        tmp_path: Path, repeat: str, meets: str, arrive: Callable[[int], int]) -> None:
+    plan = scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
+    came: list[str] = []
+
+    async def answer(request: http.Request, connection: Connection) -> Answer | None:
+        came.append(http.header(request.headers, "x-transaction") or "")
+        return Answer(503, b"", (("x-never-ran", "1"),)) if meets == "proof" else None
+
+    async def work() -> None:
+        relay = next(iter(Relays(plan, "relays-hall-a", tmp_path).all.values()))
+        server, ports = Server(answer), scene.ports(2)
+        for port in ports:
+            server.listen(port, LOCAL)
+        names = [r.name for r in plan.replicas[:2]]
+        relay.via = dict(zip(names, ports, strict=True))
+        cls = next(c for c in plan.classes if c.repeat == repeat)
+        relay.holdings.apply(feed.Message(1, 1, 0, 1, (
+            feed.Bind(1, (cls.name,), dict.fromkeys(names, 1.0)),)))
+        relay.server = Server(relay.handle)
+        relay.server.listen(relay.plan.port, LOCAL)
+        clients = Clients(plan, "clients", tmp_path)
+        await clients._one("c1", relay.plan.name, cls, 5.0, "")
+        assert plan.retries >= 1 and len(came) == arrive(plan.retries), came
+        relay.die()
+        server.shut()
+    play(work)
