Sums with an unknown replica count for the rest; movers ask less and less; solvers end

Seen: sums that name one replica of an earlier governor's tables were refused whole (422), so all that relay's figures were missing until its tables were new; a worker that does not answer was asked 13 times in 4 s, and so on to the end of its move, eight moves at once; nothing ended a solver that takes too long, and its fault would be a traceback.

Ruled out: harm to the moves themselves (each word is harmless twice). At fault: Intake.add, the fixed pause in Mover._one, no time limit in plans.solve. Now unknown rows are left out and told once in `sums_strange`; the pause doubles to 5 s and starts anew with each step (4 asks in 4 s); a program ends after 300 s with one line, exit 2.

--- a/gradehoist/cli/plan.py
+++ b/gradehoist/cli/plan.py
@@ -13,7 +13,7 @@
 
 from gradehoist.plans import make as making
 from gradehoist.plans.read import Event, read
-from gradehoist.plans.solve import GRID
+from gradehoist.plans.solve import GRID, Unsolved
 from gradehoist.settings.reader import SettingsError
 from gradehoist.store import keep
 
@@ -48,7 +48,10 @@
     one = event(path, name)
     with Progress(console=Console(stderr=True), transient=True) as bar:
         task = bar.add_task(f"plan for {one.name}", total=None)
-        plan = making.make(one, pairs, lambda done, all: bar.update(task, completed=done, total=all))
+        try:
+            plan = making.make(one, pairs, lambda done, all: bar.update(task, completed=done, total=all))
+        except Unsolved as fault:
+            raise Bad(f"{path}: no plan: {fault}; make the event smaller, or its groups fewer") from None
     try:
         keep.write(out, msgspec.json.format(msgspec.json.encode(plan), indent=1))
     except OSError as fault:
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -214,9 +214,13 @@
         if stream is None or sums.epoch != self.epoch:
             raise Refused(409, f"relay {sums.relay!r} has no stream of this epoch; join first")
         try:
-            self.intake.add(proxy, stream.zone, sums)
+            strange = self.intake.add(proxy, stream.zone, sums)
         except Unknown as fault:
             raise Refused(422, str(fault)) from None
+        if strange and not stream.strange:
+            stream.strange = True
+            self.log("sums_strange", warn=True, relay=stream.relay, replica=strange[0],
+                     reason="stands in no list of this governor; left out")
         if self.tally:
             self.tally.add(sums)
 
--- a/gradehoist/governor/intake.py
+++ b/gradehoist/governor/intake.py
@@ -43,18 +43,20 @@
         self._ready: dict[tuple[str, int, int], int] = {}  # since when, in the order of their first line
         self._next, self._credit, self._at = now + period, 0.0, now
 
-    def add(self, proxy: int, zone: int, sums: feed.Sums) -> None:
-        """Raises Unknown, and then nothing of the document is taken."""
+    def add(self, proxy: int, zone: int, sums: feed.Sums) -> list[str]:
+        """The replicas that stand in no list of this governor: their rows are left out, as a relay's tables
+        may be an earlier governor's, and refused whole its other figures were missing. Raises Unknown, and
+        then nothing of the document is taken."""
         replicas, classes = self._names.replicas, self._names.classes
         for row in sums.tries:
-            if row.replica not in replicas:
-                raise Unknown(f"replica {row.replica!r} stands in no list of this governor")
             if row.bad > row.tries:
                 raise Unknown(f"replica {row.replica!r}: more bad tries than tries")
         for came in sums.came:
             if came.cls not in classes:
                 raise Unknown(f"class {came.cls!r} is not in the settings")
         for row in sums.tries:
+            if row.replica not in replicas:
+                continue
             met = self._met.setdefault((zone, replicas[row.replica]), _Met())
             met.tries, met.bad = met.tries + row.tries, met.bad + row.bad
             met.elapsed += row.elapsed * (row.tries - row.bad)
@@ -63,6 +65,7 @@
         for came in sums.came:
             known = self._came.setdefault((proxy, classes[came.cls]), _Came())
             known.number, known.unanswered = known.number + came.number, known.unanswered + came.unanswered
+        return [row.replica for row in sums.tries if row.replica not in replicas]
 
     def left(self, proxy: int) -> None:
         for key in [k for k in self._came if k[0] == proxy]:
--- a/gradehoist/governor/openapi.py
+++ b/gradehoist/governor/openapi.py
@@ -15,8 +15,9 @@
     "405": "another method than the path takes", "408": "the request took too long to come",
     "409": "no such stream, a message that was never sent, or a later poll took over: join anew",
     "413": "a body over the limit",
-    "422": "understood, but it names a zone, replica or class that is unknown here",
-    "503": "no list of replicas yet, or the governor stops: go on with what you hold and dial another",
+    "422": "understood, but it names a zone or class that is unknown here, or more bad tries than tries",
+    "503": "no list of replicas yet, all relays of the settings are here, or the governor stops: go on with "
+           "what you hold and dial another",
 }
 
 
--- a/gradehoist/governor/streams.py
+++ b/gradehoist/governor/streams.py
@@ -37,6 +37,7 @@
     picture: int = 0  # messages up to this one are part of a picture put after them
     seen: int = 0
     slow: bool = False  # told in the log
+    strange: bool = False  # likewise, of replicas that nobody listed
     quiet: int = 0  # since when released messages wait without a word of confirmation; 0: none do
     marks: deque[tuple[int, tuple[Mark, ...], int]] = field(default_factory=deque)  # seq, marks, ordered at
 
--- a/gradehoist/mover/run.py
+++ b/gradehoist/mover/run.py
@@ -16,7 +16,8 @@
 from gradehoist.settings.fleet import Placed, Settings
 from gradehoist.store import keep
 
-AGAIN = 0.3  # seconds between words that were not confirmed
+AGAIN = 0.3  # seconds between words that were not confirmed, twice as long each time
+LATER = 5.0  # seconds at most: a dead worker was asked three times a second to the end of its move
 AT_ONCE = 8  # moves under way together: each is a message to every relay
 
 
@@ -145,7 +146,7 @@
 
     async def _one(self, move: Move) -> Move:
         async with self._room:
-            said = ""
+            said, pause = "", AGAIN
             while move.step is not Step.DONE and not move.conflict:
                 if not move.undone and (self.store / f"{move.id}-undo.move").exists():
                     self.told(move, "undone")
@@ -160,15 +161,22 @@
                 after = after.advance(now(), self.governors, self.cells, self.wait)
                 if after.restarted() != move.restarted():  # what is not kept needs no keeping
                     save(self.store, after)  # before anything of a new step is sent
+                    pause = AGAIN
                 move = after
                 waits = move.waits(now(), self.governors, self.cells, self.wait)
                 if waits != said:
                     said = waits
                     self.told(move, waits)
                 if move.step is step and move.step is not Step.DONE:
-                    await asyncio.sleep(AGAIN)
+                    await asyncio.sleep(min(pause, self._wait(move)))
+                    pause = min(LATER, 2 * pause)
             return move
 
+    def _wait(self, move: Move) -> float:
+        """Seconds until the lease and settle time are over, where only they are still waited for."""
+        left = (move.since + self.wait - now()) / 1e6 if move.since >= 0 else LATER
+        return left + 0.01 if left > 0 else AGAIN
+
     async def _say(self, to: str, move: Move) -> Confirm | None:
         """One word to a governor or worker; None where no answer came."""
         target = "/v1/cells/word" if to in self.governors else "/cell/word"
--- a/gradehoist/plans/solve.py
+++ b/gradehoist/plans/solve.py
@@ -22,6 +22,7 @@
 GRID = 10_000  # flows are whole parts of it of a transaction a second: finer than any weight can tell
 SLACK = 1e-6  # of an earlier aim that a later one may use: over the solver's tolerance, well under the grid
 PRICES = 10**9  # prices of load are whole parts of it: any price bounds, a near one nearly as well
+LONGEST = 300.0  # seconds for one program: a slot of 118 workers takes some hundredths
 INF = highspy.kHighsInf
 
 
@@ -50,6 +51,7 @@
     highs.setOptionValue("output_flag", False)
     highs.setOptionValue("threads", 1)
     highs.setOptionValue("random_seed", 1)
+    highs.setOptionValue("time_limit", LONGEST)
     highs.setOptionValue("mip_rel_gap", 0.0)  # the fewest workers, not nearly the fewest
     return highs
 
@@ -180,7 +182,7 @@
 
 def addition(problem: Problem, slot: int, lost: frozenset[str] = frozenset()) -> dict[Group, int] | None:
     """The fewest workers, of kinds and halls that stand, with which all demand is met; None where no number
-    of them would do, as for a class whose only halls are lost."""
+    of them would do, as for a class whose only halls are lost. Raises Unsolved."""
     kinds = sorted({(g.zone, g.kind) for g in problem.workers if g.zone not in lost})
     wide = dict(problem.workers)
     for zone, kind in kinds:
@@ -209,6 +211,8 @@
         have = problem.workers.get(g, 0) * (1 - problem.spare)
         highs.addRow(-INF, float(have), len(mine), np.array(mine, np.int32), np.array(values))
     highs.run()
+    if highs.getModelStatus() == highspy.HighsModelStatus.kTimeLimit:
+        raise Unsolved(f"slot {slot}: no fewest addition within {LONGEST:g} s")
     if highs.getModelStatus() != highspy.HighsModelStatus.kOptimal:
         return None
     found = highs.getSolution().col_value
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 
@@ -30,6 +31,7 @@
         self.at = dict(zip(("roster", "g", *CELLS), found, strict=True))
         self.book = Book("a")
         self.fences = {w: Fence(w, c, until=1 << 60) for w, c in CELLS.items()}
+        self.asked = Counter[str]()
         self.deaf, self.moved = deaf, dict[str, str]()  # moved: addresses that the roster tells instead
         self.servers = []
         for name, port in self.at.items():
@@ -43,6 +45,7 @@
         if name == "roster":
             entries = tuple(feed.Replica(w, "x", self.moved.get(w, f"{LOCAL}:{self.at[w]}")) for w in CELLS)
             return json(feed.Roster("l", 1, entries, True))
+        self.asked[name] += 1
         if name == self.deaf:
             return None
         word: Word = msgspec.json.decode(request.body, type=Word)
@@ -190,3 +193,19 @@
         assert move.step is Step.DONE and not site.takes("a2", 1)
         site.close()
     asyncio.run(asyncio.wait_for(work(), 30))
+
+
+def test_a_worker_that_does_not_answer_is_asked_less_and_less(tmp_path: Path) -> None:
+    async def work() -> None:
+        site = Site(tmp_path, deaf="a2")
+        assert site.settings.fleet.cells is not None
+        long = msgspec.structs.replace(site.settings.fleet.cells, settle=60_000_000)
+        site.settings = replace(site.settings, fleet=replace(site.settings.fleet, cells=long))
+        order(site, tmp_path / "moves")
+        carried = asyncio.ensure_future(carry(site, tmp_path / "moves"))
+        await asyncio.sleep(4.0)
+        carried.cancel()
+        await asyncio.gather(carried, return_exceptions=True)
+        assert 3 <= site.asked["a2"] <= 5, site.asked  # at 0, 0.3, 0.9, 2.1 s, and not fourteen times
+        site.close()
+    asyncio.run(asyncio.wait_for(work(), 30))
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -16,6 +16,7 @@
 from gradehoist.cli.main import main
 from gradehoist.plans import make as making
 from gradehoist.plans import proof
+from gradehoist.plans import solve as solving
 from gradehoist.plans.problem import Class, Flow, Group, Kind, Problem
 from gradehoist.plans.read import read
 from gradehoist.plans.solve import GRID, addition, solve, tie
@@ -201,6 +202,13 @@
     assert cut.exit_code == 2 and "no plan" in cut.output
 
 
+def test_a_solver_that_takes_too_long_is_told_in_one_line(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(solving, "LONGEST", 0.0)
+    told = CliRunner().invoke(main, ["plan", "make", str(EVENTS), "--out", str(tmp_path / "p.json")])
+    assert told.exit_code == 2 and "no plan" in told.output and not (tmp_path / "p.json").exists()
+
+
 def test_every_fault_of_an_events_file_has_its_line_and_clock_changes_are_refused(tmp_path: Path) -> None:
     path = tmp_path / "e.kdl"
 
