--- a/gradehoist/governor/ledger.py
+++ b/gradehoist/governor/ledger.py
@@ -132,8 +132,8 @@
         _latest(self.news, tenant, self.count)
 
     def sweep(self) -> None:
-        """Drops of the next cell what is owed to no relay any more; kept, each replaced replica and each line ever
-        changed cost a look at every message of its table."""
+        """Drops of the next cell what is owed to no relay any more: each line ever changed cost a look at
+        every message of its table."""
         self._swept = (self._swept + 1) % len(self.cells)
         cell = self.cells[self._swept]
         owed = (a.told[self._swept] for a in self.accounts.values() if self._swept in a.due)
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -191,10 +191,11 @@
                 'governor "a"', 'governor "b"').replace("listen=", 'state="var/a" listen=')
             path.write_text(text)
             second = Governor(path, port, "b")
-            assert await second.ended(10) == 2
+            code = await second.ended(10)
+            second.kill()
+            assert code == 2
             said = second.log.read_text()
             assert f"pid {governor.process.pid}" in said and "state" in said and len(said.splitlines()) == 1
-            second.kill()
     play(work)
 
 
@@ -225,10 +226,12 @@
             assert await until(lambda: not psutil.pid_exists(planner), 3), "a planner is left behind"
             assert await until(lambda: not relay.joined, 3) and relay.sends_to("w1")  # it stands
             again = Governor(tmp_path / "s.kdl", governor.port)
-            found = await again.up()
-            assert await until(lambda: relay.epoch == found["epoch"] and relay.holdings.bound, 5)
-            assert not [x.name for x in (tmp_path / "var" / "a").iterdir() if x.suffix == ".part"]
-            again.kill()
+            try:
+                found = await again.up()
+                assert await until(lambda: relay.epoch == found["epoch"] and relay.holdings.bound, 5)
+                assert not [x.name for x in (tmp_path / "var" / "a").iterdir() if x.suffix == ".part"]
+            finally:
+                again.kill()
     play(work)
 
 
