What a relay loses costs the channel no pace; a full disk is one line for every command

`cells move` on a store that can't be written, or a disk that is full on the way, gave a traceback and exit 1. A planner whose start waits for its disk could pass for one that stands still.

Ruled out: the module's own count of what waits, and the limits on messages. At fault: Channel.left kept `_free_at`; the commands on stores caught ValueError alone. Boots of replicas long gone are dropped at the roster's door.

--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import signal
 import sys
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -26,7 +28,20 @@
         raise Fail(str(fault)) from None
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+class Commands(click.Group):
+    def invoke(self, context: click.Context) -> Any:
+        """A folder that can't be written, or a disk that is full on the way, is told in a line of its own:
+        moves and releases gave a traceback. Their records are whole, so that they can be run again."""
+        try:
+            return super().invoke(context)
+        except OSError as fault:
+            if fault.errno == errno.EPIPE:
+                raise  # click's own: who read our output has left
+            raise Fail(f"{fault.filename or context.invoked_subcommand}: {fault.strerror or fault}; "
+                       "see to the folder and its disk, then run it again") from None
+
+
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name=None, version="0.2.0", prog_name="gradehoist")
 def main() -> None:
     """A central planner that publishes weights, withdrawals and admission shares to plain proxies.
@@ -82,7 +97,6 @@
 
 
 
-
 @main.command()
 @click.argument("path", metavar="SCENE", type=FILE)
 @click.option("--seed", type=click.IntRange(0, 2**31), help="Plays another day of the same scene.")
--- a/gradehoist/governor/channel.py
+++ b/gradehoist/governor/channel.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from gradehoist.protocol.feed import Message
 
@@ -16,11 +16,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Item:
-    """A message on its way to a proxy's stream; `leaves` is when its last line is out (µs)."""
+    """A message on its way to a proxy's stream: when it was put, how long its lines take, and when the last
+    of them is out (µs)."""
 
     proxy: int
     stream: int
     message: Message
+    put: int
+    takes: int
     leaves: int
 
 
@@ -31,7 +34,7 @@
         self.queue_limit, self.line_rate, self.limit, self.window = queue_limit, line_rate, limit, window
         self._queue = deque[Item]()
         self._times: dict[int, deque[int]] = {}
-        self._free_at = 0
+        self._free_at = self._now = 0
         self.waiting = 0.0  # lines
         self.most = 0.0
         self.sent = 0.0
@@ -46,9 +49,16 @@
         """What waits for a proxy that is gone is lost and costs no pace."""
         self._times.pop(proxy, None)
         kept = [item for item in self._queue if item.proxy != proxy]
-        if len(kept) < len(self._queue):
-            self.waiting = sum(item.message.cost for item in kept)
-            self._queue = deque(kept)
+        if len(kept) == len(self._queue):
+            return
+        # Those behind move up: one relay that joined anew twenty times a second held up drains for all.
+        head = self._queue[0]
+        self._free_at = self._now if head.proxy == proxy else head.leaves - head.takes
+        self._queue = deque[Item]()
+        for item in kept:
+            self._free_at = max(self._free_at, item.put) + item.takes
+            self._queue.append(replace(item, leaves=self._free_at))
+        self.waiting = sum(item.message.cost for item in kept)
 
     def messages(self, now: int, proxy: int) -> int:
         """How many a proxy was put within the window."""
@@ -72,8 +82,9 @@
         if why := self.may(now, proxy, message.cost):
             return why
         self._busy = self._busy or (now, 0.0)
-        self._free_at = max(self._free_at, now) + round(message.cost / self.line_rate * 1_000_000)
-        self._queue.append(Item(proxy, stream, message, self._free_at))
+        takes = round(message.cost / self.line_rate * 1_000_000)
+        self._now, self._free_at = now, max(self._free_at, now) + takes
+        self._queue.append(Item(proxy, stream, message, now, takes, self._free_at))
         self._times[proxy].append(now)
         self.waiting += message.cost
         self.most = max(self.most, self.waiting)
@@ -81,6 +92,7 @@
 
     def leave(self, now: int) -> list[Item]:
         """Those that are out by now, in the order they were put."""
+        self._now = now
         out: list[Item] = []
         while self._queue and self._queue[0].leaves <= now:
             item = self._queue.popleft()
--- a/gradehoist/governor/planner.py
+++ b/gradehoist/governor/planner.py
@@ -75,7 +75,8 @@
         try:
             while not (await asyncio.wait((reading,), timeout=self._look))[0]:
                 at = self._at_work()
-                still, before = (still + 1 if at == before else 0), at
+                # Not before the first answer: a start may wait for its disk, and holds no drain up.
+                still, before = (still + 1 if at == before and longest != FIRST else 0), at
                 waited = time.monotonic() - began
                 if still >= 2 or waited > longest:
                     why = "stands still" if still >= 2 else "is at it"
--- a/gradehoist/governor/roster.py
+++ b/gradehoist/governor/roster.py
@@ -14,6 +14,7 @@
 from gradehoist.names import Names
 from gradehoist.protocol import feed
 
+KEPT = 1_000  # boots beyond those listed: one that flaps must not show as started anew
 PHASES = {"ready": i.Phase.READY, "draining": i.Phase.DRAINING, "gone": i.Phase.GONE}
 
 
@@ -58,6 +59,8 @@
             self.entries |= listed
             for name in gone:
                 self.entries.pop(name, None)
+        if len(self._boots) > 2 * len(self.entries) + KEPT:
+            self._boots = {name: boot for name, boot in self._boots.items() if name in self.entries}
         kind = i.ListKind.COMPLETE if document.whole else i.ListKind.CHANGES
         entries = [e for e in told
                    if (e.phase != "gone" or not document.whole) and e.zone in self._names.zones]
--- a/tests/orders.py
+++ b/tests/orders.py
@@ -39,28 +39,36 @@
 
     def watch(self, most: float, rate: float, number: int, window: int) -> Watched:
         self.told = (most, rate, number, window)
-        self.book: list[tuple[float, int, float]] = []
+        self.book: list[tuple[float, int, float, int]] = []  # out at, proxy, lines, put at
         self.put_at: dict[int, list[int]] = {}
         self.out_at = 0.0
         return self
 
+    def _out(self, put: int, cost: float) -> float:
+        self.out_at = max(self.out_at, put) + cost / self.told[1] * 1e6
+        return self.out_at
+
     def joined(self, proxy: int) -> None:
         super().joined(proxy)
         self.put_at[proxy] = []
 
     def left(self, proxy: int) -> None:
         super().left(proxy)
+        if self.book:  # those behind move up
+            out, first, cost, _ = self.book[0]
+            self.out_at = 0.0 if first == proxy else out - cost / self.told[1] * 1e6
         self.book = [b for b in self.book if b[1] != proxy]
+        self.book = [(self._out(b[3], b[2]), *b[1:]) for b in self.book]
 
     def put(self, now: int, proxy: int, stream: int, message: feed.Message) -> str:
         why = super().put(now, proxy, stream, message)
         if why:
             return why
-        most, rate, number, window = self.told
+        most, _, number, window = self.told
         lines = 4 + sum(1 + len(d.lines) if isinstance(d, feed.Bind) else 1 for d in message.deltas)
         cost = max(message.cost, lines)
-        self.out_at = max(self.out_at, now) + cost / rate * 1e6
-        self.book = [b for b in self.book if b[0] > now] + [(self.out_at, proxy, cost)]
+        self.book = [b for b in self.book if b[0] > now]
+        self.book.append((self._out(now, cost), proxy, cost, now))
         self.put_at[proxy] = [t for t in self.put_at[proxy] if t > now - window] + [now]
         if (waits := sum(b[2] for b in self.book)) > most:
             raise Broken(f"rule 5: {waits:g} lines wait, {most:g} may")
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -7,6 +7,8 @@
 import os
 import resource
 import signal
+import subprocess
+import sys
 from collections.abc import Callable
 from pathlib import Path
 
@@ -16,6 +18,7 @@
 
 from gradehoist.day import scene
 from gradehoist.governor.service import Service
+from gradehoist.mover import run as mover
 from gradehoist.net.server import Answer, Connection, Server
 from gradehoist.protocol import feed, http
 from gradehoist.settings import fleet as f
@@ -245,6 +248,22 @@
     play(work)
 
 
+def test_a_move_whose_disk_is_full_says_so_and_keeps_whole_records(tmp_path: Path) -> None:
+    placed = f.Placed(("c0", "c1"), {f"w{n}": f"c{n % 2}" for n in range(4)}, {"inn": "c0"})
+    (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
+    change = (("    reports", '    cells placement="p.json"\n    reports'),)
+    path, store = settings(tmp_path, *scene.ports(2), change), tmp_path / "moves"
+    for where, most in (tmp_path / "p.json" / "x", 10**6), (store, 100):  # no folder; then no room for a record
+        ended = subprocess.run(
+            [sys.executable, "-m", "gradehoist", "cells", "move", str(path), "inn", "--to", "c1",
+             "--store", str(where)], cwd=ROOT, capture_output=True, timeout=30,
+            preexec_fn=lambda most=most: resource.setrlimit(resource.RLIMIT_FSIZE, (most, most)))
+        said = ended.stderr.decode()
+        assert ended.returncode == 2 and "Traceback" not in said and "run it again" in said, said
+        assert len(said.splitlines()) == 1
+    assert not list(store.glob("*.move")) and mover.load(store) == []
+
+
 def test_relays_beyond_the_settings_are_turned_away_and_the_others_served(tmp_path: Path) -> None:
     async def work() -> None:
         async with fleet(tmp_path, 3) as (roster, governor, some):
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -92,6 +92,23 @@
     assert events[-2:] == ["Left", "Joined"]
 
 
+def test_a_relay_that_joins_anew_without_end_holds_up_no_drain() -> None:
+    """Twenty joins a second, each with a table that is lost at the next: the channel's pace was lost as well."""
+    world = World(relays=10, replicas=60, queue=900, rate=900)
+    world.dial()
+    world.run(8)
+    world.relays[0].dead = True
+    for n in range(140):
+        world.core.poll(world.now, Poll("r0", "x", 1e9))
+        if n == 100:
+            world.list(entry(3, "draining"))
+        world.run(0.05)  # the world checks the grace at each step
+    assert not any("w3" in r.holdings.lines("read") for r in world.relays[1:])
+    channel = world.core.channel
+    channel.left(0)
+    assert all(item.leaves <= world.now + 2 * item.takes for item in channel._queue)
+
+
 def test_a_relay_that_reads_nothing_costs_bounded_memory_and_holds_up_nobody() -> None:
     world = World(relays=4)
     world.dial()
