A table larger than the queue leaves a relay its drains, and says so

The settings can't know how many replicas will be listed.

Ruled out: the module (its bind is right, and goes alone). At fault: Core._put and _picture, which owed such a relay a picture that never fits, and told it nothing else meanwhile. Now it is told of withdrawals and returns for the tables that it stands on, `table_too_large` names both figures and the remedy, and the picture comes once it fits. Before: w1 still picked by all four relays after the grace; after: by none.

--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -316,6 +316,11 @@
         for proxy in [p for p, s in self.streams.items()
                       if s.released and s.quiet < silent - self.fleet.rules.grace]:
             self.left(proxy, "confirms nothing")
+        for stream in self.streams.values():
+            if stream.large and not self.ledger and (
+                    self.tables.picture(stream.proxy)[1] <= self.channel.queue_limit):
+                stream.owe("its table fits now")
+                self._owed[stream.proxy] = None
         slow = self.channel.pace < self.channel.line_rate / 2
         if slow != self._slow:
             self._slow = slow
@@ -477,13 +482,28 @@
             stream.marks.append((seq, tuple(mine.marks), now))
         if stream.owed:
             return  # the picture that is due will hold this as well
+        deltas = mine.deltas
+        if cost > self.channel.queue_limit and (
+                whole := self.tables.picture(stream.proxy)[1]) > self.channel.queue_limit:
+            deltas, cost = self._loose(stream, deltas, whole)
         mark = mine.marks[-1][1] if mine.marks else None
-        message = feed.Message(seq, self.replies, now, cost, tuple(mine.deltas), mark)
+        message = feed.Message(seq, self.replies, now, cost, tuple(deltas), mark)
         if why := self.channel.put(now, stream.proxy, stream.number, message):
             stream.owe(why)
             self._owed[stream.proxy] = None
             self.log("channel_full", warn=True, relay=stream.relay, lines=cost, reason=why)
 
+    def _loose(self, stream: Stream, deltas: Iterable[feed.Delta], cost: float
+               ) -> tuple[list[feed.Delta], float]:
+        """What a relay is told where its table is more than the queue may ever hold: withdrawals and returns
+        for the tables that it stands on. Owed a picture that never fits, it was told of no drain."""
+        if not stream.large:
+            stream.large = True
+            self.log("table_too_large", warn=True, relay=stream.relay, lines=cost,
+                     reason=f"queue-limit is {self.channel.queue_limit:g}; raise it, or divide the fleet")
+        some: list[feed.Delta] = [d for d in deltas if isinstance(d, feed.Out | feed.Back)]
+        return some, self.tables.head + 1 + len(some)
+
     def _picture(self, now: int, proxy: int) -> None:
         """Puts a whole picture where one is owed and the channel has room."""
         stream = self.streams.get(proxy)
@@ -491,10 +511,15 @@
             self._owed.pop(proxy, None)
             return
         deltas, cost = self.tables.picture(proxy)
+        if whole := cost <= self.channel.queue_limit:
+            stream.large = False
+        else:
+            some, cost = self._loose(stream, deltas, cost)
+            deltas = tuple(some)
         if self.channel.may(now, proxy, cost):
             return
         seq = stream.number_next()
-        message = feed.Message(seq, self.replies, now, cost, deltas, None, whole=True)
+        message = feed.Message(seq, self.replies, now, cost, deltas, None, whole=whole)
         if not self.channel.put(now, proxy, stream.number, message):
             if self.ledger and (marks := self.ledger.whole(proxy)):
                 stream.marks.append((seq, tuple(marks), now))
--- a/gradehoist/governor/streams.py
+++ b/gradehoist/governor/streams.py
@@ -38,6 +38,7 @@
     seen: int = 0
     slow: bool = False  # told in the log
     strange: bool = False  # likewise, of replicas that nobody listed
+    large: bool = False  # likewise, of a table that the queue can never hold
     quiet: int = 0  # since when released messages wait without a word of confirmation; 0: none do
     marks: deque[tuple[int, tuple[Mark, ...], int]] = field(default_factory=deque)  # seq, marks, ordered at
 
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -252,12 +252,15 @@
     placed = f.Placed(("c0", "c1"), {f"w{n}": f"c{n % 2}" for n in range(4)}, {"inn": "c0"})
     (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
     change = (("    reports", '    cells placement="p.json"\n    reports'),)
-    path, store = settings(tmp_path, *scene.ports(2), change), tmp_path / "moves"
-    for where, most in (tmp_path / "p.json" / "x", 10**6), (store, 100):  # no folder; then no room for a record
+    one, two = scene.ports(2)
+    path, store = settings(tmp_path, one, two, change), tmp_path / "moves"
+    for where, most in (tmp_path / "p.json" / "x", 10**6), (store, 100):  # no folder; no room for a record
+        def limit(most: int = most) -> None:
+            resource.setrlimit(resource.RLIMIT_FSIZE, (most, most))
+
         ended = subprocess.run(
             [sys.executable, "-m", "gradehoist", "cells", "move", str(path), "inn", "--to", "c1",
-             "--store", str(where)], cwd=ROOT, capture_output=True, timeout=30,
-            preexec_fn=lambda most=most: resource.setrlimit(resource.RLIMIT_FSIZE, (most, most)))
+             "--store", str(where)], cwd=ROOT, capture_output=True, timeout=30, preexec_fn=limit)
         said = ended.stderr.decode()
         assert ended.returncode == 2 and "Traceback" not in said and "run it again" in said, said
         assert len(said.splitlines()) == 1
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -93,7 +93,7 @@
 
 
 def test_a_relay_that_joins_anew_without_end_holds_up_no_drain() -> None:
-    """Twenty joins a second, each with a table that is lost at the next: the channel's pace was lost as well."""
+    """Twenty joins a second, each with a table lost at the next: the pace of its lines was lost as well."""
     world = World(relays=10, replicas=60, queue=900, rate=900)
     world.dial()
     world.run(8)
@@ -109,6 +109,20 @@
     assert all(item.leaves <= world.now + 2 * item.takes for item in channel._queue)
 
 
+def test_a_table_that_the_queue_can_never_hold_leaves_drains_and_comes_once_it_fits() -> None:
+    world = World(relays=4, replicas=300, queue=200)
+    world.dial()
+    world.run(4)
+    world.list(entry(1, "draining"))
+    world.run(4)  # the world checks the grace at each step
+    assert not bound(world) and all(set(r.holdings.lines("read")) == {"w0"} for r in world.relays)
+    warned = [x.fields["relay"] for x in world.core.logs if x.event == "table_too_large"]
+    assert sorted(warned) == sorted(r.name for r in world.relays)
+    world.core.channel.queue_limit = 400.0
+    world.run(4)
+    assert bound(world) and all(len(r.holdings.lines("read")) == 299 for r in world.relays)
+
+
 def test_a_relay_that_reads_nothing_costs_bounded_memory_and_holds_up_nobody() -> None:
     world = World(relays=4)
     world.dial()
