One lease at a time to a worker that hangs

Seen: with a lease of 30 ms and workers that take the heartbeat and never answer, 184 heartbeats were under way after 1.2 s and 448 had been sent: each costs a file and half a second, and a new one began each 10 ms. Ruled out: the half second itself (it ends each). At fault: Service._leases began one whatever became of the last. Other workers keep their beat.

--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -80,6 +80,7 @@
         self._tasks = set[asyncio.Task[None]]()
         self._probing = asyncio.Semaphore(fleet.probes_at_once)
         self._clients: dict[str, Client] = {}
+        self._leasing = set[str]()  # addresses that owe an answer
         self._failed = False
         self.book = Book(own.name)
         self._saved_path, self._unsaved = own.state / "roster.json", asyncio.Event()
@@ -249,14 +250,18 @@
         while True:
             body = ENCODER.encode((lease, self.book.heartbeat()))
             workers = list(self.core.roster.entries.values())
-            for e in workers:
-                self._own(self._lease(e.address or e.replica, body))
+            for address in {e.address or e.replica for e in workers} - self._leasing:
+                self._own(self._lease(address, body))
             await asyncio.sleep(lease / 3e6)
 
     async def _lease(self, address: str, body: bytes) -> None:
-        # An address that is none fails that worker's lease alone, not the governor.
-        with contextlib.suppress(Unreachable, Broken, TimedOut, ValueError):
-            await self._client(address).exchange("POST", "/cell/lease", body, timeout=0.5)
+        self._leasing.add(address)  # one at a time: to a worker that hangs they were made faster than they end
+        try:
+            # An address that is none fails that worker's lease alone, not the governor.
+            with contextlib.suppress(Unreachable, Broken, TimedOut, ValueError):
+                await self._client(address).exchange("POST", "/cell/lease", body, timeout=0.5)
+        finally:
+            self._leasing.discard(address)
 
     def _client(self, address: str) -> Client:
         """Raises ValueError for what is no address."""
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -185,6 +185,35 @@
     play(work)
 
 
+def test_leases_to_a_worker_that_hangs_do_not_pile_up(tmp_path: Path) -> None:
+    asked: list[str] = []
+
+    async def hang(request: http.Request, connection: Connection) -> Answer | None:
+        asked.append(request.target)
+        await connection.gone.wait()
+        return None
+
+    async def work() -> None:
+        placed = f.Placed(("c0",), {f"w{n}": "c0" for n in range(4)})
+        (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
+        change = (("    reports", '    cells placement="p.json" lease="30ms"\n    reports'),)
+        roster, server, (port, worker) = Roster(), Server(hang), scene.ports(2)
+        server.listen(worker, LOCAL)
+        for n in range(4):
+            roster.put(entry(n), address=f"{LOCAL}:{worker}")
+        found = f.read(settings(tmp_path, roster.port, port, change))
+        service = Service(found.fleet, found.governors[0])
+        running = asyncio.ensure_future(service.run())
+        assert await until(lambda: not service.core.roster.old, 10)
+        await asyncio.sleep(1.2)
+        pending = sum("_lease" in repr(task) and "_leases" not in repr(task) for task in service._tasks)
+        service.stop()
+        assert await running == 0 and pending <= 4 and 2 <= len(asked) <= 16, (pending, len(asked))
+        server.shut()
+        roster.server.shut()
+    play(work)
+
+
 def test_two_governors_never_share_one_state(tmp_path: Path) -> None:
     async def work() -> None:
         async with fleet(tmp_path) as (roster, governor, _):
