--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -255,7 +255,7 @@
             await asyncio.sleep(lease / 3e6)
 
     async def _lease(self, address: str, body: bytes) -> None:
-        self._leasing.add(address)  # one at a time: to a worker that hangs they were made faster than they end
+        self._leasing.add(address)  # one at a time: to one that hangs they were made faster than they end
         try:
             # An address that is none fails that worker's lease alone, not the governor.
             with contextlib.suppress(Unreachable, Broken, TimedOut, ValueError):
