--- a/gradehoist/governor/planner.py
+++ b/gradehoist/governor/planner.py
@@ -75,8 +75,8 @@
                 for part, orders, why in replies]
 
     async def _watch(self) -> None:
-        """Closes the socket of a child that stands still while it owes an answer, or works at it for too long:
-        a stopped planner kept drains waiting for ever, and nothing told so."""
+        """Closes the socket of a child that stands still while it owes an answer, or works at it too long: a
+        stopped planner kept drains waiting for ever, and nothing told so."""
         looked, still, before = 0, 0, ""
         while True:
             await asyncio.sleep(self._look)
