--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -285,3 +285,23 @@
     told = [n for n, o in enumerate(world.log) if isinstance(o, i.Mark)]
     batches = [sum(isinstance(o, i.Withdraw) for o in world.log[a:b]) for a, b in pairwise(told)]
     assert max(map(len, world.sent.values())) <= 6 and sorted(filter(None, batches))[1:2] >= [10]
+
+
+def test_binds_do_not_take_the_room_that_a_drain_waits_for() -> None:
+    """hb4ef71: 146 proxies joined anew, their binds filled half the queue time and again."""
+    world = World(start(queue=900.0, limit=0))
+    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(30))))
+    world.step(*(i.Joined(p, p % 3, 5.0) for p in range(12)))
+    world.run(3)
+    world.step(*(i.Joined(p, p % 3, 5.0) for p in range(12, 40)))
+    for _ in range(3):
+        world.step(*world.acks(1), i.Due(0), wait=20_000)
+    world.step(change(*(entry(n, DRAINING) for n in range(12))))
+    jobs, mark = world.module.publisher.jobs, len(world.log)
+    assert len(jobs) == 12 and world.module.publisher.binds
+    while "drain" in jobs.values():
+        assert not any(isinstance(o, i.Bind) for o in world.log[mark:])
+        mark = len(world.log)
+        world.step(*world.acks(1), i.Due(0), wait=50_000)
+    world.run(10)
+    assert all(len(b) == 3 for b in world.bound.values())
