--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -20,10 +20,10 @@
 from gradehoist.cells.moves import Book, Confirm, Word
 from gradehoist.governor.core import Core, Gap, Poll, Refused
 from gradehoist.governor.planner import PlannerFailed, PlannerProcess
-from gradehoist.net import client as dial
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server, json, refusal
 from gradehoist.protocol import feed, http, orca
+from gradehoist.settings import reader
 from gradehoist.settings.fleet import Fleet, Governor
 from gradehoist.store import keep
 
@@ -266,7 +266,8 @@
     def _client(self, address: str) -> Client:
         """Raises ValueError for what is no address."""
         if address not in self._clients:
-            self._clients[address] = Client(*dial.address(address))
+            # Dotted: a name would be looked up on the loop, and a port out of range ended the governor.
+            self._clients[address] = Client(*reader.address(address))
         return self._clients[address]
 
     def _forget(self) -> None:
--- a/gradehoist/mover/run.py
+++ b/gradehoist/mover/run.py
@@ -12,7 +12,8 @@
 from gradehoist.cells.assign import lot
 from gradehoist.cells.moves import Confirm, Move, Step
 from gradehoist.mover import ask
-from gradehoist.net.client import Client, address
+from gradehoist.net.client import Client
+from gradehoist.settings import reader
 from gradehoist.settings.fleet import Placed, Settings
 from gradehoist.store import keep
 
@@ -183,7 +184,7 @@
         # By address: one that came back elsewhere was asked where it had been, to the end of the move.
         where = to if to in self.governors else self._addresses.get(to, "")
         try:
-            client = self._clients.get(where) or Client(*address(where), connect_timeout=0.5)
+            client = self._clients.get(where) or Client(*reader.address(where), connect_timeout=0.5)
         except ValueError:
             return None
         self._clients[where] = client
--- a/gradehoist/net/client.py
+++ b/gradehoist/net/client.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 from datetime import timedelta
-from ipaddress import IPv4Address
 
 from tornado import gen
 from tornado.iostream import IOStream, StreamClosedError
@@ -25,19 +24,6 @@
     """No answer by the deadline; the request may have been acted on."""
 
 
-def address(text: str) -> tuple[str, int]:
-    """host:port of a list's entry. Raises ValueError for what can't be dialled: a port beyond the range ended
-    the governor, and a host name is looked up where the loop stands still for it."""
-    host, _, port = text.rpartition(":")
-    try:
-        IPv4Address(host)
-        if 0 < int(port) < 65_536:
-            return host, int(port)
-    except ValueError:
-        pass
-    raise ValueError(f"{text!r} is no dotted address and port")
-
-
 class _Link:
     def __init__(self, stream: IOStream, limits: http.Limits) -> None:
         self.stream, self.parser = stream, http.Parser(http.Role.CLIENT, limits)
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -59,6 +59,13 @@
         fence = self.fences[worker]
         return fence.write(0, "inn", fence.cell, gen, "new")[1] is Verdict.TAKE
 
+    def settle_in_a_minute(self) -> None:
+        """Longer than a test waits: only the workers' own words end the step."""
+        fleet = self.settings.fleet
+        assert fleet.cells is not None
+        cells = msgspec.structs.replace(fleet.cells, settle=60_000_000)
+        self.settings = replace(self.settings, fleet=replace(fleet, cells=cells))
+
     def close(self) -> None:
         for server in self.servers:
             server.shut()
@@ -181,9 +188,7 @@
     async def work() -> None:
         site = Site(tmp_path)
         site.moved["a2"] = first
-        assert site.settings.fleet.cells is not None
-        long = msgspec.structs.replace(site.settings.fleet.cells, settle=60_000_000)
-        site.settings = replace(site.settings, fleet=replace(site.settings.fleet, cells=long))
+        site.settle_in_a_minute()
         order(site, tmp_path / "moves")
         carried = asyncio.ensure_future(carry(site, tmp_path / "moves"))
         await asyncio.sleep(0.7)
@@ -198,9 +203,7 @@
 def test_a_worker_that_does_not_answer_is_asked_less_and_less(tmp_path: Path) -> None:
     async def work() -> None:
         site = Site(tmp_path, deaf="a2")
-        assert site.settings.fleet.cells is not None
-        long = msgspec.structs.replace(site.settings.fleet.cells, settle=60_000_000)
-        site.settings = replace(site.settings, fleet=replace(site.settings.fleet, cells=long))
+        site.settle_in_a_minute()
         order(site, tmp_path / "moves")
         carried = asyncio.ensure_future(carry(site, tmp_path / "moves"))
         await asyncio.sleep(4.0)
