Serve the platform's protocol: line door, node core and shell, run and node in the deploy file

The node is one more way in and out of the module: protocol/lines.py reads and writes the lines without I/O, node/core.py turns them into the module's events over governor/tables.py, node/discovery.py follows the watch, service.py is the shell on one loop. The settings object is read in settings/platform.py for the adapter and the node, accepting moved to net/listener.py for both servers, and the HTTP parser hands on chunks of bodies without end.

--- a/gradehoist/adapter/host.py
+++ b/gradehoist/adapter/host.py
@@ -9,6 +9,7 @@
 from gradehoist.adapter import wire
 from gradehoist.choice import Planner
 from gradehoist.interface import Event, Listed, ListKind, Module, Start
+from gradehoist.settings.platform import micros
 
 
 @dataclass
@@ -60,7 +61,7 @@
             return
         self.missing = 0
         if name == "TICK":
-            self.now = wire.micros(fields["at-time"])
+            self.now = micros(fields["at-time"])
             self.target = None
         elif name == "SHEET":
             count, slot = int(fields["records"]), int(fields["slot"])
--- a/gradehoist/adapter/wire.py
+++ b/gradehoist/adapter/wire.py
@@ -5,10 +5,11 @@
 import base64
 import json
 from collections.abc import Callable
-from typing import Any
 
 from gradehoist import interface as i
 from gradehoist.names import Names
+from gradehoist.settings import platform
+from gradehoist.settings.platform import micros
 
 Fields = dict[str, str]
 ALL_TABLES = 65535
@@ -26,14 +27,13 @@
     "S": i.Outcome.ANSWERED, "E": i.Outcome.ERROR, "F": i.Outcome.TURNED_AWAY, "T": i.Outcome.TIMED_OUT,
     "C": i.Outcome.UNREACHABLE, "R": i.Outcome.BROKEN,
 }
-REPEATS = {"free": i.Repeat.FREE, "guarded": i.Repeat.GUARDED, "single_shot": i.Repeat.SINGLE}
 
 
 class WireNames(Names):
     """One instance's names, and the columns of its load reports."""
 
-    def __init__(self, zones: list[str], kinds: list[str], classes: list[str], report: list[str]) -> None:
-        super().__init__(zones, kinds, classes)
+    def __init__(self, names: Names, report: list[str]) -> None:
+        super().__init__(names.zones, names.kinds, names.classes)
         self.report = report
 
     def load(self, fields: Fields) -> i.Load | None:
@@ -44,10 +44,6 @@
         return i.Load(row.get("utilization"), row.get("outstanding"), row.get("recent_ms"))
 
 
-def micros(seconds: Any) -> int:
-    return round(float(seconds) * 1_000_000)
-
-
 def split(line: str) -> tuple[str, Fields]:
     """A text field runs to the end of its line; `options` is the only one that comes in."""
     name, _, rest = line.strip(" ").partition(" ")
@@ -87,41 +83,8 @@
 
 def start(f: Fields) -> tuple[WireNames, i.Start]:
     o = json.loads(f["options"])
-    s, g, limits = o.get("specifics", {}), o.get("guarantees", {}), o.get("limits", {})
-    listed = o.get("report", {})
-    fields = list(listed.get("fields", [])) if listed.get("how", "inline") != "off" else []
-    names = WireNames(o.get("azs", []), o.get("kinds", []), [c["name"] for c in o["classes"]], fields)
-    local = s.get("stays-local", [])
-    classes = tuple(
-        i.TransactionClass(
-            micros(c["aim"]), micros(c["deadline"]), float(c.get("worth", 1.0)),
-            float(c.get("late-worth", 0.0)), REPEATS.get(c.get("idempotency", ""), i.Repeat.SINGLE),
-            tuple(names.zones.number(z) for z in c["only-zones"]) if c.get("only-zones") else None,
-            tuple(names.kinds.number(k) for k in c["only-kinds"]) if c.get("only-kinds") else None,
-            bool(local[n]) if n < len(local) else False,
-        )
-        for n, c in enumerate(o["classes"])
-    )
-    inline = listed.get("how", "off") == "inline"
-    return names, i.Start(
-        int(f["rng-seed"]), len(names.zones), int(s.get("proxies", 1)), int(s.get("shards", 0)),
-        s.get("admission", "off") == "share", classes,
-        i.Rules(
-            micros(g.get("drain-grace", 1.0)), micros(g.get("cold", 0.0)), float(g.get("cold-share", 1.0)),
-            float(g.get("fall-multiple", 1.0)), micros(g.get("tip-after", 1.0)),
-            micros(s.get("blackhole", 5.0)), bool(g.get("gone-is-advice", False)),
-        ),
-        i.Channel(
-            float(s.get("pending-max", 1000.0)), float(s.get("push-rate", 1000.0)),
-            float(s.get("fixed-cost", 0.0)), int(s.get("pushes-allowed", 0)),
-            micros(s.get("update-window", 10.0)),
-        ),
-        i.Reports(
-            micros(s.get("period", 1.0)), inline and "utilization" in fields,
-            inline and "outstanding" in fields, bool(limits.get("probes", False)),
-            o.get("discovery", "push") == "ask",
-        ),
-    )
+    names = WireNames(platform.names(o), platform.columns(o))
+    return names, platform.start(o, names, int(f["rng-seed"]))
 
 
 def event(names: WireNames, name: str, f: Fields) -> i.Event:
--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -419,6 +419,7 @@
         self.jobs, self.shut, self.differs = dict[int, str](), dict[int, str](), [False] * len(homes)
         self.turn = self.mark = self.stepped = self.level_lines = self.round = 0
         self.waiting, self.booked, self.sets, self.sizes = 0.0, 0.0, sets, [0] * len(homes)
+        self.holds = set[int]()
         self.pulse, self.must_ask = max(period // len(homes), 20_000), must_ask  # a turn a group and period
         self.limit, self.homes, self.next_period = limit or 1e9, homes, mail.now + period
         self.orders.append(i.Wake(0, int(self.pulse * (0.5 + mail.chance()))))
@@ -439,6 +440,7 @@
         self.unacked[e.proxy], self.times[e.proxy] = deque(), deque()
         used, near = list(self.home.values()), [g for g, z in enumerate(self.homes) if z == e.zone] or [0]
         self.home[e.proxy] = min(near, key=lambda g: (used.count(g), g))
+        (self.holds.add if e.holds else self.holds.discard)(e.proxy)
         heapq.heappush(self.binds, (-e.rate, e.proxy))  # those with most traffic are bound first
 
     def on_left(self, e: i.Left) -> None:
@@ -492,6 +494,8 @@
         # Not while a drain waits for room: binds took it again and again, 1,382 sends were late (hd28492).
         while self.binds and not (self.waiting and {"drain", "gone"} & set(self.jobs.values())):
             proxy, extra = self.binds[0][1], self.level_lines + sum(k != "gone" for k in self.shut.values())
+            # On sockets what other governors may have shut it out from is let back in one by one.
+            extra += self.sizes[self.home[proxy]] // self.sets * (proxy in self.holds)
             lines = self.head + self.sizes[self.home[proxy]] + self.sets * extra
             if self.room([], self.HALF, 0) < lines and self.waiting + self.booked:
                 break  # a table of more than half the queue goes alone
--- a/gradehoist/interface.py
+++ b/gradehoist/interface.py
@@ -130,9 +130,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Joined:
+    """`holds`: it may be shut out from replicas that a bind has to let back one by one."""
+
     proxy: int
     zone: int
     rate: float
+    holds: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/gradehoist/net/server.py
+++ b/gradehoist/net/server.py
@@ -12,8 +12,8 @@
 import msgspec
 from tornado import gen
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import bind_sockets
 
+from gradehoist.net.listener import Listener
 from gradehoist.protocol import http
 
 
@@ -65,55 +65,33 @@
     """Hands each request to `handle`; an answer of None closes without one. Requests of one connection are
     answered in order; at most `most` connections are open, the rest are closed at once."""
 
-    AT_ONCE = 128  # accepted before others run
-    PAUSE = 0.1  # seconds without accepting where the system has no file left: Tornado's server span on that
-
     def __init__(self, handle: Handler, limits: http.Limits | None = None, patience: Patience | None = None,
                  most: int = 20_000) -> None:
         self._handle, self._limits = handle, limits or http.Limits()
         self._patience, self._most = patience or Patience(), most
         self.connections = set[Connection]()
-        self._listening: list[socket.socket] = []
+        self._listener = Listener(self._accepted)
         self._tasks = set[asyncio.Task[None]]()
 
     def listen(self, port: int, address: str, backlog: int = 128) -> None:
         """Raises OSError for an address that can't be had."""
-        for sock in bind_sockets(port, address, socket.AF_INET, backlog=backlog):
-            self._listening.append(sock)
-            asyncio.get_running_loop().add_reader(sock, self._accept, sock)
+        self._listener.listen(port, address, backlog)
 
     def stop(self) -> None:
         """Listens no more; connections go on."""
-        for sock in self._listening:
-            asyncio.get_running_loop().remove_reader(sock)
-            sock.close()
-        self._listening = []
-
-    def _accept(self, sock: socket.socket) -> None:
-        for _ in range(self.AT_ONCE):
-            try:
-                peer, _ = sock.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return
-            except OSError:
-                loop = asyncio.get_running_loop()
-                loop.remove_reader(sock)
-                loop.call_later(self.PAUSE, self._go_on, sock)
-                return
-            if len(self.connections) >= self._most:
-                peer.close()
-                continue
-            stream = IOStream(peer)
-            stream.set_nodelay(True)
-            connection = Connection(stream)
-            self.connections.add(connection)
-            task = asyncio.ensure_future(self._connected(stream, connection))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    def _go_on(self, sock: socket.socket) -> None:
-        if sock in self._listening:
-            asyncio.get_running_loop().add_reader(sock, self._accept, sock)
+        self._listener.stop()
+
+    def _accepted(self, peer: socket.socket) -> None:
+        if len(self.connections) >= self._most:
+            peer.close()
+            return
+        stream = IOStream(peer)
+        stream.set_nodelay(True)
+        connection = Connection(stream)
+        self.connections.add(connection)
+        task = asyncio.ensure_future(self._connected(stream, connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _connected(self, stream: IOStream, connection: Connection) -> None:
         try:
--- /dev/null
+++ b/gradehoist/node/core.py
@@ -0,0 +1,331 @@
+"""The node without I/O: joins, sums, marks, lists, due times in; bytes for streams, probes, log lines out.
+
+The platform's channel paces and counts what is written; the module's books keep its limits. So an order is
+encoded and handed out at once, one message for each proxy concerned, and proxies that are told the same
+share the bytes. Times are whole microseconds of Unix time that never steps back.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from gradehoist import interface as i
+from gradehoist.choice import Planner
+from gradehoist.governor.tables import Tables
+from gradehoist.names import Names
+from gradehoist.node.discovery import Change, Held, Member
+from gradehoist.protocol import feed, lines
+
+SECOND = 1_000_000
+PHASES = {"active": i.Phase.READY, "leaving": i.Phase.DRAINING, "left": i.Phase.GONE}
+LOAD = {"util": "busy", "inflight": "in_flight", "latency_ms": "service_ms"}  # the wire's figures, and ours
+BEHIND = 2 * SECOND  # a stream that owes an answer this long after others gave theirs to later messages
+MUTE = 4 * SECOND  # or that has owed one and said nothing for so long, where no other has answered either
+
+
+@dataclass
+class Stream:
+    """One proxy's stream. `number` tells it from earlier and later ones of the same proxy."""
+
+    proxy: int
+    zone: int
+    number: int
+    rate: float
+    heard: int
+    fresh: bool  # holds nothing of other governors
+    marks: deque[tuple[int, int]] = field(default_factory=deque)  # that it owes an answer: mark, when
+    sure: set[int] = field(default_factory=set)  # replicas it was told of on this stream: out or back
+    silent: bool = False  # the module takes it for left until it is heard again
+
+
+class Refused(Exception):
+    """A joining that names what does not exist."""
+
+
+class Core:
+    def __init__(self, names: Names, start: i.Start, saved: Change, now: int) -> None:
+        self.names, self.start = names, start
+        self.tables = Tables(names, start.channel.message_head)
+        self.streams: dict[int, Stream] = {}
+        self.held = Held()
+        self.probes: list[int] = []
+        self.logs: list[str] = []
+        self.spoilt: Counter[str] = Counter()  # by kind and reason, since last told
+        self._joins, self._wakes = 0, list[tuple[int, int]]()
+        self._answered = 0  # the latest time of a message that some proxy has answered
+        self._answered_at = 0
+        self._looked = now
+        self.out: list[tuple[int, int, bytes]] = []  # proxy, number of its stream, what it is written
+        self.events: list[i.Event] = []
+        self.module = Planner(start, now)
+        members = self.held.take(saved)
+        self.events.append(i.Listed(i.ListKind.SAVED, self._entries(members or ())))
+
+    # What comes in
+
+    def listed(self, change: Change) -> None:
+        before = {m.replica: (m.phase, m.started) for m in self.held.members.values()}
+        told = self.held.take(change)
+        if told is None:
+            return
+        kind = i.ListKind.COMPLETE if change.complete else i.ListKind.CHANGES
+        self.events.append(i.Listed(kind, self._entries(told)))
+        for m in told:
+            if before.get(m.replica) != (m.phase, m.started):
+                self.logs.append(f"listed {m.replica} {m.phase} zone {m.zone} started {m.started or 0}")
+
+    def _entries(self, members: Iterable[Member]) -> tuple[i.Entry, ...]:
+        out = []
+        for m in members:
+            if (m.zone or "") not in self.names.zones:
+                self._spoil("entry", f"zone {m.zone!r} is not in the settings")
+                continue
+            out.append(i.Entry(
+                self.names.replicas.number(m.replica), self.names.zones[m.zone or ""],
+                self.names.kinds.number(m.kind or ""), m.cell or 0, PHASES[m.phase or "leaving"],
+                m.size if m.size is not None else 1.0, m.started or 0))
+        return tuple(out)
+
+    def joined(self, now: int, hello: lines.Hello) -> int:
+        """The number of the new stream; an earlier one of this proxy has left. Raises Refused."""
+        if hello.proxy >= self.start.proxies:
+            raise Refused(f"no proxy {hello.proxy}")
+        if hello.zone not in self.names.zones:
+            raise Refused(f"no zone {hello.zone}")
+        if hello.proxy in self.streams:
+            self.left(hello.proxy, self.streams[hello.proxy].number, "joined anew")
+        self._joins += 1
+        stream = Stream(hello.proxy, self.names.zones[hello.zone], self._joins, hello.rate, now, hello.fresh)
+        self.streams[hello.proxy] = stream
+        self.names.proxies.number(str(hello.proxy))
+        self._introduce(stream)
+        return stream.number
+
+    def _introduce(self, stream: Stream) -> None:
+        self.tables.joined(stream.proxy)
+        self.events.append(i.Joined(stream.proxy, stream.zone, stream.rate, not stream.fresh))
+
+    def left(self, proxy: int, number: int, why: str) -> None:
+        """A stream ended; a late word on an earlier one touches nothing."""
+        stream = self.streams.get(proxy)
+        if stream is None or stream.number != number:
+            return
+        del self.streams[proxy]
+        self.tables.left(proxy)
+        if not stream.silent:
+            self.events.append(i.Left(proxy))
+        self.logs.append(f"left {proxy}: {why}")
+
+    def heard(self, now: int, proxy: int, number: int) -> None:
+        """Bytes came over a stream: one taken for left is back, and is bound anew."""
+        stream = self.streams.get(proxy)
+        if stream is None or stream.number != number:
+            return
+        stream.heard = now
+        if stream.silent:
+            stream.silent, stream.fresh = False, False
+            stream.marks.clear()
+            stream.sure.clear()
+            self._introduce(stream)
+            self.logs.append(f"heard again {proxy}")
+
+    def acked(self, now: int, proxy: int, number: int, ack: lines.Ack) -> None:
+        stream = self.streams.get(proxy)
+        if stream is None or stream.number != number:
+            return
+        if ack.proxy != proxy or all(mark != ack.mark for mark, _ in stream.marks):
+            return self._spoil("ack", "of another proxy, or a mark that waits for no answer")
+        while True:
+            mark, at = stream.marks.popleft()
+            if at > self._answered:
+                self._answered, self._answered_at = at, now
+            if mark == ack.mark:
+                break
+        self.events.append(i.Applied(proxy, ack.mark, ack.elapsed))
+
+    def demanded(self, demand: lines.Demand, stream: int | None) -> None:
+        """Over a proxy's stream its own usage alone, over a collector anyone's."""
+        if stream not in (None, demand.proxy) or demand.cls not in self.names.classes:
+            return self._spoil("demand", "an unknown class, or of another proxy")
+        known = self.streams.get(demand.proxy)
+        if known is None or known.silent:
+            return self._spoil("demand", "of a proxy that has not joined")
+        self.events.append(i.Offered(demand.proxy, self.names.classes[demand.cls], demand.number,
+                                     demand.unanswered, demand.window))
+
+    def met(self, o: lines.Outcomes) -> None:
+        if o.zone not in self.names.zones or o.replica not in self.names.replicas:
+            return self._spoil("outcomes", "an unknown zone or replica")
+        load = None
+        if o.load is not None:
+            load = i.Load(*(o.load.get(name) for name in LOAD))
+        self.events.append(i.Heard(self.names.zones[o.zone], self.names.replicas[o.replica], o.tries, o.bad,
+                                   o.elapsed, o.window, load))
+
+    def probed(self, replica: int, outcome: i.Outcome, elapsed: int, load: i.Load | None) -> None:
+        self.events.append(i.Probed(replica, outcome, elapsed, load))
+
+    def _spoil(self, kind: str, why: str) -> None:
+        self.spoilt[f"{kind}: {why}"[:200] if len(self.spoilt) < 50 else "others"] += 1
+
+    def dropped(self, spoilt: lines.Spoilt) -> None:
+        self._spoil(spoilt.kind, spoilt.why)
+
+    # Time
+
+    def due(self) -> int | None:
+        return self._wakes[0][0] if self._wakes else None
+
+    def advance(self, now: int) -> None:
+        """What is due by now, then the module with all that came in; its orders are in `out` after it."""
+        while self._wakes and self._wakes[0][0] <= now:
+            self.events.append(i.Due(heapq.heappop(self._wakes)[1]))
+        if now >= self._looked + SECOND // 4:
+            self._look(now)
+        if self.events:
+            events, self.events = self.events, []
+            self._carry_out(now, self.module.handle(now, events))
+
+    def _look(self, now: int) -> None:
+        """Streams that owe an answer and say nothing are taken for left, as a machine that vanished is; they
+        are not ended, as one that only stood still would then be without a governor."""
+        self._looked = now
+        for stream in self.streams.values():
+            if stream.silent or not stream.marks:
+                continue
+            at = stream.marks[0][1]
+            quiet = now - max(stream.heard, at)
+            # Messages leave in the order written: one written later that was answered says it must be there.
+            behind = at <= self._answered and now - self._answered_at < MUTE and quiet > BEHIND
+            if behind or quiet > MUTE:
+                stream.silent = True
+                self.tables.left(stream.proxy)
+                self.tables.joined(stream.proxy)  # on no table, yet told of drains
+                self.events.append(i.Left(stream.proxy))
+                self.logs.append(f"silent {stream.proxy}: {quiet / 1e6:.1f} s without an answer")
+
+    # Orders
+
+    def _carry_out(self, now: int, orders: list[i.Order]) -> None:
+        told: dict[int, list[feed.Delta]] = {}
+        mark: i.Mark | None = None
+        for order in orders:
+            match order:
+                case i.Mark():
+                    mark = order
+                case i.Probe(replica):
+                    self.probes.append(replica)
+                case i.Wake(token, delay):
+                    heapq.heappush(self._wakes, (now + delay, token))
+                case i.Follow() | i.AskList():
+                    pass  # the watch is always open, and its first line holds what was missed
+                case i.Say(text):
+                    self.logs.append(f"module: {text}")
+                case i.Bind(proxy, table, classes):
+                    if proxy in self.streams and not self.streams[proxy].silent:
+                        told.setdefault(proxy, []).extend(self.tables.bind(proxy, table, classes)[0])
+                case _:
+                    proxies, delta, _ = self.tables.order(order)
+                    for proxy in proxies:
+                        told.setdefault(proxy, []).append(delta)
+                    if isinstance(order, i.Withdraw | i.Admit):
+                        self.logs.append(f"order {delta}")
+        if mark is not None and mark.to_all:
+            for proxy, stream in self.streams.items():
+                if not stream.silent:
+                    told.setdefault(proxy, [])
+        cache: dict[object, bytes] = {}
+        for proxy, deltas in told.items():
+            self._write(now, self.streams[proxy], deltas, mark, cache)
+
+    def _write(self, now: int, stream: Stream, deltas: list[feed.Delta], mark: i.Mark | None,
+               cache: dict[object, bytes]) -> None:
+        bound = self.tables.bound[stream.proxy]
+        backs = () if stream.fresh else self._backs(stream, deltas)
+        # A bind's deltas are made anew for each proxy: those on one table are told alike all the same.
+        binds = any(isinstance(d, feed.Bind) for d in deltas)
+        key = (len(deltas) if binds else tuple(map(id, deltas)), tuple(bound.items()), backs)
+        data = cache.get(key)
+        if data is None:
+            ticket = None if mark is None else mark.number
+            data = cache[key] = lines.push(self._parts(deltas, bound, backs, ticket))
+        if mark is not None and not stream.silent:
+            stream.marks.append((mark.number, now))
+        self.out.append((stream.proxy, stream.number, data))
+
+    def _backs(self, stream: Stream, deltas: list[feed.Delta]) -> tuple[str, ...]:
+        """Replicas that come into its tables and that another governor may have shut it out from: it keeps
+        that over a change of streams, and would shun them for good."""
+        replicas = self.names.replicas
+        told = {d.replica for d in deltas if isinstance(d, feed.Out | feed.Back)}
+        stream.sure.update(replicas[name] for name in told)
+        new: dict[str, None] = {}
+        for d in deltas:
+            if isinstance(d, feed.Bind):
+                new |= dict.fromkeys(d.lines)
+            elif isinstance(d, feed.Line) and d.weight > 0:
+                new[d.replica] = None
+        found = [name for name in new if replicas[name] not in stream.sure
+                 and replicas[name] not in self.tables.out]
+        stream.sure.update(replicas[name] for name in found)
+        return tuple(found)
+
+    def _parts(self, deltas: list[feed.Delta], bound: dict[int, int], backs: tuple[str, ...],
+               ticket: int | None) -> list[lines.Part]:
+        """What one message says, drains first; the last word on each line, replica and level holds."""
+        of: dict[int, list[int]] = {}
+        for cls, table in bound.items():
+            of.setdefault(table, []).append(cls)
+        shut: dict[str, bool] = dict.fromkeys(backs, False)
+        tables: dict[int, dict[str, float]] = {}
+        whole: set[int] = set()
+        levels: dict[int, None] = {}  # classes whose level is told
+        for d in deltas:
+            match d:
+                case feed.Bind():
+                    whole.add(d.table)
+                    tables[d.table] = dict(d.lines)
+                case feed.Clear():
+                    whole.add(d.table)
+                    tables[d.table] = {}
+                case feed.Line():
+                    tables.setdefault(d.table, {})[d.replica] = d.weight
+                case feed.Out():
+                    shut[d.replica] = True
+                case feed.Back():
+                    shut[d.replica] = False
+                case feed.Level():
+                    meant = [self.names.classes[name] for name in d.classes]
+                    levels |= dict.fromkeys(k for k in meant if d.table is None or bound.get(k) == d.table)
+        for table in whole:
+            tables[table] = {n: w for n, w in tables[table].items() if w > 0}
+            levels |= dict.fromkeys(of.get(table, []))  # a whole table forgets them
+        parts = []
+        for table, rows in tables.items():
+            if table in of and (rows or table in whole):
+                parts.append(lines.Part(self._classes(of[table]), table in whole, tuple(rows.items())))
+        alike: dict[tuple[float, int], list[int]] = {}
+        for cls in levels:
+            stands = self._level(cls, bound.get(cls))
+            if stands is not None:
+                alike.setdefault(stands, []).append(cls)
+        parts += [lines.Part(self._classes(some), level=level) for level, some in alike.items()]
+        out, back = (tuple(n for n, x in shut.items() if x is yes) for yes in (True, False))
+        if out or back or ticket is not None or not parts:
+            parts.insert(0, lines.Part(out=out, back=back, ticket=ticket))
+        return parts
+
+    def _classes(self, some: list[int]) -> tuple[str, ...]:
+        """None are named where all are meant."""
+        names = self.names.classes.names
+        return () if len(some) == len(names) else tuple(names[k] for k in sorted(some))
+
+    def _level(self, cls: int, table: int | None) -> tuple[float, int] | None:
+        """The lower of a table's level and the one for all, with the table's own way of trying again."""
+        own, common = self.tables.levels.get((table, cls)), self.tables.levels.get((None, cls))
+        if own is None or common is None or table is None:
+            return own if own is not None and table is not None else common
+        return min(own[0], common[0]), own[1]
--- a/gradehoist/protocol/http.py
+++ b/gradehoist/protocol/http.py
@@ -63,7 +63,21 @@
     """A client waits for `100 Continue` before it sends the body (RFC 9110, 10.1.1)."""
 
 
-Event = Request | Response | Expecting
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """The head of an answer whose body is handed on in pieces."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """One chunk of such a body."""
+
+    data: bytes
+
+
+Event = Request | Response | Expecting | Opened | Piece
 
 
 class Role(Enum):
@@ -88,10 +102,11 @@
 
 
 class Parser:
-    """One direction of one connection. A client says with `asked` what its next answer belongs to."""
+    """One direction of one connection. A client says with `asked` what its next answer belongs to. With
+    `pieces` it gets the head and each chunk of a chunked answer as they come, for bodies without end."""
 
-    def __init__(self, role: Role, limits: Limits | None = None) -> None:
-        self.role, self.limits = role, limits or Limits()
+    def __init__(self, role: Role, limits: Limits | None = None, pieces: bool = False) -> None:
+        self.role, self.limits, self._pieces = role, limits or Limits(), pieces
         self._buffer, self._at, self._scanned = bytearray(), 0, 0
         self._state, self._need = _State.HEAD, 0
         self._body = bytearray()
@@ -161,7 +176,11 @@
             case _State.CHUNK:
                 if len(self._buffer) - self._at < self._need + 2:
                     return False
-                self._body += self._take(self._need)
+                piece = self._take(self._need)
+                if self._pieces:
+                    events.append(Piece(piece))
+                else:
+                    self._body += piece
                 if self._take(2) != b"\r\n":
                     raise ProtocolError(400, "a chunk longer than its size")
                 self._state = _State.CHUNK_SIZE
@@ -234,7 +253,7 @@
         if self.role is Role.SERVER:
             self._request(line, headers, events)
         else:
-            self._response(line, headers)
+            self._response(line, headers, events)
         if self._state is _State.HEAD:
             events.append(self._finish(b""))
         return True
@@ -257,7 +276,7 @@
             if len(self._buffer) == self._at:
                 events.append(Expecting())
 
-    def _response(self, line: bytes, headers: Headers) -> None:
+    def _response(self, line: bytes, headers: Headers, events: list[Event]) -> None:
         found = _STATUS.fullmatch(line)
         if not found or found[1] != b"1":
             raise ProtocolError(502, "a first line that is no answer")
@@ -272,6 +291,8 @@
         bare = status < 200 or status in (204, 304) or method == "HEAD"
         if not bare:
             self._frame(headers, modern, to_close=True)
+            if self._pieces and self._state is _State.CHUNK_SIZE:
+                events.append(Opened(status))
 
     def _number(self, headers: Headers, name: str) -> int:
         """How often a field stands that is known to stand."""
--- a/gradehoist/protocol/orca.py
+++ b/gradehoist/protocol/orca.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 
 import msgspec
 
@@ -30,8 +31,9 @@
     return "TEXT " + ", ".join(f"{metric}={value:.6g}" for metric, value in rows if value is not None)
 
 
-def read(text: str) -> Report | None:
-    """None where the header holds no figure of ours. Raises ValueError for what is no report."""
+def read(text: str, names: Mapping[str, str] = _NAMES) -> Report | None:
+    """None where the header holds no figure of ours; `names` gives ours for those on the wire. Raises
+    ValueError for what is no report."""
     form, _, rest = text.strip().partition(" ")
     if form == "TEXT":
         pairs = [part.partition("=") for part in rest.split(",") if part.strip()]
@@ -48,7 +50,7 @@
     else:
         raise ValueError(f"a load report in the unknown form {form[:20]!r}")
     found: dict[str, float] = {}
-    for metric, field in _NAMES.items():
+    for metric, field in names.items():
         if metric in figures:
             value = float(figures[metric])
             if not (math.isfinite(value) and 0 <= value <= 1e9):
