Trace of beliefs, a failing module ends the node, binds without withdrawals of the long gone; tests

Found by reading beside it: a fault of the module in the timer's callback only reached the loop's own log and left a governor standing with no timer; a task's fault ended it without a traceback. Both now end it with the traceback in the log. A withdrawal of a replica that has left went with every bind for an hour, lines that the module does not count; with replicas replaced without end binds would have passed the channel's limit unseen. What concerns no table is encoded once for all proxies.

--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -11,6 +11,7 @@
 from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
 from gradehoist import interface as i
 from gradehoist.choice import Planner
@@ -46,8 +47,9 @@
 
 
 class Core:
-    def __init__(self, names: Names, start: i.Start, saved: Change, now: int) -> None:
+    def __init__(self, names: Names, start: i.Start, saved: Change, now: int, trace: bool = False) -> None:
         self.names, self.start = names, start
+        self.passed: dict[int, list[float]] | None = {} if trace else None  # by replica, since last told
         self.tables = Tables(names, start.channel.message_head)
         self.streams: dict[int, Stream] = {}
         self.held = Held()
@@ -162,8 +164,15 @@
         load = None
         if o.load is not None:
             load = i.Load(*(o.load.get(name) for name in LOAD))
-        self.events.append(i.Heard(self.names.zones[o.zone], self.names.replicas[o.replica], o.tries, o.bad,
-                                   o.elapsed, o.window, load))
+        replica = self.names.replicas[o.replica]
+        zone = self.names.zones[o.zone]
+        self.events.append(i.Heard(zone, replica, o.tries, o.bad, o.elapsed, o.window, load))
+        if self.passed is not None:
+            row = self.passed.setdefault(replica, [0.0, 0.0, 0.0, -1.0, -1.0])
+            row[0], row[1] = row[0] + o.tries, row[1] + o.bad
+            row[2] += o.elapsed * (o.tries - o.bad) / 1e6
+            if load is not None:
+                row[3:] = [-1.0 if x is None else x for x in (load.busy, load.in_flight)]
 
     def probed(self, replica: int, outcome: i.Outcome, elapsed: int, load: i.Load | None) -> None:
         self.events.append(i.Probed(replica, outcome, elapsed, load))
@@ -176,6 +185,27 @@
 
     # Time
 
+    def beliefs(self) -> list[str]:
+        """What the module believes of each replica, beside what the sums said since this was last asked."""
+        found, passed, self.passed = [], self.passed or {}, {}
+        parts = self.module.mail.parts
+        for name, member in self.held.members.items():
+            n = self.names.replicas[name]
+            if (part := parts.get(("replica", n))) is None:
+                continue
+            b: Any = part
+            tries, bad, elapsed, busy, flight = passed.get(n, [0.0, 0.0, 0.0, -1.0, -1.0])
+            mean = elapsed / (tries - bad) if tries > bad else 0.0
+            found.append(
+                f"trace {name} {member.zone} {member.kind} {member.phase} size {member.size:g} "
+                f"weight {b.weight:.3f} ramp {b.ramp:.2f} busy {b.busy} flight {b.flight} sick {int(b.sick)} "
+                f"out {int(n in self.tables.out)} | tries {tries:g} bad {bad:g} mean {mean:.3f} "
+                f"busy {busy:.2f} flight {flight:.1f}")
+        b = parts["admission"]
+        found.append(f"trace pool level {b.level:.3f} waiting {self.module.publisher.waiting:.0f} "
+                     f"binds {len(self.module.publisher.binds)} jobs {self.module.publisher.jobs}")
+        return found
+
     def due(self) -> int | None:
         return self._wakes[0][0] if self._wakes else None
 
@@ -226,7 +256,8 @@
                     self.logs.append(f"module: {text}")
                 case i.Bind(proxy, table, classes):
                     if proxy in self.streams and not self.streams[proxy].silent:
-                        told.setdefault(proxy, []).extend(self.tables.bind(proxy, table, classes)[0])
+                        deltas = self.tables.bind(proxy, table, classes)[0]
+                        told.setdefault(proxy, []).extend(d for d in deltas if not self._past(d))
                 case _:
                     proxies, delta, _ = self.tables.order(order)
                     for proxy in proxies:
@@ -241,13 +272,21 @@
         for proxy, deltas in told.items():
             self._write(now, self.streams[proxy], deltas, mark, cache)
 
+    def _past(self, delta: feed.Delta) -> bool:
+        """A withdrawal of one that has left, which no table names any more: the module does not count these,
+        and on a long day with many replaced replicas each bind would bring them all."""
+        return (isinstance(delta, feed.Out) and delta.replica not in self.held.members and not any(
+            self.names.replicas[delta.replica] in rows for rows in self.tables.lines.values()))
+
     def _write(self, now: int, stream: Stream, deltas: list[feed.Delta], mark: i.Mark | None,
                cache: dict[object, bytes]) -> None:
         bound = self.tables.bound[stream.proxy]
         backs = () if stream.fresh else self._backs(stream, deltas)
-        # A bind's deltas are made anew for each proxy: those on one table are told alike all the same.
+        # A bind's deltas are made anew for each proxy: those on one table are told alike all the same. What
+        # concerns no table is the same for all.
         binds = any(isinstance(d, feed.Bind) for d in deltas)
-        key = (len(deltas) if binds else tuple(map(id, deltas)), tuple(bound.items()), backs)
+        tables = tuple(bound.items()) if any(getattr(d, "table", None) is not None for d in deltas) else ()
+        key = (len(deltas) if binds else tuple(map(id, deltas)), tables, backs)
         data = cache.get(key)
         if data is None:
             ticket = None if mark is None else mark.number
--- a/gradehoist/node/log.py
+++ b/gradehoist/node/log.py
@@ -12,13 +12,13 @@
     RATE = 40.0  # lines a second: a bad day's orders fit, a flood of strangers does not
     BURST = 400.0
 
-    def __init__(self, fd: int) -> None:
-        self._fd, self._credit, self._at, self._lost = fd, self.BURST, time.monotonic(), 0
+    def __init__(self, fd: int, rate: float = RATE) -> None:
+        self._fd, self._rate, self._credit, self._at, self._lost = fd, rate, self.BURST, time.monotonic(), 0
         os.set_blocking(fd, False)
 
     def __call__(self, text: str) -> None:
         now = time.monotonic()
-        self._credit = min(self.BURST, self._credit + self.RATE * (now - self._at))
+        self._credit = min(self.BURST, self._credit + self._rate * (now - self._at))
         self._at = now
         if self._credit < 1:
             self._lost += 1
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import resource
 import signal
 import socket
 import sys
 import time
+import traceback
 from collections.abc import Coroutine
 from datetime import timedelta
 from pathlib import Path
@@ -56,8 +58,9 @@
         self.conf, self._path = conf, path
         # Unix time that never steps back: entries tell their starts in it, and delays are measured by it.
         self._epoch = time.time_ns() - time.monotonic_ns()
-        self.core = Core(conf.names, conf.start, conf.saved, self.now())
-        self.log = Log(sys.stderr.fileno())
+        self._trace = bool(os.environ.get("GRADEHOIST_TRACE"))
+        self.core = Core(conf.names, conf.start, conf.saved, self.now(), self._trace)
+        self.log = Log(sys.stderr.fileno(), 1_000.0 if self._trace else Log.RATE)
         self._most = min(conf.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - KEPT
         self._peers: dict[Peer, None] = {}
         self._strange: dict[Peer, None] = {}  # those that have not joined, the oldest first
@@ -70,6 +73,7 @@
         self._ended = asyncio.Event()
         self._spoken = asyncio.Event()  # discovery has said something
         self._ready = False
+        self._fault: BaseException | None = None
         self._turned_away = 0
         self.longest = 0.0
 
@@ -91,18 +95,23 @@
         self._own(self._readiness())
         self._step()
         await self._ended.wait()
-        self.log("ends: told to")
-        return 0
+        self.log("ends: told to" if self._fault is None else "ends: it failed")
+        return 0 if self._fault is None else 1
+
+    def _fail(self, fault: BaseException) -> None:
+        """A bug of ours, the module's included: it ends the governor, and its traceback is in the log."""
+        self._fault = fault
+        traceback.print_exception(fault)
+        self._ended.set()
 
     def _own(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """A task that fails is a bug: it ends the governor with its traceback in the log."""
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
 
         def ended(done: asyncio.Task[None]) -> None:
             self._tasks.discard(done)
             if not done.cancelled() and (fault := done.exception()) is not None:
-                raise SystemExit(f"the governor failed: {fault!r}") from fault
+                self._fail(fault)
 
         task.add_done_callback(ended)
         return task
@@ -230,12 +239,16 @@
             self._soon()
 
     async def _sweeps(self) -> None:
-        told = time.monotonic()
+        told = traced = time.monotonic()
         while True:
             await asyncio.sleep(SWEEP)
             now = time.monotonic()
             while self._strange and (peer := next(iter(self._strange))).since < now - JOIN:
                 self._turn_away(peer, "it has not joined")
+            if self._trace and now - traced >= 1.0:
+                traced = now
+                for text in self.core.beliefs():
+                    self.log(text)
             if now - told >= 5.0:
                 told = now
                 self._report()
@@ -264,7 +277,10 @@
     def _step(self) -> None:
         began = time.monotonic()
         self._step_at, self._timer = None, None
-        self.core.advance(self.now())
+        try:
+            self.core.advance(self.now())
+        except Exception as fault:
+            return self._fail(fault)
         out, self.core.out = self.core.out, []
         for proxy, number, data in out:
             peer = self._by_proxy.get(proxy)
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,84 @@
+"""The watch: whatever the chunks and the faults of its lines, no drain is lost."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gradehoist.node.discovery import Change, Held, Lost, Watch, changes
+
+HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+def entry(name: str, phase: str = "active", **more: Any) -> dict[str, Any]:
+    return {"id": name, "host_port": "127.0.0.1:1", "locality": "a", "flavor": "k", "cell": 3, "phase": phase,
+            "size": 1.0, "up_since_ms": 0} | more
+
+
+def line(revision: int, *members: dict[str, Any], complete: bool = False) -> bytes:
+    return msgspec.json.encode({"revision": revision, "complete": complete, "members": list(members)}) + b"\n"
+
+
+def chunked(*pieces: bytes) -> bytes:
+    return HEAD + b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces if piece)
+
+
+BODY = line(2, entry("s-1"), complete=True) + b"\n" + line(3, entry("s-1", "leaving")) + b"\r\n"
+
+
+@given(st.lists(st.integers(0, len(BODY)), max_size=8), st.lists(st.integers(0, 2_000), max_size=8))
+def test_any_chunks_and_any_cut_give_the_same_changes(chunks: list[int], cuts: list[int]) -> None:
+    at = [0, *sorted(chunks), len(BODY)]
+    data = chunked(*(BODY[a:b] for a, b in zip(at, at[1:], strict=False)))
+    where = [0, *sorted(min(c, len(data)) for c in cuts), len(data)]
+    watch = Watch(0)
+    found = [c for a, b in zip(where, where[1:], strict=False) for c in watch.receive(1, data[a:b])]
+    assert [(c.revision, c.complete, [m.phase for m in c.members]) for c in found] == [
+        (2, True, ["active"]), (3, False, ["leaving"])]
+
+
+@pytest.mark.parametrize("data", [
+    b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", b"junk\r\n\r\n",
+    chunked(b"{]\n"), chunked(b'{"revision":1.5,"members":[]}\n'), chunked(b"[]\n"),
+    chunked(line(1)) + b"0\r\n\r\n",
+])  # fmt: skip
+def test_what_is_no_watch_ends_it(data: bytes) -> None:
+    with pytest.raises(Lost):
+        Watch(0).receive(1, data)
+
+
+def held() -> Held:
+    one = Held()
+    one.take(changes({"revision": 5, "complete": True, "members": [entry("s-1"), entry("s-2")]}))
+    return one
+
+
+def test_an_entry_that_cannot_be_read_costs_itself_alone_and_hides_no_drain() -> None:
+    one = held()
+    told = one.take(changes({"revision": 6, "complete": False, "members": [
+        {"phase": "active"}, 7, entry("s 3"),
+        entry("s-2", "leaving", locality=None, size="x", up_since_ms=-1),
+        entry("s-1", "strange"), entry("s-4", cell=float(2)), entry("s-5", locality=9)]}))
+    assert told is not None
+    assert [(m.replica, m.phase, m.zone) for m in told] == [
+        ("s-2", "leaving", "a"), ("s-1", "leaving", "a"), ("s-4", "active", "a")]
+
+
+def test_a_change_that_comes_late_over_an_old_watch_undoes_nothing() -> None:
+    one = held()
+    assert one.take(Change(7, False, changes({"revision": 7, "members": [entry("s-1", "leaving")]}).members))
+    assert one.take(changes({"revision": 6, "members": [entry("s-1")]})) is None
+    assert one.members["s-1"].phase == "leaving" and one.revision == 7
+    told = one.take(changes({"revision": 6, "members": [entry("s-2", "left")]}))
+    assert told and told[0].phase == "left" and "s-2" not in one.members
+
+
+def test_a_whole_list_takes_what_it_lacks_and_a_restart_shows() -> None:
+    one = held()
+    told = one.take(changes({"revision": 1, "complete": True, "members": [entry("s-2", up_since_ms=99)]}))
+    assert told and told[0].started == 99_000 and list(one.members) == ["s-2"] and one.revision == 1
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,158 @@
+"""The node's core with the real module: what proxies hold after what came in, by their own reading."""
+
+from __future__ import annotations
+
+from itertools import permutations
+
+import pytest
+
+from gradehoist import interface as i
+from gradehoist.node.core import Refused
+from gradehoist.protocol import lines
+from tests.node_site import CLASSES, SECOND, Proxy, Site, member
+
+
+def test_joined_proxies_get_tables_of_what_each_class_may_use() -> None:
+    site = Site()
+    for proxy in site.proxies:
+        assert set(proxy.tables["read"]) == {f"s-{n}" for n in range(6)}
+        assert set(proxy.tables["write"]) == {"s-0", "s-2", "s-4"}
+    assert not site.core.module.publisher.waiting, "every mark was answered"
+
+
+def test_proxies_told_alike_share_their_bytes() -> None:
+    site = Site(proxies=8)
+    site.bytes.clear()
+    site.list(member(1, "leaving"))
+    site.run(1)
+    drains = [data for data in site.bytes if b"out=s-1" in data]
+    assert len(drains) == 8 and len({id(data) for data in drains}) < 8
+
+
+@pytest.mark.parametrize("order", permutations(["drain", "rejoin", "restart", "deaf"]))
+def test_drains_reach_every_holder_in_any_order_of_troubles(order: tuple[str, ...]) -> None:
+    site = Site()
+    for word in order:
+        if word == "drain":
+            site.list(member(2, "leaving"))
+        elif word == "rejoin":
+            site.join(site.proxies[0], fresh=False)
+        elif word == "restart":
+            site.list(member(4, "active", site.now))
+        else:
+            site.proxies[1].deaf = True
+        site.run(0.3)
+    site.proxies[1].deaf = False
+    site.join(site.proxies[1], fresh=False)
+    site.run(2)
+    for proxy in site.proxies:
+        for cls in CLASSES:
+            assert "s-2" not in proxy.open(cls)
+            assert proxy.open(cls), "nothing to pick"
+
+
+def test_a_whole_table_brings_the_levels_that_it_makes_a_proxy_forget() -> None:
+    site = Site()
+    site.core.tables.order(i.Admit(None, (0,), 0.5, 0))
+    proxy = Proxy(7, "a")
+    site.proxies.append(proxy)
+    site.join(proxy)
+    site.run(1)
+    assert proxy.levels == {"read": (0.5, 0)}
+
+
+def test_what_another_governor_shut_is_let_back_and_what_drains_is_not() -> None:
+    """A proxy keeps what it is shut out from over a change of streams: unsaid, it shunned it for good."""
+    site = Site()
+    site.list(member(3, "leaving"))
+    site.run(1)
+    proxy = Proxy(7, "a", out={"s-0", "s-3", "s-4"})
+    site.proxies.append(proxy)
+    site.join(proxy, fresh=False)
+    site.run(2)
+    assert proxy.out == {"s-3"} and set(proxy.open("write")) == {"s-0", "s-2", "s-4"}
+
+
+def test_a_late_end_of_an_old_stream_touches_nothing_and_old_marks_are_dropped() -> None:
+    site = Site()
+    proxy = site.proxies[0]
+    old = proxy.stream
+    site.join(proxy, fresh=False)
+    site.core.left(proxy.number, old, "its stream ended")
+    site.core.acked(site.now, proxy.number, old, lines.Ack(proxy.number, 1, 1_000))
+    site.run(1)
+    assert proxy.number in site.core.streams and proxy.open("read")
+    site.core.acked(site.now, proxy.number, proxy.stream, lines.Ack(proxy.number, 60_000, 1_000))
+    assert sum(site.core.spoilt.values()) == 1 and not site.core.events
+
+
+def test_a_vanished_proxy_holds_up_no_weights_and_is_bound_anew_once_heard() -> None:
+    site = Site()
+    proxy = site.proxies[0]
+    proxy.deaf = True
+    site.list(member(5, "leaving"))
+    site.run(6)
+    stream = site.core.streams[proxy.number]
+    assert stream.silent and not site.core.module.publisher.waiting
+    proxy.out.clear()
+    proxy.deaf = False
+    site.core.heard(site.now, proxy.number, proxy.stream)
+    site.run(1)
+    assert not stream.silent and "s-5" in proxy.out and proxy.open("read")
+
+
+def test_a_silent_stream_is_told_of_drains_all_the_same() -> None:
+    site = Site()
+    proxy = site.proxies[0]
+    proxy.deaf = True
+    site.list(member(5, "leaving"))
+    site.run(6)
+    proxy.deaf = False  # it stood still, and reads on
+    site.list(member(1, "leaving"))
+    site.step()
+    assert "s-1" in proxy.out
+
+
+def test_joinings_and_reports_of_what_does_not_exist_cost_themselves_alone() -> None:
+    site = Site()
+    for hello in (lines.Hello(8, "a", 1.0, True), lines.Hello(1, "z", 1.0, True)):
+        with pytest.raises(Refused):
+            site.core.joined(site.now, hello)
+    site.core.met(lines.Outcomes("z", "s-1", 1, 0, 1, 1, None))
+    site.core.met(lines.Outcomes("a", "s-99", 1, 0, 1, 1, None))
+    site.core.demanded(lines.Demand(6, "read", 1, 0, SECOND), None)
+    site.core.demanded(lines.Demand(1, "read", 1, 0, SECOND), 2)
+    site.core.demanded(lines.Demand(1, "none", 1, 0, SECOND), 1)
+    assert sum(site.core.spoilt.values()) == 5 and not site.core.events
+    # What failed may have come in an earlier period: more of it than came is no fault.
+    site.core.demanded(lines.Demand(1, "read", 1, 3, SECOND), 1)
+    assert len(site.core.events) == 1
+
+
+def test_a_message_reaches_all_of_four_hundred_joins_within_the_module_s_books() -> None:
+    site = Site(proxies=8)
+    for _ in range(50):
+        for proxy in site.proxies:
+            site.join(proxy, fresh=False)
+        site.run(0.1)
+    site.run(5)
+    assert all(p.open("read") for p in site.proxies) and len(site.core.streams) == 8
+    assert not site.core.module.publisher.waiting and not any(s.marks for s in site.core.streams.values())
+
+
+def test_binds_bring_no_withdrawals_of_replicas_long_replaced() -> None:
+    """A long day replaces replicas under new ids without end: each bind would grow by all that were."""
+    site = Site()
+    for n in range(10, 30):
+        site.list(member(n))
+        site.run(1)
+        site.list(member(n, "leaving"))
+        site.run(1)
+        site.list(member(n, "left"))
+        site.run(2)
+    assert len(site.core.tables.out) > 10
+    proxy = Proxy(7, "a")
+    site.proxies.append(proxy)
+    site.join(proxy)
+    site.run(1)
+    assert not proxy.out and set(proxy.tables["read"]) == {f"s-{n}" for n in range(6)}
