--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -369,8 +369,11 @@
             sent, both = self.sent[k], [n for n in want if n != only and want[n] * self.sent[k].get(n, 0)]
             # Tables hold ratios: a line that leaves must not count as a move of all the others.
             scale = sum(sent[n] for n in both) / sum(want[n] for n in both) if both else 1.0
+            # A light line's moves hardly move traffic: by its own weight alone they were most of the orders.
+            least = fmean(sent[n] for n in both) if both else 0.0
             for n in sorted(want):
-                far = abs(want[n] * scale - sent.get(n, 0.0)) > self.MOVED * sent.get(n, 0.0)
+                old, new = sent.get(n, 0.0), want[n] * scale
+                far = abs(new - old) > self.MOVED * max(old, least) or (old > 0) != (new > 0)
                 if n == only or (only is None and far):
                     yield k, n, want[n] * scale
 
