Load reports are read by the names that the settings give: the loop moves weights on sockets

Ruled out: the intake (sums came each second) and the skip rule.

Change: settings/platform.py names the figures once, in both vocabularies, for adapter, sums and probes.

--- a/gradehoist/adapter/wire.py
+++ b/gradehoist/adapter/wire.py
@@ -40,8 +40,8 @@
         text = fields.get("report", "")
         if not text:
             return None
-        row = dict(zip(self.report, (float(x) if x else None for x in text.split(",")), strict=False))
-        return i.Load(row.get("utilization"), row.get("outstanding"), row.get("recent_ms"))
+        figures = (float(x) if x else None for x in text.split(","))
+        return platform.load(zip(self.report, figures, strict=False))
 
 
 def split(line: str) -> tuple[str, Fields]:
--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -19,10 +19,10 @@
 from gradehoist.names import Names
 from gradehoist.node.discovery import Change, Held, Member
 from gradehoist.protocol import feed, lines
+from gradehoist.settings import platform
 
 SECOND = 1_000_000
 PHASES = {"active": i.Phase.READY, "leaving": i.Phase.DRAINING, "left": i.Phase.GONE}
-LOAD = {"util": "busy", "inflight": "in_flight", "latency_ms": "service_ms"}  # the wire's figures, and ours
 BEHIND = 2 * SECOND  # a stream that owes an answer this long after others gave theirs to later messages
 MUTE = 4 * SECOND  # or that has owed one and said nothing for so long, where no other has answered either
 
@@ -161,9 +161,7 @@
     def met(self, o: lines.Outcomes) -> None:
         if o.zone not in self.names.zones or o.replica not in self.names.replicas:
             return self._spoil("outcomes", "an unknown zone or replica")
-        load = None
-        if o.load is not None:
-            load = i.Load(*(o.load.get(name) for name in LOAD))
+        load = None if o.load is None else platform.load(o.load)
         replica = self.names.replicas[o.replica]
         zone = self.names.zones[o.zone]
         self.events.append(i.Heard(zone, replica, o.tries, o.bad, o.elapsed, o.window, load))
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -22,9 +22,10 @@
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.listener import Listener
 from gradehoist.node import config, discovery
-from gradehoist.node.core import LOAD, Core, Refused
+from gradehoist.node.core import Core, Refused
 from gradehoist.node.log import Log
 from gradehoist.protocol import lines, orca
+from gradehoist.settings import platform
 
 JOIN = 1.5  # seconds to join in: after one a connection may be closed, and its hello may have been held up
 SWEEP = 0.1  # seconds between looks at those that have not joined
@@ -368,7 +369,7 @@
             async with asyncio.timeout(PROBE), self._probing:
                 response = await client.exchange("GET", "/stats", timeout=PROBE)
             outcome = STATUS.get(response.status, i.Outcome.ERROR)
-            if response.body and (report := orca.read(response.body.decode("latin-1"), LOAD)):
+            if response.body and (report := orca.read(response.body.decode("latin-1"), platform.LOAD)):
                 load = i.Load(report.busy, report.in_flight, report.service_ms)
         except (TimeoutError, TimedOut):
             pass
--- a/gradehoist/protocol/lines.py
+++ b/gradehoist/protocol/lines.py
@@ -37,14 +37,7 @@
     zone: str
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """One load report: the figures that it carries, by the names on the wire."""
-
-    figures: tuple[tuple[str, float], ...]
-
-    def get(self, name: str) -> float | None:
-        return next((value for key, value in self.figures if key == name), None)
+Load = tuple[tuple[str, float], ...]  # one load report: the figures that it carries, by the names on the wire
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +124,7 @@
         if name not in self._fields:
             return None
         pairs = [pair.partition(":") for pair in self._fields[name].split(",")]
-        return Load(tuple((key, figure(key, value)) for key, _, value in pairs))
+        return tuple([(key, figure(key, value)) for key, _, value in pairs])
 
 
 def figure(name: str, text: str) -> float:
@@ -140,7 +133,7 @@
         value = float(text)
     except ValueError:
         raise ValueError(f"{name}={text[:40]!r}") from None
-    most = _BUSIEST if name == "util" else _LARGEST
+    most = _BUSIEST if name.startswith("util") else _LARGEST
     if not (math.isfinite(value) and 0 <= value <= most):
         raise ValueError(f"{name}={text[:40]!r}")
     return value
--- a/gradehoist/settings/platform.py
+++ b/gradehoist/settings/platform.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from gradehoist import interface as i
 from gradehoist.names import Names
 
+# What load reports call our figures: the settings' words, and those of the operators' pages.
+LOAD = {"utilization": "busy", "outstanding": "in_flight", "recent_ms": "service_ms",
+        "util": "busy", "inflight": "in_flight", "latency_ms": "service_ms"}
 REPEATS = {"free": i.Repeat.FREE, "guarded": i.Repeat.GUARDED, "single_shot": i.Repeat.SINGLE}
 
 
@@ -21,6 +24,11 @@
     return list(listed.get("fields", [])) if listed.get("how", "inline") != "off" else []
 
 
+def load(figures: Iterable[tuple[str, float | None]]) -> i.Load:
+    """One load report; what no figure of ours is named like is let pass."""
+    return i.Load(**{LOAD[name]: value for name, value in figures if name in LOAD})
+
+
 def names(o: Mapping[str, Any]) -> Names:
     return Names(o.get("azs", []), o.get("kinds", []), [c["name"] for c in o["classes"]])
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -29,7 +29,7 @@
     assert found[1:4] == [
         lines.Hello(17, "a", 21.5, True), lines.Ack(17, 905, 310_400),
         lines.Outcomes("a", "s-5be2a07c", 212, 3, 41_700, 1_000_000,
-                       lines.Load((("inflight", 7.0), ("util", 0.61)))),
+                       (("inflight", 7.0), ("util", 0.61))),
     ]
     assert isinstance(found[4], lines.Spoilt) and isinstance(found[5], lines.Demand)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -156,3 +156,30 @@
     site.join(proxy)
     site.run(1)
     assert not proxy.out and set(proxy.tables["read"]) == {f"s-{n}" for n in range(6)}
+
+
+def test_load_reports_reach_the_module_by_the_names_that_the_settings_give() -> None:
+    """By the pages' names alone no report was ever read, and the loop that moves the weights stood still."""
+    site = Site()
+    for words in ("outstanding:7,recent_ms:12.5,utilization:0.61", "inflight:7,latency_ms:12.5,util:0.61"):
+        line = f"outcomes site=a target=s-1 count=9 fail=0 mean=41 over=1000 util={words},novel:3"
+        met = lines.read(line.encode())
+        assert isinstance(met, lines.Outcomes)
+        site.core.met(met)
+        event = site.core.events.pop()
+        assert isinstance(event, i.Heard) and event.load == i.Load(0.61, 7.0, 12.5)
+
+
+def test_weights_leave_a_busy_replica_by_what_passed_on_the_sockets() -> None:
+    site = Site()
+    before = site.proxies[0].tables["read"]["s-0"]
+    for _ in range(20):
+        for n in range(6):
+            busy = 0.95 if n == 0 else 0.4
+            text = f"outcomes site=a target=s-{n} count=9 fail=0 mean=41 over=1000 util=utilization:{busy}"
+            met = lines.read(text.encode())
+            assert isinstance(met, lines.Outcomes)
+            site.core.met(met)
+        site.run(1)
+    table = site.proxies[0].tables["read"]
+    assert table["s-0"] / table["s-2"] < 0.8 * before / 1.0
