--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,7 @@
 from bench import placements
 from bench import plans as planning
 from bench.feeders import Feeder, Governor
+from bench.node import figures as node_figures
 from gradehoist.day import audit, scene
 from gradehoist.day.run import Run
 from gradehoist.net.client import Client
@@ -295,9 +296,17 @@
         sizes(Path("found") / f"bench-{seed}-governed")
 
 
+def node() -> None:
+    """The platform's node as a process: start, tables for all, drains from socket to socket, memory."""
+    row("proxies", "start, s", "all bound, s", "drain to last order, ms", "worst, ms", "memory, MB")
+    for f in node_figures():
+        row(f.proxies, f"{f.start:.2f}", f"{f.bound:.2f}", f"{f.drain * 1e3:.0f}", f"{f.worst * 1e3:.0f}",
+            f"{f.memory:.0f}")
+
+
 ALL: dict[str, Callable[[], None]] = {
     "parser": parser, "drains": drains, "size": size, "inline": inline, "cells": cells, "places": places,
-    "plans": plans, "idle": idle, "shares": shares}
+    "plans": plans, "node": node, "idle": idle, "shares": shares}
 
 if __name__ == "__main__":
     for name in sys.argv[1:] or ALL:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,15 +10,11 @@
 from hypothesis import strategies as st
 
 from gradehoist.node.discovery import Change, Held, Lost, Watch, changes
+from gradehoist.standin.platform import entry
 
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
-def entry(name: str, phase: str = "active", **more: Any) -> dict[str, Any]:
-    return {"id": name, "host_port": "127.0.0.1:1", "locality": "a", "flavor": "k", "cell": 3, "phase": phase,
-            "size": 1.0, "up_since_ms": 0} | more
-
-
 def line(revision: int, *members: dict[str, Any], complete: bool = False) -> bytes:
     return msgspec.json.encode({"revision": revision, "complete": complete, "members": list(members)}) + b"\n"
 
