--- a/bench/node.py
+++ b/bench/node.py
@@ -32,8 +32,8 @@
     """A queue with room for all tables at once, so that the node alone takes time."""
     classes = [{"name": c, "aim": 1.0, "deadline": 2.0, "idempotency": "free"} for c in ("read", "write")]
     channel = {"pending-max": 1e6, "push-rate": 1e6, "fixed-cost": 4.0, "pushes-allowed": 0}
-    return {"azs": ["a", "b", "c"], "kinds": ["k"], "classes": classes,
-            "specifics": {"period": 1.0, "proxies": proxies, "blackhole": 4.0, "admission": "share"} | channel,
+    specifics = {"period": 1.0, "proxies": proxies, "blackhole": 4.0, "admission": "share"}
+    return {"azs": ["a", "b", "c"], "kinds": ["k"], "classes": classes, "specifics": specifics | channel,
             "guarantees": {"drain-grace": 2.0, "cold": 10.0, "cold-share": 0.2}}
 
 
