--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -24,7 +24,7 @@
 SECOND = 1_000_000
 PHASES = {"active": i.Phase.READY, "leaving": i.Phase.DRAINING, "left": i.Phase.GONE}
 BEHIND = 2 * SECOND  # a stream that owes an answer this long after others gave theirs to later messages
-MUTE = 4 * SECOND  # or that has owed one and said nothing for so long, where no other has answered either
+MUTE = 4 * SECOND  # or that has said nothing for so long, where for BEHIND nobody has answered either
 
 
 @dataclass
@@ -58,7 +58,7 @@
         self.spoilt: Counter[str] = Counter()  # by kind and reason, since last told
         self._joins, self._wakes = 0, list[tuple[int, int]]()
         self._answered = 0  # the latest time of a message that some proxy has answered
-        self._answered_at = 0
+        self._acked = now  # when any proxy last answered anything
         self._looked = now
         self.out: list[tuple[int, int, bytes]] = []  # proxy, number of its stream, what it is written
         self.events: list[i.Event] = []
@@ -142,10 +142,10 @@
             return self._spoil("ack", "of another proxy, or a mark that waits for no answer")
         while True:
             mark, at = stream.marks.popleft()
-            if at > self._answered:
-                self._answered, self._answered_at = at, now
+            self._answered = max(self._answered, at)
             if mark == ack.mark:
                 break
+        self._acked = now
         self.events.append(i.Applied(proxy, ack.mark, ack.elapsed))
 
     def demanded(self, demand: lines.Demand, stream: int | None) -> None:
@@ -226,9 +226,11 @@
                 continue
             at = stream.marks[0][1]
             quiet = now - max(stream.heard, at)
-            # Messages leave in the order written: one written later that was answered says it must be there.
-            behind = at <= self._answered and now - self._answered_at < MUTE and quiet > BEHIND
-            if behind or quiet > MUTE:
+            # Messages leave in the order written: one written later that was answered says ours is there. As
+            # long as answers come at all, a slow channel may still hold it: taken for left then, its lines
+            # would leave the module's books and not the queue.
+            behind = at < self._answered and quiet > BEHIND
+            if behind or (quiet > MUTE and now - self._acked > BEHIND):
                 stream.silent = True
                 self.tables.left(stream.proxy)
                 self.tables.joined(stream.proxy)  # on no table, yet told of drains
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -183,3 +183,20 @@
         site.run(1)
     table = site.proxies[0].tables["read"]
     assert table["s-0"] / table["s-2"] < 0.8 * before / 1.0
+
+
+def test_a_slow_channel_makes_nobody_pass_for_silent() -> None:
+    """Its last messages come long after the first: taken for left, their lines would leave the books alone."""
+    site = Site(proxies=8)
+    for proxy in site.proxies:
+        proxy.deaf = True
+    site.list(member(5, "leaving"))
+    site.step()
+    waiting = site.core.module.publisher.waiting
+    assert waiting > 0
+    for proxy in site.proxies:
+        site.run(1.5)
+        stream = site.core.streams[proxy.number]
+        site.core.acked(site.now, proxy.number, proxy.stream, lines.Ack(proxy.number, stream.marks[0][0], 1))
+        site.step()
+    assert not any(stream.silent for stream in site.core.streams.values())
