--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -186,7 +186,7 @@
 
 
 def test_a_slow_channel_makes_nobody_pass_for_silent() -> None:
-    """Its last messages come long after the first: taken for left, their lines would leave the books alone."""
+    """Its last messages come long after the first: taken for left, their lines left the books alone."""
     site = Site(proxies=8)
     for proxy in site.proxies:
         proxy.deaf = True
