--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -65,6 +65,24 @@
     asyncio.run(play())
 
 
+def test_a_discovery_that_falls_silent_is_watched_anew_until_it_is_back(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path) as node:
+            first, proxy = node.discoveries[0], await Proxy(node).join()
+            await proxy.until("whole=1")
+            first.mute = True
+            for writer in list(first.watches):
+                writer.close()
+            await until(lambda: "closed; anew" in node.log.read_text())
+            await until(lambda: "silent; anew" in node.log.read_text())
+            first.change(entry("s-0", "leaving"))  # nobody hears of it yet
+            first.mute = False
+            await proxy.until("out=s-0")
+            assert len(first.asked) >= 3
+
+    asyncio.run(play())
+
+
 def test_strangers_by_the_hundreds_take_no_descriptor_from_proxies(tmp_path: Path) -> None:
     async def play() -> None:
         async with running(tmp_path, sockets=72) as node:
