One probe of a replica for both fronts

Seen: node/service.py had the governor's probe written again: outcomes, deadline, turn. It moved to governor/probes.py, which both call; each reads its own form of load report. No change of what is sent.

--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -18,6 +18,7 @@
 
 from gradehoist import interface as i
 from gradehoist.cells.moves import Book, Confirm, Word
+from gradehoist.governor import probes
 from gradehoist.governor.core import Core, Gap, Poll, Refused
 from gradehoist.governor.planner import PlannerFailed, PlannerProcess
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
@@ -351,31 +352,22 @@
         logs, self.core.logs = self.core.logs, []
         for entry in logs:
             (self.log.warning if entry.warn else self.log.info)(entry.event, **entry.fields)
-        probes, self.core.probes = self.core.probes, []
-        for replica in probes:
+        due, self.core.probes = self.core.probes, []
+        for replica in due:
             self._own(self._probe(replica))
 
     async def _probe(self, replica: int) -> None:
         """One probe within the deadline, the wait for its turn included."""
         began, deadline = now(), self.fleet.probe_deadline / 1e6
-        outcome, load = i.Outcome.TIMED_OUT, None
+        outcome, load = i.Outcome.OTHER, None
         name = self.core.names.replicas.names[replica]
         entry = self.core.roster.entries.get(name)
         address = (entry.address if entry else "") or name
         try:
-            async with asyncio.timeout(deadline):
-                async with self._probing:
-                    response = await self._client(address).exchange("GET", "/healthz", timeout=deadline)
-            outcome = i.Outcome.ANSWERED if response.status == 200 else (
-                i.Outcome.TURNED_AWAY if response.status == 503 else i.Outcome.ERROR)
-            if (text := http.header(response.headers, orca.HEADER)) and (report := orca.read(text)):
+            outcome, response = await probes.ask(self._client(address), "/healthz", deadline, self._probing)
+            text = http.header(response.headers, orca.HEADER) if response else None
+            if text and (report := orca.read(text)):
                 load = i.Load(report.busy, report.in_flight, report.service_ms)
-        except (TimeoutError, TimedOut):
-            pass
-        except Unreachable:
-            outcome = i.Outcome.UNREACHABLE
-        except Broken:
-            outcome = i.Outcome.BROKEN
         except ValueError as fault:
             self.log.warning("bad_probe", replica=name, reason=str(fault))
             outcome = i.Outcome.OTHER
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -19,7 +19,8 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from gradehoist import interface as i
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.governor import probes
+from gradehoist.net.client import Client
 from gradehoist.net.listener import Listener
 from gradehoist.node import config, discovery
 from gradehoist.node.core import Core, Refused
@@ -38,7 +39,6 @@
 READY = 0.7  # seconds that the first answer waits for discovery's first word
 PROBE = 1.0  # seconds for a probe
 PROBES = 4  # at once
-STATUS = {200: i.Outcome.ANSWERED, 503: i.Outcome.TURNED_AWAY}
 
 
 class Peer:
@@ -287,15 +287,15 @@
             peer = self._by_proxy.get(proxy)
             if peer is not None and peer.number == number:
                 self._say(peer, data)
-        probes, self.core.probes = self.core.probes, []
-        for replica in probes:
+        due, self.core.probes = self.core.probes, []
+        for replica in due:
             self._own(self._probe(replica))
         logs, self.core.logs = self.core.logs, []
         for text in logs:
             self.log(text)
         self.longest = max(self.longest, time.monotonic() - began)
-        due = self.core.due()
-        self._soon(0.25 if due is None else min(0.25, max(0.0, (due - self.now()) / 1e6)))
+        at = self.core.due()
+        self._soon(0.25 if at is None else min(0.25, max(0.0, (at - self.now()) / 1e6)))
 
     # Discovery
 
@@ -361,27 +361,17 @@
     async def _probe(self, replica: int) -> None:
         name = self.core.names.replicas.names[replica]
         member = self.core.held.members.get(name)
-        began, outcome, load = self.now(), i.Outcome.TIMED_OUT, None
-        client = None
+        began, outcome, load = self.now(), i.Outcome.UNREACHABLE, None
         try:
-            host, port = config.address(member.address if member else "")
-            client = Client(host, port)
-            async with asyncio.timeout(PROBE), self._probing:
-                response = await client.exchange("GET", "/stats", timeout=PROBE)
-            outcome = STATUS.get(response.status, i.Outcome.ERROR)
-            if response.body and (report := orca.read(response.body.decode("latin-1"), platform.LOAD)):
-                load = i.Load(report.busy, report.in_flight, report.service_ms)
-        except (TimeoutError, TimedOut):
-            pass
-        except Unreachable:
-            outcome = i.Outcome.UNREACHABLE
-        except Broken:
-            outcome = i.Outcome.BROKEN
-        except ValueError as fault:
-            self.log(f"probe of {name}: {fault}")
-            outcome = i.Outcome.UNREACHABLE if member is None else i.Outcome.OTHER
-        finally:
-            if client is not None:
+            client = Client(*config.address(member.address if member else ""))
+            try:
+                outcome, response = await probes.ask(client, "/stats", PROBE, self._probing)
+            finally:
                 client.close()
+            if response and response.body:
+                report = orca.read(response.body.decode("latin-1"), platform.LOAD)
+                load = i.Load(report.busy, report.in_flight, report.service_ms) if report else None
+        except ValueError as fault:  # no address, or a body that is no report
+            self.log(f"probe of {name}: {fault}")
         self.core.probed(replica, outcome, self.now() - began, load)
         self._soon()
