--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -373,7 +373,7 @@
             sent, both = self.sent[k], [n for n in want if n != only and want[n] * self.sent[k].get(n, 0)]
             # Tables hold ratios: a line that leaves must not count as a move of all the others.
             scale = sum(sent[n] for n in both) / sum(want[n] for n in both) if both else 1.0
-            # A light line's moves hardly move traffic: by its own weight alone they were most of the orders.
+            # A light line's moves hardly move traffic: by its own weight they were a third of the orders.
             least = fmean(sent[n] for n in both) if both else 0.0
             for n in sorted(want):
                 old, new = sent.get(n, 0.0), want[n] * scale
--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -102,7 +102,6 @@
         self._joins += 1
         stream = Stream(hello.proxy, self.names.zones[hello.zone], self._joins, hello.rate, now, hello.fresh)
         self.streams[hello.proxy] = stream
-        self.names.proxies.number(str(hello.proxy))
         self._introduce(stream)
         return stream.number
 
--- a/gradehoist/node/discovery.py
+++ b/gradehoist/node/discovery.py
@@ -76,22 +76,19 @@
 
 
 class Watch:
-    """One watch. `receive` gives the changes completed; Lost where it can't go on. `heard` is when it last
-    gave a sign of life."""
+    """One watch. `receive` gives the changes completed; Lost where it can't go on."""
 
-    def __init__(self, now: int) -> None:
+    def __init__(self) -> None:
         limits = http.Limits(body=LINE)
         self._parser, self._line = http.Parser(http.Role.CLIENT, limits, pieces=True), bytearray()
         self._parser.asked("GET")
-        self.heard = now
         self.opened = False
 
     @staticmethod
     def request(host: str, revision: int) -> bytes:
         return http.request("GET", f"/registry/instances?watch=1&from={revision}", host)
 
-    def receive(self, now: int, data: bytes) -> list[Change]:
-        self.heard = now
+    def receive(self, data: bytes) -> list[Change]:
         try:
             events = self._parser.receive(data)
         except http.ProtocolError as fault:
--- a/gradehoist/node/log.py
+++ b/gradehoist/node/log.py
@@ -1,20 +1,22 @@
-"""The node's log: lines to standard error, so many a second at most, never in the way of the loop."""
+"""The node's log: lines to standard error, so many a second at most."""
 
 from __future__ import annotations
 
-import os
 import time
 
+from gradehoist.store.sink import Sink
+
 
 class Log:
-    """A reader that stands still costs lines, counted and told once there is room again."""
+    """Lines beyond the rate are counted, and told with the next one."""
 
     RATE = 40.0  # lines a second: a bad day's orders fit, a flood of strangers does not
     BURST = 400.0
+    LAST = 0.2  # seconds that the end waits for a reader: the platform's SIGKILL comes 0.7 s after SIGTERM
 
     def __init__(self, fd: int, rate: float = RATE) -> None:
-        self._fd, self._rate, self._credit, self._at, self._lost = fd, rate, self.BURST, time.monotonic(), 0
-        os.set_blocking(fd, False)
+        self._sink, self._rate = Sink(fd), rate
+        self._credit, self._at, self._lost = self.BURST, time.monotonic(), 0
 
     def __call__(self, text: str) -> None:
         now = time.monotonic()
@@ -24,10 +26,8 @@
             self._lost += 1
             return
         self._credit -= 1
-        lost = f" ({self._lost} lines lost before this)" if self._lost else ""
-        line = f"{time.time():.3f} {' '.join(text.split())[:1_000]}{lost}\n"
-        try:
-            os.write(self._fd, line.encode(errors="replace"))
-            self._lost = 0
-        except OSError:
-            self._lost += 1
+        lost, self._lost = f" ({self._lost} lines lost before this)" if self._lost else "", 0
+        self._sink.write(f"{time.time():.3f} {' '.join(text.split())[:1_000]}{lost}\n")
+
+    def close(self) -> None:
+        self._sink.close(self.LAST)
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -46,7 +46,7 @@
 
     def __init__(self, stream: IOStream, since: float) -> None:
         self.stream, self.since, self.door = stream, since, lines.Door()
-        self.collector = False
+        self.collector = self.asked = False  # asked: for a sign of life
         self.proxy, self.number = -1, 0  # of a proxy's stream
 
     @property
@@ -67,7 +67,7 @@
         self._strange: dict[Peer, None] = {}  # those that have not joined, the oldest first
         self._by_proxy: dict[int, Peer] = {}
         self._tasks = set[asyncio.Task[None]]()
-        self._watching: asyncio.Task[None] | None = None
+        self._watching: asyncio.Task[None] | None = None  # the one that watches where discovery is now
         self._step_at: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._probing = asyncio.Semaphore(PROBES)
@@ -97,12 +97,15 @@
         self._step()
         await self._ended.wait()
         self.log("ends: told to" if self._fault is None else "ends: it failed")
-        return 0 if self._fault is None else 1
+        self.log.close()
+        if self._fault is None:
+            return 0
+        traceback.print_exception(self._fault)
+        return 1
 
     def _fail(self, fault: BaseException) -> None:
         """A bug of ours, the module's included: it ends the governor, and its traceback is in the log."""
-        self._fault = fault
-        traceback.print_exception(fault)
+        self._fault = self._fault or fault
         self._ended.set()
 
     def _own(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -125,7 +128,7 @@
             pass
         self._ready = True
         for peer in list(self._strange):
-            if peer.door.asked:
+            if peer.asked:
                 self._say(peer, lines.ALIVE)
 
     # Connections
@@ -171,7 +174,7 @@
             case lines.Probe():
                 if self._ready:
                     self._say(peer, lines.ALIVE)
-                peer.door.asked = True
+                peer.asked = True
             case lines.Agent(zone) if not peer.joined:
                 if zone not in self.core.names.zones:
                     raise lines.Unreadable(f"no zone {zone}")
@@ -303,9 +306,10 @@
         self._watching = self._own(self._watches(self.conf.discovery))
 
     async def _watches(self, address: config.Address) -> None:
-        """Watches one address until the configuration names another, whose task then holds the watch."""
+        """Watches one address until a later task does: by the address alone, one that was left and came back
+        had two for good."""
         wait = RETRY[0]
-        while address == self.conf.discovery:
+        while self._watching is asyncio.current_task():
             why, heard = await self._one_watch(address)
             wait = RETRY[0] if heard else min(RETRY[1], 2 * wait)
             self.log(f"discovery {address[0]}:{address[1]}: {why}; anew in {wait:g} s")
@@ -313,7 +317,7 @@
 
     async def _one_watch(self, address: config.Address) -> tuple[str, bool]:
         """Why it ended, and whether it ever said anything."""
-        watch = discovery.Watch(self.now())
+        watch = discovery.Watch()
         try:
             own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as fault:
@@ -327,7 +331,7 @@
                 data = await gen.with_timeout(
                     timedelta(seconds=SILENT), stream.read_bytes(1 << 18, partial=True),
                     quiet_exceptions=(StreamClosedError,))
-                for change in watch.receive(self.now(), data):
+                for change in watch.receive(data):
                     self.core.listed(change)
                 if watch.opened:
                     self._spoken.set()
@@ -349,8 +353,8 @@
         except config.Faulty as fault:
             self.log(f"reload: {fault}; the old configuration stays")
             return
-        if found.listen != self.conf.listen or found.settings != self.conf.settings:
-            self.log("reload: the address and the settings can't change while running; they stay")
+        if any(getattr(found, f) != getattr(self.conf, f) for f in ("listen", "sockets", "settings")):
+            self.log("reload: listen, limits and settings can't change while running; they stay")
         moved, self.conf = found.discovery != self.conf.discovery, found
         self.log(f"reload: discovery at {found.discovery[0]}:{found.discovery[1]}")
         if moved:
--- a/gradehoist/protocol/lines.py
+++ b/gradehoist/protocol/lines.py
@@ -88,7 +88,6 @@
 
 
 Message = Probe | Agent | Outcomes | Hello | Ack | Demand | Spoilt
-KINDS = ("probe", "agent", "outcomes", "hello", "ack", "demand")
 
 
 class _Words:
@@ -184,7 +183,7 @@
     """The reading end of one connection. `known` is to be set once the peer has said who it is."""
 
     def __init__(self) -> None:
-        self.known = self.asked = False  # asked: for a sign of life
+        self.known = False
         self._buffer, self._scanned, self._fault = bytearray(), 0, ""
 
     def receive(self, data: bytes) -> list[Message]:
@@ -228,7 +227,7 @@
             raise Unreadable(f"no such message: {head[0]!r}")
 
 
-_KINDS = tuple(kind.encode() for kind in KINDS)
+_KINDS = tuple(kind.encode() for kind in _READ)
 
 # Orders on a stream
 
