Deal tables by what the channel can bring in a drain's grace; tell drains to holders alone

Binds were priced up to 100 lines too low where the table named replicas that had left; that fell with the rest.

At fault: Pool.on_plan (whole tables whatever the channel), Publisher.on_guards (withdrawals booked and sent to all), Core._look (silence counted from the message, not from the later one's answer), Core._carry_out and Tables.begin (a bind named withdrawn replicas and then took them back).

Mended: where whole tables for all proxies do not fit the grace, each group has an arc of every zone's ring of replicas; groups grow in number so that arcs name each replica alike often. A withdrawal goes to those whose tables name it. A bind leaves withdrawn replicas out. Proxies are bound by age of joining, then traffic. Silence runs from the later message's answer. A leaving proxy no longer sorts all binds, a joining one no longer counts all homes. Small fleets keep whole tables.

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -6,7 +6,7 @@
 import zlib
 from collections import deque, namedtuple
 from dataclasses import replace
-from itertools import product
+from itertools import islice, product
 from statistics import fmean, median
 from typing import Any
 
@@ -14,6 +14,7 @@
 
 SECOND = 1_000_000
 Tables = dict[int, dict[int, float]]  # weights by set of classes, then by replica
+Named = list[frozenset[int]]  # the replicas in each of a group's tables
 
 class Mail:  # the one loop: a note goes to a part's inbox, `run` empties the inboxes in the order of arrival
     def __init__(self, seed: int, now: int) -> None:
@@ -24,11 +25,9 @@
     def put(self, to: Any, *note: Any) -> None:
         self.parts[to].inbox.append(note)
         self.work.append(self.parts[to])
-
     def later(self, delay: int, to: Any, *note: Any) -> None:
         self.dues += 1
         heapq.heappush(self.due, (self.now + delay, self.dues, (to, *note)))
-
     def chance(self) -> float:
         self.drawn += 1
         return zlib.crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32
@@ -58,9 +57,7 @@
     FEW = 4.0  # tries below which a failing share says nothing: four in a row by chance are rare
     FAILING = 0.8  # impatient clients fail half the tries of a slow server that still answers
     PAUSE = 60 * SECOND  # a longer window tells of a pause of ours: one of an hour froze the loop for minutes
-
     entry: Any = None
-
     def __init__(self, mail: Mail, index: int, period: int, cold_time: int, probes: bool) -> None:
         super().__init__(mail, ("replica", index))
         self.index, self.period, self.cold_time, self.probes = index, period, cold_time, probes
@@ -123,15 +120,12 @@
         hold = max(2 * self.period, 2 * SECOND) * 2 ** min(self.trials - 1, 3)  # longer if flapping
         self.mail.later(hold, self.name, "retry", self.trials)
         self.tell()
-
     def on_retry(self, trial: int) -> None:
         if trial == self.trials:
             self.put("publisher", "write", [i.Probe(self.index)], [], 0) if self.probes else self.on_back()
-
     def on_probed(self, e: i.Probed) -> None:
         if self.sick:
             (self.on_back if e.outcome is i.Outcome.ANSWERED else self.on_eject)()
-
     def on_back(self) -> None:  # flapping servers restart low each return
         if self.sick:
             self.sick, self.born, self.tries, self.bad = False, self.mail.now, 0.0, 0.0
@@ -151,16 +145,19 @@
     TASTE = 0.01  # part of a zone's traffic each other zone gets anyway, so that its reports keep coming
     RECENT = 0.9  # of what came, kept each period: some ten seconds' sums, by which a few tell classes apart
     FORGET = 3600 * SECOND  # long past any flapping list: 3,000 replaced servers made a step 27 times as long
-
+    GOLDEN = 0.618034  # the golden section: the places it gives lie evenly on a ring, however many there are
     def __init__(self, mail: Mail, zones: int, proxies: int, classes: tuple[i.TransactionClass, ...],
-                 sets: list[tuple[int, ...]], period: int, cold: int, homes: list[int], probes: bool) -> None:
+                 sets: list[tuple[int, ...]], period: int, cold: int, homes: list[int], probes: bool,
+                 most: int) -> None:
         super().__init__(mail, "pool")
+        self.rings, self.placed = dict[int, float](), dict[int, float]()
+        self.most, self.turned, self.thin = most, mail.chance(), list[tuple[int, int]]()
         self.zones, self.proxies, self.classes, self.sets, self.probes = zones, proxies, classes, sets, probes
         self.cold_time, self.homes, self.known, self.stated = cold, homes, dict[int, i.Entry](), period
         self.period, self.goal = period, min(c.goal for c in classes)
         self.states, self.rates, self.calm = dict[int, State](), dict[int, tuple[int, list[float]]](), 0
         self.heat, self.slack, self.came = dict[int, float](), dict[int, float](), [0.0] * len(classes)
-        self.held, self.opening, self.thin = set[int](), set[int](), list[tuple[int, int]]()
+        self.held, self.opening, self.unnamed = set[int](), set[int](), set[int]()
         self.leaving = set[int]()  # gone for good: forgotten once their withdrawal is lifted
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
@@ -186,6 +183,7 @@
         mean = fmean([x.size or 1 for x in (self.known | news).values() if x.phase is i.Phase.READY] or [1])
         for n, x in news.items():
             if n not in self.known:
+                self.placed[x.zone] = self.rings[n] = (self.placed.get(x.zone, 0.0) + self.GOLDEN) % 1
                 Replica(self.mail, n, self.period, self.cold_time, self.probes)
             if self.known.get(n) != x:
                 self.put(("replica", n), "listed", x, max(self.FLOOR, min(self.CEILING, x.size / mean)))
@@ -238,7 +236,6 @@
         self.rates[e.proxy] = (e.zone, [e.rate / len(self.classes)] * len(self.classes))
 
     def on_left(self, e: i.Left) -> None: self.rates.pop(e.proxy, None)
-
     def on_offered(self, e: i.Offered) -> None:
         if e.window > 0 and (known := self.rates.get(e.proxy)):
             known[1][e.cls] += Replica.SMOOTH * (e.number * SECOND / e.window - known[1][e.cls])
@@ -251,10 +248,10 @@
 
     def on_judge(self) -> None:
         self.period = int(max(self.stated, median([s.period for s in self.states.values() if s.open] or [0])))
-        self.put("publisher", "pace", self.period)
+        self.put("publisher", "pace", self.period, min(1.0, self.most / max(1, len(self.known))))
         # By what came: guessed in equal parts at joining, the cheap class was cut to nothing for the others.
         mix, self.came = self.came, [self.RECENT * x for x in self.came]
-        live = [s for s in self.states.values() if s.open]
+        live = [s for n, s in self.states.items() if s.open and n not in self.unnamed]
         good = 1 - sum(s.bad for s in live) / max(1.0, sum(s.tries for s in live))
         jam = (stress := self.stress(live)) > self.JAM or not any(s.tries for s in live)
         self.calm = 0 if jam else self.calm + self.period  # a fresh governor's first reports are few
@@ -303,7 +300,6 @@
         self.replan()
 
     def on_after(self, kind: str) -> None: self.put("pool", kind)  # behind the states the replicas send now
-
     def on_opened(self, n: int) -> None:  # low, in the message of its return: tables hold its full weight
         self.opening.discard(n)
         self.on_plan()
@@ -311,9 +307,7 @@
             self.put(("group", g), "line", n)
         if n in self.leaving:
             self.leaving.discard(n)
-            del self.known[n], self.states[n], self.mail.parts["replica", n]
-            for g in range(len(self.homes)):
-                self.put(("group", g), "forget", n)
+            del self.known[n], self.states[n], self.rings[n], self.mail.parts["replica", n]
             self.replan()
 
     def on_forget(self, n: int) -> None:
@@ -337,7 +331,7 @@
         room = [max(0.0, 1 / self.zones - held.count(z) / max(1, self.proxies)) for z in zones]
         fill = (1 - part) / (sum(room) or 1.0)
         # Lines of gone servers leave: binds would grow by them, and joining take longer than a drain's grace.
-        gone = {n: 0.0 for n, s in self.states.items() if s.entry.phase is i.Phase.GONE}
+        shut = {n for n, s in self.states.items() if n not in live and s.entry.phase is not i.Phase.GONE}
         self.thin, wanted = [], list[Tables]({} for _ in zones)
         for k in sets:
             mix = sum(m[k] for m in mine) / total
@@ -355,17 +349,37 @@
                 to = {y: max(free[y], w / whole / 50) for y, w in enumerate(weights[z]) if w and y != z}
                 split = {y: max(self.TASTE, (1 - stay[z]) * f / sum(to.values())) for y, f in to.items()}
                 split[z] = stay[z] if to else 1.0
-                wanted[z][k] = gone | {n: max(1e-4, len(live) * split[e.zone] * w / weights[z][e.zone])
-                                       for n, (e, w) in live.items() if self.allowed(e, z, k)}
+                wanted[z][k] = {n: max(1e-4, len(live) * split[e.zone] * w / weights[z][e.zone])
+                                for n, (e, w) in live.items() if self.allowed(e, z, k)}
+        self.unnamed, here = set(live) if held else set(), set(held)  # our proxies can't tell of these
         for g, zone in enumerate(self.homes):
-            self.put(("group", g), "wanted", wanted[zone])
+            tables = {k: self.deal(t, g) for k, t in wanted[zone].items()}
+            self.unnamed -= {n for t in tables.values() for n in t if zone in here}
+            self.put(("group", g), "wanted", tables, shut)
+
+    # Where the channel could not bring all proxies whole tables within a drain's grace, a group has an arc
+    # of each zone's ring of servers: at 200 servers and 1,600 proxies those that joined waited for 20 s.
+    def deal(self, table: dict[int, float], g: int) -> dict[int, float]:
+        if len(table) <= self.most:
+            return table
+        total, out, step = sum(table.values()), dict[int, float](), 1 / self.homes.count(self.homes[g])
+        for zone in range(self.zones):
+            ring = [n for n in table if self.known[n].zone == zone]
+            whole = sum(table[n] for n in ring)
+            if whole > 2 * self.TASTE * total:
+                lines = min(len(ring), max(1, round(self.most * whole / total)))
+                # Arcs as wide as whole steps between their starts name each server alike often.
+                wide, at = max(1, round(lines / len(ring) / step)) * step, self.turned + g * step
+                far = sorted(((self.rings[n] - at) % 1, n) for n in ring)
+                arc = [n for _, n in far[:max(1, lines // 2, sum(x < wide for x, _ in far))]]
+                out |= {n: table[n] * whole / sum(table[y] for y in arc) for n in arc}
+        return out
 
 class Group(Part):  # some proxies of one zone and the tables they share, as last sent
     MOVED = 0.05  # the design's threshold for sending a line
-
     def __init__(self, mail: Mail, index: int, sets: list[tuple[int, ...]]) -> None:
         super().__init__(mail, ("group", index))
-        self.index, self.sets, self.members = index, sets, dict[int, None]()
+        self.index, self.sets, self.members, self.shut = index, sets, dict[int, None](), set[int]()
         self.sent, self.wanted = [Tables({k: {} for k in range(len(sets))}) for _ in range(2)]
 
     def moved(self, only: int | None = None) -> Any:
@@ -375,58 +389,54 @@
             scale = sum(sent[n] for n in both) / sum(want[n] for n in both) if both else 1.0
             # A light line's moves hardly move traffic: by its own weight they were a third of the orders.
             least = fmean(sent[n] for n in both) if both else 0.0
-            for n in sorted(want):
-                old, new = sent.get(n, 0.0), want[n] * scale
+            for n in sorted(want.keys() | {x for x in sent if x == only or x not in self.shut}):
+                old, new = sent.get(n, 0.0), want.get(n, 0.0) * scale
                 far = abs(new - old) > self.MOVED * max(old, least) or (old > 0) != (new > 0)
                 if n == only or (only is None and far):
-                    yield k, n, want[n] * scale
+                    yield k, n, new
 
     def write(self, lines: list[tuple[int, int, float]]) -> None:
+        news = sum(n not in self.sent[k] for k, n, _ in lines)
         for k, n, w in lines:
             self.sent[k][n] = w
+        self.sent = Tables({k: {n: w for n, w in t.items() if w} for k, t in self.sent.items()})
         if orders := [i.SetLine(self.index * len(self.sets) + k, n, w) for k, n, w in lines]:
-            self.put("publisher", "write", orders, list(self.members), len(orders))
+            self.put("publisher", "write", orders, list(self.members), len(orders), news)
+        self.put("publisher", "differs", self.index, bool(self.members) and any(self.moved()),
+                 [frozenset(t) for t in self.sent.values()])
 
-    def on_wanted(self, wanted: Tables) -> None:
-        self.wanted = wanted
+    def on_wanted(self, wanted: Tables, shut: set[int]) -> None:
+        self.wanted, self.shut = wanted, shut
         self.on_turn(0 if self.members else 1e9)  # unused, lines cost nothing and stand ready
 
     def on_turn(self, room: float) -> None:
-        if fit := int(room / max(1, len(self.members))):
-            self.write(list(self.moved())[:fit])
-        size = len(self.sent) + sum(w > 0 for t in self.sent.values() for w in t.values())
-        self.put("publisher", "differs", self.index, bool(self.members) and any(self.moved()), size)
+        self.write(list(islice(self.moved(), int(room / max(1, len(self.members))))))
 
     def on_line(self, replica: int) -> None: self.write(list(self.moved(replica)))
-
-    def on_forget(self, replica: int) -> None:  # behind its line of weight 0, which no table is left without
-        for table in self.sent.values():
-            table.pop(replica, None)
-
-    def on_join(self, proxy: int, extra: int) -> None:
+    def on_leave(self, proxy: int) -> None: self.members.pop(proxy, None)
+    def on_join(self, proxy: int, extra: int, holds: int) -> None:
         self.members[proxy] = None
         binds = [i.Bind(proxy, self.index * len(self.sets) + k, c) for k, c in enumerate(self.sets)]
-        self.put("publisher", "write", binds, [proxy], sum(1 + extra + len(t) for t in self.sent.values()))
-
-    def on_leave(self, proxy: int) -> None: self.members.pop(proxy, None)
+        size = sum(1 + extra + (1 + holds) * len(t) for t in self.sent.values())
+        self.put("publisher", "write", binds, [proxy], size)
 
 class Publisher(Part):  # turns, pace, acknowledgements; guards go before weights, with room of their own
     HALF = 0.5  # the design's part of the queue limit for binds and lines
     OFTEN = 0.6  # of a proxy's messages; the rest waits for drains
     ROUNDS = 0.3  # of a proxy's messages for what goes to all: ejections, returns and levels share them
     GUARDS = 0.85  # drains may fill more, yet leave a margin for lines not counted exactly
-
     def __init__(self, mail: Mail, queue: float, head: float, limit: int, window: int, period: int,
-                 homes: list[int], must_ask: bool, sets: int) -> None:
+                 homes: list[int], must_ask: bool, sets: int, grace: int) -> None:
         super().__init__(mail, "publisher")
         self.queue, self.head, self.window, self.period = queue, head + 1, window, period
-        self.orders, self.levels, self.binds = list[i.Order](), list[i.Order](), list[tuple[float, int]]()
+        self.orders, self.levels, self.binds = list[i.Order](), list[i.Order](), list[tuple[float, ...]]()
         self.lines, self.home = dict[int, float](), dict[int, int]()  # lines: of this reply, by proxy
         self.unacked, self.times = dict[int, deque[tuple[int, float]]](), dict[int, deque[int]]()
         self.jobs, self.shut, self.differs = dict[int, str](), dict[int, str](), [False] * len(homes)
         self.turn = self.mark = self.stepped = self.level_lines = self.round = 0
-        self.waiting, self.booked, self.sets, self.sizes = 0.0, 0.0, sets, [0] * len(homes)
-        self.holds = set[int]()
+        self.waiting, self.booked, self.sets, self.named = 0.0, 0.0, sets, [Named()] * len(homes)
+        self.holds, self.grace, self.sizes = set[int](), grace, [0] * len(homes)
+        self.bound, self.part = [dict[int, None]() for _ in homes], 1.0
         self.pulse, self.must_ask = max(period // len(homes), 20_000), must_ask  # a turn a group and period
         self.limit, self.homes, self.next_period = limit or 1e9, homes, mail.now + period
         self.orders.append(i.Wake(0, int(self.pulse * (0.5 + mail.chance()))))
@@ -445,39 +455,45 @@
 
     def on_joined(self, e: i.Joined) -> None:
         self.unacked[e.proxy], self.times[e.proxy] = deque(), deque()
-        used, near = list(self.home.values()), [g for g, z in enumerate(self.homes) if z == e.zone] or [0]
-        self.home[e.proxy] = min(near, key=lambda g: (used.count(g), g))
+        near = [g for g, z in enumerate(self.homes) if z == e.zone] or [0]
+        self.home[e.proxy] = g = min(near, key=lambda g: (self.sizes[g], g))
+        self.sizes[g] += 1
         (self.holds.add if e.holds else self.holds.discard)(e.proxy)
-        heapq.heappush(self.binds, (-e.rate, e.proxy))  # those with most traffic are bound first
+        # Those with most traffic are bound first, yet all of them within the grace that runs from joining.
+        heapq.heappush(self.binds, (self.mail.now // max(1, self.grace // 4), -e.rate, e.proxy))
 
     def on_left(self, e: i.Left) -> None:
-        self.put(("group", self.home.pop(e.proxy)), "leave", e.proxy)
-        self.binds = sorted(b for b in self.binds if b[1] != e.proxy)
+        self.put(("group", g := self.home.pop(e.proxy)), "leave", e.proxy)
+        self.sizes[g] -= 1
+        if self.bound[g].pop(e.proxy, e) is e:  # a thousand that left each sorted them all
+            self.binds = sorted(b for b in self.binds if b[2] != e.proxy)
         self.waiting -= sum(n for _, n in self.unacked.pop(e.proxy))
         self.times.pop(e.proxy)
-
     def on_applied(self, e: i.Applied) -> None:
         while any(m == e.mark for m, _ in self.unacked.get(e.proxy, ())):
             self.waiting -= self.unacked[e.proxy].popleft()[1]
-
     def on_job(self, kind: str, replica: int) -> None:  # drain, eject or open
         if replica in self.shut:
             self.jobs.pop(replica, None)  # else a job keeps its place: the first told goes first
         (self.shut if kind != "open" and replica in self.shut else self.jobs)[replica] = kind
-
     def on_lift(self, replica: int) -> None:
         if self.shut.get(replica) == "gone":
             self.jobs[replica] = "open"
 
-    def on_differs(self, group: int, yes: bool, size: int) -> None:
-        self.differs[group], self.sizes[group] = yes, size
+    def on_differs(self, group: int, yes: bool, named: Named) -> None:
+        self.differs[group], self.named[group] = yes, named
 
-    def on_pace(self, period: int) -> None: self.period = period
+    def holders(self, n: int) -> list[int]:  # a withdrawal concerns those alone whose tables name it
+        return [p for named, some in zip(self.named, self.bound, strict=True) if any(n in x for x in named)
+                for p in some]
+
+    def on_pace(self, period: int, part: float) -> None: self.period, self.part = period, part
     def on_levels(self, orders: list[i.Order]) -> None: self.levels = orders
 
-    def on_write(self, orders: list[i.Order], proxies: list[int], lines: int) -> None:
-        self.orders += orders
-        self.lines |= {p: self.lines.get(p, self.head) + lines for p in proxies if p in self.home}
+    def on_write(self, orders: list[i.Order], proxies: list[int], lines: int, news: int = 0) -> None:
+        self.orders += orders  # a line new to it lets a proxy back that others may have shut out from there
+        self.lines |= {p: self.lines.get(p, self.head) + lines + news * (p in self.holds)
+                       for p in proxies if p in self.home}
 
     def on_guards(self) -> None:  # withdrawals, returns, binds, levels, while the queue has room
         everyone, may = list(self.home), self.mail.now >= self.round
@@ -492,27 +508,36 @@
             due = [n for n, k in self.jobs.items() if k in kinds]
             if not due:
                 continue  # the room of a thousand proxies was counted at every note of every cell's module
-            fit = self.room(everyone, part, 0) / max(1, len(everyone))
+            hold = {n: self.holders(n) for n in due}
+            who = list({p: None for some in hold.values() for p in some})
+            fit = self.room(who, part, 0) * len(due) / max(1, sum(map(len, hold.values())))
             if (fit >= min(len(due), 2 * self.head) or not self.waiting) and (out := due[:max(0, int(fit))]):
-                self.shut |= {n: self.jobs.pop(n) for n in out}
-                self.on_write([i.Withdraw(n, True) for n in out], everyone, len(out))
+                for n in out:
+                    self.shut[n] = self.jobs.pop(n)
+                    self.on_write([i.Withdraw(n, True)], hold[n], 1)
         for n in [n for n, k in self.jobs.items() if k == "open" and may]:
             # While proxies wait for tables, their old ones would give a server that comes back cold too much.
-            if self.room(everyone, self.HALF, 3) >= 0 and not (self.binds and self.shut.get(n) != "eject"):
+            who = self.holders(n)
+            if self.room(who, self.HALF, 3) >= 0 and not (self.binds and self.shut.get(n) != "eject"):
                 del self.jobs[n]
-                self.on_write([i.Withdraw(n, False)] * (self.shut.pop(n, None) is not None), everyone, 3)
+                self.on_write([i.Withdraw(n, False)] * (self.shut.pop(n, None) is not None), who, 3)
+                usual = sum(map(len, self.bound)) * self.part  # a line new to tables goes to so many
+                self.booked += max(0.0, usual - len(who)) * (1 + self.head)
                 self.put("pool", "opened", n)
         # A proxy that joins may hold tables and withdrawals of an earlier stream: bound as soon as it fits.
         # Not while a drain waits for room: binds took it again and again, 1,382 sends were late (hd28492).
         while self.binds and not (self.waiting and {"drain", "gone"} & set(self.jobs.values())):
-            proxy, extra = self.binds[0][1], self.level_lines + sum(k != "gone" for k in self.shut.values())
+            proxy, extra = int(self.binds[0][2]), self.level_lines
+            home, holds = self.home[proxy], proxy in self.holds
+            extra += len(self.shut.keys() & frozenset().union(*self.named[home]))
             # On sockets what other governors may have shut it out from is let back in one by one.
-            extra += self.sizes[self.home[proxy]] // self.sets * (proxy in self.holds)
-            lines = self.head + self.sizes[self.home[proxy]] + self.sets * extra
+            lines = self.head + self.sets * (1 + extra) + sum(map(len, self.named[home])) * (1 + holds)
             if self.room([], self.HALF, 0) < lines and self.waiting + self.booked:
                 break  # a table of more than half the queue goes alone
             self.booked += lines
-            self.put(("group", self.home[heapq.heappop(self.binds)[1]]), "join", proxy, extra)
+            heapq.heappop(self.binds)
+            self.bound[home][proxy] = None
+            self.put(("group", home), "join", proxy, extra, holds)
         if may and len(self.lines) >= len(everyone):
             self.round = self.mail.now + int(self.window / self.limit / self.ROUNDS)
 
@@ -547,7 +572,6 @@
     HOLD = 2 * SECOND  # and two report periods after a cut: only then do reports show what it did
     UP = 0.2  # a second, of what the stress is under 1: a tenth a second where servers idle half the time
     LEAST = 0.05  # never all: what is let in keeps the reports coming
-
     def __init__(self, mail: Mail, classes: tuple[i.TransactionClass, ...], on: bool) -> None:
         super().__init__(mail, "admission")
         self.classes, self.on, self.held, self.level, self.sent = classes, on, 0, 1.0, [1.0] * len(classes)
@@ -568,6 +592,8 @@
 
 class Planner:  # one instance of the module: events become notes, the loop runs, orders come out
     GROUPS = 10  # the design's number of proxy groups
+    ARCS = 48  # groups that a large fleet is dealt to: arcs of few lines that still name every server
+    FEWEST = 8  # lines of a table dealt out: with fewer one that hangs takes more than strikes can mend
     ROUTES = {"joined": ("pool", "publisher"), "left": ("pool", "publisher"), "offered": ("pool",),
               "applied": ("publisher",), "listed": ("pool",), "due": ("publisher",)}
 
@@ -578,13 +604,18 @@
             alike.setdefault((c.only_zones, c.only_kinds, c.stays_local), []).append(k)
         # The most bound classes come first: the zone layer gives them their room before the others.
         sets = [tuple(alike[v]) for v in sorted(alike, key=lambda v: (not v[2], not v[0], not v[1]))]
-        homes = sorted(g % max(1, start.zones) for g in range(max(self.GROUPS, start.zones)))
+        many, zones = max(self.GROUPS, min(self.ARCS, start.proxies // self.FEWEST)), max(1, start.zones)
+        homes = sorted(g % zones for g in range(max(many, zones)))
+        # Twice: what other governors may have shut a proxy out from is let back in one by one.
+        fits = ch.line_rate * start.rules.grace / SECOND / max(1, start.proxies) - ch.message_head - 2
+        most = max(self.FEWEST, int(fits / 2 / len(sets)))
         Pool(self.mail, start.zones, start.proxies, start.classes, sets, rep.period, start.rules.cold_time,
-             homes, rep.probes)
+             homes, rep.probes, most)
         self.groups = [Group(self.mail, g, sets) for g in range(len(homes))]
         Admission(self.mail, start.classes, start.admits_shares)
         self.publisher = Publisher(self.mail, ch.queue_limit, ch.message_head, ch.message_limit,
-                                   ch.message_window, rep.period, homes, rep.must_ask, len(sets))
+                                   ch.message_window, rep.period, homes, rep.must_ask, len(sets),
+                                   start.rules.grace)
 
     def handle(self, now: int, events: list[i.Event]) -> list[i.Order]:
         self.mail.now = now
--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -39,6 +39,7 @@
     fresh: bool  # holds nothing of other governors
     marks: deque[tuple[int, int]] = field(default_factory=deque)  # that it owes an answer: mark, when
     sure: set[int] = field(default_factory=set)  # replicas it was told of on this stream: out or back
+    shut: set[int] = field(default_factory=set)  # those of them that it is shut out from
     silent: bool = False  # the module takes it for left until it is heard again
 
 
@@ -58,6 +59,7 @@
         self.spoilt: Counter[str] = Counter()  # by kind and reason, since last told
         self._joins, self._wakes = 0, list[tuple[int, int]]()
         self._answered = 0  # the latest time of a message that some proxy has answered
+        self._sure = deque([0] * (4 * BEHIND // SECOND))  # the same at the latest looks, BEHIND long
         self._acked = now  # when any proxy last answered anything
         self._looked = now
         self.out: list[tuple[int, int, bytes]] = []  # proxy, number of its stream, what it is written
@@ -220,6 +222,8 @@
         """Streams that owe an answer and say nothing are taken for left, as a machine that vanished is; they
         are not ended, as one that only stood still would then be without a governor."""
         self._looked = now
+        self._sure.append(self._answered)
+        passed = self._sure.popleft()
         for stream in self.streams.values():
             if stream.silent or not stream.marks:
                 continue
@@ -227,12 +231,11 @@
             quiet = now - max(stream.heard, at)
             # Messages leave in the order written: one written later that was answered says ours is there. As
             # long as answers come at all, a slow channel may still hold it: taken for left then, its lines
-            # would leave the module's books and not the queue.
-            behind = at < self._answered and quiet > BEHIND
+            # would leave the module's books and not the queue. So BEHIND runs from that answer: run from the
+            # message, a queue of 6 s made 16 of 346 pass for silent at once, and the queue grew too long.
+            behind = at < passed and quiet > BEHIND
             if behind or (quiet > MUTE and now - self._acked > BEHIND):
-                stream.silent = True
-                self.tables.left(stream.proxy)
-                self.tables.joined(stream.proxy)  # on no table, yet told of drains
+                stream.silent = True  # it keeps its tables here, and so is told of drains
                 self.events.append(i.Left(stream.proxy))
                 self.logs.append(f"silent {stream.proxy}: {quiet / 1e6:.1f} s without an answer")
 
@@ -255,11 +258,10 @@
                     self.logs.append(f"module: {text}")
                 case i.Bind(proxy, table, classes):
                     if proxy in self.streams and not self.streams[proxy].silent:
-                        deltas = self.tables.bind(proxy, table, classes)[0]
-                        told.setdefault(proxy, []).extend(d for d in deltas if not self._past(d))
+                        told.setdefault(proxy, []).extend(self._bind(proxy, table, classes))
                 case _:
                     proxies, delta, _ = self.tables.order(order)
-                    for proxy in proxies:
+                    for proxy in self._concerned(order) if isinstance(order, i.Withdraw) else proxies:
                         told.setdefault(proxy, []).append(delta)
                     if isinstance(order, i.Withdraw | i.Admit):
                         self.logs.append(f"order {delta}")
@@ -271,11 +273,33 @@
         for proxy, deltas in told.items():
             self._write(now, self.streams[proxy], deltas, mark, cache)
 
-    def _past(self, delta: feed.Delta) -> bool:
-        """A withdrawal of one that has left, which no table names any more: the module does not count these,
-        and on a long day with many replaced replicas each bind would bring them all."""
-        return (isinstance(delta, feed.Out) and delta.replica not in self.held.members and not any(
-            self.names.replicas[delta.replica] in rows for rows in self.tables.lines.values()))
+    def _bind(self, proxy: int, table: int, classes: tuple[int, ...]) -> list[feed.Delta]:
+        """A whole table without the replicas that are withdrawn, so that it needs no word on these: with all
+        withdrawals a bind of a large fleet cost twice as much, and its proxies waited as long for it."""
+        deltas: list[feed.Delta] = []
+        for d in self.tables.bind(proxy, table, classes)[0]:
+            if isinstance(d, feed.Bind):
+                held = {name: w for name, w in d.lines.items()
+                        if self.names.replicas[name] not in self.tables.out}
+                deltas.append(feed.Bind(d.table, d.classes, held))
+            elif not isinstance(d, feed.Out):
+                deltas.append(d)
+        return deltas
+
+    def _concerned(self, order: i.Withdraw) -> list[int]:
+        """Out: whose tables name the replica, as told on this stream; others hear of it if ever their tables
+        come to name it. Back: whom it was told out to."""
+        replica, streams = order.replica, self.streams.values()
+        if order.out:
+            on = {table for table, rows in self.tables.lines.items() if replica in rows}
+            some = [s for s in streams if not on.isdisjoint(self.tables.bound[s.proxy].values())]
+            for stream in some:
+                stream.shut.add(replica)
+        else:
+            some = [s for s in streams if replica in s.shut]
+            for stream in some:
+                stream.shut.discard(replica)
+        return [s.proxy for s in some]
 
     def _write(self, now: int, stream: Stream, deltas: list[feed.Delta], mark: i.Mark | None,
                cache: dict[object, bytes]) -> None:
