Lost answers cost no new joining; rings by rank in each governor's own order; returns in rounds

A spoilt answer made a live stream pass for left; joined again, the module counted its messages from nought, the platform from its joining. At fault: Core._look and Core.heard. An answer that is overdue now only tells the module that the lines have left the channel; the stream stays joined, is bound no second time, and TCP keeps what it missed.

Places by the golden section are even for a whole zone and not for the first that come back, and were the same at every governor: the one behind the widest gap got the share of several groups from all of them. At fault: Pool.deal. Arcs now go by rank, in an order that each governor draws for itself.

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -145,16 +145,14 @@
     TASTE = 0.01  # part of a zone's traffic each other zone gets anyway, so that its reports keep coming
     RECENT = 0.9  # of what came, kept each period: some ten seconds' sums, by which a few tell classes apart
     FORGET = 3600 * SECOND  # long past any flapping list: 3,000 replaced servers made a step 27 times as long
-    GOLDEN = 0.618034  # the golden section: the places it gives lie evenly on a ring, however many there are
     def __init__(self, mail: Mail, zones: int, proxies: int, classes: tuple[i.TransactionClass, ...],
                  sets: list[tuple[int, ...]], period: int, cold: int, homes: list[int], probes: bool,
                  most: int) -> None:
         super().__init__(mail, "pool")
-        self.rings, self.placed = dict[int, float](), dict[int, float]()
-        self.most, self.turned, self.thin = most, mail.chance(), list[tuple[int, int]]()
+        self.most, self.turned, self.rings = most, mail.chance(), dict[int, float]()
         self.zones, self.proxies, self.classes, self.sets, self.probes = zones, proxies, classes, sets, probes
         self.cold_time, self.homes, self.known, self.stated = cold, homes, dict[int, i.Entry](), period
-        self.period, self.goal = period, min(c.goal for c in classes)
+        self.period, self.goal, self.thin = period, min(c.goal for c in classes), list[tuple[int, int]]()
         self.states, self.rates, self.calm = dict[int, State](), dict[int, tuple[int, list[float]]](), 0
         self.heat, self.slack, self.came = dict[int, float](), dict[int, float](), [0.0] * len(classes)
         self.held, self.opening, self.unnamed = set[int](), set[int](), set[int]()
@@ -183,7 +181,7 @@
         mean = fmean([x.size or 1 for x in (self.known | news).values() if x.phase is i.Phase.READY] or [1])
         for n, x in news.items():
             if n not in self.known:
-                self.placed[x.zone] = self.rings[n] = (self.placed.get(x.zone, 0.0) + self.GOLDEN) % 1
+                self.rings[n] = self.mail.chance()  # each governor's own order, or all would crowd alike
                 Replica(self.mail, n, self.period, self.cold_time, self.probes)
             if self.known.get(n) != x:
                 self.put(("replica", n), "listed", x, max(self.FLOOR, min(self.CEILING, x.size / mean)))
@@ -364,13 +362,13 @@
             return table
         total, out, step = sum(table.values()), dict[int, float](), 1 / self.homes.count(self.homes[g])
         for zone in range(self.zones):
-            ring = [n for n in table if self.known[n].zone == zone]
+            ring = sorted([n for n in table if self.known[n].zone == zone], key=lambda n: self.rings[n])
             whole = sum(table[n] for n in ring)
             if whole > 2 * self.TASTE * total:
                 lines = min(len(ring), max(1, round(self.most * whole / total)))
-                # Arcs as wide as whole steps between their starts name each server alike often.
+                # As wide as whole steps between their starts, and by rank, arcs name each server alike often.
                 wide, at = max(1, round(lines / len(ring) / step)) * step, self.turned + g * step
-                far = sorted(((self.rings[n] - at) % 1, n) for n in ring)
+                far = sorted(((r / len(ring) - at) % 1, n) for r, n in enumerate(ring))
                 arc = [n for _, n in far[:max(1, lines // 2, sum(x < wide for x, _ in far))]]
                 out |= {n: table[n] * whole / sum(table[y] for y in arc) for n in arc}
         return out
@@ -515,21 +513,23 @@
                 for n in out:
                     self.shut[n] = self.jobs.pop(n)
                     self.on_write([i.Withdraw(n, True)], hold[n], 1)
-        for n in [n for n, k in self.jobs.items() if k == "open" and may]:
+        opens = [n for n, k in self.jobs.items() if k == "open" and may]
+        # Lines of a return go to other proxies too: by those shut out alone, some passed the cap on messages.
+        left = self.room(everyone, self.HALF, 0) if opens else 0.0
+        for n in opens:
             # While proxies wait for tables, their old ones would give a server that comes back cold too much.
             who = self.holders(n)
-            if self.room(who, self.HALF, 3) >= 0 and not (self.binds and self.shut.get(n) != "eject"):
+            cost = 3 * max(len(who), sum(map(len, self.bound)) * self.part)
+            if left >= cost and not (self.binds and self.shut.get(n) != "eject"):
                 del self.jobs[n]
+                left, self.booked = left - cost, self.booked + cost - 3 * len(who)
                 self.on_write([i.Withdraw(n, False)] * (self.shut.pop(n, None) is not None), who, 3)
-                usual = sum(map(len, self.bound)) * self.part  # a line new to tables goes to so many
-                self.booked += max(0.0, usual - len(who)) * (1 + self.head)
                 self.put("pool", "opened", n)
         # A proxy that joins may hold tables and withdrawals of an earlier stream: bound as soon as it fits.
         # Not while a drain waits for room: binds took it again and again, 1,382 sends were late (hd28492).
         while self.binds and not (self.waiting and {"drain", "gone"} & set(self.jobs.values())):
-            proxy, extra = int(self.binds[0][2]), self.level_lines
-            home, holds = self.home[proxy], proxy in self.holds
-            extra += len(self.shut.keys() & frozenset().union(*self.named[home]))
+            home, holds = self.home[proxy := int(self.binds[0][2])], proxy in self.holds
+            extra = self.level_lines + len(self.shut.keys() & frozenset().union(*self.named[home]))
             # On sockets what other governors may have shut it out from is let back in one by one.
             lines = self.head + self.sets * (1 + extra) + sum(map(len, self.named[home])) * (1 + holds)
             if self.room([], self.HALF, 0) < lines and self.waiting + self.booked:
@@ -538,7 +538,7 @@
             heapq.heappop(self.binds)
             self.bound[home][proxy] = None
             self.put(("group", home), "join", proxy, extra, holds)
-        if may and len(self.lines) >= len(everyone):
+        if may and (len(self.lines) >= len(everyone) or any(n not in self.jobs for n in opens)):
             self.round = self.mail.now + int(self.window / self.limit / self.ROUNDS)
 
     def on_due(self, _: i.Due) -> None:
--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -40,7 +40,6 @@
     marks: deque[tuple[int, int]] = field(default_factory=deque)  # that it owes an answer: mark, when
     sure: set[int] = field(default_factory=set)  # replicas it was told of on this stream: out or back
     shut: set[int] = field(default_factory=set)  # those of them that it is shut out from
-    silent: bool = False  # the module takes it for left until it is heard again
 
 
 class Refused(Exception):
@@ -59,6 +58,7 @@
         self.spoilt: Counter[str] = Counter()  # by kind and reason, since last told
         self._joins, self._wakes = 0, list[tuple[int, int]]()
         self._answered = 0  # the latest time of a message that some proxy has answered
+        self.unanswered = 0  # marks given up, since last told
         self._sure = deque([0] * (4 * BEHIND // SECOND))  # the same at the latest looks, BEHIND long
         self._acked = now  # when any proxy last answered anything
         self._looked = now
@@ -104,12 +104,9 @@
         self._joins += 1
         stream = Stream(hello.proxy, self.names.zones[hello.zone], self._joins, hello.rate, now, hello.fresh)
         self.streams[hello.proxy] = stream
-        self._introduce(stream)
-        return stream.number
-
-    def _introduce(self, stream: Stream) -> None:
         self.tables.joined(stream.proxy)
         self.events.append(i.Joined(stream.proxy, stream.zone, stream.rate, not stream.fresh))
+        return stream.number
 
     def left(self, proxy: int, number: int, why: str) -> None:
         """A stream ended; a late word on an earlier one touches nothing."""
@@ -118,22 +115,13 @@
             return
         del self.streams[proxy]
         self.tables.left(proxy)
-        if not stream.silent:
-            self.events.append(i.Left(proxy))
+        self.events.append(i.Left(proxy))
         self.logs.append(f"left {proxy}: {why}")
 
     def heard(self, now: int, proxy: int, number: int) -> None:
-        """Bytes came over a stream: one taken for left is back, and is bound anew."""
         stream = self.streams.get(proxy)
-        if stream is None or stream.number != number:
-            return
-        stream.heard = now
-        if stream.silent:
-            stream.silent, stream.fresh = False, False
-            stream.marks.clear()
-            stream.sure.clear()
-            self._introduce(stream)
-            self.logs.append(f"heard again {proxy}")
+        if stream is not None and stream.number == number:
+            stream.heard = now
 
     def acked(self, now: int, proxy: int, number: int, ack: lines.Ack) -> None:
         stream = self.streams.get(proxy)
@@ -154,7 +142,7 @@
         if stream not in (None, demand.proxy) or demand.cls not in self.names.classes:
             return self._spoil("demand", "an unknown class, or of another proxy")
         known = self.streams.get(demand.proxy)
-        if known is None or known.silent:
+        if known is None:
             return self._spoil("demand", "of a proxy that has not joined")
         self.events.append(i.Offered(demand.proxy, self.names.classes[demand.cls], demand.number,
                                      demand.unanswered, demand.window))
@@ -219,25 +207,28 @@
             self._carry_out(now, self.module.handle(now, events))
 
     def _look(self, now: int) -> None:
-        """Streams that owe an answer and say nothing are taken for left, as a machine that vanished is; they
-        are not ended, as one that only stood still would then be without a governor."""
+        """An answer that is long overdue was lost, or its proxy is cut off: the module hears that its lines
+        have left the channel. It goes on being told, and is not bound anew when it is heard: taken for left
+        and joined again, one was written 21 messages in 10 s, as the module counts them from the joining."""
         self._looked = now
         self._sure.append(self._answered)
         passed = self._sure.popleft()
         for stream in self.streams.values():
-            if stream.silent or not stream.marks:
-                continue
-            at = stream.marks[0][1]
-            quiet = now - max(stream.heard, at)
-            # Messages leave in the order written: one written later that was answered says ours is there. As
-            # long as answers come at all, a slow channel may still hold it: taken for left then, its lines
-            # would leave the module's books and not the queue. So BEHIND runs from that answer: run from the
-            # message, a queue of 6 s made 16 of 346 pass for silent at once, and the queue grew too long.
-            behind = at < passed and quiet > BEHIND
-            if behind or (quiet > MUTE and now - self._acked > BEHIND):
-                stream.silent = True  # it keeps its tables here, and so is told of drains
-                self.events.append(i.Left(stream.proxy))
-                self.logs.append(f"silent {stream.proxy}: {quiet / 1e6:.1f} s without an answer")
+            # Messages leave in the order written: one written later that was answered says ours is out. As
+            # long as answers come at all, a slow channel may still hold it, and its lines have to stay in the
+            # module's books. So BEHIND runs from that answer: run from the message, a queue of 6 s gave up
+            # the lines of 16 streams of 346 at once, and the queue grew too long.
+            mute = now - self._acked > BEHIND
+            last = -1
+            while stream.marks:
+                mark, at = stream.marks[0]
+                quiet = now - max(stream.heard, at)
+                if not (at < passed or (mute and quiet > MUTE)):
+                    break
+                last = stream.marks.popleft()[0]
+                self.unanswered += 1
+            if last >= 0:
+                self.events.append(i.Applied(stream.proxy, last, 0))
 
     # Orders
 
@@ -257,7 +248,7 @@
                 case i.Say(text):
                     self.logs.append(f"module: {text}")
                 case i.Bind(proxy, table, classes):
-                    if proxy in self.streams and not self.streams[proxy].silent:
+                    if proxy in self.streams:
                         told.setdefault(proxy, []).extend(self._bind(proxy, table, classes))
                 case _:
                     proxies, delta, _ = self.tables.order(order)
@@ -266,9 +257,8 @@
                     if isinstance(order, i.Withdraw | i.Admit):
                         self.logs.append(f"order {delta}")
         if mark is not None and mark.to_all:
-            for proxy, stream in self.streams.items():
-                if not stream.silent:
-                    told.setdefault(proxy, [])
+            for proxy in self.streams:
+                told.setdefault(proxy, [])
         cache: dict[object, bytes] = {}
         for proxy, deltas in told.items():
             self._write(now, self.streams[proxy], deltas, mark, cache)
@@ -314,7 +304,7 @@
         if data is None:
             ticket = None if mark is None else mark.number
             data = cache[key] = lines.push(self._parts(deltas, bound, backs, ticket))
-        if mark is not None and not stream.silent:
+        if mark is not None:
             stream.marks.append((mark.number, now))
         self.out.append((stream.proxy, stream.number, data))
 
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -262,6 +262,9 @@
         spoilt, self.core.spoilt = self.core.spoilt, type(self.core.spoilt)()
         for what, times in spoilt.items():
             self.log(f"spoilt, {times} times: {what}")
+        if self.core.unanswered:
+            self.log(f"unanswered, {self.core.unanswered} times: lost, or its stream is cut off")
+            self.core.unanswered = 0
         self.log(f"holds {len(self.core.streams)} streams, {len(self._peers)} connections, "
                  f"{len(self.core.held.members)} replicas, {self._turned_away} turned away, "
                  f"cpu {usage.ru_utime + usage.ru_stime:.2f} s, memory {usage.ru_maxrss // 1024} MB, "
