An entry whose zone no setting names keeps its known zone, and so hides no drain

Read in Core._entries: such an entry was skipped whole, its phase with it, so a replica that drained under a zone that can't be read stayed in all tables. The test fails without the change. A replica never known by a good zone is left out as before; proxies shed old tables by their bind.

--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -53,6 +53,7 @@
         self.tables = Tables(names, start.channel.message_head)
         self.streams: dict[int, Stream] = {}
         self.held = Held()
+        self.zones: dict[str, str] = {}  # of each replica, as the settings name it
         self.probes: list[int] = []
         self.logs: list[str] = []
         self.spoilt: Counter[str] = Counter()  # by kind and reason, since last told
@@ -84,11 +85,16 @@
     def _entries(self, members: Iterable[Member]) -> tuple[i.Entry, ...]:
         out = []
         for m in members:
-            if (m.zone or "") not in self.names.zones:
+            zone = m.zone or ""
+            if zone not in self.names.zones:
                 self._spoil("entry", f"zone {m.zone!r} is not in the settings")
-                continue
+                # A drain or exit of one known by another zone must not be hidden by that.
+                if m.replica not in self.zones:
+                    continue
+                zone = self.zones[m.replica]
+            self.zones[m.replica] = zone
             out.append(i.Entry(
-                self.names.replicas.number(m.replica), self.names.zones[m.zone or ""],
+                self.names.replicas.number(m.replica), self.names.zones[zone],
                 self.names.kinds.number(m.kind or ""), m.cell or 0, PHASES[m.phase or "leaving"],
                 m.size if m.size is not None else 1.0, m.started or 0))
         return tuple(out)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from itertools import permutations
 
 import pytest
@@ -145,6 +146,14 @@
     assert all(p.open("read").get("s-2") for p in site.proxies)
 
 
+def test_an_entry_of_a_zone_that_no_setting_names_hides_no_drain_and_adds_no_replica() -> None:
+    site = Site()
+    site.list(replace(member(2, "leaving"), zone="z"), replace(member(9), zone="z"))
+    site.run(1)
+    assert "s-2" in site.proxies[0].out and not any("s-9" in p.tables["read"] for p in site.proxies)
+    assert sum(site.core.spoilt.values()) == 2
+
+
 def test_joinings_and_reports_of_what_does_not_exist_cost_themselves_alone() -> None:
     site = Site()
     for hello in (lines.Hello(8, "a", 1.0, True), lines.Hello(1, "z", 1.0, True)):
