A register that processes share: agent, homes in SQLite and over etcd's interface, checker

Safety is a generation checked where the effect is taken (coordination/generations.py, which cells/moves.py now uses too); sessions and members decide only how soon others go on. The agent reads lost answers back by their token, takes no stale read in, and finds a register that went back by the change that it saw last.

--- a/gradehoist/cells/moves.py
+++ b/gradehoist/cells/moves.py
@@ -24,6 +24,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from gradehoist.coordination.generations import Right, Standing, standing
+
 Keys = frozenset[str]
 NONE: Keys = frozenset()
 
@@ -56,9 +58,16 @@
 
     def over(self, other: Word | None) -> bool:
         """Newer than another word on the tenant: a higher generation, or its own move's opening."""
-        if other is None or self.gen > other.gen:
-            return True
-        return self.gen == other.gen and self.move == other.move and bool(self.cell) and not other.cell
+        match standing(self.right, None if other is None else other.right):
+            case Standing.NEWER:
+                return True
+            case Standing.SAME:
+                return bool(self.cell) and other is not None and not other.cell
+        return False
+
+    @property
+    def right(self) -> Right:
+        return Right(self.gen, self.move)
 
 
 class Confirm(NamedTuple):
@@ -191,7 +200,7 @@
         """Takes an answer; one to an earlier step or generation changes nothing."""
         if c.held.tenant != self.tenant or self.step is Step.DONE:
             return self
-        if c.held.gen > self.gen or (c.held.gen == self.gen and c.held.move != self.id):
+        if standing(c.held.right, Right(self.gen, self.id)) in (Standing.NEWER, Standing.RIVAL):
             return replace(self, conflict=f"{c.by} holds generation {c.held.gen} of move {c.held.move}")
         if c.held.gen < self.gen or (self.step is Step.OPEN) != bool(c.held.cell):
             return self
--- /dev/null
+++ b/gradehoist/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What processes of one fleet share: a register of small records, sessions, members, generations. No I/O."""
--- /dev/null
+++ b/gradehoist/coordination/register.py
@@ -0,0 +1,140 @@
+"""The register as its users see it: small records, each with a version, under keys set apart by slashes.
+
+A version is the register's revision at the record's last change; revisions only grow. A commit is taken whole
+or not at all, each change against the version that it expects. A record may belong to a session and goes with
+it. Homes of the register (a file of one machine, an engine over HTTP) follow `Home`; what they raise says
+what is known of the outcome, which is never guessed.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+MOST_KEY = 256  # characters: names of members and partitions are far shorter
+MOST_VALUE = 65_536  # bytes: a view of a thousand members that are all lost takes half of it
+
+
+class Record(NamedTuple):
+    """`token` names the commit that wrote it, so that a writer knows its own again; `session` is empty for
+    one that stays. An `unread` one has bytes that are no record of ours: it costs itself alone."""
+
+    key: str
+    value: bytes
+    version: int
+    token: str = ""
+    session: str = ""
+    unread: bool = False
+
+
+class Put(NamedTuple):
+    """Writes if the record's version is `expect`, 0 for one that must not be there."""
+
+    key: str
+    value: bytes
+    expect: int
+    session: str = ""
+
+
+class Delete(NamedTuple):
+    key: str
+    expect: int
+
+
+Change = Put | Delete
+
+
+class Done(NamedTuple):
+    revision: int
+
+
+class Refused(NamedTuple):
+    """Nothing was written. `records` are those of the changes' keys as they are; a key without one is not
+    there."""
+
+    revision: int
+    records: tuple[Record, ...]
+
+
+class Event(NamedTuple):
+    """A change at `revision`; `record` is None where it went."""
+
+    key: str
+    revision: int
+    record: Record | None
+
+
+class Snapshot(NamedTuple):
+    """All records below a prefix as of `revision`; `lineage` names the register, where its home can."""
+
+    lineage: str
+    revision: int
+    records: tuple[Record, ...]
+
+
+class Batch(NamedTuple):
+    """Every change below a prefix after `after` up to `revision`, in order; none where the wait ran out."""
+
+    lineage: str
+    after: int
+    revision: int
+    events: tuple[Event, ...]
+
+
+class Fault(Exception):
+    """Of a call to the register; nothing took place unless the class says otherwise."""
+
+
+class Unreachable(Fault):
+    """No register, or it refused to act now: nothing was written."""
+
+
+class Unknown(Fault):
+    """The call may have taken place, may still do so, or never."""
+
+
+class Full(Fault):
+    """There is no room: nothing was written."""
+
+
+class TooLarge(Fault):
+    """A key or value beyond the bounds above: an error of the caller."""
+
+
+class Ended(Fault):
+    """The session that the call names has ended; its records are gone or going."""
+
+
+class Compacted(Fault):
+    """The changes asked for are no longer kept: read the whole."""
+
+
+class Home(Protocol):
+    """Times are µs. Every call may raise Unreachable; `commit`, `open` and `end` may raise Unknown."""
+
+    async def read(self, prefix: str) -> Snapshot:
+        """As of now: no answer is older than a commit that ended before the call."""
+
+    async def commit(self, changes: tuple[Change, ...], token: str) -> Done | Refused:
+        """Raises Ended, Full, TooLarge."""
+
+    async def open(self, ttl: int) -> str:
+        """A session that ends unless it is kept within `ttl`."""
+
+    async def keep(self, session: str) -> int:
+        """The register's revision. Raises Ended."""
+
+    async def end(self, session: str) -> None: ...
+
+    async def watch(self, prefix: str, after: int, wait: int) -> Batch:
+        """Waits up to `wait` for a change. Raises Compacted."""
+
+    async def close(self) -> None: ...
+
+
+def checked(changes: tuple[Change, ...]) -> None:
+    """Raises TooLarge: sent all the same, one home would take it and another not."""
+    for change in changes:
+        if not 0 < len(change.key) <= MOST_KEY:
+            raise TooLarge(f"key of {len(change.key)} characters, {MOST_KEY} at most")
+        if isinstance(change, Put) and len(change.value) > MOST_VALUE:
+            raise TooLarge(f"{change.key}: {len(change.value)} bytes, {MOST_VALUE} at most")
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -21,6 +21,7 @@
 from gradehoist.governor import probes
 from gradehoist.governor.core import Core, Gap, Poll, Refused
 from gradehoist.governor.planner import PlannerFailed, PlannerProcess
+from gradehoist.member.service import Membership
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server, json, refusal
 from gradehoist.protocol import feed, http, orca
@@ -86,8 +87,19 @@
         self.book = Book(own.name)
         self._saved_path, self._unsaved = own.state / "roster.json", asyncio.Event()
         self._booking = asyncio.Lock()
+        self.membership = self._membership(fleet, own)
         self.lag = 0.0  # worst lateness of the clock task since the last status call, seconds
 
+    def _membership(self, fleet: Fleet, own: Governor) -> Membership | None:
+        if fleet.coordination is None:
+            return None
+
+        def log(event: str, warn: bool, **fields: Any) -> None:
+            (self.log.warning if warn else self.log.info)(event, **fields)
+
+        address = f"{own.listen[0]}:{own.listen[1]}"
+        return Membership(fleet.coordination, "governor", own.name, own.zone, address, own.seed, log)
+
     async def run(self) -> int:
         # Nearly all that lives here lives long: full collections at the usual rate stop the loop for tens of
         # milliseconds at a thousand relays.
@@ -121,12 +133,16 @@
         if self.fleet.cells:
             self._own(self._leases(self.fleet.cells.lease))
             self._own(self._slots(self.core.slot))
+        if self.membership is not None:
+            self._own(self.membership.run())
         await self._stopping.wait()
         self._server.stop()
         for waiter in list(self._waiters.values()):
             if not waiter.done():
                 waiter.set_result("stop")
         await asyncio.sleep(0.05)  # the last answers leave
+        if self.membership is not None:
+            await self.membership.leave()
         for running in list(self._tasks):
             running.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -168,6 +184,8 @@
                     return Answer(204)
                 case "GET", "/v1/status":
                     return json(self.status())
+                case "GET", "/healthz" if self.membership is not None:
+                    return self.membership.healthy(path.query)
                 case "POST", "/v1/cells/word" if self.fleet.cells:
                     return json(await self._word(WORD.decode(request.body)))
                 case _, "/v1/cells/word" if not self.fleet.cells:
@@ -226,6 +244,7 @@
             "cells": core.tally.status(core.roster.entries) if core.tally else {},
             "planner_cpu": round(self.planner.cpu, 3), "planner_pid": self.planner.pid,
             "lag_ms": round(lag * 1e3, 3),
+            "fleet": self.membership.status() if self.membership is not None else {},
         }
 
     async def _word(self, word: Word) -> Confirm:
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -54,6 +54,23 @@
         return frozenset(w for w, c in self.workers.items() if c == cell)
 
 
+@dataclass(frozen=True, slots=True)
+class Coordination:
+    """Where the processes of the fleet share a register: a folder of this machine, or an engine; times in µs.
+    `session`: how long others wait for one that stands still; `lost`: missed so long, a member is lost;
+    `contact`: between contacts; `hold`: how long what was agreed stands without the register; `fall`: how
+    long leaving it takes."""
+
+    folder: Path | None
+    engine: Address | None
+    prefix: str
+    session: int
+    lost: int
+    contact: int
+    hold: int
+    fall: int
+
+
 @dataclass(frozen=True, slots=True)
 class Fleet:
     """`relays`: how many there are over all governors; `intake`: report lines a second to the module."""
@@ -73,6 +90,7 @@
     probe_deadline: int
     probes_at_once: int
     cells: Placed | None = None
+    coordination: Coordination | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +169,7 @@
         probes.get("deadline", r.span("1ms"), 500_000) if probes else 500_000,
         probes.get("at-once", r.whole(1, 10_000), 8) if probes else 8,
         _placed(node, folder),
+        _coordination(node, folder),
     )
     if feed and fleet.hold >= 60_000_000:
         feed.fault("expected a time under a minute", "correct it", "hold")
@@ -193,6 +212,25 @@
     return out
 
 
+def _coordination(node: r.Node, folder: Path) -> Coordination | None:
+    found = node.child("coordination")
+    if found is None:
+        return None
+    if ("folder" in found.props) == ("engine" in found.props):
+        found.fault("expected where the register is", 'give folder="var/register" for one machine, or '
+                    'engine="127.0.0.1:2379" for many; one of the two')
+    out = Coordination(
+        folder / found.get("folder", r.text) if "folder" in found.props else None,
+        found.get("engine", r.address) if "engine" in found.props else None,
+        found.get("prefix", r.text, "gradehoist/"),
+        found.get("session", r.span("1s"), 10_000_000), found.get("lost", r.span("100ms"), 5_000_000),
+        found.get("contact", r.span("10ms"), 1_000_000), found.get("hold", r.time, 60_000_000),
+        found.get("fall", r.span("1s"), 30_000_000))
+    found.taken |= {"folder", "engine"}
+    found.done()
+    return out
+
+
 def _placed(node: r.Node, folder: Path) -> Placed | None:
     cells = node.child("cells")
     if cells is None:
--- a/gradehoist/standin/__main__.py
+++ b/gradehoist/standin/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one stand-in process: `python -m gradehoist.standin PLAN ROLE FOLDER`."""
+"""Runs one stand-in process: `python -m gradehoist.standin PLAN ROLE FOLDER`, or `... engine PORT`."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import sys
 from pathlib import Path
 
-from gradehoist.standin import clients, link, plan, relay, replica, roster
+from gradehoist.standin import clients, engine, link, plan, relay, replica, roster
 from gradehoist.standin.process import Make, Process
 
 
@@ -19,6 +19,9 @@
 
 
 def main() -> None:
+    if sys.argv[1] == "engine":
+        asyncio.run(engine.run(int(sys.argv[2])))
+        return
     path, role, folder = sys.argv[1:]
     asyncio.run(make(role)(plan.load(path), role, Path(folder)).run())
 
--- /dev/null
+++ b/tests/peer.py
@@ -0,0 +1,165 @@
+"""A process of a fleet for tests: `python -m tests.peer FILE`; the file says in JSON what it is.
+
+An actor joins the register, claims a right, and while it holds it orders effects of a ledger, one after the
+other, and adds to a counter that all write. A ledger takes effects and keeps, in one line with each, what it
+was shown. Both write histories. SIGTERM is a planned end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from gradehoist.coordination.generations import Gate, Right
+from gradehoist.history.records import Effect, Told, Turned, Writer, load, now
+from gradehoist.history.scribe import Scribe
+from gradehoist.member.service import Membership
+from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.net.server import Answer, Connection, Server, json, refusal
+from gradehoist.protocol import http
+from gradehoist.settings.fleet import Coordination
+
+LOCAL = "127.0.0.1"
+
+
+class Spec(msgspec.Struct):
+    """Times in seconds: `every` between effects, `step` from the look at the right to the effect. Without
+    `guard` the ledger checks no generation."""
+
+    role: str
+    name: str
+    port: int
+    history: str
+    folder: str = ""
+    engine: int = 0
+    ledger: int = 0
+    session: float = 2.0
+    lost: float = 1.0
+    patience: float = 0.2
+    every: float = 0.05
+    step: float = 0.0
+    counts: bool = True
+    guard: bool = True
+
+
+class Shown(msgspec.Struct):
+    name: str
+    gen: int
+    holder: str
+    item: str
+    key: str = ""
+
+
+def settings(spec: Spec) -> Coordination:
+    return Coordination(
+        Path(spec.folder) if spec.folder else None, (LOCAL, spec.engine) if spec.engine else None, "fleet/",
+        int(spec.session * 1e6), int(spec.lost * 1e6), 100_000, 60_000_000, 30_000_000)
+
+
+class Ledger:
+    """Its history is what it keeps: a line is the effect and what it was shown, in one write."""
+
+    def __init__(self, spec: Spec) -> None:
+        self.spec, self.gate = spec, Gate()
+        path = Path(spec.history)
+        for line in load([path]) if path.exists() else []:
+            if isinstance(line, Effect):
+                self.gate, _ = self.gate.show(line.name, Right(line.gen, line.holder))
+        self.write = Writer(path, spec.name)
+
+    async def handle(self, request: http.Request, connection: Connection) -> Answer:
+        if request.method == "GET":
+            return Answer(204)
+        shown: Shown = msgspec.json.decode(request.body, type=Shown)
+        gate, against = self.gate.show(shown.name, Right(shown.gen, shown.holder))
+        if against is not None and self.spec.guard:
+            self.write(Turned(now(), self.spec.name, shown.name, shown.gen, shown.holder, shown.item,
+                              against.gen))
+            return json({"taken": False, "known": against})
+        self.gate = gate
+        self.write(Effect(now(), self.spec.name, shown.name, shown.gen, shown.holder, shown.item, shown.key))
+        return json({"taken": True})
+
+    async def run(self, stop: asyncio.Event) -> None:
+        server = Server(self.handle)
+        server.listen(self.spec.port, LOCAL)
+        await stop.wait()
+
+
+class Actor:
+    def __init__(self, spec: Spec) -> None:
+        self.spec = spec
+        run = f"{spec.name}-{os.getpid()}"
+        self.write = Writer(Path(spec.history), run)
+        self.member = Membership(settings(spec), "actor", spec.name, "x", f"{LOCAL}:{spec.port}", 1, self.log,
+                                 Scribe(self.write), run)
+        self.claim = self.member.claim("job", int(spec.patience * 1e6))
+        self.member.settled.append(self.settled)
+        self.counting, self.items = "", 0
+
+    def log(self, event: str, warn: bool, **fields: Any) -> None:
+        self.write(Told(now(), self.write.by, event, {k: str(v) for k, v in fields.items()}))
+
+    def settled(self, token: str, how: str) -> None:
+        if token == self.counting:
+            self.counting = ""
+
+    async def handle(self, request: http.Request, connection: Connection) -> Answer:
+        path, _, query = request.target.partition("?")
+        if path == "/healthz":
+            return self.member.healthy(query)
+        if path == "/status":
+            agent = self.member.agent
+            return json(self.member.status() | {
+                "counter": agent.value("counter", int) or 0, "items": self.items, "idle": not agent.writes})
+        return refusal(404, "nothing here")
+
+    async def act(self) -> None:
+        """Looks at its right, takes its time, and orders an effect under what it saw."""
+        client = Client(LOCAL, self.spec.ledger)
+        while True:
+            await asyncio.sleep(self.spec.every)
+            agent, right = self.member.agent, self.claim.right
+            if self.spec.counts and agent.joined and not self.counting:
+                self.counting = self.member.propose(
+                    agent.put("counter", (agent.value("counter", int) or 0) + 1))
+            if right is None or not agent.joined or not self.spec.ledger:
+                continue
+            self.items += 1
+            item = f"{agent.me.run}:{self.items}"
+            if self.spec.step:
+                await asyncio.sleep(self.spec.step)
+            body = msgspec.json.encode(Shown("job", right.gen, right.holder, item))
+            with contextlib.suppress(Unreachable, Broken, TimedOut):
+                answer = await client.exchange("POST", "/effect", body, timeout=2.0)
+                found: dict[str, Any] = msgspec.json.decode(answer.body, type=dict[str, Any])
+                if not found["taken"]:
+                    self.claim.refused(agent, Right(*found["known"]))
+
+    async def run(self, stop: asyncio.Event) -> None:
+        server = Server(self.handle)
+        server.listen(self.spec.port, LOCAL)
+        member, acting = asyncio.ensure_future(self.member.run()), asyncio.ensure_future(self.act())
+        await stop.wait()
+        acting.cancel()
+        await self.member.leave()
+        await asyncio.gather(member, acting, return_exceptions=True)
+
+
+async def main() -> None:
+    spec: Spec = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=Spec)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    await (Ledger(spec) if spec.role == "ledger" else Actor(spec)).run(stop)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/tests/register_world.py
@@ -0,0 +1,296 @@
+"""Agents over a register under a virtual clock, with faults drawn from a seed."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from gradehoist.coordination import register as r
+from gradehoist.coordination.agent import Agent, Ask, Me, News
+from gradehoist.coordination.generations import Gate, Right
+from gradehoist.coordination.rights import Claim
+from gradehoist.history.records import Answered, Asked, Effect, Line, Saw, Wrote
+from gradehoist.standin.keyspace import Entry, Gone, Keyspace, NoLease
+
+SECOND = 1_000_000
+TTL = 6 * SECOND
+
+
+def record(e: Entry) -> r.Record:
+    token, _, value = e.value.partition(b"\0")
+    return r.Record(e.key.decode(), value, e.modified, token.decode(), str(e.lease or ""))
+
+
+@dataclass
+class Faults:
+    """Shares of calls; `away` answers none; `pace` the longest way of a call or answer, µs."""
+
+    lose: float = 0.0
+    drop: float = 0.0
+    stale: float = 0.0
+    repeat: float = 0.0
+    cut: float = 0.0
+    away: bool = False
+    full: bool = False
+    pace: int = SECOND // 50
+
+
+@dataclass
+class Process:
+    agent: Agent
+    claim: Claim
+    news: list[News] = field(default_factory=list)
+    stopped: bool = False
+    held_back: list[Callable[[], None]] = field(default_factory=list)
+    turns: int = 0
+    counting: str = ""  # token of its last increment under way
+
+    def told(self, kind: str) -> list[News]:
+        return [n for n in self.news if n.kind == kind]
+
+
+class World:
+    """`fenced` without effect checks shows what a lease alone is worth."""
+
+    def __init__(self, seed: int, count: int = 3, fenced: bool = True) -> None:
+        self.now, self.dice, self.fenced = 0, random.Random(seed), fenced
+        self.space, self.faults, self.kept = Keyspace(), Faults(), Keyspace()
+        self.heap = list[tuple[int, int, Callable[[], None]]]()
+        self.pushed, self.items = 0, 0
+        self.lines, self.gate = list[Line](), Gate()
+        self.waiting = list[Callable[[], None]]()
+        self.life = 0
+        self.asked = dict[str, int]()
+        self.processes = [self.process(f"p{n}", seed * 100 + n) for n in range(count)]
+
+    def process(self, name: str, seed: int, run: str = "") -> Process:
+        me = Me("actor", name, "x", run or f"{name}-run", f"127.0.0.1:{7000 + seed % 1000}")
+        p = Process(Agent(me, TTL, seed), Claim("job", SECOND, self.dice.random()))
+        self.later(self.dice.randrange(SECOND // 10), lambda: self.turn(p))
+        return p
+
+    def later(self, delay: int, do: Callable[[], None]) -> None:
+        self.pushed += 1
+        heapq.heappush(self.heap, (self.now + delay, self.pushed, do))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + int(seconds * SECOND)
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, do = heapq.heappop(self.heap)
+            self.expire()
+            do()
+        self.now = end
+        self.expire()
+
+    def expire(self) -> None:
+        if not self.faults.away:  # a register that is away ends nobody
+            revision = self.space.revision
+            self.space.expire(self.now)
+            if self.space.revision != revision:
+                self.changed()
+
+    # Processes
+
+    def turn(self, p: Process) -> None:
+        """One look of a process at its agent; it comes again when something is due."""
+        if p.stopped:
+            p.held_back.append(lambda: self.turn(p))
+            return
+        p.turns += 1
+        for ask in p.agent.asks(self.now):
+            self.call(p, ask)
+        for one in p.agent.news:
+            p.news.append(one)
+            if one.kind == "settled":
+                p.claim.settled(one.fields["token"], one.fields["how"])
+                if one.fields["token"] == p.counting:
+                    p.counting = ""
+        p.agent.news = []
+        p.claim.step(self.now, p.agent)
+        self.later(max(1_000, min(SECOND // 4, p.agent.due(self.now) - self.now)), lambda: self.turn(p))
+
+    def stop(self, p: Process) -> None:
+        p.stopped = True
+
+    def go_on(self, p: Process) -> None:
+        p.stopped = False
+        held, p.held_back = p.held_back, []
+        for do in held:
+            self.later(0, do)
+
+    def act(self, p: Process, pause: int = 0) -> None:
+        """A step under the right: looked at now, its effect taken after `pause` and its way."""
+        right = p.claim.right
+        if p.stopped or right is None or not p.agent.joined:
+            return
+        self.items += 1
+        item = f"{p.agent.me.run}:{self.items}"
+        self.later(pause + self.dice.randrange(1, self.faults.pace + 1), lambda: self.take(p, right, item))
+
+    def take(self, p: Process, right: Right, item: str) -> None:
+        if p.stopped:
+            p.held_back.append(lambda: self.take(p, right, item))
+            return
+        gate, against = self.gate.show("job", right)
+        if against is not None and self.fenced:
+            p.claim.refused(p.agent, against)
+            return
+        self.gate = gate
+        self.lines.append(Effect(self.now, "ledger", "job", right.gen, right.holder, item))
+
+    def count(self, p: Process) -> None:
+        """Adds one to a record that all write."""
+        if p.agent.mirror.begun and not p.counting and not p.stopped:
+            known = p.agent.value("counter", int) or 0
+            p.counting = p.agent.propose(self.now, p.agent.put("counter", known + 1))
+
+    # The register's side
+
+    def call(self, p: Process, ask: Ask) -> None:
+        self.asked[ask.what] = self.asked.get(ask.what, 0) + 1
+        self.note_asked(p, ask)
+        way, back = (self.dice.randrange(1, self.faults.pace + 1) for _ in range(2))
+        dropped, lost = self.dice.random() < self.faults.drop, self.dice.random() < self.faults.lose
+        done, life = [False], self.life
+
+        def fail(fault: r.Fault) -> None:
+            self.answer(p, ask, fault, done)
+
+        def late() -> None:
+            fail(r.Unknown("no answer") if ask.what in ("commit", "open", "end") else r.Unreachable("none"))
+
+        self.later(ask.within, late)
+        if dropped:
+            return
+
+        def arrive() -> None:
+            if self.faults.away or life != self.life:
+                self.later(back, lambda: fail(r.Unreachable("away")))
+                return
+            answer = self.take_place(ask, arrive)
+            if answer is None:
+                return  # a watch that waits: it looks again when something changes
+            if not lost:
+                self.later(back, lambda: self.answer(p, ask, answer, done))
+
+        self.later(way, arrive)
+        if ask.what == "watch":
+            prefix, after, wait = ask.args
+
+            def quiet() -> None:
+                if not self.faults.away and life == self.life and not lost:
+                    self.answer(p, ask, r.Batch("one", after, after, ()), done)
+
+            self.later(wait, quiet)
+
+    def answer(self, p: Process, ask: Ask, answer: Any, done: list[bool]) -> None:
+        if p.stopped:
+            p.held_back.append(lambda: self.answer(p, ask, answer, done))
+            return
+        if done[0]:
+            return
+        done[0] = True
+        self.note_answered(p, ask, answer)
+        if isinstance(answer, r.Fault):
+            p.agent.failed(self.now, ask.number, answer)
+        else:
+            p.agent.answered(self.now, ask.number, answer)
+
+    def take_place(self, ask: Ask, again: Callable[[], None]) -> Any:
+        space = self.space
+        match ask.what, ask.args:
+            case "read", (prefix,):
+                at = 0
+                if self.dice.random() < self.faults.stale:
+                    at = max(space.compacted, space.revision - self.dice.randrange(1, 4), 1)
+                found = space.range(prefix.encode(), prefix.encode() + b"\xff", at)
+                return r.Snapshot("one", at or space.revision, tuple(record(e) for e in found))
+            case "commit", (changes, token):
+                return self.commit(changes, token)
+            case "open", (ttl,):
+                return str(space.grant(self.now, ttl))
+            case "keep", (session,):
+                return space.revision if space.renew(self.now, int(session)) else r.Ended("ended")
+            case "end", (session,):
+                space.revoke(int(session))
+                self.changed()
+                return 0
+            case "watch", (prefix, after, _):
+                return self.watch(prefix, after, again)
+        raise AssertionError(ask)
+
+    def commit(self, changes: tuple[r.Change, ...], token: str) -> Any:
+        space = self.space
+        if any(space.modified(c.key.encode()) != c.expect for c in changes):
+            found = [e for c in changes for e in space.range(c.key.encode())]
+            return r.Refused(space.revision, tuple(record(e) for e in found))
+        if self.faults.full:
+            return r.Full("no room")
+        puts = [(c.key.encode(), token.encode() + b"\0" + c.value, int(c.session or "0"))
+                for c in changes if isinstance(c, r.Put)]
+        try:
+            revision = space.write(puts, [c.key.encode() for c in changes if isinstance(c, r.Delete)])
+        except NoLease:
+            return r.Ended("no such session")
+        self.changed()
+        return r.Done(revision)
+
+    def watch(self, prefix: str, after: int, again: Callable[[], None]) -> Any:
+        if self.dice.random() < self.faults.cut:
+            return r.Unreachable("cut")
+        if self.dice.random() < self.faults.repeat:
+            after = max(self.space.compacted, after - 3)
+        try:
+            past = self.space.since(after + 1, prefix.encode(), prefix.encode() + b"\xff")
+        except Gone:
+            return r.Compacted("gone")
+        if not past and self.space.revision >= after:
+            self.waiting.append(again)
+            return None
+        events = tuple(r.Event(x.key.decode(), x.revision, record(x.entry) if x.entry else None)
+                       for x in past)
+        return r.Batch("one", after, self.space.revision, events)
+
+    def changed(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for again in waiting:
+            self.later(1, again)
+
+    def restore(self, space: Keyspace) -> None:
+        """An older snapshot is put back: what was connected is cut, leases have their time anew."""
+        self.space, self.life = space.snapshot(), self.life + 1
+        self.space.extend(self.now)
+        self.changed()
+
+    # Its history
+
+    def note_asked(self, p: Process, ask: Ask) -> None:
+        by = p.agent.me.run
+        if ask.what == "commit":
+            changes = tuple(Wrote(c.key, c.expect, getattr(c, "session", ""), isinstance(c, r.Delete))
+                            for c in ask.args[0])
+            self.lines.append(Asked(self.now, by, ask.number, "commit", ask.args[1], changes=changes))
+        elif ask.what in ("read", "watch"):
+            self.lines.append(Asked(self.now, by, ask.number, ask.what, prefix=ask.args[0]))
+
+    def note_answered(self, p: Process, ask: Ask, answer: Any) -> None:
+        by, how, revision, saw = p.agent.me.run, "none", 0, tuple[Saw, ...]()
+        match answer:
+            case r.Done(revision):
+                how = "done"
+            case r.Refused(revision, records):
+                how, here = "refused", {x.key for x in records}
+                saw = tuple(Saw(x.key, x.version, x.token) for x in records)
+                saw += tuple(Saw(c.key, 0) for c in ask.args[0] if c.key not in here)
+            case r.Snapshot(_, revision, records):
+                how, saw = "read", tuple(Saw(x.key, x.version, x.token) for x in records)
+            case r.Batch(_, _, revision, events):
+                how, saw = "watched", tuple(Saw(e.key, e.record.version, e.record.token)
+                                            for e in events if e.record)
+            case r.Unknown():
+                how = "unknown"
+        if ask.what in ("commit", "read", "watch"):
+            self.lines.append(Answered(self.now, by, ask.number, how, revision, saw))
