--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -31,7 +31,6 @@
     def chance(self) -> float:
         self.drawn += 1
         return zlib.crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32
-
     def run(self) -> None:
         while self.due and self.due[0][0] <= self.now:
             self.put(*heapq.heappop(self.due)[2])
@@ -172,7 +171,6 @@
     @property
     def old(self) -> int:  # started by then: warm; on a machine just booted too, where long past is told as 0
         return max(0, self.mail.now - self.cold_time)
-
     def on_listed(self, e: i.Listed) -> None:
         if e.kind is i.ListKind.FAILED:
             return self.put("publisher", "follow")
@@ -212,7 +210,6 @@
     def replan(self) -> None:  # once for all that a batch brings: a first list names the whole fleet
         if ("after", "plan") not in self.inbox:
             self.put("pool", "after", "plan")
-
     def jammed(self, n: int, again: bool = False) -> bool:
         # In a jam a cold one gets far more than its weight, the first of a class with few others all of it.
         s, bar, old = self.states[n], 3 * SECOND if n in self.held else 1, self.old
@@ -232,7 +229,6 @@
 
     def on_joined(self, e: i.Joined) -> None:
         self.rates[e.proxy] = (e.zone, [e.rate / len(self.classes)] * len(self.classes))
-
     def on_left(self, e: i.Left) -> None: self.rates.pop(e.proxy, None)
     def on_offered(self, e: i.Offered) -> None:
         if e.window > 0 and (known := self.rates.get(e.proxy)):
@@ -246,7 +242,7 @@
 
     def on_judge(self) -> None:
         self.period = int(max(self.stated, median([s.period for s in self.states.values() if s.open] or [0])))
-        self.put("publisher", "pace", self.period, min(1.0, self.most / max(1, len(self.known))))
+        self.put("publisher", "pace", self.period)
         # By what came: guessed in equal parts at joining, the cheap class was cut to nothing for the others.
         mix, self.came = self.came, [self.RECENT * x for x in self.came]
         live = [s for n, s in self.states.items() if s.open and n not in self.unnamed]
@@ -380,7 +376,7 @@
         self.index, self.sets, self.members, self.shut = index, sets, dict[int, None](), set[int]()
         self.sent, self.wanted = [Tables({k: {} for k in range(len(sets))}) for _ in range(2)]
 
-    def moved(self, only: int | None = None) -> Any:
+    def moved(self, only: int | None = None, late: int = 1) -> Any:
         for k, want in self.wanted.items():
             sent, both = self.sent[k], [n for n in want if n != only and want[n] * self.sent[k].get(n, 0)]
             # Tables hold ratios: a line that leaves must not count as a move of all the others.
@@ -389,7 +385,7 @@
             least = fmean(sent[n] for n in both) if both else 0.0
             for n in sorted(want.keys() | {x for x in sent if x == only or x not in self.shut}):
                 old, new = sent.get(n, 0.0), want.get(n, 0.0) * scale
-                far = abs(new - old) > self.MOVED * max(old, least) or (old > 0) != (new > 0)
+                far = abs(new - old) > late * self.MOVED * max(old, least) or (old > 0) != (new > 0)
                 if n == only or (only is None and far):
                     yield k, n, new
 
@@ -397,7 +393,8 @@
         news = sum(n not in self.sent[k] for k, n, _ in lines)
         for k, n, w in lines:
             self.sent[k][n] = w
-        self.sent = Tables({k: {n: w for n, w in t.items() if w} for k, t in self.sent.items()})
+            if not w:
+                del self.sent[k][n]
         if orders := [i.SetLine(self.index * len(self.sets) + k, n, w) for k, n, w in lines]:
             self.put("publisher", "write", orders, list(self.members), len(orders), news)
         self.put("publisher", "differs", self.index, bool(self.members) and any(self.moved()),
@@ -406,10 +403,8 @@
     def on_wanted(self, wanted: Tables, shut: set[int]) -> None:
         self.wanted, self.shut = wanted, shut
         self.on_turn(0 if self.members else 1e9)  # unused, lines cost nothing and stand ready
-
-    def on_turn(self, room: float) -> None:
-        self.write(list(islice(self.moved(), int(room / max(1, len(self.members))))))
-
+    def on_turn(self, room: float, late: int = 1) -> None:  # late: the periods it waited
+        self.write(list(islice(self.moved(late=late), int(room / max(1, len(self.members))))))
     def on_line(self, replica: int) -> None: self.write(list(self.moved(replica)))
     def on_leave(self, proxy: int) -> None: self.members.pop(proxy, None)
     def on_join(self, proxy: int, extra: int, holds: int) -> None:
@@ -431,10 +426,10 @@
         self.lines, self.home = dict[int, float](), dict[int, int]()  # lines: of this reply, by proxy
         self.unacked, self.times = dict[int, deque[tuple[int, float]]](), dict[int, deque[int]]()
         self.jobs, self.shut, self.differs = dict[int, str](), dict[int, str](), [False] * len(homes)
-        self.turn = self.mark = self.stepped = self.level_lines = self.round = 0
+        self.mark = self.stepped = self.level_lines = self.round = 0
         self.waiting, self.booked, self.sets, self.named = 0.0, 0.0, sets, [Named()] * len(homes)
         self.holds, self.grace, self.sizes = set[int](), grace, [0] * len(homes)
-        self.bound, self.part = [dict[int, None]() for _ in homes], 1.0
+        self.bound, self.turns = [dict[int, None]() for _ in homes], [-period] * len(homes)  # last turns
         self.pulse, self.must_ask = max(period // len(homes), 20_000), must_ask  # a turn a group and period
         self.limit, self.homes, self.next_period = limit or 1e9, homes, mail.now + period
         self.orders.append(i.Wake(0, int(self.pulse * (0.5 + mail.chance()))))
@@ -477,17 +472,18 @@
     def on_lift(self, replica: int) -> None:
         if self.shut.get(replica) == "gone":
             self.jobs[replica] = "open"
-
     def on_differs(self, group: int, yes: bool, named: Named) -> None:
         self.differs[group], self.named[group] = yes, named
-
+    def open(self, g: int) -> float:  # the part of a group's lines that is not withdrawn: it gets all
+        return min((1 + len(x - self.shut.keys())) / (1 + len(x)) for x in self.named[g])
+    def usual(self) -> float:  # proxies whose tables name a replica, on average
+        lines = sum(len(some) * len(self.named[g][0]) for g, some in enumerate(self.bound) if some)
+        return lines / max(1, len(frozenset().union(*(named[0] for named in self.named if named))))
     def holders(self, n: int) -> list[int]:  # a withdrawal concerns those alone whose tables name it
         return [p for named, some in zip(self.named, self.bound, strict=True) if any(n in x for x in named)
                 for p in some]
-
-    def on_pace(self, period: int, part: float) -> None: self.period, self.part = period, part
+    def on_pace(self, period: int) -> None: self.period = period
     def on_levels(self, orders: list[i.Order]) -> None: self.levels = orders
-
     def on_write(self, orders: list[i.Order], proxies: list[int], lines: int, news: int = 0) -> None:
         self.orders += orders  # a line new to it lets a proxy back that others may have shut out from there
         self.lines |= {p: self.lines.get(p, self.head) + lines + news * (p in self.holds)
@@ -515,11 +511,11 @@
                     self.on_write([i.Withdraw(n, True)], hold[n], 1)
         opens = [n for n, k in self.jobs.items() if k == "open" and may]
         # Lines of a return go to other proxies too: by those shut out alone, some passed the cap on messages.
-        left = self.room(everyone, self.HALF, 0) if opens else 0.0
+        left, usual = (self.room(everyone, self.HALF, 0), self.usual()) if opens else (0.0, 0.0)
         for n in opens:
             # While proxies wait for tables, their old ones would give a server that comes back cold too much.
             who = self.holders(n)
-            cost = 3 * max(len(who), sum(map(len, self.bound)) * self.part)
+            cost = 3 * max(len(who), usual)
             if left >= cost and not (self.binds and self.shut.get(n) != "eject"):
                 del self.jobs[n]
                 left, self.booked = left - cost, self.booked + cost - 3 * len(who)
@@ -544,14 +540,19 @@
     def on_due(self, _: i.Due) -> None:
         self.orders.append(i.Wake(0, self.pulse))
         if self.mail.now >= self.next_period:
-            self.next_period, self.turn = self.mail.now + self.period, 0  # each group once a period
+            self.next_period = self.mail.now + self.period
             self.put("pool", "period")
         # While a withdrawal waits, another message would count as sent knowing of the restart.
-        ready = [g for g in sorted(set(self.home.values())) if self.differs[g]]
-        waits = {"drain", "gone"} & set(self.jobs.values())
-        if group := next((g + 1 for g in ready if g >= self.turn and not waits), 0):
-            members, self.turn = [p for p, h in self.home.items() if h == group - 1], group
-            self.put(("group", group - 1), "turn", max(0.0, self.room(members, self.HALF, 0)))
+        ready = [g for g, yes in enumerate(self.differs) if yes]
+        waits = {"drain", "gone", *["eject"] * (self.mail.now >= self.round)} & set(self.jobs.values())
+        # Each group once a period, by how long it waits and how few of its lines are open: by number, with a
+        # channel that brings a quarter of them a period, the last had no turn, and one a single cold server.
+        wait = {g: (self.mail.now - self.turns[g]) / self.period for g in ready}
+        if due := [g for g in ready if wait[g] >= 1 and not waits]:
+            group = max(due, key=lambda g: (wait[g] / self.open(g), -g))
+            if (room := self.room(list(self.bound[group]), self.HALF, 0)) >= len(self.bound[group]):
+                self.turns[group] = self.mail.now
+                self.put(("group", group), "turn", room, int(wait[group]))
         elif not ready and not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
             self.stepped = self.mail.now
             self.put("pool", "step")
@@ -575,7 +576,6 @@
     def __init__(self, mail: Mail, classes: tuple[i.TransactionClass, ...], on: bool) -> None:
         super().__init__(mail, "admission")
         self.classes, self.on, self.held, self.level, self.sent = classes, on, 0, 1.0, [1.0] * len(classes)
-
     def on_pulse(self, stress: float, good: float, mix: list[float], period: int) -> None:
         if stress > 1 and self.on and self.mail.now >= self.held:
             self.held = self.mail.now + self.HOLD + 2 * period
--- a/gradehoist/net/coordinator.py
+++ b/gradehoist/net/coordinator.py
@@ -95,6 +95,10 @@
             answer = what(f"no answer to {ask.what} within {ask.within / 1e6:g} s")
         except r.Fault as fault:
             answer = fault
+        except Exception as fault:
+            # An answer that is none, or a bug: unanswered, the agent would wait for good.
+            what = r.Unknown if ask.what in WRITES else r.Unreachable
+            answer = what(f"{ask.what}: {fault!r}")
         if self._scribe is not None:
             self._scribe.answered(ask, answer)
         if isinstance(answer, r.Fault):
