--- a/tests/register_world.py
+++ b/tests/register_world.py
@@ -53,10 +53,14 @@
 
 
 class World:
-    """`fenced` without effect checks shows what a lease alone is worth."""
+    """`without`: the guard of `GUARDS` that is taken out, to see that a checker catches it."""
 
-    def __init__(self, seed: int, count: int = 3, fenced: bool = True) -> None:
-        self.now, self.dice, self.fenced = 0, random.Random(seed), fenced
+    GUARDS = ("generation at the effect", "version at the commit", "reads as of now",
+              "an ended session stays ended")
+
+    def __init__(self, seed: int, count: int = 3, without: str = "") -> None:
+        assert not without or without in self.GUARDS
+        self.now, self.dice, self.without = 0, random.Random(seed), without
         self.space, self.faults, self.kept = Keyspace(), Faults(), Keyspace()
         self.heap = list[tuple[int, int, Callable[[], None]]]()
         self.pushed, self.items = 0, 0
@@ -135,7 +139,9 @@
             p.held_back.append(lambda: self.take(p, right, item))
             return
         gate, against = self.gate.show("job", right)
-        if against is not None and self.fenced:
+        # Who trusts a session asks whether it lives, and takes its word for what it holds.
+        trusted = self.without == "an ended session stays ended" and p.agent.session != ""
+        if against is not None and self.without != "generation at the effect" and not trusted:
             p.claim.refused(p.agent, against)
             return
         self.gate = gate
@@ -204,7 +210,8 @@
         match ask.what, ask.args:
             case "read", (prefix,):
                 at = 0
-                if self.dice.random() < self.faults.stale:
+                stale = 0.5 if self.without == "reads as of now" else self.faults.stale
+                if self.dice.random() < stale:
                     at = max(space.compacted, space.revision - self.dice.randrange(1, 4), 1)
                 found = space.range(prefix.encode(), prefix.encode() + b"\xff", at)
                 return r.Snapshot("one", at or space.revision, tuple(record(e) for e in found))
@@ -213,7 +220,8 @@
             case "open", (ttl,):
                 return str(space.grant(self.now, ttl))
             case "keep", (session,):
-                return space.revision if space.renew(self.now, int(session)) else r.Ended("ended")
+                lives = space.renew(self.now, int(session)) or self.without == "an ended session stays ended"
+                return space.revision if lives else r.Ended("ended")
             case "end", (session,):
                 space.revoke(int(session))
                 self.changed()
@@ -224,7 +232,8 @@
 
     def commit(self, changes: tuple[r.Change, ...], token: str) -> Any:
         space = self.space
-        if any(space.modified(c.key.encode()) != c.expect for c in changes):
+        wrong = any(space.modified(c.key.encode()) != c.expect for c in changes)
+        if wrong and self.without != "version at the commit":
             found = [e for c in changes for e in space.range(c.key.encode())]
             return r.Refused(space.revision, tuple(record(e) for e in found))
         if self.faults.full:
--- /dev/null
+++ b/tests/test_broken.py
@@ -0,0 +1,71 @@
+"""Scenes with one guard taken out, each of which its checker must catch in the stated number of seeds."""
+
+from __future__ import annotations
+
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from gradehoist.history import effects, linear
+from gradehoist.history.records import Line
+from gradehoist.settings import reader as r
+from tests.register_world import Faults, World
+
+SCENES = sorted((Path(__file__).parent.parent / "scenes/processes/broken").glob("*.kdl"))
+CHECKS = {"generations": effects.generations, "linear": linear.check}
+
+
+class Scene:
+    def __init__(self, path: Path) -> None:
+        reader, root = r.load(path)
+        broken, step, cut = root.need("broken"), root.child("step"), root.child("cut")
+        self.guard = broken.get("guard", r.text)
+        self.seeds = broken.get("seeds", r.whole(1, 100))
+        self.caught = broken.get("caught", r.one_of(CHECKS))
+        self.count = r.whole(1, 100)(root.need("processes").args[0])
+        self.step = r.time(step.args[0]) if step else 0
+        self.cut = r.number(0, 1)(cut.args[0]) if cut else 0.0
+        still = root.child("stand-still")
+        self.every = still.get("every", r.time) if still else 0
+        self.longest = still.get("up-to", r.time) if still else 0
+        for node in (broken, still):
+            if node:
+                node.done()
+        root.done()
+        reader.finish()
+
+    def play(self, seed: int, guard: str) -> list[Line]:
+        world = World(seed, self.count, without=guard)
+        world.faults = Faults(cut=self.cut)
+        world.run(10)
+        still = world.now + self.every
+        for _ in range(200):
+            p = world.dice.choice(world.processes)
+            if self.every and world.now >= still:
+                still = world.now + self.every
+                world.stop(p)
+                world.later(world.dice.randrange(1, self.longest), partial(world.go_on, p))
+            if self.cut:
+                world.space.compact(2)
+            for q in world.processes:
+                world.count(q)
+                world.act(q, world.dice.randrange(self.step + 1))
+            world.run(0.5)
+        world.run(40)
+        return world.lines
+
+
+@pytest.mark.parametrize("path", SCENES, ids=lambda p: p.stem)
+def test_a_guard_taken_out_is_caught_and_with_it_nothing_is(path: Path) -> None:
+    scene = Scene(path)
+    check = CHECKS[scene.caught]
+    caught = [seed for seed in range(scene.seeds) if check(scene.play(seed, scene.guard))]
+    assert caught, f"{scene.guard}: not caught in {scene.seeds} seeds"
+    for seed in range(scene.seeds):
+        lines = scene.play(seed, "")
+        assert not linear.check(lines) and not effects.generations(lines) and not effects.once(lines)
+
+
+def test_there_is_a_scene_for_each_guard_that_the_world_can_take_out() -> None:
+    assert {Scene(p).guard for p in SCENES} == set(World.GUARDS)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import pytest
 
 from gradehoist.coordination import register as r
@@ -39,7 +41,7 @@
         p = d.choice(world.processes)
         if d.random() < 0.15:
             world.stop(p)
-            world.later(d.randrange(12 * SECOND), lambda p=p: world.go_on(p))  # type: ignore[misc]
+            world.later(d.randrange(12 * SECOND), partial(world.go_on, p))
         world.count(d.choice(world.processes))
         world.act(d.choice(world.processes), d.choice((0, SECOND, 10 * SECOND)))
         world.run(d.random() * 2)
@@ -57,8 +59,8 @@
 def test_without_the_check_at_the_effect_one_that_stood_still_acts_beside_its_successor() -> None:
     """A lease trusted: the first holder looks, stands still for 30 s, goes on in the middle of its step."""
     found = []
-    for fenced in (True, False):
-        world = World(1, 2, fenced=fenced)
+    for guard in ("", "generation at the effect"):
+        world = World(1, 2, without=guard)
         world.run(10)
         (first,) = holders(world)
         world.act(first, pause=SECOND)
--- /dev/null
+++ b/tests/test_fleet_governors.py
@@ -0,0 +1,137 @@
+"""Governors as members of a fleet: the register is there, goes, comes back; the rules stand without it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import shutil
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from gradehoist.day import scene
+from gradehoist.settings import fleet as f
+from gradehoist.settings import reader as r
+from gradehoist.standin import engine as standin
+from tests.drills import GRACE, Governor, Relay, Roster, play, settings, until
+from tests.governed import TEXT, entry
+
+RATES = 'session="2s" lost="1s" contact="100ms"'
+
+
+@contextlib.asynccontextmanager
+async def pair(folder: Path, where: str) -> AsyncIterator[tuple[Roster, list[Governor], list[Relay]]]:
+    """Two governors of one register, a relay at each."""
+    roster, ports = Roster(), scene.ports(2)
+    path = settings(folder, roster.port, ports[0],
+                    [("    reports", f"    coordination {where} {RATES}\n    reports")])
+    path.write_text(path.read_text() + f'governor "b" zone="y" listen="127.0.0.1:{ports[1]}"\n')
+    governors = [Governor(path, port, name) for port, name in zip(ports, "ab", strict=True)]
+    relays: list[Relay] = []
+    try:
+        for g in governors:
+            await g.up()
+        relays += [Relay(port, f"r{n}") for n, port in enumerate(ports)]
+        assert await until(lambda: all(x.holdings.bound for x in relays), 10)
+        yield roster, governors, relays
+    finally:
+        for relay in relays:
+            relay.task.cancel()
+        for g in governors:
+            g.kill()
+        roster.server.shut()
+
+
+async def fleet_is(governor: Governor, seconds: float = 15.0, **wanted: object) -> None:
+    """Until its status says so."""
+    end = asyncio.get_running_loop().time() + seconds
+    while True:
+        found = (await governor.status())["fleet"]
+        if all(found[k] == v for k, v in wanted.items()):
+            return
+        assert asyncio.get_running_loop().time() < end, (found, wanted, governor.log.read_text()[-2000:])
+        await asyncio.sleep(0.05)
+
+
+async def drained(roster: Roster, relays: list[Relay], name: int) -> None:
+    roster.list(entry(name, "draining"))
+    assert await until(lambda: not any(x.sends_to(f"w{name}") for x in relays), GRACE), "a late drain"
+
+
+def test_governors_of_one_machine_see_each_other_and_lose_nothing_with_the_register(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with pair(tmp_path, 'folder="register"') as (roster, (a, b), relays):
+            for g in (a, b):
+                await fleet_is(g, joined=True, members={"here": 2})
+            os.kill(b.process.pid, signal.SIGSTOP)
+            await fleet_is(a, members={"here": 1, "suspected": 1})
+            await fleet_is(a, members={"here": 1, "ended": 1})
+            os.kill(b.process.pid, signal.SIGCONT)
+            await fleet_is(a, members={"here": 2})
+            await fleet_is(b, joined=True, generation=2)
+            shutil.rmtree(tmp_path / "register")
+            (tmp_path / "register").write_text("no folder")
+            await fleet_is(a, joined=False)
+            await drained(roster, relays, 1)
+            assert "register_doubt" in a.log.read_text()
+            (tmp_path / "register").unlink()
+            for g in (a, b):
+                await fleet_is(g, 40, joined=True, members={"here": 2})
+            assert a.log.read_text().count("register_fenced") == 1  # another register: told, nothing assumed
+            await drained(roster, relays, 2)
+            b.process.send_signal(signal.SIGTERM)
+            assert await b.ended(5) == 0
+            await fleet_is(a, members={"here": 1, "suspected": 1})
+    play(work)
+
+
+def test_governors_start_serve_and_end_while_the_engine_is_away(tmp_path: Path) -> None:
+    async def work() -> None:
+        (port,) = scene.ports(1)
+        async with pair(tmp_path, f'engine="127.0.0.1:{port}"') as (roster, (a, b), relays):
+            await fleet_is(a, joined=False)
+            await drained(roster, relays, 1)
+            _, server = standin.serve(port)
+            for g in (a, b):
+                await fleet_is(g, joined=True, members={"here": 2})
+            server.stop()
+            await server.close_all_connections()
+            await fleet_is(a, joined=False)
+            await drained(roster, relays, 2)
+            a.process.send_signal(signal.SIGTERM)
+            assert await a.ended(5) == 0
+    play(work)
+
+
+def test_a_governor_without_the_setting_has_no_part_of_it(tmp_path: Path) -> None:
+    async def work() -> None:
+        roster, (port,) = Roster(), scene.ports(1)
+        governor = Governor(settings(tmp_path, roster.port, port), port)
+        try:
+            await governor.up()
+            assert (await governor.status())["fleet"] == {}
+            response = await governor.client.exchange("GET", "/healthz")
+            assert response.status == 404
+        finally:
+            governor.kill()
+            roster.server.shut()
+    play(work)
+
+
+@pytest.mark.parametrize(("node", "said"), [
+    ("coordination", "> coordination: expected where the register is; give folder="),
+    ('coordination folder="a" engine="127.0.0.1:2379"', "one of the two"),
+    ('coordination engine="engine:2379"', 'expected an address such as "127.0.0.1:7101"'),
+    ('coordination folder="a" session="10ms"', 'expected a time of "1s" or more'),
+    ('coordination folder="a" leases=true', "unknown property; known here: "),
+])
+def test_settings_of_the_register_are_checked_with_place_and_remedy(node: str, said: str) -> None:
+    text = TEXT.format(relays=4, queue=2000, rate=2000).replace("    reports", f"    {node}\n    reports")
+    reader = r.Reader("s.kdl")
+    f.parse(reader.root(text), Path("."))
+    with pytest.raises(r.SettingsError, match="s.kdl:9: fleet > coordination") as fault:
+        reader.finish()
+    assert said in str(fault.value)
