--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,5 @@
-"""`python -m bench [NAME …]`: parser, drains, size, inline, cells, places, plans, idle, shares."""
+"""`python -m bench [NAME …]`: parser, drains, size, inline, cells, places, plans, node, register,
+idle, shares."""
 
 from __future__ import annotations
 
@@ -18,6 +19,7 @@
 from bench import plans as planning
 from bench.feeders import Feeder, Governor
 from bench.node import figures as node_figures
+from bench.register import figures as register_figures
 from gradehoist.day import audit, scene
 from gradehoist.day.run import Run
 from gradehoist.net.client import Client
@@ -304,9 +306,13 @@
             f"{f.memory:.0f}")
 
 
+def register() -> None:
+    register_figures(row)
+
+
 ALL: dict[str, Callable[[], None]] = {
     "parser": parser, "drains": drains, "size": size, "inline": inline, "cells": cells, "places": places,
-    "plans": plans, "node": node, "idle": idle, "shares": shares}
+    "plans": plans, "node": node, "register": register, "idle": idle, "shares": shares}
 
 if __name__ == "__main__":
     for name in sys.argv[1:] or ALL:
--- /dev/null
+++ b/bench/member.py
@@ -0,0 +1,58 @@
+"""One member of a measured fleet: `python -m bench.member WHERE PORT NAME`; WHERE is a folder or a port.
+
+It says on its status how late changes of one record came; `POST /probe` lets it write that record."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from gradehoist.member.service import Membership
+from gradehoist.net.server import Answer, Connection, Server, json, refusal
+from gradehoist.protocol import http
+from gradehoist.settings.fleet import Coordination
+
+KEY = "probe"
+
+
+async def main() -> None:
+    where, port, name = sys.argv[1:]
+    settings = Coordination(None if where.isdigit() else Path(where),
+                            ("127.0.0.1", int(where)) if where.isdigit() else None, "bench/", 10_000_000,
+                            5_000_000, 1_000_000, 60_000_000, 30_000_000)
+    member = Membership(settings, "member", name, "x", f"127.0.0.1:{port}", 1, lambda *a, **k: None)
+    late = list[float]()
+
+    def changed(key: str) -> None:
+        if key == KEY and (sent := member.agent.value(KEY, int)):
+            late.append((time.monotonic_ns() - sent) / 1e6)
+
+    async def handle(request: http.Request, connection: Connection) -> Answer:
+        path, _, query = request.target.partition("?")
+        if path == "/healthz":
+            return member.healthy(query)
+        if path == "/probe":
+            member.propose(member.agent.put(KEY, time.monotonic_ns()))
+            return Answer(204)
+        if path == "/status":
+            found: dict[str, Any] = member.status() | {"late": late, "cpu": time.process_time()}
+            return json(found)
+        return refusal(404, "nothing here")
+
+    member.changed.append(changed)
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    server = Server(handle)
+    server.listen(int(port), "127.0.0.1")
+    running = asyncio.ensure_future(member.run())
+    await stop.wait()
+    await member.leave()
+    await running
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -21,7 +21,6 @@
         self.now, self.seed, self.drawn, self.dues = now, seed, 0, 0
         self.parts, self.work = dict[Any, Part](), deque[Part]()
         self.due = list[tuple[int, int, tuple[Any, ...]]]()
-
     def put(self, to: Any, *note: Any) -> None:
         self.parts[to].inbox.append(note)
         self.work.append(self.parts[to])
@@ -62,12 +61,10 @@
         self.index, self.period, self.cold_time, self.probes = index, period, cold_time, probes
         self.weight, self.born = 1.0, -cold_time
         self.reset()
-
     def reset(self) -> None:
         self.busy = self.flight = self.fresh = type(self).entry
         self.sick, self.trials, self.heard, self.scatter = False, 0, 0, 0.5
         self.integral, self.tries, self.bad, self.elapsed, self.climb = 0.0, 0.0, 0.0, 0.0, self.cold_time
-
     def tell(self) -> None:
         age = (self.mail.now - self.born) / max(1, self.climb)
         self.ramp = self.LOW + (1 - self.LOW) * min(1.0, max(0.0, age))
@@ -102,7 +99,6 @@
         if old and new is not None:  # slowly, so that a true change does not pass for scatter
             self.scatter += 0.1 * (min(1.0, abs(new - old) / old) - self.scatter)
         return new if old is None or new is None else old + self.SMOOTH * (new - old)
-
     def on_step(self, error: float, missing: bool, scale: float) -> None:
         error *= 0.0 if abs(error) < self.BAND else error**2 / (error**2 + self.scatter**2)
         if self.ramp >= 1.0 and not missing:  # below that the ramp speaks for it
@@ -156,18 +152,17 @@
         self.heat, self.slack, self.came = dict[int, float](), dict[int, float](), [0.0] * len(classes)
         self.held, self.opening, self.unnamed = set[int](), set[int](), set[int]()
         self.leaving = set[int]()  # gone for good: forgotten once their withdrawal is lifted
+        self.caps, self.parts = dict[int, float](), dict[int, float]()  # agreed: by zone, by cold replica
 
     def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
         c = self.classes[self.sets[k][0]]
         return ((c.only_zones is None or e.zone in c.only_zones) and (not c.stays_local or e.zone == zone)
                 and (c.only_kinds is None or e.kind in c.only_kinds))
-
     def choices(self, of: i.Entry) -> Any:  # per class and zone that may use it: the warm ones
         for k, zone in product(range(len(self.sets)), range(self.zones)):
             if self.allowed(of, zone, k):
                 yield {n: bool(s.open) for n, s in self.states.items() if s.entry.phase is i.Phase.READY and
                        s.entry.started <= self.old and self.allowed(s.entry, zone, k)}
-
     @property
     def old(self) -> int:  # started by then: warm; on a machine just booted too, where long past is told as 0
         return max(0, self.mail.now - self.cold_time)
@@ -234,12 +229,13 @@
         if e.window > 0 and (known := self.rates.get(e.proxy)):
             known[1][e.cls] += Replica.SMOOTH * (e.number * SECOND / e.window - known[1][e.cls])
             self.came[e.cls] += e.number
-
     def on_period(self) -> None:
         for n in self.known:
             self.put(("replica", n), "period")
         self.put("pool", "after", "judge")
-
+    def on_ceilings(self, e: i.Ceilings) -> None:
+        self.caps, self.parts = dict(e.zones), dict(e.replicas)
+        self.replan()
     def on_judge(self) -> None:
         self.period = int(max(self.stated, median([s.period for s in self.states.values() if s.open] or [0])))
         self.put("publisher", "pace", self.period)
@@ -308,10 +304,10 @@
         if n in self.states and self.states[n].entry.phase is i.Phase.GONE:
             self.leaving.add(n)
             self.put("publisher", "lift", n)
-
     def on_plan(self) -> None:  # the zone layer: traffic stays while its zone's weights carry it
         # Those that wait are no room yet: counted, a zone's first ones back would get what it keeps for all.
-        ready = {n: (s.entry, s.weight * s.ramp) for n, s in self.states.items() if s.open}
+        ready = {n: (s.entry, s.weight * s.ramp * self.parts.get(n, 1.0))
+                 for n, s in self.states.items() if s.open}
         live = {n: x for n, x in ready.items() if n not in self.held and n not in self.opening}
         zones, sets, whole = range(self.zones), range(len(self.sets)), sum(w for _, w in live.values()) or 1.0
         # A hot zone spills at once, before its weights have fallen: clients may gather where few were known.
@@ -337,13 +333,15 @@
                 likes = sum(w for e, w in ready.values() if self.allowed(e, z, k))
                 self.thin += [(z, k)] * (asked * whole > 2 * likes)
                 if weights[z][z] > 0:
-                    kept = min(asked, max(0.0, free[z] + self.slack.get(z, 0.0) * weights[z][z] / whole))
-                    stay[z], free[z] = kept / asked if asked > 0 else 1.0, free[z] - kept
+                    cap, slack = self.caps.get(z, 1.0), self.slack.get(z, 0.0)
+                    kept = min(asked * cap, max(0.0, free[z] + slack * weights[z][z] / whole))
+                    stay[z], free[z] = kept / asked if asked > 0 else cap, free[z] - kept
             for z in zones:
-                to = {y: max(free[y], w / whole / 50) for y, w in enumerate(weights[z]) if w and y != z}
+                to = {y: max(free[y], w / whole / 50) * cap for y, w in enumerate(weights[z])
+                      if w and y != z and (cap := self.caps.get(y, 1.0))}
                 split = {y: max(self.TASTE, (1 - stay[z]) * f / sum(to.values())) for y, f in to.items()}
                 split[z] = stay[z] if to else 1.0
-                wanted[z][k] = {n: max(1e-4, len(live) * split[e.zone] * w / weights[z][e.zone])
+                wanted[z][k] = {n: max(1e-4, len(live) * split.get(e.zone, 0.0) * w / weights[z][e.zone])
                                 for n, (e, w) in live.items() if self.allowed(e, z, k)}
         self.unnamed, here = set(live) if held else set(), set(held)  # our proxies can't tell of these
         for g, zone in enumerate(self.homes):
@@ -375,7 +373,6 @@
         super().__init__(mail, ("group", index))
         self.index, self.sets, self.members, self.shut = index, sets, dict[int, None](), set[int]()
         self.sent, self.wanted = [Tables({k: {} for k in range(len(sets))}) for _ in range(2)]
-
     def moved(self, only: int | None = None, late: int = 1) -> Any:
         for k, want in self.wanted.items():
             sent, both = self.sent[k], [n for n in want if n != only and want[n] * self.sent[k].get(n, 0)]
@@ -488,7 +485,6 @@
         self.orders += orders  # a line new to it lets a proxy back that others may have shut out from there
         self.lines |= {p: self.lines.get(p, self.head) + lines + news * (p in self.holds)
                        for p in proxies if p in self.home}
-
     def on_guards(self) -> None:  # withdrawals, returns, binds, levels, while the queue has room
         everyone, may = list(self.home), self.mail.now >= self.round
         # Before ejections and returns, which ride along: behind them a level over with stood for 5 s more.
@@ -576,6 +572,8 @@
     def __init__(self, mail: Mail, classes: tuple[i.TransactionClass, ...], on: bool) -> None:
         super().__init__(mail, "admission")
         self.classes, self.on, self.held, self.level, self.sent = classes, on, 0, 1.0, [1.0] * len(classes)
+        self.agreed = dict[int, float]()  # the fleet's one share of each class
+    def on_ceilings(self, e: i.Ceilings) -> None: self.agreed = dict(e.levels)
     def on_pulse(self, stress: float, good: float, mix: list[float], period: int) -> None:
         if stress > 1 and self.on and self.mail.now >= self.held:
             self.held = self.mail.now + self.HOLD + 2 * period
@@ -586,6 +584,7 @@
         for k in sorted(range(len(mix)), key=lambda k: -self.classes[k].gain / self.classes[k].goal):
             share = max(1e-9, mix[k] / max(1e-9, sum(mix)))
             levels[k], left = max(self.LEAST, min(1.0, left / share + 1e-6)), max(0.0, left - share)
+            levels[k] = min(levels[k], max(self.LEAST, self.agreed.get(k, 1.0)))
         if any(abs(a - b) > 0.05 or (a == 1.0) != (b == 1.0) for a, b in zip(levels, self.sent, strict=True)):
             self.sent, tries = levels, int(self.level == 1.0)  # further tries only make an overload worse
             self.put("publisher", "levels", [i.Admit(None, (k,), v, tries) for k, v in enumerate(levels)])
@@ -595,7 +594,8 @@
     ARCS = 48  # groups that a large fleet is dealt to: arcs of few lines that still name every server
     FEWEST = 8  # lines of a table dealt out: with fewer one that hangs takes more than strikes can mend
     ROUTES = {"joined": ("pool", "publisher"), "left": ("pool", "publisher"), "offered": ("pool",),
-              "applied": ("publisher",), "listed": ("pool",), "due": ("publisher",)}
+              "applied": ("publisher",), "listed": ("pool",), "due": ("publisher",),
+              "ceilings": ("pool", "admission")}
 
     def __init__(self, start: i.Start, now: int) -> None:
         self.mail, self.slices, rep, ch = Mail(start.seed, now), start.slices, start.reports, start.channel
--- a/gradehoist/interface.py
+++ b/gradehoist/interface.py
@@ -210,6 +210,17 @@
     payload: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Ceilings:
+    """What a fleet of governors agreed, all of it each time; 1.0 where nothing is named. `zones`: the part of
+    what would go to a zone that still may; `replicas`: the part of its weight that this governor may give a
+    cold one; `levels`: the share of a class that is let in, at most."""
+
+    zones: tuple[tuple[int, float], ...] = ()
+    replicas: tuple[tuple[int, float], ...] = ()
+    levels: tuple[tuple[int, float], ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Due:
     token: int
@@ -217,7 +228,7 @@
 
 Event = (
     Listed | Joined | Left | Heard | Offered | SliceOffered | SliceGiven | SliceLine | Applied | Probed
-    | PeerNote | Due
+    | PeerNote | Ceilings | Due
 )
 
 
--- a/gradehoist/member/service.py
+++ b/gradehoist/member/service.py
@@ -25,6 +25,8 @@
 from gradehoist.settings.fleet import Coordination
 from gradehoist.store.embedded import Embedded
 
+JUDGE = 200_000  # µs between looks at all members: at each change of the register it would cost the fleet's
+# size; nobody is suspected for less
 CONTACT = 0.5  # seconds for a contact: within a site it takes milliseconds
 QUIET = ("changed", "settled")  # news that are no log lines
 WARNINGS = ("away", "doubt", "ended", "fenced", "outrun", "full", "unread")
@@ -60,7 +62,7 @@
         self._clients = dict[str, Client]()
         self._task: asyncio.Task[None] | None = None
         self._view, self._viewing = View(), ""
-        self._cut = False
+        self._cut, self._judge_at = False, 0
 
     async def run(self) -> None:
         """Until `leave`, or cancelled."""
@@ -140,12 +142,10 @@
                 held = claim.right is not None
                 self._log("right_held" if held else "right_lost", not held, right=claim.name,
                           gen=(claim.right or had or self.agent.right).gen)
-        self._judge(self.members.judge(at))
-        view = self.members.own_view(at)
-        if view != self._view and not self._viewing and self.agent.joined:
-            key = "views/" + self.agent.me.member.removeprefix("members/")
-            self._asked_view = view
-            self._viewing = self.agent.propose(at, self.agent.put(key, view, own=True))
+        if at >= self._judge_at:
+            self._judge_at = at + min(JUDGE, self.settings.contact)
+            self._judge(self.members.judge(at))
+            self._say(at, self.members.own_view(at))
         if (member := self.members.next(at)) is not None:
             task = asyncio.ensure_future(self._contact(member))
             self._contacts.add(task)
@@ -153,6 +153,13 @@
         for ticked in self.ticked:
             ticked(at)
 
+    def _say(self, at: int, view: View) -> None:
+        """Writes whom this process can't reach, where that has changed."""
+        if view != self._view and not self._viewing and self.agent.joined:
+            key = "views/" + self.agent.me.member.removeprefix("members/")
+            self._asked_view = view
+            self._viewing = self.agent.propose(at, self.agent.put(key, view, own=True))
+
     def _judge(self, seen: Mapping[str, Any]) -> None:
         for key, one in seen.items():
             if self._states.get(key, State.HERE) is not one.state:
@@ -162,9 +169,10 @@
         if self.members.cut_off() is not self._cut:
             self._cut = not self._cut
             self._log("cut_off" if self._cut else "cut_off_ended", self._cut)
-        for gone in [a for a in self._clients if a not in {m.member.address for m in
-                                                          self.members.known.values()}]:
-            self._clients.pop(gone).close()
+        if len(self._clients) > len(seen):
+            known = {m.member.address for m in self.members.known.values()}
+            for gone in self._clients.keys() - known:
+                self._clients.pop(gone).close()
 
     async def _contact(self, member: Member) -> None:
         good = False
--- a/gradehoist/standin/engine.py
+++ b/gradehoist/standin/engine.py
@@ -260,7 +260,8 @@
     engine, server = serve(port)
     while not stop.is_set():
         revision = engine.space.revision
-        engine.space.expire(now())
+        if not engine.faults.away:  # an engine that is away ends nobody
+            engine.space.expire(now())
         if engine.space.revision != revision:
             engine.changed()
         with contextlib.suppress(TimeoutError):
--- a/tests/peer.py
+++ b/tests/peer.py
@@ -10,8 +10,10 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -47,6 +49,7 @@
     step: float = 0.0
     counts: bool = True
     guard: bool = True
+    jumps: bool = False  # its wall clock jumps by hours, forth and back
 
 
 class Shown(msgspec.Struct):
@@ -155,6 +158,9 @@
 
 async def main() -> None:
     spec: Spec = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=Spec)
+    if spec.jumps:
+        dice = random.Random(1)
+        time.time = lambda: 1_800_000_000 + dice.uniform(-1e6, 1e6)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -437,3 +437,64 @@
     orders = world.step(wait=SECOND)
     told = [o for o in orders if isinstance(o, i.Admit | i.Withdraw)]
     assert isinstance(told[0], i.Admit) and len(told) == 3, "in one message with the returns"
+
+
+def shares(world: World, proxy: int, cls: int) -> list[float]:
+    """Of a proxy's table, what goes to each zone."""
+    return [sum(world.share(proxy, cls, n) for n in world.open(world.bound[proxy][cls]) if n % 3 == z)
+            for z in range(3)]
+
+
+def test_an_agreed_ceiling_of_a_zone_sends_the_rest_elsewhere_but_where_class_limits_bind() -> None:
+    world = running()
+    world.run(10, {n: CALM for n in range(9)})
+    assert shares(world, 0, 0)[0] > 0.9
+    world.step(i.Ceilings(((0, 0.4),)))
+    world.run(6, {n: CALM for n in range(9)})
+    assert abs(shares(world, 0, 0)[0] - 0.4) < 0.05 and shares(world, 0, 2)[0] == 1.0
+    assert shares(world, 1, 0)[0] < 0.02 and abs(shares(world, 0, 1)[0] - 0.4) < 0.05
+    world.step(i.Ceilings(((0, 0.0),)))
+    world.run(6, {n: CALM for n in range(9)})
+    assert shares(world, 0, 0)[0] < 0.01 and shares(world, 0, 2)[0] == 1.0
+    world.step(i.Ceilings(tuple((z, 0.0) for z in range(3))))  # never the last zone: somebody has to serve
+    world.run(6, {n: CALM for n in range(9)})
+    assert all(world.open(t) for by in world.bound.values() for t in by.values())
+    world.step(i.Ceilings())
+    world.run(6, {n: CALM for n in range(9)})
+    assert shares(world, 0, 0)[0] > 0.9
+
+
+def test_a_cold_replica_gets_the_part_dealt_to_this_governor() -> None:
+    world = running()
+    world.run(5, {n: CALM for n in range(9)})
+    world.step(change(entry(0, started=world.now)), i.Ceilings((), ((0, 0.25),)))
+    world.run(4, {n: CALM for n in range(9)})
+    few = world.share(0, 0, 0)
+    world.step(i.Ceilings())
+    world.run(4, {n: CALM for n in range(9)})
+    assert 0 < few < 0.4 * world.share(0, 0, 0)
+
+
+def test_an_agreed_share_of_a_class_is_let_in_at_most() -> None:
+    world = running()
+    world.step(i.Ceilings((), (), ((0, 0.3),)))
+    world.run(5, {n: CALM for n in range(9)})
+    admits = [o for o in world.log if isinstance(o, i.Admit) and 0 in o.classes]
+    assert admits[-1].share == 0.3
+    world.step(i.Ceilings())
+    world.run(5, {n: CALM for n in range(9)})
+    admits = [o for o in world.log if isinstance(o, i.Admit) and 0 in o.classes]
+    assert admits[-1].share == 1.0
+
+
+def test_no_ceiling_leaves_every_order_as_it_is() -> None:
+    traces = []
+    for ceilings in ((), (i.Ceilings(),), (i.Ceilings(((0, 1.0),), ((0, 1.0),), ((0, 1.0),)),)):
+        world = running()
+        for n in range(20):
+            load = i.Load(0.3 + 0.1 * (n % 7), 2.0 + n % 5)
+            if n % 5 == 0:
+                world.step(*ceilings, change(entry(n % 9, started=world.now)), wait=SECOND // 20)
+            world.run(2, {k: (6, k == n % 9, load) for k in range(9)})
+        traces.append(world.log)
+    assert traces[0] == traces[1] == traces[2] and len(traces[0]) > 300
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -70,7 +70,7 @@
         self.ledger = Peer(folder, Spec("ledger", "ledger", ledger, str(folder / "ledger.jsonl"),
                                         guard=guard))
         self.actors = [Peer(folder, Spec(
-            "actor", f"p{n}", port, str(folder / f"p{n}.jsonl"), ledger=ledger, step=step,
+            "actor", f"p{n}", port, str(folder / f"p{n}.jsonl"), ledger=ledger, step=step, jumps=n % 2 == 1,
             engine=engine if kind == "engine" else 0,
             folder=str(folder / "register") if kind != "engine" else ""))
             for n, port in enumerate(ports)]
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,188 @@
+"""Leaving a zone in steps that the rest bears, and coming back, against a small model of three zones."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from gradehoist.zones.evidence import State, Trouble, Verdict
+from gradehoist.zones.leaving import FULL, Class, Plan, Rules, Stay, Zone, levels, next_plan, ready, use
+
+SECOND = 1_000_000
+RULES = Rules(settle=3 * SECOND, well=10 * SECOND, longest=120 * SECOND)
+CLASSES = {"read": Class(1.0), "write": Class(5.0)}
+
+
+@dataclass
+class Model:
+    """Zones with power and traffic; some are bad, some cold since some time. One step of it is a second."""
+
+    power: dict[str, float] = field(default_factory=lambda: {z: 200.0 for z in "xyz"})
+    traffic: dict[str, dict[str, float]] = field(
+        default_factory=lambda: {z: {"read": 80.0, "write": 20.0} for z in "xyz"})
+    classes: dict[str, Class] = field(default_factory=lambda: dict(CLASSES))
+    bad: dict[str, State] = field(default_factory=dict)
+    bears: dict[str, float] = field(default_factory=dict)
+    plan: Plan = Plan(1, "a")
+    well: dict[str, int] = field(default_factory=dict)
+    now: int = 0
+    last: int = -(10**9)
+    trouble: Trouble = Trouble.NONE
+    history: list[Plan] = field(default_factory=list)
+
+    def zones(self) -> dict[str, Zone]:
+        return {z: Zone(self.traffic[z], self.power[z], self.bears.get(z, 1.0)) for z in self.power}
+
+    def second(self) -> None:
+        self.now += SECOND
+        for z in self.power:
+            self.well[z] = 0 if z in self.bad else self.well.get(z, 0) + SECOND
+        verdict = Verdict({z: self.bad.get(z, State.WELL) for z in self.power}, self.trouble, {})
+        quiet = self.now - self.last
+        found = next_plan(self.plan, verdict, self.zones(), self.classes, self.well, quiet, RULES)
+        if found is not None:
+            self.plan, self.last = found, self.now
+            self.history.append(found)
+
+    def run(self, seconds: int) -> None:
+        for _ in range(seconds):
+            self.second()
+
+    def used(self) -> dict[str, float]:
+        """The use of each zone's power under the plan, with what the fleet's shares let in."""
+        stays = {z: self.plan.zones.get(z, Stay()) for z in self.power}
+        some = {z: Zone({c: x * self.plan.levels.get(c, 1.0) for c, x in self.traffic[z].items()}, p)
+                for z, p in self.power.items()}
+        return {z: use(z, stays, some) / p for z, p in self.power.items()}
+
+
+def test_a_failing_zone_is_left_in_steps_that_the_others_bear() -> None:
+    model = Model()
+    model.bad["x"] = State.FAILING
+    seen = []
+    for _ in range(60):
+        model.second()
+        seen.append(model.plan.to("x"))
+        assert max(u for z, u in model.used().items() if z != "x") <= FULL + 1e-9
+    assert seen[-1] == 0.0 and seen == sorted(seen, reverse=True) and len(set(seen)) >= 2
+    assert not model.plan.levels and model.plan.to("y") == model.plan.to("z") == 1.0
+
+
+def test_what_the_rest_cannot_carry_is_refused_in_one_share_the_least_gain_first() -> None:
+    model = Model(power={"x": 200.0, "y": 130.0, "z": 130.0})
+    model.bad["x"] = State.FAILING
+    model.run(90)
+    assert model.plan.to("x") == 0.0 and set(model.plan.levels) == {"read"}
+    admitted = sum(x * model.plan.levels.get(c, 1.0) for t in model.traffic.values() for c, x in t.items())
+    assert admitted <= FULL * 260 and admitted > FULL * 260 * 0.9
+    assert levels({"read": 50, "write": 50}, CLASSES, 30) == {"write": 0.6, "read": 0.0}
+
+
+def test_never_the_last_zone_nor_more_than_the_rest_can_carry() -> None:
+    model = Model()
+    model.bad |= {"x": State.FAILING, "y": State.FAILING}
+    model.run(120)
+    assert model.plan.to("z") == 1.0 and model.plan.levels  # it carries 170 of 300
+    model.bad["z"] = State.FAILING
+    model.run(60)
+    assert model.plan.to("z") == 1.0
+    model = Model(power={"x": 200.0, "y": 50.0, "z": 50.0})
+    model.bad["x"] = State.FAILING
+    model.run(60)
+    assert model.plan == Plan(1, "a")
+    alone = Model(power={"x": 500.0}, traffic={"x": {"read": 10.0}})
+    alone.bad["x"] = State.FAILING
+    alone.run(30)
+    assert alone.plan.to("x") == 1.0
+
+
+def test_where_most_zones_look_bad_at_once_nothing_is_left() -> None:
+    model = Model(trouble=Trouble.RELEASE)
+    model.bad |= {"x": State.FAILING, "y": State.FAILING, "z": State.FAILING}
+    model.run(60)
+    assert model.plan == Plan(1, "a")
+
+
+def test_classes_bound_to_a_zone_do_not_count_as_what_can_go() -> None:
+    bound = {"read": Class(1.0, local=True), "write": Class(5.0, frozenset({"x"}))}
+    model = Model(classes=bound)
+    model.bad["x"] = State.FAILING
+    model.second()
+    assert model.plan.to("x") == 0.0  # nothing of it goes to the others, who need no steps for it
+    assert not Class(1.0, frozenset({"x"})).moves(frozenset("yz"))
+    assert Class(1.0, frozenset("xy")).moves(frozenset("yz"))
+
+
+def test_a_zone_that_stays_well_is_home_in_bounded_time_and_not_before_it_is_warm() -> None:
+    model = Model()
+    model.bad["x"] = State.FAILING
+    model.run(60)
+    del model.bad["x"]
+    model.bears["x"] = 0.2
+    model.run(9)
+    assert model.plan.to("x") == 0.0
+    seen = [0.0]
+    for second in range(60):
+        model.bears["x"] = min(1.0, 0.2 + 0.8 * second / 20)
+        model.second()
+        seen.append(model.plan.to("x"))
+        assert seen[-1] <= model.bears["x"] + 1e-9 and seen[-1] - seen[-2] <= 0.25 + 0.05
+    assert seen.index(1.0) <= 30
+    model.run(150)
+    assert model.plan.zones == {}
+
+
+def test_harm_halves_and_a_zone_that_flaps_waits_longer_each_time_up_to_a_bound() -> None:
+    model = Model()
+    waits = []
+    for _ in range(8):
+        model.bad["x"] = State.FAILING
+        model.run(60)
+        assert model.plan.to("x") == 0.0
+        waits.append(model.plan.zones["x"].wait)
+        del model.bad["x"]
+        for _ in range(300):
+            model.second()
+            if model.plan.to("x") > 0.4:
+                break
+        before = model.plan.to("x")
+        model.bad["x"] = State.SLOW
+        model.second()
+        assert model.plan.to("x") == pytest.approx(before / 2)  # at once, not after the settling time
+    assert waits == sorted(waits) and waits[1] == 2 * waits[0] and waits[-1] == RULES.longest
+    del model.bad["x"]
+    model.run(600)
+    assert model.plan.zones == {}
+
+
+def test_a_step_waits_for_all_that_steer() -> None:
+    plan = Plan(3, "a", 7)
+    assert ready(plan, {"a": (3, 7), "b": (3, 7)}, frozenset("ab"))
+    assert not ready(plan, {"a": (3, 7), "b": (3, 6)}, frozenset("ab"))
+    assert not ready(plan, {"a": (3, 7)}, frozenset("ab"))
+    assert ready(plan, {"a": (3, 7), "b": (2, 7)}, frozenset("a"))
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_any_troubles_leave_a_zone_open_and_all_are_home_in_the_end(seed: int) -> None:
+    dice = random.Random(seed)
+    model = Model(power={z: dice.uniform(100, 300) for z in "wxyz"},
+                  traffic={z: {"read": dice.uniform(20, 120), "write": dice.uniform(1, 40)} for z in "wxyz"})
+    for _ in range(400):
+        if dice.random() < 0.05:
+            z = dice.choice("wxyz")
+            if z in model.bad:
+                del model.bad[z]
+            else:
+                model.bad[z] = dice.choice((State.FAILING, State.CUT_OFF, State.SLOW))
+        model.bears = {z: dice.random() if dice.random() < 0.1 else 1.0 for z in "wxyz"}
+        model.second()
+        assert any(model.plan.to(z) > 0 for z in "wxyz")
+        assert all(0 <= x < 1 for x in model.plan.levels.values())
+    steps = [p.step for p in model.history]
+    assert steps == list(range(1, len(steps) + 1))
+    model.bad, model.bears = {}, {}
+    model.run(400)
+    assert model.plan.zones == {} and model.plan.levels == {}
