Governors feed the zones' evidence, follow plan and deal, and tell their module (off by default)

governor/sights.py counts what relays met by zone, governor/zoning.py writes the view, follows plan and deal, and hands the ceilings on; a child node zones of coordination asks for it. Found by four process tests of three governors and six relays: a new holder of the right knew no zone's power and took the plan home with all of them (every governor looks now, and an unknown zone's stay stands; a plain test fails without it); a zone that gets next to nothing was never seen well again (a fiftieth still goes there, and not seen counts as not bad after the wait).

--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import astuple, dataclass, field, replace
 from typing import Any
 
@@ -344,6 +344,28 @@
 
     # The module
 
+    def ceilings(self, zones: Mapping[str, float], replicas: Mapping[str, float],
+                 levels: Mapping[str, float]) -> None:
+        """What the fleet agreed, all of it each time; names that are not known here are left out."""
+        names, classes = self.names, [c.name for c in self.fleet.classes]
+        event = i.Ceilings(
+            tuple((names.zones[z], x) for z, x in zones.items() if z in names.zones),
+            tuple((names.replicas[n], x) for n, x in replicas.items() if n in names.replicas),
+            tuple((classes.index(c), x) for c, x in levels.items() if c in classes))
+        for part in self.parts:
+            part.events.append(event)
+
+    def cold(self, now: int) -> tuple[str, ...]:
+        """Replicas listed ready that are still cold."""
+        started, since = self.roster.started(), now - self.fleet.rules.cold_time
+        return tuple(sorted(n for n, e in self.roster.entries.items()
+                            if e.phase == "ready" and started.get(n, 0) > max(0, since)))
+
+    @property
+    def busy(self) -> bool:
+        """Something waits to be told to the module or to relays."""
+        return self.waiting or self.channel.waiting > 0
+
     def batches(self, hurry: bool = False) -> list[Batch]:
         """What the modules have not been told yet, by part, in the order it came; in a hurry that of the
         parts alone which have heard of a list."""
--- a/gradehoist/governor/roster.py
+++ b/gradehoist/governor/roster.py
@@ -37,6 +37,10 @@
         self.old = True  # until the service itself has spoken
         self.strange: dict[str, str] = {}  # replicas that the settings do not fit, and why
 
+    def started(self) -> dict[str, int]:
+        """By replica: when it started, µs; 0 for long past."""
+        return {name: start for name, (_, start) in self._boots.items()}
+
     def take(self, now: int, document: feed.Roster) -> i.Listed | None:
         """The event for the module, None where nothing is new. Raises Gap, Unsound."""
         if document.whole:
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -21,6 +21,7 @@
 from gradehoist.governor import probes
 from gradehoist.governor.core import Core, Gap, Poll, Refused
 from gradehoist.governor.planner import PlannerFailed, PlannerProcess
+from gradehoist.governor.zoning import Zoning
 from gradehoist.member.service import Membership
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server, json, refusal
@@ -88,6 +89,7 @@
         self._saved_path, self._unsaved = own.state / "roster.json", asyncio.Event()
         self._booking = asyncio.Lock()
         self.membership = self._membership(fleet, own)
+        self.zoning = self._zoning(fleet, own)
         self.lag = 0.0  # worst lateness of the clock task since the last status call, seconds
 
     def _membership(self, fleet: Fleet, own: Governor) -> Membership | None:
@@ -100,6 +102,16 @@
         address = f"{own.listen[0]}:{own.listen[1]}"
         return Membership(fleet.coordination, "governor", own.name, own.zone, address, own.seed, log)
 
+    def _zoning(self, fleet: Fleet, own: Governor) -> Zoning | None:
+        if self.membership is None or fleet.coordination is None or fleet.coordination.zones is None:
+            return None
+
+        def log(event: str, warn: bool, **fields: Any) -> None:
+            (self.log.warning if warn else self.log.info)(event, **fields)
+
+        return Zoning(fleet, fleet.coordination.zones, own.zone, self.core, self.membership, self._told.set,
+                      log, now())
+
     async def run(self) -> int:
         # Nearly all that lives here lives long: full collections at the usual rate stop the loop for tens of
         # milliseconds at a thousand relays.
@@ -179,7 +191,7 @@
                     query = msgspec.convert(pairs, PollQuery, strict=False)
                     return await self._poll(Poll(**msgspec.structs.asdict(query)), connection)
                 case "POST", "/v1/sums":
-                    self.core.sums(SUMS.decode(request.body))
+                    self._sums(SUMS.decode(request.body))
                     self._kick.set()
                     return Answer(204)
                 case "GET", "/v1/status":
@@ -230,6 +242,13 @@
                     answer = self.core.poll(now(), poll)
         return Answer(200, ENCODER.encode(answer), (("content-type", "application/json"),))
 
+    def _sums(self, sums: feed.Sums) -> None:
+        self.core.sums(sums)
+        if self.zoning is not None:
+            stream = self.core.streams[self.core.names.proxies[sums.relay]]
+            self.zoning.sights.add(now(), self.core.names.zones.names[stream.zone], sums,
+                                   self.core.roster.entries)
+
     def status(self) -> dict[str, Any]:
         """What a person or a check may want to know; `lag_ms` is the worst since the last call."""
         core, lag, self.lag = self.core, self.lag, 0.0
@@ -245,6 +264,7 @@
             "planner_cpu": round(self.planner.cpu, 3), "planner_pid": self.planner.pid,
             "lag_ms": round(lag * 1e3, 3),
             "fleet": self.membership.status() if self.membership is not None else {},
+            "zones": self.zoning.status() if self.zoning is not None else {},
         }
 
     async def _word(self, word: Word) -> Confirm:
@@ -391,6 +411,8 @@
             self.log.warning("bad_probe", replica=name, reason=str(fault))
             outcome = i.Outcome.OTHER
         self.core.probed(replica, outcome, now() - began, load)
+        if self.zoning is not None and entry is not None:
+            self.zoning.sights.probed(now(), entry.zone, outcome is i.Outcome.ANSWERED)
         self.log.info("probed", replica=name, reason=outcome.value)
         self._told.set()
 
@@ -410,6 +432,8 @@
                 if response.status != 200:
                     raise ValueError(f"status {response.status}")
                 news = self.core.listed(now(), ROSTER.decode(response.body))
+                if self.zoning is not None:
+                    self.zoning.heard = now()
                 if down:
                     self.log.info("roster_back")
                 whole, pause, down, self.core.ask = False, 0.2, False, False
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import msgspec
@@ -54,6 +54,15 @@
         return frozenset(w for w, c in self.workers.items() if c == cell)
 
 
+@dataclass(frozen=True, slots=True)
+class Zoned:
+    """Zones are left and taken back together; times in µs, see `zones.leaving.Rules`."""
+
+    settle: int
+    well: int
+    longest: int
+
+
 @dataclass(frozen=True, slots=True)
 class Coordination:
     """Where the processes of the fleet share a register: a folder of this machine, or an engine; times in µs.
@@ -69,6 +78,7 @@
     contact: int
     hold: int
     fall: int
+    zones: Zoned | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +237,11 @@
         found.get("contact", r.span("10ms"), 1_000_000), found.get("hold", r.time, 60_000_000),
         found.get("fall", r.span("1s"), 30_000_000))
     found.taken |= {"folder", "engine"}
+    if (zones := found.child("zones")) is not None:
+        out = replace(out, zones=Zoned(
+            zones.get("settle", r.span("1s"), 5_000_000), zones.get("well", r.span("1s"), 20_000_000),
+            zones.get("longest", r.span("1s"), 600_000_000)))
+        zones.done()
     found.done()
     return out
 
--- a/gradehoist/zones/board.py
+++ b/gradehoist/zones/board.py
@@ -20,6 +20,8 @@
 PLAN, DEAL, VIEWS = "zones/plan", "zones/deal", "zones/views/"
 BUSY = 0.1  # use below which traffic over use says nothing of what replicas can do
 GRAIN = 50  # ceilings reach the module in fiftieths: a ramp would else be an event a turn
+TASTE = 0.02  # of a zone's traffic that goes there while it is left: it is how its return is seen
+SWING = 1.15  # of a dealt part that traffic may swing above it: deals follow within some seconds
 LEARN = 0.2  # weight of the newest estimate of a zone's power: some seconds of a well zone
 
 
@@ -80,7 +82,7 @@
     def now(self, now: int, traffic: float) -> Now:
         """For this governor, which steers `traffic` itself."""
         found = {n: round(GRAIN * x) / GRAIN for n, x in self.agreed.ceilings(now).items()}
-        zones = {n: x for n, x in found.items() if not n.startswith("class/") and x < 1.0}
+        zones = {n: max(TASTE, x) for n, x in found.items() if not n.startswith("class/") and x < 1.0}
         levels = {n.removeprefix("class/"): x for n, x in found.items() if n.startswith("class/") and x < 1.0}
         return Now(zones, self._cold(now, traffic), levels)
 
@@ -92,7 +94,7 @@
         others = sum(v.traffic for v in self.fleet.fresh(now).values() if v.run != self.run)
         share = traffic / (others + traffic) if traffic > 0 else 0.0
         part = self.deal.parts.get(self.run, 0.0)
-        return 1.0 if share <= part else round(GRAIN * part / share) / GRAIN
+        return 1.0 if share <= SWING * part else round(GRAIN * part / share) / GRAIN
 
     # What the holder of the right does
 
@@ -101,11 +103,12 @@
         self.verdict = self.fleet.judge(now)
         views = self.fleet.fresh(now)
         for z, state in self.verdict.zones.items():
-            if state is State.WELL:
+            if state in (State.WELL, State.UNSEEN):
                 self.well_since.setdefault(z, now)
-                self._learn(z, views)
-            elif state is not State.UNSEEN:
+            else:
                 self.well_since.pop(z, None)
+            if state is State.WELL:
+                self._learn(z, views)
         return self.verdict
 
     def _learn(self, z: str, views: Mapping[str, View]) -> None:
@@ -136,7 +139,7 @@
     def next_plan(self, now: int, right: Right) -> Plan | None:
         """To be written under the right, or None. A new holder first puts its own generation on the plan as
         it stands, so that a step of the one before, still on its way, is refused by the version."""
-        verdict = self.look(now)
+        verdict = self.verdict or self.look(now)
         if (self.plan.gen, self.plan.holder) != right:
             return Plan(right.gen, right.holder, 0, self.plan.zones, self.plan.levels)
         views = self.fleet.fresh(now)
--- a/gradehoist/zones/leaving.py
+++ b/gradehoist/zones/leaving.py
@@ -104,7 +104,7 @@
 def next_plan(plan: Plan, verdict: Verdict, zones: Mapping[str, Zone], classes: Mapping[str, Class],
               well_for: Mapping[str, int], quiet: int, rules: Rules) -> Plan | None:
     """The next step, or None where all stays as it is. To be asked once the last step is `ready`; `well_for`
-    (µs): how long each zone has been seen well without a break; `quiet` (µs): since the last step."""
+    (µs): for how long nobody has seen a zone otherwise than well; `quiet` (µs): since the last step."""
     if verdict.trouble is Trouble.RELEASE:
         return None  # most zones look bad at once: the observers, or what all share, and no zone to leave
     stays = {z: plan.zones.get(z, Stay()) for z in zones}
@@ -117,9 +117,11 @@
             continue
         elif bad:
             stays[z] = _left(z, stays, state, zones, classes, rules)
-        elif stay != Stay() and state is State.WELL and well_for.get(z, 0) >= stay.wait:
+        elif stay != Stay() and state in (State.WELL, State.UNSEEN) and well_for.get(z, 0) >= stay.wait:
+            # Of a small site's zone that gets next to nothing nobody can say anything: a step back tells.
             stays[z] = _back(stay, zones[z], well_for.get(z, 0), rules)
-    kept = {z: s for z, s in stays.items() if s != Stay()}
+    # Of a zone that this holder knows nothing of, what stands stays: a new one once took all of them home.
+    kept = {z: s for z, s in (plan.zones | stays).items() if s != Stay()}
     shares = _shares(stays, zones, classes)
     if kept == plan.zones and shares == plan.levels:
         return None
--- a/tests/drills.py
+++ b/tests/drills.py
@@ -68,8 +68,8 @@
 class Relay:
     """Follows one governor and holds what it is told; a deaf one applies all and never says so."""
 
-    def __init__(self, port: int, name: str, deaf: bool = False) -> None:
-        self.port, self.name, self.deaf = port, name, deaf
+    def __init__(self, port: int, name: str, deaf: bool = False, zone: str = "x") -> None:
+        self.port, self.name, self.deaf, self.zone = port, name, deaf, zone
         self.holdings, self.epoch, self.stream, self.after = feed.Holdings(), "", 0, 0
         self.joined, self.joins, self.refused = False, 0, ""
         self.task = asyncio.ensure_future(self._run())
@@ -85,7 +85,8 @@
 
     async def _poll(self, client: Client) -> None:
         after = 0 if self.deaf else self.after
-        response = await client.exchange("GET", f"/v1/feed?relay={self.name}&zone=x&rate=1&epoch={self.epoch}"
+        response = await client.exchange("GET", f"/v1/feed?relay={self.name}&zone={self.zone}&rate=1"
+                                                f"&epoch={self.epoch}"
                                                 f"&stream={self.stream}&after={after}")
         if response.status != 200:
             self.joined, self.refused = False, f"{response.status} {response.body.decode()}"
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -186,3 +186,10 @@
     model.bad, model.bears = {}, {}
     model.run(400)
     assert model.plan.zones == {} and model.plan.levels == {}
+
+
+def test_a_new_holder_that_knows_nothing_of_a_zone_leaves_its_stay_alone() -> None:
+    plan = Plan(2, "b", 0, {"x": Stay(0.3, State.FAILING.value, False, 0, 10 * SECOND)})
+    verdict = Verdict({z: State.WELL for z in "xyz"}, Trouble.NONE, {})
+    for known in ({}, {"y": Zone({"read": 1.0}, 5.0)}):
+        assert next_plan(plan, verdict, known, CLASSES, {"x": 0}, 10**9, RULES) is None
