Ejections hold group turns up only where tables are dealt

At fault: 'eject' among what holds turns up in Publisher.on_due; where answers come spoilt or late an ejection waits for room, and no weights went meanwhile.

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -78,7 +78,6 @@
             self.born = entry.started if entry.started > 0 else -self.cold_time
             self.reset()  # also a restart that was never listed as gone: cold, under its old weight
         self.tell()
-
     def on_heard(self, e: i.Heard) -> None:
         self.tries, self.bad = self.tries + e.tries, self.bad + e.bad
         self.elapsed, self.fresh = self.elapsed + e.elapsed * (e.tries - e.bad), e.load or self.fresh
@@ -238,7 +237,7 @@
         self.replan()
     def on_judge(self) -> None:
         self.period = int(max(self.stated, median([s.period for s in self.states.values() if s.open] or [0])))
-        self.put("publisher", "pace", self.period)
+        self.put("publisher", "pace", self.period, self.most < len(self.known))
         # By what came: guessed in equal parts at joining, the cheap class was cut to nothing for the others.
         mix, self.came = self.came, [self.RECENT * x for x in self.came]
         live = [s for n, s in self.states.items() if s.open and n not in self.unnamed]
@@ -261,7 +260,6 @@
                  [s.elapsed / (s.tries - s.bad) / self.goal / self.LATE for s in some if s.tries > s.bad])
         # Few speak for none: the first server heard, a slow one, made a fresh governor refuse half of all.
         return max(sorted(x)[len(x) // 2] if 2 * len(x) > len(some) else 0.0 for x in signs)
-
     def on_step(self) -> None:  # when every group holds the last weights
         live = {n: s for n, s in self.states.items() if s.open}
         known = {n: s for n, s in live.items() if s.heard}
@@ -425,7 +423,7 @@
         self.jobs, self.shut, self.differs = dict[int, str](), dict[int, str](), [False] * len(homes)
         self.mark = self.stepped = self.level_lines = self.round = 0
         self.waiting, self.booked, self.sets, self.named = 0.0, 0.0, sets, [Named()] * len(homes)
-        self.holds, self.grace, self.sizes = set[int](), grace, [0] * len(homes)
+        self.holds, self.grace, self.sizes, self.dealt = set[int](), grace, [0] * len(homes), False
         self.bound, self.turns = [dict[int, None]() for _ in homes], [-period] * len(homes)  # last turns
         self.pulse, self.must_ask = max(period // len(homes), 20_000), must_ask  # a turn a group and period
         self.limit, self.homes, self.next_period = limit or 1e9, homes, mail.now + period
@@ -479,7 +477,7 @@
     def holders(self, n: int) -> list[int]:  # a withdrawal concerns those alone whose tables name it
         return [p for named, some in zip(self.named, self.bound, strict=True) if any(n in x for x in named)
                 for p in some]
-    def on_pace(self, period: int) -> None: self.period = period
+    def on_pace(self, period: int, dealt: bool) -> None: self.period, self.dealt = period, dealt
     def on_levels(self, orders: list[i.Order]) -> None: self.levels = orders
     def on_write(self, orders: list[i.Order], proxies: list[int], lines: int, news: int = 0) -> None:
         self.orders += orders  # a line new to it lets a proxy back that others may have shut out from there
@@ -540,7 +538,9 @@
             self.put("pool", "period")
         # While a withdrawal waits, another message would count as sent knowing of the restart.
         ready = [g for g, yes in enumerate(self.differs) if yes]
-        waits = {"drain", "gone", *["eject"] * (self.mail.now >= self.round)} & set(self.jobs.values())
+        # For ejections where tables are dealt: the channel is too narrow for both; elsewhere weights starved.
+        first = {"drain", "gone", *["eject"] * (self.dealt and self.mail.now >= self.round)}
+        waits = first & set(self.jobs.values())
         # Each group once a period, by how long it waits and how few of its lines are open: by number, with a
         # channel that brings a quarter of them a period, the last had no turn, and one a single cold server.
         wait = {g: (self.mail.now - self.turns[g]) / self.period for g in ready}
