A proxy at its message cap holds up its own group alone; parts of nothing keep lines

Seen on reading the change again, each with a test that fails without its mend. Pool.on_plan divided by the weights of a zone whose servers are all cold and have a part of 0 by the agreed ceilings: the module ended, and its governor (a probe did it). Publisher.on_due chose one group by how long it waits and gave nobody a turn where one of its proxies may have no more messages: a server listed then reached none of the others within two seconds. The condition landed last, that ejections hold turns up only where tables are dealt, had no test: now it has, an ejection that waits for one proxy at its cap.

--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -71,7 +71,6 @@
         if self.entry:
             self.open = self.entry.phase is i.Phase.READY and not self.sick
             self.put("pool", "state", self.index, State(*(getattr(self, f) for f in State._fields)))
-
     def on_listed(self, entry: i.Entry, weight: float) -> None:
         old, self.entry, self.weight = self.entry, entry, self.weight if self.entry else weight
         if old is None or entry.started > old.started:
@@ -220,7 +219,6 @@
                 len(w) - sum(w.values()) + 1 <= self.PANIC * len(w) for w in self.choices(s.entry)):
             self.states[index] = s._replace(open=None)  # at once: a batch's must not each pass as the first
             self.put(("replica", index), "eject")
-
     def on_joined(self, e: i.Joined) -> None:
         self.rates[e.proxy] = (e.zone, [e.rate / len(self.classes)] * len(self.classes))
     def on_left(self, e: i.Left) -> None: self.rates.pop(e.proxy, None)
@@ -304,7 +302,7 @@
             self.put("publisher", "lift", n)
     def on_plan(self) -> None:  # the zone layer: traffic stays while its zone's weights carry it
         # Those that wait are no room yet: counted, a zone's first ones back would get what it keeps for all.
-        ready = {n: (s.entry, s.weight * s.ramp * self.parts.get(n, 1.0))
+        ready = {n: (s.entry, s.weight * s.ramp * max(1e-3, self.parts.get(n, 1.0)))  # of nothing no shares
                  for n, s in self.states.items() if s.open}
         live = {n: x for n, x in ready.items() if n not in self.held and n not in self.opening}
         zones, sets, whole = range(self.zones), range(len(self.sets)), sum(w for _, w in live.values()) or 1.0
@@ -544,12 +542,14 @@
         # Each group once a period, by how long it waits and how few of its lines are open: by number, with a
         # channel that brings a quarter of them a period, the last had no turn, and one a single cold server.
         wait = {g: (self.mail.now - self.turns[g]) / self.period for g in ready}
-        if due := [g for g in ready if wait[g] >= 1 and not waits]:
-            group = max(due, key=lambda g: (wait[g] / self.open(g), -g))
+        due = [g for g in ready if wait[g] >= 1 and not waits]
+        for group in sorted(due, key=lambda g: (-wait[g] / self.open(g), g)):
             if (room := self.room(list(self.bound[group]), self.HALF, 0)) >= len(self.bound[group]):
                 self.turns[group] = self.mail.now
                 self.put(("group", group), "turn", room, int(wait[group]))
-        elif not ready and not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
+            if room > -1e8:
+                break  # it waits for the queue; one whose proxies may have no message yet held up all others
+        if not ready and not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
             self.stepped = self.mail.now
             self.put("pool", "step")
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -498,3 +498,35 @@
             world.run(2, {k: (6, k == n % 9, load) for k in range(9)})
         traces.append(world.log)
     assert traces[0] == traces[1] == traces[2] and len(traces[0]) > 300
+
+
+def test_parts_of_nothing_for_a_zone_that_is_all_cold_leave_it_lines_to_pick() -> None:
+    """The table's shares were of a sum of weights, which was nothing: the module ended, and its governor."""
+    world = running()
+    world.run(5, {n: CALM for n in range(9)})
+    back = [entry(n, started=world.now) for n in (0, 3, 6)]
+    world.step(change(*back), i.Ceilings((), tuple((n, 0.0) for n in (0, 3, 6))))
+    world.run(12, {n: CALM for n in range(9)})
+    assert world.open(world.bound[0][2]).keys() == {0, 3, 6}  # a class that stays local
+
+
+def late_line(report: dict[int, tuple[int, int, i.Load | None]]) -> tuple[World, set[int]]:
+    """Proxy 0 may have no more messages but for drains while weights move, then a server comes: the other
+    proxies whose tables name it within two seconds."""
+    world = running()
+    world.run(5, {n: CALM for n in range(9)})
+    world.module.publisher.times[0].extend([world.now] * 12)
+    world.run(6, {n: CALM for n in range(9)} | report)
+    world.step(change(entry(9)))
+    world.run(2)
+    return world, {p for p in (1, 2, 3) if any(9 in world.open(t) for t in world.bound[p].values())}
+
+
+def test_a_proxy_that_may_have_no_more_messages_holds_up_its_own_group_alone() -> None:
+    """Turns by wait gave the group first in line none, and so nobody."""
+    assert late_line({1: (6, 0, i.Load(1.0, 12.0))})[1] == {1, 2, 3}
+
+
+def test_an_ejection_that_waits_for_one_proxy_does_not_stop_the_weights_of_the_others() -> None:
+    world, told = late_line({0: (6, 6, None)})
+    assert told == {1, 2, 3} and world.module.publisher.jobs == {0: "eject"}
