--- a/gradehoist/net/client.py
+++ b/gradehoist/net/client.py
@@ -24,10 +24,40 @@
     """No answer by the deadline; the request may have been acted on."""
 
 
+SAFE = ("GET", "HEAD")  # methods that take no effect (RFC 9110, 9.2.1)
+
+
 class _Link:
     def __init__(self, stream: IOStream, limits: http.Limits) -> None:
         self.stream, self.parser = stream, http.Parser(http.Role.CLIENT, limits)
-        self.used = 0.0
+        self.used = 0.0  # when it was last used; 0: never
+        self.heard = False  # of the exchange under way: whether any byte of an answer came
+        self._next: asyncio.Future[bytes] | None = None
+
+    def rest(self) -> None:
+        """Reads on while it is kept: what comes unasked shows, the end too. Raises StreamClosedError."""
+        self._next = asyncio.ensure_future(self.stream.read_bytes(1 << 18, partial=True))
+
+    @property
+    def quiet(self) -> bool:
+        """Open, and nothing has come on it since the last answer: that would pass for the next one's."""
+        if self.stream.closed() or self._next is None or self._next.done():
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def read(self) -> asyncio.Future[bytes]:
+        """Raises StreamClosedError."""
+        if self._next is None:
+            self.rest()
+        reading, self._next = self._next, None
+        assert reading is not None
+        return reading
 
 
 class Client:
@@ -40,10 +70,10 @@
         self._free: list[_Link] = []
         self._open = set[_Link]()
 
-    async def _link(self, clock: float) -> _Link:
-        while self._free:
+    async def _link(self, clock: float, fresh: bool) -> _Link:
+        while self._free and not fresh:
             link = self._free.pop()
-            if not link.stream.closed() and clock - link.used < self._idle:
+            if link.quiet and clock - link.used < self._idle:
                 return link
             self._drop(link)
         try:
@@ -69,18 +99,34 @@
 
     async def exchange(self, method: str, target: str, body: bytes = b"", headers: http.Headers = (),
                        timeout: float = 5.0) -> http.Response:
-        """Raises Unreachable, Broken or TimedOut. A cancelled exchange closes its connection."""
+        """Raises Unreachable, Broken or TimedOut. A cancelled exchange closes its connection.
+
+        Where a kept connection turns out closed as it is used again, a request that can take no effect is
+        asked anew on a fresh one; of others nobody knows whether they did."""
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout
-        link = await self._link(loop.time())
-        kept = False
+        link = await self._link(loop.time(), False)
+        if link.used:
+            try:
+                return await self._on(link, method, target, body, headers, timeout, end)
+            except Broken:
+                if method not in SAFE or link.heard:
+                    raise
+            link = await self._link(loop.time(), True)
+        return await self._on(link, method, target, body, headers, timeout, end)
+
+    async def _on(self, link: _Link, method: str, target: str, body: bytes, headers: http.Headers,
+                  timeout: float, end: float) -> http.Response:
+        loop = asyncio.get_running_loop()
+        kept = link.heard = False
         try:
             link.parser.asked(method)
             link.stream.write(http.request(method, target, f"{self.host}:{self.port}", body, headers))
             while True:
                 data = await gen.with_timeout(
-                    timedelta(seconds=max(0.0, end - loop.time())),
-                    link.stream.read_bytes(1 << 18, partial=True), quiet_exceptions=(StreamClosedError,))
+                    timedelta(seconds=max(0.0, end - loop.time())), link.read(),
+                    quiet_exceptions=(StreamClosedError,))
+                link.heard = True
                 for event in link.parser.receive(data):
                     if isinstance(event, http.Response) and event.status >= 200:
                         kept = event.keep_alive and link.parser.between
@@ -95,10 +141,14 @@
         except http.ProtocolError as fault:
             raise Broken(f"{self.host}:{self.port}: {fault.reason}") from None
         finally:
-            if kept:
-                link.used = loop.time()
-                self._free.append(link)
-            else:
+            try:
+                if kept:
+                    link.rest()
+                    link.used = loop.time()
+                    self._free.append(link)
+            except StreamClosedError:
+                kept = False
+            if not kept:
                 self._drop(link)
 
     @staticmethod
--- a/gradehoist/net/server.py
+++ b/gradehoist/net/server.py
@@ -108,11 +108,11 @@
         clock = asyncio.get_running_loop().time
         while True:
             wait = self._patience.idle if not begun else max(0.0, begun + self._patience.message - clock())
+            reading = asyncio.ensure_future(stream.read_bytes(65_536, partial=True))
+            at_once = reading.done()
             try:
-                data = await gen.with_timeout(
-                    timedelta(seconds=wait), stream.read_bytes(65_536, partial=True),
-                    quiet_exceptions=(StreamClosedError,),
-                )
+                data = await gen.with_timeout(timedelta(seconds=wait), reading,
+                                              quiet_exceptions=(StreamClosedError,))
             except TimeoutError:
                 if begun:
                     await self._write(stream, self._refuse(408, "the request took too long to come"))
@@ -143,6 +143,8 @@
                     break
             if parser.between:
                 begun = 0.0
+            if at_once:  # nothing here has waited: one peer with always more to ask held up the whole loop
+                await asyncio.sleep(0)
 
     async def _write(self, stream: IOStream, data: bytes) -> None:
         try:
--- a/gradehoist/node/__main__.py
+++ b/gradehoist/node/__main__.py
@@ -2,17 +2,25 @@
 
 from __future__ import annotations
 
-import asyncio
-import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
-from gradehoist.node import config
-from gradehoist.node.service import Service
-
 
 def main() -> int:
+    # Before the imports, which take a third of a second: SIGTERM then ended the process by the signal, and
+    # SIGHUP, which only says that the file is new, as well.
+    news = list[int]()
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    signal.signal(signal.SIGHUP, lambda sign, _: news.append(sign))
+
+    import asyncio
+    import gc
+
+    from gradehoist.node import config
+    from gradehoist.node.service import Service
+
     path = os.environ.get("ROUTER_CONFIG", "")
     if not path:
         print("ROUTER_CONFIG: not set; name the configuration file in it", file=sys.stderr)
@@ -24,7 +32,7 @@
         return 2
     service = Service(found, Path(path))
     gc.freeze()  # what is imported stays: collections then look at the new alone
-    return asyncio.run(service.run())
+    return asyncio.run(service.run(lambda: bool(news)))
 
 
 if __name__ == "__main__":
--- a/gradehoist/node/config.py
+++ b/gradehoist/node/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import zlib
 from dataclasses import dataclass
 from pathlib import Path
@@ -34,10 +35,14 @@
 
 
 def address(text: object) -> Address:
+    """No names: looking one up would hold up the loop, and the platform has none. Raises ValueError."""
     host, _, port = str(text).rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise ValueError(f"{str(text)[:60]!r} is no address; write it as HOST:PORT")
-    return host, int(port)
+    try:
+        if not port.isdecimal() or not 0 < int(port) < 65_536:
+            raise ValueError
+        return str(ipaddress.IPv4Address(host)), int(port)
+    except ValueError:
+        raise ValueError(f"{str(text)[:60]!r} is no address; write it as IPV4:PORT") from None
 
 
 def seed(text: object) -> int:
--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -71,12 +71,15 @@
 
     # What comes in
 
-    def listed(self, change: Change) -> None:
+    def listed(self, change: Change, watch: int = 0) -> None:
+        """What a watch has told; `watch` numbers it, later ones higher, and 0 tells it from none."""
         before = {m.replica: (m.phase, m.started) for m in self.held.members.values()}
-        told = self.held.take(change)
+        told = self.held.take(change, watch)
         if told is None:
             return
-        kind = i.ListKind.COMPLETE if change.complete else i.ListKind.CHANGES
+        # Of a whole list that is let pass, drains alone are told: what it lacks has not gone.
+        whole = change.complete and change.revision == self.held.revision
+        kind = i.ListKind.COMPLETE if whole else i.ListKind.CHANGES
         self.events.append(i.Listed(kind, self._entries(told)))
         for m in told:
             if before.get(m.replica) != (m.phase, m.started):
--- a/gradehoist/node/discovery.py
+++ b/gradehoist/node/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -16,7 +16,11 @@
 
 
 class Lost(Exception):
-    """The watch is of no further use: a new one is due."""
+    """The watch is of no further use: a new one is due. `found`: what it had told before that."""
+
+    def __init__(self, why: str, found: Sequence[Change] = ()) -> None:
+        super().__init__(why)
+        self.found = tuple(found)
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,25 +103,24 @@
                 case http.Opened(200):
                     self.opened = True
                 case http.Piece(data):
-                    found += self._piece(data)
+                    self._piece(data, found)
                 case http.Opened(status) | http.Response(status):
-                    raise Lost(f"status {status}, or the answer ended")
+                    raise Lost(f"status {status}, or the answer ended", found)
         return found
 
-    def _piece(self, data: bytes) -> list[Change]:
+    def _piece(self, data: bytes, found: list[Change]) -> None:
         *lines, rest = data.split(b"\n")
-        found = []
         for line in lines:
             whole, self._line = bytes(self._line) + line, bytearray()
             if whole.strip():
                 try:
                     found.append(changes(msgspec.json.decode(whole)))
                 except (msgspec.DecodeError, ValueError) as fault:
-                    raise Lost(f"a line that is no list: {fault}") from None
+                    # A drain before the spoilt line was lost with it, until the next watch had told it again.
+                    raise Lost(f"a line that is no list: {fault}", found) from None
         self._line += rest
         if len(self._line) > LINE:
-            raise Lost(f"a line of over {LINE} bytes")
-        return found
+            raise Lost(f"a line of over {LINE} bytes", found)
 
 
 class Held:
@@ -126,13 +129,24 @@
     def __init__(self) -> None:
         self.revision = 0
         self.members: dict[str, Member] = {}
+        self._watches: dict[int, int] = {}  # the open ones that have spoken, and the last revision of each
+        self._behind = set[int]()  # those of them whose whole list was let pass
 
-    def take(self, change: Change) -> list[Member] | None:
+    def take(self, change: Change, watch: int = 0) -> list[Member] | None:
         """The entries to be told, complete in every field but the address; None where nothing is new.
 
         A change that comes twice, over two watches, is let pass but for its drains and exits: no order of
-        arrival may undo one or hide one."""
-        old = not change.complete and change.revision <= self.revision
+        arrival may undo one or hide one. So is a whole list that is older than what another open watch told:
+        the one that brings it is behind. Where no other is open, discovery began anew, and it is taken."""
+        ahead = max((r for w, r in self._watches.items() if w != watch), default=change.revision)
+        old = change.revision < min(ahead, self.revision) if change.complete else (
+            change.revision <= self.revision)
+        if watch:
+            self._watches[watch] = change.revision
+            if change.complete and old:
+                self._behind.add(watch)
+            elif change.complete or change.revision >= self.revision:
+                self._behind.discard(watch)
         told = []
         for m in change.members:
             known = self.members.get(m.replica)
@@ -143,7 +157,7 @@
                 told.append(full)
         if not old:
             self.revision = change.revision
-        if change.complete:
+        if change.complete and not old:
             self.members = {m.replica: m for m in told if m.phase != "left"}
             return told
         if old and not told:
@@ -155,6 +169,13 @@
                 self.members[m.replica] = m
         return told
 
+    def ended(self, watch: int) -> list[int]:
+        """A watch has ended. Those whose whole list was let pass for it, and that have not come up with what
+        is held, are to be opened anew: what they say first is taken then, wherever it stands."""
+        self._watches.pop(watch, None)
+        self._behind.discard(watch)
+        return [] if any(r >= self.revision for r in self._watches.values()) else sorted(self._behind)
+
     @staticmethod
     def _fill(m: Member, known: Member | None) -> Member | None:
         """What can't be read stays as it was known; an entry of no known place is left out."""
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import errno
 import os
 import resource
 import signal
@@ -10,7 +12,8 @@
 import sys
 import time
 import traceback
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -39,6 +42,9 @@
 READY = 0.7  # seconds that the first answer waits for discovery's first word
 PROBE = 1.0  # seconds for a probe
 PROBES = 4  # at once
+TURN = 16_384  # bytes taken from one peer before all others have their turn: a flood of them takes 3 ms
+HELD = 5.0, 0.05  # seconds in which an address that another process still holds is tried, and between tries
+AGAIN = 10, 0.2  # readings of a wrong file after SIGHUP, and seconds between: it may be half written
 
 
 class Peer:
@@ -46,7 +52,7 @@
 
     def __init__(self, stream: IOStream, since: float) -> None:
         self.stream, self.since, self.door = stream, since, lines.Door()
-        self.collector = self.asked = False  # asked: for a sign of life
+        self.collector, self.asked = False, 0  # asked: for signs of life before there was one
         self.proxy, self.number = -1, 0  # of a proxy's stream
 
     @property
@@ -68,8 +74,12 @@
         self._by_proxy: dict[int, Peer] = {}
         self._tasks = set[asyncio.Task[None]]()
         self._watching: asyncio.Task[None] | None = None  # the one that watches where discovery is now
+        self._watches_opened = 0
+        self._open_watches: dict[int, IOStream] = {}
+        self._again: asyncio.TimerHandle | None = None  # a further reading of the configuration
         self._step_at: float | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._listener = Listener(self._accepted)
         self._probing = asyncio.Semaphore(PROBES)
         self._ended = asyncio.Event()
         self._spoken = asyncio.Event()  # discovery has said something
@@ -81,28 +91,54 @@
     def now(self) -> int:
         return (time.monotonic_ns() + self._epoch) // 1_000
 
-    async def run(self) -> int:
+    async def run(self, reload: Callable[[], bool] = lambda: False) -> int:
+        """The exit code. `reload`: whether a SIGHUP came before this one's handlers stood."""
         loop = asyncio.get_running_loop()
         for sign in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(sign, self._ended.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        try:
-            Listener(self._accepted).listen(self.conf.listen[1], self.conf.listen[0], backlog=1_024)
-        except OSError as fault:
+        if (fault := await self._listen()) is not None:
             print(f"{self._path}: listen: {fault.strerror}; free the address or change it", file=sys.stderr)
             return 2
-        self._watch()
+        if reload():
+            self._reload()
+        if self._watching is None:
+            self._watch()
         self._own(self._sweeps())
         self._own(self._readiness())
         self._step()
         await self._ended.wait()
         self.log("ends: told to" if self._fault is None else "ends: it failed")
+        self._listener.stop()
+        for timer in filter(None, (self._timer, self._again)):
+            timer.cancel()
+        for task in (tasks := list(self._tasks)):
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         self.log.close()
         if self._fault is None:
             return 0
         traceback.print_exception(self._fault)
         return 1
 
+    async def _listen(self) -> OSError | None:
+        """Waits for an address that the process before still holds: it may be ending."""
+        most, rest = HELD
+        end, waits = time.monotonic() + most, False
+        while not self._ended.is_set():
+            try:
+                self._listener.listen(self.conf.listen[1], self.conf.listen[0], backlog=1_024)
+                break
+            except OSError as fault:
+                if fault.errno != errno.EADDRINUSE or time.monotonic() > end:
+                    return fault
+                if not waits:
+                    waits = True
+                    self.log("listen: another process still has the address; waits for it")
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._ended.wait(), rest)
+        return None
+
     def _fail(self, fault: BaseException) -> None:
         """A bug of ours, the module's included: it ends the governor, and its traceback is in the log."""
         self._fault = self._fault or fault
@@ -127,9 +163,9 @@
         except TimeoutError:
             pass
         self._ready = True
-        for peer in list(self._strange):
+        for peer in list(self._peers):  # those that have joined meanwhile among them
             if peer.asked:
-                self._say(peer, lines.ALIVE)
+                self._say(peer, lines.ALIVE * peer.asked)
 
     # Connections
 
@@ -148,10 +184,18 @@
     async def _connected(self, peer: Peer) -> None:
         try:
             while True:
-                data = await peer.stream.read_bytes(65_536, partial=True)
-                self._received(peer, data)
-                if peer.stream.closed():
+                reading = asyncio.ensure_future(peer.stream.read_bytes(TURN, partial=True))
+                at_once = reading.done()
+                data = await reading
+                if peer not in self._peers:
+                    # Turned away or replaced since the read was done: its hello would have ended the stream
+                    # that its proxy has now.
                     return
+                self._received(peer, data)
+                if at_once:
+                    # Awaiting what is there already lets nobody else run: one peer that always had more to
+                    # say held up everyone's drains, and SIGTERM.
+                    await asyncio.sleep(0)
         except (StreamClosedError, ConnectionError):
             pass
         except lines.Unreadable as fault:
@@ -162,19 +206,22 @@
     def _received(self, peer: Peer, data: bytes) -> None:
         if peer.proxy >= 0:
             self.core.heard(self.now(), peer.proxy, peer.number)
-        for message in peer.door.receive(data):
-            self._take(peer, message)
+        try:
+            for message in peer.door.receive(data):
+                self._take(peer, message)
+        finally:  # what was good counts at once, whatever came behind it
+            if self.core.events:
+                self._soon()
         if peer.door.fault:
             raise lines.Unreadable(peer.door.fault)
-        if self.core.events:
-            self._soon()
 
     def _take(self, peer: Peer, message: lines.Message) -> None:
         match message:
             case lines.Probe():
                 if self._ready:
                     self._say(peer, lines.ALIVE)
-                peer.asked = True
+                else:
+                    peer.asked += 1
             case lines.Agent(zone) if not peer.joined:
                 if zone not in self.core.names.zones:
                     raise lines.Unreadable(f"no zone {zone}")
@@ -209,7 +256,7 @@
         self._by_proxy[hello.proxy] = peer
         self._known(peer)
         if old is not None:
-            old.stream.close()
+            self._gone(old)  # nothing that it said counts from here on
 
     def _say(self, peer: Peer, data: bytes) -> bool:
         try:
@@ -274,6 +321,8 @@
     # The module
 
     def _soon(self, wait: float = STEP) -> None:
+        if self._ended.is_set():
+            return
         at = asyncio.get_running_loop().time() + wait
         if self._step_at is None or at < self._step_at - 1e-4:
             if self._timer is not None:
@@ -320,45 +369,68 @@
 
     async def _one_watch(self, address: config.Address) -> tuple[str, bool]:
         """Why it ended, and whether it ever said anything."""
-        watch = discovery.Watch()
+        watch, loop = discovery.Watch(), asyncio.get_running_loop()
+        self._watches_opened += 1
+        number = self._watches_opened
         try:
             own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as fault:
             return f"{fault.strerror}", False
-        stream = IOStream(own, max_buffer_size=2 * discovery.LINE)
+        self._open_watches[number] = stream = IOStream(own, max_buffer_size=2 * discovery.LINE)
         try:
             await gen.with_timeout(timedelta(seconds=CONNECT), stream.connect(address),
                                    quiet_exceptions=(StreamClosedError, OSError))
             stream.write(watch.request(f"{address[0]}:{address[1]}", self.core.held.revision))
+            asked = loop.time()
             while True:
-                data = await gen.with_timeout(
-                    timedelta(seconds=SILENT), stream.read_bytes(1 << 18, partial=True),
-                    quiet_exceptions=(StreamClosedError,))
-                for change in watch.receive(data):
-                    self.core.listed(change)
+                reading = asyncio.ensure_future(stream.read_bytes(1 << 18, partial=True))
+                at_once = reading.done()
+                data = await gen.with_timeout(timedelta(seconds=SILENT), reading,
+                                              quiet_exceptions=(StreamClosedError,))
+                try:
+                    found, lost = watch.receive(data), None
+                except discovery.Lost as fault:
+                    found, lost = list(fault.found), str(fault)
+                for change in found:
+                    self.core.listed(change, number)
                 if watch.opened:
                     self._spoken.set()
                 if self.core.events:
                     self._soon(0.0)  # a drain waits for nothing
+                if lost is not None:
+                    return lost, watch.opened
+                if not watch.opened and loop.time() > asked + SILENT:
+                    return "no watch", False  # bytes, but no answer of the kind: it went on so for good
+                if at_once:
+                    await asyncio.sleep(0)  # as for peers
         except TimeoutError:
             return "silent", watch.opened
         except (StreamClosedError, OSError):
             return "closed", watch.opened
-        except discovery.Lost as fault:
-            return str(fault), watch.opened
         finally:
             stream.close()
-
-    def _reload(self) -> None:
-        """SIGHUP: discovery may have moved. What is wrong with the file leaves all as it is."""
+            del self._open_watches[number]
+            for behind in self.core.held.ended(number):
+                self._open_watches[behind].close()
+
+    def _reload(self, left: int = AGAIN[0]) -> None:
+        """SIGHUP: discovery may have moved. What is wrong with the file leaves all as it is; as it may have
+        been caught half written, and nobody need send the signal twice, it is read again for a while."""
+        if self._again is not None:
+            self._again.cancel()
+            self._again = None
         try:
             found = config.load(self._path)
         except config.Faulty as fault:
-            self.log(f"reload: {fault}; the old configuration stays")
+            if left in (0, AGAIN[0]):
+                self.log(f"reload: {fault}; the old configuration stays")
+            if left:
+                self._again = asyncio.get_running_loop().call_later(AGAIN[1], self._reload, left - 1)
             return
         if any(getattr(found, f) != getattr(self.conf, f) for f in ("listen", "sockets", "settings")):
             self.log("reload: listen, limits and settings can't change while running; they stay")
-        moved, self.conf = found.discovery != self.conf.discovery, found
+        moved = found.discovery != self.conf.discovery
+        self.conf = replace(self.conf, discovery=found.discovery)
         self.log(f"reload: discovery at {found.discovery[0]}:{found.discovery[1]}")
         if moved:
             self._watch()  # the old watch goes on until it ends
@@ -380,5 +452,8 @@
                 load = i.Load(report.busy, report.in_flight, report.service_ms) if report else None
         except ValueError as fault:  # no address, or a body that is no report
             self.log(f"probe of {name}: {fault}")
-        self.core.probed(replica, outcome, self.now() - began, load)
-        self._soon()
+        now = self.core.held.members.get(name)
+        if (now and (now.address, now.started)) == (member and (member.address, member.started)):
+            self.core.probed(replica, outcome, self.now() - began, load)
+            self._soon()
+        # Else the answer is that of an earlier life, or of who had its address: it says nothing of this one.
--- a/gradehoist/protocol/lines.py
+++ b/gradehoist/protocol/lines.py
@@ -200,7 +200,7 @@
                 line = bytes(self._buffer[at:end - 1])
                 at = end + 1
                 found.append(read(line))
-            self._partial(at)
+            self._partial(at, self.known or any(isinstance(m, Agent | Hello) for m in found))
         except Unreadable as fault:
             self._fault = str(fault)
             self._buffer.clear()
@@ -216,10 +216,10 @@
         """Why nothing more can be read, or empty."""
         return self._fault
 
-    def _partial(self, at: int) -> None:
+    def _partial(self, at: int, known: bool) -> None:
         """What is no beginning of a message is refused at once, not only at the end of its line."""
         size = len(self._buffer) - at
-        if size > (MOST if self.known else FIRST):
+        if size > (MOST if known else FIRST):
             raise Unreadable(f"a message of over {size} bytes")
         head = bytes(self._buffer[at:at + 10]).split(b" ", 1)
         whole = len(head) > 1 or size > 9
--- /dev/null
+++ b/tests/shell_site.py
@@ -0,0 +1,164 @@
+"""The node's real shell on loopback sockets in the test's own loop, and places where a test may step in."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from tornado.iostream import IOStream
+
+from gradehoist.node import config
+from gradehoist.node.log import Log
+from gradehoist.node.service import Peer, Service
+from gradehoist.standin.platform import LOCAL, PATIENCE, Node, entry
+from tests.node_site import SETTINGS
+
+MEMBERS = [entry(f"s-{n}", locality="ab"[n % 2]) for n in range(4)]
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+async def until(what: Callable[[], Any], seconds: float = PATIENCE) -> None:
+    async with asyncio.timeout(seconds):
+        while not what():
+            await asyncio.sleep(0.005)
+
+
+def whole(revision: int, *members: dict[str, Any], complete: bool = True) -> bytes:
+    """One line of discovery, as a chunk."""
+    line = msgspec.json.encode({"revision": revision, "complete": complete, "members": list(members)}) + b"\n"
+    return b"%x\r\n%s\r\n" % (len(line), line)
+
+
+class Script:
+    """A discovery that says on each watch what the test writes, and nothing else."""
+
+    def __init__(self, port: int) -> None:
+        self.port, self.watches, self.asked = port, list[asyncio.StreamWriter](), list[str]()
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, LOCAL, self.port)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            self.asked.append((await reader.readuntil(b"\r\n\r\n")).decode().split(" ")[1])
+            self.watches.append(writer)
+            await reader.read()
+        writer.close()
+
+    async def watch(self, number: int) -> asyncio.StreamWriter:
+        """The so-manieth watch, once it is open."""
+        await until(lambda: len(self.watches) > number)
+        return self.watches[number]
+
+
+class Wire:
+    """A blocking socket at the governor's address: what it sends is there before the loop goes on."""
+
+    def __init__(self, port: int, buffer: int = 0) -> None:
+        self.sock = socket.socket()
+        if buffer:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+        self.sock.connect((LOCAL, port))
+        self.address, self.text = self.sock.getsockname(), b""
+
+    def say(self, *lines: str) -> None:
+        self.sock.sendall("".join(line + "\r\n" for line in lines).encode())
+
+    def hello(self, proxy: int = 0, new: int = 1) -> None:
+        self.say(f"hello id={proxy} site=a rps=5 new={new}")
+
+    @property
+    def ended(self) -> bool:
+        """Takes what there is; whether the other side has closed."""
+        self.sock.setblocking(False)
+        try:
+            while data := self.sock.recv(1 << 16):
+                self.text += data
+            return True
+        except BlockingIOError:
+            return False
+        except ConnectionError:
+            return True
+
+
+class Crossing(IOStream):
+    """`meet` runs once, between a read that is done and who awaits it."""
+
+    meet: Callable[[Crossing, bytes], bool] | None = None  # False: this was not the one
+
+    def read_bytes(self, num_bytes: int, partial: bool = False) -> Any:
+        inner = super().read_bytes(num_bytes, partial=partial)
+
+        async def handed() -> bytes:
+            data = await inner
+            if Crossing.meet is not None and Crossing.meet(self, data):
+                Crossing.meet = None
+            return data
+
+        task = asyncio.ensure_future(handed())
+        # Its fault is looked at here too: one that is cancelled at the end has nobody else who asks.
+        task.add_done_callback(lambda done: None if done.cancelled() else done.exception())
+        return task
+
+
+class Told(Log):
+    """Keeps the lines for the test."""
+
+    def __init__(self, lines: list[str]) -> None:
+        self.lines = lines
+
+    def __call__(self, text: str) -> None:
+        self.lines.append(text)
+
+    def close(self) -> None:
+        pass
+
+
+class Shell:
+    def __init__(self, folder: Path, settings: dict[str, Any]) -> None:
+        self.node = Node(folder, settings, MEMBERS)
+        self.node.configure(0)
+        self.port, self.path = self.node.port, self.node.path
+        self.scripts = [Script(place.port) for place in self.node.discoveries]
+        self.service = Service(config.load(self.path), self.path)
+        self.told = list[str]()
+        self.service.log = Told(self.told)
+
+    def peer(self, wire: Wire) -> Peer:
+        return next(p for p in self.service._peers if p.stream.socket.getpeername() == wire.address)
+
+    async def met(self, wire: Wire) -> Peer:
+        await until(lambda: any(p.stream.socket.getpeername() == wire.address for p in self.service._peers))
+        return self.peer(wire)
+
+    def heard(self, text: str) -> bool:
+        return any(text in line for line in self.told)
+
+
+@contextlib.asynccontextmanager
+async def shell(folder: Path, settings: dict[str, Any] = SETTINGS, spoken: bool = True
+                ) -> AsyncIterator[Shell]:
+    """A governor that is alive; `spoken`: discovery has told its list."""
+    found = Shell(folder, settings)
+    for script in found.scripts:
+        await script.start()
+    running = asyncio.ensure_future(found.service.run())
+    try:
+        await until(lambda: found.service._watching is not None)  # it listens
+        if spoken:
+            (await found.scripts[0].watch(0)).write(CHUNKED + whole(1, *MEMBERS))
+            await until(lambda: found.service._ready)
+        yield found
+        assert not running.done(), "it has ended by itself"
+    finally:
+        Crossing.meet = None
+        found.service._ended.set()
+        assert await asyncio.wait_for(running, PATIENCE) == 0
+        assert not found.service._tasks, "no task is left behind"
+        for script in found.scripts:
+            script.server.close()
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,644 @@
+"""What comes between two lines: each crossing of `docs/hardening-review.md` forced on the real shell."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gradehoist import interface as i
+from gradehoist.governor import probes
+from gradehoist.net.client import Broken, Client
+from gradehoist.net.server import Answer, Connection, Server
+from gradehoist.node import config
+from gradehoist.node import service as node_service
+from gradehoist.node.core import Core
+from gradehoist.node.discovery import changes
+from gradehoist.protocol import http, lines
+from gradehoist.settings import platform
+from gradehoist.standin.platform import LOCAL, PATIENCE, Node, Proxy, entry, free_ports
+from tests.node_site import SETTINGS
+from tests.shell_site import CHUNKED, MEMBERS, Crossing, Shell, Wire, shell, until, whole
+
+ROOT = Path(__file__).parent.parent
+SUM = "outcomes site=a target=s-0 count=9 fail=9 mean=0"
+
+
+@pytest.fixture
+def crossing(monkeypatch: pytest.MonkeyPatch) -> Iterator[type[Crossing]]:
+    monkeypatch.setattr(node_service, "IOStream", Crossing)
+    yield Crossing
+    Crossing.meet = None
+
+
+def play(folder: Path, work: Callable[[Shell], Any], settings: dict[str, Any] = SETTINGS,
+         spoken: bool = True) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(2 * PATIENCE), shell(folder, settings, spoken) as found:
+            await work(found)
+
+    asyncio.run(run())
+
+
+async def bound(found: Shell, proxy: int = 0) -> Wire:
+    """A proxy that has its first table."""
+    wire = Wire(found.port)
+    wire.hello(proxy)
+    await until(lambda: not wire.ended and b"whole=1" in wire.text)
+    return wire
+
+
+async def drained(found: Shell, wire: Wire, replica: str = "s-0") -> None:
+    """A drain told now reaches this stream."""
+    locality = "ab"[int(replica[2:]) % 2]
+    found.scripts[0].watches[-1].write(whole(9, entry(replica, "leaving", locality=locality), complete=False))
+    await until(lambda: not wire.ended and f"out={replica}".encode() in wire.text)
+
+
+# Peers and streams
+
+
+def test_the_hello_of_a_peer_turned_away_as_it_was_read_ends_no_live_stream(
+        tmp_path: Path, crossing: type[Crossing]) -> None:
+    async def work(found: Shell) -> None:
+        live, late = await bound(found), Wire(found.port)
+        peer, met = await found.met(late), list[bytes]()
+
+        def turned_away(stream: Crossing, data: bytes) -> bool:
+            if stream is not peer.stream:
+                return False
+            met.append(data)
+            found.service._turn_away(peer, "it has not joined")
+            return True
+
+        Crossing.meet = turned_away
+        late.hello()
+        await until(lambda: met and late.ended)
+        await drained(found, live)
+        assert met[0].startswith(b"hello") and len(found.service.core.streams) == 1
+
+    play(tmp_path, work)
+
+
+@pytest.mark.parametrize("said", [
+    "demand id=0 lane=read count=50 fail=0 over=1000", "ack id=0 seq=1 ms=1", "\x01",
+    "hello id=0 site=a rps=1 new=1",
+])  # fmt: skip
+def test_what_a_replaced_stream_said_last_counts_no_more(
+        tmp_path: Path, crossing: type[Crossing], said: str) -> None:
+    async def work(found: Shell) -> None:
+        old, new, core = await bound(found), Wire(found.port), found.service.core
+        peer, counted = await found.met(old), list[Any]()
+        new_peer = await found.met(new)
+
+        def replaced(stream: Crossing, data: bytes) -> bool:
+            if stream is not peer.stream:
+                return False
+            found.service._hello(new_peer, lines.Hello(0, "a", 5.0, False))
+            core.demanded = core.acked = lambda *a: counted.append(a)  # type: ignore[method-assign,assignment]
+            return True
+
+        Crossing.meet = replaced
+        old.say(said)
+        await until(lambda: Crossing.meet is None and old.ended)
+        await asyncio.sleep(0)
+        assert not counted
+        del core.demanded, core.acked
+        await until(lambda: not new.ended and b"whole=1" in new.text)
+        await drained(found, new)
+        assert core.streams[0].number == new_peer.number
+
+    play(tmp_path, work)
+
+
+def test_three_joinings_of_one_proxy_in_one_pass_leave_the_last(tmp_path: Path) -> None:
+    async def work(found: Shell) -> None:
+        wires = [Wire(found.port) for _ in range(3)]
+        for wire in wires:
+            await found.met(wire)
+        order = [found.peer(wire) for wire in wires]
+        for wire in wires:
+            wire.hello()
+        await until(lambda: sum(peer.joined for peer in order) == 3)
+        last = next(w for w in wires if found.service._by_proxy[0] is order[wires.index(w)])
+        await until(lambda: not last.ended and b"whole=1" in last.text)
+        await drained(found, last)
+        assert sum(wire.ended for wire in wires) == 2 and len(found.service.core.streams) == 1
+
+    play(tmp_path, work)
+
+
+def test_good_sums_before_what_cannot_be_read_count_at_once(tmp_path: Path) -> None:
+    async def work(found: Shell) -> None:
+        due, loop = list[float | None](), asyncio.get_running_loop()
+        refuse = found.service._refuse
+
+        def refused(peer: Any, why: str) -> None:
+            due.append(None if found.service._step_at is None else found.service._step_at - loop.time())
+            refuse(peer, why)
+
+        found.service._refuse = refused  # type: ignore[method-assign]
+        wire = Wire(found.port)
+        wire.say("agent site=a", f"{SUM} over=1000", "GET / HTTP/1.1")
+        await until(lambda: due)
+        assert due[0] is not None and due[0] <= node_service.STEP
+
+    play(tmp_path, work)
+
+
+def test_a_long_message_right_behind_a_joining_is_no_stranger_s(tmp_path: Path) -> None:
+    """One read brought the joining and 4 KB of the next message: it was refused as from nobody."""
+    async def work(found: Shell) -> None:
+        wire, counted = Wire(found.port), list[lines.Outcomes]()
+        peer = await found.met(wire)
+        found.service.core.met = counted.append  # type: ignore[method-assign,assignment]
+        line = f"{SUM} over=1000 util={','.join(f'figure{n}:1' for n in range(2_000))}\r\n"
+        wire.sock.sendall(b"agent site=a\r\n" + line[:9_000].encode())
+        await until(lambda: peer.joined or wire.ended)
+        wire.sock.sendall(line[9_000:].encode())
+        await until(lambda: counted)
+
+    play(tmp_path, work)
+
+
+def test_a_probe_on_a_stream_that_joined_before_readiness_is_answered(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_service, "READY", PATIENCE)
+
+    async def work(found: Shell) -> None:
+        wires = [Wire(found.port) for _ in range(3)]
+        for wire, first in zip(wires, ("hello id=0 site=a rps=5 new=1", "agent site=a", ""), strict=True):
+            wire.say(*filter(None, [first]), "probe", "probe")
+        gone = Wire(found.port)
+        gone.say("probe")
+        await until(lambda: sum(p.asked for p in found.service._peers) == 7)
+        gone.sock.close()
+        (await found.scripts[0].watch(0)).write(CHUNKED + whole(1, *MEMBERS))
+        for wire in wires:
+            await until(lambda w=wire: not w.ended and w.text.count(b"alive\r\n") == 2)  # type: ignore[misc]
+
+    play(tmp_path, work, spoken=False)
+
+
+def test_a_proxy_that_reads_nothing_is_given_up_at_the_limit_and_taken_back(tmp_path: Path) -> None:
+    async def work(found: Shell) -> None:
+        deaf = Wire(found.port, buffer=4_096)
+        deaf.hello()
+        peer = await found.met(deaf)
+        await until(lambda: peer.joined)
+        peer.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        while not peer.stream.closed():  # withdrawals without end
+            found.service._say(peer, b"push out=s-1\r\n" * 10_000)
+        await until(lambda: 0 not in found.service.core.streams)
+        assert found.heard("left 1048576 bytes unread")
+        await drained(found, await bound(found))
+
+    play(tmp_path, work)
+
+
+def flood(port: int, stop: threading.Event, hello: str, line: str) -> None:
+    """Writes as fast as it is read, on a thread of its own."""
+    with contextlib.suppress(OSError), socket.create_connection((LOCAL, port)) as sock:
+        sock.sendall(hello.encode())
+        sock.settimeout(0.2)
+        data = line.encode() * 2_000
+        while not stop.is_set():
+            with contextlib.suppress(TimeoutError):
+                sock.sendall(data)
+
+
+def test_a_flood_of_good_messages_holds_up_no_drain_and_no_end(tmp_path: Path) -> None:
+    async def run() -> None:
+        node = Node(tmp_path, SETTINGS, MEMBERS)
+        stop, threads = threading.Event(), list[threading.Thread]()
+        try:
+            await node.start()
+            proxy = await Proxy(node).join()
+            await proxy.until("whole=1")
+            told = node.port, stop, "agent site=a\r\n", f"{SUM} over=1000\r\n"
+            for _ in range(2):
+                threads.append(threading.Thread(target=flood, args=told))
+                threads[-1].start()
+            seen = node.log.read_text().count("holds 1 streams, 3 connections")
+            await until(lambda: node.log.read_text().count("holds 1 streams, 3 connections") > seen)
+            for n in range(3):
+                node.discoveries[0].change(entry(f"s-{n}", "leaving", locality="ab"[n % 2]))
+                async with asyncio.timeout(5):
+                    await proxy.until(f"out=s-{n}")
+            assert node.child is not None
+            node.child.send_signal(signal.SIGTERM)
+            assert await asyncio.to_thread(node.child.wait, 5) == 0
+            assert "Traceback" not in node.log.read_text()
+        finally:
+            stop.set()
+            node.kill()
+            for thread in threads:
+                thread.join()
+
+    asyncio.run(run())
+
+
+# Discovery's watch
+
+DRAIN = whole(2, entry("s-0", "leaving"), complete=False)
+
+
+@pytest.mark.parametrize("first", [
+    CHUNKED, CHUNKED + whole(1, *MEMBERS)[:-40], b"", CHUNKED + DRAIN[:30], b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n", b"HTTP/1.1 404 No\r\ncontent-length: 2\r\n\r\nno",
+    b"HTTP/1.1 301 Away\r\nlocation: /\r\ncontent-length: 0\r\n\r\n", CHUNKED + b"3\r\n{]\n\r\n",
+    b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", CHUNKED + whole(1, *MEMBERS) + b"0\r\n\r\n",
+])  # fmt: skip
+def test_a_watch_that_says_so_much_and_no_more_is_opened_anew(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: bytes) -> None:
+    monkeypatch.setattr(node_service, "SILENT", 0.3)
+
+    async def work(found: Shell) -> None:
+        script = found.scripts[0]
+        (await script.watch(0)).write(first)
+        (await script.watch(1)).write(CHUNKED + whole(1, *MEMBERS))
+        wire = await bound(found)
+        await drained(found, wire)
+
+    play(tmp_path, work, spoken=False)
+
+
+def test_a_watch_that_drips_and_never_answers_is_given_up(tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+                                                          ) -> None:
+    """An answer without a length that brought an empty line now and then passed for life and told nothing."""
+    monkeypatch.setattr(node_service, "SILENT", 0.3)
+
+    async def work(found: Shell) -> None:
+        writer = await found.scripts[0].watch(0)
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+
+        def dripped() -> bool:
+            writer.write(b"\n")
+            return len(found.scripts[0].watches) > 1
+
+        await until(dripped)
+
+    play(tmp_path, work, spoken=False)
+
+
+def test_a_drain_before_a_spoilt_line_counts_though_discovery_is_gone_then(tmp_path: Path) -> None:
+    async def work(found: Shell) -> None:
+        script = found.scripts[0]
+        wire = await bound(found)
+        script.server.close()  # nobody tells it a second time
+        script.watches[0].write(DRAIN + b"3\r\n{]\n\r\n")
+        await until(lambda: not wire.ended and b"out=s-0" in wire.text)
+
+    play(tmp_path, work)
+
+
+def test_an_older_whole_list_over_the_watch_that_was_left_undoes_no_drain(tmp_path: Path) -> None:
+    """SIGHUP as a watch was being opened anew: its list, of before, came behind the new one's."""
+    async def work(found: Shell) -> None:
+        first, second = found.scripts
+        wire = await bound(found)
+        first.watches[0].close()
+        slow = await first.watch(1)
+        found.node.configure(1)
+        os.kill(os.getpid(), signal.SIGHUP)
+        fast = await second.watch(0)
+        fast.write(CHUNKED + whole(5, entry("s-0", "leaving"), *MEMBERS[1:], entry("s-9")))
+        await until(lambda: not wire.ended and b"out=s-0" in wire.text)
+        slow.write(CHUNKED + whole(4, *MEMBERS[:3], entry("s-3", "leaving", locality="b")))
+        await until(lambda: not wire.ended and b"out=s-3" in wire.text)  # its drain counts all the same
+        held = found.service.core.held
+        assert held.members["s-0"].phase == "leaving" and "s-9" in held.members and held.revision == 5
+        assert b"back=s-0" not in wire.text
+
+    play(tmp_path, work)
+
+
+def test_a_list_that_goes_back_for_good_is_taken(tmp_path: Path) -> None:
+    """Discovery began anew behind both addresses: the new watch is opened again once the old one ended."""
+    async def work(found: Shell) -> None:
+        first, second = found.scripts
+        first.watches[0].write(whole(50, entry("s-7"), complete=False))
+        await until(lambda: "s-7" in found.service.core.held.members)
+        found.node.configure(1)
+        os.kill(os.getpid(), signal.SIGHUP)
+        (await second.watch(0)).write(CHUNKED + whole(3, *MEMBERS[:2]))
+        await until(lambda: found.service.core.held._behind)
+        first.watches[0].close()
+        (await second.watch(1)).write(CHUNKED + whole(3, *MEMBERS[:2]))
+        await until(lambda: list(found.service.core.held.members) == ["s-0", "s-1"])
+        assert found.service.core.held.revision == 3
+
+    play(tmp_path, work)
+
+
+def test_a_file_caught_half_written_is_read_again_without_a_second_signal(tmp_path: Path) -> None:
+    async def work(found: Shell) -> None:
+        found.node.configure(1)
+        data = found.path.read_bytes()
+        found.path.write_bytes(data[:100])
+        for _ in range(2):  # two in one loop pass
+            os.kill(os.getpid(), signal.SIGHUP)
+        await until(lambda: found.heard("the old configuration stays"))
+        found.path.write_bytes(data)
+        (await found.scripts[1].watch(0)).write(CHUNKED + whole(1, *MEMBERS))
+        await drained_by(found, 1)
+
+    async def drained_by(found: Shell, place: int) -> None:
+        wire = await bound(found)
+        found.scripts[place].watches[0].write(DRAIN)
+        await until(lambda: not wire.ended and b"out=s-0" in wire.text)
+
+    play(tmp_path, work)
+
+
+def test_two_watches_at_one_place_after_leaving_and_returning_end_as_one(tmp_path: Path) -> None:
+    async def work(found: Shell) -> None:
+        first, second = found.scripts
+        for place in (1, 0):
+            found.node.configure(place)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda p=place: found.heard(f"discovery at {LOCAL}:{found.scripts[p].port}"))  # type: ignore[misc]
+        again = await first.watch(1)
+        again.write(CHUNKED + whole(1, *MEMBERS))
+        first.watches[0].close()
+        await until(lambda: len(found.service._open_watches) <= 2)
+        (await second.watch(0)).close()
+        await until(lambda: len(found.service._open_watches) == 1)
+        wire = await bound(found)
+        again.write(DRAIN)
+        await until(lambda: not wire.ended and b"out=s-0" in wire.text)
+
+    play(tmp_path, work)
+
+
+# Start and end
+
+EARLY = """
+import gc, os, signal, sys
+class At:
+    def find_spec(self, name, *rest):
+        if name == "gradehoist.node.service" and {importing}:
+            os.kill(os.getpid(), signal.{sign})
+sys.meta_path.insert(0, At())
+def freeze(plain=gc.freeze):
+    plain()
+    path = os.environ["ROUTER_CONFIG"]
+    text = open(path).read()
+    with open(path, "w") as file:
+        file.write(text.replace("{old}", "{new}"))
+    os.kill(os.getpid(), signal.{sign})
+gc.freeze = freeze
+from gradehoist.node.__main__ import main
+sys.exit(main())
+"""
+
+
+@pytest.mark.parametrize("importing", [True, False])
+def test_sigterm_before_the_handlers_stand_is_a_planned_end(tmp_path: Path, importing: bool) -> None:
+    node = Node(tmp_path, SETTINGS, MEMBERS)
+    node.configure(0)
+    code = EARLY.format(sign="SIGTERM", importing=importing, old="", new="")
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, cwd=ROOT,
+                          env=os.environ | {"ROUTER_CONFIG": str(node.path)}, timeout=PATIENCE)
+    assert (done.returncode, done.stderr) == (0, b"")
+
+
+@pytest.mark.parametrize("importing", [True, False])
+def test_sighup_before_the_handlers_stand_moves_discovery(tmp_path: Path, importing: bool) -> None:
+    """It ended the process by the signal. The file is replaced after it was read."""
+    async def run() -> None:
+        node = Node(tmp_path, SETTINGS, MEMBERS)
+        first, second = node.discoveries
+        for place in node.discoveries:
+            await place.start()
+        node.configure(0)
+        code = EARLY.format(sign="SIGHUP", importing=importing, old=first.port, new=second.port)
+        with node.log.open("wb") as log:
+            node.child = subprocess.Popen([sys.executable, "-c", code], stderr=log, cwd=ROOT,
+                                          env=os.environ | {"ROUTER_CONFIG": str(node.path)})
+        child = node.child
+        try:
+            await until(lambda: second.asked or child.poll() is not None)
+            assert second.asked and not first.asked and await node.end() == 0
+        finally:
+            node.kill()
+
+    asyncio.run(run())
+
+
+def test_an_address_that_the_process_before_still_holds_is_waited_for(tmp_path: Path) -> None:
+    async def run() -> None:
+        node = Node(tmp_path, SETTINGS, MEMBERS)
+        held = socket.create_server((LOCAL, node.port))
+        starting = asyncio.ensure_future(node.start())
+        try:
+            await until(lambda: node.log.exists() and "waits for it" in node.log.read_text())
+            held.close()
+            await starting
+            assert await node.end() == 0
+        finally:
+            starting.cancel()
+            held.close()
+            node.kill()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("signs", [1, 2])
+def test_sigterm_with_streams_unread_and_joins_half_done_leaves_nothing(tmp_path: Path, signs: int) -> None:
+    async def run() -> None:
+        specifics: dict[str, Any] = SETTINGS["specifics"]  # type: ignore[assignment]
+        settings = SETTINGS | {"specifics": specifics | {"proxies": 400}}
+        node = Node(tmp_path, settings, MEMBERS, sockets=600)
+        try:
+            await node.start()
+            wires = [Wire(node.port, buffer=4_096) for _ in range(300)]
+            for n, wire in enumerate(wires):
+                if n % 3:
+                    wire.hello(n)
+                else:
+                    wire.sock.sendall(b"hello id=")
+            first = await Proxy(node, 399).join()
+            await first.until("whole=1")
+            node.discoveries[0].change(entry("s-0", "leaving"))
+            assert node.child is not None
+            for _ in range(signs):
+                node.child.send_signal(signal.SIGTERM)
+            assert await asyncio.to_thread(node.child.wait, PATIENCE) == 0
+            assert "Traceback" not in node.log.read_text() and "never retrieved" not in node.log.read_text()
+        finally:
+            node.kill()
+
+    asyncio.run(run())
+
+
+# Probes, kept connections, hand-overs
+
+
+@pytest.mark.parametrize("returned", [
+    entry("s-0", up_since_ms=1_700_000_000_000), entry("s-0", host_port=f"{LOCAL}:2"), entry("s-0", "left"),
+])  # fmt: skip
+def test_a_probe_s_answer_from_an_earlier_life_says_nothing_of_this_one(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, returned: dict[str, Any]) -> None:
+    async def work(found: Shell) -> None:
+        held, heard = asyncio.Event(), list[Any]()
+
+        async def ask(*_: Any) -> tuple[i.Outcome, None]:
+            await held.wait()
+            return i.Outcome.ANSWERED, None
+
+        monkeypatch.setattr(probes, "ask", ask)
+        core = found.service.core
+        monkeypatch.setattr(core, "probed", lambda *a: heard.append(a))
+        s0, s2 = (core.names.replicas[name] for name in ("s-0", "s-2"))
+        tasks = [found.service._own(found.service._probe(n)) for n in (s0, s2)]
+        found.scripts[0].watches[0].write(whole(2, returned, complete=False))
+        await until(lambda: core.held.revision == 2)
+        held.set()
+        await asyncio.gather(*tasks)
+        assert [a[0] for a in heard] == [s2]
+
+    play(tmp_path, work)
+
+
+def test_an_address_by_name_is_refused_and_never_looked_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Looking one up held up the loop for as long as it took."""
+    for text in ("replica.local:80", "127.0.0.1:0", "127.0.0.1:99999", ":80", "::1:80", "256.0.0.1:80"):
+        with pytest.raises(ValueError, match="IPV4:PORT"):
+            config.address(text)
+    assert config.address("127.0.0.1:80") == ("127.0.0.1", 80)
+
+
+class Cutting:
+    """An HTTP server by script: what each connection is told for each request; None closes it there."""
+
+    def __init__(self, *connections: list[bytes | None]) -> None:
+        self.script, self.requests = list(connections), list[bytes]()
+        self.writers = list[asyncio.StreamWriter]()
+
+    async def start(self) -> int:
+        (port,) = free_ports(1)
+        self.server = await asyncio.start_server(self._serve, LOCAL, port)
+        return port
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            self.writers.append(writer)
+            for answer in self.script.pop(0):
+                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+                if answer is None:
+                    break
+                writer.write(answer)
+                await writer.drain()
+            else:
+                await reader.read()
+        writer.close()
+
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n"
+
+
+@pytest.mark.parametrize(("method", "asked"), [("GET", 3), ("POST", 2)])
+def test_a_kept_connection_closed_as_it_is_used_again(method: str, asked: int) -> None:
+    """A GET is asked anew on a fresh one; of a POST nobody knows whether it took effect."""
+    async def run() -> None:
+        server = Cutting([OK + b"one", None], [OK + b"two"])
+        client = Client(LOCAL, await server.start())
+        assert (await client.exchange(method, "/")).body == b"one"
+        if method == "GET":
+            assert (await client.exchange(method, "/")).body == b"two"
+        else:
+            with pytest.raises(Broken):
+                await client.exchange(method, "/")
+        assert len(server.requests) == asked
+        client.close()
+        server.server.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("unasked", [b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\n\r\n", b""])
+@pytest.mark.parametrize("seen", [True, False])
+def test_what_comes_unasked_on_a_kept_connection_answers_nothing(unasked: bytes, seen: bool) -> None:
+    """Whether the loop has read it, or it lies in the socket: it was taken for the next answer."""
+    async def run() -> None:
+        server = Cutting([OK + b"one"], [OK + b"two"])
+        client = Client(LOCAL, await server.start())
+        assert (await client.exchange("POST", "/")).body == b"one"
+        (link,) = client._free
+        writer = server.writers[0]
+        writer.write(unasked) if unasked else writer.write_eof()
+        assert select.select([link.stream.socket], [], [], PATIENCE)[0]
+        if seen:
+            assert link._next is not None
+            await until(link._next.done)
+        assert (await client.exchange("POST", "/")).body == b"two"
+        client.close()
+        server.server.close()
+
+    asyncio.run(run())
+
+
+def test_one_who_always_has_more_to_ask_holds_up_no_other() -> None:
+    async def run() -> None:
+        served = list[str]()
+
+        async def handle(request: http.Request, connection: Connection) -> Answer:
+            served.append(request.target)
+            return Answer()
+
+        server, (port,), stop = Server(handle), free_ports(1), threading.Event()
+        server.listen(port, LOCAL)
+        ask, asker = "GET /f HTTP/1.1\r\nhost: a\r\n\r\n", socket.create_connection((LOCAL, port))
+
+        def reads() -> None:
+            """What the flood is answered: unread, that would stop it."""
+            with contextlib.suppress(OSError):
+                while not stop.is_set() and asker.recv(1 << 20):
+                    pass
+
+        def asks() -> None:
+            with contextlib.suppress(OSError):
+                while not stop.is_set():
+                    asker.sendall(ask.encode() * 2_000)
+
+        threads = [threading.Thread(target=work) for work in (reads, asks)]
+        try:
+            for thread in threads:
+                thread.start()
+            await until(lambda: len(served) > 5_000)
+            client = Client(LOCAL, port)
+            assert (await client.exchange("GET", "/other", timeout=5.0)).status == 200
+            client.close()
+        finally:
+            stop.set()
+            server.shut()
+            asker.close()
+            for thread in threads:
+                await asyncio.to_thread(thread.join, PATIENCE)
+
+    asyncio.run(run())
+
+
+def test_the_core_takes_no_word_of_an_old_stream() -> None:
+    names = platform.names(SETTINGS)
+    saved = changes({"revision": 1, "complete": True, "members": MEMBERS})
+    core = Core(names, platform.start(SETTINGS, names, 7), saved, 10**15)
+    old = core.joined(10**15, lines.Hello(0, "a", 5.0, True))
+    new = core.joined(10**15, lines.Hello(0, "a", 5.0, False))
+    core.advance(10**15)
+    marks = list(core.streams[0].marks)
+    core.acked(10**15, 0, old, lines.Ack(0, marks[0][0], 1))
+    core.left(0, old, "its stream ended")
+    assert old != new and list(core.streams[0].marks) == marks and not core.events
