A drain that another watch has told to be over drains nothing; any order of two watches

Found by hypothesis (test_no_order_of_two_watches_undoes_a_drain_or_loses_a_member): of two watches, the one behind told a drain that the other had told and taken back; let pass as a drain, and the return behind it not, it drained the replica for good (discovery.Held.take). Each entry now knows the revision and the watch that told it last: an older drain counts over that watch alone.

--- a/gradehoist/node/discovery.py
+++ b/gradehoist/node/discovery.py
@@ -131,6 +131,7 @@
         self.members: dict[str, Member] = {}
         self._watches: dict[int, int] = {}  # the open ones that have spoken, and the last revision of each
         self._behind = set[int]()  # those of them whose whole list was let pass
+        self._told: dict[str, tuple[int, int]] = {}  # by member: the revision and the watch that told it last
 
     def take(self, change: Change, watch: int = 0) -> list[Member] | None:
         """The entries to be told, complete in every field but the address; None where nothing is new.
@@ -150,14 +151,20 @@
         told = []
         for m in change.members:
             known = self.members.get(m.replica)
-            if old and not (m.phase in ("leaving", "left") and known and known.phase == "active"
-                            and m.started in (None, known.started)):
-                continue
+            if old:
+                # A drain that another watch has told to be over is none; over the same watch, whatever its
+                # revision, it is: one that was behind drained a replica for good that had come back.
+                at, by = self._told.get(m.replica, (0, 0))
+                if (m.phase not in ("leaving", "left") or not known or known.phase != "active"
+                        or m.started not in (None, known.started) or (change.revision < at and by != watch)):
+                    continue
             if (full := self._fill(m, known)) is not None:
                 told.append(full)
         if not old:
             self.revision = change.revision
+        self._told |= {m.replica: (change.revision, watch) for m in told}
         if change.complete and not old:
+            self._told = {m.replica: self._told[m.replica] for m in told}
             self.members = {m.replica: m for m in told if m.phase != "left"}
             return told
         if old and not told:
@@ -165,6 +172,7 @@
         for m in told:
             if m.phase == "left":
                 self.members.pop(m.replica, None)
+                self._told.pop(m.replica, None)
             else:
                 self.members[m.replica] = m
         return told
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -74,6 +74,48 @@
     assert told and told[0].phase == "left" and "s-2" not in one.members
 
 
+@given(st.lists(st.tuples(st.integers(0, 2), st.booleans()), max_size=12), st.integers(0, 12),
+       st.integers(0, 12), st.lists(st.booleans(), max_size=30))
+def test_no_order_of_two_watches_undoes_a_drain_or_loses_a_member(
+        history: list[tuple[int, bool]], first: int, second: int, turns: list[bool]) -> None:
+    """An old watch and a new one after SIGHUP, each behind as it likes: what one has told of a drain stands,
+    until a later revision says otherwise, and in the end all is as the list is."""
+    states = [{f"s-{n}": "active" for n in range(3)}]
+    for n, up in history:
+        states.append(states[-1] | {f"s-{n}": "active" if up else "leaving"})
+
+    def whole(at: int) -> Change:
+        return changes({"revision": at + 1, "complete": True,
+                        "members": [entry(n, phase) for n, phase in states[at].items()]})
+
+    def later(at: int) -> Change:
+        n, up = history[at - 1]
+        told = entry(f"s-{n}", "active" if up else "leaving")
+        return changes({"revision": at + 1, "complete": False, "members": [told]})
+
+    starts = [min(first, len(history)), min(second, len(history))]
+    queues = [[whole(s), *(later(at) for at in range(s + 1, len(states)))] for s in starts]
+    one, known = Held(), 0
+    for turn in [*turns, *[False] * 13, *[True] * 13]:
+        if queues[turn]:
+            change = queues[turn].pop(0)
+            one.take(change, 1 + turn)
+            known = max(known, change.revision)
+            drained = {n for n, phase in states[known - 1].items() if phase == "leaving"}
+            assert drained <= {n for n, m in one.members.items() if m.phase == "leaving"}
+    assert {n: m.phase for n, m in one.members.items()} == states[-1] and one.revision == len(states)
+
+
+def test_a_drain_counts_whatever_its_revision_on_the_watch_that_told_the_replica_last() -> None:
+    """Repeated, skipped and back."""
+    one = Held()
+    members = [entry(f"s-{n}") for n in (1, 2, 3)]
+    one.take(changes({"revision": 5, "complete": True, "members": members}), 1)
+    for revision, name in ((5, "s-1"), (9, "s-2"), (2, "s-3")):
+        assert one.take(changes({"revision": revision, "members": [entry(name, "leaving")]}), 1)
+    assert {m.phase for m in one.members.values()} == {"leaving"} and one.revision == 9
+
+
 def test_a_whole_list_takes_what_it_lacks_and_a_restart_shows() -> None:
     one = held()
     told = one.take(changes({"revision": 1, "complete": True, "members": [entry("s-2", up_since_ms=99)]}))
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -34,6 +34,33 @@
     assert isinstance(found[4], lines.Spoilt) and isinstance(found[5], lines.Demand)
 
 
+WIRES = [
+    b"hello id=17 site=a rps=21.5 new=1\r\n", b"agent site=a\r\n", b"probe\r\n", b"ack id=17 seq=x ms=1\r\n",
+    b"outcomes site=a target=s count=2 fail=3 mean=1 over=1\r\n", b"\r\n", b"probe\n", b"GET / HTTP/1.1\r\n",
+    b"outcomes site=a target=s count=2 fail=0 mean=1 over=1 util=" + b"util:0.1," * 600 + b"inflight:1\r\n",
+    b"demand id=17 lane=" + b"y" * 5_000,
+]
+
+
+@given(st.lists(st.sampled_from(WIRES), max_size=6), st.lists(st.integers(0, 20_000), max_size=8))
+def test_any_cut_gives_the_same_messages_and_the_same_fault(parts: list[bytes], cuts: list[int]) -> None:
+    """A stranger's too: `known` is set where its joining has come, as the shell does."""
+    def told(pieces: list[bytes]) -> tuple[list[lines.Message], bool]:
+        door, found = lines.Door(), list[lines.Message]()
+        for piece in pieces:
+            try:
+                some = door.receive(piece)
+            except lines.Unreadable:
+                break
+            found += some
+            door.known |= any(isinstance(m, lines.Hello | lines.Agent) for m in some)
+        return found, bool(door.fault)
+
+    data = b"".join(parts)
+    at = [0, *sorted(min(c, len(data)) for c in cuts), len(data)]
+    assert told([data[a:b] for a, b in zip(at, at[1:], strict=False)]) == told([data])
+
+
 @given(st.lists(st.one_of(st.binary(max_size=200), st.sampled_from([GOOD, b"\r\n", b"ack id=", b"probe"]))))
 def test_any_bytes_end_in_messages_or_a_refusal_and_little_is_kept(pieces: list[bytes]) -> None:
     door = lines.Door()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import replace
-from itertools import permutations
+from itertools import permutations, zip_longest
+from typing import Any
 
 import pytest
 
 from gradehoist import interface as i
-from gradehoist.node.core import Refused
+from gradehoist.node.core import Core, Refused
+from gradehoist.node.discovery import Change
 from gradehoist.protocol import lines
-from tests.node_site import CLASSES, SECOND, Proxy, Site, member
+from gradehoist.settings import platform
+from tests.node_site import CLASSES, SECOND, SETTINGS, Proxy, Site, member
 
 
 def test_joined_proxies_get_tables_of_what_each_class_may_use() -> None:
@@ -21,6 +25,41 @@
     assert not site.core.module.publisher.waiting, "every mark was answered"
 
 
+OTHER = {
+    "azs": ["p", "q", "r"], "kinds": ["large", "small"],
+    "classes": [{"name": n, "aim": 0.2, "deadline": 9.0, "idempotency": "single_shot", "worth": w}
+                for n, w in (("quote", 1.0), ("seal", 7.0), ("scan", 2.0), ("hold", 3.0))],
+    "specifics": {"period": 2.0, "proxies": 4, "pending-max": 300.0, "push-rate": 90.0, "fixed-cost": 2.0,
+                  "pushes-allowed": 6, "update-window": 5.0, "blackhole": 2.0, "admission": "rate"},
+    "guarantees": {"drain-grace": 0.5, "cold": 3.0, "cold-share": 0.6, "fall-multiple": 2.0,
+                   "tip-after": 1.0},
+    "report": {"how": "off"},
+}  # fmt: skip
+
+
+def test_two_unlike_deployments_in_one_process_share_nothing() -> None:
+    """Side by side, and one after the other, each gives the bytes that it gives alone."""
+    def one(settings: dict[str, Any], zone: str) -> Iterator[tuple[int, int, bytes]]:
+        names, now = platform.names(settings), 1_800_000_000 * SECOND
+        some = tuple(replace(member(n), zone=zone) for n in range(5))
+        core = Core(names, platform.start(settings, names, 7), Change(1, True, some), now)
+        for second in range(8):
+            core.joined(now, lines.Hello(second % 4, zone, 5.0 + second, second < 4))
+            if second > 3:
+                core.listed(Change(second, False, (replace(member(second - 4, "leaving"), zone=zone),)))
+            core.advance(now := now + SECOND)
+            yield from core.out
+            core.out.clear()
+
+    alone = [list(one(SETTINGS, "a")), list(one(OTHER, "p"))]
+    beside = [list[tuple[int, int, bytes]](), list[tuple[int, int, bytes]]()]
+    for pair in zip_longest(one(SETTINGS, "a"), one(OTHER, "p")):
+        for kept, told in zip(beside, pair, strict=True):
+            kept += [told] if told is not None else []
+    assert beside == alone and all(len(some) > 10 for some in alone) and alone[0] != alone[1]
+    assert [list(one(OTHER, "p")), list(one(SETTINGS, "a"))] == alone[::-1]
+
+
 def test_proxies_told_alike_share_their_bytes() -> None:
     site = Site(proxies=8)
     site.bytes.clear()
