--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -317,9 +317,9 @@
     return world
 
 
-def paced(world: World, seconds: int) -> None:
+def paced(world: World, seconds: float) -> None:
     """The channel sends its lines a second, and answers come for what it sent."""
-    for _ in range(seconds * 20):
+    for _ in range(round(seconds * 20)):
         room, done = world.settings.channel.line_rate / 20, 0
         while done < len(world.queue) and world.queue[done][2] <= room:
             room, done = room - world.queue[done][2], done + 1
@@ -343,6 +343,24 @@
     assert max(share) < 1.6 * sum(share) / 200 and min(share) > 0.6 * sum(share) / 200
 
 
+def test_a_herd_that_joins_within_a_release_is_bound_within_the_grace() -> None:
+    """herd+mass on notary-vault: tables as large as a whole grace's lines, and drains beside them: the last of
+    1,240 that joined were bound after 6.8 s where 6.4 are allowed, and sent to what had left."""
+    proxies, grace = 400, 2 * SECOND
+    world = World(start((ANY,), queue=22.5 * proxies, rate=20.0 * proxies, proxies=proxies))
+    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(200))))
+    joined = world.now
+    world.step(*(i.Joined(p, p % 3, 5.0, True) for p in range(proxies)))
+    paced(world, 0.4)
+    world.step(change(*(entry(n, DRAINING) for n in range(30))))
+    while not all(world.bound.values()):
+        paced(world, 0.05)
+    owed = {(p, mark) for p, mark, _ in world.queue}
+    while owed & {(p, mark) for p, mark, _ in world.queue}:
+        paced(world, 0.05)
+    assert world.now - joined < grace
+
+
 def test_drains_in_a_large_fleet_cost_those_alone_whose_tables_name_them() -> None:
     """herd+mass: 30 withdrawals to everyone were 12,000 lines, and passed a queue half full."""
     world = herd()
