--- a/bench/plays.py
+++ b/bench/plays.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from threading import Event
 
-TOLD = ("rules ", "BROKEN", "broken", "nodes: ready", "crash", "GATE")  # starts, or parts, of lines kept in a row
+TOLD = ("rules ", "BROKEN", "broken", "nodes: ready", "crash", "GATE")  # parts of lines that a row keeps
 
 
 def seeds(text: str) -> list[int]:
--- a/gradehoist/choice.py
+++ b/gradehoist/choice.py
@@ -591,7 +591,6 @@
 class Planner:  # one instance of the module: events become notes, the loop runs, orders come out
     GROUPS = 10  # the design's number of proxy groups
     ARCS = 48  # groups that a large fleet is dealt to: arcs of few lines that still name every server
-    BINDS = 0.75  # of a grace's lines: drains and returns need some meanwhile, or the last are bound too late
     FEWEST = 8  # lines of a table dealt out: with fewer one that hangs takes more than strikes can mend
     ROUTES = {"joined": ("pool", "publisher"), "left": ("pool", "publisher"), "offered": ("pool",),
               "applied": ("publisher",), "listed": ("pool",), "due": ("publisher",),
@@ -606,8 +605,7 @@
         many, zones = max(self.GROUPS, min(self.ARCS, start.proxies // self.FEWEST)), max(1, start.zones)
         homes = sorted(g % zones for g in range(max(many, zones)))
         # Twice: what other governors may have shut a proxy out from is let back in one by one.
-        lines = self.BINDS * ch.line_rate * start.rules.grace / SECOND
-        fits = lines / max(1, start.proxies) - ch.message_head - 2
+        fits = ch.line_rate * start.rules.grace / SECOND / max(1, start.proxies) - ch.message_head - 2
         most = max(self.FEWEST, int(fits / 2 / len(sets)))
         Pool(self.mail, start.zones, start.proxies, start.classes, sets, rep.period, start.rules.cold_time,
              homes, rep.probes, most)
