--- a/gradehoist/net/client.py
+++ b/gradehoist/net/client.py
@@ -24,14 +24,10 @@
     """No answer by the deadline; the request may have been acted on."""
 
 
-SAFE = ("GET", "HEAD")  # methods that take no effect (RFC 9110, 9.2.1)
-
-
 class _Link:
     def __init__(self, stream: IOStream, limits: http.Limits) -> None:
         self.stream, self.parser = stream, http.Parser(http.Role.CLIENT, limits)
         self.used = 0.0  # when it was last used; 0: never
-        self.heard = False  # of the exchange under way: whether any byte of an answer came
         self._next: asyncio.Future[bytes] | None = None
 
     def rest(self) -> None:
@@ -70,8 +66,8 @@
         self._free: list[_Link] = []
         self._open = set[_Link]()
 
-    async def _link(self, clock: float, fresh: bool) -> _Link:
-        while self._free and not fresh:
+    async def _link(self, clock: float) -> _Link:
+        while self._free:
             link = self._free.pop()
             if link.quiet and clock - link.used < self._idle:
                 return link
@@ -101,24 +97,12 @@
                        timeout: float = 5.0) -> http.Response:
         """Raises Unreachable, Broken or TimedOut. A cancelled exchange closes its connection.
 
-        Where a kept connection turns out closed as it is used again, a request that can take no effect is
-        asked anew on a fresh one; of others nobody knows whether they did."""
+        Nothing is asked twice: where a kept connection closes as it is used again, nobody knows whether the
+        request took effect, and a poll of the feed is a GET that does."""
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout
-        link = await self._link(loop.time(), False)
-        if link.used:
-            try:
-                return await self._on(link, method, target, body, headers, timeout, end)
-            except Broken:
-                if method not in SAFE or link.heard:
-                    raise
-            link = await self._link(loop.time(), True)
-        return await self._on(link, method, target, body, headers, timeout, end)
-
-    async def _on(self, link: _Link, method: str, target: str, body: bytes, headers: http.Headers,
-                  timeout: float, end: float) -> http.Response:
-        loop = asyncio.get_running_loop()
-        kept = link.heard = False
+        link = await self._link(loop.time())
+        kept = False
         try:
             link.parser.asked(method)
             link.stream.write(http.request(method, target, f"{self.host}:{self.port}", body, headers))
@@ -126,7 +110,6 @@
                 data = await gen.with_timeout(
                     timedelta(seconds=max(0.0, end - loop.time())), link.read(),
                     quiet_exceptions=(StreamClosedError,))
-                link.heard = True
                 for event in link.parser.receive(data):
                     if isinstance(event, http.Response) and event.status >= 200:
                         kept = event.keep_alive and link.parser.between
