--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 	$(PY) -m gradehoist day scenes/bad-day.kdl
 
 test: $(STAMP)
+	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
 	$(PY) -m mypy
 	$(PY) -m pytest -q -p no:cacheprovider
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,8 +25,10 @@
 from gradehoist.net.client import Client
 from gradehoist.protocol import feed, http
 
-REQUEST = (b"POST /v1/sums HTTP/1.1\r\nhost: 127.0.0.1:7101\r\nuser-agent: relay\r\naccept: */*\r\n"
-           b"content-type: application/json\r\nx-relay: r12\r\ncontent-length: 300\r\n\r\n" + b"x" * 300)
+REQUEST = (
+    b"POST /v1/sums HTTP/1.1\r\nhost: 127.0.0.1:7101\r\nuser-agent: relay\r\naccept: */*\r\n"
+    b"content-type: application/json\r\nx-relay: r12\r\ncontent-length: 300\r\n\r\n" + b"x" * 300
+)
 
 
 def row(*cells: object) -> None:
@@ -78,9 +80,15 @@
     row("ours, read only", round(alone))
 
 
-async def _governed(relays: int, replicas: int, rate: float, queue: float, folder: str,
-                    module: str = "gradehoist", hold: str = "20s") -> tuple[Governor, list[Feeder],
-                                                                            list[asyncio.Task[None]]]:
+async def _governed(
+    relays: int,
+    replicas: int,
+    rate: float,
+    queue: float,
+    folder: str,
+    module: str = "gradehoist",
+    hold: str = "20s",
+) -> tuple[Governor, list[Feeder], list[asyncio.Task[None]]]:
     governor = Governor(Path(folder), relays, replicas, rate, queue, hold=hold, module=module)
     await governor.ready()
     feeders = [Feeder(n, governor.port) for n in range(relays)]
@@ -104,8 +112,13 @@
         while not all(f.out for f in feeders) and time.monotonic() < end:
             await asyncio.sleep(0.05)
         waits = [1e3 * (f.out - governor.roster.told) for f in feeders if f.out]
-        row(relays, replicas, f"{rate:g}", *(f"{np.percentile(waits, q):.0f}" for q in (50, 99, 100)),
-            len(feeders) - len(waits))
+        row(
+            relays,
+            replicas,
+            f"{rate:g}",
+            *(f"{np.percentile(waits, q):.0f}" for q in (50, 99, 100)),
+            len(feeders) - len(waits),
+        )
         for task in tasks:
             task.cancel()
         governor.close()
@@ -132,15 +145,32 @@
         took = time.monotonic() - began
         (cpu2, memory), (planner2, pmemory) = governor.usage(), governor.planner_usage()
         shares = (f"{100 * (cpu2 - cpu) / took:.0f}%", f"{100 * (planner2 - planner) / took:.0f}%")
-        row(relays, replicas, module, *shares, *(f"{np.percentile(waits, q):.1f}" for q in (50, 99, 100)),
-            f"{memory / 1e6:.0f}", f"{pmemory / 1e6:.0f}")
+        row(
+            relays,
+            replicas,
+            module,
+            *shares,
+            *(f"{np.percentile(waits, q):.1f}" for q in (50, 99, 100)),
+            f"{memory / 1e6:.0f}",
+            f"{pmemory / 1e6:.0f}",
+        )
         for task in tasks:
             task.cancel()
         governor.close()
 
 
-HEAD = ("relays", "replicas", "program", "CPU loop", "CPU planner", "answer p50 ms", "p99 ms", "worst ms",
-        "MB loop", "MB planner")
+HEAD = (
+    "relays",
+    "replicas",
+    "program",
+    "CPU loop",
+    "CPU planner",
+    "answer p50 ms",
+    "p99 ms",
+    "worst ms",
+    "MB loop",
+    "MB planner",
+)
 
 
 def size() -> None:
@@ -180,16 +210,29 @@
         status = await governor.status()
         lines = (status["channel"]["sent"] - sent) / took  # type: ignore[index]
         shares = (f"{100 * (cpu2 - cpu) / took:.0f}%", f"{100 * (planner2 - planner) / took:.0f}%")
-        row_of = (f"{(sum(f.messages for f in feeders) - messages) / took:.0f}", f"{lines:.0f}",
-                  f"{(sum(f.got for f in feeders) - got) / took / 1e3:.0f}")
+        row_of = (
+            f"{(sum(f.messages for f in feeders) - messages) / took:.0f}",
+            f"{lines:.0f}",
+            f"{(sum(f.got for f in feeders) - got) / took / 1e3:.0f}",
+        )
         governor.roster.drain()
         end = time.monotonic() + 30
         while not all(f.out for f in feeders) and time.monotonic() < end:
             await asyncio.sleep(0.02)
         waits = [1e3 * (f.out - governor.roster.told) for f in feeders if f.out]
-        row(relays, replicas, cells, f"{bound:.1f}", *shares, *row_of, f"{memory / 1e6:.0f}",
-            f"{pmemory / 1e6:.0f}", status["lag_ms"],
-            *(f"{np.percentile(waits, q):.0f}" for q in (50, 99, 100)), relays - len(waits))
+        row(
+            relays,
+            replicas,
+            cells,
+            f"{bound:.1f}",
+            *shares,
+            *row_of,
+            f"{memory / 1e6:.0f}",
+            f"{pmemory / 1e6:.0f}",
+            status["lag_ms"],
+            *(f"{np.percentile(waits, q):.0f}" for q in (50, 99, 100)),
+            relays - len(waits),
+        )
         for task in tasks:
             task.cancel()
         governor.close()
@@ -197,15 +240,38 @@
 
 def cells() -> None:
     """One cell beside a hundred, the same relays and workers; the drain is of one worker of one cell."""
-    row("relays", "replicas", "cells", "all bound s", "CPU loop", "CPU planner", "messages/s", "lines/s",
-        "kB/s", "MB loop", "MB planner", "worst lag ms", "drain p50 ms", "p99 ms", "worst ms", "never told")
+    row(
+        "relays",
+        "replicas",
+        "cells",
+        "all bound s",
+        "CPU loop",
+        "CPU planner",
+        "messages/s",
+        "lines/s",
+        "kB/s",
+        "MB loop",
+        "MB planner",
+        "worst lag ms",
+        "drain p50 ms",
+        "p99 ms",
+        "worst ms",
+        "never told",
+    )
     for relays, replicas, number in ((300, 120, 1), (300, 120, 40), (1000, 300, 1), (1000, 300, 100)):
         asyncio.run(_cells(relays, replicas, number, 12000))
 
 
 def places() -> None:
-    row("way", "s", "tenants that lose all", "that lose some", "moved by a lost worker", "their demand",
-        "fullest worker over mean")
+    row(
+        "way",
+        "s",
+        "tenants that lose all",
+        "that lose some",
+        "moved by a lost worker",
+        "their demand",
+        "fullest worker over mean",
+    )
     for line in placements.rows(10_000, 500):
         row(*line)
 
@@ -239,8 +305,13 @@
         while not all(f.out for f in feeders) and time.monotonic() < end:
             await asyncio.sleep(0.02)
         waits = [f.out - governor.roster.told for f in feeders if f.out]
-        row(relays, f"{(after - before) / relays / 1e3:.1f}", f"{np.percentile(waits, 50):.2f}",
-            f"{max(waits):.2f}", relays - len(waits))
+        row(
+            relays,
+            f"{(after - before) / relays / 1e3:.1f}",
+            f"{np.percentile(waits, 50):.2f}",
+            f"{max(waits):.2f}",
+            relays - len(waits),
+        )
         for task in tasks:
             task.cancel()
         governor.close()
@@ -286,8 +357,10 @@
     ways = {"governed": (True, False), "standing": (False, False), "even": (False, True)}
 
     async def side_by_side(seed: int) -> None:
-        runs = [Run(script, scene.draw(script, seed, *way), Path("found") / f"bench-{seed}-{name}")
-                for name, way in ways.items()]
+        runs = [
+            Run(script, scene.draw(script, seed, *way), Path("found") / f"bench-{seed}-{name}")
+            for name, way in ways.items()
+        ]
         await asyncio.gather(*(run.play() for run in runs))
 
     for seed in (1, 2, 3):
@@ -302,8 +375,14 @@
     """The platform's node as a process: start, tables for all, drains from socket to socket, memory."""
     row("proxies", "start, s", "all bound, s", "drain to last order, ms", "worst, ms", "memory, MB")
     for f in node_figures():
-        row(f.proxies, f"{f.start:.2f}", f"{f.bound:.2f}", f"{f.drain * 1e3:.0f}", f"{f.worst * 1e3:.0f}",
-            f"{f.memory:.0f}")
+        row(
+            f.proxies,
+            f"{f.start:.2f}",
+            f"{f.bound:.2f}",
+            f"{f.drain * 1e3:.0f}",
+            f"{f.worst * 1e3:.0f}",
+            f"{f.memory:.0f}",
+        )
 
 
 def register() -> None:
@@ -311,8 +390,18 @@
 
 
 ALL: dict[str, Callable[[], None]] = {
-    "parser": parser, "drains": drains, "size": size, "inline": inline, "cells": cells, "places": places,
-    "plans": plans, "node": node, "register": register, "idle": idle, "shares": shares}
+    "parser": parser,
+    "drains": drains,
+    "size": size,
+    "inline": inline,
+    "cells": cells,
+    "places": places,
+    "plans": plans,
+    "node": node,
+    "register": register,
+    "idle": idle,
+    "shares": shares,
+}
 
 if __name__ == "__main__":
     for name in sys.argv[1:] or ALL:
--- a/bench/feeders.py
+++ b/bench/feeders.py
@@ -83,8 +83,10 @@
     async def follow(self) -> None:
         client = Client(LOCAL, self.port, connect_timeout=10.0, limits=http.Limits(body=1 << 26))
         while True:
-            target = (f"/v1/feed?relay={self.name}&zone={self.zone}&rate=3&epoch={self.epoch}"
-                      f"&stream={self.stream}&after={self.after}")
+            target = (
+                f"/v1/feed?relay={self.name}&zone={self.zone}&rate=3&epoch={self.epoch}"
+                f"&stream={self.stream}&after={self.after}"
+            )
             try:
                 response = await client.exchange("GET", target, timeout=120)
             except (Unreachable, Broken, TimedOut):
@@ -116,10 +118,18 @@
         while True:
             beat += 1
             tries = tuple(
-                feed.Try(f"w{(self.n * 7 + k * 5) % replicas}", 3, 0, 250_000,
-                         0.5 + 0.2 * ((k * 31 + beat * 17 + self.n) % 10) / 10
-                         + sway * math.sin((self.n * 7 + k * 5) % replicas + time.monotonic() / 9), 2.0)
-                for k in range(30))
+                feed.Try(
+                    f"w{(self.n * 7 + k * 5) % replicas}",
+                    3,
+                    0,
+                    250_000,
+                    0.5
+                    + 0.2 * ((k * 31 + beat * 17 + self.n) % 10) / 10
+                    + sway * math.sin((self.n * 7 + k * 5) % replicas + time.monotonic() / 9),
+                    2.0,
+                )
+                for k in range(30)
+            )
             cell = f"c{(self.n + beat) % cells}/" if cells else ""
             came = (feed.Came(cell + "rate-check", 6), feed.Came(cell + "booking-commit", 3))
             sums = feed.Sums(self.name, self.epoch, int(period * 1e6), tries, came)
@@ -131,8 +141,18 @@
 class Governor:
     """A governor's process with a roster in this one."""
 
-    def __init__(self, folder: Path, relays: int, replicas: int, rate: float, queue: float, intake: int = 100,
-                 hold: str = "20s", module: str = "gradehoist", cells: int = 0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        relays: int,
+        replicas: int,
+        rate: float,
+        queue: float,
+        intake: int = 100,
+        hold: str = "20s",
+        module: str = "gradehoist",
+        cells: int = 0,
+    ) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self.port, roster = ports(2)
         self.roster = Roster(replicas, roster)
@@ -141,12 +161,23 @@
             names = tuple(f"c{n}" for n in range(cells))
             placed = Placed(names, {f"w{n}": names[n // 3 % cells] for n in range(replicas)})
             (folder / "cells.json").write_bytes(msgspec.json.encode(placed))
-        path.write_text(SETTINGS.format(relays=relays, roster=roster, queue=queue, rate=rate, intake=intake,
-                                        hold=hold, port=self.port,
-                                        cells='\n    cells placement="cells.json"' if cells else ""))
+        path.write_text(
+            SETTINGS.format(
+                relays=relays,
+                roster=roster,
+                queue=queue,
+                rate=rate,
+                intake=intake,
+                hold=hold,
+                port=self.port,
+                cells='\n    cells placement="cells.json"' if cells else "",
+            )
+        )
         self.log = (folder / "governor.log").open("wb")
-        self.process = subprocess.Popen([sys.executable, "-m", module, "governor", str(path), "--name", "a",
-                                         "--log", "json"], stderr=self.log)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", module, "governor", str(path), "--name", "a", "--log", "json"],
+            stderr=self.log,
+        )
         self.client = Client(LOCAL, self.port)
 
     async def ready(self) -> None:
--- a/bench/member.py
+++ b/bench/member.py
@@ -21,9 +21,16 @@
 
 async def main() -> None:
     where, port, name = sys.argv[1:]
-    settings = Coordination(None if where.isdigit() else Path(where),
-                            ("127.0.0.1", int(where)) if where.isdigit() else None, "bench/", 10_000_000,
-                            5_000_000, 1_000_000, 60_000_000, 30_000_000)
+    settings = Coordination(
+        None if where.isdigit() else Path(where),
+        ("127.0.0.1", int(where)) if where.isdigit() else None,
+        "bench/",
+        10_000_000,
+        5_000_000,
+        1_000_000,
+        60_000_000,
+        30_000_000,
+    )
     member = Membership(settings, "member", name, "x", f"127.0.0.1:{port}", 1, lambda *a, **k: None)
     late = list[float]()
 
--- a/bench/node.py
+++ b/bench/node.py
@@ -33,8 +33,13 @@
     classes = [{"name": c, "aim": 1.0, "deadline": 2.0, "idempotency": "free"} for c in ("read", "write")]
     channel = {"pending-max": 1e6, "push-rate": 1e6, "fixed-cost": 4.0, "pushes-allowed": 0}
     specifics = {"period": 1.0, "proxies": proxies, "blackhole": 4.0, "admission": "share"}
-    return {"azs": ["a", "b", "c"], "kinds": ["k"], "classes": classes, "specifics": specifics | channel,
-            "guarantees": {"drain-grace": 2.0, "cold": 10.0, "cold-share": 0.2}}
+    return {
+        "azs": ["a", "b", "c"],
+        "kinds": ["k"],
+        "classes": classes,
+        "specifics": specifics | channel,
+        "guarantees": {"drain-grace": 2.0, "cold": 10.0, "cold-share": 0.2},
+    }
 
 
 async def play(proxies: int, replicas: int) -> Figures:
--- a/bench/placements.py
+++ b/bench/placements.py
@@ -83,7 +83,15 @@
         for t, ws in first.items():
             for w in ws:
                 load[w] += demand[t] / len(ws)
-        out.append((name, f"{took:.2f}", f"{100 * statistics.mean(all_gone):.2f}%",
-                    f"{100 * statistics.mean(touched):.2f}%", moved, f"{100 * strangers:.2f}%",
-                    f"{max(load.values()) / statistics.mean(load.values()):.2f}"))
+        out.append(
+            (
+                name,
+                f"{took:.2f}",
+                f"{100 * statistics.mean(all_gone):.2f}%",
+                f"{100 * statistics.mean(touched):.2f}%",
+                moved,
+                f"{100 * strangers:.2f}%",
+                f"{max(load.values()) / statistics.mean(load.values()):.2f}",
+            )
+        )
     return out
--- a/bench/plans.py
+++ b/bench/plans.py
@@ -14,8 +14,16 @@
 from gradehoist.plans.read import Event
 from gradehoist.plans.solve import solve
 
-SIZES = ((6, 3, 1), (40, 3, 1), (118, 3, 1), (118, 3, 10), (118, 10, 1), (500, 3, 1), (500, 10, 1),
-         (2000, 3, 1))
+SIZES = (
+    (6, 3, 1),
+    (40, 3, 1),
+    (118, 3, 1),
+    (118, 3, 10),
+    (118, 10, 1),
+    (500, 3, 1),
+    (500, 10, 1),
+    (2000, 3, 1),
+)
 
 
 def fleet(workers: int, halls: int, slots: int, cells: int = 1, seed: int = 1, load: float = 0.6) -> Problem:
@@ -23,16 +31,20 @@
     dice, zones = random.Random(seed), tuple(f"z{n}" for n in range(halls))
     names = [f"c{c}" for c in range(4)]
     kinds = {f"k{n}": Kind(f"k{n}", {c: F(dice.randrange(5, 30)) for c in names}) for n in range(4)}
-    classes = {c: Class(c, F(dice.randrange(1, 9)), None if c != "c0" else zones[:max(2, halls - 1)])
-               for c in names}
+    classes = {
+        c: Class(c, F(dice.randrange(1, 9)), None if c != "c0" else zones[: max(2, halls - 1)]) for c in names
+    }
     crew: dict[Group, int] = {}
     for n in range(workers):
         cell = f"cell{n // halls // 4 % cells}" if cells > 1 else ""
         group = Group(zones[n % halls], f"k{n // halls % 4}", cell)
         crew[group] = crew.get(group, 0) + 1
     mean = workers * 15 * load / len(names) / halls
-    demand = {(c, z): tuple(F(round(mean * dice.uniform(0.3, 1.7), 2)) for _ in range(slots))
-              for c in names for z in zones}
+    demand = {
+        (c, z): tuple(F(round(mean * dice.uniform(0.3, 1.7), 2)) for _ in range(slots))
+        for c in names
+        for z in zones
+    }
     return Problem(zones, kinds, classes, crew, demand, {}, F(1, 10))
 
 
--- a/bench/register.py
+++ b/bench/register.py
@@ -30,11 +30,16 @@
     def __init__(self, folder: Path, kind: str, count: int) -> None:
         engine, *ports = scene.ports(count + 1)
         self.kind, self.folder, self.engine_port = kind, folder / "register", engine
-        self.engine = subprocess.Popen([sys.executable, "-m", "gradehoist.standin", "engine", str(engine)]
-                                       ) if kind == "engine" else None
+        self.engine = (
+            subprocess.Popen([sys.executable, "-m", "gradehoist.standin", "engine", str(engine)])
+            if kind == "engine"
+            else None
+        )
         where = str(engine) if kind == "engine" else str(self.folder)
-        self.children = [subprocess.Popen([sys.executable, "-m", "bench.member", where, str(p), f"m{n}"])
-                         for n, p in enumerate(ports)]
+        self.children = [
+            subprocess.Popen([sys.executable, "-m", "bench.member", where, str(p), f"m{n}"])
+            for n, p in enumerate(ports)
+        ]
         self.clients = [Client("127.0.0.1", p) for p in ports]
 
     async def all(self) -> list[dict[str, Any]]:
@@ -44,6 +49,7 @@
                 found: dict[str, Any] = msgspec.json.decode(response.body, type=dict[str, Any])
                 return found
             return {}
+
         return list(await asyncio.gather(*(one(c) for c in self.clients)))
 
     async def joined(self, seconds: float) -> float:
@@ -102,15 +108,35 @@
         returned = await fleet.joined(120)
         kept = sum(s["generation"] == g for s, g in zip(await fleet.all(), generations, strict=True))
         p50, p99 = statistics.median(late), late[int(0.99 * len(late))]
-        row(kind, count, f"{joined:.1f}", f"{p50:.0f}", f"{p99:.0f}",
-            f"{len(late) / PROBES / count:.3f}", f"{cores:.2f}", lost, f"{returned:.1f}", kept)
+        row(
+            kind,
+            count,
+            f"{joined:.1f}",
+            f"{p50:.0f}",
+            f"{p99:.0f}",
+            f"{len(late) / PROBES / count:.3f}",
+            f"{cores:.2f}",
+            lost,
+            f"{returned:.1f}",
+            kept,
+        )
     finally:
         fleet.end()
 
 
 def figures(row: Row, sizes: tuple[int, ...] = (8, 60, 230)) -> None:
-    row("home", "processes", "all joined s", "a change, p50 ms", "p99 ms", "seen by", "cores at rest",
-        "in doubt after 30 s away", "all back s", "kept their session")
+    row(
+        "home",
+        "processes",
+        "all joined s",
+        "a change, p50 ms",
+        "p99 ms",
+        "seen by",
+        "cores at rest",
+        "in doubt after 30 s away",
+        "all back s",
+        "kept their session",
+    )
     for kind in ("embedded", "engine"):
         for count in sizes:
             with tempfile.TemporaryDirectory() as folder:
--- a/gradehoist/adapter/wire.py
+++ b/gradehoist/adapter/wire.py
@@ -15,17 +15,35 @@
 ALL_TABLES = 65535
 
 EVENTS = {
-    "BOOT", "DESTROY", "VIEW", "REMINDER", "CHECK_RESULT", "WHISPER", "JOINED", "UNSUBSCRIBED", "DIGEST",
-    "OFFERED_LOAD", "ACTIVITY", "CUSTODY", "ON_RECORD", "TOOK_EFFECT",
+    "BOOT",
+    "DESTROY",
+    "VIEW",
+    "REMINDER",
+    "CHECK_RESULT",
+    "WHISPER",
+    "JOINED",
+    "UNSUBSCRIBED",
+    "DIGEST",
+    "OFFERED_LOAD",
+    "ACTIVITY",
+    "CUSTODY",
+    "ON_RECORD",
+    "TOOK_EFFECT",
 }
 LIST_KINDS = {
-    "SAVED": i.ListKind.SAVED, "FULL": i.ListKind.COMPLETE, "INCREMENTAL": i.ListKind.CHANGES,
+    "SAVED": i.ListKind.SAVED,
+    "FULL": i.ListKind.COMPLETE,
+    "INCREMENTAL": i.ListKind.CHANGES,
     "FAILED": i.ListKind.FAILED,
 }
 PHASES = {"Ready": i.Phase.READY, "Terminating": i.Phase.DRAINING, "Gone": i.Phase.GONE}
 OUTCOMES = {
-    "S": i.Outcome.ANSWERED, "E": i.Outcome.ERROR, "F": i.Outcome.TURNED_AWAY, "T": i.Outcome.TIMED_OUT,
-    "C": i.Outcome.UNREACHABLE, "R": i.Outcome.BROKEN,
+    "S": i.Outcome.ANSWERED,
+    "E": i.Outcome.ERROR,
+    "F": i.Outcome.TURNED_AWAY,
+    "T": i.Outcome.TIMED_OUT,
+    "C": i.Outcome.UNREACHABLE,
+    "R": i.Outcome.BROKEN,
 }
 
 
@@ -74,9 +92,12 @@
 
 def entry(names: WireNames, f: Fields) -> i.Entry:
     return i.Entry(
-        names.replicas.number(f["replica"]), names.zones.number(f["hall"]),
+        names.replicas.number(f["replica"]),
+        names.zones.number(f["hall"]),
         names.kinds.number(f.get("shape", "")),
-        int(f.get("unit-group", "0")), PHASES[f["phase"]], float(f.get("size", "1")),
+        int(f.get("unit-group", "0")),
+        PHASES[f["phase"]],
+        float(f.get("size", "1")),
         micros(f.get("online-since", "0")),
     )
 
@@ -91,8 +112,10 @@
     make: dict[str, Callable[[], i.Event]] = {
         "REMINDER": lambda: i.Due(int(f["ref"])),
         "CHECK_RESULT": lambda: i.Probed(
-            names.replicas.number(f["replica"]), OUTCOMES.get(f["reason"], i.Outcome.OTHER),
-            micros(f.get("elapsed", "0")), names.load(f),
+            names.replicas.number(f["replica"]),
+            OUTCOMES.get(f["reason"], i.Outcome.OTHER),
+            micros(f.get("elapsed", "0")),
+            names.load(f),
         ),
         "WHISPER": lambda: i.PeerNote(
             int(f["origin-peer"]), b"" if f["octets"] == "-" else base64.b64decode(f["octets"], validate=True)
@@ -100,16 +123,26 @@
         "JOINED": lambda: i.Joined(int(f["agent"]), names.zones.number(f["hall"]), float(f.get("size", "1"))),
         "UNSUBSCRIBED": lambda: i.Left(int(f["agent"])),
         "DIGEST": lambda: i.Heard(
-            names.zones.number(f["hall"]), names.replicas.number(f["replica"]),
-            int(f["number"]), int(f.get("bad", "0")),
-            micros(f.get("elapsed", "0")), micros(f.get("window", "0")), names.load(f),
+            names.zones.number(f["hall"]),
+            names.replicas.number(f["replica"]),
+            int(f["number"]),
+            int(f.get("bad", "0")),
+            micros(f.get("elapsed", "0")),
+            micros(f.get("window", "0")),
+            names.load(f),
         ),
         "OFFERED_LOAD": lambda: i.Offered(
-            int(f["agent"]), names.classes[f["cls"]], int(f["number"]), int(f.get("bad", "0")),
+            int(f["agent"]),
+            names.classes[f["cls"]],
+            int(f["number"]),
+            int(f.get("bad", "0")),
             micros(f.get("window", "0")),
         ),
         "ACTIVITY": lambda: i.SliceOffered(
-            int(f["map-id"]), names.classes[f["cls"]], int(f["number"]), int(f.get("bad", "0")),
+            int(f["map-id"]),
+            names.classes[f["cls"]],
+            int(f["number"]),
+            int(f.get("bad", "0")),
             micros(f.get("window", "0")),
         ),
         "CUSTODY": lambda: i.SliceGiven(int(f["map-id"]), f.get("flag", "0") == "1"),
--- a/gradehoist/cells/assign.py
+++ b/gradehoist/cells/assign.py
@@ -88,8 +88,9 @@
         return len(self.workers) < wanted.least_workers or len(self.by_zone) < wanted.least_zones
 
 
-def place(tenants: Iterable[Tenant], workers: Iterable[Worker], wanted: Wanted,
-          before: Placement | None = None) -> Placement:
+def place(
+    tenants: Iterable[Tenant], workers: Iterable[Worker], wanted: Wanted, before: Placement | None = None
+) -> Placement:
     """Raises ValueError where no cell could be made at all, or a name stands twice."""
     people = sorted(tenants, key=lambda t: (-t.demand, lot(t.name), t.name))
     crew = sorted(workers, key=lambda w: (w.zone, -w.size, lot(w.name), w.name))
@@ -108,8 +109,11 @@
             _neediest(cells, worker, wanted).add(worker)
     faults = _repair(cells, wanted)
     faults += _settle(people, cells, wanted, before)
-    return Placement({w: c.number for c in cells for w in c.workers},
-                     {t.name: c.number for c in cells for t in c.tenants}, tuple(faults))
+    return Placement(
+        {w: c.number for c in cells for w in c.workers},
+        {t.name: c.number for c in cells for t in c.tenants},
+        tuple(faults),
+    )
 
 
 def halves(workers: Iterable[Worker]) -> tuple[list[Worker], list[Worker]]:
@@ -117,8 +121,10 @@
     zone and then less size."""
     out: tuple[list[Worker], list[Worker]] = ([], [])
     for worker in sorted(workers, key=lambda w: (w.zone, -w.size, lot(w.name), w.name)):
-        best = min(out, key=lambda half: (sum(w.zone == worker.zone for w in half), len(half),
-                                          sum(w.size for w in half)))
+        best = min(
+            out,
+            key=lambda half: (sum(w.zone == worker.zone for w in half), len(half), sum(w.size for w in half)),
+        )
         best.append(worker)
     return out
 
@@ -126,6 +132,7 @@
 def _neediest(cells: list[Cell], worker: Worker, wanted: Wanted) -> Cell:
     """A cell short of workers first, then the one with fewest of this zone, then the smallest. Counted, not
     summed: by size, the odd worker of every zone went to one cell, which became twice as large."""
+
     def rank(c: Cell) -> tuple[bool, int, float, int]:
         near = sum(w.zone == worker.zone for w in c.workers.values())
         return not c.short(wanted), near, c.size, lot(c.number, worker.name)
@@ -146,7 +153,8 @@
                 for worker in donor.workers.values():
                     alone = sum(w.zone == worker.zone for w in donor.workers.values()) == 1
                     if (alone and len(donor.by_zone) <= wanted.least_zones) or (
-                            new_zone and worker.zone in cell.by_zone):
+                        new_zone and worker.zone in cell.by_zone
+                    ):
                         continue
                     rank = (-(donor.size - worker.size), lot(cell.number, worker.name))
                     if best is None or rank < best[0]:
@@ -154,7 +162,8 @@
             if best is None:
                 faults.append(
                     f"cell {cell.number} has {len(cell.workers)} workers in {len(cell.by_zone)} zones; "
-                    f"{wanted.least_workers} in {wanted.least_zones} are wanted and none can be spared")
+                    f"{wanted.least_workers} in {wanted.least_zones} are wanted and none can be spared"
+                )
                 break
             best[1].drop(best[2])
             cell.add(best[2])
@@ -170,8 +179,10 @@
     most = max(rooms) * wanted.largest
     for tenant in people:
         if tenant.demand > max(rooms):
-            faults.append(f"tenant {tenant.name} asks for {tenant.demand:.4g}; the largest cell has room for "
-                          f"{max(rooms):.4g}: split it, or make fewer and larger cells")
+            faults.append(
+                f"tenant {tenant.name} asks for {tenant.demand:.4g}; the largest cell has room for "
+                f"{max(rooms):.4g}: split it, or make fewer and larger cells"
+            )
         elif tenant.demand > most:
             faults.append(f"tenant {tenant.name} would fill over {wanted.largest:.0%} of any cell")
         was = known.get(tenant.name, -1)
--- a/gradehoist/cells/budget.py
+++ b/gradehoist/cells/budget.py
@@ -18,8 +18,9 @@
     LEAST = 64.0  # lines that a message may always hold beyond its head: a table or two
     FADE = 0.9  # of what a cell has had is remembered a slot later: some ten slots count
 
-    def __init__(self, cells: int, queue_limit: float, line_rate: float, message_limit: int, head: float,
-                 grace: int) -> None:
+    def __init__(
+        self, cells: int, queue_limit: float, line_rate: float, message_limit: int, head: float, grace: int
+    ) -> None:
         self.queue_limit, self.head, self.limit = queue_limit, head, message_limit
         self.ahead = self.AHEAD * grace / 1e6 * line_rate
         self.used = [0.0] * cells
--- a/gradehoist/cells/moves.py
+++ b/gradehoist/cells/moves.py
@@ -99,7 +99,8 @@
     def write(self, now: int, tenant: str, cell: str, gen: int, key: str) -> tuple[Fence, Verdict]:
         word = self.words.get(tenant)
         mine = cell == self.cell and (
-            gen == 1 if word is None else gen == word.gen and word.cell == self.cell)
+            gen == 1 if word is None else gen == word.gen and word.cell == self.cell
+        )
         if not mine:
             return self, Verdict.MOVED
         if now >= self.until:
@@ -114,8 +115,11 @@
     def finish(self, tenant: str, key: str) -> Fence:
         """The effect of a write that was taken; kept together with it."""
         left = self.hand.get(tenant, NONE) - {key}
-        return replace(self, hand={**self.hand, tenant: left},
-                       done={**self.done, tenant: self.done.get(tenant, NONE) | {key}})
+        return replace(
+            self,
+            hand={**self.hand, tenant: left},
+            done={**self.done, tenant: self.done.get(tenant, NONE) | {key}},
+        )
 
     def dropped(self, tenant: str, key: str) -> Fence:
         """A write that was taken and will never run: it waited, and nobody waits for it."""
@@ -126,8 +130,9 @@
         known = self.words.get(word.tenant)
         after = replace(self, words={**self.words, word.tenant: word}) if word.over(known) else self
         held = after.words[word.tenant]
-        return after, Confirm(self.name, held, bool(after.hand.get(word.tenant)),
-                              after.done.get(word.tenant, NONE) | held.keys)
+        return after, Confirm(
+            self.name, held, bool(after.hand.get(word.tenant)), after.done.get(word.tenant, NONE) | held.keys
+        )
 
     def heartbeat(self, now: int, lease: int, words: Iterable[Word]) -> Fence:
         after = self
@@ -213,8 +218,9 @@
         keys = self.keys | c.keys if self.step is Step.SHUT else self.keys
         return replace(self, shut=self.shut | {c.by}, keys=keys)
 
-    def advance(self, now: int, governors: Iterable[str], cells: Mapping[str, Iterable[str]],
-                wait: int) -> Move:
+    def advance(
+        self, now: int, governors: Iterable[str], cells: Mapping[str, Iterable[str]], wait: int
+    ) -> Move:
         """The next step if its time has come; `wait` is lease, settle time and margin (µs). The caller keeps
         the record before it sends anything of the new step."""
         if self.conflict:
@@ -237,8 +243,16 @@
             raise ValueError(f"move {self.id} is done; order a move back to {self.source}")
         if self.undone:
             raise ValueError(f"move {self.id} is being undone already")
-        return Move(self.id + "-undo", self.tenant, self.target, self.source, self.gen + 1,
-                    fenced=self.step is Step.OPEN, keys=self.keys, undone=True)
+        return Move(
+            self.id + "-undo",
+            self.tenant,
+            self.target,
+            self.source,
+            self.gen + 1,
+            fenced=self.step is Step.OPEN,
+            keys=self.keys,
+            undone=True,
+        )
 
     def waits(self, now: int, governors: Iterable[str], cells: Mapping[str, Iterable[str]], wait: int) -> str:
         """What the move waits for, in words for a person."""
--- a/gradehoist/cells/release.py
+++ b/gradehoist/cells/release.py
@@ -32,12 +32,20 @@
     elapsed: int = 0
 
     def since(self, other: Seen) -> Seen:
-        return Seen(self.came - other.came, self.unanswered - other.unanswered, self.good - other.good,
-                    self.elapsed - other.elapsed)
+        return Seen(
+            self.came - other.came,
+            self.unanswered - other.unanswered,
+            self.good - other.good,
+            self.elapsed - other.elapsed,
+        )
 
     def plus(self, other: Seen) -> Seen:
-        return Seen(self.came + other.came, self.unanswered + other.unanswered, self.good + other.good,
-                    self.elapsed + other.elapsed)
+        return Seen(
+            self.came + other.came,
+            self.unanswered + other.unanswered,
+            self.good + other.good,
+            self.elapsed + other.elapsed,
+        )
 
     @property
     def failing(self) -> float:
@@ -122,14 +130,18 @@
     rise = max(0.0, others.failing - others_were.failing)
     adjusted = replace(was, unanswered=round(min(1.0, was.failing + rise) * was.came))
     if _excess(adjusted, mine) > SURE:
-        return (f"{mine.failing:.1%} of {mine.came} transactions of {cell} were not answered, "
-                f"{was.failing:.1%} before; elsewhere {others.failing:.1%}")
+        return (
+            f"{mine.failing:.1%} of {mine.came} transactions of {cell} were not answered, "
+            f"{was.failing:.1%} before; elsewhere {others.failing:.1%}"
+        )
     if mine.good >= LEAST and was.good >= LEAST:
         ratio = mine.mean / max(1.0, was.mean)
         beside = others.mean / max(1.0, others_were.mean) if others_were.good and others.good else 1.0
         if ratio > SLOWER * max(1.0, beside):
-            return (f"answers of {cell} take {mine.mean / 1e3:.0f} ms, {was.mean / 1e3:.0f} before; "
-                    f"elsewhere {others.mean / 1e3:.0f}")
+            return (
+                f"answers of {cell} take {mine.mean / 1e3:.0f} ms, {was.mean / 1e3:.0f} before; "
+                f"elsewhere {others.mean / 1e3:.0f}"
+            )
     return ""
 
 
--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -53,29 +53,37 @@
 
 
 def workers_of(path: Path) -> list[Worker]:
-    return [Worker(r["worker"], r["zone"], r["kind"], figure(path, n, "size", r["size"]))
-            for n, r in enumerate(rows(path, ("worker", "zone", "kind", "size")), 2)]
+    return [
+        Worker(r["worker"], r["zone"], r["kind"], figure(path, n, "size", r["size"]))
+        for n, r in enumerate(rows(path, ("worker", "zone", "kind", "size")), 2)
+    ]
 
 
 def make(tenants: Path, workers: Path, wanted: Wanted, before: Path | None) -> tuple[Placed, tuple[str, ...]]:
     """The placement and what could not be had. Raises Bad."""
-    people = [Tenant(r["tenant"], figure(tenants, n, "demand", r["demand"]))
-              for n, r in enumerate(rows(tenants, ("tenant", "demand")), 2)]
+    people = [
+        Tenant(r["tenant"], figure(tenants, n, "demand", r["demand"]))
+        for n, r in enumerate(rows(tenants, ("tenant", "demand")), 2)
+    ]
     crew = workers_of(workers)
     names = tuple(f"c{n}" for n in range(wanted.cells))
     old = None
     if before is not None:
         held = read(before)
         numbers = {c: n for n, c in enumerate(held.cells)}
-        names = held.cells[: wanted.cells] + names[len(held.cells):]
-        old = Placement({w: numbers[c] for w, c in held.workers.items()},
-                        {t: numbers[c] for t, c in held.named.items()})
+        names = held.cells[: wanted.cells] + names[len(held.cells) :]
+        old = Placement(
+            {w: numbers[c] for w, c in held.workers.items()}, {t: numbers[c] for t, c in held.named.items()}
+        )
     try:
         found = place(people, crew, wanted, old)
     except ValueError as fault:
         raise Bad(f"{workers}: {fault}; change --cells or the files") from None
-    return Placed(names, {w: names[c] for w, c in sorted(found.workers.items())},
-                  {t: names[c] for t, c in sorted(found.tenants.items())}), found.faults
+    return Placed(
+        names,
+        {w: names[c] for w, c in sorted(found.workers.items())},
+        {t: names[c] for t, c in sorted(found.tenants.items())},
+    ), found.faults
 
 
 def split(placed: Placed, workers: Path, cell: str, new: str) -> Placed:
@@ -87,11 +95,17 @@
     crew = workers_of(workers)
     mine = [w for w in crew if placed.workers.get(w.name) == cell]
     if len(mine) < 2 or len(mine) < len(placed.of(cell)):
-        raise Bad(f"{workers}: names {len(mine)} of the {len(placed.of(cell))} workers of {cell}; a split "
-                  "needs all of them, and two at least")
+        raise Bad(
+            f"{workers}: names {len(mine)} of the {len(placed.of(cell))} workers of {cell}; a split "
+            "needs all of them, and two at least"
+        )
     _, go = halves(mine)
-    return Placed((*placed.cells, new), {**placed.workers, **{w.name: new for w in go}}, placed.named,
-                  placed.ranges or placed.cells)
+    return Placed(
+        (*placed.cells, new),
+        {**placed.workers, **{w.name: new for w in go}},
+        placed.named,
+        placed.ranges or placed.cells,
+    )
 
 
 def read(path: Path) -> Placed:
@@ -125,10 +139,21 @@
         cells = [cell, ", ".join(workers[:4]) + (", …" if len(workers) > 4 else ""), str(len(here))]
         if live is not None:
             x = live.get(cell)
-            cells += [f"{x['ready']:.0f} of {x['workers']:.0f}", f"{x['load']:.0%}", f"{x['headroom']:.0%}",
-                      f"{x['came']:.0f}", f"{x['unanswered']:.0f}"] if x else ["?"] * 5
-            cells += [str(sum(m.source == cell for m in under_way)),
-                      str(sum(m.target == cell for m in under_way))]
+            cells += (
+                [
+                    f"{x['ready']:.0f} of {x['workers']:.0f}",
+                    f"{x['load']:.0%}",
+                    f"{x['headroom']:.0%}",
+                    f"{x['came']:.0f}",
+                    f"{x['unanswered']:.0f}",
+                ]
+                if x
+                else ["?"] * 5
+            )
+            cells += [
+                str(sum(m.source == cell for m in under_way)),
+                str(sum(m.target == cell for m in under_way)),
+            ]
         some = ", ".join(here[:4]) + (", …" if len(here) > 4 else "")
         out.add_row(*cells, "draining" if cell in shut else some)
     Console().print(out)
@@ -139,6 +164,7 @@
 
 def figures(settings: Settings) -> tuple[Live, list[str]]:
     """What governors have heard of each cell, counts added up and loads averaged; and who did not answer."""
+
     async def one(governor: Governor) -> Live | None:
         client = Client(*governor.listen, connect_timeout=0.5)
         try:
@@ -156,8 +182,10 @@
     known = [x for x in answers if x is not None]
     for cell in {c for x in known for c in x}:
         some = [x[cell] for x in known if cell in x]
-        out[cell] = {key: sum(x[key] for x in some) / (1 if key in ("came", "unanswered") else len(some))
-                     for key in some[0]}
+        out[cell] = {
+            key: sum(x[key] for x in some) / (1 if key in ("came", "unanswered") else len(some))
+            for key in some[0]
+        }
     return out, silent
 
 
@@ -220,8 +248,16 @@
     return all(m.step is Step.DONE for m in ended)
 
 
-def release(settings: Settings, store: Path, run: str, back: str, some: tuple[str, ...], batch: int,
-            soak: float, patience: float) -> bool:
+def release(
+    settings: Settings,
+    store: Path,
+    run: str,
+    back: str,
+    some: tuple[str, ...],
+    batch: int,
+    soak: float,
+    patience: float,
+) -> bool:
     """A new release, or without a command the one that was under way; True where it came to its end without
     harm. Raises Bad."""
     placed = placement(settings)
@@ -261,8 +297,10 @@
 
 
 def _say(move: Move, waits: str) -> None:
-    print(f"{move.id} {move.tenant} {move.source} -> {move.target}: {move.step.value}; waits for {waits}",
-          flush=True)
+    print(
+        f"{move.id} {move.tenant} {move.source} -> {move.target}: {move.step.value}; waits for {waits}",
+        flush=True,
+    )
 
 
 def show_moves(store: Path) -> None:
@@ -275,7 +313,12 @@
     for head in ("move", "tenant", "from", "to", "generation", "step", ""):
         out.add_column(head)
     for m in moves:
-        note = m.conflict or ("" if m.step is Step.DONE else "undone" if m.id not in due else
-                              "confirmed by " + (", ".join(sorted(m.known | m.shut)) or "nobody yet"))
+        note = m.conflict or (
+            ""
+            if m.step is Step.DONE
+            else "undone"
+            if m.id not in due
+            else "confirmed by " + (", ".join(sorted(m.known | m.shut)) or "nobody yet")
+        )
         out.add_row(m.id, m.tenant, m.source, m.target, str(m.gen), m.step.value, note)
     Console().print(out)
--- a/gradehoist/cli/day.py
+++ b/gradehoist/cli/day.py
@@ -29,8 +29,9 @@
         out.add_column(head, justify="right" if head in ("limit used", "occasions") else "left")
     for r in verdict.rules:
         text = r.why or (r.breaks[0].text + f" ({r.breaks[0].at:.1f} s)" if r.breaks else "")
-        out.add_row(r.name, f"[{COLOUR[r.state]}]{r.state}[/]", f"{100 * r.near:.0f}%", str(r.occasions),
-                    text)
+        out.add_row(
+            r.name, f"[{COLOUR[r.state]}]{r.state}[/]", f"{100 * r.near:.0f}%", str(r.occasions), text
+        )
     return out
 
 
@@ -40,8 +41,9 @@
     return " ".join(f"[{COLOUR['broken' if r.breaks else 'kept']}]{r.name[0]}[/]" for r in verdict.rules)
 
 
-def play(path: Path, seed: int | None, out: Path | None, follow: bool, even: bool, speed: float,
-         quiet: bool) -> bool:
+def play(
+    path: Path, seed: int | None, out: Path | None, follow: bool, even: bool, speed: float, quiet: bool
+) -> bool:
     """Plays and judges a scene; True where all rules held. Raises Failed."""
     console = Console(stderr=True)
     try:
@@ -51,8 +53,14 @@
     plan = scene.draw(script, script.seed if seed is None else seed, follow, even)
     plan = scene.hurried(plan, speed)
     folder = out or Path("found") / f"{plan.name}-{plan.seed}"
-    columns = (TextColumn("[bold]{task.fields[scene]}"), BarColumn(), TaskProgressColumn(),
-               TimeRemainingColumn(), TextColumn("{task.fields[rules]}"), TextColumn("{task.fields[text]}"))
+    columns = (
+        TextColumn("[bold]{task.fields[scene]}"),
+        BarColumn(),
+        TaskProgressColumn(),
+        TimeRemainingColumn(),
+        TextColumn("{task.fields[rules]}"),
+        TextColumn("{task.fields[text]}"),
+    )
     with Progress(*columns, console=console, disable=quiet) as bar:
         task = bar.add_task("day", total=1.0, scene=plan.name, rules="", text="starting")
 
@@ -88,8 +96,10 @@
     if not verdict.complete:
         console.print(f"[bold red]the records are not whole: {verdict.why}[/]")
     shares = ", ".join(f"{name} {100 * share:.1f}%" for name, share in verdict.by_class.items())
-    console.print(f"{verdict.transactions} transactions; gain answered within the latency goal "
-                  f"{100 * verdict.answered:.1f}% ({shares})")
+    console.print(
+        f"{verdict.transactions} transactions; gain answered within the latency goal "
+        f"{100 * verdict.answered:.1f}% ({shares})"
+    )
 
 
 def judge(folder: Path, as_json: bool) -> bool:
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -37,8 +37,10 @@
         except OSError as fault:
             if fault.errno == errno.EPIPE:
                 raise  # click's own: who read our output has left
-            raise Fail(f"{fault.filename or context.invoked_subcommand}: {fault.strerror or fault}; "
-                       "see to the folder and its disk, then run it again") from None
+            raise Fail(
+                f"{fault.filename or context.invoked_subcommand}: {fault.strerror or fault}; "
+                "see to the folder and its disk, then run it again"
+            ) from None
 
 
 @click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
@@ -59,15 +61,23 @@
     """Reads the settings, reports every error, starts nothing."""
     found = settings(path)
     names = ", ".join(g.name for g in found.governors)
-    click.echo(f"{path}: in order; governors {names}; {len(found.fleet.classes)} classes, "
-               f"{len(found.fleet.zones)} zones")
+    click.echo(
+        f"{path}: in order; governors {names}; {len(found.fleet.classes)} classes, "
+        f"{len(found.fleet.zones)} zones"
+    )
 
 
 @main.command()
 @click.argument("path", metavar="SETTINGS", type=FILE)
 @click.option("--name", required=True, help="Which governor of the settings this process is.")
-@click.option("--log", "form", type=click.Choice(["auto", "json", "plain"]), default="auto",
-              show_default=True, help="One JSON line an event, or text for a person (auto: on a terminal).")
+@click.option(
+    "--log",
+    "form",
+    type=click.Choice(["auto", "json", "plain"]),
+    default="auto",
+    show_default=True,
+    help="One JSON line an event, or text for a person (auto: on a terminal).",
+)
 def governor(path: Path, name: str, form: str) -> None:
     """Runs one governor until SIGTERM or Ctrl-C."""
     found = settings(path)
@@ -92,19 +102,30 @@
     except StateFault as fault:
         raise Fail(f"{path}: governor {name!r} > state: {fault}") from None
     except OSError as fault:
-        raise Fail(f"{path}: governor {name!r} > listen: {fault.strerror or fault}; "
-                   "free the address or name another") from None
-
+        raise Fail(
+            f"{path}: governor {name!r} > listen: {fault.strerror or fault}; "
+            "free the address or name another"
+        ) from None
 
 
 @main.command()
 @click.argument("path", metavar="SCENE", type=FILE)
 @click.option("--seed", type=click.IntRange(0, 2**31), help="Plays another day of the same scene.")
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="The run folder.")
-@click.option("--tables", type=click.Choice(["governed", "standing", "even"]), default="governed",
-              show_default=True, help="Who decides: governors, nobody, or equal weights for all.")
-@click.option("--speed", type=click.FloatRange(0.1, 10), default=1.0, show_default=True,
-              help="Plays the script that much faster; goals, grace and every limit stay as they are.")
+@click.option(
+    "--tables",
+    type=click.Choice(["governed", "standing", "even"]),
+    default="governed",
+    show_default=True,
+    help="Who decides: governors, nobody, or equal weights for all.",
+)
+@click.option(
+    "--speed",
+    type=click.FloatRange(0.1, 10),
+    default=1.0,
+    show_default=True,
+    help="Plays the script that much faster; goals, grace and every limit stay as they are.",
+)
 @click.option("--quiet", is_flag=True, help="No progress bar.")
 def day(path: Path, seed: int | None, out: Path | None, tables: str, speed: float, quiet: bool) -> None:
     """Plays a scene on loopback sockets and judges the rules; exit 0 only if they held."""
@@ -144,11 +165,25 @@
 @click.option("--before", type=FILE, help="An earlier placement, kept as far as it can be.")
 @click.option("--least-workers", type=click.IntRange(1), default=2, show_default=True)
 @click.option("--least-zones", type=click.IntRange(1), default=1, show_default=True)
-@click.option("--spare", type=click.FloatRange(0, 0.95), default=0.2, show_default=True,
-              help="Part of each cell that is kept free.")
+@click.option(
+    "--spare",
+    type=click.FloatRange(0, 0.95),
+    default=0.2,
+    show_default=True,
+    help="Part of each cell that is kept free.",
+)
 @click.option("--lose-zone", is_flag=True, help="Leave room in each cell for the loss of its largest zone.")
-def place_cells(tenants: Path, workers: Path, number: int, out: Path, before: Path | None, least_workers: int,
-                least_zones: int, spare: float, lose_zone: bool) -> None:
+def place_cells(
+    tenants: Path,
+    workers: Path,
+    number: int,
+    out: Path,
+    before: Path | None,
+    least_workers: int,
+    least_zones: int,
+    spare: float,
+    lose_zone: bool,
+) -> None:
     """Makes a placement from tenants (tenant,demand) and workers (worker,zone,kind,size); exit 1 if something
     asked for could not be had, with the placement written all the same."""
     import msgspec
@@ -168,13 +203,19 @@
         raise Fail(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
     for fault_line in faults:
         click.echo(fault_line, err=True)
-    click.echo(f"{out}: {len(placed.cells)} cells, {len(placed.workers)} workers, "
-               f"{len(placed.named)} tenants")
+    click.echo(
+        f"{out}: {len(placed.cells)} cells, {len(placed.workers)} workers, " f"{len(placed.named)} tenants"
+    )
     sys.exit(1 if faults else 0)
 
 
-STORE = click.option("--store", type=click.Path(file_okay=False, path_type=Path), default=Path("var/moves"),
-                     show_default=True, help="The folder of all moves' records; one for an installation.")
+STORE = click.option(
+    "--store",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=Path("var/moves"),
+    show_default=True,
+    help="The folder of all moves' records; one for an installation.",
+)
 
 
 @cells.command("show")
@@ -261,9 +302,11 @@
         keep.write(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
     except OSError as fault:
         raise Fail(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
-    click.echo(f"{out}: {new} has {len(placed.of(new))} workers, {cell} keeps {len(placed.of(cell))}; next: "
-               f"governors with this file, one at a time; {', '.join(sorted(placed.of(new)))} anew; "
-               f"gradehoist cells move SETTINGS --half-of {cell} --to {new}")
+    click.echo(
+        f"{out}: {new} has {len(placed.of(new))} workers, {cell} keeps {len(placed.of(cell))}; next: "
+        f"governors with this file, one at a time; {', '.join(sorted(placed.of(new)))} anew; "
+        f"gradehoist cells move SETTINGS --half-of {cell} --to {new}"
+    )
 
 
 @cells.command("undo")
@@ -298,13 +341,31 @@
 @click.option("--back", default="", help="The command that puts a worker back after a halt.")
 @click.option("--cell", "some", multiple=True, help="A cell to renew, in this order; all if none is named.")
 @click.option("--batch", type=click.IntRange(1), default=1, show_default=True, help="Workers at a time.")
-@click.option("--soak", type=click.FloatRange(0.5, 86_400), default=60.0, show_default=True,
-              help="Seconds that a renewed cell is watched, and compared with as many before.")
-@click.option("--patience", type=click.FloatRange(1, 86_400), default=120.0, show_default=True,
-              help="Seconds for a renewed worker to be listed as ready again.")
+@click.option(
+    "--soak",
+    type=click.FloatRange(0.5, 86_400),
+    default=60.0,
+    show_default=True,
+    help="Seconds that a renewed cell is watched, and compared with as many before.",
+)
+@click.option(
+    "--patience",
+    type=click.FloatRange(1, 86_400),
+    default=120.0,
+    show_default=True,
+    help="Seconds for a renewed worker to be listed as ready again.",
+)
 @STORE
-def release_cells(path: Path, run: str, back: str, some: tuple[str, ...], batch: int, soak: float,
-                  patience: float, store: Path) -> None:
+def release_cells(
+    path: Path,
+    run: str,
+    back: str,
+    some: tuple[str, ...],
+    batch: int,
+    soak: float,
+    patience: float,
+    store: Path,
+) -> None:
     """Renews the workers of one cell after another and halts where a cell is harmed. Without --run it goes on
     with what is under way, as after a kill. Exit 1 where it halted."""
     from gradehoist.cli import cells as view
--- a/gradehoist/cli/plan.py
+++ b/gradehoist/cli/plan.py
@@ -30,8 +30,10 @@
         raise Bad(str(fault)) from None
     found = [e for e in events if not name or e.name == name]
     if len(found) != 1:
-        raise Bad(f"{path}: {'no such event' if name else 'more than one event'}; name one with --event: "
-                  + ", ".join(e.name for e in events))
+        raise Bad(
+            f"{path}: {'no such event' if name else 'more than one event'}; name one with --event: "
+            + ", ".join(e.name for e in events)
+        )
     return found[0]
 
 
@@ -63,8 +65,9 @@
 def show(plan: making.Plan) -> None:
     """Served by hall in each slot; below it, all that falls short."""
     zones = sorted({s.zone for c in plan.cases for s in c.served})
-    out = Table(title=f"{plan.event}, from {plan.begins} ({plan.zone}), {plan.slot} s a slot",
-                title_justify="left")
+    out = Table(
+        title=f"{plan.event}, from {plan.begins} ({plan.zone}), {plan.slot} s a slot", title_justify="left"
+    )
     for head in ("slot", *zones, "crossing", "short", "worst loss", "short then"):
         out.add_column(head, justify="left" if head == "worst loss" else "right")
     by_slot: dict[int, list[making.Case]] = defaultdict(list)
@@ -76,8 +79,14 @@
         across = sum(s.rate for s in whole.served if s.zone != s.origin) / GRID
         worst = max(cases, key=lambda c: (bool(c.lost) and _missing(c), c.lost))
         text = ", ".join(worst.lost) if worst.lost and worst.short else "none hurts"
-        out.add_row(str(slot), *(f"{rate[z]:.1f}" for z in zones), f"{across:.1f}",
-                    f"{float(_missing(whole)):.1f}", text, f"{float(_missing(worst)):.1f}")
+        out.add_row(
+            str(slot),
+            *(f"{rate[z]:.1f}" for z in zones),
+            f"{across:.1f}",
+            f"{float(_missing(whole)):.1f}",
+            text,
+            f"{float(_missing(worst)):.1f}",
+        )
     Console().print(out)
     for case in plan.cases:
         if case.short:
--- a/gradehoist/coordination/agent.py
+++ b/gradehoist/coordination/agent.py
@@ -267,11 +267,13 @@
             member = Member(self.me.role, self.me.name, self.me.zone, self.me.run, gen, self.me.address)
             changes: list[r.Change] = [
                 self.put(self.me.named, Named(gen, self.me.run, self.me.member)),
-                self.put(self.me.member, member, own=True)]
+                self.put(self.me.member, member, own=True),
+            ]
             held: dict[str, int] = self.value(FLOORS, dict[str, int]) or {}
             if any(gen > held.get(key, 0) for key, gen in self.floors.items()):
-                changes.append(self.put(FLOORS, held | {k: max(g, held.get(k, 0))
-                                                        for k, g in self.floors.items()}))
+                changes.append(
+                    self.put(FLOORS, held | {k: max(g, held.get(k, 0)) for k, g in self.floors.items()})
+                )
             self._joining = self._proposal(tuple(changes))
         return self._ask("commit", self._joining.changes, self._joining.token)
 
@@ -467,8 +469,9 @@
             if not self.standing_by:
                 self._tell("outrun", by=named.holder, gen=named.gen)
             self.standing_by, self.joined = True, False
-        if self._in == self.session != "" and any(e.key == self.me.member and e.record is None
-                                                  for e in events):
+        if self._in == self.session != "" and any(
+            e.key == self.me.member and e.record is None for e in events
+        ):
             self._ended(now, "its record went")
         if events:
             self._tell("changed", keys=[e.key for e in events])
--- a/gradehoist/coordination/members.py
+++ b/gradehoist/coordination/members.py
@@ -117,20 +117,31 @@
 
     def cut_off(self) -> bool:
         """This process has lost most of those whose records stand: it is the one that is cut off."""
-        others = [k for k in self.known.values() if k.record_gone < 0 and k.member.address
-                  and self._key(k.member) != self.own]
+        others = [
+            k
+            for k in self.known.values()
+            if k.record_gone < 0 and k.member.address and self._key(k.member) != self.own
+        ]
         gone = sum(k.missed >= MISSED for k in others)
         return len(others) >= 2 and 2 * gone > len(others)
 
     def own_view(self, now: int) -> View:
-        lost = tuple(sorted(k for k, v in self.known.items()
-                            if k != self.own and v.missed >= MISSED and now - v.missed_since >= self.lost))
+        lost = tuple(
+            sorted(
+                k
+                for k, v in self.known.items()
+                if k != self.own and v.missed >= MISSED and now - v.missed_since >= self.lost
+            )
+        )
         return View(lost, self.cut_off())
 
     def judge(self, now: int) -> Mapping[str, Seen]:
         """Every member's state; those that ended long ago are forgotten."""
-        voices = [v for k, v in self.views.items() if not v.cut and k in self.known
-                  and self.known[k].record_gone < 0 and k != self.own]
+        voices = [
+            v
+            for k, v in self.views.items()
+            if not v.cut and k in self.known and self.known[k].record_gone < 0 and k != self.own
+        ]
         for key, known in list(self.known.items()):
             state = self._state(now, key, known, voices)
             if state is not known.seen.state:
--- a/gradehoist/coordination/mirror.py
+++ b/gradehoist/coordination/mirror.py
@@ -38,11 +38,11 @@
         found = {r.key: r for r in snapshot.records}
         for key, known in self.records.items():
             other = found.get(key)
-            if other is not None and (other.version < known.version or (
-                    other.version == known.version and other != known)):
+            if other is not None and (
+                other.version < known.version or (other.version == known.version and other != known)
+            ):
                 raise Backwards(f"{key} at version {other.version} is not what it was at {known.version}")
-        events = [Event(r.key, r.version, r) for r in snapshot.records
-                  if key_new(r, self.records.get(r.key))]
+        events = [Event(r.key, r.version, r) for r in snapshot.records if key_new(r, self.records.get(r.key))]
         events += [Event(k, snapshot.revision, None) for k in self.records if k not in found]
         self.records, self.lineage, self.begun = found, snapshot.lineage, True
         self.revision, self.last = snapshot.revision, []
--- a/gradehoist/day/audit.py
+++ b/gradehoist/day/audit.py
@@ -23,10 +23,13 @@
 ALWAYS = 1 << 62
 PACE_SLACK = 5_000  # µs: clocks are one machine's, yet a stamp and a leaving are taken moments apart
 NAMES = {
-    "line": "1 a line to pick for each class", "twice": "2 no effect twice",
-    "drain": "3 drains kept within the grace", "cold": "4 no cold replica pushed over",
+    "line": "1 a line to pick for each class",
+    "twice": "2 no effect twice",
+    "drain": "3 drains kept within the grace",
+    "cold": "4 no cold replica pushed over",
     "moves": "6 each write once, none at a former cell",
-    "queue": "5 queue and messages under their limits", "placement": "+ classes on their zones and kinds",
+    "queue": "5 queue and messages under their limits",
+    "placement": "+ classes on their zones and kinds",
 }
 
 
@@ -157,9 +160,11 @@
             breaks.append(Finding(round((at - self.t0) / 1e6, 3), relay, replica, text, list(records)))
 
     def allowed(self, c: Class, replica: Replica, zone: str) -> bool:
-        return ((c.only_zones is None or replica.zone in c.only_zones)
-                and (c.only_kinds is None or replica.kind in c.only_kinds)
-                and (not c.stays_local or replica.zone == zone))
+        return (
+            (c.only_zones is None or replica.zone in c.only_zones)
+            and (c.only_kinds is None or replica.kind in c.only_kinds)
+            and (not c.stays_local or replica.zone == zone)
+        )
 
     def run(self) -> Verdict:
         tries: dict[tuple[str, str], list[Rec]] = defaultdict(list)
@@ -245,9 +250,16 @@
         rule = self.rules["line"]
         rule.near = max(rule.near, (at - since) / self.plan.rules.bare_limit)
         if at - since > self.plan.rules.bare_limit:
-            self.found("line", since, relay, "", f"{cls}: no line to pick for {(at - since) / 1e6:.2f} s",
-                       [r for r in self.records if r["e"] == "applied" and r["relay"] == relay
-                        and r["t"] <= since][-1:])
+            self.found(
+                "line",
+                since,
+                relay,
+                "",
+                f"{cls}: no line to pick for {(at - since) / 1e6:.2f} s",
+                [r for r in self.records if r["e"] == "applied" and r["relay"] == relay and r["t"] <= since][
+                    -1:
+                ],
+            )
 
     def _bare(self, at: int, relay: str, record: Rec) -> None:
         """Brings the bare times of a relay up to now; a warm replica must stand open for one to run."""
@@ -259,10 +271,13 @@
             held = self.holds[relay]
             bare = not held.lines(name if name in held.table else c.name)
             open_one = bare and any(
-                phase == "ready" and self.plan.workers.get(x, "") == cell
+                phase == "ready"
+                and self.plan.workers.get(x, "") == cell
                 and self.allowed(c, self.replicas[x], self.zone[relay])
                 and at - self.started.get(x, -ALWAYS) >= self.plan.rules.cold_time
-                for x, (phase, _) in told.phase.items() if x in self.replicas)
+                for x, (phase, _) in told.phase.items()
+                if x in self.replicas
+            )
             if open_one:
                 self.bare.setdefault((relay, name), at)
             else:
@@ -276,8 +291,11 @@
         placement.occasions += 1
         if not self.allowed(c, replica, self.zone[r["relay"]]):
             self.found("placement", at, r["relay"], replica.name, f"{c.name} is not open there", [r])
-        if (cell := r.get("cell")) and self.plan.workers.get(replica.name) != cell and (
-                label(cell, c.name) in self.holds[r["relay"]].table):
+        if (
+            (cell := r.get("cell"))
+            and self.plan.workers.get(replica.name) != cell
+            and (label(cell, c.name) in self.holds[r["relay"]].table)
+        ):
             self.found("placement", at, r["relay"], replica.name, f"sent for cell {cell}", [r])
         joined = self.joined.get(r["relay"])
         if joined is None:
@@ -287,13 +305,25 @@
             drain, late = self.rules["drain"], at - max(since, joined.since)
             drain.near = max(drain.near, late / self.plan.rules.grace)
             if late > self.plan.rules.grace:
-                self.found("drain", at, r["relay"], replica.name,
-                           f"sent {late / 1e6:.2f} s after {joined.governor} was told it is {phase}", [r])
+                self.found(
+                    "drain",
+                    at,
+                    r["relay"],
+                    replica.name,
+                    f"sent {late / 1e6:.2f} s after {joined.governor} was told it is {phase}",
+                    [r],
+                )
 
     # Rule 2
 
-    def _twice(self, tries: dict[tuple[str, str], list[Rec]], effects: dict[str, list[Rec]],
-               arrived: dict[str, set[str]], away: dict[str, set[str]], fenced: dict[str, set[str]]) -> None:
+    def _twice(
+        self,
+        tries: dict[tuple[str, str], list[Rec]],
+        effects: dict[str, list[Rec]],
+        arrived: dict[str, set[str]],
+        away: dict[str, set[str]],
+        fenced: dict[str, set[str]],
+    ) -> None:
         rule = self.rules["twice"]
         for (relay, tx), some in tries.items():
             c = self.classes[some[0]["cls"]]
@@ -305,15 +335,22 @@
                 continue
             if len(some) > 1 and len(effects[tx]) > 1:
                 rule.near = 1.0
-                self.found("twice", some[-1]["t"], relay, some[-1]["replica"], f"{tx} took effect twice",
-                           effects[tx])
+                self.found(
+                    "twice", some[-1]["t"], relay, some[-1]["replica"], f"{tx} took effect twice", effects[tx]
+                )
             for n, later in enumerate(some[1:], 1):
                 ran = {x["replica"] for x in some[:n] if x["replica"] in arrived[tx]}
                 unproven = ran - fenced[tx] - (away[tx] if self.plan.full_is_proof else set())
                 if unproven:
                     rule.near, where = 1.0, ", ".join(sorted(unproven))
-                    self.found("twice", later["t"], relay, later["replica"],
-                               f"{tx} sent again though it may have run at {where}", some)
+                    self.found(
+                        "twice",
+                        later["t"],
+                        relay,
+                        later["replica"],
+                        f"{tx} sent again though it may have run at {where}",
+                        some,
+                    )
 
     # Rule 6
 
@@ -329,8 +366,14 @@
             done[r["tx"].partition(".")[0]].append(r)
             gen, cell = latest.get(r["tenant"], (0, ""))
             if r["gen"] < gen and r["cell"] != cell:
-                self.found("moves", r["t"], "", r["replica"],
-                           f"{r['tenant']}: generation {r['gen']} at {r['cell']} after {gen} at {cell}", [r])
+                self.found(
+                    "moves",
+                    r["t"],
+                    "",
+                    r["replica"],
+                    f"{r['tenant']}: generation {r['gen']} at {r['cell']} after {gen} at {cell}",
+                    [r],
+                )
             if r["gen"] > gen:
                 latest[r["tenant"]] = (r["gen"], r["cell"])
         for key, some in done.items():
@@ -339,8 +382,12 @@
         if not self.plan.cells:
             return
         for r in self.records:
-            if (r["e"] == "transaction" and r["status"] == 200 and r["tx"] not in done
-                    and self.classes[r["cls"]].repeat == "single"):
+            if (
+                r["e"] == "transaction"
+                and r["status"] == 200
+                and r["tx"] not in done
+                and self.classes[r["cls"]].repeat == "single"
+            ):
                 self.found("moves", r["t"], r["relay"], "", f"{r['tx']} was answered and never written", [r])
 
     # Rule 4
@@ -373,9 +420,15 @@
                     rule.near = max(rule.near, work / budget)
                     down = [x for x in fell if x["replica"] == name and abs(x["t"] - r["t"]) < 100_000]
                     if work > budget and down:
-                        self.found("cold", r["t"], r["relay"], name,
-                                   f"pushed over in boot {boot}: {work:.0f} ms of work in the span, "
-                                   f"{budget:.0f} can be borne", down)
+                        self.found(
+                            "cold",
+                            r["t"],
+                            r["relay"],
+                            name,
+                            f"pushed over in boot {boot}: {work:.0f} ms of work in the span, "
+                            f"{budget:.0f} can be borne",
+                            down,
+                        )
         if fell and not rule.breaks:
             rule.why = f"{len(fell)} fell, mostly by relays whose governor could not know of the start"
 
@@ -394,8 +447,14 @@
         for (r, m), (_, waiting) in zip(ordered, queue(costs, rules.line_rate), strict=True):
             rule.near = max(rule.near, waiting / rules.queue_limit)
             if waiting > rules.queue_limit + 1e-6:
-                self.found("queue", m.at, r["relay"], "",
-                           f"{waiting:.0f} lines waited in the channel of {r['governor']}", [r])
+                self.found(
+                    "queue",
+                    m.at,
+                    r["relay"],
+                    "",
+                    f"{waiting:.0f} lines waited in the channel of {r['governor']}",
+                    [r],
+                )
             if r["t"] < m.at:
                 self.found("queue", r["t"], r["relay"], "", "a message came before its order", [r])
         # Whatever the order within one reply: what was ordered since `began` and has come by now must fit
@@ -408,8 +467,14 @@
                 continue
             paid += self.price(m)
             if r["t"] + PACE_SLACK < began + paid / rules.line_rate * 1e6:
-                self.found("queue", r["t"], r["relay"], "",
-                           f"{r['governor']} writes faster than its stated pace", [r])
+                self.found(
+                    "queue",
+                    r["t"],
+                    r["relay"],
+                    "",
+                    f"{r['governor']} writes faster than its stated pace",
+                    [r],
+                )
         by_relay: dict[tuple[str, int], list[tuple[int, Rec]]] = defaultdict(list)
         for r, m in ordered:
             by_relay[r["relay"], r["stream"]].append((m.at, r))
@@ -420,14 +485,24 @@
                     within = n + 1 - bisect_right(times, at - rules.message_window)
                     rule.near = max(rule.near, within / rules.message_limit)
                     if within > rules.message_limit:
-                        self.found("queue", at, relay, "", f"{within} messages within the window",
-                                   [r for _, r in stamps][:1])
+                        self.found(
+                            "queue",
+                            at,
+                            relay,
+                            "",
+                            f"{within} messages within the window",
+                            [r for _, r in stamps][:1],
+                        )
 
     def price(self, m: feed.Message) -> float:
         """A message's least price, from what it brought: its head, a line each, tables by their lines."""
-        return (self.plan.rules.message_head + len(m.deltas) + (m.mark is not None)
-                + sum(len(d.lines) for d in m.deltas if isinstance(d, feed.Bind))
-                + sum(len(d.named) for d in m.deltas if isinstance(d, feed.Route)))
+        return (
+            self.plan.rules.message_head
+            + len(m.deltas)
+            + (m.mark is not None)
+            + sum(len(d.lines) for d in m.deltas if isinstance(d, feed.Bind))
+            + sum(len(d.named) for d in m.deltas if isinstance(d, feed.Route))
+        )
 
     # The whole
 
@@ -458,14 +533,18 @@
         shares = answered(self.plan, self.records)
         total = sum(x[1] for x in shares.values())
         return Verdict(
-            not why, why, list(self.rules.values()),
+            not why,
+            why,
+            list(self.rules.values()),
             round(sum(x[0] for x in shares.values()) / total, 4) if total else 0.0,
             {k: round(a / b, 4) if b else 0.0 for k, (a, b) in shares.items()},
-            sum(r["e"] == "transaction" for r in self.records))
+            sum(r["e"] == "transaction" for r in self.records),
+        )
 
 
-def answered(plan: Plan, records: Iterable[Rec], key: Callable[[Rec], str] | None = None
-             ) -> dict[str, tuple[float, float]]:
+def answered(
+    plan: Plan, records: Iterable[Rec], key: Callable[[Rec], str] | None = None
+) -> dict[str, tuple[float, float]]:
     """By class, or by `key`: gain of what was answered within its latency goal, and gain asked for."""
     classes = {c.name: c for c in plan.classes}
     out: dict[str, tuple[float, float]] = {} if key else {name: (0.0, 0.0) for name in classes}
@@ -473,8 +552,11 @@
         if r["e"] == "transaction":
             c = classes[r["cls"]]
             took = r["t"] - r["began"]
-            good = c.gain if r["status"] == 200 and took <= c.goal else (
-                c.gain * c.late_gain if r["status"] == 200 and took <= c.cutoff else 0.0)
+            good = (
+                c.gain
+                if r["status"] == 200 and took <= c.goal
+                else (c.gain * c.late_gain if r["status"] == 200 and took <= c.cutoff else 0.0)
+            )
             name = key(r) if key else c.name
             a, b = out.get(name, (0.0, 0.0))
             out[name] = (a + good, b + c.gain)
--- a/gradehoist/day/report.py
+++ b/gradehoist/day/report.py
@@ -75,8 +75,13 @@
     figure, axes = plt.subplots(figsize=(9, 3.6), layout="constrained")
     for replica in plan.replicas:
         colour = ZONE_COLOURS[plan.zones.index(zone[replica.name]) % len(ZONE_COLOURS)]
-        axes.plot([at for at, _ in points], [100 * m.get(replica.name, 0.0) for _, m in points],
-                  color=colour, linewidth=1.1, alpha=0.8)
+        axes.plot(
+            [at for at, _ in points],
+            [100 * m.get(replica.name, 0.0) for _, m in points],
+            color=colour,
+            linewidth=1.1,
+            alpha=0.8,
+        )
     for n, name in enumerate(plan.zones):
         axes.plot([], [], color=ZONE_COLOURS[n % len(ZONE_COLOURS)], label=name)
     _troubles(axes, records, t0)
@@ -126,9 +131,11 @@
     """Charts, `verdict.json` and `report.html` into the run folder; the page's path."""
     records = audit.load(folder)
     t0 = next((r["t"] for r in records if r["e"] == "day_begins"), 0)
-    charts = (("answered.png", answered_chart, "Answered within the latency goal, by class and 5 s"),
-              ("weights.png", weights_chart, "Weights by replica, coloured by zone"),
-              ("channel.png", channel_chart, "The channels' queues"))
+    charts = (
+        ("answered.png", answered_chart, "Answered within the latency goal, by class and 5 s"),
+        ("weights.png", weights_chart, "Weights by replica, coloured by zone"),
+        ("channel.png", channel_chart, "The channels' queues"),
+    )
     pictures = ""
     for name, draw, title in charts:
         draw(plan, records, t0, folder / name)
@@ -137,18 +144,25 @@
     rows = "".join(
         f"<tr><td>{html.escape(r.name)}</td><td class='{r.state.replace(' ', '-')}'>{r.state}</td>"
         f"<td>{100 * r.near:.0f}%</td><td>{r.occasions}</td><td>{html.escape(r.why)}</td></tr>"
-        for r in verdict.rules)
+        for r in verdict.rules
+    )
     breaks = "".join(
         f"<li>{b.at:.2f} s, {html.escape(b.relay)} {html.escape(b.replica)}: {html.escape(b.text)}</li>"
-        for r in verdict.rules for b in r.breaks)
-    counts = "".join(f"<tr><td>{k.replace('_', ' ')}</td><td>{v}</td></tr>"
-                     for k, v in figures(plan, records).items())
-    shares = "".join(f"<tr><td>{html.escape(k)}</td><td>{100 * v:.1f}%</td></tr>"
-                     for k, v in verdict.by_class.items())
+        for r in verdict.rules
+        for b in r.breaks
+    )
+    counts = "".join(
+        f"<tr><td>{k.replace('_', ' ')}</td><td>{v}</td></tr>" for k, v in figures(plan, records).items()
+    )
+    shares = "".join(
+        f"<tr><td>{html.escape(k)}</td><td>{100 * v:.1f}%</td></tr>" for k, v in verdict.by_class.items()
+    )
     steps = "".join(
         f"<tr><td>{(r['t'] - t0) / 1e6:.1f}</td><td>{html.escape(r['target'])}</td>"
         f"<td><code>{html.escape(msgspec.json.encode(r['do']).decode())[:160]}</code></td></tr>"
-        for r in records if r["e"] == "step")
+        for r in records
+        if r["e"] == "step"
+    )
     page = f"""<!doctype html><html lang="en"><meta charset="utf-8"><title>{html.escape(plan.name)}</title>
 <style>{STYLE}</style><h1>{html.escape(plan.name)}, seed {plan.seed}</h1>
 <p>{plan.length / 1e6:g} s, {len(plan.governors)} governors, {len(plan.replicas)} replicas, {len(plan.relays)}
--- a/gradehoist/day/run.py
+++ b/gradehoist/day/run.py
@@ -35,8 +35,9 @@
 class Run:
     """One run in `folder`, which holds plan, settings, logs and records afterwards."""
 
-    def __init__(self, scene: Scene, plan: Plan, folder: Path, progress: Progress | None = None,
-                 look: float = 0.0) -> None:
+    def __init__(
+        self, scene: Scene, plan: Plan, folder: Path, progress: Progress | None = None, look: float = 0.0
+    ) -> None:
         self.scene, self.plan, self.folder = scene, plan, folder
         self.progress = progress or (lambda done, text, verdict: None)
         self.look = look  # seconds between looks at the rules while the day runs; 0: none
@@ -46,7 +47,8 @@
     def _start(self, name: str, *args: str) -> None:
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", *args], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+                [sys.executable, "-m", *args], stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
 
     def _governor(self, name: str) -> None:
         settings = str(self.folder / "settings.kdl")
@@ -70,8 +72,9 @@
             client.close()
 
     async def _ready(self, roles: list[str]) -> None:
-        await asyncio.gather(*(
-            self._answers(r, self.plan.controls[r], "POST", "/", b'{"do":"ping"}') for r in roles))
+        await asyncio.gather(
+            *(self._answers(r, self.plan.controls[r], "POST", "/", b'{"do":"ping"}') for r in roles)
+        )
 
     async def play(self) -> bool:
         """Plays the day; False where it was stopped before its end. Raises StartFailed."""
@@ -123,8 +126,19 @@
             while steps and steps[0].at <= at:
                 step = steps.pop(0)
                 await self._step(step)
-                text = str(step.do["do"]) + " " + ",".join(map(str, next(
-                    (v for v in step.do.values() if isinstance(v, list)), [step.do.get("governor", "")])))
+                text = (
+                    str(step.do["do"])
+                    + " "
+                    + ",".join(
+                        map(
+                            str,
+                            next(
+                                (v for v in step.do.values() if isinstance(v, list)),
+                                [step.do.get("governor", "")],
+                            ),
+                        )
+                    )
+                )
             if at >= end:
                 return True
             for name, process in self.processes.items():
@@ -157,8 +171,18 @@
             if step.do["do"] == "move":
                 tenants = step.do["tenants"]
                 assert isinstance(tenants, list)
-                self._start("mover", "gradehoist", "cells", "move", str(self.folder / "settings.kdl"),
-                            *tenants, "--to", str(step.do["to"]), "--store", str(self.folder / "moves"))
+                self._start(
+                    "mover",
+                    "gradehoist",
+                    "cells",
+                    "move",
+                    str(self.folder / "settings.kdl"),
+                    *tenants,
+                    "--to",
+                    str(step.do["to"]),
+                    "--store",
+                    str(self.folder / "moves"),
+                )
                 return
             if step.do["do"] == "release":
                 self._release(step.do)
@@ -181,18 +205,41 @@
 
     def _release(self, do: dict[str, object]) -> None:
         def command(fails: object, slow: object) -> str:
-            return shlex.join([sys.executable, "-m", "gradehoist.standin.deploy",
-                               str(self.folder / "plan.json"), "{worker}", str(fails), str(slow)])
+            return shlex.join(
+                [
+                    sys.executable,
+                    "-m",
+                    "gradehoist.standin.deploy",
+                    str(self.folder / "plan.json"),
+                    "{worker}",
+                    str(fails),
+                    str(slow),
+                ]
+            )
 
-        self._start("release", "gradehoist", "cells", "release", str(self.folder / "settings.kdl"),
-                    "--run", command(do["fails"], do["slow"]), "--back", command(0.0, 1.0),
-                    "--soak", str(do["soak"]), "--store", str(self.folder / "moves"))
+        self._start(
+            "release",
+            "gradehoist",
+            "cells",
+            "release",
+            str(self.folder / "settings.kdl"),
+            "--run",
+            command(do["fails"], do["slow"]),
+            "--back",
+            command(0.0, 1.0),
+            "--soak",
+            str(do["soak"]),
+            "--store",
+            str(self.folder / "moves"),
+        )
 
     def _end_all(self) -> None:
         """Clients and relays first, so that nothing is sent into the end of the others."""
+
         def rank(name: str) -> int:
             order = ("clients", "relays", "mover", "release", "governor", "replicas", "roster", "links")
             return next((n for n, part in enumerate(order) if name.startswith(part)), 9)
+
         for name in sorted(self.processes, key=rank):
             process = self.processes[name]
             if process.poll() is None:
@@ -206,8 +253,14 @@
 
 def figures(plan: Plan, records: list[dict[str, Any]]) -> dict[str, Any]:
     """What the day's page and the measurements show beside the verdict, all from the records."""
-    bytes_read = sum(r["bytes"] for r in {(r["relay"], r["stream"], r["epoch"], r["message"]["seq"]): r
-                                          for r in records if r["e"] == "applied"}.values())
+    bytes_read = sum(
+        r["bytes"]
+        for r in {
+            (r["relay"], r["stream"], r["epoch"], r["message"]["seq"]): r
+            for r in records
+            if r["e"] == "applied"
+        }.values()
+    )
     return {
         "transactions": sum(r["e"] == "transaction" for r in records),
         "tries": sum(r["e"] == "try" for r in records),
--- a/gradehoist/day/scene.py
+++ b/gradehoist/day/scene.py
@@ -99,10 +99,16 @@
     zones, kinds = settings.fleet.zones, settings.fleet.kinds
     groups = []
     for n in root.all("replicas"):
-        groups.append(Group(
-            n.get("zone", r.one_of(zones)), n.get("kind", r.one_of(kinds)), n.get("count", r.whole(1, 1000)),
-            n.get("cores", r.whole(1, 256)), n.get("speed", r.number(0.01, 100)),
-            n.get("spare", r.whole(0, 1000), 0)))
+        groups.append(
+            Group(
+                n.get("zone", r.one_of(zones)),
+                n.get("kind", r.one_of(kinds)),
+                n.get("count", r.whole(1, 1000)),
+                n.get("cores", r.whole(1, 256)),
+                n.get("speed", r.number(0.01, 100)),
+                n.get("spare", r.whole(0, 1000), 0),
+            )
+        )
         n.done()
     if not groups:
         root.fault("no replicas", 'add a node such as replicas zone="…" kind="…" count=4', "replicas")
@@ -119,41 +125,100 @@
         cls = n.word("a class name")
         if cls not in [c.name for c in settings.fleet.classes]:
             n.fault("a class that the fleet does not name", "name one of its classes")
-        loads[cls] = Load(n.get("share", r.number(0, 1)), n.get("work", r.number(0.1, 1e5)),
-                          n.get("cv", r.number(0.01, 3), 0.6))
+        loads[cls] = Load(
+            n.get("share", r.number(0, 1)),
+            n.get("work", r.number(0.1, 1e5)),
+            n.get("cv", r.number(0.01, 3), 0.6),
+        )
         n.done(args=1)
     for c in settings.fleet.classes:
         if c.name not in loads:
             traffic.fault(f"no share for class {c.name}", f'add of "{c.name}" share=… work=…', "of")
     traffic.done()
     tenants = root.child("tenants")
-    crowd = Crowd(tenants.get("count", r.whole(1, 100_000)), tenants.get("skew", r.number(0, 3), 0.8),
-                  tenants.get("cells", r.whole(0, 1000), 0)) if tenants else Crowd(1, 0.0, 0)
+    crowd = (
+        Crowd(
+            tenants.get("count", r.whole(1, 100_000)),
+            tenants.get("skew", r.number(0, 3), 0.8),
+            tenants.get("cells", r.whole(0, 1000), 0),
+        )
+        if tenants
+        else Crowd(1, 0.0, 0)
+    )
     if tenants:
         tenants.done()
     doors = root.child("limits")
-    limits = Door(doors.get("cell", r.number(0.1, 100), 1.5), doors.get("tenant", r.number(0.1, 100), 2.0),
-                  doors.get("burst", r.number(0.1, 60), 2.0), doors.get("held", r.whole(0, 10**6), 0)
-                  ) if doors else None
+    limits = (
+        Door(
+            doors.get("cell", r.number(0.1, 100), 1.5),
+            doors.get("tenant", r.number(0.1, 100), 2.0),
+            doors.get("burst", r.number(0.1, 60), 2.0),
+            doors.get("held", r.whole(0, 10**6), 0),
+        )
+        if doors
+        else None
+    )
     if doors:
         doors.done()
-    machine = _figures(root, "machine", {
-        "slots-per-core": 3, "queue-per-core": 12, "cold-from": 0.25, "cold": "10s", "report": "700ms",
-        "handshake": 3, "drops-waiting": False, "full-is-proof": True})
+    machine = _figures(
+        root,
+        "machine",
+        {
+            "slots-per-core": 3,
+            "queue-per-core": 12,
+            "cold-from": 0.25,
+            "cold": "10s",
+            "report": "700ms",
+            "handshake": 3,
+            "drops-waiting": False,
+            "full-is-proof": True,
+        },
+    )
     clients = _figures(root, "clients", {"retries": 1, "try-share": 0.8, "backoff": "100ms"})
-    relay = _figures(root, "relay", {
-        "strikes": 8, "avoid": "4s", "usual-way": 1, "try-factor": 0.8, "standing": 6, "redial-from": "200ms",
-        "redial-to": "1500ms", "sums-from": "200ms", "sums-to": "600ms"})
+    relay = _figures(
+        root,
+        "relay",
+        {
+            "strikes": 8,
+            "avoid": "4s",
+            "usual-way": 1,
+            "try-factor": 0.8,
+            "standing": 6,
+            "redial-from": "200ms",
+            "redial-to": "1500ms",
+            "sums-from": "200ms",
+            "sums-to": "600ms",
+        },
+    )
     notice = _figures(root, "roster", {"notice": "1s", "silent-notice": "5s", "add": "500ms"})
-    some = tuple(troubles.parse(n, zones, kinds, tuple(g.name for g in settings.governors), length)
-                 for n in root.all("trouble"))
+    some = tuple(
+        troubles.parse(n, zones, kinds, tuple(g.name for g in settings.governors), length)
+        for n in root.all("trouble")
+    )
     root.done()
     reader.finish()
     files = [path, *(path.parent / n.args[0] for n in root.children if n.name == "base")]
     source = next(text for file in files for name, text in _nodes(file) if name == "fleet")
     late = troubles.Notice(int(notice["notice"]), int(notice["silent-notice"]), int(notice["add"]))
-    return Scene(name, length, seed, settings, source, tuple(groups), tuple(relays), loads, load, skew,
-                 machine, clients, relay, late, some, crowd, limits)
+    return Scene(
+        name,
+        length,
+        seed,
+        settings,
+        source,
+        tuple(groups),
+        tuple(relays),
+        loads,
+        load,
+        skew,
+        machine,
+        clients,
+        relay,
+        late,
+        some,
+        crowd,
+        limits,
+    )
 
 
 def _figures(root: r.Node, name: str, usual: dict[str, float | str | bool]) -> dict[str, float]:
@@ -200,12 +265,23 @@
         for n in range(g.count + g.spare):
             number = len(replicas)
             speed = g.speed * chance.uniform(0.85, 1.15)
-            replicas.append(p.Replica(
-                f"w{number + 1}", g.zone, g.kind, number // 4, 0, g.cores, round(speed, 4),
-                int(scene.machine["slots-per-core"] * g.cores),
-                int(scene.machine["queue-per-core"] * g.cores),
-                round(g.cores * speed * chance.uniform(0.9, 1.1), 3), scene.machine["cold-from"],
-                int(scene.machine["cold"]), n < g.count))
+            replicas.append(
+                p.Replica(
+                    f"w{number + 1}",
+                    g.zone,
+                    g.kind,
+                    number // 4,
+                    0,
+                    g.cores,
+                    round(speed, 4),
+                    int(scene.machine["slots-per-core"] * g.cores),
+                    int(scene.machine["queue-per-core"] * g.cores),
+                    round(g.cores * speed * chance.uniform(0.9, 1.1), 3),
+                    scene.machine["cold-from"],
+                    int(scene.machine["cold"]),
+                    n < g.count,
+                )
+            )
     relays: list[p.Relay] = []
     for zone, count in scene.relays:
         for _ in range(count):
@@ -213,14 +289,18 @@
     total = sum(x.share for x in relays)
     governors = [g for g in scene.settings.governors]
     own = len(replicas) + len(relays) + len(governors) + 1
-    roles = (["clients", "links", "roster"] + [f"relays-{z}" for z in fleet.zones]
-             + [f"replicas-{z}" for z in fleet.zones])
+    roles = (
+        ["clients", "links", "roster"]
+        + [f"relays-{z}" for z in fleet.zones]
+        + [f"replicas-{z}" for z in fleet.zones]
+    )
     found = ports(own + len(roles) + len(fleet.zones) * len(replicas) + len(relays) * len(governors))
     take = iter(found)
     replicas = [msgspec.structs.replace(x, port=next(take)) for x in replicas]
     homes = [(g.name, g.zone, ("127.0.0.1", next(take))) for g in governors]
-    links = [p.Link(next(take), z, x.name, x.zone, ("127.0.0.1", x.port))
-             for z in fleet.zones for x in replicas]
+    links = [
+        p.Link(next(take), z, x.name, x.zone, ("127.0.0.1", x.port)) for z in fleet.zones for x in replicas
+    ]
     ready: list[p.Relay] = []
     for n, x in enumerate(relays):
         # Of its own zone if there is one, else dealt in turn: the rest follow in order.
@@ -233,39 +313,99 @@
         share = x.share / total
         ready.append(msgspec.structs.replace(x, port=next(take), share=share, governors=tuple(ways)))
     classes = tuple(
-        p.Class(c.name, scene.loads[c.name].share, scene.loads[c.name].work, scene.loads[c.name].cv, c.goal,
-                c.cutoff, c.gain, c.late_gain, c.repeat.value, c.only_zones, c.only_kinds, c.stays_local)
-        for c in fleet.classes)
+        p.Class(
+            c.name,
+            scene.loads[c.name].share,
+            scene.loads[c.name].work,
+            scene.loads[c.name].cv,
+            c.goal,
+            c.cutoff,
+            c.gain,
+            c.late_gain,
+            c.repeat.value,
+            c.only_zones,
+            c.only_kinds,
+            c.stays_local,
+        )
+        for c in fleet.classes
+    )
     mean = sum(c.share * c.work for c in classes) / sum(c.share for c in classes)
     capacity = sum(x.cores * x.speed for x in replicas if x.listed) * 1e3 / mean
     ru, ch = fleet.rules, fleet.channel
-    rules = p.Rules(ru.grace, ru.cold_time, ru.fall_multiple, ru.fall_span, ru.bare_limit, ru.gone_is_advice,
-                    ch.queue_limit, ch.line_rate, ch.message_head, ch.message_limit, ch.message_window)
+    rules = p.Rules(
+        ru.grace,
+        ru.cold_time,
+        ru.fall_multiple,
+        ru.fall_span,
+        ru.bare_limit,
+        ru.gone_is_advice,
+        ch.queue_limit,
+        ch.line_rate,
+        ch.message_head,
+        ch.message_limit,
+        ch.message_window,
+    )
     rate = scene.load * capacity
     shares = [chance.lognormvariate(0, scene.crowd.skew) for _ in range(scene.crowd.count)]
     tenants = tuple((f"inn{n}", x / sum(shares)) for n, x in enumerate(shares))
     cells: tuple[str, ...] = tuple(f"c{n}" for n in range(scene.crowd.cells))
     placed = Placement({}, {})
     if cells:
-        placed = place([Tenant(t, x * scene.load * sum(w.size for w in replicas)) for t, x in tenants],
-                       [Worker(w.name, w.zone, w.kind, w.size) for w in replicas if w.listed],
-                       Wanted(len(cells), 2, min(2, len(fleet.zones)), spare=0.0))
-    limits = p.Limits(
-        rate / max(1, len(cells)) / len(ready) * scene.limits.cell,
-        rate / len(tenants) / len(ready) * scene.limits.tenant, scene.limits.burst, scene.limits.held,
-    ) if scene.limits else None
+        placed = place(
+            [Tenant(t, x * scene.load * sum(w.size for w in replicas)) for t, x in tenants],
+            [Worker(w.name, w.zone, w.kind, w.size) for w in replicas if w.listed],
+            Wanted(len(cells), 2, min(2, len(fleet.zones)), spare=0.0),
+        )
+    limits = (
+        p.Limits(
+            rate / max(1, len(cells)) / len(ready) * scene.limits.cell,
+            rate / len(tenants) / len(ready) * scene.limits.tenant,
+            scene.limits.burst,
+            scene.limits.held,
+        )
+        if scene.limits
+        else None
+    )
     plan = p.Plan(
-        scene.name, seed, scene.length, fleet.zones, classes, rules, tuple(replicas), tuple(ready),
-        tuple(homes), tuple(links), ("127.0.0.1", next(take)), {role: next(take) for role in roles}, (),
-        rate, (), int(scene.clients["retries"]), scene.clients["try-share"],
-        int(scene.clients["backoff"]), int(scene.relay["strikes"]), int(scene.relay["avoid"]),
-        int(scene.relay["usual-way"]), scene.relay["try-factor"], int(scene.relay["standing"]),
+        scene.name,
+        seed,
+        scene.length,
+        fleet.zones,
+        classes,
+        rules,
+        tuple(replicas),
+        tuple(ready),
+        tuple(homes),
+        tuple(links),
+        ("127.0.0.1", next(take)),
+        {role: next(take) for role in roles},
+        (),
+        rate,
+        (),
+        int(scene.clients["retries"]),
+        scene.clients["try-share"],
+        int(scene.clients["backoff"]),
+        int(scene.relay["strikes"]),
+        int(scene.relay["avoid"]),
+        int(scene.relay["usual-way"]),
+        scene.relay["try-factor"],
+        int(scene.relay["standing"]),
         (int(scene.relay["redial-from"]), int(scene.relay["redial-to"])),
-        (int(scene.relay["sums-from"]), int(scene.relay["sums-to"])), fleet.reports.period, fleet.hold,
-        int(scene.machine["report"]), scene.machine["handshake"], bool(scene.machine["drops-waiting"]),
-        bool(scene.machine["full-is-proof"]), follow, tenants, cells,
-        {w: cells[c] for w, c in placed.workers.items()}, {t: cells[c] for t, c in placed.tenants.items()},
-        limits, even)
+        (int(scene.relay["sums-from"]), int(scene.relay["sums-to"])),
+        fleet.reports.period,
+        fleet.hold,
+        int(scene.machine["report"]),
+        scene.machine["handshake"],
+        bool(scene.machine["drops-waiting"]),
+        bool(scene.machine["full-is-proof"]),
+        follow,
+        tenants,
+        cells,
+        {w: cells[c] for w, c in placed.workers.items()},
+        {t: cells[c] for t, c in placed.tenants.items()},
+        limits,
+        even,
+    )
     return msgspec.structs.replace(plan, steps=troubles.script(plan, scene.troubles, scene.roster))
 
 
--- a/gradehoist/day/troubles.py
+++ b/gradehoist/day/troubles.py
@@ -44,18 +44,24 @@
     how: str
 
 
-def parse(n: r.Node, zones: tuple[str, ...], kinds: tuple[str, ...], governors: tuple[str, ...],
-          length: int) -> Trouble:
+def parse(
+    n: r.Node, zones: tuple[str, ...], kinds: tuple[str, ...], governors: tuple[str, ...], length: int
+) -> Trouble:
     kind = n.word("a kind of trouble")
     if kind and kind not in SCRIPTS:
         n.fault(f"unknown kind {kind}", "known are " + ", ".join(sorted(SCRIPTS)))
     out = Trouble(
-        kind, n.get("at", r.time), n.get("for", r.time, 10 * SECOND), n.get("part", r.number(0, 1), 0.2),
-        n.get("size", r.number(0, 1000), 3.0), n.get("extra", r.time, 3 * SECOND),
+        kind,
+        n.get("at", r.time),
+        n.get("for", r.time, 10 * SECOND),
+        n.get("part", r.number(0, 1), 0.2),
+        n.get("size", r.number(0, 1000), 3.0),
+        n.get("extra", r.time, 3 * SECOND),
         n.get("zone", r.one_of(zones), "") if "zone" in n.props else "",
         n.get("machine", r.one_of(kinds), "") if "machine" in n.props else "",
         n.get("governor", r.one_of(governors), "") if "governor" in n.props else "",
-        n.get("how", r.one_of(HOWS), "any"))
+        n.get("how", r.one_of(HOWS), "any"),
+    )
     n.taken |= {"zone", "machine", "governor"}
     if out.at and length and out.at >= length:
         n.fault("begins after the day's end", "set at under the scene's length", "at")
@@ -344,9 +350,34 @@
 
 
 SCRIPTS: dict[str, Callable[[Script], None]] = {
-    f.__name__: f for f in (
-        crash, vanish, slow, hang, neighbour, hot_caller, zone_loss, zone_cut, shrink, drain, origin_slow,
-        counter_down, reconnect, redial, governor_kill, shift, preempt, false_reports, mass_restart,
-        one_sided, ageing, roster_down, flap, flood, move, release)
+    f.__name__: f
+    for f in (
+        crash,
+        vanish,
+        slow,
+        hang,
+        neighbour,
+        hot_caller,
+        zone_loss,
+        zone_cut,
+        shrink,
+        drain,
+        origin_slow,
+        counter_down,
+        reconnect,
+        redial,
+        governor_kill,
+        shift,
+        preempt,
+        false_reports,
+        mass_restart,
+        one_sided,
+        ageing,
+        roster_down,
+        flap,
+        flood,
+        move,
+        release,
+    )
 }
 HOWS = ("any", "silent", "all", "refuse", "delay", "lose", "unlisted", "forget")
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -78,8 +78,10 @@
         cells = placed.cells if placed else ("",)
         labels = [label(cell, c.name) for cell in cells for c in fleet.classes]
         self.names = Names(fleet.zones, fleet.kinds, labels)
-        self.parts = [Part(n, cell, len(fleet.classes), placed.of(cell) if placed else None)
-                      for n, cell in enumerate(cells)]
+        self.parts = [
+            Part(n, cell, len(fleet.classes), placed.of(cell) if placed else None)
+            for n, cell in enumerate(cells)
+        ]
         ch = fleet.channel
         share = self._share(len(cells))
         self.starts = [start(fleet, self.names, own.seed + n, share) for n in range(len(cells))]
@@ -95,9 +97,22 @@
         limits = feed.Limits(*astuple(placed.limits)) if placed and placed.limits else None
         self.tables = Tables(self.names, ch.message_head, route, limits)
         self.tally = Tally(cells, placed.workers) if placed else None
-        self.ledger = Ledger(self.tables, self.parts, Budget(
-            len(cells), ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_head, fleet.rules.grace)
-        ) if placed else None
+        self.ledger = (
+            Ledger(
+                self.tables,
+                self.parts,
+                Budget(
+                    len(cells),
+                    ch.queue_limit,
+                    ch.line_rate,
+                    ch.message_limit,
+                    ch.message_head,
+                    fleet.rules.grace,
+                ),
+            )
+            if placed
+            else None
+        )
         self._strange: dict[int, float] = {}  # relays that the modules have not heard of, and their rates
         self._served: set[int] = set()  # in this slot
         self._strays: set[str] = set()
@@ -169,8 +184,13 @@
         else:
             self._introduce(stream, poll.rate)
         earlier = "an earlier epoch" if poll.epoch and poll.epoch != self.epoch else ""
-        self.log("relay_joined", relay=poll.relay, zone=poll.zone, reason=earlier or "its poll",
-                 stream=stream.number)
+        self.log(
+            "relay_joined",
+            relay=poll.relay,
+            zone=poll.zone,
+            reason=earlier or "its poll",
+            stream=stream.number,
+        )
         return feed.Feed(self.epoch, stream.number, joined=True)
 
     def _introduce(self, stream: Stream, rate: float) -> None:
@@ -183,10 +203,12 @@
         every step, ten seconds long. Until then a relay is told what is shut, and stands on what it holds."""
         classes = len(self.names.classes)
         lines = (len(self.roster.entries) * self.parts[0].classes + classes) or 1
-        under_way = sum(a.known and (bool(a.binds) or len(self.tables.bound[p]) < classes)
-                        for p, a in ledger.accounts.items())
+        under_way = sum(
+            a.known and (bool(a.binds) or len(self.tables.bound[p]) < classes)
+            for p, a in ledger.accounts.items()
+        )
         most = max(1, int(2 * ledger.budget.room(len(self.streams), 0.0) / lines))
-        for proxy in sorted(self._strange, key=lambda p: -self._strange[p])[:max(0, most - under_way)]:
+        for proxy in sorted(self._strange, key=lambda p: -self._strange[p])[: max(0, most - under_way)]:
             self._introduce(self.streams[proxy], self._strange.pop(proxy))
             ledger.accounts[proxy].known = True
 
@@ -219,8 +241,13 @@
             raise Refused(422, str(fault)) from None
         if strange and not stream.strange:
             stream.strange = True
-            self.log("sums_strange", warn=True, relay=stream.relay, replica=strange[0],
-                     reason="stands in no list of this governor; left out")
+            self.log(
+                "sums_strange",
+                warn=True,
+                relay=stream.relay,
+                replica=strange[0],
+                reason="stands in no list of this governor; left out",
+            )
         if self.tally:
             self.tally.add(sums)
 
@@ -313,24 +340,36 @@
         for proxy in [p for p, s in self.streams.items() if s.seen < silent]:
             self.left(proxy, "silent")
         # What it never confirmed counted as waiting for ever: weights and returns of all others stopped.
-        for proxy in [p for p, s in self.streams.items()
-                      if s.released and s.quiet < silent - self.fleet.rules.grace]:
+        for proxy in [
+            p for p, s in self.streams.items() if s.released and s.quiet < silent - self.fleet.rules.grace
+        ]:
             self.left(proxy, "confirms nothing")
         for stream in self.streams.values():
-            if stream.large and not self.ledger and (
-                    self.tables.picture(stream.proxy)[1] <= self.channel.queue_limit):
+            if (
+                stream.large
+                and not self.ledger
+                and (self.tables.picture(stream.proxy)[1] <= self.channel.queue_limit)
+            ):
                 stream.owe("its table fits now")
                 self._owed[stream.proxy] = None
         slow = self.channel.pace < self.channel.line_rate / 2
         if slow != self._slow:
             self._slow = slow
-            self.log("channel_slow" if slow else "channel_well", warn=slow,
-                     lines_a_second=round(self.channel.pace), reason=f"stated are {self.channel.line_rate:g}")
+            self.log(
+                "channel_slow" if slow else "channel_well",
+                warn=slow,
+                lines_a_second=round(self.channel.pace),
+                reason=f"stated are {self.channel.line_rate:g}",
+            )
         for stream in self.streams.values():
             late = bool(stream.marks) and now - stream.marks[0][2] > self.fleet.rules.grace
             if late and not stream.slow:
-                self.log("relay_slow", warn=True, relay=stream.relay,
-                         reason=f"has not confirmed an order of {(now - stream.marks[0][2]) / 1e6:.1f} s ago")
+                self.log(
+                    "relay_slow",
+                    warn=True,
+                    relay=stream.relay,
+                    reason=f"has not confirmed an order of {(now - stream.marks[0][2]) / 1e6:.1f} s ago",
+                )
             stream.slow = late
 
     def due(self) -> int:
@@ -344,22 +383,29 @@
 
     # The module
 
-    def ceilings(self, zones: Mapping[str, float], replicas: Mapping[str, float],
-                 levels: Mapping[str, float]) -> None:
+    def ceilings(
+        self, zones: Mapping[str, float], replicas: Mapping[str, float], levels: Mapping[str, float]
+    ) -> None:
         """What the fleet agreed, all of it each time; names that are not known here are left out."""
         names, classes = self.names, [c.name for c in self.fleet.classes]
         event = i.Ceilings(
             tuple((names.zones[z], x) for z, x in zones.items() if z in names.zones),
             tuple((names.replicas[n], x) for n, x in replicas.items() if n in names.replicas),
-            tuple((classes.index(c), x) for c, x in levels.items() if c in classes))
+            tuple((classes.index(c), x) for c, x in levels.items() if c in classes),
+        )
         for part in self.parts:
             part.events.append(event)
 
     def cold(self, now: int) -> tuple[str, ...]:
         """Replicas listed ready that are still cold."""
         started, since = self.roster.started(), now - self.fleet.rules.cold_time
-        return tuple(sorted(n for n, e in self.roster.entries.items()
-                            if e.phase == "ready" and started.get(n, 0) > max(0, since)))
+        return tuple(
+            sorted(
+                n
+                for n, e in self.roster.entries.items()
+                if e.phase == "ready" and started.get(n, 0) > max(0, since)
+            )
+        )
 
     def confirmed(self, since: int) -> bool:
         """The modules know all, and no relay owes an answer to what was ordered by `since`."""
@@ -390,11 +436,13 @@
             self._drains(now, self.ledger)
         for proxy, mine in told.items():
             if stream := self.streams.get(proxy):
-                self._put(now, stream, mine, self.tables.head + self.tables.common() + bool(mine.marks)
-                          + mine.price)
+                self._put(
+                    now, stream, mine, self.tables.head + self.tables.common() + bool(mine.marks) + mine.price
+                )
 
-    def _reply(self, now: int, part: Part, orders: list[i.Order], reasons: dict[int, str],
-               told: dict[int, Told]) -> None:
+    def _reply(
+        self, now: int, part: Part, orders: list[i.Order], reasons: dict[int, str], told: dict[int, Told]
+    ) -> None:
         concerned: dict[int, None] = {}
         mark: i.Mark | None = None
 
@@ -462,8 +510,11 @@
             ledger.budget.slot()
         budget, relays, sent = ledger.budget, len(self.streams), 0
         for proxy in ledger.owed():
-            if (proxy in self._served or self.streams[proxy].owed
-                    or not budget.may(self.channel.messages(now, proxy))):
+            if (
+                proxy in self._served
+                or self.streams[proxy].owed
+                or not budget.may(self.channel.messages(now, proxy))
+            ):
                 continue
             if sent == SLICE:
                 return True
@@ -491,8 +542,9 @@
             seq = stream.number_next()
             if marks:
                 stream.marks.append((seq, marks, min(at for _, at in piece.marks)))
-            message = feed.Message(seq, self.replies, now, piece.price, tuple(piece.deltas),
-                                   marks[-1][1] if marks else None)
+            message = feed.Message(
+                seq, self.replies, now, piece.price, tuple(piece.deltas), marks[-1][1] if marks else None
+            )
             self.channel.put(now, proxy, stream.number, message)
         self.ledger.told(proxy, piece)
         return ""
@@ -504,8 +556,10 @@
         if stream.owed:
             return  # the picture that is due will hold this as well
         deltas = mine.deltas
-        if cost > self.channel.queue_limit and (
-                whole := self.tables.picture(stream.proxy)[1]) > self.channel.queue_limit:
+        if (
+            cost > self.channel.queue_limit
+            and (whole := self.tables.picture(stream.proxy)[1]) > self.channel.queue_limit
+        ):
             deltas, cost = self._loose(stream, deltas, whole)
         mark = mine.marks[-1][1] if mine.marks else None
         message = feed.Message(seq, self.replies, now, cost, tuple(deltas), mark)
@@ -514,14 +568,20 @@
             self._owed[stream.proxy] = None
             self.log("channel_full", warn=True, relay=stream.relay, lines=cost, reason=why)
 
-    def _loose(self, stream: Stream, deltas: Iterable[feed.Delta], cost: float
-               ) -> tuple[list[feed.Delta], float]:
+    def _loose(
+        self, stream: Stream, deltas: Iterable[feed.Delta], cost: float
+    ) -> tuple[list[feed.Delta], float]:
         """What a relay is told where its table is more than the queue may ever hold: withdrawals and returns
         for the tables that it stands on. Owed a picture that never fits, it was told of no drain."""
         if not stream.large:
             stream.large = True
-            self.log("table_too_large", warn=True, relay=stream.relay, lines=cost,
-                     reason=f"queue-limit is {self.channel.queue_limit:g}; raise it, or divide the fleet")
+            self.log(
+                "table_too_large",
+                warn=True,
+                relay=stream.relay,
+                lines=cost,
+                reason=f"queue-limit is {self.channel.queue_limit:g}; raise it, or divide the fleet",
+            )
         some: list[feed.Delta] = [d for d in deltas if isinstance(d, feed.Out | feed.Back)]
         return some, self.tables.head + 1 + len(some)
 
@@ -566,8 +626,13 @@
             return
         self.tables.route = feed.moved(self.tables.route, feed.Moved(tenant, cell, gen))
         self.ledger.moved(tenant)
-        self.log("tenant_moved" if cell else "tenant_shut", tenant=tenant, cell=cell, generation=gen,
-                 reason="a mover's word")
+        self.log(
+            "tenant_moved" if cell else "tenant_shut",
+            tenant=tenant,
+            cell=cell,
+            generation=gen,
+            reason="a mover's word",
+        )
 
     def log(self, event: str, *, warn: bool = False, **fields: Any) -> None:
         self.logs.append(Log(event, fields, warn))
--- a/gradehoist/governor/intake.py
+++ b/gradehoist/governor/intake.py
@@ -95,8 +95,11 @@
             if kind == "met":
                 met = self._met.pop((a, b))
                 good = met.tries - met.bad
-                out.append(i.Heard(a, b, met.tries, met.bad, round(met.elapsed / good) if good else 0, window,
-                                   met.load))
+                out.append(
+                    i.Heard(
+                        a, b, met.tries, met.bad, round(met.elapsed / good) if good else 0, window, met.load
+                    )
+                )
             else:
                 came = self._came.pop((a, b))
                 out.append(i.Offered(a, b, came.number, came.unanswered, window))
--- a/gradehoist/governor/ledger.py
+++ b/gradehoist/governor/ledger.py
@@ -166,8 +166,10 @@
         out.deltas += [feed.Out(names[replica]) for replica in _since(self.outs, account.outs)]
         route = self.tables.route
         if account.begun and route is not None:
-            out.deltas += [feed.Moved(tenant, route.named.get(tenant, ""), route.gens.get(tenant, 1))
-                           for tenant in _since(self.news, account.news)]
+            out.deltas += [
+                feed.Moved(tenant, route.named.get(tenant, ""), route.gens.get(tenant, 1))
+                for tenant in _since(self.news, account.news)
+            ]
         out.price += len(out.deltas)
         begun, usual = account.begun, min(room, self.budget.most)
         for number in self.budget.order(account.due):
@@ -211,8 +213,11 @@
             if cell.cleared.get(table, 0) > since:
                 deltas.append(feed.Clear(table))
             lines = tables.lines.get(table, {})
-            deltas += [feed.Line(table, names.replicas.names[r], round(lines.get(r, 0.0), 6))
-                       for r, count in cell.lines.get(table, {}).items() if count > since]
+            deltas += [
+                feed.Line(table, names.replicas.names[r], round(lines.get(r, 0.0), 6))
+                for r, count in cell.lines.get(table, {}).items()
+                if count > since
+            ]
         for kind, at, index in _since(cell.loose, since):
             if kind == "back":
                 deltas.append(feed.Back(names.replicas.names[index]))
--- a/gradehoist/governor/parts.py
+++ b/gradehoist/governor/parts.py
@@ -40,8 +40,9 @@
             case i.Bind(_, table, classes):
                 return replace(order, table=self.table(table), classes=self._chosen(classes))
             case i.Admit(at, classes, _, _):
-                return replace(order, table=None if at is None else self.table(at),
-                               classes=self._chosen(classes))
+                return replace(
+                    order, table=None if at is None else self.table(at), classes=self._chosen(classes)
+                )
         return order
 
     def _chosen(self, classes: tuple[int, ...]) -> tuple[int, ...]:
--- a/gradehoist/governor/planner.py
+++ b/gradehoist/governor/planner.py
@@ -44,7 +44,9 @@
         ours, theirs = socket.socketpair()
         self._child = subprocess.Popen(
             [sys.executable, "-m", "gradehoist.governor.planner", str(theirs.fileno())],
-            pass_fds=[theirs.fileno()], stdin=subprocess.DEVNULL)
+            pass_fds=[theirs.fileno()],
+            stdin=subprocess.DEVNULL,
+        )
         theirs.close()
         self._stream = IOStream(ours, max_buffer_size=1 << 30)
         self._first: Any = (starts, now, slotted)
@@ -71,8 +73,10 @@
         if fault:
             raise PlannerFailed(fault)
         self.cpu += cpu
-        return [(part, [i.SetLine(*o) if type(o) is tuple else o for o in orders], why)
-                for part, orders, why in replies]
+        return [
+            (part, [i.SetLine(*o) if type(o) is tuple else o for o in orders], why)
+            for part, orders, why in replies
+        ]
 
     async def _watch(self) -> None:
         """Closes the socket of a child that stands still while it owes an answer, or works at it too long: a
@@ -128,8 +132,9 @@
             case i.Withdraw(replica, True):
                 out[n] = _withdrawn(parts, replica, module.publisher.shut.get(replica, ""))
             case i.Withdraw(replica, False):
-                out[n] = "open again: " + ("ramps up from its low start" if parts["replica", replica].ramp < 1
-                                           else "at full ramp")
+                out[n] = "open again: " + (
+                    "ramps up from its low start" if parts["replica", replica].ramp < 1 else "at full ramp"
+                )
             case i.Admit():
                 out[n] = f"let in {parts['admission'].level:.3g} of all, by what the pool can answer"
             case i.Bind(proxy):
@@ -204,9 +209,10 @@
                 modules = Modules(frame[0], frame[1], frame[2], make)
                 continue
             # Lines are by far the most: as tuples they are read back in half the time.
-            replies = [(part, [(o.table, o.replica, o.weight) if type(o) is i.SetLine else o
-                               for o in orders], why)
-                       for part, orders, why in modules.handle(*frame)]
+            replies = [
+                (part, [(o.table, o.replica, o.weight) if type(o) is i.SetLine else o for o in orders], why)
+                for part, orders, why in modules.handle(*frame)
+            ]
             answer = ("", replies, time.process_time() - began)
         except Exception as fault:  # whatever a module raises is told to the governor, which then stops
             answer = (f"{type(fault).__name__}: {fault}", [], 0.0)
--- a/gradehoist/governor/probes.py
+++ b/gradehoist/governor/probes.py
@@ -11,8 +11,9 @@
 STATUS = {200: i.Outcome.ANSWERED, 503: i.Outcome.TURNED_AWAY}
 
 
-async def ask(client: Client, target: str, deadline: float, gate: asyncio.Semaphore
-              ) -> tuple[i.Outcome, http.Response | None]:
+async def ask(
+    client: Client, target: str, deadline: float, gate: asyncio.Semaphore
+) -> tuple[i.Outcome, http.Response | None]:
     """Within `deadline` seconds, the wait at `gate` for its turn included."""
     try:
         async with asyncio.timeout(deadline), gate:
--- a/gradehoist/governor/roster.py
+++ b/gradehoist/governor/roster.py
@@ -66,8 +66,9 @@
         if len(self._boots) > 2 * len(self.entries) + KEPT:
             self._boots = {name: boot for name, boot in self._boots.items() if name in self.entries}
         kind = i.ListKind.COMPLETE if document.whole else i.ListKind.CHANGES
-        entries = [e for e in told
-                   if (e.phase != "gone" or not document.whole) and e.zone in self._names.zones]
+        entries = [
+            e for e in told if (e.phase != "gone" or not document.whole) and e.zone in self._names.zones
+        ]
         return i.Listed(kind, tuple(self._entry(now, e) for e in entries))
 
     def _believe(self, document: feed.Roster) -> None:
@@ -97,8 +98,9 @@
         """The list as last held, at start. Its ages are as old as the file, so starts count as long past
         until the service tells the true ones."""
         self.entries = {e.replica: e for e in entries if e.zone in self._names.zones and e.phase in PHASES}
-        listed = i.Listed(i.ListKind.SAVED, tuple(
-            replace(self._entry(now, e), started=0) for e in self.entries.values()))
+        listed = i.Listed(
+            i.ListKind.SAVED, tuple(replace(self._entry(now, e), started=0) for e in self.entries.values())
+        )
         self._boots.clear()
         return listed
 
@@ -112,5 +114,12 @@
         else:
             started = known[1]
         self._boots[e.replica] = (e.boot, started)
-        return i.Entry(self._names.replicas.number(e.replica), self._names.zones[e.zone],
-                       self._names.kinds.number(e.kind), e.cell, PHASES[e.phase], e.size, started)
+        return i.Entry(
+            self._names.replicas.number(e.replica),
+            self._names.zones[e.zone],
+            self._names.kinds.number(e.kind),
+            e.cell,
+            PHASES[e.phase],
+            e.size,
+            started,
+        )
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -103,8 +103,16 @@
         if self.membership is None or fleet.coordination is None or fleet.coordination.zones is None:
             return None
 
-        return Zoning(fleet, fleet.coordination.zones, own.zone, self.core, self.membership, self._told.set,
-                      self._event, now())
+        return Zoning(
+            fleet,
+            fleet.coordination.zones,
+            own.zone,
+            self.core,
+            self.membership,
+            self._told.set,
+            self._event,
+            now(),
+        )
 
     def _event(self, event: str, warn: bool, **fields: Any) -> None:
         (self.log.warning if warn else self.log.info)(event, **fields)
@@ -243,22 +251,31 @@
         self.core.sums(sums)
         if self.zoning is not None:
             stream = self.core.streams[self.core.names.proxies[sums.relay]]
-            self.zoning.sights.add(now(), self.core.names.zones.names[stream.zone], sums,
-                                   self.core.roster.entries)
+            self.zoning.sights.add(
+                now(), self.core.names.zones.names[stream.zone], sums, self.core.roster.entries
+            )
 
     def status(self) -> dict[str, Any]:
         """What a person or a check may want to know; `lag_ms` is the worst since the last call."""
         core, lag, self.lag = self.core, self.lag, 0.0
         return {
-            "governor": self.own.name, "epoch": core.epoch, "relays": len(core.streams),
-            "replicas": len(core.roster.entries), "roster_old": core.roster.old,
-            "channel": {"waiting": core.channel.waiting, "most": core.channel.most,
-                        "limit": core.channel.queue_limit, "sent": core.channel.sent,
-                        "pace": round(core.channel.pace)},
+            "governor": self.own.name,
+            "epoch": core.epoch,
+            "relays": len(core.streams),
+            "replicas": len(core.roster.entries),
+            "roster_old": core.roster.old,
+            "channel": {
+                "waiting": core.channel.waiting,
+                "most": core.channel.most,
+                "limit": core.channel.queue_limit,
+                "sent": core.channel.sent,
+                "pace": round(core.channel.pace),
+            },
             "intake_waiting": core.intake.waiting,
             "withdrawn": [core.names.replicas.names[n] for n in core.tables.out],
             "cells": core.tally.status(core.roster.entries) if core.tally else {},
-            "planner_cpu": round(self.planner.cpu, 3), "planner_pid": self.planner.pid,
+            "planner_cpu": round(self.planner.cpu, 3),
+            "planner_pid": self.planner.pid,
             "lag_ms": round(lag * 1e3, 3),
             "fleet": self.membership.status() if self.membership is not None else {},
             "zones": self.zoning.status() if self.zoning is not None else {},
@@ -270,8 +287,9 @@
             book, answer = self.book.told(word)
             if book is not self.book:
                 try:
-                    await keep.write_aside(self.own.state / "cells.json",
-                                           ENCODER.encode(list(book.words.values())))
+                    await keep.write_aside(
+                        self.own.state / "cells.json", ENCODER.encode(list(book.words.values()))
+                    )
                 except OSError as fault:
                     self.log.error("word_not_kept", tenant=word.tenant, reason=str(fault))
                     raise Refused(503, f"the word can't be kept: {fault.strerror or fault}") from None
@@ -361,7 +379,7 @@
                 # Drains first; others run between, or feeds wait a tenth of a second for a hundred cells.
                 replies.sort(key=lambda reply: not any(isinstance(o, i.Withdraw) and o.out for o in reply[1]))
                 for n in range(0, len(replies), AT_ONE_GO):
-                    self.core.carry_out(now(), replies[n:n + AT_ONE_GO])
+                    self.core.carry_out(now(), replies[n : n + AT_ONE_GO])
                     await asyncio.sleep(0)
             self._kick.set()
 
@@ -422,8 +440,10 @@
                 continue
             began, view = now(), self.core.roster
             after = -1 if whole or self.core.ask else view.version
-            target = (f"/v1/roster?zone={self.own.zone}&life={view.life}&after={after}"
-                      f"&wait={ROSTER_WAIT:g}&reader={self.own.name}")
+            target = (
+                f"/v1/roster?zone={self.own.zone}&life={view.life}&after={after}"
+                f"&wait={ROSTER_WAIT:g}&reader={self.own.name}"
+            )
             try:
                 response = await client.exchange("GET", target, timeout=ROSTER_WAIT + 2)
                 if response.status != 200:
@@ -464,8 +484,9 @@
             await self._unsaved.wait()
             self._unsaved.clear()
             try:
-                await keep.write_aside(self._saved_path,
-                                       ENCODER.encode(tuple(self.core.roster.entries.values())))
+                await keep.write_aside(
+                    self._saved_path, ENCODER.encode(tuple(self.core.roster.entries.values()))
+                )
             except OSError as fault:
                 self.log.warning("roster_not_saved", path=str(self._saved_path), reason=str(fault))
 
--- a/gradehoist/governor/sights.py
+++ b/gradehoist/governor/sights.py
@@ -75,8 +75,17 @@
         span = max(SLOT, self._slots[-1].began + SLOT - self._slots[0].began)
         return sum(x for s in self._slots for x in s.came.values()) * 1e6 / span
 
-    def view(self, now: int, own_zone: str, run: str, list_age: int, listed: Mapping[str, feed.Replica],
-             started: Mapping[str, int], plan: tuple[int, int], deal: int) -> View:
+    def view(
+        self,
+        now: int,
+        own_zone: str,
+        run: str,
+        list_age: int,
+        listed: Mapping[str, feed.Replica],
+        started: Mapping[str, int],
+        plan: tuple[int, int],
+        deal: int,
+    ) -> View:
         self._slot(now)
         slots, rules = list(self._slots), self._fleet.rules
         window = max(SLOT, now - slots[0].began)
@@ -84,16 +93,32 @@
         self._busy = {r: x for r, x in self._busy.items() if r in listed}
         for z in self._fleet.zones:
             ready = [r for r, e in listed.items() if e.zone == z and e.phase == "ready"]
-            warmth = [min(1.0, rules.cold_share + (1 - rules.cold_share) * (now - started.get(r, 0))
-                          / max(1, rules.cold_time)) for r in ready]
+            warmth = [
+                min(
+                    1.0,
+                    rules.cold_share
+                    + (1 - rules.cold_share) * (now - started.get(r, 0)) / max(1, rules.cold_time),
+                )
+                for r in ready
+            ]
             good = {r for s in slots for r in s.good}
             silent = sum(r not in good for r in {r for s in slots for r in s.bad} & set(ready))
             busy = [self._busy[r] for r, w in zip(ready, warmth, strict=True) if w >= 1 and r in self._busy]
-            tried, failed, late, probes, lost = (sum(getattr(s, f).get(z, 0) for s in slots) for f in (
-                "tried", "failed", "late", "probes", "probes_failed"))
-            sights[z] = Sight(tried, failed, late, len(ready), silent, probes, lost,
-                              sum(busy) / len(busy) if busy else -1.0,
-                              sum(warmth) / len(warmth) if warmth else 0.0)
+            tried, failed, late, probes, lost = (
+                sum(getattr(s, f).get(z, 0) for s in slots)
+                for f in ("tried", "failed", "late", "probes", "probes_failed")
+            )
+            sights[z] = Sight(
+                tried,
+                failed,
+                late,
+                len(ready),
+                silent,
+                probes,
+                lost,
+                sum(busy) / len(busy) if busy else -1.0,
+                sum(warmth) / len(warmth) if warmth else 0.0,
+            )
         came: dict[str, dict[str, float]] = {}
         for s in slots:
             for (z, c), x in s.came.items():
--- a/gradehoist/governor/tables.py
+++ b/gradehoist/governor/tables.py
@@ -14,8 +14,9 @@
 
 
 class Tables:
-    def __init__(self, names: Names, head: float, route: feed.Route | None = None,
-                 limits: feed.Limits | None = None) -> None:
+    def __init__(
+        self, names: Names, head: float, route: feed.Route | None = None, limits: feed.Limits | None = None
+    ) -> None:
         self.names, self.head, self.route, self.limits = names, head, route, limits
         self.lines: dict[int, dict[int, float]] = {}
         self.bound: dict[int, dict[int, int]] = {}  # by proxy: class to table
@@ -120,5 +121,8 @@
 
     def _levels(self, mine: Callable[[int | None], bool]) -> list[feed.Delta]:
         names = self.names.classes.names
-        return [feed.Level(t, (names[k],), share, tries)
-                for (t, k), (share, tries) in self.levels.items() if mine(t)]
+        return [
+            feed.Level(t, (names[k],), share, tries)
+            for (t, k), (share, tries) in self.levels.items()
+            if mine(t)
+        ]
--- a/gradehoist/governor/tally.py
+++ b/gradehoist/governor/tally.py
@@ -50,8 +50,14 @@
             loads = [self.load[w] for w in ready if w in self.load]
             load = sum(loads) / len(loads) if loads else 0.0
             out[cell] = {
-                "came": count.came, "unanswered": count.unanswered, "tries": count.tries, "bad": count.bad,
-                "elapsed": count.elapsed, "ready": len(ready),
+                "came": count.came,
+                "unanswered": count.unanswered,
+                "tries": count.tries,
+                "bad": count.bad,
+                "elapsed": count.elapsed,
+                "ready": len(ready),
                 "workers": len(self._crews[cell]),
-                "load": round(load, 4), "headroom": round(max(0.0, 1 - load), 4)}
+                "load": round(load, 4),
+                "headroom": round(max(0.0, 1 - load), 4),
+            }
         return out
--- a/gradehoist/governor/zoning.py
+++ b/gradehoist/governor/zoning.py
@@ -42,18 +42,30 @@
 class Zoning:
     """`told` is called after the module has something new to hear. All on the membership's turns."""
 
-    def __init__(self, fleet: Fleet, rules: Rules, own_zone: str, core: Core, member: Membership,
-                 told: Callable[[], None], log: Callable[..., None], now: int) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        rules: Rules,
+        own_zone: str,
+        core: Core,
+        member: Membership,
+        told: Callable[[], None],
+        log: Callable[..., None],
+        now: int,
+    ) -> None:
         self.core, self.member, self.sights = core, member, Sights(fleet, now)
         self._own_zone, self._told, self._log = own_zone, told, log
         self._turns = 2 * fleet.reports.period  # in which the module gives each group of relays its turn
         settings = member.settings
-        classes = {c.name: Class(c.gain, None if c.only_zones is None else frozenset(c.only_zones),
-                                 c.stays_local) for c in fleet.classes}
+        classes = {
+            c.name: Class(c.gain, None if c.only_zones is None else frozenset(c.only_zones), c.stays_local)
+            for c in fleet.classes
+        }
         # Tables of one that has gone may be sent by until its relays have joined others.
         linger = fleet.hold + fleet.silence + fleet.rules.grace
-        self.board = Board(member.agent.me.run, classes, rules, linger, 3 * SAID, LISTED, settings.hold,
-                           settings.fall)
+        self.board = Board(
+            member.agent.me.run, classes, rules, linger, 3 * SAID, LISTED, settings.hold, settings.fall
+        )
         self.claim = member.claim("zones", settings.lost)
         member.changed.append(self._changed)
         member.settled.append(self._settled)
@@ -69,12 +81,16 @@
     def status(self) -> dict[str, Any]:
         verdict = self.board.verdict
         plan = self.board.plan
-        return {"plan": [plan.gen, plan.step], "zones": {z: s.to for z, s in plan.zones.items()},
-                "levels": plan.levels,
-                "in_force": dict(self._now.zones), "cold": self._now.cold,
-                "seen": {z: s.value for z, s in verdict.zones.items()} if verdict else {},
-                "trouble": verdict.trouble.value if verdict else "",
-                "part": self.board.deal.parts.get(self.board.run, 0.0)}
+        return {
+            "plan": [plan.gen, plan.step],
+            "zones": {z: s.to for z, s in plan.zones.items()},
+            "levels": plan.levels,
+            "in_force": dict(self._now.zones),
+            "cold": self._now.cold,
+            "seen": {z: s.value for z, s in verdict.zones.items()} if verdict else {},
+            "trouble": verdict.trouble.value if verdict else "",
+            "part": self.board.deal.parts.get(self.board.run, 0.0),
+        }
 
     def _changed(self, key: str) -> None:
         agent, at = self.member.agent, self._since
@@ -83,10 +99,15 @@
             if not self.board.planned(at, agent.value(PLAN, Plan)):
                 self._log("zones_older_plan", True, key=key)
             elif self.board.plan.zones != before.zones or self.board.plan.levels != before.levels:
-                self._log("zones_plan", False, gen=self.board.plan.gen, step=self.board.plan.step,
-                          zones={z: s.to for z, s in self.board.plan.zones.items()},
-                          why={z: s.why for z, s in self.board.plan.zones.items()},
-                          levels=self.board.plan.levels)
+                self._log(
+                    "zones_plan",
+                    False,
+                    gen=self.board.plan.gen,
+                    step=self.board.plan.step,
+                    zones={z: s.to for z, s in self.board.plan.zones.items()},
+                    why={z: s.why for z, s in self.board.plan.zones.items()},
+                    levels=self.board.plan.levels,
+                )
         elif key == DEAL:
             self.board.dealt(agent.value(DEAL, Deal))
         elif key.startswith(VIEWS):
@@ -130,8 +151,9 @@
             return
         self._said, self._said_at = holds, now
         roster = self.core.roster
-        view = self.sights.view(now, self._own_zone, self.board.run, now - self.heard, roster.entries,
-                                roster.started(), *holds)
+        view = self.sights.view(
+            now, self._own_zone, self.board.run, now - self.heard, roster.entries, roster.started(), *holds
+        )
         self._write("view", self.member.agent.put(VIEWS + self.member.agent.me.name, view, own=True))
 
     def _decide(self, now: int, right: Right) -> None:
@@ -148,4 +170,3 @@
         """No more turns come: a bug in what they share. Held for good, the last ceilings would outlive it."""
         self.core.ceilings({}, {}, {})
         self._told()
-
--- a/gradehoist/history/effects.py
+++ b/gradehoist/history/effects.py
@@ -15,9 +15,15 @@
     stretch: tuple[Effect, ...]
 
     def __str__(self) -> str:
-        return "\n".join([self.what, *(
-            f"  {e.t / 1e6:.6f} s {e.by}: {e.name} generation {e.gen} of {e.holder}: {e.item}"
-            for e in self.stretch)])
+        return "\n".join(
+            [
+                self.what,
+                *(
+                    f"  {e.t / 1e6:.6f} s {e.by}: {e.name} generation {e.gen} of {e.holder}: {e.item}"
+                    for e in self.stretch
+                ),
+            ]
+        )
 
 
 def generations(lines: Iterable[Line]) -> list[Breach]:
--- a/gradehoist/history/linear.py
+++ b/gradehoist/history/linear.py
@@ -37,7 +37,7 @@
 
     def __str__(self) -> str:
         end = f"{self.ended / 1e6:.6f}" if self.ended < math.inf else "?"
-        did = (f"saw {self.shows}" if self.shows is not None else f"version {self.finds} -> {self.makes}")
+        did = f"saw {self.shows}" if self.shows is not None else f"version {self.finds} -> {self.makes}"
         return f"{self.began / 1e6:.6f} to {end} s {self.by}: {self.what} {did}"
 
 
@@ -49,8 +49,12 @@
     stretch: tuple[Op, ...]
 
     def __str__(self) -> str:
-        return "\n".join([f"{self.key}: no order of these calls is one of a register:",
-                          *(f"  {op}" for op in self.stretch)])
+        return "\n".join(
+            [
+                f"{self.key}: no order of these calls is one of a register:",
+                *(f"  {op}" for op in self.stretch),
+            ]
+        )
 
 
 @dataclass
@@ -110,8 +114,11 @@
         elif asked.what == "commit" and how in ("done", "unknown"):
             for c in asked.changes:
                 made = (versions.get((c.key, asked.token), -1), asked.token) if not c.gone else NOTHING
-                add(c.key, Op(0, asked.by, f"commit {asked.token}", asked.t, ended, c.expect, makes=made),
-                    c.session)
+                add(
+                    c.key,
+                    Op(0, asked.by, f"commit {asked.token}", asked.t, ended, c.expect, makes=made),
+                    c.session,
+                )
     return dict(out)
 
 
@@ -123,8 +130,18 @@
         for n in keyed.sessions:  # the going of a record with its session, by nobody's call
             made = ops[n].makes
             if made is not None:
-                ops.append(Op(len(ops), "register", f"end of session {keyed.sessions[n]}", ops[n].began,
-                              math.inf, made[0] if made[0] > 0 else -2, makes=NOTHING, shows=None))
+                ops.append(
+                    Op(
+                        len(ops),
+                        "register",
+                        f"end of session {keyed.sessions[n]}",
+                        ops[n].began,
+                        math.inf,
+                        made[0] if made[0] > 0 else -2,
+                        makes=NOTHING,
+                        shows=None,
+                    )
+                )
         bad = _search(ops, {NOTHING})
         if bad is not None:
             out.append(Breach(key, _shortest(ops, bad)))
@@ -139,8 +156,9 @@
 
 def _search(ops: list[Op], starts: set[State]) -> int | None:
     """The call at whose answer no order is left, or None."""
-    points = sorted([(op.began, 0, op.n) for op in ops]
-                    + [(op.ended, 1, op.n) for op in ops if op.ended < math.inf])
+    points = sorted(
+        [(op.began, 0, op.n) for op in ops] + [(op.ended, 1, op.n) for op in ops if op.ended < math.inf]
+    )
     table = {op.n: op for op in ops}
     least = {op.makes: op.finds for op in ops if op.makes is not None and op.makes[0] < 0}
     back = any(op.makes == NOTHING for op in ops)
@@ -168,12 +186,14 @@
     return None
 
 
-def _dead(state: State, some: set[int], table: dict[int, Op], least: dict[State, int],
-          back: bool) -> frozenset[int]:
+def _dead(
+    state: State, some: set[int], table: dict[int, Op], least: dict[State, int], back: bool
+) -> frozenset[int]:
     """Writes of unknown outcome that can find their version no more: whether they took place is all one."""
     version = state[0] if state[0] >= 0 else least.get(state, 0) + 1
-    return frozenset(n for n in some if (found := table[n].finds) < version
-                     and (found or (state != NOTHING and not back)))
+    return frozenset(
+        n for n in some if (found := table[n].finds) < version and (found or (state != NOTHING and not back))
+    )
 
 
 def _until(start: Config, n: int, table: dict[int, Op], looks: set[int], writes: set[int]) -> set[Config]:
--- a/gradehoist/history/records.py
+++ b/gradehoist/history/records.py
@@ -122,7 +122,7 @@
         self._kept += msgspec.json.encode(line if self._left else Cut(now(), self.by)) + b"\n"
         with contextlib.suppress(OSError):
             while self._kept:
-                self._kept = self._kept[os.write(self._file, self._kept):]
+                self._kept = self._kept[os.write(self._file, self._kept) :]
 
     def close(self) -> None:
         os.close(self._file)
--- a/gradehoist/history/scribe.py
+++ b/gradehoist/history/scribe.py
@@ -24,8 +24,10 @@
 
     def asked(self, ask: Ask) -> None:
         if ask.what == "commit":
-            changes = tuple(Wrote(c.key, c.expect, c.session if isinstance(c, r.Put) else "",
-                                  isinstance(c, r.Delete)) for c in ask.args[0])
+            changes = tuple(
+                Wrote(c.key, c.expect, c.session if isinstance(c, r.Put) else "", isinstance(c, r.Delete))
+                for c in ask.args[0]
+            )
             self._write(Asked(self._now(), self._by, ask.number, ask.what, ask.args[1], changes=changes))
         elif ask.what in self.KEPT:
             after = ask.args[1] if ask.what == "watch" else 0
@@ -46,8 +48,10 @@
                 how, saw = "read", _saw(records)
             case r.Batch(_, _, revision, events):
                 how = "watched"
-                saw = tuple(Saw(e.key, e.revision if e.record else 0, e.record.token if e.record else "")
-                            for e in events)
+                saw = tuple(
+                    Saw(e.key, e.revision if e.record else 0, e.record.token if e.record else "")
+                    for e in events
+                )
             case r.Unknown():
                 how = "unknown"
         self._write(Answered(self._now(), self._by, ask.number, how, revision, saw))
--- a/gradehoist/interface.py
+++ b/gradehoist/interface.py
@@ -227,8 +227,19 @@
 
 
 Event = (
-    Listed | Joined | Left | Heard | Offered | SliceOffered | SliceGiven | SliceLine | Applied | Probed
-    | PeerNote | Ceilings | Due
+    Listed
+    | Joined
+    | Left
+    | Heard
+    | Offered
+    | SliceOffered
+    | SliceGiven
+    | SliceLine
+    | Applied
+    | Probed
+    | PeerNote
+    | Ceilings
+    | Due
 )
 
 
@@ -303,9 +314,7 @@
     text: str
 
 
-Order = (
-    SetLine | ClearTable | Bind | Withdraw | Admit | Mark | Probe | Wake | Follow | AskList | Say
-)
+Order = SetLine | ClearTable | Bind | Withdraw | Admit | Mark | Probe | Wake | Follow | AskList | Say
 
 
 class Module(Protocol):
--- a/gradehoist/member/service.py
+++ b/gradehoist/member/service.py
@@ -44,8 +44,18 @@
     changed; `settled` how a proposal ended; `ticked` is called after each turn; `failed` where none will come
     any more."""
 
-    def __init__(self, settings: Coordination, role: str, name: str, zone: str, address: str, seed: int,
-                 log: Callable[..., None], scribe: Scribe | None = None, run: str = "") -> None:
+    def __init__(
+        self,
+        settings: Coordination,
+        role: str,
+        name: str,
+        zone: str,
+        address: str,
+        seed: int,
+        log: Callable[..., None],
+        scribe: Scribe | None = None,
+        run: str = "",
+    ) -> None:
         self.settings = settings
         me = Me(role, name, zone, run or f"{name}-{uuid.uuid4().hex[:8]}", address)
         # Chance of a process' own, or many started from one file would come back at one time.
@@ -107,9 +117,14 @@
         counts = dict[str, int]()
         for state in self._states.values():
             counts[state.value] = counts.get(state.value, 0) + 1
-        return {"joined": self.agent.joined, "generation": self.agent.right.gen,
-                "revision": self.agent.mirror.revision, "members": counts, "cut_off": self._cut,
-                "rights": {c.name: c.right.gen for c in self.claims if c.right is not None}}
+        return {
+            "joined": self.agent.joined,
+            "generation": self.agent.right.gen,
+            "revision": self.agent.mirror.revision,
+            "members": counts,
+            "cut_off": self._cut,
+            "rights": {c.name: c.right.gen for c in self.claims if c.right is not None},
+        }
 
     def healthy(self, query: str) -> Answer:
         """A contact's answer: 204 if it means this run of the process, and not an earlier one."""
@@ -147,8 +162,12 @@
             claim.step(at, self.agent)
             if claim.right != had:
                 held = claim.right is not None
-                self._log("right_held" if held else "right_lost", not held, right=claim.name,
-                          gen=(claim.right or had or self.agent.right).gen)
+                self._log(
+                    "right_held" if held else "right_lost",
+                    not held,
+                    right=claim.name,
+                    gen=(claim.right or had or self.agent.right).gen,
+                )
         if at >= self._judge_at:
             self._judge_at = at + min(JUDGE, self.settings.contact)
             self._judge(self.members.judge(at))
@@ -170,8 +189,12 @@
     def _judge(self, seen: Mapping[str, Any]) -> None:
         for key, one in seen.items():
             if self._states.get(key, State.HERE) is not one.state:
-                self._log("member", one.state is not State.HERE, member=key.removeprefix("members/"),
-                          state=one.state.value)
+                self._log(
+                    "member",
+                    one.state is not State.HERE,
+                    member=key.removeprefix("members/"),
+                    state=one.state.value,
+                )
         self._states = {k: v.state for k, v in seen.items()}
         if self.members.cut_off() is not self._cut:
             self._cut = not self._cut
--- a/gradehoist/mover/release.py
+++ b/gradehoist/mover/release.py
@@ -32,8 +32,9 @@
     try:
         found: Release = msgspec.json.decode(paths[-1].read_bytes(), type=Release)
     except msgspec.MsgspecError as fault:
-        raise ValueError(f"{paths[-1]}: no record of a release: {fault}; put back a copy or remove it"
-                         ) from None
+        raise ValueError(
+            f"{paths[-1]}: no record of a release: {fault}; put back a copy or remove it"
+        ) from None
     return found
 
 
@@ -57,8 +58,10 @@
         status = await ask.status(self._clients[name])
         if status is None:
             return False
-        now = {c: Seen(x["came"], x["unanswered"], x["tries"] - x["bad"], x["elapsed"])
-               for c, x in status["cells"].items()}
+        now = {
+            c: Seen(x["came"], x["unanswered"], x["tries"] - x["bad"], x["elapsed"])
+            for c, x in status["cells"].items()
+        }
         epoch, before = self._last.get(name, ("", now))  # what it counted before we looked is not ours
         if epoch and epoch != status["epoch"]:
             before = {c: Seen() for c in now}
@@ -76,8 +79,14 @@
 class Runner:
     """`soak` and `patience` (for a worker's return) in seconds; `told` hears each change of the record."""
 
-    def __init__(self, settings: Settings, store: Path, soak: float, patience: float,
-                 told: Callable[[Release, str], None]) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        store: Path,
+        soak: float,
+        patience: float,
+        told: Callable[[Release, str], None],
+    ) -> None:
         assert settings.fleet.cells is not None
         self.settings, self.store, self.soak, self.patience, self.told = settings, store, soak, patience, told
         self.figures = Figures(settings, settings.fleet.cells.cells)
@@ -152,8 +161,13 @@
         while self._past[0][0] < now - 4 * self.soak:
             self._past.popleft()
 
-    async def _watch(self, release: Release, seconds: float, before: Mapping[str, Seen] | None = None,
-                     start: Window | None = None) -> str:
+    async def _watch(
+        self,
+        release: Release,
+        seconds: float,
+        before: Mapping[str, Seen] | None = None,
+        start: Window | None = None,
+    ) -> str:
         """Looks for so long; why the cell is harmed, as soon as it shows."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -168,8 +182,14 @@
         whole = {c: total[c].since(start[c]) for c in total}
         return judge(release.cell, before, whole) or judge(release.cell, before, self._window(self.soak))
 
-    async def _back_again(self, release: Release, workers: tuple[str, ...], boots: dict[str, str],
-                          before: Mapping[str, Seen], start: Window) -> str:
+    async def _back_again(
+        self,
+        release: Release,
+        workers: tuple[str, ...],
+        boots: dict[str, str],
+        before: Mapping[str, Seen],
+        start: Window,
+    ) -> str:
         """Waits until the roster lists the workers as ready in a new life; why not, or the harm seen."""
         end = time.monotonic() + self.patience
         while True:
--- a/gradehoist/mover/run.py
+++ b/gradehoist/mover/run.py
@@ -153,8 +153,9 @@
                     self.told(move, "undone")
                     return move
                 step = move.step
-                answers = await asyncio.gather(*(
-                    self._say(to, move) for to in move.sends(self.governors, self.cells)))
+                answers = await asyncio.gather(
+                    *(self._say(to, move) for to in move.sends(self.governors, self.cells))
+                )
                 after = move
                 for answer in answers:
                     if answer is not None:
--- a/gradehoist/net/client.py
+++ b/gradehoist/net/client.py
@@ -59,8 +59,14 @@
 class Client:
     """Connections to `host`:`port`, one exchange at a time on each; kept ones are dropped after `idle` s."""
 
-    def __init__(self, host: str, port: int, connect_timeout: float = 0.25, idle: float = 15.0,
-                 limits: http.Limits | None = None) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        connect_timeout: float = 0.25,
+        idle: float = 15.0,
+        limits: http.Limits | None = None,
+    ) -> None:
         self.host, self.port = host, port
         self._connect_timeout, self._idle, self._limits = connect_timeout, idle, limits or http.Limits()
         self._free: list[_Link] = []
@@ -78,9 +84,11 @@
             raise Unreachable(f"{self.host}:{self.port}: {fault.strerror}") from None
         stream = IOStream(own, max_buffer_size=64 << 20)
         try:
-            await gen.with_timeout(timedelta(seconds=self._connect_timeout),
-                                   stream.connect((self.host, self.port)),
-                                   quiet_exceptions=(StreamClosedError, OSError))
+            await gen.with_timeout(
+                timedelta(seconds=self._connect_timeout),
+                stream.connect((self.host, self.port)),
+                quiet_exceptions=(StreamClosedError, OSError),
+            )
         except (TimeoutError, StreamClosedError, OSError) as fault:
             stream.close()
             raise Unreachable(f"{self.host}:{self.port}: {fault or 'no connection in time'}") from None
@@ -93,8 +101,9 @@
         self._open.discard(link)
         link.stream.close()
 
-    async def exchange(self, method: str, target: str, body: bytes = b"", headers: http.Headers = (),
-                       timeout: float = 5.0) -> http.Response:
+    async def exchange(
+        self, method: str, target: str, body: bytes = b"", headers: http.Headers = (), timeout: float = 5.0
+    ) -> http.Response:
         """Raises Unreachable, Broken or TimedOut. A cancelled exchange closes its connection.
 
         Nothing is asked twice: where a kept connection closes as it is used again, nobody knows whether the
@@ -108,8 +117,10 @@
             link.stream.write(http.request(method, target, f"{self.host}:{self.port}", body, headers))
             while True:
                 data = await gen.with_timeout(
-                    timedelta(seconds=max(0.0, end - loop.time())), link.read(),
-                    quiet_exceptions=(StreamClosedError,))
+                    timedelta(seconds=max(0.0, end - loop.time())),
+                    link.read(),
+                    quiet_exceptions=(StreamClosedError,),
+                )
                 for event in link.parser.receive(data):
                     if isinstance(event, http.Response) and event.status >= 200:
                         kept = event.keep_alive and link.parser.between
--- a/gradehoist/net/coordinator.py
+++ b/gradehoist/net/coordinator.py
@@ -32,8 +32,14 @@
 
     LAST = 1.0  # seconds for a planned leave: its session runs out by itself
 
-    def __init__(self, agent: Agent, home: r.Home, told: Callable[[News], None],
-                 ticked: Callable[[int], None] = lambda now: None, scribe: Scribe | None = None) -> None:
+    def __init__(
+        self,
+        agent: Agent,
+        home: r.Home,
+        told: Callable[[News], None],
+        ticked: Callable[[int], None] = lambda now: None,
+        scribe: Scribe | None = None,
+    ) -> None:
         self.agent, self.home = agent, home
         self._told, self._ticked, self._scribe = told, ticked, scribe
         self._kick = asyncio.Event()
--- a/gradehoist/net/engine.py
+++ b/gradehoist/net/engine.py
@@ -68,9 +68,20 @@
         self.prefix, self.at = prefix, at
         self._lines: asyncio.Queue[bytes | None] = asyncio.Queue()
         self._rest = b""
-        self._task = asyncio.ensure_future(client.fetch(HTTPRequest(
-            url, "POST", {"content-type": "application/json"}, body, connect_timeout=CONNECT,
-            request_timeout=0, streaming_callback=self._came), raise_error=False))
+        self._task = asyncio.ensure_future(
+            client.fetch(
+                HTTPRequest(
+                    url,
+                    "POST",
+                    {"content-type": "application/json"},
+                    body,
+                    connect_timeout=CONNECT,
+                    request_timeout=0,
+                    streaming_callback=self._came,
+                ),
+                raise_error=False,
+            )
+        )
         self._task.add_done_callback(self._over)
 
     def _came(self, data: bytes) -> None:
@@ -124,9 +135,17 @@
         data = msgspec.json.encode(body)
         lost: type[r.Fault] = r.Unknown if writes else r.Unreachable
         try:
-            response = await self._client.fetch(HTTPRequest(
-                self._url + path, "POST", {"content-type": "application/json"}, data,
-                connect_timeout=CONNECT, request_timeout=ANSWER), raise_error=False)
+            response = await self._client.fetch(
+                HTTPRequest(
+                    self._url + path,
+                    "POST",
+                    {"content-type": "application/json"},
+                    data,
+                    connect_timeout=CONNECT,
+                    request_timeout=ANSWER,
+                ),
+                raise_error=False,
+            )
         except HTTPTimeoutError as fault:
             connecting = "connecting" in str(fault)
             raise (r.Unreachable if connecting else lost)(f"{self._url}: {fault}") from None
@@ -152,8 +171,7 @@
     def _refuse(found: Mapping[str, Any], status: int, lost: type[r.Fault]) -> None:
         error = found.get("error", found)
         told = error if isinstance(error, dict) else found
-        code, message = int(told.get("code", told.get("grpc_code", 0)) or 0), str(
-            told.get("message", error))
+        code, message = int(told.get("code", told.get("grpc_code", 0)) or 0), str(told.get("message", error))
         if status >= 500 and code not in (NOT_FOUND, EXHAUSTED, OUT_OF_RANGE):
             raise lost(message)  # the engine itself does not know: it timed out, or its leader changed
         raise _Answered(code, message)
@@ -180,8 +198,9 @@
             else:
                 success.append({"requestDeleteRange": {"key": key}})
         try:
-            found = await self._call("/v3/kv/txn", {"compare": compare, "success": success,
-                                                    "failure": failure}, writes=True)
+            found = await self._call(
+                "/v3/kv/txn", {"compare": compare, "success": success, "failure": failure}, writes=True
+            )
         except _Answered as fault:
             if fault.code == NOT_FOUND:
                 raise r.Ended(str(fault)) from None
@@ -191,8 +210,11 @@
         revision = int(found["header"]["revision"])
         if found.get("succeeded", False):
             return r.Done(revision)
-        records = [_record(kv, len(self._prefix)) for one in found.get("responses", ())
-                   for kv in one.get("response_range", {}).get("kvs", ())]
+        records = [
+            _record(kv, len(self._prefix))
+            for one in found.get("responses", ())
+            for kv in one.get("response_range", {}).get("kvs", ())
+        ]
         return r.Refused(revision, tuple(records))
 
     async def open(self, ttl: int) -> str:
@@ -224,8 +246,12 @@
                 stream.close()
             create = self._range(prefix) | {"start_revision": str(after + 1)}
             stream = self._stream = _Stream(
-                self._client, self._url + "/v3/watch", msgspec.json.encode({"create_request": create}),
-                prefix, after)
+                self._client,
+                self._url + "/v3/watch",
+                msgspec.json.encode({"create_request": create}),
+                prefix,
+                after,
+            )
         end = asyncio.get_running_loop().time() + wait / 1e6
         while True:
             line = await stream.line(max(0.0, end - asyncio.get_running_loop().time()))
--- a/gradehoist/net/server.py
+++ b/gradehoist/net/server.py
@@ -66,8 +66,13 @@
     """Hands each request to `handle`; an answer of None closes without one. Requests of one connection are
     answered in order; at most `most` connections are open, the rest are closed at once."""
 
-    def __init__(self, handle: Handler, limits: http.Limits | None = None, patience: Patience | None = None,
-                 most: int = 20_000) -> None:
+    def __init__(
+        self,
+        handle: Handler,
+        limits: http.Limits | None = None,
+        patience: Patience | None = None,
+        most: int = 20_000,
+    ) -> None:
         self._handle, self._limits = handle, limits or http.Limits()
         self._patience, self._most = patience or Patience(), most
         self.connections = set[Connection]()
@@ -130,9 +135,15 @@
                         answer = await self._handle(event, connection)
                         if answer is None or connection.gone.is_set():
                             return
-                        await self._write(stream, http.response(
-                            answer.status, answer.body if event.method != "HEAD" else b"", answer.headers,
-                            event.keep_alive))
+                        await self._write(
+                            stream,
+                            http.response(
+                                answer.status,
+                                answer.body if event.method != "HEAD" else b"",
+                                answer.headers,
+                                event.keep_alive,
+                            ),
+                        )
                         if not event.keep_alive:
                             return
                 if not events:
@@ -145,8 +156,11 @@
 
     async def _write(self, stream: IOStream, data: bytes) -> None:
         try:
-            await gen.with_timeout(timedelta(seconds=self._patience.write), stream.write(data),
-                                   quiet_exceptions=(StreamClosedError,))
+            await gen.with_timeout(
+                timedelta(seconds=self._patience.write),
+                stream.write(data),
+                quiet_exceptions=(StreamClosedError,),
+            )
         except TimeoutError:
             raise StreamClosedError from None
 
--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -96,10 +96,17 @@
                     continue
                 zone = self.zones[m.replica]
             self.zones[m.replica] = zone
-            out.append(i.Entry(
-                self.names.replicas.number(m.replica), self.names.zones[zone],
-                self.names.kinds.number(m.kind or ""), m.cell or 0, PHASES[m.phase or "leaving"],
-                m.size if m.size is not None else 1.0, m.started or 0))
+            out.append(
+                i.Entry(
+                    self.names.replicas.number(m.replica),
+                    self.names.zones[zone],
+                    self.names.kinds.number(m.kind or ""),
+                    m.cell or 0,
+                    PHASES[m.phase or "leaving"],
+                    m.size if m.size is not None else 1.0,
+                    m.started or 0,
+                )
+            )
         return tuple(out)
 
     def joined(self, now: int, hello: lines.Hello) -> int:
@@ -153,8 +160,11 @@
         known = self.streams.get(demand.proxy)
         if known is None:
             return self._spoil("demand", "of a proxy that has not joined")
-        self.events.append(i.Offered(demand.proxy, self.names.classes[demand.cls], demand.number,
-                                     demand.unanswered, demand.window))
+        self.events.append(
+            i.Offered(
+                demand.proxy, self.names.classes[demand.cls], demand.number, demand.unanswered, demand.window
+            )
+        )
 
     def met(self, o: lines.Outcomes) -> None:
         if o.zone not in self.names.zones or o.replica not in self.names.replicas:
@@ -196,10 +206,13 @@
                 f"trace {name} {member.zone} {member.kind} {member.phase} size {member.size:g} "
                 f"weight {b.weight:.3f} ramp {b.ramp:.2f} busy {b.busy} flight {b.flight} sick {int(b.sick)} "
                 f"out {int(n in self.tables.out)} | tries {tries:g} bad {bad:g} mean {mean:.3f} "
-                f"busy {busy:.2f} flight {flight:.1f}")
+                f"busy {busy:.2f} flight {flight:.1f}"
+            )
         b = parts["admission"]
-        found.append(f"trace pool level {b.level:.3f} waiting {self.module.publisher.waiting:.0f} "
-                     f"binds {len(self.module.publisher.binds)} jobs {self.module.publisher.jobs}")
+        found.append(
+            f"trace pool level {b.level:.3f} waiting {self.module.publisher.waiting:.0f} "
+            f"binds {len(self.module.publisher.binds)} jobs {self.module.publisher.jobs}"
+        )
         return found
 
     def due(self) -> int | None:
@@ -278,8 +291,9 @@
         deltas: list[feed.Delta] = []
         for d in self.tables.bind(proxy, table, classes)[0]:
             if isinstance(d, feed.Bind):
-                held = {name: w for name, w in d.lines.items()
-                        if self.names.replicas[name] not in self.tables.out}
+                held = {
+                    name: w for name, w in d.lines.items() if self.names.replicas[name] not in self.tables.out
+                }
                 deltas.append(feed.Bind(d.table, d.classes, held))
             elif not isinstance(d, feed.Out):
                 deltas.append(d)
@@ -300,8 +314,14 @@
                 stream.shut.discard(replica)
         return [s.proxy for s in some]
 
-    def _write(self, now: int, stream: Stream, deltas: list[feed.Delta], mark: i.Mark | None,
-               cache: dict[object, bytes]) -> None:
+    def _write(
+        self,
+        now: int,
+        stream: Stream,
+        deltas: list[feed.Delta],
+        mark: i.Mark | None,
+        cache: dict[object, bytes],
+    ) -> None:
         bound = self.tables.bound[stream.proxy]
         backs = () if stream.fresh else self._backs(stream, deltas)
         # A bind's deltas are made anew for each proxy: those on one table are told alike all the same. What
@@ -329,13 +349,17 @@
                 new |= dict.fromkeys(d.lines)
             elif isinstance(d, feed.Line) and d.weight > 0:
                 new[d.replica] = None
-        found = [name for name in new if replicas[name] not in stream.sure
-                 and replicas[name] not in self.tables.out]
+        found = [
+            name
+            for name in new
+            if replicas[name] not in stream.sure and replicas[name] not in self.tables.out
+        ]
         stream.sure.update(replicas[name] for name in found)
         return tuple(found)
 
-    def _parts(self, deltas: list[feed.Delta], bound: dict[int, int], backs: tuple[str, ...],
-               ticket: int | None) -> list[lines.Part]:
+    def _parts(
+        self, deltas: list[feed.Delta], bound: dict[int, int], backs: tuple[str, ...], ticket: int | None
+    ) -> list[lines.Part]:
         """What one message says, drains first; the last word on each line, replica and level holds."""
         of: dict[int, list[int]] = {}
         for cls, table in bound.items():
--- a/gradehoist/node/discovery.py
+++ b/gradehoist/node/discovery.py
@@ -63,9 +63,15 @@
     phase, cell = entry.get("phase"), _figure(entry.get("cell", 0), 1e9)
     since = _figure(entry.get("up_since_ms", 0), 1e14)
     return Member(
-        name, _text(entry.get("host_port")), _text(entry.get("locality")), _text(entry.get("flavor")),
-        None if cell is None else int(cell), phase if phase in PHASES else None,
-        _figure(entry.get("size", 1.0), 1e9), None if since is None else round(since * 1_000))
+        name,
+        _text(entry.get("host_port")),
+        _text(entry.get("locality")),
+        _text(entry.get("flavor")),
+        None if cell is None else int(cell),
+        phase if phase in PHASES else None,
+        _figure(entry.get("size", 1.0), 1e9),
+        None if since is None else round(since * 1_000),
+    )
 
 
 def changes(document: object) -> Change:
@@ -140,8 +146,11 @@
         arrival may undo one or hide one. So is a whole list that is older than what another open watch told:
         the one that brings it is behind. Where no other is open, discovery began anew, and it is taken."""
         ahead = max((r for w, r in self._watches.items() if w != watch), default=change.revision)
-        old = change.revision < min(ahead, self.revision) if change.complete else (
-            change.revision <= self.revision)
+        old = (
+            change.revision < min(ahead, self.revision)
+            if change.complete
+            else (change.revision <= self.revision)
+        )
         if watch:
             self._watches[watch] = change.revision
             if change.complete and old:
@@ -155,8 +164,13 @@
                 # A drain that another watch has told to be over is none; over the same watch, whatever its
                 # revision, it is: one that was behind drained a replica for good that had come back.
                 at, by = self._told.get(m.replica, (0, 0))
-                if (m.phase not in ("leaving", "left") or not known or known.phase != "active"
-                        or m.started not in (None, known.started) or (change.revision < at and by != watch)):
+                if (
+                    m.phase not in ("leaving", "left")
+                    or not known
+                    or known.phase != "active"
+                    or m.started not in (None, known.started)
+                    or (change.revision < at and by != watch)
+                ):
                     continue
             if (full := self._fill(m, known)) is not None:
                 told.append(full)
@@ -192,8 +206,12 @@
             return None
         phase = m.phase or "leaving"  # of an unknown phase: nothing new goes there, and what it has may end
         return Member(
-            m.replica, m.address or (known.address if known else None), zone,
+            m.replica,
+            m.address or (known.address if known else None),
+            zone,
             m.kind or (known.kind if known else "") or "",
-            m.cell if m.cell is not None else (known.cell if known else 0) or 0, phase,
+            m.cell if m.cell is not None else (known.cell if known else 0) or 0,
+            phase,
             m.size if m.size is not None else (known.size if known else 1.0),
-            m.started if m.started is not None else (known.started if known else 0) or 0)
+            m.started if m.started is not None else (known.started if known else 0) or 0,
+        )
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -307,10 +307,12 @@
         if self.core.unanswered:
             self.log(f"unanswered, {self.core.unanswered} times: lost, or its stream is cut off")
             self.core.unanswered = 0
-        self.log(f"holds {len(self.core.streams)} streams, {len(self._peers)} connections, "
-                 f"{len(self.core.held.members)} replicas, {self._turned_away} turned away, "
-                 f"cpu {usage.ru_utime + usage.ru_stime:.2f} s, memory {usage.ru_maxrss // 1024} MB, "
-                 f"longest step {self.longest * 1e3:.0f} ms")
+        self.log(
+            f"holds {len(self.core.streams)} streams, {len(self._peers)} connections, "
+            f"{len(self.core.held.members)} replicas, {self._turned_away} turned away, "
+            f"cpu {usage.ru_utime + usage.ru_stime:.2f} s, memory {usage.ru_maxrss // 1024} MB, "
+            f"longest step {self.longest * 1e3:.0f} ms"
+        )
         self.longest = 0.0
 
     # The module
@@ -373,8 +375,11 @@
             return f"{fault.strerror}", False
         self._open_watches[number] = stream = IOStream(own, max_buffer_size=2 * discovery.LINE)
         try:
-            await gen.with_timeout(timedelta(seconds=CONNECT), stream.connect(address),
-                                   quiet_exceptions=(StreamClosedError, OSError))
+            await gen.with_timeout(
+                timedelta(seconds=CONNECT),
+                stream.connect(address),
+                quiet_exceptions=(StreamClosedError, OSError),
+            )
             stream.write(watch.request(f"{address[0]}:{address[1]}", self.core.held.revision))
             asked = loop.time()
             while True:
--- a/gradehoist/plans/make.py
+++ b/gradehoist/plans/make.py
@@ -41,8 +41,9 @@
     prices: tuple[tuple[str, str, str, int], ...] = ()
 
     def flows(self) -> dict[Flow, Fraction]:
-        return {Flow(s.cls, s.origin, Group(s.zone, s.kind, s.cell)): Fraction(s.rate, GRID)
-                for s in self.served}
+        return {
+            Flow(s.cls, s.origin, Group(s.zone, s.kind, s.cell)): Fraction(s.rate, GRID) for s in self.served
+        }
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -59,17 +60,25 @@
 
 def mark(problem: Problem) -> str:
     """The same for the same halls, kinds, classes and workers."""
-    kinds = [(name, sorted((c, str(x)) for c, x in k.rates.items()))
-             for name, k in sorted(problem.kinds.items())]
-    rows = [sorted(problem.zones), kinds,
-            [(c.name, str(c.gain), c.only_zones, c.only_kinds, c.stays_local)
-             for _, c in sorted(problem.classes.items())],
-            sorted((*g, n) for g, n in problem.workers.items()), str(problem.spare)]
+    kinds = [
+        (name, sorted((c, str(x)) for c, x in k.rates.items())) for name, k in sorted(problem.kinds.items())
+    ]
+    rows = [
+        sorted(problem.zones),
+        kinds,
+        [
+            (c.name, str(c.gain), c.only_zones, c.only_kinds, c.stays_local)
+            for _, c in sorted(problem.classes.items())
+        ],
+        sorted((*g, n) for g, n in problem.workers.items()),
+        str(problem.spare),
+    ]
     return f"{zlib.crc32(repr(rows).encode()):08x}"
 
 
-def make(event: Event, pairs: bool = False,
-         told: Callable[[int, int], None] = lambda done, all: None) -> Plan:
+def make(
+    event: Event, pairs: bool = False, told: Callable[[int, int], None] = lambda done, all: None
+) -> Plan:
     """Raises Unsolved. `pairs`: also each two halls lost together; `told` hears cases done, of all."""
     problem = event.problem
     losses = [frozenset[str](), *(frozenset({z}) for z in sorted(problem.zones))]
@@ -81,14 +90,22 @@
             answer = solve(problem, slot, lost)
             short = tuple((k, o, str(x)) for (k, o), x in answer.short.items() if x > Fraction(1, 1000))
             more = addition(problem, slot, lost) if short else {}
-            served = tuple(Served(f.cls, f.origin, *f.group, int(x * GRID))
-                           for f, x in sorted(answer.flows.items()))
+            served = tuple(
+                Served(f.cls, f.origin, *f.group, int(x * GRID)) for f, x in sorted(answer.flows.items())
+            )
             add = None if more is None else tuple((g.zone, g.kind, n) for g, n in sorted(more.items()))
             prices = tuple((*g, int(x * PRICES)) for g, x in sorted(answer.prices.items()) if x)
             cases.append(Case(slot, tuple(sorted(lost)), served, short, add, prices))
             told(len(cases), problem.slots * len(losses))
-    return Plan(VERSION, event.name, event.begins.isoformat(), str(event.begins.tzinfo), event.slot,
-                mark(problem), tuple(cases))
+    return Plan(
+        VERSION,
+        event.name,
+        event.begins.isoformat(),
+        str(event.begins.tzinfo),
+        event.slot,
+        mark(problem),
+        tuple(cases),
+    )
 
 
 def check(plan: Plan, event: Event) -> list[str]:
@@ -118,6 +135,9 @@
                 out.append(f"{name}: {k} from {o} falls short by another figure than it says")
     there = {(c.slot, c.lost) for c in plan.cases}
     for n in range(event.problem.slots):
-        out += [f"slot {n}, lost {', '.join(x) or 'none'}: missing"
-                for x in ((), *((z,) for z in event.problem.zones)) if (n, x) not in there]
+        out += [
+            f"slot {n}, lost {', '.join(x) or 'none'}: missing"
+            for x in ((), *((z,) for z in event.problem.zones))
+            if (n, x) not in there
+        ]
     return out
--- a/gradehoist/plans/problem.py
+++ b/gradehoist/plans/problem.py
@@ -68,14 +68,20 @@
 
     def flows(self, lost: frozenset[str] = frozenset()) -> list[Flow]:
         """All that may be, in one order whatever the order of input."""
-        return [Flow(k, o, g) for k, o in sorted(self.demand) for g in sorted(self.workers)
-                if self.workers[g] and g.zone not in lost and self._open(self.classes[k], o, g)]
+        return [
+            Flow(k, o, g)
+            for k, o in sorted(self.demand)
+            for g in sorted(self.workers)
+            if self.workers[g] and g.zone not in lost and self._open(self.classes[k], o, g)
+        ]
 
     def _open(self, c: Class, origin: str, g: Group) -> bool:
-        return (c.name in self.kinds[g.kind].rates
-                and (c.only_zones is None or g.zone in c.only_zones)
-                and (c.only_kinds is None or g.kind in c.only_kinds)
-                and (not c.stays_local or g.zone == origin))
+        return (
+            c.name in self.kinds[g.kind].rates
+            and (c.only_zones is None or g.zone in c.only_zones)
+            and (c.only_kinds is None or g.kind in c.only_kinds)
+            and (not c.stays_local or g.zone == origin)
+        )
 
     def room(self, group: Group) -> Fraction:
         """Workers' worth of load that a group may carry."""
--- a/gradehoist/plans/proof.py
+++ b/gradehoist/plans/proof.py
@@ -23,10 +23,16 @@
             continue
         load[flow.group] += rate * problem.load(flow) if rate else 0
         served[flow.cls, flow.origin] += rate
-    out += [f"{g.zone}/{g.kind} carries {float(x):.6g} workers' worth, {float(problem.room(g)):.6g} may be"
-            for g, x in load.items() if x > problem.room(g)]
-    out += [f"{k} from {o}: {float(x):.6g} served of {float(problem.demand[k, o][slot]):.6g}"
-            for (k, o), x in served.items() if x > problem.demand[k, o][slot]]
+    out += [
+        f"{g.zone}/{g.kind} carries {float(x):.6g} workers' worth, {float(problem.room(g)):.6g} may be"
+        for g, x in load.items()
+        if x > problem.room(g)
+    ]
+    out += [
+        f"{k} from {o}: {float(x):.6g} served of {float(problem.demand[k, o][slot]):.6g}"
+        for (k, o), x in served.items()
+        if x > problem.demand[k, o][slot]
+    ]
     return out
 
 
@@ -48,5 +54,7 @@
         left = problem.classes[f.cls].gain - prices.get(f.group, Fraction(0)) * problem.load(f)
         worth[f.cls, f.origin] = max(worth[f.cls, f.origin], left)
     total = sum((x * problem.demand[key][slot] for key, x in worth.items()), Fraction(0))
-    return total + sum((prices.get(g, Fraction(0)) * problem.room(g) for g in problem.workers
-                        if g.zone not in lost), Fraction(0))
+    return total + sum(
+        (prices.get(g, Fraction(0)) * problem.room(g) for g in problem.workers if g.zone not in lost),
+        Fraction(0),
+    )
--- a/gradehoist/plans/read.py
+++ b/gradehoist/plans/read.py
@@ -95,8 +95,13 @@
         name = n.word("a class name")
         some_zones = n.get("only-zones", r.names(zones)) if "only-zones" in n.props else None
         some_kinds = n.get("only-kinds", r.names(kinds)) if "only-kinds" in n.props else None
-        classes[name] = Class(name, n.get("gain", exact(0, 1e9), Fraction(1)), some_zones, some_kinds,
-                              n.get("stays-local", r.flag, False))
+        classes[name] = Class(
+            name,
+            n.get("gain", exact(0, 1e9), Fraction(1)),
+            some_zones,
+            some_kinds,
+            n.get("stays-local", r.flag, False),
+        )
         n.taken |= {"only-zones", "only-kinds"}
         n.done(args=1)
     for n in root.all("kind"):
@@ -105,8 +110,9 @@
                 x.fault("a class that is not here", "name one of " + ", ".join(classes))
     workers: dict[Group, int] = {}
     for n in root.all("workers"):
-        group = Group(n.get("zone", r.one_of(zones), ""), n.get("kind", r.one_of(kinds), ""),
-                      n.get("cell", r.text, ""))
+        group = Group(
+            n.get("zone", r.one_of(zones), ""), n.get("kind", r.one_of(kinds), ""), n.get("cell", r.text, "")
+        )
         workers[group] = workers.get(group, 0) + (n.get("count", r.whole(0, 100_000)) or 0)
         n.done()
     cross = {}
@@ -125,8 +131,11 @@
         if slot is not None and slot < 1_000_000:
             n.fault("a slot under a second", 'write such as slot="1h"', "slot")
         if at and where and not one(at, where):
-            n.fault("a local time that a clock change leaves out or brings twice",
-                    "choose a time an hour before or after", "begins")
+            n.fault(
+                "a local time that a clock change leaves out or brings twice",
+                "choose a time an hour before or after",
+                "begins",
+            )
         demand = {}
         for x in n.all("demand"):
             key = (x.get("class", r.one_of(classes), ""), x.get("zone", r.one_of(zones), ""))
@@ -140,17 +149,29 @@
             x.done()
         n.done(args=1)
         if at and where and slot:
-            events.append(Event(name, at.replace(tzinfo=where), slot // 1_000_000, Problem(
-                zones, kinds, classes, workers, demand, cross, spare)))
+            events.append(
+                Event(
+                    name,
+                    at.replace(tzinfo=where),
+                    slot // 1_000_000,
+                    Problem(zones, kinds, classes, workers, demand, cross, spare),
+                )
+            )
     if not root.all("event"):
         root.fault("no event", 'add a node such as event "festival" begins="2027-02-05T09:00" …', "event")
     root.done()
     reader.finish()
     # In UTC: added to a local time, hours across a clock change are the clock's and not those that pass.
-    spans = sorted((at := e.begins.astimezone(UTC), at + timedelta(seconds=e.slot * e.problem.slots), e.name)
-                   for e in events)
+    spans = sorted(
+        (at := e.begins.astimezone(UTC), at + timedelta(seconds=e.slot * e.problem.slots), e.name)
+        for e in events
+    )
     for (_, end, first), (begins, _, second) in zip(spans, spans[1:], strict=False):
         if begins < end:
-            raise r.SettingsError([f"{path}: events {first} and {second} overlap; write them as one event "
-                                   "with the demand of both"])
+            raise r.SettingsError(
+                [
+                    f"{path}: events {first} and {second} overlap; write them as one event "
+                    "with the demand of both"
+                ]
+            )
     return events
--- a/gradehoist/plans/solve.py
+++ b/gradehoist/plans/solve.py
@@ -117,8 +117,9 @@
         """Of a worker's worth of load, from the last aim."""
         dual = self.highs.getSolution().row_dual
         first = len(self.keys)
-        return {g: Fraction(max(0, -round(dual[first + n] * PRICES)), PRICES)
-                for n, g in enumerate(self.groups)}
+        return {
+            g: Fraction(max(0, -round(dual[first + n] * PRICES)), PRICES) for n, g in enumerate(self.groups)
+        }
 
 
 def solve(problem: Problem, slot: int, lost: frozenset[str] = frozenset()) -> Answer:
@@ -187,8 +188,9 @@
     wide = dict(problem.workers)
     for zone, kind in kinds:
         wide[Group(zone, kind)] = max(1, wide.get(Group(zone, kind), 0))
-    full = Problem(problem.zones, problem.kinds, problem.classes, wide, problem.demand, problem.cross,
-                   problem.spare)
+    full = Problem(
+        problem.zones, problem.kinds, problem.classes, wide, problem.demand, problem.cross, problem.spare
+    )
     flows, highs = full.flows(lost), quiet()
     for _ in flows:
         highs.addVar(0.0, INF)
@@ -216,5 +218,8 @@
     if highs.getModelStatus() != highspy.HighsModelStatus.kOptimal:
         return None
     found = highs.getSolution().col_value
-    return {Group(*kind): round(found[len(flows) + n]) for n, kind in enumerate(kinds)
-            if round(found[len(flows) + n])}
+    return {
+        Group(*kind): round(found[len(flows) + n])
+        for n, kind in enumerate(kinds)
+        if round(found[len(flows) + n])
+    }
--- a/gradehoist/protocol/feed.py
+++ b/gradehoist/protocol/feed.py
@@ -165,10 +165,10 @@
 def moved(route: Route, news: Moved) -> Route:
     """The route after a move; a move of a generation that is known or past changes nothing."""
     if news.gen < route.gens.get(news.tenant, 1) or (
-            news.gen == route.gens.get(news.tenant, 1) and not news.cell):
+        news.gen == route.gens.get(news.tenant, 1) and not news.cell
+    ):
         return route
-    return Route(route.cells, {**route.named, news.tenant: news.cell},
-                 {**route.gens, news.tenant: news.gen})
+    return Route(route.cells, {**route.named, news.tenant: news.cell}, {**route.gens, news.tenant: news.gen})
 
 
 class Holdings:
--- a/gradehoist/protocol/lines.py
+++ b/gradehoist/protocol/lines.py
@@ -199,7 +199,7 @@
                     raise Unreadable("a line that ends without a carriage return")
                 if end - at > FIRST and not known:
                     raise Unreadable(f"a message of over {FIRST} bytes")  # as in parts, so whole
-                line = bytes(self._buffer[at:end - 1])
+                line = bytes(self._buffer[at : end - 1])
                 at = end + 1
                 found.append(message := read(line))
                 known = known or isinstance(message, Agent | Hello)
@@ -224,7 +224,7 @@
         size = len(self._buffer) - at
         if size > (MOST if known else FIRST):
             raise Unreadable(f"a message of over {size} bytes")
-        head = bytes(self._buffer[at:at + 10]).split(b" ", 1)
+        head = bytes(self._buffer[at : at + 10]).split(b" ", 1)
         whole = len(head) > 1 or size > 9
         if size and not any(k == head[0] if whole else k.startswith(head[0].rstrip(b"\r")) for k in _KINDS):
             raise Unreadable(f"no such message: {head[0]!r}")
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -145,24 +145,32 @@
     rules, channel, reports = node.need("rules"), node.need("channel"), node.need("reports")
     probes, feed = node.child("probes"), node.child("feed")
     fleet = Fleet(
-        zone_names, kind_names, classes,
+        zone_names,
+        kind_names,
+        classes,
         node.get("relays", r.whole(1, 1_000_000)),
         node.get("admission", r.one_of(("share", "off")), "share") == "share",
         i.Rules(
-            rules.get("grace", r.span("1ms")), rules.get("cold-time", r.time),
+            rules.get("grace", r.span("1ms")),
+            rules.get("cold-time", r.time),
             rules.get("cold-share", r.number(0, 1)),
-            rules.get("fall-multiple", r.number(1, 1000)), rules.get("fall-span", r.span("1ms")),
-            rules.get("bare-limit", r.time), rules.get("gone-is-advice", r.flag, False),
+            rules.get("fall-multiple", r.number(1, 1000)),
+            rules.get("fall-span", r.span("1ms")),
+            rules.get("bare-limit", r.time),
+            rules.get("gone-is-advice", r.flag, False),
         ),
         i.Channel(
-            channel.get("queue-limit", r.number(1, 1e9)), channel.get("line-rate", r.number(1, 1e9)),
+            channel.get("queue-limit", r.number(1, 1e9)),
+            channel.get("line-rate", r.number(1, 1e9)),
             channel.get("message-head", r.number(0, 1e6), 4.0),
             channel.get("message-limit", r.whole(0, 10**6), 0),
             channel.get("message-window", r.span("10ms"), 10_000_000),
         ),
         i.Reports(
-            reports.get("period", r.span("10ms")), reports.get("busy", r.flag, True),
-            reports.get("in-flight", r.flag, True), probes is not None,
+            reports.get("period", r.span("10ms")),
+            reports.get("busy", r.flag, True),
+            reports.get("in-flight", r.flag, True),
+            probes is not None,
             reports.get("must-ask", r.flag, False),
         ),
         reports.get("intake", r.number(1, 1e9), 1000.0),
@@ -180,8 +188,11 @@
     # must fit beside what waits already: with a queue of half that, no drain was ever sent.
     least = 2 * (fleet.relays or 0) * ((fleet.channel.message_head or 0) + 2)
     if fleet.channel.queue_limit and fleet.channel.queue_limit < least:
-        channel.fault(f"{fleet.relays} relays need {least:g} lines for a drain beside other messages",
-                      f"set queue-limit={least:g} or more, or have fewer relays", "queue-limit")
+        channel.fault(
+            f"{fleet.relays} relays need {least:g} lines for a drain beside other messages",
+            f"set queue-limit={least:g} or more, or have fewer relays",
+            "queue-limit",
+        )
     for part in (rules, channel, reports, probes, feed):
         if part:
             part.done()
@@ -205,10 +216,15 @@
     some_zones = n.get("only-zones", r.names(zones)) if "only-zones" in n.props else None
     some_kinds = n.get("only-kinds", r.names(kinds)) if "only-kinds" in n.props else None
     out = Class(
-        n.word("a class name"), goal, cutoff, n.get("gain", r.number(0, 1e9), 1.0),
+        n.word("a class name"),
+        goal,
+        cutoff,
+        n.get("gain", r.number(0, 1e9), 1.0),
         n.get("late-gain", r.number(0, 1), 0.0),
         i.Repeat(n.get("repeat", r.one_of(x.value for x in i.Repeat), "single")),
-        some_zones, some_kinds, n.get("stays-local", r.flag, False),
+        some_zones,
+        some_kinds,
+        n.get("stays-local", r.flag, False),
     )
     n.taken |= {"only-zones", "only-kinds"}
     n.done(args=1)
@@ -220,20 +236,31 @@
     if found is None:
         return None
     if ("folder" in found.props) == ("engine" in found.props):
-        found.fault("expected where the register is", 'give folder="var/register" for one machine, or '
-                    'engine="127.0.0.1:2379" for many; one of the two')
+        found.fault(
+            "expected where the register is",
+            'give folder="var/register" for one machine, or '
+            'engine="127.0.0.1:2379" for many; one of the two',
+        )
     out = Coordination(
         folder / found.get("folder", r.text) if "folder" in found.props else None,
         found.get("engine", r.address) if "engine" in found.props else None,
         found.get("prefix", r.text, "gradehoist/"),
-        found.get("session", r.span("1s"), 10_000_000), found.get("lost", r.span("100ms"), 5_000_000),
-        found.get("contact", r.span("10ms"), 1_000_000), found.get("hold", r.time, 60_000_000),
-        found.get("fall", r.span("1s"), 30_000_000))
+        found.get("session", r.span("1s"), 10_000_000),
+        found.get("lost", r.span("100ms"), 5_000_000),
+        found.get("contact", r.span("10ms"), 1_000_000),
+        found.get("hold", r.time, 60_000_000),
+        found.get("fall", r.span("1s"), 30_000_000),
+    )
     found.taken |= {"folder", "engine"}
     if (zones := found.child("zones")) is not None:
-        out = replace(out, zones=Rules(
-            zones.get("settle", r.span("1s"), 5_000_000), zones.get("well", r.span("1s"), 20_000_000),
-            zones.get("longest", r.span("1s"), 600_000_000)))
+        out = replace(
+            out,
+            zones=Rules(
+                zones.get("settle", r.span("1s"), 5_000_000),
+                zones.get("well", r.span("1s"), 20_000_000),
+                zones.get("longest", r.span("1s"), 600_000_000),
+            ),
+        )
         zones.done()
     found.done()
     return out
@@ -246,9 +273,17 @@
     path = folder / cells.get("placement", r.text)
     lease, settle = cells.get("lease", r.span("10ms"), 3_000_000), cells.get("settle", r.time, 10_000_000)
     door = cells.child("limits")
-    limits = Limits(door.get("cell", r.number(0.001, 1e9)), door.get("tenant", r.number(0.001, 1e9)),
-                    door.get("burst", r.number(0.1, 3600), 2.0), door.get("held", r.whole(0, 10**6), 0),
-                    door.get("cell-held", r.whole(0, 10**6), 0)) if door else None
+    limits = (
+        Limits(
+            door.get("cell", r.number(0.001, 1e9)),
+            door.get("tenant", r.number(0.001, 1e9)),
+            door.get("burst", r.number(0.1, 3600), 2.0),
+            door.get("held", r.whole(0, 10**6), 0),
+            door.get("cell-held", r.whole(0, 10**6), 0),
+        )
+        if door
+        else None
+    )
     if door:
         door.done()
     cells.done()
@@ -262,8 +297,13 @@
     strange = {c for c in used if c not in placed.cells}
     empty = [c for c in placed.cells if c not in placed.workers.values()]
     if not placed.cells or strange or empty or len(set(placed.cells)) < len(placed.cells):
-        what = f"names cells it does not list: {', '.join(sorted(strange))}" if strange else (
-            f"has cells without workers: {', '.join(empty)}" if empty else "lists no cell, or one twice")
+        what = (
+            f"names cells it does not list: {', '.join(sorted(strange))}"
+            if strange
+            else (
+                f"has cells without workers: {', '.join(empty)}" if empty else "lists no cell, or one twice"
+            )
+        )
         cells.fault(f"{path} {what}", "make it anew with gradehoist cells place", "placement")
         return None
     return msgspec.structs.replace(placed, lease=lease, settle=settle, limits=limits)
@@ -276,8 +316,9 @@
     if listen and not open_to_all and not ipaddress.IPv4Address(listen[0]).is_loopback:
         n.fault("an address beyond loopback", "listen on 127.0.0.1, or say beyond-loopback=true", "listen")
     state = n.get("state", r.text, f"var/{name}")
-    out = Governor(name, n.get("zone", r.one_of(zones)), listen, folder / state,
-                   n.get("seed", r.whole(0, 2**62), 1))
+    out = Governor(
+        name, n.get("zone", r.one_of(zones)), listen, folder / state, n.get("seed", r.whole(0, 2**62), 1)
+    )
     n.done(args=1)
     return out
 
@@ -286,10 +327,17 @@
     """A module's first word: names become indices."""
     classes = tuple(
         i.TransactionClass(
-            c.goal, c.cutoff, c.gain, c.late_gain, c.repeat,
+            c.goal,
+            c.cutoff,
+            c.gain,
+            c.late_gain,
+            c.repeat,
             None if c.only_zones is None else tuple(names.zones.number(z) for z in c.only_zones),
             None if c.only_kinds is None else tuple(names.kinds.number(k) for k in c.only_kinds),
-            c.stays_local)
-        for c in fleet.classes)
-    return i.Start(seed, len(fleet.zones), fleet.relays, 0, fleet.admission, classes, fleet.rules,
-                   channel, fleet.reports)
+            c.stays_local,
+        )
+        for c in fleet.classes
+    )
+    return i.Start(
+        seed, len(fleet.zones), fleet.relays, 0, fleet.admission, classes, fleet.rules, channel, fleet.reports
+    )
--- a/gradehoist/settings/reader.py
+++ b/gradehoist/settings/reader.py
@@ -170,10 +170,12 @@
 
 def span(least: str) -> Callable[[Any], int]:
     """A time that is divided by, or waited for in a loop."""
+
     def read(value: Any) -> int:
         if (found := time(value)) < time(least):
             raise ValueError(f'a time of "{least}" or more')
         return found
+
     return read
 
 
@@ -183,6 +185,7 @@
         if not good or not least <= value <= most:
             raise ValueError(f"a number from {least:g} to {most:g}")
         return float(value)
+
     return read
 
 
@@ -195,6 +198,7 @@
         if figure != int(figure):
             raise ValueError(f"a whole number from {least} to {most}")
         return int(figure)
+
     return read
 
 
@@ -217,6 +221,7 @@
         if value not in names:
             raise ValueError("one of " + ", ".join(names))
         return str(value)
+
     return read
 
 
@@ -229,6 +234,7 @@
         if not found or any(n not in allowed for n in found):
             raise ValueError("names out of " + ", ".join(allowed))
         return found
+
     return read
 
 
--- a/gradehoist/standin/__main__.py
+++ b/gradehoist/standin/__main__.py
@@ -12,8 +12,11 @@
 
 def make(role: str) -> Make:
     makers: dict[str, type[Process]] = {
-        "clients": clients.Clients, "links": link.Links, "roster": roster.Roster,
-        "relays": relay.Relays, "replicas": replica.Replicas,
+        "clients": clients.Clients,
+        "links": link.Links,
+        "roster": roster.Roster,
+        "relays": relay.Relays,
+        "replicas": replica.Replicas,
     }
     return makers[role.partition("-")[0]]
 
--- a/gradehoist/standin/clients.py
+++ b/gradehoist/standin/clients.py
@@ -68,7 +68,7 @@
             relay = chance.choices(list(weights), list(weights.values()))[0]
             cls = chance.choices(self.plan.classes, [c.share for c in self.plan.classes])[0]
             spread = math.sqrt(math.log(1 + cls.cv**2))
-            work = cls.work * chance.lognormvariate(-spread**2 / 2, spread)
+            work = cls.work * chance.lognormvariate(-(spread**2) / 2, spread)
             names = [t for t, _ in self.plan.tenants]
             tenant = chance.choices(names, [s * self.louder.get(t, 1.0) for t, s in self.plan.tenants])[0]
             number += 1
@@ -84,8 +84,13 @@
                 if patience <= 0:
                     break
                 sends += 1
-                headers = (("x-transaction", f"{tx}.{sends}"), ("x-class", cls.name),
-                           ("x-work", f"{work:.3f}"), ("x-patience", str(patience)), ("x-tenant", tenant))
+                headers = (
+                    ("x-transaction", f"{tx}.{sends}"),
+                    ("x-class", cls.name),
+                    ("x-work", f"{work:.3f}"),
+                    ("x-patience", str(patience)),
+                    ("x-tenant", tenant),
+                )
                 try:
                     response = await self.clients[relay].exchange("POST", "/", b"", headers, patience / 1e6)
                     status = response.status
@@ -102,5 +107,13 @@
                 await asyncio.sleep(self.plan.backoff / 1e6)
         finally:
             self.open -= 1
-            self.record("transaction", tx=tx, relay=relay, cls=cls.name, began=began, status=status,
-                        sends=sends, tenant=tenant)
+            self.record(
+                "transaction",
+                tx=tx,
+                relay=relay,
+                cls=cls.name,
+                began=began,
+                status=status,
+                sends=sends,
+                tenant=tenant,
+            )
