--- a/gradehoist/standin/engine.py
+++ b/gradehoist/standin/engine.py
@@ -45,8 +45,13 @@
 
 
 def shown(e: Entry) -> dict[str, str]:
-    out = {"key": text(e.key), "create_revision": str(e.created), "mod_revision": str(e.modified),
-           "version": str(e.version), "value": text(e.value)}
+    out = {
+        "key": text(e.key),
+        "create_revision": str(e.created),
+        "mod_revision": str(e.modified),
+        "version": str(e.version),
+        "value": text(e.value),
+    }
     return out | ({"lease": str(e.lease)} if e.lease else {})
 
 
@@ -64,8 +69,12 @@
         self.news = asyncio.Event()
 
     def header(self, revision: int = 0) -> dict[str, str]:
-        return {"cluster_id": self.cluster, "member_id": "1", "raft_term": "2",
-                "revision": str(revision or self.space.revision)}
+        return {
+            "cluster_id": self.cluster,
+            "member_id": "1",
+            "raft_term": "2",
+            "revision": str(revision or self.space.revision),
+        }
 
     def changed(self) -> None:
         self.news.set()
@@ -130,15 +139,23 @@
         space = self.space
         good = all(space.modified(b64decode(c["key"])) == int(c["modRevision"]) for c in body["compare"])
         if not good:
-            kvs = [[shown(e) for e in space.range(b64decode(f["requestRange"]["key"]))]
-                   for f in body["failure"]]
-            return 200, {"header": self.header(), "responses": [
-                {"response_range": {"header": self.header(), "kvs": some, "count": str(len(some))}}
-                for some in kvs]}
+            kvs = [
+                [shown(e) for e in space.range(b64decode(f["requestRange"]["key"]))] for f in body["failure"]
+            ]
+            return 200, {
+                "header": self.header(),
+                "responses": [
+                    {"response_range": {"header": self.header(), "kvs": some, "count": str(len(some))}}
+                    for some in kvs
+                ],
+            }
         if self.faults.full:
             return self._error(429, 8, "etcdserver: mvcc: database space exceeded")
-        puts = [(b64decode(p["key"]), b64decode(p["value"]), int(p.get("lease", "0")))
-                for one in body["success"] if (p := one.get("requestPut"))]
+        puts = [
+            (b64decode(p["key"]), b64decode(p["value"]), int(p.get("lease", "0")))
+            for one in body["success"]
+            if (p := one.get("requestPut"))
+        ]
         deletes = [b64decode(d["key"]) for one in body["success"] if (d := one.get("requestDeleteRange"))]
         try:
             revision = space.write(puts, deletes)
@@ -199,8 +216,13 @@
                 try:
                     some = engine.space.since(at, first, end)
                 except Gone:
-                    await self._say({"header": engine.header(), "canceled": True,
-                                     "compact_revision": str(engine.space.compacted)})
+                    await self._say(
+                        {
+                            "header": engine.header(),
+                            "canceled": True,
+                            "compact_revision": str(engine.space.compacted),
+                        }
+                    )
                     return
                 if some:
                     message = {"header": engine.header(), "events": [event(p) for p in some]}
@@ -242,8 +264,9 @@
     """Listens on loopback; raises OSError."""
     engine = engine or Engine()
     args = {"engine": engine}
-    server = HTTPServer(Application([
-        ("/v3/watch", Watch, args), ("/v3/(.+)", Call, args), ("/fault", Order, args)]))
+    server = HTTPServer(
+        Application([("/v3/watch", Watch, args), ("/v3/(.+)", Call, args), ("/fault", Order, args)])
+    )
     server.listen(port, "127.0.0.1")
     return engine, server
 
--- a/gradehoist/standin/keyspace.py
+++ b/gradehoist/standin/keyspace.py
@@ -85,8 +85,9 @@
             old = self.entries.get(key)
             if old is not None and old.lease in self.leases:
                 self.leases[old.lease].keys.discard(key)
-            entry = Entry(key, value, old.created if old else revision, revision,
-                          old.version + 1 if old else 1, lease)
+            entry = Entry(
+                key, value, old.created if old else revision, revision, old.version + 1 if old else 1, lease
+            )
             self.entries[key] = entry
             self.past.append(Past(revision, key, entry))
             if lease:
--- a/gradehoist/standin/link.py
+++ b/gradehoist/standin/link.py
@@ -148,11 +148,15 @@
         """Links that fit every part named: `zones`, `targets`, `relays`, and `across` a zone's border."""
         out = []
         for link in self.all:
-            fits = (("zones" not in do or link.plan.zone in do["zones"])
-                    and ("targets" not in do or link.plan.target in do["targets"])
-                    and ("relays" not in do or link.plan.relay in do["relays"])
-                    and ("across" not in do or (link.plan.zone == do["across"])
-                         != (link.plan.target_zone == do["across"])))
+            fits = (
+                ("zones" not in do or link.plan.zone in do["zones"])
+                and ("targets" not in do or link.plan.target in do["targets"])
+                and ("relays" not in do or link.plan.relay in do["relays"])
+                and (
+                    "across" not in do
+                    or (link.plan.zone == do["across"]) != (link.plan.target_zone == do["across"])
+                )
+            )
             if fits:
                 out.append(link)
         return out
--- a/gradehoist/standin/platform.py
+++ b/gradehoist/standin/platform.py
@@ -28,8 +28,16 @@
 
 
 def entry(name: str, phase: str = "active", **more: Any) -> dict[str, Any]:
-    return {"id": name, "host_port": f"{LOCAL}:1", "locality": "a", "flavor": "k", "cell": 3, "phase": phase,
-            "size": 1.0, "up_since_ms": 0} | more
+    return {
+        "id": name,
+        "host_port": f"{LOCAL}:1",
+        "locality": "a",
+        "flavor": "k",
+        "cell": 3,
+        "phase": phase,
+        "size": 1.0,
+        "up_since_ms": 0,
+    } | more
 
 
 class Discovery:
@@ -80,8 +88,9 @@
 class Node:
     """A node's process with two places that discovery may have, the first of them named at its start."""
 
-    def __init__(self, folder: Path, settings: dict[str, Any], members: list[dict[str, Any]],
-                 sockets: int = 128) -> None:
+    def __init__(
+        self, folder: Path, settings: dict[str, Any], members: list[dict[str, Any]], sockets: int = 128
+    ) -> None:
         self.port, *places = free_ports(3)
         self.path, self.log = folder / "config.json", folder / "log"
         self.sockets, self.settings = sockets, settings
@@ -90,12 +99,19 @@
 
     def configure(self, place: int) -> None:
         first = self.discoveries[0]
-        self.path.write_bytes(msgspec.json.encode({
-            "name": "n1", "listen": f"{LOCAL}:{self.port}",
-            "discovery": f"{LOCAL}:{self.discoveries[place].port}", "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
-            "known": {"revision": 1, "complete": True, "members": list(first.members.values())},
-            "settings": self.settings}))
+        self.path.write_bytes(
+            msgspec.json.encode(
+                {
+                    "name": "n1",
+                    "listen": f"{LOCAL}:{self.port}",
+                    "discovery": f"{LOCAL}:{self.discoveries[place].port}",
+                    "seed": "8c1f",
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+                    "known": {"revision": 1, "complete": True, "members": list(first.members.values())},
+                    "settings": self.settings,
+                }
+            )
+        )
 
     async def start(self) -> float:
         """Seconds from the start of the process to its first sign of life."""
@@ -104,8 +120,11 @@
         self.configure(0)
         began = time.monotonic()
         with self.log.open("wb") as log:
-            self.child = subprocess.Popen([sys.executable, "-m", "gradehoist.node"], stderr=log,
-                                          env=os.environ | {"ROUTER_CONFIG": str(self.path)})
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", "gradehoist.node"],
+                stderr=log,
+                env=os.environ | {"ROUTER_CONFIG": str(self.path)},
+            )
         while time.monotonic() < began + PATIENCE:
             with contextlib.suppress(OSError):
                 if await self.talk(b"probe\r\n", b"alive") == b"alive\r\n":
--- a/gradehoist/standin/relay.py
+++ b/gradehoist/standin/relay.py
@@ -47,8 +47,11 @@
     def __post_init__(self) -> None:
         self.chance = dice(self.whole.seed, "relay", self.plan.name)
         self.classes = {c.name: c for c in self.whole.classes}
-        self.via = {link.target: link.port for link in self.whole.links
-                    if not link.relay and link.zone == self.plan.zone}
+        self.via = {
+            link.target: link.port
+            for link in self.whole.links
+            if not link.relay and link.zone == self.plan.zone
+        }
         self.server: Server | None = None
         self.clients: dict[str, Client] = {}
         self.fresh()
@@ -74,9 +77,11 @@
         return {r.name: 1.0 for r in self.chance.sample(pool, min(self.whole.standing, len(pool)))}
 
     def _allowed(self, c: p.Class, r: p.Replica) -> bool:
-        return ((c.only_zones is None or r.zone in c.only_zones)
-                and (c.only_kinds is None or r.kind in c.only_kinds)
-                and (not c.stays_local or r.zone == self.plan.zone))
+        return (
+            (c.only_zones is None or r.zone in c.only_zones)
+            and (c.only_kinds is None or r.kind in c.only_kinds)
+            and (not c.stays_local or r.zone == self.plan.zone)
+        )
 
     def start(self) -> None:
         self.server = Server(self.handle)
@@ -119,9 +124,11 @@
             await asyncio.sleep(self.chance.uniform(*self.whole.redial) / 1e6)
 
     async def _one_poll(self, client: Client, governor: str) -> str:
-        target = (f"/v1/feed?relay={quote(self.plan.name)}&zone={quote(self.plan.zone)}"
-                  f"&rate={self.whole.rate * self.plan.share:.3f}&epoch={self.epoch}&stream={self.stream}"
-                  f"&after={self.after}")
+        target = (
+            f"/v1/feed?relay={quote(self.plan.name)}&zone={quote(self.plan.zone)}"
+            f"&rate={self.whole.rate * self.plan.share:.3f}&epoch={self.epoch}&stream={self.stream}"
+            f"&after={self.after}"
+        )
         response = await client.exchange("GET", target, timeout=self.whole.hold / 1e6 + 1.0)
         if response.status != 200:
             return f"status {response.status}"
@@ -129,8 +136,9 @@
         if answer.joined or (answer.epoch, answer.stream) != (self.epoch, self.stream):
             self.epoch, self.stream, self.after = answer.epoch, answer.stream, 0
             self.holdings.joined()
-            self.process.record("joined", relay=self.plan.name, governor=governor, epoch=self.epoch,
-                                stream=self.stream)
+            self.process.record(
+                "joined", relay=self.plan.name, governor=governor, epoch=self.epoch, stream=self.stream
+            )
         for message in answer.messages:
             if message.seq <= self.after:
                 continue
@@ -138,8 +146,15 @@
             if (limits := self.holdings.limits) and (not self.door or self.door.limits != _limits(limits)):
                 self.door = Door(_limits(limits))
             self.after = message.seq
-            self.process.record("applied", relay=self.plan.name, governor=governor, epoch=self.epoch,
-                                stream=self.stream, bytes=len(response.body), message=message)
+            self.process.record(
+                "applied",
+                relay=self.plan.name,
+                governor=governor,
+                epoch=self.epoch,
+                stream=self.stream,
+                bytes=len(response.body),
+                message=message,
+            )
         return ""
 
     async def _sums(self) -> None:
@@ -148,12 +163,23 @@
             met, self.met = self.met, defaultdict(Met)
             came, self.came = self.came, defaultdict(lambda: [0, 0])
             tries = tuple(
-                feed.Try(r, m.tries, m.bad, m.elapsed // max(1, m.tries - m.bad),
-                         *(msgspec.structs.astuple(m.report) if m.report else ()))
-                for r, m in met.items())
+                feed.Try(
+                    r,
+                    m.tries,
+                    m.bad,
+                    m.elapsed // max(1, m.tries - m.bad),
+                    *(msgspec.structs.astuple(m.report) if m.report else ()),
+                )
+                for r, m in met.items()
+            )
             if self.epoch:
-                sums = feed.Sums(self.plan.name, self.epoch, self.whole.period, tries,
-                                 tuple(feed.Came(c, n, u) for c, (n, u) in came.items()))
+                sums = feed.Sums(
+                    self.plan.name,
+                    self.epoch,
+                    self.whole.period,
+                    tries,
+                    tuple(feed.Came(c, n, u) for c, (n, u) in came.items()),
+                )
                 self.process.task(self._send_sums(sums))
 
     async def _send_sums(self, sums: feed.Sums) -> None:
@@ -163,8 +189,13 @@
         try:
             response = await client.exchange("POST", "/v1/sums", ENCODER.encode(sums), timeout=1.0)
             if response.status not in (204, 409, 503):
-                self.process.record("sums_refused", relay=self.plan.name, governor=name,
-                                    status=response.status, body=response.body.decode("utf-8", "replace"))
+                self.process.record(
+                    "sums_refused",
+                    relay=self.plan.name,
+                    governor=name,
+                    status=response.status,
+                    body=response.body.decode("utf-8", "replace"),
+                )
         except (Unreachable, Broken, TimedOut):
             pass
         finally:
@@ -185,12 +216,20 @@
         count = self.came[name]
         count[0] += 1
         if route and not cell:
-            self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="moving",
-                                tenant=tenant)
+            self.process.record(
+                "refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="moving", tenant=tenant
+            )
             return Answer(503, b"moving", (("retry-after", "1"),))
         if self.door and (no := self.door.admit(came, tenant, cell)):
-            self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason=no.reason,
-                                tenant=tenant, cell=cell)
+            self.process.record(
+                "refused",
+                relay=self.plan.name,
+                tx=tx,
+                cls=cls.name,
+                reason=no.reason,
+                tenant=tenant,
+                cell=cell,
+            )
             return Answer(429, no.reason.encode(), (("retry-after", f"{max(1, round(no.after / 1e6))}"),))
         try:
             return await self._let_in(tx, cls, (cell, gen), name, count, request, connection, came)
@@ -198,8 +237,17 @@
             if self.door:
                 self.door.done(tenant, cell)
 
-    async def _let_in(self, tx: str, cls: p.Class, at: tuple[str, int], name: str, count: list[int],
-                      request: http.Request, connection: Connection, came: int) -> Answer | None:
+    async def _let_in(
+        self,
+        tx: str,
+        cls: p.Class,
+        at: tuple[str, int],
+        name: str,
+        count: list[int],
+        request: http.Request,
+        connection: Connection,
+        came: int,
+    ) -> Answer | None:
         share, way = self.holdings.level(name, self.whole.usual_way)
         if self.chance.random() >= share:
             self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="level")
@@ -230,8 +278,9 @@
             return None
         return self.chance.choices(list(fit), list(fit.values()))[0]
 
-    async def _try(self, tx: str, cls: p.Class, at: tuple[str, int], request: http.Request, until: int,
-                   way: int) -> int:
+    async def _try(
+        self, tx: str, cls: p.Class, at: tuple[str, int], request: http.Request, until: int, way: int
+    ) -> int:
         """One transaction with the tries after it; the status to answer with, at once when given up."""
         used: set[str] = set()
         further = (0, 1, 1, 2)[way]
@@ -240,8 +289,9 @@
             replica = self._pick(cls.name, at[0], used)  # never another cell than the first
             if replica is None:
                 if not number:
-                    self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name,
-                                        reason="no line")
+                    self.process.record(
+                        "refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="no line"
+                    )
                 return 502 if unproven else 503  # clients repeat after 503 what must never run twice
             used.add(replica)
             left = until - now()
@@ -255,19 +305,43 @@
                 return 504 if ended == 504 else 502
         return 502
 
-    async def _send(self, tx: str, number: int, cls: p.Class, at: tuple[str, int], replica: str,
-                    request: http.Request, wait: int, way: int, unproven: bool) -> tuple[int, bool]:
+    async def _send(
+        self,
+        tx: str,
+        number: int,
+        cls: p.Class,
+        at: tuple[str, int],
+        replica: str,
+        request: http.Request,
+        wait: int,
+        way: int,
+        unproven: bool,
+    ) -> tuple[int, bool]:
         """Status and whether it is proven that the try never ran."""
         client = self.clients.get(replica)
         if client is None:
             client = self.clients[replica] = Client("127.0.0.1", self.via[replica])
         met, began = self.met[replica], now()
-        self.process.record("try", relay=self.plan.name, tx=tx, n=number, cls=cls.name, replica=replica,
-                            way=way, after_unproven=unproven, cell=at[0])
-        headers = (("x-transaction", f"{tx}"), ("x-relay", self.plan.name), ("x-class", cls.name),
-                   ("x-work", http.header(request.headers, "x-work") or ""),
-                   ("x-tenant", http.header(request.headers, "x-tenant") or ""),
-                   ("x-cell", at[0]), ("x-generation", f"{at[1]}"))
+        self.process.record(
+            "try",
+            relay=self.plan.name,
+            tx=tx,
+            n=number,
+            cls=cls.name,
+            replica=replica,
+            way=way,
+            after_unproven=unproven,
+            cell=at[0],
+        )
+        headers = (
+            ("x-transaction", f"{tx}"),
+            ("x-relay", self.plan.name),
+            ("x-class", cls.name),
+            ("x-work", http.header(request.headers, "x-work") or ""),
+            ("x-tenant", http.header(request.headers, "x-tenant") or ""),
+            ("x-cell", at[0]),
+            ("x-generation", f"{at[1]}"),
+        )
         status, proof = 0, False
         try:
             response = await client.exchange("POST", "/work", b"", headers, timeout=max(0.001, wait / 1e6))
@@ -291,8 +365,9 @@
             if self.whole.strikes and self.strikes[replica] >= self.whole.strikes:
                 self.strikes[replica] = 0
                 self.avoid[replica] = now() + int(self.whole.avoid * self.chance.uniform(0.8, 1.2))
-            self.process.record("tried", relay=self.plan.name, tx=tx, n=number, replica=replica,
-                                status=status)
+            self.process.record(
+                "tried", relay=self.plan.name, tx=tx, n=number, replica=replica, status=status
+            )
         return status, proof
 
 
--- a/gradehoist/standin/replica.py
+++ b/gradehoist/standin/replica.py
@@ -117,8 +117,9 @@
                 if job.write:
                     tenant, cell, gen = job.write
                     self.fence = self.fence.finish(tenant, job.key)
-                    self.process.record("effect", replica=self.plan.name, tx=job.tx, tenant=tenant, cell=cell,
-                                        gen=gen)
+                    self.process.record(
+                        "effect", replica=self.plan.name, tx=job.tx, tenant=tenant, cell=cell, gen=gen
+                    )
                 elif job.tx:
                     self.process.record("effect", replica=self.plan.name, tx=job.tx)
                 if not job.done.done():
@@ -174,8 +175,9 @@
         except ValueError:
             return refusal(400, "x-work: expected milliseconds")
         warmth = self.warmth(at)
-        self.process.record("arrive", replica=name, relay=relay, tx=tx, work=work, warmth=round(warmth, 4),
-                            boot=self.boot)
+        self.process.record(
+            "arrive", replica=name, relay=relay, tx=tx, work=work, warmth=round(warmth, 4), boot=self.boot
+        )
         if warmth < 1:
             self.cold_load(at, work)
             if self.server is None:
@@ -188,9 +190,11 @@
             return Answer(500, b"a bad release", load)
         job = Job(work, asyncio.get_running_loop().create_future(), connection, tx)
         if self.whole.cells and http.header(request.headers, "x-class") in self.writes:
-            job.write = ((http.header(request.headers, "x-tenant") or ""),
-                         http.header(request.headers, "x-cell") or "",
-                         int(http.header(request.headers, "x-generation") or 0))
+            job.write = (
+                (http.header(request.headers, "x-tenant") or ""),
+                http.header(request.headers, "x-cell") or "",
+                int(http.header(request.headers, "x-generation") or 0),
+            )
             self.fence, verdict = self.fence.write(at, *job.write, job.key)
             if verdict is not Verdict.TAKE:
                 self.process.record("fenced", replica=name, tx=tx, tenant=job.write[0], why=verdict.value)
--- a/gradehoist/standin/roster.py
+++ b/gradehoist/standin/roster.py
@@ -88,11 +88,19 @@
                 break
         entries = tuple(
             feed.Replica(
-                name, self.known[name].zone, f"127.0.0.1:{self.via[zone, name]}", self.known[name].kind,
-                self.known[name].cell, e.phase, self.known[name].size, f"{name}/{e.boot}",
-                (now() - e.started) if e.started else 10**9)
+                name,
+                self.known[name].zone,
+                f"127.0.0.1:{self.via[zone, name]}",
+                self.known[name].kind,
+                self.known[name].cell,
+                e.phase,
+                self.known[name].size,
+                f"{name}/{e.boot}",
+                (now() - e.started) if e.started else 10**9,
+            )
             for name, e in self.entries.items()
-            if (e.phase != "gone" if whole else e.version > after))
+            if (e.phase != "gone" if whole else e.version > after)
+        )
         told = {e.replica: [e.phase, e.boot] for e in entries}
         self.record("told", reader=query.get("reader", ""), whole=whole, version=self.version, entries=told)
         return json(feed.Roster(self.life, self.version, entries, whole, max(0, after)))
--- a/gradehoist/store/embedded.py
+++ b/gradehoist/store/embedded.py
@@ -167,9 +167,14 @@
 
 def _record(key: Any, value: Any, version: Any, token: Any, session: Any) -> r.Record:
     good = isinstance(value, bytes) and isinstance(token, str) and isinstance(session, str)
-    return r.Record(str(key), value if isinstance(value, bytes) else b"", int(version),
-                    token if isinstance(token, str) else "", session if isinstance(session, str) else "",
-                    not good)
+    return r.Record(
+        str(key),
+        value if isinstance(value, bytes) else b"",
+        int(version),
+        token if isinstance(token, str) else "",
+        session if isinstance(session, str) else "",
+        not good,
+    )
 
 
 class Embedded:
@@ -193,6 +198,7 @@
                 raise r.Unreachable(f"{self._files.folder}: {fault}") from None
             except OSError as fault:
                 raise r.Unreachable(f"{self._files.folder}: {fault.strerror or fault}") from None
+
         if self._closed.is_set():
             raise r.Unreachable("closed")
         return await worker.do(safe)
@@ -209,11 +215,14 @@
             db.execute("BEGIN")
             try:
                 meta = dict(db.execute("SELECT name, value FROM meta"))
-                rows = db.execute("SELECT key, value, version, token, session FROM records "
-                                  "WHERE key >= ? AND key < ?", (prefix, _after(prefix))).fetchall()
+                rows = db.execute(
+                    "SELECT key, value, version, token, session FROM records " "WHERE key >= ? AND key < ?",
+                    (prefix, _after(prefix)),
+                ).fetchall()
             finally:
                 db.execute("COMMIT")
             return r.Snapshot(meta["lineage"], meta["revision"], tuple(_record(*row) for row in rows))
+
         return await self._do(self._worker, work)
 
     async def commit(self, changes: tuple[r.Change, ...], token: str) -> r.Done | r.Refused:
@@ -227,28 +236,34 @@
                 revision = self._count(db)
                 found = {}
                 for c in changes:
-                    row = db.execute("SELECT key, value, version, token, session FROM records WHERE key = ?",
-                                     (c.key,)).fetchone()
+                    row = db.execute(
+                        "SELECT key, value, version, token, session FROM records WHERE key = ?", (c.key,)
+                    ).fetchone()
                     if row is not None:
                         found[c.key] = _record(*row)
                 if any(c.expect != (found[c.key].version if c.key in found else 0) for c in changes):
                     return r.Refused(revision, tuple(found.values()))
                 self._write(db, revision + 1, changes, token)
                 return r.Done(revision + 1)
+
         return await self._do(self._worker, work)
 
     @staticmethod
     def _count(db: sqlite3.Connection) -> int:
         return int(db.execute("SELECT value FROM meta WHERE name = 'revision'").fetchone()[0])
 
-    def _write(self, db: sqlite3.Connection, revision: int, changes: tuple[r.Change, ...],
-               token: str) -> None:
+    def _write(
+        self, db: sqlite3.Connection, revision: int, changes: tuple[r.Change, ...], token: str
+    ) -> None:
         for c in changes:
             if isinstance(c, r.Put):
                 row = (c.key, c.value, revision, token, c.session)
                 db.execute("INSERT OR REPLACE INTO records VALUES (?, ?, ?, ?, ?)", row)
-                db.execute("INSERT INTO log (key, value, revision, token, session, gone) "
-                           "VALUES (?, ?, ?, ?, ?, 0)", row)
+                db.execute(
+                    "INSERT INTO log (key, value, revision, token, session, gone) "
+                    "VALUES (?, ?, ?, ?, ?, 0)",
+                    row,
+                )
             else:
                 db.execute("DELETE FROM records WHERE key = ?", (c.key,))
                 db.execute("INSERT INTO log (key, revision, gone) VALUES (?, ?, 1)", (c.key, revision))
@@ -275,8 +290,10 @@
             if known != boot:
                 db.execute("UPDATE meta SET value = ? WHERE name = 'boot'", (boot,))
             if known != boot or (renewed is not None and at - renewed > 0):
-                db.execute("UPDATE sessions SET due = ? + ttl WHERE ? OR ? - ? > ? * ttl",
-                           (at, known != boot, at, renewed or at, AWAY))
+                db.execute(
+                    "UPDATE sessions SET due = ? + ttl WHERE ? OR ? - ? > ? * ttl",
+                    (at, known != boot, at, renewed or at, AWAY),
+                )
         over = [id for (id,) in db.execute("SELECT id FROM sessions WHERE due < ?", (at,))]
         for session in over:
             self._sweep(session)
@@ -296,28 +313,38 @@
             session = uuid.uuid4().hex[:16]
             self._sessions().execute("INSERT INTO sessions VALUES (?, ?, ?)", (session, ttl, now() + ttl))
             # Records whose session an older folder of sessions does not know: nobody else would delete them.
-            held = {s for (s,) in self._records().execute("SELECT DISTINCT session FROM records "
-                                                          "WHERE session != ''")}
+            held = {
+                s
+                for (s,) in self._records().execute(
+                    "SELECT DISTINCT session FROM records " "WHERE session != ''"
+                )
+            }
             for orphan in held - {s for (s,) in self._sessions().execute("SELECT id FROM sessions")}:
                 self._sweep(orphan)
             return session
+
         return await self._do(self._worker, work)
 
     async def keep(self, session: str) -> int:
         def work() -> int:
             self._expire()
             at = now()
-            done = self._sessions().execute("UPDATE sessions SET due = ? + ttl WHERE id = ? AND due >= ?",
-                                            (at, session, at)).rowcount
+            done = (
+                self._sessions()
+                .execute("UPDATE sessions SET due = ? + ttl WHERE id = ? AND due >= ?", (at, session, at))
+                .rowcount
+            )
             if not done:
                 raise r.Ended(f"session {session} has ended")
             return self._count(self._records())
+
         return await self._do(self._worker, work)
 
     async def end(self, session: str) -> None:
         def work() -> None:
             self._sweep(session)
             self._sessions().execute("DELETE FROM sessions WHERE id = ?", (session,))
+
         await self._do(self._worker, work)
 
     # Watching
@@ -338,6 +365,7 @@
                     meta = dict(db.execute("SELECT name, value FROM meta"))
                     return r.Batch(meta["lineage"], after, after, ())
                 time.sleep(POLL)
+
         return await self._do(self._watcher, work)
 
     def _changes(self, db: sqlite3.Connection, prefix: str, after: int) -> r.Batch | None:
@@ -348,13 +376,17 @@
                 raise r.Compacted(f"changes up to {meta['compacted']} are not kept")
             if meta["revision"] == after:
                 return None
-            rows = db.execute("SELECT key, revision, value, token, session, gone FROM log WHERE revision > ? "
-                              "ORDER BY n", (after,)).fetchall()
+            rows = db.execute(
+                "SELECT key, revision, value, token, session, gone FROM log WHERE revision > ? " "ORDER BY n",
+                (after,),
+            ).fetchall()
         finally:
             db.execute("COMMIT")
         events = tuple(
             r.Event(key, revision, None if gone else _record(key, value, revision, token, session))
-            for key, revision, value, token, session, gone in rows if key.startswith(prefix))
+            for key, revision, value, token, session, gone in rows
+            if key.startswith(prefix)
+        )
         return r.Batch(meta["lineage"], after, meta["revision"], events)
 
     async def close(self) -> None:
--- a/gradehoist/store/sink.py
+++ b/gradehoist/store/sink.py
@@ -37,7 +37,7 @@
             left = (head + text).encode()
             try:
                 while left:
-                    left = left[os.write(self._fd, left):]
+                    left = left[os.write(self._fd, left) :]
                 self._lost -= lost
             except OSError:
                 self._lost += 1
--- a/gradehoist/zones/allowance.py
+++ b/gradehoist/zones/allowance.py
@@ -27,12 +27,16 @@
     at_most: dict[str, float] = {}
 
 
-def dealt(deal: Deal, holder: str, traffic: Mapping[str, float], confirmed: Mapping[str, int],
-          gone: Collection[str]) -> Deal | None:
+def dealt(
+    deal: Deal, holder: str, traffic: Mapping[str, float], confirmed: Mapping[str, int], gone: Collection[str]
+) -> Deal | None:
     """The next deal for members with `traffic`, or None where nothing would change. `confirmed`: by member,
     the generation that its tables hold; `gone`: those whose tables can no longer send."""
-    base = {m: deal.parts.get(m, 0.0) if confirmed.get(m, -1) == deal.gen else most
-            for m, most in deal.at_most.items() if m not in gone}
+    base = {
+        m: deal.parts.get(m, 0.0) if confirmed.get(m, -1) == deal.gen else most
+        for m, most in deal.at_most.items()
+        if m not in gone
+    }
     total = sum(traffic.values())
     wish = {m: traffic.get(m, 0.0) / total if total > 0 else 1 / len(traffic) for m in traffic}
     free = max(0.0, 1.0 - sum(base.values()))
@@ -48,4 +52,5 @@
 
 def _alike(some: Mapping[str, float], others: Mapping[str, float]) -> bool:
     return some.keys() == others.keys() and all(
-        abs(x - others[m]) <= NEAR * max(x, others[m]) for m, x in some.items())
+        abs(x - others[m]) <= NEAR * max(x, others[m]) for m, x in some.items()
+    )
--- a/gradehoist/zones/board.py
+++ b/gradehoist/zones/board.py
@@ -37,8 +37,17 @@
     """`run` is this process; `linger` (µs): how long after a session's end its tables may still send;
     `old`, `list_old`: see `evidence.Fleet`; `hold`, `fall`: see `Agreed`."""
 
-    def __init__(self, run: str, classes: Mapping[str, Class], rules: Rules, linger: int, old: int,
-                 list_old: int, hold: int, fall: int) -> None:
+    def __init__(
+        self,
+        run: str,
+        classes: Mapping[str, Class],
+        rules: Rules,
+        linger: int,
+        old: int,
+        list_old: int,
+        hold: int,
+        fall: int,
+    ) -> None:
         self.run, self.classes, self.rules, self.linger = run, classes, rules, linger
         self.fleet, self.agreed = Fleet(old, list_old), Agreed(hold, fall)
         self.plan, self.deal = Plan(0, ""), Deal(0, "")
@@ -152,8 +161,9 @@
         if not ready(self.plan, {o: v.plan for o, v in views.items()}, steering):
             return None
         well = {z: now - since for z, since in self.well_since.items()}
-        return next_plan(self.plan, verdict, self.zones(now), self.classes, well, now - self._planned,
-                         self.rules)
+        return next_plan(
+            self.plan, verdict, self.zones(now), self.classes, well, now - self._planned, self.rules
+        )
 
     def next_deal(self, now: int, right: Right) -> Deal | None:
         views = [v for v in self.fleet.fresh(now).values() if v.traffic > 0]
@@ -164,5 +174,6 @@
         known = {v.run for v in views} | self._left.keys()
         for run in self.deal.at_most.keys() - known:
             self._left.setdefault(run, now)
-        return dealt(self.deal, right.holder, {v.run: v.traffic for v in views},
-                     {v.run: v.deal for v in views}, gone)
+        return dealt(
+            self.deal, right.holder, {v.run: v.traffic for v in views}, {v.run: v.deal for v in views}, gone
+        )
--- a/gradehoist/zones/evidence.py
+++ b/gradehoist/zones/evidence.py
@@ -131,35 +131,54 @@
     def judge(self, now: int) -> Verdict:
         views = self.fresh(now)
         zones = sorted({z for v in views.values() for z in v.sights} | {v.zone for v in views.values()})
-        looks = {z: {o: seen for o, v in views.items() if (seen := look(v.sights.get(z))) is not None}
-                 for z in zones}
+        looks = {
+            z: {o: seen for o, v in views.items() if (seen := look(v.sights.get(z))) is not None}
+            for z in zones
+        }
         usual = median([v.traffic for v in views.values()]) if views else 0.0
         # Capped at the middle one: twice that let one that lied about its traffic outvote two others.
         weights = {o: min(v.traffic, usual) or 1e-6 for o, v in views.items()}
         out = self._in_trouble(views, looks, weights, zones)
-        heard = {z: {o: seen for o, seen in looks[z].items() if o not in out or views[o].zone == z}
-                 for z in zones}
+        heard = {
+            z: {o: seen for o, seen in looks[z].items() if o not in out or views[o].zone == z} for z in zones
+        }
         states = {z: self._state(z, views, heard[z], weights) for z in zones}
         return Verdict(states, self._trouble(views, states, weights), out)
 
     @staticmethod
-    def _in_trouble(views: Mapping[str, View], looks: Mapping[str, Mapping[str, _Look]],
-                    weights: Mapping[str, float], zones: list[str]) -> dict[str, str]:
+    def _in_trouble(
+        views: Mapping[str, View],
+        looks: Mapping[str, Mapping[str, _Look]],
+        weights: Mapping[str, float],
+        zones: list[str],
+    ) -> dict[str, str]:
         """Observers that see most of the other zones fail, where most of the others' weight sees them well.
         With all in doubt nobody is left out: then `Trouble.RELEASE` says so."""
         out = dict[str, str]()
         for o, view in views.items():
             others = [z for z in zones if z != view.zone and o in looks[z]]
-            against = [z for z in others if looks[z][o] is _Look.BAD and (share := _share(
-                {p: seen for p, seen in looks[z].items() if views[p].zone != view.zone}, weights,
-                _Look.BAD)) is not None and share < 0.5]
+            against = [
+                z
+                for z in others
+                if looks[z][o] is _Look.BAD
+                and (
+                    share := _share(
+                        {p: seen for p, seen in looks[z].items() if views[p].zone != view.zone},
+                        weights,
+                        _Look.BAD,
+                    )
+                )
+                is not None
+                and share < 0.5
+            ]
             if others and 2 * len(against) > len(others):
                 out[o] = f"sees {', '.join(against)} fail, which others see well"
         return out
 
     @staticmethod
-    def _state(zone: str, views: Mapping[str, View], looks: Mapping[str, _Look],
-               weights: Mapping[str, float]) -> State:
+    def _state(
+        zone: str, views: Mapping[str, View], looks: Mapping[str, _Look], weights: Mapping[str, float]
+    ) -> State:
         inside = {o: seen for o, seen in looks.items() if views[o].zone == zone}
         outside = {o: seen for o, seen in looks.items() if views[o].zone != zone}
         bad_in, bad_out = (_share(some, weights, _Look.BAD) for some in (inside, outside))
@@ -173,8 +192,9 @@
         slow = _share(looks, weights, _Look.SLOW)
         return State.SLOW if slow is not None and slow >= 0.5 else State.WELL
 
-    def _trouble(self, views: Mapping[str, View], states: Mapping[str, State],
-                 weights: Mapping[str, float]) -> Trouble:
+    def _trouble(
+        self, views: Mapping[str, View], states: Mapping[str, State], weights: Mapping[str, float]
+    ) -> Trouble:
         known = [s for s in states.values() if s is not State.UNSEEN]
         bad = sum(s in (State.FAILING, State.CUT_OFF) for s in known)
         if len(known) > 1 and 2 * bad > len(known):
--- a/gradehoist/zones/leaving.py
+++ b/gradehoist/zones/leaving.py
@@ -101,8 +101,15 @@
     return out
 
 
-def next_plan(plan: Plan, verdict: Verdict, zones: Mapping[str, Zone], classes: Mapping[str, Class],
-              well_for: Mapping[str, int], quiet: int, rules: Rules) -> Plan | None:
+def next_plan(
+    plan: Plan,
+    verdict: Verdict,
+    zones: Mapping[str, Zone],
+    classes: Mapping[str, Class],
+    well_for: Mapping[str, int],
+    quiet: int,
+    rules: Rules,
+) -> Plan | None:
     """The next step, or None where all stays as it is. To be asked once the last step is `ready`; `well_for`
     (µs): for how long nobody has seen a zone otherwise than well; `quiet` (µs): since the last step."""
     if verdict.trouble is Trouble.RELEASE:
@@ -135,8 +142,14 @@
     return zones[z].load * stays[z].to + (away * zones[z].power * stays[z].to / power if power > 0 else 0.0)
 
 
-def _left(z: str, stays: Mapping[str, Stay], state: State, zones: Mapping[str, Zone],
-          classes: Mapping[str, Class], rules: Rules) -> Stay:
+def _left(
+    z: str,
+    stays: Mapping[str, Stay],
+    state: State,
+    zones: Mapping[str, Zone],
+    classes: Mapping[str, Class],
+    rules: Rules,
+) -> Stay:
     """A step out of a zone, or as it stands where the others can't do without it."""
     stay = stays[z]
     others = frozenset(o for o in zones if o != z and stays[o].to > 0)
@@ -155,8 +168,13 @@
 
 def _halved(stay: Stay, state: State, rules: Rules) -> Stay:
     to = stay.to / 2
-    return Stay(to if to >= LEAST else 0.0, state.value, False, stay.flaps + 1,
-                min(rules.longest, 2 * max(stay.wait, rules.well)))
+    return Stay(
+        to if to >= LEAST else 0.0,
+        state.value,
+        False,
+        stay.flaps + 1,
+        min(rules.longest, 2 * max(stay.wait, rules.well)),
+    )
 
 
 def _back(stay: Stay, zone: Zone, well: int, rules: Rules) -> Stay:
@@ -170,8 +188,9 @@
     return Stay(1.0 if to > 1.0 - LEAST else to, stay.why, True, stay.flaps, stay.wait)
 
 
-def _shares(stays: Mapping[str, Stay], zones: Mapping[str, Zone],
-            classes: Mapping[str, Class]) -> dict[str, float]:
+def _shares(
+    stays: Mapping[str, Stay], zones: Mapping[str, Zone], classes: Mapping[str, Class]
+) -> dict[str, float]:
     """The fleet's shares where the zones that are not left can't carry all."""
     if all(s.to >= 1.0 for s in stays.values()):
         return {}
--- a/tests/drills.py
+++ b/tests/drills.py
@@ -60,9 +60,17 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(1.0):
                     await self.news.wait()
-        return Answer(200, msgspec.json.encode({
-            "life": self.life, "version": self.version, "whole": True,
-            "entries": list(self.entries.values())}))
+        return Answer(
+            200,
+            msgspec.json.encode(
+                {
+                    "life": self.life,
+                    "version": self.version,
+                    "whole": True,
+                    "entries": list(self.entries.values()),
+                }
+            ),
+        )
 
 
 class Relay:
@@ -85,9 +93,12 @@
 
     async def _poll(self, client: Client) -> None:
         after = 0 if self.deaf else self.after
-        response = await client.exchange("GET", f"/v1/feed?relay={self.name}&zone={self.zone}&rate=1"
-                                                f"&epoch={self.epoch}"
-                                                f"&stream={self.stream}&after={after}")
+        response = await client.exchange(
+            "GET",
+            f"/v1/feed?relay={self.name}&zone={self.zone}&rate=1"
+            f"&epoch={self.epoch}"
+            f"&stream={self.stream}&after={after}",
+        )
         if response.status != 200:
             self.joined, self.refused = False, f"{response.status} {response.body.decode()}"
             await asyncio.sleep(0.05)
@@ -133,8 +144,14 @@
 class Governor:
     """A process; its log goes to a file unless told otherwise."""
 
-    def __init__(self, path: Path, port: int, name: str = "a", log: int | IO[Any] | None = None,
-                 limits: Iterable[tuple[int, int]] = ()) -> None:
+    def __init__(
+        self,
+        path: Path,
+        port: int,
+        name: str = "a",
+        log: int | IO[Any] | None = None,
+        limits: Iterable[tuple[int, int]] = (),
+    ) -> None:
         self.port, self.log = port, path.parent / f"{name}.log"
         some = tuple(limits)
 
@@ -145,8 +162,12 @@
         with self.log.open("ab") as file:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "gradehoist", "governor", str(path), "--name", name, "--log", "json"],
-                cwd=ROOT, stderr=file if log is None else log, stdin=subprocess.DEVNULL,
-                start_new_session=True, preexec_fn=limit if some else None)
+                cwd=ROOT,
+                stderr=file if log is None else log,
+                stdin=subprocess.DEVNULL,
+                start_new_session=True,
+                preexec_fn=limit if some else None,
+            )
         self.client = Client(LOCAL, port)
 
     async def status(self) -> dict[str, Any]:
@@ -176,8 +197,9 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet(folder: Path, relays: int = 1, change: Iterable[tuple[str, str]] = (), **how: Any
-                ) -> AsyncIterator[tuple[Roster, Governor, list[Relay]]]:
+async def fleet(
+    folder: Path, relays: int = 1, change: Iterable[tuple[str, str]] = (), **how: Any
+) -> AsyncIterator[tuple[Roster, Governor, list[Relay]]]:
     """A roster, one governor, and relays that it has bound."""
     roster = Roster()
     (port,) = scene.ports(1)
--- a/tests/governed.py
+++ b/tests/governed.py
@@ -37,8 +37,9 @@
     return found
 
 
-def on_sockets(folder: Path, roster: int, port: int, placed: f.Placed | None = None, more: str = ""
-               ) -> f.Settings:
+def on_sockets(
+    folder: Path, roster: int, port: int, placed: f.Placed | None = None, more: str = ""
+) -> f.Settings:
     """Settings of one governor on loopback ports; with a placement, `more` beside its file's name."""
     text = TEXT.format(relays=4, queue=2000, rate=2000)
     text = text.replace(":7000", f":{roster}").replace(":7101", f":{port}")
@@ -73,8 +74,14 @@
 
 
 class World:
-    def __init__(self, relays: int = 10, replicas: int = 8, queue: float = 2000, rate: float = 2000,
-                 latency: int = 20_000) -> None:
+    def __init__(
+        self,
+        relays: int = 10,
+        replicas: int = 8,
+        queue: float = 2000,
+        rate: float = 2000,
+        latency: int = 20_000,
+    ) -> None:
         self.settings = settings(relays, queue, rate)
         self.now, self.latency = 100 * SECOND, latency
         self.replicas = {f"w{n}": entry(n) for n in range(replicas)}
@@ -174,6 +181,9 @@
         assert abs(channel.waiting - sum(x.message.cost for x in channel._queue)) < 1e-6
         for name, since in self.told.items():
             if self.now - since > self.settings.fleet.rules.grace:
-                held = [r.name for r in self.relays if r.stream and not r.dead
-                        and any(name in r.holdings.lines(c) for c in r.holdings.table)]
+                held = [
+                    r.name
+                    for r in self.relays
+                    if r.stream and not r.dead and any(name in r.holdings.lines(c) for c in r.holdings.table)
+                ]
                 assert not held, f"{name} still picked by {held}"
--- a/tests/orders.py
+++ b/tests/orders.py
@@ -131,17 +131,29 @@
         core = Core(fleet, self.settings.governors[0], f"e{self.lives}", self.now)
         ch = fleet.channel
         core.channel = Watched(ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window).watch(
-            ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window)
+            ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window
+        )
         made = Governor(core, Modules(core.starts, self.now, False))
         self._tell(made)
         return made
 
     def _tell(self, governor: Governor) -> None:
         """The whole list, of a life of the roster for each time: what is left out has gone."""
-        listed = tuple(feed.Replica(
-            e.replica, e.zone, "", e.kind, 0, e.phase, 1.0, e.boot,
-            self.now - self.started[e.replica] if self.started[e.replica] else 10**9)
-            for e in self.replicas.values() if e.phase != "gone")
+        listed = tuple(
+            feed.Replica(
+                e.replica,
+                e.zone,
+                "",
+                e.kind,
+                0,
+                e.phase,
+                1.0,
+                e.boot,
+                self.now - self.started[e.replica] if self.started[e.replica] else 10**9,
+            )
+            for e in self.replicas.values()
+            if e.phase != "gone"
+        )
         self.lives += 1
         governor.core.listed(self.now, feed.Roster(f"l{self.lives}", 1, listed, True))
         for name, e in self.replicas.items():
@@ -225,8 +237,10 @@
             if answer is not None:
                 relay.answer = (self.now + relay.way, answer)
         if self.now % SECOND < TICK and relay.joined >= 0:
-            tries = tuple(feed.Try(w, 6, 6 * (w in self.failing), 200_000, 0.5, 2.0)
-                          for w in relay.holdings.lines("read"))
+            tries = tuple(
+                feed.Try(w, 6, 6 * (w in self.failing), 200_000, 0.5, 2.0)
+                for w in relay.holdings.lines("read")
+            )
             came = tuple(feed.Came(c, 10) for c in CLASSES)
             with suppress(Refused):
                 self.governors[relay.at].core.sums(feed.Sums(relay.name, relay.epoch, SECOND, tries, came))
@@ -248,8 +262,10 @@
             g.probes.remove((at, replica))
         g.core.advance(self.now)
         if batches := g.core.batches():
-            replies: list[Reply] = [(part, self.spoil(self, orders) if self.spoil else orders, why)
-                                    for part, orders, why in g.modules.handle(self.now, batches)]
+            replies: list[Reply] = [
+                (part, self.spoil(self, orders) if self.spoil else orders, why)
+                for part, orders, why in g.modules.handle(self.now, batches)
+            ]
             g.core.carry_out(self.now, replies)
         g.probes += [(self.now + 100_000, n) for n in g.core.probes]
         g.core.probes.clear()
@@ -258,8 +274,10 @@
     # The rules, by what was told, held and sent
 
     def warm(self, g: Governor, but: str = "") -> bool:
-        return any(phase == "ready" and n != but and g.start[n][0] <= self.now - self.rules.cold_time
-                   for n, (phase, _) in g.phase.items())
+        return any(
+            phase == "ready" and n != but and g.start[n][0] <= self.now - self.rules.cold_time
+            for n, (phase, _) in g.phase.items()
+        )
 
     def _check(self) -> None:
         for relay in self.relays:
@@ -299,17 +317,23 @@
         while some and some[0][0] <= self.now - self.rules.fall_span:
             some.popleft()
         age = self.now - self.started[name]
-        if not self.started[name] or age >= self.rules.cold_time or not all(
-                self.warm(g, name) for g in self.governors):
+        if (
+            not self.started[name]
+            or age >= self.rules.cold_time
+            or not all(self.warm(g, name) for g in self.governors)
+        ):
             return  # warm, or nothing else is there to send to
         mine = [x for x in some if x[0] > self.started[name]]
         cold = self.rules.cold_share
-        budget = (self.rules.fall_multiple * (cold + (1 - cold) * age / self.rules.cold_time)
-                  * self.rules.fall_span)
+        budget = (
+            self.rules.fall_multiple * (cold + (1 - cold) * age / self.rules.cold_time) * self.rules.fall_span
+        )
         work = sum(x[1] for x in mine)
         if work > budget and sum(x[1] for x in mine if x[2]) >= work * 2 / 3:
-            raise Broken(f"rule 4: {name}, cold for {age / 1e6:.2f} s, is sent {work / budget:.2f} of what "
-                         "pushes it over")
+            raise Broken(
+                f"rule 4: {name}, cold for {age / 1e6:.2f} s, is sent {work / budget:.2f} of what "
+                "pushes it over"
+            )
 
 
 def explore(governors: int, events: Iterable[str], depth: int, spoil: Spoil | None = None) -> int:
--- a/tests/peer.py
+++ b/tests/peer.py
@@ -62,8 +62,15 @@
 
 def settings(spec: Spec) -> Coordination:
     return Coordination(
-        Path(spec.folder) if spec.folder else None, (LOCAL, spec.engine) if spec.engine else None, "fleet/",
-        int(spec.session * 1e6), int(spec.lost * 1e6), 100_000, 60_000_000, 30_000_000)
+        Path(spec.folder) if spec.folder else None,
+        (LOCAL, spec.engine) if spec.engine else None,
+        "fleet/",
+        int(spec.session * 1e6),
+        int(spec.lost * 1e6),
+        100_000,
+        60_000_000,
+        30_000_000,
+    )
 
 
 class Ledger:
@@ -83,8 +90,9 @@
         shown: Shown = msgspec.json.decode(request.body, type=Shown)
         gate, against = self.gate.show(shown.name, Right(shown.gen, shown.holder))
         if against is not None and self.spec.guard:
-            self.write(Turned(now(), self.spec.name, shown.name, shown.gen, shown.holder, shown.item,
-                              against.gen))
+            self.write(
+                Turned(now(), self.spec.name, shown.name, shown.gen, shown.holder, shown.item, against.gen)
+            )
             return json({"taken": False, "known": against})
         self.gate = gate
         self.write(Effect(now(), self.spec.name, shown.name, shown.gen, shown.holder, shown.item, shown.key))
@@ -101,8 +109,17 @@
         self.spec = spec
         run = f"{spec.name}-{os.getpid()}"
         self.write = Writer(Path(spec.history), run)
-        self.member = Membership(settings(spec), "actor", spec.name, "x", f"{LOCAL}:{spec.port}", 1, self.log,
-                                 Scribe(self.write, run), run)
+        self.member = Membership(
+            settings(spec),
+            "actor",
+            spec.name,
+            "x",
+            f"{LOCAL}:{spec.port}",
+            1,
+            self.log,
+            Scribe(self.write, run),
+            run,
+        )
         self.claim = self.member.claim("job", int(spec.patience * 1e6))
         self.member.settled.append(self.settled)
         self.counting, self.items = "", 0
@@ -120,8 +137,10 @@
             return self.member.healthy(query)
         if path == "/status":
             agent = self.member.agent
-            return json(self.member.status() | {
-                "counter": agent.value("counter", int) or 0, "items": self.items, "idle": not agent.writes})
+            return json(
+                self.member.status()
+                | {"counter": agent.value("counter", int) or 0, "items": self.items, "idle": not agent.writes}
+            )
         return refusal(404, "nothing here")
 
     async def act(self) -> None:
@@ -132,7 +151,8 @@
             agent, right = self.member.agent, self.claim.right
             if self.spec.counts and agent.joined and not self.counting:
                 self.counting = self.member.propose(
-                    agent.put("counter", (agent.value("counter", int) or 0) + 1))
+                    agent.put("counter", (agent.value("counter", int) or 0) + 1)
+                )
             if right is None or not agent.joined or not self.spec.ledger:
                 continue
             self.items += 1
--- a/tests/register_world.py
+++ b/tests/register_world.py
@@ -57,8 +57,12 @@
 class World:
     """`without`: the guard of `GUARDS` that is taken out, to see that a checker catches it."""
 
-    GUARDS = ("generation at the effect", "version at the commit", "reads as of now",
-              "an ended session stays ended")
+    GUARDS = (
+        "generation at the effect",
+        "version at the commit",
+        "reads as of now",
+        "an ended session stays ended",
+    )
 
     def __init__(self, seed: int, count: int = 3, without: str = "") -> None:
         assert not without or without in self.GUARDS
@@ -243,8 +247,11 @@
             return r.Refused(space.revision, tuple(record(e) for e in found))
         if self.faults.full:
             return r.Full("no room")
-        puts = [(c.key.encode(), token.encode() + b"\0" + c.value, int(c.session or "0"))
-                for c in changes if isinstance(c, r.Put)]
+        puts = [
+            (c.key.encode(), token.encode() + b"\0" + c.value, int(c.session or "0"))
+            for c in changes
+            if isinstance(c, r.Put)
+        ]
         try:
             revision = space.write(puts, [c.key.encode() for c in changes if isinstance(c, r.Delete)])
         except NoLease:
@@ -264,8 +271,9 @@
         if not past and self.space.revision >= after:
             self.waiting.append(again)
             return None
-        events = tuple(r.Event(x.key.decode(), x.revision, record(x.entry) if x.entry else None)
-                       for x in past)
+        events = tuple(
+            r.Event(x.key.decode(), x.revision, record(x.entry) if x.entry else None) for x in past
+        )
         return r.Batch("one", after, self.space.revision, events)
 
     def changed(self) -> None:
--- a/tests/shell_site.py
+++ b/tests/shell_site.py
@@ -132,8 +132,10 @@
 
     async def met(self, wire: Wire) -> Peer:
         """The shell's own side of a connection."""
+
         def found() -> list[Peer]:
             return [p for p in self.service._peers if p.stream.socket.getpeername() == wire.address]
+
         await until(found)
         return found()[0]
 
@@ -142,8 +144,9 @@
 
 
 @contextlib.asynccontextmanager
-async def shell(folder: Path, settings: dict[str, Any] = SETTINGS, spoken: bool = True
-                ) -> AsyncIterator[Shell]:
+async def shell(
+    folder: Path, settings: dict[str, Any] = SETTINGS, spoken: bool = True
+) -> AsyncIterator[Shell]:
     """A governor that is alive; `spoken`: discovery has told its list."""
     found = Shell(folder, settings)
     for script in found.scripts:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -60,12 +60,26 @@
     item = "ITEM size=2 novel=1 phase=Ready hall=a shape=k replica="
     view = "VIEW slot=0 rev=4 kind="
     reply = feed(
-        host, "TICK at-time=7.000001", *boot, "SHEET slot=0 records=1", item + "10.0.0.1:1", view + "SAVED",
-        "DESTROY", *boot, "SHEET slot=0 records=1", item + "10.0.0.2:1", view + "SAVED",
-        "SHEET slot=0 records=0", view + "INCREMENTAL", "VIEW kind=FAILED rev=0 slot=9",
-        "CUSTODY map-id=4 flag=1", "ON_RECORD map-id=4 replica=10.0.0.3:1 size=1",
-        "ACTIVITY map-id=4 cls=c number=2 bad=1 window=0.5", "WHISPER origin-peer=1 octets=aGkgNw==",
-        "CUSTODY flag=1", "TOOK_EFFECT agent=1 rev=2 elapsed=0.25",
+        host,
+        "TICK at-time=7.000001",
+        *boot,
+        "SHEET slot=0 records=1",
+        item + "10.0.0.1:1",
+        view + "SAVED",
+        "DESTROY",
+        *boot,
+        "SHEET slot=0 records=1",
+        item + "10.0.0.2:1",
+        view + "SAVED",
+        "SHEET slot=0 records=0",
+        view + "INCREMENTAL",
+        "VIEW kind=FAILED rev=0 slot=9",
+        "CUSTODY map-id=4 flag=1",
+        "ON_RECORD map-id=4 replica=10.0.0.3:1 size=1",
+        "ACTIVITY map-id=4 cls=c number=2 bad=1 window=0.5",
+        "WHISPER origin-peer=1 octets=aGkgNw==",
+        "CUSTODY flag=1",
+        "TOOK_EFFECT agent=1 rev=2 elapsed=0.25",
     )
     assert reply == "ON_BEHALF governor=3\nWAKE_ME ref=3 from-now=1.500000\nNEXT\n"
     assert host.now == 7_000_001 and len(made) == 2 and not made[0]
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -32,17 +32,39 @@
 
 
 def told(at: float, entries: dict[str, tuple[str, int]], whole: bool = False) -> Rec:
-    return rec(at, "told", "roster", reader="a", whole=whole, version=1,
-               entries={k: list(v) for k, v in entries.items()})
-
-
-def applied(at: float, seq: int, *deltas: feed.Delta, ordered: float | None = None, reply: int = 0,
-            relay: str = "r1", mark: int | None = None) -> Rec:
+    return rec(
+        at,
+        "told",
+        "roster",
+        reader="a",
+        whole=whole,
+        version=1,
+        entries={k: list(v) for k, v in entries.items()},
+    )
+
+
+def applied(
+    at: float,
+    seq: int,
+    *deltas: feed.Delta,
+    ordered: float | None = None,
+    reply: int = 0,
+    relay: str = "r1",
+    mark: int | None = None,
+) -> Rec:
     cost = RULES.message_head + len(deltas) + sum(len(d.lines) for d in deltas if isinstance(d, feed.Bind))
     stamp = T0 + round((at - 0.1 if ordered is None else ordered) * S)
     message = feed.Message(seq, reply or seq, stamp, cost, tuple(deltas), mark)
-    return rec(at, "applied", relay=relay, governor="a", epoch="e", stream=1, bytes=9,
-               message=msgspec.to_builtins(message))
+    return rec(
+        at,
+        "applied",
+        relay=relay,
+        governor="a",
+        epoch="e",
+        stream=1,
+        bytes=9,
+        message=msgspec.to_builtins(message),
+    )
 
 
 def start(relay: str = "r1") -> list[Rec]:
@@ -56,9 +78,20 @@
 
 
 def tried(at: float, tx: str, replica: str, n: int = 0, cls: str = "booking-commit") -> list[Rec]:
-    return [rec(at, "try", relay="r1", tx=tx, n=n, cls=cls, replica=replica, way=1, after_unproven=n > 0),
-            rec(at + 0.01, "arrive", "replicas-hall-a", replica=replica, relay="r1", tx=tx, work=100.0,
-                warmth=1.0, boot=1)]
+    return [
+        rec(at, "try", relay="r1", tx=tx, n=n, cls=cls, replica=replica, way=1, after_unproven=n > 0),
+        rec(
+            at + 0.01,
+            "arrive",
+            "replicas-hall-a",
+            replica=replica,
+            relay="r1",
+            tx=tx,
+            work=100.0,
+            warmth=1.0,
+            boot=1,
+        ),
+    ]
 
 
 def judge(*records: Rec, end: float = 30, whole: bool = True, over: Plan = PLAN) -> dict[str, audit.Judged]:
@@ -110,8 +143,11 @@
     grace = RULES.grace / S
     rule = judge(*start(), told(5, {W1: (phase, 1)}), *tried(5 + grace + late, "c1.1", W1))["drain"]
     assert rule.state == state and rule.occasions == 1
-    later = [rec(9, "lost", relay="r1", governor="a", reason=""), *tried(9.5, "c2.1", W1),
-             rec(10, "joined", relay="r1", governor="a", epoch="e", stream=2)]
+    later = [
+        rec(9, "lost", relay="r1", governor="a", reason=""),
+        *tried(9.5, "c2.1", W1),
+        rec(10, "joined", relay="r1", governor="a", epoch="e", stream=2),
+    ]
     rule = judge(*start(), told(5, {W1: (phase, 1)}), *later, *tried(10 + grace + late, "c1.1", W1))["drain"]
     assert rule.state == state
 
@@ -132,8 +168,20 @@
     warmth, span = 0.3, RULES.fall_span
     work = part * RULES.fall_multiple * w1.cores * w1.speed * warmth * 1e-3 * span / 10
     begin = [rec(1, "up", "replicas-hall-a", replica=W1, boot=2, cold=True), told(1.2, {W1: ("ready", 2)})]
-    load = [rec(6 + n / 10, "arrive", "replicas-hall-a", replica=W1, relay="r1", tx=f"c{n}.1", work=work,
-                warmth=warmth, boot=2) for n in range(10)]
+    load = [
+        rec(
+            6 + n / 10,
+            "arrive",
+            "replicas-hall-a",
+            replica=W1,
+            relay="r1",
+            tx=f"c{n}.1",
+            work=work,
+            warmth=warmth,
+            boot=2,
+        )
+        for n in range(10)
+    ]
     fell = [rec(6.9, "fell", "replicas-hall-a", replica=W1)] if part > 1 else []
     rule = judge(*start(), *begin, *load, *fell)["cold"]
     assert rule.state == state and abs(rule.near - part) < 0.01
@@ -146,8 +194,18 @@
         return rec(at, "effect", "replicas-hall-a", replica=W1, tx=tx, tenant="inn", cell=cell, gen=gen)
 
     def answer(tx: str) -> Rec:
-        return rec(9, "transaction", "clients", tx=tx, relay="r1", cls="booking-commit", began=T0, status=200,
-                   sends=1, tenant="inn")
+        return rec(
+            9,
+            "transaction",
+            "clients",
+            tx=tx,
+            relay="r1",
+            cls="booking-commit",
+            began=T0,
+            status=200,
+            sends=1,
+            tenant="inn",
+        )
 
     moved = [effect(1, "c1.1", "A", 1), effect(2, "c2.1", "A", 1), effect(3, "c3.1", "B", 2)]
     over = msgspec.structs.replace(PLAN, cells=("A", "B"))
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -49,8 +49,10 @@
     for cell in range(10):
         here = [w for w in crew if found.workers[w.name] == cell]
         assert {w.zone for w in here} == set(ZONES) and len(here) >= 4
-    shares = [load / sum(w.size for w in crew if found.workers[w.name] == c)
-              for c, load in loads(found, tenants).items()]
+    shares = [
+        load / sum(w.size for w in crew if found.workers[w.name] == c)
+        for c, load in loads(found, tenants).items()
+    ]
     assert max(shares) / min(shares) < 1.05
 
 
@@ -71,9 +73,10 @@
         less = place(tenants, [w for w in crew if w is not gone], wanted, first)
         assert sum(less.workers[w] != first.workers[w] for w in less.workers) <= 1
         left = {t.name: t.demand for t in tenants if less.tenants[t.name] != first.tenants[t.name]}
-        assert {first.tenants[t] for t in left} <= {first.workers[gone.name],
-                                                     *(first.workers[w] for w in less.workers
-                                                       if less.workers[w] != first.workers[w])}
+        assert {first.tenants[t] for t in left} <= {
+            first.workers[gone.name],
+            *(first.workers[w] for w in less.workers if less.workers[w] != first.workers[w]),
+        }
 
 
 def test_most_tenants_live_where_their_hash_says() -> None:
@@ -81,8 +84,10 @@
     found = place(tenants, crew, Wanted(100, 4, 3))
     strayed = [t for t, c in found.tenants.items() if c != home(t, range(100), {})]
     assert len(strayed) < 800  # relays are told of these alone
-    shares = [load / sum(w.size for w in crew if found.workers[w.name] == c)
-              for c, load in loads(found, tenants).items()]
+    shares = [
+        load / sum(w.size for w in crew if found.workers[w.name] == c)
+        for c, load in loads(found, tenants).items()
+    ]
     assert max(shares) / min(shares) < 1.05
 
 
@@ -234,19 +239,25 @@
 def test_settings_refuse_a_placement_that_cannot_stand(tmp_path: Path) -> None:
     text = (Path(__file__).parent.parent / "deploy" / "example.kdl").read_text()
     path, placed = tmp_path / "s.kdl", tmp_path / "p.json"
-    path.write_text(text.replace('    probes', '    cells placement="p.json"\n    probes'))
-    for content, said in ((b"", "is no placement"),
-                          (b'{"cells":["a"],"workers":{"w":"b"}}', "does not list: b"),
-                          (b'{"cells":["a","b"],"workers":{"w":"b"}}', "cells without workers: a")):
+    path.write_text(text.replace("    probes", '    cells placement="p.json"\n    probes'))
+    for content, said in (
+        (b"", "is no placement"),
+        (b'{"cells":["a"],"workers":{"w":"b"}}', "does not list: b"),
+        (b'{"cells":["a","b"],"workers":{"w":"b"}}', "cells without workers: a"),
+    ):
         placed.write_bytes(content)
         with pytest.raises(SettingsError) as caught:
             settings_of(path)
         assert said in str(caught.value) and "fleet > cells > placement" in str(caught.value)
     good = path.read_text()
     placed.write_bytes(b'{"cells":["a"],"workers":{"w":"a"}}')
-    for inside, where in (("limits cell=0 tenant=1", "limits > cell"), ("limits cell=1", "limits > tenant"),
-                          ("limits cell=1 tenant=1 held=-1", "limits > held"),
-                          ("limits cell=1 tenant=1 rush=3", "limits"), ("door 3", "door")):
+    for inside, where in (
+        ("limits cell=0 tenant=1", "limits > cell"),
+        ("limits cell=1", "limits > tenant"),
+        ("limits cell=1 tenant=1 held=-1", "limits > held"),
+        ("limits cell=1 tenant=1 rush=3", "limits"),
+        ("door 3", "door"),
+    ):
         path.write_text(good.replace('"p.json"', f'"p.json" {{\n {inside}\n }}'))
         with pytest.raises(SettingsError) as caught:
             settings_of(path)
@@ -274,8 +285,11 @@
 
 
 def test_a_drained_cell_s_tenants_are_dealt_evenly_and_none_may_move_in(tmp_path: Path) -> None:
-    placed = Placed(("A", "B", "C"), {"a": "A", "b1": "B", "b2": "B", "c": "C"},
-                    {f"t{n}": "A" for n in range(9)} | {"u": "B"})
+    placed = Placed(
+        ("A", "B", "C"),
+        {"a": "A", "b1": "B", "b2": "B", "c": "C"},
+        {f"t{n}": "A" for n in range(9)} | {"u": "B"},
+    )
     there = mover.away("A", [], placed, ("A",))
     assert Counter(there.values()) == {"B": 6, "C": 3} and set(there) == {f"t{n}" for n in range(9)}
     done = Move("0", "u", "B", "A", 2, Step.DONE)
@@ -302,8 +316,9 @@
     old.write_bytes(msgspec.json.encode(placed))
 
     def split(cell: str, into: str) -> Result:
-        return CliRunner().invoke(main, ["cells", "split", str(old), str(workers), cell, "--into", into,
-                                         "--out", str(new)])
+        return CliRunner().invoke(
+            main, ["cells", "split", str(old), str(workers), cell, "--into", into, "--out", str(new)]
+        )
 
     assert split("b", "c").exit_code == 0
     found: Placed = msgspec.json.decode(new.read_bytes(), type=Placed)
@@ -325,7 +340,8 @@
     go = sorted(old.of("c0"))[:2]
     split = Placed(("c0", "c1", "new"), {**old.workers, **dict.fromkeys(go, "new")}, old.named, old.cells)
     found.settings = dataclasses.replace(
-        found.settings, fleet=dataclasses.replace(found.settings.fleet, cells=split))
+        found.settings, fleet=dataclasses.replace(found.settings.fleet, cells=split)
+    )
     found.begin("split")
     found.dial()
     found.run(4)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -92,8 +92,9 @@
     assert 0 in world.shut and world.shut <= {0}
     world.run(6, {n: CALM for n in range(9)})  # back low, then soon whole: the ejection may have been wrong
     back = world.log.index(i.Withdraw(0, False))
-    low = [o.weight for o in world.log[:back + 60]
-           if isinstance(o, i.SetLine) and o.replica == o.table == 0][-1]
+    low = [
+        o.weight for o in world.log[: back + 60] if isinstance(o, i.SetLine) and o.replica == o.table == 0
+    ][-1]
     assert low < 0.2 * world.tables[0][0]
     # Several failing in one batch must not all be ejected as the first: warm ones stay for each class.
     world = running(settings=start(probes=False))
@@ -198,11 +199,21 @@
 
 
 def test_two_processes_with_other_hash_seeds_give_the_same_orders() -> None:
-    code = ("import hashlib; from tests.test_choice import play; "
-            "steps = [(0, n, 5) for n in range(6)] + [(2, 1, 1), (3, 1, 4), (6, 2, 7)] * 3; "
-            "print(hashlib.sha256(repr(play(steps, 3).log).encode()).hexdigest())")
-    found = {subprocess.run([sys.executable, "-c", code], env=os.environ | {"PYTHONHASHSEED": s}, check=True,
-                            capture_output=True, text=True).stdout for s in ("1", "2")}
+    code = (
+        "import hashlib; from tests.test_choice import play; "
+        "steps = [(0, n, 5) for n in range(6)] + [(2, 1, 1), (3, 1, 4), (6, 2, 7)] * 3; "
+        "print(hashlib.sha256(repr(play(steps, 3).log).encode()).hexdigest())"
+    )
+    found = {
+        subprocess.run(
+            [sys.executable, "-c", code],
+            env=os.environ | {"PYTHONHASHSEED": s},
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout
+        for s in ("1", "2")
+    }
     assert len(found) == 1 and len(found.pop().strip()) == len(hashlib.sha256().hexdigest())
 
 
@@ -236,8 +247,9 @@
 def test_a_governor_whose_proxies_hold_nothing_to_withdraw_still_binds_them() -> None:
     world = World(start(queue=600.0))  # withdrawals that reach nobody are never acknowledged on their own
     world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(60))))
-    world.step(*(i.Joined(p, p % 3, 5.0) for p in range(12)),
-               change(*(entry(n, DRAINING) for n in range(20))))
+    world.step(
+        *(i.Joined(p, p % 3, 5.0) for p in range(12)), change(*(entry(n, DRAINING) for n in range(20)))
+    )
     world.run(8)
     assert all(len(b) == 3 for b in world.bound.values()) and len(world.shut) >= 20
     world.step(change(*(entry(n, GONE) for n in range(20))), wait=SECOND // 50)
@@ -406,8 +418,13 @@
     back = range(0, 198, 39)  # close to each other by the golden section's places
     world.step(change(*(entry(n) for n in back)), wait=SECOND // 50)
     paced(world, 6)
-    sums = [sum(world.open(world.bound[p][0]).get(n, 0.0) / sum(world.open(world.bound[p][0]).values())
-                for p in world.proxies) for n in back]
+    sums = [
+        sum(
+            world.open(world.bound[p][0]).get(n, 0.0) / sum(world.open(world.bound[p][0]).values())
+            for p in world.proxies
+        )
+        for n in back
+    ]
     assert 0 < max(sums) < 2 * sum(sums) / len(sums)
 
 
@@ -468,8 +485,9 @@
 def test_a_cut_divides_classes_by_what_came_and_not_by_what_was_guessed_at_joining() -> None:
     """The cheap class, seven tenths of what comes and taken for a third, was cut to nothing."""
     world = running(settings=start((ANY, BOUND)))
-    world.step(*(i.Offered(p, k, n, 0, SECOND) for p in range(4) for k, n in ((0, 7), (1, 3))),
-               wait=SECOND // 50)
+    world.step(
+        *(i.Offered(p, k, n, 0, SECOND) for p in range(4) for k, n in ((0, 7), (1, 3))), wait=SECOND // 50
+    )
     while not levels(world):
         world.run(2.2, {n: (9, 5, i.Load(1.2, 30.0)) for n in range(9)})
     found = levels(world)
@@ -490,8 +508,10 @@
 
 def shares(world: World, proxy: int, cls: int) -> list[float]:
     """Of a proxy's table, what goes to each zone."""
-    return [sum(world.share(proxy, cls, n) for n in world.open(world.bound[proxy][cls]) if n % 3 == z)
-            for z in range(3)]
+    return [
+        sum(world.share(proxy, cls, n) for n in world.open(world.bound[proxy][cls]) if n % 3 == z)
+        for z in range(3)
+    ]
 
 
 def test_an_agreed_ceiling_of_a_zone_sends_the_rest_elsewhere_but_where_class_limits_bind() -> None:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -33,9 +33,14 @@
     for n in range(120):
         d = world.dice
         if n % 10 == 0:
-            world.faults = Faults(lose=d.choice((0, 0.1, 0.4)), drop=d.choice((0, 0.1, 0.4)),
-                                  repeat=d.choice((0, 0.5)), cut=d.choice((0, 0.3)), away=d.random() < 0.1,
-                                  pace=d.choice((SECOND // 50, SECOND // 2, 2 * SECOND)))
+            world.faults = Faults(
+                lose=d.choice((0, 0.1, 0.4)),
+                drop=d.choice((0, 0.1, 0.4)),
+                repeat=d.choice((0, 0.5)),
+                cut=d.choice((0, 0.3)),
+                away=d.random() < 0.1,
+                pace=d.choice((SECOND // 50, SECOND // 2, 2 * SECOND)),
+            )
         if d.random() < 0.1:
             world.space.compact(d.randrange(10))
         p = d.choice(world.processes)
@@ -305,7 +310,8 @@
         found = {k: p.agent.value(k, Member) for k in p.agent.mirror.records if k.startswith("members/")}
     assert [k for k, v in found.items() if v is not None] == ["members/actor/p0"]
     assert [n.fields["key"] for n in p.told("unread")] + [
-        n.fields["key"] for n in p.agent.news if n.kind == "unread"] == ["members/actor/odd"]
+        n.fields["key"] for n in p.agent.news if n.kind == "unread"
+    ] == ["members/actor/odd"]
 
 
 def test_a_planned_end_ends_the_session_at_once() -> None:
@@ -327,7 +333,9 @@
     (watch,) = [a.number for a in agent.asks(2 * SECOND) if a.what == "watch"]
     agent.answered(2 * SECOND, watch, r.Batch("two", 6, 7, ()))
     assert [(n.kind, n.fields.get("keys")) for n in agent.news] == [
-        ("fenced", None), ("changed", ["members/a/c"])] and agent.value("members/a/c", Member) is None
+        ("fenced", None),
+        ("changed", ["members/a/c"]),
+    ] and agent.value("members/a/c", Member) is None
 
 
 def test_what_is_written_is_bounded_before_it_is_sent() -> None:
@@ -364,7 +372,8 @@
     with pytest.raises(Backwards, match="a at version 6 is not what it was"):
         mirror.whole(r.Snapshot("one", 9, (rec("a", 6, b"other"),)))
     assert mirror.batch(r.Batch("one", 6, 9, (r.Event("b", 7, None), r.Event("d", 9, rec("d", 9))))) == [
-        r.Event("d", 9, rec("d", 9))]
+        r.Event("d", 9, rec("d", 9))
+    ]
 
 
 def test_the_gate_takes_the_first_of_two_holders_of_one_generation() -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -41,8 +41,9 @@
     Crossing.meet = None
 
 
-def play(folder: Path, work: Callable[[Shell], Any], settings: dict[str, Any] = SETTINGS,
-         spoken: bool = True) -> None:
+def play(
+    folder: Path, work: Callable[[Shell], Any], settings: dict[str, Any] = SETTINGS, spoken: bool = True
+) -> None:
     async def run() -> None:
         async with asyncio.timeout(2 * PATIENCE), shell(folder, settings, spoken) as found:
             await work(found)
@@ -68,7 +69,8 @@
 
 
 def test_the_hello_of_a_peer_turned_away_as_it_was_read_ends_no_live_stream(
-        tmp_path: Path, crossing: type[Crossing]) -> None:
+    tmp_path: Path, crossing: type[Crossing]
+) -> None:
     async def work(found: Shell) -> None:
         live, late = await bound(found), Wire(found.port)
         peer, met = await found.met(late), list[bytes]()
@@ -94,7 +96,8 @@
     "hello id=0 site=a rps=1 new=1",
 ])  # fmt: skip
 def test_what_a_replaced_stream_said_last_counts_no_more(
-        tmp_path: Path, crossing: type[Crossing], said: str) -> None:
+    tmp_path: Path, crossing: type[Crossing], said: str
+) -> None:
     async def work(found: Shell) -> None:
         old, new, core = await bound(found), Wire(found.port), found.service.core
         peer, counted = await found.met(old), list[Any]()
@@ -155,6 +158,7 @@
 
 def test_a_long_message_right_behind_a_joining_is_no_stranger_s(tmp_path: Path) -> None:
     """One read brought the joining and 4 KB of the next message: it was refused as from nobody."""
+
     async def work(found: Shell) -> None:
         wire, counted = Wire(found.port), list[lines.Outcomes]()
         peer = await found.met(wire)
@@ -169,7 +173,8 @@
 
 
 def test_a_probe_on_a_stream_that_joined_before_readiness_is_answered(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(node_service, "READY", PATIENCE)
 
     async def work(found: Shell) -> None:
@@ -256,7 +261,8 @@
     b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", CHUNKED + whole(1, *MEMBERS) + b"0\r\n\r\n",
 ])  # fmt: skip
 def test_a_watch_that_says_so_much_and_no_more_is_opened_anew(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: bytes) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: bytes
+) -> None:
     monkeypatch.setattr(node_service, "SILENT", 0.3)
 
     async def work(found: Shell) -> None:
@@ -269,8 +275,9 @@
     play(tmp_path, work, spoken=False)
 
 
-def test_a_watch_that_drips_and_never_answers_is_given_up(tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-                                                          ) -> None:
+def test_a_watch_that_drips_and_never_answers_is_given_up(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """An answer without a length that brought an empty line now and then passed for life and told nothing."""
     monkeypatch.setattr(node_service, "SILENT", 0.3)
 
@@ -300,6 +307,7 @@
 
 def test_an_older_whole_list_over_the_watch_that_was_left_undoes_no_drain(tmp_path: Path) -> None:
     """SIGHUP as a watch was being opened anew: its list, of before, came behind the new one's."""
+
     async def work(found: Shell) -> None:
         first, second = found.scripts
         wire = await bound(found)
@@ -323,6 +331,7 @@
 
 def test_a_list_that_goes_back_for_good_is_taken(tmp_path: Path) -> None:
     """Discovery began anew behind both addresses: the new watch is opened again once the old one ended."""
+
     async def work(found: Shell) -> None:
         first, second = found.scripts
         first.watches[0].write(whole(50, entry("s-7"), complete=False))
@@ -381,14 +390,20 @@
     node = Node(tmp_path, SETTINGS, MEMBERS)
     node.configure(0)
     code = EARLY.format(sign="SIGTERM", importing=importing, old="", new="")
-    done = subprocess.run([sys.executable, "-c", code], capture_output=True, cwd=ROOT,
-                          env=os.environ | {"ROUTER_CONFIG": str(node.path)}, timeout=PATIENCE)
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        cwd=ROOT,
+        env=os.environ | {"ROUTER_CONFIG": str(node.path)},
+        timeout=PATIENCE,
+    )
     assert (done.returncode, done.stderr) == (0, b"")
 
 
 @pytest.mark.parametrize("importing", [True, False])
 def test_sighup_before_the_handlers_stand_moves_discovery(tmp_path: Path, importing: bool) -> None:
     """It ended the process by the signal. The file is replaced after it was read."""
+
     async def run() -> None:
         node = Node(tmp_path, SETTINGS, MEMBERS)
         first, second = node.discoveries
@@ -397,8 +412,12 @@
         node.configure(0)
         code = EARLY.format(sign="SIGHUP", importing=importing, old=first.port, new=second.port)
         with node.log.open("wb") as log:
-            node.child = subprocess.Popen([sys.executable, "-c", code], stderr=log, cwd=ROOT,
-                                          env=os.environ | {"ROUTER_CONFIG": str(node.path)})
+            node.child = subprocess.Popen(
+                [sys.executable, "-c", code],
+                stderr=log,
+                cwd=ROOT,
+                env=os.environ | {"ROUTER_CONFIG": str(node.path)},
+            )
         child = node.child
         try:
             await until(lambda: second.asked or child.poll() is not None)
@@ -429,7 +448,8 @@
 
 @pytest.mark.parametrize("signs", [("TERM",), ("TERM", "TERM"), ("HUP", "TERM"), ("TERM", "HUP")])
 def test_sigterm_with_streams_unread_and_joins_half_done_leaves_nothing(
-        tmp_path: Path, signs: tuple[str, ...]) -> None:
+    tmp_path: Path, signs: tuple[str, ...]
+) -> None:
     async def run() -> None:
         specifics: dict[str, Any] = SETTINGS["specifics"]  # type: ignore[assignment]
         settings = SETTINGS | {"specifics": specifics | {"proxies": 400}}
@@ -467,9 +487,10 @@
     (entry("s-0", "left"), i.Outcome.UNREACHABLE),
 ])  # fmt: skip
 def test_a_probe_s_answer_from_an_earlier_life_is_no_word_on_this_one_which_is_asked(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, returned: dict[str, Any], outcome: i.Outcome
-        ) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, returned: dict[str, Any], outcome: i.Outcome
+) -> None:
     """Let pass unsaid, one that left and came back while it was asked stayed ejected for good."""
+
     async def work(found: Shell) -> None:
         held, heard, asked = asyncio.Event(), dict[int, i.Outcome](), list[int]()
 
@@ -507,8 +528,12 @@
     (b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n", i.Outcome.TURNED_AWAY, None),
 ])  # fmt: skip
 def test_a_probe_s_answer_that_is_spoilt_cut_or_too_long_is_told_as_what_it_is(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, answer: bytes | None, outcome: i.Outcome,
-        busy: float | None) -> None:
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    answer: bytes | None,
+    outcome: i.Outcome,
+    busy: float | None,
+) -> None:
     monkeypatch.setattr(node_service, "PROBE", 0.3)
 
     async def work(found: Shell) -> None:
@@ -564,6 +589,7 @@
 @pytest.mark.parametrize("method", ["GET", "POST"])
 def test_a_kept_connection_closed_as_it_is_used_again_is_told_and_nothing_asked_twice(method: str) -> None:
     """Nobody knows whether it took effect; a poll of the feed is a GET that does."""
+
     async def run() -> None:
         server = Cutting([OK + b"one", None], [OK + b"two"])
         client = Client(LOCAL, await server.start())
@@ -582,6 +608,7 @@
 @pytest.mark.parametrize("seen", [True, False])
 def test_what_comes_unasked_on_a_kept_connection_answers_nothing(unasked: bytes, seen: bool) -> None:
     """Whether the loop has read it, or it lies in the socket: it was taken for the next answer."""
+
     async def run() -> None:
         server = Cutting([OK + b"one"], [OK + b"two"])
         client = Client(LOCAL, await server.start())
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -41,12 +41,20 @@
 def test_the_node_loads_its_own_modules_and_no_others() -> None:
     # The program's own imports come in `main`, behind the handlers of early signals: it gets as far as to say
     # that no configuration is named.
-    code = ("import sys, gradehoist.node.__main__ as node\n"
-            "assert node.main() == 2\n"
-            "print(*sorted(m for m in sys.modules if m.split('.')[0] == 'gradehoist'))\n"
-            f"print(*[m for m in {HEAVY!r} if m in sys.modules])")
-    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True,
-                           env={k: v for k, v in os.environ.items() if k != "ROUTER_CONFIG"})
+    code = (
+        "import sys, gradehoist.node.__main__ as node\n"
+        "assert node.main() == 2\n"
+        "print(*sorted(m for m in sys.modules if m.split('.')[0] == 'gradehoist'))\n"
+        f"print(*[m for m in {HEAVY!r} if m in sys.modules])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+        env={k: v for k, v in os.environ.items() if k != "ROUTER_CONFIG"},
+    )
     loaded, heavy = found.stdout.split("\n")[:2]
     assert loaded.split() == LOADED and heavy == ""
 
@@ -58,8 +66,21 @@
         site = tomllib.loads(path.read_text())
         named |= {site["name"], *site["net"]["zones"], *(c["name"] for c in site["class"])}
         named |= {x["name"] for tier in site["tier"] for x in (tier, *tier["kind"])}
-    named |= {"rate-check", "booking-commit", "hall-a", "hall-b", "hall-c", "sync-fleet", "sapporo-east",
-              "image-fetch", "cutout", "reserve", "regina-archive", "moose-jaw", "archive-servers"}
+    named |= {
+        "rate-check",
+        "booking-commit",
+        "hall-a",
+        "hall-b",
+        "hall-c",
+        "sync-fleet",
+        "sapporo-east",
+        "image-fetch",
+        "cutout",
+        "reserve",
+        "regina-archive",
+        "moose-jaw",
+        "archive-servers",
+    }
     assert len(named) > 25
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     places = [ROOT / place for place in (*deploy["policy"], *deploy["node"], "gradehoist/interface.py")]
@@ -84,8 +105,12 @@
             assert node.child is not None
             process = psutil.Process(node.child.pid)
             assert process.children(recursive=True) == []
-            assert not [f.path for f in process.open_files()
-                        if "w" in getattr(f, "mode", "r") and f.path != str(node.log)]
+            assert not [
+                f.path
+                for f in process.open_files()
+                if "w" in getattr(f, "mode", "r") and f.path != str(node.log)
+            ]
         finally:
             node.kill()
+
     asyncio.run(asyncio.wait_for(play(), 30))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -26,7 +26,9 @@
     watch = Watch()
     found = [c for a, b in zip(where, where[1:], strict=False) for c in watch.receive(data[a:b])]
     assert [(c.revision, c.complete, [m.phase for m in c.members]) for c in found] == [
-        (2, True, ["active"]), (3, False, ["leaving"])]
+        (2, True, ["active"]),
+        (3, False, ["leaving"]),
+    ]
 
 
 @pytest.mark.parametrize("data", [
@@ -48,13 +50,29 @@
 
 def test_an_entry_that_cannot_be_read_costs_itself_alone_and_hides_no_drain() -> None:
     one = held()
-    told = one.take(changes({"revision": 6, "complete": False, "members": [
-        {"phase": "active"}, 7, entry("s 3"),
-        entry("s-2", "leaving", locality=None, size="x", up_since_ms=-1),
-        entry("s-1", "strange"), entry("s-4", cell=float(2)), entry("s-5", locality=9)]}))
+    told = one.take(
+        changes(
+            {
+                "revision": 6,
+                "complete": False,
+                "members": [
+                    {"phase": "active"},
+                    7,
+                    entry("s 3"),
+                    entry("s-2", "leaving", locality=None, size="x", up_since_ms=-1),
+                    entry("s-1", "strange"),
+                    entry("s-4", cell=float(2)),
+                    entry("s-5", locality=9),
+                ],
+            }
+        )
+    )
     assert told is not None
     assert [(m.replica, m.phase, m.zone) for m in told] == [
-        ("s-2", "leaving", "a"), ("s-1", "leaving", "a"), ("s-4", "active", "a")]
+        ("s-2", "leaving", "a"),
+        ("s-1", "leaving", "a"),
+        ("s-4", "active", "a"),
+    ]
 
 
 def test_a_change_that_comes_late_over_an_old_watch_undoes_nothing() -> None:
@@ -66,10 +84,15 @@
     assert told and told[0].phase == "left" and "s-2" not in one.members
 
 
-@given(st.lists(st.tuples(st.integers(0, 2), st.booleans()), max_size=12), st.integers(0, 12),
-       st.integers(0, 12), st.lists(st.booleans(), max_size=30))
+@given(
+    st.lists(st.tuples(st.integers(0, 2), st.booleans()), max_size=12),
+    st.integers(0, 12),
+    st.integers(0, 12),
+    st.lists(st.booleans(), max_size=30),
+)
 def test_no_order_of_two_watches_undoes_a_drain_or_loses_a_member(
-        history: list[tuple[int, bool]], first: int, second: int, turns: list[bool]) -> None:
+    history: list[tuple[int, bool]], first: int, second: int, turns: list[bool]
+) -> None:
     """An old watch and a new one after SIGHUP, each behind as it likes: what one has told of a drain stands,
     until a later revision says otherwise, and in the end all is as the list is."""
     states = [{f"s-{n}": "active" for n in range(3)}]
@@ -77,8 +100,13 @@
         states.append(states[-1] | {f"s-{n}": "active" if up else "leaving"})
 
     def whole(at: int) -> Change:
-        return changes({"revision": at + 1, "complete": True,
-                        "members": [entry(n, phase) for n, phase in states[at].items()]})
+        return changes(
+            {
+                "revision": at + 1,
+                "complete": True,
+                "members": [entry(n, phase) for n, phase in states[at].items()],
+            }
+        )
 
     def later(at: int) -> Change:
         n, up = history[at - 1]
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -37,6 +37,7 @@
             assert await until(lambda: not relay.joined or not relay.sends_to("w1"), GRACE), "a late drain"
             assert await governor.ended(3) == 1 and "planner" in governor.log.read_text()
             assert not psutil.pid_exists(planner)
+
     play(work)
 
 
@@ -57,6 +58,7 @@
             assert governor.process.poll() is None
             governor.process.terminate()
             assert await governor.ended(5) == 0
+
     play(work)
 
 
@@ -70,6 +72,7 @@
             roster.list(entry(1, "draining"))
             assert await until(lambda: not relay.sends_to("w1"), GRACE)
             assert governor.process.poll() is None
+
     play(work)
 
 
@@ -89,6 +92,7 @@
             await asyncio.sleep(0.5)
             roster.list(entry(1, "draining"))
             assert await until(lambda: not relay.sends_to("w1"), 5.0)
+
     play(work)
 
 
@@ -101,12 +105,14 @@
             assert await until(lambda: not relay.sends_to("w1"), GRACE), governor.log.read_text()[-300:]
             assert "a-new-hall" in governor.log.read_text()
             assert not relay.sends_to("w8") and relay.sends_to("w0")
+
     play(work)
 
 
 @pytest.mark.parametrize("how", ["empty", "older"])
 def test_a_roster_that_lost_its_memory_takes_no_replica_away_and_gives_none_back(
-        tmp_path: Path, how: str) -> None:
+    tmp_path: Path, how: str
+) -> None:
     async def work() -> None:
         async with fleet(tmp_path) as (roster, governor, (relay,)):
             roster.list(entry(1, "draining"))
@@ -124,6 +130,7 @@
             roster.version, roster.entries = roster.version + 5, kept
             roster.list(entry(2, "draining"))
             assert await until(lambda: not relay.sends_to("w2"), 4.0)
+
     play(work)
 
 
@@ -141,6 +148,7 @@
             assert await until(lambda: not good.sends_to("w2"), GRACE)
             assert "confirms nothing" in governor.log.read_text()
             deaf.task.cancel()
+
     play(work)
 
 
@@ -157,6 +165,7 @@
             assert governor.process.poll() is None, governor.log.read_text()[-300:]
             governor.process.terminate()
             assert await governor.ended(5) == 0
+
     play(work)
 
 
@@ -182,6 +191,7 @@
         service.stop()
         await running
         roster.server.shut()
+
     play(work)
 
 
@@ -211,6 +221,7 @@
         assert await running == 0 and pending <= 4 and 2 <= len(asked) <= 16, (pending, len(asked))
         server.shut()
         roster.server.shut()
+
     play(work)
 
 
@@ -219,8 +230,12 @@
         async with fleet(tmp_path) as (roster, governor, _):
             (port,) = scene.ports(1)
             path = tmp_path / "s.kdl"
-            text = path.read_text().replace(str(governor.port), str(port)).replace(
-                'governor "a"', 'governor "b"').replace("listen=", 'state="var/a" listen=')
+            text = (
+                path.read_text()
+                .replace(str(governor.port), str(port))
+                .replace('governor "a"', 'governor "b"')
+                .replace("listen=", 'state="var/a" listen=')
+            )
             path.write_text(text)
             second = Governor(path, port, "b")
             code = await second.ended(10)
@@ -228,6 +243,7 @@
             assert code == 2
             said = second.log.read_text()
             assert f"pid {governor.process.pid}" in said and "state" in said and len(said.splitlines()) == 1
+
     play(work)
 
 
@@ -243,6 +259,7 @@
 @pytest.mark.parametrize("stage", ["at work", "twice", "planner stopped", "kill"])
 def test_the_end_of_a_governor_at_each_stage(tmp_path: Path, stage: str) -> None:
     """As a supervisor ends it: the signal goes to every process of its group, the planner's as well."""
+
     async def work() -> None:
         async with fleet(tmp_path) as (roster, governor, (relay,)):
             planner = (await governor.status())["planner_pid"]
@@ -264,6 +281,7 @@
                 assert not [x.name for x in (tmp_path / "var" / "a").iterdir() if x.suffix == ".part"]
             finally:
                 again.kill()
+
     play(work)
 
 
@@ -274,6 +292,7 @@
             roster.wake()
             await asyncio.sleep(2.0)
             assert roster.calls <= 50
+
     play(work)
 
 
@@ -284,12 +303,29 @@
     one, two = scene.ports(2)
     path, store = settings(tmp_path, one, two, change), tmp_path / "moves"
     for where, most in (tmp_path / "p.json" / "x", 10**6), (store, 100):  # no folder; no room for a record
+
         def limit(most: int = most) -> None:
             resource.setrlimit(resource.RLIMIT_FSIZE, (most, most))
 
         ended = subprocess.run(
-            [sys.executable, "-m", "gradehoist", "cells", "move", str(path), "inn", "--to", "c1",
-             "--store", str(where)], cwd=ROOT, capture_output=True, timeout=30, preexec_fn=limit)
+            [
+                sys.executable,
+                "-m",
+                "gradehoist",
+                "cells",
+                "move",
+                str(path),
+                "inn",
+                "--to",
+                "c1",
+                "--store",
+                str(where),
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            timeout=30,
+            preexec_fn=limit,
+        )
         said = ended.stderr.decode()
         assert ended.returncode == 2 and "Traceback" not in said and "run it again" in said, said
         assert len(said.splitlines()) == 1
@@ -304,9 +340,8 @@
             assert (await governor.status())["relays"] <= 4
             roster.list(entry(1, "draining"))
             assert await until(lambda: not any(r.sends_to("w1") for r in some), GRACE)
-    play(work)
-
 
+    play(work)
 
 
 def test_a_governor_that_stood_still_tells_of_a_drain_within_the_grace_of_its_return(tmp_path: Path) -> None:
@@ -321,16 +356,24 @@
             assert await until(lambda: relay.joined and not relay.sends_to("w1"), GRACE), "told too late"
             assert await until(lambda: relay.holdings.bound and relay.sends_to("w0"), 5)
             assert governor.process.poll() is None and relay.epoch == epoch
+
     play(work)
 
 
 # By class and by what meets a try: tries that arrive for one transaction, with two lines in the table.
 # A relay tries a second time on proof alone; clients send again what is free, or was refused with proof.
-@pytest.mark.parametrize(("repeat", "meets", "arrive"), [
-    ("free", "proof", lambda retries: 2 * (1 + retries)), ("free", "cut", lambda retries: 1 + retries),
-    ("single", "proof", lambda retries: 2), ("single", "cut", lambda retries: 1)])
+@pytest.mark.parametrize(
+    ("repeat", "meets", "arrive"),
+    [
+        ("free", "proof", lambda retries: 2 * (1 + retries)),
+        ("free", "cut", lambda retries: 1 + retries),
+        ("single", "proof", lambda retries: 2),
+        ("single", "cut", lambda retries: 1),
+    ],
+)
 def test_retries_of_all_layers_together_are_those_of_the_table(
-        tmp_path: Path, repeat: str, meets: str, arrive: Callable[[int], int]) -> None:
+    tmp_path: Path, repeat: str, meets: str, arrive: Callable[[int], int]
+) -> None:
     plan = scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
     came: list[str] = []
 
@@ -346,8 +389,9 @@
         names = [r.name for r in plan.replicas[:2]]
         relay.via = dict(zip(names, ports, strict=True))
         cls = next(c for c in plan.classes if c.repeat == repeat)
-        relay.holdings.apply(feed.Message(1, 1, 0, 1, (
-            feed.Bind(1, (cls.name,), dict.fromkeys(names, 1.0)),)))
+        relay.holdings.apply(
+            feed.Message(1, 1, 0, 1, (feed.Bind(1, (cls.name,), dict.fromkeys(names, 1.0)),))
+        )
         relay.server = Server(relay.handle)
         relay.server.listen(relay.plan.port, LOCAL)
         clients = Clients(plan, "clients", tmp_path)
@@ -355,4 +399,5 @@
         assert plan.retries >= 1 and len(came) == arrive(plan.retries), came
         relay.die()
         server.shut()
+
     play(work)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -41,8 +41,10 @@
     world = running(count)
     world.run(4, {n: (6, 0, i.Load(0.5, 2.0)) for n in range(count)})
     for window, elapsed in ((0, 0), (1, 10**12), (SECOND, 0), (40 * 365 * 24 * HOUR, 10**12)):
-        world.step(*(i.Heard(z, n, *met, elapsed, window, load) for z in range(3) for n in range(count)),
-                   *(i.Offered(p, k, VAST, VAST, window) for p in world.proxies for k in range(3)))
+        world.step(
+            *(i.Heard(z, n, *met, elapsed, window, load) for z in range(3) for n in range(count)),
+            *(i.Offered(p, k, VAST, VAST, window) for p in world.proxies for k in range(3)),
+        )
         world.run(2, {0: (*met, load)})
     sound(world)
 
@@ -50,8 +52,9 @@
 @pytest.mark.parametrize("size", [0.0, 1e-9, 1e9])
 def test_sizes_at_the_edges(size: float) -> None:
     world = World()
-    world.step(i.Listed(i.ListKind.COMPLETE, tuple(
-        replace(entry(n), size=size if n % 2 else 1.0) for n in range(6))))
+    world.step(
+        i.Listed(i.ListKind.COMPLETE, tuple(replace(entry(n), size=size if n % 2 else 1.0) for n in range(6)))
+    )
     world.step(*(i.Joined(p, p % 3, 0.0 if p else 1e9) for p in range(3)))
     world.run(8, {n: (6, 0, i.Load(0.5, 2.0)) for n in range(6)})
     sound(world)
@@ -140,8 +143,13 @@
     names.replicas.number("w"), names.proxies.number("r")
     late = 2**53 + 12_345
     intake = Intake(names, 1.0, SECOND, 0)
-    most = feed.Sums("r", "e", 0, (feed.Try("w", VAST, VAST, 10**12), feed.Try("w", 0, 0, 0)),
-                     (feed.Came("c", VAST, VAST),))
+    most = feed.Sums(
+        "r",
+        "e",
+        0,
+        (feed.Try("w", VAST, VAST, 10**12), feed.Try("w", 0, 0, 0)),
+        (feed.Came("c", VAST, VAST),),
+    )
     for _ in range(50):
         intake.add(0, 0, most)
     heard = [e for at in (SECOND, 30 * 24 * HOUR, late, late + SECOND) for e in intake.take(at)]
--- a/tests/test_fleet_governors.py
+++ b/tests/test_fleet_governors.py
@@ -27,8 +27,9 @@
 async def pair(folder: Path, where: str) -> AsyncIterator[tuple[Roster, list[Governor], list[Relay]]]:
     """Two governors of one register, a relay at each."""
     roster, ports = Roster(), scene.ports(2)
-    path = settings(folder, roster.port, ports[0],
-                    [("    reports", f"    coordination {where} {RATES}\n    reports")])
+    path = settings(
+        folder, roster.port, ports[0], [("    reports", f"    coordination {where} {RATES}\n    reports")]
+    )
     path.write_text(path.read_text() + f'governor "b" zone="y" listen="127.0.0.1:{ports[1]}"\n')
     governors = [Governor(path, port, name) for port, name in zip(ports, "ab", strict=True)]
     relays: list[Relay] = []
@@ -86,6 +87,7 @@
             b.process.send_signal(signal.SIGTERM)
             assert await b.ended(5) == 0
             await fleet_is(a, members={"here": 1, "suspected": 1})
+
     play(work)
 
 
@@ -104,6 +106,7 @@
             await drained(roster, relays, 2)
             a.process.send_signal(signal.SIGTERM)
             assert await a.ended(5) == 0
+
     play(work)
 
 
@@ -119,6 +122,7 @@
         finally:
             governor.kill()
             roster.server.shut()
+
     play(work)
 
 
@@ -132,17 +136,21 @@
         member.ticked.append(lambda now: told.remove("no such thing"))
         member.failed.append(lambda: told.append("failed"))
         await member.run()
+
     play(work)
     assert told == ["coordination_failed", "failed"]
 
 
-@pytest.mark.parametrize(("node", "said"), [
-    ("coordination", "> coordination: expected where the register is; give folder="),
-    ('coordination folder="a" engine="127.0.0.1:2379"', "one of the two"),
-    ('coordination engine="engine:2379"', 'expected an address such as "127.0.0.1:7101"'),
-    ('coordination folder="a" session="10ms"', 'expected a time of "1s" or more'),
-    ('coordination folder="a" leases=true', "unknown property; known here: "),
-])
+@pytest.mark.parametrize(
+    ("node", "said"),
+    [
+        ("coordination", "> coordination: expected where the register is; give folder="),
+        ('coordination folder="a" engine="127.0.0.1:2379"', "one of the two"),
+        ('coordination engine="engine:2379"', 'expected an address such as "127.0.0.1:7101"'),
+        ('coordination folder="a" session="10ms"', 'expected a time of "1s" or more'),
+        ('coordination folder="a" leases=true', "unknown property; known here: "),
+    ],
+)
 def test_settings_of_the_register_are_checked_with_place_and_remedy(node: str, said: str) -> None:
     text = TEXT.format(relays=4, queue=2000, rate=2000).replace("    reports", f"    {node}\n    reports")
     reader = r.Reader("s.kdl")
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -34,8 +34,13 @@
 
     def start(self) -> None:
         with self.path.with_suffix(".err").open("ab") as err:
-            self.process = subprocess.Popen([sys.executable, "-m", "tests.peer", str(self.path)], cwd=ROOT,
-                                            stderr=err, stdin=subprocess.DEVNULL, start_new_session=True)
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "tests.peer", str(self.path)],
+                cwd=ROOT,
+                stderr=err,
+                stdin=subprocess.DEVNULL,
+                start_new_session=True,
+            )
 
     async def status(self) -> dict[str, Any]:
         """Empty while it does not answer."""
@@ -58,24 +63,41 @@
 class Fleet:
     """Actors over one register, and the ledger that takes their effects."""
 
-    def __init__(self, folder: Path, kind: str, count: int, guard: bool = True, step: float = 0.0,
-                 session: float = 2.0) -> None:
+    def __init__(
+        self, folder: Path, kind: str, count: int, guard: bool = True, step: float = 0.0, session: float = 2.0
+    ) -> None:
         self.folder = folder
         ledger, engine, *ports = scene.ports(count + 2)
         self.engine: subprocess.Popen[bytes] | None = None
         self.engine_port = engine
         if kind == "engine":
             self.engine = subprocess.Popen(
-                [sys.executable, "-m", "gradehoist.standin", "engine", str(engine)], cwd=ROOT,
-                stdin=subprocess.DEVNULL, start_new_session=True)
-        self.ledger = Peer(folder, Spec("ledger", "ledger", ledger, str(folder / "ledger.jsonl"),
-                                        guard=guard))
-        self.actors = [Peer(folder, Spec(
-            "actor", f"p{n}", port, str(folder / f"p{n}.jsonl"), ledger=ledger, step=step, jumps=n % 2 == 1,
-            session=session,
-            engine=engine if kind == "engine" else 0,
-            folder=str(folder / "register") if kind != "engine" else ""))
-            for n, port in enumerate(ports)]
+                [sys.executable, "-m", "gradehoist.standin", "engine", str(engine)],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                start_new_session=True,
+            )
+        self.ledger = Peer(
+            folder, Spec("ledger", "ledger", ledger, str(folder / "ledger.jsonl"), guard=guard)
+        )
+        self.actors = [
+            Peer(
+                folder,
+                Spec(
+                    "actor",
+                    f"p{n}",
+                    port,
+                    str(folder / f"p{n}.jsonl"),
+                    ledger=ledger,
+                    step=step,
+                    jumps=n % 2 == 1,
+                    session=session,
+                    engine=engine if kind == "engine" else 0,
+                    folder=str(folder / "register") if kind != "engine" else "",
+                ),
+            )
+            for n, port in enumerate(ports)
+        ]
         self._order = Client(LOCAL, engine)
 
     async def fault(self, **what: Any) -> None:
@@ -83,8 +105,9 @@
 
     async def holder(self) -> Peer | None:
         """The one that says it holds the right, if one does."""
-        found = [p for p, s in zip(self.actors, await self.all(), strict=True)
-                 if s.get("joined") and s["rights"]]
+        found = [
+            p for p, s in zip(self.actors, await self.all(), strict=True) if s.get("joined") and s["rights"]
+        ]
         return found[0] if len(found) == 1 else None
 
     async def all(self) -> list[dict[str, Any]]:
@@ -99,10 +122,14 @@
 
     async def calm(self) -> None:
         """All joined, one holds the right, nothing waits: asked for at the end, so that nothing is stuck."""
+
         async def good() -> bool:
             found = await self.all()
-            return (all(s.get("joined") and s["members"].get("here", 0) >= len(found) for s in found)
-                    and sum(bool(s["rights"]) for s in found) == 1)
+            return (
+                all(s.get("joined") and s["members"].get("here", 0) >= len(found) for s in found)
+                and sum(bool(s["rights"]) for s in found) == 1
+            )
+
         await self.until(good, 60)
 
     def told(self) -> list[Told]:
@@ -134,6 +161,7 @@
         finally:
             fleet.end()
         return fleet
+
     return asyncio.run(asyncio.wait_for(run(), 120))
 
 
@@ -147,8 +175,11 @@
         if kind == "engine":
             await fleet.fault(lose=0.05, drop=0.05, repeat=True, cut=5, seed=3)
         for n in range(6):
-            peer = await fleet.until(fleet.holder, 40) if n % 2 else fleet.actors[
-                zlib.crc32(f"{kind}{n}".encode()) % len(fleet.actors)]
+            peer = (
+                await fleet.until(fleet.holder, 40)
+                if n % 2
+                else fleet.actors[zlib.crc32(f"{kind}{n}".encode()) % len(fleet.actors)]
+            )
             match n % 3:
                 case 0:
                     peer.kill()
@@ -166,6 +197,7 @@
         if kind == "engine":
             await fleet.fault()
         await fleet.calm()
+
     fleet = play(tmp_path, kind, 4, work)
     lines = fleet.judge()
     assert len({x.gen for x in lines if isinstance(x, Effect)}) >= 3
@@ -173,8 +205,10 @@
 
 @pytest.mark.parametrize("guard", [True, False])
 def test_one_stopped_in_the_middle_of_a_step_acts_late_and_is_refused_where_it_would_take_effect(
-        guard: bool, tmp_path: Path) -> None:
+    guard: bool, tmp_path: Path
+) -> None:
     """With the check taken out of the ledger, the checker shows the older generation's effect."""
+
     async def work(fleet: Fleet) -> None:
         await fleet.calm()
         first = await fleet.until(fleet.holder)
@@ -182,12 +216,16 @@
         first.send(signal.SIGSTOP)
 
         async def another() -> bool:
-            return any(isinstance(x, Effect) and not x.holder.startswith(first.spec.name + "-") for x in load(
-                [fleet.folder / "ledger.jsonl"]))
+            return any(
+                isinstance(x, Effect) and not x.holder.startswith(first.spec.name + "-")
+                for x in load([fleet.folder / "ledger.jsonl"])
+            )
+
         await fleet.until(another)
         first.send(signal.SIGCONT)
         await asyncio.sleep(1.5)
         await fleet.calm()
+
     fleet = play(tmp_path, "embedded", 2, work, guard=guard, step=0.7)
     wrong = effects.generations(fleet.lines())
     turned = [x for x in fleet.lines() if isinstance(x, Turned)]
@@ -206,6 +244,7 @@
 
         async def doubting() -> bool:
             return all(s and not s["joined"] for s in await fleet.all())
+
         await fleet.until(doubting)
         await asyncio.sleep(4.0)
         assert all(p.process.poll() is None for p in fleet.actors)
@@ -213,6 +252,7 @@
         await fleet.fault()
         await fleet.calm()
         assert await fleet.holder() is holder
+
     fleet = play(tmp_path, "engine", 5, work, session=6.0)
     fleet.judge()
     kinds = [x.what for x in fleet.told()]
@@ -229,6 +269,7 @@
 
         async def another() -> bool:
             return (await fleet.holder()) not in (None, first)
+
         await fleet.until(another)
         await asyncio.sleep(1.0)
         first.start()
@@ -240,13 +281,16 @@
 
         async def all_fenced() -> bool:
             return len({x.by for x in fleet.told() if x.what == "register_fenced"}) >= 3
+
         await fleet.until(all_fenced)
         before = max(x.gen for x in fleet.lines() if isinstance(x, Effect))
 
         async def higher() -> bool:
             return any(isinstance(x, Effect) and x.gen > before for x in fleet.lines())
+
         await fleet.until(higher)
         await fleet.calm()
+
     fleet = play(tmp_path, "engine", 3, work)
     lines = fleet.lines()
     assert not (wrong := effects.generations(lines) + effects.once(lines)), wrong[0]
@@ -269,7 +313,9 @@
         async def others() -> bool:
             found = await fleet.all()
             return all(s.get("joined") for s in found[1:]) and any(s["rights"] for s in found[1:])
+
         await fleet.until(others)
         resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
         await fleet.calm()
+
     play(tmp_path, "embedded", 3, work).judge()
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -20,8 +20,10 @@
 
 ZONES = ("x", "y", "z")
 REPLICAS = 12
-FLEET = ('coordination folder="register" session="2s" lost="1s" contact="200ms" hold="4s" fall="2s" {\n'
-         '        zones settle="1s" well="3s" longest="60s"\n    }')
+FLEET = (
+    'coordination folder="register" session="2s" lost="1s" contact="200ms" hold="4s" fall="2s" {\n'
+    '        zones settle="1s" well="3s" longest="60s"\n    }'
+)
 
 
 class Fed(Relay):
@@ -76,8 +78,9 @@
         text = TEXT.format(relays=6, queue=4000, rate=4000).replace(":7000", f":{self.roster.port}")
         text = text.replace('zones "x" "y"', 'zones "x" "y" "z"')
         text = text.replace("    reports", f"    {FLEET}\n    reports")
-        text = text[:text.index('governor "a"')] + "".join(
-            f'governor "{z}" zone="{z}" listen="{LOCAL}:{p}"\n' for z, p in zip(ZONES, ports, strict=True))
+        text = text[: text.index('governor "a"')] + "".join(
+            f'governor "{z}" zone="{z}" listen="{LOCAL}:{p}"\n' for z, p in zip(ZONES, ports, strict=True)
+        )
         path = folder / "s.kdl"
         path.write_text(text)
         self.governors = [Governor(path, p, z) for z, p in zip(ZONES, ports, strict=True)]
@@ -96,11 +99,13 @@
 
     async def zones(self) -> list[dict[str, Any]]:
         """What each living governor says of the zones."""
+
         async def one(g: Governor) -> dict[str, Any]:
             with contextlib.suppress(Unreachable, Broken, TimedOut):
                 found: dict[str, Any] = (await g.status())["zones"]
                 return found
             return {}
+
         return [s for s in await asyncio.gather(*(one(g) for g in self.governors)) if s]
 
     async def leads(self) -> list[Governor]:
@@ -126,6 +131,7 @@
     async def share(self, zone: str, test: Callable[[float], bool], seconds: float = 40.0) -> None:
         async def good() -> bool:
             return all(test(r.to()[zone]) for r in self.relays if r.zone == zone)
+
         await self.until(good, seconds)
 
 
@@ -135,13 +141,18 @@
     try:
         for g in own.governors:
             await g.up()
-        own.relays = [Fed(g.port, f"r{z}{n}", z, own) for g, z in zip(own.governors, ZONES, strict=True)
-                      for n in (0, 1)]
+        own.relays = [
+            Fed(g.port, f"r{z}{n}", z, own) for g, z in zip(own.governors, ZONES, strict=True) for n in (0, 1)
+        ]
 
         async def ready() -> bool:
             found = await own.zones()
-            return (len(found) == 3 and all(s["part"] > 0.2 and set(s["seen"].values()) <= {"well"}
-                                            for s in found if s["seen"]) and any(s["seen"] for s in found))
+            return (
+                len(found) == 3
+                and all(s["part"] > 0.2 and set(s["seen"].values()) <= {"well"} for s in found if s["seen"])
+                and any(s["seen"] for s in found)
+            )
+
         await own.until(ready)
         yield own
     finally:
@@ -155,6 +166,7 @@
 def play(work: Callable[[], Awaitable[None]]) -> None:
     async def run() -> None:
         await asyncio.wait_for(work(), 150)
+
     asyncio.run(run())
 
 
@@ -166,13 +178,16 @@
 
             async def begun() -> bool:
                 return any(s["zones"].get("x", 1.0) < 1.0 for s in await own.zones())
+
             await own.until(begun)
             (lead,) = await own.leads()
             own.kill(lead)
 
             async def away() -> bool:
-                return all(s["zones"].get("x") == 0.0 and s["in_force"].get("x") == 0.02
-                           for s in await own.zones())
+                return all(
+                    s["zones"].get("x") == 0.0 and s["in_force"].get("x") == 0.02 for s in await own.zones()
+                )
+
             await own.until(away)
             await own.share("x", lambda s: s < 0.1)
             gens = {tuple(s["plan"]) for s in await own.zones()}
@@ -181,8 +196,10 @@
 
             async def home() -> bool:
                 return all(s["zones"].get("x", 1.0) == 1.0 and not s["in_force"] for s in await own.zones())
+
             await own.until(home, 60)
             await own.share("x", lambda s: s > 0.3)  # by the ordinary tables again, which know two governors
+
     play(work)
 
 
@@ -195,6 +212,7 @@
                 await asyncio.sleep(0.3)
                 assert all(not s["in_force"] and s["zones"].get("y", 1.0) == 1.0 for s in await own.zones())
             assert any(s["seen"] for s in await own.zones())
+
     play(work)
 
 
@@ -205,6 +223,7 @@
 
             async def away() -> bool:
                 return all(s["in_force"].get("x") == 0.02 for s in await own.zones())
+
             await own.until(away)
             register = tmp_path / "register"
             register.rename(tmp_path / "aside")
@@ -214,10 +233,12 @@
 
             async def alone() -> bool:
                 return all(not s["in_force"] for s in await own.zones())
+
             await own.until(alone)
             register.unlink()
             (tmp_path / "aside").rename(register)
             await own.until(away)
+
     play(work)
 
 
@@ -231,10 +252,13 @@
 
             async def away() -> bool:
                 return all([(await g.status())["zones"]["in_force"].get("x") == 0.02 for g in others])
+
             await own.until(away)
             os.kill(still.process.pid, signal.SIGCONT)
 
             async def follows() -> bool:
                 return all(s["in_force"].get("x") == 0.02 for s in await own.zones())
+
             await own.until(follows)
+
     play(work)
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -269,8 +269,8 @@
             intake.add(0, 0, feed.Sums("r", "e", SECOND, (row,)))
         taken = [e for e in intake.take((period + 1) * SECOND) if isinstance(e, i.Heard)]
         assert [(e.replica, e.tries, e.window) for e in taken] == (
-            [(0, 4, SECOND), (1, 4, SECOND)] if period == 0 else
-            [(2, 8, 2 * SECOND), (3, 8, 2 * SECOND)])
+            [(0, 4, SECOND), (1, 4, SECOND)] if period == 0 else [(2, 8, 2 * SECOND), (3, 8, 2 * SECOND)]
+        )
     assert taken[0].elapsed == 300 and taken[0].bad == 2 and taken[0].load == i.Load(0.5, None, None)
 
 
@@ -283,8 +283,10 @@
         with pytest.raises(Refused) as caught:
             world.core.sums(sums)
         assert caught.value.status == 409
-    bad = (feed.Sums("r0", "one", SECOND, (good, feed.Try("w2", 1, 2))),
-           feed.Sums("r0", "one", SECOND, (good,), (feed.Came("none", 1),)))
+    bad = (
+        feed.Sums("r0", "one", SECOND, (good, feed.Try("w2", 1, 2))),
+        feed.Sums("r0", "one", SECOND, (good,), (feed.Came("none", 1),)),
+    )
     for sums in bad:
         with pytest.raises(Refused) as caught:
             world.core.sums(sums)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -29,8 +29,19 @@
     def __init__(self) -> None:
         self.lines, self.n = list[Line](), 0
 
-    def write(self, began: int, ended: int | None, by: str, finds: int, token: str, how: str = "done",
-              makes: int = 0, saw: tuple[int, str] = (0, ""), session: str = "", gone: bool = False) -> Log:
+    def write(
+        self,
+        began: int,
+        ended: int | None,
+        by: str,
+        finds: int,
+        token: str,
+        how: str = "done",
+        makes: int = 0,
+        saw: tuple[int, str] = (0, ""),
+        session: str = "",
+        gone: bool = False,
+    ) -> Log:
         self.n += 1
         wrote = (Wrote("k", finds, session, gone),)
         self.lines.append(Asked(began, by, self.n, "commit", token, changes=wrote))
@@ -61,15 +72,23 @@
     assert not gone.check()
 
 
-@pytest.mark.parametrize(("log", "said"), [
-    (Log().write(0, 1, "a", 0, "a:1", makes=2).read(2, 3, "b", 0), "read saw (0, '')"),  # a stale read
-    (Log().write(0, 1, "a", 0, "a:1", makes=2).write(2, 3, "b", 0, "b:1", makes=3), "version 0 -> (3"),
-    (Log().write(0, 1, "a", 0, "a:1", makes=2).write(2, 3, "b", 2, "b:1", makes=3).read(4, 5, "a", 2, "a:1"),
-     "read saw (2, 'a:1')"),  # an older snapshot
-    (Log().read(0, 1, "b", 4, "nobody:1"), "read saw (4, 'nobody:1')"),
-    (Log().write(0, 1, "a", 0, "a:1", "refused", saw=(0, "")).read(2, 3, "b", 7, "a:1"), "read saw (7"),
-    (Log().write(0, None, "a", 0, "a:1").read(5, 6, "b", 2, "a:1").read(7, 8, "b", 0), "read saw (0"),
-])
+@pytest.mark.parametrize(
+    ("log", "said"),
+    [
+        (Log().write(0, 1, "a", 0, "a:1", makes=2).read(2, 3, "b", 0), "read saw (0, '')"),  # a stale read
+        (Log().write(0, 1, "a", 0, "a:1", makes=2).write(2, 3, "b", 0, "b:1", makes=3), "version 0 -> (3"),
+        (
+            Log()
+            .write(0, 1, "a", 0, "a:1", makes=2)
+            .write(2, 3, "b", 2, "b:1", makes=3)
+            .read(4, 5, "a", 2, "a:1"),
+            "read saw (2, 'a:1')",
+        ),  # an older snapshot
+        (Log().read(0, 1, "b", 4, "nobody:1"), "read saw (4, 'nobody:1')"),
+        (Log().write(0, 1, "a", 0, "a:1", "refused", saw=(0, "")).read(2, 3, "b", 7, "a:1"), "read saw (7"),
+        (Log().write(0, None, "a", 0, "a:1").read(5, 6, "b", 2, "a:1").read(7, 8, "b", 0), "read saw (0"),
+    ],
+)
 def test_what_no_register_does_is_caught_and_shown_in_few_calls(log: Log, said: str) -> None:
     (breach,) = log.check()
     assert said in str(breach) and len(breach.stretch) <= 3
@@ -102,7 +121,8 @@
 @settings(max_examples=60, deadline=None)
 @given(st.lists(st.tuples(st.integers(0, 2), st.booleans()), min_size=3, max_size=25), st.data())
 def test_a_history_in_order_passes_and_one_look_altered_in_it_does_not(
-        choices: list[tuple[int, bool]], data: st.DataObject) -> None:
+    choices: list[tuple[int, bool]], data: st.DataObject
+) -> None:
     log, states = serial(choices)
     assert not log.check()
     looks = [n for n, x in enumerate(log.lines) if isinstance(x, Answered) and x.how == "read"]
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -48,6 +48,7 @@
     async def run() -> None:
         async with home(kind, folder) as (own, behind):
             await test(own, behind)
+
     asyncio.run(asyncio.wait_for(run(), 30))
 
 
@@ -66,21 +67,27 @@
         one = await done(own, r.Put("a", b"1", 0), r.Put("b", b"2", 0), token="x:1")
         found = await own.read("")
         assert [(x.key, x.value, x.version, x.token) for x in found.records] == [
-            ("a", b"1", one, "x:1"), ("b", b"2", one, "x:1")]
+            ("a", b"1", one, "x:1"),
+            ("b", b"2", one, "x:1"),
+        ]
         refused = await own.commit((r.Put("a", b"3", one), r.Put("b", b"3", 0)), "x:2")
         assert isinstance(refused, r.Refused) and {x.key: x.token for x in refused.records} == {
-            "a": "x:1", "b": "x:1"}
+            "a": "x:1",
+            "b": "x:1",
+        }
         assert (await own.read("a")).records[0].value == b"1"
         two = await done(own, r.Put("a", b"3", one), r.Delete("b", one), token="x:3")
         assert two > one and [x.key for x in (await own.read("")).records] == ["a"]
         with pytest.raises(r.TooLarge):
             await own.commit((r.Put("c", b"x" * 262_145, 0),), "x:4")
+
     play(kind, tmp_path, test)
 
 
 @BOTH
 def test_a_watch_brings_every_change_in_order_waits_and_says_where_history_ends(
-        kind: str, tmp_path: Path) -> None:
+    kind: str, tmp_path: Path
+) -> None:
     async def test(own: r.Home, behind: Any) -> None:
         first = await done(own, r.Put("a", b"0", 0))
         quiet = await own.watch("", first, SECOND // 5)
@@ -104,6 +111,7 @@
             behind.space.compact(0)
         with pytest.raises(r.Compacted):
             await own.watch("", first, SECOND)
+
     play(kind, tmp_path, test)
 
 
@@ -127,6 +135,7 @@
             await own.commit((r.Put("m", b"2", 0, session),), "t")
         await own.end(other)
         assert [x.key for x in (await own.read("")).records] == ["o"]
+
     play(kind, tmp_path, test)
 
 
@@ -140,6 +149,7 @@
                 await own.commit((r.Put(f"k{n}", b"x" * 4_000, 0),), "t")
         assert (await own.read("a")).records[0].version == version  # reopened, with all that stood
         await done(own, r.Put("a", b"2", version))
+
     play("embedded", tmp_path, test)
 
 
@@ -163,6 +173,7 @@
                 found = await own.read("")
         assert found is not None and found.revision == one and found.records[0].value == b"1"
         assert (await own.watch("", two, SECOND)).revision == one
+
     play("embedded", tmp_path, test)
 
 
@@ -179,16 +190,19 @@
         for _ in range(3):
             with pytest.raises(r.Unreachable):
                 await own.read("")
+
     play("embedded", tmp_path, test)
 
 
 def test_sessions_have_their_time_anew_after_a_standstill_of_the_register(tmp_path: Path) -> None:
     """Nobody renewed for longer than a session's time: the machine stood still, not each of them."""
+
     async def test(own: r.Home, _: Any) -> None:
         session, other = await own.open(SECOND), await own.open(SECOND)
         await asyncio.sleep(1.5)
         await own.keep(session)
         await own.keep(other)
+
     play("embedded", tmp_path, test)
 
 
@@ -211,6 +225,7 @@
         with pytest.raises(r.Unreachable):
             await nobody.commit((r.Put("b", b"1", 0),), "x:2")
         await nobody.close()
+
     play("engine", tmp_path, test)
 
 
@@ -233,6 +248,7 @@
         behind.order({"do": "restore"})
         own._stream = None  # type: ignore[attr-defined]  # an engine that went back has cut its streams
         assert (await own.watch("", last, SECOND)).revision < last
+
     play("engine", tmp_path, test)
 
 
@@ -242,4 +258,5 @@
         behind.space.write([(b"gradehoist/odd", b"\xff\x00", 0)], [])
         found = {x.key: x.unread for x in (await own.read("")).records}
         assert found == {"a": False, "odd": True}
+
     play("engine", tmp_path, test)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -21,8 +21,13 @@
     (folder / "tests" / "test_some.py").write_text(tests)
     if text is not None:
         (folder / "KNOWN-RED.txt").write_text(text)
-    done = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "--rootdir", "."],
-                          cwd=folder, capture_output=True, text=True, timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "--rootdir", "."],
+        cwd=folder,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     return done.returncode, done.stdout + done.stderr
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -21,7 +21,8 @@
 
     power: dict[str, float] = field(default_factory=lambda: {z: 200.0 for z in "xyz"})
     traffic: dict[str, dict[str, float]] = field(
-        default_factory=lambda: {z: {"read": 80.0, "write": 20.0} for z in "xyz"})
+        default_factory=lambda: {z: {"read": 80.0, "write": 20.0} for z in "xyz"}
+    )
     classes: dict[str, Class] = field(default_factory=lambda: dict(CLASSES))
     bad: dict[str, State] = field(default_factory=dict)
     bears: dict[str, float] = field(default_factory=dict)
@@ -53,8 +54,10 @@
     def used(self) -> dict[str, float]:
         """The use of each zone's power under the plan, with what the fleet's shares let in."""
         stays = {z: self.plan.zones.get(z, Stay()) for z in self.power}
-        some = {z: Zone({c: x * self.plan.levels.get(c, 1.0) for c, x in self.traffic[z].items()}, p)
-                for z, p in self.power.items()}
+        some = {
+            z: Zone({c: x * self.plan.levels.get(c, 1.0) for c, x in self.traffic[z].items()}, p)
+            for z, p in self.power.items()
+        }
         return {z: use(z, stays, some) / p for z, p in self.power.items()}
 
 
@@ -168,8 +171,10 @@
 @pytest.mark.parametrize("seed", range(40))
 def test_any_troubles_leave_a_zone_open_and_all_are_home_in_the_end(seed: int) -> None:
     dice = random.Random(seed)
-    model = Model(power={z: dice.uniform(100, 300) for z in "wxyz"},
-                  traffic={z: {"read": dice.uniform(20, 120), "write": dice.uniform(1, 40)} for z in "wxyz"})
+    model = Model(
+        power={z: dice.uniform(100, 300) for z in "wxyz"},
+        traffic={z: {"read": dice.uniform(20, 120), "write": dice.uniform(1, 40)} for z in "wxyz"},
+    )
     for _ in range(400):
         if dice.random() < 0.05:
             z = dice.choice("wxyz")
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -45,10 +45,13 @@
         classes = tuple(n * CLASSES + k for k in range(CLASSES))
         some = dice.choice([classes, classes[:1], classes[1:]])
         choice: list[i.Order] = [
-            i.SetLine(table, replica, float(dice.randrange(4))), i.SetLine(table, replica, 1.5),
-            i.Withdraw(replica, dice.random() < 0.5), i.Bind(dice.randrange(RELAYS), table, some),
+            i.SetLine(table, replica, float(dice.randrange(4))),
+            i.SetLine(table, replica, 1.5),
+            i.Withdraw(replica, dice.random() < 0.5),
+            i.Bind(dice.randrange(RELAYS), table, some),
             i.ClearTable(table) if dice.random() < 0.3 else i.SetLine(table, replica, 2.0),
-            i.Admit(dice.choice([None, table]), some, dice.choice([0.2, 0.6, 1.0]), dice.randrange(4))]
+            i.Admit(dice.choice([None, table]), some, dice.choice([0.2, 0.6, 1.0]), dice.randrange(4)),
+        ]
         order = dice.choice(choice)
         concerned: dict[int, None] = {}
         self.ledger.order(n, order, concerned)
@@ -71,8 +74,9 @@
                 label = self.names.classes.names[k]
                 lines = {names[r]: w for r, w in self.tables.lines.get(at, {}).items()}
                 assert held.tables[held.table[label]] == lines
-                assert {r for r in lines if r in held.out} == {names[r] for r in self.tables.out
-                                                               if names[r] in lines}
+                assert {r for r in lines if r in held.out} == {
+                    names[r] for r in self.tables.out if names[r] in lines
+                }
                 for t in (None, at):
                     assert held.levels.get((t, label)) == self.tables.levels.get((t, k))
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -27,16 +27,22 @@
     found = received([GOOD[a:b] for a, b in zip(at, at[1:], strict=False)])
     assert found == received([GOOD])
     assert found[1:4] == [
-        lines.Hello(17, "a", 21.5, True), lines.Ack(17, 905, 310_400),
-        lines.Outcomes("a", "s-5be2a07c", 212, 3, 41_700, 1_000_000,
-                       (("inflight", 7.0), ("util", 0.61))),
+        lines.Hello(17, "a", 21.5, True),
+        lines.Ack(17, 905, 310_400),
+        lines.Outcomes("a", "s-5be2a07c", 212, 3, 41_700, 1_000_000, (("inflight", 7.0), ("util", 0.61))),
     ]
     assert isinstance(found[4], lines.Spoilt) and isinstance(found[5], lines.Demand)
 
 
 WIRES = [
-    b"hello id=17 site=a rps=21.5 new=1\r\n", b"agent site=a\r\n", b"probe\r\n", b"ack id=17 seq=x ms=1\r\n",
-    b"outcomes site=a target=s count=2 fail=3 mean=1 over=1\r\n", b"\r\n", b"probe\n", b"GET / HTTP/1.1\r\n",
+    b"hello id=17 site=a rps=21.5 new=1\r\n",
+    b"agent site=a\r\n",
+    b"probe\r\n",
+    b"ack id=17 seq=x ms=1\r\n",
+    b"outcomes site=a target=s count=2 fail=3 mean=1 over=1\r\n",
+    b"\r\n",
+    b"probe\n",
+    b"GET / HTTP/1.1\r\n",
     b"outcomes site=a target=s count=2 fail=0 mean=1 over=1 util=" + b"util:0.1," * 600 + b"inflight:1\r\n",
     b"demand id=17 lane=" + b"y" * 5_000,
 ]
@@ -45,6 +51,7 @@
 @given(st.lists(st.sampled_from(WIRES), max_size=6), st.lists(st.integers(0, 20_000), max_size=8))
 def test_any_cut_gives_the_same_messages_and_the_same_fault(parts: list[bytes], cuts: list[int]) -> None:
     """A stranger's too: `known` is set where its joining has come, as the shell does."""
+
     def told(pieces: list[bytes]) -> tuple[list[lines.Message], bool]:
         door, found = lines.Door(), list[lines.Message]()
         for piece in pieces:
@@ -73,23 +80,44 @@
         assert door.fault and not door._buffer
 
 
-@pytest.mark.parametrize("line", [
-    "ack id=17 seq=70000 ms=1", "ack id=17 seq=3 ms=nan", "ack id=17 seq=3", "ack id=-1 seq=3 ms=1",
-    "demand id=1 lane= count=1 fail=0 over=1", "demand id=1 lane=x count=1 fail=0 over=0",
-    "outcomes site=a target=s count=1 fail=2 mean=1 over=1", "hello id=1 site=a rps=inf new=1",
-    "outcomes site=a target=s count=1 fail=0 mean=1e99 over=1", "hello id=1 site=a rps=1 new=2",
-    "outcomes site=a target=s count=1 fail=0 mean=1 over=1 util=util:-3", "ack id=1 id=2 seq=1 ms=1",
-    "outcomes site=a target=s count=1 fail=0 mean=1 over=1 util=util", "ack id=1 seq=1 ms=1 stray",
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        "ack id=17 seq=70000 ms=1",
+        "ack id=17 seq=3 ms=nan",
+        "ack id=17 seq=3",
+        "ack id=-1 seq=3 ms=1",
+        "demand id=1 lane= count=1 fail=0 over=1",
+        "demand id=1 lane=x count=1 fail=0 over=0",
+        "outcomes site=a target=s count=1 fail=2 mean=1 over=1",
+        "hello id=1 site=a rps=inf new=1",
+        "outcomes site=a target=s count=1 fail=0 mean=1e99 over=1",
+        "hello id=1 site=a rps=1 new=2",
+        "outcomes site=a target=s count=1 fail=0 mean=1 over=1 util=util:-3",
+        "ack id=1 id=2 seq=1 ms=1",
+        "outcomes site=a target=s count=1 fail=0 mean=1 over=1 util=util",
+        "ack id=1 seq=1 ms=1 stray",
+    ],
+)
 def test_a_spoilt_line_costs_itself_alone(line: str) -> None:
     found = received([f"{line}\r\nprobe\r\n".encode()])
     assert isinstance(found[0], lines.Spoilt) and found[1:] == [lines.Probe()]
 
 
-@pytest.mark.parametrize("data", [
-    b"GET / HTTP/1.1\r\n\r\n", b"\x16\x03\x01\x02\x00", b"push out=s-1 ticket=3\r\n", b"probe\nprobe\r\n",
-    b"hello" + b"x" * 30, b"\xff" * 4, b"demand " + b"a" * 5_000, b"\r\n", b"Probe\r\n",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\x16\x03\x01\x02\x00",
+        b"push out=s-1 ticket=3\r\n",
+        b"probe\nprobe\r\n",
+        b"hello" + b"x" * 30,
+        b"\xff" * 4,
+        b"demand " + b"a" * 5_000,
+        b"\r\n",
+        b"Probe\r\n",
+    ],
+)
 def test_what_cannot_be_read_is_refused_at_once(data: bytes) -> None:
     with pytest.raises(lines.Unreadable):
         received([data], known=False)
@@ -103,14 +131,17 @@
 
 
 def test_orders_are_written_as_the_page_has_them() -> None:
-    text = lines.push([
-        lines.Part(("lookup", "order"), True, (("s-5be2a07c", 1.5), ("s-0badcafe", 1e-7)), (0.9, 1)),
-        lines.Part(out=("s-77aa0310",), back=("s-1", "s-2"), ticket=905),
-    ])
+    text = lines.push(
+        [
+            lines.Part(("lookup", "order"), True, (("s-5be2a07c", 1.5), ("s-0badcafe", 1e-7)), (0.9, 1)),
+            lines.Part(out=("s-77aa0310",), back=("s-1", "s-2"), ticket=905),
+        ]
+    )
     assert text == (
         b"push classes=lookup+order whole=1 lines=s-5be2a07c:1.5,s-0badcafe:0.000001 level=0.9 retry=1 "
         b"more=1\r\n"
-        b"push out=s-77aa0310 back=s-1,s-2 ticket=905\r\n")
+        b"push out=s-77aa0310 back=s-1,s-2 ticket=905\r\n"
+    )
     assert [lines.number(x) for x in (0, 2, 0.1 + 0.2, 12345.678)] == ["0", "2", "0.3", "12345.678"]
     with pytest.raises(ValueError, match="65 parts"):
         lines.push([lines.Part()] * 65)
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -38,8 +38,13 @@
             server = Server(lambda q, c, name=name: self.handle(name, q, c))  # type: ignore[misc]
             server.listen(port, LOCAL)
             self.servers.append(server)
-        self.settings = on_sockets(folder, self.at["roster"], self.at["g"], Placed(
-            ("A", "B"), CELLS, {"inn": "A"}), 'lease="50ms" settle="100ms"')
+        self.settings = on_sockets(
+            folder,
+            self.at["roster"],
+            self.at["g"],
+            Placed(("A", "B"), CELLS, {"inn": "A"}),
+            'lease="50ms" settle="100ms"',
+        )
 
     async def handle(self, name: str, request: http.Request, connection: Connection) -> Answer | None:
         if name == "roster":
@@ -83,7 +88,8 @@
 
 @pytest.mark.parametrize("deaf", ["", "a2"])
 def test_killed_after_each_record_it_goes_on_to_the_end(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, deaf: str) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, deaf: str
+) -> None:
     class Killed(Exception): ...
 
     async def work() -> None:
@@ -117,6 +123,7 @@
                 assert site.takes(name, 2)
         finally:
             site.close()
+
     asyncio.run(work())
 
 
@@ -145,6 +152,7 @@
         assert site.takes("a1", 3) and not site.takes("b1", 2) and not site.takes("a1", 1)
         with pytest.raises(ValueError, match="no move"):
             mover.undo(store, "nothing")
+
     asyncio.run(work())
 
 
@@ -159,6 +167,7 @@
             assert not any(site.takes(w, 2) for w in CELLS)
         finally:
             site.close()
+
     asyncio.run(work())
 
 
@@ -184,7 +193,8 @@
 
 @pytest.mark.parametrize("first", ["127.0.0.1:99999", "nowhere", "127.0.0.1:9"])
 def test_a_worker_is_asked_where_it_is_now_and_an_address_that_is_none_ends_no_mover(
-        tmp_path: Path, first: str) -> None:
+    tmp_path: Path, first: str
+) -> None:
     async def work() -> None:
         site = Site(tmp_path)
         site.moved["a2"] = first
@@ -197,6 +207,7 @@
         (move,) = await carried
         assert move.step is Step.DONE and not site.takes("a2", 1)
         site.close()
+
     asyncio.run(asyncio.wait_for(work(), 30))
 
 
@@ -211,4 +222,5 @@
         await asyncio.gather(carried, return_exceptions=True)
         assert 3 <= site.asked["a2"] <= 5, site.asked  # at 0, 0.3, 0.9, 2.1 s, and not fourteen times
         site.close()
+
     asyncio.run(asyncio.wait_for(work(), 30))
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -36,24 +36,46 @@
     fresh: str = ""  # the first key sent since time passed: no client repeats one that is older than the wait
 
     def key(self) -> Any:
-        fences = tuple((max(-1, f.until - self.now), f.hand.get(T), f.done.get(T), f.words.get(T))
-                       for f in self.fences.values())
+        fences = tuple(
+            (max(-1, f.until - self.now), f.hand.get(T), f.done.get(T), f.words.get(T))
+            for f in self.fences.values()
+        )
         m = self.move
-        move = m and (m.id, m.step, m.known, m.shut, m.keys, max(-1, m.since - self.now) if m.since < 0 else
-                      self.now - m.since, m.fenced)
+        move = m and (
+            m.id,
+            m.step,
+            m.known,
+            m.shut,
+            m.keys,
+            max(-1, m.since - self.now) if m.since < 0 else self.now - m.since,
+            m.fenced,
+        )
         k = self.kept
         kept = k and (k.id, k.step, k.known, k.shut, k.keys)
-        return (fences, tuple(b.words.get(T) for b in self.books.values()), move, kept,
-                tuple(self.routes.values()), frozenset(self.net), self.taken[-1:], self.effects, self.writes,
-                self.deaths, self.undos, self.ticks, self.fresh)
+        return (
+            fences,
+            tuple(b.words.get(T) for b in self.books.values()),
+            move,
+            kept,
+            tuple(self.routes.values()),
+            frozenset(self.net),
+            self.taken[-1:],
+            self.effects,
+            self.writes,
+            self.deaths,
+            self.undos,
+            self.ticks,
+            self.fresh,
+        )
 
 
 GOVERNORS: tuple[str, ...] = ("g1",)
 CELLS: dict[str, tuple[str, ...]] = {"A": ("a1",), "B": ("b1",)}
 
 
-def begin(governors: tuple[str, ...] = GOVERNORS, cells: dict[str, tuple[str, ...]] = CELLS,
-          relays: int = 2) -> World:
+def begin(
+    governors: tuple[str, ...] = GOVERNORS, cells: dict[str, tuple[str, ...]] = CELLS, relays: int = 2
+) -> World:
     fences = {w: Fence(w, c, until=LEASE) for c, ws in cells.items() for w in ws}
     books = {g: Book(g) for g in governors}
     return World(fences, books, routes={f"r{n}": ("A", 1) for n in range(relays)})
@@ -67,8 +89,16 @@
     """What may happen next in a world, each as a name and the world after it. Every rule of the protocol
     is the shipped code's; this only carries messages and lets things die."""
 
-    def __init__(self, governors: tuple[str, ...], cells: dict[str, tuple[str, ...]], writes: int,
-                 deaths: int, undos: int, ticks: int, mutant: str = "") -> None:
+    def __init__(
+        self,
+        governors: tuple[str, ...],
+        cells: dict[str, tuple[str, ...]],
+        writes: int,
+        deaths: int,
+        undos: int,
+        ticks: int,
+        mutant: str = "",
+    ) -> None:
         self.governors, self.cells, self.mutant = governors, cells, mutant
         self.most = (writes, deaths, undos, ticks)
 
@@ -106,8 +136,9 @@
             for worker in w.fences:
                 beat = ("beat", worker, book.heartbeat())
                 if beat not in w.net and w.ticks < ticks:
-                    out.append((f"{g} heartbeats {worker}",
-                                replace(w, net=put(w.net, beat), ticks=w.ticks + 1)))
+                    out.append(
+                        (f"{g} heartbeats {worker}", replace(w, net=put(w.net, beat), ticks=w.ticks + 1))
+                    )
             for relay, held in w.routes.items():
                 if book.route(T, "A") != held:
                     routes = {**w.routes, relay: book.route(T, "A")}
@@ -119,18 +150,33 @@
                         # A new one, or a client's repeat: longer than the settle time none is repeated.
                         for key in dict.fromkeys((f"k{w.writes}", w.fresh or f"k{w.writes}")):
                             write = ("write", worker, held, key)
-                            out.append((f"{relay} sends {write}", replace(
-                                w, net=put(w.net, write), writes=w.writes + 1, fresh=w.fresh or key)))
+                            out.append(
+                                (
+                                    f"{relay} sends {write}",
+                                    replace(
+                                        w, net=put(w.net, write), writes=w.writes + 1, fresh=w.fresh or key
+                                    ),
+                                )
+                            )
         for name, fence in w.fences.items():
             for key in sorted(fence.hand.get(T, Keys())):
                 out.append((f"{name} finishes {key}", self.finished(w, name, key)))
             if w.deaths < deaths:
-                out.append((f"{name} restarts", replace(
-                    w, fences={**w.fences, name: fence.restarted()}, deaths=w.deaths + 1)))
+                out.append(
+                    (
+                        f"{name} restarts",
+                        replace(w, fences={**w.fences, name: fence.restarted()}, deaths=w.deaths + 1),
+                    )
+                )
         if w.ticks < ticks:
             # Leases run out and what is in hand is settled well within the wait.
-            later = replace(w, now=w.now + WAIT + 1, ticks=w.ticks + 1, fresh="",
-                            net=tuple(m for m in w.net if m[0] != "write"))
+            later = replace(
+                w,
+                now=w.now + WAIT + 1,
+                ticks=w.ticks + 1,
+                fresh="",
+                net=tuple(m for m in w.net if m[0] != "write"),
+            )
             for name, fence in w.fences.items():
                 for key in sorted(fence.hand.get(T, Keys())):
                     later = self.finished(later, name, key)
@@ -147,6 +193,7 @@
 
     def lean(self, w: World) -> World:
         """Leaves out messages that can change nothing any more: what is held only ever grows newer."""
+
         def idle(message: tuple[Any, ...]) -> bool:
             kind, to, *rest = message
             if kind == "answer" and w.move is not None:
@@ -155,6 +202,7 @@
                 known = (w.books.get(to) or w.fences[to]).words.get(T)
                 return rest[0] != w.move.word() and not rest[0].over(known)
             return False
+
         net = tuple(m for m in w.net if not idle(m))
         return w if len(net) == len(w.net) else replace(w, net=net)
 
@@ -247,8 +295,10 @@
     return steps, world, ""
 
 
-@pytest.mark.parametrize(("writes", "deaths", "undos", "ticks", "relays"), [
-    (2, 0, 0, 0, 2), (1, 1, 0, 0, 1), (1, 0, 1, 0, 1), (1, 0, 0, 1, 1)])
+@pytest.mark.parametrize(
+    ("writes", "deaths", "undos", "ticks", "relays"),
+    [(2, 0, 0, 0, 2), (1, 1, 0, 0, 1), (1, 0, 1, 0, 1), (1, 0, 0, 1, 1)],
+)
 def test_every_order_in_the_small(writes: int, deaths: int, undos: int, ticks: int, relays: int) -> None:
     """Each search ends by itself: it has seen every world that its bounds allow."""
     most = 20_000
@@ -257,9 +307,16 @@
     assert 1_000 < seen < most
 
 
-@pytest.mark.parametrize(("mutant", "undos", "ticks"), [
-    ("no wait", 0, 0), ("no lease", 0, 1), ("busy confirms", 0, 0), ("keys lost", 0, 0),
-    ("careless undo", 1, 0)])
+@pytest.mark.parametrize(
+    ("mutant", "undos", "ticks"),
+    [
+        ("no wait", 0, 0),
+        ("no lease", 0, 1),
+        ("busy confirms", 0, 0),
+        ("keys lost", 0, 0),
+        ("careless undo", 1, 0),
+    ],
+)
 def test_the_search_finds_each_protocol_that_is_weakened(mutant: str, undos: int, ticks: int) -> None:
     world = begin(relays=1)
     if ticks:  # the new cell's lease is renewed meanwhile, which would take a step more
@@ -283,8 +340,12 @@
         if world.move and world.move.step is step:
             return world
         options = play.moves(world)
-        world = next(x for start in ("the mover goes", "delivered", "the mover sends", "order")
-                     for name, x in options if name.startswith(start))
+        world = next(
+            x
+            for start in ("the mover goes", "delivered", "the mover sends", "order")
+            for name, x in options
+            if name.startswith(start)
+        )
     raise AssertionError(f"never came to {step}")
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -39,6 +39,7 @@
 
 def test_two_unlike_deployments_in_one_process_share_nothing() -> None:
     """Side by side, and one after the other, each gives the bytes that it gives alone."""
+
     def one(settings: dict[str, Any], zone: str) -> Iterator[tuple[int, int, bytes]]:
         names, now = platform.names(settings), 1_800_000_000 * SECOND
         some = tuple(replace(member(n), zone=zone) for n in range(5))
--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -141,8 +141,13 @@
     path = tmp_path / "config.json"
     if text is not None:
         path.write_text(text)
-    done = subprocess.run([sys.executable, "-m", "gradehoist.node"], capture_output=True, text=True,
-                          env=os.environ | {"ROUTER_CONFIG": str(path)}, timeout=PATIENCE)
+    done = subprocess.run(
+        [sys.executable, "-m", "gradehoist.node"],
+        capture_output=True,
+        text=True,
+        env=os.environ | {"ROUTER_CONFIG": str(path)},
+        timeout=PATIENCE,
+    )
     assert done.returncode == 2 and place in done.stderr and done.stderr.count("\n") == 1
 
 
@@ -150,9 +155,16 @@
     """In the timer's callback it only reached the loop's own log, and the governor stood without a timer."""
     node = Node(tmp_path, SETTINGS, MEMBERS)
     node.configure(0)
-    code = ("from gradehoist.choice import Planner\nfrom gradehoist.node.__main__ import main\n"
-            "def broken(self, now, events): raise RuntimeError('planted')\n"
-            "Planner.handle = broken\nraise SystemExit(main())")
-    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=PATIENCE,
-                          env=os.environ | {"ROUTER_CONFIG": str(node.path)})
+    code = (
+        "from gradehoist.choice import Planner\nfrom gradehoist.node.__main__ import main\n"
+        "def broken(self, now, events): raise RuntimeError('planted')\n"
+        "Planner.handle = broken\nraise SystemExit(main())"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE,
+        env=os.environ | {"ROUTER_CONFIG": str(node.path)},
+    )
     assert done.returncode == 1 and "RuntimeError: planted" in done.stderr and "in broken" in done.stderr
--- a/tests/test_open.py
+++ b/tests/test_open.py
@@ -24,7 +24,8 @@
 
 @pytest.mark.xfail(strict=True, reason="F18: only the module orders withdrawals, and it is at work")
 def test_a_planner_that_works_for_longer_than_the_grace_holds_up_no_drain(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     usual, slow = PlannerProcess.handle, [False]
 
     async def handle(self: PlannerProcess, *given: Any) -> Any:
@@ -51,6 +52,7 @@
             service.stop()
             await running
             roster.server.shut()
+
     play(work)
 
 
@@ -77,9 +79,11 @@
 @pytest.mark.xfail(strict=True, reason="F25: a day's processes do not watch the day")
 def test_a_day_that_is_killed_leaves_no_process(tmp_path: Path) -> None:
     scene_path = str(ROOT / "scenes" / "short.kdl")
-    day = subprocess.Popen([sys.executable, "-m", "gradehoist", "day", scene_path, "--quiet", "--out",
-                            str(tmp_path)],
-                           cwd=ROOT, stdout=subprocess.DEVNULL)
+    day = subprocess.Popen(
+        [sys.executable, "-m", "gradehoist", "day", scene_path, "--quiet", "--out", str(tmp_path)],
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+    )
 
     def children() -> list[psutil.Process]:
         """Those that have this run's folder among their words."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -9,10 +9,30 @@
 from gradehoist import interface as i
 from tests.orders import Broken, Site, explore, play
 
-ONE = ("drain w0", "gone w1", "back w0", "back w1", "fails w2", "deaf r0", "redial r1", "leaves r0",
-       "late r1", "restart 0", "period")
-TWO = ("drain w0", "gone w1", "back w0", "fails w2", "deaf r0", "redial r0", "redial r1", "restart 0",
-       "restart 1")
+ONE = (
+    "drain w0",
+    "gone w1",
+    "back w0",
+    "back w1",
+    "fails w2",
+    "deaf r0",
+    "redial r1",
+    "leaves r0",
+    "late r1",
+    "restart 0",
+    "period",
+)
+TWO = (
+    "drain w0",
+    "gone w1",
+    "back w0",
+    "fails w2",
+    "deaf r0",
+    "redial r0",
+    "redial r1",
+    "restart 0",
+    "restart 1",
+)
 
 
 def test_all_orders_of_three_of_eleven_events_under_one_governor() -> None:
@@ -38,13 +58,18 @@
 
 
 def drain(site: Site, orders: list[i.Order]) -> list[i.Order]:
-    return [o for o in orders if not (isinstance(o, i.Withdraw) and o.out)
-            and not (isinstance(o, i.SetLine) and not o.weight)]
+    return [
+        o
+        for o in orders
+        if not (isinstance(o, i.Withdraw) and o.out) and not (isinstance(o, i.SetLine) and not o.weight)
+    ]
 
 
 def cold(site: Site, orders: list[i.Order]) -> list[i.Order]:
-    return [replace(o, weight=4.0) if isinstance(o, i.SetLine) and o.replica == 0 and o.weight else o
-            for o in orders]
+    return [
+        replace(o, weight=4.0) if isinstance(o, i.SetLine) and o.replica == 0 and o.weight else o
+        for o in orders
+    ]
 
 
 def queue(site: Site, orders: list[i.Order]) -> list[i.Order]:
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -31,8 +31,12 @@
     dice = random.Random(seed)
     kinds = {"k": Kind("k", {"read": F(2), "write": F(1)}), "l": Kind("l", {"read": F(3)})}
     names = ("read", "write")[:classes]
-    some = {n: Class(n, F(dice.choice([1, 2, 6])),
-                     dice.choice([None, None, ("a", "b")]), None, dice.random() < 0.15) for n in names}
+    some = {
+        n: Class(
+            n, F(dice.choice([1, 2, 6])), dice.choice([None, None, ("a", "b")]), None, dice.random() < 0.15
+        )
+        for n in names
+    }
     workers = {Group(z, dice.choice(["k", "k", "l"])): dice.randrange(3) for z in ZONES}
     origins = ZONES[:2] if classes == 1 else ZONES[:1]
     demand = {(n, z): (F(dice.choice([0, 1, 2, 4, 7])),) for n in names for z in origins}
@@ -81,10 +85,13 @@
         if found is None or min(found, default=F(0)) < 0:
             continue
         at = {flows[k]: x for k, x in zip(chosen, found, strict=True) if k < len(flows) and x}
-        rank = (-sum((x * p.classes[f.cls].gain for f, x in at.items()), F(0)),
-                sum((x * p.cross[f.origin, f.group.zone] for f, x in at.items() if f.origin != f.group.zone),
-                    F(0)),
-                sum((x * F(tie(f)) for f, x in at.items()), F(0)))
+        rank = (
+            -sum((x * p.classes[f.cls].gain for f, x in at.items()), F(0)),
+            sum(
+                (x * p.cross[f.origin, f.group.zone] for f, x in at.items() if f.origin != f.group.zone), F(0)
+            ),
+            sum((x * F(tie(f)) for f, x in at.items()), F(0)),
+        )
         if best is None or rank < best[0]:
             best = rank, at
     assert best is not None
@@ -113,8 +120,15 @@
         def mixed(d: dict[object, object], dice: random.Random = dice) -> dict[object, object]:
             return dict(dice.sample(list(d.items()), len(d)))
 
-        q = Problem(p.zones[::-1], p.kinds, mixed(p.classes), mixed(p.workers),  # type: ignore[arg-type]
-                    mixed(p.demand), mixed(p.cross), p.spare)  # type: ignore[arg-type]
+        q = Problem(
+            p.zones[::-1],
+            p.kinds,
+            mixed(p.classes),
+            mixed(p.workers),  # type: ignore[arg-type]
+            mixed(p.demand),
+            mixed(p.cross),
+            p.spare,
+        )  # type: ignore[arg-type]
         assert solve(p, 0) == solve(q, 0)
 
 
@@ -154,9 +168,12 @@
     a, b = Group("a", "k"), Group("b", "k")
     none = frozenset[str]()
     assert not proof.faults(p, 0, none, {Flow("read", "a", a): F(2)})
-    broken = (({Flow("read", "a", a): F(2) + F(1, 10**9)}, "carries"),
-              ({Flow("read", "a", a): F(2), Flow("read", "a", b): F(3, 2)}, "served"),
-              ({Flow("write", "a", a): F(1)}, "not open"), ({Flow("read", "a", a): F(-1)}, "below"))
+    broken = (
+        ({Flow("read", "a", a): F(2) + F(1, 10**9)}, "carries"),
+        ({Flow("read", "a", a): F(2), Flow("read", "a", b): F(3, 2)}, "served"),
+        ({Flow("write", "a", a): F(1)}, "not open"),
+        ({Flow("read", "a", a): F(-1)}, "below"),
+    )
     for flows, said in broken:
         assert any(said in x for x in proof.faults(p, 0, none, flows))
     assert proof.faults(p, 0, frozenset({"a"}), {Flow("read", "a", a): F(1)})
@@ -186,16 +203,37 @@
     case = found.cases[0]
     more = msgspec.structs.replace(case.served[0], rate=case.served[0].rate * 9)
     for bad, said in (
-            (msgspec.structs.replace(found, version=2), "version 2"),
-            (msgspec.structs.replace(found, begins="2027-02-06T09:00:00+09:00"), "made for"),
-            (msgspec.structs.replace(found, cases=found.cases[1:]), "slot 0, lost none: missing"),
-            (msgspec.structs.replace(found, cases=(msgspec.structs.replace(
-                case, served=(more, *case.served[1:])), *found.cases[1:])), "served of"),
-            (msgspec.structs.replace(found, cases=(msgspec.structs.replace(
-                case, served=case.served[1:]), *found.cases[1:])), "falls short by another figure"),
-            (msgspec.structs.replace(found, cases=(msgspec.structs.replace(case, served=(), short=tuple(
-                (*key, str(d[0])) for key, d in event.problem.demand.items())), *found.cases[1:])),
-             "less a second than it may")):  # a shortfall truly told that need not be
+        (msgspec.structs.replace(found, version=2), "version 2"),
+        (msgspec.structs.replace(found, begins="2027-02-06T09:00:00+09:00"), "made for"),
+        (msgspec.structs.replace(found, cases=found.cases[1:]), "slot 0, lost none: missing"),
+        (
+            msgspec.structs.replace(
+                found,
+                cases=(msgspec.structs.replace(case, served=(more, *case.served[1:])), *found.cases[1:]),
+            ),
+            "served of",
+        ),
+        (
+            msgspec.structs.replace(
+                found, cases=(msgspec.structs.replace(case, served=case.served[1:]), *found.cases[1:])
+            ),
+            "falls short by another figure",
+        ),
+        (
+            msgspec.structs.replace(
+                found,
+                cases=(
+                    msgspec.structs.replace(
+                        case,
+                        served=(),
+                        short=tuple((*key, str(d[0])) for key, d in event.problem.demand.items()),
+                    ),
+                    *found.cases[1:],
+                ),
+            ),
+            "less a second than it may",
+        ),
+    ):  # a shortfall truly told that need not be
         assert any(said in x for x in making.check(bad, event)), said
     plan.write_bytes(first[:200])
     cut = run("check", str(EVENTS), str(plan))
@@ -203,7 +241,8 @@
 
 
 def test_a_solver_that_takes_too_long_is_told_in_one_line(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(solving, "LONGEST", 0.0)
     told = CliRunner().invoke(main, ["plan", "make", str(EVENTS), "--out", str(tmp_path / "p.json")])
     assert told.exit_code == 2 and "no plan" in told.output and not (tmp_path / "p.json").exists()
@@ -225,14 +264,15 @@
     assert "local time without offset" in faults("T09:00", "T09:00+09:00")
     changed = 'begins="2027-03-28T02:30" zone="Europe/Berlin"'  # left out there that night
     assert "clock change" in faults('begins="2027-02-05T09:00" zone="Asia/Tokyo"', changed)
-    assert "clock change" in faults('begins="2027-02-05T09:00" zone="Asia/Tokyo"',
-                                    'begins="2027-10-31T02:30" zone="Europe/Berlin"')  # there twice
+    assert "clock change" in faults(
+        'begins="2027-02-05T09:00" zone="Asia/Tokyo"', 'begins="2027-10-31T02:30" zone="Europe/Berlin"'
+    )  # there twice
     text = EVENTS.read_text()
     for m in re.finditer(r'\S+=("[^"]*"|\S+)', text):  # each figure left out: never a traceback
-        path.write_text(text[:m.start()] + text[m.end():])
+        path.write_text(text[: m.start()] + text[m.end() :])
         with contextlib.suppress(SettingsError):
             read(path)
-    second = text[text.index('event "'):].replace("snow-festival", "late").replace("T09:00", "T11:00")
+    second = text[text.index('event "') :].replace("snow-festival", "late").replace("T09:00", "T11:00")
     path.write_text(text + second)
     with pytest.raises(SettingsError, match="snow-festival and late overlap"):
         read(path)
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -76,8 +76,16 @@
             self.silent -= 1
             return Answer(503)
         lives = self.renewed() if self.returns else []
-        return json(feed.Roster("l", 1, tuple(
-            feed.Replica(w, "x", boot=f"{w}/{lives.count(w)}") for ws in CELLS.values() for w in ws), True))
+        return json(
+            feed.Roster(
+                "l",
+                1,
+                tuple(
+                    feed.Replica(w, "x", boot=f"{w}/{lives.count(w)}") for ws in CELLS.values() for w in ws
+                ),
+                True,
+            )
+        )
 
     async def status(self, request: http.Request, connection: Connection) -> Answer:
         if self.deaf():
@@ -101,12 +109,19 @@
             finally:
                 for server in servers:
                     server.shut()
+
         return asyncio.run(work())
 
     def release(self) -> Release:
         command = f"/bin/sh -c 'echo {{worker}} >> {self.folder}/{{}}'"
-        return Release("000001", tuple(CELLS), CELLS, 1, command.replace("{}", "renewed", 1),
-                       command.replace("{}", "back", 1))
+        return Release(
+            "000001",
+            tuple(CELLS),
+            CELLS,
+            1,
+            command.replace("{}", "renewed", 1),
+            command.replace("{}", "back", 1),
+        )
 
 
 @pytest.fixture(autouse=True)
@@ -169,8 +184,9 @@
         folder = tmp_path / str(n)
         folder.mkdir()
         site = Site(folder)
-        (folder / "renewed").write_text("\n".join(w for c in CELLS.values() for w in c
-                                                 if w in record.touched) + "\n")
+        (folder / "renewed").write_text(
+            "\n".join(w for c in CELLS.values() for w in c if w in record.touched) + "\n"
+        )
         releasing.save(folder, record)
         again = releasing.load(folder)
         assert again == record
@@ -182,7 +198,8 @@
 
 @pytest.mark.parametrize(("silent", "why"), [(2, "a1 did not come back"), (999, "the roster did not answer")])
 def test_a_roster_that_is_silent_when_a_worker_goes_down_passes_for_no_return(
-        tmp_path: Path, silent: int, why: str) -> None:
+    tmp_path: Path, silent: int, why: str
+) -> None:
     site = Site(tmp_path, returns=False)
     site.silent = silent
     ended = site.play(site.release())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -116,11 +116,14 @@
             joined = read(await client.exchange("GET", "/v1/feed?relay=r&zone=x"))
             prefix = b'{"relay":"r","epoch":"%s","window":1,' % joined.epoch.encode()
             cases = [
-                (b"GET /v1/feed HTTP/1.1\r\nho", 408), (b"GET /" + TAIL + b"x: " + b"y" * 99999, 431),
+                (b"GET /v1/feed HTTP/1.1\r\nho", 408),
+                (b"GET /" + TAIL + b"x: " + b"y" * 99999, 431),
                 (b"GET /" + b"y" * 9999, 414),
                 (b"POST /v1/sums" + TAIL + b"content-length: 9999999\r\n\r\n", 413),
                 (b"POST /v1/sums" + TAIL + b"content-length: 50\r\n\r\nshort", 408),
-                (body(b"\xff\xfe"), 400), (body(b'{"relay":"r"}'), 400), (body(b"[" * 5000), 400),
+                (body(b"\xff\xfe"), 400),
+                (body(b'{"relay":"r"}'), 400),
+                (body(b"[" * 5000), 400),
                 (body(prefix + b'"tries":[{"replica":"w1","tries":NaN}]}'), 400),
                 (body(prefix + b'"tries":[{"replica":"w1","tries":1,"busy":-1}]}'), 400),
                 (body(prefix + b'"tries":[{"replica":"w1","tries":1,"busy":1e999}]}'), 400),
@@ -132,7 +135,8 @@
                 (b"GET /v1/feed?relay=q&zone=z" + TAIL + b"\r\n", 422),
                 (b"GET /v1/feed?relay=q&zone=x&rate=nan" + TAIL + b"\r\n", 400),
                 (b"DELETE /v1/feed" + TAIL + b"\r\n", 405),
-                (b"GET /other" + TAIL + b"\r\n", 404), (b"GET //[x" + TAIL + b"\r\n", 400),
+                (b"GET /other" + TAIL + b"\r\n", 404),
+                (b"GET //[x" + TAIL + b"\r\n", 400),
             ]
             for data, status in cases:
                 answer = await say(port, data)
@@ -145,6 +149,7 @@
             sums = prefix + b'"tries":[{"replica":"w1","tries":1}]}'
             good = await client.exchange("POST", "/v1/sums", sums)
             assert good.status == 204
+
     run(work)
 
 
@@ -154,9 +159,12 @@
 
     async def work() -> None:
         async with governor(tmp_path) as (_, client):
-            asked = {("/v1/feed", "get"): ["?relay=r&zone=x", "?zone=x", "?relay=r&zone=q"],
-                     ("/v1/sums", "post"): [""], ("/v1/status", "get"): [""],
-                     ("/v1/cells/word", "post"): [""]}
+            asked = {
+                ("/v1/feed", "get"): ["?relay=r&zone=x", "?zone=x", "?relay=r&zone=q"],
+                ("/v1/sums", "post"): [""],
+                ("/v1/status", "get"): [""],
+                ("/v1/cells/word", "post"): [""],
+            }
             for path, methods in written["paths"].items():
                 for method, operation in methods.items():
                     for tail in asked.pop((path, method)):
@@ -168,6 +176,7 @@
                     refused = await client.exchange("PATCH", path)
                     assert str(refused.status) in operation["responses"]
             assert not asked
+
     run(work)
 
 
@@ -186,6 +195,7 @@
             assert b" 408 " in await asyncio.wait_for(reader.readline(), 10)
             task.cancel()
             writer.close()
+
     run(work)
 
 
@@ -215,6 +225,7 @@
             await asyncio.sleep(0.2)
             service.stop()
             assert (await last).status == 503
+
     run(work)
 
 
@@ -223,14 +234,17 @@
         async with governor(tmp_path) as (service, client):
             service.core.roster.entries.clear()
             assert (await client.exchange("GET", "/v1/feed?relay=q&zone=x")).status == 503
-        saved: list[feed.Replica] = msgspec.json.decode((service.own.state / "roster.json").read_bytes(),
-                                                        type=list[feed.Replica])
+        saved: list[feed.Replica] = msgspec.json.decode(
+            (service.own.state / "roster.json").read_bytes(), type=list[feed.Replica]
+        )
         assert len(saved) == 4
+
     run(work)
 
 
 def test_a_module_that_raises_ends_the_feeds_and_the_governor_with_1(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def fail(self: Any, now: int, batches: list[Any], timers: bool) -> Any:
         if any(type(e).__name__ == "Joined" for _, events in batches for e in events):
             raise planning.PlannerFailed("ValueError: made up")
@@ -246,6 +260,7 @@
                 assert ended.status == 503 and b"messages" not in ended.body
             await asyncio.wait_for(service._stopping.wait(), 5)
             assert service._failed
+
     run(work)
 
 
@@ -304,6 +319,7 @@
         tries = [x for x in audit.load(tmp_path) if x["e"] == "try"]
         assert [x["n"] for x in tries] == [0, 0, 1] and tries[1]["replica"] != tries[2]["replica"]
         relay.die()
+
     run(work)
 
 
@@ -323,8 +339,9 @@
         server.listen(port, LOCAL)
         name, cls = plan.replicas[0].name, next(c.name for c in plan.classes if c.repeat == "single")
         relay.via = {name: port}
-        relay.holdings.apply(feed.Message(1, 1, 0, 1, (feed.Bind(1, (cls,), {name: 1.0}),
-                                                       feed.Level(None, (cls,), 1.0, 2))))
+        relay.holdings.apply(
+            feed.Message(1, 1, 0, 1, (feed.Bind(1, (cls,), {name: 1.0}), feed.Level(None, (cls,), 1.0, 2)))
+        )
         relay.server = Server(relay.handle)
         relay.server.listen(relay.plan.port, LOCAL)
         client = Client(LOCAL, relay.plan.port)
@@ -333,6 +350,7 @@
             assert (await client.exchange("POST", "/", b"", headers)).status == status
         relay.die()
         server.shut()
+
     run(work)
 
 
@@ -366,7 +384,8 @@
             writer.write(whole[:cut])
             await writer.drain()
             writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+            )
             writer.close()
 
         async def next_one(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -399,11 +418,13 @@
     async def work() -> None:
         for cut in range(len(whole)):
             await one(cut)
+
     run(work)
 
 
 def test_a_word_that_cannot_be_kept_is_not_confirmed_and_a_spoilt_book_stops_the_start(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def work() -> None:
         async with governor(tmp_path) as (service, client):
             service.fleet = dataclasses.replace(service.fleet, cells=f.Placed(("c",), {"w0": "c"}))
@@ -422,6 +443,7 @@
         (service.own.state / "cells.json").write_bytes(b"[[")
         with pytest.raises(OSError, match="put back a copy"):
             Service(service.fleet, service.own)._load()
+
     run(work)
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -32,28 +32,35 @@
         found.governor("c")
 
 
-@pytest.mark.parametrize(("old", "new", "expected"), [
-    ('goal="1s"', "goal=1", ':5: fleet > class "rate-check" > goal: expected a time such as'),
-    ('goal="1s"', 'goal="9s"', ":5: fleet > class \"rate-check\" > goal: the latency goal lies beyond"),
-    ("relays=15", "relays=0.5", ":2: fleet > relays: expected a whole number"),
-    ("relays=15 ", "", ":2: fleet > relays: missing"),
-    ("queue-limit=3500", "queue-limt=3500", ":8: fleet > channel > queue-limt: unknown property"),
-    ("queue-limit=3500", "queue-limit=true", ":8: fleet > channel > queue-limit: expected a number"),
-    ('zone="hall-b"', 'zone="hall-z"', ':14: governor "b" > zone: expected one of hall-a, hall-b'),
-    ('"127.0.0.1:7102"', '"10.0.0.1:7102"', ':14: governor "b" > listen: an address beyond loopback'),
-    ('"127.0.0.1:7102"', '"localhost"', ':14: governor "b" > listen: expected an address'),
-    ('governor "b"', 'governor "a"', ":13: governor \"a\": a governor named twice"),
-    ('class "booking-commit"', 'class "rate-check"', ":5: fleet > class \"rate-check\": a class named twice"),
-    ('repeat="single"', 'repeat="once"', ":6: fleet > class \"booking-commit\" > repeat: expected one of"),
-    ('    zones "hall-a" "hall-b"\n', "", ":2: fleet > zones: missing"),
-    ('period="1s"', 'period="0s"', ":9: fleet > reports > period: expected a time of"),
-    ('goal="1s"', 'goal="0s"', ":5: fleet > class \"rate-check\" > goal: expected a time of"),
-    ('message-window="10s"', 'message-window="0s"', ":8: fleet > channel > message-window: expected a"),
-    ('hold="2s"', 'hold="0s"', ":10: fleet > feed > hold: expected a time of"),
-    ('cold-time="16s"', f'cold-time="{"9" * 400}h"', ":7: fleet > rules > cold-time: expected a time"),
-    ("probes deadline", "prob deadline", ":11: fleet > prob: unknown node"),
-    ('zones "hall-a" "hall-b"', 'zones "hall-a" 3', ":3: fleet > zones"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "expected"),
+    [
+        ('goal="1s"', "goal=1", ':5: fleet > class "rate-check" > goal: expected a time such as'),
+        ('goal="1s"', 'goal="9s"', ':5: fleet > class "rate-check" > goal: the latency goal lies beyond'),
+        ("relays=15", "relays=0.5", ":2: fleet > relays: expected a whole number"),
+        ("relays=15 ", "", ":2: fleet > relays: missing"),
+        ("queue-limit=3500", "queue-limt=3500", ":8: fleet > channel > queue-limt: unknown property"),
+        ("queue-limit=3500", "queue-limit=true", ":8: fleet > channel > queue-limit: expected a number"),
+        ('zone="hall-b"', 'zone="hall-z"', ':14: governor "b" > zone: expected one of hall-a, hall-b'),
+        ('"127.0.0.1:7102"', '"10.0.0.1:7102"', ':14: governor "b" > listen: an address beyond loopback'),
+        ('"127.0.0.1:7102"', '"localhost"', ':14: governor "b" > listen: expected an address'),
+        ('governor "b"', 'governor "a"', ':13: governor "a": a governor named twice'),
+        (
+            'class "booking-commit"',
+            'class "rate-check"',
+            ':5: fleet > class "rate-check": a class named twice',
+        ),
+        ('repeat="single"', 'repeat="once"', ':6: fleet > class "booking-commit" > repeat: expected one of'),
+        ('    zones "hall-a" "hall-b"\n', "", ":2: fleet > zones: missing"),
+        ('period="1s"', 'period="0s"', ":9: fleet > reports > period: expected a time of"),
+        ('goal="1s"', 'goal="0s"', ':5: fleet > class "rate-check" > goal: expected a time of'),
+        ('message-window="10s"', 'message-window="0s"', ":8: fleet > channel > message-window: expected a"),
+        ('hold="2s"', 'hold="0s"', ":10: fleet > feed > hold: expected a time of"),
+        ('cold-time="16s"', f'cold-time="{"9" * 400}h"', ":7: fleet > rules > cold-time: expected a time"),
+        ("probes deadline", "prob deadline", ":11: fleet > prob: unknown node"),
+        ('zones "hall-a" "hall-b"', 'zones "hall-a" 3', ":3: fleet > zones"),
+    ],
+)
 def test_an_error_names_its_place_and_remedy(tmp_path: Path, old: str, new: str, expected: str) -> None:
     assert old in GOOD
     found = errors(tmp_path, GOOD.replace(old, new))
@@ -85,8 +92,11 @@
     assert CliRunner().invoke(main, ["check", example]).exit_code == 0
 
 
-SCENES = [*sorted((ROOT / "scenes").glob("*.kdl")), *sorted((ROOT / "scenes/troubles").glob("*.kdl")),
-          *sorted((ROOT / "scenes/cells").glob("*.kdl"))]
+SCENES = [
+    *sorted((ROOT / "scenes").glob("*.kdl")),
+    *sorted((ROOT / "scenes/troubles").glob("*.kdl")),
+    *sorted((ROOT / "scenes/cells").glob("*.kdl")),
+]
 
 
 @pytest.mark.parametrize("path", SCENES, ids=lambda p: p.stem)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -34,28 +34,39 @@
     return [(z, {zone: sight}) for z in ZONES for _ in range(2)]
 
 
-@pytest.mark.parametrize(("views", "states", "trouble", "left_out"), [
-    ([(z, {}) for z in ZONES], {}, Trouble.NONE, 0),
-    (all_see("x", BAD), {"x": State.FAILING}, Trouble.NONE, 0),
-    # Its own observers still see it well: the others can't reach it, its relays can.
-    ([("x", {}), ("x", {}), ("y", {"x": BAD}), ("z", {"x": BAD})], {"x": State.CUT_OFF}, Trouble.NONE, 0),
-    # Observers of a zone that is cut off see all others fail: it is they.
-    ([("x", {"y": BAD, "z": BAD}), ("x", {"y": BAD, "z": BAD}), ("y", {"x": BAD}), ("z", {"x": BAD})],
-     {"x": State.CUT_OFF}, Trouble.NONE, 2),
-    # One observer's machine is cut off, its own zone included.
-    ([("x", {"x": BAD, "y": BAD, "z": BAD}), ("x", {}), ("y", {}), ("z", {})], {}, Trouble.NONE, 1),
-    (all_see("x", SLOW), {"x": State.SLOW}, Trouble.NONE, 0),
-    # A release that fails everywhere leaves no zone better than another.
-    ([(z, {"x": BAD, "y": BAD, "z": BAD}) for z in ZONES],
-     {"x": State.FAILING, "y": State.FAILING, "z": State.FAILING}, Trouble.RELEASE, 0),
-    # Two at once: one zone fails, another is slow.
-    ([(z, {"x": BAD, "y": SLOW}) for z in ZONES], {"x": State.FAILING, "y": State.SLOW}, Trouble.NONE, 0),
-    # Two at once: a zone fails while an observer elsewhere lies about another.
-    ([*all_see("x", BAD), ("z", {"x": BAD, "y": BAD})], {"x": State.FAILING}, Trouble.NONE, 0),
-])
-def test_each_trouble_is_told_from_the_others(views: list[tuple[str, dict[str, Sight]]],
-                                              states: dict[str, State], trouble: Trouble,
-                                              left_out: int) -> None:
+@pytest.mark.parametrize(
+    ("views", "states", "trouble", "left_out"),
+    [
+        ([(z, {}) for z in ZONES], {}, Trouble.NONE, 0),
+        (all_see("x", BAD), {"x": State.FAILING}, Trouble.NONE, 0),
+        # Its own observers still see it well: the others can't reach it, its relays can.
+        ([("x", {}), ("x", {}), ("y", {"x": BAD}), ("z", {"x": BAD})], {"x": State.CUT_OFF}, Trouble.NONE, 0),
+        # Observers of a zone that is cut off see all others fail: it is they.
+        (
+            [("x", {"y": BAD, "z": BAD}), ("x", {"y": BAD, "z": BAD}), ("y", {"x": BAD}), ("z", {"x": BAD})],
+            {"x": State.CUT_OFF},
+            Trouble.NONE,
+            2,
+        ),
+        # One observer's machine is cut off, its own zone included.
+        ([("x", {"x": BAD, "y": BAD, "z": BAD}), ("x", {}), ("y", {}), ("z", {})], {}, Trouble.NONE, 1),
+        (all_see("x", SLOW), {"x": State.SLOW}, Trouble.NONE, 0),
+        # A release that fails everywhere leaves no zone better than another.
+        (
+            [(z, {"x": BAD, "y": BAD, "z": BAD}) for z in ZONES],
+            {"x": State.FAILING, "y": State.FAILING, "z": State.FAILING},
+            Trouble.RELEASE,
+            0,
+        ),
+        # Two at once: one zone fails, another is slow.
+        ([(z, {"x": BAD, "y": SLOW}) for z in ZONES], {"x": State.FAILING, "y": State.SLOW}, Trouble.NONE, 0),
+        # Two at once: a zone fails while an observer elsewhere lies about another.
+        ([*all_see("x", BAD), ("z", {"x": BAD, "y": BAD})], {"x": State.FAILING}, Trouble.NONE, 0),
+    ],
+)
+def test_each_trouble_is_told_from_the_others(
+    views: list[tuple[str, dict[str, Sight]]], states: dict[str, State], trouble: Trouble, left_out: int
+) -> None:
     found = fleet(*views).judge(SECOND)
     assert found.zones == {z: states.get(z, State.WELL) for z in ZONES}
     assert found.trouble is trouble and len(found.left_out) == left_out
@@ -138,8 +149,16 @@
     assert deal is not None
     checked((Put("zones/deal", msgspec.json.encode(deal), 0),))
     confirmed = dict.fromkeys(traffic, deal.gen)
-    assert dealt(deal, "g", {m: x * (0.97 + n % 3 * 0.03) for n, (m, x) in enumerate(traffic.items())},
-                 confirmed, ()) is None
+    assert (
+        dealt(
+            deal,
+            "g",
+            {m: x * (0.97 + n % 3 * 0.03) for n, (m, x) in enumerate(traffic.items())},
+            confirmed,
+            (),
+        )
+        is None
+    )
 
 
 def test_one_whose_right_is_over_makes_no_step_and_a_lost_plan_ends_none() -> None:
@@ -152,8 +171,13 @@
 
 
 def test_parts_dealt_anew_without_a_look_at_what_is_in_use_do_pass_it() -> None:
-    def careless(deal: Deal, holder: str, traffic: Mapping[str, float], confirmed: Mapping[str, int],
-                 gone: Collection[str]) -> Deal:
+    def careless(
+        deal: Deal,
+        holder: str,
+        traffic: Mapping[str, float],
+        confirmed: Mapping[str, int],
+        gone: Collection[str],
+    ) -> Deal:
         parts = {m: x / sum(traffic.values()) for m, x in traffic.items()}
         return Deal(deal.gen + 1, holder, parts, parts)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,9 +15,15 @@
 LOCAL = i.TransactionClass(SECOND, 2 * SECOND, 3.0, 0.1, i.Repeat.SINGLE, None, None, True)
 
 
-def start(classes: tuple[i.TransactionClass, ...] = (ANY, BOUND, LOCAL), queue: float = 2000.0,
-          limit: int = 20, seed: int = 7, probes: bool = True, rate: float = 1e6,
-          proxies: int = 6) -> i.Start:
+def start(
+    classes: tuple[i.TransactionClass, ...] = (ANY, BOUND, LOCAL),
+    queue: float = 2000.0,
+    limit: int = 20,
+    seed: int = 7,
+    probes: bool = True,
+    rate: float = 1e6,
+    proxies: int = 6,
+) -> i.Start:
     rules = i.Rules(2 * SECOND, 10 * SECOND, 0.2, 3.0, 3 * SECOND, 4 * SECOND, False)
     reports = i.Reports(SECOND, True, True, probes, False)
     channel = i.Channel(queue, rate, 4.0, limit, 10 * SECOND)
@@ -84,8 +90,11 @@
                 lines[o.proxy] = lines.get(o.proxy, 0) + len(self.tables.get(o.table, {})) + len(self.shut)
             elif isinstance(o, i.Withdraw):
                 (self.shut.add if o.out else self.shut.discard)(o.replica)
-                users = [p for p, b in self.bound.items() if any(o.replica in self.tables.get(t, {})
-                                                                 for t in b.values())]
+                users = [
+                    p
+                    for p, b in self.bound.items()
+                    if any(o.replica in self.tables.get(t, {}) for t in b.values())
+                ]
             elif isinstance(o, i.Admit):
                 assert 0 < o.share <= 1 and o.tries <= 1, "a further try that might run twice"
                 users = list(self.proxies)
@@ -111,10 +120,14 @@
                 for n in self.tables.get(table, {}):
                     assert c.only_zones is None or self.known[n].zone in c.only_zones, "outside its zones"
                     assert not c.stays_local or self.known[n].zone == zone, "outside its own zone"
-                warm = [n for n, x in self.known.items() if x.phase is i.Phase.READY
-                        and x.started <= self.now - rules.cold_time
-                        and (c.only_zones is None or x.zone in c.only_zones)
-                        and (not c.stays_local or x.zone == zone)]
+                warm = [
+                    n
+                    for n, x in self.known.items()
+                    if x.phase is i.Phase.READY
+                    and x.started <= self.now - rules.cold_time
+                    and (c.only_zones is None or x.zone in c.only_zones)
+                    and (not c.stays_local or x.zone == zone)
+                ]
                 bare = self.bare.pop((p, k, table), self.now)
                 if warm and not self.open(table):
                     self.bare[p, k, table] = bare
@@ -144,8 +157,11 @@
             events: list[i.Event] = self.acks()
             if due >= next_report:
                 next_report += SECOND
-                events += [i.Heard(z, n, tries, bad, 200_000, SECOND, load) for z in range(3)
-                           for n, (tries, bad, load) in (report or {}).items()]
+                events += [
+                    i.Heard(z, n, tries, bad, 200_000, SECOND, load)
+                    for z in range(3)
+                    for n, (tries, bad, load) in (report or {}).items()
+                ]
             self.step(*events, i.Due(0), wait=due - self.now)
         self.now = max(self.now, end)
 
