--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 PY := .venv/bin/python
 STAMP := .venv/requirements.stamp
 
-.PHONY: day test bench scenes
+.PHONY: scenario day test bench scenarios scenes
 
-day: $(STAMP)
-	$(PY) -m gradehoist day scenes/bad-day.kdl
+# `day` is the earlier name of the target.
+scenario day: $(STAMP)
+	$(PY) -m gradehoist day scenarios/bad-day.kdl
 
 test: $(STAMP)
 	$(PY) -m ruff format --check .
@@ -21,7 +22,7 @@
 	$(PY) -m pip -q install -r requirements-dev.txt
 	touch $(STAMP)
 
-# Every recorded kind of trouble through the real governor, three days at a time; about three minutes.
-scenes: $(STAMP)
-	ls scenes/troubles/*.kdl | xargs -P 3 -I{} sh -c '$(PY) -m gradehoist day {} --quiet > /dev/null \
+# Every recorded kind of fault through the real governor, three scenarios at a time; about three minutes.
+scenarios scenes: $(STAMP)
+	ls scenarios/faults/*.kdl | xargs -P 3 -I{} sh -c '$(PY) -m gradehoist day {} --quiet > /dev/null \
 	    && echo "kept   {}" || { echo "BROKEN {}"; exit 1; }'
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,10 +20,10 @@
 from bench.feeders import Feeder, Governor
 from bench.node import figures as node_figures
 from bench.register import figures as register_figures
-from gradehoist.day import audit, scene
-from gradehoist.day.run import Run
 from gradehoist.net.client import Client
 from gradehoist.protocol import feed, http
+from gradehoist.scenario import audit, definition
+from gradehoist.scenario.runner import Run
 
 REQUEST = (
     b"POST /v1/sums HTTP/1.1\r\nhost: 127.0.0.1:7101\r\nuser-agent: relay\r\naccept: */*\r\n"
@@ -353,12 +353,12 @@
 def shares() -> None:
     """The bad day's answered share: governed, standing tables, equal weights; three seeds."""
     row("seed", "governed", "standing tables", "equal weights", "rules, governed")
-    script = scene.read(Path("scenes/bad-day.kdl"))
+    script = definition.read(Path("scenarios/bad-day.kdl"))
     ways = {"governed": (True, False), "standing": (False, False), "even": (False, True)}
 
     async def side_by_side(seed: int) -> None:
         runs = [
-            Run(script, scene.draw(script, seed, *way), Path("found") / f"bench-{seed}-{name}")
+            Run(script, definition.draw(script, seed, *way), Path("found") / f"bench-{seed}-{name}")
             for name, way in ways.items()
         ]
         await asyncio.gather(*(run.play() for run in runs))
--- a/bench/feeders.py
+++ b/bench/feeders.py
@@ -13,10 +13,10 @@
 import msgspec
 import psutil
 
-from gradehoist.day.scene import ports
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server
 from gradehoist.protocol import feed, http
+from gradehoist.scenario.definition import ports
 from gradehoist.settings.fleet import Placed
 
 LOCAL = "127.0.0.1"
--- a/bench/inline.py
+++ b/bench/inline.py
@@ -4,12 +4,12 @@
 
 from typing import Any
 
-from gradehoist.governor import planner, service
+from gradehoist.governor import policy_process, service
 
 
 class Inline:
     def __init__(self, starts: Any, now: int, slotted: bool) -> None:
-        self.modules, self.cpu, self.pid = planner.Modules(starts, now, slotted), 0.0, 0
+        self.modules, self.cpu, self.pid = policy_process.Modules(starts, now, slotted), 0.0, 0
 
     async def handle(self, now: int, batches: Any, timers: bool = True) -> Any:
         return self.modules.handle(now, batches, timers)
--- a/bench/member.py
+++ b/bench/member.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from gradehoist.member.service import Membership
+from gradehoist.membership.service import Membership
 from gradehoist.net.server import Answer, Connection, Server, json, refusal
 from gradehoist.protocol import http
 from gradehoist.settings.fleet import Coordination
--- a/bench/node.py
+++ b/bench/node.py
@@ -12,7 +12,7 @@
 
 import psutil
 
-from gradehoist.standin.platform import Node, Proxy, entry
+from gradehoist.testbed.platform import Node, Proxy, entry
 
 ROUNDS = 9
 SIZES = ((60, 30), (150, 30), (400, 30))
--- a/bench/placements.py
+++ b/bench/placements.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from gradehoist.cells.assign import Tenant, Wanted, Worker, lot, place
+from gradehoist.cells.placement import Tenant, Wanted, Worker, lot, place
 
 CELLS, PER_TENANT = 100, 5  # as many workers for a tenant in each way: 500 over 100 cells
 Homes = dict[str, frozenset[str]]  # by tenant: the workers that serve it
--- a/bench/plans.py
+++ b/bench/plans.py
@@ -8,11 +8,11 @@
 from fractions import Fraction as F
 from zoneinfo import ZoneInfo
 
-from gradehoist.plans import proof
-from gradehoist.plans.make import make
-from gradehoist.plans.problem import Class, Flow, Group, Kind, Problem
-from gradehoist.plans.read import Event
-from gradehoist.plans.solve import solve
+from gradehoist.capacity_planning import verification
+from gradehoist.capacity_planning.event_file import Event
+from gradehoist.capacity_planning.planner import make
+from gradehoist.capacity_planning.problem import Class, Flow, Group, Kind, Problem
+from gradehoist.capacity_planning.solver import solve
 
 SIZES = (
     (6, 3, 1),
@@ -77,8 +77,8 @@
         want = sum((d[0] * p.classes[c].gain for (c, _), d in p.demand.items()), F(0))
         for lost in (frozenset[str](), *(frozenset({z}) for z in p.zones)):
             ours, other = solve(p, 0, lost), greedy(p, 0, lost)
-            assert not proof.faults(p, 0, lost, other)
-            gained = proof.gain(p, other)
+            assert not verification.faults(p, 0, lost, other)
+            gained = verification.gain(p, other)
             asked += want
             lost_solver += want - ours.gain
             lost_greedy += want - gained
--- a/bench/register.py
+++ b/bench/register.py
@@ -18,8 +18,8 @@
 
 import msgspec
 
-from gradehoist.day import scene
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.scenario import definition
 
 Row = Callable[..., None]
 AWAY = 30.0  # seconds of the outage: three sessions
@@ -28,10 +28,10 @@
 
 class Fleet:
     def __init__(self, folder: Path, kind: str, count: int) -> None:
-        engine, *ports = scene.ports(count + 1)
+        engine, *ports = definition.ports(count + 1)
         self.kind, self.folder, self.engine_port = kind, folder / "register", engine
         self.engine = (
-            subprocess.Popen([sys.executable, "-m", "gradehoist.standin", "engine", str(engine)])
+            subprocess.Popen([sys.executable, "-m", "gradehoist.testbed", "engine", str(engine)])
             if kind == "engine"
             else None
         )
--- a/gradehoist/adapter/host.py
+++ b/gradehoist/adapter/host.py
@@ -7,8 +7,8 @@
 from typing import TextIO
 
 from gradehoist.adapter import wire
-from gradehoist.choice import Planner
 from gradehoist.interface import Event, Listed, ListKind, Module, Start
+from gradehoist.policy.planner import Planner
 from gradehoist.settings.platform import micros
 
 
--- a/gradehoist/adapter/wire.py
+++ b/gradehoist/adapter/wire.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from gradehoist import interface as i
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.settings import platform
 from gradehoist.settings.platform import micros
 
--- a/gradehoist/plans/read.py
+++ b/gradehoist/capacity_planning/event_file.py
@@ -9,7 +9,7 @@
 from typing import Any
 from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
 
-from gradehoist.plans.problem import Class, Group, Kind, Problem
+from gradehoist.capacity_planning.problem import Class, Group, Kind, Problem
 from gradehoist.settings import reader as r
 
 
--- a/gradehoist/plans/make.py
+++ b/gradehoist/capacity_planning/planner.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from gradehoist.plans import proof
-from gradehoist.plans.problem import Flow, Group, Problem
-from gradehoist.plans.read import Event
-from gradehoist.plans.solve import GRID, PRICES, addition, solve
+from gradehoist.capacity_planning import verification
+from gradehoist.capacity_planning.event_file import Event
+from gradehoist.capacity_planning.problem import Flow, Group, Problem
+from gradehoist.capacity_planning.solver import GRID, PRICES, addition, solve
 
 VERSION = 1
 
@@ -123,10 +123,12 @@
             out.append(f"{name}: none of the event's")
             continue
         lost, flows = frozenset(case.lost), case.flows()
-        out += [f"{name}: {x}" for x in proof.faults(event.problem, case.slot, lost, flows)]
+        out += [f"{name}: {x}" for x in verification.faults(event.problem, case.slot, lost, flows)]
         prices = {Group(z, k, c): Fraction(max(0, x), PRICES) for z, k, c, x in case.prices}
-        gap = proof.most(event.problem, case.slot, lost, prices) - proof.gain(event.problem, flows)
-        if gap > proof.rounding(event.problem, lost, GRID):
+        gap = verification.most(event.problem, case.slot, lost, prices) - verification.gain(
+            event.problem, flows
+        )
+        if gap > verification.rounding(event.problem, lost, GRID):
             out.append(f"{name}: gains {float(gap):.6g} less a second than it may; make it anew")
         said = {(k, o): Fraction(x) for k, o, x in case.short}
         for (k, o), demand in event.problem.demand.items():
--- a/gradehoist/plans/solve.py
+++ b/gradehoist/capacity_planning/solver.py
@@ -16,8 +16,8 @@
 import highspy
 import numpy as np
 
-from gradehoist.plans import proof
-from gradehoist.plans.problem import Flow, Group, Problem
+from gradehoist.capacity_planning import verification
+from gradehoist.capacity_planning.problem import Flow, Group, Problem
 
 GRID = 10_000  # flows are whole parts of it of a transaction a second: finer than any weight can tell
 SLACK = 1e-6  # of an earlier aim that a later one may use: over the solver's tolerance, well under the grid
@@ -135,14 +135,14 @@
             model.aim(model.differ(), keep=True)
         model.aim([tie(f) for f in model.flows], keep=False)
         flows = _mended(problem, slot, model.values())
-    if broken := proof.faults(problem, slot, lost, flows):
+    if broken := verification.faults(problem, slot, lost, flows):
         raise Unsolved(f"slot {slot}: {broken[0]}")
     short = {key: problem.demand[key][slot] for key in sorted(problem.demand)}
     for f, x in flows.items():
         short[f.cls, f.origin] -= x
     crossing = sum((x * problem.cost(f) for f, x in flows.items()), Fraction(0))
     served = {f: x for f, x in flows.items() if x}
-    return Answer(slot, lost, served, short, proof.gain(problem, flows), prices, crossing)
+    return Answer(slot, lost, served, short, verification.gain(problem, flows), prices, crossing)
 
 
 def _mended(problem: Problem, slot: int, flows: dict[Flow, Fraction]) -> dict[Flow, Fraction]:
--- a/gradehoist/plans/proof.py
+++ b/gradehoist/capacity_planning/verification.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from fractions import Fraction
 
-from gradehoist.plans.problem import Flow, Group, Problem
+from gradehoist.capacity_planning.problem import Flow, Group, Problem
 
 
 def faults(problem: Problem, slot: int, lost: frozenset[str], flows: Mapping[Flow, Fraction]) -> list[str]:
--- a/gradehoist/cells/moves.py
+++ b/gradehoist/cells/migration.py
@@ -24,7 +24,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from gradehoist.coordination.generations import Right, Standing, standing
+from gradehoist.coordination.fencing import Right, Standing, standing
 
 Keys = frozenset[str]
 NONE: Keys = frozenset()
--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -13,16 +13,16 @@
 from rich.console import Console
 from rich.table import Table
 
-from gradehoist.cells.assign import Placement, Tenant, Wanted, Worker, halves, lot, place
-from gradehoist.cells.moves import Move, Step
-from gradehoist.cells.release import Release
-from gradehoist.cells.release import Step as Staged
-from gradehoist.mover import ask
-from gradehoist.mover import release as releasing
-from gradehoist.mover import run as mover
+from gradehoist.cells.migration import Move, Step
+from gradehoist.cells.placement import Placement, Tenant, Wanted, Worker, halves, lot, place
+from gradehoist.cells.rollout import Release
+from gradehoist.cells.rollout import Step as Staged
+from gradehoist.migration import queries
+from gradehoist.migration import rollout as releasing
+from gradehoist.migration import runner as mover
 from gradehoist.net.client import Client
 from gradehoist.settings.fleet import Governor, Placed, Settings
-from gradehoist.store.keep import Held, Lock
+from gradehoist.store.atomic_file import Held, Lock
 
 
 class Bad(Exception):
@@ -168,7 +168,7 @@
     async def one(governor: Governor) -> Live | None:
         client = Client(*governor.listen, connect_timeout=0.5)
         try:
-            found = await ask.status(client)
+            found = await queries.status(client)
             return found["cells"] if found else None
         finally:
             client.close()
--- a/gradehoist/cli/logs.py
+++ b/gradehoist/cli/logs.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from gradehoist.store.sink import Sink
+from gradehoist.store.log_writer import Sink
 
 
 def set_up(form: str) -> None:
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -129,7 +129,7 @@
 @click.option("--quiet", is_flag=True, help="No progress bar.")
 def day(path: Path, seed: int | None, out: Path | None, tables: str, speed: float, quiet: bool) -> None:
     """Plays a scene on loopback sockets and judges the rules; exit 0 only if they held."""
-    from gradehoist.cli import day as view
+    from gradehoist.cli import scenario as view
 
     try:
         good = view.play(path, seed, out, tables == "governed", tables == "even", speed, quiet)
@@ -143,7 +143,7 @@
 @click.option("--json", "as_json", is_flag=True, help="The whole verdict for machines.")
 def audit(folder: Path, as_json: bool) -> None:
     """Judges the rules afresh from the records of a run."""
-    from gradehoist.cli import day as view
+    from gradehoist.cli import scenario as view
 
     try:
         good = view.judge(folder, as_json)
@@ -188,9 +188,9 @@
     asked for could not be had, with the placement written all the same."""
     import msgspec
 
-    from gradehoist.cells.assign import Wanted
+    from gradehoist.cells.placement import Wanted
     from gradehoist.cli import cells as view
-    from gradehoist.store import keep
+    from gradehoist.store import atomic_file
 
     wanted = Wanted(number, least_workers, least_zones, spare=spare, lose_zone=lose_zone)
     try:
@@ -198,7 +198,7 @@
     except view.Bad as fault:
         raise Fail(str(fault)) from None
     try:
-        keep.write(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
+        atomic_file.write(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
     except OSError as fault:
         raise Fail(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
     for fault_line in faults:
@@ -292,14 +292,14 @@
     import msgspec
 
     from gradehoist.cli import cells as view
-    from gradehoist.store import keep
+    from gradehoist.store import atomic_file
 
     try:
         placed = view.split(view.read(path), workers, cell, new)
     except view.Bad as fault:
         raise Fail(str(fault)) from None
     try:
-        keep.write(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
+        atomic_file.write(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
     except OSError as fault:
         raise Fail(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
     click.echo(
@@ -314,7 +314,7 @@
 @STORE
 def undo_move(id: str, store: Path) -> None:
     """Turns a move back; `cells move SETTINGS` carries it out, also one that runs now."""
-    from gradehoist.mover import run as mover
+    from gradehoist.migration import runner as mover
 
     try:
         back = mover.undo(store, id)
--- a/gradehoist/cli/plan.py
+++ b/gradehoist/cli/plan.py
@@ -11,11 +11,11 @@
 from rich.progress import Progress
 from rich.table import Table
 
-from gradehoist.plans import make as making
-from gradehoist.plans.read import Event, read
-from gradehoist.plans.solve import GRID, Unsolved
+from gradehoist.capacity_planning import planner as making
+from gradehoist.capacity_planning.event_file import Event, read
+from gradehoist.capacity_planning.solver import GRID, Unsolved
 from gradehoist.settings.reader import SettingsError
-from gradehoist.store import keep
+from gradehoist.store import atomic_file
 
 
 class Bad(Exception):
@@ -55,7 +55,7 @@
         except Unsolved as fault:
             raise Bad(f"{path}: no plan: {fault}; make the event smaller, or its groups fewer") from None
     try:
-        keep.write(out, msgspec.json.format(msgspec.json.encode(plan), indent=1))
+        atomic_file.write(out, msgspec.json.format(msgspec.json.encode(plan), indent=1))
     except OSError as fault:
         raise Bad(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
     show(plan)
--- a/gradehoist/cli/day.py
+++ b/gradehoist/cli/scenario.py
@@ -11,10 +11,10 @@
 from rich.progress import BarColumn, Progress, TaskProgressColumn, TextColumn, TimeRemainingColumn
 from rich.table import Table
 
-from gradehoist.day import audit, report, scene
-from gradehoist.day.run import Run, StartFailed
+from gradehoist.scenario import audit, definition, report
+from gradehoist.scenario.runner import Run, StartFailed
 from gradehoist.settings.reader import SettingsError
-from gradehoist.standin.plan import Plan
+from gradehoist.testbed.scenario_plan import Plan
 
 COLOUR = {"kept": "green", "broken": "bold red", "not judged": "yellow"}
 
@@ -47,11 +47,11 @@
     """Plays and judges a scene; True where all rules held. Raises Failed."""
     console = Console(stderr=True)
     try:
-        script = scene.read(path)
+        script = definition.read(path)
     except SettingsError as fault:
         raise Failed(str(fault)) from None
-    plan = scene.draw(script, script.seed if seed is None else seed, follow, even)
-    plan = scene.hurried(plan, speed)
+    plan = definition.draw(script, script.seed if seed is None else seed, follow, even)
+    plan = definition.hurried(plan, speed)
     folder = out or Path("found") / f"{plan.name}-{plan.seed}"
     columns = (
         TextColumn("[bold]{task.fields[scene]}"),
--- a/gradehoist/coordination/agent.py
+++ b/gradehoist/coordination/agent.py
@@ -27,9 +27,9 @@
 
 import msgspec
 
-from gradehoist.coordination import register as r
-from gradehoist.coordination.generations import Right
-from gradehoist.coordination.mirror import Backwards, Gap, Mirror, Older
+from gradehoist.coordination import store as r
+from gradehoist.coordination.fencing import Right
+from gradehoist.coordination.watch_cache import Backwards, Gap, Mirror, Older
 
 SECOND = 1_000_000
 HOLD = 5 * SECOND  # a watch waits so long: short enough to notice a dead path
--- a/gradehoist/coordination/rights.py
+++ b/gradehoist/coordination/election.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from gradehoist.coordination.agent import Agent, Member, Named
-from gradehoist.coordination.generations import Right
+from gradehoist.coordination.fencing import Right
 
 DEALT = 4  # standing by, processes claim one after the other, up to that many patiences later
 
--- a/gradehoist/coordination/agreed.py
+++ b/gradehoist/coordination/fallback.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass, field
 
-from gradehoist.coordination.generations import Right, Standing, standing
+from gradehoist.coordination.fencing import Right, Standing, standing
 
 
 @dataclass
--- a/gradehoist/coordination/mirror.py
+++ b/gradehoist/coordination/watch_cache.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from gradehoist.coordination.register import Batch, Event, Record, Snapshot
+from gradehoist.coordination.store import Batch, Event, Record, Snapshot
 
 
 class Gap(Exception):
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -12,17 +12,17 @@
 from typing import Any
 
 from gradehoist import interface as i
-from gradehoist.cells.budget import Budget
+from gradehoist.cells.channel_shares import Budget
 from gradehoist.cells.routes import home, label
+from gradehoist.governor.cell_stats import Tally
 from gradehoist.governor.channel import Channel
+from gradehoist.governor.delivery_queue import Ledger, Piece
 from gradehoist.governor.intake import Intake, Unknown
-from gradehoist.governor.ledger import Ledger, Piece
-from gradehoist.governor.parts import Batch, Part, Reply
+from gradehoist.governor.policy_instances import Batch, Part, Reply
+from gradehoist.governor.proxy_streams import Mark, OutOfOrder, Stream
 from gradehoist.governor.roster import Gap, RosterView
-from gradehoist.governor.streams import Mark, OutOfOrder, Stream
 from gradehoist.governor.tables import Tables
-from gradehoist.governor.tally import Tally
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.protocol import feed
 from gradehoist.settings.fleet import Fleet, Governor, start
 
--- a/gradehoist/governor/ledger.py
+++ b/gradehoist/governor/delivery_queue.py
@@ -14,9 +14,9 @@
 from typing import TypeVar
 
 from gradehoist import interface as i
-from gradehoist.cells.budget import Budget
-from gradehoist.governor.parts import Part
-from gradehoist.governor.streams import Mark
+from gradehoist.cells.channel_shares import Budget
+from gradehoist.governor.policy_instances import Part
+from gradehoist.governor.proxy_streams import Mark
 from gradehoist.governor.tables import Tables
 from gradehoist.protocol import feed
 
--- a/gradehoist/governor/intake.py
+++ b/gradehoist/governor/intake.py
@@ -9,7 +9,7 @@
 from itertools import islice
 
 from gradehoist import interface as i
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.protocol import feed
 
 SECOND = 1_000_000
--- a/gradehoist/governor/openapi.py
+++ b/gradehoist/governor/openapi.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from gradehoist.cells.moves import Confirm, Word
+from gradehoist.cells.migration import Confirm, Word
 from gradehoist.protocol import feed
 
 REFUSALS = {
--- a/gradehoist/governor/planner.py
+++ b/gradehoist/governor/policy_process.py
@@ -23,8 +23,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from gradehoist import interface as i
-from gradehoist.choice import Planner
-from gradehoist.governor.parts import Batch, Reply
+from gradehoist.governor.policy_instances import Batch, Reply
+from gradehoist.policy.planner import Planner
 
 LENGTH = struct.Struct("!I")
 Reasons = dict[int, str]  # by the order's place in the reply
@@ -43,7 +43,7 @@
     def __init__(self, starts: list[i.Start], now: int, slotted: bool, grace: int) -> None:
         ours, theirs = socket.socketpair()
         self._child = subprocess.Popen(
-            [sys.executable, "-m", "gradehoist.governor.planner", str(theirs.fileno())],
+            [sys.executable, "-m", "gradehoist.governor.policy_process", str(theirs.fileno())],
             pass_fds=[theirs.fileno()],
             stdin=subprocess.DEVNULL,
         )
--- a/gradehoist/governor/roster.py
+++ b/gradehoist/governor/roster.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from gradehoist import interface as i
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.protocol import feed
 
 KEPT = 1_000  # boots beyond those listed: one that flaps must not show as started anew
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -17,18 +17,18 @@
 import structlog
 
 from gradehoist import interface as i
-from gradehoist.cells.moves import Book, Confirm, Word
+from gradehoist.cells.migration import Book, Confirm, Word
 from gradehoist.governor import probes
 from gradehoist.governor.core import Core, Gap, Poll, Refused
-from gradehoist.governor.planner import PlannerFailed, PlannerProcess
-from gradehoist.governor.zoning import Zoning
-from gradehoist.member.service import Membership
+from gradehoist.governor.policy_process import PlannerFailed, PlannerProcess
+from gradehoist.governor.zone_coordination import Zoning
+from gradehoist.membership.service import Membership
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server, json, refusal
 from gradehoist.protocol import feed, http, orca
 from gradehoist.settings import reader
 from gradehoist.settings.fleet import Fleet, Governor
-from gradehoist.store import keep
+from gradehoist.store import atomic_file
 
 SUMS: msgspec.json.Decoder[feed.Sums] = msgspec.json.Decoder(feed.Sums)
 ROSTER: msgspec.json.Decoder[feed.Roster] = msgspec.json.Decoder(feed.Roster)
@@ -128,12 +128,12 @@
             if lock:
                 lock.free()
 
-    def _lock(self) -> keep.Lock | None:
+    def _lock(self) -> atomic_file.Lock | None:
         """Two governors of one state would each keep a book without the other's words, and lease workers for
         tenants that have moved. On a disk that takes no lock a governor serves all the same."""
         try:
-            return keep.Lock(self.own.state)
-        except keep.Held as fault:
+            return atomic_file.Lock(self.own.state)
+        except atomic_file.Held as fault:
             raise StateFault(f"{fault}; name another folder, or end that process") from None
         except OSError as fault:
             self.log.warning("state_not_locked", path=str(self.own.state), reason=str(fault))
@@ -287,7 +287,7 @@
             book, answer = self.book.told(word)
             if book is not self.book:
                 try:
-                    await keep.write_aside(
+                    await atomic_file.write_aside(
                         self.own.state / "cells.json", ENCODER.encode(list(book.words.values()))
                     )
                 except OSError as fault:
@@ -484,7 +484,7 @@
             await self._unsaved.wait()
             self._unsaved.clear()
             try:
-                await keep.write_aside(
+                await atomic_file.write_aside(
                     self._saved_path, ENCODER.encode(tuple(self.core.roster.entries.values()))
                 )
             except OSError as fault:
--- a/gradehoist/governor/tables.py
+++ b/gradehoist/governor/tables.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from gradehoist import interface as i
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.protocol import feed
 
 
--- a/gradehoist/governor/zoning.py
+++ b/gradehoist/governor/zone_coordination.py
@@ -6,16 +6,16 @@
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
-from gradehoist.coordination import register as r
-from gradehoist.coordination.generations import Right
+from gradehoist.coordination import store as r
+from gradehoist.coordination.fencing import Right
 from gradehoist.governor.core import Core
-from gradehoist.governor.sights import Sights
-from gradehoist.member.service import Membership
+from gradehoist.governor.zone_stats import Sights
+from gradehoist.membership.service import Membership
 from gradehoist.settings.fleet import Fleet
-from gradehoist.zones.allowance import Deal
-from gradehoist.zones.board import DEAL, PLAN, VIEWS, Board, Now
-from gradehoist.zones.evidence import View
-from gradehoist.zones.leaving import Class, Plan, Rules
+from gradehoist.zones.coordinator import DEAL, PLAN, VIEWS, Board, Now
+from gradehoist.zones.evacuation import Class, Plan, Rules
+from gradehoist.zones.health import View
+from gradehoist.zones.warmup_quota import Deal
 
 T = TypeVar("T")
 LISTED = 15_000_000  # µs: a list that was not confirmed for so long is lost; roster calls are held for 5 s
--- a/gradehoist/governor/sights.py
+++ b/gradehoist/governor/zone_stats.py
@@ -8,7 +8,7 @@
 
 from gradehoist.protocol import feed
 from gradehoist.settings.fleet import Fleet
-from gradehoist.zones.evidence import Sight, View
+from gradehoist.zones.health import Sight, View
 
 SLOT = 1_000_000  # µs of one count
 SLOTS = 6  # kept: a failing zone shows within seconds, and a few slow reports are not all there is
--- a/gradehoist/history/scribe.py
+++ b/gradehoist/history/recorder.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from gradehoist.coordination import register as r
+from gradehoist.coordination import store as r
 from gradehoist.coordination.agent import Ask
 from gradehoist.history.records import Answered, Asked, Line, Saw, Wrote, now
 
--- a/gradehoist/member/service.py
+++ b/gradehoist/membership/service.py
@@ -13,17 +13,17 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from gradehoist.coordination import register as r
+from gradehoist.coordination import store as r
 from gradehoist.coordination.agent import Agent, Me, Member, News
+from gradehoist.coordination.election import Claim
 from gradehoist.coordination.members import Members, State, View
-from gradehoist.coordination.rights import Claim
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from gradehoist.net.coordinator import Coordinator, Scribe, now
-from gradehoist.net.engine import Engine
+from gradehoist.net.coordination_client import Coordinator, Scribe, now
+from gradehoist.net.etcd import Engine
 from gradehoist.net.server import Answer, refusal
 from gradehoist.settings import reader
 from gradehoist.settings.fleet import Coordination
-from gradehoist.store.embedded import Embedded
+from gradehoist.store.sqlite_store import Embedded
 
 JUDGE = 200_000  # µs between looks at all members: at each change of the register it would cost the fleet's
 # size; nobody is suspected for less
--- a/gradehoist/mover/ask.py
+++ b/gradehoist/migration/queries.py
@@ -13,7 +13,7 @@
 
 
 async def status(client: Client) -> dict[str, Any] | None:
-    """A governor's figures; its `cells` are those of `gradehoist.governor.tally`."""
+    """A governor's figures; its `cells` are those of `gradehoist.governor.cell_stats`."""
     try:
         response = await client.exchange("GET", "/v1/status", timeout=2.0)
         found: dict[str, Any] = msgspec.json.decode(response.body, type=dict[str, Any])
--- a/gradehoist/mover/release.py
+++ b/gradehoist/migration/rollout.py
@@ -13,11 +13,11 @@
 
 import msgspec
 
-from gradehoist.cells.release import Release, Seen, Step, calm, judge
-from gradehoist.mover import ask
+from gradehoist.cells.rollout import Release, Seen, Step, calm, judge
+from gradehoist.migration import queries
 from gradehoist.net.client import Client
 from gradehoist.settings.fleet import Settings
-from gradehoist.store import keep
+from gradehoist.store import atomic_file
 
 NOT_RUN = 127  # as shells say it of a command that is not there
 LOOK = 0.5  # seconds between looks at the figures
@@ -39,7 +39,7 @@
 
 
 def save(store: Path, release: Release) -> None:
-    keep.write(store / f"{release.id}.release", msgspec.json.encode(release))
+    atomic_file.write(store / f"{release.id}.release", msgspec.json.encode(release))
 
 
 class Figures:
@@ -55,7 +55,7 @@
         return all(await asyncio.gather(*(self._ask(name) for name in self._clients)))
 
     async def _ask(self, name: str) -> bool:
-        status = await ask.status(self._clients[name])
+        status = await queries.status(self._clients[name])
         if status is None:
             return False
         now = {
@@ -212,7 +212,7 @@
 
     async def _boots(self) -> dict[str, str] | None:
         """By worker that is listed as ready, the name of its life; None where no answer came."""
-        entries = await ask.listed(self._roster, self.settings.governors[0].zone)
+        entries = await queries.listed(self._roster, self.settings.governors[0].zone)
         return None if entries is None else {e.replica: e.boot for e in entries if e.phase == "ready"}
 
     async def _command(self, command: str, worker: str, cell: str) -> int:
--- a/gradehoist/mover/run.py
+++ b/gradehoist/migration/runner.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
-from gradehoist.cells.assign import lot
-from gradehoist.cells.moves import Confirm, Move, Step
-from gradehoist.mover import ask
+from gradehoist.cells.migration import Confirm, Move, Step
+from gradehoist.cells.placement import lot
+from gradehoist.migration import queries
 from gradehoist.net.client import Client
 from gradehoist.settings import reader
 from gradehoist.settings.fleet import Placed, Settings
-from gradehoist.store import keep
+from gradehoist.store import atomic_file
 
 AGAIN = 0.3  # seconds between words that were not confirmed, twice as long each time
 LATER = 5.0  # seconds at most: a dead worker was asked three times a second to the end of its move
@@ -39,7 +39,7 @@
 
 
 def save(store: Path, move: Move) -> None:
-    keep.write(store / f"{move.id}.move", msgspec.json.encode(move))
+    atomic_file.write(store / f"{move.id}.move", msgspec.json.encode(move))
 
 
 def draining(store: Path) -> tuple[str, ...]:
@@ -55,7 +55,7 @@
 
 
 def drain(store: Path, cells: tuple[str, ...]) -> None:
-    keep.write(store / "draining.json", msgspec.json.encode(cells))
+    atomic_file.write(store / "draining.json", msgspec.json.encode(cells))
 
 
 def under_way(moves: list[Move]) -> list[Move]:
@@ -194,7 +194,7 @@
             if response.status == 200:
                 answer: Confirm = msgspec.json.decode(response.body, type=Confirm)
                 return answer
-        except ask.FAULTS:
+        except queries.FAULTS:
             pass
         return None
 
@@ -203,6 +203,6 @@
         client = Client(*self.settings.fleet.roster)
         zone = self.settings.governors[0].zone
         while True:
-            if (entries := await ask.listed(client, zone)) is not None:
+            if (entries := await queries.listed(client, zone)) is not None:
                 self._addresses = {e.replica: e.address or e.replica for e in entries}
             await asyncio.sleep(1.0)
--- a/gradehoist/net/coordinator.py
+++ b/gradehoist/net/coordination_client.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from gradehoist.coordination import register as r
+from gradehoist.coordination import store as r
 from gradehoist.coordination.agent import Agent, Ask, News
 
 WRITES = ("commit", "open", "end")
--- a/gradehoist/net/engine.py
+++ b/gradehoist/net/etcd.py
@@ -19,7 +19,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError, SimpleAsyncHTTPClient
 
-from gradehoist.coordination import register as r
+from gradehoist.coordination import store as r
 
 CONNECT = 1.0  # seconds for a connection: on a network of one site it takes milliseconds
 ANSWER = 2.0  # seconds for an answer; the engine gives up a write of its own after more than that
--- a/gradehoist/node/config.py
+++ b/gradehoist/node/config.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from gradehoist import interface as i
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.node.discovery import Change, changes
 from gradehoist.settings import platform
 
--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -14,10 +14,10 @@
 from typing import Any
 
 from gradehoist import interface as i
-from gradehoist.choice import Planner
 from gradehoist.governor.tables import Tables
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.node.discovery import Change, Held, Member
+from gradehoist.policy.planner import Planner
 from gradehoist.protocol import feed, lines
 from gradehoist.settings import platform
 
--- a/gradehoist/node/log.py
+++ b/gradehoist/node/log.py
@@ -4,7 +4,7 @@
 
 import time
 
-from gradehoist.store.sink import Sink
+from gradehoist.store.log_writer import Sink
 
 
 class Log:
--- /dev/null
+++ b/gradehoist/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Every ordinary decision of a governor."""
--- a/gradehoist/day/audit.py
+++ b/gradehoist/scenario/audit.py
@@ -17,7 +17,7 @@
 
 from gradehoist.cells.routes import label
 from gradehoist.protocol import feed
-from gradehoist.standin.plan import Class, Plan, Replica
+from gradehoist.testbed.scenario_plan import Class, Plan, Replica
 
 Rec = dict[str, Any]
 ALWAYS = 1 << 62
--- a/gradehoist/day/scene.py
+++ b/gradehoist/scenario/definition.py
@@ -16,12 +16,12 @@
 from kdl.parsing import Parser
 from kdl.types import Node
 
-from gradehoist.cells.assign import Placement, Tenant, Wanted, Worker, place
-from gradehoist.day import troubles
+from gradehoist.cells.placement import Placement, Tenant, Wanted, Worker, place
+from gradehoist.scenario import faults
 from gradehoist.settings import fleet as f
 from gradehoist.settings import reader as r
-from gradehoist.standin import plan as p
-from gradehoist.standin.process import dice
+from gradehoist.testbed import scenario_plan as p
+from gradehoist.testbed.process import dice
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,8 +77,8 @@
     machine: dict[str, float]
     clients: dict[str, float]
     relay: dict[str, float]
-    roster: troubles.Notice
-    troubles: tuple[troubles.Trouble, ...]
+    roster: faults.Notice
+    faults: tuple[faults.Trouble, ...]
     crowd: Crowd
     limits: Door | None
 
@@ -192,14 +192,14 @@
     )
     notice = _figures(root, "roster", {"notice": "1s", "silent-notice": "5s", "add": "500ms"})
     some = tuple(
-        troubles.parse(n, zones, kinds, tuple(g.name for g in settings.governors), length)
+        faults.parse(n, zones, kinds, tuple(g.name for g in settings.governors), length)
         for n in root.all("trouble")
     )
     root.done()
     reader.finish()
     files = [path, *(path.parent / n.args[0] for n in root.children if n.name == "base")]
     source = next(text for file in files for name, text in _nodes(file) if name == "fleet")
-    late = troubles.Notice(int(notice["notice"]), int(notice["silent-notice"]), int(notice["add"]))
+    late = faults.Notice(int(notice["notice"]), int(notice["silent-notice"]), int(notice["add"]))
     return Scene(
         name,
         length,
@@ -406,7 +406,7 @@
         limits,
         even,
     )
-    return msgspec.structs.replace(plan, steps=troubles.script(plan, scene.troubles, scene.roster))
+    return msgspec.structs.replace(plan, steps=faults.script(plan, scene.faults, scene.roster))
 
 
 def hurried(plan: p.Plan, speed: float) -> p.Plan:
--- a/gradehoist/day/troubles.py
+++ b/gradehoist/scenario/faults.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from gradehoist.settings import reader as r
-from gradehoist.standin.plan import Plan, Replica, Step
-from gradehoist.standin.process import dice
+from gradehoist.testbed.process import dice
+from gradehoist.testbed.scenario_plan import Plan, Replica, Step
 
 SECOND = 1_000_000
 LINE_BYTES = 40  # of an answer, for each line of its messages: 260 of one withdrawal, which costs six
--- a/gradehoist/day/report.py
+++ b/gradehoist/scenario/report.py
@@ -14,10 +14,10 @@
 import matplotlib.pyplot as plt
 import msgspec
 
-from gradehoist.day import audit
-from gradehoist.day.run import figures
 from gradehoist.protocol import feed
-from gradehoist.standin.plan import Plan
+from gradehoist.scenario import audit
+from gradehoist.scenario.runner import figures
+from gradehoist.testbed.scenario_plan import Plan
 
 WINDOW = 5.0  # seconds
 ZONE_COLOURS = ("tab:blue", "tab:orange", "tab:green", "tab:red", "tab:purple", "tab:brown")
--- a/gradehoist/day/run.py
+++ b/gradehoist/scenario/runner.py
@@ -15,12 +15,12 @@
 
 import msgspec
 
-from gradehoist.day import audit
-from gradehoist.day.scene import Scene, settings_text
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.scenario import audit
+from gradehoist.scenario.definition import Scene, settings_text
 from gradehoist.settings.fleet import Placed
-from gradehoist.standin.plan import Plan, Step
-from gradehoist.standin.process import Record, now
+from gradehoist.testbed.process import Record, now
+from gradehoist.testbed.scenario_plan import Plan, Step
 
 READY = 20.0  # seconds that a process may take to come up: a loaded machine's Python start
 TAIL = 1.5  # seconds after the last cut-off: sums and records settle
@@ -93,7 +93,7 @@
         try:
             first = [r for r in self.plan.controls if r.partition("-")[0] in ("links", "replicas", "roster")]
             for role in first:
-                self._start(role, "gradehoist.standin", plan, role, str(self.folder))
+                self._start(role, "gradehoist.testbed", plan, role, str(self.folder))
             await self._ready(first)
             if self.plan.follow_governors:
                 for name, _, _ in self.plan.governors:
@@ -104,7 +104,7 @@
             for role in [*relays, "clients"]:
                 if role == "clients":
                     await asyncio.sleep(1.0)  # relays join before the first transaction comes
-                self._start(role, "gradehoist.standin", plan, role, str(self.folder))
+                self._start(role, "gradehoist.testbed", plan, role, str(self.folder))
                 await self._ready([role])
             self.began = now()
             self.record("day_begins", scene=self.plan.name, seed=self.plan.seed)
@@ -209,7 +209,7 @@
                 [
                     sys.executable,
                     "-m",
-                    "gradehoist.standin.deploy",
+                    "gradehoist.testbed.deploy",
                     str(self.folder / "plan.json"),
                     "{worker}",
                     str(fails),
--- a/gradehoist/settings/fleet.py
+++ b/gradehoist/settings/fleet.py
@@ -9,11 +9,11 @@
 import msgspec
 
 from gradehoist import interface as i
-from gradehoist.cells.limits import Limits
+from gradehoist.cells.rate_limits import Limits
 from gradehoist.cells.routes import home
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.settings import reader as r
-from gradehoist.zones.leaving import Rules
+from gradehoist.zones.evacuation import Rules
 
 Address = tuple[str, int]
 
--- a/gradehoist/settings/platform.py
+++ b/gradehoist/settings/platform.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from gradehoist import interface as i
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 
 # What load reports call our figures: the settings' words, and those of the operators' pages.
 LOAD = {
--- a/gradehoist/store/embedded.py
+++ b/gradehoist/store/sqlite_store.py
@@ -23,7 +23,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from gradehoist.coordination import register as r
+from gradehoist.coordination import store as r
 
 T = TypeVar("T")
 POLL = 0.05  # seconds between a watcher's looks: 230 processes cost 1.8 cores at rest, contacts included
--- a/gradehoist/standin/__main__.py
+++ b/gradehoist/testbed/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one stand-in process: `python -m gradehoist.standin PLAN ROLE FOLDER`, or `... engine PORT`."""
+"""Runs one stand-in process: `python -m gradehoist.testbed PLAN ROLE FOLDER`, or `... engine PORT`."""
 
 from __future__ import annotations
 
@@ -6,16 +6,16 @@
 import sys
 from pathlib import Path
 
-from gradehoist.standin import clients, engine, link, plan, relay, replica, roster
-from gradehoist.standin.process import Make, Process
+from gradehoist.testbed import clients, endpoint_list, etcd_server, fault_link, proxy, replica, scenario_plan
+from gradehoist.testbed.process import Make, Process
 
 
 def make(role: str) -> Make:
     makers: dict[str, type[Process]] = {
         "clients": clients.Clients,
-        "links": link.Links,
-        "roster": roster.Roster,
-        "relays": relay.Relays,
+        "links": fault_link.Links,
+        "roster": endpoint_list.Roster,
+        "relays": proxy.Relays,
         "replicas": replica.Replicas,
     }
     return makers[role.partition("-")[0]]
@@ -23,10 +23,10 @@
 
 def main() -> None:
     if sys.argv[1] == "engine":
-        asyncio.run(engine.run(int(sys.argv[2])))
+        asyncio.run(etcd_server.run(int(sys.argv[2])))
         return
     path, role, folder = sys.argv[1:]
-    asyncio.run(make(role)(plan.load(path), role, Path(folder)).run())
+    asyncio.run(make(role)(scenario_plan.load(path), role, Path(folder)).run())
 
 
 if __name__ == "__main__":
--- a/gradehoist/standin/clients.py
+++ b/gradehoist/testbed/clients.py
@@ -12,8 +12,8 @@
 from typing import Any
 
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from gradehoist.standin import plan as p
-from gradehoist.standin.process import Process, dice, now
+from gradehoist.testbed import scenario_plan as p
+from gradehoist.testbed.process import Process, dice, now
 
 
 class Clients(Process):
--- a/gradehoist/standin/deploy.py
+++ b/gradehoist/testbed/deploy.py
@@ -1,6 +1,6 @@
 """An operator's deployment of one worker: listed as draining, started anew with a release, listed as ready.
 
-`python -m gradehoist.standin.deploy PLAN WORKER FAILS SLOW`: the share of its work that the release fails,
+`python -m gradehoist.testbed.deploy PLAN WORKER FAILS SLOW`: the share of its work that the release fails,
 and how many times as long the rest takes.
 """
 
@@ -12,7 +12,7 @@
 import msgspec
 
 from gradehoist.net.client import Client
-from gradehoist.standin import plan as p
+from gradehoist.testbed import scenario_plan as p
 
 DRAIN = 1.5  # seconds: what is in hand ends meanwhile
 
--- a/gradehoist/standin/roster.py
+++ b/gradehoist/testbed/endpoint_list.py
@@ -10,7 +10,7 @@
 
 from gradehoist.net.server import Answer, Connection, Server, json, refusal
 from gradehoist.protocol import feed, http
-from gradehoist.standin.process import Process, now
+from gradehoist.testbed.process import Process, now
 
 KEPT = 200  # versions that a reader may be behind before it gets the whole list
 
--- a/gradehoist/standin/engine.py
+++ b/gradehoist/testbed/etcd_server.py
@@ -18,8 +18,8 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from gradehoist.standin.keyspace import Entry, Gone, Keyspace, NoLease, Past
-from gradehoist.standin.process import now
+from gradehoist.testbed.etcd_keyspace import Entry, Gone, Keyspace, NoLease, Past
+from gradehoist.testbed.process import now
 
 TICK = 0.02  # seconds between looks at leases
 
--- a/gradehoist/standin/link.py
+++ b/gradehoist/testbed/fault_link.py
@@ -16,8 +16,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
-from gradehoist.standin import plan as p
-from gradehoist.standin.process import Process, dice, now
+from gradehoist.testbed import scenario_plan as p
+from gradehoist.testbed.process import Process, dice, now
 
 
 @dataclass
--- a/gradehoist/standin/process.py
+++ b/gradehoist/testbed/process.py
@@ -17,7 +17,7 @@
 
 from gradehoist.net.server import Answer, Connection, Server, refusal
 from gradehoist.protocol import http
-from gradehoist.standin.plan import Plan
+from gradehoist.testbed.scenario_plan import Plan
 
 ENCODER = msgspec.json.Encoder()
 
--- a/gradehoist/standin/relay.py
+++ b/gradehoist/testbed/proxy.py
@@ -13,13 +13,13 @@
 
 import msgspec
 
-from gradehoist.cells.limits import Door, Limits
+from gradehoist.cells.rate_limits import Door, Limits
 from gradehoist.cells.routes import home, label
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server
 from gradehoist.protocol import feed, http, orca
-from gradehoist.standin import plan as p
-from gradehoist.standin.process import ENCODER, Process, dice, now
+from gradehoist.testbed import scenario_plan as p
+from gradehoist.testbed.process import ENCODER, Process, dice, now
 
 FEED: msgspec.json.Decoder[feed.Feed] = msgspec.json.Decoder(feed.Feed)
 LEAST_LEFT = 30_000  # µs: with less time left no further try is made
--- a/gradehoist/standin/replica.py
+++ b/gradehoist/testbed/replica.py
@@ -14,11 +14,11 @@
 
 import msgspec
 
-from gradehoist.cells.moves import Fence, Verdict, Word
+from gradehoist.cells.migration import Fence, Verdict, Word
 from gradehoist.net.server import Answer, Connection, Server, refusal
 from gradehoist.protocol import http, orca
-from gradehoist.standin import plan as p
-from gradehoist.standin.process import Process, dice, now
+from gradehoist.testbed import scenario_plan as p
+from gradehoist.testbed.process import Process, dice, now
 
 STEP = 0.004  # seconds between steps: far under any latency goal
 THRASH = 0.03  # part of its speed that a replica loses for each held transaction beyond three a core
--- a/gradehoist/zones/board.py
+++ b/gradehoist/zones/coordinator.py
@@ -11,11 +11,11 @@
 from statistics import median
 from typing import NamedTuple
 
-from gradehoist.coordination.agreed import Agreed
-from gradehoist.coordination.generations import Right, Standing, standing
-from gradehoist.zones.allowance import Deal, dealt
-from gradehoist.zones.evidence import Fleet, State, Verdict, View
-from gradehoist.zones.leaving import Class, Plan, Rules, Zone, next_plan, ready
+from gradehoist.coordination.fallback import Agreed
+from gradehoist.coordination.fencing import Right, Standing, standing
+from gradehoist.zones.evacuation import Class, Plan, Rules, Zone, next_plan, ready
+from gradehoist.zones.health import Fleet, State, Verdict, View
+from gradehoist.zones.warmup_quota import Deal, dealt
 
 PLAN, DEAL, VIEWS = "zones/plan", "zones/deal", "zones/views/"
 BUSY = 0.1  # use below which traffic over use says nothing of what replicas can do
--- a/gradehoist/zones/leaving.py
+++ b/gradehoist/zones/evacuation.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from gradehoist.zones.evidence import State, Trouble, Verdict
+from gradehoist.zones.health import State, Trouble, Verdict
 
 FULL = 0.85  # use of a zone's warm replicas that a step may bring about: beyond it queues outgrow the goals
 PART = 0.5  # of the headroom for one step: powers are estimates, and a second step follows in seconds
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by the tests."""
--- a/tests/peer.py
+++ b/tests/support/fleet_process.py
@@ -1,4 +1,4 @@
-"""A process of a fleet for tests: `python -m tests.peer FILE`; the file says in JSON what it is.
+"""A process of a fleet for tests: `python -m tests.support.fleet_process FILE`; FILE says in JSON what it is.
 
 An actor joins the register, claims a right, and while it holds it orders effects of a ledger, one after the
 other, and adds to a counter that all write. A ledger takes effects and keeps, in one line with each, what it
@@ -19,10 +19,10 @@
 
 import msgspec
 
-from gradehoist.coordination.generations import Gate, Right
+from gradehoist.coordination.fencing import Gate, Right
+from gradehoist.history.recorder import Scribe
 from gradehoist.history.records import Effect, Told, Turned, Writer, load, now
-from gradehoist.history.scribe import Scribe
-from gradehoist.member.service import Membership
+from gradehoist.membership.service import Membership
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server, json, refusal
 from gradehoist.protocol import http
--- a/tests/governed.py
+++ b/tests/support/governed_fleet.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from gradehoist.governor.core import Core, Poll, Refused
-from gradehoist.governor.planner import Modules
+from gradehoist.governor.policy_process import Modules
 from gradehoist.protocol import feed
 from gradehoist.settings import fleet as f
 from gradehoist.settings import reader as r
--- a/tests/drills.py
+++ b/tests/support/governor_process.py
@@ -16,14 +16,14 @@
 
 import msgspec
 
-from gradehoist.day import scene
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.net.server import Answer, Connection, Server
 from gradehoist.protocol import feed, http
-from tests.governed import TEXT, entry
+from gradehoist.scenario import definition
+from tests.support.governed_fleet import TEXT, entry
 
 LOCAL = "127.0.0.1"
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parent.parent.parent
 GRACE = 2.0  # as the settings of `TEXT` say
 
 
@@ -31,7 +31,7 @@
     """Answers with the whole list; holds a call that has it, unless it is to answer at once."""
 
     def __init__(self, count: int = 4) -> None:
-        (self.port,) = scene.ports(1)
+        (self.port,) = definition.ports(1)
         self.life, self.version, self.calls, self.hold = "l", 1, 0, True
         self.entries: dict[str, dict[str, Any]] = {}
         for n in range(count):
@@ -202,7 +202,7 @@
 ) -> AsyncIterator[tuple[Roster, Governor, list[Relay]]]:
     """A roster, one governor, and relays that it has bound."""
     roster = Roster()
-    (port,) = scene.ports(1)
+    (port,) = definition.ports(1)
     governor = Governor(settings(folder, roster.port, port, change), port, **how)
     some: list[Relay] = []
     try:
--- a/tests/orders.py
+++ b/tests/support/interleavings.py
@@ -16,10 +16,10 @@
 from gradehoist import interface as i
 from gradehoist.governor.channel import Channel
 from gradehoist.governor.core import Core, Poll, Refused
-from gradehoist.governor.parts import Reply
-from gradehoist.governor.planner import Modules
+from gradehoist.governor.policy_instances import Reply
+from gradehoist.governor.policy_process import Modules
 from gradehoist.protocol import feed
-from tests.governed import SECOND, entry, settings
+from tests.support.governed_fleet import SECOND, entry, settings
 
 TICK = 50_000
 GAP = 400_000  # between events: shorter than a period, longer than a message's way
--- a/tests/shell_site.py
+++ b/tests/support/node_shell.py
@@ -15,8 +15,8 @@
 from gradehoist.node import config
 from gradehoist.node.log import Log
 from gradehoist.node.service import Peer, Service
-from gradehoist.standin.platform import LOCAL, PATIENCE, Discovery, Node, entry
-from tests.node_site import SETTINGS
+from gradehoist.testbed.platform import LOCAL, PATIENCE, Discovery, Node, entry
+from tests.support.platform_proxies import SETTINGS
 
 MEMBERS = [entry(f"s-{n}", locality="ab"[n % 2]) for n in range(4)]
 CHUNKED = Discovery.HEAD
--- a/tests/node_site.py
+++ b/tests/support/platform_proxies.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.node.core import Core
 from gradehoist.node.discovery import Change, Member
 from gradehoist.protocol import lines
--- a/tests/world.py
+++ b/tests/support/policy_fleet.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from gradehoist import interface as i
-from gradehoist.choice import Planner
+from gradehoist.policy.planner import Planner
 
 SECOND = 1_000_000
 ANY = i.TransactionClass(SECOND, 2 * SECOND, 1.0, 0.1, i.Repeat.FREE, None, None, False)
--- a/tests/register_world.py
+++ b/tests/support/store_simulation.py
@@ -8,13 +8,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from gradehoist.coordination import register as r
+from gradehoist.coordination import store as r
 from gradehoist.coordination.agent import Agent, Ask, Me, News
-from gradehoist.coordination.generations import Gate, Right
-from gradehoist.coordination.rights import Claim
+from gradehoist.coordination.election import Claim
+from gradehoist.coordination.fencing import Gate, Right
+from gradehoist.history.recorder import Scribe
 from gradehoist.history.records import Effect, Line
-from gradehoist.history.scribe import Scribe
-from gradehoist.standin.keyspace import Entry, Gone, Keyspace, NoLease
+from gradehoist.testbed.etcd_keyspace import Entry, Gone, Keyspace, NoLease
 
 SECOND = 1_000_000
 TTL = 6 * SECOND
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -8,9 +8,9 @@
 import msgspec
 import pytest
 
-from gradehoist.day import audit, scene
 from gradehoist.protocol import feed
-from gradehoist.standin.plan import Plan
+from gradehoist.scenario import audit, definition
+from gradehoist.testbed.scenario_plan import Plan
 
 ROOT = Path(__file__).parent.parent
 S = 1_000_000
@@ -19,7 +19,7 @@
 
 
 def plan() -> Plan:
-    return scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
+    return definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
 
 
 PLAN = plan()
@@ -245,7 +245,7 @@
 
 
 def test_placement_and_records_that_are_not_whole() -> None:
-    bad = scene.draw(scene.read(ROOT / "scenes" / "bad-day.kdl"), 1)
+    bad = definition.draw(definition.read(ROOT / "scenarios" / "bad-day.kdl"), 1)
     far = next(r.name for r in bad.replicas if r.zone == "hall-c")
     records = [rec(0, "relay_up", relay="r1", standing={}), *tried(1, "c1.1", far)]
     assert judge(*records, over=bad)["placement"].state == "broken"
@@ -257,8 +257,8 @@
 
 
 def test_a_hurried_day_is_the_same_script_in_less_time_under_the_same_rules() -> None:
-    plan = scene.draw(scene.read(ROOT / "scenes" / "bad-day.kdl"), 1)
-    fast = scene.hurried(plan, 4.0)
+    plan = definition.draw(definition.read(ROOT / "scenarios" / "bad-day.kdl"), 1)
+    fast = definition.hurried(plan, 4.0)
     assert fast.length * 4 == plan.length and fast.rules == plan.rules and fast.classes == plan.classes
     assert [(s.role, s.do) for s in fast.steps] == [(s.role, s.do) for s in plan.steps]
     assert all(abs(4 * a.at - b.at) <= 2 for a, b in zip(fast.steps, plan.steps, strict=True))
--- a/tests/test_edges.py
+++ b/tests/test_boundary_values.py
@@ -9,15 +9,15 @@
 import pytest
 
 from gradehoist import interface as i
-from gradehoist.cells.budget import Budget
-from gradehoist.cells.limits import Door, Limits
-from gradehoist.cells.release import Seen, calm, judge
+from gradehoist.cells.channel_shares import Budget
+from gradehoist.cells.rate_limits import Door, Limits
+from gradehoist.cells.rollout import Seen, calm, judge
+from gradehoist.governor.cell_stats import Tally
 from gradehoist.governor.channel import Channel
 from gradehoist.governor.intake import Intake
-from gradehoist.governor.tally import Tally
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.protocol import feed, orca
-from tests.world import ANY, LOCAL, SECOND, World, entry, running, start
+from tests.support.policy_fleet import ANY, LOCAL, SECOND, World, entry, running, start
 
 HOUR = 3600 * SECOND
 GONE = i.Phase.GONE
--- a/tests/test_plans.py
+++ b/tests/test_capacity_planning.py
@@ -6,22 +6,26 @@
 import itertools
 import random
 import re
+from collections.abc import Mapping
 from fractions import Fraction as F
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 import pytest
 from click.testing import CliRunner, Result
 
+from gradehoist.capacity_planning import planner as making
+from gradehoist.capacity_planning import solver as solving
+from gradehoist.capacity_planning import verification
+from gradehoist.capacity_planning.event_file import read
+from gradehoist.capacity_planning.problem import Class, Flow, Group, Kind, Problem
+from gradehoist.capacity_planning.solver import GRID, addition, solve, tie
 from gradehoist.cli.main import main
-from gradehoist.plans import make as making
-from gradehoist.plans import proof
-from gradehoist.plans import solve as solving
-from gradehoist.plans.problem import Class, Flow, Group, Kind, Problem
-from gradehoist.plans.read import read
-from gradehoist.plans.solve import GRID, addition, solve, tie
 from gradehoist.settings.reader import SettingsError
 
+K = TypeVar("K")
+V = TypeVar("V")
 ZONES = ("a", "b", "c")
 EVENTS = Path(__file__).parent.parent / "deploy" / "events.kdl"
 
@@ -109,26 +113,26 @@
             assert abs(answer.crossing - rank[1]) < F(1, 100), f"seed {seed}"
             for f in {*flows, *answer.flows}:
                 assert abs(answer.flows.get(f, F(0)) - flows.get(f, F(0))) < F(1, 100), f"seed {seed}: {f}"
-            gap = proof.most(p, 0, lost, answer.prices) - answer.gain
-            assert 0 <= gap <= proof.rounding(p, lost, GRID)
+            gap = verification.most(p, 0, lost, answer.prices) - answer.gain
+            assert 0 <= gap <= verification.rounding(p, lost, GRID)
 
 
 def test_the_order_of_input_does_not_show() -> None:
     for seed in range(30):
         p, dice = problem(seed, classes=2), random.Random(seed)
 
-        def mixed(d: dict[object, object], dice: random.Random = dice) -> dict[object, object]:
+        def mixed(d: Mapping[K, V], dice: random.Random = dice) -> dict[K, V]:
             return dict(dice.sample(list(d.items()), len(d)))
 
         q = Problem(
             p.zones[::-1],
             p.kinds,
             mixed(p.classes),
-            mixed(p.workers),  # type: ignore[arg-type]
+            mixed(p.workers),
             mixed(p.demand),
             mixed(p.cross),
             p.spare,
-        )  # type: ignore[arg-type]
+        )
         assert solve(p, 0) == solve(q, 0)
 
 
@@ -167,7 +171,7 @@
     p = base({Group("a", "k"): 1, Group("b", "k"): 1}, {("read", "a"): 3, ("write", "a"): 1})
     a, b = Group("a", "k"), Group("b", "k")
     none = frozenset[str]()
-    assert not proof.faults(p, 0, none, {Flow("read", "a", a): F(2)})
+    assert not verification.faults(p, 0, none, {Flow("read", "a", a): F(2)})
     broken = (
         ({Flow("read", "a", a): F(2) + F(1, 10**9)}, "carries"),
         ({Flow("read", "a", a): F(2), Flow("read", "a", b): F(3, 2)}, "served"),
@@ -175,10 +179,10 @@
         ({Flow("read", "a", a): F(-1)}, "below"),
     )
     for flows, said in broken:
-        assert any(said in x for x in proof.faults(p, 0, none, flows))
-    assert proof.faults(p, 0, frozenset({"a"}), {Flow("read", "a", a): F(1)})
+        assert any(said in x for x in verification.faults(p, 0, none, flows))
+    assert verification.faults(p, 0, frozenset({"a"}), {Flow("read", "a", a): F(1)})
     for price in (F(0), F(1), F(7)):  # any prices bound the gain from above
-        assert proof.most(p, 0, none, {a: price, b: price}) >= solve(p, 0).gain
+        assert verification.most(p, 0, none, {a: price, b: price}) >= solve(p, 0).gain
 
 
 def test_a_plan_is_made_checked_and_refused_when_it_no_longer_fits(tmp_path: Path) -> None:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -14,16 +14,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gradehoist.cells.assign import Placement, Tenant, Wanted, Worker, place
-from gradehoist.cells.limits import Door, Limits
-from gradehoist.cells.moves import Move, Step
+from gradehoist.cells.migration import Move, Step
+from gradehoist.cells.placement import Placement, Tenant, Wanted, Worker, place
+from gradehoist.cells.rate_limits import Door, Limits
 from gradehoist.cells.routes import home, label
 from gradehoist.cli.main import main
-from gradehoist.mover import run as mover
+from gradehoist.migration import runner as mover
 from gradehoist.settings.fleet import Placed
 from gradehoist.settings.fleet import read as settings_of
 from gradehoist.settings.reader import SettingsError
-from tests.governed import SECOND, World, entry, on_sockets
+from tests.support.governed_fleet import SECOND, World, entry, on_sockets
 
 ZONES = ("x", "y", "z")
 
--- a/tests/test_broken.py
+++ b/tests/test_checker_detection.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from gradehoist.history import effects, linear
+from gradehoist.history import exactly_once, linearizability
 from gradehoist.history.records import Line
 from gradehoist.settings import reader as r
-from tests.register_world import Faults, World
+from tests.support.store_simulation import Faults, World
 
-SCENES = sorted((Path(__file__).parent.parent / "scenes/processes/broken").glob("*.kdl"))
-CHECKS = {"generations": effects.generations, "linear": linear.check}
+SCENES = sorted((Path(__file__).parent.parent / "scenarios/processes/broken").glob("*.kdl"))
+CHECKS = {"generations": exactly_once.generations, "linear": linearizability.check}
 
 
 class Scene:
@@ -64,7 +64,11 @@
     assert caught, f"{scene.guard}: not caught in {scene.seeds} seeds"
     for seed in range(scene.seeds):
         lines = scene.play(seed, "")
-        assert not linear.check(lines) and not effects.generations(lines) and not effects.once(lines)
+        assert (
+            not linearizability.check(lines)
+            and not exactly_once.generations(lines)
+            and not exactly_once.once(lines)
+        )
 
 
 def test_there_is_a_scene_for_each_guard_that_the_world_can_take_out() -> None:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -6,15 +6,15 @@
 
 import pytest
 
-from gradehoist.coordination import register as r
+from gradehoist.coordination import store as r
 from gradehoist.coordination.agent import FLOORS, Agent, Me, Member
-from gradehoist.coordination.agreed import Agreed
-from gradehoist.coordination.generations import Gate, Right
+from gradehoist.coordination.fallback import Agreed
+from gradehoist.coordination.fencing import Gate, Right
 from gradehoist.coordination.members import Members, State, View
-from gradehoist.coordination.mirror import Backwards, Gap, Mirror, Older
-from gradehoist.history import effects, linear
+from gradehoist.coordination.watch_cache import Backwards, Gap, Mirror, Older
+from gradehoist.history import exactly_once, linearizability
 from gradehoist.history.records import Effect
-from tests.register_world import SECOND, TTL, Faults, Process, World
+from tests.support.store_simulation import SECOND, TTL, Faults, Process, World
 
 
 def holders(world: World) -> list[Process]:
@@ -22,8 +22,8 @@
 
 
 def judged(world: World) -> None:
-    assert not (bad := linear.check(world.lines)), bad[0]
-    assert not (wrong := effects.generations(world.lines) + effects.once(world.lines)), wrong[0]
+    assert not (bad := linearizability.check(world.lines)), bad[0]
+    assert not (wrong := exactly_once.generations(world.lines) + exactly_once.once(world.lines)), wrong[0]
 
 
 @pytest.mark.parametrize("seed", range(40))
@@ -77,7 +77,7 @@
         world.run(1)
         world.go_on(first)
         world.run(20)
-        found.append(effects.generations(world.lines))
+        found.append(exactly_once.generations(world.lines))
         assert first.claim.right is None and first.agent.joined and [n.kind for n in first.told("ended")]
     assert not found[0]
     assert "took effect after" in str(found[1][0])
@@ -196,7 +196,7 @@
     world.run(1)
     assert world.gate.known["job"] == holder.claim.right
     assert any(k.startswith("rights/") for k in holder.agent.value(FLOORS, dict[str, int]))
-    judged_effects = effects.generations(world.lines) + effects.once(world.lines)
+    judged_effects = exactly_once.generations(world.lines) + exactly_once.once(world.lines)
     assert not judged_effects
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_delivery_queue.py
@@ -7,13 +7,13 @@
 import pytest
 
 from gradehoist import interface as i
-from gradehoist.cells.budget import Budget
-from gradehoist.governor.ledger import Ledger, Piece
-from gradehoist.governor.parts import Part
+from gradehoist.cells.channel_shares import Budget
+from gradehoist.governor.delivery_queue import Ledger, Piece
+from gradehoist.governor.policy_instances import Part
 from gradehoist.governor.tables import Tables
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.protocol import feed
-from tests.governed import SECOND, entry
+from tests.support.governed_fleet import SECOND, entry
 from tests.test_cells import world
 
 CELLS, CLASSES, RELAYS = 4, 2, 3
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -14,20 +14,22 @@
 
 import psutil
 
-from gradehoist.standin.platform import Node, Proxy, entry
-from tests.node_site import SETTINGS
+from gradehoist.testbed.platform import Node, Proxy, entry
+from tests.support.platform_proxies import SETTINGS
 
 ROOT = Path(__file__).parent.parent
-LOADED = """
-    gradehoist gradehoist.choice gradehoist.governor gradehoist.governor.probes
-    gradehoist.governor.tables gradehoist.interface gradehoist.names gradehoist.net
+LOADED = sorted(
+    """
+    gradehoist gradehoist.policy gradehoist.policy.planner gradehoist.governor gradehoist.governor.probes
+    gradehoist.governor.tables gradehoist.interface gradehoist.identifiers gradehoist.net
     gradehoist.net.client gradehoist.net.listener gradehoist.net.reading
     gradehoist.node gradehoist.node.__main__
     gradehoist.node.config gradehoist.node.core gradehoist.node.discovery gradehoist.node.log
     gradehoist.node.service gradehoist.protocol gradehoist.protocol.feed gradehoist.protocol.http
     gradehoist.protocol.lines gradehoist.protocol.orca gradehoist.settings
-    gradehoist.settings.platform gradehoist.store gradehoist.store.sink
+    gradehoist.settings.platform gradehoist.store gradehoist.store.log_writer
 """.split()
+)
 HEAVY = ("sqlite3", "kdl", "numpy", "highspy", "matplotlib", "click", "rich", "structlog", "multiprocessing")
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from gradehoist.node.discovery import Change, Held, Lost, Watch, changes
-from gradehoist.standin.platform import entry
-from tests.shell_site import CHUNKED, chunk, line
+from gradehoist.testbed.platform import entry
+from tests.support.node_shell import CHUNKED, chunk, line
 
 
 def chunked(*pieces: bytes) -> bytes:
--- a/tests/test_orders.py
+++ b/tests/test_event_interleavings.py
@@ -7,7 +7,7 @@
 import pytest
 
 from gradehoist import interface as i
-from tests.orders import Broken, Site, explore, play
+from tests.support.interleavings import Broken, Site, explore, play
 
 ONE = (
     "drain w0",
--- a/tests/test_drills.py
+++ b/tests/test_fault_injection.py
@@ -16,16 +16,27 @@
 import psutil
 import pytest
 
-from gradehoist.day import scene
 from gradehoist.governor.service import Service
-from gradehoist.mover import run as mover
+from gradehoist.migration import runner as mover
 from gradehoist.net.server import Answer, Connection, Server
 from gradehoist.protocol import feed, http
+from gradehoist.scenario import definition
 from gradehoist.settings import fleet as f
-from gradehoist.standin.clients import Clients
-from gradehoist.standin.relay import Relays
-from tests.drills import GRACE, LOCAL, ROOT, Governor, Relay, Roster, fleet, play, settings, until
-from tests.governed import entry
+from gradehoist.testbed.clients import Clients
+from gradehoist.testbed.proxy import Relays
+from tests.support.governed_fleet import entry
+from tests.support.governor_process import (
+    GRACE,
+    LOCAL,
+    ROOT,
+    Governor,
+    Relay,
+    Roster,
+    fleet,
+    play,
+    settings,
+    until,
+)
 
 
 def test_a_planner_that_hangs_ends_the_governor_before_a_drain_is_late(tmp_path: Path) -> None:
@@ -174,7 +185,7 @@
 
     async def work() -> None:
         roster = Roster()
-        (port,) = scene.ports(1)
+        (port,) = definition.ports(1)
         found = f.read(settings(tmp_path, roster.port, port))
         service = Service(found.fleet, found.governors[0])
         running = asyncio.ensure_future(service.run())
@@ -207,7 +218,7 @@
         placed = f.Placed(("c0",), {f"w{n}": "c0" for n in range(4)})
         (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
         change = (("    reports", '    cells placement="p.json" lease="30ms"\n    reports'),)
-        roster, server, (port, worker) = Roster(), Server(hang), scene.ports(2)
+        roster, server, (port, worker) = Roster(), Server(hang), definition.ports(2)
         server.listen(worker, LOCAL)
         for n in range(4):
             roster.put(entry(n), address=f"{LOCAL}:{worker}")
@@ -228,7 +239,7 @@
 def test_two_governors_never_share_one_state(tmp_path: Path) -> None:
     async def work() -> None:
         async with fleet(tmp_path) as (roster, governor, _):
-            (port,) = scene.ports(1)
+            (port,) = definition.ports(1)
             path = tmp_path / "s.kdl"
             text = (
                 path.read_text()
@@ -250,7 +261,7 @@
 def test_a_state_that_cannot_be_read_is_named_as_such(tmp_path: Path) -> None:
     (tmp_path / "var").mkdir()
     (tmp_path / "var" / "a").write_text("a file where the folder should be")
-    one, two = scene.ports(2)
+    one, two = definition.ports(2)
     governor = Governor(settings(tmp_path, one, two), two)
     assert governor.process.wait(20) == 2
     assert "> state: " in governor.log.read_text() and "address" not in governor.log.read_text()
@@ -300,7 +311,7 @@
     placed = f.Placed(("c0", "c1"), {f"w{n}": f"c{n % 2}" for n in range(4)}, {"inn": "c0"})
     (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
     change = (("    reports", '    cells placement="p.json"\n    reports'),)
-    one, two = scene.ports(2)
+    one, two = definition.ports(2)
     path, store = settings(tmp_path, one, two, change), tmp_path / "moves"
     for where, most in (tmp_path / "p.json" / "x", 10**6), (store, 100):  # no folder; no room for a record
 
@@ -374,7 +385,7 @@
 def test_retries_of_all_layers_together_are_those_of_the_table(
     tmp_path: Path, repeat: str, meets: str, arrive: Callable[[int], int]
 ) -> None:
-    plan = scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
+    plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
     came: list[str] = []
 
     async def answer(request: http.Request, connection: Connection) -> Answer | None:
@@ -383,7 +394,7 @@
 
     async def work() -> None:
         relay = next(iter(Relays(plan, "relays-hall-a", tmp_path).all.values()))
-        server, ports = Server(answer), scene.ports(2)
+        server, ports = Server(answer), definition.ports(2)
         for port in ports:
             server.listen(port, LOCAL)
         names = [r.name for r in plan.replicas[:2]]
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -16,11 +16,11 @@
 import msgspec
 import pytest
 
-from gradehoist.day import scene
-from gradehoist.history import effects, linear
+from gradehoist.history import exactly_once, linearizability
 from gradehoist.history.records import Effect, Line, Told, Turned, load
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from tests.peer import LOCAL, Spec
+from gradehoist.scenario import definition
+from tests.support.fleet_process import LOCAL, Spec
 
 ROOT = Path(__file__).parent.parent
 
@@ -35,7 +35,7 @@
     def start(self) -> None:
         with self.path.with_suffix(".err").open("ab") as err:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "tests.peer", str(self.path)],
+                [sys.executable, "-m", "tests.support.fleet_process", str(self.path)],
                 cwd=ROOT,
                 stderr=err,
                 stdin=subprocess.DEVNULL,
@@ -67,12 +67,12 @@
         self, folder: Path, kind: str, count: int, guard: bool = True, step: float = 0.0, session: float = 2.0
     ) -> None:
         self.folder = folder
-        ledger, engine, *ports = scene.ports(count + 2)
+        ledger, engine, *ports = definition.ports(count + 2)
         self.engine: subprocess.Popen[bytes] | None = None
         self.engine_port = engine
         if kind == "engine":
             self.engine = subprocess.Popen(
-                [sys.executable, "-m", "gradehoist.standin", "engine", str(engine)],
+                [sys.executable, "-m", "gradehoist.testbed", "engine", str(engine)],
                 cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 start_new_session=True,
@@ -147,8 +147,8 @@
 
     def judge(self) -> list[Line]:
         lines = self.lines()
-        assert not (bad := linear.check(lines)), "\n".join(map(str, bad))
-        wrong = effects.generations(lines) + effects.once(lines)
+        assert not (bad := linearizability.check(lines)), "\n".join(map(str, bad))
+        wrong = exactly_once.generations(lines) + exactly_once.once(lines)
         assert not wrong, "\n".join(map(str, wrong))
         return lines
 
@@ -227,7 +227,7 @@
         await fleet.calm()
 
     fleet = play(tmp_path, "embedded", 2, work, guard=guard, step=0.7)
-    wrong = effects.generations(fleet.lines())
+    wrong = exactly_once.generations(fleet.lines())
     turned = [x for x in fleet.lines() if isinstance(x, Turned)]
     if guard:
         assert not wrong and turned and turned[0].gen < turned[0].known
@@ -293,10 +293,12 @@
 
     fleet = play(tmp_path, "engine", 3, work)
     lines = fleet.lines()
-    assert not (wrong := effects.generations(lines) + effects.once(lines)), wrong[0]
+    assert not (wrong := exactly_once.generations(lines) + exactly_once.once(lines)), wrong[0]
     fenced = [x.by for x in fleet.told() if x.what == "register_fenced"]
     assert len(fenced) == len(set(fenced)), "told in one line each"
-    assert linear.check(lines), "a register that went back is not linearizable, and the checker sees it"
+    assert linearizability.check(
+        lines
+    ), "a register that went back is not linearizable, and the checker sees it"
 
 
 def test_a_disk_without_room_for_one_process_costs_its_own_part_alone(tmp_path: Path) -> None:
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -12,11 +12,11 @@
 
 import msgspec
 
-from gradehoist.day import scene
 from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
 from gradehoist.protocol import feed
-from tests.drills import LOCAL, Governor, Relay, Roster
-from tests.governed import TEXT, entry
+from gradehoist.scenario import definition
+from tests.support.governed_fleet import TEXT, entry
+from tests.support.governor_process import LOCAL, Governor, Relay, Roster
 
 ZONES = ("x", "y", "z")
 REPLICAS = 12
@@ -74,7 +74,7 @@
         self.roster = Roster(0)
         for n in range(REPLICAS):
             self.roster.put(msgspec.structs.replace(entry(n), zone=ZONES[n % 3]))
-        ports = scene.ports(3)
+        ports = definition.ports(3)
         text = TEXT.format(relays=6, queue=4000, rate=4000).replace(":7000", f":{self.roster.port}")
         text = text.replace('zones "x" "y"', 'zones "x" "y" "z"')
         text = text.replace("    reports", f"    {FLEET}\n    reports")
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -8,11 +8,11 @@
 from gradehoist.governor.channel import Channel
 from gradehoist.governor.core import Poll, Refused
 from gradehoist.governor.intake import Intake
+from gradehoist.governor.proxy_streams import Stream
 from gradehoist.governor.roster import Gap, RosterView
-from gradehoist.governor.streams import Stream
-from gradehoist.names import Names
+from gradehoist.identifiers import Names
 from gradehoist.protocol import feed
-from tests.governed import SECOND, World, entry
+from tests.support.governed_fleet import SECOND, World, entry
 
 
 def bound(world: World) -> bool:
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gradehoist.history import effects, linear
+from gradehoist.history import exactly_once, linearizability
 from gradehoist.history.records import (
     Answered,
     Asked,
@@ -57,8 +57,8 @@
         self.lines.append(Answered(ended, by, self.n, "read", version, saw))
         return self
 
-    def check(self) -> list[linear.Breach]:
-        return linear.check(sorted(self.lines, key=lambda x: x.t))
+    def check(self) -> list[linearizability.Breach]:
+        return linearizability.check(sorted(self.lines, key=lambda x: x.t))
 
 
 def test_overlapping_calls_may_have_any_order_and_unknown_ones_any_time_or_none() -> None:
@@ -144,12 +144,12 @@
 
 def test_effects_are_judged_by_generation_holder_and_item() -> None:
     good: list[Line] = [effect(1, 1, "a", "x"), effect(2, 2, "b", "y"), effect(3, 1, "a", "z", "other")]
-    assert not effects.generations(good) and not effects.once(good)
-    (back,) = effects.generations([*good, effect(4, 1, "a", "w")])
+    assert not exactly_once.generations(good) and not exactly_once.once(good)
+    (back,) = exactly_once.generations([*good, effect(4, 1, "a", "w")])
     assert "generation 1 took effect after 2" in str(back) and len(back.stretch) == 2
-    (two,) = effects.generations([*good, effect(4, 2, "c", "w")])
+    (two,) = exactly_once.generations([*good, effect(4, 2, "c", "w")])
     assert "for two holders" in str(two)
-    (twice,) = effects.once([*good, effect(4, 2, "b", "x", "other")])
+    (twice,) = exactly_once.once([*good, effect(4, 2, "b", "x", "other")])
     assert "x took effect twice" in str(twice)
 
 
--- a/tests/test_open.py
+++ b/tests/test_known_limits.py
@@ -13,13 +13,13 @@
 import psutil
 import pytest
 
-from gradehoist.cells.moves import Fence
-from gradehoist.day import scene
-from gradehoist.governor.planner import PlannerProcess
+from gradehoist.cells.migration import Fence
+from gradehoist.governor.policy_process import PlannerProcess
 from gradehoist.governor.service import Service
+from gradehoist.scenario import definition
 from gradehoist.settings import fleet as f
-from tests.drills import GRACE, ROOT, Relay, Roster, play, settings, until
-from tests.governed import World, entry
+from tests.support.governed_fleet import World, entry
+from tests.support.governor_process import GRACE, ROOT, Relay, Roster, play, settings, until
 
 
 @pytest.mark.xfail(strict=True, reason="F18: only the module orders withdrawals, and it is at work")
@@ -36,7 +36,7 @@
 
     async def work() -> None:
         monkeypatch.setattr(PlannerProcess, "handle", handle)
-        roster, (port,) = Roster(), scene.ports(1)
+        roster, (port,) = Roster(), definition.ports(1)
         found = f.read(settings(tmp_path, roster.port, port))
         service = Service(found.fleet, found.governors[0])
         running = asyncio.ensure_future(service.run())
@@ -78,7 +78,7 @@
 
 @pytest.mark.xfail(strict=True, reason="F25: a day's processes do not watch the day")
 def test_a_day_that_is_killed_leaves_no_process(tmp_path: Path) -> None:
-    scene_path = str(ROOT / "scenes" / "short.kdl")
+    scene_path = str(ROOT / "scenarios" / "short.kdl")
     day = subprocess.Popen(
         [sys.executable, "-m", "gradehoist", "day", scene_path, "--quiet", "--out", str(tmp_path)],
         cwd=ROOT,
--- a/tests/test_moves.py
+++ b/tests/test_migration.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from gradehoist.cells.moves import Book, Confirm, Fence, Keys, Move, Step, Verdict, Word
+from gradehoist.cells.migration import Book, Confirm, Fence, Keys, Move, Step, Verdict, Word
 
 T = "inn"
 LEASE, WAIT = 10, 25  # ticks: the wait covers lease, settle and repeat
--- a/tests/test_mover.py
+++ b/tests/test_migration_runner.py
@@ -10,14 +10,14 @@
 import msgspec
 import pytest
 
-from gradehoist.cells.moves import Book, Fence, Move, Step, Verdict, Word
-from gradehoist.day.scene import ports
-from gradehoist.mover import run as mover
+from gradehoist.cells.migration import Book, Fence, Move, Step, Verdict, Word
+from gradehoist.migration import runner as mover
 from gradehoist.net.server import Answer, Connection, Server, json
 from gradehoist.protocol import feed, http
+from gradehoist.scenario.definition import ports
 from gradehoist.settings.fleet import Placed
-from gradehoist.store.keep import Held, Lock, write
-from tests.governed import on_sockets
+from gradehoist.store.atomic_file import Held, Lock, write
+from tests.support.governed_fleet import on_sockets
 
 LOCAL = "127.0.0.1"
 CELLS = {"a1": "A", "a2": "A", "b1": "B", "b2": "B"}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,7 +14,7 @@
 from gradehoist.node.discovery import Change
 from gradehoist.protocol import lines
 from gradehoist.settings import platform
-from tests.node_site import CLASSES, SECOND, SETTINGS, Proxy, Site, member
+from tests.support.platform_proxies import CLASSES, SECOND, SETTINGS, Proxy, Site, member
 
 
 def test_joined_proxies_get_tables_of_what_each_class_may_use() -> None:
--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -13,9 +13,9 @@
 
 import pytest
 
-from gradehoist.standin.platform import PATIENCE, Node, Proxy, entry
-from tests.node_site import SETTINGS
-from tests.shell_site import MEMBERS, until
+from gradehoist.testbed.platform import PATIENCE, Node, Proxy, entry
+from tests.support.node_shell import MEMBERS, until
+from tests.support.platform_proxies import SETTINGS
 
 
 @contextlib.asynccontextmanager
@@ -156,7 +156,7 @@
     node = Node(tmp_path, SETTINGS, MEMBERS)
     node.configure(0)
     code = (
-        "from gradehoist.choice import Planner\nfrom gradehoist.node.__main__ import main\n"
+        "from gradehoist.policy.planner import Planner\nfrom gradehoist.node.__main__ import main\n"
         "def broken(self, now, events): raise RuntimeError('planted')\n"
         "Planner.handle = broken\nraise SystemExit(main())"
     )
--- a/tests/test_choice.py
+++ b/tests/test_policy.py
@@ -14,8 +14,8 @@
 from hypothesis import strategies as st
 
 from gradehoist import interface as i
-from gradehoist.choice import Planner
-from tests.world import ANY, BOUND, LOCAL, SECOND, World, entry, running, start
+from gradehoist.policy.planner import Planner
+from tests.support.policy_fleet import ANY, BOUND, LOCAL, SECOND, World, entry, running, start
 
 CALM = (6, 0, i.Load(0.5, 2.0))
 READY, GONE, DRAINING = i.Phase.READY, i.Phase.GONE, i.Phase.DRAINING
@@ -200,7 +200,7 @@
 
 def test_two_processes_with_other_hash_seeds_give_the_same_orders() -> None:
     code = (
-        "import hashlib; from tests.test_choice import play; "
+        "import hashlib; from tests.test_policy import play; "
         "steps = [(0, n, 5) for n in range(6)] + [(2, 1, 1), (3, 1, 4), (6, 2, 7)] * 3; "
         "print(hashlib.sha256(repr(play(steps, 3).log).encode()).hexdigest())"
     )
--- a/tests/test_crossings.py
+++ b/tests/test_race_conditions.py
@@ -25,9 +25,9 @@
 from gradehoist.node import config
 from gradehoist.node import service as node_service
 from gradehoist.protocol import http, lines
-from gradehoist.standin.platform import LOCAL, PATIENCE, Node, Proxy, entry, free_ports
-from tests.node_site import SETTINGS
-from tests.shell_site import CHUNKED, MEMBERS, Crossing, Shell, Wire, shell, until, whole
+from gradehoist.testbed.platform import LOCAL, PATIENCE, Node, Proxy, entry, free_ports
+from tests.support.node_shell import CHUNKED, MEMBERS, Crossing, Shell, Wire, shell, until, whole
+from tests.support.platform_proxies import SETTINGS
 
 ROOT = Path(__file__).parent.parent
 DRAIN = whole(2, entry("s-0", "leaving"), complete=False)
--- a/tests/test_release.py
+++ b/tests/test_rollout.py
@@ -11,13 +11,13 @@
 
 import pytest
 
-from gradehoist.cells.release import Release, Seen, Step, calm, judge
-from gradehoist.day.scene import ports
-from gradehoist.mover import release as releasing
+from gradehoist.cells.rollout import Release, Seen, Step, calm, judge
+from gradehoist.migration import rollout as releasing
 from gradehoist.net.server import Answer, Connection, Server, json
 from gradehoist.protocol import feed, http
+from gradehoist.scenario.definition import ports
 from gradehoist.settings.fleet import Placed
-from tests.governed import on_sockets
+from tests.support.governed_fleet import on_sockets
 
 CELLS = {"A": ("a1", "a2"), "B": ("b1", "b2"), "C": ("c1", "c2")}
 LOCAL = "127.0.0.1"
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -19,19 +19,19 @@
 import psutil
 import pytest
 
-from gradehoist.cells.moves import Word
-from gradehoist.day import audit, scene
-from gradehoist.day.run import Run
-from gradehoist.governor import planner as planning
+from gradehoist.cells.migration import Word
+from gradehoist.governor import policy_process as planning
 from gradehoist.governor.openapi import document
 from gradehoist.governor.service import Service
 from gradehoist.net.client import Broken, Client, TimedOut
 from gradehoist.net.server import Answer, Connection, Patience, Server
 from gradehoist.protocol import feed, http
+from gradehoist.scenario import audit, definition
+from gradehoist.scenario.runner import Run
 from gradehoist.settings import fleet as f
-from gradehoist.standin import plan as p
-from gradehoist.standin.relay import Relay, Relays
-from tests.governed import entry, on_sockets
+from gradehoist.testbed import scenario_plan as p
+from gradehoist.testbed.proxy import Relay, Relays
+from tests.support.governed_fleet import entry, on_sockets
 
 ROOT = Path(__file__).parent.parent
 LOCAL = "127.0.0.1"
@@ -45,7 +45,7 @@
     """A roster in this process: says what it is told to say."""
 
     def __init__(self) -> None:
-        (self.port,) = scene.ports(1)
+        (self.port,) = definition.ports(1)
         self.version, self.entries, self.status, self.calls = 1, [entry(n) for n in range(4)], 200, 0
         self.server = Server(self.handle)
         self.server.listen(self.port, LOCAL)
@@ -62,7 +62,7 @@
 @contextlib.asynccontextmanager
 async def governor(tmp_path: Path, patience: Patience | None = None) -> AsyncIterator[tuple[Service, Client]]:
     roster = Roster()
-    (port,) = scene.ports(1)
+    (port,) = definition.ports(1)
     found = on_sockets(tmp_path, roster.port, port)
     service = Service(found.fleet, found.governors[0])
     if patience:
@@ -287,7 +287,7 @@
 
 def test_an_answer_lost_after_the_work_is_not_repeated_for_what_must_never_run_twice(tmp_path: Path) -> None:
     """The repeat order stands at the relay, the work is done, and its answer is cut off half way."""
-    plan = scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
+    plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
     done: list[str] = []
 
     async def cut(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -325,7 +325,7 @@
 
 def test_no_line_left_after_a_try_that_may_have_run_is_not_told_as_never_run(tmp_path: Path) -> None:
     """Further tries are ordered and the table has one line: a 503 would have the client send it again."""
-    plan = scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
+    plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
 
     async def answer(request: http.Request, connection: Connection) -> Answer | None:
         if (http.header(request.headers, "x-transaction") or "").startswith("cut"):
@@ -334,7 +334,7 @@
 
     async def work() -> None:
         relay: Relay = next(iter(Relays(plan, "relays-hall-a", tmp_path).all.values()))
-        (port,) = scene.ports(1)
+        (port,) = definition.ports(1)
         server = Server(answer)
         server.listen(port, LOCAL)
         name, cls = plan.replicas[0].name, next(c.name for c in plan.classes if c.repeat == "single")
@@ -356,7 +356,7 @@
 
 def test_half_an_answer_changes_nothing_at_a_relay_whatever_byte_the_governor_died_at(tmp_path: Path) -> None:
     """Cut at each byte and reset, as by a kill; then a governor of a new epoch answers whole."""
-    plan = scene.draw(scene.read(ROOT / "scenes" / "short.kdl"), 1)
+    plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
     plan = msgspec.structs.replace(plan, redial=(0, 0))
     lines = {"w1": 1.0, "w2": 2.5}
     deltas = (feed.Bind(7, tuple(c.name for c in plan.classes), lines), feed.Out("w3"))
@@ -434,7 +434,7 @@
                 raise OSError(28, "No space left on device")
 
             with monkeypatch.context() as patch:
-                patch.setattr("gradehoist.store.keep.write", full)
+                patch.setattr("gradehoist.store.atomic_file.write", full)
                 refused = await client.exchange("POST", "/v1/cells/word", word)
                 assert refused.status == 503 and b"No space" in refused.body and not service.book.words
             assert (await client.exchange("POST", "/v1/cells/word", word)).status == 200
@@ -449,7 +449,7 @@
 
 def test_sigterm_and_a_taken_address(tmp_path: Path) -> None:
     text = (ROOT / "deploy" / "example.kdl").read_text()
-    one, two = scene.ports(2)
+    one, two = definition.ports(2)
     path = tmp_path / "s.kdl"
     path.write_text(text.replace("7101", str(one)).replace("7102", str(two)))
     command = [sys.executable, "-m", "gradehoist", "governor", str(path), "--name", "a", "--log", "json"]
@@ -469,8 +469,8 @@
 
 
 def test_a_short_day_through_all_processes_keeps_the_rules(tmp_path: Path) -> None:
-    script = scene.read(ROOT / "scenes" / "short.kdl")
-    day = Run(script, scene.draw(script, 1), tmp_path)
+    script = definition.read(ROOT / "scenarios" / "short.kdl")
+    day = Run(script, definition.draw(script, 1), tmp_path)
     assert asyncio.run(day.play())
     _, verdict = audit.folder(tmp_path)
     states = {rule.rule: rule.state for rule in verdict.rules}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,7 @@
 from click.testing import CliRunner
 
 from gradehoist.cli.main import main
-from gradehoist.day import scene
+from gradehoist.scenario import definition
 from gradehoist.settings import fleet
 from gradehoist.settings.reader import SettingsError
 
@@ -93,16 +93,16 @@
 
 
 SCENES = [
-    *sorted((ROOT / "scenes").glob("*.kdl")),
-    *sorted((ROOT / "scenes/troubles").glob("*.kdl")),
-    *sorted((ROOT / "scenes/cells").glob("*.kdl")),
+    *sorted((ROOT / "scenarios").glob("*.kdl")),
+    *sorted((ROOT / "scenarios/faults").glob("*.kdl")),
+    *sorted((ROOT / "scenarios/cells").glob("*.kdl")),
 ]
 
 
 @pytest.mark.parametrize("path", SCENES, ids=lambda p: p.stem)
 def test_every_scene_reads_and_draws_the_same_day_for_a_seed(path: Path) -> None:
-    found = scene.read(path)
-    one, two = scene.draw(found, 5), scene.draw(found, 5)
+    found = definition.read(path)
+    one, two = definition.draw(found, 5), definition.draw(found, 5)
     assert one.steps == two.steps and one.steps and one.rate == two.rate
     assert [r.speed for r in one.replicas] == [r.speed for r in two.replicas]
-    assert one.steps != scene.draw(found, 6).steps or len(found.troubles) < 2
+    assert one.steps != definition.draw(found, 6).steps or len(found.faults) < 2
--- a/tests/test_homes.py
+++ b/tests/test_store_backends.py
@@ -13,11 +13,11 @@
 
 import pytest
 
-from gradehoist.coordination import register as r
-from gradehoist.day import scene
-from gradehoist.net.engine import Engine
-from gradehoist.standin import engine as standin
-from gradehoist.store.embedded import Embedded
+from gradehoist.coordination import store as r
+from gradehoist.net.etcd import Engine
+from gradehoist.scenario import definition
+from gradehoist.store.sqlite_store import Embedded
+from gradehoist.testbed import etcd_server as standin
 
 SECOND = 1_000_000
 Test = Callable[[r.Home, Any], Awaitable[None]]
@@ -33,7 +33,7 @@
         finally:
             await own.close()
         return
-    (port,) = scene.ports(1)
+    (port,) = definition.ports(1)
     engine, server = standin.serve(port)
     own = Engine("127.0.0.1", port)
     try:
@@ -220,7 +220,7 @@
         behind.order({"full": True})
         with pytest.raises(r.Full):
             await own.commit((r.Put("b", b"1", 0),), "x:2")
-        (port,) = scene.ports(1)
+        (port,) = definition.ports(1)
         nobody = Engine("127.0.0.1", port)
         with pytest.raises(r.Unreachable):
             await nobody.commit((r.Put("b", b"1", 0),), "x:2")
--- a/tests/test_leaving.py
+++ b/tests/test_zone_evacuation.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from gradehoist.zones.evidence import State, Trouble, Verdict
-from gradehoist.zones.leaving import FULL, Class, Plan, Rules, Stay, Zone, levels, next_plan, ready, use
+from gradehoist.zones.evacuation import FULL, Class, Plan, Rules, Stay, Zone, levels, next_plan, ready, use
+from gradehoist.zones.health import State, Trouble, Verdict
 
 SECOND = 1_000_000
 RULES = Rules(settle=3 * SECOND, well=10 * SECOND, longest=120 * SECOND)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -8,12 +8,12 @@
 import msgspec
 import pytest
 
-from gradehoist.coordination.generations import Right
-from gradehoist.coordination.register import Put, checked
-from gradehoist.zones.allowance import Deal, dealt
-from gradehoist.zones.board import Board
-from gradehoist.zones.evidence import Fleet, Sight, State, Trouble, View
-from gradehoist.zones.leaving import Plan, Rules, Stay
+from gradehoist.coordination.fencing import Right
+from gradehoist.coordination.store import Put, checked
+from gradehoist.zones.coordinator import Board
+from gradehoist.zones.evacuation import Plan, Rules, Stay
+from gradehoist.zones.health import Fleet, Sight, State, Trouble, View
+from gradehoist.zones.warmup_quota import Deal, dealt
 
 SECOND = 1_000_000
 WELL = Sight(100, 2, 3, 10, 0, 0, 0)
