--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -15,19 +15,19 @@
 import pytest
 
 from gradehoist import interface
-from gradehoist.cells import limits, moves, release
+from gradehoist.capacity_planning import planner
+from gradehoist.cells import migration, rate_limits, rollout
 from gradehoist.coordination import agent, members
-from gradehoist.day import audit
 from gradehoist.governor import openapi, service
 from gradehoist.history import records
-from gradehoist.plans import make
 from gradehoist.protocol import feed, orca
+from gradehoist.scenario import audit
 from gradehoist.settings import fleet
-from gradehoist.standin import engine, plan, roster
-from gradehoist.zones import allowance, evidence, leaving
+from gradehoist.testbed import endpoint_list, etcd_server, scenario_plan
+from gradehoist.zones import evacuation, health, warmup_quota
 
 FILE = Path(__file__).parent / "data" / "encoded.txt"
-NEVER_ENCODED = {orca.Report, engine.Faults, roster.Entry}  # by their field names, that is
+NEVER_ENCODED = {orca.Report, etcd_server.Faults, endpoint_list.Entry}  # by their field names, that is
 
 ALL_DELTAS: tuple[feed.Delta, ...] = (
     feed.Line(table=3, replica="w1", weight=0.5),
@@ -71,7 +71,7 @@
     age=77,
 )
 MESSAGE = feed.Message(seq=1, reply=2, at=3, cost=14.0, deltas=ALL_DELTAS, mark=4, whole=True)
-SIGHT = evidence.Sight(
+SIGHT = health.Sight(
     tried=9.0,
     failed=1.0,
     late=2.0,
@@ -82,9 +82,9 @@
     busy=0.5,
     bears=0.25,
 )
-STAY = leaving.Stay(to=0.5, why="failing", back=True, flaps=2, wait=20_000_000)
-SERVED = make.Served(cls="read", origin="hall-a", zone="hall-b", kind="large-4c", cell="A", rate=12_345)
-CASE = make.Case(
+STAY = evacuation.Stay(to=0.5, why="failing", back=True, flaps=2, wait=20_000_000)
+SERVED = planner.Served(cls="read", origin="hall-a", zone="hall-b", kind="large-4c", cell="A", rate=12_345)
+CASE = planner.Case(
     slot=1,
     lost=("hall-a",),
     served=(SERVED,),
@@ -93,13 +93,13 @@
     prices=(("hall-b", "large-4c", "A", 5),),
 )
 ENDPOINT = ("127.0.0.1", 9001)
-DAY = plan.Plan(
+DAY = scenario_plan.Plan(
     name="day",
     seed=1,
     length=2,
     zones=("hall-a",),
     classes=(
-        plan.Class(
+        scenario_plan.Class(
             name="read",
             share=1.0,
             work=100.0,
@@ -114,7 +114,7 @@
             stays_local=True,
         ),
     ),
-    rules=plan.Rules(
+    rules=scenario_plan.Rules(
         grace=1,
         cold_time=2,
         fall_multiple=3.0,
@@ -128,7 +128,7 @@
         message_window=10,
     ),
     replicas=(
-        plan.Replica(
+        scenario_plan.Replica(
             name="w1",
             zone="hall-a",
             kind="large-4c",
@@ -144,12 +144,18 @@
             listed=False,
         ),
     ),
-    relays=(plan.Relay(name="r1", zone="hall-a", port=9002, share=1.0, governors=(("a", ENDPOINT),)),),
+    relays=(
+        scenario_plan.Relay(name="r1", zone="hall-a", port=9002, share=1.0, governors=(("a", ENDPOINT),)),
+    ),
     governors=(("a", "hall-a", ENDPOINT),),
-    links=(plan.Link(port=9003, zone="hall-a", target="w1", target_zone="hall-b", to=ENDPOINT, relay="r1"),),
+    links=(
+        scenario_plan.Link(
+            port=9003, zone="hall-a", target="w1", target_zone="hall-b", to=ENDPOINT, relay="r1"
+        ),
+    ),
     roster=ENDPOINT,
     controls={"clients": 9004},
-    steps=(plan.Step(at=12, role="clients", do={"do": "begin"}),),
+    steps=(scenario_plan.Step(at=12, role="clients", do={"do": "begin"}),),
     rate=13.0,
     shape=((14, 1.5),),
     retries=1,
@@ -173,17 +179,17 @@
     cells=("A",),
     workers={"w1": "A"},
     named={"inn": "A"},
-    limits=plan.Limits(cell=1.0, tenant=2.0, burst=3.0, held=4),
+    limits=scenario_plan.Limits(cell=1.0, tenant=2.0, burst=3.0, held=4),
     even=True,
 )
-WORD = moves.Word(tenant="inn", gen=3, move="000001-3", cell="B", keys=frozenset({"k1"}))
-MOVE = moves.Move(
+WORD = migration.Word(tenant="inn", gen=3, move="000001-3", cell="B", keys=frozenset({"k1"}))
+MOVE = migration.Move(
     id="000001-3",
     tenant="inn",
     source="A",
     target="B",
     gen=3,
-    step=moves.Step.OPEN,
+    step=migration.Step.OPEN,
     fenced=False,
     known=frozenset({"a"}),
     shut=frozenset({"a1"}),
@@ -192,8 +198,8 @@
     undone=True,
     conflict="b holds generation 4",
 )
-SEEN = release.Seen(came=40, unanswered=1, good=39, elapsed=7_800_000)
-RELEASE = release.Release(
+SEEN = rollout.Seen(came=40, unanswered=1, good=39, elapsed=7_800_000)
+RELEASE = rollout.Release(
     id="000002",
     cells=("A", "B"),
     workers={"A": ("a1", "a2"), "B": ("b1",)},
@@ -201,7 +207,7 @@
     run="renew {worker}",
     back="put-back {worker}",
     at=1,
-    step=release.Step.BACK,
+    step=rollout.Step.BACK,
     touched=frozenset({"b1"}),
     renewed=frozenset({"a1"}),
     why="harm",
@@ -214,7 +220,7 @@
     ranges=("A", "B"),
     lease=1,
     settle=2,
-    limits=limits.Limits(cell=1.0, tenant=2.0, burst=3.0, held=4, cell_held=5),
+    limits=rate_limits.Limits(cell=1.0, tenant=2.0, burst=3.0, held=4, cell_held=5),
 )
 
 VALUES: dict[str, Any] = {
@@ -258,7 +264,7 @@
     ),
     "named": agent.Named(gen=2, holder="a-1", by="members/governor/a"),
     "view of members": members.View(lost=("members/governor/b",), cut=True),
-    "view of zones": evidence.View(
+    "view of zones": health.View(
         zone="hall-a",
         traffic=12.5,
         list_age=400_000,
@@ -269,20 +275,22 @@
         plan=(1, 2),
         deal=3,
     ),
-    "plan of zones": leaving.Plan(gen=1, holder="a-1", step=2, zones={"hall-b": STAY}, levels={"read": 0.8}),
-    "deal": allowance.Deal(gen=3, holder="a-1", parts={"a-1": 0.75}, at_most={"a-1": 1.0}),
+    "plan of zones": evacuation.Plan(
+        gen=1, holder="a-1", step=2, zones={"hall-b": STAY}, levels={"read": 0.8}
+    ),
+    "deal": warmup_quota.Deal(gen=3, holder="a-1", parts={"a-1": 0.75}, at_most={"a-1": 1.0}),
     # Tenants: placement, words to governors and workers, records of moves and releases
     "placement": PLACEMENT,
     "word": WORD,
-    "confirm": moves.Confirm(by="a", held=WORD, busy=True, keys=frozenset({"k2"})),
+    "confirm": migration.Confirm(by="a", held=WORD, busy=True, keys=frozenset({"k2"})),
     "move": MOVE,
-    "shortest move": moves.Move(id="000000-2", tenant="inn", source="A", target="B", gen=2),
+    "shortest move": migration.Move(id="000000-2", tenant="inn", source="A", target="B", gen=2),
     "release": RELEASE,
-    "shortest release": release.Release(
+    "shortest release": rollout.Release(
         id="000001", cells=("A",), workers={"A": ("a1",)}, batch=1, run="renew"
     ),
     # Plans for events, plans and verdicts of scripted days
-    "plan of an event": make.Plan(
+    "plan of an event": planner.Plan(
         version=1,
         event="fair",
         begins="2027-02-05T09:00:00+09:00",
@@ -364,15 +372,15 @@
 @pytest.mark.parametrize(
     ("states", "words"),
     [
-        (moves.Step, ["shut", "open", "done"]),
-        (moves.Verdict, ["take", "known", "busy", "moved", "no lease"]),
-        (release.Step, ["renew", "soak", "done", "putting back", "halted"]),
+        (migration.Step, ["shut", "open", "done"]),
+        (migration.Verdict, ["take", "known", "busy", "moved", "no lease"]),
+        (rollout.Step, ["renew", "soak", "done", "putting back", "halted"]),
         (interface.Phase, ["ready", "draining", "gone"]),
         (interface.Repeat, ["free", "guarded", "single"]),
         (members.State, ["here", "suspected", "lost to me", "lost to most", "ended"]),
-        (evidence.State, ["well", "slow but alive", "failing", "cut off from the others", "not seen"]),
+        (health.State, ["well", "slow but alive", "failing", "cut off from the others", "not seen"]),
         (
-            evidence.Trouble,
+            health.Trouble,
             ["none", "discovery lost", "most zones fail for all: a release, or the observers"],
         ),
     ],
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -18,36 +18,36 @@
 import pytest
 from click.testing import CliRunner, Result
 
-from gradehoist.cells.moves import Confirm, Move, Step, Word
-from gradehoist.cells.release import Release, Seen
-from gradehoist.cells.release import Step as ReleaseStep
+from gradehoist.capacity_planning.planner import Case, Plan, Served
+from gradehoist.cells.migration import Confirm, Move, Step, Word
+from gradehoist.cells.rollout import Release, Seen
+from gradehoist.cells.rollout import Step as ReleaseStep
 from gradehoist.cli.cells import read as read_placement
 from gradehoist.cli.main import main
 from gradehoist.cli.plan import load as load_plan
 from gradehoist.coordination.agent import Agent, Me, Member, Named
-from gradehoist.coordination.generations import Right
+from gradehoist.coordination.election import Claim
+from gradehoist.coordination.fencing import Right
 from gradehoist.coordination.members import View as MembersView
-from gradehoist.coordination.register import Done, Put, Refused
-from gradehoist.coordination.rights import Claim
-from gradehoist.day import audit
-from gradehoist.day.scene import ports
+from gradehoist.coordination.store import Done, Put, Refused
 from gradehoist.governor.service import Service
-from gradehoist.history import effects, linear, records
-from gradehoist.mover import release as releasing
-from gradehoist.mover import run as mover
+from gradehoist.history import exactly_once, linearizability, records
+from gradehoist.migration import rollout as releasing
+from gradehoist.migration import runner as mover
 from gradehoist.net.client import Client
-from gradehoist.net.coordinator import Coordinator
-from gradehoist.plans.make import Case, Plan, Served
+from gradehoist.net.coordination_client import Coordinator
 from gradehoist.protocol import feed
+from gradehoist.scenario import audit
+from gradehoist.scenario.definition import ports
 from gradehoist.settings import fleet, reader
 from gradehoist.settings.fleet import Placed
-from gradehoist.standin import plan as scripted
-from gradehoist.store.embedded import Embedded
-from gradehoist.zones.allowance import Deal
-from gradehoist.zones.evidence import Sight, View
-from gradehoist.zones.leaving import Plan as ZonesPlan
-from gradehoist.zones.leaving import Stay
-from tests import test_mover, test_release
+from gradehoist.store.sqlite_store import Embedded
+from gradehoist.testbed import scenario_plan as scripted
+from gradehoist.zones.evacuation import Plan as ZonesPlan
+from gradehoist.zones.evacuation import Stay
+from gradehoist.zones.health import Sight, View
+from gradehoist.zones.warmup_quota import Deal
+from tests import test_migration_runner, test_rollout
 
 DATA = Path(__file__).parent / "data"
 LOCAL = "127.0.0.1"
@@ -360,7 +360,7 @@
 
 def test_a_mover_goes_on_from_its_stored_records_to_their_end(sample: Sample, tmp_path: Path) -> None:
     async def work() -> None:
-        store, site = sample("moves"), test_mover.Site(tmp_path)
+        store, site = sample("moves"), test_migration_runner.Site(tmp_path)
         try:
             due = mover.under_way(mover.load(store))
             ended = await mover.Mover(site.settings, store, lambda move, waits: None).run(due)
@@ -459,7 +459,7 @@
     (tmp_path / "renewed").write_text("a1 a2 b1 b2\n")  # b2 was begun
     last = releasing.load(sample("releases"))
     assert last is not None
-    ended = test_release.Site(tmp_path).play(last)
+    ended = test_rollout.Site(tmp_path).play(last)
     assert ended.step is ReleaseStep.DONE
     assert (tmp_path / "renewed").read_text().split() == ["a1", "a2", "b1", "b2", "b2", "c1", "c2"]
 
@@ -649,26 +649,26 @@
 
 def test_a_history_in_order_is_linearizable_and_each_effect_was_taken_once() -> None:
     lines = records.load(history("whole"))
-    assert linear.check(lines) == []
-    assert effects.generations(lines) == []
-    assert effects.once(lines) == []
+    assert linearizability.check(lines) == []
+    assert exactly_once.generations(lines) == []
+    assert exactly_once.once(lines) == []
 
 
 def test_a_history_out_of_order_shows_the_same_breaches() -> None:
     lines = records.load(history("broken"))
-    (stale,) = linear.check(lines)
+    (stale,) = linearizability.check(lines)
     assert str(stale) == (
         "k: no order of these calls is one of a register:\n"
         "  0.000003 to 0.000004 s a: commit a:2 version 2 -> (3, 'a:2')\n"
         "  0.000005 to 0.000006 s b: read saw (2, 'a:1')"
     )
-    (older,) = effects.generations(lines)
+    (older,) = exactly_once.generations(lines)
     assert str(older) == (
         "job: generation 1 took effect after 2\n"
         "  0.000007 s ledger: job generation 2 of b: x\n"
         "  0.000008 s ledger: job generation 1 of a: y"
     )
-    (twice,) = effects.once(lines)
+    (twice,) = exactly_once.once(lines)
     assert str(twice) == (
         "x took effect twice\n"
         "  0.000007 s ledger: job generation 2 of b: x\n"
