--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,7 +20,7 @@
 from bench.feeders import Feeder, Governor
 from bench.node import figures as node_figures
 from bench.register import figures as register_figures
-from gradehoist.net.client import Client
+from gradehoist.net.client import HttpClient
 from gradehoist.protocol import feed, http
 from gradehoist.scenario import audit, definition
 from gradehoist.scenario.runner import Run
@@ -48,7 +48,7 @@
         reader, count = http.Parser(http.Role.SERVER), 0
         for _ in range(20):
             for _event in reader.receive(data):
-                http.response(204)
+                http.format_response(204)
                 count += 1
         return count
 
@@ -135,11 +135,11 @@
         governor, feeders, tasks = await _governed(relays, replicas, rate, rate, folder, module)
         tasks += [asyncio.ensure_future(f.sums(replicas, 1.0)) for f in feeders]
         await asyncio.sleep(5)
-        client, waits = Client("127.0.0.1", governor.port), []
+        client, waits = HttpClient("127.0.0.1", governor.port), []
         (cpu, _), (planner, _), began = governor.usage(), governor.planner_usage(), time.monotonic()
         while time.monotonic() - began < 20:
             asked = time.perf_counter()
-            await client.exchange("GET", "/v1/status", timeout=30)
+            await client.request("GET", "/v1/status", timeout_s=30)
             waits.append(1e3 * (time.perf_counter() - asked))
             await asyncio.sleep(0.01)
         took = time.monotonic() - began
@@ -322,27 +322,29 @@
     asyncio.run(_idle(5000))
 
 
-def whole_size(held: feed.Holdings) -> int:
+def whole_size(held: feed.ProxyState) -> int:
     """Bytes of a whole picture of what a relay holds."""
     tables: dict[tuple[int, int], list[str]] = {}
-    for cls, key in held.table.items():
+    for cls, key in held.table_by_class.items():
         tables.setdefault(key, []).append(cls)
-    deltas: list[feed.Delta] = [feed.Bind(k[1], tuple(c), held.tables.get(k, {})) for k, c in tables.items()]
-    deltas += [feed.Out(x) for x in held.out]
-    deltas += [feed.Level(t, (c,), s, n) for (t, c), (s, n) in held.levels.items()]
+    deltas: list[feed.Delta] = [
+        feed.BindDelta(k[1], tuple(c), held.tables.get(k, {})) for k, c in tables.items()
+    ]
+    deltas += [feed.WithdrawalDelta(x) for x in held.withdrawn]
+    deltas += [feed.AdmissionDelta(t, (c,), s, n) for (t, c), (s, n) in held.admission.items()]
     return len(msgspec.json.encode(feed.Message(1, 1, 10**9, 1.0, tuple(deltas), 1, True)))
 
 
 def sizes(folder: Path) -> None:
     """Bytes of the messages of a run, and of whole pictures in their place."""
-    held: dict[str, feed.Holdings] = {}
+    held: dict[str, feed.ProxyState] = {}
     deltas = whole = 0
     for record in audit.load(folder):
         if record["e"] == "joined":
-            held.setdefault(record["relay"], feed.Holdings()).joined()
+            held.setdefault(record["relay"], feed.ProxyState()).begin_stream()
         elif record["e"] == "applied":
             message = msgspec.convert(record["message"], feed.Message)
-            mine = held.setdefault(record["relay"], feed.Holdings())
+            mine = held.setdefault(record["relay"], feed.ProxyState())
             mine.apply(message)
             deltas += len(msgspec.json.encode(message))
             whole += whole_size(mine)
--- a/bench/feeders.py
+++ b/bench/feeders.py
@@ -13,15 +13,15 @@
 import msgspec
 import psutil
 
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from gradehoist.net.server import Answer, Connection, Server
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
+from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http
 from gradehoist.scenario.definition import ports
-from gradehoist.settings.fleet import Placed
+from gradehoist.settings.fleet import CellPlacement
 
 LOCAL = "127.0.0.1"
 ZONES = ("hall-a", "hall-b", "hall-c")
-DECODER: msgspec.json.Decoder[feed.Feed] = msgspec.json.Decoder(feed.Feed)
+DECODER: msgspec.json.Decoder[feed.PollResponse] = msgspec.json.Decoder(feed.PollResponse)
 SETTINGS = """
 fleet relays={relays} roster="127.0.0.1:{roster}" {{
     zones "hall-a" "hall-b" "hall-c"
@@ -38,18 +38,18 @@
 """
 
 
-def entry(n: int, phase: str = "ready") -> feed.Replica:
-    return feed.Replica(f"w{n}", ZONES[n % 3], "", "k", n // 5, phase, 1.0, f"w{n}/1", 10**9)
+def entry(n: int, phase: str = "ready") -> feed.EndpointRecord:
+    return feed.EndpointRecord(f"w{n}", ZONES[n % 3], "", "k", n // 5, phase, 1.0, f"w{n}/1", 10**9)
 
 
 class Roster:
     def __init__(self, replicas: int, port: int) -> None:
         self.version, self.told = 1, 0.0
         self.entries, self.changed = [entry(n) for n in range(replicas)], asyncio.Event()
-        self.server = Server(self.handle)
+        self.server = HttpServer(self.handle)
         self.server.listen(port, LOCAL)
 
-    async def handle(self, request: http.Request, connection: Connection) -> Answer:
+    async def handle(self, request: http.Request, connection: Connection) -> ServerResponse:
         whole = "after=-1" in request.target
         if not whole and f"after={self.version}&" in request.target:
             try:
@@ -60,9 +60,11 @@
             self.told = time.monotonic()
         return self._answer(tuple(self.entries) if whole else (self.entries[0],), whole)
 
-    def _answer(self, entries: tuple[feed.Replica, ...], whole: bool) -> Answer:
+    def _answer(self, entries: tuple[feed.EndpointRecord, ...], whole: bool) -> ServerResponse:
         after = self.version - bool(entries)
-        return Answer(200, msgspec.json.encode(feed.Roster("l", self.version, entries, whole, after)))
+        return ServerResponse(
+            200, msgspec.json.encode(feed.EndpointListUpdate("l", self.version, entries, whole, after))
+        )
 
     def drain(self) -> None:
         self.entries[0] = entry(0, "draining")
@@ -81,15 +83,17 @@
         self.classes = set[str]()
 
     async def follow(self) -> None:
-        client = Client(LOCAL, self.port, connect_timeout=10.0, limits=http.Limits(body=1 << 26))
+        client = HttpClient(
+            LOCAL, self.port, connect_timeout_s=10.0, limits=http.Limits(max_body_bytes=1 << 26)
+        )
         while True:
             target = (
                 f"/v1/feed?relay={self.name}&zone={self.zone}&rate=3&epoch={self.epoch}"
                 f"&stream={self.stream}&after={self.after}"
             )
             try:
-                response = await client.exchange("GET", target, timeout=120)
-            except (Unreachable, Broken, TimedOut):
+                response = await client.request("GET", target, timeout_s=120)
+            except (ConnectError, ConnectionLostError, ResponseTimeoutError):
                 await asyncio.sleep(0.2)
                 continue
             if response.status != 200:
@@ -100,25 +104,25 @@
                 self.out = time.monotonic()
             answer = DECODER.decode(response.body)
             self.messages += len(answer.messages)
-            if answer.joined:
+            if answer.is_new_stream:
                 self.epoch, self.stream, self.after = answer.epoch, answer.stream, 0
             for message in answer.messages:
                 self.after = message.seq
                 for delta in message.deltas:
-                    if isinstance(delta, feed.Bind):
+                    if isinstance(delta, feed.BindDelta):
                         self.bound += 1
                         self.classes.update(delta.classes)
 
     async def sums(self, replicas: int, period: float, cells: int = 0, sway: float = 0.0) -> None:
         """Each period, tries at some thirty replicas, with load reports that wander a little; with `sway`
         each replica's load goes up and down by so much within a minute, at a time of its own."""
-        client = Client(LOCAL, self.port)
+        client = HttpClient(LOCAL, self.port)
         await asyncio.sleep(period * (self.n % 97) / 97)
         beat = 0
         while True:
             beat += 1
             tries = tuple(
-                feed.Try(
+                feed.ReplicaAttempts(
                     f"w{(self.n * 7 + k * 5) % replicas}",
                     3,
                     0,
@@ -131,10 +135,13 @@
                 for k in range(30)
             )
             cell = f"c{(self.n + beat) % cells}/" if cells else ""
-            came = (feed.Came(cell + "rate-check", 6), feed.Came(cell + "booking-commit", 3))
-            sums = feed.Sums(self.name, self.epoch, int(period * 1e6), tries, came)
-            with contextlib.suppress(Unreachable, Broken, TimedOut):
-                await client.exchange("POST", "/v1/sums", msgspec.json.encode(sums), timeout=5)
+            came = (
+                feed.ClassRequests(cell + "rate-check", 6),
+                feed.ClassRequests(cell + "booking-commit", 3),
+            )
+            sums = feed.ProxyLoadReport(self.name, self.epoch, int(period * 1e6), tries, came)
+            with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
+                await client.request("POST", "/v1/sums", msgspec.json.encode(sums), timeout_s=5)
             await asyncio.sleep(period)
 
 
@@ -159,7 +166,7 @@
         path = folder / "settings.kdl"
         if cells:
             names = tuple(f"c{n}" for n in range(cells))
-            placed = Placed(names, {f"w{n}": names[n // 3 % cells] for n in range(replicas)})
+            placed = CellPlacement(names, {f"w{n}": names[n // 3 % cells] for n in range(replicas)})
             (folder / "cells.json").write_bytes(msgspec.json.encode(placed))
         path.write_text(
             SETTINGS.format(
@@ -178,20 +185,20 @@
             [sys.executable, "-m", module, "governor", str(path), "--name", "a", "--log", "json"],
             stderr=self.log,
         )
-        self.client = Client(LOCAL, self.port)
+        self.client = HttpClient(LOCAL, self.port)
 
     async def ready(self) -> None:
         for _ in range(200):
             try:
                 if (await self.status())["replicas"]:
                     return
-            except (Unreachable, Broken, TimedOut):
+            except (ConnectError, ConnectionLostError, ResponseTimeoutError):
                 pass
             await asyncio.sleep(0.05)
         raise RuntimeError("the governor did not come up")
 
     async def status(self) -> dict[str, object]:
-        response = await self.client.exchange("GET", "/v1/status", timeout=10)
+        response = await self.client.request("GET", "/v1/status", timeout_s=10)
         out: dict[str, object] = msgspec.json.decode(response.body)
         return out
 
--- a/bench/inline.py
+++ b/bench/inline.py
@@ -9,7 +9,7 @@
 
 class Inline:
     def __init__(self, starts: Any, now: int, slotted: bool) -> None:
-        self.modules, self.cpu, self.pid = policy_process.Modules(starts, now, slotted), 0.0, 0
+        self.modules, self.cpu, self.pid = policy_process.PolicyHost(starts, now, slotted), 0.0, 0
 
     async def handle(self, now: int, batches: Any, timers: bool = True) -> Any:
         return self.modules.handle(now, batches, timers)
@@ -18,7 +18,7 @@
 
 
 if __name__ == "__main__":
-    service.PlannerProcess = Inline  # type: ignore[assignment,attr-defined]
+    service.PolicyProcess = Inline  # type: ignore[assignment,attr-defined]
     from gradehoist.cli.main import main
 
     main(prog_name="gradehoist")
--- a/bench/member.py
+++ b/bench/member.py
@@ -12,16 +12,16 @@
 from typing import Any
 
 from gradehoist.membership.service import Membership
-from gradehoist.net.server import Answer, Connection, Server, json, refusal
+from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response, json_response
 from gradehoist.protocol import http
-from gradehoist.settings.fleet import Coordination
+from gradehoist.settings.fleet import CoordinationSettings
 
 KEY = "probe"
 
 
 async def main() -> None:
     where, port, name = sys.argv[1:]
-    settings = Coordination(
+    settings = CoordinationSettings(
         None if where.isdigit() else Path(where),
         ("127.0.0.1", int(where)) if where.isdigit() else None,
         "bench/",
@@ -35,25 +35,25 @@
     late = list[float]()
 
     def changed(key: str) -> None:
-        if key == KEY and (sent := member.agent.value(KEY, int)):
+        if key == KEY and (sent := member.agent.decode_record(KEY, int)):
             late.append((time.monotonic_ns() - sent) / 1e6)
 
-    async def handle(request: http.Request, connection: Connection) -> Answer:
+    async def handle(request: http.Request, connection: Connection) -> ServerResponse:
         path, _, query = request.target.partition("?")
         if path == "/healthz":
-            return member.healthy(query)
+            return member.answer_health_check(query)
         if path == "/probe":
-            member.propose(member.agent.put(KEY, time.monotonic_ns()))
-            return Answer(204)
+            member.propose(member.agent.build_put(KEY, time.monotonic_ns()))
+            return ServerResponse(204)
         if path == "/status":
             found: dict[str, Any] = member.status() | {"late": late, "cpu": time.process_time()}
-            return json(found)
-        return refusal(404, "nothing here")
+            return json_response(found)
+        return error_response(404, "nothing here")
 
-    member.changed.append(changed)
+    member.key_listeners.append(changed)
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
-    server = Server(handle)
+    server = HttpServer(handle)
     server.listen(int(port), "127.0.0.1")
     running = asyncio.ensure_future(member.run())
     await stop.wait()
--- a/bench/placements.py
+++ b/bench/placements.py
@@ -7,50 +7,52 @@
 import time
 from collections.abc import Callable
 
-from gradehoist.cells.placement import Tenant, Wanted, Worker, lot, place
+from gradehoist.cells.placement import PlacementRequirements, Replica, Tenant, plan_placement, stable_hash
 
 CELLS, PER_TENANT = 100, 5  # as many workers for a tenant in each way: 500 over 100 cells
 Homes = dict[str, frozenset[str]]  # by tenant: the workers that serve it
 
 
-def fleet(tenants: int, workers: int) -> tuple[list[Tenant], list[Worker]]:
+def fleet(tenants: int, workers: int) -> tuple[list[Tenant], list[Replica]]:
     dice = random.Random(1)
-    crew = [Worker(f"w{n}", f"z{n % 3}", "k", 1.0) for n in range(workers)]
+    crew = [Replica(f"w{n}", f"z{n % 3}", "k", 1.0) for n in range(workers)]
     shares = [dice.lognormvariate(0, 1) for _ in range(tenants)]
     return [Tenant(f"t{n}", 0.5 * workers * x / sum(shares)) for n, x in enumerate(shares)], crew
 
 
-def shuffled(tenants: list[Tenant], crew: list[Worker]) -> Homes:
+def shuffled(tenants: list[Tenant], crew: list[Replica]) -> Homes:
     """Each tenant its own few workers, the highest by hash: shuffle sharding."""
     names = [w.name for w in crew]
-    return {t.name: frozenset(sorted(names, key=lambda w: -lot(t.name, w))[:PER_TENANT]) for t in tenants}
+    return {
+        t.name: frozenset(sorted(names, key=lambda w: -stable_hash(t.name, w))[:PER_TENANT]) for t in tenants
+    }
 
 
-def bounded(tenants: list[Tenant], crew: list[Worker]) -> Homes:
+def bounded(tenants: list[Tenant], crew: list[Replica]) -> Homes:
     """Rendezvous over cells of fixed workers with loads bounded at 1.1 of the mean; workers dealt by hash."""
     cells: list[list[str]] = [[] for _ in range(CELLS)]
     for w in crew:
-        best = max(range(CELLS), key=lambda c: (len(cells[c]) < len(crew) / CELLS, lot(c, w.name)))
+        best = max(range(CELLS), key=lambda c: (len(cells[c]) < len(crew) / CELLS, stable_hash(c, w.name)))
         cells[best].append(w.name)
     most = 1.1 * sum(t.demand for t in tenants) / len(crew)
     load, out = [0.0] * CELLS, {}
-    for t in sorted(tenants, key=lambda t: lot(t.name)):
-        ranked = sorted(range(CELLS), key=lambda c: -lot(t.name, c))
+    for t in sorted(tenants, key=lambda t: stable_hash(t.name)):
+        ranked = sorted(range(CELLS), key=lambda c: -stable_hash(t.name, c))
         best = next((c for c in ranked if load[c] + t.demand <= most * len(cells[c])), ranked[0])
         load[best] += t.demand
         out[t.name] = frozenset(cells[best])
     return out
 
 
-def kept() -> Callable[[list[Tenant], list[Worker]], Homes]:
+def kept() -> Callable[[list[Tenant], list[Replica]], Homes]:
     """The program's way, on its own earlier placement."""
     before = None
 
-    def way(tenants: list[Tenant], crew: list[Worker]) -> Homes:
+    def way(tenants: list[Tenant], crew: list[Replica]) -> Homes:
         nonlocal before
-        before = place(tenants, crew, Wanted(CELLS, 4, 3, spare=0.1), before)
+        before = plan_placement(tenants, crew, PlacementRequirements(CELLS, 4, 3, spare_share=0.1), before)
         members: dict[int, set[str]] = {}
-        for w, c in before.workers.items():
+        for w, c in before.replicas.items():
             members.setdefault(c, set()).add(w)
         return {t: frozenset(members[c]) for t, c in before.tenants.items()}
 
--- a/bench/register.py
+++ b/bench/register.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.scenario import definition
 
 Row = Callable[..., None]
@@ -40,12 +40,12 @@
             subprocess.Popen([sys.executable, "-m", "bench.member", where, str(p), f"m{n}"])
             for n, p in enumerate(ports)
         ]
-        self.clients = [Client("127.0.0.1", p) for p in ports]
+        self.clients = [HttpClient("127.0.0.1", p) for p in ports]
 
     async def all(self) -> list[dict[str, Any]]:
-        async def one(client: Client) -> dict[str, Any]:
-            with contextlib.suppress(Unreachable, Broken, TimedOut):
-                response = await client.exchange("GET", "/status", timeout=5.0)
+        async def one(client: HttpClient) -> dict[str, Any]:
+            with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
+                response = await client.request("GET", "/status", timeout_s=5.0)
                 found: dict[str, Any] = msgspec.json.decode(response.body, type=dict[str, Any])
                 return found
             return {}
@@ -62,8 +62,8 @@
         return time.monotonic() - began
 
     async def fault(self, **what: Any) -> None:
-        client = Client("127.0.0.1", self.engine_port)
-        await client.exchange("POST", "/fault", msgspec.json.encode(what))
+        client = HttpClient("127.0.0.1", self.engine_port)
+        await client.request("POST", "/fault", msgspec.json.encode(what))
         client.close()
 
     async def away(self) -> None:
@@ -97,7 +97,7 @@
         after, span = await fleet.all(), time.monotonic() - began
         cores = sum(b["cpu"] - a["cpu"] for a, b in zip(before, after, strict=True)) / span
         for n in range(PROBES):
-            await fleet.clients[n % count].exchange("POST", "/probe")
+            await fleet.clients[n % count].request("POST", "/probe")
             await asyncio.sleep(0.5)
         late = sorted(x for s in await fleet.all() for x in s["late"])
         generations = [s["generation"] for s in await fleet.all()]
--- a/gradehoist/adapter/__main__.py
+++ b/gradehoist/adapter/__main__.py
@@ -12,7 +12,7 @@
     sys.stdout.reconfigure(encoding="utf-8", newline="\n")  # type: ignore[union-attr]
     host = Host(sys.stderr)
     for line in sys.stdin:
-        reply = host.feed(line.rstrip("\r\n"))
+        reply = host.handle_line(line.rstrip("\r\n"))
         if reply is not None:
             sys.stdout.write(reply)
             sys.stdout.flush()
--- a/gradehoist/adapter/host.py
+++ b/gradehoist/adapter/host.py
@@ -7,15 +7,15 @@
 from typing import TextIO
 
 from gradehoist.adapter import wire
-from gradehoist.interface import Event, Listed, ListKind, Module, Start
+from gradehoist.interface import EndpointListKind, EndpointsListed, Event, Policy, PolicyConfig
 from gradehoist.policy.planner import Planner
-from gradehoist.settings.platform import micros
+from gradehoist.settings.platform import seconds_to_us
 
 
 @dataclass
 class Instance:
-    names: wire.WireNames
-    module: Module | None = None
+    names: wire.WireIdentifiers
+    module: Policy | None = None
     waiting: list[Event] = field(default_factory=list)
     crashed: str = ""
 
@@ -23,12 +23,12 @@
 class Host:
     """Takes the wire line by line; `feed` answers with a reply's text when a batch ends."""
 
-    def __init__(self, errors: TextIO, make: Callable[[Start, int], Module] = Planner) -> None:
+    def __init__(self, errors: TextIO, make: Callable[[PolicyConfig, int], Policy] = Planner) -> None:
         self.errors = errors
         self.make = make
         self.instances: dict[int, Instance] = {}
         self.sheets: dict[int, list[wire.Fields]] = {}
-        self.now = 0
+        self.now_us = 0
         self.target: int | None = None
         self.filling: list[wire.Fields] = []
         self.missing = 0
@@ -38,12 +38,12 @@
         self.errors.write(f"line {self.number}: {why}: {line[:300]}\n")
         self.errors.flush()
 
-    def feed(self, line: str) -> str | None:
+    def handle_line(self, line: str) -> str | None:
         self.number += 1
         if not line.strip():
             return None
         try:
-            name, fields = wire.split(line)
+            name, fields = wire.parse_line(line)
             if name == "OVER_TO_YOU":
                 return self.answer()
             self.take(name, fields)
@@ -56,12 +56,12 @@
             if self.missing <= 0:
                 raise ValueError("an entry outside a list")
             self.missing -= 1
-            wire.check_entry(fields)
+            wire.check_endpoint(fields)
             self.filling.append(fields)
             return
         self.missing = 0
         if name == "TICK":
-            self.now = micros(fields["at-time"])
+            self.now_us = seconds_to_us(fields["at-time"])
             self.target = None
         elif name == "SHEET":
             count, slot = int(fields["records"]), int(fields["slot"])
@@ -90,18 +90,20 @@
         elif name == "VIEW":
             kind = wire.LIST_KINDS[fields["kind"]]
             entries: tuple[wire.Fields, ...] = ()
-            if kind is not ListKind.FAILED:
+            if kind is not EndpointListKind.FAILED:
                 entries = tuple(self.sheets[int(fields["slot"])])
-            instance.waiting.append(Listed(kind, tuple(wire.entry(instance.names, e) for e in entries)))
+            instance.waiting.append(
+                EndpointsListed(kind, tuple(wire.parse_endpoint(instance.names, e) for e in entries))
+            )
         else:
-            instance.waiting.append(wire.event(instance.names, name, fields))
+            instance.waiting.append(wire.parse_event(instance.names, name, fields))
 
     def boot(self, number: int, fields: wire.Fields) -> None:
-        names, start = wire.start(fields)
+        names, start = wire.parse_config(fields)
         instance = Instance(names)
         self.instances[number] = instance
         try:
-            instance.module = self.make(start, self.now)
+            instance.module = self.make(start, self.now_us)
         except Exception as fault:  # a fault of the module is told on the wire, not hidden
             instance.crashed = f"{type(fault).__name__}: {fault}"
             instance.waiting.clear()
@@ -112,16 +114,18 @@
         for number in sorted(self.instances):
             instance = self.instances[number]
             if instance.crashed:
-                out += [f"ON_BEHALF governor={number}", wire.crash(instance.crashed)]
+                out += [f"ON_BEHALF governor={number}", wire.format_crash(instance.crashed)]
                 instance.crashed = ""
             if not instance.waiting or instance.module is None:
                 instance.waiting = []
                 continue
             events, instance.waiting = instance.waiting, []
             try:
-                lines = [wire.order(instance.names, o) for o in instance.module.handle(self.now, events)]
+                lines = [
+                    wire.format_order(instance.names, o) for o in instance.module.handle(self.now_us, events)
+                ]
             except Exception as fault:
-                lines = [wire.crash(f"{type(fault).__name__}: {fault}")]
+                lines = [wire.format_crash(f"{type(fault).__name__}: {fault}")]
                 instance.module = None
                 self.errors.write(f"instance {number} failed: {fault!r}\n")
             if lines:
--- a/gradehoist/adapter/wire.py
+++ b/gradehoist/adapter/wire.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 from gradehoist import interface as i
-from gradehoist.identifiers import Names
+from gradehoist.identifiers import Identifiers
 from gradehoist.settings import platform
-from gradehoist.settings.platform import micros
+from gradehoist.settings.platform import seconds_to_us
 
 Fields = dict[str, str]
 ALL_TABLES = 65535
@@ -31,38 +31,38 @@
     "TOOK_EFFECT",
 }
 LIST_KINDS = {
-    "SAVED": i.ListKind.SAVED,
-    "FULL": i.ListKind.COMPLETE,
-    "INCREMENTAL": i.ListKind.CHANGES,
-    "FAILED": i.ListKind.FAILED,
+    "SAVED": i.EndpointListKind.CACHED,
+    "FULL": i.EndpointListKind.SNAPSHOT,
+    "INCREMENTAL": i.EndpointListKind.DELTA,
+    "FAILED": i.EndpointListKind.FAILED,
 }
 PHASES = {"Ready": i.Phase.READY, "Terminating": i.Phase.DRAINING, "Gone": i.Phase.GONE}
 OUTCOMES = {
-    "S": i.Outcome.ANSWERED,
-    "E": i.Outcome.ERROR,
-    "F": i.Outcome.TURNED_AWAY,
-    "T": i.Outcome.TIMED_OUT,
-    "C": i.Outcome.UNREACHABLE,
-    "R": i.Outcome.BROKEN,
+    "S": i.HealthCheckOutcome.HEALTHY,
+    "E": i.HealthCheckOutcome.ERROR,
+    "F": i.HealthCheckOutcome.REJECTED,
+    "T": i.HealthCheckOutcome.TIMED_OUT,
+    "C": i.HealthCheckOutcome.UNREACHABLE,
+    "R": i.HealthCheckOutcome.CONNECTION_RESET,
 }
 
 
-class WireNames(Names):
+class WireIdentifiers(Identifiers):
     """One instance's names, and the columns of its load reports."""
 
-    def __init__(self, names: Names, report: list[str]) -> None:
+    def __init__(self, names: Identifiers, report: list[str]) -> None:
         super().__init__(names.zones, names.kinds, names.classes)
         self.report = report
 
-    def load(self, fields: Fields) -> i.Load | None:
+    def load(self, fields: Fields) -> i.LoadReport | None:
         text = fields.get("report", "")
         if not text:
             return None
         figures = (float(x) if x else None for x in text.split(","))
-        return platform.load(zip(self.report, figures, strict=False))
+        return platform.parse_load_report(zip(self.report, figures, strict=False))
 
 
-def split(line: str) -> tuple[str, Fields]:
+def parse_line(line: str) -> tuple[str, Fields]:
     """A text field runs to the end of its line; `options` is the only one that comes in."""
     name, _, rest = line.strip(" ").partition(" ")
     fields: Fields = {}
@@ -78,7 +78,7 @@
     return name, fields
 
 
-def check_entry(fields: Fields) -> None:
+def check_endpoint(fields: Fields) -> None:
     """An entry that cannot be read is refused where it stands, so that its list stays usable."""
     for key in ("replica", "hall", "phase"):
         if key not in fields:
@@ -90,106 +90,111 @@
     int(fields.get("unit-group", "0"))
 
 
-def entry(names: WireNames, f: Fields) -> i.Entry:
-    return i.Entry(
-        names.replicas.number(f["replica"]),
-        names.zones.number(f["hall"]),
-        names.kinds.number(f.get("shape", "")),
+def parse_endpoint(names: WireIdentifiers, f: Fields) -> i.Endpoint:
+    return i.Endpoint(
+        names.replicas.intern(f["replica"]),
+        names.zones.intern(f["hall"]),
+        names.kinds.intern(f.get("shape", "")),
         int(f.get("unit-group", "0")),
         PHASES[f["phase"]],
         float(f.get("size", "1")),
-        micros(f.get("online-since", "0")),
+        seconds_to_us(f.get("online-since", "0")),
     )
 
 
-def start(f: Fields) -> tuple[WireNames, i.Start]:
+def parse_config(f: Fields) -> tuple[WireIdentifiers, i.PolicyConfig]:
     o = json.loads(f["options"])
-    names = WireNames(platform.names(o), platform.columns(o))
-    return names, platform.start(o, names, int(f["rng-seed"]))
+    names = WireIdentifiers(platform.parse_identifiers(o), platform.report_columns(o))
+    return names, platform.parse_config(o, names, int(f["rng-seed"]))
 
 
-def event(names: WireNames, name: str, f: Fields) -> i.Event:
+def parse_event(names: WireIdentifiers, name: str, f: Fields) -> i.Event:
     make: dict[str, Callable[[], i.Event]] = {
-        "REMINDER": lambda: i.Due(int(f["ref"])),
-        "CHECK_RESULT": lambda: i.Probed(
-            names.replicas.number(f["replica"]),
-            OUTCOMES.get(f["reason"], i.Outcome.OTHER),
-            micros(f.get("elapsed", "0")),
+        "REMINDER": lambda: i.TimerFired(int(f["ref"])),
+        "CHECK_RESULT": lambda: i.HealthChecked(
+            names.replicas.intern(f["replica"]),
+            OUTCOMES.get(f["reason"], i.HealthCheckOutcome.OTHER),
+            seconds_to_us(f.get("elapsed", "0")),
             names.load(f),
         ),
-        "WHISPER": lambda: i.PeerNote(
+        "WHISPER": lambda: i.PeerMessageReceived(
             int(f["origin-peer"]), b"" if f["octets"] == "-" else base64.b64decode(f["octets"], validate=True)
         ),
-        "JOINED": lambda: i.Joined(int(f["agent"]), names.zones.number(f["hall"]), float(f.get("size", "1"))),
-        "UNSUBSCRIBED": lambda: i.Left(int(f["agent"])),
-        "DIGEST": lambda: i.Heard(
-            names.zones.number(f["hall"]),
-            names.replicas.number(f["replica"]),
+        "JOINED": lambda: i.ProxyJoined(
+            int(f["agent"]), names.zones.intern(f["hall"]), float(f.get("size", "1"))
+        ),
+        "UNSUBSCRIBED": lambda: i.ProxyLeft(int(f["agent"])),
+        "DIGEST": lambda: i.AttemptsReported(
+            names.zones.intern(f["hall"]),
+            names.replicas.intern(f["replica"]),
             int(f["number"]),
             int(f.get("bad", "0")),
-            micros(f.get("elapsed", "0")),
-            micros(f.get("window", "0")),
+            seconds_to_us(f.get("elapsed", "0")),
+            seconds_to_us(f.get("window", "0")),
             names.load(f),
         ),
-        "OFFERED_LOAD": lambda: i.Offered(
+        "OFFERED_LOAD": lambda: i.RequestsOffered(
             int(f["agent"]),
             names.classes[f["cls"]],
             int(f["number"]),
             int(f.get("bad", "0")),
-            micros(f.get("window", "0")),
+            seconds_to_us(f.get("window", "0")),
         ),
-        "ACTIVITY": lambda: i.SliceOffered(
+        "ACTIVITY": lambda: i.KeyRangeOffered(
             int(f["map-id"]),
             names.classes[f["cls"]],
             int(f["number"]),
             int(f.get("bad", "0")),
-            micros(f.get("window", "0")),
+            seconds_to_us(f.get("window", "0")),
+        ),
+        "CUSTODY": lambda: i.KeyRangeAssigned(int(f["map-id"]), f.get("flag", "0") == "1"),
+        "ON_RECORD": lambda: i.KeyRangeLine(
+            int(f["map-id"]), names.replicas.intern(f["replica"]), float(f.get("size", "1"))
         ),
-        "CUSTODY": lambda: i.SliceGiven(int(f["map-id"]), f.get("flag", "0") == "1"),
-        "ON_RECORD": lambda: i.SliceLine(
-            int(f["map-id"]), names.replicas.number(f["replica"]), float(f.get("size", "1"))
+        "TOOK_EFFECT": lambda: i.UpdateAcknowledged(
+            int(f["agent"]), int(f["rev"]), seconds_to_us(f.get("elapsed", "0"))
         ),
-        "TOOK_EFFECT": lambda: i.Applied(int(f["agent"]), int(f["rev"]), micros(f.get("elapsed", "0"))),
     }
     return make[name]()
 
 
-def number(value: float) -> str:
+def format_number(value: float) -> str:
     return format(value, ".6g")
 
 
-def only(classes: tuple[int, ...]) -> int:
+def class_mask(classes: tuple[int, ...]) -> int:
     return sum(1 << k for k in classes)
 
 
-def crash(text: str) -> str:
+def format_crash(text: str) -> str:
     return "CRASH reason-text=" + (" ".join(text.split()) or "failed")
 
 
-def order(names: WireNames, o: i.Order) -> str:
+def format_order(names: WireIdentifiers, o: i.Order) -> str:
     replicas = names.replicas.names
     match o:
-        case i.SetLine():
-            return f"UPSERT replica={replicas[o.replica]} map-id={o.table} size={number(o.weight)}"
+        case i.SetWeight():
+            return f"UPSERT replica={replicas[o.replica]} map-id={o.table} size={format_number(o.weight)}"
         case i.ClearTable():
             return f"DROP_LINES map-id={o.table}"
-        case i.Bind():
-            return f"ATTACH_TABLE agent={o.proxy} map-id={o.table} only={only(o.classes)}"
-        case i.Withdraw():
-            return f"WITHDRAW flag={int(o.out)} replica={replicas[o.replica]}"
-        case i.Admit():
+        case i.BindProxy():
+            return f"ATTACH_TABLE agent={o.proxy} map-id={o.table} only={class_mask(o.classes)}"
+        case i.WithdrawReplica():
+            return f"WITHDRAW flag={int(o.withdrawn)} replica={replicas[o.replica]}"
+        case i.SetAdmission():
             table = ALL_TABLES if o.table is None else o.table
-            mask = only(o.classes)
-            return f"ADMIT quota={number(o.share)} on-failure={o.tries} only={mask} map-id={table}"
-        case i.Mark():
-            return f"MARK rev={o.number} flag={int(o.to_all)}"
-        case i.Probe():
+            mask = class_mask(o.classes)
+            share = format_number(o.admitted_share)
+            return f"ADMIT quota={share} on-failure={o.retry_policy} only={mask} map-id={table}"
+        case i.RequestAcknowledgement():
+            return f"MARK rev={o.revision} flag={int(o.to_all)}"
+        case i.CheckHealth():
             return f"ASK_LOAD replica={replicas[o.replica]}"
-        case i.Wake():
-            return f"WAKE_ME ref={o.token} from-now={o.delay // 1_000_000}.{o.delay % 1_000_000:06d}"
-        case i.Follow():
-            return f"FOLLOW flag={int(o.on)}"
-        case i.AskList():
+        case i.SetTimer():
+            return f"WAKE_ME ref={o.token} from-now={o.delay_us // 1_000_000}.{o.delay_us % 1_000_000:06d}"
+        case i.SubscribeEndpoints():
+            return f"FOLLOW flag={int(o.subscribed)}"
+        case i.RequestEndpoints():
             return "SNAPSHOT"
-        case i.Say():
+        case i.LogRemark():
             return "REMARK reason-text=" + " ".join(o.text.split())
--- a/gradehoist/capacity_planning/event_file.py
+++ b/gradehoist/capacity_planning/event_file.py
@@ -10,7 +10,17 @@
 from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
 
 from gradehoist.capacity_planning.problem import Class, Group, Kind, Problem
-from gradehoist.settings import reader as r
+from gradehoist.settings.reader import (
+    SettingsError,
+    choice_parser,
+    integer_parser,
+    load_document,
+    names_parser,
+    number_parser,
+    parse_boolean,
+    parse_duration_us,
+    parse_text,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,7 +35,7 @@
 
 def exact(least: float, most: float) -> Any:
     """A figure as it was written: 0.1 is a tenth."""
-    number = r.number(least, most)
+    number = number_parser(least, most)
 
     def read(value: Any) -> Fraction:
         number(value)
@@ -49,14 +59,14 @@
 
 def zone(value: Any) -> ZoneInfo:
     try:
-        return ZoneInfo(r.text(value))
+        return ZoneInfo(parse_text(value))
     except (ZoneInfoNotFoundError, ValueError):
         raise ValueError('expected a time zone such as "Asia/Tokyo"') from None
 
 
 def local(value: Any) -> datetime:
     try:
-        found = datetime.fromisoformat(r.text(value))
+        found = datetime.fromisoformat(parse_text(value))
     except ValueError:
         found = None
     if found is None or found.tzinfo is not None:
@@ -72,82 +82,84 @@
 
 def read(path: Path) -> list[Event]:
     """Raises SettingsError with every error found."""
-    reader, root = r.load(path)
-    node = root.need("zones")
-    zones = node.words("zone names")
-    node.done(args=len(zones))
+    reader, root = load_document(path)
+    node = root.require_child("zones")
+    zones = node.get_names("zone names")
+    node.reject_unread(expected_args=len(zones))
     kinds: dict[str, Kind] = {}
     classes: dict[str, Class] = {}
     for what in ("kind", "class", "event"):
-        seen = [n.args[0] for n in root.all(what) if n.args]
-        for n in root.all(what):
+        seen = [n.args[0] for n in root.children_named(what) if n.args]
+        for n in root.children_named(what):
             if n.args and seen.count(n.args[0]) > 1:
-                n.fault(f"a {what} named twice", f"name each {what} once")
-    for n in root.all("kind"):
-        name = n.word("a kind's name")
+                n.add_error(f"a {what} named twice", f"name each {what} once")
+    for n in root.children_named("kind"):
+        name = n.get_name("a kind's name")
         of = {}
-        for x in n.all("of"):
-            of[x.word("a class name")] = x.get("rate", exact(1e-6, 1e9)) or Fraction(1)  # told at the end
-            x.done(args=1)
+        for x in n.children_named("of"):
+            of[x.get_name("a class name")] = x.get("rate", exact(1e-6, 1e9)) or Fraction(1)  # told at the end
+            x.reject_unread(expected_args=1)
         kinds[name] = Kind(name, of)
-        n.done(args=1)
-    for n in root.all("class"):
-        name = n.word("a class name")
-        some_zones = n.get("only-zones", r.names(zones)) if "only-zones" in n.props else None
-        some_kinds = n.get("only-kinds", r.names(kinds)) if "only-kinds" in n.props else None
+        n.reject_unread(expected_args=1)
+    for n in root.children_named("class"):
+        name = n.get_name("a class name")
+        some_zones = n.get("only-zones", names_parser(zones)) if "only-zones" in n.props else None
+        some_kinds = n.get("only-kinds", names_parser(kinds)) if "only-kinds" in n.props else None
         classes[name] = Class(
             name,
             n.get("gain", exact(0, 1e9), Fraction(1)),
             some_zones,
             some_kinds,
-            n.get("stays-local", r.flag, False),
+            n.get("stays-local", parse_boolean, False),
         )
-        n.taken |= {"only-zones", "only-kinds"}
-        n.done(args=1)
-    for n in root.all("kind"):
-        for x in n.all("of"):
+        n.read_keys |= {"only-zones", "only-kinds"}
+        n.reject_unread(expected_args=1)
+    for n in root.children_named("kind"):
+        for x in n.children_named("of"):
             if x.args and x.args[0] not in classes:
-                x.fault("a class that is not here", "name one of " + ", ".join(classes))
+                x.add_error("a class that is not here", "name one of " + ", ".join(classes))
     workers: dict[Group, int] = {}
-    for n in root.all("workers"):
+    for n in root.children_named("workers"):
         group = Group(
-            n.get("zone", r.one_of(zones), ""), n.get("kind", r.one_of(kinds), ""), n.get("cell", r.text, "")
+            n.get("zone", choice_parser(zones), ""),
+            n.get("kind", choice_parser(kinds), ""),
+            n.get("cell", parse_text, ""),
         )
-        workers[group] = workers.get(group, 0) + (n.get("count", r.whole(0, 100_000)) or 0)
-        n.done()
+        workers[group] = workers.get(group, 0) + (n.get("count", integer_parser(0, 100_000)) or 0)
+        n.reject_unread()
     cross = {}
-    for n in root.all("cross"):
-        pair = (n.get("from", r.one_of(zones), ""), n.get("to", r.one_of(zones), ""))
+    for n in root.children_named("cross"):
+        pair = (n.get("from", choice_parser(zones), ""), n.get("to", choice_parser(zones), ""))
         cross[pair] = n.get("cost", exact(0, 1e9))
-        n.done()
+        n.reject_unread()
     spare = Fraction(0)
     if free := root.child("spare"):
         spare = free.get("part", exact(0, 0.95))
-        free.done()
+        free.reject_unread()
     events = []
-    for n in root.all("event"):
-        name, where, at = n.word("an event's name"), n.get("zone", zone), n.get("begins", local)
-        slot, slots = n.get("slot", r.time), n.get("slots", r.whole(1, 1_000))
+    for n in root.children_named("event"):
+        name, where, at = n.get_name("an event's name"), n.get("zone", zone), n.get("begins", local)
+        slot, slots = n.get("slot", parse_duration_us), n.get("slots", integer_parser(1, 1_000))
         if slot is not None and slot < 1_000_000:
-            n.fault("a slot under a second", 'write such as slot="1h"', "slot")
+            n.add_error("a slot under a second", 'write such as slot="1h"', "slot")
         if at and where and not one(at, where):
-            n.fault(
+            n.add_error(
                 "a local time that a clock change leaves out or brings twice",
                 "choose a time an hour before or after",
                 "begins",
             )
         demand = {}
-        for x in n.all("demand"):
-            key = (x.get("class", r.one_of(classes), ""), x.get("zone", r.one_of(zones), ""))
+        for x in n.children_named("demand"):
+            key = (x.get("class", choice_parser(classes), ""), x.get("zone", choice_parser(zones), ""))
             some = x.get("rates", rates)
             if some and slots and len(some) not in (1, slots):
-                x.fault(f"{len(some)} rates for {slots} slots", "give one, or one for each slot", "rates")
+                x.add_error(f"{len(some)} rates for {slots} slots", "give one, or one for each slot", "rates")
             if key in demand:
-                x.fault("the same demand twice", "add them up in one node")
+                x.add_error("the same demand twice", "add them up in one node")
             if some and slots:
                 demand[key] = some * slots if len(some) == 1 else some
-            x.done()
-        n.done(args=1)
+            x.reject_unread()
+        n.reject_unread(expected_args=1)
         if at and where and slot:
             events.append(
                 Event(
@@ -157,10 +169,10 @@
                     Problem(zones, kinds, classes, workers, demand, cross, spare),
                 )
             )
-    if not root.all("event"):
-        root.fault("no event", 'add a node such as event "festival" begins="2027-02-05T09:00" …', "event")
-    root.done()
-    reader.finish()
+    if not root.children_named("event"):
+        root.add_error("no event", 'add a node such as event "festival" begins="2027-02-05T09:00" …', "event")
+    root.reject_unread()
+    reader.raise_errors()
     # In UTC: added to a local time, hours across a clock change are the clock's and not those that pass.
     spans = sorted(
         (at := e.begins.astimezone(UTC), at + timedelta(seconds=e.slot * e.problem.slots), e.name)
@@ -168,7 +180,7 @@
     )
     for (_, end, first), (begins, _, second) in zip(spans, spans[1:], strict=False):
         if begins < end:
-            raise r.SettingsError(
+            raise SettingsError(
                 [
                     f"{path}: events {first} and {second} overlap; write them as one event "
                     "with the demand of both"
--- a/gradehoist/cells/channel_shares.py
+++ b/gradehoist/cells/channel_shares.py
@@ -11,39 +11,54 @@
 from collections.abc import Iterable
 
 
-class Budget:
-    AHEAD = 0.25  # of the grace may be spent behind ordinary lines: slot, planner and poll need the rest
-    MESSAGES = 0.75  # of the messages that a relay may get; the bench's module leaves drains as much or more
-    PIECE = 8  # messages of full size in the room: fewer, and a few relays take a slot; more, and heads do
-    LEAST = 64.0  # lines that a message may always hold beyond its head: a table or two
-    FADE = 0.9  # of what a cell has had is remembered a slot later: some ten slots count
+class ChannelShares:
+    QUEUE_DELAY_SHARE = (
+        0.25  # of the grace may be spent behind ordinary lines: slot, planner and poll need the rest
+    )
+    ORDINARY_MESSAGE_SHARE = (
+        0.75  # of the messages that a relay may get; the bench's module leaves drains as much or more
+    )
+    MESSAGES_IN_QUEUE = (
+        8  # messages of full size in the room: fewer, and a few relays take a slot; more, and heads do
+    )
+    MIN_MESSAGE_LINES = 64.0  # lines that a message may always hold beyond its head: a table or two
+    USAGE_DECAY = 0.9  # of what a cell has had is remembered a slot later: some ten slots count
 
     def __init__(
         self, cells: int, queue_limit: float, line_rate: float, message_limit: int, head: float, grace: int
     ) -> None:
-        self.queue_limit, self.head, self.limit = queue_limit, head, message_limit
-        self.ahead = self.AHEAD * grace / 1e6 * line_rate
-        self.used = [0.0] * cells
+        self.queue_limit_lines, self.message_overhead_lines, self.messages_per_window = (
+            queue_limit,
+            head,
+            message_limit,
+        )
+        self.ordinary_queue_lines = self.QUEUE_DELAY_SHARE * grace / 1e6 * line_rate
+        self.usage_lines = [0.0] * cells
 
-    def room(self, relays: int, waiting: float) -> float:
+    def available_lines(self, relays: int, waiting: float) -> float:
         """Lines that ordinary messages may still add: a drain of one replica to all fits beside them."""
-        drain = relays * (self.head + 2)
-        return max(0.0, min(self.queue_limit - drain, self.ahead) - waiting)
+        drain = relays * (self.message_overhead_lines + 2)
+        return max(0.0, min(self.queue_limit_lines - drain, self.ordinary_queue_lines) - waiting)
 
-    def may(self, messages: int) -> bool:
+    def allows_message(self, messages: int) -> bool:
         """Whether a relay that got so many messages within the window may get an ordinary one."""
-        return not self.limit or messages < self.MESSAGES * self.limit
+        return (
+            not self.messages_per_window or messages < self.ORDINARY_MESSAGE_SHARE * self.messages_per_window
+        )
 
     @property
-    def most(self) -> float:
+    def max_message_lines(self) -> float:
         """Lines that one message holds of lines and returns; tables that bind a relay are not cut."""
-        return max(self.LEAST, min(self.queue_limit, self.ahead) / self.PIECE)
+        return max(
+            self.MIN_MESSAGE_LINES,
+            min(self.queue_limit_lines, self.ordinary_queue_lines) / self.MESSAGES_IN_QUEUE,
+        )
 
-    def order(self, cells: Iterable[int]) -> list[int]:
-        return sorted(cells, key=lambda n: (self.used[n], n))
+    def serving_order(self, cells: Iterable[int]) -> list[int]:
+        return sorted(cells, key=lambda n: (self.usage_lines[n], n))
 
-    def spent(self, cell: int, lines: float) -> None:
-        self.used[cell] += lines
+    def record_usage(self, cell: int, lines: float) -> None:
+        self.usage_lines[cell] += lines
 
-    def slot(self) -> None:
-        self.used = [x * self.FADE for x in self.used]
+    def decay_usage(self) -> None:
+        self.usage_lines = [x * self.USAGE_DECAY for x in self.usage_lines]
--- a/gradehoist/cells/migration.py
+++ b/gradehoist/cells/migration.py
@@ -24,148 +24,163 @@
 from enum import Enum
 from typing import NamedTuple
 
-from gradehoist.coordination.fencing import Right, Standing, standing
+from gradehoist.coordination.fencing import FencingToken, TokenOrder, compare_tokens
 
 Keys = frozenset[str]
-NONE: Keys = frozenset()
+NO_KEYS: Keys = frozenset()
 
 
-class Step(Enum):
-    SHUT = "shut"
+class MigrationStep(Enum):
+    CLOSE = "shut"
     OPEN = "open"
     DONE = "done"
 
 
-class Verdict(Enum):
+class WriteDecision(Enum):
     """What a worker says to a write. Only TAKE runs it; MOVED and LEASE prove that it never ran."""
 
-    TAKE = "take"
-    KNOWN = "known"  # the key was done before: answered again, run once
-    BUSY = "busy"  # the key is in hand: come back
-    MOVED = "moved"
-    LEASE = "no lease"
+    ACCEPT = "take"
+    DUPLICATE = "known"  # the key was done before: answered again, run once
+    IN_FLIGHT = "busy"  # the key is in hand: come back
+    WRONG_CELL = "moved"
+    NO_LEASE = "no lease"
 
 
-class Word(NamedTuple):
+class TenantAssignment(NamedTuple):
     """What is true of a tenant from generation `gen` on: shut everywhere, or open in `cell`, whose workers
     must know the `keys` that were done elsewhere."""
 
     tenant: str
-    gen: int
-    move: str
+    generation: int
+    migration_id: str
     cell: str = ""
-    keys: Keys = NONE
+    completed_keys: Keys = NO_KEYS
 
-    def over(self, other: Word | None) -> bool:
+    def supersedes(self, other: TenantAssignment | None) -> bool:
         """Newer than another word on the tenant: a higher generation, or its own move's opening."""
-        match standing(self.right, None if other is None else other.right):
-            case Standing.NEWER:
+        match compare_tokens(self.token, None if other is None else other.token):
+            case TokenOrder.NEWER:
                 return True
-            case Standing.SAME:
+            case TokenOrder.SAME:
                 return bool(self.cell) and other is not None and not other.cell
         return False
 
     @property
-    def right(self) -> Right:
-        return Right(self.gen, self.move)
+    def token(self) -> FencingToken:
+        return FencingToken(self.generation, self.migration_id)
 
 
-class Confirm(NamedTuple):
+class AssignmentAck(NamedTuple):
     """An answer to a word: `held` is what the answerer now holds true, `busy` that writes are in hand."""
 
-    by: str
-    held: Word
-    busy: bool = False
-    keys: Keys = NONE
+    sender: str
+    assignment: TenantAssignment
+    has_writes_in_flight: bool = False
+    completed_keys: Keys = NO_KEYS
 
 
-Words = Mapping[str, Word]
+Assignments = Mapping[str, TenantAssignment]
 
 
 @dataclass(frozen=True, slots=True)
-class Fence:
+class ReplicaFence:
     """`words` and `done` are kept; `until` (the lease, µs) and `hand` go with the process."""
 
     name: str
     cell: str
-    words: Words = field(default_factory=dict)
-    done: Mapping[str, Keys] = field(default_factory=dict)
-    until: int = -1
-    hand: Mapping[str, Keys] = field(default_factory=dict)
-
-    def restarted(self) -> Fence:
-        return replace(self, until=-1, hand={})
-
-    def write(self, now: int, tenant: str, cell: str, gen: int, key: str) -> tuple[Fence, Verdict]:
-        word = self.words.get(tenant)
+    assignments: Assignments = field(default_factory=dict)
+    completed: Mapping[str, Keys] = field(default_factory=dict)
+    lease_until_us: int = -1
+    in_flight: Mapping[str, Keys] = field(default_factory=dict)
+
+    def restarted(self) -> ReplicaFence:
+        return replace(self, lease_until_us=-1, in_flight={})
+
+    def check_write(
+        self, now: int, tenant: str, cell: str, gen: int, key: str
+    ) -> tuple[ReplicaFence, WriteDecision]:
+        word = self.assignments.get(tenant)
         mine = cell == self.cell and (
-            gen == 1 if word is None else gen == word.gen and word.cell == self.cell
+            gen == 1 if word is None else gen == word.generation and word.cell == self.cell
         )
         if not mine:
-            return self, Verdict.MOVED
-        if now >= self.until:
-            return self, Verdict.LEASE
-        if key in self.done.get(tenant, NONE) or (word is not None and key in word.keys):
-            return self, Verdict.KNOWN
-        held = self.hand.get(tenant, NONE)
+            return self, WriteDecision.WRONG_CELL
+        if now >= self.lease_until_us:
+            return self, WriteDecision.NO_LEASE
+        if key in self.completed.get(tenant, NO_KEYS) or (word is not None and key in word.completed_keys):
+            return self, WriteDecision.DUPLICATE
+        held = self.in_flight.get(tenant, NO_KEYS)
         if key in held:
-            return self, Verdict.BUSY
-        return replace(self, hand={**self.hand, tenant: held | {key}}), Verdict.TAKE
+            return self, WriteDecision.IN_FLIGHT
+        return replace(self, in_flight={**self.in_flight, tenant: held | {key}}), WriteDecision.ACCEPT
 
-    def finish(self, tenant: str, key: str) -> Fence:
+    def complete_write(self, tenant: str, key: str) -> ReplicaFence:
         """The effect of a write that was taken; kept together with it."""
-        left = self.hand.get(tenant, NONE) - {key}
+        left = self.in_flight.get(tenant, NO_KEYS) - {key}
         return replace(
             self,
-            hand={**self.hand, tenant: left},
-            done={**self.done, tenant: self.done.get(tenant, NONE) | {key}},
+            in_flight={**self.in_flight, tenant: left},
+            completed={**self.completed, tenant: self.completed.get(tenant, NO_KEYS) | {key}},
         )
 
-    def dropped(self, tenant: str, key: str) -> Fence:
+    def drop_write(self, tenant: str, key: str) -> ReplicaFence:
         """A write that was taken and will never run: it waited, and nobody waits for it."""
-        return replace(self, hand={**self.hand, tenant: self.hand.get(tenant, NONE) - {key}})
+        return replace(
+            self, in_flight={**self.in_flight, tenant: self.in_flight.get(tenant, NO_KEYS) - {key}}
+        )
 
-    def told(self, word: Word) -> tuple[Fence, Confirm]:
+    def apply_assignment(self, word: TenantAssignment) -> tuple[ReplicaFence, AssignmentAck]:
         """A word from a mover or in a heartbeat. The answer is due once the fence is kept."""
-        known = self.words.get(word.tenant)
-        after = replace(self, words={**self.words, word.tenant: word}) if word.over(known) else self
-        held = after.words[word.tenant]
-        return after, Confirm(
-            self.name, held, bool(after.hand.get(word.tenant)), after.done.get(word.tenant, NONE) | held.keys
+        known = self.assignments.get(word.tenant)
+        after = (
+            replace(self, assignments={**self.assignments, word.tenant: word})
+            if word.supersedes(known)
+            else self
+        )
+        held = after.assignments[word.tenant]
+        return after, AssignmentAck(
+            self.name,
+            held,
+            bool(after.in_flight.get(word.tenant)),
+            after.completed.get(word.tenant, NO_KEYS) | held.completed_keys,
         )
 
-    def heartbeat(self, now: int, lease: int, words: Iterable[Word]) -> Fence:
+    def renew_lease(self, now: int, lease: int, words: Iterable[TenantAssignment]) -> ReplicaFence:
         after = self
         for word in words:
-            after, _ = after.told(word)
-        return replace(after, until=max(after.until, now + lease))
+            after, _ = after.apply_assignment(word)
+        return replace(after, lease_until_us=max(after.lease_until_us, now + lease))
 
 
 @dataclass(frozen=True, slots=True)
-class Book:
+class TenantDirectory:
     """A governor's: all of it is kept before it confirms."""
 
     name: str
-    words: Words = field(default_factory=dict)
-
-    def told(self, word: Word) -> tuple[Book, Confirm]:
-        known = self.words.get(word.tenant)
-        after = replace(self, words={**self.words, word.tenant: word}) if word.over(known) else self
-        return after, Confirm(self.name, after.words[word.tenant])
+    assignments: Assignments = field(default_factory=dict)
+
+    def apply_assignment(self, word: TenantAssignment) -> tuple[TenantDirectory, AssignmentAck]:
+        known = self.assignments.get(word.tenant)
+        after = (
+            replace(self, assignments={**self.assignments, word.tenant: word})
+            if word.supersedes(known)
+            else self
+        )
+        return after, AssignmentAck(self.name, after.assignments[word.tenant])
 
-    def heartbeat(self) -> tuple[Word, ...]:
-        return tuple(self.words.values())
+    def heartbeat_assignments(self) -> tuple[TenantAssignment, ...]:
+        return tuple(self.assignments.values())
 
     def route(self, tenant: str, home: str) -> tuple[str, int] | None:
         """Cell and generation for relays; None while the tenant is shut. `home` is its first cell."""
-        word = self.words.get(tenant)
+        word = self.assignments.get(tenant)
         if word is None:
             return home, 1
-        return (word.cell, word.gen) if word.cell else None
+        return (word.cell, word.generation) if word.cell else None
 
 
 @dataclass(frozen=True, slots=True)
-class Move:
+class Migration:
     """The mover's record. `since` is when the last governor confirmed SHUT, by this process's clock; it is
     not kept: a mover that starts again waits anew."""
 
@@ -174,98 +189,107 @@
     source: str
     target: str
     gen: int
-    step: Step = Step.SHUT
+    step: MigrationStep = MigrationStep.CLOSE
     fenced: bool = True  # False: nothing can be open elsewhere, as in an undo before any opening
-    known: Keys = NONE  # governors that confirmed this step
-    shut: Keys = NONE  # workers of the source that confirmed, with nothing in hand
-    keys: Keys = NONE
+    known: Keys = NO_KEYS  # governors that confirmed this step
+    shut: Keys = NO_KEYS  # workers of the source that confirmed, with nothing in hand
+    keys: Keys = NO_KEYS
     since: int = -1
     undone: bool = False
     conflict: str = ""
 
-    def restarted(self) -> Move:
+    def restarted(self) -> Migration:
         return replace(self, since=-1)
 
-    def word(self) -> Word:
-        cell = "" if self.step is Step.SHUT else self.target
-        return Word(self.tenant, self.gen, self.id, cell, self.keys)
+    def assignment(self) -> TenantAssignment:
+        cell = "" if self.step is MigrationStep.CLOSE else self.target
+        return TenantAssignment(self.tenant, self.gen, self.id, cell, self.keys)
 
-    def sends(self, governors: Iterable[str], cells: Mapping[str, Iterable[str]]) -> list[str]:
+    def pending_recipients(self, governors: Iterable[str], cells: Mapping[str, Iterable[str]]) -> list[str]:
         """Who has still to be told the word of this step."""
-        if self.conflict or self.step is Step.DONE:
+        if self.conflict or self.step is MigrationStep.DONE:
             return []
         due = [g for g in governors if g not in self.known]
-        if self.step is Step.SHUT and self.fenced:
+        if self.step is MigrationStep.CLOSE and self.fenced:
             due += [w for w in cells[self.source] if w not in self.shut]
-        elif self.step is Step.OPEN:
+        elif self.step is MigrationStep.OPEN:
             due += [w for w in cells[self.target] if w not in self.shut]
         return due
 
-    def confirmed(self, now: int, c: Confirm, governors: Iterable[str]) -> Move:
+    def acknowledged(self, now: int, c: AssignmentAck, governors: Iterable[str]) -> Migration:
         """Takes an answer; one to an earlier step or generation changes nothing."""
-        if c.held.tenant != self.tenant or self.step is Step.DONE:
+        if c.assignment.tenant != self.tenant or self.step is MigrationStep.DONE:
             return self
-        if standing(c.held.right, Right(self.gen, self.id)) in (Standing.NEWER, Standing.RIVAL):
-            return replace(self, conflict=f"{c.by} holds generation {c.held.gen} of move {c.held.move}")
-        if c.held.gen < self.gen or (self.step is Step.OPEN) != bool(c.held.cell):
+        if compare_tokens(c.assignment.token, FencingToken(self.gen, self.id)) in (
+            TokenOrder.NEWER,
+            TokenOrder.CONFLICTING,
+        ):
+            return replace(
+                self,
+                conflict=f"{c.sender} holds generation {c.assignment.generation} "
+                f"of move {c.assignment.migration_id}",
+            )
+        if c.assignment.generation < self.gen or (self.step is MigrationStep.OPEN) != bool(c.assignment.cell):
             return self
-        if c.by in set(governors):
-            after = replace(self, known=self.known | {c.by})
+        if c.sender in set(governors):
+            after = replace(self, known=self.known | {c.sender})
             everyone = after.known >= set(governors)
             return replace(after, since=now) if everyone and after.since < 0 else after
-        if c.busy:
+        if c.has_writes_in_flight:
             return self
-        keys = self.keys | c.keys if self.step is Step.SHUT else self.keys
-        return replace(self, shut=self.shut | {c.by}, keys=keys)
+        keys = self.keys | c.completed_keys if self.step is MigrationStep.CLOSE else self.keys
+        return replace(self, shut=self.shut | {c.sender}, keys=keys)
 
     def advance(
         self, now: int, governors: Iterable[str], cells: Mapping[str, Iterable[str]], wait: int
-    ) -> Move:
+    ) -> Migration:
         """The next step if its time has come; `wait` is lease, settle time and margin (µs). The caller keeps
         the record before it sends anything of the new step."""
         if self.conflict:
             return self
-        if self.step is Step.SHUT:
+        if self.step is MigrationStep.CLOSE:
             heard = not self.fenced or set(cells[self.source]) <= self.shut
             waited = self.known >= set(governors) and 0 <= self.since <= now - wait
             if heard or waited:
-                return replace(self, step=Step.OPEN, known=NONE, shut=NONE, since=-1)
+                return replace(self, step=MigrationStep.OPEN, known=NO_KEYS, shut=NO_KEYS, since=-1)
             if self.known >= set(governors) and self.since < 0:
                 # Killed after the last governor's answer it asks nobody again: the wait begins anew here.
                 return replace(self, since=now)
-        elif self.step is Step.OPEN and self.known >= set(governors):
-            return replace(self, step=Step.DONE)
+        elif self.step is MigrationStep.OPEN and self.known >= set(governors):
+            return replace(self, step=MigrationStep.DONE)
         return self
 
-    def undo(self) -> Move:
+    def undo(self) -> Migration:
         """Back to the source by the next generation. Raises ValueError where that can't be."""
-        if self.step is Step.DONE:
+        if self.step is MigrationStep.DONE:
             raise ValueError(f"move {self.id} is done; order a move back to {self.source}")
         if self.undone:
             raise ValueError(f"move {self.id} is being undone already")
-        return Move(
+        return Migration(
             self.id + "-undo",
             self.tenant,
             self.target,
             self.source,
             self.gen + 1,
-            fenced=self.step is Step.OPEN,
+            fenced=self.step is MigrationStep.OPEN,
             keys=self.keys,
             undone=True,
         )
 
-    def waits(self, now: int, governors: Iterable[str], cells: Mapping[str, Iterable[str]], wait: int) -> str:
+    def describe_wait(
+        self, now: int, governors: Iterable[str], cells: Mapping[str, Iterable[str]], wait: int
+    ) -> str:
         """What the move waits for, in words for a person."""
         if self.conflict:
             return "stopped: " + self.conflict
         missing = sorted(g for g in governors if g not in self.known)
-        if self.step is Step.SHUT and self.fenced:
+        if self.step is MigrationStep.CLOSE and self.fenced:
             quiet = sorted(w for w in cells[self.source] if w not in self.shut)
             if missing:
                 more = f"governors {', '.join(missing)}, then {wait / 1e6:g} s"
             else:
                 more = f"{max(0, self.since + wait - now) / 1e6:.1f} s more"
             return f"{', '.join(quiet)} to confirm; or {more}"
-        if self.step is Step.OPEN:
+        if self.step is MigrationStep.OPEN:
             return "governors " + ", ".join(missing) if missing else "nothing"
         return "nothing"
--- a/gradehoist/cells/placement.py
+++ b/gradehoist/cells/placement.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from gradehoist.cells.routes import home
+from gradehoist.cells.routes import home_cell
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,36 +25,36 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Worker:
+class Replica:
     name: str
     zone: str
     kind: str
-    size: float
+    capacity: float
 
 
 @dataclass(frozen=True, slots=True)
-class Wanted:
+class PlacementRequirements:
     """`largest`: the part of a cell's room that one tenant may fill; `spare`: the part of a cell's size that
     is kept free. With `lose_zone` a cell's room is what is left when its largest zone is gone."""
 
-    cells: int
-    least_workers: int = 2
-    least_zones: int = 1
-    largest: float = 0.5
-    spare: float = 0.2
-    lose_zone: bool = False
+    cell_count: int
+    min_replicas: int = 2
+    min_zones: int = 1
+    max_tenant_share: float = 0.5
+    spare_share: float = 0.2
+    survives_zone_loss: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Placement:
     """Cells by number from 0. `faults` says in plain words what could not be had."""
 
-    workers: Mapping[str, int]
+    replicas: Mapping[str, int]
     tenants: Mapping[str, int]
-    faults: tuple[str, ...] = ()
+    unmet_requirements: tuple[str, ...] = ()
 
 
-def lot(*names: object) -> int:
+def stable_hash(*names: object) -> int:
     """A number that only the names decide, the same on every machine."""
     return zlib.crc32(repr(names).encode())
 
@@ -62,121 +62,135 @@
 @dataclass
 class Cell:
     number: int
-    size: float = 0.0
+    capacity: float = 0.0
     load: float = 0.0
-    by_zone: dict[str, float] = field(default_factory=lambda: defaultdict(float))
-    workers: dict[str, Worker] = field(default_factory=dict)
+    capacity_by_zone: dict[str, float] = field(default_factory=lambda: defaultdict(float))
+    replicas: dict[str, Replica] = field(default_factory=dict)
     tenants: list[Tenant] = field(default_factory=list)
 
-    def add(self, worker: Worker) -> None:
-        self.workers[worker.name] = worker
-        self.size += worker.size
-        self.by_zone[worker.zone] += worker.size
-
-    def drop(self, worker: Worker) -> None:
-        del self.workers[worker.name]
-        self.size -= worker.size
-        self.by_zone[worker.zone] -= worker.size
-        if not any(w.zone == worker.zone for w in self.workers.values()):
-            del self.by_zone[worker.zone]
-
-    def room(self, wanted: Wanted) -> float:
-        lost = max(self.by_zone.values()) if wanted.lose_zone and len(self.by_zone) > 1 else 0.0
-        return max(0.0, (self.size - lost) * (1 - wanted.spare))
+    def add_replica(self, worker: Replica) -> None:
+        self.replicas[worker.name] = worker
+        self.capacity += worker.capacity
+        self.capacity_by_zone[worker.zone] += worker.capacity
+
+    def remove_replica(self, worker: Replica) -> None:
+        del self.replicas[worker.name]
+        self.capacity -= worker.capacity
+        self.capacity_by_zone[worker.zone] -= worker.capacity
+        if not any(w.zone == worker.zone for w in self.replicas.values()):
+            del self.capacity_by_zone[worker.zone]
+
+    def tenant_capacity(self, wanted: PlacementRequirements) -> float:
+        lost = (
+            max(self.capacity_by_zone.values())
+            if wanted.survives_zone_loss and len(self.capacity_by_zone) > 1
+            else 0.0
+        )
+        return max(0.0, (self.capacity - lost) * (1 - wanted.spare_share))
 
-    def short(self, wanted: Wanted) -> bool:
-        return len(self.workers) < wanted.least_workers or len(self.by_zone) < wanted.least_zones
+    def is_undersized(self, wanted: PlacementRequirements) -> bool:
+        return len(self.replicas) < wanted.min_replicas or len(self.capacity_by_zone) < wanted.min_zones
 
 
-def place(
-    tenants: Iterable[Tenant], workers: Iterable[Worker], wanted: Wanted, before: Placement | None = None
+def plan_placement(
+    tenants: Iterable[Tenant],
+    workers: Iterable[Replica],
+    wanted: PlacementRequirements,
+    before: Placement | None = None,
 ) -> Placement:
     """Raises ValueError where no cell could be made at all, or a name stands twice."""
-    people = sorted(tenants, key=lambda t: (-t.demand, lot(t.name), t.name))
-    crew = sorted(workers, key=lambda w: (w.zone, -w.size, lot(w.name), w.name))
+    people = sorted(tenants, key=lambda t: (-t.demand, stable_hash(t.name), t.name))
+    crew = sorted(workers, key=lambda w: (w.zone, -w.capacity, stable_hash(w.name), w.name))
     for kind, names in (("tenant", [t.name for t in people]), ("worker", [w.name for w in crew])):
         if len(set(names)) < len(names):
             raise ValueError(f"a {kind} is named twice")
-    if wanted.cells < 1 or len(crew) < wanted.cells:
-        raise ValueError(f"{wanted.cells} cells cannot be made of {len(crew)} workers")
-    cells = [Cell(n) for n in range(wanted.cells)]
-    homes = {n: c for n, c in (before.workers if before else {}).items() if 0 <= c < wanted.cells}
+    if wanted.cell_count < 1 or len(crew) < wanted.cell_count:
+        raise ValueError(f"{wanted.cell_count} cells cannot be made of {len(crew)} workers")
+    cells = [Cell(n) for n in range(wanted.cell_count)]
+    homes = {n: c for n, c in (before.replicas if before else {}).items() if 0 <= c < wanted.cell_count}
     for worker in crew:
         if worker.name in homes:
-            cells[homes[worker.name]].add(worker)
+            cells[homes[worker.name]].add_replica(worker)
     for worker in crew:
         if worker.name not in homes:
-            _neediest(cells, worker, wanted).add(worker)
+            _neediest(cells, worker, wanted).add_replica(worker)
     faults = _repair(cells, wanted)
     faults += _settle(people, cells, wanted, before)
     return Placement(
-        {w: c.number for c in cells for w in c.workers},
+        {w: c.number for c in cells for w in c.replicas},
         {t.name: c.number for c in cells for t in c.tenants},
         tuple(faults),
     )
 
 
-def halves(workers: Iterable[Worker]) -> tuple[list[Worker], list[Worker]]:
+def split_replicas(workers: Iterable[Replica]) -> tuple[list[Replica], list[Replica]]:
     """Two halves of a cell's workers: zone by zone, the largest first, each to the half that has fewer of the
     zone and then less size."""
-    out: tuple[list[Worker], list[Worker]] = ([], [])
-    for worker in sorted(workers, key=lambda w: (w.zone, -w.size, lot(w.name), w.name)):
+    out: tuple[list[Replica], list[Replica]] = ([], [])
+    for worker in sorted(workers, key=lambda w: (w.zone, -w.capacity, stable_hash(w.name), w.name)):
         best = min(
             out,
-            key=lambda half: (sum(w.zone == worker.zone for w in half), len(half), sum(w.size for w in half)),
+            key=lambda half: (
+                sum(w.zone == worker.zone for w in half),
+                len(half),
+                sum(w.capacity for w in half),
+            ),
         )
         best.append(worker)
     return out
 
 
-def _neediest(cells: list[Cell], worker: Worker, wanted: Wanted) -> Cell:
+def _neediest(cells: list[Cell], worker: Replica, wanted: PlacementRequirements) -> Cell:
     """A cell short of workers first, then the one with fewest of this zone, then the smallest. Counted, not
     summed: by size, the odd worker of every zone went to one cell, which became twice as large."""
 
     def rank(c: Cell) -> tuple[bool, int, float, int]:
-        near = sum(w.zone == worker.zone for w in c.workers.values())
-        return not c.short(wanted), near, c.size, lot(c.number, worker.name)
+        near = sum(w.zone == worker.zone for w in c.replicas.values())
+        return not c.is_undersized(wanted), near, c.capacity, stable_hash(c.number, worker.name)
 
     return min(cells, key=rank)
 
 
-def _repair(cells: list[Cell], wanted: Wanted) -> list[str]:
+def _repair(cells: list[Cell], wanted: PlacementRequirements) -> list[str]:
     """Each cell under the least takes one worker at a time from the cell that can spare it best."""
     faults = []
     for cell in cells:
-        while cell.short(wanted):
-            new_zone = len(cell.by_zone) < wanted.least_zones
-            best: tuple[tuple[float, int], Cell, Worker] | None = None
+        while cell.is_undersized(wanted):
+            new_zone = len(cell.capacity_by_zone) < wanted.min_zones
+            best: tuple[tuple[float, int], Cell, Replica] | None = None
             for donor in cells:
-                if donor is cell or len(donor.workers) <= wanted.least_workers:
+                if donor is cell or len(donor.replicas) <= wanted.min_replicas:
                     continue
-                for worker in donor.workers.values():
-                    alone = sum(w.zone == worker.zone for w in donor.workers.values()) == 1
-                    if (alone and len(donor.by_zone) <= wanted.least_zones) or (
-                        new_zone and worker.zone in cell.by_zone
+                for worker in donor.replicas.values():
+                    alone = sum(w.zone == worker.zone for w in donor.replicas.values()) == 1
+                    if (alone and len(donor.capacity_by_zone) <= wanted.min_zones) or (
+                        new_zone and worker.zone in cell.capacity_by_zone
                     ):
                         continue
-                    rank = (-(donor.size - worker.size), lot(cell.number, worker.name))
+                    rank = (-(donor.capacity - worker.capacity), stable_hash(cell.number, worker.name))
                     if best is None or rank < best[0]:
                         best = (rank, donor, worker)
             if best is None:
                 faults.append(
-                    f"cell {cell.number} has {len(cell.workers)} workers in {len(cell.by_zone)} zones; "
-                    f"{wanted.least_workers} in {wanted.least_zones} are wanted and none can be spared"
+                    f"cell {cell.number} has {len(cell.replicas)} workers "
+                    f"in {len(cell.capacity_by_zone)} zones; "
+                    f"{wanted.min_replicas} in {wanted.min_zones} are wanted and none can be spared"
                 )
                 break
-            best[1].drop(best[2])
-            cell.add(best[2])
+            best[1].remove_replica(best[2])
+            cell.add_replica(best[2])
     return faults
 
 
-def _settle(people: list[Tenant], cells: list[Cell], wanted: Wanted, before: Placement | None) -> list[str]:
+def _settle(
+    people: list[Tenant], cells: list[Cell], wanted: PlacementRequirements, before: Placement | None
+) -> list[str]:
     """Tenants stay; those of a cell over its room leave, the largest that mends it first, until it fits."""
     faults: list[str] = []
-    rooms = [c.room(wanted) for c in cells]
+    rooms = [c.tenant_capacity(wanted) for c in cells]
     leaving: list[Tenant] = []
     known = before.tenants if before else {}
-    most = max(rooms) * wanted.largest
+    most = max(rooms) * wanted.max_tenant_share
     for tenant in people:
         if tenant.demand > max(rooms):
             faults.append(
@@ -184,7 +198,7 @@
                 f"{max(rooms):.4g}: split it, or make fewer and larger cells"
             )
         elif tenant.demand > most:
-            faults.append(f"tenant {tenant.name} would fill over {wanted.largest:.0%} of any cell")
+            faults.append(f"tenant {tenant.name} would fill over {wanted.max_tenant_share:.0%} of any cell")
         was = known.get(tenant.name, -1)
         if 0 <= was < len(cells):
             cells[was].tenants.append(tenant)
@@ -201,18 +215,18 @@
             here.remove(chosen)
             cell.load -= chosen.demand
             leaving.append(chosen)
-    leaving.sort(key=lambda t: (-t.demand, lot(t.name), t.name))
+    leaving.sort(key=lambda t: (-t.demand, stable_hash(t.name), t.name))
     # Where its hash says, while that cell is under its even part: relays need no exception for it.
     even = sum(t.demand for t in people) / max(sum(rooms), 1e-9)
     numbers, strayed = range(len(cells)), []
     for tenant in leaving:
-        cell = cells[home(tenant.name, numbers, {})]
+        cell = cells[home_cell(tenant.name, numbers, {})]
         if tenant.name in known or cell.load + tenant.demand > even * rooms[cell.number]:
             strayed.append(tenant)
         else:
             cell.tenants.append(tenant)
             cell.load += tenant.demand
-    heap = [(c.load / max(rooms[c.number], 1e-9), lot("cell", c.number), c.number) for c in cells]
+    heap = [(c.load / max(rooms[c.number], 1e-9), stable_hash("cell", c.number), c.number) for c in cells]
     heapq.heapify(heap)
     for tenant in strayed:
         _, tie, number = heap[0]
--- a/gradehoist/cells/rollout.py
+++ b/gradehoist/cells/rollout.py
@@ -14,16 +14,16 @@
 from math import sqrt
 
 
-class Step(Enum):
-    RENEW = "renew"
+class RolloutStep(Enum):
+    UPDATE = "renew"
     SOAK = "soak"
     DONE = "done"
-    BACK = "putting back"
+    ROLL_BACK = "putting back"
     HALTED = "halted"
 
 
 @dataclass(frozen=True, slots=True)
-class Seen:
+class TrafficCounts:
     """What was met at one cell: transactions, those unanswered, good tries and their time (µs)."""
 
     came: int = 0
@@ -31,16 +31,16 @@
     good: int = 0
     elapsed: int = 0
 
-    def since(self, other: Seen) -> Seen:
-        return Seen(
+    def since(self, other: TrafficCounts) -> TrafficCounts:
+        return TrafficCounts(
             self.came - other.came,
             self.unanswered - other.unanswered,
             self.good - other.good,
             self.elapsed - other.elapsed,
         )
 
-    def plus(self, other: Seen) -> Seen:
-        return Seen(
+    def plus(self, other: TrafficCounts) -> TrafficCounts:
+        return TrafficCounts(
             self.came + other.came,
             self.unanswered + other.unanswered,
             self.good + other.good,
@@ -48,16 +48,16 @@
         )
 
     @property
-    def failing(self) -> float:
+    def failure_rate(self) -> float:
         return self.unanswered / self.came if self.came else 0.0
 
     @property
-    def mean(self) -> float:
+    def mean_latency_us(self) -> float:
         return self.elapsed / self.good if self.good else 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class Release:
+class Rollout:
     """The record. `workers` by cell, in the order in which they are renewed; `before` is what was usual when
     the stage began, kept as one that was killed would take a harmed cell for the usual."""
 
@@ -68,83 +68,100 @@
     run: str
     back: str = ""
     at: int = 0
-    step: Step = Step.RENEW
+    step: RolloutStep = RolloutStep.UPDATE
     touched: frozenset[str] = frozenset()  # begun; with those renewed, what a halt puts back
     renewed: frozenset[str] = frozenset()
     why: str = ""
-    before: Mapping[str, Seen] = field(default_factory=dict)
+    before: Mapping[str, TrafficCounts] = field(default_factory=dict)
 
     @property
     def cell(self) -> str:
         return self.cells[self.at]
 
-    def due(self) -> tuple[str, ...]:
+    def next_batch(self) -> tuple[str, ...]:
         """The workers to renew now."""
         left = [w for w in self.workers[self.cell] if w not in self.renewed]
-        return tuple(left[: self.batch]) if self.step is Step.RENEW else ()
+        return tuple(left[: self.batch]) if self.step is RolloutStep.UPDATE else ()
 
-    def staged(self, before: Mapping[str, Seen]) -> Release:
+    def with_baseline(self, before: Mapping[str, TrafficCounts]) -> Rollout:
         return replace(self, before=dict(before))
 
-    def begun(self, workers: Iterable[str]) -> Release:
+    def with_batch_started(self, workers: Iterable[str]) -> Rollout:
         return replace(self, touched=self.touched | frozenset(workers))
 
-    def done(self, workers: Iterable[str]) -> Release:
+    def with_batch_updated(self, workers: Iterable[str]) -> Rollout:
         after = replace(self, renewed=self.renewed | frozenset(workers))
-        return after if after.due() else replace(after, step=Step.SOAK)
+        return after if after.next_batch() else replace(after, step=RolloutStep.SOAK)
 
-    def soaked(self) -> Release:
+    def with_stage_completed(self) -> Rollout:
         if self.at + 1 == len(self.cells):
-            return replace(self, step=Step.DONE)
-        return replace(self, at=self.at + 1, step=Step.RENEW, before={})
+            return replace(self, step=RolloutStep.DONE)
+        return replace(self, at=self.at + 1, step=RolloutStep.UPDATE, before={})
 
-    def halt(self, why: str) -> Release:
-        return replace(self, step=Step.BACK, why=why)
+    def with_rollback_started(self, why: str) -> Rollout:
+        return replace(self, step=RolloutStep.ROLL_BACK, why=why)
 
-    def ended(self) -> Release:
-        return replace(self, step=Step.HALTED)
+    def with_rollback_completed(self) -> Rollout:
+        return replace(self, step=RolloutStep.HALTED)
 
 
-MARGIN = 0.03  # of the transactions: what a cell may lose while a worker of it is renewed
-SURE = 3.0  # standard errors, beyond the margin: at most one of the tests' 400 days without harm halts
-LEAST = 40  # transactions: under that no share is worth comparing
-SLOWER = 1.6  # times as long as before, beside the other cells; a worker's cold start alone should not do it
+FAILURE_RATE_MARGIN = 0.03  # of the transactions: what a cell may lose while a worker of it is renewed
+SIGNIFICANT_STANDARD_ERRORS = (
+    3.0  # standard errors, beyond the margin: at most one of the tests' 400 days without harm halts
+)
+MIN_REQUESTS = 40  # transactions: under that no share is worth comparing
+MAX_LATENCY_RATIO = (
+    1.6  # times as long as before, beside the other cells; a worker's cold start alone should not do it
+)
 
 
-def _excess(before: Seen, now: Seen) -> float:
+def _excess(before: TrafficCounts, now: TrafficCounts) -> float:
     """By how many standard errors the failing share lies over `before` and the margin."""
     share = (before.unanswered + now.unanswered + 1) / (before.came + now.came + 2)
     error = sqrt(share * (1 - share) * (1 / max(1, before.came) + 1 / max(1, now.came)))
-    return (now.failing - before.failing - MARGIN) / error
+    return (now.failure_rate - before.failure_rate - FAILURE_RATE_MARGIN) / error
 
 
-def judge(cell: str, before: Mapping[str, Seen], now: Mapping[str, Seen]) -> str:
+def describe_regression(
+    cell: str, before: Mapping[str, TrafficCounts], now: Mapping[str, TrafficCounts]
+) -> str:
     """Why a release harms its cell, empty where it does not as far as can be seen."""
     mine, was = now[cell], before[cell]
-    others, others_were = Seen(), Seen()
+    others, others_were = TrafficCounts(), TrafficCounts()
     for name in now:
         if name != cell:
             others, others_were = others.plus(now[name]), others_were.plus(before[name])
-    if mine.came < LEAST:
+    if mine.came < MIN_REQUESTS:
         return ""
-    rise = max(0.0, others.failing - others_were.failing)
-    adjusted = replace(was, unanswered=round(min(1.0, was.failing + rise) * was.came))
-    if _excess(adjusted, mine) > SURE:
+    rise = max(0.0, others.failure_rate - others_were.failure_rate)
+    adjusted = replace(was, unanswered=round(min(1.0, was.failure_rate + rise) * was.came))
+    if _excess(adjusted, mine) > SIGNIFICANT_STANDARD_ERRORS:
         return (
-            f"{mine.failing:.1%} of {mine.came} transactions of {cell} were not answered, "
-            f"{was.failing:.1%} before; elsewhere {others.failing:.1%}"
+            f"{mine.failure_rate:.1%} of {mine.came} transactions of {cell} were not answered, "
+            f"{was.failure_rate:.1%} before; elsewhere {others.failure_rate:.1%}"
         )
-    if mine.good >= LEAST and was.good >= LEAST:
-        ratio = mine.mean / max(1.0, was.mean)
-        beside = others.mean / max(1.0, others_were.mean) if others_were.good and others.good else 1.0
-        if ratio > SLOWER * max(1.0, beside):
+    if mine.good >= MIN_REQUESTS and was.good >= MIN_REQUESTS:
+        ratio = mine.mean_latency_us / max(1.0, was.mean_latency_us)
+        beside = (
+            others.mean_latency_us / max(1.0, others_were.mean_latency_us)
+            if others_were.good and others.good
+            else 1.0
+        )
+        if ratio > MAX_LATENCY_RATIO * max(1.0, beside):
             return (
-                f"answers of {cell} take {mine.mean / 1e3:.0f} ms, {was.mean / 1e3:.0f} before; "
-                f"elsewhere {others.mean / 1e3:.0f}"
+                f"answers of {cell} take {mine.mean_latency_us / 1e3:.0f} ms, "
+                f"{was.mean_latency_us / 1e3:.0f} before; "
+                f"elsewhere {others.mean_latency_us / 1e3:.0f}"
             )
     return ""
 
 
-def calm(cell: str, before: Mapping[str, Seen], now: Mapping[str, Seen]) -> bool:
+def are_other_cells_stable(
+    cell: str, before: Mapping[str, TrafficCounts], now: Mapping[str, TrafficCounts]
+) -> bool:
     """Whether the other cells are as before, so that the next stage may begin."""
-    return all(now[c].came < LEAST or _excess(before[c], now[c]) <= SURE for c in now if c != cell)
+    return all(
+        now[c].came < MIN_REQUESTS or _excess(before[c], now[c]) <= SIGNIFICANT_STANDARD_ERRORS
+        for c in now
+        if c != cell
+    )
--- a/gradehoist/cells/routes.py
+++ b/gradehoist/cells/routes.py
@@ -9,12 +9,12 @@
 Cell = TypeVar("Cell")
 
 
-def home(tenant: str, cells: Sequence[Cell], exceptions: Mapping[str, Cell]) -> Cell:
+def home_cell(tenant: str, cells: Sequence[Cell], exceptions: Mapping[str, Cell]) -> Cell:
     """The cell of a tenant; one that nobody has named falls into the range of its hash."""
     named = exceptions.get(tenant)
     return named if named is not None else cells[zlib.crc32(tenant.encode()) * len(cells) >> 32]
 
 
-def label(cell: str, cls: str) -> str:
+def class_label(cell: str, cls: str) -> str:
     """What a class is called in the tables of a cell; without cells it is the class itself."""
     return f"{cell}/{cls}" if cell else cls
--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -13,16 +13,33 @@
 from rich.console import Console
 from rich.table import Table
 
-from gradehoist.cells.migration import Move, Step
-from gradehoist.cells.placement import Placement, Tenant, Wanted, Worker, halves, lot, place
-from gradehoist.cells.rollout import Release
-from gradehoist.cells.rollout import Step as Staged
-from gradehoist.migration import queries
-from gradehoist.migration import rollout as releasing
-from gradehoist.migration import runner as mover
-from gradehoist.net.client import Client
-from gradehoist.settings.fleet import Governor, Placed, Settings
-from gradehoist.store.atomic_file import Held, Lock
+from gradehoist.cells.migration import Migration, MigrationStep
+from gradehoist.cells.placement import (
+    Placement,
+    PlacementRequirements,
+    Replica,
+    Tenant,
+    plan_placement,
+    split_replicas,
+    stable_hash,
+)
+from gradehoist.cells.rollout import Rollout
+from gradehoist.cells.rollout import RolloutStep as Staged
+from gradehoist.migration.queries import fetch_governor_status
+from gradehoist.migration.rollout import RolloutRunner, load_rollout
+from gradehoist.migration.runner import (
+    MigrationRunner,
+    create_migrations,
+    load_draining_cells,
+    load_migrations,
+    pending_migrations,
+    plan_cell_drain,
+    save_draining_cells,
+    tenant_cells,
+)
+from gradehoist.net.client import HttpClient
+from gradehoist.settings.fleet import CellPlacement, GovernorSettings, Settings
+from gradehoist.store.atomic_file import FolderLock, FolderLockedError
 
 
 class Bad(Exception):
@@ -52,80 +69,83 @@
     return value
 
 
-def workers_of(path: Path) -> list[Worker]:
+def workers_of(path: Path) -> list[Replica]:
     return [
-        Worker(r["worker"], r["zone"], r["kind"], figure(path, n, "size", r["size"]))
+        Replica(r["worker"], r["zone"], r["kind"], figure(path, n, "size", r["size"]))
         for n, r in enumerate(rows(path, ("worker", "zone", "kind", "size")), 2)
     ]
 
 
-def make(tenants: Path, workers: Path, wanted: Wanted, before: Path | None) -> tuple[Placed, tuple[str, ...]]:
+def make(
+    tenants: Path, workers: Path, wanted: PlacementRequirements, before: Path | None
+) -> tuple[CellPlacement, tuple[str, ...]]:
     """The placement and what could not be had. Raises Bad."""
     people = [
         Tenant(r["tenant"], figure(tenants, n, "demand", r["demand"]))
         for n, r in enumerate(rows(tenants, ("tenant", "demand")), 2)
     ]
     crew = workers_of(workers)
-    names = tuple(f"c{n}" for n in range(wanted.cells))
+    names = tuple(f"c{n}" for n in range(wanted.cell_count))
     old = None
     if before is not None:
         held = read(before)
         numbers = {c: n for n, c in enumerate(held.cells)}
-        names = held.cells[: wanted.cells] + names[len(held.cells) :]
+        names = held.cells[: wanted.cell_count] + names[len(held.cells) :]
         old = Placement(
-            {w: numbers[c] for w, c in held.workers.items()}, {t: numbers[c] for t, c in held.named.items()}
+            {w: numbers[c] for w, c in held.cell_by_replica.items()},
+            {t: numbers[c] for t, c in held.cell_by_tenant.items()},
         )
     try:
-        found = place(people, crew, wanted, old)
+        found = plan_placement(people, crew, wanted, old)
     except ValueError as fault:
         raise Bad(f"{workers}: {fault}; change --cells or the files") from None
-    return Placed(
+    return CellPlacement(
         names,
-        {w: names[c] for w, c in sorted(found.workers.items())},
+        {w: names[c] for w, c in sorted(found.replicas.items())},
         {t: names[c] for t, c in sorted(found.tenants.items())},
-    ), found.faults
+    ), found.unmet_requirements
 
 
-def split(placed: Placed, workers: Path, cell: str, new: str) -> Placed:
+def split(placed: CellPlacement, workers: Path, cell: str, new: str) -> CellPlacement:
     """The placement with a cell's workers dealt to it and a new cell, which has no tenants yet. Ranges of the
     hash stay, or tenants that nobody named would change their cell without a move. Raises Bad."""
     if cell not in placed.cells or new in placed.cells:
         known = ", ".join(placed.cells)
         raise Bad(f"{cell} has to be a cell and {new} a new name; the placement has {known}")
     crew = workers_of(workers)
-    mine = [w for w in crew if placed.workers.get(w.name) == cell]
-    if len(mine) < 2 or len(mine) < len(placed.of(cell)):
+    mine = [w for w in crew if placed.cell_by_replica.get(w.name) == cell]
+    if len(mine) < 2 or len(mine) < len(placed.replicas_of(cell)):
         raise Bad(
-            f"{workers}: names {len(mine)} of the {len(placed.of(cell))} workers of {cell}; a split "
+            f"{workers}: names {len(mine)} of the {len(placed.replicas_of(cell))} workers of {cell}; a split "
             "needs all of them, and two at least"
         )
-    _, go = halves(mine)
-    return Placed(
+    _, go = split_replicas(mine)
+    return CellPlacement(
         (*placed.cells, new),
-        {**placed.workers, **{w.name: new for w in go}},
-        placed.named,
-        placed.ranges or placed.cells,
+        {**placed.cell_by_replica, **{w.name: new for w in go}},
+        placed.cell_by_tenant,
+        placed.cell_by_range or placed.cells,
     )
 
 
-def read(path: Path) -> Placed:
+def read(path: Path) -> CellPlacement:
     try:
-        placed: Placed = msgspec.json.decode(path.read_bytes(), type=Placed)
+        placed: CellPlacement = msgspec.json.decode(path.read_bytes(), type=CellPlacement)
     except (OSError, msgspec.MsgspecError) as fault:
         raise Bad(f"{path}: no placement: {fault}; make one with gradehoist cells place") from None
     return placed
 
 
-def show(placed: Placed, store: Path | None = None, live: Live | None = None) -> None:
+def show(placed: CellPlacement, store: Path | None = None, live: Live | None = None) -> None:
     """A placement; with a store and what governors say also moves, load and headroom. Raises Bad."""
-    tenants, shut, moves = defaultdict[str, list[str]](list), tuple[str, ...](), list[Move]()
+    tenants, shut, moves = defaultdict[str, list[str]](list), tuple[str, ...](), list[Migration]()
     try:
         if store is not None:
-            moves, shut = mover.load(store), mover.draining(store)
+            moves, shut = load_migrations(store), load_draining_cells(store)
     except ValueError as fault:
         raise Bad(str(fault)) from None
-    under_way = mover.under_way(moves)
-    for name, cell in mover.lives(moves, placed).items():
+    under_way = pending_migrations(moves)
+    for name, cell in tenant_cells(moves, placed).items():
         tenants[cell].append(name)
     out = Table(title=f"{len(placed.cells)} cells", title_justify="left")
     heads = ["cell", "workers", "tenants"]
@@ -135,7 +155,7 @@
         out.add_column(head, justify="left" if head in ("cell", "workers", "") else "right")
     for cell in placed.cells:
         here = sorted(tenants[cell])
-        workers = sorted(placed.of(cell))
+        workers = sorted(placed.replicas_of(cell))
         cells = [cell, ", ".join(workers[:4]) + (", …" if len(workers) > 4 else ""), str(len(here))]
         if live is not None:
             x = live.get(cell)
@@ -165,10 +185,10 @@
 def figures(settings: Settings) -> tuple[Live, list[str]]:
     """What governors have heard of each cell, counts added up and loads averaged; and who did not answer."""
 
-    async def one(governor: Governor) -> Live | None:
-        client = Client(*governor.listen, connect_timeout=0.5)
+    async def one(governor: GovernorSettings) -> Live | None:
+        client = HttpClient(*governor.listen_address, connect_timeout_s=0.5)
         try:
-            found = await queries.status(client)
+            found = await fetch_governor_status(client)
             return found["cells"] if found else None
         finally:
             client.close()
@@ -189,19 +209,19 @@
     return out, silent
 
 
-def placement(settings: Settings) -> Placed:
-    if settings.fleet.cells is None:
+def placement(settings: Settings) -> CellPlacement:
+    if settings.fleet.placement is None:
         raise Bad("fleet > cells: missing; name a placement")
-    return settings.fleet.cells
+    return settings.fleet.placement
 
 
 def half(settings: Settings, store: Path, cell: str) -> tuple[str, ...]:
     """Every other tenant of a cell, as after a split. Raises Bad."""
     try:
-        now = mover.lives(mover.load(store), placement(settings))
+        now = tenant_cells(load_migrations(store), placement(settings))
     except ValueError as fault:
         raise Bad(str(fault)) from None
-    return tuple(sorted((t for t, c in now.items() if c == cell), key=lambda t: (lot(t), t))[::2])
+    return tuple(sorted((t for t, c in now.items() if c == cell), key=lambda t: (stable_hash(t), t))[::2])
 
 
 def drain(settings: Settings, store: Path, cell: str, end: bool) -> bool:
@@ -210,21 +230,21 @@
     if cell not in placed.cells:
         raise Bad(f"no cell {cell!r}; the placement has {', '.join(placed.cells)}")
     try:
-        shut = mover.draining(store)
+        shut = load_draining_cells(store)
         if end:
-            mover.drain(store, tuple(c for c in shut if c != cell))
+            save_draining_cells(store, tuple(c for c in shut if c != cell))
             return True
-        mover.drain(store, tuple(dict.fromkeys((*shut, cell))))
+        save_draining_cells(store, tuple(dict.fromkeys((*shut, cell))))
         good, late = True, True
         while good and late:  # those on their way into the cell, or out and turned back, follow once there
-            moves = mover.load(store)
-            there = mover.away(cell, moves, placed, (*shut, cell))
-            under_way = {m.tenant for m in mover.under_way(moves)}
+            moves = load_migrations(store)
+            there = plan_cell_drain(cell, moves, placed, (*shut, cell))
+            under_way = {m.tenant for m in pending_migrations(moves)}
             late = bool(there.keys() & under_way)
             good = move(settings, store, {t: c for t, c in there.items() if t not in under_way})
     except ValueError as fault:
         raise Bad(str(fault)) from None
-    if cell in (placed.ranges or placed.cells):
+    if cell in (placed.cell_by_range or placed.cells):
         print(f"{cell} still gets tenants that nobody named, by their hash; name them in the placement")
     return good
 
@@ -233,19 +253,19 @@
     """Moves tenants to cells, with what was under way; True where every move came to its end. Raises Bad."""
     placement(settings)
     try:
-        lock = Lock(store)
-    except Held as fault:
+        lock = FolderLock(store)
+    except FolderLockedError as fault:
         raise Bad(f"{fault}; one mover at a time, wait for it or end it") from None
     try:
         if tenants:
-            mover.order(store, settings, tenants)
-        due = mover.under_way(mover.load(store))
-        ended = asyncio.run(mover.Mover(settings, store, _say).run(due))
+            create_migrations(store, settings, tenants)
+        due = pending_migrations(load_migrations(store))
+        ended = asyncio.run(MigrationRunner(settings, store, _say).run(due))
     except ValueError as fault:
         raise Bad(str(fault)) from None
     finally:
-        lock.free()
-    return all(m.step is Step.DONE for m in ended)
+        lock.release()
+    return all(m.step is MigrationStep.DONE for m in ended)
 
 
 def release(
@@ -269,34 +289,34 @@
     if strange := [c for c in some if c not in placed.cells]:
         raise Bad(f"no cell {', '.join(strange)}; the placement has {', '.join(placed.cells)}")
     try:
-        lock = Lock(store, "release.lock")
-    except Held as fault:
+        lock = FolderLock(store, "release.lock")
+    except FolderLockedError as fault:
         raise Bad(f"{fault}; one release at a time, wait for it or end it") from None
     try:
-        last = releasing.load(store)
+        last = load_rollout(store)
         open_one = last is not None and last.step not in (Staged.DONE, Staged.HALTED)
         if run:
             if last is not None and open_one:
                 raise Bad(f"release {last.id} is under way in {last.cell}; leave out --run to go on with it")
             number = int(last.id) + 1 if last else 1
             cells = some or placed.cells
-            workers = {c: tuple(sorted(placed.of(c))) for c in cells}
-            last = Release(f"{number:06d}", cells, workers, batch, run, back)
+            workers = {c: tuple(sorted(placed.replicas_of(c))) for c in cells}
+            last = Rollout(f"{number:06d}", cells, workers, batch, run, back)
         elif last is None or not open_one:
             raise Bad("no release is under way; begin one with --run COMMAND")
-        told = asyncio.run(releasing.Runner(settings, store, soak, patience, _say_release).run(last))
+        told = asyncio.run(RolloutRunner(settings, store, soak, patience, _say_release).run(last))
     except ValueError as fault:
         raise Bad(str(fault)) from None
     finally:
-        lock.free()
+        lock.release()
     return told.step is Staged.DONE
 
 
-def _say_release(release: Release, text: str) -> None:
+def _say_release(release: Rollout, text: str) -> None:
     print(f"release {release.id} {release.step.value}: {text}", flush=True)
 
 
-def _say(move: Move, waits: str) -> None:
+def _say(move: Migration, waits: str) -> None:
     print(
         f"{move.id} {move.tenant} {move.source} -> {move.target}: {move.step.value}; waits for {waits}",
         flush=True,
@@ -305,17 +325,17 @@
 
 def show_moves(store: Path) -> None:
     try:
-        moves = mover.load(store)
+        moves = load_migrations(store)
     except ValueError as fault:
         raise Bad(str(fault)) from None
-    due = {m.id for m in mover.under_way(moves)}
+    due = {m.id for m in pending_migrations(moves)}
     out = Table(title=f"{len(moves)} moves", title_justify="left")
     for head in ("move", "tenant", "from", "to", "generation", "step", ""):
         out.add_column(head)
     for m in moves:
         note = m.conflict or (
             ""
-            if m.step is Step.DONE
+            if m.step is MigrationStep.DONE
             else "undone"
             if m.id not in due
             else "confirmed by " + (", ".join(sorted(m.known | m.shut)) or "nobody yet")
--- a/gradehoist/cli/logs.py
+++ b/gradehoist/cli/logs.py
@@ -8,14 +8,14 @@
 
 import structlog
 
-from gradehoist.store.log_writer import Sink
+from gradehoist.store.log_writer import LogWriter
 
 
 def set_up(form: str) -> None:
     """`form`: json, plain, or auto (plain on a terminal)."""
     person = form == "plain" or (form == "auto" and sys.stderr.isatty())
     last = structlog.dev.ConsoleRenderer() if person else structlog.processors.JSONRenderer()
-    sink = Sink(sys.stderr.fileno())
+    sink = LogWriter(sys.stderr.fileno())
     atexit.register(sink.close)
     structlog.configure(
         processors=[
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -11,7 +11,7 @@
 
 import click
 
-from gradehoist.settings import fleet
+from gradehoist.settings.fleet import Settings, read_settings
 from gradehoist.settings.reader import SettingsError
 
 
@@ -21,9 +21,9 @@
     exit_code = 2
 
 
-def settings(path: Path) -> fleet.Settings:
+def settings(path: Path) -> Settings:
     try:
-        return fleet.read(path)
+        return read_settings(path)
     except SettingsError as fault:
         raise Fail(str(fault)) from None
 
@@ -86,12 +86,12 @@
     except KeyError as fault:
         raise Fail(f"{path}: {fault.args[0]}; give one of them with --name") from None
     from gradehoist.cli.logs import set_up
-    from gradehoist.governor.service import Service, StateFault
+    from gradehoist.governor.service import GovernorService, StateError
 
     set_up(form)
 
     async def serve() -> int:
-        service = Service(found.fleet, own)
+        service = GovernorService(found.fleet, own)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, service.stop)
@@ -99,7 +99,7 @@
 
     try:
         sys.exit(asyncio.run(serve()))
-    except StateFault as fault:
+    except StateError as fault:
         raise Fail(f"{path}: governor {name!r} > state: {fault}") from None
     except OSError as fault:
         raise Fail(
@@ -188,23 +188,26 @@
     asked for could not be had, with the placement written all the same."""
     import msgspec
 
-    from gradehoist.cells.placement import Wanted
+    from gradehoist.cells.placement import PlacementRequirements
     from gradehoist.cli import cells as view
     from gradehoist.store import atomic_file
 
-    wanted = Wanted(number, least_workers, least_zones, spare=spare, lose_zone=lose_zone)
+    wanted = PlacementRequirements(
+        number, least_workers, least_zones, spare_share=spare, survives_zone_loss=lose_zone
+    )
     try:
         placed, faults = view.make(tenants, workers, wanted, before)
     except view.Bad as fault:
         raise Fail(str(fault)) from None
     try:
-        atomic_file.write(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
+        atomic_file.write_file(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
     except OSError as fault:
         raise Fail(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
     for fault_line in faults:
         click.echo(fault_line, err=True)
     click.echo(
-        f"{out}: {len(placed.cells)} cells, {len(placed.workers)} workers, " f"{len(placed.named)} tenants"
+        f"{out}: {len(placed.cells)} cells, {len(placed.cell_by_replica)} workers, "
+        f"{len(placed.cell_by_tenant)} tenants"
     )
     sys.exit(1 if faults else 0)
 
@@ -299,12 +302,13 @@
     except view.Bad as fault:
         raise Fail(str(fault)) from None
     try:
-        atomic_file.write(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
+        atomic_file.write_file(out, msgspec.json.format(msgspec.json.encode(placed), indent=1))
     except OSError as fault:
         raise Fail(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
     click.echo(
-        f"{out}: {new} has {len(placed.of(new))} workers, {cell} keeps {len(placed.of(cell))}; next: "
-        f"governors with this file, one at a time; {', '.join(sorted(placed.of(new)))} anew; "
+        f"{out}: {new} has {len(placed.replicas_of(new))} workers, "
+        f"{cell} keeps {len(placed.replicas_of(cell))}; next: "
+        f"governors with this file, one at a time; {', '.join(sorted(placed.replicas_of(new)))} anew; "
         f"gradehoist cells move SETTINGS --half-of {cell} --to {new}"
     )
 
@@ -317,7 +321,7 @@
     from gradehoist.migration import runner as mover
 
     try:
-        back = mover.undo(store, id)
+        back = mover.undo_migration(store, id)
     except ValueError as fault:
         raise Fail(f"{store}: {fault}") from None
     click.echo(f"{back.id}: {back.tenant} goes back to {back.target}")
--- a/gradehoist/cli/plan.py
+++ b/gradehoist/cli/plan.py
@@ -15,7 +15,7 @@
 from gradehoist.capacity_planning.event_file import Event, read
 from gradehoist.capacity_planning.solver import GRID, Unsolved
 from gradehoist.settings.reader import SettingsError
-from gradehoist.store import atomic_file
+from gradehoist.store.atomic_file import write_file
 
 
 class Bad(Exception):
@@ -55,7 +55,7 @@
         except Unsolved as fault:
             raise Bad(f"{path}: no plan: {fault}; make the event smaller, or its groups fewer") from None
     try:
-        atomic_file.write(out, msgspec.json.format(msgspec.json.encode(plan), indent=1))
+        write_file(out, msgspec.json.format(msgspec.json.encode(plan), indent=1))
     except OSError as fault:
         raise Bad(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
     show(plan)
--- a/gradehoist/coordination/election.py
+++ b/gradehoist/coordination/election.py
@@ -9,61 +9,76 @@
 
 from dataclasses import dataclass
 
-from gradehoist.coordination.agent import Agent, Member, Named
-from gradehoist.coordination.fencing import Right
+from gradehoist.coordination.agent import MemberRecord, OwnershipRecord, Participant
+from gradehoist.coordination.fencing import FencingToken
 
-DEALT = 4  # standing by, processes claim one after the other, up to that many patiences later
+TAKEOVER_SPREAD = 4  # standing by, processes claim one after the other, up to that many patiences later
 
 
 @dataclass
-class Claim:
+class LeaderElection:
     """Of `rights/NAME`; `patience` in µs; `rank` (0 to 1) sets those apart that stand by."""
 
     name: str
-    patience: int
+    takeover_delay_us: int
     rank: float = 0.0
-    right: Right | None = None
+    fencing_token: FencingToken | None = None
     _free_since: int = -1
     _token: str = ""
-    _proposed: Right | None = None
+    _proposed: FencingToken | None = None
 
     @property
-    def key(self) -> str:
+    def record_key(self) -> str:
         return f"rights/{self.name}"
 
-    def step(self, now: int, agent: Agent) -> None:
+    def advance(self, now: int, agent: Participant) -> None:
         """Looks at the copy; claims where nobody is there to hold it."""
-        held: Named | None = agent.value(self.key, Named)
-        if held is not None and held.holder == agent.me.run and held.gen > agent.floors.get(self.key, 0):
-            self.right, self._free_since = held.right, -1
+        held: OwnershipRecord | None = agent.decode_record(self.record_key, OwnershipRecord)
+        if (
+            held is not None
+            and held.holder == agent.identity.incarnation
+            and held.generation > agent.generation_floors.get(self.record_key, 0)
+        ):
+            self.fencing_token, self._free_since = held.fencing_token, -1
             return
-        if held is not None and self.right is not None and held.gen >= self.right.gen:
-            self.right = None  # another went on
-        if self._token or not agent.joined:
+        if (
+            held is not None
+            and self.fencing_token is not None
+            and held.generation >= self.fencing_token.generation
+        ):
+            self.fencing_token = None  # another went on
+        if self._token or not agent.is_joined:
             return
-        if held is not None and held.holder != agent.me.run and self._there(held, agent):
+        if held is not None and held.holder != agent.identity.incarnation and self._there(held, agent):
             self._free_since = -1
             return
         if self._free_since < 0:
             self._free_since = now
-        if now - self._free_since >= self.patience * (1 + DEALT * self.rank) or held is None:
-            self._proposed = Right(agent.after(self.key), agent.me.run)
-            self._token = agent.propose(agent.put(self.key, Named(*self._proposed, agent.me.member)))
+        if (
+            now - self._free_since >= self.takeover_delay_us * (1 + TAKEOVER_SPREAD * self.rank)
+            or held is None
+        ):
+            self._proposed = FencingToken(agent.next_generation(self.record_key), agent.identity.incarnation)
+            self._token = agent.propose(
+                agent.build_put(self.record_key, OwnershipRecord(*self._proposed, agent.identity.member_key))
+            )
 
     @staticmethod
-    def _there(held: Named, agent: Agent) -> bool:
-        member: Member | None = agent.value(held.by, Member) if held.by else None
-        return member is not None and member.run == held.holder
+    def _there(held: OwnershipRecord, agent: Participant) -> bool:
+        member: MemberRecord | None = (
+            agent.decode_record(held.member_key, MemberRecord) if held.member_key else None
+        )
+        return member is not None and member.incarnation == held.holder
 
-    def settled(self, token: str, how: str) -> None:
+    def on_commit_settled(self, token: str, how: str) -> None:
         """How its proposal ended; an unknown end shows in the copy in time."""
         if token == self._token:
             if how == "done":
-                self.right = self._proposed
+                self.fencing_token = self._proposed
             self._token, self._free_since = "", -1
 
-    def refused(self, agent: Agent, known: Right) -> None:
+    def on_token_rejected(self, agent: Participant, known: FencingToken) -> None:
         """The one who takes the effects knows a right that stands against this one."""
-        if self.right is not None and known.gen >= self.right.gen:
-            agent.floor(self.key, known.gen)
-            self.right = None
+        if self.fencing_token is not None and known.generation >= self.fencing_token.generation:
+            agent.raise_generation_floor(self.record_key, known.generation)
+            self.fencing_token = None
--- a/gradehoist/coordination/fallback.py
+++ b/gradehoist/coordination/fallback.py
@@ -10,46 +10,46 @@
 
 from dataclasses import dataclass, field
 
-from gradehoist.coordination.fencing import Right, Standing, standing
+from gradehoist.coordination.fencing import FencingToken, TokenOrder, compare_tokens
 
 
 @dataclass
-class Agreed:
+class AgreedLimits:
     """Ceilings by name, 1.0 being what a process does alone; times in µs. `lost` is when the register was
     last heard, or -1 while it answers."""
 
-    hold: int
-    fall: int
-    right: Right | None = None
+    hold_us: int
+    ramp_us: int
+    fencing_token: FencingToken | None = None
     _goal: dict[str, float] = field(default_factory=dict)
     _now: dict[str, float] = field(default_factory=dict)
     _at: int = 0
     _lost: int = -1
 
-    def agree(self, now: int, right: Right, ceilings: dict[str, float]) -> bool:
+    def accept(self, now: int, right: FencingToken, ceilings: dict[str, float]) -> bool:
         """Takes what is agreed under `right`; False for one that a newer has ended."""
-        if standing(right, self.right) in (Standing.OLDER, Standing.RIVAL):
+        if compare_tokens(right, self.fencing_token) in (TokenOrder.OLDER, TokenOrder.CONFLICTING):
             return False
         self._move(now)
-        self.right, self._goal = right, dict(ceilings)
+        self.fencing_token, self._goal = right, dict(ceilings)
         self._lower()
         return True
 
-    def away(self, now: int) -> None:
+    def on_store_lost(self, now: int) -> None:
         if self._lost < 0:
             self._move(now)
             self._lost = now
 
-    def back(self, now: int) -> None:
+    def on_store_recovered(self, now: int) -> None:
         self._move(now)
         self._lost = -1
         self._lower()
 
     @property
-    def holding(self) -> bool:
+    def is_store_lost(self) -> bool:
         return self._lost >= 0
 
-    def ceilings(self, now: int) -> dict[str, float]:
+    def limits_at(self, now: int) -> dict[str, float]:
         """In force now; a name that is not there is at 1.0."""
         self._move(now)
         return dict(self._now)
@@ -61,7 +61,7 @@
     def _move(self, now: int) -> None:
         """Up the ramp, by the time since the last look in which there was somewhere to go."""
         start, self._at = self._at, now
-        alone_from = self._lost + self.hold if self._lost >= 0 else None
+        alone_from = self._lost + self.hold_us if self._lost >= 0 else None
         goal = {n: self._goal.get(n, 1.0) for n in self._now.keys() | self._goal.keys()}
         if alone_from is None:
             self._ramp(goal, now - start)
@@ -69,7 +69,7 @@
             self._ramp(dict.fromkeys(goal, 1.0), now - max(start, alone_from))
 
     def _ramp(self, goal: dict[str, float], time: int) -> None:
-        step = time / self.fall
+        step = time / self.ramp_us
         for name, to in goal.items():
             have = self._now.get(name, 1.0)
             self._now[name] = min(to, have + step) if to >= have else to
--- a/gradehoist/coordination/fencing.py
+++ b/gradehoist/coordination/fencing.py
@@ -15,41 +15,41 @@
 from typing import NamedTuple
 
 
-class Right(NamedTuple):
+class FencingToken(NamedTuple):
     """`holder` is one run of one process, or a record's id: never used again for another."""
 
-    gen: int
+    generation: int
     holder: str
 
 
-class Standing(Enum):
+class TokenOrder(Enum):
     NEWER = "newer"
     SAME = "same"
     OLDER = "older"
-    RIVAL = "rival"  # the same generation of another holder
+    CONFLICTING = "rival"  # the same generation of another holder
 
 
-def standing(shown: Right, known: Right | None) -> Standing:
+def compare_tokens(shown: FencingToken, known: FencingToken | None) -> TokenOrder:
     """How a right that is shown stands to the one known."""
-    if known is None or shown.gen > known.gen:
-        return Standing.NEWER
-    if shown.gen < known.gen:
-        return Standing.OLDER
-    return Standing.SAME if shown.holder == known.holder else Standing.RIVAL
+    if known is None or shown.generation > known.generation:
+        return TokenOrder.NEWER
+    if shown.generation < known.generation:
+        return TokenOrder.OLDER
+    return TokenOrder.SAME if shown.holder == known.holder else TokenOrder.CONFLICTING
 
 
 @dataclass(frozen=True, slots=True)
-class Gate:
+class Fence:
     """At the one who takes effects: `known` is kept in one step with the effect that raised it."""
 
-    known: Mapping[str, Right] = field(default_factory=dict)
+    highest_tokens: Mapping[str, FencingToken] = field(default_factory=dict)
 
-    def show(self, name: str, right: Right) -> tuple[Gate, Right | None]:
+    def present(self, name: str, right: FencingToken) -> tuple[Fence, FencingToken | None]:
         """The gate after it, and None where the effect may be taken, or the right that stands against it."""
-        known = self.known.get(name)
-        match standing(right, known):
-            case Standing.NEWER:
-                return replace(self, known={**self.known, name: right}), None
-            case Standing.SAME:
+        known = self.highest_tokens.get(name)
+        match compare_tokens(right, known):
+            case TokenOrder.NEWER:
+                return replace(self, highest_tokens={**self.highest_tokens, name: right}), None
+            case TokenOrder.SAME:
                 return self, None
         return self, known
--- a/gradehoist/coordination/members.py
+++ b/gradehoist/coordination/members.py
@@ -18,152 +18,159 @@
 
 import msgspec
 
-from gradehoist.coordination.agent import Member
+from gradehoist.coordination.agent import MemberRecord
 
-MISSED = 2  # contacts missed in a row before a member is suspected: one is lost now and then
+SUSPECT_AFTER_MISSES = 2  # contacts missed in a row before a member is suspected: one is lost now and then
 
 
-class State(Enum):
-    HERE = "here"
-    SUSPECT = "suspected"
-    LOST_TO_ME = "lost to me"
-    LOST_TO_MOST = "lost to most"
+class MemberState(Enum):
+    ALIVE = "here"
+    SUSPECTED = "suspected"
+    UNREACHABLE_LOCALLY = "lost to me"
+    UNREACHABLE_BY_MAJORITY = "lost to most"
     ENDED = "ended"
 
 
-class Seen(NamedTuple):
+class MemberStatus(NamedTuple):
     """`since` (µs) is when the state began."""
 
-    state: State
-    since: int
+    state: MemberState
+    since_us: int
 
 
-class View(msgspec.Struct, frozen=True):
+class ReachabilityReport(msgspec.Struct, frozen=True):
     """A member's word on others: keys of those it can't reach; written when that changes alone. `cut` says
     that it has lost most of all, so that it is not counted."""
 
-    lost: tuple[str, ...] = ()
-    cut: bool = False
+    unreachable: tuple[str, ...] = msgspec.field(default=(), name="lost")
+    is_isolated: bool = msgspec.field(default=False, name="cut")
 
 
 @dataclass
-class _Known:
-    member: Member
-    missed: int = 0
-    missed_since: int = 0
-    record_gone: int = -1
-    seen: Seen = field(default=Seen(State.HERE, 0))
+class _TrackedMember:
+    member: MemberRecord
+    missed_contacts: int = 0
+    missed_since_us: int = 0
+    record_gone_since_us: int = -1
+    status: MemberStatus = field(default=MemberStatus(MemberState.ALIVE, 0))
 
 
-class Members:
+class FailureDetector:
     """`own` is this process' member key. `lost` (µs): missed for so long, a suspect is lost; as long after
     its record went, a member without contact has ended. `every` (µs): between two contacts."""
 
     def __init__(self, own: str, lost: int, every: int, seed: int) -> None:
-        self.own, self.lost, self.every, self.seed = own, lost, every, seed
-        self.known = dict[str, _Known]()
-        self.views = dict[str, View]()
+        self.own_key, self.lost_after_us, self.contact_interval_us, self.seed = own, lost, every, seed
+        self.tracked = dict[str, _TrackedMember]()
+        self.reports = dict[str, ReachabilityReport]()
         self._round = list[str]()
         self._drawn, self._next = 0, 0
 
     # What comes in
 
-    def record(self, now: int, key: str, member: Member | None) -> None:
+    def update_member(self, now: int, key: str, member: MemberRecord | None) -> None:
         """A member's record as the register has it; None where it went."""
-        known = self.known.get(key)
+        known = self.tracked.get(key)
         if member is None:
-            if known is not None and known.record_gone < 0:
-                known.record_gone = now
-        elif known is None or member.gen > known.member.gen:
+            if known is not None and known.record_gone_since_us < 0:
+                known.record_gone_since_us = now
+        elif known is None or member.generation > known.member.generation:
             # A higher generation is a new life: what was missed of the old one says nothing of it.
-            self.known[key] = _Known(member, seen=Seen(State.HERE, now))
-        elif member.gen == known.member.gen and member.run == known.member.run:
-            known.record_gone = -1
+            self.tracked[key] = _TrackedMember(member, status=MemberStatus(MemberState.ALIVE, now))
+        elif member.generation == known.member.generation and member.incarnation == known.member.incarnation:
+            known.record_gone_since_us = -1
         # A lower one is an old record read late.
 
-    def view(self, key: str, view: View | None) -> None:
+    def update_report(self, key: str, view: ReachabilityReport | None) -> None:
         if view is None:
-            self.views.pop(key, None)
+            self.reports.pop(key, None)
         else:
-            self.views[key] = view
+            self.reports[key] = view
 
-    def contact(self, now: int, key: str, gen: int, good: bool) -> None:
+    def record_contact(self, now: int, key: str, gen: int, good: bool) -> None:
         """A contact's end. One with an earlier or a later life of the member is none."""
-        known = self.known.get(key)
-        if known is None or known.member.gen != gen:
+        known = self.tracked.get(key)
+        if known is None or known.member.generation != gen:
             return
         if good:
-            known.missed = 0
+            known.missed_contacts = 0
         else:
-            known.missed_since = known.missed_since if known.missed else now
-            known.missed += 1
+            known.missed_since_us = known.missed_since_us if known.missed_contacts else now
+            known.missed_contacts += 1
 
-    def next(self, now: int) -> Member | None:
+    def next_contact(self, now: int) -> MemberRecord | None:
         """Whom to contact now, if it is time."""
         if now < self._next:
             return None
-        self._next = now + self.every
-        others = [k for k, v in self.known.items() if k != self.own and v.member.address]
+        self._next = now + self.contact_interval_us
+        others = [k for k, v in self.tracked.items() if k != self.own_key and v.member.address]
         if not others:
             return None
-        self._round = [k for k in self._round if k in self.known]
+        self._round = [k for k in self._round if k in self.tracked]
         if not self._round:
             self._drawn += 1
             salt = f"{self.seed}:{self._drawn}"
             self._round = sorted(others, key=lambda k: zlib.crc32(f"{salt}:{k}".encode()))
-        return self.known[self._round.pop()].member
+        return self.tracked[self._round.pop()].member
 
     # What it comes to
 
-    def cut_off(self) -> bool:
+    def is_isolated(self) -> bool:
         """This process has lost most of those whose records stand: it is the one that is cut off."""
         others = [
             k
-            for k in self.known.values()
-            if k.record_gone < 0 and k.member.address and self._key(k.member) != self.own
+            for k in self.tracked.values()
+            if k.record_gone_since_us < 0 and k.member.address and self._key(k.member) != self.own_key
         ]
-        gone = sum(k.missed >= MISSED for k in others)
+        gone = sum(k.missed_contacts >= SUSPECT_AFTER_MISSES for k in others)
         return len(others) >= 2 and 2 * gone > len(others)
 
-    def own_view(self, now: int) -> View:
+    def build_report(self, now: int) -> ReachabilityReport:
         lost = tuple(
             sorted(
                 k
-                for k, v in self.known.items()
-                if k != self.own and v.missed >= MISSED and now - v.missed_since >= self.lost
+                for k, v in self.tracked.items()
+                if k != self.own_key
+                and v.missed_contacts >= SUSPECT_AFTER_MISSES
+                and now - v.missed_since_us >= self.lost_after_us
             )
         )
-        return View(lost, self.cut_off())
+        return ReachabilityReport(lost, self.is_isolated())
 
-    def judge(self, now: int) -> Mapping[str, Seen]:
+    def evaluate(self, now: int) -> Mapping[str, MemberStatus]:
         """Every member's state; those that ended long ago are forgotten."""
         voices = [
             v
-            for k, v in self.views.items()
-            if not v.cut and k in self.known and self.known[k].record_gone < 0 and k != self.own
+            for k, v in self.reports.items()
+            if not v.is_isolated
+            and k in self.tracked
+            and self.tracked[k].record_gone_since_us < 0
+            and k != self.own_key
         ]
-        for key, known in list(self.known.items()):
+        for key, known in list(self.tracked.items()):
             state = self._state(now, key, known, voices)
-            if state is not known.seen.state:
-                known.seen = Seen(state, now)
-            if state is State.ENDED and now - known.seen.since > 10 * self.lost:
-                del self.known[key]
-        return {k: v.seen for k, v in self.known.items()}
-
-    def _state(self, now: int, key: str, known: _Known, voices: list[View]) -> State:
-        missed = now - known.missed_since if known.missed >= MISSED else -1
-        if known.record_gone >= 0:
+            if state is not known.status.state:
+                known.status = MemberStatus(state, now)
+            if state is MemberState.ENDED and now - known.status.since_us > 10 * self.lost_after_us:
+                del self.tracked[key]
+        return {k: v.status for k, v in self.tracked.items()}
+
+    def _state(
+        self, now: int, key: str, known: _TrackedMember, voices: list[ReachabilityReport]
+    ) -> MemberState:
+        missed = now - known.missed_since_us if known.missed_contacts >= SUSPECT_AFTER_MISSES else -1
+        if known.record_gone_since_us >= 0:
             # Its session may have ended by a pause alone: who answers me is suspected and not ended.
-            answers = known.missed == 0 and known.member.address != ""
-            over = now - known.record_gone >= self.lost
-            return State.ENDED if over and not answers else State.SUSPECT
-        said = sum(key in v.lost for v in voices)
-        if 2 * said > len(voices) and (said > 1 or (said and missed >= self.lost)):
-            return State.LOST_TO_MOST
+            answers = known.missed_contacts == 0 and known.member.address != ""
+            over = now - known.record_gone_since_us >= self.lost_after_us
+            return MemberState.ENDED if over and not answers else MemberState.SUSPECTED
+        said = sum(key in v.unreachable for v in voices)
+        if 2 * said > len(voices) and (said > 1 or (said and missed >= self.lost_after_us)):
+            return MemberState.UNREACHABLE_BY_MAJORITY
         if missed < 0:
-            return State.HERE
-        return State.LOST_TO_ME if missed >= self.lost else State.SUSPECT
+            return MemberState.ALIVE
+        return MemberState.UNREACHABLE_LOCALLY if missed >= self.lost_after_us else MemberState.SUSPECTED
 
     @staticmethod
-    def _key(member: Member) -> str:
+    def _key(member: MemberRecord) -> str:
         return f"members/{member.role}/{member.name}"
--- a/gradehoist/coordination/store.py
+++ b/gradehoist/coordination/store.py
@@ -10,8 +10,8 @@
 
 from typing import NamedTuple, Protocol
 
-MOST_KEY = 256  # characters: names of members and partitions are far shorter
-MOST_VALUE = 262_144  # bytes: a deal among 1,024 members, the largest record there is, takes half of it
+MAX_KEY_CHARACTERS = 256  # characters: names of members and partitions are far shorter
+MAX_VALUE_BYTES = 262_144  # bytes: a deal among 1,024 members, the largest record there is, takes half of it
 
 
 class Record(NamedTuple):
@@ -21,9 +21,9 @@
     key: str
     value: bytes
     version: int
-    token: str = ""
-    session: str = ""
-    unread: bool = False
+    commit_id: str = ""
+    session_id: str = ""
+    malformed: bool = False
 
 
 class Put(NamedTuple):
@@ -31,23 +31,23 @@
 
     key: str
     value: bytes
-    expect: int
-    session: str = ""
+    expected_version: int
+    session_id: str = ""
 
 
 class Delete(NamedTuple):
     key: str
-    expect: int
+    expected_version: int
 
 
 Change = Put | Delete
 
 
-class Done(NamedTuple):
+class Committed(NamedTuple):
     revision: int
 
 
-class Refused(NamedTuple):
+class CommitRejected(NamedTuple):
     """Nothing was written. `records` are those of the changes' keys as they are; a key without one is not
     there."""
 
@@ -55,7 +55,7 @@
     records: tuple[Record, ...]
 
 
-class Event(NamedTuple):
+class WatchEvent(NamedTuple):
     """A change at `revision`; `record` is None where it went."""
 
     key: str
@@ -63,58 +63,58 @@
     record: Record | None
 
 
-class Snapshot(NamedTuple):
+class StoreSnapshot(NamedTuple):
     """All records below a prefix as of `revision`; `lineage` names the register, where its home can."""
 
-    lineage: str
+    store_id: str
     revision: int
     records: tuple[Record, ...]
 
 
-class Batch(NamedTuple):
+class WatchBatch(NamedTuple):
     """Every change below a prefix after `after` up to `revision`, in order; none where the wait ran out."""
 
-    lineage: str
-    after: int
+    store_id: str
+    after_revision: int
     revision: int
-    events: tuple[Event, ...]
+    events: tuple[WatchEvent, ...]
 
 
-class Fault(Exception):
+class CoordinationError(Exception):
     """Of a call to the register; nothing took place unless the class says otherwise."""
 
 
-class Unreachable(Fault):
+class StoreUnavailableError(CoordinationError):
     """No register, or it refused to act now: nothing was written."""
 
 
-class Unknown(Fault):
+class OutcomeUnknownError(CoordinationError):
     """The call may have taken place, may still do so, or never."""
 
 
-class Full(Fault):
+class StoreFullError(CoordinationError):
     """There is no room: nothing was written."""
 
 
-class TooLarge(Fault):
+class RecordTooLargeError(CoordinationError):
     """A key or value beyond the bounds above: an error of the caller."""
 
 
-class Ended(Fault):
+class SessionEndedError(CoordinationError):
     """The session that the call names has ended; its records are gone or going."""
 
 
-class Compacted(Fault):
+class HistoryCompactedError(CoordinationError):
     """The changes asked for are no longer kept: read the whole."""
 
 
-class Home(Protocol):
+class CoordinationStore(Protocol):
     """Times are µs. Every call may raise Unreachable; `commit`, `open` and `end` may raise Unknown."""
 
-    async def read(self, prefix: str) -> Snapshot:
+    async def read(self, prefix: str) -> StoreSnapshot:
         """As of now: no answer is older than a commit that ended before the call."""
 
-    async def commit(self, changes: tuple[Change, ...], token: str) -> Done | Refused:
+    async def commit(self, changes: tuple[Change, ...], token: str) -> Committed | CommitRejected:
         """Raises Ended, Full, TooLarge."""
 
     async def open(self, ttl: int) -> str:
@@ -125,16 +125,16 @@
 
     async def end(self, session: str) -> None: ...
 
-    async def watch(self, prefix: str, after: int, wait: int) -> Batch:
+    async def watch(self, prefix: str, after: int, wait: int) -> WatchBatch:
         """Waits up to `wait` for a change. Raises Compacted."""
 
     async def close(self) -> None: ...
 
 
-def checked(changes: tuple[Change, ...]) -> None:
+def check_sizes(changes: tuple[Change, ...]) -> None:
     """Raises TooLarge: sent all the same, one home would take it and another not."""
     for change in changes:
-        if not 0 < len(change.key) <= MOST_KEY:
-            raise TooLarge(f"key of {len(change.key)} characters, {MOST_KEY} at most")
-        if isinstance(change, Put) and len(change.value) > MOST_VALUE:
-            raise TooLarge(f"{change.key}: {len(change.value)} bytes, {MOST_VALUE} at most")
+        if not 0 < len(change.key) <= MAX_KEY_CHARACTERS:
+            raise RecordTooLargeError(f"key of {len(change.key)} characters, {MAX_KEY_CHARACTERS} at most")
+        if isinstance(change, Put) and len(change.value) > MAX_VALUE_BYTES:
+            raise RecordTooLargeError(f"{change.key}: {len(change.value)} bytes, {MAX_VALUE_BYTES} at most")
--- a/gradehoist/coordination/watch_cache.py
+++ b/gradehoist/coordination/watch_cache.py
@@ -8,67 +8,75 @@
 
 from __future__ import annotations
 
-from gradehoist.coordination.store import Batch, Event, Record, Snapshot
+from gradehoist.coordination.store import Record, StoreSnapshot, WatchBatch, WatchEvent
 
 
-class Gap(Exception):
+class RevisionGapError(Exception):
     """Changes are missing between the copy and the batch: read the whole."""
 
 
-class Older(Exception):
+class StaleReadError(Exception):
     """The answer is older than what is known."""
 
 
-class Backwards(Exception):
+class StoreRolledBackError(Exception):
     """The register contradicts what it said: the text says where."""
 
 
-class Mirror:
+class WatchCache:
     def __init__(self, prefix: str) -> None:
-        self.prefix, self.lineage, self.revision = prefix, "", 0
+        self.prefix, self.store_id, self.revision = prefix, "", 0
         self.records = dict[str, Record]()
-        self.begun = False
-        self.last = list[Event]()  # all of the newest revision that a watch brought
+        self.is_loaded = False
+        self.last_events = list[WatchEvent]()  # all of the newest revision that a watch brought
 
-    def whole(self, snapshot: Snapshot) -> list[Event]:
+    def load_snapshot(self, snapshot: StoreSnapshot) -> list[WatchEvent]:
         """What changed by it. Raises Older, Backwards."""
-        self._same(snapshot.lineage)
-        if self.begun and snapshot.revision < self.revision:
-            raise Older(f"revision {snapshot.revision}, {self.revision} is known")
+        self._same(snapshot.store_id)
+        if self.is_loaded and snapshot.revision < self.revision:
+            raise StaleReadError(f"revision {snapshot.revision}, {self.revision} is known")
         found = {r.key: r for r in snapshot.records}
         for key, known in self.records.items():
             other = found.get(key)
             if other is not None and (
                 other.version < known.version or (other.version == known.version and other != known)
             ):
-                raise Backwards(f"{key} at version {other.version} is not what it was at {known.version}")
-        events = [Event(r.key, r.version, r) for r in snapshot.records if key_new(r, self.records.get(r.key))]
-        events += [Event(k, snapshot.revision, None) for k in self.records if k not in found]
-        self.records, self.lineage, self.begun = found, snapshot.lineage, True
-        self.revision, self.last = snapshot.revision, []
+                raise StoreRolledBackError(
+                    f"{key} at version {other.version} is not what it was at {known.version}"
+                )
+        events = [
+            WatchEvent(r.key, r.version, r) for r in snapshot.records if key_new(r, self.records.get(r.key))
+        ]
+        events += [WatchEvent(k, snapshot.revision, None) for k in self.records if k not in found]
+        self.records, self.store_id, self.is_loaded = found, snapshot.store_id, True
+        self.revision, self.last_events = snapshot.revision, []
         return events
 
     @property
-    def proof(self) -> int:
+    def verification_revision(self) -> int:
         """Watched from here, a register whose history has not changed repeats what it brought last: one that
         went back and then on again shows in no revision."""
-        return self.last[0].revision - 1 if self.last else self.revision
+        return self.last_events[0].revision - 1 if self.last_events else self.revision
 
-    def batch(self, batch: Batch) -> list[Event]:
+    def apply_batch(self, batch: WatchBatch) -> list[WatchEvent]:
         """Those of its changes that are new. Raises Gap, Older, Backwards."""
-        self._same(batch.lineage)
-        if not self.begun or batch.after > self.revision:
-            raise Gap(f"changes after {batch.after}, known up to {self.revision}")
-        if batch.revision < batch.after:
-            raise Older(f"revision {batch.revision}, {batch.after} is known")
-        if self.last and batch.after < self.last[0].revision <= batch.revision:
-            again = [e for e in batch.events if e.revision == self.last[0].revision]
-            if again != self.last:
-                now, before = (", ".join(e.key for e in some) or "nothing" for some in (again, self.last))
-                raise Backwards(f"revision {self.last[0].revision} changed {now}; it had changed {before}")
+        self._same(batch.store_id)
+        if not self.is_loaded or batch.after_revision > self.revision:
+            raise RevisionGapError(f"changes after {batch.after_revision}, known up to {self.revision}")
+        if batch.revision < batch.after_revision:
+            raise StaleReadError(f"revision {batch.revision}, {batch.after_revision} is known")
+        if self.last_events and batch.after_revision < self.last_events[0].revision <= batch.revision:
+            again = [e for e in batch.events if e.revision == self.last_events[0].revision]
+            if again != self.last_events:
+                now, before = (
+                    ", ".join(e.key for e in some) or "nothing" for some in (again, self.last_events)
+                )
+                raise StoreRolledBackError(
+                    f"revision {self.last_events[0].revision} changed {now}; it had changed {before}"
+                )
         events = [e for e in batch.events if e.revision > self.revision]
         if events:
-            self.last = [e for e in events if e.revision == events[-1].revision]
+            self.last_events = [e for e in events if e.revision == events[-1].revision]
         for e in events:
             if e.record is None:
                 self.records.pop(e.key, None)
@@ -78,8 +86,8 @@
         return events
 
     def _same(self, lineage: str) -> None:
-        if self.begun and lineage != self.lineage:
-            raise Backwards(f"it is register {lineage or '?'} and was {self.lineage or '?'}")
+        if self.is_loaded and lineage != self.store_id:
+            raise StoreRolledBackError(f"it is register {lineage or '?'} and was {self.store_id or '?'}")
 
 
 def key_new(record: Record, known: Record | None) -> bool:
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -12,21 +12,29 @@
 from typing import Any
 
 from gradehoist import interface as i
-from gradehoist.cells.channel_shares import Budget
-from gradehoist.cells.routes import home, label
-from gradehoist.governor.cell_stats import Tally
+from gradehoist.cells.channel_shares import ChannelShares
+from gradehoist.cells.routes import class_label, home_cell
+from gradehoist.governor.cell_stats import CellStats
 from gradehoist.governor.channel import Channel
-from gradehoist.governor.delivery_queue import Ledger, Piece
-from gradehoist.governor.intake import Intake, Unknown
-from gradehoist.governor.policy_instances import Batch, Part, Reply
-from gradehoist.governor.proxy_streams import Mark, OutOfOrder, Stream
-from gradehoist.governor.roster import Gap, RosterView
-from gradehoist.governor.tables import Tables
-from gradehoist.identifiers import Names
+from gradehoist.governor.delivery_queue import Delivery, DeliveryQueue
+from gradehoist.governor.endpoint_list import EndpointList, EndpointListGapError
+from gradehoist.governor.load_reports import InvalidLoadReportError, LoadReportQueue
+from gradehoist.governor.policy_instances import Batch, PolicyInstance, Reply
+from gradehoist.governor.proxy_streams import Mark, OutOfOrderError, ProxyStream
+from gradehoist.governor.tables import PublishedTables
+from gradehoist.identifiers import Identifiers
 from gradehoist.protocol import feed
-from gradehoist.settings.fleet import Fleet, Governor, start
-
-__all__ = ["Core", "Gap", "Log", "OutOfOrder", "Poll", "Refused", "Unknown"]
+from gradehoist.settings.fleet import FleetSettings, GovernorSettings, policy_config
+
+__all__ = [
+    "EndpointListGapError",
+    "GovernorCore",
+    "InvalidLoadReportError",
+    "LogEvent",
+    "OutOfOrderError",
+    "Poll",
+    "RequestRejectedError",
+]
 
 SECOND = 1_000_000
 SLICE = 16  # messages made at one go: 5 ms on average while a hundred cells bind a thousand relays
@@ -46,15 +54,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Log:
+class LogEvent:
     """An event of the log: a name, what it concerns, and why."""
 
-    event: str
+    name: str
     fields: dict[str, Any]
-    warn: bool = False
+    is_warning: bool = False
 
 
-class Refused(Exception):
+class RequestRejectedError(Exception):
     """A poll or sums that can't be taken: `status` is the HTTP answer."""
 
     def __init__(self, status: int, reason: str) -> None:
@@ -63,124 +71,143 @@
 
 
 @dataclass
-class Told:
+class PendingMessage:
     """What one proxy is told at one time, and whose marks its answer confirms."""
 
     deltas: list[feed.Delta] = field(default_factory=list)
-    price: float = 0.0
-    marks: list[Mark] = field(default_factory=list)
+    cost_lines: float = 0.0
+    revisions: list[Mark] = field(default_factory=list)
 
 
-class Core:
-    def __init__(self, fleet: Fleet, own: Governor, epoch: str, now: int) -> None:
-        self.fleet, self.own, self.epoch = fleet, own, epoch
-        placed = fleet.cells
+class GovernorCore:
+    def __init__(self, fleet: FleetSettings, own: GovernorSettings, epoch: str, now: int) -> None:
+        self.fleet, self.settings, self.epoch = fleet, own, epoch
+        placed = fleet.placement
         cells = placed.cells if placed else ("",)
-        labels = [label(cell, c.name) for cell in cells for c in fleet.classes]
-        self.names = Names(fleet.zones, fleet.kinds, labels)
-        self.parts = [
-            Part(n, cell, len(fleet.classes), placed.of(cell) if placed else None)
+        labels = [class_label(cell, c.name) for cell in cells for c in fleet.classes]
+        self.identifiers = Identifiers(fleet.zones, fleet.kinds, labels)
+        self.policies = [
+            PolicyInstance(n, cell, len(fleet.classes), placed.replicas_of(cell) if placed else None)
             for n, cell in enumerate(cells)
         ]
         ch = fleet.channel
         share = self._share(len(cells))
-        self.starts = [start(fleet, self.names, own.seed + n, share) for n in range(len(cells))]
+        self.policy_configs = [
+            policy_config(fleet, self.identifiers, own.seed + n, share) for n in range(len(cells))
+        ]
         # Cells share messages: they answer together, as often as a relay may be written to.
-        self.slot = max(10_000, ch.message_window // (ch.message_limit or 20)) if placed else 0
-        self.hurry = False  # a drain or exit was listed: it does not wait for the slot
-        self.channel = Channel(ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window)
+        self.slot_us = max(10_000, ch.message_window_us // (ch.messages_per_window or 20)) if placed else 0
+        self.has_urgent_change = False  # a drain or exit was listed: it does not wait for the slot
+        self.channel = Channel(
+            ch.queue_limit_lines, ch.lines_per_s, ch.messages_per_window, ch.message_window_us
+        )
         # Relays are told of those alone that do not live where their hash says.
         route = None
         if placed:
-            ranges = placed.ranges or cells
-            route = feed.Route(ranges, {t: c for t, c in placed.named.items() if c != home(t, ranges, {})})
-        limits = feed.Limits(*astuple(placed.limits)) if placed and placed.limits else None
-        self.tables = Tables(self.names, ch.message_head, route, limits)
-        self.tally = Tally(cells, placed.workers) if placed else None
-        self.ledger = (
-            Ledger(
+            ranges = placed.cell_by_range or cells
+            route = feed.TenantRoutes(
+                ranges, {t: c for t, c in placed.cell_by_tenant.items() if c != home_cell(t, ranges, {})}
+            )
+        limits = feed.RateLimitsDelta(*astuple(placed.limits)) if placed and placed.limits else None
+        self.tables = PublishedTables(self.identifiers, ch.message_overhead_lines, route, limits)
+        self.cell_stats = CellStats(cells, placed.cell_by_replica) if placed else None
+        self.delivery_queue = (
+            DeliveryQueue(
                 self.tables,
-                self.parts,
-                Budget(
+                self.policies,
+                ChannelShares(
                     len(cells),
-                    ch.queue_limit,
-                    ch.line_rate,
-                    ch.message_limit,
-                    ch.message_head,
-                    fleet.rules.grace,
+                    ch.queue_limit_lines,
+                    ch.lines_per_s,
+                    ch.messages_per_window,
+                    ch.message_overhead_lines,
+                    fleet.safety.drain_grace_us,
                 ),
             )
             if placed
             else None
         )
-        self._strange: dict[int, float] = {}  # relays that the modules have not heard of, and their rates
+        self._unintroduced: dict[
+            int, float
+        ] = {}  # relays that the modules have not heard of, and their rates
         self._served: set[int] = set()  # in this slot
         self._strays: set[str] = set()
-        self.intake = Intake(self.names, fleet.intake, fleet.reports.period, now)
-        self.roster = RosterView(self.names, fleet.rules.cold_time)
-        self.streams: dict[int, Stream] = {}
-        self.follow, self.ask = not fleet.reports.must_ask, False
-        self.probes: list[int] = []
-        self.logs: list[Log] = []
-        self.replies = 0
+        self.load_reports = LoadReportQueue(
+            self.identifiers, fleet.report_lines_per_s, fleet.load_reporting.period_us, now
+        )
+        self.endpoint_list = EndpointList(self.identifiers, fleet.safety.warmup_us)
+        self.streams: dict[int, ProxyStream] = {}
+        self.endpoints_subscribed, self.endpoints_requested = not fleet.load_reporting.must_subscribe, False
+        self.pending_health_checks: list[int] = []
+        self.pending_logs: list[LogEvent] = []
+        self.reply_count = 0
         self._looked, self._slow = now, False
         self._joins = 0
         self._wakes: list[tuple[int, int, int]] = []
         self._owed: dict[int, None] = {}
 
-    def _share(self, parts: int) -> i.Channel:
+    def _share(self, parts: int) -> i.ChannelLimits:
         """A part's own view of the channel. With several, each counts for itself alone what relays have not
         confirmed, and heads are shared: it gets an even part of the queue, but never less than telling every
         relay takes, or it could tell none. The ledger sees to the whole."""
         ch = self.fleet.channel
         if parts == 1:
             return ch
-        least = 4 * self.fleet.relays
-        return replace(ch, queue_limit=max(ch.queue_limit / parts, least), message_limit=0, message_head=0)
+        least = 4 * self.fleet.proxy_count
+        return replace(
+            ch,
+            queue_limit_lines=max(ch.queue_limit_lines / parts, least),
+            messages_per_window=0,
+            message_overhead_lines=0,
+        )
 
     # What comes in
 
-    def poll(self, now: int, poll: Poll) -> feed.Feed | None:
+    def handle_poll(self, now: int, poll: Poll) -> feed.PollResponse | None:
         """The answer, or None while there is none. Raises Refused.
 
         A poll of an earlier epoch or stream joins anew: the answer's epoch and stream tell so."""
-        if poll.zone not in self.names.zones:
-            raise Refused(422, f"zone {poll.zone!r} is not in the settings")
-        proxy = self.names.proxies.get(poll.relay, -1)
+        if poll.zone not in self.identifiers.zones:
+            raise RequestRejectedError(422, f"zone {poll.zone!r} is not in the settings")
+        proxy = self.identifiers.proxies.get(poll.relay, -1)
         stream = self.streams.get(proxy)
         if stream is None or poll.epoch != self.epoch or poll.stream != stream.number:
-            if not self.roster.entries:
+            if not self.endpoint_list.endpoints:
                 # Bound now, a relay would change the tables that it stands on for empty ones.
-                raise Refused(503, "no list of replicas yet; go on with what you hold")
-            if stream is None and len(self.streams) >= self.fleet.relays:
+                raise RequestRejectedError(503, "no list of replicas yet; go on with what you hold")
+            if stream is None and len(self.streams) >= self.fleet.proxy_count:
                 # The queue is made for so many: sixty made-up names left a drain no room in it.
-                raise Refused(503, f"all {self.fleet.relays} relays of the settings are here already")
-            return self._join(now, self.names.proxies.number(poll.relay), poll)
-        stream.seen, acked = now, stream.acked
+                raise RequestRejectedError(
+                    503, f"all {self.fleet.proxy_count} relays of the settings are here already"
+                )
+            return self._join(now, self.identifiers.proxies.intern(poll.relay), poll)
+        stream.last_poll_us, acked = now, stream.acknowledged_seq
         try:
             for (part, mark), at in stream.acknowledge(poll.after):
-                self.parts[part].events.append(i.Applied(proxy, mark, now - at))
-        except OutOfOrder as fault:
+                self.policies[part].events.append(i.UpdateAcknowledged(proxy, mark, now - at))
+        except OutOfOrderError as fault:
             self.log("out_of_order", warn=True, relay=poll.relay, reason=str(fault))
-            raise Refused(409, f"{fault}; join anew") from None
-        if stream.acked != acked:
-            stream.quiet = now if stream.released else 0
-        if stream.owed:
+            raise RequestRejectedError(409, f"{fault}; join anew") from None
+        if stream.acknowledged_seq != acked:
+            stream.unacknowledged_since_us = now if stream.unacknowledged else 0
+        if stream.resync_reason:
             self._owed[proxy] = None
         messages = stream.read(ANSWER_LINES)
-        return feed.Feed(self.epoch, stream.number, messages) if messages else None
+        return feed.PollResponse(self.epoch, stream.number, messages) if messages else None
 
-    def _join(self, now: int, proxy: int, poll: Poll) -> feed.Feed:
+    def _join(self, now: int, proxy: int, poll: Poll) -> feed.PollResponse:
         if proxy in self.streams:
-            self.left(proxy, "joined anew")
+            self.remove_proxy(proxy, "joined anew")
         self._joins += 1
-        stream = Stream(proxy, poll.relay, self.names.zones[poll.zone], self._joins, seen=now)
+        stream = ProxyStream(
+            proxy, poll.relay, self.identifiers.zones[poll.zone], self._joins, last_poll_us=now
+        )
         self.streams[proxy] = stream
-        self.channel.joined(proxy)
-        self.tables.joined(proxy)
-        if self.ledger:
-            self.ledger.joined(proxy)
-            self._strange[proxy] = poll.rate
+        self.channel.add_proxy(proxy)
+        self.tables.add_proxy(proxy)
+        if self.delivery_queue:
+            self.delivery_queue.add_proxy(proxy)
+            self._unintroduced[proxy] = poll.rate
         else:
             self._introduce(stream, poll.rate)
         earlier = "an earlier epoch" if poll.epoch and poll.epoch != self.epoch else ""
@@ -191,114 +218,118 @@
             reason=earlier or "its poll",
             stream=stream.number,
         )
-        return feed.Feed(self.epoch, stream.number, joined=True)
+        return feed.PollResponse(self.epoch, stream.number, is_new_stream=True)
 
-    def _introduce(self, stream: Stream, rate: float) -> None:
-        for part in self.parts:
-            part.events.append(i.Joined(stream.proxy, stream.zone, rate / len(self.parts)))
+    def _introduce(self, stream: ProxyStream, rate: float) -> None:
+        for part in self.policies:
+            part.events.append(i.ProxyJoined(stream.proxy, stream.zone, rate / len(self.policies)))
 
-    def _introductions(self, ledger: Ledger) -> None:
+    def _introductions(self, ledger: DeliveryQueue) -> None:
         """With cells a relay that joins takes a table from each. The modules hear of no more at once than the
         channel can bind, those with most traffic first; told of a thousand, each planned them all anew at
         every step, ten seconds long. Until then a relay is told what is shut, and stands on what it holds."""
-        classes = len(self.names.classes)
-        lines = (len(self.roster.entries) * self.parts[0].classes + classes) or 1
+        classes = len(self.identifiers.classes)
+        lines = (len(self.endpoint_list.endpoints) * self.policies[0].class_count + classes) or 1
         under_way = sum(
-            a.known and (bool(a.binds) or len(self.tables.bound[p]) < classes)
-            for p, a in ledger.accounts.items()
+            a.is_introduced and (bool(a.pending_binds) or len(self.tables.bindings[p]) < classes)
+            for p, a in ledger.backlogs.items()
         )
-        most = max(1, int(2 * ledger.budget.room(len(self.streams), 0.0) / lines))
-        for proxy in sorted(self._strange, key=lambda p: -self._strange[p])[: max(0, most - under_way)]:
-            self._introduce(self.streams[proxy], self._strange.pop(proxy))
-            ledger.accounts[proxy].known = True
+        most = max(1, int(2 * ledger.budget.available_lines(len(self.streams), 0.0) / lines))
+        for proxy in sorted(self._unintroduced, key=lambda p: -self._unintroduced[p])[
+            : max(0, most - under_way)
+        ]:
+            self._introduce(self.streams[proxy], self._unintroduced.pop(proxy))
+            ledger.backlogs[proxy].is_introduced = True
 
-    def left(self, proxy: int, reason: str, number: int | None = None) -> None:
+    def remove_proxy(self, proxy: int, reason: str, number: int | None = None) -> None:
         """A stream ended; `number` keeps a late word on an earlier stream from ending a later one."""
         stream = self.streams.get(proxy)
         if stream is None or (number is not None and stream.number != number):
             return
         del self.streams[proxy]
-        self.channel.left(proxy)
-        self.tables.left(proxy)
-        if self.ledger:
-            self.ledger.left(proxy)
-        self.intake.left(proxy)
+        self.channel.remove_proxy(proxy)
+        self.tables.remove_proxy(proxy)
+        if self.delivery_queue:
+            self.delivery_queue.remove_proxy(proxy)
+        self.load_reports.remove_proxy(proxy)
         self._owed.pop(proxy, None)
-        if self._strange.pop(proxy, None) is None:
-            for part in self.parts:
-                part.events.append(i.Left(proxy))
-        self.log("relay_left", relay=stream.relay, reason=reason, stream=stream.number)
+        if self._unintroduced.pop(proxy, None) is None:
+            for part in self.policies:
+                part.events.append(i.ProxyLeft(proxy))
+        self.log("relay_left", relay=stream.proxy_name, reason=reason, stream=stream.number)
 
-    def sums(self, sums: feed.Sums) -> None:
+    def handle_load_report(self, sums: feed.ProxyLoadReport) -> None:
         """Raises Refused; then nothing of the document is taken."""
-        proxy = self.names.proxies.get(sums.relay, -1)
+        proxy = self.identifiers.proxies.get(sums.proxy, -1)
         stream = self.streams.get(proxy)
         if stream is None or sums.epoch != self.epoch:
-            raise Refused(409, f"relay {sums.relay!r} has no stream of this epoch; join first")
+            raise RequestRejectedError(409, f"relay {sums.proxy!r} has no stream of this epoch; join first")
         try:
-            strange = self.intake.add(proxy, stream.zone, sums)
-        except Unknown as fault:
-            raise Refused(422, str(fault)) from None
-        if strange and not stream.strange:
-            stream.strange = True
+            strange = self.load_reports.add(proxy, stream.zone, sums)
+        except InvalidLoadReportError as fault:
+            raise RequestRejectedError(422, str(fault)) from None
+        if strange and not stream.reported_unknown_replica:
+            stream.reported_unknown_replica = True
             self.log(
                 "sums_strange",
                 warn=True,
-                relay=stream.relay,
+                relay=stream.proxy_name,
                 replica=strange[0],
                 reason="stands in no list of this governor; left out",
             )
-        if self.tally:
-            self.tally.add(sums)
+        if self.cell_stats:
+            self.cell_stats.add(sums)
 
-    def listed(self, now: int, document: feed.Roster) -> bool:
+    def handle_endpoint_list(self, now: int, document: feed.EndpointListUpdate) -> bool:
         """Takes a roster's answer; False where nothing is new. Raises Gap, Unsound."""
-        before, strange = dict(self.roster.entries), dict(self.roster.strange)
-        listed = self.roster.take(now, document)
-        for name, why in self.roster.strange.items():
+        before, strange = dict(self.endpoint_list.endpoints), dict(self.endpoint_list.invalid)
+        listed = self.endpoint_list.apply(now, document)
+        for name, why in self.endpoint_list.invalid.items():
             if strange.get(name) != why:
                 self.log("entry_strange", warn=True, replica=name, reason=why)
         if listed is None:
             return False
         self._tell_list(listed)
-        for name in {*before, *self.roster.entries}:
-            old, new = before.get(name), self.roster.entries.get(name)
+        for name in {*before, *self.endpoint_list.endpoints}:
+            old, new = before.get(name), self.endpoint_list.endpoints.get(name)
             was, phase = ("absent" if e is None else e.phase for e in (old, new))
             if was != phase:
-                self.hurry |= phase != "ready"
+                self.has_urgent_change |= phase != "ready"
                 self.log("replica_listed", replica=name, phase=phase, reason=f"the roster; was {was}")
-            elif old and new and old.boot != new.boot:
+            elif old and new and old.incarnation != new.incarnation:
                 self.log("replica_restarted", replica=name, reason="its boot name changed")
         return True
 
-    def list_saved(self, now: int, entries: tuple[feed.Replica, ...]) -> None:
-        self._tell_list(self.roster.saved(now, entries))
+    def load_cached_endpoints(self, now: int, entries: tuple[feed.EndpointRecord, ...]) -> None:
+        self._tell_list(self.endpoint_list.load_cached(now, entries))
 
-    def _tell_list(self, listed: i.Listed) -> None:
+    def _tell_list(self, listed: i.EndpointsListed) -> None:
         """Each part hears of its own workers; one that belongs to no cell is told of once and left alone."""
-        names = self.names.replicas.names
-        for part in self.parts:
-            entries = tuple(e for e in listed.entries if part.mine(names[e.replica]))
-            if entries or listed.kind is not i.ListKind.CHANGES:
-                part.events.append(i.Listed(listed.kind, entries))
-        for e in listed.entries:
+        names = self.identifiers.replicas.names
+        for part in self.policies:
+            entries = tuple(e for e in listed.endpoints if part.owns_replica(names[e.replica]))
+            if entries or listed.kind is not i.EndpointListKind.DELTA:
+                part.events.append(i.EndpointsListed(listed.kind, entries))
+        for e in listed.endpoints:
             name = names[e.replica]
-            if name not in self._strays and not any(part.mine(name) for part in self.parts):
+            if name not in self._strays and not any(part.owns_replica(name) for part in self.policies):
                 self._strays.add(name)
                 self.log("no_cell", warn=True, replica=name, reason="the placement does not name it")
 
-    def list_failed(self) -> None:
+    def handle_endpoint_request_failed(self) -> None:
         """A call that the module asked for failed."""
-        for part in self.parts:
-            part.events.append(i.Listed(i.ListKind.FAILED, ()))
+        for part in self.policies:
+            part.events.append(i.EndpointsListed(i.EndpointListKind.FAILED, ()))
 
-    def probed(self, replica: int, outcome: i.Outcome, elapsed: int, load: i.Load | None) -> None:
-        self._by_worker(replica, i.Probed(replica, outcome, elapsed, load))
+    def handle_health_check(
+        self, replica: int, outcome: i.HealthCheckOutcome, elapsed: int, load: i.LoadReport | None
+    ) -> None:
+        self._by_worker(replica, i.HealthChecked(replica, outcome, elapsed, load))
 
     def _by_worker(self, replica: int, event: i.Event) -> None:
-        name = self.names.replicas.names[replica]
-        for part in self.parts:
-            if part.mine(name):
+        name = self.identifiers.replicas.names[replica]
+        for part in self.policies:
+            if part.owns_replica(name):
                 part.events.append(event)
 
     # Time
@@ -310,23 +341,27 @@
         if now >= self._looked + SECOND:
             self._look(now)
         ready: set[int] = set()
-        for item in self.channel.leave(now):
+        for item in self.channel.take_released(now):
             stream = self.streams.get(item.proxy)
             if stream is None or stream.number != item.stream:
                 continue
-            if stream.release(item.message):
+            if stream.add_released(item.message):
                 ready.add(item.proxy)
-                stream.quiet = now if item.message.whole or not stream.quiet else stream.quiet
-            elif stream.owed:
+                stream.unacknowledged_since_us = (
+                    now
+                    if item.message.is_snapshot or not stream.unacknowledged_since_us
+                    else stream.unacknowledged_since_us
+                )
+            elif stream.resync_reason:
                 self._owed[item.proxy] = None
         while self._wakes and self._wakes[0][0] <= now:
             _, number, token = heapq.heappop(self._wakes)
-            self.parts[number].events.append(i.Due(token))
-        for event in self.intake.take(now):
-            if isinstance(event, i.Offered):
-                part = self.parts[event.cls // self.parts[0].classes]
-                part.events.append(replace(event, cls=event.cls % part.classes))
-            elif isinstance(event, i.Heard):
+            self.policies[number].events.append(i.TimerFired(token))
+        for event in self.load_reports.take_due(now):
+            if isinstance(event, i.RequestsOffered):
+                part = self.policies[event.request_class // self.policies[0].class_count]
+                part.events.append(replace(event, request_class=event.request_class % part.class_count))
+            elif isinstance(event, i.AttemptsReported):
                 self._by_worker(event.replica, event)
         return ready
 
@@ -334,298 +369,326 @@
         """Ends silent streams; tells of what is slow, once: a channel under half its stated pace, relays that
         do not confirm."""
         self._looked = now
-        if self.ledger:
-            self.ledger.sweep()
-        silent = now - self.fleet.hold - self.fleet.silence
-        for proxy in [p for p, s in self.streams.items() if s.seen < silent]:
-            self.left(proxy, "silent")
+        if self.delivery_queue:
+            self.delivery_queue.drop_delivered()
+        silent = now - self.fleet.poll_hold_us - self.fleet.silence_limit_us
+        for proxy in [p for p, s in self.streams.items() if s.last_poll_us < silent]:
+            self.remove_proxy(proxy, "silent")
         # What it never confirmed counted as waiting for ever: weights and returns of all others stopped.
         for proxy in [
-            p for p, s in self.streams.items() if s.released and s.quiet < silent - self.fleet.rules.grace
+            p
+            for p, s in self.streams.items()
+            if s.unacknowledged and s.unacknowledged_since_us < silent - self.fleet.safety.drain_grace_us
         ]:
-            self.left(proxy, "confirms nothing")
+            self.remove_proxy(proxy, "confirms nothing")
         for stream in self.streams.values():
             if (
-                stream.large
-                and not self.ledger
-                and (self.tables.picture(stream.proxy)[1] <= self.channel.queue_limit)
+                stream.is_oversized
+                and not self.delivery_queue
+                and (self.tables.proxy_snapshot(stream.proxy)[1] <= self.channel.queue_limit_lines)
             ):
-                stream.owe("its table fits now")
+                stream.require_resync("its table fits now")
                 self._owed[stream.proxy] = None
-        slow = self.channel.pace < self.channel.line_rate / 2
+        slow = self.channel.measured_lines_per_s < self.channel.lines_per_s / 2
         if slow != self._slow:
             self._slow = slow
             self.log(
                 "channel_slow" if slow else "channel_well",
                 warn=slow,
-                lines_a_second=round(self.channel.pace),
-                reason=f"stated are {self.channel.line_rate:g}",
+                lines_a_second=round(self.channel.measured_lines_per_s),
+                reason=f"stated are {self.channel.lines_per_s:g}",
             )
         for stream in self.streams.values():
-            late = bool(stream.marks) and now - stream.marks[0][2] > self.fleet.rules.grace
-            if late and not stream.slow:
+            late = (
+                bool(stream.pending_revisions)
+                and now - stream.pending_revisions[0][2] > self.fleet.safety.drain_grace_us
+            )
+            if late and not stream.is_slow:
                 self.log(
                     "relay_slow",
                     warn=True,
-                    relay=stream.relay,
-                    reason=f"has not confirmed an order of {(now - stream.marks[0][2]) / 1e6:.1f} s ago",
+                    relay=stream.proxy_name,
+                    reason="has not confirmed an order of "
+                    f"{(now - stream.pending_revisions[0][2]) / 1e6:.1f} s ago",
                 )
-            stream.slow = late
+            stream.is_slow = late
 
-    def due(self) -> int:
+    def next_due_us(self) -> int:
         """When `advance` has something to do next."""
-        times = [self.intake.due()]
+        times = [self.load_reports.next_due_us()]
         if self._wakes:
             times.append(self._wakes[0][0])
-        if (leaves := self.channel.due()) is not None:
+        if (leaves := self.channel.next_release_us()) is not None:
             times.append(leaves)
         return min(times)
 
     # The module
 
-    def ceilings(
+    def set_quotas(
         self, zones: Mapping[str, float], replicas: Mapping[str, float], levels: Mapping[str, float]
     ) -> None:
         """What the fleet agreed, all of it each time; names that are not known here are left out."""
-        names, classes = self.names, [c.name for c in self.fleet.classes]
-        event = i.Ceilings(
+        names, classes = self.identifiers, [c.name for c in self.fleet.classes]
+        event = i.QuotasAgreed(
             tuple((names.zones[z], x) for z, x in zones.items() if z in names.zones),
             tuple((names.replicas[n], x) for n, x in replicas.items() if n in names.replicas),
             tuple((classes.index(c), x) for c, x in levels.items() if c in classes),
         )
-        for part in self.parts:
+        for part in self.policies:
             part.events.append(event)
 
-    def cold(self, now: int) -> tuple[str, ...]:
+    def warming_up_replicas(self, now: int) -> tuple[str, ...]:
         """Replicas listed ready that are still cold."""
-        started, since = self.roster.started(), now - self.fleet.rules.cold_time
+        started, since = self.endpoint_list.start_times_us(), now - self.fleet.safety.warmup_us
         return tuple(
             sorted(
                 n
-                for n, e in self.roster.entries.items()
+                for n, e in self.endpoint_list.endpoints.items()
                 if e.phase == "ready" and started.get(n, 0) > max(0, since)
             )
         )
 
-    def confirmed(self, since: int) -> bool:
+    def is_acknowledged(self, since: int) -> bool:
         """The modules know all, and no relay owes an answer to what was ordered by `since`."""
-        return not self.waiting and not any(s.marks and s.marks[0][2] <= since for s in self.streams.values())
+        return not self.has_pending_events and not any(
+            s.pending_revisions and s.pending_revisions[0][2] <= since for s in self.streams.values()
+        )
 
-    def batches(self, hurry: bool = False) -> list[Batch]:
+    def take_batches(self, hurry: bool = False) -> list[Batch]:
         """What the modules have not been told yet, by part, in the order it came; in a hurry that of the
         parts alone which have heard of a list."""
         out = []
-        for part in self.parts:
-            if part.events and (not hurry or any(isinstance(e, i.Listed) for e in part.events)):
+        for part in self.policies:
+            if part.events and (not hurry or any(isinstance(e, i.EndpointsListed) for e in part.events)):
                 out.append((part.number, part.events))
                 part.events = []
         return out
 
     @property
-    def waiting(self) -> bool:
-        return any(part.events for part in self.parts)
+    def has_pending_events(self) -> bool:
+        return any(part.events for part in self.policies)
 
-    def carry_out(self, now: int, replies: list[Reply]) -> None:
+    def apply_replies(self, now: int, replies: list[Reply]) -> None:
         """What the modules ordered at one time: one message for each proxy concerned, in the order they are
         first concerned. With cells, drains and exits alone go at once; `spend` brings the rest."""
-        self.replies += 1
-        told: dict[int, Told] = {}
+        self.reply_count += 1
+        told: dict[int, PendingMessage] = {}
         for number, orders, reasons in replies:
-            self._reply(now, self.parts[number], orders, reasons, told)
-        if self.ledger:
-            self._drains(now, self.ledger)
+            self._reply(now, self.policies[number], orders, reasons, told)
+        if self.delivery_queue:
+            self._drains(now, self.delivery_queue)
         for proxy, mine in told.items():
             if stream := self.streams.get(proxy):
                 self._put(
-                    now, stream, mine, self.tables.head + self.tables.common() + bool(mine.marks) + mine.price
+                    now,
+                    stream,
+                    mine,
+                    self.tables.message_overhead_lines
+                    + self.tables.count_common_admission()
+                    + bool(mine.revisions)
+                    + mine.cost_lines,
                 )
 
     def _reply(
-        self, now: int, part: Part, orders: list[i.Order], reasons: dict[int, str], told: dict[int, Told]
+        self,
+        now: int,
+        part: PolicyInstance,
+        orders: list[i.Order],
+        reasons: dict[int, str],
+        told: dict[int, PendingMessage],
     ) -> None:
         concerned: dict[int, None] = {}
-        mark: i.Mark | None = None
+        mark: i.RequestAcknowledgement | None = None
 
         def tell(proxies: Iterable[int], deltas: list[feed.Delta], price: float) -> None:
             for proxy in proxies:
-                mine = told.setdefault(proxy, Told())
+                mine = told.setdefault(proxy, PendingMessage())
                 mine.deltas.extend(deltas)
-                mine.price += price
+                mine.cost_lines += price
                 concerned[proxy] = None
 
         for n, local in enumerate(orders):
-            order, why = part.order(local), reasons.get(n, "")
+            order, why = part.to_global(local), reasons.get(n, "")
             match order:
-                case i.Mark():
+                case i.RequestAcknowledgement():
                     mark = order
-                case i.Probe(replica):
-                    self.probes.append(replica)
-                case i.Wake(token, delay):
+                case i.CheckHealth(replica):
+                    self.pending_health_checks.append(replica)
+                case i.SetTimer(token, delay):
                     heapq.heappush(self._wakes, (now + delay, part.number, token))
-                case i.Follow(on):
-                    self.follow = on
-                case i.AskList():
-                    self.ask = True
-                case i.Say(text):
+                case i.SubscribeEndpoints(on):
+                    self.endpoints_subscribed = on
+                case i.RequestEndpoints():
+                    self.endpoints_requested = True
+                case i.LogRemark(text):
                     self.log("module_says", reason=text)
-                case _ if self.ledger:
-                    self.ledger.order(part.number, order, concerned)
+                case _ if self.delivery_queue:
+                    self.delivery_queue.apply(part.number, order, concerned)
                     self._explain(order, why)
-                case i.Bind(proxy, table, classes):
+                case i.BindProxy(proxy, table, classes):
                     deltas, price = self.tables.bind(proxy, table, classes)
                     if deltas:
                         tell([proxy], deltas, price)
                         self._explain(order, why)
                 case _:
-                    proxies, delta, price = self.tables.order(order)
+                    proxies, delta, price = self.tables.apply(order)
                     tell(proxies, [delta], price)
                     self._explain(order, why)
-        if self.ledger:
-            self.ledger.ordered(part.number, mark, concerned, now)
+        if self.delivery_queue:
+            self.delivery_queue.finish_reply(part.number, mark, concerned, now)
         elif mark is not None:
             if mark.to_all:
                 tell([p for p in self.streams if p not in concerned], [], 0.0)
             for proxy in concerned:
-                told[proxy].marks.append((part.number, mark.number))
+                told[proxy].revisions.append((part.number, mark.revision))
 
-    def _drains(self, now: int, ledger: Ledger) -> str:
+    def _drains(self, now: int, ledger: DeliveryQueue) -> str:
         """Drains and exits to all relays, with whatever else fits; empty, or why one could not go."""
         late = ""
-        for proxy in ledger.urgent():
-            room = ledger.budget.room(len(self.streams), self.channel.waiting)
-            late = self._send(now, proxy, ledger.piece(proxy, True, room)) or late
+        for proxy in ledger.urgent_proxies():
+            room = ledger.budget.available_lines(len(self.streams), self.channel.waiting_lines)
+            late = self._send(now, proxy, ledger.next_delivery(proxy, True, room)) or late
         return late
 
-    def spend(self, now: int, more: bool = False) -> bool:
+    def publish_slot(self, now: int, more: bool = False) -> bool:
         """A slot of a governor with cells: in turn, what relays are owed, as far as the budget goes. True
         where it stopped half way, to let others run: it is to be called again, with `more`."""
-        ledger = self.ledger
+        ledger = self.delivery_queue
         assert ledger is not None
         if not more:
-            self.replies += 1
+            self.reply_count += 1
             self._served.clear()
             if why := self._drains(now, ledger):
-                self.log("channel_full", warn=True, relays=len(ledger.urgent()), reason=why)
+                self.log("channel_full", warn=True, relays=len(ledger.urgent_proxies()), reason=why)
             self._introductions(ledger)
-            ledger.budget.slot()
+            ledger.budget.decay_usage()
         budget, relays, sent = ledger.budget, len(self.streams), 0
-        for proxy in ledger.owed():
+        for proxy in ledger.pending_proxies():
             if (
                 proxy in self._served
-                or self.streams[proxy].owed
-                or not budget.may(self.channel.messages(now, proxy))
+                or self.streams[proxy].resync_reason
+                or not budget.allows_message(self.channel.count_messages(now, proxy))
             ):
                 continue
             if sent == SLICE:
                 return True
-            room = budget.room(relays, self.channel.waiting)
-            if room <= self.tables.head and self.channel.waiting:
+            room = budget.available_lines(relays, self.channel.waiting_lines)
+            if room <= self.tables.message_overhead_lines and self.channel.waiting_lines:
                 break
-            piece = ledger.piece(proxy, False, room)
-            if piece.price > room and self.channel.waiting:
+            piece = ledger.next_delivery(proxy, False, room)
+            if piece.cost_lines > room and self.channel.waiting_lines:
                 break  # more than fits beside others goes alone, in its turn
             self._send(now, proxy, piece)
             self._served.add(proxy)
             sent += 1
         return False
 
-    def _send(self, now: int, proxy: int, piece: Piece) -> str:
+    def _send(self, now: int, proxy: int, piece: Delivery) -> str:
         """Puts a piece; what can't be put stays owed. Empty, or why not."""
-        assert self.ledger is not None
+        assert self.delivery_queue is not None
         stream = self.streams[proxy]
-        if stream.owed:
+        if stream.resync_reason:
             return ""  # a picture is due, which holds all of it
-        if piece.deltas or piece.marks:
-            if why := self.channel.may(now, proxy, piece.price):
+        if piece.deltas or piece.revisions:
+            if why := self.channel.rejection_reason(now, proxy, piece.cost_lines):
                 return why
-            marks = tuple(mark for mark, _ in piece.marks)
-            seq = stream.number_next()
+            marks = tuple(mark for mark, _ in piece.revisions)
+            seq = stream.allocate_seq()
             if marks:
-                stream.marks.append((seq, marks, min(at for _, at in piece.marks)))
+                stream.pending_revisions.append((seq, marks, min(at for _, at in piece.revisions)))
             message = feed.Message(
-                seq, self.replies, now, piece.price, tuple(piece.deltas), marks[-1][1] if marks else None
+                seq,
+                self.reply_count,
+                now,
+                piece.cost_lines,
+                tuple(piece.deltas),
+                marks[-1][1] if marks else None,
             )
             self.channel.put(now, proxy, stream.number, message)
-        self.ledger.told(proxy, piece)
+        self.delivery_queue.mark_delivered(proxy, piece)
         return ""
 
-    def _put(self, now: int, stream: Stream, mine: Told, cost: float) -> None:
-        seq = stream.number_next()
-        if mine.marks:
-            stream.marks.append((seq, tuple(mine.marks), now))
-        if stream.owed:
+    def _put(self, now: int, stream: ProxyStream, mine: PendingMessage, cost: float) -> None:
+        seq = stream.allocate_seq()
+        if mine.revisions:
+            stream.pending_revisions.append((seq, tuple(mine.revisions), now))
+        if stream.resync_reason:
             return  # the picture that is due will hold this as well
         deltas = mine.deltas
         if (
-            cost > self.channel.queue_limit
-            and (whole := self.tables.picture(stream.proxy)[1]) > self.channel.queue_limit
+            cost > self.channel.queue_limit_lines
+            and (whole := self.tables.proxy_snapshot(stream.proxy)[1]) > self.channel.queue_limit_lines
         ):
             deltas, cost = self._loose(stream, deltas, whole)
-        mark = mine.marks[-1][1] if mine.marks else None
-        message = feed.Message(seq, self.replies, now, cost, tuple(deltas), mark)
+        mark = mine.revisions[-1][1] if mine.revisions else None
+        message = feed.Message(seq, self.reply_count, now, cost, tuple(deltas), mark)
         if why := self.channel.put(now, stream.proxy, stream.number, message):
-            stream.owe(why)
+            stream.require_resync(why)
             self._owed[stream.proxy] = None
-            self.log("channel_full", warn=True, relay=stream.relay, lines=cost, reason=why)
+            self.log("channel_full", warn=True, relay=stream.proxy_name, lines=cost, reason=why)
 
     def _loose(
-        self, stream: Stream, deltas: Iterable[feed.Delta], cost: float
+        self, stream: ProxyStream, deltas: Iterable[feed.Delta], cost: float
     ) -> tuple[list[feed.Delta], float]:
         """What a relay is told where its table is more than the queue may ever hold: withdrawals and returns
         for the tables that it stands on. Owed a picture that never fits, it was told of no drain."""
-        if not stream.large:
-            stream.large = True
+        if not stream.is_oversized:
+            stream.is_oversized = True
             self.log(
                 "table_too_large",
                 warn=True,
-                relay=stream.relay,
+                relay=stream.proxy_name,
                 lines=cost,
-                reason=f"queue-limit is {self.channel.queue_limit:g}; raise it, or divide the fleet",
+                reason=f"queue-limit is {self.channel.queue_limit_lines:g}; raise it, or divide the fleet",
             )
-        some: list[feed.Delta] = [d for d in deltas if isinstance(d, feed.Out | feed.Back)]
-        return some, self.tables.head + 1 + len(some)
+        some: list[feed.Delta] = [
+            d for d in deltas if isinstance(d, feed.WithdrawalDelta | feed.RestorationDelta)
+        ]
+        return some, self.tables.message_overhead_lines + 1 + len(some)
 
     def _picture(self, now: int, proxy: int) -> None:
         """Puts a whole picture where one is owed and the channel has room."""
         stream = self.streams.get(proxy)
-        if stream is None or not stream.owed:
+        if stream is None or not stream.resync_reason:
             self._owed.pop(proxy, None)
             return
-        deltas, cost = self.tables.picture(proxy)
-        if whole := cost <= self.channel.queue_limit:
-            stream.large = False
+        deltas, cost = self.tables.proxy_snapshot(proxy)
+        if whole := cost <= self.channel.queue_limit_lines:
+            stream.is_oversized = False
         else:
             some, cost = self._loose(stream, deltas, cost)
             deltas = tuple(some)
-        if self.channel.may(now, proxy, cost):
+        if self.channel.rejection_reason(now, proxy, cost):
             return
-        seq = stream.number_next()
-        message = feed.Message(seq, self.replies, now, cost, deltas, None, whole=whole)
+        seq = stream.allocate_seq()
+        message = feed.Message(seq, self.reply_count, now, cost, deltas, None, is_snapshot=whole)
         if not self.channel.put(now, proxy, stream.number, message):
-            if self.ledger and (marks := self.ledger.whole(proxy)):
-                stream.marks.append((seq, tuple(marks), now))
-            self.log("picture", relay=stream.relay, lines=cost, reason=stream.owed)
-            stream.owed, stream.picture = "", seq
+            if self.delivery_queue and (marks := self.delivery_queue.mark_resynced(proxy)):
+                stream.pending_revisions.append((seq, tuple(marks), now))
+            self.log("picture", relay=stream.proxy_name, lines=cost, reason=stream.resync_reason)
+            stream.resync_reason, stream.resync_seq = "", seq
             self._owed.pop(proxy, None)
 
     def _explain(self, order: i.Order, why: str) -> None:
         match order:
-            case i.Bind(proxy, table, _):
-                self.log("bind", relay=self.names.proxies.names[proxy], table=table, reason=why)
-            case i.Withdraw(replica, out):
+            case i.BindProxy(proxy, table, _):
+                self.log("bind", relay=self.identifiers.proxies.names[proxy], table=table, reason=why)
+            case i.WithdrawReplica(replica, out):
                 event = "withdrawn" if out else "returned"
-                self.log(event, replica=self.names.replicas.names[replica], reason=why)
-            case i.Admit(_, classes, share, tries):
-                names = [self.names.classes.names[k] for k in classes] or list(self.names.classes.names)
+                self.log(event, replica=self.identifiers.replicas.names[replica], reason=why)
+            case i.SetAdmission(_, classes, share, tries):
+                names = [self.identifiers.classes.names[k] for k in classes] or list(
+                    self.identifiers.classes.names
+                )
                 self.log("level", classes=names, share=round(share, 4), tries=tries, reason=why)
 
-    def moved(self, tenant: str, cell: str, gen: int) -> None:
+    def handle_migration(self, tenant: str, cell: str, gen: int) -> None:
         """A tenant is shut (no cell) or opened in a cell: every relay is owed it, so that fifty moves at once
         are still one message."""
-        if self.tables.route is None or self.ledger is None:
+        if self.tables.route is None or self.delivery_queue is None:
             return
-        self.tables.route = feed.moved(self.tables.route, feed.Moved(tenant, cell, gen))
-        self.ledger.moved(tenant)
+        self.tables.route = feed.apply_migration(self.tables.route, feed.TenantMigrated(tenant, cell, gen))
+        self.delivery_queue.add_migration(tenant)
         self.log(
             "tenant_moved" if cell else "tenant_shut",
             tenant=tenant,
@@ -635,4 +698,4 @@
         )
 
     def log(self, event: str, *, warn: bool = False, **fields: Any) -> None:
-        self.logs.append(Log(event, fields, warn))
+        self.pending_logs.append(LogEvent(event, fields, warn))
--- a/gradehoist/governor/intake.py
+++ b/gradehoist/governor/load_reports.py
@@ -9,7 +9,7 @@
 from itertools import islice
 
 from gradehoist import interface as i
-from gradehoist.identifiers import Names
+from gradehoist.identifiers import Identifiers
 from gradehoist.protocol import feed
 
 SECOND = 1_000_000
@@ -20,7 +20,7 @@
     tries: int = 0
     bad: int = 0
     elapsed: float = 0.0  # of all good tries, µs
-    load: i.Load | None = None
+    load: i.LoadReport | None = None
 
 
 @dataclass
@@ -29,53 +29,53 @@
     unanswered: int = 0
 
 
-class Unknown(Exception):
+class InvalidLoadReportError(Exception):
     """A sum names something that this governor never heard of."""
 
 
-class Intake:
+class LoadReportQueue:
     """`rate` in lines a second, `period` in µs. `add` takes a relay's sums, `take` gives the module's."""
 
-    def __init__(self, names: Names, rate: float, period: int, now: int) -> None:
+    def __init__(self, names: Identifiers, rate: float, period: int, now: int) -> None:
         self._names, self._rate, self._period = names, rate, period
         self._met: dict[tuple[int, int], _Met] = {}
         self._came: dict[tuple[int, int], _Came] = {}
         self._ready: dict[tuple[str, int, int], int] = {}  # since when, in the order of their first line
         self._next, self._credit, self._at = now + period, 0.0, now
 
-    def add(self, proxy: int, zone: int, sums: feed.Sums) -> list[str]:
+    def add(self, proxy: int, zone: int, sums: feed.ProxyLoadReport) -> list[str]:
         """The replicas that stand in no list of this governor: their rows are left out, as a relay's tables
         may be an earlier governor's, and refused whole its other figures were missing. Raises Unknown, and
         then nothing of the document is taken."""
         replicas, classes = self._names.replicas, self._names.classes
-        for row in sums.tries:
-            if row.bad > row.tries:
-                raise Unknown(f"replica {row.replica!r}: more bad tries than tries")
-        for came in sums.came:
-            if came.cls not in classes:
-                raise Unknown(f"class {came.cls!r} is not in the settings")
+        for row in sums.attempts:
+            if row.failures > row.attempts:
+                raise InvalidLoadReportError(f"replica {row.replica!r}: more bad tries than tries")
+        for came in sums.requests:
+            if came.request_class not in classes:
+                raise InvalidLoadReportError(f"class {came.request_class!r} is not in the settings")
         strange = list[str]()
-        for row in sums.tries:
+        for row in sums.attempts:
             replica = replicas.get(row.replica, -1)
             if replica < 0:
                 strange.append(row.replica)
                 continue
             met = self._met.setdefault((zone, replica), _Met())
-            met.tries, met.bad = met.tries + row.tries, met.bad + row.bad
-            met.elapsed += row.elapsed * (row.tries - row.bad)
-            if row.busy is not None or row.in_flight is not None:
-                met.load = i.Load(row.busy, row.in_flight, row.service_ms)
-        for came in sums.came:
-            known = self._came.setdefault((proxy, classes[came.cls]), _Came())
-            known.number, known.unanswered = known.number + came.number, known.unanswered + came.unanswered
+            met.tries, met.bad = met.tries + row.attempts, met.bad + row.failures
+            met.elapsed += row.elapsed_us * (row.attempts - row.failures)
+            if row.busy_share is not None or row.in_flight is not None:
+                met.load = i.LoadReport(row.busy_share, row.in_flight, row.service_ms)
+        for came in sums.requests:
+            known = self._came.setdefault((proxy, classes[came.request_class]), _Came())
+            known.number, known.unanswered = known.number + came.requests, known.unanswered + came.incomplete
         return strange
 
-    def left(self, proxy: int) -> None:
+    def remove_proxy(self, proxy: int) -> None:
         for key in [k for k in self._came if k[0] == proxy]:
             del self._came[key]
             self._ready.pop(("came", *key), None)
 
-    def take(self, now: int) -> list[i.Event]:
+    def take_due(self, now: int) -> list[i.Event]:
         """Lines due by now. A line's window reaches from its last delivery, a period at least."""
         if now >= self._next:
             self._next += ((now - self._next) // self._period + 1) * self._period
@@ -96,21 +96,21 @@
                 met = self._met.pop((a, b))
                 good = met.tries - met.bad
                 out.append(
-                    i.Heard(
+                    i.AttemptsReported(
                         a, b, met.tries, met.bad, round(met.elapsed / good) if good else 0, window, met.load
                     )
                 )
             else:
                 came = self._came.pop((a, b))
-                out.append(i.Offered(a, b, came.number, came.unanswered, window))
+                out.append(i.RequestsOffered(a, b, came.number, came.unanswered, window))
         self._credit -= len(out)
         return out
 
-    def due(self) -> int:
+    def next_due_us(self) -> int:
         if self._ready:
             return self._at + max(1_000, round((1 - self._credit) / self._rate * SECOND))
         return self._next
 
     @property
-    def waiting(self) -> int:
+    def waiting_count(self) -> int:
         return len(self._ready)
--- a/gradehoist/governor/openapi.py
+++ b/gradehoist/governor/openapi.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from gradehoist.cells.migration import Confirm, Word
+from gradehoist.cells.migration import AssignmentAck, TenantAssignment
 from gradehoist.protocol import feed
 
 REFUSALS = {
@@ -28,7 +28,8 @@
 
 def document() -> dict[str, Any]:
     (feed_ref, sums_ref, word_ref, confirm_ref, error_ref), parts = msgspec.json.schema_components(
-        (feed.Feed, feed.Sums, Word, Confirm, Error), ref_template="#/components/schemas/{name}"
+        (feed.PollResponse, feed.ProxyLoadReport, TenantAssignment, AssignmentAck, Error),
+        ref_template="#/components/schemas/{name}",
     )
 
     def refusals(*codes: str) -> dict[str, Any]:
--- a/gradehoist/governor/policy_instances.py
+++ b/gradehoist/governor/policy_instances.py
@@ -10,40 +10,40 @@
 
 Batch = tuple[int, list[i.Event]]  # a part and what it is to be told
 Reply = tuple[int, list[i.Order], dict[int, str]]  # a part, its orders, and why, by an order's place
-STRIDE = 4_096  # table numbers for each part: a module lays a few for each of its groups
+TABLES_PER_POLICY = 4_096  # table numbers for each part: a module lays a few for each of its groups
 
 
 @dataclass
-class Part:
+class PolicyInstance:
     """`classes`: how many there are in a part; `workers`: those of its cell, None: every one."""
 
     number: int
     cell: str
-    classes: int
-    workers: Collection[str] | None = None
+    class_count: int
+    replicas: Collection[str] | None = None
     events: list[i.Event] = field(default_factory=list)
 
-    def mine(self, worker: str) -> bool:
-        return self.workers is None or worker in self.workers
+    def owns_replica(self, worker: str) -> bool:
+        return self.replicas is None or worker in self.replicas
 
-    def cls(self, local: int) -> int:
-        return self.number * self.classes + local
+    def global_class(self, local: int) -> int:
+        return self.number * self.class_count + local
 
-    def table(self, local: int) -> int:
-        return self.number * STRIDE + local
+    def global_table(self, local: int) -> int:
+        return self.number * TABLES_PER_POLICY + local
 
-    def order(self, order: i.Order) -> i.Order:
+    def to_global(self, order: i.Order) -> i.Order:
         """The order in the governor's indices."""
         match order:
-            case i.SetLine(table, _, _) | i.ClearTable(table):
-                return replace(order, table=self.table(table))
-            case i.Bind(_, table, classes):
-                return replace(order, table=self.table(table), classes=self._chosen(classes))
-            case i.Admit(at, classes, _, _):
+            case i.SetWeight(table, _, _) | i.ClearTable(table):
+                return replace(order, table=self.global_table(table))
+            case i.BindProxy(_, table, classes):
+                return replace(order, table=self.global_table(table), classes=self._chosen(classes))
+            case i.SetAdmission(at, classes, _, _):
                 return replace(
-                    order, table=None if at is None else self.table(at), classes=self._chosen(classes)
+                    order, table=None if at is None else self.global_table(at), classes=self._chosen(classes)
                 )
         return order
 
     def _chosen(self, classes: tuple[int, ...]) -> tuple[int, ...]:
-        return tuple(self.cls(k) for k in classes or range(self.classes))
+        return tuple(self.global_class(k) for k in classes or range(self.class_count))
