--- a/gradehoist/governor/policy_process.py
+++ b/gradehoist/governor/policy_process.py
@@ -26,21 +26,21 @@
 from gradehoist.governor.policy_instances import Batch, Reply
 from gradehoist.policy.planner import Planner
 
-LENGTH = struct.Struct("!I")
+FRAME_LENGTH = struct.Struct("!I")
 Reasons = dict[int, str]  # by the order's place in the reply
-FIRST = 20.0  # seconds for the first answer: a loaded machine's Python start
-LONGEST = 10.0  # seconds of work for one answer: ten times what a hundred cells have needed
+FIRST_REPLY_TIMEOUT_S = 20.0  # seconds for the first answer: a loaded machine's Python start
+REPLY_TIMEOUT_S = 10.0  # seconds of work for one answer: ten times what a hundred cells have needed
 
 
-class PlannerFailed(Exception):
+class PolicyProcessError(Exception):
     """The module raised, or its process ended; nothing of its last answer is used."""
 
 
-class PlannerProcess:
+class PolicyProcess:
     """Owns the child. `handle` takes what is due for all parts at one time; a child that stands still is
     given up within three quarters of `grace` (µs), as a drain may wait behind it."""
 
-    def __init__(self, starts: list[i.Start], now: int, slotted: bool, grace: int) -> None:
+    def __init__(self, starts: list[i.PolicyConfig], now: int, slotted: bool, grace: int) -> None:
         ours, theirs = socket.socketpair()
         self._child = subprocess.Popen(
             [sys.executable, "-m", "gradehoist.governor.policy_process", str(theirs.fileno())],
@@ -50,7 +50,7 @@
         theirs.close()
         self._stream = IOStream(ours, max_buffer_size=1 << 30)
         self._first: Any = (starts, now, slotted)
-        self.cpu = 0.0  # seconds of CPU that the module has taken
+        self.cpu_s = 0.0  # seconds of CPU that the module has taken
         self._look = max(0.05, grace / 4e6)  # seconds between looks at a child that owes an answer
         self._asked, self._since, self._fault = 0, 0.0, ""  # since: when what is owed was asked, or 0
         self._watching: asyncio.Task[None] | None = None
@@ -62,19 +62,19 @@
         try:
             for frame in ([self._first] if self._first else []) + [(now, batches, timers)]:
                 data = pickle.dumps(frame, pickle.HIGHEST_PROTOCOL)
-                self._stream.write(LENGTH.pack(len(data)) + data)
+                self._stream.write(FRAME_LENGTH.pack(len(data)) + data)
             self._first = None
-            (size,) = LENGTH.unpack(await self._stream.read_bytes(LENGTH.size))
+            (size,) = FRAME_LENGTH.unpack(await self._stream.read_bytes(FRAME_LENGTH.size))
             fault, replies, cpu = pickle.loads(await self._stream.read_bytes(size))
         except StreamClosedError:
-            raise PlannerFailed(self._fault or "the planner's process ended") from None
+            raise PolicyProcessError(self._fault or "the planner's process ended") from None
         finally:
             self._since = 0.0
         if fault:
-            raise PlannerFailed(fault)
-        self.cpu += cpu
+            raise PolicyProcessError(fault)
+        self.cpu_s += cpu
         return [
-            (part, [i.SetLine(*o) if type(o) is tuple else o for o in orders], why)
+            (part, [i.SetWeight(*o) if type(o) is tuple else o for o in orders], why)
             for part, orders, why in replies
         ]
 
@@ -91,7 +91,7 @@
             looked, before = self._asked, at
             # Not before the first answer: a start may wait for its disk, and holds no drain up.
             first = self._asked == 1
-            if (still >= 2 and not first) or waited > (FIRST if first else LONGEST):
+            if (still >= 2 and not first) or waited > (FIRST_REPLY_TIMEOUT_S if first else REPLY_TIMEOUT_S):
                 why = "stands still" if still >= 2 else "is at it"
                 self._fault = f"the planner's process owes an answer for {waited:.1f} s and {why}"
                 self._stream.close()
@@ -123,22 +123,22 @@
         self._child.wait()
 
 
-def reasons(module: Planner, orders: list[i.Order]) -> Reasons:
+def explain_orders(module: Planner, orders: list[i.Order]) -> Reasons:
     """Why the module gave its withdrawals, levels and binds, as its own state has it."""
     parts: Any = module.mail.parts
     out: Reasons = {}
     for n, order in enumerate(orders):
         match order:
-            case i.Withdraw(replica, True):
-                out[n] = _withdrawn(parts, replica, module.publisher.shut.get(replica, ""))
-            case i.Withdraw(replica, False):
+            case i.WithdrawReplica(replica, True):
+                out[n] = _withdrawn(parts, replica, module.publisher.withdrawn.get(replica, ""))
+            case i.WithdrawReplica(replica, False):
                 out[n] = "open again: " + (
                     "ramps up from its low start" if parts["replica", replica].ramp < 1 else "at full ramp"
                 )
-            case i.Admit():
+            case i.SetAdmission():
                 out[n] = f"let in {parts['admission'].level:.3g} of all, by what the pool can answer"
-            case i.Bind(proxy):
-                out[n] = f"joined, group {module.publisher.home.get(proxy, -1)}"
+            case i.BindProxy(proxy):
+                out[n] = f"joined, group {module.publisher.group_by_proxy.get(proxy, -1)}"
     return out
 
 
@@ -155,11 +155,11 @@
     return "not open"
 
 
-class Modules:
+class PolicyHost:
     """All modules of one governor. `slotted`: their timers are run here, at their own times."""
 
-    def __init__(self, starts: list[i.Start], now: int, slotted: bool, make: Any = None) -> None:
-        self.modules = [(make or Planner)(start, now) for start in starts]
+    def __init__(self, starts: list[i.PolicyConfig], now: int, slotted: bool, make: Any = None) -> None:
+        self.policies = [(make or Planner)(start, now) for start in starts]
         self._slotted = slotted
         self._wakes: list[tuple[int, int, int, int]] = []
         self._count = 0
@@ -168,33 +168,35 @@
         replies: list[Reply] = []
         while timers and self._wakes and self._wakes[0][0] <= now:
             at, _, part, token = heapq.heappop(self._wakes)
-            self._one(at, part, [i.Due(token)], replies)
+            self._one(at, part, [i.TimerFired(token)], replies)
         for part, events in batches:
             self._one(now, part, events, replies)
         return replies
 
     def _one(self, at: int, part: int, events: list[i.Event], replies: list[Reply]) -> None:
-        module = self.modules[part]
+        module = self.policies[part]
         orders: list[i.Order] = module.handle(at, events)
         if self._slotted:
             for order in orders:
-                if isinstance(order, i.Wake):
+                if isinstance(order, i.SetTimer):
                     self._count += 1
-                    heapq.heappush(self._wakes, (at + order.delay, self._count, part, order.token))
-            orders = [order for order in orders if not isinstance(order, i.Wake)]
+                    heapq.heappush(self._wakes, (at + order.delay_us, self._count, part, order.token))
+            orders = [order for order in orders if not isinstance(order, i.SetTimer)]
         if orders:
-            replies.append((part, orders, reasons(module, orders) if isinstance(module, Planner) else {}))
+            replies.append(
+                (part, orders, explain_orders(module, orders) if isinstance(module, Planner) else {})
+            )
 
 
 def serve(pipe: BinaryIO, make: Any = Planner) -> None:
     """The child's loop: until the other end closes."""
-    modules: Modules | None = None
+    modules: PolicyHost | None = None
 
     def read() -> Any:
-        head = pipe.read(LENGTH.size)
-        if len(head) < LENGTH.size:
+        head = pipe.read(FRAME_LENGTH.size)
+        if len(head) < FRAME_LENGTH.size:
             raise EOFError
-        (size,) = LENGTH.unpack(head)
+        (size,) = FRAME_LENGTH.unpack(head)
         return pickle.loads(pipe.read(size))
 
     while True:
@@ -206,18 +208,18 @@
         answer: tuple[str, list[Any], float]
         try:
             if modules is None:
-                modules = Modules(frame[0], frame[1], frame[2], make)
+                modules = PolicyHost(frame[0], frame[1], frame[2], make)
                 continue
             # Lines are by far the most: as tuples they are read back in half the time.
             replies = [
-                (part, [(o.table, o.replica, o.weight) if type(o) is i.SetLine else o for o in orders], why)
+                (part, [(o.table, o.replica, o.weight) if type(o) is i.SetWeight else o for o in orders], why)
                 for part, orders, why in modules.handle(*frame)
             ]
             answer = ("", replies, time.process_time() - began)
         except Exception as fault:  # whatever a module raises is told to the governor, which then stops
             answer = (f"{type(fault).__name__}: {fault}", [], 0.0)
         data = pickle.dumps(answer, pickle.HIGHEST_PROTOCOL)
-        pipe.write(LENGTH.pack(len(data)) + data)
+        pipe.write(FRAME_LENGTH.pack(len(data)) + data)
         pipe.flush()
 
 
--- a/gradehoist/history/records.py
+++ b/gradehoist/history/records.py
@@ -16,110 +16,113 @@
 
 import msgspec
 
-MOST = 1_000_000
+MAX_ENTRIES = 1_000_000
 
 
-class Wrote(msgspec.Struct, frozen=True):
+class RequestedChange(msgspec.Struct, frozen=True):
     """A change that a commit asks for; `expect` is the version it has to find; `gone` for a deletion."""
 
     key: str
-    expect: int
-    session: str = ""
-    gone: bool = False
+    expected_version: int = msgspec.field(name="expect")
+    session_id: str = msgspec.field(default="", name="session")
+    is_deletion: bool = msgspec.field(default=False, name="gone")
 
 
-class Saw(msgspec.Struct, frozen=True):
+class ObservedRecord(msgspec.Struct, frozen=True):
     """A record as an answer showed it; version 0 is one that was not there."""
 
     key: str
     version: int
-    token: str = ""
+    commit_id: str = msgspec.field(default="", name="token")
 
 
-class Asked(msgspec.Struct, frozen=True, tag="asked"):
+class Invocation(msgspec.Struct, frozen=True, tag="asked"):
     """A call leaves: commit, read or watch."""
 
-    t: int
-    by: str
-    n: int
-    what: str
-    token: str = ""
+    time_us: int = msgspec.field(name="t")
+    process: str = msgspec.field(name="by")
+    call_id: int = msgspec.field(name="n")
+    operation: str = msgspec.field(name="what")
+    commit_id: str = msgspec.field(default="", name="token")
     prefix: str = ""
-    after: int = 0
-    changes: tuple[Wrote, ...] = ()
+    after_revision: int = msgspec.field(default=0, name="after")
+    changes: tuple[RequestedChange, ...] = ()
 
 
-class Answered(msgspec.Struct, frozen=True, tag="answered"):
+class Completion(msgspec.Struct, frozen=True, tag="answered"):
     """`how`: done, refused, read, watched, none (nothing took place), unknown."""
 
-    t: int
-    by: str
-    n: int
-    how: str
+    time_us: int = msgspec.field(name="t")
+    process: str = msgspec.field(name="by")
+    call_id: int = msgspec.field(name="n")
+    outcome: str = msgspec.field(name="how")
     revision: int = 0
-    saw: tuple[Saw, ...] = ()
+    observed: tuple[ObservedRecord, ...] = msgspec.field(default=(), name="saw")
 
 
 class Effect(msgspec.Struct, frozen=True, tag="effect"):
     """One who takes effects took `item` under a right; lines of one taker stand in the order of its doing."""
 
-    t: int
-    by: str
-    name: str
-    gen: int
+    time_us: int = msgspec.field(name="t")
+    process: str = msgspec.field(name="by")
+    resource: str = msgspec.field(name="name")
+    generation: int = msgspec.field(name="gen")
     holder: str
     item: str
     key: str = ""
 
 
-class Turned(msgspec.Struct, frozen=True, tag="turned"):
+class RejectedEffect(msgspec.Struct, frozen=True, tag="turned"):
     """It refused an effect, for what it knew."""
 
-    t: int
-    by: str
-    name: str
-    gen: int
+    time_us: int = msgspec.field(name="t")
+    process: str = msgspec.field(name="by")
+    resource: str = msgspec.field(name="name")
+    generation: int = msgspec.field(name="gen")
     holder: str
     item: str
-    known: int
+    highest_generation: int = msgspec.field(name="known")
 
 
-class Told(msgspec.Struct, frozen=True, tag="told"):
+class ProcessEvent(msgspec.Struct, frozen=True, tag="told"):
     """Something that a process said of itself: its news, the end of a step."""
 
-    t: int
-    by: str
-    what: str
+    time_us: int = msgspec.field(name="t")
+    process: str = msgspec.field(name="by")
+    event: str = msgspec.field(name="what")
     fields: dict[str, Any] = {}
 
 
-class Cut(msgspec.Struct, frozen=True, tag="cut"):
+class HistoryTruncated(msgspec.Struct, frozen=True, tag="cut"):
     """The writer's bound was reached: what came later is not here."""
 
-    t: int
-    by: str
+    time_us: int = msgspec.field(name="t")
+    process: str = msgspec.field(name="by")
 
 
-Line = Asked | Answered | Effect | Turned | Told | Cut
+HistoryEntry = Invocation | Completion | Effect | RejectedEffect | ProcessEvent | HistoryTruncated
 
 
-def now() -> int:
+def monotonic_us() -> int:
     return time.monotonic_ns() // 1_000
 
 
-class Writer:
+class HistoryWriter:
     """Each line leaves at once: what a killed process had done must be here. Those that a full disk does not
     take are kept and go first with the next one; killed meanwhile, it leaves calls without a return."""
 
-    def __init__(self, path: Path, by: str, most: int = MOST) -> None:
-        self.by, self._left, self._kept = by, most, b""
+    def __init__(self, path: Path, process: str, max_entries: int = MAX_ENTRIES) -> None:
+        self.process, self._left, self._kept = process, max_entries, b""
         self._file = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
 
-    def __call__(self, line: Line) -> None:
+    def __call__(self, line: HistoryEntry) -> None:
         if self._left <= 0:
             return
         self._left -= 1
-        self._kept += msgspec.json.encode(line if self._left else Cut(now(), self.by)) + b"\n"
+        self._kept += (
+            msgspec.json.encode(line if self._left else HistoryTruncated(monotonic_us(), self.process))
+            + b"\n"
+        )
         with contextlib.suppress(OSError):
             while self._kept:
                 self._kept = self._kept[os.write(self._file, self._kept) :]
@@ -128,14 +131,14 @@
         os.close(self._file)
 
 
-class Incomplete(Exception):
+class IncompleteHistoryError(Exception):
     """No verdict: a history was cut short by its bound, or holds a line that is none."""
 
 
-def load(paths: Iterable[Path]) -> list[Line]:
+def load_history(paths: Iterable[Path]) -> list[HistoryEntry]:
     """All lines by time. A last line that a kill cut off is passed over. Raises Incomplete."""
-    decoder: msgspec.json.Decoder[Line] = msgspec.json.Decoder(Line)
-    out = list[Line]()
+    decoder: msgspec.json.Decoder[HistoryEntry] = msgspec.json.Decoder(HistoryEntry)
+    out = list[HistoryEntry]()
     for path in paths:
         lines = path.read_bytes().split(b"\n")
         for n, line in enumerate(lines):
@@ -146,8 +149,8 @@
             except msgspec.MsgspecError as fault:
                 if n == len(lines) - 1:
                     continue
-                raise Incomplete(f"{path}:{n + 1}: {fault}") from None
-            if isinstance(found, Cut):
-                raise Incomplete(f"{path}: bound of lines reached")
+                raise IncompleteHistoryError(f"{path}:{n + 1}: {fault}") from None
+            if isinstance(found, HistoryTruncated):
+                raise IncompleteHistoryError(f"{path}: bound of lines reached")
             out.append(found)
-    return sorted(out, key=lambda line: line.t)  # stable: a taker's own order stands
+    return sorted(out, key=lambda line: line.time_us)  # stable: a taker's own order stands
--- a/gradehoist/identifiers.py
+++ b/gradehoist/identifiers.py
@@ -5,14 +5,14 @@
 from collections.abc import Iterable, Iterator
 
 
-class Index:
+class Interner:
     """Gives each new name the next number, from 0."""
 
     def __init__(self, names: Iterable[str] = ()) -> None:
         self.names: list[str] = []
         self._numbers: dict[str, int] = {}
         for name in names:
-            self.number(name)
+            self.intern(name)
 
     def __len__(self) -> int:
         return len(self.names)
@@ -30,7 +30,7 @@
     def get(self, name: str, default: int) -> int:
         return self._numbers.get(name, default)
 
-    def number(self, name: str) -> int:
+    def intern(self, name: str) -> int:
         found = self._numbers.get(name)
         if found is None:
             found = self._numbers[name] = len(self.names)
@@ -38,9 +38,9 @@
         return found
 
 
-class Names:
+class Identifiers:
     """One instance's names."""
 
     def __init__(self, zones: Iterable[str], kinds: Iterable[str], classes: Iterable[str]) -> None:
-        self.zones, self.kinds, self.classes = Index(zones), Index(kinds), Index(classes)
-        self.replicas, self.proxies = Index(), Index()
+        self.zones, self.kinds, self.classes = Interner(zones), Interner(kinds), Interner(classes)
+        self.replicas, self.proxies = Interner(), Interner()
--- a/gradehoist/interface.py
+++ b/gradehoist/interface.py
@@ -17,234 +17,234 @@
     GONE = "gone"
 
 
-class Repeat(Enum):
+class Idempotency(Enum):
     """What a second run of a transaction means: harmless, dropped inside a group, or forbidden."""
 
-    FREE = "free"
-    GUARDED = "guarded"
-    SINGLE = "single"
+    IDEMPOTENT = "free"
+    IDEMPOTENCY_KEY = "guarded"
+    NOT_IDEMPOTENT = "single"
 
 
-class ListKind(Enum):
-    SAVED = "saved"
-    COMPLETE = "complete"
-    CHANGES = "changes"
+class EndpointListKind(Enum):
+    CACHED = "saved"
+    SNAPSHOT = "complete"
+    DELTA = "changes"
     FAILED = "failed"
 
 
-class Outcome(Enum):
-    ANSWERED = "answered"
+class HealthCheckOutcome(Enum):
+    HEALTHY = "answered"
     ERROR = "error"
-    TURNED_AWAY = "turned away"
+    REJECTED = "turned away"
     TIMED_OUT = "timed out"
     UNREACHABLE = "unreachable"
-    BROKEN = "broken"
+    CONNECTION_RESET = "broken"
     OTHER = "other"
 
 
 @dataclass(frozen=True, slots=True)
-class TransactionClass:
-    goal: int
-    cutoff: int
-    gain: float
-    late_gain: float
-    repeat: Repeat
-    only_zones: tuple[int, ...] | None
-    only_kinds: tuple[int, ...] | None
-    stays_local: bool
+class RequestClass:
+    latency_objective_us: int
+    deadline_us: int
+    priority_weight: float
+    late_priority_factor: float
+    idempotency: Idempotency
+    allowed_zones: tuple[int, ...] | None
+    allowed_kinds: tuple[int, ...] | None
+    zone_local: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Rules:
+class SafetyLimits:
     """The figures behind the five rules."""
 
-    grace: int
-    cold_time: int
-    cold_share: float
-    fall_multiple: float
-    fall_span: int
-    bare_limit: int
-    gone_is_advice: bool
+    drain_grace_us: int
+    warmup_us: int
+    warmup_start_capacity: float
+    overload_multiple: float
+    overload_window_us: int
+    unroutable_limit_us: int
+    gone_is_advisory: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Channel:
+class ChannelLimits:
     """What one governor may write; `line_rate` is the stated pace, not the true one."""
 
-    queue_limit: float
-    line_rate: float
-    message_head: float
-    message_limit: int
-    message_window: int
+    queue_limit_lines: float
+    lines_per_s: float
+    message_overhead_lines: float
+    messages_per_window: int
+    message_window_us: int
 
 
 @dataclass(frozen=True, slots=True)
-class Reports:
+class LoadReporting:
     """How reports come: the gathering period, and which load figures answers carry."""
 
-    period: int
-    has_busy: bool
+    period_us: int
+    has_busy_share: bool
     has_in_flight: bool
-    probes: bool
-    must_ask: bool
+    health_checks_allowed: bool
+    must_subscribe: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Start:
+class PolicyConfig:
     seed: int
-    zones: int
-    proxies: int
-    slices: int
-    admits_shares: bool
-    classes: tuple[TransactionClass, ...]
-    rules: Rules
-    channel: Channel
-    reports: Reports
+    zone_count: int
+    proxy_count: int
+    key_range_count: int
+    admission_enabled: bool
+    classes: tuple[RequestClass, ...]
+    safety: SafetyLimits
+    channel: ChannelLimits
+    load_reporting: LoadReporting
 
 
 @dataclass(frozen=True, slots=True)
-class Load:
+class LoadReport:
     """One load report; a figure the deployment does not carry is None."""
 
-    busy: float | None = None
+    busy_share: float | None = None
     in_flight: float | None = None
     service_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class Entry:
+class Endpoint:
     replica: int
     zone: int
     kind: int
     cell: int
     phase: Phase
     size: float
-    started: int
+    started_us: int
 
 
 @dataclass(frozen=True, slots=True)
-class Listed:
-    kind: ListKind
-    entries: tuple[Entry, ...]
+class EndpointsListed:
+    kind: EndpointListKind
+    endpoints: tuple[Endpoint, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Joined:
+class ProxyJoined:
     """`holds`: it may be shut out from replicas that a bind has to let back one by one."""
 
     proxy: int
     zone: int
-    rate: float
-    holds: bool = False
+    request_rate: float
+    may_hold_withdrawals: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class Left:
+class ProxyLeft:
     proxy: int
 
 
 @dataclass(frozen=True, slots=True)
-class Heard:
+class AttemptsReported:
     """What the proxies of one zone met at a replica over `window`."""
 
     zone: int
     replica: int
-    tries: int
-    bad: int
-    elapsed: int
-    window: int
-    load: Load | None
+    attempts: int
+    failures: int
+    elapsed_us: int
+    window_us: int
+    load: LoadReport | None
 
 
 @dataclass(frozen=True, slots=True)
-class Offered:
+class RequestsOffered:
     """Transactions of a class that came to a proxy over `window`, repeats and refusals included."""
 
     proxy: int
-    cls: int
-    number: int
-    unanswered: int
-    window: int
+    request_class: int
+    requests: int
+    incomplete: int
+    window_us: int
 
 
 @dataclass(frozen=True, slots=True)
-class SliceOffered:
-    part: int
-    cls: int
-    number: int
-    unanswered: int
-    window: int
+class KeyRangeOffered:
+    key_range: int
+    request_class: int
+    requests: int
+    incomplete: int
+    window_us: int
 
 
 @dataclass(frozen=True, slots=True)
-class SliceGiven:
-    part: int
-    mine: bool
+class KeyRangeAssigned:
+    key_range: int
+    is_owner: bool
 
 
 @dataclass(frozen=True, slots=True)
-class SliceLine:
-    part: int
+class KeyRangeLine:
+    key_range: int
     replica: int
     weight: float
 
 
 @dataclass(frozen=True, slots=True)
-class Applied:
+class UpdateAcknowledged:
     proxy: int
-    mark: int
-    elapsed: int
+    revision: int
+    elapsed_us: int
 
 
 @dataclass(frozen=True, slots=True)
-class Probed:
+class HealthChecked:
     replica: int
-    outcome: Outcome
-    elapsed: int
-    load: Load | None
+    outcome: HealthCheckOutcome
+    elapsed_us: int
+    load: LoadReport | None
 
 
 @dataclass(frozen=True, slots=True)
-class PeerNote:
+class PeerMessageReceived:
     peer: int
     payload: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class Ceilings:
+class QuotasAgreed:
     """What a fleet of governors agreed, all of it each time; 1.0 where nothing is named. `zones`: the part of
     what would go to a zone that still may; `replicas`: the part of its weight that this governor may give a
     cold one; `levels`: the share of a class that is let in, at most."""
 
-    zones: tuple[tuple[int, float], ...] = ()
-    replicas: tuple[tuple[int, float], ...] = ()
-    levels: tuple[tuple[int, float], ...] = ()
+    zone_quotas: tuple[tuple[int, float], ...] = ()
+    warmup_quotas: tuple[tuple[int, float], ...] = ()
+    admission_limits: tuple[tuple[int, float], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class Due:
+class TimerFired:
     token: int
 
 
 Event = (
-    Listed
-    | Joined
-    | Left
-    | Heard
-    | Offered
-    | SliceOffered
-    | SliceGiven
-    | SliceLine
-    | Applied
-    | Probed
-    | PeerNote
-    | Ceilings
-    | Due
+    EndpointsListed
+    | ProxyJoined
+    | ProxyLeft
+    | AttemptsReported
+    | RequestsOffered
+    | KeyRangeOffered
+    | KeyRangeAssigned
+    | KeyRangeLine
+    | UpdateAcknowledged
+    | HealthChecked
+    | PeerMessageReceived
+    | QuotasAgreed
+    | TimerFired
 )
 
 
 @dataclass(frozen=True, slots=True)
-class SetLine:
+class SetWeight:
     """Weight 0 removes the line."""
 
     table: int
@@ -258,7 +258,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Bind:
+class BindProxy:
     """Puts a proxy on a table for the named classes (none named: all)."""
 
     proxy: int
@@ -267,55 +267,67 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Withdraw:
+class WithdrawReplica:
     replica: int
-    out: bool
+    withdrawn: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Admit:
+class SetAdmission:
     """Lets in `share` of the classes; `tries` is the way of trying again. Table None: everywhere."""
 
     table: int | None
     classes: tuple[int, ...]
-    share: float
-    tries: int
+    admitted_share: float
+    retry_policy: int
 
 
 @dataclass(frozen=True, slots=True)
-class Mark:
-    number: int
+class RequestAcknowledgement:
+    revision: int
     to_all: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Probe:
+class CheckHealth:
     replica: int
 
 
 @dataclass(frozen=True, slots=True)
-class Wake:
+class SetTimer:
     token: int
-    delay: int
+    delay_us: int
 
 
 @dataclass(frozen=True, slots=True)
-class Follow:
-    on: bool
+class SubscribeEndpoints:
+    subscribed: bool
 
 
 @dataclass(frozen=True, slots=True)
-class AskList:
+class RequestEndpoints:
     pass
 
 
 @dataclass(frozen=True, slots=True)
-class Say:
+class LogRemark:
     text: str
 
 
-Order = SetLine | ClearTable | Bind | Withdraw | Admit | Mark | Probe | Wake | Follow | AskList | Say
+Order = (
+    SetWeight
+    | ClearTable
+    | BindProxy
+    | WithdrawReplica
+    | SetAdmission
+    | RequestAcknowledgement
+    | CheckHealth
+    | SetTimer
+    | SubscribeEndpoints
+    | RequestEndpoints
+    | LogRemark
+)
 
 
-class Module(Protocol):
-    def handle(self, now: int, events: list[Event]) -> list[Order]: ...
+class Policy(Protocol):
+    def handle(self, now_us: int, events: list[Event]) -> list[Order]: ...
--- a/gradehoist/membership/service.py
+++ b/gradehoist/membership/service.py
@@ -13,30 +13,32 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from gradehoist.coordination import store as r
-from gradehoist.coordination.agent import Agent, Me, Member, News
-from gradehoist.coordination.election import Claim
-from gradehoist.coordination.members import Members, State, View
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from gradehoist.net.coordination_client import Coordinator, Scribe, now
-from gradehoist.net.etcd import Engine
-from gradehoist.net.server import Answer, refusal
-from gradehoist.settings import reader
-from gradehoist.settings.fleet import Coordination
-from gradehoist.store.sqlite_store import Embedded
-
-JUDGE = 200_000  # µs between looks at all members: at each change of the register it would cost the fleet's
+from gradehoist.coordination.agent import MemberRecord, Notification, Participant, ProcessIdentity
+from gradehoist.coordination.election import LeaderElection
+from gradehoist.coordination.members import FailureDetector, MemberState, ReachabilityReport
+from gradehoist.coordination.store import Change, CoordinationStore, RecordTooLargeError
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
+from gradehoist.net.coordination_client import CallRecorder, CoordinationClient, monotonic_us
+from gradehoist.net.etcd import EtcdStore
+from gradehoist.net.server import ServerResponse, error_response
+from gradehoist.settings.fleet import CoordinationSettings
+from gradehoist.settings.reader import parse_address
+from gradehoist.store.sqlite_store import SqliteStore
+
+ASSESSMENT_INTERVAL_US = (
+    200_000  # µs between looks at all members: at each change of the register it would cost the fleet's
+)
 # size; nobody is suspected for less
-CONTACT = 0.5  # seconds for a contact: within a site it takes milliseconds
-QUIET = ("changed", "settled")  # news that are no log lines
-WARNINGS = ("away", "doubt", "ended", "fenced", "outrun", "full", "unread")
+CONTACT_TIMEOUT_S = 0.5  # seconds for a contact: within a site it takes milliseconds
+UNLOGGED_EVENTS = ("changed", "settled")  # news that are no log lines
+WARNING_EVENTS = ("away", "doubt", "ended", "fenced", "outrun", "full", "unread")
 
 
-def home(settings: Coordination) -> r.Home:
-    if settings.engine is not None:
-        return Engine(*settings.engine, settings.prefix)
+def open_store(settings: CoordinationSettings) -> CoordinationStore:
+    if settings.etcd_address is not None:
+        return EtcdStore(*settings.etcd_address, settings.key_prefix)
     assert settings.folder is not None
-    return Embedded(settings.folder)
+    return SqliteStore(settings.folder)
 
 
 class Membership:
@@ -46,34 +48,38 @@
 
     def __init__(
         self,
-        settings: Coordination,
+        settings: CoordinationSettings,
         role: str,
         name: str,
         zone: str,
         address: str,
         seed: int,
         log: Callable[..., None],
-        scribe: Scribe | None = None,
-        run: str = "",
+        recorder: CallRecorder | None = None,
+        incarnation: str = "",
     ) -> None:
         self.settings = settings
-        me = Me(role, name, zone, run or f"{name}-{uuid.uuid4().hex[:8]}", address)
+        me = ProcessIdentity(role, name, zone, incarnation or f"{name}-{uuid.uuid4().hex[:8]}", address)
         # Chance of a process' own, or many started from one file would come back at one time.
-        own = zlib.crc32(f"{seed}:{me.run}".encode())
-        self.agent = Agent(me, settings.session, own)
-        self.members = Members(me.member, settings.lost, settings.contact, own)
-        self.claims = list[Claim]()
-        self.changed: list[Callable[[str], None]] = []
-        self.settled: list[Callable[[str, str], None]] = []
-        self.ticked: list[Callable[[int], None]] = []
-        self.failed: list[Callable[[], None]] = []
+        own = zlib.crc32(f"{seed}:{me.incarnation}".encode())
+        self.agent = Participant(me, settings.session_ttl_us, own)
+        self.members = FailureDetector(
+            me.member_key, settings.lost_after_us, settings.contact_interval_us, own
+        )
+        self.elections = list[LeaderElection]()
+        self.key_listeners: list[Callable[[str], None]] = []
+        self.proposal_listeners: list[Callable[[str, str], None]] = []
+        self.tick_listeners: list[Callable[[int], None]] = []
+        self.failure_listeners: list[Callable[[], None]] = []
         self._log = log
-        self._coordinator = Coordinator(self.agent, home(settings), self._news, self._tick, scribe)
-        self._states = dict[str, State]()
+        self._coordinator = CoordinationClient(
+            self.agent, open_store(settings), self._news, self._tick, recorder
+        )
+        self._states = dict[str, MemberState]()
         self._contacts = set[asyncio.Task[None]]()
-        self._clients = dict[str, Client]()
+        self._clients = dict[str, HttpClient]()
         self._task: asyncio.Task[None] | None = None
-        self._view, self._asked_view, self._viewing = View(), View(), ""
+        self._view, self._asked_view, self._viewing = ReachabilityReport(), ReachabilityReport(), ""
         self._cut, self._judge_at = False, 0
 
     async def run(self) -> None:
@@ -85,7 +91,7 @@
             raise
         except Exception as fault:  # a bug here must not take down what keeps the rules without it
             self._log("coordination_failed", True, reason=repr(fault))
-            for failed in self.failed:
+            for failed in self.failure_listeners:
                 failed()
         finally:
             self._task.cancel()
@@ -98,19 +104,19 @@
         if self._task is not None and not self._task.done():
             await self._coordinator.leave(self._task)
 
-    def claim(self, name: str, patience: int) -> Claim:
-        rank = zlib.crc32(f"{self.agent.me.run}:{name}".encode()) / 2**32
-        self.claims.append(Claim(name, patience, rank))
-        return self.claims[-1]
+    def join_election(self, name: str, takeover_delay_us: int) -> LeaderElection:
+        rank = zlib.crc32(f"{self.agent.identity.incarnation}:{name}".encode()) / 2**32
+        self.elections.append(LeaderElection(name, takeover_delay_us, rank))
+        return self.elections[-1]
 
-    def propose(self, *changes: r.Change) -> str:
+    def propose(self, *changes: Change) -> str:
         """The proposal's token; empty, with a line in the log, for a record beyond the register's bounds."""
         try:
             token = self.agent.propose(*changes)
-        except r.TooLarge as fault:
+        except RecordTooLargeError as fault:
             self._log("register_too_large", True, reason=str(fault))
             return ""
-        self._coordinator.kick()
+        self._coordinator.wake()
         return token
 
     def status(self) -> dict[str, Any]:
@@ -118,99 +124,107 @@
         for state in self._states.values():
             counts[state.value] = counts.get(state.value, 0) + 1
         return {
-            "joined": self.agent.joined,
-            "generation": self.agent.right.gen,
-            "revision": self.agent.mirror.revision,
+            "joined": self.agent.is_joined,
+            "generation": self.agent.fencing_token.generation,
+            "revision": self.agent.cache.revision,
             "members": counts,
             "cut_off": self._cut,
-            "rights": {c.name: c.right.gen for c in self.claims if c.right is not None},
+            "rights": {
+                c.name: c.fencing_token.generation for c in self.elections if c.fencing_token is not None
+            },
         }
 
-    def healthy(self, query: str) -> Answer:
+    def answer_health_check(self, query: str) -> ServerResponse:
         """A contact's answer: 204 if it means this run of the process, and not an earlier one."""
-        good = query == f"run={self.agent.me.run}"
-        return Answer(204) if good else refusal(410, f"this is {self.agent.me.run}")
+        good = query == f"run={self.agent.identity.incarnation}"
+        return (
+            ServerResponse(204) if good else error_response(410, f"this is {self.agent.identity.incarnation}")
+        )
 
     # Inside
 
-    def _news(self, one: News) -> None:
-        if one.kind not in QUIET:
-            self._log(f"register_{one.kind}", one.kind in WARNINGS, **one.fields)
+    def _news(self, one: Notification) -> None:
+        if one.kind not in UNLOGGED_EVENTS:
+            self._log(f"register_{one.kind}", one.kind in WARNING_EVENTS, **one.fields)
         if one.kind == "settled":
             token, how = one.fields["token"], one.fields["how"]
             if token == self._viewing:
                 self._viewing = ""
                 if how == "done":
                     self._view = self._asked_view
-            for claim in self.claims:
-                claim.settled(token, how)
-            for settled in self.settled:
+            for claim in self.elections:
+                claim.on_commit_settled(token, how)
+            for settled in self.proposal_listeners:
                 settled(token, how)
         for key in one.fields["keys"] if one.kind == "changed" else ():
             if key.startswith("members/"):
-                self.members.record(now(), key, self.agent.value(key, Member))
+                self.members.update_member(monotonic_us(), key, self.agent.decode_record(key, MemberRecord))
             elif key.startswith("views/"):
-                self.members.view("members/" + key.removeprefix("views/"), self.agent.value(key, View))
-            for changed in self.changed:
+                self.members.update_report(
+                    "members/" + key.removeprefix("views/"), self.agent.decode_record(key, ReachabilityReport)
+                )
+            for changed in self.key_listeners:
                 changed(key)
         if one.kind in ("ended", "fenced"):
-            self._view = View()  # its record went with the session
+            self._view = ReachabilityReport()  # its record went with the session
 
     def _tick(self, at: int) -> None:
-        for claim in self.claims:
-            had = claim.right
-            claim.step(at, self.agent)
-            if claim.right != had:
-                held = claim.right is not None
+        for claim in self.elections:
+            had = claim.fencing_token
+            claim.advance(at, self.agent)
+            if claim.fencing_token != had:
+                held = claim.fencing_token is not None
                 self._log(
                     "right_held" if held else "right_lost",
                     not held,
                     right=claim.name,
-                    gen=(claim.right or had or self.agent.right).gen,
+                    gen=(claim.fencing_token or had or self.agent.fencing_token).generation,
                 )
         if at >= self._judge_at:
-            self._judge_at = at + min(JUDGE, self.settings.contact)
-            self._judge(self.members.judge(at))
-            self._say(self.members.own_view(at))
-        if (member := self.members.next(at)) is not None:
+            self._judge_at = at + min(ASSESSMENT_INTERVAL_US, self.settings.contact_interval_us)
+            self._judge(self.members.evaluate(at))
+            self._say(self.members.build_report(at))
+        if (member := self.members.next_contact(at)) is not None:
             task = asyncio.ensure_future(self._contact(member))
             self._contacts.add(task)
             task.add_done_callback(self._contacts.discard)
-        for ticked in self.ticked:
+        for ticked in self.tick_listeners:
             ticked(at)
 
-    def _say(self, view: View) -> None:
+    def _say(self, view: ReachabilityReport) -> None:
         """Writes whom this process can't reach, where that has changed."""
-        if view != self._view and not self._viewing and self.agent.joined:
-            key = "views/" + self.agent.me.member.removeprefix("members/")
+        if view != self._view and not self._viewing and self.agent.is_joined:
+            key = "views/" + self.agent.identity.member_key.removeprefix("members/")
             self._asked_view = view
-            self._viewing = self.propose(self.agent.put(key, view, own=True))
+            self._viewing = self.propose(self.agent.build_put(key, view, owned_by_session=True))
 
     def _judge(self, seen: Mapping[str, Any]) -> None:
         for key, one in seen.items():
-            if self._states.get(key, State.HERE) is not one.state:
+            if self._states.get(key, MemberState.ALIVE) is not one.state:
                 self._log(
                     "member",
-                    one.state is not State.HERE,
+                    one.state is not MemberState.ALIVE,
                     member=key.removeprefix("members/"),
                     state=one.state.value,
                 )
         self._states = {k: v.state for k, v in seen.items()}
-        if self.members.cut_off() is not self._cut:
+        if self.members.is_isolated() is not self._cut:
             self._cut = not self._cut
             self._log("cut_off" if self._cut else "cut_off_ended", self._cut)
         if len(self._clients) > len(seen):
-            known = {m.member.address for m in self.members.known.values()}
+            known = {m.member.address for m in self.members.tracked.values()}
             for gone in self._clients.keys() - known:
                 self._clients.pop(gone).close()
 
-    async def _contact(self, member: Member) -> None:
+    async def _contact(self, member: MemberRecord) -> None:
         good = False
-        with contextlib.suppress(Unreachable, Broken, TimedOut, ValueError):
+        with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError, ValueError):
             if member.address not in self._clients:
-                self._clients[member.address] = Client(*reader.address(member.address))
+                self._clients[member.address] = HttpClient(*parse_address(member.address))
             client = self._clients[member.address]
-            response = await client.exchange("GET", f"/healthz?run={member.run}", timeout=CONTACT)
+            response = await client.request(
+                "GET", f"/healthz?run={member.incarnation}", timeout_s=CONTACT_TIMEOUT_S
+            )
             good = response.status == 204
         key = f"members/{member.role}/{member.name}"
-        self.members.contact(now(), key, member.gen, good)
+        self.members.record_contact(monotonic_us(), key, member.generation, good)
--- a/gradehoist/migration/queries.py
+++ b/gradehoist/migration/queries.py
@@ -6,27 +6,27 @@
 
 import msgspec
 
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.protocol import feed
 
-FAULTS = (Unreachable, Broken, TimedOut, msgspec.MsgspecError)
+QUERY_ERRORS = (ConnectError, ConnectionLostError, ResponseTimeoutError, msgspec.MsgspecError)
 
 
-async def status(client: Client) -> dict[str, Any] | None:
+async def fetch_governor_status(client: HttpClient) -> dict[str, Any] | None:
     """A governor's figures; its `cells` are those of `gradehoist.governor.cell_stats`."""
     try:
-        response = await client.exchange("GET", "/v1/status", timeout=2.0)
+        response = await client.request("GET", "/v1/status", timeout_s=2.0)
         found: dict[str, Any] = msgspec.json.decode(response.body, type=dict[str, Any])
-    except FAULTS:
+    except QUERY_ERRORS:
         return None
     return found if response.status == 200 else None
 
 
-async def listed(client: Client, zone: str) -> tuple[feed.Replica, ...] | None:
+async def fetch_endpoints(client: HttpClient, zone: str) -> tuple[feed.EndpointRecord, ...] | None:
     """The roster's whole list, with addresses as `zone` reaches them."""
     try:
-        response = await client.exchange("GET", f"/v1/roster?zone={zone}&after=-1&reader=", timeout=2.0)
-        found: feed.Roster = msgspec.json.decode(response.body, type=feed.Roster)
-    except FAULTS:
+        response = await client.request("GET", f"/v1/roster?zone={zone}&after=-1&reader=", timeout_s=2.0)
+        found: feed.EndpointListUpdate = msgspec.json.decode(response.body, type=feed.EndpointListUpdate)
+    except QUERY_ERRORS:
         return None
-    return found.entries
+    return found.endpoints
--- a/gradehoist/net/client.py
+++ b/gradehoist/net/client.py
@@ -12,15 +12,15 @@
 from gradehoist.protocol import http
 
 
-class Unreachable(Exception):
+class ConnectError(Exception):
     """No connection: nothing was sent."""
 
 
-class Broken(Exception):
+class ConnectionLostError(Exception):
     """The connection ended or the answer was no HTTP; the request may have been acted on."""
 
 
-class TimedOut(Exception):
+class ResponseTimeoutError(Exception):
     """No answer by the deadline; the request may have been acted on."""
 
 
@@ -56,32 +56,36 @@
         return reading
 
 
-class Client:
+class HttpClient:
     """Connections to `host`:`port`, one exchange at a time on each; kept ones are dropped after `idle` s."""
 
     def __init__(
         self,
         host: str,
         port: int,
-        connect_timeout: float = 0.25,
-        idle: float = 15.0,
+        connect_timeout_s: float = 0.25,
+        idle_timeout_s: float = 15.0,
         limits: http.Limits | None = None,
     ) -> None:
         self.host, self.port = host, port
-        self._connect_timeout, self._idle, self._limits = connect_timeout, idle, limits or http.Limits()
-        self._free: list[_Link] = []
+        self._connect_timeout, self._idle, self._limits = (
+            connect_timeout_s,
+            idle_timeout_s,
+            limits or http.Limits(),
+        )
+        self._idle_connections: list[_Link] = []
         self._open = set[_Link]()
 
     async def _link(self, clock: float) -> _Link:
-        while self._free:
-            link = self._free.pop()
+        while self._idle_connections:
+            link = self._idle_connections.pop()
             if link.quiet and clock - link.used < self._idle:
                 return link
             self._drop(link)
         try:
             own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as fault:  # no file left: it ended the governor's roster task, and so the governor
-            raise Unreachable(f"{self.host}:{self.port}: {fault.strerror}") from None
+            raise ConnectError(f"{self.host}:{self.port}: {fault.strerror}") from None
         stream = IOStream(own, max_buffer_size=64 << 20)
         try:
             await gen.with_timeout(
@@ -91,7 +95,7 @@
             )
         except (TimeoutError, StreamClosedError, OSError) as fault:
             stream.close()
-            raise Unreachable(f"{self.host}:{self.port}: {fault or 'no connection in time'}") from None
+            raise ConnectError(f"{self.host}:{self.port}: {fault or 'no connection in time'}") from None
         stream.set_nodelay(True)
         link = _Link(stream, self._limits)
         self._open.add(link)
@@ -101,20 +105,20 @@
         self._open.discard(link)
         link.stream.close()
 
-    async def exchange(
-        self, method: str, target: str, body: bytes = b"", headers: http.Headers = (), timeout: float = 5.0
+    async def request(
+        self, method: str, target: str, body: bytes = b"", headers: http.Headers = (), timeout_s: float = 5.0
     ) -> http.Response:
         """Raises Unreachable, Broken or TimedOut. A cancelled exchange closes its connection.
 
         Nothing is asked twice: where a kept connection closes as it is used again, nobody knows whether the
         request took effect, and a poll of the feed is a GET that does."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + timeout
+        end = loop.time() + timeout_s
         link = await self._link(loop.time())
         kept = False
         try:
-            link.parser.asked(method)
-            link.stream.write(http.request(method, target, f"{self.host}:{self.port}", body, headers))
+            link.parser.expect_response(method)
+            link.stream.write(http.format_request(method, target, f"{self.host}:{self.port}", body, headers))
             while True:
                 data = await gen.with_timeout(
                     timedelta(seconds=max(0.0, end - loop.time())),
@@ -123,23 +127,25 @@
                 )
                 for event in link.parser.receive(data):
                     if isinstance(event, http.Response) and event.status >= 200:
-                        kept = event.keep_alive and link.parser.between
+                        kept = event.keep_alive and link.parser.is_between_messages
                         return event
         except TimeoutError:
-            raise TimedOut(f"{self.host}:{self.port}: no answer within {timeout:.3g} s") from None
+            raise ResponseTimeoutError(
+                f"{self.host}:{self.port}: no answer within {timeout_s:.3g} s"
+            ) from None
         except StreamClosedError:
             for event in self._last(link):
                 if isinstance(event, http.Response):
                     return event
-            raise Broken(f"{self.host}:{self.port}: closed before the answer") from None
+            raise ConnectionLostError(f"{self.host}:{self.port}: closed before the answer") from None
         except http.ProtocolError as fault:
-            raise Broken(f"{self.host}:{self.port}: {fault.reason}") from None
+            raise ConnectionLostError(f"{self.host}:{self.port}: {fault.reason}") from None
         finally:
             try:
                 if kept:
                     link.rest()
                     link.used = loop.time()
-                    self._free.append(link)
+                    self._idle_connections.append(link)
             except StreamClosedError:
                 kept = False
             if not kept:
@@ -148,7 +154,7 @@
     @staticmethod
     def _last(link: _Link) -> list[http.Event]:
         try:
-            return link.parser.end()
+            return link.parser.receive_eof()
         except http.ProtocolError:
             return []
 
@@ -156,4 +162,4 @@
         """Ends all connections; exchanges under way raise Broken."""
         for link in list(self._open):
             self._drop(link)
-        self._free.clear()
+        self._idle_connections.clear()
--- a/gradehoist/net/coordination_client.py
+++ b/gradehoist/net/coordination_client.py
@@ -8,54 +8,59 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from gradehoist.coordination import store as r
-from gradehoist.coordination.agent import Agent, Ask, News
+from gradehoist.coordination.agent import Notification, Participant, StoreRequest
+from gradehoist.coordination.store import (
+    CoordinationError,
+    CoordinationStore,
+    OutcomeUnknownError,
+    StoreUnavailableError,
+)
 
-WRITES = ("commit", "open", "end")
+WRITE_OPERATIONS = ("commit", "open", "end")
 
 
-def now() -> int:
+def monotonic_us() -> int:
     return time.monotonic_ns() // 1_000
 
 
-class Scribe(Protocol):
+class CallRecorder(Protocol):
     """Who writes a history, if one is kept."""
 
-    def asked(self, ask: Ask) -> None: ...
+    def record_invocation(self, ask: StoreRequest) -> None: ...
 
-    def answered(self, ask: Ask, answer: Any) -> None: ...
+    def record_completion(self, ask: StoreRequest, answer: Any) -> None: ...
 
 
-class Coordinator:
+class CoordinationClient:
     """`run` goes on until `leave` and what that takes, or until it is cancelled. `told` hears all news, in
     order; `ticked` is called after each turn, for what decides on the copy."""
 
-    LAST = 1.0  # seconds for a planned leave: its session runs out by itself
+    LEAVE_TIMEOUT_S = 1.0  # seconds for a planned leave: its session runs out by itself
 
     def __init__(
         self,
-        agent: Agent,
-        home: r.Home,
-        told: Callable[[News], None],
-        ticked: Callable[[int], None] = lambda now: None,
-        scribe: Scribe | None = None,
+        agent: Participant,
+        store: CoordinationStore,
+        on_notification: Callable[[Notification], None],
+        on_tick: Callable[[int], None] = lambda now: None,
+        recorder: CallRecorder | None = None,
     ) -> None:
-        self.agent, self.home = agent, home
-        self._told, self._ticked, self._scribe = told, ticked, scribe
+        self.agent, self.store = agent, store
+        self._told, self._ticked, self._scribe = on_notification, on_tick, recorder
         self._kick = asyncio.Event()
         self._tasks = set[asyncio.Task[None]]()
 
     async def run(self) -> None:
         try:
-            while not self.agent.gone:
-                for ask in self.agent.asks(now()):
+            while not self.agent.has_left:
+                for ask in self.agent.take_due_requests(monotonic_us()):
                     task = asyncio.ensure_future(self._call(ask))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
                 self._tell()
-                self._ticked(now())
+                self._ticked(monotonic_us())
                 self._tell()
-                wait = min(1.0, (self.agent.due(now()) - now()) / 1e6)
+                wait = min(1.0, (self.agent.next_request_at_us(monotonic_us()) - monotonic_us()) / 1e6)
                 if wait > 0:
                     with contextlib.suppress(TimeoutError):
                         async with asyncio.timeout(wait):
@@ -67,48 +72,48 @@
             for task in list(self._tasks):
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
-            await self.home.close()
+            await self.store.close()
 
-    def kick(self) -> None:
+    def wake(self) -> None:
         """Something was proposed."""
         self._kick.set()
 
     async def leave(self, running: asyncio.Task[None]) -> None:
         """Ends the session, if that is quickly done."""
         self.agent.leave()
-        self.kick()
+        self.wake()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.LAST):
+            async with asyncio.timeout(self.LEAVE_TIMEOUT_S):
                 await asyncio.shield(running)
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
 
     def _tell(self) -> None:
-        while self.agent.news:
-            news, self.agent.news = self.agent.news, []
+        while self.agent.notifications:
+            news, self.agent.notifications = self.agent.notifications, []
             for one in news:
                 self._told(one)
 
-    async def _call(self, ask: Ask) -> None:
+    async def _call(self, ask: StoreRequest) -> None:
         if self._scribe is not None:
-            self._scribe.asked(ask)
+            self._scribe.record_invocation(ask)
         answer: Any
         try:
-            async with asyncio.timeout(ask.within / 1e6):
-                answer = await getattr(self.home, ask.what)(*ask.args)
+            async with asyncio.timeout(ask.timeout_us / 1e6):
+                answer = await getattr(self.store, ask.operation)(*ask.args)
         except TimeoutError:
-            what = r.Unknown if ask.what in WRITES else r.Unreachable
-            answer = what(f"no answer to {ask.what} within {ask.within / 1e6:g} s")
-        except r.Fault as fault:
+            what = OutcomeUnknownError if ask.operation in WRITE_OPERATIONS else StoreUnavailableError
+            answer = what(f"no answer to {ask.operation} within {ask.timeout_us / 1e6:g} s")
+        except CoordinationError as fault:
             answer = fault
         except Exception as fault:
             # An answer that is none, or a bug: unanswered, the agent would wait for good.
-            what = r.Unknown if ask.what in WRITES else r.Unreachable
-            answer = what(f"{ask.what}: {fault!r}")
+            what = OutcomeUnknownError if ask.operation in WRITE_OPERATIONS else StoreUnavailableError
+            answer = what(f"{ask.operation}: {fault!r}")
         if self._scribe is not None:
-            self._scribe.answered(ask, answer)
-        if isinstance(answer, r.Fault):
-            self.agent.failed(now(), ask.number, answer)
+            self._scribe.record_completion(ask, answer)
+        if isinstance(answer, CoordinationError):
+            self.agent.handle_failure(monotonic_us(), ask.request_id, answer)
         else:
-            self.agent.answered(now(), ask.number, answer)
-        self.kick()
+            self.agent.handle_response(monotonic_us(), ask.request_id, answer)
+        self.wake()
--- a/gradehoist/net/etcd.py
+++ b/gradehoist/net/etcd.py
@@ -19,15 +19,31 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError, SimpleAsyncHTTPClient
 
-from gradehoist.coordination import store as r
-
-CONNECT = 1.0  # seconds for a connection: on a network of one site it takes milliseconds
-ANSWER = 2.0  # seconds for an answer; the engine gives up a write of its own after more than that
+from gradehoist.coordination.store import (
+    Change,
+    CommitRejected,
+    Committed,
+    CoordinationError,
+    HistoryCompactedError,
+    OutcomeUnknownError,
+    Put,
+    Record,
+    SessionEndedError,
+    StoreFullError,
+    StoreSnapshot,
+    StoreUnavailableError,
+    WatchBatch,
+    WatchEvent,
+    check_sizes,
+)
+
+CONNECT_TIMEOUT_S = 1.0  # seconds for a connection: on a network of one site it takes milliseconds
+RESPONSE_TIMEOUT_S = 2.0  # seconds for an answer; the engine gives up a write of its own after more than that
 NOT_FOUND, EXHAUSTED, OUT_OF_RANGE = 5, 8, 11  # the engine's codes, those of gRPC
 STORED: msgspec.json.Decoder[tuple[str, bytes]] = msgspec.json.Decoder(tuple[str, bytes])
 
 
-class _Answered(Exception):
+class _EtcdError(Exception):
     """An error that the engine itself answered."""
 
     def __init__(self, code: int, message: str) -> None:
@@ -39,17 +55,17 @@
     return b64encode(data).decode()
 
 
-def _events(found: Mapping[str, Any], cut: int) -> list[r.Event]:
+def _events(found: Mapping[str, Any], cut: int) -> list[WatchEvent]:
     out = []
     for e in found.get("events", ()):
         kv = e["kv"]
         gone = e.get("type", "PUT") == "DELETE"
         key = b64decode(kv["key"])[cut:].decode("utf-8", "replace")
-        out.append(r.Event(key, int(kv["mod_revision"]), None if gone else _record(kv, cut)))
+        out.append(WatchEvent(key, int(kv["mod_revision"]), None if gone else _record(kv, cut)))
     return out
 
 
-def _record(kv: Mapping[str, Any], cut: int) -> r.Record:
+def _record(kv: Mapping[str, Any], cut: int) -> Record:
     key, version = b64decode(kv["key"])[cut:].decode("utf-8", "replace"), int(kv["mod_revision"])
     session = kv.get("lease", "0")
     token: str
@@ -57,11 +73,11 @@
     try:
         token, value = STORED.decode(b64decode(kv.get("value", "")))
     except (msgspec.MsgspecError, ValueError):
-        return r.Record(key, b"", version, "", "", True)
-    return r.Record(key, value, version, token, "" if session == "0" else str(session))
+        return Record(key, b"", version, "", "", True)
+    return Record(key, value, version, token, "" if session == "0" else str(session))
 
 
-class _Stream:
+class _WatchStream:
     """One streamed watch; `at` is the revision up to which it has been read."""
 
     def __init__(self, client: AsyncHTTPClient, url: str, body: bytes, prefix: str, at: int) -> None:
@@ -75,7 +91,7 @@
                     "POST",
                     {"content-type": "application/json"},
                     body,
-                    connect_timeout=CONNECT,
+                    connect_timeout=CONNECT_TIMEOUT_S,
                     request_timeout=0,
                     streaming_callback=self._came,
                 ),
@@ -116,13 +132,13 @@
         self._task.cancel()
 
 
-class Engine:
+class EtcdStore:
     """A `register.Home` at `host`:`port`, below `prefix`."""
 
-    def __init__(self, host: str, port: int, prefix: str = "gradehoist/") -> None:
-        self._url, self._prefix = f"http://{host}:{port}", prefix.encode()
+    def __init__(self, host: str, port: int, key_prefix: str = "gradehoist/") -> None:
+        self._url, self._prefix = f"http://{host}:{port}", key_prefix.encode()
         self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(force_instance=True, max_clients=20)
-        self._stream: _Stream | None = None
+        self._stream: _WatchStream | None = None
 
     def _range(self, prefix: str) -> dict[str, str]:
         first = self._prefix + prefix.encode()
@@ -133,7 +149,7 @@
     async def _call(self, path: str, body: Mapping[str, Any], writes: bool = False) -> dict[str, Any]:
         """Raises _Answered, Unreachable; Unknown where a call that `writes` may have been taken."""
         data = msgspec.json.encode(body)
-        lost: type[r.Fault] = r.Unknown if writes else r.Unreachable
+        lost: type[CoordinationError] = OutcomeUnknownError if writes else StoreUnavailableError
         try:
             response = await self._client.fetch(
                 HTTPRequest(
@@ -141,23 +157,23 @@
                     "POST",
                     {"content-type": "application/json"},
                     data,
-                    connect_timeout=CONNECT,
-                    request_timeout=ANSWER,
+                    connect_timeout=CONNECT_TIMEOUT_S,
+                    request_timeout=RESPONSE_TIMEOUT_S,
                 ),
                 raise_error=False,
             )
         except HTTPTimeoutError as fault:
             connecting = "connecting" in str(fault)
-            raise (r.Unreachable if connecting else lost)(f"{self._url}: {fault}") from None
+            raise (StoreUnavailableError if connecting else lost)(f"{self._url}: {fault}") from None
         except HTTPStreamClosedError as fault:
             raise lost(f"{self._url}: {fault}") from None
         except ConnectionRefusedError as fault:
-            raise r.Unreachable(f"{self._url}: {fault.strerror}") from None
+            raise StoreUnavailableError(f"{self._url}: {fault.strerror}") from None
         except OSError as fault:
             raise lost(f"{self._url}: {fault}") from None
         if response.code == 599:
             refused = "connecting" in str(response.error)
-            raise (r.Unreachable if refused else lost)(f"{self._url}: {response.error}")
+            raise (StoreUnavailableError if refused else lost)(f"{self._url}: {response.error}")
         try:
             found: dict[str, Any] = msgspec.json.decode(response.body, type=dict[str, Any])
         except msgspec.MsgspecError:
@@ -168,84 +184,86 @@
         return found
 
     @staticmethod
-    def _refuse(found: Mapping[str, Any], status: int, lost: type[r.Fault]) -> None:
+    def _refuse(found: Mapping[str, Any], status: int, lost: type[CoordinationError]) -> None:
         error = found.get("error", found)
         told = error if isinstance(error, dict) else found
         code, message = int(told.get("code", told.get("grpc_code", 0)) or 0), str(told.get("message", error))
         if status >= 500 and code not in (NOT_FOUND, EXHAUSTED, OUT_OF_RANGE):
             raise lost(message)  # the engine itself does not know: it timed out, or its leader changed
-        raise _Answered(code, message)
+        raise _EtcdError(code, message)
 
-    async def read(self, prefix: str) -> r.Snapshot:
+    async def read(self, prefix: str) -> StoreSnapshot:
         try:
             found = await self._call("/v3/kv/range", self._range(prefix))
-        except _Answered as fault:
-            raise r.Unreachable(str(fault)) from None
+        except _EtcdError as fault:
+            raise StoreUnavailableError(str(fault)) from None
         head = found["header"]
         records = tuple(_record(kv, len(self._prefix)) for kv in found.get("kvs", ()))
-        return r.Snapshot(str(head.get("cluster_id", "")), int(head["revision"]), records)
+        return StoreSnapshot(str(head.get("cluster_id", "")), int(head["revision"]), records)
 
-    async def commit(self, changes: tuple[r.Change, ...], token: str) -> r.Done | r.Refused:
-        r.checked(changes)
+    async def commit(self, changes: tuple[Change, ...], token: str) -> Committed | CommitRejected:
+        check_sizes(changes)
         compare, success, failure = list[Any](), list[Any](), list[Any]()
         for c in changes:
             key = _text(self._prefix + c.key.encode())
-            compare.append({"key": key, "target": "MOD", "result": "EQUAL", "modRevision": str(c.expect)})
+            compare.append(
+                {"key": key, "target": "MOD", "result": "EQUAL", "modRevision": str(c.expected_version)}
+            )
             failure.append({"requestRange": {"key": key}})
-            if isinstance(c, r.Put):
+            if isinstance(c, Put):
                 value = _text(msgspec.json.encode((token, c.value)))
-                success.append({"requestPut": {"key": key, "value": value, "lease": c.session or "0"}})
+                success.append({"requestPut": {"key": key, "value": value, "lease": c.session_id or "0"}})
             else:
                 success.append({"requestDeleteRange": {"key": key}})
         try:
             found = await self._call(
                 "/v3/kv/txn", {"compare": compare, "success": success, "failure": failure}, writes=True
             )
-        except _Answered as fault:
+        except _EtcdError as fault:
             if fault.code == NOT_FOUND:
-                raise r.Ended(str(fault)) from None
+                raise SessionEndedError(str(fault)) from None
             if fault.code == EXHAUSTED and "space" in str(fault):
-                raise r.Full(f"{self._url}: {fault}; free some of its space") from None
-            raise r.Unreachable(f"{self._url}: {fault}") from None
+                raise StoreFullError(f"{self._url}: {fault}; free some of its space") from None
+            raise StoreUnavailableError(f"{self._url}: {fault}") from None
         revision = int(found["header"]["revision"])
         if found.get("succeeded", False):
-            return r.Done(revision)
+            return Committed(revision)
         records = [
             _record(kv, len(self._prefix))
             for one in found.get("responses", ())
             for kv in one.get("response_range", {}).get("kvs", ())
         ]
-        return r.Refused(revision, tuple(records))
+        return CommitRejected(revision, tuple(records))
 
     async def open(self, ttl: int) -> str:
         try:
             found = await self._call("/v3/lease/grant", {"TTL": str(-(-ttl // 1_000_000))}, writes=True)
-        except _Answered as fault:
-            raise r.Unreachable(str(fault)) from None
+        except _EtcdError as fault:
+            raise StoreUnavailableError(str(fault)) from None
         return str(found["ID"])
 
     async def keep(self, session: str) -> int:
         try:
             found = (await self._call("/v3/lease/keepalive", {"ID": session})).get("result", {})
-        except _Answered as fault:
+        except _EtcdError as fault:
             if fault.code == NOT_FOUND:
-                raise r.Ended(str(fault)) from None
-            raise r.Unreachable(str(fault)) from None
+                raise SessionEndedError(str(fault)) from None
+            raise StoreUnavailableError(str(fault)) from None
         if int(found.get("TTL", "0")) <= 0:
-            raise r.Ended(f"session {session} has ended")
+            raise SessionEndedError(f"session {session} has ended")
         return int(found.get("header", {}).get("revision", "0"))
 
     async def end(self, session: str) -> None:
-        with contextlib.suppress(_Answered):
+        with contextlib.suppress(_EtcdError):
             await self._call("/v3/lease/revoke", {"ID": session}, writes=True)
 
-    async def watch(self, prefix: str, after: int, wait: int) -> r.Batch:
+    async def watch(self, prefix: str, after: int, wait: int) -> WatchBatch:
         stream = self._stream
         if stream is None or stream.prefix != prefix or stream.at != after:
             if stream is not None:
                 stream.close()
             create = self._range(prefix) | {"start_revision": str(after + 1)}
-            stream = self._stream = _Stream(
+            stream = self._stream = _WatchStream(
                 self._client,
                 self._url + "/v3/watch",
                 msgspec.json.encode({"create_request": create}),
@@ -256,24 +274,24 @@
         while True:
             line = await stream.line(max(0.0, end - asyncio.get_running_loop().time()))
             if line == b"":
-                return r.Batch(self._cluster, after, after, ())
+                return WatchBatch(self._cluster, after, after, ())
             try:
                 if line is None:
-                    raise r.Unreachable(f"{self._url}: {stream.reason}")
+                    raise StoreUnavailableError(f"{self._url}: {stream.reason}")
                 found = self._watched(line)
                 if found is not None:
                     batch = self._batch(found, prefix, after)
                     if batch is not None:
                         stream.at = batch.revision
                         return batch
-            except (r.Fault, _Answered) as fault:
+            except (CoordinationError, _EtcdError) as fault:
                 self._stream = None
                 stream.close()
-                if isinstance(fault, r.Fault):
+                if isinstance(fault, CoordinationError):
                     raise
                 if fault.code == OUT_OF_RANGE:
-                    raise r.Compacted(str(fault)) from None
-                raise r.Unreachable(f"{self._url}: {fault}") from None
+                    raise HistoryCompactedError(str(fault)) from None
+                raise StoreUnavailableError(f"{self._url}: {fault}") from None
 
     _cluster = ""
 
@@ -281,25 +299,25 @@
         try:
             found: dict[str, Any] = msgspec.json.decode(line, type=dict[str, Any])
         except msgspec.MsgspecError:
-            raise r.Unreachable(f"{self._url}: a watch's line that is none") from None
+            raise StoreUnavailableError(f"{self._url}: a watch's line that is none") from None
         if "error" in found:
-            self._refuse(found, 200, r.Unreachable)
+            self._refuse(found, 200, StoreUnavailableError)
         result: dict[str, Any] | None = found.get("result")
         return result
 
-    def _batch(self, found: dict[str, Any], prefix: str, after: int) -> r.Batch | None:
+    def _batch(self, found: dict[str, Any], prefix: str, after: int) -> WatchBatch | None:
         head = found.get("header", {})
         self._cluster = str(head.get("cluster_id", self._cluster))
         if int(found.get("compact_revision", "0")):
-            raise r.Compacted(f"changes up to {found['compact_revision']} are not kept")
+            raise HistoryCompactedError(f"changes up to {found['compact_revision']} are not kept")
         if found.get("canceled", False):
-            raise r.Unreachable(f"{self._url}: watch cancelled: {found.get('cancel_reason', '')}")
+            raise StoreUnavailableError(f"{self._url}: watch cancelled: {found.get('cancel_reason', '')}")
         # Below revisions that a watch brought already, it may repeat what it brought.
         events = [e for e in _events(found, len(self._prefix)) if e.revision > after]
         if events:
-            return r.Batch(self._cluster, after, events[-1].revision, tuple(events))
+            return WatchBatch(self._cluster, after, events[-1].revision, tuple(events))
         if found.get("created") and int(head.get("revision", after)) < after:
-            return r.Batch(self._cluster, after, int(head["revision"]), ())
+            return WatchBatch(self._cluster, after, int(head["revision"]), ())
         return None
 
     async def close(self) -> None:
--- a/gradehoist/net/listener.py
+++ b/gradehoist/net/listener.py
@@ -12,8 +12,10 @@
 class Listener:
     """Hands each accepted socket to `accepted`."""
 
-    AT_ONCE = 128  # accepted before others run
-    PAUSE = 0.1  # seconds without accepting where the system has no file left: Tornado's server span on that
+    ACCEPTS_PER_WAKEUP = 128  # accepted before others run
+    ACCEPT_RETRY_DELAY_S = (
+        0.1  # seconds without accepting where the system has no file left: Tornado's server span on that
+    )
 
     def __init__(self, accepted: Callable[[socket.socket], None]) -> None:
         self._accepted = accepted
@@ -33,7 +35,7 @@
         self._listening = []
 
     def _accept(self, sock: socket.socket) -> None:
-        for _ in range(self.AT_ONCE):
+        for _ in range(self.ACCEPTS_PER_WAKEUP):
             try:
                 peer, _ = sock.accept()
             except (BlockingIOError, ConnectionAbortedError):
@@ -41,7 +43,7 @@
             except OSError:
                 loop = asyncio.get_running_loop()
                 loop.remove_reader(sock)
-                loop.call_later(self.PAUSE, self._go_on, sock)
+                loop.call_later(self.ACCEPT_RETRY_DELAY_S, self._go_on, sock)
                 return
             self._accepted(peer)
 
--- a/gradehoist/net/server.py
+++ b/gradehoist/net/server.py
@@ -19,28 +19,28 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
+class ServerResponse:
     status: int = 200
     body: bytes = b""
     headers: http.Headers = ()
 
 
-def json(document: Any, status: int = 200) -> Answer:
-    return Answer(status, msgspec.json.encode(document), (("content-type", "application/json"),))
+def json_response(document: Any, status: int = 200) -> ServerResponse:
+    return ServerResponse(status, msgspec.json.encode(document), (("content-type", "application/json"),))
 
 
-def refusal(status: int, reason: str) -> Answer:
-    return json({"error": reason}, status)
+def error_response(status: int, reason: str) -> ServerResponse:
+    return json_response({"error": reason}, status)
 
 
 @dataclass(frozen=True, slots=True)
-class Patience:
+class ServerTimeouts:
     """Seconds: `idle` between messages, `message` from a message's first byte to its last, `write` for the
     peer to take an answer. A sender that is slower is told 408 and closed."""
 
-    idle: float = 30.0
-    message: float = 5.0
-    write: float = 5.0
+    idle_s: float = 30.0
+    request_s: float = 5.0
+    write_s: float = 5.0
 
 
 class Connection:
@@ -48,8 +48,8 @@
 
     def __init__(self, stream: IOStream) -> None:
         self._stream = stream
-        self.gone = asyncio.Event()
-        stream.set_close_callback(self.gone.set)
+        self.closed = asyncio.Event()
+        stream.set_close_callback(self.closed.set)
 
     def abort(self) -> None:
         """Closes with a reset, as a process does that dies."""
@@ -59,10 +59,10 @@
         self._stream.close()
 
 
-Handler = Callable[[http.Request, Connection], Awaitable[Answer | None]]
+Handler = Callable[[http.Request, Connection], Awaitable[ServerResponse | None]]
 
 
-class Server:
+class HttpServer:
     """Hands each request to `handle`; an answer of None closes without one. Requests of one connection are
     answered in order; at most `most` connections are open, the rest are closed at once."""
 
@@ -70,11 +70,11 @@
         self,
         handle: Handler,
         limits: http.Limits | None = None,
-        patience: Patience | None = None,
-        most: int = 20_000,
+        timeouts: ServerTimeouts | None = None,
+        max_connections: int = 20_000,
     ) -> None:
         self._handle, self._limits = handle, limits or http.Limits()
-        self._patience, self._most = patience or Patience(), most
+        self._patience, self._most = timeouts or ServerTimeouts(), max_connections
         self.connections = set[Connection]()
         self._listener = Listener(self._accepted)
         self._tasks = set[asyncio.Task[None]]()
@@ -113,7 +113,9 @@
         begun = 0.0  # when the message under way began; 0 between messages
         clock = asyncio.get_running_loop().time
         while True:
-            wait = self._patience.idle if not begun else max(0.0, begun + self._patience.message - clock())
+            wait = (
+                self._patience.idle_s if not begun else max(0.0, begun + self._patience.request_s - clock())
+            )
             try:
                 async with asyncio.timeout(wait):
                     data = await part(stream, 65_536)
@@ -129,15 +131,15 @@
                     await self._write(stream, self._refuse(fault.status, fault.reason))
                     return
                 for event in events:
-                    if isinstance(event, http.Expecting):
-                        await self._write(stream, http.response(100))
+                    if isinstance(event, http.ContinueExpected):
+                        await self._write(stream, http.format_response(100))
                     elif isinstance(event, http.Request):
                         answer = await self._handle(event, connection)
-                        if answer is None or connection.gone.is_set():
+                        if answer is None or connection.closed.is_set():
                             return
                         await self._write(
                             stream,
-                            http.response(
+                            http.format_response(
                                 answer.status,
                                 answer.body if event.method != "HEAD" else b"",
                                 answer.headers,
@@ -149,15 +151,15 @@
                 if not events:
                     break
                 data = b""  # a fault behind complete messages shows at the next call
-                if parser.between:
+                if parser.is_between_messages:
                     break
-            if parser.between:
+            if parser.is_between_messages:
                 begun = 0.0
 
     async def _write(self, stream: IOStream, data: bytes) -> None:
         try:
             await gen.with_timeout(
-                timedelta(seconds=self._patience.write),
+                timedelta(seconds=self._patience.write_s),
                 stream.write(data),
                 quiet_exceptions=(StreamClosedError,),
             )
@@ -166,10 +168,10 @@
 
     @staticmethod
     def _refuse(status: int, reason: str) -> bytes:
-        answer = refusal(status, reason)
-        return http.response(status, answer.body, answer.headers, keep_alive=False)
+        answer = error_response(status, reason)
+        return http.format_response(status, answer.body, answer.headers, keep_alive=False)
 
-    def shut(self) -> None:
+    def abort(self) -> None:
         """Stops listening and resets every connection, as the death of a process does."""
         self.stop()
         for connection in list(self.connections):
--- a/gradehoist/node/__main__.py
+++ b/gradehoist/node/__main__.py
@@ -19,18 +19,18 @@
     import gc
 
     from gradehoist.node import config
-    from gradehoist.node.service import Service
+    from gradehoist.node.service import NodeService
 
     path = os.environ.get("ROUTER_CONFIG", "")
     if not path:
         print("ROUTER_CONFIG: not set; name the configuration file in it", file=sys.stderr)
         return 2
     try:
-        found = config.load(Path(path))
-    except config.Faulty as fault:
+        found = config.load_config(Path(path))
+    except config.ConfigError as fault:
         print(fault, file=sys.stderr)
         return 2
-    service = Service(found, Path(path))
+    service = NodeService(found, Path(path))
     gc.freeze()  # what is imported stays: collections then look at the new alone
     return asyncio.run(service.run(lambda: bool(news)))
 
--- a/gradehoist/node/config.py
+++ b/gradehoist/node/config.py
@@ -11,30 +11,30 @@
 import msgspec
 
 from gradehoist import interface as i
-from gradehoist.identifiers import Names
-from gradehoist.node.discovery import Change, changes
+from gradehoist.identifiers import Identifiers
+from gradehoist.node.discovery import EndpointListUpdate, parse_update
 from gradehoist.settings import platform
 
 Address = tuple[str, int]
 
 
-class Faulty(Exception):
+class ConfigError(Exception):
     """What is wrong with the configuration, where, and what to do: one line."""
 
 
 @dataclass(frozen=True, slots=True)
-class Config:
+class NodeConfig:
     name: str
     listen: Address
     discovery: Address
-    sockets: int  # descriptors that the process may hold
-    start: i.Start
-    names: Names
+    socket_limit: int  # descriptors that the process may hold
+    policy_config: i.PolicyConfig
+    identifiers: Identifiers
     settings: dict[str, Any]
-    saved: Change  # the list as this governor last had it
+    cached_endpoints: EndpointListUpdate  # the list as this governor last had it
 
 
-def address(text: object) -> Address:
+def parse_address(text: object) -> Address:
     """No names: looking one up would hold up the loop, and the platform has none. Raises ValueError."""
     host, _, port = str(text).rpartition(":")
     try:
@@ -45,39 +45,41 @@
         raise ValueError(f"{str(text)[:60]!r} is no address; write it as IPV4:PORT") from None
 
 
-def seed(text: object) -> int:
+def seed_from_text(text: object) -> int:
     """The module's seed is a number; any text gives one, hexadecimal or not."""
     return zlib.crc32(str(text).encode())
 
 
-def load(path: Path) -> Config:
+def load_config(path: Path) -> NodeConfig:
     """Raises Faulty."""
     try:
         document = msgspec.json.decode(path.read_bytes())
     except OSError as fault:
-        raise Faulty(f"{path}: {fault.strerror}; name a readable file in ROUTER_CONFIG") from None
+        raise ConfigError(f"{path}: {fault.strerror}; name a readable file in ROUTER_CONFIG") from None
     except msgspec.DecodeError as fault:
-        raise Faulty(f"{path}: no JSON ({fault}); write the whole file anew") from None
+        raise ConfigError(f"{path}: no JSON ({fault}); write the whole file anew") from None
     if not isinstance(document, dict):
-        raise Faulty(f"{path}: no JSON object; write the whole file anew")
+        raise ConfigError(f"{path}: no JSON object; write the whole file anew")
     where = ""
     try:
         where = "listen"
-        listen = address(document["listen"])
+        listen = parse_address(document["listen"])
         where = "discovery"
-        discovery = address(document["discovery"])
+        discovery = parse_address(document["discovery"])
         where = "limits.sockets"
         sockets = int(document.get("limits", {}).get("sockets", 1_024))
         if sockets < 64:
             raise ValueError(f"{sockets} are too few; allow 64 at least")
         where = "settings"
         settings = document["settings"]
-        names = platform.names(settings)
-        start = platform.start(settings, names, seed(document.get("seed", "")))
+        names = platform.parse_identifiers(settings)
+        start = platform.parse_config(settings, names, seed_from_text(document.get("seed", "")))
         where = "known"
-        saved = changes(document.get("known", {"revision": 0, "complete": True, "members": []}))
+        saved = parse_update(document.get("known", {"revision": 0, "complete": True, "members": []}))
     except KeyError as fault:
-        raise Faulty(f"{path}: {where}: {fault} is missing; add it") from None
+        raise ConfigError(f"{path}: {where}: {fault} is missing; add it") from None
     except (ValueError, TypeError, AttributeError, OverflowError) as fault:
-        raise Faulty(f"{path}: {where}: {fault}; correct it") from None
-    return Config(str(document.get("name", "")), listen, discovery, sockets, start, names, settings, saved)
+        raise ConfigError(f"{path}: {where}: {fault}; correct it") from None
+    return NodeConfig(
+        str(document.get("name", "")), listen, discovery, sockets, start, names, settings, saved
+    )
--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -14,9 +14,9 @@
 from typing import Any
 
 from gradehoist import interface as i
-from gradehoist.governor.tables import Tables
-from gradehoist.identifiers import Names
-from gradehoist.node.discovery import Change, Held, Member
+from gradehoist.governor.tables import PublishedTables
+from gradehoist.identifiers import Identifiers
+from gradehoist.node.discovery import DiscoveredEndpoint, EndpointList, EndpointListUpdate
 from gradehoist.policy.planner import Planner
 from gradehoist.protocol import feed, lines
 from gradehoist.settings import platform
@@ -28,175 +28,205 @@
 
 
 @dataclass
-class Stream:
+class ProxyStream:
     """One proxy's stream. `number` tells it from earlier and later ones of the same proxy."""
 
     proxy: int
     zone: int
-    number: int
-    rate: float
-    heard: int
+    stream_id: int
+    request_rate: float
+    last_active_us: int
     fresh: bool  # holds nothing of other governors
-    marks: deque[tuple[int, int]] = field(default_factory=deque)  # that it owes an answer: mark, when
-    sure: set[int] = field(default_factory=set)  # replicas it was told of on this stream: out or back
-    shut: set[int] = field(default_factory=set)  # those of them that it is shut out from
+    unacknowledged: deque[tuple[int, int]] = field(
+        default_factory=deque
+    )  # that it owes an answer: mark, when
+    notified_replicas: set[int] = field(
+        default_factory=set
+    )  # replicas it was told of on this stream: out or back
+    withdrawn_replicas: set[int] = field(default_factory=set)  # those of them that it is shut out from
 
 
-class Refused(Exception):
+class JoinRejectedError(Exception):
     """A joining that names what does not exist."""
 
 
-class Core:
-    def __init__(self, names: Names, start: i.Start, saved: Change, now: int, trace: bool = False) -> None:
-        self.names, self.start = names, start
+class NodeCore:
+    def __init__(
+        self,
+        names: Identifiers,
+        start: i.PolicyConfig,
+        saved: EndpointListUpdate,
+        now: int,
+        trace: bool = False,
+    ) -> None:
+        self.identifiers, self.policy_config = names, start
         self.passed: dict[int, list[float]] | None = {} if trace else None  # by replica, since last told
-        self.tables = Tables(names, start.channel.message_head)
-        self.streams: dict[int, Stream] = {}
-        self.held = Held()
-        self.zones: dict[str, str] = {}  # of each replica, as the settings name it
-        self.probes: list[int] = []
-        self.logs: list[str] = []
-        self.spoilt: Counter[str] = Counter()  # by kind and reason, since last told
+        self.tables = PublishedTables(names, start.channel.message_overhead_lines)
+        self.streams: dict[int, ProxyStream] = {}
+        self.endpoint_list = EndpointList()
+        self.replica_zones: dict[str, str] = {}  # of each replica, as the settings name it
+        self.due_health_checks: list[int] = []
+        self.log_lines: list[str] = []
+        self.malformed_counts: Counter[str] = Counter()  # by kind and reason, since last told
         self._joins, self._wakes = 0, list[tuple[int, int]]()
         self._answered = 0  # the latest time of a message that some proxy has answered
-        self.unanswered = 0  # marks given up, since last told
+        self.unacknowledged_count = 0  # marks given up, since last told
         self._sure = deque([0] * (4 * BEHIND // SECOND))  # the same at the latest looks, BEHIND long
         self._acked = now  # when any proxy last answered anything
         self._looked = now
-        self.out: list[tuple[int, int, bytes]] = []  # proxy, number of its stream, what it is written
-        self.events: list[i.Event] = []
-        self.module = Planner(start, now)
-        members = self.held.take(saved)
-        self.events.append(i.Listed(i.ListKind.SAVED, self._entries(members or ())))
+        self.outbound: list[tuple[int, int, bytes]] = []  # proxy, number of its stream, what it is written
+        self.pending_events: list[i.Event] = []
+        self.policy = Planner(start, now)
+        members = self.endpoint_list.apply_update(saved)
+        self.pending_events.append(i.EndpointsListed(i.EndpointListKind.CACHED, self._entries(members or ())))
 
     # What comes in
 
-    def listed(self, change: Change, watch: int = 0) -> None:
+    def on_endpoint_update(self, change: EndpointListUpdate, watch: int = 0) -> None:
         """What a watch has told; `watch` numbers it, later ones higher, and 0 tells it from none."""
-        before = {m.replica: (m.phase, m.started) for m in self.held.members.values()}
-        told = self.held.take(change, watch)
+        before = {m.replica: (m.phase, m.started_us) for m in self.endpoint_list.endpoints.values()}
+        told = self.endpoint_list.apply_update(change, watch)
         if told is None:
             return
         # Of a whole list that is let pass, drains alone are told: what it lacks has not gone.
-        whole = change.complete and change.revision == self.held.revision
-        kind = i.ListKind.COMPLETE if whole else i.ListKind.CHANGES
-        self.events.append(i.Listed(kind, self._entries(told)))
+        whole = change.is_snapshot and change.revision == self.endpoint_list.revision
+        kind = i.EndpointListKind.SNAPSHOT if whole else i.EndpointListKind.DELTA
+        self.pending_events.append(i.EndpointsListed(kind, self._entries(told)))
         for m in told:
-            if before.get(m.replica) != (m.phase, m.started):
-                self.logs.append(f"listed {m.replica} {m.phase} zone {m.zone} started {m.started or 0}")
+            if before.get(m.replica) != (m.phase, m.started_us):
+                self.log_lines.append(
+                    f"listed {m.replica} {m.phase} zone {m.zone} started {m.started_us or 0}"
+                )
 
-    def _entries(self, members: Iterable[Member]) -> tuple[i.Entry, ...]:
+    def _entries(self, members: Iterable[DiscoveredEndpoint]) -> tuple[i.Endpoint, ...]:
         out = []
         for m in members:
             zone = m.zone or ""
-            if zone not in self.names.zones:
+            if zone not in self.identifiers.zones:
                 self._spoil("entry", f"zone {m.zone!r} is not in the settings")
                 # A drain or exit of one known by another zone must not be hidden by that.
-                if m.replica not in self.zones:
+                if m.replica not in self.replica_zones:
                     continue
-                zone = self.zones[m.replica]
-            self.zones[m.replica] = zone
+                zone = self.replica_zones[m.replica]
+            self.replica_zones[m.replica] = zone
             out.append(
-                i.Entry(
-                    self.names.replicas.number(m.replica),
-                    self.names.zones[zone],
-                    self.names.kinds.number(m.kind or ""),
+                i.Endpoint(
+                    self.identifiers.replicas.intern(m.replica),
+                    self.identifiers.zones[zone],
+                    self.identifiers.kinds.intern(m.kind or ""),
                     m.cell or 0,
                     PHASES[m.phase or "leaving"],
                     m.size if m.size is not None else 1.0,
-                    m.started or 0,
+                    m.started_us or 0,
                 )
             )
         return tuple(out)
 
-    def joined(self, now: int, hello: lines.Hello) -> int:
+    def on_proxy_joined(self, now: int, hello: lines.ProxyHello) -> int:
         """The number of the new stream; an earlier one of this proxy has left. Raises Refused."""
-        if hello.proxy >= self.start.proxies:
-            raise Refused(f"no proxy {hello.proxy}")
-        if hello.zone not in self.names.zones:
-            raise Refused(f"no zone {hello.zone}")
+        if hello.proxy >= self.policy_config.proxy_count:
+            raise JoinRejectedError(f"no proxy {hello.proxy}")
+        if hello.zone not in self.identifiers.zones:
+            raise JoinRejectedError(f"no zone {hello.zone}")
         if hello.proxy in self.streams:
-            self.left(hello.proxy, self.streams[hello.proxy].number, "joined anew")
+            self.on_proxy_left(hello.proxy, self.streams[hello.proxy].stream_id, "joined anew")
         self._joins += 1
-        stream = Stream(hello.proxy, self.names.zones[hello.zone], self._joins, hello.rate, now, hello.fresh)
+        stream = ProxyStream(
+            hello.proxy,
+            self.identifiers.zones[hello.zone],
+            self._joins,
+            hello.request_rate,
+            now,
+            hello.is_new,
+        )
         self.streams[hello.proxy] = stream
-        self.tables.joined(stream.proxy)
-        self.events.append(i.Joined(stream.proxy, stream.zone, stream.rate, not stream.fresh))
-        return stream.number
+        self.tables.add_proxy(stream.proxy)
+        self.pending_events.append(
+            i.ProxyJoined(stream.proxy, stream.zone, stream.request_rate, not stream.fresh)
+        )
+        return stream.stream_id
 
-    def left(self, proxy: int, number: int, why: str) -> None:
+    def on_proxy_left(self, proxy: int, number: int, why: str) -> None:
         """A stream ended; a late word on an earlier one touches nothing."""
         stream = self.streams.get(proxy)
-        if stream is None or stream.number != number:
+        if stream is None or stream.stream_id != number:
             return
         del self.streams[proxy]
-        self.tables.left(proxy)
-        self.events.append(i.Left(proxy))
-        self.logs.append(f"left {proxy}: {why}")
+        self.tables.remove_proxy(proxy)
+        self.pending_events.append(i.ProxyLeft(proxy))
+        self.log_lines.append(f"left {proxy}: {why}")
 
-    def heard(self, now: int, proxy: int, number: int) -> None:
+    def on_stream_active(self, now: int, proxy: int, number: int) -> None:
         stream = self.streams.get(proxy)
-        if stream is not None and stream.number == number:
-            stream.heard = now
+        if stream is not None and stream.stream_id == number:
+            stream.last_active_us = now
 
-    def acked(self, now: int, proxy: int, number: int, ack: lines.Ack) -> None:
+    def on_acknowledged(self, now: int, proxy: int, number: int, ack: lines.Acknowledgement) -> None:
         stream = self.streams.get(proxy)
-        if stream is None or stream.number != number:
+        if stream is None or stream.stream_id != number:
             return
-        if ack.proxy != proxy or all(mark != ack.mark for mark, _ in stream.marks):
+        if ack.proxy != proxy or all(mark != ack.revision for mark, _ in stream.unacknowledged):
             return self._spoil("ack", "of another proxy, or a mark that waits for no answer")
         while True:
-            mark, at = stream.marks.popleft()
+            mark, at = stream.unacknowledged.popleft()
             self._answered = max(self._answered, at)
-            if mark == ack.mark:
+            if mark == ack.revision:
                 break
         self._acked = now
-        self.events.append(i.Applied(proxy, ack.mark, ack.elapsed))
+        self.pending_events.append(i.UpdateAcknowledged(proxy, ack.revision, ack.elapsed_us))
 
-    def demanded(self, demand: lines.Demand, stream: int | None) -> None:
+    def on_demand_reported(self, demand: lines.Demand, stream: int | None) -> None:
         """Over a proxy's stream its own usage alone, over a collector anyone's."""
-        if stream not in (None, demand.proxy) or demand.cls not in self.names.classes:
+        if stream not in (None, demand.proxy) or demand.request_class not in self.identifiers.classes:
             return self._spoil("demand", "an unknown class, or of another proxy")
         known = self.streams.get(demand.proxy)
         if known is None:
             return self._spoil("demand", "of a proxy that has not joined")
-        self.events.append(
-            i.Offered(
-                demand.proxy, self.names.classes[demand.cls], demand.number, demand.unanswered, demand.window
+        self.pending_events.append(
+            i.RequestsOffered(
+                demand.proxy,
+                self.identifiers.classes[demand.request_class],
+                demand.requests,
+                demand.incomplete,
+                demand.window_us,
             )
         )
 
-    def met(self, o: lines.Outcomes) -> None:
-        if o.zone not in self.names.zones or o.replica not in self.names.replicas:
+    def on_outcomes_reported(self, o: lines.AttemptOutcomes) -> None:
+        if o.zone not in self.identifiers.zones or o.replica not in self.identifiers.replicas:
             return self._spoil("outcomes", "an unknown zone or replica")
-        load = None if o.load is None else platform.load(o.load)
-        replica = self.names.replicas[o.replica]
-        zone = self.names.zones[o.zone]
-        self.events.append(i.Heard(zone, replica, o.tries, o.bad, o.elapsed, o.window, load))
+        load = None if o.load is None else platform.parse_load_report(o.load)
+        replica = self.identifiers.replicas[o.replica]
+        zone = self.identifiers.zones[o.zone]
+        self.pending_events.append(
+            i.AttemptsReported(zone, replica, o.attempts, o.failures, o.elapsed_us, o.window_us, load)
+        )
         if self.passed is not None:
             row = self.passed.setdefault(replica, [0.0, 0.0, 0.0, -1.0, -1.0])
-            row[0], row[1] = row[0] + o.tries, row[1] + o.bad
-            row[2] += o.elapsed * (o.tries - o.bad) / 1e6
+            row[0], row[1] = row[0] + o.attempts, row[1] + o.failures
+            row[2] += o.elapsed_us * (o.attempts - o.failures) / 1e6
             if load is not None:
-                row[3:] = [-1.0 if x is None else x for x in (load.busy, load.in_flight)]
+                row[3:] = [-1.0 if x is None else x for x in (load.busy_share, load.in_flight)]
 
-    def probed(self, replica: int, outcome: i.Outcome, elapsed: int, load: i.Load | None) -> None:
-        self.events.append(i.Probed(replica, outcome, elapsed, load))
+    def on_health_checked(
+        self, replica: int, outcome: i.HealthCheckOutcome, elapsed: int, load: i.LoadReport | None
+    ) -> None:
+        self.pending_events.append(i.HealthChecked(replica, outcome, elapsed, load))
 
     def _spoil(self, kind: str, why: str) -> None:
-        self.spoilt[f"{kind}: {why}"[:200] if len(self.spoilt) < 50 else "others"] += 1
+        self.malformed_counts[f"{kind}: {why}"[:200] if len(self.malformed_counts) < 50 else "others"] += 1
 
-    def dropped(self, spoilt: lines.Spoilt) -> None:
-        self._spoil(spoilt.kind, spoilt.why)
+    def on_malformed_message(self, spoilt: lines.MalformedLine) -> None:
+        self._spoil(spoilt.kind, spoilt.reason)
 
     # Time
 
     def beliefs(self) -> list[str]:
         """What the module believes of each replica, beside what the sums said since this was last asked."""
         found, passed, self.passed = [], self.passed or {}, {}
-        parts = self.module.mail.parts
-        for name, member in self.held.members.items():
-            n = self.names.replicas[name]
+        parts = self.policy.mail.parts
+        for name, member in self.endpoint_list.endpoints.items():
+            n = self.identifiers.replicas[name]
             if (part := parts.get(("replica", n))) is None:
                 continue
             b: Any = part
@@ -205,28 +235,28 @@
             found.append(
                 f"trace {name} {member.zone} {member.kind} {member.phase} size {member.size:g} "
                 f"weight {b.weight:.3f} ramp {b.ramp:.2f} busy {b.busy} flight {b.flight} sick {int(b.sick)} "
-                f"out {int(n in self.tables.out)} | tries {tries:g} bad {bad:g} mean {mean:.3f} "
+                f"out {int(n in self.tables.withdrawn)} | tries {tries:g} bad {bad:g} mean {mean:.3f} "
                 f"busy {busy:.2f} flight {flight:.1f}"
             )
         b = parts["admission"]
         found.append(
-            f"trace pool level {b.level:.3f} waiting {self.module.publisher.waiting:.0f} "
-            f"binds {len(self.module.publisher.binds)} jobs {self.module.publisher.jobs}"
+            f"trace pool level {b.level:.3f} waiting {self.policy.publisher.unacknowledged_lines:.0f} "
+            f"binds {len(self.policy.publisher.pending_binds)} jobs {self.policy.publisher.jobs}"
         )
         return found
 
-    def due(self) -> int | None:
+    def next_timer_us(self) -> int | None:
         return self._wakes[0][0] if self._wakes else None
 
-    def advance(self, now: int) -> None:
+    def advance(self, now_us: int) -> None:
         """What is due by now, then the module with all that came in; its orders are in `out` after it."""
-        while self._wakes and self._wakes[0][0] <= now:
-            self.events.append(i.Due(heapq.heappop(self._wakes)[1]))
-        if now >= self._looked + SECOND // 4:
-            self._look(now)
-        if self.events:
-            events, self.events = self.events, []
-            self._carry_out(now, self.module.handle(now, events))
+        while self._wakes and self._wakes[0][0] <= now_us:
+            self.pending_events.append(i.TimerFired(heapq.heappop(self._wakes)[1]))
+        if now_us >= self._looked + SECOND // 4:
+            self._look(now_us)
+        if self.pending_events:
+            events, self.pending_events = self.pending_events, []
+            self._carry_out(now_us, self.policy.handle(now_us, events))
 
     def _look(self, now: int) -> None:
         """An answer that is long overdue was lost, or its proxy is cut off: the module hears that its lines
@@ -242,42 +272,42 @@
             # the lines of 16 streams of 346 at once, and the queue grew too long.
             mute = now - self._acked > BEHIND
             last = -1
-            while stream.marks:
-                mark, at = stream.marks[0]
-                quiet = now - max(stream.heard, at)
+            while stream.unacknowledged:
+                mark, at = stream.unacknowledged[0]
+                quiet = now - max(stream.last_active_us, at)
                 if not (at < passed or (mute and quiet > MUTE)):
                     break
-                last = stream.marks.popleft()[0]
-                self.unanswered += 1
+                last = stream.unacknowledged.popleft()[0]
+                self.unacknowledged_count += 1
             if last >= 0:
-                self.events.append(i.Applied(stream.proxy, last, 0))
+                self.pending_events.append(i.UpdateAcknowledged(stream.proxy, last, 0))
 
     # Orders
 
     def _carry_out(self, now: int, orders: list[i.Order]) -> None:
         told: dict[int, list[feed.Delta]] = {}
-        mark: i.Mark | None = None
+        mark: i.RequestAcknowledgement | None = None
         for order in orders:
             match order:
-                case i.Mark():
+                case i.RequestAcknowledgement():
                     mark = order
-                case i.Probe(replica):
-                    self.probes.append(replica)
-                case i.Wake(token, delay):
+                case i.CheckHealth(replica):
+                    self.due_health_checks.append(replica)
+                case i.SetTimer(token, delay):
                     heapq.heappush(self._wakes, (now + delay, token))
-                case i.Follow() | i.AskList():
+                case i.SubscribeEndpoints() | i.RequestEndpoints():
                     pass  # the watch is always open, and its first line holds what was missed
-                case i.Say(text):
-                    self.logs.append(f"module: {text}")
-                case i.Bind(proxy, table, classes):
+                case i.LogRemark(text):
+                    self.log_lines.append(f"module: {text}")
+                case i.BindProxy(proxy, table, classes):
                     if proxy in self.streams:
                         told.setdefault(proxy, []).extend(self._bind(proxy, table, classes))
                 case _:
-                    proxies, delta, _ = self.tables.order(order)
-                    for proxy in self._concerned(order) if isinstance(order, i.Withdraw) else proxies:
+                    proxies, delta, _ = self.tables.apply(order)
+                    for proxy in self._concerned(order) if isinstance(order, i.WithdrawReplica) else proxies:
                         told.setdefault(proxy, []).append(delta)
-                    if isinstance(order, i.Withdraw | i.Admit):
-                        self.logs.append(f"order {delta}")
+                    if isinstance(order, i.WithdrawReplica | i.SetAdmission):
+                        self.log_lines.append(f"order {delta}")
         if mark is not None and mark.to_all:
             for proxy in self.streams:
                 told.setdefault(proxy, [])
@@ -290,76 +320,78 @@
         withdrawals a bind of a large fleet cost twice as much, and its proxies waited as long for it."""
         deltas: list[feed.Delta] = []
         for d in self.tables.bind(proxy, table, classes)[0]:
-            if isinstance(d, feed.Bind):
+            if isinstance(d, feed.BindDelta):
                 held = {
-                    name: w for name, w in d.lines.items() if self.names.replicas[name] not in self.tables.out
+                    name: w
+                    for name, w in d.weights.items()
+                    if self.identifiers.replicas[name] not in self.tables.withdrawn
                 }
-                deltas.append(feed.Bind(d.table, d.classes, held))
-            elif not isinstance(d, feed.Out):
+                deltas.append(feed.BindDelta(d.table, d.classes, held))
+            elif not isinstance(d, feed.WithdrawalDelta):
                 deltas.append(d)
         return deltas
 
-    def _concerned(self, order: i.Withdraw) -> list[int]:
+    def _concerned(self, order: i.WithdrawReplica) -> list[int]:
         """Out: whose tables name the replica, as told on this stream; others hear of it if ever their tables
         come to name it. Back: whom it was told out to."""
         replica, streams = order.replica, self.streams.values()
-        if order.out:
-            on = {table for table, rows in self.tables.lines.items() if replica in rows}
-            some = [s for s in streams if not on.isdisjoint(self.tables.bound[s.proxy].values())]
+        if order.withdrawn:
+            on = {table for table, rows in self.tables.weights.items() if replica in rows}
+            some = [s for s in streams if not on.isdisjoint(self.tables.bindings[s.proxy].values())]
             for stream in some:
-                stream.shut.add(replica)
+                stream.withdrawn_replicas.add(replica)
         else:
-            some = [s for s in streams if replica in s.shut]
+            some = [s for s in streams if replica in s.withdrawn_replicas]
             for stream in some:
-                stream.shut.discard(replica)
+                stream.withdrawn_replicas.discard(replica)
         return [s.proxy for s in some]
 
     def _write(
         self,
         now: int,
-        stream: Stream,
+        stream: ProxyStream,
         deltas: list[feed.Delta],
-        mark: i.Mark | None,
+        mark: i.RequestAcknowledgement | None,
         cache: dict[object, bytes],
     ) -> None:
-        bound = self.tables.bound[stream.proxy]
+        bound = self.tables.bindings[stream.proxy]
         backs = () if stream.fresh else self._backs(stream, deltas)
         # A bind's deltas are made anew for each proxy: those on one table are told alike all the same. What
         # concerns no table is the same for all.
-        binds = any(isinstance(d, feed.Bind) for d in deltas)
+        binds = any(isinstance(d, feed.BindDelta) for d in deltas)
         tables = tuple(bound.items()) if any(getattr(d, "table", None) is not None for d in deltas) else ()
         key = (len(deltas) if binds else tuple(map(id, deltas)), tables, backs)
         data = cache.get(key)
         if data is None:
-            ticket = None if mark is None else mark.number
-            data = cache[key] = lines.push(self._parts(deltas, bound, backs, ticket))
+            ticket = None if mark is None else mark.revision
+            data = cache[key] = lines.format_push(self._parts(deltas, bound, backs, ticket))
         if mark is not None:
-            stream.marks.append((mark.number, now))
-        self.out.append((stream.proxy, stream.number, data))
+            stream.unacknowledged.append((mark.revision, now))
+        self.outbound.append((stream.proxy, stream.stream_id, data))
 
-    def _backs(self, stream: Stream, deltas: list[feed.Delta]) -> tuple[str, ...]:
+    def _backs(self, stream: ProxyStream, deltas: list[feed.Delta]) -> tuple[str, ...]:
         """Replicas that come into its tables and that another governor may have shut it out from: it keeps
         that over a change of streams, and would shun them for good."""
-        replicas = self.names.replicas
-        told = {d.replica for d in deltas if isinstance(d, feed.Out | feed.Back)}
-        stream.sure.update(replicas[name] for name in told)
+        replicas = self.identifiers.replicas
+        told = {d.replica for d in deltas if isinstance(d, feed.WithdrawalDelta | feed.RestorationDelta)}
+        stream.notified_replicas.update(replicas[name] for name in told)
         new: dict[str, None] = {}
         for d in deltas:
-            if isinstance(d, feed.Bind):
-                new |= dict.fromkeys(d.lines)
-            elif isinstance(d, feed.Line) and d.weight > 0:
+            if isinstance(d, feed.BindDelta):
+                new |= dict.fromkeys(d.weights)
+            elif isinstance(d, feed.WeightDelta) and d.weight > 0:
                 new[d.replica] = None
         found = [
             name
             for name in new
-            if replicas[name] not in stream.sure and replicas[name] not in self.tables.out
+            if replicas[name] not in stream.notified_replicas and replicas[name] not in self.tables.withdrawn
         ]
-        stream.sure.update(replicas[name] for name in found)
+        stream.notified_replicas.update(replicas[name] for name in found)
         return tuple(found)
 
     def _parts(
         self, deltas: list[feed.Delta], bound: dict[int, int], backs: tuple[str, ...], ticket: int | None
-    ) -> list[lines.Part]:
+    ) -> list[lines.PushPart]:
         """What one message says, drains first; the last word on each line, replica and level holds."""
         of: dict[int, list[int]] = {}
         for cls, table in bound.items():
@@ -370,20 +402,20 @@
         levels: dict[int, None] = {}  # classes whose level is told
         for d in deltas:
             match d:
-                case feed.Bind():
+                case feed.BindDelta():
                     whole.add(d.table)
-                    tables[d.table] = dict(d.lines)
-                case feed.Clear():
+                    tables[d.table] = dict(d.weights)
+                case feed.ClearDelta():
                     whole.add(d.table)
                     tables[d.table] = {}
-                case feed.Line():
+                case feed.WeightDelta():
                     tables.setdefault(d.table, {})[d.replica] = d.weight
-                case feed.Out():
+                case feed.WithdrawalDelta():
                     shut[d.replica] = True
-                case feed.Back():
+                case feed.RestorationDelta():
                     shut[d.replica] = False
-                case feed.Level():
-                    meant = [self.names.classes[name] for name in d.classes]
+                case feed.AdmissionDelta():
+                    meant = [self.identifiers.classes[name] for name in d.classes]
                     levels |= dict.fromkeys(k for k in meant if d.table is None or bound.get(k) == d.table)
         for table in whole:
             tables[table] = {n: w for n, w in tables[table].items() if w > 0}
@@ -391,26 +423,26 @@
         parts = []
         for table, rows in tables.items():
             if table in of and (rows or table in whole):
-                parts.append(lines.Part(self._classes(of[table]), table in whole, tuple(rows.items())))
+                parts.append(lines.PushPart(self._classes(of[table]), table in whole, tuple(rows.items())))
         alike: dict[tuple[float, int], list[int]] = {}
         for cls in levels:
             stands = self._level(cls, bound.get(cls))
             if stands is not None:
                 alike.setdefault(stands, []).append(cls)
-        parts += [lines.Part(self._classes(some), level=level) for level, some in alike.items()]
+        parts += [lines.PushPart(self._classes(some), admission=level) for level, some in alike.items()]
         out, back = (tuple(n for n, x in shut.items() if x is yes) for yes in (True, False))
         if out or back or ticket is not None or not parts:
-            parts.insert(0, lines.Part(out=out, back=back, ticket=ticket))
+            parts.insert(0, lines.PushPart(withdrawn=out, restored=back, revision=ticket))
         return parts
 
     def _classes(self, some: list[int]) -> tuple[str, ...]:
         """None are named where all are meant."""
-        names = self.names.classes.names
+        names = self.identifiers.classes.names
         return () if len(some) == len(names) else tuple(names[k] for k in sorted(some))
 
     def _level(self, cls: int, table: int | None) -> tuple[float, int] | None:
         """The lower of a table's level and the one for all, with the table's own way of trying again."""
-        own, common = self.tables.levels.get((table, cls)), self.tables.levels.get((None, cls))
+        own, common = self.tables.admission.get((table, cls)), self.tables.admission.get((None, cls))
         if own is None or common is None or table is None:
             return own if own is not None and table is not None else common
         return min(own[0], common[0]), own[1]
--- a/gradehoist/node/log.py
+++ b/gradehoist/node/log.py
@@ -4,10 +4,10 @@
 
 import time
 
-from gradehoist.store.log_writer import Sink
+from gradehoist.store.log_writer import LogWriter
 
 
-class Log:
+class NodeLog:
     """Lines beyond the rate are counted, and told with the next one."""
 
     RATE = 40.0  # lines a second: a bad day's orders fit, a flood of strangers does not
@@ -15,7 +15,7 @@
     LAST = 0.2  # seconds that the end waits for a reader: the platform's SIGKILL comes 0.7 s after SIGTERM
 
     def __init__(self, fd: int, rate: float = RATE) -> None:
-        self._sink, self._rate = Sink(fd), rate
+        self._sink, self._rate = LogWriter(fd), rate
         self._credit, self._at, self._lost = self.BURST, time.monotonic(), 0
 
     def __call__(self, text: str) -> None:
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -22,13 +22,13 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from gradehoist import interface as i
-from gradehoist.governor import probes
-from gradehoist.net.client import Client
+from gradehoist.governor import health_checks
+from gradehoist.net.client import HttpClient
 from gradehoist.net.listener import Listener
 from gradehoist.net.reading import part
 from gradehoist.node import config, discovery
-from gradehoist.node.core import Core, Refused
-from gradehoist.node.log import Log
+from gradehoist.node.core import JoinRejectedError, NodeCore
+from gradehoist.node.log import NodeLog
 from gradehoist.protocol import lines, orca
 from gradehoist.settings import platform
 
@@ -38,7 +38,9 @@
 KEPT = 24  # descriptors for the loop, the log, the listener, watches and probes
 UNREAD = 1 << 20  # bytes that a stream may leave unread: several tables of a large site
 CONNECT = 1.0  # seconds for a connection to discovery
-SILENT = 3 * discovery.BEAT / 2e6  # seconds without a sign of life after which a new watch is opened
+SILENT = (
+    3 * discovery.HEARTBEAT_PERIOD_US / 2e6
+)  # seconds without a sign of life after which a new watch is opened
 RETRY = 0.1, 1.0  # seconds from the end of a watch to the next: at first, at most
 READY = 0.7  # seconds that the first answer waits for discovery's first word
 PROBE = 1.0  # seconds for a probe
@@ -48,11 +50,11 @@
 AGAIN = 10, 0.2  # readings of a wrong file after SIGHUP, and seconds between: it may be half written
 
 
-class Peer:
+class Connection:
     """One connection at the governor's address, and who it said it is."""
 
     def __init__(self, stream: IOStream, since: float) -> None:
-        self.stream, self.since, self.door = stream, since, lines.Door()
+        self.stream, self.since, self.door = stream, since, lines.LineParser()
         self.collector, self.asked = False, 0  # asked: for signs of life before there was one
         self.proxy, self.number = -1, 0  # of a proxy's stream
 
@@ -61,18 +63,20 @@
         return self.collector or self.proxy >= 0
 
 
-class Service:
-    def __init__(self, conf: config.Config, path: Path) -> None:
+class NodeService:
+    def __init__(self, conf: config.NodeConfig, path: Path) -> None:
         self.conf, self._path = conf, path
         # Unix time that never steps back: entries tell their starts in it, and delays are measured by it.
         self._epoch = time.time_ns() - time.monotonic_ns()
         self._trace = bool(os.environ.get("GRADEHOIST_TRACE"))
-        self.core = Core(conf.names, conf.start, conf.saved, self.now(), self._trace)
-        self.log = Log(sys.stderr.fileno(), 1_000.0 if self._trace else Log.RATE)
-        self._most = min(conf.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - KEPT
-        self._peers: dict[Peer, None] = {}
-        self._strange: dict[Peer, None] = {}  # those that have not joined, the oldest first
-        self._by_proxy: dict[int, Peer] = {}
+        self.core = NodeCore(
+            conf.identifiers, conf.policy_config, conf.cached_endpoints, self.now(), self._trace
+        )
+        self.log = NodeLog(sys.stderr.fileno(), 1_000.0 if self._trace else NodeLog.RATE)
+        self._most = min(conf.socket_limit, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - KEPT
+        self._peers: dict[Connection, None] = {}
+        self._strange: dict[Connection, None] = {}  # those that have not joined, the oldest first
+        self._by_proxy: dict[int, Connection] = {}
         self._tasks = set[asyncio.Task[None]]()
         self._watching: asyncio.Task[None] | None = None  # the one that watches where discovery is now
         self._watches_opened = 0
@@ -166,7 +170,7 @@
         self._ready = True
         for peer in list(self._peers):  # those that have joined meanwhile among them
             if peer.asked:
-                self._say(peer, lines.ALIVE * peer.asked)
+                self._say(peer, lines.HEALTHY_RESPONSE * peer.asked)
 
     # Connections
 
@@ -176,13 +180,13 @@
                 sock.close()
                 return
             self._turn_away(next(iter(self._strange)), "no descriptor left for it")
-        stream = IOStream(sock, max_buffer_size=2 * lines.MOST, max_write_buffer_size=UNREAD)
+        stream = IOStream(sock, max_buffer_size=2 * lines.MAX_MESSAGE_BYTES, max_write_buffer_size=UNREAD)
         stream.set_nodelay(True)
-        peer = Peer(stream, time.monotonic())
+        peer = Connection(stream, time.monotonic())
         self._peers[peer] = self._strange[peer] = None
         self._own(self._connected(peer))
 
-    async def _connected(self, peer: Peer) -> None:
+    async def _connected(self, peer: Connection) -> None:
         try:
             while True:
                 data = await part(peer.stream, TURN)
@@ -193,59 +197,61 @@
                 self._received(peer, data)
         except (StreamClosedError, ConnectionError):
             pass
-        except lines.Unreadable as fault:
+        except lines.LineProtocolError as fault:
             self._refuse(peer, str(fault))
         finally:
             self._gone(peer)
 
-    def _received(self, peer: Peer, data: bytes) -> None:
+    def _received(self, peer: Connection, data: bytes) -> None:
         if peer.proxy >= 0:
-            self.core.heard(self.now(), peer.proxy, peer.number)
+            self.core.on_stream_active(self.now(), peer.proxy, peer.number)
         try:
             for message in peer.door.receive(data):
                 self._take(peer, message)
         finally:  # what was good counts at once, whatever came behind it
-            if self.core.events:
+            if self.core.pending_events:
                 self._soon()
-        if peer.door.fault:
-            raise lines.Unreadable(peer.door.fault)
+        if peer.door.failure:
+            raise lines.LineProtocolError(peer.door.failure)
 
-    def _take(self, peer: Peer, message: lines.Message) -> None:
+    def _take(self, peer: Connection, message: lines.Message) -> None:
         match message:
-            case lines.Probe():
+            case lines.HealthCheck():
                 if self._ready:
-                    self._say(peer, lines.ALIVE)
+                    self._say(peer, lines.HEALTHY_RESPONSE)
                 else:
                     peer.asked += 1
-            case lines.Agent(zone) if not peer.joined:
-                if zone not in self.core.names.zones:
-                    raise lines.Unreadable(f"no zone {zone}")
+            case lines.CollectorHello(zone) if not peer.joined:
+                if zone not in self.core.identifiers.zones:
+                    raise lines.LineProtocolError(f"no zone {zone}")
                 peer.collector = True
                 self._known(peer)
-            case lines.Hello() if not peer.joined:
+            case lines.ProxyHello() if not peer.joined:
                 self._hello(peer, message)
-            case lines.Outcomes() if peer.collector:
-                self.core.met(message)
+            case lines.AttemptOutcomes() if peer.collector:
+                self.core.on_outcomes_reported(message)
             case lines.Demand() if peer.joined:
-                self.core.demanded(message, None if peer.collector else peer.proxy)
-            case lines.Ack() if peer.proxy >= 0:
-                self.core.acked(self.now(), peer.proxy, peer.number, message)
-            case lines.Spoilt() if peer.joined:
-                self.core.dropped(message)
+                self.core.on_demand_reported(message, None if peer.collector else peer.proxy)
+            case lines.Acknowledgement() if peer.proxy >= 0:
+                self.core.on_acknowledged(self.now(), peer.proxy, peer.number, message)
+            case lines.MalformedLine() if peer.joined:
+                self.core.on_malformed_message(message)
             case _ if peer.joined:
-                self.core.dropped(lines.Spoilt(type(message).__name__.lower(), "not from such a peer"))
+                self.core.on_malformed_message(
+                    lines.MalformedLine(type(message).__name__.lower(), "not from such a peer")
+                )
             case _:
-                raise lines.Unreadable("no joining")
+                raise lines.LineProtocolError("no joining")
 
-    def _known(self, peer: Peer) -> None:
-        peer.door.known = True
+    def _known(self, peer: Connection) -> None:
+        peer.door.is_identified = True
         self._strange.pop(peer, None)
 
-    def _hello(self, peer: Peer, hello: lines.Hello) -> None:
+    def _hello(self, peer: Connection, hello: lines.ProxyHello) -> None:
         try:
-            peer.number = self.core.joined(self.now(), hello)
-        except Refused as fault:
-            raise lines.Unreadable(str(fault)) from None
+            peer.number = self.core.on_proxy_joined(self.now(), hello)
+        except JoinRejectedError as fault:
+            raise lines.LineProtocolError(str(fault)) from None
         peer.proxy = hello.proxy
         old = self._by_proxy.get(hello.proxy)
         self._by_proxy[hello.proxy] = peer
@@ -253,7 +259,7 @@
         if old is not None:
             self._gone(old)  # nothing that it said counts from here on
 
-    def _say(self, peer: Peer, data: bytes) -> bool:
+    def _say(self, peer: Connection, data: bytes) -> bool:
         try:
             peer.stream.write(data)
         except StreamClosedError:
@@ -264,24 +270,24 @@
             return False
         return True
 
-    def _refuse(self, peer: Peer, why: str) -> None:
+    def _refuse(self, peer: Connection, why: str) -> None:
         if peer.joined:
             self.log(f"unreadable from {'a collector' if peer.collector else f'proxy {peer.proxy}'}: {why}")
         else:
             self._turn_away(peer, why)
 
-    def _turn_away(self, peer: Peer, why: str) -> None:
+    def _turn_away(self, peer: Connection, why: str) -> None:
         self._turned_away += 1
-        self._say(peer, lines.error(why))
+        self._say(peer, lines.format_error(why))
         self._gone(peer)
 
-    def _gone(self, peer: Peer) -> None:
+    def _gone(self, peer: Connection) -> None:
         peer.stream.close()
         self._peers.pop(peer, None)
         self._strange.pop(peer, None)
         if peer.proxy >= 0 and self._by_proxy.get(peer.proxy) is peer:
             del self._by_proxy[peer.proxy]
-            self.core.left(peer.proxy, peer.number, "its stream ended")
+            self.core.on_proxy_left(peer.proxy, peer.number, "its stream ended")
             self._soon()
 
     async def _sweeps(self) -> None:
@@ -301,15 +307,15 @@
 
     def _report(self) -> None:
         usage = resource.getrusage(resource.RUSAGE_SELF)
-        spoilt, self.core.spoilt = self.core.spoilt, type(self.core.spoilt)()
+        spoilt, self.core.malformed_counts = self.core.malformed_counts, type(self.core.malformed_counts)()
         for what, times in spoilt.items():
             self.log(f"spoilt, {times} times: {what}")
-        if self.core.unanswered:
-            self.log(f"unanswered, {self.core.unanswered} times: lost, or its stream is cut off")
-            self.core.unanswered = 0
+        if self.core.unacknowledged_count:
+            self.log(f"unanswered, {self.core.unacknowledged_count} times: lost, or its stream is cut off")
+            self.core.unacknowledged_count = 0
         self.log(
             f"holds {len(self.core.streams)} streams, {len(self._peers)} connections, "
-            f"{len(self.core.held.members)} replicas, {self._turned_away} turned away, "
+            f"{len(self.core.endpoint_list.endpoints)} replicas, {self._turned_away} turned away, "
             f"cpu {usage.ru_utime + usage.ru_stime:.2f} s, memory {usage.ru_maxrss // 1024} MB, "
             f"longest step {self.longest * 1e3:.0f} ms"
         )
@@ -334,19 +340,19 @@
             self.core.advance(self.now())
         except Exception as fault:
             return self._fail(fault)
-        out, self.core.out = self.core.out, []
+        out, self.core.outbound = self.core.outbound, []
         for proxy, number, data in out:
             peer = self._by_proxy.get(proxy)
             if peer is not None and peer.number == number:
                 self._say(peer, data)
-        due, self.core.probes = self.core.probes, []
+        due, self.core.due_health_checks = self.core.due_health_checks, []
         for replica in due:
             self._own(self._probe(replica))
-        logs, self.core.logs = self.core.logs, []
+        logs, self.core.log_lines = self.core.log_lines, []
         for text in logs:
             self.log(text)
         self.longest = max(self.longest, time.monotonic() - began)
-        at = self.core.due()
+        at = self.core.next_timer_us()
         self._soon(0.25 if at is None else min(0.25, max(0.0, (at - self.now()) / 1e6)))
 
     # Discovery
@@ -366,47 +372,47 @@
 
     async def _one_watch(self, address: config.Address) -> tuple[str, bool]:
         """Why it ended, and whether it ever said anything."""
-        watch, loop = discovery.Watch(), asyncio.get_running_loop()
+        watch, loop = discovery.DiscoveryWatch(), asyncio.get_running_loop()
         self._watches_opened += 1
         number = self._watches_opened
         try:
             own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as fault:
             return f"{fault.strerror}", False
-        self._open_watches[number] = stream = IOStream(own, max_buffer_size=2 * discovery.LINE)
+        self._open_watches[number] = stream = IOStream(own, max_buffer_size=2 * discovery.MAX_LINE_BYTES)
         try:
             await gen.with_timeout(
                 timedelta(seconds=CONNECT),
                 stream.connect(address),
                 quiet_exceptions=(StreamClosedError, OSError),
             )
-            stream.write(watch.request(f"{address[0]}:{address[1]}", self.core.held.revision))
+            stream.write(watch.request(f"{address[0]}:{address[1]}", self.core.endpoint_list.revision))
             asked = loop.time()
             while True:
                 async with asyncio.timeout(SILENT):
                     data = await part(stream, 1 << 18)
                 try:
                     found, lost = watch.receive(data), None
-                except discovery.Lost as fault:
-                    found, lost = list(fault.found), str(fault)
+                except discovery.WatchLostError as fault:
+                    found, lost = list(fault.updates), str(fault)
                 for change in found:
-                    self.core.listed(change, number)
-                if watch.opened:
+                    self.core.on_endpoint_update(change, number)
+                if watch.is_open:
                     self._spoken.set()
-                if self.core.events:
+                if self.core.pending_events:
                     self._soon(0.0)  # a drain waits for nothing
                 if lost is not None:
-                    return lost, watch.opened
-                if not watch.opened and loop.time() > asked + SILENT:
+                    return lost, watch.is_open
+                if not watch.is_open and loop.time() > asked + SILENT:
                     return "no watch", False  # bytes, but no answer of the kind: it went on so for good
         except TimeoutError:
-            return "silent", watch.opened
+            return "silent", watch.is_open
         except (StreamClosedError, OSError):
-            return "closed", watch.opened
+            return "closed", watch.is_open
         finally:
             stream.close()
             del self._open_watches[number]
-            for behind in self.core.held.ended(number):
+            for behind in self.core.endpoint_list.end_watch(number):
                 self._open_watches[behind].close()
 
     def _reload(self, left: int = AGAIN[0]) -> None:
@@ -416,14 +422,14 @@
             self._again.cancel()
             self._again = None
         try:
-            found = config.load(self._path)
-        except config.Faulty as fault:
+            found = config.load_config(self._path)
+        except config.ConfigError as fault:
             if left in (0, AGAIN[0]):
                 self.log(f"reload: {fault}; the old configuration stays")
             if left:
                 self._again = asyncio.get_running_loop().call_later(AGAIN[1], self._reload, left - 1)
             return
-        if any(getattr(found, f) != getattr(self.conf, f) for f in ("listen", "sockets", "settings")):
+        if any(getattr(found, f) != getattr(self.conf, f) for f in ("listen", "socket_limit", "settings")):
             self.log("reload: listen, limits and settings can't change while running; they stay")
         moved = found.discovery != self.conf.discovery
         self.conf = replace(self.conf, discovery=found.discovery)
@@ -434,24 +440,26 @@
     # Probes
 
     async def _probe(self, replica: int) -> None:
-        name = self.core.names.replicas.names[replica]
-        member = self.core.held.members.get(name)
-        began, outcome, load = self.now(), i.Outcome.UNREACHABLE, None
+        name = self.core.identifiers.replicas.names[replica]
+        member = self.core.endpoint_list.endpoints.get(name)
+        began, outcome, load = self.now(), i.HealthCheckOutcome.UNREACHABLE, None
         try:
-            client = Client(*config.address(member.address if member else ""))
+            client = HttpClient(*config.parse_address(member.address if member else ""))
             try:
-                outcome, response = await probes.ask(client, "/stats", PROBE, self._probing)
+                outcome, response = await health_checks.ask(client, "/stats", PROBE, self._probing)
             finally:
                 client.close()
             if response and response.body:
-                report = orca.read(response.body.decode("latin-1"), platform.LOAD)
-                load = i.Load(report.busy, report.in_flight, report.service_ms) if report else None
+                report = orca.parse_report(response.body.decode("latin-1"), platform.FIELD_BY_METRIC)
+                load = (
+                    i.LoadReport(report.busy_share, report.in_flight, report.service_ms) if report else None
+                )
         except ValueError as fault:  # no address, or a body that is no report
             self.log(f"probe of {name}: {fault}")
-        now = self.core.held.members.get(name)
-        if (now and (now.address, now.started)) != (member and (member.address, member.started)):
+        now = self.core.endpoint_list.endpoints.get(name)
+        if (now and (now.address, now.started_us)) != (member and (member.address, member.started_us)):
             # That was an earlier life, or who had its address. The module waits for an answer all the same:
             # without one, a replica that left and came back would stay ejected.
             return await self._probe(replica)
-        self.core.probed(replica, outcome, self.now() - began, load)
+        self.core.on_health_checked(replica, outcome, self.now() - began, load)
         self._soon()
--- a/gradehoist/policy/planner.py
+++ b/gradehoist/policy/planner.py
@@ -71,22 +71,22 @@
         if self.entry:
             self.open = self.entry.phase is i.Phase.READY and not self.sick
             self.put("pool", "state", self.index, State(*(getattr(self, f) for f in State._fields)))
-    def on_listed(self, entry: i.Entry, weight: float) -> None:
+    def on_listed(self, entry: i.Endpoint, weight: float) -> None:
         old, self.entry, self.weight = self.entry, entry, self.weight if self.entry else weight
-        if old is None or entry.started > old.started:
-            self.born = entry.started if entry.started > 0 else -self.cold_time
+        if old is None or entry.started_us > old.started_us:
+            self.born = entry.started_us if entry.started_us > 0 else -self.cold_time
             self.reset()  # also a restart that was never listed as gone: cold, under its old weight
         self.tell()
-    def on_heard(self, e: i.Heard) -> None:
-        self.tries, self.bad = self.tries + e.tries, self.bad + e.bad
-        self.elapsed, self.fresh = self.elapsed + e.elapsed * (e.tries - e.bad), e.load or self.fresh
-        window = min(e.window, self.PAUSE)  # over the stated period where the intake is full
+    def on_heard(self, e: i.AttemptsReported) -> None:
+        self.tries, self.bad = self.tries + e.attempts, self.bad + e.failures
+        self.elapsed, self.fresh = self.elapsed + e.elapsed_us * (e.attempts - e.failures), e.load or self.fresh
+        window = min(e.window_us, self.PAUSE)  # over the stated period where the intake is full
         self.period += int(self.SMOOTH * (window - self.period))
         if not self.sick and self.tries >= self.FEW and self.bad > self.FAILING * self.tries:
             self.put("pool", "failing", self.index, self.bad / self.tries)
     def on_period(self) -> None:
         if new := self.fresh:
-            self.busy, self.flight = self.mix(self.busy, new.busy), self.mix(self.flight, new.in_flight)
+            self.busy, self.flight = self.mix(self.busy, new.busy_share), self.mix(self.flight, new.in_flight)
             self.fresh, self.heard = None, self.mail.now
         self.tell()
         keep = 0.5 ** min(1.0, self.period / SECOND)  # half forgotten in a period, or in a second
@@ -112,10 +112,10 @@
         self.tell()
     def on_retry(self, trial: int) -> None:
         if trial == self.trials:
-            self.put("publisher", "write", [i.Probe(self.index)], [], 0) if self.probes else self.on_back()
-    def on_probed(self, e: i.Probed) -> None:
+            self.put("publisher", "write", [i.CheckHealth(self.index)], [], 0) if self.probes else self.on_back()
+    def on_probed(self, e: i.HealthChecked) -> None:
         if self.sick:
-            (self.on_back if e.outcome is i.Outcome.ANSWERED else self.on_eject)()
+            (self.on_back if e.outcome is i.HealthCheckOutcome.HEALTHY else self.on_eject)()
     def on_back(self) -> None:  # flapping servers restart low each return
         if self.sick:
             self.sick, self.born, self.tries, self.bad = False, self.mail.now, 0.0, 0.0
@@ -135,37 +135,37 @@
     TASTE = 0.01  # part of a zone's traffic each other zone gets anyway, so that its reports keep coming
     RECENT = 0.9  # of what came, kept each period: some ten seconds' sums, by which a few tell classes apart
     FORGET = 3600 * SECOND  # long past any flapping list: 3,000 replaced servers made a step 27 times as long
-    def __init__(self, mail: Mail, zones: int, proxies: int, classes: tuple[i.TransactionClass, ...],
+    def __init__(self, mail: Mail, zones: int, proxies: int, classes: tuple[i.RequestClass, ...],
                  sets: list[tuple[int, ...]], period: int, cold: int, homes: list[int], probes: bool,
                  most: int) -> None:
         super().__init__(mail, "pool")
         self.most, self.turned, self.rings = most, mail.chance(), dict[int, float]()
         self.zones, self.proxies, self.classes, self.sets, self.probes = zones, proxies, classes, sets, probes
-        self.cold_time, self.homes, self.known, self.stated = cold, homes, dict[int, i.Entry](), period
-        self.period, self.goal, self.thin = period, min(c.goal for c in classes), list[tuple[int, int]]()
+        self.cold_time, self.homes, self.known, self.stated = cold, homes, dict[int, i.Endpoint](), period
+        self.period, self.goal, self.thin = period, min(c.latency_objective_us for c in classes), list[tuple[int, int]]()
         self.states, self.rates, self.calm = dict[int, State](), dict[int, tuple[int, list[float]]](), 0
         self.heat, self.slack, self.came = dict[int, float](), dict[int, float](), [0.0] * len(classes)
         self.held, self.opening, self.unnamed = set[int](), set[int](), set[int]()
         self.leaving = set[int]()  # gone for good: forgotten once their withdrawal is lifted
         self.caps, self.parts = dict[int, float](), dict[int, float]()  # agreed: by zone, by cold replica
         self.wide, self.places = [1.0] * len(homes), dict[int, int]()  # of arcs, by group; groups, by proxy
-    def allowed(self, e: i.Entry, zone: int, k: int) -> bool:
+    def allowed(self, e: i.Endpoint, zone: int, k: int) -> bool:
         c = self.classes[self.sets[k][0]]
-        return ((c.only_zones is None or e.zone in c.only_zones) and (not c.stays_local or e.zone == zone)
-                and (c.only_kinds is None or e.kind in c.only_kinds))
-    def choices(self, of: i.Entry) -> Any:  # per class and zone that may use it: the warm ones
+        return ((c.allowed_zones is None or e.zone in c.allowed_zones) and (not c.zone_local or e.zone == zone)
+                and (c.allowed_kinds is None or e.kind in c.allowed_kinds))
+    def choices(self, of: i.Endpoint) -> Any:  # per class and zone that may use it: the warm ones
         for k, zone in product(range(len(self.sets)), range(self.zones)):
             if self.allowed(of, zone, k):
                 yield {n: bool(s.open) for n, s in self.states.items() if s.entry.phase is i.Phase.READY and
-                       s.entry.started <= self.old and self.allowed(s.entry, zone, k)}
+                       s.entry.started_us <= self.old and self.allowed(s.entry, zone, k)}
     @property
     def old(self) -> int:  # started by then: warm; on a machine just booted too, where long past is told as 0
         return max(0, self.mail.now - self.cold_time)
-    def on_listed(self, e: i.Listed) -> None:
-        if e.kind is i.ListKind.FAILED:
+    def on_listed(self, e: i.EndpointsListed) -> None:
+        if e.kind is i.EndpointListKind.FAILED:
             return self.put("publisher", "follow")
         gone = {n: replace(x, phase=i.Phase.GONE) for n, x in self.known.items()}
-        news = (gone if e.kind is not i.ListKind.CHANGES else {}) | {x.replica: x for x in e.entries}
+        news = (gone if e.kind is not i.EndpointListKind.DELTA else {}) | {x.replica: x for x in e.endpoints}
         mean = fmean([x.size or 1 for x in (self.known | news).values() if x.phase is i.Phase.READY] or [1])
         for n, x in news.items():
             if n not in self.known:
@@ -179,7 +179,7 @@
             return  # a last word of one just forgotten
         old, self.states[index] = self.states.get(index), state
         self.zones = max(self.zones, state.entry.zone + 1)
-        said = [(s.entry.phase, s.open, s.entry.started) for s in (old, state) if s is not None]
+        said = [(s.entry.phase, s.open, s.entry.started_us) for s in (old, state) if s is not None]
         if said[:1] != said[1:]:
             # Ejection must not leave a class without an open replica once the list takes the others.
             for ready in [] if state.open else self.choices(state.entry):
@@ -187,7 +187,7 @@
                     self.put(("replica", n), "back")
             self.replan()
             # Many restarted at once are withdrawn first: their low lines alone would take too long.
-            again = bool(old and old.open and old.entry.started < state.entry.started)
+            again = bool(old and old.open and old.entry.started_us < state.entry.started_us)
             kind = "gone" if state.entry.phase is i.Phase.GONE else "open" if state.open else "eject"
             (self.mail.later(self.FORGET, "pool", "forget", index) if kind == "gone" else
              self.leaving.discard(index))
@@ -201,9 +201,9 @@
     def jammed(self, n: int, again: bool = False) -> bool:
         # In a jam a cold one gets far more than its weight, the first of a class with few others all of it.
         s, bar, old = self.states[n], 3 * SECOND if n in self.held else 1, self.old
-        warm = any(x.open and x.entry.started <= old for x in self.states.values())
+        warm = any(x.open and x.entry.started_us <= old for x in self.states.values())
         again |= any(self.allowed(s.entry, z, k) for z, k in self.thin)
-        wait = s.open and warm and s.entry.started > old and (again or self.calm < bar)
+        wait = s.open and warm and s.entry.started_us > old and (again or self.calm < bar)
         (self.held.add if wait else self.held.discard)(n)
         return n in self.held
     def on_failing(self, index: int, share: float) -> None:  # a fault that all share ejects nobody
@@ -213,23 +213,23 @@
                 len(w) - sum(w.values()) + 1 <= self.PANIC * len(w) for w in self.choices(s.entry)):
             self.states[index] = s._replace(open=None)  # at once: a batch's must not each pass as the first
             self.put(("replica", index), "eject")
-    def on_joined(self, e: i.Joined) -> None:
-        self.rates[e.proxy] = (e.zone, [e.rate / len(self.classes)] * len(self.classes))
+    def on_joined(self, e: i.ProxyJoined) -> None:
+        self.rates[e.proxy] = (e.zone, [e.request_rate / len(self.classes)] * len(self.classes))
     def on_placed(self, proxy: int, group: int) -> None:
         self.places |= {proxy: group} if proxy in self.rates else {}  # it may have left in the same batch
-    def on_left(self, e: i.Left) -> None:
+    def on_left(self, e: i.ProxyLeft) -> None:
         self.rates.pop(e.proxy, None)
         self.places.pop(e.proxy, None)
-    def on_offered(self, e: i.Offered) -> None:
-        if e.window > 0 and (known := self.rates.get(e.proxy)):
-            known[1][e.cls] += Replica.SMOOTH * (e.number * SECOND / e.window - known[1][e.cls])
-            self.came[e.cls] += e.number
+    def on_offered(self, e: i.RequestsOffered) -> None:
+        if e.window_us > 0 and (known := self.rates.get(e.proxy)):
+            known[1][e.request_class] += Replica.SMOOTH * (e.requests * SECOND / e.window_us - known[1][e.request_class])
+            self.came[e.request_class] += e.requests
     def on_period(self) -> None:
         for n in self.known:
             self.put(("replica", n), "period")
         self.put("pool", "after", "judge")
-    def on_ceilings(self, e: i.Ceilings) -> None:
-        self.caps, self.parts = dict(e.zones), dict(e.replicas)
+    def on_ceilings(self, e: i.QuotasAgreed) -> None:
+        self.caps, self.parts = dict(e.zone_quotas), dict(e.warmup_quotas)
         self.replan()
     def on_judge(self) -> None:
         self.period = int(max(self.stated, median([s.period for s in self.states.values() if s.open] or [0])))
@@ -390,7 +390,7 @@
             self.sent[k][n] = w
             if not w:
                 del self.sent[k][n]
-        if orders := [i.SetLine(self.index * len(self.sets) + k, n, w) for k, n, w in lines]:
+        if orders := [i.SetWeight(self.index * len(self.sets) + k, n, w) for k, n, w in lines]:
             self.put("publisher", "write", orders, list(self.members), len(orders), news)
         self.put("publisher", "differs", self.index, bool(self.members) and any(self.moved()),
                  [frozenset(t) for t in self.sent.values()])
@@ -403,7 +403,7 @@
     def on_leave(self, proxy: int) -> None: self.members.pop(proxy, None)
     def on_join(self, proxy: int, extra: int, holds: int) -> None:
         self.members[proxy] = None
-        binds = [i.Bind(proxy, self.index * len(self.sets) + k, c) for k, c in enumerate(self.sets)]
+        binds = [i.BindProxy(proxy, self.index * len(self.sets) + k, c) for k, c in enumerate(self.sets)]
         size = sum(1 + extra + (1 + holds) * len(t) for t in self.sent.values())
         self.put("publisher", "write", binds, [proxy], size)
 
@@ -416,58 +416,58 @@
                  homes: list[int], must_ask: bool, sets: int, grace: int) -> None:
         super().__init__(mail, "publisher")
         self.queue, self.head, self.window, self.period = queue, head + 1, window, period
-        self.orders, self.levels, self.binds = list[i.Order](), list[i.Order](), list[tuple[float, ...]]()
-        self.lines, self.home = dict[int, float](), dict[int, int]()  # lines: of this reply, by proxy
-        self.unacked, self.times = dict[int, deque[tuple[int, float]]](), dict[int, deque[int]]()
-        self.jobs, self.shut, self.differs = dict[int, str](), dict[int, str](), [False] * len(homes)
+        self.orders, self.levels, self.pending_binds = list[i.Order](), list[i.Order](), list[tuple[float, ...]]()
+        self.lines, self.group_by_proxy = dict[int, float](), dict[int, int]()  # lines: of this reply, by proxy
+        self.unacknowledged, self.message_times = dict[int, deque[tuple[int, float]]](), dict[int, deque[int]]()
+        self.jobs, self.withdrawn, self.differs = dict[int, str](), dict[int, str](), [False] * len(homes)
         self.mark = self.stepped = self.level_lines = self.round = 0
-        self.waiting, self.booked, self.sets, self.named = 0.0, 0.0, sets, [Named()] * len(homes)
+        self.unacknowledged_lines, self.booked, self.sets, self.named = 0.0, 0.0, sets, [Named()] * len(homes)
         self.holds, self.grace, self.sizes, self.dealt = set[int](), grace, [0] * len(homes), False
         self.bound, self.turns = [dict[int, None]() for _ in homes], [-period] * len(homes)  # last turns
         self.pulse, self.must_ask = max(period // len(homes), 20_000), must_ask  # a turn a group and period
         self.limit, self.homes, self.next_period = limit or 1e9, homes, mail.now + period
-        self.orders.append(i.Wake(0, int(self.pulse * (0.5 + mail.chance()))))
+        self.orders.append(i.SetTimer(0, int(self.pulse * (0.5 + mail.chance()))))
         self.on_follow()
-    def on_follow(self) -> None: self.orders += [i.Follow(True)] * self.must_ask
+    def on_follow(self) -> None: self.orders += [i.SubscribeEndpoints(True)] * self.must_ask
     def room(self, proxies: list[int], part: float, lines: float) -> float:  # after a write
         # What notes on their way will write is booked, or a batch's writes would each pass as the only one.
-        left = part * self.queue - self.waiting - self.booked - sum(self.lines.values())
+        left = part * self.queue - self.unacknowledged_lines - self.booked - sum(self.lines.values())
         for p in proxies:
-            left, past = left - lines - self.head * (p not in self.lines), self.times[p]
+            left, past = left - lines - self.head * (p not in self.lines), self.message_times[p]
             while past and past[0] <= self.mail.now - self.window:
                 past.popleft()
             left -= 1e9 * (p not in self.lines and len(past) >= max(self.OFTEN, part) * self.limit)
         return left
-    def on_joined(self, e: i.Joined) -> None:
-        self.unacked[e.proxy], self.times[e.proxy] = deque(), deque()
+    def on_joined(self, e: i.ProxyJoined) -> None:
+        self.unacknowledged[e.proxy], self.message_times[e.proxy] = deque(), deque()
         near = [g for g, z in enumerate(self.homes) if z == e.zone] or [0]
-        self.home[e.proxy] = g = min(near, key=lambda g: (self.sizes[g], g))
+        self.group_by_proxy[e.proxy] = g = min(near, key=lambda g: (self.sizes[g], g))
         self.sizes[g] += 1
         self.put("pool", "placed", e.proxy, g)
-        (self.holds.add if e.holds else self.holds.discard)(e.proxy)
+        (self.holds.add if e.may_hold_withdrawals else self.holds.discard)(e.proxy)
         # Those with most traffic are bound first, yet all of them within the grace that runs from joining.
-        heapq.heappush(self.binds, (self.mail.now // max(1, self.grace // 4), -e.rate, e.proxy))
-    def on_left(self, e: i.Left) -> None:
-        self.put(("group", g := self.home.pop(e.proxy)), "leave", e.proxy)
+        heapq.heappush(self.pending_binds, (self.mail.now // max(1, self.grace // 4), -e.request_rate, e.proxy))
+    def on_left(self, e: i.ProxyLeft) -> None:
+        self.put(("group", g := self.group_by_proxy.pop(e.proxy)), "leave", e.proxy)
         self.sizes[g] -= 1
         if self.bound[g].pop(e.proxy, e) is e:  # a thousand that left each sorted them all
-            self.binds = sorted(b for b in self.binds if b[2] != e.proxy)
-        self.waiting -= sum(n for _, n in self.unacked.pop(e.proxy))
-        self.times.pop(e.proxy)
-    def on_applied(self, e: i.Applied) -> None:
-        while any(m == e.mark for m, _ in self.unacked.get(e.proxy, ())):
-            self.waiting -= self.unacked[e.proxy].popleft()[1]
+            self.pending_binds = sorted(b for b in self.pending_binds if b[2] != e.proxy)
+        self.unacknowledged_lines -= sum(n for _, n in self.unacknowledged.pop(e.proxy))
+        self.message_times.pop(e.proxy)
+    def on_applied(self, e: i.UpdateAcknowledged) -> None:
+        while any(m == e.revision for m, _ in self.unacknowledged.get(e.proxy, ())):
+            self.unacknowledged_lines -= self.unacknowledged[e.proxy].popleft()[1]
     def on_job(self, kind: str, replica: int) -> None:  # drain, eject or open
-        if replica in self.shut:
+        if replica in self.withdrawn:
             self.jobs.pop(replica, None)  # else a job keeps its place: the first told goes first
-        (self.shut if kind != "open" and replica in self.shut else self.jobs)[replica] = kind
+        (self.withdrawn if kind != "open" and replica in self.withdrawn else self.jobs)[replica] = kind
     def on_lift(self, replica: int) -> None:
-        if self.shut.get(replica) == "gone":
+        if self.withdrawn.get(replica) == "gone":
             self.jobs[replica] = "open"
     def on_differs(self, group: int, yes: bool, named: Named) -> None:
         self.differs[group], self.named[group] = yes, named
     def open(self, g: int) -> float:  # the part of a group's lines that is not withdrawn: it gets all
-        return min((1 + len(x - self.shut.keys())) / (1 + len(x)) for x in self.named[g])
+        return min((1 + len(x - self.withdrawn.keys())) / (1 + len(x)) for x in self.named[g])
     def usual(self) -> float:  # proxies whose tables name a replica, on average
         lines = sum(len(some) * len(self.named[g][0]) for g, some in enumerate(self.bound) if some)
         return lines / max(1, len(frozenset().union(*(named[0] for named in self.named if named))))
@@ -479,9 +479,9 @@
     def on_write(self, orders: list[i.Order], proxies: list[int], lines: int, news: int = 0) -> None:
         self.orders += orders  # a line new to it lets a proxy back that others may have shut out from there
         self.lines |= {p: self.lines.get(p, self.head) + lines + news * (p in self.holds)
-                       for p in proxies if p in self.home}
+                       for p in proxies if p in self.group_by_proxy}
     def on_guards(self) -> None:  # withdrawals, returns, binds, levels, while the queue has room
-        everyone, may = list(self.home), self.mail.now >= self.round
+        everyone, may = list(self.group_by_proxy), self.mail.now >= self.round
         # Before ejections and returns, which ride along: behind them a level over with stood for 5 s more.
         waits = {"drain", "gone"} & set(self.jobs.values())
         if self.levels and may and not waits and self.room(everyone, self.HALF, len(self.levels)) >= 0:
@@ -496,10 +496,10 @@
             hold = {n: self.holders(n) for n in due}
             who = list({p: None for some in hold.values() for p in some})
             fit = self.room(who, part, 0) * len(due) / max(1, sum(map(len, hold.values())))
-            if (fit >= min(len(due), 2 * self.head) or not self.waiting) and (out := due[:max(0, int(fit))]):
+            if (fit >= min(len(due), 2 * self.head) or not self.unacknowledged_lines) and (out := due[:max(0, int(fit))]):
                 for n in out:
-                    self.shut[n] = self.jobs.pop(n)
-                    self.on_write([i.Withdraw(n, True)], hold[n], 1)
+                    self.withdrawn[n] = self.jobs.pop(n)
+                    self.on_write([i.WithdrawReplica(n, True)], hold[n], 1)
         opens, back = [n for n, k in self.jobs.items() if k == "open" and may], list[int]()
         # Lines of a return go to other proxies too: by those shut out alone, some passed the cap on messages.
         left, usual = (self.room(everyone, self.HALF, 0), self.usual()) if opens else (0.0, 0.0)
@@ -507,30 +507,30 @@
             # While proxies wait for tables, their old ones would give a server that comes back cold too much.
             who = self.holders(n)
             cost = 3 * max(len(who), usual)
-            if left >= cost and not (self.binds and self.shut.get(n) != "eject"):
+            if left >= cost and not (self.pending_binds and self.withdrawn.get(n) != "eject"):
                 del self.jobs[n]
                 left, self.booked = left - cost, self.booked + cost - 3 * len(who)
-                self.on_write([i.Withdraw(n, False)] * (self.shut.pop(n, None) is not None), who, 3)
+                self.on_write([i.WithdrawReplica(n, False)] * (self.withdrawn.pop(n, None) is not None), who, 3)
                 back.append(n)
         if back:
             self.put("pool", "opened", back)
         # A proxy that joins may hold tables and withdrawals of an earlier stream: bound as soon as it fits.
         # Not while a drain waits for room: binds took it again and again, 1,382 sends were late (hd28492).
-        while self.binds and not (self.waiting and {"drain", "gone"} & set(self.jobs.values())):
-            home, holds = self.home[proxy := int(self.binds[0][2])], proxy in self.holds
-            extra = self.level_lines + len(self.shut.keys() & frozenset().union(*self.named[home]))
+        while self.pending_binds and not (self.unacknowledged_lines and {"drain", "gone"} & set(self.jobs.values())):
+            home, holds = self.group_by_proxy[proxy := int(self.pending_binds[0][2])], proxy in self.holds
+            extra = self.level_lines + len(self.withdrawn.keys() & frozenset().union(*self.named[home]))
             # On sockets what other governors may have shut it out from is let back in one by one.
             lines = self.head + self.sets * (1 + extra) + sum(map(len, self.named[home])) * (1 + holds)
-            if self.room([], self.HALF, 0) < lines and self.waiting + self.booked:
+            if self.room([], self.HALF, 0) < lines and self.unacknowledged_lines + self.booked:
                 break  # a table of more than half the queue goes alone
             self.booked += lines
-            heapq.heappop(self.binds)
+            heapq.heappop(self.pending_binds)
             self.bound[home][proxy] = None
             self.put(("group", home), "join", proxy, extra, holds)
         if may and (len(self.lines) >= len(everyone) or any(n not in self.jobs for n in opens)):
             self.round = self.mail.now + int(self.window / self.limit / self.ROUNDS)
-    def on_due(self, _: i.Due) -> None:
-        self.orders.append(i.Wake(0, self.pulse))
+    def on_due(self, _: i.TimerFired) -> None:
+        self.orders.append(i.SetTimer(0, self.pulse))
         if self.mail.now >= self.next_period:
             self.next_period = self.mail.now + self.period
             self.put("pool", "period")
@@ -549,18 +549,18 @@
                 self.put(("group", group), "turn", room, int(wait[group]))
             if room > -1e8:
                 break  # it waits for the queue; one whose proxies may have no message yet held up all others
-        if not ready and not any(self.unacked.values()) and self.mail.now - self.stepped >= self.period:
+        if not ready and not any(self.unacknowledged.values()) and self.mail.now - self.stepped >= self.period:
             self.stepped = self.mail.now
             self.put("pool", "step")
     def flush(self) -> list[i.Order]:
         if self.lines:
             self.mark = (self.mark + 1) % 65536
             # To all where all were meant: a withdrawal reaches those who hold the line, the rest never ack.
-            self.orders.append(i.Mark(self.mark, len(self.lines) >= len(self.home)))
-            self.waiting += sum(self.lines.values()) + self.level_lines * len(self.lines)
+            self.orders.append(i.RequestAcknowledgement(self.mark, len(self.lines) >= len(self.group_by_proxy)))
+            self.unacknowledged_lines += sum(self.lines.values()) + self.level_lines * len(self.lines)
         for p, lines in self.lines.items():
-            self.unacked[p].append((self.mark, lines + self.level_lines))
-            self.times[p].append(self.mail.now)
+            self.unacknowledged[p].append((self.mark, lines + self.level_lines))
+            self.message_times[p].append(self.mail.now)
         orders, self.orders, self.lines, self.booked = self.orders, [], {}, 0.0
         return orders
 
@@ -568,11 +568,11 @@
     HOLD = 2 * SECOND  # and two report periods after a cut: only then do reports show what it did
     UP = 0.2  # a second, of what the stress is under 1: a tenth a second where servers idle half the time
     LEAST = 0.05  # never all: what is let in keeps the reports coming
-    def __init__(self, mail: Mail, classes: tuple[i.TransactionClass, ...], on: bool) -> None:
+    def __init__(self, mail: Mail, classes: tuple[i.RequestClass, ...], on: bool) -> None:
         super().__init__(mail, "admission")
         self.classes, self.on, self.held, self.level, self.sent = classes, on, 0, 1.0, [1.0] * len(classes)
         self.agreed = dict[int, float]()  # the fleet's one share of each class
-    def on_ceilings(self, e: i.Ceilings) -> None: self.agreed = dict(e.levels)
+    def on_ceilings(self, e: i.QuotasAgreed) -> None: self.agreed = dict(e.admission_limits)
     def on_pulse(self, stress: float, good: float, mix: list[float], period: int) -> None:
         if stress > 1 and self.on and self.mail.now >= self.held:
             self.held = self.mail.now + self.HOLD + 2 * period
@@ -580,46 +580,47 @@
         elif self.mail.now >= self.held:
             self.level = min(1.0, self.level + self.UP * (1 - stress) * period / SECOND)
         left, levels = self.level, [1.0] * len(mix)
-        for k in sorted(range(len(mix)), key=lambda k: -self.classes[k].gain / self.classes[k].goal):
+        for k in sorted(range(len(mix)), key=lambda k: -self.classes[k].priority_weight / self.classes[k].latency_objective_us):
             share = max(1e-9, mix[k] / max(1e-9, sum(mix)))
             levels[k], left = max(self.LEAST, min(1.0, left / share + 1e-6)), max(0.0, left - share)
             levels[k] = min(levels[k], max(self.LEAST, self.agreed.get(k, 1.0)))
         if any(abs(a - b) > 0.05 or (a == 1.0) != (b == 1.0) for a, b in zip(levels, self.sent, strict=True)):
             self.sent, tries = levels, int(self.level == 1.0)  # further tries only make an overload worse
-            self.put("publisher", "levels", [i.Admit(None, (k,), v, tries) for k, v in enumerate(levels)])
+            self.put("publisher", "levels", [i.SetAdmission(None, (k,), v, tries) for k, v in enumerate(levels)])
 
 class Planner:  # one instance of the module: events become notes, the loop runs, orders come out
     GROUPS = 10  # the design's number of proxy groups
     ARCS = 48  # groups that a large fleet is dealt to: arcs of few lines that still name every server
     FEWEST = 8  # lines of a table dealt out: with fewer one that hangs takes more than strikes can mend
-    ROUTES = {"joined": ("pool", "publisher"), "left": ("pool", "publisher"), "offered": ("pool",),
-              "applied": ("publisher",), "listed": ("pool",), "due": ("publisher",),
-              "ceilings": ("pool", "admission")}
-    def __init__(self, start: i.Start, now: int) -> None:
-        self.mail, self.slices, rep, ch = Mail(start.seed, now), start.slices, start.reports, start.channel
+    ROUTES = {i.ProxyJoined: ("joined", ("pool", "publisher")), i.ProxyLeft: ("left", ("pool", "publisher")),
+              i.RequestsOffered: ("offered", ("pool",)), i.UpdateAcknowledged: ("applied", ("publisher",)),
+              i.EndpointsListed: ("listed", ("pool",)), i.TimerFired: ("due", ("publisher",)),
+              i.QuotasAgreed: ("ceilings", ("pool", "admission")), i.AttemptsReported: ("heard", ()),
+              i.HealthChecked: ("probed", ())}
+    def __init__(self, start: i.PolicyConfig, now: int) -> None:
+        self.mail, self.slices, rep, ch = Mail(start.seed, now), start.key_range_count, start.load_reporting, start.channel
         alike: dict[Any, list[int]] = {}
         for k, c in enumerate(start.classes):
-            alike.setdefault((c.only_zones, c.only_kinds, c.stays_local), []).append(k)
+            alike.setdefault((c.allowed_zones, c.allowed_kinds, c.zone_local), []).append(k)
         # The most bound classes come first: the zone layer gives them their room before the others.
         sets = [tuple(alike[v]) for v in sorted(alike, key=lambda v: (not v[2], not v[0], not v[1]))]
-        many, zones = max(self.GROUPS, min(self.ARCS, start.proxies // self.FEWEST)), max(1, start.zones)
+        many, zones = max(self.GROUPS, min(self.ARCS, start.proxy_count // self.FEWEST)), max(1, start.zone_count)
         homes = sorted(g % zones for g in range(max(many, zones)))
         # Twice: what other governors may have shut a proxy out from is let back in one by one.
-        fits = ch.line_rate * start.rules.grace / SECOND / max(1, start.proxies) - ch.message_head - 2
+        fits = ch.lines_per_s * start.safety.drain_grace_us / SECOND / max(1, start.proxy_count) - ch.message_overhead_lines - 2
         most = max(self.FEWEST, int(fits / 2 / len(sets)))
-        Pool(self.mail, start.zones, start.proxies, start.classes, sets, rep.period, start.rules.cold_time,
-             homes, rep.probes, most)
+        Pool(self.mail, start.zone_count, start.proxy_count, start.classes, sets, rep.period_us, start.safety.warmup_us,
+             homes, rep.health_checks_allowed, most)
         self.groups = [Group(self.mail, g, sets) for g in range(len(homes))]
-        Admission(self.mail, start.classes, start.admits_shares)
-        self.publisher = Publisher(self.mail, ch.queue_limit, ch.message_head, ch.message_limit,
-                                   ch.message_window, rep.period, homes, rep.must_ask, len(sets),
-                                   start.rules.grace)
-    def handle(self, now: int, events: list[i.Event]) -> list[i.Order]:
-        self.mail.now = now
+        Admission(self.mail, start.classes, start.admission_enabled)
+        self.publisher = Publisher(self.mail, ch.queue_limit_lines, ch.message_overhead_lines, ch.messages_per_window,
+                                   ch.message_window_us, rep.period_us, homes, rep.must_subscribe, len(sets),
+                                   start.safety.drain_grace_us)
+    def handle(self, now_us: int, events: list[i.Event]) -> list[i.Order]:
+        self.mail.now = now_us
         for e in [] if self.slices else events:
-            kind = type(e).__name__.lower()
-            to = self.ROUTES.get(kind, (("replica", getattr(e, "replica", None)),))
-            for part in filter(self.mail.parts.__contains__, to):
+            kind, to = self.ROUTES.get(type(e), ("", ()))
+            for part in filter(self.mail.parts.__contains__, to or [("replica", getattr(e, "replica", None))]):
                 self.mail.put(part, kind, e)
         self.mail.run()
         self.mail.put("publisher", "guards")
--- a/gradehoist/protocol/http.py
+++ b/gradehoist/protocol/http.py
@@ -34,10 +34,10 @@
 class Limits:
     """Largest sizes taken in, in bytes but for `fields`; beyond them 414, 431 or 413 is due."""
 
-    line: int = 8_192
-    head: int = 16_384
-    fields: int = 64
-    body: int = 4_194_304
+    max_line_bytes: int = 8_192
+    max_head_bytes: int = 16_384
+    max_fields: int = 64
+    max_body_bytes: int = 4_194_304
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,25 +59,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Expecting:
+class ContinueExpected:
     """A client waits for `100 Continue` before it sends the body (RFC 9110, 10.1.1)."""
 
 
 @dataclass(frozen=True, slots=True)
-class Opened:
+class ResponseStarted:
     """The head of an answer whose body is handed on in pieces."""
 
     status: int
 
 
 @dataclass(frozen=True, slots=True)
-class Piece:
+class BodyChunk:
     """One chunk of such a body."""
 
     data: bytes
 
 
-Event = Request | Response | Expecting | Opened | Piece
+Event = Request | Response | ContinueExpected | ResponseStarted | BodyChunk
 
 
 class Role(Enum):
@@ -95,7 +95,7 @@
     FAILED = "failed"
 
 
-def header(headers: Headers, name: str) -> str | None:
+def get_header(headers: Headers, name: str) -> str | None:
     """The value of a field, its lines joined by commas (RFC 9110, 5.3); `name` in lower case."""
     found = [value for key, value in headers if key == name]
     return ", ".join(found) if found else None
@@ -105,8 +105,8 @@
     """One direction of one connection. A client says with `asked` what its next answer belongs to. With
     `pieces` it gets the head and each chunk of a chunked answer as they come, for bodies without end."""
 
-    def __init__(self, role: Role, limits: Limits | None = None, pieces: bool = False) -> None:
-        self.role, self.limits, self._pieces = role, limits or Limits(), pieces
+    def __init__(self, role: Role, limits: Limits | None = None, stream_body: bool = False) -> None:
+        self.role, self.limits, self._pieces = role, limits or Limits(), stream_body
         self._buffer, self._at, self._scanned = bytearray(), 0, 0
         self._state, self._need = _State.HEAD, 0
         self._body = bytearray()
@@ -115,12 +115,12 @@
         self._twice = False
         self._methods: list[str] = []
 
-    def asked(self, method: str) -> None:
+    def expect_response(self, method: str) -> None:
         """Client only: a request was sent. Answers come in the order of the requests."""
         self._methods.append(method)
 
     @property
-    def between(self) -> bool:
+    def is_between_messages(self) -> bool:
         """No message is under way: the peer may close here without loss."""
         return self._state is _State.HEAD and len(self._buffer) == self._at
 
@@ -144,11 +144,11 @@
             self._at = 0
         return events
 
-    def end(self) -> list[Event]:
+    def receive_eof(self) -> list[Event]:
         """The peer closed. Raises `ProtocolError` where that cuts a message."""
         if self._state is _State.UNTIL_CLOSE:
             return [self._finish(bytes(self._body))]
-        if not self.between:
+        if not self.is_between_messages:
             raise ProtocolError(400, "closed within a message")
         return []
 
@@ -169,8 +169,8 @@
                 if not found:
                     raise ProtocolError(400, "a chunk size that is no hexadecimal number")
                 self._need = int(found[1], 16)
-                if len(self._body) + self._need > self.limits.body:
-                    raise ProtocolError(413, f"a body of over {self.limits.body} bytes")
+                if len(self._body) + self._need > self.limits.max_body_bytes:
+                    raise ProtocolError(413, f"a body of over {self.limits.max_body_bytes} bytes")
                 self._state = _State.CHUNK if self._need else _State.TRAILER
                 self._trailer = 0
             case _State.CHUNK:
@@ -178,7 +178,7 @@
                     return False
                 piece = self._take(self._need)
                 if self._pieces:
-                    events.append(Piece(piece))
+                    events.append(BodyChunk(piece))
                 else:
                     self._body += piece
                 if self._take(2) != b"\r\n":
@@ -190,14 +190,14 @@
                     return False
                 if line:
                     self._trailer += 1
-                    if self._trailer > self.limits.fields or not _FIELDS.fullmatch(line + b"\r\n"):
+                    if self._trailer > self.limits.max_fields or not _FIELDS.fullmatch(line + b"\r\n"):
                         raise ProtocolError(400, "a trailer that is no list of fields")
                 else:
                     events.append(self._finish(bytes(self._body)))
             case _State.UNTIL_CLOSE:
                 self._body += self._take(len(self._buffer) - self._at)
-                if len(self._body) > self.limits.body:
-                    raise ProtocolError(413, f"a body of over {self.limits.body} bytes")
+                if len(self._body) > self.limits.max_body_bytes:
+                    raise ProtocolError(413, f"a body of over {self.limits.max_body_bytes} bytes")
                 return False
         return self._state is not _State.FAILED
 
@@ -209,9 +209,11 @@
 
     def _line(self) -> bytes | None:
         at = self._buffer.find(b"\n", max(self._scanned, self._at))
-        if at < 0 or at - self._at > self.limits.line:
-            if len(self._buffer) - self._at > self.limits.line:
-                raise ProtocolError(431, f"a line of over {self.limits.line} bytes in a chunked body")
+        if at < 0 or at - self._at > self.limits.max_line_bytes:
+            if len(self._buffer) - self._at > self.limits.max_line_bytes:
+                raise ProtocolError(
+                    431, f"a line of over {self.limits.max_line_bytes} bytes in a chunked body"
+                )
             self._scanned = len(self._buffer)
             return None
         line = self._take(at + 1 - self._at)
@@ -227,12 +229,12 @@
                 raise ProtocolError(400, "empty lines where a request is due")
         at = buffer.find(b"\r\n\r\n", max(self._at, self._scanned - 3))
         size = (at if at >= 0 else len(buffer)) - self._at
-        if size > self.limits.head or at < 0:
-            first = buffer.find(b"\n", self._at, self._at + self.limits.line)
-            if first < 0 and size > self.limits.line:
-                raise ProtocolError(414, f"a first line of over {self.limits.line} bytes")
-            if size > self.limits.head:
-                raise ProtocolError(431, f"a head of over {self.limits.head} bytes")
+        if size > self.limits.max_head_bytes or at < 0:
+            first = buffer.find(b"\n", self._at, self._at + self.limits.max_line_bytes)
+            if first < 0 and size > self.limits.max_line_bytes:
+                raise ProtocolError(414, f"a first line of over {self.limits.max_line_bytes} bytes")
+            if size > self.limits.max_head_bytes:
+                raise ProtocolError(431, f"a head of over {self.limits.max_head_bytes} bytes")
             if first > self._at and buffer[first - 1] != 13:
                 raise ProtocolError(400, "a line that ends without a carriage return")
             self._scanned = len(buffer)
@@ -240,13 +242,13 @@
         head = self._take(at + 4 - self._at)
         line, _, block = head.partition(b"\r\n")
         block = block[:-2]
-        if len(line) > self.limits.line:
-            raise ProtocolError(414, f"a first line of over {self.limits.line} bytes")
+        if len(line) > self.limits.max_line_bytes:
+            raise ProtocolError(414, f"a first line of over {self.limits.max_line_bytes} bytes")
         if not _FIELDS.fullmatch(block):
             raise ProtocolError(400, "a header line that is no field")
         pairs = _FIELD.findall(block.decode("latin-1"))
-        if len(pairs) > self.limits.fields:
-            raise ProtocolError(431, f"over {self.limits.fields} header fields")
+        if len(pairs) > self.limits.max_fields:
+            raise ProtocolError(431, f"over {self.limits.max_fields} header fields")
         headers = tuple([(name.lower(), value.rstrip(" \t")) for name, value in pairs])
         self._known = dict(headers)
         self._twice = len(self._known) < len(headers)  # then fields that must stand once are counted
@@ -274,7 +276,7 @@
             if expect.lower() != "100-continue":
                 raise ProtocolError(417, "an expectation other than 100-continue")
             if len(self._buffer) == self._at:
-                events.append(Expecting())
+                events.append(ContinueExpected())
 
     def _response(self, line: bytes, headers: Headers, events: list[Event]) -> None:
         found = _STATUS.fullmatch(line)
@@ -292,7 +294,7 @@
         if not bare:
             self._frame(headers, modern, to_close=True)
             if self._pieces and self._state is _State.CHUNK_SIZE:
-                events.append(Opened(status))
+                events.append(ResponseStarted(status))
 
     def _number(self, headers: Headers, name: str) -> int:
         """How often a field stands that is known to stand."""
@@ -301,7 +303,7 @@
     def _stays(self, headers: Headers, modern: bool) -> bool:
         if "connection" not in self._known:
             return modern
-        words = (header(headers, "connection") or "").lower().split(",")
+        words = (get_header(headers, "connection") or "").lower().split(",")
         options = {word.strip() for word in words}
         return "close" not in options if modern else "keep-alive" in options
 
@@ -318,8 +320,8 @@
             if not _LENGTH.fullmatch(length) or self._number(headers, "content-length") != 1:
                 raise ProtocolError(400, "a content length that is not one number")
             self._need = int(length)
-            if self._need > self.limits.body:
-                raise ProtocolError(413, f"a body of over {self.limits.body} bytes")
+            if self._need > self.limits.max_body_bytes:
+                raise ProtocolError(413, f"a body of over {self.limits.max_body_bytes} bytes")
             self._state = _State.BODY if self._need else _State.HEAD
         elif to_close:
             self._body.clear()
@@ -334,7 +336,7 @@
         return Response(int(first), second, headers, body, stays)
 
 
-REASONS = {
+REASON_PHRASES = {
     100: "Continue", 200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found",
     405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 410: "Gone",
     413: "Content Too Large", 414: "URI Too Long", 417: "Expectation Failed", 422: "Unprocessable Content",
@@ -351,15 +353,17 @@
     return "".join([f"{name}: {value}\r\n" for name, value in headers])
 
 
-def response(status: int, body: bytes = b"", headers: Headers = (), keep_alive: bool = True) -> bytes:
+def format_response(status: int, body: bytes = b"", headers: Headers = (), keep_alive: bool = True) -> bytes:
     """A whole answer with its length stated. Raises ValueError for a field that would break its line."""
     close = "" if keep_alive else "connection: close\r\n"
     length = "" if status < 200 or status == 204 else f"content-length: {len(body)}\r\n"
-    head = f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\n{_fields(headers)}{close}{length}\r\n"
+    head = (
+        f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Status')}\r\n{_fields(headers)}{close}{length}\r\n"
+    )
     return head.encode("latin-1") + body
 
 
-def request(method: str, target: str, host: str, body: bytes = b"", headers: Headers = ()) -> bytes:
+def format_request(method: str, target: str, host: str, body: bytes = b"", headers: Headers = ()) -> bytes:
     """A whole request with its length stated where it has a body. Raises ValueError as `response` does."""
     length = f"content-length: {len(body)}\r\n" if body or method in ("POST", "PUT") else ""
     head = f"{method} {target} HTTP/1.1\r\nhost: {host}\r\n{_fields(headers)}{length}\r\n"
--- a/gradehoist/protocol/orca.py
+++ b/gradehoist/protocol/orca.py
@@ -8,30 +8,30 @@
 
 import msgspec
 
-HEADER = "endpoint-load-metrics"
+HEADER_NAME = "endpoint-load-metrics"
 
 
-class Report(msgspec.Struct, frozen=True):
+class OrcaReport(msgspec.Struct, frozen=True):
     """`busy`: share of the cores, 0 and up; `in_flight`: transactions held; `service_ms`: milliseconds."""
 
-    busy: float | None = None
+    busy_share: float | None = None
     in_flight: float | None = None
     service_ms: float | None = None
 
 
 _NAMES = {
-    "cpu_utilization": "busy",
+    "cpu_utilization": "busy_share",
     "named_metrics.in_flight": "in_flight",
     "named_metrics.service_ms": "service_ms",
 }
 
 
-def write(report: Report) -> str:
+def format_report(report: OrcaReport) -> str:
     rows = [(metric, getattr(report, field)) for metric, field in _NAMES.items()]
     return "TEXT " + ", ".join(f"{metric}={value:.6g}" for metric, value in rows if value is not None)
 
 
-def read(text: str, names: Mapping[str, str] = _NAMES) -> Report | None:
+def parse_report(text: str, field_by_metric: Mapping[str, str] = _NAMES) -> OrcaReport | None:
     """None where the header holds no figure of ours; `names` gives ours for those on the wire. Raises
     ValueError for what is no report."""
     form, _, rest = text.strip().partition(" ")
@@ -50,10 +50,10 @@
     else:
         raise ValueError(f"a load report in the unknown form {form[:20]!r}")
     found: dict[str, float] = {}
-    for metric, field in names.items():
+    for metric, field in field_by_metric.items():
         if metric in figures:
             value = float(figures[metric])
             if not (math.isfinite(value) and 0 <= value <= 1e9):
                 raise ValueError(f"{metric} out of range: {figures[metric][:30]!r}")
             found[field] = value
-    return Report(**found) if found else None
+    return OrcaReport(**found) if found else None
--- a/gradehoist/scenario/audit.py
+++ b/gradehoist/scenario/audit.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from gradehoist.cells.routes import label
+from gradehoist.cells.routes import class_label
 from gradehoist.protocol import feed
 from gradehoist.testbed.scenario_plan import Class, Plan, Replica
 
@@ -147,9 +147,11 @@
         self.replicas: dict[str, Replica] = {r.name: r for r in plan.replicas}
         self.zone = {r.name: r.zone for r in plan.relays}
         self.classes: dict[str, Class] = {c.name: c for c in plan.classes}
-        self.labels = [(cell, label(cell, c.name), c) for cell in plan.cells or ("",) for c in plan.classes]
+        self.labels = [
+            (cell, class_label(cell, c.name), c) for cell in plan.cells or ("",) for c in plan.classes
+        ]
         self.joined: dict[str, Joined] = {}
-        self.holds: dict[str, feed.Holdings] = defaultdict(feed.Holdings)
+        self.holds: dict[str, feed.ProxyState] = defaultdict(feed.ProxyState)
         self.told: dict[str, Told] = defaultdict(Told)
         self.started: dict[str, int] = {}  # replica: when its last cold start was; absent: long past
         self.bare: dict[tuple[str, str], int] = {}
@@ -182,7 +184,7 @@
                 case "joined":
                     self._lost(at, r["relay"])
                     self.joined[r["relay"]] = Joined(r["governor"], at)
-                    self.holds[r["relay"]].joined()
+                    self.holds[r["relay"]].begin_stream()
                     self._bare(at, r["relay"], r)
                 case "lost" | "relay_down":
                     self._lost(at, r["relay"])
@@ -195,7 +197,7 @@
                     message = msgspec.convert(r["message"], feed.Message)
                     self.holds[r["relay"]].apply(message)
                     if r["relay"] in self.joined:
-                        self.joined[r["relay"]].last = message.at
+                        self.joined[r["relay"]].last = message.created_us
                     messages[r["epoch"]].append((r, message))
                     self._bare(at, r["relay"], r)
                 case "told" if r["role"] == "roster":
@@ -203,8 +205,8 @@
                     for relay in [x for x, j in self.joined.items() if j.governor == r["reader"]]:
                         self._bare(at, relay, r)
                 case "relay_up":
-                    self.holds[r["relay"]] = feed.Holdings()
-                    self.holds[r["relay"]].stand(r["standing"])
+                    self.holds[r["relay"]] = feed.ProxyState()
+                    self.holds[r["relay"]].install_default_tables(r["standing"])
                 case "up":
                     if r["cold"]:
                         self.started[r["replica"]] = at
@@ -269,7 +271,7 @@
         for cell, name, c in self.labels:
             self.rules["line"].occasions += 1
             held = self.holds[relay]
-            bare = not held.lines(name if name in held.table else c.name)
+            bare = not held.weights_for(name if name in held.table_by_class else c.name)
             open_one = bare and any(
                 phase == "ready"
                 and self.plan.workers.get(x, "") == cell
@@ -294,7 +296,7 @@
         if (
             (cell := r.get("cell"))
             and self.plan.workers.get(replica.name) != cell
-            and (label(cell, c.name) in self.holds[r["relay"]].table)
+            and (class_label(cell, c.name) in self.holds[r["relay"]].table_by_class)
         ):
             self.found("placement", at, r["relay"], replica.name, f"sent for cell {cell}", [r])
         joined = self.joined.get(r["relay"])
@@ -441,29 +443,29 @@
         unique: dict[tuple[str, int, int], tuple[Rec, feed.Message]] = {}
         for r, m in some:
             unique.setdefault((r["relay"], r["stream"], m.seq), (r, m))
-        ordered = sorted(unique.values(), key=lambda x: (x[1].reply, x[1].at, x[0]["t"]))
+        ordered = sorted(unique.values(), key=lambda x: (x[1].reply_number, x[1].created_us, x[0]["t"]))
         rule.occasions += len(ordered)
-        costs = [(m.at, max(self.price(m), m.cost)) for _, m in ordered]
+        costs = [(m.created_us, max(self.price(m), m.cost_lines)) for _, m in ordered]
         for (r, m), (_, waiting) in zip(ordered, queue(costs, rules.line_rate), strict=True):
             rule.near = max(rule.near, waiting / rules.queue_limit)
             if waiting > rules.queue_limit + 1e-6:
                 self.found(
                     "queue",
-                    m.at,
+                    m.created_us,
                     r["relay"],
                     "",
                     f"{waiting:.0f} lines waited in the channel of {r['governor']}",
                     [r],
                 )
-            if r["t"] < m.at:
+            if r["t"] < m.created_us:
                 self.found("queue", r["t"], r["relay"], "", "a message came before its order", [r])
         # Whatever the order within one reply: what was ordered since `began` and has come by now must fit
         # between the two at the stated pace. What was ordered earlier may have been out before.
         began, paid = 0, 0.0
         for r, m in sorted(ordered, key=lambda x: x[0]["t"]):
-            if m.at > began + paid / rules.line_rate * 1e6:
-                began, paid = m.at, 0.0
-            if m.at < began:
+            if m.created_us > began + paid / rules.line_rate * 1e6:
+                began, paid = m.created_us, 0.0
+            if m.created_us < began:
                 continue
             paid += self.price(m)
             if r["t"] + PACE_SLACK < began + paid / rules.line_rate * 1e6:
@@ -477,7 +479,7 @@
                 )
         by_relay: dict[tuple[str, int], list[tuple[int, Rec]]] = defaultdict(list)
         for r, m in ordered:
-            by_relay[r["relay"], r["stream"]].append((m.at, r))
+            by_relay[r["relay"], r["stream"]].append((m.created_us, r))
         if rules.message_limit:
             for (relay, _), stamps in by_relay.items():
                 times = sorted(at for at, _ in stamps)
@@ -499,9 +501,9 @@
         return (
             self.plan.rules.message_head
             + len(m.deltas)
-            + (m.mark is not None)
-            + sum(len(d.lines) for d in m.deltas if isinstance(d, feed.Bind))
-            + sum(len(d.named) for d in m.deltas if isinstance(d, feed.Route))
+            + (m.revision is not None)
+            + sum(len(d.weights) for d in m.deltas if isinstance(d, feed.BindDelta))
+            + sum(len(d.cell_by_tenant) for d in m.deltas if isinstance(d, feed.TenantRoutes))
         )
 
     # The whole
--- a/gradehoist/scenario/definition.py
+++ b/gradehoist/scenario/definition.py
@@ -16,10 +16,10 @@
 from kdl.parsing import Parser
 from kdl.types import Node
 
-from gradehoist.cells.placement import Placement, Tenant, Wanted, Worker, place
+from gradehoist.cells.placement import Placement, PlacementRequirements, Replica, Tenant, plan_placement
 from gradehoist.scenario import faults
-from gradehoist.settings import fleet as f
 from gradehoist.settings import reader as r
+from gradehoist.settings.fleet import Settings, parse_settings
 from gradehoist.testbed import scenario_plan as p
 from gradehoist.testbed.process import dice
 
@@ -67,7 +67,7 @@
     name: str
     length: int
     seed: int
-    settings: f.Settings
+    settings: Settings
     fleet_text: str
     groups: tuple[Group, ...]
     relays: tuple[tuple[str, int], ...]
@@ -85,81 +85,84 @@
 
 def read(path: Path) -> Scene:
     """Raises SettingsError with every error found."""
-    reader, root = r.load(path)
+    reader, root = r.load_document(path)
     if base := root.child("base"):  # what several scenes share: fleet, governors, replicas, relays, traffic
-        shared, more = r.load(path.parent / base.word("a file beside this one"))
+        shared, more = r.load_document(path.parent / base.get_name("a file beside this one"))
         shared.errors = reader.errors
         root.children += [n for n in more.children]
-        base.done(args=1)
-    node = root.need("scene")
-    name = node.word("a name")
-    length, seed = node.get("length", r.time), node.get("seed", r.whole(0, 2**31), 1)
-    node.done(args=1)
-    settings = f.parse(root, path.parent, listens=False)
+        base.reject_unread(expected_args=1)
+    node = root.require_child("scene")
+    name = node.get_name("a name")
+    length, seed = node.get("length", r.parse_duration_us), node.get("seed", r.integer_parser(0, 2**31), 1)
+    node.reject_unread(expected_args=1)
+    settings = parse_settings(root, path.parent, addresses_required=False)
     zones, kinds = settings.fleet.zones, settings.fleet.kinds
     groups = []
-    for n in root.all("replicas"):
+    for n in root.children_named("replicas"):
         groups.append(
             Group(
-                n.get("zone", r.one_of(zones)),
-                n.get("kind", r.one_of(kinds)),
-                n.get("count", r.whole(1, 1000)),
-                n.get("cores", r.whole(1, 256)),
-                n.get("speed", r.number(0.01, 100)),
-                n.get("spare", r.whole(0, 1000), 0),
+                n.get("zone", r.choice_parser(zones)),
+                n.get("kind", r.choice_parser(kinds)),
+                n.get("count", r.integer_parser(1, 1000)),
+                n.get("cores", r.integer_parser(1, 256)),
+                n.get("speed", r.number_parser(0.01, 100)),
+                n.get("spare", r.integer_parser(0, 1000), 0),
             )
         )
-        n.done()
+        n.reject_unread()
     if not groups:
-        root.fault("no replicas", 'add a node such as replicas zone="…" kind="…" count=4', "replicas")
+        root.add_error("no replicas", 'add a node such as replicas zone="…" kind="…" count=4', "replicas")
     relays = []
-    for n in root.all("relays"):
-        relays.append((n.get("zone", r.one_of(zones)), n.get("count", r.whole(1, 5000))))
-        n.done()
+    for n in root.children_named("relays"):
+        relays.append((n.get("zone", r.choice_parser(zones)), n.get("count", r.integer_parser(1, 5000))))
+        n.reject_unread()
     if not relays:
-        root.fault("no relays", 'add a node such as relays zone="…" count=5', "relays")
-    traffic = root.need("traffic")
-    load, skew = traffic.get("load", r.number(0.01, 3)), traffic.get("skew", r.number(0, 3), 0.6)
+        root.add_error("no relays", 'add a node such as relays zone="…" count=5', "relays")
+    traffic = root.require_child("traffic")
+    load, skew = (
+        traffic.get("load", r.number_parser(0.01, 3)),
+        traffic.get("skew", r.number_parser(0, 3), 0.6),
+    )
     loads = {}
-    for n in traffic.all("of"):
-        cls = n.word("a class name")
+    for n in traffic.children_named("of"):
+        cls = n.get_name("a class name")
         if cls not in [c.name for c in settings.fleet.classes]:
-            n.fault("a class that the fleet does not name", "name one of its classes")
+            n.add_error("a class that the fleet does not name", "name one of its classes")
         loads[cls] = Load(
-            n.get("share", r.number(0, 1)),
-            n.get("work", r.number(0.1, 1e5)),
-            n.get("cv", r.number(0.01, 3), 0.6),
+            n.get("share", r.number_parser(0, 1)),
+            n.get("work", r.number_parser(0.1, 1e5)),
+            n.get("cv", r.number_parser(0.01, 3), 0.6),
         )
-        n.done(args=1)
+        n.reject_unread(expected_args=1)
     for c in settings.fleet.classes:
         if c.name not in loads:
-            traffic.fault(f"no share for class {c.name}", f'add of "{c.name}" share=… work=…', "of")
-    traffic.done()
+            traffic.add_error(f"no share for class {c.name}", f'add of "{c.name}" share=… work=…', "of")
+    traffic.reject_unread()
     tenants = root.child("tenants")
     crowd = (
         Crowd(
-            tenants.get("count", r.whole(1, 100_000)),
-            tenants.get("skew", r.number(0, 3), 0.8),
-            tenants.get("cells", r.whole(0, 1000), 0),
+            tenants.get("count", r.integer_parser(1, 100_000)),
+            tenants.get("skew", r.number_parser(0, 3), 0.8),
+            tenants.get("cells", r.integer_parser(0, 1000), 0),
         )
         if tenants
         else Crowd(1, 0.0, 0)
     )
     if tenants:
-        tenants.done()
+        tenants.reject_unread()
     doors = root.child("limits")
     limits = (
         Door(
-            doors.get("cell", r.number(0.1, 100), 1.5),
-            doors.get("tenant", r.number(0.1, 100), 2.0),
-            doors.get("burst", r.number(0.1, 60), 2.0),
-            doors.get("held", r.whole(0, 10**6), 0),
+            doors.get("cell", r.number_parser(0.1, 100), 1.5),
+            doors.get("tenant", r.number_parser(0.1, 100), 2.0),
+            doors.get("burst", r.number_parser(0.1, 60), 2.0),
+            doors.get("held", r.integer_parser(0, 10**6), 0),
         )
         if doors
         else None
     )
     if doors:
-        doors.done()
+        doors.reject_unread()
     machine = _figures(
         root,
         "machine",
@@ -193,10 +196,10 @@
     notice = _figures(root, "roster", {"notice": "1s", "silent-notice": "5s", "add": "500ms"})
     some = tuple(
         faults.parse(n, zones, kinds, tuple(g.name for g in settings.governors), length)
-        for n in root.all("trouble")
+        for n in root.children_named("trouble")
     )
-    root.done()
-    reader.finish()
+    root.reject_unread()
+    reader.raise_errors()
     files = [path, *(path.parent / n.args[0] for n in root.children if n.name == "base")]
     source = next(text for file in files for name, text in _nodes(file) if name == "fleet")
     late = faults.Notice(int(notice["notice"]), int(notice["silent-notice"]), int(notice["add"]))
@@ -225,14 +228,18 @@
     node, out = root.child(name), {}
     for key, default in usual.items():
         if isinstance(default, str):
-            found: float = node.get(key, r.time, r.time(default)) if node else r.time(default)
+            found: float = (
+                node.get(key, r.parse_duration_us, r.parse_duration_us(default))
+                if node
+                else r.parse_duration_us(default)
+            )
         elif isinstance(default, bool):
-            found = node.get(key, r.flag, default) if node else default
+            found = node.get(key, r.parse_boolean, default) if node else default
         else:
-            found = node.get(key, r.number(0, 1e9), float(default)) if node else default
+            found = node.get(key, r.number_parser(0, 1e9), float(default)) if node else default
         out[key] = found
     if node:
-        node.done()
+        node.reject_unread()
     return out
 
 
@@ -318,32 +325,32 @@
             scene.loads[c.name].share,
             scene.loads[c.name].work,
             scene.loads[c.name].cv,
-            c.goal,
-            c.cutoff,
-            c.gain,
-            c.late_gain,
-            c.repeat.value,
-            c.only_zones,
-            c.only_kinds,
-            c.stays_local,
+            c.latency_objective_us,
+            c.deadline_us,
+            c.priority_weight,
+            c.late_priority_factor,
+            c.idempotency.value,
+            c.allowed_zones,
+            c.allowed_kinds,
+            c.zone_local,
         )
         for c in fleet.classes
     )
     mean = sum(c.share * c.work for c in classes) / sum(c.share for c in classes)
     capacity = sum(x.cores * x.speed for x in replicas if x.listed) * 1e3 / mean
-    ru, ch = fleet.rules, fleet.channel
+    ru, ch = fleet.safety, fleet.channel
     rules = p.Rules(
-        ru.grace,
-        ru.cold_time,
-        ru.fall_multiple,
-        ru.fall_span,
-        ru.bare_limit,
-        ru.gone_is_advice,
-        ch.queue_limit,
-        ch.line_rate,
-        ch.message_head,
-        ch.message_limit,
-        ch.message_window,
+        ru.drain_grace_us,
+        ru.warmup_us,
+        ru.overload_multiple,
+        ru.overload_window_us,
+        ru.unroutable_limit_us,
+        ru.gone_is_advisory,
+        ch.queue_limit_lines,
+        ch.lines_per_s,
+        ch.message_overhead_lines,
+        ch.messages_per_window,
+        ch.message_window_us,
     )
     rate = scene.load * capacity
     shares = [chance.lognormvariate(0, scene.crowd.skew) for _ in range(scene.crowd.count)]
@@ -351,10 +358,10 @@
     cells: tuple[str, ...] = tuple(f"c{n}" for n in range(scene.crowd.cells))
     placed = Placement({}, {})
     if cells:
-        placed = place(
+        placed = plan_placement(
             [Tenant(t, x * scene.load * sum(w.size for w in replicas)) for t, x in tenants],
-            [Worker(w.name, w.zone, w.kind, w.size) for w in replicas if w.listed],
-            Wanted(len(cells), 2, min(2, len(fleet.zones)), spare=0.0),
+            [Replica(w.name, w.zone, w.kind, w.size) for w in replicas if w.listed],
+            PlacementRequirements(len(cells), 2, min(2, len(fleet.zones)), spare_share=0.0),
         )
     limits = (
         p.Limits(
@@ -392,8 +399,8 @@
         int(scene.relay["standing"]),
         (int(scene.relay["redial-from"]), int(scene.relay["redial-to"])),
         (int(scene.relay["sums-from"]), int(scene.relay["sums-to"])),
-        fleet.reports.period,
-        fleet.hold,
+        fleet.load_reporting.period_us,
+        fleet.poll_hold_us,
         int(scene.machine["report"]),
         scene.machine["handshake"],
         bool(scene.machine["drops-waiting"]),
@@ -401,7 +408,7 @@
         follow,
         tenants,
         cells,
-        {w: cells[c] for w, c in placed.workers.items()},
+        {w: cells[c] for w, c in placed.replicas.items()},
         {t: cells[c] for t, c in placed.tenants.items()},
         limits,
         even,
