--- a/gradehoist/scenario/faults.py
+++ b/gradehoist/scenario/faults.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import Any
 
-from gradehoist.settings import reader as r
+from gradehoist.settings.reader import Node, choice_parser, number_parser, parse_duration_us
 from gradehoist.testbed.process import dice
 from gradehoist.testbed.scenario_plan import Plan, Replica, Step
 
@@ -45,27 +45,27 @@
 
 
 def parse(
-    n: r.Node, zones: tuple[str, ...], kinds: tuple[str, ...], governors: tuple[str, ...], length: int
+    n: Node, zones: tuple[str, ...], kinds: tuple[str, ...], governors: tuple[str, ...], length: int
 ) -> Trouble:
-    kind = n.word("a kind of trouble")
+    kind = n.get_name("a kind of trouble")
     if kind and kind not in SCRIPTS:
-        n.fault(f"unknown kind {kind}", "known are " + ", ".join(sorted(SCRIPTS)))
+        n.add_error(f"unknown kind {kind}", "known are " + ", ".join(sorted(SCRIPTS)))
     out = Trouble(
         kind,
-        n.get("at", r.time),
-        n.get("for", r.time, 10 * SECOND),
-        n.get("part", r.number(0, 1), 0.2),
-        n.get("size", r.number(0, 1000), 3.0),
-        n.get("extra", r.time, 3 * SECOND),
-        n.get("zone", r.one_of(zones), "") if "zone" in n.props else "",
-        n.get("machine", r.one_of(kinds), "") if "machine" in n.props else "",
-        n.get("governor", r.one_of(governors), "") if "governor" in n.props else "",
-        n.get("how", r.one_of(HOWS), "any"),
+        n.get("at", parse_duration_us),
+        n.get("for", parse_duration_us, 10 * SECOND),
+        n.get("part", number_parser(0, 1), 0.2),
+        n.get("size", number_parser(0, 1000), 3.0),
+        n.get("extra", parse_duration_us, 3 * SECOND),
+        n.get("zone", choice_parser(zones), "") if "zone" in n.props else "",
+        n.get("machine", choice_parser(kinds), "") if "machine" in n.props else "",
+        n.get("governor", choice_parser(governors), "") if "governor" in n.props else "",
+        n.get("how", choice_parser(HOWS), "any"),
     )
-    n.taken |= {"zone", "machine", "governor"}
+    n.read_keys |= {"zone", "machine", "governor"}
     if out.at and length and out.at >= length:
-        n.fault("begins after the day's end", "set at under the scene's length", "at")
-    n.done(args=1)
+        n.add_error("begins after the day's end", "set at under the scene's length", "at")
+    n.reject_unread(expected_args=1)
     return out
 
 
--- a/gradehoist/scenario/report.py
+++ b/gradehoist/scenario/report.py
@@ -51,13 +51,13 @@
 
 def weights_chart(plan: Plan, records: list[dict[str, Any]], t0: int, path: Path) -> None:
     """Each replica's mean share of a relay's lines for the first class, over all relays."""
-    holds: dict[str, feed.Holdings] = defaultdict(feed.Holdings)
+    holds: dict[str, feed.ProxyState] = defaultdict(feed.ProxyState)
     zone = {r.name: r.zone for r in plan.replicas}
     points: list[tuple[float, dict[str, float]]] = []
     cls, last = plan.classes[0].name, -1.0
     for r in records:
         if r["e"] == "joined":
-            holds[r["relay"]].joined()
+            holds[r["relay"]].begin_stream()
         if r["e"] != "applied":
             continue
         holds[r["relay"]].apply(msgspec.convert(r["message"], feed.Message))
@@ -67,7 +67,7 @@
         last = at
         mean: dict[str, float] = defaultdict(float)
         for held in holds.values():
-            lines = held.lines(cls)
+            lines = held.weights_for(cls)
             total = sum(lines.values())
             for name, weight in lines.items():
                 mean[name] += weight / total / len(holds)
@@ -101,7 +101,9 @@
     figure, axes = plt.subplots(figsize=(9, 2.8), layout="constrained")
     names = sorted({g for g, _ in by_epoch})
     for (governor, _), some in by_epoch.items():
-        costs = [(float(m.at), m.cost) for m in sorted(some.values(), key=lambda m: m.reply)]
+        costs = [
+            (float(m.created_us), m.cost_lines) for m in sorted(some.values(), key=lambda m: m.reply_number)
+        ]
         moves: list[tuple[float, float]] = []
         for (at, cost), (out, _) in zip(costs, audit.queue(costs, plan.rules.line_rate), strict=True):
             moves += [(at, cost), (out, -cost)]
--- a/gradehoist/scenario/runner.py
+++ b/gradehoist/scenario/runner.py
@@ -15,10 +15,10 @@
 
 import msgspec
 
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.scenario import audit
 from gradehoist.scenario.definition import Scene, settings_text
-from gradehoist.settings.fleet import Placed
+from gradehoist.settings.fleet import CellPlacement
 from gradehoist.testbed.process import Record, now
 from gradehoist.testbed.scenario_plan import Plan, Step
 
@@ -55,17 +55,17 @@
         self._start(f"governor-{name}", "gradehoist", "governor", settings, "--name", name, "--log", "json")
 
     async def _answers(self, name: str, port: int, method: str, target: str, body: bytes) -> None:
-        client, end = Client("127.0.0.1", port), asyncio.get_running_loop().time() + READY
+        client, end = HttpClient("127.0.0.1", port), asyncio.get_running_loop().time() + READY
         try:
             while True:
                 if self.processes[name].poll() is not None or asyncio.get_running_loop().time() > end:
                     log = (self.folder / f"{name}.log").read_text(errors="replace").strip().splitlines()
                     raise StartFailed(f"{name} did not come up: {' | '.join(log[-3:]) or 'it said nothing'}")
                 try:
-                    response = await client.exchange(method, target, body, timeout=1.0)
+                    response = await client.request(method, target, body, timeout_s=1.0)
                     if response.status < 300:
                         return
-                except (Unreachable, Broken, TimedOut):
+                except (ConnectError, ConnectionLostError, ResponseTimeoutError):
                     pass
                 await asyncio.sleep(0.05)
         finally:
@@ -86,7 +86,7 @@
         (self.folder / "plan.json").write_bytes(msgspec.json.encode(self.plan))
         (self.folder / "settings.kdl").write_text(settings_text(self.scene, self.plan), encoding="utf-8")
         if self.plan.cells:
-            placed = Placed(self.plan.cells, self.plan.workers, self.plan.named)
+            placed = CellPlacement(self.plan.cells, self.plan.workers, self.plan.named)
             (self.folder / "cells.json").write_bytes(msgspec.json.encode(placed))
         self.record = Record(self.folder / "day.jsonl")
         plan = str(self.folder / "plan.json")
@@ -195,9 +195,9 @@
                 self._governor(name)
                 self.record("started", governor=name)
             return
-        client = Client("127.0.0.1", self.plan.controls[step.role])
+        client = HttpClient("127.0.0.1", self.plan.controls[step.role])
         try:
-            response = await client.exchange("POST", "/", msgspec.json.encode(step.do), timeout=5.0)
+            response = await client.request("POST", "/", msgspec.json.encode(step.do), timeout_s=5.0)
         finally:
             client.close()
         if response.status != 204:
--- a/gradehoist/settings/reader.py
+++ b/gradehoist/settings/reader.py
@@ -40,87 +40,87 @@
     props: dict[str, Any]
     children: list[Node]
     line: int
-    reader: Reader
+    reader: SettingsReader
     parent: Node | None = None
-    taken: set[str] = field(default_factory=set)
+    read_keys: set[str] = field(default_factory=set)
 
     @property
     def path(self) -> str:
         own = self.name + (f' "{self.args[0]}"' if self.args and isinstance(self.args[0], str) else "")
         return f"{self.parent.path} > {own}" if self.parent else own
 
-    def fault(self, expected: str, remedy: str, where: str = "") -> None:
+    def add_error(self, expected: str, remedy: str, where: str = "") -> None:
         place = f"{self.path} > {where}" if where else self.path
         self.reader.errors.append(f"{self.reader.file}:{self.line}: {place}: {expected}; {remedy}")
 
-    def get(self, key: str, read: Callable[[Any], T], default: T | None = None) -> T:
+    def get(self, key: str, parse: Callable[[Any], T], default: T | None = None) -> T:
         """A property read by `read`, which raises ValueError saying what is expected."""
-        self.taken.add(key)
+        self.read_keys.add(key)
         if key not in self.props:
             if default is None:
-                self.fault("missing", f"add {key}=…", key)
+                self.add_error("missing", f"add {key}=…", key)
             return default  # type: ignore[return-value]  # a missing value is an error, told at the end
         try:
-            return read(self.props[key])
+            return parse(self.props[key])
         except ValueError as fault:
-            self.fault(f"expected {fault}, got {self.props[key]!r}", "correct it", key)
+            self.add_error(f"expected {fault}, got {self.props[key]!r}", "correct it", key)
             return default  # type: ignore[return-value]
 
-    def word(self, what: str) -> str:
+    def get_name(self, what: str) -> str:
         """The node's only argument, a name."""
         if len(self.args) != 1 or not isinstance(self.args[0], str) or not self.args[0]:
-            self.fault(f"expected {what} in quotes", f'write {self.name} "…"')
+            self.add_error(f"expected {what} in quotes", f'write {self.name} "…"')
             return ""
         return self.args[0]
 
-    def words(self, what: str) -> tuple[str, ...]:
+    def get_names(self, what: str) -> tuple[str, ...]:
         if not self.args or not all(isinstance(a, str) and a for a in self.args):
-            self.fault(f"expected {what} in quotes", f'write {self.name} "…" "…"')
+            self.add_error(f"expected {what} in quotes", f'write {self.name} "…" "…"')
             return ()
         if len(set(self.args)) < len(self.args):
-            self.fault("a name stands twice", "name each once")
+            self.add_error("a name stands twice", "name each once")
         return tuple(self.args)
 
     def child(self, name: str) -> Node | None:
         """The one child of that name, or None, which is an error unless the caller has a default."""
-        self.taken.add("> " + name)
+        self.read_keys.add("> " + name)
         found = [c for c in self.children if c.name == name]
         for extra in found[1:]:
-            extra.fault("stands twice", f"keep one {name}")
+            extra.add_error("stands twice", f"keep one {name}")
         return found[0] if found else None
 
-    def need(self, name: str) -> Node:
+    def require_child(self, name: str) -> Node:
         found = self.child(name)
         if found is None:
-            self.fault("missing", f"add a node {name}", name)
-            return Node(name, [], {}, [], self.line, Reader(self.reader.file), self)
+            self.add_error("missing", f"add a node {name}", name)
+            return Node(name, [], {}, [], self.line, SettingsReader(self.reader.file), self)
         return found
 
-    def all(self, name: str) -> list[Node]:
-        self.taken.add("> " + name)
+    def children_named(self, name: str) -> list[Node]:
+        self.read_keys.add("> " + name)
         return [c for c in self.children if c.name == name]
 
-    def done(self, args: int = 0) -> None:
+    def reject_unread(self, expected_args: int = 0) -> None:
         """Reports what nobody asked for, so that a misspelt setting is not passed over."""
-        if len(self.args) > args:
-            self.fault(f"{len(self.args)} values where {args} are expected", "remove the others")
+        if len(self.args) > expected_args:
+            self.add_error(f"{len(self.args)} values where {expected_args} are expected", "remove the others")
         for key in self.props:
-            if key not in self.taken:
-                known = ", ".join(sorted(k for k in self.taken if not k.startswith("> "))) or "none"
-                self.fault("unknown property", f"known here: {known}", key)
+            if key not in self.read_keys:
+                known = ", ".join(sorted(k for k in self.read_keys if not k.startswith("> "))) or "none"
+                self.add_error("unknown property", f"known here: {known}", key)
         for child in self.children:
-            if "> " + child.name not in self.taken:
-                known = ", ".join(sorted(k[2:] for k in self.taken if k.startswith("> "))) or "none"
-                child.fault("unknown node", f"known here: {known}")
+            if "> " + child.name not in self.read_keys:
+                known = ", ".join(sorted(k[2:] for k in self.read_keys if k.startswith("> "))) or "none"
+                child.add_error("unknown node", f"known here: {known}")
 
 
-class Reader:
+class SettingsReader:
     """Reads one file; `finish` raises what was wrong, all of it at once."""
 
     def __init__(self, file: str) -> None:
         self.file, self.errors = file, list[str]()
 
-    def root(self, text: str) -> Node:
+    def parse(self, text: str) -> Node:
         """Raises SettingsError at once where the text is no KDL."""
         places: dict[int, int] = {}
 
@@ -143,23 +143,23 @@
         out.children = [self._node(n, places, out) for n in node.nodes]
         return out
 
-    def finish(self) -> None:
+    def raise_errors(self) -> None:
         if self.errors:
             raise SettingsError(self.errors)
 
 
-def load(path: str | Path) -> tuple[Reader, Node]:
+def load_document(path: str | Path) -> tuple[SettingsReader, Node]:
     """Raises SettingsError where the file can't be read or is no KDL."""
-    reader = Reader(str(path))
+    reader = SettingsReader(str(path))
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as fault:
         reason = getattr(fault, "strerror", None) or "not UTF-8"
         raise SettingsError([f"{path}: can't be read: {reason}; name a settings file in KDL"]) from None
-    return reader, reader.root(text)
+    return reader, reader.parse(text)
 
 
-def time(value: Any) -> int:
+def parse_duration_us(value: Any) -> int:
     """Microseconds from "250ms", "2s" and the like, 31 days at most."""
     found = _TIME.fullmatch(value) if isinstance(value, str) and len(value) < 20 else None
     figure = float(found[1]) * _UNITS[found[2]] if found else math.inf
@@ -168,18 +168,18 @@
     return round(figure)
 
 
-def span(least: str) -> Callable[[Any], int]:
+def duration_parser(least: str) -> Callable[[Any], int]:
     """A time that is divided by, or waited for in a loop."""
 
     def read(value: Any) -> int:
-        if (found := time(value)) < time(least):
+        if (found := parse_duration_us(value)) < parse_duration_us(least):
             raise ValueError(f'a time of "{least}" or more')
         return found
 
     return read
 
 
-def number(least: float, most: float) -> Callable[[Any], float]:
+def number_parser(least: float, most: float) -> Callable[[Any], float]:
     def read(value: Any) -> float:
         good = isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
         if not good or not least <= value <= most:
@@ -189,10 +189,10 @@
     return read
 
 
-def whole(least: int, most: int) -> Callable[[Any], int]:
+def integer_parser(least: int, most: int) -> Callable[[Any], int]:
     def read(value: Any) -> int:
         try:
-            figure = number(least, most)(value)
+            figure = number_parser(least, most)(value)
         except ValueError:
             figure = 0.5
         if figure != int(figure):
@@ -202,19 +202,19 @@
     return read
 
 
-def flag(value: Any) -> bool:
+def parse_boolean(value: Any) -> bool:
     if not isinstance(value, bool):
         raise ValueError("true or false")
     return value
 
 
-def text(value: Any) -> str:
+def parse_text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError("text in quotes")
     return value
 
 
-def one_of(choices: Iterable[str]) -> Callable[[Any], str]:
+def choice_parser(choices: Iterable[str]) -> Callable[[Any], str]:
     names = tuple(choices)
 
     def read(value: Any) -> str:
@@ -225,7 +225,7 @@
     return read
 
 
-def names(known: Iterable[str]) -> Callable[[Any], tuple[str, ...]]:
+def names_parser(known: Iterable[str]) -> Callable[[Any], tuple[str, ...]]:
     """Names set apart by spaces or commas, each of them known."""
     allowed = tuple(known)
 
@@ -238,7 +238,7 @@
     return read
 
 
-def address(value: Any) -> tuple[str, int]:
+def parse_address(value: Any) -> tuple[str, int]:
     """host:port; raises ValueError unless the host is a dotted address and the port a free number."""
     if not isinstance(value, str):
         raise ValueError('an address such as "127.0.0.1:7101"')
--- a/gradehoist/store/atomic_file.py
+++ b/gradehoist/store/atomic_file.py
@@ -13,11 +13,11 @@
 from pathlib import Path
 
 
-class Held(Exception):
+class FolderLockedError(Exception):
     """Another process writes here; its pid is in the text."""
 
 
-def write(path: Path, data: bytes) -> None:
+def write_file(path: Path, data: bytes) -> None:
     """Raises OSError; the old file stands then."""
     path.parent.mkdir(parents=True, exist_ok=True)
     part = path.with_name(path.name + ".part")
@@ -33,7 +33,7 @@
         os.close(folder)
 
 
-async def write_aside(path: Path, data: bytes) -> None:
+async def write_file_in_thread(path: Path, data: bytes) -> None:
     """`write` by a thread that the process does not wait for at its end: on the loop, a slow disk held up
     drains. The caller sees to one write of a path at a time. Raises OSError."""
     loop = asyncio.get_running_loop()
@@ -46,7 +46,7 @@
     def work() -> None:
         fault: OSError | None = None
         try:
-            write(path, data)
+            write_file(path, data)
         except OSError as met:
             fault = met
         with contextlib.suppress(RuntimeError):  # the loop has ended meanwhile
@@ -57,21 +57,21 @@
         raise fault
 
 
-class Lock:
+class FolderLock:
     """Held from making it until `free` or the end of the process. Raises Held, OSError."""
 
-    def __init__(self, folder: Path, name: str = "lock") -> None:
+    def __init__(self, folder: Path, file_name: str = "lock") -> None:
         folder.mkdir(parents=True, exist_ok=True)
-        self._file = os.open(folder / name, os.O_RDWR | os.O_CREAT, 0o644)
+        self._file = os.open(folder / file_name, os.O_RDWR | os.O_CREAT, 0o644)
         try:
             fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             pid = os.read(self._file, 20).decode("ascii", "replace").strip()
             os.close(self._file)
-            raise Held(f"{folder} is in use by pid {pid or 'unknown'}") from None
+            raise FolderLockedError(f"{folder} is in use by pid {pid or 'unknown'}") from None
         with contextlib.suppress(OSError):  # held all the same where a full disk does not take the pid
             os.ftruncate(self._file, 0)
             os.pwrite(self._file, str(os.getpid()).encode(), 0)
 
-    def free(self) -> None:
+    def release(self) -> None:
         os.close(self._file)
--- a/gradehoist/store/log_writer.py
+++ b/gradehoist/store/log_writer.py
@@ -7,16 +7,16 @@
 import threading
 
 
-class Sink:
+class LogWriter:
     """Takes lines for a thread to write. A reader that stands still, a closed pipe, a full disk cost lines,
     counted and told once there is room again: written by the loop they stopped it, or ended its clock."""
 
-    MOST = 10_000  # lines kept for a slow reader: some minutes of a bad day, a few megabytes
-    LAST = 1.0  # seconds that the end of the process waits for what is still to be written
+    QUEUE_LIMIT_LINES = 10_000  # lines kept for a slow reader: some minutes of a bad day, a few megabytes
+    CLOSE_TIMEOUT_S = 1.0  # seconds that the end of the process waits for what is still to be written
 
     def __init__(self, fd: int) -> None:
         self._fd, self._lost = fd, 0
-        self._lines: queue.Queue[str | None] = queue.Queue(self.MOST)
+        self._lines: queue.Queue[str | None] = queue.Queue(self.QUEUE_LIMIT_LINES)
         self._thread = threading.Thread(target=self._write, daemon=True)
         self._thread.start()
 
@@ -42,9 +42,9 @@
             except OSError:
                 self._lost += 1
 
-    def close(self, wait: float = LAST) -> None:
+    def close(self, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
         try:
-            self._lines.put(None, timeout=wait)
+            self._lines.put(None, timeout=timeout_s)
         except queue.Full:
             return
-        self._thread.join(wait)
+        self._thread.join(timeout_s)
--- a/gradehoist/store/sqlite_store.py
+++ b/gradehoist/store/sqlite_store.py
@@ -23,17 +23,37 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from gradehoist.coordination import store as r
+from gradehoist.coordination.store import (
+    Change,
+    CommitRejected,
+    Committed,
+    Delete,
+    HistoryCompactedError,
+    OutcomeUnknownError,
+    Put,
+    Record,
+    SessionEndedError,
+    StoreFullError,
+    StoreSnapshot,
+    StoreUnavailableError,
+    WatchBatch,
+    WatchEvent,
+    check_sizes,
+)
 
 T = TypeVar("T")
-POLL = 0.05  # seconds between a watcher's looks: 230 processes cost 1.8 cores at rest, contacts included
-BUSY = 1.0  # seconds that a commit waits for others': a commit takes some milliseconds
-LOG = 20_000  # changes kept for watchers: minutes of a fleet's worst day, a few megabytes
-SPARE = 1_000  # trimmed that many at a time
-AWAY = 2 / 3  # of a session's time in which nobody renewed: the register was away, not all of them
-BOOT = Path("/proc/sys/kernel/random/boot_id")
-
-RECORDS = """
+WATCH_POLL_S = (
+    0.05  # seconds between a watcher's looks: 230 processes cost 1.8 cores at rest, contacts included
+)
+LOCK_TIMEOUT_S = 1.0  # seconds that a commit waits for others': a commit takes some milliseconds
+CHANGE_LOG_LENGTH = 20_000  # changes kept for watchers: minutes of a fleet's worst day, a few megabytes
+CHANGE_LOG_TRIM = 1_000  # trimmed that many at a time
+STANDSTILL_SHARE = (
+    2 / 3
+)  # of a session's time in which nobody renewed: the register was away, not all of them
+BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
+
+RECORDS_SCHEMA = """
 CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS records (key TEXT PRIMARY KEY, value BLOB, version INTEGER, token TEXT,
     session TEXT) WITHOUT ROWID;
@@ -42,13 +62,13 @@
     session TEXT, gone INTEGER);
 CREATE INDEX IF NOT EXISTS by_revision ON log (revision);
 """
-SESSIONS = """
+SESSIONS_SCHEMA = """
 CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS sessions (id TEXT PRIMARY KEY, ttl INTEGER, due INTEGER) WITHOUT ROWID;
 """
 
 
-def now() -> int:
+def monotonic_us() -> int:
     return time.monotonic_ns() // 1_000
 
 
@@ -108,9 +128,9 @@
                 return known[0]
             self.shut()
             # Told once: what was read of the one before may not be what this one holds.
-            raise r.Unreachable(f"{path}: another folder was put in its place")
+            raise StoreUnavailableError(f"{path}: another folder was put in its place")
         self.folder.mkdir(parents=True, exist_ok=True)
-        found = sqlite3.connect(path, timeout=BUSY, isolation_level=None, check_same_thread=False)
+        found = sqlite3.connect(path, timeout=LOCK_TIMEOUT_S, isolation_level=None, check_same_thread=False)
         found.execute("PRAGMA journal_mode = WAL")
         found.execute(f"PRAGMA synchronous = {'FULL' if flushed else 'NORMAL'}")
         with _commit(found):
@@ -121,7 +141,7 @@
             found.execute("INSERT OR IGNORE INTO meta VALUES ('revision', 1), ('compacted', 0), ('boot', '')")
         identity = self._identity(path)
         if identity is None:
-            raise r.Unreachable(f"{path} went while it was opened")
+            raise StoreUnavailableError(f"{path} went while it was opened")
         self._open[name] = found, identity
         return found
 
@@ -157,7 +177,7 @@
             db.execute("ROLLBACK")
         if fault.sqlite_errorcode & 0xFF in (sqlite3.SQLITE_FULL, sqlite3.SQLITE_BUSY):
             raise
-        raise r.Unknown(str(fault)) from None
+        raise OutcomeUnknownError(str(fault)) from None
 
 
 def _after(prefix: str) -> str:
@@ -165,9 +185,9 @@
     return prefix + "\U0010ffff"
 
 
-def _record(key: Any, value: Any, version: Any, token: Any, session: Any) -> r.Record:
+def _record(key: Any, value: Any, version: Any, token: Any, session: Any) -> Record:
     good = isinstance(value, bytes) and isinstance(token, str) and isinstance(session, str)
-    return r.Record(
+    return Record(
         str(key),
         value if isinstance(value, bytes) else b"",
         int(version),
@@ -177,11 +197,11 @@
     )
 
 
-class Embedded:
+class SqliteStore:
     """A `register.Home`. The folder is made if need be; calls raise what `register` names."""
 
-    def __init__(self, folder: Path, log: int = LOG) -> None:
-        self._log = log
+    def __init__(self, folder: Path, change_log_length: int = CHANGE_LOG_LENGTH) -> None:
+        self._log = change_log_length
         self._files, self._watched = _Files(folder), _Files(folder)
         self._worker, self._watcher = _Worker("register"), _Worker("register-watch")
         self._closed = threading.Event()
@@ -194,23 +214,23 @@
                 code = getattr(fault, "sqlite_errorcode", 0) & 0xFF
                 (self._files if worker is self._worker else self._watched).shut()
                 if code == sqlite3.SQLITE_FULL:
-                    raise r.Full(f"{self._files.folder}: no room; free some of the disk") from None
-                raise r.Unreachable(f"{self._files.folder}: {fault}") from None
+                    raise StoreFullError(f"{self._files.folder}: no room; free some of the disk") from None
+                raise StoreUnavailableError(f"{self._files.folder}: {fault}") from None
             except OSError as fault:
-                raise r.Unreachable(f"{self._files.folder}: {fault.strerror or fault}") from None
+                raise StoreUnavailableError(f"{self._files.folder}: {fault.strerror or fault}") from None
 
         if self._closed.is_set():
-            raise r.Unreachable("closed")
+            raise StoreUnavailableError("closed")
         return await worker.do(safe)
 
     def _records(self) -> sqlite3.Connection:
-        return self._files.get("register.db", RECORDS, True)
+        return self._files.get("register.db", RECORDS_SCHEMA, True)
 
     def _sessions(self) -> sqlite3.Connection:
-        return self._files.get("sessions.db", SESSIONS, False)
+        return self._files.get("sessions.db", SESSIONS_SCHEMA, False)
 
-    async def read(self, prefix: str) -> r.Snapshot:
-        def work() -> r.Snapshot:
+    async def read(self, prefix: str) -> StoreSnapshot:
+        def work() -> StoreSnapshot:
             db = self._records()
             db.execute("BEGIN")
             try:
@@ -221,16 +241,16 @@
                 ).fetchall()
             finally:
                 db.execute("COMMIT")
-            return r.Snapshot(meta["lineage"], meta["revision"], tuple(_record(*row) for row in rows))
+            return StoreSnapshot(meta["lineage"], meta["revision"], tuple(_record(*row) for row in rows))
 
         return await self._do(self._worker, work)
 
-    async def commit(self, changes: tuple[r.Change, ...], token: str) -> r.Done | r.Refused:
-        r.checked(changes)
+    async def commit(self, changes: tuple[Change, ...], token: str) -> Committed | CommitRejected:
+        check_sizes(changes)
 
-        def work() -> r.Done | r.Refused:
+        def work() -> Committed | CommitRejected:
             db = self._records()
-            for session in {c.session for c in changes if isinstance(c, r.Put) and c.session}:
+            for session in {c.session_id for c in changes if isinstance(c, Put) and c.session_id}:
                 self._live(session)
             with _commit(db):
                 revision = self._count(db)
@@ -241,10 +261,12 @@
                     ).fetchone()
                     if row is not None:
                         found[c.key] = _record(*row)
-                if any(c.expect != (found[c.key].version if c.key in found else 0) for c in changes):
-                    return r.Refused(revision, tuple(found.values()))
+                if any(
+                    c.expected_version != (found[c.key].version if c.key in found else 0) for c in changes
+                ):
+                    return CommitRejected(revision, tuple(found.values()))
                 self._write(db, revision + 1, changes, token)
-                return r.Done(revision + 1)
+                return Committed(revision + 1)
 
         return await self._do(self._worker, work)
 
@@ -252,12 +274,10 @@
     def _count(db: sqlite3.Connection) -> int:
         return int(db.execute("SELECT value FROM meta WHERE name = 'revision'").fetchone()[0])
 
-    def _write(
-        self, db: sqlite3.Connection, revision: int, changes: tuple[r.Change, ...], token: str
-    ) -> None:
+    def _write(self, db: sqlite3.Connection, revision: int, changes: tuple[Change, ...], token: str) -> None:
         for c in changes:
-            if isinstance(c, r.Put):
-                row = (c.key, c.value, revision, token, c.session)
+            if isinstance(c, Put):
+                row = (c.key, c.value, revision, token, c.session_id)
                 db.execute("INSERT OR REPLACE INTO records VALUES (?, ?, ?, ?, ?)", row)
                 db.execute(
                     "INSERT INTO log (key, value, revision, token, session, gone) "
@@ -269,7 +289,7 @@
                 db.execute("INSERT INTO log (key, revision, gone) VALUES (?, ?, 1)", (c.key, revision))
         db.execute("UPDATE meta SET value = ? WHERE name = 'revision'", (revision,))
         first, last = db.execute("SELECT min(n), max(n) FROM log").fetchone()
-        if last is not None and last - first >= self._log + min(SPARE, self._log):
+        if last is not None and last - first >= self._log + min(CHANGE_LOG_TRIM, self._log):
             (oldest,) = db.execute("SELECT revision FROM log WHERE n = ?", (last - self._log,)).fetchone()
             db.execute("DELETE FROM log WHERE revision <= ?", (oldest,))
             db.execute("UPDATE meta SET value = ? WHERE name = 'compacted'", (oldest,))
@@ -278,12 +298,12 @@
 
     def _live(self, session: str) -> None:
         row = self._sessions().execute("SELECT due FROM sessions WHERE id = ?", (session,)).fetchone()
-        if row is None or row[0] < now():
-            raise r.Ended(f"session {session} has ended")
+        if row is None or row[0] < monotonic_us():
+            raise SessionEndedError(f"session {session} has ended")
 
     def _expire(self) -> None:
         """Ends sessions whose time is over, unless the machine or the register stood still itself."""
-        db, at, boot = self._sessions(), now(), BOOT.read_text().strip()
+        db, at, boot = self._sessions(), monotonic_us(), BOOT_ID_PATH.read_text().strip()
         with _commit(db):
             (known,) = db.execute("SELECT value FROM meta WHERE name = 'boot'").fetchone()
             (renewed,) = db.execute("SELECT max(due - ttl) FROM sessions").fetchone()
@@ -292,7 +312,7 @@
             if known != boot or (renewed is not None and at - renewed > 0):
                 db.execute(
                     "UPDATE sessions SET due = ? + ttl WHERE ? OR ? - ? > ? * ttl",
-                    (at, known != boot, at, renewed or at, AWAY),
+                    (at, known != boot, at, renewed or at, STANDSTILL_SHARE),
                 )
         over = [id for (id,) in db.execute("SELECT id FROM sessions WHERE due < ?", (at,))]
         for session in over:
@@ -303,7 +323,7 @@
         db = self._records()
         with _commit(db):
             keys = db.execute("SELECT key FROM records WHERE session = ? AND session != ''", (session,))
-            changes = tuple(r.Delete(key, 0) for (key,) in keys.fetchall())
+            changes = tuple(Delete(key, 0) for (key,) in keys.fetchall())
             if changes:
                 self._write(db, self._count(db) + 1, changes, "")
 
@@ -311,7 +331,9 @@
         def work() -> str:
             self._expire()
             session = uuid.uuid4().hex[:16]
-            self._sessions().execute("INSERT INTO sessions VALUES (?, ?, ?)", (session, ttl, now() + ttl))
+            self._sessions().execute(
+                "INSERT INTO sessions VALUES (?, ?, ?)", (session, ttl, monotonic_us() + ttl)
+            )
             # Records whose session an older folder of sessions does not know: nobody else would delete them.
             held = {
                 s
@@ -328,14 +350,14 @@
     async def keep(self, session: str) -> int:
         def work() -> int:
             self._expire()
-            at = now()
+            at = monotonic_us()
             done = (
                 self._sessions()
                 .execute("UPDATE sessions SET due = ? + ttl WHERE id = ? AND due >= ?", (at, session, at))
                 .rowcount
             )
             if not done:
-                raise r.Ended(f"session {session} has ended")
+                raise SessionEndedError(f"session {session} has ended")
             return self._count(self._records())
 
         return await self._do(self._worker, work)
@@ -349,31 +371,31 @@
 
     # Watching
 
-    async def watch(self, prefix: str, after: int, wait: int) -> r.Batch:
-        end = now() + wait
+    async def watch(self, prefix: str, after: int, wait: int) -> WatchBatch:
+        end = monotonic_us() + wait
 
-        def work() -> r.Batch:
+        def work() -> WatchBatch:
             seen: tuple[int, int] | None = None
             while True:
-                db = self._watched.get("register.db", RECORDS, True)
+                db = self._watched.get("register.db", RECORDS_SCHEMA, True)
                 (changed,) = db.execute("PRAGMA data_version").fetchone()
                 if seen != (id(db), changed):  # cheap while nothing was written
                     seen = id(db), changed
                     if (found := self._changes(db, prefix, after)) is not None:
                         return found
-                if now() >= end or self._closed.is_set():
+                if monotonic_us() >= end or self._closed.is_set():
                     meta = dict(db.execute("SELECT name, value FROM meta"))
-                    return r.Batch(meta["lineage"], after, after, ())
-                time.sleep(POLL)
+                    return WatchBatch(meta["lineage"], after, after, ())
+                time.sleep(WATCH_POLL_S)
 
         return await self._do(self._watcher, work)
 
-    def _changes(self, db: sqlite3.Connection, prefix: str, after: int) -> r.Batch | None:
+    def _changes(self, db: sqlite3.Connection, prefix: str, after: int) -> WatchBatch | None:
         db.execute("BEGIN")
         try:
             meta = dict(db.execute("SELECT name, value FROM meta"))
             if meta["compacted"] > after:
-                raise r.Compacted(f"changes up to {meta['compacted']} are not kept")
+                raise HistoryCompactedError(f"changes up to {meta['compacted']} are not kept")
             if meta["revision"] == after:
                 return None
             rows = db.execute(
@@ -383,11 +405,11 @@
         finally:
             db.execute("COMMIT")
         events = tuple(
-            r.Event(key, revision, None if gone else _record(key, value, revision, token, session))
+            WatchEvent(key, revision, None if gone else _record(key, value, revision, token, session))
             for key, revision, value, token, session, gone in rows
             if key.startswith(prefix)
         )
-        return r.Batch(meta["lineage"], after, meta["revision"], events)
+        return WatchBatch(meta["lineage"], after, meta["revision"], events)
 
     async def close(self) -> None:
         self._closed.set()
--- a/gradehoist/testbed/clients.py
+++ b/gradehoist/testbed/clients.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.testbed import scenario_plan as p
 from gradehoist.testbed.process import Process, dice, now
 
@@ -19,7 +19,7 @@
 class Clients(Process):
     def __init__(self, plan: p.Plan, role: str, folder: Path) -> None:
         super().__init__(plan, role, folder)
-        self.clients = {r.name: Client("127.0.0.1", r.port) for r in plan.relays}
+        self.clients = {r.name: HttpClient("127.0.0.1", r.port) for r in plan.relays}
         self.factor = {r.name: 1.0 for r in plan.relays}  # by relay: hot callers, zones that traffic leaves
         self.whole = 1.0
         self.louder: dict[str, float] = {}  # by tenant: how many times its share
@@ -92,13 +92,13 @@
                     ("x-tenant", tenant),
                 )
                 try:
-                    response = await self.clients[relay].exchange("POST", "/", b"", headers, patience / 1e6)
+                    response = await self.clients[relay].request("POST", "/", b"", headers, patience / 1e6)
                     status = response.status
-                except Unreachable:
+                except ConnectError:
                     status = -1
-                except Broken:
+                except ConnectionLostError:
                     status = -2
-                except TimedOut:
+                except ResponseTimeoutError:
                     status = -3
                 # What may have run is not sent again unless a second run is harmless.
                 again = status in (429, 503, -1) or (cls.repeat == "free" and status != 200)
--- a/gradehoist/testbed/deploy.py
+++ b/gradehoist/testbed/deploy.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from gradehoist.net.client import Client
+from gradehoist.net.client import HttpClient
 from gradehoist.testbed import scenario_plan as p
 
 DRAIN = 1.5  # seconds: what is in hand ends meanwhile
@@ -21,9 +21,9 @@
     zone = next(r.zone for r in plan.replicas if r.name == worker)
 
     async def tell(role: str, **do: object) -> None:
-        client = Client("127.0.0.1", plan.controls[role])
+        client = HttpClient("127.0.0.1", plan.controls[role])
         try:
-            response = await client.exchange("POST", "/", msgspec.json.encode(do), timeout=5.0)
+            response = await client.request("POST", "/", msgspec.json.encode(do), timeout_s=5.0)
         finally:
             client.close()
         if response.status != 204:
--- a/gradehoist/testbed/endpoint_list.py
+++ b/gradehoist/testbed/endpoint_list.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from gradehoist.net.server import Answer, Connection, Server, json, refusal
+from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response, json_response
 from gradehoist.protocol import feed, http
 from gradehoist.testbed.process import Process, now
 
@@ -31,7 +31,7 @@
         self.news = asyncio.Event()
         self.known = {r.name: r for r in self.plan.replicas}
         self.via = {(link.zone, link.target): link.port for link in self.plan.links if not link.relay}
-        self.server = Server(self._handle)
+        self.server = HttpServer(self._handle)
         self.server.listen(self.plan.roster[1], self.plan.roster[0])
 
     def control(self, do: dict[str, Any]) -> None:
@@ -62,19 +62,19 @@
         self.news.set()
         self.news = asyncio.Event()
 
-    async def _handle(self, request: http.Request, connection: Connection) -> Answer | None:
+    async def _handle(self, request: http.Request, connection: Connection) -> ServerResponse | None:
         url = urlsplit(request.target)
         if url.path != "/v1/roster":
-            return refusal(404, "only /v1/roster is here")
+            return error_response(404, "only /v1/roster is here")
         query = {k: v[-1] for k, v in parse_qs(url.query).items()}
         after, zone = int(query.get("after", -1)), query.get("zone", "")
         end = asyncio.get_running_loop().time() + min(10.0, float(query.get("wait", 0)))
         while True:
             if self.down == "silent":
-                await connection.gone.wait()
+                await connection.closed.wait()
                 return None
             if self.down:
-                return refusal(503, "down")
+                return error_response(503, "down")
             whole = after < 0 or query.get("life") != self.life or after < self.version - KEPT
             if whole or after < self.version:
                 break
@@ -87,7 +87,7 @@
             except TimeoutError:
                 break
         entries = tuple(
-            feed.Replica(
+            feed.EndpointRecord(
                 name,
                 self.known[name].zone,
                 f"127.0.0.1:{self.via[zone, name]}",
@@ -101,6 +101,6 @@
             for name, e in self.entries.items()
             if (e.phase != "gone" if whole else e.version > after)
         )
-        told = {e.replica: [e.phase, e.boot] for e in entries}
+        told = {e.replica: [e.phase, e.incarnation] for e in entries}
         self.record("told", reader=query.get("reader", ""), whole=whole, version=self.version, entries=told)
-        return json(feed.Roster(self.life, self.version, entries, whole, max(0, after)))
+        return json_response(feed.EndpointListUpdate(self.life, self.version, entries, whole, max(0, after)))
--- a/gradehoist/testbed/process.py
+++ b/gradehoist/testbed/process.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from gradehoist.net.server import Answer, Connection, Server, refusal
+from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response
 from gradehoist.protocol import http
 from gradehoist.testbed.scenario_plan import Plan
 
@@ -80,21 +80,21 @@
         """Carries out an order of the day. Raises KeyError or ValueError for one it can't."""
         raise NotImplementedError
 
-    async def _control(self, request: http.Request, connection: Connection) -> Answer:
+    async def _control(self, request: http.Request, connection: Connection) -> ServerResponse:
         try:
             do: dict[str, Any] = msgspec.json.decode(request.body, type=dict[str, Any])
             if do["do"] != "ping":
                 self.control(do)
         except (KeyError, ValueError, TypeError) as fault:
-            return refusal(400, repr(fault))
-        return Answer(204)
+            return error_response(400, repr(fault))
+        return ServerResponse(204)
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         await self.begin()
-        control = Server(self._control)
+        control = HttpServer(self._control)
         control.listen(self.plan.controls[self.role], "127.0.0.1")
         while not self._stop.is_set():
             with contextlib.suppress(TimeoutError):
--- a/gradehoist/testbed/proxy.py
+++ b/gradehoist/testbed/proxy.py
@@ -13,20 +13,22 @@
 
 import msgspec
 
-from gradehoist.cells.rate_limits import Door, Limits
-from gradehoist.cells.routes import home, label
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from gradehoist.net.server import Answer, Connection, Server
+from gradehoist.cells.rate_limits import RateLimiter, RateLimits
+from gradehoist.cells.routes import class_label, home_cell
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
+from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http, orca
 from gradehoist.testbed import scenario_plan as p
 from gradehoist.testbed.process import ENCODER, Process, dice, now
 
-FEED: msgspec.json.Decoder[feed.Feed] = msgspec.json.Decoder(feed.Feed)
+FEED: msgspec.json.Decoder[feed.PollResponse] = msgspec.json.Decoder(feed.PollResponse)
 LEAST_LEFT = 30_000  # µs: with less time left no further try is made
 
 
-def _limits(told: feed.Limits) -> Limits:
-    return Limits(told.cell, told.tenant, told.burst, told.held, told.cell_held)
+def _limits(told: feed.RateLimitsDelta) -> RateLimits:
+    return RateLimits(
+        told.cell_rate, told.tenant_rate, told.burst_s, told.tenant_in_flight, told.cell_in_flight
+    )
 
 
 @dataclass
@@ -34,7 +36,7 @@
     tries: int = 0
     bad: int = 0
     elapsed: int = 0
-    report: orca.Report | None = None
+    report: orca.OrcaReport | None = None
 
 
 @dataclass
@@ -52,19 +54,19 @@
             for link in self.whole.links
             if not link.relay and link.zone == self.plan.zone
         }
-        self.server: Server | None = None
-        self.clients: dict[str, Client] = {}
+        self.server: HttpServer | None = None
+        self.clients: dict[str, HttpClient] = {}
         self.fresh()
 
     def fresh(self) -> None:
-        self.holdings = feed.Holdings()
+        self.holdings = feed.ProxyState()
         self.strikes: dict[str, int] = defaultdict(int)
         self.avoid: dict[str, int] = {}
         self.met: dict[str, Met] = defaultdict(Met)
         self.came: dict[str, list[int]] = defaultdict(lambda: [0, 0])
-        self.door: Door | None = None
+        self.door: RateLimiter | None = None
         self.epoch, self.stream, self.after, self.at_governor = "", 0, 0, 0
-        self.holdings.stand({c: self._standing(c) for c in self.classes})
+        self.holdings.install_default_tables({c: self._standing(c) for c in self.classes})
 
     def _standing(self, name: str) -> dict[str, float]:
         """A few listed replicas by chance, of its own zone if there are three; placement limits hold."""
@@ -84,9 +86,9 @@
         )
 
     def start(self) -> None:
-        self.server = Server(self.handle)
+        self.server = HttpServer(self.handle)
         self.server.listen(self.plan.port, "127.0.0.1", backlog=1024)
-        standing = {c: self.holdings.lines(c) for c in self.classes}
+        standing = {c: self.holdings.weights_for(c) for c in self.classes}
         self.process.record("relay_up", relay=self.plan.name, standing=standing)
         if self.whole.follow_governors:
             self.tasks = [self.process.task(self._feed()), self.process.task(self._sums())]
@@ -94,7 +96,7 @@
     def die(self) -> None:
         if self.server is not None:
             self.process.record("relay_down", relay=self.plan.name)
-            self.server.shut()
+            self.server.abort()
             self.server = None
         for task in self.tasks:
             task.cancel()
@@ -107,15 +109,15 @@
 
     async def _feed(self) -> None:
         """Follows one governor; after a failure the next, with a pause by chance before it dials."""
-        limits = http.Limits(body=1 << 26)
+        limits = http.Limits(max_body_bytes=1 << 26)
         while True:
             name, (host, port) = self.plan.governors[self.at_governor % len(self.plan.governors)]
-            client = Client(host, port, limits=limits)
+            client = HttpClient(host, port, limits=limits)
             reason = ""
             try:
                 while not reason:
                     reason = await self._one_poll(client, name)
-            except (Unreachable, Broken, TimedOut, msgspec.MsgspecError) as fault:
+            except (ConnectError, ConnectionLostError, ResponseTimeoutError, msgspec.MsgspecError) as fault:
                 reason = f"{type(fault).__name__}: {fault}"
             finally:
                 client.close()
@@ -123,19 +125,19 @@
             self.at_governor += 1
             await asyncio.sleep(self.chance.uniform(*self.whole.redial) / 1e6)
 
-    async def _one_poll(self, client: Client, governor: str) -> str:
+    async def _one_poll(self, client: HttpClient, governor: str) -> str:
         target = (
             f"/v1/feed?relay={quote(self.plan.name)}&zone={quote(self.plan.zone)}"
             f"&rate={self.whole.rate * self.plan.share:.3f}&epoch={self.epoch}&stream={self.stream}"
             f"&after={self.after}"
         )
-        response = await client.exchange("GET", target, timeout=self.whole.hold / 1e6 + 1.0)
+        response = await client.request("GET", target, timeout_s=self.whole.hold / 1e6 + 1.0)
         if response.status != 200:
             return f"status {response.status}"
         answer = FEED.decode(response.body)
-        if answer.joined or (answer.epoch, answer.stream) != (self.epoch, self.stream):
+        if answer.is_new_stream or (answer.epoch, answer.stream) != (self.epoch, self.stream):
             self.epoch, self.stream, self.after = answer.epoch, answer.stream, 0
-            self.holdings.joined()
+            self.holdings.begin_stream()
             self.process.record(
                 "joined", relay=self.plan.name, governor=governor, epoch=self.epoch, stream=self.stream
             )
@@ -143,8 +145,10 @@
             if message.seq <= self.after:
                 continue
             self.holdings.apply(message)
-            if (limits := self.holdings.limits) and (not self.door or self.door.limits != _limits(limits)):
-                self.door = Door(_limits(limits))
+            if (limits := self.holdings.rate_limits) and (
+                not self.door or self.door.limits != _limits(limits)
+            ):
+                self.door = RateLimiter(_limits(limits))
             self.after = message.seq
             self.process.record(
                 "applied",
@@ -163,7 +167,7 @@
             met, self.met = self.met, defaultdict(Met)
             came, self.came = self.came, defaultdict(lambda: [0, 0])
             tries = tuple(
-                feed.Try(
+                feed.ReplicaAttempts(
                     r,
                     m.tries,
                     m.bad,
@@ -173,21 +177,21 @@
                 for r, m in met.items()
             )
             if self.epoch:
-                sums = feed.Sums(
+                sums = feed.ProxyLoadReport(
                     self.plan.name,
                     self.epoch,
                     self.whole.period,
                     tries,
-                    tuple(feed.Came(c, n, u) for c, (n, u) in came.items()),
+                    tuple(feed.ClassRequests(c, n, u) for c, (n, u) in came.items()),
                 )
                 self.process.task(self._send_sums(sums))
 
-    async def _send_sums(self, sums: feed.Sums) -> None:
+    async def _send_sums(self, sums: feed.ProxyLoadReport) -> None:
         await asyncio.sleep(self.chance.uniform(*self.whole.sums_late) / 1e6)
         name, (host, port) = self.plan.governors[self.at_governor % len(self.plan.governors)]
-        client = Client(host, port)
+        client = HttpClient(host, port)
         try:
-            response = await client.exchange("POST", "/v1/sums", ENCODER.encode(sums), timeout=1.0)
+            response = await client.request("POST", "/v1/sums", ENCODER.encode(sums), timeout_s=1.0)
             if response.status not in (204, 409, 503):
                 self.process.record(
                     "sums_refused",
@@ -196,30 +200,30 @@
                     status=response.status,
                     body=response.body.decode("utf-8", "replace"),
                 )
-        except (Unreachable, Broken, TimedOut):
+        except (ConnectError, ConnectionLostError, ResponseTimeoutError):
             pass
         finally:
             client.close()
 
     # Transactions
 
-    async def handle(self, request: http.Request, connection: Connection) -> Answer | None:
-        came, cls = now(), self.classes.get(http.header(request.headers, "x-class") or "")
-        tenant = http.header(request.headers, "x-tenant") or ""
-        tx = http.header(request.headers, "x-transaction") or ""
+    async def handle(self, request: http.Request, connection: Connection) -> ServerResponse | None:
+        came, cls = now(), self.classes.get(http.get_header(request.headers, "x-class") or "")
+        tenant = http.get_header(request.headers, "x-tenant") or ""
+        tx = http.get_header(request.headers, "x-transaction") or ""
         if cls is None:
-            return Answer(400, b"no such class")
-        route = self.holdings.route
-        cell = home(tenant, route.cells, route.named) if route else ""
-        gen = route.gens.get(tenant, 1) if route else 0
-        name = label(cell, cls.name) if cell or not route else label(route.cells[0], cls.name)
+            return ServerResponse(400, b"no such class")
+        route = self.holdings.routes
+        cell = home_cell(tenant, route.cells, route.cell_by_tenant) if route else ""
+        gen = route.generations.get(tenant, 1) if route else 0
+        name = class_label(cell, cls.name) if cell or not route else class_label(route.cells[0], cls.name)
         count = self.came[name]
         count[0] += 1
         if route and not cell:
             self.process.record(
                 "refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="moving", tenant=tenant
             )
-            return Answer(503, b"moving", (("retry-after", "1"),))
+            return ServerResponse(503, b"moving", (("retry-after", "1"),))
         if self.door and (no := self.door.admit(came, tenant, cell)):
             self.process.record(
                 "refused",
@@ -230,12 +234,14 @@
                 tenant=tenant,
                 cell=cell,
             )
-            return Answer(429, no.reason.encode(), (("retry-after", f"{max(1, round(no.after / 1e6))}"),))
+            return ServerResponse(
+                429, no.reason.encode(), (("retry-after", f"{max(1, round(no.retry_after_us / 1e6))}"),)
+            )
         try:
             return await self._let_in(tx, cls, (cell, gen), name, count, request, connection, came)
         finally:
             if self.door:
-                self.door.done(tenant, cell)
+                self.door.finish(tenant, cell)
 
     async def _let_in(
         self,
@@ -247,14 +253,14 @@
         request: http.Request,
         connection: Connection,
         came: int,
-    ) -> Answer | None:
-        share, way = self.holdings.level(name, self.whole.usual_way)
+    ) -> ServerResponse | None:
+        share, way = self.holdings.admission_for(name, self.whole.usual_way)
         if self.chance.random() >= share:
             self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="level")
-            return Answer(429, b"not let in")
-        patience = int(http.header(request.headers, "x-patience") or cls.cutoff)
+            return ServerResponse(429, b"not let in")
+        patience = int(http.get_header(request.headers, "x-patience") or cls.cutoff)
         work = asyncio.ensure_future(self._try(tx, cls, at, request, came + patience, way))
-        gone = asyncio.ensure_future(connection.gone.wait())
+        gone = asyncio.ensure_future(connection.closed.wait())
         try:
             await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
         finally:
@@ -266,12 +272,12 @@
             return None
         status = work.result()
         count[1] += status != 200
-        return Answer(status)
+        return ServerResponse(status)
 
     def _pick(self, cls: str, cell: str, but: set[str]) -> str | None:
-        name = label(cell, cls)
+        name = class_label(cell, cls)
         # A cell whose table has not come yet stands on what the relay began with.
-        at, lines = now(), self.holdings.lines(name if name in self.holdings.table else cls)
+        at, lines = now(), self.holdings.weights_for(name if name in self.holdings.table_by_class else cls)
         fit = {r: w for r, w in lines.items() if r not in but and self.avoid.get(r, 0) <= at}
         fit = fit or {r: w for r, w in lines.items() if r not in but}  # all avoided: better one of them
         if not fit:
@@ -320,7 +326,7 @@
         """Status and whether it is proven that the try never ran."""
         client = self.clients.get(replica)
         if client is None:
-            client = self.clients[replica] = Client("127.0.0.1", self.via[replica])
+            client = self.clients[replica] = HttpClient("127.0.0.1", self.via[replica])
         met, began = self.met[replica], now()
         self.process.record(
             "try",
@@ -337,24 +343,24 @@
             ("x-transaction", f"{tx}"),
             ("x-relay", self.plan.name),
             ("x-class", cls.name),
-            ("x-work", http.header(request.headers, "x-work") or ""),
-            ("x-tenant", http.header(request.headers, "x-tenant") or ""),
+            ("x-work", http.get_header(request.headers, "x-work") or ""),
+            ("x-tenant", http.get_header(request.headers, "x-tenant") or ""),
             ("x-cell", at[0]),
             ("x-generation", f"{at[1]}"),
         )
         status, proof = 0, False
         try:
-            response = await client.exchange("POST", "/work", b"", headers, timeout=max(0.001, wait / 1e6))
+            response = await client.request("POST", "/work", b"", headers, timeout_s=max(0.001, wait / 1e6))
             status = response.status
-            proof = status == 503 and http.header(response.headers, "x-never-ran") == "1"
-            if text := http.header(response.headers, orca.HEADER):
+            proof = status == 503 and http.get_header(response.headers, "x-never-ran") == "1"
+            if text := http.get_header(response.headers, orca.HEADER_NAME):
                 with contextlib.suppress(ValueError):  # a spoilt report must not spoil the answer
-                    met.report = orca.read(text)
-        except Unreachable:
+                    met.report = orca.parse_report(text)
+        except ConnectError:
             status, proof = 502, True
-        except TimedOut:
+        except ResponseTimeoutError:
             status = 504
-        except Broken:
+        except ConnectionLostError:
             status = 502
         finally:
             met.tries += 1
--- a/gradehoist/testbed/replica.py
+++ b/gradehoist/testbed/replica.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from gradehoist.cells.migration import Fence, Verdict, Word
-from gradehoist.net.server import Answer, Connection, Server, refusal
+from gradehoist.cells.migration import ReplicaFence, TenantAssignment, WriteDecision
+from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response
 from gradehoist.protocol import http, orca
 from gradehoist.testbed import scenario_plan as p
 from gradehoist.testbed.process import Process, dice, now
@@ -44,7 +44,7 @@
     plan: p.Replica
     whole: p.Plan
     boot: int = 0
-    server: Server | None = None
+    server: HttpServer | None = None
     started: int = 0  # 0: long past
     running: list[Job] = field(default_factory=list)
     waiting: deque[Job] = field(default_factory=deque)
@@ -56,7 +56,7 @@
     draining: bool = False
     arrived: deque[tuple[int, float]] = field(default_factory=deque)
     busy: float = 0.0
-    report: orca.Report = field(default_factory=orca.Report)
+    report: orca.OrcaReport = field(default_factory=orca.OrcaReport)
     served: deque[float] = field(default_factory=lambda: deque(maxlen=50))
     connections: set[Connection] = field(default_factory=set)
 
@@ -67,7 +67,7 @@
     def __post_init__(self) -> None:
         self.chance = dice(self.whole.seed, "fails", self.plan.name)
         # What the fence keeps outlives the process, here as this object does.
-        self.fence = Fence(self.plan.name, self.whole.workers.get(self.plan.name, ""))
+        self.fence = ReplicaFence(self.plan.name, self.whole.workers.get(self.plan.name, ""))
 
     def start(self, cold: bool) -> None:
         self.fence = self.fence.restarted()
@@ -77,14 +77,14 @@
         self.arrived.clear()
         self.hung = self.draining = False
         self.slow, self.fails = 1.0, 0.0
-        self.server = Server(self.handle)
+        self.server = HttpServer(self.handle)
         self.server.listen(self.plan.port, "127.0.0.1", backlog=1024)
         self.process.record("up", replica=self.plan.name, boot=self.boot, cold=cold)
 
     def die(self, why: str) -> None:
         if self.server is None:
             return
-        self.server.shut()
+        self.server.abort()
         self.server = None
         for job in (*self.running, *self.waiting):
             if not job.done.done():
@@ -116,7 +116,7 @@
                 self.running.remove(job)
                 if job.write:
                     tenant, cell, gen = job.write
-                    self.fence = self.fence.finish(tenant, job.key)
+                    self.fence = self.fence.complete_write(tenant, job.key)
                     self.process.record(
                         "effect", replica=self.plan.name, tx=job.tx, tenant=tenant, cell=cell, gen=gen
                     )
@@ -130,7 +130,7 @@
     def refresh(self) -> None:
         mean = sum(self.served) / len(self.served) if self.served else 0.0
         held = len(self.running) + len(self.waiting)
-        self.report = orca.Report(self.busy * self.shown, held * self.shown, mean)
+        self.report = orca.OrcaReport(self.busy * self.shown, held * self.shown, mean)
 
     def cold_load(self, at: int, work: float) -> None:
         """A cold replica that is sent too much within the span falls over, and stays down."""
@@ -143,37 +143,39 @@
             self.process.record("fell", replica=self.plan.name)
             self.die("pushed over while cold")
 
-    async def handle(self, request: http.Request, connection: Connection) -> Answer | None:
+    async def handle(self, request: http.Request, connection: Connection) -> ServerResponse | None:
         name, at = self.plan.name, now()
-        load = ((orca.HEADER, orca.write(self.report)),)
+        load = ((orca.HEADER_NAME, orca.format_report(self.report)),)
         if connection not in self.connections:
-            self.connections = {c for c in self.connections if not c.gone.is_set()} | {connection}
+            self.connections = {c for c in self.connections if not c.closed.is_set()} | {connection}
             self.running.append(Job(self.whole.handshake, asyncio.get_running_loop().create_future()))
         if request.target == "/healthz":
             if self.hung:
-                await connection.gone.wait()
+                await connection.closed.wait()
                 return None
             done = asyncio.get_running_loop().create_future()
             self.waiting.append(Job(5.0, done, connection))
             await asyncio.wait((done,), timeout=2.0)
-            return Answer(200, b"", load) if done.done() else refusal(503, "too busy")
+            return ServerResponse(200, b"", load) if done.done() else error_response(503, "too busy")
         if request.target == "/cell/word":
-            word: Word = msgspec.json.decode(request.body, type=Word)
-            self.fence, answer = self.fence.told(word)
-            self.process.record("word", replica=name, word=word, busy=answer.busy)
-            return Answer(200, msgspec.json.encode(answer))
+            word: TenantAssignment = msgspec.json.decode(request.body, type=TenantAssignment)
+            self.fence, answer = self.fence.apply_assignment(word)
+            self.process.record("word", replica=name, word=word, busy=answer.has_writes_in_flight)
+            return ServerResponse(200, msgspec.json.encode(answer))
         if request.target == "/cell/lease":
-            beat: tuple[int, list[Word]] = msgspec.json.decode(request.body, type=tuple[int, list[Word]])
-            self.fence = self.fence.heartbeat(at, *beat)
-            return Answer(204)
-        tx = http.header(request.headers, "x-transaction") or ""
-        relay = http.header(request.headers, "x-relay") or ""
+            beat: tuple[int, list[TenantAssignment]] = msgspec.json.decode(
+                request.body, type=tuple[int, list[TenantAssignment]]
+            )
+            self.fence = self.fence.renew_lease(at, *beat)
+            return ServerResponse(204)
+        tx = http.get_header(request.headers, "x-transaction") or ""
+        relay = http.get_header(request.headers, "x-relay") or ""
         try:
-            work = float(http.header(request.headers, "x-work") or "nan")
+            work = float(http.get_header(request.headers, "x-work") or "nan")
             if not 0 < work < 1e6:
                 raise ValueError
         except ValueError:
-            return refusal(400, "x-work: expected milliseconds")
+            return error_response(400, "x-work: expected milliseconds")
         warmth = self.warmth(at)
         self.process.record(
             "arrive", replica=name, relay=relay, tx=tx, work=work, warmth=round(warmth, 4), boot=self.boot
@@ -185,25 +187,25 @@
         if len(self.waiting) >= self.plan.queue:
             self.process.record("turned_away", replica=name, tx=tx)
             proof = (("x-never-ran", "1"),) if self.whole.full_is_proof else ()
-            return Answer(503, b"", load + proof)
+            return ServerResponse(503, b"", load + proof)
         if self.fails and self.chance.random() < self.fails:
-            return Answer(500, b"a bad release", load)
+            return ServerResponse(500, b"a bad release", load)
         job = Job(work, asyncio.get_running_loop().create_future(), connection, tx)
-        if self.whole.cells and http.header(request.headers, "x-class") in self.writes:
+        if self.whole.cells and http.get_header(request.headers, "x-class") in self.writes:
             job.write = (
-                (http.header(request.headers, "x-tenant") or ""),
-                http.header(request.headers, "x-cell") or "",
-                int(http.header(request.headers, "x-generation") or 0),
+                (http.get_header(request.headers, "x-tenant") or ""),
+                http.get_header(request.headers, "x-cell") or "",
+                int(http.get_header(request.headers, "x-generation") or 0),
             )
-            self.fence, verdict = self.fence.write(at, *job.write, job.key)
-            if verdict is not Verdict.TAKE:
+            self.fence, verdict = self.fence.check_write(at, *job.write, job.key)
+            if verdict is not WriteDecision.ACCEPT:
                 self.process.record("fenced", replica=name, tx=tx, tenant=job.write[0], why=verdict.value)
-                if verdict is Verdict.KNOWN:
-                    return Answer(200, b"done before", load)
-                proof = (("x-never-ran", "1"),) if verdict is not Verdict.BUSY else ()
-                return Answer(503, verdict.value.encode(), load + proof)
+                if verdict is WriteDecision.DUPLICATE:
+                    return ServerResponse(200, b"done before", load)
+                proof = (("x-never-ran", "1"),) if verdict is not WriteDecision.IN_FLIGHT else ()
+                return ServerResponse(503, verdict.value.encode(), load + proof)
         self.waiting.append(job)
-        gone = asyncio.ensure_future(connection.gone.wait())
+        gone = asyncio.ensure_future(connection.closed.wait())
         try:
             await asyncio.wait((job.done, gone), return_when=asyncio.FIRST_COMPLETED)
         finally:
@@ -212,12 +214,12 @@
             if self.whole.drops_waiting and job in self.waiting:
                 self.waiting.remove(job)
                 if job.write:
-                    self.fence = self.fence.dropped(job.write[0], job.key)
+                    self.fence = self.fence.drop_write(job.write[0], job.key)
             return None
         if job.done.cancelled():
             return None
         self.served.append((now() - at) / 1e3)
-        return Answer(200, b"ok", ((orca.HEADER, orca.write(self.report)),))
+        return ServerResponse(200, b"ok", ((orca.HEADER_NAME, orca.format_report(self.report)),))
 
 
 class Replicas(Process):
--- a/gradehoist/zones/health.py
+++ b/gradehoist/zones/health.py
@@ -16,93 +16,99 @@
 
 import msgspec
 
-FEW = 20.0  # tries below which a share says nothing: with a tenth failing by chance, five of 20 are rare
-FAILING = 0.5  # failing share at which a zone is left: below it most of its replicas still serve
-LATE = 0.5  # late share of what was answered from which a zone is slow
-SILENT = 0.5  # of its replicas' reports missing: more than any single fault of a replica brings
+MIN_ATTEMPTS = (
+    20.0  # tries below which a share says nothing: with a tenth failing by chance, five of 20 are rare
+)
+FAILING_SHARE = 0.5  # failing share at which a zone is left: below it most of its replicas still serve
+LATE_SHARE = 0.5  # late share of what was answered from which a zone is slow
+SILENT_SHARE = 0.5  # of its replicas' reports missing: more than any single fault of a replica brings
 
 
-class Sight(msgspec.Struct, frozen=True):
+class ZoneObservation(msgspec.Struct, frozen=True):
     """One observer's look at one zone over its last seconds: counts of tries, failures and late answers,
     silent replicas of those listed ready, probes and failed probes; `busy`: the mean busy share of its warm
     replicas, below 0 where none reports; `bears`: the part of its traffic that it bears as cold as it is."""
 
-    tried: float = 0.0
-    failed: float = 0.0
-    late: float = 0.0
-    ready: int = 0
-    silent: int = 0
-    probes: int = 0
-    probes_failed: int = 0
-    busy: float = -1.0
-    bears: float = 1.0
+    attempts: float = msgspec.field(default=0.0, name="tried")
+    failures: float = msgspec.field(default=0.0, name="failed")
+    late_responses: float = msgspec.field(default=0.0, name="late")
+    ready_replicas: int = msgspec.field(default=0, name="ready")
+    silent_replicas: int = msgspec.field(default=0, name="silent")
+    health_checks: int = msgspec.field(default=0, name="probes")
+    failed_health_checks: int = msgspec.field(default=0, name="probes_failed")
+    busy_share: float = msgspec.field(default=-1.0, name="busy")
+    sustainable_share: float = msgspec.field(default=1.0, name="bears")
 
 
-class View(msgspec.Struct, frozen=True):
+class HealthReport(msgspec.Struct, frozen=True):
     """`zone` is the observer's own, `traffic` what it steers (transactions a second), `list_age` how long ago
     (µs) its list was last confirmed; `window` (µs) what its sights cover; `came`: of its relays' traffic, by
     their zone and by class; `run` the process; `plan` and `deal` what its tables hold of what was agreed."""
 
     zone: str
-    traffic: float
-    list_age: int
-    sights: dict[str, Sight]
-    window: int = 10_000_000
-    came: dict[str, dict[str, float]] = {}
-    run: str = ""
-    plan: tuple[int, int] = (0, 0)
-    deal: int = -1
-
-
-class State(Enum):
-    WELL = "well"
+    requests_per_s: float = msgspec.field(name="traffic")
+    list_age_us: int = msgspec.field(name="list_age")
+    observations: dict[str, ZoneObservation] = msgspec.field(name="sights")
+    window_us: int = msgspec.field(default=10000000, name="window")
+    offered_by_zone: dict[str, dict[str, float]] = msgspec.field(default_factory=dict, name="came")
+    incarnation: str = msgspec.field(default="", name="run")
+    applied_plan: tuple[int, int] = msgspec.field(default=(0, 0), name="plan")
+    applied_allocation: int = msgspec.field(default=-1, name="deal")
+
+
+class ZoneState(Enum):
+    HEALTHY = "well"
     SLOW = "slow but alive"
     FAILING = "failing"
-    CUT_OFF = "cut off from the others"
-    UNSEEN = "not seen"
+    PARTITIONED = "cut off from the others"
+    UNOBSERVED = "not seen"
 
 
-class Trouble(Enum):
+class FleetFault(Enum):
     """Of the fleet as a whole."""
 
     NONE = "none"
-    LIST = "discovery lost"
-    RELEASE = "most zones fail for all: a release, or the observers"
+    DISCOVERY_LOST = "discovery lost"
+    MOST_ZONES_FAILING = "most zones fail for all: a release, or the observers"
 
 
 @dataclass(frozen=True)
-class Verdict:
+class FleetHealth:
     """`left_out`: observers whose word does not count, with the reason."""
 
-    zones: Mapping[str, State]
-    trouble: Trouble
-    left_out: Mapping[str, str]
+    zones: Mapping[str, ZoneState]
+    fault: FleetFault
+    excluded_observers: Mapping[str, str]
 
 
-class _Look(Enum):
-    WELL = 0
+class _Observed(Enum):
+    HEALTHY = 0
     SLOW = 1
-    BAD = 2
+    FAILING = 2
 
 
-def look(sight: Sight | None) -> _Look | None:
+def classify_observation(sight: ZoneObservation | None) -> _Observed | None:
     """What one observer sees of a zone; None where it can't say."""
     if sight is None:
         return None
-    if sight.tried >= FEW:
-        if sight.failed >= FAILING * sight.tried:
-            return _Look.BAD
-        answered = sight.tried - sight.failed
-        return _Look.SLOW if sight.late >= LATE * answered else _Look.WELL
+    if sight.attempts >= MIN_ATTEMPTS:
+        if sight.failures >= FAILING_SHARE * sight.attempts:
+            return _Observed.FAILING
+        answered = sight.attempts - sight.failures
+        return _Observed.SLOW if sight.late_responses >= LATE_SHARE * answered else _Observed.HEALTHY
     # Where nothing is sent any more, probes tell; few of either say nothing.
-    if sight.probes >= 3:
-        return _Look.BAD if sight.probes_failed >= FAILING * sight.probes else _Look.WELL
-    if sight.ready and sight.silent > SILENT * sight.ready:
-        return _Look.BAD
+    if sight.health_checks >= 3:
+        return (
+            _Observed.FAILING
+            if sight.failed_health_checks >= FAILING_SHARE * sight.health_checks
+            else _Observed.HEALTHY
+        )
+    if sight.ready_replicas and sight.silent_replicas > SILENT_SHARE * sight.ready_replicas:
+        return _Observed.FAILING
     return None
 
 
-def _share(looks: Mapping[str, _Look], weights: Mapping[str, float], what: _Look) -> float | None:
+def _share(looks: Mapping[str, _Observed], weights: Mapping[str, float], what: _Observed) -> float | None:
     """Of the weight of those that can say, the part that sees `what` or worse."""
     total = sum(weights[o] for o in looks)
     if total <= 0:
@@ -110,45 +116,49 @@
     return sum(weights[o] for o, seen in looks.items() if seen.value >= what.value) / total
 
 
-class Fleet:
+class HealthAssessor:
     """`old` (µs): a view that has not changed nor been confirmed for so long counts for nothing; `list_old`:
     a list older than that is lost."""
 
-    def __init__(self, old: int, list_old: int) -> None:
-        self.old, self.list_old = old, list_old
-        self.views = dict[str, tuple[View, int]]()
+    def __init__(self, report_ttl_us: int, list_ttl_us: int) -> None:
+        self.report_ttl_us, self.list_ttl_us = report_ttl_us, list_ttl_us
+        self.reports = dict[str, tuple[HealthReport, int]]()
 
-    def took(self, now: int, observer: str, view: View | None) -> None:
+    def record_report(self, now: int, observer: str, view: HealthReport | None) -> None:
         """A view as the register brought it at `now`, by this process' own clock."""
         if view is None:
-            self.views.pop(observer, None)
+            self.reports.pop(observer, None)
         else:
-            self.views[observer] = view, now
+            self.reports[observer] = view, now
 
-    def fresh(self, now: int) -> dict[str, View]:
-        return {o: v for o, (v, at) in self.views.items() if now - at < self.old}
+    def fresh_reports(self, now: int) -> dict[str, HealthReport]:
+        return {o: v for o, (v, at) in self.reports.items() if now - at < self.report_ttl_us}
 
-    def judge(self, now: int) -> Verdict:
-        views = self.fresh(now)
-        zones = sorted({z for v in views.values() for z in v.sights} | {v.zone for v in views.values()})
+    def assess(self, now: int) -> FleetHealth:
+        views = self.fresh_reports(now)
+        zones = sorted({z for v in views.values() for z in v.observations} | {v.zone for v in views.values()})
         looks = {
-            z: {o: seen for o, v in views.items() if (seen := look(v.sights.get(z))) is not None}
+            z: {
+                o: seen
+                for o, v in views.items()
+                if (seen := classify_observation(v.observations.get(z))) is not None
+            }
             for z in zones
         }
-        usual = median([v.traffic for v in views.values()]) if views else 0.0
+        usual = median([v.requests_per_s for v in views.values()]) if views else 0.0
         # Capped at the middle one: twice that let one that lied about its traffic outvote two others.
-        weights = {o: min(v.traffic, usual) or 1e-6 for o, v in views.items()}
+        weights = {o: min(v.requests_per_s, usual) or 1e-6 for o, v in views.items()}
         out = self._in_trouble(views, looks, weights, zones)
         heard = {
             z: {o: seen for o, seen in looks[z].items() if o not in out or views[o].zone == z} for z in zones
         }
         states = {z: self._state(z, views, heard[z], weights) for z in zones}
-        return Verdict(states, self._trouble(views, states, weights), out)
+        return FleetHealth(states, self._trouble(views, states, weights), out)
 
     @staticmethod
     def _in_trouble(
-        views: Mapping[str, View],
-        looks: Mapping[str, Mapping[str, _Look]],
+        views: Mapping[str, HealthReport],
+        looks: Mapping[str, Mapping[str, _Observed]],
         weights: Mapping[str, float],
         zones: list[str],
     ) -> dict[str, str]:
@@ -160,12 +170,12 @@
             against = [
                 z
                 for z in others
-                if looks[z][o] is _Look.BAD
+                if looks[z][o] is _Observed.FAILING
                 and (
                     share := _share(
                         {p: seen for p, seen in looks[z].items() if views[p].zone != view.zone},
                         weights,
-                        _Look.BAD,
+                        _Observed.FAILING,
                     )
                 )
                 is not None
@@ -177,27 +187,30 @@
 
     @staticmethod
     def _state(
-        zone: str, views: Mapping[str, View], looks: Mapping[str, _Look], weights: Mapping[str, float]
-    ) -> State:
+        zone: str,
+        views: Mapping[str, HealthReport],
+        looks: Mapping[str, _Observed],
+        weights: Mapping[str, float],
+    ) -> ZoneState:
         inside = {o: seen for o, seen in looks.items() if views[o].zone == zone}
         outside = {o: seen for o, seen in looks.items() if views[o].zone != zone}
-        bad_in, bad_out = (_share(some, weights, _Look.BAD) for some in (inside, outside))
+        bad_in, bad_out = (_share(some, weights, _Observed.FAILING) for some in (inside, outside))
         if bad_in is None and bad_out is None:
-            return State.UNSEEN
+            return ZoneState.UNOBSERVED
         if bad_out is not None and bad_out >= 0.5:
             # Its own observers alone tell a zone that fails from one that the others can't reach.
-            return State.FAILING if bad_in is None or bad_in >= 0.5 else State.CUT_OFF
+            return ZoneState.FAILING if bad_in is None or bad_in >= 0.5 else ZoneState.PARTITIONED
         if bad_out is None and bad_in is not None and bad_in >= 0.5:
-            return State.FAILING
-        slow = _share(looks, weights, _Look.SLOW)
-        return State.SLOW if slow is not None and slow >= 0.5 else State.WELL
+            return ZoneState.FAILING
+        slow = _share(looks, weights, _Observed.SLOW)
+        return ZoneState.SLOW if slow is not None and slow >= 0.5 else ZoneState.HEALTHY
 
     def _trouble(
-        self, views: Mapping[str, View], states: Mapping[str, State], weights: Mapping[str, float]
-    ) -> Trouble:
-        known = [s for s in states.values() if s is not State.UNSEEN]
-        bad = sum(s in (State.FAILING, State.CUT_OFF) for s in known)
+        self, views: Mapping[str, HealthReport], states: Mapping[str, ZoneState], weights: Mapping[str, float]
+    ) -> FleetFault:
+        known = [s for s in states.values() if s is not ZoneState.UNOBSERVED]
+        bad = sum(s in (ZoneState.FAILING, ZoneState.PARTITIONED) for s in known)
         if len(known) > 1 and 2 * bad > len(known):
-            return Trouble.RELEASE
-        old = sum(weights[o] for o, v in views.items() if v.list_age >= self.list_old)
-        return Trouble.LIST if views and 2 * old > sum(weights.values()) else Trouble.NONE
+            return FleetFault.MOST_ZONES_FAILING
+        old = sum(weights[o] for o, v in views.items() if v.list_age_us >= self.list_ttl_us)
+        return FleetFault.DISCOVERY_LOST if views and 2 * old > sum(weights.values()) else FleetFault.NONE
--- a/gradehoist/zones/warmup_quota.py
+++ b/gradehoist/zones/warmup_quota.py
@@ -13,28 +13,34 @@
 
 import msgspec
 
-NEAR = 0.1  # parts that differ by less of themselves are the same: traffic is never steady, and each deal is
+SIMILARITY_TOLERANCE = (
+    0.1  # parts that differ by less of themselves are the same: traffic is never steady, and each deal is
+)
 # a record of the fleet's size that all read
 
 
-class Deal(msgspec.Struct, frozen=True):
+class QuotaAllocation(msgspec.Struct, frozen=True):
     """`parts` of the allowance, 1.0 in all; `at_most` what each member may have in use, by any deal since the
     last that it confirmed."""
 
-    gen: int
-    holder: str
-    parts: dict[str, float] = {}
-    at_most: dict[str, float] = {}
+    generation: int = msgspec.field(name="gen")
+    leader: str = msgspec.field(name="holder")
+    quotas: dict[str, float] = msgspec.field(default_factory=dict, name="parts")
+    upper_bounds: dict[str, float] = msgspec.field(default_factory=dict, name="at_most")
 
 
-def dealt(
-    deal: Deal, holder: str, traffic: Mapping[str, float], confirmed: Mapping[str, int], gone: Collection[str]
-) -> Deal | None:
+def next_allocation(
+    deal: QuotaAllocation,
+    holder: str,
+    traffic: Mapping[str, float],
+    confirmed: Mapping[str, int],
+    gone: Collection[str],
+) -> QuotaAllocation | None:
     """The next deal for members with `traffic`, or None where nothing would change. `confirmed`: by member,
     the generation that its tables hold; `gone`: those whose tables can no longer send."""
     base = {
-        m: deal.parts.get(m, 0.0) if confirmed.get(m, -1) == deal.gen else most
-        for m, most in deal.at_most.items()
+        m: deal.quotas.get(m, 0.0) if confirmed.get(m, -1) == deal.generation else most
+        for m, most in deal.upper_bounds.items()
         if m not in gone
     }
     total = sum(traffic.values())
@@ -45,12 +51,12 @@
     parts = {m: min(w, have := base.get(m, 0.0)) + part * max(0.0, w - have) for m, w in wish.items()}
     at_most = {m: max(base.get(m, 0.0), parts.get(m, 0.0)) for m in base.keys() | parts.keys()}
     at_most = {m: x for m, x in at_most.items() if x > 0 or m in parts}
-    if _alike(parts, deal.parts) and _alike(at_most, deal.at_most):
+    if _alike(parts, deal.quotas) and _alike(at_most, deal.upper_bounds):
         return None
-    return Deal(deal.gen + 1, holder, parts, at_most)
+    return QuotaAllocation(deal.generation + 1, holder, parts, at_most)
 
 
 def _alike(some: Mapping[str, float], others: Mapping[str, float]) -> bool:
     return some.keys() == others.keys() and all(
-        abs(x - others[m]) <= NEAR * max(x, others[m]) for m, x in some.items()
+        abs(x - others[m]) <= SIMILARITY_TOLERANCE * max(x, others[m]) for m, x in some.items()
     )
--- a/tests/support/fleet_process.py
+++ b/tests/support/fleet_process.py
@@ -19,14 +19,21 @@
 
 import msgspec
 
-from gradehoist.coordination.fencing import Gate, Right
-from gradehoist.history.recorder import Scribe
-from gradehoist.history.records import Effect, Told, Turned, Writer, load, now
+from gradehoist.coordination.fencing import Fence, FencingToken
+from gradehoist.history.recorder import HistoryRecorder
+from gradehoist.history.records import (
+    Effect,
+    HistoryWriter,
+    ProcessEvent,
+    RejectedEffect,
+    load_history,
+    monotonic_us,
+)
 from gradehoist.membership.service import Membership
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from gradehoist.net.server import Answer, Connection, Server, json, refusal
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
+from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response, json_response
 from gradehoist.protocol import http
-from gradehoist.settings.fleet import Coordination
+from gradehoist.settings.fleet import CoordinationSettings
 
 LOCAL = "127.0.0.1"
 
@@ -60,8 +67,8 @@
     key: str = ""
 
 
-def settings(spec: Spec) -> Coordination:
-    return Coordination(
+def settings(spec: Spec) -> CoordinationSettings:
+    return CoordinationSettings(
         Path(spec.folder) if spec.folder else None,
         (LOCAL, spec.engine) if spec.engine else None,
         "fleet/",
@@ -77,29 +84,39 @@
     """Its history is what it keeps: a line is the effect and what it was shown, in one write."""
 
     def __init__(self, spec: Spec) -> None:
-        self.spec, self.gate = spec, Gate()
+        self.spec, self.gate = spec, Fence()
         path = Path(spec.history)
-        for line in load([path]) if path.exists() else []:
+        for line in load_history([path]) if path.exists() else []:
             if isinstance(line, Effect):
-                self.gate, _ = self.gate.show(line.name, Right(line.gen, line.holder))
-        self.write = Writer(path, spec.name)
+                self.gate, _ = self.gate.present(line.resource, FencingToken(line.generation, line.holder))
+        self.write = HistoryWriter(path, spec.name)
 
-    async def handle(self, request: http.Request, connection: Connection) -> Answer:
+    async def handle(self, request: http.Request, connection: Connection) -> ServerResponse:
         if request.method == "GET":
-            return Answer(204)
+            return ServerResponse(204)
         shown: Shown = msgspec.json.decode(request.body, type=Shown)
-        gate, against = self.gate.show(shown.name, Right(shown.gen, shown.holder))
+        gate, against = self.gate.present(shown.name, FencingToken(shown.gen, shown.holder))
         if against is not None and self.spec.guard:
             self.write(
-                Turned(now(), self.spec.name, shown.name, shown.gen, shown.holder, shown.item, against.gen)
+                RejectedEffect(
+                    monotonic_us(),
+                    self.spec.name,
+                    shown.name,
+                    shown.gen,
+                    shown.holder,
+                    shown.item,
+                    against.generation,
+                )
             )
-            return json({"taken": False, "known": against})
+            return json_response({"taken": False, "known": against})
         self.gate = gate
-        self.write(Effect(now(), self.spec.name, shown.name, shown.gen, shown.holder, shown.item, shown.key))
-        return json({"taken": True})
+        self.write(
+            Effect(monotonic_us(), self.spec.name, shown.name, shown.gen, shown.holder, shown.item, shown.key)
+        )
+        return json_response({"taken": True})
 
     async def run(self, stop: asyncio.Event) -> None:
-        server = Server(self.handle)
+        server = HttpServer(self.handle)
         server.listen(self.spec.port, LOCAL)
         await stop.wait()
 
@@ -108,7 +125,7 @@
     def __init__(self, spec: Spec) -> None:
         self.spec = spec
         run = f"{spec.name}-{os.getpid()}"
-        self.write = Writer(Path(spec.history), run)
+        self.write = HistoryWriter(Path(spec.history), run)
         self.member = Membership(
             settings(spec),
             "actor",
@@ -117,57 +134,63 @@
             f"{LOCAL}:{spec.port}",
             1,
             self.log,
-            Scribe(self.write, run),
+            HistoryRecorder(self.write, run),
             run,
         )
-        self.claim = self.member.claim("job", int(spec.patience * 1e6))
-        self.member.settled.append(self.settled)
+        self.claim = self.member.join_election("job", int(spec.patience * 1e6))
+        self.member.proposal_listeners.append(self.settled)
         self.counting, self.items = "", 0
 
     def log(self, event: str, warn: bool, **fields: Any) -> None:
-        self.write(Told(now(), self.write.by, event, {k: str(v) for k, v in fields.items()}))
+        self.write(
+            ProcessEvent(monotonic_us(), self.write.process, event, {k: str(v) for k, v in fields.items()})
+        )
 
     def settled(self, token: str, how: str) -> None:
         if token == self.counting:
             self.counting = ""
 
-    async def handle(self, request: http.Request, connection: Connection) -> Answer:
+    async def handle(self, request: http.Request, connection: Connection) -> ServerResponse:
         path, _, query = request.target.partition("?")
         if path == "/healthz":
-            return self.member.healthy(query)
+            return self.member.answer_health_check(query)
         if path == "/status":
             agent = self.member.agent
-            return json(
+            return json_response(
                 self.member.status()
-                | {"counter": agent.value("counter", int) or 0, "items": self.items, "idle": not agent.writes}
+                | {
+                    "counter": agent.decode_record("counter", int) or 0,
+                    "items": self.items,
+                    "idle": not agent.pending_commits,
+                }
             )
-        return refusal(404, "nothing here")
+        return error_response(404, "nothing here")
 
     async def act(self) -> None:
         """Looks at its right, takes its time, and orders an effect under what it saw."""
-        client = Client(LOCAL, self.spec.ledger)
+        client = HttpClient(LOCAL, self.spec.ledger)
         while True:
             await asyncio.sleep(self.spec.every)
-            agent, right = self.member.agent, self.claim.right
-            if self.spec.counts and agent.joined and not self.counting:
+            agent, right = self.member.agent, self.claim.fencing_token
+            if self.spec.counts and agent.is_joined and not self.counting:
                 self.counting = self.member.propose(
-                    agent.put("counter", (agent.value("counter", int) or 0) + 1)
+                    agent.build_put("counter", (agent.decode_record("counter", int) or 0) + 1)
                 )
-            if right is None or not agent.joined or not self.spec.ledger:
+            if right is None or not agent.is_joined or not self.spec.ledger:
                 continue
             self.items += 1
-            item = f"{agent.me.run}:{self.items}"
+            item = f"{agent.identity.incarnation}:{self.items}"
             if self.spec.step:
                 await asyncio.sleep(self.spec.step)
-            body = msgspec.json.encode(Shown("job", right.gen, right.holder, item))
-            with contextlib.suppress(Unreachable, Broken, TimedOut):
-                answer = await client.exchange("POST", "/effect", body, timeout=2.0)
+            body = msgspec.json.encode(Shown("job", right.generation, right.holder, item))
+            with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
+                answer = await client.request("POST", "/effect", body, timeout_s=2.0)
                 found: dict[str, Any] = msgspec.json.decode(answer.body, type=dict[str, Any])
                 if not found["taken"]:
-                    self.claim.refused(agent, Right(*found["known"]))
+                    self.claim.on_token_rejected(agent, FencingToken(*found["known"]))
 
     async def run(self, stop: asyncio.Event) -> None:
-        server = Server(self.handle)
+        server = HttpServer(self.handle)
         server.listen(self.spec.port, LOCAL)
         member, acting = asyncio.ensure_future(self.member.run()), asyncio.ensure_future(self.act())
         await stop.wait()
--- a/tests/support/governed_fleet.py
+++ b/tests/support/governed_fleet.py
@@ -8,11 +8,11 @@
 
 import msgspec
 
-from gradehoist.governor.core import Core, Poll, Refused
-from gradehoist.governor.policy_process import Modules
+from gradehoist.governor.core import GovernorCore, Poll, RequestRejectedError
+from gradehoist.governor.policy_process import PolicyHost
 from gradehoist.protocol import feed
-from gradehoist.settings import fleet as f
 from gradehoist.settings import reader as r
+from gradehoist.settings.fleet import CellPlacement, Settings, parse_settings
 
 SECOND = 1_000_000
 TEXT = """
@@ -29,38 +29,38 @@
 """
 
 
-def settings(relays: int = 10, queue: float = 2000, rate: float = 2000) -> f.Settings:
-    reader = r.Reader("test")
-    root = reader.root(TEXT.format(relays=relays, queue=queue, rate=rate))
-    found = f.parse(root, Path("."))
-    reader.finish()
+def settings(relays: int = 10, queue: float = 2000, rate: float = 2000) -> Settings:
+    reader = r.SettingsReader("test")
+    root = reader.parse(TEXT.format(relays=relays, queue=queue, rate=rate))
+    found = parse_settings(root, Path("."))
+    reader.raise_errors()
     return found
 
 
 def on_sockets(
-    folder: Path, roster: int, port: int, placed: f.Placed | None = None, more: str = ""
-) -> f.Settings:
+    folder: Path, roster: int, port: int, placed: CellPlacement | None = None, more: str = ""
+) -> Settings:
     """Settings of one governor on loopback ports; with a placement, `more` beside its file's name."""
     text = TEXT.format(relays=4, queue=2000, rate=2000)
     text = text.replace(":7000", f":{roster}").replace(":7101", f":{port}")
     if placed is not None:
         (folder / "p.json").write_bytes(msgspec.json.encode(placed))
         text = text.replace("    reports", f'    cells placement="p.json" {more}\n    reports')
-    reader = r.Reader("test")
-    found = f.parse(reader.root(text), folder)
-    reader.finish()
+    reader = r.SettingsReader("test")
+    found = parse_settings(reader.parse(text), folder)
+    reader.raise_errors()
     return found
 
 
-def entry(n: int, phase: str = "ready", boot: int = 1, age: int = 10**9) -> feed.Replica:
-    return feed.Replica(f"w{n}", "xy"[n % 2], "", "k", 0, phase, 1.0, f"w{n}/{boot}", age)
+def entry(n: int, phase: str = "ready", boot: int = 1, age: int = 10**9) -> feed.EndpointRecord:
+    return feed.EndpointRecord(f"w{n}", "xy"[n % 2], "", "k", 0, phase, 1.0, f"w{n}/{boot}", age)
 
 
 @dataclass
 class Relay:
     name: str
     zone: str
-    holdings: feed.Holdings = field(default_factory=feed.Holdings)
+    holdings: feed.ProxyState = field(default_factory=feed.ProxyState)
     epoch: str = ""
     stream: int = 0
     after: int = 0
@@ -88,23 +88,23 @@
         self.version = 0
         self.relays = [Relay(f"r{n}", "xy"[n % 2]) for n in range(relays)]
         for relay in self.relays:
-            relay.holdings.stand({c: {"w0": 1.0, "w1": 1.0} for c in ("read", "write")})
+            relay.holdings.install_default_tables({c: {"w0": 1.0, "w1": 1.0} for c in ("read", "write")})
         self.told: dict[str, int] = {}  # since when a replica is told to be shut
-        self.calls: list[tuple[int, int, Relay, feed.Feed | None]] = []
+        self.calls: list[tuple[int, int, Relay, feed.PollResponse | None]] = []
         self.count = 0
         self.most = 0.0
         self.begin("one")
 
     def begin(self, epoch: str) -> None:
         """A governor starts, as after a kill: nothing of an earlier one is known to it."""
-        self.core = Core(self.settings.fleet, self.settings.governors[0], epoch, self.now)
-        self.modules = Modules(self.core.starts, self.now, bool(self.core.slot))
+        self.core = GovernorCore(self.settings.fleet, self.settings.governors[0], epoch, self.now)
+        self.modules = PolicyHost(self.core.policy_configs, self.now, bool(self.core.slot_us))
         self.calls = []
         for relay in self.relays:
             relay.polling = False
         self.list(whole=True)
 
-    def list(self, *changed: feed.Replica, whole: bool = False) -> None:
+    def list(self, *changed: feed.EndpointRecord, whole: bool = False) -> None:
         self.version += 1
         for e in changed:
             self.replicas[e.replica] = e
@@ -113,21 +113,23 @@
             else:
                 self.told.setdefault(e.replica, self.now)
         entries = tuple(e for e in self.replicas.values() if e.phase != "gone") if whole else changed
-        document = feed.Roster("life", self.version, entries, whole, 0 if whole else self.version - 1)
-        self.core.listed(self.now, document)
+        document = feed.EndpointListUpdate(
+            "life", self.version, entries, whole, 0 if whole else self.version - 1
+        )
+        self.core.handle_endpoint_list(self.now, document)
 
     def dial(self, *relays: Relay) -> None:
         for relay in relays or self.relays:
             self._later(relay, None, 0)
 
-    def _later(self, relay: Relay, answer: feed.Feed | None, wait: int) -> None:
+    def _later(self, relay: Relay, answer: feed.PollResponse | None, wait: int) -> None:
         self.count += 1
         heapq.heappush(self.calls, (self.now + wait, self.count, relay, answer))
 
     def _ask(self, relay: Relay) -> None:
         try:
-            answer = self.core.poll(self.now, relay.poll())
-        except Refused as fault:
+            answer = self.core.handle_poll(self.now, relay.poll())
+        except RequestRejectedError as fault:
             assert fault.status in (409, 503)
             relay.epoch, relay.polling = "", False
             return
@@ -135,15 +137,15 @@
         if answer is not None:
             self._later(relay, answer, self.latency)
 
-    def _take(self, relay: Relay, answer: feed.Feed) -> None:
+    def _take(self, relay: Relay, answer: feed.PollResponse) -> None:
         if (answer.epoch, answer.stream) != (relay.epoch, relay.stream):
             relay.epoch, relay.stream, relay.after = answer.epoch, answer.stream, 0
-            relay.holdings.joined()
+            relay.holdings.begin_stream()
         for message in answer.messages:
             if message.seq > relay.after:
                 relay.holdings.apply(message)
                 relay.after, relay.seen = message.seq, relay.seen + 1
-                relay.pictures += message.whole
+                relay.pictures += message.is_snapshot
 
     def run(self, seconds: float) -> None:
         """Steps of 5 ms; the rules that a governor keeps are checked after each."""
@@ -158,32 +160,36 @@
                 self._ask(relay)
             ready = self.core.advance(self.now)
             for relay in self.relays:
-                if relay.polling and self.core.names.proxies.get(relay.name, -1) in ready:
+                if relay.polling and self.core.identifiers.proxies.get(relay.name, -1) in ready:
                     self._ask(relay)
-                elif relay.polling and (s := self.core.streams.get(self.core.names.proxies[relay.name])):
-                    s.seen = self.now  # a held poll is renewed in time
-            slot = not self.core.slot or self.now % self.core.slot < 5_000
-            hurry, self.core.hurry = self.core.hurry and not slot, False
+                elif relay.polling and (
+                    s := self.core.streams.get(self.core.identifiers.proxies[relay.name])
+                ):
+                    s.last_poll_us = self.now  # a held poll is renewed in time
+            slot = not self.core.slot_us or self.now % self.core.slot_us < 5_000
+            hurry, self.core.has_urgent_change = self.core.has_urgent_change and not slot, False
             if slot or hurry:
-                batches = self.core.batches(hurry)
-                if batches or self.core.slot:
-                    self.core.carry_out(self.now, self.modules.handle(self.now, batches, not hurry))
-                if self.core.slot and slot:
-                    more = self.core.spend(self.now)
+                batches = self.core.take_batches(hurry)
+                if batches or self.core.slot_us:
+                    self.core.apply_replies(self.now, self.modules.handle(self.now, batches, not hurry))
+                if self.core.slot_us and slot:
+                    more = self.core.publish_slot(self.now)
                     while more:
-                        more = self.core.spend(self.now, more)
+                        more = self.core.publish_slot(self.now, more)
             self.check()
 
     def check(self) -> None:
         channel = self.core.channel
-        self.most = max(self.most, channel.waiting)
-        assert channel.waiting <= channel.queue_limit
-        assert abs(channel.waiting - sum(x.message.cost for x in channel._queue)) < 1e-6
+        self.most = max(self.most, channel.waiting_lines)
+        assert channel.waiting_lines <= channel.queue_limit_lines
+        assert abs(channel.waiting_lines - sum(x.message.cost_lines for x in channel._queue)) < 1e-6
         for name, since in self.told.items():
-            if self.now - since > self.settings.fleet.rules.grace:
+            if self.now - since > self.settings.fleet.safety.drain_grace_us:
                 held = [
                     r.name
                     for r in self.relays
-                    if r.stream and not r.dead and any(name in r.holdings.lines(c) for c in r.holdings.table)
+                    if r.stream
+                    and not r.dead
+                    and any(name in r.holdings.weights_for(c) for c in r.holdings.table_by_class)
                 ]
                 assert not held, f"{name} still picked by {held}"
--- a/tests/support/governor_process.py
+++ b/tests/support/governor_process.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
-from gradehoist.net.server import Answer, Connection, Server
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
+from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http
 from gradehoist.scenario import definition
 from tests.support.governed_fleet import TEXT, entry
@@ -37,13 +37,13 @@
         for n in range(count):
             self.put(entry(n))
         self.news = asyncio.Event()
-        self.server = Server(self._handle)
+        self.server = HttpServer(self._handle)
         self.server.listen(self.port, LOCAL)
 
-    def put(self, e: feed.Replica, **other: Any) -> None:
+    def put(self, e: feed.EndpointRecord, **other: Any) -> None:
         self.entries[e.replica] = msgspec.to_builtins(e) | other
 
-    def list(self, *changed: feed.Replica, **other: Any) -> None:
+    def list(self, *changed: feed.EndpointRecord, **other: Any) -> None:
         for e in changed:
             self.put(e, **other)
         self.version += 1
@@ -53,14 +53,14 @@
         self.news.set()
         self.news = asyncio.Event()
 
-    async def _handle(self, request: http.Request, connection: Connection) -> Answer:
+    async def _handle(self, request: http.Request, connection: Connection) -> ServerResponse:
         self.calls += 1
         query = {k: v[-1] for k, v in parse_qs(urlsplit(request.target).query).items()}
         if self.hold and query.get("after") == str(self.version) and query.get("life") == self.life:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(1.0):
                     await self.news.wait()
-        return Answer(
+        return ServerResponse(
             200,
             msgspec.json.encode(
                 {
@@ -78,22 +78,22 @@
 
     def __init__(self, port: int, name: str, deaf: bool = False, zone: str = "x") -> None:
         self.port, self.name, self.deaf, self.zone = port, name, deaf, zone
-        self.holdings, self.epoch, self.stream, self.after = feed.Holdings(), "", 0, 0
+        self.holdings, self.epoch, self.stream, self.after = feed.ProxyState(), "", 0, 0
         self.joined, self.joins, self.refused = False, 0, ""
         self.task = asyncio.ensure_future(self._run())
 
     async def _run(self) -> None:
-        client = Client(LOCAL, self.port)
+        client = HttpClient(LOCAL, self.port)
         while True:
             try:
                 await self._poll(client)
-            except (Unreachable, Broken, TimedOut):
+            except (ConnectError, ConnectionLostError, ResponseTimeoutError):
                 self.joined = False
                 await asyncio.sleep(0.05)
 
-    async def _poll(self, client: Client) -> None:
+    async def _poll(self, client: HttpClient) -> None:
         after = 0 if self.deaf else self.after
-        response = await client.exchange(
+        response = await client.request(
             "GET",
             f"/v1/feed?relay={self.name}&zone={self.zone}&rate=1"
             f"&epoch={self.epoch}"
@@ -103,11 +103,11 @@
             self.joined, self.refused = False, f"{response.status} {response.body.decode()}"
             await asyncio.sleep(0.05)
             return
-        answer: feed.Feed = msgspec.json.decode(response.body, type=feed.Feed)
+        answer: feed.PollResponse = msgspec.json.decode(response.body, type=feed.PollResponse)
         if (answer.epoch, answer.stream) != (self.epoch, self.stream):
             self.epoch, self.stream, self.after = answer.epoch, answer.stream, 0
             self.joins += 1
-            self.holdings.joined()
+            self.holdings.begin_stream()
         self.joined = True
         for message in answer.messages:
             if message.seq > self.after:
@@ -117,7 +117,7 @@
             await asyncio.sleep(0.05)
 
     def sends_to(self, replica: str, cls: str = "read") -> bool:
-        return replica in self.holdings.lines(cls)
+        return replica in self.holdings.weights_for(cls)
 
 
 async def until(what: Callable[[], Any], seconds: float) -> bool:
@@ -168,17 +168,17 @@
                 start_new_session=True,
                 preexec_fn=limit if some else None,
             )
-        self.client = Client(LOCAL, port)
+        self.client = HttpClient(LOCAL, port)
 
     async def status(self) -> dict[str, Any]:
-        response = await self.client.exchange("GET", "/v1/status", timeout=2.0)
+        response = await self.client.request("GET", "/v1/status", timeout_s=2.0)
         found: dict[str, Any] = msgspec.json.decode(response.body, type=dict[str, Any])
         return found
 
     async def up(self) -> dict[str, Any]:
         for _ in range(400):
             assert self.process.poll() is None, self.log.read_text()
-            with contextlib.suppress(Unreachable, Broken, TimedOut):
+            with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
                 if not (found := await self.status())["roster_old"]:
                     return found
             await asyncio.sleep(0.05)
@@ -208,13 +208,13 @@
     try:
         await governor.up()
         some += [Relay(port, f"r{n}") for n in range(relays)]
-        assert await until(lambda: all(r.holdings.bound for r in some), 10), governor.log.read_text()
+        assert await until(lambda: all(r.holdings.is_bound for r in some), 10), governor.log.read_text()
         yield roster, governor, some
     finally:
         for relay in some:
             relay.task.cancel()
         governor.kill()
-        roster.server.shut()
+        roster.server.abort()
 
 
 def play(work: Callable[[], Any]) -> None:
--- a/tests/support/interleavings.py
+++ b/tests/support/interleavings.py
@@ -15,9 +15,9 @@
 
 from gradehoist import interface as i
 from gradehoist.governor.channel import Channel
-from gradehoist.governor.core import Core, Poll, Refused
+from gradehoist.governor.core import GovernorCore, Poll, RequestRejectedError
 from gradehoist.governor.policy_instances import Reply
-from gradehoist.governor.policy_process import Modules
+from gradehoist.governor.policy_process import PolicyHost
 from gradehoist.protocol import feed
 from tests.support.governed_fleet import SECOND, entry, settings
 
@@ -48,12 +48,12 @@
         self.out_at = max(self.out_at, put) + cost / self.told[1] * 1e6
         return self.out_at
 
-    def joined(self, proxy: int) -> None:
-        super().joined(proxy)
+    def add_proxy(self, proxy: int) -> None:
+        super().add_proxy(proxy)
         self.put_at[proxy] = []
 
-    def left(self, proxy: int) -> None:
-        super().left(proxy)
+    def remove_proxy(self, proxy: int) -> None:
+        super().remove_proxy(proxy)
         if self.book:  # those behind move up
             out, first, cost, _ = self.book[0]
             self.out_at = 0.0 if first == proxy else out - cost / self.told[1] * 1e6
@@ -65,8 +65,8 @@
         if why:
             return why
         most, _, number, window = self.told
-        lines = 4 + sum(1 + len(d.lines) if isinstance(d, feed.Bind) else 1 for d in message.deltas)
-        cost = max(message.cost, lines)
+        lines = 4 + sum(1 + len(d.weights) if isinstance(d, feed.BindDelta) else 1 for d in message.deltas)
+        cost = max(message.cost_lines, lines)
         self.book = [b for b in self.book if b[0] > now]
         self.book.append((self._out(now, cost), proxy, cost, now))
         self.put_at[proxy] = [t for t in self.put_at[proxy] if t > now - window] + [now]
@@ -79,8 +79,8 @@
 
 @dataclass
 class Governor:
-    core: Core
-    modules: Modules
+    core: GovernorCore
+    modules: PolicyHost
     phase: dict[str, tuple[str, int]] = field(default_factory=dict)  # as the roster told it, since when
     start: dict[str, tuple[int, int]] = field(default_factory=dict)  # its start, and when that was told
     probes: list[tuple[int, int]] = field(default_factory=list)
@@ -91,7 +91,7 @@
     name: str
     zone: str
     at: int  # the governor that it follows
-    holdings: feed.Holdings = field(default_factory=feed.Holdings)
+    holdings: feed.ProxyState = field(default_factory=feed.ProxyState)
     epoch: str = ""
     stream: int = 0
     after: int = 0
@@ -99,7 +99,7 @@
     last: int = 0  # the order time of the last message applied
     way: int = 20_000
     deaf: bool = False
-    answer: tuple[int, feed.Feed] | None = None
+    answer: tuple[int, feed.PollResponse] | None = None
     dials: int = 0
     bare: dict[str, int] = field(default_factory=dict)
 
@@ -108,8 +108,8 @@
     def __init__(self, governors: int, spoil: Spoil | None = None) -> None:
         found = settings(2, QUEUE, RATE)
         # A short span and a long cold time: otherwise no weights could push over what so small a fleet has.
-        rules = replace(found.fleet.rules, cold_time=10 * SECOND, fall_span=SECOND)
-        self.settings = replace(found, fleet=replace(found.fleet, rules=rules))
+        rules = replace(found.fleet.safety, warmup_us=10 * SECOND, overload_window_us=SECOND)
+        self.settings = replace(found, fleet=replace(found.fleet, safety=rules))
         self.rules, self.spoil = rules, spoil
         self.now, self.lives, self.done = 100 * SECOND, 0, list[str]()
         self.replicas = {f"w{n}": entry(n) for n in range(3)}
@@ -119,28 +119,28 @@
         self.governors = [self._governor() for _ in range(governors)]
         self.relays = [Relay(f"r{n}", "xy"[n % 2], n % governors) for n in range(2)]
         for relay in self.relays:
-            relay.holdings.stand({c: {"w0": 1.0, "w1": 1.0} for c in CLASSES})
+            relay.holdings.install_default_tables({c: {"w0": 1.0, "w1": 1.0} for c in CLASSES})
         self.run(3 * SECOND)
         for relay in self.relays:
-            if not relay.holdings.bound:
+            if not relay.holdings.is_bound:
                 raise Broken("not bound")
 
     def _governor(self) -> Governor:
         self.lives += 1
         fleet = self.settings.fleet
-        core = Core(fleet, self.settings.governors[0], f"e{self.lives}", self.now)
+        core = GovernorCore(fleet, self.settings.governors[0], f"e{self.lives}", self.now)
         ch = fleet.channel
-        core.channel = Watched(ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window).watch(
-            ch.queue_limit, ch.line_rate, ch.message_limit, ch.message_window
-        )
-        made = Governor(core, Modules(core.starts, self.now, False))
+        core.channel = Watched(
+            ch.queue_limit_lines, ch.lines_per_s, ch.messages_per_window, ch.message_window_us
+        ).watch(ch.queue_limit_lines, ch.lines_per_s, ch.messages_per_window, ch.message_window_us)
+        made = Governor(core, PolicyHost(core.policy_configs, self.now, False))
         self._tell(made)
         return made
 
     def _tell(self, governor: Governor) -> None:
         """The whole list, of a life of the roster for each time: what is left out has gone."""
         listed = tuple(
-            feed.Replica(
+            feed.EndpointRecord(
                 e.replica,
                 e.zone,
                 "",
@@ -148,14 +148,16 @@
                 0,
                 e.phase,
                 1.0,
-                e.boot,
+                e.incarnation,
                 self.now - self.started[e.replica] if self.started[e.replica] else 10**9,
             )
             for e in self.replicas.values()
             if e.phase != "gone"
         )
         self.lives += 1
-        governor.core.listed(self.now, feed.Roster(f"l{self.lives}", 1, listed, True))
+        governor.core.handle_endpoint_list(
+            self.now, feed.EndpointListUpdate(f"l{self.lives}", 1, listed, True)
+        )
         for name, e in self.replicas.items():
             if governor.phase.get(name, ("", 0))[0] != e.phase:
                 shut = governor.phase.get(name, ("ready", 0))
@@ -175,7 +177,7 @@
                 self._list(name, "draining" if what == "drain" else "gone")
             case "back":  # also a restart that was never seen to go
                 self.started[name] = self.now
-                self._list(name, "ready", int(self.replicas[name].boot.partition("/")[2]) + 1)
+                self._list(name, "ready", int(self.replicas[name].incarnation.partition("/")[2]) + 1)
             case "fails":
                 self.failing ^= {name}
             case "deaf":
@@ -200,14 +202,14 @@
 
     def _list(self, name: str, phase: str, boot: int = 0) -> None:
         old = self.replicas[name]
-        number = boot or int(old.boot.partition("/")[2])
+        number = boot or int(old.incarnation.partition("/")[2])
         self.replicas[name] = entry(int(name[1:]), phase, number)
         for governor in self.governors:
             self._tell(governor)
 
     def _lost(self, relay: Relay) -> None:
         core = self.governors[relay.at].core
-        core.left(core.names.proxies.get(relay.name, -1), "its connection closed")
+        core.remove_proxy(core.identifiers.proxies.get(relay.name, -1), "its connection closed")
         relay.joined, relay.answer, relay.dials = -1, None, self.now + 100_000
 
     # Time
@@ -230,52 +232,59 @@
             after = 0 if relay.deaf else relay.after
             poll = Poll(relay.name, relay.zone, 5.0, relay.epoch, relay.stream, after)
             try:
-                answer = self.governors[relay.at].core.poll(self.now, poll)
-            except Refused:
+                answer = self.governors[relay.at].core.handle_poll(self.now, poll)
+            except RequestRejectedError:
                 relay.joined, relay.epoch, relay.dials = -1, "", self.now + 100_000
                 return
             if answer is not None:
                 relay.answer = (self.now + relay.way, answer)
         if self.now % SECOND < TICK and relay.joined >= 0:
             tries = tuple(
-                feed.Try(w, 6, 6 * (w in self.failing), 200_000, 0.5, 2.0)
-                for w in relay.holdings.lines("read")
+                feed.ReplicaAttempts(w, 6, 6 * (w in self.failing), 200_000, 0.5, 2.0)
+                for w in relay.holdings.weights_for("read")
             )
-            came = tuple(feed.Came(c, 10) for c in CLASSES)
-            with suppress(Refused):
-                self.governors[relay.at].core.sums(feed.Sums(relay.name, relay.epoch, SECOND, tries, came))
+            came = tuple(feed.ClassRequests(c, 10) for c in CLASSES)
+            with suppress(RequestRejectedError):
+                self.governors[relay.at].core.handle_load_report(
+                    feed.ProxyLoadReport(relay.name, relay.epoch, SECOND, tries, came)
+                )
 
-    def _take(self, relay: Relay, answer: feed.Feed) -> None:
+    def _take(self, relay: Relay, answer: feed.PollResponse) -> None:
         if (answer.epoch, answer.stream) != (relay.epoch, relay.stream):
             relay.epoch, relay.stream, relay.after, relay.joined = answer.epoch, answer.stream, 0, self.now
-            relay.holdings.joined()
+            relay.holdings.begin_stream()
         for message in answer.messages:
             if message.seq > relay.after:
                 relay.holdings.apply(message)
-                relay.after, relay.last = message.seq, message.at
+                relay.after, relay.last = message.seq, message.created_us
 
     def _govern(self, g: Governor) -> None:
         for at, replica in [p for p in g.probes if p[0] <= self.now]:
-            name = g.core.names.replicas.names[replica]
+            name = g.core.identifiers.replicas.names[replica]
             good = name not in self.failing and self.replicas[name].phase == "ready"
-            g.core.probed(replica, i.Outcome.ANSWERED if good else i.Outcome.TIMED_OUT, self.now - at, None)
+            g.core.handle_health_check(
+                replica,
+                i.HealthCheckOutcome.HEALTHY if good else i.HealthCheckOutcome.TIMED_OUT,
+                self.now - at,
+                None,
+            )
             g.probes.remove((at, replica))
         g.core.advance(self.now)
-        if batches := g.core.batches():
+        if batches := g.core.take_batches():
             replies: list[Reply] = [
                 (part, self.spoil(self, orders) if self.spoil else orders, why)
                 for part, orders, why in g.modules.handle(self.now, batches)
             ]
-            g.core.carry_out(self.now, replies)
-        g.probes += [(self.now + 100_000, n) for n in g.core.probes]
-        g.core.probes.clear()
-        g.core.logs.clear()
+            g.core.apply_replies(self.now, replies)
+        g.probes += [(self.now + 100_000, n) for n in g.core.pending_health_checks]
+        g.core.pending_health_checks.clear()
+        g.core.pending_logs.clear()
 
     # The rules, by what was told, held and sent
 
     def warm(self, g: Governor, but: str = "") -> bool:
         return any(
-            phase == "ready" and n != but and g.start[n][0] <= self.now - self.rules.cold_time
+            phase == "ready" and n != but and g.start[n][0] <= self.now - self.rules.warmup_us
             for n, (phase, _) in g.phase.items()
         )
 
@@ -283,12 +292,12 @@
         for relay in self.relays:
             g = self.governors[relay.at]
             for cls in CLASSES:
-                lines = relay.holdings.lines(cls)
+                lines = relay.holdings.weights_for(cls)
                 if relay.joined >= 0:
                     self._rules_1_and_3(relay, g, cls, lines)
-                share, way = relay.holdings.level(cls, 1)
+                share, way = relay.holdings.admission_for(cls, 1)
                 # The first try's answer is lost after the work: another one only where that was ordered.
-                if cls == "write" and way >= 2 and len(lines) > 1 and relay.holdings.bound:
+                if cls == "write" and way >= 2 and len(lines) > 1 and relay.holdings.is_bound:
                     raise Broken(f"rule 2: a write of {relay.name} takes effect twice by way {way}")
                 total = sum(lines.values())
                 for name, weight in lines.items():
@@ -302,31 +311,33 @@
         for name in lines:
             phase, since = g.phase.get(name, ("ready", 0))
             late = self.now - max(since, relay.joined)
-            if phase != "ready" and late > self.rules.grace:
+            if phase != "ready" and late > self.rules.drain_grace_us:
                 raise Broken(f"rule 3: {relay.name} still sends to {name}, {phase} for {late / 1e6:.2f} s")
         if lines or not self.warm(g):
             relay.bare.pop(cls, None)
-        elif self.now - relay.bare.setdefault(cls, self.now) > self.rules.bare_limit:
+        elif self.now - relay.bare.setdefault(cls, self.now) > self.rules.unroutable_limit_us:
             raise Broken(f"rule 1: {relay.name} has had nothing to pick for {cls} for over the limit")
 
     def _knows(self, relay: Relay, g: Governor, name: str) -> bool:
         told = g.start[name][1]
-        return relay.last > told or self.now - max(told, relay.joined) > self.rules.grace
+        return relay.last > told or self.now - max(told, relay.joined) > self.rules.drain_grace_us
 
     def _rule_4(self, name: str, some: deque[tuple[int, float, bool]]) -> None:
-        while some and some[0][0] <= self.now - self.rules.fall_span:
+        while some and some[0][0] <= self.now - self.rules.overload_window_us:
             some.popleft()
         age = self.now - self.started[name]
         if (
             not self.started[name]
-            or age >= self.rules.cold_time
+            or age >= self.rules.warmup_us
             or not all(self.warm(g, name) for g in self.governors)
         ):
             return  # warm, or nothing else is there to send to
         mine = [x for x in some if x[0] > self.started[name]]
-        cold = self.rules.cold_share
+        cold = self.rules.warmup_start_capacity
         budget = (
-            self.rules.fall_multiple * (cold + (1 - cold) * age / self.rules.cold_time) * self.rules.fall_span
+            self.rules.overload_multiple
+            * (cold + (1 - cold) * age / self.rules.warmup_us)
+            * self.rules.overload_window_us
         )
         work = sum(x[1] for x in mine)
         if work > budget and sum(x[1] for x in mine if x[2]) >= work * 2 / 3:
--- a/tests/support/node_shell.py
+++ b/tests/support/node_shell.py
@@ -13,8 +13,8 @@
 from tornado.iostream import IOStream
 
 from gradehoist.node import config
-from gradehoist.node.log import Log
-from gradehoist.node.service import Peer, Service
+from gradehoist.node.log import NodeLog
+from gradehoist.node.service import Connection, NodeService
 from gradehoist.testbed.platform import LOCAL, PATIENCE, Discovery, Node, entry
 from tests.support.platform_proxies import SETTINGS
 
@@ -107,7 +107,7 @@
         return task
 
 
-class Told(Log):
+class Told(NodeLog):
     """Keeps the lines for the test."""
 
     def __init__(self, lines: list[str]) -> None:
@@ -126,14 +126,14 @@
         self.node.configure(0)
         self.port, self.path = self.node.port, self.node.path
         self.scripts = [Script(place.port) for place in self.node.discoveries]
-        self.service = Service(config.load(self.path), self.path)
+        self.service = NodeService(config.load_config(self.path), self.path)
         self.told = list[str]()
         self.service.log = Told(self.told)
 
-    async def met(self, wire: Wire) -> Peer:
+    async def met(self, wire: Wire) -> Connection:
         """The shell's own side of a connection."""
 
-        def found() -> list[Peer]:
+        def found() -> list[Connection]:
             return [p for p in self.service._peers if p.stream.socket.getpeername() == wire.address]
 
         await until(found)
--- a/tests/support/platform_proxies.py
+++ b/tests/support/platform_proxies.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass, field
 
-from gradehoist.identifiers import Names
-from gradehoist.node.core import Core
-from gradehoist.node.discovery import Change, Member
+from gradehoist.identifiers import Identifiers
+from gradehoist.node.core import NodeCore
+from gradehoist.node.discovery import DiscoveredEndpoint, EndpointListUpdate
 from gradehoist.protocol import lines
 from gradehoist.settings import platform
 
@@ -28,8 +28,8 @@
 CLASSES = ("read", "write")
 
 
-def member(n: int, phase: str = "active", started: int = 0) -> Member:
-    return Member(f"s-{n}", f"127.0.0.1:{7000 + n}", "ab"[n % 2], "k", 0, phase, 1.0, started)
+def member(n: int, phase: str = "active", started: int = 0) -> DiscoveredEndpoint:
+    return DiscoveredEndpoint(f"s-{n}", f"127.0.0.1:{7000 + n}", "ab"[n % 2], "k", 0, phase, 1.0, started)
 
 
 @dataclass
@@ -86,9 +86,9 @@
 class Site:
     def __init__(self, replicas: int = 6, proxies: int = 4) -> None:
         self.now = 1_800_000_000 * SECOND
-        names = platform.names(SETTINGS)
-        saved = Change(1, True, tuple(member(n) for n in range(replicas)))
-        self.core = Core(names, platform.start(SETTINGS, names, 7), saved, self.now)
+        names = platform.parse_identifiers(SETTINGS)
+        saved = EndpointListUpdate(1, True, tuple(member(n) for n in range(replicas)))
+        self.core = NodeCore(names, platform.parse_config(SETTINGS, names, 7), saved, self.now)
         self.revision, self.waiting, self.bytes = 1, 0, list[bytes]()
         self.proxies = [Proxy(n, "ab"[n % 2]) for n in range(proxies)]
         for proxy in self.proxies:
@@ -96,20 +96,22 @@
         self.run(3)
 
     @property
-    def names(self) -> Names:
-        return self.core.names
+    def names(self) -> Identifiers:
+        return self.core.identifiers
 
     def join(self, proxy: Proxy, fresh: bool = True) -> None:
         proxy.due = []
-        proxy.stream = self.core.joined(self.now, lines.Hello(proxy.number, proxy.zone, 5.0, fresh))
+        proxy.stream = self.core.on_proxy_joined(
+            self.now, lines.ProxyHello(proxy.number, proxy.zone, 5.0, fresh)
+        )
 
-    def list(self, *members: Member) -> None:
+    def list(self, *members: DiscoveredEndpoint) -> None:
         self.revision += 1
-        self.core.listed(Change(self.revision, False, members))
+        self.core.on_endpoint_update(EndpointListUpdate(self.revision, False, members))
 
     def step(self) -> None:
         self.core.advance(self.now)
-        out, self.core.out = self.core.out, []
+        out, self.core.outbound = self.core.outbound, []
         for number, stream, data in out:
             self.bytes.append(data)
             for proxy in self.proxies:
@@ -119,8 +121,10 @@
     def answer(self) -> None:
         for proxy in self.proxies:
             for mark in proxy.due if not proxy.deaf else []:
-                self.core.heard(self.now, proxy.number, proxy.stream)
-                self.core.acked(self.now, proxy.number, proxy.stream, lines.Ack(proxy.number, mark, 1_000))
+                self.core.on_stream_active(self.now, proxy.number, proxy.stream)
+                self.core.on_acknowledged(
+                    self.now, proxy.number, proxy.stream, lines.Acknowledgement(proxy.number, mark, 1_000)
+                )
             proxy.due = []
 
     def run(self, seconds: float) -> None:
--- a/tests/support/policy_fleet.py
+++ b/tests/support/policy_fleet.py
@@ -10,39 +10,39 @@
 from gradehoist.policy.planner import Planner
 
 SECOND = 1_000_000
-ANY = i.TransactionClass(SECOND, 2 * SECOND, 1.0, 0.1, i.Repeat.FREE, None, None, False)
-BOUND = i.TransactionClass(SECOND, 2 * SECOND, 3.0, 0.1, i.Repeat.SINGLE, (0, 1), None, False)
-LOCAL = i.TransactionClass(SECOND, 2 * SECOND, 3.0, 0.1, i.Repeat.SINGLE, None, None, True)
+ANY = i.RequestClass(SECOND, 2 * SECOND, 1.0, 0.1, i.Idempotency.IDEMPOTENT, None, None, False)
+BOUND = i.RequestClass(SECOND, 2 * SECOND, 3.0, 0.1, i.Idempotency.NOT_IDEMPOTENT, (0, 1), None, False)
+LOCAL = i.RequestClass(SECOND, 2 * SECOND, 3.0, 0.1, i.Idempotency.NOT_IDEMPOTENT, None, None, True)
 
 
 def start(
-    classes: tuple[i.TransactionClass, ...] = (ANY, BOUND, LOCAL),
+    classes: tuple[i.RequestClass, ...] = (ANY, BOUND, LOCAL),
     queue: float = 2000.0,
     limit: int = 20,
     seed: int = 7,
     probes: bool = True,
     rate: float = 1e6,
     proxies: int = 6,
-) -> i.Start:
-    rules = i.Rules(2 * SECOND, 10 * SECOND, 0.2, 3.0, 3 * SECOND, 4 * SECOND, False)
-    reports = i.Reports(SECOND, True, True, probes, False)
-    channel = i.Channel(queue, rate, 4.0, limit, 10 * SECOND)
-    return i.Start(seed, 3, proxies, 0, True, classes, rules, channel, reports)
+) -> i.PolicyConfig:
+    rules = i.SafetyLimits(2 * SECOND, 10 * SECOND, 0.2, 3.0, 3 * SECOND, 4 * SECOND, False)
+    reports = i.LoadReporting(SECOND, True, True, probes, False)
+    channel = i.ChannelLimits(queue, rate, 4.0, limit, 10 * SECOND)
+    return i.PolicyConfig(seed, 3, proxies, 0, True, classes, rules, channel, reports)
 
 
-def entry(n: int, phase: i.Phase = i.Phase.READY, started: int = 0, size: float = 1.0) -> i.Entry:
-    return i.Entry(n, n % 3, 0, 0, phase, size, started)
+def entry(n: int, phase: i.Phase = i.Phase.READY, started: int = 0, size: float = 1.0) -> i.Endpoint:
+    return i.Endpoint(n, n % 3, 0, 0, phase, size, started)
 
 
 @dataclass
 class World:
-    settings: i.Start = field(default_factory=start)
+    settings: i.PolicyConfig = field(default_factory=start)
     now: int = 100 * SECOND
     tables: dict[int, dict[int, float]] = field(default_factory=dict)
     proxies: dict[int, int] = field(default_factory=dict)  # zone by proxy
     bound: dict[int, dict[int, int]] = field(default_factory=dict)  # table by class
     shut: set[int] = field(default_factory=set)
-    known: dict[int, i.Entry] = field(default_factory=dict)
+    known: dict[int, i.Endpoint] = field(default_factory=dict)
     queue: deque[tuple[int, int, float]] = field(default_factory=deque)  # proxy, mark, lines
     wakes: list[int] = field(default_factory=list)
     sent: dict[int, list[int]] = field(default_factory=dict)
@@ -55,15 +55,15 @@
     def step(self, *events: i.Event, wait: int = 0) -> list[i.Order]:
         self.now += wait
         for e in events:
-            if isinstance(e, i.Listed):
-                if e.kind is not i.ListKind.CHANGES:
-                    left = set(self.known) - {x.replica for x in e.entries}
+            if isinstance(e, i.EndpointsListed):
+                if e.kind is not i.EndpointListKind.DELTA:
+                    left = set(self.known) - {x.replica for x in e.endpoints}
                     for n in left:
-                        self.known[n] = entry(n, i.Phase.GONE, self.known[n].started)
-                self.known |= {x.replica: x for x in e.entries}
-            elif isinstance(e, i.Joined):
+                        self.known[n] = entry(n, i.Phase.GONE, self.known[n].started_us)
+                self.known |= {x.replica: x for x in e.endpoints}
+            elif isinstance(e, i.ProxyJoined):
                 self.proxies[e.proxy], self.bound[e.proxy], self.sent[e.proxy] = e.zone, {}, []
-            elif isinstance(e, i.Left):
+            elif isinstance(e, i.ProxyLeft):
                 del self.proxies[e.proxy], self.bound[e.proxy]
                 self.queue = deque(q for q in self.queue if q[0] != e.proxy)
         orders = self.module.handle(self.now, list(events))
@@ -74,64 +74,72 @@
     def take(self, orders: list[i.Order]) -> None:
         self.log += orders
         lines: dict[int, float] = {}
-        mark, to_all = next(((o.number, o.to_all) for o in orders if isinstance(o, i.Mark)), (-1, False))
+        mark, to_all = next(
+            ((o.revision, o.to_all) for o in orders if isinstance(o, i.RequestAcknowledgement)), (-1, False)
+        )
         lines |= dict.fromkeys(self.proxies if to_all else [], 0)
         for o in orders:
             users = [p for p, by in self.bound.items() if getattr(o, "table", None) in by.values()]
-            if isinstance(o, i.SetLine):
+            if isinstance(o, i.SetWeight):
                 assert o.weight >= 0 and o.replica in self.known, "a weight of a replica never listed"
                 self.tables.setdefault(o.table, {})[o.replica] = o.weight
                 if not o.weight:
                     del self.tables[o.table][o.replica]
-            elif isinstance(o, i.Bind):
+            elif isinstance(o, i.BindProxy):
                 assert o.proxy in self.proxies and o.classes
                 self.bound[o.proxy] |= dict.fromkeys(o.classes, o.table)
                 users = [o.proxy]
                 lines[o.proxy] = lines.get(o.proxy, 0) + len(self.tables.get(o.table, {})) + len(self.shut)
-            elif isinstance(o, i.Withdraw):
-                (self.shut.add if o.out else self.shut.discard)(o.replica)
+            elif isinstance(o, i.WithdrawReplica):
+                (self.shut.add if o.withdrawn else self.shut.discard)(o.replica)
                 users = [
                     p
                     for p, b in self.bound.items()
                     if any(o.replica in self.tables.get(t, {}) for t in b.values())
                 ]
-            elif isinstance(o, i.Admit):
-                assert 0 < o.share <= 1 and o.tries <= 1, "a further try that might run twice"
+            elif isinstance(o, i.SetAdmission):
+                assert 0 < o.admitted_share <= 1 and o.retry_policy <= 1, "a further try that might run twice"
                 users = list(self.proxies)
-            elif isinstance(o, i.Wake):
-                self.wakes.append(self.now + o.delay)
+            elif isinstance(o, i.SetTimer):
+                self.wakes.append(self.now + o.delay_us)
             for p in users:
                 lines[p] = lines.get(p, 0) + 1
         for p, n in lines.items():
             assert mark >= 0, "lines that nobody will acknowledge"
-            self.queue.append((p, mark, n + 1 + self.settings.channel.message_head))
+            self.queue.append((p, mark, n + 1 + self.settings.channel.message_overhead_lines))
             self.sent[p].append(self.now)
 
     def check(self) -> None:
         """Queue and message caps, drains, placement, and a line to pick for every class that has a server."""
-        channel, rules = self.settings.channel, self.settings.rules
-        assert sum(n for _, _, n in self.queue) <= channel.queue_limit
+        channel, rules = self.settings.channel, self.settings.safety
+        assert sum(n for _, _, n in self.queue) <= channel.queue_limit_lines
         for p, times in self.sent.items():
-            recent = [t for t in times if t > self.now - channel.message_window]
-            assert not channel.message_limit or len(recent) <= channel.message_limit, f"too often to {p}"
+            recent = [t for t in times if t > self.now - channel.message_window_us]
+            assert (
+                not channel.messages_per_window or len(recent) <= channel.messages_per_window
+            ), f"too often to {p}"
         for p, zone in self.proxies.items():
             for k, table in self.bound[p].items():
                 c = self.settings.classes[k]
                 for n in self.tables.get(table, {}):
-                    assert c.only_zones is None or self.known[n].zone in c.only_zones, "outside its zones"
-                    assert not c.stays_local or self.known[n].zone == zone, "outside its own zone"
+                    assert (
+                        c.allowed_zones is None or self.known[n].zone in c.allowed_zones
+                    ), "outside its zones"
+                    assert not c.zone_local or self.known[n].zone == zone, "outside its own zone"
                 warm = [
                     n
                     for n, x in self.known.items()
                     if x.phase is i.Phase.READY
-                    and x.started <= self.now - rules.cold_time
-                    and (c.only_zones is None or x.zone in c.only_zones)
-                    and (not c.stays_local or x.zone == zone)
+                    and x.started_us <= self.now - rules.warmup_us
+                    and (c.allowed_zones is None or x.zone in c.allowed_zones)
+                    and (not c.zone_local or x.zone == zone)
                 ]
                 bare = self.bare.pop((p, k, table), self.now)
                 if warm and not self.open(table):
                     self.bare[p, k, table] = bare
-                    assert self.now - bare <= rules.bare_limit, f"class {k} of proxy {p} has nothing to pick"
+                    assert (
+                        self.now - bare <= rules.unroutable_limit_us
+                    ), f"class {k} of proxy {p} has nothing to pick"
         if not self.queue and all(len(b) == len(self.settings.classes) for b in self.bound.values()):
             for n, x in self.known.items():
                 held = any(n in self.tables.get(t, {}) for b in self.bound.values() for t in b.values())
@@ -146,9 +154,11 @@
 
     def acks(self, most: int = 1000) -> list[i.Event]:
         done = [self.queue.popleft() for _ in range(min(most, len(self.queue)))]
-        return [i.Applied(p, m, 1000) for p, m, _ in done if p in self.proxies]
+        return [i.UpdateAcknowledged(p, m, 1000) for p, m, _ in done if p in self.proxies]
 
-    def run(self, seconds: float, report: Mapping[int, tuple[int, int, i.Load | None]] | None = None) -> None:
+    def run(
+        self, seconds: float, report: Mapping[int, tuple[int, int, i.LoadReport | None]] | None = None
+    ) -> None:
         """Time goes on: timers fire, messages are acknowledged, each second the replicas report."""
         end, next_report = self.now + int(seconds * SECOND), self.now + SECOND
         while self.wakes and min(self.wakes) <= end:
@@ -158,17 +168,17 @@
             if due >= next_report:
                 next_report += SECOND
                 events += [
-                    i.Heard(z, n, tries, bad, 200_000, SECOND, load)
+                    i.AttemptsReported(z, n, tries, bad, 200_000, SECOND, load)
                     for z in range(3)
                     for n, (tries, bad, load) in (report or {}).items()
                 ]
-            self.step(*events, i.Due(0), wait=due - self.now)
+            self.step(*events, i.TimerFired(0), wait=due - self.now)
         self.now = max(self.now, end)
 
 
-def running(count: int = 9, proxies: int = 4, settings: i.Start | None = None) -> World:
+def running(count: int = 9, proxies: int = 4, settings: i.PolicyConfig | None = None) -> World:
     world = World(settings or start())
-    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(count))))
-    world.step(*(i.Joined(p, p % 3, 5.0) for p in range(proxies)))
+    world.step(i.EndpointsListed(i.EndpointListKind.CACHED, tuple(entry(n) for n in range(count))))
+    world.step(*(i.ProxyJoined(p, p % 3, 5.0) for p in range(proxies)))
     world.run(1)
     return world
--- a/tests/support/store_simulation.py
+++ b/tests/support/store_simulation.py
@@ -8,21 +8,37 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from gradehoist.coordination import store as r
-from gradehoist.coordination.agent import Agent, Ask, Me, News
-from gradehoist.coordination.election import Claim
-from gradehoist.coordination.fencing import Gate, Right
-from gradehoist.history.recorder import Scribe
-from gradehoist.history.records import Effect, Line
+from gradehoist.coordination.agent import Notification, Participant, ProcessIdentity, StoreRequest
+from gradehoist.coordination.election import LeaderElection
+from gradehoist.coordination.fencing import Fence, FencingToken
+from gradehoist.coordination.store import (
+    Change,
+    CommitRejected,
+    Committed,
+    CoordinationError,
+    Delete,
+    HistoryCompactedError,
+    OutcomeUnknownError,
+    Put,
+    Record,
+    SessionEndedError,
+    StoreFullError,
+    StoreSnapshot,
+    StoreUnavailableError,
+    WatchBatch,
+    WatchEvent,
+)
+from gradehoist.history.recorder import HistoryRecorder
+from gradehoist.history.records import Effect, HistoryEntry
 from gradehoist.testbed.etcd_keyspace import Entry, Gone, Keyspace, NoLease
 
 SECOND = 1_000_000
 TTL = 6 * SECOND
 
 
-def record(e: Entry) -> r.Record:
+def record(e: Entry) -> Record:
     token, _, value = e.value.partition(b"\0")
-    return r.Record(e.key.decode(), value, e.modified, token.decode(), str(e.lease or ""))
+    return Record(e.key.decode(), value, e.modified, token.decode(), str(e.lease or ""))
 
 
 @dataclass
@@ -41,16 +57,16 @@
 
 @dataclass
 class Process:
-    agent: Agent
-    claim: Claim
-    news: list[News] = field(default_factory=list)
+    agent: Participant
+    claim: LeaderElection
+    news: list[Notification] = field(default_factory=list)
     stopped: bool = False
     held_back: list[Callable[[], None]] = field(default_factory=list)
     turns: int = 0
     counting: str = ""  # token of its last increment under way
-    scribe: Scribe | None = None
+    scribe: HistoryRecorder | None = None
 
-    def told(self, kind: str) -> list[News]:
+    def told(self, kind: str) -> list[Notification]:
         return [n for n in self.news if n.kind == kind]
 
 
@@ -70,16 +86,16 @@
         self.space, self.faults, self.kept = Keyspace(), Faults(), Keyspace()
         self.heap = list[tuple[int, int, Callable[[], None]]]()
         self.pushed, self.items = 0, 0
-        self.lines, self.gate = list[Line](), Gate()
+        self.lines, self.gate = list[HistoryEntry](), Fence()
         self.waiting = list[Callable[[], None]]()
         self.life = 0
         self.asked = dict[str, int]()
         self.processes = [self.process(f"p{n}", seed * 100 + n) for n in range(count)]
 
     def process(self, name: str, seed: int, run: str = "") -> Process:
-        me = Me("actor", name, "x", run or f"{name}-run", f"127.0.0.1:{7000 + seed % 1000}")
-        p = Process(Agent(me, TTL, seed), Claim("job", SECOND, self.dice.random()))
-        p.scribe = Scribe(self.lines.append, me.run, lambda: self.now)
+        me = ProcessIdentity("actor", name, "x", run or f"{name}-run", f"127.0.0.1:{7000 + seed % 1000}")
+        p = Process(Participant(me, TTL, seed), LeaderElection("job", SECOND, self.dice.random()))
+        p.scribe = HistoryRecorder(self.lines.append, me.incarnation, lambda: self.now)
         self.later(self.dice.randrange(SECOND // 10), lambda: self.turn(p))
         return p
 
@@ -111,17 +127,20 @@
             p.held_back.append(lambda: self.turn(p))
             return
         p.turns += 1
-        for ask in p.agent.asks(self.now):
+        for ask in p.agent.take_due_requests(self.now):
             self.call(p, ask)
-        for one in p.agent.news:
+        for one in p.agent.notifications:
             p.news.append(one)
             if one.kind == "settled":
-                p.claim.settled(one.fields["token"], one.fields["how"])
+                p.claim.on_commit_settled(one.fields["token"], one.fields["how"])
                 if one.fields["token"] == p.counting:
                     p.counting = ""
-        p.agent.news = []
-        p.claim.step(self.now, p.agent)
-        self.later(max(1_000, min(SECOND // 4, p.agent.due(self.now) - self.now)), lambda: self.turn(p))
+        p.agent.notifications = []
+        p.claim.advance(self.now, p.agent)
+        self.later(
+            max(1_000, min(SECOND // 4, p.agent.next_request_at_us(self.now) - self.now)),
+            lambda: self.turn(p),
+        )
 
     def stop(self, p: Process) -> None:
         p.stopped = True
@@ -134,55 +153,59 @@
 
     def act(self, p: Process, pause: int = 0) -> None:
         """A step under the right: looked at now, its effect taken after `pause` and its way."""
-        right = p.claim.right
-        if p.stopped or right is None or not p.agent.joined:
+        right = p.claim.fencing_token
+        if p.stopped or right is None or not p.agent.is_joined:
             return
         self.items += 1
-        item = f"{p.agent.me.run}:{self.items}"
+        item = f"{p.agent.identity.incarnation}:{self.items}"
         self.later(pause + self.dice.randrange(1, self.faults.pace + 1), lambda: self.take(p, right, item))
 
-    def take(self, p: Process, right: Right, item: str) -> None:
+    def take(self, p: Process, right: FencingToken, item: str) -> None:
         if p.stopped:
             p.held_back.append(lambda: self.take(p, right, item))
             return
-        gate, against = self.gate.show("job", right)
+        gate, against = self.gate.present("job", right)
         # Who trusts a session asks whether it lives, and takes its word for what it holds.
-        trusted = self.without == "an ended session stays ended" and p.agent.session != ""
+        trusted = self.without == "an ended session stays ended" and p.agent.session_id != ""
         if against is not None and self.without != "generation at the effect" and not trusted:
-            p.claim.refused(p.agent, against)
+            p.claim.on_token_rejected(p.agent, against)
             return
         self.gate = gate
-        self.lines.append(Effect(self.now, "ledger", "job", right.gen, right.holder, item))
+        self.lines.append(Effect(self.now, "ledger", "job", right.generation, right.holder, item))
 
     def count(self, p: Process) -> None:
         """Adds one to a record that all write."""
-        if p.agent.mirror.begun and not p.counting and not p.stopped:
-            known = p.agent.value("counter", int) or 0
-            p.counting = p.agent.propose(p.agent.put("counter", known + 1))
+        if p.agent.cache.is_loaded and not p.counting and not p.stopped:
+            known = p.agent.decode_record("counter", int) or 0
+            p.counting = p.agent.propose(p.agent.build_put("counter", known + 1))
 
     # The register's side
 
-    def call(self, p: Process, ask: Ask) -> None:
-        self.asked[ask.what] = self.asked.get(ask.what, 0) + 1
+    def call(self, p: Process, ask: StoreRequest) -> None:
+        self.asked[ask.operation] = self.asked.get(ask.operation, 0) + 1
         assert p.scribe is not None
-        p.scribe.asked(ask)
+        p.scribe.record_invocation(ask)
         way, back = (self.dice.randrange(1, self.faults.pace + 1) for _ in range(2))
         dropped, lost = self.dice.random() < self.faults.drop, self.dice.random() < self.faults.lose
         done, life = [False], self.life
 
-        def fail(fault: r.Fault) -> None:
+        def fail(fault: CoordinationError) -> None:
             self.answer(p, ask, fault, done)
 
         def late() -> None:
-            fail(r.Unknown("no answer") if ask.what in ("commit", "open", "end") else r.Unreachable("none"))
+            fail(
+                OutcomeUnknownError("no answer")
+                if ask.operation in ("commit", "open", "end")
+                else StoreUnavailableError("none")
+            )
 
-        self.later(ask.within, late)
+        self.later(ask.timeout_us, late)
         if dropped:
             return
 
         def arrive() -> None:
             if self.faults.away or life != self.life:
-                self.later(back, lambda: fail(r.Unreachable("away")))
+                self.later(back, lambda: fail(StoreUnavailableError("away")))
                 return
             answer = self.take_place(ask, arrive)
             if answer is None:
@@ -191,16 +214,16 @@
                 self.later(back, lambda: self.answer(p, ask, answer, done))
 
         self.later(way, arrive)
-        if ask.what == "watch":
+        if ask.operation == "watch":
             prefix, after, wait = ask.args
 
             def quiet() -> None:
                 if not self.faults.away and life == self.life and not lost:
-                    self.answer(p, ask, r.Batch("one", after, after, ()), done)
+                    self.answer(p, ask, WatchBatch("one", after, after, ()), done)
 
             self.later(wait, quiet)
 
-    def answer(self, p: Process, ask: Ask, answer: Any, done: list[bool]) -> None:
+    def answer(self, p: Process, ask: StoreRequest, answer: Any, done: list[bool]) -> None:
         if p.stopped:
             p.held_back.append(lambda: self.answer(p, ask, answer, done))
             return
@@ -208,29 +231,29 @@
             return
         done[0] = True
         assert p.scribe is not None
-        p.scribe.answered(ask, answer)
-        if isinstance(answer, r.Fault):
-            p.agent.failed(self.now, ask.number, answer)
+        p.scribe.record_completion(ask, answer)
+        if isinstance(answer, CoordinationError):
+            p.agent.handle_failure(self.now, ask.request_id, answer)
         else:
-            p.agent.answered(self.now, ask.number, answer)
+            p.agent.handle_response(self.now, ask.request_id, answer)
 
-    def take_place(self, ask: Ask, again: Callable[[], None]) -> Any:
+    def take_place(self, ask: StoreRequest, again: Callable[[], None]) -> Any:
         space = self.space
-        match ask.what, ask.args:
+        match ask.operation, ask.args:
             case "read", (prefix,):
                 at = 0
                 stale = 0.5 if self.without == "reads as of now" else self.faults.stale
                 if self.dice.random() < stale:
                     at = max(space.compacted, space.revision - self.dice.randrange(1, 4), 1)
                 found = space.range(prefix.encode(), prefix.encode() + b"\xff", at)
-                return r.Snapshot("one", at or space.revision, tuple(record(e) for e in found))
+                return StoreSnapshot("one", at or space.revision, tuple(record(e) for e in found))
             case "commit", (changes, token):
                 return self.commit(changes, token)
             case "open", (ttl,):
                 return str(space.grant(self.now, ttl))
             case "keep", (session,):
                 lives = space.renew(self.now, int(session)) or self.without == "an ended session stays ended"
-                return space.revision if lives else r.Ended("ended")
+                return space.revision if lives else SessionEndedError("ended")
             case "end", (session,):
                 space.revoke(int(session))
                 self.changed()
@@ -239,42 +262,42 @@
                 return self.watch(prefix, after, again)
         raise AssertionError(ask)
 
-    def commit(self, changes: tuple[r.Change, ...], token: str) -> Any:
+    def commit(self, changes: tuple[Change, ...], token: str) -> Any:
         space = self.space
-        wrong = any(space.modified(c.key.encode()) != c.expect for c in changes)
+        wrong = any(space.modified(c.key.encode()) != c.expected_version for c in changes)
         if wrong and self.without != "version at the commit":
             found = [e for c in changes for e in space.range(c.key.encode())]
-            return r.Refused(space.revision, tuple(record(e) for e in found))
+            return CommitRejected(space.revision, tuple(record(e) for e in found))
         if self.faults.full:
-            return r.Full("no room")
+            return StoreFullError("no room")
         puts = [
-            (c.key.encode(), token.encode() + b"\0" + c.value, int(c.session or "0"))
+            (c.key.encode(), token.encode() + b"\0" + c.value, int(c.session_id or "0"))
             for c in changes
-            if isinstance(c, r.Put)
+            if isinstance(c, Put)
         ]
         try:
-            revision = space.write(puts, [c.key.encode() for c in changes if isinstance(c, r.Delete)])
+            revision = space.write(puts, [c.key.encode() for c in changes if isinstance(c, Delete)])
         except NoLease:
-            return r.Ended("no such session")
+            return SessionEndedError("no such session")
         self.changed()
-        return r.Done(revision)
+        return Committed(revision)
 
     def watch(self, prefix: str, after: int, again: Callable[[], None]) -> Any:
         if self.dice.random() < self.faults.cut:
-            return r.Unreachable("cut")
+            return StoreUnavailableError("cut")
         if self.dice.random() < self.faults.repeat:
             after = max(self.space.compacted, after - 3)
         try:
             past = self.space.since(after + 1, prefix.encode(), prefix.encode() + b"\xff")
         except Gone:
-            return r.Compacted("gone")
+            return HistoryCompactedError("gone")
         if not past and self.space.revision >= after:
             self.waiting.append(again)
             return None
         events = tuple(
-            r.Event(x.key.decode(), x.revision, record(x.entry) if x.entry else None) for x in past
+            WatchEvent(x.key.decode(), x.revision, record(x.entry) if x.entry else None) for x in past
         )
-        return r.Batch("one", after, self.space.revision, events)
+        return WatchBatch("one", after, self.space.revision, events)
 
     def changed(self) -> None:
         waiting, self.waiting = self.waiting, []
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -15,7 +15,7 @@
 
 
 def feed(host: Host, *lines: str) -> str:
-    replies = [reply for reply in map(host.feed, (*lines, "OVER_TO_YOU")) if reply is not None]
+    replies = [reply for reply in map(host.handle_line, (*lines, "OVER_TO_YOU")) if reply is not None]
     assert len(replies) == 1
     return replies[0]
 
@@ -52,7 +52,7 @@
 
         def handle(self, now: int, events: list[i.Event]) -> list[i.Order]:
             self.seen += events
-            return [i.Wake(3, 1_500_000)]
+            return [i.SetTimer(3, 1_500_000)]
 
     errors = io.StringIO()
     host = Host(errors, lambda start, now: Spy())
@@ -82,9 +82,19 @@
         "TOOK_EFFECT agent=1 rev=2 elapsed=0.25",
     )
     assert reply == "ON_BEHALF governor=3\nWAKE_ME ref=3 from-now=1.500000\nNEXT\n"
-    assert host.now == 7_000_001 and len(made) == 2 and not made[0]
+    assert host.now_us == 7_000_001 and len(made) == 2 and not made[0]
     kinds = [type(e).__name__ for e in made[1]]
-    assert kinds == ["Listed"] * 3 + ["SliceGiven", "SliceLine", "SliceOffered", "PeerNote", "Applied"]
-    assert made[1][0] == i.Listed(i.ListKind.SAVED, (i.Entry(0, 0, 0, 0, i.Phase.READY, 2.0, 0),))
-    assert made[1][1] == i.Listed(i.ListKind.CHANGES, ()) and made[1][4] == i.SliceLine(4, 1, 1.0)
+    assert kinds == ["EndpointsListed"] * 3 + [
+        "KeyRangeAssigned",
+        "KeyRangeLine",
+        "KeyRangeOffered",
+        "PeerMessageReceived",
+        "UpdateAcknowledged",
+    ]
+    assert made[1][0] == i.EndpointsListed(
+        i.EndpointListKind.CACHED, (i.Endpoint(0, 0, 0, 0, i.Phase.READY, 2.0, 0),)
+    )
+    assert made[1][1] == i.EndpointsListed(i.EndpointListKind.DELTA, ()) and made[1][4] == i.KeyRangeLine(
+        4, 1, 1.0
+    )
     assert errors.getvalue().count("\n") == 1 and "CUSTODY flag=1" in errors.getvalue()
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -52,7 +52,11 @@
     relay: str = "r1",
     mark: int | None = None,
 ) -> Rec:
-    cost = RULES.message_head + len(deltas) + sum(len(d.lines) for d in deltas if isinstance(d, feed.Bind))
+    cost = (
+        RULES.message_head
+        + len(deltas)
+        + sum(len(d.weights) for d in deltas if isinstance(d, feed.BindDelta))
+    )
     stamp = T0 + round((at - 0.1 if ordered is None else ordered) * S)
     message = feed.Message(seq, reply or seq, stamp, cost, tuple(deltas), mark)
     return rec(
@@ -105,19 +109,27 @@
 @pytest.mark.parametrize(("late", "state"), [(-0.05, "kept"), (0.05, "broken")])
 def test_rule_1_by_the_time_without_a_line(late: float, state: str) -> None:
     until = 5 + RULES.bare_limit / S + late
-    outs = (feed.Out(W1), feed.Out(W4))
-    rule = judge(*start(), applied(5, 1, *outs), applied(until, 2, feed.Back(W1)))["line"]
+    outs = (feed.WithdrawalDelta(W1), feed.WithdrawalDelta(W4))
+    rule = judge(*start(), applied(5, 1, *outs), applied(until, 2, feed.RestorationDelta(W1)))["line"]
     assert rule.state == state and abs(rule.near - 1) < 0.03
     assert state == "kept" or rule.breaks[0].relay == "r1"
 
 
 def test_rule_1_runs_only_while_a_warm_replica_open_to_the_class_is_listed() -> None:
     shut = {r.name: ("gone", 1) for r in PLAN.replicas}
-    rule = judge(*start(), told(4, shut), applied(5, 1, feed.Out(W1), feed.Out(W4)))["line"]
+    rule = judge(*start(), told(4, shut), applied(5, 1, feed.WithdrawalDelta(W1), feed.WithdrawalDelta(W4)))[
+        "line"
+    ]
     assert rule.state == "kept" and rule.near == 0
     cold = [rec(5, "up", "replicas-hall-a", replica=r.name, boot=2, cold=True) for r in PLAN.replicas]
     back = told(6, {r.name: ("ready", 2) for r in PLAN.replicas})
-    rule = judge(*start(), told(4, shut), applied(5, 1, feed.Out(W1), feed.Out(W4)), *cold, back)["line"]
+    rule = judge(
+        *start(),
+        told(4, shut),
+        applied(5, 1, feed.WithdrawalDelta(W1), feed.WithdrawalDelta(W4)),
+        *cold,
+        back,
+    )["line"]
     assert rule.near == 0  # nothing is noted after the list: none of them was warm then
 
 
@@ -221,7 +233,7 @@
 @pytest.mark.parametrize(("over", "state"), [(0, "kept"), (1, "broken")])
 def test_rule_5_by_lines_in_the_channel(over: int, state: str) -> None:
     table = {f"x{n}": 1.0 for n in range(int(RULES.queue_limit / 2 - RULES.message_head - 1))}
-    some = [applied(5 + n, n, feed.Bind(0, ("rate-check",), table), ordered=5, reply=1) for n in (1, 2)]
+    some = [applied(5 + n, n, feed.BindDelta(0, ("rate-check",), table), ordered=5, reply=1) for n in (1, 2)]
     extra = [applied(8, 3, ordered=5, reply=1)] * over
     rule = judge(*start(), *some, *extra)["queue"]
     assert rule.state == state and (over or abs(rule.near - 1) < 0.001)
@@ -236,7 +248,7 @@
 
 
 def test_rule_5_trusts_no_stamp_that_the_pace_belies() -> None:
-    bind = feed.Bind(0, ("rate-check",), {f"x{n}": 1.0 for n in range(594)})  # a message of 600 lines
+    bind = feed.BindDelta(0, ("rate-check",), {f"x{n}": 1.0 for n in range(594)})  # a message of 600 lines
     for last, state in ((5.39, "broken"), (5.401, "kept")):  # 1,200 lines need 0.4 s
         some = [applied(5.201, 1, bind, ordered=5), applied(last, 2, bind, ordered=5, reply=1)]
         assert judge(*start(), *some)["queue"].state == state
--- a/tests/test_checker_detection.py
+++ b/tests/test_checker_detection.py
@@ -7,35 +7,43 @@
 
 import pytest
 
-from gradehoist.history import exactly_once, linearizability
-from gradehoist.history.records import Line
-from gradehoist.settings import reader as r
+from gradehoist.history import linearizability
+from gradehoist.history.exactly_once import find_duplicate_effects, find_fencing_violations
+from gradehoist.history.records import HistoryEntry
+from gradehoist.settings.reader import (
+    choice_parser,
+    integer_parser,
+    load_document,
+    number_parser,
+    parse_duration_us,
+    parse_text,
+)
 from tests.support.store_simulation import Faults, World
 
 SCENES = sorted((Path(__file__).parent.parent / "scenarios/processes/broken").glob("*.kdl"))
-CHECKS = {"generations": exactly_once.generations, "linear": linearizability.check}
+CHECKS = {"generations": find_fencing_violations, "linear": linearizability.find_linearizability_violations}
 
 
 class Scene:
     def __init__(self, path: Path) -> None:
-        reader, root = r.load(path)
-        broken, step, cut = root.need("broken"), root.child("step"), root.child("cut")
-        self.guard = broken.get("guard", r.text)
-        self.seeds = broken.get("seeds", r.whole(1, 100))
-        self.caught = broken.get("caught", r.one_of(CHECKS))
-        self.count = r.whole(1, 100)(root.need("processes").args[0])
-        self.step = r.time(step.args[0]) if step else 0
-        self.cut = r.number(0, 1)(cut.args[0]) if cut else 0.0
+        reader, root = load_document(path)
+        broken, step, cut = root.require_child("broken"), root.child("step"), root.child("cut")
+        self.guard = broken.get("guard", parse_text)
+        self.seeds = broken.get("seeds", integer_parser(1, 100))
+        self.caught = broken.get("caught", choice_parser(CHECKS))
+        self.count = integer_parser(1, 100)(root.require_child("processes").args[0])
+        self.step = parse_duration_us(step.args[0]) if step else 0
+        self.cut = number_parser(0, 1)(cut.args[0]) if cut else 0.0
         still = root.child("stand-still")
-        self.every = still.get("every", r.time) if still else 0
-        self.longest = still.get("up-to", r.time) if still else 0
+        self.every = still.get("every", parse_duration_us) if still else 0
+        self.longest = still.get("up-to", parse_duration_us) if still else 0
         for node in (broken, still):
             if node:
-                node.done()
-        root.done()
-        reader.finish()
+                node.reject_unread()
+        root.reject_unread()
+        reader.raise_errors()
 
-    def play(self, seed: int, guard: str) -> list[Line]:
+    def play(self, seed: int, guard: str) -> list[HistoryEntry]:
         world = World(seed, self.count, without=guard)
         world.faults = Faults(cut=self.cut)
         world.run(10)
@@ -65,9 +73,9 @@
     for seed in range(scene.seeds):
         lines = scene.play(seed, "")
         assert (
-            not linearizability.check(lines)
-            and not exactly_once.generations(lines)
-            and not exactly_once.once(lines)
+            not linearizability.find_linearizability_violations(lines)
+            and not find_fencing_violations(lines)
+            and not find_duplicate_effects(lines)
         )
 
 
--- a/tests/test_delivery_queue.py
+++ b/tests/test_delivery_queue.py
@@ -7,11 +7,11 @@
 import pytest
 
 from gradehoist import interface as i
-from gradehoist.cells.channel_shares import Budget
-from gradehoist.governor.delivery_queue import Ledger, Piece
-from gradehoist.governor.policy_instances import Part
-from gradehoist.governor.tables import Tables
-from gradehoist.identifiers import Names
+from gradehoist.cells.channel_shares import ChannelShares
+from gradehoist.governor.delivery_queue import Delivery, DeliveryQueue
+from gradehoist.governor.policy_instances import PolicyInstance
+from gradehoist.governor.tables import PublishedTables
+from gradehoist.identifiers import Identifiers
 from gradehoist.protocol import feed
 from tests.support.governed_fleet import SECOND, entry
 from tests.test_cells import world
@@ -25,60 +25,62 @@
     def __init__(self, seed: int) -> None:
         self.dice = random.Random(seed)
         labels = [f"c{n}/{k}" for n in range(CELLS) for k in range(CLASSES)]
-        self.names = Names(("x",), (), labels)
-        route = feed.Route(tuple(f"c{n}" for n in range(CELLS)), {})
-        self.tables = Tables(self.names, 4.0, route)
-        self.parts = [Part(n, f"c{n}", CLASSES) for n in range(CELLS)]
-        self.ledger = Ledger(self.tables, self.parts, Budget(CELLS, 1000, 1000, 20, 4.0, 2 * SECOND))
-        self.held = [feed.Holdings() for _ in range(RELAYS)]
+        self.names = Identifiers(("x",), (), labels)
+        route = feed.TenantRoutes(tuple(f"c{n}" for n in range(CELLS)), {})
+        self.tables = PublishedTables(self.names, 4.0, route)
+        self.parts = [PolicyInstance(n, f"c{n}", CLASSES) for n in range(CELLS)]
+        self.ledger = DeliveryQueue(
+            self.tables, self.parts, ChannelShares(CELLS, 1000, 1000, 20, 4.0, 2 * SECOND)
+        )
+        self.held = [feed.ProxyState() for _ in range(RELAYS)]
         for n in range(CELLS * 3):
-            self.names.replicas.number(f"w{n}")
+            self.names.replicas.intern(f"w{n}")
         for p in range(RELAYS):
-            self.tables.joined(p)
-            self.ledger.joined(p)
-            self.ledger.accounts[p].known = True
+            self.tables.add_proxy(p)
+            self.ledger.add_proxy(p)
+            self.ledger.backlogs[p].is_introduced = True
         self.seq = 0
 
     def order(self) -> None:
         n, dice = self.dice.randrange(CELLS), self.dice
-        replica, table = n * 3 + dice.randrange(3), self.parts[n].table(dice.randrange(3))
+        replica, table = n * 3 + dice.randrange(3), self.parts[n].global_table(dice.randrange(3))
         classes = tuple(n * CLASSES + k for k in range(CLASSES))
         some = dice.choice([classes, classes[:1], classes[1:]])
         choice: list[i.Order] = [
-            i.SetLine(table, replica, float(dice.randrange(4))),
-            i.SetLine(table, replica, 1.5),
-            i.Withdraw(replica, dice.random() < 0.5),
-            i.Bind(dice.randrange(RELAYS), table, some),
-            i.ClearTable(table) if dice.random() < 0.3 else i.SetLine(table, replica, 2.0),
-            i.Admit(dice.choice([None, table]), some, dice.choice([0.2, 0.6, 1.0]), dice.randrange(4)),
+            i.SetWeight(table, replica, float(dice.randrange(4))),
+            i.SetWeight(table, replica, 1.5),
+            i.WithdrawReplica(replica, dice.random() < 0.5),
+            i.BindProxy(dice.randrange(RELAYS), table, some),
+            i.ClearTable(table) if dice.random() < 0.3 else i.SetWeight(table, replica, 2.0),
+            i.SetAdmission(dice.choice([None, table]), some, dice.choice([0.2, 0.6, 1.0]), dice.randrange(4)),
         ]
         order = dice.choice(choice)
         concerned: dict[int, None] = {}
-        self.ledger.order(n, order, concerned)
-        self.ledger.ordered(n, i.Mark(dice.randrange(9), False), concerned, 0)
+        self.ledger.apply(n, order, concerned)
+        self.ledger.finish_reply(n, i.RequestAcknowledgement(dice.randrange(9), False), concerned, 0)
 
-    def serve(self, proxy: int, urgent: bool, room: float) -> Piece:
-        piece = self.ledger.piece(proxy, urgent, room)
+    def serve(self, proxy: int, urgent: bool, room: float) -> Delivery:
+        piece = self.ledger.next_delivery(proxy, urgent, room)
         self.seq += 1
-        self.held[proxy].apply(feed.Message(self.seq, 1, 1, piece.price, tuple(piece.deltas)))
-        self.ledger.told(proxy, piece)
+        self.held[proxy].apply(feed.Message(self.seq, 1, 1, piece.cost_lines, tuple(piece.deltas)))
+        self.ledger.mark_delivered(proxy, piece)
         return piece
 
     def check(self, proxy: int, cells: list[int]) -> None:
         held, names = self.held[proxy], self.names.replicas.names
         for n in cells:
             for k in range(n * CLASSES, (n + 1) * CLASSES):
-                at = self.tables.bound[proxy].get(k)
+                at = self.tables.bindings[proxy].get(k)
                 if at is None:
                     continue
                 label = self.names.classes.names[k]
-                lines = {names[r]: w for r, w in self.tables.lines.get(at, {}).items()}
-                assert held.tables[held.table[label]] == lines
-                assert {r for r in lines if r in held.out} == {
-                    names[r] for r in self.tables.out if names[r] in lines
+                lines = {names[r]: w for r, w in self.tables.weights.get(at, {}).items()}
+                assert held.tables[held.table_by_class[label]] == lines
+                assert {r for r in lines if r in held.withdrawn} == {
+                    names[r] for r in self.tables.withdrawn if names[r] in lines
                 }
                 for t in (None, at):
-                    assert held.levels.get((t, label)) == self.tables.levels.get((t, k))
+                    assert held.admission.get((t, label)) == self.tables.admission.get((t, k))
 
 
 @pytest.mark.parametrize("seed", range(150))
@@ -87,44 +89,46 @@
     for _ in range(play.dice.randrange(20, 300)):
         play.order()
         if seed % 2 and play.dice.random() < 0.3:  # what all have been told is swept, or is not
-            play.ledger.sweep()
+            play.ledger.drop_delivered()
         if play.dice.random() < 0.3:
             proxy = play.dice.randrange(RELAYS)
             piece = play.serve(proxy, play.dice.random() < 0.3, play.dice.choice([5, 8, 30, 1e6]))
-            play.check(proxy, list(piece.cells))
-            out = {play.names.replicas.names[r] for r in play.tables.out}
-            lines = {r for c in play.held[proxy].table for r in play.held[proxy].lines(c)}
+            play.check(proxy, list(piece.cell_costs))
+            out = {play.names.replicas.names[r] for r in play.tables.withdrawn}
+            lines = {r for c in play.held[proxy].table_by_class for r in play.held[proxy].weights_for(c)}
             assert not out & lines  # whatever else waits, nobody is sent to what is withdrawn
     for _ in range(3):
         for proxy in range(RELAYS):
             play.serve(proxy, False, 1e9)
-    assert not play.ledger.owed() and not play.ledger.urgent()
+    assert not play.ledger.pending_proxies() and not play.ledger.urgent_proxies()
     for proxy in range(RELAYS):
         play.check(proxy, list(range(CELLS)))
     for _ in range(CELLS):
-        play.ledger.sweep()
-    assert not any(c.lines or c.loose or c.cleared for c in play.ledger.cells)
+        play.ledger.drop_delivered()
+    assert not any(c.weights or c.latest or c.cleared for c in play.ledger.cells)
 
 
 def test_the_cell_that_had_least_goes_first_and_a_noisy_one_waits_for_itself() -> None:
     play = Play(1)
     for n in range(CELLS):
-        play.ledger.order(n, i.Bind(0, play.parts[n].table(0), tuple(range(n * 2, n * 2 + 2))), {})
-        play.ledger.ordered(n, None, [0], 0)
+        play.ledger.apply(
+            n, i.BindProxy(0, play.parts[n].global_table(0), tuple(range(n * 2, n * 2 + 2))), {}
+        )
+        play.ledger.finish_reply(n, None, [0], 0)
     play.serve(0, False, 1e6)
     served, concerned = dict.fromkeys(range(CELLS), 0), dict[int, None]()
     for _ in range(40):
-        play.ledger.budget.slot()
+        play.ledger.budget.decay_usage()
         for n in range(CELLS):
             for replica in range(n * 3, n * 3 + (3 if n == 2 else 1)):
-                line, concerned = i.SetLine(play.parts[n].table(0), replica, play.dice.random()), {}
-                play.ledger.order(n, line, concerned)
-                play.ledger.ordered(n, None, concerned, 0)
-        for n in play.serve(0, True, 4 + 3).cells:  # a head and three lines: what the quiet ones ask for
+                line, concerned = i.SetWeight(play.parts[n].global_table(0), replica, play.dice.random()), {}
+                play.ledger.apply(n, line, concerned)
+                play.ledger.finish_reply(n, None, concerned, 0)
+        for n in play.serve(0, True, 4 + 3).cell_costs:  # a head and three lines: what the quiet ones ask for
             served[n] += 1
     # Where all that is wanted is one line too many, the noisy cell gets no more lines than a quiet one.
     assert min(served[0], served[1], served[3]) >= 26 and 3 * served[2] <= 1.3 * served[0]
-    assert 2 in play.serve(0, False, 1e6).cells
+    assert 2 in play.serve(0, False, 1e6).cell_costs
 
 
 def test_a_drain_goes_at_once_while_every_cell_s_lines_crowd_the_channel() -> None:
@@ -132,13 +136,13 @@
     w = world(12, 40, 48, queue=2_000, rate=600)
     w.dial()
     w.run(5)
-    assert any(len(r.holdings.table) < 24 for r in w.relays)  # still bound, one after the other
+    assert any(len(r.holdings.table_by_class) < 24 for r in w.relays)  # still bound, one after the other
     w.list(entry(7, "draining"), entry(20, "draining"))
     w.run(1.9)
-    assert all({"w7", "w20"} <= r.holdings.out for r in w.relays)
+    assert all({"w7", "w20"} <= r.holdings.withdrawn for r in w.relays)
     w.run(9)
-    assert all(len(r.holdings.table) >= 24 for r in w.relays)
-    assert all(set(r.holdings.lines("c3/write")) == {"w6", "w30", "w31"} for r in w.relays)
+    assert all(len(r.holdings.table_by_class) >= 24 for r in w.relays)
+    assert all(set(r.holdings.weights_for("c3/write")) == {"w6", "w30", "w31"} for r in w.relays)
     assert not any(r.pictures for r in w.relays) and w.most <= 2_000
 
 
@@ -146,9 +150,11 @@
     w = world(12, 40, 48, queue=2_000, rate=300)
     w.dial()
     w.run(3)
-    gone, *strange = w.core._strange
-    w.core.left(gone, "its connection closed")
-    assert strange and not any(isinstance(e, i.Left) for p in w.core.parts for e in p.events)
+    gone, *strange = w.core._unintroduced
+    w.core.remove_proxy(gone, "its connection closed")
+    assert strange and not any(isinstance(e, i.ProxyLeft) for p in w.core.policies for e in p.events)
     w.list(entry(9, "draining"))
     w.run(2)
-    assert all("w9" in r.holdings.out for r in w.relays if w.core.names.proxies[r.name] in strange)
+    assert all(
+        "w9" in r.holdings.withdrawn for r in w.relays if w.core.identifiers.proxies[r.name] in strange
+    )
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -20,7 +20,8 @@
 ROOT = Path(__file__).parent.parent
 LOADED = sorted(
     """
-    gradehoist gradehoist.policy gradehoist.policy.planner gradehoist.governor gradehoist.governor.probes
+    gradehoist gradehoist.policy gradehoist.policy.planner gradehoist.governor
+    gradehoist.governor.health_checks
     gradehoist.governor.tables gradehoist.interface gradehoist.identifiers gradehoist.net
     gradehoist.net.client gradehoist.net.listener gradehoist.net.reading
     gradehoist.node gradehoist.node.__main__
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,7 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gradehoist.node.discovery import Change, Held, Lost, Watch, changes
+from gradehoist.node.discovery import (
+    DiscoveryWatch,
+    EndpointList,
+    EndpointListUpdate,
+    WatchLostError,
+    parse_update,
+)
 from gradehoist.testbed.platform import entry
 from tests.support.node_shell import CHUNKED, chunk, line
 
@@ -23,9 +29,9 @@
     at = [0, *sorted(chunks), len(BODY)]
     data = chunked(*(BODY[a:b] for a, b in zip(at, at[1:], strict=False)))
     where = [0, *sorted(min(c, len(data)) for c in cuts), len(data)]
-    watch = Watch()
+    watch = DiscoveryWatch()
     found = [c for a, b in zip(where, where[1:], strict=False) for c in watch.receive(data[a:b])]
-    assert [(c.revision, c.complete, [m.phase for m in c.members]) for c in found] == [
+    assert [(c.revision, c.is_snapshot, [m.phase for m in c.endpoints]) for c in found] == [
         (2, True, ["active"]),
         (3, False, ["leaving"]),
     ]
@@ -38,20 +44,20 @@
     chunked(line(1)) + b"0\r\n\r\n",
 ])  # fmt: skip
 def test_what_is_no_watch_ends_it(data: bytes) -> None:
-    with pytest.raises(Lost):
-        Watch().receive(data)
+    with pytest.raises(WatchLostError):
+        DiscoveryWatch().receive(data)
 
 
-def held() -> Held:
-    one = Held()
-    one.take(changes({"revision": 5, "complete": True, "members": [entry("s-1"), entry("s-2")]}))
+def held() -> EndpointList:
+    one = EndpointList()
+    one.apply_update(parse_update({"revision": 5, "complete": True, "members": [entry("s-1"), entry("s-2")]}))
     return one
 
 
 def test_an_entry_that_cannot_be_read_costs_itself_alone_and_hides_no_drain() -> None:
     one = held()
-    told = one.take(
-        changes(
+    told = one.apply_update(
+        parse_update(
             {
                 "revision": 6,
                 "complete": False,
@@ -77,11 +83,15 @@
 
 def test_a_change_that_comes_late_over_an_old_watch_undoes_nothing() -> None:
     one = held()
-    assert one.take(Change(7, False, changes({"revision": 7, "members": [entry("s-1", "leaving")]}).members))
-    assert one.take(changes({"revision": 6, "members": [entry("s-1")]})) is None
-    assert one.members["s-1"].phase == "leaving" and one.revision == 7
-    told = one.take(changes({"revision": 6, "members": [entry("s-2", "left")]}))
-    assert told and told[0].phase == "left" and "s-2" not in one.members
+    assert one.apply_update(
+        EndpointListUpdate(
+            7, False, parse_update({"revision": 7, "members": [entry("s-1", "leaving")]}).endpoints
+        )
+    )
+    assert one.apply_update(parse_update({"revision": 6, "members": [entry("s-1")]})) is None
+    assert one.endpoints["s-1"].phase == "leaving" and one.revision == 7
+    told = one.apply_update(parse_update({"revision": 6, "members": [entry("s-2", "left")]}))
+    assert told and told[0].phase == "left" and "s-2" not in one.endpoints
 
 
 @given(
@@ -99,8 +109,8 @@
     for n, up in history:
         states.append(states[-1] | {f"s-{n}": "active" if up else "leaving"})
 
-    def whole(at: int) -> Change:
-        return changes(
+    def whole(at: int) -> EndpointListUpdate:
+        return parse_update(
             {
                 "revision": at + 1,
                 "complete": True,
@@ -108,35 +118,37 @@
             }
         )
 
-    def later(at: int) -> Change:
+    def later(at: int) -> EndpointListUpdate:
         n, up = history[at - 1]
         told = entry(f"s-{n}", "active" if up else "leaving")
-        return changes({"revision": at + 1, "complete": False, "members": [told]})
+        return parse_update({"revision": at + 1, "complete": False, "members": [told]})
 
     starts = [min(first, len(history)), min(second, len(history))]
     queues = [[whole(s), *(later(at) for at in range(s + 1, len(states)))] for s in starts]
-    one, known = Held(), 0
+    one, known = EndpointList(), 0
     for turn in [*turns, *[False] * 13, *[True] * 13]:
         if queues[turn]:
             change = queues[turn].pop(0)
-            one.take(change, 1 + turn)
+            one.apply_update(change, 1 + turn)
             known = max(known, change.revision)
             drained = {n for n, phase in states[known - 1].items() if phase == "leaving"}
-            assert drained <= {n for n, m in one.members.items() if m.phase == "leaving"}
-    assert {n: m.phase for n, m in one.members.items()} == states[-1] and one.revision == len(states)
+            assert drained <= {n for n, m in one.endpoints.items() if m.phase == "leaving"}
+    assert {n: m.phase for n, m in one.endpoints.items()} == states[-1] and one.revision == len(states)
 
 
 def test_a_drain_counts_whatever_its_revision_on_the_watch_that_told_the_replica_last() -> None:
     """Repeated, skipped and back."""
-    one = Held()
+    one = EndpointList()
     members = [entry(f"s-{n}") for n in (1, 2, 3)]
-    one.take(changes({"revision": 5, "complete": True, "members": members}), 1)
+    one.apply_update(parse_update({"revision": 5, "complete": True, "members": members}), 1)
     for revision, name in ((5, "s-1"), (9, "s-2"), (2, "s-3")):
-        assert one.take(changes({"revision": revision, "members": [entry(name, "leaving")]}), 1)
-    assert {m.phase for m in one.members.values()} == {"leaving"} and one.revision == 9
+        assert one.apply_update(parse_update({"revision": revision, "members": [entry(name, "leaving")]}), 1)
+    assert {m.phase for m in one.endpoints.values()} == {"leaving"} and one.revision == 9
 
 
 def test_a_whole_list_takes_what_it_lacks_and_a_restart_shows() -> None:
     one = held()
-    told = one.take(changes({"revision": 1, "complete": True, "members": [entry("s-2", up_since_ms=99)]}))
-    assert told and told[0].started == 99_000 and list(one.members) == ["s-2"] and one.revision == 1
+    told = one.apply_update(
+        parse_update({"revision": 1, "complete": True, "members": [entry("s-2", up_since_ms=99)]})
+    )
+    assert told and told[0].started_us == 99_000 and list(one.endpoints) == ["s-2"] and one.revision == 1
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -22,44 +22,51 @@
 from gradehoist.history import records
 from gradehoist.protocol import feed, orca
 from gradehoist.scenario import audit
-from gradehoist.settings import fleet
+from gradehoist.settings.fleet import CellPlacement
 from gradehoist.testbed import endpoint_list, etcd_server, scenario_plan
 from gradehoist.zones import evacuation, health, warmup_quota
 
 FILE = Path(__file__).parent / "data" / "encoded.txt"
-NEVER_ENCODED = {orca.Report, etcd_server.Faults, endpoint_list.Entry}  # by their field names, that is
+NEVER_ENCODED = {orca.OrcaReport, etcd_server.Faults, endpoint_list.Entry}  # by their field names, that is
 
 ALL_DELTAS: tuple[feed.Delta, ...] = (
-    feed.Line(table=3, replica="w1", weight=0.5),
-    feed.Clear(table=4),
-    feed.Bind(table=5, classes=("read", "write"), lines={"w1": 1.0, "w2": 2.5}),
-    feed.Out(replica="w3"),
-    feed.Back(replica="w4"),
-    feed.Level(table=None, classes=("read",), share=0.25, tries=2),
-    feed.Route(cells=("A", "B"), named={"inn": "B"}, gens={"inn": 2}),
-    feed.Moved(tenant="inn", cell="", gen=3),
-    feed.Limits(cell=10.0, tenant=2.0, burst=1.5, held=7, cell_held=9),
+    feed.WeightDelta(table=3, replica="w1", weight=0.5),
+    feed.ClearDelta(table=4),
+    feed.BindDelta(table=5, classes=("read", "write"), weights={"w1": 1.0, "w2": 2.5}),
+    feed.WithdrawalDelta(replica="w3"),
+    feed.RestorationDelta(replica="w4"),
+    feed.AdmissionDelta(table=None, classes=("read",), admitted_share=0.25, retry_policy=2),
+    feed.TenantRoutes(cells=("A", "B"), cell_by_tenant={"inn": "B"}, generations={"inn": 2}),
+    feed.TenantMigrated(tenant="inn", cell="", generation=3),
+    feed.RateLimitsDelta(cell_rate=10.0, tenant_rate=2.0, burst_s=1.5, tenant_in_flight=7, cell_in_flight=9),
 )
-ALL_LINES: tuple[records.Line, ...] = (
-    records.Asked(
-        t=1,
-        by="a",
-        n=2,
-        what="commit",
-        token="a:1",
+ALL_LINES: tuple[records.HistoryEntry, ...] = (
+    records.Invocation(
+        time_us=1,
+        process="a",
+        call_id=2,
+        operation="commit",
+        commit_id="a:1",
         prefix="zones/",
-        after=3,
-        changes=(records.Wrote(key="k", expect=4, session="s", gone=True),),
+        after_revision=3,
+        changes=(records.RequestedChange(key="k", expected_version=4, session_id="s", is_deletion=True),),
     ),
-    records.Answered(
-        t=5, by="a", n=2, how="done", revision=6, saw=(records.Saw(key="k", version=6, token="a:1"),)
+    records.Completion(
+        time_us=5,
+        process="a",
+        call_id=2,
+        outcome="done",
+        revision=6,
+        observed=(records.ObservedRecord(key="k", version=6, commit_id="a:1"),),
     ),
-    records.Effect(t=7, by="ledger", name="job", gen=2, holder="a", item="x", key="k"),
-    records.Turned(t=8, by="ledger", name="job", gen=1, holder="b", item="y", known=2),
-    records.Told(t=9, by="a", what="joined", fields={"gen": 2}),
-    records.Cut(t=10, by="a"),
+    records.Effect(time_us=7, process="ledger", resource="job", generation=2, holder="a", item="x", key="k"),
+    records.RejectedEffect(
+        time_us=8, process="ledger", resource="job", generation=1, holder="b", item="y", highest_generation=2
+    ),
+    records.ProcessEvent(time_us=9, process="a", event="joined", fields={"gen": 2}),
+    records.HistoryTruncated(time_us=10, process="a"),
 )
-REPLICA = feed.Replica(
+REPLICA = feed.EndpointRecord(
     replica="w1",
     zone="hall-a",
     address="127.0.0.1:9001",
@@ -67,22 +74,26 @@
     cell=2,
     phase="draining",
     size=1.5,
-    boot="w1/3",
-    age=77,
+    incarnation="w1/3",
+    age_us=77,
+)
+MESSAGE = feed.Message(
+    seq=1, reply_number=2, created_us=3, cost_lines=14.0, deltas=ALL_DELTAS, revision=4, is_snapshot=True
 )
-MESSAGE = feed.Message(seq=1, reply=2, at=3, cost=14.0, deltas=ALL_DELTAS, mark=4, whole=True)
-SIGHT = health.Sight(
-    tried=9.0,
-    failed=1.0,
-    late=2.0,
-    ready=4,
-    silent=1,
-    probes=3,
-    probes_failed=2,
-    busy=0.5,
-    bears=0.25,
+SIGHT = health.ZoneObservation(
+    attempts=9.0,
+    failures=1.0,
+    late_responses=2.0,
+    ready_replicas=4,
+    silent_replicas=1,
+    health_checks=3,
+    failed_health_checks=2,
+    busy_share=0.5,
+    sustainable_share=0.25,
+)
+STAY = evacuation.ZoneEvacuation(
+    traffic_share=0.5, reason="failing", is_recovering=True, relapses=2, required_healthy_us=20_000_000
 )
-STAY = evacuation.Stay(to=0.5, why="failing", back=True, flaps=2, wait=20_000_000)
 SERVED = planner.Served(cls="read", origin="hall-a", zone="hall-b", kind="large-4c", cell="A", rate=12_345)
 CASE = planner.Case(
     slot=1,
@@ -182,14 +193,16 @@
     limits=scenario_plan.Limits(cell=1.0, tenant=2.0, burst=3.0, held=4),
     even=True,
 )
-WORD = migration.Word(tenant="inn", gen=3, move="000001-3", cell="B", keys=frozenset({"k1"}))
-MOVE = migration.Move(
+WORD = migration.TenantAssignment(
+    tenant="inn", generation=3, migration_id="000001-3", cell="B", completed_keys=frozenset({"k1"})
+)
+MOVE = migration.Migration(
     id="000001-3",
     tenant="inn",
     source="A",
     target="B",
     gen=3,
-    step=migration.Step.OPEN,
+    step=migration.MigrationStep.OPEN,
     fenced=False,
     known=frozenset({"a"}),
     shut=frozenset({"a1"}),
@@ -198,8 +211,8 @@
     undone=True,
     conflict="b holds generation 4",
 )
-SEEN = rollout.Seen(came=40, unanswered=1, good=39, elapsed=7_800_000)
-RELEASE = rollout.Release(
+SEEN = rollout.TrafficCounts(came=40, unanswered=1, good=39, elapsed=7_800_000)
+RELEASE = rollout.Rollout(
     id="000002",
     cells=("A", "B"),
     workers={"A": ("a1", "a2"), "B": ("b1",)},
@@ -207,20 +220,20 @@
     run="renew {worker}",
     back="put-back {worker}",
     at=1,
-    step=rollout.Step.BACK,
+    step=rollout.RolloutStep.ROLL_BACK,
     touched=frozenset({"b1"}),
     renewed=frozenset({"a1"}),
     why="harm",
     before={"A": SEEN},
 )
-PLACEMENT = fleet.Placed(
+PLACEMENT = CellPlacement(
     cells=("A", "B"),
-    workers={"a1": "A"},
-    named={"inn": "B"},
-    ranges=("A", "B"),
-    lease=1,
-    settle=2,
-    limits=rate_limits.Limits(cell=1.0, tenant=2.0, burst=3.0, held=4, cell_held=5),
+    cell_by_replica={"a1": "A"},
+    cell_by_tenant={"inn": "B"},
+    cell_by_range=("A", "B"),
+    lease_us=1,
+    settle_us=2,
+    limits=rate_limits.RateLimits(cell=1.0, tenant=2.0, burst=3.0, held=4, cell_held=5),
 )
 
 VALUES: dict[str, Any] = {
@@ -235,22 +248,32 @@
     "moved": ALL_DELTAS[7],
     "limits": ALL_DELTAS[8],
     "message": MESSAGE,
-    "shortest message": feed.Message(seq=1, reply=2, at=3, cost=4.0, deltas=()),
-    "feed": feed.Feed(epoch="e", stream=1, messages=(MESSAGE,), joined=True),
-    "sums": feed.Sums(
-        relay="r1",
+    "shortest message": feed.Message(seq=1, reply_number=2, created_us=3, cost_lines=4.0, deltas=()),
+    "feed": feed.PollResponse(epoch="e", stream=1, messages=(MESSAGE,), is_new_stream=True),
+    "sums": feed.ProxyLoadReport(
+        proxy="r1",
         epoch="e",
-        window=500_000,
-        tries=(
-            feed.Try(replica="w1", tries=5, bad=1, elapsed=9_000, busy=0.5, in_flight=2.0, service_ms=3.5),
-            feed.Try(replica="w2", tries=1),
+        window_us=500_000,
+        attempts=(
+            feed.ReplicaAttempts(
+                replica="w1",
+                attempts=5,
+                failures=1,
+                elapsed_us=9_000,
+                busy_share=0.5,
+                in_flight=2.0,
+                service_ms=3.5,
+            ),
+            feed.ReplicaAttempts(replica="w2", attempts=1),
         ),
-        came=(feed.Came(cls="read", number=6, unanswered=1),),
+        requests=(feed.ClassRequests(request_class="read", requests=6, incomplete=1),),
     ),
     "poll": service.PollQuery(relay="r1", zone="hall-a", rate=9.5, epoch="e", stream=1, after=2),
     "error": openapi.Error(error="not understood"),
     "replica": REPLICA,
-    "roster": feed.Roster(life="l", version=7, entries=(REPLICA,), whole=True, after=6),
+    "roster": feed.EndpointListUpdate(
+        incarnation="l", version=7, endpoints=(REPLICA,), is_snapshot=True, since_version=6
+    ),
     # Histories
     "asked": ALL_LINES[0],
     "answered": ALL_LINES[1],
@@ -259,34 +282,38 @@
     "told": ALL_LINES[4],
     "cut": ALL_LINES[5],
     # Records of the register
-    "member": agent.Member(
-        role="governor", name="a", zone="hall-a", run="a-1", gen=2, address="127.0.0.1:7101"
+    "member": agent.MemberRecord(
+        role="governor", name="a", zone="hall-a", incarnation="a-1", generation=2, address="127.0.0.1:7101"
     ),
-    "named": agent.Named(gen=2, holder="a-1", by="members/governor/a"),
-    "view of members": members.View(lost=("members/governor/b",), cut=True),
-    "view of zones": health.View(
+    "named": agent.OwnershipRecord(generation=2, holder="a-1", member_key="members/governor/a"),
+    "view of members": members.ReachabilityReport(unreachable=("members/governor/b",), is_isolated=True),
+    "view of zones": health.HealthReport(
         zone="hall-a",
-        traffic=12.5,
-        list_age=400_000,
-        sights={"hall-b": SIGHT},
-        window=9_000_000,
-        came={"hall-a": {"read": 9.5}},
-        run="a-1",
-        plan=(1, 2),
-        deal=3,
+        requests_per_s=12.5,
+        list_age_us=400_000,
+        observations={"hall-b": SIGHT},
+        window_us=9_000_000,
+        offered_by_zone={"hall-a": {"read": 9.5}},
+        incarnation="a-1",
+        applied_plan=(1, 2),
+        applied_allocation=3,
+    ),
+    "plan of zones": evacuation.EvacuationPlan(
+        generation=1, leader="a-1", step=2, zones={"hall-b": STAY}, admission_limits={"read": 0.8}
     ),
-    "plan of zones": evacuation.Plan(
-        gen=1, holder="a-1", step=2, zones={"hall-b": STAY}, levels={"read": 0.8}
+    "deal": warmup_quota.QuotaAllocation(
+        generation=3, leader="a-1", quotas={"a-1": 0.75}, upper_bounds={"a-1": 1.0}
     ),
-    "deal": warmup_quota.Deal(gen=3, holder="a-1", parts={"a-1": 0.75}, at_most={"a-1": 1.0}),
     # Tenants: placement, words to governors and workers, records of moves and releases
     "placement": PLACEMENT,
     "word": WORD,
-    "confirm": migration.Confirm(by="a", held=WORD, busy=True, keys=frozenset({"k2"})),
+    "confirm": migration.AssignmentAck(
+        sender="a", assignment=WORD, has_writes_in_flight=True, completed_keys=frozenset({"k2"})
+    ),
     "move": MOVE,
-    "shortest move": migration.Move(id="000000-2", tenant="inn", source="A", target="B", gen=2),
+    "shortest move": migration.Migration(id="000000-2", tenant="inn", source="A", target="B", gen=2),
     "release": RELEASE,
-    "shortest release": rollout.Release(
+    "shortest release": rollout.Rollout(
         id="000001", cells=("A",), workers={"A": ("a1",)}, batch=1, run="renew"
     ),
     # Plans for events, plans and verdicts of scripted days
@@ -340,7 +367,7 @@
 
 def test_each_tag_of_feeds_and_histories_is_among_the_values() -> None:
     assert {type(delta) for delta in ALL_DELTAS} == set(get_args(feed.Delta))
-    assert {type(line) for line in ALL_LINES} == set(get_args(records.Line))
+    assert {type(line) for line in ALL_LINES} == set(get_args(records.HistoryEntry))
     decoded: feed.Message = msgspec.json.decode(stored_forms()["message"], type=feed.Message)
     assert decoded.deltas == ALL_DELTAS  # each tag leads to its own type
 
@@ -372,15 +399,15 @@
 @pytest.mark.parametrize(
     ("states", "words"),
     [
-        (migration.Step, ["shut", "open", "done"]),
-        (migration.Verdict, ["take", "known", "busy", "moved", "no lease"]),
-        (rollout.Step, ["renew", "soak", "done", "putting back", "halted"]),
+        (migration.MigrationStep, ["shut", "open", "done"]),
+        (migration.WriteDecision, ["take", "known", "busy", "moved", "no lease"]),
+        (rollout.RolloutStep, ["renew", "soak", "done", "putting back", "halted"]),
         (interface.Phase, ["ready", "draining", "gone"]),
-        (interface.Repeat, ["free", "guarded", "single"]),
-        (members.State, ["here", "suspected", "lost to me", "lost to most", "ended"]),
-        (health.State, ["well", "slow but alive", "failing", "cut off from the others", "not seen"]),
+        (interface.Idempotency, ["free", "guarded", "single"]),
+        (members.MemberState, ["here", "suspected", "lost to me", "lost to most", "ended"]),
+        (health.ZoneState, ["well", "slow but alive", "failing", "cut off from the others", "not seen"]),
         (
-            health.Trouble,
+            health.FleetFault,
             ["none", "discovery lost", "most zones fail for all: a release, or the observers"],
         ),
     ],
--- a/tests/test_event_interleavings.py
+++ b/tests/test_event_interleavings.py
@@ -46,37 +46,46 @@
 def test_a_relay_that_confirms_nothing_takes_no_replica_from_the_other() -> None:
     """The plain test of a drill: returns waited for its words for ever."""
     site = play(1, "deaf r0", *("drain w0", "back w0") * 9, *("period",) * 8)
-    assert all("w0" in relay.holdings.lines("read") for relay in site.relays)
+    assert all("w0" in relay.holdings.weights_for("read") for relay in site.relays)
 
 
 def bare(site: Site, orders: list[i.Order]) -> list[i.Order]:
-    return orders + [i.ClearTable(o.table) for o in orders if isinstance(o, i.SetLine)]
+    return orders + [i.ClearTable(o.table) for o in orders if isinstance(o, i.SetWeight)]
 
 
 def twice(site: Site, orders: list[i.Order]) -> list[i.Order]:
-    return [i.Admit(None, (1,), 1.0, 2), *orders] if any(isinstance(o, i.Mark) for o in orders) else orders
+    return (
+        [i.SetAdmission(None, (1,), 1.0, 2), *orders]
+        if any(isinstance(o, i.RequestAcknowledgement) for o in orders)
+        else orders
+    )
 
 
 def drain(site: Site, orders: list[i.Order]) -> list[i.Order]:
     return [
         o
         for o in orders
-        if not (isinstance(o, i.Withdraw) and o.out) and not (isinstance(o, i.SetLine) and not o.weight)
+        if not (isinstance(o, i.WithdrawReplica) and o.withdrawn)
+        and not (isinstance(o, i.SetWeight) and not o.weight)
     ]
 
 
 def cold(site: Site, orders: list[i.Order]) -> list[i.Order]:
     return [
-        replace(o, weight=4.0) if isinstance(o, i.SetLine) and o.replica == 0 and o.weight else o
+        replace(o, weight=4.0) if isinstance(o, i.SetWeight) and o.replica == 0 and o.weight else o
         for o in orders
     ]
 
 
 def queue(site: Site, orders: list[i.Order]) -> list[i.Order]:
     for g in getattr(site, "governors", ()):
-        g.core.channel.queue_limit = 1e9
-    levels: list[i.Order] = [i.Admit(None, (0,), 1.0, 1) for _ in range(80)]
-    return orders[:-1] + levels + orders[-1:] if any(isinstance(o, i.Withdraw) for o in orders) else orders
+        g.core.channel.queue_limit_lines = 1e9
+    levels: list[i.Order] = [i.SetAdmission(None, (0,), 1.0, 1) for _ in range(80)]
+    return (
+        orders[:-1] + levels + orders[-1:]
+        if any(isinstance(o, i.WithdrawReplica) for o in orders)
+        else orders
+    )
 
 
 @pytest.mark.parametrize(("rule", "spoil"), [(1, bare), (2, twice), (3, drain), (4, cold), (5, queue)])
