--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -16,12 +16,12 @@
 import psutil
 import pytest
 
-from gradehoist.governor.service import Service
-from gradehoist.migration import runner as mover
-from gradehoist.net.server import Answer, Connection, Server
+from gradehoist.governor.service import GovernorService
+from gradehoist.migration.runner import load_migrations
+from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http
 from gradehoist.scenario import definition
-from gradehoist.settings import fleet as f
+from gradehoist.settings.fleet import CellPlacement, read_settings
 from gradehoist.testbed.clients import Clients
 from gradehoist.testbed.proxy import Relays
 from tests.support.governed_fleet import entry
@@ -91,7 +91,7 @@
     async def work() -> None:
         async with fleet(tmp_path, limits=((resource.RLIMIT_NOFILE, 40),)) as (roster, governor, (relay,)):
             held = [await asyncio.open_connection(LOCAL, governor.port) for _ in range(80)]
-            roster.server.shut()  # its call has to dial anew while there is no file left
+            roster.server.abort()  # its call has to dial anew while there is no file left
             process = psutil.Process(governor.process.pid)
             before = sum(process.cpu_times()[:2])
             await asyncio.sleep(2.0)
@@ -150,7 +150,7 @@
         change = (("queue-limit=2000", "queue-limit=150"),)
         async with fleet(tmp_path, 2, change) as (roster, governor, (good, _)):
             deaf = Relay(governor.port, "deaf", deaf=True)
-            assert await until(lambda: deaf.holdings.bound, 10)
+            assert await until(lambda: deaf.holdings.is_bound, 10)
             for n in range(16):
                 roster.list(entry(1, ("draining", "ready")[n % 2], n // 2 + 2))
                 await asyncio.sleep(0.6)
@@ -165,7 +165,7 @@
 
 def test_an_address_that_is_none_costs_that_worker_s_lease_alone(tmp_path: Path) -> None:
     async def work() -> None:
-        placed = f.Placed(("c0",), {f"w{n}": "c0" for n in range(4)})
+        placed = CellPlacement(("c0",), {f"w{n}": "c0" for n in range(4)})
         (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
         change = (("    reports", '    cells placement="p.json"\n    reports'),)
         async with fleet(tmp_path, 0, change) as (roster, governor, _):
@@ -186,12 +186,12 @@
     async def work() -> None:
         roster = Roster()
         (port,) = definition.ports(1)
-        found = f.read(settings(tmp_path, roster.port, port))
-        service = Service(found.fleet, found.governors[0])
+        found = read_settings(settings(tmp_path, roster.port, port))
+        service = GovernorService(found.fleet, found.governors[0])
         running = asyncio.ensure_future(service.run())
-        assert await until(lambda: not service.core.roster.old, 10)
+        assert await until(lambda: not service.core.endpoint_list.is_stale, 10)
         relay = Relay(port, "r0")
-        assert await until(lambda: relay.holdings.bound, 10)
+        assert await until(lambda: relay.holdings.is_bound, 10)
         monkeypatch.setattr(os, "fsync", lambda _: time.sleep(3 * GRACE))
         roster.list(entry(1, "draining"))
         began = asyncio.get_running_loop().time()
@@ -201,7 +201,7 @@
         relay.task.cancel()
         service.stop()
         await running
-        roster.server.shut()
+        roster.server.abort()
 
     play(work)
 
@@ -209,29 +209,29 @@
 def test_leases_to_a_worker_that_hangs_do_not_pile_up(tmp_path: Path) -> None:
     asked: list[str] = []
 
-    async def hang(request: http.Request, connection: Connection) -> Answer | None:
+    async def hang(request: http.Request, connection: Connection) -> ServerResponse | None:
         asked.append(request.target)
-        await connection.gone.wait()
+        await connection.closed.wait()
         return None
 
     async def work() -> None:
-        placed = f.Placed(("c0",), {f"w{n}": "c0" for n in range(4)})
+        placed = CellPlacement(("c0",), {f"w{n}": "c0" for n in range(4)})
         (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
         change = (("    reports", '    cells placement="p.json" lease="30ms"\n    reports'),)
-        roster, server, (port, worker) = Roster(), Server(hang), definition.ports(2)
+        roster, server, (port, worker) = Roster(), HttpServer(hang), definition.ports(2)
         server.listen(worker, LOCAL)
         for n in range(4):
             roster.put(entry(n), address=f"{LOCAL}:{worker}")
-        found = f.read(settings(tmp_path, roster.port, port, change))
-        service = Service(found.fleet, found.governors[0])
+        found = read_settings(settings(tmp_path, roster.port, port, change))
+        service = GovernorService(found.fleet, found.governors[0])
         running = asyncio.ensure_future(service.run())
-        assert await until(lambda: not service.core.roster.old, 10)
+        assert await until(lambda: not service.core.endpoint_list.is_stale, 10)
         await asyncio.sleep(1.2)
         pending = sum("_lease" in repr(task) and "_leases" not in repr(task) for task in service._tasks)
         service.stop()
         assert await running == 0 and pending <= 4 and 2 <= len(asked) <= 16, (pending, len(asked))
-        server.shut()
-        roster.server.shut()
+        server.abort()
+        roster.server.abort()
 
     play(work)
 
@@ -288,7 +288,7 @@
             again = Governor(tmp_path / "s.kdl", governor.port)
             try:
                 found = await again.up()
-                assert await until(lambda: relay.epoch == found["epoch"] and relay.holdings.bound, 5)
+                assert await until(lambda: relay.epoch == found["epoch"] and relay.holdings.is_bound, 5)
                 assert not [x.name for x in (tmp_path / "var" / "a").iterdir() if x.suffix == ".part"]
             finally:
                 again.kill()
@@ -308,7 +308,7 @@
 
 
 def test_a_move_whose_disk_is_full_says_so_and_keeps_whole_records(tmp_path: Path) -> None:
-    placed = f.Placed(("c0", "c1"), {f"w{n}": f"c{n % 2}" for n in range(4)}, {"inn": "c0"})
+    placed = CellPlacement(("c0", "c1"), {f"w{n}": f"c{n % 2}" for n in range(4)}, {"inn": "c0"})
     (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
     change = (("    reports", '    cells placement="p.json"\n    reports'),)
     one, two = definition.ports(2)
@@ -340,14 +340,14 @@
         said = ended.stderr.decode()
         assert ended.returncode == 2 and "Traceback" not in said and "run it again" in said, said
         assert len(said.splitlines()) == 1
-    assert not list(store.glob("*.move")) and mover.load(store) == []
+    assert not list(store.glob("*.move")) and load_migrations(store) == []
 
 
 def test_relays_beyond_the_settings_are_turned_away_and_the_others_served(tmp_path: Path) -> None:
     async def work() -> None:
         async with fleet(tmp_path, 3) as (roster, governor, some):
             for n in range(60):
-                await governor.client.exchange("GET", f"/v1/feed?relay=made-up-{n}&zone=x")
+                await governor.client.request("GET", f"/v1/feed?relay=made-up-{n}&zone=x")
             assert (await governor.status())["relays"] <= 4
             roster.list(entry(1, "draining"))
             assert await until(lambda: not any(r.sends_to("w1") for r in some), GRACE)
@@ -365,7 +365,7 @@
             assert relay.sends_to("w0")  # it stands on what it holds
             os.kill(governor.process.pid, signal.SIGCONT)
             assert await until(lambda: relay.joined and not relay.sends_to("w1"), GRACE), "told too late"
-            assert await until(lambda: relay.holdings.bound and relay.sends_to("w0"), 5)
+            assert await until(lambda: relay.holdings.is_bound and relay.sends_to("w0"), 5)
             assert governor.process.poll() is None and relay.epoch == epoch
 
     play(work)
@@ -388,27 +388,27 @@
     plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
     came: list[str] = []
 
-    async def answer(request: http.Request, connection: Connection) -> Answer | None:
-        came.append(http.header(request.headers, "x-transaction") or "")
-        return Answer(503, b"", (("x-never-ran", "1"),)) if meets == "proof" else None
+    async def answer(request: http.Request, connection: Connection) -> ServerResponse | None:
+        came.append(http.get_header(request.headers, "x-transaction") or "")
+        return ServerResponse(503, b"", (("x-never-ran", "1"),)) if meets == "proof" else None
 
     async def work() -> None:
         relay = next(iter(Relays(plan, "relays-hall-a", tmp_path).all.values()))
-        server, ports = Server(answer), definition.ports(2)
+        server, ports = HttpServer(answer), definition.ports(2)
         for port in ports:
             server.listen(port, LOCAL)
         names = [r.name for r in plan.replicas[:2]]
         relay.via = dict(zip(names, ports, strict=True))
         cls = next(c for c in plan.classes if c.repeat == repeat)
         relay.holdings.apply(
-            feed.Message(1, 1, 0, 1, (feed.Bind(1, (cls.name,), dict.fromkeys(names, 1.0)),))
+            feed.Message(1, 1, 0, 1, (feed.BindDelta(1, (cls.name,), dict.fromkeys(names, 1.0)),))
         )
-        relay.server = Server(relay.handle)
+        relay.server = HttpServer(relay.handle)
         relay.server.listen(relay.plan.port, LOCAL)
         clients = Clients(plan, "clients", tmp_path)
         await clients._one("c1", relay.plan.name, cls, 5.0, "")
         assert plan.retries >= 1 and len(came) == arrive(plan.retries), came
         relay.die()
-        server.shut()
+        server.abort()
 
     play(work)
--- a/tests/test_fleet_governors.py
+++ b/tests/test_fleet_governors.py
@@ -14,8 +14,8 @@
 
 from gradehoist.membership.service import Membership
 from gradehoist.scenario import definition
-from gradehoist.settings import fleet as f
-from gradehoist.settings import reader as r
+from gradehoist.settings.fleet import CoordinationSettings, parse_settings
+from gradehoist.settings.reader import SettingsError, SettingsReader
 from gradehoist.testbed import etcd_server as standin
 from tests.support.governed_fleet import TEXT, entry
 from tests.support.governor_process import GRACE, Governor, Relay, Roster, play, settings, until
@@ -37,14 +37,14 @@
         for g in governors:
             await g.up()
         relays += [Relay(port, f"r{n}") for n, port in enumerate(ports)]
-        assert await until(lambda: all(x.holdings.bound for x in relays), 10)
+        assert await until(lambda: all(x.holdings.is_bound for x in relays), 10)
         yield roster, governors, relays
     finally:
         for relay in relays:
             relay.task.cancel()
         for g in governors:
             g.kill()
-        roster.server.shut()
+        roster.server.abort()
 
 
 async def fleet_is(governor: Governor, seconds: float = 15.0, **wanted: object) -> None:
@@ -117,11 +117,11 @@
         try:
             await governor.up()
             assert (await governor.status())["fleet"] == {}
-            response = await governor.client.exchange("GET", "/healthz")
+            response = await governor.client.request("GET", "/healthz")
             assert response.status == 404
         finally:
             governor.kill()
-            roster.server.shut()
+            roster.server.abort()
 
     play(work)
 
@@ -131,10 +131,10 @@
     told: list[str] = []
 
     async def work() -> None:
-        shared = f.Coordination(tmp_path / "register", None, "", 10**7, 10**6, 10**6, 10**6, 10**6)
+        shared = CoordinationSettings(tmp_path / "register", None, "", 10**7, 10**6, 10**6, 10**6, 10**6)
         member = Membership(shared, "governor", "a", "x", "", 1, lambda event, *_, **__: told.append(event))
-        member.ticked.append(lambda now: told.remove("no such thing"))
-        member.failed.append(lambda: told.append("failed"))
+        member.tick_listeners.append(lambda now: told.remove("no such thing"))
+        member.failure_listeners.append(lambda: told.append("failed"))
         await member.run()
 
     play(work)
@@ -153,8 +153,8 @@
 )
 def test_settings_of_the_register_are_checked_with_place_and_remedy(node: str, said: str) -> None:
     text = TEXT.format(relays=4, queue=2000, rate=2000).replace("    reports", f"    {node}\n    reports")
-    reader = r.Reader("s.kdl")
-    f.parse(reader.root(text), Path("."))
-    with pytest.raises(r.SettingsError, match="s.kdl:9: fleet > coordination") as fault:
-        reader.finish()
+    reader = SettingsReader("s.kdl")
+    parse_settings(reader.parse(text), Path("."))
+    with pytest.raises(SettingsError, match="s.kdl:9: fleet > coordination") as fault:
+        reader.raise_errors()
     assert said in str(fault.value)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -16,9 +16,10 @@
 import msgspec
 import pytest
 
-from gradehoist.history import exactly_once, linearizability
-from gradehoist.history.records import Effect, Line, Told, Turned, load
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.history import linearizability
+from gradehoist.history.exactly_once import find_duplicate_effects, find_fencing_violations
+from gradehoist.history.records import Effect, HistoryEntry, ProcessEvent, RejectedEffect, load_history
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.scenario import definition
 from tests.support.fleet_process import LOCAL, Spec
 
@@ -30,7 +31,7 @@
         self.spec, self.path = spec, folder / f"{spec.name}.json"
         self.path.write_bytes(msgspec.json.encode(spec))
         self.start()
-        self.client = Client(LOCAL, spec.port)
+        self.client = HttpClient(LOCAL, spec.port)
 
     def start(self) -> None:
         with self.path.with_suffix(".err").open("ab") as err:
@@ -44,8 +45,8 @@
 
     async def status(self) -> dict[str, Any]:
         """Empty while it does not answer."""
-        with contextlib.suppress(Unreachable, Broken, TimedOut):
-            response = await self.client.exchange("GET", "/status", timeout=0.5)
+        with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
+            response = await self.client.request("GET", "/status", timeout_s=0.5)
             if response.status == 200:
                 found: dict[str, Any] = msgspec.json.decode(response.body, type=dict[str, Any])
                 return found
@@ -98,10 +99,10 @@
             )
             for n, port in enumerate(ports)
         ]
-        self._order = Client(LOCAL, engine)
+        self._order = HttpClient(LOCAL, engine)
 
     async def fault(self, **what: Any) -> None:
-        await self._order.exchange("POST", "/fault", msgspec.json.encode(what))
+        await self._order.request("POST", "/fault", msgspec.json.encode(what))
 
     async def holder(self) -> Peer | None:
         """The one that says it holds the right, if one does."""
@@ -132,11 +133,11 @@
 
         await self.until(good, 60)
 
-    def told(self) -> list[Told]:
-        return [x for x in self.lines() if isinstance(x, Told)]
+    def told(self) -> list[ProcessEvent]:
+        return [x for x in self.lines() if isinstance(x, ProcessEvent)]
 
-    def lines(self) -> list[Line]:
-        return load(self.folder.glob("*.jsonl"))
+    def lines(self) -> list[HistoryEntry]:
+        return load_history(self.folder.glob("*.jsonl"))
 
     def end(self) -> None:
         for peer in (*self.actors, self.ledger):
@@ -145,10 +146,10 @@
             self.engine.kill()
             self.engine.wait()
 
-    def judge(self) -> list[Line]:
+    def judge(self) -> list[HistoryEntry]:
         lines = self.lines()
-        assert not (bad := linearizability.check(lines)), "\n".join(map(str, bad))
-        wrong = exactly_once.generations(lines) + exactly_once.once(lines)
+        assert not (bad := linearizability.find_linearizability_violations(lines)), "\n".join(map(str, bad))
+        wrong = find_fencing_violations(lines) + find_duplicate_effects(lines)
         assert not wrong, "\n".join(map(str, wrong))
         return lines
 
@@ -200,7 +201,7 @@
 
     fleet = play(tmp_path, kind, 4, work)
     lines = fleet.judge()
-    assert len({x.gen for x in lines if isinstance(x, Effect)}) >= 3
+    assert len({x.generation for x in lines if isinstance(x, Effect)}) >= 3
 
 
 @pytest.mark.parametrize("guard", [True, False])
@@ -218,7 +219,7 @@
         async def another() -> bool:
             return any(
                 isinstance(x, Effect) and not x.holder.startswith(first.spec.name + "-")
-                for x in load([fleet.folder / "ledger.jsonl"])
+                for x in load_history([fleet.folder / "ledger.jsonl"])
             )
 
         await fleet.until(another)
@@ -227,13 +228,13 @@
         await fleet.calm()
 
     fleet = play(tmp_path, "embedded", 2, work, guard=guard, step=0.7)
-    wrong = exactly_once.generations(fleet.lines())
-    turned = [x for x in fleet.lines() if isinstance(x, Turned)]
+    wrong = find_fencing_violations(fleet.lines())
+    turned = [x for x in fleet.lines() if isinstance(x, RejectedEffect)]
     if guard:
-        assert not wrong and turned and turned[0].gen < turned[0].known
+        assert not wrong and turned and turned[0].generation < turned[0].highest_generation
         fleet.judge()
     else:
-        assert "took effect after" in str(wrong[0]) and len(wrong[0].stretch) == 2
+        assert "took effect after" in str(wrong[0]) and len(wrong[0].effects) == 2
 
 
 def test_the_register_gone_for_long_ends_nobody_and_all_come_back_by_themselves(tmp_path: Path) -> None:
@@ -255,7 +256,7 @@
 
     fleet = play(tmp_path, "engine", 5, work, session=6.0)
     fleet.judge()
-    kinds = [x.what for x in fleet.told()]
+    kinds = [x.event for x in fleet.told()]
     assert kinds.count("register_doubt") >= 5 and "register_fenced" not in kinds
 
 
@@ -280,23 +281,23 @@
         await fleet.fault()
 
         async def all_fenced() -> bool:
-            return len({x.by for x in fleet.told() if x.what == "register_fenced"}) >= 3
+            return len({x.process for x in fleet.told() if x.event == "register_fenced"}) >= 3
 
         await fleet.until(all_fenced)
-        before = max(x.gen for x in fleet.lines() if isinstance(x, Effect))
+        before = max(x.generation for x in fleet.lines() if isinstance(x, Effect))
 
         async def higher() -> bool:
-            return any(isinstance(x, Effect) and x.gen > before for x in fleet.lines())
+            return any(isinstance(x, Effect) and x.generation > before for x in fleet.lines())
 
         await fleet.until(higher)
         await fleet.calm()
 
     fleet = play(tmp_path, "engine", 3, work)
     lines = fleet.lines()
-    assert not (wrong := exactly_once.generations(lines) + exactly_once.once(lines)), wrong[0]
-    fenced = [x.by for x in fleet.told() if x.what == "register_fenced"]
+    assert not (wrong := find_fencing_violations(lines) + find_duplicate_effects(lines)), wrong[0]
+    fenced = [x.process for x in fleet.told() if x.event == "register_fenced"]
     assert len(fenced) == len(set(fenced)), "told in one line each"
-    assert linearizability.check(
+    assert linearizability.find_linearizability_violations(
         lines
     ), "a register that went back is not linearizable, and the checker sees it"
 
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from gradehoist.net.client import Broken, Client, TimedOut, Unreachable
+from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.protocol import feed
 from gradehoist.scenario import definition
 from tests.support.governed_fleet import TEXT, entry
@@ -42,7 +42,7 @@
 
     def to(self) -> dict[str, float]:
         """Of its traffic what goes to each zone."""
-        lines = self.holdings.lines("read")
+        lines = self.holdings.weights_for("read")
         whole = sum(lines.values()) or 1.0
         out = dict.fromkeys(ZONES, 0.0)
         for replica, weight in lines.items():
@@ -50,21 +50,25 @@
         return out
 
     async def _feed(self) -> None:
-        client, owed = Client(LOCAL, self.port), dict[str, float]()
+        client, owed = HttpClient(LOCAL, self.port), dict[str, float]()
         while True:
             await asyncio.sleep(0.25)
-            lines = self.holdings.lines("read")
-            whole, rows = sum(lines.values()), list[feed.Try]()
+            lines = self.holdings.weights_for("read")
+            whole, rows = sum(lines.values()), list[feed.ReplicaAttempts]()
             for replica, weight in lines.items():
                 owed[replica] = owed.get(replica, 0.0) + self.RATE * weight / whole
                 tries, zone = int(owed[replica]), self.site.zone(replica)
                 owed[replica] -= tries
                 bad = zone in self.site.failing or (self.blind and zone != self.zone)
                 busy = self.site.busy(replica, self.name, self.RATE * weight / whole)
-                rows.append(feed.Try(replica, tries, tries if bad else 0, 100_000, busy, 4 * busy, 50.0))
-            sums = feed.Sums(self.name, self.epoch, 250_000, tuple(rows), (feed.Came("read", self.RATE),))
-            with contextlib.suppress(Unreachable, Broken, TimedOut):
-                await client.exchange("POST", "/v1/sums", msgspec.json.encode(sums), timeout=1.0)
+                rows.append(
+                    feed.ReplicaAttempts(replica, tries, tries if bad else 0, 100_000, busy, 4 * busy, 50.0)
+                )
+            sums = feed.ProxyLoadReport(
+                self.name, self.epoch, 250_000, tuple(rows), (feed.ClassRequests("read", self.RATE),)
+            )
+            with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
+                await client.request("POST", "/v1/sums", msgspec.json.encode(sums), timeout_s=1.0)
 
 
 class Site:
@@ -101,7 +105,7 @@
         """What each living governor says of the zones."""
 
         async def one(g: Governor) -> dict[str, Any]:
-            with contextlib.suppress(Unreachable, Broken, TimedOut):
+            with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
                 found: dict[str, Any] = (await g.status())["zones"]
                 return found
             return {}
@@ -160,7 +164,7 @@
             relay.end()
         for g in own.governors:
             g.kill()
-        own.roster.server.shut()
+        own.roster.server.abort()
 
 
 def play(work: Callable[[], Awaitable[None]]) -> None:
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -6,34 +6,36 @@
 
 from gradehoist import interface as i
 from gradehoist.governor.channel import Channel
-from gradehoist.governor.core import Poll, Refused
-from gradehoist.governor.intake import Intake
-from gradehoist.governor.proxy_streams import Stream
-from gradehoist.governor.roster import Gap, RosterView
-from gradehoist.identifiers import Names
+from gradehoist.governor.core import Poll, RequestRejectedError
+from gradehoist.governor.endpoint_list import EndpointList, EndpointListGapError
+from gradehoist.governor.load_reports import LoadReportQueue
+from gradehoist.governor.proxy_streams import ProxyStream
+from gradehoist.identifiers import Identifiers
 from gradehoist.protocol import feed
 from tests.support.governed_fleet import SECOND, World, entry
 
 
 def bound(world: World) -> bool:
-    return all(r.holdings.bound and set(r.holdings.table) == {"read", "write"} for r in world.relays)
+    return all(
+        r.holdings.is_bound and set(r.holdings.table_by_class) == {"read", "write"} for r in world.relays
+    )
 
 
 def test_relays_are_bound_and_follow_a_drain_to_the_last() -> None:
     world = World()
     world.dial()
     world.run(3)
-    assert bound(world) and all(len(r.holdings.lines("read")) == 8 for r in world.relays)
+    assert bound(world) and all(len(r.holdings.weights_for("read")) == 8 for r in world.relays)
     world.list(entry(3, "draining"))
     world.run(3)  # the world checks the grace at each step
-    assert all("w3" not in r.holdings.lines("read") for r in world.relays)
+    assert all("w3" not in r.holdings.weights_for("read") for r in world.relays)
 
 
 def test_a_drain_told_while_the_channel_is_full_is_in_time() -> None:
     world = World(relays=40, queue=900, rate=900)
     world.dial()
     world.run(0.3)
-    assert world.core.channel.waiting > 0.3 * 900  # binds fill it
+    assert world.core.channel.waiting_lines > 0.3 * 900  # binds fill it
     world.list(entry(3, "draining"), entry(4, "gone"))
     world.run(6)
     assert bound(world)
@@ -56,11 +58,11 @@
     world.run(2)
     streams = {r.name: r.stream for r in world.relays}
     world.begin("two")  # killed: a poll of the earlier epoch is a join, tables stand until the bind
-    assert all(r.holdings.lines("write") for r in world.relays)
+    assert all(r.holdings.weights_for("write") for r in world.relays)
     world.dial()
     world.run(3)
     assert {r.epoch for r in world.relays} == {"two"} and streams
-    assert bound(world) and all("w3" not in r.holdings.lines("read") for r in world.relays)
+    assert bound(world) and all("w3" not in r.holdings.weights_for("read") for r in world.relays)
 
 
 def test_polls_that_name_what_was_never_sent_or_go_back() -> None:
@@ -68,28 +70,28 @@
     world.dial()
     world.run(2)
     relay = world.relays[0]
-    with pytest.raises(Refused) as caught:
-        world.core.poll(world.now, Poll("r0", "x", 1.0, "one", relay.stream, relay.after + 50))
+    with pytest.raises(RequestRejectedError) as caught:
+        world.core.handle_poll(world.now, Poll("r0", "x", 1.0, "one", relay.stream, relay.after + 50))
     assert caught.value.status == 409
     relay.after, relay.polling = 0, False  # lost what it had applied: one whole picture, never a gap
-    lines = dict(relay.holdings.lines("read"))
-    relay.holdings = feed.Holdings()
+    lines = dict(relay.holdings.weights_for("read"))
+    relay.holdings = feed.ProxyState()
     world.dial(relay)
     world.run(1)
-    assert relay.pictures == 1 and relay.holdings.lines("read").keys() == lines.keys()
+    assert relay.pictures == 1 and relay.holdings.weights_for("read").keys() == lines.keys()
 
 
 def test_a_later_stream_wins_and_a_late_word_on_the_earlier_does_not_end_it() -> None:
     world = World(relays=2)
     world.dial()
     world.run(1)
-    proxy, old = world.core.names.proxies["r0"], world.relays[0].stream
-    answer = world.core.poll(world.now, Poll("r0", "x"))
-    assert answer is not None and answer.joined and answer.stream > old
-    world.core.left(proxy, "its connection closed", old)
+    proxy, old = world.core.identifiers.proxies["r0"], world.relays[0].stream
+    answer = world.core.handle_poll(world.now, Poll("r0", "x"))
+    assert answer is not None and answer.is_new_stream and answer.stream > old
+    world.core.remove_proxy(proxy, "its connection closed", old)
     assert world.core.streams[proxy].number == answer.stream
-    events = [type(e).__name__ for _, some in world.core.batches() for e in some]
-    assert events[-2:] == ["Left", "Joined"]
+    events = [type(e).__name__ for _, some in world.core.take_batches() for e in some]
+    assert events[-2:] == ["ProxyLeft", "ProxyJoined"]
 
 
 def test_a_relay_that_joins_anew_without_end_holds_up_no_drain() -> None:
@@ -99,14 +101,14 @@
     world.run(8)
     world.relays[0].dead = True
     for n in range(140):
-        world.core.poll(world.now, Poll("r0", "x", 1e9))
+        world.core.handle_poll(world.now, Poll("r0", "x", 1e9))
         if n == 100:
             world.list(entry(3, "draining"))
         world.run(0.05)  # the world checks the grace at each step
-    assert not any("w3" in r.holdings.lines("read") for r in world.relays[1:])
+    assert not any("w3" in r.holdings.weights_for("read") for r in world.relays[1:])
     channel = world.core.channel
-    channel.left(0)
-    assert all(item.leaves <= world.now + 2 * item.takes for item in channel._queue)
+    channel.remove_proxy(0)
+    assert all(item.release_us <= world.now + 2 * item.transmit_us for item in channel._queue)
 
 
 def test_a_table_that_the_queue_can_never_hold_leaves_drains_and_comes_once_it_fits() -> None:
@@ -115,56 +117,56 @@
     world.run(4)
     world.list(entry(1, "draining"))
     world.run(4)  # the world checks the grace at each step
-    assert not bound(world) and all(set(r.holdings.lines("read")) == {"w0"} for r in world.relays)
-    warned = [x.fields["relay"] for x in world.core.logs if x.event == "table_too_large"]
+    assert not bound(world) and all(set(r.holdings.weights_for("read")) == {"w0"} for r in world.relays)
+    warned = [x.fields["relay"] for x in world.core.pending_logs if x.name == "table_too_large"]
     assert sorted(warned) == sorted(r.name for r in world.relays)
-    world.core.channel.queue_limit = 400.0
+    world.core.channel.queue_limit_lines = 400.0
     world.run(4)
-    assert bound(world) and all(len(r.holdings.lines("read")) == 299 for r in world.relays)
+    assert bound(world) and all(len(r.holdings.weights_for("read")) == 299 for r in world.relays)
 
 
 def test_a_relay_that_reads_nothing_costs_bounded_memory_and_holds_up_nobody() -> None:
     world = World(relays=4)
     world.dial()
     world.run(2)
-    slow = world.core.streams[world.core.names.proxies["r0"]]
+    slow = world.core.streams[world.core.identifiers.proxies["r0"]]
     world.relays[0].dead = True
-    slow.MOST = 300.0
+    slow.MAX_UNACKNOWLEDGED_LINES = 300.0
     for n in range(200):
-        slow.seen = world.now
-        orders: list[i.Order] = [i.SetLine(g, 1, 1 + n / 100) for g in range(10)]
-        world.core.carry_out(world.now, [(0, orders, {})])
+        slow.last_poll_us = world.now
+        orders: list[i.Order] = [i.SetWeight(g, 1, 1 + n / 100) for g in range(10)]
+        world.core.apply_replies(world.now, [(0, orders, {})])
         world.run(0.1)
-        assert slow.lines <= 300 and len(slow.released) < 100
-    assert slow.owed or slow.picture
+        assert slow.unacknowledged_lines <= 300 and len(slow.unacknowledged) < 100
+    assert slow.resync_reason or slow.resync_seq
     assert all(r.seen > 15 for r in world.relays[1:])
 
 
 def test_the_channel_refuses_at_its_limits_and_never_drops_in_silence() -> None:
     channel = Channel(100, 100, 3, 10 * SECOND)
     message = feed.Message(1, 1, 0, 40, ())
-    channel.joined(1)
+    channel.add_proxy(1)
     assert [channel.put(0, 1, 1, message) for _ in range(3)] == ["", "", "80 of 100 lines wait"]
-    assert [x.leaves for x in channel.leave(10 * SECOND)] == [400_000, 800_000]
+    assert [x.release_us for x in channel.take_released(10 * SECOND)] == [400_000, 800_000]
     assert channel.put(SECOND, 1, 1, message) == ""
     assert channel.put(2 * SECOND, 1, 1, message) == "3 messages within 10 s"
     assert channel.put(11 * SECOND, 1, 1, message) == ""  # the first two are out of the window
     assert channel.put(0, 2, 1, message) == "the proxy has left"
-    channel.left(1)
-    assert channel.waiting == 0 and channel.due() is None
+    channel.remove_proxy(1)
+    assert channel.waiting_lines == 0 and channel.next_release_us() is None
 
 
 def test_the_channel_measures_its_own_pace() -> None:
     channel = Channel(9_000, 1_000, 0, 10 * SECOND)
-    channel.joined(1)
+    channel.add_proxy(1)
     for now in (0, 250_000, 500_000):  # out in time, then by a loop that is four times too late
         for _ in range(10):
             channel.put(now, 1, 1, feed.Message(1, 1, 0, 10, ()))
-        channel.leave(now + 110_000)
-    assert abs(channel.pace - 100 / 0.11) < 1
+        channel.take_released(now + 110_000)
+    assert abs(channel.measured_lines_per_s - 100 / 0.11) < 1
     channel.put(SECOND, 1, 1, feed.Message(1, 1, 0, 100, ()))
-    channel.leave(SECOND + 400_000)
-    assert channel.pace == 250
+    channel.take_released(SECOND + 400_000)
+    assert channel.measured_lines_per_s == 250
 
 
 def test_a_relay_that_does_not_confirm_is_told_of_once() -> None:
@@ -174,9 +176,9 @@
     world.relays[0].dead = True
     world.list(entry(3, "draining"))
     for _ in range(4):
-        world.core.streams[world.core.names.proxies["r0"]].seen = world.now
+        world.core.streams[world.core.identifiers.proxies["r0"]].last_poll_us = world.now
         world.run(1)
-    assert [x.fields["relay"] for x in world.core.logs if x.event == "relay_slow"] == ["r0"]
+    assert [x.fields["relay"] for x in world.core.pending_logs if x.name == "relay_slow"] == ["r0"]
 
 
 def test_two_governors_that_each_know_one_half_keep_to_what_they_know() -> None:
@@ -188,62 +190,66 @@
         world.begin(epoch)
     one.dial()
     one.run(3)
-    assert all(set(r.holdings.lines("read")) == {"w0", "w1", "w2", "w3"} for r in one.relays)
+    assert all(set(r.holdings.weights_for("read")) == {"w0", "w1", "w2", "w3"} for r in one.relays)
     one.list(entry(0, "draining"))
     one.run(2.5)
     for a, b in zip(one.relays, two.relays, strict=True):
         b.holdings = a.holdings  # the stream breaks; it goes on with what it holds and dials the other
-        b.holdings.joined()
-        assert "w0" not in b.holdings.lines("write") and b.holdings.lines("write")
+        b.holdings.begin_stream()
+        assert "w0" not in b.holdings.weights_for("write") and b.holdings.weights_for("write")
     two.dial()
     two.run(3)  # bound by tables of another half; what the first withdrew is not this one's to know
-    assert all(set(r.holdings.lines("read")) == {"w4", "w5", "w6", "w7"} for r in two.relays)
+    assert all(set(r.holdings.weights_for("read")) == {"w4", "w5", "w6", "w7"} for r in two.relays)
     two.list(entry(4, "gone"))
     two.run(3)
-    assert all(set(r.holdings.lines("write")) == {"w5", "w6", "w7"} for r in two.relays)
+    assert all(set(r.holdings.weights_for("write")) == {"w5", "w6", "w7"} for r in two.relays)
 
 
 def test_what_the_channel_refuses_is_owed_as_a_picture_with_its_mark() -> None:
     world = World(relays=2, queue=60, rate=60)
     world.dial()
     world.run(1)
-    core, proxy = world.core, world.core.names.proxies["r0"]
+    core, proxy = world.core, world.core.identifiers.proxies["r0"]
     stream = core.streams[proxy]
-    levels = [i.Admit(None, (k,), 0.5, 0) for k in (0, 1)] * 30
-    core.carry_out(world.now, [(0, [*levels, i.Mark(9, True)], {})])
-    assert stream.owed and any(x.event == "channel_full" for x in core.logs)
-    assert any((0, 9) in marks for _, marks, _ in stream.marks)
+    levels = [i.SetAdmission(None, (k,), 0.5, 0) for k in (0, 1)] * 30
+    core.apply_replies(world.now, [(0, [*levels, i.RequestAcknowledgement(9, True)], {})])
+    assert stream.resync_reason and any(x.name == "channel_full" for x in core.pending_logs)
+    assert any((0, 9) in marks for _, marks, _ in stream.pending_revisions)
     world.run(6)
-    assert not stream.owed and world.relays[0].pictures
-    assert world.relays[0].holdings.level("read", 1) == (0.5, 0) and not stream.marks
+    assert not stream.resync_reason and world.relays[0].pictures
+    assert world.relays[0].holdings.admission_for("read", 1) == (0.5, 0) and not stream.pending_revisions
 
 
 def test_a_restart_between_two_lists_shows_as_one() -> None:
-    names = Names(["x", "y"], ["k"], ["c"])
-    view = RosterView(names, 5 * SECOND)
-
-    def take(now: int, version: int, *entries: feed.Replica, whole: bool = False) -> i.Listed | None:
-        return view.take(now, feed.Roster("l", version, entries, whole, 0 if whole else version - 1))
+    names = Identifiers(["x", "y"], ["k"], ["c"])
+    view = EndpointList(names, 5 * SECOND)
+
+    def take(
+        now: int, version: int, *entries: feed.EndpointRecord, whole: bool = False
+    ) -> i.EndpointsListed | None:
+        return view.apply(
+            now, feed.EndpointListUpdate("l", version, entries, whole, 0 if whole else version - 1)
+        )
 
     first = take(100 * SECOND, 1, entry(1), entry(2, age=2 * SECOND), whole=True)
-    assert first and [e.started for e in first.entries] == [0, 98 * SECOND]
+    assert first and [e.started_us for e in first.endpoints] == [0, 98 * SECOND]
     again = take(101 * SECOND, 2, entry(2, age=3 * SECOND + 40_000))  # the same boot, its age rounded
-    assert again and again.entries[0].started == 98 * SECOND
+    assert again and again.endpoints[0].started_us == 98 * SECOND
     restart = take(103 * SECOND, 3, entry(1, boot=2, age=SECOND), entry(2, boot=2, age=9 * SECOND))
-    assert restart and restart.entries[0].started == 102 * SECOND
-    assert restart.entries[1].started > 98 * SECOND  # an odd age can't hide it
-    with pytest.raises(Gap):
+    assert restart and restart.endpoints[0].started_us == 102 * SECOND
+    assert restart.endpoints[1].started_us > 98 * SECOND  # an odd age can't hide it
+    with pytest.raises(EndpointListGapError):
         take(104 * SECOND, 5, entry(1))
     asleep = take(104 * SECOND, 4, entry(1, "asleep"))
-    assert asleep and asleep.entries[0].phase is i.Phase.DRAINING and "asleep" in view.strange["w1"]
+    assert asleep and asleep.endpoints[0].phase is i.Phase.DRAINING and "asleep" in view.invalid["w1"]
 
 
 def test_a_saved_list_is_old_until_the_roster_tells_true_ages() -> None:
-    view = RosterView(Names(["x", "y"], ["k"], ["c"]), 5 * SECOND)
-    saved = view.saved(50 * SECOND, (entry(1, age=SECOND),))
-    assert view.old and saved.entries[0].started == 0
-    told = view.take(51 * SECOND, feed.Roster("l", 7, (entry(1, age=2 * SECOND),), True))
-    assert told and told.entries[0].started == 49 * SECOND and not view.old
+    view = EndpointList(Identifiers(["x", "y"], ["k"], ["c"]), 5 * SECOND)
+    saved = view.load_cached(50 * SECOND, (entry(1, age=SECOND),))
+    assert view.is_stale and saved.endpoints[0].started_us == 0
+    told = view.apply(51 * SECOND, feed.EndpointListUpdate("l", 7, (entry(1, age=2 * SECOND),), True))
+    assert told and told.endpoints[0].started_us == 49 * SECOND and not view.is_stale
 
 
 def test_a_flapping_roster_leaves_no_relay_bare_and_no_limit_passed() -> None:
@@ -255,72 +261,86 @@
         world.run(0.4)
     world.list(entry(2), entry(3))
     world.run(15)
-    assert all(len(r.holdings.lines("read")) == 8 for r in world.relays)
+    assert all(len(r.holdings.weights_for("read")) == 8 for r in world.relays)
 
 
 def test_sums_add_up_behind_the_intake_limit_oldest_first() -> None:
-    names = Names(["x"], ["k"], ["c"])
+    names = Identifiers(["x"], ["k"], ["c"])
     for n in range(4):
-        names.replicas.number(f"w{n}")
-    intake = Intake(names, 2.0, SECOND, 0)
+        names.replicas.intern(f"w{n}")
+    intake = LoadReportQueue(names, 2.0, SECOND, 0)
     for period in range(2):
         for n in range(4):
-            row = feed.Try(f"w{n}", 4, 1, 100 * (n + 1), busy=0.5)
-            intake.add(0, 0, feed.Sums("r", "e", SECOND, (row,)))
-        taken = [e for e in intake.take((period + 1) * SECOND) if isinstance(e, i.Heard)]
-        assert [(e.replica, e.tries, e.window) for e in taken] == (
+            row = feed.ReplicaAttempts(f"w{n}", 4, 1, 100 * (n + 1), busy_share=0.5)
+            intake.add(0, 0, feed.ProxyLoadReport("r", "e", SECOND, (row,)))
+        taken = [e for e in intake.take_due((period + 1) * SECOND) if isinstance(e, i.AttemptsReported)]
+        assert [(e.replica, e.attempts, e.window_us) for e in taken] == (
             [(0, 4, SECOND), (1, 4, SECOND)] if period == 0 else [(2, 8, 2 * SECOND), (3, 8, 2 * SECOND)]
         )
-    assert taken[0].elapsed == 300 and taken[0].bad == 2 and taken[0].load == i.Load(0.5, None, None)
+    assert (
+        taken[0].elapsed_us == 300
+        and taken[0].failures == 2
+        and taken[0].load == i.LoadReport(0.5, None, None)
+    )
 
 
 def test_sums_of_strangers_are_refused_whole() -> None:
     world = World(relays=1)
     world.dial()
     world.run(1)
-    good = feed.Try("w1", 5)
-    for sums in (feed.Sums("r9", "one", SECOND), feed.Sums("r0", "other", SECOND)):
-        with pytest.raises(Refused) as caught:
-            world.core.sums(sums)
+    good = feed.ReplicaAttempts("w1", 5)
+    for sums in (feed.ProxyLoadReport("r9", "one", SECOND), feed.ProxyLoadReport("r0", "other", SECOND)):
+        with pytest.raises(RequestRejectedError) as caught:
+            world.core.handle_load_report(sums)
         assert caught.value.status == 409
     bad = (
-        feed.Sums("r0", "one", SECOND, (good, feed.Try("w2", 1, 2))),
-        feed.Sums("r0", "one", SECOND, (good,), (feed.Came("none", 1),)),
+        feed.ProxyLoadReport("r0", "one", SECOND, (good, feed.ReplicaAttempts("w2", 1, 2))),
+        feed.ProxyLoadReport("r0", "one", SECOND, (good,), (feed.ClassRequests("none", 1),)),
     )
     for sums in bad:
-        with pytest.raises(Refused) as caught:
-            world.core.sums(sums)
+        with pytest.raises(RequestRejectedError) as caught:
+            world.core.handle_load_report(sums)
         assert caught.value.status == 422
-    assert not any(isinstance(e, i.Heard) for e in world.core.intake.take(world.now + 9 * SECOND))
+    assert not any(
+        isinstance(e, i.AttemptsReported) for e in world.core.load_reports.take_due(world.now + 9 * SECOND)
+    )
     for _ in range(2):  # a replica of an earlier governor's tables: the rest of the sums counts
-        world.core.sums(feed.Sums("r0", "one", SECOND, (good, feed.Try("w99", 1))))
-    heard = [e for e in world.core.intake.take(world.now + 20 * SECOND) if isinstance(e, i.Heard)]
-    assert [(e.replica, e.tries) for e in heard] == [(world.core.names.replicas["w1"], 10)]
-    assert [x.fields["replica"] for x in world.core.logs if x.event == "sums_strange"] == ["w99"]
+        world.core.handle_load_report(
+            feed.ProxyLoadReport("r0", "one", SECOND, (good, feed.ReplicaAttempts("w99", 1)))
+        )
+    heard = [
+        e
+        for e in world.core.load_reports.take_due(world.now + 20 * SECOND)
+        if isinstance(e, i.AttemptsReported)
+    ]
+    assert [(e.replica, e.attempts) for e in heard] == [(world.core.identifiers.replicas["w1"], 10)]
+    assert [x.fields["replica"] for x in world.core.pending_logs if x.name == "sums_strange"] == ["w99"]
 
 
 def test_holdings_keep_earlier_tables_until_bound_and_drop_what_means_nothing_then() -> None:
-    held = feed.Holdings()
-    held.stand({"a": {"w1": 1.0}, "b": {"w2": 1.0}})
-    held.joined()
-    held.apply(feed.Message(1, 1, 0, 1, (feed.Out("w2"),)))
-    assert held.lines("a") == {"w1": 1.0} and held.lines("b") == {}
-    held.apply(feed.Message(2, 1, 0, 1, (feed.Bind(0, ("a",), {"w3": 2.0}), feed.Out("w2"))))
-    held.apply(feed.Message(3, 2, 0, 1, (feed.Line(0, "w4", 1.0), feed.Level(None, ("a",), 0.5, 0))))
-    assert held.lines("a") == {"w3": 2.0, "w4": 1.0} and held.lines("b") == {}
-    assert held.level("a", 1) == (0.5, 0)
-    held.joined()  # another governor's table 0 is not this one's
-    held.apply(feed.Message(1, 1, 0, 1, (feed.Bind(0, ("b",), {"w5": 1.0}),)))
-    held.apply(feed.Message(2, 2, 0, 1, (feed.Line(0, "w6", 1.0),)))
-    assert held.lines("a") == {"w3": 2.0, "w4": 1.0} and held.lines("b") == {"w5": 1.0, "w6": 1.0}
-    assert held.level("a", 1) == (1.0, 1)
+    held = feed.ProxyState()
+    held.install_default_tables({"a": {"w1": 1.0}, "b": {"w2": 1.0}})
+    held.begin_stream()
+    held.apply(feed.Message(1, 1, 0, 1, (feed.WithdrawalDelta("w2"),)))
+    assert held.weights_for("a") == {"w1": 1.0} and held.weights_for("b") == {}
+    held.apply(feed.Message(2, 1, 0, 1, (feed.BindDelta(0, ("a",), {"w3": 2.0}), feed.WithdrawalDelta("w2"))))
+    held.apply(
+        feed.Message(3, 2, 0, 1, (feed.WeightDelta(0, "w4", 1.0), feed.AdmissionDelta(None, ("a",), 0.5, 0)))
+    )
+    assert held.weights_for("a") == {"w3": 2.0, "w4": 1.0} and held.weights_for("b") == {}
+    assert held.admission_for("a", 1) == (0.5, 0)
+    held.begin_stream()  # another governor's table 0 is not this one's
+    held.apply(feed.Message(1, 1, 0, 1, (feed.BindDelta(0, ("b",), {"w5": 1.0}),)))
+    held.apply(feed.Message(2, 2, 0, 1, (feed.WeightDelta(0, "w6", 1.0),)))
+    assert held.weights_for("a") == {"w3": 2.0, "w4": 1.0} and held.weights_for("b") == {"w5": 1.0, "w6": 1.0}
+    assert held.admission_for("a", 1) == (1.0, 1)
 
 
 def test_a_stream_gives_messages_again_until_they_are_acknowledged() -> None:
-    stream = Stream(0, "r", 0, 1)
+    stream = ProxyStream(0, "r", 0, 1)
     for seq in (1, 2, 3):
-        assert stream.release(feed.Message(stream.number_next(), 1, 0, 10, ()))
-        assert seq == stream.next - 1
+        assert stream.add_released(feed.Message(stream.allocate_seq(), 1, 0, 10, ()))
+        assert seq == stream.next_seq - 1
     assert [m.seq for m in stream.read(15)] == [1]
     assert [m.seq for m in stream.read(25)] == [1, 2]  # an answer that was lost is given again
     assert list(stream.acknowledge(1)) == [] and [m.seq for m in stream.read(99)] == [2, 3]
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -8,18 +8,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gradehoist.history import exactly_once, linearizability
+from gradehoist.history import linearizability
+from gradehoist.history.exactly_once import find_duplicate_effects, find_fencing_violations
 from gradehoist.history.records import (
-    Answered,
-    Asked,
+    Completion,
     Effect,
-    Incomplete,
-    Line,
-    Saw,
-    Told,
-    Writer,
-    Wrote,
-    load,
+    HistoryEntry,
+    HistoryWriter,
+    IncompleteHistoryError,
+    Invocation,
+    ObservedRecord,
+    ProcessEvent,
+    RequestedChange,
+    load_history,
 )
 
 
@@ -27,7 +28,7 @@
     """Builds a history call by call; times are what the test says."""
 
     def __init__(self) -> None:
-        self.lines, self.n = list[Line](), 0
+        self.lines, self.n = list[HistoryEntry](), 0
 
     def write(
         self,
@@ -43,22 +44,22 @@
         gone: bool = False,
     ) -> Log:
         self.n += 1
-        wrote = (Wrote("k", finds, session, gone),)
-        self.lines.append(Asked(began, by, self.n, "commit", token, changes=wrote))
+        wrote = (RequestedChange("k", finds, session, gone),)
+        self.lines.append(Invocation(began, by, self.n, "commit", token, changes=wrote))
         if ended is not None:
-            shown = (Saw("k", *saw),) if how == "refused" else ()
-            self.lines.append(Answered(ended, by, self.n, how, makes, shown))
+            shown = (ObservedRecord("k", *saw),) if how == "refused" else ()
+            self.lines.append(Completion(ended, by, self.n, how, makes, shown))
         return self
 
     def read(self, began: int, ended: int, by: str, version: int, token: str = "") -> Log:
         self.n += 1
-        self.lines.append(Asked(began, by, self.n, "read"))
-        saw = (Saw("k", version, token),) if version else ()
-        self.lines.append(Answered(ended, by, self.n, "read", version, saw))
+        self.lines.append(Invocation(began, by, self.n, "read"))
+        saw = (ObservedRecord("k", version, token),) if version else ()
+        self.lines.append(Completion(ended, by, self.n, "read", version, saw))
         return self
 
-    def check(self) -> list[linearizability.Breach]:
-        return linearizability.check(sorted(self.lines, key=lambda x: x.t))
+    def check(self) -> list[linearizability.LinearizabilityViolation]:
+        return linearizability.find_linearizability_violations(sorted(self.lines, key=lambda x: x.time_us))
 
 
 def test_overlapping_calls_may_have_any_order_and_unknown_ones_any_time_or_none() -> None:
@@ -91,7 +92,7 @@
 )
 def test_what_no_register_does_is_caught_and_shown_in_few_calls(log: Log, said: str) -> None:
     (breach,) = log.check()
-    assert said in str(breach) and len(breach.stretch) <= 3
+    assert said in str(breach) and len(breach.operations) <= 3
 
 
 def test_the_stretch_leaves_out_what_has_no_part_in_it() -> None:
@@ -100,7 +101,7 @@
         log.write(10 * n, 10 * n + 5, "a", n and n + 1, f"a:{n}", makes=n + 2)
     log.read(400, 401, "b", 31, "a:29").read(402, 403, "b", 30, "a:28")
     (breach,) = log.check()
-    assert [op.what for op in breach.stretch][-1] == "read" and len(breach.stretch) <= 2
+    assert [op.description for op in breach.operations][-1] == "read" and len(breach.operations) <= 2
 
 
 def serial(choices: list[tuple[int, bool]]) -> tuple[Log, list[tuple[int, str]]]:
@@ -125,16 +126,16 @@
 ) -> None:
     log, states = serial(choices)
     assert not log.check()
-    looks = [n for n, x in enumerate(log.lines) if isinstance(x, Answered) and x.how == "read"]
+    looks = [n for n, x in enumerate(log.lines) if isinstance(x, Completion) and x.outcome == "read"]
     if not looks or len(states) < 2:
         return
     n = data.draw(st.sampled_from(looks))
     old = log.lines[n]
-    assert isinstance(old, Answered)
-    shown = (old.saw[0].version, old.saw[0].token) if old.saw else (0, "")
+    assert isinstance(old, Completion)
+    shown = (old.observed[0].version, old.observed[0].commit_id) if old.observed else (0, "")
     version, token = data.draw(st.sampled_from([s for s in states if s != shown]))
-    saw = (Saw("k", version, token),) * (version > 0)
-    log.lines[n] = Answered(old.t, old.by, old.n, "read", version, saw)
+    saw = (ObservedRecord("k", version, token),) * (version > 0)
+    log.lines[n] = Completion(old.time_us, old.process, old.call_id, "read", version, saw)
     assert log.check()
 
 
@@ -143,29 +144,33 @@
 
 
 def test_effects_are_judged_by_generation_holder_and_item() -> None:
-    good: list[Line] = [effect(1, 1, "a", "x"), effect(2, 2, "b", "y"), effect(3, 1, "a", "z", "other")]
-    assert not exactly_once.generations(good) and not exactly_once.once(good)
-    (back,) = exactly_once.generations([*good, effect(4, 1, "a", "w")])
-    assert "generation 1 took effect after 2" in str(back) and len(back.stretch) == 2
-    (two,) = exactly_once.generations([*good, effect(4, 2, "c", "w")])
+    good: list[HistoryEntry] = [
+        effect(1, 1, "a", "x"),
+        effect(2, 2, "b", "y"),
+        effect(3, 1, "a", "z", "other"),
+    ]
+    assert not find_fencing_violations(good) and not find_duplicate_effects(good)
+    (back,) = find_fencing_violations([*good, effect(4, 1, "a", "w")])
+    assert "generation 1 took effect after 2" in str(back) and len(back.effects) == 2
+    (two,) = find_fencing_violations([*good, effect(4, 2, "c", "w")])
     assert "for two holders" in str(two)
-    (twice,) = exactly_once.once([*good, effect(4, 2, "b", "x", "other")])
+    (twice,) = find_duplicate_effects([*good, effect(4, 2, "b", "x", "other")])
     assert "x took effect twice" in str(twice)
 
 
 def test_a_history_cut_by_a_kill_is_read_and_one_cut_by_its_bound_gives_no_verdict(tmp_path: Path) -> None:
     path = tmp_path / "a.jsonl"
-    writer = Writer(path, "a", most=3)
-    writer(Told(1, "a", "one"))
+    writer = HistoryWriter(path, "a", max_entries=3)
+    writer(ProcessEvent(1, "a", "one"))
     with path.open("ab") as file:
         file.write(b'{"type":"told","t":2,"by":"a","wh')
-    assert load([path]) == [Told(1, "a", "one")]
+    assert load_history([path]) == [ProcessEvent(1, "a", "one")]
     path.write_bytes(path.read_bytes() + b"\n")
-    with pytest.raises(Incomplete, match="a.jsonl:2"):
-        load([path])
+    with pytest.raises(IncompleteHistoryError, match="a.jsonl:2"):
+        load_history([path])
     other = tmp_path / "b.jsonl"
-    writer = Writer(other, "b", most=3)
+    writer = HistoryWriter(other, "b", max_entries=3)
     for n in range(5):
-        writer(Told(n, "b", "x"))
-    with pytest.raises(Incomplete, match="bound"):
-        load([other])
+        writer(ProcessEvent(n, "b", "x"))
+    with pytest.raises(IncompleteHistoryError, match="bound"):
+        load_history([other])
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,7 +10,7 @@
 from gradehoist.protocol import http
 from gradehoist.protocol.http import Limits, Parser, ProtocolError, Request, Role
 
-SMALL = Limits(line=200, head=600, fields=8, body=100)
+SMALL = Limits(max_line_bytes=200, max_head_bytes=600, max_fields=8, max_body_bytes=100)
 
 
 def parse(data: bytes, cuts: list[int] | None = None, limits: Limits = SMALL) -> list[http.Event]:
@@ -71,7 +71,7 @@
 def test_expectation_is_told_only_while_the_body_is_still_to_come() -> None:
     head = b"POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n"
     parser = Parser(Role.SERVER, SMALL)
-    assert parser.receive(head) == [http.Expecting()]
+    assert parser.receive(head) == [http.ContinueExpected()]
     assert [type(e) for e in parser.receive(b"hi")] == [Request]
     assert [type(e) for e in Parser(Role.SERVER, SMALL).receive(head + b"hi")] == [Request]
 
@@ -80,30 +80,30 @@
     def client(*methods: str) -> Parser:
         parser = Parser(Role.CLIENT, SMALL)
         for method in methods:
-            parser.asked(method)
+            parser.expect_response(method)
         return parser
 
     with pytest.raises(ProtocolError):
-        client().receive(http.response(200))
-    both = http.response(100) + http.response(200, b"x") + http.response(204)
+        client().receive(http.format_response(200))
+    both = http.format_response(100) + http.format_response(200, b"x") + http.format_response(204)
     statuses = [e.status for e in client("GET", "GET").receive(both) if isinstance(e, http.Response)]
     assert statuses == [100, 200, 204]
     head = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n"
     assert len(client("HEAD").receive(head)) == 1
     to_close = client("GET")
     assert to_close.receive(b"HTTP/1.1 200 OK\r\n\r\nabc") == []
-    (whole,) = to_close.end()
+    (whole,) = to_close.receive_eof()
     assert isinstance(whole, http.Response) and whole.body == b"abc" and not whole.keep_alive
     cut = client("GET")
     cut.receive(head + b"half")
     with pytest.raises(ProtocolError):  # a governor killed within an answer: never taken for a whole one
-        cut.end()
+        cut.receive_eof()
 
 
 def test_a_header_that_would_break_its_line_is_not_written() -> None:
     for value in ("a\r\nx: 1", "a\nb", "\0"):
         with pytest.raises(ValueError):
-            http.response(200, b"", (("x", value),))
+            http.format_response(200, b"", (("x", value),))
 
 
 TOKEN = st.text("abcXYZ-09", min_size=1, max_size=8)
--- a/tests/test_known_limits.py
+++ b/tests/test_known_limits.py
@@ -13,11 +13,11 @@
 import psutil
 import pytest
 
-from gradehoist.cells.migration import Fence
-from gradehoist.governor.policy_process import PlannerProcess
-from gradehoist.governor.service import Service
+from gradehoist.cells.migration import ReplicaFence
+from gradehoist.governor.policy_process import PolicyProcess
+from gradehoist.governor.service import GovernorService
 from gradehoist.scenario import definition
-from gradehoist.settings import fleet as f
+from gradehoist.settings.fleet import read_settings
 from tests.support.governed_fleet import World, entry
 from tests.support.governor_process import GRACE, ROOT, Relay, Roster, play, settings, until
 
@@ -26,23 +26,23 @@
 def test_a_planner_that_works_for_longer_than_the_grace_holds_up_no_drain(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    usual, slow = PlannerProcess.handle, [False]
+    usual, slow = PolicyProcess.handle, [False]
 
-    async def handle(self: PlannerProcess, *given: Any) -> Any:
+    async def handle(self: PolicyProcess, *given: Any) -> Any:
         if slow.pop():
             await asyncio.sleep(2 * GRACE)
         slow.append(False)
         return await usual(self, *given)
 
     async def work() -> None:
-        monkeypatch.setattr(PlannerProcess, "handle", handle)
+        monkeypatch.setattr(PolicyProcess, "handle", handle)
         roster, (port,) = Roster(), definition.ports(1)
-        found = f.read(settings(tmp_path, roster.port, port))
-        service = Service(found.fleet, found.governors[0])
+        found = read_settings(settings(tmp_path, roster.port, port))
+        service = GovernorService(found.fleet, found.governors[0])
         running = asyncio.ensure_future(service.run())
         relay = Relay(port, "r0")
         try:
-            assert await until(lambda: relay.holdings.bound, 10)
+            assert await until(lambda: relay.holdings.is_bound, 10)
             slow[:] = [True]
             await asyncio.sleep(0.2)
             roster.list(entry(1, "draining"))
@@ -51,18 +51,18 @@
             relay.task.cancel()
             service.stop()
             await running
-            roster.server.shut()
+            roster.server.abort()
 
     play(work)
 
 
 @pytest.mark.xfail(strict=True, reason="F21: keys have no age, and the protocol states none yet")
 def test_keys_of_done_writes_do_not_pile_up() -> None:
-    fence = Fence("w", "c", until=1 << 60)
+    fence = ReplicaFence("w", "c", lease_until_us=1 << 60)
     for n in range(2_000):
-        fence, _ = fence.write(n, "inn", "c", 1, f"k{n}")
-        fence = fence.finish("inn", f"k{n}")
-    assert len(fence.done["inn"]) < 2_000
+        fence, _ = fence.check_write(n, "inn", "c", 1, f"k{n}")
+        fence = fence.complete_write("inn", f"k{n}")
+    assert len(fence.completed["inn"]) < 2_000
 
 
 @pytest.mark.xfail(strict=True, reason="F24: an index never gives a name back")
@@ -73,7 +73,7 @@
         world.list(entry(n, "gone"))
     world.now += 2 * 3_600_000_000
     world.list(whole=True)
-    assert len(world.core.names.replicas) < 300
+    assert len(world.core.identifiers.replicas) < 300
 
 
 @pytest.mark.xfail(strict=True, reason="F25: a day's processes do not watch the day")
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -16,8 +16,8 @@
 
 
 def received(pieces: list[bytes], known: bool = True) -> list[lines.Message]:
-    door = lines.Door()
-    door.known = known
+    door = lines.LineParser()
+    door.is_identified = known
     return [message for piece in pieces for message in door.receive(piece)]
 
 
@@ -27,11 +27,13 @@
     found = received([GOOD[a:b] for a, b in zip(at, at[1:], strict=False)])
     assert found == received([GOOD])
     assert found[1:4] == [
-        lines.Hello(17, "a", 21.5, True),
-        lines.Ack(17, 905, 310_400),
-        lines.Outcomes("a", "s-5be2a07c", 212, 3, 41_700, 1_000_000, (("inflight", 7.0), ("util", 0.61))),
+        lines.ProxyHello(17, "a", 21.5, True),
+        lines.Acknowledgement(17, 905, 310_400),
+        lines.AttemptOutcomes(
+            "a", "s-5be2a07c", 212, 3, 41_700, 1_000_000, (("inflight", 7.0), ("util", 0.61))
+        ),
     ]
-    assert isinstance(found[4], lines.Spoilt) and isinstance(found[5], lines.Demand)
+    assert isinstance(found[4], lines.MalformedLine) and isinstance(found[5], lines.Demand)
 
 
 WIRES = [
@@ -53,15 +55,15 @@
     """A stranger's too: `known` is set where its joining has come, as the shell does."""
 
     def told(pieces: list[bytes]) -> tuple[list[lines.Message], bool]:
-        door, found = lines.Door(), list[lines.Message]()
+        door, found = lines.LineParser(), list[lines.Message]()
         for piece in pieces:
             try:
                 some = door.receive(piece)
-            except lines.Unreadable:
+            except lines.LineProtocolError:
                 break
             found += some
-            door.known |= any(isinstance(m, lines.Hello | lines.Agent) for m in some)
-        return found, bool(door.fault)
+            door.is_identified |= any(isinstance(m, lines.ProxyHello | lines.CollectorHello) for m in some)
+        return found, bool(door.failure)
 
     data = b"".join(parts)
     at = [0, *sorted(min(c, len(data)) for c in cuts), len(data)]
@@ -70,14 +72,14 @@
 
 @given(st.lists(st.one_of(st.binary(max_size=200), st.sampled_from([GOOD, b"\r\n", b"ack id=", b"probe"]))))
 def test_any_bytes_end_in_messages_or_a_refusal_and_little_is_kept(pieces: list[bytes]) -> None:
-    door = lines.Door()
+    door = lines.LineParser()
     try:
         for piece in pieces:
             for message in door.receive(piece):
                 assert isinstance(message, lines.Message)
-            assert len(door._buffer) <= lines.FIRST
-    except lines.Unreadable:
-        assert door.fault and not door._buffer
+            assert len(door._buffer) <= lines.MAX_UNIDENTIFIED_BYTES
+    except lines.LineProtocolError:
+        assert door.failure and not door._buffer
 
 
 @pytest.mark.parametrize(
@@ -101,7 +103,7 @@
 )
 def test_a_spoilt_line_costs_itself_alone(line: str) -> None:
     found = received([f"{line}\r\nprobe\r\n".encode()])
-    assert isinstance(found[0], lines.Spoilt) and found[1:] == [lines.Probe()]
+    assert isinstance(found[0], lines.MalformedLine) and found[1:] == [lines.HealthCheck()]
 
 
 @pytest.mark.parametrize(
@@ -119,22 +121,22 @@
     ],
 )
 def test_what_cannot_be_read_is_refused_at_once(data: bytes) -> None:
-    with pytest.raises(lines.Unreadable):
+    with pytest.raises(lines.LineProtocolError):
         received([data], known=False)
 
 
 def test_messages_before_a_fault_are_kept_and_the_fault_is_told() -> None:
-    door = lines.Door()
-    assert door.receive(b"probe\r\n\x00\x01\r\n") == [lines.Probe()] and door.fault
-    with pytest.raises(lines.Unreadable):
+    door = lines.LineParser()
+    assert door.receive(b"probe\r\n\x00\x01\r\n") == [lines.HealthCheck()] and door.failure
+    with pytest.raises(lines.LineProtocolError):
         door.receive(b"probe\r\n")
 
 
 def test_orders_are_written_as_the_page_has_them() -> None:
-    text = lines.push(
+    text = lines.format_push(
         [
-            lines.Part(("lookup", "order"), True, (("s-5be2a07c", 1.5), ("s-0badcafe", 1e-7)), (0.9, 1)),
-            lines.Part(out=("s-77aa0310",), back=("s-1", "s-2"), ticket=905),
+            lines.PushPart(("lookup", "order"), True, (("s-5be2a07c", 1.5), ("s-0badcafe", 1e-7)), (0.9, 1)),
+            lines.PushPart(withdrawn=("s-77aa0310",), restored=("s-1", "s-2"), revision=905),
         ]
     )
     assert text == (
@@ -142,6 +144,6 @@
         b"more=1\r\n"
         b"push out=s-77aa0310 back=s-1,s-2 ticket=905\r\n"
     )
-    assert [lines.number(x) for x in (0, 2, 0.1 + 0.2, 12345.678)] == ["0", "2", "0.3", "12345.678"]
+    assert [lines.format_number(x) for x in (0, 2, 0.1 + 0.2, 12345.678)] == ["0", "2", "0.3", "12345.678"]
     with pytest.raises(ValueError, match="65 parts"):
-        lines.push([lines.Part()] * 65)
+        lines.format_push([lines.PushPart()] * 65)
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -9,7 +9,16 @@
 
 import pytest
 
-from gradehoist.cells.migration import Book, Confirm, Fence, Keys, Move, Step, Verdict, Word
+from gradehoist.cells.migration import (
+    AssignmentAck,
+    Keys,
+    Migration,
+    MigrationStep,
+    ReplicaFence,
+    TenantAssignment,
+    TenantDirectory,
+    WriteDecision,
+)
 
 T = "inn"
 LEASE, WAIT = 10, 25  # ticks: the wait covers lease, settle and repeat
@@ -20,10 +29,10 @@
     """Two cells, one governor or more, relays that hold a route, one tenant. What is never delivered is lost,
     what is sent again is the same. `taken` holds the acceptances in their true order."""
 
-    fences: dict[str, Fence]
-    books: dict[str, Book]
-    move: Move | None = None
-    kept: Move | None = None  # the record as kept
+    fences: dict[str, ReplicaFence]
+    books: dict[str, TenantDirectory]
+    move: Migration | None = None
+    kept: Migration | None = None  # the record as kept
     routes: dict[str, tuple[str, int] | None] = field(default_factory=dict)
     net: tuple[tuple[Any, ...], ...] = ()
     now: int = 0
@@ -37,7 +46,12 @@
 
     def key(self) -> Any:
         fences = tuple(
-            (max(-1, f.until - self.now), f.hand.get(T), f.done.get(T), f.words.get(T))
+            (
+                max(-1, f.lease_until_us - self.now),
+                f.in_flight.get(T),
+                f.completed.get(T),
+                f.assignments.get(T),
+            )
             for f in self.fences.values()
         )
         m = self.move
@@ -54,7 +68,7 @@
         kept = k and (k.id, k.step, k.known, k.shut, k.keys)
         return (
             fences,
-            tuple(b.words.get(T) for b in self.books.values()),
+            tuple(b.assignments.get(T) for b in self.books.values()),
             move,
             kept,
             tuple(self.routes.values()),
@@ -76,8 +90,8 @@
 def begin(
     governors: tuple[str, ...] = GOVERNORS, cells: dict[str, tuple[str, ...]] = CELLS, relays: int = 2
 ) -> World:
-    fences = {w: Fence(w, c, until=LEASE) for c, ws in cells.items() for w in ws}
-    books = {g: Book(g) for g in governors}
+    fences = {w: ReplicaFence(w, c, lease_until_us=LEASE) for c, ws in cells.items() for w in ws}
+    books = {g: TenantDirectory(g) for g in governors}
     return World(fences, books, routes={f"r{n}": ("A", 1) for n in range(relays)})
 
 
@@ -105,23 +119,23 @@
     def home(self, worker: str) -> str:
         return next(c for c, ws in self.cells.items() if worker in ws)
 
-    def kept(self, w: World, move: Move) -> World:
+    def kept(self, w: World, move: Migration) -> World:
         return replace(w, move=move, kept=move)
 
     def moves(self, w: World) -> list[tuple[str, World]]:
         out: list[tuple[str, World]] = []
         writes, deaths, undos, ticks = self.most
         if w.move is None and w.kept is None:
-            out.append(("order the move", self.kept(w, Move("m", T, "A", "B", 2))))
+            out.append(("order the move", self.kept(w, Migration("m", T, "A", "B", 2))))
         if w.move is not None:
-            word = w.move.word()
-            sent = [("word", to, word) for to in w.move.sends(self.governors, self.cells)]
+            word = w.move.assignment()
+            sent = [("word", to, word) for to in w.move.pending_recipients(self.governors, self.cells)]
             if any(m not in w.net for m in sent):
                 out.append(("the mover sends", replace(w, net=put(w.net, *sent))))
             after = w.move.advance(w.now, self.governors, self.cells, 0 if self.mutant == "no wait" else WAIT)
             if after != w.move:
                 out.append((f"the mover goes to {after.step.value}", self.kept(w, after)))
-            if w.undos < undos and w.move.step is not Step.DONE and not w.move.undone:
+            if w.undos < undos and w.move.step is not MigrationStep.DONE and not w.move.undone:
                 back = w.move.undo()
                 if self.mutant == "careless undo":
                     back = replace(back, fenced=False)
@@ -134,7 +148,7 @@
             out.append((f"delivered {message}", self.deliver(w, message)))
         for g, book in w.books.items():
             for worker in w.fences:
-                beat = ("beat", worker, book.heartbeat())
+                beat = ("beat", worker, book.heartbeat_assignments())
                 if beat not in w.net and w.ticks < ticks:
                     out.append(
                         (f"{g} heartbeats {worker}", replace(w, net=put(w.net, beat), ticks=w.ticks + 1))
@@ -159,7 +173,7 @@
                                 )
                             )
         for name, fence in w.fences.items():
-            for key in sorted(fence.hand.get(T, Keys())):
+            for key in sorted(fence.in_flight.get(T, Keys())):
                 out.append((f"{name} finishes {key}", self.finished(w, name, key)))
             if w.deaths < deaths:
                 out.append(
@@ -178,16 +192,16 @@
                 net=tuple(m for m in w.net if m[0] != "write"),
             )
             for name, fence in w.fences.items():
-                for key in sorted(fence.hand.get(T, Keys())):
+                for key in sorted(fence.in_flight.get(T, Keys())):
                     later = self.finished(later, name, key)
             out.append(("time passes", later))
         return out
 
     def finished(self, w: World, name: str, key: str) -> World:
         """The effect of a write. Within a cell its ledger takes a key once; between cells the moves must."""
-        fences = {**w.fences, name: w.fences[name].finish(T, key)}
+        fences = {**w.fences, name: w.fences[name].complete_write(T, key)}
         cell = self.cells[self.home(name)]
-        if any(key in w.fences[x].done.get(T, Keys()) for x in cell):
+        if any(key in w.fences[x].completed.get(T, Keys()) for x in cell):
             return replace(w, fences=fences)
         return replace(w, fences=fences, effects=tuple(sorted((*w.effects, key))))
 
@@ -197,10 +211,10 @@
         def idle(message: tuple[Any, ...]) -> bool:
             kind, to, *rest = message
             if kind == "answer" and w.move is not None:
-                return w.move.confirmed(w.now, rest[0], self.governors) == w.move
+                return w.move.acknowledged(w.now, rest[0], self.governors) == w.move
             if kind == "word" and w.move is not None:
-                known = (w.books.get(to) or w.fences[to]).words.get(T)
-                return rest[0] != w.move.word() and not rest[0].over(known)
+                known = (w.books.get(to) or w.fences[to]).assignments.get(T)
+                return rest[0] != w.move.assignment() and not rest[0].supersedes(known)
             return False
 
         net = tuple(m for m in w.net if not idle(m))
@@ -210,32 +224,34 @@
         kind, to, *rest = message
         left = replace(w, net=tuple(m for m in w.net if m != message))
         if kind == "beat":
-            fence = w.fences[to].heartbeat(w.now, LEASE, rest[0])
+            fence = w.fences[to].renew_lease(w.now, LEASE, rest[0])
             return replace(left, fences={**w.fences, to: fence})
         if kind == "write":
             (cell, gen), key = rest
-            fence, verdict = w.fences[to].write(w.now, T, cell, gen, key)
-            if self.mutant == "no lease" and verdict is Verdict.LEASE:
-                fence, verdict = replace(w.fences[to], until=w.now + 1).write(w.now, T, cell, gen, key)
+            fence, verdict = w.fences[to].check_write(w.now, T, cell, gen, key)
+            if self.mutant == "no lease" and verdict is WriteDecision.NO_LEASE:
+                fence, verdict = replace(w.fences[to], lease_until_us=w.now + 1).check_write(
+                    w.now, T, cell, gen, key
+                )
             after = replace(left, fences={**w.fences, to: fence})
-            return replace(after, taken=(*w.taken, (cell, gen))) if verdict is Verdict.TAKE else after
+            return replace(after, taken=(*w.taken, (cell, gen))) if verdict is WriteDecision.ACCEPT else after
         if kind == "word":
-            word: Word = rest[0]
+            word: TenantAssignment = rest[0]
             if to in w.books:
-                book, answer = w.books[to].told(word)
+                book, answer = w.books[to].apply_assignment(word)
                 after = replace(left, books={**w.books, to: book})
             else:
-                fence, answer = w.fences[to].told(word)
+                fence, answer = w.fences[to].apply_assignment(word)
                 if self.mutant == "busy confirms":
-                    answer = answer._replace(busy=False)
+                    answer = answer._replace(has_writes_in_flight=False)
                 if self.mutant == "keys lost":
-                    answer = answer._replace(keys=Keys())
+                    answer = answer._replace(completed_keys=Keys())
                 after = replace(left, fences={**w.fences, to: fence})
             return replace(after, net=put(after.net, ("answer", "mover", answer)))
-        answer_: Confirm = rest[0]
+        answer_: AssignmentAck = rest[0]
         if w.move is None:
             return left
-        return self.kept(left, w.move.confirmed(w.now, answer_, self.governors))
+        return self.kept(left, w.move.acknowledged(w.now, answer_, self.governors))
 
 
 def wrong(before: World, after: World) -> str:
@@ -246,7 +262,7 @@
         cell, gen = after.taken[-1]
         if any(g > gen and c != cell for c, g in after.taken):
             return f"a write at {cell}, generation {gen}, after a later cell took one"
-        others = [f.name for f in after.fences.values() if f.cell != cell and f.hand.get(T)]
+        others = [f.name for f in after.fences.values() if f.cell != cell and f.in_flight.get(T)]
         if others:
             return f"a write taken at {cell} while {others} has one in hand"
     return ""
@@ -320,7 +336,9 @@
 def test_the_search_finds_each_protocol_that_is_weakened(mutant: str, undos: int, ticks: int) -> None:
     world = begin(relays=1)
     if ticks:  # the new cell's lease is renewed meanwhile, which would take a step more
-        world = replace(world, fences={**world.fences, "b1": replace(world.fences["b1"], until=10**9)})
+        world = replace(
+            world, fences={**world.fences, "b1": replace(world.fences["b1"], lease_until_us=10**9)}
+        )
     _, found = explore(Play(GOVERNORS, CELLS, 2, 0, undos, ticks, mutant), world, 60_000)
     assert found and found[-1].startswith("WRONG")
 
@@ -332,10 +350,10 @@
         assert not fault, f"seed {seed}: {fault}\n" + "\n".join(steps)
         assert chance(seed)[0] == steps if seed < 3 else True
         ends.add((world.move.step, world.move.undone) if world.move else None)
-    assert {(Step.DONE, False), (Step.DONE, True)} <= ends
+    assert {(MigrationStep.DONE, False), (MigrationStep.DONE, True)} <= ends
 
 
-def run_to(step: Step, world: World, play: Play) -> World:
+def run_to(step: MigrationStep, world: World, play: Play) -> World:
     for _ in range(200):
         if world.move and world.move.step is step:
             return world
@@ -351,22 +369,28 @@
 
 def test_a_move_goes_through_and_says_what_it_waits_for() -> None:
     play = Play(GOVERNORS, CELLS, 0, 0, 0, 0)
-    world = run_to(Step.SHUT, begin(), play)
+    world = run_to(MigrationStep.CLOSE, begin(), play)
     assert world.move is not None
-    assert world.move.waits(0, GOVERNORS, CELLS, 25_000_000) == "a1 to confirm; or governors g1, then 25 s"
-    assert run_to(Step.DONE, world, play).books["g1"].route(T, "A") == ("B", 2)
+    assert (
+        world.move.describe_wait(0, GOVERNORS, CELLS, 25_000_000)
+        == "a1 to confirm; or governors g1, then 25 s"
+    )
+    assert run_to(MigrationStep.DONE, world, play).books["g1"].route(T, "A") == ("B", 2)
 
 
 def test_a_second_mover_with_the_same_generation_is_stopped_where_the_first_is_known() -> None:
-    book, _ = Book("g1").told(Word(T, 2, "first"))
-    book, answer = book.told(Word(T, 2, "second"))
-    second = Move("second", T, "A", "C", 2).confirmed(0, answer, GOVERNORS)
-    assert "first" in second.conflict and second.sends(GOVERNORS, {"A": ("a1",), "C": ("c1",)}) == []
+    book, _ = TenantDirectory("g1").apply_assignment(TenantAssignment(T, 2, "first"))
+    book, answer = book.apply_assignment(TenantAssignment(T, 2, "second"))
+    second = Migration("second", T, "A", "C", 2).acknowledged(0, answer, GOVERNORS)
+    assert (
+        "first" in second.conflict
+        and second.pending_recipients(GOVERNORS, {"A": ("a1",), "C": ("c1",)}) == []
+    )
 
 
 def test_a_done_move_is_not_undone_and_an_undo_is_not_undone_again() -> None:
-    move = Move("m", T, "A", "B", 2)
+    move = Migration("m", T, "A", "B", 2)
     with pytest.raises(ValueError, match="order a move back"):
-        replace(move, step=Step.DONE).undo()
+        replace(move, step=MigrationStep.DONE).undo()
     with pytest.raises(ValueError, match="already"):
         move.undo().undo()
--- a/tests/test_migration_runner.py
+++ b/tests/test_migration_runner.py
@@ -10,13 +10,20 @@
 import msgspec
 import pytest
 
-from gradehoist.cells.migration import Book, Fence, Move, Step, Verdict, Word
+from gradehoist.cells.migration import (
+    Migration,
+    MigrationStep,
+    ReplicaFence,
+    TenantAssignment,
+    TenantDirectory,
+    WriteDecision,
+)
 from gradehoist.migration import runner as mover
-from gradehoist.net.server import Answer, Connection, Server, json
+from gradehoist.net.server import Connection, HttpServer, ServerResponse, json_response
 from gradehoist.protocol import feed, http
 from gradehoist.scenario.definition import ports
-from gradehoist.settings.fleet import Placed
-from gradehoist.store.atomic_file import Held, Lock, write
+from gradehoist.settings.fleet import CellPlacement
+from gradehoist.store.atomic_file import FolderLock, FolderLockedError, write_file
 from tests.support.governed_fleet import on_sockets
 
 LOCAL = "127.0.0.1"
@@ -29,61 +36,67 @@
     def __init__(self, folder: Path, deaf: str = "") -> None:
         found = ports(6)
         self.at = dict(zip(("roster", "g", *CELLS), found, strict=True))
-        self.book = Book("a")
-        self.fences = {w: Fence(w, c, until=1 << 60) for w, c in CELLS.items()}
+        self.book = TenantDirectory("a")
+        self.fences = {w: ReplicaFence(w, c, lease_until_us=1 << 60) for w, c in CELLS.items()}
         self.asked = Counter[str]()
         self.deaf, self.moved = deaf, dict[str, str]()  # moved: addresses that the roster tells instead
         self.servers = []
         for name, port in self.at.items():
-            server = Server(lambda q, c, name=name: self.handle(name, q, c))  # type: ignore[misc]
+            server = HttpServer(lambda q, c, name=name: self.handle(name, q, c))  # type: ignore[misc]
             server.listen(port, LOCAL)
             self.servers.append(server)
         self.settings = on_sockets(
             folder,
             self.at["roster"],
             self.at["g"],
-            Placed(("A", "B"), CELLS, {"inn": "A"}),
+            CellPlacement(("A", "B"), CELLS, {"inn": "A"}),
             'lease="50ms" settle="100ms"',
         )
 
-    async def handle(self, name: str, request: http.Request, connection: Connection) -> Answer | None:
+    async def handle(self, name: str, request: http.Request, connection: Connection) -> ServerResponse | None:
         if name == "roster":
-            entries = tuple(feed.Replica(w, "x", self.moved.get(w, f"{LOCAL}:{self.at[w]}")) for w in CELLS)
-            return json(feed.Roster("l", 1, entries, True))
+            entries = tuple(
+                feed.EndpointRecord(w, "x", self.moved.get(w, f"{LOCAL}:{self.at[w]}")) for w in CELLS
+            )
+            return json_response(feed.EndpointListUpdate("l", 1, entries, True))
         self.asked[name] += 1
         if name == self.deaf:
             return None
-        word: Word = msgspec.json.decode(request.body, type=Word)
+        word: TenantAssignment = msgspec.json.decode(request.body, type=TenantAssignment)
         if name == "g":
-            self.book, answer = self.book.told(word)
+            self.book, answer = self.book.apply_assignment(word)
         else:
-            self.fences[name], answer = self.fences[name].told(word)
-        return json(answer)
+            self.fences[name], answer = self.fences[name].apply_assignment(word)
+        return json_response(answer)
 
     def takes(self, worker: str, gen: int) -> bool:
         fence = self.fences[worker]
-        return fence.write(0, "inn", fence.cell, gen, "new")[1] is Verdict.TAKE
+        return fence.check_write(0, "inn", fence.cell, gen, "new")[1] is WriteDecision.ACCEPT
 
     def settle_in_a_minute(self) -> None:
         """Longer than a test waits: only the workers' own words end the step."""
         fleet = self.settings.fleet
-        assert fleet.cells is not None
-        cells = msgspec.structs.replace(fleet.cells, settle=60_000_000)
-        self.settings = replace(self.settings, fleet=replace(fleet, cells=cells))
+        assert fleet.placement is not None
+        cells = msgspec.structs.replace(fleet.placement, settle_us=60_000_000)
+        self.settings = replace(self.settings, fleet=replace(fleet, placement=cells))
 
     def close(self) -> None:
         for server in self.servers:
-            server.shut()
+            server.abort()
 
 
-def order(site: Site, store: Path) -> list[Move]:
-    return mover.order(store, site.settings, {"inn": "B"})
+def order(site: Site, store: Path) -> list[Migration]:
+    return mover.create_migrations(store, site.settings, {"inn": "B"})
 
 
-async def carry(site: Site, store: Path, said: list[str] | None = None) -> list[Move]:
+async def carry(site: Site, store: Path, said: list[str] | None = None) -> list[Migration]:
     told = [] if said is None else said
-    one = mover.Mover(site.settings, store, lambda m, waits: told.append(f"{m.step.value}: {waits}"))
-    return await asyncio.wait_for(one.run([m for m in mover.load(store) if m.step is not Step.DONE]), 20)
+    one = mover.MigrationRunner(
+        site.settings, store, lambda m, waits: told.append(f"{m.step.value}: {waits}")
+    )
+    return await asyncio.wait_for(
+        one.run([m for m in mover.load_migrations(store) if m.step is not MigrationStep.DONE]), 20
+    )
 
 
 @pytest.mark.parametrize("deaf", ["", "a2"])
@@ -99,7 +112,7 @@
             while lives < 20:
                 lives += 1
 
-                def save(store: Path, move: Move) -> None:
+                def save(store: Path, move: Migration) -> None:
                     keep(store, move)
                     raise Killed
 
@@ -107,19 +120,21 @@
                 try:
                     ended = await carry(site, tmp_path / "s")
                 except Killed:
-                    (move,) = mover.load(tmp_path / "s")
-                    if move.step is Step.SHUT:  # not one of the new cell's may take a write yet
+                    (move,) = mover.load_migrations(tmp_path / "s")
+                    if move.step is MigrationStep.CLOSE:  # not one of the new cell's may take a write yet
                         assert not any(site.takes(w, 2) for w in ("b1", "b2"))
-                    if move.step is not Step.SHUT:
+                    if move.step is not MigrationStep.CLOSE:
                         assert not any(site.takes(w, 1) for w in ("a1", "a2") if w != deaf)
-                    if move.step is Step.DONE:
+                    if move.step is MigrationStep.DONE:
                         break
                     continue
                 assert not ended
                 break
             assert lives >= 3 and site.book.route("inn", "A") == ("B", 2)
             for name in ("b1", "b2"):  # a worker that missed the mover's word has it from the next heartbeat
-                site.fences[name] = site.fences[name].heartbeat(0, 1 << 60, site.book.heartbeat())
+                site.fences[name] = site.fences[name].renew_lease(
+                    0, 1 << 60, site.book.heartbeat_assignments()
+                )
                 assert site.takes(name, 2)
         finally:
             site.close()
@@ -131,7 +146,7 @@
     async def work() -> None:
         site, said, store = Site(tmp_path, deaf="g"), list[str](), tmp_path / "s"
         # A write in hand that never ends.
-        site.fences["a2"], _ = site.fences["a2"].write(0, "inn", "A", 1, "k1")
+        site.fences["a2"], _ = site.fences["a2"].check_write(0, "inn", "A", 1, "k1")
         try:
             (move,) = order(site, store)
             running = asyncio.ensure_future(carry(site, store, said))
@@ -141,17 +156,19 @@
                     break
             with pytest.raises(ValueError, match="undo that first"):
                 order(site, store)
-            back = mover.undo(store, move.id)
+            back = mover.undo_migration(store, move.id)
             (ended,) = await running
-            assert ended.step is Step.SHUT and said[-1] == "shut: undone"
+            assert ended.step is MigrationStep.CLOSE and said[-1] == "shut: undone"
             site.deaf = ""
-            assert (await carry(site, store, said))[-1].step is Step.DONE or back.step is Step.SHUT
+            assert (await carry(site, store, said))[
+                -1
+            ].step is MigrationStep.DONE or back.step is MigrationStep.CLOSE
         finally:
             site.close()
         assert site.book.route("inn", "A") == ("A", 3)
         assert site.takes("a1", 3) and not site.takes("b1", 2) and not site.takes("a1", 1)
         with pytest.raises(ValueError, match="no move"):
-            mover.undo(store, "nothing")
+            mover.undo_migration(store, "nothing")
 
     asyncio.run(work())
 
@@ -160,10 +177,10 @@
     async def work() -> None:
         site = Site(tmp_path)
         try:
-            site.book, _ = site.book.told(Word("inn", 2, "another"))
+            site.book, _ = site.book.apply_assignment(TenantAssignment("inn", 2, "another"))
             order(site, tmp_path / "s")
             (ended,) = await carry(site, tmp_path / "s")
-            assert "another" in ended.conflict and ended.step is Step.SHUT
+            assert "another" in ended.conflict and ended.step is MigrationStep.CLOSE
             assert not any(site.takes(w, 2) for w in CELLS)
         finally:
             site.close()
@@ -172,23 +189,23 @@
 
 
 def test_one_writer_a_store_and_files_old_or_new(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    lock = Lock(tmp_path)
-    with pytest.raises(Held, match="in use by pid"):
-        Lock(tmp_path)
-    lock.free()
-    Lock(tmp_path).free()
-    write(tmp_path / "x", b"old")
+    lock = FolderLock(tmp_path)
+    with pytest.raises(FolderLockedError, match="in use by pid"):
+        FolderLock(tmp_path)
+    lock.release()
+    FolderLock(tmp_path).release()
+    write_file(tmp_path / "x", b"old")
 
     def full(fd: int) -> None:
         raise OSError(28, "No space left on device")
 
     monkeypatch.setattr("os.fsync", full)
     with pytest.raises(OSError):
-        write(tmp_path / "x", b"new")
+        write_file(tmp_path / "x", b"new")
     assert (tmp_path / "x").read_bytes() == b"old"
     (tmp_path / "000000-2.move").write_bytes(b"{")
     with pytest.raises(ValueError, match="000000-2.move"):
-        mover.load(tmp_path)
+        mover.load_migrations(tmp_path)
 
 
 @pytest.mark.parametrize("first", ["127.0.0.1:99999", "nowhere", "127.0.0.1:9"])
@@ -205,7 +222,7 @@
         assert not carried.done()  # a2 has not confirmed, and the wait without it is a minute
         site.moved.clear()
         (move,) = await carried
-        assert move.step is Step.DONE and not site.takes("a2", 1)
+        assert move.step is MigrationStep.DONE and not site.takes("a2", 1)
         site.close()
 
     asyncio.run(asyncio.wait_for(work(), 30))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,8 +10,8 @@
 import pytest
 
 from gradehoist import interface as i
-from gradehoist.node.core import Core, Refused
-from gradehoist.node.discovery import Change
+from gradehoist.node.core import JoinRejectedError, NodeCore
+from gradehoist.node.discovery import EndpointListUpdate
 from gradehoist.protocol import lines
 from gradehoist.settings import platform
 from tests.support.platform_proxies import CLASSES, SECOND, SETTINGS, Proxy, Site, member
@@ -22,7 +22,7 @@
     for proxy in site.proxies:
         assert set(proxy.tables["read"]) == {f"s-{n}" for n in range(6)}
         assert set(proxy.tables["write"]) == {"s-0", "s-2", "s-4"}
-    assert not site.core.module.publisher.waiting, "every mark was answered"
+    assert not site.core.policy.publisher.unacknowledged_lines, "every mark was answered"
 
 
 OTHER = {
@@ -41,16 +41,20 @@
     """Side by side, and one after the other, each gives the bytes that it gives alone."""
 
     def one(settings: dict[str, Any], zone: str) -> Iterator[tuple[int, int, bytes]]:
-        names, now = platform.names(settings), 1_800_000_000 * SECOND
+        names, now = platform.parse_identifiers(settings), 1_800_000_000 * SECOND
         some = tuple(replace(member(n), zone=zone) for n in range(5))
-        core = Core(names, platform.start(settings, names, 7), Change(1, True, some), now)
+        core = NodeCore(
+            names, platform.parse_config(settings, names, 7), EndpointListUpdate(1, True, some), now
+        )
         for second in range(8):
-            core.joined(now, lines.Hello(second % 4, zone, 5.0 + second, second < 4))
+            core.on_proxy_joined(now, lines.ProxyHello(second % 4, zone, 5.0 + second, second < 4))
             if second > 3:
-                core.listed(Change(second, False, (replace(member(second - 4, "leaving"), zone=zone),)))
+                core.on_endpoint_update(
+                    EndpointListUpdate(second, False, (replace(member(second - 4, "leaving"), zone=zone),))
+                )
             core.advance(now := now + SECOND)
-            yield from core.out
-            core.out.clear()
+            yield from core.outbound
+            core.outbound.clear()
 
     alone = [list(one(SETTINGS, "a")), list(one(OTHER, "p"))]
     beside = [list[tuple[int, int, bytes]](), list[tuple[int, int, bytes]]()]
@@ -94,7 +98,7 @@
 
 def test_a_whole_table_brings_the_levels_that_it_makes_a_proxy_forget() -> None:
     site = Site()
-    site.core.tables.order(i.Admit(None, (0,), 0.5, 0))
+    site.core.tables.apply(i.SetAdmission(None, (0,), 0.5, 0))
     proxy = Proxy(7, "a")
     site.proxies.append(proxy)
     site.join(proxy)
@@ -119,12 +123,14 @@
     proxy = site.proxies[0]
     old = proxy.stream
     site.join(proxy, fresh=False)
-    site.core.left(proxy.number, old, "its stream ended")
-    site.core.acked(site.now, proxy.number, old, lines.Ack(proxy.number, 1, 1_000))
+    site.core.on_proxy_left(proxy.number, old, "its stream ended")
+    site.core.on_acknowledged(site.now, proxy.number, old, lines.Acknowledgement(proxy.number, 1, 1_000))
     site.run(1)
     assert proxy.number in site.core.streams and proxy.open("read")
-    site.core.acked(site.now, proxy.number, proxy.stream, lines.Ack(proxy.number, 60_000, 1_000))
-    assert sum(site.core.spoilt.values()) == 1 and not site.core.events
+    site.core.on_acknowledged(
+        site.now, proxy.number, proxy.stream, lines.Acknowledgement(proxy.number, 60_000, 1_000)
+    )
+    assert sum(site.core.malformed_counts.values()) == 1 and not site.core.pending_events
 
 
 def test_a_vanished_proxy_holds_up_no_weights_and_goes_on_where_it_was_once_heard() -> None:
@@ -133,12 +139,12 @@
     proxy.deaf = True
     site.list(member(5, "leaving"))
     site.run(6)
-    assert not site.core.module.publisher.waiting and site.core.unanswered
+    assert not site.core.policy.publisher.unacknowledged_lines and site.core.unacknowledged_count
     binds = proxy.messages
     proxy.deaf = False
-    site.core.heard(site.now, proxy.number, proxy.stream)
+    site.core.on_stream_active(site.now, proxy.number, proxy.stream)
     site.run(1)
-    assert proxy.messages == binds and len(site.core.module.publisher.times[proxy.number]) > 1
+    assert proxy.messages == binds and len(site.core.policy.publisher.message_times[proxy.number]) > 1
 
 
 def test_a_silent_stream_is_told_of_drains_all_the_same() -> None:
@@ -163,9 +169,14 @@
     site.step()
     site.list(member(1, "leaving"))
     site.run(3.5)
-    site.core.acked(site.now, 1, site.proxies[1].stream, lines.Ack(1, site.core.streams[1].marks[-1][0], 1))
+    site.core.on_acknowledged(
+        site.now,
+        1,
+        site.proxies[1].stream,
+        lines.Acknowledgement(1, site.core.streams[1].unacknowledged[-1][0], 1),
+    )
     site.run(1)
-    assert not site.core.unanswered and site.core.module.publisher.waiting > 0
+    assert not site.core.unacknowledged_count and site.core.policy.publisher.unacknowledged_lines > 0
 
 
 def test_a_bind_names_no_withdrawn_replica_and_a_drain_tells_those_alone_whose_tables_name_it() -> None:
@@ -191,23 +202,23 @@
     site.list(replace(member(2, "leaving"), zone="z"), replace(member(9), zone="z"))
     site.run(1)
     assert "s-2" in site.proxies[0].out and not any("s-9" in p.tables["read"] for p in site.proxies)
-    assert sum(site.core.spoilt.values()) == 2
+    assert sum(site.core.malformed_counts.values()) == 2
 
 
 def test_joinings_and_reports_of_what_does_not_exist_cost_themselves_alone() -> None:
     site = Site()
-    for hello in (lines.Hello(8, "a", 1.0, True), lines.Hello(1, "z", 1.0, True)):
-        with pytest.raises(Refused):
-            site.core.joined(site.now, hello)
-    site.core.met(lines.Outcomes("z", "s-1", 1, 0, 1, 1, None))
-    site.core.met(lines.Outcomes("a", "s-99", 1, 0, 1, 1, None))
-    site.core.demanded(lines.Demand(6, "read", 1, 0, SECOND), None)
-    site.core.demanded(lines.Demand(1, "read", 1, 0, SECOND), 2)
-    site.core.demanded(lines.Demand(1, "none", 1, 0, SECOND), 1)
-    assert sum(site.core.spoilt.values()) == 5 and not site.core.events
+    for hello in (lines.ProxyHello(8, "a", 1.0, True), lines.ProxyHello(1, "z", 1.0, True)):
+        with pytest.raises(JoinRejectedError):
+            site.core.on_proxy_joined(site.now, hello)
+    site.core.on_outcomes_reported(lines.AttemptOutcomes("z", "s-1", 1, 0, 1, 1, None))
+    site.core.on_outcomes_reported(lines.AttemptOutcomes("a", "s-99", 1, 0, 1, 1, None))
+    site.core.on_demand_reported(lines.Demand(6, "read", 1, 0, SECOND), None)
+    site.core.on_demand_reported(lines.Demand(1, "read", 1, 0, SECOND), 2)
+    site.core.on_demand_reported(lines.Demand(1, "none", 1, 0, SECOND), 1)
+    assert sum(site.core.malformed_counts.values()) == 5 and not site.core.pending_events
     # What failed may have come in an earlier period: more of it than came is no fault.
-    site.core.demanded(lines.Demand(1, "read", 1, 3, SECOND), 1)
-    assert len(site.core.events) == 1
+    site.core.on_demand_reported(lines.Demand(1, "read", 1, 3, SECOND), 1)
+    assert len(site.core.pending_events) == 1
 
 
 def test_a_message_reaches_all_of_four_hundred_joins_within_the_module_s_books() -> None:
@@ -218,7 +229,9 @@
         site.run(0.1)
     site.run(5)
     assert all(p.open("read") for p in site.proxies) and len(site.core.streams) == 8
-    assert not site.core.module.publisher.waiting and not any(s.marks for s in site.core.streams.values())
+    assert not site.core.policy.publisher.unacknowledged_lines and not any(
+        s.unacknowledged for s in site.core.streams.values()
+    )
 
 
 def test_binds_bring_no_withdrawals_of_replicas_long_replaced() -> None:
@@ -231,7 +244,7 @@
         site.run(1)
         site.list(member(n, "left"))
         site.run(2)
-    assert len(site.core.tables.out) > 10
+    assert len(site.core.tables.withdrawn) > 10
     proxy = Proxy(7, "a")
     site.proxies.append(proxy)
     site.join(proxy)
@@ -244,11 +257,11 @@
     site = Site()
     for words in ("outstanding:7,recent_ms:12.5,utilization:0.61", "inflight:7,latency_ms:12.5,util:0.61"):
         line = f"outcomes site=a target=s-1 count=9 fail=0 mean=41 over=1000 util={words},novel:3"
-        met = lines.read(line.encode())
-        assert isinstance(met, lines.Outcomes)
-        site.core.met(met)
-        event = site.core.events.pop()
-        assert isinstance(event, i.Heard) and event.load == i.Load(0.61, 7.0, 12.5)
+        met = lines.parse_line(line.encode())
+        assert isinstance(met, lines.AttemptOutcomes)
+        site.core.on_outcomes_reported(met)
+        event = site.core.pending_events.pop()
+        assert isinstance(event, i.AttemptsReported) and event.load == i.LoadReport(0.61, 7.0, 12.5)
 
 
 def test_weights_leave_a_busy_replica_by_what_passed_on_the_sockets() -> None:
@@ -258,9 +271,9 @@
         for n in range(6):
             busy = 0.95 if n == 0 else 0.4
             text = f"outcomes site=a target=s-{n} count=9 fail=0 mean=41 over=1000 util=utilization:{busy}"
-            met = lines.read(text.encode())
-            assert isinstance(met, lines.Outcomes)
-            site.core.met(met)
+            met = lines.parse_line(text.encode())
+            assert isinstance(met, lines.AttemptOutcomes)
+            site.core.on_outcomes_reported(met)
         site.run(1)
     table = site.proxies[0].tables["read"]
     assert table["s-0"] / table["s-2"] < 0.8 * before / 1.0
@@ -273,11 +286,16 @@
         proxy.deaf = True
     site.list(member(5, "leaving"))
     site.step()
-    waiting = site.core.module.publisher.waiting
+    waiting = site.core.policy.publisher.unacknowledged_lines
     assert waiting > 0
     for proxy in site.proxies:
         site.run(1.5)
         stream = site.core.streams[proxy.number]
-        site.core.acked(site.now, proxy.number, proxy.stream, lines.Ack(proxy.number, stream.marks[0][0], 1))
+        site.core.on_acknowledged(
+            site.now,
+            proxy.number,
+            proxy.stream,
+            lines.Acknowledgement(proxy.number, stream.unacknowledged[0][0], 1),
+        )
         site.step()
-    assert not site.core.unanswered
+    assert not site.core.unacknowledged_count
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -17,20 +17,20 @@
 from gradehoist.policy.planner import Planner
 from tests.support.policy_fleet import ANY, BOUND, LOCAL, SECOND, World, entry, running, start
 
-CALM = (6, 0, i.Load(0.5, 2.0))
+CALM = (6, 0, i.LoadReport(0.5, 2.0))
 READY, GONE, DRAINING = i.Phase.READY, i.Phase.GONE, i.Phase.DRAINING
 
 
-def change(*entries: i.Entry) -> i.Listed:
-    return i.Listed(i.ListKind.CHANGES, entries)
+def change(*entries: i.Endpoint) -> i.EndpointsListed:
+    return i.EndpointsListed(i.EndpointListKind.DELTA, entries)
 
 
 def test_a_joining_proxy_is_bound_at_once_to_filled_tables_and_only_once() -> None:
     world = running()
-    binds = [o for o in world.log if isinstance(o, i.Bind)]
+    binds = [o for o in world.log if isinstance(o, i.BindProxy)]
     assert len(binds) == 4 * 3 and all(world.open(o.table) for o in binds)
     world.run(10, {n: CALM for n in range(9)})
-    assert len([o for o in world.log if isinstance(o, i.Bind)]) == 12
+    assert len([o for o in world.log if isinstance(o, i.BindProxy)]) == 12
 
 
 def test_weights_leave_the_busy_server_and_stay_put_on_even_load() -> None:
@@ -38,7 +38,7 @@
     before = world.share(0, 0, 0)
     world.run(10, {n: CALM for n in range(9)})
     assert abs(world.share(0, 0, 0) - before) < 0.05
-    world.run(15, {n: CALM for n in range(9)} | {0: (6, 0, i.Load(1.0, 12.0))})
+    world.run(15, {n: CALM for n in range(9)} | {0: (6, 0, i.LoadReport(1.0, 12.0))})
     assert world.share(0, 0, 0) < before / 2
 
 
@@ -48,8 +48,8 @@
     before = {t: dict(lines) for t, lines in world.tables.items()}
     world.run(4)  # the last reports grow stale
     mark = len(world.log)
-    world.run(10, {0: (6, 0, i.Load(1.0, 12.0))} | {n: CALM for n in range(1, 7)})
-    moved = [o for o in world.log[mark:] if isinstance(o, i.SetLine) and o.weight < before[o.table][0] / 2]
+    world.run(10, {0: (6, 0, i.LoadReport(1.0, 12.0))} | {n: CALM for n in range(1, 7)})
+    moved = [o for o in world.log[mark:] if isinstance(o, i.SetWeight) and o.weight < before[o.table][0] / 2]
     assert not moved
 
 
@@ -57,11 +57,11 @@
     world = running()
     usual = world.share(0, 0, 0)
     orders = world.step(change(entry(0, DRAINING)), wait=SECOND // 50)
-    assert [o for o in orders if isinstance(o, i.Withdraw)] == [i.Withdraw(0, True)]
+    assert [o for o in orders if isinstance(o, i.WithdrawReplica)] == [i.WithdrawReplica(0, True)]
     world.run(5, {n: CALM for n in range(1, 9)})
     orders = world.step(change(entry(0, READY, world.now)), wait=SECOND // 50)
-    order = [type(o) for o in orders if isinstance(o, i.Withdraw) or getattr(o, "replica", -1) == 0]
-    assert {i.Withdraw, i.SetLine} <= set(order), "the low line goes with the return"
+    order = [type(o) for o in orders if isinstance(o, i.WithdrawReplica) or getattr(o, "replica", -1) == 0]
+    assert {i.WithdrawReplica, i.SetWeight} <= set(order), "the low line goes with the return"
     assert 0 < world.share(0, 0, 0) < usual / 4
     world.run(14, {n: CALM for n in range(9)})
     assert world.share(0, 0, 0) > usual / 2
@@ -91,9 +91,9 @@
     world.run(4, {n: CALM for n in range(9)} | {0: (6, 6, None)})
     assert 0 in world.shut and world.shut <= {0}
     world.run(6, {n: CALM for n in range(9)})  # back low, then soon whole: the ejection may have been wrong
-    back = world.log.index(i.Withdraw(0, False))
+    back = world.log.index(i.WithdrawReplica(0, False))
     low = [
-        o.weight for o in world.log[: back + 60] if isinstance(o, i.SetLine) and o.replica == o.table == 0
+        o.weight for o in world.log[: back + 60] if isinstance(o, i.SetWeight) and o.replica == o.table == 0
     ][-1]
     assert low < 0.2 * world.tables[0][0]
     # Several failing in one batch must not all be ejected as the first: warm ones stay for each class.
@@ -106,9 +106,9 @@
 def test_a_cold_server_waits_withdrawn_in_a_jam_until_the_pool_is_calm() -> None:
     world = running()
     world.step(change(entry(0, GONE)), wait=SECOND // 50)
-    world.run(5, {n: (6, 4, i.Load(1.0, 20.0)) for n in range(1, 9)})
+    world.run(5, {n: (6, 4, i.LoadReport(1.0, 20.0)) for n in range(1, 9)})
     world.step(change(entry(0, READY, world.now)), wait=SECOND // 50)
-    world.run(2, {n: (6, 4, i.Load(1.0, 20.0)) for n in range(1, 9)})
+    world.run(2, {n: (6, 4, i.LoadReport(1.0, 20.0)) for n in range(1, 9)})
     assert 0 in world.shut
     world.run(7, {n: CALM for n in range(1, 9)})
     assert 0 not in world.shut
@@ -119,7 +119,7 @@
     world.run(3, {n: CALM for n in range(9)})
     world.run(3, {n: CALM for n in range(9)} | {0: (6, 6, None)})
     assert 0 in world.shut
-    world.run(4, {n: (6, 4, i.Load(1.0, 20.0)) for n in range(1, 9)})
+    world.run(4, {n: (6, 4, i.LoadReport(1.0, 20.0)) for n in range(1, 9)})
     assert 0 not in world.shut
     world.step(change(entry(0, READY, world.now - 3 * SECOND)), wait=SECOND // 50)
     assert 0 in world.shut
@@ -137,18 +137,20 @@
 
 def test_saturation_cuts_the_least_gain_first_and_recovers() -> None:
     world = running()
-    world.step(*(i.Offered(p, k, 10, 0, SECOND) for p in range(4) for k in range(3)), wait=SECOND // 50)
-    world.run(4, {n: (6, 3, i.Load(1.0, 20.0)) for n in range(9)})
-    share = {o.classes[0]: o for o in world.log if isinstance(o, i.Admit)}
-    assert share[0].share < 0.7 and share[1].share == 1.0 and share[0].tries == 0
+    world.step(
+        *(i.RequestsOffered(p, k, 10, 0, SECOND) for p in range(4) for k in range(3)), wait=SECOND // 50
+    )
+    world.run(4, {n: (6, 3, i.LoadReport(1.0, 20.0)) for n in range(9)})
+    share = {o.classes[0]: o for o in world.log if isinstance(o, i.SetAdmission)}
+    assert share[0].admitted_share < 0.7 and share[1].admitted_share == 1.0 and share[0].retry_policy == 0
     world.run(30, {n: CALM for n in range(9)})
-    last = {o.classes[0]: o.share for o in world.log if isinstance(o, i.Admit)}
+    last = {o.classes[0]: o.admitted_share for o in world.log if isinstance(o, i.SetAdmission)}
     assert last[0] > 0.9
 
 
 def test_other_governors_demand_does_not_follow_a_drowning_zone() -> None:
     world = running(proxies=1, settings=start((ANY,)))  # one proxy of six, in zone 0
-    hot = {n: (6, 0, i.Load(0.98 if n % 3 == 0 else 0.4, 8.0 if n % 3 == 0 else 1.0)) for n in range(9)}
+    hot = {n: (6, 0, i.LoadReport(0.98 if n % 3 == 0 else 0.4, 8.0 if n % 3 == 0 else 1.0)) for n in range(9)}
     world.run(6, hot)
     early = sum(world.share(0, 0, n) for n in (0, 3, 6))
     assert early < 0.9  # by the zone's heat, before its weights have fallen
@@ -160,29 +162,33 @@
     world = running(12, settings=start(queue=240.0))
     for n in range(60):  # nothing is acknowledged: the channel has all but stopped, yet servers come and go
         told = change(entry(n % 9, (DRAINING, READY)[n // 9 % 2], world.now))
-        world.step(told, i.Due(0), wait=SECOND // 10)
+        world.step(told, i.TimerFired(0), wait=SECOND // 10)
     assert sum(lines for _, _, lines in world.queue) > 0.5 * 240
 
 
 def play(data: list[tuple[int, int, int]], seed: int, queue: float = 2500.0) -> World:
     world = World(start(seed=seed, queue=queue))
-    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(9))))
+    world.step(i.EndpointsListed(i.EndpointListKind.CACHED, tuple(entry(n) for n in range(9))))
     for what, n, x in data:
         events: list[i.Event] = []
         if what == 0 and n not in world.proxies:
-            events = [i.Joined(n, n % 3, 1.0 + x)]
+            events = [i.ProxyJoined(n, n % 3, 1.0 + x)]
         elif what == 1 and n in world.proxies:
-            events = [i.Left(n)]
+            events = [i.ProxyLeft(n)]
         elif what == 2:
-            events = [change(entry(n, (READY, DRAINING, GONE)[x % 3], world.known[n].started))]
+            events = [change(entry(n, (READY, DRAINING, GONE)[x % 3], world.known[n].started_us))]
         elif what == 3:
             events = [change(entry(n, READY, world.now))]
         elif what == 4:
-            events = [i.Listed(i.ListKind.COMPLETE, tuple(e for m, e in world.known.items() if m != n))]
+            events = [
+                i.EndpointsListed(
+                    i.EndpointListKind.SNAPSHOT, tuple(e for m, e in world.known.items() if m != n)
+                )
+            ]
         elif what == 5:
-            events = [i.Probed(n, list(i.Outcome)[x % 7], 1000, None)]
+            events = [i.HealthChecked(n, list(i.HealthCheckOutcome)[x % 7], 1000, None)]
         world.step(*events, wait=SECOND // 100)
-        load = i.Load((n * x % 11) / 10, float(n + x))
+        load = i.LoadReport((n * x % 11) / 10, float(n + x))
         heard = {m: (x, x * (m == n or x == 7), load if m % 2 else CALM[2]) for m in range(9 - n % 3)}
         world.run(x / 4, heard)
     world.run(3)
@@ -232,8 +238,8 @@
 
 def test_binds_of_a_large_fleet_and_its_returns_stay_within_the_queue() -> None:
     world = World(start(queue=1000.0))  # each table longer than what a fixed guess would book
-    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(90))))
-    world.step(*(i.Joined(p, p % 3, float(p)) for p in range(12)))
+    world.step(i.EndpointsListed(i.EndpointListKind.CACHED, tuple(entry(n) for n in range(90))))
+    world.step(*(i.ProxyJoined(p, p % 3, float(p)) for p in range(12)))
     assert max(p for p, _, _ in world.queue) == 11, "those with most traffic are bound first"
     world.run(6, {n: CALM for n in range(90)})
     assert all(len(world.bound[p]) == 3 for p in range(12))
@@ -246,22 +252,22 @@
 
 def test_a_governor_whose_proxies_hold_nothing_to_withdraw_still_binds_them() -> None:
     world = World(start(queue=600.0))  # withdrawals that reach nobody are never acknowledged on their own
-    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(60))))
+    world.step(i.EndpointsListed(i.EndpointListKind.CACHED, tuple(entry(n) for n in range(60))))
     world.step(
-        *(i.Joined(p, p % 3, 5.0) for p in range(12)), change(*(entry(n, DRAINING) for n in range(20)))
+        *(i.ProxyJoined(p, p % 3, 5.0) for p in range(12)), change(*(entry(n, DRAINING) for n in range(20)))
     )
     world.run(8)
     assert all(len(b) == 3 for b in world.bound.values()) and len(world.shut) >= 20
     world.step(change(*(entry(n, GONE) for n in range(20))), wait=SECOND // 50)
-    assert not any(isinstance(o, i.Withdraw) for o in world.log[-60:]), "withdrawn once is enough"
+    assert not any(isinstance(o, i.WithdrawReplica) for o in world.log[-60:]), "withdrawn once is enough"
     world.run(8, {n: CALM for n in range(20, 60)})
     assert all(n not in t for t in world.tables.values() for n in range(20)), "gone lines lengthen binds"
 
 
 def test_a_server_that_fails_tries_does_not_gain_weight_by_looking_idle() -> None:
     world = running(settings=start((ANY,)))
-    fair = i.Load(0.5, 3.0)
-    world.run(8, {n: (6, 0, fair) for n in range(1, 9)} | {0: (6, 4, i.Load(0.2, 1.0))})
+    fair = i.LoadReport(0.5, 3.0)
+    world.run(8, {n: (6, 0, fair) for n in range(1, 9)} | {0: (6, 4, i.LoadReport(0.2, 1.0))})
     assert world.share(0, 0, 0) < 1.3 * world.share(0, 0, 3)
 
 
@@ -269,8 +275,8 @@
     world = running(settings=start((ANY,)))
     for r in range(12):  # each server is heard only every fourth second
         for n in range(9):
-            load = i.Load(0.9 if n == 4 else 0.4, 8.0 if n == 4 else 2.0)
-            heard = [i.Heard(z, n, 24, 0, 200_000, 4 * SECOND, load) for z in range(3)]
+            load = i.LoadReport(0.9 if n == 4 else 0.4, 8.0 if n == 4 else 2.0)
+            heard = [i.AttemptsReported(z, n, 24, 0, 200_000, 4 * SECOND, load) for z in range(3)]
             world.step(*(heard if (r + n) % 4 == 0 else []), wait=SECOND // 100)
         world.run(0.9)
     world.run(8)
@@ -296,27 +302,27 @@
     assert first and first == set(range(len(first)))
     world.run(3)
     assert world.shut == set(range(30))
-    told = [n for n, o in enumerate(world.log) if isinstance(o, i.Mark)]
-    batches = [sum(isinstance(o, i.Withdraw) for o in world.log[a:b]) for a, b in pairwise(told)]
+    told = [n for n, o in enumerate(world.log) if isinstance(o, i.RequestAcknowledgement)]
+    batches = [sum(isinstance(o, i.WithdrawReplica) for o in world.log[a:b]) for a, b in pairwise(told)]
     assert max(map(len, world.sent.values())) <= 6 and sorted(filter(None, batches))[1:2] >= [10]
 
 
 def test_binds_do_not_take_the_room_that_a_drain_waits_for() -> None:
     """hb4ef71: 146 proxies joined anew, their binds filled half the queue time and again."""
     world = World(start(queue=900.0, limit=0))
-    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(30))))
-    world.step(*(i.Joined(p, p % 3, 5.0) for p in range(30)))
+    world.step(i.EndpointsListed(i.EndpointListKind.CACHED, tuple(entry(n) for n in range(30))))
+    world.step(*(i.ProxyJoined(p, p % 3, 5.0) for p in range(30)))
     world.run(9)
-    world.step(*(i.Joined(p, p % 3, 5.0) for p in range(30, 58)))
+    world.step(*(i.ProxyJoined(p, p % 3, 5.0) for p in range(30, 58)))
     for _ in range(3):
-        world.step(*world.acks(1), i.Due(0), wait=20_000)
+        world.step(*world.acks(1), i.TimerFired(0), wait=20_000)
     world.step(change(*(entry(n, DRAINING) for n in range(12))))
     jobs, mark = world.module.publisher.jobs, len(world.log)
-    assert len(jobs) == 12 and world.module.publisher.binds
+    assert len(jobs) == 12 and world.module.publisher.pending_binds
     while "drain" in jobs.values():
-        assert not any(isinstance(o, i.Bind) for o in world.log[mark:])
+        assert not any(isinstance(o, i.BindProxy) for o in world.log[mark:])
         mark = len(world.log)
-        world.step(*world.acks(1), i.Due(0), wait=50_000)
+        world.step(*world.acks(1), i.TimerFired(0), wait=50_000)
     world.run(10)
     assert all(len(b) == 3 for b in world.bound.values())
 
@@ -324,18 +330,18 @@
 def herd(replicas: int = 200, proxies: int = 400, rate: float = 10.0) -> World:
     """All the proxies of a fleet too large for its channel come to one governor at once."""
     world = World(start((ANY,), queue=22.5 * proxies, rate=rate * proxies, proxies=proxies))
-    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(replicas))))
-    world.step(*(i.Joined(p, p % 3, 5.0) for p in range(proxies)))
+    world.step(i.EndpointsListed(i.EndpointListKind.CACHED, tuple(entry(n) for n in range(replicas))))
+    world.step(*(i.ProxyJoined(p, p % 3, 5.0) for p in range(proxies)))
     return world
 
 
 def paced(world: World, seconds: float) -> None:
     """The channel sends its lines a second, and answers come for what it sent."""
     for _ in range(round(seconds * 20)):
-        room, done = world.settings.channel.line_rate / 20, 0
+        room, done = world.settings.channel.lines_per_s / 20, 0
         while done < len(world.queue) and world.queue[done][2] <= room:
             room, done = room - world.queue[done][2], done + 1
-        world.step(*world.acks(done), i.Due(0), wait=SECOND // 20)
+        world.step(*world.acks(done), i.TimerFired(0), wait=SECOND // 20)
 
 
 def test_a_herd_onto_one_governor_is_bound_before_old_tables_turn_against_it() -> None:
@@ -360,9 +366,9 @@
     of 1,240 that joined were bound after 6.8 s where 6.4 are allowed, and sent to what had left."""
     proxies, grace = 400, 2 * SECOND
     world = World(start((ANY,), queue=22.5 * proxies, rate=20.0 * proxies, proxies=proxies))
-    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(200))))
+    world.step(i.EndpointsListed(i.EndpointListKind.CACHED, tuple(entry(n) for n in range(200))))
     joined = world.now
-    world.step(*(i.Joined(p, p % 3, 5.0, True) for p in range(proxies)))
+    world.step(*(i.ProxyJoined(p, p % 3, 5.0, True) for p in range(proxies)))
     paced(world, 0.4)
     world.step(change(*(entry(n, DRAINING) for n in range(30))))
     while not all(world.bound.values()):
@@ -403,7 +409,7 @@
     for n in range(0, 150, 3):  # World.check holds the cap
         world.step(change(entry(n, READY, world.now - 30 * SECOND)), wait=SECOND // 50)
         for _ in range(3):
-            world.step(*world.acks(), i.Due(0), wait=SECOND // 20)
+            world.step(*world.acks(), i.TimerFired(0), wait=SECOND // 20)
     paced(world, 15)
     assert not world.shut
 
@@ -432,9 +438,9 @@
     """roll+mass seed 5, of 30 nodes: one proxy of 240 had a tenth of the traffic, and pushed over the cold
     servers among its twenty lines (sent 5.7 times what they could do)."""
     world = World(start((ANY,), queue=2_000.0, rate=800.0, proxies=60))
-    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(200))))
+    world.step(i.EndpointsListed(i.EndpointListKind.CACHED, tuple(entry(n) for n in range(200))))
     rates = {p: 300.0 if p == 0 else 5.0 for p in range(60)}
-    world.step(*(i.Joined(p, p % 3, rate) for p, rate in rates.items()))
+    world.step(*(i.ProxyJoined(p, p % 3, rate) for p, rate in rates.items()))
     world.run(6, calm := {n: CALM for n in range(200)})
     world.step(change(*(entry(n, READY, world.now) for n in range(0, 200, 2))), wait=SECOND // 50)
     world.run(6, calm)
@@ -446,8 +452,8 @@
 def test_many_that_come_back_at_once_are_planned_for_once() -> None:
     """roll+mass: a hundred returns in one reply were a hundred plans, and a step of 1.3 s."""
     world = World(start((ANY,), queue=100_000.0, rate=800.0, proxies=60))
-    world.step(i.Listed(i.ListKind.SAVED, tuple(entry(n) for n in range(200))))
-    world.step(*(i.Joined(p, p % 3, 5.0) for p in range(60)))
+    world.step(i.EndpointsListed(i.EndpointListKind.CACHED, tuple(entry(n) for n in range(200))))
+    world.step(*(i.ProxyJoined(p, p % 3, 5.0) for p in range(60)))
     world.run(6, calm := {n: CALM for n in range(200)})
     pool, plans = world.module.mail.parts["pool"], Counter[int]()
     plan = pool.on_plan  # type: ignore[attr-defined]
@@ -455,7 +461,10 @@
     world.step(change(*(entry(n, DRAINING) for n in range(40))), wait=SECOND // 50)
     world.run(4, calm)
     orders = world.step(change(*(entry(n) for n in range(40))), wait=SECOND // 50)
-    assert sum(isinstance(o, i.Withdraw) and not o.out for o in orders) > 10 and plans[world.now] <= 2
+    assert (
+        sum(isinstance(o, i.WithdrawReplica) and not o.withdrawn for o in orders) > 10
+        and plans[world.now] <= 2
+    )
 
 
 def test_a_light_line_is_told_when_its_move_counts_and_always_when_it_comes_or_leaves() -> None:
@@ -471,14 +480,16 @@
 
 
 def levels(world: World, since: int = 0) -> dict[int, float]:
-    return {k: o.share for o in world.log[since:] if isinstance(o, i.Admit) for k in o.classes}
+    return {
+        k: o.admitted_share for o in world.log[since:] if isinstance(o, i.SetAdmission) for k in o.classes
+    }
 
 
 def test_the_one_server_heard_first_does_not_make_a_fresh_governor_refuse() -> None:
     """Seen on sockets: its busy share of 1.1 stood for the pool, and half of all was refused for 9 s."""
     world = running()
-    world.run(1.5, {0: (6, 0, i.Load(1.1, 40.0))})
-    world.run(6, {n: CALM for n in range(9)} | {0: (6, 0, i.Load(1.1, 40.0))})
+    world.run(1.5, {0: (6, 0, i.LoadReport(1.1, 40.0))})
+    world.run(6, {n: CALM for n in range(9)} | {0: (6, 0, i.LoadReport(1.1, 40.0))})
     assert not levels(world)
 
 
@@ -486,10 +497,11 @@
     """The cheap class, seven tenths of what comes and taken for a third, was cut to nothing."""
     world = running(settings=start((ANY, BOUND)))
     world.step(
-        *(i.Offered(p, k, n, 0, SECOND) for p in range(4) for k, n in ((0, 7), (1, 3))), wait=SECOND // 50
+        *(i.RequestsOffered(p, k, n, 0, SECOND) for p in range(4) for k, n in ((0, 7), (1, 3))),
+        wait=SECOND // 50,
     )
     while not levels(world):
-        world.run(2.2, {n: (9, 5, i.Load(1.2, 30.0)) for n in range(9)})
+        world.run(2.2, {n: (9, 5, i.LoadReport(1.2, 30.0)) for n in range(9)})
     found = levels(world)
     assert found[1] == 1.0 and 0.2 < found[0] < 0.5
 
@@ -500,10 +512,10 @@
     world.run(2)
     publisher = world.module.publisher
     publisher.round, publisher.jobs = world.now, {0: "open", 1: "open"}
-    publisher.levels = [i.Admit(None, (0,), 0.5, 0)]
+    publisher.levels = [i.SetAdmission(None, (0,), 0.5, 0)]
     orders = world.step(wait=SECOND)
-    told = [o for o in orders if isinstance(o, i.Admit | i.Withdraw)]
-    assert isinstance(told[0], i.Admit) and len(told) == 3, "in one message with the returns"
+    told = [o for o in orders if isinstance(o, i.SetAdmission | i.WithdrawReplica)]
+    assert isinstance(told[0], i.SetAdmission) and len(told) == 3, "in one message with the returns"
 
 
 def shares(world: World, proxy: int, cls: int) -> list[float]:
@@ -518,17 +530,19 @@
     world = running()
     world.run(10, {n: CALM for n in range(9)})
     assert shares(world, 0, 0)[0] > 0.9
-    world.step(i.Ceilings(((0, 0.4),)))
+    world.step(i.QuotasAgreed(((0, 0.4),)))
     world.run(6, {n: CALM for n in range(9)})
     assert abs(shares(world, 0, 0)[0] - 0.4) < 0.05 and shares(world, 0, 2)[0] == 1.0
     assert shares(world, 1, 0)[0] < 0.02 and abs(shares(world, 0, 1)[0] - 0.4) < 0.05
-    world.step(i.Ceilings(((0, 0.0),)))
+    world.step(i.QuotasAgreed(((0, 0.0),)))
     world.run(6, {n: CALM for n in range(9)})
     assert shares(world, 0, 0)[0] < 0.01 and shares(world, 0, 2)[0] == 1.0
-    world.step(i.Ceilings(tuple((z, 0.0) for z in range(3))))  # never the last zone: somebody has to serve
+    world.step(
+        i.QuotasAgreed(tuple((z, 0.0) for z in range(3)))
+    )  # never the last zone: somebody has to serve
     world.run(6, {n: CALM for n in range(9)})
     assert all(world.open(t) for by in world.bound.values() for t in by.values())
-    world.step(i.Ceilings())
+    world.step(i.QuotasAgreed())
     world.run(6, {n: CALM for n in range(9)})
     assert shares(world, 0, 0)[0] > 0.9
 
@@ -536,32 +550,32 @@
 def test_a_cold_replica_gets_the_part_dealt_to_this_governor() -> None:
     world = running()
     world.run(5, {n: CALM for n in range(9)})
-    world.step(change(entry(0, started=world.now)), i.Ceilings((), ((0, 0.25),)))
+    world.step(change(entry(0, started=world.now)), i.QuotasAgreed((), ((0, 0.25),)))
     world.run(4, {n: CALM for n in range(9)})
     few = world.share(0, 0, 0)
-    world.step(i.Ceilings())
+    world.step(i.QuotasAgreed())
     world.run(4, {n: CALM for n in range(9)})
     assert 0 < few < 0.4 * world.share(0, 0, 0)
 
 
 def test_an_agreed_share_of_a_class_is_let_in_at_most() -> None:
     world = running()
-    world.step(i.Ceilings((), (), ((0, 0.3),)))
+    world.step(i.QuotasAgreed((), (), ((0, 0.3),)))
     world.run(5, {n: CALM for n in range(9)})
-    admits = [o for o in world.log if isinstance(o, i.Admit) and 0 in o.classes]
-    assert admits[-1].share == 0.3
-    world.step(i.Ceilings())
+    admits = [o for o in world.log if isinstance(o, i.SetAdmission) and 0 in o.classes]
+    assert admits[-1].admitted_share == 0.3
+    world.step(i.QuotasAgreed())
     world.run(5, {n: CALM for n in range(9)})
-    admits = [o for o in world.log if isinstance(o, i.Admit) and 0 in o.classes]
-    assert admits[-1].share == 1.0
+    admits = [o for o in world.log if isinstance(o, i.SetAdmission) and 0 in o.classes]
+    assert admits[-1].admitted_share == 1.0
 
 
 def test_no_ceiling_leaves_every_order_as_it_is() -> None:
     traces = []
-    for ceilings in ((), (i.Ceilings(),), (i.Ceilings(((0, 1.0),), ((0, 1.0),), ((0, 1.0),)),)):
+    for ceilings in ((), (i.QuotasAgreed(),), (i.QuotasAgreed(((0, 1.0),), ((0, 1.0),), ((0, 1.0),)),)):
         world = running()
         for n in range(20):
-            load = i.Load(0.3 + 0.1 * (n % 7), 2.0 + n % 5)
+            load = i.LoadReport(0.3 + 0.1 * (n % 7), 2.0 + n % 5)
             if n % 5 == 0:
                 world.step(*ceilings, change(entry(n % 9, started=world.now)), wait=SECOND // 20)
             world.run(2, {k: (6, k == n % 9, load) for k in range(9)})
@@ -574,17 +588,17 @@
     world = running()
     world.run(5, {n: CALM for n in range(9)})
     back = [entry(n, started=world.now) for n in (0, 3, 6)]
-    world.step(change(*back), i.Ceilings((), tuple((n, 0.0) for n in (0, 3, 6))))
+    world.step(change(*back), i.QuotasAgreed((), tuple((n, 0.0) for n in (0, 3, 6))))
     world.run(12, {n: CALM for n in range(9)})
     assert world.open(world.bound[0][2]).keys() == {0, 3, 6}  # a class that stays local
 
 
-def late_line(report: dict[int, tuple[int, int, i.Load | None]]) -> tuple[World, set[int]]:
+def late_line(report: dict[int, tuple[int, int, i.LoadReport | None]]) -> tuple[World, set[int]]:
     """Proxy 0 may have no more messages but for drains while weights move, then a server comes: the other
     proxies whose tables name it within two seconds."""
     world = running()
     world.run(5, {n: CALM for n in range(9)})
-    world.module.publisher.times[0].extend([world.now] * 12)
+    world.module.publisher.message_times[0].extend([world.now] * 12)
     world.run(6, {n: CALM for n in range(9)} | report)
     world.step(change(entry(9)))
     world.run(2)
@@ -593,7 +607,7 @@
 
 def test_a_proxy_that_may_have_no_more_messages_holds_up_its_own_group_alone() -> None:
     """Turns by wait gave the group first in line none, and so nobody."""
-    assert late_line({1: (6, 0, i.Load(1.0, 12.0))})[1] == {1, 2, 3}
+    assert late_line({1: (6, 0, i.LoadReport(1.0, 12.0))})[1] == {1, 2, 3}
 
 
 def test_an_ejection_that_waits_for_one_proxy_does_not_stop_the_weights_of_the_others() -> None:
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -19,9 +19,9 @@
 import pytest
 
 from gradehoist import interface as i
-from gradehoist.governor import probes
-from gradehoist.net.client import Broken, Client
-from gradehoist.net.server import Answer, Connection, Server
+from gradehoist.governor import health_checks
+from gradehoist.net.client import ConnectionLostError, HttpClient
+from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.node import config
 from gradehoist.node import service as node_service
 from gradehoist.protocol import http, lines
@@ -106,8 +106,8 @@
         def replaced(stream: Crossing, data: bytes) -> bool:
             if stream is not peer.stream:
                 return False
-            found.service._hello(new_peer, lines.Hello(0, "a", 5.0, False))
-            core.demanded = core.acked = lambda *a: counted.append(a)  # type: ignore[method-assign,assignment]
+            found.service._hello(new_peer, lines.ProxyHello(0, "a", 5.0, False))
+            core.on_demand_reported = core.on_acknowledged = lambda *a: counted.append(a)  # type: ignore[method-assign,assignment]
             return True
 
         Crossing.meet = replaced
@@ -115,10 +115,10 @@
         await until(lambda: Crossing.meet is None and old.ended)
         await asyncio.sleep(0)
         assert not counted
-        del core.demanded, core.acked
+        del core.on_demand_reported, core.on_acknowledged
         await until(lambda: not new.ended and b"whole=1" in new.text)
         await drained(found, new)
-        assert core.streams[0].number == new_peer.number
+        assert core.streams[0].stream_id == new_peer.number
 
     play(tmp_path, work)
 
@@ -160,9 +160,9 @@
     """One read brought the joining and 4 KB of the next message: it was refused as from nobody."""
 
     async def work(found: Shell) -> None:
-        wire, counted = Wire(found.port), list[lines.Outcomes]()
+        wire, counted = Wire(found.port), list[lines.AttemptOutcomes]()
         peer = await found.met(wire)
-        found.service.core.met = counted.append  # type: ignore[method-assign,assignment]
+        found.service.core.on_outcomes_reported = counted.append  # type: ignore[method-assign,assignment]
         line = f"{SUM} over=1000 util={','.join(f'figure{n}:1' for n in range(2_000))}\r\n"
         wire.sock.sendall(b"agent site=a\r\n" + line[:9_000].encode())
         await until(lambda: peer.joined or wire.ended)
@@ -201,9 +201,9 @@
         peer.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not peer.stream.closed():  # withdrawals without end
             found.service._say(peer, b"push out=s-1\r\n" * 10_000)
-        await until(lambda: 0 not in found.service.core.module.publisher.unacked)
+        await until(lambda: 0 not in found.service.core.policy.publisher.unacknowledged)
         assert found.heard("left 1048576 bytes unread") and 0 not in found.service.core.streams
-        assert not found.service.core.module.publisher.waiting, "its lines have left the books"
+        assert not found.service.core.policy.publisher.unacknowledged_lines, "its lines have left the books"
         await drained(found, await bound(found))
 
     play(tmp_path, work)
@@ -321,9 +321,9 @@
         slow.write(CHUNKED + whole(4, *MEMBERS[:3], entry("s-3", "leaving", locality="b")))
         slow.write(whole(6, entry("s-1", "leaving", locality="b"), complete=False))
         await until(lambda: not wire.ended and b"out=s-1" in wire.text)
-        held = found.service.core.held
-        assert held.members["s-0"].phase == "leaving" and "s-9" in held.members and held.revision == 6
-        assert held.members["s-3"].phase == "active"  # its drain of before was over by then
+        held = found.service.core.endpoint_list
+        assert held.endpoints["s-0"].phase == "leaving" and "s-9" in held.endpoints and held.revision == 6
+        assert held.endpoints["s-3"].phase == "active"  # its drain of before was over by then
         assert b"back=s-0" not in wire.text
 
     play(tmp_path, work)
@@ -335,15 +335,15 @@
     async def work(found: Shell) -> None:
         first, second = found.scripts
         first.watches[0].write(whole(50, entry("s-7"), complete=False))
-        await until(lambda: "s-7" in found.service.core.held.members)
+        await until(lambda: "s-7" in found.service.core.endpoint_list.endpoints)
         found.node.configure(1)
         os.kill(os.getpid(), signal.SIGHUP)
         (await second.watch(0)).write(CHUNKED + whole(3, *MEMBERS[:2]))
-        await until(lambda: found.service.core.held._behind)
+        await until(lambda: found.service.core.endpoint_list._stale_watches)
         first.watches[0].close()
         (await second.watch(1)).write(CHUNKED + whole(3, *MEMBERS[:2]))
-        await until(lambda: list(found.service.core.held.members) == ["s-0", "s-1"])
-        assert found.service.core.held.revision == 3
+        await until(lambda: list(found.service.core.endpoint_list.endpoints) == ["s-0", "s-1"])
+        assert found.service.core.endpoint_list.revision == 3
 
     play(tmp_path, work)
 
@@ -482,36 +482,36 @@
 
 
 @pytest.mark.parametrize(("returned", "outcome"), [
-    (entry("s-0", up_since_ms=1_700_000_000_000), i.Outcome.TURNED_AWAY),
-    (entry("s-0", host_port=f"{LOCAL}:2"), i.Outcome.TURNED_AWAY),
-    (entry("s-0", "left"), i.Outcome.UNREACHABLE),
+    (entry("s-0", up_since_ms=1_700_000_000_000), i.HealthCheckOutcome.REJECTED),
+    (entry("s-0", host_port=f"{LOCAL}:2"), i.HealthCheckOutcome.REJECTED),
+    (entry("s-0", "left"), i.HealthCheckOutcome.UNREACHABLE),
 ])  # fmt: skip
 def test_a_probe_s_answer_from_an_earlier_life_is_no_word_on_this_one_which_is_asked(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, returned: dict[str, Any], outcome: i.Outcome
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, returned: dict[str, Any], outcome: i.HealthCheckOutcome
 ) -> None:
     """Let pass unsaid, one that left and came back while it was asked stayed ejected for good."""
 
     async def work(found: Shell) -> None:
-        held, heard, asked = asyncio.Event(), dict[int, i.Outcome](), list[int]()
+        held, heard, asked = asyncio.Event(), dict[int, i.HealthCheckOutcome](), list[int]()
 
-        async def ask(client: Client, *_: Any) -> tuple[i.Outcome, None]:
+        async def ask(client: HttpClient, *_: Any) -> tuple[i.HealthCheckOutcome, None]:
             asked.append(client.port)
             if len(asked) > 2:
-                return i.Outcome.TURNED_AWAY, None
+                return i.HealthCheckOutcome.REJECTED, None
             await held.wait()
-            return i.Outcome.ANSWERED, None
+            return i.HealthCheckOutcome.HEALTHY, None
 
-        monkeypatch.setattr(probes, "ask", ask)
+        monkeypatch.setattr(health_checks, "ask", ask)
         core = found.service.core
-        monkeypatch.setattr(core, "probed", lambda n, outcome, *_: heard.update({n: outcome}))
-        s0, s2 = (core.names.replicas[name] for name in ("s-0", "s-2"))
+        monkeypatch.setattr(core, "on_health_checked", lambda n, outcome, *_: heard.update({n: outcome}))
+        s0, s2 = (core.identifiers.replicas[name] for name in ("s-0", "s-2"))
         tasks = [found.service._own(found.service._probe(n)) for n in (s0, s2)]
         await until(lambda: len(asked) == 2)
         found.scripts[0].watches[0].write(whole(2, returned, complete=False))
-        await until(lambda: core.held.revision == 2)
+        await until(lambda: core.endpoint_list.revision == 2)
         held.set()
         await asyncio.gather(*tasks)
-        assert heard == {s0: outcome, s2: i.Outcome.ANSWERED}
+        assert heard == {s0: outcome, s2: i.HealthCheckOutcome.HEALTHY}
 
     play(tmp_path, work)
 
@@ -520,18 +520,20 @@
 
 
 @pytest.mark.parametrize(("answer", "outcome", "busy"), [
-    (ASKED + b"23\r\n\r\nTEXT util=0.5, queue=2.0", i.Outcome.ANSWERED, 0.5),
-    (None, i.Outcome.BROKEN, None), (ASKED + b"30\r\n\r\nTEXT util=0.5", i.Outcome.TIMED_OUT, None),
-    (ASKED + b"9\r\n\r\nTEXT util", i.Outcome.ANSWERED, None),
-    (ASKED + b"12\r\n\r\n{\"util\": []}", i.Outcome.ANSWERED, None),
-    (ASKED + b"99999999\r\n\r\n", i.Outcome.BROKEN, None), (b"junk\r\n\r\n", i.Outcome.BROKEN, None),
-    (b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n", i.Outcome.TURNED_AWAY, None),
+    (ASKED + b"23\r\n\r\nTEXT util=0.5, queue=2.0", i.HealthCheckOutcome.HEALTHY, 0.5),
+    (None, i.HealthCheckOutcome.CONNECTION_RESET, None),
+    (ASKED + b"30\r\n\r\nTEXT util=0.5", i.HealthCheckOutcome.TIMED_OUT, None),
+    (ASKED + b"9\r\n\r\nTEXT util", i.HealthCheckOutcome.HEALTHY, None),
+    (ASKED + b"12\r\n\r\n{\"util\": []}", i.HealthCheckOutcome.HEALTHY, None),
+    (ASKED + b"99999999\r\n\r\n", i.HealthCheckOutcome.CONNECTION_RESET, None),
+    (b"junk\r\n\r\n", i.HealthCheckOutcome.CONNECTION_RESET, None),
+    (b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n", i.HealthCheckOutcome.REJECTED, None),
 ])  # fmt: skip
 def test_a_probe_s_answer_that_is_spoilt_cut_or_too_long_is_told_as_what_it_is(
     tmp_path: Path,
     monkeypatch: pytest.MonkeyPatch,
     answer: bytes | None,
-    outcome: i.Outcome,
+    outcome: i.HealthCheckOutcome,
     busy: float | None,
 ) -> None:
     monkeypatch.setattr(node_service, "PROBE", 0.3)
@@ -540,10 +542,10 @@
         server, heard, core = Cutting([answer]), list[tuple[Any, ...]](), found.service.core
         here = entry("s-0", host_port=f"{LOCAL}:{await server.start()}")
         found.scripts[0].watches[0].write(whole(2, here, complete=False))
-        await until(lambda: core.held.revision == 2)
-        monkeypatch.setattr(core, "probed", lambda *told: heard.append(told))
-        await found.service._own(found.service._probe(core.names.replicas["s-0"]))
-        assert [(told[1], told[3].busy if told[3] else None) for told in heard] == [(outcome, busy)]
+        await until(lambda: core.endpoint_list.revision == 2)
+        monkeypatch.setattr(core, "on_health_checked", lambda *told: heard.append(told))
+        await found.service._own(found.service._probe(core.identifiers.replicas["s-0"]))
+        assert [(told[1], told[3].busy_share if told[3] else None) for told in heard] == [(outcome, busy)]
         server.server.close()
 
     play(tmp_path, work)
@@ -553,8 +555,8 @@
     """Looking one up held up the loop for as long as it took."""
     for text in ("replica.local:80", "127.0.0.1:0", "127.0.0.1:99999", ":80", "::1:80", "256.0.0.1:80"):
         with pytest.raises(ValueError, match="IPV4:PORT"):
-            config.address(text)
-    assert config.address("127.0.0.1:80") == ("127.0.0.1", 80)
+            config.parse_address(text)
+    assert config.parse_address("127.0.0.1:80") == ("127.0.0.1", 80)
 
 
 class Cutting:
@@ -592,12 +594,12 @@
 
     async def run() -> None:
         server = Cutting([OK + b"one", None], [OK + b"two"])
-        client = Client(LOCAL, await server.start())
-        assert (await client.exchange(method, "/")).body == b"one"
-        with pytest.raises(Broken):
-            await client.exchange(method, "/")
+        client = HttpClient(LOCAL, await server.start())
+        assert (await client.request(method, "/")).body == b"one"
+        with pytest.raises(ConnectionLostError):
+            await client.request(method, "/")
         assert len(server.requests) == 2
-        assert (await client.exchange(method, "/")).body == b"two"
+        assert (await client.request(method, "/")).body == b"two"
         client.close()
         server.server.close()
 
@@ -611,16 +613,16 @@
 
     async def run() -> None:
         server = Cutting([OK + b"one"], [OK + b"two"])
-        client = Client(LOCAL, await server.start())
-        assert (await client.exchange("POST", "/")).body == b"one"
-        (link,) = client._free
+        client = HttpClient(LOCAL, await server.start())
+        assert (await client.request("POST", "/")).body == b"one"
+        (link,) = client._idle_connections
         writer = server.writers[0]
         writer.write(unasked) if unasked else writer.write_eof()
         assert select.select([link.stream.socket], [], [], PATIENCE)[0]
         if seen:
             assert link._next is not None
             await until(link._next.done)
-        assert (await client.exchange("POST", "/")).body == b"two"
+        assert (await client.request("POST", "/")).body == b"two"
         client.close()
         server.server.close()
 
@@ -631,11 +633,11 @@
     async def run() -> None:
         served = list[str]()
 
-        async def handle(request: http.Request, connection: Connection) -> Answer:
+        async def handle(request: http.Request, connection: Connection) -> ServerResponse:
             served.append(request.target)
-            return Answer()
+            return ServerResponse()
 
-        server, (port,), stop = Server(handle), free_ports(1), threading.Event()
+        server, (port,), stop = HttpServer(handle), free_ports(1), threading.Event()
         server.listen(port, LOCAL)
         ask, asker = "GET /f HTTP/1.1\r\nhost: a\r\n\r\n", socket.create_connection((LOCAL, port))
 
@@ -656,12 +658,12 @@
             for thread in threads:
                 thread.start()
             await until(lambda: len(served) > 5_000)
-            client = Client(LOCAL, port)
-            assert (await client.exchange("GET", "/other", timeout=5.0)).status == 200
+            client = HttpClient(LOCAL, port)
+            assert (await client.request("GET", "/other", timeout_s=5.0)).status == 200
             client.close()
         finally:
             stop.set()
-            server.shut()
+            server.abort()
             asker.close()
             for thread in threads:
                 await asyncio.to_thread(thread.join, PATIENCE)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -19,16 +19,16 @@
 import psutil
 import pytest
 
-from gradehoist.cells.migration import Word
+from gradehoist.cells.migration import TenantAssignment
 from gradehoist.governor import policy_process as planning
 from gradehoist.governor.openapi import document
-from gradehoist.governor.service import Service
-from gradehoist.net.client import Broken, Client, TimedOut
-from gradehoist.net.server import Answer, Connection, Patience, Server
+from gradehoist.governor.service import GovernorService
+from gradehoist.net.client import ConnectionLostError, HttpClient, ResponseTimeoutError
+from gradehoist.net.server import Connection, HttpServer, ServerResponse, ServerTimeouts
 from gradehoist.protocol import feed, http
 from gradehoist.scenario import audit, definition
 from gradehoist.scenario.runner import Run
-from gradehoist.settings import fleet as f
+from gradehoist.settings.fleet import CellPlacement
 from gradehoist.testbed import scenario_plan as p
 from gradehoist.testbed.proxy import Relay, Relays
 from tests.support.governed_fleet import entry, on_sockets
@@ -47,31 +47,35 @@
     def __init__(self) -> None:
         (self.port,) = definition.ports(1)
         self.version, self.entries, self.status, self.calls = 1, [entry(n) for n in range(4)], 200, 0
-        self.server = Server(self.handle)
+        self.server = HttpServer(self.handle)
         self.server.listen(self.port, LOCAL)
 
-    async def handle(self, request: http.Request, connection: Connection) -> Answer:
+    async def handle(self, request: http.Request, connection: Connection) -> ServerResponse:
         self.calls += 1
         if "after=-1" not in request.target:
             await asyncio.sleep(0.1)
         if self.status != 200:
-            return Answer(self.status)
-        return Answer(200, msgspec.json.encode(feed.Roster("l", self.version, tuple(self.entries), True)))
+            return ServerResponse(self.status)
+        return ServerResponse(
+            200, msgspec.json.encode(feed.EndpointListUpdate("l", self.version, tuple(self.entries), True))
+        )
 
 
 @contextlib.asynccontextmanager
-async def governor(tmp_path: Path, patience: Patience | None = None) -> AsyncIterator[tuple[Service, Client]]:
+async def governor(
+    tmp_path: Path, patience: ServerTimeouts | None = None
+) -> AsyncIterator[tuple[GovernorService, HttpClient]]:
     roster = Roster()
     (port,) = definition.ports(1)
     found = on_sockets(tmp_path, roster.port, port)
-    service = Service(found.fleet, found.governors[0])
+    service = GovernorService(found.fleet, found.governors[0])
     if patience:
         service._server._patience = patience
     service.roster_stand_in = roster  # type: ignore[attr-defined]
     running = asyncio.ensure_future(service.run())
-    client = Client(LOCAL, port)
+    client = HttpClient(LOCAL, port)
     for _ in range(200):
-        if not service.core.roster.old:
+        if not service.core.endpoint_list.is_stale:
             break
         await asyncio.sleep(0.05)
     try:
@@ -103,17 +107,20 @@
     return b"POST /v1/sums" + TAIL + b"content-length: %d\r\n\r\n" % len(text) + text
 
 
-def read(response: http.Response) -> feed.Feed:
-    answer: feed.Feed = msgspec.json.decode(response.body, type=feed.Feed)
+def read(response: http.Response) -> feed.PollResponse:
+    answer: feed.PollResponse = msgspec.json.decode(response.body, type=feed.PollResponse)
     return answer
 
 
 def test_hostile_senders_get_a_clear_answer_and_the_governor_goes_on(tmp_path: Path) -> None:
     async def work() -> None:
-        async with governor(tmp_path, Patience(idle=1.0, message=0.4, write=0.4)) as (service, client):
-            port = service.own.listen[1]
+        async with governor(tmp_path, ServerTimeouts(idle_s=1.0, request_s=0.4, write_s=0.4)) as (
+            service,
+            client,
+        ):
+            port = service.settings.listen_address[1]
             process = psutil.Process()
-            joined = read(await client.exchange("GET", "/v1/feed?relay=r&zone=x"))
+            joined = read(await client.request("GET", "/v1/feed?relay=r&zone=x"))
             prefix = b'{"relay":"r","epoch":"%s","window":1,' % joined.epoch.encode()
             cases = [
                 (b"GET /v1/feed HTTP/1.1\r\nho", 408),
@@ -147,7 +154,7 @@
                 await asyncio.gather(*(say(port, data) for data, _ in cases))
             assert process.memory_info().rss - before < 30_000_000
             sums = prefix + b'"tries":[{"replica":"w1","tries":1}]}'
-            good = await client.exchange("POST", "/v1/sums", sums)
+            good = await client.request("POST", "/v1/sums", sums)
             assert good.status == 204
 
     run(work)
@@ -168,12 +175,12 @@
             for path, methods in written["paths"].items():
                 for method, operation in methods.items():
                     for tail in asked.pop((path, method)):
-                        response = await client.exchange(method.upper(), path + tail)
+                        response = await client.request(method.upper(), path + tail)
                         content = operation["responses"][str(response.status)].get("content")
                         assert bool(content) == bool(response.body)
                         if response.status == 200 and path == "/v1/feed":
                             read(response)  # strict: the schema is this type's
-                    refused = await client.exchange("PATCH", path)
+                    refused = await client.request("PATCH", path)
                     assert str(refused.status) in operation["responses"]
             assert not asked
 
@@ -182,8 +189,8 @@
 
 def test_one_byte_at_a_time_is_cut_off_though_it_never_pauses(tmp_path: Path) -> None:
     async def work() -> None:
-        async with governor(tmp_path, Patience(message=0.5)) as (service, _):
-            reader, writer = await asyncio.open_connection(LOCAL, service.own.listen[1])
+        async with governor(tmp_path, ServerTimeouts(request_s=0.5)) as (service, _):
+            reader, writer = await asyncio.open_connection(LOCAL, service.settings.listen_address[1])
 
             async def drip() -> None:
                 with contextlib.suppress(ConnectionError):
@@ -202,26 +209,26 @@
 def test_the_later_of_two_polls_wins_and_stopping_ends_the_feeds(tmp_path: Path) -> None:
     async def work() -> None:
         async with governor(tmp_path) as (service, client):
-            port = service.own.listen[1]
-            first = read(await client.exchange("GET", "/v1/feed?relay=r&zone=x"))
-            assert first.joined
+            port = service.settings.listen_address[1]
+            first = read(await client.request("GET", "/v1/feed?relay=r&zone=x"))
+            assert first.is_new_stream
             target = f"/v1/feed?relay=r&zone=x&epoch={first.epoch}&stream={first.stream}&after="
             after = 0
             for _ in range(20):  # until nothing is left to read and the poll is held
-                answer = read(await client.exchange("GET", target + str(after)))
+                answer = read(await client.request("GET", target + str(after)))
                 if not answer.messages:
                     break
                 after = answer.messages[-1].seq
-            assert after and not answer.joined
-            held = [asyncio.ensure_future(Client(LOCAL, port).exchange("GET", target + str(after)))]
+            assert after and not answer.is_new_stream
+            held = [asyncio.ensure_future(HttpClient(LOCAL, port).request("GET", target + str(after)))]
             await asyncio.sleep(0.2)
-            held.append(asyncio.ensure_future(Client(LOCAL, port).exchange("GET", target + str(after))))
+            held.append(asyncio.ensure_future(HttpClient(LOCAL, port).request("GET", target + str(after))))
             assert (await held[0]).status == 409
-            never = await client.exchange("GET", target + str(after + 7))
+            never = await client.request("GET", target + str(after + 7))
             assert never.status == 409 and b"was not sent" in never.body
             await asyncio.sleep(0.1)
             assert (await held[1]).status in (200, 409)
-            last = asyncio.ensure_future(Client(LOCAL, port).exchange("GET", target + str(after)))
+            last = asyncio.ensure_future(HttpClient(LOCAL, port).request("GET", target + str(after)))
             await asyncio.sleep(0.2)
             service.stop()
             assert (await last).status == 503
@@ -232,10 +239,10 @@
 def test_without_any_list_a_relay_is_told_to_go_on_with_what_it_holds(tmp_path: Path) -> None:
     async def work() -> None:
         async with governor(tmp_path) as (service, client):
-            service.core.roster.entries.clear()
-            assert (await client.exchange("GET", "/v1/feed?relay=q&zone=x")).status == 503
-        saved: list[feed.Replica] = msgspec.json.decode(
-            (service.own.state / "roster.json").read_bytes(), type=list[feed.Replica]
+            service.core.endpoint_list.endpoints.clear()
+            assert (await client.request("GET", "/v1/feed?relay=q&zone=x")).status == 503
+        saved: list[feed.EndpointRecord] = msgspec.json.decode(
+            (service.settings.state_folder / "roster.json").read_bytes(), type=list[feed.EndpointRecord]
         )
         assert len(saved) == 4
 
@@ -246,17 +253,17 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def fail(self: Any, now: int, batches: list[Any], timers: bool) -> Any:
-        if any(type(e).__name__ == "Joined" for _, events in batches for e in events):
-            raise planning.PlannerFailed("ValueError: made up")
+        if any(type(e).__name__ == "ProxyJoined" for _, events in batches for e in events):
+            raise planning.PolicyProcessError("ValueError: made up")
         return []
 
     async def work() -> None:
-        monkeypatch.setattr(planning.PlannerProcess, "handle", fail)
+        monkeypatch.setattr(planning.PolicyProcess, "handle", fail)
         async with governor(tmp_path) as (service, client):
-            answer = read(await client.exchange("GET", "/v1/feed?relay=r&zone=x"))
-            with contextlib.suppress(Broken, TimedOut):
+            answer = read(await client.request("GET", "/v1/feed?relay=r&zone=x"))
+            with contextlib.suppress(ConnectionLostError, ResponseTimeoutError):
                 target = f"/v1/feed?relay=r&zone=x&epoch={answer.epoch}&stream={answer.stream}&after=0"
-                ended = await client.exchange("GET", target)
+                ended = await client.request("GET", target)
                 assert ended.status == 503 and b"messages" not in ended.body
             await asyncio.wait_for(service._stopping.wait(), 5)
             assert service._failed
@@ -276,11 +283,11 @@
         frames: list[tuple[Any, ...]] = [([None], 0, False), (0, [(0, [])])]
         for frame in frames:
             data = pickle.dumps(frame)
-            end.write(planning.LENGTH.pack(len(data)) + data)
+            end.write(planning.FRAME_LENGTH.pack(len(data)) + data)
         end.flush()
         ours.shutdown(socket.SHUT_WR)
         planning.serve(pipe, Faulty)  # type: ignore[arg-type]
-        (size,) = planning.LENGTH.unpack(end.read(4))
+        (size,) = planning.FRAME_LENGTH.unpack(end.read(4))
         fault, replies, _ = pickle.loads(end.read(size))
     assert fault == "RuntimeError: made up" and replies == []
 
@@ -304,16 +311,16 @@
         ports = [s.sockets[0].getsockname()[1] for s in servers]
         relay.via = {x.name: port for x, port in zip(plan.replicas, ports, strict=True)}
         classes: list[p.Class] = [c for c in plan.classes if c.repeat == "single"]
-        everywhere = feed.Level(None, (classes[0].name,), 1.0, 1)  # one more try, on proof alone
+        everywhere = feed.AdmissionDelta(None, (classes[0].name,), 1.0, 1)  # one more try, on proof alone
         relay.holdings.apply(feed.Message(1, 1, 0, 1, (everywhere,)))
-        relay.server = Server(relay.handle)
+        relay.server = HttpServer(relay.handle)
         relay.server.listen(relay.plan.port, LOCAL)
         headers = (("x-transaction", "c1.1"), ("x-class", classes[0].name), ("x-work", "5"))
-        answer = await Client(LOCAL, relay.plan.port).exchange("POST", "/", b"", headers)
+        answer = await HttpClient(LOCAL, relay.plan.port).request("POST", "/", b"", headers)
         assert answer.status == 502 and done == ["c1.1"]  # its final answer at once, and one effect
         for server in servers:  # nobody listens: proof that it never ran, so the second try is due
             server.close()
-        answer = await Client(LOCAL, relay.plan.port).exchange("POST", "/", b"", headers)
+        answer = await HttpClient(LOCAL, relay.plan.port).request("POST", "/", b"", headers)
         assert answer.status == 502 and len(done) == 1
         process.record.flush()
         tries = [x for x in audit.load(tmp_path) if x["e"] == "try"]
@@ -327,29 +334,35 @@
     """Further tries are ordered and the table has one line: a 503 would have the client send it again."""
     plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
 
-    async def answer(request: http.Request, connection: Connection) -> Answer | None:
-        if (http.header(request.headers, "x-transaction") or "").startswith("cut"):
+    async def answer(request: http.Request, connection: Connection) -> ServerResponse | None:
+        if (http.get_header(request.headers, "x-transaction") or "").startswith("cut"):
             return None  # the work is done, the answer lost
-        return Answer(200, b"", (("endpoint-load-metrics", "TEXT cpu_utilization=much"),))
+        return ServerResponse(200, b"", (("endpoint-load-metrics", "TEXT cpu_utilization=much"),))
 
     async def work() -> None:
         relay: Relay = next(iter(Relays(plan, "relays-hall-a", tmp_path).all.values()))
         (port,) = definition.ports(1)
-        server = Server(answer)
+        server = HttpServer(answer)
         server.listen(port, LOCAL)
         name, cls = plan.replicas[0].name, next(c.name for c in plan.classes if c.repeat == "single")
         relay.via = {name: port}
         relay.holdings.apply(
-            feed.Message(1, 1, 0, 1, (feed.Bind(1, (cls,), {name: 1.0}), feed.Level(None, (cls,), 1.0, 2)))
+            feed.Message(
+                1,
+                1,
+                0,
+                1,
+                (feed.BindDelta(1, (cls,), {name: 1.0}), feed.AdmissionDelta(None, (cls,), 1.0, 2)),
+            )
         )
-        relay.server = Server(relay.handle)
+        relay.server = HttpServer(relay.handle)
         relay.server.listen(relay.plan.port, LOCAL)
-        client = Client(LOCAL, relay.plan.port)
+        client = HttpClient(LOCAL, relay.plan.port)
         for tx, status in ("cut.1", 502), ("whole.1", 200):  # nor does a spoilt load report spoil an answer
             headers = (("x-transaction", tx), ("x-class", cls), ("x-work", "5"))
-            assert (await client.exchange("POST", "/", b"", headers)).status == status
+            assert (await client.request("POST", "/", b"", headers)).status == status
         relay.die()
-        server.shut()
+        server.abort()
 
     run(work)
 
@@ -359,12 +372,12 @@
     plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
     plan = msgspec.structs.replace(plan, redial=(0, 0))
     lines = {"w1": 1.0, "w2": 2.5}
-    deltas = (feed.Bind(7, tuple(c.name for c in plan.classes), lines), feed.Out("w3"))
-    body = msgspec.json.encode(feed.Feed("first", 1, (feed.Message(1, 1, 1, 9.0, deltas, 1),)))
-    whole = http.response(200, body, (("content-type", "application/json"),))
+    deltas = (feed.BindDelta(7, tuple(c.name for c in plan.classes), lines), feed.WithdrawalDelta("w3"))
+    body = msgspec.json.encode(feed.PollResponse("first", 1, (feed.Message(1, 1, 1, 9.0, deltas, 1),)))
+    whole = http.format_response(200, body, (("content-type", "application/json"),))
 
     def join(epoch: str) -> bytes:
-        return http.response(200, msgspec.json.encode(feed.Feed(epoch, 1, joined=True)))
+        return http.format_response(200, msgspec.json.encode(feed.PollResponse(epoch, 1, is_new_stream=True)))
 
     async def one(cut: int) -> None:
         process = Relays(plan, "relays-hall-a", tmp_path)
@@ -413,7 +426,9 @@
             server.close()
         assert before[0] == before[1], f"cut at byte {cut}"
         assert "epoch=first" in asked[0] and "after=0" in asked[0] and "epoch=again" in asked[1]
-        assert relay.epoch == "again" and relay.after == 1 and relay.holdings.lines("rate-check") == lines
+        assert (
+            relay.epoch == "again" and relay.after == 1 and relay.holdings.weights_for("rate-check") == lines
+        )
 
     async def work() -> None:
         for cut in range(len(whole)):
@@ -427,22 +442,26 @@
 ) -> None:
     async def work() -> None:
         async with governor(tmp_path) as (service, client):
-            service.fleet = dataclasses.replace(service.fleet, cells=f.Placed(("c",), {"w0": "c"}))
-            word = msgspec.json.encode(Word("inn", 2, "m"))
+            service.fleet = dataclasses.replace(service.fleet, placement=CellPlacement(("c",), {"w0": "c"}))
+            word = msgspec.json.encode(TenantAssignment("inn", 2, "m"))
 
             def full(path: Path, data: bytes) -> None:
                 raise OSError(28, "No space left on device")
 
             with monkeypatch.context() as patch:
-                patch.setattr("gradehoist.store.atomic_file.write", full)
-                refused = await client.exchange("POST", "/v1/cells/word", word)
-                assert refused.status == 503 and b"No space" in refused.body and not service.book.words
-            assert (await client.exchange("POST", "/v1/cells/word", word)).status == 200
+                patch.setattr("gradehoist.store.atomic_file.write_file", full)
+                refused = await client.request("POST", "/v1/cells/word", word)
+                assert (
+                    refused.status == 503
+                    and b"No space" in refused.body
+                    and not service.migration_records.assignments
+                )
+            assert (await client.request("POST", "/v1/cells/word", word)).status == 200
             await service._lease("no address", b"")  # fails by itself, not the governor
             assert not service._failed
-        (service.own.state / "cells.json").write_bytes(b"[[")
+        (service.settings.state_folder / "cells.json").write_bytes(b"[[")
         with pytest.raises(OSError, match="put back a copy"):
-            Service(service.fleet, service.own)._load()
+            GovernorService(service.fleet, service.settings)._load()
 
     run(work)
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,7 @@
 
 from gradehoist.cli.main import main
 from gradehoist.scenario import definition
-from gradehoist.settings import fleet
+from gradehoist.settings.fleet import read_settings
 from gradehoist.settings.reader import SettingsError
 
 ROOT = Path(__file__).parent.parent
@@ -20,14 +20,17 @@
     path = tmp_path / "s.kdl"
     path.write_bytes(text.encode() if isinstance(text, str) else text)
     with pytest.raises(SettingsError) as caught:
-        fleet.read(path)
+        read_settings(path)
     assert all(line.startswith(str(path)) for line in caught.value.lines)
     return [line.removeprefix(str(path)) for line in caught.value.lines]
 
 
 def test_the_example_is_in_order() -> None:
-    found = fleet.read(ROOT / "deploy" / "example.kdl")
-    assert found.governor("b").listen == ("127.0.0.1", 7102) and found.fleet.classes[1].goal == 2_000_000
+    found = read_settings(ROOT / "deploy" / "example.kdl")
+    assert (
+        found.governor("b").listen_address == ("127.0.0.1", 7102)
+        and found.fleet.classes[1].latency_objective_us == 2_000_000
+    )
     with pytest.raises(KeyError):
         found.governor("c")
 
--- a/tests/test_store_backends.py
+++ b/tests/test_store_backends.py
@@ -13,21 +13,34 @@
 
 import pytest
 
-from gradehoist.coordination import store as r
-from gradehoist.net.etcd import Engine
+from gradehoist.coordination.store import (
+    Change,
+    CommitRejected,
+    Committed,
+    CoordinationStore,
+    Delete,
+    HistoryCompactedError,
+    OutcomeUnknownError,
+    Put,
+    RecordTooLargeError,
+    SessionEndedError,
+    StoreFullError,
+    StoreUnavailableError,
+)
+from gradehoist.net.etcd import EtcdStore
 from gradehoist.scenario import definition
-from gradehoist.store.sqlite_store import Embedded
+from gradehoist.store.sqlite_store import SqliteStore
 from gradehoist.testbed import etcd_server as standin
 
 SECOND = 1_000_000
-Test = Callable[[r.Home, Any], Awaitable[None]]
+Test = Callable[[CoordinationStore, Any], Awaitable[None]]
 
 
 @contextlib.asynccontextmanager
-async def home(kind: str, folder: Path) -> AsyncIterator[tuple[r.Home, Any]]:
+async def home(kind: str, folder: Path) -> AsyncIterator[tuple[CoordinationStore, Any]]:
     """A home, and the stand-in behind it or the folder."""
     if kind == "embedded":
-        own: r.Home = Embedded(folder / "register", log=50)
+        own: CoordinationStore = SqliteStore(folder / "register", change_log_length=50)
         try:
             yield own, folder / "register"
         finally:
@@ -35,7 +48,7 @@
         return
     (port,) = definition.ports(1)
     engine, server = standin.serve(port)
-    own = Engine("127.0.0.1", port)
+    own = EtcdStore("127.0.0.1", port)
     try:
         yield own, engine
     finally:
@@ -55,31 +68,31 @@
 BOTH = pytest.mark.parametrize("kind", ["embedded", "engine"])
 
 
-async def done(own: r.Home, *changes: r.Change, token: str = "t") -> int:
+async def done(own: CoordinationStore, *changes: Change, token: str = "t") -> int:
     answer = await own.commit(changes, token)
-    assert isinstance(answer, r.Done), answer
+    assert isinstance(answer, Committed), answer
     return answer.revision
 
 
 @BOTH
 def test_a_commit_is_whole_or_not_and_tells_what_stands_against_it(kind: str, tmp_path: Path) -> None:
-    async def test(own: r.Home, _: Any) -> None:
-        one = await done(own, r.Put("a", b"1", 0), r.Put("b", b"2", 0), token="x:1")
+    async def test(own: CoordinationStore, _: Any) -> None:
+        one = await done(own, Put("a", b"1", 0), Put("b", b"2", 0), token="x:1")
         found = await own.read("")
-        assert [(x.key, x.value, x.version, x.token) for x in found.records] == [
+        assert [(x.key, x.value, x.version, x.commit_id) for x in found.records] == [
             ("a", b"1", one, "x:1"),
             ("b", b"2", one, "x:1"),
         ]
-        refused = await own.commit((r.Put("a", b"3", one), r.Put("b", b"3", 0)), "x:2")
-        assert isinstance(refused, r.Refused) and {x.key: x.token for x in refused.records} == {
+        refused = await own.commit((Put("a", b"3", one), Put("b", b"3", 0)), "x:2")
+        assert isinstance(refused, CommitRejected) and {x.key: x.commit_id for x in refused.records} == {
             "a": "x:1",
             "b": "x:1",
         }
         assert (await own.read("a")).records[0].value == b"1"
-        two = await done(own, r.Put("a", b"3", one), r.Delete("b", one), token="x:3")
+        two = await done(own, Put("a", b"3", one), Delete("b", one), token="x:3")
         assert two > one and [x.key for x in (await own.read("")).records] == ["a"]
-        with pytest.raises(r.TooLarge):
-            await own.commit((r.Put("c", b"x" * 262_145, 0),), "x:4")
+        with pytest.raises(RecordTooLargeError):
+            await own.commit((Put("c", b"x" * 262_145, 0),), "x:4")
 
     play(kind, tmp_path, test)
 
@@ -88,17 +101,17 @@
 def test_a_watch_brings_every_change_in_order_waits_and_says_where_history_ends(
     kind: str, tmp_path: Path
 ) -> None:
-    async def test(own: r.Home, behind: Any) -> None:
-        first = await done(own, r.Put("a", b"0", 0))
+    async def test(own: CoordinationStore, behind: Any) -> None:
+        first = await done(own, Put("a", b"0", 0))
         quiet = await own.watch("", first, SECOND // 5)
-        assert quiet.events == () and quiet.after == quiet.revision == first
+        assert quiet.events == () and quiet.after_revision == quiet.revision == first
         waiting = asyncio.ensure_future(own.watch("a", first, 5 * SECOND))
         await asyncio.sleep(0.1)
-        second = await done(own, r.Put("a", b"1", first), token="y")
+        second = await done(own, Put("a", b"1", first), token="y")
         batch = await waiting
         (event,) = batch.events
-        assert (event.key, event.revision, event.record and event.record.token) == ("a", second, "y")
-        third = await done(own, r.Delete("a", second))
+        assert (event.key, event.revision, event.record and event.record.commit_id) == ("a", second, "y")
+        third = await done(own, Delete("a", second))
         batch = await own.watch("", first, SECOND)
         got = list(batch.events)
         if batch.revision < third:
@@ -106,10 +119,10 @@
         assert [(e.revision, e.record is None) for e in got] == [(second, False), (third, True)]
         version = 0
         for n in range(150 if kind == "embedded" else 3):
-            version = await done(own, r.Put("z", str(n).encode(), version))
+            version = await done(own, Put("z", str(n).encode(), version))
         if kind == "engine":
             behind.space.compact(0)
-        with pytest.raises(r.Compacted):
+        with pytest.raises(HistoryCompactedError):
             await own.watch("", first, SECOND)
 
     play(kind, tmp_path, test)
@@ -117,9 +130,9 @@
 
 @BOTH
 def test_a_session_takes_its_records_along_and_is_never_taken_up_again(kind: str, tmp_path: Path) -> None:
-    async def test(own: r.Home, _: Any) -> None:
+    async def test(own: CoordinationStore, _: Any) -> None:
         session, other = await own.open(SECOND), await own.open(30 * SECOND)
-        await done(own, r.Put("m", b"1", 0, session), r.Put("n", b"1", 0, other), r.Put("o", b"1", 0))
+        await done(own, Put("m", b"1", 0, session), Put("n", b"1", 0, other), Put("o", b"1", 0))
         for _ in range(4):
             await asyncio.sleep(0.4)
             await own.keep(session)
@@ -129,10 +142,10 @@
             await asyncio.sleep(0.4)
             await own.keep(other)
         assert [x.key for x in (await own.read("")).records] == ["n", "o"]
-        with pytest.raises(r.Ended):
+        with pytest.raises(SessionEndedError):
             await own.keep(session)
-        with pytest.raises(r.Ended):
-            await own.commit((r.Put("m", b"2", 0, session),), "t")
+        with pytest.raises(SessionEndedError):
+            await own.commit((Put("m", b"2", 0, session),), "t")
         await own.end(other)
         assert [x.key for x in (await own.read("")).records] == ["o"]
 
@@ -140,36 +153,36 @@
 
 
 def test_a_disk_without_room_refuses_plainly_and_takes_commits_again(tmp_path: Path) -> None:
-    async def test(own: r.Home, _: Any) -> None:
-        assert isinstance(own, Embedded)
-        version = await done(own, r.Put("a", b"1", 0))
+    async def test(own: CoordinationStore, _: Any) -> None:
+        assert isinstance(own, SqliteStore)
+        version = await done(own, Put("a", b"1", 0))
         await own._worker.do(lambda: own._records().execute("PRAGMA max_page_count = 1"))
-        with pytest.raises(r.Full, match="free some"):
+        with pytest.raises(StoreFullError, match="free some"):
             for n in range(100):
-                await own.commit((r.Put(f"k{n}", b"x" * 4_000, 0),), "t")
+                await own.commit((Put(f"k{n}", b"x" * 4_000, 0),), "t")
         assert (await own.read("a")).records[0].version == version  # reopened, with all that stood
-        await done(own, r.Put("a", b"2", version))
+        await done(own, Put("a", b"2", version))
 
     play("embedded", tmp_path, test)
 
 
 def test_an_older_folder_put_in_place_is_a_fault_first_and_then_another_history(tmp_path: Path) -> None:
-    async def test(own: r.Home, folder: Path) -> None:
-        one = await done(own, r.Put("a", b"1", 0))
+    async def test(own: CoordinationStore, folder: Path) -> None:
+        one = await done(own, Put("a", b"1", 0))
         copy = tmp_path / "copy"
         copy.mkdir()
         with sqlite3.connect(folder / "register.db") as source, sqlite3.connect(copy / "register.db") as kept:
             source.backup(kept)
-        two = await done(own, r.Put("a", b"2", one))
+        two = await done(own, Put("a", b"2", one))
         waiting = asyncio.ensure_future(own.watch("", two, 5 * SECOND))
         await asyncio.sleep(0.2)
         os.rename(folder, tmp_path / "old")
         os.rename(copy, folder)
-        with pytest.raises(r.Unreachable, match="another"):
+        with pytest.raises(StoreUnavailableError, match="another"):
             await waiting
         found = None
         for _ in range(2):
-            with contextlib.suppress(r.Unreachable):
+            with contextlib.suppress(StoreUnavailableError):
                 found = await own.read("")
         assert found is not None and found.revision == one and found.records[0].value == b"1"
         assert (await own.watch("", two, SECOND)).revision == one
@@ -178,17 +191,17 @@
 
 
 def test_a_folder_that_went_and_one_that_is_no_database_are_told_and_nothing_else(tmp_path: Path) -> None:
-    async def test(own: r.Home, folder: Path) -> None:
-        lineage = (await own.read("")).lineage
+    async def test(own: CoordinationStore, folder: Path) -> None:
+        lineage = (await own.read("")).store_id
         shutil.rmtree(folder)
-        with pytest.raises(r.Unreachable):
+        with pytest.raises(StoreUnavailableError):
             await own.read("")
-        assert (await own.read("")).lineage != lineage  # another register, and it says so
+        assert (await own.read("")).store_id != lineage  # another register, and it says so
         shutil.rmtree(folder)
         folder.mkdir()
         (folder / "register.db").write_bytes(b"no database at all" * 100)
         for _ in range(3):
-            with pytest.raises(r.Unreachable):
+            with pytest.raises(StoreUnavailableError):
                 await own.read("")
 
     play("embedded", tmp_path, test)
@@ -197,7 +210,7 @@
 def test_sessions_have_their_time_anew_after_a_standstill_of_the_register(tmp_path: Path) -> None:
     """Nobody renewed for longer than a session's time: the machine stood still, not each of them."""
 
-    async def test(own: r.Home, _: Any) -> None:
+    async def test(own: CoordinationStore, _: Any) -> None:
         session, other = await own.open(SECOND), await own.open(SECOND)
         await asyncio.sleep(1.5)
         await own.keep(session)
@@ -207,44 +220,44 @@
 
 
 def test_a_write_that_was_taken_and_not_answered_is_unknown_and_one_not_sent_is_not(tmp_path: Path) -> None:
-    async def test(own: r.Home, behind: Any) -> None:
+    async def test(own: CoordinationStore, behind: Any) -> None:
         behind.order({"lose": 1.0})
-        with pytest.raises(r.Unknown):
-            await own.commit((r.Put("a", b"1", 0),), "x:1")
+        with pytest.raises(OutcomeUnknownError):
+            await own.commit((Put("a", b"1", 0),), "x:1")
         assert behind.space.modified(b"gradehoist/a")
         behind.order({"away": True})
-        with pytest.raises(r.Unknown):
-            await own.commit((r.Put("a", b"1", 0),), "x:1")
-        with pytest.raises(r.Unreachable):
+        with pytest.raises(OutcomeUnknownError):
+            await own.commit((Put("a", b"1", 0),), "x:1")
+        with pytest.raises(StoreUnavailableError):
             await own.read("")
         behind.order({"full": True})
-        with pytest.raises(r.Full):
-            await own.commit((r.Put("b", b"1", 0),), "x:2")
+        with pytest.raises(StoreFullError):
+            await own.commit((Put("b", b"1", 0),), "x:2")
         (port,) = definition.ports(1)
-        nobody = Engine("127.0.0.1", port)
-        with pytest.raises(r.Unreachable):
-            await nobody.commit((r.Put("b", b"1", 0),), "x:2")
+        nobody = EtcdStore("127.0.0.1", port)
+        with pytest.raises(StoreUnavailableError):
+            await nobody.commit((Put("b", b"1", 0),), "x:2")
         await nobody.close()
 
     play("engine", tmp_path, test)
 
 
 def test_a_watch_cut_repeated_and_gone_back_brings_each_change_once(tmp_path: Path) -> None:
-    async def test(own: r.Home, behind: Any) -> None:
+    async def test(own: CoordinationStore, behind: Any) -> None:
         behind.order({"cut": 1, "repeat": True})
         at, got, version = (await own.read("")).revision, list[bytes](), 0
         for n in range(6):
-            version = await done(own, r.Put("a", str(n).encode(), version))
+            version = await done(own, Put("a", str(n).encode(), version))
             for _ in range(20):
                 if len(got) > n:
                     break
-                with contextlib.suppress(r.Unreachable):
+                with contextlib.suppress(StoreUnavailableError):
                     batch = await own.watch("", at, SECOND // 2)
                     at = batch.revision
                     got += [e.record.value for e in batch.events if e.record]
         assert got == [str(n).encode() for n in range(6)]
         behind.order({"do": "snapshot"})
-        last = await done(own, r.Put("a", b"late", version))
+        last = await done(own, Put("a", b"late", version))
         behind.order({"do": "restore"})
         own._stream = None  # type: ignore[attr-defined]  # an engine that went back has cut its streams
         assert (await own.watch("", last, SECOND)).revision < last
@@ -253,10 +266,10 @@
 
 
 def test_a_value_that_is_no_record_costs_itself_alone(tmp_path: Path) -> None:
-    async def test(own: r.Home, behind: Any) -> None:
-        await done(own, r.Put("a", b"1", 0))
+    async def test(own: CoordinationStore, behind: Any) -> None:
+        await done(own, Put("a", b"1", 0))
         behind.space.write([(b"gradehoist/odd", b"\xff\x00", 0)], [])
-        found = {x.key: x.unread for x in (await own.read("")).records}
+        found = {x.key: x.malformed for x in (await own.read("")).records}
         assert found == {"a": False, "odd": True}
 
     play("engine", tmp_path, test)
