--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -19,34 +19,42 @@
 from click.testing import CliRunner, Result
 
 from gradehoist.capacity_planning.planner import Case, Plan, Served
-from gradehoist.cells.migration import Confirm, Move, Step, Word
-from gradehoist.cells.rollout import Release, Seen
-from gradehoist.cells.rollout import Step as ReleaseStep
+from gradehoist.cells.migration import AssignmentAck, Migration, MigrationStep, TenantAssignment
+from gradehoist.cells.rollout import Rollout, TrafficCounts
+from gradehoist.cells.rollout import RolloutStep as ReleaseStep
 from gradehoist.cli.cells import read as read_placement
 from gradehoist.cli.main import main
 from gradehoist.cli.plan import load as load_plan
-from gradehoist.coordination.agent import Agent, Me, Member, Named
-from gradehoist.coordination.election import Claim
-from gradehoist.coordination.fencing import Right
-from gradehoist.coordination.members import View as MembersView
-from gradehoist.coordination.store import Done, Put, Refused
-from gradehoist.governor.service import Service
-from gradehoist.history import exactly_once, linearizability, records
+from gradehoist.coordination.agent import MemberRecord, OwnershipRecord, Participant, ProcessIdentity
+from gradehoist.coordination.election import LeaderElection
+from gradehoist.coordination.fencing import FencingToken
+from gradehoist.coordination.members import ReachabilityReport as MembersView
+from gradehoist.coordination.store import CommitRejected, Committed, Put
+from gradehoist.governor.service import GovernorService
+from gradehoist.history import linearizability, records
+from gradehoist.history.exactly_once import find_duplicate_effects, find_fencing_violations
 from gradehoist.migration import rollout as releasing
-from gradehoist.migration import runner as mover
-from gradehoist.net.client import Client
-from gradehoist.net.coordination_client import Coordinator
+from gradehoist.migration.runner import (
+    MigrationRunner,
+    load_draining_cells,
+    load_migrations,
+    pending_migrations,
+    save,
+    save_draining_cells,
+)
+from gradehoist.net.client import HttpClient
+from gradehoist.net.coordination_client import CoordinationClient
 from gradehoist.protocol import feed
 from gradehoist.scenario import audit
 from gradehoist.scenario.definition import ports
-from gradehoist.settings import fleet, reader
-from gradehoist.settings.fleet import Placed
-from gradehoist.store.sqlite_store import Embedded
+from gradehoist.settings import reader
+from gradehoist.settings.fleet import CellPlacement, parse_settings
+from gradehoist.store.sqlite_store import SqliteStore
 from gradehoist.testbed import scenario_plan as scripted
-from gradehoist.zones.evacuation import Plan as ZonesPlan
-from gradehoist.zones.evacuation import Stay
-from gradehoist.zones.health import Sight, View
-from gradehoist.zones.warmup_quota import Deal
+from gradehoist.zones.evacuation import EvacuationPlan as ZonesPlan
+from gradehoist.zones.evacuation import ZoneEvacuation
+from gradehoist.zones.health import HealthReport, ZoneObservation
+from gradehoist.zones.warmup_quota import QuotaAllocation
 from tests import test_migration_runner, test_rollout
 
 DATA = Path(__file__).parent / "data"
@@ -78,41 +86,82 @@
 LINEAGE = "07158ab795f3"
 REVISION = 15
 SESSION_A, SESSION_B = "9584375618334edc", "18b3cf3527a240cc"
-A_IS_HERE = Member(role="governor", name="a", zone="hall-a", run="a-second", gen=2, address="127.0.0.1:7101")
-B_IS_HERE = Member(role="governor", name="b", zone="hall-b", run="b-first", gen=1, address="127.0.0.1:7102")
-ZONES_SEEN_BY_A = View(
+A_IS_HERE = MemberRecord(
+    role="governor", name="a", zone="hall-a", incarnation="a-second", generation=2, address="127.0.0.1:7101"
+)
+B_IS_HERE = MemberRecord(
+    role="governor", name="b", zone="hall-b", incarnation="b-first", generation=1, address="127.0.0.1:7102"
+)
+ZONES_SEEN_BY_A = HealthReport(
     zone="hall-a",
-    traffic=12.5,
-    list_age=400_000,
-    sights={
-        "hall-a": Sight(tried=100.0, failed=1.0, late=2.0, ready=4, silent=0, probes=3, busy=0.25, bears=0.5),
-        "hall-b": Sight(tried=40.0, failed=30.0, late=1.0, ready=4, silent=1, probes=3, probes_failed=2),
+    requests_per_s=12.5,
+    list_age_us=400_000,
+    observations={
+        "hall-a": ZoneObservation(
+            attempts=100.0,
+            failures=1.0,
+            late_responses=2.0,
+            ready_replicas=4,
+            silent_replicas=0,
+            health_checks=3,
+            busy_share=0.25,
+            sustainable_share=0.5,
+        ),
+        "hall-b": ZoneObservation(
+            attempts=40.0,
+            failures=30.0,
+            late_responses=1.0,
+            ready_replicas=4,
+            silent_replicas=1,
+            health_checks=3,
+            failed_health_checks=2,
+        ),
     },
-    window=10_000_000,
-    came={"hall-a": {"rate-check": 9.5, "booking-commit": 3.0}},
-    run="a-second",
-    plan=(1, 2),
-    deal=3,
+    window_us=10_000_000,
+    offered_by_zone={"hall-a": {"rate-check": 9.5, "booking-commit": 3.0}},
+    incarnation="a-second",
+    applied_plan=(1, 2),
+    applied_allocation=3,
 )
 # By key: the version, the commit that wrote it, the session that it goes with, and what it says.
 REGISTER: dict[str, tuple[int, str, str, Any]] = {
     "floors": (4, "a-second:1", "", {"rights/release": 6}),
     "members/governor/a": (4, "a-second:1", SESSION_A, A_IS_HERE),
     "members/governor/b": (5, "b-first:1", SESSION_B, B_IS_HERE),
-    "names/governor/a": (4, "a-second:1", "", Named(gen=2, holder="a-second", by="members/governor/a")),
-    "names/governor/b": (5, "b-first:1", "", Named(gen=1, holder="b-first", by="members/governor/b")),
-    "rights/zones": (6, "a-second:2", "", Named(gen=1, holder="a-second", by="members/governor/a")),
+    "names/governor/a": (
+        4,
+        "a-second:1",
+        "",
+        OwnershipRecord(generation=2, holder="a-second", member_key="members/governor/a"),
+    ),
+    "names/governor/b": (
+        5,
+        "b-first:1",
+        "",
+        OwnershipRecord(generation=1, holder="b-first", member_key="members/governor/b"),
+    ),
+    "rights/zones": (
+        6,
+        "a-second:2",
+        "",
+        OwnershipRecord(generation=1, holder="a-second", member_key="members/governor/a"),
+    ),
     "views/governor/a": (12, "a-second:6", SESSION_A, MembersView()),
-    "views/governor/b": (11, "b-first:3", SESSION_B, MembersView(lost=("members/governor/c",), cut=True)),
+    "views/governor/b": (
+        11,
+        "b-first:3",
+        SESSION_B,
+        MembersView(unreachable=("members/governor/c",), is_isolated=True),
+    ),
     "zones/deal": (
         8,
         "a-second:4",
         "",
-        Deal(
-            gen=3,
-            holder="a-second",
-            parts={"a-second": 0.75, "b-first": 0.25},
-            at_most={"a-second": 0.75, "b-first": 0.5},
+        QuotaAllocation(
+            generation=3,
+            leader="a-second",
+            quotas={"a-second": 0.75, "b-first": 0.25},
+            upper_bounds={"a-second": 0.75, "b-first": 0.5},
         ),
     ),
     "zones/plan": (
@@ -120,11 +169,15 @@
         "a-second:3",
         "",
         ZonesPlan(
-            gen=1,
-            holder="a-second",
+            generation=1,
+            leader="a-second",
             step=2,
-            zones={"hall-b": Stay(to=0.5, why="failing", flaps=1, wait=20_000_000)},
-            levels={"rate-check": 0.8},
+            zones={
+                "hall-b": ZoneEvacuation(
+                    traffic_share=0.5, reason="failing", relapses=1, required_healthy_us=20_000_000
+                )
+            },
+            admission_limits={"rate-check": 0.8},
         ),
     ),
     "zones/views/a": (9, "a-second:5", SESSION_A, ZONES_SEEN_BY_A),
@@ -132,15 +185,21 @@
         10,
         "b-first:2",
         SESSION_B,
-        View(zone="hall-b", traffic=4.0, list_age=900_000, sights={"hall-b": Sight()}, run="b-first"),
+        HealthReport(
+            zone="hall-b",
+            requests_per_s=4.0,
+            list_age_us=900_000,
+            observations={"hall-b": ZoneObservation()},
+            incarnation="b-first",
+        ),
     ),
 }
 STRANGE = "zones/views/strange"  # bytes that are no record, at version 13
 
 
 @contextlib.asynccontextmanager
-async def opened(folder: Path) -> AsyncIterator[Embedded]:
-    register = Embedded(folder)
+async def opened(folder: Path) -> AsyncIterator[SqliteStore]:
+    register = SqliteStore(folder)
     try:
         yield register
     finally:
@@ -148,13 +207,15 @@
 
 
 @contextlib.asynccontextmanager
-async def joined(folder: Path, name: str, run: str) -> AsyncIterator[tuple[Agent, Coordinator]]:
+async def joined(folder: Path, name: str, run: str) -> AsyncIterator[tuple[Participant, CoordinationClient]]:
     """A process that has joined the register in `folder`, with its copy of all records."""
-    agent = Agent(Me("governor", name, "hall-a", run, "127.0.0.1:7103"), 10 * SECOND, seed=1)
-    coordinator = Coordinator(agent, Embedded(folder), lambda news: None)
+    agent = Participant(
+        ProcessIdentity("governor", name, "hall-a", run, "127.0.0.1:7103"), 10 * SECOND, seed=1
+    )
+    coordinator = CoordinationClient(agent, SqliteStore(folder), lambda news: None)
     running = asyncio.create_task(coordinator.run())
     try:
-        while not agent.joined:
+        while not agent.is_joined:
             await asyncio.sleep(0.02)
         yield agent, coordinator
     finally:
@@ -165,17 +226,17 @@
     async def work() -> None:
         async with opened(sample("register")) as register:
             snapshot = await register.read("")
-        assert (snapshot.lineage, snapshot.revision) == (LINEAGE, REVISION)
+        assert (snapshot.store_id, snapshot.revision) == (LINEAGE, REVISION)
         found = {record.key: record for record in snapshot.records}
         strange = found.pop(STRANGE)
         assert (strange.value, strange.version) == (b"no record of ours", 13)
         assert list(found) == list(REGISTER)
         for key, (version, token, session, value) in REGISTER.items():
             record = found[key]
-            assert (record.version, record.token, record.session) == (version, token, session)
+            assert (record.version, record.commit_id, record.session_id) == (version, token, session)
             assert msgspec.json.decode(record.value, type=type(value)) == value
             assert msgspec.json.encode(value) == record.value
-            assert not record.unread
+            assert not record.malformed
 
     within_a_minute(work())
 
@@ -184,7 +245,7 @@
     async def work() -> None:
         async with opened(sample("register")) as register:
             batch = await register.watch("", 9, 0)
-        assert (batch.lineage, batch.after, batch.revision) == (LINEAGE, 9, REVISION)
+        assert (batch.store_id, batch.after_revision, batch.revision) == (LINEAGE, 9, REVISION)
         assert [(event.revision, event.key, event.record is not None) for event in batch.events] == [
             (10, "zones/views/b", True),
             (11, "views/governor/b", True),
@@ -201,9 +262,9 @@
     async def work() -> None:
         async with opened(sample("register")) as register:
             late = await register.commit((Put("floors", b"{}", 3),), "late:1")
-            assert isinstance(late, Refused)
+            assert isinstance(late, CommitRejected)
             assert [(record.key, record.version) for record in late.records] == [("floors", 4)]
-            assert await register.commit((Put("floors", b"{}", 4),), "good:1") == Done(REVISION + 1)
+            assert await register.commit((Put("floors", b"{}", 4),), "good:1") == Committed(REVISION + 1)
 
     within_a_minute(work())
 
@@ -226,16 +287,16 @@
     async def work() -> None:
         async with joined(sample("register"), "c", "c-first") as (agent, _):
             for key, (version, _, _, value) in REGISTER.items():
-                assert agent.value(key, type(value)) == value
-                assert agent.version(key) == version
-            assert agent.value(STRANGE, View) is None  # it costs itself alone
-            assert agent.right == Right(1, "c-first")
-            assert agent.floors == {"rights/release": 6}
-            assert (agent.after("rights/release"), agent.after("rights/zones")) == (7, 2)
-            claim = Claim("zones", patience=0)
-            claim.step(time.monotonic_ns() // 1_000, agent)
-            assert claim.right is None
-            assert not agent.writes  # a is there and holds it
+                assert agent.decode_record(key, type(value)) == value
+                assert agent.cached_version(key) == version
+            assert agent.decode_record(STRANGE, HealthReport) is None  # it costs itself alone
+            assert agent.fencing_token == FencingToken(1, "c-first")
+            assert agent.generation_floors == {"rights/release": 6}
+            assert (agent.next_generation("rights/release"), agent.next_generation("rights/zones")) == (7, 2)
+            claim = LeaderElection("zones", takeover_delay_us=0)
+            claim.advance(time.monotonic_ns() // 1_000, agent)
+            assert claim.fencing_token is None
+            assert not agent.pending_commits  # a is there and holds it
 
     within_a_minute(work())
 
@@ -243,11 +304,16 @@
 def test_the_next_life_of_a_name_goes_on_from_its_stored_generation(sample: Sample) -> None:
     async def work() -> None:
         async with joined(sample("register"), "a", "a-third") as (agent, _):
-            assert agent.right == Right(3, "a-third")
-            while agent.value("members/governor/a", Member) == A_IS_HERE:
+            assert agent.fencing_token == FencingToken(3, "a-third")
+            while agent.decode_record("members/governor/a", MemberRecord) == A_IS_HERE:
                 await asyncio.sleep(0.02)  # the copy follows the commit
-            assert agent.value("members/governor/a", Member) == Member(
-                role="governor", name="a", zone="hall-a", run="a-third", gen=3, address="127.0.0.1:7103"
+            assert agent.decode_record("members/governor/a", MemberRecord) == MemberRecord(
+                role="governor",
+                name="a",
+                zone="hall-a",
+                incarnation="a-third",
+                generation=3,
+                address="127.0.0.1:7103",
             )
 
     within_a_minute(work())
@@ -260,13 +326,15 @@
             await register.keep(SESSION_A)
             await register.end(SESSION_A)
         async with joined(folder, "c", "c-first") as (agent, coordinator):
-            claim = Claim("zones", patience=0)
-            while agent.value("rights/zones", Named) != Named(2, "c-first", "members/governor/c"):
-                claim.step(time.monotonic_ns() // 1_000, agent)
-                coordinator.kick()
+            claim = LeaderElection("zones", takeover_delay_us=0)
+            while agent.decode_record("rights/zones", OwnershipRecord) != OwnershipRecord(
+                2, "c-first", "members/governor/c"
+            ):
+                claim.advance(time.monotonic_ns() // 1_000, agent)
+                coordinator.wake()
                 await asyncio.sleep(0.02)
-            claim.step(time.monotonic_ns() // 1_000, agent)
-            assert claim.right == Right(2, "c-first")
+            claim.advance(time.monotonic_ns() // 1_000, agent)
+            assert claim.fencing_token == FencingToken(2, "c-first")
 
     within_a_minute(work())
 
@@ -277,16 +345,16 @@
 def test_a_placement_file_is_read_and_made_again_to_the_byte(sample: Sample, tmp_path: Path) -> None:
     folder, again = sample("placement"), tmp_path / "again.json"
     placed = read_placement(folder / "placement.json")
-    assert placed == Placed(
+    assert placed == CellPlacement(
         cells=("c0", "c1"),
-        workers={"w1": "c1", "w2": "c0", "w3": "c0", "w4": "c1", "w5": "c0", "w6": "c1"},
-        named={"cabin": "c0", "hostel": "c0", "inn": "c1", "lodge": "c1", "villa": "c0"},
-        ranges=(),
-        lease=3_000_000,
-        settle=10_000_000,
+        cell_by_replica={"w1": "c1", "w2": "c0", "w3": "c0", "w4": "c1", "w5": "c0", "w6": "c1"},
+        cell_by_tenant={"cabin": "c0", "hostel": "c0", "inn": "c1", "lodge": "c1", "villa": "c0"},
+        cell_by_range=(),
+        lease_us=3_000_000,
+        settle_us=10_000_000,
         limits=None,
     )
-    assert [placed.home(tenant) for tenant in ("inn", "motel", "palace")] == ["c1", "c1", "c0"]
+    assert [placed.home_cell(tenant) for tenant in ("inn", "motel", "palace")] == ["c1", "c1", "c0"]
     files = folder / "tenants.csv", folder / "workers.csv"
     made = command("cells", "place", *files, "--cells", "2", "--out", again)
     assert made.exit_code == 0
@@ -298,8 +366,11 @@
 ) -> None:
     folder, again = sample("placement"), tmp_path / "again.json"
     placed = read_placement(folder / "split.json")
-    assert (placed.cells, placed.ranges) == (("c0", "c1", "c2"), ("c0", "c1"))
-    assert (placed.of("c0"), placed.of("c2")) == (frozenset({"w2"}), frozenset({"w3", "w5"}))
+    assert (placed.cells, placed.cell_by_range) == (("c0", "c1", "c2"), ("c0", "c1"))
+    assert (placed.replicas_of("c0"), placed.replicas_of("c2")) == (
+        frozenset({"w2"}),
+        frozenset({"w3", "w5"}),
+    )
     files = folder / "placement.json", folder / "workers.csv"
     made = command("cells", "split", *files, "c0", "--into", "c2", "--out", again)
     assert made.exit_code == 0
@@ -307,92 +378,108 @@
 
 
 CELLS = {"A": ("a1", "a2"), "B": ("b1", "b2")}
-DONE = Move(
+DONE = Migration(
     id="000000-2",
     tenant="inn",
     source="A",
     target="B",
     gen=2,
-    step=Step.DONE,
+    step=MigrationStep.DONE,
     known=frozenset({"a"}),
     shut=frozenset({"b1", "b2"}),
     keys=frozenset({"k1"}),
 )
-SHUT = Move(
+SHUT = Migration(
     id="000001-3",
     tenant="inn",
     source="B",
     target="A",
     gen=3,
-    step=Step.SHUT,
+    step=MigrationStep.CLOSE,
     known=frozenset({"a"}),
     shut=frozenset({"b1"}),
 )
-OPEN = Move(id="000002-2", tenant="hostel", source="A", target="B", gen=2, step=Step.OPEN)
-UNDOING = Move(id="000003-2-undo", tenant="villa", source="B", target="A", gen=3, fenced=False, undone=True)
-UNDONE = Move(id="000003-2", tenant="villa", source="A", target="B", gen=2)
+OPEN = Migration(id="000002-2", tenant="hostel", source="A", target="B", gen=2, step=MigrationStep.OPEN)
+UNDOING = Migration(
+    id="000003-2-undo", tenant="villa", source="B", target="A", gen=3, fenced=False, undone=True
+)
+UNDONE = Migration(id="000003-2", tenant="villa", source="A", target="B", gen=2)
 
 
 def test_a_mover_s_records_are_read_with_their_steps() -> None:
-    moves = mover.load(DATA / "moves")
+    moves = load_migrations(DATA / "moves")
     assert moves == [DONE, SHUT, OPEN, UNDOING, UNDONE]
-    assert mover.under_way(moves) == [SHUT, OPEN, UNDOING]
-    assert mover.draining(DATA / "moves") == ("B",)
+    assert pending_migrations(moves) == [SHUT, OPEN, UNDOING]
+    assert load_draining_cells(DATA / "moves") == ("B",)
 
 
 @pytest.mark.parametrize(
     ("move", "to_tell", "word"),
     [
-        (DONE, [], Word(tenant="inn", gen=2, move="000000-2", cell="B", keys=frozenset({"k1"}))),
-        (SHUT, ["b2"], Word(tenant="inn", gen=3, move="000001-3")),
-        (OPEN, ["a", "b1", "b2"], Word(tenant="hostel", gen=2, move="000002-2", cell="B")),
-        (UNDOING, ["a"], Word(tenant="villa", gen=3, move="000003-2-undo")),
+        (
+            DONE,
+            [],
+            TenantAssignment(
+                tenant="inn",
+                generation=2,
+                migration_id="000000-2",
+                cell="B",
+                completed_keys=frozenset({"k1"}),
+            ),
+        ),
+        (SHUT, ["b2"], TenantAssignment(tenant="inn", generation=3, migration_id="000001-3")),
+        (
+            OPEN,
+            ["a", "b1", "b2"],
+            TenantAssignment(tenant="hostel", generation=2, migration_id="000002-2", cell="B"),
+        ),
+        (UNDOING, ["a"], TenantAssignment(tenant="villa", generation=3, migration_id="000003-2-undo")),
     ],
     ids=["done", "shut", "open", "undoing"],
 )
 def test_a_move_says_next_to_whom_its_record_still_owes_it(
-    move: Move, to_tell: list[str], word: Word
+    move: Migration, to_tell: list[str], word: TenantAssignment
 ) -> None:
-    (stored,) = (found for found in mover.load(DATA / "moves") if found.id == move.id)
-    assert stored.sends(("a",), CELLS) == to_tell
-    assert stored.word() == word
+    (stored,) = (found for found in load_migrations(DATA / "moves") if found.id == move.id)
+    assert stored.pending_recipients(("a",), CELLS) == to_tell
+    assert stored.assignment() == word
 
 
 def test_a_mover_goes_on_from_its_stored_records_to_their_end(sample: Sample, tmp_path: Path) -> None:
     async def work() -> None:
         store, site = sample("moves"), test_migration_runner.Site(tmp_path)
         try:
-            due = mover.under_way(mover.load(store))
-            ended = await mover.Mover(site.settings, store, lambda move, waits: None).run(due)
+            due = pending_migrations(load_migrations(store))
+            ended = await MigrationRunner(site.settings, store, lambda move, waits: None).run(due)
         finally:
             site.close()
         assert [(move.id, move.step) for move in ended] == [
-            ("000001-3", Step.DONE),
-            ("000002-2", Step.DONE),
-            ("000003-2-undo", Step.DONE),
+            ("000001-3", MigrationStep.DONE),
+            ("000002-2", MigrationStep.DONE),
+            ("000003-2-undo", MigrationStep.DONE),
         ]
         routes = {tenant: site.book.route(tenant, "A") for tenant in ("inn", "hostel", "villa")}
         assert routes == {"inn": ("A", 3), "hostel": ("B", 2), "villa": ("A", 3)}
-        assert mover.under_way(mover.load(store)) == []
+        assert pending_migrations(load_migrations(store)) == []
 
     within_a_minute(work())
 
 
-@pytest.mark.parametrize("id", ["000001-3", "000002-2", "000003-2-undo", "000003-2"])
-def test_a_move_s_record_is_written_again_to_the_byte(tmp_path: Path, id: str) -> None:
+@pytest.mark.parametrize("name", ["000001-3", "000002-2", "000003-2-undo", "000003-2"])
+def test_a_move_s_record_is_written_again_to_the_byte(tmp_path: Path, name: str) -> None:
     """Those of one name a set: sets have no order."""
-    stored = (DATA / "moves" / f"{id}.move").read_bytes()
-    mover.save(tmp_path, msgspec.json.decode(stored, type=Move))
-    assert (tmp_path / f"{id}.move").read_bytes() == stored
+    stored = (DATA / "moves" / f"{name}.move").read_bytes()
+    save(tmp_path, msgspec.json.decode(stored, type=Migration))
+    assert (tmp_path / f"{name}.move").read_bytes() == stored
 
 
 def test_the_list_of_draining_cells_is_written_again_to_the_byte(tmp_path: Path) -> None:
-    mover.drain(tmp_path, ("B",))
+    save_draining_cells(tmp_path, ("B",))
     assert (tmp_path / "draining.json").read_bytes() == (DATA / "moves" / "draining.json").read_bytes()
 
 
-USUAL = Seen(came=240, unanswered=0, good=240, elapsed=48_000_000)
-HALTED = Release(
+USUAL = TrafficCounts(came=240, unanswered=0, good=240, elapsed=48_000_000)
+HALTED = Rollout(
     id="000001",
     cells=("A", "B", "C"),
     workers={"A": ("a1", "a2"), "B": ("b1", "b2"), "C": ("c1", "c2")},
@@ -406,7 +493,7 @@
     why="50.0% of 60 transactions of B were not answered, 0.0% before; elsewhere 0.0%",
     before={"A": USUAL, "B": USUAL, "C": USUAL},
 )
-UNDER_WAY = Release(
+UNDER_WAY = Rollout(
     id="000002",
     cells=HALTED.cells,
     workers=HALTED.workers,
@@ -414,7 +501,7 @@
     run=HALTED.run,
     back=HALTED.back,
     at=1,
-    step=ReleaseStep.RENEW,
+    step=ReleaseStep.UPDATE,
     touched=frozenset({"a1", "a2", "b1", "b2"}),
     renewed=frozenset({"a1", "a2", "b1"}),
     before=HALTED.before,
@@ -423,17 +510,17 @@
 
 def test_a_rollout_s_record_is_read_with_its_next_worker(sample: Sample) -> None:
     store = sample("releases")
-    last = releasing.load(store)
+    last = releasing.load_rollout(store)
     assert last == UNDER_WAY
-    assert (last.cell, last.due()) == ("B", ("b2",))
+    assert (last.cell, last.next_batch()) == ("B", ("b2",))
     (store / "000002.release").unlink()
-    before = releasing.load(store)
+    before = releasing.load_rollout(store)
     assert before == HALTED
-    assert before.due() == ()
+    assert before.next_batch() == ()
 
 
 @pytest.mark.parametrize("release", [HALTED, UNDER_WAY], ids=["halted", "under way"])
-def test_a_rollout_s_record_is_written_again_with_the_same_fields(tmp_path: Path, release: Release) -> None:
+def test_a_rollout_s_record_is_written_again_with_the_same_fields(tmp_path: Path, release: Rollout) -> None:
     """Its sets of several names have no order; `test_encoded_forms.py` compares bytes."""
     releasing.save(tmp_path, release)
     name = f"{release.id}.release"
@@ -457,7 +544,7 @@
 ) -> None:
     monkeypatch.chdir(tmp_path)  # the stored command writes where it runs
     (tmp_path / "renewed").write_text("a1 a2 b1 b2\n")  # b2 was begun
-    last = releasing.load(sample("releases"))
+    last = releasing.load_rollout(sample("releases"))
     assert last is not None
     ended = test_rollout.Site(tmp_path).play(last)
     assert ended.step is ReleaseStep.DONE
@@ -502,44 +589,44 @@
 # A governor's state: the saved list of endpoints, and its book of moved tenants
 
 LISTED = (
-    feed.Replica(
+    feed.EndpointRecord(
         replica="w1",
         zone="hall-a",
         address="127.0.0.1:10503",
         kind="large-4c",
         size=0.604,
-        boot="w1/1",
-        age=1_000_000_000,
+        incarnation="w1/1",
+        age_us=1_000_000_000,
     ),
-    feed.Replica(
+    feed.EndpointRecord(
         replica="w2",
         zone="hall-a",
         address="127.0.0.1:10504",
         kind="large-4c",
         size=0.723,
-        boot="w2/2",
-        age=285_981,
+        incarnation="w2/2",
+        age_us=285_981,
     ),
-    feed.Replica(
+    feed.EndpointRecord(
         replica="w3",
         zone="hall-b",
         address="127.0.0.1:10505",
         kind="large-4c",
         size=0.744,
-        boot="w3/1",
-        age=1_000_000_000,
+        incarnation="w3/1",
+        age_us=1_000_000_000,
     ),
-    feed.Replica(
+    feed.EndpointRecord(
         replica="w4",
         zone="hall-b",
         address="127.0.0.1:10506",
         kind="large-4c",
         size=0.662,
-        boot="w4/2",
-        age=1_183_765,
+        incarnation="w4/2",
+        age_us=1_183_765,
     ),
 )
-BOOK = (Word(tenant="inn3", gen=2, move="000000-2", cell="c1"),)
+BOOK = (TenantAssignment(tenant="inn3", generation=2, migration_id="000000-2", cell="c1"),)
 SETTINGS = """
 fleet relays=2 roster="127.0.0.1:{roster}" {{
     zones "hall-a" "hall-b"
@@ -556,38 +643,40 @@
 
 def test_a_governor_s_state_files_are_read_and_written_again_to_the_byte() -> None:
     stored = (DATA / "governor" / "roster.json").read_bytes()
-    assert msgspec.json.decode(stored, type=tuple[feed.Replica, ...]) == LISTED
+    assert msgspec.json.decode(stored, type=tuple[feed.EndpointRecord, ...]) == LISTED
     assert msgspec.json.encode(LISTED) == stored
     stored = (DATA / "governor" / "cells.json").read_bytes()
-    assert msgspec.json.decode(stored, type=tuple[Word, ...]) == BOOK
+    assert msgspec.json.decode(stored, type=tuple[TenantAssignment, ...]) == BOOK
     assert msgspec.json.encode(BOOK) == stored
 
 
 def test_a_governor_begins_with_its_saved_list_and_its_book_while_no_roster_answers(tmp_path: Path) -> None:
     shutil.copytree(DATA / "governor", tmp_path / "state")
-    placed = Placed(
-        cells=("c0", "c1"), workers={"w1": "c1", "w2": "c0", "w3": "c1", "w4": "c0"}, named={"inn3": "c0"}
+    placed = CellPlacement(
+        cells=("c0", "c1"),
+        cell_by_replica={"w1": "c1", "w2": "c0", "w3": "c1", "w4": "c0"},
+        cell_by_tenant={"inn3": "c0"},
     )
     (tmp_path / "cells.json").write_bytes(msgspec.json.encode(placed))
     roster, port = ports(2)
-    text = reader.Reader("settings")
-    settings = fleet.parse(text.root(SETTINGS.format(roster=roster, governor=port)), tmp_path)
-    text.finish()
+    text = reader.SettingsReader("settings")
+    settings = parse_settings(text.parse(SETTINGS.format(roster=roster, governor=port)), tmp_path)
+    text.raise_errors()
 
     async def work() -> None:
-        service = Service(settings.fleet, settings.governor("a"))
-        running, client = asyncio.create_task(service.run()), Client(LOCAL, port)
-        late = Word(tenant="inn3", gen=2, move="another", cell="c0")
+        service = GovernorService(settings.fleet, settings.governor("a"))
+        running, client = asyncio.create_task(service.run()), HttpClient(LOCAL, port)
+        late = TenantAssignment(tenant="inn3", generation=2, migration_id="another", cell="c0")
         try:
-            while not service.core.roster.entries:
+            while not service.core.endpoint_list.endpoints:
                 await asyncio.sleep(0.02)
-            assert service.core.roster.entries == {entry.replica: entry for entry in LISTED}
-            assert service.core.roster.old
-            assert service.book.words == {word.tenant: word for word in BOOK}
-            assert service.book.route("inn3", "c0") == ("c1", 2)
-            answer = await client.exchange("POST", "/v1/cells/word", msgspec.json.encode(late), timeout=30)
-            confirm: Confirm = msgspec.json.decode(answer.body, type=Confirm)
-            assert confirm.held == BOOK[0]  # what it knew before stands against another move
+            assert service.core.endpoint_list.endpoints == {entry.replica: entry for entry in LISTED}
+            assert service.core.endpoint_list.is_stale
+            assert service.migration_records.assignments == {word.tenant: word for word in BOOK}
+            assert service.migration_records.route("inn3", "c0") == ("c1", 2)
+            answer = await client.request("POST", "/v1/cells/word", msgspec.json.encode(late), timeout_s=30)
+            confirm: AssignmentAck = msgspec.json.decode(answer.body, type=AssignmentAck)
+            assert confirm.assignment == BOOK[0]  # what it knew before stands against another move
         finally:
             service.stop()
             assert await running == 0
@@ -604,12 +693,14 @@
 
 
 def test_a_history_is_read_with_calls_answers_and_effects() -> None:
-    lines = records.load(history("whole"))
-    assert [sum(isinstance(line, kind) for line in lines) for kind in (records.Asked, records.Answered)] == [
+    lines = records.load_history(history("whole"))
+    assert [
+        sum(isinstance(line, kind) for line in lines) for kind in (records.Invocation, records.Completion)
+    ] == [
         82,
         82,
     ]
-    answers = [line.how for line in lines if isinstance(line, records.Answered)]
+    answers = [line.outcome for line in lines if isinstance(line, records.Completion)]
     assert {how: answers.count(how) for how in answers} == {
         "read": 3,
         "watched": 63,
@@ -618,57 +709,89 @@
         "unknown": 1,
         "refused": 2,
     }
-    wrote = records.Wrote(key="views/governor/b", expect=0, session=SESSION_B)
-    saw = records.Saw(key="views/governor/b", version=11, token="b-first:3")
-    assert [line for line in lines if 105_000 <= line.t <= 110_000] == [
-        records.Asked(t=105_000, by="b-first", n=15, what="commit", token="b-first:3", changes=(wrote,)),
-        records.Answered(t=106_000, by="b-first", n=15, how="unknown"),
-        records.Asked(t=107_000, by="b-first", n=16, what="watch", after=9),
-        records.Answered(
-            t=108_000,
-            by="b-first",
-            n=16,
-            how="watched",
+    wrote = records.RequestedChange(key="views/governor/b", expected_version=0, session_id=SESSION_B)
+    saw = records.ObservedRecord(key="views/governor/b", version=11, commit_id="b-first:3")
+    assert [line for line in lines if 105_000 <= line.time_us <= 110_000] == [
+        records.Invocation(
+            time_us=105_000,
+            process="b-first",
+            call_id=15,
+            operation="commit",
+            commit_id="b-first:3",
+            changes=(wrote,),
+        ),
+        records.Completion(time_us=106_000, process="b-first", call_id=15, outcome="unknown"),
+        records.Invocation(
+            time_us=107_000, process="b-first", call_id=16, operation="watch", after_revision=9
+        ),
+        records.Completion(
+            time_us=108_000,
+            process="b-first",
+            call_id=16,
+            outcome="watched",
             revision=11,
-            saw=(records.Saw(key="zones/views/b", version=10, token="b-first:2"), saw),
+            observed=(records.ObservedRecord(key="zones/views/b", version=10, commit_id="b-first:2"), saw),
+        ),
+        records.Invocation(
+            time_us=109_000,
+            process="b-first",
+            call_id=17,
+            operation="commit",
+            commit_id="b-first:3",
+            changes=(wrote,),
+        ),
+        records.Completion(
+            time_us=110_000, process="b-first", call_id=17, outcome="refused", revision=11, observed=(saw,)
         ),
-        records.Asked(t=109_000, by="b-first", n=17, what="commit", token="b-first:3", changes=(wrote,)),
-        records.Answered(t=110_000, by="b-first", n=17, how="refused", revision=11, saw=(saw,)),
     ]
     assert lines[-4:] == [
         records.Effect(
-            t=200_000, by="ledger", name="zones", gen=1, holder="a-second", item="step-1", key="hall-b"
+            time_us=200_000,
+            process="ledger",
+            resource="zones",
+            generation=1,
+            holder="a-second",
+            item="step-1",
+            key="hall-b",
         ),
-        records.Effect(t=201_000, by="ledger", name="zones", gen=2, holder="b-first", item="step-2"),
-        records.Turned(
-            t=202_000, by="ledger", name="zones", gen=1, holder="a-second", item="step-3", known=2
+        records.Effect(
+            time_us=201_000, process="ledger", resource="zones", generation=2, holder="b-first", item="step-2"
+        ),
+        records.RejectedEffect(
+            time_us=202_000,
+            process="ledger",
+            resource="zones",
+            generation=1,
+            holder="a-second",
+            item="step-3",
+            highest_generation=2,
         ),
-        records.Told(t=203_000, by="ledger", what="ended", fields={"items": 2}),
+        records.ProcessEvent(time_us=203_000, process="ledger", event="ended", fields={"items": 2}),
     ]
 
 
 def test_a_history_in_order_is_linearizable_and_each_effect_was_taken_once() -> None:
-    lines = records.load(history("whole"))
-    assert linearizability.check(lines) == []
-    assert exactly_once.generations(lines) == []
-    assert exactly_once.once(lines) == []
+    lines = records.load_history(history("whole"))
+    assert linearizability.find_linearizability_violations(lines) == []
+    assert find_fencing_violations(lines) == []
+    assert find_duplicate_effects(lines) == []
 
 
 def test_a_history_out_of_order_shows_the_same_breaches() -> None:
-    lines = records.load(history("broken"))
-    (stale,) = linearizability.check(lines)
+    lines = records.load_history(history("broken"))
+    (stale,) = linearizability.find_linearizability_violations(lines)
     assert str(stale) == (
         "k: no order of these calls is one of a register:\n"
         "  0.000003 to 0.000004 s a: commit a:2 version 2 -> (3, 'a:2')\n"
         "  0.000005 to 0.000006 s b: read saw (2, 'a:1')"
     )
-    (older,) = exactly_once.generations(lines)
+    (older,) = find_fencing_violations(lines)
     assert str(older) == (
         "job: generation 1 took effect after 2\n"
         "  0.000007 s ledger: job generation 2 of b: x\n"
         "  0.000008 s ledger: job generation 1 of a: y"
     )
-    (twice,) = exactly_once.once(lines)
+    (twice,) = find_duplicate_effects(lines)
     assert str(twice) == (
         "x took effect twice\n"
         "  0.000007 s ledger: job generation 2 of b: x\n"
@@ -677,14 +800,14 @@
 
 
 def test_a_history_cut_by_its_bound_gives_no_verdict() -> None:
-    with pytest.raises(records.Incomplete, match="bound of lines reached"):
-        records.load(history("cut"))
+    with pytest.raises(records.IncompleteHistoryError, match="bound of lines reached"):
+        records.load_history(history("cut"))
 
 
 @pytest.mark.parametrize("path", [*history("whole"), *history("broken")], ids=lambda path: path.stem)
 def test_a_history_is_written_again_to_the_byte(path: Path, tmp_path: Path) -> None:
-    writer = records.Writer(tmp_path / path.name, path.stem)
-    for line in records.load([path]):
+    writer = records.HistoryWriter(tmp_path / path.name, path.stem)
+    for line in records.load_history([path]):
         writer(line)
     writer.close()
     assert (tmp_path / path.name).read_bytes() == path.read_bytes()
