The policy becomes a package of typed actors; loop and accounting leave it

Cause: one file of 628 lines held every decision, the message loop, the accounting of queue and messages, and bookkeeping; messages were tuples dispatched by strings.

Change: gradehoist/policy/ has one file for each concern (planner, pool, replica, outlier, locality, subsetting, tables, publisher, admission). Messages are dataclasses (gradehoist/messages.py), dispatched by type. What does not decide left it: actors.py (loop, timers, random numbers), flow_control.py (lines and messages by proxy; shares are passed in), fleet_state/ (what is known of replicas and proxies), control_loop.py and numeric.py. Planner, node and governor read typed attributes instead of `mail.parts`.

One fault mended: an explanation of a lifted withdrawal looked up a replica that the policy had just forgotten, a KeyError in the policy process an hour after a replica had gone. It now reads "forgotten: gone for long"; a test reproduces it.

--- /dev/null
+++ b/gradehoist/control_loop.py
@@ -0,0 +1,51 @@
+"""Generic parts of a control loop; gains, factors and limits are the caller's."""
+
+from gradehoist.actors import SECOND
+from gradehoist.interface import LoadReport
+from gradehoist.numeric import clamp
+
+
+class PIController:
+    """The integral of the errors; it stands still while the output is clamped."""
+
+    def __init__(self, gain_p: float, gain_i: float) -> None:
+        """Create a controller with gains per second."""
+        self._gain_p = gain_p
+        self._gain_i = gain_i
+        self._integral = 0.0
+
+    def step(self, error: float, elapsed_us: int, limit: float) -> float:
+        """Return the step that answers `error`, between `-limit` and `limit`."""
+        output = (self._gain_p * error + self._gain_i * (self._integral + error)) * elapsed_us / SECOND
+        step = clamp(output, -limit, limit)
+        if step == output:
+            self._integral += error
+        return step
+
+    def reset(self) -> None:
+        """Forget past errors."""
+        self._integral = 0.0
+
+
+class SmoothedLoad:
+    """The smoothed signals of a replica's load reports, and how far they scatter."""
+
+    def __init__(self, smoothing: float, scatter_smoothing: float, initial_scatter: float) -> None:
+        """Create signals without readings; the smoothing factors are the weight of the newest reading."""
+        self.busy_share: float | None = None
+        self.in_flight: float | None = None
+        self.scatter = initial_scatter  # mean relative distance of a reading from the smoothed signal
+        self._smoothing = smoothing
+        self._scatter_smoothing = scatter_smoothing
+
+    def update(self, load: LoadReport) -> None:
+        """Take a report; a signal that it lacks is dropped."""
+        self.busy_share = self._smooth(self.busy_share, load.busy_share)
+        self.in_flight = self._smooth(self.in_flight, load.in_flight)
+
+    def _smooth(self, old: float | None, new: float | None) -> float | None:
+        if old and new is not None:
+            self.scatter += self._scatter_smoothing * (min(1.0, abs(new - old) / old) - self.scatter)
+        if old is None or new is None:
+            return new
+        return old + self._smoothing * (new - old)
--- /dev/null
+++ b/gradehoist/fleet_state/__init__.py
@@ -0,0 +1,33 @@
+"""What a policy knows of its fleet and has written to it: records and accounts. Nothing in it decides."""
+
+from gradehoist.fleet_state.fleet import Fleet
+from gradehoist.fleet_state.period_timer import PeriodTimer
+from gradehoist.fleet_state.replica_actor import ReplicaActor
+from gradehoist.fleet_state.replica_retention import ReplicaRetention
+from gradehoist.fleet_state.replica_table import (
+    Candidates,
+    ReplicaTable,
+    classes_by_limits,
+    failure_share,
+    saturation,
+    total_weight,
+    weight_by_zone,
+)
+from gradehoist.fleet_state.table_writer import TableWriter
+from gradehoist.fleet_state.weight_tables import LineChange
+
+__all__ = [
+    "Candidates",
+    "Fleet",
+    "LineChange",
+    "PeriodTimer",
+    "ReplicaActor",
+    "ReplicaRetention",
+    "ReplicaTable",
+    "TableWriter",
+    "classes_by_limits",
+    "failure_share",
+    "saturation",
+    "total_weight",
+    "weight_by_zone",
+]
--- /dev/null
+++ b/gradehoist/fleet_state/proxy_groups.py
@@ -0,0 +1,107 @@
+"""Groups of proxies that share tables: members, those still to be bound, and what their tables name."""
+
+import heapq
+from collections.abc import Sequence, Set
+from dataclasses import dataclass
+
+from gradehoist.actors import Actor, MessageLoop
+from gradehoist.fleet_state.table_writer import TableWriter
+from gradehoist.flow_control import FlowControl
+from gradehoist.interface import ProxyLeft
+from gradehoist.messages import BindToGroup, ProxyAssigned, TablesWritten
+
+
+@dataclass(frozen=True, slots=True)
+class PendingBind:
+    """The bind that is next; `lines` is all that it writes to the proxy."""
+
+    group: int
+    message: BindToGroup
+    lines: float
+
+
+class ProxyGroups(Actor):
+    """Who belongs to which group; when a proxy is bound is the caller's decision."""
+
+    def __init__(self, loop: MessageLoop, flow: FlowControl, groups: Sequence[TableWriter]) -> None:
+        """Create the registry of `groups`, which have no members yet."""
+        super().__init__(loop)
+        self._flow = flow
+        self._groups = groups
+        self.zones = [group.zone for group in groups]
+        zones = self.zones
+        self.sizes = [0] * len(zones)
+        self.group_by_proxy: dict[int, int] = {}
+        self.pending_binds: list[tuple[int, float, int]] = []  # heap of slot, minus the rate, proxy
+        self.bound: list[dict[int, None]] = [{} for _ in zones]  # members, in the order of binding
+        self.replicas: list[list[frozenset[int]]] = [[] for _ in zones]  # named by table, by group
+        self.is_outdated = [False] * len(zones)  # whether tables differ from the plan, by group
+
+    def smallest(self, zone: int) -> int:
+        """Return the group of a zone with the fewest members; the first group where the zone has none."""
+        nearby = [group for group, other in enumerate(self.zones) if other == zone] or [0]
+        return min(nearby, key=lambda group: (self.sizes[group], group))
+
+    def add_proxy(self, proxy: int, group: int, slot: int, rate: float) -> None:
+        """Add a member, to be bound after those of earlier slots and those of its slot with higher rates."""
+        self.group_by_proxy[proxy] = group
+        self.sizes[group] += 1
+        heapq.heappush(self.pending_binds, (slot, -rate, proxy))
+        self.loop.publish(ProxyAssigned(proxy, group))
+
+    def _on_proxy_left(self, left: ProxyLeft) -> None:
+        group = self.group_by_proxy.pop(left.proxy)
+        self.loop.send(self._groups[group], left)
+        self.sizes[group] -= 1
+        if left.proxy in self.bound[group]:
+            del self.bound[group][left.proxy]
+        else:  # for those alone: a thousand that left each sorted them all
+            self.pending_binds = sorted(bind for bind in self.pending_binds if bind[2] != left.proxy)
+
+    def _on_tables_written(self, written: TablesWritten) -> None:
+        self.is_outdated[written.group] = written.is_outdated
+        self.replicas[written.group] = written.replicas
+
+    def next_bind(self, withdrawn: Set[int]) -> PendingBind:
+        """Return the bind that is due first, as the tables are now; they leave `withdrawn` replicas out."""
+        proxy = self.pending_binds[0][2]
+        group = self.group_by_proxy[proxy]
+        tables = self.replicas[group]
+        named = frozenset[int]().union(*tables)
+        extra_lines = self._flow.admission_lines + len(withdrawn & named)
+        relist = self._flow.is_relisted(proxy)
+        lines = self._flow.overhead_lines + len(self._groups[group].class_sets) * (1 + extra_lines)
+        lines += sum(map(len, tables)) * (2 if relist else 1)
+        return PendingBind(group, BindToGroup(proxy, extra_lines, relist), lines)
+
+    def bind_next(self, bind: PendingBind) -> None:
+        """Bind the proxy that is due first."""
+        heapq.heappop(self.pending_binds)
+        self.bound[bind.group][bind.message.proxy] = None
+        self._flow.reserved_lines += bind.lines
+        self.loop.send(self._groups[bind.group], bind.message)
+
+    def holders(self, replica: int) -> list[int]:
+        """Return the bound proxies whose tables name a replica."""
+        return [
+            proxy
+            for tables, members in zip(self.replicas, self.bound, strict=True)
+            if any(replica in table for table in tables)
+            for proxy in members
+        ]
+
+    def open_share(self, group: int, withdrawn: Set[int]) -> float:
+        """Return the part of a group's lines that is not withdrawn, and gets all; of its worst table."""
+        return min((1 + len(table - withdrawn)) / (1 + len(table)) for table in self.replicas[group])
+
+    def mean_holders(self) -> float:
+        """Return how many bound proxies have a line for a replica in their first table, on average."""
+        lines = sum(
+            len(members) * len(self.replicas[group][0]) for group, members in enumerate(self.bound) if members
+        )
+        named = frozenset[int]().union(*(tables[0] for tables in self.replicas if tables))
+        return lines / max(1, len(named))
+
+    def send(self, group: int, message: object) -> None:
+        """Send a message to the actor of a group."""
+        self.loop.send(self._groups[group], message)
--- /dev/null
+++ b/gradehoist/fleet_state/replica_table.py
@@ -0,0 +1,265 @@
+"""The states of all replicas, and which of them the settings let a class of requests use."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, replace
+from itertools import product
+from statistics import fmean, median
+
+from gradehoist.actors import MessageLoop
+from gradehoist.fleet_state.replica_actor import ReplicaActor
+from gradehoist.interface import (
+    Endpoint,
+    EndpointListKind,
+    EndpointsListed,
+    Phase,
+    PolicyConfig,
+    RequestClass,
+)
+from gradehoist.messages import ReplicaState
+from gradehoist.numeric import majority_median
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica that may get a line, and the weight that it is planned with."""
+
+    endpoint: Endpoint
+    weight: float
+
+
+Candidates = dict[int, Candidate]  # by replica
+
+
+class ReplicaTable:
+    """Replicas by index: what the endpoint list has of them, and what their actors report."""
+
+    def __init__(
+        self, loop: MessageLoop, config: PolicyConfig, class_sets: Sequence[tuple[int, ...]]
+    ) -> None:
+        """Create an empty table; the classes of one set have the same placement limits."""
+        self._loop = loop
+        self._warmup_us = config.safety.warmup_us
+        self.endpoints: dict[int, Endpoint] = {}
+        self.actors: dict[int, ReplicaActor] = {}
+        self.positions: dict[int, float] = {}  # on the ring of each zone, from 0 to 1
+        self.waiting: set[int] = set()  # cold replicas that stay withdrawn for now
+        self.returning: set[int] = set()  # open replicas whose return is not written yet
+        self.unnamed: set[int] = set()  # live replicas that no table of our own proxies names
+        self.scarce: list[tuple[int, int]] = []  # zones and sets of classes with too few replicas
+        self.states: dict[int, ReplicaState] = {}
+        self.zone_count = config.zone_count
+        self.class_sets = class_sets
+        self._limits = [config.classes[members[0]] for members in class_sets]
+
+    def update_endpoints(self, listed: EndpointsListed) -> list[Endpoint]:
+        """Take an endpoint list; return the entries that changed, those that it leaves out as gone."""
+        if listed.kind is EndpointListKind.FAILED:
+            return []
+        entries = {endpoint.replica: endpoint for endpoint in listed.endpoints}
+        if listed.kind is not EndpointListKind.DELTA:
+            gone = {n: replace(endpoint, phase=Phase.GONE) for n, endpoint in self.endpoints.items()}
+            entries = gone | entries
+        changed = [endpoint for n, endpoint in entries.items() if self.endpoints.get(n) != endpoint]
+        self.endpoints |= entries
+        return changed
+
+    def mean_size(self) -> float:
+        """Return the mean size of the ready endpoints, 1 if there are none; one without size counts as 1."""
+        return fmean([e.size or 1 for e in self.endpoints.values() if e.phase is Phase.READY] or [1])
+
+    def update(self, state: ReplicaState) -> bool:
+        """Take a replica's new state; return whether tables and withdrawals have to be reconsidered."""
+        replica = state.endpoint.replica
+        if replica not in self.actors:
+            return False  # the last message of one just forgotten
+        old = self.states.get(replica)
+        self.states[replica] = state
+        self.zone_count = max(self.zone_count, state.endpoint.zone + 1)
+        return not state.is_routed_like(old)
+
+    def add(self, actor: ReplicaActor) -> None:
+        """Add a replica that is listed for the first time, at a random position of its ring."""
+        replica = actor.state.endpoint.replica
+        self.actors[replica] = actor
+        self.positions[replica] = self._loop.random()
+
+    def mark_ejecting(self, replica: int) -> None:
+        """Count a replica as ejected at once, or each one of a batch would pass as the first."""
+        self.states[replica] = replace(self.states[replica], is_ejecting=True)
+
+    def ring(self, zone: int, replicas: Iterable[int]) -> list[int]:
+        """Return those of the replicas that are in a zone, by their positions on its ring."""
+        members = [replica for replica in replicas if self.endpoints[replica].zone == zone]
+        return sorted(members, key=lambda replica: self.positions[replica])
+
+    def send(self, replica: int, message: object) -> None:
+        """Send a message to the actor of a replica."""
+        self._loop.send(self.actors[replica], message)
+
+    def forget(self, replica: int) -> None:
+        """Drop all that is known of a replica."""
+        del self.actors[replica]
+        del self.positions[replica]
+        del self.endpoints[replica]
+        del self.states[replica]
+
+    def send_all(self, message: object) -> None:
+        """Send a message to the actors of all replicas."""
+        for actor in self.actors.values():
+            self._loop.send(actor, message)
+
+    def allows(self, class_set: int, endpoint: Endpoint, zone: int) -> bool:
+        """Whether requests of a set of classes, from proxies of a zone, may be sent to an endpoint."""
+        return self._limits[class_set].allows(endpoint, zone)
+
+    def allowed(self, class_set: int, zone: int, candidates: Candidates) -> Candidates:
+        """Return the candidates that a set of classes may use from a zone."""
+        allows = self._limits[class_set].allows
+        return {n: c for n, c in candidates.items() if allows(c.endpoint, zone)}
+
+    def candidates(self, quotas: Mapping[int, float], min_quota: float) -> Candidates:
+        """Return the open replicas, each with its weight under slow start and its quota."""
+        return {
+            n: Candidate(state.endpoint, state.weight * state.slow_start * max(min_quota, quotas.get(n, 1.0)))
+            for n, state in self.open().items()
+        }
+
+    def live(self, ready: Candidates) -> Candidates:
+        """Return the candidates that neither wait nor have still to return."""
+        return {n: c for n, c in ready.items() if n not in self.waiting and n not in self.returning}
+
+    def open(self) -> dict[int, ReplicaState]:
+        """Return the replicas that may get requests."""
+        return {n: state for n, state in self.states.items() if state.is_open}
+
+    def open_by_zone(self, zone: int) -> dict[int, ReplicaState]:
+        """Return the replicas of a zone that may get requests."""
+        return {n: state for n, state in self.open().items() if state.endpoint.zone == zone}
+
+    def ready(self) -> list[ReplicaState]:
+        """Return the replicas that are listed as ready, ejected ones included."""
+        return [state for state in self.states.values() if state.is_ready]
+
+    def peers(self, endpoint: Endpoint) -> Iterator[dict[int, bool]]:
+        """Yield for each set of classes and zone that may use an endpoint the others that it may use.
+
+        They are ready and warm; the values say which of them are open.
+        """
+        warm_since_us = self.warm_since_us()
+        for class_set, zone in product(range(len(self.class_sets)), range(self.zone_count)):
+            if self.allows(class_set, endpoint, zone):
+                yield {
+                    n: state.is_open
+                    for n, state in self.states.items()
+                    if state.is_ready
+                    and state.endpoint.started_us <= warm_since_us
+                    and self.allows(class_set, state.endpoint, zone)
+                }
+
+    def warm_since_us(self) -> int:
+        """Return the time by which a replica that is warm by now has started.
+
+        At least 0: also on a machine just booted, a start long past is reported as 0.
+        """
+        return max(0, self._loop.now_us - self._warmup_us)
+
+    def set_waiting(self, replica: int, must_wait: bool) -> None:
+        """Note whether a replica stays withdrawn for now."""
+        if must_wait:
+            self.waiting.add(replica)
+        else:
+            self.waiting.discard(replica)
+
+    def listed(self) -> set[int]:
+        """Return the replicas that are not gone, withdrawn ones included.
+
+        Lines of those that are gone leave tables: binds would grow by them, and joining take longer than a
+        drain's grace.
+        """
+        return {n for n, state in self.states.items() if state.endpoint.phase is not Phase.GONE}
+
+    def is_cold(self, replica: int) -> bool:
+        """Whether a replica started too recently to be warm."""
+        return self.states[replica].endpoint.started_us > self.warm_since_us()
+
+    def is_scarce(self, endpoint: Endpoint) -> bool:
+        """Whether some class that may use the endpoint has too few replicas."""
+        return any(self.allows(class_set, endpoint, zone) for zone, class_set in self.scarce)
+
+    def median_period_us(self, at_least_us: int) -> int:
+        """Return the median period that reports of open replicas cover, `at_least_us` if it is shorter."""
+        return int(max(at_least_us, median([s.period_us for s in self.open().values()] or [0])))
+
+    def mean_weight(self) -> float:
+        """Return the mean weight of the open replicas; there has to be one."""
+        return fmean(state.weight for state in self.open().values())
+
+    def named(self) -> list[ReplicaState]:
+        """Return the open replicas that tables of our own proxies name."""
+        return [state for n, state in self.open().items() if n not in self.unnamed]
+
+    def has_warm_open(self) -> bool:
+        """Whether some warm replica is open."""
+        warm_since_us = self.warm_since_us()
+        return any(s.is_open and s.endpoint.started_us <= warm_since_us for s in self.states.values())
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementLimits:
+    """Where requests of a class may be sent."""
+
+    allowed_zones: tuple[int, ...] | None
+    allowed_kinds: tuple[int, ...] | None
+    zone_local: bool
+
+
+def classes_by_limits(classes: Sequence[RequestClass]) -> dict[PlacementLimits, tuple[int, ...]]:
+    """Return the indices of the classes with the same limits, by these limits."""
+    by_limits: dict[PlacementLimits, list[int]] = {}
+    for index, request_class in enumerate(classes):
+        limits = PlacementLimits(
+            request_class.allowed_zones, request_class.allowed_kinds, request_class.zone_local
+        )
+        by_limits.setdefault(limits, []).append(index)
+    return {limits: tuple(members) for limits, members in by_limits.items()}
+
+
+def total_weight(candidates: Iterable[Candidate]) -> float:
+    """Return the sum of the candidates' weights."""
+    return sum(candidate.weight for candidate in candidates)
+
+
+def weight_by_zone(candidates: Candidates, zones: Iterable[int]) -> list[float]:
+    """Return the sum of the candidates' weights in each zone."""
+    return [total_weight(c for c in candidates.values() if c.endpoint.zone == zone) for zone in zones]
+
+
+def saturation(
+    states: Collection[ReplicaState],
+    full_busy_share: float,
+    full_failure_share: float,
+    latency_objective_us: int,
+    full_latency_part: float,
+) -> float:
+    """Return the highest of the median busy share, failure share and latency, each as a part of its limit.
+
+    A signal counts where most of the replicas have readings of it: the first one that reported, a slow one,
+    made a fresh governor reject half of all requests.
+    """
+    totals = [s.totals for s in states]
+    busy = [s.busy_share / full_busy_share for s in states if s.busy_share is not None]
+    failing = [t.failures / t.attempts / full_failure_share for t in totals if t.attempts >= 1]
+    late = [
+        t.mean_latency_us / latency_objective_us / full_latency_part
+        for t in totals
+        if t.attempts > t.failures
+    ]
+    return max(majority_median(signal, len(states)) for signal in (busy, failing, late))
+
+
+def failure_share(states: Iterable[ReplicaState]) -> float:
+    """Return the share of recent attempts at these replicas that failed."""
+    totals = [state.totals for state in states]
+    return sum(t.failures for t in totals) / max(1.0, sum(t.attempts for t in totals))
--- a/gradehoist/governor/policy_process.py
+++ b/gradehoist/governor/policy_process.py
@@ -24,6 +24,7 @@
 
 from gradehoist import interface as i
 from gradehoist.governor.policy_instances import Batch, Reply
+from gradehoist.messages import Availability
 from gradehoist.policy.planner import Planner
 
 FRAME_LENGTH = struct.Struct("!I")
@@ -123,38 +124,46 @@
         self._child.wait()
 
 
-def explain_orders(module: Planner, orders: list[i.Order]) -> Reasons:
-    """Why the module gave its withdrawals, levels and binds, as its own state has it."""
-    parts: Any = module.mail.parts
-    out: Reasons = {}
-    for n, order in enumerate(orders):
+def explain_orders(policy: Planner, orders: list[i.Order]) -> Reasons:
+    """Return why the policy gave its withdrawals, admission rates and binds, as its own state has it."""
+    reasons: Reasons = {}
+    for index, order in enumerate(orders):
         match order:
             case i.WithdrawReplica(replica, True):
-                out[n] = _withdrawn(parts, replica, module.publisher.withdrawn.get(replica, ""))
+                reasons[index] = _explain_withdrawal(policy, replica)
             case i.WithdrawReplica(replica, False):
-                out[n] = "open again: " + (
-                    "ramps up from its low start" if parts["replica", replica].ramp < 1 else "at full ramp"
-                )
+                reasons[index] = _explain_return(policy, replica)
             case i.SetAdmission():
-                out[n] = f"let in {parts['admission'].level:.3g} of all, by what the pool can answer"
+                share = policy.admission.admitted_share
+                reasons[index] = f"let in {share:.3g} of all, by what the pool can answer"
             case i.BindProxy(proxy):
-                out[n] = f"joined, group {module.publisher.group_by_proxy.get(proxy, -1)}"
-    return out
+                reasons[index] = f"joined, group {policy.fleet.proxies.group_by_proxy.get(proxy, -1)}"
+    return reasons
 
 
-def _withdrawn(parts: Any, replica: int, kind: str) -> str:
-    actor = parts["replica", replica]
-    if kind == "gone":
+def _explain_withdrawal(policy: Planner, replica: int) -> str:
+    actor = policy.fleet.replicas.actors[replica]
+    kind = policy.fleet.withdrawals.withdrawn.get(replica)
+    if kind is Availability.GONE:
         return "listed as gone"
-    if kind == "eject":
-        return f"ejected: most of its tries fail, {actor.trials} times now"
-    if replica in parts["pool"].held:
+    if kind is Availability.EJECTED:
+        return f"ejected: most of its tries fail, {actor.ejections} times now"
+    if replica in policy.fleet.replicas.waiting:
         return "cold, waits while the pool is full or too few are back"
-    if actor.entry is not None and actor.entry.phase is i.Phase.DRAINING:
+    if actor.state.endpoint.phase is i.Phase.DRAINING:
         return "listed as draining"
     return "not open"
 
 
+def _explain_return(policy: Planner, replica: int) -> str:
+    actor = policy.fleet.replicas.actors.get(replica)
+    if actor is None:
+        return "forgotten: gone for long"
+    if actor.state.slow_start < 1:
+        return "open again: ramps up from its low start"
+    return "open again: at full ramp"
+
+
 class PolicyHost:
     """All modules of one governor. `slotted`: their timers are run here, at their own times."""
 
--- a/gradehoist/interface.py
+++ b/gradehoist/interface.py
@@ -1,7 +1,7 @@
-"""What the decision module is told and what it may order: types only, free of any wire.
+"""Events that a policy is given and orders that it returns, without any wire format.
 
-Replicas, zones, kinds and classes are small indices given out at the door; times are whole
-microseconds. A caller makes a module instance from a `Start` and then hands it batches of events.
+Replicas, zones, kinds and classes are small indices that `gradehoist.identifiers` assigns; times are whole
+microseconds. A caller creates a policy from a `PolicyConfig` and then passes it batches of events.
 """
 
 from __future__ import annotations
@@ -12,13 +12,15 @@
 
 
 class Phase(Enum):
+    """What the endpoint list says of a replica."""
+
     READY = "ready"
     DRAINING = "draining"
     GONE = "gone"
 
 
 class Idempotency(Enum):
-    """What a second run of a transaction means: harmless, dropped inside a group, or forbidden."""
+    """What a second run of a request means: harmless, dropped by its key inside a group, or forbidden."""
 
     IDEMPOTENT = "free"
     IDEMPOTENCY_KEY = "guarded"
@@ -26,6 +28,8 @@
 
 
 class EndpointListKind(Enum):
+    """What an endpoint list is: a `CACHED` one and a `SNAPSHOT` are complete, a `DELTA` is not."""
+
     CACHED = "saved"
     SNAPSHOT = "complete"
     DELTA = "changes"
@@ -33,6 +37,8 @@
 
 
 class HealthCheckOutcome(Enum):
+    """How a replica responded to a health check."""
+
     HEALTHY = "answered"
     ERROR = "error"
     REJECTED = "turned away"
@@ -44,6 +50,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
+    """Objective, deadline and placement limits of a class of requests.
+
+    A limit of None allows every zone or kind; a `zone_local` class stays in the zone its requests come to.
+    `late_priority_factor` is the part of the priority weight that a late response still has.
+    """
+
     latency_objective_us: int
     deadline_us: int
     priority_weight: float
@@ -53,10 +65,23 @@
     allowed_kinds: tuple[int, ...] | None
     zone_local: bool
 
+    def allows(self, endpoint: Endpoint, from_zone: int) -> bool:
+        """Return whether requests that come to a proxy of `from_zone` may be sent to an endpoint."""
+        return (
+            (self.allowed_zones is None or endpoint.zone in self.allowed_zones)
+            and (not self.zone_local or endpoint.zone == from_zone)
+            and (self.allowed_kinds is None or endpoint.kind in self.allowed_kinds)
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class SafetyLimits:
-    """The figures behind the five rules."""
+    """The figures behind the five safety rules of the platform.
+
+    A replica warms up over `warmup_us`, from `warmup_start_capacity`; `overload_multiple` of its capacity
+    over `overload_window_us` is too much for it. A draining replica may get requests for `drain_grace_us`, and a
+    class may be without a replica for `unroutable_limit_us`.
+    """
 
     drain_grace_us: int
     warmup_us: int
@@ -69,7 +94,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ChannelLimits:
-    """What one governor may write; `line_rate` is the stated pace, not the true one."""
+    """What one governor may write to its proxies; `lines_per_s` is the stated rate, not the true one.
+
+    At most `queue_limit_lines` may wait, and `messages_per_window` (0: any number) go to one proxy within
+    `message_window_us`. A message costs `message_overhead_lines` beside its lines.
+    """
 
     queue_limit_lines: float
     lines_per_s: float
@@ -80,7 +109,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReporting:
-    """How reports come: the gathering period, and which load figures answers carry."""
+    """How load reports come: the period, the signals that they carry, and what may be asked for."""
 
     period_us: int
     has_busy_share: bool
@@ -91,6 +120,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PolicyConfig:
+    """All that is known of a deployment at the start; `seed` is of the policy's random numbers."""
+
     seed: int
     zone_count: int
     proxy_count: int
@@ -104,7 +135,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """One load report; a figure the deployment does not carry is None."""
+    """One load report; a signal that the deployment does not carry is None."""
 
     busy_share: float | None = None
     in_flight: float | None = None
@@ -113,6 +144,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
+    """A replica's entry in the endpoint list; `started_us` is 0 where it started long ago."""
+
     replica: int
     zone: int
     kind: int
@@ -124,13 +157,18 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointsListed:
+    """The endpoint list has come, or has failed to."""
+
     kind: EndpointListKind
     endpoints: tuple[Endpoint, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ProxyJoined:
-    """`holds`: it may be shut out from replicas that a bind has to let back one by one."""
+    """A proxy has connected, with the requests per second that it states.
+
+    `may_hold_withdrawals`: it may have withdrawn replicas that a bind has to readmit one by one.
+    """
 
     proxy: int
     zone: int
@@ -140,12 +178,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ProxyLeft:
+    """A proxy's connection has ended."""
+
     proxy: int
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptsReported:
-    """What the proxies of one zone met at a replica over `window`."""
+    """What the proxies of one zone measured at a replica over `window_us`.
+
+    `elapsed_us` is the mean latency of the attempts that succeeded.
+    """
 
     zone: int
     replica: int
@@ -158,7 +201,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestsOffered:
-    """Transactions of a class that came to a proxy over `window`, repeats and refusals included."""
+    """Requests of a class that came to a proxy over `window_us`, retries and rejected ones included."""
 
     proxy: int
     request_class: int
@@ -169,6 +212,8 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyRangeOffered:
+    """Requests of a class that came for a key range over `window_us`."""
+
     key_range: int
     request_class: int
     requests: int
@@ -178,12 +223,16 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyRangeAssigned:
+    """This governor owns a key range from now on, or no longer."""
+
     key_range: int
     is_owner: bool
 
 
 @dataclass(frozen=True, slots=True)
 class KeyRangeLine:
+    """Another governor has set a weight of a replica for a key range."""
+
     key_range: int
     replica: int
     weight: float
@@ -191,6 +240,8 @@
 
 @dataclass(frozen=True, slots=True)
 class UpdateAcknowledged:
+    """A proxy has applied everything up to a revision, `elapsed_us` after it was sent."""
+
     proxy: int
     revision: int
     elapsed_us: int
@@ -198,6 +249,8 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthChecked:
+    """A health check has ended."""
+
     replica: int
     outcome: HealthCheckOutcome
     elapsed_us: int
@@ -206,15 +259,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerMessageReceived:
+    """Another governor has sent a message."""
+
     peer: int
     payload: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class QuotasAgreed:
-    """What a fleet of governors agreed, all of it each time; 1.0 where nothing is named. `zones`: the part of
-    what would go to a zone that still may; `replicas`: the part of its weight that this governor may give a
-    cold one; `levels`: the share of a class that is let in, at most."""
+    """What a fleet of governors agreed, all of it each time; 1.0 where nothing is named.
+
+    `zone_quotas`: the part of what would go to a zone that still may. `warmup_quotas`: the part of its weight
+    that this governor may give a cold replica. `admission_limits`: the highest admitted share of a class.
+    """
 
     zone_quotas: tuple[tuple[int, float], ...] = ()
     warmup_quotas: tuple[tuple[int, float], ...] = ()
@@ -223,6 +280,8 @@
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
+    """A timer that the policy set is due."""
+
     token: int
 
 
@@ -245,7 +304,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SetWeight:
-    """Weight 0 removes the line."""
+    """Sets a replica's weight in a table; 0 removes the line."""
 
     table: int
     replica: int
@@ -254,12 +313,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ClearTable:
+    """Removes all lines of a table."""
+
     table: int
 
 
 @dataclass(frozen=True, slots=True)
 class BindProxy:
-    """Puts a proxy on a table for the named classes (none named: all)."""
+    """Binds a proxy to a table for the named classes, for all if none is named."""
 
     proxy: int
     table: int
@@ -268,13 +329,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WithdrawReplica:
+    """Withdraws a replica from every table, or lifts its withdrawal."""
+
     replica: int
     withdrawn: bool
 
 
 @dataclass(frozen=True, slots=True)
 class SetAdmission:
-    """Lets in `share` of the classes; `tries` is the way of trying again. Table None: everywhere."""
+    """Admits `admitted_share` of the classes' requests, with a retry policy; table None: everywhere."""
 
     table: int | None
     classes: tuple[int, ...]
@@ -284,33 +347,43 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestAcknowledgement:
+    """Asks for an acknowledgement of all that was written up to a revision; of all proxies if `to_all`."""
+
     revision: int
     to_all: bool
 
 
 @dataclass(frozen=True, slots=True)
 class CheckHealth:
+    """Orders a health check of a replica."""
+
     replica: int
 
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
+    """Sets a timer to fire after `delay_us`."""
+
     token: int
     delay_us: int
 
 
 @dataclass(frozen=True, slots=True)
 class SubscribeEndpoints:
+    """Subscribes to the endpoint list, or ends the subscription."""
+
     subscribed: bool
 
 
 @dataclass(frozen=True, slots=True)
 class RequestEndpoints:
-    pass
+    """Asks for the endpoint list once."""
 
 
 @dataclass(frozen=True, slots=True)
 class LogRemark:
+    """Adds a remark to the log."""
+
     text: str
 
 
@@ -330,4 +403,8 @@
 
 
 class Policy(Protocol):
-    def handle(self, now_us: int, events: list[Event]) -> list[Order]: ...
+    """What decides: takes events and returns orders."""
+
+    def handle(self, now_us: int, events: list[Event]) -> list[Order]:
+        """Take a batch of events at a time that never goes back; return the orders that follow from it."""
+        ...
--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -11,7 +11,6 @@
 from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Any
 
 from gradehoist import interface as i
 from gradehoist.governor.tables import PublishedTables
@@ -224,24 +223,27 @@
     def beliefs(self) -> list[str]:
         """What the module believes of each replica, beside what the sums said since this was last asked."""
         found, passed, self.passed = [], self.passed or {}, {}
-        parts = self.policy.mail.parts
+        replicas = self.policy.fleet.replicas.actors
         for name, member in self.endpoint_list.endpoints.items():
             n = self.identifiers.replicas[name]
-            if (part := parts.get(("replica", n))) is None:
+            if n not in replicas:
                 continue
-            b: Any = part
+            b = replicas[n].state
             tries, bad, elapsed, busy, flight = passed.get(n, [0.0, 0.0, 0.0, -1.0, -1.0])
             mean = elapsed / (tries - bad) if tries > bad else 0.0
             found.append(
                 f"trace {name} {member.zone} {member.kind} {member.phase} size {member.size:g} "
-                f"weight {b.weight:.3f} ramp {b.ramp:.2f} busy {b.busy} flight {b.flight} sick {int(b.sick)} "
+                f"weight {b.weight:.3f} ramp {b.slow_start:.2f} busy {b.busy_share} flight {b.in_flight} "
+                f"sick {int(b.is_ejected)} "
                 f"out {int(n in self.tables.withdrawn)} | tries {tries:g} bad {bad:g} mean {mean:.3f} "
                 f"busy {busy:.2f} flight {flight:.1f}"
             )
-        b = parts["admission"]
+        fleet = self.policy.fleet
+        pending = {n: availability.value for n, availability in fleet.withdrawals.pending.items()}
         found.append(
-            f"trace pool level {b.level:.3f} waiting {self.policy.publisher.unacknowledged_lines:.0f} "
-            f"binds {len(self.policy.publisher.pending_binds)} jobs {self.policy.publisher.jobs}"
+            f"trace pool level {self.policy.admission.admitted_share:.3f} "
+            f"waiting {fleet.flow.unacknowledged_lines:.0f} "
+            f"binds {len(fleet.proxies.pending_binds)} jobs {pending}"
         )
         return found
 
--- /dev/null
+++ b/gradehoist/numeric.py
@@ -0,0 +1,37 @@
+"""Small numeric helpers without any tuned value."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping, Sequence
+from statistics import fmean
+
+
+def clamp(value: float, lowest: float, highest: float) -> float:
+    """Return `value`, or the bound that it is beyond."""
+    return max(lowest, min(highest, value))
+
+
+def mean_or_one(values: Collection[float]) -> float:
+    """Return the mean, or 1.0 where there is none or it is 0, so that it can be divided by."""
+    return sum(values) / max(1, len(values)) or 1.0
+
+
+def relative_to_mean(values: Mapping[int, float]) -> dict[int, float]:
+    """Return each value as a multiple of their mean."""
+    mean = mean_or_one(values.values())
+    return {key: value / mean for key, value in values.items()}
+
+
+def majority_median(values: Sequence[float], population: int) -> float:
+    """Return the (upper) median of the values, or 0.0 unless there are values of over half the population."""
+    return sorted(values)[len(values) // 2] if 2 * len(values) > population else 0.0
+
+
+def mean_or_zero(values: Collection[float]) -> float:
+    """Return the mean, 0.0 of no values."""
+    return fmean(values or [0.0])
+
+
+def max_by_key(first: Mapping[int, float], second: Mapping[int, float]) -> dict[int, float]:
+    """Return the larger value of each key, 0.0 at least; keys of `first` come first."""
+    return {key: max(first.get(key, 0.0), second.get(key, 0.0)) for key in {**first, **second}}
--- a/gradehoist/policy/__init__.py
+++ b/gradehoist/policy/__init__.py
@@ -1,1 +1,1 @@
-"""Every ordinary decision of a governor."""
+"""All decisions of gradehoist: weights, withdrawals, admission rates, and what is written when."""
--- a/tests/test_boundary_values.py
+++ b/tests/test_boundary_values.py
@@ -15,6 +15,7 @@
 from gradehoist.governor.cell_stats import CellStats
 from gradehoist.governor.channel import Channel
 from gradehoist.governor.load_reports import LoadReportQueue
+from gradehoist.governor.policy_process import explain_orders
 from gradehoist.identifiers import Identifiers
 from gradehoist.protocol import feed, orca
 from tests.support.policy_fleet import ANY, LOCAL, SECOND, World, entry, running, start
@@ -124,7 +125,7 @@
     world.now, world.wakes = world.now + HOUR, [world.now + HOUR]
     world.run(5, {n: (6, 0, i.LoadReport(0.5, 2.0)) for n in range(1, 9) if n != 4})
     module = world.module
-    assert not world.shut and ("replica", 0) not in module.mail.parts
+    assert not world.shut and 0 not in module.fleet.replicas.actors
     assert not any(0 in lines for lines in world.tables.values())
     world.step(
         i.AttemptsReported(0, 0, 9, 9, 0, SECOND, None),
@@ -136,6 +137,27 @@
     sound(world)
 
 
+def test_the_withdrawal_of_a_forgotten_replica_is_explained_as_it_is_lifted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The explanation looked up a replica that the policy had just forgotten: its process failed."""
+    world = running(9)
+    handle, reasons = world.module.handle, dict[i.Order, str]()
+
+    def explained_handle(now_us: int, events: list[i.Event]) -> list[i.Order]:
+        orders = handle(now_us, events)
+        reasons.update({orders[n]: reason for n, reason in explain_orders(world.module, orders).items()})
+        return orders
+
+    monkeypatch.setattr(world.module, "handle", explained_handle)
+    world.step(i.EndpointsListed(i.EndpointListKind.DELTA, (entry(0, GONE),)))
+    world.run(3)
+    world.now, world.wakes = world.now + HOUR, [world.now + HOUR]
+    world.run(5)
+    assert reasons[i.WithdrawReplica(0, True)] == "listed as gone"
+    assert reasons[i.WithdrawReplica(0, False)] == "forgotten: gone for long"
+
+
 @pytest.mark.parametrize("again", [True, False])
 def test_one_that_comes_back_as_it_is_forgotten_is_not_lost(again: bool) -> None:
     world = running(9)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -20,7 +20,17 @@
 ROOT = Path(__file__).parent.parent
 LOADED = sorted(
     """
-    gradehoist gradehoist.policy gradehoist.policy.planner gradehoist.governor
+    gradehoist gradehoist.actors gradehoist.control_loop gradehoist.fleet_state
+    gradehoist.fleet_state.endpoint_subscription gradehoist.fleet_state.fleet
+    gradehoist.fleet_state.period_timer gradehoist.fleet_state.proxy_groups
+    gradehoist.fleet_state.replica_actor gradehoist.fleet_state.replica_retention
+    gradehoist.fleet_state.replica_table gradehoist.fleet_state.request_rates
+    gradehoist.fleet_state.table_writer gradehoist.fleet_state.weight_tables
+    gradehoist.fleet_state.withdrawals gradehoist.flow_control gradehoist.messages
+    gradehoist.numeric gradehoist.policy gradehoist.policy.admission gradehoist.policy.locality
+    gradehoist.policy.outlier gradehoist.policy.planner gradehoist.policy.pool
+    gradehoist.policy.publisher gradehoist.policy.replica gradehoist.policy.subsetting
+    gradehoist.policy.tables gradehoist.governor
     gradehoist.governor.health_checks
     gradehoist.governor.tables gradehoist.interface gradehoist.identifiers gradehoist.net
     gradehoist.net.client gradehoist.net.listener gradehoist.net.reading
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,7 +22,7 @@
     for proxy in site.proxies:
         assert set(proxy.tables["read"]) == {f"s-{n}" for n in range(6)}
         assert set(proxy.tables["write"]) == {"s-0", "s-2", "s-4"}
-    assert not site.core.policy.publisher.unacknowledged_lines, "every mark was answered"
+    assert not site.core.policy.fleet.flow.unacknowledged_lines, "every mark was answered"
 
 
 OTHER = {
@@ -139,12 +139,12 @@
     proxy.deaf = True
     site.list(member(5, "leaving"))
     site.run(6)
-    assert not site.core.policy.publisher.unacknowledged_lines and site.core.unacknowledged_count
+    assert not site.core.policy.fleet.flow.unacknowledged_lines and site.core.unacknowledged_count
     binds = proxy.messages
     proxy.deaf = False
     site.core.on_stream_active(site.now, proxy.number, proxy.stream)
     site.run(1)
-    assert proxy.messages == binds and len(site.core.policy.publisher.message_times[proxy.number]) > 1
+    assert proxy.messages == binds and len(site.core.policy.fleet.flow.message_times[proxy.number]) > 1
 
 
 def test_a_silent_stream_is_told_of_drains_all_the_same() -> None:
@@ -176,7 +176,7 @@
         lines.Acknowledgement(1, site.core.streams[1].unacknowledged[-1][0], 1),
     )
     site.run(1)
-    assert not site.core.unacknowledged_count and site.core.policy.publisher.unacknowledged_lines > 0
+    assert not site.core.unacknowledged_count and site.core.policy.fleet.flow.unacknowledged_lines > 0
 
 
 def test_a_bind_names_no_withdrawn_replica_and_a_drain_tells_those_alone_whose_tables_name_it() -> None:
@@ -229,7 +229,7 @@
         site.run(0.1)
     site.run(5)
     assert all(p.open("read") for p in site.proxies) and len(site.core.streams) == 8
-    assert not site.core.policy.publisher.unacknowledged_lines and not any(
+    assert not site.core.policy.fleet.flow.unacknowledged_lines and not any(
         s.unacknowledged for s in site.core.streams.values()
     )
 
@@ -286,7 +286,7 @@
         proxy.deaf = True
     site.list(member(5, "leaving"))
     site.step()
-    waiting = site.core.policy.publisher.unacknowledged_lines
+    waiting = site.core.policy.fleet.flow.unacknowledged_lines
     assert waiting > 0
     for proxy in site.proxies:
         site.run(1.5)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -9,12 +9,16 @@
 from collections import Counter
 from dataclasses import replace
 from itertools import pairwise
+from typing import Any
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from gradehoist import interface as i
-from gradehoist.policy.planner import Planner
+from gradehoist.actors import MessageLoop
+from gradehoist.messages import Availability, Tables
+from gradehoist.policy.tables import Group
 from tests.support.policy_fleet import ANY, BOUND, LOCAL, SECOND, World, entry, running, start
 
 CALM = (6, 0, i.LoadReport(0.5, 2.0))
@@ -317,9 +321,9 @@
     for _ in range(3):
         world.step(*world.acks(1), i.TimerFired(0), wait=20_000)
     world.step(change(*(entry(n, DRAINING) for n in range(12))))
-    jobs, mark = world.module.publisher.jobs, len(world.log)
-    assert len(jobs) == 12 and world.module.publisher.pending_binds
-    while "drain" in jobs.values():
+    pending, mark = world.module.fleet.withdrawals.pending, len(world.log)
+    assert len(pending) == 12 and world.module.fleet.proxies.pending_binds
+    while Availability.DRAINING in pending.values():
         assert not any(isinstance(o, i.BindProxy) for o in world.log[mark:])
         mark = len(world.log)
         world.step(*world.acks(1), i.TimerFired(0), wait=50_000)
@@ -449,34 +453,42 @@
     assert world.bound[0][0] in world.tables and 0 < max(zone) < 3 * sum(zone) / len(zone)
 
 
-def test_many_that_come_back_at_once_are_planned_for_once() -> None:
+def test_many_that_come_back_at_once_are_planned_for_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """roll+mass: a hundred returns in one reply were a hundred plans, and a step of 1.3 s."""
     world = World(start((ANY,), queue=100_000.0, rate=800.0, proxies=60))
     world.step(i.EndpointsListed(i.EndpointListKind.CACHED, tuple(entry(n) for n in range(200))))
     world.step(*(i.ProxyJoined(p, p % 3, 5.0) for p in range(60)))
     world.run(6, calm := {n: CALM for n in range(200)})
-    pool, plans = world.module.mail.parts["pool"], Counter[int]()
-    plan = pool.on_plan  # type: ignore[attr-defined]
-    pool.on_plan = lambda: (plans.update([world.now]), plan())  # type: ignore[attr-defined]
+    locality, plans = world.module.pool.locality, Counter[int]()
+    plan = locality.plan
+
+    def counted_plan(*arguments: Any) -> list[Tables]:
+        plans[world.now] += 1
+        return plan(*arguments)
+
+    monkeypatch.setattr(locality, "plan", counted_plan)
     world.step(change(*(entry(n, DRAINING) for n in range(40))), wait=SECOND // 50)
     world.run(4, calm)
     orders = world.step(change(*(entry(n) for n in range(40))), wait=SECOND // 50)
     assert (
         sum(isinstance(o, i.WithdrawReplica) and not o.withdrawn for o in orders) > 10
-        and plans[world.now] <= 2
+        and 0 < plans[world.now] <= 2
     )
 
 
 def test_a_light_line_is_told_when_its_move_counts_and_always_when_it_comes_or_leaves() -> None:
     """By their own weight alone, moves that hardly move traffic were a third of the orders."""
-    group = Planner(start(classes=(ANY,)), 0).groups[0]
-    group.sent = {0: {0: 1.0, 1: 1.0, 2: 0.02, 3: 0.02}}
-    group.wanted = {0: {0: 1.0, 1: 1.0, 2: 0.03, 3: 0.02}}
-    assert not list(group.moved())
-    group.wanted = {0: {0: 1.0, 1: 1.0, 2: 0.2, 3: 0.0, 4: 0.001}}
-    assert [n for _, n, _ in group.moved()][-3:] == [2, 3, 4]
-    group.wanted = {0: {0: 1.0, 1: 1.2, 2: 0.02, 3: 0.02}}
-    assert [n for _, n, _ in group.moved()] == [0, 1]  # ratios: the one went up, so the other went down
+    group = Group(MessageLoop(seed=7, now_us=0), index=0, zone=0, class_sets=[(0,)])
+    group.sent.tables = {0: {0: 1.0, 1: 1.0, 2: 0.02, 3: 0.02}}
+    group.planned = {0: {0: 1.0, 1: 1.0, 2: 0.03, 3: 0.02}}
+    assert not list(group.changes())
+    group.planned = {0: {0: 1.0, 1: 1.0, 2: 0.2, 3: 0.0, 4: 0.001}}
+    assert [change.replica for change in group.changes()][-3:] == [2, 3, 4]
+    group.planned = {0: {0: 1.0, 1: 1.2, 2: 0.02, 3: 0.02}}
+    assert [change.replica for change in group.changes()] == [
+        0,
+        1,
+    ], "ratios: one went up, so the other went down"
 
 
 def levels(world: World, since: int = 0) -> dict[int, float]:
@@ -510,9 +522,9 @@
     world = running()
     world.step(change(*(entry(n, DRAINING) for n in (0, 1))), wait=SECOND // 50)
     world.run(2)
-    publisher = world.module.publisher
-    publisher.round, publisher.jobs = world.now, {0: "open", 1: "open"}
-    publisher.levels = [i.SetAdmission(None, (0,), 0.5, 0)]
+    world.module.publisher.next_round_us = world.now
+    world.module.fleet.withdrawals.pending = {0: Availability.AVAILABLE, 1: Availability.AVAILABLE}
+    world.module.fleet.flow.admission_orders = [i.SetAdmission(None, (0,), 0.5, 0)]
     orders = world.step(wait=SECOND)
     told = [o for o in orders if isinstance(o, i.SetAdmission | i.WithdrawReplica)]
     assert isinstance(told[0], i.SetAdmission) and len(told) == 3, "in one message with the returns"
@@ -598,7 +610,7 @@
     proxies whose tables name it within two seconds."""
     world = running()
     world.run(5, {n: CALM for n in range(9)})
-    world.module.publisher.message_times[0].extend([world.now] * 12)
+    world.module.fleet.flow.message_times[0].extend([world.now] * 12)
     world.run(6, {n: CALM for n in range(9)} | report)
     world.step(change(entry(9)))
     world.run(2)
@@ -612,4 +624,4 @@
 
 def test_an_ejection_that_waits_for_one_proxy_does_not_stop_the_weights_of_the_others() -> None:
     world, told = late_line({0: (6, 6, None)})
-    assert told == {1, 2, 3} and world.module.publisher.jobs == {0: "eject"}
+    assert told == {1, 2, 3} and world.module.fleet.withdrawals.pending == {0: Availability.EJECTED}
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -201,9 +201,9 @@
         peer.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not peer.stream.closed():  # withdrawals without end
             found.service._say(peer, b"push out=s-1\r\n" * 10_000)
-        await until(lambda: 0 not in found.service.core.policy.publisher.unacknowledged)
+        await until(lambda: 0 not in found.service.core.policy.fleet.flow.unacknowledged)
         assert found.heard("left 1048576 bytes unread") and 0 not in found.service.core.streams
-        assert not found.service.core.policy.publisher.unacknowledged_lines, "its lines have left the books"
+        assert not found.service.core.policy.fleet.flow.unacknowledged_lines, "its lines have left the books"
         await drained(found, await bound(found))
 
     play(tmp_path, work)
