--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 # `day` is the earlier name of the target.
 scenario day: $(STAMP)
-	$(PY) -m gradehoist day scenarios/bad-day.kdl
+	$(PY) -m gradehoist scenario scenarios/bad-day.kdl
 
 test: $(STAMP)
 	$(PY) -m ruff format --check .
@@ -24,5 +24,5 @@
 
 # Every recorded kind of fault through the real governor, three scenarios at a time; about three minutes.
 scenarios scenes: $(STAMP)
-	ls scenarios/faults/*.kdl | xargs -P 3 -I{} sh -c '$(PY) -m gradehoist day {} --quiet > /dev/null \
+	ls scenarios/faults/*.kdl | xargs -P 3 -I{} sh -c '$(PY) -m gradehoist scenario {} --quiet > /dev/null \
 	    && echo "kept   {}" || { echo "BROKEN {}"; exit 1; }'
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 import click
@@ -29,6 +30,14 @@
 
 
 class Commands(click.Group):
+    """The root command: earlier names of commands, and one line for a folder or disk that fails."""
+
+    ALIASES = MappingProxyType({"day": "scenario"})  # the name before this one stays in use in scripts
+
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        """The command called `name` now or earlier."""
+        return super().get_command(context, self.ALIASES.get(name, name))
+
     def invoke(self, context: click.Context) -> Any:
         """A folder that can't be written, or a disk that is full on the way, is told in a line of its own:
         moves and releases gave a traceback. Their records are whole, so that they can be run again."""
@@ -109,8 +118,8 @@
 
 
 @main.command()
-@click.argument("path", metavar="SCENE", type=FILE)
-@click.option("--seed", type=click.IntRange(0, 2**31), help="Plays another day of the same scene.")
+@click.argument("path", metavar="SCENARIO", type=FILE)
+@click.option("--seed", type=click.IntRange(0, 2**31), help="Plays another run of the same scenario.")
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="The run folder.")
 @click.option(
     "--tables",
@@ -127,8 +136,8 @@
     help="Plays the script that much faster; goals, grace and every limit stay as they are.",
 )
 @click.option("--quiet", is_flag=True, help="No progress bar.")
-def day(path: Path, seed: int | None, out: Path | None, tables: str, speed: float, quiet: bool) -> None:
-    """Plays a scene on loopback sockets and judges the rules; exit 0 only if they held."""
+def scenario(path: Path, seed: int | None, out: Path | None, tables: str, speed: float, quiet: bool) -> None:
+    """Plays a scenario on loopback sockets and checks the rules; exit 0 only if they held."""
     from gradehoist.cli import scenario as view
 
     try:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -89,6 +89,7 @@
         (["governor", example, "--name", "z"], "no governor 'z'"),
         (["audit", str(tmp_path)], "no run is here"),
         (["day", str(bad)], "scene"),
+        (["scenario", str(bad)], "scene"),
     ):
         result = CliRunner().invoke(main, arguments)
         assert result.exit_code == 2 and part in result.output, result.output
