--- a/gradehoist/interface.py
+++ b/gradehoist/interface.py
@@ -79,8 +79,8 @@
     """The figures behind the five safety rules of the platform.
 
     A replica warms up over `warmup_us`, from `warmup_start_capacity`; `overload_multiple` of its capacity
-    over `overload_window_us` is too much for it. A draining replica may get requests for `drain_grace_us`, and a
-    class may be without a replica for `unroutable_limit_us`.
+    over `overload_window_us` is too much for it. A draining replica may get requests for `drain_grace_us`,
+    and a class may be without a replica for `unroutable_limit_us`.
     """
 
     drain_grace_us: int
