--- a/bench/inline.py
+++ b/bench/inline.py
@@ -1,18 +1,20 @@
-"""The governor with its module in the loop's own process, to measure what the planner's process is worth."""
+"""The governor with its policies in the loop's own process, to measure what the policy process is worth."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from gradehoist.governor import policy_process, service
+from gradehoist.governor import policy_host, service
 
 
 class Inline:
-    def __init__(self, starts: Any, now: int, slotted: bool) -> None:
-        self.modules, self.cpu, self.pid = policy_process.PolicyHost(starts, now, slotted), 0.0, 0
+    def __init__(self, configs: Any, now_us: int, runs_timers: bool, drain_grace_us: int) -> None:
+        self.host = policy_host.PolicyHost(configs, now_us, runs_timers)
+        self.cpu_s = 0.0
+        self.pid = 0
 
-    async def handle(self, now: int, batches: Any, timers: bool = True) -> Any:
-        return self.modules.handle(now, batches, timers)
+    async def handle(self, now_us: int, batches: Any, fires_timers: bool = True) -> Any:
+        return self.host.handle(now_us, batches, fires_timers)
 
     async def close(self) -> None: ...
 
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -86,7 +86,8 @@
     except KeyError as fault:
         raise Fail(f"{path}: {fault.args[0]}; give one of them with --name") from None
     from gradehoist.cli.logs import set_up
-    from gradehoist.governor.service import GovernorService, StateError
+    from gradehoist.governor.errors import StateError
+    from gradehoist.governor.service import GovernorService
 
     set_up(form)
 
--- /dev/null
+++ b/gradehoist/governor/background_tasks.py
@@ -0,0 +1,41 @@
+"""Background tasks of one owner, which learns of failures and ends all of them together."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any
+
+
+class BackgroundTasks:
+    """Tasks that run until they end by themselves or `cancel` is called."""
+
+    def __init__(self, on_failure: Callable[[BaseException], None]) -> None:
+        """`on_failure` gets the exception of each task that raises; a cancelled task is no failure."""
+        self._on_failure = on_failure
+        self._tasks = set[asyncio.Task[None]]()
+
+    def __iter__(self) -> Iterator[asyncio.Task[None]]:
+        """The tasks that are running."""
+        return iter(self._tasks)
+
+    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Runs the coroutine as a task."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+        return task
+
+    async def cancel(self) -> None:
+        """Cancels all tasks and waits for their ends."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        if (failure := task.exception()) is not None:
+            self._on_failure(failure)
--- a/gradehoist/governor/cell_stats.py
+++ b/gradehoist/governor/cell_stats.py
@@ -1,17 +1,24 @@
-"""What a governor has heard of each cell, for people and for staged releases. Free of I/O."""
+"""What a governor has heard of each cell, for its status page and for staged rollouts. No I/O."""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from gradehoist.protocol import feed
+from gradehoist.protocol.feed import EndpointRecord, ProxyLoadReport
 
 
 @dataclass(slots=True)
 class CellCounters:
-    """Since the governor's start: transactions and those not answered, tries at the cell's workers, those
-    that failed, and the time that the good ones took (µs)."""
+    """Counts of one cell since the governor's start.
+
+    Attributes:
+        requests: requests that came to proxies.
+        incomplete: requests that were not completed.
+        attempts: attempts at the cell's replicas.
+        failures: attempts that failed.
+        elapsed_us: time that the successful attempts took in total.
+    """
 
     requests: int = 0
     incomplete: int = 0
@@ -21,43 +28,56 @@
 
 
 class CellStats:
-    def __init__(self, cells: tuple[str, ...], workers: Mapping[str, str]) -> None:
+    """Counters of all cells, and the load that their replicas last reported. The core owns it."""
+
+    def __init__(self, cells: tuple[str, ...], cell_by_replica: Mapping[str, str]) -> None:
+        """Starts all counters at 0."""
         self.counters = {cell: CellCounters() for cell in cells}
-        self.busy_shares: dict[str, float] = {}  # by worker: busy share as last reported
-        self._workers = workers
-        self._crews = {cell: [w for w, c in workers.items() if c == cell] for cell in cells}
-
-    def add(self, sums: feed.ProxyLoadReport) -> None:
-        """Sums that were taken; workers of no cell are left out."""
-        for row in sums.attempts:
-            if cell := self._workers.get(row.replica):
-                count = self.counters[cell]
-                count.attempts += row.attempts
-                count.failures += row.failures
-                count.elapsed_us += row.elapsed_us * (row.attempts - row.failures)
-                if row.busy_share is not None:
-                    self.busy_shares[row.replica] = row.busy_share
-        for came in sums.requests:
-            count = self.counters[came.request_class.partition("/")[0]]
-            count.requests += came.requests
-            count.incomplete += came.incomplete
-
-    def status(self, listed: Mapping[str, feed.EndpointRecord]) -> dict[str, dict[str, float]]:
-        """By cell: its counts, workers that are ready, their mean load and the room left."""
-        out: dict[str, dict[str, float]] = {}
-        for cell, count in self.counters.items():
-            ready = [w for w in self._crews[cell] if (e := listed.get(w)) is not None and e.phase == "ready"]
-            loads = [self.busy_shares[w] for w in ready if w in self.busy_shares]
-            load = sum(loads) / len(loads) if loads else 0.0
-            out[cell] = {
-                "came": count.requests,
-                "unanswered": count.incomplete,
-                "tries": count.attempts,
-                "bad": count.failures,
-                "elapsed": count.elapsed_us,
-                "ready": len(ready),
-                "workers": len(self._crews[cell]),
-                "load": round(load, 4),
-                "headroom": round(max(0.0, 1 - load), 4),
-            }
-        return out
+        self.busy_shares: dict[str, float] = {}  # by replica
+        self._cell_by_replica = cell_by_replica
+        self._replicas = {
+            cell: [replica for replica, its_cell in cell_by_replica.items() if its_cell == cell]
+            for cell in cells
+        }
+
+    def add(self, report: ProxyLoadReport) -> None:
+        """Counts a load report that was accepted; replicas of no cell are left out."""
+        for row in report.attempts:
+            cell = self._cell_by_replica.get(row.replica)
+            if not cell:
+                continue
+            counters = self.counters[cell]
+            counters.attempts += row.attempts
+            counters.failures += row.failures
+            counters.elapsed_us += row.elapsed_us * (row.attempts - row.failures)
+            if row.busy_share is not None:
+                self.busy_shares[row.replica] = row.busy_share
+        for offered in report.requests:
+            counters = self.counters[offered.request_class.partition("/")[0]]
+            counters.requests += offered.requests
+            counters.incomplete += offered.incomplete
+
+    def status(self, endpoints: Mapping[str, EndpointRecord]) -> dict[str, dict[str, float]]:
+        """The `cells` object of the HTTP status: by cell its counts, replicas, mean load and headroom."""
+        return {cell: self._cell_status(cell, endpoints) for cell in self.counters}
+
+    def _cell_status(self, cell: str, endpoints: Mapping[str, EndpointRecord]) -> dict[str, float]:
+        counters = self.counters[cell]
+        ready = [
+            replica
+            for replica in self._replicas[cell]
+            if (endpoint := endpoints.get(replica)) is not None and endpoint.phase == "ready"
+        ]
+        shares = [self.busy_shares[replica] for replica in ready if replica in self.busy_shares]
+        load = sum(shares) / len(shares) if shares else 0.0
+        return {
+            "came": counters.requests,
+            "unanswered": counters.incomplete,
+            "tries": counters.attempts,
+            "bad": counters.failures,
+            "elapsed": counters.elapsed_us,
+            "ready": len(ready),
+            "workers": len(self._replicas[cell]),
+            "load": round(load, 4),
+            "headroom": round(max(0.0, 1 - load), 4),
+        }
--- a/gradehoist/governor/channel.py
+++ b/gradehoist/governor/channel.py
@@ -1,7 +1,7 @@
-"""The channel: one ordered writer with a stated pace and a queue limit, free of I/O.
+"""The channel to the proxies: one ordered writer with a stated rate and a queue limit. No I/O.
 
-A message leaves when its lines have been paced out. What would pass the limits is refused, and told to the
-caller, who owes that relay a whole picture; nothing is dropped in silence.
+A message is released when its lines have been paced out at the stated rate. A message that would exceed a
+limit is rejected, and the caller owes that proxy a full resync: nothing is dropped silently.
 """
 
 from __future__ import annotations
@@ -11,13 +11,21 @@
 
 from gradehoist.protocol.feed import Message
 
-MIN_MEASURED_US = 100_000  # µs: shorter busy times say more of timers than of pace
+MIN_MEASURED_US = 100_000  # shorter busy periods measure the timers rather than the rate
 
 
 @dataclass(frozen=True, slots=True)
 class QueuedMessage:
-    """A message on its way to a proxy's stream: when it was put, how long its lines take, and when the last
-    of them is out (µs)."""
+    """A message on its way to a proxy's stream.
+
+    Attributes:
+        proxy: the proxy's index.
+        stream: number of the stream that the message belongs to.
+        message: the message.
+        queued_us: when it was put.
+        transmit_us: how long its lines take at the stated rate.
+        release_us: when its last line is out.
+    """
 
     proxy: int
     stream: int
@@ -27,97 +35,129 @@
     release_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class _BusyPeriod:
+    """A time in which the queue was never empty: its start and the lines released since."""
+
+    since_us: int
+    lines: float
+
+
 class Channel:
-    """`line_rate` in lines a second, `window` in µs; `limit` messages to one proxy within it, 0: no limit."""
-
-    def __init__(self, queue_limit: float, line_rate: float, limit: int, window: int) -> None:
-        self.queue_limit_lines, self.lines_per_s, self.messages_per_window, self.window_us = (
-            queue_limit,
-            line_rate,
-            limit,
-            window,
-        )
-        self._queue = deque[QueuedMessage]()
-        self._times: dict[int, deque[int]] = {}
-        self._free_at = self._now = 0
-        self.waiting_lines = 0.0  # lines
+    """The queue of one governor. All times are whole microseconds of one monotonic clock.
+
+    Attributes:
+        waiting_lines: lines in the queue.
+        peak_lines: the most lines that were ever in the queue.
+        sent_lines: lines released so far.
+        measured_lines_per_s: rate of the last busy period that was long enough to measure.
+    """
+
+    def __init__(
+        self, *, queue_limit_lines: float, lines_per_s: float, messages_per_window: int, window_us: int
+    ) -> None:
+        """`messages_per_window` limits the messages to one proxy within `window_us`; 0 means no limit."""
+        self.queue_limit_lines = queue_limit_lines
+        self.lines_per_s = lines_per_s
+        self.messages_per_window = messages_per_window
+        self.window_us = window_us
+        self.waiting_lines = 0.0
         self.peak_lines = 0.0
         self.sent_lines = 0.0
-        self.measured_lines_per_s = (
-            line_rate  # lines a second, as measured over the last busy time of a tenth of a second
-        )
-        self._busy: tuple[int, float] | None = None  # since when, lines out since
+        self.measured_lines_per_s = lines_per_s
+        self._queue = deque[QueuedMessage]()
+        self._put_times_us: dict[int, deque[int]] = {}
+        self._idle_from_us = 0  # when all that was put is out
+        self._now_us = 0
+        self._busy: _BusyPeriod | None = None
 
     def add_proxy(self, proxy: int) -> None:
-        """Messages are counted from the joining."""
-        self._times[proxy] = deque()
+        """Starts to count the messages of a proxy that has joined."""
+        self._put_times_us[proxy] = deque()
 
     def remove_proxy(self, proxy: int) -> None:
-        """What waits for a proxy that is gone is lost and costs no pace."""
-        self._times.pop(proxy, None)
+        """Drops what waits for a proxy that has left; the messages behind move up.
+
+        Without that, one proxy that joined again twenty times a second delayed withdrawals for all others.
+        """
+        self._put_times_us.pop(proxy, None)
         kept = [item for item in self._queue if item.proxy != proxy]
         if len(kept) == len(self._queue):
             return
-        # Those behind move up: one relay that joined anew twenty times a second held up drains for all.
         head = self._queue[0]
-        self._free_at = self._now if head.proxy == proxy else head.release_us - head.transmit_us
+        self._idle_from_us = self._now_us if head.proxy == proxy else head.release_us - head.transmit_us
         self._queue = deque[QueuedMessage]()
         for item in kept:
-            self._free_at = max(self._free_at, item.queued_us) + item.transmit_us
-            self._queue.append(replace(item, release_us=self._free_at))
+            self._idle_from_us = max(self._idle_from_us, item.queued_us) + item.transmit_us
+            self._queue.append(replace(item, release_us=self._idle_from_us))
         self.waiting_lines = sum(item.message.cost_lines for item in kept)
 
-    def count_messages(self, now: int, proxy: int) -> int:
-        """How many a proxy was put within the window."""
-        times = self._times.get(proxy, deque())
-        while times and times[0] <= now - self.window_us:
+    def count_messages(self, now_us: int, proxy: int) -> int:
+        """How many messages were put for the proxy within the window that ends now."""
+        times = self._put_times_us.get(proxy, deque())
+        while times and times[0] <= now_us - self.window_us:
             times.popleft()
         return len(times)
 
-    def rejection_reason(self, now: int, proxy: int, cost: float) -> str:
-        """Empty, or why a message of this cost can't be taken now."""
-        if proxy not in self._times:
+    def rejection_reason(self, now_us: int, proxy: int, cost_lines: float) -> str | None:
+        """Why a message of this cost would be rejected now; None if it would be accepted."""
+        if proxy not in self._put_times_us:
             return "the proxy has left"
-        if self.messages_per_window and self.count_messages(now, proxy) >= self.messages_per_window:
+        if self.messages_per_window and self.count_messages(now_us, proxy) >= self.messages_per_window:
             return f"{self.messages_per_window} messages within {self.window_us / 1e6:g} s"
-        if self.waiting_lines + cost > self.queue_limit_lines:
+        if self.waiting_lines + cost_lines > self.queue_limit_lines:
             return f"{self.waiting_lines:g} of {self.queue_limit_lines:g} lines wait"
-        return ""
-
-    def put(self, now: int, proxy: int, stream: int, message: Message) -> str:
-        """Takes the message, or says why not."""
-        if why := self.rejection_reason(now, proxy, message.cost_lines):
-            return why
-        self._busy = self._busy or (now, 0.0)
-        takes = round(message.cost_lines / self.lines_per_s * 1_000_000)
-        self._now, self._free_at = now, max(self._free_at, now) + takes
-        self._queue.append(QueuedMessage(proxy, stream, message, now, takes, self._free_at))
-        self._times[proxy].append(now)
+        return None
+
+    def put(self, now_us: int, proxy: int, stream: int, message: Message) -> str | None:
+        """Queues the message and returns None, or returns the reason for which it is rejected."""
+        if reason := self.rejection_reason(now_us, proxy, message.cost_lines):
+            return reason
+        self._busy = self._busy or _BusyPeriod(since_us=now_us, lines=0.0)
+        transmit_us = round(message.cost_lines / self.lines_per_s * 1_000_000)
+        self._now_us = now_us
+        self._idle_from_us = max(self._idle_from_us, now_us) + transmit_us
+        self._queue.append(
+            QueuedMessage(
+                proxy=proxy,
+                stream=stream,
+                message=message,
+                queued_us=now_us,
+                transmit_us=transmit_us,
+                release_us=self._idle_from_us,
+            )
+        )
+        self._put_times_us[proxy].append(now_us)
         self.waiting_lines += message.cost_lines
         self.peak_lines = max(self.peak_lines, self.waiting_lines)
-        return ""
+        return None
 
-    def take_released(self, now: int) -> list[QueuedMessage]:
-        """Those that are out by now, in the order they were put."""
-        self._now = now
-        out: list[QueuedMessage] = []
-        while self._queue and self._queue[0].release_us <= now:
+    def take_released(self, now_us: int) -> list[QueuedMessage]:
+        """Removes and returns the messages that are out by now, in the order in which they were put."""
+        self._now_us = now_us
+        released: list[QueuedMessage] = []
+        while self._queue and self._queue[0].release_us <= now_us:
             item = self._queue.popleft()
             self.waiting_lines -= item.message.cost_lines
             self.sent_lines += item.message.cost_lines
-            out.append(item)
-        if out and self._busy:
-            since, lines = self._busy
-            lines += sum(item.message.cost_lines for item in out)
-            if now - since >= MIN_MEASURED_US:
-                self.measured_lines_per_s = lines * 1e6 / (now - since)
-            self._busy = (since, lines) if self._queue and now - since < MIN_MEASURED_US else None
-            if self._queue and self._busy is None:
-                self._busy = (now, 0.0)
+            released.append(item)
+        self._measure_rate(now_us, released)
         if not self._queue:
             self.waiting_lines = 0.0  # sums of floats drift
             self._busy = None
-        return out
+        return released
 
     def next_release_us(self) -> int | None:
+        """When the first message in the queue is out; None while the queue is empty."""
         return self._queue[0].release_us if self._queue else None
+
+    def _measure_rate(self, now_us: int, released: list[QueuedMessage]) -> None:
+        if not released or self._busy is None:
+            return
+        since_us = self._busy.since_us
+        lines = self._busy.lines + sum(item.message.cost_lines for item in released)
+        if now_us - since_us < MIN_MEASURED_US:
+            self._busy = _BusyPeriod(since_us=since_us, lines=lines)
+            return
+        self.measured_lines_per_s = lines * 1e6 / (now_us - since_us)
+        self._busy = _BusyPeriod(since_us=now_us, lines=0.0)
--- a/gradehoist/governor/delivery_queue.py
+++ b/gradehoist/governor/delivery_queue.py
@@ -1,265 +1,301 @@
-"""What each relay of a governor with cells is owed. Free of I/O.
+"""What each proxy of a governor with cells has yet to be sent. No I/O.
 
-Kept as states, not as a history: each cell counts its changes and remembers at which count each line, return
-and level last changed; each relay remembers the count that it has been told. However long a relay waits, it
-is owed each line once, as it is now, and a backlog needs no more memory than the tables. A cell is told to a
-relay whole or not at all, so a return never leaves before the low weight that it is meant for.
+It is kept as states and not as a history: each cell counts its changes and remembers at which count each
+weight, restoration and admission last changed, and each proxy remembers the count that it was sent.
+However long a proxy waits, it is sent each weight once, as it is then, and a backlog needs no more memory
+than the tables. A cell is sent to a proxy completely or not at all, so a restoration never leaves before the
+low weight that belongs to it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
-from itertools import takewhile
-from typing import TypeVar
 
-from gradehoist import interface as i
 from gradehoist.cells.channel_shares import ChannelShares
-from gradehoist.governor.policy_instances import PolicyInstance
-from gradehoist.governor.proxy_streams import Mark
-from gradehoist.governor.tables import PublishedTables
-from gradehoist.protocol import feed
-
-K = TypeVar("K")
-Key = tuple[str, int | None, int]  # "back", None, replica; or "level", table, class
-
-
-@dataclass
-class CellChanges:
-    """`count` of changes, and when (by it) a table was cleared, a line or a loose fact last changed."""
-
-    count: int = 0
-    cleared: dict[int, int] = field(default_factory=dict)
-    weights: dict[int, dict[int, int]] = field(default_factory=dict)
-    latest: dict[Key, int] = field(default_factory=dict)  # in the order of their last change
+from gradehoist.governor.cell_changes import CellChanges, ChangeLog, RestoredReplica
+from gradehoist.governor.policy_instances import PolicyRevision, PolicySet
+from gradehoist.governor.proxy_streams import OrderedRevision
+from gradehoist.governor.tables import PricedDeltas, PublishedTables
+from gradehoist.interface import BindProxy, Order, RequestAcknowledgement, WithdrawReplica
+from gradehoist.protocol.feed import (
+    AdmissionDelta,
+    ClearDelta,
+    Delta,
+    RestorationDelta,
+    TenantMigrated,
+    WithdrawalDelta,
+)
 
 
 @dataclass
 class ProxyBacklog:
-    """A relay's: `told` by cell, `outs` and `news` by the ledger's own count; `due` the cells that owe it
-    something, `marks` the newest of each, which confirm all before."""
+    """What one proxy was sent and what it waits for.
+
+    Attributes:
+        delivered: by cell: the count of the cell's changes that the proxy was sent.
+        delivered_withdrawals: the queue's count up to which it was sent withdrawals.
+        delivered_migrations: the queue's count up to which it was sent migrations.
+        pending_cells: cells that concern it and have changed.
+        is_bound: whether it was sent a table on this stream.
+        is_introduced: whether the policies know the proxy.
+        pending_binds: by cell: the tables that it has to be sent completely.
+        pending_revisions: by cell: the newest one, which confirms all before.
+    """
 
     delivered: list[int]
     delivered_withdrawals: int = 0
     delivered_migrations: int = 0
     pending_cells: dict[int, None] = field(default_factory=dict)
     is_bound: bool = False
-    is_introduced: bool = False  # to the modules
+    is_introduced: bool = False
     pending_binds: dict[int, dict[int, None]] = field(default_factory=dict)
-    pending_revisions: dict[int, tuple[int, int]] = field(default_factory=dict)
+    pending_revisions: dict[int, OrderedRevision] = field(default_factory=dict)
 
 
 @dataclass
 class Delivery:
-    """One message being made: `cells` that it tells whole, with what each costs."""
+    """One message that is being put together; `cell_costs`: what each cell in it costs, in lines."""
 
-    deltas: list[feed.Delta] = field(default_factory=list)
+    deltas: list[Delta] = field(default_factory=list)
     cost_lines: float = 0.0
     cell_costs: dict[int, float] = field(default_factory=dict)
-    revisions: list[tuple[Mark, int]] = field(default_factory=list)
+    revisions: list[OrderedRevision] = field(default_factory=list)
 
-
-def _latest(among: dict[K, int], key: K, count: int) -> None:
-    among.pop(key, None)
-    among[key] = count
-
-
-def _since(among: dict[K, int], count: int) -> Iterator[K]:
-    """The keys that changed after `count`, the latest first, without a look at the older ones."""
-    return (key for key, _ in takewhile(lambda item: item[1] > count, reversed(among.items())))
+    def add_cell(self, cell: int, deltas: list[Delta], cost_lines: float) -> None:
+        """Adds all that the proxy waits for of one cell."""
+        self.deltas += deltas
+        self.cost_lines += cost_lines
+        self.cell_costs[cell] = cost_lines
 
 
 class DeliveryQueue:
-    def __init__(self, tables: PublishedTables, parts: list[PolicyInstance], budget: ChannelShares) -> None:
-        self.tables, self.policies, self.budget = tables, parts, budget
-        self.cells = [CellChanges() for _ in parts]
-        self.backlogs: dict[int, ProxyBacklog] = {}  # those that waited longest first
-        self.change_count, self._swept = 0, 0
-        self.withdrawals: dict[int, int] = {}  # as `news` in the order of the last change
-        self.migrations: dict[str, int] = {}
+    """The backlogs of all proxies. The cell publisher owns it."""
+
+    def __init__(self, tables: PublishedTables, policies: PolicySet, budget: ChannelShares) -> None:
+        """Starts without proxies; `budget` decides which cells go first."""
+        self.tables = tables
+        self.budget = budget
+        self.cells = [CellChanges() for _ in policies]
+        self.backlogs: dict[int, ProxyBacklog] = {}  # by proxy, those first that have waited longest
+        self.change_count = 0
+        self._class_count = policies.class_count
+        self._withdrawals = ChangeLog[int]()  # replicas
+        self._migrations = ChangeLog[str]()  # tenants
+        self._last_swept = 0  # cell
 
     def add_proxy(self, proxy: int) -> None:
-        """Its holdings are of another stream: it is told nothing before it is bound, but what is shut."""
-        self.backlogs[proxy] = ProxyBacklog([c.count for c in self.cells], 0, self.change_count)
+        """Adds a proxy on a new stream; before it is bound it is sent withdrawals alone."""
+        self.backlogs[proxy] = ProxyBacklog(
+            delivered=[cell.count for cell in self.cells], delivered_migrations=self.change_count
+        )
 
     def remove_proxy(self, proxy: int) -> None:
+        """Drops the backlog of a proxy that has left."""
         self.backlogs.pop(proxy, None)
 
-    # What is ordered
-
-    def apply(self, number: int, order: i.Order, concerned: dict[int, None]) -> None:
-        """Takes an order in the governor's indices; adds the relays that it concerns."""
-        cell = self.cells[number]
-        cell.count += 1
+    def apply(self, cell: int, order: Order) -> Iterable[int]:
+        """Applies an order in the governor's indices and returns the proxies that it concerns."""
         self.change_count += 1
+        self.cells[cell].record(order)
         match order:
-            case i.BindProxy(proxy, table, classes):
-                if proxy not in self.backlogs:
-                    return
-                self.tables.bind_proxy(proxy, table, classes)
-                self.backlogs[proxy].pending_binds.setdefault(number, {})[table] = None
-                concerned[proxy] = None
-                return
-            case i.SetWeight(table, replica, _):
-                cell.weights.setdefault(table, {})[replica] = cell.count
-            case i.ClearTable(table):
-                cell.cleared[table] = cell.count
-                cell.weights.pop(table, None)
-                for key in [k for k in cell.latest if k[1] == table]:
-                    del cell.latest[key]
-            case i.WithdrawReplica(replica, True):
-                cell.latest.pop(("back", None, replica), None)
-                _latest(self.withdrawals, replica, self.change_count)
-            case i.WithdrawReplica(replica, False):
-                self.withdrawals.pop(replica, None)
-                _latest(cell.latest, ("back", None, replica), cell.count)
-            case i.SetAdmission(table, classes, _, _):
-                for k in classes:
-                    _latest(cell.latest, ("level", table, k), cell.count)
-        proxies, _, _ = self.tables.apply(order)
-        concerned.update(dict.fromkeys(proxies))
+            case BindProxy():
+                return self._bind(cell, order)
+            case WithdrawReplica(replica=replica, withdrawn=True):
+                self._withdrawals.record(replica, self.change_count)
+            case WithdrawReplica(replica=replica, withdrawn=False):
+                self._withdrawals.discard(replica)
+        return self.tables.apply(order).proxies
 
     def finish_reply(
-        self, number: int, mark: i.RequestAcknowledgement | None, concerned: Iterable[int], now: int
+        self, cell: int, request: RequestAcknowledgement | None, concerned: Iterable[int], now_us: int
     ) -> None:
-        """The end of one reply of a cell: whom it concerns is owed it, with its mark."""
-        for proxy in self.backlogs if mark and mark.to_all else concerned:
-            if (account := self.backlogs.get(proxy)) is not None:
-                account.pending_cells[number] = None
-                if mark and account.is_introduced:
-                    account.pending_revisions[number] = (mark.revision, now)
+        """Ends one reply of a cell: the proxies concerned wait for the cell and its acknowledgement."""
+        for proxy in self.backlogs if request and request.to_all else concerned:
+            backlog = self.backlogs.get(proxy)
+            if backlog is None:
+                continue
+            backlog.pending_cells[cell] = None
+            if request and backlog.is_introduced:
+                revision = PolicyRevision(policy=cell, revision=request.revision)
+                backlog.pending_revisions[cell] = OrderedRevision(revision, now_us)
 
     def add_migration(self, tenant: str) -> None:
+        """Notes that the tenant's route has changed; every bound proxy waits for it."""
         self.change_count += 1
-        _latest(self.migrations, tenant, self.change_count)
+        self._migrations.record(tenant, self.change_count)
 
     def drop_delivered(self) -> None:
-        """Drops of the next cell what is owed to no relay any more: each line ever changed cost a look at
-        every message of its table."""
-        self._swept = (self._swept + 1) % len(self.cells)
-        cell = self.cells[self._swept]
-        owed = (a.delivered[self._swept] for a in self.backlogs.values() if self._swept in a.pending_cells)
-        told = min(owed, default=cell.count)
-        for table in list(cell.weights):
-            if left := {r: count for r, count in cell.weights[table].items() if count > told}:
-                cell.weights[table] = left
-            else:
-                del cell.weights[table]
-        cell.latest = {key: count for key, count in cell.latest.items() if count > told}
-        cell.cleared = {table: count for table, count in cell.cleared.items() if count > told}
-
-    # What is told
+        """Forgets the changes of one cell, the next in turn, that no proxy waits for any more.
+
+        Without that, each weight that ever changed cost a look at every message of its table.
+        """
+        self._last_swept = (self._last_swept + 1) % len(self.cells)
+        cell = self.cells[self._last_swept]
+        waiting = (
+            backlog.delivered[self._last_swept]
+            for backlog in self.backlogs.values()
+            if self._last_swept in backlog.pending_cells
+        )
+        cell.drop_until(min(waiting, default=cell.count))
 
     def urgent_proxies(self) -> list[int]:
-        """Relays that have not been told of a drain or exit, the longest waiting first."""
-        last = next(reversed(self.withdrawals.values()), 0)
-        return [p for p, a in self.backlogs.items() if a.delivered_withdrawals < last]
+        """Proxies that were not sent the latest withdrawal, the longest waiting first."""
+        last = self._withdrawals.last_count
+        return [proxy for proxy, backlog in self.backlogs.items() if backlog.delivered_withdrawals < last]
 
     def pending_proxies(self) -> list[int]:
-        """Relays that are owed something, the longest waiting first."""
-        news = next(reversed(self.migrations.values()), 0)
+        """Proxies that wait for anything, the longest waiting first."""
+        last = self._migrations.last_count
         return [
-            p
-            for p, a in self.backlogs.items()
-            if a.pending_cells or (a.is_bound and a.delivered_migrations < news)
+            proxy
+            for proxy, backlog in self.backlogs.items()
+            if backlog.pending_cells or (backlog.is_bound and backlog.delivered_migrations < last)
         ]
 
-    def next_delivery(self, proxy: int, urgent: bool, room: float) -> Delivery:
-        """A message for a relay: drains at once, then moves, then the cells in the budget's order while
-        `room` lines last. `told` has to follow once the message is on its way."""
-        account, out = self.backlogs[proxy], Delivery(cost_lines=self.tables.message_overhead_lines)
+    def next_delivery(self, proxy: int, *, urgent: bool, available_lines: float) -> Delivery:
+        """Puts a message for a proxy together; `mark_delivered` follows once it is on its way.
+
+        It holds withdrawals and migrations first, and then the cells in the budget's order while
+        `available_lines` last. An urgent message takes no cell beyond that.
+        """
+        backlog = self.backlogs[proxy]
+        deltas = self._withdrawal_deltas(backlog) + self._migration_deltas(backlog)
+        delivery = Delivery(deltas=deltas, cost_lines=self.tables.message_overhead_lines + len(deltas))
+        is_bound = backlog.is_bound
+        ordinary_lines = min(available_lines, self.budget.max_message_lines)
+        for cell in self.budget.serving_order(backlog.pending_cells):
+            part = self._cell_deltas(proxy, backlog, cell, is_bound)
+            revision = backlog.pending_revisions.get(cell)
+            cost_lines = part.cost_lines + (revision is not None)
+            brings_table = cell in backlog.pending_binds
+            max_lines = available_lines if brings_table else ordinary_lines
+            # The first cell of an ordinary message goes even if it is large, or it would never go.
+            may_wait = urgent or bool(delivery.cell_costs)
+            if part.deltas and may_wait and delivery.cost_lines + cost_lines > max_lines:
+                continue
+            delivery.add_cell(cell, part.deltas, cost_lines)
+            if revision is not None:
+                delivery.revisions.append(revision)
+            is_bound = is_bound or brings_table
+        return delivery
+
+    def mark_delivered(self, proxy: int, delivery: Delivery) -> None:
+        """Notes that a message is on its way; the proxy goes to the end of the queue."""
+        backlog = self.backlogs.pop(proxy)
+        self.backlogs[proxy] = backlog
+        backlog.delivered_withdrawals = self.change_count
+        if backlog.is_bound:
+            backlog.delivered_migrations = self.change_count
+        for cell, cost_lines in delivery.cell_costs.items():
+            if cell in backlog.pending_binds and not backlog.is_bound:
+                backlog.is_bound = True
+                backlog.delivered_migrations = self.change_count
+            self.budget.record_usage(cell, cost_lines)
+            backlog.delivered[cell] = self.cells[cell].count
+            backlog.pending_cells.pop(cell, None)
+            backlog.pending_binds.pop(cell, None)
+            backlog.pending_revisions.pop(cell, None)
+
+    def mark_resynced(self, proxy: int) -> tuple[PolicyRevision, ...]:
+        """Notes that the proxy is sent its complete state, and returns the revisions that this confirms."""
+        before = self.backlogs[proxy]
+        self.backlogs[proxy] = ProxyBacklog(
+            delivered=[cell.count for cell in self.cells],
+            delivered_withdrawals=self.change_count,
+            delivered_migrations=self.change_count,
+            is_bound=bool(self.tables.bindings.get(proxy)),
+            is_introduced=before.is_introduced,
+        )
+        return tuple(pending.revision for pending in before.pending_revisions.values())
+
+    def _bind(self, cell: int, order: BindProxy) -> Iterable[int]:
+        backlog = self.backlogs.get(order.proxy)
+        if backlog is None:
+            return ()
+        self.tables.bind_proxy(order.proxy, order.table, order.classes)
+        backlog.pending_binds.setdefault(cell, {})[order.table] = None
+        return (order.proxy,)
+
+    def _withdrawal_deltas(self, backlog: ProxyBacklog) -> list[Delta]:
         names = self.tables.identifiers.replicas.names
-        out.deltas += [
-            feed.WithdrawalDelta(names[replica])
-            for replica in _since(self.withdrawals, account.delivered_withdrawals)
+        return [
+            WithdrawalDelta(names[replica])
+            for replica in self._withdrawals.since(backlog.delivered_withdrawals)
         ]
+
+    def _migration_deltas(self, backlog: ProxyBacklog) -> list[Delta]:
         route = self.tables.route
-        if account.is_bound and route is not None:
-            out.deltas += [
-                feed.TenantMigrated(
-                    tenant, route.cell_by_tenant.get(tenant, ""), route.generations.get(tenant, 1)
-                )
-                for tenant in _since(self.migrations, account.delivered_migrations)
-            ]
-        out.cost_lines += len(out.deltas)
-        begun, usual = account.is_bound, min(room, self.budget.max_message_lines)
-        for number in self.budget.serving_order(account.pending_cells):
-            deltas, price = self._cell(proxy, account, number, begun)
-            mark = account.pending_revisions.get(number)
-            price += mark is not None
-            whole = number in account.pending_binds
-            most = room if whole else usual
-            # The first cell of an ordinary message goes even if it is large, or it would never go.
-            if deltas and out.cost_lines + price > most and (urgent or out.cell_costs):
-                continue
-            out.deltas += deltas
-            out.cost_lines += price
-            out.cell_costs[number] = price
-            begun = begun or whole
-            if mark is not None:
-                out.revisions.append(((number, mark[0]), mark[1]))
-        return out
-
-    def _cell(
-        self, proxy: int, account: ProxyBacklog, number: int, begun: bool
-    ) -> tuple[list[feed.Delta], float]:
-        """All that a relay is owed of one cell, and its price."""
-        cell, tables, since = self.cells[number], self.tables, account.delivered[number]
-        size = self.policies[0].class_count
-        mine = range(number * size, (number + 1) * size)
-        bound = tables.bindings.get(proxy, {})
-        on = {bound[k]: None for k in mine if k in bound}
-        binds = [t for t in account.pending_binds.get(number, {}) if t in on]
-        deltas, price = list[feed.Delta](), 0.0
-        for table in binds:
-            some, cost = tables.table_snapshot(table, tuple(k for k in mine if bound.get(k) == table))
-            deltas += some
-            price += cost
-        if binds and not begun:  # the stream's first bind ends withdrawals and levels of earlier streams
-            first = tables.initial_deltas()
-            deltas += first
-            price += len(first) + (len(tables.route.cell_by_tenant) if tables.route is not None else 0)
-        names, fresh = tables.identifiers, len(deltas)
-        for table in on:
-            if table in binds:
-                continue
-            if cell.cleared.get(table, 0) > since:
-                deltas.append(feed.ClearDelta(table))
-            lines = tables.weights.get(table, {})
+        if route is None or not backlog.is_bound:
+            return []
+        return [
+            TenantMigrated(
+                tenant=tenant,
+                cell=route.cell_by_tenant.get(tenant, ""),
+                generation=route.generations.get(tenant, 1),
+            )
+            for tenant in self._migrations.since(backlog.delivered_migrations)
+        ]
+
+    def _cell_deltas(self, proxy: int, backlog: ProxyBacklog, cell: int, is_bound: bool) -> PricedDeltas:
+        """All that a proxy waits for of one cell."""
+        bindings = self.tables.bindings.get(proxy, {})
+        first_class = cell * self._class_count
+        classes_by_table: dict[int, list[int]] = {}
+        for request_class in range(first_class, first_class + self._class_count):
+            if request_class in bindings:
+                classes_by_table.setdefault(bindings[request_class], []).append(request_class)
+        pending_binds = backlog.pending_binds.get(cell, {})
+        new_tables = [table for table in pending_binds if table in classes_by_table]
+        deltas: list[Delta] = []
+        cost_lines = 0.0
+        for table in new_tables:
+            snapshot = self.tables.table_snapshot(table, tuple(classes_by_table[table]))
+            deltas += snapshot.deltas
+            cost_lines += snapshot.cost_lines
+        if new_tables and not is_bound:
+            # The first binding of a stream ends withdrawals and admission of earlier streams.
+            initial = self.tables.initial_deltas()
+            deltas += initial
+            cost_lines += len(initial)
+            if self.tables.route is not None:
+                cost_lines += len(self.tables.route.cell_by_tenant)
+        known_tables = [table for table in classes_by_table if table not in new_tables]
+        changes = self._table_changes(cell, known_tables, backlog.delivered[cell])
+        changes += self._latest_changes(cell, classes_by_table, backlog.delivered[cell])
+        return PricedDeltas(deltas + changes, cost_lines + len(changes))
+
+    def _table_changes(self, cell: int, tables: Iterable[int], since: int) -> list[Delta]:
+        """Clearings and weights of the tables that changed after `since`."""
+        changes = self.cells[cell]
+        deltas: list[Delta] = []
+        for table in tables:
+            if changes.cleared.get(table, 0) > since:
+                deltas.append(ClearDelta(table))
+            weights = self.tables.weights.get(table, {})
             deltas += [
-                feed.WeightDelta(table, names.replicas.names[r], round(lines.get(r, 0.0), 6))
-                for r, count in cell.weights.get(table, {}).items()
+                self.tables.weight_delta(table, replica, weights.get(replica, 0.0))
+                for replica, count in changes.weights.get(table, {}).items()
                 if count > since
             ]
-        for kind, at, index in _since(cell.latest, since):
-            if kind == "back":
-                deltas.append(feed.RestorationDelta(names.replicas.names[index]))
-            elif (at is None or at in on) and (level := tables.admission.get((at, index))):
-                deltas.append(feed.AdmissionDelta(at, (names.classes.names[index],), *level))
-        return deltas, price + len(deltas) - fresh
-
-    def mark_delivered(self, proxy: int, piece: Delivery) -> None:
-        """The piece is on its way: what it holds is owed no longer, and the relay goes to the end."""
-        account = self.backlogs.pop(proxy)
-        self.backlogs[proxy] = account
-        account.delivered_withdrawals = self.change_count
-        if account.is_bound:
-            account.delivered_migrations = self.change_count
-        for number, price in piece.cell_costs.items():
-            if number in account.pending_binds and not account.is_bound:
-                account.is_bound, account.delivered_migrations = True, self.change_count
-            self.budget.record_usage(number, price)
-            account.delivered[number] = self.cells[number].count
-            account.pending_cells.pop(number, None)
-            account.pending_binds.pop(number, None)
-            account.pending_revisions.pop(number, None)
-
-    def mark_resynced(self, proxy: int) -> list[Mark]:
-        """The relay is sent a picture: nothing is owed it any more but the marks that this returns."""
-        account = self.backlogs[proxy]
-        marks = [(n, mark) for n, (mark, _) in account.pending_revisions.items()]
-        now, begun = self.change_count, bool(self.tables.bindings.get(proxy))
-        self.backlogs[proxy] = ProxyBacklog(
-            [c.count for c in self.cells], now, now, {}, begun, account.is_introduced
-        )
-        return marks
+        return deltas
+
+    def _latest_changes(self, cell: int, tables: Collection[int], since: int) -> list[Delta]:
+        """Restorations, and the admission of the tables or of all, that changed after `since`."""
+        identifiers = self.tables.identifiers
+        deltas: list[Delta] = []
+        for change in self.cells[cell].latest.since(since):
+            if isinstance(change, RestoredReplica):
+                deltas.append(RestorationDelta(identifiers.replicas.names[change.replica]))
+                continue
+            admission = self.tables.admission.get((change.table, change.request_class))
+            if admission is not None and (change.table is None or change.table in tables):
+                deltas.append(
+                    AdmissionDelta(
+                        table=change.table,
+                        classes=(identifiers.classes.names[change.request_class],),
+                        admitted_share=admission.admitted_share,
+                        retry_policy=admission.retry_policy,
+                    )
+                )
+        return deltas
--- a/gradehoist/governor/health_checks.py
+++ b/gradehoist/governor/health_checks.py
@@ -1,27 +1,36 @@
-"""One probe of a replica over HTTP, and what its answer means."""
+"""Health checks of replicas over HTTP, and what their answers mean."""
 
 from __future__ import annotations
 
 import asyncio
+from typing import NamedTuple
 
-from gradehoist import interface as i
+from gradehoist.interface import HealthCheckOutcome
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.protocol import http
 
-STATUS = {200: i.HealthCheckOutcome.HEALTHY, 503: i.HealthCheckOutcome.REJECTED}
+OUTCOME_BY_STATUS = {200: HealthCheckOutcome.HEALTHY, 503: HealthCheckOutcome.REJECTED}
 
 
-async def ask(
-    client: HttpClient, target: str, deadline: float, gate: asyncio.Semaphore
-) -> tuple[i.HealthCheckOutcome, http.Response | None]:
-    """Within `deadline` seconds, the wait at `gate` for its turn included."""
+class HealthCheckResult(NamedTuple):
+    """The outcome of a health check, and the response if there was one."""
+
+    outcome: HealthCheckOutcome
+    response: http.Response | None
+
+
+async def check_health(
+    client: HttpClient, target: str, timeout_s: float, limit: asyncio.Semaphore
+) -> HealthCheckResult:
+    """Requests `target` within `timeout_s`; the wait for a place under `limit` counts as well."""
     try:
-        async with asyncio.timeout(deadline), gate:
-            response = await client.request("GET", target, timeout_s=deadline)
+        async with asyncio.timeout(timeout_s), limit:
+            response = await client.request("GET", target, timeout_s=timeout_s)
     except (TimeoutError, ResponseTimeoutError):
-        return i.HealthCheckOutcome.TIMED_OUT, None
+        return HealthCheckResult(HealthCheckOutcome.TIMED_OUT, None)
     except ConnectError:
-        return i.HealthCheckOutcome.UNREACHABLE, None
+        return HealthCheckResult(HealthCheckOutcome.UNREACHABLE, None)
     except ConnectionLostError:
-        return i.HealthCheckOutcome.CONNECTION_RESET, None
-    return STATUS.get(response.status, i.HealthCheckOutcome.ERROR), response
+        return HealthCheckResult(HealthCheckOutcome.CONNECTION_RESET, None)
+    outcome = OUTCOME_BY_STATUS.get(response.status, HealthCheckOutcome.ERROR)
+    return HealthCheckResult(outcome, response)
--- a/gradehoist/governor/load_reports.py
+++ b/gradehoist/governor/load_reports.py
@@ -1,6 +1,7 @@
-"""Sums on their way to the module: merged by zone and replica, let through at a limited rate, oldest first.
+"""Load reports on their way to the policies: merged by zone and replica, passed on at a limited rate.
 
-What does not get through in its period adds up and follows with a longer window, as the module is used to.
+Lines that are not passed on in their period add up and follow later with a longer window, oldest first. No
+I/O; all times are whole microseconds.
 """
 
 from __future__ import annotations
@@ -8,109 +9,164 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from gradehoist import interface as i
+from gradehoist.governor.errors import GovernorError
 from gradehoist.identifiers import Identifiers
-from gradehoist.protocol import feed
+from gradehoist.interface import AttemptsReported, LoadReport, RequestsOffered
+from gradehoist.protocol.feed import ProxyLoadReport, ReplicaAttempts
 
-SECOND = 1_000_000
+SECOND_US = 1_000_000
+MIN_WAIT_US = 1_000  # between two looks at the queue, however small the missing credit is
 
 
-@dataclass
-class _Met:
-    tries: int = 0
-    bad: int = 0
-    elapsed: float = 0.0  # of all good tries, µs
-    load: i.LoadReport | None = None
+class InvalidLoadReportError(GovernorError):
+    """A load report contradicts itself or names a class that the settings lack; nothing of it is taken."""
+
+
+@dataclass(frozen=True, slots=True)
+class _AttemptsKey:
+    zone: int
+    replica: int
+
+
+@dataclass(frozen=True, slots=True)
+class _RequestsKey:
+    proxy: int
+    request_class: int
 
 
 @dataclass
-class _Came:
-    number: int = 0
-    unanswered: int = 0
+class _AttemptTotals:
+    attempts: int = 0
+    failures: int = 0
+    elapsed_us: float = 0.0  # sum over all successful attempts
+    load: LoadReport | None = None
 
 
-class InvalidLoadReportError(Exception):
-    """A sum names something that this governor never heard of."""
+@dataclass
+class _RequestTotals:
+    requests: int = 0
+    incomplete: int = 0
 
 
 class LoadReportQueue:
-    """`rate` in lines a second, `period` in µs. `add` takes a relay's sums, `take` gives the module's."""
-
-    def __init__(self, names: Identifiers, rate: float, period: int, now: int) -> None:
-        self._names, self._rate, self._period = names, rate, period
-        self._met: dict[tuple[int, int], _Met] = {}
-        self._came: dict[tuple[int, int], _Came] = {}
-        self._ready: dict[tuple[str, int, int], int] = {}  # since when, in the order of their first line
-        self._next, self._credit, self._at = now + period, 0.0, now
-
-    def add(self, proxy: int, zone: int, sums: feed.ProxyLoadReport) -> list[str]:
-        """The replicas that stand in no list of this governor: their rows are left out, as a relay's tables
-        may be an earlier governor's, and refused whole its other figures were missing. Raises Unknown, and
-        then nothing of the document is taken."""
-        replicas, classes = self._names.replicas, self._names.classes
-        for row in sums.attempts:
-            if row.failures > row.attempts:
-                raise InvalidLoadReportError(f"replica {row.replica!r}: more bad tries than tries")
-        for came in sums.requests:
-            if came.request_class not in classes:
-                raise InvalidLoadReportError(f"class {came.request_class!r} is not in the settings")
-        strange = list[str]()
-        for row in sums.attempts:
-            replica = replicas.get(row.replica, -1)
+    """Totals of the load reports that the policies have not been given yet. The core owns it."""
+
+    def __init__(self, identifiers: Identifiers, lines_per_s: float, period_us: int, now_us: int) -> None:
+        """Passes on `lines_per_s` lines at most, each line once in `period_us` at most."""
+        self._identifiers = identifiers
+        self._lines_per_s = lines_per_s
+        self._period_us = period_us
+        self._attempts: dict[_AttemptsKey, _AttemptTotals] = {}
+        self._requests: dict[_RequestsKey, _RequestTotals] = {}
+        # When each line became due, in the order of its first total.
+        self._due_since_us: dict[_AttemptsKey | _RequestsKey, int] = {}
+        self._next_period_us = now_us + period_us
+        self._credit_lines = 0.0
+        self._credit_at_us = now_us
+
+    def add(self, proxy: int, zone: int, report: ProxyLoadReport) -> list[str]:
+        """Adds a proxy's report and returns the names of replicas that no endpoint list has named.
+
+        Their rows are left out: a proxy's tables may be an earlier governor's, and if the report were
+        rejected as a whole its other figures would be missing.
+
+        Raises:
+            InvalidLoadReportError: nothing of the report has been added.
+        """
+        self._validate(report)
+        unknown = list[str]()
+        for row in report.attempts:
+            replica = self._identifiers.replicas.get(row.replica, -1)
             if replica < 0:
-                strange.append(row.replica)
-                continue
-            met = self._met.setdefault((zone, replica), _Met())
-            met.tries, met.bad = met.tries + row.attempts, met.bad + row.failures
-            met.elapsed += row.elapsed_us * (row.attempts - row.failures)
-            if row.busy_share is not None or row.in_flight is not None:
-                met.load = i.LoadReport(row.busy_share, row.in_flight, row.service_ms)
-        for came in sums.requests:
-            known = self._came.setdefault((proxy, classes[came.request_class]), _Came())
-            known.number, known.unanswered = known.number + came.requests, known.unanswered + came.incomplete
-        return strange
+                unknown.append(row.replica)
+            else:
+                self._add_attempts(_AttemptsKey(zone, replica), row)
+        for offered in report.requests:
+            key = _RequestsKey(proxy, self._identifiers.classes[offered.request_class])
+            totals = self._requests.setdefault(key, _RequestTotals())
+            totals.requests += offered.requests
+            totals.incomplete += offered.incomplete
+        return unknown
 
     def remove_proxy(self, proxy: int) -> None:
-        for key in [k for k in self._came if k[0] == proxy]:
-            del self._came[key]
-            self._ready.pop(("came", *key), None)
-
-    def take_due(self, now: int) -> list[i.Event]:
-        """Lines due by now. A line's window reaches from its last delivery, a period at least."""
-        if now >= self._next:
-            self._next += ((now - self._next) // self._period + 1) * self._period
-            for zone_replica in self._met:
-                self._ready.setdefault(("met", *zone_replica), now)
-            for proxy_class in self._came:
-                self._ready.setdefault(("came", *proxy_class), now)
-        # A burst of a period's lines at most, so that an idle time does not add up to a flood.
-        most = max(1.0, self._rate * self._period / SECOND)
-        self._credit = min(most, self._credit + self._rate * (now - self._at) / SECOND)
-        self._at = now
-        out: list[i.Event] = []
-        for key in list(islice(self._ready, int(self._credit))):
-            due = self._ready.pop(key)
-            kind, a, b = key
-            window = self._period + now - due  # what waited covers its wait as well
-            if kind == "met":
-                met = self._met.pop((a, b))
-                good = met.tries - met.bad
-                out.append(
-                    i.AttemptsReported(
-                        a, b, met.tries, met.bad, round(met.elapsed / good) if good else 0, window, met.load
-                    )
-                )
-            else:
-                came = self._came.pop((a, b))
-                out.append(i.RequestsOffered(a, b, came.number, came.unanswered, window))
-        self._credit -= len(out)
-        return out
+        """Drops the requests that a proxy reported which has left; its attempts at replicas still count."""
+        for key in [key for key in self._requests if key.proxy == proxy]:
+            del self._requests[key]
+            self._due_since_us.pop(key, None)
+
+    def take_due(self, now_us: int) -> list[AttemptsReported | RequestsOffered]:
+        """The lines that may be passed on now. A line's window covers the period and its wait."""
+        if now_us >= self._next_period_us:
+            self._begin_period(now_us)
+        self._add_credit(now_us)
+        keys = list(islice(self._due_since_us, int(self._credit_lines)))
+        self._credit_lines -= len(keys)
+        return [self._take_line(key, now_us) for key in keys]
 
     def next_due_us(self) -> int:
-        if self._ready:
-            return self._at + max(1_000, round((1 - self._credit) / self._rate * SECOND))
-        return self._next
+        """When `take_due` may have something to return."""
+        if not self._due_since_us:
+            return self._next_period_us
+        missing_us = round((1 - self._credit_lines) / self._lines_per_s * SECOND_US)
+        return self._credit_at_us + max(MIN_WAIT_US, missing_us)
 
     @property
     def waiting_count(self) -> int:
-        return len(self._ready)
+        """Lines that are due and have not been passed on."""
+        return len(self._due_since_us)
+
+    def _validate(self, report: ProxyLoadReport) -> None:
+        for row in report.attempts:
+            if row.failures > row.attempts:
+                raise InvalidLoadReportError(f"replica {row.replica!r}: more bad tries than tries")
+        for offered in report.requests:
+            if offered.request_class not in self._identifiers.classes:
+                raise InvalidLoadReportError(f"class {offered.request_class!r} is not in the settings")
+
+    def _add_attempts(self, key: _AttemptsKey, row: ReplicaAttempts) -> None:
+        totals = self._attempts.setdefault(key, _AttemptTotals())
+        totals.attempts += row.attempts
+        totals.failures += row.failures
+        totals.elapsed_us += row.elapsed_us * (row.attempts - row.failures)
+        if row.busy_share is not None or row.in_flight is not None:
+            totals.load = LoadReport(
+                busy_share=row.busy_share, in_flight=row.in_flight, service_ms=row.service_ms
+            )
+
+    def _begin_period(self, now_us: int) -> None:
+        periods = (now_us - self._next_period_us) // self._period_us + 1
+        self._next_period_us += periods * self._period_us
+        for attempts_key in self._attempts:
+            self._due_since_us.setdefault(attempts_key, now_us)
+        for requests_key in self._requests:
+            self._due_since_us.setdefault(requests_key, now_us)
+
+    def _add_credit(self, now_us: int) -> None:
+        # A burst of one period's lines at most: an idle time must not add up to a flood.
+        most = max(1.0, self._lines_per_s * self._period_us / SECOND_US)
+        earned = self._lines_per_s * (now_us - self._credit_at_us) / SECOND_US
+        self._credit_lines = min(most, self._credit_lines + earned)
+        self._credit_at_us = now_us
+
+    def _take_line(self, key: _AttemptsKey | _RequestsKey, now_us: int) -> AttemptsReported | RequestsOffered:
+        window_us = self._period_us + now_us - self._due_since_us.pop(key)
+        if isinstance(key, _RequestsKey):
+            offered = self._requests.pop(key)
+            return RequestsOffered(
+                proxy=key.proxy,
+                request_class=key.request_class,
+                requests=offered.requests,
+                incomplete=offered.incomplete,
+                window_us=window_us,
+            )
+        totals = self._attempts.pop(key)
+        successes = totals.attempts - totals.failures
+        return AttemptsReported(
+            zone=key.zone,
+            replica=key.replica,
+            attempts=totals.attempts,
+            failures=totals.failures,
+            elapsed_us=round(totals.elapsed_us / successes) if successes else 0,
+            window_us=window_us,
+            load=totals.load,
+        )
--- /dev/null
+++ b/gradehoist/governor/replica_leases.py
@@ -0,0 +1,52 @@
+"""Leases of the replicas, renewed by heartbeats with all assignments of tenants."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import msgspec
+
+from gradehoist.governor.replica_clients import replica_address
+from gradehoist.governor.shell_state import ShellState
+from gradehoist.governor.tenant_assignments import TenantAssignments
+from gradehoist.net.client import ConnectError, ConnectionLostError, ResponseTimeoutError
+
+HEARTBEATS_PER_LEASE = 3  # two may be lost
+HEARTBEAT_TIMEOUT_S = 0.5
+HEARTBEAT_PATH = "/cell/lease"
+_ENCODER = msgspec.json.Encoder()
+
+
+class ReplicaLeases:
+    """Renews the leases of all listed replicas. The service owns it."""
+
+    def __init__(self, shell: ShellState, assignments: TenantAssignments) -> None:
+        """Each heartbeat carries all of `assignments`."""
+        self._core = shell.core
+        self._clients = shell.clients
+        self._tasks = shell.tasks
+        self._assignments = assignments
+        self._unanswered = set[str]()  # addresses
+
+    async def run(self, lease_us: int) -> None:
+        """Sends heartbeats until it is cancelled."""
+        while True:
+            directory = self._assignments.directory
+            body = _ENCODER.encode((lease_us, directory.heartbeat_assignments()))
+            addresses = {replica_address(e) for e in self._core.endpoint_list.endpoints.values()}
+            # One at a time: to a replica that hangs they were made faster than they ended.
+            for address in addresses - self._unanswered:
+                self._tasks.start(self.renew(address, body))
+            await asyncio.sleep(lease_us / (HEARTBEATS_PER_LEASE * 1e6))
+
+    async def renew(self, address: str, body: bytes) -> None:
+        """Sends one heartbeat; that it fails is that replica's loss alone."""
+        self._unanswered.add(address)
+        try:
+            # A ValueError is for an address that is none.
+            with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError, ValueError):
+                client = self._clients.get(address)
+                await client.request("POST", HEARTBEAT_PATH, body, timeout_s=HEARTBEAT_TIMEOUT_S)
+        finally:
+            self._unanswered.discard(address)
--- /dev/null
+++ b/gradehoist/governor/stream_monitor.py
@@ -0,0 +1,80 @@
+"""Once a second: ends the streams of proxies that are gone, and logs what is slow. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from gradehoist.governor.core_state import CoreState
+
+CHECK_INTERVAL_US = 1_000_000
+SLOW_CHANNEL_SHARE = 0.5  # of the stated rate: below it the channel counts as slow
+
+
+class StreamMonitor:
+    """Watches the streams and the channel of one publisher. The core owns it."""
+
+    def __init__(self, state: CoreState, remove_proxy: Callable[[int, str], None], now_us: int) -> None:
+        """`remove_proxy` ends a proxy's stream for the reason given."""
+        self._fleet = state.fleet
+        self._publisher = state.publisher
+        self._remove_proxy = remove_proxy
+        self._log = state.log
+        self._checked_us = now_us
+        self._is_channel_slow = False
+
+    def advance(self, now_us: int) -> None:
+        """Makes the checks if a second has passed since the last ones."""
+        if now_us < self._checked_us + CHECK_INTERVAL_US:
+            return
+        self._checked_us = now_us
+        self._remove_silent(now_us)
+        self._publisher.tend_backlog()
+        self._log_channel_rate()
+        self._log_slow_proxies(now_us)
+
+    def _remove_silent(self, now_us: int) -> None:
+        """Removes proxies that do not poll, and those that poll and acknowledge nothing.
+
+        What the latter never acknowledged counted as waiting for good, and the weights and restorations of
+        all other proxies stopped.
+        """
+        streams = self._publisher.streams
+        silent_since_us = now_us - self._fleet.poll_hold_us - self._fleet.silence_limit_us
+        for proxy in [p for p, stream in streams.items() if stream.last_poll_us < silent_since_us]:
+            self._remove_proxy(proxy, "silent")
+        stuck_since_us = silent_since_us - self._fleet.safety.drain_grace_us
+        stuck = [
+            proxy
+            for proxy, stream in streams.items()
+            if stream.unacknowledged and stream.unacknowledged_since_us < stuck_since_us
+        ]
+        for proxy in stuck:
+            self._remove_proxy(proxy, "acknowledges nothing")
+
+    def _log_channel_rate(self) -> None:
+        channel = self._publisher.channel
+        is_slow = channel.measured_lines_per_s < channel.lines_per_s * SLOW_CHANNEL_SHARE
+        if is_slow == self._is_channel_slow:
+            return
+        self._is_channel_slow = is_slow
+        fields = {
+            "lines_per_s": round(channel.measured_lines_per_s),
+            "reason": f"stated are {channel.lines_per_s:g}",
+        }
+        if is_slow:
+            self._log.warning("channel_slowed", **fields)
+        else:
+            self._log.info("channel_recovered", **fields)
+
+    def _log_slow_proxies(self, now_us: int) -> None:
+        """Logs once that a proxy has not acknowledged an order within the grace period."""
+        for stream in self._publisher.streams.values():
+            overdue_us = stream.overdue_us(now_us)
+            is_slow = overdue_us > self._fleet.safety.drain_grace_us
+            if is_slow and not stream.is_slow:
+                self._log.warning(
+                    "acknowledgement_delayed",
+                    proxy=stream.proxy_name,
+                    reason=f"has not acknowledged an order of {overdue_us / 1e6:.1f} s ago",
+                )
+            stream.is_slow = is_slow
--- a/gradehoist/governor/tables.py
+++ b/gradehoist/governor/tables.py
@@ -1,145 +1,249 @@
-"""The module's tables, withdrawals and levels as ordered so far, and what each order means for each proxy.
+"""The policies' tables, withdrawals and admission as ordered so far, and what each order means to each proxy.
 
-Prices are those of the interface's `Channel`: a message costs its head and a line for each delta, a bind
-one more than the lines, levels and withdrawals it brings; levels for all go with every message.
+Costs are counted in lines as `interface.ChannelLimits` does: a message costs its overhead and one line for
+each delta, and a table that binds a proxy one line more for each weight. No I/O.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
-from gradehoist import interface as i
 from gradehoist.identifiers import Identifiers
-from gradehoist.protocol import feed
+from gradehoist.interface import ClearTable, Order, SetAdmission, SetWeight, WithdrawReplica
+from gradehoist.protocol.feed import (
+    AdmissionDelta,
+    BindDelta,
+    ClearDelta,
+    Delta,
+    RateLimitsDelta,
+    RestorationDelta,
+    TenantRoutes,
+    WeightDelta,
+    WithdrawalDelta,
+)
+
+WEIGHT_DIGITS = 6  # decimals of a weight on the wire
+
+
+class Admission(NamedTuple):
+    """The admitted share of a class, and how its proxies retry (0 to 3)."""
+
+    admitted_share: float
+    retry_policy: int
+
+
+class TableUpdate(NamedTuple):
+    """One order's effect: the proxies that it concerns, their delta, and its cost in lines."""
+
+    proxies: Iterable[int]
+    delta: Delta
+    cost_lines: float
+
+
+class PricedDeltas(NamedTuple):
+    """Deltas, and their cost in lines."""
+
+    deltas: list[Delta]
+    cost_lines: float
 
 
 class PublishedTables:
+    """The state that the proxies together should hold. All indices are the governor's.
+
+    Attributes:
+        weights: by table and replica.
+        bindings: by proxy: the table of each class.
+        bound_proxies: by table: the proxies that are bound to it, in the order of their binding.
+        withdrawn: replicas that are withdrawn, in the order of their withdrawal.
+        admission: by table (None is everywhere) and class.
+        route: where tenants live; None without cells.
+        rate_limits: what each proxy admits at most; None without limits.
+    """
+
     def __init__(
         self,
-        names: Identifiers,
-        head: float,
-        route: feed.TenantRoutes | None = None,
-        limits: feed.RateLimitsDelta | None = None,
+        identifiers: Identifiers,
+        message_overhead_lines: float,
+        route: TenantRoutes | None = None,
+        rate_limits: RateLimitsDelta | None = None,
     ) -> None:
-        self.identifiers, self.message_overhead_lines, self.route, self.rate_limits = (
-            names,
-            head,
-            route,
-            limits,
-        )
+        """Starts without tables."""
+        self.identifiers = identifiers
+        self.message_overhead_lines = message_overhead_lines
+        self.route = route
+        self.rate_limits = rate_limits
         self.weights: dict[int, dict[int, float]] = {}
-        self.bindings: dict[int, dict[int, int]] = {}  # by proxy: class to table
-        self.bound_proxies: dict[int, dict[int, None]] = {}  # by table: proxies
+        self.bindings: dict[int, dict[int, int]] = {}
+        self.bound_proxies: dict[int, dict[int, None]] = {}
         self.withdrawn: dict[int, None] = {}
-        self.admission: dict[tuple[int | None, int], tuple[float, int]] = {}
+        self.admission: dict[tuple[int | None, int], Admission] = {}
 
     def add_proxy(self, proxy: int) -> None:
+        """Adds a proxy that is bound to no table yet."""
         self.bindings[proxy] = {}
 
     def remove_proxy(self, proxy: int) -> None:
+        """Removes a proxy from all tables."""
         for table in set(self.bindings.pop(proxy, {}).values()):
             self.bound_proxies[table].pop(proxy, None)
 
     def count_common_admission(self) -> int:
-        """Levels for all, which every message carries."""
-        return sum(t is None for t, _ in self.admission)
+        """Number of admissions that apply everywhere; each message is charged for them."""
+        return sum(table is None for table, _ in self.admission)
 
-    def apply(self, order: i.Order) -> tuple[Iterable[int], feed.Delta, float]:
-        """Brings the state forward; the proxies concerned, what each is told, and its price in lines."""
-        replicas = self.identifiers.replicas.names
+    def apply(self, order: Order) -> TableUpdate:
+        """Applies an order other than a binding.
+
+        Raises:
+            TypeError: the order does not change tables.
+        """
         match order:
-            case i.SetWeight(table, replica, weight):
-                lines = self.weights.setdefault(table, {})
-                if weight > 0:
-                    lines[replica] = weight
-                else:
-                    lines.pop(replica, None)
-                return (
-                    self.bound_proxies.get(table, {}),
-                    feed.WeightDelta(table, replicas[replica], round(weight, 6)),
-                    1,
-                )
-            case i.ClearTable(table):
-                self.weights[table] = {}
-                self.admission = {k: v for k, v in self.admission.items() if k[0] != table}
-                return self.bound_proxies.get(table, {}), feed.ClearDelta(table), 1
-            case i.WithdrawReplica(replica, out):
-                if out:
-                    self.withdrawn[replica] = None
-                else:
-                    self.withdrawn.pop(replica, None)
-                # To all, not to those alone whose tables name it: under a flapping list its lines leave and
-                # return between the two words, and a relay that missed the second shunned it for good.
-                name = replicas[replica]
-                return (
-                    list(self.bindings),
-                    feed.WithdrawalDelta(name) if out else feed.RestorationDelta(name),
-                    1,
-                )
-            case i.SetAdmission(table, classes, share, tries):
-                names = self.identifiers.classes.names
-                chosen = classes or tuple(range(len(names)))
-                self.admission |= {(table, k): (share, tries) for k in chosen}
-                to = list(self.bindings if table is None else self.bound_proxies.get(table, {}))
-                return to, feed.AdmissionDelta(table, tuple(names[k] for k in chosen), share, tries), 1
+            case SetWeight():
+                return self._set_weight(order)
+            case ClearTable():
+                return self._clear_table(order)
+            case WithdrawReplica():
+                return self._withdraw_replica(order)
+            case SetAdmission():
+                return self._set_admission(order)
         raise TypeError(f"no order for tables: {order!r}")
 
     def bind_proxy(self, proxy: int, table: int, classes: tuple[int, ...]) -> bool:
-        """Binds a proxy; whether it is its first bind. Raises KeyError for one that has left."""
-        chosen = classes or tuple(range(len(self.identifiers.classes)))
-        first = not self.bindings[proxy]
-        old = set(self.bindings[proxy].values())
-        self.bindings[proxy] |= dict.fromkeys(chosen, table)
-        for gone in old - set(self.bindings[proxy].values()):
-            self.bound_proxies[gone].pop(proxy, None)
+        """Binds a proxy to a table; True if the proxy was bound to no table before.
+
+        Raises:
+            KeyError: the proxy has left.
+        """
+        bindings = self.bindings[proxy]
+        is_first = not bindings
+        before = set(bindings.values())
+        bindings |= dict.fromkeys(self._chosen_classes(classes), table)
+        for unbound in before - set(bindings.values()):
+            self.bound_proxies[unbound].pop(proxy, None)
         self.bound_proxies.setdefault(table, {})[proxy] = None
-        return first
+        return is_first
 
-    def bind(self, proxy: int, table: int, classes: tuple[int, ...]) -> tuple[list[feed.Delta], float]:
-        """A whole table with what comes with it; nothing where the proxy has left."""
+    def bind(self, proxy: int, table: int, classes: tuple[int, ...]) -> PricedDeltas:
+        """Binds a proxy and returns the table with all that comes with it; nothing if the proxy has left."""
         if proxy not in self.bindings:
-            return [], 0.0
-        chosen = classes or tuple(range(len(self.identifiers.classes)))
-        first = self.bind_proxy(proxy, table, chosen)
-        deltas, price = self.table_snapshot(table, chosen)
-        if first:  # the stream's first bind ends withdrawals and levels of earlier streams
-            deltas += self.initial_deltas()
-        return deltas, price + len(self.withdrawn) + self.count_common_admission()
-
-    def table_snapshot(self, table: int, classes: tuple[int, ...]) -> tuple[list[feed.Delta], float]:
-        """A table with its own levels, and their price."""
-        deltas = [self._whole(table, classes), *self._levels(lambda t: t == table)]
-        return deltas, float(len(deltas) + len(self.weights.get(table, {})))
-
-    def initial_deltas(self) -> list[feed.Delta]:
-        """What a stream's first bind brings beside its table: withdrawals, levels for all, route, limits."""
-        deltas = self._outs() + self._levels(lambda t: t is None)
-        return deltas + [d for d in (self.route, self.rate_limits) if d is not None]
-
-    def proxy_snapshot(self, proxy: int) -> tuple[tuple[feed.Delta, ...], float]:
-        """All that a proxy should hold, and its price."""
-        by_table: dict[int, list[int]] = {}
-        for cls, table in self.bindings.get(proxy, {}).items():
-            by_table.setdefault(table, []).append(cls)
-        deltas: list[feed.Delta] = [self._whole(t, tuple(ks)) for t, ks in sorted(by_table.items())]
-        deltas += self._outs() + self._levels(lambda t: t is None or t in by_table)
-        deltas += [d for d in (self.route, self.rate_limits) if d is not None]
-        lines = sum(len(self.weights.get(t, {})) for t in by_table)
-        lines += len(self.route.cell_by_tenant) if self.route is not None else 0
-        return tuple(deltas), self.message_overhead_lines + len(deltas) + lines
-
-    def _whole(self, table: int, classes: tuple[int, ...]) -> feed.BindDelta:
-        names, replicas = self.identifiers.classes.names, self.identifiers.replicas.names
-        lines = {replicas[n]: round(w, 6) for n, w in self.weights.get(table, {}).items()}
-        return feed.BindDelta(table, tuple(names[k] for k in classes), lines)
-
-    def _outs(self) -> list[feed.Delta]:
-        return [feed.WithdrawalDelta(self.identifiers.replicas.names[n]) for n in self.withdrawn]
-
-    def _levels(self, mine: Callable[[int | None], bool]) -> list[feed.Delta]:
+            return PricedDeltas([], 0.0)
+        is_first = self.bind_proxy(proxy, table, classes)
+        snapshot = self.table_snapshot(table, self._chosen_classes(classes))
+        deltas = snapshot.deltas
+        if is_first:  # the first binding of a stream ends withdrawals and admission of earlier streams
+            deltas = deltas + self.initial_deltas()
+        cost_lines = snapshot.cost_lines + len(self.withdrawn) + self.count_common_admission()
+        return PricedDeltas(deltas, cost_lines)
+
+    def table_snapshot(self, table: int, classes: tuple[int, ...]) -> PricedDeltas:
+        """A table bound for `classes`, with the admission that is its own."""
+        deltas = [self._bind_delta(table, classes), *self._admission_deltas(lambda at: at == table)]
+        return PricedDeltas(deltas, float(len(deltas) + len(self.weights.get(table, {}))))
+
+    def initial_deltas(self) -> list[Delta]:
+        """What the first binding of a stream brings beside its table."""
+        return (
+            self._withdrawal_deltas() + self._admission_deltas(lambda at: at is None) + self._tenant_deltas()
+        )
+
+    def proxy_snapshot(self, proxy: int) -> PricedDeltas:
+        """Everything that a proxy should hold; the cost includes the message's overhead."""
+        classes_by_table: dict[int, list[int]] = {}
+        for request_class, table in self.bindings.get(proxy, {}).items():
+            classes_by_table.setdefault(table, []).append(request_class)
+        deltas: list[Delta] = [
+            self._bind_delta(table, tuple(classes)) for table, classes in sorted(classes_by_table.items())
+        ]
+        deltas += self._withdrawal_deltas()
+        deltas += self._admission_deltas(lambda at: at is None or at in classes_by_table)
+        deltas += self._tenant_deltas()
+        lines = sum(len(self.weights.get(table, {})) for table in classes_by_table)
+        if self.route is not None:
+            lines += len(self.route.cell_by_tenant)
+        return PricedDeltas(deltas, self.message_overhead_lines + len(deltas) + lines)
+
+    def weight_delta(self, table: int, replica: int, weight: float) -> WeightDelta:
+        """One weight as proxies get it; 0 removes the replica from the table."""
+        return WeightDelta(
+            table=table,
+            replica=self.identifiers.replicas.names[replica],
+            weight=round(weight, WEIGHT_DIGITS),
+        )
+
+    def _set_weight(self, order: SetWeight) -> TableUpdate:
+        weights = self.weights.setdefault(order.table, {})
+        if order.weight > 0:
+            weights[order.replica] = order.weight
+        else:
+            weights.pop(order.replica, None)
+        delta = self.weight_delta(order.table, order.replica, order.weight)
+        return TableUpdate(self.bound_proxies.get(order.table, {}), delta, 1)
+
+    def _clear_table(self, order: ClearTable) -> TableUpdate:
+        self.weights[order.table] = {}
+        self.admission = {key: value for key, value in self.admission.items() if key[0] != order.table}
+        return TableUpdate(self.bound_proxies.get(order.table, {}), ClearDelta(order.table), 1)
+
+    def _withdraw_replica(self, order: WithdrawReplica) -> TableUpdate:
+        name = self.identifiers.replicas.names[order.replica]
+        delta: Delta
+        if order.withdrawn:
+            self.withdrawn[order.replica] = None
+            delta = WithdrawalDelta(name)
+        else:
+            self.withdrawn.pop(order.replica, None)
+            delta = RestorationDelta(name)
+        # To all proxies, not only to those whose tables name the replica: under a flapping list its weights
+        # leave and return between the two orders, and a proxy that missed the second avoided it for good.
+        return TableUpdate(list(self.bindings), delta, 1)
+
+    def _set_admission(self, order: SetAdmission) -> TableUpdate:
+        names = self.identifiers.classes.names
+        classes = self._chosen_classes(order.classes)
+        admission = Admission(order.admitted_share, order.retry_policy)
+        for request_class in classes:
+            self.admission[order.table, request_class] = admission
+        concerned = self.bindings if order.table is None else self.bound_proxies.get(order.table, {})
+        delta = AdmissionDelta(
+            table=order.table,
+            classes=tuple(names[request_class] for request_class in classes),
+            admitted_share=order.admitted_share,
+            retry_policy=order.retry_policy,
+        )
+        return TableUpdate(list(concerned), delta, 1)
+
+    def _chosen_classes(self, classes: tuple[int, ...]) -> tuple[int, ...]:
+        """No classes at all stand for every class."""
+        return classes or tuple(range(len(self.identifiers.classes)))
+
+    def _bind_delta(self, table: int, classes: tuple[int, ...]) -> BindDelta:
+        classes_by_index = self.identifiers.classes.names
+        replicas = self.identifiers.replicas.names
+        return BindDelta(
+            table=table,
+            classes=tuple(classes_by_index[request_class] for request_class in classes),
+            weights={
+                replicas[replica]: round(weight, WEIGHT_DIGITS)
+                for replica, weight in self.weights.get(table, {}).items()
+            },
+        )
+
+    def _withdrawal_deltas(self) -> list[Delta]:
+        return [WithdrawalDelta(self.identifiers.replicas.names[replica]) for replica in self.withdrawn]
+
+    def _tenant_deltas(self) -> list[Delta]:
+        return [delta for delta in (self.route, self.rate_limits) if delta is not None]
+
+    def _admission_deltas(self, applies: Callable[[int | None], bool]) -> list[Delta]:
         names = self.identifiers.classes.names
         return [
-            feed.AdmissionDelta(t, (names[k],), share, tries)
-            for (t, k), (share, tries) in self.admission.items()
-            if mine(t)
+            AdmissionDelta(
+                table=table,
+                classes=(names[request_class],),
+                admitted_share=admission.admitted_share,
+                retry_policy=admission.retry_policy,
+            )
+            for (table, request_class), admission in self.admission.items()
+            if applies(table)
         ]
--- a/gradehoist/governor/zone_coordination.py
+++ b/gradehoist/governor/zone_coordination.py
@@ -1,207 +1,284 @@
-"""A governor's hands in what all agree on zones: its view out, plan and deal in, ceilings to the module."""
+"""A governor's part in what the fleet agrees on zones.
+
+It writes this governor's health report, and plans and allocations while it leads; it takes what the fleet has
+agreed and gives the policies their quotas. Everything happens on the membership's ticks. No I/O of its own.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from enum import Enum
 from typing import Any, Generic, TypeVar
 
 from gradehoist.coordination.fencing import FencingToken
 from gradehoist.coordination.store import Change
 from gradehoist.governor.core import GovernorCore
+from gradehoist.governor.shell_state import ShellState
 from gradehoist.governor.zone_stats import ZoneStats
 from gradehoist.membership.service import Membership
-from gradehoist.settings.fleet import FleetSettings
+from gradehoist.protocol.feed import ProxyLoadReport
+from gradehoist.settings.fleet import CoordinationSettings, FleetSettings
 from gradehoist.zones.coordinator import ALLOCATION_KEY, PLAN_KEY, REPORTS_PREFIX, ZoneCoordinator, ZoneQuotas
 from gradehoist.zones.evacuation import ClassConstraints, EvacuationPlan, EvacuationTiming
 from gradehoist.zones.health import HealthReport
 from gradehoist.zones.warmup_quota import QuotaAllocation
 
-T = TypeVar("T")
-LISTED = 15_000_000  # µs: a list that was not confirmed for so long is lost; roster calls are held for 5 s
-TURN = 500_000  # µs between looks: a step takes seconds to show anyway
-SAID = 3_000_000  # a view is written so often at least; others take none for twice as long and more as fresh
+Version = TypeVar("Version")
+
+ELECTION = "zones"
+LIST_TIMEOUT_US = 15_000_000  # an endpoint list not confirmed for so long is lost; requests are held for 5 s
+TICK_INTERVAL_US = 500_000  # a step of an evacuation takes seconds to show anyway
+REPORT_INTERVAL_US = 3_000_000  # a report is written at least so often
+REPORT_TTL_US = 3 * REPORT_INTERVAL_US  # an older report counts for nothing
+PLANNING_PERIODS = 2  # report periods in which a policy plans once for each group of proxies
+
+
+class _Write(Enum):
+    """What this governor writes to the coordination store, each at most once at a time."""
 
+    REPORT = "report"
+    PLAN = "plan"
+    ALLOCATION = "allocation"
 
-@dataclass
-class Told(Generic[T]):
-    """Of plan or deal: the `latest` that the module was told, from when (µs) its orders are out, and the one
-    that all relays' tables hold."""
 
-    latest: T
-    due: int = 0
+class _Rollout(Generic[Version]):
+    """A version of the plan or the allocation on its way into the proxies' tables.
 
-    def __post_init__(self) -> None:
-        self.holds = self.latest
+    Attributes:
+        applied: the version that the tables of all proxies hold.
+    """
 
-    def told(self, what: T, due: int) -> None:
-        if what != self.latest:
-            self.latest, self.due = what, due
+    def __init__(self, version: Version) -> None:
+        """Starts with a version that all tables hold."""
+        self.applied = version
+        self._latest = version
+        self._ordered_us = 0  # when the policies have ordered what the latest version changes
+
+    def begin(self, version: Version, ordered_us: int) -> None:
+        """Notes the version that is in force; the policies will have ordered its changes at `ordered_us`."""
+        if version != self._latest:
+            self._latest = version
+            self._ordered_us = ordered_us
+
+    def advance(self, now_us: int, core: GovernorCore) -> None:
+        """Notes that the version is applied once all proxies have acknowledged it."""
+        if self.applied == self._latest or now_us < self._ordered_us:
+            return
+        if core.is_acknowledged(self._ordered_us):
+            self.applied = self._latest
 
 
 class ZoneCoordination:
-    """`told` is called after the module has something new to hear. All on the membership's turns."""
+    """Connects the zone coordinator with the membership and the core. The service owns it.
+
+    Attributes:
+        stats: what this governor observes of each zone.
+    """
 
     def __init__(
-        self,
-        fleet: FleetSettings,
-        rules: EvacuationTiming,
-        own_zone: str,
-        core: GovernorCore,
-        member: Membership,
-        told: Callable[[], None],
-        log: Callable[..., None],
-        now: int,
+        self, shell: ShellState, timing: EvacuationTiming, membership: Membership, now_us: int
     ) -> None:
-        self.core, self.membership, self.stats = core, member, ZoneStats(fleet, now)
-        self._own_zone, self._told, self._log = own_zone, told, log
-        self._turns = (
-            2 * fleet.load_reporting.period_us
-        )  # in which the module gives each group of relays its turn
-        settings = member.settings
-        classes = {
-            c.name: ClassConstraints(
-                c.priority_weight,
-                None if c.allowed_zones is None else frozenset(c.allowed_zones),
-                c.zone_local,
-            )
-            for c in fleet.classes
-        }
-        # Tables of one that has gone may be sent by until its relays have joined others.
-        linger = fleet.poll_hold_us + fleet.silence_limit_us + fleet.safety.drain_grace_us
-        self.coordinator = ZoneCoordinator(
-            member.agent.identity.incarnation,
-            classes,
-            rules,
-            linger,
-            3 * SAID,
-            LISTED,
-            settings.fallback_hold_us,
-            settings.fallback_ramp_us,
-        )
-        self.claim = member.join_election("zones", settings.lost_after_us)
-        member.key_listeners.append(self._changed)
-        member.proposal_listeners.append(self._settled)
-        member.tick_listeners.append(self.tick)
-        member.failure_listeners.append(self.release_quotas)
-        self.list_confirmed_us = now  # when the list was last confirmed
-        self._next, self._said_at, self._said = 0, -SAID, ((0, 0), -1)
-        self._writing = dict[str, str]()  # token by what is being written
-        self._now, self._cold = ZoneQuotas({}, 1.0, {}), tuple[str, ...]()
-        self._plan, self._deal = Told((0, 0)), Told(-1)
-        self._since = now
+        """Registers with the membership, on whose ticks it works."""
+        fleet = shell.core.fleet
+        self.stats = ZoneStats(fleet, now_us)
+        self._core = shell.core
+        self._own_zone = shell.settings.zone
+        self._events_pending = shell.signals.events_pending
+        self._log = shell.log
+        self._membership = membership
+        self._coordinator = _make_coordinator(fleet, timing, membership)
+        self._election = membership.join_election(ELECTION, membership.settings.lost_after_us)
+        self._planning_us = PLANNING_PERIODS * fleet.load_reporting.period_us
+        self._ticked_us = now_us  # the membership's last tick, whether or not it was due here
+        self._next_tick_us = 0
+        self._list_confirmed_us = now_us
+        self._quotas = ZoneQuotas({}, 1.0, {})
+        self._warming_up: tuple[str, ...] = ()
+        self._plan = _Rollout((0, 0))
+        self._allocation = _Rollout(-1)
+        self._reported = (self._plan.applied, self._allocation.applied)
+        self._reported_us = -REPORT_INTERVAL_US
+        self._pending_writes = dict[_Write, str]()  # with the tokens of their proposals
+        membership.key_listeners.append(self._handle_change)
+        membership.proposal_listeners.append(self._handle_outcome)
+        membership.tick_listeners.append(self.tick)
+        membership.failure_listeners.append(self.release_quotas)
 
     def status(self) -> dict[str, Any]:
-        verdict = self.coordinator.health
-        plan = self.coordinator.plan
+        """The `zones` object of the HTTP status."""
+        health = self._coordinator.health
+        plan = self._coordinator.plan
+        allocation = self._coordinator.allocation
         return {
             "plan": [plan.generation, plan.step],
-            "zones": {z: s.traffic_share for z, s in plan.zones.items()},
+            "zones": {zone: step.traffic_share for zone, step in plan.zones.items()},
             "levels": plan.admission_limits,
-            "in_force": dict(self._now.zone_quotas),
-            "cold": self._now.warmup_quota,
-            "seen": {z: s.value for z, s in verdict.zones.items()} if verdict else {},
-            "trouble": verdict.fault.value if verdict else "",
-            "part": self.coordinator.allocation.quotas.get(self.coordinator.incarnation, 0.0),
+            "in_force": dict(self._quotas.zone_quotas),
+            "cold": self._quotas.warmup_quota,
+            "seen": {zone: state.value for zone, state in health.zones.items()} if health else {},
+            "trouble": health.fault.value if health else "",
+            "part": allocation.quotas.get(self._coordinator.incarnation, 0.0),
         }
 
-    def _changed(self, key: str) -> None:
-        agent, at = self.membership.agent, self._since
+    def confirm_endpoint_list(self, now_us: int) -> None:
+        """Notes that the list service has confirmed the endpoint list."""
+        self._list_confirmed_us = now_us
+
+    def add_load_report(self, now_us: int, report: ProxyLoadReport) -> None:
+        """Counts a load report that the core has accepted."""
+        identifiers = self._core.identifiers
+        stream = self._core.streams[identifiers.proxies[report.proxy]]
+        zone = identifiers.zones.names[stream.zone]
+        self.stats.add_load_report(now_us, zone, report, self._core.endpoint_list.endpoints)
+
+    def tick(self, now_us: int) -> None:
+        """Does what is due, at the membership's ticks."""
+        self._ticked_us = now_us
+        if now_us < self._next_tick_us:
+            return
+        self._next_tick_us = now_us + TICK_INTERVAL_US
+        is_joined = self._membership.agent.is_joined
+        if is_joined:
+            self._coordinator.on_store_recovered(now_us)
+        else:
+            self._coordinator.on_store_lost(now_us)
+        self._apply_quotas(now_us)
+        self._advance_rollouts(now_us)
+        if not is_joined:
+            return
+        self._write_report(now_us)
+        # Every governor assesses: the next one to lead has to know what the zones can bear.
+        self._coordinator.assess_health(now_us)
+        if self._election.fencing_token is not None:
+            self._write_decisions(now_us, self._election.fencing_token)
+
+    def release_quotas(self) -> None:
+        """Ends all quotas: the membership has failed, and without its ticks the last ones stayed for good."""
+        self._core.set_quotas({}, {}, {})
+        self._events_pending.set()
+
+    def _handle_change(self, key: str) -> None:
+        """Takes a record of the store that has changed."""
+        agent = self._membership.agent
         if key == PLAN_KEY:
-            before = self.coordinator.plan
-            if not self.coordinator.on_plan(at, agent.decode_record(PLAN_KEY, EvacuationPlan)):
-                self._log("zones_older_plan", True, key=key)
-            elif (
-                self.coordinator.plan.zones != before.zones
-                or self.coordinator.plan.admission_limits != before.admission_limits
-            ):
-                self._log(
-                    "zones_plan",
-                    False,
-                    gen=self.coordinator.plan.generation,
-                    step=self.coordinator.plan.step,
-                    zones={z: s.traffic_share for z, s in self.coordinator.plan.zones.items()},
-                    why={z: s.reason for z, s in self.coordinator.plan.zones.items()},
-                    levels=self.coordinator.plan.admission_limits,
-                )
+            self._handle_plan(agent.decode_record(PLAN_KEY, EvacuationPlan))
         elif key == ALLOCATION_KEY:
-            self.coordinator.on_allocation(agent.decode_record(ALLOCATION_KEY, QuotaAllocation))
+            self._coordinator.on_allocation(agent.decode_record(ALLOCATION_KEY, QuotaAllocation))
         elif key.startswith(REPORTS_PREFIX):
-            self.coordinator.on_report(
-                at, key.removeprefix(REPORTS_PREFIX), agent.decode_record(key, HealthReport)
-            )
+            observer = key.removeprefix(REPORTS_PREFIX)
+            report = agent.decode_record(key, HealthReport)
+            self._coordinator.on_report(self._ticked_us, observer, report)
 
-    def _settled(self, token: str, how: str) -> None:
-        self._writing = {what: t for what, t in self._writing.items() if t != token}
-
-    def tick(self, now: int) -> None:
-        self._since = now
-        if now < self._next:
+    def _handle_plan(self, plan: EvacuationPlan | None) -> None:
+        before = self._coordinator.plan
+        if not self._coordinator.on_plan(self._ticked_us, plan):
+            self._log.warning("zone_plan_rejected", key=PLAN_KEY)
             return
-        self._next = now + TURN
-        (
-            self.coordinator.on_store_recovered
-            if self.membership.agent.is_joined
-            else self.coordinator.on_store_lost
-        )(now)
-        self._tell(now)
-        if self.membership.agent.is_joined:
-            self._say(now)
-            self.coordinator.assess_health(now)  # all do: the next one to lead has to know what zones can do
-            if self.claim.fencing_token is not None:
-                self._decide(now, self.claim.fencing_token)
-
-    def _tell(self, now: int) -> None:
-        """The ceilings in force to the module, where they changed; then what its tables hold."""
-        stands = self.coordinator.current_quotas(now, self.stats.request_rate)
-        cold = self.core.warming_up_replicas(now) if stands.warmup_quota < 1.0 else ()
-        if (stands, cold) != (self._now, self._cold):
-            self._now, self._cold = stands, cold
-            self.core.set_quotas(
-                stands.zone_quotas, dict.fromkeys(cold, stands.warmup_quota), stands.admission_limits
-            )
-            self._told()
-        plan = self.coordinator.plan
-        self._plan.told((plan.generation, plan.step), now + self._turns)
-        self._deal.told(self.coordinator.allocation.generation, now + self._turns)
-        for one in (self._plan, self._deal):
-            if one.holds != one.latest and now >= one.due and self.core.is_acknowledged(one.due):
-                one.holds = one.latest
-
-    def _say(self, now: int) -> None:
-        """The view, where what it confirms has changed or the last one grows old."""
-        holds = self._plan.holds, self._deal.holds
-        if "view" in self._writing or (holds == self._said and now - self._said_at < SAID):
+        current = self._coordinator.plan
+        if current.zones == before.zones and current.admission_limits == before.admission_limits:
             return
-        self._said, self._said_at = holds, now
-        roster = self.core.endpoint_list
-        view = self.stats.health_report(
-            now,
-            self._own_zone,
-            self.coordinator.incarnation,
-            now - self.list_confirmed_us,
-            roster.endpoints,
-            roster.start_times_us(),
-            *holds,
+        self._log.info(
+            "zone_plan_changed",
+            generation=current.generation,
+            step=current.step,
+            traffic_shares={zone: step.traffic_share for zone, step in current.zones.items()},
+            reasons={zone: step.reason for zone, step in current.zones.items()},
+            admission_limits=current.admission_limits,
         )
-        self._write(
-            "view",
-            self.membership.agent.build_put(
-                REPORTS_PREFIX + self.membership.agent.identity.name, view, owned_by_session=True
-            ),
+
+    def _handle_outcome(self, token: str, outcome: str) -> None:
+        """Notes that a proposal has ended, whatever its outcome."""
+        self._pending_writes = {
+            write: pending for write, pending in self._pending_writes.items() if pending != token
+        }
+
+    def _apply_quotas(self, now_us: int) -> None:
+        """Gives the policies the quotas in force, if they have changed."""
+        quotas = self._coordinator.current_quotas(now_us, self.stats.request_rate)
+        warming_up = self._core.warming_up_replicas(now_us) if quotas.warmup_quota < 1.0 else ()
+        if quotas == self._quotas and warming_up == self._warming_up:
+            return
+        self._quotas = quotas
+        self._warming_up = warming_up
+        self._core.set_quotas(
+            quotas.zone_quotas,
+            dict.fromkeys(warming_up, quotas.warmup_quota),
+            quotas.admission_limits,
         )
+        self._events_pending.set()
 
-    def _decide(self, now: int, right: FencingToken) -> None:
-        if "plan" not in self._writing and (plan := self.coordinator.next_plan(now, right)) is not None:
-            self._write("plan", self.membership.agent.build_put(PLAN_KEY, plan))
-        if "deal" not in self._writing and (deal := self.coordinator.next_allocation(now, right)) is not None:
-            self._write("deal", self.membership.agent.build_put(ALLOCATION_KEY, deal))
+    def _advance_rollouts(self, now_us: int) -> None:
+        plan = self._coordinator.plan
+        ordered_us = now_us + self._planning_us
+        self._plan.begin((plan.generation, plan.step), ordered_us)
+        self._allocation.begin(self._coordinator.allocation.generation, ordered_us)
+        self._plan.advance(now_us, self._core)
+        self._allocation.advance(now_us, self._core)
 
-    def _write(self, what: str, change: Change) -> None:
-        if token := self.membership.propose(change):
-            self._writing[what] = token
+    def _write_report(self, now_us: int) -> None:
+        """Writes the health report if what it confirms has changed or the last one grows old."""
+        applied = (self._plan.applied, self._allocation.applied)
+        is_recent = now_us - self._reported_us < REPORT_INTERVAL_US
+        if _Write.REPORT in self._pending_writes or (applied == self._reported and is_recent):
+            return
+        self._reported = applied
+        self._reported_us = now_us
+        agent = self._membership.agent
+        report = self._make_report(now_us)
+        change = agent.build_put(REPORTS_PREFIX + agent.identity.name, report, owned_by_session=True)
+        self._propose(_Write.REPORT, change)
 
-    def release_quotas(self) -> None:
-        """No more turns come: a bug in what they share. Held for good, the last ceilings would outlive it."""
-        self.core.set_quotas({}, {}, {})
-        self._told()
+    def _make_report(self, now_us: int) -> HealthReport:
+        stats = self.stats.snapshot(now_us, self._core.endpoint_list)
+        return HealthReport(
+            zone=self._own_zone,
+            requests_per_s=stats.requests_per_s,
+            list_age_us=now_us - self._list_confirmed_us,
+            observations=stats.observations,
+            window_us=stats.window_us,
+            offered_by_zone=stats.offered_by_zone,
+            incarnation=self._coordinator.incarnation,
+            applied_plan=self._plan.applied,
+            applied_allocation=self._allocation.applied,
+        )
+
+    def _write_decisions(self, now_us: int, token: FencingToken) -> None:
+        """As the leader, writes the next plan and the next allocation, if any are due."""
+        agent = self._membership.agent
+        if _Write.PLAN not in self._pending_writes:
+            plan = self._coordinator.next_plan(now_us, token)
+            if plan is not None:
+                self._propose(_Write.PLAN, agent.build_put(PLAN_KEY, plan))
+        if _Write.ALLOCATION not in self._pending_writes:
+            allocation = self._coordinator.next_allocation(now_us, token)
+            if allocation is not None:
+                self._propose(_Write.ALLOCATION, agent.build_put(ALLOCATION_KEY, allocation))
+
+    def _propose(self, write: _Write, change: Change) -> None:
+        if token := self._membership.propose(change):
+            self._pending_writes[write] = token
+
+
+def _make_coordinator(
+    fleet: FleetSettings, timing: EvacuationTiming, membership: Membership
+) -> ZoneCoordinator:
+    settings: CoordinationSettings = membership.settings
+    constraints = {
+        request_class.name: ClassConstraints(
+            request_class.priority_weight,
+            None if request_class.allowed_zones is None else frozenset(request_class.allowed_zones),
+            request_class.zone_local,
+        )
+        for request_class in fleet.classes
+    }
+    # The tables of a governor that has gone may be in use until its proxies have joined others.
+    drain_timeout_us = fleet.poll_hold_us + fleet.silence_limit_us + fleet.safety.drain_grace_us
+    return ZoneCoordinator(
+        membership.agent.identity.incarnation,
+        constraints,
+        timing,
+        drain_timeout_us,
+        REPORT_TTL_US,
+        LIST_TIMEOUT_US,
+        settings.fallback_hold_us,
+        settings.fallback_ramp_us,
+    )
--- a/gradehoist/governor/zone_stats.py
+++ b/gradehoist/governor/zone_stats.py
@@ -1,4 +1,7 @@
-"""What a governor has met in each zone over its last seconds, as the view that others weigh. Free of I/O."""
+"""What a governor has observed of each zone in the last seconds, for the health report. No I/O.
+
+The counts are kept in one window a second, of which the last few stay.
+"""
 
 from __future__ import annotations
 
@@ -6,124 +9,187 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from gradehoist.protocol import feed
+from gradehoist.governor.endpoint_list import EndpointList
+from gradehoist.protocol.feed import EndpointRecord, ProxyLoadReport
 from gradehoist.settings.fleet import FleetSettings
-from gradehoist.zones.health import HealthReport, ZoneObservation
+from gradehoist.zones.health import ZoneObservation
+
+WINDOW_US = 1_000_000
+WINDOW_COUNT = 6  # a failing zone shows within seconds, and a few slow reports are not all there is
+
+
+@dataclass
+class _ZoneCounts:
+    attempts: int = 0
+    failures: int = 0
+    late_responses: int = 0
+    health_checks: int = 0
+    failed_health_checks: int = 0
 
-SLOT = 1_000_000  # µs of one count
-SLOTS = 6  # kept: a failing zone shows within seconds, and a few slow reports are not all there is
+    def add(self, other: _ZoneCounts) -> None:
+        self.attempts += other.attempts
+        self.failures += other.failures
+        self.late_responses += other.late_responses
+        self.health_checks += other.health_checks
+        self.failed_health_checks += other.failed_health_checks
+
+
+@dataclass(frozen=True, slots=True)
+class _OfferedKey:
+    """The zone of the proxies that the requests came to, and their class."""
+
+    zone: str
+    request_class: str
 
 
 @dataclass
-class _Met:
-    """Of one slot: by zone tries, failures, late and probes; by relays' zone and class what came."""
+class _Window:
+    """The counts of one second; `responsive` and `failing` hold replicas with and without a success."""
+
+    began_us: int
+    zones: dict[str, _ZoneCounts] = field(default_factory=dict)
+    offered: dict[_OfferedKey, int] = field(default_factory=dict)
+    responsive: set[str] = field(default_factory=set)
+    failing: set[str] = field(default_factory=set)
+
+    def zone(self, name: str) -> _ZoneCounts:
+        return self.zones.setdefault(name, _ZoneCounts())
 
-    began: int
-    tried: dict[str, int] = field(default_factory=dict)
-    failed: dict[str, int] = field(default_factory=dict)
-    late: dict[str, int] = field(default_factory=dict)
-    probes: dict[str, int] = field(default_factory=dict)
-    probes_failed: dict[str, int] = field(default_factory=dict)
-    came: dict[tuple[str, str], int] = field(default_factory=dict)
-    good: set[str] = field(default_factory=set)  # replicas with an answer
-    bad: set[str] = field(default_factory=set)
 
+@dataclass(frozen=True, slots=True)
+class ZoneStatsSnapshot:
+    """What the kept windows say at one time.
 
-def _count(counts: dict[str, int], key: str, number: int) -> None:
-    counts[key] = counts.get(key, 0) + number
+    Attributes:
+        window_us: the time that the windows cover.
+        requests_per_s: requests that came to this governor's proxies.
+        observations: by zone.
+        offered_by_zone: requests a second by the zone of the proxies and by class.
+    """
+
+    window_us: int
+    requests_per_s: float
+    observations: dict[str, ZoneObservation]
+    offered_by_zone: dict[str, dict[str, float]]
 
 
 class ZoneStats:
-    def __init__(self, fleet: FleetSettings, now: int) -> None:
-        self._fleet, self._slots = fleet, deque([_Met(now)])
-        self._goal = min(c.latency_objective_us for c in fleet.classes)
-        self._busy = dict[str, float]()
-
-    def _slot(self, now: int) -> _Met:
-        if now >= self._slots[-1].began + SLOT:
-            self._slots.append(_Met(now))
-            while len(self._slots) > SLOTS:
-                self._slots.popleft()
-        return self._slots[-1]
+    """Counts of load reports and health checks by zone. `ZoneCoordination` owns it."""
+
+    def __init__(self, fleet: FleetSettings, now_us: int) -> None:
+        """Starts without counts."""
+        self._fleet = fleet
+        self._windows = deque([_Window(now_us)])
+        self._latency_objective_us = min(c.latency_objective_us for c in fleet.classes)
+        self._busy_shares = dict[str, float]()  # by replica, as last reported
+
+    @property
+    def request_rate(self) -> float:
+        """Requests a second over the windows that are kept."""
+        windows = self._windows
+        span_us = max(WINDOW_US, windows[-1].began_us + WINDOW_US - windows[0].began_us)
+        return sum(count for window in windows for count in window.offered.values()) * 1e6 / span_us
 
     def add_load_report(
-        self, now: int, zone: str, sums: feed.ProxyLoadReport, listed: Mapping[str, feed.EndpointRecord]
+        self, now_us: int, zone: str, report: ProxyLoadReport, endpoints: Mapping[str, EndpointRecord]
     ) -> None:
-        """Sums of a relay in `zone` that were taken; a replica that is not listed belongs to no zone."""
-        slot = self._slot(now)
-        for row in sums.attempts:
-            if (entry := listed.get(row.replica)) is None or not row.attempts:
+        """Counts an accepted report of a proxy in `zone`; a replica that is not listed belongs to no zone."""
+        window = self._window(now_us)
+        for row in report.attempts:
+            endpoint = endpoints.get(row.replica)
+            if endpoint is None or not row.attempts:
                 continue
-            _count(slot.tried, entry.zone, row.attempts)
-            _count(slot.failed, entry.zone, row.failures)
-            if row.elapsed_us > self._goal:
-                _count(slot.late, entry.zone, row.attempts - row.failures)
-            (slot.good if row.failures < row.attempts else slot.bad).add(row.replica)
+            counts = window.zone(endpoint.zone)
+            successes = row.attempts - row.failures
+            counts.attempts += row.attempts
+            counts.failures += row.failures
+            if row.elapsed_us > self._latency_objective_us:
+                counts.late_responses += successes
+            if successes > 0:
+                window.responsive.add(row.replica)
+            else:
+                window.failing.add(row.replica)
             if row.busy_share is not None:
-                self._busy[row.replica] = row.busy_share
-        for came in sums.requests:
-            key = zone, came.request_class
-            slot.came[key] = slot.came.get(key, 0) + came.requests
-
-    def add_health_check(self, now: int, zone: str, good: bool) -> None:
-        slot = self._slot(now)
-        _count(slot.probes, zone, 1)
-        if not good:
-            _count(slot.probes_failed, zone, 1)
-
-    @property
-    def request_rate(self) -> float:
-        """Transactions a second over what is kept."""
-        span = max(SLOT, self._slots[-1].began + SLOT - self._slots[0].began)
-        return sum(x for s in self._slots for x in s.came.values()) * 1e6 / span
-
-    def health_report(
-        self,
-        now: int,
-        own_zone: str,
-        run: str,
-        list_age: int,
-        listed: Mapping[str, feed.EndpointRecord],
-        started: Mapping[str, int],
-        plan: tuple[int, int],
-        deal: int,
-    ) -> HealthReport:
-        self._slot(now)
-        slots, rules = list(self._slots), self._fleet.safety
-        window = max(SLOT, now - slots[0].began)
-        sights = dict[str, ZoneObservation]()
-        self._busy = {r: x for r, x in self._busy.items() if r in listed}
-        for z in self._fleet.zones:
-            ready = [r for r, e in listed.items() if e.zone == z and e.phase == "ready"]
-            warmth = [
-                min(
-                    1.0,
-                    rules.warmup_start_capacity
-                    + (1 - rules.warmup_start_capacity) * (now - started.get(r, 0)) / max(1, rules.warmup_us),
-                )
-                for r in ready
-            ]
-            good = {r for s in slots for r in s.good}
-            silent = sum(r not in good for r in {r for s in slots for r in s.bad} & set(ready))
-            busy = [self._busy[r] for r, w in zip(ready, warmth, strict=True) if w >= 1 and r in self._busy]
-            tried, failed, late, probes, lost = (
-                sum(getattr(s, f).get(z, 0) for s in slots)
-                for f in ("tried", "failed", "late", "probes", "probes_failed")
-            )
-            sights[z] = ZoneObservation(
-                tried,
-                failed,
-                late,
-                len(ready),
-                silent,
-                probes,
-                lost,
-                sum(busy) / len(busy) if busy else -1.0,
-                sum(warmth) / len(warmth) if warmth else 0.0,
-            )
-        came: dict[str, dict[str, float]] = {}
-        for s in slots:
-            for (z, c), x in s.came.items():
-                some = came.setdefault(z, {})
-                some[c] = some.get(c, 0.0) + x * 1e6 / window
-        return HealthReport(own_zone, self.request_rate, list_age, sights, window, came, run, plan, deal)
+                self._busy_shares[row.replica] = row.busy_share
+        for offered in report.requests:
+            key = _OfferedKey(zone, offered.request_class)
+            window.offered[key] = window.offered.get(key, 0) + offered.requests
+
+    def add_health_check(self, now_us: int, zone: str, is_healthy: bool) -> None:
+        """Counts a health check of a replica in `zone`."""
+        counts = self._window(now_us).zone(zone)
+        counts.health_checks += 1
+        if not is_healthy:
+            counts.failed_health_checks += 1
+
+    def snapshot(self, now_us: int, endpoint_list: EndpointList) -> ZoneStatsSnapshot:
+        """The observations of all zones of the settings, as they are now."""
+        self._window(now_us)
+        window_us = max(WINDOW_US, now_us - self._windows[0].began_us)
+        self._busy_shares = {
+            replica: share
+            for replica, share in self._busy_shares.items()
+            if replica in endpoint_list.endpoints
+        }
+        return ZoneStatsSnapshot(
+            window_us=window_us,
+            requests_per_s=self.request_rate,
+            observations={zone: self._observe(now_us, zone, endpoint_list) for zone in self._fleet.zones},
+            offered_by_zone=self._offered_by_zone(window_us),
+        )
+
+    def _window(self, now_us: int) -> _Window:
+        if now_us >= self._windows[-1].began_us + WINDOW_US:
+            self._windows.append(_Window(now_us))
+            while len(self._windows) > WINDOW_COUNT:
+                self._windows.popleft()
+        return self._windows[-1]
+
+    def _observe(self, now_us: int, zone: str, endpoint_list: EndpointList) -> ZoneObservation:
+        ready = [
+            replica
+            for replica, endpoint in endpoint_list.endpoints.items()
+            if endpoint.zone == zone and endpoint.phase == "ready"
+        ]
+        started_us = endpoint_list.start_times_us()
+        capacities = [self._warmup_capacity(now_us - started_us.get(replica, 0)) for replica in ready]
+        busy_shares = [
+            self._busy_shares[replica]
+            for replica, capacity in zip(ready, capacities, strict=True)
+            if capacity >= 1 and replica in self._busy_shares
+        ]
+        counts = _ZoneCounts()
+        for window in self._windows:
+            if zone in window.zones:
+                counts.add(window.zones[zone])
+        return ZoneObservation(
+            attempts=counts.attempts,
+            failures=counts.failures,
+            late_responses=counts.late_responses,
+            ready_replicas=len(ready),
+            silent_replicas=self._count_silent(ready),
+            health_checks=counts.health_checks,
+            failed_health_checks=counts.failed_health_checks,
+            busy_share=sum(busy_shares) / len(busy_shares) if busy_shares else -1.0,
+            sustainable_share=sum(capacities) / len(capacities) if capacities else 0.0,
+        )
+
+    def _warmup_capacity(self, age_us: int) -> float:
+        """The part of its capacity that a replica of this age bears."""
+        safety = self._fleet.safety
+        start = safety.warmup_start_capacity
+        return min(1.0, start + (1 - start) * age_us / max(1, safety.warmup_us))
+
+    def _count_silent(self, ready: list[str]) -> int:
+        """Replicas with failures and without any success."""
+        responsive = {replica for window in self._windows for replica in window.responsive}
+        failing = {replica for window in self._windows for replica in window.failing}
+        return len((failing & set(ready)) - responsive)
+
+    def _offered_by_zone(self, window_us: int) -> dict[str, dict[str, float]]:
+        offered: dict[str, dict[str, float]] = {}
+        for window in self._windows:
+            for key, count in window.offered.items():
+                rates = offered.setdefault(key.zone, {})
+                rates[key.request_class] = rates.get(key.request_class, 0.0) + count * 1e6 / window_us
+        return offered
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -446,7 +446,7 @@
         try:
             client = HttpClient(*config.parse_address(member.address if member else ""))
             try:
-                outcome, response = await health_checks.ask(client, "/stats", PROBE, self._probing)
+                outcome, response = await health_checks.check_health(client, "/stats", PROBE, self._probing)
             finally:
                 client.close()
             if response and response.body:
--- a/tests/support/governed_fleet.py
+++ b/tests/support/governed_fleet.py
@@ -8,8 +8,10 @@
 
 import msgspec
 
-from gradehoist.governor.core import GovernorCore, Poll, RequestRejectedError
-from gradehoist.governor.policy_process import PolicyHost
+from gradehoist.governor.core import GovernorCore
+from gradehoist.governor.errors import RequestRejectedError
+from gradehoist.governor.policy_host import PolicyHost
+from gradehoist.governor.proxy_sessions import FeedPoll
 from gradehoist.protocol import feed
 from gradehoist.settings import reader as r
 from gradehoist.settings.fleet import CellPlacement, Settings, parse_settings
@@ -69,8 +71,8 @@
     pictures: int = 0
     dead: bool = False
 
-    def poll(self) -> Poll:
-        return Poll(self.name, self.zone, 1.0, self.epoch, self.stream, self.after)
+    def poll(self) -> FeedPoll:
+        return FeedPoll(self.name, self.zone, 1.0, self.epoch, self.stream, self.after)
 
 
 class World:
@@ -179,7 +181,7 @@
             self.check()
 
     def check(self) -> None:
-        channel = self.core.channel
+        channel = self.core.publisher.channel
         self.most = max(self.most, channel.waiting_lines)
         assert channel.waiting_lines <= channel.queue_limit_lines
         assert abs(channel.waiting_lines - sum(x.message.cost_lines for x in channel._queue)) < 1e-6
--- a/tests/support/interleavings.py
+++ b/tests/support/interleavings.py
@@ -15,9 +15,11 @@
 
 from gradehoist import interface as i
 from gradehoist.governor.channel import Channel
-from gradehoist.governor.core import GovernorCore, Poll, RequestRejectedError
-from gradehoist.governor.policy_instances import Reply
-from gradehoist.governor.policy_process import PolicyHost
+from gradehoist.governor.core import GovernorCore
+from gradehoist.governor.errors import RequestRejectedError
+from gradehoist.governor.policy_host import PolicyHost
+from gradehoist.governor.policy_instances import PolicyReply
+from gradehoist.governor.proxy_sessions import FeedPoll
 from gradehoist.protocol import feed
 from tests.support.governed_fleet import SECOND, entry, settings
 
@@ -60,7 +62,8 @@
         self.book = [b for b in self.book if b[1] != proxy]
         self.book = [(self._out(b[3], b[2]), *b[1:]) for b in self.book]
 
-    def put(self, now: int, proxy: int, stream: int, message: feed.Message) -> str:
+    def put(self, now_us: int, proxy: int, stream: int, message: feed.Message) -> str | None:
+        now = now_us
         why = super().put(now, proxy, stream, message)
         if why:
             return why
@@ -74,7 +77,7 @@
             raise Broken(f"rule 5: {waits:g} lines wait, {most:g} may")
         if number and len(self.put_at[proxy]) > number:
             raise Broken(f"rule 5: {len(self.put_at[proxy])} messages to proxy {proxy} within the window")
-        return ""
+        return None
 
 
 @dataclass
@@ -130,8 +133,11 @@
         fleet = self.settings.fleet
         core = GovernorCore(fleet, self.settings.governors[0], f"e{self.lives}", self.now)
         ch = fleet.channel
-        core.channel = Watched(
-            ch.queue_limit_lines, ch.lines_per_s, ch.messages_per_window, ch.message_window_us
+        core.publisher.channel = Watched(
+            queue_limit_lines=ch.queue_limit_lines,
+            lines_per_s=ch.lines_per_s,
+            messages_per_window=ch.messages_per_window,
+            window_us=ch.message_window_us,
         ).watch(ch.queue_limit_lines, ch.lines_per_s, ch.messages_per_window, ch.message_window_us)
         made = Governor(core, PolicyHost(core.policy_configs, self.now, False))
         self._tell(made)
@@ -230,7 +236,7 @@
             relay.answer = None
         if relay.answer is None and relay.dials <= self.now:
             after = 0 if relay.deaf else relay.after
-            poll = Poll(relay.name, relay.zone, 5.0, relay.epoch, relay.stream, after)
+            poll = FeedPoll(relay.name, relay.zone, 5.0, relay.epoch, relay.stream, after)
             try:
                 answer = self.governors[relay.at].core.handle_poll(self.now, poll)
             except RequestRejectedError:
@@ -271,14 +277,18 @@
             g.probes.remove((at, replica))
         g.core.advance(self.now)
         if batches := g.core.take_batches():
-            replies: list[Reply] = [
-                (part, self.spoil(self, orders) if self.spoil else orders, why)
-                for part, orders, why in g.modules.handle(self.now, batches)
+            replies = [
+                PolicyReply(
+                    policy=reply.policy,
+                    orders=self.spoil(self, reply.orders) if self.spoil else reply.orders,
+                    reasons=reply.reasons,
+                )
+                for reply in g.modules.handle(self.now, batches)
             ]
             g.core.apply_replies(self.now, replies)
         g.probes += [(self.now + 100_000, n) for n in g.core.pending_health_checks]
         g.core.pending_health_checks.clear()
-        g.core.pending_logs.clear()
+        g.core.log.take()
 
     # The rules, by what was told, held and sent
 
--- a/tests/test_boundary_values.py
+++ b/tests/test_boundary_values.py
@@ -178,7 +178,9 @@
 
 
 def test_channel_door_budget_and_figures_at_the_edges() -> None:
-    channel = Channel(100.0, 1e-3 * 1e6, 1, SECOND)
+    channel = Channel(
+        queue_limit_lines=100.0, lines_per_s=1e-3 * 1e6, messages_per_window=1, window_us=SECOND
+    )
     channel.add_proxy(0)
     message = feed.Message(1, 1, 0, 0.0, ())
     assert not channel.put(2**53, 0, 1, message) and channel.put(2**53, 0, 1, message)  # one in a window
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -169,15 +169,15 @@
 def test_a_governor_with_twelve_cells_keeps_to_the_messages_a_relay_may_get() -> None:
     found = world(12, 20, 48)
     stamps: dict[str, list[int]] = {r.name: [] for r in found.relays}
-    put = found.core.channel.put
+    put = found.core.publisher.channel.put
 
-    def counted(now: int, proxy: int, *rest: Any) -> str:
+    def counted(now: int, proxy: int, *rest: Any) -> str | None:
         said = put(now, proxy, *rest)
         if not said:
             stamps[found.core.identifiers.proxies.names[proxy]].append(now)
         return said
 
-    found.core.channel.put = counted  # type: ignore[method-assign,assignment]
+    found.core.publisher.channel.put = counted  # type: ignore[method-assign,assignment]
     found.dial()
     found.run(4)
     labels = {class_label(f"c{n}", c) for n in range(12) for c in ("read", "write")}
@@ -188,13 +188,13 @@
     found.list(entry(7, "draining"), entry(30, "gone"), entry(99))
     found.run(3)  # the world checks the grace over the labels of every cell
     assert all(set(r.holdings.weights_for("c3/write")) == {"w6", "w31"} for r in found.relays)
-    assert any(x.name == "no_cell" and x.fields["replica"] == "w99" for x in found.core.pending_logs)
+    assert any(x.name == "replica_ignored" and x.fields["replica"] == "w99" for x in found.core.log.pending)
     for n in range(30):
         found.list(entry(n % 40 + 1, "ready" if n % 2 else "draining"))
         found.run(0.3)
     for times in stamps.values():
         assert all(sum(t - 10 * SECOND < x <= t for x in times) <= 20 for t in times)
-    assert not any(x.name == "channel_full" for x in found.core.pending_logs)
+    assert not any(x.name == "message_rejected" for x in found.core.log.pending)
 
 
 def test_what_cannot_be_had_is_said_by_name() -> None:
--- a/tests/test_delivery_queue.py
+++ b/tests/test_delivery_queue.py
@@ -8,8 +8,9 @@
 
 from gradehoist import interface as i
 from gradehoist.cells.channel_shares import ChannelShares
+from gradehoist.governor.cell_publisher import CellPublisher
 from gradehoist.governor.delivery_queue import Delivery, DeliveryQueue
-from gradehoist.governor.policy_instances import PolicyInstance
+from gradehoist.governor.policy_instances import PolicyInstance, PolicySet
 from gradehoist.governor.tables import PublishedTables
 from gradehoist.identifiers import Identifiers
 from gradehoist.protocol import feed
@@ -30,7 +31,7 @@
         self.tables = PublishedTables(self.names, 4.0, route)
         self.parts = [PolicyInstance(n, f"c{n}", CLASSES) for n in range(CELLS)]
         self.ledger = DeliveryQueue(
-            self.tables, self.parts, ChannelShares(CELLS, 1000, 1000, 20, 4.0, 2 * SECOND)
+            self.tables, PolicySet(self.parts), ChannelShares(CELLS, 1000, 1000, 20, 4.0, 2 * SECOND)
         )
         self.held = [feed.ProxyState() for _ in range(RELAYS)]
         for n in range(CELLS * 3):
@@ -55,12 +56,11 @@
             i.SetAdmission(dice.choice([None, table]), some, dice.choice([0.2, 0.6, 1.0]), dice.randrange(4)),
         ]
         order = dice.choice(choice)
-        concerned: dict[int, None] = {}
-        self.ledger.apply(n, order, concerned)
+        concerned = self.ledger.apply(n, order)
         self.ledger.finish_reply(n, i.RequestAcknowledgement(dice.randrange(9), False), concerned, 0)
 
     def serve(self, proxy: int, urgent: bool, room: float) -> Delivery:
-        piece = self.ledger.next_delivery(proxy, urgent, room)
+        piece = self.ledger.next_delivery(proxy, urgent=urgent, available_lines=room)
         self.seq += 1
         self.held[proxy].apply(feed.Message(self.seq, 1, 1, piece.cost_lines, tuple(piece.deltas)))
         self.ledger.mark_delivered(proxy, piece)
@@ -111,19 +111,17 @@
 def test_the_cell_that_had_least_goes_first_and_a_noisy_one_waits_for_itself() -> None:
     play = Play(1)
     for n in range(CELLS):
-        play.ledger.apply(
-            n, i.BindProxy(0, play.parts[n].global_table(0), tuple(range(n * 2, n * 2 + 2))), {}
-        )
+        bind = i.BindProxy(0, play.parts[n].global_table(0), tuple(range(n * 2, n * 2 + 2)))
+        play.ledger.apply(n, bind)
         play.ledger.finish_reply(n, None, [0], 0)
     play.serve(0, False, 1e6)
-    served, concerned = dict.fromkeys(range(CELLS), 0), dict[int, None]()
+    served = dict.fromkeys(range(CELLS), 0)
     for _ in range(40):
         play.ledger.budget.decay_usage()
         for n in range(CELLS):
             for replica in range(n * 3, n * 3 + (3 if n == 2 else 1)):
-                line, concerned = i.SetWeight(play.parts[n].global_table(0), replica, play.dice.random()), {}
-                play.ledger.apply(n, line, concerned)
-                play.ledger.finish_reply(n, None, concerned, 0)
+                line = i.SetWeight(play.parts[n].global_table(0), replica, play.dice.random())
+                play.ledger.finish_reply(n, None, play.ledger.apply(n, line), 0)
         for n in play.serve(0, True, 4 + 3).cell_costs:  # a head and three lines: what the quiet ones ask for
             served[n] += 1
     # Where all that is wanted is one line too many, the noisy cell gets no more lines than a quiet one.
@@ -150,7 +148,8 @@
     w = world(12, 40, 48, queue=2_000, rate=300)
     w.dial()
     w.run(3)
-    gone, *strange = w.core._unintroduced
+    assert isinstance(w.core.publisher, CellPublisher)
+    gone, *strange = w.core.publisher.unintroduced
     w.core.remove_proxy(gone, "its connection closed")
     assert strange and not any(isinstance(e, i.ProxyLeft) for p in w.core.policies for e in p.events)
     w.list(entry(9, "draining"))
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -18,7 +18,7 @@
 from gradehoist.capacity_planning import planner
 from gradehoist.cells import migration, rate_limits, rollout
 from gradehoist.coordination import agent, members
-from gradehoist.governor import openapi, service
+from gradehoist.governor import http_api, openapi
 from gradehoist.history import records
 from gradehoist.protocol import feed, orca
 from gradehoist.scenario import audit
@@ -268,8 +268,10 @@
         ),
         requests=(feed.ClassRequests(request_class="read", requests=6, incomplete=1),),
     ),
-    "poll": service.PollQuery(relay="r1", zone="hall-a", rate=9.5, epoch="e", stream=1, after=2),
-    "error": openapi.Error(error="not understood"),
+    "poll": http_api.PollQuery(
+        proxy_name="r1", zone="hall-a", request_rate=9.5, epoch="e", stream=1, acknowledged_seq=2
+    ),
+    "error": openapi.ErrorBody(error="not understood"),
     "replica": REPLICA,
     "roster": feed.EndpointListUpdate(
         incarnation="l", version=7, endpoints=(REPLICA,), is_snapshot=True, since_version=6
--- a/tests/test_event_interleavings.py
+++ b/tests/test_event_interleavings.py
@@ -79,7 +79,7 @@
 
 def queue(site: Site, orders: list[i.Order]) -> list[i.Order]:
     for g in getattr(site, "governors", ()):
-        g.core.channel.queue_limit_lines = 1e9
+        g.core.publisher.channel.queue_limit_lines = 1e9
     levels: list[i.Order] = [i.SetAdmission(None, (0,), 1.0, 1) for _ in range(80)]
     return (
         orders[:-1] + levels + orders[-1:]
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -46,7 +46,7 @@
             os.kill(planner, signal.SIGSTOP)
             roster.list(entry(1, "draining"))
             assert await until(lambda: not relay.joined or not relay.sends_to("w1"), GRACE), "a late drain"
-            assert await governor.ended(3) == 1 and "planner" in governor.log.read_text()
+            assert await governor.ended(3) == 1 and "policy process" in governor.log.read_text()
             assert not psutil.pid_exists(planner)
 
     play(work)
@@ -137,7 +137,7 @@
             roster.wake()
             await asyncio.sleep(1.5)
             assert relay.sends_to("w0") and not relay.sends_to("w1"), governor.log.read_text()[-300:]
-            assert "roster_down" in governor.log.read_text()
+            assert "endpoint_list_request_failed" in governor.log.read_text()
             roster.version, roster.entries = roster.version + 5, kept
             roster.list(entry(2, "draining"))
             assert await until(lambda: not relay.sends_to("w2"), 4.0)
@@ -157,7 +157,7 @@
             assert await until(lambda: good.sends_to("w1"), 6.0), "no replica returns any more"
             roster.list(entry(2, "draining"))
             assert await until(lambda: not good.sends_to("w2"), GRACE)
-            assert "confirms nothing" in governor.log.read_text()
+            assert "acknowledges nothing" in governor.log.read_text()
             deaf.task.cancel()
 
     play(work)
@@ -227,7 +227,7 @@
         running = asyncio.ensure_future(service.run())
         assert await until(lambda: not service.core.endpoint_list.is_stale, 10)
         await asyncio.sleep(1.2)
-        pending = sum("_lease" in repr(task) and "_leases" not in repr(task) for task in service._tasks)
+        pending = sum("ReplicaLeases.renew" in repr(task) for task in service._tasks)
         service.stop()
         assert await running == 0 and pending <= 4 and 2 <= len(asked) <= 16, (pending, len(asked))
         server.abort()
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -6,9 +6,11 @@
 
 from gradehoist import interface as i
 from gradehoist.governor.channel import Channel
-from gradehoist.governor.core import Poll, RequestRejectedError
 from gradehoist.governor.endpoint_list import EndpointList, EndpointListGapError
+from gradehoist.governor.errors import RequestRejectedError
 from gradehoist.governor.load_reports import LoadReportQueue
+from gradehoist.governor.policy_instances import PolicyReply, PolicyRevision
+from gradehoist.governor.proxy_sessions import FeedPoll
 from gradehoist.governor.proxy_streams import ProxyStream
 from gradehoist.identifiers import Identifiers
 from gradehoist.protocol import feed
@@ -35,7 +37,7 @@
     world = World(relays=40, queue=900, rate=900)
     world.dial()
     world.run(0.3)
-    assert world.core.channel.waiting_lines > 0.3 * 900  # binds fill it
+    assert world.core.publisher.channel.waiting_lines > 0.3 * 900  # binds fill it
     world.list(entry(3, "draining"), entry(4, "gone"))
     world.run(6)
     assert bound(world)
@@ -71,7 +73,7 @@
     world.run(2)
     relay = world.relays[0]
     with pytest.raises(RequestRejectedError) as caught:
-        world.core.handle_poll(world.now, Poll("r0", "x", 1.0, "one", relay.stream, relay.after + 50))
+        world.core.handle_poll(world.now, FeedPoll("r0", "x", 1.0, "one", relay.stream, relay.after + 50))
     assert caught.value.status == 409
     relay.after, relay.polling = 0, False  # lost what it had applied: one whole picture, never a gap
     lines = dict(relay.holdings.weights_for("read"))
@@ -86,12 +88,12 @@
     world.dial()
     world.run(1)
     proxy, old = world.core.identifiers.proxies["r0"], world.relays[0].stream
-    answer = world.core.handle_poll(world.now, Poll("r0", "x"))
+    answer = world.core.handle_poll(world.now, FeedPoll("r0", "x"))
     assert answer is not None and answer.is_new_stream and answer.stream > old
     world.core.remove_proxy(proxy, "its connection closed", old)
     assert world.core.streams[proxy].number == answer.stream
-    events = [type(e).__name__ for _, some in world.core.take_batches() for e in some]
-    assert events[-2:] == ["ProxyLeft", "ProxyJoined"]
+    events = [type(event) for batch in world.core.take_batches() for event in batch.events]
+    assert events[-2:] == [i.ProxyLeft, i.ProxyJoined]
 
 
 def test_a_relay_that_joins_anew_without_end_holds_up_no_drain() -> None:
@@ -101,12 +103,12 @@
     world.run(8)
     world.relays[0].dead = True
     for n in range(140):
-        world.core.handle_poll(world.now, Poll("r0", "x", 1e9))
+        world.core.handle_poll(world.now, FeedPoll("r0", "x", 1e9))
         if n == 100:
             world.list(entry(3, "draining"))
         world.run(0.05)  # the world checks the grace at each step
     assert not any("w3" in r.holdings.weights_for("read") for r in world.relays[1:])
-    channel = world.core.channel
+    channel = world.core.publisher.channel
     channel.remove_proxy(0)
     assert all(item.release_us <= world.now + 2 * item.transmit_us for item in channel._queue)
 
@@ -118,9 +120,9 @@
     world.list(entry(1, "draining"))
     world.run(4)  # the world checks the grace at each step
     assert not bound(world) and all(set(r.holdings.weights_for("read")) == {"w0"} for r in world.relays)
-    warned = [x.fields["relay"] for x in world.core.pending_logs if x.name == "table_too_large"]
+    warned = [x.fields["proxy"] for x in world.core.log.pending if x.name == "table_size_exceeded"]
     assert sorted(warned) == sorted(r.name for r in world.relays)
-    world.core.channel.queue_limit_lines = 400.0
+    world.core.publisher.channel.queue_limit_lines = 400.0
     world.run(4)
     assert bound(world) and all(len(r.holdings.weights_for("read")) == 299 for r in world.relays)
 
@@ -135,7 +137,7 @@
     for n in range(200):
         slow.last_poll_us = world.now
         orders: list[i.Order] = [i.SetWeight(g, 1, 1 + n / 100) for g in range(10)]
-        world.core.apply_replies(world.now, [(0, orders, {})])
+        world.core.apply_replies(world.now, [PolicyReply(0, orders, {})])
         world.run(0.1)
         assert slow.unacknowledged_lines <= 300 and len(slow.unacknowledged) < 100
     assert slow.resync_reason or slow.resync_seq
@@ -143,21 +145,23 @@
 
 
 def test_the_channel_refuses_at_its_limits_and_never_drops_in_silence() -> None:
-    channel = Channel(100, 100, 3, 10 * SECOND)
+    channel = Channel(queue_limit_lines=100, lines_per_s=100, messages_per_window=3, window_us=10 * SECOND)
     message = feed.Message(1, 1, 0, 40, ())
     channel.add_proxy(1)
-    assert [channel.put(0, 1, 1, message) for _ in range(3)] == ["", "", "80 of 100 lines wait"]
+    assert [channel.put(0, 1, 1, message) for _ in range(3)] == [None, None, "80 of 100 lines wait"]
     assert [x.release_us for x in channel.take_released(10 * SECOND)] == [400_000, 800_000]
-    assert channel.put(SECOND, 1, 1, message) == ""
+    assert channel.put(SECOND, 1, 1, message) is None
     assert channel.put(2 * SECOND, 1, 1, message) == "3 messages within 10 s"
-    assert channel.put(11 * SECOND, 1, 1, message) == ""  # the first two are out of the window
+    assert channel.put(11 * SECOND, 1, 1, message) is None  # the first two are out of the window
     assert channel.put(0, 2, 1, message) == "the proxy has left"
     channel.remove_proxy(1)
     assert channel.waiting_lines == 0 and channel.next_release_us() is None
 
 
 def test_the_channel_measures_its_own_pace() -> None:
-    channel = Channel(9_000, 1_000, 0, 10 * SECOND)
+    channel = Channel(
+        queue_limit_lines=9_000, lines_per_s=1_000, messages_per_window=0, window_us=10 * SECOND
+    )
     channel.add_proxy(1)
     for now in (0, 250_000, 500_000):  # out in time, then by a loop that is four times too late
         for _ in range(10):
@@ -178,7 +182,9 @@
     for _ in range(4):
         world.core.streams[world.core.identifiers.proxies["r0"]].last_poll_us = world.now
         world.run(1)
-    assert [x.fields["relay"] for x in world.core.pending_logs if x.name == "relay_slow"] == ["r0"]
+    assert [x.fields["proxy"] for x in world.core.log.pending if x.name == "acknowledgement_delayed"] == [
+        "r0"
+    ]
 
 
 def test_two_governors_that_each_know_one_half_keep_to_what_they_know() -> None:
@@ -211,13 +217,13 @@
     world.run(1)
     core, proxy = world.core, world.core.identifiers.proxies["r0"]
     stream = core.streams[proxy]
-    levels = [i.SetAdmission(None, (k,), 0.5, 0) for k in (0, 1)] * 30
-    core.apply_replies(world.now, [(0, [*levels, i.RequestAcknowledgement(9, True)], {})])
-    assert stream.resync_reason and any(x.name == "channel_full" for x in core.pending_logs)
-    assert any((0, 9) in marks for _, marks, _ in stream.pending_revisions)
+    levels: list[i.Order] = [i.SetAdmission(None, (k,), 0.5, 0) for _ in range(30) for k in (0, 1)]
+    core.apply_replies(world.now, [PolicyReply(0, [*levels, i.RequestAcknowledgement(9, True)], {})])
+    assert stream.resync_reason and any(x.name == "message_rejected" for x in core.log.pending)
+    assert any(PolicyRevision(0, 9) in pending.revisions for pending in stream.pending)
     world.run(6)
     assert not stream.resync_reason and world.relays[0].pictures
-    assert world.relays[0].holdings.admission_for("read", 1) == (0.5, 0) and not stream.pending_revisions
+    assert world.relays[0].holdings.admission_for("read", 1) == (0.5, 0) and not stream.pending
 
 
 def test_a_restart_between_two_lists_shows_as_one() -> None:
@@ -314,7 +320,7 @@
         if isinstance(e, i.AttemptsReported)
     ]
     assert [(e.replica, e.attempts) for e in heard] == [(world.core.identifiers.replicas["w1"], 10)]
-    assert [x.fields["replica"] for x in world.core.pending_logs if x.name == "sums_strange"] == ["w99"]
+    assert [x.fields["replica"] for x in world.core.log.pending if x.name == "load_report_trimmed"] == ["w99"]
 
 
 def test_holdings_keep_earlier_tables_until_bound_and_drop_what_means_nothing_then() -> None:
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -501,7 +501,7 @@
             await held.wait()
             return i.HealthCheckOutcome.HEALTHY, None
 
-        monkeypatch.setattr(health_checks, "ask", ask)
+        monkeypatch.setattr(health_checks, "check_health", ask)
         core = found.service.core
         monkeypatch.setattr(core, "on_health_checked", lambda n, outcome, *_: heard.update({n: outcome}))
         s0, s2 = (core.identifiers.replicas[name] for name in ("s-0", "s-2"))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import os
 import pickle
 import signal
@@ -20,15 +19,24 @@
 import pytest
 
 from gradehoist.cells.migration import TenantAssignment
-from gradehoist.governor import policy_process as planning
 from gradehoist.governor.openapi import document
+from gradehoist.governor.policy_frames import (
+    FRAME_LENGTH,
+    BatchesHandled,
+    HandleBatches,
+    StartPolicies,
+    encode_frame,
+)
+from gradehoist.governor.policy_host import serve
+from gradehoist.governor.policy_instances import PolicyBatch
+from gradehoist.governor.policy_process import PolicyProcess, PolicyProcessError
 from gradehoist.governor.service import GovernorService
+from gradehoist.interface import ProxyJoined
 from gradehoist.net.client import ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, ServerTimeouts
 from gradehoist.protocol import feed, http
 from gradehoist.scenario import audit, definition
 from gradehoist.scenario.runner import Run
-from gradehoist.settings.fleet import CellPlacement
 from gradehoist.testbed import scenario_plan as p
 from gradehoist.testbed.proxy import Relay, Relays
 from tests.support.governed_fleet import entry, on_sockets
@@ -253,12 +261,12 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def fail(self: Any, now: int, batches: list[Any], timers: bool) -> Any:
-        if any(type(e).__name__ == "ProxyJoined" for _, events in batches for e in events):
-            raise planning.PolicyProcessError("ValueError: made up")
+        if any(isinstance(event, ProxyJoined) for batch in batches for event in batch.events):
+            raise PolicyProcessError("ValueError: made up")
         return []
 
     async def work() -> None:
-        monkeypatch.setattr(planning.PolicyProcess, "handle", fail)
+        monkeypatch.setattr(PolicyProcess, "handle", fail)
         async with governor(tmp_path) as (service, client):
             answer = read(await client.request("GET", "/v1/feed?relay=r&zone=x"))
             with contextlib.suppress(ConnectionLostError, ResponseTimeoutError):
@@ -266,7 +274,7 @@
                 ended = await client.request("GET", target)
                 assert ended.status == 503 and b"messages" not in ended.body
             await asyncio.wait_for(service._stopping.wait(), 5)
-            assert service._failed
+            assert service._has_failed
 
     run(work)
 
@@ -280,16 +288,15 @@
 
     ours, theirs = socket.socketpair()
     with ours, theirs, theirs.makefile("rwb") as pipe, ours.makefile("rwb") as end:
-        frames: list[tuple[Any, ...]] = [([None], 0, False), (0, [(0, [])])]
-        for frame in frames:
-            data = pickle.dumps(frame)
-            end.write(planning.FRAME_LENGTH.pack(len(data)) + data)
+        none: Any = None
+        end.write(encode_frame(StartPolicies([none], 0, False)))
+        end.write(encode_frame(HandleBatches(0, [PolicyBatch(0, [])], True)))
         end.flush()
         ours.shutdown(socket.SHUT_WR)
-        planning.serve(pipe, Faulty)  # type: ignore[arg-type]
-        (size,) = planning.FRAME_LENGTH.unpack(end.read(4))
-        fault, replies, _ = pickle.loads(end.read(size))
-    assert fault == "RuntimeError: made up" and replies == []
+        serve(pipe, Faulty)  # type: ignore[arg-type]
+        (size,) = FRAME_LENGTH.unpack(end.read(4))
+        answer: BatchesHandled = pickle.loads(end.read(size))
+    assert answer.failure == "RuntimeError: made up" and answer.replies == []
 
 
 def test_an_answer_lost_after_the_work_is_not_repeated_for_what_must_never_run_twice(tmp_path: Path) -> None:
@@ -442,7 +449,7 @@
 ) -> None:
     async def work() -> None:
         async with governor(tmp_path) as (service, client):
-            service.fleet = dataclasses.replace(service.fleet, placement=CellPlacement(("c",), {"w0": "c"}))
+            service._api._assignments = service.assignments  # as with cells
             word = msgspec.json.encode(TenantAssignment("inn", 2, "m"))
 
             def full(path: Path, data: bytes) -> None:
@@ -454,14 +461,14 @@
                 assert (
                     refused.status == 503
                     and b"No space" in refused.body
-                    and not service.migration_records.assignments
+                    and not service.assignments.directory.assignments
                 )
             assert (await client.request("POST", "/v1/cells/word", word)).status == 200
-            await service._lease("no address", b"")  # fails by itself, not the governor
-            assert not service._failed
+            await service.leases.renew("no address", b"")  # fails by itself, not the governor
+            assert not service._has_failed
         (service.settings.state_folder / "cells.json").write_bytes(b"[[")
         with pytest.raises(OSError, match="put back a copy"):
-            GovernorService(service.fleet, service.settings)._load()
+            GovernorService(service.fleet, service.settings).load_state()
 
     run(work)
 
@@ -475,7 +482,7 @@
     first = subprocess.Popen(command, stderr=subprocess.PIPE, cwd=ROOT)
     assert first.stderr is not None
     line = b""
-    while b'"started"' not in line:
+    while b'"governor_started"' not in line:
         line = first.stderr.readline()
         assert line
     path.write_text(path.read_text().replace('state="var/a"', 'state="var/other"'))  # whose lock is free
@@ -483,7 +490,7 @@
     assert second.returncode == 2 and b"listen" in second.stderr and b"Traceback" not in second.stderr
     children = psutil.Process(first.pid).children()
     first.send_signal(signal.SIGTERM)
-    assert first.wait(20) == 0 and b'"stopped"' in first.stderr.read()
+    assert first.wait(20) == 0 and b'"governor_stopped"' in first.stderr.read()
     assert children and not any(os.path.exists(f"/proc/{c.pid}") for c in children)
 
 
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -672,8 +672,8 @@
                 await asyncio.sleep(0.02)
             assert service.core.endpoint_list.endpoints == {entry.replica: entry for entry in LISTED}
             assert service.core.endpoint_list.is_stale
-            assert service.migration_records.assignments == {word.tenant: word for word in BOOK}
-            assert service.migration_records.route("inn3", "c0") == ("c1", 2)
+            assert service.assignments.directory.assignments == {word.tenant: word for word in BOOK}
+            assert service.assignments.directory.route("inn3", "c0") == ("c1", 2)
             answer = await client.request("POST", "/v1/cells/word", msgspec.json.encode(late), timeout_s=30)
             confirm: AssignmentAck = msgspec.json.decode(answer.body, type=AssignmentAck)
             assert confirm.assignment == BOOK[0]  # what it knew before stands against another move
