Membership in modules of one job: service, health checks, log events

Cause: the membership held HTTP contacts, log names, elections and reachability in one class with nine arguments and metaphors for names. Change: health checks of members and the names of log events are modules of their own; a process passes its ProcessIdentity; log events are renamed (fleet_joined, session_suspended, process_fenced, leadership_acquired and others); the end of coordination by a bug is read from its task instead of a broad except.

--- a/bench/member.py
+++ b/bench/member.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 from typing import Any
 
-from gradehoist.membership.service import Membership
+from gradehoist.coordination.agent import ProcessIdentity
+from gradehoist.membership.service import Membership, new_incarnation
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response, json_response
 from gradehoist.protocol import http
 from gradehoist.settings.fleet import CoordinationSettings
@@ -31,7 +32,14 @@
         60_000_000,
         30_000_000,
     )
-    member = Membership(settings, "member", name, "x", f"127.0.0.1:{port}", 1, lambda *a, **k: None)
+    identity = ProcessIdentity(
+        role="member",
+        name=name,
+        zone="x",
+        incarnation=new_incarnation(name),
+        address=f"127.0.0.1:{port}",
+    )
+    member = Membership(settings, identity, seed=1, log=lambda *a, **k: None)
     late = list[float]()
 
     def changed(key: str) -> None:
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -18,12 +18,13 @@
 
 from gradehoist import interface as i
 from gradehoist.cells.migration import AssignmentAck, TenantAssignment, TenantDirectory
+from gradehoist.coordination.agent import ProcessIdentity
 from gradehoist.governor import health_checks
 from gradehoist.governor.core import GovernorCore, Poll, RequestRejectedError
 from gradehoist.governor.endpoint_list import EndpointListGapError
 from gradehoist.governor.policy_process import PolicyProcess, PolicyProcessError
 from gradehoist.governor.zone_coordination import ZoneCoordination
-from gradehoist.membership.service import Membership
+from gradehoist.membership.service import Membership, new_incarnation
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response, json_response
 from gradehoist.protocol import feed, http, orca
@@ -100,7 +101,14 @@
             return None
 
         address = f"{own.listen_address[0]}:{own.listen_address[1]}"
-        return Membership(fleet.coordination, "governor", own.name, own.zone, address, own.seed, self._event)
+        identity = ProcessIdentity(
+            role="governor",
+            name=own.name,
+            zone=own.zone,
+            incarnation=new_incarnation(own.name),
+            address=address,
+        )
+        return Membership(fleet.coordination, identity, own.seed, self._event)
 
     def _zoning(self, fleet: FleetSettings, own: GovernorSettings) -> ZoneCoordination | None:
         if self.membership is None or fleet.coordination is None or fleet.coordination.zones is None:
--- a/gradehoist/membership/__init__.py
+++ b/gradehoist/membership/__init__.py
@@ -1,1 +1,1 @@
-"""A process of the program as a member of its fleet: what each role shares round the decisions."""
+"""Membership of one process in its fleet, shared by all roles."""
--- a/gradehoist/membership/service.py
+++ b/gradehoist/membership/service.py
@@ -1,13 +1,12 @@
-"""A role's membership: agent, members and claims on one clock, contacts over HTTP, news as log lines.
+"""Membership of a process in its fleet: session, elections, failure detection and log events on one clock.
 
-It never ends the role: a register that is away, full, slow or gone back costs coordination alone, and so does
-a fault of this module, which is told as a bug.
+The role of the process goes on whatever happens here. A coordination store that is unavailable, full, slow or
+rolled back costs coordination alone, and so does a bug in this package, which is logged.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import uuid
 import zlib
 from collections.abc import Callable, Mapping
@@ -15,56 +14,73 @@
 
 from gradehoist.coordination.agent import MemberRecord, Notification, Participant, ProcessIdentity
 from gradehoist.coordination.election import LeaderElection
-from gradehoist.coordination.members import FailureDetector, MemberState, ReachabilityReport
+from gradehoist.coordination.members import FailureDetector, MemberState, MemberStatus, ReachabilityReport
 from gradehoist.coordination.store import Change, CoordinationStore, RecordTooLargeError
-from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
+from gradehoist.membership.health_checks import MemberHealthChecker
+from gradehoist.membership.log_events import LOG_EVENTS
 from gradehoist.net.coordination_client import CallRecorder, CoordinationClient, monotonic_us
 from gradehoist.net.etcd import EtcdStore
 from gradehoist.net.server import ServerResponse, error_response
 from gradehoist.settings.fleet import CoordinationSettings
-from gradehoist.settings.reader import parse_address
 from gradehoist.store.sqlite_store import SqliteStore
 
-ASSESSMENT_INTERVAL_US = (
-    200_000  # µs between looks at all members: at each change of the register it would cost the fleet's
-)
-# size; nobody is suspected for less
-CONTACT_TIMEOUT_S = 0.5  # seconds for a contact: within a site it takes milliseconds
-UNLOGGED_EVENTS = ("changed", "settled")  # news that are no log lines
-WARNING_EVENTS = ("away", "doubt", "ended", "fenced", "outrun", "full", "unread")
+# Between two looks at all members. A look at each change of the store would cost the size of the fleet, and
+# nobody is suspected in less time.
+ASSESSMENT_INTERVAL_US = 200_000
+
+MEMBERS_PREFIX = "members/"
+REACHABILITY_PREFIX = "views/"
 
 
 def open_store(settings: CoordinationSettings) -> CoordinationStore:
+    """Open the coordination store that the settings name: an etcd server or a folder of this machine."""
     if settings.etcd_address is not None:
         return EtcdStore(*settings.etcd_address, settings.key_prefix)
     assert settings.folder is not None
     return SqliteStore(settings.folder)
 
 
+def new_incarnation(name: str) -> str:
+    """A name for one run of a process, never used again for another."""
+    return f"{name}-{uuid.uuid4().hex[:8]}"
+
+
 class Membership:
-    """`log` takes an event, whether it is a warning, and fields. `changed` hears keys of the register that
-    changed; `settled` how a proposal ended; `ticked` is called after each turn; `failed` where none will come
-    any more."""
+    """One process as a member of its fleet; owned by the service of its role, which runs and leaves it.
+
+    Attributes:
+        agent: The session with the coordination store and the cached records.
+        members: The failure detector over all members.
+        elections: The leader elections in which this process stands.
+        key_listeners: Called with each key of the store that changed.
+        proposal_listeners: Called with the id and the outcome of each commit that this process proposed.
+        tick_listeners: Called after each round with the time in µs.
+        failure_listeners: Called once when a bug ended coordination, so that no further round will come.
+    """
 
     def __init__(
         self,
         settings: CoordinationSettings,
-        role: str,
-        name: str,
-        zone: str,
-        address: str,
+        identity: ProcessIdentity,
         seed: int,
         log: Callable[..., None],
         recorder: CallRecorder | None = None,
-        incarnation: str = "",
     ) -> None:
+        """Prepare the membership without joining; `run` joins.
+
+        Args:
+            settings: Where the coordination store is, and its times.
+            identity: Role, name, zone, incarnation and address of this process.
+            seed: The seed of the settings for random choices.
+            log: Takes an event's name, whether it is a warning, and its fields.
+            recorder: Keeps a history of all calls to the store, if given.
+        """
         self.settings = settings
-        me = ProcessIdentity(role, name, zone, incarnation or f"{name}-{uuid.uuid4().hex[:8]}", address)
-        # Chance of a process' own, or many started from one file would come back at one time.
-        own = zlib.crc32(f"{seed}:{me.incarnation}".encode())
-        self.agent = Participant(me, settings.session_ttl_us, own)
+        # With one seed for all, processes started from the same settings would all retry at the same time.
+        process_seed = zlib.crc32(f"{seed}:{identity.incarnation}".encode())
+        self.agent = Participant(identity, settings.session_ttl_us, process_seed)
         self.members = FailureDetector(
-            me.member_key, settings.lost_after_us, settings.contact_interval_us, own
+            identity.member_key, settings.lost_after_us, settings.contact_interval_us, process_seed
         )
         self.elections = list[LeaderElection]()
         self.key_listeners: list[Callable[[str], None]] = []
@@ -72,54 +88,55 @@
         self.tick_listeners: list[Callable[[int], None]] = []
         self.failure_listeners: list[Callable[[], None]] = []
         self._log = log
-        self._coordinator = CoordinationClient(
-            self.agent, open_store(settings), self._news, self._tick, recorder
+        self._client = CoordinationClient(
+            self.agent, open_store(settings), self._on_notification, self._on_tick, recorder
         )
+        self._checker = MemberHealthChecker(self._on_health_checked)
+        self._running: asyncio.Task[None] | None = None
         self._states = dict[str, MemberState]()
-        self._contacts = set[asyncio.Task[None]]()
-        self._clients = dict[str, HttpClient]()
-        self._task: asyncio.Task[None] | None = None
-        self._view, self._asked_view, self._viewing = ReachabilityReport(), ReachabilityReport(), ""
-        self._cut, self._judge_at = False, 0
+        self._is_isolated = False
+        self._next_assessment_us = 0
+        self._written_report = ReachabilityReport()
+        self._proposed_report = ReachabilityReport()
+        self._report_commit_id = ""  # of the proposed report, empty when none is under way
 
     async def run(self) -> None:
-        """Until `leave`, or cancelled."""
-        self._task = asyncio.ensure_future(self._coordinator.run())
+        """Take part in the fleet until `leave`, cancellation, or a bug, which is logged."""
+        self._running = asyncio.ensure_future(self._client.run())
         try:
-            await asyncio.shield(self._task)
-        except asyncio.CancelledError:
-            raise
-        except Exception as fault:  # a bug here must not take down what keeps the rules without it
-            self._log("coordination_failed", True, reason=repr(fault))
-            for failed in self.failure_listeners:
-                failed()
+            await asyncio.wait([self._running])
+            fault = self._running.exception()
+            if fault is not None:
+                self._on_failure(fault)
         finally:
-            self._task.cancel()
-            await asyncio.gather(self._task, *self._contacts, return_exceptions=True)
-            for client in self._clients.values():
-                client.close()
+            self._running.cancel()
+            await asyncio.gather(self._running, return_exceptions=True)
+            await self._checker.close()
 
     async def leave(self) -> None:
-        """A planned end: others need not wait for the session to run out."""
-        if self._task is not None and not self._task.done():
-            await self._coordinator.leave(self._task)
+        """End the session, so that the others need not wait for it to expire."""
+        if self._running is not None and not self._running.done():
+            await self._client.leave(self._running)
 
     def join_election(self, name: str, takeover_delay_us: int) -> LeaderElection:
+        """Stand in the leader election `name`, taking over that long after a leader's record is gone."""
         rank = zlib.crc32(f"{self.agent.identity.incarnation}:{name}".encode()) / 2**32
-        self.elections.append(LeaderElection(name, takeover_delay_us, rank))
-        return self.elections[-1]
+        election = LeaderElection(name, takeover_delay_us, rank)
+        self.elections.append(election)
+        return election
 
     def propose(self, *changes: Change) -> str:
-        """The proposal's token; empty, with a line in the log, for a record beyond the register's bounds."""
+        """Propose a commit and return its id, or log the rejection of an oversized record and return ""."""
         try:
-            token = self.agent.propose(*changes)
+            commit_id = self.agent.propose(*changes)
         except RecordTooLargeError as fault:
-            self._log("register_too_large", True, reason=str(fault))
+            self._log("record_rejected", True, reason=str(fault))
             return ""
-        self._coordinator.wake()
-        return token
+        self._client.wake()
+        return commit_id
 
     def status(self) -> dict[str, Any]:
+        """The membership as the HTTP status shows it."""
         counts = dict[str, int]()
         for state in self._states.values():
             counts[state.value] = counts.get(state.value, 0) + 1
@@ -128,103 +145,117 @@
             "generation": self.agent.fencing_token.generation,
             "revision": self.agent.cache.revision,
             "members": counts,
-            "cut_off": self._cut,
+            "cut_off": self._is_isolated,
             "rights": {
-                c.name: c.fencing_token.generation for c in self.elections if c.fencing_token is not None
+                election.name: election.fencing_token.generation
+                for election in self.elections
+                if election.fencing_token is not None
             },
         }
 
     def answer_health_check(self, query: str) -> ServerResponse:
-        """A contact's answer: 204 if it means this run of the process, and not an earlier one."""
-        good = query == f"run={self.agent.identity.incarnation}"
-        return (
-            ServerResponse(204) if good else error_response(410, f"this is {self.agent.identity.incarnation}")
+        """Answer 204 to a health check of this incarnation, and 410 to one of an earlier incarnation."""
+        incarnation = self.agent.identity.incarnation
+        if query == f"run={incarnation}":
+            return ServerResponse(204)
+        return error_response(410, f"this is {incarnation}")
+
+    def _on_failure(self, fault: BaseException) -> None:
+        """Log a bug in coordination: it must not end a process that works without it."""
+        self._log("coordination_failed", True, reason=repr(fault))
+        for on_failure in self.failure_listeners:
+            on_failure()
+
+    def _on_notification(self, notification: Notification) -> None:
+        log_event = LOG_EVENTS.get(notification.kind)
+        if log_event is not None:
+            fields = log_event.rename_fields(notification.fields)
+            self._log(log_event.name, log_event.is_warning, **fields)
+        if notification.kind == "settled":
+            self._on_commit_settled(notification.fields["token"], notification.fields["how"])
+        elif notification.kind == "changed":
+            for key in notification.fields["keys"]:
+                self._on_key_changed(key)
+        elif notification.kind in ("ended", "fenced"):
+            self._written_report = ReachabilityReport()  # the store dropped it with the session
+
+    def _on_commit_settled(self, commit_id: str, outcome: str) -> None:
+        if commit_id == self._report_commit_id:
+            self._report_commit_id = ""
+            if outcome == "done":
+                self._written_report = self._proposed_report
+        for election in self.elections:
+            election.on_commit_settled(commit_id, outcome)
+        for on_settled in self.proposal_listeners:
+            on_settled(commit_id, outcome)
+
+    def _on_key_changed(self, key: str) -> None:
+        if key.startswith(MEMBERS_PREFIX):
+            self.members.update_member(monotonic_us(), key, self.agent.decode_record(key, MemberRecord))
+        elif key.startswith(REACHABILITY_PREFIX):
+            member_key = MEMBERS_PREFIX + key.removeprefix(REACHABILITY_PREFIX)
+            self.members.update_report(member_key, self.agent.decode_record(key, ReachabilityReport))
+        for on_changed in self.key_listeners:
+            on_changed(key)
+
+    def _on_tick(self, now_us: int) -> None:
+        for election in self.elections:
+            self._advance_election(now_us, election)
+        if now_us >= self._next_assessment_us:
+            interval_us = min(ASSESSMENT_INTERVAL_US, self.settings.contact_interval_us)
+            self._next_assessment_us = now_us + interval_us
+            self._assess_members(self.members.evaluate(now_us))
+            self._publish_reachability(self.members.build_report(now_us))
+        member = self.members.next_contact(now_us)
+        if member is not None:
+            self._checker.start_check(member)
+        for on_tick in self.tick_listeners:
+            on_tick(now_us)
+
+    def _advance_election(self, now_us: int, election: LeaderElection) -> None:
+        previous = election.fencing_token
+        election.advance(now_us, self.agent)
+        current = election.fencing_token
+        if current == previous:
+            return
+        token = current or previous or self.agent.fencing_token
+        self._log(
+            "leadership_lost" if current is None else "leadership_acquired",
+            current is None,
+            election=election.name,
+            generation=token.generation,
         )
 
-    # Inside
-
-    def _news(self, one: Notification) -> None:
-        if one.kind not in UNLOGGED_EVENTS:
-            self._log(f"register_{one.kind}", one.kind in WARNING_EVENTS, **one.fields)
-        if one.kind == "settled":
-            token, how = one.fields["token"], one.fields["how"]
-            if token == self._viewing:
-                self._viewing = ""
-                if how == "done":
-                    self._view = self._asked_view
-            for claim in self.elections:
-                claim.on_commit_settled(token, how)
-            for settled in self.proposal_listeners:
-                settled(token, how)
-        for key in one.fields["keys"] if one.kind == "changed" else ():
-            if key.startswith("members/"):
-                self.members.update_member(monotonic_us(), key, self.agent.decode_record(key, MemberRecord))
-            elif key.startswith("views/"):
-                self.members.update_report(
-                    "members/" + key.removeprefix("views/"), self.agent.decode_record(key, ReachabilityReport)
-                )
-            for changed in self.key_listeners:
-                changed(key)
-        if one.kind in ("ended", "fenced"):
-            self._view = ReachabilityReport()  # its record went with the session
-
-    def _tick(self, at: int) -> None:
-        for claim in self.elections:
-            had = claim.fencing_token
-            claim.advance(at, self.agent)
-            if claim.fencing_token != had:
-                held = claim.fencing_token is not None
-                self._log(
-                    "right_held" if held else "right_lost",
-                    not held,
-                    right=claim.name,
-                    gen=(claim.fencing_token or had or self.agent.fencing_token).generation,
-                )
-        if at >= self._judge_at:
-            self._judge_at = at + min(ASSESSMENT_INTERVAL_US, self.settings.contact_interval_us)
-            self._judge(self.members.evaluate(at))
-            self._say(self.members.build_report(at))
-        if (member := self.members.next_contact(at)) is not None:
-            task = asyncio.ensure_future(self._contact(member))
-            self._contacts.add(task)
-            task.add_done_callback(self._contacts.discard)
-        for ticked in self.tick_listeners:
-            ticked(at)
-
-    def _say(self, view: ReachabilityReport) -> None:
-        """Writes whom this process can't reach, where that has changed."""
-        if view != self._view and not self._viewing and self.agent.is_joined:
-            key = "views/" + self.agent.identity.member_key.removeprefix("members/")
-            self._asked_view = view
-            self._viewing = self.propose(self.agent.build_put(key, view, owned_by_session=True))
-
-    def _judge(self, seen: Mapping[str, Any]) -> None:
-        for key, one in seen.items():
-            if self._states.get(key, MemberState.ALIVE) is not one.state:
+    def _publish_reachability(self, report: ReachabilityReport) -> None:
+        """Write which members this process can't reach, if that has changed."""
+        if report == self._written_report or self._report_commit_id or not self.agent.is_joined:
+            return
+        key = REACHABILITY_PREFIX + self.agent.identity.member_key.removeprefix(MEMBERS_PREFIX)
+        self._proposed_report = report
+        self._report_commit_id = self.propose(self.agent.build_put(key, report, owned_by_session=True))
+
+    def _assess_members(self, statuses: Mapping[str, MemberStatus]) -> None:
+        for key, status in statuses.items():
+            if self._states.get(key, MemberState.ALIVE) is not status.state:
                 self._log(
-                    "member",
-                    one.state is not MemberState.ALIVE,
-                    member=key.removeprefix("members/"),
-                    state=one.state.value,
+                    "member_state_changed",
+                    status.state is not MemberState.ALIVE,
+                    member=key.removeprefix(MEMBERS_PREFIX),
+                    state=status.state.value,
                 )
-        self._states = {k: v.state for k, v in seen.items()}
-        if self.members.is_isolated() is not self._cut:
-            self._cut = not self._cut
-            self._log("cut_off" if self._cut else "cut_off_ended", self._cut)
-        if len(self._clients) > len(seen):
-            known = {m.member.address for m in self.members.tracked.values()}
-            for gone in self._clients.keys() - known:
-                self._clients.pop(gone).close()
-
-    async def _contact(self, member: MemberRecord) -> None:
-        good = False
-        with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError, ValueError):
-            if member.address not in self._clients:
-                self._clients[member.address] = HttpClient(*parse_address(member.address))
-            client = self._clients[member.address]
-            response = await client.request(
-                "GET", f"/healthz?run={member.incarnation}", timeout_s=CONTACT_TIMEOUT_S
-            )
-            good = response.status == 204
-        key = f"members/{member.role}/{member.name}"
-        self.members.record_contact(monotonic_us(), key, member.generation, good)
+        self._states = {key: status.state for key, status in statuses.items()}
+        self._update_isolation()
+        if self._checker.connection_count > len(statuses):
+            addresses = {tracked.member.address for tracked in self.members.tracked.values()}
+            self._checker.retain_connections(addresses)
+
+    def _update_isolation(self) -> None:
+        is_isolated = self.members.is_isolated()
+        if is_isolated is self._is_isolated:
+            return
+        self._is_isolated = is_isolated
+        self._log("isolation_detected" if is_isolated else "isolation_ended", is_isolated)
+
+    def _on_health_checked(self, member: MemberRecord, is_reached: bool) -> None:
+        key = f"{MEMBERS_PREFIX}{member.role}/{member.name}"
+        self.members.record_contact(monotonic_us(), key, member.generation, is_reached)
--- a/tests/support/fleet_process.py
+++ b/tests/support/fleet_process.py
@@ -1,8 +1,8 @@
-"""A process of a fleet for tests: `python -m tests.support.fleet_process FILE`; FILE says in JSON what it is.
+"""A process of a fleet for tests: `python -m tests.support.fleet_process FILE`; FILE holds its `ProcessSpec`.
 
-An actor joins the register, claims a right, and while it holds it orders effects of a ledger, one after the
-other, and adds to a counter that all write. A ledger takes effects and keeps, in one line with each, what it
-was shown. Both write histories. SIGTERM is a planned end.
+An actor joins the coordination store and stands in an election. While it leads, it requests effects of a
+ledger, one after the other, and adds to a counter that all actors write. A ledger takes effects and persists,
+in one line with each, the fencing token that it was shown. Both write histories. SIGTERM ends both in order.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from gradehoist.coordination.agent import ProcessIdentity
 from gradehoist.coordination.fencing import Fence, FencingToken
 from gradehoist.history.recorder import HistoryRecorder
 from gradehoist.history.records import (
@@ -36,84 +37,112 @@
 from gradehoist.settings.fleet import CoordinationSettings
 
 LOCAL = "127.0.0.1"
+COUNTER_KEY = "counter"
+ELECTION = "job"
 
 
-class Spec(msgspec.Struct):
-    """Times in seconds: `every` between effects, `step` from the look at the right to the effect. Without
-    `guard` the ledger checks no generation."""
+class ProcessSpec(msgspec.Struct):
+    """What a process is; times in seconds.
+
+    Attributes:
+        effect_interval_s: Between two effects of an actor.
+        effect_delay_s: From the look at the fencing token to the request of the effect.
+        uses_counter: Whether an actor adds to the shared counter.
+        checks_tokens: Whether a ledger rejects effects of older tokens.
+        clock_jumps: Whether the wall clock jumps by hours, forth and back.
+    """
 
     role: str
     name: str
     port: int
     history: str
-    folder: str = ""
-    engine: int = 0
-    ledger: int = 0
-    session: float = 2.0
-    lost: float = 1.0
-    patience: float = 0.2
-    every: float = 0.05
-    step: float = 0.0
-    counts: bool = True
-    guard: bool = True
-    jumps: bool = False  # its wall clock jumps by hours, forth and back
-
-
-class Shown(msgspec.Struct):
-    name: str
-    gen: int
+    store_folder: str = ""
+    etcd_port: int = 0
+    ledger_port: int = 0
+    session_s: float = 2.0
+    lost_after_s: float = 1.0
+    takeover_delay_s: float = 0.2
+    effect_interval_s: float = 0.05
+    effect_delay_s: float = 0.0
+    uses_counter: bool = True
+    checks_tokens: bool = True
+    clock_jumps: bool = False
+
+
+class EffectRequest(msgspec.Struct):
+    """An effect that an actor requests under its fencing token."""
+
+    resource: str
+    generation: int
     holder: str
     item: str
     key: str = ""
 
 
-def settings(spec: Spec) -> CoordinationSettings:
+class EffectResponse(msgspec.Struct):
+    """Whether the effect was taken; if not, the token that stands against it."""
+
+    taken: bool
+    known: FencingToken | None = None
+
+
+def coordination_settings(spec: ProcessSpec) -> CoordinationSettings:
     return CoordinationSettings(
-        Path(spec.folder) if spec.folder else None,
-        (LOCAL, spec.engine) if spec.engine else None,
-        "fleet/",
-        int(spec.session * 1e6),
-        int(spec.lost * 1e6),
-        100_000,
-        60_000_000,
-        30_000_000,
+        folder=Path(spec.store_folder) if spec.store_folder else None,
+        etcd_address=(LOCAL, spec.etcd_port) if spec.etcd_port else None,
+        key_prefix="fleet/",
+        session_ttl_us=int(spec.session_s * 1e6),
+        lost_after_us=int(spec.lost_after_s * 1e6),
+        contact_interval_us=100_000,
+        fallback_hold_us=60_000_000,
+        fallback_ramp_us=30_000_000,
     )
 
 
 class Ledger:
-    """Its history is what it keeps: a line is the effect and what it was shown, in one write."""
+    """Its history is what it persists: a line is the effect and the token that it was shown, in one write."""
 
-    def __init__(self, spec: Spec) -> None:
-        self.spec, self.gate = spec, Fence()
+    def __init__(self, spec: ProcessSpec) -> None:
+        self.spec = spec
+        self.fence = Fence()
         path = Path(spec.history)
-        for line in load_history([path]) if path.exists() else []:
-            if isinstance(line, Effect):
-                self.gate, _ = self.gate.present(line.resource, FencingToken(line.generation, line.holder))
+        for entry in load_history([path]) if path.exists() else []:
+            if isinstance(entry, Effect):
+                token = FencingToken(entry.generation, entry.holder)
+                self.fence, _ = self.fence.present(entry.resource, token)
         self.write = HistoryWriter(path, spec.name)
 
     async def handle(self, request: http.Request, connection: Connection) -> ServerResponse:
         if request.method == "GET":
             return ServerResponse(204)
-        shown: Shown = msgspec.json.decode(request.body, type=Shown)
-        gate, against = self.gate.present(shown.name, FencingToken(shown.gen, shown.holder))
-        if against is not None and self.spec.guard:
+        wanted: EffectRequest = msgspec.json.decode(request.body, type=EffectRequest)
+        fence, against = self.fence.present(wanted.resource, FencingToken(wanted.generation, wanted.holder))
+        if against is not None and self.spec.checks_tokens:
             self.write(
                 RejectedEffect(
-                    monotonic_us(),
-                    self.spec.name,
-                    shown.name,
-                    shown.gen,
-                    shown.holder,
-                    shown.item,
-                    against.generation,
+                    time_us=monotonic_us(),
+                    process=self.spec.name,
+                    resource=wanted.resource,
+                    generation=wanted.generation,
+                    holder=wanted.holder,
+                    item=wanted.item,
+                    highest_generation=against.generation,
                 )
             )
-            return json_response({"taken": False, "known": against})
-        self.gate = gate
+            return json_response(EffectResponse(taken=False, known=against))
+        self.fence = fence
         self.write(
-            Effect(monotonic_us(), self.spec.name, shown.name, shown.gen, shown.holder, shown.item, shown.key)
+            Effect(
+                time_us=monotonic_us(),
+                process=self.spec.name,
+                resource=wanted.resource,
+                generation=wanted.generation,
+                holder=wanted.holder,
+                item=wanted.item,
+                key=wanted.key,
+            )
         )
-        return json_response({"taken": True})
+        return json_response(EffectResponse(taken=True))
 
     async def run(self, stop: asyncio.Event) -> None:
         server = HttpServer(self.handle)
@@ -122,96 +151,123 @@
 
 
 class Actor:
-    def __init__(self, spec: Spec) -> None:
+    """Requests effects while it leads."""
+
+    def __init__(self, spec: ProcessSpec) -> None:
         self.spec = spec
-        run = f"{spec.name}-{os.getpid()}"
-        self.write = HistoryWriter(Path(spec.history), run)
-        self.member = Membership(
-            settings(spec),
-            "actor",
-            spec.name,
-            "x",
-            f"{LOCAL}:{spec.port}",
-            1,
-            self.log,
-            HistoryRecorder(self.write, run),
-            run,
+        incarnation = f"{spec.name}-{os.getpid()}"
+        identity = ProcessIdentity(
+            role="actor",
+            name=spec.name,
+            zone="x",
+            incarnation=incarnation,
+            address=f"{LOCAL}:{spec.port}",
         )
-        self.claim = self.member.join_election("job", int(spec.patience * 1e6))
-        self.member.proposal_listeners.append(self.settled)
-        self.counting, self.items = "", 0
+        self.write = HistoryWriter(Path(spec.history), incarnation)
+        self.membership = Membership(
+            coordination_settings(spec),
+            identity,
+            seed=1,
+            log=self.log,
+            recorder=HistoryRecorder(self.write, incarnation),
+        )
+        self.election = self.membership.join_election(ELECTION, int(spec.takeover_delay_s * 1e6))
+        self.membership.proposal_listeners.append(self.on_commit_settled)
+        self.counter_commit_id = ""
+        self.effect_count = 0
 
-    def log(self, event: str, warn: bool, **fields: Any) -> None:
+    def log(self, event: str, is_warning: bool, **fields: Any) -> None:
+        texts = {name: str(value) for name, value in fields.items()}
         self.write(
-            ProcessEvent(monotonic_us(), self.write.process, event, {k: str(v) for k, v in fields.items()})
+            ProcessEvent(time_us=monotonic_us(), process=self.write.process, event=event, fields=texts)
         )
 
-    def settled(self, token: str, how: str) -> None:
-        if token == self.counting:
-            self.counting = ""
+    def on_commit_settled(self, commit_id: str, outcome: str) -> None:
+        if commit_id == self.counter_commit_id:
+            self.counter_commit_id = ""
 
     async def handle(self, request: http.Request, connection: Connection) -> ServerResponse:
         path, _, query = request.target.partition("?")
         if path == "/healthz":
-            return self.member.answer_health_check(query)
+            return self.membership.answer_health_check(query)
         if path == "/status":
-            agent = self.member.agent
-            return json_response(
-                self.member.status()
-                | {
-                    "counter": agent.decode_record("counter", int) or 0,
-                    "items": self.items,
-                    "idle": not agent.pending_commits,
-                }
-            )
+            return json_response(self.status())
         return error_response(404, "nothing here")
 
-    async def act(self) -> None:
-        """Looks at its right, takes its time, and orders an effect under what it saw."""
-        client = HttpClient(LOCAL, self.spec.ledger)
+    def status(self) -> dict[str, Any]:
+        return self.membership.status() | {
+            "counter": self.counter(),
+            "effects": self.effect_count,
+            "idle": not self.membership.agent.pending_commits,
+        }
+
+    def counter(self) -> int:
+        found: int | None = self.membership.agent.decode_record(COUNTER_KEY, int)
+        return found or 0
+
+    async def request_effects(self) -> None:
+        client = HttpClient(LOCAL, self.spec.ledger_port)
+        agent = self.membership.agent
         while True:
-            await asyncio.sleep(self.spec.every)
-            agent, right = self.member.agent, self.claim.fencing_token
-            if self.spec.counts and agent.is_joined and not self.counting:
-                self.counting = self.member.propose(
-                    agent.build_put("counter", (agent.decode_record("counter", int) or 0) + 1)
+            await asyncio.sleep(self.spec.effect_interval_s)
+            token = self.election.fencing_token
+            if self.spec.uses_counter and agent.is_joined and not self.counter_commit_id:
+                self.counter_commit_id = self.membership.propose(
+                    agent.build_put(COUNTER_KEY, self.counter() + 1)
                 )
-            if right is None or not agent.is_joined or not self.spec.ledger:
-                continue
-            self.items += 1
-            item = f"{agent.identity.incarnation}:{self.items}"
-            if self.spec.step:
-                await asyncio.sleep(self.spec.step)
-            body = msgspec.json.encode(Shown("job", right.generation, right.holder, item))
-            with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
-                answer = await client.request("POST", "/effect", body, timeout_s=2.0)
-                found: dict[str, Any] = msgspec.json.decode(answer.body, type=dict[str, Any])
-                if not found["taken"]:
-                    self.claim.on_token_rejected(agent, FencingToken(*found["known"]))
+            if token is not None and agent.is_joined and self.spec.ledger_port:
+                await self.request_effect(client, token)
+
+    async def request_effect(self, client: HttpClient, token: FencingToken) -> None:
+        self.effect_count += 1
+        wanted = EffectRequest(
+            resource=ELECTION,
+            generation=token.generation,
+            holder=token.holder,
+            item=f"{self.membership.agent.identity.incarnation}:{self.effect_count}",
+        )
+        if self.spec.effect_delay_s:
+            await asyncio.sleep(self.spec.effect_delay_s)
+        with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
+            answer = await client.request("POST", "/effect", msgspec.json.encode(wanted), timeout_s=2.0)
+            response: EffectResponse = msgspec.json.decode(answer.body, type=EffectResponse)
+            if response.known is not None:
+                self.election.on_token_rejected(self.membership.agent, response.known)
 
     async def run(self, stop: asyncio.Event) -> None:
         server = HttpServer(self.handle)
         server.listen(self.spec.port, LOCAL)
-        member, acting = asyncio.ensure_future(self.member.run()), asyncio.ensure_future(self.act())
+        membership = asyncio.ensure_future(self.membership.run())
+        requesting = asyncio.ensure_future(self.request_effects())
         await stop.wait()
-        acting.cancel()
-        await self.member.leave()
-        await asyncio.gather(member, acting, return_exceptions=True)
+        requesting.cancel()
+        await self.membership.leave()
+        await asyncio.gather(membership, requesting, return_exceptions=True)
+
+
+def make_clock_jump() -> None:
+    """Make the wall clock jump twice a second.
+
+    With a jump at every look no deadline of the HTTP client would mean anything: it adds to the wall clock
+    and subtracts from it some milliseconds later.
+    """
+
+    def jumping() -> float:
+        half_second = time.monotonic_ns() // 500_000_000
+        return 1_800_000_000 + random.Random(half_second).uniform(-1e6, 1e6)
+
+    time.time = jumping
 
 
 async def main() -> None:
-    spec: Spec = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=Spec)
-    if spec.jumps:
-        # Twice a second. At every look no deadline of the HTTP client's would mean anything: it adds to the
-        # wall clock and subtracts from it some milliseconds later.
-        def jumping() -> float:
-            return 1_800_000_000 + random.Random(time.monotonic_ns() // 500_000_000).uniform(-1e6, 1e6)
-
-        time.time = jumping
+    spec: ProcessSpec = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=ProcessSpec)
+    if spec.clock_jumps:
+        make_clock_jump()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    await (Ledger(spec) if spec.role == "ledger" else Actor(spec)).run(stop)
+    process = Ledger(spec) if spec.role == "ledger" else Actor(spec)
+    await process.run(stop)
 
 
 if __name__ == "__main__":
--- a/tests/test_fleet_governors.py
+++ b/tests/test_fleet_governors.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from gradehoist.coordination.agent import ProcessIdentity
 from gradehoist.membership.service import Membership
 from gradehoist.scenario import definition
 from gradehoist.settings.fleet import CoordinationSettings, parse_settings
@@ -78,11 +79,11 @@
             (tmp_path / "register").write_text("no folder")
             await fleet_is(a, joined=False)
             await drained(roster, relays, 1)
-            assert "register_doubt" in a.log.read_text()
+            assert "session_suspended" in a.log.read_text()
             (tmp_path / "register").unlink()
             for g in (a, b):
                 await fleet_is(g, 40, joined=True, members={"here": 2})
-            assert a.log.read_text().count("register_fenced") == 1  # another register: told, nothing assumed
+            assert a.log.read_text().count("process_fenced") == 1  # another register: told, nothing assumed
             await drained(roster, relays, 2)
             b.process.send_signal(signal.SIGTERM)
             assert await b.ended(5) == 0
@@ -132,7 +133,8 @@
 
     async def work() -> None:
         shared = CoordinationSettings(tmp_path / "register", None, "", 10**7, 10**6, 10**6, 10**6, 10**6)
-        member = Membership(shared, "governor", "a", "x", "", 1, lambda event, *_, **__: told.append(event))
+        identity = ProcessIdentity(role="governor", name="a", zone="x", incarnation="a-1", address="")
+        member = Membership(shared, identity, seed=1, log=lambda event, *_, **__: told.append(event))
         member.tick_listeners.append(lambda now: told.remove("no such thing"))
         member.failure_listeners.append(lambda: told.append("failed"))
         await member.run()
