--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -14,6 +14,7 @@
 
 import structlog
 
+from gradehoist.coordination.agent import ProcessIdentity
 from gradehoist.governor.background_tasks import BackgroundTasks
 from gradehoist.governor.clock import monotonic_us
 from gradehoist.governor.core import GovernorCore
@@ -31,7 +32,7 @@
 from gradehoist.governor.status import core_status
 from gradehoist.governor.tenant_assignments import TenantAssignments
 from gradehoist.governor.zone_coordination import ZoneCoordination
-from gradehoist.membership.service import Membership
+from gradehoist.membership.service import Membership, new_incarnation
 from gradehoist.net.server import HttpServer
 from gradehoist.protocol.feed import ProxyLoadReport
 from gradehoist.settings.fleet import FleetSettings, GovernorSettings
@@ -142,15 +143,14 @@
         if self.fleet.coordination is None:
             return None
         host, port = self.settings.listen_address
-        return Membership(
-            self.fleet.coordination,
-            "governor",
-            self.settings.name,
-            self.settings.zone,
-            f"{host}:{port}",
-            self.settings.seed,
-            self._log_event,
+        identity = ProcessIdentity(
+            role="governor",
+            name=self.settings.name,
+            zone=self.settings.zone,
+            incarnation=new_incarnation(self.settings.name),
+            address=f"{host}:{port}",
         )
+        return Membership(self.fleet.coordination, identity, self.settings.seed, self._log_event)
 
     def _make_zone_coordination(self, now_us: int) -> ZoneCoordination | None:
         coordination = self.fleet.coordination
