Split the SQLite store by concern; typed jobs on threads, folder locks apart from files

Cause: sqlite_store.py (398 lines) held a thread, connections, schemas, records, sessions and the watch in one module; atomic_file.py held a second copy of running work on a thread, and the lock of a folder.

Change: worker_thread (used by both), sqlite_connections, sqlite_records, sqlite_sessions, sqlite_store; folder_lock; names of the glossary, keywords, docstrings, named constants. clock.monotonic_us is the clock that the store reads. Schemas, statements, file names and error classes are unchanged.

--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -39,7 +39,7 @@
 )
 from gradehoist.net.client import HttpClient
 from gradehoist.settings.fleet import CellPlacement, GovernorSettings, Settings
-from gradehoist.store.atomic_file import FolderLock, FolderLockedError
+from gradehoist.store.folder_lock import FolderLock, FolderLockedError
 
 
 class Bad(Exception):
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -29,7 +29,8 @@
 from gradehoist.protocol import feed, http, orca
 from gradehoist.settings.fleet import FleetSettings, GovernorSettings
 from gradehoist.settings.reader import parse_address
-from gradehoist.store.atomic_file import FolderLock, FolderLockedError, write_file_in_thread
+from gradehoist.store.atomic_file import write_file_in_thread
+from gradehoist.store.folder_lock import FolderLock, FolderLockedError
 
 SUMS: msgspec.json.Decoder[feed.ProxyLoadReport] = msgspec.json.Decoder(feed.ProxyLoadReport)
 ROSTER: msgspec.json.Decoder[feed.EndpointListUpdate] = msgspec.json.Decoder(feed.EndpointListUpdate)
--- a/gradehoist/store/__init__.py
+++ b/gradehoist/store/__init__.py
@@ -1,1 +1,1 @@
-"""Files that survive: an old state or a new one, never a part."""
+"""Storage on the local disk: the SQLite coordination store, atomic files, folder locks, log output."""
--- a/gradehoist/store/atomic_file.py
+++ b/gradehoist/store/atomic_file.py
@@ -1,77 +1,47 @@
-"""One small file at a time, kept whole: written beside, flushed to the disk, then put in place.
-
-And a folder's one writer, by a lock that the system drops with the process.
-"""
+"""Atomic replacement of small files: after a crash a file holds its old content or the new, never a part."""
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
-import fcntl
 import os
-import threading
 from pathlib import Path
 
-
-class FolderLockedError(Exception):
-    """Another process writes here; its pid is in the text."""
+from gradehoist.store.worker_thread import run_in_daemon_thread
 
 
 def write_file(path: Path, data: bytes) -> None:
-    """Raises OSError; the old file stands then."""
+    """Replaces the content of a file and waits until the disk has it.
+
+    Missing parent folders are created. The data is written beside the file and then renamed over it.
+
+    Raises:
+        OSError: The file could not be replaced and keeps its old content.
+    """
     path.parent.mkdir(parents=True, exist_ok=True)
-    part = path.with_name(path.name + ".part")
-    with part.open("wb") as file:
+    temporary = path.with_name(path.name + ".part")
+    with temporary.open("wb") as file:
         file.write(data)
         file.flush()
         os.fsync(file.fileno())
-    os.replace(part, path)
-    folder = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
+    os.replace(temporary, path)
+    _sync_folder(path.parent)
 
 
 async def write_file_in_thread(path: Path, data: bytes) -> None:
-    """`write` by a thread that the process does not wait for at its end: on the loop, a slow disk held up
-    drains. The caller sees to one write of a path at a time. Raises OSError."""
-    loop = asyncio.get_running_loop()
-    done: asyncio.Future[OSError | None] = loop.create_future()
+    """Does what `write_file` does without blocking the event loop, where a slow disk would delay drains.
 
-    def tell(fault: OSError | None) -> None:
-        if not done.done():
-            done.set_result(fault)
+    The caller makes sure that a path has one write at a time. The process does not wait for the thread at
+    its end.
 
-    def work() -> None:
-        fault: OSError | None = None
-        try:
-            write_file(path, data)
-        except OSError as met:
-            fault = met
-        with contextlib.suppress(RuntimeError):  # the loop has ended meanwhile
-            loop.call_soon_threadsafe(tell, fault)
+    Raises:
+        OSError: The file could not be replaced and keeps its old content.
+    """
+    await run_in_daemon_thread(lambda: write_file(path, data))
 
-    threading.Thread(target=work, daemon=True).start()
-    if fault := await done:
-        raise fault
 
-
-class FolderLock:
-    """Held from making it until `free` or the end of the process. Raises Held, OSError."""
-
-    def __init__(self, folder: Path, file_name: str = "lock") -> None:
-        folder.mkdir(parents=True, exist_ok=True)
-        self._file = os.open(folder / file_name, os.O_RDWR | os.O_CREAT, 0o644)
-        try:
-            fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            pid = os.read(self._file, 20).decode("ascii", "replace").strip()
-            os.close(self._file)
-            raise FolderLockedError(f"{folder} is in use by pid {pid or 'unknown'}") from None
-        with contextlib.suppress(OSError):  # held all the same where a full disk does not take the pid
-            os.ftruncate(self._file, 0)
-            os.pwrite(self._file, str(os.getpid()).encode(), 0)
-
-    def release(self) -> None:
-        os.close(self._file)
+def _sync_folder(folder: Path) -> None:
+    """Waits until the disk has the folder's entries, and with them a rename."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- a/tests/test_migration_runner.py
+++ b/tests/test_migration_runner.py
@@ -23,7 +23,8 @@
 from gradehoist.protocol import feed, http
 from gradehoist.scenario.definition import ports
 from gradehoist.settings.fleet import CellPlacement
-from gradehoist.store.atomic_file import FolderLock, FolderLockedError, write_file
+from gradehoist.store.atomic_file import write_file
+from gradehoist.store.folder_lock import FolderLock, FolderLockedError
 from tests.support.governed_fleet import on_sockets
 
 LOCAL = "127.0.0.1"
--- a/tests/test_store_backends.py
+++ b/tests/test_store_backends.py
@@ -156,7 +156,7 @@
     async def test(own: CoordinationStore, _: Any) -> None:
         assert isinstance(own, SqliteStore)
         version = await done(own, Put("a", b"1", 0))
-        await own._worker.do(lambda: own._records().execute("PRAGMA max_page_count = 1"))
+        await own._calls.run(lambda: own._records.connect().execute("PRAGMA max_page_count = 1"))
         with pytest.raises(StoreFullError, match="free some"):
             for n in range(100):
                 await own.commit((Put(f"k{n}", b"x" * 4_000, 0),), "t")
