--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
 from gradehoist.net.client import HttpClient
 from gradehoist.protocol import feed, http
 from gradehoist.protocol.http_parser import Parser
+from gradehoist.protocol.proxy_state import ProxyState, TableKey
 from gradehoist.scenario import audit, definition
 from gradehoist.scenario.runner import Run
 
@@ -323,9 +324,9 @@
     asyncio.run(_idle(5000))
 
 
-def whole_size(held: feed.ProxyState) -> int:
+def whole_size(held: ProxyState) -> int:
     """Bytes of a whole picture of what a relay holds."""
-    tables: dict[tuple[int, int], list[str]] = {}
+    tables: dict[TableKey, list[str]] = {}
     for cls, key in held.table_by_class.items():
         tables.setdefault(key, []).append(cls)
     deltas: list[feed.Delta] = [
@@ -338,14 +339,14 @@
 
 def sizes(folder: Path) -> None:
     """Bytes of the messages of a run, and of whole pictures in their place."""
-    held: dict[str, feed.ProxyState] = {}
+    held: dict[str, ProxyState] = {}
     deltas = whole = 0
     for record in audit.load(folder):
         if record["e"] == "joined":
-            held.setdefault(record["relay"], feed.ProxyState()).begin_stream()
+            held.setdefault(record["relay"], ProxyState()).begin_stream()
         elif record["e"] == "applied":
             message = msgspec.convert(record["message"], feed.Message)
-            mine = held.setdefault(record["relay"], feed.ProxyState())
+            mine = held.setdefault(record["relay"], ProxyState())
             mine.apply(message)
             deltas += len(msgspec.json.encode(message))
             whole += whole_size(mine)
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -29,6 +29,7 @@
 from gradehoist.node.core import JoinRejectedError, NodeCore
 from gradehoist.node.log import NodeLog
 from gradehoist.protocol import lines, orca
+from gradehoist.protocol.line_parser import MAX_MESSAGE_BYTES, LineParser
 from gradehoist.settings import platform
 
 JOIN = 1.5  # seconds to join in: after one a connection may be closed, and its hello may have been held up
@@ -53,7 +54,7 @@
     """One connection at the governor's address, and who it said it is."""
 
     def __init__(self, stream: IOStream, since: float) -> None:
-        self.stream, self.since, self.door = stream, since, lines.LineParser()
+        self.stream, self.since, self.door = stream, since, LineParser()
         self.collector, self.asked = False, 0  # asked: for signs of life before there was one
         self.proxy, self.number = -1, 0  # of a proxy's stream
 
@@ -179,7 +180,7 @@
                 sock.close()
                 return
             self._turn_away(next(iter(self._strange)), "no descriptor left for it")
-        stream = IOStream(sock, max_buffer_size=2 * lines.MAX_MESSAGE_BYTES, max_write_buffer_size=UNREAD)
+        stream = IOStream(sock, max_buffer_size=2 * MAX_MESSAGE_BYTES, max_write_buffer_size=UNREAD)
         stream.set_nodelay(True)
         peer = Connection(stream, time.monotonic())
         self._peers[peer] = self._strange[peer] = None
--- a/gradehoist/protocol/feed.py
+++ b/gradehoist/protocol/feed.py
@@ -1,7 +1,11 @@
-"""The feed's documents: what a relay reads by long poll, and the state that it keeps from them.
+"""The documents of the governor's feed, which a proxy reads by long poll.
 
-A message is a list of deltas on the one before. A poll names the epoch, the stream and the last message
-applied, which acknowledges it. A relay that can't be continued gets one whole picture, marked as such.
+A message is a list of changes (deltas) to what the messages before it made. A poll names the epoch, the
+stream and the last message applied, which it acknowledges. A proxy whose messages can no longer be sent gets
+one snapshot, marked as such. `gradehoist.protocol.proxy_state` applies messages.
+
+The encoded names of fields and deltas are part of the governor's HTTP API (`docs/feed.md`). The docstrings
+of encoded types use them in backticks, because they are the descriptions in `docs/openapi.json` as well.
 """
 
 from __future__ import annotations
@@ -14,10 +18,11 @@
 Weight = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=10**9)]
 Microseconds = Annotated[int, msgspec.Meta(ge=0, le=10**12)]
+FIRST_GENERATION = 1  # of a tenant that has never migrated
 
 
 class WeightDelta(msgspec.Struct, frozen=True, tag="line", array_like=True):
-    """One line of a table; weight 0 removes it."""
+    """Sets the weight of a replica in a table; weight 0 removes it."""
 
     table: int
     replica: str
@@ -25,12 +30,17 @@
 
 
 class ClearDelta(msgspec.Struct, frozen=True, tag="clear", array_like=True):
+    """Removes a table's weights and admission shares."""
+
     table: int
 
 
 class BindDelta(msgspec.Struct, frozen=True, tag="bind", array_like=True):
-    """Puts the relay on a table for the classes named; levels of that table held so far end, those that stand
-    follow. The stream's first bind ends earlier withdrawals."""
+    """Binds classes to a table, whose weights are exactly these.
+
+    Admission shares of the table that the proxy has end; those that still hold follow. The first bind of a
+    stream ends all earlier withdrawals.
+    """
 
     table: int
     classes: tuple[str, ...]
@@ -38,17 +48,19 @@
 
 
 class WithdrawalDelta(msgspec.Struct, frozen=True, tag="out", array_like=True):
-    """Nothing more is sent to this replica, whatever the tables say."""
+    """No more requests go to this replica, whatever any table says."""
 
     replica: str
 
 
 class RestorationDelta(msgspec.Struct, frozen=True, tag="back", array_like=True):
+    """Ends the withdrawal of a replica."""
+
     replica: str
 
 
 class AdmissionDelta(msgspec.Struct, frozen=True, tag="level", array_like=True):
-    """Lets in `share` of the classes; `tries` is the way of trying again, 0 to 3. Table None: everywhere."""
+    """Sets the admitted share of classes and their retry policy, 0 to 3; without a table, for all tables."""
 
     table: int | None
     classes: tuple[str, ...]
@@ -57,8 +69,11 @@
 
 
 class TenantRoutes(msgspec.Struct, frozen=True, tag="route", array_like=True):
-    """Tenants live in the cell that `named` gives, else in that of their hash's even range over `cells`:
-    crc32 of the name in UTF-8, times the number of cells, over 2**32. Classes are then called CELL/CLASS."""
+    """Says where tenants live: in the cell that `cell_by_tenant` gives, else in that of their hash.
+
+    The number of the cell is then the CRC-32 of the name in UTF-8, times the number of cells, over 2**32.
+    Classes are called CELL/CLASS. A tenant without a generation has the first one.
+    """
 
     cells: tuple[str, ...]
     cell_by_tenant: dict[str, str]
@@ -66,7 +81,10 @@
 
 
 class TenantMigrated(msgspec.Struct, frozen=True, tag="moved", array_like=True):
-    """A tenant's cell from this generation on; no cell: it is on its way and its writes are refused."""
+    """Says where a tenant lives from this generation on.
+
+    Without a cell the tenant is between two cells, and its requests are rejected.
+    """
 
     tenant: str
     cell: str
@@ -74,8 +92,11 @@
 
 
 class RateLimitsDelta(msgspec.Struct, frozen=True, tag="limits", array_like=True):
-    """What one relay lets in: transactions a second of a cell and of a tenant, `burst` in seconds of them,
-    `held` in hand at once from one tenant, `cell_held` from a cell (0: any number)."""
+    """Sets what one proxy admits: requests a second of a cell and of a tenant, with bursts of `burst_s`.
+
+    At most `tenant_in_flight` requests of a tenant and `cell_in_flight` of a cell are in flight at once; 0 is
+    no limit.
+    """
 
     cell_rate: Weight
     tenant_rate: Weight
@@ -98,8 +119,11 @@
 
 
 class Message(msgspec.Struct, frozen=True, omit_defaults=True):
-    """`reply` numbers the orders given at one time, `at` is when (µs, the governor's monotonic clock);
-    `whole` says that the deltas stand for the full state; `cost` is the message's price in lines."""
+    """A message of a stream, to be applied as a whole.
+
+    `reply` numbers the decisions that the governor made at one time, `at` is that time (µs of the governor's
+    monotonic clock), `cost` the message's cost in lines. With `whole` the deltas are the full state.
+    """
 
     seq: int
     reply_number: int = msgspec.field(name="reply")
@@ -111,7 +135,7 @@
 
 
 class PollResponse(msgspec.Struct, frozen=True):
-    """An answer to a poll. `joined`: the stream is new, the relay goes on with what it holds until bound."""
+    """The answer to a poll. If `joined`, the stream is new, and the proxy's state holds until it is bound."""
 
     epoch: str
     stream: int
@@ -120,7 +144,7 @@
 
 
 class ReplicaAttempts(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What one relay met at a replica: `elapsed` is the mean of the good tries, µs."""
+    """One proxy's attempts at a replica; `elapsed` is the mean time of the successful ones (µs)."""
 
     replica: Name
     attempts: Count = msgspec.field(name="tries")
@@ -132,13 +156,15 @@
 
 
 class ClassRequests(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Requests of a class that reached one proxy, and those of them that had no answer."""
+
     request_class: Name = msgspec.field(name="cls")
     requests: Count = msgspec.field(name="number")
     incomplete: Count = msgspec.field(default=0, name="unanswered")
 
 
 class ProxyLoadReport(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a relay met over `window` µs."""
+    """What one proxy measured over `window` (µs)."""
 
     proxy: Name = msgspec.field(name="relay")
     epoch: str
@@ -148,8 +174,11 @@
 
 
 class EndpointRecord(msgspec.Struct, frozen=True):
-    """A roster entry. `boot` changes with each start, `age` is the time since it (µs, when written);
-    `address` is where the reader reaches it, if that is not its name."""
+    """A replica in the endpoint list.
+
+    `boot` changes with each start of the replica, `age` is the time since then (µs, when the list was
+    written). `address` is where the reader reaches the replica, if that is not its name.
+    """
 
     replica: Name
     zone: Name
@@ -163,7 +192,10 @@
 
 
 class EndpointListUpdate(msgspec.Struct, frozen=True):
-    """A whole list, or the changes since version `after`; `life` changes when versions start anew."""
+    """The complete endpoint list (`whole`), or its changes since version `after`.
+
+    `life` changes when the versions begin again.
+    """
 
     incarnation: str = msgspec.field(name="life")
     version: int
@@ -172,97 +204,20 @@
     since_version: int = msgspec.field(default=0, name="after")
 
 
-def apply_migration(route: TenantRoutes, news: TenantMigrated) -> TenantRoutes:
-    """The route after a move; a move of a generation that is known or past changes nothing."""
-    if news.generation < route.generations.get(news.tenant, 1) or (
-        news.generation == route.generations.get(news.tenant, 1) and not news.cell
-    ):
-        return route
-    return TenantRoutes(
-        route.cells,
-        {**route.cell_by_tenant, news.tenant: news.cell},
-        {**route.generations, news.tenant: news.generation},
-    )
-
-
-class ProxyState:
-    """What a relay holds: tables, withdrawals and levels, brought forward message by message.
+def apply_migration(routes: TenantRoutes, migration: TenantMigrated) -> TenantRoutes:
+    """Returns the routes after a migration; one of an older generation changes nothing.
 
-    Table numbers mean something within one stream only, so tables are kept by life (one for each stream
-    that bound the relay) and number; a table of an earlier life goes when its last class is bound anew.
+    Of the generation that is known already, only a message with a cell counts: it names the cell in which the
+    migration ended.
     """
-
-    def __init__(self) -> None:
-        self.binding_epoch = 0
-        self.tables: dict[tuple[int, int], dict[str, float]] = {}
-        self.table_by_class: dict[str, tuple[int, int]] = {}  # by class
-        self.withdrawn: set[str] = set()
-        self.admission: dict[tuple[int | None, str], tuple[float, int]] = {}
-        self.is_bound = False
-        self.routes: TenantRoutes | None = None
-        self.rate_limits: RateLimitsDelta | None = None
-
-    def install_default_tables(self, classes: dict[str, dict[str, float]]) -> None:
-        """Standing tables, until the first bind."""
-        for n, (name, lines) in enumerate(classes.items()):
-            self.tables[0, n], self.table_by_class[name] = dict(lines), (0, n)
-
-    def begin_stream(self) -> None:
-        """A new stream: what is held stays in force until the first bind or picture."""
-        self.is_bound = False
-
-    def _begin(self) -> None:
-        if not self.is_bound:
-            self.is_bound, self.binding_epoch = True, self.binding_epoch + 1
-            self.withdrawn, self.admission = set(), {}
-
-    def apply(self, message: Message) -> None:
-        if message.is_snapshot:
-            self.withdrawn, self.admission = set(), {}
-            if any(isinstance(delta, BindDelta) for delta in message.deltas):
-                self.is_bound = False
-        for delta in message.deltas:
-            match delta:
-                case WeightDelta(table, replica, weight):
-                    lines = self.tables.setdefault((self.binding_epoch, table), {})
-                    if weight > 0:
-                        lines[replica] = weight
-                    else:
-                        lines.pop(replica, None)
-                case ClearDelta(table):
-                    self.tables[self.binding_epoch, table] = {}
-                    self.admission = {k: v for k, v in self.admission.items() if k[0] != table}
-                case BindDelta(table, classes, lines):
-                    self._begin()
-                    self.tables[self.binding_epoch, table] = dict(lines)
-                    self.table_by_class |= dict.fromkeys(classes, (self.binding_epoch, table))
-                    # The table's levels follow. One left from an earlier binding outlived the table's
-                    # clearing, which a relay that is not on it never hears of.
-                    self.admission = {k: v for k, v in self.admission.items() if k[0] != table}
-                    used = set(self.table_by_class.values())
-                    self.tables = {
-                        k: t for k, t in self.tables.items() if k[0] == self.binding_epoch or k in used
-                    }
-                case WithdrawalDelta(replica):
-                    self.withdrawn.add(replica)
-                case RestorationDelta(replica):
-                    self.withdrawn.discard(replica)
-                case AdmissionDelta(table, classes, share, tries):
-                    self.admission |= {(table, c): (share, tries) for c in classes}
-                case TenantRoutes():
-                    self.routes = delta
-                case RateLimitsDelta():
-                    self.rate_limits = delta
-                case TenantMigrated() if self.routes is not None:
-                    self.routes = apply_migration(self.routes, delta)
-
-    def weights_for(self, cls: str) -> dict[str, float]:
-        """The lines that the class may pick from now, withdrawals taken out."""
-        table = self.tables.get(self.table_by_class.get(cls, (-1, -1)), {})
-        return {r: w for r, w in table.items() if r not in self.withdrawn}
-
-    def admission_for(self, cls: str, usual: int) -> tuple[float, int]:
-        """The share let in and the way of trying again; of two shares the lower one, the table's own way."""
-        everywhere = self.admission.get((None, cls), (1.0, usual))
-        own = self.admission.get((self.table_by_class.get(cls, (-1, -1))[1], cls))
-        return (min(own[0], everywhere[0]), own[1]) if own else everywhere
+    tenant = migration.tenant
+    known_generation = routes.generations.get(tenant, FIRST_GENERATION)
+    if migration.generation < known_generation:
+        return routes
+    if migration.generation == known_generation and not migration.cell:
+        return routes
+    return TenantRoutes(
+        cells=routes.cells,
+        cell_by_tenant={**routes.cell_by_tenant, tenant: migration.cell},
+        generations={**routes.generations, tenant: migration.generation},
+    )
--- a/gradehoist/protocol/lines.py
+++ b/gradehoist/protocol/lines.py
@@ -1,52 +1,46 @@
-"""The platform's line protocol, both directions, without I/O: a kind, then words `name=value`, CRLF.
+"""The messages of the platform's line protocol: types of those received, encoding of those sent.
 
-`Door.receive(data)` returns what the bytes so far complete. It tells three things apart: a good message; a
-spoilt one, a readable line with a field missing, out of range or of another type, which costs itself alone;
-and what can't be read, which raises `Unreadable` and ends the door. Times are whole microseconds here.
+A message is a line of a kind and words `name=value`, ended by CRLF. `gradehoist.protocol.line_parser` reads
+them. Times are whole microseconds here, where the wire has milliseconds.
 """
 
 from __future__ import annotations
 
-import math
-import re
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
-MAX_MESSAGE_BYTES = 1 << 20  # bytes that one message may hold
-MAX_UNIDENTIFIED_BYTES = (
-    4_096  # bytes that may come before a connection has said who it is: a joining is far shorter
-)
-MAX_PUSH_PARTS = 64  # parts that one message on a stream may have
-_LARGEST = 1e9  # of any figure: some days of milliseconds, far beyond any count of one period
-_MARK = 65_535
-_BUSIEST = 10.0  # share of the cores: the true figure is about 1 at most, and noisy
-_NUMBER = re.compile(r"[0-9]{1,10}")
+MAX_PUSH_PARTS = 64  # parts of one push message, by the platform's rules
+HEALTHY_RESPONSE = b"alive\r\n"
+_MAX_ERROR_CHARACTERS = 80
+_SMALLEST_WEIGHT = 1e-6  # the last digit that is written: a weight above 0 must not become 0
 
 
 class LineProtocolError(Exception):
-    """Nothing after this can be trusted to be the peer's messages."""
+    """The peer broke the protocol: nothing after this can be trusted to be its messages."""
 
 
 @dataclass(frozen=True, slots=True)
 class HealthCheck:
-    pass
+    """The peer asks whether this process is healthy."""
 
 
 @dataclass(frozen=True, slots=True)
 class CollectorHello:
-    """A collector of this zone speaks from here on."""
+    """The peer is the collector of load reports of a zone."""
 
     zone: str
 
 
-LoadFigures = tuple[
-    tuple[str, float], ...
-]  # one load report: the figures that it carries, by the names on the wire
+# One load report: its values by the names that they have on the wire.
+LoadFigures = tuple[tuple[str, float], ...]
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptOutcomes:
-    """What the proxies of a zone met at a replica over `window`; `elapsed` is the mean of the good tries."""
+    """Attempts of a zone's proxies at a replica over `window_us`.
+
+    `elapsed_us` is the mean time of those that succeeded.
+    """
 
     zone: str
     replica: str
@@ -59,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProxyHello:
-    """`fresh`: the proxy holds no table that was ordered."""
+    """The peer is a proxy; a new one has no table that a governor sent."""
 
     proxy: int
     zone: str
@@ -69,6 +63,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
+    """A proxy has applied a push; `elapsed_us` is the time since it was sent, as the proxy measured it."""
+
     proxy: int
     revision: int
     elapsed_us: int
@@ -76,6 +72,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Demand:
+    """Requests of a class that reached a proxy over `window_us`, and those of them that had no answer."""
+
     proxy: int
     request_class: str
     requests: int
@@ -85,7 +83,10 @@
 
 @dataclass(frozen=True, slots=True)
 class MalformedLine:
-    """A readable line that says nothing usable, and why."""
+    """A line of a known kind with a field that is missing, of another type or out of range.
+
+    It costs only itself: the lines after it are read as usual.
+    """
 
     kind: str
     reason: str
@@ -96,160 +97,12 @@
 )
 
 
-class _Words:
-    """The words of one line; every reading raises ValueError for what is missing or out of range."""
-
-    def __init__(self, words: Iterable[str]) -> None:
-        self._fields: dict[str, str] = {}
-        for word in words:
-            name, equals, value = word.partition("=")
-            if not equals or name in self._fields:
-                raise ValueError(f"the word {word[:40]!r}")
-            self._fields[name] = value
-
-    def text(self, name: str) -> str:
-        value = self._fields.get(name, "")
-        if not value or len(value) > 128:
-            raise ValueError(f"{name}={value[:40]!r}")
-        return value
-
-    def count(self, name: str, most: int = int(_LARGEST)) -> int:
-        value = self._fields.get(name, "")
-        if not _NUMBER.fullmatch(value) or int(value) > most:
-            raise ValueError(f"{name}={value[:40]!r}")
-        return int(value)
-
-    def figure(self, name: str) -> float:
-        return parse_figure(name, self._fields.get(name, ""))
-
-    def micros(self, name: str) -> int:
-        return round(self.figure(name) * 1_000)
-
-    def load(self, name: str) -> LoadFigures | None:
-        if name not in self._fields:
-            return None
-        pairs = [pair.partition(":") for pair in self._fields[name].split(",")]
-        return tuple([(key, parse_figure(key, value)) for key, _, value in pairs])
-
-
-def parse_figure(name: str, text: str) -> float:
-    """Raises ValueError for what is no figure, infinite, below 0 or beyond belief."""
-    try:
-        value = float(text)
-    except ValueError:
-        raise ValueError(f"{name}={text[:40]!r}") from None
-    most = _BUSIEST if name.startswith("util") else _LARGEST
-    if not (math.isfinite(value) and 0 <= value <= most):
-        raise ValueError(f"{name}={text[:40]!r}")
-    return value
-
-
-def _outcomes(w: _Words) -> Message:
-    tries, bad = w.count("count"), w.count("fail")
-    if bad > tries:
-        raise ValueError(f"fail={bad} of count={tries}")
-    window = w.micros("over")
-    if window <= 0:
-        raise ValueError("over=0")
-    return AttemptOutcomes(
-        w.text("site"), w.text("target"), tries, bad, w.micros("mean"), window, w.load("util")
-    )
-
-
-def _demand(w: _Words) -> Message:
-    window = w.micros("over")
-    if window <= 0:
-        raise ValueError("over=0")
-    return Demand(w.count("id", _MARK), w.text("lane"), w.count("count"), w.count("fail"), window)
-
-
-_READ: dict[str, Callable[[_Words], Message]] = {
-    "probe": lambda w: HealthCheck(),
-    "agent": lambda w: CollectorHello(w.text("site")),
-    "outcomes": _outcomes,
-    "hello": lambda w: ProxyHello(
-        w.count("id", _MARK), w.text("site"), w.figure("rps"), w.count("new", 1) == 1
-    ),
-    "ack": lambda w: Acknowledgement(w.count("id", _MARK), w.count("seq", _MARK), w.micros("ms")),
-    "demand": _demand,
-}
-
-
-def parse_line(line: bytes) -> Message:
-    """One line without its end. Raises Unreadable."""
-    try:
-        kind, *words = line.decode().split(" ")
-    except UnicodeDecodeError:
-        raise LineProtocolError("bytes that are no text") from None
-    if kind not in _READ:
-        raise LineProtocolError(f"no such message: {kind[:40]!r}")
-    try:
-        return _READ[kind](_Words(filter(None, words)))
-    except ValueError as fault:
-        return MalformedLine(kind, str(fault))
-
-
-class LineParser:
-    """The reading end of one connection. `known` is to be set once the peer has said who it is."""
-
-    def __init__(self) -> None:
-        self.is_identified = False
-        self._buffer, self._scanned, self._fault = bytearray(), 0, ""
-
-    def receive(self, data: bytes) -> list[Message]:
-        """Raises Unreadable; where messages came before the fault, they are returned and `fault` is set."""
-        if self._fault:
-            raise LineProtocolError(self._fault)
-        self._buffer += data
-        found: list[Message] = []
-        at, known = 0, self.is_identified
-        try:
-            while (end := self._buffer.find(b"\n", max(at, self._scanned))) >= 0:
-                if end == at or self._buffer[end - 1] != 13:
-                    raise LineProtocolError("a line that ends without a carriage return")
-                if end - at > MAX_UNIDENTIFIED_BYTES and not known:
-                    raise LineProtocolError(
-                        f"a message of over {MAX_UNIDENTIFIED_BYTES} bytes"
-                    )  # as in parts, so whole
-                line = bytes(self._buffer[at : end - 1])
-                at = end + 1
-                found.append(message := parse_line(line))
-                known = known or isinstance(message, CollectorHello | ProxyHello)
-            self._partial(at, known)
-        except LineProtocolError as fault:
-            self._fault = str(fault)
-            self._buffer.clear()
-            if not found:
-                raise
-            return found
-        del self._buffer[:at]
-        self._scanned = len(self._buffer)
-        return found
-
-    @property
-    def failure(self) -> str:
-        """Why nothing more can be read, or empty."""
-        return self._fault
-
-    def _partial(self, at: int, known: bool) -> None:
-        """What is no beginning of a message is refused at once, not only at the end of its line."""
-        size = len(self._buffer) - at
-        if size > (MAX_MESSAGE_BYTES if known else MAX_UNIDENTIFIED_BYTES):
-            raise LineProtocolError(f"a message of over {size} bytes")
-        head = bytes(self._buffer[at : at + 10]).split(b" ", 1)
-        whole = len(head) > 1 or size > 9
-        if size and not any(k == head[0] if whole else k.startswith(head[0].rstrip(b"\r")) for k in _KINDS):
-            raise LineProtocolError(f"no such message: {head[0]!r}")
-
-
-_KINDS = tuple(kind.encode() for kind in _READ)
-
-# Orders on a stream
-
-
 @dataclass(frozen=True, slots=True)
 class PushPart:
-    """One `push`; classes empty: all."""
+    """One part of a push message; without `classes` it is for all classes.
+
+    `admission` is the admitted share and the retry policy, `revision` the number that the proxy acknowledges.
+    """
 
     classes: tuple[str, ...] = ()
     is_snapshot: bool = False
@@ -261,42 +114,48 @@
 
 
 def format_number(value: float) -> str:
-    """Without an exponent; what is above 0 stays so."""
-    return f"{max(value, 1e-6) if value > 0 else 0.0:.6f}".rstrip("0").rstrip(".")
+    """Returns `value` with up to six decimals and without an exponent; a value above 0 stays above 0."""
+    rounded = max(value, _SMALLEST_WEIGHT) if value > 0 else 0.0
+    return f"{rounded:.6f}".rstrip("0").rstrip(".")
 
 
 def format_push(parts: Sequence[PushPart]) -> bytes:
-    """One message. Raises ValueError where it has too many parts."""
+    """Returns one message of all parts.
+
+    Raises:
+        ValueError: There is no part, or more than `MAX_PUSH_PARTS`.
+    """
     if not 0 < len(parts) <= MAX_PUSH_PARTS:
         raise ValueError(f"a message of {len(parts)} parts")
-    out = []
-    for n, part in enumerate(parts):
-        words = ["push"]
-        if part.classes:
-            words.append("classes=" + "+".join(part.classes))
-        if part.is_snapshot:
-            words.append("whole=1")
-        if part.weights:
-            words.append(
-                "lines=" + ",".join([f"{name}:{format_number(weight)}" for name, weight in part.weights])
-            )
-        if part.admission:
-            words.append(f"level={format_number(part.admission[0])} retry={part.admission[1]}")
-        if part.withdrawn:
-            words.append("out=" + ",".join(part.withdrawn))
-        if part.restored:
-            words.append("back=" + ",".join(part.restored))
-        if part.revision is not None:
-            words.append(f"ticket={part.revision}")
-        if n + 1 < len(parts):
-            words.append("more=1")
-        out.append(" ".join(words) + "\r\n")
-    return "".join(out).encode()
-
-
-HEALTHY_RESPONSE = b"alive\r\n"
-
-
-def format_error(why: str) -> bytes:
-    """What a peer is told whose connection is closed."""
-    return f"error why={'-'.join(why.split())[:80]}\r\n".encode(errors="replace")
+    last = len(parts) - 1
+    lines = [_format_part(part, is_last=index == last) for index, part in enumerate(parts)]
+    return "".join(lines).encode()
+
+
+def format_error(reason: str) -> bytes:
+    """Returns the message that is sent before a connection is closed."""
+    words = "-".join(reason.split())
+    return f"error why={words[:_MAX_ERROR_CHARACTERS]}\r\n".encode(errors="replace")
+
+
+def _format_part(part: PushPart, is_last: bool) -> str:
+    words = ["push"]
+    if part.classes:
+        words.append("classes=" + "+".join(part.classes))
+    if part.is_snapshot:
+        words.append("whole=1")
+    if part.weights:
+        weights = [f"{replica}:{format_number(weight)}" for replica, weight in part.weights]
+        words.append("lines=" + ",".join(weights))
+    if part.admission:
+        admitted_share, retry_policy = part.admission
+        words.append(f"level={format_number(admitted_share)} retry={retry_policy}")
+    if part.withdrawn:
+        words.append("out=" + ",".join(part.withdrawn))
+    if part.restored:
+        words.append("back=" + ",".join(part.restored))
+    if part.revision is not None:
+        words.append(f"ticket={part.revision}")
+    if not is_last:
+        words.append("more=1")
+    return " ".join(words) + "\r\n"
--- a/gradehoist/scenario/audit.py
+++ b/gradehoist/scenario/audit.py
@@ -17,6 +17,7 @@
 
 from gradehoist.cells.routes import class_label
 from gradehoist.protocol import feed
+from gradehoist.protocol.proxy_state import ProxyState
 from gradehoist.testbed.scenario_plan import Class, Plan, Replica
 
 Rec = dict[str, Any]
@@ -151,7 +152,7 @@
             (cell, class_label(cell, c.name), c) for cell in plan.cells or ("",) for c in plan.classes
         ]
         self.joined: dict[str, Joined] = {}
-        self.holds: dict[str, feed.ProxyState] = defaultdict(feed.ProxyState)
+        self.holds: dict[str, ProxyState] = defaultdict(ProxyState)
         self.told: dict[str, Told] = defaultdict(Told)
         self.started: dict[str, int] = {}  # replica: when its last cold start was; absent: long past
         self.bare: dict[tuple[str, str], int] = {}
@@ -205,7 +206,7 @@
                     for relay in [x for x, j in self.joined.items() if j.governor == r["reader"]]:
                         self._bare(at, relay, r)
                 case "relay_up":
-                    self.holds[r["relay"]] = feed.ProxyState()
+                    self.holds[r["relay"]] = ProxyState()
                     self.holds[r["relay"]].install_default_tables(r["standing"])
                 case "up":
                     if r["cold"]:
--- a/gradehoist/scenario/report.py
+++ b/gradehoist/scenario/report.py
@@ -10,6 +10,8 @@
 
 import matplotlib
 
+from gradehoist.protocol.proxy_state import ProxyState
+
 matplotlib.use("Agg")
 import matplotlib.pyplot as plt
 import msgspec
@@ -51,7 +53,7 @@
 
 def weights_chart(plan: Plan, records: list[dict[str, Any]], t0: int, path: Path) -> None:
     """Each replica's mean share of a relay's lines for the first class, over all relays."""
-    holds: dict[str, feed.ProxyState] = defaultdict(feed.ProxyState)
+    holds: dict[str, ProxyState] = defaultdict(ProxyState)
     zone = {r.name: r.zone for r in plan.replicas}
     points: list[tuple[float, dict[str, float]]] = []
     cls, last = plan.classes[0].name, -1.0
--- a/gradehoist/testbed/proxy.py
+++ b/gradehoist/testbed/proxy.py
@@ -18,6 +18,7 @@
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http, orca
+from gradehoist.protocol.proxy_state import ProxyState
 from gradehoist.testbed import scenario_plan as p
 from gradehoist.testbed.process import ENCODER, Process, dice, now
 
@@ -59,7 +60,7 @@
         self.fresh()
 
     def fresh(self) -> None:
-        self.holdings = feed.ProxyState()
+        self.holdings = ProxyState()
         self.strikes: dict[str, int] = defaultdict(int)
         self.avoid: dict[str, int] = {}
         self.met: dict[str, Met] = defaultdict(Met)
--- a/tests/support/governed_fleet.py
+++ b/tests/support/governed_fleet.py
@@ -11,6 +11,7 @@
 from gradehoist.governor.core import GovernorCore, Poll, RequestRejectedError
 from gradehoist.governor.policy_process import PolicyHost
 from gradehoist.protocol import feed
+from gradehoist.protocol.proxy_state import ProxyState
 from gradehoist.settings import reader as r
 from gradehoist.settings.fleet import CellPlacement, Settings, parse_settings
 
@@ -60,7 +61,7 @@
 class Relay:
     name: str
     zone: str
-    holdings: feed.ProxyState = field(default_factory=feed.ProxyState)
+    holdings: ProxyState = field(default_factory=ProxyState)
     epoch: str = ""
     stream: int = 0
     after: int = 0
--- a/tests/support/governor_process.py
+++ b/tests/support/governor_process.py
@@ -19,6 +19,7 @@
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http
+from gradehoist.protocol.proxy_state import ProxyState
 from gradehoist.scenario import definition
 from tests.support.governed_fleet import TEXT, entry
 
@@ -78,7 +79,7 @@
 
     def __init__(self, port: int, name: str, deaf: bool = False, zone: str = "x") -> None:
         self.port, self.name, self.deaf, self.zone = port, name, deaf, zone
-        self.holdings, self.epoch, self.stream, self.after = feed.ProxyState(), "", 0, 0
+        self.holdings, self.epoch, self.stream, self.after = ProxyState(), "", 0, 0
         self.joined, self.joins, self.refused = False, 0, ""
         self.task = asyncio.ensure_future(self._run())
 
--- a/tests/support/interleavings.py
+++ b/tests/support/interleavings.py
@@ -19,6 +19,7 @@
 from gradehoist.governor.policy_instances import Reply
 from gradehoist.governor.policy_process import PolicyHost
 from gradehoist.protocol import feed
+from gradehoist.protocol.proxy_state import ProxyState
 from tests.support.governed_fleet import SECOND, entry, settings
 
 TICK = 50_000
@@ -91,7 +92,7 @@
     name: str
     zone: str
     at: int  # the governor that it follows
-    holdings: feed.ProxyState = field(default_factory=feed.ProxyState)
+    holdings: ProxyState = field(default_factory=ProxyState)
     epoch: str = ""
     stream: int = 0
     after: int = 0
--- a/tests/test_delivery_queue.py
+++ b/tests/test_delivery_queue.py
@@ -13,6 +13,7 @@
 from gradehoist.governor.tables import PublishedTables
 from gradehoist.identifiers import Identifiers
 from gradehoist.protocol import feed
+from gradehoist.protocol.proxy_state import AdmissionKey, ProxyState
 from tests.support.governed_fleet import SECOND, entry
 from tests.test_cells import world
 
@@ -32,7 +33,7 @@
         self.ledger = DeliveryQueue(
             self.tables, self.parts, ChannelShares(CELLS, 1000, 1000, 20, 4.0, 2 * SECOND)
         )
-        self.held = [feed.ProxyState() for _ in range(RELAYS)]
+        self.held = [ProxyState() for _ in range(RELAYS)]
         for n in range(CELLS * 3):
             self.names.replicas.intern(f"w{n}")
         for p in range(RELAYS):
@@ -80,7 +81,7 @@
                     names[r] for r in self.tables.withdrawn if names[r] in lines
                 }
                 for t in (None, at):
-                    assert held.admission.get((t, label)) == self.tables.admission.get((t, k))
+                    assert held.admission.get(AdmissionKey(t, label)) == self.tables.admission.get((t, k))
 
 
 @pytest.mark.parametrize("seed", range(150))
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -25,9 +25,9 @@
     gradehoist.net gradehoist.net.client gradehoist.net.listener gradehoist.node gradehoist.node.__main__
     gradehoist.node.config gradehoist.node.core gradehoist.node.discovery gradehoist.node.log
     gradehoist.node.service gradehoist.protocol gradehoist.protocol.feed gradehoist.protocol.http
-    gradehoist.protocol.http_head gradehoist.protocol.http_parser gradehoist.protocol.lines
-    gradehoist.protocol.orca gradehoist.settings gradehoist.settings.platform gradehoist.store
-    gradehoist.store.log_writer
+    gradehoist.protocol.http_head gradehoist.protocol.http_parser gradehoist.protocol.line_parser
+    gradehoist.protocol.lines gradehoist.protocol.orca gradehoist.settings gradehoist.settings.platform
+    gradehoist.store gradehoist.store.log_writer
 """.split()
 )
 HEAVY = ("sqlite3", "kdl", "numpy", "highspy", "matplotlib", "click", "rich", "structlog", "multiprocessing")
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -12,6 +12,7 @@
 from gradehoist.governor.proxy_streams import ProxyStream
 from gradehoist.identifiers import Identifiers
 from gradehoist.protocol import feed
+from gradehoist.protocol.proxy_state import ProxyState
 from tests.support.governed_fleet import SECOND, World, entry
 
 
@@ -75,7 +76,7 @@
     assert caught.value.status == 409
     relay.after, relay.polling = 0, False  # lost what it had applied: one whole picture, never a gap
     lines = dict(relay.holdings.weights_for("read"))
-    relay.holdings = feed.ProxyState()
+    relay.holdings = ProxyState()
     world.dial(relay)
     world.run(1)
     assert relay.pictures == 1 and relay.holdings.weights_for("read").keys() == lines.keys()
@@ -318,7 +319,7 @@
 
 
 def test_holdings_keep_earlier_tables_until_bound_and_drop_what_means_nothing_then() -> None:
-    held = feed.ProxyState()
+    held = ProxyState()
     held.install_default_tables({"a": {"w1": 1.0}, "b": {"w2": 1.0}})
     held.begin_stream()
     held.apply(feed.Message(1, 1, 0, 1, (feed.WithdrawalDelta("w2"),)))
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from gradehoist.protocol import lines
+from gradehoist.protocol.line_parser import MAX_UNIDENTIFIED_BYTES, LineParser
 
 GOOD = (
     b"probe\r\nhello id=17 site=a rps=21.5 new=1\r\nack id=17 seq=905 ms=310.4\r\n"
@@ -16,7 +17,7 @@
 
 
 def received(pieces: list[bytes], known: bool = True) -> list[lines.Message]:
-    door = lines.LineParser()
+    door = LineParser()
     door.is_identified = known
     return [message for piece in pieces for message in door.receive(piece)]
 
@@ -55,7 +56,7 @@
     """A stranger's too: `known` is set where its joining has come, as the shell does."""
 
     def told(pieces: list[bytes]) -> tuple[list[lines.Message], bool]:
-        door, found = lines.LineParser(), list[lines.Message]()
+        door, found = LineParser(), list[lines.Message]()
         for piece in pieces:
             try:
                 some = door.receive(piece)
@@ -72,12 +73,12 @@
 
 @given(st.lists(st.one_of(st.binary(max_size=200), st.sampled_from([GOOD, b"\r\n", b"ack id=", b"probe"]))))
 def test_any_bytes_end_in_messages_or_a_refusal_and_little_is_kept(pieces: list[bytes]) -> None:
-    door = lines.LineParser()
+    door = LineParser()
     try:
         for piece in pieces:
             for message in door.receive(piece):
                 assert isinstance(message, lines.Message)
-            assert len(door._buffer) <= lines.MAX_UNIDENTIFIED_BYTES
+            assert len(door._buffer) <= MAX_UNIDENTIFIED_BYTES
     except lines.LineProtocolError:
         assert door.failure and not door._buffer
 
@@ -126,7 +127,7 @@
 
 
 def test_messages_before_a_fault_are_kept_and_the_fault_is_told() -> None:
-    door = lines.LineParser()
+    door = LineParser()
     assert door.receive(b"probe\r\n\x00\x01\r\n") == [lines.HealthCheck()] and door.failure
     with pytest.raises(lines.LineProtocolError):
         door.receive(b"probe\r\n")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,7 @@
 from gradehoist.node.core import JoinRejectedError, NodeCore
 from gradehoist.node.discovery import EndpointListUpdate
 from gradehoist.protocol import lines
+from gradehoist.protocol.line_parser import parse_line
 from gradehoist.settings import platform
 from tests.support.platform_proxies import CLASSES, SECOND, SETTINGS, Proxy, Site, member
 
@@ -257,7 +258,7 @@
     site = Site()
     for words in ("outstanding:7,recent_ms:12.5,utilization:0.61", "inflight:7,latency_ms:12.5,util:0.61"):
         line = f"outcomes site=a target=s-1 count=9 fail=0 mean=41 over=1000 util={words},novel:3"
-        met = lines.parse_line(line.encode())
+        met = parse_line(line.encode())
         assert isinstance(met, lines.AttemptOutcomes)
         site.core.on_outcomes_reported(met)
         event = site.core.pending_events.pop()
@@ -271,7 +272,7 @@
         for n in range(6):
             busy = 0.95 if n == 0 else 0.4
             text = f"outcomes site=a target=s-{n} count=9 fail=0 mean=41 over=1000 util=utilization:{busy}"
-            met = lines.parse_line(text.encode())
+            met = parse_line(text.encode())
             assert isinstance(met, lines.AttemptOutcomes)
             site.core.on_outcomes_reported(met)
         site.run(1)
