--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -14,9 +14,9 @@
 
 import structlog
 
+from gradehoist.clock import monotonic_us
 from gradehoist.coordination.agent import ProcessIdentity
 from gradehoist.governor.background_tasks import BackgroundTasks
-from gradehoist.governor.clock import monotonic_us
 from gradehoist.governor.core import GovernorCore
 from gradehoist.governor.endpoint_cache import EndpointCache
 from gradehoist.governor.endpoint_watch import EndpointWatch
@@ -36,7 +36,7 @@
 from gradehoist.net.server import HttpServer
 from gradehoist.protocol.feed import ProxyLoadReport
 from gradehoist.settings.fleet import FleetSettings, GovernorSettings
-from gradehoist.store.atomic_file import FolderLock, FolderLockedError
+from gradehoist.store.folder_lock import FolderLock, FolderLockedError
 
 MAX_CONNECTIONS = 20_000
 MIN_CONNECTIONS = 16
