--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,6 +22,8 @@
 from bench.register import figures as register_figures
 from gradehoist.net.client import HttpClient
 from gradehoist.protocol import feed, http
+from gradehoist.protocol.http_parser import Parser
+from gradehoist.protocol.proxy_state import ProxyState, TableKey
 from gradehoist.scenario import audit, definition
 from gradehoist.scenario.runner import Run
 
@@ -41,11 +43,11 @@
     data, times = REQUEST * 50, dict[str, list[float]](ours=[], h11=[], reading=[])
 
     def reading() -> int:
-        reader = http.Parser(http.Role.SERVER)
+        reader = Parser(http.Role.SERVER)
         return sum(len(reader.receive(data)) for _ in range(20))
 
     def ours() -> int:
-        reader, count = http.Parser(http.Role.SERVER), 0
+        reader, count = Parser(http.Role.SERVER), 0
         for _ in range(20):
             for _event in reader.receive(data):
                 http.format_response(204)
@@ -322,9 +324,9 @@
     asyncio.run(_idle(5000))
 
 
-def whole_size(held: feed.ProxyState) -> int:
+def whole_size(held: ProxyState) -> int:
     """Bytes of a whole picture of what a relay holds."""
-    tables: dict[tuple[int, int], list[str]] = {}
+    tables: dict[TableKey, list[str]] = {}
     for cls, key in held.table_by_class.items():
         tables.setdefault(key, []).append(cls)
     deltas: list[feed.Delta] = [
@@ -337,14 +339,14 @@
 
 def sizes(folder: Path) -> None:
     """Bytes of the messages of a run, and of whole pictures in their place."""
-    held: dict[str, feed.ProxyState] = {}
+    held: dict[str, ProxyState] = {}
     deltas = whole = 0
     for record in audit.load(folder):
         if record["e"] == "joined":
-            held.setdefault(record["relay"], feed.ProxyState()).begin_stream()
+            held.setdefault(record["relay"], ProxyState()).begin_stream()
         elif record["e"] == "applied":
             message = msgspec.convert(record["message"], feed.Message)
-            mine = held.setdefault(record["relay"], feed.ProxyState())
+            mine = held.setdefault(record["relay"], ProxyState())
             mine.apply(message)
             deltas += len(msgspec.json.encode(message))
             whole += whole_size(mine)
--- a/gradehoist/governor/zone_coordination.py
+++ b/gradehoist/governor/zone_coordination.py
@@ -18,7 +18,14 @@
 from gradehoist.membership.service import Membership
 from gradehoist.protocol.feed import ProxyLoadReport
 from gradehoist.settings.fleet import CoordinationSettings, FleetSettings
-from gradehoist.zones.coordinator import ALLOCATION_KEY, PLAN_KEY, REPORTS_PREFIX, ZoneCoordinator, ZoneQuotas
+from gradehoist.zones.coordinator import (
+    ALLOCATION_KEY,
+    PLAN_KEY,
+    REPORTS_PREFIX,
+    CoordinatorConfig,
+    ZoneCoordinator,
+    ZoneQuotas,
+)
 from gradehoist.zones.evacuation import ClassConstraints, EvacuationPlan, EvacuationTiming
 from gradehoist.zones.health import HealthReport
 from gradehoist.zones.warmup_quota import QuotaAllocation
@@ -273,13 +280,13 @@
     }
     # The tables of a governor that has gone may be in use until its proxies have joined others.
     drain_timeout_us = fleet.poll_hold_us + fleet.silence_limit_us + fleet.safety.drain_grace_us
-    return ZoneCoordinator(
-        membership.agent.identity.incarnation,
-        constraints,
-        timing,
-        drain_timeout_us,
-        REPORT_TTL_US,
-        LIST_TIMEOUT_US,
-        settings.fallback_hold_us,
-        settings.fallback_ramp_us,
+    config = CoordinatorConfig(
+        classes=constraints,
+        timing=timing,
+        drain_timeout_us=drain_timeout_us,
+        report_ttl_us=REPORT_TTL_US,
+        list_ttl_us=LIST_TIMEOUT_US,
+        fallback_hold_us=settings.fallback_hold_us,
+        fallback_ramp_us=settings.fallback_ramp_us,
     )
+    return ZoneCoordinator(membership.agent.identity.incarnation, config)
