--- a/gradehoist/governor/zone_coordination.py
+++ b/gradehoist/governor/zone_coordination.py
@@ -10,6 +10,7 @@
 from typing import Any, Generic, TypeVar
 
 from gradehoist.coordination.fencing import FencingToken
+from gradehoist.coordination.notifications import CommitOutcome
 from gradehoist.coordination.store import Change
 from gradehoist.governor.core import GovernorCore
 from gradehoist.governor.shell_state import ShellState
@@ -192,7 +193,7 @@
             admission_limits=current.admission_limits,
         )
 
-    def _handle_outcome(self, token: str, outcome: str) -> None:
+    def _handle_outcome(self, token: str, outcome: CommitOutcome) -> None:
         """Notes that a proposal has ended, whatever its outcome."""
         self._pending_writes = {
             write: pending for write, pending in self._pending_writes.items() if pending != token
--- a/gradehoist/membership/service.py
+++ b/gradehoist/membership/service.py
@@ -7,14 +7,24 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import uuid
 import zlib
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from gradehoist.coordination.agent import MemberRecord, Notification, Participant, ProcessIdentity
 from gradehoist.coordination.election import LeaderElection
 from gradehoist.coordination.members import FailureDetector, MemberState, MemberStatus, ReachabilityReport
+from gradehoist.coordination.notifications import (
+    CommitOutcome,
+    CommitSettled,
+    Notification,
+    ProcessFenced,
+    RecordsChanged,
+    SessionEnded,
+)
+from gradehoist.coordination.participant import Participant
+from gradehoist.coordination.records import MEMBERS_PREFIX, MemberRecord, ProcessIdentity
 from gradehoist.coordination.store import Change, CoordinationStore, RecordTooLargeError
 from gradehoist.membership.health_checks import MemberHealthChecker
 from gradehoist.membership.log_events import LOG_EVENTS
@@ -28,7 +38,6 @@
 # nobody is suspected in less time.
 ASSESSMENT_INTERVAL_US = 200_000
 
-MEMBERS_PREFIX = "members/"
 REACHABILITY_PREFIX = "views/"
 
 
@@ -84,7 +93,7 @@
         )
         self.elections = list[LeaderElection]()
         self.key_listeners: list[Callable[[str], None]] = []
-        self.proposal_listeners: list[Callable[[str, str], None]] = []
+        self.proposal_listeners: list[Callable[[str, CommitOutcome], None]] = []
         self.tick_listeners: list[Callable[[int], None]] = []
         self.failure_listeners: list[Callable[[], None]] = []
         self._log = log
@@ -167,22 +176,22 @@
             on_failure()
 
     def _on_notification(self, notification: Notification) -> None:
-        log_event = LOG_EVENTS.get(notification.kind)
+        log_event = LOG_EVENTS.get(type(notification))
         if log_event is not None:
-            fields = log_event.rename_fields(notification.fields)
-            self._log(log_event.name, log_event.is_warning, **fields)
-        if notification.kind == "settled":
-            self._on_commit_settled(notification.fields["token"], notification.fields["how"])
-        elif notification.kind == "changed":
-            for key in notification.fields["keys"]:
-                self._on_key_changed(key)
-        elif notification.kind in ("ended", "fenced"):
-            self._written_report = ReachabilityReport()  # the store dropped it with the session
+            self._log(log_event.name, log_event.is_warning, **dataclasses.asdict(notification))
+        match notification:
+            case CommitSettled(commit_id, outcome, _):
+                self._on_commit_settled(commit_id, outcome)
+            case RecordsChanged(keys):
+                for key in keys:
+                    self._on_key_changed(key)
+            case SessionEnded() | ProcessFenced():
+                self._written_report = ReachabilityReport()  # the store dropped it with the session
 
-    def _on_commit_settled(self, commit_id: str, outcome: str) -> None:
+    def _on_commit_settled(self, commit_id: str, outcome: CommitOutcome) -> None:
         if commit_id == self._report_commit_id:
             self._report_commit_id = ""
-            if outcome == "done":
+            if outcome is CommitOutcome.COMMITTED:
                 self._written_report = self._proposed_report
         for election in self.elections:
             election.on_commit_settled(commit_id, outcome)
@@ -257,5 +266,4 @@
         self._log("isolation_detected" if is_isolated else "isolation_ended", is_isolated)
 
     def _on_health_checked(self, member: MemberRecord, is_reached: bool) -> None:
-        key = f"{MEMBERS_PREFIX}{member.role}/{member.name}"
-        self.members.record_contact(monotonic_us(), key, member.generation, is_reached)
+        self.members.record_contact(monotonic_us(), member.key, member.generation, is_reached)
--- a/tests/support/fleet_process.py
+++ b/tests/support/fleet_process.py
@@ -19,8 +19,9 @@
 
 import msgspec
 
-from gradehoist.coordination.agent import ProcessIdentity
 from gradehoist.coordination.fencing import Fence, FencingToken
+from gradehoist.coordination.notifications import CommitOutcome
+from gradehoist.coordination.records import ProcessIdentity
 from gradehoist.history.recorder import HistoryRecorder
 from gradehoist.history.records import (
     Effect,
@@ -109,15 +110,16 @@
         for entry in load_history([path]) if path.exists() else []:
             if isinstance(entry, Effect):
                 token = FencingToken(entry.generation, entry.holder)
-                self.fence, _ = self.fence.present(entry.resource, token)
+                self.fence = self.fence.present(entry.resource, token).fence
         self.write = HistoryWriter(path, spec.name)
 
     async def handle(self, request: http.Request, connection: Connection) -> ServerResponse:
         if request.method == "GET":
             return ServerResponse(204)
         wanted: EffectRequest = msgspec.json.decode(request.body, type=EffectRequest)
-        fence, against = self.fence.present(wanted.resource, FencingToken(wanted.generation, wanted.holder))
-        if against is not None and self.spec.checks_tokens:
+        token = FencingToken(wanted.generation, wanted.holder)
+        decision = self.fence.present(wanted.resource, token)
+        if decision.rejected_by is not None and self.spec.checks_tokens:
             self.write(
                 RejectedEffect(
                     time_us=monotonic_us(),
@@ -126,11 +128,11 @@
                     generation=wanted.generation,
                     holder=wanted.holder,
                     item=wanted.item,
-                    highest_generation=against.generation,
+                    highest_generation=decision.rejected_by.generation,
                 )
             )
-            return json_response(EffectResponse(taken=False, known=against))
-        self.fence = fence
+            return json_response(EffectResponse(taken=False, known=decision.rejected_by))
+        self.fence = decision.fence
         self.write(
             Effect(
                 time_us=monotonic_us(),
@@ -182,7 +184,7 @@
             ProcessEvent(time_us=monotonic_us(), process=self.write.process, event=event, fields=texts)
         )
 
-    def on_commit_settled(self, commit_id: str, outcome: str) -> None:
+    def on_commit_settled(self, commit_id: str, outcome: CommitOutcome) -> None:
         if commit_id == self.counter_commit_id:
             self.counter_commit_id = ""
 
@@ -198,7 +200,7 @@
         return self.membership.status() | {
             "counter": self.counter(),
             "effects": self.effect_count,
-            "idle": not self.membership.agent.pending_commits,
+            "idle": not self.membership.agent.has_pending_commits,
         }
 
     def counter(self) -> int:
--- a/tests/test_fleet_governors.py
+++ b/tests/test_fleet_governors.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from gradehoist.coordination.agent import ProcessIdentity
+from gradehoist.coordination.records import ProcessIdentity
 from gradehoist.membership.service import Membership
 from gradehoist.scenario import definition
 from gradehoist.settings.fleet import CoordinationSettings, parse_settings
