--- a/gradehoist/node/__init__.py
+++ b/gradehoist/node/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's front: one governor that speaks its line protocol, in one process."""
+"""One governor on the platform: it speaks the line protocol, in one process."""
--- /dev/null
+++ b/gradehoist/node/connections.py
@@ -0,0 +1,256 @@
+"""Connections at the node's address: proxies, collectors of load reports, and peers that have not joined.
+
+A peer that has not joined holds a descriptor for JOIN_TIMEOUT_S at most, and the oldest of them gives way
+where descriptors run out. A joined stream is not closed for being slow or silent: its proxy would then be
+without a governor.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+
+from gradehoist.net.listener import Listener
+from gradehoist.net.reading import part as read_part
+from gradehoist.node.core import JoinRejectedError
+from gradehoist.node.log import NodeLog
+from gradehoist.node.policy_runner import PolicyRunner
+from gradehoist.node.push_batch import OutboundMessage
+from gradehoist.node.tasks import OwnedTasks
+from gradehoist.protocol import lines
+
+JOIN_TIMEOUT_S = 1.5  # a peer may close a connection after one second, and its hello may have been delayed
+READ_TURN_BYTES = 16_384  # taken from one peer before all others are read: a flood of them takes 3 ms
+MAX_UNREAD_BYTES = 1 << 20  # that a peer may leave unread: several tables of a large site
+BACKLOG = 1_024
+NOT_A_PROXY = -1
+
+
+class Connection:
+    """One peer's connection, and who it said it is."""
+
+    def __init__(self, stream: IOStream, accepted_s: float) -> None:
+        """Starts as a peer that has not joined, accepted at this monotonic time in seconds."""
+        self.stream = stream
+        self.accepted_s = accepted_s  # monotonic time
+        self.parser = lines.LineParser()
+        self.is_collector = False
+        self.deferred_health_checks = 0  # health checks of this node that came before it was ready
+        self.proxy = NOT_A_PROXY
+        self.stream_id = 0  # of a proxy's stream
+
+    @property
+    def is_proxy(self) -> bool:
+        """Whether it is a proxy's stream."""
+        return self.proxy != NOT_A_PROXY
+
+    @property
+    def has_joined(self) -> bool:
+        """Whether the peer has said who it is."""
+        return self.is_collector or self.is_proxy
+
+    def __str__(self) -> str:
+        """Names the peer for the log."""
+        if self.is_proxy:
+            return f"proxy {self.proxy}"
+        return "a collector" if self.is_collector else "a peer that has not joined"
+
+
+class ConnectionServer:
+    """Accepts peers, hands their messages to the core and writes to proxies."""
+
+    def __init__(
+        self,
+        runner: PolicyRunner,
+        tasks: OwnedTasks,
+        log: NodeLog,
+        max_connections: int,
+    ) -> None:
+        """Prepares to serve at most `max_connections` peers at once."""
+        self._runner = runner
+        self._core = runner.core
+        self._clock = runner.clock
+        self._tasks = tasks
+        self._log = log
+        self._max_connections = max_connections
+        self._listener = Listener(self._accept)
+        self._connections: dict[Connection, None] = {}
+        self._unjoined: dict[Connection, None] = {}  # the oldest first
+        self._by_proxy: dict[int, Connection] = {}
+        self.is_ready = False
+        self.rejected_count = 0
+
+    def __len__(self) -> int:
+        """The number of open connections."""
+        return len(self._connections)
+
+    def listen(self, host: str, port: int) -> None:
+        """Starts to accept connections.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        self._listener.listen(port, host, backlog=BACKLOG)
+
+    def stop(self) -> None:
+        """Stops to accept connections."""
+        self._listener.stop()
+
+    def set_ready(self) -> None:
+        """Answers the health checks of this node: those deferred so far, and from now on each at once."""
+        self.is_ready = True
+        for connection in list(self._connections):
+            if connection.deferred_health_checks:
+                self.send(connection, lines.HEALTHY_RESPONSE * connection.deferred_health_checks)
+
+    def reject_overdue(self) -> None:
+        """Closes the connections that have not joined in time."""
+        deadline_s = time.monotonic() - JOIN_TIMEOUT_S
+        while self._unjoined:
+            oldest = next(iter(self._unjoined))
+            if oldest.accepted_s >= deadline_s:
+                return
+            self.reject(oldest, "it has not joined")
+
+    # Reading
+
+    def _accept(self, sock: socket.socket) -> None:
+        if len(self._connections) >= self._max_connections:
+            if not self._unjoined:
+                sock.close()
+                return
+            self.reject(next(iter(self._unjoined)), "no descriptor left for it")
+        stream = IOStream(
+            sock, max_buffer_size=2 * lines.MAX_MESSAGE_BYTES, max_write_buffer_size=MAX_UNREAD_BYTES
+        )
+        stream.set_nodelay(True)
+        connection = Connection(stream, time.monotonic())
+        self._connections[connection] = None
+        self._unjoined[connection] = None
+        self._tasks.start(self._serve(connection))
+
+    async def _serve(self, connection: Connection) -> None:
+        try:
+            while True:
+                data = await read_part(connection.stream, READ_TURN_BYTES)
+                if connection not in self._connections:
+                    # Rejected or replaced since the read was done: a hello in it would end the stream that
+                    # the proxy has now.
+                    return
+                self._receive(connection, data)
+        except (StreamClosedError, ConnectionError):
+            pass
+        except lines.LineProtocolError as error:
+            self._on_protocol_error(connection, str(error))
+        finally:
+            self.close(connection)
+
+    def _receive(self, connection: Connection, data: bytes) -> None:
+        if connection.is_proxy:
+            self._core.on_stream_active(self._clock.now_us(), connection.proxy, connection.stream_id)
+        try:
+            for message in connection.parser.receive(data):
+                self._on_message(connection, message)
+        finally:  # what was valid counts at once, whatever came behind it
+            if self._core.pending_events:
+                self._runner.schedule()
+        if connection.parser.failure:
+            raise lines.LineProtocolError(connection.parser.failure)
+
+    def _on_message(self, connection: Connection, message: lines.Message) -> None:
+        match message:
+            case lines.HealthCheck():
+                self._on_health_check(connection)
+            case lines.CollectorHello() if not connection.has_joined:
+                self._on_collector_hello(connection, message)
+            case lines.ProxyHello() if not connection.has_joined:
+                self.on_proxy_hello(connection, message)
+            case lines.AttemptOutcomes() if connection.is_collector:
+                self._core.on_outcomes_reported(message)
+            case lines.Demand() if connection.has_joined:
+                self._core.on_demand_reported(message, None if connection.is_collector else connection.proxy)
+            case lines.Acknowledgement() if connection.is_proxy:
+                now_us = self._clock.now_us()
+                self._core.on_acknowledged(now_us, connection.proxy, connection.stream_id, message)
+            case lines.MalformedLine() if connection.has_joined:
+                self._core.on_malformed_message(message)
+            case _ if connection.has_joined:
+                kind = type(message).__name__.lower()
+                self._core.on_malformed_message(lines.MalformedLine(kind, "not from such a peer"))
+            case _:
+                raise lines.LineProtocolError("no joining")
+
+    def _on_health_check(self, connection: Connection) -> None:
+        if self.is_ready:
+            self.send(connection, lines.HEALTHY_RESPONSE)
+        else:
+            connection.deferred_health_checks += 1
+
+    def _on_collector_hello(self, connection: Connection, hello: lines.CollectorHello) -> None:
+        if hello.zone not in self._core.identifiers.zones:
+            raise lines.LineProtocolError(f"no zone {hello.zone}")
+        connection.is_collector = True
+        self._set_identified(connection)
+
+    def on_proxy_hello(self, connection: Connection, hello: lines.ProxyHello) -> None:
+        """Makes a connection the stream of a proxy; an earlier stream of the proxy is closed.
+
+        Raises:
+            lines.LineProtocolError: No such proxy or zone exists.
+        """
+        try:
+            connection.stream_id = self._core.on_proxy_joined(self._clock.now_us(), hello)
+        except JoinRejectedError as error:
+            raise lines.LineProtocolError(str(error)) from None
+        connection.proxy = hello.proxy
+        replaced = self._by_proxy.get(hello.proxy)
+        self._by_proxy[hello.proxy] = connection
+        self._set_identified(connection)
+        if replaced is not None:
+            self.close(replaced)  # nothing that it sent counts from here on
+
+    def _set_identified(self, connection: Connection) -> None:
+        connection.parser.is_identified = True
+        self._unjoined.pop(connection, None)
+
+    # Writing and closing
+
+    def send_to_proxy(self, message: OutboundMessage) -> None:
+        """Writes to a proxy's stream, if it is still the current one."""
+        connection = self._by_proxy.get(message.proxy)
+        if connection is not None and connection.stream_id == message.stream_id:
+            self.send(connection, message.data)
+
+    def send(self, connection: Connection, data: bytes) -> None:
+        """Writes to a connection; one that leaves too much unread is closed."""
+        try:
+            connection.stream.write(data)
+        except StreamClosedError:
+            return
+        except StreamBufferFullError:
+            self._log.write(f"connection of {connection} closed: {MAX_UNREAD_BYTES} bytes unread")
+            connection.stream.close()
+
+    def _on_protocol_error(self, connection: Connection, reason: str) -> None:
+        if not connection.has_joined:
+            self.reject(connection, reason)
+            return
+        self._log.write(f"protocol error from {connection}: {reason}")
+
+    def reject(self, connection: Connection, reason: str) -> None:
+        """Sends a peer that has not joined an error, and closes its connection."""
+        self.rejected_count += 1
+        self.send(connection, lines.format_error(reason))
+        self.close(connection)
+
+    def close(self, connection: Connection) -> None:
+        """Closes a connection; a proxy whose current stream it is has left."""
+        connection.stream.close()
+        self._connections.pop(connection, None)
+        self._unjoined.pop(connection, None)
+        if connection.is_proxy and self._by_proxy.get(connection.proxy) is connection:
+            del self._by_proxy[connection.proxy]
+            self._core.on_proxy_left(connection.proxy, connection.stream_id, "its stream ended")
+            self._runner.schedule()
--- /dev/null
+++ b/gradehoist/node/discovery_client.py
@@ -0,0 +1,133 @@
+"""Keeps a watch on discovery open, and hands its updates to the core."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from datetime import timedelta
+from typing import NamedTuple
+
+from tornado import gen
+from tornado.iostream import IOStream, StreamClosedError
+
+from gradehoist.net.reading import part as read_part
+from gradehoist.node.config import Address
+from gradehoist.node.discovery import HEARTBEAT_PERIOD_US, MAX_LINE_BYTES, DiscoveryWatch, WatchLostError
+from gradehoist.node.log import NodeLog
+from gradehoist.node.policy_runner import PolicyRunner
+from gradehoist.node.tasks import OwnedTasks
+
+MICROSECONDS_PER_SECOND = 1e6
+CONNECT_TIMEOUT_S = 1.0
+SILENCE_TIMEOUT_S = 3 * HEARTBEAT_PERIOD_US / 2 / MICROSECONDS_PER_SECOND  # one heartbeat and a half
+MIN_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 1.0
+READ_TURN_BYTES = 1 << 18
+
+
+class WatchEnd(NamedTuple):
+    """Why a watch ended, and whether it had been open."""
+
+    reason: str
+    was_open: bool
+
+
+class DiscoveryClient:
+    """Watches one address at a time; after a move the former watch goes on until it ends."""
+
+    def __init__(
+        self,
+        runner: PolicyRunner,
+        tasks: OwnedTasks,
+        log: NodeLog,
+    ) -> None:
+        """Watches nothing until `watch` is called."""
+        self._runner = runner
+        self._core = runner.core
+        self._tasks = tasks
+        self._log = log
+        self._current: asyncio.Task[None] | None = None
+        self._watches_opened = 0
+        self._streams: dict[int, IOStream] = {}  # of the open watches, by their numbers
+        self.has_answered = asyncio.Event()
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether any address has been watched yet."""
+        return self._current is not None
+
+    def watch(self, address: Address) -> None:
+        """Watches this address from now on."""
+        self._current = self._tasks.start(self._keep_watching(address))
+
+    async def _keep_watching(self, address: Address) -> None:
+        # The task and not the address tells whether it is the current one: an address that was left and came
+        # back was otherwise watched twice for good.
+        delay_s = MIN_RETRY_DELAY_S
+        while self._current is asyncio.current_task():
+            end = await self._watch_once(address)
+            delay_s = MIN_RETRY_DELAY_S if end.was_open else min(MAX_RETRY_DELAY_S, 2 * delay_s)
+            self._log.write(f"discovery {address}: {end.reason}; retry in {delay_s:g} s")
+            await asyncio.sleep(delay_s)
+
+    async def _watch_once(self, address: Address) -> WatchEnd:
+        watch = DiscoveryWatch()
+        self._watches_opened += 1
+        watch_id = self._watches_opened
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            return WatchEnd(f"{error.strerror}", was_open=False)
+        stream = IOStream(sock, max_buffer_size=2 * MAX_LINE_BYTES)
+        self._streams[watch_id] = stream
+        try:
+            await self._open(stream, address, watch)
+            reason = await self._read_updates(stream, watch, watch_id)
+        except TimeoutError:
+            reason = "silent"
+        except (StreamClosedError, OSError):
+            reason = "closed"
+        finally:
+            stream.close()
+            del self._streams[watch_id]
+            for stale_watch_id in self._core.endpoint_list.end_watch(watch_id):
+                self._streams[stale_watch_id].close()
+        return WatchEnd(reason, watch.is_open)
+
+    async def _open(self, stream: IOStream, address: Address, watch: DiscoveryWatch) -> None:
+        await gen.with_timeout(
+            timedelta(seconds=CONNECT_TIMEOUT_S),
+            stream.connect(address),
+            quiet_exceptions=(StreamClosedError, OSError),
+        )
+        stream.write(watch.request(str(address), self._core.endpoint_list.revision))
+
+    async def _read_updates(self, stream: IOStream, watch: DiscoveryWatch, watch_id: int) -> str:
+        """Reads until the watch is lost and returns the reason; the stream's end and silence raise."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + SILENCE_TIMEOUT_S
+        while True:
+            async with asyncio.timeout(SILENCE_TIMEOUT_S):
+                data = await read_part(stream, READ_TURN_BYTES)
+            reason = self._receive(data, watch, watch_id)
+            if reason is not None:
+                return reason
+            if not watch.is_open and loop.time() > deadline_s:
+                # Bytes came, but no response that is a watch: without this they passed for signs of life.
+                return "no watch response"
+
+    def _receive(self, data: bytes, watch: DiscoveryWatch, watch_id: int) -> str | None:
+        """Takes received bytes, and returns why the watch is lost, if it is."""
+        reason = None
+        try:
+            updates = watch.receive(data)
+        except WatchLostError as error:
+            updates = list(error.updates)
+            reason = str(error)
+        for update in updates:
+            self._core.on_endpoint_update(update, watch_id)
+        if watch.is_open:
+            self.has_answered.set()
+        if self._core.pending_events:
+            self._runner.schedule(0.0)  # a drain waits for nothing
+        return reason
--- a/gradehoist/node/log.py
+++ b/gradehoist/node/log.py
@@ -1,4 +1,4 @@
-"""The node's log: lines to standard error, so many a second at most."""
+"""The node's log: lines of plain text on standard error, at a limited rate."""
 
 from __future__ import annotations
 
@@ -6,28 +6,39 @@
 
 from gradehoist.store.log_writer import LogWriter
 
+LINES_PER_S = 40.0  # the orders of a bad day fit, a flood of unknown peers does not
+BURST_LINES = 400.0
+CLOSE_TIMEOUT_S = 0.2  # that the end waits for a reader: the platform's SIGKILL comes 0.7 s after SIGTERM
+MAX_LINE_LENGTH = 1_000
+
 
 class NodeLog:
-    """Lines beyond the rate are counted, and told with the next one."""
-
-    RATE = 40.0  # lines a second: a bad day's orders fit, a flood of strangers does not
-    BURST = 400.0
-    LAST = 0.2  # seconds that the end waits for a reader: the platform's SIGKILL comes 0.7 s after SIGTERM
-
-    def __init__(self, fd: int, rate: float = RATE) -> None:
-        self._sink, self._rate = LogWriter(fd), rate
-        self._credit, self._at, self._lost = self.BURST, time.monotonic(), 0
-
-    def __call__(self, text: str) -> None:
-        now = time.monotonic()
-        self._credit = min(self.BURST, self._credit + self._rate * (now - self._at))
-        self._at = now
-        if self._credit < 1:
-            self._lost += 1
+    """Writes lines with their Unix time. Those beyond the rate are dropped, and counted on the next line."""
+
+    def __init__(self, fd: int, lines_per_s: float = LINES_PER_S) -> None:
+        """Writes to the descriptor `fd`, on a thread of its own."""
+        self._writer = LogWriter(fd)
+        self._lines_per_s = lines_per_s
+        self._credit_lines = BURST_LINES
+        self._credited_s = time.monotonic()
+        self._dropped_count = 0
+
+    def write(self, text: str) -> None:
+        """Writes one line; white space within the text becomes single spaces."""
+        now_s = time.monotonic()
+        credit_lines = self._credit_lines + self._lines_per_s * (now_s - self._credited_s)
+        self._credit_lines = min(BURST_LINES, credit_lines)
+        self._credited_s = now_s
+        if self._credit_lines < 1:
+            self._dropped_count += 1
             return
-        self._credit -= 1
-        lost, self._lost = f" ({self._lost} lines lost before this)" if self._lost else "", 0
-        self._sink.write(f"{time.time():.3f} {' '.join(text.split())[:1_000]}{lost}\n")
+        self._credit_lines -= 1
+        line = " ".join(text.split())[:MAX_LINE_LENGTH]
+        if self._dropped_count:
+            line += f" ({self._dropped_count} lines dropped before this)"
+            self._dropped_count = 0
+        self._writer.write(f"{time.time():.3f} {line}\n")
 
     def close(self) -> None:
-        self._sink.close(self.LAST)
+        """Waits a moment for what is still to be written."""
+        self._writer.close(CLOSE_TIMEOUT_S)
--- /dev/null
+++ b/gradehoist/node/push_batch.py
@@ -0,0 +1,170 @@
+"""Turns one batch of the policy's orders into messages, one for each proxy concerned."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from gradehoist.governor.tables import PublishedTables
+from gradehoist.interface import (
+    BindProxy,
+    ClearTable,
+    RequestAcknowledgement,
+    SetAdmission,
+    SetWeight,
+    WithdrawReplica,
+)
+from gradehoist.node.proxy_streams import ProxyStream, SentRevision
+from gradehoist.node.push_contents import PushContents
+from gradehoist.protocol.feed import BindDelta, Delta, RestorationDelta, WeightDelta, WithdrawalDelta
+from gradehoist.protocol.lines import format_push
+
+TableOrder = SetWeight | ClearTable | WithdrawReplica | SetAdmission
+
+
+class OutboundMessage(NamedTuple):
+    """Bytes for one stream; they are dropped where it is no longer the current one of its proxy."""
+
+    proxy: int
+    stream_id: int
+    data: bytes
+
+
+class PushBatch:
+    """The messages of one batch. Proxies whose messages are the same share the bytes."""
+
+    def __init__(self, tables: PublishedTables, streams: Mapping[int, ProxyStream]) -> None:
+        """Begins a batch; `streams` are the current ones by proxy."""
+        self._tables = tables
+        self._replicas = tables.identifiers.replicas
+        self._streams = streams
+        self._deltas: dict[int, list[Delta]] = {}  # by proxy
+        self._acknowledgement: RequestAcknowledgement | None = None
+        self._encoded: dict[object, bytes] = {}
+
+    def request_acknowledgement(self, order: RequestAcknowledgement) -> None:
+        """Asks for an acknowledgement of this batch; the last such order of a batch holds."""
+        self._acknowledgement = order
+
+    def bind(self, order: BindProxy) -> None:
+        """Sends a proxy the full table, without the replicas that are withdrawn.
+
+        It then needs no withdrawals: with all of them a bind of a large fleet cost twice as much, and its
+        proxies waited as long for it.
+        """
+        if order.proxy not in self._streams:
+            return
+        deltas = self._deltas.setdefault(order.proxy, [])
+        for delta in self._tables.bind(order.proxy, order.table, order.classes)[0]:
+            if isinstance(delta, BindDelta):
+                weights = {
+                    replica: weight
+                    for replica, weight in delta.weights.items()
+                    if self._replicas[replica] not in self._tables.withdrawn
+                }
+                deltas.append(BindDelta(table=delta.table, classes=delta.classes, weights=weights))
+            elif not isinstance(delta, WithdrawalDelta):
+                deltas.append(delta)
+
+    def publish(self, order: TableOrder) -> None:
+        """Applies an order to the tables and sends its delta to the proxies concerned."""
+        proxies, delta, _ = self._tables.apply(order)
+        if isinstance(order, WithdrawReplica):
+            proxies = self._proxies_to_notify(order)
+        for proxy in proxies:
+            self._deltas.setdefault(proxy, []).append(delta)
+
+    def _proxies_to_notify(self, order: WithdrawReplica) -> list[int]:
+        """The proxies that a withdrawal or its end concerns.
+
+        A withdrawal goes to those whose tables on this stream name the replica; others get it if their tables
+        ever come to name it. Its end goes to those that were sent the withdrawal.
+        """
+        replica = order.replica
+        if not order.withdrawn:
+            streams = [s for s in self._streams.values() if replica in s.withdrawn_replicas]
+            for stream in streams:
+                stream.withdrawn_replicas.discard(replica)
+            return [stream.proxy for stream in streams]
+        naming = {table for table, weights in self._tables.weights.items() if replica in weights}
+        streams = [
+            stream
+            for stream in self._streams.values()
+            if not naming.isdisjoint(self._tables.bindings[stream.proxy].values())
+        ]
+        for stream in streams:
+            stream.withdrawn_replicas.add(replica)
+        return [stream.proxy for stream in streams]
+
+    def messages(self, now_us: int) -> list[OutboundMessage]:
+        """Encodes the batch, and records on the streams what is to be acknowledged."""
+        if self._acknowledgement is not None and self._acknowledgement.to_all:
+            for proxy in self._streams:
+                self._deltas.setdefault(proxy, [])
+        messages = []
+        for proxy, deltas in self._deltas.items():
+            stream = self._streams[proxy]
+            data = self._encode(stream, deltas)
+            if self._acknowledgement is not None:
+                stream.unacknowledged.append(SentRevision(self._acknowledgement.revision, now_us))
+            messages.append(OutboundMessage(proxy, stream.stream_id, data))
+        return messages
+
+    def _encode(self, stream: ProxyStream, deltas: list[Delta]) -> bytes:
+        bindings = self._tables.bindings[stream.proxy]
+        restored = () if stream.is_new else self._restorations(stream, deltas)
+        key = (_identity(deltas), _bindings_that_matter(deltas, bindings), restored)
+        data = self._encoded.get(key)
+        if data is None:
+            contents = PushContents(self._tables, bindings, restored)
+            for delta in deltas:
+                contents.apply(delta)
+            revision = None if self._acknowledgement is None else self._acknowledgement.revision
+            data = format_push(contents.parts(revision))
+            self._encoded[key] = data
+        return data
+
+    def _restorations(self, stream: ProxyStream, deltas: list[Delta]) -> tuple[str, ...]:
+        """Replicas new to the stream's tables that another node may have withdrawn from this proxy.
+
+        A proxy keeps withdrawals over a change of streams, and would avoid those replicas for good.
+        """
+        for delta in deltas:
+            if isinstance(delta, WithdrawalDelta | RestorationDelta):
+                stream.notified_replicas.add(self._replicas[delta.replica])
+        restored = []
+        for name in _replicas_named(deltas):
+            replica = self._replicas[name]
+            if replica not in stream.notified_replicas and replica not in self._tables.withdrawn:
+                restored.append(name)
+        stream.notified_replicas.update(self._replicas[name] for name in restored)
+        return tuple(restored)
+
+
+def _identity(deltas: list[Delta]) -> object:
+    """A key for deltas within a batch: shared deltas are one object.
+
+    Those of a bind are made for each proxy, yet are equal for all on the same tables, so their number is
+    enough beside the bindings.
+    """
+    if any(isinstance(delta, BindDelta) for delta in deltas):
+        return len(deltas)
+    return tuple(map(id, deltas))
+
+
+def _bindings_that_matter(deltas: list[Delta], bindings: Mapping[int, int]) -> tuple[tuple[int, int], ...]:
+    """The bindings, or nothing where no delta concerns a table: those say the same to all proxies."""
+    if any(getattr(delta, "table", None) is not None for delta in deltas):
+        return tuple(bindings.items())
+    return ()
+
+
+def _replicas_named(deltas: Iterable[Delta]) -> dict[str, None]:
+    """The replicas that come into tables by these deltas, each once, in order."""
+    named: dict[str, None] = {}
+    for delta in deltas:
+        if isinstance(delta, BindDelta):
+            named |= dict.fromkeys(delta.weights)
+        elif isinstance(delta, WeightDelta) and delta.weight > 0:
+            named[delta.replica] = None
+    return named
--- /dev/null
+++ b/gradehoist/node/trace.py
@@ -0,0 +1,102 @@
+"""The trace: what the policy estimates of each replica beside what load reports said, for a look by hand."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from gradehoist.identifiers import Identifiers
+from gradehoist.interface import LoadReport
+from gradehoist.node.endpoint_list import ListedEndpoint
+from gradehoist.policy.planner import Planner
+from gradehoist.protocol.lines import AttemptOutcomes
+
+MICROSECONDS_PER_SECOND = 1e6
+NOT_REPORTED = -1.0
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What the reports on one replica add up to since the trace was last written."""
+
+    attempts: int = 0
+    failures: int = 0
+    elapsed_s: float = 0.0  # of the successful attempts together
+    busy_share: float = NOT_REPORTED  # by the latest load report
+    in_flight: float = NOT_REPORTED
+
+    @property
+    def mean_s(self) -> float:
+        """The mean time of a successful attempt, 0 where there was none."""
+        successes = self.attempts - self.failures
+        return self.elapsed_s / successes if successes > 0 else 0.0
+
+    def add(self, outcomes: AttemptOutcomes, load: LoadReport | None) -> None:
+        """Adds one report."""
+        successes = outcomes.attempts - outcomes.failures
+        self.attempts += outcomes.attempts
+        self.failures += outcomes.failures
+        self.elapsed_s += outcomes.elapsed_us * successes / MICROSECONDS_PER_SECOND
+        if load is not None:
+            self.busy_share = NOT_REPORTED if load.busy_share is None else load.busy_share
+            self.in_flight = NOT_REPORTED if load.in_flight is None else load.in_flight
+
+
+class PolicyTrace:
+    """Gathers traffic between two traces, and writes the lines of a trace."""
+
+    def __init__(self, identifiers: Identifiers) -> None:
+        """Starts without traffic."""
+        self._identifiers = identifiers
+        self._traffic: dict[int, Traffic] = {}
+
+    def record(self, replica: int, outcomes: AttemptOutcomes, load: LoadReport | None) -> None:
+        """Adds one report on a replica."""
+        self._traffic.setdefault(replica, Traffic()).add(outcomes, load)
+
+    def take_lines(
+        self, policy: Planner, endpoints: Mapping[str, ListedEndpoint], withdrawn: Container[int]
+    ) -> list[str]:
+        """One line for each listed replica and one for all of them; the gathering of traffic starts over."""
+        traffic, self._traffic = self._traffic, {}
+        actors = policy.mail.parts
+        lines = []
+        for name, endpoint in endpoints.items():
+            replica = self._identifiers.replicas[name]
+            actor = actors.get(("replica", replica))
+            if actor is not None:
+                estimate = _format_estimate(actor, replica in withdrawn)
+                reported = _format_traffic(traffic.get(replica, Traffic()))
+                lines.append(f"trace {_format_endpoint(endpoint)} {estimate} | {reported}")
+        lines.append(_format_fleet(policy))
+        return lines
+
+
+def _format_endpoint(endpoint: ListedEndpoint) -> str:
+    phase = endpoint.phase.value
+    return f"{endpoint.replica} {endpoint.zone} {endpoint.kind} {phase} size {endpoint.size:g}"
+
+
+def _format_estimate(actor: Any, is_withdrawn: bool) -> str:
+    return (
+        f"weight {actor.weight:.3f} ramp {actor.ramp:.2f} busy_share {actor.busy} in_flight {actor.flight} "
+        f"outlier {int(actor.sick)} withdrawn {int(is_withdrawn)}"
+    )
+
+
+def _format_traffic(traffic: Traffic) -> str:
+    return (
+        f"attempts {traffic.attempts:g} failures {traffic.failures:g} mean_s {traffic.mean_s:.3f} "
+        f"busy_share {traffic.busy_share:.2f} in_flight {traffic.in_flight:.1f}"
+    )
+
+
+def _format_fleet(policy: Planner) -> str:
+    admission: Any = policy.mail.parts["admission"]
+    publisher = policy.publisher
+    return (
+        f"trace fleet admitted_share {admission.level:.3f} "
+        f"unacknowledged_lines {publisher.unacknowledged_lines:.0f} "
+        f"pending_binds {len(publisher.pending_binds)} pending_updates {publisher.jobs}"
+    )
--- a/tests/support/node_shell.py
+++ b/tests/support/node_shell.py
@@ -1,4 +1,4 @@
-"""The node's real shell on loopback sockets in the test's own loop, and places where a test may step in."""
+"""The real node service on loopback sockets in the test's own loop, with places where a test may step in."""
 
 from __future__ import annotations
 
@@ -12,9 +12,10 @@
 import msgspec
 from tornado.iostream import IOStream
 
-from gradehoist.node import config
+from gradehoist.node.config import load_config
+from gradehoist.node.connections import Connection
 from gradehoist.node.log import NodeLog
-from gradehoist.node.service import Connection, NodeService
+from gradehoist.node.service import NodeService
 from gradehoist.testbed.platform import LOCAL, PATIENCE, Discovery, Node, entry
 from tests.support.platform_proxies import SETTINGS
 
@@ -42,7 +43,7 @@
 
 
 class Script(Discovery):
-    """Says on each watch what the test writes, and nothing else."""
+    """Sends on each watch what the test writes, and nothing else."""
 
     def __init__(self, port: int) -> None:
         super().__init__(port, MEMBERS, b"")
@@ -52,13 +53,13 @@
         self.opened.append(writer)
 
     async def watch(self, number: int) -> asyncio.StreamWriter:
-        """The so-manieth watch, once it is open."""
+        """The watch of this number, counted from 0, once it is open."""
         await until(lambda: len(self.opened) > number)
         return self.opened[number]
 
 
 class Wire:
-    """A blocking socket at the governor's address: what it sends is there before the loop goes on."""
+    """A blocking socket at the node's address: what it sends has arrived before the loop goes on."""
 
     def __init__(self, port: int, buffer: int = 0) -> None:
         self.sock = socket.socket()
@@ -75,7 +76,7 @@
 
     @property
     def ended(self) -> bool:
-        """Takes what there is; whether the other side has closed."""
+        """Reads what there is; whether the other side has closed."""
         self.sock.setblocking(False)
         try:
             while data := self.sock.recv(1 << 16):
@@ -87,33 +88,36 @@
             return True
 
 
-class Crossing(IOStream):
-    """`meet` runs once, between a read that is done and who awaits it."""
+class InterleavedStream(IOStream):
+    """`interleave` runs once, between a read that is done and the coroutine that awaits it."""
 
-    meet: Callable[[Crossing, bytes], bool] | None = None  # False: this was not the one
+    interleave: Callable[[InterleavedStream, bytes], bool] | None = (
+        None  # False: not yet, another read follows
+    )
 
     def read_bytes(self, num_bytes: int, partial: bool = False) -> Any:
         inner = super().read_bytes(num_bytes, partial=partial)
 
-        async def handed() -> bytes:
+        async def read_and_interleave() -> bytes:
             data = await inner
-            if Crossing.meet is not None and Crossing.meet(self, data):
-                Crossing.meet = None
+            interleave = InterleavedStream.interleave
+            if interleave is not None and interleave(self, data):
+                InterleavedStream.interleave = None
             return data
 
-        task = asyncio.ensure_future(handed())
-        # Its fault is looked at here too: one that is cancelled at the end has nobody else who asks.
+        task = asyncio.ensure_future(read_and_interleave())
+        # Its exception is retrieved here too: where the task is cancelled at the end, nobody else does.
         task.add_done_callback(lambda done: None if done.cancelled() else done.exception())
         return task
 
 
-class Told(NodeLog):
+class RecordingLog(NodeLog):
     """Keeps the lines for the test."""
 
-    def __init__(self, lines: list[str]) -> None:
-        self.lines = lines
+    def __init__(self) -> None:
+        self.lines = list[str]()
 
-    def __call__(self, text: str) -> None:
+    def write(self, text: str) -> None:
         self.lines.append(text)
 
     def close(self) -> None:
@@ -126,43 +130,43 @@
         self.node.configure(0)
         self.port, self.path = self.node.port, self.node.path
         self.scripts = [Script(place.port) for place in self.node.discoveries]
-        self.service = NodeService(config.load_config(self.path), self.path)
-        self.told = list[str]()
-        self.service.log = Told(self.told)
+        self.log = RecordingLog()
+        self.service = NodeService(load_config(self.path), self.path, self.log)
 
-    async def met(self, wire: Wire) -> Connection:
-        """The shell's own side of a connection."""
+    async def connection_of(self, wire: Wire) -> Connection:
+        """The node's own side of a connection."""
 
         def found() -> list[Connection]:
-            return [p for p in self.service._peers if p.stream.socket.getpeername() == wire.address]
+            connections = self.service.connections._connections
+            return [c for c in connections if c.stream.socket.getpeername() == wire.address]
 
         await until(found)
         return found()[0]
 
-    def heard(self, text: str) -> bool:
-        return any(text in line for line in self.told)
+    def has_logged(self, text: str) -> bool:
+        return any(text in line for line in self.log.lines)
 
 
 @contextlib.asynccontextmanager
 async def shell(
     folder: Path, settings: dict[str, Any] = SETTINGS, spoken: bool = True
 ) -> AsyncIterator[Shell]:
-    """A governor that is alive; `spoken`: discovery has told its list."""
+    """A node that listens; `spoken`: discovery has sent its list, and the node is ready."""
     found = Shell(folder, settings)
     for script in found.scripts:
         await script.start()
     running = asyncio.ensure_future(found.service.run())
     try:
-        await until(lambda: found.service._watching is not None)  # it listens
+        await until(lambda: found.service.discovery.is_watching)  # it listens
         if spoken:
             (await found.scripts[0].watch(0)).write(CHUNKED + whole(1, *MEMBERS))
-            await until(lambda: found.service._ready)
+            await until(lambda: found.service.connections.is_ready)
         yield found
         assert not running.done(), "it has ended by itself"
     finally:
-        Crossing.meet = None
-        found.service._ended.set()
+        InterleavedStream.interleave = None
+        found.service.stopping.set()
         assert await asyncio.wait_for(running, PATIENCE) == 0
-        assert not found.service._tasks, "no task is left behind"
+        assert not len(found.service.tasks), "no task is left behind"
         for script in found.scripts:
             script.end()
--- a/tests/support/platform_proxies.py
+++ b/tests/support/platform_proxies.py
@@ -1,10 +1,10 @@
-"""Proxies of the platform under a virtual clock: they hold what the bytes say, and read them on their own."""
+"""Proxies of the platform under a virtual clock: they apply messages by their own reading of the bytes."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-from gradehoist.identifiers import Identifiers
+from gradehoist.interface import Phase
 from gradehoist.node.core import NodeCore
 from gradehoist.node.discovery import DiscoveredEndpoint, EndpointListUpdate
 from gradehoist.protocol import lines
@@ -26,110 +26,157 @@
     "limits": {"probes": True},
 }  # fmt: skip
 CLASSES = ("read", "write")
+MESSAGE_OVERHEAD_LINES = 4
+REQUEST_RATE = 5.0
 
 
-def member(n: int, phase: str = "active", started: int = 0) -> DiscoveredEndpoint:
-    return DiscoveredEndpoint(f"s-{n}", f"127.0.0.1:{7000 + n}", "ab"[n % 2], "k", 0, phase, 1.0, started)
+def discovered(number: int, phase: Phase = Phase.READY, started_us: int = 0) -> DiscoveredEndpoint:
+    """Replica s-NUMBER as discovery lists it."""
+    return DiscoveredEndpoint(
+        replica=f"s-{number}",
+        address=f"127.0.0.1:{7000 + number}",
+        zone="ab"[number % 2],
+        kind="k",
+        cell=0,
+        phase=phase,
+        size=1.0,
+        started_us=started_us,
+    )
 
 
 @dataclass
 class Proxy:
-    """Tables, levels, what is shut out: by the page's words alone."""
+    """One proxy's tables, admission limits and withdrawals, by the protocol page alone."""
 
     number: int
     zone: str
-    stream: int = 0
-    tables: dict[str, dict[str, float]] = field(default_factory=lambda: {c: {} for c in CLASSES})
-    levels: dict[str, tuple[float, int]] = field(default_factory=dict)
-    out: set[str] = field(default_factory=set)
-    due: list[int] = field(default_factory=list)
-    messages: int = 0
-    deaf: bool = False
+    stream_id: int = 0
+    tables: dict[str, dict[str, float]] = field(default_factory=lambda: {name: {} for name in CLASSES})
+    admission: dict[str, tuple[float, int]] = field(default_factory=dict)
+    withdrawn: set[str] = field(default_factory=set)
+    unacknowledged: list[int] = field(default_factory=list)
+    message_count: int = 0
+    is_stalled: bool = False  # it reads nothing and acknowledges nothing
 
     def read(self, data: bytes) -> int:
-        """Takes one message; how many lines it counts."""
-        cost, parts = 0, data.decode().split("\r\n")
-        assert parts.pop() == "" and len(parts) <= 64
-        for n, part in enumerate(parts):
+        """Applies one message, and returns how many lines it counts."""
+        parts = data.decode().split("\r\n")
+        assert parts.pop() == ""
+        assert len(parts) <= 64
+        cost_lines = MESSAGE_OVERHEAD_LINES
+        for position, part in enumerate(parts):
             kind, *words = part.split(" ")
-            f = dict(word.split("=", 1) for word in words)
-            assert kind == "push" and ("more" in f) == (n + 1 < len(parts))
-            classes = f["classes"].split("+") if "classes" in f else list(CLASSES)
-            rows = [row.rsplit(":", 1) for row in f["lines"].split(",")] if "lines" in f else []
-            cost += len(rows) + ("whole" in f) + ("level" in f)
-            for c in classes:
-                if "whole" in f:
-                    self.tables[c] = {}
-                    self.levels.pop(c, None)
-                for name, weight in rows:
-                    self.tables[c][name] = float(weight)
-                    if float(weight) == 0:
-                        del self.tables[c][name]
-                if "level" in f:
-                    self.levels[c] = float(f["level"]), int(f["retry"])
-            for name in f["out"].split(",") if "out" in f else []:
-                self.out.add(name)
-                cost += 1
-            for name in f["back"].split(",") if "back" in f else []:
-                self.out.discard(name)
-                cost += 1
-            if "ticket" in f:
-                self.due.append(int(f["ticket"]))
-                cost += 1
-        self.messages += 1
-        return cost + 4
-
-    def open(self, cls: str) -> dict[str, float]:
-        return {n: w for n, w in self.tables[cls].items() if n not in self.out}
+            fields = dict(word.split("=", 1) for word in words)
+            assert kind == "push"
+            assert ("more" in fields) == (position + 1 < len(parts))
+            cost_lines += self._apply_tables(fields) + self._apply_withdrawals(fields)
+            if "ticket" in fields:
+                self.unacknowledged.append(int(fields["ticket"]))
+                cost_lines += 1
+        self.message_count += 1
+        return cost_lines
+
+    def _apply_tables(self, fields: dict[str, str]) -> int:
+        classes = fields["classes"].split("+") if "classes" in fields else list(CLASSES)
+        lines = [line.rsplit(":", 1) for line in fields["lines"].split(",")] if "lines" in fields else []
+        for name in classes:
+            table = self.tables[name]
+            if "whole" in fields:
+                table.clear()
+                self.admission.pop(name, None)
+            for replica, weight in lines:
+                table[replica] = float(weight)
+                if float(weight) == 0:
+                    del table[replica]
+            if "level" in fields:
+                self.admission[name] = float(fields["level"]), int(fields["retry"])
+        return len(lines) + ("whole" in fields) + ("level" in fields)
+
+    def _apply_withdrawals(self, fields: dict[str, str]) -> int:
+        withdrawn = fields["out"].split(",") if "out" in fields else []
+        restored = fields["back"].split(",") if "back" in fields else []
+        self.withdrawn.update(withdrawn)
+        self.withdrawn.difference_update(restored)
+        return len(withdrawn) + len(restored)
+
+    def available(self, request_class: str) -> dict[str, float]:
+        """The lines of a class's table that are not withdrawn."""
+        table = self.tables[request_class]
+        return {replica: weight for replica, weight in table.items() if replica not in self.withdrawn}
 
 
 class Site:
+    """A node's core with joined proxies, three seconds after the start."""
+
     def __init__(self, replicas: int = 6, proxies: int = 4) -> None:
-        self.now = 1_800_000_000 * SECOND
-        names = platform.parse_identifiers(SETTINGS)
-        saved = EndpointListUpdate(1, True, tuple(member(n) for n in range(replicas)))
-        self.core = NodeCore(names, platform.parse_config(SETTINGS, names, 7), saved, self.now)
-        self.revision, self.waiting, self.bytes = 1, 0, list[bytes]()
-        self.proxies = [Proxy(n, "ab"[n % 2]) for n in range(proxies)]
+        self.now_us = 1_800_000_000 * SECOND
+        identifiers = platform.parse_identifiers(SETTINGS)
+        cached = EndpointListUpdate(
+            revision=1, is_snapshot=True, endpoints=tuple(discovered(number) for number in range(replicas))
+        )
+        self.core = NodeCore(
+            identifiers=identifiers,
+            policy_config=platform.parse_config(SETTINGS, identifiers, 7),
+            cached_endpoints=cached,
+            now_us=self.now_us,
+        )
+        self.revision = 1
+        self.sent = list[bytes]()
+        self.proxies = [Proxy(number, "ab"[number % 2]) for number in range(proxies)]
         for proxy in self.proxies:
             self.join(proxy)
         self.run(3)
 
-    @property
-    def names(self) -> Identifiers:
-        return self.core.identifiers
-
-    def join(self, proxy: Proxy, fresh: bool = True) -> None:
-        proxy.due = []
-        proxy.stream = self.core.on_proxy_joined(
-            self.now, lines.ProxyHello(proxy.number, proxy.zone, 5.0, fresh)
+    def join(self, proxy: Proxy, is_new: bool = True) -> None:
+        """Opens a new stream of a proxy."""
+        hello = lines.ProxyHello(
+            proxy=proxy.number, zone=proxy.zone, request_rate=REQUEST_RATE, is_new=is_new
         )
+        proxy.unacknowledged = []
+        proxy.stream_id = self.core.on_proxy_joined(self.now_us, hello)
 
-    def list(self, *members: DiscoveredEndpoint) -> None:
+    def join_late(self, proxy: Proxy, is_new: bool = True) -> Proxy:
+        """Adds a proxy to those of the start."""
+        self.proxies.append(proxy)
+        self.join(proxy, is_new)
+        return proxy
+
+    def update(self, *endpoints: DiscoveredEndpoint) -> None:
+        """A delta of the endpoint list."""
         self.revision += 1
-        self.core.on_endpoint_update(EndpointListUpdate(self.revision, False, members))
+        self.core.on_endpoint_update(
+            EndpointListUpdate(revision=self.revision, is_snapshot=False, endpoints=endpoints)
+        )
 
     def step(self) -> None:
-        self.core.advance(self.now)
-        out, self.core.outbound = self.core.outbound, []
-        for number, stream, data in out:
-            self.bytes.append(data)
+        """One step of the core; proxies read at once what it sends."""
+        self.core.advance(self.now_us)
+        messages, self.core.outbound = self.core.outbound, []
+        for message in messages:
+            self.sent.append(message.data)
             for proxy in self.proxies:
-                if (proxy.number, proxy.stream) == (number, stream) and not proxy.deaf:
-                    proxy.read(data)
-
-    def answer(self) -> None:
+                is_current = (proxy.number, proxy.stream_id) == (message.proxy, message.stream_id)
+                if is_current and not proxy.is_stalled:
+                    proxy.read(message.data)
+
+    def acknowledge(self, proxy: Proxy, revision: int, stream_id: int | None = None) -> None:
+        """An acknowledgement over a stream of this proxy, by default over its current one."""
+        acknowledgement = lines.Acknowledgement(proxy=proxy.number, revision=revision, elapsed_us=1_000)
+        over = proxy.stream_id if stream_id is None else stream_id
+        self.core.on_acknowledged(self.now_us, proxy.number, over, acknowledgement)
+
+    def acknowledge_all(self) -> None:
+        """All proxies acknowledge what they have read, but for the stalled ones."""
         for proxy in self.proxies:
-            for mark in proxy.due if not proxy.deaf else []:
-                self.core.on_stream_active(self.now, proxy.number, proxy.stream)
-                self.core.on_acknowledged(
-                    self.now, proxy.number, proxy.stream, lines.Acknowledgement(proxy.number, mark, 1_000)
-                )
-            proxy.due = []
+            for revision in proxy.unacknowledged if not proxy.is_stalled else []:
+                self.core.on_stream_active(self.now_us, proxy.number, proxy.stream_id)
+                self.acknowledge(proxy, revision)
+            proxy.unacknowledged = []
 
     def run(self, seconds: float) -> None:
-        end = self.now + int(seconds * SECOND)
-        while self.now < end:
-            self.now += SECOND // 20
+        """Steps and acknowledges 20 times a second."""
+        end_us = self.now_us + int(seconds * SECOND)
+        while self.now_us < end_us:
+            self.now_us += SECOND // 20
             self.step()
-            self.answer()
+            self.acknowledge_all()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -25,8 +25,12 @@
     gradehoist.governor.tables gradehoist.interface gradehoist.identifiers gradehoist.net
     gradehoist.net.client gradehoist.net.listener gradehoist.net.reading
     gradehoist.node gradehoist.node.__main__
-    gradehoist.node.config gradehoist.node.core gradehoist.node.discovery gradehoist.node.log
-    gradehoist.node.service gradehoist.protocol gradehoist.protocol.feed gradehoist.protocol.http
+    gradehoist.node.clock gradehoist.node.config gradehoist.node.connections gradehoist.node.core
+    gradehoist.node.discovery gradehoist.node.discovery_client gradehoist.node.endpoint_list
+    gradehoist.node.errors gradehoist.node.health_checker gradehoist.node.log gradehoist.node.malformed_input
+    gradehoist.node.policy_runner gradehoist.node.proxy_streams gradehoist.node.push_batch
+    gradehoist.node.push_contents gradehoist.node.service gradehoist.node.tasks gradehoist.node.trace
+    gradehoist.protocol gradehoist.protocol.feed gradehoist.protocol.http
     gradehoist.protocol.lines gradehoist.protocol.orca gradehoist.settings
     gradehoist.settings.platform gradehoist.store gradehoist.store.log_writer
 """.split()
@@ -59,7 +63,8 @@
         env={k: v for k, v in os.environ.items() if k != "ROUTER_CONFIG"},
     )
     loaded, heavy = found.stdout.split("\n")[:2]
-    assert loaded.split() == LOADED and heavy == ""
+    assert loaded.split() == LOADED
+    assert heavy == ""
 
 
 def test_the_program_names_nothing_of_any_site() -> None:
@@ -89,7 +94,8 @@
     places = [ROOT / place for place in (*deploy["policy"], *deploy["node"], "gradehoist/interface.py")]
     files = [f for place in places for f in (place.rglob("*.py") if place.is_dir() else [place])]
     said = {n: f for f in files for n in named if re.search(rf"\b{re.escape(n)}\b", code_of(f))}
-    assert len(files) > 20 and not said
+    assert len(files) > 20
+    assert not said
 
 
 def code_of(path: Path) -> str:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,4 @@
-"""The watch: whatever the chunks and the faults of its lines, no drain is lost."""
+"""The discovery watch: whatever the chunks and the malformed lines, no drain is lost."""
 
 from __future__ import annotations
 
@@ -6,13 +6,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gradehoist.interface import Phase
 from gradehoist.node.discovery import (
+    PHASES,
     DiscoveryWatch,
-    EndpointList,
     EndpointListUpdate,
     WatchLostError,
     parse_update,
 )
+from gradehoist.node.endpoint_list import EndpointList
 from gradehoist.testbed.platform import entry
 from tests.support.node_shell import CHUNKED, chunk, line
 
@@ -25,15 +27,15 @@
 
 
 @given(st.lists(st.integers(0, len(BODY)), max_size=8), st.lists(st.integers(0, 2_000), max_size=8))
-def test_any_chunks_and_any_cut_give_the_same_changes(chunks: list[int], cuts: list[int]) -> None:
+def test_any_chunks_and_any_reads_give_the_same_updates(chunks: list[int], cuts: list[int]) -> None:
     at = [0, *sorted(chunks), len(BODY)]
     data = chunked(*(BODY[a:b] for a, b in zip(at, at[1:], strict=False)))
     where = [0, *sorted(min(c, len(data)) for c in cuts), len(data)]
     watch = DiscoveryWatch()
     found = [c for a, b in zip(where, where[1:], strict=False) for c in watch.receive(data[a:b])]
     assert [(c.revision, c.is_snapshot, [m.phase for m in c.endpoints]) for c in found] == [
-        (2, True, ["active"]),
-        (3, False, ["leaving"]),
+        (2, True, [Phase.READY]),
+        (3, False, [Phase.DRAINING]),
     ]
 
 
@@ -43,18 +45,22 @@
     chunked(b"{]\n"), chunked(b'{"revision":1.5,"members":[]}\n'), chunked(b"[]\n"),
     chunked(line(1)) + b"0\r\n\r\n",
 ])  # fmt: skip
-def test_what_is_no_watch_ends_it(data: bytes) -> None:
+def test_a_response_that_is_no_watch_ends_it(data: bytes) -> None:
     with pytest.raises(WatchLostError):
         DiscoveryWatch().receive(data)
 
 
+def phases(listed: dict[str, str]) -> dict[str, Phase]:
+    return {replica: PHASES[phase] for replica, phase in listed.items()}
+
+
 def held() -> EndpointList:
     one = EndpointList()
     one.apply_update(parse_update({"revision": 5, "complete": True, "members": [entry("s-1"), entry("s-2")]}))
     return one
 
 
-def test_an_entry_that_cannot_be_read_costs_itself_alone_and_hides_no_drain() -> None:
+def test_a_malformed_endpoint_is_dropped_alone_and_hides_no_drain() -> None:
     one = held()
     told = one.apply_update(
         parse_update(
@@ -75,13 +81,13 @@
     )
     assert told is not None
     assert [(m.replica, m.phase, m.zone) for m in told] == [
-        ("s-2", "leaving", "a"),
-        ("s-1", "leaving", "a"),
-        ("s-4", "active", "a"),
+        ("s-2", Phase.DRAINING, "a"),
+        ("s-1", Phase.DRAINING, "a"),
+        ("s-4", Phase.READY, "a"),
     ]
 
 
-def test_a_change_that_comes_late_over_an_old_watch_undoes_nothing() -> None:
+def test_a_late_update_over_an_old_watch_undoes_nothing() -> None:
     one = held()
     assert one.apply_update(
         EndpointListUpdate(
@@ -89,9 +95,12 @@
         )
     )
     assert one.apply_update(parse_update({"revision": 6, "members": [entry("s-1")]})) is None
-    assert one.endpoints["s-1"].phase == "leaving" and one.revision == 7
+    assert one.endpoints["s-1"].phase is Phase.DRAINING
+    assert one.revision == 7
     told = one.apply_update(parse_update({"revision": 6, "members": [entry("s-2", "left")]}))
-    assert told and told[0].phase == "left" and "s-2" not in one.endpoints
+    assert told
+    assert told[0].phase is Phase.GONE
+    assert "s-2" not in one.endpoints
 
 
 @given(
@@ -100,7 +109,7 @@
     st.integers(0, 12),
     st.lists(st.booleans(), max_size=30),
 )
-def test_no_order_of_two_watches_undoes_a_drain_or_loses_a_member(
+def test_no_order_of_updates_from_two_watches_undoes_a_drain_or_loses_an_endpoint(
     history: list[tuple[int, bool]], first: int, second: int, turns: list[bool]
 ) -> None:
     """An old watch and a new one after SIGHUP, each behind as it likes: what one has told of a drain stands,
@@ -132,23 +141,28 @@
             one.apply_update(change, 1 + turn)
             known = max(known, change.revision)
             drained = {n for n, phase in states[known - 1].items() if phase == "leaving"}
-            assert drained <= {n for n, m in one.endpoints.items() if m.phase == "leaving"}
-    assert {n: m.phase for n, m in one.endpoints.items()} == states[-1] and one.revision == len(states)
+            assert drained <= {n for n, m in one.endpoints.items() if m.phase is Phase.DRAINING}
+    assert {n: m.phase for n, m in one.endpoints.items()} == phases(states[-1])
+    assert one.revision == len(states)
 
 
-def test_a_drain_counts_whatever_its_revision_on_the_watch_that_told_the_replica_last() -> None:
+def test_a_drain_counts_whatever_its_revision_on_the_watch_that_last_updated_the_replica() -> None:
     """Repeated, skipped and back."""
     one = EndpointList()
     members = [entry(f"s-{n}") for n in (1, 2, 3)]
     one.apply_update(parse_update({"revision": 5, "complete": True, "members": members}), 1)
     for revision, name in ((5, "s-1"), (9, "s-2"), (2, "s-3")):
         assert one.apply_update(parse_update({"revision": revision, "members": [entry(name, "leaving")]}), 1)
-    assert {m.phase for m in one.endpoints.values()} == {"leaving"} and one.revision == 9
+    assert {m.phase for m in one.endpoints.values()} == {Phase.DRAINING}
+    assert one.revision == 9
 
 
-def test_a_whole_list_takes_what_it_lacks_and_a_restart_shows() -> None:
+def test_a_snapshot_removes_what_it_lacks_and_shows_a_restart() -> None:
     one = held()
     told = one.apply_update(
         parse_update({"revision": 1, "complete": True, "members": [entry("s-2", up_since_ms=99)]})
     )
-    assert told and told[0].started_us == 99_000 and list(one.endpoints) == ["s-2"] and one.revision == 1
+    assert told
+    assert told[0].started_us == 99_000
+    assert list(one.endpoints) == ["s-2"]
+    assert one.revision == 1
--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -40,7 +40,7 @@
             node.path.write_text("{")  # half written: the old one stays
             assert node.child is not None
             node.child.send_signal(signal.SIGHUP)
-            await until(lambda: "the old configuration stays" in node.log.read_text())
+            await until(lambda: "the previous configuration stays" in node.log.read_text())
             node.configure(1)
             for _ in range(3):
                 node.child.send_signal(signal.SIGHUP)
@@ -59,7 +59,8 @@
                 writer.close()
             await until(lambda: len(first.asked) > asked + 1)
             await asyncio.sleep(0.5)  # a second watcher would come back within 0.1 s
-            assert len(first.watches) == 1 and not second.watches
+            assert len(first.watches) == 1
+            assert not second.watches
             assert await node.end() == 0
 
     asyncio.run(play())
@@ -73,8 +74,8 @@
             first.mute = True
             for writer in list(first.watches):
                 writer.close()
-            await until(lambda: "closed; anew" in node.log.read_text())
-            await until(lambda: "silent; anew" in node.log.read_text())
+            await until(lambda: "closed; retry" in node.log.read_text())
+            await until(lambda: "silent; retry" in node.log.read_text())
             first.change(entry("s-0", "leaving"))  # nobody hears of it yet
             first.mute = False
             await proxy.until("out=s-0")
@@ -99,7 +100,8 @@
                     with contextlib.suppress(ConnectionError):
                         data = await reader.read()
                         assert not data or data.startswith(b"error")
-            assert node.child is not None and node.child.poll() is None
+            assert node.child is not None
+            assert node.child.poll() is None
 
     asyncio.run(play())
 
@@ -148,7 +150,9 @@
         env=os.environ | {"ROUTER_CONFIG": str(path)},
         timeout=PATIENCE,
     )
-    assert done.returncode == 2 and place in done.stderr and done.stderr.count("\n") == 1
+    assert done.returncode == 2
+    assert place in done.stderr
+    assert done.stderr.count("\n") == 1
 
 
 def test_a_fault_of_the_module_ends_the_node_with_its_traceback(tmp_path: Path) -> None:
@@ -167,4 +171,6 @@
         timeout=PATIENCE,
         env=os.environ | {"ROUTER_CONFIG": str(node.path)},
     )
-    assert done.returncode == 1 and "RuntimeError: planted" in done.stderr and "in broken" in done.stderr
+    assert done.returncode == 1
+    assert "RuntimeError: planted" in done.stderr
+    assert "in broken" in done.stderr
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -18,15 +18,17 @@
 
 import pytest
 
-from gradehoist import interface as i
 from gradehoist.governor import health_checks
+from gradehoist.interface import HealthCheckOutcome, Phase
+from gradehoist.net import server as http_server
 from gradehoist.net.client import ConnectionLostError, HttpClient
-from gradehoist.net.server import Connection, HttpServer, ServerResponse
-from gradehoist.node import config
-from gradehoist.node import service as node_service
+from gradehoist.net.server import HttpServer, ServerResponse
+from gradehoist.node import connections, discovery_client, health_checker, policy_runner, service
+from gradehoist.node.config import parse_address
+from gradehoist.node.connections import Connection
 from gradehoist.protocol import http, lines
 from gradehoist.testbed.platform import LOCAL, PATIENCE, Node, Proxy, entry, free_ports
-from tests.support.node_shell import CHUNKED, MEMBERS, Crossing, Shell, Wire, shell, until, whole
+from tests.support.node_shell import CHUNKED, MEMBERS, InterleavedStream, Shell, Wire, shell, until, whole
 from tests.support.platform_proxies import SETTINGS
 
 ROOT = Path(__file__).parent.parent
@@ -35,10 +37,10 @@
 
 
 @pytest.fixture
-def crossing(monkeypatch: pytest.MonkeyPatch) -> Iterator[type[Crossing]]:
-    monkeypatch.setattr(node_service, "IOStream", Crossing)
-    yield Crossing
-    Crossing.meet = None
+def interleaved(monkeypatch: pytest.MonkeyPatch) -> Iterator[type[InterleavedStream]]:
+    monkeypatch.setattr(connections, "IOStream", InterleavedStream)
+    yield InterleavedStream
+    InterleavedStream.interleave = None
 
 
 def play(
@@ -69,24 +71,25 @@
 
 
 def test_the_hello_of_a_peer_turned_away_as_it_was_read_ends_no_live_stream(
-    tmp_path: Path, crossing: type[Crossing]
+    tmp_path: Path, interleaved: type[InterleavedStream]
 ) -> None:
     async def work(found: Shell) -> None:
         live, late = await bound(found), Wire(found.port)
-        peer, met = await found.met(late), list[bytes]()
+        peer, met = await found.connection_of(late), list[bytes]()
 
-        def turned_away(stream: Crossing, data: bytes) -> bool:
+        def turned_away(stream: InterleavedStream, data: bytes) -> bool:
             if stream is not peer.stream:
                 return False
             met.append(data)
-            found.service._turn_away(peer, "it has not joined")
+            found.service.connections.reject(peer, "it has not joined")
             return True
 
-        Crossing.meet = turned_away
+        InterleavedStream.interleave = turned_away
         late.hello()
         await until(lambda: met and late.ended)
         await drained(found, live)
-        assert met[0].startswith(b"hello") and len(found.service.core.streams) == 1
+        assert met[0].startswith(b"hello")
+        assert len(found.service.core.streams.by_proxy) == 1
 
     play(tmp_path, work)
 
@@ -96,29 +99,29 @@
     "hello id=0 site=a rps=1 new=1",
 ])  # fmt: skip
 def test_what_a_replaced_stream_said_last_counts_no_more(
-    tmp_path: Path, crossing: type[Crossing], said: str
+    tmp_path: Path, interleaved: type[InterleavedStream], said: str
 ) -> None:
     async def work(found: Shell) -> None:
         old, new, core = await bound(found), Wire(found.port), found.service.core
-        peer, counted = await found.met(old), list[Any]()
-        new_peer = await found.met(new)
+        peer, counted = await found.connection_of(old), list[Any]()
+        new_peer = await found.connection_of(new)
 
-        def replaced(stream: Crossing, data: bytes) -> bool:
+        def replaced(stream: InterleavedStream, data: bytes) -> bool:
             if stream is not peer.stream:
                 return False
-            found.service._hello(new_peer, lines.ProxyHello(0, "a", 5.0, False))
+            found.service.connections.on_proxy_hello(new_peer, lines.ProxyHello(0, "a", 5.0, False))
             core.on_demand_reported = core.on_acknowledged = lambda *a: counted.append(a)  # type: ignore[method-assign,assignment]
             return True
 
-        Crossing.meet = replaced
+        InterleavedStream.interleave = replaced
         old.say(said)
-        await until(lambda: Crossing.meet is None and old.ended)
+        await until(lambda: InterleavedStream.interleave is None and old.ended)
         await asyncio.sleep(0)
         assert not counted
         del core.on_demand_reported, core.on_acknowledged
         await until(lambda: not new.ended and b"whole=1" in new.text)
         await drained(found, new)
-        assert core.streams[0].stream_id == new_peer.number
+        assert core.streams.by_proxy[0].stream_id == new_peer.stream_id
 
     play(tmp_path, work)
 
@@ -126,14 +129,15 @@
 def test_three_joinings_of_one_proxy_in_one_pass_leave_the_last(tmp_path: Path) -> None:
     async def work(found: Shell) -> None:
         wires = [Wire(found.port) for _ in range(3)]
-        order = [await found.met(wire) for wire in wires]
+        order = [await found.connection_of(wire) for wire in wires]
         for wire in wires:
             wire.hello()
-        await until(lambda: sum(peer.joined for peer in order) == 3)
-        last = next(w for w in wires if found.service._by_proxy[0] is order[wires.index(w)])
+        await until(lambda: sum(peer.has_joined for peer in order) == 3)
+        last = next(w for w in wires if found.service.connections._by_proxy[0] is order[wires.index(w)])
         await until(lambda: not last.ended and b"whole=1" in last.text)
         await drained(found, last)
-        assert sum(wire.ended for wire in wires) == 2 and len(found.service.core.streams) == 1
+        assert sum(wire.ended for wire in wires) == 2
+        assert len(found.service.core.streams.by_proxy) == 1
 
     play(tmp_path, work)
 
@@ -141,17 +145,19 @@
 def test_good_sums_before_what_cannot_be_read_count_at_once(tmp_path: Path) -> None:
     async def work(found: Shell) -> None:
         due, loop = list[float | None](), asyncio.get_running_loop()
-        refuse = found.service._refuse
+        refuse = found.service.connections._on_protocol_error
 
-        def refused(peer: Any, why: str) -> None:
-            due.append(None if found.service._step_at is None else found.service._step_at - loop.time())
-            refuse(peer, why)
+        def refused(connection: Connection, reason: str) -> None:
+            next_step_s = found.service.runner._next_step_s
+            due.append(None if next_step_s is None else next_step_s - loop.time())
+            refuse(connection, reason)
 
-        found.service._refuse = refused  # type: ignore[method-assign]
+        found.service.connections._on_protocol_error = refused  # type: ignore[method-assign]
         wire = Wire(found.port)
         wire.say("agent site=a", f"{SUM} over=1000", "GET / HTTP/1.1")
         await until(lambda: due)
-        assert due[0] is not None and due[0] <= node_service.STEP
+        assert due[0] is not None
+        assert due[0] <= policy_runner.GATHER_S
 
     play(tmp_path, work)
 
@@ -161,11 +167,11 @@
 
     async def work(found: Shell) -> None:
         wire, counted = Wire(found.port), list[lines.AttemptOutcomes]()
-        peer = await found.met(wire)
+        peer = await found.connection_of(wire)
         found.service.core.on_outcomes_reported = counted.append  # type: ignore[method-assign,assignment]
         line = f"{SUM} over=1000 util={','.join(f'figure{n}:1' for n in range(2_000))}\r\n"
         wire.sock.sendall(b"agent site=a\r\n" + line[:9_000].encode())
-        await until(lambda: peer.joined or wire.ended)
+        await until(lambda: peer.has_joined or wire.ended)
         wire.sock.sendall(line[9_000:].encode())
         await until(lambda: counted)
 
@@ -175,7 +181,7 @@
 def test_a_probe_on_a_stream_that_joined_before_readiness_is_answered(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(node_service, "READY", PATIENCE)
+    monkeypatch.setattr(service, "READY_TIMEOUT_S", PATIENCE)
 
     async def work(found: Shell) -> None:
         wires = [Wire(found.port) for _ in range(3)]
@@ -183,7 +189,9 @@
             wire.say(*filter(None, [first]), "probe", "probe")
         gone = Wire(found.port)
         gone.say("probe")
-        await until(lambda: sum(p.asked for p in found.service._peers) == 7)
+        await until(
+            lambda: sum(p.deferred_health_checks for p in found.service.connections._connections) == 7
+        )
         gone.sock.close()
         (await found.scripts[0].watch(0)).write(CHUNKED + whole(1, *MEMBERS))
         for wire in wires:
@@ -196,13 +204,14 @@
     async def work(found: Shell) -> None:
         deaf = Wire(found.port, buffer=4_096)
         deaf.hello()
-        peer = await found.met(deaf)
-        await until(lambda: peer.joined)
+        peer = await found.connection_of(deaf)
+        await until(lambda: peer.has_joined)
         peer.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not peer.stream.closed():  # withdrawals without end
-            found.service._say(peer, b"push out=s-1\r\n" * 10_000)
+            found.service.connections.send(peer, b"push out=s-1\r\n" * 10_000)
         await until(lambda: 0 not in found.service.core.policy.publisher.unacknowledged)
-        assert found.heard("left 1048576 bytes unread") and 0 not in found.service.core.streams
+        assert found.has_logged("proxy 0 closed: 1048576 bytes unread")
+        assert 0 not in found.service.core.streams.by_proxy
         assert not found.service.core.policy.publisher.unacknowledged_lines, "its lines have left the books"
         await drained(found, await bound(found))
 
@@ -232,8 +241,8 @@
             for _ in range(2):
                 threads.append(threading.Thread(target=flood, args=told))
                 threads[-1].start()
-            seen = node.log.read_text().count("holds 1 streams, 3 connections")
-            await until(lambda: node.log.read_text().count("holds 1 streams, 3 connections") > seen)
+            seen = node.log.read_text().count("status: 1 proxy streams, 3 connections")
+            await until(lambda: node.log.read_text().count("status: 1 proxy streams, 3 connections") > seen)
             for n in range(3):
                 node.discoveries[0].change(entry(f"s-{n}", "leaving", locality="ab"[n % 2]))
                 async with asyncio.timeout(5):
@@ -263,7 +272,7 @@
 def test_a_watch_that_says_so_much_and_no_more_is_opened_anew(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: bytes
 ) -> None:
-    monkeypatch.setattr(node_service, "SILENT", 0.3)
+    monkeypatch.setattr(discovery_client, "SILENCE_TIMEOUT_S", 0.3)
 
     async def work(found: Shell) -> None:
         script = found.scripts[0]
@@ -279,7 +288,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """An answer without a length that brought an empty line now and then passed for life and told nothing."""
-    monkeypatch.setattr(node_service, "SILENT", 0.3)
+    monkeypatch.setattr(discovery_client, "SILENCE_TIMEOUT_S", 0.3)
 
     async def work(found: Shell) -> None:
         writer = await found.scripts[0].watch(0)
@@ -322,8 +331,10 @@
         slow.write(whole(6, entry("s-1", "leaving", locality="b"), complete=False))
         await until(lambda: not wire.ended and b"out=s-1" in wire.text)
         held = found.service.core.endpoint_list
-        assert held.endpoints["s-0"].phase == "leaving" and "s-9" in held.endpoints and held.revision == 6
-        assert held.endpoints["s-3"].phase == "active"  # its drain of before was over by then
+        assert held.endpoints["s-0"].phase is Phase.DRAINING
+        assert "s-9" in held.endpoints
+        assert held.revision == 6
+        assert held.endpoints["s-3"].phase is Phase.READY  # its drain of before was over by then
         assert b"back=s-0" not in wire.text
 
     play(tmp_path, work)
@@ -355,7 +366,7 @@
         found.path.write_bytes(data[:100])
         for _ in range(2):  # two in one loop pass
             os.kill(os.getpid(), signal.SIGHUP)
-        await until(lambda: found.heard("the old configuration stays"))
+        await until(lambda: found.has_logged("the previous configuration stays"))
         found.path.write_bytes(data)
         (await found.scripts[1].watch(0)).write(CHUNKED + whole(1, *MEMBERS))
         await drained(found, await bound(found), place=1)
@@ -421,7 +432,9 @@
         child = node.child
         try:
             await until(lambda: second.asked or child.poll() is not None)
-            assert second.asked and not first.asked and await node.end() == 0
+            assert second.asked
+            assert not first.asked
+            assert await node.end() == 0
         finally:
             node.kill()
 
@@ -434,7 +447,10 @@
         held = socket.create_server((LOCAL, node.port))
         starting = asyncio.ensure_future(node.start())
         try:
-            await until(lambda: node.log.exists() and "waits for it" in node.log.read_text())
+            await until(
+                lambda: node.log.exists()
+                and "address in use by another process; retrying" in node.log.read_text()
+            )
             held.close()
             await starting
             assert await node.end() == 0
@@ -471,7 +487,8 @@
             for sign in signs:
                 node.child.send_signal(signal.Signals[f"SIG{sign}"])
             assert await asyncio.to_thread(node.child.wait, PATIENCE) == 0
-            assert "Traceback" not in node.log.read_text() and "never retrieved" not in node.log.read_text()
+            assert "Traceback" not in node.log.read_text()
+            assert "never retrieved" not in node.log.read_text()
         finally:
             node.kill()
 
@@ -482,36 +499,36 @@
 
 
 @pytest.mark.parametrize(("returned", "outcome"), [
-    (entry("s-0", up_since_ms=1_700_000_000_000), i.HealthCheckOutcome.REJECTED),
-    (entry("s-0", host_port=f"{LOCAL}:2"), i.HealthCheckOutcome.REJECTED),
-    (entry("s-0", "left"), i.HealthCheckOutcome.UNREACHABLE),
+    (entry("s-0", up_since_ms=1_700_000_000_000), HealthCheckOutcome.REJECTED),
+    (entry("s-0", host_port=f"{LOCAL}:2"), HealthCheckOutcome.REJECTED),
+    (entry("s-0", "left"), HealthCheckOutcome.UNREACHABLE),
 ])  # fmt: skip
 def test_a_probe_s_answer_from_an_earlier_life_is_no_word_on_this_one_which_is_asked(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, returned: dict[str, Any], outcome: i.HealthCheckOutcome
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, returned: dict[str, Any], outcome: HealthCheckOutcome
 ) -> None:
     """Let pass unsaid, one that left and came back while it was asked stayed ejected for good."""
 
     async def work(found: Shell) -> None:
-        held, heard, asked = asyncio.Event(), dict[int, i.HealthCheckOutcome](), list[int]()
+        held, heard, asked = asyncio.Event(), dict[int, HealthCheckOutcome](), list[int]()
 
-        async def ask(client: HttpClient, *_: Any) -> tuple[i.HealthCheckOutcome, None]:
+        async def ask(client: HttpClient, *_: Any) -> tuple[HealthCheckOutcome, None]:
             asked.append(client.port)
             if len(asked) > 2:
-                return i.HealthCheckOutcome.REJECTED, None
+                return HealthCheckOutcome.REJECTED, None
             await held.wait()
-            return i.HealthCheckOutcome.HEALTHY, None
+            return HealthCheckOutcome.HEALTHY, None
 
         monkeypatch.setattr(health_checks, "ask", ask)
         core = found.service.core
         monkeypatch.setattr(core, "on_health_checked", lambda n, outcome, *_: heard.update({n: outcome}))
         s0, s2 = (core.identifiers.replicas[name] for name in ("s-0", "s-2"))
-        tasks = [found.service._own(found.service._probe(n)) for n in (s0, s2)]
+        tasks = [found.service.health_checker.start(n) for n in (s0, s2)]
         await until(lambda: len(asked) == 2)
         found.scripts[0].watches[0].write(whole(2, returned, complete=False))
         await until(lambda: core.endpoint_list.revision == 2)
         held.set()
         await asyncio.gather(*tasks)
-        assert heard == {s0: outcome, s2: i.HealthCheckOutcome.HEALTHY}
+        assert heard == {s0: outcome, s2: HealthCheckOutcome.HEALTHY}
 
     play(tmp_path, work)
 
@@ -520,23 +537,23 @@
 
 
 @pytest.mark.parametrize(("answer", "outcome", "busy"), [
-    (ASKED + b"23\r\n\r\nTEXT util=0.5, queue=2.0", i.HealthCheckOutcome.HEALTHY, 0.5),
-    (None, i.HealthCheckOutcome.CONNECTION_RESET, None),
-    (ASKED + b"30\r\n\r\nTEXT util=0.5", i.HealthCheckOutcome.TIMED_OUT, None),
-    (ASKED + b"9\r\n\r\nTEXT util", i.HealthCheckOutcome.HEALTHY, None),
-    (ASKED + b"12\r\n\r\n{\"util\": []}", i.HealthCheckOutcome.HEALTHY, None),
-    (ASKED + b"99999999\r\n\r\n", i.HealthCheckOutcome.CONNECTION_RESET, None),
-    (b"junk\r\n\r\n", i.HealthCheckOutcome.CONNECTION_RESET, None),
-    (b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n", i.HealthCheckOutcome.REJECTED, None),
+    (ASKED + b"23\r\n\r\nTEXT util=0.5, queue=2.0", HealthCheckOutcome.HEALTHY, 0.5),
+    (None, HealthCheckOutcome.CONNECTION_RESET, None),
+    (ASKED + b"30\r\n\r\nTEXT util=0.5", HealthCheckOutcome.TIMED_OUT, None),
+    (ASKED + b"9\r\n\r\nTEXT util", HealthCheckOutcome.HEALTHY, None),
+    (ASKED + b"12\r\n\r\n{\"util\": []}", HealthCheckOutcome.HEALTHY, None),
+    (ASKED + b"99999999\r\n\r\n", HealthCheckOutcome.CONNECTION_RESET, None),
+    (b"junk\r\n\r\n", HealthCheckOutcome.CONNECTION_RESET, None),
+    (b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n", HealthCheckOutcome.REJECTED, None),
 ])  # fmt: skip
 def test_a_probe_s_answer_that_is_spoilt_cut_or_too_long_is_told_as_what_it_is(
     tmp_path: Path,
     monkeypatch: pytest.MonkeyPatch,
     answer: bytes | None,
-    outcome: i.HealthCheckOutcome,
+    outcome: HealthCheckOutcome,
     busy: float | None,
 ) -> None:
-    monkeypatch.setattr(node_service, "PROBE", 0.3)
+    monkeypatch.setattr(health_checker, "CHECK_TIMEOUT_S", 0.3)
 
     async def work(found: Shell) -> None:
         server, heard, core = Cutting([answer]), list[tuple[Any, ...]](), found.service.core
@@ -544,7 +561,7 @@
         found.scripts[0].watches[0].write(whole(2, here, complete=False))
         await until(lambda: core.endpoint_list.revision == 2)
         monkeypatch.setattr(core, "on_health_checked", lambda *told: heard.append(told))
-        await found.service._own(found.service._probe(core.identifiers.replicas["s-0"]))
+        await found.service.health_checker.start(core.identifiers.replicas["s-0"])
         assert [(told[1], told[3].busy_share if told[3] else None) for told in heard] == [(outcome, busy)]
         server.server.close()
 
@@ -555,8 +572,8 @@
     """Looking one up held up the loop for as long as it took."""
     for text in ("replica.local:80", "127.0.0.1:0", "127.0.0.1:99999", ":80", "::1:80", "256.0.0.1:80"):
         with pytest.raises(ValueError, match="IPV4:PORT"):
-            config.parse_address(text)
-    assert config.parse_address("127.0.0.1:80") == ("127.0.0.1", 80)
+            parse_address(text)
+    assert parse_address("127.0.0.1:80") == ("127.0.0.1", 80)
 
 
 class Cutting:
@@ -633,7 +650,7 @@
     async def run() -> None:
         served = list[str]()
 
-        async def handle(request: http.Request, connection: Connection) -> ServerResponse:
+        async def handle(request: http.Request, connection: http_server.Connection) -> ServerResponse:
             served.append(request.target)
             return ServerResponse()
 
