--- a/gradehoist/node/connections.py
+++ b/gradehoist/node/connections.py
@@ -12,14 +12,14 @@
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
-from gradehoist.net.listener import Listener
-from gradehoist.net.reading import part as read_part
+from gradehoist.net.listener import Listener, read_available
 from gradehoist.node.core import JoinRejectedError
 from gradehoist.node.log import NodeLog
 from gradehoist.node.policy_runner import PolicyRunner
 from gradehoist.node.push_batch import OutboundMessage
 from gradehoist.node.tasks import OwnedTasks
 from gradehoist.protocol import lines
+from gradehoist.protocol.line_parser import MAX_MESSAGE_BYTES, LineParser
 
 JOIN_TIMEOUT_S = 1.5  # a peer may close a connection after one second, and its hello may have been delayed
 READ_TURN_BYTES = 16_384  # taken from one peer before all others are read: a flood of them takes 3 ms
@@ -35,7 +35,7 @@
         """Starts as a peer that has not joined, accepted at this monotonic time in seconds."""
         self.stream = stream
         self.accepted_s = accepted_s  # monotonic time
-        self.parser = lines.LineParser()
+        self.parser = LineParser()
         self.is_collector = False
         self.deferred_health_checks = 0  # health checks of this node that came before it was ready
         self.proxy = NOT_A_PROXY
@@ -122,9 +122,7 @@
                 sock.close()
                 return
             self.reject(next(iter(self._unjoined)), "no descriptor left for it")
-        stream = IOStream(
-            sock, max_buffer_size=2 * lines.MAX_MESSAGE_BYTES, max_write_buffer_size=MAX_UNREAD_BYTES
-        )
+        stream = IOStream(sock, max_buffer_size=2 * MAX_MESSAGE_BYTES, max_write_buffer_size=MAX_UNREAD_BYTES)
         stream.set_nodelay(True)
         connection = Connection(stream, time.monotonic())
         self._connections[connection] = None
@@ -134,7 +132,7 @@
     async def _serve(self, connection: Connection) -> None:
         try:
             while True:
-                data = await read_part(connection.stream, READ_TURN_BYTES)
+                data = await read_available(connection.stream, READ_TURN_BYTES)
                 if connection not in self._connections:
                     # Rejected or replaced since the read was done: a hello in it would end the stream that
                     # the proxy has now.
--- a/gradehoist/node/discovery.py
+++ b/gradehoist/node/discovery.py
@@ -15,6 +15,7 @@
 from gradehoist.interface import Phase
 from gradehoist.node.errors import NodeError
 from gradehoist.protocol import http
+from gradehoist.protocol.http_parser import Parser
 
 HEARTBEAT_PERIOD_US = 2_000_000  # discovery sends an empty line as often while nothing changes
 MAX_LINE_BYTES = 16 << 20  # a list of a hundred thousand replicas
@@ -127,7 +128,7 @@
     def __init__(self) -> None:
         """Starts before the first byte of the response."""
         limits = http.Limits(max_body_bytes=MAX_LINE_BYTES)
-        self._parser = http.Parser(http.Role.CLIENT, limits, stream_body=True)
+        self._parser = Parser(http.Role.CLIENT, limits, stream_body=True)
         self._parser.expect_response("GET")
         self._line = bytearray()
         self.is_open = False
--- a/gradehoist/node/discovery_client.py
+++ b/gradehoist/node/discovery_client.py
@@ -10,7 +10,7 @@
 from tornado import gen
 from tornado.iostream import IOStream, StreamClosedError
 
-from gradehoist.net.reading import part as read_part
+from gradehoist.net.listener import read_available
 from gradehoist.node.config import Address
 from gradehoist.node.discovery import HEARTBEAT_PERIOD_US, MAX_LINE_BYTES, DiscoveryWatch, WatchLostError
 from gradehoist.node.log import NodeLog
@@ -108,7 +108,7 @@
         deadline_s = loop.time() + SILENCE_TIMEOUT_S
         while True:
             async with asyncio.timeout(SILENCE_TIMEOUT_S):
-                data = await read_part(stream, READ_TURN_BYTES)
+                data = await read_available(stream, READ_TURN_BYTES)
             reason = self._receive(data, watch, watch_id)
             if reason is not None:
                 return reason
--- a/gradehoist/node/health_checker.py
+++ b/gradehoist/node/health_checker.py
@@ -66,7 +66,7 @@
         try:
             address = parse_address(endpoint.address if endpoint is not None else "")
             with contextlib.closing(HttpClient(address.host, address.port)) as client:
-                outcome, response = await health_checks.ask(
+                outcome, response = await health_checks.check_health(
                     client, STATS_TARGET, CHECK_TIMEOUT_S, self._slots
                 )
             if response is not None and response.body:
--- a/gradehoist/node/push_batch.py
+++ b/gradehoist/node/push_batch.py
@@ -55,7 +55,7 @@
         if order.proxy not in self._streams:
             return
         deltas = self._deltas.setdefault(order.proxy, [])
-        for delta in self._tables.bind(order.proxy, order.table, order.classes)[0]:
+        for delta in self._tables.bind(order.proxy, order.table, order.classes).deltas:
             if isinstance(delta, BindDelta):
                 weights = {
                     replica: weight
@@ -68,11 +68,12 @@
 
     def publish(self, order: TableOrder) -> None:
         """Applies an order to the tables and sends its delta to the proxies concerned."""
-        proxies, delta, _ = self._tables.apply(order)
+        update = self._tables.apply(order)
+        proxies = update.proxies
         if isinstance(order, WithdrawReplica):
             proxies = self._proxies_to_notify(order)
         for proxy in proxies:
-            self._deltas.setdefault(proxy, []).append(delta)
+            self._deltas.setdefault(proxy, []).append(update.delta)
 
     def _proxies_to_notify(self, order: WithdrawReplica) -> list[int]:
         """The proxies that a withdrawal or its end concerns.
--- a/gradehoist/node/push_contents.py
+++ b/gradehoist/node/push_contents.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from gradehoist.governor.tables import PublishedTables
+from gradehoist.governor.tables import Admission, PublishedTables
 from gradehoist.protocol.feed import (
     AdmissionDelta,
     BindDelta,
@@ -89,7 +89,7 @@
         return parts
 
     def _admission_parts(self) -> list[PushPart]:
-        classes_by_limit: dict[tuple[float, int], list[int]] = {}
+        classes_by_limit: dict[Admission, list[int]] = {}
         for request_class in self._admission_classes:
             limit = self._admission_limit(request_class, self._bindings.get(request_class))
             if limit is not None:
@@ -106,7 +106,7 @@
             return ()
         return tuple(names[number] for number in sorted(classes))
 
-    def _admission_limit(self, request_class: int, table: int | None) -> tuple[float, int] | None:
+    def _admission_limit(self, request_class: int, table: int | None) -> Admission | None:
         """The lower of the table's share and the common one, with the table's own retry policy."""
         common = self._tables.admission.get((None, request_class))
         own = self._tables.admission.get((table, request_class)) if table is not None else None
@@ -114,4 +114,4 @@
             return common
         if common is None:
             return own
-        return min(own[0], common[0]), own[1]
+        return Admission(min(own.admitted_share, common.admitted_share), own.retry_policy)
--- a/gradehoist/node/trace.py
+++ b/gradehoist/node/trace.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Container, Mapping
 from dataclasses import dataclass
-from typing import Any
 
 from gradehoist.identifiers import Identifiers
 from gradehoist.interface import LoadReport
+from gradehoist.messages import ReplicaState
 from gradehoist.node.endpoint_list import ListedEndpoint
 from gradehoist.policy.planner import Planner
 from gradehoist.protocol.lines import AttemptOutcomes
@@ -60,13 +60,12 @@
     ) -> list[str]:
         """One line for each listed replica and one for all of them; the gathering of traffic starts over."""
         traffic, self._traffic = self._traffic, {}
-        actors = policy.mail.parts
+        actors = policy.fleet.replicas.actors
         lines = []
         for name, endpoint in endpoints.items():
             replica = self._identifiers.replicas[name]
-            actor = actors.get(("replica", replica))
-            if actor is not None:
-                estimate = _format_estimate(actor, replica in withdrawn)
+            if replica in actors:
+                estimate = _format_estimate(actors[replica].state, replica in withdrawn)
                 reported = _format_traffic(traffic.get(replica, Traffic()))
                 lines.append(f"trace {_format_endpoint(endpoint)} {estimate} | {reported}")
         lines.append(_format_fleet(policy))
@@ -78,10 +77,10 @@
     return f"{endpoint.replica} {endpoint.zone} {endpoint.kind} {phase} size {endpoint.size:g}"
 
 
-def _format_estimate(actor: Any, is_withdrawn: bool) -> str:
+def _format_estimate(state: ReplicaState, is_withdrawn: bool) -> str:
     return (
-        f"weight {actor.weight:.3f} ramp {actor.ramp:.2f} busy_share {actor.busy} in_flight {actor.flight} "
-        f"outlier {int(actor.sick)} withdrawn {int(is_withdrawn)}"
+        f"weight {state.weight:.3f} slow_start {state.slow_start:.2f} busy_share {state.busy_share} "
+        f"in_flight {state.in_flight} ejected {int(state.is_ejected)} withdrawn {int(is_withdrawn)}"
     )
 
 
@@ -93,10 +92,10 @@
 
 
 def _format_fleet(policy: Planner) -> str:
-    admission: Any = policy.mail.parts["admission"]
-    publisher = policy.publisher
+    fleet = policy.fleet
+    pending = {replica: availability.value for replica, availability in fleet.withdrawals.pending.items()}
     return (
-        f"trace fleet admitted_share {admission.level:.3f} "
-        f"unacknowledged_lines {publisher.unacknowledged_lines:.0f} "
-        f"pending_binds {len(publisher.pending_binds)} pending_updates {publisher.jobs}"
+        f"trace fleet admitted_share {policy.admission.admitted_share:.3f} "
+        f"unacknowledged_lines {fleet.flow.unacknowledged_lines:.0f} "
+        f"pending_binds {len(fleet.proxies.pending_binds)} pending_updates {pending}"
     )
