Adapter: events parsed by functions in a table, orders in a module of their own

The wire module built eleven closures for each event and held both directions; the host mixed batches, lists and instances. Parsing and formatting are two modules now, the host takes one message a step, lines that can't be used raise WireError, records are built by keyword. `identifiers` has doc comments and one assignment a line. Five cases are added to the tests: the reason that a skipped line is logged with.

--- a/gradehoist/adapter/__init__.py
+++ b/gradehoist/adapter/__init__.py
@@ -1,1 +1,1 @@
-"""The simulator's wire, and the hosting of module instances behind it."""
+"""The simulator's wire, and the hosting of policy instances behind it."""
--- a/gradehoist/adapter/host.py
+++ b/gradehoist/adapter/host.py
@@ -1,4 +1,4 @@
-"""Hosts module instances: one decision instance a governor, each with its own names and clock only."""
+"""Hosts policy instances behind the wire: one a governor, each with its own identifiers."""
 
 from __future__ import annotations
 
@@ -7,129 +7,150 @@
 from typing import TextIO
 
 from gradehoist.adapter import wire
+from gradehoist.adapter.errors import WireError
+from gradehoist.adapter.orders import format_crash, format_order
+from gradehoist.adapter.wire import Fields, WireIdentifiers, WireMessage
 from gradehoist.interface import EndpointListKind, EndpointsListed, Event, Policy, PolicyConfig
 from gradehoist.policy.planner import Planner
 from gradehoist.settings.platform import seconds_to_us
 
+MAX_LOGGED_LINE_LENGTH = 300
+INSTANCE_MESSAGES = frozenset({"BOOT", "DESTROY", "VIEW"})
+
 
 @dataclass
 class Instance:
-    names: wire.WireIdentifiers
-    module: Policy | None = None
-    waiting: list[Event] = field(default_factory=list)
-    crashed: str = ""
+    """One policy instance, and the events for it since the last reply."""
+
+    identifiers: WireIdentifiers
+    policy: Policy | None = None  # None once it has failed
+    pending_events: list[Event] = field(default_factory=list)
+    unreported_failure: str = ""
 
 
 class Host:
-    """Takes the wire line by line; `feed` answers with a reply's text when a batch ends."""
+    """Takes the wire line by line; `handle_line` returns a reply when a batch ends."""
 
-    def __init__(self, errors: TextIO, make: Callable[[PolicyConfig, int], Policy] = Planner) -> None:
-        self.errors = errors
-        self.make = make
-        self.instances: dict[int, Instance] = {}
-        self.sheets: dict[int, list[wire.Fields]] = {}
+    def __init__(self, errors: TextIO, make_policy: Callable[[PolicyConfig, int], Policy] = Planner) -> None:
+        """`errors` takes one line for each line of the wire that is skipped."""
         self.now_us = 0
-        self.target: int | None = None
-        self.filling: list[wire.Fields] = []
-        self.missing = 0
-        self.number = 0
-
-    def complain(self, line: str, why: object) -> None:
-        self.errors.write(f"line {self.number}: {why}: {line[:300]}\n")
-        self.errors.flush()
+        self._errors = errors
+        self._make_policy = make_policy
+        self._instances: dict[int, Instance] = {}
+        self._target: int | None = None  # the instance that the next events are for
+        self._endpoint_lists: dict[int, list[Fields]] = {}  # by slot
+        self._open_list: list[Fields] = []
+        self._endpoints_missing = 0  # from the open list
+        self._line_number = 0
 
     def handle_line(self, line: str) -> str | None:
-        self.number += 1
+        """Takes one line; returns the reply where it ends a batch. A malformed line is logged and skipped."""
+        self._line_number += 1
         if not line.strip():
             return None
         try:
-            name, fields = wire.parse_line(line)
-            if name == "OVER_TO_YOU":
-                return self.answer()
-            self.take(name, fields)
-        except (ValueError, KeyError, TypeError, OverflowError) as fault:
-            self.complain(line, f"skipped ({type(fault).__name__}: {fault})")
+            message = wire.parse_line(line)
+            if message.name == "OVER_TO_YOU":
+                return self._reply()
+            self._take(message)
+        except (ValueError, KeyError, TypeError, OverflowError) as error:
+            self._log_skipped(line, error)
         return None
 
-    def take(self, name: str, fields: wire.Fields) -> None:
-        if name == "ITEM":
-            if self.missing <= 0:
-                raise ValueError("an entry outside a list")
-            self.missing -= 1
-            wire.check_endpoint(fields)
-            self.filling.append(fields)
+    def _log_skipped(self, line: str, error: Exception) -> None:
+        reason = f"skipped ({type(error).__name__}: {error})"
+        self._errors.write(f"line {self._line_number}: {reason}: {line[:MAX_LOGGED_LINE_LENGTH]}\n")
+        self._errors.flush()
+
+    def _take(self, message: WireMessage) -> None:
+        if message.name == "ITEM":
+            self._add_endpoint(message.fields)
             return
-        self.missing = 0
-        if name == "TICK":
-            self.now_us = seconds_to_us(fields["at-time"])
-            self.target = None
-        elif name == "SHEET":
-            count, slot = int(fields["records"]), int(fields["slot"])
-            self.filling = []
-            self.sheets[slot] = self.filling
-            self.missing = count
-        elif name == "TARGET_INSTANCE":
-            self.target = None
-            self.target = int(fields["governor"])
-        else:
-            self.deliver(name, fields)
-
-    def deliver(self, name: str, fields: wire.Fields) -> None:
-        if name not in wire.EVENTS:
-            raise ValueError("unknown message")
-        if self.target is None:
-            raise ValueError("no instance named")
-        if name == "BOOT":
-            self.boot(self.target, fields)
+        self._endpoints_missing = 0
+        match message.name:
+            case "TICK":
+                self.now_us = seconds_to_us(message.fields["at-time"])
+                self._target = None
+            case "SHEET":
+                self._begin_endpoint_list(message.fields)
+            case "TARGET_INSTANCE":
+                self._target = None  # stays so where the number is malformed
+                self._target = int(message.fields["governor"])
+            case _:
+                self._deliver(message)
+
+    def _begin_endpoint_list(self, fields: Fields) -> None:
+        count = int(fields["records"])
+        slot = int(fields["slot"])
+        self._open_list = []
+        self._endpoint_lists[slot] = self._open_list
+        self._endpoints_missing = count
+
+    def _add_endpoint(self, fields: Fields) -> None:
+        if self._endpoints_missing <= 0:
+            raise WireError("an entry outside a list")
+        self._endpoints_missing -= 1
+        wire.check_endpoint(fields)
+        self._open_list.append(fields)
+
+    def _deliver(self, message: WireMessage) -> None:
+        if message.name not in INSTANCE_MESSAGES and not wire.is_event(message.name):
+            raise WireError("unknown message")
+        if self._target is None:
+            raise WireError("no instance named")
+        if message.name == "BOOT":
+            self._boot(self._target, message.fields)
             return
-        instance = self.instances.get(self.target)
+        instance = self._instances.get(self._target)
         if instance is None:
-            raise ValueError("an event for an instance that was not started")
-        if name == "DESTROY":
-            del self.instances[self.target]
-        elif name == "VIEW":
-            kind = wire.LIST_KINDS[fields["kind"]]
-            entries: tuple[wire.Fields, ...] = ()
-            if kind is not EndpointListKind.FAILED:
-                entries = tuple(self.sheets[int(fields["slot"])])
-            instance.waiting.append(
-                EndpointsListed(kind, tuple(wire.parse_endpoint(instance.names, e) for e in entries))
-            )
+            raise WireError("an event for an instance that was not started")
+        if message.name == "DESTROY":
+            del self._instances[self._target]
+        elif message.name == "VIEW":
+            instance.pending_events.append(self._endpoints_listed(instance, message.fields))
         else:
-            instance.waiting.append(wire.parse_event(instance.names, name, fields))
+            instance.pending_events.append(wire.parse_event(instance.identifiers, message))
+
+    def _endpoints_listed(self, instance: Instance, fields: Fields) -> EndpointsListed:
+        kind = wire.ENDPOINT_LIST_KINDS[fields["kind"]]
+        if kind is EndpointListKind.FAILED:
+            return EndpointsListed(kind, ())
+        listed = self._endpoint_lists[int(fields["slot"])]
+        endpoints = [wire.parse_endpoint(instance.identifiers, endpoint) for endpoint in listed]
+        return EndpointsListed(kind, tuple(endpoints))
+
+    def _boot(self, number: int, fields: Fields) -> None:
+        identifiers, config = wire.parse_config(fields)
+        instance = Instance(identifiers)
+        self._instances[number] = instance
+        try:
+            instance.policy = self._make_policy(config, self.now_us)
+        except Exception as error:  # noqa: BLE001 - process boundary: the failure is reported on the wire
+            instance.unreported_failure = f"{type(error).__name__}: {error}"
+
+    def _reply(self) -> str:
+        self._endpoints_missing = 0
+        reply: list[str] = []
+        for number in sorted(self._instances):
+            instance = self._instances[number]
+            if instance.unreported_failure:
+                reply += [f"ON_BEHALF governor={number}", format_crash(instance.unreported_failure)]
+                instance.unreported_failure = ""
+            orders = self._run(number, instance)
+            if orders:
+                reply += [f"ON_BEHALF governor={number}", *orders]
+        reply.append("NEXT\n")
+        return "\n".join(reply)
 
-    def boot(self, number: int, fields: wire.Fields) -> None:
-        names, start = wire.parse_config(fields)
-        instance = Instance(names)
-        self.instances[number] = instance
+    def _run(self, number: int, instance: Instance) -> list[str]:
+        """Hands an instance its pending events and returns the lines of its orders."""
+        events, instance.pending_events = instance.pending_events, []
+        if not events or instance.policy is None:
+            return []
         try:
-            instance.module = self.make(start, self.now_us)
-        except Exception as fault:  # a fault of the module is told on the wire, not hidden
-            instance.crashed = f"{type(fault).__name__}: {fault}"
-            instance.waiting.clear()
-
-    def answer(self) -> str:
-        self.missing = 0
-        out: list[str] = []
-        for number in sorted(self.instances):
-            instance = self.instances[number]
-            if instance.crashed:
-                out += [f"ON_BEHALF governor={number}", wire.format_crash(instance.crashed)]
-                instance.crashed = ""
-            if not instance.waiting or instance.module is None:
-                instance.waiting = []
-                continue
-            events, instance.waiting = instance.waiting, []
-            try:
-                lines = [
-                    wire.format_order(instance.names, o) for o in instance.module.handle(self.now_us, events)
-                ]
-            except Exception as fault:
-                lines = [wire.format_crash(f"{type(fault).__name__}: {fault}")]
-                instance.module = None
-                self.errors.write(f"instance {number} failed: {fault!r}\n")
-            if lines:
-                out.append(f"ON_BEHALF governor={number}")
-                out += lines
-        out.append("NEXT\n")
-        return "\n".join(out)
+            orders = instance.policy.handle(self.now_us, events)
+            return [format_order(instance.identifiers, order) for order in orders]
+        except Exception as error:  # noqa: BLE001 - process boundary: the failure is reported on the wire
+            instance.policy = None
+            self._errors.write(f"instance {number} failed: {error!r}\n")
+            return [format_crash(f"{type(error).__name__}: {error}")]
--- a/gradehoist/adapter/wire.py
+++ b/gradehoist/adapter/wire.py
@@ -1,200 +1,252 @@
-"""Wire 'saffron-54c5': lines to events, orders to lines, names to small indices."""
+"""Lines of the simulator's wire 'saffron-54c5' to events, and their names to small indices."""
 
 from __future__ import annotations
 
 import base64
 import json
 from collections.abc import Callable
+from typing import NamedTuple
 
-from gradehoist import interface as i
+from gradehoist.adapter.errors import WireError
 from gradehoist.identifiers import Identifiers
+from gradehoist.interface import (
+    AttemptsReported,
+    Endpoint,
+    EndpointListKind,
+    Event,
+    HealthChecked,
+    HealthCheckOutcome,
+    KeyRangeAssigned,
+    KeyRangeLine,
+    KeyRangeOffered,
+    LoadReport,
+    PeerMessageReceived,
+    Phase,
+    PolicyConfig,
+    ProxyJoined,
+    ProxyLeft,
+    RequestsOffered,
+    TimerFired,
+    UpdateAcknowledged,
+)
 from gradehoist.settings import platform
 from gradehoist.settings.platform import seconds_to_us
 
 Fields = dict[str, str]
-ALL_TABLES = 65535
-
-EVENTS = {
-    "BOOT",
-    "DESTROY",
-    "VIEW",
-    "REMINDER",
-    "CHECK_RESULT",
-    "WHISPER",
-    "JOINED",
-    "UNSUBSCRIBED",
-    "DIGEST",
-    "OFFERED_LOAD",
-    "ACTIVITY",
-    "CUSTODY",
-    "ON_RECORD",
-    "TOOK_EFFECT",
-}
-LIST_KINDS = {
-    "SAVED": i.EndpointListKind.CACHED,
-    "FULL": i.EndpointListKind.SNAPSHOT,
-    "INCREMENTAL": i.EndpointListKind.DELTA,
-    "FAILED": i.EndpointListKind.FAILED,
+
+EMPTY_PAYLOAD = "-"
+ENDPOINT_LIST_KINDS = {
+    "SAVED": EndpointListKind.CACHED,
+    "FULL": EndpointListKind.SNAPSHOT,
+    "INCREMENTAL": EndpointListKind.DELTA,
+    "FAILED": EndpointListKind.FAILED,
 }
-PHASES = {"Ready": i.Phase.READY, "Terminating": i.Phase.DRAINING, "Gone": i.Phase.GONE}
+PHASES = {"Ready": Phase.READY, "Terminating": Phase.DRAINING, "Gone": Phase.GONE}
 OUTCOMES = {
-    "S": i.HealthCheckOutcome.HEALTHY,
-    "E": i.HealthCheckOutcome.ERROR,
-    "F": i.HealthCheckOutcome.REJECTED,
-    "T": i.HealthCheckOutcome.TIMED_OUT,
-    "C": i.HealthCheckOutcome.UNREACHABLE,
-    "R": i.HealthCheckOutcome.CONNECTION_RESET,
+    "S": HealthCheckOutcome.HEALTHY,
+    "E": HealthCheckOutcome.ERROR,
+    "F": HealthCheckOutcome.REJECTED,
+    "T": HealthCheckOutcome.TIMED_OUT,
+    "C": HealthCheckOutcome.UNREACHABLE,
+    "R": HealthCheckOutcome.CONNECTION_RESET,
 }
 
 
+class WireMessage(NamedTuple):
+    """One line of the wire: its message's name, and its fields as text."""
+
+    name: str
+    fields: Fields
+
+
 class WireIdentifiers(Identifiers):
-    """One instance's names, and the columns of its load reports."""
+    """One instance's identifiers, and the columns of its load reports."""
 
-    def __init__(self, names: Identifiers, report: list[str]) -> None:
-        super().__init__(names.zones, names.kinds, names.classes)
-        self.report = report
+    def __init__(self, identifiers: Identifiers, report_columns: list[str]) -> None:
+        """Takes over the zones, kinds and classes of `identifiers`."""
+        super().__init__(identifiers.zones, identifiers.kinds, identifiers.classes)
+        self.report_columns = report_columns
 
-    def load(self, fields: Fields) -> i.LoadReport | None:
+    def parse_load(self, fields: Fields) -> LoadReport | None:
+        """The load report in a message, or None where it carries none. Raises ValueError."""
         text = fields.get("report", "")
         if not text:
             return None
-        figures = (float(x) if x else None for x in text.split(","))
-        return platform.parse_load_report(zip(self.report, figures, strict=False))
+        figures = (float(figure) if figure else None for figure in text.split(","))
+        return platform.parse_load_report(zip(self.report_columns, figures, strict=False))
+
 
+def parse_line(line: str) -> WireMessage:
+    """Splits a line into a message's name and fields.
 
-def parse_line(line: str) -> tuple[str, Fields]:
-    """A text field runs to the end of its line; `options` is the only one that comes in."""
+    A text field runs to the end of its line; `options` is the only one that comes in.
+
+    Raises:
+        WireError: A word has no value.
+    """
     name, _, rest = line.strip(" ").partition(" ")
     fields: Fields = {}
-    head, mark, tail = rest.partition("options=")
-    if mark and (head == "" or head.endswith(" ")):
-        fields["options"] = tail
+    head, separator, options = rest.partition("options=")
+    if separator and (head == "" or head.endswith(" ")):
+        fields["options"] = options
         rest = head
-    for part in rest.split():
-        key, equals, value = part.partition("=")
+    for word in rest.split():
+        key, equals, value = word.partition("=")
         if not equals:
-            raise ValueError(f"no value in {part!r}")
+            raise WireError(f"no value in {word!r}")
         fields[key] = value
-    return name, fields
+    return WireMessage(name, fields)
 
 
 def check_endpoint(fields: Fields) -> None:
-    """An entry that cannot be read is refused where it stands, so that its list stays usable."""
+    """Rejects a malformed endpoint where it stands, so that the rest of its list stays usable.
+
+    Raises:
+        ValueError: A field is missing or malformed.
+    """
     for key in ("replica", "hall", "phase"):
         if key not in fields:
-            raise ValueError(f"an entry without {key}")
+            raise WireError(f"an entry without {key}")
     if fields["phase"] not in PHASES:
-        raise ValueError("an unknown phase")
+        raise WireError("an unknown phase")
     float(fields.get("size", "1"))
     float(fields.get("online-since", "0"))
     int(fields.get("unit-group", "0"))
 
 
-def parse_endpoint(names: WireIdentifiers, f: Fields) -> i.Endpoint:
-    return i.Endpoint(
-        names.replicas.intern(f["replica"]),
-        names.zones.intern(f["hall"]),
-        names.kinds.intern(f.get("shape", "")),
-        int(f.get("unit-group", "0")),
-        PHASES[f["phase"]],
-        float(f.get("size", "1")),
-        seconds_to_us(f.get("online-since", "0")),
+def parse_endpoint(identifiers: WireIdentifiers, fields: Fields) -> Endpoint:
+    """Reads an endpoint that `check_endpoint` has passed."""
+    return Endpoint(
+        replica=identifiers.replicas.intern(fields["replica"]),
+        zone=identifiers.zones.intern(fields["hall"]),
+        kind=identifiers.kinds.intern(fields.get("shape", "")),
+        cell=int(fields.get("unit-group", "0")),
+        phase=PHASES[fields["phase"]],
+        size=float(fields.get("size", "1")),
+        started_us=seconds_to_us(fields.get("online-since", "0")),
+    )
+
+
+def parse_config(fields: Fields) -> tuple[WireIdentifiers, PolicyConfig]:
+    """The identifiers and the policy's configuration from a BOOT message.
+
+    Raises:
+        ValueError, KeyError, TypeError: The settings are not as stated.
+    """
+    settings = json.loads(fields["options"])
+    identifiers = WireIdentifiers(platform.parse_identifiers(settings), platform.report_columns(settings))
+    return identifiers, platform.parse_config(settings, identifiers, int(fields["rng-seed"]))
+
+
+def _parse_timer(_: WireIdentifiers, fields: Fields) -> TimerFired:
+    return TimerFired(int(fields["ref"]))
+
+
+def _parse_health_check(identifiers: WireIdentifiers, fields: Fields) -> HealthChecked:
+    return HealthChecked(
+        replica=identifiers.replicas.intern(fields["replica"]),
+        outcome=OUTCOMES.get(fields["reason"], HealthCheckOutcome.OTHER),
+        elapsed_us=seconds_to_us(fields.get("elapsed", "0")),
+        load=identifiers.parse_load(fields),
+    )
+
+
+def _parse_peer_message(_: WireIdentifiers, fields: Fields) -> PeerMessageReceived:
+    peer = int(fields["origin-peer"])
+    payload = fields["octets"]
+    if payload == EMPTY_PAYLOAD:
+        return PeerMessageReceived(peer, b"")
+    return PeerMessageReceived(peer, base64.b64decode(payload, validate=True))
+
+
+def _parse_joining(identifiers: WireIdentifiers, fields: Fields) -> ProxyJoined:
+    return ProxyJoined(
+        proxy=int(fields["agent"]),
+        zone=identifiers.zones.intern(fields["hall"]),
+        request_rate=float(fields.get("size", "1")),
+    )
+
+
+def _parse_leaving(_: WireIdentifiers, fields: Fields) -> ProxyLeft:
+    return ProxyLeft(int(fields["agent"]))
+
+
+def _parse_attempts(identifiers: WireIdentifiers, fields: Fields) -> AttemptsReported:
+    return AttemptsReported(
+        zone=identifiers.zones.intern(fields["hall"]),
+        replica=identifiers.replicas.intern(fields["replica"]),
+        attempts=int(fields["number"]),
+        failures=int(fields.get("bad", "0")),
+        elapsed_us=seconds_to_us(fields.get("elapsed", "0")),
+        window_us=seconds_to_us(fields.get("window", "0")),
+        load=identifiers.parse_load(fields),
+    )
+
+
+def _parse_requests(identifiers: WireIdentifiers, fields: Fields) -> RequestsOffered:
+    return RequestsOffered(
+        proxy=int(fields["agent"]),
+        request_class=identifiers.classes[fields["cls"]],
+        requests=int(fields["number"]),
+        incomplete=int(fields.get("bad", "0")),
+        window_us=seconds_to_us(fields.get("window", "0")),
     )
 
 
-def parse_config(f: Fields) -> tuple[WireIdentifiers, i.PolicyConfig]:
-    o = json.loads(f["options"])
-    names = WireIdentifiers(platform.parse_identifiers(o), platform.report_columns(o))
-    return names, platform.parse_config(o, names, int(f["rng-seed"]))
-
-
-def parse_event(names: WireIdentifiers, name: str, f: Fields) -> i.Event:
-    make: dict[str, Callable[[], i.Event]] = {
-        "REMINDER": lambda: i.TimerFired(int(f["ref"])),
-        "CHECK_RESULT": lambda: i.HealthChecked(
-            names.replicas.intern(f["replica"]),
-            OUTCOMES.get(f["reason"], i.HealthCheckOutcome.OTHER),
-            seconds_to_us(f.get("elapsed", "0")),
-            names.load(f),
-        ),
-        "WHISPER": lambda: i.PeerMessageReceived(
-            int(f["origin-peer"]), b"" if f["octets"] == "-" else base64.b64decode(f["octets"], validate=True)
-        ),
-        "JOINED": lambda: i.ProxyJoined(
-            int(f["agent"]), names.zones.intern(f["hall"]), float(f.get("size", "1"))
-        ),
-        "UNSUBSCRIBED": lambda: i.ProxyLeft(int(f["agent"])),
-        "DIGEST": lambda: i.AttemptsReported(
-            names.zones.intern(f["hall"]),
-            names.replicas.intern(f["replica"]),
-            int(f["number"]),
-            int(f.get("bad", "0")),
-            seconds_to_us(f.get("elapsed", "0")),
-            seconds_to_us(f.get("window", "0")),
-            names.load(f),
-        ),
-        "OFFERED_LOAD": lambda: i.RequestsOffered(
-            int(f["agent"]),
-            names.classes[f["cls"]],
-            int(f["number"]),
-            int(f.get("bad", "0")),
-            seconds_to_us(f.get("window", "0")),
-        ),
-        "ACTIVITY": lambda: i.KeyRangeOffered(
-            int(f["map-id"]),
-            names.classes[f["cls"]],
-            int(f["number"]),
-            int(f.get("bad", "0")),
-            seconds_to_us(f.get("window", "0")),
-        ),
-        "CUSTODY": lambda: i.KeyRangeAssigned(int(f["map-id"]), f.get("flag", "0") == "1"),
-        "ON_RECORD": lambda: i.KeyRangeLine(
-            int(f["map-id"]), names.replicas.intern(f["replica"]), float(f.get("size", "1"))
-        ),
-        "TOOK_EFFECT": lambda: i.UpdateAcknowledged(
-            int(f["agent"]), int(f["rev"]), seconds_to_us(f.get("elapsed", "0"))
-        ),
-    }
-    return make[name]()
-
-
-def format_number(value: float) -> str:
-    return format(value, ".6g")
-
-
-def class_mask(classes: tuple[int, ...]) -> int:
-    return sum(1 << k for k in classes)
-
-
-def format_crash(text: str) -> str:
-    return "CRASH reason-text=" + (" ".join(text.split()) or "failed")
-
-
-def format_order(names: WireIdentifiers, o: i.Order) -> str:
-    replicas = names.replicas.names
-    match o:
-        case i.SetWeight():
-            return f"UPSERT replica={replicas[o.replica]} map-id={o.table} size={format_number(o.weight)}"
-        case i.ClearTable():
-            return f"DROP_LINES map-id={o.table}"
-        case i.BindProxy():
-            return f"ATTACH_TABLE agent={o.proxy} map-id={o.table} only={class_mask(o.classes)}"
-        case i.WithdrawReplica():
-            return f"WITHDRAW flag={int(o.withdrawn)} replica={replicas[o.replica]}"
-        case i.SetAdmission():
-            table = ALL_TABLES if o.table is None else o.table
-            mask = class_mask(o.classes)
-            share = format_number(o.admitted_share)
-            return f"ADMIT quota={share} on-failure={o.retry_policy} only={mask} map-id={table}"
-        case i.RequestAcknowledgement():
-            return f"MARK rev={o.revision} flag={int(o.to_all)}"
-        case i.CheckHealth():
-            return f"ASK_LOAD replica={replicas[o.replica]}"
-        case i.SetTimer():
-            return f"WAKE_ME ref={o.token} from-now={o.delay_us // 1_000_000}.{o.delay_us % 1_000_000:06d}"
-        case i.SubscribeEndpoints():
-            return f"FOLLOW flag={int(o.subscribed)}"
-        case i.RequestEndpoints():
-            return "SNAPSHOT"
-        case i.LogRemark():
-            return "REMARK reason-text=" + " ".join(o.text.split())
+def _parse_key_range_requests(identifiers: WireIdentifiers, fields: Fields) -> KeyRangeOffered:
+    return KeyRangeOffered(
+        key_range=int(fields["map-id"]),
+        request_class=identifiers.classes[fields["cls"]],
+        requests=int(fields["number"]),
+        incomplete=int(fields.get("bad", "0")),
+        window_us=seconds_to_us(fields.get("window", "0")),
+    )
+
+
+def _parse_key_range_assignment(_: WireIdentifiers, fields: Fields) -> KeyRangeAssigned:
+    return KeyRangeAssigned(key_range=int(fields["map-id"]), is_owner=fields.get("flag", "0") == "1")
+
+
+def _parse_key_range_line(identifiers: WireIdentifiers, fields: Fields) -> KeyRangeLine:
+    return KeyRangeLine(
+        key_range=int(fields["map-id"]),
+        replica=identifiers.replicas.intern(fields["replica"]),
+        weight=float(fields.get("size", "1")),
+    )
+
+
+def _parse_acknowledgement(_: WireIdentifiers, fields: Fields) -> UpdateAcknowledged:
+    return UpdateAcknowledged(
+        proxy=int(fields["agent"]),
+        revision=int(fields["rev"]),
+        elapsed_us=seconds_to_us(fields.get("elapsed", "0")),
+    )
+
+
+_EVENT_PARSERS: dict[str, Callable[[WireIdentifiers, Fields], Event]] = {
+    "REMINDER": _parse_timer,
+    "CHECK_RESULT": _parse_health_check,
+    "WHISPER": _parse_peer_message,
+    "JOINED": _parse_joining,
+    "UNSUBSCRIBED": _parse_leaving,
+    "DIGEST": _parse_attempts,
+    "OFFERED_LOAD": _parse_requests,
+    "ACTIVITY": _parse_key_range_requests,
+    "CUSTODY": _parse_key_range_assignment,
+    "ON_RECORD": _parse_key_range_line,
+    "TOOK_EFFECT": _parse_acknowledgement,
+}
+
+
+def is_event(name: str) -> bool:
+    """Whether a message of this name is an event for the policy."""
+    return name in _EVENT_PARSERS
+
+
+def parse_event(identifiers: WireIdentifiers, message: WireMessage) -> Event:
+    """Reads an event.
+
+    Raises:
+        ValueError, KeyError, OverflowError: A field is missing or malformed.
+    """
+    return _EVENT_PARSERS[message.name](identifiers, message.fields)
--- a/gradehoist/identifiers.py
+++ b/gradehoist/identifiers.py
@@ -1,4 +1,4 @@
-"""Names at the door: what files and wires call a replica, zone, kind, class or proxy, by small index."""
+"""Interning: what files and wires call a replica, zone, kind, class or proxy becomes a small index."""
 
 from __future__ import annotations
 
@@ -6,41 +6,56 @@
 
 
 class Interner:
-    """Gives each new name the next number, from 0."""
+    """Gives each new name the next index, from 0. Names are never removed."""
 
     def __init__(self, names: Iterable[str] = ()) -> None:
-        self.names: list[str] = []
-        self._numbers: dict[str, int] = {}
+        """Interns `names` in their order."""
+        self.names: list[str] = []  # by index
+        self._indices: dict[str, int] = {}
         for name in names:
             self.intern(name)
 
     def __len__(self) -> int:
+        """The number of names."""
         return len(self.names)
 
     def __iter__(self) -> Iterator[str]:
+        """The names by index."""
         return iter(self.names)
 
     def __contains__(self, name: str) -> bool:
-        return name in self._numbers
+        """Whether a name has an index."""
+        return name in self._indices
 
     def __getitem__(self, name: str) -> int:
-        """Raises KeyError for a name not seen before."""
-        return self._numbers[name]
+        """The index of a name.
+
+        Raises:
+            KeyError: The name has none.
+        """
+        return self._indices[name]
 
     def get(self, name: str, default: int) -> int:
-        return self._numbers.get(name, default)
+        """The index of a name, or `default` where it has none."""
+        return self._indices.get(name, default)
 
     def intern(self, name: str) -> int:
-        found = self._numbers.get(name)
-        if found is None:
-            found = self._numbers[name] = len(self.names)
+        """The index of a name; a new name gets the next one."""
+        index = self._indices.get(name)
+        if index is None:
+            index = len(self.names)
+            self._indices[name] = index
             self.names.append(name)
-        return found
+        return index
 
 
 class Identifiers:
-    """One instance's names."""
+    """The names that one policy instance, node or governor knows."""
 
     def __init__(self, zones: Iterable[str], kinds: Iterable[str], classes: Iterable[str]) -> None:
-        self.zones, self.kinds, self.classes = Interner(zones), Interner(kinds), Interner(classes)
-        self.replicas, self.proxies = Interner(), Interner()
+        """Interns the names that the settings give; replicas and proxies come later."""
+        self.zones = Interner(zones)
+        self.kinds = Interner(kinds)
+        self.classes = Interner(classes)
+        self.replicas = Interner()
+        self.proxies = Interner()
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,11 +1,22 @@
-"""The wire: bad input is told and skipped, good input around it still answered."""
+"""The simulator's wire: malformed input is logged and skipped, valid input around it is still answered."""
 
 from __future__ import annotations
 
 import io
 
-from gradehoist import interface as i
+import pytest
+
 from gradehoist.adapter.host import Host
+from gradehoist.interface import (
+    Endpoint,
+    EndpointListKind,
+    EndpointsListed,
+    Event,
+    KeyRangeLine,
+    Order,
+    Phase,
+    SetTimer,
+)
 
 OPTIONS = (
     '{"azs": ["a"], "kinds": ["k"], "classes": [{"name": "c", "aim": 1.0, "deadline": 2.0,'
@@ -14,52 +25,54 @@
 )
 
 
-def feed(host: Host, *lines: str) -> str:
+def reply_to(host: Host, *lines: str) -> str:
     replies = [reply for reply in map(host.handle_line, (*lines, "OVER_TO_YOU")) if reply is not None]
     assert len(replies) == 1
     return replies[0]
 
 
-def test_empty_batches_and_bad_lines_get_one_reply_each() -> None:
+def test_empty_batches_and_malformed_lines_get_one_reply_each() -> None:
     errors = io.StringIO()
     host = Host(errors)
-    assert feed(host, "TICK at-time=1.5", "") == "NEXT\n"
-    assert feed(host, "TICK at-time=2", "TARGET_INSTANCE governor=4", "JOINED agent=1 hall=a") == "NEXT\n"
-    assert feed(host, "TICK at-time=x", "NONSENSE a=1", "JOINED agent", "ITEM replica=q") == "NEXT\n"
-    told = errors.getvalue().splitlines()
-    assert len(told) == 5 and "not started" in told[0] and "ITEM" in told[4]
-
-
-def test_a_fault_of_one_instance_is_its_crash_alone() -> None:
-    class Faulty:
-        def handle(self, now: int, events: object) -> list[object]:
+    assert reply_to(host, "TICK at-time=1.5", "") == "NEXT\n"
+    assert reply_to(host, "TICK at-time=2", "TARGET_INSTANCE governor=4", "JOINED agent=1 hall=a") == "NEXT\n"
+    assert reply_to(host, "TICK at-time=x", "NONSENSE a=1", "JOINED agent", "ITEM replica=q") == "NEXT\n"
+    skipped = errors.getvalue().splitlines()
+    assert len(skipped) == 5
+    assert "not started" in skipped[0]
+    assert "ITEM" in skipped[4]
+
+
+def test_a_failure_of_one_instance_is_reported_as_its_crash_alone() -> None:
+    class FailingPolicy:
+        def handle(self, now_us: int, events: object) -> list[object]:
             raise RuntimeError("two\nlines")
 
-    host = Host(io.StringIO(), lambda start, now: Faulty())  # type: ignore[arg-type,return-value]
+    host = Host(io.StringIO(), lambda config, now_us: FailingPolicy())  # type: ignore[arg-type,return-value]
     boot = ["TARGET_INSTANCE governor=3", f"BOOT rng-seed=1 options={OPTIONS}"]
-    reply = feed(host, "TICK at-time=1", *boot, "SHEET slot=2 records=0", "VIEW kind=SAVED rev=1 slot=2")
+    reply = reply_to(host, "TICK at-time=1", *boot, "SHEET slot=2 records=0", "VIEW kind=SAVED rev=1 slot=2")
     assert reply == "ON_BEHALF governor=3\nCRASH reason-text=RuntimeError: two lines\nNEXT\n"
-    assert feed(host, "TICK at-time=2", "TARGET_INSTANCE governor=3", "DESTROY") == "NEXT\n"
+    assert reply_to(host, "TICK at-time=2", "TARGET_INSTANCE governor=3", "DESTROY") == "NEXT\n"
 
 
-def test_lists_are_resolved_in_order_and_a_restart_in_one_batch_starts_clean() -> None:
-    made: list[list[i.Event]] = []
+def test_endpoint_lists_are_resolved_in_order_and_a_restart_in_one_batch_starts_empty() -> None:
+    made: list[list[Event]] = []
 
-    class Spy:
+    class RecordingPolicy:
         def __init__(self) -> None:
             made.append([])
-            self.seen = made[-1]
+            self.events = made[-1]
 
-        def handle(self, now: int, events: list[i.Event]) -> list[i.Order]:
-            self.seen += events
-            return [i.SetTimer(3, 1_500_000)]
+        def handle(self, now_us: int, events: list[Event]) -> list[Order]:
+            self.events += events
+            return [SetTimer(3, 1_500_000)]
 
     errors = io.StringIO()
-    host = Host(errors, lambda start, now: Spy())
+    host = Host(errors, lambda config, now_us: RecordingPolicy())
     boot = ["TARGET_INSTANCE governor=3", f"BOOT rng-seed=1 options={OPTIONS}"]
     item = "ITEM size=2 novel=1 phase=Ready hall=a shape=k replica="
     view = "VIEW slot=0 rev=4 kind="
-    reply = feed(
+    reply = reply_to(
         host,
         "TICK at-time=7.000001",
         *boot,
@@ -82,7 +95,9 @@
         "TOOK_EFFECT agent=1 rev=2 elapsed=0.25",
     )
     assert reply == "ON_BEHALF governor=3\nWAKE_ME ref=3 from-now=1.500000\nNEXT\n"
-    assert host.now_us == 7_000_001 and len(made) == 2 and not made[0]
+    assert host.now_us == 7_000_001
+    assert len(made) == 2
+    assert not made[0]
     kinds = [type(e).__name__ for e in made[1]]
     assert kinds == ["EndpointsListed"] * 3 + [
         "KeyRangeAssigned",
@@ -91,10 +106,29 @@
         "PeerMessageReceived",
         "UpdateAcknowledged",
     ]
-    assert made[1][0] == i.EndpointsListed(
-        i.EndpointListKind.CACHED, (i.Endpoint(0, 0, 0, 0, i.Phase.READY, 2.0, 0),)
+    assert made[1][0] == EndpointsListed(
+        EndpointListKind.CACHED, (Endpoint(0, 0, 0, 0, Phase.READY, 2.0, 0),)
     )
-    assert made[1][1] == i.EndpointsListed(i.EndpointListKind.DELTA, ()) and made[1][4] == i.KeyRangeLine(
-        4, 1, 1.0
-    )
-    assert errors.getvalue().count("\n") == 1 and "CUSTODY flag=1" in errors.getvalue()
+    assert made[1][1] == EndpointsListed(EndpointListKind.DELTA, ())
+    assert made[1][4] == KeyRangeLine(4, 1, 1.0)
+    assert errors.getvalue().count("\n") == 1
+    assert "CUSTODY flag=1" in errors.getvalue()
+
+
+@pytest.mark.parametrize(
+    ("line", "reason"),
+    [
+        ("CUSTODY", "KeyError: 'map-id'"),
+        ("NONSENSE", "WireError: unknown message"),
+        ("JOINED agent", "WireError: no value in 'agent'"),
+        ("ITEM replica=q", "WireError: an entry outside a list"),
+        ("DIGEST hall=a replica=s-1 number=x", "ValueError"),
+    ],
+)
+def test_a_skipped_line_is_logged_with_its_reason(line: str, reason: str) -> None:
+    errors = io.StringIO()
+    host = Host(errors)
+    reply_to(host, "TICK at-time=1", "TARGET_INSTANCE governor=3", f"BOOT rng-seed=1 options={OPTIONS}")
+    reply_to(host, "TARGET_INSTANCE governor=3", line)
+    assert reason in errors.getvalue()
+    assert errors.getvalue().count("\n") == 1
