--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -201,9 +201,9 @@
         peer.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not peer.stream.closed():  # withdrawals without end
             found.service._say(peer, b"push out=s-1\r\n" * 10_000)
-        await until(lambda: 0 not in found.service.core.policy.publisher.unacknowledged)
+        await until(lambda: 0 not in found.service.core.policy.fleet.flow.unacknowledged)
         assert found.heard("left 1048576 bytes unread") and 0 not in found.service.core.streams
-        assert not found.service.core.policy.publisher.unacknowledged_lines, "its lines have left the books"
+        assert not found.service.core.policy.fleet.flow.unacknowledged_lines, "its lines have left the books"
         await drained(found, await bound(found))
 
     play(tmp_path, work)
@@ -501,7 +501,7 @@
             await held.wait()
             return i.HealthCheckOutcome.HEALTHY, None
 
-        monkeypatch.setattr(health_checks, "ask", ask)
+        monkeypatch.setattr(health_checks, "check_health", ask)
         core = found.service.core
         monkeypatch.setattr(core, "on_health_checked", lambda n, outcome, *_: heard.update({n: outcome}))
         s0, s2 = (core.identifiers.replicas[name] for name in ("s-0", "s-2"))
