Scenario definitions, fault kinds and plan drawing in modules of one job

Cause: definition.py read files, found ports and drew plans in functions of up to 160 lines over maps of figures; faults.py held 26 kinds named by their functions.

Change: definition.py holds what a file says as typed records, definition_reader.py reads it, plan_builder.py and network_plan.py draw the plan by keyword, governor_settings.py writes the governors' settings, free_ports.py finds ports. faults/ holds the kinds by what they strike, a table maps the files' names to them, and the variants of `how` are an enum. Names in scenario files and orders of the test doubles stay.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,9 +22,10 @@
 from bench.register import figures as register_figures
 from gradehoist.net.client import HttpClient
 from gradehoist.protocol import feed, http
-from gradehoist.scenario import definition
 from gradehoist.scenario.checks.records import MessageApplied, StreamBegan, load_records
 from gradehoist.scenario.checks.run_check import check_run_folder
+from gradehoist.scenario.definition_reader import read_scenario
+from gradehoist.scenario.plan_builder import build_plan
 from gradehoist.scenario.runner import Run
 
 REQUEST = (
@@ -358,12 +359,12 @@
 def shares() -> None:
     """The bad day's answered share: governed, standing tables, equal weights; three seeds."""
     row("seed", "governed", "standing tables", "equal weights", "rules, governed")
-    script = definition.read(Path("scenarios/bad-day.kdl"))
+    script = read_scenario(Path("scenarios/bad-day.kdl"))
     ways = {"governed": (True, False), "standing": (False, False), "even": (False, True)}
 
     async def side_by_side(seed: int) -> None:
         runs = [
-            Run(script, definition.draw(script, seed, *way), Path("found") / f"bench-{seed}-{name}")
+            Run(script, build_plan(script, seed, *way), Path("found") / f"bench-{seed}-{name}")
             for name, way in ways.items()
         ]
         await asyncio.gather(*(run.play() for run in runs))
--- a/bench/feeders.py
+++ b/bench/feeders.py
@@ -16,7 +16,7 @@
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http
-from gradehoist.scenario.definition import ports
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings.fleet import CellPlacement
 
 LOCAL = "127.0.0.1"
@@ -161,7 +161,7 @@
         cells: int = 0,
     ) -> None:
         folder.mkdir(parents=True, exist_ok=True)
-        self.port, roster = ports(2)
+        self.port, roster = find_free_ports(2)
         self.roster = Roster(replicas, roster)
         path = folder / "settings.kdl"
         if cells:
--- a/bench/register.py
+++ b/bench/register.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
-from gradehoist.scenario import definition
+from gradehoist.scenario.free_ports import find_free_ports
 
 Row = Callable[..., None]
 AWAY = 30.0  # seconds of the outage: three sessions
@@ -28,7 +28,7 @@
 
 class Fleet:
     def __init__(self, folder: Path, kind: str, count: int) -> None:
-        engine, *ports = definition.ports(count + 1)
+        engine, *ports = find_free_ports(count + 1)
         self.kind, self.folder, self.engine_port = kind, folder / "register", engine
         self.engine = (
             subprocess.Popen([sys.executable, "-m", "gradehoist.testbed", "engine", str(engine)])
--- a/gradehoist/cli/scenario.py
+++ b/gradehoist/cli/scenario.py
@@ -11,9 +11,11 @@
 from rich.progress import BarColumn, Progress, TaskProgressColumn, TextColumn, TimeRemainingColumn
 from rich.table import Table
 
-from gradehoist.scenario import definition, report
+from gradehoist.scenario import report
 from gradehoist.scenario.checks.run_check import check_run_folder
 from gradehoist.scenario.checks.verdict import Verdict
+from gradehoist.scenario.definition_reader import read_scenario
+from gradehoist.scenario.plan_builder import build_plan, speed_up_plan
 from gradehoist.scenario.runner import Run, StartFailed
 from gradehoist.settings.reader import SettingsError
 from gradehoist.testbed.scenario_plan import Plan
@@ -53,11 +55,11 @@
     """Plays and judges a scene; True where all rules held. Raises Failed."""
     console = Console(stderr=True)
     try:
-        script = definition.read(path)
+        script = read_scenario(path)
     except SettingsError as fault:
         raise Failed(str(fault)) from None
-    plan = definition.draw(script, script.seed if seed is None else seed, follow, even)
-    plan = definition.hurried(plan, speed)
+    plan = build_plan(script, script.seed if seed is None else seed, follow, even)
+    plan = speed_up_plan(plan, speed)
     folder = out or Path("found") / f"{plan.name}-{plan.seed}"
     columns = (
         TextColumn("[bold]{task.fields[scene]}"),
--- /dev/null
+++ b/gradehoist/scenario/faults/kinds.py
@@ -0,0 +1,89 @@
+"""The kinds of faults by the names that scenario files use, and how a file's faults become steps."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from gradehoist.scenario.faults import control_plane, network, replica, traffic
+from gradehoist.scenario.faults.fault import EndpointListDelays, Fault, Variant
+from gradehoist.scenario.faults.steps import FaultSteps
+from gradehoist.settings.fleet import Settings
+from gradehoist.settings.reader import Node, choice_parser, number_parser, parse_duration_us
+from gradehoist.testbed.process import dice
+from gradehoist.testbed.scenario_plan import Plan, Step
+
+DEFAULT_DURATION_US = 10_000_000
+DEFAULT_EXTRA_US = 3_000_000
+DEFAULT_SHARE = 0.2
+DEFAULT_MAGNITUDE = 3.0
+
+FAULT_KINDS: dict[str, Callable[[FaultSteps], None]] = {
+    "ageing": replica.age,
+    "counter_down": control_plane.disconnect_proxies,
+    "crash": replica.crash,
+    "drain": replica.drain,
+    "false_reports": replica.report_false_load,
+    "flap": control_plane.flap_endpoints,
+    "flood": traffic.flood_tenant,
+    "governor_kill": control_plane.kill_governor,
+    "hang": replica.hang,
+    "hot_caller": traffic.overload_few_proxies,
+    "mass_restart": replica.restart_many,
+    "move": traffic.migrate_tenants,
+    "neighbour": replica.add_noisy_neighbour,
+    "one_sided": network.impair_one_zone,
+    "origin_slow": control_plane.slow_channel,
+    "preempt": replica.preempt,
+    "reconnect": control_plane.reset_streams,
+    "redial": control_plane.reconnect_to_one_governor,
+    "release": traffic.roll_out_version,
+    "roster_down": control_plane.stop_endpoint_list,
+    "shift": traffic.shift_traffic,
+    "shrink": replica.shrink_fleet,
+    "slow": replica.slow_down,
+    "vanish": replica.vanish,
+    "zone_cut": network.partition_zone,
+    "zone_loss": network.lose_zone,
+}
+
+
+def parse_fault(node: Node, settings: Settings, length_us: int) -> Fault:
+    """Reads a node `trouble` of a scenario that lasts `length_us`; errors are added to the node's reader."""
+    kind = node.get_name("a kind of trouble")
+    if kind and kind not in FAULT_KINDS:
+        node.add_error(f"unknown kind {kind}", "known are " + ", ".join(sorted(FAULT_KINDS)))
+    governors = tuple(governor.name for governor in settings.governors)
+    fault = Fault(
+        kind=kind,
+        at_us=node.get("at", parse_duration_us),
+        duration_us=node.get("for", parse_duration_us, DEFAULT_DURATION_US),
+        affected_share=node.get("part", number_parser(0, 1), DEFAULT_SHARE),
+        magnitude=node.get("size", number_parser(0, 1000), DEFAULT_MAGNITUDE),
+        extra_us=node.get("extra", parse_duration_us, DEFAULT_EXTRA_US),
+        zone=_get_optional_name(node, "zone", settings.fleet.zones),
+        replica_kind=_get_optional_name(node, "machine", settings.fleet.kinds),
+        governor=_get_optional_name(node, "governor", governors),
+        variant=Variant(node.get("how", choice_parser(Variant), str(Variant.ANY))),
+    )
+    if fault.at_us and length_us and fault.at_us >= length_us:
+        node.add_error("begins after the day's end", "set at under the scene's length", "at")
+    node.reject_unread(expected_args=1)
+    return fault
+
+
+def _get_optional_name(node: Node, key: str, choices: tuple[str, ...]) -> str:
+    """The name at `key`, empty where there is none."""
+    node.read_keys.add(key)  # so that an error of another property lists it as known
+    if key not in node.props:
+        return ""
+    return node.get(key, choice_parser(choices), "")
+
+
+def plan_steps(plan: Plan, faults: tuple[Fault, ...], delays: EndpointListDelays) -> tuple[Step, ...]:
+    """All steps of a run, in order of time; each fault draws from a random generator of its own."""
+    steps: list[Step] = []
+    for number, fault in enumerate(faults):
+        fault_steps = FaultSteps(plan, fault, delays, dice(plan.seed, "trouble", number))
+        FAULT_KINDS[fault.kind](fault_steps)
+        steps += fault_steps.steps
+    return tuple(sorted(steps, key=lambda step: step.at))
--- /dev/null
+++ b/gradehoist/scenario/faults/traffic.py
@@ -0,0 +1,65 @@
+"""Changes of the traffic, and work on tenants: migrations and rollouts."""
+
+from __future__ import annotations
+
+from gradehoist.scenario.faults.steps import CLIENTS_ROLE, RUNNER_ROLE, FaultSteps
+
+SECOND_US = 1_000_000
+SHIFT_STEPS = 4  # orders in which the traffic moves
+LEAST_SHARE = 1e-6  # of the traffic; divided by
+
+
+def overload_few_proxies(steps: FaultSteps) -> None:
+    """A few proxies get `magnitude` times the whole traffic on top of their own."""
+    proxies = steps.choose_proxies()
+    share = sum(proxy.share for proxy in steps.plan.relays if proxy.name in proxies)
+    steps.set_demand(steps.fault.at_us, proxies, 1 + steps.fault.magnitude / max(share, LEAST_SHARE))
+    steps.set_demand(steps.fault.end_us, proxies, 1.0)
+
+
+def shift_traffic(steps: FaultSteps) -> None:
+    """For good, traffic moves to one zone until this has the share `magnitude`."""
+    fault = steps.fault
+    zone = steps.choose_zone()
+    proxies = steps.proxies_of(zone)
+    other_proxies = [proxy.name for proxy in steps.plan.relays if proxy.zone != zone]
+    share = sum(proxy.share for proxy in steps.plan.relays if proxy.zone == zone)
+    growth = max(share, fault.magnitude) - share
+    for number in range(1, SHIFT_STEPS + 1):
+        new_share = share + growth * number / SHIFT_STEPS
+        at_us = fault.at_us + number * fault.duration_us // SHIFT_STEPS
+        steps.set_demand(at_us, proxies, new_share / share)
+        steps.set_demand(at_us, other_proxies, (1 - new_share) / (1 - share))
+
+
+def flood_tenant(steps: FaultSteps) -> None:
+    """The tenant with the median share sends `magnitude` times its requests."""
+    by_share = sorted(steps.plan.tenants, key=lambda tenant: tenant[1])
+    name, _ = by_share[len(by_share) // 2]
+    steps.order(steps.fault.at_us, CLIENTS_ROLE, "louder", tenant=name, value=steps.fault.magnitude)
+    steps.order(steps.fault.end_us, CLIENTS_ROLE, "louder", tenant=name, value=1.0)
+
+
+def migrate_tenants(steps: FaultSteps) -> None:
+    """Some of the tenants of the first cell are migrated to the next, by the migration command itself."""
+    cells = steps.plan.cells
+    source = cells[0]
+    target = cells[1 % len(cells)]
+    candidates = sorted(tenant for tenant, cell in steps.plan.named.items() if cell == source)
+    count = max(1, round(steps.fault.affected_share * len(candidates)))
+    tenants = steps.random.sample(candidates, count)
+    steps.order(steps.fault.at_us, RUNNER_ROLE, "move", governor="", tenants=tenants, to=target)
+
+
+def roll_out_version(steps: FaultSteps) -> None:
+    """A staged rollout, cell by cell, of a version that fails some of its work and is slower for the rest."""
+    fault = steps.fault
+    steps.order(
+        fault.at_us,
+        RUNNER_ROLE,
+        "release",
+        governor="",
+        fails=fault.affected_share,
+        slow=fault.magnitude,
+        soak=fault.extra_us / SECOND_US,
+    )
--- a/gradehoist/scenario/runner.py
+++ b/gradehoist/scenario/runner.py
@@ -26,7 +26,8 @@
 from gradehoist.scenario.checks.records import Record as StoredEvent
 from gradehoist.scenario.checks.run_check import check_records
 from gradehoist.scenario.checks.verdict import Verdict
-from gradehoist.scenario.definition import Scene, settings_text
+from gradehoist.scenario.definition import Scenario
+from gradehoist.scenario.governor_settings import format_settings
 from gradehoist.settings.fleet import CellPlacement
 from gradehoist.testbed.process import Record, now
 from gradehoist.testbed.scenario_plan import Plan, Step
@@ -45,7 +46,7 @@
     """One run in `folder`, which holds plan, settings, logs and records afterwards."""
 
     def __init__(
-        self, scene: Scene, plan: Plan, folder: Path, progress: Progress | None = None, look: float = 0.0
+        self, scene: Scenario, plan: Plan, folder: Path, progress: Progress | None = None, look: float = 0.0
     ) -> None:
         self.scene, self.plan, self.folder = scene, plan, folder
         self.progress = progress or (lambda done, text, verdict: None)
@@ -93,7 +94,7 @@
         for kept in ("var", "moves"):  # what an earlier day's governors and mover kept is not this day's
             shutil.rmtree(self.folder / kept, ignore_errors=True)
         (self.folder / "plan.json").write_bytes(msgspec.json.encode(self.plan))
-        (self.folder / "settings.kdl").write_text(settings_text(self.scene, self.plan), encoding="utf-8")
+        (self.folder / "settings.kdl").write_text(format_settings(self.scene, self.plan), encoding="utf-8")
         if self.plan.cells:
             placed = CellPlacement(self.plan.cells, self.plan.workers, self.plan.named)
             (self.folder / "cells.json").write_bytes(msgspec.json.encode(placed))
--- a/tests/support/governor_process.py
+++ b/tests/support/governor_process.py
@@ -19,7 +19,7 @@
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http
-from gradehoist.scenario import definition
+from gradehoist.scenario.free_ports import find_free_ports
 from tests.support.governed_fleet import TEXT, entry
 
 LOCAL = "127.0.0.1"
@@ -31,7 +31,7 @@
     """Answers with the whole list; holds a call that has it, unless it is to answer at once."""
 
     def __init__(self, count: int = 4) -> None:
-        (self.port,) = definition.ports(1)
+        (self.port,) = find_free_ports(1)
         self.life, self.version, self.calls, self.hold = "l", 1, 0, True
         self.entries: dict[str, dict[str, Any]] = {}
         for n in range(count):
@@ -202,7 +202,7 @@
 ) -> AsyncIterator[tuple[Roster, Governor, list[Relay]]]:
     """A roster, one governor, and relays that it has bound."""
     roster = Roster()
-    (port,) = definition.ports(1)
+    (port,) = find_free_ports(1)
     governor = Governor(settings(folder, roster.port, port, change), port, **how)
     some: list[Relay] = []
     try:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -9,10 +9,11 @@
 import pytest
 
 from gradehoist.protocol import feed
-from gradehoist.scenario import definition
 from gradehoist.scenario.checks.records import OtherEvent, Record, load_records, parse_record
 from gradehoist.scenario.checks.run_check import check_records
 from gradehoist.scenario.checks.verdict import RuleResult, Verdict
+from gradehoist.scenario.definition_reader import read_scenario
+from gradehoist.scenario.plan_builder import build_plan, speed_up_plan
 from gradehoist.testbed.scenario_plan import Plan
 
 ROOT = Path(__file__).parent.parent
@@ -22,7 +23,7 @@
 
 
 def plan() -> Plan:
-    return definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
+    return build_plan(read_scenario(ROOT / "scenarios" / "short.kdl"), 1)
 
 
 PLAN = plan()
@@ -264,7 +265,7 @@
 
 
 def test_placement_and_records_that_are_not_whole() -> None:
-    bad = definition.draw(definition.read(ROOT / "scenarios" / "bad-day.kdl"), 1)
+    bad = build_plan(read_scenario(ROOT / "scenarios" / "bad-day.kdl"), 1)
     far = next(r.name for r in bad.replicas if r.zone == "hall-c")
     records = [rec(0, "relay_up", relay="r1", standing={}), *tried(1, "c1.1", far)]
     assert judge(*records, over=bad)["placement"].state == "broken"
@@ -276,8 +277,8 @@
 
 
 def test_a_hurried_day_is_the_same_script_in_less_time_under_the_same_rules() -> None:
-    plan = definition.draw(definition.read(ROOT / "scenarios" / "bad-day.kdl"), 1)
-    fast = definition.hurried(plan, 4.0)
+    plan = build_plan(read_scenario(ROOT / "scenarios" / "bad-day.kdl"), 1)
+    fast = speed_up_plan(plan, 4.0)
     assert fast.length * 4 == plan.length and fast.rules == plan.rules and fast.classes == plan.classes
     assert [(s.role, s.do) for s in fast.steps] == [(s.role, s.do) for s in plan.steps]
     assert all(abs(4 * a.at - b.at) <= 2 for a, b in zip(fast.steps, plan.steps, strict=True))
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -20,7 +20,9 @@
 from gradehoist.migration.runner import load_migrations
 from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http
-from gradehoist.scenario import definition
+from gradehoist.scenario.definition_reader import read_scenario
+from gradehoist.scenario.free_ports import find_free_ports
+from gradehoist.scenario.plan_builder import build_plan
 from gradehoist.settings.fleet import CellPlacement, read_settings
 from gradehoist.testbed.clients import Clients
 from gradehoist.testbed.proxy import Relays
@@ -185,7 +187,7 @@
 
     async def work() -> None:
         roster = Roster()
-        (port,) = definition.ports(1)
+        (port,) = find_free_ports(1)
         found = read_settings(settings(tmp_path, roster.port, port))
         service = GovernorService(found.fleet, found.governors[0])
         running = asyncio.ensure_future(service.run())
@@ -218,7 +220,7 @@
         placed = CellPlacement(("c0",), {f"w{n}": "c0" for n in range(4)})
         (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
         change = (("    reports", '    cells placement="p.json" lease="30ms"\n    reports'),)
-        roster, server, (port, worker) = Roster(), HttpServer(hang), definition.ports(2)
+        roster, server, (port, worker) = Roster(), HttpServer(hang), find_free_ports(2)
         server.listen(worker, LOCAL)
         for n in range(4):
             roster.put(entry(n), address=f"{LOCAL}:{worker}")
@@ -239,7 +241,7 @@
 def test_two_governors_never_share_one_state(tmp_path: Path) -> None:
     async def work() -> None:
         async with fleet(tmp_path) as (roster, governor, _):
-            (port,) = definition.ports(1)
+            (port,) = find_free_ports(1)
             path = tmp_path / "s.kdl"
             text = (
                 path.read_text()
@@ -261,7 +263,7 @@
 def test_a_state_that_cannot_be_read_is_named_as_such(tmp_path: Path) -> None:
     (tmp_path / "var").mkdir()
     (tmp_path / "var" / "a").write_text("a file where the folder should be")
-    one, two = definition.ports(2)
+    one, two = find_free_ports(2)
     governor = Governor(settings(tmp_path, one, two), two)
     assert governor.process.wait(20) == 2
     assert "> state: " in governor.log.read_text() and "address" not in governor.log.read_text()
@@ -311,7 +313,7 @@
     placed = CellPlacement(("c0", "c1"), {f"w{n}": f"c{n % 2}" for n in range(4)}, {"inn": "c0"})
     (tmp_path / "p.json").write_bytes(msgspec.json.encode(placed))
     change = (("    reports", '    cells placement="p.json"\n    reports'),)
-    one, two = definition.ports(2)
+    one, two = find_free_ports(2)
     path, store = settings(tmp_path, one, two, change), tmp_path / "moves"
     for where, most in (tmp_path / "p.json" / "x", 10**6), (store, 100):  # no folder; no room for a record
 
@@ -385,7 +387,7 @@
 def test_retries_of_all_layers_together_are_those_of_the_table(
     tmp_path: Path, repeat: str, meets: str, arrive: Callable[[int], int]
 ) -> None:
-    plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
+    plan = build_plan(read_scenario(ROOT / "scenarios" / "short.kdl"), 1)
     came: list[str] = []
 
     async def answer(request: http.Request, connection: Connection) -> ServerResponse | None:
@@ -394,7 +396,7 @@
 
     async def work() -> None:
         relay = next(iter(Relays(plan, "relays-hall-a", tmp_path).all.values()))
-        server, ports = HttpServer(answer), definition.ports(2)
+        server, ports = HttpServer(answer), find_free_ports(2)
         for port in ports:
             server.listen(port, LOCAL)
         names = [r.name for r in plan.replicas[:2]]
--- a/tests/test_fleet_governors.py
+++ b/tests/test_fleet_governors.py
@@ -13,7 +13,7 @@
 import pytest
 
 from gradehoist.membership.service import Membership
-from gradehoist.scenario import definition
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings.fleet import CoordinationSettings, parse_settings
 from gradehoist.settings.reader import SettingsError, SettingsReader
 from gradehoist.testbed import etcd_server as standin
@@ -26,7 +26,7 @@
 @contextlib.asynccontextmanager
 async def pair(folder: Path, where: str) -> AsyncIterator[tuple[Roster, list[Governor], list[Relay]]]:
     """Two governors of one register, a relay at each."""
-    roster, ports = Roster(), definition.ports(2)
+    roster, ports = Roster(), find_free_ports(2)
     path = settings(
         folder, roster.port, ports[0], [("    reports", f"    coordination {where} {RATES}\n    reports")]
     )
@@ -93,7 +93,7 @@
 
 def test_governors_start_serve_and_end_while_the_engine_is_away(tmp_path: Path) -> None:
     async def work() -> None:
-        (port,) = definition.ports(1)
+        (port,) = find_free_ports(1)
         async with pair(tmp_path, f'engine="127.0.0.1:{port}"') as (roster, (a, b), relays):
             await fleet_is(a, joined=False)
             await drained(roster, relays, 1)
@@ -112,7 +112,7 @@
 
 def test_a_governor_without_the_setting_has_no_part_of_it(tmp_path: Path) -> None:
     async def work() -> None:
-        roster, (port,) = Roster(), definition.ports(1)
+        roster, (port,) = Roster(), find_free_ports(1)
         governor = Governor(settings(tmp_path, roster.port, port), port)
         try:
             await governor.up()
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -20,7 +20,7 @@
 from gradehoist.history.exactly_once import find_duplicate_effects, find_fencing_violations
 from gradehoist.history.records import Effect, HistoryEntry, ProcessEvent, RejectedEffect, load_history
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
-from gradehoist.scenario import definition
+from gradehoist.scenario.free_ports import find_free_ports
 from tests.support.fleet_process import LOCAL, Spec
 
 ROOT = Path(__file__).parent.parent
@@ -68,7 +68,7 @@
         self, folder: Path, kind: str, count: int, guard: bool = True, step: float = 0.0, session: float = 2.0
     ) -> None:
         self.folder = folder
-        ledger, engine, *ports = definition.ports(count + 2)
+        ledger, engine, *ports = find_free_ports(count + 2)
         self.engine: subprocess.Popen[bytes] | None = None
         self.engine_port = engine
         if kind == "engine":
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -14,7 +14,7 @@
 
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.protocol import feed
-from gradehoist.scenario import definition
+from gradehoist.scenario.free_ports import find_free_ports
 from tests.support.governed_fleet import TEXT, entry
 from tests.support.governor_process import LOCAL, Governor, Relay, Roster
 
@@ -78,7 +78,7 @@
         self.roster = Roster(0)
         for n in range(REPLICAS):
             self.roster.put(msgspec.structs.replace(entry(n), zone=ZONES[n % 3]))
-        ports = definition.ports(3)
+        ports = find_free_ports(3)
         text = TEXT.format(relays=6, queue=4000, rate=4000).replace(":7000", f":{self.roster.port}")
         text = text.replace('zones "x" "y"', 'zones "x" "y" "z"')
         text = text.replace("    reports", f"    {FLEET}\n    reports")
--- a/tests/test_known_limits.py
+++ b/tests/test_known_limits.py
@@ -16,7 +16,7 @@
 from gradehoist.cells.migration import ReplicaFence
 from gradehoist.governor.policy_process import PolicyProcess
 from gradehoist.governor.service import GovernorService
-from gradehoist.scenario import definition
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings.fleet import read_settings
 from tests.support.governed_fleet import World, entry
 from tests.support.governor_process import GRACE, ROOT, Relay, Roster, play, settings, until
@@ -36,7 +36,7 @@
 
     async def work() -> None:
         monkeypatch.setattr(PolicyProcess, "handle", handle)
-        roster, (port,) = Roster(), definition.ports(1)
+        roster, (port,) = Roster(), find_free_ports(1)
         found = read_settings(settings(tmp_path, roster.port, port))
         service = GovernorService(found.fleet, found.governors[0])
         running = asyncio.ensure_future(service.run())
--- a/tests/test_migration_runner.py
+++ b/tests/test_migration_runner.py
@@ -21,7 +21,7 @@
 from gradehoist.migration import runner as mover
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, json_response
 from gradehoist.protocol import feed, http
-from gradehoist.scenario.definition import ports
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings.fleet import CellPlacement
 from gradehoist.store.atomic_file import FolderLock, FolderLockedError, write_file
 from tests.support.governed_fleet import on_sockets
@@ -34,7 +34,7 @@
     """A governor's book, four workers' fences and a roster, each on a port of its own."""
 
     def __init__(self, folder: Path, deaf: str = "") -> None:
-        found = ports(6)
+        found = find_free_ports(6)
         self.at = dict(zip(("roster", "g", *CELLS), found, strict=True))
         self.book = TenantDirectory("a")
         self.fences = {w: ReplicaFence(w, c, lease_until_us=1 << 60) for w, c in CELLS.items()}
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -21,7 +21,7 @@
 from gradehoist.migration import rollout as releasing
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, json_response
 from gradehoist.protocol import feed, http
-from gradehoist.scenario.definition import ports
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings.fleet import CellPlacement
 from tests.support.governed_fleet import on_sockets
 
@@ -69,7 +69,7 @@
     def __init__(self, folder: Path, bad: tuple[str, ...] = (), returns: bool = True) -> None:
         self.patience = 20.0 if returns else 0.5
         self.folder, self.bad, self.returns = folder, bad, returns
-        roster, port = self.ports = ports(2)
+        roster, port = self.ports = find_free_ports(2)
         self.counts = {c: Counter(came=0, unanswered=0, tries=0, bad=0, elapsed=0) for c in CELLS}
         workers = {w: c for c, ws in CELLS.items() for w in ws}
         self.settings = on_sockets(folder, roster, port, CellPlacement(tuple(CELLS), workers))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -35,10 +35,12 @@
 from gradehoist.net.client import ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, ServerTimeouts
 from gradehoist.protocol import feed, http
-from gradehoist.scenario import definition
 from gradehoist.scenario.checks.records import AttemptSent, load_records
 from gradehoist.scenario.checks.run_check import check_run_folder
 from gradehoist.scenario.checks.verdict import Rule
+from gradehoist.scenario.definition_reader import read_scenario
+from gradehoist.scenario.free_ports import find_free_ports
+from gradehoist.scenario.plan_builder import build_plan
 from gradehoist.scenario.runner import Run
 from gradehoist.testbed import scenario_plan as p
 from gradehoist.testbed.proxy import Relay, Relays
@@ -56,7 +58,7 @@
     """A roster in this process: says what it is told to say."""
 
     def __init__(self) -> None:
-        (self.port,) = definition.ports(1)
+        (self.port,) = find_free_ports(1)
         self.version, self.entries, self.status, self.calls = 1, [entry(n) for n in range(4)], 200, 0
         self.server = HttpServer(self.handle)
         self.server.listen(self.port, LOCAL)
@@ -77,7 +79,7 @@
     tmp_path: Path, patience: ServerTimeouts | None = None
 ) -> AsyncIterator[tuple[GovernorService, HttpClient]]:
     roster = Roster()
-    (port,) = definition.ports(1)
+    (port,) = find_free_ports(1)
     found = on_sockets(tmp_path, roster.port, port)
     service = GovernorService(found.fleet, found.governors[0])
     if patience:
@@ -304,7 +306,7 @@
 
 def test_an_answer_lost_after_the_work_is_not_repeated_for_what_must_never_run_twice(tmp_path: Path) -> None:
     """The repeat order stands at the relay, the work is done, and its answer is cut off half way."""
-    plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
+    plan = build_plan(read_scenario(ROOT / "scenarios" / "short.kdl"), 1)
     done: list[str] = []
 
     async def cut(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -344,7 +346,7 @@
 
 def test_no_line_left_after_a_try_that_may_have_run_is_not_told_as_never_run(tmp_path: Path) -> None:
     """Further tries are ordered and the table has one line: a 503 would have the client send it again."""
-    plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
+    plan = build_plan(read_scenario(ROOT / "scenarios" / "short.kdl"), 1)
 
     async def answer(request: http.Request, connection: Connection) -> ServerResponse | None:
         if (http.get_header(request.headers, "x-transaction") or "").startswith("cut"):
@@ -353,7 +355,7 @@
 
     async def work() -> None:
         relay: Relay = next(iter(Relays(plan, "relays-hall-a", tmp_path).all.values()))
-        (port,) = definition.ports(1)
+        (port,) = find_free_ports(1)
         server = HttpServer(answer)
         server.listen(port, LOCAL)
         name, cls = plan.replicas[0].name, next(c.name for c in plan.classes if c.repeat == "single")
@@ -381,7 +383,7 @@
 
 def test_half_an_answer_changes_nothing_at_a_relay_whatever_byte_the_governor_died_at(tmp_path: Path) -> None:
     """Cut at each byte and reset, as by a kill; then a governor of a new epoch answers whole."""
-    plan = definition.draw(definition.read(ROOT / "scenarios" / "short.kdl"), 1)
+    plan = build_plan(read_scenario(ROOT / "scenarios" / "short.kdl"), 1)
     plan = msgspec.structs.replace(plan, redial=(0, 0))
     lines = {"w1": 1.0, "w2": 2.5}
     deltas = (feed.BindDelta(7, tuple(c.name for c in plan.classes), lines), feed.WithdrawalDelta("w3"))
@@ -480,7 +482,7 @@
 
 def test_sigterm_and_a_taken_address(tmp_path: Path) -> None:
     text = (ROOT / "deploy" / "example.kdl").read_text()
-    one, two = definition.ports(2)
+    one, two = find_free_ports(2)
     path = tmp_path / "s.kdl"
     path.write_text(text.replace("7101", str(one)).replace("7102", str(two)))
     command = [sys.executable, "-m", "gradehoist", "governor", str(path), "--name", "a", "--log", "json"]
@@ -500,8 +502,8 @@
 
 
 def test_a_short_day_through_all_processes_keeps_the_rules(tmp_path: Path) -> None:
-    script = definition.read(ROOT / "scenarios" / "short.kdl")
-    day = Run(script, definition.draw(script, 1), tmp_path)
+    script = read_scenario(ROOT / "scenarios" / "short.kdl")
+    day = Run(script, build_plan(script, 1), tmp_path)
     assert asyncio.run(day.play())
     _, verdict = check_run_folder(tmp_path)
     states = {rule.rule: rule.state for rule in verdict.results}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,8 @@
 from click.testing import CliRunner
 
 from gradehoist.cli.main import main
-from gradehoist.scenario import definition
+from gradehoist.scenario.definition_reader import read_scenario
+from gradehoist.scenario.plan_builder import build_plan
 from gradehoist.settings.fleet import read_settings
 from gradehoist.settings.reader import SettingsError
 
@@ -105,8 +106,8 @@
 
 @pytest.mark.parametrize("path", SCENES, ids=lambda p: p.stem)
 def test_every_scene_reads_and_draws_the_same_day_for_a_seed(path: Path) -> None:
-    found = definition.read(path)
-    one, two = definition.draw(found, 5), definition.draw(found, 5)
+    found = read_scenario(path)
+    one, two = build_plan(found, 5), build_plan(found, 5)
     assert one.steps == two.steps and one.steps and one.rate == two.rate
     assert [r.speed for r in one.replicas] == [r.speed for r in two.replicas]
-    assert one.steps != definition.draw(found, 6).steps or len(found.faults) < 2
+    assert one.steps != build_plan(found, 6).steps or len(found.faults) < 2
--- a/tests/test_store_backends.py
+++ b/tests/test_store_backends.py
@@ -28,7 +28,7 @@
     StoreUnavailableError,
 )
 from gradehoist.net.etcd import EtcdStore
-from gradehoist.scenario import definition
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.store.sqlite_store import SqliteStore
 from gradehoist.testbed import etcd_server as standin
 
@@ -46,7 +46,7 @@
         finally:
             await own.close()
         return
-    (port,) = definition.ports(1)
+    (port,) = find_free_ports(1)
     engine, server = standin.serve(port)
     own = EtcdStore("127.0.0.1", port)
     try:
@@ -233,7 +233,7 @@
         behind.order({"full": True})
         with pytest.raises(StoreFullError):
             await own.commit((Put("b", b"1", 0),), "x:2")
-        (port,) = definition.ports(1)
+        (port,) = find_free_ports(1)
         nobody = EtcdStore("127.0.0.1", port)
         with pytest.raises(StoreUnavailableError):
             await nobody.commit((Put("b", b"1", 0),), "x:2")
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -47,7 +47,7 @@
 from gradehoist.protocol import feed
 from gradehoist.scenario.checks.run_check import check_run_folder
 from gradehoist.scenario.checks.verdict import Verdict
-from gradehoist.scenario.definition import ports
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings import reader
 from gradehoist.settings.fleet import CellPlacement, parse_settings
 from gradehoist.store.sqlite_store import SqliteStore
@@ -659,7 +659,7 @@
         cell_by_tenant={"inn3": "c0"},
     )
     (tmp_path / "cells.json").write_bytes(msgspec.json.encode(placed))
-    roster, port = ports(2)
+    roster, port = find_free_ports(2)
     text = reader.SettingsReader("settings")
     settings = parse_settings(text.parse(SETTINGS.format(roster=roster, governor=port)), tmp_path)
     text.raise_errors()
