--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,6 +22,8 @@
 from bench.register import figures as register_figures
 from gradehoist.net.client import HttpClient
 from gradehoist.protocol import feed, http
+from gradehoist.protocol.http_parser import Parser
+from gradehoist.protocol.proxy_state import ProxyState, TableKey
 from gradehoist.scenario.checks.records import MessageApplied, StreamBegan, load_records
 from gradehoist.scenario.checks.run_check import check_run_folder
 from gradehoist.scenario.definition_reader import read_scenario
@@ -44,11 +46,11 @@
     data, times = REQUEST * 50, dict[str, list[float]](ours=[], h11=[], reading=[])
 
     def reading() -> int:
-        reader = http.Parser(http.Role.SERVER)
+        reader = Parser(http.Role.SERVER)
         return sum(len(reader.receive(data)) for _ in range(20))
 
     def ours() -> int:
-        reader, count = http.Parser(http.Role.SERVER), 0
+        reader, count = Parser(http.Role.SERVER), 0
         for _ in range(20):
             for _event in reader.receive(data):
                 http.format_response(204)
@@ -325,9 +327,9 @@
     asyncio.run(_idle(5000))
 
 
-def whole_size(held: feed.ProxyState) -> int:
+def whole_size(held: ProxyState) -> int:
     """Bytes of a whole picture of what a relay holds."""
-    tables: dict[tuple[int, int], list[str]] = {}
+    tables: dict[TableKey, list[str]] = {}
     for cls, key in held.table_by_class.items():
         tables.setdefault(key, []).append(cls)
     deltas: list[feed.Delta] = [
@@ -340,15 +342,15 @@
 
 def sizes(folder: Path) -> None:
     """Bytes of the messages of a run, and of whole pictures in their place."""
-    held: dict[str, feed.ProxyState] = {}
+    held: dict[str, ProxyState] = {}
     deltas = whole = 0
     for record in load_records(folder):
         event = record.event
         if isinstance(event, StreamBegan):
-            held.setdefault(event.proxy, feed.ProxyState()).begin_stream()
+            held.setdefault(event.proxy, ProxyState()).begin_stream()
         elif isinstance(event, MessageApplied):
             message = event.message
-            mine = held.setdefault(event.proxy, feed.ProxyState())
+            mine = held.setdefault(event.proxy, ProxyState())
             mine.apply(message)
             deltas += len(msgspec.json.encode(message))
             whole += whole_size(mine)
--- a/gradehoist/governor/feed_polls.py
+++ b/gradehoist/governor/feed_polls.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from gradehoist.governor.clock import monotonic_us
+from gradehoist.clock import monotonic_us
 from gradehoist.governor.proxy_sessions import FeedPoll
 from gradehoist.governor.shell_state import ShellState
 from gradehoist.net.server import Connection, ServerResponse, error_response
--- a/gradehoist/governor/policy_loop.py
+++ b/gradehoist/governor/policy_loop.py
@@ -6,7 +6,7 @@
 import contextlib
 from collections.abc import Callable
 
-from gradehoist.governor.clock import monotonic_us
+from gradehoist.clock import monotonic_us
 from gradehoist.governor.policy_instances import PolicyBatch, PolicyReply
 from gradehoist.governor.policy_process import PolicyProcess, PolicyProcessError
 from gradehoist.governor.shell_state import ShellState
--- a/gradehoist/scenario/checks/replay.py
+++ b/gradehoist/scenario/checks/replay.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from gradehoist.cells.routes import class_label
-from gradehoist.protocol.feed import ProxyState
+from gradehoist.protocol.proxy_state import ProxyState
 from gradehoist.scenario.checks.records import (
     EndpointsNotified,
     GovernorKilled,
--- a/tests/support/interleavings.py
+++ b/tests/support/interleavings.py
@@ -21,6 +21,7 @@
 from gradehoist.governor.policy_instances import PolicyReply
 from gradehoist.governor.proxy_sessions import FeedPoll
 from gradehoist.protocol import feed
+from gradehoist.protocol.proxy_state import ProxyState
 from tests.support.governed_fleet import SECOND, entry, settings
 
 TICK = 50_000
@@ -94,7 +95,7 @@
     name: str
     zone: str
     at: int  # the governor that it follows
-    holdings: feed.ProxyState = field(default_factory=feed.ProxyState)
+    holdings: ProxyState = field(default_factory=ProxyState)
     epoch: str = ""
     stream: int = 0
     after: int = 0
