--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -46,8 +46,9 @@
 from gradehoist.net.client import HttpClient
 from gradehoist.net.coordination_client import CoordinationClient
 from gradehoist.protocol import feed
-from gradehoist.scenario import audit
-from gradehoist.scenario.definition import ports
+from gradehoist.scenario.checks.run_check import check_run_folder
+from gradehoist.scenario.checks.verdict import Verdict
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings import reader
 from gradehoist.settings.fleet import CellPlacement, parse_settings
 from gradehoist.store.sqlite_store import SqliteStore
@@ -659,7 +660,7 @@
         cell_by_tenant={"inn3": "c0"},
     )
     (tmp_path / "cells.json").write_bytes(msgspec.json.encode(placed))
-    roster, port = ports(2)
+    roster, port = find_free_ports(2)
     text = reader.SettingsReader("settings")
     settings = parse_settings(text.parse(SETTINGS.format(roster=roster, governor=port)), tmp_path)
     text.raise_errors()
@@ -830,20 +831,20 @@
 Break = tuple[float, str, str, str]  # when, at which relay and replica, what
 
 
-def figures(verdict: audit.Verdict) -> dict[str, tuple[str, float, int, list[Break]]]:
+def figures(verdict: Verdict) -> dict[str, tuple[str, float, int, list[Break]]]:
     return {
         rule.rule: (
             rule.state,
-            rule.near,
+            rule.limit_used,
             rule.occasions,
-            [(found.at, found.relay, found.replica, found.text) for found in rule.breaks],
+            [(found.at_s, found.proxy, found.replica, found.description) for found in rule.violations],
         )
-        for rule in verdict.rules
+        for rule in verdict.results
     }
 
 
 def test_a_run_folder_is_judged_as_before() -> None:
-    plan, verdict = audit.folder(DATA / "run")
+    plan, verdict = check_run_folder(DATA / "run")
     assert (plan.name, plan.seed, plan.length) == ("tiny", 1, 3_500_000)
     assert figures(verdict) == {
         "line": ("kept", 0.0, 96, []),
@@ -854,14 +855,14 @@
         "queue": ("kept", 0.2, 12, []),
         "placement": ("kept", 0.0, 16, []),
     }
-    assert (verdict.complete, verdict.why, verdict.good) == (True, "", True)
-    assert (verdict.answered, verdict.transactions) == (0.6087, 24)
-    assert verdict.by_class == {"rate-check": 0.7692, "booking-commit": 0.5455}
+    assert (verdict.is_complete, verdict.reason, verdict.is_passed) == (True, "", True)
+    assert (verdict.completed_share, verdict.requests) == (0.6087, 24)
+    assert verdict.completed_share_by_class == {"rate-check": 0.7692, "booking-commit": 0.5455}
     assert command("audit", DATA / "run").exit_code == 0
 
 
 def test_a_run_folder_that_broke_every_rule_is_judged_as_before() -> None:
-    _, verdict = audit.folder(DATA / "run-broken")
+    _, verdict = check_run_folder(DATA / "run-broken")
     assert figures(verdict) == {
         "line": (
             "broken",
@@ -916,7 +917,7 @@
         ),
         "placement": ("kept", 0.0, 7, []),
     }
-    assert (verdict.complete, verdict.good) == (True, False)
+    assert (verdict.is_complete, verdict.is_passed) == (True, False)
     assert command("audit", DATA / "run-broken").exit_code == 1
 
 
