--- a/tests/test_boundary_values.py
+++ b/tests/test_boundary_values.py
@@ -14,7 +14,7 @@
 from gradehoist.governor.cell_stats import CellStats
 from gradehoist.governor.channel import Channel
 from gradehoist.governor.load_reports import LoadReportQueue
-from gradehoist.governor.policy_process import explain_orders
+from gradehoist.governor.order_reasons import explain_orders
 from gradehoist.identifiers import Identifiers
 from gradehoist.interface import (
     AttemptsReported,
@@ -229,7 +229,9 @@
 
 
 def test_channel_door_budget_and_figures_at_the_edges() -> None:
-    channel = Channel(100.0, 1e-3 * 1e6, 1, SECOND)
+    channel = Channel(
+        queue_limit_lines=100.0, lines_per_s=1e-3 * 1e6, messages_per_window=1, window_us=SECOND
+    )
     channel.add_proxy(0)
     message = feed.Message(1, 1, 0, 0.0, ())
     assert not channel.put(2**53, 0, 1, message)
