--- a/bench/node.py
+++ b/bench/node.py
@@ -12,7 +12,7 @@
 
 import psutil
 
-from gradehoist.testbed.platform import Node, Proxy, entry
+from gradehoist.testbed.platform import NodeProcess, ProxyStream, build_member
 
 ROUNDS = 9
 SIZES = ((60, 30), (150, 30), (400, 30))
@@ -43,20 +43,20 @@
 
 
 async def play(proxies: int, replicas: int) -> Figures:
-    members = [entry(f"s-{n}", locality="abc"[n % 3]) for n in range(replicas)]
+    members = [build_member(f"s-{n}", locality="abc"[n % 3]) for n in range(replicas)]
     with tempfile.TemporaryDirectory() as folder:
-        node = Node(Path(folder), settings(proxies), members, sockets=1_024)
+        node = NodeProcess(Path(folder), settings(proxies), members, sockets=1_024)
         try:
             start = await node.start()
             began = time.monotonic()
-            peers = [await Proxy(node, n, "abc"[n % 3]).join() for n in range(proxies)]
-            await asyncio.gather(*(peer.until("whole=1") for peer in peers))
+            peers = [await ProxyStream(node, n, "abc"[n % 3]).connect() for n in range(proxies)]
+            await asyncio.gather(*(peer.read_until("whole=1") for peer in peers))
             bound, took = time.monotonic() - began, []
             for n in range(ROUNDS):
                 await asyncio.sleep(0.5)
                 began = time.monotonic()
-                node.discoveries[0].change(entry(f"s-{n}", "leaving", locality="abc"[n % 3]))
-                await asyncio.gather(*(peer.until(f"out=s-{n}") for peer in peers))
+                node.discoveries[0].update_member(build_member(f"s-{n}", "leaving", locality="abc"[n % 3]))
+                await asyncio.gather(*(peer.read_until(f"out=s-{n}") for peer in peers))
                 took.append(time.monotonic() - began)
             assert node.child is not None
             memory = psutil.Process(node.child.pid).memory_info().rss / 2**20
--- a/gradehoist/scenario/checks/channel.py
+++ b/gradehoist/scenario/checks/channel.py
@@ -11,7 +11,7 @@
 from gradehoist.scenario.checks.checker import Checker, RunContext
 from gradehoist.scenario.checks.records import MessageApplied, Record
 from gradehoist.scenario.checks.verdict import Rule
-from gradehoist.testbed.scenario_plan import Rules
+from gradehoist.testbed.scenario_plan import SafetyRules
 
 # A message's creation and its application are stamped by two processes, each some time after the fact.
 PACE_TOLERANCE_US = 5_000
@@ -49,9 +49,9 @@
         yield QueueState(sent_us=sent_us, waiting_lines=waiting_lines)
 
 
-def minimum_cost_lines(message: Message, rules: Rules) -> float:
+def minimum_cost_lines(message: Message, rules: SafetyRules) -> float:
     """The least cost of a message by its content: overhead, a line a delta, and the lines of tables."""
-    lines = rules.message_head + len(message.deltas)
+    lines = rules.message_overhead_lines + len(message.deltas)
     if message.revision is not None:
         lines += 1
     for delta in message.deltas:
@@ -102,7 +102,7 @@
             self.result.occasions += len(ordered)
             self._check_queue(ordered)
             self._check_pace(ordered)
-            if self.context.plan.rules.message_limit:
+            if self.context.plan.rules.messages_per_window:
                 self._check_message_rates(ordered)
 
     def _minimum_cost(self, applied: AppliedMessage) -> float:
@@ -118,12 +118,12 @@
             )
             for applied in ordered
         ]
-        states = replay_channel(queued, rules.line_rate)
+        states = replay_channel(queued, rules.lines_per_s)
         for applied, state in zip(ordered, states, strict=True):
             event, record = applied.event, applied.record
             created_us = applied.message.created_us
-            self.use_limit(state.waiting_lines / rules.queue_limit)
-            if state.waiting_lines > rules.queue_limit + QUEUE_TOLERANCE_LINES:
+            self.use_limit(state.waiting_lines / rules.queue_limit_lines)
+            if state.waiting_lines > rules.queue_limit_lines + QUEUE_TOLERANCE_LINES:
                 description = f"{state.waiting_lines:.0f} lines waited in the channel of {event.governor}"
                 self.report(created_us, description, [record], proxy=event.proxy)
             if record.time_us < created_us:
@@ -135,7 +135,7 @@
         Whatever the order within one reply: what was created since `busy_since_us` and has come by now must
         fit between the two at the stated pace. What was created earlier may have been out before.
         """
-        lines_per_s = self.context.plan.rules.line_rate
+        lines_per_s = self.context.plan.rules.lines_per_s
         busy_since_us = 0
         sent_lines = 0.0
         for applied in sorted(ordered, key=lambda each: each.record.time_us):
@@ -160,9 +160,9 @@
         for (proxy, _), stream_messages in by_stream.items():
             times_us = sorted(applied.message.created_us for applied in stream_messages)
             for number, time_us in enumerate(times_us, 1):
-                in_window = number - bisect_right(times_us, time_us - rules.message_window)
-                self.use_limit(in_window / rules.message_limit)
-                if in_window > rules.message_limit:
+                in_window = number - bisect_right(times_us, time_us - rules.message_window_us)
+                self.use_limit(in_window / rules.messages_per_window)
+                if in_window > rules.messages_per_window:
                     description = f"{in_window} messages within the window"
                     self.report(time_us, description, [stream_messages[0].record], proxy=proxy)
 
--- a/gradehoist/scenario/checks/completion.py
+++ b/gradehoist/scenario/checks/completion.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from gradehoist.scenario.checks.records import Record, RequestCompleted
-from gradehoist.testbed.scenario_plan import Class, Plan
+from gradehoist.testbed.scenario_plan import Plan, RequestClassPlan
 
 OK_STATUS = 200
 
@@ -24,14 +24,14 @@
         return round(self.completed / self.requested, 4) if self.requested else 0.0
 
 
-def completed_weight(request_class: Class, status: int, elapsed_us: int) -> float:
+def completed_weight(request_class: RequestClassPlan, status: int, elapsed_us: int) -> float:
     """The weight that a response earns: less after the latency objective, none after the deadline."""
     if status != OK_STATUS:
         return 0.0
-    if elapsed_us <= request_class.goal:
-        return request_class.gain
-    if elapsed_us <= request_class.cutoff:
-        return request_class.gain * request_class.late_gain
+    if elapsed_us <= request_class.latency_objective_us:
+        return request_class.priority_weight
+    if elapsed_us <= request_class.deadline_us:
+        return request_class.priority_weight * request_class.late_priority_factor
     return 0.0
 
 
@@ -45,5 +45,5 @@
             elapsed_us = record.time_us - record.event.began_us
             weight = weights[request_class.name]
             weight.completed += completed_weight(request_class, record.event.status, elapsed_us)
-            weight.requested += request_class.gain
+            weight.requested += request_class.priority_weight
     return weights
--- a/gradehoist/scenario/checks/drain.py
+++ b/gradehoist/scenario/checks/drain.py
@@ -30,7 +30,7 @@
         known = self.context.replay.endpoint_views[stream.governor].phases.get(attempt.replica)
         if known is None or not self._must_stop(known.phase):
             return
-        grace_us = self.context.plan.rules.grace
+        grace_us = self.context.plan.rules.drain_grace_us
         elapsed_us = record.time_us - max(known.since_us, stream.since_us)
         self.use_limit(elapsed_us / grace_us)
         if elapsed_us > grace_us:
@@ -40,4 +40,4 @@
             self.report(record.time_us, description, [record], proxy=attempt.proxy, replica=attempt.replica)
 
     def _must_stop(self, phase: str) -> bool:
-        return phase == DRAINING or (phase == GONE and not self.context.plan.rules.gone_is_advice)
+        return phase == DRAINING or (phase == GONE and not self.context.plan.rules.gone_is_advisory)
--- a/gradehoist/scenario/checks/duplicate_effects.py
+++ b/gradehoist/scenario/checks/duplicate_effects.py
@@ -53,10 +53,10 @@
         """Judges every request that is not idempotent."""
         for (proxy, request), attempts in self.attempts.items():
             request_class = self.context.fleet.classes[attempts[0][1].request_class]
-            if request_class.repeat == Idempotency.IDEMPOTENT.value:
+            if request_class.idempotency == Idempotency.IDEMPOTENT.value:
                 continue
             self.result.occasions += 1
-            if request_class.repeat == Idempotency.IDEMPOTENCY_KEY.value:
+            if request_class.idempotency == Idempotency.IDEMPOTENCY_KEY.value:
                 self.is_undecidable = True
                 self.result.reason = f"{request_class.name} is guarded: groups are not in these records"
                 continue
@@ -74,7 +74,7 @@
 
     def _check_retries(self, proxy: str, request: str, attempts: list[tuple[Record, AttemptSent]]) -> None:
         without_effect = set(self.fenced_at[request])
-        if self.context.plan.full_is_proof:
+        if self.context.plan.rejection_proves_no_effect:
             without_effect |= self.shed_at[request]
         for number, (record, attempt) in enumerate(attempts[1:], 1):
             earlier = {sent.replica for _, sent in attempts[:number]}
--- a/gradehoist/scenario/checks/migrations.py
+++ b/gradehoist/scenario/checks/migrations.py
@@ -97,6 +97,6 @@
             if completed.status != OK_STATUS or completed.request in writes_by_key:
                 continue
             request_class = self.context.fleet.classes[completed.request_class]
-            if request_class.repeat == Idempotency.NOT_IDEMPOTENT.value:
+            if request_class.idempotency == Idempotency.NOT_IDEMPOTENT.value:
                 description = f"{completed.request} was answered and never written"
                 self.report(record.time_us, description, [record], proxy=completed.proxy)
--- a/gradehoist/scenario/checks/overload.py
+++ b/gradehoist/scenario/checks/overload.py
@@ -69,7 +69,7 @@
             return False  # it was notified of an earlier start only
         if stream.last_created_us > known.since_us:
             return True
-        return time_us - max(known.since_us, stream.since_us) > self.context.plan.rules.grace
+        return time_us - max(known.since_us, stream.since_us) > self.context.plan.rules.drain_grace_us
 
     def _check_warmup(self, name: str, incarnation: int, arrivals: list[Arrival]) -> None:
         rules = self.context.plan.rules
@@ -77,14 +77,14 @@
         window: deque[Arrival] = deque()
         for arrival in arrivals:
             window.append(arrival)
-            while window[0].record.time_us < arrival.record.time_us - rules.fall_span:
+            while window[0].record.time_us < arrival.record.time_us - rules.overload_window_us:
                 window.popleft()
             work_ms = sum(each.attempt.work_ms for each in window)
             noticed_ms = sum(each.attempt.work_ms for each in window if each.is_noticed)
             if noticed_ms < work_ms * NOTICED_NUMERATOR / NOTICED_DENOMINATOR:
                 continue
             capacity = replica.cores * replica.speed * arrival.attempt.warmth * 1e-3  # ms of work a µs
-            budget_ms = rules.fall_multiple * capacity * rules.fall_span
+            budget_ms = rules.overload_multiple * capacity * rules.overload_window_us
             self.use_limit(work_ms / budget_ms)
             deaths = self._deaths_near(name, arrival.record.time_us)
             if work_ms > budget_ms and deaths:
--- a/gradehoist/scenario/checks/placement.py
+++ b/gradehoist/scenario/checks/placement.py
@@ -29,7 +29,7 @@
         self.report(record.time_us, description, [record], proxy=attempt.proxy, replica=attempt.replica)
 
     def _check_cell(self, record: Record, attempt: AttemptSent) -> None:
-        if not attempt.cell or self.context.plan.workers.get(attempt.replica) == attempt.cell:
+        if not attempt.cell or self.context.plan.cell_by_replica.get(attempt.replica) == attempt.cell:
             return
         # A proxy that has no table of the cell is on its default tables, which know no cells.
         label = class_label(attempt.cell, attempt.request_class)
--- a/gradehoist/scenario/checks/replay.py
+++ b/gradehoist/scenario/checks/replay.py
@@ -22,7 +22,7 @@
     StreamBegan,
     StreamLost,
 )
-from gradehoist.testbed.scenario_plan import Class, Plan, Replica
+from gradehoist.testbed.scenario_plan import Plan, ReplicaPlan, RequestClassPlan
 
 READY = "ready"
 DRAINING = "draining"
@@ -35,18 +35,20 @@
 
     def __init__(self, plan: Plan) -> None:
         """Indexes the plan."""
-        self.replicas: dict[str, Replica] = {replica.name: replica for replica in plan.replicas}
-        self.zone_by_proxy = {proxy.name: proxy.zone for proxy in plan.relays}
-        self.classes: dict[str, Class] = {request_class.name: request_class for request_class in plan.classes}
+        self.replicas: dict[str, ReplicaPlan] = {replica.name: replica for replica in plan.replicas}
+        self.zone_by_proxy = {proxy.name: proxy.zone for proxy in plan.proxies}
+        self.classes: dict[str, RequestClassPlan] = {
+            request_class.name: request_class for request_class in plan.classes
+        }
 
-    def is_allowed(self, request_class: Class, replica: Replica, proxy: str) -> bool:
+    def is_allowed(self, request_class: RequestClassPlan, replica: ReplicaPlan, proxy: str) -> bool:
         """Whether the rules of placement let the proxy send the class to the replica."""
         proxy_zone = self.zone_by_proxy[proxy]
-        if request_class.only_zones is not None and replica.zone not in request_class.only_zones:
+        if request_class.allowed_zones is not None and replica.zone not in request_class.allowed_zones:
             return False
-        if request_class.only_kinds is not None and replica.kind not in request_class.only_kinds:
+        if request_class.allowed_kinds is not None and replica.kind not in request_class.allowed_kinds:
             return False
-        return not request_class.stays_local or replica.zone == proxy_zone
+        return not request_class.zone_local or replica.zone == proxy_zone
 
 
 @dataclass(frozen=True)
@@ -55,7 +57,7 @@
 
     cell: str
     label: str
-    request_class: Class
+    request_class: RequestClassPlan
 
 
 def list_classes_by_cell(plan: Plan) -> list[ClassInCell]:
--- a/gradehoist/scenario/checks/run_check.py
+++ b/gradehoist/scenario/checks/run_check.py
@@ -86,7 +86,7 @@
         if isinstance(record.event, ProcessFailed):
             return f"{record.role} failed: {record.event.reason}"
     ended = {record.role for record in records if isinstance(record.event, ProcessEnded)}
-    unfinished = set(plan.controls) - ended
+    unfinished = set(plan.control_ports) - ended
     if unfinished:
         return "no end in the records of " + ", ".join(sorted(unfinished))
     return ""
--- a/gradehoist/scenario/checks/unroutable.py
+++ b/gradehoist/scenario/checks/unroutable.py
@@ -73,18 +73,18 @@
 
     def _is_open(self, replica: str, proxy: str, cell_class: ClassInCell, time_us: int) -> bool:
         plan, fleet = self.context.plan, self.context.fleet
-        if plan.workers.get(replica, "") != cell_class.cell:
+        if plan.cell_by_replica.get(replica, "") != cell_class.cell:
             return False
         if not fleet.is_allowed(cell_class.request_class, fleet.replicas[replica], proxy):
             return False
         started_us = self.context.replay.cold_starts_us.get(replica)
-        return started_us is None or time_us - started_us >= plan.rules.cold_time
+        return started_us is None or time_us - started_us >= plan.rules.warmup_us
 
     def _end_unroutable(self, proxy: str, label: str, time_us: int) -> None:
         since_us = self.unroutable_since_us.pop((proxy, label), None)
         if since_us is None:
             return
-        limit_us = self.context.plan.rules.bare_limit
+        limit_us = self.context.plan.rules.unroutable_limit_us
         elapsed_us = time_us - since_us
         self.use_limit(elapsed_us / limit_us)
         if elapsed_us > limit_us:
--- a/gradehoist/scenario/faults/control_plane.py
+++ b/gradehoist/scenario/faults/control_plane.py
@@ -18,7 +18,7 @@
 
 def slow_channel(steps: FaultSteps) -> None:
     """Channels are slower by the magnitude, in bytes that all proxies of a governor share."""
-    bytes_per_s = steps.plan.rules.line_rate * LINE_BYTES / max(1.0, steps.fault.magnitude)
+    bytes_per_s = steps.plan.rules.lines_per_s * LINE_BYTES / max(1.0, steps.fault.magnitude)
     governors = [steps.fault.governor] if steps.fault.governor else steps.governors()
     steps.order(steps.fault.at_us, LINKS_ROLE, "pace", targets=governors, value=bytes_per_s)
     steps.order(steps.fault.end_us, LINKS_ROLE, "pace", targets=governors, value=0.0)
--- a/gradehoist/scenario/faults/kinds.py
+++ b/gradehoist/scenario/faults/kinds.py
@@ -9,7 +9,7 @@
 from gradehoist.scenario.faults.steps import FaultSteps
 from gradehoist.settings.fleet import Settings
 from gradehoist.settings.reader import Node, choice_parser, number_parser, parse_duration_us
-from gradehoist.testbed.process import dice
+from gradehoist.testbed.process import create_random
 from gradehoist.testbed.scenario_plan import Plan, Step
 
 DEFAULT_DURATION_US = 10_000_000
@@ -83,7 +83,7 @@
     """All steps of a run, in order of time; each fault draws from a random generator of its own."""
     steps: list[Step] = []
     for number, fault in enumerate(faults):
-        fault_steps = FaultSteps(plan, fault, delays, dice(plan.seed, "trouble", number))
+        fault_steps = FaultSteps(plan, fault, delays, create_random(plan.seed, "trouble", number))
         FAULT_KINDS[fault.kind](fault_steps)
         steps += fault_steps.steps
-    return tuple(sorted(steps, key=lambda step: step.at))
+    return tuple(sorted(steps, key=lambda step: step.at_us))
--- a/gradehoist/scenario/faults/network.py
+++ b/gradehoist/scenario/faults/network.py
@@ -13,7 +13,7 @@
     """All replicas of a zone end and start again; variant all: its proxies and governors too."""
     fault = steps.fault
     zone = steps.choose_zone()
-    replicas = [replica.name for replica in steps.plan.replicas if replica.zone == zone and replica.listed]
+    replicas = [replica.name for replica in steps.plan.replicas if replica.zone == zone and replica.is_listed]
     if fault.variant is Variant.SILENT:
         steps.silence_replicas(fault.at_us, replicas)
     else:
--- a/gradehoist/scenario/faults/replica.py
+++ b/gradehoist/scenario/faults/replica.py
@@ -81,7 +81,7 @@
     """Replicas drain and end for good; as many spare ones, which are new, start at the end of the fault."""
     replicas = steps.choose_replicas()
     steps.drain_replicas(steps.fault.at_us, replicas)
-    spare = [replica.name for replica in steps.plan.replicas if not replica.listed][: len(replicas)]
+    spare = [replica.name for replica in steps.plan.replicas if not replica.is_listed][: len(replicas)]
     if spare:
         steps.restart_replicas(steps.fault.end_us, spare)
 
--- a/gradehoist/scenario/faults/steps.py
+++ b/gradehoist/scenario/faults/steps.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from gradehoist.scenario.faults.fault import EndpointListDelays, Fault
-from gradehoist.testbed.scenario_plan import Plan, Replica, Step
+from gradehoist.testbed.scenario_plan import Plan, ReplicaPlan, Step
 
 RUNNER_ROLE = "day"
 CLIENTS_ROLE = "clients"
@@ -35,7 +35,7 @@
 
     def choose_replicas(self) -> list[str]:
         """Draws the share of the listed replicas that fit the fault, at least one."""
-        candidates = [replica for replica in self.plan.replicas if replica.listed and self._fits(replica)]
+        candidates = [replica for replica in self.plan.replicas if replica.is_listed and self._fits(replica)]
         count = max(1, round(self.fault.affected_share * len(candidates)))
         chosen = self.random.sample(candidates, min(count, len(candidates)))
         return [replica.name for replica in chosen]
@@ -43,7 +43,7 @@
     def choose_proxies(self) -> list[str]:
         """Draws the share of the proxies of the fault's zone, or of all, at least one."""
         candidates = [
-            proxy.name for proxy in self.plan.relays if not self.fault.zone or proxy.zone == self.fault.zone
+            proxy.name for proxy in self.plan.proxies if not self.fault.zone or proxy.zone == self.fault.zone
         ]
         return self.random.sample(candidates, max(1, round(self.fault.affected_share * len(candidates))))
 
@@ -53,13 +53,13 @@
 
     def proxies_of(self, zone: str) -> list[str]:
         """The proxies of a zone."""
-        return [proxy.name for proxy in self.plan.relays if proxy.zone == zone]
+        return [proxy.name for proxy in self.plan.proxies if proxy.zone == zone]
 
     def governors(self) -> list[str]:
         """All governors."""
         return [name for name, _, _ in self.plan.governors]
 
-    def _fits(self, replica: Replica) -> bool:
+    def _fits(self, replica: ReplicaPlan) -> bool:
         if self.fault.zone and replica.zone != self.fault.zone:
             return False
         return not self.fault.replica_kind or replica.kind == self.fault.replica_kind
@@ -68,7 +68,7 @@
 
     def order(self, at_us: int, role: str, name: str, **fields: Any) -> None:
         """Orders something of the process of a role."""
-        self.steps.append(Step(at=at_us, role=role, do={"do": name, **fields}))
+        self.steps.append(Step(at_us=at_us, role=role, command={"do": name, **fields}))
 
     def order_replicas(self, at_us: int, name: str, replicas: Iterable[str], value: Any = None) -> None:
         """Orders something of replicas, through the processes of their zones."""
--- a/gradehoist/scenario/faults/traffic.py
+++ b/gradehoist/scenario/faults/traffic.py
@@ -12,7 +12,7 @@
 def overload_few_proxies(steps: FaultSteps) -> None:
     """A few proxies get `magnitude` times the whole traffic on top of their own."""
     proxies = steps.choose_proxies()
-    share = sum(proxy.share for proxy in steps.plan.relays if proxy.name in proxies)
+    share = sum(proxy.traffic_share for proxy in steps.plan.proxies if proxy.name in proxies)
     steps.set_demand(steps.fault.at_us, proxies, 1 + steps.fault.magnitude / max(share, LEAST_SHARE))
     steps.set_demand(steps.fault.end_us, proxies, 1.0)
 
@@ -22,8 +22,8 @@
     fault = steps.fault
     zone = steps.choose_zone()
     proxies = steps.proxies_of(zone)
-    other_proxies = [proxy.name for proxy in steps.plan.relays if proxy.zone != zone]
-    share = sum(proxy.share for proxy in steps.plan.relays if proxy.zone == zone)
+    other_proxies = [proxy.name for proxy in steps.plan.proxies if proxy.zone != zone]
+    share = sum(proxy.traffic_share for proxy in steps.plan.proxies if proxy.zone == zone)
     growth = max(share, fault.magnitude) - share
     for number in range(1, SHIFT_STEPS + 1):
         new_share = share + growth * number / SHIFT_STEPS
@@ -34,7 +34,7 @@
 
 def flood_tenant(steps: FaultSteps) -> None:
     """The tenant with the median share sends `magnitude` times its requests."""
-    by_share = sorted(steps.plan.tenants, key=lambda tenant: tenant[1])
+    by_share = sorted(steps.plan.tenant_shares, key=lambda tenant: tenant[1])
     name, _ = by_share[len(by_share) // 2]
     steps.order(steps.fault.at_us, CLIENTS_ROLE, "louder", tenant=name, value=steps.fault.magnitude)
     steps.order(steps.fault.end_us, CLIENTS_ROLE, "louder", tenant=name, value=1.0)
@@ -45,7 +45,7 @@
     cells = steps.plan.cells
     source = cells[0]
     target = cells[1 % len(cells)]
-    candidates = sorted(tenant for tenant, cell in steps.plan.named.items() if cell == source)
+    candidates = sorted(tenant for tenant, cell in steps.plan.cell_by_tenant.items() if cell == source)
     count = max(1, round(steps.fault.affected_share * len(candidates)))
     tenants = steps.random.sample(candidates, count)
     steps.order(steps.fault.at_us, RUNNER_ROLE, "move", governor="", tenants=tenants, to=target)
--- a/gradehoist/scenario/governor_settings.py
+++ b/gradehoist/scenario/governor_settings.py
@@ -16,12 +16,12 @@
     """The scenario's fleet and governors with the addresses of this run, as KDL."""
     document = Parser().parse(scenario.fleet_text)
     fleet = document.nodes[0]
-    list_host, list_port = plan.roster
+    list_host, list_port = plan.endpoint_list
     fleet.props["roster"] = f"{list_host}:{list_port}"
     if plan.cells:
         cells = Node("cells", props={"placement": PLACEMENT_FILE})
         if plan.limits:
-            cells.nodes.append(Node("limits", props=msgspec.structs.asdict(plan.limits)))
+            cells.nodes.append(Node("limits", props=msgspec.to_builtins(plan.limits)))
         fleet.nodes.append(cells)
     parts = [document.print()]
     for settings, (name, zone, (host, port)) in zip(scenario.settings.governors, plan.governors, strict=True):
--- a/gradehoist/scenario/network_plan.py
+++ b/gradehoist/scenario/network_plan.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from gradehoist.scenario.definition import Scenario
-from gradehoist.testbed.scenario_plan import Address, Link, Relay, Replica
+from gradehoist.testbed.scenario_plan import Address, LinkPlan, ProxyPlan, ReplicaPlan
 
 HOST = "127.0.0.1"
 
@@ -19,8 +19,8 @@
 class ConnectedProxies:
     """Proxies with their ports, and the links over which they reach the governors."""
 
-    proxies: tuple[Relay, ...]
-    links: tuple[Link, ...]
+    proxies: tuple[ProxyPlan, ...]
+    links: tuple[LinkPlan, ...]
 
 
 def list_roles(scenario: Scenario) -> list[str]:
@@ -31,7 +31,9 @@
     return ["clients", "links", "roster", *proxy_roles, *replica_roles]
 
 
-def count_ports(scenario: Scenario, replicas: list[Replica], proxies: list[Relay], roles: list[str]) -> int:
+def count_ports(
+    scenario: Scenario, replicas: list[ReplicaPlan], proxies: list[ProxyPlan], roles: list[str]
+) -> int:
     """How many ports a run listens on."""
     governors = scenario.settings.governors
     endpoint_lists = 1
@@ -41,15 +43,15 @@
     return processes + replica_links + governor_links
 
 
-def link_replicas(scenario: Scenario, replicas: list[Replica], ports: Iterator[int]) -> list[Link]:
+def link_replicas(scenario: Scenario, replicas: list[ReplicaPlan], ports: Iterator[int]) -> list[LinkPlan]:
     """One link from each zone to each replica."""
     return [
-        Link(
+        LinkPlan(
             port=next(ports),
             zone=zone,
             target=replica.name,
             target_zone=replica.zone,
-            to=(HOST, replica.port),
+            address=(HOST, replica.port),
         )
         for zone in scenario.settings.fleet.zones
         for replica in replicas
@@ -57,21 +59,21 @@
 
 
 def connect_proxies(
-    proxies: list[Relay], governors: tuple[Governor, ...], ports: Iterator[int]
+    proxies: list[ProxyPlan], governors: tuple[Governor, ...], ports: Iterator[int]
 ) -> ConnectedProxies:
     """Gives each proxy its port and a link of its own to each governor."""
-    links: list[Link] = []
-    connected: list[Relay] = []
+    links: list[LinkPlan] = []
+    connected: list[ProxyPlan] = []
     for number, proxy in enumerate(proxies):
         addresses = []
         for name, zone, address in _order_governors(governors, proxy.zone, number):
-            link = Link(
+            link = LinkPlan(
                 port=next(ports),
                 zone=proxy.zone,
                 target=name,
                 target_zone=zone,
-                to=address,
-                relay=proxy.name,
+                address=address,
+                proxy=proxy.name,
             )
             links.append(link)
             addresses.append((name, (HOST, link.port)))
--- a/gradehoist/scenario/plan_builder.py
+++ b/gradehoist/scenario/plan_builder.py
@@ -18,8 +18,15 @@
     link_replicas,
     list_roles,
 )
-from gradehoist.testbed.process import dice
-from gradehoist.testbed.scenario_plan import Class, Limits, Plan, Relay, Replica, Rules
+from gradehoist.testbed.process import create_random
+from gradehoist.testbed.scenario_plan import (
+    Plan,
+    ProxyPlan,
+    RateLimitPlan,
+    ReplicaPlan,
+    RequestClassPlan,
+    SafetyRules,
+)
 
 REPLICAS_PER_CELL = 4  # of the cells that an endpoint list names; the cells of tenants are others
 SPEED_SPREAD = (0.85, 1.15)  # machines of one kind differ so much
@@ -48,7 +55,7 @@
         follow_governors: whether the proxies poll a governor, else they stay on their default tables.
         even_weights: whether the default tables hold every replica with the same weight.
     """
-    random = dice(seed, "fleet")
+    random = create_random(seed, "fleet")
     replicas = _draw_replicas(scenario, random)
     proxies = _draw_proxies(scenario, random)
     roles = list_roles(scenario)
@@ -72,42 +79,42 @@
     plan = Plan(
         name=scenario.name,
         seed=seed,
-        length=scenario.length_us,
+        length_us=scenario.length_us,
         zones=fleet.zones,
         classes=classes,
         rules=_build_rules(scenario),
         replicas=tuple(replicas),
-        relays=connected.proxies,
+        proxies=connected.proxies,
         governors=governors,
         links=(*replica_links, *connected.links),
-        roster=endpoint_list,
-        controls=control_ports,
+        endpoint_list=endpoint_list,
+        control_ports=control_ports,
         steps=(),
-        rate=rate,
-        shape=(),
+        requests_per_s=rate,
+        rate_factors=(),
         retries=int(client_behaviour.retries),
-        try_share=client_behaviour.attempt_share,
-        backoff=client_behaviour.backoff_us,
-        strikes=int(proxy_behaviour.failures_to_avoid),
-        avoid=proxy_behaviour.avoid_us,
-        usual_way=int(proxy_behaviour.retry_policy),
-        try_factor=proxy_behaviour.attempt_factor,
-        standing=int(proxy_behaviour.default_table_size),
-        redial=(proxy_behaviour.reconnect_min_us, proxy_behaviour.reconnect_max_us),
-        sums_late=(proxy_behaviour.report_delay_min_us, proxy_behaviour.report_delay_max_us),
-        period=fleet.load_reporting.period_us,
-        hold=fleet.poll_hold_us,
-        report_period=replica_behaviour.report_period_us,
-        handshake=replica_behaviour.handshake_work_ms,
-        drops_waiting=replica_behaviour.drops_waiting,
-        full_is_proof=replica_behaviour.full_is_proof,
+        attempt_share=client_behaviour.attempt_share,
+        backoff_us=client_behaviour.backoff_us,
+        failures_to_avoid=int(proxy_behaviour.failures_to_avoid),
+        avoid_us=proxy_behaviour.avoid_us,
+        retry_policy=int(proxy_behaviour.retry_policy),
+        attempt_factor=proxy_behaviour.attempt_factor,
+        default_table_size=int(proxy_behaviour.default_table_size),
+        reconnect_range_us=(proxy_behaviour.reconnect_min_us, proxy_behaviour.reconnect_max_us),
+        report_delay_range_us=(proxy_behaviour.report_delay_min_us, proxy_behaviour.report_delay_max_us),
+        load_report_period_us=fleet.load_reporting.period_us,
+        poll_hold_us=fleet.poll_hold_us,
+        replica_report_period_us=replica_behaviour.report_period_us,
+        handshake_work_ms=replica_behaviour.handshake_work_ms,
+        drops_abandoned_requests=replica_behaviour.drops_waiting,
+        rejection_proves_no_effect=replica_behaviour.full_is_proof,
         follow_governors=follow_governors,
-        tenants=tenants,
+        tenant_shares=tenants,
         cells=cells.names,
-        workers=cells.cell_by_replica,
-        named=cells.cell_by_tenant,
+        cell_by_replica=cells.cell_by_replica,
+        cell_by_tenant=cells.cell_by_tenant,
         limits=_build_rate_limits(scenario, rate, len(cells.names), len(proxies)),
-        even=even_weights,
+        even_weights=even_weights,
     )
     steps = plan_steps(plan, scenario.faults, scenario.endpoint_list_delays)
     return msgspec.structs.replace(plan, steps=steps)
@@ -119,18 +126,20 @@
     What the fleet is (latency objectives, grace, warm-up, limits) stays, so a fast run is a harder one that
     is judged by the same rules.
     """
-    steps = tuple(msgspec.structs.replace(step, at=round(step.at / factor)) for step in plan.steps)
-    shape = tuple((round(at_us / factor), rate_factor) for at_us, rate_factor in plan.shape)
-    return msgspec.structs.replace(plan, length=round(plan.length / factor), steps=steps, shape=shape)
+    steps = tuple(msgspec.structs.replace(step, at_us=round(step.at_us / factor)) for step in plan.steps)
+    shape = tuple((round(at_us / factor), rate_factor) for at_us, rate_factor in plan.rate_factors)
+    return msgspec.structs.replace(
+        plan, length_us=round(plan.length_us / factor), steps=steps, rate_factors=shape
+    )
 
 
-def _draw_replicas(scenario: Scenario, random: Random) -> list[Replica]:
+def _draw_replicas(scenario: Scenario, random: Random) -> list[ReplicaPlan]:
     behaviour = scenario.replica_behaviour
-    replicas: list[Replica] = []
+    replicas: list[ReplicaPlan] = []
     for group in scenario.replica_groups:
         for number_in_group in range(group.count + group.spare):
             speed = group.speed * random.uniform(*SPEED_SPREAD)
-            replica = Replica(
+            replica = ReplicaPlan(
                 name=f"w{len(replicas) + 1}",
                 zone=group.zone,
                 kind=group.kind,
@@ -139,68 +148,72 @@
                 cores=group.cores,
                 speed=round(speed, 4),
                 slots=int(behaviour.slots_per_core * group.cores),
-                queue=int(behaviour.queue_per_core * group.cores),
+                queue_limit=int(behaviour.queue_per_core * group.cores),
                 size=round(group.cores * speed * random.uniform(*SIZE_ERROR), 3),
-                cold_from=behaviour.start_capacity,
-                cold=behaviour.warmup_us,
-                listed=number_in_group < group.count,
+                start_capacity=behaviour.start_capacity,
+                warmup_us=behaviour.warmup_us,
+                is_listed=number_in_group < group.count,
             )
             replicas.append(replica)
     return replicas
 
 
-def _draw_proxies(scenario: Scenario, random: Random) -> list[Relay]:
+def _draw_proxies(scenario: Scenario, random: Random) -> list[ProxyPlan]:
     zones = [group.zone for group in scenario.proxy_groups for _ in range(group.count)]
     weights = [random.lognormvariate(0, scenario.traffic.skew) for _ in zones]
     total = sum(weights)
     return [
-        Relay(name=f"r{number}", zone=zone, port=0, share=weight / total, governors=())
+        ProxyPlan(name=f"r{number}", zone=zone, port=0, traffic_share=weight / total, governors=())
         for number, (zone, weight) in enumerate(zip(zones, weights, strict=True), 1)
     ]
 
 
-def _build_classes(scenario: Scenario) -> tuple[Class, ...]:
+def _build_classes(scenario: Scenario) -> tuple[RequestClassPlan, ...]:
     return tuple(
-        Class(
+        RequestClassPlan(
             name=settings.name,
-            share=scenario.traffic.loads[settings.name].share,
-            work=scenario.traffic.loads[settings.name].work_ms,
-            cv=scenario.traffic.loads[settings.name].coefficient_of_variation,
-            goal=settings.latency_objective_us,
-            cutoff=settings.deadline_us,
-            gain=settings.priority_weight,
-            late_gain=settings.late_priority_factor,
-            repeat=settings.idempotency.value,
-            only_zones=settings.allowed_zones,
-            only_kinds=settings.allowed_kinds,
-            stays_local=settings.zone_local,
+            traffic_share=scenario.traffic.loads[settings.name].share,
+            work_ms=scenario.traffic.loads[settings.name].work_ms,
+            work_variation=scenario.traffic.loads[settings.name].coefficient_of_variation,
+            latency_objective_us=settings.latency_objective_us,
+            deadline_us=settings.deadline_us,
+            priority_weight=settings.priority_weight,
+            late_priority_factor=settings.late_priority_factor,
+            idempotency=settings.idempotency.value,
+            allowed_zones=settings.allowed_zones,
+            allowed_kinds=settings.allowed_kinds,
+            zone_local=settings.zone_local,
         )
         for settings in scenario.settings.fleet.classes
     )
 
 
-def _capacity_requests_per_s(replicas: list[Replica], classes: tuple[Class, ...]) -> float:
+def _capacity_requests_per_s(replicas: list[ReplicaPlan], classes: tuple[RequestClassPlan, ...]) -> float:
     """The requests a second that the listed replicas can do when they are warm."""
-    total_share = sum(request_class.share for request_class in classes)
-    mean_work_ms = sum(request_class.share * request_class.work for request_class in classes) / total_share
-    return sum(replica.cores * replica.speed for replica in replicas if replica.listed) * 1e3 / mean_work_ms
+    total_share = sum(request_class.traffic_share for request_class in classes)
+    mean_work_ms = (
+        sum(request_class.traffic_share * request_class.work_ms for request_class in classes) / total_share
+    )
+    return (
+        sum(replica.cores * replica.speed for replica in replicas if replica.is_listed) * 1e3 / mean_work_ms
+    )
 
 
-def _build_rules(scenario: Scenario) -> Rules:
+def _build_rules(scenario: Scenario) -> SafetyRules:
     safety = scenario.settings.fleet.safety
     channel = scenario.settings.fleet.channel
-    return Rules(
-        grace=safety.drain_grace_us,
-        cold_time=safety.warmup_us,
-        fall_multiple=safety.overload_multiple,
-        fall_span=safety.overload_window_us,
-        bare_limit=safety.unroutable_limit_us,
-        gone_is_advice=safety.gone_is_advisory,
-        queue_limit=channel.queue_limit_lines,
-        line_rate=channel.lines_per_s,
-        message_head=channel.message_overhead_lines,
-        message_limit=channel.messages_per_window,
-        message_window=channel.message_window_us,
+    return SafetyRules(
+        drain_grace_us=safety.drain_grace_us,
+        warmup_us=safety.warmup_us,
+        overload_multiple=safety.overload_multiple,
+        overload_window_us=safety.overload_window_us,
+        unroutable_limit_us=safety.unroutable_limit_us,
+        gone_is_advisory=safety.gone_is_advisory,
+        queue_limit_lines=channel.queue_limit_lines,
+        lines_per_s=channel.lines_per_s,
+        message_overhead_lines=channel.message_overhead_lines,
+        messages_per_window=channel.messages_per_window,
+        message_window_us=channel.message_window_us,
     )
 
 
@@ -212,7 +225,7 @@
 
 
 def _place_cells(
-    scenario: Scenario, replicas: list[Replica], tenants: tuple[tuple[str, float], ...]
+    scenario: Scenario, replicas: list[ReplicaPlan], tenants: tuple[tuple[str, float], ...]
 ) -> PlacedCells:
     names = tuple(f"c{number}" for number in range(scenario.tenants.cells))
     if not names:
@@ -224,7 +237,7 @@
         [
             placement.Replica(replica.name, replica.zone, replica.kind, replica.size)
             for replica in replicas
-            if replica.listed
+            if replica.is_listed
         ],
         placement.PlacementRequirements(
             cell_count=len(names),
@@ -240,14 +253,16 @@
     )
 
 
-def _build_rate_limits(scenario: Scenario, rate: float, cell_count: int, proxy_count: int) -> Limits | None:
+def _build_rate_limits(
+    scenario: Scenario, rate: float, cell_count: int, proxy_count: int
+) -> RateLimitPlan | None:
     """The limits of one proxy, in requests a second."""
     multiples = scenario.rate_limits
     if multiples is None:
         return None
-    return Limits(
-        cell=rate / max(1, cell_count) / proxy_count * multiples.cell,
-        tenant=rate / scenario.tenants.count / proxy_count * multiples.tenant,
-        burst=multiples.burst_s,
-        held=multiples.tenant_in_flight,
+    return RateLimitPlan(
+        cell_requests_per_s=rate / max(1, cell_count) / proxy_count * multiples.cell,
+        tenant_requests_per_s=rate / scenario.tenants.count / proxy_count * multiples.tenant,
+        burst_s=multiples.burst_s,
+        tenant_in_flight=multiples.tenant_in_flight,
     )
--- a/gradehoist/scenario/report.py
+++ b/gradehoist/scenario/report.py
@@ -38,7 +38,7 @@
 def answered_chart(plan: Plan, records: list[Record], t0: int, path: Path) -> None:
     """Share of transactions answered within their latency goal, by class and 5 s of their beginning."""
     good: dict[str, dict[int, list[int]]] = defaultdict(lambda: defaultdict(lambda: [0, 0]))
-    goals = {c.name: c.goal for c in plan.classes}
+    goals = {c.name: c.latency_objective_us for c in plan.classes}
     for r in records:
         event = r.event
         if isinstance(event, RequestCompleted):
@@ -123,7 +123,7 @@
             for m in sorted(some.values(), key=lambda m: m.reply_number)
         ]
         moves: list[tuple[float, float]] = []
-        for queued, state in zip(costs, replay_channel(costs, plan.rules.line_rate), strict=True):
+        for queued, state in zip(costs, replay_channel(costs, plan.rules.lines_per_s), strict=True):
             moves += [(queued.created_us, queued.cost_lines), (state.sent_us, -queued.cost_lines)]
         xs, ys, waiting = [], [], 0.0
         for at, change in sorted(moves):
@@ -133,9 +133,9 @@
         axes.step(xs, ys, where="post", linewidth=0.9, color=ZONE_COLOURS[names.index(governor) % 6])
     for n, name in enumerate(names):
         axes.plot([], [], color=ZONE_COLOURS[n % 6], label=f"governor {name}")
-    axes.axhline(plan.rules.queue_limit, color="black", linestyle="--", linewidth=0.8, label="limit")
+    axes.axhline(plan.rules.queue_limit_lines, color="black", linestyle="--", linewidth=0.8, label="limit")
     _troubles(axes, records, t0)
-    axes.set(xlabel="s into the day", ylabel="lines waiting", ylim=(0, plan.rules.queue_limit * 1.1))
+    axes.set(xlabel="s into the day", ylabel="lines waiting", ylim=(0, plan.rules.queue_limit_lines * 1.1))
     axes.legend(loc="upper right", fontsize=8)
     figure.savefig(path, dpi=110)
     plt.close(figure)
@@ -186,9 +186,10 @@
         if isinstance(r.event, StepTaken)
     )
     completed = f"{100 * verdict.completed_share:.1f}%"
+    proxy_count = len(plan.proxies)
     page = f"""<!doctype html><html lang="en"><meta charset="utf-8"><title>{html.escape(plan.name)}</title>
 <style>{STYLE}</style><h1>{html.escape(plan.name)}, seed {plan.seed}</h1>
-<p>{plan.length / 1e6:g} s, {len(plan.governors)} governors, {len(plan.replicas)} replicas, {len(plan.relays)}
+<p>{plan.length_us / 1e6:g} s, {len(plan.governors)} governors, {len(plan.replicas)} replicas, {proxy_count}
 relays; {verdict.requests} transactions, {completed} of the gain answered within goal.
 {"" if verdict.is_complete else "<b>The records are not whole: " + html.escape(verdict.reason) + "</b>"}</p>
 <table><tr><th>rule</th><th>state</th><th>of its limit used</th><th>occasions</th><th></th></tr>{rows}</table>
--- a/gradehoist/scenario/runner.py
+++ b/gradehoist/scenario/runner.py
@@ -29,7 +29,7 @@
 from gradehoist.scenario.definition import Scenario
 from gradehoist.scenario.governor_settings import format_settings
 from gradehoist.settings.fleet import CellPlacement
-from gradehoist.testbed.process import Record, now
+from gradehoist.testbed.process import EventRecorder, read_monotonic_us
 from gradehoist.testbed.scenario_plan import Plan, Step
 
 READY = 20.0  # seconds that a process may take to come up: a loaded machine's Python start
@@ -83,7 +83,7 @@
 
     async def _ready(self, roles: list[str]) -> None:
         await asyncio.gather(
-            *(self._answers(r, self.plan.controls[r], "POST", "/", b'{"do":"ping"}') for r in roles)
+            *(self._answers(r, self.plan.control_ports[r], "POST", "/", b'{"do":"ping"}') for r in roles)
         )
 
     async def play(self) -> bool:
@@ -96,12 +96,14 @@
         (self.folder / "plan.json").write_bytes(msgspec.json.encode(self.plan))
         (self.folder / "settings.kdl").write_text(format_settings(self.scene, self.plan), encoding="utf-8")
         if self.plan.cells:
-            placed = CellPlacement(self.plan.cells, self.plan.workers, self.plan.named)
+            placed = CellPlacement(self.plan.cells, self.plan.cell_by_replica, self.plan.cell_by_tenant)
             (self.folder / "cells.json").write_bytes(msgspec.json.encode(placed))
-        self.record = Record(self.folder / "day.jsonl")
+        self.record = EventRecorder(self.folder / "day.jsonl")
         plan = str(self.folder / "plan.json")
         try:
-            first = [r for r in self.plan.controls if r.partition("-")[0] in ("links", "replicas", "roster")]
+            first = [
+                r for r in self.plan.control_ports if r.partition("-")[0] in ("links", "replicas", "roster")
+            ]
             for role in first:
                 self._start(role, "gradehoist.testbed", plan, role, str(self.folder))
             await self._ready(first)
@@ -110,13 +112,13 @@
                     self._governor(name)
                 for name, _, address in self.plan.governors:
                     await self._answers(f"governor-{name}", address[1], "GET", "/v1/status", b"")
-            relays = [r for r in self.plan.controls if r.startswith("relays-")]
+            relays = [r for r in self.plan.control_ports if r.startswith("relays-")]
             for role in [*relays, "clients"]:
                 if role == "clients":
                     await asyncio.sleep(1.0)  # relays join before the first transaction comes
                 self._start(role, "gradehoist.testbed", plan, role, str(self.folder))
                 await self._ready([role])
-            self.began = now()
+            self.began = read_monotonic_us()
             self.record("day_begins", scene=self.plan.name, seed=self.plan.seed)
             await self._step(Step(0, "clients", {"do": "begin"}))
             return await self._day()
@@ -127,24 +129,24 @@
             self.record.flush()
 
     async def _day(self) -> bool:
-        end = self.plan.length + max(c.cutoff for c in self.plan.classes) + int(TAIL * 1e6)
+        end = self.plan.length_us + max(c.deadline_us for c in self.plan.classes) + int(TAIL * 1e6)
         steps = list(self.plan.steps)
         looked, verdict, looking = 0.0, None, None
         text = "begins"
         while not self.stop.is_set():
-            at = now() - self.began
-            while steps and steps[0].at <= at:
+            at = read_monotonic_us() - self.began
+            while steps and steps[0].at_us <= at:
                 step = steps.pop(0)
                 await self._step(step)
                 text = (
-                    str(step.do["do"])
+                    str(step.command["do"])
                     + " "
                     + ",".join(
                         map(
                             str,
                             next(
-                                (v for v in step.do.values() if isinstance(v, list)),
-                                [step.do.get("governor", "")],
+                                (v for v in step.command.values() if isinstance(v, list)),
+                                [step.command.get("governor", "")],
                             ),
                         )
                     )
@@ -161,7 +163,7 @@
             if looking is not None and looking.done():
                 verdict, looking = looking.result(), None
             self.progress(min(1.0, at / end), text, verdict)
-            wait = min(0.1, max(0.0, (steps[0].at - at) / 1e6) if steps else 0.1)
+            wait = min(0.1, max(0.0, (steps[0].at_us - at) / 1e6) if steps else 0.1)
             await asyncio.sleep(wait)
         return False
 
@@ -172,14 +174,14 @@
             return None  # a line half written
 
     async def _step(self, step: Step) -> None:
-        self.record("step", at=step.at, target=step.role, do=step.do)
+        self.record("step", at=step.at_us, target=step.role, do=step.command)
         self.record.flush()
         if step.role == "day":
-            name = str(step.do["governor"])
+            name = str(step.command["governor"])
             if not self.plan.follow_governors:
                 return
-            if step.do["do"] == "move":
-                tenants = step.do["tenants"]
+            if step.command["do"] == "move":
+                tenants = step.command["tenants"]
                 assert isinstance(tenants, list)
                 self._start(
                     "mover",
@@ -189,15 +191,15 @@
                     str(self.folder / "settings.kdl"),
                     *tenants,
                     "--to",
-                    str(step.do["to"]),
+                    str(step.command["to"]),
                     "--store",
                     str(self.folder / "moves"),
                 )
                 return
-            if step.do["do"] == "release":
-                self._release(step.do)
+            if step.command["do"] == "release":
+                self._release(step.command)
                 return
-            if step.do["do"] == "kill":
+            if step.command["do"] == "kill":
                 self.processes[f"governor-{name}"].kill()
                 self.processes.pop(f"governor-{name}").wait()
                 self.record("killed", governor=name)
@@ -205,13 +207,13 @@
                 self._governor(name)
                 self.record("started", governor=name)
             return
-        client = HttpClient("127.0.0.1", self.plan.controls[step.role])
+        client = HttpClient("127.0.0.1", self.plan.control_ports[step.role])
         try:
-            response = await client.request("POST", "/", msgspec.json.encode(step.do), timeout_s=5.0)
+            response = await client.request("POST", "/", msgspec.json.encode(step.command), timeout_s=5.0)
         finally:
             client.close()
         if response.status != 204:
-            raise StartFailed(f"{step.role} refused {step.do}: {response.body.decode(errors='replace')}")
+            raise StartFailed(f"{step.role} refused {step.command}: {response.body.decode(errors='replace')}")
 
     def _release(self, do: dict[str, object]) -> None:
         def command(fails: object, slow: object) -> str:
--- a/gradehoist/testbed/__main__.py
+++ b/gradehoist/testbed/__main__.py
@@ -7,16 +7,16 @@
 from pathlib import Path
 
 from gradehoist.testbed import clients, endpoint_list, etcd_server, fault_link, proxy, replica, scenario_plan
-from gradehoist.testbed.process import Make, Process
+from gradehoist.testbed.process import Process, ProcessFactory
 
 
-def make(role: str) -> Make:
+def make(role: str) -> ProcessFactory:
     makers: dict[str, type[Process]] = {
-        "clients": clients.Clients,
-        "links": fault_link.Links,
-        "roster": endpoint_list.Roster,
-        "relays": proxy.Relays,
-        "replicas": replica.Replicas,
+        "clients": clients.ClientProcess,
+        "links": fault_link.LinkProcess,
+        "roster": endpoint_list.EndpointListProcess,
+        "relays": proxy.ProxyProcess,
+        "replicas": replica.ReplicaProcess,
     }
     return makers[role.partition("-")[0]]
 
@@ -26,7 +26,7 @@
         asyncio.run(etcd_server.run(int(sys.argv[2])))
         return
     path, role, folder = sys.argv[1:]
-    asyncio.run(make(role)(scenario_plan.load(path), role, Path(folder)).run())
+    asyncio.run(make(role)(scenario_plan.load_plan(path), role, Path(folder)).run())
 
 
 if __name__ == "__main__":
--- a/gradehoist/testbed/deploy.py
+++ b/gradehoist/testbed/deploy.py
@@ -21,7 +21,7 @@
     zone = next(r.zone for r in plan.replicas if r.name == worker)
 
     async def tell(role: str, **do: object) -> None:
-        client = HttpClient("127.0.0.1", plan.controls[role])
+        client = HttpClient("127.0.0.1", plan.control_ports[role])
         try:
             response = await client.request("POST", "/", msgspec.json.encode(do), timeout_s=5.0)
         finally:
@@ -38,4 +38,4 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(deploy(p.load(sys.argv[1]), sys.argv[2], float(sys.argv[3]), float(sys.argv[4])))
+    asyncio.run(deploy(p.load_plan(sys.argv[1]), sys.argv[2], float(sys.argv[3]), float(sys.argv[4])))
--- a/gradehoist/testbed/endpoint_list.py
+++ b/gradehoist/testbed/endpoint_list.py
@@ -10,48 +10,48 @@
 
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response, json_response
 from gradehoist.protocol import feed, http
-from gradehoist.testbed.process import Process, now
+from gradehoist.testbed.process import Process, read_monotonic_us
 
 KEPT = 200  # versions that a reader may be behind before it gets the whole list
 
 
-class Entry(msgspec.Struct):
+class EndpointState(msgspec.Struct):
     phase: str
-    boot: int
-    started: int  # 0: long past
+    incarnation_number: int
+    started_us: int  # 0: long past
     version: int
 
 
-class Roster(Process):
-    async def begin(self) -> None:
-        self.life, self.version = str(now()), 1
-        self.entries = {r.name: Entry("ready", 1, 0, 1) for r in self.plan.replicas if r.listed}
+class EndpointListProcess(Process):
+    async def start(self) -> None:
+        self.life, self.version = str(read_monotonic_us()), 1
+        self.entries = {r.name: EndpointState("ready", 1, 0, 1) for r in self.plan.replicas if r.is_listed}
         self.boots = {r.name: 1 for r in self.plan.replicas}
         self.down = ""
         self.news = asyncio.Event()
         self.known = {r.name: r for r in self.plan.replicas}
-        self.via = {(link.zone, link.target): link.port for link in self.plan.links if not link.relay}
+        self.via = {(link.zone, link.target): link.port for link in self.plan.links if not link.proxy}
         self.server = HttpServer(self._handle)
-        self.server.listen(self.plan.roster[1], self.plan.roster[0])
+        self.server.listen(self.plan.endpoint_list[1], self.plan.endpoint_list[0])
 
-    def control(self, do: dict[str, Any]) -> None:
+    def on_command(self, do: dict[str, Any]) -> None:
         match do["do"]:
             case "list":
                 self.version += 1
                 for name in do["replicas"]:
                     old = self.entries.get(name)
                     phase = str(do["phase"])
-                    boot, started = (old.boot, old.started) if old else (1, 0)
+                    boot, started = (old.incarnation_number, old.started_us) if old else (1, 0)
                     if do.get("restarted"):
-                        boot, started = boot + 1, now() - int(str(do.get("ago", 0)))
-                    self.entries[name] = Entry(phase, boot, started, self.version)
+                        boot, started = boot + 1, read_monotonic_us() - int(str(do.get("ago", 0)))
+                    self.entries[name] = EndpointState(phase, boot, started, self.version)
                 self.record("changed", version=self.version, replicas=do["replicas"], phase=do["phase"])
                 self._wake()
             case "down":
                 self.down = str(do["value"])
                 self._wake()
             case "forget":  # a new life: versions start anew
-                self.life, self.version = str(now()), 1
+                self.life, self.version = str(read_monotonic_us()), 1
                 for entry in self.entries.values():
                     entry.version = 1
                 self._wake()
@@ -95,8 +95,8 @@
                 self.known[name].cell,
                 e.phase,
                 self.known[name].size,
-                f"{name}/{e.boot}",
-                (now() - e.started) if e.started else 10**9,
+                f"{name}/{e.incarnation_number}",
+                (read_monotonic_us() - e.started_us) if e.started_us else 10**9,
             )
             for name, e in self.entries.items()
             if (e.phase != "gone" if whole else e.version > after)
--- a/gradehoist/testbed/etcd_server.py
+++ b/gradehoist/testbed/etcd_server.py
@@ -18,26 +18,42 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from gradehoist.testbed.etcd_keyspace import Entry, Gone, Keyspace, NoLease, Past
-from gradehoist.testbed.process import now
+from gradehoist.testbed.etcd_keyspace import (
+    Change,
+    Entry,
+    Keyspace,
+    LeaseNotFoundError,
+    RevisionCompactedError,
+)
+from gradehoist.testbed.process import read_monotonic_us
 
 TICK = 0.02  # seconds between looks at leases
 
 
-class Faults(msgspec.Struct):
-    """Shares are of calls, drawn from `seed`. `away` answers none; `lose` acts and does not answer; `drop`
-    does neither; `stale` reads that many revisions back; `cut` ends watches after so many messages; `repeat`
-    sends a watch's message twice; `full` refuses writes; `slow` seconds before each answer."""
+class ServerFaults(msgspec.Struct):
+    """The injected faults, as `POST /fault` orders them.
+
+    Attributes:
+        seed: seed of the random generator that decides which calls are hit.
+        is_unavailable: no call is answered, and open watches end.
+        lost_response_share: share of calls that take effect and are not answered.
+        dropped_call_share: share of calls that neither take effect nor are answered.
+        stale_revisions: how many revisions back a range reads.
+        messages_per_watch: a watch ends after so many messages; 0 means no limit.
+        repeats_messages: whether a watch sends each message twice.
+        rejects_writes: whether writes are rejected, as by a full database.
+        response_delay_s: delay before each call.
+    """
 
     seed: int = 1
-    away: bool = False
-    lose: float = 0.0
-    drop: float = 0.0
-    stale: int = 0
-    cut: int = 0
-    repeat: bool = False
-    full: bool = False
-    slow: float = 0.0
+    is_unavailable: bool = msgspec.field(default=False, name="away")
+    lost_response_share: float = msgspec.field(default=0.0, name="lose")
+    dropped_call_share: float = msgspec.field(default=0.0, name="drop")
+    stale_revisions: int = msgspec.field(default=0, name="stale")
+    messages_per_watch: int = msgspec.field(default=0, name="cut")
+    repeats_messages: bool = msgspec.field(default=False, name="repeat")
+    rejects_writes: bool = msgspec.field(default=False, name="full")
+    response_delay_s: float = msgspec.field(default=0.0, name="slow")
 
 
 def text(data: bytes) -> str:
@@ -47,79 +63,83 @@
 def shown(e: Entry) -> dict[str, str]:
     out = {
         "key": text(e.key),
-        "create_revision": str(e.created),
-        "mod_revision": str(e.modified),
+        "create_revision": str(e.create_revision),
+        "mod_revision": str(e.mod_revision),
         "version": str(e.version),
         "value": text(e.value),
     }
-    return out | ({"lease": str(e.lease)} if e.lease else {})
+    return out | ({"lease": str(e.lease_id)} if e.lease_id else {})
 
 
-def event(p: Past) -> dict[str, Any]:
+def event(p: Change) -> dict[str, Any]:
     if p.entry is None:
         return {"type": "DELETE", "kv": {"key": text(p.key), "mod_revision": str(p.revision)}}
     return {"kv": shown(p.entry)}
 
 
-class Engine:
+class EtcdServer:
     def __init__(self, cluster: str = "1234567890123456789") -> None:
-        self.space, self.faults, self.cluster = Keyspace(), Faults(), cluster
-        self.dice, self.kept = random.Random(1), Keyspace()
+        self.keyspace, self.faults, self.cluster = Keyspace(), ServerFaults(), cluster
+        self.random, self.saved_keyspace = random.Random(1), Keyspace()
         self.calls = dict[str, int]()
-        self.news = asyncio.Event()
+        self.change_event = asyncio.Event()
 
     def header(self, revision: int = 0) -> dict[str, str]:
         return {
             "cluster_id": self.cluster,
             "member_id": "1",
             "raft_term": "2",
-            "revision": str(revision or self.space.revision),
+            "revision": str(revision or self.keyspace.revision),
         }
 
-    def changed(self) -> None:
-        self.news.set()
-        self.news = asyncio.Event()
+    def notify_watches(self) -> None:
+        self.change_event.set()
+        self.change_event = asyncio.Event()
 
-    def order(self, body: dict[str, Any]) -> None:
+    def apply_command(self, body: dict[str, Any]) -> None:
         """Raises KeyError, ValueError for an order that it does not know."""
         match body.pop("do", "faults"):
             case "faults":
-                self.faults = msgspec.convert(body, Faults)
-                self.dice = random.Random(self.faults.seed)
+                self.faults = msgspec.convert(body, ServerFaults)
+                self.random = random.Random(self.faults.seed)
             case "snapshot":
-                self.kept = self.space.snapshot()
+                self.saved_keyspace = self.keyspace.snapshot()
             case "restore":
-                self.space = self.kept.snapshot()
-                self.space.extend(now())
+                self.keyspace = self.saved_keyspace.snapshot()
+                self.keyspace.extend_leases(read_monotonic_us())
             case "compact":
-                self.space.compact(int(body.get("keep", 0)))
+                self.keyspace.compact(int(body.get("keep", 0)))
             case "extend":
-                self.space.extend(now())
+                self.keyspace.extend_leases(read_monotonic_us())
             case other:
                 raise ValueError(f"no order {other!r}")
-        self.changed()
+        self.notify_watches()
 
     def call(self, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """A unary call: status and answer."""
-        space = self.space
-        space.expire(now())
+        space = self.keyspace
+        space.expire_leases(read_monotonic_us())
         match path:
             case "kv/range":
                 return self._range(body)
             case "kv/txn":
                 return self._txn(body)
             case "lease/grant":
-                lease = space.grant(now(), int(body["TTL"]) * 1_000_000)
+                lease = space.grant_lease(read_monotonic_us(), int(body["TTL"]) * 1_000_000)
                 return 200, {"header": self.header(), "ID": str(lease), "TTL": body["TTL"]}
             case "lease/keepalive":
                 lease = int(body["ID"])
-                ttl = {"TTL": str(space.leases[lease].ttl // 1_000_000)} if space.renew(now(), lease) else {}
+                ttl = (
+                    {"TTL": str(space.leases[lease].ttl_us // 1_000_000)}
+                    if space.renew_lease(read_monotonic_us(), lease)
+                    else {}
+                )
                 return 200, {"result": {"header": self.header(), "ID": str(lease)} | ttl}
             case "lease/revoke":
                 if int(body["ID"]) not in space.leases:
                     return self._error(404, 5, "etcdserver: requested lease not found")
-                space.revoke(int(body["ID"]))
-                self.changed()
+                space.revoke_lease(int(body["ID"]))
+                self.notify_watches()
                 return 200, {"header": self.header()}
         return self._error(404, 12, "Not Found")
 
@@ -128,19 +148,27 @@
         return status, {"error": message, "code": code, "message": message}
 
     def _range(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
-        at = max(1, self.space.revision - self.faults.stale) if self.faults.stale else 0
+        at = (
+            max(1, self.keyspace.revision - self.faults.stale_revisions) if self.faults.stale_revisions else 0
+        )
         try:
-            found = self.space.range(b64decode(body["key"]), b64decode(body.get("range_end", "")), at)
-        except Gone:
-            found, at = self.space.range(b64decode(body["key"]), b64decode(body.get("range_end", ""))), 0
+            found = self.keyspace.read_range(b64decode(body["key"]), b64decode(body.get("range_end", "")), at)
+        except RevisionCompactedError:
+            found, at = (
+                self.keyspace.read_range(b64decode(body["key"]), b64decode(body.get("range_end", ""))),
+                0,
+            )
         return 200, {"header": self.header(at), "kvs": [shown(e) for e in found], "count": str(len(found))}
 
     def _txn(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
-        space = self.space
-        good = all(space.modified(b64decode(c["key"])) == int(c["modRevision"]) for c in body["compare"])
+        space = self.keyspace
+        good = all(
+            space.find_mod_revision(b64decode(c["key"])) == int(c["modRevision"]) for c in body["compare"]
+        )
         if not good:
             kvs = [
-                [shown(e) for e in space.range(b64decode(f["requestRange"]["key"]))] for f in body["failure"]
+                [shown(e) for e in space.read_range(b64decode(f["requestRange"]["key"]))]
+                for f in body["failure"]
             ]
             return 200, {
                 "header": self.header(),
@@ -149,7 +177,7 @@
                     for some in kvs
                 ],
             }
-        if self.faults.full:
+        if self.faults.rejects_writes:
             return self._error(429, 8, "etcdserver: mvcc: database space exceeded")
         puts = [
             (b64decode(p["key"]), b64decode(p["value"]), int(p.get("lease", "0")))
@@ -159,9 +187,9 @@
         deletes = [b64decode(d["key"]) for one in body["success"] if (d := one.get("requestDeleteRange"))]
         try:
             revision = space.write(puts, deletes)
-        except NoLease:
+        except LeaseNotFoundError:
             return self._error(404, 5, "etcdserver: requested lease not found")
-        self.changed()
+        self.notify_watches()
         return 200, {"header": self.header(revision), "succeeded": True, "responses": []}
 
 
@@ -172,21 +200,21 @@
 
 
 class Call(RequestHandler):
-    engine: Engine
+    engine: EtcdServer
 
-    def initialize(self, engine: Engine) -> None:
+    def initialize(self, engine: EtcdServer) -> None:
         self.engine = engine
 
     async def post(self, path: str) -> None:
         engine, faults = self.engine, self.engine.faults
         engine.calls[path] = engine.calls.get(path, 0) + 1
-        if faults.away or engine.dice.random() < faults.drop:
+        if faults.is_unavailable or engine.random.random() < faults.dropped_call_share:
             reset(self)
             return
-        if faults.slow:
-            await asyncio.sleep(faults.slow)
+        if faults.response_delay_s:
+            await asyncio.sleep(faults.response_delay_s)
         status, answer = engine.call(path, msgspec.json.decode(self.request.body))
-        if engine.dice.random() < faults.lose:
+        if engine.random.random() < faults.lost_response_share:
             reset(self)
             return
         self.set_status(status)
@@ -195,15 +223,15 @@
 
 
 class Watch(RequestHandler):
-    engine: Engine
+    engine: EtcdServer
 
-    def initialize(self, engine: Engine) -> None:
+    def initialize(self, engine: EtcdServer) -> None:
         self.engine = engine
 
     async def post(self) -> None:
         engine = self.engine
         engine.calls["watch"] = engine.calls.get("watch", 0) + 1
-        if engine.faults.away:
+        if engine.faults.is_unavailable:
             reset(self)
             return
         create = msgspec.json.decode(self.request.body)["create_request"]
@@ -211,25 +239,25 @@
         at, sent = int(create["start_revision"]), 0
         with contextlib.suppress(StreamClosedError):
             await self._say({"header": engine.header(), "created": True})
-            while not engine.faults.away:
-                news = engine.news
+            while not engine.faults.is_unavailable:
+                news = engine.change_event
                 try:
-                    some = engine.space.since(at, first, end)
-                except Gone:
+                    some = engine.keyspace.find_changes(at, first, end)
+                except RevisionCompactedError:
                     await self._say(
                         {
                             "header": engine.header(),
                             "canceled": True,
-                            "compact_revision": str(engine.space.compacted),
+                            "compact_revision": str(engine.keyspace.compacted_revision),
                         }
                     )
                     return
                 if some:
                     message = {"header": engine.header(), "events": [event(p) for p in some]}
-                    for _ in range(2 if engine.faults.repeat else 1):
+                    for _ in range(2 if engine.faults.repeats_messages else 1):
                         await self._say(message)
                     at, sent = some[-1].revision + 1, sent + 1
-                    if engine.faults.cut and sent >= engine.faults.cut:
+                    if engine.faults.messages_per_watch and sent >= engine.faults.messages_per_watch:
                         return
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(1.0):
@@ -242,17 +270,17 @@
 
 
 class Order(RequestHandler):
-    engine: Engine
+    engine: EtcdServer
 
-    def initialize(self, engine: Engine) -> None:
+    def initialize(self, engine: EtcdServer) -> None:
         self.engine = engine
 
     def get(self) -> None:
-        self.finish({"calls": self.engine.calls, "revision": self.engine.space.revision})
+        self.finish({"calls": self.engine.calls, "revision": self.engine.keyspace.revision})
 
     def post(self) -> None:
         try:
-            self.engine.order(msgspec.json.decode(self.request.body))
+            self.engine.apply_command(msgspec.json.decode(self.request.body))
         except (KeyError, ValueError) as fault:
             self.set_status(400)
             self.finish({"error": str(fault)})
@@ -260,9 +288,9 @@
         self.set_status(204)
 
 
-def serve(port: int, engine: Engine | None = None) -> tuple[Engine, HTTPServer]:
+def serve(port: int, engine: EtcdServer | None = None) -> tuple[EtcdServer, HTTPServer]:
     """Listens on loopback; raises OSError."""
-    engine = engine or Engine()
+    engine = engine or EtcdServer()
     args = {"engine": engine}
     server = HTTPServer(
         Application([("/v3/watch", Watch, args), ("/v3/(.+)", Call, args), ("/fault", Order, args)])
@@ -278,11 +306,11 @@
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     engine, server = serve(port)
     while not stop.is_set():
-        revision = engine.space.revision
-        if not engine.faults.away:  # an engine that is away ends nobody
-            engine.space.expire(now())
-        if engine.space.revision != revision:
-            engine.changed()
+        revision = engine.keyspace.revision
+        if not engine.faults.is_unavailable:  # an engine that is away ends nobody
+            engine.keyspace.expire_leases(read_monotonic_us())
+        if engine.keyspace.revision != revision:
+            engine.notify_watches()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(TICK):
                 await stop.wait()
--- a/gradehoist/testbed/fault_link.py
+++ b/gradehoist/testbed/fault_link.py
@@ -17,11 +17,11 @@
 from tornado.tcpserver import TCPServer
 
 from gradehoist.testbed import scenario_plan as p
-from gradehoist.testbed.process import Process, dice, now
+from gradehoist.testbed.process import Process, create_random, read_monotonic_us
 
 
 @dataclass
-class Harm:
+class LinkFaults:
     refuse: bool = False
     hole: bool = False
     delay: float = 0.0  # seconds each way
@@ -30,7 +30,7 @@
 
 
 @dataclass
-class Pace:
+class Bandwidth:
     """Bytes a second to the readers of one target; 0: no limit."""
 
     rate: float = 0.0
@@ -38,11 +38,11 @@
 
     async def pay(self, size: int) -> None:
         if self.rate > 0:
-            self.free_at = max(self.free_at, now()) + int(size / self.rate * 1e6)
-            await asyncio.sleep(max(0.0, (self.free_at - now()) / 1e6))
+            self.free_at = max(self.free_at, read_monotonic_us()) + int(size / self.rate * 1e6)
+            await asyncio.sleep(max(0.0, (self.free_at - read_monotonic_us()) / 1e6))
 
 
-class Door(TCPServer):
+class Listener(TCPServer):
     """A listener that can be taken away, so that a dial is refused by the system as for a dead process."""
 
     def __init__(self, link: Link) -> None:
@@ -55,17 +55,17 @@
 
 
 class Link:
-    def __init__(self, plan: p.Link, owner: Links) -> None:
-        self.plan, self.owner, self.harm = plan, owner, Harm()
+    def __init__(self, plan: p.LinkPlan, owner: LinkProcess) -> None:
+        self.plan, self.owner, self.harm = plan, owner, LinkFaults()
         self.open: set[tuple[IOStream, IOStream]] = set()
         self.mended = asyncio.Event()
-        self.door: Door | None = None
+        self.door: Listener | None = None
 
     def listen(self) -> None:
-        self.door = self.door or Door(self)
+        self.door = self.door or Listener(self)
 
     def injure(self, **harm: Any) -> None:
-        self.harm = Harm(**harm)
+        self.harm = LinkFaults(**harm)
         self.mended.set()
         self.mended = asyncio.Event()
         if self.harm.refuse and self.door:
@@ -88,7 +88,7 @@
             if self.harm.hole:
                 await self.mended.wait()
                 return
-            await far.connect(self.plan.to)
+            await far.connect(self.plan.address)
             near.set_nodelay(True)
             far.set_nodelay(True)
             there = asyncio.ensure_future(self._carry(near, far, answers=False))
@@ -133,14 +133,14 @@
     stream.close()
 
 
-class Links(Process):
+class LinkProcess(Process):
     def __init__(self, plan: p.Plan, role: str, folder: Path) -> None:
         super().__init__(plan, role, folder)
-        self.chance = dice(plan.seed, "links")
-        self.pace = {link.target: Pace() for link in plan.links}
+        self.chance = create_random(plan.seed, "links")
+        self.pace = {link.target: Bandwidth() for link in plan.links}
         self.all = [Link(link, self) for link in plan.links]
 
-    async def begin(self) -> None:
+    async def start(self) -> None:
         for link in self.all:
             link.listen()
 
@@ -151,7 +151,7 @@
             fits = (
                 ("zones" not in do or link.plan.zone in do["zones"])
                 and ("targets" not in do or link.plan.target in do["targets"])
-                and ("relays" not in do or link.plan.relay in do["relays"])
+                and ("relays" not in do or link.plan.proxy in do["relays"])
                 and (
                     "across" not in do
                     or (link.plan.zone == do["across"]) != (link.plan.target_zone == do["across"])
@@ -161,7 +161,7 @@
                 out.append(link)
         return out
 
-    def control(self, do: dict[str, Any]) -> None:
+    def on_command(self, do: dict[str, Any]) -> None:
         chosen = self._chosen(do)
         self.record("told", do=do["do"], links=len(chosen))
         match do["do"]:
--- a/gradehoist/testbed/process.py
+++ b/gradehoist/testbed/process.py
@@ -22,17 +22,17 @@
 ENCODER = msgspec.json.Encoder()
 
 
-def now() -> int:
+def read_monotonic_us() -> int:
     """µs of the machine's monotonic clock, the same for all processes of a run."""
     return time.monotonic_ns() // 1_000
 
 
-def dice(seed: int, *name: object) -> random.Random:
+def create_random(seed: int, *name: object) -> random.Random:
     """A stream of chance of its own for each part of a run."""
     return random.Random(zlib.crc32(repr((seed, *name)).encode()))
 
 
-class Record:
+class EventRecorder:
     """JSON lines, each with its time `t` and event `e`; written out a few times a second."""
 
     def __init__(self, path: Path) -> None:
@@ -40,7 +40,7 @@
         self._lines: list[bytes] = []
 
     def __call__(self, event: str, **fields: Any) -> None:
-        self._lines.append(ENCODER.encode({"t": now(), "e": event, **fields}))
+        self._lines.append(ENCODER.encode({"t": read_monotonic_us(), "e": event, **fields}))
 
     def flush(self) -> None:
         if self._lines:
@@ -54,11 +54,11 @@
 
     def __init__(self, plan: Plan, role: str, folder: Path) -> None:
         self.plan, self.role = plan, role
-        self.record = Record(folder / f"{role}.jsonl")
+        self.record = EventRecorder(folder / f"{role}.jsonl")
         self.tasks = set[asyncio.Task[Any]]()
         self._stop = asyncio.Event()
 
-    def task(self, work: Any) -> asyncio.Task[Any]:
+    def start_task(self, work: Any) -> asyncio.Task[Any]:
         task: asyncio.Task[Any] = asyncio.ensure_future(work)
         self.tasks.add(task)
 
@@ -73,10 +73,10 @@
         task.add_done_callback(ended)
         return task
 
-    async def begin(self) -> None:
+    async def start(self) -> None:
         raise NotImplementedError
 
-    def control(self, do: dict[str, Any]) -> None:
+    def on_command(self, do: dict[str, Any]) -> None:
         """Carries out an order of the day. Raises KeyError or ValueError for one it can't."""
         raise NotImplementedError
 
@@ -84,7 +84,7 @@
         try:
             do: dict[str, Any] = msgspec.json.decode(request.body, type=dict[str, Any])
             if do["do"] != "ping":
-                self.control(do)
+                self.on_command(do)
         except (KeyError, ValueError, TypeError) as fault:
             return error_response(400, repr(fault))
         return ServerResponse(204)
@@ -93,9 +93,9 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        await self.begin()
+        await self.start()
         control = HttpServer(self._control)
-        control.listen(self.plan.controls[self.role], "127.0.0.1")
+        control.listen(self.plan.control_ports[self.role], "127.0.0.1")
         while not self._stop.is_set():
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(0.2):
@@ -108,4 +108,4 @@
         self.record.flush()
 
 
-Make = Callable[[Plan, str, Path], Process]
+ProcessFactory = Callable[[Plan, str, Path], Process]
--- a/gradehoist/testbed/proxy.py
+++ b/gradehoist/testbed/proxy.py
@@ -20,7 +20,7 @@
 from gradehoist.protocol import feed, http, orca
 from gradehoist.protocol.proxy_state import ProxyState
 from gradehoist.testbed import scenario_plan as p
-from gradehoist.testbed.process import ENCODER, Process, dice, now
+from gradehoist.testbed.process import ENCODER, Process, create_random, read_monotonic_us
 
 FEED: msgspec.json.Decoder[feed.PollResponse] = msgspec.json.Decoder(feed.PollResponse)
 LEAST_LEFT = 30_000  # µs: with less time left no further try is made
@@ -41,60 +41,60 @@
 
 
 @dataclass
-class Relay:
+class Proxy:
     process: Process
-    plan: p.Relay
+    plan: p.ProxyPlan
     whole: p.Plan
     tasks: list[asyncio.Task[Any]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self.chance = dice(self.whole.seed, "relay", self.plan.name)
+        self.chance = create_random(self.whole.seed, "relay", self.plan.name)
         self.classes = {c.name: c for c in self.whole.classes}
-        self.via = {
+        self.replica_ports = {
             link.target: link.port
             for link in self.whole.links
-            if not link.relay and link.zone == self.plan.zone
+            if not link.proxy and link.zone == self.plan.zone
         }
         self.server: HttpServer | None = None
         self.clients: dict[str, HttpClient] = {}
         self.fresh()
 
     def fresh(self) -> None:
-        self.holdings = ProxyState()
+        self.state = ProxyState()
         self.strikes: dict[str, int] = defaultdict(int)
         self.avoid: dict[str, int] = {}
         self.met: dict[str, Met] = defaultdict(Met)
         self.came: dict[str, list[int]] = defaultdict(lambda: [0, 0])
         self.door: RateLimiter | None = None
-        self.epoch, self.stream, self.after, self.at_governor = "", 0, 0, 0
-        self.holdings.install_default_tables({c: self._standing(c) for c in self.classes})
+        self.epoch, self.stream, self.acknowledged_seq, self.at_governor = "", 0, 0, 0
+        self.state.install_default_tables({c: self._standing(c) for c in self.classes})
 
     def _standing(self, name: str) -> dict[str, float]:
         """A few listed replicas by chance, of its own zone if there are three; placement limits hold."""
         c = self.classes[name]
-        fit = [r for r in self.whole.replicas if r.listed and self._allowed(c, r)]
-        if self.whole.even:
+        fit = [r for r in self.whole.replicas if r.is_listed and self._allowed(c, r)]
+        if self.whole.even_weights:
             return {r.name: r.size for r in fit}
         near = [r for r in fit if r.zone == self.plan.zone]
-        pool = near if len(near) >= 3 or c.stays_local else fit
-        return {r.name: 1.0 for r in self.chance.sample(pool, min(self.whole.standing, len(pool)))}
+        pool = near if len(near) >= 3 or c.zone_local else fit
+        return {r.name: 1.0 for r in self.chance.sample(pool, min(self.whole.default_table_size, len(pool)))}
 
-    def _allowed(self, c: p.Class, r: p.Replica) -> bool:
+    def _allowed(self, c: p.RequestClassPlan, r: p.ReplicaPlan) -> bool:
         return (
-            (c.only_zones is None or r.zone in c.only_zones)
-            and (c.only_kinds is None or r.kind in c.only_kinds)
-            and (not c.stays_local or r.zone == self.plan.zone)
+            (c.allowed_zones is None or r.zone in c.allowed_zones)
+            and (c.allowed_kinds is None or r.kind in c.allowed_kinds)
+            and (not c.zone_local or r.zone == self.plan.zone)
         )
 
     def start(self) -> None:
         self.server = HttpServer(self.handle)
         self.server.listen(self.plan.port, "127.0.0.1", backlog=1024)
-        standing = {c: self.holdings.weights_for(c) for c in self.classes}
+        standing = {c: self.state.weights_for(c) for c in self.classes}
         self.process.record("relay_up", relay=self.plan.name, standing=standing)
         if self.whole.follow_governors:
-            self.tasks = [self.process.task(self._feed()), self.process.task(self._sums())]
+            self.tasks = [self.process.start_task(self._follow_feed()), self.process.start_task(self._sums())]
 
-    def die(self) -> None:
+    def stop(self) -> None:
         if self.server is not None:
             self.process.record("relay_down", relay=self.plan.name)
             self.server.abort()
@@ -108,7 +108,7 @@
 
     # The feed
 
-    async def _feed(self) -> None:
+    async def _follow_feed(self) -> None:
         """Follows one governor; after a failure the next, with a pause by chance before it dials."""
         limits = http.Limits(max_body_bytes=1 << 26)
         while True:
@@ -124,33 +124,32 @@
                 client.close()
             self.process.record("lost", relay=self.plan.name, governor=name, reason=reason)
             self.at_governor += 1
-            await asyncio.sleep(self.chance.uniform(*self.whole.redial) / 1e6)
+            await asyncio.sleep(self.chance.uniform(*self.whole.reconnect_range_us) / 1e6)
 
     async def _one_poll(self, client: HttpClient, governor: str) -> str:
+        request_rate = self.whole.requests_per_s * self.plan.traffic_share
         target = (
             f"/v1/feed?relay={quote(self.plan.name)}&zone={quote(self.plan.zone)}"
-            f"&rate={self.whole.rate * self.plan.share:.3f}&epoch={self.epoch}&stream={self.stream}"
-            f"&after={self.after}"
+            f"&rate={request_rate:.3f}&epoch={self.epoch}&stream={self.stream}"
+            f"&after={self.acknowledged_seq}"
         )
-        response = await client.request("GET", target, timeout_s=self.whole.hold / 1e6 + 1.0)
+        response = await client.request("GET", target, timeout_s=self.whole.poll_hold_us / 1e6 + 1.0)
         if response.status != 200:
             return f"status {response.status}"
         answer = FEED.decode(response.body)
         if answer.is_new_stream or (answer.epoch, answer.stream) != (self.epoch, self.stream):
-            self.epoch, self.stream, self.after = answer.epoch, answer.stream, 0
-            self.holdings.begin_stream()
+            self.epoch, self.stream, self.acknowledged_seq = answer.epoch, answer.stream, 0
+            self.state.begin_stream()
             self.process.record(
                 "joined", relay=self.plan.name, governor=governor, epoch=self.epoch, stream=self.stream
             )
         for message in answer.messages:
-            if message.seq <= self.after:
+            if message.seq <= self.acknowledged_seq:
                 continue
-            self.holdings.apply(message)
-            if (limits := self.holdings.rate_limits) and (
-                not self.door or self.door.limits != _limits(limits)
-            ):
+            self.state.apply(message)
+            if (limits := self.state.rate_limits) and (not self.door or self.door.limits != _limits(limits)):
                 self.door = RateLimiter(_limits(limits))
-            self.after = message.seq
+            self.acknowledged_seq = message.seq
             self.process.record(
                 "applied",
                 relay=self.plan.name,
@@ -164,7 +163,7 @@
 
     async def _sums(self) -> None:
         while True:
-            await asyncio.sleep(self.whole.period / 1e6)
+            await asyncio.sleep(self.whole.load_report_period_us / 1e6)
             met, self.met = self.met, defaultdict(Met)
             came, self.came = self.came, defaultdict(lambda: [0, 0])
             tries = tuple(
@@ -181,14 +180,14 @@
                 sums = feed.ProxyLoadReport(
                     self.plan.name,
                     self.epoch,
-                    self.whole.period,
+                    self.whole.load_report_period_us,
                     tries,
                     tuple(feed.ClassRequests(c, n, u) for c, (n, u) in came.items()),
                 )
-                self.process.task(self._send_sums(sums))
+                self.process.start_task(self._send_sums(sums))
 
     async def _send_sums(self, sums: feed.ProxyLoadReport) -> None:
-        await asyncio.sleep(self.chance.uniform(*self.whole.sums_late) / 1e6)
+        await asyncio.sleep(self.chance.uniform(*self.whole.report_delay_range_us) / 1e6)
         name, (host, port) = self.plan.governors[self.at_governor % len(self.plan.governors)]
         client = HttpClient(host, port)
         try:
@@ -209,12 +208,12 @@
     # Transactions
 
     async def handle(self, request: http.Request, connection: Connection) -> ServerResponse | None:
-        came, cls = now(), self.classes.get(http.get_header(request.headers, "x-class") or "")
+        came, cls = read_monotonic_us(), self.classes.get(http.get_header(request.headers, "x-class") or "")
         tenant = http.get_header(request.headers, "x-tenant") or ""
         tx = http.get_header(request.headers, "x-transaction") or ""
         if cls is None:
             return ServerResponse(400, b"no such class")
-        route = self.holdings.routes
+        route = self.state.routes
         cell = home_cell(tenant, route.cells, route.cell_by_tenant) if route else ""
         gen = route.generations.get(tenant, 1) if route else 0
         name = class_label(cell, cls.name) if cell or not route else class_label(route.cells[0], cls.name)
@@ -247,7 +246,7 @@
     async def _let_in(
         self,
         tx: str,
-        cls: p.Class,
+        cls: p.RequestClassPlan,
         at: tuple[str, int],
         name: str,
         count: list[int],
@@ -255,11 +254,11 @@
         connection: Connection,
         came: int,
     ) -> ServerResponse | None:
-        share, way = self.holdings.admission_for(name, self.whole.usual_way)
+        share, way = self.state.admission_for(name, self.whole.retry_policy)
         if self.chance.random() >= share:
             self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="level")
             return ServerResponse(429, b"not let in")
-        patience = int(http.get_header(request.headers, "x-patience") or cls.cutoff)
+        patience = int(http.get_header(request.headers, "x-patience") or cls.deadline_us)
         work = asyncio.ensure_future(self._try(tx, cls, at, request, came + patience, way))
         gone = asyncio.ensure_future(connection.closed.wait())
         try:
@@ -278,7 +277,10 @@
     def _pick(self, cls: str, cell: str, but: set[str]) -> str | None:
         name = class_label(cell, cls)
         # A cell whose table has not come yet stands on what the relay began with.
-        at, lines = now(), self.holdings.weights_for(name if name in self.holdings.table_by_class else cls)
+        at, lines = (
+            read_monotonic_us(),
+            self.state.weights_for(name if name in self.state.table_by_class else cls),
+        )
         fit = {r: w for r, w in lines.items() if r not in but and self.avoid.get(r, 0) <= at}
         fit = fit or {r: w for r, w in lines.items() if r not in but}  # all avoided: better one of them
         if not fit:
@@ -286,7 +288,13 @@
         return self.chance.choices(list(fit), list(fit.values()))[0]
 
     async def _try(
-        self, tx: str, cls: p.Class, at: tuple[str, int], request: http.Request, until: int, way: int
+        self,
+        tx: str,
+        cls: p.RequestClassPlan,
+        at: tuple[str, int],
+        request: http.Request,
+        until: int,
+        way: int,
     ) -> int:
         """One transaction with the tries after it; the status to answer with, at once when given up."""
         used: set[str] = set()
@@ -301,14 +309,18 @@
                     )
                 return 502 if unproven else 503  # clients repeat after 503 what must never run twice
             used.add(replica)
-            left = until - now()
+            left = until - read_monotonic_us()
             last = number == further
-            wait = left if way < 2 or last else min(left, int(self.whole.try_factor * cls.goal))
+            wait = (
+                left
+                if way < 2 or last
+                else min(left, int(self.whole.attempt_factor * cls.latency_objective_us))
+            )
             ended, proof = await self._send(tx, number, cls, at, replica, request, wait, way, unproven)
             if ended == 200:
                 return 200
             unproven |= not proof
-            if last or until - now() < LEAST_LEFT or (way == 1 and not proof):
+            if last or until - read_monotonic_us() < LEAST_LEFT or (way == 1 and not proof):
                 return 504 if ended == 504 else 502
         return 502
 
@@ -316,7 +328,7 @@
         self,
         tx: str,
         number: int,
-        cls: p.Class,
+        cls: p.RequestClassPlan,
         at: tuple[str, int],
         replica: str,
         request: http.Request,
@@ -327,8 +339,8 @@
         """Status and whether it is proven that the try never ran."""
         client = self.clients.get(replica)
         if client is None:
-            client = self.clients[replica] = HttpClient("127.0.0.1", self.via[replica])
-        met, began = self.met[replica], now()
+            client = self.clients[replica] = HttpClient("127.0.0.1", self.replica_ports[replica])
+        met, began = self.met[replica], read_monotonic_us()
         self.process.record(
             "try",
             relay=self.plan.name,
@@ -367,35 +379,37 @@
             met.tries += 1
             good = status == 200
             met.bad += not good
-            met.elapsed += (now() - began) * good
+            met.elapsed += (read_monotonic_us() - began) * good
             self.strikes[replica] = 0 if good else self.strikes[replica] + 1
-            if self.whole.strikes and self.strikes[replica] >= self.whole.strikes:
+            if self.whole.failures_to_avoid and self.strikes[replica] >= self.whole.failures_to_avoid:
                 self.strikes[replica] = 0
-                self.avoid[replica] = now() + int(self.whole.avoid * self.chance.uniform(0.8, 1.2))
+                self.avoid[replica] = read_monotonic_us() + int(
+                    self.whole.avoid_us * self.chance.uniform(0.8, 1.2)
+                )
             self.process.record(
                 "tried", relay=self.plan.name, tx=tx, n=number, replica=replica, status=status
             )
         return status, proof
 
 
-class Relays(Process):
+class ProxyProcess(Process):
     """The relays of one zone."""
 
     def __init__(self, plan: p.Plan, role: str, folder: Path) -> None:
         super().__init__(plan, role, folder)
         zone = role.removeprefix("relays-")
-        self.all = {r.name: Relay(self, r, plan) for r in plan.relays if r.zone == zone}
+        self.proxies = {r.name: Proxy(self, r, plan) for r in plan.proxies if r.zone == zone}
 
-    async def begin(self) -> None:
-        for relay in self.all.values():
+    async def start(self) -> None:
+        for relay in self.proxies.values():
             relay.start()
 
-    def control(self, do: dict[str, Any]) -> None:
+    def on_command(self, do: dict[str, Any]) -> None:
         for name in do["relays"]:
-            relay = self.all[name]
+            relay = self.proxies[name]
             match do["do"]:
                 case "die":
-                    relay.die()
+                    relay.stop()
                 case "start":
                     relay.start()
                 case "aim":  # the next dial goes to this governor
--- a/gradehoist/testbed/replica.py
+++ b/gradehoist/testbed/replica.py
@@ -18,7 +18,7 @@
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response
 from gradehoist.protocol import http, orca
 from gradehoist.testbed import scenario_plan as p
-from gradehoist.testbed.process import Process, dice, now
+from gradehoist.testbed.process import Process, create_random, read_monotonic_us
 
 STEP = 0.004  # seconds between steps: far under any latency goal
 THRASH = 0.03  # part of its speed that a replica loses for each held transaction beyond three a core
@@ -41,7 +41,7 @@
 @dataclass
 class Replica:
     process: Process
-    plan: p.Replica
+    plan: p.ReplicaPlan
     whole: p.Plan
     boot: int = 0
     server: HttpServer | None = None
@@ -62,17 +62,17 @@
 
     @property
     def writes(self) -> set[str]:
-        return {c.name for c in self.whole.classes if c.repeat == "single"}
+        return {c.name for c in self.whole.classes if c.idempotency == "single"}
 
     def __post_init__(self) -> None:
-        self.chance = dice(self.whole.seed, "fails", self.plan.name)
+        self.chance = create_random(self.whole.seed, "fails", self.plan.name)
         # What the fence keeps outlives the process, here as this object does.
-        self.fence = ReplicaFence(self.plan.name, self.whole.workers.get(self.plan.name, ""))
+        self.fence = ReplicaFence(self.plan.name, self.whole.cell_by_replica.get(self.plan.name, ""))
 
     def start(self, cold: bool) -> None:
         self.fence = self.fence.restarted()
         self.boot += 1
-        self.started = now() if cold else 0
+        self.started = read_monotonic_us() if cold else 0
         self.running, self.waiting = [], deque()
         self.arrived.clear()
         self.hung = self.draining = False
@@ -95,13 +95,13 @@
 
     def warmth(self, at: int) -> float:
         """The part of its full speed that it has: from `cold_from` evenly to 1."""
-        if not self.started or self.plan.cold <= 0:
+        if not self.started or self.plan.warmup_us <= 0:
             return 1.0
-        age = (at - self.started) / self.plan.cold
-        return min(1.0, self.plan.cold_from + (1 - self.plan.cold_from) * age)
+        age = (at - self.started) / self.plan.warmup_us
+        return min(1.0, self.plan.start_capacity + (1 - self.plan.start_capacity) * age)
 
     def step(self, elapsed: float) -> None:
-        at = now()
+        at = read_monotonic_us()
         while self.waiting and len(self.running) < self.plan.slots:
             self.running.append(self.waiting.popleft())
         held = len(self.running) + len(self.waiting)
@@ -134,21 +134,21 @@
 
     def cold_load(self, at: int, work: float) -> None:
         """A cold replica that is sent too much within the span falls over, and stays down."""
-        rules, span = self.whole.rules, self.whole.rules.fall_span
+        rules, span = self.whole.rules, self.whole.rules.overload_window_us
         self.arrived.append((at, work))
         while self.arrived[0][0] < at - span:
             self.arrived.popleft()
         capacity = self.plan.cores * self.plan.speed * self.warmth(at) * 1e-3  # work a µs
-        if sum(w for _, w in self.arrived) > rules.fall_multiple * capacity * span:
+        if sum(w for _, w in self.arrived) > rules.overload_multiple * capacity * span:
             self.process.record("fell", replica=self.plan.name)
             self.die("pushed over while cold")
 
     async def handle(self, request: http.Request, connection: Connection) -> ServerResponse | None:
-        name, at = self.plan.name, now()
+        name, at = self.plan.name, read_monotonic_us()
         load = ((orca.HEADER_NAME, orca.format_report(self.report)),)
         if connection not in self.connections:
             self.connections = {c for c in self.connections if not c.closed.is_set()} | {connection}
-            self.running.append(Job(self.whole.handshake, asyncio.get_running_loop().create_future()))
+            self.running.append(Job(self.whole.handshake_work_ms, asyncio.get_running_loop().create_future()))
         if request.target == "/healthz":
             if self.hung:
                 await connection.closed.wait()
@@ -184,9 +184,9 @@
             self.cold_load(at, work)
             if self.server is None:
                 return None
-        if len(self.waiting) >= self.plan.queue:
+        if len(self.waiting) >= self.plan.queue_limit:
             self.process.record("turned_away", replica=name, tx=tx)
-            proof = (("x-never-ran", "1"),) if self.whole.full_is_proof else ()
+            proof = (("x-never-ran", "1"),) if self.whole.rejection_proves_no_effect else ()
             return ServerResponse(503, b"", load + proof)
         if self.fails and self.chance.random() < self.fails:
             return ServerResponse(500, b"a bad release", load)
@@ -211,18 +211,18 @@
         finally:
             gone.cancel()
         if not job.done.done():  # the relay gave up: what runs goes on, what waits may be dropped
-            if self.whole.drops_waiting and job in self.waiting:
+            if self.whole.drops_abandoned_requests and job in self.waiting:
                 self.waiting.remove(job)
                 if job.write:
                     self.fence = self.fence.drop_write(job.write[0], job.key)
             return None
         if job.done.cancelled():
             return None
-        self.served.append((now() - at) / 1e3)
+        self.served.append((read_monotonic_us() - at) / 1e3)
         return ServerResponse(200, b"ok", ((orca.HEADER_NAME, orca.format_report(self.report)),))
 
 
-class Replicas(Process):
+class ReplicaProcess(Process):
     """The replicas of one zone: role `replicas-ZONE`."""
 
     def __init__(self, plan: p.Plan, role: str, folder: Path) -> None:
@@ -230,30 +230,30 @@
         zone = role.removeprefix("replicas-")
         self.all = {r.name: Replica(self, r, plan) for r in plan.replicas if r.zone == zone}
 
-    async def begin(self) -> None:
+    async def start(self) -> None:
         for replica in self.all.values():
-            if replica.plan.listed:
+            if replica.plan.is_listed:
                 replica.start(cold=False)
-            self.task(self._reports(replica))
-        self.task(self._steps())
+            self.start_task(self._reports(replica))
+        self.start_task(self._steps())
 
     async def _steps(self) -> None:
-        last = now()
+        last = read_monotonic_us()
         while True:
             await asyncio.sleep(STEP)
-            at = now()
+            at = read_monotonic_us()
             for replica in self.all.values():
                 if replica.server is not None:
                     replica.step((at - last) / 1e6)
             last = at
 
     async def _reports(self, replica: Replica) -> None:
-        chance = dice(self.plan.seed, "reports", replica.plan.name)
+        chance = create_random(self.plan.seed, "reports", replica.plan.name)
         while True:
-            await asyncio.sleep(self.plan.report_period / 1e6 * chance.uniform(0.7, 1.3))
+            await asyncio.sleep(self.plan.replica_report_period_us / 1e6 * chance.uniform(0.7, 1.3))
             replica.refresh()
 
-    def control(self, do: dict[str, Any]) -> None:
+    def on_command(self, do: dict[str, Any]) -> None:
         for name in do["replicas"]:
             replica = self.all[name]
             self.record("told", replica=name, do=do["do"], value=do.get("value"))
--- a/tests/support/node_shell.py
+++ b/tests/support/node_shell.py
@@ -16,14 +16,14 @@
 from gradehoist.node.connections import Connection
 from gradehoist.node.log import NodeLog
 from gradehoist.node.service import NodeService
-from gradehoist.testbed.platform import LOCAL, PATIENCE, Discovery, Node, entry
+from gradehoist.testbed.platform import LOOPBACK, TIMEOUT_S, DiscoveryServer, NodeProcess, build_member
 from tests.support.platform_proxies import SETTINGS
 
-MEMBERS = [entry(f"s-{n}", locality="ab"[n % 2]) for n in range(4)]
-CHUNKED = Discovery.HEAD
+MEMBERS = [build_member(f"s-{n}", locality="ab"[n % 2]) for n in range(4)]
+CHUNKED = DiscoveryServer.HEAD
 
 
-async def until(what: Callable[[], Any], seconds: float = PATIENCE) -> None:
+async def until(what: Callable[[], Any], seconds: float = TIMEOUT_S) -> None:
     async with asyncio.timeout(seconds):
         while not what():
             await asyncio.sleep(0.005)
@@ -42,14 +42,14 @@
     return chunk(line(revision, *members, complete=complete))
 
 
-class Script(Discovery):
+class Script(DiscoveryServer):
     """Sends on each watch what the test writes, and nothing else."""
 
     def __init__(self, port: int) -> None:
         super().__init__(port, MEMBERS, b"")
         self.opened = list[asyncio.StreamWriter]()
 
-    def _write(self, writer: asyncio.StreamWriter, members: list[Any], complete: bool) -> None:
+    def _write_update(self, writer: asyncio.StreamWriter, members: list[Any], complete: bool) -> None:
         self.opened.append(writer)
 
     async def watch(self, number: int) -> asyncio.StreamWriter:
@@ -65,7 +65,7 @@
         self.sock = socket.socket()
         if buffer:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
-        self.sock.connect((LOCAL, port))
+        self.sock.connect((LOOPBACK, port))
         self.address, self.text = self.sock.getsockname(), b""
 
     def say(self, *lines: str) -> None:
@@ -126,7 +126,7 @@
 
 class Shell:
     def __init__(self, folder: Path, settings: dict[str, Any]) -> None:
-        self.node = Node(folder, settings, MEMBERS)
+        self.node = NodeProcess(folder, settings, MEMBERS)
         self.node.configure(0)
         self.port, self.path = self.node.port, self.node.path
         self.scripts = [Script(place.port) for place in self.node.discoveries]
@@ -166,7 +166,7 @@
     finally:
         InterleavedStream.interleave = None
         found.service.stopping.set()
-        assert await asyncio.wait_for(running, PATIENCE) == 0
+        assert await asyncio.wait_for(running, TIMEOUT_S) == 0
         assert not len(found.service.tasks), "no task is left behind"
         for script in found.scripts:
-            script.end()
+            script.stop_accepting()
--- a/tests/support/simulated_store.py
+++ b/tests/support/simulated_store.py
@@ -32,7 +32,7 @@
     WatchBatch,
     WatchEvent,
 )
-from gradehoist.testbed.etcd_keyspace import Entry, Gone, Keyspace, NoLease
+from gradehoist.testbed.etcd_keyspace import Entry, Keyspace, LeaseNotFoundError, RevisionCompactedError
 
 SECOND_US = 1_000_000
 STORE_ID = "one"
@@ -91,14 +91,14 @@
             case CommitChanges():
                 return self._commit(operation)
             case OpenSession(ttl_us):
-                return str(self.keyspace.grant(now_us, ttl_us))
+                return str(self.keyspace.grant_lease(now_us, ttl_us))
             case RenewSession(session_id):
-                lives = self.keyspace.renew(now_us, int(session_id))
+                lives = self.keyspace.renew_lease(now_us, int(session_id))
                 if lives or self._without is Guard.SESSIONS_STAY_ENDED:
                     return self.keyspace.revision
                 return SessionEndedError("ended")
             case EndSession(session_id):
-                self.keyspace.revoke(int(session_id))
+                self.keyspace.revoke_lease(int(session_id))
                 self._wake_watches()
                 return 0
             case WatchChanges(prefix, after_revision, _):
@@ -109,7 +109,7 @@
         if self.faults.is_away:
             return
         revision = self.keyspace.revision
-        self.keyspace.expire(now_us)
+        self.keyspace.expire_leases(now_us)
         if self.keyspace.revision != revision:
             self._wake_watches()
 
@@ -122,7 +122,7 @@
         """Puts an older snapshot back: connections are cut, sessions have their whole time again."""
         self.keyspace = snapshot.snapshot()
         self.connection_epoch += 1
-        self.keyspace.extend(now_us)
+        self.keyspace.extend_leases(now_us)
         self._wake_watches()
 
     def _wake_watches(self) -> None:
@@ -136,8 +136,8 @@
         stale_share = 0.5 if self._without is Guard.CURRENT_READS else self.faults.stale_reads
         if self._random.random() < stale_share:
             older = self.keyspace.revision - self._random.randrange(1, 4)
-            at_revision = max(self.keyspace.compacted, older, 1)
-        entries = self.keyspace.range(prefix.encode(), prefix.encode() + b"\xff", at_revision)
+            at_revision = max(self.keyspace.compacted_revision, older, 1)
+        entries = self.keyspace.read_range(prefix.encode(), prefix.encode() + b"\xff", at_revision)
         records = tuple(_to_record(entry) for entry in entries)
         return StoreSnapshot(
             store_id=STORE_ID, revision=at_revision or self.keyspace.revision, records=records
@@ -146,10 +146,11 @@
     def _commit(self, commit: CommitChanges) -> Committed | CommitRejected | CoordinationError:
         changes = commit.changes
         has_conflict = any(
-            self.keyspace.modified(change.key.encode()) != change.expected_version for change in changes
+            self.keyspace.find_mod_revision(change.key.encode()) != change.expected_version
+            for change in changes
         )
         if has_conflict and self._without is not Guard.VERSION_AT_COMMIT:
-            found = [entry for change in changes for entry in self.keyspace.range(change.key.encode())]
+            found = [entry for change in changes for entry in self.keyspace.read_range(change.key.encode())]
             return CommitRejected(self.keyspace.revision, tuple(_to_record(entry) for entry in found))
         if self.faults.is_full:
             return StoreFullError("no room")
@@ -162,7 +163,7 @@
         deletes = [change.key.encode() for change in changes if isinstance(change, Delete)]
         try:
             revision = self.keyspace.write(puts, deletes)
-        except NoLease:
+        except LeaseNotFoundError:
             return SessionEndedError("no such session")
         self._wake_watches()
         return Committed(revision)
@@ -173,10 +174,12 @@
         if self._random.random() < self.faults.broken_watches:
             return StoreUnavailableError("cut")
         if self._random.random() < self.faults.repeated_events:
-            after_revision = max(self.keyspace.compacted, after_revision - 3)
+            after_revision = max(self.keyspace.compacted_revision, after_revision - 3)
         try:
-            changes = self.keyspace.since(after_revision + 1, prefix.encode(), prefix.encode() + b"\xff")
-        except Gone:
+            changes = self.keyspace.find_changes(
+                after_revision + 1, prefix.encode(), prefix.encode() + b"\xff"
+            )
+        except RevisionCompactedError:
             return HistoryCompactedError("gone")
         if not changes and self.keyspace.revision >= after_revision:
             self._waiting_watches.append(retry)
@@ -202,7 +205,7 @@
     return Record(
         key=entry.key.decode(),
         value=value,
-        version=entry.modified,
+        version=entry.mod_revision,
         commit_id=commit_id.decode(),
-        session_id=str(entry.lease or ""),
+        session_id=str(entry.lease_id or ""),
     )
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -57,7 +57,7 @@
     mark: int | None = None,
 ) -> Rec:
     cost = (
-        RULES.message_head
+        RULES.message_overhead_lines
         + len(deltas)
         + sum(len(d.weights) for d in deltas if isinstance(d, feed.BindDelta))
     )
@@ -108,7 +108,7 @@
 
 
 def judge(*records: Rec, end: float = 30, whole: bool = True, over: Plan = PLAN) -> dict[str, RuleResult]:
-    ends = [rec(end, "ended", role) for role in over.controls] if whole else []
+    ends = [rec(end, "ended", role) for role in over.control_ports] if whole else []
     verdict = check(over, [*records, *ends])
     assert verdict.is_complete == whole
     return {r.rule: r for r in verdict.results}
@@ -116,7 +116,7 @@
 
 @pytest.mark.parametrize(("late", "state"), [(-0.05, "kept"), (0.05, "broken")])
 def test_rule_1_by_the_time_without_a_line(late: float, state: str) -> None:
-    until = 5 + RULES.bare_limit / S + late
+    until = 5 + RULES.unroutable_limit_us / S + late
     outs = (feed.WithdrawalDelta(W1), feed.WithdrawalDelta(W4))
     rule = judge(*start(), applied(5, 1, *outs), applied(until, 2, feed.RestorationDelta(W1)))["line"]
     assert rule.state == state and abs(rule.limit_used - 1) < 0.03
@@ -151,7 +151,7 @@
     assert rule.state == "broken" and "may have run" in rule.violations[0].description
     proof = rec(1.02, "turned_away", "replicas-hall-a", replica=W1, tx="c1.1")
     assert judge(*start(), *both, proof, again)["twice"].state == "kept"
-    full = msgspec.structs.replace(PLAN, full_is_proof=False)
+    full = msgspec.structs.replace(PLAN, rejection_proves_no_effect=False)
     assert judge(*start(), *both, proof, again, over=full)["twice"].state == "broken"
     free = [*tried(1, "c2.1", W1, cls="rate-check"), *tried(3, "c2.1", W4, 1, cls="rate-check")]
     assert judge(*start(), *free)["twice"].state == "not judged"  # no occasion is not kept
@@ -160,7 +160,7 @@
 @pytest.mark.parametrize(("late", "state"), [(-0.02, "kept"), (0.02, "broken")])
 @pytest.mark.parametrize("phase", ["draining", "gone"])
 def test_rule_3_by_the_grace_from_the_roster_s_word_or_the_join(late: float, state: str, phase: str) -> None:
-    grace = RULES.grace / S
+    grace = RULES.drain_grace_us / S
     rule = judge(*start(), told(5, {W1: (phase, 1)}), *tried(5 + grace + late, "c1.1", W1))["drain"]
     assert rule.state == state and rule.occasions == 1
     later = [
@@ -173,7 +173,7 @@
 
 
 def test_rule_3_runs_on_from_draining_to_gone_and_ends_with_ready() -> None:
-    grace = RULES.grace / S
+    grace = RULES.drain_grace_us / S
     words = [told(5, {W1: ("draining", 1)}), told(6, {W1: ("gone", 1)})]
     assert judge(*start(), *words, *tried(5.1 + grace, "c1.1", W1))["drain"].state == "broken"
     words.append(told(6.5, {W1: ("ready", 2)}))
@@ -185,8 +185,8 @@
 @pytest.mark.parametrize(("part", "state"), [(0.98, "kept"), (1.02, "broken")])
 def test_rule_4_by_the_budget_of_a_cold_replica(part: float, state: str) -> None:
     w1 = next(r for r in PLAN.replicas if r.name == W1)
-    warmth, span = 0.3, RULES.fall_span
-    work = part * RULES.fall_multiple * w1.cores * w1.speed * warmth * 1e-3 * span / 10
+    warmth, span = 0.3, RULES.overload_window_us
+    work = part * RULES.overload_multiple * w1.cores * w1.speed * warmth * 1e-3 * span / 10
     begin = [rec(1, "up", "replicas-hall-a", replica=W1, boot=2, cold=True), told(1.2, {W1: ("ready", 2)})]
     load = [
         rec(
@@ -240,7 +240,7 @@
 
 @pytest.mark.parametrize(("over", "state"), [(0, "kept"), (1, "broken")])
 def test_rule_5_by_lines_in_the_channel(over: int, state: str) -> None:
-    table = {f"x{n}": 1.0 for n in range(int(RULES.queue_limit / 2 - RULES.message_head - 1))}
+    table = {f"x{n}": 1.0 for n in range(int(RULES.queue_limit_lines / 2 - RULES.message_overhead_lines - 1))}
     some = [applied(5 + n, n, feed.BindDelta(0, ("rate-check",), table), ordered=5, reply=1) for n in (1, 2)]
     extra = [applied(8, 3, ordered=5, reply=1)] * over
     rule = judge(*start(), *some, *extra)["queue"]
@@ -249,10 +249,10 @@
 
 @pytest.mark.parametrize(("over", "state"), [(0, "kept"), (1, "broken")])
 def test_rule_5_by_messages_to_one_relay(over: int, state: str) -> None:
-    number = RULES.message_limit + over
+    number = RULES.messages_per_window + over
     some = [applied(5 + n * 0.1, n + 1) for n in range(number)]
     rule = judge(*start(), *some)["queue"]
-    assert rule.state == state and abs(rule.limit_used - number / RULES.message_limit) < 0.001
+    assert rule.state == state and abs(rule.limit_used - number / RULES.messages_per_window) < 0.001
 
 
 def test_rule_5_trusts_no_stamp_that_the_pace_belies() -> None:
@@ -272,16 +272,16 @@
     rules = judge(*start(), *tried(1, "c1.1", W1), whole=False)
     assert {r.state for r in rules.values()} == {"not judged"}
     failed = rec(3, "stand_in_failed", reason="x")
-    verdict = check(PLAN, [*start(), failed, *[rec(9, "ended", role) for role in PLAN.controls]])
+    verdict = check(PLAN, [*start(), failed, *[rec(9, "ended", role) for role in PLAN.control_ports]])
     assert not verdict.is_passed and "failed" in verdict.reason
 
 
 def test_a_hurried_day_is_the_same_script_in_less_time_under_the_same_rules() -> None:
     plan = build_plan(read_scenario(ROOT / "scenarios" / "bad-day.kdl"), 1)
     fast = speed_up_plan(plan, 4.0)
-    assert fast.length * 4 == plan.length and fast.rules == plan.rules and fast.classes == plan.classes
-    assert [(s.role, s.do) for s in fast.steps] == [(s.role, s.do) for s in plan.steps]
-    assert all(abs(4 * a.at - b.at) <= 2 for a, b in zip(fast.steps, plan.steps, strict=True))
+    assert fast.length_us * 4 == plan.length_us and fast.rules == plan.rules and fast.classes == plan.classes
+    assert [(s.role, s.command) for s in fast.steps] == [(s.role, s.command) for s in plan.steps]
+    assert all(abs(4 * a.at_us - b.at_us) <= 2 for a, b in zip(fast.steps, plan.steps, strict=True))
 
 
 def test_a_record_cut_by_a_kill_is_left_out_and_a_bad_one_is_named(tmp_path: Path) -> None:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -39,7 +39,7 @@
 
 
 def stored_counter(simulation: StoreSimulation) -> int:
-    (entry,) = simulation.keyspace.range(COUNTER_KEY.encode())
+    (entry,) = simulation.keyspace.read_range(COUNTER_KEY.encode())
     _, _, value = entry.value.partition(b"\0")
     return int(value)
 
@@ -122,7 +122,7 @@
     simulation.store.faults = Faults(lost_responses=1.0)
     simulation.increment_counter(process)
     simulation.run_for(3)
-    assert simulation.keyspace.range(COUNTER_KEY.encode())
+    assert simulation.keyspace.read_range(COUNTER_KEY.encode())
     assert process.increment_id
 
     simulation.store.faults = Faults()
@@ -223,7 +223,7 @@
     while simulation.keyspace.revision < revision_before + 5:
         simulation.increment_counter(third)
         simulation.run_for(1)
-    simulation.keyspace.extend(simulation.now_us)
+    simulation.keyspace.extend_leases(simulation.now_us)
 
     simulation.resume(first)
     simulation.run_for(20)
@@ -268,7 +268,7 @@
     assert requests_in_outage <= 30 * 2 * 10 / 1.5 + 60  # two activities, each once in 1.5 s at the most
 
     # As engines do after an election, and the store of one machine after a standstill.
-    simulation.keyspace.extend(simulation.now_us)
+    simulation.keyspace.extend_leases(simulation.now_us)
     simulation.store.faults = Faults()
     reads_before = simulation.request_counts[ReadRecords]
     joined_counts = []
@@ -289,7 +289,7 @@
     before = process.participant.fencing_token
     simulation.pause(process)
     simulation.run_for(30)
-    assert not simulation.keyspace.range(process.participant.identity.member_key.encode())
+    assert not simulation.keyspace.read_range(process.participant.identity.member_key.encode())
 
     simulation.resume(process)
     simulation.run_for(10)
@@ -363,4 +363,4 @@
     simulation.run_for(1)
 
     assert process.participant.has_left
-    assert not simulation.keyspace.range(process.participant.identity.member_key.encode())
+    assert not simulation.keyspace.read_range(process.participant.identity.member_key.encode())
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -14,7 +14,7 @@
 
 import psutil
 
-from gradehoist.testbed.platform import Node, Proxy, entry
+from gradehoist.testbed.platform import NodeProcess, ProxyStream, build_member
 from tests.support.platform_proxies import SETTINGS
 
 ROOT = Path(__file__).parent.parent
@@ -117,10 +117,12 @@
 
 def test_the_running_node_starts_no_process_and_writes_no_file(tmp_path: Path) -> None:
     async def play() -> None:
-        node = Node(tmp_path, SETTINGS, [entry(f"s-{n}", locality="ab"[n % 2]) for n in range(4)])
+        node = NodeProcess(
+            tmp_path, SETTINGS, [build_member(f"s-{n}", locality="ab"[n % 2]) for n in range(4)]
+        )
         try:
             await node.start()
-            await Proxy(node).join()
+            await ProxyStream(node).connect()
             await asyncio.sleep(0.5)
             assert node.child is not None
             process = psutil.Process(node.child.pid)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,7 +15,7 @@
     parse_update,
 )
 from gradehoist.node.endpoint_list import EndpointList
-from gradehoist.testbed.platform import entry
+from gradehoist.testbed.platform import build_member
 from tests.support.node_shell import CHUNKED, chunk, line
 
 
@@ -23,7 +23,7 @@
     return CHUNKED + b"".join(chunk(piece) for piece in pieces if piece)
 
 
-BODY = line(2, entry("s-1"), complete=True) + b"\n" + line(3, entry("s-1", "leaving")) + b"\r\n"
+BODY = line(2, build_member("s-1"), complete=True) + b"\n" + line(3, build_member("s-1", "leaving")) + b"\r\n"
 
 
 @given(st.lists(st.integers(0, len(BODY)), max_size=8), st.lists(st.integers(0, 2_000), max_size=8))
@@ -56,7 +56,9 @@
 
 def held() -> EndpointList:
     one = EndpointList()
-    one.apply_update(parse_update({"revision": 5, "complete": True, "members": [entry("s-1"), entry("s-2")]}))
+    one.apply_update(
+        parse_update({"revision": 5, "complete": True, "members": [build_member("s-1"), build_member("s-2")]})
+    )
     return one
 
 
@@ -70,11 +72,11 @@
                 "members": [
                     {"phase": "active"},
                     7,
-                    entry("s 3"),
-                    entry("s-2", "leaving", locality=None, size="x", up_since_ms=-1),
-                    entry("s-1", "strange"),
-                    entry("s-4", cell=float(2)),
-                    entry("s-5", locality=9),
+                    build_member("s 3"),
+                    build_member("s-2", "leaving", locality=None, size="x", up_since_ms=-1),
+                    build_member("s-1", "strange"),
+                    build_member("s-4", cell=float(2)),
+                    build_member("s-5", locality=9),
                 ],
             }
         )
@@ -91,13 +93,13 @@
     one = held()
     assert one.apply_update(
         EndpointListUpdate(
-            7, False, parse_update({"revision": 7, "members": [entry("s-1", "leaving")]}).endpoints
+            7, False, parse_update({"revision": 7, "members": [build_member("s-1", "leaving")]}).endpoints
         )
     )
-    assert one.apply_update(parse_update({"revision": 6, "members": [entry("s-1")]})) is None
+    assert one.apply_update(parse_update({"revision": 6, "members": [build_member("s-1")]})) is None
     assert one.endpoints["s-1"].phase is Phase.DRAINING
     assert one.revision == 7
-    told = one.apply_update(parse_update({"revision": 6, "members": [entry("s-2", "left")]}))
+    told = one.apply_update(parse_update({"revision": 6, "members": [build_member("s-2", "left")]}))
     assert told
     assert told[0].phase is Phase.GONE
     assert "s-2" not in one.endpoints
@@ -123,13 +125,13 @@
             {
                 "revision": at + 1,
                 "complete": True,
-                "members": [entry(n, phase) for n, phase in states[at].items()],
+                "members": [build_member(n, phase) for n, phase in states[at].items()],
             }
         )
 
     def later(at: int) -> EndpointListUpdate:
         n, up = history[at - 1]
-        told = entry(f"s-{n}", "active" if up else "leaving")
+        told = build_member(f"s-{n}", "active" if up else "leaving")
         return parse_update({"revision": at + 1, "complete": False, "members": [told]})
 
     starts = [min(first, len(history)), min(second, len(history))]
@@ -149,10 +151,12 @@
 def test_a_drain_counts_whatever_its_revision_on_the_watch_that_last_updated_the_replica() -> None:
     """Repeated, skipped and back."""
     one = EndpointList()
-    members = [entry(f"s-{n}") for n in (1, 2, 3)]
+    members = [build_member(f"s-{n}") for n in (1, 2, 3)]
     one.apply_update(parse_update({"revision": 5, "complete": True, "members": members}), 1)
     for revision, name in ((5, "s-1"), (9, "s-2"), (2, "s-3")):
-        assert one.apply_update(parse_update({"revision": revision, "members": [entry(name, "leaving")]}), 1)
+        assert one.apply_update(
+            parse_update({"revision": revision, "members": [build_member(name, "leaving")]}), 1
+        )
     assert {m.phase for m in one.endpoints.values()} == {Phase.DRAINING}
     assert one.revision == 9
 
@@ -160,7 +164,7 @@
 def test_a_snapshot_removes_what_it_lacks_and_shows_a_restart() -> None:
     one = held()
     told = one.apply_update(
-        parse_update({"revision": 1, "complete": True, "members": [entry("s-2", up_since_ms=99)]})
+        parse_update({"revision": 1, "complete": True, "members": [build_member("s-2", up_since_ms=99)]})
     )
     assert told
     assert told[0].started_us == 99_000
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -24,8 +24,8 @@
 from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.scenario.plan_builder import build_plan
 from gradehoist.settings.fleet import CellPlacement, read_settings
-from gradehoist.testbed.clients import Clients
-from gradehoist.testbed.proxy import Relays
+from gradehoist.testbed.clients import ClientProcess
+from gradehoist.testbed.proxy import ProxyProcess
 from tests.support.governed_fleet import entry
 from tests.support.governor_process import (
     GRACE,
@@ -395,22 +395,22 @@
         return ServerResponse(503, b"", (("x-never-ran", "1"),)) if meets == "proof" else None
 
     async def work() -> None:
-        relay = next(iter(Relays(plan, "relays-hall-a", tmp_path).all.values()))
+        relay = next(iter(ProxyProcess(plan, "relays-hall-a", tmp_path).proxies.values()))
         server, ports = HttpServer(answer), find_free_ports(2)
         for port in ports:
             server.listen(port, LOCAL)
         names = [r.name for r in plan.replicas[:2]]
-        relay.via = dict(zip(names, ports, strict=True))
-        cls = next(c for c in plan.classes if c.repeat == repeat)
-        relay.holdings.apply(
+        relay.replica_ports = dict(zip(names, ports, strict=True))
+        cls = next(c for c in plan.classes if c.idempotency == repeat)
+        relay.state.apply(
             feed.Message(1, 1, 0, 1, (feed.BindDelta(1, (cls.name,), dict.fromkeys(names, 1.0)),))
         )
         relay.server = HttpServer(relay.handle)
         relay.server.listen(relay.plan.port, LOCAL)
-        clients = Clients(plan, "clients", tmp_path)
-        await clients._one("c1", relay.plan.name, cls, 5.0, "")
+        clients = ClientProcess(plan, "clients", tmp_path)
+        await clients._send_request("c1", relay.plan.name, cls, 5.0, "")
         assert plan.retries >= 1 and len(came) == arrive(plan.retries), came
-        relay.die()
+        relay.stop()
         server.abort()
 
     play(work)
--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -13,14 +13,14 @@
 
 import pytest
 
-from gradehoist.testbed.platform import PATIENCE, Node, Proxy, entry
+from gradehoist.testbed.platform import TIMEOUT_S, NodeProcess, ProxyStream, build_member
 from tests.support.node_shell import MEMBERS, until
 from tests.support.platform_proxies import SETTINGS
 
 
 @contextlib.asynccontextmanager
-async def running(folder: Path, sockets: int = 128) -> AsyncIterator[Node]:
-    node = Node(folder, SETTINGS, MEMBERS, sockets)
+async def running(folder: Path, sockets: int = 128) -> AsyncIterator[NodeProcess]:
+    node = NodeProcess(folder, SETTINGS, MEMBERS, sockets)
     try:
         await node.start()
         yield node
@@ -32,10 +32,10 @@
     async def play() -> None:
         async with running(tmp_path) as node:
             first, second = node.discoveries
-            proxy = await Proxy(node).join()
-            assert "s-0:" in await proxy.until("whole=1")
-            first.change(entry("s-0", "leaving"))
-            await proxy.until("out=s-0")
+            proxy = await ProxyStream(node).connect()
+            assert "s-0:" in await proxy.read_until("whole=1")
+            first.update_member(build_member("s-0", "leaving"))
+            await proxy.read_until("out=s-0")
             second.revision, second.members = first.revision, dict(first.members)
             node.path.write_text("{")  # half written: the old one stays
             assert node.child is not None
@@ -45,23 +45,23 @@
             for _ in range(3):
                 node.child.send_signal(signal.SIGHUP)
             await until(lambda: second.watches)
-            assert second.asked[0] == f"/registry/instances?watch=1&from={first.revision}"
+            assert second.requested_paths[0] == f"/registry/instances?watch=1&from={first.revision}"
             for writer in list(first.watches):
                 writer.close()
-            second.change(entry("s-2", "leaving"))
-            await proxy.until("out=s-2")
+            second.update_member(build_member("s-2", "leaving"))
+            await proxy.read_until("out=s-2")
             # Back where it was: one watch there, not a second beside the one that was left.
             node.configure(0)
-            asked = len(first.asked)
+            asked = len(first.requested_paths)
             node.child.send_signal(signal.SIGHUP)
             await until(lambda: first.watches)
             for writer in list(first.watches + second.watches):
                 writer.close()
-            await until(lambda: len(first.asked) > asked + 1)
+            await until(lambda: len(first.requested_paths) > asked + 1)
             await asyncio.sleep(0.5)  # a second watcher would come back within 0.1 s
             assert len(first.watches) == 1
             assert not second.watches
-            assert await node.end() == 0
+            assert await node.stop() == 0
 
     asyncio.run(play())
 
@@ -69,17 +69,17 @@
 def test_a_discovery_that_falls_silent_is_watched_anew_until_it_is_back(tmp_path: Path) -> None:
     async def play() -> None:
         async with running(tmp_path) as node:
-            first, proxy = node.discoveries[0], await Proxy(node).join()
-            await proxy.until("whole=1")
-            first.mute = True
+            first, proxy = node.discoveries[0], await ProxyStream(node).connect()
+            await proxy.read_until("whole=1")
+            first.is_silent = True
             for writer in list(first.watches):
                 writer.close()
             await until(lambda: "closed; retry" in node.log.read_text())
             await until(lambda: "silent; retry" in node.log.read_text())
-            first.change(entry("s-0", "leaving"))  # nobody hears of it yet
-            first.mute = False
-            await proxy.until("out=s-0")
-            assert len(first.asked) >= 3
+            first.update_member(build_member("s-0", "leaving"))  # nobody hears of it yet
+            first.is_silent = False
+            await proxy.read_until("out=s-0")
+            assert len(first.requested_paths) >= 3
 
     asyncio.run(play())
 
@@ -92,10 +92,10 @@
                 reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
                 writer.write(b"" if n % 2 else b"hel")
                 silent.append((reader, writer))
-            proxies = [await Proxy(node, n).join() for n in range(8)]
+            proxies = [await ProxyStream(node, n).connect() for n in range(8)]
             for proxy in proxies:
-                await proxy.until("whole=1")
-            async with asyncio.timeout(PATIENCE):
+                await proxy.read_until("whole=1")
+            async with asyncio.timeout(TIMEOUT_S):
                 for reader, _ in silent:
                     with contextlib.suppress(ConnectionError):
                         data = await reader.read()
@@ -118,13 +118,13 @@
 def test_what_cannot_be_read_gets_a_close_and_good_neighbours_go_on(tmp_path: Path) -> None:
     async def play() -> None:
         async with running(tmp_path) as node:
-            proxy = await Proxy(node).join()
-            await proxy.until("whole=1")
-            answers = await asyncio.gather(*(node.talk(data, b"error") for data in GARBAGE))
+            proxy = await ProxyStream(node).connect()
+            await proxy.read_until("whole=1")
+            answers = await asyncio.gather(*(node.exchange(data, b"error") for data in GARBAGE))
             assert all(a == b"" or a.startswith(b"error ") for a in answers)
             proxy.writer.write(b"ack id=0 seq=x ms=1\r\ndemand id=0 lane=read count=-1 fail=0 over=1\r\n")
-            node.discoveries[0].change(entry("s-2", "leaving"))
-            await proxy.until("out=s-2")
+            node.discoveries[0].update_member(build_member("s-2", "leaving"))
+            await proxy.read_until("out=s-2")
             proxy.writer.write(b"\x01\x02\r\n")  # of no further use
             with contextlib.suppress(ConnectionError):
                 assert await proxy.reader.read() == b""
@@ -148,7 +148,7 @@
         capture_output=True,
         text=True,
         env=os.environ | {"ROUTER_CONFIG": str(path)},
-        timeout=PATIENCE,
+        timeout=TIMEOUT_S,
     )
     assert done.returncode == 2
     assert place in done.stderr
@@ -157,7 +157,7 @@
 
 def test_a_fault_of_the_module_ends_the_node_with_its_traceback(tmp_path: Path) -> None:
     """In the timer's callback it only reached the loop's own log, and the governor stood without a timer."""
-    node = Node(tmp_path, SETTINGS, MEMBERS)
+    node = NodeProcess(tmp_path, SETTINGS, MEMBERS)
     node.configure(0)
     code = (
         "from gradehoist.policy.planner import Planner\nfrom gradehoist.node.__main__ import main\n"
@@ -168,7 +168,7 @@
         [sys.executable, "-c", code],
         capture_output=True,
         text=True,
-        timeout=PATIENCE,
+        timeout=TIMEOUT_S,
         env=os.environ | {"ROUTER_CONFIG": str(node.path)},
     )
     assert done.returncode == 1
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -27,12 +27,19 @@
 from gradehoist.node.config import parse_address
 from gradehoist.node.connections import Connection
 from gradehoist.protocol import http, lines
-from gradehoist.testbed.platform import LOCAL, PATIENCE, Node, Proxy, entry, free_ports
+from gradehoist.testbed.platform import (
+    LOOPBACK,
+    TIMEOUT_S,
+    NodeProcess,
+    ProxyStream,
+    build_member,
+    find_free_ports,
+)
 from tests.support.node_shell import CHUNKED, MEMBERS, InterleavedStream, Shell, Wire, shell, until, whole
 from tests.support.platform_proxies import SETTINGS
 
 ROOT = Path(__file__).parent.parent
-DRAIN = whole(2, entry("s-0", "leaving"), complete=False)
+DRAIN = whole(2, build_member("s-0", "leaving"), complete=False)
 SUM = "outcomes site=a target=s-0 count=9 fail=9 mean=0"
 
 
@@ -47,7 +54,7 @@
     folder: Path, work: Callable[[Shell], Any], settings: dict[str, Any] = SETTINGS, spoken: bool = True
 ) -> None:
     async def run() -> None:
-        async with asyncio.timeout(2 * PATIENCE), shell(folder, settings, spoken) as found:
+        async with asyncio.timeout(2 * TIMEOUT_S), shell(folder, settings, spoken) as found:
             await work(found)
 
     asyncio.run(run())
@@ -181,7 +188,7 @@
 def test_a_probe_on_a_stream_that_joined_before_readiness_is_answered(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(service, "READY_TIMEOUT_S", PATIENCE)
+    monkeypatch.setattr(service, "READY_TIMEOUT_S", TIMEOUT_S)
 
     async def work(found: Shell) -> None:
         wires = [Wire(found.port) for _ in range(3)]
@@ -220,7 +227,7 @@
 
 def flood(port: int, stop: threading.Event, hello: str, line: str) -> None:
     """Writes as fast as it is read, on a thread of its own."""
-    with contextlib.suppress(OSError), socket.create_connection((LOCAL, port)) as sock:
+    with contextlib.suppress(OSError), socket.create_connection((LOOPBACK, port)) as sock:
         sock.sendall(hello.encode())
         sock.settimeout(0.2)
         data = line.encode() * 2_000
@@ -231,12 +238,12 @@
 
 def test_a_flood_of_good_messages_holds_up_no_drain_and_no_end(tmp_path: Path) -> None:
     async def run() -> None:
-        node = Node(tmp_path, SETTINGS, MEMBERS)
+        node = NodeProcess(tmp_path, SETTINGS, MEMBERS)
         stop, threads = threading.Event(), list[threading.Thread]()
         try:
             await node.start()
-            proxy = await Proxy(node).join()
-            await proxy.until("whole=1")
+            proxy = await ProxyStream(node).connect()
+            await proxy.read_until("whole=1")
             told = node.port, stop, "agent site=a\r\n", f"{SUM} over=1000\r\n"
             for _ in range(2):
                 threads.append(threading.Thread(target=flood, args=told))
@@ -244,9 +251,9 @@
             seen = node.log.read_text().count("status: 1 proxy streams, 3 connections")
             await until(lambda: node.log.read_text().count("status: 1 proxy streams, 3 connections") > seen)
             for n in range(3):
-                node.discoveries[0].change(entry(f"s-{n}", "leaving", locality="ab"[n % 2]))
+                node.discoveries[0].update_member(build_member(f"s-{n}", "leaving", locality="ab"[n % 2]))
                 async with asyncio.timeout(5):
-                    await proxy.until(f"out=s-{n}")
+                    await proxy.read_until(f"out=s-{n}")
             assert node.child is not None
             node.child.send_signal(signal.SIGTERM)
             assert await asyncio.to_thread(node.child.wait, 5) == 0
@@ -307,7 +314,7 @@
     async def work(found: Shell) -> None:
         script = found.scripts[0]
         wire = await bound(found)
-        script.end()  # nobody tells it a second time
+        script.stop_accepting()  # nobody tells it a second time
         script.watches[0].write(DRAIN + b"3\r\n{]\n\r\n")
         await until(lambda: not wire.ended and b"out=s-0" in wire.text)
 
@@ -325,10 +332,10 @@
         found.node.configure(1)
         os.kill(os.getpid(), signal.SIGHUP)
         fast = await second.watch(0)
-        fast.write(CHUNKED + whole(5, entry("s-0", "leaving"), *MEMBERS[1:], entry("s-9")))
+        fast.write(CHUNKED + whole(5, build_member("s-0", "leaving"), *MEMBERS[1:], build_member("s-9")))
         await until(lambda: not wire.ended and b"out=s-0" in wire.text)
-        slow.write(CHUNKED + whole(4, *MEMBERS[:3], entry("s-3", "leaving", locality="b")))
-        slow.write(whole(6, entry("s-1", "leaving", locality="b"), complete=False))
+        slow.write(CHUNKED + whole(4, *MEMBERS[:3], build_member("s-3", "leaving", locality="b")))
+        slow.write(whole(6, build_member("s-1", "leaving", locality="b"), complete=False))
         await until(lambda: not wire.ended and b"out=s-1" in wire.text)
         held = found.service.core.endpoint_list
         assert held.endpoints["s-0"].phase is Phase.DRAINING
@@ -345,7 +352,7 @@
 
     async def work(found: Shell) -> None:
         first, second = found.scripts
-        first.watches[0].write(whole(50, entry("s-7"), complete=False))
+        first.watches[0].write(whole(50, build_member("s-7"), complete=False))
         await until(lambda: "s-7" in found.service.core.endpoint_list.endpoints)
         found.node.configure(1)
         os.kill(os.getpid(), signal.SIGHUP)
@@ -398,7 +405,7 @@
 
 @pytest.mark.parametrize("importing", [True, False])
 def test_sigterm_before_the_handlers_stand_is_a_planned_end(tmp_path: Path, importing: bool) -> None:
-    node = Node(tmp_path, SETTINGS, MEMBERS)
+    node = NodeProcess(tmp_path, SETTINGS, MEMBERS)
     node.configure(0)
     code = EARLY.format(sign="SIGTERM", importing=importing, old="", new="")
     done = subprocess.run(
@@ -406,7 +413,7 @@
         capture_output=True,
         cwd=ROOT,
         env=os.environ | {"ROUTER_CONFIG": str(node.path)},
-        timeout=PATIENCE,
+        timeout=TIMEOUT_S,
     )
     assert (done.returncode, done.stderr) == (0, b"")
 
@@ -416,7 +423,7 @@
     """It ended the process by the signal. The file is replaced after it was read."""
 
     async def run() -> None:
-        node = Node(tmp_path, SETTINGS, MEMBERS)
+        node = NodeProcess(tmp_path, SETTINGS, MEMBERS)
         first, second = node.discoveries
         for place in node.discoveries:
             await place.start()
@@ -431,10 +438,10 @@
             )
         child = node.child
         try:
-            await until(lambda: second.asked or child.poll() is not None)
-            assert second.asked
-            assert not first.asked
-            assert await node.end() == 0
+            await until(lambda: second.requested_paths or child.poll() is not None)
+            assert second.requested_paths
+            assert not first.requested_paths
+            assert await node.stop() == 0
         finally:
             node.kill()
 
@@ -443,8 +450,8 @@
 
 def test_an_address_that_the_process_before_still_holds_is_waited_for(tmp_path: Path) -> None:
     async def run() -> None:
-        node = Node(tmp_path, SETTINGS, MEMBERS)
-        held = socket.create_server((LOCAL, node.port))
+        node = NodeProcess(tmp_path, SETTINGS, MEMBERS)
+        held = socket.create_server((LOOPBACK, node.port))
         starting = asyncio.ensure_future(node.start())
         try:
             await until(
@@ -453,7 +460,7 @@
             )
             held.close()
             await starting
-            assert await node.end() == 0
+            assert await node.stop() == 0
         finally:
             starting.cancel()
             held.close()
@@ -469,24 +476,24 @@
     async def run() -> None:
         specifics: dict[str, Any] = SETTINGS["specifics"]  # type: ignore[assignment]
         settings = SETTINGS | {"specifics": specifics | {"proxies": 400}}
-        node = Node(tmp_path, settings, MEMBERS, sockets=600)
+        node = NodeProcess(tmp_path, settings, MEMBERS, sockets=600)
         try:
             await node.start()
-            first = await Proxy(node, 399).join()
-            await first.until("whole=1")
+            first = await ProxyStream(node, 399).connect()
+            await first.read_until("whole=1")
             wires = [Wire(node.port, buffer=4_096) for _ in range(300)]
             for n, wire in enumerate(wires):
                 if n % 3:
                     wire.hello(n)
                 else:
                     wire.sock.sendall(b"hello id=")
-            node.discoveries[0].change(entry("s-0", "leaving"))
-            await first.until("out=s-0")
+            node.discoveries[0].update_member(build_member("s-0", "leaving"))
+            await first.read_until("out=s-0")
             assert node.child is not None
             node.configure(1)
             for sign in signs:
                 node.child.send_signal(signal.Signals[f"SIG{sign}"])
-            assert await asyncio.to_thread(node.child.wait, PATIENCE) == 0
+            assert await asyncio.to_thread(node.child.wait, TIMEOUT_S) == 0
             assert "Traceback" not in node.log.read_text()
             assert "never retrieved" not in node.log.read_text()
         finally:
@@ -499,9 +506,9 @@
 
 
 @pytest.mark.parametrize(("returned", "outcome"), [
-    (entry("s-0", up_since_ms=1_700_000_000_000), HealthCheckOutcome.REJECTED),
-    (entry("s-0", host_port=f"{LOCAL}:2"), HealthCheckOutcome.REJECTED),
-    (entry("s-0", "left"), HealthCheckOutcome.UNREACHABLE),
+    (build_member("s-0", up_since_ms=1_700_000_000_000), HealthCheckOutcome.REJECTED),
+    (build_member("s-0", host_port=f"{LOOPBACK}:2"), HealthCheckOutcome.REJECTED),
+    (build_member("s-0", "left"), HealthCheckOutcome.UNREACHABLE),
 ])  # fmt: skip
 def test_a_probe_s_answer_from_an_earlier_life_is_no_word_on_this_one_which_is_asked(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, returned: dict[str, Any], outcome: HealthCheckOutcome
@@ -557,7 +564,7 @@
 
     async def work(found: Shell) -> None:
         server, heard, core = Cutting([answer]), list[tuple[Any, ...]](), found.service.core
-        here = entry("s-0", host_port=f"{LOCAL}:{await server.start()}")
+        here = build_member("s-0", host_port=f"{LOOPBACK}:{await server.start()}")
         found.scripts[0].watches[0].write(whole(2, here, complete=False))
         await until(lambda: core.endpoint_list.revision == 2)
         monkeypatch.setattr(core, "on_health_checked", lambda *told: heard.append(told))
@@ -584,8 +591,8 @@
         self.writers = list[asyncio.StreamWriter]()
 
     async def start(self) -> int:
-        (port,) = free_ports(1)
-        self.server = await asyncio.start_server(self._serve, LOCAL, port)
+        (port,) = find_free_ports(1)
+        self.server = await asyncio.start_server(self._serve, LOOPBACK, port)
         return port
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -611,7 +618,7 @@
 
     async def run() -> None:
         server = Cutting([OK + b"one", None], [OK + b"two"])
-        client = HttpClient(LOCAL, await server.start())
+        client = HttpClient(LOOPBACK, await server.start())
         assert (await client.request(method, "/")).body == b"one"
         with pytest.raises(ConnectionLostError):
             await client.request(method, "/")
@@ -630,12 +637,12 @@
 
     async def run() -> None:
         server = Cutting([OK + b"one"], [OK + b"two"])
-        client = HttpClient(LOCAL, await server.start())
+        client = HttpClient(LOOPBACK, await server.start())
         assert (await client.request("POST", "/")).body == b"one"
         (link,) = client._idle_connections
         writer = server.writers[0]
         writer.write(unasked) if unasked else writer.write_eof()
-        assert select.select([link.stream.socket], [], [], PATIENCE)[0]
+        assert select.select([link.stream.socket], [], [], TIMEOUT_S)[0]
         if seen:
             assert link._pending_read is not None
             await until(link._pending_read.done)
@@ -654,9 +661,9 @@
             served.append(request.target)
             return ServerResponse()
 
-        server, (port,), stop = HttpServer(handle), free_ports(1), threading.Event()
-        server.listen(port, LOCAL)
-        ask, asker = "GET /f HTTP/1.1\r\nhost: a\r\n\r\n", socket.create_connection((LOCAL, port))
+        server, (port,), stop = HttpServer(handle), find_free_ports(1), threading.Event()
+        server.listen(port, LOOPBACK)
+        ask, asker = "GET /f HTTP/1.1\r\nhost: a\r\n\r\n", socket.create_connection((LOOPBACK, port))
 
         def reads() -> None:
             """What the flood is answered: unread, that would stop it."""
@@ -665,7 +672,7 @@
                     pass
 
         def asks() -> None:
-            end = time.monotonic() + PATIENCE  # held up, the loop itself has no bound
+            end = time.monotonic() + TIMEOUT_S  # held up, the loop itself has no bound
             with contextlib.suppress(OSError):
                 while not stop.is_set() and time.monotonic() < end:
                     asker.sendall(ask.encode() * 2_000)
@@ -675,7 +682,7 @@
             for thread in threads:
                 thread.start()
             await until(lambda: len(served) > 5_000)
-            client = HttpClient(LOCAL, port)
+            client = HttpClient(LOOPBACK, port)
             assert (await client.request("GET", "/other", timeout_s=5.0)).status == 200
             client.close()
         finally:
@@ -683,6 +690,6 @@
             server.abort()
             asker.close()
             for thread in threads:
-                await asyncio.to_thread(thread.join, PATIENCE)
+                await asyncio.to_thread(thread.join, TIMEOUT_S)
 
     asyncio.run(run())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -43,7 +43,7 @@
 from gradehoist.scenario.plan_builder import build_plan
 from gradehoist.scenario.runner import Run
 from gradehoist.testbed import scenario_plan as p
-from gradehoist.testbed.proxy import Relay, Relays
+from gradehoist.testbed.proxy import Proxy, ProxyProcess
 from tests.support.governed_fleet import entry, on_sockets
 
 ROOT = Path(__file__).parent.parent
@@ -317,14 +317,14 @@
         writer.close()
 
     async def work() -> None:
-        process = Relays(plan, "relays-hall-a", tmp_path)
-        relay: Relay = next(iter(process.all.values()))
+        process = ProxyProcess(plan, "relays-hall-a", tmp_path)
+        relay: Proxy = next(iter(process.proxies.values()))
         servers = [await asyncio.start_server(cut, LOCAL, 0) for _ in plan.replicas]
         ports = [s.sockets[0].getsockname()[1] for s in servers]
-        relay.via = {x.name: port for x, port in zip(plan.replicas, ports, strict=True)}
-        classes: list[p.Class] = [c for c in plan.classes if c.repeat == "single"]
+        relay.replica_ports = {x.name: port for x, port in zip(plan.replicas, ports, strict=True)}
+        classes: list[p.RequestClassPlan] = [c for c in plan.classes if c.idempotency == "single"]
         everywhere = feed.AdmissionDelta(None, (classes[0].name,), 1.0, 1)  # one more try, on proof alone
-        relay.holdings.apply(feed.Message(1, 1, 0, 1, (everywhere,)))
+        relay.state.apply(feed.Message(1, 1, 0, 1, (everywhere,)))
         relay.server = HttpServer(relay.handle)
         relay.server.listen(relay.plan.port, LOCAL)
         headers = (("x-transaction", "c1.1"), ("x-class", classes[0].name), ("x-work", "5"))
@@ -339,7 +339,7 @@
         attempts = [event for event in events if isinstance(event, AttemptSent)]
         assert [attempt.number for attempt in attempts] == [0, 0, 1]
         assert attempts[1].replica != attempts[2].replica
-        relay.die()
+        relay.stop()
 
     run(work)
 
@@ -354,13 +354,13 @@
         return ServerResponse(200, b"", (("endpoint-load-metrics", "TEXT cpu_utilization=much"),))
 
     async def work() -> None:
-        relay: Relay = next(iter(Relays(plan, "relays-hall-a", tmp_path).all.values()))
+        relay: Proxy = next(iter(ProxyProcess(plan, "relays-hall-a", tmp_path).proxies.values()))
         (port,) = find_free_ports(1)
         server = HttpServer(answer)
         server.listen(port, LOCAL)
-        name, cls = plan.replicas[0].name, next(c.name for c in plan.classes if c.repeat == "single")
-        relay.via = {name: port}
-        relay.holdings.apply(
+        name, cls = plan.replicas[0].name, next(c.name for c in plan.classes if c.idempotency == "single")
+        relay.replica_ports = {name: port}
+        relay.state.apply(
             feed.Message(
                 1,
                 1,
@@ -375,7 +375,7 @@
         for tx, status in ("cut.1", 502), ("whole.1", 200):  # nor does a spoilt load report spoil an answer
             headers = (("x-transaction", tx), ("x-class", cls), ("x-work", "5"))
             assert (await client.request("POST", "/", b"", headers)).status == status
-        relay.die()
+        relay.stop()
         server.abort()
 
     run(work)
@@ -384,7 +384,7 @@
 def test_half_an_answer_changes_nothing_at_a_relay_whatever_byte_the_governor_died_at(tmp_path: Path) -> None:
     """Cut at each byte and reset, as by a kill; then a governor of a new epoch answers whole."""
     plan = build_plan(read_scenario(ROOT / "scenarios" / "short.kdl"), 1)
-    plan = msgspec.structs.replace(plan, redial=(0, 0))
+    plan = msgspec.structs.replace(plan, reconnect_range_us=(0, 0))
     lines = {"w1": 1.0, "w2": 2.5}
     deltas = (feed.BindDelta(7, tuple(c.name for c in plan.classes), lines), feed.WithdrawalDelta("w3"))
     body = msgspec.json.encode(feed.PollResponse("first", 1, (feed.Message(1, 1, 1, 9.0, deltas, 1),)))
@@ -394,14 +394,14 @@
         return http.format_response(200, msgspec.json.encode(feed.PollResponse(epoch, 1, is_new_stream=True)))
 
     async def one(cut: int) -> None:
-        process = Relays(plan, "relays-hall-a", tmp_path)
-        relay: Relay = next(iter(process.all.values()))
+        process = ProxyProcess(plan, "relays-hall-a", tmp_path)
+        relay: Proxy = next(iter(process.proxies.values()))
         asked: list[str] = []
         ended = asyncio.Event()
         before: list[str] = []
 
         def state() -> str:
-            return repr((vars(relay.holdings), relay.after))
+            return repr((vars(relay.state), relay.acknowledged_seq))
 
         async def dying(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await stream.readuntil(b"\r\n\r\n")
@@ -432,7 +432,7 @@
         servers = [await asyncio.start_server(handle, LOCAL, 0) for handle in (dying, next_one)]
         ways = [("g", (LOCAL, s.sockets[0].getsockname()[1])) for s in servers]
         relay.plan = msgspec.structs.replace(relay.plan, governors=tuple(ways))
-        following = asyncio.ensure_future(relay._feed())
+        following = asyncio.ensure_future(relay._follow_feed())
         await ended.wait()
         following.cancel()
         await asyncio.gather(following, return_exceptions=True)
@@ -441,7 +441,9 @@
         assert before[0] == before[1], f"cut at byte {cut}"
         assert "epoch=first" in asked[0] and "after=0" in asked[0] and "epoch=again" in asked[1]
         assert (
-            relay.epoch == "again" and relay.after == 1 and relay.holdings.weights_for("rate-check") == lines
+            relay.epoch == "again"
+            and relay.acknowledged_seq == 1
+            and relay.state.weights_for("rate-check") == lines
         )
 
     async def work() -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -108,6 +108,6 @@
 def test_every_scene_reads_and_draws_the_same_day_for_a_seed(path: Path) -> None:
     found = read_scenario(path)
     one, two = build_plan(found, 5), build_plan(found, 5)
-    assert one.steps == two.steps and one.steps and one.rate == two.rate
+    assert one.steps == two.steps and one.steps and one.requests_per_s == two.requests_per_s
     assert [r.speed for r in one.replicas] == [r.speed for r in two.replicas]
     assert one.steps != build_plan(found, 6).steps or len(found.faults) < 2
--- a/tests/test_store_backends.py
+++ b/tests/test_store_backends.py
@@ -47,10 +47,10 @@
             await own.close()
         return
     (port,) = find_free_ports(1)
-    engine, server = standin.serve(port)
+    server_double, server = standin.serve(port)
     own = EtcdStore("127.0.0.1", port)
     try:
-        yield own, engine
+        yield own, server_double
     finally:
         await own.close()
         server.stop()
@@ -121,7 +121,7 @@
         for n in range(150 if kind == "embedded" else 3):
             version = await done(own, Put("z", str(n).encode(), version))
         if kind == "engine":
-            behind.space.compact(0)
+            behind.keyspace.compact(0)
         with pytest.raises(HistoryCompactedError):
             await own.watch("", first, SECOND)
 
@@ -221,16 +221,16 @@
 
 def test_a_write_that_was_taken_and_not_answered_is_unknown_and_one_not_sent_is_not(tmp_path: Path) -> None:
     async def test(own: CoordinationStore, behind: Any) -> None:
-        behind.order({"lose": 1.0})
+        behind.apply_command({"lose": 1.0})
         with pytest.raises(OutcomeUnknownError):
             await own.commit((Put("a", b"1", 0),), "x:1")
-        assert behind.space.modified(b"gradehoist/a")
-        behind.order({"away": True})
+        assert behind.keyspace.find_mod_revision(b"gradehoist/a")
+        behind.apply_command({"away": True})
         with pytest.raises(OutcomeUnknownError):
             await own.commit((Put("a", b"1", 0),), "x:1")
         with pytest.raises(StoreUnavailableError):
             await own.read("")
-        behind.order({"full": True})
+        behind.apply_command({"full": True})
         with pytest.raises(StoreFullError):
             await own.commit((Put("b", b"1", 0),), "x:2")
         (port,) = find_free_ports(1)
@@ -244,7 +244,7 @@
 
 def test_a_watch_cut_repeated_and_gone_back_brings_each_change_once(tmp_path: Path) -> None:
     async def test(own: CoordinationStore, behind: Any) -> None:
-        behind.order({"cut": 1, "repeat": True})
+        behind.apply_command({"cut": 1, "repeat": True})
         at, got, version = (await own.read("")).revision, list[bytes](), 0
         for n in range(6):
             version = await done(own, Put("a", str(n).encode(), version))
@@ -256,9 +256,9 @@
                     at = batch.revision
                     got += [e.record.value for e in batch.events if e.record]
         assert got == [str(n).encode() for n in range(6)]
-        behind.order({"do": "snapshot"})
+        behind.apply_command({"do": "snapshot"})
         last = await done(own, Put("a", b"late", version))
-        behind.order({"do": "restore"})
+        behind.apply_command({"do": "restore"})
         own._watch = None  # type: ignore[attr-defined]  # an engine that went back has cut its streams
         assert (await own.watch("", last, SECOND)).revision < last
 
@@ -268,7 +268,7 @@
 def test_a_value_that_is_no_record_costs_itself_alone(tmp_path: Path) -> None:
     async def test(own: CoordinationStore, behind: Any) -> None:
         await done(own, Put("a", b"1", 0))
-        behind.space.write([(b"gradehoist/odd", b"\xff\x00", 0)], [])
+        behind.keyspace.write([(b"gradehoist/odd", b"\xff\x00", 0)], [])
         found = {x.key: x.malformed for x in (await own.read("")).records}
         assert found == {"a": False, "odd": True}
 
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -845,7 +845,7 @@
 
 def test_a_run_folder_is_judged_as_before() -> None:
     plan, verdict = check_run_folder(DATA / "run")
-    assert (plan.name, plan.seed, plan.length) == ("tiny", 1, 3_500_000)
+    assert (plan.name, plan.seed, plan.length_us) == ("tiny", 1, 3_500_000)
     assert figures(verdict) == {
         "line": ("kept", 0.0, 96, []),
         "twice": ("kept", 0.0, 6, []),
@@ -923,14 +923,14 @@
 
 def test_the_plan_of_a_run_folder_is_read_and_written_again_to_the_byte() -> None:
     stored = DATA / "run" / "plan.json"
-    plan = scripted.load(str(stored))
+    plan = scripted.load_plan(str(stored))
     assert msgspec.json.encode(plan) == stored.read_bytes()
     assert plan.cells == ("c0", "c1")
-    assert plan.workers == {"w2": "c0", "w4": "c0", "w1": "c1", "w3": "c1"}
+    assert plan.cell_by_replica == {"w2": "c0", "w4": "c0", "w1": "c1", "w3": "c1"}
     assert plan.steps[0] == scripted.Step(
-        at=500_000, role="day", do={"do": "move", "governor": "", "tenants": ["inn3"], "to": "c1"}
+        at_us=500_000, role="day", command={"do": "move", "governor": "", "tenants": ["inn3"], "to": "c1"}
     )
-    assert plan.replicas[0] == scripted.Replica(
+    assert plan.replicas[0] == scripted.ReplicaPlan(
         name="w1",
         zone="hall-a",
         kind="large-4c",
@@ -939,8 +939,8 @@
         cores=1,
         speed=0.6655,
         slots=3,
-        queue=12,
+        queue_limit=12,
         size=0.604,
-        cold_from=0.25,
-        cold=1_000_000,
+        start_capacity=0.25,
+        warmup_us=1_000_000,
     )
