The testbed's process, links, clients, endpoint list and deployment have one step a line

Cause: long functions, tuple assignments and names of the older house style. Change: shape, named constants and doc comments in process, fault_link, clients, endpoint_list, deploy and the entry module; the two directions of a link are a method each; an attempt, its timeout and its retry rule are functions of the client. Commands, records and the order of random samples are as before.

--- a/gradehoist/testbed/__init__.py
+++ b/gradehoist/testbed/__init__.py
@@ -1,3 +1,5 @@
-"""What a governor serves, written by this project for its own runs: replicas, relays, clients, a roster, and
-links that injure the traffic between them. They share the protocol and net packages and
-what relays need of cells (routes, limits), and nothing else."""
+"""Test doubles of the outside systems: replicas, proxies, clients, the endpoint list, etcd and the network.
+
+A scenario run starts them as processes of their own. They share the protocol and net packages with the
+governor, and what proxies and replicas need of cells (routes, rate limits, the fence), and nothing else.
+"""
--- a/gradehoist/testbed/__main__.py
+++ b/gradehoist/testbed/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one stand-in process: `python -m gradehoist.testbed PLAN ROLE FOLDER`, or `... engine PORT`."""
+"""Runs one process of the testbed: `python -m gradehoist.testbed PLAN ROLE FOLDER`, or `... engine PORT`."""
 
 from __future__ import annotations
 
@@ -6,27 +6,38 @@
 import sys
 from pathlib import Path
 
-from gradehoist.testbed import clients, endpoint_list, etcd_server, fault_link, proxy, replica, scenario_plan
+from gradehoist.testbed import etcd_server
+from gradehoist.testbed.clients import ClientProcess
+from gradehoist.testbed.endpoint_list import EndpointListProcess
+from gradehoist.testbed.fault_link import LinkProcess
 from gradehoist.testbed.process import Process, ProcessFactory
+from gradehoist.testbed.proxy import ProxyProcess
+from gradehoist.testbed.replica import ReplicaProcess
+from gradehoist.testbed.scenario_plan import load_plan
 
+ETCD_ROLE = "engine"
 
-def make(role: str) -> ProcessFactory:
-    makers: dict[str, type[Process]] = {
-        "clients": clients.ClientProcess,
-        "links": fault_link.LinkProcess,
-        "roster": endpoint_list.EndpointListProcess,
-        "relays": proxy.ProxyProcess,
-        "replicas": replica.ReplicaProcess,
+
+def find_factory(role: str) -> ProcessFactory:
+    """Finds the process type of a role, which is its name or `NAME-ZONE`. Raises KeyError if unknown."""
+    factories: dict[str, type[Process]] = {
+        "clients": ClientProcess,
+        "links": LinkProcess,
+        "roster": EndpointListProcess,
+        "relays": ProxyProcess,
+        "replicas": ReplicaProcess,
     }
-    return makers[role.partition("-")[0]]
+    return factories[role.partition("-")[0]]
 
 
 def main() -> None:
-    if sys.argv[1] == "engine":
+    """Reads the command line and runs the process until it is signalled to stop."""
+    if sys.argv[1] == ETCD_ROLE:
         asyncio.run(etcd_server.run(int(sys.argv[2])))
         return
-    path, role, folder = sys.argv[1:]
-    asyncio.run(make(role)(scenario_plan.load_plan(path), role, Path(folder)).run())
+    plan_path, role, folder = sys.argv[1:]
+    process = find_factory(role)(load_plan(plan_path), role, Path(folder))
+    asyncio.run(process.run())
 
 
 if __name__ == "__main__":
--- a/gradehoist/testbed/clients.py
+++ b/gradehoist/testbed/clients.py
@@ -1,7 +1,7 @@
-"""Clients: transactions by chance at a stated rate, with patience and repeats of their own; role `clients`.
+"""Clients: requests at a planned rate, with timeouts and retries of their own; role `clients`.
 
-Arrivals do not wait for answers. A repeat of a client is a transaction of its own to the relay, and the same
-one to the books: answered once, within its latency goal or not, or given up.
+Arrivals don't wait for responses. To a proxy each retry of a client is a request of its own; to the checkers
+they are one request: completed, within its latency objective or not, or given up.
 """
 
 from __future__ import annotations
@@ -9,115 +9,161 @@
 import asyncio
 import math
 from pathlib import Path
+from random import Random
 from typing import Any
 
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
-from gradehoist.testbed import scenario_plan as p
-from gradehoist.testbed.process import Process, create_random, read_monotonic_us
+from gradehoist.testbed.process import LOOPBACK, Process, create_random, read_monotonic_us
+from gradehoist.testbed.scenario_plan import Plan, RequestClassPlan
+
+# Statuses of attempts that got no response, as they are recorded.
+STATUS_CONNECT_FAILED = -1
+STATUS_CONNECTION_LOST = -2
+STATUS_TIMED_OUT = -3
+RETRYABLE_STATUSES = (429, 503, STATUS_CONNECT_FAILED)  # the request had no effect
+MIN_REQUESTS_PER_S = 1e-3  # an exponential distribution needs a rate above 0
 
 
 class ClientProcess(Process):
-    def __init__(self, plan: p.Plan, role: str, folder: Path) -> None:
+    """All clients of a run, each of one proxy."""
+
+    def __init__(self, plan: Plan, role: str, folder: Path) -> None:
+        """Creates a client for each proxy; arrivals begin with the command `begin`."""
         super().__init__(plan, role, folder)
-        self.clients = {r.name: HttpClient("127.0.0.1", r.port) for r in plan.proxies}
-        self.factor = {r.name: 1.0 for r in plan.proxies}  # by relay: hot callers, zones that traffic leaves
-        self.whole = 1.0
-        self.louder: dict[str, float] = {}  # by tenant: how many times its share
-        self.open = 0
+        self.clients = {proxy.name: HttpClient(LOOPBACK, proxy.port) for proxy in plan.proxies}
+        self.proxy_factors = {proxy.name: 1.0 for proxy in plan.proxies}
+        self.total_factor = 1.0
+        self.tenant_factors: dict[str, float] = {}
 
     async def start(self) -> None:
-        """Arrivals wait for the day's order, so that its clock and theirs are one."""
+        """Does nothing: arrivals wait for the command `begin`, so that their clock is the run's."""
 
     def on_command(self, do: dict[str, Any]) -> None:
+        """Executes `begin`, or `factor`, `louder` or `whole`, which change the request rates."""
         match do["do"]:
             case "begin":
-                self.began = read_monotonic_us()
-                self.start_task(self._arrivals())
+                self.began_us = read_monotonic_us()
+                self.start_task(self._generate_arrivals())
             case "factor":
                 for name in do["relays"]:
-                    self.factor[name] = float(do["value"])
+                    self.proxy_factors[name] = float(do["value"])
             case "louder":
-                self.louder[do["tenant"]] = float(do["value"])
+                self.tenant_factors[do["tenant"]] = float(do["value"])
             case "whole":
-                self.whole = float(do["value"])
+                self.total_factor = float(do["value"])
             case _:
                 raise ValueError(f"unknown order {do['do']!r}")
 
-    def _shape(self, at: int) -> float:
+    def _rate_factor(self, elapsed_us: int) -> float:
+        """Interpolates the plan's factor on the request rate."""
         points = self.plan.rate_factors or ((0, 1.0),)
-        if at <= points[0][0]:
+        if elapsed_us <= points[0][0]:
             return points[0][1]
-        for (a, x), (b, y) in zip(points, points[1:], strict=False):
-            if a <= at < b:
-                return x + (y - x) * (at - a) / (b - a)
+        for (start_us, start_factor), (end_us, end_factor) in zip(points, points[1:], strict=False):
+            if start_us <= elapsed_us < end_us:
+                slope = (end_factor - start_factor) * (elapsed_us - start_us) / (end_us - start_us)
+                return start_factor + slope
         return points[-1][1]
 
-    async def _arrivals(self) -> None:
-        chance = create_random(self.plan.seed, "arrivals")
-        number, due = 0, 0.0
+    def _proxy_weights(self) -> dict[str, float]:
+        return {
+            proxy.name: proxy.traffic_share * self.proxy_factors[proxy.name] for proxy in self.plan.proxies
+        }
+
+    def _tenant_weights(self) -> list[float]:
+        return [share * self.tenant_factors.get(tenant, 1.0) for tenant, share in self.plan.tenant_shares]
+
+    async def _generate_arrivals(self) -> None:
+        """Starts requests in a Poisson process until the run ends."""
+        random = create_random(self.plan.seed, "arrivals")
+        number = 0
+        scheduled_s = 0.0
         while True:
-            at = read_monotonic_us() - self.began
-            if at >= self.plan.length_us:
+            elapsed_us = read_monotonic_us() - self.began_us
+            if elapsed_us >= self.plan.length_us:
                 return
-            weights = {r.name: r.traffic_share * self.factor[r.name] for r in self.plan.proxies}
-            loud = sum(s * self.louder.get(t, 1.0) for t, s in self.plan.tenant_shares)
-            rate = self.plan.requests_per_s * self.whole * self._shape(at) * sum(weights.values()) * loud
-            due += chance.expovariate(max(rate, 1e-3))
-            if (wait := due - (read_monotonic_us() - self.began) / 1e6) > 0:
-                await asyncio.sleep(wait)
-            relay = chance.choices(list(weights), list(weights.values()))[0]
-            cls = chance.choices(self.plan.classes, [c.traffic_share for c in self.plan.classes])[0]
-            spread = math.sqrt(math.log(1 + cls.work_variation**2))
-            work = cls.work_ms * chance.lognormvariate(-(spread**2) / 2, spread)
-            names = [t for t, _ in self.plan.tenant_shares]
-            tenant = chance.choices(names, [s * self.louder.get(t, 1.0) for t, s in self.plan.tenant_shares])[
-                0
-            ]
+            proxy_weights = self._proxy_weights()
+            rate = (
+                self.plan.requests_per_s
+                * self.total_factor
+                * self._rate_factor(elapsed_us)
+                * sum(proxy_weights.values())
+                * sum(self._tenant_weights())
+            )
+            scheduled_s += random.expovariate(max(rate, MIN_REQUESTS_PER_S))
+            wait_s = scheduled_s - (read_monotonic_us() - self.began_us) / 1e6
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            proxy = random.choices(list(proxy_weights), list(proxy_weights.values()))[0]
+            class_shares = [request_class.traffic_share for request_class in self.plan.classes]
+            request_class = random.choices(self.plan.classes, class_shares)[0]
+            work_ms = _sample_work_ms(request_class, random)
+            tenants = [tenant for tenant, _ in self.plan.tenant_shares]
+            tenant = random.choices(tenants, self._tenant_weights())[0]
             number += 1
-            self.start_task(self._send_request(f"c{number}", relay, cls, work, tenant))
+            self.start_task(self._send_request(f"c{number}", proxy, request_class, work_ms, tenant))
 
     async def _send_request(
-        self, tx: str, relay: str, cls: p.RequestClassPlan, work: float, tenant: str
+        self, request_id: str, proxy: str, request_class: RequestClassPlan, work_ms: float, tenant: str
     ) -> None:
-        began, sends, status = read_monotonic_us(), 0, 0
-        self.open += 1
+        """Sends a request with its retries, and records how it ended."""
+        began_us = read_monotonic_us()
+        attempts = 0
+        status = 0
         try:
             while True:
-                left = began + cls.deadline_us - read_monotonic_us()
-                patience = min(left, int(self.plan.attempt_share * cls.deadline_us))
-                if patience <= 0:
+                timeout_us = self._attempt_timeout_us(request_class, began_us)
+                if timeout_us <= 0:
                     break
-                sends += 1
+                attempts += 1
                 headers = (
-                    ("x-transaction", f"{tx}.{sends}"),
-                    ("x-class", cls.name),
-                    ("x-work", f"{work:.3f}"),
-                    ("x-patience", str(patience)),
+                    ("x-transaction", f"{request_id}.{attempts}"),
+                    ("x-class", request_class.name),
+                    ("x-work", f"{work_ms:.3f}"),
+                    ("x-patience", str(timeout_us)),
                     ("x-tenant", tenant),
                 )
-                try:
-                    response = await self.clients[relay].request("POST", "/", b"", headers, patience / 1e6)
-                    status = response.status
-                except ConnectError:
-                    status = -1
-                except ConnectionLostError:
-                    status = -2
-                except ResponseTimeoutError:
-                    status = -3
-                # What may have run is not sent again unless a second run is harmless.
-                again = status in (429, 503, -1) or (cls.idempotency == "free" and status != 200)
-                if status == 200 or not again or sends > self.plan.retries:
+                status = await self._send_attempt(proxy, headers, timeout_us)
+                if not _is_retryable(request_class, status) or attempts > self.plan.retries:
                     break
                 await asyncio.sleep(self.plan.backoff_us / 1e6)
         finally:
-            self.open -= 1
             self.record(
                 "transaction",
-                tx=tx,
-                relay=relay,
-                cls=cls.name,
-                began=began,
+                tx=request_id,
+                relay=proxy,
+                cls=request_class.name,
+                began=began_us,
                 status=status,
-                sends=sends,
+                sends=attempts,
                 tenant=tenant,
             )
+
+    def _attempt_timeout_us(self, request_class: RequestClassPlan, began_us: int) -> int:
+        remaining_us = began_us + request_class.deadline_us - read_monotonic_us()
+        return min(remaining_us, int(self.plan.attempt_share * request_class.deadline_us))
+
+    async def _send_attempt(self, proxy: str, headers: tuple[tuple[str, str], ...], timeout_us: int) -> int:
+        """Returns the status of the response, or the one that stands for its failure."""
+        try:
+            response = await self.clients[proxy].request("POST", "/", b"", headers, timeout_us / 1e6)
+        except ConnectError:
+            return STATUS_CONNECT_FAILED
+        except ConnectionLostError:
+            return STATUS_CONNECTION_LOST
+        except ResponseTimeoutError:
+            return STATUS_TIMED_OUT
+        return response.status
+
+
+def _sample_work_ms(request_class: RequestClassPlan, random: Random) -> float:
+    """Samples a log-normal distribution with the mean and the variation of the class."""
+    sigma = math.sqrt(math.log(1 + request_class.work_variation**2))
+    return request_class.work_ms * random.lognormvariate(-(sigma**2) / 2, sigma)
+
+
+def _is_retryable(request_class: RequestClassPlan, status: int) -> bool:
+    """Whether a failed attempt may be repeated: it had no effect, or a second effect is harmless."""
+    if status == 200:
+        return False
+    return status in RETRYABLE_STATUSES or request_class.idempotency == "free"
--- a/gradehoist/testbed/deploy.py
+++ b/gradehoist/testbed/deploy.py
@@ -1,7 +1,7 @@
-"""An operator's deployment of one worker: listed as draining, started anew with a release, listed as ready.
+"""Deploys a release to one replica as an operator does: drain, restart with the release, list as ready.
 
-`python -m gradehoist.testbed.deploy PLAN WORKER FAILS SLOW`: the share of its work that the release fails,
-and how many times as long the rest takes.
+`python -m gradehoist.testbed.deploy PLAN REPLICA FAILS SLOW`: the share of its requests that the release
+fails, and how many times as long the others take.
 """
 
 from __future__ import annotations
@@ -12,30 +12,37 @@
 import msgspec
 
 from gradehoist.net.client import HttpClient
-from gradehoist.testbed import scenario_plan as p
-
-DRAIN = 1.5  # seconds: what is in hand ends meanwhile
-
-
-async def deploy(plan: p.Plan, worker: str, fails: float, slow: float) -> None:
-    zone = next(r.zone for r in plan.replicas if r.name == worker)
-
-    async def tell(role: str, **do: object) -> None:
-        client = HttpClient("127.0.0.1", plan.control_ports[role])
-        try:
-            response = await client.request("POST", "/", msgspec.json.encode(do), timeout_s=5.0)
-        finally:
-            client.close()
-        if response.status != 204:
-            raise SystemExit(f"{role} refused {do}")
-
-    await tell("roster", do="list", replicas=[worker], phase="draining")
-    await asyncio.sleep(DRAIN)
-    await tell(f"replicas-{zone}", do="start", replicas=[worker])
-    await tell(f"replicas-{zone}", do="fails", replicas=[worker], value=fails)
-    await tell(f"replicas-{zone}", do="slow", replicas=[worker], value=slow)
-    await tell("roster", do="list", replicas=[worker], phase="ready", restarted=True)
+from gradehoist.testbed.process import LOOPBACK
+from gradehoist.testbed.scenario_plan import Plan, load_plan
+
+DRAIN_S = 1.5  # requests in flight end meanwhile
+COMMAND_TIMEOUT_S = 5.0
+
+
+async def send_command(plan: Plan, role: str, **command: object) -> None:
+    """Sends a command to the process of a role. Raises SystemExit if it is rejected."""
+    client = HttpClient(LOOPBACK, plan.control_ports[role])
+    try:
+        body = msgspec.json.encode(command)
+        response = await client.request("POST", "/", body, timeout_s=COMMAND_TIMEOUT_S)
+    finally:
+        client.close()
+    if response.status != 204:
+        raise SystemExit(f"{role} refused {command}")
+
+
+async def deploy(plan: Plan, replica: str, failure_share: float, slowdown: float) -> None:
+    """Drains, restarts and lists the replica again; its release fails and slows requests as given."""
+    zone = next(planned.zone for planned in plan.replicas if planned.name == replica)
+    role = f"replicas-{zone}"
+    replicas = [replica]
+    await send_command(plan, "roster", do="list", replicas=replicas, phase="draining")
+    await asyncio.sleep(DRAIN_S)
+    await send_command(plan, role, do="start", replicas=replicas)
+    await send_command(plan, role, do="fails", replicas=replicas, value=failure_share)
+    await send_command(plan, role, do="slow", replicas=replicas, value=slowdown)
+    await send_command(plan, "roster", do="list", replicas=replicas, phase="ready", restarted=True)
 
 
 if __name__ == "__main__":
-    asyncio.run(deploy(p.load_plan(sys.argv[1]), sys.argv[2], float(sys.argv[3]), float(sys.argv[4])))
+    asyncio.run(deploy(load_plan(sys.argv[1]), sys.argv[2], float(sys.argv[3]), float(sys.argv[4])))
--- a/gradehoist/testbed/endpoint_list.py
+++ b/gradehoist/testbed/endpoint_list.py
@@ -1,4 +1,4 @@
-"""The roster service: which processes run, late. It holds calls until there is news; role `roster`."""
+"""The endpoint list: serves which replicas are listed, by long polls; role `roster`."""
 
 from __future__ import annotations
 
@@ -10,97 +10,161 @@
 
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response, json_response
 from gradehoist.protocol import feed, http
-from gradehoist.testbed.process import Process, read_monotonic_us
+from gradehoist.testbed.process import LOOPBACK, Process, read_monotonic_us
 
-KEPT = 200  # versions that a reader may be behind before it gets the whole list
+MAX_VERSIONS_BEHIND = 200  # a reader that is further behind gets a complete snapshot
+MAX_WAIT_S = 10.0
+LONG_AGO_US = 10**9  # age of a replica that ran before the scenario began
 
 
 class EndpointState(msgspec.Struct):
+    """The listed state of a replica; `started_us` is 0 if it ran before the scenario began."""
+
     phase: str
     incarnation_number: int
-    started_us: int  # 0: long past
+    started_us: int
     version: int
 
 
 class EndpointListProcess(Process):
+    """Serves the endpoint list, changes it and fails as the run's commands say."""
+
     async def start(self) -> None:
-        self.life, self.version = str(read_monotonic_us()), 1
-        self.entries = {r.name: EndpointState("ready", 1, 0, 1) for r in self.plan.replicas if r.is_listed}
-        self.boots = {r.name: 1 for r in self.plan.replicas}
-        self.down = ""
-        self.news = asyncio.Event()
-        self.known = {r.name: r for r in self.plan.replicas}
-        self.via = {(link.zone, link.target): link.port for link in self.plan.links if not link.proxy}
+        """Lists the replicas of the plan and begins to serve."""
+        self.incarnation = str(read_monotonic_us())
+        self.version = 1
+        self.endpoints = {
+            replica.name: EndpointState(phase="ready", incarnation_number=1, started_us=0, version=1)
+            for replica in self.plan.replicas
+            if replica.is_listed
+        }
+        self.outage = ""
+        self.change_event = asyncio.Event()
+        self.replicas = {replica.name: replica for replica in self.plan.replicas}
+        self.link_ports = {(link.zone, link.target): link.port for link in self.plan.links if not link.proxy}
         self.server = HttpServer(self._handle)
-        self.server.listen(self.plan.endpoint_list[1], self.plan.endpoint_list[0])
+        host, port = self.plan.endpoint_list
+        self.server.listen(port, host)
 
     def on_command(self, do: dict[str, Any]) -> None:
+        """Executes `list`, `down` or `forget`."""
         match do["do"]:
             case "list":
-                self.version += 1
-                for name in do["replicas"]:
-                    old = self.entries.get(name)
-                    phase = str(do["phase"])
-                    boot, started = (old.incarnation_number, old.started_us) if old else (1, 0)
-                    if do.get("restarted"):
-                        boot, started = boot + 1, read_monotonic_us() - int(str(do.get("ago", 0)))
-                    self.entries[name] = EndpointState(phase, boot, started, self.version)
-                self.record("changed", version=self.version, replicas=do["replicas"], phase=do["phase"])
-                self._wake()
+                self._list_replicas(do)
             case "down":
-                self.down = str(do["value"])
-                self._wake()
-            case "forget":  # a new life: versions start anew
-                self.life, self.version = str(read_monotonic_us()), 1
-                for entry in self.entries.values():
-                    entry.version = 1
-                self._wake()
+                self.outage = str(do["value"])
+            case "forget":
+                self._restart_versions()
             case _:
                 raise ValueError(f"unknown order {do['do']!r}")
+        self._notify_readers()
+
+    def _list_replicas(self, command: dict[str, Any]) -> None:
+        self.version += 1
+        for name in command["replicas"]:
+            old = self.endpoints.get(name)
+            phase = str(command["phase"])
+            incarnation_number = old.incarnation_number if old else 1
+            started_us = old.started_us if old else 0
+            if command.get("restarted"):
+                incarnation_number += 1
+                started_us = read_monotonic_us() - int(str(command.get("ago", 0)))
+            self.endpoints[name] = EndpointState(
+                phase=phase,
+                incarnation_number=incarnation_number,
+                started_us=started_us,
+                version=self.version,
+            )
+        self.record("changed", version=self.version, replicas=command["replicas"], phase=command["phase"])
 
-    def _wake(self) -> None:
-        self.news.set()
-        self.news = asyncio.Event()
+    def _restart_versions(self) -> None:
+        """Begins a new incarnation of the list, whose versions start again."""
+        self.incarnation = str(read_monotonic_us())
+        self.version = 1
+        for endpoint in self.endpoints.values():
+            endpoint.version = 1
+
+    def _notify_readers(self) -> None:
+        self.change_event.set()
+        self.change_event = asyncio.Event()
 
     async def _handle(self, request: http.Request, connection: Connection) -> ServerResponse | None:
         url = urlsplit(request.target)
         if url.path != "/v1/roster":
             return error_response(404, "only /v1/roster is here")
-        query = {k: v[-1] for k, v in parse_qs(url.query).items()}
-        after, zone = int(query.get("after", -1)), query.get("zone", "")
-        end = asyncio.get_running_loop().time() + min(10.0, float(query.get("wait", 0)))
+        query = {key: values[-1] for key, values in parse_qs(url.query).items()}
+        after_version = int(query.get("after", -1))
+        incarnation = query.get("life")
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + min(MAX_WAIT_S, float(query.get("wait", 0)))
         while True:
-            if self.down == "silent":
+            if self.outage == "silent":
                 await connection.closed.wait()
                 return None
-            if self.down:
+            if self.outage:
                 return error_response(503, "down")
-            whole = after < 0 or query.get("life") != self.life or after < self.version - KEPT
-            if whole or after < self.version:
-                break
-            left = end - asyncio.get_running_loop().time()
-            if left <= 0:
+            is_snapshot = self._needs_snapshot(incarnation, after_version)
+            if is_snapshot or after_version < self.version:
                 break
-            try:
-                async with asyncio.timeout(left):
-                    await self.news.wait()
-            except TimeoutError:
+            if not await self._wait_for_change(deadline_s - loop.time()):
                 break
-        entries = tuple(
-            feed.EndpointRecord(
-                name,
-                self.known[name].zone,
-                f"127.0.0.1:{self.via[zone, name]}",
-                self.known[name].kind,
-                self.known[name].cell,
-                e.phase,
-                self.known[name].size,
-                f"{name}/{e.incarnation_number}",
-                (read_monotonic_us() - e.started_us) if e.started_us else 10**9,
+        endpoints = self._build_records(query.get("zone", ""), is_snapshot, after_version)
+        self.record(
+            "told",
+            reader=query.get("reader", ""),
+            whole=is_snapshot,
+            version=self.version,
+            entries={endpoint.replica: [endpoint.phase, endpoint.incarnation] for endpoint in endpoints},
+        )
+        return json_response(
+            feed.EndpointListUpdate(
+                incarnation=self.incarnation,
+                version=self.version,
+                endpoints=endpoints,
+                is_snapshot=is_snapshot,
+                since_version=max(0, after_version),
             )
-            for name, e in self.entries.items()
-            if (e.phase != "gone" if whole else e.version > after)
         )
-        told = {e.replica: [e.phase, e.incarnation] for e in entries}
-        self.record("told", reader=query.get("reader", ""), whole=whole, version=self.version, entries=told)
-        return json_response(feed.EndpointListUpdate(self.life, self.version, entries, whole, max(0, after)))
+
+    def _needs_snapshot(self, incarnation: str | None, after_version: int) -> bool:
+        return (
+            after_version < 0
+            or incarnation != self.incarnation
+            or after_version < self.version - MAX_VERSIONS_BEHIND
+        )
+
+    async def _wait_for_change(self, timeout_s: float) -> bool:
+        """Waits for a change of the list; returns False when the time is over."""
+        if timeout_s <= 0:
+            return False
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.change_event.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _build_records(
+        self, zone: str, is_snapshot: bool, after_version: int
+    ) -> tuple[feed.EndpointRecord, ...]:
+        """Builds the records of a snapshot or a delta, with addresses through the links of the zone."""
+        return tuple(
+            self._build_record(zone, name, endpoint)
+            for name, endpoint in self.endpoints.items()
+            if (endpoint.phase != "gone" if is_snapshot else endpoint.version > after_version)
+        )
+
+    def _build_record(self, zone: str, name: str, endpoint: EndpointState) -> feed.EndpointRecord:
+        replica = self.replicas[name]
+        age_us = read_monotonic_us() - endpoint.started_us if endpoint.started_us else LONG_AGO_US
+        return feed.EndpointRecord(
+            replica=name,
+            zone=replica.zone,
+            address=f"{LOOPBACK}:{self.link_ports[zone, name]}",
+            kind=replica.kind,
+            cell=replica.cell,
+            phase=endpoint.phase,
+            size=replica.size,
+            incarnation=f"{name}/{endpoint.incarnation_number}",
+            age_us=age_us,
+        )
--- a/gradehoist/testbed/etcd_keyspace.py
+++ b/gradehoist/testbed/etcd_keyspace.py
@@ -23,6 +23,7 @@
     """The requested revision was compacted away."""
 
     def __init__(self, revision: int, compacted_revision: int) -> None:
+        """Keeps the requested revision and the one up to which history is gone."""
         super().__init__(
             f"revision {revision} is compacted (up to {compacted_revision}): read the current state"
         )
@@ -34,6 +35,7 @@
     """A write names a lease that does not exist or has expired."""
 
     def __init__(self, lease_id: int) -> None:
+        """Keeps the id of the lease."""
         super().__init__(f"lease {lease_id} is not found: grant a new one")
         self.lease_id = lease_id
 
--- a/gradehoist/testbed/fault_link.py
+++ b/gradehoist/testbed/fault_link.py
@@ -1,13 +1,14 @@
-"""Links: every connection of relays and governors runs through one, where the day cuts, delays or loses it.
+"""Links between proxies, replicas and governors, on which a run injects network faults; role `links`.
 
-A link carries bytes and knows no protocol. Its ways to injure: `refuse` (no listener, open ones reset),
-`hole` (takes all, carries nothing), `delay` (each way), `lose` (a share of answers is cut off after the work
-was asked for), `pace` (bytes a second, shared by all links of one target). Role `links`.
+A link forwards bytes and knows no protocol. The faults are: refused connections (no listener, open ones are
+reset), a blackhole (connections are accepted and nothing is forwarded), delay, lost responses, resets before
+the request arrives, and a bandwidth limit shared by all links of one target.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from dataclasses import dataclass
 from pathlib import Path
@@ -16,163 +17,199 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
-from gradehoist.testbed import scenario_plan as p
-from gradehoist.testbed.process import Process, create_random, read_monotonic_us
+from gradehoist.testbed.process import LOOPBACK, Process, create_random, read_monotonic_us
+from gradehoist.testbed.scenario_plan import LinkPlan, Plan
 
+LISTEN_BACKLOG = 1024
+READ_SIZE = 1 << 16  # bytes
+LINGER_RESET = b"\1\0\0\0\0\0\0\0"  # SO_LINGER on with 0 s: closing sends a reset
 
-@dataclass
+
+@dataclass(frozen=True)
 class LinkFaults:
+    """The faults of a link, by the names that the command `injure` gives them.
+
+    Attributes:
+        refuse: whether connections are refused and the open ones are reset.
+        hole: whether connections are accepted and nothing is forwarded.
+        delay: seconds of delay in each direction.
+        lose: share of responses that are lost.
+        reset: share of requests whose connection is reset before they reach the target.
+    """
+
     refuse: bool = False
     hole: bool = False
-    delay: float = 0.0  # seconds each way
-    lose: float = 0.0  # part of the exchanges whose answer is lost
-    reset: float = 0.0  # part of the exchanges that are reset before they reach the target
+    delay: float = 0.0
+    lose: float = 0.0
+    reset: float = 0.0
 
 
 @dataclass
 class Bandwidth:
-    """Bytes a second to the readers of one target; 0: no limit."""
+    """The bandwidth of responses from one target; 0 bytes a second means no limit."""
 
-    rate: float = 0.0
-    free_at: int = 0
+    bytes_per_s: float = 0.0
+    free_at_us: int = 0
 
-    async def pay(self, size: int) -> None:
-        if self.rate > 0:
-            self.free_at = max(self.free_at, read_monotonic_us()) + int(size / self.rate * 1e6)
-            await asyncio.sleep(max(0.0, (self.free_at - read_monotonic_us()) / 1e6))
+    async def wait_for_transfer(self, size: int) -> None:
+        """Waits as long as the transfer of so many bytes takes after those that wait already."""
+        if self.bytes_per_s <= 0:
+            return
+        transfer_us = int(size / self.bytes_per_s * 1e6)
+        self.free_at_us = max(self.free_at_us, read_monotonic_us()) + transfer_us
+        await asyncio.sleep(max(0.0, (self.free_at_us - read_monotonic_us()) / 1e6))
 
 
 class Listener(TCPServer):
-    """A listener that can be taken away, so that a dial is refused by the system as for a dead process."""
+    """The listener of a link; while it is stopped, the system refuses connections as for a dead process."""
 
     def __init__(self, link: Link) -> None:
+        """Listens on the link's port. Raises OSError."""
         super().__init__()
         self._link = link
-        self.listen(link.plan.port, "127.0.0.1", backlog=1024)
+        self.listen(link.plan.port, LOOPBACK, backlog=LISTEN_BACKLOG)
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
-        await self._link.handle(stream)
+        """Forwards a new connection."""
+        await self._link.forward(stream)
 
 
 class Link:
-    def __init__(self, plan: p.LinkPlan, owner: LinkProcess) -> None:
-        self.plan, self.owner, self.harm = plan, owner, LinkFaults()
-        self.open: set[tuple[IOStream, IOStream]] = set()
-        self.mended = asyncio.Event()
-        self.door: Listener | None = None
+    """One link, its open connections and its faults."""
+
+    def __init__(self, plan: LinkPlan, owner: LinkProcess) -> None:
+        """Creates the link; it doesn't listen yet."""
+        self.plan = plan
+        self.owner = owner
+        self.faults = LinkFaults()
+        self.connections: set[tuple[IOStream, IOStream]] = set()
+        self.faults_changed = asyncio.Event()
+        self.listener: Listener | None = None
 
     def listen(self) -> None:
-        self.door = self.door or Listener(self)
-
-    def injure(self, **harm: Any) -> None:
-        self.harm = LinkFaults(**harm)
-        self.mended.set()
-        self.mended = asyncio.Event()
-        if self.harm.refuse and self.door:
-            self.door.stop()
-            self.door = None
-            self.reset()
-        elif not self.harm.refuse:
+        """Begins to accept connections, if it doesn't yet."""
+        if self.listener is None:
+            self.listener = Listener(self)
+
+    def inject(self, faults: LinkFaults) -> None:
+        """Replaces the faults of the link."""
+        self.faults = faults
+        self.faults_changed.set()
+        self.faults_changed = asyncio.Event()
+        if not faults.refuse:
             self.listen()
+        elif self.listener is not None:
+            self.listener.stop()
+            self.listener = None
+            self.reset()
 
     def reset(self) -> None:
-        for near, far in list(self.open):
-            for stream in (near, far):
-                _abort(stream)
-
-    async def handle(self, near: IOStream) -> None:
-        far = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
-        pair = (near, far)
-        self.open.add(pair)
+        """Resets all open connections."""
+        for client, target in list(self.connections):
+            _reset_stream(client)
+            _reset_stream(target)
+
+    async def forward(self, client: IOStream) -> None:
+        """Forwards a connection in both directions until one side closes it."""
+        target = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        connection = (client, target)
+        self.connections.add(connection)
         try:
-            if self.harm.hole:
-                await self.mended.wait()
+            if self.faults.hole:
+                await self.faults_changed.wait()
                 return
-            await far.connect(self.plan.address)
-            near.set_nodelay(True)
-            far.set_nodelay(True)
-            there = asyncio.ensure_future(self._carry(near, far, answers=False))
-            back = asyncio.ensure_future(self._carry(far, near, answers=True))
-            await asyncio.wait((there, back), return_when=asyncio.FIRST_COMPLETED)
-            there.cancel()
-            back.cancel()
+            await target.connect(self.plan.address)
+            client.set_nodelay(True)
+            target.set_nodelay(True)
+            requests = asyncio.ensure_future(self._forward_requests(client, target))
+            responses = asyncio.ensure_future(self._forward_responses(target, client))
+            await asyncio.wait((requests, responses), return_when=asyncio.FIRST_COMPLETED)
+            requests.cancel()
+            responses.cancel()
         except (StreamClosedError, OSError):
-            _abort(near)  # the target does not listen: what dialled shall see a reset, not an end
+            _reset_stream(client)  # the target does not listen: the client must see a reset, not an end
         finally:
-            self.open.discard(pair)
-            near.close()
-            far.close()
-
-    async def _carry(self, source: IOStream, sink: IOStream, answers: bool) -> None:
-        chance = self.owner.chance
-        try:
-            while True:
-                data = await source.read_bytes(1 << 16, partial=True)
-                if self.harm.hole:
-                    await self.mended.wait()
-                    _abort(source)
+            self.connections.discard(connection)
+            client.close()
+            target.close()
+
+    async def _forward_requests(self, client: IOStream, target: IOStream) -> None:
+        with contextlib.suppress(StreamClosedError, OSError):
+            while (data := await self._read(client)) is not None:
+                if self.owner.random.random() < self.faults.reset:
+                    _reset_stream(client)
                     return
-                if self.harm.delay:
-                    await asyncio.sleep(self.harm.delay)
-                if not answers and chance.random() < self.harm.reset:
-                    _abort(source)
-                    return
-                if answers and chance.random() < self.harm.lose:
-                    _abort(sink)
-                    return
-                if answers:
-                    await self.owner.pace[self.plan.target].pay(len(data))
-                await sink.write(data)
-        except (StreamClosedError, OSError):
-            pass
+                await target.write(data)
 
-
-def _abort(stream: IOStream) -> None:
+    async def _forward_responses(self, target: IOStream, client: IOStream) -> None:
+        with contextlib.suppress(StreamClosedError, OSError):
+            while (data := await self._read(target)) is not None:
+                if self.owner.random.random() < self.faults.lose:
+                    _reset_stream(client)
+                    return
+                await self.owner.bandwidth[self.plan.target].wait_for_transfer(len(data))
+                await client.write(data)
+
+    async def _read(self, source: IOStream) -> bytes | None:
+        """Reads and delays the next bytes; returns None after a blackhole, which resets the source."""
+        data: bytes = await source.read_bytes(READ_SIZE, partial=True)
+        if self.faults.hole:
+            await self.faults_changed.wait()
+            _reset_stream(source)
+            return None
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+        return data
+
+
+def _reset_stream(stream: IOStream) -> None:
     if not stream.closed() and stream.socket is not None:
-        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
     stream.close()
 
 
 class LinkProcess(Process):
-    def __init__(self, plan: p.Plan, role: str, folder: Path) -> None:
+    """Runs all links of the plan."""
+
+    def __init__(self, plan: Plan, role: str, folder: Path) -> None:
+        """Creates the links of the plan."""
         super().__init__(plan, role, folder)
-        self.chance = create_random(plan.seed, "links")
-        self.pace = {link.target: Bandwidth() for link in plan.links}
-        self.all = [Link(link, self) for link in plan.links]
+        self.random = create_random(plan.seed, "links")
+        self.bandwidth = {link.target: Bandwidth() for link in plan.links}
+        self.links = [Link(link, self) for link in plan.links]
 
     async def start(self) -> None:
-        for link in self.all:
+        """Listens on all links."""
+        for link in self.links:
             link.listen()
 
-    def _chosen(self, do: dict[str, Any]) -> list[Link]:
-        """Links that fit every part named: `zones`, `targets`, `relays`, and `across` a zone's border."""
-        out = []
-        for link in self.all:
-            fits = (
-                ("zones" not in do or link.plan.zone in do["zones"])
-                and ("targets" not in do or link.plan.target in do["targets"])
-                and ("relays" not in do or link.plan.proxy in do["relays"])
-                and (
-                    "across" not in do
-                    or (link.plan.zone == do["across"]) != (link.plan.target_zone == do["across"])
-                )
-            )
-            if fits:
-                out.append(link)
-        return out
-
     def on_command(self, do: dict[str, Any]) -> None:
-        chosen = self._chosen(do)
-        self.record("told", do=do["do"], links=len(chosen))
+        """Executes `injure`, `reset` or `pace`."""
+        selected = [link for link in self.links if _is_selected(link.plan, do)]
+        self.record("told", do=do["do"], links=len(selected))
         match do["do"]:
             case "injure":
-                for link in chosen:
-                    link.injure(**do["harm"])
+                for link in selected:
+                    link.inject(LinkFaults(**do["harm"]))
             case "reset":
-                for link in chosen:
+                for link in selected:
                     link.reset()
             case "pace":
                 for target in do["targets"]:
-                    self.pace[target].rate = float(do["value"])
+                    self.bandwidth[target].bytes_per_s = float(do["value"])
             case _:
                 raise ValueError(f"unknown order {do['do']!r}")
+
+
+def _is_selected(plan: LinkPlan, command: dict[str, Any]) -> bool:
+    """Whether a link fits all that a command names: zones, targets, proxies and a zone's border."""
+    if "zones" in command and plan.zone not in command["zones"]:
+        return False
+    if "targets" in command and plan.target not in command["targets"]:
+        return False
+    if "relays" in command and plan.proxy not in command["relays"]:
+        return False
+    if "across" not in command:
+        return True
+    zone = command["across"]
+    return bool((plan.zone == zone) != (plan.target_zone == zone))
--- a/gradehoist/testbed/process.py
+++ b/gradehoist/testbed/process.py
@@ -1,4 +1,4 @@
-"""What each stand-in process has: a record of what crossed its sockets, and a control port."""
+"""The base of the testbed's processes: a recorder of events, a control port and the lifetime of tasks."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 import sys
 import time
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, BinaryIO
 
@@ -20,85 +20,105 @@
 from gradehoist.testbed.scenario_plan import Plan
 
 ENCODER = msgspec.json.Encoder()
+LOOPBACK = "127.0.0.1"
+FLUSH_PERIOD_S = 0.2  # a killed process loses no more of its events than this
 
 
 def read_monotonic_us() -> int:
-    """µs of the machine's monotonic clock, the same for all processes of a run."""
+    """Returns the machine's monotonic clock, which all processes of a run share."""
     return time.monotonic_ns() // 1_000
 
 
 def create_random(seed: int, *name: object) -> random.Random:
-    """A stream of chance of its own for each part of a run."""
+    """Creates a random generator for the part of a run that is named, independent of the other parts."""
     return random.Random(zlib.crc32(repr((seed, *name)).encode()))
 
 
 class EventRecorder:
-    """JSON lines, each with its time `t` and event `e`; written out a few times a second."""
+    """Appends events to a file of JSON lines, each with its time `t` and its name `e`."""
 
     def __init__(self, path: Path) -> None:
+        """Opens the file to append to it. Raises OSError."""
         self._file: BinaryIO = path.open("ab")
         self._lines: list[bytes] = []
 
     def __call__(self, event: str, **fields: Any) -> None:
+        """Buffers an event that happened now."""
         self._lines.append(ENCODER.encode({"t": read_monotonic_us(), "e": event, **fields}))
 
     def flush(self) -> None:
-        if self._lines:
-            lines, self._lines = self._lines, []
-            self._file.write(b"\n".join(lines) + b"\n")
-            self._file.flush()
+        """Writes the buffered events to the file."""
+        if not self._lines:
+            return
+        lines = self._lines
+        self._lines = []
+        self._file.write(b"\n".join(lines) + b"\n")
+        self._file.flush()
 
 
 class Process:
-    """Runs a role until SIGTERM: `begin` starts its parts, `control` takes the day's orders."""
+    """Runs one role of the plan until SIGTERM or SIGINT; each role is a subclass."""
 
     def __init__(self, plan: Plan, role: str, folder: Path) -> None:
-        self.plan, self.role = plan, role
+        """Opens the file of the role's events in the folder of the run."""
+        self.plan = plan
+        self.role = role
         self.record = EventRecorder(folder / f"{role}.jsonl")
         self.tasks = set[asyncio.Task[Any]]()
         self._stop = asyncio.Event()
 
-    def start_task(self, work: Any) -> asyncio.Task[Any]:
+    def start_task(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Starts a task that the process owns; if it fails, the process stops."""
         task: asyncio.Task[Any] = asyncio.ensure_future(work)
         self.tasks.add(task)
-
-        def ended(done: asyncio.Task[Any]) -> None:
-            self.tasks.discard(done)
-            if not done.cancelled() and (fault := done.exception()):
-                # A stand-in that fails makes the record useless: the run must not pass for a good one.
-                print(f"{self.role}: {fault!r}", file=sys.stderr, flush=True)
-                self.record("stand_in_failed", reason=repr(fault))
-                self._stop.set()
-
-        task.add_done_callback(ended)
+        task.add_done_callback(self._on_task_done)
         return task
 
+    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is None:
+            return
+        # The records of a run in which a test double failed are useless: the run must not pass.
+        print(f"{self.role}: {error!r}", file=sys.stderr, flush=True)
+        self.record("stand_in_failed", reason=repr(error))
+        self._stop.set()
+
     async def start(self) -> None:
+        """Starts the servers and tasks of the role."""
         raise NotImplementedError
 
     def on_command(self, do: dict[str, Any]) -> None:
-        """Carries out an order of the day. Raises KeyError or ValueError for one it can't."""
+        """Executes a command of the run.
+
+        Raises:
+            KeyError: the command lacks a field or names something unknown.
+            ValueError: the command is unknown or a value is invalid.
+        """
         raise NotImplementedError
 
-    async def _control(self, request: http.Request, connection: Connection) -> ServerResponse:
+    async def _handle_control(self, request: http.Request, connection: Connection) -> ServerResponse:
         try:
-            do: dict[str, Any] = msgspec.json.decode(request.body, type=dict[str, Any])
-            if do["do"] != "ping":
-                self.on_command(do)
-        except (KeyError, ValueError, TypeError) as fault:
-            return error_response(400, repr(fault))
+            command: dict[str, Any] = msgspec.json.decode(request.body, type=dict[str, Any])
+            if command["do"] != "ping":
+                self.on_command(command)
+        except (KeyError, ValueError, TypeError) as error:
+            return error_response(400, repr(error))
         return ServerResponse(204)
 
     async def run(self) -> None:
+        """Runs until a signal to stop, or until a task fails; then cancels the tasks and flushes events."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         await self.start()
-        control = HttpServer(self._control)
-        control.listen(self.plan.control_ports[self.role], "127.0.0.1")
+        control = HttpServer(self._handle_control)
+        control.listen(self.plan.control_ports[self.role], LOOPBACK)
         while not self._stop.is_set():
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(0.2):
+                async with asyncio.timeout(FLUSH_PERIOD_S):
                     await self._stop.wait()
             self.record.flush()
         for task in list(self.tasks):
