The testbed's etcd server and replicas are split by concern

Cause: one module held calls, handlers and faults; one held a replica, its jobs and its process. Change: etcd_calls (state, unary calls) beside etcd_server (HTTP); replica_job and replica_process beside replica. A fenced write is a record instead of a tuple. The etcd interface and the records are as before.

--- a/gradehoist/testbed/replica.py
+++ b/gradehoist/testbed/replica.py
@@ -1,87 +1,79 @@
-"""Replicas: cores that share their speed among the work in hand, a waiting room, a cold start, failures.
+"""Replicas: cores that share their speed among requests, a queue, warming up, and injected faults.
 
-Work is not burned but timed: a step each few milliseconds takes from what is left of each job, so that a
-dozen replicas fit one process and a busy machine does not look like a busy replica.
+Work is timed and not computed: each step of a few milliseconds takes its part from what is left of each
+request. So a dozen replicas fit one process, and a busy machine does not look like a busy replica.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass, field
-from pathlib import Path
-from typing import Any
 
 import msgspec
 
 from gradehoist.cells.migration import ReplicaFence, TenantAssignment, WriteDecision
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response
 from gradehoist.protocol import http, orca
-from gradehoist.testbed import scenario_plan as p
-from gradehoist.testbed.process import Process, create_random, read_monotonic_us
+from gradehoist.testbed.process import LOOPBACK, Process, create_random, read_monotonic_us
+from gradehoist.testbed.replica_job import FencedWrite, Job
+from gradehoist.testbed.scenario_plan import Plan, ReplicaPlan
 
-STEP = 0.004  # seconds between steps: far under any latency goal
-THRASH = 0.03  # part of its speed that a replica loses for each held transaction beyond three a core
+OVERLOAD_REQUESTS_PER_CORE = 3  # with more requests in flight a replica slows down
+OVERLOAD_SLOWDOWN = 0.03  # share of the speed that each further request per core costs
+BUSY_SMOOTHING_S = 0.7  # time constant of the reported utilization
+SERVICE_TIME_SAMPLES = 50  # responses whose mean service time is reported
+HEALTH_CHECK_WORK_MS = 5.0
+HEALTH_CHECK_TIMEOUT_S = 2.0
+MAX_WORK_MS = 1e6
+LISTEN_BACKLOG = 1024
+NO_EFFECT_HEADERS = (("x-never-ran", "1"),)
 
 
-@dataclass
-class Job:
-    work: float  # milliseconds at speed 1 still to do
-    done: asyncio.Future[None]
-    connection: Connection | None = None
-    tx: str = ""
-    write: tuple[str, str, int] | None = None  # tenant, cell, generation: a write under the fence
-
-    @property
-    def key(self) -> str:
-        """A client's repeats share it."""
-        return self.tx.partition(".")[0]
-
-
-@dataclass
 class Replica:
-    process: Process
-    plan: p.ReplicaPlan
-    whole: p.Plan
-    boot: int = 0
-    server: HttpServer | None = None
-    started: int = 0  # 0: long past
-    running: list[Job] = field(default_factory=list)
-    waiting: deque[Job] = field(default_factory=deque)
-    slow: float = 1.0
-    taken: float = 0.0
-    shown: float = 1.0
-    hung: bool = False
-    fails: float = 0.0  # the share of its work that its release fails
-    draining: bool = False
-    arrived: deque[tuple[int, float]] = field(default_factory=deque)
-    busy: float = 0.0
-    report: orca.OrcaReport = field(default_factory=orca.OrcaReport)
-    served: deque[float] = field(default_factory=lambda: deque(maxlen=50))
-    connections: set[Connection] = field(default_factory=set)
-
-    @property
-    def writes(self) -> set[str]:
-        return {c.name for c in self.whole.classes if c.idempotency == "single"}
+    """One replica: its server while it runs, its work, its faults and its fence."""
 
-    def __post_init__(self) -> None:
-        self.chance = create_random(self.whole.seed, "fails", self.plan.name)
-        # What the fence keeps outlives the process, here as this object does.
-        self.fence = ReplicaFence(self.plan.name, self.whole.cell_by_replica.get(self.plan.name, ""))
+    def __init__(self, process: Process, plan: ReplicaPlan, run_plan: Plan) -> None:
+        """Creates the replica; it doesn't run yet."""
+        self.process = process
+        self.plan = plan
+        self.run_plan = run_plan
+        self.fenced_classes = {c.name for c in run_plan.classes if c.idempotency == "single"}
+        self.random = create_random(run_plan.seed, "fails", plan.name)
+        # A real fence is persisted; here this object outlives the replica's incarnations.
+        self.fence = ReplicaFence(plan.name, run_plan.cell_by_replica.get(plan.name, ""))
+        self.incarnation_number = 0
+        self.server: HttpServer | None = None
+        self.started_us = 0  # 0: warmed up before the run began
+        self.running: list[Job] = []
+        self.waiting: deque[Job] = deque()
+        self.connections: set[Connection] = set()
+        self.arrivals: deque[tuple[int, float]] = deque()  # times and work while warming up
+        self.slowdown = 1.0
+        self.stolen_share = 0.0  # share of the cores that another program takes
+        self.reported_factor = 1.0  # factor on the true load in its reports
+        self.is_hung = False
+        self.failure_share = 0.0  # share of requests that its release fails
+        self.busy_share = 0.0
+        self.report = orca.OrcaReport()
+        self.service_times_ms: deque[float] = deque(maxlen=SERVICE_TIME_SAMPLES)
 
-    def start(self, cold: bool) -> None:
+    def start(self, is_cold: bool) -> None:
+        """Starts a new incarnation, warming up if it is cold. Raises OSError if its port is taken."""
         self.fence = self.fence.restarted()
-        self.boot += 1
-        self.started = read_monotonic_us() if cold else 0
-        self.running, self.waiting = [], deque()
-        self.arrived.clear()
-        self.hung = self.draining = False
-        self.slow, self.fails = 1.0, 0.0
+        self.incarnation_number += 1
+        self.started_us = read_monotonic_us() if is_cold else 0
+        self.running = []
+        self.waiting = deque()
+        self.arrivals.clear()
+        self.is_hung = False
+        self.slowdown = 1.0
+        self.failure_share = 0.0
         self.server = HttpServer(self.handle)
-        self.server.listen(self.plan.port, "127.0.0.1", backlog=1024)
-        self.process.record("up", replica=self.plan.name, boot=self.boot, cold=cold)
+        self.server.listen(self.plan.port, LOOPBACK, backlog=LISTEN_BACKLOG)
+        self.process.record("up", replica=self.plan.name, boot=self.incarnation_number, cold=is_cold)
 
-    def die(self, why: str) -> None:
+    def stop(self, reason: str) -> None:
+        """Ends the incarnation at once; all work is lost and all connections are reset."""
         if self.server is None:
             return
         self.server.abort()
@@ -89,189 +81,226 @@
         for job in (*self.running, *self.waiting):
             if not job.done.done():
                 job.done.cancel()
-        self.running, self.waiting = [], deque()
+        self.running = []
+        self.waiting = deque()
         self.connections.clear()
-        self.process.record("down", replica=self.plan.name, reason=why)
+        self.process.record("down", replica=self.plan.name, reason=reason)
 
-    def warmth(self, at: int) -> float:
-        """The part of its full speed that it has: from `cold_from` evenly to 1."""
-        if not self.started or self.plan.warmup_us <= 0:
+    def capacity_share(self, time_us: int) -> float:
+        """The share of its full speed that it has; while warming up it grows linearly to 1."""
+        if not self.started_us or self.plan.warmup_us <= 0:
             return 1.0
-        age = (at - self.started) / self.plan.warmup_us
-        return min(1.0, self.plan.start_capacity + (1 - self.plan.start_capacity) * age)
+        progress = (time_us - self.started_us) / self.plan.warmup_us
+        start = self.plan.start_capacity
+        return min(1.0, start + (1 - start) * progress)
+
+    @property
+    def in_flight(self) -> int:
+        """The jobs that run or wait."""
+        return len(self.running) + len(self.waiting)
 
-    def step(self, elapsed: float) -> None:
-        at = read_monotonic_us()
+    def advance(self, elapsed_s: float) -> None:
+        """Works for so many seconds: takes waiting jobs, and completes those whose work is done."""
+        time_us = read_monotonic_us()
         while self.waiting and len(self.running) < self.plan.slots:
             self.running.append(self.waiting.popleft())
-        held = len(self.running) + len(self.waiting)
+        if self.running and not self.is_hung:
+            self._work(time_us, elapsed_s)
+        utilization = 0.0 if self.is_hung else min(1.0, len(self.running) / self.plan.cores)
+        smoothing = min(1.0, elapsed_s / BUSY_SMOOTHING_S)
+        self.busy_share += smoothing * (max(utilization, self.stolen_share) - self.busy_share)
+
+    def _work(self, time_us: int, elapsed_s: float) -> None:
         cores = self.plan.cores
-        if self.running and not self.hung:
-            over = max(0.0, held / cores - 3)
-            speed = self.plan.speed * self.warmth(at) * (1 - self.taken) / self.slow / (1 + THRASH * over)
-            each = elapsed * 1e3 * speed * min(1.0, cores / len(self.running))
-            for job in self.running:
-                job.work -= each
-            for job in [j for j in self.running if j.work <= 0]:
-                self.running.remove(job)
-                if job.write:
-                    tenant, cell, gen = job.write
-                    self.fence = self.fence.complete_write(tenant, job.key)
-                    self.process.record(
-                        "effect", replica=self.plan.name, tx=job.tx, tenant=tenant, cell=cell, gen=gen
-                    )
-                elif job.tx:
-                    self.process.record("effect", replica=self.plan.name, tx=job.tx)
-                if not job.done.done():
-                    job.done.set_result(None)
-        use = min(1.0, len(self.running) / cores) if not self.hung else 0.0
-        self.busy += min(1.0, elapsed / 0.7) * (max(use, self.taken) - self.busy)
+        excess = max(0.0, self.in_flight / cores - OVERLOAD_REQUESTS_PER_CORE)
+        speed = self.plan.speed * self.capacity_share(time_us) * (1 - self.stolen_share)
+        speed = speed / self.slowdown / (1 + OVERLOAD_SLOWDOWN * excess)
+        work_ms = elapsed_s * 1e3 * speed * min(1.0, cores / len(self.running))
+        for job in self.running:
+            job.remaining_ms -= work_ms
+        for job in [job for job in self.running if job.remaining_ms <= 0]:
+            self.running.remove(job)
+            self._complete(job)
+
+    def _complete(self, job: Job) -> None:
+        if job.write is not None:
+            self.fence = self.fence.complete_write(job.write.tenant, job.idempotency_key)
+            self.process.record(
+                "effect",
+                replica=self.plan.name,
+                tx=job.request_id,
+                tenant=job.write.tenant,
+                cell=job.write.cell,
+                gen=job.write.generation,
+            )
+        elif job.request_id:
+            self.process.record("effect", replica=self.plan.name, tx=job.request_id)
+        if not job.done.done():
+            job.done.set_result(None)
+
+    def update_report(self) -> None:
+        """Takes the present load into the report that responses carry."""
+        samples = self.service_times_ms
+        mean_ms = sum(samples) / len(samples) if samples else 0.0
+        self.report = orca.OrcaReport(
+            self.busy_share * self.reported_factor, self.in_flight * self.reported_factor, mean_ms
+        )
 
-    def refresh(self) -> None:
-        mean = sum(self.served) / len(self.served) if self.served else 0.0
-        held = len(self.running) + len(self.waiting)
-        self.report = orca.OrcaReport(self.busy * self.shown, held * self.shown, mean)
+    def _load_headers(self) -> tuple[tuple[str, str], ...]:
+        return ((orca.HEADER_NAME, orca.format_report(self.report)),)
 
-    def cold_load(self, at: int, work: float) -> None:
-        """A cold replica that is sent too much within the span falls over, and stays down."""
-        rules, span = self.whole.rules, self.whole.rules.overload_window_us
-        self.arrived.append((at, work))
-        while self.arrived[0][0] < at - span:
-            self.arrived.popleft()
-        capacity = self.plan.cores * self.plan.speed * self.warmth(at) * 1e-3  # work a µs
-        if sum(w for _, w in self.arrived) > rules.overload_multiple * capacity * span:
+    def _add_cold_arrival(self, time_us: int, work_ms: float) -> None:
+        """Counts work that arrives while warming up; too much within the window stops the replica."""
+        rules = self.run_plan.rules
+        self.arrivals.append((time_us, work_ms))
+        while self.arrivals[0][0] < time_us - rules.overload_window_us:
+            self.arrivals.popleft()
+        capacity_ms_per_us = self.plan.cores * self.plan.speed * self.capacity_share(time_us) * 1e-3
+        arrived_ms = sum(arrived_ms for _, arrived_ms in self.arrivals)
+        if arrived_ms > rules.overload_multiple * capacity_ms_per_us * rules.overload_window_us:
             self.process.record("fell", replica=self.plan.name)
-            self.die("pushed over while cold")
+            self.stop("pushed over while cold")
 
     async def handle(self, request: http.Request, connection: Connection) -> ServerResponse | None:
-        name, at = self.plan.name, read_monotonic_us()
-        load = ((orca.HEADER_NAME, orca.format_report(self.report)),)
+        """Handles a request; returns None where the connection ends without a response."""
+        time_us = read_monotonic_us()
         if connection not in self.connections:
-            self.connections = {c for c in self.connections if not c.closed.is_set()} | {connection}
-            self.running.append(Job(self.whole.handshake_work_ms, asyncio.get_running_loop().create_future()))
-        if request.target == "/healthz":
-            if self.hung:
-                await connection.closed.wait()
-                return None
-            done = asyncio.get_running_loop().create_future()
-            self.waiting.append(Job(5.0, done, connection))
-            await asyncio.wait((done,), timeout=2.0)
-            return ServerResponse(200, b"", load) if done.done() else error_response(503, "too busy")
-        if request.target == "/cell/word":
-            word: TenantAssignment = msgspec.json.decode(request.body, type=TenantAssignment)
-            self.fence, answer = self.fence.apply_assignment(word)
-            self.process.record("word", replica=name, word=word, busy=answer.has_writes_in_flight)
-            return ServerResponse(200, msgspec.json.encode(answer))
-        if request.target == "/cell/lease":
-            beat: tuple[int, list[TenantAssignment]] = msgspec.json.decode(
-                request.body, type=tuple[int, list[TenantAssignment]]
-            )
-            self.fence = self.fence.renew_lease(at, *beat)
-            return ServerResponse(204)
-        tx = http.get_header(request.headers, "x-transaction") or ""
-        relay = http.get_header(request.headers, "x-relay") or ""
-        try:
-            work = float(http.get_header(request.headers, "x-work") or "nan")
-            if not 0 < work < 1e6:
-                raise ValueError
-        except ValueError:
+            self._add_connection(connection)
+        match request.target:
+            case "/healthz":
+                return await self._handle_health_check(connection)
+            case "/cell/word":
+                return self._handle_assignment(request)
+            case "/cell/lease":
+                return self._handle_lease(request, time_us)
+        return await self._handle_work(request, connection, time_us)
+
+    def _add_connection(self, connection: Connection) -> None:
+        open_connections = {known for known in self.connections if not known.closed.is_set()}
+        self.connections = open_connections | {connection}
+        self.running.append(self._create_job(self.run_plan.handshake_work_ms))
+
+    @staticmethod
+    def _create_job(work_ms: float, request_id: str = "") -> Job:
+        done = asyncio.get_running_loop().create_future()
+        return Job(remaining_ms=work_ms, done=done, request_id=request_id)
+
+    async def _handle_health_check(self, connection: Connection) -> ServerResponse | None:
+        headers = self._load_headers()
+        if self.is_hung:
+            await connection.closed.wait()
+            return None
+        job = self._create_job(HEALTH_CHECK_WORK_MS)
+        self.waiting.append(job)
+        await asyncio.wait((job.done,), timeout=HEALTH_CHECK_TIMEOUT_S)
+        if not job.done.done():
+            return error_response(503, "too busy")
+        return ServerResponse(200, b"", headers)
+
+    def _handle_assignment(self, request: http.Request) -> ServerResponse:
+        assignment: TenantAssignment = msgspec.json.decode(request.body, type=TenantAssignment)
+        self.fence, acknowledgement = self.fence.apply_assignment(assignment)
+        self.process.record(
+            "word",
+            replica=self.plan.name,
+            word=assignment,
+            busy=acknowledgement.has_writes_in_flight,
+        )
+        return ServerResponse(200, msgspec.json.encode(acknowledgement))
+
+    def _handle_lease(self, request: http.Request, time_us: int) -> ServerResponse:
+        renewal: tuple[int, list[TenantAssignment]] = msgspec.json.decode(
+            request.body, type=tuple[int, list[TenantAssignment]]
+        )
+        self.fence = self.fence.renew_lease(time_us, *renewal)
+        return ServerResponse(204)
+
+    async def _handle_work(
+        self, request: http.Request, connection: Connection, time_us: int
+    ) -> ServerResponse | None:
+        headers = self._load_headers()
+        request_id = http.get_header(request.headers, "x-transaction") or ""
+        work_ms = _parse_work_ms(request)
+        if work_ms is None:
             return error_response(400, "x-work: expected milliseconds")
-        warmth = self.warmth(at)
+        capacity_share = self.capacity_share(time_us)
         self.process.record(
-            "arrive", replica=name, relay=relay, tx=tx, work=work, warmth=round(warmth, 4), boot=self.boot
+            "arrive",
+            replica=self.plan.name,
+            relay=http.get_header(request.headers, "x-relay") or "",
+            tx=request_id,
+            work=work_ms,
+            warmth=round(capacity_share, 4),
+            boot=self.incarnation_number,
         )
-        if warmth < 1:
-            self.cold_load(at, work)
+        if capacity_share < 1:
+            self._add_cold_arrival(time_us, work_ms)
             if self.server is None:
                 return None
         if len(self.waiting) >= self.plan.queue_limit:
-            self.process.record("turned_away", replica=name, tx=tx)
-            proof = (("x-never-ran", "1"),) if self.whole.rejection_proves_no_effect else ()
-            return ServerResponse(503, b"", load + proof)
-        if self.fails and self.chance.random() < self.fails:
-            return ServerResponse(500, b"a bad release", load)
-        job = Job(work, asyncio.get_running_loop().create_future(), connection, tx)
-        if self.whole.cells and http.get_header(request.headers, "x-class") in self.writes:
-            job.write = (
-                (http.get_header(request.headers, "x-tenant") or ""),
-                http.get_header(request.headers, "x-cell") or "",
-                int(http.get_header(request.headers, "x-generation") or 0),
-            )
-            self.fence, verdict = self.fence.check_write(at, *job.write, job.key)
-            if verdict is not WriteDecision.ACCEPT:
-                self.process.record("fenced", replica=name, tx=tx, tenant=job.write[0], why=verdict.value)
-                if verdict is WriteDecision.DUPLICATE:
-                    return ServerResponse(200, b"done before", load)
-                proof = (("x-never-ran", "1"),) if verdict is not WriteDecision.IN_FLIGHT else ()
-                return ServerResponse(503, verdict.value.encode(), load + proof)
+            self.process.record("turned_away", replica=self.plan.name, tx=request_id)
+            proof = NO_EFFECT_HEADERS if self.run_plan.rejection_proves_no_effect else ()
+            return ServerResponse(503, b"", headers + proof)
+        if self.failure_share and self.random.random() < self.failure_share:
+            return ServerResponse(500, b"a bad release", headers)
+        job = self._create_job(work_ms, request_id)
+        if self.run_plan.cells and http.get_header(request.headers, "x-class") in self.fenced_classes:
+            rejection = self._check_fence(job, request, time_us, headers)
+            if rejection is not None:
+                return rejection
         self.waiting.append(job)
-        gone = asyncio.ensure_future(connection.closed.wait())
+        return await self._wait_for_job(job, connection, time_us)
+
+    def _check_fence(
+        self, job: Job, request: http.Request, time_us: int, headers: tuple[tuple[str, str], ...]
+    ) -> ServerResponse | None:
+        """Admits a write at the fence, or returns the response that rejects it."""
+        write = FencedWrite(
+            tenant=http.get_header(request.headers, "x-tenant") or "",
+            cell=http.get_header(request.headers, "x-cell") or "",
+            generation=int(http.get_header(request.headers, "x-generation") or 0),
+        )
+        job.write = write
+        self.fence, decision = self.fence.check_write(
+            time_us, write.tenant, write.cell, write.generation, job.idempotency_key
+        )
+        if decision is WriteDecision.ACCEPT:
+            return None
+        self.process.record(
+            "fenced", replica=self.plan.name, tx=job.request_id, tenant=write.tenant, why=decision.value
+        )
+        if decision is WriteDecision.DUPLICATE:
+            return ServerResponse(200, b"done before", headers)
+        proof = () if decision is WriteDecision.IN_FLIGHT else NO_EFFECT_HEADERS
+        return ServerResponse(503, decision.value.encode(), headers + proof)
+
+    async def _wait_for_job(self, job: Job, connection: Connection, time_us: int) -> ServerResponse | None:
+        closed = asyncio.ensure_future(connection.closed.wait())
         try:
-            await asyncio.wait((job.done, gone), return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait((job.done, closed), return_when=asyncio.FIRST_COMPLETED)
         finally:
-            gone.cancel()
-        if not job.done.done():  # the relay gave up: what runs goes on, what waits may be dropped
-            if self.whole.drops_abandoned_requests and job in self.waiting:
-                self.waiting.remove(job)
-                if job.write:
-                    self.fence = self.fence.drop_write(job.write[0], job.key)
+            closed.cancel()
+        if not job.done.done():
+            self._abandon(job)
             return None
         if job.done.cancelled():
             return None
-        self.served.append((read_monotonic_us() - at) / 1e3)
-        return ServerResponse(200, b"ok", ((orca.HEADER_NAME, orca.format_report(self.report)),))
+        self.service_times_ms.append((read_monotonic_us() - time_us) / 1e3)
+        return ServerResponse(200, b"ok", self._load_headers())
 
+    def _abandon(self, job: Job) -> None:
+        """Drops a job that waits after its proxy gave up; one that runs continues."""
+        if not self.run_plan.drops_abandoned_requests or job not in self.waiting:
+            return
+        self.waiting.remove(job)
+        if job.write is not None:
+            self.fence = self.fence.drop_write(job.write.tenant, job.idempotency_key)
 
-class ReplicaProcess(Process):
-    """The replicas of one zone: role `replicas-ZONE`."""
-
-    def __init__(self, plan: p.Plan, role: str, folder: Path) -> None:
-        super().__init__(plan, role, folder)
-        zone = role.removeprefix("replicas-")
-        self.all = {r.name: Replica(self, r, plan) for r in plan.replicas if r.zone == zone}
-
-    async def start(self) -> None:
-        for replica in self.all.values():
-            if replica.plan.is_listed:
-                replica.start(cold=False)
-            self.start_task(self._reports(replica))
-        self.start_task(self._steps())
-
-    async def _steps(self) -> None:
-        last = read_monotonic_us()
-        while True:
-            await asyncio.sleep(STEP)
-            at = read_monotonic_us()
-            for replica in self.all.values():
-                if replica.server is not None:
-                    replica.step((at - last) / 1e6)
-            last = at
-
-    async def _reports(self, replica: Replica) -> None:
-        chance = create_random(self.plan.seed, "reports", replica.plan.name)
-        while True:
-            await asyncio.sleep(self.plan.replica_report_period_us / 1e6 * chance.uniform(0.7, 1.3))
-            replica.refresh()
 
-    def on_command(self, do: dict[str, Any]) -> None:
-        for name in do["replicas"]:
-            replica = self.all[name]
-            self.record("told", replica=name, do=do["do"], value=do.get("value"))
-            match do["do"]:
-                case "die":
-                    replica.die("killed")
-                case "start":
-                    replica.die("started anew")
-                    replica.start(cold=True)
-                case "slow":
-                    replica.slow = float(do["value"])
-                case "taken":
-                    replica.taken = float(do["value"])
-                case "shown":
-                    replica.shown = float(do["value"])
-                case "fails":
-                    replica.fails = float(do["value"])
-                case "hang":
-                    replica.hung = bool(do["value"])
-                case _:
-                    raise ValueError(f"unknown order {do['do']!r}")
+def _parse_work_ms(request: http.Request) -> float | None:
+    """Reads the work of a request; returns None if it is missing or out of range."""
+    try:
+        work_ms = float(http.get_header(request.headers, "x-work") or "nan")
+    except ValueError:
+        return None
+    return work_ms if 0 < work_ms < MAX_WORK_MS else None
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -25,14 +25,14 @@
 from gradehoist.scenario.checks import records as run_records
 from gradehoist.scenario.checks.verdict import Rule, RuleResult, RuleState, Verdict, Violation
 from gradehoist.settings.fleet import CellPlacement
-from gradehoist.testbed import endpoint_list, etcd_server, scenario_plan
+from gradehoist.testbed import endpoint_list, etcd_calls, scenario_plan
 from gradehoist.zones import evacuation, health, warmup_quota
 
 FILE = Path(__file__).parent / "data" / "encoded.txt"
 READ_ONLY = {run_records.RecordHeader, *get_args(run_records.Event)}  # `tests/data/run` guards their keys
 NEVER_ENCODED = {  # by their field names, that is
     orca.OrcaReport,
-    etcd_server.ServerFaults,
+    etcd_calls.ServerFaults,
     endpoint_list.EndpointState,
     *READ_ONLY,
 }
