The testbed's proxy is split into its server, feed, attempts, shared context and process

Change: proxy (server and admission), proxy_feed (polls and load reports), proxy_attempts (replicas, retries), proxy_context (what they share) and proxy_process; requests, attempts and their results are records. The order of random samples, records and headers is as before. Two tests reach the parts by their new places; their assertions are the same.

--- a/gradehoist/testbed/__main__.py
+++ b/gradehoist/testbed/__main__.py
@@ -11,7 +11,7 @@
 from gradehoist.testbed.endpoint_list import EndpointListProcess
 from gradehoist.testbed.fault_link import LinkProcess
 from gradehoist.testbed.process import Process, ProcessFactory
-from gradehoist.testbed.proxy import ProxyProcess
+from gradehoist.testbed.proxy_process import ProxyProcess
 from gradehoist.testbed.replica_process import ReplicaProcess
 from gradehoist.testbed.scenario_plan import load_plan
 
--- a/gradehoist/testbed/proxy.py
+++ b/gradehoist/testbed/proxy.py
@@ -1,419 +1,208 @@
-"""Relays: plain proxies. They pick by weight from a governor's tables, strike replicas that fail them,
-try again as they are told, and stand on what they hold while no governor answers. Role `relays-ZONE`."""
+"""Proxies: they admit requests and send them to replicas by the tables of a governor.
+
+While no governor answers, a proxy keeps the tables that it has; before the first one it uses default tables.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-from collections import defaultdict
-from dataclasses import dataclass, field
-from pathlib import Path
+from dataclasses import dataclass
 from typing import Any
-from urllib.parse import quote
-
-import msgspec
 
-from gradehoist.cells.rate_limits import RateLimiter, RateLimits
+from gradehoist.cells.rate_limits import Rejection
 from gradehoist.cells.routes import class_label, home_cell
-from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.net.server import Connection, HttpServer, ServerResponse
-from gradehoist.protocol import feed, http, orca
+from gradehoist.protocol import http
 from gradehoist.protocol.proxy_state import ProxyState
-from gradehoist.testbed import scenario_plan as p
-from gradehoist.testbed.process import ENCODER, Process, create_random, read_monotonic_us
+from gradehoist.testbed.process import LOOPBACK, Process, create_random, read_monotonic_us
+from gradehoist.testbed.proxy_attempts import AttemptSender, RoutedRequest
+from gradehoist.testbed.proxy_context import ClassLoad, ProxyContext
+from gradehoist.testbed.proxy_feed import ProxyFeed
+from gradehoist.testbed.scenario_plan import Plan, ProxyPlan, ReplicaPlan, RequestClassPlan
 
-FEED: msgspec.json.Decoder[feed.PollResponse] = msgspec.json.Decoder(feed.PollResponse)
-LEAST_LEFT = 30_000  # µs: with less time left no further try is made
+LISTEN_BACKLOG = 1024
+MIN_LOCAL_REPLICAS = 3  # with fewer in its own zone, a default table takes replicas of all zones
 
 
-def _limits(told: feed.RateLimitsDelta) -> RateLimits:
-    return RateLimits(
-        told.cell_rate, told.tenant_rate, told.burst_s, told.tenant_in_flight, told.cell_in_flight
-    )
+@dataclass(frozen=True)
+class Route:
+    """Where a request goes: its cell and generation, and the label of its class in the cell's tables.
 
+    The cell is empty while the tenant migrates and where there are no cells.
+    """
 
-@dataclass
-class Met:
-    tries: int = 0
-    bad: int = 0
-    elapsed: int = 0
-    report: orca.OrcaReport | None = None
+    cell: str
+    generation: int
+    label: str
+    is_migrating: bool
 
 
-@dataclass
 class Proxy:
-    process: Process
-    plan: p.ProxyPlan
-    whole: p.Plan
-    tasks: list[asyncio.Task[Any]] = field(default_factory=list)
-
-    def __post_init__(self) -> None:
-        self.chance = create_random(self.whole.seed, "relay", self.plan.name)
-        self.classes = {c.name: c for c in self.whole.classes}
-        self.replica_ports = {
-            link.target: link.port
-            for link in self.whole.links
-            if not link.proxy and link.zone == self.plan.zone
-        }
-        self.server: HttpServer | None = None
-        self.clients: dict[str, HttpClient] = {}
-        self.fresh()
-
-    def fresh(self) -> None:
-        self.state = ProxyState()
-        self.strikes: dict[str, int] = defaultdict(int)
-        self.avoid: dict[str, int] = {}
-        self.met: dict[str, Met] = defaultdict(Met)
-        self.came: dict[str, list[int]] = defaultdict(lambda: [0, 0])
-        self.door: RateLimiter | None = None
-        self.epoch, self.stream, self.acknowledged_seq, self.at_governor = "", 0, 0, 0
-        self.state.install_default_tables({c: self._standing(c) for c in self.classes})
-
-    def _standing(self, name: str) -> dict[str, float]:
-        """A few listed replicas by chance, of its own zone if there are three; placement limits hold."""
-        c = self.classes[name]
-        fit = [r for r in self.whole.replicas if r.is_listed and self._allowed(c, r)]
-        if self.whole.even_weights:
-            return {r.name: r.size for r in fit}
-        near = [r for r in fit if r.zone == self.plan.zone]
-        pool = near if len(near) >= 3 or c.zone_local else fit
-        return {r.name: 1.0 for r in self.chance.sample(pool, min(self.whole.default_table_size, len(pool)))}
-
-    def _allowed(self, c: p.RequestClassPlan, r: p.ReplicaPlan) -> bool:
-        return (
-            (c.allowed_zones is None or r.zone in c.allowed_zones)
-            and (c.allowed_kinds is None or r.kind in c.allowed_kinds)
-            and (not c.zone_local or r.zone == self.plan.zone)
+    """One proxy: its server while it runs, its feed and its attempts."""
+
+    def __init__(self, process: Process, plan: ProxyPlan, run_plan: Plan) -> None:
+        """Creates the proxy with default tables; it doesn't run yet."""
+        self.classes = {request_class.name: request_class for request_class in run_plan.classes}
+        self.context = ProxyContext(
+            process=process,
+            plan=plan,
+            run_plan=run_plan,
+            random=create_random(run_plan.seed, "relay", plan.name),
         )
+        self.feed = ProxyFeed(self.context)
+        self.sender = AttemptSender(self.context)
+        self.server: HttpServer | None = None
+        self.tasks: list[asyncio.Task[Any]] = []
+        self._reset()
+
+    @property
+    def plan(self) -> ProxyPlan:
+        """The proxy's part of the plan."""
+        return self.context.plan
+
+    @property
+    def state(self) -> ProxyState:
+        """The tables and limits that it decides by."""
+        return self.context.state
+
+    def _reset(self) -> None:
+        self.context.state = ProxyState()
+        self.context.reset_loads()
+        self.feed.reset()
+        self.sender.reset()
+        tables = {name: self._sample_default_table(c) for name, c in self.classes.items()}
+        self.state.install_default_tables(tables)
+
+    def _sample_default_table(self, request_class: RequestClassPlan) -> dict[str, float]:
+        """Samples a few listed replicas that may serve the class, of its own zone if there are enough."""
+        run_plan = self.context.run_plan
+        allowed = [r for r in run_plan.replicas if r.is_listed and self._is_allowed(request_class, r)]
+        if run_plan.even_weights:
+            return {replica.name: replica.size for replica in allowed}
+        local = [replica for replica in allowed if replica.zone == self.plan.zone]
+        pool = local if len(local) >= MIN_LOCAL_REPLICAS or request_class.zone_local else allowed
+        size = min(run_plan.default_table_size, len(pool))
+        return {replica.name: 1.0 for replica in self.context.random.sample(pool, size)}
+
+    def _is_allowed(self, request_class: RequestClassPlan, replica: ReplicaPlan) -> bool:
+        if request_class.allowed_zones is not None and replica.zone not in request_class.allowed_zones:
+            return False
+        if request_class.allowed_kinds is not None and replica.kind not in request_class.allowed_kinds:
+            return False
+        return not request_class.zone_local or replica.zone == self.plan.zone
 
     def start(self) -> None:
+        """Listens and, unless the run is without governors, follows one. Raises OSError."""
         self.server = HttpServer(self.handle)
-        self.server.listen(self.plan.port, "127.0.0.1", backlog=1024)
-        standing = {c: self.state.weights_for(c) for c in self.classes}
-        self.process.record("relay_up", relay=self.plan.name, standing=standing)
-        if self.whole.follow_governors:
-            self.tasks = [self.process.start_task(self._follow_feed()), self.process.start_task(self._sums())]
+        self.server.listen(self.plan.port, LOOPBACK, backlog=LISTEN_BACKLOG)
+        process = self.context.process
+        default_tables = {name: self.state.weights_for(name) for name in self.classes}
+        process.record("relay_up", relay=self.plan.name, standing=default_tables)
+        if self.context.run_plan.follow_governors:
+            self.tasks = [
+                process.start_task(self.feed.follow()),
+                process.start_task(self.feed.report_load()),
+            ]
 
     def stop(self) -> None:
+        """Stops at once, as a kill does: connections are reset and all state is lost."""
         if self.server is not None:
-            self.process.record("relay_down", relay=self.plan.name)
+            self.context.process.record("relay_down", relay=self.plan.name)
             self.server.abort()
             self.server = None
         for task in self.tasks:
             task.cancel()
-        for client in self.clients.values():
-            client.close()
-        self.clients.clear()
-        self.fresh()
-
-    # The feed
-
-    async def _follow_feed(self) -> None:
-        """Follows one governor; after a failure the next, with a pause by chance before it dials."""
-        limits = http.Limits(max_body_bytes=1 << 26)
-        while True:
-            name, (host, port) = self.plan.governors[self.at_governor % len(self.plan.governors)]
-            client = HttpClient(host, port, limits=limits)
-            reason = ""
-            try:
-                while not reason:
-                    reason = await self._one_poll(client, name)
-            except (ConnectError, ConnectionLostError, ResponseTimeoutError, msgspec.MsgspecError) as fault:
-                reason = f"{type(fault).__name__}: {fault}"
-            finally:
-                client.close()
-            self.process.record("lost", relay=self.plan.name, governor=name, reason=reason)
-            self.at_governor += 1
-            await asyncio.sleep(self.chance.uniform(*self.whole.reconnect_range_us) / 1e6)
-
-    async def _one_poll(self, client: HttpClient, governor: str) -> str:
-        request_rate = self.whole.requests_per_s * self.plan.traffic_share
-        target = (
-            f"/v1/feed?relay={quote(self.plan.name)}&zone={quote(self.plan.zone)}"
-            f"&rate={request_rate:.3f}&epoch={self.epoch}&stream={self.stream}"
-            f"&after={self.acknowledged_seq}"
-        )
-        response = await client.request("GET", target, timeout_s=self.whole.poll_hold_us / 1e6 + 1.0)
-        if response.status != 200:
-            return f"status {response.status}"
-        answer = FEED.decode(response.body)
-        if answer.is_new_stream or (answer.epoch, answer.stream) != (self.epoch, self.stream):
-            self.epoch, self.stream, self.acknowledged_seq = answer.epoch, answer.stream, 0
-            self.state.begin_stream()
-            self.process.record(
-                "joined", relay=self.plan.name, governor=governor, epoch=self.epoch, stream=self.stream
-            )
-        for message in answer.messages:
-            if message.seq <= self.acknowledged_seq:
-                continue
-            self.state.apply(message)
-            if (limits := self.state.rate_limits) and (not self.door or self.door.limits != _limits(limits)):
-                self.door = RateLimiter(_limits(limits))
-            self.acknowledged_seq = message.seq
-            self.process.record(
-                "applied",
-                relay=self.plan.name,
-                governor=governor,
-                epoch=self.epoch,
-                stream=self.stream,
-                bytes=len(response.body),
-                message=message,
-            )
-        return ""
-
-    async def _sums(self) -> None:
-        while True:
-            await asyncio.sleep(self.whole.load_report_period_us / 1e6)
-            met, self.met = self.met, defaultdict(Met)
-            came, self.came = self.came, defaultdict(lambda: [0, 0])
-            tries = tuple(
-                feed.ReplicaAttempts(
-                    r,
-                    m.tries,
-                    m.bad,
-                    m.elapsed // max(1, m.tries - m.bad),
-                    *(msgspec.structs.astuple(m.report) if m.report else ()),
-                )
-                for r, m in met.items()
-            )
-            if self.epoch:
-                sums = feed.ProxyLoadReport(
-                    self.plan.name,
-                    self.epoch,
-                    self.whole.load_report_period_us,
-                    tries,
-                    tuple(feed.ClassRequests(c, n, u) for c, (n, u) in came.items()),
-                )
-                self.process.start_task(self._send_sums(sums))
-
-    async def _send_sums(self, sums: feed.ProxyLoadReport) -> None:
-        await asyncio.sleep(self.chance.uniform(*self.whole.report_delay_range_us) / 1e6)
-        name, (host, port) = self.plan.governors[self.at_governor % len(self.plan.governors)]
-        client = HttpClient(host, port)
-        try:
-            response = await client.request("POST", "/v1/sums", ENCODER.encode(sums), timeout_s=1.0)
-            if response.status not in (204, 409, 503):
-                self.process.record(
-                    "sums_refused",
-                    relay=self.plan.name,
-                    governor=name,
-                    status=response.status,
-                    body=response.body.decode("utf-8", "replace"),
-                )
-        except (ConnectError, ConnectionLostError, ResponseTimeoutError):
-            pass
-        finally:
-            client.close()
-
-    # Transactions
+        self.sender.close()
+        self._reset()
 
     async def handle(self, request: http.Request, connection: Connection) -> ServerResponse | None:
-        came, cls = read_monotonic_us(), self.classes.get(http.get_header(request.headers, "x-class") or "")
-        tenant = http.get_header(request.headers, "x-tenant") or ""
-        tx = http.get_header(request.headers, "x-transaction") or ""
-        if cls is None:
+        """Handles a client's request; returns None if the client left."""
+        time_us = read_monotonic_us()
+        request_class = self.classes.get(http.get_header(request.headers, "x-class") or "")
+        if request_class is None:
             return ServerResponse(400, b"no such class")
-        route = self.state.routes
-        cell = home_cell(tenant, route.cells, route.cell_by_tenant) if route else ""
-        gen = route.generations.get(tenant, 1) if route else 0
-        name = class_label(cell, cls.name) if cell or not route else class_label(route.cells[0], cls.name)
-        count = self.came[name]
-        count[0] += 1
-        if route and not cell:
-            self.process.record(
-                "refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="moving", tenant=tenant
-            )
+        tenant = http.get_header(request.headers, "x-tenant") or ""
+        route = self._find_route(tenant, request_class.name)
+        routed = RoutedRequest(
+            request_id=http.get_header(request.headers, "x-transaction") or "",
+            request_class=request_class,
+            label=route.label,
+            tenant=tenant,
+            work=http.get_header(request.headers, "x-work") or "",
+            cell=route.cell,
+            generation=route.generation,
+        )
+        load = self.context.class_loads[route.label]
+        load.requests += 1
+        if route.is_migrating:
+            self._record_rejected(routed, "moving", tenant=tenant)
             return ServerResponse(503, b"moving", (("retry-after", "1"),))
-        if self.door and (no := self.door.admit(came, tenant, cell)):
-            self.process.record(
-                "refused",
-                relay=self.plan.name,
-                tx=tx,
-                cls=cls.name,
-                reason=no.reason,
-                tenant=tenant,
-                cell=cell,
-            )
-            return ServerResponse(
-                429, no.reason.encode(), (("retry-after", f"{max(1, round(no.retry_after_us / 1e6))}"),)
-            )
+        limiter = self.feed.rate_limiter
+        rejection = limiter.admit(time_us, tenant, route.cell) if limiter else None
+        if rejection is not None:
+            return self._reject_by_rate(routed, rejection)
         try:
-            return await self._let_in(tx, cls, (cell, gen), name, count, request, connection, came)
+            return await self._send_admitted(routed, load, request, connection, time_us)
         finally:
-            if self.door:
-                self.door.finish(tenant, cell)
+            # A change of the limits meanwhile has replaced the limiter.
+            if self.feed.rate_limiter:
+                self.feed.rate_limiter.finish(tenant, route.cell)
+
+    def _find_route(self, tenant: str, class_name: str) -> Route:
+        routes = self.state.routes
+        if routes is None:
+            return Route(cell="", generation=0, label=class_label("", class_name), is_migrating=False)
+        cell = home_cell(tenant, routes.cells, routes.cell_by_tenant)
+        return Route(
+            cell=cell,
+            generation=routes.generations.get(tenant, 1),
+            label=class_label(cell or routes.cells[0], class_name),
+            is_migrating=not cell,
+        )
 
-    async def _let_in(
+    def _record_rejected(self, request: RoutedRequest, reason: str, **fields: str) -> None:
+        self.context.process.record(
+            "refused",
+            relay=self.plan.name,
+            tx=request.request_id,
+            cls=request.request_class.name,
+            reason=reason,
+            **fields,
+        )
+
+    def _reject_by_rate(self, request: RoutedRequest, rejection: Rejection) -> ServerResponse:
+        self._record_rejected(request, rejection.reason, tenant=request.tenant, cell=request.cell)
+        retry_after_s = max(1, round(rejection.retry_after_us / 1e6))
+        return ServerResponse(429, rejection.reason.encode(), (("retry-after", f"{retry_after_s}"),))
+
+    async def _send_admitted(
         self,
-        tx: str,
-        cls: p.RequestClassPlan,
-        at: tuple[str, int],
-        name: str,
-        count: list[int],
+        routed: RoutedRequest,
+        load: ClassLoad,
         request: http.Request,
         connection: Connection,
-        came: int,
+        time_us: int,
     ) -> ServerResponse | None:
-        share, way = self.state.admission_for(name, self.whole.retry_policy)
-        if self.chance.random() >= share:
-            self.process.record("refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="level")
+        """Sends a request within the admitted share; its attempts end when the client leaves."""
+        admission = self.state.admission_for(routed.label, self.context.run_plan.retry_policy)
+        if self.context.random.random() >= admission.admitted_share:
+            self._record_rejected(routed, "level")
             return ServerResponse(429, b"not let in")
-        patience = int(http.get_header(request.headers, "x-patience") or cls.deadline_us)
-        work = asyncio.ensure_future(self._try(tx, cls, at, request, came + patience, way))
-        gone = asyncio.ensure_future(connection.closed.wait())
+        timeout_us = int(http.get_header(request.headers, "x-patience") or routed.request_class.deadline_us)
+        sending = asyncio.ensure_future(
+            self.sender.send(routed, time_us + timeout_us, admission.retry_policy)
+        )
+        closed = asyncio.ensure_future(connection.closed.wait())
         try:
-            await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait((sending, closed), return_when=asyncio.FIRST_COMPLETED)
         finally:
-            gone.cancel()
-            if not work.done():  # the client has left: its tries end with it
-                work.cancel()
-        if not work.done() or work.cancelled():
-            count[1] += 1
+            closed.cancel()
+            if not sending.done():
+                sending.cancel()
+        if not sending.done() or sending.cancelled():
+            load.incomplete += 1
             return None
-        status = work.result()
-        count[1] += status != 200
+        status = sending.result()
+        if status != 200:
+            load.incomplete += 1
         return ServerResponse(status)
-
-    def _pick(self, cls: str, cell: str, but: set[str]) -> str | None:
-        name = class_label(cell, cls)
-        # A cell whose table has not come yet stands on what the relay began with.
-        at, lines = (
-            read_monotonic_us(),
-            self.state.weights_for(name if name in self.state.table_by_class else cls),
-        )
-        fit = {r: w for r, w in lines.items() if r not in but and self.avoid.get(r, 0) <= at}
-        fit = fit or {r: w for r, w in lines.items() if r not in but}  # all avoided: better one of them
-        if not fit:
-            return None
-        return self.chance.choices(list(fit), list(fit.values()))[0]
-
-    async def _try(
-        self,
-        tx: str,
-        cls: p.RequestClassPlan,
-        at: tuple[str, int],
-        request: http.Request,
-        until: int,
-        way: int,
-    ) -> int:
-        """One transaction with the tries after it; the status to answer with, at once when given up."""
-        used: set[str] = set()
-        further = (0, 1, 1, 2)[way]
-        unproven = False
-        for number in range(1 + further):
-            replica = self._pick(cls.name, at[0], used)  # never another cell than the first
-            if replica is None:
-                if not number:
-                    self.process.record(
-                        "refused", relay=self.plan.name, tx=tx, cls=cls.name, reason="no line"
-                    )
-                return 502 if unproven else 503  # clients repeat after 503 what must never run twice
-            used.add(replica)
-            left = until - read_monotonic_us()
-            last = number == further
-            wait = (
-                left
-                if way < 2 or last
-                else min(left, int(self.whole.attempt_factor * cls.latency_objective_us))
-            )
-            ended, proof = await self._send(tx, number, cls, at, replica, request, wait, way, unproven)
-            if ended == 200:
-                return 200
-            unproven |= not proof
-            if last or until - read_monotonic_us() < LEAST_LEFT or (way == 1 and not proof):
-                return 504 if ended == 504 else 502
-        return 502
-
-    async def _send(
-        self,
-        tx: str,
-        number: int,
-        cls: p.RequestClassPlan,
-        at: tuple[str, int],
-        replica: str,
-        request: http.Request,
-        wait: int,
-        way: int,
-        unproven: bool,
-    ) -> tuple[int, bool]:
-        """Status and whether it is proven that the try never ran."""
-        client = self.clients.get(replica)
-        if client is None:
-            client = self.clients[replica] = HttpClient("127.0.0.1", self.replica_ports[replica])
-        met, began = self.met[replica], read_monotonic_us()
-        self.process.record(
-            "try",
-            relay=self.plan.name,
-            tx=tx,
-            n=number,
-            cls=cls.name,
-            replica=replica,
-            way=way,
-            after_unproven=unproven,
-            cell=at[0],
-        )
-        headers = (
-            ("x-transaction", f"{tx}"),
-            ("x-relay", self.plan.name),
-            ("x-class", cls.name),
-            ("x-work", http.get_header(request.headers, "x-work") or ""),
-            ("x-tenant", http.get_header(request.headers, "x-tenant") or ""),
-            ("x-cell", at[0]),
-            ("x-generation", f"{at[1]}"),
-        )
-        status, proof = 0, False
-        try:
-            response = await client.request("POST", "/work", b"", headers, timeout_s=max(0.001, wait / 1e6))
-            status = response.status
-            proof = status == 503 and http.get_header(response.headers, "x-never-ran") == "1"
-            if text := http.get_header(response.headers, orca.HEADER_NAME):
-                with contextlib.suppress(ValueError):  # a spoilt report must not spoil the answer
-                    met.report = orca.parse_report(text)
-        except ConnectError:
-            status, proof = 502, True
-        except ResponseTimeoutError:
-            status = 504
-        except ConnectionLostError:
-            status = 502
-        finally:
-            met.tries += 1
-            good = status == 200
-            met.bad += not good
-            met.elapsed += (read_monotonic_us() - began) * good
-            self.strikes[replica] = 0 if good else self.strikes[replica] + 1
-            if self.whole.failures_to_avoid and self.strikes[replica] >= self.whole.failures_to_avoid:
-                self.strikes[replica] = 0
-                self.avoid[replica] = read_monotonic_us() + int(
-                    self.whole.avoid_us * self.chance.uniform(0.8, 1.2)
-                )
-            self.process.record(
-                "tried", relay=self.plan.name, tx=tx, n=number, replica=replica, status=status
-            )
-        return status, proof
-
-
-class ProxyProcess(Process):
-    """The relays of one zone."""
-
-    def __init__(self, plan: p.Plan, role: str, folder: Path) -> None:
-        super().__init__(plan, role, folder)
-        zone = role.removeprefix("relays-")
-        self.proxies = {r.name: Proxy(self, r, plan) for r in plan.proxies if r.zone == zone}
-
-    async def start(self) -> None:
-        for relay in self.proxies.values():
-            relay.start()
-
-    def on_command(self, do: dict[str, Any]) -> None:
-        for name in do["relays"]:
-            relay = self.proxies[name]
-            match do["do"]:
-                case "die":
-                    relay.stop()
-                case "start":
-                    relay.start()
-                case "aim":  # the next dial goes to this governor
-                    wanted = [g for g, _ in relay.plan.governors].index(do["governor"])
-                    relay.at_governor = wanted - 1 if do.get("next") else wanted
-                case _:
-                    raise ValueError(f"unknown order {do['do']!r}")
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -25,7 +25,7 @@
 from gradehoist.scenario.plan_builder import build_plan
 from gradehoist.settings.fleet import CellPlacement, read_settings
 from gradehoist.testbed.clients import ClientProcess
-from gradehoist.testbed.proxy import ProxyProcess
+from gradehoist.testbed.proxy_process import ProxyProcess
 from tests.support.governed_fleet import entry
 from tests.support.governor_process import (
     GRACE,
@@ -400,7 +400,7 @@
         for port in ports:
             server.listen(port, LOCAL)
         names = [r.name for r in plan.replicas[:2]]
-        relay.replica_ports = dict(zip(names, ports, strict=True))
+        relay.sender.replica_ports = dict(zip(names, ports, strict=True))
         cls = next(c for c in plan.classes if c.idempotency == repeat)
         relay.state.apply(
             feed.Message(1, 1, 0, 1, (feed.BindDelta(1, (cls.name,), dict.fromkeys(names, 1.0)),))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -43,7 +43,8 @@
 from gradehoist.scenario.plan_builder import build_plan
 from gradehoist.scenario.runner import Run
 from gradehoist.testbed import scenario_plan as p
-from gradehoist.testbed.proxy import Proxy, ProxyProcess
+from gradehoist.testbed.proxy import Proxy
+from gradehoist.testbed.proxy_process import ProxyProcess
 from tests.support.governed_fleet import entry, on_sockets
 
 ROOT = Path(__file__).parent.parent
@@ -321,7 +322,7 @@
         relay: Proxy = next(iter(process.proxies.values()))
         servers = [await asyncio.start_server(cut, LOCAL, 0) for _ in plan.replicas]
         ports = [s.sockets[0].getsockname()[1] for s in servers]
-        relay.replica_ports = {x.name: port for x, port in zip(plan.replicas, ports, strict=True)}
+        relay.sender.replica_ports = {x.name: port for x, port in zip(plan.replicas, ports, strict=True)}
         classes: list[p.RequestClassPlan] = [c for c in plan.classes if c.idempotency == "single"]
         everywhere = feed.AdmissionDelta(None, (classes[0].name,), 1.0, 1)  # one more try, on proof alone
         relay.state.apply(feed.Message(1, 1, 0, 1, (everywhere,)))
@@ -359,7 +360,7 @@
         server = HttpServer(answer)
         server.listen(port, LOCAL)
         name, cls = plan.replicas[0].name, next(c.name for c in plan.classes if c.idempotency == "single")
-        relay.replica_ports = {name: port}
+        relay.sender.replica_ports = {name: port}
         relay.state.apply(
             feed.Message(
                 1,
@@ -401,7 +402,7 @@
         before: list[str] = []
 
         def state() -> str:
-            return repr((vars(relay.state), relay.acknowledged_seq))
+            return repr((vars(relay.state), relay.feed.acknowledged_seq))
 
         async def dying(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await stream.readuntil(b"\r\n\r\n")
@@ -431,8 +432,8 @@
 
         servers = [await asyncio.start_server(handle, LOCAL, 0) for handle in (dying, next_one)]
         ways = [("g", (LOCAL, s.sockets[0].getsockname()[1])) for s in servers]
-        relay.plan = msgspec.structs.replace(relay.plan, governors=tuple(ways))
-        following = asyncio.ensure_future(relay._follow_feed())
+        relay.context.plan = msgspec.structs.replace(relay.plan, governors=tuple(ways))
+        following = asyncio.ensure_future(relay.feed.follow())
         await ended.wait()
         following.cancel()
         await asyncio.gather(following, return_exceptions=True)
@@ -441,8 +442,8 @@
         assert before[0] == before[1], f"cut at byte {cut}"
         assert "epoch=first" in asked[0] and "after=0" in asked[0] and "epoch=again" in asked[1]
         assert (
-            relay.epoch == "again"
-            and relay.acknowledged_seq == 1
+            relay.feed.epoch == "again"
+            and relay.feed.acknowledged_seq == 1
             and relay.state.weights_for("rate-check") == lines
         )
 
