--- a/gradehoist/cells/__init__.py
+++ b/gradehoist/cells/__init__.py
@@ -1,1 +1,1 @@
-"""Cells: tenants confined to subsets of workers. Free of I/O; clock and chance are given in."""
+"""Cells: tenants confined to subsets of the replicas. Free of I/O; time and random numbers are passed in."""
--- a/gradehoist/cells/migration.py
+++ b/gradehoist/cells/migration.py
@@ -1,295 +1,207 @@
-"""Moving a tenant between cells, so that old and new cell never both take a write of it. Free of I/O.
+"""Migration of a tenant between cells, so that old and new cell never both accept a write. Free of I/O.
 
-Each tenant has a generation. A generation has one cell; a higher one ends all lower ones where it is known.
-Three parts, each a frozen value with functions that return the next one:
+A `Migration` is a record whose step is persisted before anything of that step is sent:
 
-- `Fence`, at a worker: takes a write only under a lease and only of the generation that is open there. What
-  it was told and which keys it has done outlive a crash; its lease does not.
-- `Book`, at a governor: what movers told it, kept before it is confirmed. Its heartbeats renew leases and
-  carry all of the book, so no worker has a lease from a governor that knows more than the worker does.
-- `Move`, at the mover: a record whose step is kept before anything of that step is sent. SHUT: governors and
-  the old cell's workers are told. OPEN: only when each old worker has confirmed with nothing in hand, or when
-  every governor has confirmed and lease and settle time have passed since, as by then a worker that did not
-  hear has no lease, and a write that it held is settled and past any client's repeat. DONE: all know.
+- CLOSE: governors and the source's replicas are notified that the tenant is closed.
+- OPEN: begins when every source replica has confirmed without writes in flight; or when every governor has
+  confirmed and lease and settle time have passed since. By then a replica that was not reached has no lease,
+  and a write that it accepted is settled and past any client's retry.
+- DONE: every governor has confirmed that the target is open.
 
-Undoing is a move of the next generation back to the old cell; it waits for the new cell only if that may have
-been opened. Assumed: clocks run at one rate within the margin of the lease; kept state is not lost; one mover
-store orders all moves (two with one generation: the second is refused wherever the first is known).
+Undoing is a migration of the next generation back to the source; it waits for the target's replicas only if
+the target may have been opened. Assumptions: clocks run at one rate within the margin of the lease; persisted
+state is not lost; one record store orders all migrations (of two with one generation the second is rejected
+wherever the first is known).
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
 from enum import Enum
-from typing import NamedTuple
 
+import msgspec
+
+from gradehoist.cells.assignment import NO_KEYS, AssignmentAck, Keys, TenantAssignment
+from gradehoist.cells.errors import MigrationStateError
 from gradehoist.coordination.fencing import FencingToken, TokenOrder, compare_tokens
 
-Keys = frozenset[str]
-NO_KEYS: Keys = frozenset()
+UNDO_SUFFIX = "-undo"  # of the id of a migration that undoes another
 
 
 class MigrationStep(Enum):
+    """The steps of a migration; the values are in its record."""
+
     CLOSE = "shut"
     OPEN = "open"
     DONE = "done"
 
 
-class WriteDecision(Enum):
-    """What a worker says to a write. Only TAKE runs it; MOVED and LEASE prove that it never ran."""
-
-    ACCEPT = "take"
-    DUPLICATE = "known"  # the key was done before: answered again, run once
-    IN_FLIGHT = "busy"  # the key is in hand: come back
-    WRONG_CELL = "moved"
-    NO_LEASE = "no lease"
-
-
-class TenantAssignment(NamedTuple):
-    """What is true of a tenant from generation `gen` on: shut everywhere, or open in `cell`, whose workers
-    must know the `keys` that were done elsewhere."""
-
-    tenant: str
-    generation: int
-    migration_id: str
-    cell: str = ""
-    completed_keys: Keys = NO_KEYS
-
-    def supersedes(self, other: TenantAssignment | None) -> bool:
-        """Newer than another word on the tenant: a higher generation, or its own move's opening."""
-        match compare_tokens(self.token, None if other is None else other.token):
-            case TokenOrder.NEWER:
-                return True
-            case TokenOrder.SAME:
-                return bool(self.cell) and other is not None and not other.cell
-        return False
-
-    @property
-    def token(self) -> FencingToken:
-        return FencingToken(self.generation, self.migration_id)
-
-
-class AssignmentAck(NamedTuple):
-    """An answer to a word: `held` is what the answerer now holds true, `busy` that writes are in hand."""
-
-    sender: str
-    assignment: TenantAssignment
-    has_writes_in_flight: bool = False
-    completed_keys: Keys = NO_KEYS
-
-
-Assignments = Mapping[str, TenantAssignment]
-
-
-@dataclass(frozen=True, slots=True)
-class ReplicaFence:
-    """`words` and `done` are kept; `until` (the lease, µs) and `hand` go with the process."""
-
-    name: str
-    cell: str
-    assignments: Assignments = field(default_factory=dict)
-    completed: Mapping[str, Keys] = field(default_factory=dict)
-    lease_until_us: int = -1
-    in_flight: Mapping[str, Keys] = field(default_factory=dict)
-
-    def restarted(self) -> ReplicaFence:
-        return replace(self, lease_until_us=-1, in_flight={})
-
-    def check_write(
-        self, now: int, tenant: str, cell: str, gen: int, key: str
-    ) -> tuple[ReplicaFence, WriteDecision]:
-        word = self.assignments.get(tenant)
-        mine = cell == self.cell and (
-            gen == 1 if word is None else gen == word.generation and word.cell == self.cell
-        )
-        if not mine:
-            return self, WriteDecision.WRONG_CELL
-        if now >= self.lease_until_us:
-            return self, WriteDecision.NO_LEASE
-        if key in self.completed.get(tenant, NO_KEYS) or (word is not None and key in word.completed_keys):
-            return self, WriteDecision.DUPLICATE
-        held = self.in_flight.get(tenant, NO_KEYS)
-        if key in held:
-            return self, WriteDecision.IN_FLIGHT
-        return replace(self, in_flight={**self.in_flight, tenant: held | {key}}), WriteDecision.ACCEPT
-
-    def complete_write(self, tenant: str, key: str) -> ReplicaFence:
-        """The effect of a write that was taken; kept together with it."""
-        left = self.in_flight.get(tenant, NO_KEYS) - {key}
-        return replace(
-            self,
-            in_flight={**self.in_flight, tenant: left},
-            completed={**self.completed, tenant: self.completed.get(tenant, NO_KEYS) | {key}},
-        )
-
-    def drop_write(self, tenant: str, key: str) -> ReplicaFence:
-        """A write that was taken and will never run: it waited, and nobody waits for it."""
-        return replace(
-            self, in_flight={**self.in_flight, tenant: self.in_flight.get(tenant, NO_KEYS) - {key}}
-        )
-
-    def apply_assignment(self, word: TenantAssignment) -> tuple[ReplicaFence, AssignmentAck]:
-        """A word from a mover or in a heartbeat. The answer is due once the fence is kept."""
-        known = self.assignments.get(word.tenant)
-        after = (
-            replace(self, assignments={**self.assignments, word.tenant: word})
-            if word.supersedes(known)
-            else self
-        )
-        held = after.assignments[word.tenant]
-        return after, AssignmentAck(
-            self.name,
-            held,
-            bool(after.in_flight.get(word.tenant)),
-            after.completed.get(word.tenant, NO_KEYS) | held.completed_keys,
-        )
-
-    def renew_lease(self, now: int, lease: int, words: Iterable[TenantAssignment]) -> ReplicaFence:
-        after = self
-        for word in words:
-            after, _ = after.apply_assignment(word)
-        return replace(after, lease_until_us=max(after.lease_until_us, now + lease))
-
-
-@dataclass(frozen=True, slots=True)
-class TenantDirectory:
-    """A governor's: all of it is kept before it confirms."""
-
-    name: str
-    assignments: Assignments = field(default_factory=dict)
-
-    def apply_assignment(self, word: TenantAssignment) -> tuple[TenantDirectory, AssignmentAck]:
-        known = self.assignments.get(word.tenant)
-        after = (
-            replace(self, assignments={**self.assignments, word.tenant: word})
-            if word.supersedes(known)
-            else self
-        )
-        return after, AssignmentAck(self.name, after.assignments[word.tenant])
-
-    def heartbeat_assignments(self) -> tuple[TenantAssignment, ...]:
-        return tuple(self.assignments.values())
-
-    def route(self, tenant: str, home: str) -> tuple[str, int] | None:
-        """Cell and generation for relays; None while the tenant is shut. `home` is its first cell."""
-        word = self.assignments.get(tenant)
-        if word is None:
-            return home, 1
-        return (word.cell, word.generation) if word.cell else None
-
-
-@dataclass(frozen=True, slots=True)
-class Migration:
-    """The mover's record. `since` is when the last governor confirmed SHUT, by this process's clock; it is
-    not kept: a mover that starts again waits anew."""
+class Migration(msgspec.Struct, frozen=True):
+    """The record of a migration.
+
+    Attributes:
+        id: Its name, which orders the records of a store.
+        tenant: The tenant that moves.
+        source: The cell that it leaves.
+        target: The cell that it goes to.
+        generation: The tenant's generation from this migration on.
+        step: The step under way.
+        must_close_source: False where the source can't be open, as in an undo before any opening.
+        confirmed_governors: Governors that confirmed this step.
+        confirmed_replicas: Replicas that confirmed this step, without writes in flight.
+        completed_keys: Keys of writes that source replicas completed.
+        governors_confirmed_us: When the last governor confirmed CLOSE, by this process's clock, else -1. A
+            restarted process begins the wait anew.
+        is_undo: Whether it undoes another migration.
+        conflict: Why it was stopped for good, or "".
+    """
 
     id: str
     tenant: str
     source: str
     target: str
-    gen: int
+    generation: int = msgspec.field(name="gen")
     step: MigrationStep = MigrationStep.CLOSE
-    fenced: bool = True  # False: nothing can be open elsewhere, as in an undo before any opening
-    known: Keys = NO_KEYS  # governors that confirmed this step
-    shut: Keys = NO_KEYS  # workers of the source that confirmed, with nothing in hand
-    keys: Keys = NO_KEYS
-    since: int = -1
-    undone: bool = False
+    must_close_source: bool = msgspec.field(default=True, name="fenced")
+    confirmed_governors: Keys = msgspec.field(default=NO_KEYS, name="known")
+    confirmed_replicas: Keys = msgspec.field(default=NO_KEYS, name="shut")
+    completed_keys: Keys = msgspec.field(default=NO_KEYS, name="keys")
+    governors_confirmed_us: int = msgspec.field(default=-1, name="since")
+    is_undo: bool = msgspec.field(default=False, name="undone")
     conflict: str = ""
 
     def restarted(self) -> Migration:
-        return replace(self, since=-1)
+        """The record as a process that starts with it uses it."""
+        return msgspec.structs.replace(self, governors_confirmed_us=-1)
 
     def assignment(self) -> TenantAssignment:
-        cell = "" if self.step is MigrationStep.CLOSE else self.target
-        return TenantAssignment(self.tenant, self.gen, self.id, cell, self.keys)
+        """The assignment of this step."""
+        return TenantAssignment(
+            tenant=self.tenant,
+            generation=self.generation,
+            migration_id=self.id,
+            cell="" if self.step is MigrationStep.CLOSE else self.target,
+            completed_keys=self.completed_keys,
+        )
 
-    def pending_recipients(self, governors: Iterable[str], cells: Mapping[str, Iterable[str]]) -> list[str]:
-        """Who has still to be told the word of this step."""
+    def pending_recipients(
+        self, governors: Iterable[str], replicas_by_cell: Mapping[str, Iterable[str]]
+    ) -> list[str]:
+        """Governors and replicas that have yet to confirm the assignment of this step."""
         if self.conflict or self.step is MigrationStep.DONE:
             return []
-        due = [g for g in governors if g not in self.known]
-        if self.step is MigrationStep.CLOSE and self.fenced:
-            due += [w for w in cells[self.source] if w not in self.shut]
-        elif self.step is MigrationStep.OPEN:
-            due += [w for w in cells[self.target] if w not in self.shut]
-        return due
-
-    def acknowledged(self, now: int, c: AssignmentAck, governors: Iterable[str]) -> Migration:
-        """Takes an answer; one to an earlier step or generation changes nothing."""
-        if c.assignment.tenant != self.tenant or self.step is MigrationStep.DONE:
+        pending = [name for name in governors if name not in self.confirmed_governors]
+        if self.step is MigrationStep.OPEN:
+            pending += self._unconfirmed_replicas(replicas_by_cell[self.target])
+        elif self.must_close_source:
+            pending += self._unconfirmed_replicas(replicas_by_cell[self.source])
+        return pending
+
+    def acknowledged(self, now_us: int, ack: AssignmentAck, governors: Iterable[str]) -> Migration:
+        """The record after an answer; one to an earlier step or generation changes nothing."""
+        held = ack.assignment
+        if held.tenant != self.tenant or self.step is MigrationStep.DONE:
             return self
-        if compare_tokens(c.assignment.token, FencingToken(self.gen, self.id)) in (
-            TokenOrder.NEWER,
-            TokenOrder.CONFLICTING,
-        ):
-            return replace(
-                self,
-                conflict=f"{c.sender} holds generation {c.assignment.generation} "
-                f"of move {c.assignment.migration_id}",
-            )
-        if c.assignment.generation < self.gen or (self.step is MigrationStep.OPEN) != bool(c.assignment.cell):
+        order = compare_tokens(held.token, FencingToken(self.generation, self.id))
+        if order in (TokenOrder.NEWER, TokenOrder.CONFLICTING):
+            conflict = f"{ack.sender} holds generation {held.generation} of move {held.migration_id}"
+            return msgspec.structs.replace(self, conflict=conflict)
+        is_open = self.step is MigrationStep.OPEN
+        if held.generation < self.generation or is_open != bool(held.cell):
             return self
-        if c.sender in set(governors):
-            after = replace(self, known=self.known | {c.sender})
-            everyone = after.known >= set(governors)
-            return replace(after, since=now) if everyone and after.since < 0 else after
-        if c.has_writes_in_flight:
+        if ack.sender in set(governors):
+            return self._with_governor(now_us, ack.sender, governors)
+        if ack.has_writes_in_flight:
             return self
-        keys = self.keys | c.completed_keys if self.step is MigrationStep.CLOSE else self.keys
-        return replace(self, shut=self.shut | {c.sender}, keys=keys)
+        completed = self.completed_keys if is_open else self.completed_keys | ack.completed_keys
+        return msgspec.structs.replace(
+            self, confirmed_replicas=self.confirmed_replicas | {ack.sender}, completed_keys=completed
+        )
 
     def advance(
-        self, now: int, governors: Iterable[str], cells: Mapping[str, Iterable[str]], wait: int
+        self,
+        now_us: int,
+        governors: Iterable[str],
+        replicas_by_cell: Mapping[str, Iterable[str]],
+        wait_us: int,
     ) -> Migration:
-        """The next step if its time has come; `wait` is lease, settle time and margin (µs). The caller keeps
-        the record before it sends anything of the new step."""
+        """The record in its next step if the time for that has come.
+
+        The caller persists it before it sends anything of the new step. `wait_us` is lease, settle time and
+        margin.
+        """
         if self.conflict:
             return self
-        if self.step is MigrationStep.CLOSE:
-            heard = not self.fenced or set(cells[self.source]) <= self.shut
-            waited = self.known >= set(governors) and 0 <= self.since <= now - wait
-            if heard or waited:
-                return replace(self, step=MigrationStep.OPEN, known=NO_KEYS, shut=NO_KEYS, since=-1)
-            if self.known >= set(governors) and self.since < 0:
-                # Killed after the last governor's answer it asks nobody again: the wait begins anew here.
-                return replace(self, since=now)
-        elif self.step is MigrationStep.OPEN and self.known >= set(governors):
-            return replace(self, step=MigrationStep.DONE)
+        has_all_governors = self.confirmed_governors >= set(governors)
+        if self.step is MigrationStep.OPEN and has_all_governors:
+            return msgspec.structs.replace(self, step=MigrationStep.DONE)
+        if self.step is not MigrationStep.CLOSE:
+            return self
+        has_all_replicas = set(replicas_by_cell[self.source]) <= self.confirmed_replicas
+        has_waited = has_all_governors and 0 <= self.governors_confirmed_us <= now_us - wait_us
+        if not self.must_close_source or has_all_replicas or has_waited:
+            return msgspec.structs.replace(
+                self,
+                step=MigrationStep.OPEN,
+                confirmed_governors=NO_KEYS,
+                confirmed_replicas=NO_KEYS,
+                governors_confirmed_us=-1,
+            )
+        if has_all_governors and self.governors_confirmed_us < 0:
+            # Restarted after the last governor's answer, it has nobody left to notify: the wait begins here.
+            return msgspec.structs.replace(self, governors_confirmed_us=now_us)
         return self
 
     def undo(self) -> Migration:
-        """Back to the source by the next generation. Raises ValueError where that can't be."""
+        """The migration of the next generation back to the source.
+
+        Raises:
+            MigrationStateError: This one is done, or is an undo itself.
+        """
         if self.step is MigrationStep.DONE:
-            raise ValueError(f"move {self.id} is done; order a move back to {self.source}")
-        if self.undone:
-            raise ValueError(f"move {self.id} is being undone already")
+            raise MigrationStateError(f"move {self.id} is done; order a move back to {self.source}")
+        if self.is_undo:
+            raise MigrationStateError(f"move {self.id} is being undone already")
         return Migration(
-            self.id + "-undo",
-            self.tenant,
-            self.target,
-            self.source,
-            self.gen + 1,
-            fenced=self.step is MigrationStep.OPEN,
-            keys=self.keys,
-            undone=True,
+            id=self.id + UNDO_SUFFIX,
+            tenant=self.tenant,
+            source=self.target,
+            target=self.source,
+            generation=self.generation + 1,
+            must_close_source=self.step is MigrationStep.OPEN,
+            completed_keys=self.completed_keys,
+            is_undo=True,
         )
 
     def describe_wait(
-        self, now: int, governors: Iterable[str], cells: Mapping[str, Iterable[str]], wait: int
+        self,
+        now_us: int,
+        governors: Iterable[str],
+        replicas_by_cell: Mapping[str, Iterable[str]],
+        wait_us: int,
     ) -> str:
-        """What the move waits for, in words for a person."""
+        """What the migration waits for, as shown to operators."""
         if self.conflict:
             return "stopped: " + self.conflict
-        missing = sorted(g for g in governors if g not in self.known)
-        if self.step is MigrationStep.CLOSE and self.fenced:
-            quiet = sorted(w for w in cells[self.source] if w not in self.shut)
+        missing = sorted(name for name in governors if name not in self.confirmed_governors)
+        if self.step is MigrationStep.CLOSE and self.must_close_source:
+            replicas = sorted(self._unconfirmed_replicas(replicas_by_cell[self.source]))
             if missing:
-                more = f"governors {', '.join(missing)}, then {wait / 1e6:g} s"
+                alternative = f"governors {', '.join(missing)}, then {wait_us / 1e6:g} s"
             else:
-                more = f"{max(0, self.since + wait - now) / 1e6:.1f} s more"
-            return f"{', '.join(quiet)} to confirm; or {more}"
-        if self.step is MigrationStep.OPEN:
-            return "governors " + ", ".join(missing) if missing else "nothing"
+                remaining_us = max(0, self.governors_confirmed_us + wait_us - now_us)
+                alternative = f"{remaining_us / 1e6:.1f} s more"
+            return f"{', '.join(replicas)} to confirm; or {alternative}"
+        if self.step is MigrationStep.OPEN and missing:
+            return "governors " + ", ".join(missing)
         return "nothing"
+
+    def _unconfirmed_replicas(self, replicas: Iterable[str]) -> list[str]:
+        return [name for name in replicas if name not in self.confirmed_replicas]
+
+    def _with_governor(self, now_us: int, name: str, governors: Iterable[str]) -> Migration:
+        confirmed = self.confirmed_governors | {name}
+        since_us = self.governors_confirmed_us
+        if since_us < 0 and confirmed >= set(governors):
+            since_us = now_us
+        return msgspec.structs.replace(self, confirmed_governors=confirmed, governors_confirmed_us=since_us)
--- a/gradehoist/cells/placement.py
+++ b/gradehoist/cells/placement.py
@@ -1,8 +1,9 @@
-"""Which workers make a cell, and which tenants live there: a pure plan, one and the same for the same input.
+"""Placement of replicas and tenants in cells: a pure plan, the same for the same input.
 
-`place` keeps what an earlier placement says as far as it can. Its bound: a worker that comes moves nobody;
-one that goes moves one other worker at most, and only where its cell would fall under the least; tenants move
-only out of cells that are over their room. Names decide ties through a hash, so no order of input shows.
+A new plan keeps an earlier one as far as it can. A replica that is added moves nobody. One that is removed
+moves one other replica at most, and only where its cell would fall below the minimum. Tenants move only out
+of cells that exceed their capacity. Ties are decided by a hash of the names, so the order of the input has no
+effect.
 """
 
 from __future__ import annotations
@@ -13,12 +14,16 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from gradehoist.cells.errors import PlacementError
 from gradehoist.cells.routes import home_cell
 
+# Loads are sums of floats: smaller differences are rounding.
+LOAD_TOLERANCE = 1e-9
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
-    """`demand` in the unit of the workers' `size`: 1 fills a worker of size 1."""
+    """A tenant; `demand` is in the unit of the replicas' capacity."""
 
     name: str
     demand: float
@@ -26,6 +31,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Replica:
+    """A replica; a tenant with a demand of 1 fills one of capacity 1."""
+
     name: str
     zone: str
     kind: str
@@ -34,8 +41,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacementRequirements:
-    """`largest`: the part of a cell's room that one tenant may fill; `spare`: the part of a cell's size that
-    is kept free. With `lose_zone` a cell's room is what is left when its largest zone is gone."""
+    """What cells have to be like.
+
+    Attributes:
+        cell_count: How many cells there are.
+        min_replicas: Replicas of each cell.
+        min_zones: Zones in which each cell has replicas.
+        max_tenant_share: Share of a cell's tenant capacity that one tenant may fill.
+        spare_share: Share of a cell's capacity that is kept free.
+        survives_zone_loss: Whether a cell's tenants have to fit when its largest zone is lost.
+    """
 
     cell_count: int
     min_replicas: int = 2
@@ -47,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Cells by number from 0. `faults` says in plain words what could not be had."""
+    """The number of the cell, from 0, by replica and by tenant; `unmet_requirements` is for operators."""
 
     replicas: Mapping[str, int]
     tenants: Mapping[str, int]
@@ -55,12 +70,14 @@
 
 
 def stable_hash(*names: object) -> int:
-    """A number that only the names decide, the same on every machine."""
+    """A number that depends on the names alone, the same on every machine."""
     return zlib.crc32(repr(names).encode())
 
 
 @dataclass
 class Cell:
+    """A cell while the plan is made."""
+
     number: int
     capacity: float = 0.0
     load: float = 0.0
@@ -68,172 +85,280 @@
     replicas: dict[str, Replica] = field(default_factory=dict)
     tenants: list[Tenant] = field(default_factory=list)
 
-    def add_replica(self, worker: Replica) -> None:
-        self.replicas[worker.name] = worker
-        self.capacity += worker.capacity
-        self.capacity_by_zone[worker.zone] += worker.capacity
-
-    def remove_replica(self, worker: Replica) -> None:
-        del self.replicas[worker.name]
-        self.capacity -= worker.capacity
-        self.capacity_by_zone[worker.zone] -= worker.capacity
-        if not any(w.zone == worker.zone for w in self.replicas.values()):
-            del self.capacity_by_zone[worker.zone]
-
-    def tenant_capacity(self, wanted: PlacementRequirements) -> float:
-        lost = (
-            max(self.capacity_by_zone.values())
-            if wanted.survives_zone_loss and len(self.capacity_by_zone) > 1
-            else 0.0
+    def add_replica(self, replica: Replica) -> None:
+        """Give the cell one more replica."""
+        self.replicas[replica.name] = replica
+        self.capacity += replica.capacity
+        self.capacity_by_zone[replica.zone] += replica.capacity
+
+    def remove_replica(self, replica: Replica) -> None:
+        """Take a replica from the cell."""
+        del self.replicas[replica.name]
+        self.capacity -= replica.capacity
+        self.capacity_by_zone[replica.zone] -= replica.capacity
+        if not self.count_in_zone(replica.zone):
+            del self.capacity_by_zone[replica.zone]
+
+    def add_tenant(self, tenant: Tenant) -> None:
+        """Place a tenant in the cell."""
+        self.tenants.append(tenant)
+        self.load += tenant.demand
+
+    def remove_tenant(self, tenant: Tenant) -> None:
+        """Take a tenant from the cell."""
+        self.tenants.remove(tenant)
+        self.load -= tenant.demand
+
+    def count_in_zone(self, zone: str) -> int:
+        """Replicas of the cell in one zone."""
+        return sum(replica.zone == zone for replica in self.replicas.values())
+
+    def tenant_capacity(self, requirements: PlacementRequirements) -> float:
+        """Demand that the cell's tenants may have together."""
+        lost = 0.0
+        if requirements.survives_zone_loss and len(self.capacity_by_zone) > 1:
+            lost = max(self.capacity_by_zone.values())
+        return max(0.0, (self.capacity - lost) * (1 - requirements.spare_share))
+
+    def is_undersized(self, requirements: PlacementRequirements) -> bool:
+        """Whether the cell has too few replicas or zones."""
+        return (
+            len(self.replicas) < requirements.min_replicas
+            or len(self.capacity_by_zone) < requirements.min_zones
         )
-        return max(0.0, (self.capacity - lost) * (1 - wanted.spare_share))
-
-    def is_undersized(self, wanted: PlacementRequirements) -> bool:
-        return len(self.replicas) < wanted.min_replicas or len(self.capacity_by_zone) < wanted.min_zones
 
 
 def plan_placement(
     tenants: Iterable[Tenant],
-    workers: Iterable[Replica],
-    wanted: PlacementRequirements,
+    replicas: Iterable[Replica],
+    requirements: PlacementRequirements,
     before: Placement | None = None,
 ) -> Placement:
-    """Raises ValueError where no cell could be made at all, or a name stands twice."""
-    people = sorted(tenants, key=lambda t: (-t.demand, stable_hash(t.name), t.name))
-    crew = sorted(workers, key=lambda w: (w.zone, -w.capacity, stable_hash(w.name), w.name))
-    for kind, names in (("tenant", [t.name for t in people]), ("worker", [w.name for w in crew])):
-        if len(set(names)) < len(names):
-            raise ValueError(f"a {kind} is named twice")
-    if wanted.cell_count < 1 or len(crew) < wanted.cell_count:
-        raise ValueError(f"{wanted.cell_count} cells cannot be made of {len(crew)} workers")
-    cells = [Cell(n) for n in range(wanted.cell_count)]
-    homes = {n: c for n, c in (before.replicas if before else {}).items() if 0 <= c < wanted.cell_count}
-    for worker in crew:
-        if worker.name in homes:
-            cells[homes[worker.name]].add_replica(worker)
-    for worker in crew:
-        if worker.name not in homes:
-            _neediest(cells, worker, wanted).add_replica(worker)
-    faults = _repair(cells, wanted)
-    faults += _settle(people, cells, wanted, before)
+    """Make a placement that keeps `before` as far as it can.
+
+    Raises:
+        PlacementError: No cell could be made at all, or a name stands twice.
+    """
+    by_demand = sorted(tenants, key=_tenant_order)
+    by_zone = sorted(replicas, key=_replica_order)
+    _check_unique("tenant", [tenant.name for tenant in by_demand])
+    _check_unique("worker", [replica.name for replica in by_zone])
+    if requirements.cell_count < 1 or len(by_zone) < requirements.cell_count:
+        raise PlacementError(f"{requirements.cell_count} cells cannot be made of {len(by_zone)} workers")
+    cells = [Cell(number) for number in range(requirements.cell_count)]
+    _assign_replicas(cells, by_zone, requirements, before.replicas if before else {})
+    unmet = _fill_undersized_cells(cells, requirements)
+    tenant_placement = _TenantPlacement(cells, by_demand, requirements, before.tenants if before else {})
+    unmet += tenant_placement.place()
     return Placement(
-        {w: c.number for c in cells for w in c.replicas},
-        {t.name: c.number for c in cells for t in c.tenants},
-        tuple(faults),
+        replicas={name: cell.number for cell in cells for name in cell.replicas},
+        tenants={tenant.name: cell.number for cell in cells for tenant in cell.tenants},
+        unmet_requirements=tuple(unmet),
     )
 
 
-def split_replicas(workers: Iterable[Replica]) -> tuple[list[Replica], list[Replica]]:
-    """Two halves of a cell's workers: zone by zone, the largest first, each to the half that has fewer of the
-    zone and then less size."""
-    out: tuple[list[Replica], list[Replica]] = ([], [])
-    for worker in sorted(workers, key=lambda w: (w.zone, -w.capacity, stable_hash(w.name), w.name)):
-        best = min(
-            out,
-            key=lambda half: (
-                sum(w.zone == worker.zone for w in half),
-                len(half),
-                sum(w.capacity for w in half),
-            ),
-        )
-        best.append(worker)
-    return out
+def split_replicas(replicas: Iterable[Replica]) -> tuple[list[Replica], list[Replica]]:
+    """Split a cell's replicas into two halves.
+
+    Zone by zone, the largest first, each goes to the half that has fewer of the zone and then less capacity.
+    """
+    halves: tuple[list[Replica], list[Replica]] = ([], [])
+    for replica in sorted(replicas, key=_replica_order):
+
+        def rank(half: list[Replica], zone: str = replica.zone) -> tuple[int, int, float]:
+            return sum(other.zone == zone for other in half), len(half), sum(other.capacity for other in half)
+
+        min(halves, key=rank).append(replica)
+    return halves
+
 
+def _tenant_order(tenant: Tenant) -> tuple[float, int, str]:
+    return -tenant.demand, stable_hash(tenant.name), tenant.name
 
-def _neediest(cells: list[Cell], worker: Replica, wanted: PlacementRequirements) -> Cell:
-    """A cell short of workers first, then the one with fewest of this zone, then the smallest. Counted, not
-    summed: by size, the odd worker of every zone went to one cell, which became twice as large."""
 
-    def rank(c: Cell) -> tuple[bool, int, float, int]:
-        near = sum(w.zone == worker.zone for w in c.replicas.values())
-        return not c.is_undersized(wanted), near, c.capacity, stable_hash(c.number, worker.name)
+def _replica_order(replica: Replica) -> tuple[str, float, int, str]:
+    return replica.zone, -replica.capacity, stable_hash(replica.name), replica.name
+
+
+def _check_unique(kind: str, names: list[str]) -> None:
+    if len(set(names)) < len(names):
+        raise PlacementError(f"a {kind} is named twice")
+
+
+def _assign_replicas(
+    cells: list[Cell],
+    replicas: list[Replica],
+    requirements: PlacementRequirements,
+    before: Mapping[str, int],
+) -> None:
+    """Leave replicas in their cells; give each other one to the cell that needs it most."""
+    kept = {name: number for name, number in before.items() if 0 <= number < len(cells)}
+    for replica in replicas:
+        if replica.name in kept:
+            cells[kept[replica.name]].add_replica(replica)
+    for replica in replicas:
+        if replica.name not in kept:
+            _neediest_cell(cells, replica, requirements).add_replica(replica)
+
+
+def _neediest_cell(cells: list[Cell], replica: Replica, requirements: PlacementRequirements) -> Cell:
+    """An undersized cell first, then the one with fewest replicas of this zone, then the smallest.
+
+    Replicas of the zone are counted and not summed: by capacity, the odd replica of every zone went to one
+    cell, which became twice as large.
+    """
+
+    def rank(cell: Cell) -> tuple[bool, int, float, int]:
+        return (
+            not cell.is_undersized(requirements),
+            cell.count_in_zone(replica.zone),
+            cell.capacity,
+            stable_hash(cell.number, replica.name),
+        )
 
     return min(cells, key=rank)
 
 
-def _repair(cells: list[Cell], wanted: PlacementRequirements) -> list[str]:
-    """Each cell under the least takes one worker at a time from the cell that can spare it best."""
-    faults = []
+def _fill_undersized_cells(cells: list[Cell], requirements: PlacementRequirements) -> list[str]:
+    """Move replicas, one at a time, to undersized cells; return the cells for which none can be spared."""
+    unmet = []
     for cell in cells:
-        while cell.is_undersized(wanted):
-            new_zone = len(cell.capacity_by_zone) < wanted.min_zones
-            best: tuple[tuple[float, int], Cell, Replica] | None = None
-            for donor in cells:
-                if donor is cell or len(donor.replicas) <= wanted.min_replicas:
-                    continue
-                for worker in donor.replicas.values():
-                    alone = sum(w.zone == worker.zone for w in donor.replicas.values()) == 1
-                    if (alone and len(donor.capacity_by_zone) <= wanted.min_zones) or (
-                        new_zone and worker.zone in cell.capacity_by_zone
-                    ):
-                        continue
-                    rank = (-(donor.capacity - worker.capacity), stable_hash(cell.number, worker.name))
-                    if best is None or rank < best[0]:
-                        best = (rank, donor, worker)
-            if best is None:
-                faults.append(
-                    f"cell {cell.number} has {len(cell.replicas)} workers "
-                    f"in {len(cell.capacity_by_zone)} zones; "
-                    f"{wanted.min_replicas} in {wanted.min_zones} are wanted and none can be spared"
+        while cell.is_undersized(requirements):
+            found = _find_donor(cells, cell, requirements)
+            if found is None:
+                unmet.append(
+                    f"cell {cell.number} has {len(cell.replicas)} workers in "
+                    f"{len(cell.capacity_by_zone)} zones; {requirements.min_replicas} in "
+                    f"{requirements.min_zones} are wanted and none can be spared"
                 )
                 break
-            best[1].remove_replica(best[2])
-            cell.add_replica(best[2])
-    return faults
-
-
-def _settle(
-    people: list[Tenant], cells: list[Cell], wanted: PlacementRequirements, before: Placement | None
-) -> list[str]:
-    """Tenants stay; those of a cell over its room leave, the largest that mends it first, until it fits."""
-    faults: list[str] = []
-    rooms = [c.tenant_capacity(wanted) for c in cells]
-    leaving: list[Tenant] = []
-    known = before.tenants if before else {}
-    most = max(rooms) * wanted.max_tenant_share
-    for tenant in people:
-        if tenant.demand > max(rooms):
-            faults.append(
-                f"tenant {tenant.name} asks for {tenant.demand:.4g}; the largest cell has room for "
-                f"{max(rooms):.4g}: split it, or make fewer and larger cells"
-            )
-        elif tenant.demand > most:
-            faults.append(f"tenant {tenant.name} would fill over {wanted.max_tenant_share:.0%} of any cell")
-        was = known.get(tenant.name, -1)
-        if 0 <= was < len(cells):
-            cells[was].tenants.append(tenant)
-            cells[was].load += tenant.demand
-        else:
-            leaving.append(tenant)
-    for cell, room in zip(cells, rooms, strict=True):
-        here = cell.tenants
-        while cell.load > room + 1e-9 and len(here) > 1:
-            over = cell.load - room
-            # The smallest that mends it alone, else the largest: the fewest tenants move.
-            enough = [t for t in here if t.demand >= over]
-            chosen = enough[-1] if enough else here[0]
-            here.remove(chosen)
-            cell.load -= chosen.demand
-            leaving.append(chosen)
-    leaving.sort(key=lambda t: (-t.demand, stable_hash(t.name), t.name))
-    # Where its hash says, while that cell is under its even part: relays need no exception for it.
-    even = sum(t.demand for t in people) / max(sum(rooms), 1e-9)
-    numbers, strayed = range(len(cells)), []
-    for tenant in leaving:
-        cell = cells[home_cell(tenant.name, numbers, {})]
-        if tenant.name in known or cell.load + tenant.demand > even * rooms[cell.number]:
-            strayed.append(tenant)
-        else:
-            cell.tenants.append(tenant)
-            cell.load += tenant.demand
-    heap = [(c.load / max(rooms[c.number], 1e-9), stable_hash("cell", c.number), c.number) for c in cells]
-    heapq.heapify(heap)
-    for tenant in strayed:
-        _, tie, number = heap[0]
-        cells[number].load += tenant.demand
-        cells[number].tenants.append(tenant)
-        heapq.heapreplace(heap, (cells[number].load / max(rooms[number], 1e-9), tie, number))
-    for cell, room in zip(cells, rooms, strict=True):
-        if cell.load > room + 1e-9:
-            faults.append(f"cell {cell.number} carries {cell.load:.4g} with room for {room:.4g}")
-    return faults
+            donor, replica = found
+            donor.remove_replica(replica)
+            cell.add_replica(replica)
+    return unmet
+
+
+def _find_donor(
+    cells: list[Cell], cell: Cell, requirements: PlacementRequirements
+) -> tuple[Cell, Replica] | None:
+    """The replica that can best be spared for `cell`, with its present cell: the largest donor's smallest."""
+    needs_zone = len(cell.capacity_by_zone) < requirements.min_zones
+    best: tuple[tuple[float, int], Cell, Replica] | None = None
+    for donor in cells:
+        if donor is cell or len(donor.replicas) <= requirements.min_replicas:
+            continue
+        for replica in donor.replicas.values():
+            if needs_zone and replica.zone in cell.capacity_by_zone:
+                continue
+            if not _can_spare(donor, replica, requirements):
+                continue
+            rank = (-(donor.capacity - replica.capacity), stable_hash(cell.number, replica.name))
+            if best is None or rank < best[0]:
+                best = (rank, donor, replica)
+    return None if best is None else (best[1], best[2])
+
+
+def _can_spare(donor: Cell, replica: Replica, requirements: PlacementRequirements) -> bool:
+    """Whether the donor keeps enough zones without this replica."""
+    is_last_of_zone = donor.count_in_zone(replica.zone) == 1
+    return not is_last_of_zone or len(donor.capacity_by_zone) > requirements.min_zones
+
+
+class _TenantPlacement:
+    """Places tenants in cells whose replicas are settled."""
+
+    def __init__(
+        self,
+        cells: list[Cell],
+        tenants: list[Tenant],
+        requirements: PlacementRequirements,
+        before: Mapping[str, int],
+    ) -> None:
+        self._cells = cells
+        self._tenants = tenants
+        self._before = before
+        self._max_tenant_share = requirements.max_tenant_share
+        self._capacities = [cell.tenant_capacity(requirements) for cell in cells]
+
+    def place(self) -> list[str]:
+        """Place all tenants; return what could not be had."""
+        unmet = self._check_demands()
+        unplaced = self._keep_tenants()
+        for cell in self._cells:
+            unplaced += self._relieve(cell)
+        unplaced.sort(key=_tenant_order)
+        self._assign_to_least_loaded(self._assign_to_home_cells(unplaced))
+        for cell in self._cells:
+            capacity = self._capacities[cell.number]
+            if cell.load > capacity + LOAD_TOLERANCE:
+                unmet.append(f"cell {cell.number} carries {cell.load:.4g} with room for {capacity:.4g}")
+        return unmet
+
+    def _check_demands(self) -> list[str]:
+        unmet = []
+        largest = max(self._capacities)
+        for tenant in self._tenants:
+            if tenant.demand > largest:
+                unmet.append(
+                    f"tenant {tenant.name} asks for {tenant.demand:.4g}; the largest cell has room for "
+                    f"{largest:.4g}: split it, or make fewer and larger cells"
+                )
+            elif tenant.demand > largest * self._max_tenant_share:
+                unmet.append(f"tenant {tenant.name} would fill over {self._max_tenant_share:.0%} of any cell")
+        return unmet
+
+    def _keep_tenants(self) -> list[Tenant]:
+        """Leave tenants in their cells; return those that have none yet."""
+        unplaced = []
+        for tenant in self._tenants:
+            number = self._before.get(tenant.name, -1)
+            if 0 <= number < len(self._cells):
+                self._cells[number].add_tenant(tenant)
+            else:
+                unplaced.append(tenant)
+        return unplaced
+
+    def _relieve(self, cell: Cell) -> list[Tenant]:
+        """Take tenants out of a cell until the rest fits, as few as possible."""
+        removed = []
+        capacity = self._capacities[cell.number]
+        while cell.load > capacity + LOAD_TOLERANCE and len(cell.tenants) > 1:
+            excess = cell.load - capacity
+            # The smallest that suffices alone, else the largest: the fewest tenants move.
+            sufficient = [tenant for tenant in cell.tenants if tenant.demand >= excess]
+            chosen = sufficient[-1] if sufficient else cell.tenants[0]
+            cell.remove_tenant(chosen)
+            removed.append(chosen)
+        return removed
+
+    def _assign_to_home_cells(self, tenants: list[Tenant]) -> list[Tenant]:
+        """Place new tenants in the cell of their hash while it is under its even part; return the others.
+
+        Proxies need no exception for a tenant that lives where its hash says.
+        """
+        total_demand = sum(tenant.demand for tenant in self._tenants)
+        even_utilization = total_demand / max(sum(self._capacities), LOAD_TOLERANCE)
+        numbers = range(len(self._cells))
+        others = []
+        for tenant in tenants:
+            cell = self._cells[home_cell(tenant.name, numbers, {})]
+            limit = even_utilization * self._capacities[cell.number]
+            if tenant.name in self._before or cell.load + tenant.demand > limit:
+                others.append(tenant)
+            else:
+                cell.add_tenant(tenant)
+        return others
+
+    def _assign_to_least_loaded(self, tenants: list[Tenant]) -> None:
+        heap = [
+            (self._utilization(cell), stable_hash("cell", cell.number), cell.number) for cell in self._cells
+        ]
+        heapq.heapify(heap)
+        for tenant in tenants:
+            _, tie_breaker, number = heap[0]
+            cell = self._cells[number]
+            cell.add_tenant(tenant)
+            heapq.heapreplace(heap, (self._utilization(cell), tie_breaker, number))
+
+    def _utilization(self, cell: Cell) -> float:
+        return cell.load / max(self._capacities[cell.number], LOAD_TOLERANCE)
--- a/gradehoist/cells/rollout.py
+++ b/gradehoist/cells/rollout.py
@@ -1,20 +1,34 @@
-"""A worker release, staged cell by cell, that halts on harm. Free of I/O: figures and answers are given in.
-
-Each stage renews the workers of one cell, a batch at a time, and then watches for the soak time. Harm is the
-cell's own change since before its stage, less the change of the other cells, so that a rush over all of them
-does not pass for a bad release; a trouble of all cells holds the next stage until it is over. A record is
-kept before a worker is touched, so a release that was killed goes on; a worker under way is renewed again.
+"""A rollout of a new version, staged cell by cell, that halts on a regression. Free of I/O.
+
+Each stage updates the replicas of one cell, a batch at a time, and then watches for the soak time. A
+regression is the cell's own change since before its stage, less the change of the other cells, so that a
+surge over all of them is not mistaken for a bad version; a fault of all cells holds the next stage until it
+is over.
+The record is persisted before a replica is touched, so a rollout that was killed goes on; a replica under way
+is updated again.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import sqrt
 
+import msgspec
+
+# Failure rate that a cell may gain while one of its replicas is updated.
+FAILURE_RATE_MARGIN = 0.03
+# Standard errors beyond the margin: at most one of the tests' 400 days without a regression halts.
+SIGNIFICANT_STANDARD_ERRORS = 3.0
+# Requests below which no rate is worth comparing.
+MIN_REQUESTS = 40
+# Latency against before, beside the other cells; the warm-up of a replica alone does not reach it.
+MAX_LATENCY_RATIO = 1.6
+
 
 class RolloutStep(Enum):
+    """The steps of a rollout; the values are in its record."""
+
     UPDATE = "renew"
     SOAK = "soak"
     DONE = "done"
@@ -22,146 +36,199 @@
     HALTED = "halted"
 
 
-@dataclass(frozen=True, slots=True)
-class TrafficCounts:
-    """What was met at one cell: transactions, those unanswered, good tries and their time (µs)."""
+class TrafficCounts(msgspec.Struct, frozen=True):
+    """Counts of one cell.
 
-    came: int = 0
-    unanswered: int = 0
-    good: int = 0
-    elapsed: int = 0
+    Attributes:
+        requests: Requests received.
+        incomplete: Requests that were not completed.
+        successes: Attempts that succeeded.
+        elapsed_us: Time of the successful attempts together.
+    """
 
-    def since(self, other: TrafficCounts) -> TrafficCounts:
+    requests: int = msgspec.field(default=0, name="came")
+    incomplete: int = msgspec.field(default=0, name="unanswered")
+    successes: int = msgspec.field(default=0, name="good")
+    elapsed_us: int = msgspec.field(default=0, name="elapsed")
+
+    def since(self, earlier: TrafficCounts) -> TrafficCounts:
+        """What was counted since earlier totals."""
         return TrafficCounts(
-            self.came - other.came,
-            self.unanswered - other.unanswered,
-            self.good - other.good,
-            self.elapsed - other.elapsed,
+            requests=self.requests - earlier.requests,
+            incomplete=self.incomplete - earlier.incomplete,
+            successes=self.successes - earlier.successes,
+            elapsed_us=self.elapsed_us - earlier.elapsed_us,
         )
 
     def plus(self, other: TrafficCounts) -> TrafficCounts:
+        """The sum of two counts."""
         return TrafficCounts(
-            self.came + other.came,
-            self.unanswered + other.unanswered,
-            self.good + other.good,
-            self.elapsed + other.elapsed,
+            requests=self.requests + other.requests,
+            incomplete=self.incomplete + other.incomplete,
+            successes=self.successes + other.successes,
+            elapsed_us=self.elapsed_us + other.elapsed_us,
         )
 
     @property
     def failure_rate(self) -> float:
-        return self.unanswered / self.came if self.came else 0.0
+        """Share of the requests that were not completed."""
+        return self.incomplete / self.requests if self.requests else 0.0
 
     @property
     def mean_latency_us(self) -> float:
-        return self.elapsed / self.good if self.good else 0.0
+        """Mean time of a successful attempt."""
+        return self.elapsed_us / self.successes if self.successes else 0.0
+
+
+CountsByCell = Mapping[str, TrafficCounts]
 
 
-@dataclass(frozen=True, slots=True)
-class Rollout:
-    """The record. `workers` by cell, in the order in which they are renewed; `before` is what was usual when
-    the stage began, kept as one that was killed would take a harmed cell for the usual."""
+class Rollout(msgspec.Struct, frozen=True):
+    """The record of a rollout.
+
+    Attributes:
+        id: Its number, which orders the records of a store.
+        cells: The cells in the order of their stages.
+        replicas: By cell, the replicas in the order of their updates.
+        batch_size: How many replicas are updated at once.
+        command: The operator's command that updates a replica.
+        rollback_command: The command that restores one, or "".
+        cell_index: The stage under way.
+        step: The step of that stage.
+        started_replicas: Replicas whose update was begun: what a halt restores.
+        updated_replicas: Replicas whose update is over.
+        halt_reason: Why it was halted, or "".
+        baseline: The counts by cell before the stage. They are persisted, as a rollout that was killed would
+            take those of an affected cell for the baseline.
+    """
 
     id: str
     cells: tuple[str, ...]
-    workers: Mapping[str, tuple[str, ...]]
-    batch: int
-    run: str
-    back: str = ""
-    at: int = 0
+    replicas: Mapping[str, tuple[str, ...]] = msgspec.field(name="workers")
+    batch_size: int = msgspec.field(name="batch")
+    command: str = msgspec.field(name="run")
+    rollback_command: str = msgspec.field(default="", name="back")
+    cell_index: int = msgspec.field(default=0, name="at")
     step: RolloutStep = RolloutStep.UPDATE
-    touched: frozenset[str] = frozenset()  # begun; with those renewed, what a halt puts back
-    renewed: frozenset[str] = frozenset()
-    why: str = ""
-    before: Mapping[str, TrafficCounts] = field(default_factory=dict)
+    started_replicas: frozenset[str] = msgspec.field(default=frozenset(), name="touched")
+    updated_replicas: frozenset[str] = msgspec.field(default=frozenset(), name="renewed")
+    halt_reason: str = msgspec.field(default="", name="why")
+    baseline: CountsByCell = msgspec.field(default_factory=dict, name="before")
 
     @property
     def cell(self) -> str:
-        return self.cells[self.at]
+        """The cell of the stage under way."""
+        return self.cells[self.cell_index]
 
     def next_batch(self) -> tuple[str, ...]:
-        """The workers to renew now."""
-        left = [w for w in self.workers[self.cell] if w not in self.renewed]
-        return tuple(left[: self.batch]) if self.step is RolloutStep.UPDATE else ()
-
-    def with_baseline(self, before: Mapping[str, TrafficCounts]) -> Rollout:
-        return replace(self, before=dict(before))
-
-    def with_batch_started(self, workers: Iterable[str]) -> Rollout:
-        return replace(self, touched=self.touched | frozenset(workers))
-
-    def with_batch_updated(self, workers: Iterable[str]) -> Rollout:
-        after = replace(self, renewed=self.renewed | frozenset(workers))
-        return after if after.next_batch() else replace(after, step=RolloutStep.SOAK)
+        """The replicas to update now."""
+        if self.step is not RolloutStep.UPDATE:
+            return ()
+        remaining = [name for name in self.replicas[self.cell] if name not in self.updated_replicas]
+        return tuple(remaining[: self.batch_size])
+
+    def with_baseline(self, baseline: CountsByCell) -> Rollout:
+        """The record at the beginning of a stage."""
+        return msgspec.structs.replace(self, baseline=dict(baseline))
+
+    def with_batch_started(self, names: Iterable[str]) -> Rollout:
+        """The record before these replicas are touched."""
+        return msgspec.structs.replace(self, started_replicas=self.started_replicas | frozenset(names))
+
+    def with_batch_updated(self, names: Iterable[str]) -> Rollout:
+        """The record after these replicas are back; after the last one of the cell, it soaks."""
+        after = msgspec.structs.replace(self, updated_replicas=self.updated_replicas | frozenset(names))
+        if after.next_batch():
+            return after
+        return msgspec.structs.replace(after, step=RolloutStep.SOAK)
 
     def with_stage_completed(self) -> Rollout:
-        if self.at + 1 == len(self.cells):
-            return replace(self, step=RolloutStep.DONE)
-        return replace(self, at=self.at + 1, step=RolloutStep.UPDATE, before={})
+        """The record at the next stage, or done after the last one."""
+        if self.cell_index + 1 == len(self.cells):
+            return msgspec.structs.replace(self, step=RolloutStep.DONE)
+        return msgspec.structs.replace(
+            self, cell_index=self.cell_index + 1, step=RolloutStep.UPDATE, baseline={}
+        )
 
-    def with_rollback_started(self, why: str) -> Rollout:
-        return replace(self, step=RolloutStep.ROLL_BACK, why=why)
+    def with_rollback_started(self, reason: str) -> Rollout:
+        """The record of a halt whose touched replicas have yet to be restored."""
+        return msgspec.structs.replace(self, step=RolloutStep.ROLL_BACK, halt_reason=reason)
 
     def with_rollback_completed(self) -> Rollout:
-        return replace(self, step=RolloutStep.HALTED)
+        """The record of a halt for good."""
+        return msgspec.structs.replace(self, step=RolloutStep.HALTED)
 
 
-FAILURE_RATE_MARGIN = 0.03  # of the transactions: what a cell may lose while a worker of it is renewed
-SIGNIFICANT_STANDARD_ERRORS = (
-    3.0  # standard errors, beyond the margin: at most one of the tests' 400 days without harm halts
-)
-MIN_REQUESTS = 40  # transactions: under that no share is worth comparing
-MAX_LATENCY_RATIO = (
-    1.6  # times as long as before, beside the other cells; a worker's cold start alone should not do it
-)
+def describe_regression(cell: str, baseline: CountsByCell, current: CountsByCell) -> str:
+    """The regression of a cell as shown to operators, or "" where none can be seen."""
+    counts = current[cell]
+    if counts.requests < MIN_REQUESTS:
+        return ""
+    others = _total(current, excluded=cell)
+    others_before = _total({name: baseline[name] for name in current}, excluded=cell)
+    return _describe_failures(cell, baseline[cell], counts, others_before, others) or _describe_latency(
+        cell, baseline[cell], counts, others_before, others
+    )
+
+
+def are_other_cells_stable(cell: str, baseline: CountsByCell, current: CountsByCell) -> bool:
+    """Whether the other cells fail no more than before, so that the next stage may begin."""
+    return all(
+        counts.requests < MIN_REQUESTS or _excess(baseline[name], counts) <= SIGNIFICANT_STANDARD_ERRORS
+        for name, counts in current.items()
+        if name != cell
+    )
 
 
 def _excess(before: TrafficCounts, now: TrafficCounts) -> float:
-    """By how many standard errors the failing share lies over `before` and the margin."""
-    share = (before.unanswered + now.unanswered + 1) / (before.came + now.came + 2)
-    error = sqrt(share * (1 - share) * (1 / max(1, before.came) + 1 / max(1, now.came)))
-    return (now.failure_rate - before.failure_rate - FAILURE_RATE_MARGIN) / error
+    """By how many standard errors the failure rate exceeds that of `before` and the margin."""
+    pooled = (before.incomplete + now.incomplete + 1) / (before.requests + now.requests + 2)
+    variance = pooled * (1 - pooled) * (1 / max(1, before.requests) + 1 / max(1, now.requests))
+    return (now.failure_rate - before.failure_rate - FAILURE_RATE_MARGIN) / sqrt(variance)
+
+
+def _total(counts: CountsByCell, excluded: str) -> TrafficCounts:
+    total = TrafficCounts()
+    for name, cell_counts in counts.items():
+        if name != excluded:
+            total = total.plus(cell_counts)
+    return total
+
+
+def _describe_failures(
+    cell: str,
+    before: TrafficCounts,
+    now: TrafficCounts,
+    others_before: TrafficCounts,
+    others: TrafficCounts,
+) -> str:
+    shared_rise = max(0.0, others.failure_rate - others_before.failure_rate)
+    expected_rate = min(1.0, before.failure_rate + shared_rise)
+    expected = msgspec.structs.replace(before, incomplete=round(expected_rate * before.requests))
+    if _excess(expected, now) <= SIGNIFICANT_STANDARD_ERRORS:
+        return ""
+    return (
+        f"{now.failure_rate:.1%} of {now.requests} transactions of {cell} were not answered, "
+        f"{before.failure_rate:.1%} before; elsewhere {others.failure_rate:.1%}"
+    )
 
 
-def describe_regression(
-    cell: str, before: Mapping[str, TrafficCounts], now: Mapping[str, TrafficCounts]
+def _describe_latency(
+    cell: str,
+    before: TrafficCounts,
+    now: TrafficCounts,
+    others_before: TrafficCounts,
+    others: TrafficCounts,
 ) -> str:
-    """Why a release harms its cell, empty where it does not as far as can be seen."""
-    mine, was = now[cell], before[cell]
-    others, others_were = TrafficCounts(), TrafficCounts()
-    for name in now:
-        if name != cell:
-            others, others_were = others.plus(now[name]), others_were.plus(before[name])
-    if mine.came < MIN_REQUESTS:
+    if now.successes < MIN_REQUESTS or before.successes < MIN_REQUESTS:
         return ""
-    rise = max(0.0, others.failure_rate - others_were.failure_rate)
-    adjusted = replace(was, unanswered=round(min(1.0, was.failure_rate + rise) * was.came))
-    if _excess(adjusted, mine) > SIGNIFICANT_STANDARD_ERRORS:
-        return (
-            f"{mine.failure_rate:.1%} of {mine.came} transactions of {cell} were not answered, "
-            f"{was.failure_rate:.1%} before; elsewhere {others.failure_rate:.1%}"
-        )
-    if mine.good >= MIN_REQUESTS and was.good >= MIN_REQUESTS:
-        ratio = mine.mean_latency_us / max(1.0, was.mean_latency_us)
-        beside = (
-            others.mean_latency_us / max(1.0, others_were.mean_latency_us)
-            if others_were.good and others.good
-            else 1.0
-        )
-        if ratio > MAX_LATENCY_RATIO * max(1.0, beside):
-            return (
-                f"answers of {cell} take {mine.mean_latency_us / 1e3:.0f} ms, "
-                f"{was.mean_latency_us / 1e3:.0f} before; "
-                f"elsewhere {others.mean_latency_us / 1e3:.0f}"
-            )
-    return ""
-
-
-def are_other_cells_stable(
-    cell: str, before: Mapping[str, TrafficCounts], now: Mapping[str, TrafficCounts]
-) -> bool:
-    """Whether the other cells are as before, so that the next stage may begin."""
-    return all(
-        now[c].came < MIN_REQUESTS or _excess(before[c], now[c]) <= SIGNIFICANT_STANDARD_ERRORS
-        for c in now
-        if c != cell
+    ratio = now.mean_latency_us / max(1.0, before.mean_latency_us)
+    shared_ratio = 1.0
+    if others_before.successes and others.successes:
+        shared_ratio = others.mean_latency_us / max(1.0, others_before.mean_latency_us)
+    if ratio <= MAX_LATENCY_RATIO * max(1.0, shared_ratio):
+        return ""
+    return (
+        f"answers of {cell} take {now.mean_latency_us / 1e3:.0f} ms, {before.mean_latency_us / 1e3:.0f} "
+        f"before; elsewhere {others.mean_latency_us / 1e3:.0f}"
     )
--- a/gradehoist/cells/routes.py
+++ b/gradehoist/cells/routes.py
@@ -1,4 +1,4 @@
-"""Which cell a tenant lives in: even ranges of a hash, and exceptions by name. Free of I/O."""
+"""The cell in which a tenant lives: even ranges of a hash, with exceptions by name. Free of I/O."""
 
 from __future__ import annotations
 
@@ -6,15 +6,19 @@
 from collections.abc import Mapping, Sequence
 from typing import TypeVar
 
-Cell = TypeVar("Cell")
+CellT = TypeVar("CellT")
 
+HASH_BITS = 32  # of CRC-32
 
-def home_cell(tenant: str, cells: Sequence[Cell], exceptions: Mapping[str, Cell]) -> Cell:
-    """The cell of a tenant; one that nobody has named falls into the range of its hash."""
+
+def home_cell(tenant: str, cells: Sequence[CellT], exceptions: Mapping[str, CellT]) -> CellT:
+    """The cell of a tenant: its exception, or the cell of the range that its hash falls into."""
     named = exceptions.get(tenant)
-    return named if named is not None else cells[zlib.crc32(tenant.encode()) * len(cells) >> 32]
+    if named is not None:
+        return named
+    return cells[zlib.crc32(tenant.encode()) * len(cells) >> HASH_BITS]
 
 
-def class_label(cell: str, cls: str) -> str:
-    """What a class is called in the tables of a cell; without cells it is the class itself."""
-    return f"{cell}/{cls}" if cell else cls
+def class_label(cell: str, request_class: str) -> str:
+    """The name of a request class in the tables of a cell; without cells it is the class's own."""
+    return f"{cell}/{request_class}" if cell else request_class
--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -25,18 +25,16 @@
 )
 from gradehoist.cells.rollout import Rollout
 from gradehoist.cells.rollout import RolloutStep as Staged
+from gradehoist.migration.planning import create_migrations, pending_migrations, plan_cell_drain, tenant_cells
 from gradehoist.migration.queries import fetch_governor_status
-from gradehoist.migration.rollout import RolloutRunner, load_rollout
-from gradehoist.migration.runner import (
-    MigrationRunner,
-    create_migrations,
+from gradehoist.migration.records import (
     load_draining_cells,
     load_migrations,
-    pending_migrations,
-    plan_cell_drain,
+    load_rollout,
     save_draining_cells,
-    tenant_cells,
 )
+from gradehoist.migration.rollout import RolloutRunner
+from gradehoist.migration.runner import MigrationRunner
 from gradehoist.net.client import HttpClient
 from gradehoist.settings.fleet import CellPlacement, GovernorSettings, Settings
 from gradehoist.store.atomic_file import FolderLock, FolderLockedError
@@ -338,7 +336,8 @@
             if m.step is MigrationStep.DONE
             else "undone"
             if m.id not in due
-            else "confirmed by " + (", ".join(sorted(m.known | m.shut)) or "nobody yet")
+            else "confirmed by "
+            + (", ".join(sorted(m.confirmed_governors | m.confirmed_replicas)) or "nobody yet")
         )
-        out.add_row(m.id, m.tenant, m.source, m.target, str(m.gen), m.step.value, note)
+        out.add_row(m.id, m.tenant, m.source, m.target, str(m.generation), m.step.value, note)
     Console().print(out)
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -327,10 +327,10 @@
 @STORE
 def undo_move(id: str, store: Path) -> None:
     """Turns a move back; `cells move SETTINGS` carries it out, also one that runs now."""
-    from gradehoist.migration import runner as mover
+    from gradehoist.migration.planning import undo_migration
 
     try:
-        back = mover.undo_migration(store, id)
+        back = undo_migration(store, id)
     except ValueError as fault:
         raise Fail(f"{store}: {fault}") from None
     click.echo(f"{back.id}: {back.tenant} goes back to {back.target}")
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -8,9 +8,11 @@
 
 import heapq
 from collections.abc import Iterable, Mapping
-from dataclasses import astuple, dataclass, field, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
+import msgspec
+
 from gradehoist import interface as i
 from gradehoist.cells.channel_shares import ChannelShares
 from gradehoist.cells.routes import class_label, home_cell
@@ -108,21 +110,18 @@
             route = feed.TenantRoutes(
                 ranges, {t: c for t, c in placed.cell_by_tenant.items() if c != home_cell(t, ranges, {})}
             )
-        limits = feed.RateLimitsDelta(*astuple(placed.limits)) if placed and placed.limits else None
+        limits = (
+            feed.RateLimitsDelta(*msgspec.structs.astuple(placed.limits))
+            if placed and placed.limits
+            else None
+        )
         self.tables = PublishedTables(self.identifiers, ch.message_overhead_lines, route, limits)
         self.cell_stats = CellStats(cells, placed.cell_by_replica) if placed else None
         self.delivery_queue = (
             DeliveryQueue(
                 self.tables,
                 self.policies,
-                ChannelShares(
-                    len(cells),
-                    ch.queue_limit_lines,
-                    ch.lines_per_s,
-                    ch.messages_per_window,
-                    ch.message_overhead_lines,
-                    fleet.safety.drain_grace_us,
-                ),
+                ChannelShares(len(cells), ch, fleet.safety.drain_grace_us),
             )
             if placed
             else None
--- a/gradehoist/governor/openapi.py
+++ b/gradehoist/governor/openapi.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from gradehoist.cells.migration import AssignmentAck, TenantAssignment
+from gradehoist.cells.assignment import AssignmentAck, TenantAssignment
 from gradehoist.protocol import feed
 
 REFUSALS = {
--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -17,7 +17,7 @@
 import structlog
 
 from gradehoist import interface as i
-from gradehoist.cells.migration import AssignmentAck, TenantAssignment, TenantDirectory
+from gradehoist.cells.assignment import AssignmentAck, TenantAssignment, TenantDirectory
 from gradehoist.coordination.agent import ProcessIdentity
 from gradehoist.governor import health_checks
 from gradehoist.governor.core import GovernorCore, Poll, RequestRejectedError
--- a/gradehoist/migration/__init__.py
+++ b/gradehoist/migration/__init__.py
@@ -1,1 +1,1 @@
-"""The mover: carries moves between cells over HTTP, keeping each record before it acts on it."""
+"""Runners that carry migrations and rollouts through over HTTP and persist each record first."""
--- a/gradehoist/migration/runner.py
+++ b/gradehoist/migration/runner.py
@@ -1,220 +1,180 @@
-"""Runs moves to their end. It may be killed anywhere: started again it reads its records and goes on."""
+"""Carries migrations through to their end.
+
+It may be killed at any point: a new run goes on from its records.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 
-from gradehoist.cells.migration import AssignmentAck, Migration, MigrationStep
-from gradehoist.cells.placement import stable_hash
-from gradehoist.migration.queries import QUERY_ERRORS, fetch_endpoints
+from gradehoist.cells.assignment import AssignmentAck
+from gradehoist.cells.migration import UNDO_SUFFIX, Migration, MigrationStep
+from gradehoist.migration.queries import CONNECT_TIMEOUT_S, QUERY_ERRORS, fetch_endpoints
+from gradehoist.migration.records import migration_path, save_migration
 from gradehoist.net.client import HttpClient
-from gradehoist.settings.fleet import CellPlacement, Settings
+from gradehoist.settings.fleet import Settings
 from gradehoist.settings.reader import parse_address
-from gradehoist.store.atomic_file import write_file
 
-MIN_RETRY_DELAY_S = 0.3  # seconds between words that were not confirmed, twice as long each time
-MAX_RETRY_DELAY_S = (
-    5.0  # seconds at most: a dead worker was asked three times a second to the end of its move
-)
-MAX_CONCURRENT_MIGRATIONS = 8  # moves under way together: each is a message to every relay
+# Between attempts that were not confirmed, doubled each time up to the maximum: without it a dead replica
+# was asked three times a second to the end of its migration.
+MIN_RETRY_DELAY_S = 0.3
+MAX_RETRY_DELAY_S = 5.0
+# Migrations under way together: each is a message to every proxy.
+MAX_CONCURRENT_MIGRATIONS = 8
+NOTIFY_TIMEOUT_S = 1.0
+ENDPOINT_LIST_INTERVAL_S = 1.0
+# Added to the wait for a point in time, so that it has passed for certain.
+TIMER_MARGIN_S = 0.01
+
+GOVERNOR_PATH = "/v1/cells/word"
+REPLICA_PATH = "/cell/word"
 
 
 def monotonic_us() -> int:
+    """This machine's monotonic clock."""
     return time.monotonic_ns() // 1_000
 
 
-def load_migrations(store: Path) -> list[Migration]:
-    """All records, oldest first. Raises ValueError naming a file that is no record."""
-    out = []
-    for path in sorted(store.glob("*.move")):
-        try:
-            move: Migration = msgspec.json.decode(path.read_bytes(), type=Migration)
-            out.append(move.restarted())
-        except msgspec.MsgspecError as fault:
-            raise ValueError(f"{path}: no record of a move: {fault}; put back a copy or remove it") from None
-    return out
-
-
-def save(store: Path, move: Migration) -> None:
-    write_file(store / f"{move.id}.move", msgspec.json.encode(move))
-
-
-def load_draining_cells(store: Path) -> tuple[str, ...]:
-    """Cells that take no tenants. Raises ValueError for a file that does not say so."""
-    path = store / "draining.json"
-    try:
-        cells: tuple[str, ...] = msgspec.json.decode(path.read_bytes(), type=tuple[str, ...])
-    except FileNotFoundError:
-        return ()
-    except msgspec.MsgspecError as fault:
-        raise ValueError(f"{path}: no list of cells: {fault}; put back a copy or remove it") from None
-    return cells
-
-
-def save_draining_cells(store: Path, cells: tuple[str, ...]) -> None:
-    write_file(store / "draining.json", msgspec.json.encode(cells))
-
-
-def pending_migrations(moves: list[Migration]) -> list[Migration]:
-    """Those to be carried on; one that is undone gave way to its undoing, and its record ends as it was."""
-    undone = {m.id.removesuffix("-undo") for m in moves if m.undone}
-    return [m for m in moves if m.step is not MigrationStep.DONE and m.id not in undone]
-
-
-def tenant_cells(moves: list[Migration], placed: CellPlacement) -> dict[str, str]:
-    """Where each tenant that is named or was moved lives, or is on its way to."""
-    out = dict(placed.cell_by_tenant)
-    for move in sorted(moves, key=lambda m: m.gen):
-        out[move.tenant] = move.target
-    return out
-
-
-def plan_cell_drain(
-    cell: str, moves: list[Migration], placed: CellPlacement, shut: tuple[str, ...]
-) -> dict[str, str]:
-    """A new cell for each tenant of one: dealt to the cell with fewest for its workers. Raises ValueError."""
-    now = tenant_cells(moves, placed)
-    others = [c for c in placed.cells if c != cell and c not in shut]
-    if not others:
-        raise ValueError(f"no other cell takes the tenants of {cell}; end the draining of one")
-    load = {c: sum(x == c for x in now.values()) / len(placed.replicas_of(c)) for c in others}
-    out = {}
-    for tenant in sorted((t for t, c in now.items() if c == cell), key=lambda t: (stable_hash(t), t)):
-        best = min(others, key=lambda c: (load[c], c))
-        load[best] += 1 / len(placed.replicas_of(best))
-        out[tenant] = best
-    return out
-
-
-def create_migrations(store: Path, settings: Settings, tenants: Mapping[str, str]) -> list[Migration]:
-    """Makes and keeps a record for each tenant, by its new cell. Raises ValueError, and then none is made."""
-    placed, shut = settings.fleet.placement, load_draining_cells(store)
-    assert placed is not None
-    moves = load_migrations(store)
-    out = []
-    for n, (tenant, to) in enumerate(tenants.items()):
-        if to not in placed.cells:
-            raise ValueError(f"no cell {to!r}; the placement has {', '.join(placed.cells)}")
-        if to in shut:
-            raise ValueError(f"cell {to} is draining and takes no tenants; move {tenant} elsewhere")
-        last = max((m for m in moves if m.tenant == tenant), key=lambda m: m.gen, default=None)
-        if last is not None and last.step is not MigrationStep.DONE:
-            raise ValueError(f"tenant {tenant} is on its way by move {last.id}; undo that first")
-        source, gen = (last.target, last.gen) if last else (placed.home_cell(tenant), 1)
-        if source == to:
-            raise ValueError(f"tenant {tenant} lives in {to}")
-        out.append(Migration(f"{len(moves) + n:06d}-{gen + 1}", tenant, source, to, gen + 1))
-    for move in out:
-        save(store, move)
-    return out
-
-
-def undo_migration(store: Path, id: str) -> Migration:
-    """Raises ValueError where that can't be."""
-    known = {m.id: m for m in load_migrations(store)}
-    if id not in known:
-        raise ValueError(f"no move {id}; known are {', '.join(sorted(known)) or 'none'}")
-    back = known[id].undo()
-    if back.id not in known:
-        save(store, back)
-    return known.get(back.id, back)
-
-
 class MigrationRunner:
-    """`told` hears of each change of a record, with what it waits for."""
-
-    def __init__(self, settings: Settings, store: Path, on_change: Callable[[Migration, str], None]) -> None:
-        assert settings.fleet.placement is not None
-        self.settings, self.store, self.on_change = settings, store, on_change
-        self.placement = settings.fleet.placement
-        self.governors = tuple(g.name for g in settings.governors)
-        self.cells = {c: tuple(sorted(self.placement.replicas_of(c))) for c in self.placement.cells}
-        self.fencing_wait_us = self.placement.lease_us + self.placement.settle_us
+    """Runs migrations; owned by the command that started it, which holds the lock of the record store."""
+
+    def __init__(self, settings: Settings, folder: Path, on_change: Callable[[Migration, str], None]) -> None:
+        """Create a runner.
+
+        Args:
+            settings: The fleet with its placement.
+            folder: The record store.
+            on_change: Called with a migration and what it waits for, whenever that changes.
+        """
+        placement = settings.fleet.placement
+        assert placement is not None
+        self._settings = settings
+        self._folder = folder
+        self._on_change = on_change
+        self._governors = tuple(governor.name for governor in settings.governors)
+        self._replicas_by_cell = {
+            cell: tuple(sorted(placement.replicas_of(cell))) for cell in placement.cells
+        }
+        self._fencing_wait_us = placement.lease_us + placement.settle_us
+        # By the name of a governor or the address of a replica.
         self._clients = {
-            g.name: HttpClient(*g.listen_address, connect_timeout_s=0.5) for g in settings.governors
+            governor.name: HttpClient(*governor.listen_address, connect_timeout_s=CONNECT_TIMEOUT_S)
+            for governor in settings.governors
         }
-        self._addresses: dict[str, str] = {}
-        self._room = asyncio.Semaphore(MAX_CONCURRENT_MIGRATIONS)
+        self._replica_addresses: dict[str, str] = {}
+        self._slots = asyncio.Semaphore(MAX_CONCURRENT_MIGRATIONS)
 
-    async def run(self, moves: list[Migration]) -> list[Migration]:
-        """All of them to their end or a conflict; one that is undone meanwhile gives way to its undoing."""
-        follow = asyncio.ensure_future(self._roster())
+    async def run(self, migrations: list[Migration]) -> list[Migration]:
+        """Carry all of them to their end or a conflict; one undone meanwhile gives way to its undo."""
+        following = asyncio.ensure_future(self._follow_endpoint_list())
         try:
-            return list(await asyncio.gather(*(self._one(m) for m in moves)))
+            return list(await asyncio.gather(*(self._run_in_slot(m) for m in migrations)))
         finally:
-            follow.cancel()
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
             for client in self._clients.values():
                 client.close()
 
-    async def _one(self, move: Migration) -> Migration:
-        async with self._room:
-            said, pause = "", MIN_RETRY_DELAY_S
-            while move.step is not MigrationStep.DONE and not move.conflict:
-                if not move.undone and (self.store / f"{move.id}-undo.move").exists():
-                    self.on_change(move, "undone")
-                    return move
-                step = move.step
-                answers = await asyncio.gather(
-                    *(self._say(to, move) for to in move.pending_recipients(self.governors, self.cells))
-                )
-                after = move
-                for answer in answers:
-                    if answer is not None:
-                        after = after.acknowledged(monotonic_us(), answer, self.governors)
-                after = after.advance(monotonic_us(), self.governors, self.cells, self.fencing_wait_us)
-                if after.restarted() != move.restarted():  # what is not kept needs no keeping
-                    save(self.store, after)  # before anything of a new step is sent
-                    pause = MIN_RETRY_DELAY_S
-                move = after
-                waits = move.describe_wait(monotonic_us(), self.governors, self.cells, self.fencing_wait_us)
-                if waits != said:
-                    said = waits
-                    self.on_change(move, waits)
-                if move.step is step and move.step is not MigrationStep.DONE:
-                    await asyncio.sleep(min(pause, self._wait(move)))
-                    pause = min(MAX_RETRY_DELAY_S, 2 * pause)
-            return move
-
-    def _wait(self, move: Migration) -> float:
-        """Seconds until the lease and settle time are over, where only they are still waited for."""
-        left = (
-            (move.since + self.fencing_wait_us - monotonic_us()) / 1e6
-            if move.since >= 0
-            else MAX_RETRY_DELAY_S
-        )
-        return left + 0.01 if left > 0 else MIN_RETRY_DELAY_S
-
-    async def _say(self, to: str, move: Migration) -> AssignmentAck | None:
-        """One word to a governor or worker; None where no answer came."""
-        target = "/v1/cells/word" if to in self.governors else "/cell/word"
-        # By address: one that came back elsewhere was asked where it had been, to the end of the move.
-        where = to if to in self.governors else self._addresses.get(to, "")
+    async def _run_in_slot(self, migration: Migration) -> Migration:
+        async with self._slots:
+            return await self._run_migration(migration)
+
+    async def _run_migration(self, migration: Migration) -> Migration:
+        described_wait = ""
+        retry_delay_s = MIN_RETRY_DELAY_S
+        while migration.step is not MigrationStep.DONE and not migration.conflict:
+            if self._is_undone(migration):
+                self._on_change(migration, "undone")
+                return migration
+            before = migration
+            migration = await self._run_round(before)
+            if migration.restarted() != before.restarted():
+                retry_delay_s = MIN_RETRY_DELAY_S
+            wait = migration.describe_wait(
+                monotonic_us(), self._governors, self._replicas_by_cell, self._fencing_wait_us
+            )
+            if wait != described_wait:
+                described_wait = wait
+                self._on_change(migration, wait)
+            if migration.step is before.step:
+                await asyncio.sleep(min(retry_delay_s, self._fencing_delay_s(migration)))
+                retry_delay_s = min(MAX_RETRY_DELAY_S, 2 * retry_delay_s)
+        return migration
+
+    async def _run_round(self, migration: Migration) -> Migration:
+        """Notify all that have yet to confirm, and take what their answers allow."""
+        recipients = migration.pending_recipients(self._governors, self._replicas_by_cell)
+        answers = await asyncio.gather(*(self._notify(name, migration) for name in recipients))
+        after = migration
+        for ack in answers:
+            if ack is not None:
+                after = after.acknowledged(monotonic_us(), ack, self._governors)
+        after = after.advance(monotonic_us(), self._governors, self._replicas_by_cell, self._fencing_wait_us)
+        # The time of the last confirmation is not used after a restart and needs no writing.
+        if after.restarted() != migration.restarted():
+            save_migration(self._folder, after)  # before anything of a new step is sent
+        return after
+
+    def _is_undone(self, migration: Migration) -> bool:
+        return not migration.is_undo and migration_path(self._folder, migration.id + UNDO_SUFFIX).exists()
+
+    def _fencing_delay_s(self, migration: Migration) -> float:
+        """Time until lease and settle time are over, where only they are still waited for."""
+        if migration.governors_confirmed_us < 0:
+            return MAX_RETRY_DELAY_S + TIMER_MARGIN_S
+        end_us = migration.governors_confirmed_us + self._fencing_wait_us
+        remaining_s = (end_us - monotonic_us()) / 1e6
+        return remaining_s + TIMER_MARGIN_S if remaining_s > 0 else MIN_RETRY_DELAY_S
+
+    async def _notify(self, recipient: str, migration: Migration) -> AssignmentAck | None:
+        """Send the assignment to a governor or replica; None where no usable answer came."""
+        is_governor = recipient in self._governors
         try:
-            client = self._clients.get(where) or HttpClient(*parse_address(where), connect_timeout_s=0.5)
+            client = self._governor_client(recipient) if is_governor else self._replica_client(recipient)
         except ValueError:
             return None
-        self._clients[where] = client
         try:
             response = await client.request(
-                "POST", target, msgspec.json.encode(move.assignment()), timeout_s=1.0
+                "POST",
+                GOVERNOR_PATH if is_governor else REPLICA_PATH,
+                msgspec.json.encode(migration.assignment()),
+                timeout_s=NOTIFY_TIMEOUT_S,
             )
-            if response.status == 200:
-                answer: AssignmentAck = msgspec.json.decode(response.body, type=AssignmentAck)
-                return answer
+            if response.status != 200:
+                return None
+            ack: AssignmentAck = msgspec.json.decode(response.body, type=AssignmentAck)
         except QUERY_ERRORS:
-            pass
-        return None
-
-    async def _roster(self) -> None:
-        """Where workers are reached; the last list stands while the roster does not answer."""
-        client = HttpClient(*self.settings.fleet.endpoint_list_address)
-        zone = self.settings.governors[0].zone
-        while True:
-            if (entries := await fetch_endpoints(client, zone)) is not None:
-                self._addresses = {e.replica: e.address or e.replica for e in entries}
-            await asyncio.sleep(1.0)
+            return None
+        return ack
+
+    def _governor_client(self, name: str) -> HttpClient:
+        return self._clients[name]
+
+    def _replica_client(self, name: str) -> HttpClient:
+        """The connection to a replica's present address. Raises ValueError for an address that is none.
+
+        Kept by address and not by name: a replica that came back elsewhere was otherwise asked where it had
+        been, to the end of the migration.
+        """
+        address = self._replica_addresses.get(name, "")
+        if address not in self._clients:
+            self._clients[address] = HttpClient(*parse_address(address), connect_timeout_s=CONNECT_TIMEOUT_S)
+        return self._clients[address]
+
+    async def _follow_endpoint_list(self) -> None:
+        """Keep the addresses of replicas; the last list stands while the endpoint list does not answer."""
+        client = HttpClient(*self._settings.fleet.endpoint_list_address)
+        zone = self._settings.governors[0].zone
+        try:
+            while True:
+                endpoints = await fetch_endpoints(client, zone)
+                if endpoints is not None:
+                    self._replica_addresses = {e.replica: e.address or e.replica for e in endpoints}
+                await asyncio.sleep(ENDPOINT_LIST_INTERVAL_S)
+        finally:
+            client.close()
--- a/gradehoist/testbed/replica.py
+++ b/gradehoist/testbed/replica.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from gradehoist.cells.migration import ReplicaFence, TenantAssignment, WriteDecision
+from gradehoist.cells.assignment import ReplicaFence, TenantAssignment, WriteDecision
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response
 from gradehoist.protocol import http, orca
 from gradehoist.testbed import scenario_plan as p
--- /dev/null
+++ b/tests/support/cell_fleet.py
@@ -0,0 +1,25 @@
+"""A simulated governor and its proxies with cells."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from gradehoist.settings.fleet import CellPlacement
+from tests.support.governed_fleet import World
+
+
+def fleet_with_cells(
+    cell_count: int, proxy_count: int, replica_count: int, queue: int = 40_000, rate: int = 20_000
+) -> World:
+    """Cells that hold pairs of replicas in turn; the tenant "big" lives in `c1`."""
+    found = World(relays=proxy_count, replicas=replica_count, queue=queue, rate=rate)
+    cells = tuple(f"c{n}" for n in range(cell_count))
+    placement = CellPlacement(
+        cells=cells,
+        cell_by_replica={f"w{n}": cells[n // 2 % cell_count] for n in range(replica_count)},
+        cell_by_tenant={"big": "c1"},
+    )
+    fleet = dataclasses.replace(found.settings.fleet, placement=placement)
+    found.settings = dataclasses.replace(found.settings, fleet=fleet)
+    found.begin("cells")
+    return found
--- a/tests/test_boundary_values.py
+++ b/tests/test_boundary_values.py
@@ -16,6 +16,7 @@
 from gradehoist.governor.channel import Channel
 from gradehoist.governor.load_reports import LoadReportQueue
 from gradehoist.identifiers import Identifiers
+from gradehoist.interface import ChannelLimits
 from gradehoist.protocol import feed, orca
 from tests.support.policy_fleet import ANY, LOCAL, SECOND, World, entry, running, start
 
@@ -190,7 +191,14 @@
     assert channel.put(0, 7, 1, message) == "the proxy has left"
     door = RateLimiter(RateLimits(0.001, 0.001, 0.1))
     assert door.admit(0, "", "") is None and door.admit(-HOUR, "", "") and door.admit(2**60, "", "") is None
-    budget = ChannelShares(1, 1.0, 1.0, 0, 0.0, 1)
+    channel_limits = ChannelLimits(
+        queue_limit_lines=1.0,
+        lines_per_s=1.0,
+        message_overhead_lines=0.0,
+        messages_per_window=0,
+        message_window_us=SECOND,
+    )
+    budget = ChannelShares(1, channel_limits, 1)
     assert (
         budget.available_lines(0, 0.0) >= 0
         and budget.available_lines(10**6, 1e9) == 0
--- a/tests/test_delivery_queue.py
+++ b/tests/test_delivery_queue.py
@@ -12,11 +12,19 @@
 from gradehoist.governor.policy_instances import PolicyInstance
 from gradehoist.governor.tables import PublishedTables
 from gradehoist.identifiers import Identifiers
+from gradehoist.interface import ChannelLimits
 from gradehoist.protocol import feed
+from tests.support.cell_fleet import fleet_with_cells
 from tests.support.governed_fleet import SECOND, entry
-from tests.test_cells import world
 
 CELLS, CLASSES, RELAYS = 4, 2, 3
+CHANNEL = ChannelLimits(
+    queue_limit_lines=1000,
+    lines_per_s=1000,
+    message_overhead_lines=4.0,
+    messages_per_window=20,
+    message_window_us=10 * SECOND,
+)
 
 
 class Play:
@@ -30,7 +38,9 @@
         self.tables = PublishedTables(self.names, 4.0, route)
         self.parts = [PolicyInstance(n, f"c{n}", CLASSES) for n in range(CELLS)]
         self.ledger = DeliveryQueue(
-            self.tables, self.parts, ChannelShares(CELLS, 1000, 1000, 20, 4.0, 2 * SECOND)
+            self.tables,
+            self.parts,
+            ChannelShares(CELLS, CHANNEL, 2 * SECOND),
         )
         self.held = [feed.ProxyState() for _ in range(RELAYS)]
         for n in range(CELLS * 3):
@@ -133,7 +143,7 @@
 
 def test_a_drain_goes_at_once_while_every_cell_s_lines_crowd_the_channel() -> None:
     """Forty relays, twelve cells, a channel of 600 lines a second, all relays still being bound."""
-    w = world(12, 40, 48, queue=2_000, rate=600)
+    w = fleet_with_cells(12, 40, 48, queue=2_000, rate=600)
     w.dial()
     w.run(5)
     assert any(len(r.holdings.table_by_class) < 24 for r in w.relays)  # still bound, one after the other
@@ -147,7 +157,7 @@
 
 
 def test_a_relay_the_modules_have_not_heard_of_hears_of_a_drain_and_leaves_without_an_event() -> None:
-    w = world(12, 40, 48, queue=2_000, rate=300)
+    w = fleet_with_cells(12, 40, 48, queue=2_000, rate=300)
     w.dial()
     w.run(3)
     gone, *strange = w.core._unintroduced
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -16,7 +16,7 @@
 
 from gradehoist import interface
 from gradehoist.capacity_planning import planner
-from gradehoist.cells import migration, rate_limits, rollout
+from gradehoist.cells import assignment, migration, rate_limits, rollout
 from gradehoist.coordination import agent, members
 from gradehoist.governor import openapi, service
 from gradehoist.history import records
@@ -193,7 +193,7 @@
     limits=scenario_plan.Limits(cell=1.0, tenant=2.0, burst=3.0, held=4),
     even=True,
 )
-WORD = migration.TenantAssignment(
+WORD = assignment.TenantAssignment(
     tenant="inn", generation=3, migration_id="000001-3", cell="B", completed_keys=frozenset({"k1"})
 )
 MOVE = migration.Migration(
@@ -201,30 +201,30 @@
     tenant="inn",
     source="A",
     target="B",
-    gen=3,
+    generation=3,
     step=migration.MigrationStep.OPEN,
-    fenced=False,
-    known=frozenset({"a"}),
-    shut=frozenset({"a1"}),
-    keys=frozenset({"k1"}),
-    since=8,
-    undone=True,
+    must_close_source=False,
+    confirmed_governors=frozenset({"a"}),
+    confirmed_replicas=frozenset({"a1"}),
+    completed_keys=frozenset({"k1"}),
+    governors_confirmed_us=8,
+    is_undo=True,
     conflict="b holds generation 4",
 )
-SEEN = rollout.TrafficCounts(came=40, unanswered=1, good=39, elapsed=7_800_000)
+SEEN = rollout.TrafficCounts(requests=40, incomplete=1, successes=39, elapsed_us=7_800_000)
 RELEASE = rollout.Rollout(
     id="000002",
     cells=("A", "B"),
-    workers={"A": ("a1", "a2"), "B": ("b1",)},
-    batch=1,
-    run="renew {worker}",
-    back="put-back {worker}",
-    at=1,
+    replicas={"A": ("a1", "a2"), "B": ("b1",)},
+    batch_size=1,
+    command="renew {worker}",
+    rollback_command="put-back {worker}",
+    cell_index=1,
     step=rollout.RolloutStep.ROLL_BACK,
-    touched=frozenset({"b1"}),
-    renewed=frozenset({"a1"}),
-    why="harm",
-    before={"A": SEEN},
+    started_replicas=frozenset({"b1"}),
+    updated_replicas=frozenset({"a1"}),
+    halt_reason="harm",
+    baseline={"A": SEEN},
 )
 PLACEMENT = CellPlacement(
     cells=("A", "B"),
@@ -233,7 +233,13 @@
     cell_by_range=("A", "B"),
     lease_us=1,
     settle_us=2,
-    limits=rate_limits.RateLimits(cell=1.0, tenant=2.0, burst=3.0, held=4, cell_held=5),
+    limits=rate_limits.RateLimits(
+        cell_rate_per_s=1.0,
+        tenant_rate_per_s=2.0,
+        burst_s=3.0,
+        tenant_in_flight_limit=4,
+        cell_in_flight_limit=5,
+    ),
 )
 
 VALUES: dict[str, Any] = {
@@ -307,14 +313,14 @@
     # Tenants: placement, words to governors and workers, records of moves and releases
     "placement": PLACEMENT,
     "word": WORD,
-    "confirm": migration.AssignmentAck(
+    "confirm": assignment.AssignmentAck(
         sender="a", assignment=WORD, has_writes_in_flight=True, completed_keys=frozenset({"k2"})
     ),
     "move": MOVE,
-    "shortest move": migration.Migration(id="000000-2", tenant="inn", source="A", target="B", gen=2),
+    "shortest move": migration.Migration(id="000000-2", tenant="inn", source="A", target="B", generation=2),
     "release": RELEASE,
     "shortest release": rollout.Rollout(
-        id="000001", cells=("A",), workers={"A": ("a1",)}, batch=1, run="renew"
+        id="000001", cells=("A",), replicas={"A": ("a1",)}, batch_size=1, command="renew"
     ),
     # Plans for events, plans and verdicts of scripted days
     "plan of an event": planner.Plan(
@@ -400,7 +406,7 @@
     ("states", "words"),
     [
         (migration.MigrationStep, ["shut", "open", "done"]),
-        (migration.WriteDecision, ["take", "known", "busy", "moved", "no lease"]),
+        (assignment.WriteDecision, ["take", "known", "busy", "moved", "no lease"]),
         (rollout.RolloutStep, ["renew", "soak", "done", "putting back", "halted"]),
         (interface.Phase, ["ready", "draining", "gone"]),
         (interface.Idempotency, ["free", "guarded", "single"]),
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -17,7 +17,7 @@
 import pytest
 
 from gradehoist.governor.service import GovernorService
-from gradehoist.migration.runner import load_migrations
+from gradehoist.migration.records import load_migrations
 from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http
 from gradehoist.scenario import definition
--- a/tests/test_known_limits.py
+++ b/tests/test_known_limits.py
@@ -13,7 +13,7 @@
 import psutil
 import pytest
 
-from gradehoist.cells.migration import ReplicaFence
+from gradehoist.cells.assignment import ReplicaFence
 from gradehoist.governor.policy_process import PolicyProcess
 from gradehoist.governor.service import GovernorService
 from gradehoist.scenario import definition
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,14 +1,11 @@
-"""Staged releases: harm is told from a rush and from chance, and a runner that is killed goes on."""
+"""Staged rollouts: a regression is told from a surge and from chance, and a killed runner goes on."""
 
 from __future__ import annotations
 
-import asyncio
 import random
-from collections import Counter
-from collections.abc import Callable
-from dataclasses import replace
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from gradehoist.cells.rollout import (
@@ -18,204 +15,198 @@
     are_other_cells_stable,
     describe_regression,
 )
-from gradehoist.migration import rollout as releasing
-from gradehoist.net.server import Connection, HttpServer, ServerResponse, json_response
-from gradehoist.protocol import feed, http
-from gradehoist.scenario.definition import ports
-from gradehoist.settings.fleet import CellPlacement
-from tests.support.governed_fleet import on_sockets
+from gradehoist.migration import rollout as rollout_module
+from gradehoist.migration.records import load_rollout, save_rollout
+from tests.support.rollout_site import ALL_REPLICAS, LATENCY_US, REPLICAS_BY_CELL, RolloutSite
+
+
+def counts(requests: int, failure_rate: float, latency_ms: float = 200.0) -> TrafficCounts:
+    successes = requests - round(requests * failure_rate)
+    return TrafficCounts(
+        requests=requests,
+        incomplete=requests - successes,
+        successes=successes,
+        elapsed_us=round(successes * latency_ms * 1e3),
+    )
 
-CELLS = {"A": ("a1", "a2"), "B": ("b1", "b2"), "C": ("c1", "c2")}
-LOCAL = "127.0.0.1"
 
+BASELINE = {cell: counts(400, 0.01) for cell in REPLICAS_BY_CELL}
+SURGE = {cell: counts(300, 0.12) for cell in REPLICAS_BY_CELL}
+ALL_SLOW = {cell: counts(300, 0.01, 400) for cell in REPLICAS_BY_CELL}
 
-def seen(came: int, failing: float, ms: float = 200.0) -> TrafficCounts:
-    good = came - round(came * failing)
-    return TrafficCounts(came, came - good, good, round(good * ms * 1e3))
 
+@pytest.mark.parametrize(
+    ("current", "regression"),
+    [
+        ({**BASELINE, "A": counts(300, 0.12)}, "12.0% of 300 transactions of A"),
+        ({**SURGE, "A": counts(300, 0.5)}, "transactions of A were not answered"),
+        ({**BASELINE, "A": counts(300, 0.01, 400)}, "take 400 ms, 200 before"),
+    ],
+    ids=["more failures", "more failures than a surge brings", "slower"],
+)
+def test_a_regression_of_the_cell_is_described(current: dict[str, TrafficCounts], regression: str) -> None:
+    assert regression in describe_regression("A", BASELINE, current)
 
-def test_harm_is_the_cell_s_own_and_more_than_chance() -> None:
-    usual = {c: seen(400, 0.01) for c in CELLS}
-    assert "12.0% of 300 transactions of A" in describe_regression(
-        "A", usual, {**usual, "A": seen(300, 0.12)}
-    )
-    assert not describe_regression("A", usual, {**usual, "B": seen(300, 0.5)})
-    assert not describe_regression("A", usual, {c: seen(300, 0.12) for c in CELLS})  # a rush over all
-    assert describe_regression("A", usual, {**{c: seen(300, 0.12) for c in CELLS}, "A": seen(300, 0.5)})
-    assert not describe_regression("A", usual, {**usual, "A": seen(30, 1.0)})  # too few to say
-    slow = {**usual, "A": seen(300, 0.01, 400)}
-    assert "take 400 ms, 200 before" in describe_regression("A", usual, slow)
-    assert not describe_regression("A", usual, {c: seen(300, 0.01, 400) for c in CELLS})
-    assert are_other_cells_stable("A", usual, slow) and not are_other_cells_stable(
-        "A", usual, {**usual, "C": seen(300, 0.2)}
-    )
+
+@pytest.mark.parametrize(
+    "current",
+    [{**BASELINE, "B": counts(300, 0.5)}, SURGE, {**BASELINE, "A": counts(30, 1.0)}, ALL_SLOW],
+    ids=["another cell fails", "a surge over all", "too few requests", "all are slower"],
+)
+def test_what_is_not_the_cell_s_own_is_no_regression(current: dict[str, TrafficCounts]) -> None:
+    assert not describe_regression("A", BASELINE, current)
 
 
-def test_chance_alone_halts_hardly_ever() -> None:
-    dice = random.Random(5)
-
-    def draw(came: int) -> TrafficCounts:
-        bad = sum(dice.random() < 0.03 for _ in range(came))
-        return TrafficCounts(came, bad, came - bad, (came - bad) * 200_000)
-
-    days = [({c: draw(200) for c in CELLS}, {c: draw(200) for c in CELLS}) for _ in range(400)]
-    assert sum(bool(describe_regression("A", *day)) for day in days) <= 1
-
-
-class Site:
-    """A governor that counts, a roster whose workers have lives, and a command that renews by touching a
-    file. `bad`: the workers whose new life fails half of its cell's work."""
-
-    def __init__(self, folder: Path, bad: tuple[str, ...] = (), returns: bool = True) -> None:
-        self.patience = 20.0 if returns else 0.5
-        self.folder, self.bad, self.returns = folder, bad, returns
-        roster, port = self.ports = ports(2)
-        self.counts = {c: Counter(came=0, unanswered=0, tries=0, bad=0, elapsed=0) for c in CELLS}
-        workers = {w: c for c, ws in CELLS.items() for w in ws}
-        self.settings = on_sockets(folder, roster, port, CellPlacement(tuple(CELLS), workers))
-        self.said: list[str] = []
-        self.silent = 0  # calls that the roster does not answer
-        self.deaf: Callable[[], bool] = lambda: False
-
-    def renewed(self) -> list[str]:
-        path = self.folder / "renewed"
-        return path.read_text().split() if path.exists() else []
-
-    async def roster(self, request: http.Request, connection: Connection) -> ServerResponse:
-        if self.silent > 0:
-            self.silent -= 1
-            return ServerResponse(503)
-        lives = self.renewed() if self.returns else []
-        return json_response(
-            feed.EndpointListUpdate(
-                "l",
-                1,
-                tuple(
-                    feed.EndpointRecord(w, "x", incarnation=f"{w}/{lives.count(w)}")
-                    for ws in CELLS.values()
-                    for w in ws
-                ),
-                True,
-            )
-        )
+def test_other_cells_are_stable_unless_they_fail() -> None:
+    assert are_other_cells_stable("A", BASELINE, {**BASELINE, "A": counts(300, 0.01, 400)})
+    assert not are_other_cells_stable("A", BASELINE, {**BASELINE, "C": counts(300, 0.2)})
+
 
-    async def status(self, request: http.Request, connection: Connection) -> ServerResponse:
-        if self.deaf():
-            return ServerResponse(503)
-        for cell, count in self.counts.items():
-            hurt = bool(set(CELLS[cell]) & set(self.bad) & set(self.renewed()))
-            count.update(Counter(came=60, unanswered=30 * hurt, tries=60, elapsed=60 * 200_000))
-        return json_response({"epoch": "e", "cells": self.counts})
-
-    def tell(self, release: Rollout, text: str) -> None:
-        self.said.append(text)
-
-    def play(self, release: Rollout) -> Rollout:
-        async def work() -> Rollout:
-            servers = [HttpServer(self.roster), HttpServer(self.status)]
-            for server, port in zip(servers, self.ports, strict=True):
-                server.listen(port, LOCAL)
-            runner = releasing.RolloutRunner(self.settings, self.folder, 0.3, self.patience, self.tell)
-            try:
-                return await asyncio.wait_for(runner.run(release), 30)
-            finally:
-                for server in servers:
-                    server.abort()
-
-        return asyncio.run(work())
-
-    def release(self) -> Rollout:
-        command = f"/bin/sh -c 'echo {{worker}} >> {self.folder}/{{}}'"
-        return Rollout(
-            "000001",
-            tuple(CELLS),
-            CELLS,
-            1,
-            command.replace("{}", "renewed", 1),
-            command.replace("{}", "back", 1),
+def test_chance_alone_hardly_ever_halts() -> None:
+    generator = random.Random(5)
+
+    def sample(requests: int) -> TrafficCounts:
+        failed = sum(generator.random() < 0.03 for _ in range(requests))
+        successes = requests - failed
+        return TrafficCounts(
+            requests=requests, incomplete=failed, successes=successes, elapsed_us=successes * LATENCY_US
         )
 
+    days = [
+        ({c: sample(200) for c in REPLICAS_BY_CELL}, {c: sample(200) for c in REPLICAS_BY_CELL})
+        for _ in range(400)
+    ]
+
+    assert sum(bool(describe_regression("A", before, now)) for before, now in days) <= 1
+
 
 @pytest.fixture(autouse=True)
-def quick(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(releasing, "LOOK", 0.05)
+def _frequent_polls(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(rollout_module, "POLL_INTERVAL_S", 0.05)
+
+
+def test_a_good_version_updates_cell_after_cell_and_each_replica_once(tmp_path: Path) -> None:
+    site = RolloutSite(tmp_path)
+
+    assert site.run(site.rollout()).step is RolloutStep.DONE
+
+    assert site.updated() == ["a1", "a2", "b1", "b2", "c1", "c2"]
 
 
-def test_a_good_release_renews_cell_after_cell_each_worker_once(tmp_path: Path) -> None:
-    site = Site(tmp_path)
-    assert site.play(site.release()).step is RolloutStep.DONE
-    assert site.renewed() == ["a1", "a2", "b1", "b2", "c1", "c2"]
+def test_a_bad_version_halts_in_its_cell_and_touched_replicas_are_restored(tmp_path: Path) -> None:
+    site = RolloutSite(tmp_path, faulty=("b1",))
 
+    ended = site.run(site.rollout())
 
-def test_a_bad_one_halts_in_its_cell_and_what_was_touched_is_put_back(tmp_path: Path) -> None:
-    site = Site(tmp_path, bad=("b1",))
-    ended = site.play(site.release())
-    assert ended.step is RolloutStep.HALTED and "transactions of B were not answered" in ended.why
-    assert site.renewed()[:3] == ["a1", "a2", "b1"] and "c1" not in site.renewed()
-    put_back = (tmp_path / "back").read_text().split()
-    assert "b1" in put_back and set(put_back) <= {"b1", "b2"}
-    assert releasing.load_rollout(tmp_path) == ended
+    assert ended.step is RolloutStep.HALTED
+    assert "transactions of B were not answered" in ended.halt_reason
+    assert site.updated()[:3] == ["a1", "a2", "b1"]
+    assert "c1" not in site.updated()
+    assert "b1" in site.restored()
+    assert set(site.restored()) <= {"b1", "b2"}
+    assert load_rollout(tmp_path) == ended
 
 
 @pytest.mark.parametrize("step", [RolloutStep.UPDATE, RolloutStep.ROLL_BACK])
-def test_killed_in_a_harmed_cell_it_knows_what_was_usual_and_puts_back(
+def test_killed_in_an_affected_cell_it_keeps_its_baseline_and_restores(
     tmp_path: Path, step: RolloutStep
 ) -> None:
-    """Begun again it took the harmed cell for the usual; killed while it put back it left the rest."""
+    """Started again it took the affected cell for the baseline; killed while it restored it left the rest."""
     (tmp_path / "renewed").write_text("b1\n")
-    usual = {c: TrafficCounts(600, 0, 600, 600 * 200_000) for c in CELLS}
-    site = Site(tmp_path, bad=("b1",))
-    ended = site.play(replace(site.release(), at=1, step=step, touched=frozenset({"b1"}), before=usual))
-    assert ended.step is RolloutStep.HALTED and (tmp_path / "back").read_text().split()[0] == "b1"
-    assert "c1" not in site.renewed()
+    site = RolloutSite(tmp_path, faulty=("b1",))
+    killed = msgspec.structs.replace(
+        site.rollout(),
+        cell_index=1,
+        step=step,
+        started_replicas=frozenset({"b1"}),
+        baseline={cell: counts(600, 0.0) for cell in REPLICAS_BY_CELL},
+    )
+
+    ended = site.run(killed)
+
+    assert ended.step is RolloutStep.HALTED
+    assert site.restored()[0] == "b1"
+    assert "c1" not in site.updated()
 
 
 def test_while_a_governor_is_silent_no_further_cell_is_begun(tmp_path: Path) -> None:
-    site = Site(tmp_path)
-    site.deaf = lambda: "a2" in site.renewed() and not any("nobody can say" in x for x in site.said)
-    assert site.play(site.release()).step is RolloutStep.DONE
-    waited = next(n for n, x in enumerate(site.said) if "nobody can say" in x)
-    assert waited < next(n for n, x in enumerate(site.said) if "B: renews b1" in x)
+    site = RolloutSite(tmp_path)
+
+    def was_held() -> bool:
+        return any("nobody can say" in message for message in site.messages)
+
+    site.is_governor_silent = lambda: "a2" in site.updated() and not was_held()
 
+    assert site.run(site.rollout()).step is RolloutStep.DONE
 
-def test_a_worker_that_does_not_return_and_a_command_that_fails_halt_it(tmp_path: Path) -> None:
-    site = Site(tmp_path, returns=False)
-    ended = site.play(site.release())
-    assert ended.step is RolloutStep.HALTED and ended.why == "a1 did not come back within 0.5 s"
-    for command, code in (("/bin/sh -c 'exit 3'", 3), ("/no/such/command {worker}", 127)):
-        ended = site.play(Rollout("000002", ("A",), CELLS, 1, command))
-        assert ended.why == f"the command for a1 ended with {code}"
+    held = next(n for n, message in enumerate(site.messages) if "nobody can say" in message)
+    next_cell = next(n for n, message in enumerate(site.messages) if "B: renews b1" in message)
+    assert held < next_cell
 
 
-def test_killed_after_any_record_it_goes_on_where_it_was(tmp_path: Path) -> None:
-    whole = Site(tmp_path)
+def test_a_replica_that_does_not_return_halts_the_rollout(tmp_path: Path) -> None:
+    site = RolloutSite(tmp_path, returns=False)
+
+    ended = site.run(site.rollout())
+
+    assert ended.step is RolloutStep.HALTED
+    assert ended.halt_reason == "a1 did not come back within 0.5 s"
+
+
+@pytest.mark.parametrize(
+    ("command", "code"), [("/bin/sh -c 'exit 3'", 3), ("/no/such/command {worker}", 127)]
+)
+def test_a_command_that_fails_halts_the_rollout(tmp_path: Path, command: str, code: int) -> None:
+    site = RolloutSite(tmp_path, returns=False)
+    rollout = Rollout(id="000002", cells=("A",), replicas=REPLICAS_BY_CELL, batch_size=1, command=command)
+
+    assert site.run(rollout).halt_reason == f"the command for a1 ended with {code}"
+
+
+def test_killed_after_any_record_it_goes_on_where_it_was(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     records: list[Rollout] = []
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(releasing, "save", lambda store, record: records.append(record))
-        whole.play(whole.release())
+    with monkeypatch.context() as patch:
+        patch.setattr(rollout_module, "save_rollout", lambda folder, record: records.append(record))
+        whole = RolloutSite(tmp_path)
+        whole.run(whole.rollout())
     assert len(records) > 12
-    for n, record in enumerate(records[::5]):
-        folder = tmp_path / str(n)
+    for number, record in enumerate(records[::5]):
+        folder = tmp_path / str(number)
         folder.mkdir()
-        site = Site(folder)
-        (folder / "renewed").write_text(
-            "\n".join(w for c in CELLS.values() for w in c if w in record.touched) + "\n"
-        )
-        releasing.save(folder, record)
-        again = releasing.load_rollout(folder)
-        assert again == record
-        ended = site.play(replace(again, run=site.release().run, back=""))
-        assert ended.step is RolloutStep.DONE and ended.renewed == {w for c in CELLS.values() for w in c}
-        assert not set(site.renewed()) - ended.renewed
-        assert all(site.renewed().count(w) == 1 for w in record.renewed)
-
-
-@pytest.mark.parametrize(("silent", "why"), [(2, "a1 did not come back"), (999, "the roster did not answer")])
-def test_a_roster_that_is_silent_when_a_worker_goes_down_passes_for_no_return(
-    tmp_path: Path, silent: int, why: str
+        check_resumed(folder, record)
+
+
+def check_resumed(folder: Path, record: Rollout) -> None:
+    """A run from this record updates every other replica, and those already updated only once."""
+    site = RolloutSite(folder)
+    touched = [name for name in ALL_REPLICAS if name in record.started_replicas]
+    (folder / "renewed").write_text("\n".join(touched) + "\n")
+    save_rollout(folder, record)
+    loaded = load_rollout(folder)
+    assert loaded == record
+
+    resumed = msgspec.structs.replace(loaded, command=site.rollout().command, rollback_command="")
+    ended = site.run(resumed)
+
+    assert ended.step is RolloutStep.DONE
+    assert ended.updated_replicas == set(ALL_REPLICAS)
+    assert not set(site.updated()) - ended.updated_replicas
+    assert all(site.updated().count(name) == 1 for name in record.updated_replicas)
+
+
+@pytest.mark.parametrize(
+    ("unanswered", "reason"), [(2, "a1 did not come back"), (999, "the roster did not answer")]
+)
+def test_an_endpoint_list_that_is_silent_before_an_update_is_not_taken_for_a_return(
+    tmp_path: Path, unanswered: int, reason: str
 ) -> None:
-    site = Site(tmp_path, returns=False)
-    site.silent = silent
-    ended = site.play(site.release())
-    assert ended.step is RolloutStep.HALTED and why in ended.why
-    assert "a2" not in site.renewed()
+    site = RolloutSite(tmp_path, returns=False)
+    site.unanswered_list_requests = unanswered
+
+    ended = site.run(site.rollout())
+
+    assert ended.step is RolloutStep.HALTED
+    assert reason in ended.halt_reason
+    assert "a2" not in site.updated()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -19,7 +19,7 @@
 import psutil
 import pytest
 
-from gradehoist.cells.migration import TenantAssignment
+from gradehoist.cells.assignment import TenantAssignment
 from gradehoist.governor import policy_process as planning
 from gradehoist.governor.openapi import document
 from gradehoist.governor.service import GovernorService
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -19,7 +19,8 @@
 from click.testing import CliRunner, Result
 
 from gradehoist.capacity_planning.planner import Case, Plan, Served
-from gradehoist.cells.migration import AssignmentAck, Migration, MigrationStep, TenantAssignment
+from gradehoist.cells.assignment import AssignmentAck, TenantAssignment
+from gradehoist.cells.migration import Migration, MigrationStep
 from gradehoist.cells.rollout import Rollout, TrafficCounts
 from gradehoist.cells.rollout import RolloutStep as ReleaseStep
 from gradehoist.cli.cells import read as read_placement
@@ -34,14 +35,16 @@
 from gradehoist.history import linearizability, records
 from gradehoist.history.exactly_once import find_duplicate_effects, find_fencing_violations
 from gradehoist.migration import rollout as releasing
-from gradehoist.migration.runner import (
-    MigrationRunner,
+from gradehoist.migration.planning import pending_migrations
+from gradehoist.migration.records import (
     load_draining_cells,
     load_migrations,
-    pending_migrations,
-    save,
+    load_rollout,
     save_draining_cells,
+    save_migration,
+    save_rollout,
 )
+from gradehoist.migration.runner import MigrationRunner
 from gradehoist.net.client import HttpClient
 from gradehoist.net.coordination_client import CoordinationClient
 from gradehoist.protocol import feed
@@ -55,7 +58,8 @@
 from gradehoist.zones.evacuation import ZoneEvacuation
 from gradehoist.zones.health import HealthReport, ZoneObservation
 from gradehoist.zones.warmup_quota import QuotaAllocation
-from tests import test_migration_runner, test_rollout
+from tests.support.migration_site import MigrationSite
+from tests.support.rollout_site import RolloutSite
 
 DATA = Path(__file__).parent / "data"
 LOCAL = "127.0.0.1"
@@ -383,27 +387,35 @@
     tenant="inn",
     source="A",
     target="B",
-    gen=2,
+    generation=2,
     step=MigrationStep.DONE,
-    known=frozenset({"a"}),
-    shut=frozenset({"b1", "b2"}),
-    keys=frozenset({"k1"}),
+    confirmed_governors=frozenset({"a"}),
+    confirmed_replicas=frozenset({"b1", "b2"}),
+    completed_keys=frozenset({"k1"}),
 )
 SHUT = Migration(
     id="000001-3",
     tenant="inn",
     source="B",
     target="A",
-    gen=3,
+    generation=3,
     step=MigrationStep.CLOSE,
-    known=frozenset({"a"}),
-    shut=frozenset({"b1"}),
+    confirmed_governors=frozenset({"a"}),
+    confirmed_replicas=frozenset({"b1"}),
+)
+OPEN = Migration(
+    id="000002-2", tenant="hostel", source="A", target="B", generation=2, step=MigrationStep.OPEN
 )
-OPEN = Migration(id="000002-2", tenant="hostel", source="A", target="B", gen=2, step=MigrationStep.OPEN)
 UNDOING = Migration(
-    id="000003-2-undo", tenant="villa", source="B", target="A", gen=3, fenced=False, undone=True
+    id="000003-2-undo",
+    tenant="villa",
+    source="B",
+    target="A",
+    generation=3,
+    must_close_source=False,
+    is_undo=True,
 )
-UNDONE = Migration(id="000003-2", tenant="villa", source="A", target="B", gen=2)
+UNDONE = Migration(id="000003-2", tenant="villa", source="A", target="B", generation=2)
 
 
 def test_a_mover_s_records_are_read_with_their_steps() -> None:
@@ -447,7 +459,7 @@
 
 def test_a_mover_goes_on_from_its_stored_records_to_their_end(sample: Sample, tmp_path: Path) -> None:
     async def work() -> None:
-        store, site = sample("moves"), test_migration_runner.Site(tmp_path)
+        store, site = sample("moves"), MigrationSite(tmp_path)
         try:
             due = pending_migrations(load_migrations(store))
             ended = await MigrationRunner(site.settings, store, lambda move, waits: None).run(due)
@@ -458,7 +470,7 @@
             ("000002-2", MigrationStep.DONE),
             ("000003-2-undo", MigrationStep.DONE),
         ]
-        routes = {tenant: site.book.route(tenant, "A") for tenant in ("inn", "hostel", "villa")}
+        routes = {tenant: site.directory.route(tenant, "A") for tenant in ("inn", "hostel", "villa")}
         assert routes == {"inn": ("A", 3), "hostel": ("B", 2), "villa": ("A", 3)}
         assert pending_migrations(load_migrations(store)) == []
 
@@ -469,7 +481,7 @@
 def test_a_move_s_record_is_written_again_to_the_byte(tmp_path: Path, name: str) -> None:
     """Those of one name a set: sets have no order."""
     stored = (DATA / "moves" / f"{name}.move").read_bytes()
-    save(tmp_path, msgspec.json.decode(stored, type=Migration))
+    save_migration(tmp_path, msgspec.json.decode(stored, type=Migration))
     assert (tmp_path / f"{name}.move").read_bytes() == stored
 
 
@@ -478,43 +490,43 @@
     assert (tmp_path / "draining.json").read_bytes() == (DATA / "moves" / "draining.json").read_bytes()
 
 
-USUAL = TrafficCounts(came=240, unanswered=0, good=240, elapsed=48_000_000)
+USUAL = TrafficCounts(requests=240, incomplete=0, successes=240, elapsed_us=48_000_000)
 HALTED = Rollout(
     id="000001",
     cells=("A", "B", "C"),
-    workers={"A": ("a1", "a2"), "B": ("b1", "b2"), "C": ("c1", "c2")},
-    batch=1,
-    run="/bin/sh -c 'echo {worker} >> renewed'",
-    back="/bin/sh -c 'echo {worker} >> back'",
-    at=1,
+    replicas={"A": ("a1", "a2"), "B": ("b1", "b2"), "C": ("c1", "c2")},
+    batch_size=1,
+    command="/bin/sh -c 'echo {worker} >> renewed'",
+    rollback_command="/bin/sh -c 'echo {worker} >> back'",
+    cell_index=1,
     step=ReleaseStep.HALTED,
-    touched=frozenset({"a1", "a2", "b1"}),
-    renewed=frozenset({"a1", "a2"}),
-    why="50.0% of 60 transactions of B were not answered, 0.0% before; elsewhere 0.0%",
-    before={"A": USUAL, "B": USUAL, "C": USUAL},
+    started_replicas=frozenset({"a1", "a2", "b1"}),
+    updated_replicas=frozenset({"a1", "a2"}),
+    halt_reason="50.0% of 60 transactions of B were not answered, 0.0% before; elsewhere 0.0%",
+    baseline={"A": USUAL, "B": USUAL, "C": USUAL},
 )
 UNDER_WAY = Rollout(
     id="000002",
     cells=HALTED.cells,
-    workers=HALTED.workers,
-    batch=1,
-    run=HALTED.run,
-    back=HALTED.back,
-    at=1,
+    replicas=HALTED.replicas,
+    batch_size=1,
+    command=HALTED.command,
+    rollback_command=HALTED.rollback_command,
+    cell_index=1,
     step=ReleaseStep.UPDATE,
-    touched=frozenset({"a1", "a2", "b1", "b2"}),
-    renewed=frozenset({"a1", "a2", "b1"}),
-    before=HALTED.before,
+    started_replicas=frozenset({"a1", "a2", "b1", "b2"}),
+    updated_replicas=frozenset({"a1", "a2", "b1"}),
+    baseline=HALTED.baseline,
 )
 
 
 def test_a_rollout_s_record_is_read_with_its_next_worker(sample: Sample) -> None:
     store = sample("releases")
-    last = releasing.load_rollout(store)
+    last = load_rollout(store)
     assert last == UNDER_WAY
     assert (last.cell, last.next_batch()) == ("B", ("b2",))
     (store / "000002.release").unlink()
-    before = releasing.load_rollout(store)
+    before = load_rollout(store)
     assert before == HALTED
     assert before.next_batch() == ()
 
@@ -522,7 +534,7 @@
 @pytest.mark.parametrize("release", [HALTED, UNDER_WAY], ids=["halted", "under way"])
 def test_a_rollout_s_record_is_written_again_with_the_same_fields(tmp_path: Path, release: Rollout) -> None:
     """Its sets of several names have no order; `test_encoded_forms.py` compares bytes."""
-    releasing.save(tmp_path, release)
+    save_rollout(tmp_path, release)
     name = f"{release.id}.release"
     written: dict[str, Any] = msgspec.json.decode((tmp_path / name).read_bytes())
     stored: dict[str, Any] = msgspec.json.decode((DATA / "releases" / name).read_bytes())
@@ -534,9 +546,9 @@
 
 @pytest.fixture
 def quick_looks() -> Iterator[None]:
-    usual, releasing.LOOK = releasing.LOOK, 0.05
+    usual, releasing.POLL_INTERVAL_S = releasing.POLL_INTERVAL_S, 0.05
     yield
-    releasing.LOOK = usual
+    releasing.POLL_INTERVAL_S = usual
 
 
 def test_a_rollout_goes_on_from_its_stored_record_to_its_end(
@@ -544,9 +556,9 @@
 ) -> None:
     monkeypatch.chdir(tmp_path)  # the stored command writes where it runs
     (tmp_path / "renewed").write_text("a1 a2 b1 b2\n")  # b2 was begun
-    last = releasing.load_rollout(sample("releases"))
+    last = load_rollout(sample("releases"))
     assert last is not None
-    ended = test_rollout.Site(tmp_path).play(last)
+    ended = RolloutSite(tmp_path).run(last)
     assert ended.step is ReleaseStep.DONE
     assert (tmp_path / "renewed").read_text().split() == ["a1", "a2", "b1", "b2", "b2", "c1", "c2"]
 
