--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -159,15 +159,15 @@
 def test_a_governor_with_twelve_cells_keeps_to_the_messages_a_proxy_may_get() -> None:
     found = fleet_with_cells(12, 20, 48)
     stamps: dict[str, list[int]] = {r.name: [] for r in found.relays}
-    put = found.core.channel.put
+    put = found.core.publisher.channel.put
 
-    def counted(now: int, proxy: int, *rest: Any) -> str:
-        rejection = put(now, proxy, *rest)
+    def counted(now: int, proxy: int, *rest: Any) -> str | None:
+        rejection: str | None = put(now, proxy, *rest)
         if not rejection:
             stamps[found.core.identifiers.proxies.names[proxy]].append(now)
         return rejection
 
-    found.core.channel.put = counted  # type: ignore[method-assign,assignment]
+    found.core.publisher.channel.put = counted  # type: ignore[method-assign,assignment]
     found.dial()
     found.run(4)
     labels = {class_label(f"c{n}", c) for n in range(12) for c in ("read", "write")}
@@ -179,13 +179,13 @@
     found.list(entry(7, "draining"), entry(30, "gone"), entry(99))
     found.run(3)  # the simulation checks the grace over the labels of every cell
     assert all(set(r.holdings.weights_for("c3/write")) == {"w6", "w31"} for r in found.relays)
-    assert any(x.name == "no_cell" and x.fields["replica"] == "w99" for x in found.core.pending_logs)
+    assert any(x.name == "replica_ignored" and x.fields["replica"] == "w99" for x in found.core.log.pending)
     for n in range(30):
         found.list(entry(n % 40 + 1, "ready" if n % 2 else "draining"))
         found.run(0.3)
     for times in stamps.values():
         assert all(sum(t - 10 * SECOND < x <= t for x in times) <= 20 for t in times)
-    assert not any(x.name == "channel_full" for x in found.core.pending_logs)
+    assert not any(x.name == "message_rejected" for x in found.core.log.pending)
 
 
 def test_a_cell_without_a_replica_stays_without_and_borrows_from_no_other() -> None:
