--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -37,7 +37,7 @@
 from gradehoist.migration.runner import MigrationRunner
 from gradehoist.net.client import HttpClient
 from gradehoist.settings.fleet import CellPlacement, GovernorSettings, Settings
-from gradehoist.store.atomic_file import FolderLock, FolderLockedError
+from gradehoist.store.folder_lock import FolderLock, FolderLockedError
 
 
 class Bad(Exception):
--- a/gradehoist/governor/endpoint_cache.py
+++ b/gradehoist/governor/endpoint_cache.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from gradehoist.governor.clock import monotonic_us
+from gradehoist.clock import monotonic_us
 from gradehoist.governor.shell_state import ShellState
 from gradehoist.protocol.feed import EndpointRecord
 from gradehoist.store.atomic_file import write_file_in_thread
--- a/tests/test_delivery_queue.py
+++ b/tests/test_delivery_queue.py
@@ -15,6 +15,7 @@
 from gradehoist.identifiers import Identifiers
 from gradehoist.interface import ChannelLimits
 from gradehoist.protocol import feed
+from gradehoist.protocol.proxy_state import AdmissionKey, ProxyState
 from tests.support.cell_fleet import fleet_with_cells
 from tests.support.governed_fleet import SECOND, entry
 
@@ -41,7 +42,7 @@
         self.ledger = DeliveryQueue(
             self.tables, PolicySet(self.parts), ChannelShares(CELLS, CHANNEL, 2 * SECOND)
         )
-        self.held = [feed.ProxyState() for _ in range(RELAYS)]
+        self.held = [ProxyState() for _ in range(RELAYS)]
         for n in range(CELLS * 3):
             self.names.replicas.intern(f"w{n}")
         for p in range(RELAYS):
@@ -88,7 +89,7 @@
                     names[r] for r in self.tables.withdrawn if names[r] in lines
                 }
                 for t in (None, at):
-                    assert held.admission.get((t, label)) == self.tables.admission.get((t, k))
+                    assert held.admission.get(AdmissionKey(t, label)) == self.tables.admission.get((t, k))
 
 
 @pytest.mark.parametrize("seed", range(150))
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -68,7 +68,7 @@
         store.rename(tmp_path / "aside")
         store.write_text("in the way")
         await asyncio.sleep(3.0)
-        assert all(s["in_force"].get("x") == EXPLORATORY_SHARE for s in await fleet.zone_statuses())
+        assert all(s["in_force"].get("x") == 0.02 for s in await fleet.zone_statuses())
 
         async def is_relaxed() -> bool:
             return all(not s["in_force"] for s in await fleet.zone_statuses())
@@ -90,7 +90,7 @@
 
         async def others_evacuated() -> bool:
             statuses = [(await governor.status())["zones"] for governor in others]
-            return all(status["in_force"].get("x") == EXPLORATORY_SHARE for status in statuses)
+            return all(status["in_force"].get("x") == 0.02 for status in statuses)
 
         await fleet.until(others_evacuated)
         os.kill(stopped.process.pid, signal.SIGCONT)
--- a/tests/test_migration_runner.py
+++ b/tests/test_migration_runner.py
@@ -12,7 +12,8 @@
 from gradehoist.migration import runner
 from gradehoist.migration.planning import undo_migration
 from gradehoist.migration.records import load_migrations, save_migration
-from gradehoist.store.atomic_file import FolderLock, FolderLockedError, write_file
+from gradehoist.store.atomic_file import write_file
+from gradehoist.store.folder_lock import FolderLock, FolderLockedError
 from tests.support.migration_site import CELL_BY_REPLICA, FOREVER_US, TENANT, MigrationSite
 
 SOURCE_REPLICAS, TARGET_REPLICAS = ("a1", "a2"), ("b1", "b2")
