--- a/bench/placements.py
+++ b/bench/placements.py
@@ -7,7 +7,8 @@
 import time
 from collections.abc import Callable
 
-from gradehoist.cells.placement import PlacementRequirements, Replica, Tenant, plan_placement, stable_hash
+from gradehoist.cells.placement import PlacementRequirements, Replica, Tenant, stable_hash
+from gradehoist.cells.placement_planner import plan_placement
 
 CELLS, PER_TENANT = 100, 5  # as many workers for a tenant in each way: 500 over 100 cells
 Homes = dict[str, frozenset[str]]  # by tenant: the workers that serve it
--- a/gradehoist/cli/cells.py
+++ b/gradehoist/cli/cells.py
@@ -14,15 +14,8 @@
 from rich.table import Table
 
 from gradehoist.cells.migration import Migration, MigrationStep
-from gradehoist.cells.placement import (
-    Placement,
-    PlacementRequirements,
-    Replica,
-    Tenant,
-    plan_placement,
-    split_replicas,
-    stable_hash,
-)
+from gradehoist.cells.placement import Placement, PlacementRequirements, Replica, Tenant, stable_hash
+from gradehoist.cells.placement_planner import plan_placement, split_replicas
 from gradehoist.cells.rollout import Rollout
 from gradehoist.cells.rollout import RolloutStep as Staged
 from gradehoist.migration.planning import create_migrations, pending_migrations, plan_cell_drain, tenant_cells
--- a/gradehoist/scenario/definition.py
+++ b/gradehoist/scenario/definition.py
@@ -16,7 +16,8 @@
 from kdl.parsing import Parser
 from kdl.types import Node
 
-from gradehoist.cells.placement import Placement, PlacementRequirements, Replica, Tenant, plan_placement
+from gradehoist.cells.placement import Placement, PlacementRequirements, Replica, Tenant
+from gradehoist.cells.placement_planner import plan_placement
 from gradehoist.scenario import faults
 from gradehoist.settings import reader as r
 from gradehoist.settings.fleet import Settings, parse_settings
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,7 +13,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gradehoist.cells.placement import Placement, PlacementRequirements, Replica, Tenant, plan_placement
+from gradehoist.cells.placement import Placement, PlacementRequirements, Replica, Tenant
+from gradehoist.cells.placement_planner import plan_placement
 from gradehoist.cells.routes import home_cell
 from gradehoist.cli.main import main
 from gradehoist.settings.fleet import CellPlacement
