The version of an evacuation plan is a type

Cause: generation and step went as a bare pair through reports, plan and governor. Change: PlanVersion, encoded as the same array; the governor passes it on.

--- a/gradehoist/governor/zone_coordination.py
+++ b/gradehoist/governor/zone_coordination.py
@@ -26,7 +26,7 @@
     ZoneQuotas,
 )
 from gradehoist.zones.evacuation import ClassConstraints, EvacuationPlan, EvacuationTiming
-from gradehoist.zones.health import HealthReport
+from gradehoist.zones.health import NO_PLAN, HealthReport
 from gradehoist.zones.warmup_quota import QuotaAllocation
 
 Version = TypeVar("Version")
@@ -100,7 +100,7 @@
         self._list_confirmed_us = now_us
         self._quotas = ZoneQuotas({}, 1.0, {})
         self._warming_up: tuple[str, ...] = ()
-        self._plan = _Rollout((0, 0))
+        self._plan = _Rollout(NO_PLAN)
         self._allocation = _Rollout(-1)
         self._reported = (self._plan.applied, self._allocation.applied)
         self._reported_us = -REPORT_INTERVAL_US
@@ -216,7 +216,7 @@
     def _advance_rollouts(self, now_us: int) -> None:
         plan = self._coordinator.plan
         ordered_us = now_us + self._planning_us
-        self._plan.begin((plan.generation, plan.step), ordered_us)
+        self._plan.begin(plan.version, ordered_us)
         self._allocation.begin(self._coordinator.allocation.generation, ordered_us)
         self._plan.advance(now_us, self._core)
         self._allocation.advance(now_us, self._core)
--- a/gradehoist/zones/evacuation.py
+++ b/gradehoist/zones/evacuation.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from gradehoist.zones.health import PlanVersion
+
 
 class ZoneEvacuation(msgspec.Struct, frozen=True):
     """How far one zone is evacuated.
@@ -51,6 +53,11 @@
     zones: dict[str, ZoneEvacuation] = {}
     admission_limits: dict[str, float] = msgspec.field(default_factory=dict, name="levels")
 
+    @property
+    def version(self) -> PlanVersion:
+        """The version that governors confirm."""
+        return PlanVersion(self.generation, self.step)
+
     def traffic_share(self, zone: str) -> float:
         """Share of a zone's traffic that may go there."""
         return self.zones.get(zone, IN_SERVICE).traffic_share
--- a/gradehoist/zones/evacuation_steps.py
+++ b/gradehoist/zones/evacuation_steps.py
@@ -21,7 +21,7 @@
     ZoneEvacuation,
     ZoneLoad,
 )
-from gradehoist.zones.health import FleetFault, FleetHealth, ZoneState
+from gradehoist.zones.health import FleetFault, FleetHealth, PlanVersion, ZoneState
 
 # Utilization of a zone's warm replicas that a step may bring about: beyond it queues exceed the objectives.
 MAX_UTILIZATION = 0.85
@@ -57,10 +57,10 @@
 
 
 def is_step_confirmed(
-    plan: EvacuationPlan, confirmed: Mapping[str, tuple[int, int]], observers: frozenset[str]
+    plan: EvacuationPlan, confirmed: Mapping[str, PlanVersion], observers: frozenset[str]
 ) -> bool:
     """Whether the tables of all these observers follow the plan's last step."""
-    return all(confirmed.get(observer) == (plan.generation, plan.step) for observer in observers)
+    return all(confirmed.get(observer) == plan.version for observer in observers)
 
 
 def compute_admission_limits(
--- a/gradehoist/zones/health.py
+++ b/gradehoist/zones/health.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from statistics import median
+from typing import NamedTuple
 
 import msgspec
 
@@ -60,6 +61,16 @@
     sustainable_share: float = msgspec.field(default=1.0, name="bears")
 
 
+class PlanVersion(NamedTuple):
+    """Which step of which plan tables follow; encoded as an array."""
+
+    generation: int
+    step: int
+
+
+NO_PLAN = PlanVersion(0, 0)
+
+
 class HealthReport(msgspec.Struct, frozen=True):
     """One governor's report, a record of the coordination store.
 
@@ -71,7 +82,7 @@
         window_us: The time that the observations cover.
         offered_by_zone: Requests per second that its proxies received, by their zone and by class.
         incarnation: The process that reports.
-        applied_plan: Generation and step of the evacuation plan that all its tables follow.
+        applied_plan: Version of the evacuation plan that all its tables follow.
         applied_allocation: Generation of the quota allocation that all its tables follow.
     """
 
@@ -82,7 +93,7 @@
     window_us: int = msgspec.field(default=DEFAULT_WINDOW_US, name="window")
     offered_by_zone: dict[str, dict[str, float]] = msgspec.field(default_factory=dict, name="came")
     incarnation: str = msgspec.field(default="", name="run")
-    applied_plan: tuple[int, int] = msgspec.field(default=(0, 0), name="plan")
+    applied_plan: PlanVersion = msgspec.field(default=NO_PLAN, name="plan")
     applied_allocation: int = msgspec.field(default=-1, name="deal")
 
 
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -304,7 +304,7 @@
         window_us=9_000_000,
         offered_by_zone={"hall-a": {"read": 9.5}},
         incarnation="a-1",
-        applied_plan=(1, 2),
+        applied_plan=health.PlanVersion(1, 2),
         applied_allocation=3,
     ),
     "plan of zones": evacuation.EvacuationPlan(
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -56,7 +56,7 @@
 from gradehoist.testbed import scenario_plan as scripted
 from gradehoist.zones.evacuation import EvacuationPlan as ZonesPlan
 from gradehoist.zones.evacuation import ZoneEvacuation
-from gradehoist.zones.health import HealthReport, ZoneObservation
+from gradehoist.zones.health import HealthReport, PlanVersion, ZoneObservation
 from gradehoist.zones.warmup_quota import QuotaAllocation
 from tests.support.migration_site import MigrationSite
 from tests.support.rollout_site import RolloutSite
@@ -124,7 +124,7 @@
     window_us=10_000_000,
     offered_by_zone={"hall-a": {"rate-check": 9.5, "booking-commit": 3.0}},
     incarnation="a-second",
-    applied_plan=(1, 2),
+    applied_plan=PlanVersion(1, 2),
     applied_allocation=3,
 )
 # By key: the version, the commit that wrote it, the session that it goes with, and what it says.
--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -24,7 +24,7 @@
     next_plan,
     projected_requests_per_s,
 )
-from gradehoist.zones.health import FleetFault, FleetHealth, ZoneState
+from gradehoist.zones.health import FleetFault, FleetHealth, PlanVersion, ZoneState
 
 SECOND = 1_000_000
 TIMING = EvacuationTiming(settle_us=3 * SECOND, min_healthy_us=10 * SECOND, max_healthy_us=120 * SECOND)
@@ -233,14 +233,14 @@
 @pytest.mark.parametrize(
     ("confirmed", "observers", "is_confirmed"),
     [
-        ({"a": (3, 7), "b": (3, 7)}, "ab", True),
-        ({"a": (3, 7), "b": (3, 6)}, "ab", False),
-        ({"a": (3, 7)}, "ab", False),
-        ({"a": (3, 7), "b": (2, 7)}, "a", True),
+        ({"a": PlanVersion(3, 7), "b": PlanVersion(3, 7)}, "ab", True),
+        ({"a": PlanVersion(3, 7), "b": PlanVersion(3, 6)}, "ab", False),
+        ({"a": PlanVersion(3, 7)}, "ab", False),
+        ({"a": PlanVersion(3, 7), "b": PlanVersion(2, 7)}, "a", True),
     ],
 )
 def test_a_step_waits_for_every_governor_with_traffic(
-    confirmed: dict[str, tuple[int, int]], observers: str, is_confirmed: bool
+    confirmed: dict[str, PlanVersion], observers: str, is_confirmed: bool
 ) -> None:
     plan = EvacuationPlan(generation=3, leader="a", step=7)
 
