--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,7 +24,10 @@
 from gradehoist.protocol import feed, http
 from gradehoist.protocol.http_parser import Parser
 from gradehoist.protocol.proxy_state import ProxyState, TableKey
-from gradehoist.scenario import audit, definition
+from gradehoist.scenario.checks.records import MessageApplied, StreamBegan, load_records
+from gradehoist.scenario.checks.run_check import check_run_folder
+from gradehoist.scenario.definition_reader import read_scenario
+from gradehoist.scenario.plan_builder import build_plan
 from gradehoist.scenario.runner import Run
 
 REQUEST = (
@@ -341,12 +344,13 @@
     """Bytes of the messages of a run, and of whole pictures in their place."""
     held: dict[str, ProxyState] = {}
     deltas = whole = 0
-    for record in audit.load(folder):
-        if record["e"] == "joined":
-            held.setdefault(record["relay"], ProxyState()).begin_stream()
-        elif record["e"] == "applied":
-            message = msgspec.convert(record["message"], feed.Message)
-            mine = held.setdefault(record["relay"], ProxyState())
+    for record in load_records(folder):
+        event = record.event
+        if isinstance(event, StreamBegan):
+            held.setdefault(event.proxy, ProxyState()).begin_stream()
+        elif isinstance(event, MessageApplied):
+            message = event.message
+            mine = held.setdefault(event.proxy, ProxyState())
             mine.apply(message)
             deltas += len(msgspec.json.encode(message))
             whole += whole_size(mine)
@@ -357,21 +361,21 @@
 def shares() -> None:
     """The bad day's answered share: governed, standing tables, equal weights; three seeds."""
     row("seed", "governed", "standing tables", "equal weights", "rules, governed")
-    script = definition.read(Path("scenarios/bad-day.kdl"))
+    script = read_scenario(Path("scenarios/bad-day.kdl"))
     ways = {"governed": (True, False), "standing": (False, False), "even": (False, True)}
 
     async def side_by_side(seed: int) -> None:
         runs = [
-            Run(script, definition.draw(script, seed, *way), Path("found") / f"bench-{seed}-{name}")
+            Run(script, build_plan(script, seed, *way), Path("found") / f"bench-{seed}-{name}")
             for name, way in ways.items()
         ]
         await asyncio.gather(*(run.play() for run in runs))
 
     for seed in (1, 2, 3):
         asyncio.run(side_by_side(seed))
-        verdicts = [audit.folder(Path("found") / f"bench-{seed}-{name}")[1] for name in ways]
-        rules = " ".join(r.state for r in verdicts[0].rules)
-        row(seed, *(f"{100 * v.answered:.1f}%" for v in verdicts), rules)
+        verdicts = [check_run_folder(Path("found") / f"bench-{seed}-{name}")[1] for name in ways]
+        rules = " ".join(r.state for r in verdicts[0].results)
+        row(seed, *(f"{100 * v.completed_share:.1f}%" for v in verdicts), rules)
         sizes(Path("found") / f"bench-{seed}-governed")
 
 
--- a/gradehoist/net/etcd.py
+++ b/gradehoist/net/etcd.py
@@ -105,7 +105,7 @@
         ]
         return CommitRejected(found.header.revision, tuple(records))
 
-    async def open(self, ttl_us: int) -> str:
+    async def open_session(self, ttl_us: int) -> str:
         """Returns the id of a new session; its time is rounded up to whole seconds."""
         ttl_s = -(-ttl_us // _US_PER_S)
         request = LeaseGrantRequest(str(ttl_s))
@@ -115,7 +115,7 @@
             raise StoreUnavailableError(error.message) from None
         return str(found.lease_id)
 
-    async def keep(self, session_id: str) -> int:
+    async def renew_session(self, session_id: str) -> int:
         """Renews a session and returns the store's revision."""
         try:
             found = await self._client.call(
@@ -129,7 +129,7 @@
             raise SessionEndedError(f"session {session_id} has ended")
         return found.result.header.revision
 
-    async def end(self, session_id: str) -> None:
+    async def end_session(self, session_id: str) -> None:
         """Ends a session; one that has ended already is no error."""
         with contextlib.suppress(EtcdError):
             await self._client.call(
--- a/tests/support/migration_site.py
+++ b/tests/support/migration_site.py
@@ -16,7 +16,7 @@
 from gradehoist.migration.runner import MigrationRunner
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, json_response
 from gradehoist.protocol import feed, http
-from gradehoist.scenario.definition import ports
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings.fleet import CellPlacement
 from tests.support.governed_fleet import on_sockets
 
@@ -38,7 +38,7 @@
 
     def __init__(self, folder: Path, deaf: str = "") -> None:
         names = ("roster", GOVERNOR, *CELL_BY_REPLICA)
-        self.ports = dict(zip(names, ports(len(names)), strict=True))
+        self.ports = dict(zip(names, find_free_ports(len(names)), strict=True))
         self.directory = TenantDirectory("a")
         self.fences = {
             name: ReplicaFence(name, cell, lease_until_us=FOREVER_US)
--- a/tests/support/rollout_site.py
+++ b/tests/support/rollout_site.py
@@ -11,7 +11,7 @@
 from gradehoist.migration.rollout import RolloutRunner
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, json_response
 from gradehoist.protocol import feed, http
-from gradehoist.scenario.definition import ports
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings.fleet import CellPlacement
 from tests.support.governed_fleet import on_sockets
 
@@ -39,7 +39,7 @@
         self.faulty = faulty
         self.returns = returns
         self.return_timeout_s = 20.0 if returns else 0.5
-        self.ports = ports(2)
+        self.ports = find_free_ports(2)
         self.counts = {
             cell: Counter(came=0, unanswered=0, tries=0, bad=0, elapsed=0) for cell in REPLICAS_BY_CELL
         }
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -26,10 +26,11 @@
 from gradehoist.cli.cells import read as read_placement
 from gradehoist.cli.main import main
 from gradehoist.cli.plan import load as load_plan
-from gradehoist.coordination.agent import MemberRecord, OwnershipRecord, Participant, ProcessIdentity
 from gradehoist.coordination.election import LeaderElection
 from gradehoist.coordination.fencing import FencingToken
 from gradehoist.coordination.members import ReachabilityReport as MembersView
+from gradehoist.coordination.participant import Participant
+from gradehoist.coordination.records import MemberRecord, OwnershipRecord, ProcessIdentity
 from gradehoist.coordination.store import CommitRejected, Committed, Put
 from gradehoist.governor.service import GovernorService
 from gradehoist.history import linearizability, records
@@ -48,8 +49,9 @@
 from gradehoist.net.client import HttpClient
 from gradehoist.net.coordination_client import CoordinationClient
 from gradehoist.protocol import feed
-from gradehoist.scenario import audit
-from gradehoist.scenario.definition import ports
+from gradehoist.scenario.checks.run_check import check_run_folder
+from gradehoist.scenario.checks.verdict import Verdict
+from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings import reader
 from gradehoist.settings.fleet import CellPlacement, parse_settings
 from gradehoist.store.sqlite_store import SqliteStore
@@ -276,9 +278,9 @@
 def test_stored_sessions_live_on_and_their_records_go_with_them(sample: Sample) -> None:
     async def work() -> None:
         async with opened(sample("register")) as register:
-            assert await register.keep(SESSION_A) == REVISION
-            assert await register.keep(SESSION_B) == REVISION
-            await register.end(SESSION_A)
+            assert await register.renew_session(SESSION_A) == REVISION
+            assert await register.renew_session(SESSION_B) == REVISION
+            await register.end_session(SESSION_A)
             snapshot = await register.read("")
         gone = {key for key, (_, _, session, _) in REGISTER.items() if session == SESSION_A}
         assert gone == {"members/governor/a", "views/governor/a", "zones/views/a"}
@@ -300,7 +302,7 @@
             claim = LeaderElection("zones", takeover_delay_us=0)
             claim.advance(time.monotonic_ns() // 1_000, agent)
             assert claim.fencing_token is None
-            assert not agent.pending_commits  # a is there and holds it
+            assert not agent.has_pending_commits  # a is there and holds it
 
     within_a_minute(work())
 
@@ -327,8 +329,8 @@
     async def work() -> None:
         folder = sample("register")
         async with opened(folder) as register:
-            await register.keep(SESSION_A)
-            await register.end(SESSION_A)
+            await register.renew_session(SESSION_A)
+            await register.end_session(SESSION_A)
         async with joined(folder, "c", "c-first") as (agent, coordinator):
             claim = LeaderElection("zones", takeover_delay_us=0)
             while agent.decode_record("rights/zones", OwnershipRecord) != OwnershipRecord(
@@ -670,7 +672,7 @@
         cell_by_tenant={"inn3": "c0"},
     )
     (tmp_path / "cells.json").write_bytes(msgspec.json.encode(placed))
-    roster, port = ports(2)
+    roster, port = find_free_ports(2)
     text = reader.SettingsReader("settings")
     settings = parse_settings(text.parse(SETTINGS.format(roster=roster, governor=port)), tmp_path)
     text.raise_errors()
@@ -712,7 +714,7 @@
         82,
         82,
     ]
-    answers = [line.outcome for line in lines if isinstance(line, records.Completion)]
+    answers = [line.outcome.value for line in lines if isinstance(line, records.Completion)]
     assert {how: answers.count(how) for how in answers} == {
         "read": 3,
         "watched": 63,
@@ -728,19 +730,25 @@
             time_us=105_000,
             process="b-first",
             call_id=15,
-            operation="commit",
+            operation=records.StoreCall.COMMIT,
             commit_id="b-first:3",
             changes=(wrote,),
         ),
-        records.Completion(time_us=106_000, process="b-first", call_id=15, outcome="unknown"),
+        records.Completion(
+            time_us=106_000, process="b-first", call_id=15, outcome=records.CallOutcome.UNKNOWN
+        ),
         records.Invocation(
-            time_us=107_000, process="b-first", call_id=16, operation="watch", after_revision=9
+            time_us=107_000,
+            process="b-first",
+            call_id=16,
+            operation=records.StoreCall.WATCH,
+            after_revision=9,
         ),
         records.Completion(
             time_us=108_000,
             process="b-first",
             call_id=16,
-            outcome="watched",
+            outcome=records.CallOutcome.WATCHED,
             revision=11,
             observed=(records.ObservedRecord(key="zones/views/b", version=10, commit_id="b-first:2"), saw),
         ),
@@ -748,12 +756,17 @@
             time_us=109_000,
             process="b-first",
             call_id=17,
-            operation="commit",
+            operation=records.StoreCall.COMMIT,
             commit_id="b-first:3",
             changes=(wrote,),
         ),
         records.Completion(
-            time_us=110_000, process="b-first", call_id=17, outcome="refused", revision=11, observed=(saw,)
+            time_us=110_000,
+            process="b-first",
+            call_id=17,
+            outcome=records.CallOutcome.REJECTED,
+            revision=11,
+            observed=(saw,),
         ),
     ]
     assert lines[-4:] == [
@@ -830,20 +843,20 @@
 Break = tuple[float, str, str, str]  # when, at which relay and replica, what
 
 
-def figures(verdict: audit.Verdict) -> dict[str, tuple[str, float, int, list[Break]]]:
+def figures(verdict: Verdict) -> dict[str, tuple[str, float, int, list[Break]]]:
     return {
         rule.rule: (
             rule.state,
-            rule.near,
+            rule.limit_used,
             rule.occasions,
-            [(found.at, found.relay, found.replica, found.text) for found in rule.breaks],
+            [(found.at_s, found.proxy, found.replica, found.description) for found in rule.violations],
         )
-        for rule in verdict.rules
+        for rule in verdict.results
     }
 
 
 def test_a_run_folder_is_judged_as_before() -> None:
-    plan, verdict = audit.folder(DATA / "run")
+    plan, verdict = check_run_folder(DATA / "run")
     assert (plan.name, plan.seed, plan.length) == ("tiny", 1, 3_500_000)
     assert figures(verdict) == {
         "line": ("kept", 0.0, 96, []),
@@ -854,14 +867,14 @@
         "queue": ("kept", 0.2, 12, []),
         "placement": ("kept", 0.0, 16, []),
     }
-    assert (verdict.complete, verdict.why, verdict.good) == (True, "", True)
-    assert (verdict.answered, verdict.transactions) == (0.6087, 24)
-    assert verdict.by_class == {"rate-check": 0.7692, "booking-commit": 0.5455}
+    assert (verdict.is_complete, verdict.reason, verdict.is_passed) == (True, "", True)
+    assert (verdict.completed_share, verdict.requests) == (0.6087, 24)
+    assert verdict.completed_share_by_class == {"rate-check": 0.7692, "booking-commit": 0.5455}
     assert command("audit", DATA / "run").exit_code == 0
 
 
 def test_a_run_folder_that_broke_every_rule_is_judged_as_before() -> None:
-    _, verdict = audit.folder(DATA / "run-broken")
+    _, verdict = check_run_folder(DATA / "run-broken")
     assert figures(verdict) == {
         "line": (
             "broken",
@@ -916,7 +929,7 @@
         ),
         "placement": ("kept", 0.0, 7, []),
     }
-    assert (verdict.complete, verdict.good) == (True, False)
+    assert (verdict.is_complete, verdict.is_passed) == (True, False)
     assert command("audit", DATA / "run-broken").exit_code == 1
 
 
