--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -53,7 +53,7 @@
         (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
     ],
 )
-def test_refuses_with_the_due_status_however_the_bytes_come(data: bytes, status: int) -> None:
+def test_an_invalid_request_is_rejected_with_its_status_at_every_split(data: bytes, status: int) -> None:
     for cuts in ([], list(range(len(data)))):
         with pytest.raises(ProtocolError) as caught:
             parse(data, cuts)
@@ -61,7 +61,7 @@
         assert caught.value.status == status
 
 
-def test_a_failed_parser_takes_nothing_more_but_gives_what_was_whole_before() -> None:
+def test_a_failed_parser_reads_nothing_more_and_returns_what_was_complete_before() -> None:
     parser = Parser(Role.SERVER, SMALL)
     good = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
     assert [e.target for e in parser.receive(good + b"nonsense\r\n\r\n") if isinstance(e, Request)] == ["/a"]
@@ -69,7 +69,7 @@
         parser.receive(good)
 
 
-def test_expectation_is_told_only_while_the_body_is_still_to_come() -> None:
+def test_an_expectation_is_an_event_only_while_the_body_is_still_to_come() -> None:
     head = b"POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n"
     parser = Parser(Role.SERVER, SMALL)
     assert parser.receive(head) == [http.ContinueExpected()]
@@ -77,7 +77,7 @@
     assert [type(e) for e in Parser(Role.SERVER, SMALL).receive(head + b"hi")] == [Request]
 
 
-def test_answers_need_a_question_and_end_as_their_framing_says() -> None:
+def test_responses_need_a_request_and_end_as_their_framing_says() -> None:
     def client(*methods: str) -> Parser:
         parser = Parser(Role.CLIENT, SMALL)
         for method in methods:
@@ -101,7 +101,7 @@
         cut.receive_eof()
 
 
-def test_a_header_that_would_break_its_line_is_not_written() -> None:
+def test_a_header_that_would_break_its_line_is_rejected() -> None:
     for value in ("a\r\nx: 1", "a\nb", "\0"):
         with pytest.raises(ValueError):
             http.format_response(200, b"", (("x", value),))
@@ -155,7 +155,7 @@
 
 
 @given(st.binary(max_size=200), st.integers(0, 200))
-def test_any_bytes_end_in_messages_or_a_clear_refusal(data: bytes, cut: int) -> None:
+def test_any_bytes_end_in_messages_or_a_protocol_error(data: bytes, cut: int) -> None:
     outcomes = []
     for cuts in ([], [min(cut, len(data))]):
         parser, events, status = Parser(Role.SERVER, SMALL), list[http.Event](), 0
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -17,13 +17,13 @@
 
 
 def received(pieces: list[bytes], known: bool = True) -> list[lines.Message]:
-    door = LineParser()
-    door.is_identified = known
-    return [message for piece in pieces for message in door.receive(piece)]
+    parser = LineParser()
+    parser.is_identified = known
+    return [message for piece in pieces for message in parser.receive(piece)]
 
 
 @given(st.lists(st.integers(0, len(GOOD)), max_size=12))
-def test_any_cut_gives_the_same_messages(cuts: list[int]) -> None:
+def test_any_split_of_the_bytes_gives_the_same_messages(cuts: list[int]) -> None:
     at = [0, *sorted(cuts), len(GOOD)]
     found = received([GOOD[a:b] for a, b in zip(at, at[1:], strict=False)])
     assert found == received([GOOD])
@@ -52,35 +52,37 @@
 
 
 @given(st.lists(st.sampled_from(WIRES), max_size=6), st.lists(st.integers(0, 20_000), max_size=8))
-def test_any_cut_gives_the_same_messages_and_the_same_fault(parts: list[bytes], cuts: list[int]) -> None:
+def test_any_split_of_the_bytes_gives_the_same_messages_and_the_same_failure(
+    parts: list[bytes], cuts: list[int]
+) -> None:
     """A stranger's too: `known` is set where its joining has come, as the shell does."""
 
-    def told(pieces: list[bytes]) -> tuple[list[lines.Message], bool]:
-        door, found = LineParser(), list[lines.Message]()
+    def parse(pieces: list[bytes]) -> tuple[list[lines.Message], bool]:
+        parser, found = LineParser(), list[lines.Message]()
         for piece in pieces:
             try:
-                some = door.receive(piece)
+                some = parser.receive(piece)
             except lines.LineProtocolError:
                 break
             found += some
-            door.is_identified |= any(isinstance(m, lines.ProxyHello | lines.CollectorHello) for m in some)
-        return found, bool(door.failure)
+            parser.is_identified |= any(isinstance(m, lines.ProxyHello | lines.CollectorHello) for m in some)
+        return found, bool(parser.failure)
 
     data = b"".join(parts)
     at = [0, *sorted(min(c, len(data)) for c in cuts), len(data)]
-    assert told([data[a:b] for a, b in zip(at, at[1:], strict=False)]) == told([data])
+    assert parse([data[a:b] for a, b in zip(at, at[1:], strict=False)]) == parse([data])
 
 
 @given(st.lists(st.one_of(st.binary(max_size=200), st.sampled_from([GOOD, b"\r\n", b"ack id=", b"probe"]))))
-def test_any_bytes_end_in_messages_or_a_refusal_and_little_is_kept(pieces: list[bytes]) -> None:
-    door = LineParser()
+def test_any_bytes_end_in_messages_or_an_error_and_the_buffer_stays_small(pieces: list[bytes]) -> None:
+    parser = LineParser()
     try:
         for piece in pieces:
-            for message in door.receive(piece):
+            for message in parser.receive(piece):
                 assert isinstance(message, lines.Message)
-            assert len(door._buffer) <= MAX_UNIDENTIFIED_BYTES
+            assert len(parser._buffer) <= MAX_UNIDENTIFIED_BYTES
     except lines.LineProtocolError:
-        assert door.failure and not door._buffer
+        assert parser.failure and not parser._buffer
 
 
 @pytest.mark.parametrize(
@@ -102,7 +104,7 @@
         "ack id=1 seq=1 ms=1 stray",
     ],
 )
-def test_a_spoilt_line_costs_itself_alone(line: str) -> None:
+def test_a_malformed_line_costs_only_itself(line: str) -> None:
     found = received([f"{line}\r\nprobe\r\n".encode()])
     assert isinstance(found[0], lines.MalformedLine) and found[1:] == [lines.HealthCheck()]
 
@@ -121,19 +123,19 @@
         b"Probe\r\n",
     ],
 )
-def test_what_cannot_be_read_is_refused_at_once(data: bytes) -> None:
+def test_bytes_that_are_no_message_are_rejected_at_once(data: bytes) -> None:
     with pytest.raises(lines.LineProtocolError):
         received([data], known=False)
 
 
-def test_messages_before_a_fault_are_kept_and_the_fault_is_told() -> None:
-    door = LineParser()
-    assert door.receive(b"probe\r\n\x00\x01\r\n") == [lines.HealthCheck()] and door.failure
+def test_messages_before_an_error_are_returned_and_the_failure_is_set() -> None:
+    parser = LineParser()
+    assert parser.receive(b"probe\r\n\x00\x01\r\n") == [lines.HealthCheck()] and parser.failure
     with pytest.raises(lines.LineProtocolError):
-        door.receive(b"probe\r\n")
+        parser.receive(b"probe\r\n")
 
 
-def test_orders_are_written_as_the_page_has_them() -> None:
+def test_push_messages_are_encoded_as_the_platform_documents() -> None:
     text = lines.format_push(
         [
             lines.PushPart(("lookup", "order"), True, (("s-5be2a07c", 1.5), ("s-0badcafe", 1e-7)), (0.9, 1)),
