Settings: records apart from their reading, a function a section, keywords throughout

Cause: settings/fleet.py read fleet, classes, cells and governors in two functions of 75 and 45 lines with positional records; platform.py built the policy's configuration in one.

The order in which errors are found and their texts are as before.

--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -12,7 +12,8 @@
 
 import click
 
-from gradehoist.settings.fleet import Settings, read_settings
+from gradehoist.settings.fleet import Settings
+from gradehoist.settings.fleet_parser import read_settings
 from gradehoist.settings.reader import SettingsError
 
 
--- a/gradehoist/scenario/definition.py
+++ b/gradehoist/scenario/definition.py
@@ -19,7 +19,8 @@
 from gradehoist.cells.placement import Placement, PlacementRequirements, Replica, Tenant, plan_placement
 from gradehoist.scenario import faults
 from gradehoist.settings import reader as r
-from gradehoist.settings.fleet import Settings, parse_settings
+from gradehoist.settings.fleet import Settings
+from gradehoist.settings.fleet_parser import parse_settings
 from gradehoist.testbed import scenario_plan as p
 from gradehoist.testbed.process import dice
 
--- a/gradehoist/settings/platform.py
+++ b/gradehoist/settings/platform.py
@@ -1,14 +1,22 @@
-"""The operators' settings object, as the bench's wire and the platform's configuration both carry it."""
+"""Reads the operators' settings object, which the simulator's wire and the platform's configuration share."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from gradehoist import interface as i
 from gradehoist.identifiers import Identifiers
+from gradehoist.interface import (
+    ChannelLimits,
+    Idempotency,
+    LoadReport,
+    LoadReporting,
+    PolicyConfig,
+    RequestClass,
+    SafetyLimits,
+)
 
-# What load reports call our figures: the settings' words, and those of the operators' pages.
+# Fields of load reports by their names in the settings, and by those in the operators' pages.
 FIELD_BY_METRIC = {
     "utilization": "busy_share",
     "outstanding": "in_flight",
@@ -18,80 +26,110 @@
     "latency_ms": "service_ms",
 }
 IDEMPOTENCY_BY_NAME = {
-    "free": i.Idempotency.IDEMPOTENT,
-    "guarded": i.Idempotency.IDEMPOTENCY_KEY,
-    "single_shot": i.Idempotency.NOT_IDEMPOTENT,
+    "free": Idempotency.IDEMPOTENT,
+    "guarded": Idempotency.IDEMPOTENCY_KEY,
+    "single_shot": Idempotency.NOT_IDEMPOTENT,
 }
 
 
 def seconds_to_us(seconds: Any) -> int:
+    """Returns whole microseconds. Raises ValueError or TypeError for what is no number."""
     return round(float(seconds) * 1_000_000)
 
 
-def report_columns(o: Mapping[str, Any]) -> list[str]:
-    """The figures that load reports in answers carry, in their order."""
-    listed = o.get("report", {})
+def report_columns(settings: Mapping[str, Any]) -> list[str]:
+    """Returns the names of the values that load reports in responses carry, in their order."""
+    listed = settings.get("report", {})
     return list(listed.get("fields", [])) if listed.get("how", "inline") != "off" else []
 
 
-def parse_load_report(figures: Iterable[tuple[str, float | None]]) -> i.LoadReport:
-    """One load report; what no figure of ours is named like is let pass."""
-    return i.LoadReport(
-        **{FIELD_BY_METRIC[name]: value for name, value in figures if name in FIELD_BY_METRIC}
+def parse_load_report(figures: Iterable[tuple[str, float | None]]) -> LoadReport:
+    """Returns a load report; unknown names are ignored."""
+    return LoadReport(**{FIELD_BY_METRIC[name]: value for name, value in figures if name in FIELD_BY_METRIC})
+
+
+def parse_identifiers(settings: Mapping[str, Any]) -> Identifiers:
+    """Returns the identifiers of zones, kinds and classes. Raises KeyError if it has no classes."""
+    return Identifiers(
+        settings.get("azs", []), settings.get("kinds", []), [c["name"] for c in settings["classes"]]
     )
 
 
-def parse_identifiers(o: Mapping[str, Any]) -> Identifiers:
-    return Identifiers(o.get("azs", []), o.get("kinds", []), [c["name"] for c in o["classes"]])
-
-
-def parse_config(o: Mapping[str, Any], known: Identifiers, seed: int) -> i.PolicyConfig:
-    """Raises ValueError, KeyError, TypeError or AttributeError where the object is not as stated."""
-    s, g, limits = o.get("specifics", {}), o.get("guarantees", {}), o.get("limits", {})
-    fields = report_columns(o)
-    local = s.get("stays-local", [])
-    classes = tuple(
-        i.RequestClass(
-            seconds_to_us(c["aim"]),
-            seconds_to_us(c["deadline"]),
-            float(c.get("worth", 1.0)),
-            float(c.get("late-worth", 0.0)),
-            IDEMPOTENCY_BY_NAME.get(c.get("idempotency", ""), i.Idempotency.NOT_IDEMPOTENT),
-            tuple(known.zones.intern(z) for z in c["only-zones"]) if c.get("only-zones") else None,
-            tuple(known.kinds.intern(k) for k in c["only-kinds"]) if c.get("only-kinds") else None,
-            bool(local[n]) if n < len(local) else False,
+def parse_config(settings: Mapping[str, Any], identifiers: Identifiers, seed: int) -> PolicyConfig:
+    """Returns the policy's configuration.
+
+    Raises:
+        ValueError, KeyError, TypeError, AttributeError: The object is not as the operators document it.
+    """
+    specifics = settings.get("specifics", {})
+    classes = _parse_classes(settings, identifiers)  # first: it may intern zones, which are counted below
+    return PolicyConfig(
+        seed=seed,
+        zone_count=len(identifiers.zones),
+        proxy_count=int(specifics.get("proxies", 1)),
+        key_range_count=int(specifics.get("shards", 0)),
+        admission_enabled=specifics.get("admission", "off") == "share",
+        classes=classes,
+        safety=_parse_safety_limits(settings.get("guarantees", {}), specifics),
+        channel=_parse_channel_limits(specifics),
+        load_reporting=_parse_load_reporting(settings),
+    )
+
+
+def _parse_classes(settings: Mapping[str, Any], identifiers: Identifiers) -> tuple[RequestClass, ...]:
+    zone_local = settings.get("specifics", {}).get("stays-local", [])
+    return tuple(
+        _parse_class(
+            row, identifiers, zone_local=bool(zone_local[index]) if index < len(zone_local) else False
         )
-        for n, c in enumerate(o["classes"])
+        for index, row in enumerate(settings["classes"])
+    )
+
+
+def _parse_class(row: Mapping[str, Any], identifiers: Identifiers, zone_local: bool) -> RequestClass:
+    zones, kinds = row.get("only-zones"), row.get("only-kinds")
+    return RequestClass(
+        latency_objective_us=seconds_to_us(row["aim"]),
+        deadline_us=seconds_to_us(row["deadline"]),
+        priority_weight=float(row.get("worth", 1.0)),
+        late_priority_factor=float(row.get("late-worth", 0.0)),
+        idempotency=IDEMPOTENCY_BY_NAME.get(row.get("idempotency", ""), Idempotency.NOT_IDEMPOTENT),
+        allowed_zones=tuple(identifiers.zones.intern(zone) for zone in zones) if zones else None,
+        allowed_kinds=tuple(identifiers.kinds.intern(kind) for kind in kinds) if kinds else None,
+        zone_local=zone_local,
     )
-    inline = o.get("report", {}).get("how", "off") == "inline"
-    return i.PolicyConfig(
-        seed,
-        len(known.zones),
-        int(s.get("proxies", 1)),
-        int(s.get("shards", 0)),
-        s.get("admission", "off") == "share",
-        classes,
-        i.SafetyLimits(
-            seconds_to_us(g.get("drain-grace", 1.0)),
-            seconds_to_us(g.get("cold", 0.0)),
-            float(g.get("cold-share", 1.0)),
-            float(g.get("fall-multiple", 1.0)),
-            seconds_to_us(g.get("tip-after", 1.0)),
-            seconds_to_us(s.get("blackhole", 5.0)),
-            bool(g.get("gone-is-advice", False)),
-        ),
-        i.ChannelLimits(
-            float(s.get("pending-max", 1000.0)),
-            float(s.get("push-rate", 1000.0)),
-            float(s.get("fixed-cost", 0.0)),
-            int(s.get("pushes-allowed", 0)),
-            seconds_to_us(s.get("update-window", 10.0)),
-        ),
-        i.LoadReporting(
-            seconds_to_us(s.get("period", 1.0)),
-            inline and "utilization" in fields,
-            inline and "outstanding" in fields,
-            bool(limits.get("probes", False)),
-            o.get("discovery", "push") == "ask",
-        ),
+
+
+def _parse_safety_limits(guarantees: Mapping[str, Any], specifics: Mapping[str, Any]) -> SafetyLimits:
+    return SafetyLimits(
+        drain_grace_us=seconds_to_us(guarantees.get("drain-grace", 1.0)),
+        warmup_us=seconds_to_us(guarantees.get("cold", 0.0)),
+        warmup_start_capacity=float(guarantees.get("cold-share", 1.0)),
+        overload_multiple=float(guarantees.get("fall-multiple", 1.0)),
+        overload_window_us=seconds_to_us(guarantees.get("tip-after", 1.0)),
+        unroutable_limit_us=seconds_to_us(specifics.get("blackhole", 5.0)),
+        gone_is_advisory=bool(guarantees.get("gone-is-advice", False)),
+    )
+
+
+def _parse_channel_limits(specifics: Mapping[str, Any]) -> ChannelLimits:
+    return ChannelLimits(
+        queue_limit_lines=float(specifics.get("pending-max", 1000.0)),
+        lines_per_s=float(specifics.get("push-rate", 1000.0)),
+        message_overhead_lines=float(specifics.get("fixed-cost", 0.0)),
+        messages_per_window=int(specifics.get("pushes-allowed", 0)),
+        message_window_us=seconds_to_us(specifics.get("update-window", 10.0)),
+    )
+
+
+def _parse_load_reporting(settings: Mapping[str, Any]) -> LoadReporting:
+    specifics, limits = settings.get("specifics", {}), settings.get("limits", {})
+    columns = report_columns(settings)
+    is_inline = settings.get("report", {}).get("how", "off") == "inline"
+    return LoadReporting(
+        period_us=seconds_to_us(specifics.get("period", 1.0)),
+        has_busy_share=is_inline and "utilization" in columns,
+        has_in_flight=is_inline and "outstanding" in columns,
+        health_checks_allowed=bool(limits.get("probes", False)),
+        must_subscribe=settings.get("discovery", "push") == "ask",
     )
--- a/tests/support/governed_fleet.py
+++ b/tests/support/governed_fleet.py
@@ -13,7 +13,8 @@
 from gradehoist.protocol import feed
 from gradehoist.protocol.proxy_state import ProxyState
 from gradehoist.settings import reader as r
-from gradehoist.settings.fleet import CellPlacement, Settings, parse_settings
+from gradehoist.settings.fleet import CellPlacement, Settings
+from gradehoist.settings.fleet_parser import parse_settings
 
 SECOND = 1_000_000
 TEXT = """
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -28,7 +28,7 @@
     save_draining_cells,
 )
 from gradehoist.settings.fleet import CellPlacement
-from gradehoist.settings.fleet import read_settings as settings_of
+from gradehoist.settings.fleet_parser import read_settings as settings_of
 from gradehoist.settings.reader import SettingsError
 from tests.support.governed_fleet import SECOND, World, entry, on_sockets
 
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -21,7 +21,8 @@
 from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http
 from gradehoist.scenario import definition
-from gradehoist.settings.fleet import CellPlacement, read_settings
+from gradehoist.settings.fleet import CellPlacement
+from gradehoist.settings.fleet_parser import read_settings
 from gradehoist.testbed.clients import Clients
 from gradehoist.testbed.proxy import Relays
 from tests.support.governed_fleet import entry
--- a/tests/test_fleet_governors.py
+++ b/tests/test_fleet_governors.py
@@ -14,7 +14,8 @@
 
 from gradehoist.membership.service import Membership
 from gradehoist.scenario import definition
-from gradehoist.settings.fleet import CoordinationSettings, parse_settings
+from gradehoist.settings.fleet import CoordinationSettings
+from gradehoist.settings.fleet_parser import parse_settings
 from gradehoist.settings.reader import SettingsError, SettingsReader
 from gradehoist.testbed import etcd_server as standin
 from tests.support.governed_fleet import TEXT, entry
--- a/tests/test_known_limits.py
+++ b/tests/test_known_limits.py
@@ -17,7 +17,7 @@
 from gradehoist.governor.policy_process import PolicyProcess
 from gradehoist.governor.service import GovernorService
 from gradehoist.scenario import definition
-from gradehoist.settings.fleet import read_settings
+from gradehoist.settings.fleet_parser import read_settings
 from tests.support.governed_fleet import World, entry
 from tests.support.governor_process import GRACE, ROOT, Relay, Roster, play, settings, until
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,7 @@
 
 from gradehoist.cli.main import main
 from gradehoist.scenario import definition
-from gradehoist.settings.fleet import read_settings
+from gradehoist.settings.fleet_parser import read_settings
 from gradehoist.settings.reader import SettingsError
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -49,7 +49,8 @@
 from gradehoist.scenario import audit
 from gradehoist.scenario.definition import ports
 from gradehoist.settings import reader
-from gradehoist.settings.fleet import CellPlacement, parse_settings
+from gradehoist.settings.fleet import CellPlacement
+from gradehoist.settings.fleet_parser import parse_settings
 from gradehoist.store.sqlite_store import SqliteStore
 from gradehoist.testbed import scenario_plan as scripted
 from gradehoist.zones.evacuation import EvacuationPlan as ZonesPlan
