--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -17,7 +17,7 @@
 from gradehoist.history.exactly_once import find_duplicate_effects, find_fencing_violations
 from gradehoist.history.records import HistoryEntry, ProcessEvent, load_history
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
-from gradehoist.scenario import definition
+from gradehoist.scenario.free_ports import find_free_ports
 from tests.support.fleet_process import LOCAL, ProcessSpec
 
 ROOT = Path(__file__).parent.parent.parent
@@ -75,7 +75,7 @@
         session_s: float = 2.0,
     ) -> None:
         self.folder = folder
-        ledger_port, etcd_port, *ports = definition.ports(actor_count + 2)
+        ledger_port, etcd_port, *ports = find_free_ports(actor_count + 2)
         uses_etcd = store == "engine"
         self.etcd = self._start_etcd(etcd_port) if uses_etcd else None
         self._etcd_client = HttpClient(LOCAL, etcd_port)
