--- a/gradehoist/history/recorder.py
+++ b/gradehoist/history/recorder.py
@@ -6,6 +6,7 @@
 
 from msgspec.structs import replace
 
+from gradehoist.clock import monotonic_us
 from gradehoist.coordination.requests import (
     CommitChanges,
     ReadRecords,
@@ -34,7 +35,6 @@
     ObservedRecord,
     RequestedChange,
     StoreCall,
-    monotonic_us,
 )
 
 
--- a/gradehoist/history/records.py
+++ b/gradehoist/history/records.py
@@ -12,7 +12,6 @@
 
 import contextlib
 import os
-import time
 from collections.abc import Iterable
 from enum import Enum
 from pathlib import Path
@@ -20,6 +19,8 @@
 
 import msgspec
 
+from gradehoist.clock import monotonic_us
+
 MAX_ENTRIES = 1_000_000
 """Entries of one writer: bounds the disk that a run can fill."""
 
@@ -137,11 +138,6 @@
     """A history allows no verdict: it reached its bound, or holds a line that is no entry."""
 
 
-def monotonic_us() -> int:
-    """The machine's monotonic clock in microseconds."""
-    return time.monotonic_ns() // 1_000
-
-
 class HistoryWriter:
     """Appends entries to a file, each at once: what a killed process had done has to be there.
 
--- a/tests/support/fleet_process.py
+++ b/tests/support/fleet_process.py
@@ -19,18 +19,12 @@
 
 import msgspec
 
+from gradehoist.clock import monotonic_us
 from gradehoist.coordination.fencing import Fence, FencingToken
 from gradehoist.coordination.notifications import CommitOutcome
 from gradehoist.coordination.records import ProcessIdentity
 from gradehoist.history.recorder import HistoryRecorder
-from gradehoist.history.records import (
-    Effect,
-    HistoryWriter,
-    ProcessEvent,
-    RejectedEffect,
-    load_history,
-    monotonic_us,
-)
+from gradehoist.history.records import Effect, HistoryWriter, ProcessEvent, RejectedEffect, load_history
 from gradehoist.membership.service import Membership
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response, json_response
