--- a/gradehoist/protocol/line_parser.py
+++ b/gradehoist/protocol/line_parser.py
@@ -1,6 +1,6 @@
 """Reading the platform's line protocol as a state machine without I/O.
 
-Three things are told apart: a valid message; a malformed line, which costs only itself; and bytes that are no
+Three things are distinguished: a valid message; a malformed line, which costs only itself; and bytes that are no
 messages of the protocol, which end the connection.
 """
 
