--- a/gradehoist/scenario/definition_reader.py
+++ b/gradehoist/scenario/definition_reader.py
@@ -24,7 +24,8 @@
 from gradehoist.scenario.faults.fault import EndpointListDelays
 from gradehoist.scenario.faults.kinds import parse_fault
 from gradehoist.settings import reader
-from gradehoist.settings.fleet import Settings, parse_settings
+from gradehoist.settings.fleet import Settings
+from gradehoist.settings.fleet_parser import parse_settings
 from gradehoist.settings.reader import Node
 
 
