--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -1,4 +1,4 @@
-"""The real node as a process on loopback: start, orders, strangers, SIGHUP, SIGTERM, bad configuration."""
+"""The real node as a process on loopback: start, orders, unknown peers, signals, invalid configuration."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
         node.kill()
 
 
-def test_serves_follows_discovery_where_it_moves_and_ends_at_once(tmp_path: Path) -> None:
+def test_a_node_serves_watches_a_moved_discovery_and_ends_at_once(tmp_path: Path) -> None:
     async def play() -> None:
         async with running(tmp_path) as node:
             first, second = node.discoveries
@@ -37,7 +37,7 @@
             first.change(entry("s-0", "leaving"))
             await proxy.until("out=s-0")
             second.revision, second.members = first.revision, dict(first.members)
-            node.path.write_text("{")  # half written: the old one stays
+            node.path.write_text("{")  # half written: the previous one stays in effect
             assert node.child is not None
             node.child.send_signal(signal.SIGHUP)
             await until(lambda: "the previous configuration stays" in node.log.read_text())
@@ -50,7 +50,7 @@
                 writer.close()
             second.change(entry("s-2", "leaving"))
             await proxy.until("out=s-2")
-            # Back where it was: one watch there, not a second beside the one that was left.
+            # Back where it was: one watch there, not a second one beside the watch that was open before.
             node.configure(0)
             asked = len(first.asked)
             node.child.send_signal(signal.SIGHUP)
@@ -66,7 +66,7 @@
     asyncio.run(play())
 
 
-def test_a_discovery_that_falls_silent_is_watched_anew_until_it_is_back(tmp_path: Path) -> None:
+def test_a_silent_discovery_is_watched_again_until_it_answers(tmp_path: Path) -> None:
     async def play() -> None:
         async with running(tmp_path) as node:
             first, proxy = node.discoveries[0], await Proxy(node).join()
@@ -76,7 +76,7 @@
                 writer.close()
             await until(lambda: "closed; retry" in node.log.read_text())
             await until(lambda: "silent; retry" in node.log.read_text())
-            first.change(entry("s-0", "leaving"))  # nobody hears of it yet
+            first.change(entry("s-0", "leaving"))  # the node is not notified yet
             first.mute = False
             await proxy.until("out=s-0")
             assert len(first.asked) >= 3
@@ -84,7 +84,7 @@
     asyncio.run(play())
 
 
-def test_strangers_by_the_hundreds_take_no_descriptor_from_proxies(tmp_path: Path) -> None:
+def test_hundreds_of_unknown_peers_take_no_descriptor_from_proxies(tmp_path: Path) -> None:
     async def play() -> None:
         async with running(tmp_path, sockets=72) as node:
             silent = []
@@ -115,7 +115,7 @@
 ]  # fmt: skip
 
 
-def test_what_cannot_be_read_gets_a_close_and_good_neighbours_go_on(tmp_path: Path) -> None:
+def test_unreadable_input_closes_its_connection_and_other_peers_continue(tmp_path: Path) -> None:
     async def play() -> None:
         async with running(tmp_path) as node:
             proxy = await Proxy(node).join()
@@ -125,7 +125,7 @@
             proxy.writer.write(b"ack id=0 seq=x ms=1\r\ndemand id=0 lane=read count=-1 fail=0 over=1\r\n")
             node.discoveries[0].change(entry("s-2", "leaving"))
             await proxy.until("out=s-2")
-            proxy.writer.write(b"\x01\x02\r\n")  # of no further use
+            proxy.writer.write(b"\x01\x02\r\n")  # a protocol error: the connection is closed
             with contextlib.suppress(ConnectionError):
                 assert await proxy.reader.read() == b""
 
@@ -139,7 +139,9 @@
     ('{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {"classes": [{"name": "a",'
      ' "aim": "x"}]}}', "settings: could not convert"),
 ])  # fmt: skip
-def test_bad_configuration_is_one_line_and_exit_2(tmp_path: Path, text: str | None, place: str) -> None:
+def test_an_invalid_configuration_is_one_line_and_exit_2(
+    tmp_path: Path, text: str | None, place: str
+) -> None:
     path = tmp_path / "config.json"
     if text is not None:
         path.write_text(text)
@@ -155,8 +157,8 @@
     assert done.stderr.count("\n") == 1
 
 
-def test_a_fault_of_the_module_ends_the_node_with_its_traceback(tmp_path: Path) -> None:
-    """In the timer's callback it only reached the loop's own log, and the governor stood without a timer."""
+def test_a_failure_of_the_policy_ends_the_node_with_its_traceback(tmp_path: Path) -> None:
+    """Raised in a timer callback it only reached the log of the loop, and the node had no timer any more."""
     node = Node(tmp_path, SETTINGS, MEMBERS)
     node.configure(0)
     code = (
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -1,4 +1,4 @@
-"""What comes between two lines: each crossing of `docs/hardening-review.md` forced on the real shell."""
+"""Race conditions, each forced on the real node; `docs/hardening-review.md` lists them by these names."""
 
 from __future__ import annotations
 
@@ -54,7 +54,7 @@
 
 
 async def bound(found: Shell, proxy: int = 0) -> Wire:
-    """A proxy that has its first table."""
+    """The connection of a proxy that has its first table."""
     wire = Wire(found.port)
     wire.hello(proxy)
     await until(lambda: not wire.ended and b"whole=1" in wire.text)
@@ -62,7 +62,7 @@
 
 
 async def drained(found: Shell, wire: Wire, place: int = 0) -> None:
-    """A drain told now reaches this stream."""
+    """A drain listed now reaches this stream."""
     found.scripts[place].watches[-1].write(DRAIN)
     await until(lambda: not wire.ended and b"out=s-0" in wire.text)
 
@@ -163,7 +163,7 @@
 
 
 def test_a_long_message_right_behind_a_joining_is_no_stranger_s(tmp_path: Path) -> None:
-    """One read brought the joining and 4 KB of the next message: it was refused as from nobody."""
+    """One read brought the hello and 4 KB of the next message, which was rejected as of an unknown peer."""
 
     async def work(found: Shell) -> None:
         wire, counted = Wire(found.port), list[lines.AttemptOutcomes]()
@@ -212,14 +212,16 @@
         await until(lambda: 0 not in found.service.core.policy.fleet.flow.unacknowledged)
         assert found.has_logged("proxy 0 closed: 1048576 bytes unread")
         assert 0 not in found.service.core.streams.by_proxy
-        assert not found.service.core.policy.fleet.flow.unacknowledged_lines, "its lines have left the books"
+        assert (
+            not found.service.core.policy.fleet.flow.unacknowledged_lines
+        ), "its lines have left the channel's account"
         await drained(found, await bound(found))
 
     play(tmp_path, work)
 
 
 def flood(port: int, stop: threading.Event, hello: str, line: str) -> None:
-    """Writes as fast as it is read, on a thread of its own."""
+    """Writes as fast as the peer reads, on a thread of its own."""
     with contextlib.suppress(OSError), socket.create_connection((LOCAL, port)) as sock:
         sock.sendall(hello.encode())
         sock.settimeout(0.2)
@@ -269,7 +271,7 @@
     b"HTTP/1.1 301 Away\r\nlocation: /\r\ncontent-length: 0\r\n\r\n", CHUNKED + b"3\r\n{]\n\r\n",
     b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", CHUNKED + whole(1, *MEMBERS) + b"0\r\n\r\n",
 ])  # fmt: skip
-def test_a_watch_that_says_so_much_and_no_more_is_opened_anew(
+def test_a_watch_that_falls_silent_or_ends_anywhere_is_opened_again(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: bytes
 ) -> None:
     monkeypatch.setattr(discovery_client, "SILENCE_TIMEOUT_S", 0.3)
@@ -287,7 +289,7 @@
 def test_a_watch_that_drips_and_never_answers_is_given_up(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """An answer without a length that brought an empty line now and then passed for life and told nothing."""
+    """A response without a length that brought an empty line now and then passed for a watch without news."""
     monkeypatch.setattr(discovery_client, "SILENCE_TIMEOUT_S", 0.3)
 
     async def work(found: Shell) -> None:
@@ -307,7 +309,7 @@
     async def work(found: Shell) -> None:
         script = found.scripts[0]
         wire = await bound(found)
-        script.end()  # nobody tells it a second time
+        script.end()  # no later watch can repeat it
         script.watches[0].write(DRAIN + b"3\r\n{]\n\r\n")
         await until(lambda: not wire.ended and b"out=s-0" in wire.text)
 
@@ -315,7 +317,7 @@
 
 
 def test_an_older_whole_list_over_the_watch_that_was_left_undoes_no_drain(tmp_path: Path) -> None:
-    """SIGHUP as a watch was being opened anew: its list, of before, came behind the new one's."""
+    """SIGHUP as a watch was being opened again: its older snapshot came after the new watch's."""
 
     async def work(found: Shell) -> None:
         first, second = found.scripts
@@ -334,14 +336,14 @@
         assert held.endpoints["s-0"].phase is Phase.DRAINING
         assert "s-9" in held.endpoints
         assert held.revision == 6
-        assert held.endpoints["s-3"].phase is Phase.READY  # its drain of before was over by then
+        assert held.endpoints["s-3"].phase is Phase.READY  # its earlier drain was over by then
         assert b"back=s-0" not in wire.text
 
     play(tmp_path, work)
 
 
 def test_a_list_that_goes_back_for_good_is_taken(tmp_path: Path) -> None:
-    """Discovery began anew behind both addresses: the new watch is opened again once the old one ended."""
+    """Discovery started over behind both addresses: the new watch is opened again once the old one ended."""
 
     async def work(found: Shell) -> None:
         first, second = found.scripts
@@ -413,7 +415,7 @@
 
 @pytest.mark.parametrize("importing", [True, False])
 def test_sighup_before_the_handlers_stand_moves_discovery(tmp_path: Path, importing: bool) -> None:
-    """It ended the process by the signal. The file is replaced after it was read."""
+    """The signal ended the process before. The file is replaced after it was read."""
 
     async def run() -> None:
         node = Node(tmp_path, SETTINGS, MEMBERS)
@@ -495,7 +497,7 @@
     asyncio.run(run())
 
 
-# Probes, kept connections, hand-overs
+# Health checks, kept connections, listeners
 
 
 @pytest.mark.parametrize(("returned", "outcome"), [
@@ -506,7 +508,7 @@
 def test_a_probe_s_answer_from_an_earlier_life_is_no_word_on_this_one_which_is_asked(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, returned: dict[str, Any], outcome: HealthCheckOutcome
 ) -> None:
-    """Let pass unsaid, one that left and came back while it was asked stayed ejected for good."""
+    """Without a result, a replica that left and came back during its check stayed ejected for good."""
 
     async def work(found: Shell) -> None:
         held, heard, asked = asyncio.Event(), dict[int, HealthCheckOutcome](), list[int]()
@@ -546,7 +548,7 @@
     (b"junk\r\n\r\n", HealthCheckOutcome.CONNECTION_RESET, None),
     (b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n", HealthCheckOutcome.REJECTED, None),
 ])  # fmt: skip
-def test_a_probe_s_answer_that_is_spoilt_cut_or_too_long_is_told_as_what_it_is(
+def test_a_malformed_truncated_or_too_long_health_check_response_has_its_own_outcome(
     tmp_path: Path,
     monkeypatch: pytest.MonkeyPatch,
     answer: bytes | None,
@@ -569,7 +571,7 @@
 
 
 def test_an_address_by_name_is_refused_and_never_looked_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Looking one up held up the loop for as long as it took."""
+    """Resolving a name blocked the event loop for as long as it took."""
     for text in ("replica.local:80", "127.0.0.1:0", "127.0.0.1:99999", ":80", "::1:80", "256.0.0.1:80"):
         with pytest.raises(ValueError, match="IPV4:PORT"):
             parse_address(text)
@@ -577,7 +579,7 @@
 
 
 class Cutting:
-    """An HTTP server by script: what each connection is told for each request; None closes it there."""
+    """A scripted HTTP server: the response to each request of each connection; None closes the connection."""
 
     def __init__(self, *connections: list[bytes | None]) -> None:
         self.script, self.requests = list(connections), list[bytes]()
@@ -607,7 +609,7 @@
 
 @pytest.mark.parametrize("method", ["GET", "POST"])
 def test_a_kept_connection_closed_as_it_is_used_again_is_told_and_nothing_asked_twice(method: str) -> None:
-    """Nobody knows whether it took effect; a poll of the feed is a GET that does."""
+    """Whether the request took effect is not known, and a poll of the feed is a GET with an effect."""
 
     async def run() -> None:
         server = Cutting([OK + b"one", None], [OK + b"two"])
@@ -626,7 +628,7 @@
 @pytest.mark.parametrize("unasked", [b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\n\r\n", b""])
 @pytest.mark.parametrize("seen", [True, False])
 def test_what_comes_unasked_on_a_kept_connection_answers_nothing(unasked: bytes, seen: bool) -> None:
-    """Whether the loop has read it, or it lies in the socket: it was taken for the next answer."""
+    """Whether the loop has read it or it lies in the socket, it was taken for the next response."""
 
     async def run() -> None:
         server = Cutting([OK + b"one"], [OK + b"two"])
@@ -659,7 +661,7 @@
         ask, asker = "GET /f HTTP/1.1\r\nhost: a\r\n\r\n", socket.create_connection((LOCAL, port))
 
         def reads() -> None:
-            """What the flood is answered: unread, that would stop it."""
+            """Reads the responses to the flood, which unread would stop it."""
             with contextlib.suppress(OSError):
                 while not stop.is_set() and asker.recv(1 << 20):
                     pass
