Background tasks of node and governor are one class, in net

Both shells held the same owner of tasks; the governor's moves to net/background_tasks.py, which the node's entry of the deploy file covers, and the node's goes. test_deploy, test_node_service, test_race_conditions, test_service: 84 passed, test_deploy again after its list was put in order: 4 passed; mypy clean.

--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -16,7 +16,6 @@
 
 from gradehoist.clock import monotonic_us
 from gradehoist.coordination.agent import ProcessIdentity
-from gradehoist.governor.background_tasks import BackgroundTasks
 from gradehoist.governor.core import GovernorCore
 from gradehoist.governor.endpoint_cache import EndpointCache
 from gradehoist.governor.endpoint_watch import EndpointWatch
@@ -33,6 +32,7 @@
 from gradehoist.governor.tenant_assignments import TenantAssignments
 from gradehoist.governor.zone_coordination import ZoneCoordination
 from gradehoist.membership.service import Membership, new_incarnation
+from gradehoist.net.background_tasks import BackgroundTasks
 from gradehoist.net.server import HttpServer
 from gradehoist.protocol.feed import ProxyLoadReport
 from gradehoist.settings.fleet import FleetSettings, GovernorSettings
--- a/gradehoist/governor/shell_state.py
+++ b/gradehoist/governor/shell_state.py
@@ -7,9 +7,9 @@
 
 from structlog.typing import FilteringBoundLogger
 
-from gradehoist.governor.background_tasks import BackgroundTasks
 from gradehoist.governor.core import GovernorCore
 from gradehoist.governor.replica_clients import ReplicaClients
+from gradehoist.net.background_tasks import BackgroundTasks
 from gradehoist.settings.fleet import GovernorSettings
 
 
--- a/gradehoist/node/connections.py
+++ b/gradehoist/node/connections.py
@@ -12,12 +12,12 @@
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
+from gradehoist.net.background_tasks import BackgroundTasks
 from gradehoist.net.listener import Listener, read_available
 from gradehoist.node.core import JoinRejectedError
 from gradehoist.node.log import NodeLog
 from gradehoist.node.policy_runner import PolicyRunner
 from gradehoist.node.push_batch import OutboundMessage
-from gradehoist.node.tasks import OwnedTasks
 from gradehoist.protocol import lines
 from gradehoist.protocol.line_parser import MAX_MESSAGE_BYTES, LineParser
 
@@ -64,7 +64,7 @@
     def __init__(
         self,
         runner: PolicyRunner,
-        tasks: OwnedTasks,
+        tasks: BackgroundTasks,
         log: NodeLog,
         max_connections: int,
     ) -> None:
--- a/gradehoist/node/discovery_client.py
+++ b/gradehoist/node/discovery_client.py
@@ -10,12 +10,12 @@
 from tornado import gen
 from tornado.iostream import IOStream, StreamClosedError
 
+from gradehoist.net.background_tasks import BackgroundTasks
 from gradehoist.net.listener import read_available
 from gradehoist.node.config import Address
 from gradehoist.node.discovery import HEARTBEAT_PERIOD_US, MAX_LINE_BYTES, DiscoveryWatch, WatchLostError
 from gradehoist.node.log import NodeLog
 from gradehoist.node.policy_runner import PolicyRunner
-from gradehoist.node.tasks import OwnedTasks
 
 MICROSECONDS_PER_SECOND = 1e6
 CONNECT_TIMEOUT_S = 1.0
@@ -38,7 +38,7 @@
     def __init__(
         self,
         runner: PolicyRunner,
-        tasks: OwnedTasks,
+        tasks: BackgroundTasks,
         log: NodeLog,
     ) -> None:
         """Watches nothing until `watch` is called."""
--- a/gradehoist/node/health_checker.py
+++ b/gradehoist/node/health_checker.py
@@ -7,12 +7,12 @@
 
 from gradehoist.governor import health_checks
 from gradehoist.interface import HealthCheckOutcome, LoadReport
+from gradehoist.net.background_tasks import BackgroundTasks
 from gradehoist.net.client import HttpClient
 from gradehoist.node.config import parse_address
 from gradehoist.node.endpoint_list import ListedEndpoint
 from gradehoist.node.log import NodeLog
 from gradehoist.node.policy_runner import PolicyRunner
-from gradehoist.node.tasks import OwnedTasks
 from gradehoist.protocol import orca
 from gradehoist.settings import platform
 
@@ -27,7 +27,7 @@
     def __init__(
         self,
         runner: PolicyRunner,
-        tasks: OwnedTasks,
+        tasks: BackgroundTasks,
         log: NodeLog,
     ) -> None:
         """Allows MAX_CONCURRENT_CHECKS at once."""
--- a/gradehoist/node/service.py
+++ b/gradehoist/node/service.py
@@ -15,6 +15,7 @@
 from dataclasses import replace
 from pathlib import Path
 
+from gradehoist.net.background_tasks import BackgroundTasks
 from gradehoist.node.clock import SteadyUnixClock
 from gradehoist.node.config import ConfigError, NodeConfig, load_config
 from gradehoist.node.connections import ConnectionServer
@@ -23,7 +24,6 @@
 from gradehoist.node.health_checker import HealthChecker
 from gradehoist.node.log import LINES_PER_S, NodeLog
 from gradehoist.node.policy_runner import PolicyRunner
-from gradehoist.node.tasks import OwnedTasks
 
 TRACE_VARIABLE = "GRADEHOIST_TRACE"
 TRACE_LINES_PER_S = 1_000.0  # each replica has a line a second
@@ -61,7 +61,7 @@
             is_traced=is_traced,
         )
         self.stopping = asyncio.Event()
-        self.tasks = OwnedTasks(self._fail)
+        self.tasks = BackgroundTasks(self._fail)
         self.runner = PolicyRunner(
             core=self.core,
             clock=clock,
@@ -110,7 +110,7 @@
         self.runner.cancel()
         if self._reload_timer is not None:
             self._reload_timer.cancel()
-        await self.tasks.cancel_all()
+        await self.tasks.cancel()
         self.log.close()
         if self._failure is None:
             return EXIT_OK
--- a/tests/support/node_shell.py
+++ b/tests/support/node_shell.py
@@ -167,6 +167,6 @@
         InterleavedStream.interleave = None
         found.service.stopping.set()
         assert await asyncio.wait_for(running, PATIENCE) == 0
-        assert not len(found.service.tasks), "no task is left behind"
+        assert not list(found.service.tasks), "no task is left behind"
         for script in found.scripts:
             script.end()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -33,13 +33,13 @@
     gradehoist.policy.tables gradehoist.governor
     gradehoist.governor.health_checks
     gradehoist.governor.tables gradehoist.interface gradehoist.identifiers gradehoist.net
-    gradehoist.net.client gradehoist.net.listener
+    gradehoist.net.background_tasks gradehoist.net.client gradehoist.net.listener
     gradehoist.node gradehoist.node.__main__
     gradehoist.node.clock gradehoist.node.config gradehoist.node.connections gradehoist.node.core
     gradehoist.node.discovery gradehoist.node.discovery_client gradehoist.node.endpoint_list
     gradehoist.node.errors gradehoist.node.health_checker gradehoist.node.log gradehoist.node.malformed_input
     gradehoist.node.policy_runner gradehoist.node.proxy_streams gradehoist.node.push_batch
-    gradehoist.node.push_contents gradehoist.node.service gradehoist.node.tasks gradehoist.node.trace
+    gradehoist.node.push_contents gradehoist.node.service gradehoist.node.trace
     gradehoist.protocol gradehoist.protocol.feed gradehoist.protocol.http
     gradehoist.protocol.http_head gradehoist.protocol.http_parser gradehoist.protocol.line_parser
     gradehoist.protocol.lines gradehoist.protocol.orca gradehoist.settings gradehoist.settings.platform
