--- a/bench/member.py
+++ b/bench/member.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from gradehoist.coordination.agent import ProcessIdentity
+from gradehoist.coordination.records import ProcessIdentity
 from gradehoist.membership.service import Membership, new_incarnation
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response, json_response
 from gradehoist.protocol import http
--- a/gradehoist/membership/health_checks.py
+++ b/gradehoist/membership/health_checks.py
@@ -6,7 +6,7 @@
 import contextlib
 from collections.abc import Callable, Collection
 
-from gradehoist.coordination.agent import MemberRecord
+from gradehoist.coordination.records import MemberRecord
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.settings.reader import parse_address
 
--- a/gradehoist/store/sqlite_store.py
+++ b/gradehoist/store/sqlite_store.py
@@ -58,15 +58,15 @@
         check_sizes(changes)
         return await self._run(self._calls, lambda: self._commit(changes, commit_id))
 
-    async def open(self, ttl_us: int) -> str:
+    async def open_session(self, ttl_us: int) -> str:
         """Returns the id of a new session that ends unless it is renewed within `ttl_us`."""
         return await self._run(self._calls, lambda: self._sessions.open(ttl_us))
 
-    async def keep(self, session_id: str) -> int:
+    async def renew_session(self, session_id: str) -> int:
         """Renews a session and returns the store's revision."""
         return await self._run(self._calls, lambda: self._renew(session_id))
 
-    async def end(self, session_id: str) -> None:
+    async def end_session(self, session_id: str) -> None:
         """Ends a session and deletes its records."""
         await self._run(self._calls, lambda: self._sessions.end(session_id))
 
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -17,17 +17,25 @@
 from gradehoist import interface
 from gradehoist.capacity_planning import planner
 from gradehoist.cells import migration, rate_limits, rollout
-from gradehoist.coordination import agent, members
+from gradehoist.coordination import members
+from gradehoist.coordination import records as coordination_records
 from gradehoist.governor import http_api, openapi
 from gradehoist.history import records
 from gradehoist.protocol import feed, orca
-from gradehoist.scenario import audit
+from gradehoist.scenario.checks import records as run_records
+from gradehoist.scenario.checks.verdict import Rule, RuleResult, RuleState, Verdict, Violation
 from gradehoist.settings.fleet import CellPlacement
 from gradehoist.testbed import endpoint_list, etcd_server, scenario_plan
 from gradehoist.zones import evacuation, health, warmup_quota
 
 FILE = Path(__file__).parent / "data" / "encoded.txt"
-NEVER_ENCODED = {orca.OrcaReport, etcd_server.Faults, endpoint_list.Entry}  # by their field names, that is
+READ_ONLY = {run_records.RecordHeader, *get_args(run_records.Event)}  # `tests/data/run` guards their keys
+NEVER_ENCODED = {  # by their field names, that is
+    orca.OrcaReport,
+    etcd_server.Faults,
+    endpoint_list.Entry,
+    *READ_ONLY,
+}
 ETCD_MESSAGES = "gradehoist.net.etcd_messages"  # of etcd's interface: test_etcd.py compares their bytes
 
 ALL_DELTAS: tuple[feed.Delta, ...] = (
@@ -46,7 +54,7 @@
         time_us=1,
         process="a",
         call_id=2,
-        operation="commit",
+        operation=records.StoreCall.COMMIT,
         commit_id="a:1",
         prefix="zones/",
         after_revision=3,
@@ -56,7 +64,7 @@
         time_us=5,
         process="a",
         call_id=2,
-        outcome="done",
+        outcome=records.CallOutcome.COMMITTED,
         revision=6,
         observed=(records.ObservedRecord(key="k", version=6, commit_id="a:1"),),
     ),
@@ -285,10 +293,12 @@
     "told": ALL_LINES[4],
     "cut": ALL_LINES[5],
     # Records of the register
-    "member": agent.MemberRecord(
+    "member": coordination_records.MemberRecord(
         role="governor", name="a", zone="hall-a", incarnation="a-1", generation=2, address="127.0.0.1:7101"
     ),
-    "named": agent.OwnershipRecord(generation=2, holder="a-1", member_key="members/governor/a"),
+    "named": coordination_records.OwnershipRecord(
+        generation=2, holder="a-1", member_key="members/governor/a"
+    ),
     "view of members": members.ReachabilityReport(unreachable=("members/governor/b",), is_isolated=True),
     "view of zones": health.HealthReport(
         zone="hall-a",
@@ -330,23 +340,25 @@
         cases=(CASE,),
     ),
     "plan of a day": DAY,
-    "verdict": audit.Verdict(
-        complete=False,
-        why="no end",
-        rules=[
-            audit.Judged(
-                rule="line",
-                name="1 a line",
-                state="broken",
-                near=1.5,
+    "verdict": Verdict(
+        is_complete=False,
+        reason="no end",
+        results=[
+            RuleResult(
+                rule=Rule.UNROUTABLE,
+                title="1 a line",
+                state=RuleState.BROKEN,
+                limit_used=1.5,
                 occasions=2,
-                why="",
-                breaks=[audit.Finding(at=0.5, relay="r1", replica="w1", text="no line", records=[{"t": 1}])],
+                reason="",
+                violations=[
+                    Violation(at_s=0.5, proxy="r1", replica="w1", description="no line", evidence=[{"t": 1}])
+                ],
             )
         ],
-        answered=0.5,
-        by_class={"read": 0.5},
-        transactions=6,
+        completed_share=0.5,
+        completed_share_by_class={"read": 0.5},
+        requests=6,
     ),
 }
 
