--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -297,3 +297,26 @@
         site.acknowledge(proxy, stream.unacknowledged[0].revision)
         site.step()
     assert not site.core.streams.overdue_count
+
+
+def test_a_trace_shows_estimates_beside_the_reports_since_the_last_one() -> None:
+    identifiers = platform.parse_identifiers(SETTINGS)
+    cached = EndpointListUpdate(revision=1, is_snapshot=True, endpoints=(discovered(0),))
+    core = NodeCore(
+        identifiers=identifiers,
+        policy_config=platform.parse_config(SETTINGS, identifiers, 7),
+        cached_endpoints=cached,
+        now_us=0,
+        is_traced=True,
+    )
+    report = parse_line(b"outcomes site=a target=s-0 count=9 fail=1 mean=50 over=1000 util=util:0.5")
+    assert isinstance(report, lines.AttemptOutcomes)
+    core.on_outcomes_reported(report)
+    core.advance(SECOND)
+    replica_line, fleet_line = core.take_trace()
+    assert replica_line.startswith("trace s-0 a k ready size 1 weight ")
+    assert replica_line.endswith("| attempts 9 failures 1 mean_s 0.050 busy_share 0.50 in_flight -1.0")
+    assert fleet_line.startswith("trace fleet admitted_share 1.000 unacknowledged_lines ")
+    assert core.take_trace()[0].endswith(
+        "| attempts 0 failures 0 mean_s 0.000 busy_share -1.00 in_flight -1.0"
+    )
