--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -13,7 +13,8 @@
 from gradehoist.cells.routes import class_label, home_cell
 from gradehoist.migration.planning import create_migrations, pending_migrations, plan_cell_drain
 from gradehoist.migration.records import load_draining_cells, load_migrations, save_draining_cells
-from gradehoist.settings.fleet import CellPlacement, read_settings
+from gradehoist.settings.fleet import CellPlacement
+from gradehoist.settings.fleet_parser import read_settings
 from gradehoist.settings.reader import SettingsError
 from tests.support.cell_fleet import fleet_with_cells
 from tests.support.governed_fleet import SECOND, entry, on_sockets
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -62,9 +62,9 @@
             b'"failure":[{"requestRange":{"key":"Z3JhZGVob2lzdC9h"}},'
             b'{"requestRange":{"key":"Z3JhZGVob2lzdC9i"}},{"requestRange":{"key":"Z3JhZGVob2lzdC9j"}}]}',
         ),
-        (lambda store: store.open(1_500_000), "/v3/lease/grant", b'{"TTL":"2"}'),
-        (lambda store: store.keep("31"), "/v3/lease/keepalive", b'{"ID":"31"}'),
-        (lambda store: store.end("31"), "/v3/lease/revoke", b'{"ID":"31"}'),
+        (lambda store: store.open_session(1_500_000), "/v3/lease/grant", b'{"TTL":"2"}'),
+        (lambda store: store.renew_session("31"), "/v3/lease/keepalive", b'{"ID":"31"}'),
+        (lambda store: store.end_session("31"), "/v3/lease/revoke", b'{"ID":"31"}'),
         (
             lambda store: store.watch("zones/", 41, 1_000),
             "/v3/watch",
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -23,7 +23,8 @@
 from gradehoist.scenario.definition_reader import read_scenario
 from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.scenario.plan_builder import build_plan
-from gradehoist.settings.fleet import CellPlacement, read_settings
+from gradehoist.settings.fleet import CellPlacement
+from gradehoist.settings.fleet_parser import read_settings
 from gradehoist.testbed.clients import Clients
 from gradehoist.testbed.proxy import Relays
 from tests.support.governed_fleet import entry
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -53,7 +53,8 @@
 from gradehoist.scenario.checks.verdict import Verdict
 from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings import reader
-from gradehoist.settings.fleet import CellPlacement, parse_settings
+from gradehoist.settings.fleet import CellPlacement
+from gradehoist.settings.fleet_parser import parse_settings
 from gradehoist.store.sqlite_store import SqliteStore
 from gradehoist.testbed import scenario_plan as scripted
 from gradehoist.zones.evacuation import EvacuationPlan as ZonesPlan
