--- a/gradehoist/governor/core_state.py
+++ b/gradehoist/governor/core_state.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import astuple, dataclass, replace
+from dataclasses import dataclass, replace
+
+import msgspec
 
 from gradehoist.cells.channel_shares import ChannelShares
 from gradehoist.cells.routes import class_label, home_cell
@@ -137,16 +139,9 @@
         identifiers,
         limits.message_overhead_lines,
         _tenant_routes(placement),
-        RateLimitsDelta(*astuple(placement.limits)) if placement.limits else None,
-    )
-    budget = ChannelShares(
-        len(policies),
-        limits.queue_limit_lines,
-        limits.lines_per_s,
-        limits.messages_per_window,
-        limits.message_overhead_lines,
-        fleet.safety.drain_grace_us,
+        RateLimitsDelta(*msgspec.structs.astuple(placement.limits)) if placement.limits else None,
     )
+    budget = ChannelShares(len(policies), limits, fleet.safety.drain_grace_us)
     return CellPublisher(tables, channel, policies, log, budget)
 
 
--- a/gradehoist/governor/openapi.py
+++ b/gradehoist/governor/openapi.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from gradehoist.cells.migration import AssignmentAck, TenantAssignment
+from gradehoist.cells.assignment import AssignmentAck, TenantAssignment
 from gradehoist.protocol.feed import PollResponse, ProxyLoadReport
 
 REF_PREFIX = "#/components/schemas/"
--- a/gradehoist/governor/tenant_assignments.py
+++ b/gradehoist/governor/tenant_assignments.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from gradehoist.cells.migration import AssignmentAck, TenantAssignment, TenantDirectory
+from gradehoist.cells.assignment import AssignmentAck, TenantAssignment, TenantDirectory
 from gradehoist.governor.errors import RequestRejectedError, StateError
 from gradehoist.governor.shell_state import ShellState
 from gradehoist.store.atomic_file import write_file_in_thread
--- a/gradehoist/protocol/line_parser.py
+++ b/gradehoist/protocol/line_parser.py
@@ -1,7 +1,7 @@
 """Reading the platform's line protocol as a state machine without I/O.
 
-Three things are distinguished: a valid message; a malformed line, which costs only itself; and bytes that are no
-messages of the protocol, which end the connection.
+Three things are distinguished: a valid message; a malformed line, which costs only itself; and bytes that are
+no messages of the protocol, which end the connection.
 """
 
 from __future__ import annotations
--- a/gradehoist/settings/fleet_sections.py
+++ b/gradehoist/settings/fleet_sections.py
@@ -64,9 +64,9 @@
 def parse_rate_limits(node: Node) -> RateLimits:
     """Reads the node `limits` of the cells."""
     return RateLimits(
-        cell=node.get("cell", number_parser(0.001, 1e9)),
-        tenant=node.get("tenant", number_parser(0.001, 1e9)),
-        burst=node.get("burst", number_parser(0.1, 3600), 2.0),
-        held=node.get("held", integer_parser(0, 10**6), 0),
-        cell_held=node.get("cell-held", integer_parser(0, 10**6), 0),
+        cell_rate_per_s=node.get("cell", number_parser(0.001, 1e9)),
+        tenant_rate_per_s=node.get("tenant", number_parser(0.001, 1e9)),
+        burst_s=node.get("burst", number_parser(0.1, 3600), 2.0),
+        tenant_in_flight_limit=node.get("held", integer_parser(0, 10**6), 0),
+        cell_in_flight_limit=node.get("cell-held", integer_parser(0, 10**6), 0),
     )
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -18,7 +18,7 @@
 import psutil
 import pytest
 
-from gradehoist.cells.migration import TenantAssignment
+from gradehoist.cells.assignment import TenantAssignment
 from gradehoist.governor.openapi import document
 from gradehoist.governor.policy_frames import (
     FRAME_LENGTH,
