Runner and report of a scenario in modules of one job, with typed errors and progress

Cause: runner.py held folders, processes, steps, checks and counts in one class; its error was one text, its progress a bare triple, and its checking task had no owner. report.py drew and wrote everything.

Change: run_folder.py prepares the files, processes.py owns the processes, runner.py plays the steps, errors.py has an error a cause, counts.py counts; charts.py draws and report.py writes the page.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,7 +28,7 @@
 from gradehoist.scenario.checks.run_check import check_run_folder
 from gradehoist.scenario.definition_reader import read_scenario
 from gradehoist.scenario.plan_builder import build_plan
-from gradehoist.scenario.runner import Run
+from gradehoist.scenario.runner import ScenarioRun
 
 REQUEST = (
     b"POST /v1/sums HTTP/1.1\r\nhost: 127.0.0.1:7101\r\nuser-agent: relay\r\naccept: */*\r\n"
@@ -366,7 +366,7 @@
 
     async def side_by_side(seed: int) -> None:
         runs = [
-            Run(script, build_plan(script, seed, *way), Path("found") / f"bench-{seed}-{name}")
+            ScenarioRun(script, build_plan(script, seed, *way), Path("found") / f"bench-{seed}-{name}")
             for name, way in ways.items()
         ]
         await asyncio.gather(*(run.play() for run in runs))
--- a/gradehoist/cli/scenario.py
+++ b/gradehoist/cli/scenario.py
@@ -11,12 +11,13 @@
 from rich.progress import BarColumn, Progress, TaskProgressColumn, TextColumn, TimeRemainingColumn
 from rich.table import Table
 
-from gradehoist.scenario import report
 from gradehoist.scenario.checks.run_check import check_run_folder
 from gradehoist.scenario.checks.verdict import Verdict
 from gradehoist.scenario.definition_reader import read_scenario
+from gradehoist.scenario.errors import ScenarioRunError
 from gradehoist.scenario.plan_builder import build_plan, speed_up_plan
-from gradehoist.scenario.runner import Run, StartFailed
+from gradehoist.scenario.report import write_report
+from gradehoist.scenario.runner import RunProgress, ScenarioRun
 from gradehoist.settings.reader import SettingsError
 from gradehoist.testbed.scenario_plan import Plan
 
@@ -72,10 +73,15 @@
     with Progress(*columns, console=console, disable=quiet) as bar:
         task = bar.add_task("day", total=1.0, scene=plan.name, rules="", text="starting")
 
-        def show(done: float, text: str, verdict: Verdict | None) -> None:
-            bar.update(task, completed=done, text=text[:48], rules=_line(verdict))
+        def show(progress: RunProgress) -> None:
+            bar.update(
+                task,
+                completed=progress.share,
+                text=progress.last_step[:48],
+                rules=_line(progress.verdict),
+            )
 
-        run = Run(script, plan, folder, show, look=0.0 if quiet else 4.0)
+        run = ScenarioRun(script, plan, folder, show, check_interval_s=0.0 if quiet else 4.0)
 
         async def whole() -> bool:
             loop = asyncio.get_running_loop()
@@ -85,14 +91,14 @@
 
         try:
             finished = asyncio.run(whole())
-        except StartFailed as fault:
+        except ScenarioRunError as fault:
             raise Failed(f"{path}: {fault}") from None
         except OSError as fault:
             raise Failed(f"{folder}: {fault.strerror or fault}; give a folder that can be written") from None
     if not finished:
         raise Failed(f"{path}: stopped before its end; every process was ended; records: {folder}")
     plan, verdict = check_run_folder(folder)
-    page = report.write(folder, plan, verdict)
+    page = write_report(folder, plan, verdict)
     show_verdict(plan, verdict)
     Console().print(f"page: {page}")
     return verdict.is_passed
--- /dev/null
+++ b/gradehoist/scenario/run_folder.py
@@ -0,0 +1,62 @@
+"""The files of a run: plan, settings and placement before it, logs and records after it."""
+
+from __future__ import annotations
+
+import shutil
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from gradehoist.scenario.definition import Scenario
+from gradehoist.scenario.governor_settings import PLACEMENT_FILE, format_settings
+from gradehoist.settings.fleet import CellPlacement
+from gradehoist.testbed.scenario_plan import Plan
+
+STATE_FOLDERS = ("var", "moves")  # what governors and the migration command store beside the settings
+
+
+@dataclass(frozen=True)
+class RunFolder:
+    """Paths within the folder of a run."""
+
+    path: Path
+
+    @property
+    def plan(self) -> Path:
+        """The plan, which every test double reads."""
+        return self.path / "plan.json"
+
+    @property
+    def settings(self) -> Path:
+        """The settings of the governors."""
+        return self.path / "settings.kdl"
+
+    @property
+    def migrations(self) -> Path:
+        """Where migrations and rollouts store their steps."""
+        return self.path / "moves"
+
+    @property
+    def records(self) -> Path:
+        """What the runner records."""
+        return self.path / "day.jsonl"
+
+    def log(self, process: str) -> Path:
+        """The output of a process."""
+        return self.path / f"{process}.log"
+
+    def prepare(self, scenario: Scenario, plan: Plan) -> None:
+        """Removes what an earlier run left and writes what the processes of this one read."""
+        self.path.mkdir(parents=True, exist_ok=True)
+        for left_over in (*self.path.glob("*.jsonl"), *self.path.glob("*.log")):
+            left_over.unlink()
+        for folder in STATE_FOLDERS:
+            shutil.rmtree(self.path / folder, ignore_errors=True)
+        self.plan.write_bytes(msgspec.json.encode(plan))
+        self.settings.write_text(format_settings(scenario, plan), encoding="utf-8")
+        if plan.cells:
+            placement = CellPlacement(
+                cells=plan.cells, cell_by_replica=plan.workers, cell_by_tenant=plan.named
+            )
+            (self.path / PLACEMENT_FILE).write_bytes(msgspec.json.encode(placement))
--- a/gradehoist/scenario/runner.py
+++ b/gradehoist/scenario/runner.py
@@ -1,278 +1,260 @@
-"""Plays a scene: starts every process, carries out the day's orders, ends each process by its id."""
+"""Plays a scenario: starts every process, carries out the steps of the plan, ends each process."""
 
 from __future__ import annotations
 
 import asyncio
-import os
 import shlex
-import shutil
-import signal
-import subprocess
 import sys
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
 
-from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
-from gradehoist.scenario.checks.records import (
-    AttemptSent,
-    MessageApplied,
-    RequestCompleted,
-    RequestRejected,
-    StreamLost,
-    load_records,
-)
-from gradehoist.scenario.checks.records import Record as StoredEvent
+from gradehoist.net.client import HttpClient
+from gradehoist.scenario.checks.records import load_records
 from gradehoist.scenario.checks.run_check import check_records
 from gradehoist.scenario.checks.verdict import Verdict
 from gradehoist.scenario.definition import Scenario
-from gradehoist.scenario.governor_settings import format_settings
-from gradehoist.settings.fleet import CellPlacement
+from gradehoist.scenario.errors import OrderRejectedError
+from gradehoist.scenario.faults.steps import CLIENTS_ROLE, RUNNER_ROLE
+from gradehoist.scenario.processes import HOST, ProcessGroup
+from gradehoist.scenario.run_folder import RunFolder
 from gradehoist.testbed.process import Record, now
 from gradehoist.testbed.scenario_plan import Plan, Step
 
-READY = 20.0  # seconds that a process may take to come up: a loaded machine's Python start
-TAIL = 1.5  # seconds after the last cut-off: sums and records settle
+PROXY_PREFIX = "relays-"
+# Started before the governors, which watch them.
+FIRST_ROLES = ("links", "replicas", "roster")
+SETTLE_US = 1_500_000  # after the last deadline: load reports and records arrive
+JOIN_PAUSE_S = 1.0  # proxies begin their streams before the first request comes
+STEP_INTERVAL_S = 0.1  # the longest pause between two looks at processes and steps
+ORDER_TIMEOUT_S = 5.0
+ORDER_ACCEPTED = 204
 
-Progress = Callable[[float, str, Verdict | None], None]
 
+@dataclass(frozen=True)
+class RunProgress:
+    """How far a run has come, its last step in words, and the verdict on what is recorded so far."""
 
-class StartFailed(Exception):
-    """A process did not come up; `reason` tells which, with the end of its log."""
+    share: float
+    last_step: str
+    verdict: Verdict | None
 
 
-class Run:
-    """One run in `folder`, which holds plan, settings, logs and records afterwards."""
+ProgressListener = Callable[[RunProgress], None]
+
+
+class ScenarioRun:
+    """One run in a folder, which holds plan, settings, logs and records afterwards."""
 
     def __init__(
-        self, scene: Scenario, plan: Plan, folder: Path, progress: Progress | None = None, look: float = 0.0
+        self,
+        scenario: Scenario,
+        plan: Plan,
+        folder: Path,
+        on_progress: ProgressListener | None = None,
+        check_interval_s: float = 0.0,
     ) -> None:
-        self.scene, self.plan, self.folder = scene, plan, folder
-        self.progress = progress or (lambda done, text, verdict: None)
-        self.look = look  # seconds between looks at the rules while the day runs; 0: none
-        self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.stop = asyncio.Event()
+        """Prepares a run; nothing is started yet.
 
-    def _start(self, name: str, *args: str) -> None:
-        with (self.folder / f"{name}.log").open("ab") as log:
-            self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", *args], stdout=log, stderr=log, stdin=subprocess.DEVNULL
-            )
+        Args:
+            scenario: where the plan is from.
+            plan: what is played.
+            folder: where plan, settings, logs and records are written; those of an earlier run are removed.
+            on_progress: called a few times a second.
+            check_interval_s: how often the records are checked during the run; 0: never.
+        """
+        self.scenario = scenario
+        self.plan = plan
+        self.folder = RunFolder(folder)
+        self.stop = asyncio.Event()
+        self._on_progress = on_progress
+        self._checker = _PeriodicCheck(plan, folder, check_interval_s)
+        self._processes = ProcessGroup(self.folder)
 
-    def _governor(self, name: str) -> None:
-        settings = str(self.folder / "settings.kdl")
-        self._start(f"governor-{name}", "gradehoist", "governor", settings, "--name", name, "--log", "json")
+    async def play(self) -> bool:
+        """Plays the run; False where `stop` was set before its end.
 
-    async def _answers(self, name: str, port: int, method: str, target: str, body: bytes) -> None:
-        client, end = HttpClient("127.0.0.1", port), asyncio.get_running_loop().time() + READY
+        Raises:
+            ScenarioRunError: a process did not come up, ended by itself or rejected a step.
+            OSError: the folder cannot be written.
+        """
+        self.folder.prepare(self.scenario, self.plan)
+        record = Record(self.folder.records)
         try:
-            while True:
-                if self.processes[name].poll() is not None or asyncio.get_running_loop().time() > end:
-                    log = (self.folder / f"{name}.log").read_text(errors="replace").strip().splitlines()
-                    raise StartFailed(f"{name} did not come up: {' | '.join(log[-3:]) or 'it said nothing'}")
-                try:
-                    response = await client.request(method, target, body, timeout_s=1.0)
-                    if response.status < 300:
-                        return
-                except (ConnectError, ConnectionLostError, ResponseTimeoutError):
-                    pass
-                await asyncio.sleep(0.05)
+            await self._start_processes()
+            begin_us = now()
+            record("day_begins", scene=self.plan.name, seed=self.plan.seed)
+            await self._take_step(Step(at=0, role=CLIENTS_ROLE, do={"do": "begin"}), record)
+            return await self._play_steps(begin_us, record)
         finally:
-            client.close()
+            self._checker.close()
+            record.flush()
+            self._processes.end_all()
+            record("ended")
+            record.flush()
 
-    async def _ready(self, roles: list[str]) -> None:
-        await asyncio.gather(
-            *(self._answers(r, self.plan.controls[r], "POST", "/", b'{"do":"ping"}') for r in roles)
-        )
+    async def _start_processes(self) -> None:
+        first_roles = [role for role in self.plan.controls if role.partition("-")[0] in FIRST_ROLES]
+        for role in first_roles:
+            self._start_test_double(role)
+        await asyncio.gather(*(self._wait_for_test_double(role) for role in first_roles))
+        if self.plan.follow_governors:
+            await self._start_governors()
+        for role in self.plan.controls:
+            if role.startswith(PROXY_PREFIX):
+                self._start_test_double(role)
+                await self._wait_for_test_double(role)
+        await asyncio.sleep(JOIN_PAUSE_S)
+        self._start_test_double(CLIENTS_ROLE)
+        await self._wait_for_test_double(CLIENTS_ROLE)
 
-    async def play(self) -> bool:
-        """Plays the day; False where it was stopped before its end. Raises StartFailed."""
-        self.folder.mkdir(parents=True, exist_ok=True)
-        for old in (*self.folder.glob("*.jsonl"), *self.folder.glob("*.log")):
-            old.unlink()
-        for kept in ("var", "moves"):  # what an earlier day's governors and mover kept is not this day's
-            shutil.rmtree(self.folder / kept, ignore_errors=True)
-        (self.folder / "plan.json").write_bytes(msgspec.json.encode(self.plan))
-        (self.folder / "settings.kdl").write_text(format_settings(self.scene, self.plan), encoding="utf-8")
-        if self.plan.cells:
-            placed = CellPlacement(self.plan.cells, self.plan.workers, self.plan.named)
-            (self.folder / "cells.json").write_bytes(msgspec.json.encode(placed))
-        self.record = Record(self.folder / "day.jsonl")
-        plan = str(self.folder / "plan.json")
-        try:
-            first = [r for r in self.plan.controls if r.partition("-")[0] in ("links", "replicas", "roster")]
-            for role in first:
-                self._start(role, "gradehoist.testbed", plan, role, str(self.folder))
-            await self._ready(first)
-            if self.plan.follow_governors:
-                for name, _, _ in self.plan.governors:
-                    self._governor(name)
-                for name, _, address in self.plan.governors:
-                    await self._answers(f"governor-{name}", address[1], "GET", "/v1/status", b"")
-            relays = [r for r in self.plan.controls if r.startswith("relays-")]
-            for role in [*relays, "clients"]:
-                if role == "clients":
-                    await asyncio.sleep(1.0)  # relays join before the first transaction comes
-                self._start(role, "gradehoist.testbed", plan, role, str(self.folder))
-                await self._ready([role])
-            self.began = now()
-            self.record("day_begins", scene=self.plan.name, seed=self.plan.seed)
-            await self._step(Step(0, "clients", {"do": "begin"}))
-            return await self._day()
-        finally:
-            self.record.flush()
-            self._end_all()
-            self.record("ended")
-            self.record.flush()
-
-    async def _day(self) -> bool:
-        end = self.plan.length + max(c.cutoff for c in self.plan.classes) + int(TAIL * 1e6)
-        steps = list(self.plan.steps)
-        looked, verdict, looking = 0.0, None, None
-        text = "begins"
+    async def _start_governors(self) -> None:
+        for name, _, _ in self.plan.governors:
+            self._start_governor(name)
+        for name, _, (_, port) in self.plan.governors:
+            process = _governor_process(name)
+            await self._processes.wait_until_ready(process, port, "GET", "/v1/status", b"")
+
+    def _start_test_double(self, role: str) -> None:
+        self._processes.start(role, "gradehoist.testbed", str(self.folder.plan), role, str(self.folder.path))
+
+    async def _wait_for_test_double(self, role: str) -> None:
+        port = self.plan.controls[role]
+        await self._processes.wait_until_ready(role, port, "POST", "/", b'{"do":"ping"}')
+
+    def _start_governor(self, name: str) -> None:
+        settings = str(self.folder.settings)
+        process = _governor_process(name)
+        self._processes.start(process, "gradehoist", "governor", settings, "--name", name, "--log", "json")
+
+    async def _play_steps(self, begin_us: int, record: Record) -> bool:
+        last_deadline_us = max(request_class.cutoff for request_class in self.plan.classes)
+        end_us = self.plan.length + last_deadline_us + SETTLE_US
+        steps = deque(self.plan.steps)
+        last_step = "begins"
         while not self.stop.is_set():
-            at = now() - self.began
-            while steps and steps[0].at <= at:
-                step = steps.pop(0)
-                await self._step(step)
-                text = (
-                    str(step.do["do"])
-                    + " "
-                    + ",".join(
-                        map(
-                            str,
-                            next(
-                                (v for v in step.do.values() if isinstance(v, list)),
-                                [step.do.get("governor", "")],
-                            ),
-                        )
-                    )
-                )
-            if at >= end:
+            elapsed_us = now() - begin_us
+            while steps and steps[0].at <= elapsed_us:
+                step = steps.popleft()
+                await self._take_step(step, record)
+                last_step = _describe_step(step)
+            if elapsed_us >= end_us:
                 return True
-            for name, process in self.processes.items():
-                fine = {"mover": (0,), "release": (0, 1)}.get(name, ())
-                if process.poll() is not None and process.returncode not in fine:
-                    raise StartFailed(f"{name} ended by itself, exit {process.returncode}; see {name}.log")
-            if self.look and looking is None and at / 1e6 - looked > self.look:
-                looked = at / 1e6
-                looking = asyncio.ensure_future(asyncio.to_thread(self._look))
-            if looking is not None and looking.done():
-                verdict, looking = looking.result(), None
-            self.progress(min(1.0, at / end), text, verdict)
-            wait = min(0.1, max(0.0, (steps[0].at - at) / 1e6) if steps else 0.1)
-            await asyncio.sleep(wait)
+            self._processes.check_running()
+            self._checker.update(elapsed_us / 1e6)
+            if self._on_progress is not None:
+                share = min(1.0, elapsed_us / end_us)
+                self._on_progress(RunProgress(share, last_step, self._checker.verdict))
+            pause_s = STEP_INTERVAL_S
+            if steps:
+                pause_s = min(pause_s, max(0.0, (steps[0].at - elapsed_us) / 1e6))
+            await asyncio.sleep(pause_s)
         return False
 
-    def _look(self) -> Verdict | None:
-        try:
-            return check_records(self.plan, load_records(self.folder))
-        except ValueError:
-            return None  # a line half written
-
-    async def _step(self, step: Step) -> None:
-        self.record("step", at=step.at, target=step.role, do=step.do)
-        self.record.flush()
-        if step.role == "day":
-            name = str(step.do["governor"])
-            if not self.plan.follow_governors:
-                return
-            if step.do["do"] == "move":
-                tenants = step.do["tenants"]
-                assert isinstance(tenants, list)
-                self._start(
-                    "mover",
-                    "gradehoist",
-                    "cells",
-                    "move",
-                    str(self.folder / "settings.kdl"),
-                    *tenants,
-                    "--to",
-                    str(step.do["to"]),
-                    "--store",
-                    str(self.folder / "moves"),
-                )
-                return
-            if step.do["do"] == "release":
-                self._release(step.do)
-                return
-            if step.do["do"] == "kill":
-                self.processes[f"governor-{name}"].kill()
-                self.processes.pop(f"governor-{name}").wait()
-                self.record("killed", governor=name)
-            else:
-                self._governor(name)
-                self.record("started", governor=name)
-            return
-        client = HttpClient("127.0.0.1", self.plan.controls[step.role])
+    async def _take_step(self, step: Step, record: Record) -> None:
+        record("step", at=step.at, target=step.role, do=step.do)
+        record.flush()
+        if step.role != RUNNER_ROLE:
+            await self._send_order(step)
+        elif self.plan.follow_governors:
+            self._carry_out(step.do, record)
+
+    async def _send_order(self, step: Step) -> None:
+        client = HttpClient(HOST, self.plan.controls[step.role])
         try:
-            response = await client.request("POST", "/", msgspec.json.encode(step.do), timeout_s=5.0)
+            body = msgspec.json.encode(step.do)
+            response = await client.request("POST", "/", body, timeout_s=ORDER_TIMEOUT_S)
         finally:
             client.close()
-        if response.status != 204:
-            raise StartFailed(f"{step.role} refused {step.do}: {response.body.decode(errors='replace')}")
-
-    def _release(self, do: dict[str, object]) -> None:
-        def command(fails: object, slow: object) -> str:
-            return shlex.join(
-                [
-                    sys.executable,
-                    "-m",
-                    "gradehoist.testbed.deploy",
-                    str(self.folder / "plan.json"),
-                    "{worker}",
-                    str(fails),
-                    str(slow),
-                ]
-            )
-
-        self._start(
-            "release",
-            "gradehoist",
-            "cells",
-            "release",
-            str(self.folder / "settings.kdl"),
+        if response.status != ORDER_ACCEPTED:
+            raise OrderRejectedError(step.role, step.do, response.body.decode(errors="replace"))
+
+    def _carry_out(self, order: dict[str, object], record: Record) -> None:
+        """Carries out an order to the runner itself."""
+        governor = str(order["governor"])
+        match order["do"]:
+            case "move":
+                self._start_migration(order)
+            case "release":
+                self._start_rollout(order)
+            case "kill":
+                self._processes.kill(_governor_process(governor))
+                record("killed", governor=governor)
+            case _:
+                self._start_governor(governor)
+                record("started", governor=governor)
+
+    def _start_migration(self, order: dict[str, object]) -> None:
+        tenants = msgspec.convert(order["tenants"], list[str])
+        arguments = [*tenants, "--to", str(order["to"]), "--store", str(self.folder.migrations)]
+        self._processes.start("mover", "gradehoist", "cells", "move", str(self.folder.settings), *arguments)
+
+    def _start_rollout(self, order: dict[str, object]) -> None:
+        arguments = [
             "--run",
-            command(do["fails"], do["slow"]),
+            self._deploy_command(fails=order["fails"], slow=order["slow"]),
             "--back",
-            command(0.0, 1.0),
+            self._deploy_command(fails=0.0, slow=1.0),
             "--soak",
-            str(do["soak"]),
+            str(order["soak"]),
             "--store",
-            str(self.folder / "moves"),
-        )
-
-    def _end_all(self) -> None:
-        """Clients and relays first, so that nothing is sent into the end of the others."""
-
-        def rank(name: str) -> int:
-            order = ("clients", "relays", "mover", "release", "governor", "replicas", "roster", "links")
-            return next((n for n, part in enumerate(order) if name.startswith(part)), 9)
-
-        for name in sorted(self.processes, key=rank):
-            process = self.processes[name]
-            if process.poll() is None:
-                process.send_signal(signal.SIGTERM)
-            try:
-                process.wait(5.0)
-            except subprocess.TimeoutExpired:
-                os.kill(process.pid, signal.SIGKILL)
-                process.wait()
-
-
-def figures(plan: Plan, records: list[StoredEvent]) -> dict[str, int]:
-    """What the day's page and the measurements show beside the verdict, all from the records."""
-    events = [record.event for record in records]
-    applied = [event for event in events if isinstance(event, MessageApplied)]
-    response_bytes = {
-        (event.proxy, event.stream, event.epoch, event.message.seq): event.response_bytes for event in applied
-    }
-    return {
-        "transactions": sum(isinstance(event, RequestCompleted) for event in events),
-        "tries": sum(isinstance(event, AttemptSent) for event in events),
-        "messages": len(applied),
-        "feed_bytes": sum(response_bytes.values()),
-        "refused": sum(isinstance(event, RequestRejected) for event in events),
-        "lost_streams": sum(isinstance(event, StreamLost) for event in events),
-    }
+            str(self.folder.migrations),
+        ]
+        settings = str(self.folder.settings)
+        self._processes.start("release", "gradehoist", "cells", "release", settings, *arguments)
+
+    def _deploy_command(self, fails: object, slow: object) -> str:
+        """The command that deploys a version to a replica; the rollout fills in the replica."""
+        module = "gradehoist.testbed.deploy"
+        plan = str(self.folder.plan)
+        return shlex.join([sys.executable, "-m", module, plan, "{worker}", str(fails), str(slow)])
+
+
+class _PeriodicCheck:
+    """Checks the records of a run in a thread, one check at a time."""
+
+    def __init__(self, plan: Plan, folder: Path, interval_s: float) -> None:
+        self.verdict: Verdict | None = None
+        self._plan = plan
+        self._folder = folder
+        self._interval_s = interval_s
+        self._last_s = 0.0
+        self._task: asyncio.Task[Verdict | None] | None = None
+
+    def update(self, elapsed_s: float) -> None:
+        """Begins a check when it is time for one, and takes the verdict of one that is done."""
+        if self._interval_s and self._task is None and elapsed_s - self._last_s > self._interval_s:
+            self._last_s = elapsed_s
+            self._task = asyncio.create_task(asyncio.to_thread(self._check))
+        if self._task is not None and self._task.done():
+            self.verdict = self._task.result()
+            self._task = None
+
+    def close(self) -> None:
+        """Gives up a check that is still under way; its thread ends by itself."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    def _check(self) -> Verdict | None:
+        try:
+            return check_records(self._plan, load_records(self._folder))
+        except ValueError:
+            return None  # a line was half written
+
+
+def _governor_process(name: str) -> str:
+    return f"governor-{name}"
+
+
+def _describe_step(step: Step) -> str:
+    """An order in a few words: its name, and what it is for."""
+    targets: list[object] = [step.do.get("governor", "")]
+    for value in step.do.values():
+        if isinstance(value, list):
+            targets = value
+            break
+    return f"{step.do['do']} {','.join(map(str, targets))}"
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -41,7 +41,7 @@
 from gradehoist.scenario.definition_reader import read_scenario
 from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.scenario.plan_builder import build_plan
-from gradehoist.scenario.runner import Run
+from gradehoist.scenario.runner import ScenarioRun
 from gradehoist.testbed import scenario_plan as p
 from gradehoist.testbed.proxy import Relay, Relays
 from tests.support.governed_fleet import entry, on_sockets
@@ -503,7 +503,7 @@
 
 def test_a_short_day_through_all_processes_keeps_the_rules(tmp_path: Path) -> None:
     script = read_scenario(ROOT / "scenarios" / "short.kdl")
-    day = Run(script, build_plan(script, 1), tmp_path)
+    day = ScenarioRun(script, build_plan(script, 1), tmp_path)
     assert asyncio.run(day.play())
     _, verdict = check_run_folder(tmp_path)
     states = {rule.rule: rule.state for rule in verdict.results}
