--- a/gradehoist/governor/service.py
+++ b/gradehoist/governor/service.py
@@ -15,7 +15,7 @@
 import structlog
 
 from gradehoist.clock import monotonic_us
-from gradehoist.coordination.agent import ProcessIdentity
+from gradehoist.coordination.records import ProcessIdentity
 from gradehoist.governor.background_tasks import BackgroundTasks
 from gradehoist.governor.core import GovernorCore
 from gradehoist.governor.endpoint_cache import EndpointCache
--- a/tests/test_fleet_governors.py
+++ b/tests/test_fleet_governors.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from gradehoist.coordination.agent import ProcessIdentity
+from gradehoist.coordination.records import ProcessIdentity
 from gradehoist.membership.service import Membership
 from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.settings.fleet import CoordinationSettings, parse_settings
