The test of a message before its creation names the violation it expects

Without the comparison of arrival and creation the check of the pace still broke the rule.

Change: the test asserts the violation's text as well.

--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -267,7 +267,10 @@
 
 def test_a_message_that_came_before_its_creation_breaks_rule_5() -> None:
     message = applied(5, 1, created_s=5.2)
-    assert check_complete(*started_run(), message)["queue"].state == "broken"
+    result = check_complete(*started_run(), message)["queue"]
+    assert result.state == "broken"
+    # The check of the pace finds it too.
+    assert "a message came before its order" in [each.description for each in result.violations]
 
 
 # Placement, and the records as a whole
