--- a/gradehoist/scenario/checks/migrations.py
+++ b/gradehoist/scenario/checks/migrations.py
@@ -7,11 +7,10 @@
 
 from gradehoist.interface import Idempotency
 from gradehoist.scenario.checks.checker import Checker, RunContext
+from gradehoist.scenario.checks.completion import OK_STATUS
 from gradehoist.scenario.checks.records import EffectDone, Record, RequestCompleted
 from gradehoist.scenario.checks.verdict import Rule
 
-OK_STATUS = 200
-
 
 @dataclass(frozen=True)
 class Write:
