--- a/gradehoist/scenario/checks/duplicate_effects.py
+++ b/gradehoist/scenario/checks/duplicate_effects.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 
-from gradehoist.cells.migration import WriteDecision
+from gradehoist.cells.assignment import WriteDecision
 from gradehoist.interface import Idempotency
 from gradehoist.scenario.checks.checker import Checker, RunContext
 from gradehoist.scenario.checks.records import (
--- a/gradehoist/scenario/plan_builder.py
+++ b/gradehoist/scenario/plan_builder.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from gradehoist.cells import placement
+from gradehoist.cells.placement_planner import plan_placement
 from gradehoist.scenario.definition import Scenario
 from gradehoist.scenario.faults.kinds import plan_steps
 from gradehoist.scenario.free_ports import find_free_ports
@@ -232,7 +233,7 @@
         return PlacedCells(names=(), cell_by_replica={}, cell_by_tenant={})
     total_size = sum(replica.size for replica in replicas)
     load = scenario.traffic.load
-    placed = placement.plan_placement(
+    placed = plan_placement(
         [placement.Tenant(name, share * load * total_size) for name, share in tenants],
         [
             placement.Replica(replica.name, replica.zone, replica.kind, replica.size)
--- a/gradehoist/testbed/replica.py
+++ b/gradehoist/testbed/replica.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from gradehoist.cells.migration import ReplicaFence, TenantAssignment, WriteDecision
+from gradehoist.cells.assignment import ReplicaFence, TenantAssignment, WriteDecision
 from gradehoist.net.server import Connection, HttpServer, ServerResponse, error_response
 from gradehoist.protocol import http, orca
 from gradehoist.testbed.process import LOOPBACK, Process, create_random, read_monotonic_us
