A watch that showed a rollback of etcd is closed: the next one misses no change

The history of a failed run shows a watch asked after revision 143 on a store back at 11: it answered with 11 and stayed open, though its stream began at 144, and the next watch after 11 went on over it. Changes 12 to 143 were lost to that process, its own member record among them, so it suspected itself for good. Change: gradehoist/net/etcd.py closes such a stream.

--- a/gradehoist/net/etcd.py
+++ b/gradehoist/net/etcd.py
@@ -145,9 +145,15 @@
             while True:
                 line = await watch.stream.read_line(max(0.0, deadline - clock()))
                 batch = self._batch_from_line(line, after_revision)
-                if batch is not None:
-                    watch.revision = batch.revision
+                if batch is None:
+                    continue
+                if batch.revision < after_revision:
+                    # The stream begins behind what was asked for: after a rollback it would skip all
+                    # changes up to there, so the next watch opens one of its own.
+                    self._close_watch()
                     return batch
+                watch.revision = batch.revision
+                return batch
         except TimeoutError:
             return self._watch_batch(after_revision, after_revision, ())
         except EtcdError as error:
--- a/tests/test_store_backends.py
+++ b/tests/test_store_backends.py
@@ -265,6 +265,26 @@
     play("etcd", tmp_path, test)
 
 
+def test_a_watch_after_a_rollback_misses_no_change_written_since(tmp_path: Path) -> None:
+    """The stream that showed the rollback began behind it: used further, it skipped what came up to there."""
+
+    async def test(store: CoordinationStore, backend: Any) -> None:
+        backend.order({"do": "snapshot"})
+        version = 0
+        for value in (b"1", b"2", b"3"):
+            version = await commit(store, Put("a", value, version))
+        backend.order({"do": "restore"})
+        rolled_back = await store.watch("", version, SECOND)
+        assert rolled_back.revision < version
+
+        await commit(store, Put("b", b"1", 0))
+        batch = await store.watch("", rolled_back.revision, SECOND)
+
+        assert [event.key for event in batch.events] == ["b"]
+
+    play("etcd", tmp_path, test)
+
+
 def test_a_malformed_value_costs_only_its_own_record(tmp_path: Path) -> None:
     async def test(store: CoordinationStore, backend: Any) -> None:
         await commit(store, Put("a", b"1", 0))
