Capacity planning in the glossary's terms, one module a concern

Cause: names of the earlier house style, bare tuples and strings between modules, and a solver, a planner and a reader of files that each did several things.

Change: requests, replicas, zones and priority weights in place of the older words; plan.py holds the stored records (encoded names pinned), plan_check.py the check, additions.py the replicas to add, rounding.py rounding and repair, errors.py the errors. Violations, defects, shortfalls, additions and prices are types. The file parser is a class with a method for each node. Text that is printed stays. The commands of `gradehoist plan` raise InputError, a click error with exit 2.

Tests: keyword and type names follow; texts of violations are compared through str().

--- a/gradehoist/capacity_planning/event_file.py
+++ b/gradehoist/capacity_planning/event_file.py
@@ -1,16 +1,22 @@
-"""Events in KDL: fleet, demand by slot and the event's window, checked whole, every error at once."""
+"""Reading of event files in KDL: the fleet, and the demand of each event by slot.
+
+A file is read completely and all its errors are reported together.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from fractions import Fraction
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
 
-from gradehoist.capacity_planning.problem import Class, Group, Kind, Problem
+from gradehoist.capacity_planning.problem import CapacityProblem, ReplicaGroup, ReplicaKind, RequestClass
 from gradehoist.settings.reader import (
+    Node,
     SettingsError,
     choice_parser,
     integer_parser,
@@ -22,168 +28,267 @@
     parse_text,
 )
 
+US_PER_S = 1_000_000
+MAX_FIGURE = 1e9  # of rates, weights and costs: far over any fleet's, and cheap to compute with exactly
+MIN_RATE = 1e-6  # requests per second of a replica that serves a class at all
+MAX_RESERVED_SHARE = 0.95
+MAX_REPLICAS = 100_000
+MAX_SLOTS = 1_000
+
+Demand = dict[tuple[str, str], tuple[Fraction, ...]]  # rates by slot, by class and zone of origin
+
 
 @dataclass(frozen=True, slots=True)
-class Event:
-    """`begins` in the event's own time zone; `slot` in seconds."""
+class DemandEvent:
+    """An announced event.
+
+    Attributes:
+        name: The event's name.
+        starts_at: The start, in the event's own time zone.
+        slot_s: The length of a time slot in seconds.
+        problem: The fleet, and the demand of each slot.
+    """
 
     name: str
-    begins: datetime
-    slot: int
-    problem: Problem
+    starts_at: datetime
+    slot_s: int
+    problem: CapacityProblem
+
+    def utc_span(self) -> tuple[datetime, datetime]:
+        """Start and end in UTC: added to a local time, hours would ignore a change of clocks."""
+        start = self.starts_at.astimezone(UTC)
+        return start, start + timedelta(seconds=self.slot_s * self.problem.slot_count)
 
 
-def exact(least: float, most: float) -> Any:
-    """A figure as it was written: 0.1 is a tenth."""
-    number = number_parser(least, most)
+def fraction_parser(least: float, most: float) -> Callable[[Any], Fraction]:
+    """A parser of numbers within bounds that keeps them exactly as written: 0.1 is a tenth."""
+    check_number = number_parser(least, most)
 
-    def read(value: Any) -> Fraction:
-        number(value)
+    def parse(value: Any) -> Fraction:
+        check_number(value)
         return Fraction(str(value))
 
-    return read
+    return parse
 
 
-def rates(value: Any) -> tuple[Fraction, ...]:
-    """A rate, or text with one for each slot."""
-    words = value.split() if isinstance(value, str) else [value]
+def parse_rates(value: Any) -> tuple[Fraction, ...]:
+    """Parses a rate, or a text with one rate for each slot."""
+    texts = value.split() if isinstance(value, str) else [value]
     try:
-        # Read as floats first: exact, 1e99999999 kept a plan's reader busy for good.
-        found = tuple(Fraction(str(x)) for x in words if 0 <= float(x) <= 1e9)
+        # The bounds are checked as floats first: the exact value of 1e99999999 takes practically forever.
+        rates = tuple(Fraction(str(text)) for text in texts if 0 <= float(text) <= MAX_FIGURE)
     except (ValueError, ZeroDivisionError):
-        found = ()
-    if not found or len(found) < len(words):
+        rates = ()
+    if not rates or len(rates) < len(texts):
         raise ValueError('expected rates from 0 up, one or one for each slot, such as "12 30.5 18"')
-    return found
+    return rates
 
 
-def zone(value: Any) -> ZoneInfo:
+def parse_time_zone(value: Any) -> ZoneInfo:
+    """Parses the name of a time zone."""
     try:
         return ZoneInfo(parse_text(value))
     except (ZoneInfoNotFoundError, ValueError):
         raise ValueError('expected a time zone such as "Asia/Tokyo"') from None
 
 
-def local(value: Any) -> datetime:
+def parse_local_time(value: Any) -> datetime:
+    """Parses an ISO 8601 time without offset."""
     try:
-        found = datetime.fromisoformat(parse_text(value))
+        local_time = datetime.fromisoformat(parse_text(value))
     except ValueError:
-        found = None
-    if found is None or found.tzinfo is not None:
+        local_time = None
+    if local_time is None or local_time.tzinfo is not None:
         raise ValueError('expected a local time without offset such as "2027-02-05T09:00"')
-    return found
+    return local_time
+
 
+def is_unique_local_time(local_time: datetime, time_zone: ZoneInfo) -> bool:
+    """Whether the clocks show a time exactly once: a change of clocks skips times, or repeats them."""
+    earlier = local_time.replace(tzinfo=time_zone, fold=0)
+    later = local_time.replace(tzinfo=time_zone, fold=1)
+    return earlier.utcoffset() == later.utcoffset()
 
-def one(at: datetime, where: ZoneInfo) -> bool:
-    """Whether the local time is there exactly once: a clock change leaves times out, or brings them twice."""
-    early, late = at.replace(tzinfo=where, fold=0), at.replace(tzinfo=where, fold=1)
-    return early.utcoffset() == late.utcoffset()
 
+def read_events(path: Path) -> list[DemandEvent]:
+    """Reads the events of a file.
 
-def read(path: Path) -> list[Event]:
-    """Raises SettingsError with every error found."""
+    Raises:
+        SettingsError: The file can't be read or has errors; it carries all that were found.
+    """
     reader, root = load_document(path)
-    node = root.require_child("zones")
-    zones = node.get_names("zone names")
-    node.reject_unread(expected_args=len(zones))
-    kinds: dict[str, Kind] = {}
-    classes: dict[str, Class] = {}
-    for what in ("kind", "class", "event"):
-        seen = [n.args[0] for n in root.children_named(what) if n.args]
-        for n in root.children_named(what):
-            if n.args and seen.count(n.args[0]) > 1:
-                n.add_error(f"a {what} named twice", f"name each {what} once")
-    for n in root.children_named("kind"):
-        name = n.get_name("a kind's name")
-        of = {}
-        for x in n.children_named("of"):
-            of[x.get_name("a class name")] = x.get("rate", exact(1e-6, 1e9)) or Fraction(1)  # told at the end
-            x.reject_unread(expected_args=1)
-        kinds[name] = Kind(name, of)
-        n.reject_unread(expected_args=1)
-    for n in root.children_named("class"):
-        name = n.get_name("a class name")
-        some_zones = n.get("only-zones", names_parser(zones)) if "only-zones" in n.props else None
-        some_kinds = n.get("only-kinds", names_parser(kinds)) if "only-kinds" in n.props else None
-        classes[name] = Class(
-            name,
-            n.get("gain", exact(0, 1e9), Fraction(1)),
-            some_zones,
-            some_kinds,
-            n.get("stays-local", parse_boolean, False),
-        )
-        n.read_keys |= {"only-zones", "only-kinds"}
-        n.reject_unread(expected_args=1)
-    for n in root.children_named("kind"):
-        for x in n.children_named("of"):
-            if x.args and x.args[0] not in classes:
-                x.add_error("a class that is not here", "name one of " + ", ".join(classes))
-    workers: dict[Group, int] = {}
-    for n in root.children_named("workers"):
-        group = Group(
-            n.get("zone", choice_parser(zones), ""),
-            n.get("kind", choice_parser(kinds), ""),
-            n.get("cell", parse_text, ""),
-        )
-        workers[group] = workers.get(group, 0) + (n.get("count", integer_parser(0, 100_000)) or 0)
-        n.reject_unread()
-    cross = {}
-    for n in root.children_named("cross"):
-        pair = (n.get("from", choice_parser(zones), ""), n.get("to", choice_parser(zones), ""))
-        cross[pair] = n.get("cost", exact(0, 1e9))
-        n.reject_unread()
-    spare = Fraction(0)
-    if free := root.child("spare"):
-        spare = free.get("part", exact(0, 0.95))
-        free.reject_unread()
-    events = []
-    for n in root.children_named("event"):
-        name, where, at = n.get_name("an event's name"), n.get("zone", zone), n.get("begins", local)
-        slot, slots = n.get("slot", parse_duration_us), n.get("slots", integer_parser(1, 1_000))
-        if slot is not None and slot < 1_000_000:
-            n.add_error("a slot under a second", 'write such as slot="1h"', "slot")
-        if at and where and not one(at, where):
-            n.add_error(
-                "a local time that a clock change leaves out or brings twice",
-                "choose a time an hour before or after",
-                "begins",
-            )
-        demand = {}
-        for x in n.children_named("demand"):
-            key = (x.get("class", choice_parser(classes), ""), x.get("zone", choice_parser(zones), ""))
-            some = x.get("rates", rates)
-            if some and slots and len(some) not in (1, slots):
-                x.add_error(f"{len(some)} rates for {slots} slots", "give one, or one for each slot", "rates")
-            if key in demand:
-                x.add_error("the same demand twice", "add them up in one node")
-            if some and slots:
-                demand[key] = some * slots if len(some) == 1 else some
-            x.reject_unread()
-        n.reject_unread(expected_args=1)
-        if at and where and slot:
-            events.append(
-                Event(
-                    name,
-                    at.replace(tzinfo=where),
-                    slot // 1_000_000,
-                    Problem(zones, kinds, classes, workers, demand, cross, spare),
-                )
-            )
-    if not root.children_named("event"):
-        root.add_error("no event", 'add a node such as event "festival" begins="2027-02-05T09:00" …', "event")
-    root.reject_unread()
+    events = _EventFileParser(root).parse()
     reader.raise_errors()
-    # In UTC: added to a local time, hours across a clock change are the clock's and not those that pass.
-    spans = sorted(
-        (at := e.begins.astimezone(UTC), at + timedelta(seconds=e.slot * e.problem.slots), e.name)
-        for e in events
-    )
-    for (_, end, first), (begins, _, second) in zip(spans, spans[1:], strict=False):
-        if begins < end:
+    _reject_overlaps(path, events)
+    return events
+
+
+def _reject_overlaps(path: Path, events: list[DemandEvent]) -> None:
+    spans = sorted((*event.utc_span(), event.name) for event in events)
+    for (_, end, name), (next_start, _, next_name) in pairwise(spans):
+        if next_start < end:
             raise SettingsError(
                 [
-                    f"{path}: events {first} and {second} overlap; write them as one event "
+                    f"{path}: events {name} and {next_name} overlap; write them as one event "
                     "with the demand of both"
                 ]
             )
-    return events
+
+
+class _EventFileParser:
+    """Parses the document of one file; errors gather in its nodes."""
+
+    def __init__(self, root: Node) -> None:
+        self._root = root
+        self._zones: tuple[str, ...] = ()
+        self._kinds: dict[str, ReplicaKind] = {}
+        self._classes: dict[str, RequestClass] = {}
+        self._replica_counts: dict[ReplicaGroup, int] = {}
+        self._crossing_costs: dict[tuple[str, str], Fraction] = {}
+        self._reserved_share = Fraction(0)
+
+    def parse(self) -> list[DemandEvent]:
+        """All events that are well-formed; the caller raises the errors of the others."""
+        self._parse_zones()
+        self._reject_duplicates()
+        self._parse_kinds()
+        self._parse_classes()
+        self._reject_unknown_classes()
+        self._parse_replica_counts()
+        self._parse_crossing_costs()
+        self._parse_reserved_share()
+        parsed = [self._parse_event(node) for node in self._root.children_named("event")]
+        if not parsed:
+            remedy = 'add a node such as event "festival" begins="2027-02-05T09:00" …'
+            self._root.add_error("no event", remedy, "event")
+        self._root.reject_unread()
+        return [event for event in parsed if event is not None]
+
+    def _parse_zones(self) -> None:
+        node = self._root.require_child("zones")
+        self._zones = node.get_names("zone names")
+        node.reject_unread(expected_args=len(self._zones))
+
+    def _reject_duplicates(self) -> None:
+        for node_name in ("kind", "class", "event"):
+            nodes = [node for node in self._root.children_named(node_name) if node.args]
+            names = [node.args[0] for node in nodes]
+            for node in nodes:
+                if names.count(node.args[0]) > 1:
+                    node.add_error(f"a {node_name} named twice", f"name each {node_name} once")
+
+    def _parse_kinds(self) -> None:
+        for node in self._root.children_named("kind"):
+            name = node.get_name("a kind's name")
+            requests_per_s = {}
+            for child in node.children_named("of"):
+                class_name = child.get_name("a class name")
+                # A missing rate is an error already; the 1 only lets the parser go on to the next errors.
+                rate = child.get("rate", fraction_parser(MIN_RATE, MAX_FIGURE)) or Fraction(1)
+                requests_per_s[class_name] = rate
+                child.reject_unread(expected_args=1)
+            self._kinds[name] = ReplicaKind(name, requests_per_s)
+            node.reject_unread(expected_args=1)
+
+    def _parse_classes(self) -> None:
+        for node in self._root.children_named("class"):
+            name = node.get_name("a class name")
+            allowed_zones = None
+            if "only-zones" in node.props:
+                allowed_zones = node.get("only-zones", names_parser(self._zones))
+            allowed_kinds = None
+            if "only-kinds" in node.props:
+                allowed_kinds = node.get("only-kinds", names_parser(self._kinds))
+            self._classes[name] = RequestClass(
+                name=name,
+                priority_weight=node.get("gain", fraction_parser(0, MAX_FIGURE), Fraction(1)),
+                allowed_zones=allowed_zones,
+                allowed_kinds=allowed_kinds,
+                zone_local=node.get("stays-local", parse_boolean, False),
+            )
+            node.read_keys |= {"only-zones", "only-kinds"}
+            node.reject_unread(expected_args=1)
+
+    def _reject_unknown_classes(self) -> None:
+        for node in self._root.children_named("kind"):
+            for child in node.children_named("of"):
+                if child.args and child.args[0] not in self._classes:
+                    child.add_error("a class that is not here", "name one of " + ", ".join(self._classes))
+
+    def _parse_replica_counts(self) -> None:
+        for node in self._root.children_named("workers"):
+            group = ReplicaGroup(
+                zone=node.get("zone", choice_parser(self._zones), ""),
+                kind=node.get("kind", choice_parser(self._kinds), ""),
+                cell=node.get("cell", parse_text, ""),
+            )
+            count = node.get("count", integer_parser(0, MAX_REPLICAS)) or 0
+            self._replica_counts[group] = self._replica_counts.get(group, 0) + count
+            node.reject_unread()
+
+    def _parse_crossing_costs(self) -> None:
+        parse_zone = choice_parser(self._zones)
+        for node in self._root.children_named("cross"):
+            pair = (node.get("from", parse_zone, ""), node.get("to", parse_zone, ""))
+            self._crossing_costs[pair] = node.get("cost", fraction_parser(0, MAX_FIGURE))
+            node.reject_unread()
+
+    def _parse_reserved_share(self) -> None:
+        node = self._root.child("spare")
+        if node is not None:
+            self._reserved_share = node.get("part", fraction_parser(0, MAX_RESERVED_SHARE))
+            node.reject_unread()
+
+    def _parse_event(self, node: Node) -> DemandEvent | None:
+        """The event of a node; None if it has no usable start or slot."""
+        name = node.get_name("an event's name")
+        time_zone = node.get("zone", parse_time_zone)
+        local_start = node.get("begins", parse_local_time)
+        slot_us = node.get("slot", parse_duration_us)
+        slot_count = node.get("slots", integer_parser(1, MAX_SLOTS))
+        if slot_us is not None and slot_us < US_PER_S:
+            node.add_error("a slot under a second", 'write such as slot="1h"', "slot")
+        if local_start and time_zone and not is_unique_local_time(local_start, time_zone):
+            node.add_error(
+                "a local time that a clock change leaves out or brings twice",
+                "choose a time an hour before or after",
+                "begins",
+            )
+        demand = self._parse_demand(node, slot_count)
+        node.reject_unread(expected_args=1)
+        if not (local_start and time_zone and slot_us):
+            return None
+        return DemandEvent(
+            name=name,
+            starts_at=local_start.replace(tzinfo=time_zone),
+            slot_s=slot_us // US_PER_S,
+            problem=self._build_problem(demand),
+        )
+
+    def _parse_demand(self, event: Node, slot_count: int | None) -> Demand:
+        demand: Demand = {}
+        for node in event.children_named("demand"):
+            class_name = node.get("class", choice_parser(self._classes), "")
+            origin = node.get("zone", choice_parser(self._zones), "")
+            rates = node.get("rates", parse_rates)
+            if rates and slot_count and len(rates) not in (1, slot_count):
+                node.add_error(
+                    f"{len(rates)} rates for {slot_count} slots", "give one, or one for each slot", "rates"
+                )
+            if (class_name, origin) in demand:
+                node.add_error("the same demand twice", "add them up in one node")
+            if rates and slot_count:
+                demand[class_name, origin] = rates * slot_count if len(rates) == 1 else rates
+            node.reject_unread()
+        return demand
+
+    def _build_problem(self, demand: Demand) -> CapacityProblem:
+        return CapacityProblem(
+            zones=self._zones,
+            kinds=self._kinds,
+            classes=self._classes,
+            replica_counts=self._replica_counts,
+            demand=demand,
+            crossing_costs=self._crossing_costs,
+            reserved_share=self._reserved_share,
+        )
--- a/gradehoist/capacity_planning/problem.py
+++ b/gradehoist/capacity_planning/problem.py
@@ -1,7 +1,7 @@
-"""What a plan is asked for, in exact figures; `docs/plans.md` states it. Free of I/O.
+"""The capacity planning problem, in exact figures; `docs/plans.md` states it. Free of I/O.
 
-Rates are transactions a second. Workers of one hall, kind and cell are alike and form a group: which of them
-takes a transaction is the weights' matter, so a plan's size does not grow with their number.
+Rates are requests per second. Replicas of one zone, kind and cell are alike and form a group. Which replica
+of a group serves a request is left to the weights, so the size of a plan does not grow with their number.
 """
 
 from __future__ import annotations
@@ -11,87 +11,116 @@
 from fractions import Fraction
 from typing import NamedTuple
 
+DEFAULT_CROSSING_COST = Fraction(1)  # of a request served outside its zone, where the file names none
+
+
+class ReplicaGroup(NamedTuple):
+    """Interchangeable replicas: those of one zone, kind and cell."""
 
-class Group(NamedTuple):
     zone: str
     kind: str
     cell: str = ""
 
 
 class Flow(NamedTuple):
-    """Transactions of a class that arrive in a hall and are answered by a group."""
+    """Requests of one class that arrive in one zone and are served by one group."""
 
-    cls: str
+    request_class: str
     origin: str
-    group: Group
+    group: ReplicaGroup
 
 
 @dataclass(frozen=True, slots=True)
-class Kind:
-    """`rates`: what one worker answers of each class, doing nothing else; a class not named can't run."""
+class ReplicaKind:
+    """A kind of replica.
+
+    Attributes:
+        name: The name that groups refer to.
+        requests_per_s: What one replica completes of each class if it serves nothing else. A class that is
+            not named can't run on this kind.
+        load_by_class: The share of one replica that one request per second of each class takes.
+    """
 
     name: str
-    rates: Mapping[str, Fraction]
-    loads: Mapping[str, Fraction] = field(init=False, compare=False)  # worker's worth of one a second
+    requests_per_s: Mapping[str, Fraction]
+    load_by_class: Mapping[str, Fraction] = field(init=False, compare=False)
 
     def __post_init__(self) -> None:
-        object.__setattr__(self, "loads", {c: 1 / x for c, x in self.rates.items()})
+        """Derives the loads once: the solver asks for them often."""
+        loads = {name: 1 / rate for name, rate in self.requests_per_s.items()}
+        object.__setattr__(self, "load_by_class", loads)
 
 
 @dataclass(frozen=True, slots=True)
-class Class:
+class RequestClass:
+    """A class of requests, its priority, and where it may be served; None stands for everywhere."""
+
     name: str
-    gain: Fraction
-    only_zones: tuple[str, ...] | None = None
-    only_kinds: tuple[str, ...] | None = None
-    stays_local: bool = False
+    priority_weight: Fraction
+    allowed_zones: tuple[str, ...] | None = None
+    allowed_kinds: tuple[str, ...] | None = None
+    zone_local: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class Problem:
-    """`spare`: the part of each group kept free. `demand` by class, hall of origin and slot. `cross`: the
-    cost of a transaction from one hall in another, 1 where none is given; `today` the flows that stand now,
-    from which a plan moves as little as it can."""
+class CapacityProblem:
+    """A fleet, and the demand that it has to serve in each time slot.
+
+    Attributes:
+        zones: All zones.
+        kinds: The kinds of replicas by name.
+        classes: The request classes by name.
+        replica_counts: The number of replicas of each group.
+        demand: Requests per second in each slot, by class and zone of origin.
+        crossing_costs: The cost of a request from one zone in another; 1 for a pair that is not named.
+        reserved_share: The share of each group that is kept free.
+        current_flows: The flows of today, from which a plan changes as little as it can.
+    """
 
     zones: tuple[str, ...]
-    kinds: Mapping[str, Kind]
-    classes: Mapping[str, Class]
-    workers: Mapping[Group, int]
+    kinds: Mapping[str, ReplicaKind]
+    classes: Mapping[str, RequestClass]
+    replica_counts: Mapping[ReplicaGroup, int]
     demand: Mapping[tuple[str, str], tuple[Fraction, ...]]
-    cross: Mapping[tuple[str, str], Fraction] = field(default_factory=dict)
-    spare: Fraction = Fraction(0)
-    today: Mapping[Flow, Fraction] = field(default_factory=dict)
+    crossing_costs: Mapping[tuple[str, str], Fraction] = field(default_factory=dict)
+    reserved_share: Fraction = Fraction(0)
+    current_flows: Mapping[Flow, Fraction] = field(default_factory=dict)
 
     @property
-    def slots(self) -> int:
-        return max((len(d) for d in self.demand.values()), default=0)
+    def slot_count(self) -> int:
+        """The number of time slots."""
+        return max((len(rates) for rates in self.demand.values()), default=0)
 
-    def flows(self, lost: frozenset[str] = frozenset()) -> list[Flow]:
-        """All that may be, in one order whatever the order of input."""
+    def allowed_flows(self, lost_zones: frozenset[str] = frozenset()) -> list[Flow]:
+        """All flows that the classes allow while zones are lost, sorted by name."""
         return [
-            Flow(k, o, g)
-            for k, o in sorted(self.demand)
-            for g in sorted(self.workers)
-            if self.workers[g] and g.zone not in lost and self._open(self.classes[k], o, g)
+            Flow(class_name, origin, group)
+            for class_name, origin in sorted(self.demand)
+            for group in sorted(self.replica_counts)
+            if self.replica_counts[group]
+            and group.zone not in lost_zones
+            and self._is_allowed(self.classes[class_name], origin, group)
         ]
 
-    def _open(self, c: Class, origin: str, g: Group) -> bool:
-        return (
-            c.name in self.kinds[g.kind].rates
-            and (c.only_zones is None or g.zone in c.only_zones)
-            and (c.only_kinds is None or g.kind in c.only_kinds)
-            and (not c.stays_local or g.zone == origin)
-        )
-
-    def room(self, group: Group) -> Fraction:
-        """Workers' worth of load that a group may carry."""
-        return self.workers[group] * (1 - self.spare)
-
-    def load(self, flow: Flow) -> Fraction:
-        """Workers' worth of load of one transaction a second."""
-        return self.kinds[flow.group.kind].loads[flow.cls]
-
-    def cost(self, flow: Flow) -> Fraction:
+    def _is_allowed(self, request_class: RequestClass, origin: str, group: ReplicaGroup) -> bool:
+        if request_class.name not in self.kinds[group.kind].requests_per_s:
+            return False
+        if request_class.allowed_zones is not None and group.zone not in request_class.allowed_zones:
+            return False
+        if request_class.allowed_kinds is not None and group.kind not in request_class.allowed_kinds:
+            return False
+        return not request_class.zone_local or group.zone == origin
+
+    def capacity(self, group: ReplicaGroup) -> Fraction:
+        """The load that a group may carry, in replicas."""
+        return self.replica_counts[group] * (1 - self.reserved_share)
+
+    def load_per_request(self, flow: Flow) -> Fraction:
+        """The load of one request per second of a flow, in replicas."""
+        return self.kinds[flow.group.kind].load_by_class[flow.request_class]
+
+    def crossing_cost(self, flow: Flow) -> Fraction:
+        """The cost of one request of a flow for leaving its zone; 0 within it."""
         if flow.origin == flow.group.zone:
             return Fraction(0)
-        return self.cross.get((flow.origin, flow.group.zone), Fraction(1))
+        return self.crossing_costs.get((flow.origin, flow.group.zone), DEFAULT_CROSSING_COST)
--- a/gradehoist/capacity_planning/verification.py
+++ b/gradehoist/capacity_planning/verification.py
@@ -1,60 +1,118 @@
-"""Checks of a plan outside the solver, in exact arithmetic. Free of I/O."""
+"""Checks of flows apart from the solver, in exact arithmetic. Free of I/O."""
 
 from __future__ import annotations
 
 from collections import defaultdict
 from collections.abc import Mapping
+from dataclasses import dataclass
 from fractions import Fraction
 
-from gradehoist.capacity_planning.problem import Flow, Group, Problem
+from gradehoist.capacity_planning.problem import CapacityProblem, Flow, ReplicaGroup
 
 
-def faults(problem: Problem, slot: int, lost: frozenset[str], flows: Mapping[Flow, Fraction]) -> list[str]:
-    """Every bound that the flows break, in words; none for a plan that holds."""
-    out: list[str] = []
-    load: dict[Group, Fraction] = defaultdict(Fraction)
+@dataclass(frozen=True, slots=True)
+class BoundViolation:
+    """A bound of the problem that flows break; its text describes which and by how much."""
+
+    description: str
+
+    def __str__(self) -> str:
+        """The description, as the command line prints it."""
+        return self.description
+
+
+def find_violations(
+    problem: CapacityProblem, slot: int, lost_zones: frozenset[str], flows: Mapping[Flow, Fraction]
+) -> list[BoundViolation]:
+    """Every bound that the flows break; empty for flows that are valid."""
+    violations: list[BoundViolation] = []
+    load: dict[ReplicaGroup, Fraction] = defaultdict(Fraction)
     served: dict[tuple[str, str], Fraction] = defaultdict(Fraction)
-    allowed = set(problem.flows(lost))
+    allowed = set(problem.allowed_flows(lost_zones))
     for flow, rate in flows.items():
         if rate < 0:
-            out.append(f"{flow}: a rate below zero")
+            violations.append(BoundViolation(f"{_describe_flow(flow)}: a rate below zero"))
         if rate and flow not in allowed:
-            out.append(f"{flow.cls} from {flow.origin} is not open at {flow.group.zone}/{flow.group.kind}")
+            violations.append(
+                BoundViolation(
+                    f"{flow.request_class} from {flow.origin} is not open at "
+                    f"{flow.group.zone}/{flow.group.kind}"
+                )
+            )
             continue
-        load[flow.group] += rate * problem.load(flow) if rate else 0
-        served[flow.cls, flow.origin] += rate
-    out += [
-        f"{g.zone}/{g.kind} carries {float(x):.6g} workers' worth, {float(problem.room(g)):.6g} may be"
-        for g, x in load.items()
-        if x > problem.room(g)
-    ]
-    out += [
-        f"{k} from {o}: {float(x):.6g} served of {float(problem.demand[k, o][slot]):.6g}"
-        for (k, o), x in served.items()
-        if x > problem.demand[k, o][slot]
+        load[flow.group] += rate * problem.load_per_request(flow) if rate else 0
+        served[flow.request_class, flow.origin] += rate
+    violations += _find_overloads(problem, load)
+    violations += _find_excess_service(problem, slot, served)
+    return violations
+
+
+def _find_overloads(
+    problem: CapacityProblem, load_by_group: Mapping[ReplicaGroup, Fraction]
+) -> list[BoundViolation]:
+    return [
+        BoundViolation(
+            f"{group.zone}/{group.kind} carries {float(load):.6g} workers' worth, "
+            f"{float(problem.capacity(group)):.6g} may be"
+        )
+        for group, load in load_by_group.items()
+        if load > problem.capacity(group)
     ]
-    return out
 
 
-def gain(problem: Problem, flows: Mapping[Flow, Fraction]) -> Fraction:
-    return sum((rate * problem.classes[f.cls].gain for f, rate in flows.items()), Fraction(0))
+def _find_excess_service(
+    problem: CapacityProblem, slot: int, served: Mapping[tuple[str, str], Fraction]
+) -> list[BoundViolation]:
+    violations = []
+    for (class_name, origin), rate in served.items():
+        demand = problem.demand[class_name, origin][slot]
+        if rate > demand:
+            text = f"{class_name} from {origin}: {float(rate):.6g} served of {float(demand):.6g}"
+            violations.append(BoundViolation(text))
+    return violations
+
+
+def _describe_flow(flow: Flow) -> str:
+    """A flow as the command line has always printed it; `cls` is part of that output."""
+    return f"Flow(cls={flow.request_class!r}, origin={flow.origin!r}, group={_describe_group(flow.group)})"
+
+
+def _describe_group(group: ReplicaGroup) -> str:
+    return f"Group(zone={group.zone!r}, kind={group.kind!r}, cell={group.cell!r})"
+
+
+def calculate_weighted_rate(problem: CapacityProblem, flows: Mapping[Flow, Fraction]) -> Fraction:
+    """The solver's first objective: the sum of rates, each times the priority weight of its class."""
+    weighted = (rate * problem.classes[flow.request_class].priority_weight for flow, rate in flows.items())
+    return sum(weighted, Fraction(0))
+
 
+def calculate_rounding_tolerance(
+    problem: CapacityProblem, lost_zones: frozenset[str], units_per_request: int
+) -> Fraction:
+    """The weighted rate that rounding may cost: two units of each flow, one rounded and one repaired."""
+    largest_weight = max((c.priority_weight for c in problem.classes.values()), default=Fraction(0))
+    return 2 * len(problem.allowed_flows(lost_zones)) * largest_weight / units_per_request
 
-def rounding(problem: Problem, lost: frozenset[str], grid: int) -> Fraction:
-    """What rounding flows to a grid may cost: two steps of each, once rounded and once mended."""
-    dearest = max((c.gain for c in problem.classes.values()), default=Fraction(0))
-    return 2 * len(problem.flows(lost)) * dearest / grid
 
+def calculate_upper_bound(
+    problem: CapacityProblem, slot: int, lost_zones: frozenset[str], prices: Mapping[ReplicaGroup, Fraction]
+) -> Fraction:
+    """A bound that no plan's weighted rate exceeds, whatever the prices of load (each at least 0).
 
-def most(problem: Problem, slot: int, lost: frozenset[str], prices: Mapping[Group, Fraction]) -> Fraction:
-    """No plan gains more than this, whatever the prices of load (each at least 0): by weak duality, with the
-    least price of demand that they allow. The nearer the prices are to the solver's own, the nearer it is."""
-    worth: dict[tuple[str, str], Fraction] = defaultdict(Fraction)
-    for f in problem.flows(lost):
-        left = problem.classes[f.cls].gain - prices.get(f.group, Fraction(0)) * problem.load(f)
-        worth[f.cls, f.origin] = max(worth[f.cls, f.origin], left)
-    total = sum((x * problem.demand[key][slot] for key, x in worth.items()), Fraction(0))
-    return total + sum(
-        (prices.get(g, Fraction(0)) * problem.room(g) for g in problem.workers if g.zone not in lost),
-        Fraction(0),
-    )
+    It follows from weak duality, with the least price of demand that the prices of load allow. The nearer
+    these are to the solver's dual values, the tighter is the bound.
+    """
+    demand_price: dict[tuple[str, str], Fraction] = defaultdict(Fraction)
+    for flow in problem.allowed_flows(lost_zones):
+        load_price = prices.get(flow.group, Fraction(0)) * problem.load_per_request(flow)
+        surplus = problem.classes[flow.request_class].priority_weight - load_price
+        key = flow.request_class, flow.origin
+        demand_price[key] = max(demand_price[key], surplus)
+    bound = Fraction(0)
+    for key, price in demand_price.items():
+        bound += price * problem.demand[key][slot]
+    for group in problem.replica_counts:
+        if group.zone not in lost_zones:
+            bound += prices.get(group, Fraction(0)) * problem.capacity(group)
+    return bound
--- a/gradehoist/cli/main.py
+++ b/gradehoist/cli/main.py
@@ -407,25 +407,19 @@
 @EVENT
 def make_plan(path: Path, out: Path, pairs: bool, name: str) -> None:
     """Makes and shows a plan; exit 1 where something falls short, with the plan written all the same."""
-    from gradehoist.cli import plan as view
+    from gradehoist.cli.plan import make_plan_file
 
-    try:
-        good = view.make(path, name, out, pairs)
-    except view.Bad as fault:
-        raise Fail(str(fault)) from None
-    sys.exit(0 if good else 1)
+    all_demand_met = make_plan_file(path, name, out, pairs)
+    sys.exit(0 if all_demand_met else 1)
 
 
 @plan.command("show")
 @click.argument("path", metavar="PLAN", type=FILE)
 def show_plan(path: Path) -> None:
     """Shows a plan by slot and hall, and what each loss leaves short."""
-    from gradehoist.cli import plan as view
+    from gradehoist.cli import plan as plan_files
 
-    try:
-        view.show(view.load(path))
-    except view.Bad as fault:
-        raise Fail(str(fault)) from None
+    plan_files.show_plan(plan_files.load_plan(path))
 
 
 @plan.command("check")
@@ -434,17 +428,14 @@
 @EVENT
 def check_plan(path: Path, plan: Path, name: str) -> None:
     """Checks every bound of a plan afresh, in exact arithmetic; exit 1 where it may not be used."""
-    from gradehoist.cli import plan as view
+    from gradehoist.cli.plan import check_plan_file
 
-    try:
-        faults = view.check(path, name, plan)
-    except view.Bad as fault:
-        raise Fail(str(fault)) from None
-    for line in faults:
-        click.echo(f"{plan}: {line}")
-    if not faults:
+    defects = check_plan_file(path, name, plan)
+    for defect in defects:
+        click.echo(f"{plan}: {defect}")
+    if not defects:
         click.echo(f"{plan}: fits and holds")
-    sys.exit(1 if faults else 0)
+    sys.exit(1 if defects else 0)
 
 
 @main.command()
--- a/gradehoist/cli/plan.py
+++ b/gradehoist/cli/plan.py
@@ -1,4 +1,4 @@
-"""`gradehoist plan`: making, showing and checking plans for events."""
+"""What `gradehoist plan` does: making, showing and checking capacity plans for events."""
 
 from __future__ import annotations
 
@@ -11,101 +11,130 @@
 from rich.progress import Progress
 from rich.table import Table
 
-from gradehoist.capacity_planning import planner as making
-from gradehoist.capacity_planning.event_file import Event, read
-from gradehoist.capacity_planning.solver import GRID, Unsolved
+from gradehoist.capacity_planning.errors import SolverError
+from gradehoist.capacity_planning.event_file import DemandEvent, read_events
+from gradehoist.capacity_planning.plan import CapacityPlan, PlannedCase
+from gradehoist.capacity_planning.plan_check import PlanDefect, check_plan
+from gradehoist.capacity_planning.planner import make_plan
+from gradehoist.capacity_planning.rounding import RATE_UNITS
+from gradehoist.cli.errors import InputError
 from gradehoist.settings.reader import SettingsError
 from gradehoist.store.atomic_file import write_file
 
 
-class Bad(Exception):
-    """Input that can't be used: one line or more for the person, exit 2."""
+def load_event(path: Path, name: str) -> DemandEvent:
+    """The event of that name, or the only one of a file if the name is empty.
 
-
-def event(path: Path, name: str) -> Event:
-    """The event named, or the only one. Raises Bad."""
+    Raises:
+        InputError: The file has errors, or does not single out an event.
+    """
     try:
-        events = read(path)
-    except SettingsError as fault:
-        raise Bad(str(fault)) from None
-    found = [e for e in events if not name or e.name == name]
-    if len(found) != 1:
-        raise Bad(
-            f"{path}: {'no such event' if name else 'more than one event'}; name one with --event: "
-            + ", ".join(e.name for e in events)
-        )
-    return found[0]
-
-
-def load(path: Path) -> making.Plan:
+        events = read_events(path)
+    except SettingsError as error:
+        raise InputError(str(error)) from None
+    matching = [event for event in events if not name or event.name == name]
+    if len(matching) != 1:
+        problem = "no such event" if name else "more than one event"
+        known = ", ".join(event.name for event in events)
+        raise InputError(f"{path}: {problem}; name one with --event: {known}")
+    return matching[0]
+
+
+def load_plan(path: Path) -> CapacityPlan:
+    """Reads a plan's file.
+
+    Raises:
+        InputError: The file can't be read, or holds no plan.
+    """
     try:
-        plan: making.Plan = msgspec.json.decode(path.read_bytes(), type=making.Plan)
-    except (OSError, msgspec.MsgspecError) as fault:
-        raise Bad(f"{path}: no plan: {fault}; make one with gradehoist plan make") from None
+        plan: CapacityPlan = msgspec.json.decode(path.read_bytes(), type=CapacityPlan)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise InputError(f"{path}: no plan: {error}; make one with gradehoist plan make") from None
     return plan
 
 
-def make(path: Path, name: str, out: Path, pairs: bool) -> bool:
-    """Writes the plan; True where nothing falls short. Raises Bad."""
-    one = event(path, name)
+def make_plan_file(events_path: Path, event_name: str, plan_path: Path, include_zone_pairs: bool) -> bool:
+    """Makes, writes and shows a plan; returns whether all demand is met in every case.
+
+    Raises:
+        InputError: An input has errors, the solver failed, or the file can't be written.
+    """
+    event = load_event(events_path, event_name)
     with Progress(console=Console(stderr=True), transient=True) as bar:
-        task = bar.add_task(f"plan for {one.name}", total=None)
+        task = bar.add_task(f"plan for {event.name}", total=None)
+
+        def show_progress(done: int, total: int) -> None:
+            bar.update(task, completed=done, total=total)
+
         try:
-            plan = making.make(one, pairs, lambda done, all: bar.update(task, completed=done, total=all))
-        except Unsolved as fault:
-            raise Bad(f"{path}: no plan: {fault}; make the event smaller, or its groups fewer") from None
+            plan = make_plan(event, include_zone_pairs, show_progress)
+        except SolverError as error:
+            raise InputError(
+                f"{events_path}: no plan: {error}; make the event smaller, or its groups fewer"
+            ) from None
     try:
-        write_file(out, msgspec.json.format(msgspec.json.encode(plan), indent=1))
-    except OSError as fault:
-        raise Bad(f"{out}: {fault.strerror or fault}; name a file that can be written") from None
-    show(plan)
-    return not any(case.short for case in plan.cases)
-
-
-def show(plan: making.Plan) -> None:
-    """Served by hall in each slot; below it, all that falls short."""
-    zones = sorted({s.zone for c in plan.cases for s in c.served})
-    out = Table(
-        title=f"{plan.event}, from {plan.begins} ({plan.zone}), {plan.slot} s a slot", title_justify="left"
+        write_file(plan_path, msgspec.json.format(msgspec.json.encode(plan), indent=1))
+    except OSError as error:
+        raise InputError(f"{plan_path}: {error.strerror or error}; name a file that can be written") from None
+    show_plan(plan)
+    return not any(case.shortfalls for case in plan.cases)
+
+
+def show_plan(plan: CapacityPlan) -> None:
+    """Prints a table of what each zone serves in each slot, and below it each case with a shortfall."""
+    zones = sorted({served.zone for case in plan.cases for served in case.served})
+    table = Table(
+        title=f"{plan.event}, from {plan.starts_at} ({plan.time_zone}), {plan.slot_s} s a slot",
+        title_justify="left",
     )
-    for head in ("slot", *zones, "crossing", "short", "worst loss", "short then"):
-        out.add_column(head, justify="left" if head == "worst loss" else "right")
-    by_slot: dict[int, list[making.Case]] = defaultdict(list)
+    for heading in ("slot", *zones, "crossing", "short", "worst loss", "short then"):
+        table.add_column(heading, justify="left" if heading == "worst loss" else "right")
+    cases_by_slot: dict[int, list[PlannedCase]] = defaultdict(list)
     for case in plan.cases:
-        by_slot[case.slot].append(case)
-    for slot, cases in sorted(by_slot.items()):
-        whole = next(c for c in cases if not c.lost)
-        rate = {z: sum(s.rate for s in whole.served if s.zone == z) / GRID for z in zones}
-        across = sum(s.rate for s in whole.served if s.zone != s.origin) / GRID
-        worst = max(cases, key=lambda c: (bool(c.lost) and _missing(c), c.lost))
-        text = ", ".join(worst.lost) if worst.lost and worst.short else "none hurts"
-        out.add_row(
-            str(slot),
-            *(f"{rate[z]:.1f}" for z in zones),
-            f"{across:.1f}",
-            f"{float(_missing(whole)):.1f}",
-            text,
-            f"{float(_missing(worst)):.1f}",
-        )
-    Console().print(out)
+        cases_by_slot[case.slot].append(case)
+    for slot, cases in sorted(cases_by_slot.items()):
+        table.add_row(*_slot_row(slot, cases, zones))
+    Console().print(table)
     for case in plan.cases:
-        if case.short:
-            print(f"slot {case.slot}, lost {', '.join(case.lost) or 'none'}: {_short(case)}")
+        if case.shortfalls:
+            print(f"{case.describe()}: {_describe_shortfalls(case)}")
 
 
-def _missing(case: making.Case) -> Fraction:
-    return sum((Fraction(x) for _, _, x in case.short), Fraction(0))
+def _slot_row(slot: int, cases: list[PlannedCase], zones: list[str]) -> list[str]:
+    """The cells of one slot: what is served with all zones there, and the loss that leaves most unserved."""
+    intact = next(case for case in cases if not case.lost_zones)
+    crossing = sum(s.rate_units for s in intact.served if s.zone != s.origin) / RATE_UNITS
+    worst = max(cases, key=lambda case: (bool(case.lost_zones) and _missing_rate(case), case.lost_zones))
+    hurts = worst.lost_zones and worst.shortfalls
+    return [
+        str(slot),
+        *(f"{sum(s.rate_units for s in intact.served if s.zone == zone) / RATE_UNITS:.1f}" for zone in zones),
+        f"{crossing:.1f}",
+        f"{float(_missing_rate(intact)):.1f}",
+        ", ".join(worst.lost_zones) if hurts else "none hurts",
+        f"{float(_missing_rate(worst)):.1f}",
+    ]
 
 
-def _short(case: making.Case) -> str:
-    if not case.short:
-        return ""
-    lacks = ", ".join(f"{float(Fraction(x)):.1f}/s {k} of {o}" for k, o, x in case.short)
-    if case.add is None:
-        return lacks + "; no number of workers mends it"
-    return lacks + "; add " + ", ".join(f"{n} {kind} in {zone}" for zone, kind, n in case.add)
+def _missing_rate(case: PlannedCase) -> Fraction:
+    return sum((Fraction(shortfall.requests_per_s) for shortfall in case.shortfalls), Fraction(0))
+
+
+def _describe_shortfalls(case: PlannedCase) -> str:
+    shortfalls = ", ".join(
+        f"{float(Fraction(s.requests_per_s)):.1f}/s {s.request_class} of {s.origin}" for s in case.shortfalls
+    )
+    if case.replicas_to_add is None:
+        return shortfalls + "; no number of workers mends it"
+    additions = ", ".join(f"{a.replica_count} {a.kind} in {a.zone}" for a in case.replicas_to_add)
+    return f"{shortfalls}; add {additions}"
+
 
+def check_plan_file(events_path: Path, event_name: str, plan_path: Path) -> list[PlanDefect]:
+    """The reasons why a plan's file may not be used for an event.
 
-def check(path: Path, name: str, plan: Path) -> list[str]:
-    """Raises Bad."""
-    return making.check(load(plan), event(path, name))
+    Raises:
+        InputError: One of the files can't be read or has errors.
+    """
+    plan = load_plan(plan_path)
+    return check_plan(plan, load_event(events_path, event_name))
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -15,7 +15,14 @@
 import pytest
 
 from gradehoist import interface
-from gradehoist.capacity_planning import planner
+from gradehoist.capacity_planning.plan import (
+    CapacityPlan,
+    LoadPrice,
+    PlannedCase,
+    ReplicaAddition,
+    ServedRate,
+    Shortfall,
+)
 from gradehoist.cells import migration, rate_limits, rollout
 from gradehoist.coordination import members
 from gradehoist.coordination import records as coordination_records
@@ -103,14 +110,16 @@
 STAY = evacuation.ZoneEvacuation(
     traffic_share=0.5, reason="failing", is_recovering=True, relapses=2, required_healthy_us=20_000_000
 )
-SERVED = planner.Served(cls="read", origin="hall-a", zone="hall-b", kind="large-4c", cell="A", rate=12_345)
-CASE = planner.Case(
+SERVED = ServedRate(
+    request_class="read", origin="hall-a", zone="hall-b", kind="large-4c", cell="A", rate_units=12_345
+)
+CASE = PlannedCase(
     slot=1,
-    lost=("hall-a",),
+    lost_zones=("hall-a",),
     served=(SERVED,),
-    short=(("read", "hall-a", "7/3"),),
-    add=(("hall-b", "large-4c", 2),),
-    prices=(("hall-b", "large-4c", "A", 5),),
+    shortfalls=(Shortfall("read", "hall-a", "7/3"),),
+    replicas_to_add=(ReplicaAddition("hall-b", "large-4c", 2),),
+    prices=(LoadPrice("hall-b", "large-4c", "A", 5),),
 )
 ENDPOINT = ("127.0.0.1", 9001)
 DAY = scenario_plan.Plan(
@@ -330,13 +339,13 @@
         id="000001", cells=("A",), workers={"A": ("a1",)}, batch=1, run="renew"
     ),
     # Plans for events, plans and verdicts of scripted days
-    "plan of an event": planner.Plan(
+    "plan of an event": CapacityPlan(
         version=1,
         event="fair",
-        begins="2027-02-05T09:00:00+09:00",
-        zone="Asia/Tokyo",
-        slot=3600,
-        fleet="08d663ca",
+        starts_at="2027-02-05T09:00:00+09:00",
+        time_zone="Asia/Tokyo",
+        slot_s=3600,
+        fleet_checksum="08d663ca",
         cases=(CASE,),
     ),
     "plan of a day": DAY,
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -18,13 +18,13 @@
 import pytest
 from click.testing import CliRunner, Result
 
-from gradehoist.capacity_planning.planner import Case, Plan, Served
+from gradehoist.capacity_planning.plan import CapacityPlan, PlannedCase, ServedRate
 from gradehoist.cells.migration import AssignmentAck, Migration, MigrationStep, TenantAssignment
 from gradehoist.cells.rollout import Rollout, TrafficCounts
 from gradehoist.cells.rollout import RolloutStep as ReleaseStep
 from gradehoist.cli.cells import read as read_placement
 from gradehoist.cli.main import main
-from gradehoist.cli.plan import load as load_plan
+from gradehoist.cli.plan import load_plan
 from gradehoist.coordination.election import LeaderElection
 from gradehoist.coordination.fencing import FencingToken
 from gradehoist.coordination.members import ReachabilityReport as MembersView
@@ -555,22 +555,43 @@
 
 # Plans for events
 
-FESTIVAL = Case(
+FESTIVAL = PlannedCase(
     slot=0,
-    lost=(),
+    lost_zones=(),
     served=(
-        Served(cls="booking-commit", origin="hall-b", zone="hall-a", kind="large-4c", cell="", rate=40_000),
-        Served(cls="rate-check", origin="hall-a", zone="hall-a", kind="large-4c", cell="", rate=293_333),
-        Served(cls="rate-check", origin="hall-a", zone="hall-b", kind="large-4c", cell="", rate=6_667),
+        ServedRate(
+            request_class="booking-commit",
+            origin="hall-b",
+            zone="hall-a",
+            kind="large-4c",
+            cell="",
+            rate_units=40_000,
+        ),
+        ServedRate(
+            request_class="rate-check",
+            origin="hall-a",
+            zone="hall-a",
+            kind="large-4c",
+            cell="",
+            rate_units=293_333,
+        ),
+        ServedRate(
+            request_class="rate-check",
+            origin="hall-a",
+            zone="hall-b",
+            kind="large-4c",
+            cell="",
+            rate_units=6_667,
+        ),
     ),
 )
 
 
 def test_a_plan_file_is_read_and_still_fits_its_event() -> None:
-    plan: Plan = load_plan(DATA / "plan" / "plan.json")
-    assert (plan.version, plan.event, plan.begins) == (1, "snow-festival", "2027-02-05T09:00:00+09:00")
-    assert (plan.zone, plan.slot, plan.fleet) == ("Asia/Tokyo", 3600, "08d663ca")
-    assert [(case.slot, case.lost) for case in plan.cases] == [
+    plan: CapacityPlan = load_plan(DATA / "plan" / "plan.json")
+    assert (plan.version, plan.event, plan.starts_at) == (1, "snow-festival", "2027-02-05T09:00:00+09:00")
+    assert (plan.time_zone, plan.slot_s, plan.fleet_checksum) == ("Asia/Tokyo", 3600, "08d663ca")
+    assert [(case.slot, case.lost_zones) for case in plan.cases] == [
         (slot, lost) for slot in (0, 1) for lost in ((), ("hall-a",), ("hall-b",))
     ]
     assert plan.cases[0] == FESTIVAL
@@ -580,7 +601,7 @@
 
 def test_a_plan_file_is_made_and_written_again_to_the_byte(tmp_path: Path) -> None:
     stored = (DATA / "plan" / "plan.json").read_bytes()
-    plan: Plan = msgspec.json.decode(stored, type=Plan)
+    plan: CapacityPlan = msgspec.json.decode(stored, type=CapacityPlan)
     assert msgspec.json.format(msgspec.json.encode(plan), indent=1) == stored
     again = tmp_path / "again.json"
     made = command("plan", "make", DATA / "plan" / "events.kdl", "--out", again)
