Command line: one module a group of commands, apart from what each does

Change: main.py holds the root group alone; governor_commands, scenario_commands, cells_commands and plan_commands parse options and set exit codes. cells.py is now placement_files, cell_status, migrations and rollouts. InputError, a click error with exit 2, is the one error of the package. Options of a run and of a rollout and the status of a cell are records.

--- a/gradehoist/cli/logs.py
+++ b/gradehoist/cli/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: one JSON line an event, or aligned text for a person."""
+"""Structured logs on standard error: one JSON line an event, or aligned text for a person."""
 
 from __future__ import annotations
 
@@ -11,19 +11,23 @@
 from gradehoist.store.log_writer import LogWriter
 
 
-def set_up(form: str) -> None:
-    """`form`: json, plain, or auto (plain on a terminal)."""
-    person = form == "plain" or (form == "auto" and sys.stderr.isatty())
-    last = structlog.dev.ConsoleRenderer() if person else structlog.processors.JSONRenderer()
-    sink = LogWriter(sys.stderr.fileno())
-    atexit.register(sink.close)
+def configure_logging(log_format: str) -> None:
+    """Configures the logs of this process.
+
+    Args:
+        log_format: `json`, `plain`, or `auto`, which is plain on a terminal and JSON elsewhere.
+    """
+    is_plain = log_format == "plain" or (log_format == "auto" and sys.stderr.isatty())
+    renderer = structlog.dev.ConsoleRenderer() if is_plain else structlog.processors.JSONRenderer()
+    writer = LogWriter(sys.stderr.fileno())
+    atexit.register(writer.close)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            last,
+            renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(sink),  # type: ignore[arg-type]
+        logger_factory=structlog.WriteLoggerFactory(writer),  # type: ignore[arg-type]
         cache_logger_on_first_use=True,
     )
--- /dev/null
+++ b/gradehoist/cli/placement_files.py
@@ -0,0 +1,174 @@
+"""Making, splitting, reading and writing of placement files, and the CSV files they are made from."""
+
+from __future__ import annotations
+
+import csv
+from pathlib import Path
+
+import msgspec
+
+from gradehoist.cells.placement import (
+    Placement,
+    PlacementRequirements,
+    Replica,
+    Tenant,
+    plan_placement,
+    split_replicas,
+)
+from gradehoist.cli.errors import InputError
+from gradehoist.settings.fleet import CellPlacement, Settings
+from gradehoist.store.atomic_file import write_file
+
+REPLICA_COLUMNS = ("worker", "zone", "kind", "size")
+TENANT_COLUMNS = ("tenant", "demand")
+FIRST_DATA_LINE = 2  # of a CSV file: line 1 is the header
+MAX_NUMBER = 1e12  # of sizes and demand: rejects infinity, nan and slips of the pen
+
+
+def _read_rows(path: Path, columns: tuple[str, ...]) -> list[dict[str, str]]:
+    """The rows of a CSV file with a header line."""
+    try:
+        with path.open(encoding="utf-8", newline="") as file:
+            reader = csv.DictReader(file)
+            missing = [column for column in columns if column not in (reader.fieldnames or ())]
+            if missing:
+                raise InputError(
+                    f"{path}:1: no column {', '.join(missing)}; the head line is {','.join(columns)}"
+                )
+            return list(reader)
+    except (OSError, UnicodeDecodeError) as error:
+        raise InputError(f"{path}: can't be read: {error}; name a CSV file in UTF-8") from None
+
+
+def _parse_number(path: Path, line: int, column: str, text: str | None) -> float:
+    try:
+        value = float(text or "")
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < MAX_NUMBER:
+        raise InputError(
+            f"{path}:{line}: {column}: expected a number from 0 up, got {text!r}; correct it"
+        ) from None
+    return value
+
+
+def _load_replicas(path: Path) -> list[Replica]:
+    return [
+        Replica(row["worker"], row["zone"], row["kind"], _parse_number(path, line, "size", row["size"]))
+        for line, row in enumerate(_read_rows(path, REPLICA_COLUMNS), FIRST_DATA_LINE)
+    ]
+
+
+def _load_tenants(path: Path) -> list[Tenant]:
+    return [
+        Tenant(row["tenant"], _parse_number(path, line, "demand", row["demand"]))
+        for line, row in enumerate(_read_rows(path, TENANT_COLUMNS), FIRST_DATA_LINE)
+    ]
+
+
+def load_placement(path: Path) -> CellPlacement:
+    """Reads a placement file.
+
+    Raises:
+        InputError: The file can't be read, or holds no placement.
+    """
+    try:
+        placement: CellPlacement = msgspec.json.decode(path.read_bytes(), type=CellPlacement)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise InputError(f"{path}: no placement: {error}; make one with gradehoist cells place") from None
+    return placement
+
+
+def save_placement(path: Path, placement: CellPlacement) -> None:
+    """Writes a placement file, completely or not at all.
+
+    Raises:
+        InputError: The file can't be written.
+    """
+    try:
+        write_file(path, msgspec.json.format(msgspec.json.encode(placement), indent=1))
+    except OSError as error:
+        raise InputError(f"{path}: {error.strerror or error}; name a file that can be written") from None
+
+
+def require_placement(settings: Settings) -> CellPlacement:
+    """The placement that the settings name.
+
+    Raises:
+        InputError: They name none.
+    """
+    if settings.fleet.placement is None:
+        raise InputError("fleet > cells: missing; name a placement")
+    return settings.fleet.placement
+
+
+def make_placement(
+    tenants_path: Path, replicas_path: Path, requirements: PlacementRequirements, previous_path: Path | None
+) -> tuple[CellPlacement, tuple[str, ...]]:
+    """Makes a placement that changes as little of a previous one as it can.
+
+    Returns:
+        The placement, and the requirements that it does not meet, each in words.
+
+    Raises:
+        InputError: A file has errors, or no placement is possible.
+    """
+    tenants = _load_tenants(tenants_path)
+    replicas = _load_replicas(replicas_path)
+    names = tuple(f"c{number}" for number in range(requirements.cell_count))
+    previous = None
+    if previous_path is not None:
+        stored = load_placement(previous_path)
+        names = stored.cells[: requirements.cell_count] + names[len(stored.cells) :]
+        previous = _number_cells(stored)
+    try:
+        planned = plan_placement(tenants, replicas, requirements, previous)
+    except ValueError as error:
+        raise InputError(f"{replicas_path}: {error}; change --cells or the files") from None
+    placement = CellPlacement(
+        cells=names,
+        cell_by_replica={name: names[cell] for name, cell in sorted(planned.replicas.items())},
+        cell_by_tenant={name: names[cell] for name, cell in sorted(planned.tenants.items())},
+    )
+    return placement, planned.unmet_requirements
+
+
+def _number_cells(stored: CellPlacement) -> Placement:
+    """A stored placement with numbers in place of the cells' names, as the planner takes it."""
+    numbers = {cell: number for number, cell in enumerate(stored.cells)}
+    return Placement(
+        {replica: numbers[cell] for replica, cell in stored.cell_by_replica.items()},
+        {tenant: numbers[cell] for tenant, cell in stored.cell_by_tenant.items()},
+    )
+
+
+def split_cell(placement: CellPlacement, replicas_path: Path, cell: str, new_cell: str) -> CellPlacement:
+    """Divides the replicas of a cell between it and a new cell, which has no tenants yet.
+
+    Ranges of the hash stay with their cells: else tenants without an entry of their own would change their
+    cell without a migration.
+
+    Raises:
+        InputError: The names don't fit the placement, or the file does not name the cell's replicas.
+    """
+    if cell not in placement.cells or new_cell in placement.cells:
+        known = ", ".join(placement.cells)
+        raise InputError(f"{cell} has to be a cell and {new_cell} a new name; the placement has {known}")
+    members = [
+        replica
+        for replica in _load_replicas(replicas_path)
+        if placement.cell_by_replica.get(replica.name) == cell
+    ]
+    member_count = len(placement.replicas_of(cell))
+    if len(members) < 2 or len(members) < member_count:
+        raise InputError(
+            f"{replicas_path}: names {len(members)} of the {member_count} workers of {cell}; a split "
+            "needs all of them, and two at least"
+        )
+    _, leaving = split_replicas(members)
+    return CellPlacement(
+        cells=(*placement.cells, new_cell),
+        cell_by_replica={**placement.cell_by_replica, **{replica.name: new_cell for replica in leaving}},
+        cell_by_tenant=placement.cell_by_tenant,
+        cell_by_range=placement.cell_by_range or placement.cells,
+    )
--- /dev/null
+++ b/gradehoist/cli/plan_commands.py
@@ -0,0 +1,57 @@
+"""The commands of `gradehoist plan`."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from gradehoist.cli.options import FILE
+
+EVENT_OPTION = click.option(
+    "--event", "event_name", default="", help="Which event of the file; not needed for only one."
+)
+
+
+@click.group()
+def plan() -> None:
+    """Shares for announced events, made before the rush, with the loss of each hall."""
+
+
+@plan.command("make")
+@click.argument("events_path", metavar="EVENTS", type=FILE)
+@click.option("--out", "plan_path", type=FILE, required=True, help="The plan's file.")
+@click.option("--pairs", is_flag=True, help="Also the loss of each two halls together.")
+@EVENT_OPTION
+def make_plan(events_path: Path, plan_path: Path, pairs: bool, event_name: str) -> None:
+    """Makes and shows a plan; exit 1 where something falls short, with the plan written all the same."""
+    from gradehoist.cli.plan import make_plan_file
+
+    all_demand_met = make_plan_file(events_path, event_name, plan_path, include_zone_pairs=pairs)
+    sys.exit(0 if all_demand_met else 1)
+
+
+@plan.command("show")
+@click.argument("path", metavar="PLAN", type=FILE)
+def show_plan(path: Path) -> None:
+    """Shows a plan by slot and hall, and what each loss leaves short."""
+    from gradehoist.cli import plan as plan_files
+
+    plan_files.show_plan(plan_files.load_plan(path))
+
+
+@plan.command("check")
+@click.argument("events_path", metavar="EVENTS", type=FILE)
+@click.argument("plan_path", metavar="PLAN", type=FILE)
+@EVENT_OPTION
+def check_plan(events_path: Path, plan_path: Path, event_name: str) -> None:
+    """Checks every bound of a plan afresh, in exact arithmetic; exit 1 where it may not be used."""
+    from gradehoist.cli.plan import check_plan_file
+
+    defects = check_plan_file(events_path, event_name, plan_path)
+    for defect in defects:
+        click.echo(f"{plan_path}: {defect}")
+    if not defects:
+        click.echo(f"{plan_path}: fits and holds")
+    sys.exit(1 if defects else 0)
--- /dev/null
+++ b/gradehoist/cli/rollouts.py
@@ -0,0 +1,95 @@
+"""Rollouts of a release over the cells, from the command line: `cells release`."""
+
+from __future__ import annotations
+
+import asyncio
+import shlex
+from dataclasses import dataclass
+from pathlib import Path
+
+from gradehoist.cells.rollout import Rollout, RolloutStep
+from gradehoist.cli.errors import InputError
+from gradehoist.cli.placement_files import require_placement
+from gradehoist.migration.rollout import RolloutRunner, load_rollout
+from gradehoist.settings.fleet import CellPlacement, Settings
+from gradehoist.store.folder_lock import FolderLock, FolderLockedError
+
+LOCK_NAME = "release.lock"  # apart from the lock of migrations, which may run beside a rollout
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutOptions:
+    """What the command line says of a rollout.
+
+    Attributes:
+        renew_command: The command that renews one replica; empty to resume the rollout that is under way.
+        restore_command: The command that puts one replica back after a halt.
+        cells: The cells in their order; empty for all of the placement.
+        batch: The number of replicas that are renewed at a time.
+        soak_s: How long a renewed cell is observed, in seconds.
+        return_timeout_s: How long a renewed replica may take to be ready again, in seconds.
+    """
+
+    renew_command: str
+    restore_command: str
+    cells: tuple[str, ...]
+    batch: int
+    soak_s: float
+    return_timeout_s: float
+
+
+def run_rollout(settings: Settings, store: Path, options: RolloutOptions) -> bool:
+    """Runs a new rollout, or resumes the one under way; returns whether it renewed every cell.
+
+    Raises:
+        InputError: An option does not fit, another process runs a rollout, or its record can't be read.
+    """
+    placement = require_placement(settings)
+    _check_options(options, placement)
+    try:
+        lock = FolderLock(store, LOCK_NAME)
+    except FolderLockedError as error:
+        raise InputError(f"{error}; one release at a time, wait for it or end it") from None
+    try:
+        rollout = _create_or_resume(load_rollout(store), options, placement)
+        runner = RolloutRunner(settings, store, options.soak_s, options.return_timeout_s, _print_progress)
+        ended = asyncio.run(runner.run(rollout))
+    except ValueError as error:
+        raise InputError(str(error)) from None
+    finally:
+        lock.release()
+    return ended.step is RolloutStep.DONE
+
+
+def _check_options(options: RolloutOptions, placement: CellPlacement) -> None:
+    for command in (options.renew_command, options.restore_command):
+        try:
+            shlex.split(command)
+        except ValueError as error:
+            raise InputError(f"{command!r} is no command: {error}; correct its quotes") from None
+    if unknown := [cell for cell in options.cells if cell not in placement.cells]:
+        raise InputError(f"no cell {', '.join(unknown)}; the placement has {', '.join(placement.cells)}")
+
+
+def _create_or_resume(last: Rollout | None, options: RolloutOptions, placement: CellPlacement) -> Rollout:
+    under_way = last is not None and last.step not in (RolloutStep.DONE, RolloutStep.HALTED)
+    if not options.renew_command:
+        if last is None or not under_way:
+            raise InputError("no release is under way; begin one with --run COMMAND")
+        return last
+    if last is not None and under_way:
+        raise InputError(f"release {last.id} is under way in {last.cell}; leave out --run to go on with it")
+    number = int(last.id) + 1 if last else 1
+    cells = options.cells or placement.cells
+    return Rollout(
+        id=f"{number:06d}",
+        cells=cells,
+        workers={cell: tuple(sorted(placement.replicas_of(cell))) for cell in cells},
+        batch=options.batch,
+        run=options.renew_command,
+        back=options.restore_command,
+    )
+
+
+def _print_progress(rollout: Rollout, text: str) -> None:
+    print(f"release {rollout.id} {rollout.step.value}: {text}", flush=True)
--- a/gradehoist/cli/scenario.py
+++ b/gradehoist/cli/scenario.py
@@ -1,9 +1,10 @@
-"""`gradehoist day` and `gradehoist audit`: what a person sees of a run."""
+"""What `gradehoist scenario` and `gradehoist audit` do: running a scenario, and showing its verdict."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
+from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
@@ -11,96 +12,119 @@
 from rich.progress import BarColumn, Progress, TaskProgressColumn, TextColumn, TimeRemainingColumn
 from rich.table import Table
 
+from gradehoist.cli.errors import InputError
 from gradehoist.scenario import report
 from gradehoist.scenario.checks.run_check import check_run_folder
-from gradehoist.scenario.checks.verdict import Verdict
+from gradehoist.scenario.checks.verdict import RuleResult, RuleState, Verdict
+from gradehoist.scenario.definition import Scenario
 from gradehoist.scenario.definition_reader import read_scenario
 from gradehoist.scenario.plan_builder import build_plan, speed_up_plan
 from gradehoist.scenario.runner import Run, StartFailed
 from gradehoist.settings.reader import SettingsError
 from gradehoist.testbed.scenario_plan import Plan
 
-COLOUR = {"kept": "green", "broken": "bold red", "not judged": "yellow"}
+COLOUR_BY_STATE = {
+    RuleState.KEPT: "green",
+    RuleState.BROKEN: "bold red",
+    RuleState.NOT_JUDGED: "yellow",
+}
+RIGHT_COLUMNS = ("limit used", "occasions")
+PROGRESS_COLUMNS = (
+    TextColumn("[bold]{task.fields[scenario]}"),
+    BarColumn(),
+    TaskProgressColumn(),
+    TimeRemainingColumn(),
+    TextColumn("{task.fields[rules]}"),
+    TextColumn("{task.fields[text]}"),
+)
+PROGRESS_TEXT_WIDTH = 48  # characters of the last step: the rest of the line is taken by the other columns
+CHECK_INTERVAL_S = 4.0  # between checks of the rules during a run, for the progress bar
+
+
+@dataclass(frozen=True, slots=True)
+class RunOptions:
+    """What the command line says of a run.
+
+    Attributes:
+        seed: The seed; None for the scenario's own.
+        folder: The folder of records; None for one below `found` that is named by scenario and seed.
+        follow_governors: Whether the proxies poll a governor, else they stay on their default tables.
+        even_weights: Whether all replicas have the same weight.
+        speed: How many times faster the scenario's steps are played.
+        quiet: Whether there is no progress bar.
+    """
+
+    seed: int | None
+    folder: Path | None
+    follow_governors: bool
+    even_weights: bool
+    speed: float
+    quiet: bool
+
+
+def run_scenario(path: Path, options: RunOptions) -> bool:
+    """Runs a scenario, checks the rules and writes the report; returns whether all rules held.
+
+    Raises:
+        InputError: The file has errors, or the run could not start, write its records or reach its end.
+    """
+    try:
+        scenario = read_scenario(path)
+    except SettingsError as error:
+        raise InputError(str(error)) from None
+    seed = scenario.seed if options.seed is None else options.seed
+    plan = build_plan(scenario, seed, options.follow_governors, options.even_weights)
+    plan = speed_up_plan(plan, options.speed)
+    folder = options.folder or Path("found") / f"{plan.name}-{plan.seed}"
+    try:
+        finished = _run_with_progress(scenario, plan, folder, options.quiet)
+    except StartFailed as error:
+        raise InputError(f"{path}: {error}") from None
+    except OSError as error:
+        raise InputError(f"{folder}: {error.strerror or error}; give a folder that can be written") from None
+    if not finished:
+        raise InputError(f"{path}: stopped before its end; every process was ended; records: {folder}")
+    plan, verdict = check_run_folder(folder)
+    page = report.write(folder, plan, verdict)
+    show_verdict(plan, verdict)
+    Console().print(f"page: {page}")
+    return verdict.is_passed
 
 
-class Failed(Exception):
-    """Bad input, or a run that could not be played: one line for the person, exit 2."""
+def _run_with_progress(scenario: Scenario, plan: Plan, folder: Path, quiet: bool) -> bool:
+    """Runs a plan with a progress bar on standard error; False if a signal stopped it."""
+    with Progress(*PROGRESS_COLUMNS, console=Console(stderr=True), disable=quiet) as bar:
+        task = bar.add_task("scenario", total=1.0, scenario=plan.name, rules="", text="starting")
 
+        def show_progress(done: float, text: str, verdict: Verdict | None) -> None:
+            bar.update(task, completed=done, text=text[:PROGRESS_TEXT_WIDTH], rules=_format_initials(verdict))
 
-def table(plan: Plan, verdict: Verdict) -> Table:
-    out = Table(title=f"{plan.name}, seed {plan.seed}", title_justify="left")
-    for head in ("rule", "state", "limit used", "occasions", ""):
-        out.add_column(head, justify="right" if head in ("limit used", "occasions") else "left")
-    for r in verdict.results:
-        text = r.reason or (
-            r.violations[0].description + f" ({r.violations[0].at_s:.1f} s)" if r.violations else ""
-        )
-        out.add_row(
-            r.title, f"[{COLOUR[r.state]}]{r.state}[/]", f"{100 * r.limit_used:.0f}%", str(r.occasions), text
-        )
-    return out
+        run = Run(scenario, plan, folder, show_progress, look=0.0 if quiet else CHECK_INTERVAL_S)
+        return asyncio.run(_play_until_signal(run))
 
 
-def _line(verdict: Verdict | None) -> str:
-    if verdict is None:
-        return ""
-    return " ".join(
-        f"[{COLOUR['broken' if r.violations else 'kept']}]{r.title[0]}[/]" for r in verdict.results
-    )
+async def _play_until_signal(run: Run) -> bool:
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, run.stop.set)
+    return await run.play()
 
 
-def play(
-    path: Path, seed: int | None, out: Path | None, follow: bool, even: bool, speed: float, quiet: bool
-) -> bool:
-    """Plays and judges a scene; True where all rules held. Raises Failed."""
-    console = Console(stderr=True)
-    try:
-        script = read_scenario(path)
-    except SettingsError as fault:
-        raise Failed(str(fault)) from None
-    plan = build_plan(script, script.seed if seed is None else seed, follow, even)
-    plan = speed_up_plan(plan, speed)
-    folder = out or Path("found") / f"{plan.name}-{plan.seed}"
-    columns = (
-        TextColumn("[bold]{task.fields[scene]}"),
-        BarColumn(),
-        TaskProgressColumn(),
-        TimeRemainingColumn(),
-        TextColumn("{task.fields[rules]}"),
-        TextColumn("{task.fields[text]}"),
-    )
-    with Progress(*columns, console=console, disable=quiet) as bar:
-        task = bar.add_task("day", total=1.0, scene=plan.name, rules="", text="starting")
-
-        def show(done: float, text: str, verdict: Verdict | None) -> None:
-            bar.update(task, completed=done, text=text[:48], rules=_line(verdict))
-
-        run = Run(script, plan, folder, show, look=0.0 if quiet else 4.0)
-
-        async def whole() -> bool:
-            loop = asyncio.get_running_loop()
-            for number in (signal.SIGTERM, signal.SIGINT):
-                loop.add_signal_handler(number, run.stop.set)
-            return await run.play()
-
-        try:
-            finished = asyncio.run(whole())
-        except StartFailed as fault:
-            raise Failed(f"{path}: {fault}") from None
-        except OSError as fault:
-            raise Failed(f"{folder}: {fault.strerror or fault}; give a folder that can be written") from None
-    if not finished:
-        raise Failed(f"{path}: stopped before its end; every process was ended; records: {folder}")
-    plan, verdict = check_run_folder(folder)
-    page = report.write(folder, plan, verdict)
-    show_verdict(plan, verdict)
-    Console().print(f"page: {page}")
-    return verdict.is_passed
+def _format_initials(verdict: Verdict | None) -> str:
+    """The number of each rule, coloured by whether it has been broken so far."""
+    if verdict is None:
+        return ""
+    initials = []
+    for result in verdict.results:
+        state = RuleState.BROKEN if result.violations else RuleState.KEPT
+        initials.append(f"[{COLOUR_BY_STATE[state]}]{result.title[0]}[/]")
+    return " ".join(initials)
 
 
 def show_verdict(plan: Plan, verdict: Verdict) -> None:
+    """Prints the results of all rules, and the share of requests completed in time."""
     console = Console()
-    console.print(table(plan, verdict))
+    console.print(_build_table(plan, verdict))
     if not verdict.is_complete:
         console.print(f"[bold red]the records are not whole: {verdict.reason}[/]")
     shares = ", ".join(
@@ -112,14 +136,41 @@
     )
 
 
-def judge(folder: Path, as_json: bool) -> bool:
-    """Judges a run folder afresh. Raises Failed."""
+def _build_table(plan: Plan, verdict: Verdict) -> Table:
+    table = Table(title=f"{plan.name}, seed {plan.seed}", title_justify="left")
+    for heading in ("rule", "state", "limit used", "occasions", ""):
+        table.add_column(heading, justify="right" if heading in RIGHT_COLUMNS else "left")
+    for result in verdict.results:
+        table.add_row(
+            result.title,
+            f"[{COLOUR_BY_STATE[result.state]}]{result.state}[/]",
+            f"{100 * result.limit_used:.0f}%",
+            str(result.occasions),
+            _describe_result(result),
+        )
+    return table
+
+
+def _describe_result(result: RuleResult) -> str:
+    """The reason of a state, or else the first violation."""
+    if result.reason or not result.violations:
+        return result.reason
+    violation = result.violations[0]
+    return f"{violation.description} ({violation.at_s:.1f} s)"
+
+
+def check_run(folder: Path, as_json: bool) -> bool:
+    """Checks the rules on the records of a run and prints the verdict; returns whether all rules held.
+
+    Raises:
+        InputError: The folder holds no run, or its records can't be read.
+    """
     try:
         plan, verdict = check_run_folder(folder)
-    except FileNotFoundError as fault:
-        raise Failed(f"{fault.filename}: no run is here; name a folder of `gradehoist day`") from None
-    except (ValueError, OSError) as fault:
-        raise Failed(f"{fault}; play the day again") from None
+    except FileNotFoundError as error:
+        raise InputError(f"{error.filename}: no run is here; name a folder of `gradehoist day`") from None
+    except (ValueError, OSError) as error:
+        raise InputError(f"{error}; play the day again") from None
     if as_json:
         print(msgspec.json.format(msgspec.json.encode(verdict), indent=1).decode())
     else:
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -22,7 +22,7 @@
 from gradehoist.cells.migration import AssignmentAck, Migration, MigrationStep, TenantAssignment
 from gradehoist.cells.rollout import Rollout, TrafficCounts
 from gradehoist.cells.rollout import RolloutStep as ReleaseStep
-from gradehoist.cli.cells import read as read_placement
+from gradehoist.cli.placement_files import load_placement as read_placement
 from gradehoist.cli.main import main
 from gradehoist.cli.plan import load_plan
 from gradehoist.coordination.election import LeaderElection
