--- a/gradehoist/cli/cell_status.py
+++ b/gradehoist/cli/cell_status.py
@@ -14,13 +14,9 @@
 
 from gradehoist.cells.migration import Migration
 from gradehoist.cli.errors import InputError
+from gradehoist.migration.planning import pending_migrations, tenant_cells
 from gradehoist.migration.queries import fetch_governor_status
-from gradehoist.migration.runner import (
-    load_draining_cells,
-    load_migrations,
-    pending_migrations,
-    tenant_cells,
-)
+from gradehoist.migration.records import load_draining_cells, load_migrations
 from gradehoist.net.client import HttpClient
 from gradehoist.settings.fleet import CellPlacement, GovernorSettings, Settings
 
--- a/gradehoist/cli/cells_commands.py
+++ b/gradehoist/cli/cells_commands.py
@@ -164,7 +164,7 @@
 @STORE_OPTION
 def undo_move(migration_id: str, store: Path) -> None:
     """Turns a move back; `cells move SETTINGS` carries it out, also one that runs now."""
-    from gradehoist.migration.runner import undo_migration
+    from gradehoist.migration.planning import undo_migration
 
     try:
         reverse = undo_migration(store, migration_id)
@@ -186,12 +186,12 @@
 @click.argument("path", metavar="SETTINGS", type=FILE)
 @click.option(
     "--run",
-    "renew_command",
+    "update_command",
     default="",
     help="The command that renews one worker, with {worker} and {cell} in it.",
 )
 @click.option(
-    "--back", "restore_command", default="", help="The command that puts a worker back after a halt."
+    "--back", "rollback_command", default="", help="The command that puts a worker back after a halt."
 )
 @click.option(
     "--cell", "some_cells", multiple=True, help="A cell to renew, in this order; all if none is named."
@@ -216,8 +216,8 @@
 @STORE_OPTION
 def release_cells(  # noqa: PLR0913 - click passes each option as a parameter
     path: Path,
-    renew_command: str,
-    restore_command: str,
+    update_command: str,
+    rollback_command: str,
     some_cells: tuple[str, ...],
     batch: int,
     soak_s: float,
@@ -230,10 +230,10 @@
 
     settings = load_settings(path)
     options = RolloutOptions(
-        renew_command=renew_command,
-        restore_command=restore_command,
+        update_command=update_command,
+        rollback_command=rollback_command,
         cells=some_cells,
-        batch=batch,
+        batch_size=batch,
         soak_s=soak_s,
         return_timeout_s=return_timeout_s,
     )
--- a/gradehoist/cli/migrations.py
+++ b/gradehoist/cli/migrations.py
@@ -13,16 +13,14 @@
 from gradehoist.cells.placement import stable_hash
 from gradehoist.cli.errors import InputError
 from gradehoist.cli.placement_files import require_placement
-from gradehoist.migration.runner import (
-    MigrationRunner,
+from gradehoist.migration.planning import (
     create_migrations,
-    load_draining_cells,
-    load_migrations,
     pending_migrations,
     plan_cell_drain,
-    save_draining_cells,
     tenant_cells,
 )
+from gradehoist.migration.records import load_draining_cells, load_migrations, save_draining_cells
+from gradehoist.migration.runner import MigrationRunner
 from gradehoist.settings.fleet import CellPlacement, Settings
 from gradehoist.store.folder_lock import FolderLock, FolderLockedError
 
@@ -147,7 +145,7 @@
             migration.tenant,
             migration.source,
             migration.target,
-            str(migration.gen),
+            str(migration.generation),
             migration.step.value,
             _describe_state(migration, is_pending=migration.id in pending_ids),
         )
@@ -161,5 +159,5 @@
         return ""
     if not is_pending:
         return "undone"
-    acknowledged_by = sorted(migration.known | migration.shut)
+    acknowledged_by = sorted(migration.confirmed_governors | migration.confirmed_replicas)
     return "confirmed by " + (", ".join(acknowledged_by) or "nobody yet")
--- a/gradehoist/cli/options.py
+++ b/gradehoist/cli/options.py
@@ -7,7 +7,8 @@
 import click
 
 from gradehoist.cli.errors import InputError
-from gradehoist.settings.fleet import Settings, read_settings
+from gradehoist.settings.fleet import Settings
+from gradehoist.settings.fleet_parser import read_settings
 from gradehoist.settings.reader import SettingsError
 
 FILE = click.Path(dir_okay=False, path_type=Path)
--- a/gradehoist/cli/placement_files.py
+++ b/gradehoist/cli/placement_files.py
@@ -12,9 +12,8 @@
     PlacementRequirements,
     Replica,
     Tenant,
-    plan_placement,
-    split_replicas,
 )
+from gradehoist.cells.placement_planner import plan_placement, split_replicas
 from gradehoist.cli.errors import InputError
 from gradehoist.settings.fleet import CellPlacement, Settings
 from gradehoist.store.atomic_file import write_file
--- a/gradehoist/cli/rollouts.py
+++ b/gradehoist/cli/rollouts.py
@@ -10,7 +10,8 @@
 from gradehoist.cells.rollout import Rollout, RolloutStep
 from gradehoist.cli.errors import InputError
 from gradehoist.cli.placement_files import require_placement
-from gradehoist.migration.rollout import RolloutRunner, load_rollout
+from gradehoist.migration.records import load_rollout
+from gradehoist.migration.rollout import RolloutRunner
 from gradehoist.settings.fleet import CellPlacement, Settings
 from gradehoist.store.folder_lock import FolderLock, FolderLockedError
 
@@ -22,24 +23,24 @@
     """What the command line says of a rollout.
 
     Attributes:
-        renew_command: The command that renews one replica; empty to resume the rollout that is under way.
-        restore_command: The command that puts one replica back after a halt.
+        update_command: The command that updates one replica; empty to resume the rollout that is under way.
+        rollback_command: The command that puts one replica back after a halt.
         cells: The cells in their order; empty for all of the placement.
-        batch: The number of replicas that are renewed at a time.
-        soak_s: How long a renewed cell is observed, in seconds.
-        return_timeout_s: How long a renewed replica may take to be ready again, in seconds.
+        batch_size: The number of replicas that are updated at a time.
+        soak_s: How long a updated cell is observed, in seconds.
+        return_timeout_s: How long a updated replica may take to be ready again, in seconds.
     """
 
-    renew_command: str
-    restore_command: str
+    update_command: str
+    rollback_command: str
     cells: tuple[str, ...]
-    batch: int
+    batch_size: int
     soak_s: float
     return_timeout_s: float
 
 
 def run_rollout(settings: Settings, store: Path, options: RolloutOptions) -> bool:
-    """Runs a new rollout, or resumes the one under way; returns whether it renewed every cell.
+    """Runs a new rollout, or resumes the one under way; returns whether it updated every cell.
 
     Raises:
         InputError: An option does not fit, another process runs a rollout, or its record can't be read.
@@ -62,7 +63,7 @@
 
 
 def _check_options(options: RolloutOptions, placement: CellPlacement) -> None:
-    for command in (options.renew_command, options.restore_command):
+    for command in (options.update_command, options.rollback_command):
         try:
             shlex.split(command)
         except ValueError as error:
@@ -73,7 +74,7 @@
 
 def _create_or_resume(last: Rollout | None, options: RolloutOptions, placement: CellPlacement) -> Rollout:
     under_way = last is not None and last.step not in (RolloutStep.DONE, RolloutStep.HALTED)
-    if not options.renew_command:
+    if not options.update_command:
         if last is None or not under_way:
             raise InputError("no release is under way; begin one with --run COMMAND")
         return last
@@ -84,10 +85,10 @@
     return Rollout(
         id=f"{number:06d}",
         cells=cells,
-        workers={cell: tuple(sorted(placement.replicas_of(cell))) for cell in cells},
-        batch=options.batch,
-        run=options.renew_command,
-        back=options.restore_command,
+        replicas={cell: tuple(sorted(placement.replicas_of(cell))) for cell in cells},
+        batch_size=options.batch_size,
+        command=options.update_command,
+        rollback_command=options.rollback_command,
     )
 
 
--- a/gradehoist/cli/scenario.py
+++ b/gradehoist/cli/scenario.py
@@ -13,13 +13,14 @@
 from rich.table import Table
 
 from gradehoist.cli.errors import InputError
-from gradehoist.scenario import report
 from gradehoist.scenario.checks.run_check import check_run_folder
 from gradehoist.scenario.checks.verdict import RuleResult, RuleState, Verdict
 from gradehoist.scenario.definition import Scenario
 from gradehoist.scenario.definition_reader import read_scenario
+from gradehoist.scenario.errors import ScenarioRunError
 from gradehoist.scenario.plan_builder import build_plan, speed_up_plan
-from gradehoist.scenario.runner import Run, StartFailed
+from gradehoist.scenario.report import write_report
+from gradehoist.scenario.runner import RunProgress, ScenarioRun
 from gradehoist.settings.reader import SettingsError
 from gradehoist.testbed.scenario_plan import Plan
 
@@ -78,14 +79,14 @@
     folder = options.folder or Path("found") / f"{plan.name}-{plan.seed}"
     try:
         finished = _run_with_progress(scenario, plan, folder, options.quiet)
-    except StartFailed as error:
+    except ScenarioRunError as error:
         raise InputError(f"{path}: {error}") from None
     except OSError as error:
         raise InputError(f"{folder}: {error.strerror or error}; give a folder that can be written") from None
     if not finished:
         raise InputError(f"{path}: stopped before its end; every process was ended; records: {folder}")
     plan, verdict = check_run_folder(folder)
-    page = report.write(folder, plan, verdict)
+    page = write_report(folder, plan, verdict)
     show_verdict(plan, verdict)
     Console().print(f"page: {page}")
     return verdict.is_passed
@@ -96,14 +97,20 @@
     with Progress(*PROGRESS_COLUMNS, console=Console(stderr=True), disable=quiet) as bar:
         task = bar.add_task("scenario", total=1.0, scenario=plan.name, rules="", text="starting")
 
-        def show_progress(done: float, text: str, verdict: Verdict | None) -> None:
-            bar.update(task, completed=done, text=text[:PROGRESS_TEXT_WIDTH], rules=_format_initials(verdict))
+        def show_progress(progress: RunProgress) -> None:
+            bar.update(
+                task,
+                completed=progress.share,
+                text=progress.last_step[:PROGRESS_TEXT_WIDTH],
+                rules=_format_initials(progress.verdict),
+            )
 
-        run = Run(scenario, plan, folder, show_progress, look=0.0 if quiet else CHECK_INTERVAL_S)
+        check_interval_s = 0.0 if quiet else CHECK_INTERVAL_S
+        run = ScenarioRun(scenario, plan, folder, show_progress, check_interval_s)
         return asyncio.run(_play_until_signal(run))
 
 
-async def _play_until_signal(run: Run) -> bool:
+async def _play_until_signal(run: ScenarioRun) -> bool:
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, run.stop.set)
--- a/gradehoist/governor/http_api.py
+++ b/gradehoist/governor/http_api.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from gradehoist.cells.migration import TenantAssignment
+from gradehoist.cells.assignment import TenantAssignment
 from gradehoist.governor.errors import RequestRejectedError
 from gradehoist.governor.feed_polls import FeedPolls
 from gradehoist.governor.proxy_sessions import FeedPoll
--- a/gradehoist/membership/service.py
+++ b/gradehoist/membership/service.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from gradehoist.clock import monotonic_us
 from gradehoist.coordination.election import LeaderElection
 from gradehoist.coordination.members import FailureDetector, MemberState, MemberStatus, ReachabilityReport
 from gradehoist.coordination.notifications import (
@@ -28,7 +29,7 @@
 from gradehoist.coordination.store import Change, CoordinationStore, RecordTooLargeError
 from gradehoist.membership.health_checks import MemberHealthChecker
 from gradehoist.membership.log_events import LOG_EVENTS
-from gradehoist.net.coordination_client import CallRecorder, CoordinationClient, monotonic_us
+from gradehoist.net.coordination_client import CallRecorder, CoordinationClient
 from gradehoist.net.etcd import EtcdStore
 from gradehoist.net.server import ServerResponse, error_response
 from gradehoist.settings.fleet import CoordinationSettings
--- a/gradehoist/net/coordination_client.py
+++ b/gradehoist/net/coordination_client.py
@@ -1,81 +1,77 @@
-"""Carries an agent's calls to the register's home: a task for each call, one that waits for the next."""
+"""Carries out a participant's requests to the coordination store, each in a task of its own."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Callable
 from typing import Protocol
 
+from gradehoist.clock import monotonic_us
 from gradehoist.coordination.notifications import Notification
 from gradehoist.coordination.participant import Participant
 from gradehoist.coordination.requests import Response, StoreRequest, failure_without_response, perform
 from gradehoist.coordination.store import CoordinationError, CoordinationStore
 
-
-def monotonic_us() -> int:
-    return time.monotonic_ns() // 1_000
+MAX_WAIT_S = 1.0  # between two ticks: decisions of the owner wait no longer for their turn
+_US_PER_S = 1_000_000
 
 
 class CallRecorder(Protocol):
-    """Who writes a history, if one is kept."""
+    """Writes a history of the requests and their outcomes."""
 
-    def record_invocation(self, ask: StoreRequest) -> None: ...
+    def record_invocation(self, ask: StoreRequest) -> None:
+        """Called before a request is carried out."""
 
-    def record_completion(self, ask: StoreRequest, answer: Response | CoordinationError) -> None: ...
+    def record_completion(self, ask: StoreRequest, answer: Response | CoordinationError) -> None:
+        """Called with the outcome before the participant gets it."""
 
 
 class CoordinationClient:
-    """`run` goes on until `leave` and what that takes, or until it is cancelled. `told` hears all news, in
-    order; `ticked` is called after each turn, for what decides on the copy."""
+    """Runs a participant against a store, which it closes at the end.
+
+    `on_notification` gets all notifications in their order. `on_tick` is called with the time (µs) after each
+    round, for decisions that depend on the participant's state.
+    """
 
-    LEAVE_TIMEOUT_S = 1.0  # seconds for a planned leave: its session runs out by itself
+    LEAVE_TIMEOUT_S = 1.0  # of a planned end; a session that is not ended by then expires
 
     def __init__(
         self,
         agent: Participant,
         store: CoordinationStore,
         on_notification: Callable[[Notification], None],
-        on_tick: Callable[[int], None] = lambda now: None,
+        on_tick: Callable[[int], None] = lambda now_us: None,
         recorder: CallRecorder | None = None,
     ) -> None:
         """Starts nothing yet; `run` does."""
-        self.agent, self.store = agent, store
-        self._told, self._ticked, self._scribe = on_notification, on_tick, recorder
-        self._kick = asyncio.Event()
-        self._tasks = set[asyncio.Task[None]]()
+        self.agent = agent
+        self.store = store
+        self._on_notification = on_notification
+        self._on_tick = on_tick
+        self._recorder = recorder
+        self._wakeup = asyncio.Event()
+        self._calls = set[asyncio.Task[None]]()
 
     async def run(self) -> None:
+        """Carries out requests until the participant has left, or until it is cancelled."""
         try:
             while not self.agent.has_left:
-                for ask in self.agent.take_due_requests(monotonic_us()):
-                    task = asyncio.ensure_future(self._call(ask))
-                    self._tasks.add(task)
-                    task.add_done_callback(self._tasks.discard)
-                self._tell()
-                self._ticked(monotonic_us())
-                self._tell()
-                wait = min(1.0, (self.agent.next_request_at_us(monotonic_us()) - monotonic_us()) / 1e6)
-                if wait > 0:
-                    with contextlib.suppress(TimeoutError):
-                        async with asyncio.timeout(wait):
-                            await self._kick.wait()
-                else:
-                    await asyncio.sleep(0)
-                self._kick.clear()
+                self._start_due_requests()
+                self._deliver_notifications()
+                self._on_tick(monotonic_us())
+                self._deliver_notifications()
+                await self._wait_for_next_request()
         finally:
-            for task in list(self._tasks):
-                task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self._cancel_calls()
             await self.store.close()
 
     def wake(self) -> None:
-        """Something was proposed."""
-        self._kick.set()
+        """Starts the next round at once, as after a commit was proposed."""
+        self._wakeup.set()
 
     async def leave(self, running: asyncio.Task[None]) -> None:
-        """Ends the session, if that is quickly done."""
+        """Ends the session, if that is done within `LEAVE_TIMEOUT_S`, and `running`, the task of `run`."""
         self.agent.leave()
         self.wake()
         with contextlib.suppress(TimeoutError):
@@ -84,31 +80,56 @@
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
 
-    def _tell(self) -> None:
-        while news := self.agent.take_notifications():
-            for one in news:
-                self._told(one)
+    def _start_due_requests(self) -> None:
+        for request in self.agent.take_due_requests(monotonic_us()):
+            call = asyncio.ensure_future(self._carry_out(request))
+            self._calls.add(call)
+            call.add_done_callback(self._calls.discard)
+
+    def _deliver_notifications(self) -> None:
+        while notifications := self.agent.take_notifications():
+            for notification in notifications:
+                self._on_notification(notification)
+
+    async def _wait_for_next_request(self) -> None:
+        due_in_us = self.agent.next_request_at_us(monotonic_us()) - monotonic_us()
+        wait_s = min(MAX_WAIT_S, due_in_us / _US_PER_S)
+        if wait_s > 0:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._wakeup.wait()
+        else:
+            await asyncio.sleep(0)
+        self._wakeup.clear()
+
+    async def _cancel_calls(self) -> None:
+        for call in list(self._calls):
+            call.cancel()
+        await asyncio.gather(*self._calls, return_exceptions=True)
+
+    async def _carry_out(self, request: StoreRequest) -> None:
+        if self._recorder is not None:
+            self._recorder.record_invocation(request)
+        outcome = await self._perform(request)
+        if self._recorder is not None:
+            self._recorder.record_completion(request, outcome)
+        if isinstance(outcome, CoordinationError):
+            self.agent.handle_failure(monotonic_us(), request.request_id, outcome)
+        else:
+            self.agent.handle_response(monotonic_us(), request.request_id, outcome)
+        self.wake()
 
-    async def _call(self, ask: StoreRequest) -> None:
-        if self._scribe is not None:
-            self._scribe.record_invocation(ask)
-        operation = ask.operation
-        answer: Response | CoordinationError
+    async def _perform(self, request: StoreRequest) -> Response | CoordinationError:
+        """Returns the store's response, or the error that says what is known of the outcome."""
+        operation = request.operation
+        name = type(operation).__name__
+        timeout_s = request.timeout_us / _US_PER_S
         try:
-            async with asyncio.timeout(ask.timeout_us / 1e6):
-                answer = await perform(self.store, operation)
+            async with asyncio.timeout(timeout_s):
+                return await perform(self.store, operation)
         except TimeoutError:
-            reason = f"no answer to {type(operation).__name__} within {ask.timeout_us / 1e6:g} s"
-            answer = failure_without_response(operation, reason)
-        except CoordinationError as fault:
-            answer = fault
-        except Exception as fault:
-            # An answer that is none, or a bug: unanswered, the agent would wait for good.
-            answer = failure_without_response(operation, f"{type(operation).__name__}: {fault!r}")
-        if self._scribe is not None:
-            self._scribe.record_completion(ask, answer)
-        if isinstance(answer, CoordinationError):
-            self.agent.handle_failure(monotonic_us(), ask.request_id, answer)
-        else:
-            self.agent.handle_response(monotonic_us(), ask.request_id, answer)
-        self.wake()
+            return failure_without_response(operation, f"no answer to {name} within {timeout_s:g} s")
+        except CoordinationError as error:
+            return error
+        except Exception as error:  # noqa: BLE001 - without an outcome it waits forever
+            return failure_without_response(operation, f"{name}: {error!r}")
--- a/tests/test_boundary_values.py
+++ b/tests/test_boundary_values.py
@@ -18,6 +18,7 @@
 from gradehoist.identifiers import Identifiers
 from gradehoist.interface import (
     AttemptsReported,
+    ChannelLimits,
     EndpointListKind,
     EndpointsListed,
     Event,
@@ -244,7 +245,14 @@
     assert door.admit(0, "", "") is None
     assert door.admit(-HOUR, "", "")
     assert door.admit(2**60, "", "") is None
-    budget = ChannelShares(1, 1.0, 1.0, 0, 0.0, 1)
+    channel_limits = ChannelLimits(
+        queue_limit_lines=1.0,
+        lines_per_s=1.0,
+        message_overhead_lines=0.0,
+        messages_per_window=0,
+        message_window_us=SECOND,
+    )
+    budget = ChannelShares(1, channel_limits, 1)
     assert budget.available_lines(0, 0.0) >= 0
     assert budget.available_lines(10**6, 1e9) == 0
     assert budget.allows_message(10**9)
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -17,13 +17,14 @@
 import pytest
 
 from gradehoist.governor.service import GovernorService
-from gradehoist.migration.runner import load_migrations
+from gradehoist.migration.records import load_migrations
 from gradehoist.net.server import Connection, HttpServer, ServerResponse
 from gradehoist.protocol import feed, http
 from gradehoist.scenario.definition_reader import read_scenario
 from gradehoist.scenario.free_ports import find_free_ports
 from gradehoist.scenario.plan_builder import build_plan
-from gradehoist.settings.fleet import CellPlacement, read_settings
+from gradehoist.settings.fleet import CellPlacement
+from gradehoist.settings.fleet_parser import read_settings
 from gradehoist.testbed.clients import Clients
 from gradehoist.testbed.proxy import Relays
 from tests.support.governed_fleet import entry
--- a/tests/test_fleet_governors.py
+++ b/tests/test_fleet_governors.py
@@ -15,7 +15,8 @@
 from gradehoist.coordination.records import ProcessIdentity
 from gradehoist.membership.service import Membership
 from gradehoist.scenario.free_ports import find_free_ports
-from gradehoist.settings.fleet import CoordinationSettings, parse_settings
+from gradehoist.settings.fleet import CoordinationSettings
+from gradehoist.settings.fleet_parser import parse_settings
 from gradehoist.settings.reader import SettingsError, SettingsReader
 from gradehoist.testbed import etcd_server as standin
 from tests.support.governed_fleet import TEXT, entry
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,7 +10,7 @@
 from gradehoist.cli.main import main
 from gradehoist.scenario.definition_reader import read_scenario
 from gradehoist.scenario.plan_builder import build_plan
-from gradehoist.settings.fleet import read_settings
+from gradehoist.settings.fleet_parser import read_settings
 from gradehoist.settings.reader import SettingsError
 
 ROOT = Path(__file__).parent.parent
