--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -284,10 +284,10 @@
 def plans() -> None:
     row("workers", "halls", "cells", "groups", "cases", "s")
     for size in planning.SIZES:
-        row(*planning.size(*size))
+        row(*planning.measure_size(size))
     row("load", "gain lost, solver", "gain lost, greedy", "crossing, greedy over solver")
     for load in (0.4, 0.6, 0.8):
-        row(*planning.beside(load))
+        row(*planning.compare_with_greedy(load))
 
 
 async def _idle(relays: int) -> None:
--- a/bench/plans.py
+++ b/bench/plans.py
@@ -1,11 +1,12 @@
-"""Plans made ahead: time by size, and the solver beside a greedy rule on the same fleets."""
+"""Capacity planning: time by size, and the solver beside a greedy rule on the same fleets."""
 
 from __future__ import annotations
 
 import random
 import time
+from dataclasses import dataclass
 from datetime import datetime
-from fractions import Fraction as F
+from fractions import Fraction
 from zoneinfo import ZoneInfo
 
 from gradehoist.capacity_planning import verification
@@ -20,82 +21,131 @@
 )
 from gradehoist.capacity_planning.solver import solve
 
+CLASS_COUNT = 4
+KIND_COUNT = 4
+MEAN_REPLICA_RATE = 15  # requests per second: near the mean of what a replica below completes of one class
+HOURS = 24  # time slots of a measured plan
+COMPARED_FLEETS = 60
+
+
+@dataclass(frozen=True)
+class FleetSize:
+    """The size of a random fleet, and its demand as a share of its capacity."""
+
+    replicas: int
+    zones: int
+    cells: int = 1
+    load: float = 0.6
+
+
 SIZES = (
-    (6, 3, 1),
-    (40, 3, 1),
-    (118, 3, 1),
-    (118, 3, 10),
-    (118, 10, 1),
-    (500, 3, 1),
-    (500, 10, 1),
-    (2000, 3, 1),
+    FleetSize(replicas=6, zones=3),
+    FleetSize(replicas=40, zones=3),
+    FleetSize(replicas=118, zones=3),
+    FleetSize(replicas=118, zones=3, cells=10),
+    FleetSize(replicas=118, zones=10),
+    FleetSize(replicas=500, zones=3),
+    FleetSize(replicas=500, zones=10),
+    FleetSize(replicas=2000, zones=3),
 )
 
 
-def fleet(
-    workers: int, halls: int, slots: int, cells: int = 1, seed: int = 1, load: float = 0.6
-) -> CapacityProblem:
-    """Four kinds, four classes of which one may not go to the last hall, uneven demand."""
-    dice, zones = random.Random(seed), tuple(f"z{n}" for n in range(halls))
-    names = [f"c{c}" for c in range(4)]
-    kinds = {f"k{n}": ReplicaKind(f"k{n}", {c: F(dice.randrange(5, 30)) for c in names}) for n in range(4)}
+def create_problem(size: FleetSize, slots: int, seed: int = 1) -> CapacityProblem:
+    """A random fleet: four kinds, four classes of which one may not use the last zone, uneven demand."""
+    rng = random.Random(seed)
+    zones = tuple(f"z{n}" for n in range(size.zones))
+    names = [f"c{n}" for n in range(CLASS_COUNT)]
+    kinds = {
+        f"k{n}": ReplicaKind(f"k{n}", {name: Fraction(rng.randrange(5, 30)) for name in names})
+        for n in range(KIND_COUNT)
+    }
+    some_zones = zones[: max(2, size.zones - 1)]
     classes = {
-        c: RequestClass(c, F(dice.randrange(1, 9)), None if c != "c0" else zones[: max(2, halls - 1)])
-        for c in names
+        name: RequestClass(name, Fraction(rng.randrange(1, 9)), some_zones if name == "c0" else None)
+        for name in names
     }
-    crew: dict[ReplicaGroup, int] = {}
-    for n in range(workers):
-        cell = f"cell{n // halls // 4 % cells}" if cells > 1 else ""
-        group = ReplicaGroup(zones[n % halls], f"k{n // halls % 4}", cell)
-        crew[group] = crew.get(group, 0) + 1
-    mean = workers * 15 * load / len(names) / halls
+    mean = size.replicas * MEAN_REPLICA_RATE * size.load / CLASS_COUNT / size.zones
     demand = {
-        (c, z): tuple(F(round(mean * dice.uniform(0.3, 1.7), 2)) for _ in range(slots))
-        for c in names
-        for z in zones
+        (name, zone): tuple(Fraction(round(mean * rng.uniform(0.3, 1.7), 2)) for _ in range(slots))
+        for name in names
+        for zone in zones
     }
-    return CapacityProblem(zones, kinds, classes, crew, demand, {}, F(1, 10))
-
-
-def greedy(p: CapacityProblem, slot: int, lost: frozenset[str]) -> dict[Flow, F]:
-    """The most gain first, each at home while there is room, then wherever most is free."""
-    room = {g: p.capacity(g) for g in p.replica_counts if g.zone not in lost}
-    left = {key: d[slot] for key, d in p.demand.items()}
-    out: dict[Flow, F] = {}
-    for f in sorted(
-        p.allowed_flows(lost),
-        key=lambda f: (-p.classes[f.request_class].priority_weight, p.crossing_cost(f), -room[f.group], f),
-    ):
-        rate = min(left[f.request_class, f.origin], room[f.group] / p.load_per_request(f))
-        out[f] = rate
-        left[f.request_class, f.origin] -= rate
-        room[f.group] -= rate * p.load_per_request(f)
-    return out
-
-
-def size(workers: int, halls: int, cells: int) -> tuple[object, ...]:
-    p = fleet(workers, halls, 24, cells)
-    began = time.perf_counter()
-    plan = make_plan(DemandEvent("e", datetime(2027, 2, 5, tzinfo=ZoneInfo("Asia/Tokyo")), 3600, p))
-    return workers, halls, cells, len(p.replica_counts), len(plan.cases), f"{time.perf_counter() - began:.2f}"
-
-
-def beside(load: float) -> tuple[object, ...]:
-    """Over 60 fleets of 40 workers, whole and with each hall lost: gain lost, as a part of what was asked,
-    and crossing where both lose nothing."""
-    lost_solver, lost_greedy, asked, cross = F(0), F(0), F(0), [F(0), F(0)]
-    for seed in range(60):
-        p = fleet(40, 3, 1, seed=seed, load=load)
-        want = sum((d[0] * p.classes[c].priority_weight for (c, _), d in p.demand.items()), F(0))
-        for lost in (frozenset[str](), *(frozenset({z}) for z in p.zones)):
-            ours, other = solve(p, 0, lost), greedy(p, 0, lost)
-            assert not verification.find_violations(p, 0, lost, other)
-            gained = verification.calculate_weighted_rate(p, other)
-            asked += want
-            lost_solver += want - ours.weighted_rate
-            lost_greedy += want - gained
-            if gained > want - F(1, 100) and ours.weighted_rate > want - F(1, 100):
-                cross[0] += ours.crossing_cost
-                cross[1] += sum((x * p.crossing_cost(f) for f, x in other.items()), F(0))
-    ratio = f"{float(cross[1] / cross[0]):.2f}" if cross[0] else "-"
-    return load, f"{float(100 * lost_solver / asked):.2f}%", f"{float(100 * lost_greedy / asked):.2f}%", ratio
+    return CapacityProblem(
+        zones=zones,
+        kinds=kinds,
+        classes=classes,
+        replica_counts=_count_replicas(size, zones),
+        demand=demand,
+        reserved_share=Fraction(1, 10),
+    )
+
+
+def _count_replicas(size: FleetSize, zones: tuple[str, ...]) -> dict[ReplicaGroup, int]:
+    counts: dict[ReplicaGroup, int] = {}
+    for n in range(size.replicas):
+        cell = f"cell{n // size.zones // KIND_COUNT % size.cells}" if size.cells > 1 else ""
+        group = ReplicaGroup(zones[n % size.zones], f"k{n // size.zones % KIND_COUNT}", cell)
+        counts[group] = counts.get(group, 0) + 1
+    return counts
+
+
+def plan_greedily(problem: CapacityProblem, slot: int, lost_zones: frozenset[str]) -> dict[Flow, Fraction]:
+    """The greedy rule: highest priority weight first, in its zone while it has capacity, then elsewhere."""
+    capacity = {g: problem.capacity(g) for g in problem.replica_counts if g.zone not in lost_zones}
+    demand = {key: rates[slot] for key, rates in problem.demand.items()}
+
+    def preference(flow: Flow) -> tuple[Fraction, Fraction, Fraction, Flow]:
+        weight = problem.classes[flow.request_class].priority_weight
+        return -weight, problem.crossing_cost(flow), -capacity[flow.group], flow
+
+    flows: dict[Flow, Fraction] = {}
+    for flow in sorted(problem.allowed_flows(lost_zones), key=preference):
+        key = flow.request_class, flow.origin
+        load = problem.load_per_request(flow)
+        rate = min(demand[key], capacity[flow.group] / load)
+        flows[flow] = rate
+        demand[key] -= rate
+        capacity[flow.group] -= rate * load
+    return flows
+
+
+def measure_size(size: FleetSize) -> tuple[object, ...]:
+    """Makes a plan for a day of 24 slots; returns the row of its size and time."""
+    problem = create_problem(size, HOURS)
+    started = time.perf_counter()
+    plan = make_plan(DemandEvent("e", datetime(2027, 2, 5, tzinfo=ZoneInfo("Asia/Tokyo")), 3600, problem))
+    duration = f"{time.perf_counter() - started:.2f}"
+    return size.replicas, size.zones, size.cells, len(problem.replica_counts), len(plan.cases), duration
+
+
+def compare_with_greedy(load: float) -> tuple[object, ...]:
+    """Compares the solver with the greedy rule over 60 fleets of 40 replicas, with each loss of a zone.
+
+    Returns:
+        The load, the shares of weighted demand that each leaves unserved, and the ratio of crossing costs
+        where both serve all.
+    """
+    lost_by_solver = lost_by_greedy = demanded = Fraction(0)
+    solver_crossing = greedy_crossing = Fraction(0)
+    for seed in range(COMPARED_FLEETS):
+        problem = create_problem(FleetSize(replicas=40, zones=3, load=load), slots=1, seed=seed)
+        weighted = (
+            rates[0] * problem.classes[name].priority_weight for (name, _), rates in problem.demand.items()
+        )
+        demand = sum(weighted, Fraction(0))
+        for lost_zones in (frozenset[str](), *(frozenset({zone}) for zone in problem.zones)):
+            solution = solve(problem, 0, lost_zones)
+            greedy = plan_greedily(problem, 0, lost_zones)
+            assert not verification.find_violations(problem, 0, lost_zones, greedy)
+            greedy_rate = verification.calculate_weighted_rate(problem, greedy)
+            demanded += demand
+            lost_by_solver += demand - solution.weighted_rate
+            lost_by_greedy += demand - greedy_rate
+            if min(greedy_rate, solution.weighted_rate) > demand - Fraction(1, 100):
+                solver_crossing += solution.crossing_cost
+                costs = (rate * problem.crossing_cost(flow) for flow, rate in greedy.items())
+                greedy_crossing += sum(costs, Fraction(0))
+    ratio = f"{float(greedy_crossing / solver_crossing):.2f}" if solver_crossing else "-"
+    solver_share = f"{float(100 * lost_by_solver / demanded):.2f}%"
+    greedy_share = f"{float(100 * lost_by_greedy / demanded):.2f}%"
+    return load, solver_share, greedy_share, ratio
