--- a/bench/feeders.py
+++ b/bench/feeders.py
@@ -1,4 +1,4 @@
-"""Relays reduced to their polls: thousands of feeds in one process, and a roster that speaks when told."""
+"""Test doubles of proxies, reduced to their polls, and of the endpoint list; thousands fit in one process."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
@@ -20,6 +21,7 @@
 from gradehoist.settings.fleet import CellPlacement
 
 LOCAL = "127.0.0.1"
+REPORT_LINES_PER_S = 100  # lines of load reports that the settings let in
 ZONES = ("hall-a", "hall-b", "hall-c")
 DECODER: msgspec.json.Decoder[feed.PollResponse] = msgspec.json.Decoder(feed.PollResponse)
 SETTINGS = """
@@ -38,58 +40,83 @@
 """
 
 
-def entry(n: int, phase: str = "ready") -> feed.EndpointRecord:
+def create_endpoint(n: int, phase: str = "ready") -> feed.EndpointRecord:
+    """The endpoint of the replica with a number."""
     return feed.EndpointRecord(f"w{n}", ZONES[n % 3], "", "k", n // 5, phase, 1.0, f"w{n}/1", 10**9)
 
 
-class Roster:
+class EndpointList:
+    """The endpoint list of a fleet; `notified_at` is when it published its change (s, monotonic)."""
+
     def __init__(self, replicas: int, port: int) -> None:
-        self.version, self.told = 1, 0.0
-        self.entries, self.changed = [entry(n) for n in range(replicas)], asyncio.Event()
+        """Listens with all replicas ready."""
+        self.version = 1
+        self.notified_at = 0.0
+        self.endpoints = [create_endpoint(n) for n in range(replicas)]
+        self._changed = asyncio.Event()
         self.server = HttpServer(self.handle)
         self.server.listen(port, LOCAL)
 
     async def handle(self, request: http.Request, connection: Connection) -> ServerResponse:
-        whole = "after=-1" in request.target
-        if not whole and f"after={self.version}&" in request.target:
+        """Answers with a snapshot, or with the change as soon as there is one."""
+        is_snapshot = "after=-1" in request.target
+        if not is_snapshot and f"after={self.version}&" in request.target:
             try:
-                await asyncio.wait_for(self.changed.wait(), 4.0)
+                await asyncio.wait_for(self._changed.wait(), 4.0)
             except TimeoutError:
                 return self._answer((), False)
-            self.changed.clear()
-            self.told = time.monotonic()
-        return self._answer(tuple(self.entries) if whole else (self.entries[0],), whole)
+            self._changed.clear()
+            self.notified_at = time.monotonic()
+        return self._answer(tuple(self.endpoints) if is_snapshot else (self.endpoints[0],), is_snapshot)
 
-    def _answer(self, entries: tuple[feed.EndpointRecord, ...], whole: bool) -> ServerResponse:
+    def _answer(self, entries: tuple[feed.EndpointRecord, ...], is_snapshot: bool) -> ServerResponse:
         after = self.version - bool(entries)
         return ServerResponse(
-            200, msgspec.json.encode(feed.EndpointListUpdate("l", self.version, entries, whole, after))
+            200, msgspec.json.encode(feed.EndpointListUpdate("l", self.version, entries, is_snapshot, after))
         )
 
     def drain(self) -> None:
-        self.entries[0] = entry(0, "draining")
+        """Lists the first replica as draining."""
+        self.endpoints[0] = create_endpoint(0, "draining")
         self.version += 1
-        self.changed.set()
+        self._changed.set()
+
 
+class FeedClient:
+    """One proxy's feed.
 
-class Feeder:
-    """One relay's feed; `out` is when it applied the withdrawal of the first replica."""
+    Attributes:
+        withdrawn_at: When it received the withdrawal of the first replica (s, monotonic); 0 before.
+        binds: The number of binds that it received.
+        classes: The request classes that it is bound to.
+        received_bytes: The size of all responses.
+        messages: The number of messages that it received.
+    """
 
     def __init__(self, n: int, port: int) -> None:
-        self.n, self.port = n, port
-        self.name, self.zone = f"r{n}", ZONES[n % 3]
-        self.epoch, self.stream, self.after, self.out, self.bound = "", 0, 0, 0.0, 0
-        self.got = self.messages = 0
+        """Prepares the feed of the proxy with a number from a governor's port."""
+        self.n = n
+        self.port = port
+        self.name = f"r{n}"
+        self.zone = ZONES[n % 3]
+        self.epoch = ""
+        self.stream = 0
+        self.acknowledged_seq = 0
+        self.withdrawn_at = 0.0
+        self.binds = 0
+        self.received_bytes = 0
+        self.messages = 0
         self.classes = set[str]()
 
     async def follow(self) -> None:
+        """Polls the feed until it is cancelled."""
         client = HttpClient(
             LOCAL, self.port, connect_timeout_s=10.0, limits=http.Limits(max_body_bytes=1 << 26)
         )
         while True:
             target = (
                 f"/v1/feed?relay={self.name}&zone={self.zone}&rate=3&epoch={self.epoch}"
-                f"&stream={self.stream}&after={self.after}"
+                f"&stream={self.stream}&after={self.acknowledged_seq}"
             )
             try:
                 response = await client.request("GET", target, timeout_s=120)
@@ -99,29 +126,36 @@
             if response.status != 200:
                 await asyncio.sleep(0.2)
                 continue
-            self.got += len(response.body)
-            if b'"out","w0"' in response.body and not self.out:
-                self.out = time.monotonic()
+            self.received_bytes += len(response.body)
+            if b'"out","w0"' in response.body and not self.withdrawn_at:
+                self.withdrawn_at = time.monotonic()
             answer = DECODER.decode(response.body)
             self.messages += len(answer.messages)
             if answer.is_new_stream:
-                self.epoch, self.stream, self.after = answer.epoch, answer.stream, 0
+                self.epoch = answer.epoch
+                self.stream = answer.stream
+                self.acknowledged_seq = 0
             for message in answer.messages:
-                self.after = message.seq
+                self.acknowledged_seq = message.seq
                 for delta in message.deltas:
                     if isinstance(delta, feed.BindDelta):
-                        self.bound += 1
+                        self.binds += 1
                         self.classes.update(delta.classes)
 
-    async def sums(self, replicas: int, period: float, cells: int = 0, sway: float = 0.0) -> None:
-        """Each period, tries at some thirty replicas, with load reports that wander a little; with `sway`
-        each replica's load goes up and down by so much within a minute, at a time of its own."""
+    async def send_load_reports(
+        self, replicas: int, period_s: float, cells: int = 0, load_swing: float = 0.0
+    ) -> None:
+        """Reports attempts at some thirty replicas in each period, until it is cancelled.
+
+        Their load varies a little; with `load_swing` that of each replica also rises and falls by so much
+        within a minute, at a time of its own.
+        """
         client = HttpClient(LOCAL, self.port)
-        await asyncio.sleep(period * (self.n % 97) / 97)
+        await asyncio.sleep(period_s * (self.n % 97) / 97)
         beat = 0
         while True:
             beat += 1
-            tries = tuple(
+            attempts = tuple(
                 feed.ReplicaAttempts(
                     f"w{(self.n * 7 + k * 5) % replicas}",
                     3,
@@ -129,65 +163,85 @@
                     250_000,
                     0.5
                     + 0.2 * ((k * 31 + beat * 17 + self.n) % 10) / 10
-                    + sway * math.sin((self.n * 7 + k * 5) % replicas + time.monotonic() / 9),
+                    + load_swing * math.sin((self.n * 7 + k * 5) % replicas + time.monotonic() / 9),
                     2.0,
                 )
                 for k in range(30)
             )
             cell = f"c{(self.n + beat) % cells}/" if cells else ""
-            came = (
+            requests = (
                 feed.ClassRequests(cell + "rate-check", 6),
                 feed.ClassRequests(cell + "booking-commit", 3),
             )
-            sums = feed.ProxyLoadReport(self.name, self.epoch, int(period * 1e6), tries, came)
+            report = feed.ProxyLoadReport(self.name, self.epoch, int(period_s * 1e6), attempts, requests)
             with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
-                await client.request("POST", "/v1/sums", msgspec.json.encode(sums), timeout_s=5)
-            await asyncio.sleep(period)
+                await client.request("POST", "/v1/sums", msgspec.json.encode(report), timeout_s=5)
+            await asyncio.sleep(period_s)
+
+
+@dataclass(frozen=True)
+class GovernorOptions:
+    """What a measured governor serves, and the limits of its channel.
+
+    Attributes:
+        proxies: The number of proxies.
+        replicas: The number of replicas.
+        lines_per_s: The line rate of the channel.
+        queue_lines: The limit of the channel's queue.
+        poll_hold: How long a poll is held open, as the settings write it.
+        module: The program, as `python -m` takes it.
+        cells: The number of cells; 0 for a fleet without cells.
+    """
+
+    proxies: int
+    replicas: int
+    lines_per_s: float
+    queue_lines: float
+    poll_hold: str = "20s"
+    module: str = "gradehoist"
+    cells: int = 0
 
 
 class Governor:
-    """A governor's process with a roster in this one."""
-
-    def __init__(
-        self,
-        folder: Path,
-        relays: int,
-        replicas: int,
-        rate: float,
-        queue: float,
-        intake: int = 100,
-        hold: str = "20s",
-        module: str = "gradehoist",
-        cells: int = 0,
-    ) -> None:
+    """A governor's process, with its endpoint list in this one. The caller closes it."""
+
+    def __init__(self, folder: Path, options: GovernorOptions) -> None:
+        """Writes the settings to a folder and starts the process."""
         folder.mkdir(parents=True, exist_ok=True)
-        self.port, roster = find_free_ports(2)
-        self.roster = Roster(replicas, roster)
+        self.port, endpoint_list_port = find_free_ports(2)
+        self.endpoint_list = EndpointList(options.replicas, endpoint_list_port)
         path = folder / "settings.kdl"
-        if cells:
-            names = tuple(f"c{n}" for n in range(cells))
-            placed = CellPlacement(names, {f"w{n}": names[n // 3 % cells] for n in range(replicas)})
+        if options.cells:
+            names = tuple(f"c{n}" for n in range(options.cells))
+            placed = CellPlacement(
+                names, {f"w{n}": names[n // 3 % options.cells] for n in range(options.replicas)}
+            )
             (folder / "cells.json").write_bytes(msgspec.json.encode(placed))
         path.write_text(
             SETTINGS.format(
-                relays=relays,
-                roster=roster,
-                queue=queue,
-                rate=rate,
-                intake=intake,
-                hold=hold,
+                relays=options.proxies,
+                roster=endpoint_list_port,
+                queue=options.queue_lines,
+                rate=options.lines_per_s,
+                intake=REPORT_LINES_PER_S,
+                hold=options.poll_hold,
                 port=self.port,
-                cells='\n    cells placement="cells.json"' if cells else "",
+                cells='\n    cells placement="cells.json"' if options.cells else "",
             )
         )
         self.log = (folder / "governor.log").open("wb")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", module, "governor", str(path), "--name", "a", "--log", "json"],
+            [sys.executable, "-m", options.module, "governor", str(path), "--name", "a", "--log", "json"],
             stderr=self.log,
         )
         self.client = HttpClient(LOCAL, self.port)
 
-    async def ready(self) -> None:
+    async def wait_until_ready(self) -> None:
+        """Waits until the governor knows the replicas.
+
+        Raises:
+            RuntimeError: It did not come up within some ten seconds.
+        """
         for _ in range(200):
             try:
                 if (await self.status())["replicas"]:
@@ -198,24 +252,27 @@
         raise RuntimeError("the governor did not come up")
 
     async def status(self) -> dict[str, object]:
+        """The governor's HTTP status."""
         response = await self.client.request("GET", "/v1/status", timeout_s=10)
         out: dict[str, object] = msgspec.json.decode(response.body)
         return out
 
-    def usage(self) -> tuple[float, int]:
-        """CPU seconds and resident bytes of the loop's process, without the planner's."""
+    def process_usage(self) -> tuple[float, int]:
+        """CPU seconds and resident bytes of the loop's process, without the policy process."""
         process = psutil.Process(self.process.pid)
         times = process.cpu_times()
         return times.user + times.system, process.memory_info().rss
 
-    def planner_usage(self) -> tuple[float, int]:
+    def policy_usage(self) -> tuple[float, int]:
+        """CPU seconds and resident bytes of the policy process; zeros where there is none."""
         for child in psutil.Process(self.process.pid).children():
             times = child.cpu_times()
             return times.user + times.system, child.memory_info().rss
         return 0.0, 0
 
     def close(self) -> None:
+        """Ends the process and the endpoint list."""
         self.process.terminate()
         self.process.wait(20)
-        self.roster.server.stop()
+        self.endpoint_list.server.stop()
         self.log.close()
--- a/bench/member.py
+++ b/bench/member.py
@@ -21,6 +21,7 @@
 
 
 async def main() -> None:
+    """Runs the member until SIGTERM."""
     where, port, name = sys.argv[1:]
     settings = CoordinationSettings(
         None if where.isdigit() else Path(where),
--- a/bench/node.py
+++ b/bench/node.py
@@ -20,6 +20,8 @@
 
 @dataclass(frozen=True)
 class Figures:
+    """What one play measured."""
+
     proxies: int
     start: float  # s
     bound: float  # s from the first joining to the last table
@@ -43,6 +45,7 @@
 
 
 async def play(proxies: int, replicas: int) -> Figures:
+    """Starts a node, joins proxies, and drains replicas one after the other."""
     members = [entry(f"s-{n}", locality="abc"[n % 3]) for n in range(replicas)]
     with tempfile.TemporaryDirectory() as folder:
         node = Node(Path(folder), settings(proxies), members, sockets=1_024)
@@ -66,4 +69,5 @@
 
 
 def figures() -> list[Figures]:
+    """The figures of each size."""
     return [asyncio.run(play(*size)) for size in SIZES]
--- a/bench/plays.py
+++ b/bench/plays.py
@@ -58,6 +58,7 @@
 
 
 def main() -> int:
+    """Plays all days with all seeds; returns the exit code, 1 where a play did not end well."""
     parser = argparse.ArgumentParser(prog="python -m bench.plays")
     parser.add_argument("bench")
     parser.add_argument("site")
--- a/bench/register.py
+++ b/bench/register.py
@@ -27,7 +27,10 @@
 
 
 class Fleet:
+    """Member processes over one coordination store; the caller ends them."""
+
     def __init__(self, folder: Path, kind: str, count: int) -> None:
+        """Starts the store, if it is a server of its own, and the members."""
         engine, *ports = find_free_ports(count + 1)
         self.kind, self.folder, self.engine_port = kind, folder / "register", engine
         self.engine = (
@@ -43,6 +46,8 @@
         self.clients = [HttpClient("127.0.0.1", p) for p in ports]
 
     async def all(self) -> list[dict[str, Any]]:
+        """The status of each member; empty for one that does not answer."""
+
         async def one(client: HttpClient) -> dict[str, Any]:
             with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
                 response = await client.request("GET", "/status", timeout_s=5.0)
@@ -62,11 +67,13 @@
         return time.monotonic() - began
 
     async def fault(self, **what: Any) -> None:
+        """Injects a fault into the store's server."""
         client = HttpClient("127.0.0.1", self.engine_port)
         await client.request("POST", "/fault", msgspec.json.encode(what))
         client.close()
 
     async def away(self) -> None:
+        """Makes the store unavailable."""
         if self.engine is not None:
             await self.fault(away=True)
         else:
@@ -74,6 +81,7 @@
             self.folder.write_text("in the way")
 
     async def back(self) -> None:
+        """Makes the store available again."""
         if self.engine is not None:
             await self.fault(do="extend")
             await self.fault()
@@ -82,6 +90,7 @@
             self.folder.with_name("aside").rename(self.folder)
 
     def end(self) -> None:
+        """Ends all processes."""
         for child in [*self.children, *([self.engine] if self.engine else [])]:
             child.kill()
             child.wait()
@@ -125,6 +134,7 @@
 
 
 def figures(row: Row, sizes: tuple[int, ...] = (8, 60, 230)) -> None:
+    """Prints a row for each kind of store and each number of members."""
     row(
         "home",
         "processes",
