Tests of capacity planning: one behaviour a test, parametrized plans with a defect

New cases: another event's name, another checksum, a rate below zero (its printed flow is guarded). Fraction has its own name. The settings of the bench's member are given by keyword.

--- a/bench/member.py
+++ b/bench/member.py
@@ -1,6 +1,6 @@
 """One member of a measured fleet: `python -m bench.member WHERE PORT NAME`; WHERE is a folder or a port.
 
-It says on its status how late changes of one record came; `POST /probe` lets it write that record."""
+Its status has the delays of changes of one record; `POST /probe` lets it write that record."""
 
 from __future__ import annotations
 
@@ -24,14 +24,14 @@
     """Runs the member until SIGTERM."""
     where, port, name = sys.argv[1:]
     settings = CoordinationSettings(
-        None if where.isdigit() else Path(where),
-        ("127.0.0.1", int(where)) if where.isdigit() else None,
-        "bench/",
-        10_000_000,
-        5_000_000,
-        1_000_000,
-        60_000_000,
-        30_000_000,
+        folder=None if where.isdigit() else Path(where),
+        etcd_address=("127.0.0.1", int(where)) if where.isdigit() else None,
+        key_prefix="bench/",
+        session_ttl_us=10_000_000,
+        lost_after_us=5_000_000,
+        contact_interval_us=1_000_000,
+        fallback_hold_us=60_000_000,
+        fallback_ramp_us=30_000_000,
     )
     identity = ProcessIdentity(
         role="member",
--- a/tests/test_capacity_planning.py
+++ b/tests/test_capacity_planning.py
@@ -6,10 +6,10 @@
 import itertools
 import random
 import re
-from collections.abc import Mapping
-from fractions import Fraction as F
+from collections.abc import Callable, Mapping
+from fractions import Fraction
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 import pytest
@@ -18,9 +18,10 @@
 from gradehoist.capacity_planning import solver as solving
 from gradehoist.capacity_planning import verification
 from gradehoist.capacity_planning.additions import find_replicas_to_add
-from gradehoist.capacity_planning.event_file import read_events
-from gradehoist.capacity_planning.plan import CapacityPlan, Shortfall
+from gradehoist.capacity_planning.event_file import DemandEvent, read_events
+from gradehoist.capacity_planning.plan import CapacityPlan, PlannedCase, Shortfall
 from gradehoist.capacity_planning.plan_check import check_plan
+from gradehoist.capacity_planning.planner import make_plan
 from gradehoist.capacity_planning.problem import (
     CapacityProblem,
     Flow,
@@ -42,22 +43,31 @@
 def problem(seed: int, classes: int = 1) -> CapacityProblem:
     """Up to six workers in three halls; small whole figures, so that ties are many."""
     rng = random.Random(seed)
-    kinds = {"k": ReplicaKind("k", {"read": F(2), "write": F(1)}), "l": ReplicaKind("l", {"read": F(3)})}
+    kinds = {
+        "k": ReplicaKind("k", {"read": Fraction(2), "write": Fraction(1)}),
+        "l": ReplicaKind("l", {"read": Fraction(3)}),
+    }
     names = ("read", "write")[:classes]
     some = {
         n: RequestClass(
-            n, F(rng.choice([1, 2, 6])), rng.choice([None, None, ("a", "b")]), None, rng.random() < 0.15
+            n,
+            Fraction(rng.choice([1, 2, 6])),
+            rng.choice([None, None, ("a", "b")]),
+            None,
+            rng.random() < 0.15,
         )
         for n in names
     }
     workers = {ReplicaGroup(z, rng.choice(["k", "k", "l"])): rng.randrange(3) for z in ZONES}
     origins = ZONES[:2] if classes == 1 else ZONES[:1]
-    demand = {(n, z): (F(rng.choice([0, 1, 2, 4, 7])),) for n in names for z in origins}
-    cross = {(o, z): F(rng.choice([1, 1, 2])) for o in ZONES for z in ZONES if o != z}
-    return CapacityProblem(ZONES, kinds, some, workers, demand, cross, rng.choice([F(0), F(1, 4)]))
+    demand = {(n, z): (Fraction(rng.choice([0, 1, 2, 4, 7])),) for n in names for z in origins}
+    cross = {(o, z): Fraction(rng.choice([1, 1, 2])) for o in ZONES for z in ZONES if o != z}
+    return CapacityProblem(
+        ZONES, kinds, some, workers, demand, cross, rng.choice([Fraction(0), Fraction(1, 4)])
+    )
 
 
-def solve_equations(rows: list[list[F]]) -> list[F] | None:
+def solve_equations(rows: list[list[Fraction]]) -> list[Fraction] | None:
     """The one solution of square equations with their right side last, None where there is none or many."""
     size = len(rows)
     rows = [row[:] for row in rows]
@@ -75,7 +85,9 @@
     return [row[-1] for row in rows]
 
 
-def search_exhaustively(p: CapacityProblem, lost: frozenset[str]) -> tuple[tuple[F, F, F], dict[Flow, F]]:
+def search_exhaustively(
+    p: CapacityProblem, lost: frozenset[str]
+) -> tuple[tuple[Fraction, Fraction, Fraction], dict[Flow, Fraction]]:
     """Every corner of what is allowed, from the problem's text: each demand and each group is one bound, and
     a corner fixes as many of flows and rests as there are bounds. The best by gain, crossing, tie."""
     flows: list[Flow] = []
@@ -89,30 +101,30 @@
     groups = [g for g in p.replica_counts if any(f.group == g for f in flows)]
     keys = list(p.demand)
     size = len(keys) + len(groups)
-    table = [[F((f.request_class, f.origin) == key) for f in flows] for key in keys]
+    table = [[Fraction((f.request_class, f.origin) == key) for f in flows] for key in keys]
     loads = [1 / p.kinds[f.group.kind].requests_per_s[f.request_class] for f in flows]
-    table += [[x if f.group == g else F(0) for f, x in zip(flows, loads, strict=True)] for g in groups]
+    table += [[x if f.group == g else Fraction(0) for f, x in zip(flows, loads, strict=True)] for g in groups]
     right = [p.demand[key][0] for key in keys] + [
         p.replica_counts[g] * (1 - p.reserved_share) for g in groups
     ]
-    table = [row + [F(n == k) for k in range(size)] for n, row in enumerate(table)]
-    best: tuple[tuple[F, F, F], dict[Flow, F]] | None = None
+    table = [row + [Fraction(n == k) for k in range(size)] for n, row in enumerate(table)]
+    best: tuple[tuple[Fraction, Fraction, Fraction], dict[Flow, Fraction]] | None = None
     for chosen in itertools.combinations(range(len(flows) + size), size):
         found = solve_equations([[row[k] for k in chosen] + [r] for row, r in zip(table, right, strict=True)])
-        if found is None or min(found, default=F(0)) < 0:
+        if found is None or min(found, default=Fraction(0)) < 0:
             continue
         at = {flows[k]: x for k, x in zip(chosen, found, strict=True) if k < len(flows) and x}
         rank = (
-            -sum((x * p.classes[f.request_class].priority_weight for f, x in at.items()), F(0)),
+            -sum((x * p.classes[f.request_class].priority_weight for f, x in at.items()), Fraction(0)),
             sum(
                 (
                     x * p.crossing_costs[f.origin, f.group.zone]
                     for f, x in at.items()
                     if f.origin != f.group.zone
                 ),
-                F(0),
+                Fraction(0),
             ),
-            sum((x * F(tie_break_weight(f)) for f, x in at.items()), F(0)),
+            sum((x * Fraction(tie_break_weight(f)) for f, x in at.items()), Fraction(0)),
         )
         if best is None or rank < best[0]:
             best = rank, at
@@ -127,10 +139,11 @@
         for lost in (frozenset[str](), frozenset({"abc"[seed % 3]})):
             answer = solve(p, 0, lost)
             rank, flows = search_exhaustively(p, lost)
-            assert abs(answer.weighted_rate + rank[0]) < F(1, 100), f"seed {seed}"
-            assert abs(answer.crossing_cost - rank[1]) < F(1, 100), f"seed {seed}"
+            assert abs(answer.weighted_rate + rank[0]) < Fraction(1, 100), f"seed {seed}"
+            assert abs(answer.crossing_cost - rank[1]) < Fraction(1, 100), f"seed {seed}"
             for f in {*flows, *answer.flows}:
-                assert abs(answer.flows.get(f, F(0)) - flows.get(f, F(0))) < F(1, 100), f"seed {seed}: {f}"
+                difference = answer.flows.get(f, Fraction(0)) - flows.get(f, Fraction(0))
+                assert abs(difference) < Fraction(1, 100), f"seed {seed}: {f}"
             gap = verification.calculate_upper_bound(p, 0, lost, answer.prices) - answer.weighted_rate
             assert 0 <= gap <= verification.calculate_rounding_tolerance(p, lost, RATE_UNITS)
 
@@ -154,120 +167,191 @@
         assert solve(p, 0) == solve(q, 0)
 
 
-def base(
-    workers: dict[ReplicaGroup, int], demand: dict[tuple[str, str], int], **more: object
+def create_problem(
+    replica_counts: dict[ReplicaGroup, int],
+    demand: dict[tuple[str, str], int],
+    current_flows: Mapping[Flow, Fraction] | None = None,
 ) -> CapacityProblem:
-    kinds = {"k": ReplicaKind("k", {"read": F(2), "write": F(1)})}
-    classes = {"read": RequestClass("read", F(1)), "write": RequestClass("write", F(6), ("b",))}
-    return CapacityProblem(ZONES, kinds, classes, workers, {k: (F(x),) for k, x in demand.items()}, **more)  # type: ignore[arg-type]
+    """One slot; `read` may run everywhere, `write` in zone b alone and with more weight."""
+    return CapacityProblem(
+        zones=ZONES,
+        kinds={"k": ReplicaKind("k", {"read": Fraction(2), "write": Fraction(1)})},
+        classes={
+            "read": RequestClass("read", Fraction(1)),
+            "write": RequestClass("write", Fraction(6), ("b",)),
+        },
+        replica_counts=replica_counts,
+        demand={key: (Fraction(rate),) for key, rate in demand.items()},
+        current_flows=current_flows or {},
+    )
 
 
 def test_a_lost_zone_leaves_shortfalls_and_the_replicas_that_would_mend_them() -> None:
-    p = base({ReplicaGroup("a", "k"): 2, ReplicaGroup("b", "k"): 2}, {("read", "a"): 6, ("write", "a"): 1})
+    p = create_problem(
+        {ReplicaGroup("a", "k"): 2, ReplicaGroup("b", "k"): 2}, {("read", "a"): 6, ("write", "a"): 1}
+    )
     whole, lost = solve(p, 0), solve(p, 0, frozenset({"a"}))
-    assert not any(whole.shortfalls.values()) and find_replicas_to_add(p, 0) == {}
-    assert lost.shortfalls == {("read", "a"): F(4), ("write", "a"): F(0)}  # the least gain is refused
+    assert not any(whole.shortfalls.values())
+    assert find_replicas_to_add(p, 0) == {}
+    assert lost.shortfalls == {
+        ("read", "a"): Fraction(4),
+        ("write", "a"): Fraction(0),
+    }  # the least gain is refused
     assert find_replicas_to_add(p, 0, frozenset({"a"})) == {ReplicaGroup("b", "k"): 2}
     gone = solve(p, 0, frozenset({"b"}))
-    assert (
-        gone.shortfalls["write", "a"] == 1 and find_replicas_to_add(p, 0, frozenset({"b"})) is None
-    )  # its one hall is lost
+    assert gone.shortfalls["write", "a"] == 1
+    assert find_replicas_to_add(p, 0, frozenset({"b"})) is None
 
 
 def test_capacity_that_a_class_may_not_use_and_an_empty_fleet_leave_shortfalls() -> None:
-    p = base({ReplicaGroup("a", "k"): 9}, {("write", "a"): 1})
-    assert solve(p, 0).shortfalls["write", "a"] == 1 and find_replicas_to_add(p, 0) is None
-    for p in (base({}, {("read", "a"): 3}), base({ReplicaGroup("a", "k"): 0}, {("read", "a"): 3})):
-        assert solve(p, 0).shortfalls["read", "a"] == 3 and not solve(p, 0).flows
-    assert not solve(base({ReplicaGroup("a", "k"): 1}, {("read", "a"): 0}), 0).flows
+    p = create_problem({ReplicaGroup("a", "k"): 9}, {("write", "a"): 1})
+    assert solve(p, 0).shortfalls["write", "a"] == 1
+    assert find_replicas_to_add(p, 0) is None
+    for p in (
+        create_problem({}, {("read", "a"): 3}),
+        create_problem({ReplicaGroup("a", "k"): 0}, {("read", "a"): 3}),
+    ):
+        assert solve(p, 0).shortfalls["read", "a"] == 3
+        assert not solve(p, 0).flows
+    assert not solve(create_problem({ReplicaGroup("a", "k"): 1}, {("read", "a"): 0}), 0).flows
 
 
 def test_of_equal_plans_the_one_that_changes_least_from_today_is_chosen() -> None:
     workers, demand = {ReplicaGroup("b", "k"): 2, ReplicaGroup("c", "k"): 2}, {("read", "a"): 4}
     for zone in "bc":
-        today = {Flow("read", "a", ReplicaGroup(zone, "k")): F(4)}
-        assert solve(base(workers, demand, current_flows=today), 0).flows == today
+        today = {Flow("read", "a", ReplicaGroup(zone, "k")): Fraction(4)}
+        assert solve(create_problem(workers, demand, current_flows=today), 0).flows == today
 
 
 def test_verification_finds_each_broken_bound() -> None:
-    p = base({ReplicaGroup("a", "k"): 1, ReplicaGroup("b", "k"): 1}, {("read", "a"): 3, ("write", "a"): 1})
+    p = create_problem(
+        {ReplicaGroup("a", "k"): 1, ReplicaGroup("b", "k"): 1}, {("read", "a"): 3, ("write", "a"): 1}
+    )
     a, b = ReplicaGroup("a", "k"), ReplicaGroup("b", "k")
     none = frozenset[str]()
-    assert not verification.find_violations(p, 0, none, {Flow("read", "a", a): F(2)})
+    assert not verification.find_violations(p, 0, none, {Flow("read", "a", a): Fraction(2)})
     broken = (
-        ({Flow("read", "a", a): F(2) + F(1, 10**9)}, "carries"),
-        ({Flow("read", "a", a): F(2), Flow("read", "a", b): F(3, 2)}, "served"),
-        ({Flow("write", "a", a): F(1)}, "not open"),
-        ({Flow("read", "a", a): F(-1)}, "below"),
+        ({Flow("read", "a", a): Fraction(2) + Fraction(1, 10**9)}, "carries"),
+        ({Flow("read", "a", a): Fraction(2), Flow("read", "a", b): Fraction(3, 2)}, "served"),
+        ({Flow("write", "a", a): Fraction(1)}, "not open"),
+        ({Flow("read", "a", a): Fraction(-1)}, "below"),
     )
     for flows, said in broken:
         assert any(said in str(x) for x in verification.find_violations(p, 0, none, flows))
-    assert verification.find_violations(p, 0, frozenset({"a"}), {Flow("read", "a", a): F(1)})
-    for price in (F(0), F(1), F(7)):  # any prices bound the gain from above
+    assert verification.find_violations(p, 0, frozenset({"a"}), {Flow("read", "a", a): Fraction(1)})
+    for price in (Fraction(0), Fraction(1), Fraction(7)):  # any prices bound the gain from above
         assert (
             verification.calculate_upper_bound(p, 0, none, {a: price, b: price}) >= solve(p, 0).weighted_rate
         )
 
 
-def test_a_plan_is_made_checked_and_rejected_when_it_no_longer_fits(tmp_path: Path) -> None:
-    def run(*words: str) -> Result:
-        return CliRunner().invoke(main, ["plan", *words])
+def run_plan(*arguments: object) -> Result:
+    return CliRunner().invoke(main, ["plan", *map(str, arguments)])
+
+
+@pytest.fixture(scope="module")
+def event() -> DemandEvent:
+    (only_event,) = read_events(EVENTS)
+    return only_event
+
+
+@pytest.fixture(scope="module")
+def plan(event: DemandEvent) -> CapacityPlan:
+    return make_plan(event)
+
 
-    events, plan = tmp_path / "e.kdl", tmp_path / "p.json"
-    events.write_text(EVENTS.read_text())
-    made = run("make", str(events), "--out", str(plan))
-    assert made.exit_code == 1 and "add 2 large-4c in" in made.output  # a loss leaves too little, and says so
-    assert run("check", str(events), str(plan)).exit_code == 0 and run("show", str(plan)).exit_code == 0
-    first = plan.read_bytes()
-    found: CapacityPlan = msgspec.json.decode(first, type=CapacityPlan)
-    assert len(found.cases) == 4 * 4 and found.starts_at == "2027-02-05T09:00:00+09:00"
+def test_a_plan_is_made_shown_and_checked_by_the_command_line(tmp_path: Path, plan: CapacityPlan) -> None:
+    path = tmp_path / "p.json"
+    made = run_plan("make", EVENTS, "--out", path)
+    assert made.exit_code == 1  # a lost zone leaves too little
+    assert "add 2 large-4c in" in made.output
+    assert run_plan("check", EVENTS, path).exit_code == 0
+    assert run_plan("show", path).exit_code == 0
+    stored: CapacityPlan = msgspec.json.decode(path.read_bytes(), type=CapacityPlan)
+    assert stored == plan
+    assert len(stored.cases) == 4 * 4
+    assert stored.starts_at == "2027-02-05T09:00:00+09:00"
+
+
+def test_a_plan_file_is_the_same_to_the_byte_whatever_the_order_of_nodes(tmp_path: Path) -> None:
+    events, first, second = tmp_path / "e.kdl", tmp_path / "first.json", tmp_path / "second.json"
     lines = EVENTS.read_text().splitlines(keepends=True)
-    rest = [x for x in lines if x.startswith(("workers", "cross"))]
-    events.write_text("".join([*(x for x in lines if x not in rest), *rest[::-1]]))
-    assert run("make", str(events), "--out", str(plan)).exit_code == 1 and plan.read_bytes() == first
+    moved = [line for line in lines if line.startswith(("workers", "cross"))]
+    events.write_text("".join([*(line for line in lines if line not in moved), *moved[::-1]]))
+    assert run_plan("make", EVENTS, "--out", first).exit_code == 1
+    assert run_plan("make", events, "--out", second).exit_code == 1
+    assert second.read_bytes() == first.read_bytes()
+
+
+def test_a_plan_is_rejected_when_the_fleet_has_changed(tmp_path: Path, plan: CapacityPlan) -> None:
+    events, path = tmp_path / "e.kdl", tmp_path / "p.json"
+    path.write_bytes(msgspec.json.encode(plan))
     events.write_text(EVENTS.read_text().replace("count=3", "count=2"))
-    assert "fleet has changed" in run("check", str(events), str(plan)).output
-    (event,) = read_events(EVENTS)
-    case = found.cases[0]
-    more = msgspec.structs.replace(case.served[0], rate_units=case.served[0].rate_units * 9)
-    for bad, said in (
-        (msgspec.structs.replace(found, version=2), "version 2"),
-        (msgspec.structs.replace(found, starts_at="2027-02-06T09:00:00+09:00"), "made for"),
-        (msgspec.structs.replace(found, cases=found.cases[1:]), "slot 0, lost none: missing"),
-        (
-            msgspec.structs.replace(
-                found,
-                cases=(msgspec.structs.replace(case, served=(more, *case.served[1:])), *found.cases[1:]),
-            ),
-            "served of",
-        ),
+    assert "fleet has changed" in run_plan("check", events, path).output
+
+
+def test_a_plan_file_that_was_cut_is_reported_in_one_line(tmp_path: Path, plan: CapacityPlan) -> None:
+    path = tmp_path / "p.json"
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(plan), indent=1)[:200])
+    checked = run_plan("check", EVENTS, path)
+    assert checked.exit_code == 2
+    assert "no plan" in checked.output
+
+
+def scale_first_rate(case: PlannedCase, factor: int) -> PlannedCase:
+    first = msgspec.structs.replace(case.served[0], rate_units=case.served[0].rate_units * factor)
+    return msgspec.structs.replace(case, served=(first, *case.served[1:]))
+
+
+def serve_nothing(case: PlannedCase, event: DemandEvent) -> PlannedCase:
+    """States its shortfalls truly, but they need not be."""
+    shortfalls = tuple(Shortfall(*key, str(rates[0])) for key, rates in event.problem.demand.items())
+    return msgspec.structs.replace(case, served=(), shortfalls=shortfalls)
+
+
+@pytest.mark.parametrize(
+    ("changes", "defect"),
+    [
+        ({"version": 2}, "version 2"),
+        ({"starts_at": "2027-02-06T09:00:00+09:00"}, "made for"),
+        ({"event": "other"}, "made for other"),
+        ({"fleet_checksum": "00000000"}, "the fleet has changed"),
+    ],
+)
+def test_a_plan_that_was_made_for_something_else_is_rejected(
+    plan: CapacityPlan, event: DemandEvent, changes: dict[str, Any], defect: str
+) -> None:
+    (found,) = check_plan(msgspec.structs.replace(plan, **changes), event)
+    assert defect in str(found)
+
+
+def test_a_plan_that_lacks_a_case_is_rejected(plan: CapacityPlan, event: DemandEvent) -> None:
+    found = check_plan(msgspec.structs.replace(plan, cases=plan.cases[1:]), event)
+    assert "slot 0, lost none: missing" in map(str, found)
+
+
+@pytest.mark.parametrize(
+    ("falsify", "defect"),
+    [
+        (lambda case, event: scale_first_rate(case, 9), "served of"),
+        (lambda case, event: scale_first_rate(case, -1), "cell='')): a rate below zero"),
         (
-            msgspec.structs.replace(
-                found, cases=(msgspec.structs.replace(case, served=case.served[1:]), *found.cases[1:])
-            ),
+            lambda case, event: msgspec.structs.replace(case, served=case.served[1:]),
             "falls short by another figure",
         ),
-        (
-            msgspec.structs.replace(
-                found,
-                cases=(
-                    msgspec.structs.replace(
-                        case,
-                        served=(),
-                        shortfalls=tuple(
-                            Shortfall(*key, str(d[0])) for key, d in event.problem.demand.items()
-                        ),
-                    ),
-                    *found.cases[1:],
-                ),
-            ),
-            "less a second than it may",
-        ),
-    ):  # a shortfall truly told that need not be
-        assert any(said in str(x) for x in check_plan(bad, event)), said
-    plan.write_bytes(first[:200])
-    cut = run("check", str(EVENTS), str(plan))
-    assert cut.exit_code == 2 and "no plan" in cut.output
+        (serve_nothing, "less a second than it may"),
+    ],
+    ids=["more than demanded", "below zero", "unstated shortfall", "needless shortfall"],
+)
+def test_a_plan_with_a_falsified_case_is_rejected(
+    plan: CapacityPlan,
+    event: DemandEvent,
+    falsify: Callable[[PlannedCase, DemandEvent], PlannedCase],
+    defect: str,
+) -> None:
+    cases = (falsify(plan.cases[0], event), *plan.cases[1:])
+    found = check_plan(msgspec.structs.replace(plan, cases=cases), event)
+    assert any(defect in str(one) for one in found)
 
 
 def test_a_solver_over_its_time_limit_is_reported_in_one_line(
@@ -275,7 +359,9 @@
 ) -> None:
     monkeypatch.setattr(solving, "TIME_LIMIT_S", 0.0)
     told = CliRunner().invoke(main, ["plan", "make", str(EVENTS), "--out", str(tmp_path / "p.json")])
-    assert told.exit_code == 2 and "no plan" in told.output and not (tmp_path / "p.json").exists()
+    assert told.exit_code == 2
+    assert "no plan" in told.output
+    assert not (tmp_path / "p.json").exists()
 
 
 def test_every_error_of_an_event_file_names_its_line_and_clock_changes_are_rejected(tmp_path: Path) -> None:
