--- a/bench/register.py
+++ b/bench/register.py
@@ -1,6 +1,6 @@
-"""Many processes over one register: joining, the way of a change, the cost at rest, an outage.
+"""Many members over one coordination store: joining, delay of a change, cost at rest, an outage.
 
-All of them on this one machine: its cores are shared, so times at 230 processes are of a crowded machine.
+All of them share the cores of one machine, so times at 230 processes are those of an overloaded machine.
 """
 
 from __future__ import annotations
@@ -22,8 +22,8 @@
 from gradehoist.scenario.free_ports import find_free_ports
 
 Row = Callable[..., None]
-AWAY = 30.0  # seconds of the outage: three sessions
-PROBES = 20
+OUTAGE_S = 30.0  # three times the session's TTL
+PROBE_COUNT = 20
 
 
 class Fleet:
@@ -105,13 +105,13 @@
         await asyncio.sleep(15)
         after, span = await fleet.all(), time.monotonic() - began
         cores = sum(b["cpu"] - a["cpu"] for a, b in zip(before, after, strict=True)) / span
-        for n in range(PROBES):
+        for n in range(PROBE_COUNT):
             await fleet.clients[n % count].request("POST", "/probe")
             await asyncio.sleep(0.5)
         late = sorted(x for s in await fleet.all() for x in s["late"])
         generations = [s["generation"] for s in await fleet.all()]
         await fleet.away()
-        await asyncio.sleep(AWAY)
+        await asyncio.sleep(OUTAGE_S)
         lost = sum(not s.get("joined") for s in await fleet.all())
         await fleet.back()
         returned = await fleet.joined(120)
@@ -123,7 +123,7 @@
             f"{joined:.1f}",
             f"{p50:.0f}",
             f"{p99:.0f}",
-            f"{len(late) / PROBES / count:.3f}",
+            f"{len(late) / PROBE_COUNT / count:.3f}",
             f"{cores:.2f}",
             lost,
             f"{returned:.1f}",
