--- a/bench/register.py
+++ b/bench/register.py
@@ -1,6 +1,6 @@
-"""Many processes over one register: joining, the way of a change, the cost at rest, an outage.
+"""Many members over one coordination store: joining, delay of a change, cost at rest, an outage.
 
-All of them on this one machine: its cores are shared, so times at 230 processes are of a crowded machine.
+All of them share the cores of one machine, so times at 230 processes are those of an overloaded machine.
 """
 
 from __future__ import annotations
@@ -22,12 +22,15 @@
 from gradehoist.scenario.free_ports import find_free_ports
 
 Row = Callable[..., None]
-AWAY = 30.0  # seconds of the outage: three sessions
-PROBES = 20
+OUTAGE_S = 30.0  # three times the session's TTL
+PROBE_COUNT = 20
 
 
 class Fleet:
+    """Member processes over one coordination store; the caller ends them."""
+
     def __init__(self, folder: Path, kind: str, count: int) -> None:
+        """Starts the store, if it is a server of its own, and the members."""
         engine, *ports = find_free_ports(count + 1)
         self.kind, self.folder, self.engine_port = kind, folder / "register", engine
         self.engine = (
@@ -43,6 +46,8 @@
         self.clients = [HttpClient("127.0.0.1", p) for p in ports]
 
     async def all(self) -> list[dict[str, Any]]:
+        """The status of each member; empty for one that does not answer."""
+
         async def one(client: HttpClient) -> dict[str, Any]:
             with contextlib.suppress(ConnectError, ConnectionLostError, ResponseTimeoutError):
                 response = await client.request("GET", "/status", timeout_s=5.0)
@@ -62,11 +67,13 @@
         return time.monotonic() - began
 
     async def fault(self, **what: Any) -> None:
+        """Injects a fault into the store's server."""
         client = HttpClient("127.0.0.1", self.engine_port)
         await client.request("POST", "/fault", msgspec.json.encode(what))
         client.close()
 
     async def away(self) -> None:
+        """Makes the store unavailable."""
         if self.engine is not None:
             await self.fault(away=True)
         else:
@@ -74,6 +81,7 @@
             self.folder.write_text("in the way")
 
     async def back(self) -> None:
+        """Makes the store available again."""
         if self.engine is not None:
             await self.fault(do="extend")
             await self.fault()
@@ -82,6 +90,7 @@
             self.folder.with_name("aside").rename(self.folder)
 
     def end(self) -> None:
+        """Ends all processes."""
         for child in [*self.children, *([self.engine] if self.engine else [])]:
             child.kill()
             child.wait()
@@ -96,13 +105,13 @@
         await asyncio.sleep(15)
         after, span = await fleet.all(), time.monotonic() - began
         cores = sum(b["cpu"] - a["cpu"] for a, b in zip(before, after, strict=True)) / span
-        for n in range(PROBES):
+        for n in range(PROBE_COUNT):
             await fleet.clients[n % count].request("POST", "/probe")
             await asyncio.sleep(0.5)
         late = sorted(x for s in await fleet.all() for x in s["late"])
         generations = [s["generation"] for s in await fleet.all()]
         await fleet.away()
-        await asyncio.sleep(AWAY)
+        await asyncio.sleep(OUTAGE_S)
         lost = sum(not s.get("joined") for s in await fleet.all())
         await fleet.back()
         returned = await fleet.joined(120)
@@ -114,7 +123,7 @@
             f"{joined:.1f}",
             f"{p50:.0f}",
             f"{p99:.0f}",
-            f"{len(late) / PROBES / count:.3f}",
+            f"{len(late) / PROBE_COUNT / count:.3f}",
             f"{cores:.2f}",
             lost,
             f"{returned:.1f}",
@@ -125,6 +134,7 @@
 
 
 def figures(row: Row, sizes: tuple[int, ...] = (8, 60, 230)) -> None:
+    """Prints a row for each kind of store and each number of members."""
     row(
         "home",
         "processes",
