--- a/tests/test_store_backends.py
+++ b/tests/test_store_backends.py
@@ -269,11 +269,11 @@
     """The stream that showed the rollback began behind it: used further, it skipped what came up to there."""
 
     async def test(store: CoordinationStore, backend: Any) -> None:
-        backend.order({"do": "snapshot"})
+        backend.apply_command({"do": "snapshot"})
         version = 0
         for value in (b"1", b"2", b"3"):
             version = await commit(store, Put("a", value, version))
-        backend.order({"do": "restore"})
+        backend.apply_command({"do": "restore"})
         rolled_back = await store.watch("", version, SECOND)
         assert rolled_back.revision < version
 
