--- a/gradehoist/scenario/charts.py
+++ b/gradehoist/scenario/charts.py
@@ -73,7 +73,7 @@
 
 def _count_completed(plan: Plan, records: list[Record], begin_us: int) -> dict[str, dict[int, WindowCounts]]:
     """Counts by class and number of the window."""
-    objectives_us = {request_class.name: request_class.goal for request_class in plan.classes}
+    objectives_us = {request_class.name: request_class.latency_objective_us for request_class in plan.classes}
     counts: dict[str, dict[int, WindowCounts]] = defaultdict(lambda: defaultdict(WindowCounts))
     for record in records:
         event = record.event
@@ -144,7 +144,7 @@
         times_s = []
         queue_lines = []
         waiting_lines = 0.0
-        for change in _queue_changes(messages, plan.rules.line_rate):
+        for change in _queue_changes(messages, plan.rules.lines_per_s):
             waiting_lines += change.lines
             times_s.append((change.at_us - begin_us) / 1e6)
             queue_lines.append(max(0.0, waiting_lines))
@@ -152,7 +152,7 @@
         axes.step(times_s, queue_lines, where="post", linewidth=0.9, color=colour)
     for number, governor in enumerate(governors):
         axes.plot([], [], color=_colour(number), label=f"governor {governor}")
-    limit = plan.rules.queue_limit
+    limit = plan.rules.queue_limit_lines
     axes.axhline(limit, color="black", linestyle="--", linewidth=0.8, label="limit")
     _mark_steps(axes, records, begin_us)
     axes.set(xlabel=TIME_LABEL, ylabel="lines waiting", ylim=(0, limit * 1.1))
--- a/gradehoist/scenario/report.py
+++ b/gradehoist/scenario/report.py
@@ -54,8 +54,8 @@
     if not verdict.is_complete:
         warning = f"<b>The records are not whole: {html.escape(verdict.reason)}</b>"
     share = f"{100 * verdict.completed_share:.1f}%"
-    return f"""<p>{plan.length / 1e6:g} s, {len(plan.governors)} governors, \
-{len(plan.replicas)} replicas, {len(plan.relays)}
+    return f"""<p>{plan.length_us / 1e6:g} s, {len(plan.governors)} governors, \
+{len(plan.replicas)} replicas, {len(plan.proxies)}
 relays; {verdict.requests} transactions, {share} of the gain answered within goal.
 {warning}</p>"""
 
--- a/gradehoist/scenario/run_folder.py
+++ b/gradehoist/scenario/run_folder.py
@@ -57,6 +57,6 @@
         self.settings.write_text(format_settings(scenario, plan), encoding="utf-8")
         if plan.cells:
             placement = CellPlacement(
-                cells=plan.cells, cell_by_replica=plan.workers, cell_by_tenant=plan.named
+                cells=plan.cells, cell_by_replica=plan.cell_by_replica, cell_by_tenant=plan.cell_by_tenant
             )
             (self.path / PLACEMENT_FILE).write_bytes(msgspec.json.encode(placement))
--- a/gradehoist/scenario/runner.py
+++ b/gradehoist/scenario/runner.py
@@ -21,7 +21,7 @@
 from gradehoist.scenario.faults.steps import CLIENTS_ROLE, RUNNER_ROLE
 from gradehoist.scenario.processes import HOST, ProcessGroup
 from gradehoist.scenario.run_folder import RunFolder
-from gradehoist.testbed.process import Record, now
+from gradehoist.testbed.process import EventRecorder, read_monotonic_us
 from gradehoist.testbed.scenario_plan import Plan, Step
 
 PROXY_PREFIX = "relays-"
@@ -82,12 +82,12 @@
             OSError: the folder cannot be written.
         """
         self.folder.prepare(self.scenario, self.plan)
-        record = Record(self.folder.records)
+        record = EventRecorder(self.folder.records)
         try:
             await self._start_processes()
-            begin_us = now()
+            begin_us = read_monotonic_us()
             record("day_begins", scene=self.plan.name, seed=self.plan.seed)
-            await self._take_step(Step(at=0, role=CLIENTS_ROLE, do={"do": "begin"}), record)
+            await self._take_step(Step(at_us=0, role=CLIENTS_ROLE, command={"do": "begin"}), record)
             return await self._play_steps(begin_us, record)
         finally:
             self._checker.close()
@@ -97,13 +97,13 @@
             record.flush()
 
     async def _start_processes(self) -> None:
-        first_roles = [role for role in self.plan.controls if role.partition("-")[0] in FIRST_ROLES]
+        first_roles = [role for role in self.plan.control_ports if role.partition("-")[0] in FIRST_ROLES]
         for role in first_roles:
             self._start_test_double(role)
         await asyncio.gather(*(self._wait_for_test_double(role) for role in first_roles))
         if self.plan.follow_governors:
             await self._start_governors()
-        for role in self.plan.controls:
+        for role in self.plan.control_ports:
             if role.startswith(PROXY_PREFIX):
                 self._start_test_double(role)
                 await self._wait_for_test_double(role)
@@ -122,7 +122,7 @@
         self._processes.start(role, "gradehoist.testbed", str(self.folder.plan), role, str(self.folder.path))
 
     async def _wait_for_test_double(self, role: str) -> None:
-        port = self.plan.controls[role]
+        port = self.plan.control_ports[role]
         await self._processes.wait_until_ready(role, port, "POST", "/", b'{"do":"ping"}')
 
     def _start_governor(self, name: str) -> None:
@@ -130,14 +130,14 @@
         process = _governor_process(name)
         self._processes.start(process, "gradehoist", "governor", settings, "--name", name, "--log", "json")
 
-    async def _play_steps(self, begin_us: int, record: Record) -> bool:
-        last_deadline_us = max(request_class.cutoff for request_class in self.plan.classes)
-        end_us = self.plan.length + last_deadline_us + SETTLE_US
+    async def _play_steps(self, begin_us: int, record: EventRecorder) -> bool:
+        last_deadline_us = max(request_class.deadline_us for request_class in self.plan.classes)
+        end_us = self.plan.length_us + last_deadline_us + SETTLE_US
         steps = deque(self.plan.steps)
         last_step = "begins"
         while not self.stop.is_set():
-            elapsed_us = now() - begin_us
-            while steps and steps[0].at <= elapsed_us:
+            elapsed_us = read_monotonic_us() - begin_us
+            while steps and steps[0].at_us <= elapsed_us:
                 step = steps.popleft()
                 await self._take_step(step, record)
                 last_step = _describe_step(step)
@@ -150,29 +150,29 @@
                 self._on_progress(RunProgress(share, last_step, self._checker.verdict))
             pause_s = STEP_INTERVAL_S
             if steps:
-                pause_s = min(pause_s, max(0.0, (steps[0].at - elapsed_us) / 1e6))
+                pause_s = min(pause_s, max(0.0, (steps[0].at_us - elapsed_us) / 1e6))
             await asyncio.sleep(pause_s)
         return False
 
-    async def _take_step(self, step: Step, record: Record) -> None:
-        record("step", at=step.at, target=step.role, do=step.do)
+    async def _take_step(self, step: Step, record: EventRecorder) -> None:
+        record("step", at=step.at_us, target=step.role, do=step.command)
         record.flush()
         if step.role != RUNNER_ROLE:
             await self._send_order(step)
         elif self.plan.follow_governors:
-            self._carry_out(step.do, record)
+            self._carry_out(step.command, record)
 
     async def _send_order(self, step: Step) -> None:
-        client = HttpClient(HOST, self.plan.controls[step.role])
+        client = HttpClient(HOST, self.plan.control_ports[step.role])
         try:
-            body = msgspec.json.encode(step.do)
+            body = msgspec.json.encode(step.command)
             response = await client.request("POST", "/", body, timeout_s=ORDER_TIMEOUT_S)
         finally:
             client.close()
         if response.status != ORDER_ACCEPTED:
-            raise OrderRejectedError(step.role, step.do, response.body.decode(errors="replace"))
+            raise OrderRejectedError(step.role, step.command, response.body.decode(errors="replace"))
 
-    def _carry_out(self, order: dict[str, object], record: Record) -> None:
+    def _carry_out(self, order: dict[str, object], record: EventRecorder) -> None:
         """Carries out an order to the runner itself."""
         governor = str(order["governor"])
         match order["do"]:
@@ -252,9 +252,9 @@
 
 def _describe_step(step: Step) -> str:
     """An order in a few words: its name, and what it is for."""
-    targets: list[object] = [step.do.get("governor", "")]
-    for value in step.do.values():
+    targets: list[object] = [step.command.get("governor", "")]
+    for value in step.command.values():
         if isinstance(value, list):
             targets = value
             break
-    return f"{step.do['do']} {','.join(map(str, targets))}"
+    return f"{step.command['do']} {','.join(map(str, targets))}"
--- a/gradehoist/testbed/etcd_server.py
+++ b/gradehoist/testbed/etcd_server.py
@@ -1,16 +1,16 @@
-"""A stand-in for an engine with etcd's published interface over HTTP and JSON, with faults to order.
+"""A test double of etcd: its published interface over HTTP and JSON, with faults to inject.
 
-`POST /fault` takes what is to go wrong from now on; see `Faults`. `restore` puts the snapshot back that
-`snapshot` took, `compact` drops history, `extend` gives leases their time anew. The process ends by SIGTERM.
+`POST /fault` sets the faults from now on, see `ServerFaults`; with `do` it executes another command:
+`snapshot` saves the keyspace, `restore` puts the saved one back, `compact` drops history and `extend` gives
+all leases their whole time again. The process ends by SIGTERM.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import random
 import signal
-from base64 import b64decode, b64encode
+from base64 import b64decode
 from typing import Any
 
 import msgspec
@@ -18,272 +18,158 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from gradehoist.testbed.etcd_keyspace import Entry, Gone, Keyspace, NoLease, Past
-from gradehoist.testbed.process import now
+from gradehoist.testbed.etcd_calls import EtcdServer, build_event
+from gradehoist.testbed.etcd_keyspace import Change, RevisionCompactedError
+from gradehoist.testbed.process import LOOPBACK, read_monotonic_us
 
-TICK = 0.02  # seconds between looks at leases
+LEASE_CHECK_PERIOD_S = 0.02
+WATCH_CHECK_PERIOD_S = 1.0  # a watch without changes looks so often whether the server is unavailable
 
 
-class Faults(msgspec.Struct):
-    """Shares are of calls, drawn from `seed`. `away` answers none; `lose` acts and does not answer; `drop`
-    does neither; `stale` reads that many revisions back; `cut` ends watches after so many messages; `repeat`
-    sends a watch's message twice; `full` refuses writes; `slow` seconds before each answer."""
+class EtcdHandler(RequestHandler):
+    """A request of the server; the base of the handlers."""
 
-    seed: int = 1
-    away: bool = False
-    lose: float = 0.0
-    drop: float = 0.0
-    stale: int = 0
-    cut: int = 0
-    repeat: bool = False
-    full: bool = False
-    slow: float = 0.0
+    server: EtcdServer
 
+    def initialize(self, server: EtcdServer) -> None:
+        """Takes the server that the request is for."""
+        self.server = server
 
-def text(data: bytes) -> str:
-    return b64encode(data).decode()
+    def close_connection(self) -> None:
+        """Closes the connection without a response."""
+        if self.request.connection is not None:
+            self.request.connection.stream.close()  # type: ignore[attr-defined]
 
+    def count_call(self, path: str) -> None:
+        """Counts a call for `GET /fault`."""
+        self.server.calls[path] = self.server.calls.get(path, 0) + 1
 
-def shown(e: Entry) -> dict[str, str]:
-    out = {
-        "key": text(e.key),
-        "create_revision": str(e.created),
-        "mod_revision": str(e.modified),
-        "version": str(e.version),
-        "value": text(e.value),
-    }
-    return out | ({"lease": str(e.lease)} if e.lease else {})
 
-
-def event(p: Past) -> dict[str, Any]:
-    if p.entry is None:
-        return {"type": "DELETE", "kv": {"key": text(p.key), "mod_revision": str(p.revision)}}
-    return {"kv": shown(p.entry)}
-
-
-class Engine:
-    def __init__(self, cluster: str = "1234567890123456789") -> None:
-        self.space, self.faults, self.cluster = Keyspace(), Faults(), cluster
-        self.dice, self.kept = random.Random(1), Keyspace()
-        self.calls = dict[str, int]()
-        self.news = asyncio.Event()
-
-    def header(self, revision: int = 0) -> dict[str, str]:
-        return {
-            "cluster_id": self.cluster,
-            "member_id": "1",
-            "raft_term": "2",
-            "revision": str(revision or self.space.revision),
-        }
-
-    def changed(self) -> None:
-        self.news.set()
-        self.news = asyncio.Event()
-
-    def order(self, body: dict[str, Any]) -> None:
-        """Raises KeyError, ValueError for an order that it does not know."""
-        match body.pop("do", "faults"):
-            case "faults":
-                self.faults = msgspec.convert(body, Faults)
-                self.dice = random.Random(self.faults.seed)
-            case "snapshot":
-                self.kept = self.space.snapshot()
-            case "restore":
-                self.space = self.kept.snapshot()
-                self.space.extend(now())
-            case "compact":
-                self.space.compact(int(body.get("keep", 0)))
-            case "extend":
-                self.space.extend(now())
-            case other:
-                raise ValueError(f"no order {other!r}")
-        self.changed()
-
-    def call(self, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
-        """A unary call: status and answer."""
-        space = self.space
-        space.expire(now())
-        match path:
-            case "kv/range":
-                return self._range(body)
-            case "kv/txn":
-                return self._txn(body)
-            case "lease/grant":
-                lease = space.grant(now(), int(body["TTL"]) * 1_000_000)
-                return 200, {"header": self.header(), "ID": str(lease), "TTL": body["TTL"]}
-            case "lease/keepalive":
-                lease = int(body["ID"])
-                ttl = {"TTL": str(space.leases[lease].ttl // 1_000_000)} if space.renew(now(), lease) else {}
-                return 200, {"result": {"header": self.header(), "ID": str(lease)} | ttl}
-            case "lease/revoke":
-                if int(body["ID"]) not in space.leases:
-                    return self._error(404, 5, "etcdserver: requested lease not found")
-                space.revoke(int(body["ID"]))
-                self.changed()
-                return 200, {"header": self.header()}
-        return self._error(404, 12, "Not Found")
-
-    @staticmethod
-    def _error(status: int, code: int, message: str) -> tuple[int, dict[str, Any]]:
-        return status, {"error": message, "code": code, "message": message}
-
-    def _range(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
-        at = max(1, self.space.revision - self.faults.stale) if self.faults.stale else 0
-        try:
-            found = self.space.range(b64decode(body["key"]), b64decode(body.get("range_end", "")), at)
-        except Gone:
-            found, at = self.space.range(b64decode(body["key"]), b64decode(body.get("range_end", ""))), 0
-        return 200, {"header": self.header(at), "kvs": [shown(e) for e in found], "count": str(len(found))}
-
-    def _txn(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
-        space = self.space
-        good = all(space.modified(b64decode(c["key"])) == int(c["modRevision"]) for c in body["compare"])
-        if not good:
-            kvs = [
-                [shown(e) for e in space.range(b64decode(f["requestRange"]["key"]))] for f in body["failure"]
-            ]
-            return 200, {
-                "header": self.header(),
-                "responses": [
-                    {"response_range": {"header": self.header(), "kvs": some, "count": str(len(some))}}
-                    for some in kvs
-                ],
-            }
-        if self.faults.full:
-            return self._error(429, 8, "etcdserver: mvcc: database space exceeded")
-        puts = [
-            (b64decode(p["key"]), b64decode(p["value"]), int(p.get("lease", "0")))
-            for one in body["success"]
-            if (p := one.get("requestPut"))
-        ]
-        deletes = [b64decode(d["key"]) for one in body["success"] if (d := one.get("requestDeleteRange"))]
-        try:
-            revision = space.write(puts, deletes)
-        except NoLease:
-            return self._error(404, 5, "etcdserver: requested lease not found")
-        self.changed()
-        return 200, {"header": self.header(revision), "succeeded": True, "responses": []}
-
-
-def reset(handler: RequestHandler) -> None:
-    """Ends the connection without an answer."""
-    if handler.request.connection is not None:
-        handler.request.connection.stream.close()  # type: ignore[attr-defined]
-
-
-class Call(RequestHandler):
-    engine: Engine
-
-    def initialize(self, engine: Engine) -> None:
-        self.engine = engine
+class CallHandler(EtcdHandler):
+    """A unary call."""
 
     async def post(self, path: str) -> None:
-        engine, faults = self.engine, self.engine.faults
-        engine.calls[path] = engine.calls.get(path, 0) + 1
-        if faults.away or engine.dice.random() < faults.drop:
-            reset(self)
+        """Executes the call, unless a fault hits it."""
+        server = self.server
+        faults = server.faults
+        self.count_call(path)
+        if faults.is_unavailable or server.random.random() < faults.dropped_call_share:
+            self.close_connection()
             return
-        if faults.slow:
-            await asyncio.sleep(faults.slow)
-        status, answer = engine.call(path, msgspec.json.decode(self.request.body))
-        if engine.dice.random() < faults.lose:
-            reset(self)
+        if faults.response_delay_s:
+            await asyncio.sleep(faults.response_delay_s)
+        status, response = server.call(path, msgspec.json.decode(self.request.body))
+        if server.random.random() < faults.lost_response_share:
+            self.close_connection()
             return
         self.set_status(status)
         self.set_header("content-type", "application/json")
-        self.finish(msgspec.json.encode(answer))
-
+        self.finish(msgspec.json.encode(response))
 
-class Watch(RequestHandler):
-    engine: Engine
 
-    def initialize(self, engine: Engine) -> None:
-        self.engine = engine
+class WatchHandler(EtcdHandler):
+    """A watch of a range of keys, as a stream of JSON lines."""
 
     async def post(self) -> None:
-        engine = self.engine
-        engine.calls["watch"] = engine.calls.get("watch", 0) + 1
-        if engine.faults.away:
-            reset(self)
+        """Sends the changes until the client leaves, history is compacted or a fault ends the watch."""
+        server = self.server
+        self.count_call("watch")
+        if server.faults.is_unavailable:
+            self.close_connection()
             return
         create = msgspec.json.decode(self.request.body)["create_request"]
-        first, end = b64decode(create["key"]), b64decode(create["range_end"])
-        at, sent = int(create["start_revision"]), 0
+        first = b64decode(create["key"])
+        end = b64decode(create["range_end"])
         with contextlib.suppress(StreamClosedError):
-            await self._say({"header": engine.header(), "created": True})
-            while not engine.faults.away:
-                news = engine.news
-                try:
-                    some = engine.space.since(at, first, end)
-                except Gone:
-                    await self._say(
-                        {
-                            "header": engine.header(),
-                            "canceled": True,
-                            "compact_revision": str(engine.space.compacted),
-                        }
-                    )
-                    return
-                if some:
-                    message = {"header": engine.header(), "events": [event(p) for p in some]}
-                    for _ in range(2 if engine.faults.repeat else 1):
-                        await self._say(message)
-                    at, sent = some[-1].revision + 1, sent + 1
-                    if engine.faults.cut and sent >= engine.faults.cut:
-                        return
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(1.0):
-                        await news.wait()
-            reset(self)
-
-    async def _say(self, result: dict[str, Any]) -> None:
+            await self._send({"header": server.build_header(), "created": True})
+            if await self._send_changes(first, end, int(create["start_revision"])):
+                self.close_connection()
+
+    async def _send_changes(self, first: bytes, end: bytes, next_revision: int) -> bool:
+        """Sends changes as they come; returns True when the server becomes unavailable."""
+        server = self.server
+        sent_messages = 0
+        while not server.faults.is_unavailable:
+            change_event = server.change_event
+            try:
+                changes = server.keyspace.find_changes(next_revision, first, end)
+            except RevisionCompactedError as error:
+                await self._send_cancellation(error.compacted_revision)
+                return False
+            if changes:
+                await self._send_message(changes)
+                next_revision = changes[-1].revision + 1
+                sent_messages += 1
+                if server.faults.messages_per_watch and sent_messages >= server.faults.messages_per_watch:
+                    return False
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WATCH_CHECK_PERIOD_S):
+                    await change_event.wait()
+        return True
+
+    async def _send_message(self, changes: list[Change]) -> None:
+        events = [build_event(change) for change in changes]
+        message = {"header": self.server.build_header(), "events": events}
+        await self._send(message)
+        if self.server.faults.repeats_messages:
+            await self._send(message)
+
+    async def _send_cancellation(self, compacted_revision: int) -> None:
+        header = self.server.build_header()
+        await self._send({"header": header, "canceled": True, "compact_revision": str(compacted_revision)})
+
+    async def _send(self, result: dict[str, Any]) -> None:
         self.write(msgspec.json.encode({"result": result}) + b"\n")
         await self.flush()
 
 
-class Order(RequestHandler):
-    engine: Engine
-
-    def initialize(self, engine: Engine) -> None:
-        self.engine = engine
+class CommandHandler(EtcdHandler):
+    """The commands of the tests: faults to inject, and counts of calls."""
 
     def get(self) -> None:
-        self.finish({"calls": self.engine.calls, "revision": self.engine.space.revision})
+        """Returns the counts of calls and the current revision."""
+        self.finish({"calls": self.server.calls, "revision": self.server.keyspace.revision})
 
     def post(self) -> None:
+        """Executes a command; an invalid one gets status 400."""
         try:
-            self.engine.order(msgspec.json.decode(self.request.body))
-        except (KeyError, ValueError) as fault:
+            self.server.apply_command(msgspec.json.decode(self.request.body))
+        except (KeyError, ValueError) as error:
             self.set_status(400)
-            self.finish({"error": str(fault)})
+            self.finish({"error": str(error)})
             return
         self.set_status(204)
 
 
-def serve(port: int, engine: Engine | None = None) -> tuple[Engine, HTTPServer]:
-    """Listens on loopback; raises OSError."""
-    engine = engine or Engine()
-    args = {"engine": engine}
-    server = HTTPServer(
-        Application([("/v3/watch", Watch, args), ("/v3/(.+)", Call, args), ("/fault", Order, args)])
+def serve(port: int, server: EtcdServer | None = None) -> tuple[EtcdServer, HTTPServer]:
+    """Listens on loopback. Raises OSError if the port is taken."""
+    server = server or EtcdServer()
+    arguments = {"server": server}
+    application = Application(
+        [
+            ("/v3/watch", WatchHandler, arguments),
+            ("/v3/(.+)", CallHandler, arguments),
+            ("/fault", CommandHandler, arguments),
+        ]
     )
-    server.listen(port, "127.0.0.1")
-    return engine, server
+    http_server = HTTPServer(application)
+    http_server.listen(port, LOOPBACK)
+    return server, http_server
 
 
 async def run(port: int) -> None:
-    """Until SIGTERM."""
+    """Serves and expires leases until SIGTERM or SIGINT."""
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    engine, server = serve(port)
+    server, http_server = serve(port)
     while not stop.is_set():
-        revision = engine.space.revision
-        if not engine.faults.away:  # an engine that is away ends nobody
-            engine.space.expire(now())
-        if engine.space.revision != revision:
-            engine.changed()
+        revision = server.keyspace.revision
+        if not server.faults.is_unavailable:  # an etcd that is unavailable expires no lease
+            server.keyspace.expire_leases(read_monotonic_us())
+        if server.keyspace.revision != revision:
+            server.notify_watches()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(TICK):
+            async with asyncio.timeout(LEASE_CHECK_PERIOD_S):
                 await stop.wait()
-    server.stop()
+    http_server.stop()
--- a/tests/support/stored_records.py
+++ b/tests/support/stored_records.py
@@ -25,7 +25,7 @@
 BEGIN_US = 1_000 * SECOND_US
 PLAN = build_plan(read_scenario(SCENARIOS / "short.kdl"), 1)
 RULES = PLAN.rules
-GRACE_S = RULES.grace / SECOND_US
+GRACE_S = RULES.drain_grace_us / SECOND_US
 W1 = "w1"  # of hall-a
 W4 = "w4"  # of hall-b
 PROXIES = "relays-hall-a"
@@ -61,7 +61,7 @@
     at_s: float, seq: int, *deltas: feed.Delta, created_s: float | None = None, reply: int = 0
 ) -> StoredRecord:
     """The proxy applies a message, which was created 0.1 s earlier if nothing else is said."""
-    cost_lines = RULES.message_head + len(deltas)
+    cost_lines = RULES.message_overhead_lines + len(deltas)
     cost_lines += sum(len(delta.weights) for delta in deltas if isinstance(delta, feed.BindDelta))
     if created_s is None:
         created_s = at_s - 0.1
@@ -150,7 +150,7 @@
 
 def ended(at_s: float, plan: Plan = PLAN) -> list[StoredRecord]:
     """Every process ends in order."""
-    return [stored(at_s, "ended", role) for role in plan.controls]
+    return [stored(at_s, "ended", role) for role in plan.control_ports]
 
 
 def check_stored(plan: Plan, records: list[StoredRecord]) -> Verdict:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -70,7 +70,7 @@
 
 @pytest.mark.parametrize(("late_s", "state"), [(-0.05, "kept"), (0.05, "broken")])
 def test_a_class_without_weights_breaks_rule_1_beyond_the_limit(late_s: float, state: str) -> None:
-    until_s = 5 + RULES.bare_limit / SECOND_US + late_s
+    until_s = 5 + RULES.unroutable_limit_us / SECOND_US + late_s
     withdrawn = applied(5, 1, *WITHDRAW_BOTH)
     restored = applied(until_s, 2, feed.RestorationDelta(W1))
     result = check_complete(*started_run(), withdrawn, restored)["line"]
@@ -114,7 +114,7 @@
 def test_a_retry_after_an_attempt_was_shed_keeps_rule_2_where_that_is_proof(
     full_is_proof: bool, state: str
 ) -> None:
-    plan = msgspec.structs.replace(PLAN, full_is_proof=full_is_proof)
+    plan = msgspec.structs.replace(PLAN, rejection_proves_no_effect=full_is_proof)
     results = check_complete(*started_run(), *RETRIED, SHED_AT_W1, EFFECT_AT_W4, plan=plan)
     assert results["twice"].state == state
 
@@ -178,7 +178,7 @@
     replica = next(replica for replica in PLAN.replicas if replica.name == W1)
     warmth = 0.3
     capacity = replica.cores * replica.speed * warmth * 1e-3
-    work_ms = budget_share * RULES.fall_multiple * capacity * RULES.fall_span / 10
+    work_ms = budget_share * RULES.overload_multiple * capacity * RULES.overload_window_us / 10
     work = Work(work_ms=work_ms, warmth=warmth, incarnation=2)
     records = [arrived(begin_s + n / 10, f"c{n}.1", W1, work) for n in range(10)]
     if budget_share > 1:
@@ -237,7 +237,7 @@
 
 @pytest.mark.parametrize(("more", "state"), [(0, "kept"), (1, "broken")])
 def test_more_waiting_lines_than_the_limit_break_rule_5(more: int, state: str) -> None:
-    table = {f"x{n}": 1.0 for n in range(int(RULES.queue_limit / 2 - RULES.message_head - 1))}
+    table = {f"x{n}": 1.0 for n in range(int(RULES.queue_limit_lines / 2 - RULES.message_overhead_lines - 1))}
     bind = feed.BindDelta(0, ("rate-check",), table)
     messages = [applied(5 + n, n, bind, created_s=5, reply=1) for n in (1, 2)]
     further = [applied(8, 3, created_s=5, reply=1)] * more
@@ -248,11 +248,11 @@
 
 @pytest.mark.parametrize(("more", "state"), [(0, "kept"), (1, "broken")])
 def test_more_messages_to_one_proxy_than_the_limit_break_rule_5(more: int, state: str) -> None:
-    count = RULES.message_limit + more
+    count = RULES.messages_per_window + more
     messages = [applied(5 + n * 0.1, n + 1) for n in range(count)]
     result = check_complete(*started_run(), *messages)["queue"]
     assert result.state == state
-    assert abs(result.limit_used - count / RULES.message_limit) < 0.001
+    assert abs(result.limit_used - count / RULES.messages_per_window) < 0.001
 
 
 @pytest.mark.parametrize(("last_s", "state"), [(5.39, "broken"), (5.401, "kept")])
@@ -313,9 +313,11 @@
 def test_a_sped_up_plan_has_the_same_steps_in_less_time_under_the_same_rules() -> None:
     plan = build_plan(read_scenario(SCENARIOS / "bad-day.kdl"), 1)
     fast = speed_up_plan(plan, 4.0)
-    assert fast.length * 4 == plan.length
+    assert fast.length_us * 4 == plan.length_us
     assert fast.rules == plan.rules
     assert fast.classes == plan.classes
-    assert [(step.role, step.do) for step in fast.steps] == [(step.role, step.do) for step in plan.steps]
+    assert [(step.role, step.command) for step in fast.steps] == [
+        (step.role, step.command) for step in plan.steps
+    ]
     pairs = zip(fast.steps, plan.steps, strict=True)
-    assert all(abs(4 * fast_step.at - step.at) <= 2 for fast_step, step in pairs)
+    assert all(abs(4 * fast_step.at_us - step.at_us) <= 2 for fast_step, step in pairs)
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -32,15 +32,15 @@
 from gradehoist.scenario.checks import records as run_records
 from gradehoist.scenario.checks.verdict import Rule, RuleResult, RuleState, Verdict, Violation
 from gradehoist.settings.fleet import CellPlacement
-from gradehoist.testbed import endpoint_list, etcd_server, scenario_plan
+from gradehoist.testbed import endpoint_list, etcd_calls, scenario_plan
 from gradehoist.zones import evacuation, health, warmup_quota
 
 FILE = Path(__file__).parent / "data" / "encoded.txt"
 READ_ONLY = {run_records.RecordHeader, *get_args(run_records.Event)}  # `tests/data/run` guards their keys
 NEVER_ENCODED = {  # by their field names, that is
     orca.OrcaReport,
-    etcd_server.Faults,
-    endpoint_list.Entry,
+    etcd_calls.ServerFaults,
+    endpoint_list.EndpointState,
     *READ_ONLY,
 }
 ETCD_MESSAGES = "gradehoist.net.etcd_messages"  # of etcd's interface: test_etcd.py compares their bytes
@@ -125,39 +125,39 @@
 DAY = scenario_plan.Plan(
     name="day",
     seed=1,
-    length=2,
+    length_us=2,
     zones=("hall-a",),
     classes=(
-        scenario_plan.Class(
+        scenario_plan.RequestClassPlan(
             name="read",
-            share=1.0,
-            work=100.0,
-            cv=0.6,
-            goal=1,
-            cutoff=2,
-            gain=3.0,
-            late_gain=0.5,
-            repeat="free",
-            only_zones=("hall-a",),
-            only_kinds=None,
-            stays_local=True,
+            traffic_share=1.0,
+            work_ms=100.0,
+            work_variation=0.6,
+            latency_objective_us=1,
+            deadline_us=2,
+            priority_weight=3.0,
+            late_priority_factor=0.5,
+            idempotency="free",
+            allowed_zones=("hall-a",),
+            allowed_kinds=None,
+            zone_local=True,
         ),
     ),
-    rules=scenario_plan.Rules(
-        grace=1,
-        cold_time=2,
-        fall_multiple=3.0,
-        fall_span=4,
-        bare_limit=5,
-        gone_is_advice=True,
-        queue_limit=6.0,
-        line_rate=7.0,
-        message_head=8.0,
-        message_limit=9,
-        message_window=10,
+    rules=scenario_plan.SafetyRules(
+        drain_grace_us=1,
+        warmup_us=2,
+        overload_multiple=3.0,
+        overload_window_us=4,
+        unroutable_limit_us=5,
+        gone_is_advisory=True,
+        queue_limit_lines=6.0,
+        lines_per_s=7.0,
+        message_overhead_lines=8.0,
+        messages_per_window=9,
+        message_window_us=10,
     ),
     replicas=(
-        scenario_plan.Replica(
+        scenario_plan.ReplicaPlan(
             name="w1",
             zone="hall-a",
             kind="large-4c",
@@ -166,50 +166,54 @@
             cores=4,
             speed=1.5,
             slots=12,
-            queue=48,
+            queue_limit=48,
             size=6.0,
-            cold_from=0.25,
-            cold=11,
-            listed=False,
+            start_capacity=0.25,
+            warmup_us=11,
+            is_listed=False,
         ),
     ),
-    relays=(
-        scenario_plan.Relay(name="r1", zone="hall-a", port=9002, share=1.0, governors=(("a", ENDPOINT),)),
+    proxies=(
+        scenario_plan.ProxyPlan(
+            name="r1", zone="hall-a", port=9002, traffic_share=1.0, governors=(("a", ENDPOINT),)
+        ),
     ),
     governors=(("a", "hall-a", ENDPOINT),),
     links=(
-        scenario_plan.Link(
-            port=9003, zone="hall-a", target="w1", target_zone="hall-b", to=ENDPOINT, relay="r1"
+        scenario_plan.LinkPlan(
+            port=9003, zone="hall-a", target="w1", target_zone="hall-b", address=ENDPOINT, proxy="r1"
         ),
     ),
-    roster=ENDPOINT,
-    controls={"clients": 9004},
-    steps=(scenario_plan.Step(at=12, role="clients", do={"do": "begin"}),),
-    rate=13.0,
-    shape=((14, 1.5),),
+    endpoint_list=ENDPOINT,
+    control_ports={"clients": 9004},
+    steps=(scenario_plan.Step(at_us=12, role="clients", command={"do": "begin"}),),
+    requests_per_s=13.0,
+    rate_factors=((14, 1.5),),
     retries=1,
-    try_share=0.8,
-    backoff=15,
-    strikes=16,
-    avoid=17,
-    usual_way=2,
-    try_factor=0.7,
-    standing=18,
-    redial=(19, 20),
-    sums_late=(21, 22),
-    period=23,
-    hold=24,
-    report_period=25,
-    handshake=3.5,
-    drops_waiting=True,
-    full_is_proof=False,
+    attempt_share=0.8,
+    backoff_us=15,
+    failures_to_avoid=16,
+    avoid_us=17,
+    retry_policy=2,
+    attempt_factor=0.7,
+    default_table_size=18,
+    reconnect_range_us=(19, 20),
+    report_delay_range_us=(21, 22),
+    load_report_period_us=23,
+    poll_hold_us=24,
+    replica_report_period_us=25,
+    handshake_work_ms=3.5,
+    drops_abandoned_requests=True,
+    rejection_proves_no_effect=False,
     follow_governors=False,
-    tenants=(("inn", 1.0),),
+    tenant_shares=(("inn", 1.0),),
     cells=("A",),
-    workers={"w1": "A"},
-    named={"inn": "A"},
-    limits=scenario_plan.Limits(cell=1.0, tenant=2.0, burst=3.0, held=4),
-    even=True,
+    cell_by_replica={"w1": "A"},
+    cell_by_tenant={"inn": "A"},
+    limits=scenario_plan.RateLimitPlan(
+        cell_requests_per_s=1.0, tenant_requests_per_s=2.0, burst_s=3.0, tenant_in_flight=4
+    ),
+    even_weights=True,
 )
 WORD = assignment.TenantAssignment(
     tenant="inn", generation=3, migration_id="000001-3", cell="B", completed_keys=frozenset({"k1"})
--- a/tests/test_store_backends.py
+++ b/tests/test_store_backends.py
@@ -121,7 +121,7 @@
         for n in range(150 if kind == "sqlite" else 3):
             version = await commit(store, Put("z", str(n).encode(), version))
         if kind == "etcd":
-            backend.space.compact(0)
+            backend.keyspace.compact(0)
         with pytest.raises(HistoryCompactedError):
             await store.watch("", first, SECOND)
 
@@ -221,16 +221,16 @@
 
 def test_a_write_without_a_response_is_of_unknown_outcome_and_one_not_sent_is_not(tmp_path: Path) -> None:
     async def test(store: CoordinationStore, backend: Any) -> None:
-        backend.order({"lose": 1.0})
+        backend.apply_command({"lose": 1.0})
         with pytest.raises(OutcomeUnknownError):
             await store.commit((Put("a", b"1", 0),), "x:1")
-        assert backend.space.modified(b"gradehoist/a")
-        backend.order({"away": True})
+        assert backend.keyspace.find_mod_revision(b"gradehoist/a")
+        backend.apply_command({"away": True})
         with pytest.raises(OutcomeUnknownError):
             await store.commit((Put("a", b"1", 0),), "x:1")
         with pytest.raises(StoreUnavailableError):
             await store.read("")
-        backend.order({"full": True})
+        backend.apply_command({"full": True})
         with pytest.raises(StoreFullError):
             await store.commit((Put("b", b"1", 0),), "x:2")
         (port,) = find_free_ports(1)
@@ -244,7 +244,7 @@
 
 def test_a_watch_that_is_cut_repeated_or_rolled_back_returns_each_change_once(tmp_path: Path) -> None:
     async def test(store: CoordinationStore, backend: Any) -> None:
-        backend.order({"cut": 1, "repeat": True})
+        backend.apply_command({"cut": 1, "repeat": True})
         at, got, version = (await store.read("")).revision, list[bytes](), 0
         for n in range(6):
             version = await commit(store, Put("a", str(n).encode(), version))
@@ -256,9 +256,9 @@
                     at = batch.revision
                     got += [e.record.value for e in batch.events if e.record]
         assert got == [str(n).encode() for n in range(6)]
-        backend.order({"do": "snapshot"})
+        backend.apply_command({"do": "snapshot"})
         last = await commit(store, Put("a", b"late", version))
-        backend.order({"do": "restore"})
+        backend.apply_command({"do": "restore"})
         store._watch = None  # type: ignore[attr-defined]  # an engine that went back has cut its streams
         assert (await store.watch("", last, SECOND)).revision < last
 
@@ -269,11 +269,11 @@
     """The stream that showed the rollback began behind it: used further, it skipped what came up to there."""
 
     async def test(store: CoordinationStore, backend: Any) -> None:
-        backend.order({"do": "snapshot"})
+        backend.apply_command({"do": "snapshot"})
         version = 0
         for value in (b"1", b"2", b"3"):
             version = await commit(store, Put("a", value, version))
-        backend.order({"do": "restore"})
+        backend.apply_command({"do": "restore"})
         rolled_back = await store.watch("", version, SECOND)
         assert rolled_back.revision < version
 
@@ -288,7 +288,7 @@
 def test_a_malformed_value_costs_only_its_own_record(tmp_path: Path) -> None:
     async def test(store: CoordinationStore, backend: Any) -> None:
         await commit(store, Put("a", b"1", 0))
-        backend.space.write([(b"gradehoist/odd", b"\xff\x00", 0)], [])
+        backend.keyspace.write([(b"gradehoist/odd", b"\xff\x00", 0)], [])
         found = {x.key: x.malformed for x in (await store.read("")).records}
         assert found == {"a": False, "odd": True}
 
