--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
 	$(PY) -m mypy
-	$(PY) -m pytest -q -p no:cacheprovider
+	$(PY) -m pytest -q -p no:cacheprovider -n auto --maxprocesses=6
 
 bench: $(STAMP)
 	$(PY) -m bench
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -46,6 +46,8 @@
     gradehoist.store gradehoist.store.log_writer
 """.split()
 )
+MAX_POLICY_LINES = 630  # the operators run no longer policy
+MAX_POLICY_LINE_LENGTH = 110
 HEAVY = ("sqlite3", "kdl", "numpy", "highspy", "matplotlib", "click", "rich", "structlog", "multiprocessing")
 
 
@@ -78,6 +80,18 @@
     assert heavy == ""
 
 
+def test_the_deploy_file_lists_every_policy_file_within_the_limits_of_its_size() -> None:
+    """The bench counts the listed files only: a folder in the list counted as no line at all."""
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    listed = [ROOT / name for name in deploy["policy"]]
+    assert sorted(listed) == sorted((ROOT / "gradehoist" / "policy").rglob("*.py"))
+
+    lines = [line for path in listed for line in path.read_text().splitlines() if line.strip()]
+
+    assert len(lines) <= MAX_POLICY_LINES
+    assert max(map(len, lines)) <= MAX_POLICY_LINE_LENGTH
+
+
 def test_the_program_names_nothing_of_any_site() -> None:
     """Classes, zones, kinds, tiers, sites of the bench's deployments: they come from the settings alone."""
     named = set[str]()
