--- a/gradehoist/governor/endpoint_watch.py
+++ b/gradehoist/governor/endpoint_watch.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from gradehoist.governor.clock import monotonic_us
+from gradehoist.clock import monotonic_us
 from gradehoist.governor.endpoint_cache import EndpointCache
 from gradehoist.governor.endpoint_list import EndpointListGapError
 from gradehoist.governor.shell_state import ShellState
--- a/gradehoist/governor/health_checker.py
+++ b/gradehoist/governor/health_checker.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Iterable
 
-from gradehoist.governor.clock import monotonic_us
+from gradehoist.clock import monotonic_us
 from gradehoist.governor.health_checks import check_health
 from gradehoist.governor.replica_clients import replica_address
 from gradehoist.governor.shell_state import ShellState
