--- a/gradehoist/coordination/election.py
+++ b/gradehoist/coordination/election.py
@@ -77,11 +77,11 @@
     def on_token_rejected(self, participant: Participant, known: FencingToken) -> None:
         """Whoever takes the effects knows a token that stands against this process' one."""
         if self.fencing_token is not None and known.generation >= self.fencing_token.generation:
-            participant.raise_generation_floor(self.record_key, known.generation)
+            participant.records.raise_floor(self.record_key, known.generation)
             self.fencing_token = None
 
     def _is_own(self, owner: OwnershipRecord, participant: Participant) -> bool:
-        floor = participant.generation_floors.get(self.record_key, 0)
+        floor = participant.records.generation_floors.get(self.record_key, 0)
         return owner.holder == participant.identity.incarnation and owner.generation > floor
 
     def _is_superseded_by(self, owner: OwnershipRecord) -> bool:
--- a/gradehoist/coordination/participant.py
+++ b/gradehoist/coordination/participant.py
@@ -74,6 +74,11 @@
     The process calls `take_due_requests` whenever `next_request_at_us` has come, carries each request out,
     and passes its result to `handle_response` or `handle_failure`; after each step it takes
     `take_notifications`.
+
+    Attributes:
+        identity: The process.
+        cache: All records below the store's prefix, as last read.
+        records: The cached records by type, and the generations known to have been issued.
     """
 
     def __init__(self, identity: ProcessIdentity, session_ttl_us: int, seed: int) -> None:
@@ -81,9 +86,9 @@
         self.identity = identity
         self.cache = WatchCache("")
         self._notifications: list[Notification] = []
-        self._records = CachedRecords(self.cache, self._notify)
+        self.records = CachedRecords(self.cache, self._notify)
         self._watch = Watch(self.cache)
-        self._session = Session(identity, session_ttl_us, self._records, self._new_commit, self._notify)
+        self._session = Session(identity, session_ttl_us, self.records, self._new_commit, self._notify)
         self._commits = CommitQueue(self.cache, self._new_commit, self._notify)
         self._backoff = Backoff(seed, session_ttl_us)
         self._calls = CallsInFlight()
@@ -112,11 +117,6 @@
         """The generation of its name that the process owns; generation zero before it joined."""
         return self._session.fencing_token
 
-    @property
-    def generation_floors(self) -> dict[str, int]:
-        """The highest generations known to have been issued, by key of the ownership record."""
-        return self._records.generation_floors
-
     @property
     def has_pending_commits(self) -> bool:
         """Whether a proposed commit has not ended."""
@@ -126,18 +126,14 @@
 
     def decode_record(self, key: str, record_type: type[RecordType]) -> RecordType | None:
         """A cached record, or None where there is none or it can't be decoded."""
-        return self._records.decode(key, record_type)
-
-    def cached_version(self, key: str) -> int:
-        """The cached version of a record; zero where there is none."""
-        return self._records.version(key)
+        return self.records.decode(key, record_type)
 
     def build_put(self, key: str, value: Any, owned_by_session: bool = False) -> Put:
         """A change that writes `value` if the record is still as cached.
 
         With `owned_by_session` the record goes with this process' session.
         """
-        return self._records.build_put(key, value, self.session_id if owned_by_session else "")
+        return self.records.build_put(key, value, self.session_id if owned_by_session else "")
 
     def propose(self, *changes: Change) -> str:
         """Queues a commit and returns its id.
@@ -149,11 +145,7 @@
     def next_generation(self, key: str) -> int:
         """The lowest generation above all that are known for an ownership record."""
         own = self.fencing_token.generation if key == self.identity.name_key else 0  # the cache may be behind
-        return self._records.next_generation(key, own)
-
-    def raise_generation_floor(self, key: str, generation: int) -> None:
-        """Takes note that `generation` was issued: neither it nor a lower one is claimed again."""
-        self._records.raise_floor(key, generation)
+        return self.records.next_generation(key, own)
 
     def leave(self) -> None:
         """Begins a planned end: the session is ended, so that others need not wait for it to run out."""
@@ -275,9 +267,9 @@
         self._commits.on_events(events)
         written = {event.key for event in events}
         if GENERATION_FLOORS_KEY in written:
-            self._records.raise_floors_from_store()
+            self.records.raise_floors_from_store()
         if self.identity.name_key in written:
-            owner = self._records.decode(self.identity.name_key, OwnershipRecord)
+            owner = self.records.decode(self.identity.name_key, OwnershipRecord)
             if owner is not None:
                 self._session.on_name_owner(owner)
         deleted = {event.key for event in events if event.record is None}
@@ -326,7 +318,7 @@
 
     def _give_up_all(self, now_us: int, reason: str) -> None:
         """The store was rolled back: nothing held counts any more; the known generations stand as floors."""
-        self._records.raise_floors_from_owners()
+        self.records.raise_floors_from_owners()
         self._notify(ProcessFenced(reason))
         keys = tuple(self.cache.records)
         self._calls.abandon_all()
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -289,10 +289,10 @@
         async with joined(sample("register"), "c", "c-first") as (agent, _):
             for key, (version, _, _, value) in REGISTER.items():
                 assert agent.decode_record(key, type(value)) == value
-                assert agent.cached_version(key) == version
+                assert agent.records.version(key) == version
             assert agent.decode_record(STRANGE, HealthReport) is None  # it costs itself alone
             assert agent.fencing_token == FencingToken(1, "c-first")
-            assert agent.generation_floors == {"rights/release": 6}
+            assert agent.records.generation_floors == {"rights/release": 6}
             assert (agent.next_generation("rights/release"), agent.next_generation("rights/zones")) == (7, 2)
             claim = LeaderElection("zones", takeover_delay_us=0)
             claim.advance(time.monotonic_ns() // 1_000, agent)
