--- a/tests/support/zone_fleet.py
+++ b/tests/support/zone_fleet.py
@@ -12,7 +12,7 @@
 
 from gradehoist.net.client import ConnectError, ConnectionLostError, HttpClient, ResponseTimeoutError
 from gradehoist.protocol import feed
-from gradehoist.scenario import definition
+from gradehoist.scenario.free_ports import find_free_ports
 from tests.support.governed_fleet import TEXT, entry
 from tests.support.governor_process import LOCAL, Governor, Relay, Roster
 
@@ -102,7 +102,7 @@
         for number in range(REPLICA_COUNT):
             record = msgspec.structs.replace(entry(number), zone=ZONES[number % len(ZONES)])
             self.endpoint_list.put(record)
-        ports = definition.ports(len(ZONES))
+        ports = find_free_ports(len(ZONES))
         path = folder / "s.kdl"
         path.write_text(self._settings_text(ports))
         self.governors = [Governor(path, port, zone) for zone, port in zip(ZONES, ports, strict=True)]
