--- a/gradehoist/governor/policy_host.py
+++ b/gradehoist/governor/policy_host.py
@@ -102,7 +102,7 @@
                 host = PolicyHost(message.configs, message.now_us, message.runs_timers, make_policy)
             elif host is not None:
                 answer = _handle(host, message)
-        except Exception as error:  # noqa: BLE001, RUF100 - process boundary: the governor logs it
+        except Exception as error:  # noqa: BLE001 - process boundary: the governor logs it
             answer = BatchesHandled(failure=f"{type(error).__name__}: {error}", replies=[], cpu_s=0.0)
         if answer is not None:
             pipe.write(encode_frame(answer))
