--- a/review/standins.py
+++ b/review/standins.py
@@ -35,6 +35,7 @@
 HEARTBEAT_S = 2.0
 KNOWN_SHARE = 2 / 3  # of the load on a cold replica, which has to come from proxies that know of it
 LINE_LIMIT = 1 << 20
+SHOWN = 4  # broken rules that are printed
 Tables = dict[str, dict[str, float]]  # weights by class and replica
 
 
@@ -688,7 +689,9 @@
     except Exception as error:  # noqa: BLE001 - whatever keeps a case from running has the same exit code
         print(f"the case could not run: {error!r}", file=sys.stderr)
         return EXIT_UNUSABLE
-    for text in broken:
+    for text in broken[:SHOWN]:
         print(f"broken: {text}")
+    if len(broken) > SHOWN:
+        print(f"broken: {len(broken)} times in all; record.txt has the rest")
     print(f"{'disruption' if has_trouble else 'no disruption'}: {'BROKEN' if broken else 'held'}")
     return EXIT_BROKEN if broken else EXIT_HELD
