--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,7 +20,7 @@
         {"name": "charge", "aim": 1.0, "deadline": 3.0, "idempotency": "single_shot", "group": "all",
          "repeat-window": 2.0, "worth": 5.0, "late-worth": 0.1},
     ],
-    "guarantees": {"cold": 10.0, "cold-share": 0.21, "drain-grace": 3.0, "fall-multiple": 2.5,
+    "guarantees": {"cold": 12.0, "cold-share": 0.21, "drain-grace": 3.0, "fall-multiple": 2.5,
                    "full-may-have-run": True, "must-ask-in": 10.0, "tip-after": 1.5},
     "discovery": "push", "kind-of-service": "control", "replicas-of-me": 1, "self-index": 0,
     "limits": {"conn-idle": 15.0, "connect-timeout": 0.25, "cpu-us-per-s": 400000, "max-streams": 100,
@@ -28,21 +28,21 @@
     "report": {"fields": ["utilization", "outstanding"], "how": "inline"},
     "specifics": {"admission": "share", "blackhole": 4.6, "choice": "weighted", "fixed-cost": 6.0,
                   "homed-by-zone": False, "ingest-rate": 150.0, "one-owner": False, "pending-max": 6750.0,
-                  "period": 1.0, "proxies": 6, "push-delay": 0.15, "push-price": 0.04, "push-rate": 4500.0,
+                  "period": 2.0, "proxies": 6, "push-delay": 0.15, "push-price": 0.04, "push-rate": 4500.0,
                   "pushes-allowed": 20, "update-window": 10.0, "retry-default": 1, "shards": 0,
                   "standing": 5, "stays-local": [False, True], "strikes": 0, "worst-transit": 0.4},
     "weights": "none", "worth-by": "request",
 }  # fmt: skip
-SHARES = {"look": 0.4, "charge": 0.6}
-RATES = {"east": 17.7, "west": 12.3}  # requests a second of each proxy: 90 in all
+SHARES = {"look": 0.63, "charge": 0.37}
+RATES = {"east": 20.5, "west": 14.2}  # requests a second of each proxy: 104 in all
 ZONE = "east"
 FIRST_LOSS_S = 6.0
 LOSS_S = 10.0  # the site files give 8 to 24 s
 LOSSES = 2  # at most: the case ends with the first broken rule
 CYCLE_S = 30.0
 DEATH_NOTICE_S = 1.5  # after which discovery knows that a process has ended
-START_NOTICE_S = (0.6, 0.6, 0.6, 0.6, 1.9)  # after which it knows that each of them has started
-CHANCE = 0.25  # slack on the multiple; the wire page allows "a little slack for chance"
+START_NOTICE_S = (0.6, 0.65, 0.7, 0.75, 0.8, 0.85)  # after which it knows that each of them has started
+CHANCE = 0.2  # slack on the multiple; the wire page allows "a little slack for chance"
 
 
 async def lose_zone(deployment: Deployment) -> None:
@@ -79,7 +79,7 @@
     """Plays the case and returns how the rule was broken."""
     deployment = Deployment(folder, SETTINGS, SEED)
     for zone in SETTINGS["azs"]:
-        names = [f"s-{zone[0]}{number}" for number in range(5)]
+        names = [f"s-{zone[0]}{number}" for number in range(6)]
         deployment.add_replicas(names, zone, cores=2, work_s=0.12)
     for number in range(SETTINGS["specifics"]["proxies"]):
         zone = SETTINGS["azs"][number % 2]
--- a/review/standins.py
+++ b/review/standins.py
@@ -35,14 +35,21 @@
 HEARTBEAT_S = 2.0
 KNOWN_SHARE = 2 / 3  # of the load on a cold replica, which has to come from proxies that know of it
 LINE_LIMIT = 1 << 20
+PORTS = 20_000, 32_000
+_TAKEN = set[int]()
 SHOWN = 4  # broken rules that are printed
 Tables = dict[str, dict[str, float]]  # weights by class and replica
 
 
 def free_port() -> int:
-    """Returns a port that is free now."""
-    with socket.create_server((HOST, 0)) as server:
-        return int(server.getsockname()[1])
+    """Returns a port that is free now, below those that the system gives to outgoing connections."""
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        if port in _TAKEN:
+            continue
+        with contextlib.suppress(OSError), socket.create_server((HOST, port)):
+            _TAKEN.add(port)
+            return port
 
 
 def unix_ms() -> int:
@@ -482,6 +489,8 @@
             for line in self.governor.log.read_text(errors="replace").splitlines():
                 self.record("log", line)
         self.record("summary", f"requests: {dict(sorted(self.outcomes.items()))}")
+        served = {name: replica.served for name, replica in self.replicas.items()}
+        self.record("summary", f"run by the replicas: {served}")
         for text in self.broken:
             self.record("BROKEN", text)
         self.record.close()
@@ -520,6 +529,7 @@
                 break
         if outcome != "answered":
             proxy.unserved[name] += 1
+        self.record("request", f"proxy {proxy.number} {name}: sent to {sorted(tried)}, {outcome}")
         self.outcomes[f"{name} zone {proxy.zone} {outcome}"] += 1
 
     async def _try(self, proxy: Proxy, replica: str) -> str:
