Log why a cold replica is held back, and which share of each class it gets when let in

Change: the policy keeps the reason for each replica that it holds back; the node logs each change of it, and the node and the governor name the share of each class that a cold replica gets when it is let in. Decisions are unchanged.

--- a/gradehoist/fleet_state/replica_table.py
+++ b/gradehoist/fleet_state/replica_table.py
@@ -17,7 +17,7 @@
     PolicyConfig,
     RequestClass,
 )
-from gradehoist.messages import ReplicaState
+from gradehoist.messages import HoldBackReason, ReplicaState
 from gradehoist.numeric import majority_median
 
 
@@ -45,8 +45,8 @@
         self.actors: dict[int, ReplicaActor] = {}
         # Position of each replica on the ring of its zone, from 0 to 1.
         self.positions: dict[int, float] = {}
-        # Cold replicas that stay withdrawn for now.
-        self.held_back: set[int] = set()
+        # Cold replicas that stay withdrawn for now, and why.
+        self.held_back: dict[int, HoldBackReason] = {}
         # Open replicas whose readmission is not written yet.
         self.readmission_pending: set[int] = set()
         # Live replicas without a line in the tables of this governor's own proxies.
@@ -176,12 +176,12 @@
         """
         return max(0, self._loop.now_us - self._warmup_us)
 
-    def set_held_back(self, replica: int, is_held_back: bool) -> None:
-        """Set whether a cold replica is held back, that is, kept withdrawn for now."""
-        if is_held_back:
-            self.held_back.add(replica)
+    def set_held_back(self, replica: int, reason: HoldBackReason | None) -> None:
+        """Set why a cold replica is held back, that is, kept withdrawn for now; None if it is not."""
+        if reason is None:
+            self.held_back.pop(replica, None)
         else:
-            self.held_back.discard(replica)
+            self.held_back[replica] = reason
 
     def listed(self) -> set[int]:
         """Return the replicas that are not gone, withdrawn ones included.
--- a/gradehoist/messages.py
+++ b/gradehoist/messages.py
@@ -24,6 +24,14 @@
     AVAILABLE = "open"
 
 
+class HoldBackReason(Enum):
+    """Why a cold replica is held back, that is, kept withdrawn although it is open."""
+
+    RESTARTED = "it has just restarted"
+    CAPACITY_SHORTAGE = "too few replicas are back for a class that may use it"
+    OVERLOAD = "the pool is overloaded, or was until shortly before"
+
+
 # Requests that are sent to a replica with one of these are soon lost.
 URGENT = frozenset({Availability.DRAINING, Availability.GONE})
 
--- a/gradehoist/node/core.py
+++ b/gradehoist/node/core.py
@@ -11,6 +11,7 @@
 import heapq
 from collections.abc import Iterable
 
+from gradehoist.governor.order_reasons import explain_hold_back, explain_order
 from gradehoist.governor.tables import PublishedTables
 from gradehoist.identifiers import Identifiers
 from gradehoist.interface import (
@@ -39,6 +40,7 @@
     UpdateAcknowledged,
     WithdrawReplica,
 )
+from gradehoist.messages import HoldBackReason
 from gradehoist.node.discovery import EndpointListUpdate
 from gradehoist.node.endpoint_list import NO_WATCH, EndpointList, ListedEndpoint
 from gradehoist.node.errors import NodeError
@@ -83,6 +85,7 @@
         self.log_lines: list[str] = []
         self._replica_zones: dict[str, str] = {}  # by replica: its last zone that is in the settings
         self._timers: list[tuple[int, int]] = []  # heap of (due time, token)
+        self._logged_hold_backs: dict[int, HoldBackReason] = {}
         self._trace = PolicyTrace(identifiers) if is_traced else None
         cached = self.endpoint_list.apply_update(cached_endpoints) or ()
         self.pending_events.append(EndpointsListed(EndpointListKind.CACHED, self._endpoints(cached)))
@@ -258,6 +261,7 @@
         if self.pending_events:
             events, self.pending_events = self.pending_events, []
             self._execute(now_us, self.policy.handle(now_us, events))
+            self._log_hold_backs()
 
     def _execute(self, now_us: int, orders: list[Order]) -> None:
         batch = PushBatch(self.tables, self.streams.by_proxy)
@@ -279,11 +283,23 @@
                     self._publish(batch, order)
         self.outbound += batch.messages(now_us)
 
+    def _log_hold_backs(self) -> None:
+        # A replica that was withdrawn before is held back without an order.
+        held_back = self.policy.fleet.replicas.held_back
+        if held_back == self._logged_hold_backs:
+            return
+        for replica, reason in held_back.items():
+            if self._logged_hold_backs.get(replica) is not reason:
+                name = self.identifiers.replicas.names[replica]
+                self.log_lines.append(f"replica {name}: {explain_hold_back(self.policy, replica)}")
+        self._logged_hold_backs = dict(held_back)
+
     def _publish(self, batch: PushBatch, order: TableOrder) -> None:
         batch.publish(order)
         if isinstance(order, WithdrawReplica):
             replica = self.identifiers.replicas.names[order.replica]
-            self.log_lines.append(f"replica {replica} {'withdrawn' if order.withdrawn else 'restored'}")
+            change = "withdrawn" if order.withdrawn else "restored"
+            self.log_lines.append(f"replica {replica} {change}: {explain_order(self.policy, order)}")
         elif isinstance(order, SetAdmission):
             self.log_lines.append(self._admission_line(order))
 
--- a/gradehoist/policy/pool.py
+++ b/gradehoist/policy/pool.py
@@ -51,6 +51,7 @@
         self.calm_us = 0  # time since the last overload
         # Share of its weight that each cold replica gets, as the governors have agreed.
         self.warmup_quotas = dict[int, float]()
+        self.zone_tables = list[messages.Tables]()  # the last plan, by zone of the proxies
 
     def _replan(self) -> None:
         # All changes of a batch result in one plan.
@@ -101,11 +102,22 @@
         its weight stands for, and the first one of a class with few replicas gets all requests of the class.
         """
         replica = state.endpoint.replica
-        is_held_back = state.is_open and self.replicas.is_cold(replica) and self.replicas.has_warm_open()
-        if is_held_back and not is_restart and not self.replicas.has_capacity_shortage(state.endpoint):
-            is_held_back = self.calm_us < (READMISSION_DELAY_US if replica in self.replicas.held_back else 1)
-        self.replicas.set_held_back(replica, is_held_back)
-        return is_held_back
+        reason = None
+        if state.is_open and self.replicas.is_cold(replica) and self.replicas.has_warm_open():
+            reason = self._hold_back_reason(state, is_restart)
+        self.replicas.set_held_back(replica, reason)
+        return reason is not None
+
+    def _hold_back_reason(
+        self, state: messages.ReplicaState, is_restart: bool
+    ) -> messages.HoldBackReason | None:
+        if is_restart:
+            return messages.HoldBackReason.RESTARTED
+        if self.replicas.has_capacity_shortage(state.endpoint):
+            return messages.HoldBackReason.CAPACITY_SHORTAGE
+        is_held_back = state.endpoint.replica in self.replicas.held_back
+        is_calm = self.calm_us >= (READMISSION_DELAY_US if is_held_back else 1)
+        return None if is_calm else messages.HoldBackReason.OVERLOAD
 
     def _on_replica_failing(self, failing: messages.ReplicaFailing) -> None:
         state = self.replicas.states.get(failing.replica)
@@ -187,7 +199,7 @@
         # would keep traffic for all of its replicas, and the first ones readmitted would get all of it.
         live = self.replicas.live(ready)
         demand = self.fleet.rates.demand(self.replicas.zone_count)
-        tables = self.locality.plan(ready, live, demand.shares)
+        self.zone_tables = tables = self.locality.plan(ready, live, demand.shares)
         self.subsetting.set_widths(demand.group_loads)
         planned = list[messages.Tables]()
         for group, zone in enumerate(self.fleet.proxies.zones):
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -31,7 +31,7 @@
     gradehoist.policy.outlier gradehoist.policy.planner gradehoist.policy.pool
     gradehoist.policy.publisher gradehoist.policy.replica gradehoist.policy.subsetting
     gradehoist.policy.tables gradehoist.governor
-    gradehoist.governor.health_checks
+    gradehoist.governor.health_checks gradehoist.governor.order_reasons
     gradehoist.governor.tables gradehoist.interface gradehoist.identifiers gradehoist.net
     gradehoist.net.background_tasks gradehoist.net.client gradehoist.net.listener
     gradehoist.node gradehoist.node.__main__
