A group without usable lines gets them from the messages that drains may use

Callers saw (in a simulated fleet, found by a new test): all replicas of a zone restart, listed one by one; proxies whose subset lies in that zone had no replica to pick for more than the 4 s of rule 1, while another zone's were warm.

Cause: each withdrawal is a message of its own, up to 0.85 of a proxy's message limit; weights wait below 0.6 of it. With 15 of 20 messages used, the group with no open line got no turn for the rest of the 10 s window.

Ruled out: a missing plan, as the group was marked outdated all the time, and pending withdrawals, as there were none.

--- a/gradehoist/policy/planner.py
+++ b/gradehoist/policy/planner.py
@@ -33,7 +33,7 @@
         self.fleet = Fleet(self.loop, config, groups, class_sets, SMOOTHING)
         self.pool = Pool(self.fleet)
         self.admission = AdmissionController(self.fleet)
-        self.publisher = Publisher(self.fleet)
+        self.publisher = Publisher(self.fleet, groups)
         self.fleet.subscribe()
 
     def handle(self, now_us: int, events: list[Event]) -> list[Order]:
--- a/gradehoist/policy/publisher.py
+++ b/gradehoist/policy/publisher.py
@@ -1,12 +1,13 @@
 """Publishing: what is written when, by urgency, within the limits of the channel's queue and messages."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from math import isfinite
 
 from gradehoist import messages
 from gradehoist.actors import Actor
 from gradehoist.fleet_state import Fleet, PeriodTimer
 from gradehoist.interface import ProxyJoined, TimerFired, WithdrawReplica
+from gradehoist.policy.tables import ProxyGroup
 
 # The share of the queue limit that binds and lines of tables may use, which the design sets.
 QUEUE_SHARE = 0.5
@@ -39,9 +40,10 @@
 class Publisher(Actor):
     """Writes withdrawals, readmissions, binds and admission rates, and gives groups their turns to write."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, groups: Sequence[ProxyGroup]) -> None:
         """Create a publisher with nothing to write, and start its timer."""
         self.flow = fleet.flow
+        self.groups = groups
         self.proxies = fleet.proxies
         self.withdrawals = fleet.withdrawals
         self.bind_slot_us = max(1, fleet.config.safety.drain_grace_us // BIND_SLOTS_PER_GRACE)
@@ -187,7 +189,12 @@
             due, key=lambda group: (-waited[group] / self.proxies.open_share(group, withdrawn), group)
         ):
             bound = self.proxies.bound[group]
-            capacity = self._capacity(bound)
+            # Withdrawals of all lines of a group, one message each, used up the messages for weights, and its
+            # proxies had no replica for the rest of the message window.
+            lacks_usable_lines = self.groups[group].lacks_usable_lines()
+            capacity = self._capacity(
+                bound, queue_share=URGENT_QUEUE_SHARE if lacks_usable_lines else QUEUE_SHARE
+            )
             if capacity >= len(bound):
                 self.last_turn_us[group] = self.loop.now_us
                 self.proxies.send(group, messages.WriteTurn(capacity, periods=int(waited[group])))
--- a/gradehoist/policy/tables.py
+++ b/gradehoist/policy/tables.py
@@ -17,6 +17,13 @@
         """Yield the planned changes that are worth a line; the threshold rises with the periods waited."""
         return self.sent.changes(self.planned, self.withdrawn, periods * MIN_WEIGHT_CHANGE)
 
+    def lacks_usable_lines(self) -> bool:
+        """Return whether a table has none of its planned replicas, so that its requests are rejected."""
+        return any(
+            weights and not weights.keys() & self.sent.tables[class_set].keys()
+            for class_set, weights in self.planned.items()
+        )
+
     def _on_tables_planned(self, plan: TablesPlanned) -> None:
         self.planned = plan.tables
         self.withdrawn = plan.withdrawn
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -39,6 +39,7 @@
 )
 from gradehoist.messages import Availability, Tables
 from gradehoist.policy.tables import ProxyGroup
+from tests.support.loaded_fleet import FleetShape, LoadedFleet
 from tests.support.policy_fleet import (
     SECOND,
     TWO_ZONES,
@@ -502,6 +503,21 @@
         assert min(len(fleet.open_lines(by[0])) for by in fleet.bound.values()) >= 3
 
 
+def test_a_subset_that_is_withdrawn_line_by_line_gets_lines_of_other_zones_within_the_limit_of_rule_1() -> (
+    None
+):
+    """The withdrawals used up the messages for weights, and proxies had no replica for the message window."""
+    fleet = LoadedFleet(FleetShape(zone_sizes=(18, 14), proxies_per_zone=6, lines_per_s=100.0))
+    zone = range(18)
+    fleet.advance(7)
+    fleet.start(zone)
+    for replica in zone:
+        fleet.advance(0.05)
+        fleet.list_replicas([replica])
+    # `SimulatedFleet.check` asserts the limit of rule 1 at each step.
+    fleet.advance(12)
+
+
 def test_readmissions_in_a_large_fleet_keep_the_message_limit_of_proxies_that_get_new_lines() -> None:
     """In bench scenario join+mass, readmissions added lines at proxies whose messages were not counted."""
     fleet = large_fleet(proxies=30, rate=40.0)
