Cold replicas are let in together, by the load that the tables would send to each

Cause: Pool._update_held_back judged each replica by itself when it was listed, and the others at the end of the report period; LocalityBalancer.plan measured the slow-start weight of all open replicas, those held back included. With the sixth listed it was enough for all, so the sixth went alone; the next readmissions may go 1.7 s later.

Change: WarmupAdmission predicts each cold replica's load for the set that gets requests in one message, against a share of what overloads it at its age; replicas beyond it are left out until the rest is within it. Asked when replicas are listed, each period, and as a message is written. Capacity is the tables' load of warm replicas over their busy share; demand is the usual one that admission may let through. It works as no step relies on a readmission that may follow.

--- a/gradehoist/fleet_state/__init__.py
+++ b/gradehoist/fleet_state/__init__.py
@@ -13,14 +13,17 @@
     total_weight,
     weight_by_zone,
 )
+from gradehoist.fleet_state.request_rates import Demand, RateSmoothing
 from gradehoist.fleet_state.table_writer import TableWriter
 from gradehoist.fleet_state.weight_tables import LineChange
 
 __all__ = [
     "Candidates",
+    "Demand",
     "Fleet",
     "LineChange",
     "PeriodTimer",
+    "RateSmoothing",
     "ReplicaActor",
     "ReplicaRetention",
     "ReplicaTable",
--- a/gradehoist/fleet_state/fleet.py
+++ b/gradehoist/fleet_state/fleet.py
@@ -7,7 +7,7 @@
 from gradehoist.fleet_state.endpoint_subscription import EndpointSubscription
 from gradehoist.fleet_state.proxy_groups import ProxyGroups
 from gradehoist.fleet_state.replica_table import ReplicaTable
-from gradehoist.fleet_state.request_rates import RequestRates
+from gradehoist.fleet_state.request_rates import RateSmoothing, RequestRates
 from gradehoist.fleet_state.table_writer import TableWriter
 from gradehoist.fleet_state.withdrawals import Withdrawals
 from gradehoist.flow_control import FlowControl
@@ -24,9 +24,9 @@
         config: PolicyConfig,
         groups: Sequence[TableWriter],
         class_sets: Sequence[tuple[int, ...]],
-        smoothing: float,
+        smoothing: RateSmoothing,
     ) -> None:
-        """Create the state of an empty fleet; `smoothing` is the weight of the newest request rates."""
+        """Create the state of an empty fleet."""
         self.loop = loop
         self.config = config
         self.groups = groups
--- a/gradehoist/fleet_state/replica_table.py
+++ b/gradehoist/fleet_state/replica_table.py
@@ -51,8 +51,6 @@
         self.readmission_pending: set[int] = set()
         # Live replicas without a line in the tables of this governor's own proxies.
         self.unused: set[int] = set()
-        # Pairs of a zone and a class set for which the zone has too little capacity.
-        self.capacity_shortages: list[tuple[int, int]] = []
         self.states: dict[int, ReplicaState] = {}
         self.zone_count = config.zone_count
         self.class_sets = class_sets
@@ -137,9 +135,11 @@
 
     def live(self, ready: Candidates) -> Candidates:
         """Return the candidates that are neither held back nor still to be readmitted."""
-        return {
-            n: c for n, c in ready.items() if n not in self.held_back and n not in self.readmission_pending
-        }
+        return {n: c for n, c in ready.items() if self.is_in_use(n)}
+
+    def is_in_use(self, replica: int) -> bool:
+        """Return whether an open replica is neither held back nor still to be readmitted."""
+        return replica not in self.held_back and replica not in self.readmission_pending
 
     def open(self) -> dict[int, ReplicaState]:
         """Return the replicas that may get requests."""
@@ -191,14 +191,14 @@
         """
         return {n for n, state in self.states.items() if state.endpoint.phase is not Phase.GONE}
 
+    def open_cold(self) -> set[int]:
+        """Return the open replicas that are not warm yet."""
+        return {n for n in self.open() if self.is_cold(n)}
+
     def is_cold(self, replica: int) -> bool:
         """Return whether a replica started too recently to be warm."""
         return self.states[replica].endpoint.started_us > self.warm_since_us()
 
-    def has_capacity_shortage(self, endpoint: Endpoint) -> bool:
-        """Return whether a class set that may use the endpoint has too little capacity."""
-        return any(self.allows(class_set, endpoint, zone) for zone, class_set in self.capacity_shortages)
-
     def median_period_us(self, at_least_us: int) -> int:
         """Return the median report period of the open replicas, at least `at_least_us`."""
         return int(max(at_least_us, median([s.period_us for s in self.open().values()] or [0])))
--- a/gradehoist/governor/order_reasons.py
+++ b/gradehoist/governor/order_reasons.py
@@ -62,7 +62,9 @@
 
 def _describe_warmup(policy: Planner, replica: int) -> str:
     age_us = policy.loop.now_us - policy.fleet.replicas.states[replica].endpoint.started_us
-    return f"warming up, started {age_us / SECOND:.2f} s ago"
+    predicted = policy.warmup.predicted_loads.get(replica)
+    load = f", {predicted.requests_per_s:.2f} of {predicted.limit_per_s:.2f} requests/s" if predicted else ""
+    return f"warming up, started {age_us / SECOND:.2f} s ago{load}"
 
 
 def _describe_planned_shares(policy: Planner, replica: int) -> str:
--- a/gradehoist/messages.py
+++ b/gradehoist/messages.py
@@ -28,8 +28,9 @@
     """Why a cold replica is held back, that is, kept withdrawn although it is open."""
 
     RESTARTED = "it has just restarted"
-    CAPACITY_SHORTAGE = "too few replicas are back for a class that may use it"
     OVERLOAD = "the pool is overloaded, or was until shortly before"
+    LOAD = "it would be sent more than it can do while it warms up"
+    UNDECIDED = "it has just been listed"
 
 
 # Requests that are sent to a replica with one of these are soon lost.
@@ -177,6 +178,18 @@
     """The tables have to be planned again."""
 
 
+@dataclass(frozen=True, slots=True)
+class ColdReplicasDue:
+    """All changes of a batch are known, so it can be decided which cold replicas get requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadmissionsRejected:
+    """Cold replicas that would be sent too much if they were readmitted without those that do not fit."""
+
+    replicas: set[int]
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicasReadmitted:
     """The withdrawals of these replicas are lifted in the messages that are being written."""
@@ -313,6 +326,14 @@
     orders: Sequence[Order]
 
 
+@dataclass(frozen=True, slots=True)
+class AdmissionForecast:
+    """Admission rates by class: those in force, and the highest until replicas are reviewed again."""
+
+    current: Sequence[float]
+    highest: Sequence[float]
+
+
 # Messages to the admission controller and the publisher.
 
 
--- a/gradehoist/policy/admission.py
+++ b/gradehoist/policy/admission.py
@@ -6,6 +6,9 @@
 from gradehoist.interface import QuotasAgreed, SetAdmission
 from gradehoist.numeric import clamp
 
+# Cold replicas are reviewed once a report period, and a withdrawal takes effect in the next one.
+FORECAST_PERIODS = 2
+
 # After a cut, the admitted share stays unchanged for this time plus two report periods: load reports that
 # arrive earlier do not show the effect of the cut yet.
 HOLD_AFTER_CUT_US = 2 * SECOND
@@ -58,7 +61,7 @@
 
     def _on_pool_assessed(self, pool: messages.PoolAssessed) -> None:
         self._adjust(pool)
-        rates = self._admission_rates(pool.requests)
+        rates = self._admission_rates(pool.requests, self.admitted_share)
         changes = zip(rates, self._written_rates, strict=True)
         if any(abs(new - old) > MIN_RATE_CHANGE or (new == 1.0) != (old == 1.0) for new, old in changes):
             self._written_rates = rates
@@ -69,6 +72,12 @@
                 for request_class, rate in enumerate(rates)
             ]
             self.loop.publish(messages.AdmissionChanged(orders))
+        self._publish_forecast(pool)
+
+    def _publish_forecast(self, pool: messages.PoolAssessed) -> None:
+        increase = RECOVERY_PER_S * FORECAST_PERIODS * pool.period_us / SECOND
+        highest = self._admission_rates(pool.requests, min(1.0, self.admitted_share + increase))
+        self.loop.publish(messages.AdmissionForecast(self._written_rates, highest))
 
     def _adjust(self, pool: messages.PoolAssessed) -> None:
         if self.loop.now_us < self._hold_until_us:
@@ -81,9 +90,9 @@
             increase = RECOVERY_PER_S * (1 - pool.saturation) * pool.period_us / SECOND
             self.admitted_share = min(1.0, self.admitted_share + increase)
 
-    def _admission_rates(self, requests: list[float]) -> list[float]:
+    def _admission_rates(self, requests: list[float], admitted_share: float) -> list[float]:
         """Return the admission rates by class; high-priority classes use up the admitted share first."""
-        remaining = self.admitted_share
+        remaining = admitted_share
         rates = [1.0] * len(requests)
         for request_class in self._by_priority:
             share = max(1e-9, requests[request_class] / max(1e-9, sum(requests)))
--- a/gradehoist/policy/locality.py
+++ b/gradehoist/policy/locality.py
@@ -18,10 +18,6 @@
 # its weight divided by this.
 FULL_ZONE_DIVISOR = 50
 
-# A zone has a capacity shortage for a class set if demand exceeds this multiple of the usable ready weight.
-# The first replica to be readmitted would then get all requests of the class set.
-SHORTAGE_RATIO = 2
-
 # The lowest weight of a line, as a weight of 0 would remove it.
 MIN_LINE_WEIGHT = 1e-4
 
@@ -48,14 +44,13 @@
         slack = average * self.slack.get(zone, 0.0)
         return max(average - slack, min(average + slack, utilization))
 
-    def plan(self, ready: Candidates, live: Candidates, demand: list[list[float]]) -> list[Tables]:
+    def plan(self, live: Candidates, demand: list[list[float]]) -> list[Tables]:
         """Return the tables for the proxies of each zone; `demand` has shares by zone and class set."""
         zones = range(self.replicas.zone_count)
         self.total_weight = total_weight(live.values()) or 1.0
         self.free_capacity = [
             self._zone_capacity(zone, weight) for zone, weight in enumerate(weight_by_zone(live, zones))
         ]
-        self.replicas.capacity_shortages = []
         tables: list[Tables] = [{} for _ in zones]
         for class_set in range(len(self.replicas.class_sets)):
             allowed = [self.replicas.allowed(class_set, zone, live) for zone in zones]
@@ -64,9 +59,6 @@
                 self._take_local_share(zone, demand[zone][class_set], weights[zone][zone]) for zone in zones
             ]
             for zone in zones:
-                usable = total_weight(self.replicas.allowed(class_set, zone, ready).values())
-                if demand[zone][class_set] * self.total_weight > SHORTAGE_RATIO * usable:
-                    self.replicas.capacity_shortages.append((zone, class_set))
                 table: Weights = {}
                 split = self._zone_shares(zone, local[zone], weights[zone])
                 for replica, candidate in allowed[zone].items():
@@ -75,6 +67,22 @@
                 tables[zone][class_set] = table
         return tables
 
+    def predict_loads(
+        self, live: Candidates, demand: list[list[float]], rates: list[list[float]]
+    ) -> dict[int, float]:
+        """Return the requests per second that the tables for these replicas would send to each of them.
+
+        The tables are planned for `demand`, and `rates` are requests per second; both are by zone and class
+        set.
+        """
+        loads = dict.fromkeys(live, 0.0)
+        for zone, tables in enumerate(self.plan(live, demand)):
+            for class_set, table in tables.items():
+                total = sum(table.values())
+                for replica, weight in table.items():
+                    loads[replica] += rates[zone][class_set] * weight / total
+        return loads
+
     def _zone_capacity(self, zone: int, weight: float) -> float:
         """Return the share of all demand that the replicas of a zone can take."""
         # A hot zone spills over at once, before its weights have fallen: more clients may have gathered there
--- a/gradehoist/policy/planner.py
+++ b/gradehoist/policy/planner.py
@@ -4,11 +4,12 @@
 from gradehoist.fleet_state import Fleet, classes_by_limits
 from gradehoist.interface import Event, Order, PolicyConfig
 from gradehoist.policy.admission import AdmissionController
+from gradehoist.policy.locality import LocalityBalancer
 from gradehoist.policy.pool import Pool
 from gradehoist.policy.publisher import Publisher
-from gradehoist.policy.replica import SMOOTHING
 from gradehoist.policy.subsetting import group_zones
 from gradehoist.policy.tables import ProxyGroup
+from gradehoist.policy.warmup import RATE_SMOOTHING, WarmupAdmission
 
 
 class Planner:
@@ -30,10 +31,12 @@
         groups = [
             ProxyGroup(self.loop, index, zone, class_sets) for index, zone in enumerate(group_zones(config))
         ]
-        self.fleet = Fleet(self.loop, config, groups, class_sets, SMOOTHING)
-        self.pool = Pool(self.fleet)
+        self.fleet = Fleet(self.loop, config, groups, class_sets, RATE_SMOOTHING)
+        locality = LocalityBalancer(self.fleet.replicas)
+        self.warmup = WarmupAdmission(self.fleet, locality)
+        self.pool = Pool(self.fleet, locality, self.warmup)
         self.admission = AdmissionController(self.fleet)
-        self.publisher = Publisher(self.fleet, groups)
+        self.publisher = Publisher(self.fleet, groups, self.warmup)
         self.fleet.subscribe()
 
     def handle(self, now_us: int, events: list[Event]) -> list[Order]:
--- a/gradehoist/policy/pool.py
+++ b/gradehoist/policy/pool.py
@@ -1,5 +1,7 @@
 """The pool of replicas: tracks the endpoint list, paces the control loop, and plans the tables."""
 
+from collections.abc import Mapping
+
 from gradehoist import messages
 from gradehoist.actors import SECOND, Actor
 from gradehoist.fleet_state import Fleet, ReplicaRetention, failure_share
@@ -10,6 +12,7 @@
 from gradehoist.policy.outlier import may_eject
 from gradehoist.policy.replica import MAX_WEIGHT, MIN_WEIGHT, ReplicaController, relative_utilization
 from gradehoist.policy.subsetting import Subsetting
+from gradehoist.policy.warmup import WarmupAdmission
 
 # The design's limit: if more than this share of the load reports is missing, the weight update is skipped.
 MAX_STALE_SHARE = 0.15
@@ -32,25 +35,23 @@
 # replaced replicas kept, a step took 27 times as long.
 RETENTION_US = 3600 * SECOND
 
-# The lowest quota of a cold replica's weight, as shares of a total weight of 0 are undefined.
-MIN_WARMUP_QUOTA = 1e-3
-
 
 class Pool(Actor):
     """All replicas of a policy, and the layers that plan their tables."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, locality: LocalityBalancer, warmup: WarmupAdmission) -> None:
         """Create a pool without replicas."""
         super().__init__(fleet.loop)
         self.fleet = fleet
         self.replicas = fleet.replicas
-        self.locality = LocalityBalancer(fleet.replicas)
+        self.locality = locality
+        self.warmup = warmup
         self.subsetting = Subsetting(fleet)
         self.retention = ReplicaRetention(fleet.loop, fleet.replicas, RETENTION_US, self._replan)
         self.period_us = fleet.config.load_reporting.period_us
         self.calm_us = 0  # time since the last overload
-        # Share of its weight that each cold replica gets, as the governors have agreed.
-        self.warmup_quotas = dict[int, float]()
+        # Cold replicas that were listed in this batch, and whether each of them was known before.
+        self.listed_cold = dict[int, bool]()
         self.zone_tables = list[messages.Tables]()  # the last plan, by zone of the proxies
 
     def _replan(self) -> None:
@@ -69,18 +70,42 @@
 
     def _on_replica_changed(self, changed: messages.ReplicaChanged) -> None:
         state = changed.state
-        old = self.replicas.states.get(state.endpoint.replica)
-        if self.replicas.update(state):
-            self._readmit_last_peers(state)
-            self._replan()
-            self.retention.track(state)
+        replica = state.endpoint.replica
+        old = self.replicas.states.get(replica)
+        if not self.replicas.update(state):
+            return
+        self._readmit_last_peers(state)
+        self.retention.track(state)
+        if state.is_open and self.replicas.is_cold(replica):
+            self._hold_until_decided(state, old)
+        else:
+            self.replicas.set_held_back(replica, None)
+            # A new replica that is available needs no order, as its first line comes with the tables.
+            if old is not None or state.availability is not messages.Availability.AVAILABLE:
+                self._set_availability(replica, state.availability)
+        # Cold replicas that get requests get more of them if others leave, so these are reviewed as well.
+        if self.replicas.open_cold():
+            self.defer_once(messages.ColdReplicasDue())
+        self._replan()
+
+    def _hold_until_decided(self, state: messages.ReplicaState, old: messages.ReplicaState | None) -> None:
+        replica = state.endpoint.replica
+        if state.is_restart_of(old) and self.replicas.has_warm_open():
             # A restarted replica is withdrawn first: if many restart at once, it would take too long to write
             # their low weights alone.
-            is_held_back = self._update_held_back(state, is_restart=state.is_restart_of(old))
-            availability = messages.Availability.DRAINING if is_held_back else state.availability
-            # A new replica that is available needs no order, as its first line comes with the tables.
-            if old is not None or availability is not messages.Availability.AVAILABLE:
-                self._set_availability(state.endpoint.replica, availability)
+            self.listed_cold.pop(replica, None)
+            self.replicas.set_held_back(replica, messages.HoldBackReason.RESTARTED)
+            self._set_availability(replica, messages.Availability.DRAINING)
+        else:
+            self.replicas.set_held_back(replica, messages.HoldBackReason.UNDECIDED)
+            self.listed_cold[replica] = old is not None
+
+    def _on_cold_replicas_due(self, _: messages.ColdReplicasDue) -> None:
+        """Decide which cold replicas of this batch get requests; those that were held back before stay so."""
+        listed, self.listed_cold = self.listed_cold, {}
+        open_cold = self.replicas.open_cold()
+        in_use = {replica for replica in open_cold if self.replicas.is_in_use(replica)}
+        self._review_cold(in_use | (listed.keys() & open_cold), listed)
 
     def _readmit_last_peers(self, state: messages.ReplicaState) -> None:
         # If the endpoint list takes the last open replicas of a class, ejected ones must serve it.
@@ -93,31 +118,47 @@
             self.replicas.readmission_pending.add(replica)
         self.loop.publish(messages.SetAvailability(replica, availability))
 
-    def _update_held_back(self, state: messages.ReplicaState, is_restart: bool = False) -> bool:
-        """Decide whether a cold replica is held back, and record and return the decision.
+    def _review_cold(self, cold: set[int], listed: Mapping[int, bool]) -> None:
+        """Decide for these cold replicas together which of them get requests.
 
-        While any warm replica is open, a cold one is held back when it has just restarted, when a class set
-        that may use it has too little capacity, and during an overload; in the last case until the overload
-        has been over for `READMISSION_DELAY_US`. In an overload, a cold replica gets far more requests than
-        its weight stands for, and the first one of a class with few replicas gets all requests of the class.
+        In an overload, a cold replica gets far more requests than its weight stands for, so they are held
+        back until it is over. The replicas that are `listed` have their first decision.
         """
-        replica = state.endpoint.replica
-        reason = None
-        if state.is_open and self.replicas.is_cold(replica) and self.replicas.has_warm_open():
-            reason = self._hold_back_reason(state, is_restart)
+        waiting = {replica for replica in cold if self._waits_for_calm(replica)}
+        warm = {replica for replica in self.replicas.open() if self.replicas.is_in_use(replica)} - cold
+        admitted = self.warmup.admissible(cold - waiting, warm)
+        for replica in sorted(cold):
+            reason = None
+            if replica not in admitted:
+                reason = (
+                    messages.HoldBackReason.OVERLOAD if replica in waiting else messages.HoldBackReason.LOAD
+                )
+            self._hold_back(replica, reason, is_listed=replica in listed, is_known=listed.get(replica, True))
+
+    def _waits_for_calm(self, replica: int) -> bool:
+        is_listed = self.replicas.held_back.get(replica) in (None, messages.HoldBackReason.UNDECIDED)
+        delay_us = 1 if is_listed else READMISSION_DELAY_US
+        return self.calm_us < delay_us and self.replicas.has_warm_open()
+
+    def _hold_back(
+        self,
+        replica: int,
+        reason: messages.HoldBackReason | None,
+        is_listed: bool = False,
+        is_known: bool = True,
+    ) -> None:
+        was_held_back = replica in self.replicas.held_back
         self.replicas.set_held_back(replica, reason)
-        return reason is not None
-
-    def _hold_back_reason(
-        self, state: messages.ReplicaState, is_restart: bool
-    ) -> messages.HoldBackReason | None:
-        if is_restart:
-            return messages.HoldBackReason.RESTARTED
-        if self.replicas.has_capacity_shortage(state.endpoint):
-            return messages.HoldBackReason.CAPACITY_SHORTAGE
-        is_held_back = state.endpoint.replica in self.replicas.held_back
-        is_calm = self.calm_us >= (READMISSION_DELAY_US if is_held_back else 1)
-        return None if is_calm else messages.HoldBackReason.OVERLOAD
+        if reason is not None and (is_listed or not was_held_back):
+            self._set_availability(replica, messages.Availability.DRAINING)
+        # The first line of a new replica comes with the tables, and needs no order.
+        if reason is None and was_held_back and is_known:
+            self._set_availability(replica, messages.Availability.AVAILABLE)
+        self._replan()
+
+    def _on_readmissions_rejected(self, rejected: messages.ReadmissionsRejected) -> None:
+        for replica in rejected.replicas & self.replicas.open_cold():
+            self._hold_back(replica, messages.HoldBackReason.LOAD)
 
     def _on_replica_failing(self, failing: messages.ReplicaFailing) -> None:
         state = self.replicas.states.get(failing.replica)
@@ -136,9 +177,12 @@
 
     def _on_quotas_agreed(self, quotas: QuotasAgreed) -> None:
         self.locality.quotas = dict(quotas.zone_quotas)
-        self.warmup_quotas = dict(quotas.warmup_quotas)
+        self.warmup.quotas = dict(quotas.warmup_quotas)
         self._replan()
 
+    def _on_admission_forecast(self, forecast: messages.AdmissionForecast) -> None:
+        self.warmup.admission = forecast
+
     def _on_period_elapsed(self, period: messages.PeriodElapsed) -> None:
         self.replicas.send_all(period)
         # The assessment is deferred so that it follows the states that the replicas send now.
@@ -150,6 +194,7 @@
         pool_saturation = measure_saturation(in_use, self.fleet.latency_objective_us)
         is_calm = pool_saturation <= OVERLOAD_SATURATION and any(state.totals.attempts for state in in_use)
         self.calm_us = self.calm_us + self.period_us if is_calm else 0
+        self.warmup.on_period_elapsed()
         self._review_held_back()
         assessed = messages.PoolAssessed(
             saturation=pool_saturation,
@@ -165,14 +210,9 @@
         self._replan()
 
     def _review_held_back(self) -> None:
-        for replica, state in self.replicas.open().items():
-            was_held_back = replica in self.replicas.held_back
-            is_held_back = self._update_held_back(state)
-            if was_held_back != is_held_back:
-                self._set_availability(
-                    replica,
-                    messages.Availability.DRAINING if is_held_back else messages.Availability.AVAILABLE,
-                )
+        for replica in [n for n in self.replicas.held_back if not self.replicas.is_cold(n)]:
+            self._hold_back(replica, None)
+        self._review_cold(self.replicas.open_cold(), {})
 
     def _on_weight_step_due(self, _: messages.WeightStepDue) -> None:
         live = self.replicas.open()
@@ -194,12 +234,11 @@
         self._replan()
 
     def _on_plan_due(self, _: messages.PlanDue) -> None:
-        ready = self.replicas.candidates(self.warmup_quotas, MIN_WARMUP_QUOTA)
         # Replicas that are held back or still to be readmitted do not count as capacity. Otherwise, a zone
         # would keep traffic for all of its replicas, and the first ones readmitted would get all of it.
-        live = self.replicas.live(ready)
+        live = self.replicas.live(self.warmup.candidates())
         demand = self.fleet.rates.demand(self.replicas.zone_count)
-        self.zone_tables = tables = self.locality.plan(ready, live, demand.shares)
+        self.zone_tables = tables = self.locality.plan(live, demand.shares)
         self.subsetting.set_widths(demand.group_loads)
         planned = list[messages.Tables]()
         for group, zone in enumerate(self.fleet.proxies.zones):
--- a/gradehoist/policy/publisher.py
+++ b/gradehoist/policy/publisher.py
@@ -8,6 +8,7 @@
 from gradehoist.fleet_state import Fleet, PeriodTimer
 from gradehoist.interface import ProxyJoined, TimerFired, WithdrawReplica
 from gradehoist.policy.tables import ProxyGroup
+from gradehoist.policy.warmup import WarmupAdmission
 
 # The share of the queue limit that binds and lines of tables may use, which the design sets.
 QUEUE_SHARE = 0.5
@@ -40,8 +41,10 @@
 class Publisher(Actor):
     """Writes withdrawals, readmissions, binds and admission rates, and gives groups their turns to write."""
 
-    def __init__(self, fleet: Fleet, groups: Sequence[ProxyGroup]) -> None:
+    def __init__(self, fleet: Fleet, groups: Sequence[ProxyGroup], warmup: WarmupAdmission) -> None:
         """Create a publisher with nothing to write, and start its timer."""
+        self.warmup = warmup
+        self.replicas = fleet.replicas
         self.flow = fleet.flow
         self.groups = groups
         self.proxies = fleet.proxies
@@ -118,28 +121,47 @@
 
     def _write_readmissions(self, all_proxies: list[int]) -> bool:
         due = self.withdrawals.due((messages.Availability.AVAILABLE,))
+        if not due:
+            return False
+        readmitted = self._reject_overloaded(self._fitting_readmissions(due, all_proxies))
+        mean_holders = self.proxies.mean_holders()
+        for replica in readmitted:
+            holders = self.proxies.holders(replica)
+            self.flow.reserved_lines += READMISSION_LINES * max(0.0, mean_holders - len(holders))
+            lift = [WithdrawReplica(replica, withdrawn=False)] if self.withdrawals.readmit(replica) else []
+            self.flow.write(lift, holders, READMISSION_LINES)
+        if readmitted:
+            self.loop.publish(messages.ReplicasReadmitted(readmitted))
+        return bool(readmitted)
+
+    def _fitting_readmissions(self, due: list[int], all_proxies: list[int]) -> list[int]:
         # The lines of readmitted replicas also go to proxies that have none so far. When only the proxies
         # that had a line were counted, others exceeded their message limits.
-        capacity = self._capacity(all_proxies) if due else 0.0
-        mean_holders = self.proxies.mean_holders() if due else 0.0
-        readmitted = list[int]()
+        capacity = self._capacity(all_proxies)
+        mean_holders = self.proxies.mean_holders()
+        fitting = list[int]()
         for replica in due:
-            holders = self.proxies.holders(replica)
-            cost = READMISSION_LINES * max(len(holders), mean_holders)
+            cost = READMISSION_LINES * max(len(self.proxies.holders(replica)), mean_holders)
             # While proxies wait to be bound, they would send too many requests to a readmitted cold replica
             # by their old tables.
             is_ejected = self.withdrawals.withdrawn.get(replica) is messages.Availability.EJECTED
             if capacity >= cost and (is_ejected or not self.proxies.pending_binds):
                 capacity -= cost
-                self.flow.reserved_lines += cost - READMISSION_LINES * len(holders)
-                lift = (
-                    [WithdrawReplica(replica, withdrawn=False)] if self.withdrawals.readmit(replica) else []
-                )
-                self.flow.write(lift, holders, READMISSION_LINES)
-                readmitted.append(replica)
-        if readmitted:
-            self.loop.publish(messages.ReplicasReadmitted(readmitted))
-        return bool(readmitted)
+                fitting.append(replica)
+        return fitting
+
+    def _reject_overloaded(self, fitting: list[int]) -> list[int]:
+        """Return the replicas that may be readmitted in one message, without those that do not fit in it.
+
+        The next message with readmissions can be seconds away, and the first replicas of a class would get
+        all of its requests until then.
+        """
+        cold = self.replicas.open_cold().intersection(fitting)
+        others = {n for n in self.replicas.open() if n in fitting or self.replicas.is_in_use(n)} - cold
+        rejected = cold - self.warmup.admissible(cold, others)
+        if rejected:
+            self.loop.publish(messages.ReadmissionsRejected(rejected))
+        return [replica for replica in fitting if replica not in rejected]
 
     def _write_binds(self) -> None:
         # A proxy that joins may hold tables and withdrawals of an earlier stream, so it is bound as soon as
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -6,11 +6,17 @@
 
 from gradehoist.actors import SECOND, MessageLoop
 from gradehoist.control_loop import PIController, SmoothedLoad
-from gradehoist.fleet_state.request_rates import RequestRates
+from gradehoist.fleet_state.request_rates import RateSmoothing, RequestRates
 from gradehoist.fleet_state.weight_tables import LineChange, SentTables
 from gradehoist.fleet_state.withdrawals import Withdrawals
 from gradehoist.interface import LoadReport, ProxyJoined, ProxyLeft, RequestsOffered
-from gradehoist.messages import Availability, LiftWithdrawal, ProxyAssigned, SetAvailability
+from gradehoist.messages import (
+    AdmissionForecast,
+    Availability,
+    LiftWithdrawal,
+    ProxyAssigned,
+    SetAvailability,
+)
 from gradehoist.numeric import majority_median
 from tests.support.policy_fleet import UNRESTRICTED, ZONE_LOCAL, policy_config
 
@@ -75,9 +81,12 @@
     assert list(sent.replica_lines(twice, replica=0)) == [LineChange(0, 0, 1.0)]
 
 
+HALF = RateSmoothing(weight=0.5, served_share=0.9, unserved_weight=0.0)
+
+
 def test_demand_includes_own_proxies_and_those_of_other_governors(loop: MessageLoop) -> None:
     config = policy_config(classes=(UNRESTRICTED, ZONE_LOCAL), proxies=6)
-    rates = RequestRates(loop, config, class_sets=[(0,), (1,)], group_zones=[0, 0, 1, 2], smoothing=0.5)
+    rates = RequestRates(loop, config, class_sets=[(0,), (1,)], group_zones=[0, 0, 1, 2], smoothing=HALF)
     publish(loop, ProxyJoined(0, 0, 10.0), ProxyJoined(1, 0, 30.0), ProxyAssigned(0, 0), ProxyAssigned(1, 1))
     demand = rates.demand(zone_count=3)
     assert sum(map(sum, demand.shares)) == pytest.approx(1.0)
@@ -87,7 +96,9 @@
 
 
 def test_rates_follow_the_reports_of_proxies_until_they_leave(loop: MessageLoop) -> None:
-    rates = RequestRates(loop, policy_config(classes=(UNRESTRICTED,)), [(0,)], group_zones=[0], smoothing=0.5)
+    rates = RequestRates(
+        loop, policy_config(classes=(UNRESTRICTED,)), [(0,)], group_zones=[0], smoothing=HALF
+    )
     publish(loop, ProxyJoined(0, 0, 10.0), RequestsOffered(0, 0, 40, 0, 2 * SECOND))
     assert rates.proxies[0].rates == [15.0]
     assert rates.take_recent_requests(decay=0.25) == [40.0]
@@ -97,6 +108,20 @@
     assert rates.demand(zone_count=1).group_loads == [0.0]
 
 
+def test_usual_rates_do_not_rise_with_the_requests_that_clients_repeat(loop: MessageLoop) -> None:
+    rates = RequestRates(
+        loop, policy_config(classes=(UNRESTRICTED,)), [(0,)], group_zones=[0], smoothing=HALF
+    )
+    publish(loop, ProxyJoined(0, 0, 10.0), RequestsOffered(0, 0, 10, 0, SECOND))
+    publish(loop, RequestsOffered(0, 0, 30, incomplete=30, window_us=SECOND))
+    assert rates.demand(zone_count=1).requests_per_s == pytest.approx(6 * 20.0), "one of six proxies"
+    assert rates.usual_demand(zone_count=1).requests_per_s == pytest.approx(6 * 10.0)
+    publish(loop, AdmissionForecast(current=[0.5], highest=[0.7]), RequestsOffered(0, 0, 30, 0, SECOND))
+    assert rates.usual_demand(zone_count=1).requests_per_s == pytest.approx(6 * 10.0)
+    demand = rates.demand(zone_count=1)
+    assert rates.admitted_rates(demand, [0.5]) == [[pytest.approx(demand.requests_per_s / 2)]]
+
+
 def test_the_integral_does_not_change_while_the_step_is_clamped() -> None:
     controller = PIController(gain_p=0.1, gain_i=0.1)
     assert controller.step(10.0, SECOND, limit=0.5) == 0.5
