An ejection ends when the replica becomes the only warm one of a class

Cause: Pool._readmit_last_peers ran only when the endpoint list changed; at that moment the ejected replica was still cold and no peer. Nothing asked again when it warmed up.

Evidence: the new test fails on the commit before (class 1 of proxy 0 has no usable replica) and passes now. Ruled out: the hold-back of cold replicas, as the log state is EJECTED all the time, with health checks that are not answered.

--- a/gradehoist/policy/pool.py
+++ b/gradehoist/policy/pool.py
@@ -50,6 +50,8 @@
         self.retention = ReplicaRetention(fleet.loop, fleet.replicas, RETENTION_US, self._replan)
         self.period_us = fleet.config.load_reporting.period_us
         self.calm_us = 0  # time since the last overload
+        # Replicas that started later were still cold at the last assessment.
+        self.assessed_warm_since_us = self.replicas.warm_since_us()
         # Cold replicas that were listed in this batch, and whether each of them was known before.
         self.listed_cold = dict[int, bool]()
         self.zone_tables = list[messages.Tables]()  # the last plan, by zone of the proxies
@@ -113,6 +115,14 @@
             for replica in [] if any(peers.values()) else peers:
                 self.replicas.send(replica, messages.Readmit())
 
+    def _readmit_last_warm(self) -> None:
+        # An ejected replica that has just warmed up may be the only warm one of a class, which must serve it.
+        warm_since_us = self.replicas.warm_since_us()
+        for state in self.replicas.ready():
+            if state.is_ejected and self.assessed_warm_since_us < state.endpoint.started_us <= warm_since_us:
+                self._readmit_last_peers(state)
+        self.assessed_warm_since_us = warm_since_us
+
     def _set_availability(self, replica: int, availability: messages.Availability) -> None:
         if availability is messages.Availability.AVAILABLE:
             self.replicas.readmission_pending.add(replica)
@@ -196,6 +206,7 @@
         self.calm_us = self.calm_us + self.period_us if is_calm else 0
         self.warmup.on_period_elapsed()
         self._review_held_back()
+        self._readmit_last_warm()
         assessed = messages.PoolAssessed(
             saturation=pool_saturation,
             success_share=1 - failure_share(in_use),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -176,6 +176,21 @@
     assert 0 not in fleet.withdrawn, "the only replica left for the zone-local class is readmitted"
 
 
+def test_an_ejection_ends_when_the_replica_becomes_the_only_warm_one_of_a_class() -> None:
+    """It was ejected while it was cold, then the other replicas left, and it warmed up unnoticed."""
+    fleet = LoadedFleet(FleetShape())
+    fleet.start([0])
+    fleet.list_replicas([0])
+    fleet.advance(5)
+    fleet.down.add(0)
+    fleet.advance(3)
+    assert 0 in fleet.withdrawn
+    fleet.end(range(1, 6), notice_s=0.6)
+    # `SimulatedFleet.check` asserts the limit of rule 1 at each step.
+    fleet.advance(12)
+    assert 0 not in fleet.withdrawn
+
+
 def test_in_saturation_the_lowest_priority_is_rejected_first_until_the_pool_recovers() -> None:
     fleet = running_fleet()
     fleet.step(
