The review of cold replicas leaves the pool; one marker for what is not decided yet

Cause: the fix before left the reasons and the wait after an overload in the pool, with two flags passed along, and each caller gathered the replicas beside the cold ones by itself.

--- a/gradehoist/policy/pool.py
+++ b/gradehoist/policy/pool.py
@@ -1,11 +1,10 @@
 """The pool of replicas: tracks the endpoint list, paces the control loop, and plans the tables."""
 
-from collections.abc import Mapping
-
 from gradehoist import messages
 from gradehoist.actors import SECOND, Actor
 from gradehoist.fleet_state import Fleet, ReplicaRetention, failure_share
 from gradehoist.interface import EndpointsListed, QuotasAgreed
+from gradehoist.messages import HoldBackReason
 from gradehoist.numeric import clamp, mean_or_one, mean_or_zero
 from gradehoist.policy.admission import measure_saturation
 from gradehoist.policy.locality import LocalityBalancer
@@ -24,9 +23,6 @@
 # more than warm replicas can take.
 OVERLOAD_SATURATION = 1.2
 
-# A cold replica that is held back is readmitted after this time without an overload.
-READMISSION_DELAY_US = 3 * SECOND
-
 # Share of the recent requests that is kept each period. The sums thus cover some ten seconds, which shows the
 # mix of request classes even if there are few requests.
 REQUEST_DECAY = 0.9
@@ -35,6 +31,9 @@
 # replaced replicas kept, a step took 27 times as long.
 RETENTION_US = 3600 * SECOND
 
+# The state of replicas that get requests, or whose decision in this batch is still due.
+NOT_HELD_BEFORE = (None, HoldBackReason.UNDECIDED)
+
 
 class Pool(Actor):
     """All replicas of a policy, and the layers that plan their tables."""
@@ -52,8 +51,8 @@
         self.calm_us = 0  # time since the last overload
         # Replicas that started later were still cold at the last assessment.
         self.assessed_warm_since_us = self.replicas.warm_since_us()
-        # Cold replicas that were listed in this batch, and whether each of them was known before.
-        self.listed_cold = dict[int, bool]()
+        # Cold replicas that this batch lists for the first time.
+        self.new_replicas = set[int]()
         self.zone_tables = list[messages.Tables]()  # the last plan, by zone of the proxies
 
     def _replan(self) -> None:
@@ -92,22 +91,23 @@
 
     def _hold_until_decided(self, state: messages.ReplicaState, old: messages.ReplicaState | None) -> None:
         replica = state.endpoint.replica
+        if old is None:
+            self.new_replicas.add(replica)
         if state.is_restart_of(old) and self.replicas.has_warm_open():
             # A restarted replica is withdrawn first: if many restart at once, it would take too long to write
             # their low weights alone.
-            self.listed_cold.pop(replica, None)
-            self.replicas.set_held_back(replica, messages.HoldBackReason.RESTARTED)
+            self.new_replicas.discard(replica)
+            self.replicas.set_held_back(replica, HoldBackReason.RESTARTED)
             self._set_availability(replica, messages.Availability.DRAINING)
         else:
-            self.replicas.set_held_back(replica, messages.HoldBackReason.UNDECIDED)
-            self.listed_cold[replica] = old is not None
+            self.replicas.set_held_back(replica, HoldBackReason.UNDECIDED)
 
     def _on_cold_replicas_due(self, _: messages.ColdReplicasDue) -> None:
         """Decide which cold replicas of this batch get requests; those that were held back before stay so."""
-        listed, self.listed_cold = self.listed_cold, {}
-        open_cold = self.replicas.open_cold()
-        in_use = {replica for replica in open_cold if self.replicas.is_in_use(replica)}
-        self._review_cold(in_use | (listed.keys() & open_cold), listed)
+        undecided = {n for n, reason in self.replicas.held_back.items() if reason is HoldBackReason.UNDECIDED}
+        cold = self.replicas.open_cold()
+        self._review_cold({n for n in cold if n in undecided or self.replicas.is_in_use(n)})
+        self.new_replicas.clear()
 
     def _readmit_last_peers(self, state: messages.ReplicaState) -> None:
         # If the endpoint list takes the last open replicas of a class, ejected ones must serve it.
@@ -128,47 +128,23 @@
             self.replicas.readmission_pending.add(replica)
         self.loop.publish(messages.SetAvailability(replica, availability))
 
-    def _review_cold(self, cold: set[int], listed: Mapping[int, bool]) -> None:
-        """Decide for these cold replicas together which of them get requests.
-
-        In an overload, a cold replica gets far more requests than its weight stands for, so they are held
-        back until it is over. The replicas that are `listed` have their first decision.
-        """
-        waiting = {replica for replica in cold if self._waits_for_calm(replica)}
-        warm = {replica for replica in self.replicas.open() if self.replicas.is_in_use(replica)} - cold
-        admitted = self.warmup.admissible(cold - waiting, warm)
-        for replica in sorted(cold):
-            reason = None
-            if replica not in admitted:
-                reason = (
-                    messages.HoldBackReason.OVERLOAD if replica in waiting else messages.HoldBackReason.LOAD
-                )
-            self._hold_back(replica, reason, is_listed=replica in listed, is_known=listed.get(replica, True))
-
-    def _waits_for_calm(self, replica: int) -> bool:
-        is_listed = self.replicas.held_back.get(replica) in (None, messages.HoldBackReason.UNDECIDED)
-        delay_us = 1 if is_listed else READMISSION_DELAY_US
-        return self.calm_us < delay_us and self.replicas.has_warm_open()
+    def _review_cold(self, cold: set[int]) -> None:
+        for replica, reason in self.warmup.review(cold, self.calm_us).items():
+            self._set_held_back(replica, reason)
 
-    def _hold_back(
-        self,
-        replica: int,
-        reason: messages.HoldBackReason | None,
-        is_listed: bool = False,
-        is_known: bool = True,
-    ) -> None:
-        was_held_back = replica in self.replicas.held_back
+    def _set_held_back(self, replica: int, reason: HoldBackReason | None) -> None:
+        old_reason = self.replicas.held_back.get(replica)
         self.replicas.set_held_back(replica, reason)
-        if reason is not None and (is_listed or not was_held_back):
+        if reason is not None and old_reason in NOT_HELD_BEFORE:
             self._set_availability(replica, messages.Availability.DRAINING)
         # The first line of a new replica comes with the tables, and needs no order.
-        if reason is None and was_held_back and is_known:
+        if reason is None and old_reason is not None and replica not in self.new_replicas:
             self._set_availability(replica, messages.Availability.AVAILABLE)
         self._replan()
 
     def _on_readmissions_rejected(self, rejected: messages.ReadmissionsRejected) -> None:
         for replica in rejected.replicas & self.replicas.open_cold():
-            self._hold_back(replica, messages.HoldBackReason.LOAD)
+            self._set_held_back(replica, HoldBackReason.LOAD)
 
     def _on_replica_failing(self, failing: messages.ReplicaFailing) -> None:
         state = self.replicas.states.get(failing.replica)
@@ -222,8 +198,8 @@
 
     def _review_held_back(self) -> None:
         for replica in [n for n in self.replicas.held_back if not self.replicas.is_cold(n)]:
-            self._hold_back(replica, None)
-        self._review_cold(self.replicas.open_cold(), {})
+            self._set_held_back(replica, None)
+        self._review_cold(self.replicas.open_cold())
 
     def _on_weight_step_due(self, _: messages.WeightStepDue) -> None:
         live = self.replicas.open()
--- a/gradehoist/policy/publisher.py
+++ b/gradehoist/policy/publisher.py
@@ -157,8 +157,7 @@
         all of its requests until then.
         """
         cold = self.replicas.open_cold().intersection(fitting)
-        others = {n for n in self.replicas.open() if n in fitting or self.replicas.is_in_use(n)} - cold
-        rejected = cold - self.warmup.admissible(cold, others)
+        rejected = cold - self.warmup.admissible(cold, readmitted=fitting)
         if rejected:
             self.loop.publish(messages.ReadmissionsRejected(rejected))
         return [replica for replica in fitting if replica not in rejected]
--- a/gradehoist/policy/warmup.py
+++ b/gradehoist/policy/warmup.py
@@ -6,11 +6,12 @@
 enough without those that may follow: the next readmission can be seconds away.
 """
 
-from collections.abc import Set
+from collections.abc import Collection, Set
 from dataclasses import dataclass
 
+from gradehoist.actors import SECOND
 from gradehoist.fleet_state import Candidates, Fleet, RateSmoothing
-from gradehoist.messages import AdmissionForecast
+from gradehoist.messages import AdmissionForecast, HoldBackReason
 from gradehoist.numeric import clamp
 from gradehoist.policy.capacity import CapacityEstimator
 from gradehoist.policy.locality import LocalityBalancer
@@ -23,6 +24,9 @@
 # A cold replica that gets requests is withdrawn again above this share.
 WITHDRAWAL_LOAD_SHARE = 0.8
 
+# A cold replica that is held back is readmitted after this time without an overload.
+READMISSION_DELAY_US = 3 * SECOND
+
 # Request rates follow the reports of proxies like load signals. Clients repeat requests that are not served,
 # so the rates count as usual while nearly all are served. Otherwise, the usual rates follow within minutes.
 RATE_SMOOTHING = RateSmoothing(weight=SMOOTHING, served_share=0.9, unserved_weight=0.02)
@@ -71,17 +75,37 @@
         self.predicted_loads = {n: load for n, load in self.predicted_loads.items() if n in cold}
         self._capacity.observe(self._replicas.live(self.candidates()), self.admission)
 
-    def admissible(self, cold: Set[int], others: Set[int]) -> set[int]:
-        """Return those of the cold replicas that may get requests at the same time, beside the `others`.
+    def review(self, cold: Set[int], calm_us: int) -> dict[int, HoldBackReason | None]:
+        """Decide for these cold replicas together which are held back, and why.
 
-        A replica that would be overloaded is left out, which adds to the load of the rest, until the rest is
-        not overloaded, or none is left. Without an open warm replica all of them are admitted, as nothing
-        else can serve.
+        In an overload, which ended `calm_us` ago, a cold replica gets far more requests than its weight
+        stands for, so it is held back.
+        """
+        waiting = {replica for replica in cold if self._waits_for_calm(replica, calm_us)}
+        admitted = self.admissible(cold - waiting)
+        reasons: dict[int, HoldBackReason | None] = dict.fromkeys(sorted(cold), HoldBackReason.LOAD)
+        reasons |= dict.fromkeys(waiting, HoldBackReason.OVERLOAD)
+        return reasons | dict.fromkeys(admitted)
+
+    def _waits_for_calm(self, replica: int, calm_us: int) -> bool:
+        reason = self._replicas.held_back.get(replica)
+        is_held_back = reason not in (None, HoldBackReason.UNDECIDED)
+        delay_us = READMISSION_DELAY_US if is_held_back else 1
+        return calm_us < delay_us and self._replicas.has_warm_open()
+
+    def admissible(self, cold: Set[int], readmitted: Collection[int] = ()) -> set[int]:
+        """Return those of the cold replicas that may get requests at the same time.
+
+        All others that are in use get requests too, and those that are `readmitted` with them. A replica
+        that would be overloaded is left out, which adds to the load of the rest, until the rest is not
+        overloaded, or none is left. Without an open warm replica all of them are admitted, as nothing else
+        can serve.
         """
         admitted = set(cold)
         if not admitted or not self._replicas.has_warm_open():
             return admitted
         candidates = self.candidates()
+        others = {n for n in candidates if n in readmitted or self._replicas.is_in_use(n)} - cold
         demand = self._rates.demand(self._replicas.zone_count)
         usual_demand = self._rates.usual_demand(self._replicas.zone_count)
         rates = self._rates.admitted_rates(usual_demand, self.admission.highest)
