Request rates of a proxy in an unknown zone are left out again

Seen on reading the change again: the sum of rates by zone, rewritten for the usual rates, indexed by the proxy's zone, so a proxy of a zone beyond the known ones would have ended the policy; the code before left it out.

Evidence: the new assertion fails on the commit before with an IndexError and passes now. No platform sends such a proxy today, as its zone is checked when it joins. 60 tests of the state and the policy pass.

--- a/gradehoist/fleet_state/request_rates.py
+++ b/gradehoist/fleet_state/request_rates.py
@@ -153,9 +153,11 @@
     def _rates_by_zone(self, zone_count: int, rates: dict[int, list[float]]) -> list[list[float]]:
         by_zone = [[0.0] * len(self._class_sets) for _ in range(zone_count)]
         for proxy, by_class in rates.items():
-            totals = by_zone[self.proxies[proxy].zone]
+            zone = self.proxies[proxy].zone
+            if zone >= zone_count:
+                continue
             for class_set, classes in enumerate(self._class_sets):
-                totals[class_set] += sum(by_class[c] for c in classes)
+                by_zone[zone][class_set] += sum(by_class[c] for c in classes)
         return by_zone
 
     def _shares(self, rates: list[list[float]], proxy_zones: list[int]) -> list[list[float]]:
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -93,6 +93,8 @@
     assert sum(demand.shares[0]) == pytest.approx(1 / 3), "two of the six proxies, both of them in zone 0"
     assert demand.group_loads == [0.5, 1.5, 0.0, 0.0]
     assert demand.proxy_zones == {0}
+    publish(loop, ProxyJoined(2, 5, 99.0))
+    assert rates.demand(zone_count=3).requests_per_s == pytest.approx(2 * 40.0), "no zone 5 is known"
 
 
 def test_rates_follow_the_reports_of_proxies_until_they_leave(loop: MessageLoop) -> None:
