--- a/review/platform_day.py
+++ b/review/platform_day.py
@@ -704,6 +704,7 @@
         self.demand_since_s = 0.0
         self.empty_since: dict[str, float | None] = dict.fromkeys(self.classes)
         self.blocked_until_s = 0.0
+        self.silenced = asyncio.Event()
         self.avoid: dict[str, float] = {}
         self.strikes: dict[str, int] = {}
 
@@ -731,7 +732,8 @@
         hello = f"hello id={self.number} site={self.zone} rps={self.rate:.2f} new={int(self.is_new)}\r\n"
         writer.write(hello.encode())
         parts: list[dict[str, str]] = []
-        while line := await reader.readline():
+        self.silenced.clear()
+        while line := await self._read_line(reader):
             text = line.decode().strip()
             kind, *words = text.split(" ")
             if kind != "push":
@@ -744,6 +746,25 @@
                 self._enter(governor, parts)
                 parts = []
 
+    async def _read_line(self, reader: asyncio.StreamReader) -> bytes:
+        """Return the next line; nothing once the stream has ended or fallen silent."""
+        reading = asyncio.ensure_future(reader.readline())
+        silence = asyncio.ensure_future(self.silenced.wait())
+        await asyncio.wait((reading, silence), return_when=asyncio.FIRST_COMPLETED)
+        silence.cancel()
+        if not reading.done():
+            reading.cancel()
+            return b""
+        return reading.result()
+
+    def fall_silent(self, for_s: float) -> None:
+        """Let the stream fall silent: it stays open, and neither side hears of the other."""
+        if self.writer is None:
+            return
+        self.day.loop.call_later(for_s, self.writer.close)
+        self.writer = None
+        self.silenced.set()
+
     def _enter(self, governor: Governor, parts: list[dict[str, str]]) -> None:
         now_s = self.day.now()
         lines = self.day.specifics["fixed-cost"] + sum(_count_lines(part) for part in parts)
