--- a/review/cells_fleet.py
+++ b/review/cells_fleet.py
@@ -101,6 +101,8 @@
         self.boot = 1
         self.is_new = False
         self.is_listed = True
+        self.is_going = asyncio.Event()  # not set while it takes requests and answers none
+        self.is_going.set()
         self.listen()
 
     def listen(self) -> None:
@@ -122,6 +124,7 @@
 
     async def handle(self, request: http.Request, _: Connection) -> ServerResponse | None:
         """Answer the governors, the runner of moves and the relays."""
+        await self.is_going.wait()
         now_us = time.monotonic_ns() // 1000
         if request.target == "/cell/word":
             assignment = msgspec.json.decode(request.body, type=TenantAssignment)
