Drains are gathered within the grace while the messages to proxies are scarce

Cause: Publisher._write_withdrawals wrote each drain at once, in a message of its own, whenever it fitted. The governors' logs show fifteen drains written within 20 ms each, then nothing until the first message left the window: at 17 of 20 messages (0.85) available_lines is minus infinity, for all proxies as soon as one is there. Ruled out by the same records: discovery and the event loop (20 ms), the queue (1,476 of 3,500 lines), transit (the first ones were in time).

Change: messages are a budget. One goes to a proxy only if those that drains can force after it, one for each longest wait over a whole window, still fit. A drain that may not go is gathered until the first one's deadline: the grace less worst transit, queue and 0.1 s. Weights, ejections, readmissions and admission rates ask the same budget. A proxy without any message left delays only its own group; the others have the lines removed. New setting worst-transit (platform: already there; KDL: channel worst-transit=, 500 ms).

--- a/gradehoist/fleet_state/period_timer.py
+++ b/gradehoist/fleet_state/period_timer.py
@@ -5,6 +5,8 @@
 from gradehoist.interface import SetTimer, TimerFired
 from gradehoist.messages import PeriodElapsed, PoolAssessed
 
+PERIOD_TIMER_TOKEN = 0
+
 
 class PeriodTimer(Actor):
     """Restarts the timer each time it fires, and publishes `PeriodElapsed` once a report period."""
@@ -21,9 +23,11 @@
         self._start(first_us)
 
     def _start(self, delay_us: int) -> None:
-        self._flow.orders.append(SetTimer(token=0, delay_us=delay_us))
+        self._flow.orders.append(SetTimer(PERIOD_TIMER_TOKEN, delay_us))
 
-    def _on_timer_fired(self, _: TimerFired) -> None:
+    def _on_timer_fired(self, timer: TimerFired) -> None:
+        if timer.token != PERIOD_TIMER_TOKEN:
+            return
         self._start(self._interval_us)
         if self.loop.now_us >= self._next_period_us:
             self._next_period_us = self.loop.now_us + self.period_us
--- a/gradehoist/fleet_state/withdrawals.py
+++ b/gradehoist/fleet_state/withdrawals.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 
 from gradehoist.actors import Actor, MessageLoop
-from gradehoist.messages import Availability, LiftWithdrawal, SetAvailability
+from gradehoist.messages import URGENT, Availability, LiftWithdrawal, SetAvailability
 
 
 class Withdrawals(Actor):
@@ -14,6 +14,8 @@
         super().__init__(loop)
         # Changes to be written, the oldest first. Updating an entry keeps its position.
         self.pending: dict[int, Availability] = {}
+        # Since when each replica with a pending urgent withdrawal has been known to drain or to be gone.
+        self.urgent_since_us: dict[int, int] = {}
         # Withdrawn replicas, and why each of them is withdrawn.
         self.withdrawn: dict[int, Availability] = {}
 
@@ -21,6 +23,10 @@
         replica = change.replica
         if replica not in self.withdrawn:
             self.pending[replica] = change.availability
+            if change.availability in URGENT:
+                self.urgent_since_us.setdefault(replica, self.loop.now_us)
+            else:
+                self.urgent_since_us.pop(replica, None)
             return
         self.pending.pop(replica, None)
         if change.availability is Availability.AVAILABLE:
@@ -43,6 +49,7 @@
     def withdraw(self, replica: int) -> None:
         """Record that a pending withdrawal is written."""
         self.withdrawn[replica] = self.pending.pop(replica)
+        self.urgent_since_us.pop(replica, None)
 
     def readmit(self, replica: int) -> bool:
         """Record that a pending readmission is written; return whether there was a withdrawal to lift."""
--- a/gradehoist/flow_control.py
+++ b/gradehoist/flow_control.py
@@ -77,6 +77,18 @@
         """Return whether all messages have been acknowledged."""
         return not any(self.unacknowledged.values())
 
+    def queued_lines(self) -> float:
+        """Return the lines that are written, or reserved, and not acknowledged yet."""
+        return self.unacknowledged_lines + self.reserved_lines + sum(self.pending.values())
+
+    def recent_messages(self, proxy: int) -> Sequence[int]:
+        """Return the times of the messages to a connected proxy within the message window, oldest first."""
+        times = self.message_times[proxy]
+        window_start = self.loop.now_us - self.message_window_us
+        while times and times[0] <= window_start:
+            times.popleft()
+        return times
+
     def available_lines(
         self, proxies: Iterable[int], lines: float, queue_share: float, message_share: float
     ) -> float:
@@ -86,19 +98,14 @@
         were the only one. The result is minus infinity if one of the proxies has no message in the current
         reply and has used up `message_share` of its message limit.
         """
-        remaining = queue_share * self.queue_limit_lines
-        remaining = remaining - self.unacknowledged_lines - self.reserved_lines - sum(self.pending.values())
-        window_start = self.loop.now_us - self.message_window_us
+        remaining = queue_share * self.queue_limit_lines - self.queued_lines()
         message_cap = message_share * self.message_limit
         for proxy in proxies:
             if proxy in self.pending:
                 remaining -= lines
                 continue
             remaining = remaining - lines - self.overhead_lines
-            times = self.message_times[proxy]
-            while times and times[0] <= window_start:
-                times.popleft()
-            if len(times) >= message_cap:
+            if len(self.recent_messages(proxy)) >= message_cap:
                 return -math.inf
         return remaining
 
--- a/gradehoist/interface.py
+++ b/gradehoist/interface.py
@@ -108,7 +108,8 @@
 
     At most `queue_limit_lines` may be queued, and at most `messages_per_window` messages (0: no limit) sent
     to one proxy within `message_window_us`. A message costs `message_overhead_lines` in addition to its
-    lines. `lines_per_s` is the configured rate; the actual one may differ.
+    lines. `lines_per_s` is the configured rate; the actual one may differ. A message that has left the queue
+    reaches its proxy within `worst_transit_us`.
     """
 
     queue_limit_lines: float
@@ -116,6 +117,7 @@
     message_overhead_lines: float
     messages_per_window: int
     message_window_us: int
+    worst_transit_us: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/gradehoist/policy/publisher.py
+++ b/gradehoist/policy/publisher.py
@@ -1,24 +1,22 @@
 """Publishing: what is written when, by urgency, within the limits of the channel's queue and messages."""
 
-from collections.abc import Collection, Iterable, Sequence
-from math import isfinite
+from collections.abc import Collection, Sequence
+from math import inf, isfinite
 
 from gradehoist import messages
 from gradehoist.actors import Actor
 from gradehoist.fleet_state import Fleet, PeriodTimer
+from gradehoist.fleet_state.period_timer import PERIOD_TIMER_TOKEN
 from gradehoist.interface import ProxyJoined, TimerFired, WithdrawReplica
+from gradehoist.messages import URGENT
+from gradehoist.policy.message_budget import MESSAGE_SHARE, WITHDRAWAL_MESSAGE_SHARE, MessageBudget
 from gradehoist.policy.tables import ProxyGroup
 from gradehoist.policy.warmup import WarmupAdmission
+from gradehoist.policy.withdrawal_writer import URGENT_QUEUE_SHARE, WithdrawalWriter
 
 # The share of the queue limit that binds and lines of tables may use, which the design sets.
 QUEUE_SHARE = 0.5
 
-# Drains may use more of the queue limit. The rest is a margin for lines that are not counted exactly.
-URGENT_QUEUE_SHARE = 0.85
-
-# The share of a proxy's message limit that is not reserved for drains.
-MESSAGE_SHARE = 0.6
-
 # The share of a proxy's message limit for messages to all proxies. Ejections, readmissions and admission
 # rates have it in common.
 BROADCAST_MESSAGE_SHARE = 0.3
@@ -34,9 +32,6 @@
 # of their traffic.
 BIND_SLOTS_PER_GRACE = 4
 
-# Withdrawals that are written before all else, as requests to these replicas are soon lost.
-URGENT = (messages.Availability.DRAINING, messages.Availability.GONE)
-
 
 class Publisher(Actor):
     """Writes withdrawals, readmissions, binds and admission rates, and gives groups their turns to write."""
@@ -44,6 +39,8 @@
     def __init__(self, fleet: Fleet, groups: Sequence[ProxyGroup], warmup: WarmupAdmission) -> None:
         """Create a publisher with nothing to write, and start its timer."""
         self.warmup = warmup
+        self.budget = MessageBudget(fleet)
+        self.withdrawal_writer = WithdrawalWriter(fleet, self.budget)
         self.replicas = fleet.replicas
         self.flow = fleet.flow
         self.groups = groups
@@ -61,12 +58,14 @@
         # The publisher subscribes last, so that the timer receives its events first.
         super().__init__(fleet.loop)
 
-    def _capacity(self, proxies: Iterable[int], lines: float = 0, queue_share: float = QUEUE_SHARE) -> float:
+    def _capacity(self, proxies: Collection[int], lines: float = 0) -> float:
         """Return how many lines may still be written after writing `lines` to each of `proxies`.
 
-        The result is minus infinity if one of them is at its message limit.
+        The result is minus infinity if the messages that one of them has left are kept for withdrawals.
         """
-        return self.flow.available_lines(proxies, lines, queue_share, max(MESSAGE_SHARE, queue_share))
+        if not self.budget.has_enough(proxies):
+            return -inf
+        return self.flow.available_lines(proxies, lines, QUEUE_SHARE, MESSAGE_SHARE)
 
     def _on_proxy_joined(self, joined: ProxyJoined) -> None:
         # Proxies with the most traffic are bound first. All proxies must be bound within a drain's grace,
@@ -86,10 +85,9 @@
         # force for 5 s more.
         if is_broadcast_due:
             self._write_admission(all_proxies)
-        self._write_withdrawals(URGENT, URGENT_QUEUE_SHARE)
-        # With a larger share, ejections would use up the messages that drains need.
+        self.withdrawal_writer.write_urgent()
         if is_broadcast_due:
-            self._write_withdrawals((messages.Availability.EJECTED,), QUEUE_SHARE)
+            self._write_ejections()
         has_readmissions = is_broadcast_due and self._write_readmissions(all_proxies)
         self._write_binds()
         if is_broadcast_due and (len(self.flow.pending) >= len(all_proxies) or has_readmissions):
@@ -98,26 +96,16 @@
 
     def _write_admission(self, all_proxies: list[int]) -> None:
         lines = len(self.flow.admission_orders)
-        if lines and not self.withdrawals.has_pending(URGENT) and self._capacity(all_proxies, lines) >= 0:
+        has_precedence = self.withdrawal_writer.is_gathering or not self.withdrawals.has_pending(URGENT)
+        if lines and has_precedence and self._capacity(all_proxies, lines) >= 0:
             self.flow.write_admission(all_proxies)
 
-    def _write_withdrawals(self, kinds: Collection[messages.Availability], queue_share: float) -> None:
-        due = self.withdrawals.due(kinds)
-        # Without this, the capacity of a thousand proxies would be counted at each message of each cell's
-        # policy.
-        if not due:
-            return
-        holders = {replica: self.proxies.holders(replica) for replica in due}
-        proxies = dict.fromkeys(proxy for replica_holders in holders.values() for proxy in replica_holders)
-        lines = sum(map(len, holders.values()))
-        fitting = self._capacity(proxies, queue_share=queue_share) * len(due) / max(1, lines)
-        # While more lines are due than fit, a message with only a few of them waits: drains that were written
-        # a few at a time came too late.
-        is_worth_it = fitting >= min(len(due), 2 * self.flow.overhead_lines)
-        if fitting >= 1 and (is_worth_it or not self.flow.unacknowledged_lines):
-            for replica in due[: int(fitting)]:
-                self.withdrawals.withdraw(replica)
-                self.flow.write([WithdrawReplica(replica, withdrawn=True)], holders[replica], lines=1)
+    def _write_ejections(self) -> None:
+        # With a larger share of the messages, ejections would use up those that drains need.
+        due = self.withdrawals.due((messages.Availability.EJECTED,))
+        holders = {proxy for replica in due for proxy in self.proxies.holders(replica)}
+        if self.budget.has_enough(holders):
+            self.withdrawal_writer.write(due, QUEUE_SHARE, MESSAGE_SHARE)
 
     def _write_readmissions(self, all_proxies: list[int]) -> bool:
         due = self.withdrawals.due((messages.Availability.AVAILABLE,))
@@ -168,36 +156,47 @@
 
     def _write_binds(self) -> None:
         # A proxy that joins may hold tables and withdrawals of an earlier stream, so it is bound as soon as
-        # its bind fits. No bind is written while a drain waits for space in the queue: binds took up that
-        # space again and again, and 1,382 requests were sent to draining replicas after the grace (run
-        # hd28492).
+        # its bind fits. No bind is written while a drain waits for space in the queue, or would be late
+        # behind it: binds took up that space again and again, and 1,382 requests were sent to draining
+        # replicas after the grace (run hd28492).
         while self.proxies.pending_binds:
             unacknowledged = self.flow.unacknowledged_lines
-            if unacknowledged and self.withdrawals.has_pending(URGENT):
+            if unacknowledged and self.withdrawal_writer.waits_for_queue:
                 return
             bind = self.proxies.next_bind(self.withdrawals.withdrawn.keys())
             # A bind of more lines than `QUEUE_SHARE` of the queue is written once nothing else is in the
             # queue.
             if self._capacity(()) < bind.lines and unacknowledged + self.flow.reserved_lines:
                 return
+            if not self.withdrawal_writer.allows_lines(bind.lines):
+                return
             self.proxies.bind_next(bind)
 
-    def _on_timer_fired(self, _: TimerFired) -> None:
+    def _on_timer_fired(self, timer: TimerFired) -> None:
+        if timer.token != PERIOD_TIMER_TOKEN:
+            return
         now_us = self.loop.now_us
         outdated = [group for group, is_outdated in enumerate(self.proxies.is_outdated) if is_outdated]
-        # No weights are written while a withdrawal is pending: a message with weights would count as sent
-        # with knowledge of the replica's restart, although its withdrawal is not in it. With subsets, weights
-        # also wait for ejections, as the channel is too narrow for both. In other fleets, this starved the
-        # weights.
-        must_wait_for_ejections = self.is_subsetting and now_us >= self.next_broadcast_us
-        if not self.withdrawals.has_pending(
-            (*URGENT, messages.Availability.EJECTED) if must_wait_for_ejections else URGENT
-        ):
+        if not self._must_wait_for_withdrawals():
             self._give_next_turn(outdated)
         if not outdated and self.flow.is_idle() and now_us - self.last_step_us >= self.timer.period_us:
             self.last_step_us = now_us
             self.loop.publish(messages.WeightStepDue())
 
+    def _must_wait_for_withdrawals(self) -> bool:
+        """Return whether no group may write weights yet.
+
+        No weights are written while a withdrawal is pending: a message with weights would count as sent with
+        knowledge of the replica's restart, although its withdrawal is not in it. A withdrawal that waits only
+        for proxies at their message limits concerns their groups alone.
+        """
+        if any(replica not in self.withdrawal_writer.blocked for replica in self.withdrawals.due(URGENT)):
+            return True
+        # With subsets, weights also wait for ejections, as the channel is too narrow for both. In other
+        # fleets, this starved the weights.
+        must_wait_for_ejections = self.is_subsetting and self.loop.now_us >= self.next_broadcast_us
+        return must_wait_for_ejections and self.withdrawals.has_pending((messages.Availability.EJECTED,))
+
     def _give_next_turn(self, outdated: list[int]) -> None:
         """Give the next group that is due, and that the channel has capacity for, its turn to write.
 
@@ -208,7 +207,7 @@
         waited = {
             group: (self.loop.now_us - self.last_turn_us[group]) / self.timer.period_us for group in outdated
         }
-        due = [group for group in outdated if waited[group] >= 1]
+        due = [group for group in outdated if waited[group] >= 1 and not self._has_blocked_line(group)]
         withdrawn = self.withdrawals.withdrawn.keys()
         for group in sorted(
             due, key=lambda group: (-waited[group] / self.proxies.open_share(group, withdrawn), group)
@@ -216,10 +215,10 @@
             bound = self.proxies.bound[group]
             # Withdrawals of all lines of a group, one message each, used up the messages for weights, and its
             # proxies had no replica for the rest of the message window.
-            lacks_usable_lines = self.groups[group].lacks_usable_lines()
-            capacity = self._capacity(
-                bound, queue_share=URGENT_QUEUE_SHARE if lacks_usable_lines else QUEUE_SHARE
-            )
+            if self.groups[group].lacks_usable_lines():
+                capacity = self.flow.available_lines(bound, 0, URGENT_QUEUE_SHARE, WITHDRAWAL_MESSAGE_SHARE)
+            else:
+                capacity = self._capacity(bound)
             if capacity >= len(bound):
                 self.last_turn_us[group] = self.loop.now_us
                 self.proxies.send(group, messages.WriteTurn(capacity, periods=int(waited[group])))
@@ -228,3 +227,7 @@
             # otherwise.
             if isfinite(capacity):
                 return
+
+    def _has_blocked_line(self, group: int) -> bool:
+        blocked = self.withdrawal_writer.blocked
+        return any(not blocked.isdisjoint(table) for table in self.proxies.replicas[group])
--- a/gradehoist/settings/fleet_sections.py
+++ b/gradehoist/settings/fleet_sections.py
@@ -38,6 +38,7 @@
         message_overhead_lines=node.get("message-head", number_parser(0, 1e6), 4.0),
         messages_per_window=node.get("message-limit", integer_parser(0, 10**6), 0),
         message_window_us=node.get("message-window", duration_parser("10ms"), 10 * _US_PER_S),
+        worst_transit_us=node.get("worst-transit", parse_duration_us, _US_PER_S // 2),
     )
 
 
--- a/gradehoist/settings/platform.py
+++ b/gradehoist/settings/platform.py
@@ -120,6 +120,7 @@
         message_overhead_lines=float(specifics.get("fixed-cost", 0.0)),
         messages_per_window=int(specifics.get("pushes-allowed", 0)),
         message_window_us=seconds_to_us(specifics.get("update-window", 10.0)),
+        worst_transit_us=seconds_to_us(specifics.get("worst-transit", 0.5)),
     )
 
 
--- a/tests/test_delivery_queue.py
+++ b/tests/test_delivery_queue.py
@@ -29,6 +29,7 @@
     message_overhead_lines=4.0,
     messages_per_window=20,
     message_window_us=10 * SECOND_US,
+    worst_transit_us=SECOND_US // 5,
 )
 
 
--- a/tests/test_flow_control.py
+++ b/tests/test_flow_control.py
@@ -30,6 +30,7 @@
         message_overhead_lines=OVERHEAD,
         messages_per_window=messages_per_window,
         message_window_us=10 * SECOND,
+        worst_transit_us=0,
     )
     flow = FlowControl(MessageLoop(seed=7, now_us=0), limits)
     for proxy in range(proxies):
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -42,6 +42,18 @@
     assert are_all_bound(fleet)
 
 
+def test_the_drains_of_a_shrinking_fleet_meet_the_grace_period() -> None:
+    """Each drain in its own message used up the message limit (`review/9`)."""
+    fleet = GovernedFleet(replica_count=32)
+    fleet.connect()
+    fleet.run(3)
+    for replica in range(28):
+        fleet.update_endpoints(make_endpoint(replica, "draining"))
+        fleet.run(0.3)
+    fleet.run(5)
+    assert all(len(r.state.weights_for("read")) == 4 for r in fleet.proxies)
+
+
 def test_all_proxies_can_join_one_governor_within_100_ms() -> None:
     fleet = GovernedFleet(proxy_count=150, queue_limit_lines=3000, lines_per_s=3000)
     fleet.connect()
