Drains of several cells are gathered too, as they share the messages to a proxy

What callers saw: in gradehoist governor with 4 or 12 cells, 44 of 48 replicas drained one each 0.3 s; from the 27th drain on all proxies still used draining replicas when the grace had passed.

Cause: policies of cells see no message limit, as CellPublisher enforces it for all of them. It sent each withdrawal at once, in a message of its own, until the channel rejected them. Ruled out: the queue (60 of 40,000 lines at most).

A policy of a single cell counts no messages either, as its timers fire in slots only. publishing_slot_us moved to ChannelShares, which needs it.

Checks: ChannelShares.allows_message takes the times of the messages now; its test at the boundary passes 10,000 of them.

--- a/gradehoist/cells/channel_shares.py
+++ b/gradehoist/cells/channel_shares.py
@@ -2,16 +2,31 @@
 
 Withdrawals of any cell are sent first and may fill the queue. Ordinary lines (tables, weights, recoveries,
 migrations) may use only a part of the queue, so that a withdrawal queued behind them is sent well within the
-drain grace. They may also use only a part of the messages allowed per proxy, so that a withdrawal is never
-rejected because of their number. Within a message, the cells with the least recent usage come first: a cell
-with many changes delays only itself.
+drain grace. They may also use only a part of the messages allowed per proxy. As messages get scarce, the
+withdrawals of all cells are gathered, for as long as the first of them may wait. Within a message, the cells
+with the least recent usage come first: a cell with many changes delays only itself.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from gradehoist.interface import ChannelLimits
+from gradehoist.message_limit import MessageLimit
+
+MIN_SLOT_US = 10_000
+# The number of slots in a message window if the settings do not limit messages.
+DEFAULT_MESSAGES_PER_WINDOW = 20
+
+
+def publishing_slot_us(limits: ChannelLimits) -> int:
+    """Returns the length of a publishing time slot.
+
+    A message holds the changes of several cells, so all policies reply together, as often as the message
+    limit allows a message to a proxy.
+    """
+    messages = limits.messages_per_window or DEFAULT_MESSAGES_PER_WINDOW
+    return max(MIN_SLOT_US, limits.message_window_us // messages)
 
 
 class ChannelShares:
@@ -31,6 +46,8 @@
     USAGE_DECAY = 0.9
     # The lines of a withdrawal of one replica, without the message's overhead.
     WITHDRAWAL_LINES = 2
+    # Time for a policy's computation and the processing of its orders.
+    PROCESSING_TIME_US = 100_000
 
     def __init__(self, cell_count: int, limits: ChannelLimits, drain_grace_us: int) -> None:
         """Starts with no recorded usage.
@@ -43,21 +60,51 @@
         self.limits = limits
         self.ordinary_queue_lines = self.QUEUE_DELAY_SHARE * drain_grace_us / 1e6 * limits.lines_per_s
         self.usage_lines = [0.0] * cell_count
+        self._message_limit = MessageLimit(limits.messages_per_window, limits.message_window_us)
+        # Withdrawals are sent in slots, so a deadline may lie almost a slot after the last chance to meet it.
+        self._max_delay_us = (
+            drain_grace_us - limits.worst_transit_us - self.PROCESSING_TIME_US - publishing_slot_us(limits)
+        )
 
     def available_lines(self, proxy_count: int, waiting_lines: float) -> float:
         """Returns how many lines ordinary messages may add.
 
         A withdrawal sent to all proxies still fits into the queue beside them.
         """
-        withdrawal = proxy_count * (self.limits.message_overhead_lines + self.WITHDRAWAL_LINES)
-        limit = min(self.limits.queue_limit_lines - withdrawal, self.ordinary_queue_lines)
+        limit = min(
+            self.limits.queue_limit_lines - self._withdrawal_lines(proxy_count), self.ordinary_queue_lines
+        )
         return max(0.0, limit - waiting_lines)
 
-    def allows_message(self, message_count: int) -> bool:
-        """Whether a proxy that got `message_count` messages within the window may get an ordinary one."""
+    def max_withdrawal_wait_us(self, proxy_count: int, waiting_lines: float) -> int:
+        """Returns how long withdrawals may wait for others to share a message with; at least 1."""
+        lines = waiting_lines + self._withdrawal_lines(proxy_count)
+        return max(1, self._max_delay_us - int(lines / self.limits.lines_per_s * 1e6))
+
+    def allows_message(self, sent_us: Sequence[int], now_us: int, wait_us: int) -> bool:
+        """Whether a proxy may get an ordinary message.
+
+        `sent_us` are the times of its messages within the window, and `wait_us` is how long withdrawals may
+        wait.
+        """
+        if not self.limits.messages_per_window:
+            return True
+        ordinary_count = self.ORDINARY_MESSAGE_SHARE * self.limits.messages_per_window
+        return len(sent_us) < ordinary_count and self.allows_withdrawals(sent_us, now_us, wait_us)
+
+    def allows_withdrawals(self, sent_us: Sequence[int], now_us: int, wait_us: int) -> bool:
+        """Whether a message with withdrawals leaves enough of a proxy's messages for later ones."""
         if not self.limits.messages_per_window:
             return True
-        return message_count < self.ORDINARY_MESSAGE_SHARE * self.limits.messages_per_window
+        forced_count = self._message_limit.forced_count(wait_us)
+        if forced_count >= self._message_limit.count:
+            # There are too few messages even if all withdrawals wait as long as they may.
+            forced_count = int((1 - self.ORDINARY_MESSAGE_SHARE) * self._message_limit.count)
+        return self._message_limit.leaves_enough(sent_us, now_us, wait_us, forced_count)
+
+    def _withdrawal_lines(self, proxy_count: int) -> float:
+        """Returns the lines of a withdrawal that is sent to some proxies."""
+        return proxy_count * (self.limits.message_overhead_lines + self.WITHDRAWAL_LINES)
 
     @property
     def max_message_lines(self) -> float:
--- a/gradehoist/governor/cell_publisher.py
+++ b/gradehoist/governor/cell_publisher.py
@@ -1,7 +1,8 @@
 """The publisher of a governor with cells, whose policies share the channel. This module does no I/O.
 
-Withdrawals are sent at once. All other changes are sent once per time slot, first to the proxies that have
-waited longest, as far as each cell's share of the channel allows.
+Withdrawals are sent at once, or gathered within the drain grace while a proxy's messages are scarce. All
+other changes are sent once per time slot, first to the proxies that have waited longest, as far as each
+cell's share of the channel allows.
 """
 
 from __future__ import annotations
@@ -43,6 +44,7 @@
         self.unintroduced: dict[int, float] = {}
         self._sent_this_slot: set[int] = set()  # proxies that have been sent a message in this slot
         self._affected: dict[int, None] = {}  # proxies that the current reply affects
+        self._urgent_since_us: dict[int, int] = {}  # by proxy that was not sent the latest withdrawals
 
     def add_proxy(self, stream: ProxyStream, request_rate: float) -> None:
         """Adds a proxy that has joined; the policies are notified of it in one of the next slots."""
@@ -153,22 +155,38 @@
         return max(1, int(2 * available_lines / lines_per_proxy))
 
     def _send_withdrawals(self, now_us: int) -> str:
-        """Sends withdrawals to all proxies, with other changes that fit.
+        """Sends withdrawals to the proxies that they are due at, with other changes that fit.
 
         Returns why the channel rejected a message, or an empty string if it rejected none.
         """
         rejection = ""
-        for proxy in self.delivery_queue.urgent_proxies():
+        proxies = self.delivery_queue.urgent_proxies()
+        self._urgent_since_us = {proxy: self._urgent_since_us.get(proxy, now_us) for proxy in proxies}
+        for proxy in proxies:
+            if not self._is_withdrawal_due(now_us, proxy):
+                continue
             delivery = self.delivery_queue.next_delivery(
                 proxy, urgent=True, available_lines=self._available_lines()
             )
             rejection = self._send(now_us, proxy, delivery) or rejection
         return rejection
 
+    def _is_withdrawal_due(self, now_us: int, proxy: int) -> bool:
+        wait_us = self._max_withdrawal_wait_us()
+        if now_us >= self._urgent_since_us[proxy] + wait_us:
+            return True
+        sent_us = self.channel.recent_messages(now_us, proxy)
+        return self.delivery_queue.budget.allows_withdrawals(sent_us, now_us, wait_us)
+
+    def _max_withdrawal_wait_us(self) -> int:
+        budget = self.delivery_queue.budget
+        return budget.max_withdrawal_wait_us(len(self.streams), self.channel.waiting_lines)
+
     def _may_send(self, now_us: int, proxy: int) -> bool:
         if proxy in self._sent_this_slot or self.streams[proxy].resync_reason:
             return False
-        return self.delivery_queue.budget.allows_message(self.channel.count_messages(now_us, proxy))
+        sent_us = self.channel.recent_messages(now_us, proxy)
+        return self.delivery_queue.budget.allows_message(sent_us, now_us, self._max_withdrawal_wait_us())
 
     def _send_ordinary(self, now_us: int, proxy: int) -> bool:
         """Sends a proxy its next message; returns False if the channel has no room for it in this slot."""
--- a/gradehoist/governor/channel.py
+++ b/gradehoist/governor/channel.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
 from gradehoist.protocol.feed import Message
@@ -96,18 +97,18 @@
             self._queue.append(replace(item, release_us=self._last_release_us))
         self.waiting_lines = sum(item.message.cost_lines for item in kept)
 
-    def count_messages(self, now_us: int, proxy: int) -> int:
-        """Returns how many messages were queued for the proxy within the window that ends now."""
+    def recent_messages(self, now_us: int, proxy: int) -> Sequence[int]:
+        """Returns when messages were queued for the proxy within the window that ends now, oldest first."""
         times = self._put_times_us.get(proxy, deque())
         while times and times[0] <= now_us - self.window_us:
             times.popleft()
-        return len(times)
+        return times
 
     def rejection_reason(self, now_us: int, proxy: int, cost_lines: float) -> str | None:
         """Returns why a message of this cost would be rejected now; None if it would be accepted."""
         if proxy not in self._put_times_us:
             return "the proxy has left"
-        if self.messages_per_window and self.count_messages(now_us, proxy) >= self.messages_per_window:
+        if self.messages_per_window and len(self.recent_messages(now_us, proxy)) >= self.messages_per_window:
             return f"{self.messages_per_window} messages within {self.window_us / 1e6:g} s"
         if self.waiting_lines + cost_lines > self.queue_limit_lines:
             return f"{self.waiting_lines:g} of {self.queue_limit_lines:g} lines wait"
--- a/gradehoist/governor/core.py
+++ b/gradehoist/governor/core.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from gradehoist.governor.cell_stats import CellStats
-from gradehoist.governor.core_state import make_core_state, make_policy_configs, publishing_slot_us
+from gradehoist.governor.core_state import make_core_state, make_policy_configs, slot_us
 from gradehoist.governor.endpoint_events import EndpointEvents, ListChange
 from gradehoist.governor.order_log import log_order
 from gradehoist.governor.policy_instances import PolicyBatch, PolicyReply
@@ -73,7 +73,7 @@
         self.endpoint_list = state.endpoint_list
         self.load_reports = state.load_reports
         self.policy_configs = make_policy_configs(fleet, state.identifiers, settings.seed)
-        self.slot_us = publishing_slot_us(fleet)
+        self.slot_us = slot_us(fleet)
         placement = fleet.placement
         self.cell_stats = CellStats(placement.cells, placement.cell_by_replica) if placement else None
         self.has_urgent_change = False
--- a/gradehoist/governor/core_state.py
+++ b/gradehoist/governor/core_state.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from gradehoist.cells.channel_shares import ChannelShares
+from gradehoist.cells.channel_shares import ChannelShares, publishing_slot_us
 from gradehoist.cells.routes import class_label, home_cell
 from gradehoist.governor.cell_publisher import CellPublisher
 from gradehoist.governor.channel import Channel
@@ -26,9 +26,6 @@
 from gradehoist.settings.fleet import CellPlacement, FleetSettings, policy_config
 
 NO_CELLS = ("",)  # a fleet without cells is treated as one unnamed cell with all replicas
-MIN_SLOT_US = 10_000
-# The number of slots in a message window if the settings do not limit messages.
-DEFAULT_MESSAGES_PER_WINDOW = 20
 # Each policy's share of the queue has to fit a message to every proxy.
 MIN_QUEUE_LINES_PER_PROXY = 4
 
@@ -114,16 +111,9 @@
     return [policy_config(fleet, identifiers, seed + number, channel) for number in range(cell_count)]
 
 
-def publishing_slot_us(fleet: FleetSettings) -> int:
-    """Returns the length of a publishing time slot; 0 without cells, where replies are sent at once.
-
-    A message holds the changes of several cells, so all policies reply together, as often as the message
-    limit allows a message to a proxy.
-    """
-    if not fleet.placement:
-        return 0
-    messages = fleet.channel.messages_per_window or DEFAULT_MESSAGES_PER_WINDOW
-    return max(MIN_SLOT_US, fleet.channel.message_window_us // messages)
+def slot_us(fleet: FleetSettings) -> int:
+    """Returns the length of a publishing time slot; 0 without cells, where replies are sent at once."""
+    return publishing_slot_us(fleet.channel) if fleet.placement else 0
 
 
 def _make_publisher(
@@ -156,11 +146,14 @@
 
     Each policy counts only its own unacknowledged lines, and several policies share a message's overhead.
     Each gets an equal share of the queue, but at least the lines of a message to every proxy: with less, it
-    could notify none of them. The publisher enforces the limits of the whole channel.
+    could notify none of them. The publisher enforces the limits of the whole channel, and with cells it also
+    decides when a withdrawal waits for others.
     """
     limits = fleet.channel
-    if policy_count == 1:
+    if not fleet.placement:
         return limits
+    if policy_count == 1:
+        return replace(limits, messages_per_window=0)
     min_lines = MIN_QUEUE_LINES_PER_PROXY * fleet.proxy_count
     return replace(
         limits,
--- a/tests/test_boundary_values.py
+++ b/tests/test_boundary_values.py
@@ -283,7 +283,7 @@
     shares = ChannelShares(1, channel_limits, 1)
     assert shares.available_lines(0, 0.0) >= 0
     assert shares.available_lines(10**6, 1e9) == 0
-    assert shares.allows_message(10**9)
+    assert shares.allows_message([0] * 10**4, 0, shares.max_withdrawal_wait_us(10**6, 1e9))
 
 
 def test_a_cell_without_replicas_has_no_load() -> None:
--- a/tests/test_delivery_queue.py
+++ b/tests/test_delivery_queue.py
@@ -180,6 +180,19 @@
     assert not any(r.resync_count for r in fleet.proxies) and fleet.peak_lines <= 2_000
 
 
+@pytest.mark.parametrize("cell_count", [1, 4, 12])
+def test_the_drains_of_shrinking_cells_meet_the_grace_period(cell_count: int) -> None:
+    """Cells share the messages to a proxy, and each sent its drains at once until none was left."""
+    fleet = fleet_with_cells(cell_count, 10, 48)
+    fleet.connect()
+    fleet.run(20)
+    for replica in range(44):
+        fleet.update_endpoints(make_endpoint(replica, "draining"))
+        fleet.run(0.3)  # the fleet checks the grace period at each step
+    fleet.run(5)
+    assert all(len(r.state.withdrawn) == 44 for r in fleet.proxies)
+
+
 def test_an_unintroduced_proxy_is_sent_drains_and_leaves_without_an_event() -> None:
     fleet = fleet_with_cells(12, 40, 48, queue=2_000, rate=300)
     fleet.connect()
