Requests behind one whose client has left are dropped, and its handler is notified

The handler was not notified, and when the hold was over one of the requests behind was handled, with its effect. With 1,000 behind none was.

Cause: a stream notices the end of its connection only by reading, and reads nothing while a request is handled; nothing asked whether the client was still there before the next request. Ruled out: ids that run twice.

Change: HttpServer asks the connection's TCP state before each request and, each 0.25 s, for requests in progress. A client that has closed its side counts as gone, as it did before once the stream had noticed it. Where the system does not tell, the next read or write does, as before.

--- a/gradehoist/net/peer_connection.py
+++ b/gradehoist/net/peer_connection.py
@@ -10,6 +10,10 @@
 from gradehoist.net.listener import read_available
 from gradehoist.net.peer_memory import PeerMemory, PeerUsage
 
+# States of a TCP connection after the peer's last byte, from Linux' `tcp_states.h`.
+_CLOSE, _CLOSE_WAIT, _LAST_ACK = 7, 8, 9
+_CLOSED_STATES = (_CLOSE, _CLOSE_WAIT, _LAST_ACK)
+
 # The most that is read from one peer before the others get their turn.
 READ_CHUNK_BYTES = 16_384
 
@@ -47,6 +51,19 @@
             written.add_done_callback(lambda _: self._count_unread(-len(data)))
         return written
 
+    def has_peer_closed(self) -> bool:
+        """Whether the connection is closed, or the peer has closed its side.
+
+        A stream notices the end of its connection only once it has read all data before it.
+        """
+        if self.stream.closed():
+            return True
+        try:
+            state = self.stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            return False  # The platform does not tell; the next read or write will.
+        return state[0] in _CLOSED_STATES
+
     def count_unfinished(self, size_bytes: int) -> None:
         """Sets the size of the received data that is not a complete message yet."""
         if size_bytes != self.usage.unfinished_bytes:
--- a/gradehoist/net/server.py
+++ b/gradehoist/net/server.py
@@ -1,6 +1,7 @@
 """An HTTP server on Tornado's IOStream with one task for each connection.
 
-The requests of a connection are handled in order, and other tasks run after each of them.
+The requests of a connection are handled in order, and other tasks run after each of them. Once the peer has
+closed the connection, its remaining requests are dropped: nobody would learn what became of them.
 """
 
 from __future__ import annotations
@@ -28,6 +29,8 @@
 # Steps of the parser, chunks of a body for example, after which the other peers get their turn.
 _STEPS_PER_TURN = 64
 _FIRST_ERROR_STATUS = 400
+# How often the server checks whether the peers of requests in progress have left.
+_CLOSE_CHECK_PERIOD_S = 0.25
 _RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"  # struct linger: enabled, zero seconds
 
 
@@ -115,6 +118,8 @@
         self._max_connections = max_connections
         self.memory = memory or PeerMemory(peer_budget_bytes(memory_limit_bytes(), used_memory_bytes()))
         self.connections = set[Connection]()
+        self._in_progress = set[Connection]()  # with a request that the handler has not answered yet
+        self._close_check: asyncio.TimerHandle | None = None
         self._listener = Listener(self._on_accept)
         self._tasks = set[asyncio.Task[None]]()
 
@@ -122,6 +127,22 @@
         """Starts accepting connections. Raises OSError if the address cannot be bound."""
         self._listener.listen(port, address, backlog)
 
+    def _close_abandoned(self) -> None:
+        """Closes the connections of peers that left while their request is handled.
+
+        A stream does not notice the end of its connection while requests behind this one are unread.
+        """
+        self._close_check = None
+        for connection in list(self._in_progress):
+            if connection.has_peer_closed():
+                connection.close()
+        self._schedule_close_check()
+
+    def _schedule_close_check(self) -> None:
+        if self._in_progress and self._close_check is None:
+            loop = asyncio.get_running_loop()
+            self._close_check = loop.call_later(_CLOSE_CHECK_PERIOD_S, self._close_abandoned)
+
     def stop(self) -> None:
         """Stops accepting connections; open connections stay open."""
         self._listener.stop()
@@ -203,7 +224,9 @@
             return True
         if not isinstance(event, http.Request):
             return True
-        response = await self._handler(event, connection)
+        if connection.has_peer_closed():
+            return False
+        response = await self._handle(event, connection)
         if response is None or connection.closed.is_set():
             return False
         body = b"" if event.method == "HEAD" else response.body
@@ -212,6 +235,14 @@
         await self._write(connection, data)
         return event.keep_alive
 
+    async def _handle(self, request: http.Request, connection: Connection) -> ServerResponse | None:
+        self._in_progress.add(connection)
+        self._schedule_close_check()
+        try:
+            return await self._handler(request, connection)
+        finally:
+            self._in_progress.discard(connection)
+
     async def _write_error(self, connection: Connection, status: int, reason: str) -> None:
         await self._write(connection, _format_error(status, reason))
 
