One form of the limit on messages for the policy and for cells

The fallback for limits that are too low even for gathered drains stood twice, once in MessageBudget and once in ChannelShares; it is MessageLimit's now, with the count that ordinary messages may use.

--- a/gradehoist/cells/channel_shares.py
+++ b/gradehoist/cells/channel_shares.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from math import ceil
 
 from gradehoist.interface import ChannelLimits
 from gradehoist.message_limit import MessageLimit
@@ -60,7 +61,11 @@
         self.limits = limits
         self.ordinary_queue_lines = self.QUEUE_DELAY_SHARE * drain_grace_us / 1e6 * limits.lines_per_s
         self.usage_lines = [0.0] * cell_count
-        self._message_limit = MessageLimit(limits.messages_per_window, limits.message_window_us)
+        self._message_limit = MessageLimit(
+            count=limits.messages_per_window,
+            ordinary_count=ceil(self.ORDINARY_MESSAGE_SHARE * limits.messages_per_window),
+            window_us=limits.message_window_us,
+        )
         # Withdrawals are sent in slots, so a deadline may lie almost a slot after the last chance to meet it.
         self._max_delay_us = (
             drain_grace_us - limits.worst_transit_us - self.PROCESSING_TIME_US - publishing_slot_us(limits)
@@ -89,18 +94,14 @@
         """
         if not self.limits.messages_per_window:
             return True
-        ordinary_count = self.ORDINARY_MESSAGE_SHARE * self.limits.messages_per_window
-        return len(sent_us) < ordinary_count and self.allows_withdrawals(sent_us, now_us, wait_us)
+        is_within_share = len(sent_us) < self._message_limit.ordinary_count
+        return is_within_share and self.allows_withdrawals(sent_us, now_us, wait_us)
 
     def allows_withdrawals(self, sent_us: Sequence[int], now_us: int, wait_us: int) -> bool:
         """Whether a message with withdrawals leaves enough of a proxy's messages for later ones."""
         if not self.limits.messages_per_window:
             return True
-        forced_count = self._message_limit.forced_count(wait_us)
-        if forced_count >= self._message_limit.count:
-            # There are too few messages even if all withdrawals wait as long as they may.
-            forced_count = int((1 - self.ORDINARY_MESSAGE_SHARE) * self._message_limit.count)
-        return self._message_limit.leaves_enough(sent_us, now_us, wait_us, forced_count)
+        return self._message_limit.leaves_enough(sent_us, now_us, wait_us)
 
     def _withdrawal_lines(self, proxy_count: int) -> float:
         """Returns the lines of a withdrawal that is sent to some proxies."""
--- a/gradehoist/policy/message_budget.py
+++ b/gradehoist/policy/message_budget.py
@@ -32,9 +32,9 @@
         self._flow = fleet.flow
         self._limit = MessageLimit(
             count=ceil(WITHDRAWAL_MESSAGE_SHARE * self._flow.message_limit),
+            ordinary_count=ceil(MESSAGE_SHARE * self._flow.message_limit),
             window_us=fleet.config.channel.message_window_us,
         )
-        self._ordinary_count = ceil(MESSAGE_SHARE * self._flow.message_limit)
         self._lines_per_s = fleet.config.channel.lines_per_s
         self._max_delay_us = (
             fleet.config.safety.drain_grace_us - fleet.config.channel.worst_transit_us - PROCESSING_TIME_US
@@ -62,7 +62,12 @@
         A proxy that gets a message in this reply anyway is not among them.
         """
         wait_us = max(1, self.max_wait_us(len(proxies)))
-        return {proxy for proxy in self._without_message(proxies) if not self._leaves_enough(proxy, wait_us)}
+        now_us = self._loop.now_us
+        return {
+            proxy
+            for proxy in self._without_message(proxies)
+            if not self._limit.leaves_enough(self._flow.recent_messages(proxy), now_us, wait_us)
+        }
 
     def exhausted(self, proxies: Iterable[int]) -> set[int]:
         """Return those of the proxies that can't get any message now."""
@@ -79,13 +84,3 @@
 
     def _without_message(self, proxies: Iterable[int]) -> Iterable[int]:
         return (proxy for proxy in proxies if proxy not in self._flow.pending)
-
-    def _leaves_enough(self, proxy: int, wait_us: int) -> bool:
-        sent_us = self._flow.recent_messages(proxy)
-        forced_count = self._limit.forced_count(wait_us)
-        if len(sent_us) + 1 + forced_count <= self._limit.count:
-            return True
-        if forced_count >= self._limit.count:
-            # There are too few messages even if all withdrawals wait as long as they may.
-            forced_count = self._limit.count - self._ordinary_count
-        return self._limit.leaves_enough(sent_us, self._loop.now_us, wait_us, forced_count)
--- a/tests/test_message_budget.py
+++ b/tests/test_message_budget.py
@@ -75,14 +75,14 @@
     """Guards against messages spent one by one until the next withdrawals were late (`review/9`)."""
     generator = random.Random(seed)
     schedule = Schedule(generator.randint(1, 4), generator.randint(1, 7), generator.randint(1, 4))
-    limit = MessageLimit(schedule.limit, schedule.window)
+    limit = MessageLimit(schedule.limit, 0, schedule.window)
     count = generator.randint(0, min(schedule.limit, schedule.window))
     sent = tuple(sorted(generator.sample(range(schedule.window), count), reverse=True))
     after_message = schedule.age((*sent, 0))
     possible = len(sent) < schedule.limit and all(
         can_keep_deadlines(schedule, after_message, pending, 2 * schedule.window) for pending in (None, 1)
     )
-    allowed = limit.leaves_enough([-age for age in sent], 0, schedule.wait, limit.forced_count(schedule.wait))
+    allowed = limit.leaves_enough([-age for age in sent], 0, schedule.wait)
     assert allowed == possible, (schedule, sent)
 
 
@@ -278,6 +278,6 @@
 @pytest.mark.parametrize("wait_us", [SECOND, 3 * SECOND // 2, 5 * SECOND // 2])
 def test_messages_at_even_intervals_always_leave_enough(wait_us: int) -> None:
     """Weights may use 12 of 20 messages, and withdrawals 17."""
-    limit = MessageLimit(17, 10 * SECOND)
+    limit = MessageLimit(17, 12, 10 * SECOND)
     sent_us = [-number * limit.window_us // 12 for number in range(11, 0, -1)]
-    assert limit.leaves_enough(sent_us, 0, wait_us, limit.forced_count(wait_us))
+    assert limit.leaves_enough(sent_us, 0, wait_us)
