A placement made from an earlier one keeps the hash ranges and moves no tenant

Cause: make_placement wrote no ranges, so the hash was divided among three cells and not two; it also let the planner move named tenants, dropped those that the file no longer named, and could place a tenant by name that the hash had placed. Ruled out: governors and relays, which follow the file.

Fewer cells than before are rejected (exit 2).

--- a/gradehoist/cli/placement_files.py
+++ b/gradehoist/cli/placement_files.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import csv
+from collections.abc import Iterable
+from itertools import count, islice
 from pathlib import Path
 
 import msgspec
@@ -110,6 +112,8 @@
 ) -> tuple[CellPlacement, tuple[str, ...]]:
     """Makes a placement that changes a previous one as little as possible.
 
+    A previous placement may be in use, so no tenant changes its cell: that takes a migration.
+
     Returns:
         The placement, and a description of each requirement that it does not meet.
 
@@ -118,12 +122,11 @@
     """
     tenants = _load_tenants(tenants_path)
     replicas = _load_replicas(replicas_path)
-    names = tuple(f"c{number}" for number in range(requirements.cell_count))
-    previous = None
-    if previous_path is not None:
-        stored = load_placement(previous_path)
-        names = stored.cells[: requirements.cell_count] + names[len(stored.cells) :]
-        previous = _number_cells(stored)
+    stored = None if previous_path is None else load_placement(previous_path)
+    names = _cell_names(requirements.cell_count, stored)
+    if stored is not None:
+        _check_kept_cells(stored, names)
+    previous = None if stored is None else _number_cells(stored, tenants)
     try:
         planned = plan_placement(tenants, replicas, requirements, previous)
     except ValueError as error:
@@ -133,16 +136,58 @@
         cell_by_replica={name: names[cell] for name, cell in sorted(planned.replicas.items())},
         cell_by_tenant={name: names[cell] for name, cell in sorted(planned.tenants.items())},
     )
-    return placement, planned.unmet_requirements
+    if stored is None:
+        return placement, planned.unmet_requirements
+    return _keep_tenants(placement, stored, planned.unmet_requirements)
+
+
+def _cell_names(cell_count: int, stored: CellPlacement | None) -> tuple[str, ...]:
+    """Returns the names of the cells: those of the stored placement first, then unused ones."""
+    kept = () if stored is None else stored.cells[:cell_count]
+    unused = (name for number in count() if (name := f"c{number}") not in kept)
+    return (*kept, *islice(unused, cell_count - len(kept)))
+
+
+def _check_kept_cells(stored: CellPlacement, names: tuple[str, ...]) -> None:
+    """Raises InputError if a cell would be left out: tenants may have migrated to it."""
+    missing = [cell for cell in stored.cells if cell not in names]
+    if missing:
+        raise InputError(
+            f"--cells {len(names)} would leave out {', '.join(missing)}, which tenants may live in; "
+            f"name at least {len(stored.cells)} cells"
+        )
 
 
-def _number_cells(stored: CellPlacement) -> Placement:
+def _number_cells(stored: CellPlacement, tenants: Iterable[Tenant]) -> Placement:
     """Converts a stored placement to the planner's form, which has numbers in place of cell names."""
     numbers = {cell: number for number, cell in enumerate(stored.cells)}
     return Placement(
         {replica: numbers[cell] for replica, cell in stored.cell_by_replica.items()},
-        {tenant: numbers[cell] for tenant, cell in stored.cell_by_tenant.items()},
+        {tenant.name: numbers[stored.home_cell(tenant.name)] for tenant in tenants},
+    )
+
+
+def _keep_tenants(
+    planned: CellPlacement, stored: CellPlacement, unmet_requirements: tuple[str, ...]
+) -> tuple[CellPlacement, tuple[str, ...]]:
+    """Returns the planned placement with all tenants in their stored cells, and what it does not meet.
+
+    Tenants that no file names live in the cell that their hash selects, so the ranges of the hash stay too.
+    """
+    homes = {tenant: stored.home_cell(tenant) for tenant in planned.cell_by_tenant}
+    moves = [
+        f"tenant {tenant} should move from {homes[tenant]} to {cell}, as its cell is full; "
+        f"use gradehoist cells move SETTINGS {tenant} --to {cell}"
+        for tenant, cell in planned.cell_by_tenant.items()
+        if cell != homes[tenant]
+    ]
+    ranges = stored.cell_by_range or stored.cells
+    placement = msgspec.structs.replace(
+        planned,
+        cell_by_tenant={**stored.cell_by_tenant, **homes},
+        cell_by_range=() if ranges == planned.cells else ranges,
     )
+    return placement, (*unmet_requirements, *moves)
 
 
 def split_cell(placement: CellPlacement, replicas_path: Path, cell: str, new_cell: str) -> CellPlacement:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -276,3 +276,43 @@
     assert split_command.split("b", "a").exit_code == 2
     split_command.replicas.write_text("worker,zone,kind,size\nw7,x,k,1\n")
     assert "names 1 of the 6 workers of b" in split_command.split("b", "c").output
+
+
+@pytest.mark.parametrize(("tenants", "cell_count"), [
+    ("inn,0.1\n", 3),  # only a replica is added
+    ("inn,0.1\n", 5),  # cells are added
+    ("inn,0.1\nnew-1,0.1\nnew-2,9\n", 3),  # tenants are named that their hash selected a cell for
+    ("inn,5\ninn7,4\n", 3),  # a cell exceeds its capacity
+    ("", 3),  # a tenant is no longer named
+])  # fmt: skip
+def test_a_changed_placement_moves_no_tenant_without_a_migration(
+    split_command: PlacementCommand, tenants: str, cell_count: int
+) -> None:
+    """A placement made after a split lost the hash ranges, and tenants wrote in two cells (`review/6`)."""
+    assert split_command.split("b", "c").exit_code == 0
+    split_command.tenants.write_text("tenant,demand\n" + tenants)
+    with split_command.replicas.open("a") as file:
+        file.write("w12,x,k,1\n")
+    options = ("--cells", cell_count, "--before", split_command.split_placement)
+    assert split_command.place(*map(str, options)).exit_code in (0, 1)
+    changed: CellPlacement = msgspec.json.decode(split_command.placement.read_bytes(), type=CellPlacement)
+    assert len(changed.cells) == cell_count and "w12" in changed.cell_by_replica
+    names = ["inn", "new-1", "new-2", *(f"inn{n}" for n in range(500))]
+    assert [changed.home_cell(name) for name in names] == [SPLIT_BASE.home_cell(name) for name in names]
+
+
+def test_a_tenant_that_should_leave_a_full_cell_is_reported(split_command: PlacementCommand) -> None:
+    split_command.tenants.write_text("tenant,demand\ninn,4\nbig,4\n")
+    stored = msgspec.structs.replace(SPLIT_BASE, cell_by_tenant={"inn": "a", "big": "a"})
+    split_command.placement.write_bytes(msgspec.json.encode(stored))
+    result = split_command.place("--cells", "2", "--before", split_command.placement)
+    assert result.exit_code == 1
+    assert "should move from a to b" in result.output and "cells move" in result.output
+
+
+def test_a_cell_in_use_is_not_left_out_of_a_changed_placement(split_command: PlacementCommand) -> None:
+    split_command.tenants.write_text("tenant,demand\ninn,1\n")
+    before = split_command.placement.read_bytes()
+    result = split_command.place("--cells", "1", "--before", split_command.placement)
+    assert result.exit_code == 2 and "would leave out b" in result.output
+    assert split_command.placement.read_bytes() == before
