Groups write their weights in the message that ends the wait of gathered drains

Seen under a virtual clock and in trials of six in ten replaced within 7 s: weights wait while drains are pending, and the next drains were gathered before a group had its turn.

Cause: a group's turn comes with the timer, and only while no drain is pending. Change: once gathered drains are written and none is left, each due group whose proxies all have a message in this reply gets its turn in it, which costs no message.

--- a/gradehoist/policy/publisher.py
+++ b/gradehoist/policy/publisher.py
@@ -90,6 +90,8 @@
             self._write_ejections()
         has_readmissions = is_broadcast_due and self._write_readmissions(all_proxies)
         self._write_binds()
+        if self.withdrawal_writer.has_ended_gathering:
+            self._give_shared_turns()
         if is_broadcast_due and (len(self.flow.pending) >= len(all_proxies) or has_readmissions):
             interval_us = self.flow.message_window_us / self.flow.message_limit / BROADCAST_MESSAGE_SHARE
             self.next_broadcast_us = self.loop.now_us + int(interval_us)
@@ -204,14 +206,7 @@
         come first. With turns in the order of their numbers, and a channel with capacity for a quarter of the
         groups in a period, the last group had no turn, and one group had a single cold replica left.
         """
-        waited = {
-            group: (self.loop.now_us - self.last_turn_us[group]) / self.timer.period_us for group in outdated
-        }
-        due = [group for group in outdated if waited[group] >= 1 and not self._has_blocked_line(group)]
-        withdrawn = self.withdrawals.withdrawn.keys()
-        for group in sorted(
-            due, key=lambda group: (-waited[group] / self.proxies.open_share(group, withdrawn), group)
-        ):
+        for group, waited in self._due_groups(outdated).items():
             bound = self.proxies.bound[group]
             # Withdrawals of all lines of a group, one message each, used up the messages for weights, and its
             # proxies had no replica for the rest of the message window.
@@ -220,14 +215,41 @@
             else:
                 capacity = self._capacity(bound)
             if capacity >= len(bound):
-                self.last_turn_us[group] = self.loop.now_us
-                self.proxies.send(group, messages.WriteTurn(capacity, periods=int(waited[group])))
+                self._give_turn(group, capacity, waited)
             # At most one group has its turn, and if the queue has no space for it, the others wait too. Only
             # a group with a proxy at its message limit is passed over, as it held up all other groups
             # otherwise.
             if isfinite(capacity):
                 return
 
+    def _give_shared_turns(self) -> None:
+        """Give the groups that are due their turns in the messages of withdrawals that were gathered.
+
+        Weights wait while withdrawals are gathered, and their own messages would be the next ones to miss.
+        """
+        outdated = [group for group, is_outdated in enumerate(self.proxies.is_outdated) if is_outdated]
+        for group, waited in self._due_groups(outdated).items():
+            bound = self.proxies.bound[group]
+            changes = sum(1 for _ in self.groups[group].changes(int(waited)))
+            capacity = min(self._capacity(bound), float(changes * len(bound)))
+            if self.flow.pending.keys() >= bound.keys() and capacity >= len(bound):
+                self.flow.reserved_lines += capacity
+                self._give_turn(group, capacity, waited)
+
+    def _due_groups(self, outdated: list[int]) -> dict[int, float]:
+        """Return the groups that may write again, in order, and for how many periods each has waited."""
+        waited = {
+            group: (self.loop.now_us - self.last_turn_us[group]) / self.timer.period_us for group in outdated
+        }
+        due = [group for group in outdated if waited[group] >= 1 and not self._has_blocked_line(group)]
+        withdrawn = self.withdrawals.withdrawn.keys()
+        due.sort(key=lambda group: (-waited[group] / self.proxies.open_share(group, withdrawn), group))
+        return {group: waited[group] for group in due}
+
+    def _give_turn(self, group: int, capacity: float, waited: float) -> None:
+        self.last_turn_us[group] = self.loop.now_us
+        self.proxies.send(group, messages.WriteTurn(capacity, periods=int(waited)))
+
     def _has_blocked_line(self, group: int) -> bool:
         blocked = self.withdrawal_writer.blocked
         return any(not blocked.isdisjoint(table) for table in self.proxies.replicas[group])
--- a/gradehoist/policy/withdrawal_writer.py
+++ b/gradehoist/policy/withdrawal_writer.py
@@ -30,6 +30,8 @@
         """Create a writer with nothing to write."""
         # Whether withdrawals are due that the queue has no space for.
         self.waits_for_queue = False
+        # Whether withdrawals were written just now that had been gathered, and none is left.
+        self.has_ended_gathering = False
         # Replicas whose withdrawal waits only for proxies that are at their message limits.
         self.blocked = set[int]()
         self._gathered_until_us: int | None = None
@@ -48,6 +50,8 @@
     def write_urgent(self) -> None:
         """Write the withdrawals of draining and gone replicas that are due."""
         was_blocked = bool(self.blocked)
+        was_gathering = self._gathered_until_us is not None
+        self.has_ended_gathering = False
         self.waits_for_queue = False
         self.blocked = set()
         self._gathered_until_us = None
@@ -69,6 +73,7 @@
                 self._block(set(pending).difference(due), exhausted, is_new=not was_blocked)
         self.write(due, URGENT_QUEUE_SHARE, WITHDRAWAL_MESSAGE_SHARE)
         self.waits_for_queue = any(replica in self._withdrawals.pending for replica in due)
+        self.has_ended_gathering = was_gathering and not self._withdrawals.has_pending(URGENT)
 
     def write(self, due: list[int], queue_share: float, message_share: float) -> None:
         """Write as many withdrawals as fit into a share of the queue, the oldest first."""
--- a/tests/test_message_budget.py
+++ b/tests/test_message_budget.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import cache
+from statistics import median
 
 import pytest
 
@@ -263,6 +264,26 @@
     assert fleet.bound[6]
 
 
+@pytest.mark.parametrize(("proxies", "interval_s"), [(6, 0.15), (30, 0.36)])
+def test_new_replicas_get_lines_while_drains_are_gathered(proxies: int, interval_s: float) -> None:
+    """Weights waited for gathered drains, and the next ones were gathered before they had a turn."""
+    shrinking = shrinking_fleet(replicas=60, proxies=proxies)
+    fleet = shrinking.fleet
+    listed_us, waits_us = dict[int, int](), dict[int, int]()
+    for replica in range(30):
+        shrinking.list_phase(Phase.READY, 60 + replica)
+        shrinking.list_phase(Phase.DRAINING, replica)
+        listed_us[60 + replica] = fleet.now_us
+        shrinking.advance(interval_s)
+        for new, time_us in listed_us.items():
+            if new not in waits_us and len(fleet.holders(new)) == proxies:
+                waits_us[new] = fleet.now_us - time_us
+    assert not shrinking.late_us
+    # A group has its turn once a period, and a gathered message follows within the longest wait of a drain.
+    longest_us = fleet.config.load_reporting.period_us + fleet.max_drain_wait_us
+    assert median(waits_us.get(new, fleet.now_us) for new in listed_us) <= longest_us
+
+
 @pytest.mark.parametrize("limit", [12, 14, 20])
 def test_without_drains_tables_are_written_as_often_as_without_a_message_limit(limit: int) -> None:
     """Messages that are kept for drains must not starve the weights."""
