--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -137,6 +137,8 @@
     ('{"listen": "x"}', "listen: 'x'"),
     ('{"listen": "127.0.0.1:1"}', "discovery: 'discovery' is missing"),
     ('{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {}}', "settings: 'classes' is"),
+    ('{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "limits": {"memory_mb": 3}}',
+     "limits.memory_mb: 3 is too low; allow at least 16"),
     ('{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {"classes": [{"name": "a",'
      ' "aim": "x"}]}}', "settings: could not convert"),
 ])  # fmt: skip
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -47,6 +47,8 @@
         ("relays=15 ", "", ":2: fleet > relays: missing"),
         ("queue-limit=3500", "queue-limt=3500", ":8: fleet > channel > queue-limt: unknown property"),
         ("queue-limit=3500", "queue-limit=true", ":8: fleet > channel > queue-limit: expected a number"),
+        ('zone="hall-b"', 'zone="hall-b" memory-mb=3', ':14: governor "b" > memory-mb: expected a whole'),
+        ("message-head=4", "worst-transit=4", ":8: fleet > channel > worst-transit: expected a time"),
         ('zone="hall-b"', 'zone="hall-z"', ':14: governor "b" > zone: expected one of hall-a, hall-b'),
         ('"127.0.0.1:7102"', '"10.0.0.1:7102"', ':14: governor "b" > listen: an address beyond loopback'),
         ('"127.0.0.1:7102"', '"localhost"', ':14: governor "b" > listen: expected an address'),
