One proxy at its message limit no longer ends the gathering of drains for all others

Cause: write_urgent took the deadline of the oldest pending drain, blocked ones included. Once one was blocked beyond it, each later drain was written at once without a look at what was left, and lines were removed for each drain in a message of its own.

Change: a drain that only groups with an exhausted proxy still have lines for doesn't count for the others; drains that are not overdue go along only with proxies that get a message anyway or have some to spare, and lines that the other groups lose are gathered like drains. Holders are searched once a batch, where it was twice.

--- a/gradehoist/policy/publisher.py
+++ b/gradehoist/policy/publisher.py
@@ -104,9 +104,8 @@
 
     def _write_ejections(self) -> None:
         # With a larger share of the messages, ejections would use up those that drains need.
-        due = self.withdrawals.due((messages.Availability.EJECTED,))
-        holders = {proxy for replica in due for proxy in self.proxies.holders(replica)}
-        if self.budget.has_enough(holders):
+        due = self.withdrawal_writer.pending_holders((messages.Availability.EJECTED,))
+        if self.budget.has_enough({proxy for held in due.values() for proxy in held}):
             self.withdrawal_writer.write(due, QUEUE_SHARE, MESSAGE_SHARE)
 
     def _write_readmissions(self, all_proxies: list[int]) -> bool:
--- a/gradehoist/policy/withdrawal_writer.py
+++ b/gradehoist/policy/withdrawal_writer.py
@@ -6,7 +6,8 @@
 next ones came up to 2 s after the grace.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Set
+from itertools import islice
 
 from gradehoist import messages
 from gradehoist.fleet_state import Fleet
@@ -55,44 +56,73 @@
         self.waits_for_queue = False
         self.blocked = set()
         self._gathered_until_us = None
-        pending = self._withdrawals.due(URGENT)
-        if not pending:
+        holders = self.pending_holders(URGENT)
+        if not holders:
             return
-        holders = self._holders(pending)
         proxies = _all_proxies(holders)
-        first_us = min(self._withdrawals.urgent_since_us[replica] for replica in pending)
-        latest_us = first_us + self._budget.max_wait_us(len(proxies))
-        if self._loop.now_us < latest_us:
-            due = _without(pending, holders, self._budget.scarce(proxies))
-            if len(due) < len(pending):
-                self._gather_until(latest_us)
-        else:
-            exhausted = self._budget.exhausted(proxies)
-            due = _without(pending, holders, exhausted)
-            if exhausted:
-                self._block(set(pending).difference(due), exhausted, is_new=not was_blocked)
+        exhausted = self._budget.exhausted(proxies)
+        if exhausted:
+            self._set_blocked(holders, exhausted, is_new=not was_blocked)
+        waiting = {replica: held for replica, held in holders.items() if replica not in self.blocked}
+        due = self._due(waiting, exhausted)
         self.write(due, URGENT_QUEUE_SHARE, WITHDRAWAL_MESSAGE_SHARE)
         self.waits_for_queue = any(replica in self._withdrawals.pending for replica in due)
-        self.has_ended_gathering = was_gathering and not self._withdrawals.has_pending(URGENT)
+        is_left = any(replica in self._withdrawals.pending for replica in waiting)
+        self.has_ended_gathering = was_gathering and not is_left
 
-    def write(self, due: list[int], queue_share: float, message_share: float) -> None:
+    def pending_holders(self, kinds: Collection[messages.Availability]) -> Holders:
+        """Return the replicas with a pending change to one of `kinds`, oldest first, and their holders."""
+        return {replica: self._proxies.holders(replica) for replica in self._withdrawals.due(kinds)}
+
+    def write(self, due: Holders, queue_share: float, message_share: float) -> None:
         """Write as many withdrawals as fit into a share of the queue, the oldest first."""
         # Without this, the capacity of a thousand proxies would be counted at each message of each cell's
         # policy.
         if not due:
             return
-        holders = self._holders(due)
-        proxies = _all_proxies(holders)
-        lines = sum(map(len, holders.values()))
-        available = self._flow.available_lines(proxies, 0, queue_share, message_share)
+        lines = sum(map(len, due.values()))
+        available = self._flow.available_lines(_all_proxies(due), 0, queue_share, message_share)
         fitting = available * len(due) / max(1, lines)
         # While more lines are due than fit, a message with only a few of them waits: drains that were written
         # a few at a time came too late.
         is_worth_it = fitting >= min(len(due), 2 * self._flow.overhead_lines)
         if fitting >= 1 and (is_worth_it or not self._flow.unacknowledged_lines):
-            for replica in due[: int(fitting)]:
+            for replica, proxies in islice(due.items(), int(min(fitting, len(due)))):
                 self._withdrawals.withdraw(replica)
-                self._flow.write([WithdrawReplica(replica, withdrawn=True)], holders[replica], lines=1)
+                self._flow.write([WithdrawReplica(replica, withdrawn=True)], proxies, lines=1)
+
+    def _due(self, waiting: Holders, exhausted: set[int]) -> Holders:
+        """Return the withdrawals to write now, and arrange for the others to be written by their deadlines.
+
+        Withdrawals that may wait no longer go, and those that can share their messages. Others go only to
+        proxies that have messages to spare.
+        """
+        if not waiting:
+            return {}
+        proxies = _all_proxies(waiting)
+        wait_us = self._budget.max_wait_us(len(proxies))
+        latest_us = {replica: self._withdrawals.urgent_since_us[replica] + wait_us for replica in waiting}
+        overdue = {n: held for n, held in waiting.items() if latest_us[n] <= self._loop.now_us}
+        spared = (self._budget.scarce(proxies) - _all_proxies(overdue).keys()) | exhausted
+        due = _without(waiting, spared)
+        rest = waiting.keys() - due.keys()
+        if not exhausted.isdisjoint(_all_proxies(overdue)):
+            self._remove_lines({n: held for n, held in waiting.items() if n in rest}, exhausted)
+        if later_us := [latest_us[n] for n in rest if latest_us[n] > self._loop.now_us]:
+            self._gather_until(min(later_us))
+        return due
+
+    def _set_blocked(self, holders: Holders, exhausted: set[int], is_new: bool) -> None:
+        """Set the replicas that only groups with an exhausted proxy still have lines for."""
+        stuck = set[int]()
+        for members in self._proxies.bound:
+            if not exhausted.isdisjoint(members):
+                stuck.update(members)
+        self.blocked = {replica for replica, held in holders.items() if held and stuck.issuperset(held)}
+        self._wake_at(self._budget.next_message_us(exhausted))
+        if self.blocked and is_new:
+            text = f"{len(self.blocked)} withdrawals wait: {len(exhausted)} proxies are at the message limit"
+            self._flow.orders.append(LogRemark(text))
 
     def allows_lines(self, lines: float) -> bool:
         """Return whether gathered withdrawals would still be in time behind this many lines."""
@@ -101,21 +131,10 @@
         reserved_us = self._budget.transmission_us(self._flow.reserved_lines + lines)
         return self._loop.now_us + reserved_us < self._gathered_until_us
 
-    def _holders(self, replicas: Iterable[int]) -> Holders:
-        return {replica: self._proxies.holders(replica) for replica in replicas}
-
     def _gather_until(self, latest_us: int) -> None:
         self._gathered_until_us = latest_us
         self._wake_at(latest_us)
 
-    def _block(self, replicas: set[int], exhausted: set[int], is_new: bool) -> None:
-        self.blocked = replicas
-        self._remove_lines(replicas, exhausted)
-        self._wake_at(self._budget.next_message_us(exhausted))
-        if is_new:
-            text = f"{len(replicas)} withdrawals wait: {len(exhausted)} proxies are at the message limit"
-            self._flow.orders.append(LogRemark(text))
-
     def _wake_at(self, time_us: int) -> None:
         now_us = self._loop.now_us
         if now_us < self._timer_us <= time_us:
@@ -149,6 +168,6 @@
     return dict.fromkeys(proxy for replica_holders in holders.values() for proxy in replica_holders)
 
 
-def _without(replicas: Iterable[int], holders: Holders, proxies: set[int]) -> list[int]:
-    """Return the replicas that none of the proxies has a line for."""
-    return [replica for replica in replicas if proxies.isdisjoint(holders[replica])]
+def _without(holders: Holders, proxies: Set[int]) -> Holders:
+    """Return the replicas that none of the proxies has a line for, with their holders."""
+    return {replica: held for replica, held in holders.items() if proxies.isdisjoint(held)}
--- a/tests/test_message_budget.py
+++ b/tests/test_message_budget.py
@@ -254,6 +254,28 @@
     assert fleet.now_us - listed_us < 12 * SECOND
 
 
+def test_drains_are_gathered_for_the_other_proxies_while_one_is_at_its_message_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A drain that one proxy held up made all later ones go at once, until no proxy had a message left."""
+    shrinking = shrinking_fleet(replicas=60, proxies=30)
+    fleet = shrinking.fleet
+    flow, groups = fleet.policy.fleet.flow, fleet.policy.fleet.proxies.group_by_proxy
+    monkeypatch.setattr(fleet, "_check_drains", lambda: None)
+    for times in (flow.message_times[0], fleet.message_times[0]):
+        times.extend([fleet.now_us] * 17)
+    late = set[int]()
+    for replica in range(40):
+        shrinking.list_phase(Phase.DRAINING, replica)
+        for _ in range(5):
+            shrinking.advance(0.05)
+            overdue = [
+                n for n, t in fleet.drain_listed_us.items() if fleet.now_us - t > fleet.max_drain_wait_us
+            ]
+            late |= {proxy for n in overdue for proxy in fleet.holders(n)}
+    assert {groups[proxy] for proxy in late} == {groups[0]}
+
+
 def test_gathered_drains_delay_no_bind() -> None:
     shrinking = shrinking_fleet()
     fleet = shrinking.fleet
