Names of proxies and memory limits have tests on the real parts; one constant for a turn's steps

That names of proxies which left are replaced was tested on the interner alone: 50 proxies that join and leave a governor of 4 under new names left 53 names on (the new test failed there) and leave 4 now. That the budget follows a resource limit had no test. The steps of a turn stood in three modules.

No change of behaviour.

--- a/gradehoist/net/client.py
+++ b/gradehoist/net/client.py
@@ -10,15 +10,13 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from gradehoist.protocol import http
-from gradehoist.protocol.http_parser import Parser
+from gradehoist.protocol.http_parser import STEPS_PER_TURN, Parser
 
 CONNECT_TIMEOUT_S = 0.25  # connecting within one site takes milliseconds
 IDLE_TIMEOUT_S = 15.0  # half of the time after which HttpServer closes an idle connection
 REQUEST_TIMEOUT_S = 5.0
 _MAX_BUFFER_BYTES = 64 << 20  # more than the largest body that http.Limits allows
 _READ_BYTES = 1 << 18
-# Steps of the parser, chunks of a body for example, after which other tasks run.
-_STEPS_PER_TURN = 64
 
 
 class HttpClientError(Exception):
@@ -190,7 +188,7 @@
         parser = connection.parser
         while True:
             data = b"" if parser.is_paused else await connection.read(max(0.0, deadline_s - clock()))
-            for event in parser.receive(data, _STEPS_PER_TURN):
+            for event in parser.receive(data, STEPS_PER_TURN):
                 if isinstance(event, http.Response) and event.status >= http.FIRST_FINAL_STATUS:
                     return event
             # A server that sends interim responses or chunks without end must not hold up other tasks.
--- a/gradehoist/net/server.py
+++ b/gradehoist/net/server.py
@@ -23,11 +23,9 @@
 from gradehoist.net.peer_memory import PeerMemory, peer_budget_bytes
 from gradehoist.net.process_memory import memory_limit_bytes, used_memory_bytes
 from gradehoist.protocol import http
-from gradehoist.protocol.http_parser import Parser
+from gradehoist.protocol.http_parser import STEPS_PER_TURN, Parser
 
 MAX_CONNECTIONS = 20_000
-# Steps of the parser, chunks of a body for example, after which the other peers get their turn.
-_STEPS_PER_TURN = 64
 _FIRST_ERROR_STATUS = 400
 # How often the server checks whether the peers of requests in progress have left.
 _CLOSE_CHECK_PERIOD_S = 0.25
@@ -216,7 +214,7 @@
             if not parser.is_paused:
                 return True
             steps += 1
-            if events or steps % _STEPS_PER_TURN == 0:
+            if events or steps % STEPS_PER_TURN == 0:
                 await asyncio.sleep(0)
 
     async def _answer(self, event: http.Event, connection: Connection) -> bool:
--- a/gradehoist/node/discovery_client.py
+++ b/gradehoist/node/discovery_client.py
@@ -16,6 +16,7 @@
 from gradehoist.node.discovery import HEARTBEAT_PERIOD_US, MAX_LINE_BYTES, DiscoveryWatch, WatchLostError
 from gradehoist.node.log import NodeLog
 from gradehoist.node.policy_runner import PolicyRunner
+from gradehoist.protocol.http_parser import STEPS_PER_TURN
 
 MICROSECONDS_PER_SECOND = 1e6
 CONNECT_TIMEOUT_S = 1.0
@@ -23,8 +24,6 @@
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 1.0
 READ_CHUNK_BYTES = 1 << 18
-# Steps of the parser, chunks of the response for example, after which other tasks run.
-STEPS_PER_TURN = 64
 
 
 class WatchEnd(NamedTuple):
--- a/gradehoist/protocol/http_parser.py
+++ b/gradehoist/protocol/http_parser.py
@@ -31,6 +31,8 @@
 )
 
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[\t ]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
+# Steps of a parser after which an event loop lets other tasks run.
+STEPS_PER_TURN = 64
 _CARRIAGE_RETURN = 13
 _SWITCHING_PROTOCOLS = 101
 _NOT_MODIFIED = 304
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -112,6 +112,21 @@
     assert events[-2:] == [interface.ProxyLeft, interface.ProxyJoined]
 
 
+def test_proxies_that_join_and_leave_under_new_names_take_no_more_indices_than_the_settings_allow() -> None:
+    """Each name that a client chose for a poll was kept for good."""
+    fleet = GovernedFleet(proxy_count=4)
+    fleet.connect(*fleet.proxies[:3])
+    fleet.run(1)
+    for number in range(50):
+        assert fleet.core.handle_poll(fleet.now_us, FeedPoll(f"new-{number}", "x")) is not None
+        fleet.run(0.1)
+        fleet.core.remove_proxy(fleet.core.identifiers.proxies[f"new-{number}"], "its connection closed")
+    assert len(fleet.core.identifiers.proxies) == 4
+    fleet.update_endpoints(make_endpoint(3, "draining"))
+    fleet.run(3)  # the fleet checks the grace period at each step
+    assert all("w3" not in r.state.weights_for("read") for r in fleet.proxies[:3])
+
+
 def test_a_proxy_that_keeps_rejoining_delays_no_drain() -> None:
     """The proxy joins twenty times a second, so each table in the queue is dropped at the next join.
 
--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -80,6 +80,15 @@
     assert 1 << 20 < int(output) < len(ballast)
 
 
+def test_the_memory_limit_follows_from_the_resource_limits_of_the_process() -> None:
+    code = (
+        "import resource; from gradehoist.net.process_memory import memory_limit_bytes\n"
+        "resource.setrlimit(resource.RLIMIT_DATA, (300 << 20, 300 << 20)); print(memory_limit_bytes())"
+    )
+    output = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, check=True).stdout
+    assert 0 < int(output) <= 300 << 20
+
+
 def peak_memory_mb(pid: int) -> float:
     status = Path(f"/proc/{pid}/status").read_text()
     return int(status.split("VmHWM:")[1].split()[0]) / 1024
